Rename the package ashstile to violetstack

Mechanical: git mv, one substitution over the text, and ruff's import order, which the new name changes in three test files.

--- a/tests/front.py
+++ b/tests/front.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from ashstile import interface as t
-from ashstile.router import Router
+from violetstack import interface as t
+from violetstack.router import Router
 
 A = TypeVar("A")
 
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from ashstile import interface as t
 from tests.front import READERS, SAFE, WRITERS, Front, entry
+from violetstack import interface as t
 
 TENANTS = (t.TenantSpec(0.5, 4.0), t.TenantSpec(0.5, 1000.0))
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-MODULE = Path(__file__).parent.parent / "ashstile" / "router.py"
+MODULE = Path(__file__).parent.parent / "violetstack" / "router.py"
 
 
 def test_module_is_short_enough_to_read_aloud() -> None:
@@ -13,4 +13,4 @@
 
 def test_no_decision_outside_the_module_is_named_policy() -> None:
     text = (MODULE.parent.parent / "deploy" / "balancer.toml").read_text()
-    assert 'policy = ["ashstile/router.py"]' in text
+    assert 'policy = ["violetstack/router.py"]' in text
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from ashstile import interface as t
-from ashstile.router import Job
 from tests.front import READERS, SAFE, WRITERS, Front, entry
+from violetstack import interface as t
+from violetstack.router import Job
 
 
 def test_price_is_quadratic_plus_linear() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from ashstile import interface as t
 from tests.front import READERS, SAFE, UNSAFE, WRITERS, Front, entry
+from violetstack import interface as t
 
 KEYED = replace(SAFE, effect=t.Effect.KEYED, group=t.Group.ZONE, window_ms=1000.0)
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from ashstile import interface as t
-from ashstile import wirehost
-from ashstile.router import Router
+from violetstack import interface as t
+from violetstack import wirehost
+from violetstack.router import Router
 
 FACTS: dict[str, Any] = {
     "fleet_size": 2,
@@ -158,7 +158,7 @@
     line: bytes, named: str
 ) -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "ashstile.wirehost"],
+        [sys.executable, "-m", "violetstack.wirehost"],
         input=line + b"\n",
         capture_output=True,
         check=False,
--- a/ashstile/router.py
+++ b/violetstack/router.py
@@ -1,4 +1,4 @@
-"""All of ashstile's decisions. Its types, events and actions stand in ashstile/interface.py.
+"""All of violetstack's decisions. Its types, events and actions stand in violetstack/interface.py.
 
 The mechanism is Phasor's Virtual Freeness (docs/design.md): a prompt goes to the reader with the most
 headroom, its own reads out there priced quadratically against a budget; a place is held ahead, as the
@@ -14,7 +14,7 @@
 from hashlib import blake2b
 from math import exp
 
-from ashstile.interface import (
+from violetstack.interface import (
     Action, Begun, Cancel, ClassSpec, Effect, Entry, Event, Fail, Group, HoldPlace, Left, ListNews,
     ListScope, Outcome, PlaceNote, Probe, Probed, Refuse, Release, Request, Role, Send, ServerState,
     Settings, Status, TenantSpec, Timer, TimerDue, Watch,
--- a/ashstile/wirehost.py
+++ b/violetstack/wirehost.py
@@ -1,7 +1,7 @@
 """Adapter for the operators' wire: JSON lines on standard input and output, one Router an instance.
 
-It translates and nothing else; every decision is the module's (ashstile/router.py).
-Run it with `python -m ashstile.wirehost`.
+It translates and nothing else; every decision is the module's (violetstack/router.py).
+Run it with `python -m violetstack.wirehost`.
 """
 
 from __future__ import annotations
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from ashstile import interface as t
-from ashstile.router import Router
+from violetstack import interface as t
+from violetstack.router import Router
 
 T = TypeVar("T")
 
