--- /dev/null
+++ b/violetstack/core/dispatcher.py
@@ -0,0 +1,293 @@
+"""Feeds the decision module and carries out its actions; owns attempts, deadlines and final answers."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+from typing import Protocol
+
+from violetstack import interface as t
+from violetstack.core.records import Attempt, Driver, OpenRequest, PlaceCall, ReleaseCall, Sink
+
+PLACE_MARGIN_MS = 80.0  # a send's first byte leaves this long before a told drain binds, or not at all
+NEVER = float("inf")
+
+
+class Decider(Protocol):
+    def handle(self, now: float, events: list[t.Event]) -> list[t.Action]: ...
+
+
+class Duplicate(Exception):
+    """A request with this id is still open."""
+
+
+class Dispatcher:
+    """One dispatcher's requests. Every method that needs the time takes it; `run` is called when woken."""
+
+    def __init__(self, settings: t.Settings, decider: Decider, driver: Driver, drain_grace_ms: float) -> None:
+        self.settings, self.decider, self.driver = settings, decider, driver
+        self.drain_grace_ms = drain_grace_ms
+        self.open: dict[str, OpenRequest] = {}
+        self.entries: dict[str, t.Entry] = {}
+        self.unwanted: dict[str, float] = {}  # since when a server is known to drain or to be gone
+        self.inbox: list[t.Event] = []
+        self.touched: dict[str, OpenRequest] = {}
+        self.wake: Callable[[], None] = lambda: None
+        self._timers: list[tuple[float, int, Callable[[float], None]]] = []
+        self._order = count()
+
+    # --- events in ---
+
+    def _post(self, event: t.Event) -> None:
+        self.inbox.append(event)
+        self.wake()
+
+    def news(self, now: float, news: t.ListNews) -> None:
+        named = {entry.server for entry in news.entries}
+        for entry in news.entries:
+            self.entries[entry.server] = entry
+            if entry.state is t.ServerState.HEALTHY:
+                self.unwanted.pop(entry.server, None)
+            else:
+                self.unwanted.setdefault(entry.server, now)
+        if news.scope is not t.ListScope.DELTA:
+            for server in self.entries:
+                if server not in named:
+                    self.unwanted.setdefault(server, now)
+        self._post(news)
+
+    def take(self, now: float, asked: t.Request, sink: Sink, payload: object) -> OpenRequest:
+        if asked.id in self.open:
+            raise Duplicate(asked.id)
+        request = OpenRequest(asked, sink, payload, now, now + asked.expires_in_ms)
+        self.open[asked.id] = request
+        self._at(request.deadline, lambda at: self._overdue(at, request))
+        self._post(asked)
+        return request
+
+    def client_left(self, now: float, request: OpenRequest) -> None:
+        """Guards against work for nobody: a stream that nobody reads ends, the module is told of the rest."""
+        if request.done:
+            return
+        request.done = True
+        self._post(t.Left(request.id))
+        if request.bound is not None:
+            self.driver.abort(request.bound)
+            self.ended(now, request.bound, t.Status.CANCELLED)
+
+    def probed(self, probed: t.Probed) -> None:
+        self._post(probed)
+
+    def peer(self, message: t.PeerMessage) -> None:
+        self._post(message)
+
+    # --- what attempts report ---
+
+    def may_write(self, now: float, server: str) -> bool:
+        """Guards against a drain told between the decision and the first byte."""
+        since = self.unwanted.get(server)
+        return since is None or now < since + self.drain_grace_ms - PLACE_MARGIN_MS
+
+    def began(self, now: float, attempt: Attempt) -> bool:
+        """The first event of an answer came; False if it is not wanted (any more)."""
+        request = attempt.request
+        if attempt.over or request.done or request.bound is not None:
+            return False
+        attempt.begun, request.bound = True, attempt
+        if not request.places:
+            request.loose = False  # what else was held goes by itself
+        if request.releasing is not None:
+            request.releasing.stale = True
+        request.sink.begun()
+        self._post(t.Begun(request.id, attempt.server, attempt.number, now - attempt.sent_at))
+        return True
+
+    def event(self, attempt: Attempt, data: memoryview) -> None:
+        if not attempt.over:
+            attempt.request.sink.event(data)
+
+    def ended(
+        self,
+        now: float,
+        attempt: Attempt,
+        status: t.Status,
+        note: int = 0,
+        report: tuple[float | None, ...] | None = None,
+    ) -> None:
+        """The one outcome of an attempt; whatever comes after it is dropped."""
+        if attempt.over:
+            return
+        request = attempt.request
+        attempt.over = True
+        del request.out[attempt.number]
+        if not request.done and (status is t.Status.OK or request.bound is attempt):
+            request.done = True
+            if status is t.Status.OK:
+                request.sink.finished()
+            else:
+                request.sink.cut()
+        if status is t.Status.READ or (attempt.reading and attempt.written and not proves_idle(status)):
+            request.loose = True  # a read may have ended well just as its connection broke
+        took = now - attempt.sent_at
+        self._post(
+            t.Outcome(request.id, attempt.server, attempt.number, status, took, request.done, note, report)
+        )
+        self.touched[request.id] = request
+
+    def place_answered(self, call: PlaceCall, held: bool | None, nothing_done: bool) -> None:
+        """None: not known. Then, and also when the place is held, it stays loose until the request's end."""
+        request = call.request
+        request.places -= 1
+        if not nothing_done:
+            request.loose = True
+        self.touched[request.id] = request
+        attempt = call.attempt
+        if held is not None and attempt is not None and not attempt.over:
+            self._post(t.PlaceNote(request.id, attempt.server, attempt.number, held))
+        self.wake()
+
+    def released(self, call: ReleaseCall, done: bool) -> None:
+        request = call.request
+        if request.releasing is call:
+            request.releasing = None
+            if done and not call.stale:
+                request.loose = bool(request.places)
+            elif not done and not call.stale:
+                request.loose = False
+                self.driver.log("release_given_up", id=request.id)
+        self.touched[request.id] = request
+        self.wake()
+
+    # --- time ---
+
+    def _at(self, when: float, then: Callable[[float], None]) -> None:
+        heapq.heappush(self._timers, (when, next(self._order), then))
+
+    def next_due(self) -> float:
+        return self._timers[0][0] if self._timers else NEVER
+
+    def run(self, now: float) -> None:
+        """Timers that are due, then the events that came, then whatever follows from the actions."""
+        while self._timers and self._timers[0][0] <= now:
+            heapq.heappop(self._timers)[2](now)
+        while self.inbox or self.touched:
+            events, self.inbox = self.inbox, []
+            if events:
+                for action in self.decider.handle(now, events):
+                    self._carry_out(now, action)
+            touched, self.touched = self.touched, {}
+            for request in touched.values():
+                self._tidy(now, request)
+
+    def _overdue(self, now: float, request: OpenRequest) -> None:
+        """The module answers before this; the core still owes the one final answer if it did not."""
+        if request.done or request.bound is not None:
+            return
+        self.driver.log("overdue", id=request.id)
+        request.done = True
+        request.sink.failed()
+        self.inbox.append(t.Left(request.id))
+
+    def _expire(self, now: float, attempt: Attempt) -> None:
+        if attempt.over or attempt.begun:
+            return
+        self.driver.abort(attempt)
+        # Not yet written means that it never ran, however long it took.
+        self.ended(now, attempt, t.Status.TIMEOUT if attempt.written else t.Status.CONNECT_FAILED)
+
+    def _tidy(self, now: float, request: OpenRequest) -> None:
+        """Guards against states and places that outlive their request: nothing loose is left behind."""
+        if not request.done or request.out or request.places:
+            return
+        if request.loose:
+            self._release(now, request)
+        elif request.releasing is None:
+            self.open.pop(request.id, None)
+
+    # --- actions out ---
+
+    def _carry_out(self, now: float, action: t.Action) -> None:
+        match action:
+            case t.Send():
+                self._send(now, action)
+            case t.HoldPlace():
+                self._hold(now, action)
+            case t.Release():
+                if (request := self.open.get(action.id)) is not None:
+                    self._release(now, request)
+            case t.Cancel():
+                self._cancel(now, action)
+            case t.Refuse():
+                if (request := self._answerable(action.id)) is not None:
+                    request.sink.refused(action.retry_after_ms)
+            case t.Fail():
+                if (request := self._answerable(action.id)) is not None:
+                    request.sink.failed()
+            case t.Timer():
+                token = action.token
+                self._at(now + action.after_ms, lambda at: self.inbox.append(t.TimerDue(token)))
+            case t.Probe():
+                self.driver.probe(action.server)
+            case t.Log():
+                self.driver.log("module", text=action.text)
+            case t.Watch() | t.FetchList() | t.Move():
+                pass  # the watch always runs; nothing resumes here
+
+    def _answerable(self, request_id: str) -> OpenRequest | None:
+        """Guards against a second final answer, and against one for a stream that has begun."""
+        request = self.open.get(request_id)
+        if request is None or request.done or request.bound is not None:
+            return None
+        request.done = True
+        self.touched[request_id] = request
+        return request
+
+    def _send(self, now: float, action: t.Send) -> None:
+        request = self.open.get(action.id)
+        if request is None:
+            return
+        entry = self.entries.get(action.server)
+        roles = self.settings.roles
+        reading = entry is not None and entry.kind < len(roles) and roles[entry.kind] is t.Role.READ
+        stop_at = min(action.stop_at_ms or request.deadline, request.deadline)
+        attempt = Attempt(request, request.sent, action.server, reading, now, stop_at)
+        request.sent += 1
+        request.out[attempt.number] = attempt
+        twice = len(request.out) > 1 and not self.settings.may_duplicate
+        spent = attempt.number >= self.settings.max_attempts or stop_at <= now
+        if request.done or request.bound is not None or twice or spent or entry is None:
+            self.ended(now, attempt, t.Status.MOOT)
+            return
+        if request.releasing is not None:
+            request.releasing.stale = True
+        self._at(stop_at, lambda at: self._expire(at, attempt))
+        self.driver.start(attempt)
+
+    def _hold(self, now: float, action: t.HoldPlace) -> None:
+        request = self.open.get(action.id)
+        if request is None or request.done or not self.settings.ahead:
+            return
+        reads = [a for a in request.out.values() if a.reading]
+        request.places += 1
+        request.loose = True
+        call = PlaceCall(request, action.server, reads[-1] if reads else None, request.releasing)
+        self.driver.hold_place(call)
+
+    def _cancel(self, now: float, action: t.Cancel) -> None:
+        request = self.open.get(action.id)
+        attempt = request.out.get(action.attempt) if request is not None else None
+        if attempt is None or attempt.begun:
+            return
+        self.driver.abort(attempt)
+        self.ended(now, attempt, t.Status.CANCELLED if attempt.written else t.Status.MOOT)
+
+    def _release(self, now: float, request: OpenRequest) -> None:
+        if request.loose and (request.releasing is None or request.releasing.stale):
+            request.releasing = ReleaseCall(request, now)
+            self.driver.release(request.releasing)
+
+
+def proves_idle(status: t.Status) -> bool:
+    """Does this outcome prove that the server keeps nothing of the attempt?"""
+    return status in (t.Status.FULL, t.Status.CONNECT_FAILED, t.Status.MOOT)
--- /dev/null
+++ b/violetstack/core/records.py
@@ -0,0 +1,96 @@
+"""What the core keeps: an open request, its attempts, the calls made for it, and its ports."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from violetstack import interface as t
+
+
+class Sink(Protocol):
+    """Where a request's answer goes; a front's. After `begun` and any `event`, exactly one of the rest."""
+
+    def begun(self) -> None: ...
+
+    def event(self, data: memoryview) -> None: ...
+
+    def finished(self) -> None: ...
+
+    def cut(self) -> None:
+        """The stream broke after its first event."""
+
+    def refused(self, retry_after_ms: float) -> None: ...
+
+    def failed(self) -> None: ...
+
+
+class Driver(Protocol):
+    """Who carries out what the core asks; the net's. Each call returns at once."""
+
+    def start(self, attempt: Attempt) -> None: ...
+
+    def abort(self, attempt: Attempt) -> None: ...
+
+    def hold_place(self, call: PlaceCall) -> None: ...
+
+    def release(self, call: ReleaseCall) -> None: ...
+
+    def probe(self, server: str) -> None: ...
+
+    def log(self, event: str, **fields: Any) -> None: ...
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One send. `written` is set by the driver once the last byte may have left, never before."""
+
+    request: OpenRequest
+    number: int
+    server: str
+    reading: bool
+    sent_at: float
+    stop_at: float
+    written: bool = False
+    begun: bool = False
+    over: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class PlaceCall:
+    request: OpenRequest
+    server: str
+    attempt: Attempt | None
+    after: ReleaseCall | None
+
+
+@dataclass(eq=False, slots=True)
+class ReleaseCall:
+    """Stale once a further send is made: what is held then is settled by that send's end."""
+
+    request: OpenRequest
+    since: float
+    stale: bool = False
+    tried: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class OpenRequest:
+    """One request from its arrival until nothing of it is left anywhere."""
+
+    asked: t.Request
+    sink: Sink
+    payload: Any
+    arrived: float
+    deadline: float
+    out: dict[int, Attempt] = field(default_factory=dict)
+    sent: int = 0
+    bound: Attempt | None = None
+    done: bool = False
+    loose: bool = False  # a state or place may be held for it somewhere
+    places: int = 0  # place calls under way
+    releasing: ReleaseCall | None = None
+
+    @property
+    def id(self) -> str:
+        return self.asked.id
--- /dev/null
+++ b/violetstack/facts.py
@@ -0,0 +1,174 @@
+"""The settings as the operators write them, and their reading as the module's own type.
+
+Both hosts of the module read the same object: the simulator's adapter from its first message, the
+real dispatcher from its configuration file.
+"""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from violetstack import interface as t
+
+T = TypeVar("T")
+
+
+class Wire(msgspec.Struct):
+    """Unknown keys are ignored, an absent value is null."""
+
+
+class WClass(Wire):
+    aim: float
+    give_up: float
+    idempotency: str = "read_like"
+    group: str | None = None
+    window: float | None = None
+    value: float | None = None
+    late_value: float | None = None
+    aim_stretch: float | None = None
+    name: str = ""
+
+
+class WParty(Wire):
+    fraction: float | None = None
+    allowance_per_s: float | None = None
+    name: str = ""
+
+
+class WFamily(Wire):
+    ahead: bool | None = None
+    aim_us_per_1000_prompt_tokens: list[float] | None = None
+    kv_tokens: list[float] | None = None
+    local_read: bool | None = None
+    release: float | None = None
+    resume: bool | None = None
+    stage_of_kind: list[str] | None = None
+    token_aim: list[float] | None = None
+
+
+class WLimits(Wire):
+    cancel: bool | None = None
+    connect_timeout: float | None = None
+    max_attempts: int | None = None
+    max_retry_after: float | None = None
+    may_duplicate: bool | None = None
+    probes: bool | None = None
+    retry_after: bool | None = None
+    idle_close: float | None = None
+    peers: bool | None = None
+
+
+class WRules(Wire):
+    cold: float | None = None
+    cold_share: float | None = None
+    fall: float | None = None
+    fall_multiple: float | None = None
+    grace_to_answer: float | None = None
+    must_ask_in: float | None = None
+    stop_sending_within: float | None = None
+
+
+class WReport(Wire):
+    how: str | None = None
+    names: list[str] | None = None
+
+
+class WFacts(Wire):
+    classes: list[WClass]
+    fleet_size: int = 1
+    me: int = 0
+    zone: int = 0
+    kinds: list[str] | None = None
+    zones: list[str] | None = None
+    parties: list[WParty] | None = None
+    over_share_worth: float | None = None
+    family_info: WFamily | None = None
+    limits: WLimits | None = None
+    rules: WRules | None = None
+    report: WReport | None = None
+    membership_mode: str | None = None
+
+
+_EFFECT = {
+    "read_like": t.Effect.SAFE,
+    "idempotency_key": t.Effect.KEYED,
+    "non_idempotent": t.Effect.UNSAFE,
+}
+
+
+class Malformed(Exception):
+    """The other side sent something the wire does not allow."""
+
+
+def word_in(table: dict[str, T], word: str, field: str) -> T:
+    if word not in table:
+        raise Malformed(f"unknown {field} {word!r}")
+    return table[word]
+
+
+def _nth(values: list[float] | None, index: int) -> float:
+    return values[index] if values is not None and index < len(values) else 0.0
+
+
+def _class(spec: WClass, index: int, family: WFamily) -> t.ClassSpec:
+    try:
+        group = t.Group(spec.group or "all")
+    except ValueError:
+        raise Malformed(f"unknown group {spec.group!r}") from None
+    return t.ClassSpec(
+        aim_ms=spec.aim,
+        give_up_ms=spec.give_up,
+        effect=word_in(_EFFECT, spec.idempotency, "idempotency"),
+        group=group,
+        window_ms=spec.window or 0.0,
+        value=1.0 if spec.value is None else spec.value,
+        late_value=spec.late_value or 0.0,
+        aim_ms_per_1000_tokens=_nth(family.aim_us_per_1000_prompt_tokens, index) / 1000.0,
+        aim_stretch=spec.aim_stretch or 0.0,
+        token_aim_ms=_nth(family.token_aim, index),
+    )
+
+
+def settings_of(facts: WFacts, seed: int) -> t.Settings:
+    """The start-up facts as the module's settings; what is absent gets the mildest reading."""
+    family, limits = facts.family_info or WFamily(), facts.limits or WLimits()
+    rules, report = facts.rules or WRules(), facts.report or WReport()
+    stages = family.stage_of_kind or ["both"] * max(1, len(facts.kinds or []))
+    try:
+        roles = tuple(t.Role(word) for word in stages)
+    except ValueError as error:
+        raise Malformed(f"unknown stage_of_kind: {error}") from None
+    names = tuple(report.names or ()) if report.how in ("inline", "on_probe") else ()
+    return t.Settings(
+        seed=seed,
+        me=facts.me,
+        fleet_size=max(1, facts.fleet_size),
+        zone=facts.zone,
+        classes=tuple(_class(spec, index, family) for index, spec in enumerate(facts.classes)),
+        tenants=tuple(t.TenantSpec(p.fraction or 0.0, p.allowance_per_s or 0.0) for p in facts.parties or ()),
+        over_share_worth=1.0 if facts.over_share_worth is None else facts.over_share_worth,
+        roles=roles,
+        memory_tokens=tuple(family.kv_tokens or ()),
+        ahead=bool(family.ahead),
+        local_read=bool(family.local_read),
+        resume=bool(family.resume),
+        release_ms=family.release or 0.0,
+        max_attempts=limits.max_attempts or 1,
+        may_cancel=bool(limits.cancel),
+        may_duplicate=bool(limits.may_duplicate),
+        may_probe=bool(limits.probes),
+        retry_after=bool(limits.retry_after),
+        max_retry_after_ms=limits.max_retry_after or 0.0,
+        connect_timeout_ms=limits.connect_timeout or 0.0,
+        must_ask=facts.membership_mode == "subscribe",
+        must_ask_in_ms=rules.must_ask_in or 0.0,
+        report_names=names,
+        reports_on_probe=report.how == "on_probe",
+        cold_share=1.0 if rules.cold_share is None else rules.cold_share,
+        cold_ms=rules.cold or 0.0,
+        fall_ms=rules.fall or 0.0,
+        fall_multiple=rules.fall_multiple or 0.0,
+        grace_to_answer_ms=rules.grace_to_answer or 0.0,
+    )
--- /dev/null
+++ b/violetstack/fronts/platform.py
@@ -0,0 +1,74 @@
+"""The platform's protocol: a thin front. Events pass unchanged, answers are a status and little more."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from violetstack.core.dispatcher import Dispatcher, Duplicate
+from violetstack.core.records import OpenRequest
+from violetstack.fronts.reply import EVENTS, TEXT, Payload, Reply
+from violetstack.protocol.headers import RequestReader
+from violetstack.protocol.server_side import Inbound, Rejected
+
+READY = "/-/ready"
+
+
+class PlatformSink:
+    def __init__(self, reply: Reply) -> None:
+        self._reply, self._begun = reply, False
+
+    def begun(self) -> None:
+        self._begun = True
+        self._reply.stream(200, EVENTS)
+
+    def event(self, data: memoryview) -> None:
+        self._reply.data(data)
+
+    def finished(self) -> None:
+        if not self._begun:
+            self.begun()
+        self._reply.end()
+
+    def cut(self) -> None:
+        self._reply.cut()
+
+    def refused(self, retry_after_ms: float) -> None:
+        headers = [*TEXT, ("Retry-After", f"{retry_after_ms / 1000.0:.3f}")] if retry_after_ms > 0 else TEXT
+        self._reply.answer(503, headers, b"refused\n")
+
+    def failed(self) -> None:
+        self._reply.answer(500, TEXT, b"failed\n")
+
+
+class PlatformFront:
+    def __init__(
+        self,
+        core: Dispatcher,
+        reader: RequestReader,
+        clock: Callable[[], float],
+        log: Callable[..., None],
+    ) -> None:
+        self._core, self._reader, self._clock, self._log = core, reader, clock, log
+
+    def handle(self, inbound: Inbound, reply: Reply) -> OpenRequest | None:
+        if inbound.path == READY and inbound.method == "GET":
+            reply.answer(200, TEXT, b"ready\n")
+            return None
+        try:
+            if inbound.method != "POST":
+                raise Rejected(405 if inbound.path.startswith("/v1/") else 404, "POST only")
+            asked = self._reader.read(inbound)
+            kind = inbound.headers.get("content-type", "application/json")
+            payload = Payload(inbound.method, inbound.target, kind, inbound.body, reply.room)
+            return self._core.take(self._clock(), asked, PlatformSink(reply), payload)
+        except Rejected as error:
+            self.rejected(error.status, error.reason, reply)
+        except Duplicate:
+            self.rejected(409, "a request with this Req-Id is still open", reply)
+        return None
+
+    def rejected(self, status: int, reason: str, reply: Reply) -> None:
+        fields: dict[str, Any] = {"status": status, "reason": reason}
+        self._log("rejected", **fields)
+        reply.answer(status, TEXT, reason.encode() + b"\n")
--- /dev/null
+++ b/violetstack/fronts/reply.py
@@ -0,0 +1,49 @@
+"""What a front may do with the connection of one request; the net's listener is behind it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from violetstack.core.records import OpenRequest
+from violetstack.protocol.server_side import Headers, Inbound
+
+
+class Reply(Protocol):
+    def answer(self, status: int, headers: Headers, body: bytes) -> None: ...
+
+    def stream(self, status: int, headers: Headers) -> None: ...
+
+    def data(self, data: memoryview | bytes) -> None: ...
+
+    def end(self) -> None: ...
+
+    def cut(self) -> None:
+        """End the connection without the last chunk."""
+
+    async def room(self) -> None:
+        """Returns once the client has read enough of what waits for it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Payload:
+    """What of a request goes to a model host as it is, and how the host's side waits for a slow client."""
+
+    method: str
+    target: str
+    content_type: str
+    body: memoryview
+    room: Callable[[], object]
+
+
+class Front(Protocol):
+    def handle(self, inbound: Inbound, reply: Reply) -> OpenRequest | None:
+        """Takes a request or answers it at once. The listener tells the core if its client goes away."""
+
+    def rejected(self, status: int, reason: str, reply: Reply) -> None:
+        """Answers bytes that are no request."""
+
+
+TEXT: Headers = [("Content-Type", "text/plain; charset=utf-8")]
+EVENTS: Headers = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache")]
--- /dev/null
+++ b/violetstack/net/hosts.py
@@ -0,0 +1,453 @@
+"""Model hosts: the connections to them, and the core's attempts, places, releases and probes on these."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+import msgspec
+import trio
+
+from violetstack import interface as t
+from violetstack.config import Address, address
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.core.records import Attempt, PlaceCall, ReleaseCall
+from violetstack.fronts.reply import Payload
+from violetstack.log import log
+from violetstack.net.clock import now_ms
+from violetstack.protocol import sse
+from violetstack.protocol.headers import report_of
+from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
+from violetstack.protocol.server_side import Headers
+
+READ_SIZE = 32 * 1024
+STALL_S = 30.0  # a stream silent for so long comes from a host that is cut off
+CALL_S = 0.6  # a place, release or probe is answered by then
+RELEASE_TRY_S = 0.3
+IDLE_SHARE = 0.8  # connections are retired at this part of the time after which hosts close them
+MAX_ANSWER = 64 * 1024  # of an answer that is no stream
+Report = tuple[float | None, ...] | None
+
+
+class NotUp(Exception):
+    """No connection, or it broke before the last byte was written: nothing has run."""
+
+
+class Ended(NamedTuple):
+    status: t.Status
+    note: int = 0
+    report: Report = None
+
+
+class _Details(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens_details: _Details | None = None
+
+
+class _LastEvent(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+class HostConnection:
+    """One connection; one request at a time travels on it."""
+
+    def __init__(self, sock: trio.socket.SocketType, server: str) -> None:
+        self.sock, self.server = sock, server
+        self.http = HostSide()
+        self.idle_since = 0.0
+
+    async def write(self, parts: list[bytes | memoryview], written: Callable[[], None]) -> None:
+        """Calls `written` as soon as the last byte has gone to the kernel, and never before.
+
+        trio's send either hands over some bytes and returns, or raises and has handed over none.
+        """
+        for n, part in enumerate(parts):
+            rest = memoryview(part)
+            while rest:
+                sent = await self.sock.send(rest)
+                rest = rest[sent:]
+                if not rest and n == len(parts) - 1:
+                    written()
+
+    async def receive(self) -> list[Head | Body | End]:
+        data = await self.sock.recv(READ_SIZE)
+        return self.http.feed(data)
+
+    def dead(self) -> bool:
+        """Guards against a connection that its host has closed: something to read while idle is its end."""
+        return self.sock.is_readable()
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+@dataclass(slots=True)
+class Host:
+    """An address, and the idle connections there."""
+
+    at: Address
+    idle: list[HostConnection]
+    started_ms: float | None = None
+    heard_at: float = 0.0
+
+
+class Hosts:
+    """The core's driver."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        connect_timeout_ms: float,
+        idle_close_ms: float,
+        report_names: tuple[str, ...],
+        most: int,
+    ) -> None:
+        self.core: Dispatcher
+        self.nursery = nursery
+        self.connect_s = (connect_timeout_ms or 250.0) / 1000.0
+        self.idle_s = idle_close_ms / 1000.0 * IDLE_SHARE
+        self.report_names = report_names
+        self.most, self.connections = most, 0
+        self.hosts: dict[str, Host] = {}
+        self._scopes: dict[Attempt, trio.CancelScope] = {}
+
+    def log(self, event: str, **fields: Any) -> None:
+        log(event, **fields)
+
+    # --- addresses ---
+
+    def told(self, news: t.ListNews, addresses: dict[str, str]) -> None:
+        for name, text in addresses.items():
+            try:
+                at = address(text)
+            except ValueError as error:
+                log("bad_address", server=name, error=str(error))
+                continue
+            host = self.hosts.setdefault(name, Host(at, []))
+            if host.at != at:
+                self._drop_idle(host)
+                host.at = at
+        for entry in news.entries:
+            known = self.hosts.get(entry.server)
+            if known is None:
+                continue
+            if entry.state is t.ServerState.GONE or entry.started_ms != known.started_ms:
+                self._drop_idle(known)  # what was open belongs to a process that is no more
+            known.started_ms = entry.started_ms
+
+    def _drop_idle(self, host: Host) -> None:
+        for connection in host.idle:
+            self._close(connection)
+        host.idle = []
+
+    def _close(self, connection: HostConnection) -> None:
+        connection.close()
+        self.connections -= 1
+
+    async def retire_idle(self) -> None:
+        """Guards against writing on a connection that its host is about to close."""
+        while True:
+            await trio.sleep(1.0)
+            before = trio.current_time() - self.idle_s
+            for host in self.hosts.values():
+                keep = []
+                for connection in host.idle:
+                    if connection.idle_since < before or connection.dead():
+                        self._close(connection)
+                    else:
+                        keep.append(connection)
+                host.idle = keep
+
+    # --- connections ---
+
+    async def _open(self, server: str, timeout: float) -> HostConnection:
+        host = self.hosts.get(server)
+        if host is None:
+            raise NotUp("no address")
+        before = trio.current_time() - self.idle_s
+        while host.idle:
+            connection = host.idle.pop()
+            if connection.idle_since >= before and not connection.dead():
+                return connection
+            self._close(connection)
+        if self.connections >= self.most and not self._spare():
+            raise NotUp("too many connections")
+        sock = trio.socket.socket(trio.socket.AF_INET6 if ":" in host.at[0] else trio.socket.AF_INET)
+        self.connections += 1
+        up = False
+        try:
+            sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+            with trio.fail_after(timeout):
+                await sock.connect(host.at)
+            up = True
+        except (OSError, trio.TooSlowError) as error:
+            raise NotUp(repr(error)) from None
+        finally:
+            if not up:
+                sock.close()
+                self.connections -= 1
+        return HostConnection(sock, server)
+
+    def _spare(self) -> bool:
+        """Guards against running out of descriptors: the longest idle connection anywhere makes room."""
+        hosts = [host for host in self.hosts.values() if host.idle]
+        if not hosts:
+            return False
+        host = min(hosts, key=lambda h: h.idle[0].idle_since)
+        self._close(host.idle.pop(0))
+        return True
+
+    def _put_back(self, connection: HostConnection) -> None:
+        host = self.hosts.get(connection.server)
+        if host is None or not connection.http.reuse():
+            self._close(connection)
+            return
+        connection.idle_since = trio.current_time()
+        host.heard_at = connection.idle_since
+        host.idle.append(connection)
+
+    # --- attempts ---
+
+    def start(self, attempt: Attempt) -> None:
+        scope = self._scopes[attempt] = trio.CancelScope()
+        self.nursery.start_soon(self._attempt, attempt, scope)
+
+    def abort(self, attempt: Attempt) -> None:
+        if (scope := self._scopes.get(attempt)) is not None:
+            scope.cancel()
+
+    async def _attempt(self, attempt: Attempt, scope: trio.CancelScope) -> None:
+        ended: Ended | None = None
+        with scope:
+            try:
+                ended = await self._exchange(attempt)
+            except NotUp:
+                ended = Ended(t.Status.CONNECT_FAILED)
+            except (OSError, Broken, sse.TooLong, trio.TooSlowError):
+                ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
+            except Exception as error:  # no attempt's failure ends the nursery
+                log("attempt_failed", id=attempt.request.id, error=repr(error))
+                ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
+        self._scopes.pop(attempt, None)
+        if ended is not None:
+            self.core.ended(now_ms(), attempt, ended.status, ended.note, ended.report)
+
+    async def _exchange(self, attempt: Attempt) -> Ended:
+        payload: Payload = attempt.request.payload
+        connection = await self._open(attempt.server, self.connect_s)
+        clean = False
+        try:
+            if not self.core.may_write(now_ms(), attempt.server):
+                clean = True
+                return Ended(t.Status.MOOT)
+            wait = max(1, int(attempt.stop_at - now_ms()))
+            headers: Headers = [
+                ("Host", "app.svc"),
+                ("Req-Id", attempt.request.id),
+                ("Req-Deadline", f"{wait}m"),
+                ("Content-Type", payload.content_type),
+            ]
+            parts = connection.http.request(payload.method, payload.target, headers, payload.body)
+
+            def written() -> None:
+                attempt.written = True
+
+            await connection.write(parts, written)
+            ended = await self._answer(attempt, connection)
+            clean = True
+            return ended
+        finally:
+            if clean:
+                self._put_back(connection)
+            else:
+                self._close(connection)
+
+    async def _answer(self, attempt: Attempt, connection: HostConnection) -> Ended:
+        head: Head | None = None
+        body = b""
+        splitter = sse.Splitter()
+        tail = _Tail(self.report_names)
+        while True:
+            with trio.fail_after(STALL_S):
+                events = await connection.receive()
+            for event in events:
+                if isinstance(event, Head):
+                    head = event
+                elif isinstance(event, Body) and head is not None:
+                    if head.status != 200:
+                        body = (body + bytes(event.data))[:MAX_ANSWER]
+                        continue
+                    for part in splitter.feed(event.data):
+                        if not attempt.begun and not self.core.began(now_ms(), attempt):
+                            raise Broken("an answer that nobody wants")
+                        tail.look(part)
+                        self.core.event(attempt, part)
+                elif isinstance(event, End) and head is not None:
+                    if head.status != 200:
+                        return self._told(head, body)
+                    if splitter.rest and attempt.begun:
+                        self.core.event(attempt, memoryview(splitter.rest))
+                    return Ended(t.Status.OK, tail.cached, tail.report)
+            if attempt.begun:
+                await attempt.request.payload.room()
+
+    def _told(self, head: Head, body: bytes) -> Ended:
+        """What an answer without a stream means."""
+        report = report_of(head.headers.get("srv-load"), self.report_names)
+        declined = head.headers.get("srv-declined") == "1"
+        if head.status == 202:
+            return Ended(t.Status.READ, _cached(body), report)
+        if declined:
+            return Ended(t.Status.FULL, 1 if head.status == 410 else 0, report)
+        return Ended(t.Status.ERROR, 0, report)
+
+    # --- short calls ---
+
+    async def _call(self, connection: HostConnection, method: str, target: str) -> Head:
+        """One call without a body; the connection is kept only after a whole answer."""
+        clean = False
+        try:
+            parts = connection.http.request(method, target, [("Host", "app.svc")])
+            await connection.write(parts, lambda: None)
+            head: Head | None = None
+            while True:
+                for event in await connection.receive():
+                    if isinstance(event, Head):
+                        head = event
+                    elif isinstance(event, End) and head is not None:
+                        clean = True
+                        return head
+        finally:
+            if clean:
+                self._put_back(connection)
+            else:
+                self._close(connection)
+
+    def hold_place(self, call: PlaceCall) -> None:
+        self.nursery.start_soon(self._hold_place, call)
+
+    async def _hold_place(self, call: PlaceCall) -> None:
+        held: bool | None = None
+        nothing_done = True
+        try:
+            with trio.move_on_after(CALL_S):
+                connection = await self._open(call.server, self.connect_s)
+                if not self.core.may_write(now_ms(), call.server) or call.request.done:
+                    self._put_back_unused(connection)
+                else:
+                    nothing_done = False
+                    head = await self._call(connection, "POST", f"/state/{call.request.id}")
+                    held = {200: True, 409: False}.get(head.status)
+                    # Guards against a place that outlives its request: a 204 may hold one.
+                    nothing_done = head.status in (404, 409)
+        except (NotUp, OSError, Broken):
+            pass
+        except Exception as error:
+            log("place_failed", id=call.request.id, error=repr(error))
+        self.core.place_answered(call, held, nothing_done)
+
+    def _put_back_unused(self, connection: HostConnection) -> None:
+        host = self.hosts.get(connection.server)
+        if host is None:
+            self._close(connection)
+        else:
+            connection.idle_since = trio.current_time()
+            host.idle.append(connection)
+
+    def release(self, call: ReleaseCall) -> None:
+        self.nursery.start_soon(self._release, call)
+
+    async def _release(self, call: ReleaseCall) -> None:
+        """Any host takes it, so that one which does not answer is only the first of several to be asked.
+
+        Tried until it is through or a further send has made it pointless; past the time that the rule
+        gives, a while longer, since the state is still there.
+        """
+        done = False
+        until = trio.current_time() + 5.0
+        tried: set[str] = set()
+        try:
+            while not done and not call.stale and trio.current_time() < until:
+                server = self._release_host(tried)
+                if server is None:
+                    await trio.sleep(0.02)
+                    tried.clear()
+                    continue
+                tried.add(server)
+                try:
+                    with trio.fail_after(RELEASE_TRY_S):
+                        connection = await self._open(server, self.connect_s)
+                        head = await self._call(connection, "DELETE", f"/state/{call.request.id}")
+                        done = head.status < 300
+                except (NotUp, OSError, Broken, trio.TooSlowError):
+                    continue
+        except Exception as error:
+            log("release_failed", id=call.request.id, error=repr(error))
+        self.core.released(call, done)
+
+    def _release_host(self, tried: set[str]) -> str | None:
+        """The one most likely to answer: wanted by the list, heard of late, with a connection open."""
+        names = [n for n in self.hosts if n not in tried and n in self.core.entries]
+        if not names:
+            return None
+
+        def rank(name: str) -> tuple[bool, bool, float]:
+            host = self.hosts[name]
+            return name not in self.core.unwanted, bool(host.idle), host.heard_at
+
+        return max(names, key=rank)
+
+    def probe(self, server: str) -> None:
+        self.nursery.start_soon(self._probe, server)
+
+    async def _probe(self, server: str) -> None:
+        began = now_ms()
+        status, report = t.Status.TIMEOUT, None
+        try:
+            with trio.move_on_after(CALL_S):
+                connection = await self._open(server, self.connect_s)
+                head = await self._call(connection, "GET", "/-/load")
+                status = t.Status.OK if head.status == 200 else t.Status.ERROR
+                report = report_of(head.headers.get("srv-load"), self.report_names)
+        except NotUp:
+            status = t.Status.CONNECT_FAILED
+        except (OSError, Broken):
+            status = t.Status.RESET
+        except Exception as error:
+            log("probe_failed", server=server, error=repr(error))
+        self.core.probed(t.Probed(server, status, now_ms() - began, report))
+
+
+class _Tail:
+    """What a stream's last events tell besides the answer."""
+
+    def __init__(self, names: tuple[str, ...]) -> None:
+        self._names = names
+        self.cached = 0
+        self.report: Report = None
+
+    def look(self, event: memoryview) -> None:
+        raw = bytes(event)
+        if raw.startswith(b":") or b"\n:" in raw:
+            for comment in sse.comments(event):
+                name, _, value = comment.partition(":")
+                if name.strip().lower() == "srv-load":
+                    self.report = report_of(value, self._names)
+        if b'"usage"' in raw:
+            try:
+                usage = msgspec.json.decode(sse.payload(event), type=_LastEvent).usage
+            except msgspec.MsgspecError:
+                return
+            if usage is not None and usage.prompt_tokens_details is not None:
+                self.cached = usage.prompt_tokens_details.cached_tokens
+
+
+def _cached(body: bytes) -> int:
+    try:
+        return msgspec.json.decode(body, type=_Details).cached_tokens
+    except msgspec.MsgspecError:
+        return 0
--- /dev/null
+++ b/violetstack/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""State machines that are fed bytes and know no socket."""
--- /dev/null
+++ b/violetstack/protocol/server_side.py
@@ -0,0 +1,132 @@
+"""The dispatcher as an HTTP server: bytes in, whole requests out; answers as bytes to be written.
+
+h11 copies a body once, out of its own buffer; from there on everything is a slice of that copy.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import h11
+
+MAX_BODY = 256 * 1024
+MAX_HEAD = 16 * 1024
+Headers = list[tuple[str, str]]
+
+
+class Rejected(Exception):
+    """The client's bytes can't be a request that we take; the answer says why and ends the connection."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status, self.reason = status, reason
+
+
+@dataclass(frozen=True, slots=True)
+class Inbound:
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: memoryview
+
+    @property
+    def path(self) -> str:
+        return self.target.partition("?")[0]
+
+
+class ServerSide:
+    def __init__(self) -> None:
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
+        self._head: h11.Request | None = None
+        self._parts: list[bytes] = []
+        self._size = 0
+        self.closing = False  # say so in the next head
+        self.wants_continue = False
+
+    def feed(self, data: bytes) -> None:
+        self._h11.receive_data(data)
+
+    @property
+    def busy(self) -> bool:
+        """A request has begun to arrive or waits for its answer's end."""
+        return self._head is not None or self._h11.their_state is not h11.IDLE
+
+    @property
+    def unread(self) -> int:
+        return len(self._h11.trailing_data[0])
+
+    def next_request(self) -> Inbound | None:
+        """The next whole request, or None until more bytes have come; raises Rejected."""
+        try:
+            while True:
+                event = self._h11.next_event()
+                if isinstance(event, h11.Request):
+                    self._start(event)
+                elif isinstance(event, h11.Data):
+                    self._size += len(event.data)
+                    if self._size > MAX_BODY:
+                        raise Rejected(413, "the body is larger than 256 KiB")
+                    self._parts.append(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    return self._whole()
+                else:  # NEED_DATA, PAUSED or ConnectionClosed
+                    self.wants_continue = self._h11.they_are_waiting_for_100_continue
+                    return None
+        except h11.RemoteProtocolError as error:
+            raise Rejected(error.error_status_hint, str(error)) from None
+
+    def _start(self, event: h11.Request) -> None:
+        self._head, self._parts, self._size = event, [], 0
+        for name, value in event.headers:
+            if name == b"content-length" and int(value) > MAX_BODY:
+                raise Rejected(413, "the body is larger than 256 KiB")
+
+    def _whole(self) -> Inbound:
+        head, parts = self._head, self._parts
+        assert head is not None
+        self._head, self._parts = None, []
+        body = parts[0] if len(parts) == 1 else b"".join(parts)
+        headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
+        return Inbound(
+            head.method.decode("latin-1"), head.target.decode("latin-1"), headers, memoryview(body)
+        )
+
+    def continue_100(self) -> bytes:
+        self.wants_continue = False
+        return self._h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+
+    def _send(self, event: h11.Event) -> list[bytes]:
+        return self._h11.send_with_data_passthrough(event) or []
+
+    def _head_of(self, status: int, headers: Iterable[tuple[str, str]]) -> list[bytes]:
+        rows = [*headers, ("Connection", "close")] if self.closing else list(headers)
+        return self._send(h11.Response(status_code=status, headers=rows))
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> list[bytes]:
+        """A whole answer."""
+        rows = [*headers, ("Content-Length", str(len(body)))]
+        parts = self._head_of(status, rows)
+        if body:
+            parts += self._send(h11.Data(data=body))
+        return parts + self._send(h11.EndOfMessage())
+
+    def stream(self, status: int, headers: Headers) -> list[bytes]:
+        return self._head_of(status, [*headers, ("Transfer-Encoding", "chunked")])
+
+    def data(self, data: memoryview | bytes) -> list[bytes]:
+        return self._send(h11.Data(data=data))  # type: ignore[arg-type]
+
+    def end(self) -> list[bytes]:
+        return self._send(h11.EndOfMessage())
+
+    @property
+    def can_answer(self) -> bool:
+        return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def reuse(self) -> bool:
+        """After an answer's end: may another request come on this connection?"""
+        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            self._h11.start_next_cycle()
+            return True
+        return False
--- a/violetstack/wirehost.py
+++ b/violetstack/wirehost.py
@@ -7,87 +7,16 @@
 from __future__ import annotations
 
 import sys
-from typing import Any, BinaryIO, TypeVar
+from typing import Any, BinaryIO
 
 import msgspec
 
 from violetstack import interface as t
+from violetstack.facts import Malformed, WFacts, Wire, settings_of, word_in
 from violetstack.router import Router
 
-T = TypeVar("T")
 
-
-class _Wire(msgspec.Struct):
-    """Unknown keys are ignored, an absent value is null."""
-
-
-class WClass(_Wire):
-    aim: float
-    give_up: float
-    idempotency: str = "read_like"
-    group: str | None = None
-    window: float | None = None
-    value: float | None = None
-    late_value: float | None = None
-    aim_stretch: float | None = None
-
-
-class WParty(_Wire):
-    fraction: float | None = None
-    allowance_per_s: float | None = None
-
-
-class WFamily(_Wire):
-    ahead: bool | None = None
-    aim_us_per_1000_prompt_tokens: list[float] | None = None
-    kv_tokens: list[float] | None = None
-    local_read: bool | None = None
-    release: float | None = None
-    resume: bool | None = None
-    stage_of_kind: list[str] | None = None
-    token_aim: list[float] | None = None
-
-
-class WLimits(_Wire):
-    cancel: bool | None = None
-    connect_timeout: float | None = None
-    max_attempts: int | None = None
-    max_retry_after: float | None = None
-    may_duplicate: bool | None = None
-    probes: bool | None = None
-    retry_after: bool | None = None
-
-
-class WRules(_Wire):
-    cold: float | None = None
-    cold_share: float | None = None
-    fall: float | None = None
-    fall_multiple: float | None = None
-    grace_to_answer: float | None = None
-    must_ask_in: float | None = None
-
-
-class WReport(_Wire):
-    how: str | None = None
-    names: list[str] | None = None
-
-
-class WFacts(_Wire):
-    classes: list[WClass]
-    fleet_size: int = 1
-    me: int = 0
-    zone: int = 0
-    kinds: list[str] | None = None
-    parties: list[WParty] | None = None
-    over_share_worth: float | None = None
-    family_info: WFamily | None = None
-    limits: WLimits | None = None
-    rules: WRules | None = None
-    report: WReport | None = None
-    membership_mode: str | None = None
-
-
-class _Event(_Wire, tag_field="op"):
+class _Event(Wire, tag_field="op"):
     pass
 
 
@@ -97,7 +26,7 @@
     facts: WFacts
 
 
-class WEntry(_Wire):
+class WEntry(Wire):
     engine: str
     pod: int = 0
     heft: float | None = None
@@ -196,17 +125,12 @@
 )
 
 
-class WBatch(_Wire):
+class WBatch(Wire):
     now: float
     turn: int
     arrivals: list[WEvent]
 
 
-_EFFECT = {
-    "read_like": t.Effect.SAFE,
-    "idempotency_key": t.Effect.KEYED,
-    "non_idempotent": t.Effect.UNSAFE,
-}
 _STATUS = {
     "pass": t.Status.OK,
     "fault": t.Status.ERROR,
@@ -231,90 +155,13 @@
 }
 
 
-class Malformed(Exception):
-    """The other side sent something the wire does not allow."""
-
-
-def _word(table: dict[str, T], word: str, field: str) -> T:
-    if word not in table:
-        raise Malformed(f"unknown {field} {word!r}")
-    return table[word]
-
-
-def _nth(values: list[float] | None, index: int) -> float:
-    return values[index] if values is not None and index < len(values) else 0.0
-
-
-def _class(spec: WClass, index: int, family: WFamily) -> t.ClassSpec:
-    try:
-        group = t.Group(spec.group or "all")
-    except ValueError:
-        raise Malformed(f"unknown group {spec.group!r}") from None
-    return t.ClassSpec(
-        aim_ms=spec.aim,
-        give_up_ms=spec.give_up,
-        effect=_word(_EFFECT, spec.idempotency, "idempotency"),
-        group=group,
-        window_ms=spec.window or 0.0,
-        value=1.0 if spec.value is None else spec.value,
-        late_value=spec.late_value or 0.0,
-        aim_ms_per_1000_tokens=_nth(family.aim_us_per_1000_prompt_tokens, index) / 1000.0,
-        aim_stretch=spec.aim_stretch or 0.0,
-        token_aim_ms=_nth(family.token_aim, index),
-    )
-
-
-def settings_of(up: WUp) -> t.Settings:
-    """The start-up facts as the module's settings; what is absent gets the mildest reading."""
-    facts = up.facts
-    family, limits = facts.family_info or WFamily(), facts.limits or WLimits()
-    rules, report = facts.rules or WRules(), facts.report or WReport()
-    stages = family.stage_of_kind or ["both"] * max(1, len(facts.kinds or []))
-    try:
-        roles = tuple(t.Role(word) for word in stages)
-    except ValueError as error:
-        raise Malformed(f"unknown stage_of_kind: {error}") from None
-    names = tuple(report.names or ()) if report.how in ("inline", "on_probe") else ()
-    return t.Settings(
-        seed=up.rng_seed,
-        me=facts.me,
-        fleet_size=max(1, facts.fleet_size),
-        zone=facts.zone,
-        classes=tuple(_class(spec, index, family) for index, spec in enumerate(facts.classes)),
-        tenants=tuple(t.TenantSpec(p.fraction or 0.0, p.allowance_per_s or 0.0) for p in facts.parties or ()),
-        over_share_worth=1.0 if facts.over_share_worth is None else facts.over_share_worth,
-        roles=roles,
-        memory_tokens=tuple(family.kv_tokens or ()),
-        ahead=bool(family.ahead),
-        local_read=bool(family.local_read),
-        resume=bool(family.resume),
-        release_ms=family.release or 0.0,
-        max_attempts=limits.max_attempts or 1,
-        may_cancel=bool(limits.cancel),
-        may_duplicate=bool(limits.may_duplicate),
-        may_probe=bool(limits.probes),
-        retry_after=bool(limits.retry_after),
-        max_retry_after_ms=limits.max_retry_after or 0.0,
-        connect_timeout_ms=limits.connect_timeout or 0.0,
-        must_ask=facts.membership_mode == "subscribe",
-        must_ask_in_ms=rules.must_ask_in or 0.0,
-        report_names=names,
-        reports_on_probe=report.how == "on_probe",
-        cold_share=1.0 if rules.cold_share is None else rules.cold_share,
-        cold_ms=rules.cold or 0.0,
-        fall_ms=rules.fall or 0.0,
-        fall_multiple=rules.fall_multiple or 0.0,
-        grace_to_answer_ms=rules.grace_to_answer or 0.0,
-    )
-
-
 def _entry(row: WEntry) -> t.Entry:
     return t.Entry(
         server=row.engine,
         cell=row.pod,
         weight=1.0 if row.heft is None else row.heft,
         zone=row.rack_zone,
-        state=_word(_STATE, row.stage_state, "stage_state"),
+        state=word_in(_STATE, row.stage_state, "stage_state"),
         kind=row.hw,
         started_ms=row.online_since or None,
     )
@@ -343,7 +190,7 @@
 
 
 def _outcome(w: WResolved) -> t.Outcome:
-    status = _word(_STATUS, w.ending, "ending")
+    status = word_in(_STATUS, w.ending, "ending")
     return t.Outcome(
         w.handle, w.engine, w.n, status, w.took or 0.0, bool(w.settled), w.detail or 0, _row(w.load)
     )
@@ -353,7 +200,7 @@
     """One wire event as the module's type; `pages` holds the numbered lists as of this event."""
     match w:
         case WAnnounce():
-            scope = _word(_SCOPE, w.scope, "scope")
+            scope = word_in(_SCOPE, w.scope, "scope")
             entries: tuple[t.Entry, ...] = ()
             if scope is not t.ListScope.FAILED:
                 if w.page not in pages:
@@ -373,7 +220,7 @@
         case WElapsed():
             return t.TimerDue(w.token)
         case WPong():
-            return t.Probed(w.engine, _word(_STATUS, w.ending, "ending"), w.took or 0.0, _row(w.load))
+            return t.Probed(w.engine, word_in(_STATUS, w.ending, "ending"), w.took or 0.0, _row(w.load))
         case WInbox():
             try:
                 return t.PeerMessage(w.src_peer, bytes.fromhex(w.blob))
@@ -433,7 +280,7 @@
                 self.routers.pop(w.i, None)
             elif isinstance(w, WUp):
                 queued[w.i] = []
-                self.routers[w.i] = Router(settings_of(w))
+                self.routers[w.i] = Router(settings_of(w.facts, w.rng_seed))
             elif w.i in self.routers:
                 queued.setdefault(w.i, []).append(event_of(w, self.pages))
         for instance, events in queued.items():
