--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -70,7 +70,7 @@
         """Guards against work for nobody: a stream that nobody reads ends, the module is told of the rest."""
         if request.done:
             return
-        request.done = True
+        self._settle(now, request, "left")
         self._post(t.Left(request.id))
         if request.bound is not None:
             self.driver.abort(request.bound)
@@ -122,7 +122,7 @@
         attempt.over = True
         del request.out[attempt.number]
         if not request.done and (status is t.Status.OK or request.bound is attempt):
-            request.done = True
+            self._settle(now, request, "served" if status is t.Status.OK else "cut")
             if status is t.Status.OK:
                 request.sink.finished()
             else:
@@ -130,6 +130,7 @@
         if status is t.Status.READ or (attempt.reading and attempt.written and not proves_idle(status)):
             request.loose = True  # a read may have ended well just as its connection broke
         took = now - attempt.sent_at
+        request.trail.append((attempt.server, status.value, round(took)))
         self._post(
             t.Outcome(request.id, attempt.server, attempt.number, status, took, request.done, note, report)
         )
@@ -185,7 +186,7 @@
         if request.done or request.bound is not None:
             return
         self.driver.log("overdue", id=request.id)
-        request.done = True
+        self._settle(now, request, "overdue")
         request.sink.failed()
         self.inbox.append(t.Left(request.id))
 
@@ -204,6 +205,14 @@
             self._release(now, request)
         elif request.releasing is None:
             self.open.pop(request.id, None)
+            self.driver.log(
+                "request",
+                id=request.id,
+                cls=request.asked.cls,
+                answer=request.answer,
+                ms=round(request.answered - request.arrived),
+                attempts=request.trail,
+            )
 
     # --- actions out ---
 
@@ -219,10 +228,10 @@
             case t.Cancel():
                 self._cancel(now, action)
             case t.Refuse():
-                if (request := self._answerable(action.id)) is not None:
+                if (request := self._answerable(now, action.id, "refused")) is not None:
                     request.sink.refused(action.retry_after_ms)
             case t.Fail():
-                if (request := self._answerable(action.id)) is not None:
+                if (request := self._answerable(now, action.id, "failed")) is not None:
                     request.sink.failed()
             case t.Timer():
                 token = action.token
@@ -234,13 +243,17 @@
             case t.Watch() | t.FetchList() | t.Move():
                 pass  # the watch always runs; nothing resumes here
 
-    def _answerable(self, request_id: str) -> OpenRequest | None:
+    def _settle(self, now: float, request: OpenRequest, answer: str) -> None:
+        """The request has its one final answer, or nobody is left to have it."""
+        request.done, request.answer, request.answered = True, answer, now
+        self.touched[request.id] = request
+
+    def _answerable(self, now: float, request_id: str, answer: str) -> OpenRequest | None:
         """Guards against a second final answer, and against one for a stream that has begun."""
         request = self.open.get(request_id)
         if request is None or request.done or request.bound is not None:
             return None
-        request.done = True
-        self.touched[request_id] = request
+        self._settle(now, request, answer)
         return request
 
     def _send(self, now: float, action: t.Send) -> None:
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -90,6 +90,9 @@
     loose: bool = False  # a state or place may be held for it somewhere
     places: int = 0  # place calls under way
     releasing: ReleaseCall | None = None
+    answer: str = ""
+    answered: float = 0.0
+    trail: list[tuple[str, str, int]] = field(default_factory=list)  # server, status, ms of each attempt
 
     @property
     def id(self) -> str:
