Close an aborted attempt's connection before the client's answer goes out

Ruled out: the module refuses an orden only with no attempt out and none that may have run. At fault: Hosts.abort only cancelled the attempt's task; the connection was closed when that task ran again, which may be after the client's writer had sent the refusal. Done: abort closes the socket first.

--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -114,6 +114,7 @@
         self.most, self.connections = most, 0
         self.hosts: dict[str, Host] = {}
         self._scopes: dict[Attempt, trio.CancelScope] = {}
+        self._using: dict[Attempt, HostConnection] = {}
 
     def log(self, event: str, **fields: Any) -> None:
         log(event, **fields)
@@ -217,6 +218,13 @@
         self.nursery.start_soon(self._attempt, attempt, scope)
 
     def abort(self, attempt: Attempt) -> None:
+        """Guards against a final answer that overtakes the attempt's end: the connection closes here and now.
+
+        Cancelling alone closes it only when the attempt's task runs again; by then the client may have
+        read a refusal while the host still held the attempt.
+        """
+        if (connection := self._using.pop(attempt, None)) is not None:
+            connection.close()
         if (scope := self._scopes.get(attempt)) is not None:
             scope.cancel()
 
@@ -227,7 +235,7 @@
                 ended = await self._exchange(attempt)
             except NotUp:
                 ended = Ended(t.Status.CONNECT_FAILED)
-            except (OSError, Broken, sse.TooLong, trio.TooSlowError):
+            except (OSError, Broken, sse.TooLong, trio.TooSlowError, trio.ClosedResourceError):
                 ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
             except Exception as error:  # no attempt's failure ends the nursery
                 log("attempt_failed", id=attempt.request.id, error=repr(error))
@@ -252,6 +260,7 @@
                 ("Content-Type", payload.content_type),
             ]
             parts = connection.http.request(payload.method, payload.target, headers, payload.body)
+            self._using[attempt] = connection
 
             def written() -> None:
                 attempt.written = True
@@ -261,6 +270,7 @@
             clean = True
             return ended
         finally:
+            self._using.pop(attempt, None)
             if clean:
                 self._put_back(connection)
             else:
