--- /dev/null
+++ b/tests/test_acme.py
@@ -0,0 +1,113 @@
+"""Certificates: ordered, served, renewed without dropping a connection, kept when a renewal fails."""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import trio
+from cryptography import x509
+
+from tests.test_stories import pair
+from violetstack.rehearsal.authority import Authority
+from violetstack.rehearsal.clients import Call, chat_body, chat_headers, connect
+from violetstack.rehearsal.stage import Stage, stage
+
+SHORT = 5.0  # days: within the time before expiry in which a renewal is due
+
+
+def play(
+    tmp_path: Path, authority: Authority, story: Callable[[Stage, ssl.SSLContext], Awaitable[None]]
+) -> None:
+    async def main() -> None:
+        with trio.fail_after(30):
+            async with trio.open_nursery() as nursery:
+                await nursery.start(authority.serve)
+                files = {"certificate": str(tmp_path / "chain.pem"), "key": str(tmp_path / "key.pem")}
+                acme = {
+                    "directory": f"http://{authority.address}/directory", "domains": ["localhost"],
+                    "account_key": str(tmp_path / "account.pem"), "challenge_listen": "127.0.0.1:0",
+                    "check_every_s": 0.05,
+                }  # fmt: skip
+                async with stage(*pair(), chat={"tls": files, "acme": acme}) as on:
+                    assert on.challenge is not None
+                    authority.challenge_at = f"{on.challenge[0]}:{on.challenge[1]}"
+                    trust = ssl.create_default_context(cadata=authority.root_pem.decode())
+                    await story(on, trust)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def ask(call: Call) -> bool:
+    await call.send("POST", "/v1/chat/completions", chat_headers(), chat_body("giro-consulta", stream=False))
+    answer = await call.receive()
+    call.http.reuse()
+    call.answer = type(answer)()
+    return answer.outcome == "served"
+
+
+async def serial(on: Stage, trust: ssl.SSLContext) -> int:
+    """Of the certificate that a new connection gets."""
+    call = await connect(on.chat, trust)
+    async with call.stream:
+        assert isinstance(call.stream, trio.SSLStream)
+        await call.stream.do_handshake()
+        der = call.stream.getpeercert(binary_form=True)
+        return x509.load_der_x509_certificate(der).serial_number
+
+
+async def until_served(on: Stage, trust: ssl.SSLContext, number: int) -> None:
+    while True:
+        try:
+            if await serial(on, trust) == number:
+                return
+        except (trio.BrokenResourceError, OSError):
+            pass  # no certificate yet
+        await trio.sleep(0.01)
+
+
+def test_a_certificate_is_ordered_and_served(tmp_path: Path) -> None:
+    authority = Authority()
+
+    async def story(on: Stage, trust: ssl.SSLContext) -> None:
+        await authority.until_issued(1)
+        await until_served(on, trust, authority.issued[0].serial_number)
+        call = await connect(on.chat, trust)
+        async with call.stream:
+            assert await ask(call)
+        assert (tmp_path / "key.pem").stat().st_mode & 0o777 == 0o600
+
+    play(tmp_path, authority, story)
+
+
+def test_a_renewal_reaches_new_connections_and_drops_no_open_one(tmp_path: Path) -> None:
+    authority = Authority(SHORT)
+
+    async def story(on: Stage, trust: ssl.SSLContext) -> None:
+        await authority.until_issued(1)
+        await until_served(on, trust, authority.issued[0].serial_number)
+        call = await connect(on.chat, trust)
+        async with call.stream:
+            assert await ask(call)
+            await authority.until_issued(2)
+            await until_served(on, trust, authority.issued[1].serial_number)
+            assert await ask(call)
+        assert len(authority.issued) == 2
+
+    play(tmp_path, authority, story)
+
+
+def test_a_failed_renewal_keeps_the_old_certificate(tmp_path: Path) -> None:
+    authority = Authority(SHORT)
+
+    async def story(on: Stage, trust: ssl.SSLContext) -> None:
+        await authority.until_issued(1)
+        authority.refuses = True
+        while authority.refused < 2:
+            await trio.sleep(0.01)
+        assert await serial(on, trust) == authority.issued[0].serial_number
+        assert len(authority.issued) == 1
+
+    play(tmp_path, authority, story)
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -12,7 +12,7 @@
 import trio
 
 from violetstack import interface as t
-from violetstack.chat_config import ChatConfig
+from violetstack.chat_config import Acme, ChatConfig
 from violetstack.config import Address, Config, address
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.chat import ChatFront
@@ -63,6 +63,7 @@
 
     platform: Address | None
     chat: Address | None
+    challenge: Address | None
 
 
 class Daemon:
@@ -79,6 +80,8 @@
     async def serve(self, task_status: trio.TaskStatus[Serving] = trio.TASK_STATUS_IGNORED) -> None:
         config = self.config
         self.budget = int(config.limits.sockets) - KEPT_DESCRIPTORS
+        acme = config.chat.told.acme if config.chat is not None else None
+        self.fronts = sum(x is not None for x in (config.listen, config.chat, acme)) or 1
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             hosts = self.hosts = Hosts(
@@ -97,6 +100,7 @@
             nursery.start_soon(hosts.retire_idle)
             if config.peer_listen is not None:
                 nursery.start_soon(listen_to_peers, core, config.peer_listen, config.peers)
+            self.challenge: Address | None = None
             platform = chat = None
             if config.listen is not None:
                 front = PlatformFront(core, RequestReader(config.facts), now_ms, log)
@@ -105,7 +109,7 @@
                 chat = await self._serve_chat(config.chat)
             log("started", name=config.told.name, platform=platform, chat=chat)
             gc.freeze()
-            task_status.started(Serving(platform, chat))
+            task_status.started(Serving(platform, chat, self.challenge))
             await self.stop.wait()
             log("stopping", open=len(core.open))
             await self._drain()
@@ -138,8 +142,7 @@
     # --- fronts ---
 
     async def _listen(self, at: Address, front: Front, wrap: Wrap | None = None) -> Address:
-        both = self.config.listen is not None and self.config.chat is not None
-        most = (self.budget - self.budget // 2) // (2 if both else 1)
+        most = (self.budget - self.budget // 2) // self.fronts
         listener = Listener(self.core, front, most)
         sockets = await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG)
         self.listeners.append(listener)
@@ -160,10 +163,21 @@
         wrap = None
         if told.tls is not None:
             certificate = Certificate(told.tls)
-            certificate.load()
+            if told.acme is not None:
+                await self._keep_certified(told.acme, certificate)
+            else:
+                certificate.load()
             wrap = certificate.wrap
         return await self._listen(address(told.listen), self.chat, wrap)
 
+    async def _keep_certified(self, told: Acme, certificate: Certificate) -> None:
+        from violetstack.net import acme  # noqa: PLC0415 - its libraries load only where configured
+
+        front = acme.Challenges()
+        self.challenge = await self._listen(address(told.challenge_listen), front)
+        issue = acme.Authority(told, front).issue
+        self.nursery.start_soon(acme.keep_certified, told, certificate, issue)
+
     def _spawn(self, act: Callable[[], Awaitable[None]]) -> None:
         self.nursery.start_soon(self._guarded, act)
 
--- a/violetstack/rehearsal/stage.py
+++ b/violetstack/rehearsal/stage.py
@@ -51,6 +51,7 @@
     discovery: Discovery
     platform: Address
     chat: Address
+    challenge: Address | None
     nursery: trio.Nursery
 
 
@@ -77,5 +78,5 @@
         file = msgspec.convert({**CHAT, "hosts": plain, **(chat or {})}, ChatFile)
         daemon = Daemon(Config(msgspec.convert(told, WConfig), file))
         serving = await nursery.start(daemon.serve)
-        yield Stage(daemon, discovery, serving.platform, serving.chat, nursery)
+        yield Stage(daemon, discovery, serving.platform, serving.chat, serving.challenge, nursery)
         nursery.cancel_scope.cancel()
