Bound what trickles in and what is held; no exception of the module ends the program

Seen: reading the listener against the limits: a request could take 20 s for each read, 488 bodies of 256 KiB would have passed 192 MB, TLS handshakes were not counted, one entry of an unknown kind made the watch start over for ever, and an exception in the module would have ended the nursery. The new story on trickling requests failed at first: a part of a head did not count as arriving. At fault: Connection._read, Listener._accept, ListReader._entry, Dispatcher.run, ServerSide.busy. Done: one limit for a whole request; bodies held at once are bounded by a fifth of the memory limit and a request over it is refused with Retry-After; handshakes count; unknown entries are skipped and logged; the module's and the actions' exceptions are logged and what they leave open fails when overdue.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -8,6 +8,8 @@
 import trio
 import trio.testing
 
+from violetstack import interface as t
+from violetstack.net import listener
 from violetstack.rehearsal.clients import ask_platform, connect, platform_headers
 from violetstack.rehearsal.hosts import CUT, DECLINE, ERROR, RESET, SILENT, Act, ModelHost
 from violetstack.rehearsal.stage import Stage, stage
@@ -232,3 +234,61 @@
         assert (await call.receive()).whole
 
     play(reader, writer, story=story)
+
+
+def test_bodies_beyond_the_memory_kept_for_them_are_refused() -> None:
+    async def story(on: Stage) -> None:
+        large = await ask_platform(on.platform, "q1", "consulta", text="x" * 200_000)
+        assert (large.outcome, large.status) == ("refused", 503)
+        assert (await ask_platform(on.platform, "q2", "consulta")).outcome == "served"
+
+    play(*pair(), story=story, memory_mb=1.0)
+
+
+def test_idle_connections_make_room_for_new_ones() -> None:
+    async def story(on: Stage) -> None:
+        idle = [await connect(on.platform) for _ in range(20)]
+        assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
+        assert len(on.daemon.listeners[0].connections) <= 10
+        for call in idle:
+            await call.stream.aclose()
+
+    play(*pair(), story=story, sockets=64)
+
+
+def test_a_request_that_trickles_in_does_not_hold_its_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(listener, "HEAD_S", 0.05)
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.platform)
+        await call.stream.send_all(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x")
+        assert await call.stream.receive_some(100) == b""
+
+    play(*pair(), story=story)
+
+
+def test_a_module_that_raises_ends_neither_the_program_nor_the_one_answer() -> None:
+    async def story(on: Stage) -> None:
+        decider, decide = on.daemon.core.decider, on.daemon.core.decider.handle
+
+        def broken(now: float, events: list[t.Event]) -> list[t.Action]:
+            decider.handle = decide  # type: ignore[method-assign]
+            raise ZeroDivisionError
+
+        decider.handle = broken  # type: ignore[method-assign]
+        assert (await ask_platform(on.platform, "q1", "orden", Req_Deadline="200m")).status == 500
+        assert (await ask_platform(on.platform, "q2", "orden")).outcome == "served"
+
+    play(*pair(), story=story)
+
+
+def test_an_entry_of_an_unknown_kind_does_not_stop_the_list() -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        on.discovery.tell({**writer.row(), "id": "x", "kind": "new"}, writer.row(state="leaving"))
+        while "w" not in on.daemon.core.unwanted:
+            await trio.sleep(0.001)
+        assert "x" not in on.daemon.core.entries
+
+    play(reader, writer, story=story)
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -178,12 +178,26 @@
         while self.inbox or self.touched:
             events, self.inbox = self.inbox, []
             if events:
-                for action in self.decider.handle(now, events):
-                    self._carry_out(now, action)
+                for action in self._decide(now, events):
+                    self._guarded(now, action)
             touched, self.touched = self.touched, {}
             for request in touched.values():
                 self._tidy(now, request)
 
+    def _decide(self, now: float, events: list[t.Event]) -> list[t.Action]:
+        """Guards against an end of the whole program: what the module leaves open is failed when overdue."""
+        try:
+            return self.decider.handle(now, events)
+        except Exception as error:
+            self.driver.log("module_failed", error=repr(error))
+            return []
+
+    def _guarded(self, now: float, action: t.Action) -> None:
+        try:
+            self._carry_out(now, action)
+        except Exception as error:
+            self.driver.log("action_failed", action=repr(action), error=repr(error))
+
     def _overdue(self, now: float, request: OpenRequest) -> None:
         """The module answers before this; the core still owes the one final answer if it did not."""
         if request.done or request.bound is not None:
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -172,7 +172,10 @@
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
         self._log("chat_rejected", status=status, reason=reason)
-        send_error(reply, status, reason, "invalid_request_error")
+        if status == 503:
+            send_error(reply, status, reason, "server_error", headers=retry_headers(1000.0))
+        else:
+            send_error(reply, status, reason, "invalid_request_error")
 
     def _route(self, inbound: Inbound, reply: Reply) -> None:
         path, method = inbound.path, inbound.method
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -69,4 +69,5 @@
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
         fields: dict[str, Any] = {"status": status, "reason": reason}
         self._log("rejected", **fields)
-        reply.answer(status, TEXT, reason.encode() + b"\n")
+        headers = [*TEXT, ("Retry-After", "1")] if status == 503 else TEXT
+        reply.answer(status, headers, reason.encode() + b"\n")
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -34,6 +34,7 @@
 KEPT_DESCRIPTORS = 24  # the program's own: standard streams, the poller, the watch, what accept needs
 LISTEN_ON_S = 0.55  # after SIGTERM new connections keep coming for up to 0.4 s
 BACKLOG = 512
+BODY_SHARE = 0.2  # of the memory limit: request bodies held at once; each may be held twice for a moment
 
 
 class Pump:
@@ -137,13 +138,14 @@
         self.hosts.told(news, targets.addresses)
         self.core.news(now_ms(), news)
         entries = {entry.server: entry.state.value for entry in news.entries}
-        log("list", version=news.version, scope=news.scope.value, entries=entries)
+        log("list", version=news.version, scope=news.scope.value, entries=entries, skipped=targets.skipped)
 
     # --- fronts ---
 
     async def _listen(self, at: Address, front: Front, wrap: Wrap | None = None) -> Address:
         most = (self.budget - self.budget // 2) // self.fronts
-        listener = Listener(self.core, front, most)
+        held = int(self.config.limits.memory_mb * BODY_SHARE * 2**20) // self.fronts
+        listener = Listener(self.core, front, most, held)
         sockets = await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG)
         self.listeners.append(listener)
         self.sockets.extend(sockets)
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -374,7 +374,7 @@
                 if call.server in self.core.stateless:
                     raise NotUp("holds no places")
                 connection = await self._open(call.server, self.connect_s)
-                if not self.core.may_write(now_ms(), call.server) or call.request.done:
+                if not self.core.may_write(now_ms(), call.server) or call.request.done or call.request.bound:
                     self._put_back_unused(connection)
                 else:
                     nothing_done = False
--- a/violetstack/net/listener.py
+++ b/violetstack/net/listener.py
@@ -36,6 +36,7 @@
         self.last_used = trio.current_time()
         self._out: deque[bytes | memoryview] = deque()
         self._queued = 0
+        self.held = 0  # bytes of a request's body, here until its answer ends
         self._closed = False
         self._finish = False  # close once all is written
         self._more = trio.Event()
@@ -86,6 +87,7 @@
     def _ended(self) -> None:
         self.answering, self.request = False, None
         self.last_used = trio.current_time()
+        self.listener.hold(self, 0)
         if self.http.closing or (not self._finish and not self.http.reuse()):
             self._finish = True
         self._more.set()
@@ -107,6 +109,7 @@
             if self._replies is not None:
                 self._replies.lost()
             self._closed = True
+            self.listener.hold(self, 0)
             if self.request is not None:
                 self.listener.core.client_left(now_ms(), self.request)
                 self.request = None
@@ -115,10 +118,12 @@
                 await trio.aclose_forcefully(self.stream)
 
     async def _read(self) -> None:
+        since = 0.0  # a request that only trickles in has one limit for all of it
         while not self._finish:
             self._next()
-            limit = HEAD_S if self.http.busy and not self.answering else math.inf
-            with trio.move_on_after(limit) as timer:
+            arriving = self.http.busy and not self.answering
+            since = (since or trio.current_time()) if arriving else 0.0
+            with trio.move_on_at(since + HEAD_S if arriving else math.inf) as timer:
                 if self.answering and self.http.unread > MAX_UNREAD:
                     await self._answered.wait()
                     continue
@@ -136,6 +141,12 @@
                 self.http.closing = self.answering = True
                 self.listener.front.rejected(error.status, error.reason, Replies(self))
                 return
+            self.listener.hold(self, self.http.size)
+            if self.listener.full and self.http.size:
+                # Guards the memory limit: many large bodies at once are turned away, which is harmless.
+                self.http.closing = self.answering = True
+                self.listener.front.rejected(503, "too many requests are being held", Replies(self))
+                return
             if inbound is None:
                 if self.http.wants_continue:
                     self._put([self.http.continue_100()])
@@ -223,8 +234,9 @@
 class Listener:
     """Accepts, within a bound on connections; on a drain it goes on until told to stop."""
 
-    def __init__(self, core: Dispatcher, front: Front, most: int) -> None:
+    def __init__(self, core: Dispatcher, front: Front, most: int, most_held: int) -> None:
         self.core, self.front, self.most = core, front, most
+        self.most_held, self.held, self.shaking = most_held, 0, 0
         self.connections: set[Connection] = set()
         self.draining = False
         self._left = trio.Event()
@@ -246,7 +258,7 @@
         wrap: Wrap | None,
     ) -> None:
         while True:
-            while len(self.connections) >= self.most and not self._drop_idle():
+            while len(self.connections) + self.shaking >= self.most and not self._drop_idle():
                 # Guards against running out of descriptors: further clients wait in the kernel's queue.
                 self._left = trio.Event()
                 await self._left.wait()
@@ -262,6 +274,14 @@
                 continue
             nursery.start_soon(self._serve, stream, wrap)
 
+    def hold(self, connection: Connection, size: int) -> None:
+        self.held += size - connection.held
+        connection.held = size
+
+    @property
+    def full(self) -> bool:
+        return self.held > self.most_held
+
     def _drop_idle(self) -> bool:
         idle = [c for c in self.connections if not c.answering and not c.http.busy]
         if not idle:
@@ -278,6 +298,7 @@
     ) -> None:
         stream: trio.abc.Stream = raw
         if wrap is not None:
+            self.shaking += 1
             try:
                 with trio.fail_after(10.0):
                     stream = await wrap(raw)
@@ -285,6 +306,9 @@
                 log("handshake_failed", error=repr(error))
                 await trio.aclose_forcefully(raw)
                 return
+            finally:
+                self.shaking -= 1
+                self._left.set()
         connection = Connection(stream, self)
         self.connections.add(connection)
         try:
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -39,6 +39,7 @@
 class Targets:
     news: t.ListNews
     addresses: dict[str, str]
+    skipped: tuple[str, ...] = ()  # entries of an unknown state or kind: one of them must not stop the list
 
 
 class ListReader:
@@ -55,13 +56,16 @@
         return self.targets(targets, t.ListScope.FULL if targets.full else t.ListScope.DELTA)
 
     def targets(self, told: WTargets, scope: t.ListScope) -> Targets:
-        entries = tuple(self._entry(server) for server in told.servers)
+        entries, skipped = [], []
+        for server in told.servers:
+            if server.state in STATES and (server.kind in self._kinds or not self._kinds):
+                entries.append(self._entry(server))
+            else:
+                skipped.append(server.id)
         addresses = {server.id: server.addr for server in told.servers if server.addr}
-        return Targets(t.ListNews(scope, entries, told.version), addresses)
+        return Targets(t.ListNews(scope, tuple(entries), told.version), addresses, tuple(skipped))
 
     def _entry(self, server: WServer) -> t.Entry:
-        if server.state not in STATES or (self._kinds and server.kind not in self._kinds):
-            raise BadList(f"unknown state {server.state!r} or kind {server.kind!r}")
         return t.Entry(
             server=server.id,
             cell=server.cell,
--- a/violetstack/protocol/server_side.py
+++ b/violetstack/protocol/server_side.py
@@ -40,7 +40,7 @@
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
         self._head: h11.Request | None = None
         self._parts: list[bytes] = []
-        self._size = 0
+        self.size = 0  # of the body that is arriving
         self.closing = False  # say so in the next head
         self.wants_continue = False
 
@@ -49,8 +49,8 @@
 
     @property
     def busy(self) -> bool:
-        """A request has begun to arrive or waits for its answer's end."""
-        return self._head is not None or self._h11.their_state is not h11.IDLE
+        """A request (a part of its head is enough) has begun to arrive or waits for its answer's end."""
+        return self._h11.their_state is not h11.IDLE or self.unread > 0
 
     @property
     def unread(self) -> int:
@@ -64,8 +64,8 @@
                 if isinstance(event, h11.Request):
                     self._start(event)
                 elif isinstance(event, h11.Data):
-                    self._size += len(event.data)
-                    if self._size > MAX_BODY:
+                    self.size += len(event.data)
+                    if self.size > MAX_BODY:
                         raise Rejected(413, "the body is larger than 256 KiB")
                     self._parts.append(event.data)
                 elif isinstance(event, h11.EndOfMessage):
@@ -77,7 +77,7 @@
             raise Rejected(error.error_status_hint, str(error)) from None
 
     def _start(self, event: h11.Request) -> None:
-        self._head, self._parts, self._size = event, [], 0
+        self._head, self._parts, self.size = event, [], 0
         for name, value in event.headers:
             if name == b"content-length" and int(value) > MAX_BODY:
                 raise Rejected(413, "the body is larger than 256 KiB")
@@ -128,5 +128,6 @@
         """After an answer's end: may another request come on this connection?"""
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
+            self.size = 0
             return True
         return False
--- a/violetstack/rehearsal/stage.py
+++ b/violetstack/rehearsal/stage.py
@@ -61,6 +61,7 @@
     settings: dict[str, Any] | None = None,
     chat: dict[str, Any] | None = None,
     sockets: int = 256,
+    memory_mb: float = 192.0,
 ) -> AsyncIterator[Stage]:
     """`settings` and `chat` change the plain ones above; hosts of the kind `openai` go into the chat file."""
     async with trio.open_nursery() as nursery:
@@ -71,7 +72,8 @@
         await nursery.start(discovery.serve)
         told = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "1",
-            "limits": {"sockets": sockets}, "settings": {**SETTINGS, **(settings or {})},
+            "limits": {"sockets": sockets, "memory_mb": memory_mb},
+            "settings": {**SETTINGS, **(settings or {})},
             "known": {"version": 1, "full": True, "servers": rows},
         }  # fmt: skip
         plain = [{"id": h.name, "address": h.address} for h in hosts if h.kind == "openai"]
