--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -215,6 +215,43 @@
     play(host, story=story)
 
 
+def test_an_error_event_of_a_plain_host_is_a_break(tmp_path: Path) -> None:
+    host = plain(Act(events=1, error_event=True))
+
+    async def story(on: Stage) -> None:
+        answer = await ask_chat(on.chat, chat_body(ORDER), chat_headers("k1"))
+        assert orjson.loads(answer.events[-1])["error"]["code"] == "stream_broken"
+        again = await ask_chat(on.chat, chat_body(ORDER), chat_headers("k1"))
+        assert (again.status, len(host.begun)) == (502, 1)
+
+    play(host, story=story, chat=ledger(tmp_path))
+
+
+def test_dispatchers_that_share_the_ledger_run_an_order_once(tmp_path: Path) -> None:
+    hold = trio.Event()
+    first, second = plain(Act(pause=hold)), plain()
+
+    async def main() -> None:
+        with trio.fail_after(15):
+            async with (
+                stage(first, chat=ledger(tmp_path)) as one,
+                stage(second, chat=ledger(tmp_path)) as two,
+            ):
+                call = await connect(one.chat)
+                await call.send("POST", "/v1/chat/completions", chat_headers("k1"), chat_body(ORDER))
+                await call.receive(events=3)
+                during = await ask_chat(two.chat, chat_body(ORDER), chat_headers("k1"))
+                assert during.json["error"]["code"] == "order_running"
+                hold.set()
+                assert (await call.receive()).outcome == "served"
+                while (later := await ask_chat(two.chat, chat_body(ORDER), chat_headers("k2"))).status == 409:
+                    pass
+                assert later.outcome == "served"
+        assert second.begun == []
+
+    trio.run(main)
+
+
 def test_an_order_of_a_dead_dispatcher_may_have_run(tmp_path: Path) -> None:
     reader, writer = pair(Act(pause=trio.Event()))
 
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,39 @@
+"""The programs as they are started: `run` until SIGTERM, and what a bad configuration gets."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from violetstack.rehearsal.stage import SETTINGS
+
+
+def start(tmp_path: Path, told: dict[str, object]) -> subprocess.Popen[str]:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(told))
+    return subprocess.Popen(
+        [sys.executable, "-m", "violetstack"], stdout=subprocess.PIPE, text=True,
+        env={**os.environ, "NODE_CONFIG": str(file)},
+    )  # fmt: skip
+
+
+def test_sigterm_ends_the_program_with_status_0(tmp_path: Path) -> None:
+    with start(tmp_path, {"listen": "127.0.0.1:0", "seed": "ff", "settings": SETTINGS}) as program:
+        assert program.stdout is not None
+        events = []
+        for line in program.stdout:
+            events.append(json.loads(line)["event"])
+            if events[-1] == "started":
+                program.send_signal(signal.SIGTERM)
+        assert program.wait(10) == 0
+    assert events == ["list", "started", "stopping", "stopped"]
+
+
+def test_a_bad_configuration_is_a_line_and_status_2(tmp_path: Path) -> None:
+    with start(tmp_path, {"listen": "nowhere", "settings": SETTINGS}) as program:
+        out, _ = program.communicate(timeout=10)
+    assert (program.returncode, json.loads(out)["event"]) == (2, "bad_config")
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -9,7 +9,8 @@
 import trio.testing
 
 from violetstack import interface as t
-from violetstack.net import listener
+from violetstack.net import listener, watch
+from violetstack.net.peers import listen_to_peers
 from violetstack.rehearsal.clients import ask_platform, connect, platform_headers
 from violetstack.rehearsal.hosts import CUT, DECLINE, ERROR, RESET, SILENT, Act, ModelHost
 from violetstack.rehearsal.stage import Stage, stage
@@ -292,3 +293,41 @@
         assert "x" not in on.daemon.core.entries
 
     play(reader, writer, story=story)
+
+
+def test_a_watch_that_falls_silent_is_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watch, "SILENT_S", 0.05)
+
+    async def story(on: Stage) -> None:
+        while len(on.discovery.asked) < 2:
+            await trio.sleep(0.001)
+
+    play(*pair(), story=story)
+
+
+def test_only_peers_are_heard() -> None:
+    async def story(on: Stage) -> None:
+        core, heard = on.daemon.core, trio.Event()
+        told: list[t.PeerMessage] = []
+
+        def note(message: t.PeerMessage) -> None:
+            told.append(message)
+            heard.set()
+
+        core.peer = note  # type: ignore[method-assign]
+        peer, stranger = (trio.socket.socket(type=trio.socket.SOCK_DGRAM) for _ in range(2))
+        with peer, stranger:
+            await peer.bind(("127.0.0.1", 0))
+            sock = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+            await sock.bind(("127.0.0.1", 0))
+            at = sock.getsockname()
+            sock.close()
+            on.nursery.start_soon(listen_to_peers, core, at, [("127.0.0.1", 1), peer.getsockname()])
+            while not heard.is_set():
+                await stranger.sendto(b"no", at)
+                await peer.sendto(b"hi", at)
+                with trio.move_on_after(0.01):
+                    await heard.wait()
+        assert told[0] == t.PeerMessage(1, b"hi")
+
+    play(*pair(), story=story)
--- a/violetstack/rehearsal/hosts.py
+++ b/violetstack/rehearsal/hosts.py
@@ -25,6 +25,7 @@
     headers: Headers = field(default_factory=list)
     events: int = 3  # of the answer, before its end or the break
     breaks: bool = False  # after so many events; with none, before the head
+    error_event: bool = False  # in place of the end: how a plain host may tell of a break
     silent: bool = False  # no answer until the other side closes
     pause: trio.Event | None = None  # awaited after the events and before the end or the break
     before: trio.Event | None = None  # awaited before the answer begins
@@ -116,6 +117,10 @@
             await act.pause.wait()
         if act.breaks:
             raise Break
+        if act.error_event:
+            await connection.data(b'data: {"error":{"message":"out of memory"}}\n\n')
+            await connection.end()
+            return
         usage = {"prompt_tokens": 8, "completion_tokens": act.events, "total_tokens": 8 + act.events}
         await connection.data(b"data: " + orjson.dumps({"choices": [], "usage": usage}) + b"\n\n")
         await connection.data(b"data: [DONE]\n\n")
