Ask for a place only once the read's last byte is written

A probe noted for 568 calls whether the read was written when the call went out: all 74 answers of 204, after 0.3 s each, had gone out before it; of the 310 sent after it every one was held. Ruled out: reads that end too soon (30 of the 74 still ran at 0.3 s). At fault: Hosts._hold_place ran beside the read, whose connection may still have to open. Done: the call waits for the read's last byte, and is dropped if the read is over by then. Checked: the new story fails without the change (order POST, read).

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -10,6 +10,7 @@
 
 from violetstack import interface as t
 from violetstack.net import listener, watch
+from violetstack.net.hosts import HostConnection
 from violetstack.net.peers import listen_to_peers
 from violetstack.rehearsal.clients import ask_platform, connect, platform_headers
 from violetstack.rehearsal.hosts import CUT, DECLINE, ERROR, RESET, SILENT, Act, ModelHost
@@ -331,3 +332,32 @@
         assert told[0] == t.PeerMessage(1, b"hi")
 
     play(*pair(), story=story)
+
+
+def test_a_place_is_asked_for_after_the_read_is_written() -> None:
+    """Else the writer knows of no read and says 204 (13% of the calls on a calm day)."""
+    reader, writer = pair()
+    order: list[str] = []
+
+    def note(method: str, _: str) -> int:
+        order.append(method)
+        return 200
+
+    writer.on_call = note
+
+    async def story(on: Stage) -> None:
+        await ask_platform(on.platform, "q1", "consulta")  # opens the connections
+        exchange = on.daemon.hosts._open
+
+        async def slow(server: str, timeout: float) -> HostConnection:
+            if server == "r":
+                await trio.testing.wait_all_tasks_blocked()
+                order.append("read")
+            return await exchange(server, timeout)
+
+        on.daemon.hosts._open = slow  # type: ignore[method-assign]
+        order.clear()
+        await ask_platform(on.platform, "q2", "consulta")
+        assert order == ["read", "POST"]
+
+    play(reader, writer, story=story)
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -143,6 +143,8 @@
         """None: not known. Then, and also when the place is held, it stays loose until the request's end."""
         request = call.request
         request.places -= 1
+        told = "unknown" if held is None else "held" if held else "not_held"
+        request.placed.append((call.server, told))
         if not nothing_done:
             request.loose = True
         self.touched[request.id] = request
@@ -229,6 +231,7 @@
                 answer=request.answer,
                 ms=round(request.answered - request.arrived),
                 attempts=request.trail,
+                places=request.placed,
             )
 
     # --- actions out ---
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -93,6 +93,7 @@
     releasing: ReleaseCall | None = None
     answer: str = ""
     answered: float = 0.0
+    placed: list[tuple[str, str]] = field(default_factory=list)  # server, what it told of a place
     trail: list[tuple[str, str, int]] = field(default_factory=list)  # server, status, ms of each attempt
 
     @property
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -130,6 +130,7 @@
         self.hosts: dict[str, Host] = {}
         self._scopes: dict[Attempt, trio.CancelScope] = {}
         self._using: dict[Attempt, HostConnection] = {}
+        self._sent: dict[Attempt, trio.Event] = {}  # set once written, or over
 
     def log(self, event: str, **fields: Any) -> None:
         log(event, **fields)
@@ -230,6 +231,7 @@
 
     def start(self, attempt: Attempt) -> None:
         scope = self._scopes[attempt] = trio.CancelScope()
+        self._sent[attempt] = trio.Event()
         self.nursery.start_soon(self._attempt, attempt, scope)
 
     def abort(self, attempt: Attempt) -> None:
@@ -256,6 +258,7 @@
                 log("attempt_failed", id=attempt.request.id, error=repr(error))
                 ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
         self._scopes.pop(attempt, None)
+        self._sent.pop(attempt).set()
         if ended is not None:
             self.core.ended(now_ms(), attempt, ended.status, ended.note, ended.report)
 
@@ -284,6 +287,7 @@
 
             def written() -> None:
                 attempt.written = True
+                self._sent[attempt].set()
 
             await connection.write(parts, written)
             ended = await self._answer(attempt, connection, host.plain)
@@ -374,9 +378,13 @@
                 if call.server in self.core.stateless:
                     raise NotUp("holds no places")
                 connection = await self._open(call.server, self.connect_s)
-                if not self.core.may_write(now_ms(), call.server) or call.request.done or call.request.bound:
-                    self._put_back_unused(connection)
-                else:
+                wanted = False
+                try:
+                    wanted = await self._place_wanted(call)
+                finally:
+                    if not wanted:
+                        self._put_back_unused(connection)
+                if wanted:
                     nothing_done = False
                     head = await self._call(connection, "POST", f"/state/{call.request.id}")
                     held = {200: True, 409: False}.get(head.status)
@@ -388,6 +396,20 @@
             log("place_failed", id=call.request.id, error=repr(error))
         self.core.place_answered(call, held, nothing_done)
 
+    async def _place_wanted(self, call: PlaceCall) -> bool:
+        """Guards against a place call that overtakes its read, or comes after it.
+
+        The writer knows of no read then and says 204 after 0.3 s; the state may have gone to a place on
+        which nobody counts.
+        """
+        attempt = call.attempt
+        if attempt is None:
+            return False
+        if (sent := self._sent.get(attempt)) is not None:
+            await sent.wait()
+        out = attempt.written and not attempt.over
+        return out and not call.request.done and self.core.may_write(now_ms(), call.server)
+
     def _put_back_unused(self, connection: HostConnection) -> None:
         host = self.hosts.get(connection.server)
         if host is None:
