--- a/violetstack/protocol/server_side.py
+++ b/violetstack/protocol/server_side.py
@@ -7,10 +7,12 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import h11
 
 MAX_BODY = 256 * 1024
+REASONS = {status.value for status in HTTPStatus}
 MAX_HEAD = 16 * 1024
 Headers = list[tuple[str, str]]
 
@@ -101,7 +103,8 @@
 
     def _head_of(self, status: int, headers: Iterable[tuple[str, str]]) -> list[bytes]:
         rows = [*headers, ("Connection", "close")] if self.closing else list(headers)
-        return self._send(h11.Response(status_code=status, headers=rows))
+        reason = HTTPStatus(status).phrase if status in REASONS else ""
+        return self._send(h11.Response(status_code=status, headers=rows, reason=reason))
 
     def answer(self, status: int, headers: Headers, body: bytes) -> list[bytes]:
         """A whole answer."""
