Test the core by itself; a place answered during a release is released again

Seen: writing the core's own tests showed two faults by reading. A place call made a request loose even when the writer said that nothing was done, so a DELETE went out for nothing; and a release that was out when a place was answered cleared what that place may hold, since it may have come first. At fault: Dispatcher._hold, place_answered and released. Done: only an answer that may hold a place makes it loose, and it makes a release under way stale.

--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -29,6 +29,7 @@
 
 
 def ledger(tmp_path: Path) -> dict[str, object]:
+    tmp_path.mkdir(exist_ok=True)
     return {"ledger": {"file": str(tmp_path / "orders.sqlite"), "lease_s": 0.5}}
 
 
@@ -187,6 +188,33 @@
     play(reader, writer, story=story, chat=ledger(tmp_path))
 
 
+def test_openais_own_retries_run_no_order_twice(tmp_path: Path) -> None:
+    """Its client sends again by itself what it was not told to leave alone."""
+    broken, turned = plain(RESET), plain(*[TOO_MANY] * 2)
+
+    def ask(on: Stage, key: str) -> openai.types.chat.ChatCompletion:
+        url = f"http://{on.chat[0]}:{on.chat[1]}/v1"
+        with openai.OpenAI(base_url=url, api_key="kiosk-key", max_retries=3) as client:
+            return client.chat.completions.create(
+                model=ORDER,
+                messages=[{"role": "user", "content": "hi"}],
+                extra_headers={"Idempotency-Key": key},
+            )
+
+    async def fails(on: Stage) -> None:
+        with pytest.raises(openai.APIStatusError) as failed:
+            await trio.to_thread.run_sync(ask, on, "k1")
+        assert (failed.value.status_code, len(broken.begun)) == (502, 1)
+
+    async def goes_again(on: Stage) -> None:
+        answer = await trio.to_thread.run_sync(ask, on, "k2")
+        assert answer.choices[0].finish_reason == "stop"
+        assert (len(turned.begun), sum(turned.runs.values())) == (3, 1)
+
+    play(broken, story=fails, chat=ledger(tmp_path / "a"))
+    play(turned, story=goes_again, chat=ledger(tmp_path / "b"))
+
+
 def test_an_order_proven_not_run_may_go_again(tmp_path: Path) -> None:
     host = plain(TOO_MANY, TOO_MANY, TOO_MANY, TOO_MANY, TOO_MANY)
 
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,219 @@
+"""The core by itself: a scripted module, a driver that only notes, and a clock that is handed in."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from tests.front import READERS, SETTINGS, WRITERS
+from violetstack import interface as t
+from violetstack.core.dispatcher import Dispatcher, Duplicate
+from violetstack.core.records import Attempt, OpenRequest, PlaceCall, ReleaseCall
+
+
+class Noted:
+    """Decider, driver and sink in one: acts as told, and notes what it is asked."""
+
+    def __init__(self) -> None:
+        self.next: list[t.Action] = []
+        self.events: list[t.Event] = []
+        self.attempts: list[Attempt] = []
+        self.aborted: list[Attempt] = []
+        self.places: list[PlaceCall] = []
+        self.releases: list[ReleaseCall] = []
+        self.answers: list[str] = []
+
+    def handle(self, now: float, events: list[t.Event]) -> list[t.Action]:
+        self.events += events
+        actions, self.next = self.next, []
+        return actions
+
+    def start(self, attempt: Attempt) -> None:
+        self.attempts.append(attempt)
+
+    def abort(self, attempt: Attempt) -> None:
+        self.aborted.append(attempt)
+
+    def hold_place(self, call: PlaceCall) -> None:
+        self.places.append(call)
+
+    def release(self, call: ReleaseCall) -> None:
+        self.releases.append(call)
+
+    def probe(self, server: str) -> None:
+        pass
+
+    def log(self, event: str, **fields: Any) -> None:
+        pass
+
+    def begun(self) -> None:
+        self.answers.append("begun")
+
+    def event(self, data: memoryview) -> None:
+        self.answers.append("event")
+
+    def finished(self) -> None:
+        self.answers.append("finished")
+
+    def cut(self) -> None:
+        self.answers.append("cut")
+
+    def refused(self, retry_after_ms: float) -> None:
+        self.answers.append("refused")
+
+    def failed(self, may_have_run: bool) -> None:
+        self.answers.append(f"failed {may_have_run}")
+
+    @property
+    def statuses(self) -> list[t.Status]:
+        return [event.status for event in self.events if isinstance(event, t.Outcome)]
+
+
+class Scene:
+    def __init__(self) -> None:
+        self.noted, self.now = Noted(), 1000.0
+        self.core = Dispatcher(SETTINGS, self.noted, self.noted, 250.0)
+        self.core.news(self.now, t.ListNews(t.ListScope.CACHED, READERS + WRITERS, 1))
+        self.request = self.take("q")
+        self.run()
+
+    def take(self, name: str) -> OpenRequest:
+        asked = t.Request(name, 1, 0, None, 3000.0, None, None, 100.0, 0.0, 50.0, False, False)
+        return self.core.take(self.now, asked, self.noted, None)
+
+    def run(self, *actions: t.Action, after: float = 0.0) -> None:
+        self.now += after
+        self.noted.next += actions
+        if actions:
+            self.core.inbox.append(t.TimerDue("go"))
+        self.core.run(self.now)
+
+    def send(self, server: str, stop_after: float = 500.0) -> Attempt:
+        self.run(t.Send("q", server, self.now + stop_after))
+        return self.noted.attempts[-1]
+
+
+@pytest.mark.parametrize(("written", "status"), [(False, t.Status.CONNECT_FAILED), (True, t.Status.TIMEOUT)])
+def test_only_what_was_written_may_have_run_at_its_time_limit(written: bool, status: t.Status) -> None:
+    scene = Scene()
+    scene.send("w1").written = written
+    scene.run(after=501.0)
+    assert scene.noted.statuses == [status]
+    assert scene.request.may_have_run is written
+
+
+@pytest.mark.parametrize(("written", "status"), [(False, t.Status.MOOT), (True, t.Status.CANCELLED)])
+def test_only_what_was_written_may_have_run_when_withdrawn(written: bool, status: t.Status) -> None:
+    scene = Scene()
+    scene.send("w1").written = written
+    scene.run(t.Cancel("q", 0))
+    assert scene.noted.statuses == [status]
+
+
+def test_one_final_answer_whatever_is_decided_after_it() -> None:
+    scene = Scene()
+    scene.run(t.Refuse("q", 100.0), t.Fail("q"), t.Send("q", "w1", 0.0))
+    scene.run(after=4000.0)
+    assert scene.noted.answers == ["refused"]
+    assert scene.noted.statuses == [t.Status.MOOT]
+    assert not scene.core.open
+
+
+def test_a_request_left_open_is_failed_at_its_deadline() -> None:
+    scene = Scene()
+    scene.send("w1", stop_after=9000.0).written = True
+    scene.run(after=3001.0)
+    assert len(scene.noted.answers) == 1
+    assert t.Left("q") in scene.noted.events or scene.noted.statuses == [t.Status.TIMEOUT]
+
+
+def test_a_begun_stream_has_no_deadline_and_its_break_is_the_answer() -> None:
+    scene = Scene()
+    attempt = scene.send("w1")
+    assert scene.core.began(scene.now, attempt)
+    scene.run(after=9000.0)
+    assert scene.noted.answers == ["begun"]
+    scene.core.ended(scene.now, attempt, t.Status.RESET)
+    scene.run(t.Refuse("q", 0.0))
+    assert scene.noted.answers == ["begun", "cut"]
+
+
+@pytest.mark.parametrize(
+    ("held", "nothing", "released"), [(None, False, 1), (True, False, 1), (False, True, 0)]
+)
+def test_a_place_is_released_after_the_end_unless_nothing_was_done(
+    held: bool | None, nothing: bool, released: int
+) -> None:
+    scene = Scene()
+    read = scene.send("r1")
+    scene.run(t.HoldPlace("q", "w1"))
+    scene.core.ended(scene.now, read, t.Status.CONNECT_FAILED)
+    scene.run(t.Refuse("q", 0.0))
+    scene.core.place_answered(scene.noted.places[0], held, nothing)
+    scene.run()
+    assert len(scene.noted.releases) == released
+
+
+def test_a_place_answered_while_a_release_is_out_is_released_again() -> None:
+    """The release may have come first."""
+    scene = Scene()
+    read = scene.send("r1")
+    scene.run(t.HoldPlace("q", "w1"))
+    scene.core.ended(scene.now, read, t.Status.READ)
+    scene.run(t.Refuse("q", 0.0), t.Release("q"))
+    scene.core.place_answered(scene.noted.places[0], None, False)
+    scene.core.released(scene.noted.releases[0], True)
+    scene.run()
+    assert len(scene.noted.releases) == 2
+
+
+def test_a_read_that_broke_is_released_since_it_may_have_ended_well() -> None:
+    scene = Scene()
+    read = scene.send("r1")
+    read.written = True
+    scene.core.ended(scene.now, read, t.Status.RESET)
+    scene.run(t.Refuse("q", 0.0))
+    assert len(scene.noted.releases) == 1
+    scene.core.released(scene.noted.releases[0], True)
+    scene.run()
+    assert not scene.core.open
+
+
+def test_a_further_send_makes_a_release_pointless_and_its_end_needs_one_again() -> None:
+    scene = Scene()
+    scene.core.ended(scene.now, scene.send("r1"), t.Status.READ)
+    scene.run(t.Release("q"))
+    read = scene.send("r2")
+    assert scene.noted.releases[0].stale
+    scene.core.released(scene.noted.releases[0], False)
+    scene.core.ended(scene.now, read, t.Status.ERROR)
+    scene.run(t.Refuse("q", 0.0))
+    assert len(scene.noted.releases) == 2
+
+
+def test_a_client_that_leaves_ends_the_stream() -> None:
+    scene = Scene()
+    attempt = scene.send("w1")
+    scene.core.began(scene.now, attempt)
+    scene.core.client_left(scene.now, scene.request)
+    scene.run()
+    assert scene.noted.aborted == [attempt]
+    assert not scene.core.open
+
+
+def test_an_id_that_is_open_is_not_taken_again() -> None:
+    scene = Scene()
+    with pytest.raises(Duplicate):
+        scene.take("q")
+
+
+def test_attempts_beyond_the_cap_are_not_sent() -> None:
+    scene = Scene()
+    for _ in range(SETTINGS.max_attempts + 1):
+        scene.run(t.Send("q", "w1", 0.0))
+        for attempt in list(scene.request.out.values()):
+            scene.core.ended(scene.now, attempt, t.Status.FULL)
+    scene.run()
+    assert len(scene.noted.attempts) == SETTINGS.max_attempts
+    assert scene.noted.statuses[-1] is t.Status.MOOT
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -361,3 +363,22 @@
         assert order == ["read", "POST"]
 
     play(reader, writer, story=story)
+
+
+def test_a_host_that_never_comes_up_has_run_nothing() -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        with contextlib.ExitStack() as stack:
+            full = stack.enter_context(socket.socket())
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            for _ in range(3):  # more than its queue holds: a further connection gets no answer
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(full.getsockname())
+            on.daemon.hosts.hosts["w"].at = full.getsockname()
+            assert (await ask_platform(on.platform, "q1", "orden")).outcome == "refused"
+            assert writer.begun == []
+
+    play(reader, writer, story=story)
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -147,6 +147,8 @@
         request.placed.append((call.server, told))
         if not nothing_done:
             request.loose = True
+            if request.releasing is not None:
+                request.releasing.stale = True  # the place may have been taken after it
         self.touched[request.id] = request
         attempt = call.attempt
         if held is not None and attempt is not None and not attempt.over:
@@ -158,7 +160,7 @@
         if request.releasing is call:
             request.releasing = None
             if done and not call.stale:
-                request.loose = bool(request.places)
+                request.loose = False
             elif not done and not call.stale:
                 request.loose = False
                 self.driver.log("release_given_up", id=request.id)
@@ -303,7 +305,6 @@
             return
         reads = [a for a in request.out.values() if a.reading]
         request.places += 1
-        request.loose = True
         call = PlaceCall(request, action.server, reads[-1] if reads else None, request.releasing)
         self.driver.hold_place(call)
 
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -66,7 +66,7 @@
 
 @dataclass(eq=False, slots=True)
 class ReleaseCall:
-    """Stale once a further send is made: what is held then is settled by that send's end."""
+    """Stale once a further send or place follows: what is held then is settled by that one's end."""
 
     request: OpenRequest
     since: float
