A front whose answer fails loses that one answer, not the program

Seen: reading what runs outside of any guard: an exception of a front's sink, raised from the end of an attempt, would have ended the nursery; and an order's record was settled after its answer, so that a failed answer would have left the order running for ever. At fault: Dispatcher called sinks bare; ChatSink settled last. Done: the core logs a sink's exception as answer_lost; the record is settled first.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -202,6 +202,14 @@
     assert not scene.core.open
 
 
+def test_a_front_whose_answer_fails_loses_that_answer_only() -> None:
+    scene = Scene()
+    scene.request.sink.finished = lambda: 1 / 0  # type: ignore[method-assign, assignment]
+    scene.core.ended(scene.now, scene.send("w1"), t.Status.OK)
+    scene.run()
+    assert not scene.core.open
+
+
 def test_an_id_that_is_open_is_not_taken_again() -> None:
     scene = Scene()
     with pytest.raises(Duplicate):
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -100,13 +100,13 @@
             request.loose = False  # what else was held goes by itself
         if request.releasing is not None:
             request.releasing.stale = True
-        request.sink.begun()
+        self._tell(request.sink.begun)
         self._post(t.Begun(request.id, attempt.server, attempt.number, now - attempt.sent_at))
         return True
 
     def event(self, attempt: Attempt, data: memoryview) -> None:
         if not attempt.over:
-            attempt.request.sink.event(data)
+            self._tell(attempt.request.sink.event, data)
 
     def ended(
         self,
@@ -125,9 +125,9 @@
         if not request.done and (status is t.Status.OK or request.bound is attempt):
             self._settle(now, request, "served" if status is t.Status.OK else "cut")
             if status is t.Status.OK:
-                request.sink.finished()
+                self._tell(request.sink.finished)
             else:
-                request.sink.cut()
+                self._tell(request.sink.cut)
         if not attempt.reading and attempt.written and not proves_idle(status):
             request.may_have_run = True
         if status is t.Status.READ or (attempt.reading and attempt.written and not proves_idle(status)):
@@ -208,7 +208,7 @@
             return
         self.driver.log("overdue", id=request.id)
         self._settle(now, request, "overdue")
-        request.sink.failed(may_have_run(request))
+        self._tell(request.sink.failed, may_have_run(request))
         self.inbox.append(t.Left(request.id))
 
     def _expire(self, now: float, attempt: Attempt) -> None:
@@ -251,10 +251,10 @@
                 self._cancel(now, action)
             case t.Refuse():
                 if (request := self._answerable(now, action.id, "refused")) is not None:
-                    request.sink.refused(action.retry_after_ms)
+                    self._tell(request.sink.refused, action.retry_after_ms)
             case t.Fail():
                 if (request := self._answerable(now, action.id, "failed")) is not None:
-                    request.sink.failed(may_have_run(request))
+                    self._tell(request.sink.failed, may_have_run(request))
             case t.Timer():
                 token = action.token
                 self._at(now + action.after_ms, lambda at: self.inbox.append(t.TimerDue(token)))
@@ -270,6 +270,13 @@
         request.done, request.answer, request.answered = True, answer, now
         self.touched[request.id] = request
 
+    def _tell(self, answer: Callable[..., None], *told: object) -> None:
+        """Guards against a front whose answer fails: it loses that one answer, not the program."""
+        try:
+            answer(*told)
+        except Exception as error:
+            self.driver.log("answer_lost", error=repr(error))
+
     def _answerable(self, now: float, request_id: str, answer: str) -> OpenRequest | None:
         """Guards against a second final answer, and against one for a stream that has begun."""
         request = self.open.get(request_id)
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -98,13 +98,14 @@
         if self._too_long:
             self._broken("The answer is longer than can be kept.")
             return
-        deliver(self._reply, self._answer, self._errand.ask, self._chunk)
         self._settle(Claim.FINISHED, self._answer.record())
+        deliver(self._reply, self._answer, self._errand.ask, self._chunk)
 
     def cut(self) -> None:
         self._broken("The stream broke before its end.")
 
     def _broken(self, message: str) -> None:
+        self._settle(Claim.FAILED, b"")
         if self._streaming:
             self._reply.data(
                 b"data: " + error_object(message, "server_error", code="stream_broken") + b"\n\n"
@@ -112,19 +113,18 @@
             self._reply.end()
         else:
             self._fail(message, "stream_broken", harmless=self._errand.safe)
-        self._settle(Claim.FAILED, b"")
 
     def refused(self, retry_after_ms: float) -> None:
+        self._settle(None, b"")
         headers = retry_headers(retry_after_ms or 1000.0)
         send_error(
-            self._reply, 503, "Too busy to serve this in time; it has not run.", "server_error",
+            self._reply, 503, "Too busy to serve this in time; trying again does no harm.", "server_error",
             code="overloaded", headers=headers,
         )  # fmt: skip
-        self._settle(None, b"")
 
     def failed(self, may_have_run: bool) -> None:
-        self._fail("No answer came in time.", "no_answer", harmless=self._errand.safe or not may_have_run)
         self._settle(Claim.FAILED if may_have_run else None, b"")
+        self._fail("No answer came in time.", "no_answer", harmless=self._errand.safe or not may_have_run)
 
     def _fail(self, message: str, code: str, harmless: bool) -> None:
         headers, status = (retry_headers(1000.0), 503) if harmless else (NO_RETRY, 502)
--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -19,11 +19,11 @@
 UNITS = {"m": 1.0, "u": 0.001}
 
 
-def duration_ms(text: str) -> float:
+def duration_ms(text: str, name: str = "Req-Deadline") -> float:
     """`4800m` or `250000u`."""
     number, unit = text[:-1], text[-1:]
     if unit not in UNITS or not number.isascii() or not number.isdigit():
-        raise Rejected(400, "Req-Deadline is a whole number and a unit, m or u")
+        raise Rejected(400, f"{name} is a whole number and a unit, m or u")
     return int(number) * UNITS[unit]
 
 
@@ -86,7 +86,7 @@
             tenant=self.tenants.get(owner or "", 0),
             session=headers.get("req-key") or None,
             expires_in_ms=self.give_up[cls] if deadline is None else duration_ms(deadline),
-            answer_ms=duration_ms(hint) if hint else None,
+            answer_ms=duration_ms(hint, "Req-Cost") if hint else None,
             shared=values.get("prefix") or None,
             prompt_tokens=_count(values, "prompt_len", float(len(inbound.body) // CHARS_A_TOKEN)),
             shared_tokens=_count(values, "prefix_len", 0.0),
