Renew a certificate in the last third of its life at most

Seen: by reading, a certificate that lives shorter than renew_before_days (30) would be ordered anew at every check, which authorities limit. At fault: keep_certified compared only what is left. Done: due once less is left than that time or a third of the whole life, whichever is shorter.

--- a/tests/test_acme.py
+++ b/tests/test_acme.py
@@ -6,15 +6,17 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import pytest
 import trio
 from cryptography import x509
 
 from tests.test_stories import pair
+from violetstack.net.acme import Life
 from violetstack.rehearsal.authority import Authority
 from violetstack.rehearsal.clients import Call, chat_body, chat_headers, connect
 from violetstack.rehearsal.stage import Stage, stage
 
-SHORT = 5.0  # days: within the time before expiry in which a renewal is due
+SHORT = 5.0  # days left: within the time before expiry in which a renewal is due
 
 
 def play(
@@ -111,3 +113,11 @@
         assert len(authority.issued) == 1
 
     play(tmp_path, authority, story)
+
+
+@pytest.mark.parametrize(
+    ("left", "whole", "due"), [(0, 0, True), (29, 90, True), (31, 90, False), (5, 6, False), (1, 6, True)]
+)
+def test_a_renewal_is_due_in_the_last_third_at_most(left: float, whole: float, due: bool) -> None:
+    """Else certificates that live six days would be ordered at every check."""
+    assert Life(left * 86400.0, whole * 86400.0).due(30.0) is due
--- a/violetstack/net/acme.py
+++ b/violetstack/net/acme.py
@@ -126,14 +126,25 @@
                 self._front.answers.pop(path, None)
 
 
-def expires_in_s(files: Tls) -> float:
-    """Seconds to the certificate's end; 0 where there is none that can be read."""
+class Life(NamedTuple):
+    """Of the certificate in the files: seconds that are left, and of the whole; 0 where none can be read."""
+
+    left_s: float
+    whole_s: float
+
+    def due(self, renew_before_days: float) -> bool:
+        """Guards against ordering again and again where certificates live shorter than the set time."""
+        return self.left_s < min(renew_before_days * 86400.0, self.whole_s / 3.0) or not self.left_s
+
+
+def life_of(files: Tls) -> Life:
     try:
         certificate = x509.load_pem_x509_certificate(Path(files.certificate).read_bytes())
     except (OSError, ValueError):
-        return 0.0
-    now = datetime.datetime.now(datetime.UTC)
-    return max(0.0, (certificate.not_valid_after_utc - now).total_seconds())
+        return Life(0.0, 0.0)
+    now, end = datetime.datetime.now(datetime.UTC), certificate.not_valid_after_utc
+    whole = end - certificate.not_valid_before_utc
+    return Life(max(0.0, (end - now).total_seconds()), whole.total_seconds())
 
 
 async def keep_certified(config: Acme, certificate: Certificate, issue: Callable[[], Issued]) -> None:
@@ -141,11 +152,11 @@
     again = min(FIRST_AGAIN_S, config.check_every_s)
     served = False
     while True:
-        left = expires_in_s(certificate.files)
-        if left > 0 and not served:
+        life = life_of(certificate.files)
+        if life.left_s and not served:
             served = _load(certificate)
         wait = config.check_every_s
-        if not served or left < config.renew_before_days * 86400.0:
+        if not served or life.due(config.renew_before_days):
             try:
                 issued = await trio.to_thread.run_sync(issue, abandon_on_cancel=True)
                 _private(Path(certificate.files.key), issued.key)
@@ -155,10 +166,10 @@
                 log(
                     "certificate_issued",
                     domains=config.domains,
-                    days=expires_in_s(certificate.files) / 86400.0,
+                    days=life_of(certificate.files).left_s / 86400.0,
                 )
             except Exception as error:  # the library raises many kinds; none may end the service
-                log("certificate_failed", error=repr(error)[:500], left_s=round(left))
+                log("certificate_failed", error=repr(error)[:500], left_s=round(life.left_s))
                 wait, again = again, min(2.0 * again, config.check_every_s)
         await trio.sleep(wait)
 
--- a/violetstack/rehearsal/authority.py
+++ b/violetstack/rehearsal/authority.py
@@ -33,7 +33,7 @@
 
 
 class Authority(Peer):
-    """`challenge_at` stands for every domain's port 80; `days` scripts the certificates' lives."""
+    """`challenge_at` stands for every domain's port 80; `days` scripts what certificates have left."""
 
     def __init__(self, *days: float) -> None:
         super().__init__()
@@ -184,7 +184,7 @@
             .issuer_name(self.name)
             .public_key(public)
             .serial_number(x509.random_serial_number())
-            .not_valid_before(now - datetime.timedelta(minutes=5))
+            .not_valid_before(now - datetime.timedelta(days=max(0.01, DAYS - days)))
             .not_valid_after(now + datetime.timedelta(days=days))
             .add_extension(x509.BasicConstraints(ca=ca, path_length=None), critical=True)
         )
