--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -515,7 +515,7 @@
         now, worth, fleet = self.now, self.worth(job), self.fleet
         if len(self.jobs) > len(fleet.pools[True]):
             wait = fleet.wait_ms(reader, job, now) + fleet.write_wait_ms(now)
-            patience = job.shortest * (0.2 + 0.4 * worth) - (now - job.arrived)
+            patience = job.shortest * (0.1 + 0.4 * worth) - (now - job.arrived)
             return wait > max(0.0, min(job.deadline - now, patience))
         late = fleet.took.middle(now, 3, (j.part(now) for j in self.jobs.values() if not j.begun))
         return self.random.random() > max(0.1, 2.0 - late / (LATE_FROM * (0.5 + 0.5 * worth)))
