Refuse bad clients before any host, bound their time, and accept clients even when full

Checked: a probe line with the hosts' answers showed empty bodies only: Content-Length beside Transfer-Encoding, of which h11 takes the second. Ruled out: CPU alone, since 400s were there at 2.5 s too. At fault: ServerSide._start let both lengths pass; RequestReader took any body, any deadline of digits and any prompt length; the platform front passed on any path; listener._linger read beside the reading task (the BusyResourceError); HEAD_S was 20 s and silent connections had no limit; _accept stopped accepting when full, so that clients waited in the kernel's queue; log lines were unbounded. Reports that are no finite numbers are dropped as well.

--- /dev/null
+++ b/tests/test_bad_clients.py
@@ -0,0 +1,172 @@
+"""Stories of clients that send what can't be taken, or nothing: an error or a close, no host hears of it."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+import trio.testing
+
+from tests.test_stories import pair, play
+from violetstack import log
+from violetstack.config import Address
+from violetstack.net import listener
+from violetstack.rehearsal.clients import BODY, ask_platform, chat_headers, connect, platform_headers, raw
+from violetstack.rehearsal.stage import Stage
+
+PATH = "/v1/chat/completions"
+
+
+def request(*more: str, body: bytes = BODY, chat: bool = False, **changes: str) -> bytes:
+    """A platform request, or a chat one, with further head lines and without a length of its own."""
+    told = chat_headers() if chat else platform_headers("q1", "consulta", **changes)
+    lines = [f"POST {PATH} HTTP/1.1", "Host: x", "Connection: close", *(f"{k}: {v}" for k, v in told), *more]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+HIDDEN = b"0\r\n\r\n" + request(f"Content-Length: {len(BODY)}", Req_Id="hidden")
+LENGTH = f"Content-Length: {len(BODY)}"
+
+
+@pytest.mark.parametrize("chat", [False, True], ids=["platform", "chat"])
+@pytest.mark.parametrize(
+    ("lines", "body", "status"),
+    [
+        ((LENGTH, "Transfer-Encoding: chunked"), HIDDEN, 400),
+        (("Content-Length: -5",), BODY, 400),
+        (("Content-Length: 7", "Content-Length: 8"), BODY, 400),
+        (("Content-Length: 60000000",), BODY, 413),
+        (("Content-Length: " + "9" * 4000,), BODY, 400),
+        (("Content-Length: 0",), b"", 400),
+        (("Content-Length: 9",), b"not JSON!", 400),
+        (("Transfer-Encoding: chunked",), b"zz\r\n", 400),
+        (("a line with no colon",), BODY, 400),
+        (("X-Long: " + "x" * 40_000,), b"", 431),
+    ],
+    ids=["both", "negative", "two", "60MB", "digits", "empty", "no json", "chunk", "no colon", "long head"],
+)
+def test_what_no_host_would_take_gets_an_error_and_no_host_hears_of_it(
+    chat: bool, lines: tuple[str, ...], body: bytes, status: int, capfd: pytest.CaptureFixture[str]
+) -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        at = on.chat if chat else on.platform
+        answer = await raw(at, request(*lines, body=body, chat=chat))
+        assert answer.startswith(f"HTTP/1.1 {status} ".encode())
+        assert answer.count(b"HTTP/1.1") == 1
+        assert not reader.begun
+
+    play(reader, writer, story=story)
+    out = capfd.readouterr().out
+    assert 'rejected"' in out and "connection_failed" not in out
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Req_Deadline": "-5m"},
+        {"Req_Deadline": "9" * 5000 + "m"},
+        {"Req_Extra": "prompt_len=-40"},
+        {"Req_Extra": "prompt_len=999999999"},
+    ],
+    ids=["negative", "digits", "negative length", "huge length"],
+)
+def test_numbers_that_are_none_are_refused(changes: dict[str, str]) -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        assert (await ask_platform(on.platform, "q1", "consulta", **changes)).status == 400
+        assert not reader.begun
+
+    play(reader, writer, story=story)
+
+
+def test_a_call_meant_for_hosts_is_not_passed_on() -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        sent = request(LENGTH).replace(PATH.encode(), b"/state/q1")
+        assert (await raw(on.platform, sent)).startswith(b"HTTP/1.1 404")
+        assert not reader.calls + writer.calls + reader.begun
+
+    play(reader, writer, story=story)
+
+
+@pytest.mark.parametrize(("sent", "told"), [(b"", b""), (b"POST / HTTP/1.1\r\nHost", b"HTTP/1.1 408")])
+@pytest.mark.parametrize("chat", [False, True], ids=["platform", "chat"])
+def test_silence_and_half_requests_are_ended(
+    chat: bool, sent: bytes, told: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(listener, "ARRIVE_S", 0.05)
+
+    async def story(on: Stage) -> None:
+        answer = await raw(on.chat if chat else on.platform, sent)
+        assert answer.startswith(told) and bool(answer) == bool(told)
+
+    play(*pair(), story=story)
+
+
+async def crowd(at: Address, count: int) -> list[trio.SocketStream]:
+    return [await trio.open_tcp_stream(*at) for _ in range(count)]
+
+
+def test_silent_connections_make_room_for_a_client_that_asks(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(listener, "FRESH_S", 0.0)
+
+    async def story(on: Stage) -> None:
+        silent = await crowd(on.platform, 40)
+        assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
+        assert len(on.daemon.listeners[0].connections) <= on.daemon.listeners[0].most
+        for stream in silent:
+            await stream.aclose()
+
+    play(*pair(), story=story, sockets=64)
+
+
+def test_a_client_that_finds_no_room_is_told_so_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It waited unseen in the kernel's queue before."""
+    monkeypatch.setattr(listener, "FRESH_S", 60.0)
+
+    async def story(on: Stage) -> None:
+        silent = await crowd(on.platform, on.daemon.listeners[0].most)
+        answer = await ask_platform(on.platform, "q1", "consulta")
+        assert (answer.outcome, answer.headers["connection"]) == ("refused", "close")
+        for stream in silent:
+            await stream.aclose()
+
+    play(*pair(), story=story, sockets=64)
+
+
+def test_who_sends_only_what_cannot_be_taken_is_read_less_often(monkeypatch: pytest.MonkeyPatch) -> None:
+    rested = []
+
+    async def rest(self: listener.Connection) -> None:
+        rested.append(self._strikes)
+
+    monkeypatch.setattr(listener.Connection, "_rest", rest)
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.platform)
+        for n in range(4):
+            name = "consulta" if n == 2 else "nobody"
+            await call.send("POST", PATH, platform_headers(f"q{n}", name), BODY)
+            assert (await call.receive()).status == (200 if n == 2 else 400)
+            assert call.http.reuse()
+        await trio.testing.wait_all_tasks_blocked()
+        assert rested == [2]
+        await call.stream.aclose()
+
+    play(*pair(), story=story)
+
+
+def test_lines_that_outsiders_cause_are_bounded(capfd: pytest.CaptureFixture[str]) -> None:
+    now = [5.0]
+    bounded = log.Bounded(lambda: now[0])
+    for _ in range(100):
+        bounded("rejected", reason="x" * 5000)
+    now[0] = 6.0
+    bounded("rejected", reason="y")
+    lines = capfd.readouterr().out.splitlines()
+    assert len(lines) == log.MOST_A_SECOND + 1
+    assert max(map(len, lines)) < 400
+    assert '"unlogged":80' in lines[-1]
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 from violetstack.core.dispatcher import Dispatcher, Duplicate
 from violetstack.fronts.reply import EVENTS, TEXT, Payload, Reply
 from violetstack.protocol.headers import RequestReader
 from violetstack.protocol.server_side import Inbound, Rejected
 
-READY = "/-/ready"
+READY, COMPLETIONS = "/-/ready", "/v1/chat/completions"
 
 
 class PlatformSink:
@@ -55,8 +54,11 @@
             reply.answer(200, TEXT, b"ready\n")
             return
         try:
+            # Guards against calls of hosts (/state/ID) or discovery that a client has sent on.
+            if inbound.path != COMPLETIONS:
+                raise Rejected(404, f"only {COMPLETIONS} is served here")
             if inbound.method != "POST":
-                raise Rejected(405 if inbound.path.startswith("/v1/") else 404, "POST only")
+                raise Rejected(405, "POST only")
             asked = self._reader.read(inbound)
             kind = inbound.headers.get("content-type", "application/json")
             payload = Payload(inbound.method, inbound.target, kind, inbound.body, reply.room)
@@ -67,7 +69,6 @@
             self.rejected(409, "a request with this Req-Id is still open", reply)
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
-        fields: dict[str, Any] = {"status": status, "reason": reason}
-        self._log("rejected", **fields)
+        self._log("rejected", status=status, reason=reason)
         headers = [*TEXT, ("Retry-After", "1")] if status == 503 else TEXT
         reply.answer(status, headers, reason.encode() + b"\n")
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -19,7 +19,7 @@
 from violetstack.fronts.platform import PlatformFront
 from violetstack.fronts.reply import Front
 from violetstack.ledger import Ledger
-from violetstack.log import log
+from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
 from violetstack.net.hosts import Host, Hosts
 from violetstack.net.listener import Listener, Wrap
@@ -31,7 +31,7 @@
 from violetstack.protocol.headers import RequestReader
 from violetstack.router import Router
 
-KEPT_DESCRIPTORS = 24  # the program's own: standard streams, the poller, the watch, what accept needs
+KEPT_DESCRIPTORS = 40  # the program's own: standard streams, the poller, the watch, clients turned away
 LISTEN_ON_S = 0.55  # after SIGTERM new connections keep coming for up to 0.4 s
 BACKLOG = 512
 BODY_SHARE = 0.2  # of the memory limit: request bodies held at once; each may be held twice for a moment
@@ -104,7 +104,7 @@
             self.challenge: Address | None = None
             platform = chat = None
             if config.listen is not None:
-                front = PlatformFront(core, RequestReader(config.facts), now_ms, log)
+                front = PlatformFront(core, RequestReader(config.facts), now_ms, log_outside)
                 platform = await self._listen(config.listen, front)
             if config.chat is not None:
                 chat = await self._serve_chat(config.chat)
@@ -192,7 +192,7 @@
             ledger = Ledger(file.file, owner, file.keep_hours * 3600.0, file.lease_s)
             self.orders = OrderBook(ledger, file.lease_s)
             self.nursery.start_soon(self.orders.run)
-        self.chat = ChatFront(chat, self.core, self.orders, clock=now_ms, spawn=self._spawn, log=log)
+        self.chat = ChatFront(chat, self.core, self.orders, clock=now_ms, spawn=self._spawn, log=log_outside)
         wrap = None
         if told.tls is not None:
             certificate = Certificate(told.tls)
--- a/violetstack/net/listener.py
+++ b/violetstack/net/listener.py
@@ -13,15 +13,25 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import OpenRequest
 from violetstack.fronts.reply import Front
-from violetstack.log import log
+from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
 from violetstack.protocol.server_side import Headers, Rejected, ServerSide
 
 READ_SIZE = 32 * 1024
 HIGH_WATER = 64 * 1024  # a client that reads slower than its stream comes makes the host wait from here on
 STUCK_S = 20.0  # a client that reads nothing for so long has gone away
-HEAD_S = 20.0  # a request that has begun to arrive is whole by then
+ARRIVE_S = 2.2  # a new connection's first request is whole by then, and any request that has begun to come
+IDLE_S = 2.0  # a connection that has been idle for so long may be closed to make room
+FRESH_S = 0.2  # a connection that has sent nothing yet may be
+LINGER_S = 0.5  # after the last answer the client is heard out for so long
+REST_S, LONGEST_REST_S = 0.05, 0.4
 MAX_UNREAD = 64 * 1024
+MOST_TURNED_AWAY = 12  # at once; further ones are closed without a word
+FULL = b"the dispatcher holds too many connections\n"
+TURNED_AWAY = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\n"
+    b"Connection: close\r\nContent-Length: %d\r\n\r\n%b" % (len(FULL), FULL)
+)
 Wrap = Callable[[trio.SocketStream], Awaitable[trio.abc.Stream]]
 
 
@@ -34,6 +44,9 @@
         self.request: OpenRequest | None = None
         self.answering = False  # a request was handed to the front and its answer has not ended
         self.last_used = trio.current_time()
+        self.served = False  # a whole request has come
+        self._strikes = 0  # requests in a row that could not be taken
+        self._heard_out = trio.Event()  # the client has ended its side
         self._out: deque[bytes | memoryview] = deque()
         self._queued = 0
         self.held = 0  # bytes of a request's body, here until its answer ends
@@ -49,11 +62,13 @@
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         self._mark_closing()
+        self._strikes = self._strikes + 1 if 400 <= status < 500 and self.request is None else 0
         self._put(self.http.answer(status, headers, body))
         self._ended()
 
     def stream_head(self, status: int, headers: Headers) -> None:
         self._mark_closing()
+        self._strikes = 0
         self._put(self.http.stream(status, headers))
 
     def data(self, data: memoryview | bytes) -> None:
@@ -75,6 +90,10 @@
 
     # --- inside ---
 
+    def has_unread(self) -> bool:
+        """Guards against closing over a request that has come but has not been read yet."""
+        return isinstance(self.stream, trio.SocketStream) and self.stream.socket.is_readable()
+
     def _mark_closing(self) -> None:
         self.http.closing = self.http.closing or self.listener.draining
 
@@ -104,7 +123,7 @@
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except* Exception as errors:  # no connection's failure ends the nursery
-            log("connection_failed", error=repr(errors.exceptions[0]))
+            log_outside("connection_failed", error=repr(errors.exceptions[0]))
         finally:
             if self._replies is not None:
                 self._replies.lost()
@@ -119,19 +138,47 @@
                 await trio.aclose_forcefully(self.stream)
 
     async def _read(self) -> None:
-        since = 0.0  # a request that only trickles in has one limit for all of it
+        since = self.last_used  # a request that only trickles in has one limit for all of it
         while not self._finish:
             self._next()
-            arriving = self.http.busy and not self.answering
+            if self._finish:
+                break
+            arriving = not self.answering and (self.http.busy or not self.served)
             since = (since or trio.current_time()) if arriving else 0.0
-            with trio.move_on_at(since + HEAD_S if arriving else math.inf) as timer:
+            with trio.move_on_at(since + ARRIVE_S if arriving else math.inf) as timer:
                 if self.answering and self.http.unread > MAX_UNREAD:
                     await self._answered.wait()
                     continue
+                if self._strikes > 1 and not self.answering:
+                    await self._rest()
                 data = await self.stream.receive_some(READ_SIZE)
-            if timer.cancelled_caught or not data:
+            if timer.cancelled_caught:
+                self._too_late()
+                break
+            if not data:
                 return
             self.http.feed(bytes(data))
+        while await self.stream.receive_some(READ_SIZE):
+            pass  # what still comes is not wanted; the writer ends this
+        self._heard_out.set()
+
+    async def _rest(self) -> None:
+        """Guards the processor for the usual clients: who sends only what can't be taken is read less often.
+
+        The answers to it go out at once all the same.
+        """
+        await trio.sleep(min(LONGEST_REST_S, REST_S * 2.0 ** (self._strikes - 2)))
+
+    def _too_late(self) -> None:
+        if self.http.busy and self.http.can_answer:
+            self._reject(408, "the request did not arrive in time")
+        else:
+            log_outside("silent_closed")
+            self.scope.cancel()
+
+    def _reject(self, status: int, reason: str) -> None:
+        self.http.closing = self.answering = True
+        self.listener.front.rejected(status, reason, Replies(self))
 
     def _next(self) -> None:
         """Hands the next whole request to the front, once the one before is answered."""
@@ -139,20 +186,18 @@
             try:
                 inbound = self.http.next_request()
             except Rejected as error:
-                self.http.closing = self.answering = True
-                self.listener.front.rejected(error.status, error.reason, Replies(self))
+                self._reject(error.status, error.reason)
                 return
             self.listener.hold(self, self.http.size)
             if self.listener.full and self.http.size:
                 # Guards the memory limit: many large bodies at once are turned away, which is harmless.
-                self.http.closing = self.answering = True
-                self.listener.front.rejected(503, "too many requests are being held", Replies(self))
+                self._reject(503, "too many requests are being held")
                 return
             if inbound is None:
                 if self.http.wants_continue:
                     self._put([self.http.continue_100()])
                 return
-            self.answering, self._answered = True, trio.Event()
+            self.answering, self.served, self._answered = True, True, trio.Event()
             self._replies = Replies(self)
             self.listener.front.handle(inbound, self._replies)
 
@@ -181,10 +226,9 @@
     async def _linger(self) -> None:
         """Guards against a reset that overtakes the answer: the client's side is heard out for a moment."""
         if isinstance(self.stream, trio.SocketStream):
-            with trio.move_on_after(0.5):
+            with trio.move_on_after(LINGER_S):
                 await self.stream.send_eof()
-                while await self.stream.receive_some(READ_SIZE):
-                    pass
+                await self._heard_out.wait()
 
 
 class Replies:
@@ -235,20 +279,19 @@
         try:
             act(connection)
         except h11.LocalProtocolError as error:
-            log("answer_lost", error=str(error))
+            log_outside("answer_lost", error=str(error))
             connection.cut()
 
 
 class Listener:
-    """Accepts, within a bound on connections; on a drain it goes on until told to stop."""
+    """Accepts all, holds a bounded number; on a drain it goes on until told to stop."""
 
     def __init__(self, core: Dispatcher, front: Front) -> None:
         self.core, self.front = core, front
         self.most = self.most_held = 0  # connections, and bytes of bodies; set by the daemon
-        self.held, self.shaking = 0, 0
+        self.held = self.shaking = self.turning_away = 0
         self.connections: set[Connection] = set()
         self.draining = False
-        self._left = trio.Event()
 
     async def run(
         self,
@@ -266,11 +309,10 @@
         nursery: trio.Nursery,
         wrap: Wrap | None,
     ) -> None:
+        """Guards against clients that wait unseen in the kernel's queue: all are accepted, and the bound on
+        descriptors is kept by closing whoever needs its connection least, or the newcomer.
+        """
         while True:
-            while len(self.connections) + self.shaking >= self.most and not self._drop_idle():
-                # Guards against running out of descriptors: further clients wait in the kernel's queue.
-                self._left = trio.Event()
-                await self._left.wait()
             try:
                 stream = await listener.accept()
             except trio.ClosedResourceError:
@@ -281,7 +323,46 @@
                 log("accept_failed", error=str(error))
                 await trio.sleep(0.1)
                 continue
-            nursery.start_soon(self._serve, stream, wrap)
+            if len(self.connections) + self.shaking < self.most or self._make_room():
+                nursery.start_soon(self._serve, stream, wrap)
+            elif self.turning_away < MOST_TURNED_AWAY and wrap is None:
+                nursery.start_soon(self._turn_away, stream)
+            else:
+                log_outside("turned_away")
+                await trio.aclose_forcefully(stream)
+
+    async def _turn_away(self, stream: trio.SocketStream) -> None:
+        log_outside("turned_away", status=503)
+        self.turning_away += 1
+        try:
+            with trio.move_on_after(LINGER_S):
+                await stream.send_all(TURNED_AWAY)
+                await stream.send_eof()
+                while await stream.receive_some(READ_SIZE):
+                    pass
+        except (OSError, trio.BrokenResourceError):
+            pass
+        finally:
+            self.turning_away -= 1
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+    def _make_room(self) -> bool:
+        """Long idle connections go first, then those that have sent nothing, then any that is idle."""
+        now = trio.current_time()
+        free = sorted((c for c in self.connections if not c.answering), key=lambda c: c.last_used)
+        idle = [c for c in free if c.served and not c.http.busy]
+        fresh = [c for c in free if not c.served and c.last_used < now - FRESH_S]
+        for choice in (idle[:1] if idle and idle[0].last_used < now - IDLE_S else []), fresh, idle:
+            for connection in choice:
+                if not connection.has_unread():
+                    self._drop(connection)
+                    return True
+        return False
+
+    def _drop(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+        connection.scope.cancel()
 
     def hold(self, connection: Connection, size: int) -> None:
         self.held += size - connection.held
@@ -291,15 +372,6 @@
     def full(self) -> bool:
         return self.held > self.most_held
 
-    def _drop_idle(self) -> bool:
-        idle = [c for c in self.connections if not c.answering and not c.http.busy]
-        if not idle:
-            return False
-        oldest = min(idle, key=lambda c: c.last_used)
-        self.connections.discard(oldest)
-        oldest.scope.cancel()
-        return True
-
     async def _serve(
         self,
         raw: trio.SocketStream,
@@ -309,27 +381,25 @@
         if wrap is not None:
             self.shaking += 1
             try:
-                with trio.fail_after(10.0):
+                with trio.fail_after(ARRIVE_S):
                     stream = await wrap(raw)
             except (OSError, trio.BrokenResourceError, trio.TooSlowError) as error:
-                log("handshake_failed", error=repr(error))
+                log_outside("handshake_failed", error=repr(error))
                 await trio.aclose_forcefully(raw)
                 return
             finally:
                 self.shaking -= 1
-                self._left.set()
         connection = Connection(stream, self)
         self.connections.add(connection)
         try:
             await connection.serve()
         finally:
             self.connections.discard(connection)
-            self._left.set()
 
     @property
     def busy(self) -> bool:
         return any(c.answering or c.http.busy or c._queued for c in self.connections)
 
     def close_idle(self) -> None:
-        while self._drop_idle():
-            pass
+        for connection in [c for c in self.connections if not c.answering and not c.http.busy]:
+            self._drop(connection)
--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import math
+
+import msgspec
+
 from violetstack import interface as t
 from violetstack.facts import WFacts
 from violetstack.protocol.server_side import Inbound, Rejected
@@ -17,14 +21,18 @@
     "fail_rate": "eps",
 }
 UNITS = {"m": 1.0, "u": 0.001}
+MAX_DIGITS = 12  # of a duration
+MAX_WAIT_MS = 600_000.0  # nobody waits longer for a first token; bounds what an odd deadline can hold
+MAX_ANSWER_TOKENS = 100_000.0  # bounds what an odd request can claim of a writer's memory
+MAX_REPORTED = 1e9
 
 
 def duration_ms(text: str, name: str = "Req-Deadline") -> float:
     """`4800m` or `250000u`."""
     number, unit = text[:-1], text[-1:]
-    if unit not in UNITS or not number.isascii() or not number.isdigit():
+    if unit not in UNITS or not number.isascii() or not number.isdigit() or len(number) > MAX_DIGITS:
         raise Rejected(400, f"{name} is a whole number and a unit, m or u")
-    return int(number) * UNITS[unit]
+    return min(MAX_WAIT_MS, int(number) * UNITS[unit])
 
 
 def extras(text: str) -> dict[str, str]:
@@ -49,13 +57,23 @@
     values: dict[str, float] = {}
     for name, value in extras(fields).items():
         try:
-            values[name] = float(value)
+            number = float(value)
         except ValueError:
             continue
+        if math.isfinite(number) and 0.0 <= number <= MAX_REPORTED:
+            values[name] = number  # guards the decisions: one NaN would spoil every comparison
     row = tuple(values.get(name, values.get(PLAIN_NAMES.get(name, ""))) for name in names)
     return row if any(value is not None for value in row) else None
 
 
+def check_body(body: memoryview) -> None:
+    """What a host would refuse is refused here: its 400 would cost attempts, and blame at good hosts."""
+    try:
+        msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    except (msgspec.MsgspecError, ValueError):
+        raise Rejected(400, "the body is no JSON object") from None
+
+
 class RequestReader:
     """Reads a client's headers into the module's request."""
 
@@ -80,6 +98,11 @@
         values = extras(headers.get("req-extra", ""))
         retry = headers.get("req-retry")
         hint = headers.get("req-cost")
+        check_body(inbound.body)
+        size = float(len(inbound.body))
+        prompt = _count(values, "prompt_len", size // CHARS_A_TOKEN)
+        if prompt > size:
+            raise Rejected(400, "Req-Extra: prompt_len is more than the body can hold")
         return t.Request(
             id=request_id,
             cls=cls,
@@ -88,9 +111,9 @@
             expires_in_ms=self.give_up[cls] if deadline is None else duration_ms(deadline),
             answer_ms=duration_ms(hint, "Req-Cost") if hint else None,
             shared=values.get("prefix") or None,
-            prompt_tokens=_count(values, "prompt_len", float(len(inbound.body) // CHARS_A_TOKEN)),
-            shared_tokens=_count(values, "prefix_len", 0.0),
-            max_tokens=_count(values, "max_out", 0.0),
+            prompt_tokens=prompt,
+            shared_tokens=min(prompt, _count(values, "prefix_len", 0.0)),
+            max_tokens=min(MAX_ANSWER_TOKENS, _count(values, "max_out", 0.0)),
             repeat=retry == "1",
             resumed=retry == "again",
         )
--- a/violetstack/protocol/server_side.py
+++ b/violetstack/protocol/server_side.py
@@ -14,6 +14,8 @@
 MAX_BODY = 256 * 1024
 REASONS = {status.value for status in HTTPStatus}
 MAX_HEAD = 16 * 1024
+MAX_DIGITS = 18  # of a length; what has more is larger than anything, and costs time to read
+MAX_REASON = 120  # of what is told and logged about bad bytes, which come along in h11's words
 Headers = list[tuple[str, str]]
 
 
@@ -76,12 +78,16 @@
                     self.wants_continue = self._h11.they_are_waiting_for_100_continue
                     return None
         except h11.RemoteProtocolError as error:
-            raise Rejected(error.error_status_hint, str(error)) from None
+            raise Rejected(error.error_status_hint, str(error)[:MAX_REASON]) from None
 
     def _start(self, event: h11.Request) -> None:
         self._head, self._parts, self.size = event, [], 0
+        names = [name for name, _ in event.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            # Guards against a second request hidden in the body: who reads which length is anyone's guess.
+            raise Rejected(400, "Content-Length and Transfer-Encoding together")
         for name, value in event.headers:
-            if name == b"content-length" and int(value) > MAX_BODY:
+            if name == b"content-length" and (len(value) > MAX_DIGITS or int(value) > MAX_BODY):
                 raise Rejected(413, "the body is larger than 256 KiB")
 
     def _whole(self) -> Inbound:
--- a/violetstack/rehearsal/clients.py
+++ b/violetstack/rehearsal/clients.py
@@ -83,6 +83,9 @@
         return answer
 
 
+BODY = b'{"messages":[{"role":"user","content":"How much is it to send 100 dollars to Lima?"}]}'
+
+
 def prompt(text: str) -> list[dict[str, str]]:
     return [{"role": "system", "content": "Be brief."}, {"role": "user", "content": text}]
 
@@ -94,6 +97,19 @@
     return Call(stream)
 
 
+async def raw(at: Address, sent: bytes) -> bytes:
+    """Sends bytes that need be no request, and hears what comes until the other side ends."""
+    told = b""
+    async with await trio.open_tcp_stream(*at) as stream:
+        try:
+            await stream.send_all(sent)
+            while data := await stream.receive_some(64 * 1024):
+                told += data
+        except trio.BrokenResourceError:
+            pass
+    return told
+
+
 def platform_headers(request_id: str, kind: str, **more: str) -> list[tuple[str, str]]:
     told = {"Req-Id": request_id, "Req-Kind": kind, "Req-Owner": "acme", "Req-Key": "c1"}
     told |= {"Req-Deadline": "5000m", "Req-Extra": "prompt_len=40,prefix_len=0,max_out=50"}
