--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -123,6 +123,28 @@
     play(*pair(), story=story, sockets=64)
 
 
+def test_a_connection_that_is_just_ending_is_no_room_to_make(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Seen on a bad clients' day: its descriptor was gone, and asking it for bytes ended the program."""
+    monkeypatch.setattr(listener, "FRESH_S", 0.0)
+
+    async def story(on: Stage) -> None:
+        front = on.daemon.listeners[0]
+        silent = await crowd(on.platform, front.most)
+        while len(front.connections) < front.most:
+            await trio.sleep(0.001)
+        for connection in front.connections:
+            connection.stream.socket.close()  # type: ignore[attr-defined]
+            connection.closed = True
+        assert front._has_room()
+        for connection in front.connections:
+            connection.closed = False  # worse: not known to be closed
+        assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "refused"
+        for stream in silent:
+            await stream.aclose()
+
+    play(*pair(), story=story, sockets=64)
+
+
 def test_a_client_that_finds_no_room_is_told_so_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """It waited unseen in the kernel's queue before."""
     monkeypatch.setattr(listener, "FRESH_S", 60.0)
--- /dev/null
+++ b/tests/test_bad_hosts.py
@@ -0,0 +1,101 @@
+"""Stories of model hosts whose answers can't be read, or bring more than belongs to them."""
+
+from __future__ import annotations
+
+from math import isnan
+
+import pytest
+import trio
+import trio.testing
+
+from tests.test_stories import pair, play
+from violetstack.net import hosts
+from violetstack.protocol.headers import report_of
+from violetstack.rehearsal.clients import ask_chat, ask_platform, chat_body, chat_headers
+from violetstack.rehearsal.hosts import SPOILT, SPOILT_LATER, Act
+from violetstack.rehearsal.stage import Stage
+
+
+@pytest.fixture(autouse=True)
+def _impatient(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(hosts, "PARTIAL_S", 0.05)
+
+
+@pytest.mark.parametrize("act", SPOILT.values(), ids=SPOILT)
+def test_what_is_spoilt_before_the_first_event_may_have_run(act: Act) -> None:
+    reader, writer = pair(act, act, act)
+
+    async def story(on: Stage) -> None:
+        assert (await ask_platform(on.platform, "q1", "orden")).status == 500
+        chat = await ask_chat(on.chat, chat_body("giro-consulta"), chat_headers())
+        assert chat.outcome == "served"  # a consulta may be sent again
+        again = await ask_platform(on.platform, "q2", "consulta")
+        assert (again.outcome, again.events[-1]) == ("served", b"[DONE]")
+        assert writer.begun.count("q1") == 1
+        assert writer.opened >= 3  # a spoilt connection is not used again
+
+    play(reader, writer, story=story)
+
+
+@pytest.mark.parametrize("act", SPOILT_LATER.values(), ids=SPOILT_LATER)
+def test_what_is_spoilt_later_ends_the_client_without_the_last_chunk(act: Act) -> None:
+    """Up to 14 s passed before: the break was found, and told only when more bytes came."""
+    reader, writer = pair(act, act)
+
+    async def story(on: Stage) -> None:
+        answer = await ask_platform(on.platform, "q1", "orden")
+        assert (answer.outcome, answer.whole) == ("cut", False)
+        assert len(answer.body) < 4000 and b"\r\n" not in answer.body  # nothing but events was passed on
+        chat = await ask_chat(on.chat, chat_body("giro-consulta"), chat_headers())
+        assert b"stream_broken" in chat.events[-1]
+        assert (await ask_platform(on.platform, "q2", "orden")).outcome == "served"
+
+    play(reader, writer, story=story)
+
+
+EXTRA = b"HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n" + b'{"cached_tokens":99}'
+
+
+@pytest.mark.parametrize(
+    "act",
+    [
+        Act(ahead=b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+        Act(report=b"TEXT rif=nan, x0=-inf, q=many"),
+        Act(report=b"\xff\xfe{{"),
+        Act(behind=EXTRA),
+    ],
+    ids=["1xx", "numbers", "noise", "second answer"],
+)
+def test_what_brings_more_than_belongs_to_it_is_good(act: Act) -> None:
+    reader, writer = pair(act, act, reads=(act, act))
+
+    async def story(on: Stage) -> None:
+        for n in range(4):
+            answer = await ask_platform(on.platform, f"q{n}", "orden")
+            assert answer.outcome == "served" and b"data: [DONE]" in answer.body
+        assert reader.begun == writer.begun == ["q0", "q1", "q2", "q3"]
+        shares = [s.share for s in on.daemon.core.decider.fleet.servers.values()]  # type: ignore[attr-defined]
+        assert shares == [None, None]
+
+    play(reader, writer, story=story)
+
+
+def test_numbers_of_a_report_are_finite_and_not_negative() -> None:
+    names = ("rif", "x0")
+    assert report_of("TEXT rif=nan, x0=0.5", names) == (None, 0.5)
+    assert report_of("TEXT rif=-1, x0=inf", names) is None
+    assert not any(isnan(value or 0.0) for value in report_of("TEXT rif=2, x0=1e999", names) or ())
+
+
+def test_a_request_that_a_host_finds_at_fault_is_shown_to_no_other() -> None:
+    reader, writer = pair(reads=(Act(status=400),))
+
+    async def story(on: Stage) -> None:
+        assert (await ask_platform(on.platform, "q1", "consulta")).status == 500
+        assert reader.begun == ["q1"]
+        fleet = on.daemon.core.decider.fleet  # type: ignore[attr-defined]
+        assert fleet.servers["r"].streak == 0
+        await trio.testing.wait_all_tasks_blocked()
+        assert not on.daemon.core.open
+
+    play(reader, writer, story=story)
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -140,6 +140,15 @@
         )
         self.touched[request.id] = request
 
+    def unusable(self, now: float, attempt: Attempt) -> None:
+        """A host says that the request itself is at fault: no other host is asked, and none is blamed."""
+        request = attempt.request
+        if attempt.over or request.done or request.bound is not None:
+            return
+        self._settle(now, request, "unusable")
+        self._tell(request.sink.failed, may_have_run(request))
+        self.ended(now, attempt, t.Status.CANCELLED)
+
     def place_answered(self, call: PlaceCall, held: bool | None, nothing_done: bool) -> None:
         """None: not known. Then, and also when the place is held, it stays loose until the request's end."""
         request = call.request
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -15,7 +15,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt, PlaceCall, ReleaseCall
 from violetstack.fronts.reply import Payload
-from violetstack.log import log
+from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
 from violetstack.protocol import sse
 from violetstack.protocol.headers import report_of
@@ -24,6 +24,8 @@
 
 READ_SIZE = 32 * 1024
 STALL_S = 30.0  # a stream silent for so long comes from a host that is cut off
+PARTIAL_S = 1.5  # the rest of a head, a first event or a chunk comes together with its beginning, or never
+UNUSABLE = frozenset({400, 404, 405, 411, 413, 414, 415, 422, 431})  # the request itself is at fault
 CALL_S = 0.6  # a place, release or probe is answered by then
 RELEASE_TRY_S = 0.3
 IDLE_SHARE = 0.8  # connections are retired at this part of the time after which hosts close them
@@ -84,6 +86,7 @@
                 written()
 
     async def receive(self) -> list[Head | Body | End]:
+        self.http.check()
         data = await self.sock.recv(READ_SIZE)
         if self.closed:
             raise Broken("aborted")
@@ -258,7 +261,10 @@
                 ended = await self._exchange(attempt)
             except NotUp:
                 ended = Ended(t.Status.CONNECT_FAILED)
-            except (OSError, Broken, sse.TooLong, trio.TooSlowError, trio.ClosedResourceError):
+            except (Broken, sse.NoEvent) as error:
+                log_outside("answer_broken", id=attempt.request.id, server=attempt.server, reason=str(error))
+                ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
+            except (OSError, trio.TooSlowError, trio.ClosedResourceError):
                 ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
             except Exception as error:  # no attempt's failure ends the nursery
                 log("attempt_failed", id=attempt.request.id, error=repr(error))
@@ -309,19 +315,29 @@
                 self._close(connection)
 
     async def _answer(self, attempt: Attempt, connection: HostConnection, plain: bool) -> Ended:
+        """Reads the answer; `since` is when it last was whole up to an event, or when it began to be partial.
+
+        Guards against spoilt answers whose connection stays open: what does not end where it should would
+        keep its client waiting for ever.
+        """
         head: Head | None = None
         body = b""
         splitter = sse.Splitter()
         tail = _Tail(self.report_names)
+        partial, since = False, trio.current_time()
         while True:
-            with trio.fail_after(STALL_S):
+            with trio.move_on_at(since + (PARTIAL_S if partial else STALL_S)) as timer:
                 events = await connection.receive()
+            if timer.cancelled_caught:
+                raise Broken("the rest of the answer does not come" if partial else "silent")
             for event in events:
                 if isinstance(event, Head):
                     head = event
                 elif isinstance(event, Body) and head is not None:
                     if head.status != 200:
-                        body = (body + bytes(event.data))[:MAX_ANSWER]
+                        body += bytes(event.data)
+                        if len(body) > MAX_ANSWER:
+                            raise Broken("an answer without an end")
                         continue
                     for part in splitter.feed(event.data):
                         if plain and tail.error(part):
@@ -330,25 +346,39 @@
                             raise Broken("an answer that nobody wants")
                         tail.look(part)
                         self.core.event(attempt, part)
+                        since, partial = trio.current_time(), False
                 elif isinstance(event, End) and head is not None:
                     if head.status != 200:
-                        return _plain(head) if plain else self._told(head, body)
+                        return _plain(head) if plain else self._told(attempt, head, body)
                     if plain and not tail.done:
                         raise Broken("a stream without [DONE]")
-                    if splitter.rest and attempt.begun:
-                        self.core.event(attempt, memoryview(splitter.rest))
-                    return Ended(t.Status.OK, tail.cached, tail.report)
+                    if not attempt.begun:
+                        raise Broken("a stream without an event")
+                    if rest := splitter.end():
+                        self.core.event(attempt, memoryview(rest))
+                    return Ended(t.Status.OK, _kept(tail.cached, attempt), tail.report)
             if attempt.begun:
+                before = trio.current_time()
                 await attempt.request.payload.room()
-
-    def _told(self, head: Head, body: bytes) -> Ended:
+                since += trio.current_time() - before  # a slow client's time is not the host's
+            was_partial, begun = partial, attempt.begun
+            waits = head is not None and not begun and not plain  # a plain host's head comes long before
+            partial = connection.http.partial or splitter.partial or waits
+            if partial and not was_partial:
+                since = trio.current_time()
+
+    def _told(self, attempt: Attempt, head: Head, body: bytes) -> Ended:
         """What an answer without a stream means."""
         report = report_of(head.headers.get("srv-load"), self.report_names)
         declined = head.headers.get("srv-declined") == "1"
         if head.status == 202:
-            return Ended(t.Status.READ, _cached(body), report)
+            return Ended(t.Status.READ, _kept(_cached(body), attempt), report)
         if declined:
             return Ended(t.Status.FULL, 1 if head.status == 410 else 0, report)
+        if head.status in UNUSABLE:
+            # Guards good hosts against blame, and the request against being shown to all of them.
+            log_outside("host_refused", id=attempt.request.id, server=attempt.server, status=head.status)
+            self.core.unusable(now_ms(), attempt)
         return Ended(t.Status.ERROR, 0, report)
 
     # --- short calls ---
@@ -533,6 +563,11 @@
     return Ended(t.Status.FULL if head.status == 429 else t.Status.ERROR)
 
 
+def _kept(tokens: int, attempt: Attempt) -> int:
+    """Guards the decisions against a count that can't be true."""
+    return int(max(0, min(tokens, attempt.request.asked.prompt_tokens)))
+
+
 def _cached(body: bytes) -> int:
     try:
         return msgspec.json.decode(body, type=_Details).cached_tokens
--- a/violetstack/net/listener.py
+++ b/violetstack/net/listener.py
@@ -50,7 +50,7 @@
         self._out: deque[bytes | memoryview] = deque()
         self._queued = 0
         self.held = 0  # bytes of a request's body, here until its answer ends
-        self._closed = False
+        self.closed = False
         self._finish = False  # close once all is written
         self._more = trio.Event()
         self._drained = trio.Event()
@@ -84,7 +84,7 @@
         self._ended()
 
     async def room(self) -> None:
-        if self._queued > HIGH_WATER and not self._closed:
+        if self._queued > HIGH_WATER and not self.closed:
             self._drained = trio.Event()
             await self._drained.wait()
 
@@ -128,7 +128,7 @@
             if self._replies is not None:
                 self._replies.lost()
                 self._replies = None
-            self._closed = True
+            self.closed = True
             self.listener.hold(self, 0)
             if self.request is not None:
                 self.listener.core.client_left(now_ms(), self.request)
@@ -323,7 +323,12 @@
                 log("accept_failed", error=str(error))
                 await trio.sleep(0.1)
                 continue
-            if len(self.connections) + self.shaking < self.most or self._make_room():
+            try:
+                has_room = self._has_room()
+            except Exception as error:  # no client's connection ends the nursery
+                log_outside("accept_failed", error=repr(error))
+                has_room = False
+            if has_room:
                 nursery.start_soon(self._serve, stream, wrap)
             elif self.turning_away < MOST_TURNED_AWAY and wrap is None:
                 nursery.start_soon(self._turn_away, stream)
@@ -347,10 +352,16 @@
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
+    def _has_room(self) -> bool:
+        held = sum(not c.closed for c in self.connections) + self.shaking
+        return held < self.most or self._make_room()
+
     def _make_room(self) -> bool:
         """Long idle connections go first, then those that have sent nothing, then any that is idle."""
         now = trio.current_time()
-        free = sorted((c for c in self.connections if not c.answering), key=lambda c: c.last_used)
+        # Guards against a connection whose descriptor is gone already, while its task still ends.
+        free = [c for c in self.connections if not c.answering and not c.closed]
+        free.sort(key=lambda c: c.last_used)
         idle = [c for c in free if c.served and not c.http.busy]
         fresh = [c for c in free if not c.served and c.last_used < now - FRESH_S]
         for choice in (idle[:1] if idle and idle[0].last_used < now - IDLE_S else []), fresh, idle:
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -68,6 +68,7 @@
         for part in http.request("GET", target, [("Host", f"{self._at[0]}:{self._at[1]}")]):
             await stream.send_all(part)
         while True:
+            http.check()
             with trio.fail_after(SILENT_S):
                 received = await stream.receive_some(64 * 1024)
             for event in http.feed(bytes(received)):
--- a/violetstack/protocol/host_side.py
+++ b/violetstack/protocol/host_side.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from violetstack.protocol.server_side import Headers
+from violetstack.protocol.server_side import MAX_REASON, Headers
 
 
 class Broken(Exception):
@@ -29,9 +29,27 @@
     pass
 
 
+MAX_CHUNK = 256 * 1024  # an event is far smaller; what claims more is noise that may never end
+
+
 class HostSide:
     def __init__(self) -> None:
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=16 * 1024)
+        self._in_chunk = 0  # bytes of a chunk of which the rest is still to come
+        self._spoilt = ""  # why nothing more can be read here
+
+    @property
+    def partial(self) -> bool:
+        """Part of a head or of a chunk has come, and not the rest."""
+        return self._in_chunk > 0 or len(self._h11.trailing_data[0]) > 0
+
+    def check(self) -> None:
+        """Raises what was found behind the last whole event.
+
+        Guards against waiting for bytes that never come: a spoilt stream's connection stays open and silent.
+        """
+        if self._spoilt:
+            raise Broken(self._spoilt)
 
     def request(
         self, method: str, target: str, headers: Headers, body: memoryview | bytes = b""
@@ -51,6 +69,7 @@
 
     def feed(self, data: bytes) -> list[Head | Body | End]:
         """What these bytes complete; no bytes means that the host ended the connection."""
+        self.check()
         out: list[Head | Body | End] = []
         try:
             self._h11.receive_data(data)
@@ -60,7 +79,7 @@
                     rows = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
                     out.append(Head(event.status_code, rows))
                 elif isinstance(event, h11.Data):
-                    out.append(Body(memoryview(event.data)))
+                    out.append(self._body(event))
                 elif isinstance(event, h11.EndOfMessage):
                     out.append(End())
                     return out
@@ -68,13 +87,24 @@
                     raise Broken("the connection ended before the answer")
                 elif not isinstance(event, h11.InformationalResponse):
                     return out
-        except h11.RemoteProtocolError as error:
-            if out:
-                # What came whole before the break still counts; the next call reports the break.
-                return out
-            raise Broken(str(error)) from None
+        except (h11.RemoteProtocolError, Broken) as error:
+            self._spoilt = str(error)[:MAX_REASON]
+            if not out:
+                self.check()
+            return out  # what came whole before the break still counts; `check` tells of the break
+
+    def _body(self, event: h11.Data) -> Body:
+        self._in_chunk = (0 if event.chunk_start else self._in_chunk) + len(event.data)
+        if self._in_chunk > MAX_CHUNK:
+            raise Broken("a chunk of more than 256 KiB")
+        if event.chunk_end:
+            self._in_chunk = 0
+        return Body(memoryview(event.data))
 
     def reuse(self) -> bool:
+        """Guards against an answer too many, which would be read as the next request's: no bytes are left."""
+        if self._h11.trailing_data[0] or self._spoilt:
+            return False
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
             return True
--- a/violetstack/protocol/sse.py
+++ b/violetstack/protocol/sse.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 
 MAX_EVENT = 256 * 1024
 
 
-class TooLong(Exception):
-    """An event without an end would fill the memory."""
+class NoEvent(Exception):
+    """What came is no event, or has no end and would fill the memory."""
+
+
+EVENT = re.compile(rb"(?:\r?\n)*(?:(?:data|event|id|retry)?:[^\n]*\n)+\r?\n")
+LAST = rb"(?:(?:data|event|id|retry)?:[^\n]*|[a-z]{0,5}|\r)"
+BEGINNING = re.compile(rb"(?:\r?\n)*(?:(?:data|event|id|retry)?:[^\n]*\n)*" + LAST)
 
 
 class Splitter:
@@ -28,16 +34,25 @@
         )
         start = 0
         while (cut := _blank_line(raw, start)) >= 0:
+            # Guards against what a chunk of the wrong size makes of a stream: framing between the events.
+            if not EVENT.fullmatch(raw, start, cut):
+                raise NoEvent(f"not an event: {raw[start : start + 40]!r}")
             yield data[start:cut]
             start = cut
         if len(raw) - start > MAX_EVENT:
-            raise TooLong("an event of more than 256 KiB")
+            raise NoEvent("an event of more than 256 KiB")
         self._rest = bytes(data[start:])  # the one copy: it must outlive the buffer
 
-    @property
-    def rest(self) -> bytes:
+    def end(self) -> bytes:
+        """What came after the last whole event; raises where it can't be the beginning of one."""
+        if not BEGINNING.fullmatch(self._rest):
+            raise NoEvent(f"not an event: {self._rest[:40]!r}")
         return self._rest
 
+    @property
+    def partial(self) -> bool:
+        return bool(self._rest)
+
 
 def _blank_line(raw: bytes | bytearray, start: int) -> int:
     """The index after the next blank line, whichever line ends the host uses; -1 if there is none yet."""
--- a/violetstack/rehearsal/clients.py
+++ b/violetstack/rehearsal/clients.py
@@ -69,6 +69,7 @@
         answer = self.answer
         while events is None or len(answer.events) < events:
             try:
+                self.http.check()
                 told = self.http.feed(bytes(await self.stream.receive_some(64 * 1024)))
             except (Broken, trio.BrokenResourceError):
                 return answer
--- a/violetstack/rehearsal/hosts.py
+++ b/violetstack/rehearsal/hosts.py
@@ -29,6 +29,10 @@
     silent: bool = False  # no answer until the other side closes
     pause: trio.Event | None = None  # awaited after the events and before the end or the break
     before: trio.Event | None = None  # awaited before the answer begins
+    report: bytes = b""  # the load report at a stream's end
+    raw: bytes = b""  # sent in place of all that would follow so many events; the connection stays open
+    ahead: bytes = b""  # sent before the answer's head
+    behind: bytes = b""  # sent right after the answer's end
 
 
 SERVE = Act()
@@ -40,6 +44,25 @@
 SILENT = Act(silent=True)
 
 
+EVENT = b'data: {"choices":[]}\n\n'
+FOREVER = b"%x\r\n" % (3 * 2**30) + b"data: x" * 60_000  # a chunk said to hold 3 GB
+SPOILT = {
+    "noise": Act(events=0, raw=b"\x16\x03\x01 what is this\r\n\r\n"),
+    "noise without an end": Act(events=0, raw=b"x" * 100),
+    "bad head": Act(events=0, raw=b"HTTP/1.1 200 OK\r\nno colon here\r\n\r\n"),
+    "endless head": Act(events=0, raw=b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-More: "),
+    "head without events": Act(events=0, raw=b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"),
+    "no event": Act(events=0, raw=b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+}
+SPOILT_LATER = {
+    "bad size": Act(events=2, raw=b"zz\r\n" + EVENT + b"\r\n"),
+    "size too small": Act(events=2, raw=b"5\r\n" + EVENT + b"\r\n"),
+    "size too large": Act(events=2, raw=b"%x\r\n" % (len(EVENT) + 9) + EVENT + b"\r\n"),
+    "size larger, more events": Act(events=2, raw=(b"%x\r\n" % 999 + EVENT + b"\r\n") * 9),
+    "3 GB": Act(events=2, raw=FOREVER),
+}
+
+
 def what(body: memoryview | bytes) -> str:
     """Names an order by its messages, whatever else the body holds."""
     told = orjson.loads(body)
@@ -92,6 +115,11 @@
     async def play(self, act: Act, inbound: Inbound, connection: PeerConnection) -> None:
         if act.before is not None:
             await act.before.wait()
+        await connection.raw(act.ahead)
+        if act.raw and not act.events:
+            await connection.raw(act.raw)
+            await connection.until_closed()
+            raise Break
         if act.silent:
             await connection.until_closed()
             raise Break
@@ -100,6 +128,7 @@
             return
         if self.kind == "prefill" and not act.breaks:
             await connection.answer(202, [*act.headers, *JSON], b'{"cached_tokens":0}')
+            await connection.raw(act.behind)
             return
         if self.kind != "prefill":
             self.runs[what(inbound.body)] += 1
@@ -115,6 +144,10 @@
             await connection.data(b"data: " + orjson.dumps({"choices": [choice]}) + b"\n\n")
         if act.pause is not None:
             await act.pause.wait()
+        if act.raw:
+            await connection.raw(act.raw)
+            await connection.until_closed()
+            raise Break
         if act.breaks:
             raise Break
         if act.error_event:
@@ -124,7 +157,10 @@
         usage = {"prompt_tokens": 8, "completion_tokens": act.events, "total_tokens": 8 + act.events}
         await connection.data(b"data: " + orjson.dumps({"choices": [], "usage": usage}) + b"\n\n")
         await connection.data(b"data: [DONE]\n\n")
+        if act.report:
+            await connection.data(b": Srv-Load: " + act.report + b"\n\n")
         await connection.end()
+        await connection.raw(act.behind)
 
     def row(self, state: str = "active", cell: int = 0) -> dict[str, object]:
         """Its entry in discovery's list."""
--- a/violetstack/rehearsal/peer.py
+++ b/violetstack/rehearsal/peer.py
@@ -30,6 +30,11 @@
     async def end(self) -> None:
         await self._send(self.http.end())
 
+    async def raw(self, data: bytes) -> None:
+        """Bytes that need be no HTTP."""
+        if data:
+            await self.stream.send_all(data)
+
     async def until_closed(self) -> None:
         """Returns when the other side closes; what it still sends is dropped."""
         try:
