End a stream that is silent for 4.3 s between two events

Ruled out: spoilt framing (no such line in the log), the listener. At fault: hosts.STALL_S, 30 s also between events; the rule gives 5 s. Now QUIET_S, 4.3 s after the last event; before the first one the attempt's own time still ends it. Risk noted: a writer that puts an answer back into its queue for longer than that is cut; none was seen.

--- a/tests/test_bad_hosts.py
+++ b/tests/test_bad_hosts.py
@@ -53,6 +53,18 @@
     play(reader, writer, story=story)
 
 
+def test_a_stream_that_stops_between_two_events_ends_its_client(monkeypatch: pytest.MonkeyPatch) -> None:
+    """On a day with silent hosts two clients were left waiting on streams that had stopped."""
+    monkeypatch.setattr(hosts, "QUIET_S", 0.05)
+    reader, writer = pair(Act(events=2, pause=trio.Event()))
+
+    async def story(on: Stage) -> None:
+        answer = await ask_platform(on.platform, "q1", "orden")
+        assert (answer.outcome, len(answer.events)) == ("cut", 2)
+
+    play(reader, writer, story=story)
+
+
 EXTRA = b"HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n" + b'{"cached_tokens":99}'
 
 
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -23,7 +23,8 @@
 from violetstack.protocol.server_side import Headers
 
 READ_SIZE = 32 * 1024
-STALL_S = 30.0  # a stream silent for so long comes from a host that is cut off
+STALL_S = 30.0  # an answer that has not begun: the attempt's own time ends long before
+QUIET_S = 4.3  # between two events; the rules let no client wait for 5 s on a stream that has stopped
 PARTIAL_S = 1.5  # the rest of a head, a first event or a chunk comes together with its beginning, or never
 UNUSABLE = frozenset({400, 404, 405, 411, 413, 414, 415, 422, 431})  # the request itself is at fault
 CALL_S = 0.6  # a place, release or probe is answered by then
@@ -326,7 +327,8 @@
         tail = _Tail(self.report_names)
         partial, since = False, trio.current_time()
         while True:
-            with trio.move_on_at(since + (PARTIAL_S if partial else STALL_S)) as timer:
+            patience = PARTIAL_S if partial else QUIET_S if attempt.begun else STALL_S
+            with trio.move_on_at(since + patience) as timer:
                 events = await connection.receive()
             if timer.cancelled_caught:
                 raise Broken("the rest of the answer does not come" if partial else "silent")
