--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -106,6 +106,7 @@
 
     def event(self, attempt: Attempt, data: memoryview) -> None:
         if not attempt.over:
+            attempt.events += 1
             self._tell(attempt.request.sink.event, data)
 
     def ended(
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -73,6 +73,7 @@
     stop_at: float
     written: bool = False
     begun: bool = False
+    events: int = 0  # passed on
     over: bool = False
     timer: Timer | None = None
 
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -263,7 +263,8 @@
             except NotUp:
                 ended = Ended(t.Status.CONNECT_FAILED)
             except (Broken, sse.NoEvent) as error:
-                log_outside("answer_broken", id=attempt.request.id, server=attempt.server, reason=str(error))
+                request, told = attempt.request.id, {"events": attempt.events, "reason": str(error)}
+                log_outside("answer_broken", id=request, server=attempt.server, **told)
                 ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
             except (OSError, trio.TooSlowError, trio.ClosedResourceError):
                 ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
