Bound client connections by memory as well; refuse limits that can serve nothing

At fault: Daemon._bound looked at descriptors alone. Now a fifth of the memory at 32 KiB a connection bounds them too, but never below a third of the descriptors, which clients may hold for requests. A reload (or start) with fewer than 48 descriptors or no memory is a bad file.

--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -14,6 +14,7 @@
 from violetstack.protocol.discovery import WTargets
 
 Address = tuple[str, int]
+LEAST_SOCKETS = 48
 
 
 class BadConfig(Exception):
@@ -71,6 +72,8 @@
 class Config:
     def __init__(self, told: WConfig, chat: ChatFile | None = None) -> None:
         self.told, self.limits = told, told.limits
+        if told.limits.sockets < LEAST_SOCKETS or told.limits.memory_mb <= 0:
+            raise BadConfig(f"limits: nothing can be served with {told.limits}")
         self.facts, self.plain = with_plain_hosts(told.settings, chat.hosts if chat is not None else [])
         self.settings: t.Settings = settings_of(self.facts, int(told.seed, 16))
         self.chat = ChatConfig(chat, self.facts) if chat is not None else None
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -34,6 +34,7 @@
 KEPT_DESCRIPTORS = 40  # the program's own: standard streams, the poller, the watch, clients turned away
 LISTEN_ON_S = 0.55  # after SIGTERM new connections keep coming for up to 0.4 s
 BACKLOG = 512
+CONNECTION_SHARE, CONNECTION_BYTES = 0.2, 32 * 1024  # of the memory limit, and of one client's connection
 BODY_SHARE = 0.2  # of the memory limit: request bodies held at once; each may be held twice for a moment
 
 
@@ -166,11 +167,14 @@
 
     def _bound(self) -> None:
         """The limits in force, over all fronts."""
-        budget = int(self.config.limits.sockets) - KEPT_DESCRIPTORS
+        sockets, memory = int(self.config.limits.sockets), self.config.limits.memory_mb * 2**20
+        budget = sockets - KEPT_DESCRIPTORS
         self.hosts.most = budget // 2
+        # Guards the memory limit where descriptors abound; a third of them clients may hold for requests.
+        by_memory = max(sockets // 3, int(memory * CONNECTION_SHARE) // CONNECTION_BYTES)
         for listener in self.listeners:
-            listener.most = (budget - budget // 2) // self.fronts
-            listener.most_held = int(self.config.limits.memory_mb * BODY_SHARE * 2**20) // self.fronts
+            listener.most = min(budget - budget // 2, by_memory) // self.fronts
+            listener.most_held = int(memory * BODY_SHARE) // self.fronts
 
     # --- fronts ---
 
