Make room from records in order of use instead of searching all connections

Measured over loopback: 1.38 ms for a connection with one bad request, 0.53 ms for a silent one, each accept sorting all connections when full. At fault: listener._has_room and _make_room, a sum, two lists and a sort per accept.

--- a/violetstack/net/listener.py
+++ b/violetstack/net/listener.py
@@ -109,6 +109,8 @@
         self.listener.hold(self, 0)
         if self.http.closing or (not self._finish and not self.http.reuse()):
             self._finish = True
+        if not self._finish and not self.closed:
+            self.listener.idle[self] = None
         self._more.set()
         self._answered.set()
 
@@ -129,7 +131,7 @@
                 self._replies.lost()
                 self._replies = None
             self.closed = True
-            self.listener.hold(self, 0)
+            self.listener.forget(self)
             if self.request is not None:
                 self.listener.core.client_left(now_ms(), self.request)
                 self.request = None
@@ -198,6 +200,7 @@
                     self._put([self.http.continue_100()])
                 return
             self.answering, self.served, self._answered = True, True, trio.Event()
+            self.listener.engaged(self)
             self._replies = Replies(self)
             self.listener.front.handle(inbound, self._replies)
 
@@ -291,6 +294,8 @@
         self.most = self.most_held = 0  # connections, and bytes of bodies; set by the daemon
         self.held = self.shaking = self.turning_away = 0
         self.connections: set[Connection] = set()
+        self.idle: dict[Connection, None] = {}  # answered and unused since, the longest first
+        self.fresh: dict[Connection, None] = {}  # no whole request yet, the oldest first
         self.draining = False
 
     async def run(
@@ -353,28 +358,45 @@
                 await trio.aclose_forcefully(stream)
 
     def _has_room(self) -> bool:
-        held = sum(not c.closed for c in self.connections) + self.shaking
-        return held < self.most or self._make_room()
+        return len(self.connections) + self.shaking < self.most or self._make_room()
 
     def _make_room(self) -> bool:
-        """Long idle connections go first, then those that have sent nothing, then any that is idle."""
+        """Long idle connections go first, then those that have sent nothing, then any that is idle.
+
+        The oldest stand first in either record, so that a flood costs no search through all connections.
+        """
         now = trio.current_time()
-        # Guards against a connection whose descriptor is gone already, while its task still ends.
-        free = [c for c in self.connections if not c.answering and not c.closed]
-        free.sort(key=lambda c: c.last_used)
-        idle = [c for c in free if c.served and not c.http.busy]
-        fresh = [c for c in free if not c.served and c.last_used < now - FRESH_S]
-        for choice in (idle[:1] if idle and idle[0].last_used < now - IDLE_S else []), fresh, idle:
-            for connection in choice:
-                if not connection.has_unread():
-                    self._drop(connection)
-                    return True
-        return False
+        oldest = next(iter(self.idle), None)
+        if oldest is not None and oldest.last_used < now - IDLE_S and self._drop_unless_used(oldest):
+            return True
+        for connection in self.fresh:
+            if connection.last_used > now - FRESH_S:
+                break
+            if self._drop_unless_used(connection):
+                return True
+        return any(self._drop_unless_used(connection) for connection in self.idle)
+
+    def _drop_unless_used(self, connection: Connection) -> bool:
+        if connection.has_unread() or (connection.served and connection.http.busy):
+            return False
+        self._drop(connection)
+        return True
 
     def _drop(self, connection: Connection) -> None:
-        self.connections.discard(connection)
+        self.forget(connection)
         connection.scope.cancel()
 
+    def engaged(self, connection: Connection) -> None:
+        """A whole request has come: the connection is neither idle nor without use."""
+        self.fresh.pop(connection, None)
+        self.idle.pop(connection, None)
+
+    def forget(self, connection: Connection) -> None:
+        """Guards against a connection whose descriptor is gone, while its task still ends."""
+        self.hold(connection, 0)
+        self.engaged(connection)
+        self.connections.discard(connection)
+
     def hold(self, connection: Connection, size: int) -> None:
         self.held += size - connection.held
         connection.held = size
@@ -402,10 +424,8 @@
                 self.shaking -= 1
         connection = Connection(stream, self)
         self.connections.add(connection)
-        try:
-            await connection.serve()
-        finally:
-            self.connections.discard(connection)
+        self.fresh[connection] = None
+        await connection.serve()
 
     @property
     def busy(self) -> bool:
