Refuse ids that are no plain word; rehearse spoilt answers, rude clients and a reload

Seen while the rehearsal command got its new stories: an id of two words was taken, and the host calls that carry it in their path (a place, a release) could not be written, so that what was held would have stayed until its host let go. At fault: RequestReader looked for ASCII and a slash only. Now ids are 1 to 128 of letters, digits and . _ ~ -; the story fails without that. The stories spoilt, rude and reload play the new troubles by hand.

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -64,14 +64,16 @@
 @pytest.mark.parametrize(
     "changes",
     [
+        {"Req_Id": "two words"},
+        {"Req_Id": "q1?x"},
         {"Req_Deadline": "-5m"},
         {"Req_Deadline": "9" * 5000 + "m"},
         {"Req_Extra": "prompt_len=-40"},
         {"Req_Extra": "prompt_len=999999999"},
     ],
-    ids=["negative", "digits", "negative length", "huge length"],
+    ids=["id of two words", "id with a query", "negative", "digits", "negative length", "huge length"],
 )
-def test_numbers_that_are_none_are_refused(changes: dict[str, str]) -> None:
+def test_ids_and_numbers_that_are_none_are_refused(changes: dict[str, str]) -> None:
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 
 import msgspec
 
@@ -20,6 +21,7 @@
     "rate": "qps",
     "fail_rate": "eps",
 }
+PLAIN_WORD = re.compile(r"[A-Za-z0-9._~-]{1,128}")  # it stands in the path of calls to hosts as it is
 UNITS = {"m": 1.0, "u": 0.001}
 MAX_DIGITS = 12  # of a duration
 MAX_WAIT_MS = 600_000.0  # nobody waits longer for a first token; bounds what an odd deadline can hold
@@ -85,7 +87,7 @@
     def read(self, inbound: Inbound) -> t.Request:
         headers = inbound.headers
         request_id = headers.get("req-id", "")
-        if not request_id or len(request_id) > 128 or not request_id.isascii() or "/" in request_id:
+        if not PLAIN_WORD.fullmatch(request_id):
             raise Rejected(400, "Req-Id is missing or no plain word")
         kind = headers.get("req-kind", "")
         if kind not in self.classes:
--- a/violetstack/rehearsal/__main__.py
+++ b/violetstack/rehearsal/__main__.py
@@ -16,8 +16,17 @@
 import trio
 
 from violetstack import log
-from violetstack.rehearsal.clients import Answer, ask_chat, ask_platform, chat_body, chat_headers, connect
-from violetstack.rehearsal.hosts import CUT, DECLINE, RESET, SERVE, Act, ModelHost
+from violetstack.rehearsal.clients import (
+    Answer,
+    ask_chat,
+    ask_platform,
+    chat_body,
+    chat_headers,
+    connect,
+    raw,
+)
+from violetstack.rehearsal.discovery import Discovery
+from violetstack.rehearsal.hosts import CUT, DECLINE, RESET, SERVE, SPOILT, SPOILT_LATER, Act, ModelHost
 from violetstack.rehearsal.stage import Stage, stage
 
 LIMIT_S = 20.0
@@ -97,7 +106,50 @@
     ]
 
 
-STORIES: dict[str, Story] = {s.__name__: s for s in (served, cut, refused, order, drain, stop)}
+async def spoilt(on: Stage, reader: ModelHost, writer: ModelHost) -> Told:
+    """Answers that can't be read: before the first event, and in the middle of a stream."""
+    told = []
+    for outcome, acts in (("failed", SPOILT), ("cut", SPOILT_LATER)):
+        for n, (name, act) in enumerate(acts.items()):
+            writer.acts.append(act)
+            told.append(_saw(name, await ask_platform(on.platform, f"{outcome}{n}", "orden"), outcome))
+    return told
+
+
+async def rude(on: Stage, reader: ModelHost, writer: ModelHost) -> Told:
+    """Clients that send what can't be taken, or nothing: each gets an error or a close."""
+    head = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+    told = []
+    for name, sent in {
+        "nothing": b"",
+        "half a head": head,
+        "noise": b"\x16\x03\x01\r\n\r\n",
+        "two lengths": head + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "60 MB": head + b"Content-Length: 60000000\r\n\r\n",
+    }.items():
+        since = trio.current_time()
+        answer = (await raw(on.platform, sent)).partition(b"\r\n")[0].decode() or "a close"
+        took = trio.current_time() - since
+        told.append((f"{name}: {answer} after {took:.1f} s", took < 3.0 and " 200 " not in answer))
+    return [*told, ("no host heard of it", not reader.begun)]
+
+
+async def reload(on: Stage, reader: ModelHost, writer: ModelHost) -> Told:
+    """The configuration names another discovery, which knows another writer."""
+    other, discovery = ModelHost("other", "decode"), Discovery()
+    await on.nursery.start(other.serve)
+    discovery.tell(reader.row(), other.row())
+    await on.nursery.start(discovery.serve)
+    on.daemon.reload(lambda: on.config(discovery=discovery.address))
+    while writer.name in on.daemon.core.entries:
+        await trio.sleep(0.001)
+    answer = await ask_platform(on.platform, "n1", "orden")
+    return [_saw("platform", answer, "served"), ("by the new writer", other.begun == ["n1"])]
+
+
+STORIES: dict[str, Story] = {
+    s.__name__: s for s in (served, cut, refused, order, drain, stop, spoilt, rude, reload)
+}
 
 
 async def play(story: Story) -> Told:
