Routes, pools and policies: a configuration language and the routing behind it

Need: every request might go to every host of a role, and the operator's file was read with some anxiety.

The operator's file is now a language of its own (violetstack/language, on lark): blocks, constants, includes with globs, quantities with dimensions, conditions with and/or/not. The checker reports all errors with place, caret and likely fix; layout writes one canonical form; difference compares meanings; the TOML form is read by `config convert` alone. violetstack/routing decides which route (an index over the conditions), which pool stands in for which, and what a policy allows; the module chooses among the pool's hosts only, and bounds waits by pool. Reload swaps whole generations. The command line is click's; the plain `python -m violetstack` loads neither it nor the parser.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -13,7 +13,7 @@
 
 def test_price_is_quadratic_plus_linear() -> None:
     request = t.Request("q", 0, 0, None, 1000.0, None, None, 2000.0, 0.0, 200.0, False, False)
-    assert Job(request, SAFE, SAFE.aim_ms, 0.0).price == pytest.approx(4.25e-5 * 2000**2 + 6.8e-3 * 2000)
+    assert Job(request, SAFE, SAFE.aim_ms, 4, 0.0).price == pytest.approx(4.25e-5 * 2000**2 + 6.8e-3 * 2000)
 
 
 def test_the_read_goes_where_the_own_backlog_is_smallest() -> None:
@@ -147,7 +147,7 @@
 
 def test_the_hint_stands_for_the_told_maximum() -> None:
     request = t.Request("q", 0, 0, None, 1000.0, 2000.0, None, 1000.0, 0.0, 500.0, False, False)
-    assert Job(request, SAFE, SAFE.aim_ms, 0.0).tokens == 1000.0 + 2000.0 / 50.0
+    assert Job(request, SAFE, SAFE.aim_ms, 4, 0.0).tokens == 1000.0 + 2000.0 / 50.0
 
 
 def test_near_best_writers_in_the_readers_cell_then_zone_are_preferred() -> None:
--- /dev/null
+++ b/violetstack/commands/main.py
@@ -0,0 +1,99 @@
+"""The `violetstack` command."""
+
+from __future__ import annotations
+
+import os
+import sys
+from importlib.metadata import PackageNotFoundError, version
+
+import click
+
+from violetstack.commands.config import config
+
+CONTEXT = {"help_option_names": ["-h", "--help"], "max_content_width": 100}
+
+
+def _version() -> str:
+    try:
+        return version("violetstack")
+    except PackageNotFoundError:
+        return "from the source tree"
+
+
+@click.group(context_settings=CONTEXT, epilog="Exit status: 0 well, 1 something found, 2 errors.")
+@click.version_option(_version(), prog_name="violetstack")
+def main() -> None:
+    """A dispatcher for two-stage LLM serving.
+
+    \b
+    Examples:
+      violetstack demo                              see it work, with stand-in hosts
+      violetstack config check deploy/operator.violet
+      violetstack serve examples/operator.violet
+      violetstack rehearse cut order
+
+    Shell completion: eval "$(_VIOLETSTACK_COMPLETE=bash_source violetstack)"; zsh and fish alike.
+    """
+
+
+main.add_command(config)
+
+
+@main.command()
+@click.argument("file", required=False, type=click.Path(dir_okay=False))
+@click.option("--log", "form", type=click.Choice(["auto", "json", "text"]), default="auto",
+              help="Form of the log; auto is text on a terminal.")  # fmt: skip
+def serve(file: str | None, form: str) -> None:
+    """Serve what FILE, NODE_CONFIG or both tell.
+
+    NODE_CONFIG's settings, where it is set, count over the file's classes, kinds and limits. SIGHUP reads
+    both again; SIGTERM finishes what was taken, then ends.
+
+    \b
+    Examples:
+      violetstack serve examples/operator.violet
+      NODE_CONFIG=/run/balancer/config.json violetstack serve deploy/operator.violet
+    """
+    from violetstack import log  # noqa: PLC0415 - only what a command needs is loaded
+    from violetstack.serving import serve as run  # noqa: PLC0415
+
+    if form == "text" or (form == "auto" and sys.stdout.isatty()):
+        log.readable()
+    sys.exit(run(os.environ.get("NODE_CONFIG", ""), file))
+
+
+@main.command()
+@click.argument("stories", nargs=-1)
+@click.option("--quiet", is_flag=True, help="Without the dispatcher's log lines.")
+def rehearse(stories: tuple[str, ...], quiet: bool) -> None:
+    """Play STORIES (all by default) with scripted peers, and tell what came.
+
+    \b
+    Examples:
+      violetstack rehearse --quiet
+      violetstack rehearse cut order drain
+    """
+
+    from violetstack.rehearsal import stories as played  # noqa: PLC0415
+
+    unknown = [name for name in stories if name not in played.STORIES]
+    if unknown:
+        raise click.UsageError(f"no story named {', '.join(unknown)}; there are {', '.join(played.STORIES)}")
+    sys.exit(played.rehearse(stories or tuple(played.STORIES), quiet))
+
+
+@main.command()
+@click.option("--port", default=8080, show_default=True, help="Where the chat front listens; 0 is any.")
+@click.option("--once", is_flag=True, help="Ask one question and end, instead of staying for curl.")
+def demo(port: int, once: bool) -> None:
+    """Start a dispatcher with stand-in readers and writers, and ask it a streamed question.
+
+    It shows which route, pool and hosts served the answer, and stays until Ctrl-C.
+    """
+    from violetstack.rehearsal.demo import run  # noqa: PLC0415
+
+    sys.exit(run(port, once))
+
+
+if __name__ == "__main__":
+    main()
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -1,18 +1,22 @@
-"""What a dispatcher is told at its start, from the file that NODE_CONFIG names."""
+"""What a dispatcher is told at its start: the platform's NODE_CONFIG, the operator's file, or both."""
 
 from __future__ import annotations
 
 import os
 import secrets
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from violetstack import interface as t
-from violetstack.chat_config import BadChatConfig, ChatConfig, ChatFile, PlainHost, load_chat
 from violetstack.facts import Malformed, WFacts, WFamily, settings_of
+from violetstack.operators import BadOperatorFile, ChatConfig, OperatorFile, PlainHost
 from violetstack.protocol.discovery import WTargets
 
+if TYPE_CHECKING:
+    from violetstack.routing.generations import Plan
+
 Address = tuple[str, int]
 LEAST_SOCKETS = 48
 
@@ -70,13 +74,22 @@
 
 
 class Config:
-    def __init__(self, told: WConfig, chat: ChatFile | None = None) -> None:
+    """`operator` is the operator's file, `plan` its routes; both may be missing on the platform."""
+
+    def __init__(
+        self, told: WConfig, operator: OperatorFile | None = None, plan: Plan | None = None,
+        warnings: tuple[str, ...] = (),
+    ) -> None:  # fmt: skip
         self.told, self.limits = told, told.limits
+        self.operator, self.plan, self.warnings = operator, plan, warnings
         if told.limits.sockets < LEAST_SOCKETS or told.limits.memory_mb <= 0:
             raise BadConfig(f"limits: nothing can be served with {told.limits}")
-        self.facts, self.plain = with_plain_hosts(told.settings, chat.hosts if chat is not None else [])
+        self.facts, self.plain = with_plain_hosts(
+            told.settings, operator.hosts if operator is not None else []
+        )
         self.settings: t.Settings = settings_of(self.facts, int(told.seed, 16))
-        self.chat = ChatConfig(chat, self.facts) if chat is not None else None
+        checked = ChatConfig(operator, self.facts) if operator is not None else None
+        self.chat = checked if operator is not None and operator.listen else None
         self.listen = address(told.listen) if told.listen else None
         self.discovery = address(told.discovery) if told.discovery else None
         self.peer_listen = address(told.peer_listen) if told.peer_listen else None
@@ -88,25 +101,59 @@
         self.idle_close_ms = idle or 30_000.0
 
 
-def load(path: str, chat_path: str | None = None, *, again: bool = False) -> Config:
-    """From the file that NODE_CONFIG names, the chat front's file, or both.
+def node_config(path: str) -> WConfig:
+    """The file that NODE_CONFIG names. Raises BadConfig."""
+    try:
+        return msgspec.json.decode(Path(path).read_bytes(), type=WConfig)
+    except (OSError, ValueError, msgspec.MsgspecError) as error:
+        raise BadConfig(f"{path}: {error}") from None
+
+
+def known_of(told: WConfig) -> dict[str, frozenset[str]]:
+    """The names that the settings bring, for the check of an operator's file."""
+    facts = told.settings
+    return {
+        "class": frozenset(spec.name for spec in facts.classes),
+        "tenant": frozenset(spec.name for spec in facts.parties or ()),
+        "kind": frozenset(facts.kinds or ()),
+        "zone": frozenset(facts.zones or ()),
+    }
+
+
+def load(path: str, file: str | None = None, *, again: bool = False) -> Config:
+    """From the file that NODE_CONFIG names, the operator's file, or both.
 
     Read `again`, the file's own discovery counts: the environment is that of the start, and may be old.
     """
+    told = node_config(path) if path else None
+    if told is not None:
+        told.listen = os.environ.get("NODE_LISTEN") or told.listen
+        started_with = os.environ.get("NODE_DISCOVERY", "")
+        told.discovery = (again and told.discovery) or started_with or told.discovery
+        told.name = os.environ.get("NODE_NAME") or told.name
     try:
-        chat = load_chat(chat_path) if chat_path else None
-        if path:
-            told = msgspec.json.decode(Path(path).read_bytes(), type=WConfig)
-            told.listen = os.environ.get("NODE_LISTEN") or told.listen
-            started_with = os.environ.get("NODE_DISCOVERY", "")
-            told.discovery = (again and told.discovery) or started_with or told.discovery
-            told.name = os.environ.get("NODE_NAME") or told.name
-        elif chat is not None:
-            if chat.settings is None:
-                raise BadConfig(f"{chat_path}: settings are missing, and no NODE_CONFIG brings them")
-            told = WConfig(settings=chat.settings, seed=secrets.token_hex(8))
-        else:
-            raise BadConfig("NODE_CONFIG names no file, and no chat file is given")
-        return Config(told, chat)
-    except (OSError, ValueError, msgspec.MsgspecError, Malformed, BadChatConfig) as error:
-        raise BadConfig(f"{path or chat_path}: {error}") from None
+        if file is not None:
+            return _with_file(file, told)
+        if told is None:
+            raise BadConfig("NODE_CONFIG names no file, and no operator's file is given")
+        return Config(told)
+    except (ValueError, Malformed) as error:
+        raise BadConfig(f"{path or file}: {error}") from None
+    except BadOperatorFile as error:
+        raise BadConfig(str(error)) from None
+
+
+def _with_file(file: str, told: WConfig | None) -> Config:
+    from violetstack.language import compiling  # noqa: PLC0415 - the parser loads only where there is a file
+
+    compiled, warnings = compiling.load(file, known_of(told) if told is not None else None)
+    operator = compiled.file
+    if told is None:
+        if operator.settings is None:
+            raise BadOperatorFile(f"{file}: no class is defined, and no NODE_CONFIG brings any")
+        limits = WLimitsOfMachine(operator.cores, operator.memory_mb, operator.descriptors)
+        told = WConfig(
+            settings=operator.settings, seed=secrets.token_hex(8), listen=operator.platform,
+            discovery=operator.discovery, limits=limits,
+        )  # fmt: skip
+    return Config(told, operator, compiled.plan, tuple(warnings))
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -3,10 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from violetstack import interface as t
-from violetstack.core.records import Attempt, Driver, OpenRequest, PlaceCall, ReleaseCall, Sink
+from violetstack.core.records import (
+    Attempt,
+    Driver,
+    OpenRequest,
+    Origin,
+    PlaceCall,
+    ReleaseCall,
+    Routes,
+    Sink,
+)  # fmt: skip
 from violetstack.core.timers import Timers
 
 PLACE_MARGIN_MS = 80.0  # a send's first byte leaves this long before a told drain binds, or not at all
@@ -34,6 +43,7 @@
         self.touched: dict[str, OpenRequest] = {}
         self.wake: Callable[[], None] = lambda: None
         self.timers = Timers()
+        self.routes: Routes | None = None
 
     # --- events in ---
 
@@ -54,13 +64,21 @@
             if entry.state is t.ServerState.GONE:
                 del self.entries[entry.server]
         self.unwanted = {s: since for s, since in self.unwanted.items() if s in self.entries}
+        if self.routes is not None:
+            self.routes.told(now, news)
         self._post(news)
 
+    def route(self, asked: t.Request, origin: Origin) -> t.Request:
+        """Every front calls this before `take`, with the request as it read it. Raises NotRouted."""
+        return asked if self.routes is None else self.routes.route(asked, origin)
+
     def take(self, now: float, asked: t.Request, sink: Sink, payload: object) -> OpenRequest:
         if asked.id in self.open:
             raise Duplicate(asked.id)
         request = OpenRequest(asked, sink, payload, now, now + asked.expires_in_ms)
         self.open[asked.id] = request
+        if self.routes is not None:
+            self.routes.taken(now, asked)
         request.timer = self.timers.at(request.deadline, lambda at: self._overdue(at, request))
         self._post(asked)
         return request
@@ -234,6 +252,10 @@
         elif request.releasing is None:
             self.open.pop(request.id, None)
             request.close()
+            more: dict[str, Any] = {}
+            if self.routes is not None:
+                more = self.routes.told_of(request.asked)
+                self.routes.closed(now, request.asked)
             self.driver.log(
                 "request",
                 id=request.id,
@@ -242,6 +264,7 @@
                 ms=round(request.answered - request.arrived),
                 attempts=request.trail,
                 places=request.placed,
+                **more,
             )
 
     # --- actions out ---
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -26,6 +26,39 @@
     def failed(self, may_have_run: bool) -> None: ...
 
 
+class NotRouted(Exception):
+    """No route takes this request, or its route's policy does not; the text is for the client."""
+
+    def __init__(self, reason: str, status: int) -> None:
+        super().__init__(reason)
+        self.reason, self.status = reason, status
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """What a front knows of a request that the module does not need."""
+
+    front: str
+    model: str = ""
+    body_bytes: int = 0
+
+
+class Routes(Protocol):
+    """Who gives requests their course. Without one, every request may go to every host."""
+
+    def route(self, request: t.Request, origin: Origin) -> t.Request:
+        """The request with its course. Raises NotRouted."""
+
+    def taken(self, now: float, request: t.Request) -> None: ...
+
+    def closed(self, now: float, request: t.Request) -> None: ...
+
+    def told(self, now: float, news: t.ListNews) -> None: ...
+
+    def told_of(self, request: t.Request) -> dict[str, Any]:
+        """For the request's log line."""
+
+
 class Closed:
     """Takes the place of a sink whose request is over."""
 
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -5,7 +5,7 @@
 import math
 import uuid
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import sha256
 from hmac import compare_digest
 from typing import Any, Protocol
@@ -13,11 +13,12 @@
 import orjson
 
 from violetstack import interface as t
-from violetstack.chat_config import ChatConfig, Key, Model
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.core.records import NotRouted, Origin
 from violetstack.fronts.completions import Answer, Ask, Invalid, error_object, read_body
 from violetstack.fronts.reply import EVENTS, Payload, Reply
 from violetstack.ledger import Claim, LedgerError, Order
+from violetstack.operators import ChatConfig, Key, Model
 from violetstack.protocol import sse
 from violetstack.protocol.headers import duration_ms
 from violetstack.protocol.server_side import Headers, Inbound, Rejected
@@ -39,14 +40,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Errand:
-    """One checked request, before it is taken."""
+    """One checked and routed request, before it is taken."""
 
     ask: Ask
     model: Model
     key: Key
-    cls: int
-    tenant: int
-    expires_in_ms: float
+    asked: t.Request
+    most_tokens: int
     safe: bool
 
 
@@ -167,6 +167,10 @@
             self._log("chat_rejected", status=error.status, reason=error.message)
             kind = "authentication_error" if error.status == 401 else "invalid_request_error"
             send_error(reply, error.status, error.message, kind, param=error.param, code=error.code)
+        except NotRouted as error:
+            self._log("chat_rejected", status=error.status, reason=error.reason)
+            code = "no_route" if error.status == 404 else "body_too_long"
+            send_error(reply, error.status, error.reason, "invalid_request_error", code=code)
         except Rejected as error:
             self.rejected(error.status, error.reason, reply)
 
@@ -243,10 +247,24 @@
         cls = self.config.class_of(key, model)
         spec = self._core.settings.classes[cls]
         give_up = spec.give_up_ms + 2.0 * spec.aim_ms_per_1000_tokens * ask.prompt_tokens / 1000.0
-        return Errand(
-            ask, model, key, cls, self.config.tenant_index(key.tenant),
-            min(give_up, client_wait_ms(inbound)), spec.effect is t.Effect.SAFE,
-        )  # fmt: skip
+        most = ask.max_tokens or model.max_tokens
+        session = ask.conversation
+        asked = t.Request(
+            id=uuid.uuid4().hex,
+            cls=cls,
+            tenant=self.config.tenant_index(key.tenant),
+            session=f"{key.tenant}/{session}" if session else None,
+            expires_in_ms=min(give_up, client_wait_ms(inbound)),
+            answer_ms=None,
+            shared=ask.opening,
+            prompt_tokens=float(ask.prompt_tokens),
+            shared_tokens=float(ask.opening_tokens),
+            max_tokens=float(most),
+            repeat=inbound.headers.get("x-stainless-retry-count", "0").strip("0") != "",
+            resumed=False,
+        )
+        asked = self._core.route(asked, Origin("chat", model.name, len(inbound.body)))
+        return Errand(ask, model, key, asked, most, spec.effect is t.Effect.SAFE)
 
     async def _order(
         self, errand: Errand, order: Order, orders: Orders, arrived: float, reply: Reply
@@ -298,26 +316,12 @@
     ) -> None:  # fmt: skip
         """`follow`: the core hears of a client that goes away. An order runs on, for its retry to find."""
         ask, now = errand.ask, self._clock()
-        request_id = uuid.uuid4().hex
-        most = ask.max_tokens or errand.model.max_tokens
-        session = ask.conversation
-        asked = t.Request(
-            id=request_id,
-            cls=errand.cls,
-            tenant=errand.tenant,
-            session=f"{errand.key.tenant}/{session}" if session else None,
-            expires_in_ms=max(1.0, errand.expires_in_ms - waited_ms),
-            answer_ms=None,
-            shared=ask.opening,
-            prompt_tokens=float(ask.prompt_tokens),
-            shared_tokens=float(ask.opening_tokens),
-            max_tokens=float(most),
-            repeat=False,
-            resumed=False,
-        )
-        body = memoryview(ask.upstream(errand.model.upstream or errand.model.name, most))
+        asked = errand.asked
+        if waited_ms > 0.0:
+            asked = replace(asked, expires_in_ms=max(1.0, asked.expires_in_ms - waited_ms))
+        body = memoryview(ask.upstream(errand.model.upstream or errand.model.name, errand.most_tokens))
         payload = Payload("POST", COMPLETIONS, "application/json", body, reply.room)
-        answer = Answer(f"chatcmpl-{request_id}", errand.model.name, int(now / 1000.0))
+        answer = Answer(f"chatcmpl-{asked.id}", errand.model.name, int(now / 1000.0))
         request = self._core.take(now, asked, ChatSink(errand, reply, answer, settle), payload)
         if follow:
             reply.opened(request)
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from violetstack.core.dispatcher import Dispatcher, Duplicate
+from violetstack.core.records import NotRouted, Origin
 from violetstack.fronts.reply import EVENTS, TEXT, Payload, Reply
 from violetstack.protocol.headers import RequestReader
 from violetstack.protocol.server_side import Inbound, Rejected
@@ -62,9 +63,12 @@
             asked = self._reader.read(inbound)
             kind = inbound.headers.get("content-type", "application/json")
             payload = Payload(inbound.method, inbound.target, kind, inbound.body, reply.room)
+            asked = self._core.route(asked, Origin("platform", "", len(inbound.body)))
             reply.opened(self._core.take(self._clock(), asked, PlatformSink(reply), payload))
         except Rejected as error:
             self.rejected(error.status, error.reason, reply)
+        except NotRouted as error:
+            self.rejected(error.status, error.reason, reply)
         except Duplicate:
             self.rejected(409, "a request with this Req-Id is still open", reply)
 
--- a/violetstack/interface.py
+++ b/violetstack/interface.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Protocol
 
 
 class Effect(Enum):
@@ -128,9 +129,27 @@
     version: int
 
 
+class Course(Protocol):
+    """What a request's route allows, asked at each choice; times in milliseconds."""
+
+    attempts: int
+
+    def scope(self, now: float) -> str:
+        """The pool in use; requests of one pool do not wait for those of another. Empty: all servers."""
+
+    def holds(self, server: str, now: float) -> bool:
+        """Is the server in that pool?"""
+
+    def may_repeat(self, now: float) -> bool:
+        """May one more attempt follow a failed one? Each yes is counted."""
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
-    """answer_ms is the rough length of the answer, as time at the class's token aim, where it is told."""
+    """answer_ms is the rough length of the answer, as time at the class's token aim, where it is told.
+
+    Without a course, every server may be chosen and the settings alone bound the attempts.
+    """
 
     id: str
     cls: int
@@ -144,6 +163,7 @@
     max_tokens: float
     repeat: bool
     resumed: bool
+    course: Course | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/violetstack/net/acme.py
+++ b/violetstack/net/acme.py
@@ -17,10 +17,10 @@
 from josepy.jwa import ES256
 from josepy.jwk import JWKEC
 
-from violetstack.chat_config import Acme, Tls
 from violetstack.fronts.reply import TEXT, Reply
 from violetstack.log import log
 from violetstack.net.tls import Certificate
+from violetstack.operators import Acme, Tls
 from violetstack.protocol.server_side import Inbound
 
 ORDER_S = 90.0
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -8,11 +8,11 @@
 import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
 
 import trio
 
 from violetstack import interface as t
-from violetstack.chat_config import Acme, BadChatConfig, ChatConfig
 from violetstack.config import Address, BadConfig, Config, address
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.chat import ChatFront
@@ -27,10 +27,14 @@
 from violetstack.net.peers import listen_to_peers
 from violetstack.net.tls import Certificate
 from violetstack.net.watch import Watch
+from violetstack.operators import Acme, BadOperatorFile, ChatConfig
 from violetstack.protocol.discovery import ListReader, Targets
 from violetstack.protocol.headers import RequestReader
 from violetstack.router import Router
 
+if TYPE_CHECKING:
+    from violetstack.routing.generations import Routing
+
 KEPT_DESCRIPTORS = 40  # the program's own: standard streams, the poller, the watch, clients turned away
 LISTEN_ON_S = 0.55  # after SIGTERM new connections keep coming for up to 0.4 s
 BACKLOG = 512
@@ -80,10 +84,13 @@
         self.certificate: Certificate | None = None  # one that no ACME keeps
         self.watch: Watch | None = None
         self.orders: OrderBook | None = None
+        self.routing: Routing | None = None
 
     async def serve(self, task_status: trio.TaskStatus[Serving] = trio.TASK_STATUS_IGNORED) -> None:
         config = self.config
         acme = config.chat.told.acme if config.chat is not None else None
+        for text in config.warnings:
+            log("config_warning", text=text)
         self.fronts = sum(x is not None for x in (config.listen, config.chat, acme)) or 1
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
@@ -96,6 +103,7 @@
             router = Router(config.settings)
             core = self.core = Dispatcher(config.settings, router, hosts, config.drain_grace_ms)
             hosts.core = core
+            self._route()
             pump = Pump(core)
             self._know_hosts()
             nursery.start_soon(pump.run)
@@ -123,7 +131,7 @@
     def _know_hosts(self) -> None:
         config = self.config
         reader = ListReader(config.facts)
-        for host in config.chat.told.hosts if config.chat is not None else ():
+        for host in config.operator.hosts if config.operator is not None else ():
             self.hosts.hosts[host.id] = Host(address(host.address), [], plain=True, key=host.key)
             self.core.stateless.add(host.id)
         self._told(reader.targets(config.told.known, t.ListScope.CACHED))
@@ -148,10 +156,13 @@
         try:
             config = read_again()
             chat = ChatConfig(config.chat.told, self.config.facts) if config.chat is not None else None
-        except (BadConfig, BadChatConfig) as error:
+            plan = config.plan
+        except (BadConfig, BadOperatorFile) as error:
             log("reload_failed", error=str(error))
             return
         self.config.limits = config.limits
+        self.config.plan = plan
+        self._route()
         self._bound()
         if self.chat is not None and chat is not None:
             self.chat.config = chat
@@ -160,11 +171,34 @@
         if self.watch is not None and config.discovery is not None:
             self.watch.move(config.discovery)
         kept = [n for n in ("listen", "settings", "peer_listen", "peers") if self._differs(config, n)]
-        log("reloaded", discovery=config.discovery, until_restart=kept)
+        kept += [n for n in ("hosts", "ledger", "acme", "platform") if self._file_differs(config, n)]
+        generation = self.routing.current.number if self.routing is not None else 0
+        log("reloaded", discovery=config.discovery, until_restart=kept, generation=generation)
 
     def _differs(self, config: Config, name: str) -> bool:
         return bool(getattr(config.told, name) != getattr(self.config.told, name))
 
+    def _file_differs(self, config: Config, name: str) -> bool:
+        old, new = self.config.operator, config.operator
+        return bool(getattr(old, name, None) != getattr(new, name, None))
+
+    def _route(self) -> None:
+        """The plan in force, as a generation of its own for requests from now on."""
+        plan, facts = self.config.plan, self.config.facts
+        if self.routing is not None and plan is not None:
+            self.routing.swap(now_ms(), plan)
+        elif plan:
+            from violetstack.routing.generations import Routing  # noqa: PLC0415 - only where there are routes
+
+            self.routing = Routing(
+                plan, self.config.settings, log=log, classes=tuple(spec.name for spec in facts.classes),
+                tenants=tuple(spec.name for spec in facts.parties or ()), kinds=tuple(facts.kinds or ()),
+                zones=tuple(facts.zones or ()),
+            )  # fmt: skip
+            self.core.routes = self.routing
+            entries = tuple(self.core.entries.values())
+            self.routing.told(now_ms(), t.ListNews(t.ListScope.FULL, entries, 0))
+
     def _bound(self) -> None:
         """The limits in force, over all fronts."""
         sockets, memory = int(self.config.limits.sockets), self.config.limits.memory_mb * 2**20
--- a/violetstack/net/tls.py
+++ b/violetstack/net/tls.py
@@ -6,8 +6,8 @@
 
 import trio
 
-from violetstack.chat_config import Tls
 from violetstack.log import log
+from violetstack.operators import Tls
 
 
 class Certificate:
--- a/violetstack/chat_config.py
+++ b/violetstack/operators.py
@@ -1,16 +1,18 @@
-"""The chat front's file: where it listens, who may ask, what models and hosts there are."""
+"""What an operator's file says, as plain records: fronts, keys, models, hosts, ledger, certificates.
+
+`language.compiling` makes them from a checked file; its routes, pools and policies go to the routing as a
+`Plan` of their own."""
 
 from __future__ import annotations
 
 from hashlib import sha256
-from pathlib import Path
 
 import msgspec
 
 from violetstack.facts import WFacts
 
 
-class BadChatConfig(Exception):
+class BadOperatorFile(Exception):
     """The file can't be used; the text says why."""
 
 
@@ -54,6 +56,7 @@
     key: str = ""
     memory_tokens: float = 0.0
     weight: float = 1.0
+    labels: list[str] = []
 
 
 class LedgerFile(msgspec.Struct, forbid_unknown_fields=True):
@@ -80,10 +83,17 @@
     trust: str = ""
 
 
-class ChatFile(msgspec.Struct, forbid_unknown_fields=True):
-    listen: str
-    models: list[Model]
-    keys: list[Key]
+class OperatorFile(msgspec.Struct, forbid_unknown_fields=True):
+    """`listen` is the chat front's address, empty where that is off; `platform` that of the other front."""
+
+    listen: str = ""
+    platform: str = ""
+    discovery: str = ""
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    descriptors: int = 1024
+    models: list[Model] = []
+    keys: list[Key] = []
     tenants: list[Tenant] = []
     hosts: list[PlainHost] = []
     ledger: LedgerFile | None = None
@@ -95,7 +105,7 @@
 class ChatConfig:
     """The file checked against the settings it is used with."""
 
-    def __init__(self, told: ChatFile, facts: WFacts) -> None:
+    def __init__(self, told: OperatorFile, facts: WFacts) -> None:
         self.told, self.models, self.keys = told, told.models, told.keys
         self._classes = {spec.name: n for n, spec in enumerate(facts.classes)}
         self._tenants = {spec.name: n for n, spec in enumerate(facts.parties or ())}
@@ -104,15 +114,15 @@
         named += [tenant.cls for tenant in told.tenants if tenant.cls is not None]
         for name in named:
             if name not in self._classes:
-                raise BadChatConfig(f"class {name!r} is not among the settings' classes")
+                raise BadOperatorFile(f"class {name!r} is not among the settings' classes")
         for key in told.keys:
             if self._tenants and key.tenant not in self._tenants:
-                raise BadChatConfig(f"tenant {key.tenant!r} is not among the settings' tenants")
+                raise BadOperatorFile(f"tenant {key.tenant!r} is not among the settings' tenants")
             for model in key.models:
                 if model not in [m.name for m in told.models]:
-                    raise BadChatConfig(f"a key names the unknown model {model!r}")
+                    raise BadOperatorFile(f"a key names the unknown model {model!r}")
         if told.acme is not None and told.tls is None:
-            raise BadChatConfig("acme needs [tls], which names the files that it keeps")
+            raise BadOperatorFile("acme needs [tls], which names the files that it keeps")
 
     def class_of(self, key: Key, model: Model) -> int:
         """The key's class, else its tenant's, else the model's."""
@@ -121,10 +131,3 @@
 
     def tenant_index(self, name: str) -> int:
         return self._tenants.get(name, 0)
-
-
-def load_chat(path: str | Path) -> ChatFile:
-    try:
-        return msgspec.toml.decode(Path(path).read_bytes(), type=ChatFile)
-    except (OSError, msgspec.MsgspecError) as error:
-        raise BadChatConfig(f"{path}: {error}") from None
--- a/violetstack/rehearsal/stage.py
+++ b/violetstack/rehearsal/stage.py
@@ -10,9 +10,9 @@
 import msgspec
 import trio
 
-from violetstack.chat_config import ChatFile
 from violetstack.config import Address, Config, WConfig
 from violetstack.net.daemon import Daemon
+from violetstack.operators import OperatorFile
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import ModelHost
 
@@ -54,7 +54,7 @@
     challenge: Address | None
     nursery: trio.Nursery
     told: dict[str, Any]
-    chat_file: ChatFile
+    chat_file: OperatorFile
 
     def config(self, **changes: Any) -> Config:
         """The configuration that it was started with, changed."""
@@ -83,7 +83,7 @@
             "known": {"version": 1, "full": True, "servers": rows},
         }  # fmt: skip
         plain = [{"id": h.name, "address": h.address} for h in hosts if h.kind == "openai"]
-        file = msgspec.convert({**CHAT, "hosts": plain, **(chat or {})}, ChatFile)
+        file = msgspec.convert({**CHAT, "hosts": plain, **(chat or {})}, OperatorFile)
         daemon = Daemon(Config(msgspec.convert(told, WConfig), file))
         serving = await nursery.start(daemon.serve)
         yield Stage(daemon, discovery, serving.platform, serving.chat, serving.challenge, nursery, told, file)
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -113,7 +113,7 @@
 class Job:
     """One request: owns its attempts, the state and the place held for it, its deadline and final answer."""
 
-    def __init__(self, req: Request, spec: ClassSpec, shortest: float, now: float) -> None:
+    def __init__(self, req: Request, spec: ClassSpec, shortest: float, most: int, now: float) -> None:
         self.req, self.spec, self.sent = req, spec, 0
         self.deadline = now + req.expires_in_ms
         length = req.prompt_tokens
@@ -135,6 +135,12 @@
         self.failed: list[Server] = []
         self.ran: Try | None = None
         self.done = False
+        self.course, self.scope = req.course, "" if req.course is None else req.course.scope(now)
+        self.most = most if req.course is None else min(most, req.course.attempts)
+
+    def within(self, server: Server, now: float) -> bool:
+        """Is the server one of those that the request's route allows?"""
+        return self.course is None or self.course.holds(server.entry.server, now)
 
     def part(self, now: float) -> float:
         """Its age as a part of what the most impatient class would want for this length."""
@@ -208,11 +214,11 @@
         self.orders: dict[str, list[Server]] = {}
         self.last: dict[str, str] = {}  # a session's last reader
         self.reads, self.waits = Recent(3 * FEW, 2 * LEARN_MS), Recent(3 * FEW, 2 * LEARN_MS)
-        self.took = Recent(FEW + 1, 6 * LEARN_MS)
+        self.took: dict[str, Recent] = {}  # by scope, like the next
         self.cleared, self.busy_ms = Fading(LEARN_MS), Fading(LEARN_MS)
         self.claimed, self.found = Fading(2 * LEARN_MS), Fading(2 * LEARN_MS)
         self.taken = {True: Fading(12 * LEARN_MS), False: Fading(12 * LEARN_MS)}
-        self.recent = Fading(2 * LEARN_MS)
+        self.recent: dict[str, Fading] = {}
 
     def role(self, server: Server) -> Role:
         roles, kind = self.settings.roles, server.entry.kind
@@ -276,14 +282,14 @@
         backlog += self.unread_price(server, job, now)
         return backlog / (self.speed(server, now) * self.warmth(server, now))
 
-    def write_wait_ms(self, now: float) -> float:
+    def write_wait_ms(self, scope: str, now: float) -> float:
         """How long writers let us wait: our writes that have not begun over the rate at which ours begin.
 
         By count, not by past times, so that nothing is refused for a jam that has drained.
         """
         out = [t for s in self.servers.values() for t in s.out.values()]
-        waiting = sum(1 for t in out if not t.reading and not t.begun)
-        rate = self.recent.rate(now)
+        waiting = sum(1 for t in out if not t.reading and not t.begun and t.job.scope == scope)
+        rate = self.recent[scope].rate(now) if scope in self.recent else 0.0
         return waiting / rate if rate > 0.0 else 0.0
 
     def count_busy(self, server: Server, now: float) -> None:
@@ -478,12 +484,13 @@
 
     def on_request(self, req: Request) -> None:
         spec = self.settings.classes[req.cls]
-        job = self.jobs[req.id] = Job(req, spec, self.shortest, self.now)
+        job = self.jobs[req.id] = Job(req, spec, self.shortest, self.settings.max_attempts, self.now)
         self.act(Timer(max(0.0, req.expires_in_ms - GUARD_MS), f"g:{req.id}"))
         self.act(Timer(max(0.0, req.expires_in_ms - LAST_MS), f"d:{req.id}"))
         self.start_read(job)
 
     def start_read(self, job: Job) -> None:
+        job.scope = job.scope if job.course is None else job.course.scope(self.now)
         reader = self.pick_reader(job)
         if reader is None:
             writer = self.pick_writer(job, None) if self.settings.local_read else None
@@ -520,17 +527,19 @@
         estimate heals. Could harm when late answers are worth nearly as much as timely ones.
         """
         now, worth, fleet = self.now, self.worth(job), self.fleet
-        if len(self.jobs) > len(fleet.pools[True]):
-            wait = fleet.wait_ms(reader, job, now) + fleet.write_wait_ms(now)
+        jobs = [j for j in self.jobs.values() if j.scope == job.scope]
+        if len(jobs) > sum(1 for s in fleet.pools[True] if job.within(s, now)):
+            wait = fleet.wait_ms(reader, job, now) + fleet.write_wait_ms(job.scope, now)
             patience = job.shortest * (0.1 + 0.4 * worth) - (now - job.arrived)
             return wait > max(0.0, min(job.deadline - now, patience))
-        late = fleet.took.middle(now, 3, (j.part(now) for j in self.jobs.values() if not j.begun))
+        took = fleet.took.setdefault(job.scope, Recent(FEW + 1, 6 * LEARN_MS))
+        late = took.middle(now, 3, (j.part(now) for j in jobs if not j.begun))
         return self.random.random() > max(0.1, 2.0 - late / (LATE_FROM * (0.5 + 0.5 * worth)))
 
     def candidates(self, job: Job, reading: bool) -> list[Server]:
         now, fleet = self.now, self.fleet
         choice = [s for s in fleet.pools[reading] if fleet.admits(s, reading, now)]
-        choice = [s for s in choice if job.may_repeat(s, now)]
+        choice = [s for s in choice if job.may_repeat(s, now) and job.within(s, now)]
         return [s for s in choice if s not in job.failed] or choice
 
     def pick_reader(self, job: Job) -> Server | None:
@@ -538,7 +547,7 @@
         choice = self.candidates(job, True)
         if not choice:
             return None
-        job.homes = self.fleet.homes(job.req)
+        job.homes = [s for s in self.fleet.homes(job.req) if job.within(s, self.now)]
         free = {s.entry.server: self.fleet.read_freeness(s, job, self.now) for s in choice}
         best = max(free.values())
         near = [s for s in job.homes if free.get(s.entry.server, best - 1.0) >= best - NEAR]
@@ -597,7 +606,7 @@
         usual = self.fleet.reads if t.reading else self.fleet.waits
         patience = max(2.0 * job.aim - 1.5 * job.spec.aim_ms, 4.0 * usual.middle(self.now))
         patience /= self.fleet.warmth(t.server, self.now)
-        spare = self.settings.max_attempts - job.sent - (3 if t.reading else 2)
+        spare = job.most - job.sent - (3 if t.reading else 2)
         may = t.reading or job.spec.effect is Effect.SAFE
         return patience if may and spare >= 0 else job.deadline - self.now
 
@@ -626,9 +635,9 @@
         fleet, server = self.fleet, t.server
         fleet.waits.add(self.now, event.took_ms)
         fleet.taken[False].add(self.now, 1.0)
-        fleet.recent.add(self.now, 1.0)
+        fleet.recent.setdefault(job.scope, Fading(2 * LEARN_MS)).add(self.now, 1.0)
         job.begun = True
-        fleet.took.add(self.now, job.part(self.now))
+        fleet.took.setdefault(job.scope, Recent(FEW + 1, 6 * LEARN_MS)).add(self.now, job.part(self.now))
         server.streak = 0
 
     def on_outcome(self, event: Outcome) -> None:
@@ -682,7 +691,7 @@
             self.forget_place(job)
             job.asked = []
             writer = self.pick_writer(job, job.state_at)
-        if writer is None or job.sent >= self.settings.max_attempts:
+        if writer is None or job.sent >= job.most:
             self.give_up(job)
         else:
             self.send(job, writer, False)
@@ -695,13 +704,14 @@
             job.ran = job.ran or t
         if job.out:
             return
-        again = self.settings.max_attempts - job.sent
+        again = job.most - job.sent
         no_state = event.status is Status.ERROR or (event.status is Status.FULL and event.note == 1)
         lost = t.reading or job.held or job.state_at is None or no_state
         late = self.now >= job.deadline - GUARD_MS
         away = event.status is Status.FULL and event.note != 1  # asked again, the same would turn it away
         away = away and all(s in job.failed for s in self.candidates(job, t.reading))
-        if late or away or again < (2 if lost else 1):
+        spent = late or away or again < (2 if lost else 1)
+        if spent or (job.course is not None and not job.course.may_repeat(self.now)):
             self.give_up(job)
         elif lost:
             self.let_go(job)
--- /dev/null
+++ b/violetstack/serving.py
@@ -0,0 +1,24 @@
+"""One real dispatcher from its configuration to its end."""
+
+from __future__ import annotations
+
+import signal
+
+import trio
+
+from violetstack.config import BadConfig, load
+from violetstack.log import log
+from violetstack.net.daemon import run
+
+
+def serve(path: str, file: str | None = None) -> int:
+    """Until SIGTERM. `path` is NODE_CONFIG's file, `file` the operator's; either may be missing."""
+    # Guards against a reload asked for while the program still starts: what it is about to read is the news.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        config = load(path, file)
+    except BadConfig as error:
+        log("bad_config", error=str(error))
+        return 2
+    trio.run(run, config, lambda: load(path, file, again=True))
+    return 0
