--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,341 @@
+"""Routing on a clock that is handed in: the index against the walk, pools that are lost and come back."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.front import READERS, SETTINGS, WRITERS, Front, entry
+from tests.programs import ASKED, CLASSES, TENANTS, programs
+from violetstack import interface as t
+from violetstack.core.records import NotRouted, Origin
+from violetstack.language.checker import check
+from violetstack.language.files import read_text
+from violetstack.language.meaning import plan_of
+from violetstack.routing import regions
+from violetstack.routing import table as tables
+from violetstack.routing.conditions import (
+    ALWAYS,
+    All,
+    Among,
+    Any,
+    Between,
+    Condition,
+    Not,
+    boxes,
+    holds,
+    why_not,
+)
+from violetstack.routing.generations import Course, Plan, Routing
+from violetstack.routing.policies import Policy, RetryBudget
+from violetstack.routing.pools import HostFacts, PoolBook, PoolSpec, chain
+from violetstack.routing.regions import Partition, moved
+from violetstack.routing.table import Asked, Route, Table
+
+
+def among(attribute: str, *names: str) -> Condition:
+    return Among(attribute, frozenset(names))
+
+
+def _conditions() -> st.SearchStrategy[Condition]:
+    leaves: st.SearchStrategy[Condition] = st.one_of(
+        st.sets(st.sampled_from(CLASSES), min_size=1).map(lambda n: among("class", *n)),
+        st.sets(st.sampled_from(TENANTS), min_size=1).map(lambda n: among("tenant", *n)),
+        st.sampled_from(["chat", "platform"]).map(lambda n: among("front", n)),
+        st.just(among("retry", "yes")),
+        st.tuples(st.integers(0, 9000), st.integers(1, 9000)).map(
+            lambda r: Between("prompt", r[0], r[0] + r[1])
+        ),
+    )
+    return st.recursive(
+        leaves,
+        lambda inner: st.one_of(
+            inner.map(Not), st.lists(inner, max_size=3).map(lambda p: All(tuple(p))),
+            st.lists(inner, min_size=1, max_size=3).map(lambda p: Any(tuple(p))),
+        ),
+        max_leaves=6,
+    )  # fmt: skip
+
+
+@settings(max_examples=80, deadline=None, derandomize=True)
+@given(st.lists(_conditions(), max_size=6))
+def test_the_index_and_the_walk_choose_the_same_route(conditions: list[Condition]) -> None:
+    table = Table([Route(f"r{n}", when) for n, when in enumerate(conditions)])
+    won = set()
+    for asked in ASKED:
+        found = table.walk(asked)
+        won.add(found)
+        assert table.find(asked) == found
+        assert table.explain(asked)[0] == found
+    partition = Partition(table)
+    lost = {table.routes[n] for n in partition.covered()}
+    assert not lost & won  # a route told to be covered never matched
+    if partition.gap() is None:
+        assert None not in won
+
+
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(st.lists(_conditions(), max_size=4), st.lists(_conditions(), max_size=4))
+def test_what_moved_is_what_the_walks_disagree_on(before: list[Condition], after: list[Condition]) -> None:
+    old = Table([Route(f"r{n}", when) for n, when in enumerate(before)])
+    new = Table([Route(f"r{n}", when) for n, when in enumerate(after)])
+    if any(old.walk(asked) != new.walk(asked) for asked in ASKED if asked.cls != "other"):
+        names = [(x and x.name, y and y.name) for x, y in ((old.walk(a), new.walk(a)) for a in ASKED)]
+        if any(a != b for a, b in names):
+            assert moved(old, new)
+    assert moved(old, old) == []
+
+
+@settings(max_examples=30, deadline=None, derandomize=True)
+@given(programs())
+def test_files_route_as_they_read(text: str) -> None:
+    result = check(read_text(text))
+    if result.meaning is not None:
+        table = Table(plan_of(result.meaning.definitions, {}).routes)
+        assert all(table.find(asked) == table.walk(asked) for asked in ASKED)
+
+
+def test_past_their_budgets_the_index_looks_at_boxes_and_the_partition_decides_less(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(tables, "MAX_WORK", 50)
+    monkeypatch.setattr(regions, "MAX_WORK", 50)
+    rows = [Route(f"r{n}", All((among("tenant", f"t{n}"), Not(among("model", f"m{n}"))))) for n in range(30)]
+    rows += [
+        Route(f"x{n}", All((Not(among("tenant", f"t{n}")), Between("prompt", n, n + 9)))) for n in range(30)
+    ]
+    table = Table(rows)
+    for n in range(40):
+        for prompt in (5, 20, 60):
+            asked = Asked("c", f"t{n}", f"m{n // 2}", "chat", prompt, False)
+            assert table.find(asked) == table.walk(asked)
+    assert Partition(table).covered() == {}  # not decided is not told
+
+
+def test_reasons_say_what_the_request_is_and_where_the_condition_stands() -> None:
+    when = All((Among("class", frozenset({"orden"}), "a.violet:3"), Not(among("front", "chat"))))
+    values = Asked("consulta", "", "", "chat", 5, False).values
+    assert why_not(when, values) == ["class is consulta, not class == orden (a.violet:3)"]
+    assert why_not(Not(among("front", "chat")), values) == ["front == chat holds, and must not"]
+    assert boxes(Not(ALWAYS)) == [] and holds(ALWAYS, values)
+
+
+# --- pools ---
+
+BOTH = HostFacts({"host": "", "kind": "both"}, True, True)
+
+
+def book(**specs: PoolSpec) -> PoolBook:
+    return PoolBook(specs)
+
+
+def hosts(*names: str, pool: str = "a") -> dict[str, HostFacts]:
+    return {name: HostFacts({"host": name, "kind": pool}, True, True) for name in names}
+
+
+def two_pools(least: int = 2) -> PoolBook:
+    pools = book(
+        a=PoolSpec("a", among("kind", "a"), least, ("b",), 5_000.0),
+        b=PoolSpec("b", among("kind", "b"), 1, (), 5_000.0),
+    )
+    pools.told(0.0, hosts("a1", "a2") | hosts("b1", pool="b"), (), True)
+    return pools
+
+
+def test_a_pool_is_lost_at_once_and_comes_back_only_once_it_stays_whole() -> None:
+    pools = two_pools()
+    assert pools.active("a", 0.0) == "a"  # a start is not a return
+    pools.told(1_000.0, {}, ["a2"], False)
+    assert pools.active("a", 1_000.0) == "b"
+    assert [(c.pool, c.lost, c.instead) for c in pools.changes] == [("a", True, "b")]
+    pools.told(2_000.0, hosts("a2"), (), False)
+    assert pools.active("a", 6_999.0) == "b"
+    assert pools.active("a", 7_000.0) == "a"
+    assert [c.lost for c in pools.changes] == [True, False]
+
+
+def test_a_pool_that_flaps_gets_its_traffic_back_ever_later() -> None:
+    pools, now, waits = two_pools(), 0.0, []
+    for _ in range(6):
+        pools.told(now, {}, ["a2"], False)
+        assert pools.active("a", now) == "b"
+        pools.told(now + 1.0, hosts("a2"), (), False)
+        waits.append(pools.hold_ms("a"))
+        now += 1.0 + waits[-1]
+        assert pools.active("a", now - 1.0) == "b" and pools.active("a", now) == "a"
+    assert waits[:4] == [5_000.0, 10_000.0, 20_000.0, 40_000.0] and max(waits) == 40_000.0
+    before = len(pools.changes)
+    for n in range(200):  # every 100 ms: it never stays whole long enough
+        pools.told(now + 100.0 * n, {} if n % 2 == 0 else hosts("a2"), ["a2"] if n % 2 == 0 else [], False)
+        pools.active("a", now + 100.0 * n)
+    assert len(pools.changes) - before == 1
+    now += 100.0 * 200
+    pools.told(now, hosts("a2"), (), False)
+    assert pools.active("a", now + 40_000.0) == "a"
+    pools.told(now + 200_000.0, {}, ["a2"], False)  # a loss long after a return counts as a first
+    assert pools.hold_ms("a") == 5_000.0
+
+
+def test_without_any_usable_pool_the_first_with_anyone_serves() -> None:
+    pools = two_pools(least=3)
+    pools.told(1.0, {}, ["b1"], False)
+    assert pools.active("a", 1.0) == "a"
+    reader_only = {"b1": HostFacts({"host": "b1", "kind": "b"}, True, False)}
+    pools.told(2.0, reader_only, ["a1", "a2"], False)
+    assert pools.active("a", 2.0) == "b"  # nobody writes there, and the module refuses at once
+
+
+def test_fallbacks_follow_in_order_each_with_its_own() -> None:
+    specs = {
+        n: PoolSpec(n, fallback=f) for n, f in {"a": ("b", "d"), "b": ("c",), "c": ("a",), "d": ()}.items()
+    }
+    assert chain(specs, "a") == ("a", "b", "c", "d")
+
+
+def test_a_reload_keeps_a_pools_state_where_its_definition_stays() -> None:
+    pools = two_pools()
+    pools.told(1_000.0, {}, ["a2"], False)
+    pools.told(2_000.0, hosts("a2"), (), False)
+    same = book(**pools.specs)
+    same.take_over(pools, 3_000.0)
+    assert same.active("a", 3_000.0) == "b" and same.active("a", 7_000.0) == "a"
+    other = book(a=PoolSpec("a", among("kind", "a"), 1, ("b",)), b=pools.specs["b"])
+    other.take_over(pools, 3_000.0)
+    assert other.active("a", 3_000.0) == "a"  # another pool, and it starts whole
+
+
+# --- budgets and generations ---
+
+
+def test_the_retry_budget_bounds_what_retries_add() -> None:
+    budget = RetryBudget(0.2, 1.0)
+    allowed, now, rng = 0, 0.0, random.Random(5)
+    for _ in range(5_000):  # 50 requests a second for 100 s, each failing and asked again at once
+        now += rng.expovariate(1 / 20.0)
+        budget.taken(now)
+        allowed += budget.spend(now)
+    assert 0.2 * 5_000 <= allowed <= 0.2 * 5_000 + now / 1000.0 + budget.most
+    quiet = RetryBudget(0.0, 1.0)
+    assert quiet.spend(0.0) and not quiet.spend(100.0) and quiet.spend(1_100.0)
+
+
+def routing(plan: Plan) -> Routing:
+    return Routing(
+        plan, SETTINGS, classes=("safe", "unsafe"), tenants=(),
+        kinds=("prefill", "decode", "both"), zones=("z",),
+        log=lambda event, **fields: None,
+    )  # fmt: skip
+
+
+def request(n: int = 0, **changes: object) -> t.Request:
+    told = {"id": f"q{n}", "cls": 0, "tenant": 0, "session": None, "expires_in_ms": 5000.0, "answer_ms": None,
+            "shared": None, "prompt_tokens": 100.0, "shared_tokens": 0.0, "max_tokens": 10.0, "repeat": False,
+            "resumed": False}  # fmt: skip
+    return t.Request(**{**told, **changes})  # type: ignore[arg-type]
+
+
+CELLS = {"one": PoolSpec("one", among("cell", "1"), 1, ("rest",)), "rest": PoolSpec("rest")}
+PLAN = Plan(
+    (Route("only", among("class", "safe"), "one", "p"),), CELLS, {"p": Policy("p", 2000.0, 2, 0.0, 1.0, 50)}
+)
+
+
+def test_a_request_gets_its_course_or_a_reason() -> None:
+    routes = routing(PLAN)
+    asked = routes.route(request(), Origin("platform", "", 10))
+    assert asked.expires_in_ms == 2000.0 and asked.course is not None and asked.course.attempts == 2
+    with pytest.raises(NotRouted) as told:
+        routes.route(request(cls=1), Origin("platform"))
+    assert told.value.status == 404
+    with pytest.raises(NotRouted) as told:
+        routes.route(request(), Origin("platform", "", 51))
+    assert told.value.status == 413
+
+
+def test_old_generations_end_with_their_last_request() -> None:
+    routes, kept = routing(PLAN), []
+    for n in range(1_000):
+        asked = routes.route(request(n), Origin("chat"))
+        routes.taken(0.0, asked)
+        kept.append(asked)
+        routes.swap(0.0, PLAN)
+        if len(kept) > 5:
+            routes.closed(0.0, kept.pop(0))
+        assert len(routes.older) <= 6
+    for asked in kept:
+        routes.closed(0.0, asked)
+    assert routes.older == [] and routes.current.number == 1_001
+
+
+LOOSE = Plan(PLAN.routes, PLAN.pools, {"p": Policy("p", None, None, 0.0, 1.0)})
+
+
+def front(*, plan: Plan = PLAN) -> tuple[Front, Routing]:
+    rows = [
+        entry(e.server, e.kind, cell=cell) for e, cell in zip((*READERS, *WRITERS), (1, 2, 1, 2), strict=True)
+    ]
+    routes = routing(plan)
+    on = Front(*rows)
+    routes.told(on.now, t.ListNews(t.ListScope.FULL, tuple(rows), 1))
+    return on, routes
+
+
+def course(routes: Routing) -> Course:
+    found = routes.route(request(), Origin("platform")).course
+    assert isinstance(found, Course)
+    return found
+
+
+def test_the_module_chooses_among_the_pools_hosts_and_no_other() -> None:
+    on, routes = front()
+    for _ in range(20):
+        asked = on.ask(course=course(routes))
+        assert on.sends[asked][0].server == "r1" and on.one(t.HoldPlace).server == "w1"
+        on.end(asked, t.Status.READ)
+        on.begin(asked)
+        on.end(asked, t.Status.OK)
+
+
+def test_a_lost_pool_hands_on_what_is_under_way() -> None:
+    on, routes = front(plan=LOOSE)
+    asked = on.ask(course=course(routes))
+    gone = (
+        entry("r1", 0, cell=1, state=t.ServerState.GONE),
+        entry("w1", 1, cell=1, state=t.ServerState.GONE),
+    )
+    routes.told(on.now, t.ListNews(t.ListScope.DELTA, gone, 2))
+    on.news(t.ListScope.DELTA, *gone)
+    on.end(asked, t.Status.RESET)
+    assert [send.server for send in on.sends[asked]] == ["r1", "r2"]
+
+
+def test_attempts_and_budget_of_the_policy_bind() -> None:
+    on, routes = front()  # 2 attempts: one read and one write, and a failed read is the end
+    asked = on.ask(course=course(routes))
+    on.end(asked, t.Status.RESET)
+    assert on.one(t.Refuse).id == asked
+    on, routes = front(plan=LOOSE)
+    for n in range(3):  # the floor allows one a second
+        asked = on.ask(course=course(routes), after=1.0)
+        on.end(asked, t.Status.ERROR, after=1.0)
+        assert len(on.sends[asked]) == (2 if n == 0 else 1)
+
+
+def test_a_jam_in_one_pool_refuses_nothing_in_another() -> None:
+    specs = {"one": PoolSpec("one", among("cell", "1")), "two": PoolSpec("two", among("cell", "2"))}
+    rows = (Route("a", among("class", "safe"), "one"), Route("b", ALWAYS, "two"))
+    on, routes = front(plan=Plan(rows, specs))
+    other = routes.route(request(cls=1), Origin("platform")).course
+    for _ in range(3):
+        on.serve(course=course(routes), after=400.0)
+        on.serve(course=other, cls=1, after=400.0)
+    sent = [on.ask(course=course(routes)) for _ in range(4)]
+    for asked in sent:  # pool one's only writer begins nothing any more
+        on.end(asked, t.Status.READ, after=5.0)
+    jammed = on.ask(course=course(routes), after=1_000.0)
+    assert jammed not in on.sends and on.one(t.Refuse).id == jammed
+    free = on.ask(course=other, cls=1)
+    assert on.sends[free][0].server == "r2"
--- a/violetstack/interface.py
+++ b/violetstack/interface.py
@@ -144,11 +144,13 @@
         """May one more attempt follow a failed one? Each yes is counted."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Request:
     """answer_ms is the rough length of the answer, as time at the class's token aim, where it is told.
 
-    Without a course, every server may be chosen and the settings alone bound the attempts.
+    Without a course, every server may be chosen and the settings alone bound the attempts. The routing sets
+    the course, and the deadline that its policy caps, before the request is taken; nothing changes it later.
+    (Not frozen for that one step: a frozen copy costs more than finding the route.)
     """
 
     id: str
--- a/violetstack/language/checker.py
+++ b/violetstack/language/checker.py
@@ -25,6 +25,7 @@
     ALWAYS,
     All,
     Among,
+    Box,
     Condition,
     Not,
     TooEntangled,
@@ -35,6 +36,7 @@
 )
 from violetstack.routing.generations import Plan
 from violetstack.routing.pools import cycle
+from violetstack.routing.regions import Partition
 from violetstack.routing.table import Table
 
 Known = Mapping[str, frozenset[str]]
@@ -68,6 +70,11 @@
     def wrong(self, message: str, span: Span, fix: str = "", *also: tuple[str, Span]) -> None:
         self.problems.append(Problem(message, span, fix, also))
 
+    @property
+    def sound(self) -> bool:
+        """No error so far; what looks unused may else be named where it could not be read."""
+        return self.complete and all(p.warning for p in self.problems)
+
     def doubt(self, message: str, span: Span, fix: str = "", *also: tuple[str, Span]) -> None:
         self.problems.append(Problem(message, span, fix, also, warning=True))
 
@@ -170,6 +177,7 @@
 
 def _settings(run: _Run, typer: Typer, definition: Definition, block: Block) -> None:
     spec = BLOCKS[definition.kind]
+    meant: set[str] = set()  # by settings that are only misspelt
     for item in block.items:
         if not isinstance(item, Setting):
             _misplaced(run, spec, item)
@@ -178,7 +186,10 @@
         wanted = spec.by_name.get(name)
         if wanted is None:
             known = list(spec.by_name)
-            fix = nearest(name, known) or (f"it has {', '.join(known)}" if known else "")
+            fix = nearest(name, known) or (
+                f"it has {', '.join(known)}" if known else f"a {spec.kind} has none"
+            )
+            meant.update(each for each in known if f"{each!r}" in fix)
             run.wrong(f"{spec.kind} has no setting {name!r}", item.name.span, fix)
             continue
         if name in definition.places:
@@ -191,7 +202,7 @@
         except Broken as error:
             run.problems.append(error.problem)
     for each in spec.fields:
-        if each.required and each.name not in definition.places:
+        if each.required and each.name not in definition.places and each.name not in meant:
             told = f"{spec.kind} {definition.name!r}" if definition.name else spec.kind
             run.wrong(f"{told} has no {each.name!r}", definition.span, f"{each.name} = ... ({each.told})")
 
@@ -251,13 +262,10 @@
         )
     chat = run.of("listen").get("chat")
     if chat is not None and run.complete:
-        for kind in ("model", "key"):
-            if not run.of(kind):
-                run.doubt(
-                    f"the chat front has no {kind}, so nobody can ask anything",
-                    chat.span,
-                    f"{kind} NAME {{ ... }}",
-                )
+        lacks = [kind for kind in ("model", "key") if not run.of(kind)]
+        if lacks:
+            message = f"the chat front has no {' and no '.join(lacks)}, so nobody can ask anything"
+            run.doubt(message, chat.span, f"{lacks[0]} NAME {{ ... }}")
     _pools(run)
     _routes(run)
 
@@ -358,6 +366,9 @@
             also = tuple((f"{n} falls back here", run.of("pool")[n].place("fallback")) for n in ring[1:-1])
             run.wrong(f"pools fall back in a circle: {' -> '.join(ring)}", each.place("fallback"),
                       "end the chain at one of them", *also)  # fmt: skip
+    _served(run, plan)
+    if not run.sound:
+        return
     used = {route.pool for route in plan.routes}
     ahead = list(used)
     while ahead:
@@ -374,7 +385,6 @@
     for name, each in run.of("policy").items():
         if name not in policies:
             run.doubt(f"no route uses the policy {name!r}", each.span, f"policy = {name} in a route?")
-    _served(run, plan)
 
 
 def _served(run: _Run, plan: Plan) -> None:
@@ -434,10 +444,12 @@
     routes = run.of("route")
     if not routes:
         return
+    found: list[list[Box]] = []
     for each in routes.values():
         when = each.get("when", ALWAYS)
         try:
-            if not boxes(when) and "when" in each.values:
+            found.append(boxes(when))
+            if not found[-1] and "when" in each.values:
                 run.wrong(
                     f"no request can match the route {each.name!r}",
                     each.place("when"),
@@ -458,7 +470,7 @@
     ]
     if not run.complete or len(whole) < len(routes):
         return
-    table = Table(_plan(run).routes, universe(run.definitions, run.known))
+    table = Partition(Table(_plan(run).routes, universe(run.definitions, run.known), found))
     rows = list(routes.values())
     for lost, covers in table.covered().items():
         names = [rows[n].name for n in covers]
@@ -467,7 +479,7 @@
         run.wrong(f"the route {rows[lost].name!r} never matches: {listed} before it {one} all it asks for",
                   rows[lost].span, "move it up, or remove it",
                   *((f"route {rows[n].name!r}", rows[n].span) for n in covers[:3]))  # fmt: skip
-    gap = table.gap()
+    gap = table.gap() if run.sound else None
     if gap is not None:
         last = rows[-1]
         run.doubt(f"some requests match no route and are refused: {gap}", last.span,
@@ -485,8 +497,8 @@
 
 
 def _unused_constants(run: _Run) -> None:
-    if not run.complete or any(not p.warning for p in run.problems):
-        return  # a value that could not be read may have used it
+    if not run.sound:
+        return
     for name, (_, span) in run.constants.values.items():
         if name not in run.constants.used:
             run.doubt(f"nothing uses the constant ${name}", span, "remove it")
--- a/violetstack/language/difference.py
+++ b/violetstack/language/difference.py
@@ -34,7 +34,8 @@
 from violetstack.routing.conditions import (
     Any as AnyOf,
 )
-from violetstack.routing.table import Asked, Moved, Route, Table, moved
+from violetstack.routing.regions import Moved, moved
+from violetstack.routing.table import Asked, Route, Table
 
 MAX_CASES = 20_000  # host attributes tried one by one; past it conditions compare as they are written
 SECRET = frozenset({"secret", "sha256", "bearer"})  # shown as changed, never shown
--- a/violetstack/language/grammar.py
+++ b/violetstack/language/grammar.py
@@ -32,7 +32,7 @@
 COMPARISON: "==" | "!=" | "<=" | ">=" | "<" | ">"
 NAME: /[A-Za-z_][A-Za-z0-9_-]*(\.[A-Za-z0-9_-]+)*/
 CONSTANT: /\$[A-Za-z_][A-Za-z0-9_-]*/
-STRING: /"(\\["\\nt]|[^"\\\n])*"/
+STRING: /"[^"\\\n]*(\\["\\nt][^"\\\n]*)*"/
 QUANTITY: /-?[0-9][0-9_]*(\.[0-9]+)?([A-Za-z%\xb5][A-Za-z]*(\/[A-Za-z]+)?|[ \t]+(us|ms|s|min|h|d|B|KB|MB|GB|KiB|MiB|GiB|tok|ktok|Mtok|req\/(s|min|h)|%)(?![A-Za-z0-9_%\/-])(?![ \t]*[={]))?/
 COMMENT: /#[^\n]*/
 SPACE: /[ \t\r\n]+/
--- a/violetstack/language/syntax.py
+++ b/violetstack/language/syntax.py
@@ -286,39 +286,43 @@
     return tree
 
 
+NO_VALUE = re.compile(r"([A-Za-z_][A-Za-z0-9_.-]*)[ \t]*=\s*\n\s*[A-Za-z_][A-Za-z0-9_.-]*\Z")
+BARE = re.compile(r"([A-Za-z_][A-Za-z0-9_.-]*)\s+[A-Za-z_][A-Za-z0-9_.-]*\Z")
 RESUME = re.compile(r"^[A-Za-z_]", re.MULTILINE)
 
 
 def _parse_from(tree: Tree, text: str, start: int) -> int:
     """Reads until the end or the first error; returns where to go on."""
-    parser, build = _machine()
-    build.path, build.comments = tree.source.file, []
-    # The rest is read in its place: what was read before is blank, so that positions hold.
-    window = re.sub(r"[^\n]", " ", text[:start]) + text[start:] if start else text
-    try:
-        tree.items.extend(parser.parse(window))  # type: ignore[arg-type]
-        tree.comments.extend(build.comments)
+    error = _read(tree, text, start)
+    if error is None:
         return len(text)
-    except (UnexpectedInput, VisitError, Broken) as error:
-        problem = _problem(tree.source, error)
+    problem = _problem(tree.source, error)
     tree.problems.append(problem)
-    # What stood whole before the broken definition is read again without it.
+    # What stood whole before the broken definition is read again without it. If that can't be read either,
+    # an earlier definition has no end, and what follows the error is all that can be told apart.
     at = problem.span.start
-    begins = [m.start() for m in RESUME.finditer(text, start) if m.start() <= at]
+    begins = [found.start() for found in RESUME.finditer(text, start) if found.start() <= at]
     broken = begins[-1] if begins else start
     if broken > start:
-        before = _parse_clean(tree.source, text, start, broken)
-        if before is not None:
-            tree.items.extend(before.items)
-            tree.comments.extend(before.comments)
+        _read(tree, text[:broken], start)
     following = RESUME.search(text, max(at + 1, broken + 1))
     return following.start() if following is not None else len(text)
 
 
-def _parse_clean(source: Source, text: str, start: int, end: int) -> Tree | None:
-    part = Tree(source, [], [], [])
-    _parse_from(part, text[:end], start)
-    return None if part.problems else part
+def _read(tree: Tree, text: str, start: int) -> Exception | None:
+    """Adds the definitions from `start` on to the tree, or returns what is wrong and adds nothing."""
+    machine, build = _machine()
+    build.path, build.comments = tree.source.file, []
+    # What was read before is blank, so that positions hold.
+    window = re.sub(r"[^\n]", " ", text[:start]) + text[start:] if start else text
+    try:
+        items: object = machine.parse(window)
+    except (UnexpectedInput, VisitError, Broken) as error:
+        return error
+    assert isinstance(items, tuple)
+    tree.items.extend(items)
+    tree.comments.extend(build.comments)
+    return None
 
 
 def _problem(source: Source, error: Exception) -> Problem:
@@ -358,6 +362,13 @@
     if before.endswith("=") and "'('" in expected:
         word = before[:-1].split()[-1] if before[:-1].split() else ""
         return Problem(f"{word!r} has no value", span, f"write a value after '{word} ='")
+    if token.type == "EQUAL" and (empty := NO_VALUE.search(before)):
+        at = Span(source.file, empty.start(1), empty.end(1))
+        return Problem(f"{empty[1]!r} has no value", at, f"write a value after '{empty[1]} ='")
+    if token.type == "EQUAL" and expected == {"'{'"} and (bare := BARE.search(before)):
+        at = Span(source.file, bare.start(1), bare.end(1))
+        return Problem(f"{bare[1]!r} needs a value ('= ...') or a block ('{{ ... }}')", at,
+                       f"write '{bare[1]} = ...'")  # fmt: skip
     if expected == {"'{'"}:
         return Problem(f"{_short(token)} is one name too many", span, "a definition is KIND NAME { ... }")
     if token.type == "RBRACE" and "'}'" not in expected and "a name" in expected and "'='" not in expected:
@@ -367,9 +378,9 @@
     if "'='" in expected:
         word = before.rsplit(None, 1)[-1] if before else ""
         if word in PLURALS:
-            at = before.rindex(word)
-            found = f"{word!r} is not a unit"
-            return Problem(found, Span(source.file, at, at + len(word)), f"write {PLURALS[word]}")
+            begin = before.rindex(word)
+            place = Span(source.file, begin, begin + len(word))
+            return Problem(f"{word!r} is not a unit", place, f"write {PLURALS[word]}")
         return Problem(
             f"{word!r} needs a value ('= ...') or a block ('{{ ... }}')", span, f"write '{word} = ...'"
         )
--- a/violetstack/language/units.py
+++ b/violetstack/language/units.py
@@ -6,7 +6,7 @@
 from decimal import Decimal, InvalidOperation
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class Dimension:
     """`units`: how much of the base one of each is; `shown`: the ladder that the layout writes in."""
 
--- a/violetstack/language/values.py
+++ b/violetstack/language/values.py
@@ -38,7 +38,7 @@
     Any as AnyOf,
 )
 
-MAX_CONSTANTS = 20  # through which one may be reached
+PROMPT = Field("prompt", TOKENS, "length of a request's prompt")
 
 
 @dataclass
@@ -97,7 +97,7 @@
         at = value.span
         form = spec.form
         if isinstance(form, Dimension):
-            return self._ranged(spec, self._quantity(spec.name, form, told, at), at)
+            return self._ranged(spec, self._quantity(spec, form, told, at), at)
         match form:
             case Form.COUNT | Form.NUMBER:
                 return self._ranged(spec, self._number(spec, told, at), at)
@@ -134,18 +134,18 @@
             raise Broken(Problem(f"{spec.name} is {bound}", at))
         return value
 
-    def _quantity(self, name: str, wanted: Dimension, told: Value, at: Span) -> float:
+    def _quantity(self, spec: Field, wanted: Dimension, told: Value, at: Span) -> float:
         if not isinstance(told, Quantity):
             raise Broken(
-                Problem(f"{name} is a {wanted.name}, not {kind_of(told)}", at, f"such as {wanted.example}")
+                Problem(
+                    f"{spec.name} is a {wanted.name}, not {kind_of(told)}", at, f"such as {wanted.example}"
+                )
             )
         value = self._decimal(told, at)
         if not told.unit:
-            guess = f"{told.number}{wanted.shown[1] if wanted.name == 'duration' else wanted.shown[0]}"
-            if wanted.name == "rate":
-                guess = f"{told.number} req/s"
+            guess = f"{told.number}{self._likely_unit(spec, wanted)}"
             fix = f"write the unit: {guess}?"
-            raise Broken(Problem(f"{name} is a {wanted.name} and needs a unit", at, fix))
+            raise Broken(Problem(f"{spec.name} is a {wanted.name} and needs a unit", at, fix))
         if told.unit not in UNITS:
             meant = unit_fix(told.unit, wanted)
             fix = (
@@ -157,12 +157,21 @@
         found = UNITS[told.unit]
         if found is not wanted:
             fix = f"write it in {', '.join(wanted.units)}, such as {wanted.example}"
-            raise Broken(Problem(f"{name} is a {wanted.name}; {kind_of(told)} is a {found.name}", at, fix))
+            raise Broken(
+                Problem(f"{spec.name} is a {wanted.name}; {kind_of(told)} is a {found.name}", at, fix)
+            )
         result = float(base(value, told.unit))
         if wanted.name in ("token count", "size") and result != int(result):
             raise Broken(Problem(f"{kind_of(told)} is no whole number of {wanted.shown[0]}", at))
         return result
 
+    def _likely_unit(self, spec: Field, wanted: Dimension) -> str:
+        """The default's, where there is one."""
+        unit = spec.default.lstrip("0123456789. ") if spec.default[:1].isdigit() else ""
+        usual = {"duration": "ms", "size": "KiB", "token count": "tok", "rate": "req/s", "share": "%"}
+        unit = unit or usual[wanted.name]
+        return f" {unit}" if "/" in unit else unit
+
     def _decimal(self, told: Quantity, at: Span) -> Decimal:
         value = number(told.number)
         if value is None:
@@ -290,7 +299,7 @@
         return Not(found) if told.operator == "!=" else found
 
     def _tokens(self, value: Value) -> int:
-        return int(self._quantity("prompt", TOKENS, self.constants.resolve(value), value.span))
+        return int(self._quantity(PROMPT, TOKENS, self.constants.resolve(value), value.span))
 
     def _interval(self, told: Comparison, where: str) -> Condition:
         right = self.constants.resolve(told.right)
--- a/violetstack/rehearsal/demo.py
+++ b/violetstack/rehearsal/demo.py
@@ -69,14 +69,14 @@
 
 
 async def _run(port: int, once: bool, folder: Path) -> int:
-    hosts = [ModelHost(f"{kind}-{n}", kind) for kind in ("prefill", "decode") for n in (0, 1)]
+    hosts = [ModelHost(f"{kind}-{n}", kind, cell=n) for kind in ("prefill", "decode") for n in (0, 1)]
     log.quiet, seen = True, _Seen()
     log.observers.append(seen)
     try:
         async with trio.open_nursery() as nursery:
             for host in hosts:
                 await nursery.start(host.serve)
-            discovery = Discovery(*({**host.row(), "cell": int(host.name[-1])} for host in hosts))
+            discovery = Discovery(*(host.row() for host in hosts))
             await nursery.start(discovery.serve)
             told = {"port": port, "discovery": discovery.address, "folder": folder, "key": KEY}
             file = folder / "operator.violet"
--- a/violetstack/rehearsal/hosts.py
+++ b/violetstack/rehearsal/hosts.py
@@ -78,9 +78,9 @@
 class ModelHost(Peer):
     """Acts by its script, one entry a request, and serves once the script is used up."""
 
-    def __init__(self, name: str, kind: str, *acts: Act) -> None:
+    def __init__(self, name: str, kind: str, *acts: Act, cell: int = 0) -> None:
         super().__init__()
-        self.name, self.kind = name, kind
+        self.name, self.kind, self.cell = name, kind, cell
         self.acts = deque(acts)
         self.begun: list[str] = []  # ids (or names, on a plain host) of requests that arrived whole
         self.runs: Counter[str] = Counter()  # answers begun, by what was asked
@@ -162,10 +162,10 @@
         await connection.end()
         await connection.raw(act.behind)
 
-    def row(self, state: str = "active", cell: int = 0) -> dict[str, object]:
+    def row(self, state: str = "active") -> dict[str, object]:
         """Its entry in discovery's list."""
         where = {"id": self.name, "addr": self.address, "zone": "z", "kind": self.kind}
-        return {**where, "cell": cell, "state": state, "weight": 1.0, "started_ms": 0}
+        return {**where, "cell": self.cell, "state": state, "weight": 1.0, "started_ms": 0}
 
 
 JSON: Headers = [("Content-Type", "application/json")]
--- a/violetstack/rehearsal/stage.py
+++ b/violetstack/rehearsal/stage.py
@@ -5,16 +5,19 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 import msgspec
 import trio
 
 from violetstack.config import Address, Config, WConfig
+from violetstack.language.compiling import load
 from violetstack.net.daemon import Daemon
 from violetstack.operators import OperatorFile
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import ModelHost
+from violetstack.routing.generations import Plan
 
 SETTINGS: dict[str, Any] = {
     "classes": [
@@ -55,10 +58,11 @@
     nursery: trio.Nursery
     told: dict[str, Any]
     chat_file: OperatorFile
+    plan: Plan | None
 
     def config(self, **changes: Any) -> Config:
         """The configuration that it was started with, changed."""
-        return Config(msgspec.convert({**self.told, **changes}, WConfig), self.chat_file)
+        return Config(msgspec.convert({**self.told, **changes}, WConfig), self.chat_file, self.plan)
 
 
 @asynccontextmanager
@@ -68,8 +72,12 @@
     chat: dict[str, Any] | None = None,
     sockets: int = 256,
     memory_mb: float = 192.0,
+    file: Path | None = None,
 ) -> AsyncIterator[Stage]:
-    """`settings` and `chat` change the plain ones above; hosts of the kind `openai` go into the chat file."""
+    """`settings` and `chat` change the plain ones above; hosts of the kind `openai` are the operator's own.
+
+    `file` brings routes, pools and policies; its other definitions do not count here.
+    """
     async with trio.open_nursery() as nursery:
         for host in hosts:
             await nursery.start(host.serve)
@@ -83,8 +91,12 @@
             "known": {"version": 1, "full": True, "servers": rows},
         }  # fmt: skip
         plain = [{"id": h.name, "address": h.address} for h in hosts if h.kind == "openai"]
-        file = msgspec.convert({**CHAT, "hosts": plain, **(chat or {})}, OperatorFile)
-        daemon = Daemon(Config(msgspec.convert(told, WConfig), file))
+        operator = msgspec.convert({**CHAT, "hosts": plain, **(chat or {})}, OperatorFile)
+        plan = load(file)[0].plan if file is not None else None
+        daemon = Daemon(Config(msgspec.convert(told, WConfig), operator, plan))
         serving = await nursery.start(daemon.serve)
-        yield Stage(daemon, discovery, serving.platform, serving.chat, serving.challenge, nursery, told, file)
+        yield Stage(
+            daemon, discovery, serving.platform, serving.chat, serving.challenge, nursery, told, operator,
+            plan,
+        )  # fmt: skip
         nursery.cancel_scope.cancel()
--- a/violetstack/routing/conditions.py
+++ b/violetstack/routing/conditions.py
@@ -177,6 +177,11 @@
         choices = tuple(a.meet(b) for a, b in zip(self.choices, other.choices, strict=True))
         return None if any(choice.empty for choice in choices) else Box(choices, low, high)
 
+    def holds(self, finite: tuple[str, ...], prompt: int) -> bool:
+        if not self.low <= prompt < self.high:
+            return False
+        return all((name in c.names) != c.out for name, c in zip(finite, self.choices, strict=True))
+
     def whole_from(self, level: int) -> bool:
         """Does everything match that has come as far as this level of the index?"""
         whole = self.low == 0 and self.high == NEVER_ENDS
--- a/violetstack/routing/generations.py
+++ b/violetstack/routing/generations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 from violetstack import interface as t
@@ -55,26 +55,31 @@
 class Course:
     """One request's route, pool and policy; the decision module asks it at each choice."""
 
-    __slots__ = ("asked", "attempts", "budget", "generation", "pool", "route", "used")
+    __slots__ = ("_at", "_members", "asked", "attempts", "budget", "generation", "pool", "route", "used")
 
     def __init__(self, generation: Generation, route: Route, asked: Asked) -> None:
         self.generation, self.route, self.pool, self.asked = generation, route, route.pool, asked
         policy = generation.plan.policies.get(route.policy, EVERYONE)
         self.attempts = policy.attempts or 1_000_000
         self.budget = generation.budgets.get(route.policy)
-        self.used = route.pool  # the pool last chosen from
+        self.used = route.pool  # the pool last chosen from, and since when
+        self._at = -1.0
+        self._members: set[str] = set()
 
     def scope(self, now: float) -> str:
         """The pool in use now; empty for all hosts."""
-        if self.pool:
-            self.used = self.generation.book.active(self.pool, now)
+        if self.pool and now != self._at:
+            book = self.generation.book
+            self.used, self._at = book.active(self.pool, now), now
+            self._members = book.states[self.used].members
         return self.used
 
     def holds(self, server: str, now: float) -> bool:
         if not self.pool:
             return True
-        book = self.generation.book
-        return server in book.states[book.active(self.pool, now)].members
+        if now != self._at:
+            self.scope(now)
+        return server in self._members
 
     def may_repeat(self, now: float) -> bool:
         return self.budget is None or self.budget.spend(now)
@@ -127,7 +132,7 @@
             generation.book.changes.clear()
 
     def route(self, request: t.Request, origin: Origin) -> t.Request:
-        """The request with its course and its policy's deadline. Raises NotRouted."""
+        """Sets the request's course and its policy's deadline, and returns it. Raises NotRouted."""
         generation = self.current
         if not generation.plan:
             return request
@@ -138,11 +143,10 @@
         policy = generation.plan.policies.get(route.policy, EVERYONE)
         if policy.body_bytes is not None and origin.body_bytes > policy.body_bytes:
             raise NotRouted(f"the body is longer than the {policy.body_bytes} bytes allowed here", 413)
-        course = Course(generation, route, asked)
-        waits = request.expires_in_ms
+        request.course = Course(generation, route, asked)
         if policy.deadline_ms is not None:
-            waits = min(waits, policy.deadline_ms)
-        return replace(request, course=course, expires_in_ms=waits)
+            request.expires_in_ms = min(request.expires_in_ms, policy.deadline_ms)
+        return request
 
     def taken(self, now: float, request: t.Request) -> None:
         course = request.course
--- a/violetstack/routing/pools.py
+++ b/violetstack/routing/pools.py
@@ -8,15 +8,15 @@
     returning  too few members            -> lost
     returning  enough for `hold` in a row -> whole
 
-`hold` is `return_after`, doubled for each loss in the last minute up to eight times, so that a pool that
-flaps is given less and less chance to take its traffic back only to drop it again. Before its first loss
-a pool is whole as soon as it has members enough: a start is not a return.
+`hold` is `return_after`, doubled for each loss in a row that came within a minute of a return, up to eight
+times, so that a pool that flaps is given less and less chance to take its traffic back only to drop it
+again. Before its first loss a pool is whole as soon as it has members enough: a start is not a return.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from violetstack import interface as t
 from violetstack.routing.conditions import ALWAYS, Condition, Values, holds
@@ -49,7 +49,9 @@
     members: set[str] = field(default_factory=set)
     usable: bool = False
     enough_since: float | None = None
-    losses: list[float] = field(default_factory=list)
+    back_at: float | None = None  # since when it is whole
+    lost: bool = False  # ever
+    flaps: int = 0  # losses in a row, each soon after a return
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,9 +81,7 @@
             state = self.states[name]
             if old.specs.get(name) == spec:
                 was = old.states[name]
-                self.states[name] = PoolState(
-                    set(was.members), was.usable, was.enough_since, list(was.losses)
-                )
+                self.states[name] = replace(was, members=set(was.members))
             else:
                 state.members = {s for s, f in self.hosts.items() if holds(spec.members, f.values)}
                 self._judge(name, now)
@@ -121,23 +121,25 @@
         if not self._enough(name):
             state.enough_since = None
             if state.usable:
-                state.usable = False
-                state.losses = [at for at in state.losses if at > now - FLAP_MS] + [now]
+                soon = state.lost and state.back_at is not None and now < state.back_at + FLAP_MS
+                state.flaps = state.flaps + 1 if soon else 0
+                state.usable, state.lost = False, True
                 self.changes.append(Change(name, True, len(state.members), self.active(name, now)))
         elif state.enough_since is None:
             state.enough_since = now
-            state.usable = state.usable or not state.losses
+            if not state.lost:
+                state.usable, state.back_at = True, now
 
-    def hold_ms(self, name: str, now: float) -> float:
-        recent = sum(1 for at in self.states[name].losses if at > now - FLAP_MS)
-        return self.specs[name].return_after_ms * 2.0 ** min(MAX_DOUBLINGS, max(0, recent - 1))
+    def hold_ms(self, name: str) -> float:
+        """How long it must stay whole before it takes its traffic back."""
+        return self.specs[name].return_after_ms * 2.0 ** min(MAX_DOUBLINGS, self.states[name].flaps)
 
     def usable(self, name: str, now: float) -> bool:
         state = self.states[name]
         if not state.usable and state.enough_since is not None:
-            if now < state.enough_since + self.hold_ms(name, now):
+            if now < state.enough_since + self.hold_ms(name):
                 return False
-            state.usable = True
+            state.usable, state.back_at = True, now
             self.changes.append(Change(name, False, len(state.members), name))
         return state.usable
 
--- a/violetstack/routing/table.py
+++ b/violetstack/routing/table.py
@@ -1,16 +1,18 @@
 """The routes of one generation: a list in order, and an index that finds the first match.
 
-The index is a trie over the finite attributes with the interval of the prompt at its leaves. A level that
-no remaining route speaks of is left out; equal subtrees are built once; what stands behind a route that
-takes all the rest is dropped. A lookup is at most five dictionary reads and one bisection, whatever the
-number of routes. `walk` is the plain reading of the list, which the tests and the benchmark hold the
-index against.
+A route's condition is a union of boxes. The index is a trie over the finite attributes: a box stands under
+each name that it asks for, or, where it asks for no name, in the node's `rest`; a lookup follows both and
+takes the lower rank. So every box is stored once a name, and a lookup visits 32 leaves at the most, usually
+two or three. Prompt lengths are one bisection at a leaf. A box that excludes names (`tenant != a`) stands
+in `rest` too; the names excluded have a rest of their own without it, or, where that would multiply, the
+box is loose: looked at one by one when its rank could win. `walk` is the plain reading of the list, which
+the tests and the benchmark hold the index against.
 """
 
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from violetstack.routing.conditions import (
@@ -27,7 +29,8 @@
     why_not,
 )  # fmt: skip
 
-MAX_WORK = 4_000_000  # entries placed while an index is built; past it a subtree is a plain list
+MAX_WORK = 50_000  # entries placed for the names that others exclude, in one node; past it they are loose
+NONE = 1 << 60  # the rank of no route
 Universe = Mapping[str, frozenset[str]]
 
 
@@ -62,124 +65,128 @@
 
 @dataclass(frozen=True, slots=True)
 class Leaf:
-    """`winners[i]` has the prompts from `starts[i]` up to the next start; None where no route matches."""
+    """`winners[i]` has the prompts from `starts[i]` up to the next; `loose` has what must be looked at."""
 
     starts: tuple[int, ...]
-    winners: tuple[int | None, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Plain:
-    """Too entangled for the budget: read in order."""
-
-    level: int
-    entries: tuple[tuple[int, Box], ...]
+    winners: tuple[int, ...]
+    loose: tuple[tuple[int, Box], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Branch:
+    """`named`: boxes that ask for the name; `without`: the rest, less the boxes that exclude the name."""
+
     level: int
-    children: dict[str, Node]
-    rest: Node | None  # values that no route here names; None where there can be none
-
-
-Node = Leaf | Branch | Plain
-
-
-class _Builder:
-    def __init__(self, found: list[tuple[int, Box]], universe: Universe) -> None:
-        self.found, self.universe, self.work = found, universe, 0
-        self.known: dict[tuple[int, tuple[int, ...]], Node] = {}
-
-    def build(self, level: int, ids: list[int]) -> Node:
-        for n, i in enumerate(ids):
-            if self.found[i][1].whole_from(level):
-                ids = ids[: n + 1]
-                break
-        while level < len(FINITE) and all(self.found[i][1].choices[level].whole for i in ids):
-            level += 1
-        key = (level, tuple(ids))
-        if key not in self.known:
-            self.known[key] = self._leaf(ids) if level == len(FINITE) else self._branch(level, ids)
-        return self.known[key]
-
-    def _branch(self, level: int, ids: list[int]) -> Node:
-        choices = [self.found[i][1].choices[level] for i in ids]
-        named = dict.fromkeys(name for choice in choices for name in sorted(choice.names))
-        rows: dict[str, list[int]] = {name: [] for name in named}
-        others: list[int] = []
-        for i, choice in zip(ids, choices, strict=True):
-            if not choice.out:
-                for name in choice.names:
-                    rows[name].append(i)
-                self.work += len(choice.names)
-                continue
-            others.append(i)
-            self.work += len(rows)
-            if self.work > MAX_WORK:
-                return Plain(level, tuple(self.found[n] for n in ids))
-            for name, row in rows.items():
-                if name not in choice.names:
-                    row.append(i)
-        children = {name: self.build(level + 1, row) for name, row in rows.items()}
-        told = self.universe.get(FINITE[level])
-        rest = None if told is not None and told <= set(rows) else self.build(level + 1, others)
-        return Branch(level, children, rest)
-
-    def _leaf(self, ids: list[int]) -> Leaf:
-        """Sweeps the prompt lengths: at each change the lowest rank among the open intervals wins."""
-        edges = sorted({0, *(e for i in ids for e in (self.found[i][1].low, self.found[i][1].high))})
-        starts: list[int] = []
-        winners: list[int | None] = []
-        # The winner of each stretch, by painting intervals in order of rank into what is still free.
-        free = {n: n for n in range(len(edges) + 1)}
-
-        def next_free(n: int) -> int:
-            while free[n] != n:
-                free[n] = free[free[n]]
-                n = free[n]
-            return n
-
-        painted: list[int | None] = [None] * len(edges)
-        at = {edge: n for n, edge in enumerate(edges)}
-        for i in ids:
-            rank, box = self.found[i]
-            n = next_free(at[box.low])
-            while n < at[box.high]:
-                painted[n], free[n] = rank, n + 1
-                n = next_free(n)
-        for edge, winner in zip(edges, painted, strict=True):
-            if edge < NEVER_ENDS and (not winners or winners[-1] != winner):
-                starts.append(edge)
-                winners.append(winner)
-        return Leaf(tuple(starts), tuple(winners))
+    named: dict[str, Node]
+    rest: Node | None
+    without: dict[str, Node | None]
+
+
+Node = Leaf | Branch
+Entry = tuple[int, Box, bool]  # rank, box, loose
+
+
+def build(entries: list[Entry], level: int = 0) -> Node | None:
+    """Entries in the order of their ranks."""
+    for n, (_, box, loose) in enumerate(entries):
+        if not loose and box.whole_from(level):
+            entries = entries[: n + 1]
+            break
+    if not entries:
+        return None
+    while level < len(FINITE) and all(box.choices[level].whole for _, box, _ in entries):
+        level += 1
+    if level == len(FINITE):
+        return _leaf(entries)
+    named: dict[str, list[Entry]] = {}
+    others: list[Entry] = []
+    excluded: set[str] = set()
+    for entry in entries:
+        choice = entry[1].choices[level]
+        if choice.out:
+            others.append(entry)
+            excluded |= choice.names
+        for name in () if choice.out else choice.names:
+            named.setdefault(name, []).append(entry)
+    if len(excluded) * len(others) > MAX_WORK:
+        others = [(rank, box, loose or bool(box.choices[level].names)) for rank, box, loose in others]
+        excluded = set()
+    return Branch(
+        level,
+        {name: node for name, row in named.items() if (node := build(row, level + 1)) is not None},
+        build(others, level + 1),
+        {
+            name: build([entry for entry in others if name not in entry[1].choices[level].names], level + 1)
+            for name in excluded
+        },
+    )
+
+
+def paint(entries: Sequence[tuple[int, Box]]) -> tuple[tuple[int, ...], tuple[int, ...]]:
+    """Starts of stretches and the lowest rank in each; entries in the order of their ranks."""
+    edges = sorted({0, *(edge for _, box in entries for edge in (box.low, box.high))})
+    at = {edge: n for n, edge in enumerate(edges)}
+    free = list(range(len(edges) + 1))  # the next stretch from here that nobody has
+
+    def next_free(n: int) -> int:
+        while free[n] != n:
+            free[n] = free[free[n]]
+            n = free[n]
+        return n
+
+    painted = [NONE] * len(edges)
+    for rank, box in entries:
+        n = next_free(at[box.low])
+        while n < at[box.high]:
+            painted[n], free[n] = rank, n + 1
+            n = next_free(n)
+    starts: list[int] = []
+    winners: list[int] = []
+    for edge, winner in zip(edges, painted, strict=True):
+        if edge < NEVER_ENDS and (not winners or winners[-1] != winner):
+            starts.append(edge)
+            winners.append(winner)
+    return tuple(starts), tuple(winners)
+
+
+def _leaf(entries: list[Entry]) -> Leaf:
+    starts, winners = paint([(rank, box) for rank, box, loose in entries if not loose])
+    return Leaf(starts, winners, tuple((rank, box) for rank, box, loose in entries if loose))
 
 
 class Table:
-    """Immutable. `universe` tells the closed sets of names; what is not in it may be any name."""
+    """Immutable. `universe` tells the closed sets of names; what is not in it may be any name.
+
+    `known`: the routes' boxes, where the caller has them already.
+    """
 
-    def __init__(self, routes: Sequence[Route], universe: Universe | None = None) -> None:
+    def __init__(
+        self, routes: Sequence[Route], universe: Universe | None = None, known: list[list[Box]] | None = None
+    ) -> None:
         self.routes = tuple(routes)
         self.universe: Universe = {**CLOSED, **(universe or {})}
-        self.boxes = [boxes(route.when) for route in self.routes]
-        found = [(rank, box) for rank, row in enumerate(self.boxes) for box in row]
-        self.root = _Builder(found, self.universe).build(0, list(range(len(found))))
+        self.boxes = known or [boxes(route.when) for route in self.routes]
+        self.root = build([(rank, box, False) for rank, row in enumerate(self.boxes) for box in row])
 
     def find(self, asked: Asked) -> Route | None:
-        finite, node = asked.finite, self.root
-        while not isinstance(node, Leaf):
-            if isinstance(node, Plain):
-                return self._plain(node, asked)
-            child = node.children.get(finite[node.level], node.rest)
-            if child is None:
-                return None
-            node = child
-        winner = node.winners[bisect_right(node.starts, asked.prompt) - 1]
-        return None if winner is None else self.routes[winner]
-
-    def _plain(self, node: Plain, asked: Asked) -> Route | None:
-        values = asked.values
-        return next((r for n, _ in node.entries if holds((r := self.routes[n]).when, values)), None)
+        finite, prompt, best = asked.finite, asked.prompt, NONE
+        ahead = [self.root]
+        while ahead:
+            node = ahead.pop()
+            if isinstance(node, Branch):
+                name = finite[node.level]
+                ahead.append(node.without.get(name, node.rest))
+                ahead.append(node.named.get(name))
+            elif node is not None:
+                rank = node.winners[bisect_right(node.starts, prompt) - 1]
+                for loose, box in node.loose:
+                    if loose >= rank or loose >= best:
+                        break
+                    if box.holds(finite, prompt):
+                        rank = loose
+                        break
+                best = min(best, rank)
+        return None if best == NONE else self.routes[best]
 
     def walk(self, asked: Asked) -> Route | None:
         """The meaning of the list: the first route whose condition holds."""
@@ -195,144 +202,3 @@
                 return route, passed
             passed.append((route, reasons))
         return None, passed
-
-    def _nodes(self) -> Iterator[Node]:
-        seen: set[int] = set()
-        ahead: list[Node] = [self.root]
-        while ahead:
-            node = ahead.pop()
-            if id(node) in seen:
-                continue
-            seen.add(id(node))
-            yield node
-            if isinstance(node, Branch):
-                ahead.extend(node.children.values())
-                ahead.extend([node.rest] if node.rest is not None else [])
-
-    def covered(self) -> dict[int, list[int]]:
-        """The routes that can never match, each with the earlier ones that take what it asks for."""
-        won: set[int | None] = set()
-        for node in self._nodes():
-            if isinstance(node, Leaf):
-                won.update(node.winners)
-            elif isinstance(node, Plain):
-                won.update(rank for rank, _ in node.entries)
-        lost = [n for n in range(len(self.routes)) if n not in won]
-        return {n: [m for m in range(n) if self._meets(m, n)] for n in lost}
-
-    def _meets(self, m: int, n: int) -> bool:
-        return any(a.meet(b) is not None for a in self.boxes[m] for b in self.boxes[n])
-
-    def gap(self) -> str | None:
-        """Requests that no route matches, as a condition; None if there are none."""
-        seen: set[int] = set()
-
-        def search(node: Node, path: tuple[str, ...]) -> str | None:
-            if id(node) in seen:
-                return None
-            seen.add(id(node))
-            if isinstance(node, Leaf):
-                for n, winner in enumerate(node.winners):
-                    if winner is None:
-                        return " and ".join([*path, *_stretch(node, n)]) or "all requests"
-                return None
-            if isinstance(node, Plain):
-                return None
-            name = FINITE[node.level]
-            for value, child in node.children.items():
-                if (found := search(child, (*path, f"{name} == {value}"))) is not None:
-                    return found
-            if node.rest is None:
-                return None
-            return search(node.rest, (*path, _others(self, node.level, list(node.children))))
-
-        return search(self.root, ())
-
-
-def _others(table: Table, level: int, named: list[str]) -> str:
-    """The values that are not named, as a condition; by name where there are few."""
-    name = FINITE[level]
-    left = sorted(table.universe.get(name, frozenset()) - set(named))
-    if len(left) == 1:
-        return f"{name} == {left[0]}"
-    return f"{name} in {{{', '.join(left)}}}" if 0 < len(left) <= 5 else f"any other {name}"
-
-
-def _stretch(leaf: Leaf, n: int) -> list[str]:
-    return _interval(leaf.starts[n], leaf.starts[n + 1] if n + 1 < len(leaf.starts) else NEVER_ENDS)
-
-
-def _interval(low: int, high: int) -> list[str]:
-    above = [f"prompt >= {low} tok"] if low else []
-    return above + ([f"prompt < {high} tok"] if high < NEVER_ENDS else [])
-
-
-# --- what a new table changes ---
-
-
-@dataclass(frozen=True, slots=True)
-class Moved:
-    """Requests that `when` describes went to `old` and now go to `new`; None where no route matches."""
-
-    when: str
-    old: Route | None
-    new: Route | None
-
-
-MAX_MOVED = 200
-
-
-def moved(old: Table, new: Table) -> list[Moved]:
-    """What goes elsewhere, from the two indexes alone: equal regions compare equal however written."""
-    found: list[Moved] = []
-    same: set[tuple[int, int]] = set()
-
-    def goes(table: Table, rank: int | None) -> Route | None:
-        return None if rank is None else table.routes[rank]
-
-    def compare(a: Node | None, b: Node | None, path: tuple[str, ...]) -> None:
-        if a is None or b is None or (id(a), id(b)) in same or len(found) >= MAX_MOVED:
-            return  # a value that one side takes for impossible: a class or tenant that is gone or new
-        before = len(found)
-        if isinstance(a, Leaf) and isinstance(b, Leaf):
-            _leaves(a, b, path)
-        elif isinstance(a, Plain) or isinstance(b, Plain):
-            found.append(Moved(" and ".join([*path, "not decided: too many cases"]), None, None))
-        else:
-            _branches(a, b, path)
-        if len(found) == before:
-            same.add((id(a), id(b)))
-
-    def _branches(a: Node, b: Node, path: tuple[str, ...]) -> None:
-        level = min(n.level for n in (a, b) if isinstance(n, Branch))
-        left = a if isinstance(a, Branch) and a.level == level else None
-        right = b if isinstance(b, Branch) and b.level == level else None
-        names = dict.fromkeys([*(left.children if left else ()), *(right.children if right else ())])
-        groups: dict[tuple[int, int], tuple[Node | None, Node | None, list[str]]] = {}
-        for name in names:
-            x = left.children.get(name, left.rest) if left else a
-            y = right.children.get(name, right.rest) if right else b
-            groups.setdefault((id(x), id(y)), (x, y, []))[2].append(name)
-        attribute = FINITE[level]
-        for x, y, values in groups.values():
-            is_one = f"{attribute} == {values[0]}"
-            told = is_one if len(values) == 1 else f"{attribute} in {{{', '.join(sorted(values))}}}"
-            compare(x, y, (*path, told))
-        others = _others(new, level, list(names))
-        compare(left.rest if left else a, right.rest if right else b, (*path, others))
-
-    def _leaves(a: Leaf, b: Leaf, path: tuple[str, ...]) -> None:
-        edges = sorted({*a.starts, *b.starts})
-        for n, low in enumerate(edges):
-            x = goes(old, a.winners[bisect_right(a.starts, low) - 1])
-            y = goes(new, b.winners[bisect_right(b.starts, low) - 1])
-            if _target(x) != _target(y):
-                high = edges[n + 1] if n + 1 < len(edges) else NEVER_ENDS
-                found.append(Moved(" and ".join([*path, *_interval(low, high)]) or "all requests", x, y))
-
-    compare(old.root, new.root, ())
-    return found
-
-
-def _target(route: Route | None) -> tuple[str, str, str] | None:
-    return None if route is None else (route.name, route.pool, route.policy)
