--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -6,6 +6,7 @@
 import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from hashlib import sha256
 from hmac import compare_digest
 from typing import Any, Protocol
@@ -270,10 +271,11 @@
         self, errand: Errand, order: Order, orders: Orders, arrived: float, reply: Reply
     ) -> None:
         """Nothing of an order is sent before its record is committed."""
+        log = partial(self._log, id=errand.asked.id, tenant=order.tenant)
         try:
             claim, outcome = await orders.claim(order)
         except LedgerError as error:
-            self._log("ledger_failed", error=str(error))
+            log("ledger_failed", error=str(error))
             send_error(
                 reply, 503, "Orders can't be recorded just now; this one has not run.", "server_error",
                 code="ledger_unavailable", headers=retry_headers(1000.0),
@@ -290,7 +292,7 @@
                 follow=False, waited_ms=self._clock() - arrived,
             )  # fmt: skip
             return
-        self._log("order_known", state=claim.value)
+        log("order_known", state=claim.value)
         if claim is Claim.FINISHED:
             replay(Answer.recorded(outcome), errand.ask, reply)
         elif claim is Claim.RUNNING:
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -51,15 +51,6 @@
         pass
 
 
-def bound(**fields: Any) -> Callable[..., None]:
-    """A log function whose every line carries these fields."""
-
-    def log_bound(event: str, **more: Any) -> None:
-        log(event, **fields, **more)
-
-    return log_bound
-
-
 def as_json(line: dict[str, Any]) -> bytes:
     return orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
 
