Back off at discovery by fleet size and seed, so that a whole fleet gets its watch back

Cause: after a release every dispatcher lost its watch in the same instant and asked again every 0.25 s (net/watch.py, `await trio.sleep(AGAIN_S)`).

Change: the wait is drawn from the later half of a window of 25 ms for each dispatcher of the fleet (at least 0.25 s, as before) that doubles to 4 s with each failure and begins anew with each line that discovery tells.

--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -15,6 +15,7 @@
 
 from violetstack import interface as t
 from violetstack.config import Address, BadConfig, Config, address
+from violetstack.core.backoff import Backoff
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.chat import ChatFront
 from violetstack.fronts.platform import PlatformFront
@@ -141,7 +142,8 @@
             self.core.stateless.add(host.id)
         self._told(reader.targets(config.told.known, t.ListScope.CACHED))
         if config.discovery is not None:
-            self.watch = Watch(config.discovery, reader, config.told.known.version, self._told)
+            again = Backoff(config.settings.fleet_size, config.settings.seed)
+            self.watch = Watch(config.discovery, reader, config.told.known.version, self._told, again)
             self.nursery.start_soon(self.watch.run)
 
     def _told(self, targets: Targets) -> None:
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -8,20 +8,20 @@
 
 from violetstack import interface as t
 from violetstack.config import Address
+from violetstack.core.backoff import Backoff
 from violetstack.log import log
 from violetstack.protocol.discovery import BadList, LineSplitter, ListReader, Targets
 from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
 
 SILENT_S = 6.0  # an empty line comes every 2 s; a watch silent for three of them is opened anew
-AGAIN_S = 0.25
 CONNECT_S = 2.0
 
 
 class Watch:
     def __init__(
-        self, at: Address, reader: ListReader, version: int, told: Callable[[Targets], None]
+        self, at: Address, reader: ListReader, version: int, told: Callable[[Targets], None], again: Backoff
     ) -> None:
-        self._at, self._reader, self._told = at, reader, told
+        self._at, self._reader, self._told, self._again = at, reader, told, again
         self.version: int | None = version  # None: another discovery's, which has told nothing yet
         self._scope = trio.CancelScope()
 
@@ -35,6 +35,7 @@
         if at == self._at:
             return
         self._at, self.version = at, None
+        self._again.answered()
         self._scope.cancel()
 
     async def run(self) -> None:
@@ -44,7 +45,7 @@
                     await self._once()
                 except (OSError, Broken, trio.BrokenResourceError, trio.TooSlowError, BadList) as error:
                     log("watch_ended", index=self.version, error=repr(error))
-                await trio.sleep(AGAIN_S)
+                await trio.sleep(self._again.next_s())
 
     async def _once(self) -> None:
         with trio.fail_after(CONNECT_S):
@@ -84,4 +85,5 @@
         if full and targets.news.scope is t.ListScope.DELTA:
             raise BadList("the whole list was asked for and a change came")
         self.version = targets.news.version
+        self._again.answered()
         self._told(targets)
