Dispatchers tell each other what they have out at each host and who failed them

Cause: each of 40 dispatchers saw only its own reads.

Change: absolute amounts, three bytes a host, 20 ms after a change; a failure (not a full queue, not a time-out: these are load) counts as everyone's; silence of a longest give-up time, or a new start, takes a front's words back.

--- a/tests/front.py
+++ b/tests/front.py
@@ -20,7 +20,7 @@
     seed=1, me=0, fleet_size=2, zone=0, classes=(SAFE, UNSAFE), tenants=(), over_share_worth=1.0,
     roles=(t.Role.READ, t.Role.WRITE, t.Role.BOTH), memory_tokens=(100_000.0, 100_000.0, 100_000.0),
     ahead=True, local_read=False, resume=False, release_ms=300.0, max_attempts=4, may_cancel=True,
-    may_duplicate=False, may_probe=False, retry_after=True, max_retry_after_ms=1000.0,
+    may_duplicate=False, may_probe=False, may_tell=False, retry_after=True, max_retry_after_ms=1000.0,
     connect_timeout_ms=250.0, must_ask=False, must_ask_in_ms=10_000.0, report_names=(),
     reports_on_probe=False, cold_share=0.3, cold_ms=10_000.0, fall_ms=2000.0, fall_multiple=2.5,
     grace_to_answer_ms=16.0,
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -44,6 +44,9 @@
     def probe(self, server: str) -> None:
         pass
 
+    def tell(self, payload: bytes, /) -> None:
+        pass
+
     def log(self, event: str, **fields: Any) -> None:
         pass
 
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -251,7 +251,7 @@
         front.ask(prompt_tokens=9800.0)
         place = front.one(t.HoldPlace).server
         fleet = front.router.fleet
-        used.append(1.0 - fleet.write_freeness(fleet.servers[place], front.now))
+        used.append(1.0 - fleet.write_freeness(fleet.servers[place], front.now, fleet.means()))
     assert abs(used[1] - 4 * used[0]) < 1e-9
 
 
@@ -260,8 +260,8 @@
     fleet = front.router.fleet
     for name, share in (("w1", 0.8), ("w2", 0.2)):
         fleet.report(fleet.servers[name], (share,), front.now)
-    fresh = fleet.write_freeness(fleet.servers["w1"], front.now)
-    old = fleet.write_freeness(fleet.servers["w1"], front.now + 20_000.0)
+    fresh = fleet.write_freeness(fleet.servers["w1"], front.now, fleet.means())
+    old = fleet.write_freeness(fleet.servers["w1"], front.now + 20_000.0, fleet.means())
     assert abs(fresh - 0.2) < 0.01 and abs(old - 0.5) < 0.02
 
 
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,164 @@
+"""What the fronts of one tier tell each other, and what follows: tens of modules on one virtual clock."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from tests.front import SETTINGS, WRITERS, Front, entry
+from violetstack import interface as t
+from violetstack.peers.sharing import (
+    ANEW,
+    FAILED,
+    MAX_DATAGRAM,
+    BadDatagram,
+    Shared,
+    amount_of,
+    code_of,
+    datagram,
+    tag_of,
+)  # fmt: skip
+
+FLEET = 40
+READERS = tuple(entry(f"r{i}", 0) for i in range(8))
+
+
+class Tier:
+    """Some fronts whose datagrams reach each other after a while, or are lost."""
+
+    def __init__(self, size: int, lost: float = 0.0, **settings: Any) -> None:
+        self.fronts = [
+            Front(*READERS, *WRITERS, may_tell=True, fleet_size=size, me=n, seed=n, **settings)
+            for n in range(size)
+        ]
+        self.random, self.lost = random.Random(3), lost
+        for n in range(size):
+            self.carry(n)
+
+    def carry(self, n: int) -> None:
+        for told in self.fronts[n].all(t.Tell):
+            for other in self.fronts:
+                if other is not self.fronts[n] and self.random.random() >= self.lost:
+                    other.feed(t.PeerMessage(n, told.payload))
+
+    def tick(self, ms: float = 25.0) -> None:
+        for n, front in enumerate(self.fronts):
+            front.feed(t.TimerDue("tell"), after=ms)
+            self.carry(n)
+
+
+def test_forty_fronts_spread_a_burst_over_the_readers_as_one_would() -> None:
+    """All prompts begin alike, so that the hash alone would send them to one reader."""
+    sent: dict[bool, Counter[str]] = {}
+    for tells in (True, False):
+        tier = Tier(FLEET, lost=0.0 if tells else 1.0)
+        sent[tells] = Counter()
+        for n in range(FLEET):
+            request = tier.fronts[n].ask(shared="hot", prompt_tokens=4000.0)
+            sent[tells][tier.fronts[n].sends[request][0].server] += 1
+            tier.tick()
+    assert max(sent[False].values()) == FLEET  # each front alone sees an empty fleet
+    assert max(sent[True].values()) <= 2 * FLEET // len(READERS)
+
+
+def test_forty_fronts_do_not_hold_their_places_at_one_writer_after_one_report() -> None:
+    places: Counter[str] = Counter()
+    tier = Tier(FLEET, report_names=("x0",))
+    for front in tier.fronts:
+        for name, share in (("w1", 0.30), ("w2", 0.55)):
+            front.router.fleet.report(front.router.fleet.servers[name], (share,), front.now)
+    for front in tier.fronts:
+        front.ask(max_tokens=1000.0, prompt_tokens=4000.0)
+        places[front.one(t.HoldPlace).server] += 1
+        tier.tick(1.0)
+    assert 0.35 * FLEET <= places["w2"] <= 0.65 * FLEET
+
+
+@pytest.mark.parametrize("lost", [0.0, 0.3])
+def test_a_host_that_fails_is_met_a_few_times_by_all_fronts_together(lost: float) -> None:
+    tier, met = Tier(FLEET, lost), 0
+    for turn in range(5 * FLEET):
+        front = tier.fronts[turn % FLEET]
+        request = front.ask(prompt_tokens=1000.0, shared=f"p{turn}")
+        bad = front.sends[request][0].server == "r0"
+        met += bad
+        front.end(request, t.Status.ERROR if bad else t.Status.READ, after=3.0)
+        tier.tick()
+    assert 1 <= met <= 10
+
+
+def test_a_full_queue_and_a_time_out_are_not_told_as_a_failure() -> None:
+    for status in (t.Status.FULL, t.Status.TIMEOUT):
+        front = Front(*READERS, *WRITERS, may_tell=True)
+        front.end(front.ask(), status)
+        front.feed(t.TimerDue("tell"))
+        assert all(FAILED not in told.payload[2::3] for told in front.all(t.Tell))
+
+
+def test_what_is_told_comes_back_and_is_gone_with_the_work() -> None:
+    tier = Tier(2)
+    first, second = tier.fronts
+    request = first.ask(prompt_tokens=4000.0)
+    tier.tick()
+    shared = second.router.fleet.shared
+    reader = first.sends[request][0].server
+    own = first.router.fleet.servers[reader].own_reads()
+    assert shared.at(tag_of(reader)) == pytest.approx(own, rel=0.03)
+    first.end(request, t.Status.READ)
+    first.begin(request)
+    first.end(request, t.Status.OK)
+    tier.tick()
+    assert all(shared.at(tag_of(e.server)) == 0.0 for e in READERS + WRITERS)
+    tier.tick()
+    assert not first.all(t.Tell)  # nothing changed, nothing told
+
+
+def test_a_front_that_died_is_forgotten_when_it_starts_anew_or_when_its_words_are_old() -> None:
+    tag = tag_of("r1")
+    for anew in (True, False):
+        shared = Shared(1000.0)
+        shared.hear(0.0, 1, datagram([(tag, 90)]))
+        shared.hear(900.0, 2, datagram([(tag, 50)]))
+        shared.lapse(950.0)
+        assert shared.at(tag) == pytest.approx(amount_of(90) + amount_of(50)) and shared.heard == 2
+        if anew:
+            shared.hear(960.0, 1, ANEW)
+        else:
+            shared.lapse(1500.0)
+        assert shared.at(tag) == pytest.approx(amount_of(50))
+    shared.lapse(5000.0)
+    assert shared.at(tag) == 0.0 and shared.heard == 0
+
+
+def test_amounts_keep_their_size_on_the_way_and_datagrams_their_bound() -> None:
+    for amount in (0.0, 7.0, 50.0, 2774.0, 30_000.0, 400_000.0):
+        assert amount_of(code_of(amount)) == pytest.approx(amount, rel=0.03, abs=0.4)
+    assert code_of(1e12) == FAILED - 1 and code_of(-5.0) == 0
+    assert len(datagram([(b"ab", 1)] * 200)) <= MAX_DATAGRAM
+
+
+@pytest.mark.parametrize("payload", [b"", b"\1", b"hello", b"x" * 256])
+def test_a_datagram_that_cannot_be_read_changes_nothing_and_is_logged(payload: bytes) -> None:
+    with pytest.raises(BadDatagram):
+        Shared(1000.0).hear(0.0, 1, payload)
+    front = Front(may_tell=True)
+    front.feed(t.PeerMessage(1, payload))
+    assert len(front.all(t.Log)) == 1
+    front.ask()
+    front.one(t.Send)
+
+
+def test_words_about_a_host_that_the_list_does_not_name_send_nothing_there() -> None:
+    front = Front(may_tell=True)
+    front.feed(t.PeerMessage(1, datagram([(tag_of("stranger"), FAILED), (tag_of("other"), 3)])))
+    assert front.sends[front.ask()][0].server in {"r1", "r2"}
+
+
+def test_nothing_is_told_where_the_settings_forbid_it() -> None:
+    front = Front()
+    front.serve()
+    front.feed(t.TimerDue("tell"))
+    assert not SETTINGS.may_tell and not front.all(t.Tell)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -13,7 +13,7 @@
 from violetstack import interface as t
 from violetstack.net import watch
 from violetstack.net.hosts import HostConnection
-from violetstack.net.peers import listen_to_peers
+from violetstack.net.peers import Peers
 from violetstack.rehearsal.clients import BODY, ask_platform, connect, platform_headers
 from violetstack.rehearsal.hosts import CUT, DECLINE, ERROR, RESET, SILENT, Act, ModelHost
 from violetstack.rehearsal.stage import Stage, stage
@@ -303,12 +303,16 @@
             await sock.bind(("127.0.0.1", 0))
             at = sock.getsockname()
             sock.close()
-            on.nursery.start_soon(listen_to_peers, core, at, [("127.0.0.1", 1), peer.getsockname()])
+            peers = Peers(core, at, [at, peer.getsockname()], peer.getsockname())
+            on.nursery.start_soon(peers.run)
             while not heard.is_set():
                 await stranger.sendto(b"no", at)
                 await peer.sendto(b"hi", at)
                 with trio.move_on_after(0.01):
                     await heard.wait()
+            peers.tell(b"ho")
+            with trio.fail_after(2.0):
+                assert await peer.recvfrom(16) == (b"ho", at)
         assert told[0] == t.PeerMessage(1, b"hi")
 
     play(*pair(), story=story)
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -95,6 +95,7 @@
         self.discovery = address(told.discovery) if told.discovery else None
         self.peer_listen = address(told.peer_listen) if told.peer_listen else None
         self.peers = [address(peer) for peer in told.peers]
+        self.peers_all = address(told.peers_all) if told.peers_all else None
         rules, limits = told.settings.rules, told.settings.limits
         within = rules.stop_sending_within if rules is not None else None
         self.drain_grace_ms = 250.0 if within is None else within
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -312,6 +312,8 @@
                 self.timers.at(now + action.after_ms, lambda at: self.inbox.append(t.TimerDue(token)))
             case t.Probe():
                 self.driver.probe(action.server)
+            case t.Tell():
+                self.driver.tell(action.payload)
             case t.Log():
                 self.driver.log("module", text=action.text)
             case t.Watch() | t.FetchList() | t.Move():
--- a/violetstack/facts.py
+++ b/violetstack/facts.py
@@ -159,6 +159,7 @@
         may_cancel=bool(limits.cancel),
         may_duplicate=bool(limits.may_duplicate),
         may_probe=bool(limits.probes),
+        may_tell=bool(limits.peers) and facts.fleet_size > 1,
         retry_after=bool(limits.retry_after),
         max_retry_after_ms=limits.max_retry_after or 0.0,
         connect_timeout_ms=limits.connect_timeout or 0.0,
--- a/violetstack/interface.py
+++ b/violetstack/interface.py
@@ -95,6 +95,7 @@
     may_cancel: bool
     may_duplicate: bool
     may_probe: bool
+    may_tell: bool
     retry_after: bool
     max_retry_after_ms: float
     connect_timeout_ms: float
@@ -291,11 +292,19 @@
     server: str
 
 
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """A datagram to every other dispatcher of the tier."""
+
+    payload: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     text: str
 
 
 Action = (
-    Send | HoldPlace | Release | Cancel | Refuse | Fail | Move | Timer | Watch | FetchList | Probe | Log
+    Send | HoldPlace | Release | Cancel | Refuse | Fail | Move | Timer | Watch | FetchList | Probe | Tell
+    | Log
 )
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -26,7 +26,7 @@
 from violetstack.net.hosts import Host, Hosts
 from violetstack.net.listener import Listener, Wrap
 from violetstack.net.orders import OrderBook
-from violetstack.net.peers import listen_to_peers
+from violetstack.net.peers import Peers
 from violetstack.net.tls import Certificate
 from violetstack.net.watch import Watch
 from violetstack.operators import Acme, BadOperatorFile, ChatConfig
@@ -115,7 +115,9 @@
             nursery.start_soon(pump.run)
             nursery.start_soon(hosts.retire_idle)
             if config.peer_listen is not None:
-                nursery.start_soon(listen_to_peers, core, config.peer_listen, config.peers)
+                peers = Peers(core, config.peer_listen, config.peers, config.peers_all)
+                hosts.tell = peers.tell
+                nursery.start_soon(peers.run)
             self.challenge: Address | None = None
             platform = chat = None
             if config.listen is not None:
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -131,6 +131,7 @@
         self.report_names = report_names
         self.most, self.connections = 0, 0
         self.hosts: dict[str, Host] = {}
+        self.tell: Callable[[bytes], None] = lambda payload: None  # until there are peers
         self._scopes: dict[Attempt, trio.CancelScope] = {}
         self._using: dict[Attempt, HostConnection] = {}
         self._sent: dict[Attempt, trio.Event] = {}  # set once written, or over
--- a/violetstack/net/peers.py
+++ b/violetstack/net/peers.py
@@ -1,26 +1,52 @@
-"""Datagrams from the other dispatchers of the tier, told to the core."""
+"""Datagrams to and from the other dispatchers of the tier."""
 
 from __future__ import annotations
 
+import socket
+
 import trio
 
 from violetstack import interface as t
 from violetstack.config import Address
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.peers.sharing import MAX_DATAGRAM
+
+MOST_AT_ONCE = 64  # datagrams read before other tasks get their turn
+
+
+class Peers:
+    """One socket; the sender's address tells its number, and whoever is not among the peers is not heard."""
+
+    def __init__(self, core: Dispatcher, at: Address, peers: list[Address], everyone: Address | None) -> None:
+        self._core, self._at = core, at
+        self._numbers = {peer: n for n, peer in enumerate(peers)}
+        self._to = [everyone] if everyone is not None else [peer for peer in peers if peer != at]
+        self._raw: socket.socket | None = None
 
-MAX_DATAGRAM = 256
+    async def run(self) -> None:
+        raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        with trio.socket.from_stdlib_socket(raw) as sock:
+            await sock.bind(self._at)
+            self._raw = raw
+            while True:
+                try:
+                    self._heard(*await sock.recvfrom(MAX_DATAGRAM + 1))
+                    for _ in range(MOST_AT_ONCE):
+                        if not sock.is_readable():
+                            break
+                        self._heard(*await sock.recvfrom(MAX_DATAGRAM + 1))
+                except OSError:
+                    continue  # a peer that is down shows here as refused; the next one may be heard
 
+    def _heard(self, data: bytes, sender: Address) -> None:
+        number = self._numbers.get(sender)
+        if number is not None and sender != self._at and len(data) <= MAX_DATAGRAM:
+            self._core.peer(t.PeerMessage(number, data))
 
-async def listen_to_peers(core: Dispatcher, at: Address, peers: list[Address]) -> None:
-    """The sender's address tells its number; whoever is not among the peers is not heard."""
-    numbers = {peer: n for n, peer in enumerate(peers)}
-    with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as sock:
-        await sock.bind(at)
-        while True:
+    def tell(self, payload: bytes) -> None:
+        """Now or not at all: a datagram that can't leave is as good as one that is lost on its way."""
+        for peer in self._to if self._raw is not None else ():
             try:
-                data, sender = await sock.recvfrom(MAX_DATAGRAM + 1)
+                self._raw.sendto(payload, peer)  # type: ignore[union-attr]
             except OSError:
-                continue  # a peer that is down shows here as refused; the next one may be heard
-            number = numbers.get(sender)
-            if number is not None and len(data) <= MAX_DATAGRAM:
-                core.peer(t.PeerMessage(number, data))
+                continue
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -15,10 +15,11 @@
 from math import exp
 
 from violetstack.interface import (
-    Action, Begun, Cancel, ClassSpec, Effect, Entry, Event, Fail, Group, HoldPlace, Left, ListNews,
-    ListScope, Outcome, PlaceNote, Probe, Probed, Refuse, Release, Request, Role, Send, ServerState,
-    Settings, Status, TenantSpec, Timer, TimerDue, Watch,
+    Action, Begun, Cancel, ClassSpec, Effect, Entry, Event, Fail, Group, HoldPlace, Left, ListNews, Log,
+    ListScope, Outcome, PeerMessage, PlaceNote, Probe, Probed, Refuse, Release, Request, Role, Send,
+    ServerState, Settings, Status, Tell, TenantSpec, Timer, TimerDue, Watch,
 )  # fmt: skip
+from violetstack.peers.sharing import ANEW, FAILED, BadDatagram, Shared, code_of, datagram, tag_of
 
 ALPHA, BETA, MODEL_FACTOR = 4.25e-5, 6.80e-3, 1.0  # the design page: price of a read
 NEAR = 0.1  # the design page: freeness within this of the best counts as equal
@@ -34,10 +35,12 @@
 FEW, LATE_FROM = 5, 0.6  # starts that make evidence; part of the shortest aim from which refusals begin
 SHARE_MS = 3_000.0  # a tenant may be this far ahead of its share before it counts as beyond it
 MOST_SESSIONS, MOST_ORDERS = 4_000, 1_000
+TELL_MS = 20.0  # what changed within this time goes to the other fronts in one datagram
 RETRY_MS = 500.0  # between calls to a list that failed, and between probes
 
 MAY_HAVE_RUN = frozenset({Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED})
 BLAMED = frozenset({Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CONNECT_FAILED, Status.FULL})
+TOLD = frozenset({Status.ERROR, Status.RESET, Status.CONNECT_FAILED})  # the others are a matter of load
 
 
 class Fading:
@@ -108,6 +111,7 @@
     def __init__(self, job: Job, n: int, server: Server, reading: bool, now: float) -> None:
         self.job, self.n, self.server, self.reading, self.sent_at = job, n, server, reading, now
         self.begun, self.price, self.claim = False, job.price, 0.0
+        self.ahead = 0.0  # the reads out at the server when this one was sent, itself included
 
 
 class Job:
@@ -172,6 +176,7 @@
 
     def __init__(self, entry: Entry, lot: float, now: float) -> None:
         self.entry, self.usable, self.lot = entry, True, lot  # the lot differs from front to front
+        self.tag, self.told = tag_of(entry.server), 0  # for the other fronts, and the code they last had
         self.out: dict[tuple[str, int], Try] = {}
         self.places: dict[str, float] = {}
         self.forget(now)
@@ -183,9 +188,11 @@
         self.left, self.blamed_at = Fading(FORGET_MS), -1.0
         self.streak = 0
         self.share: float | None = None
-        self.share_at = self.own_then = 0.0
+        self.share_at = self.known_then = 0.0
         self.seen_tokens, self.seen_share = Fading(4 * LEARN_MS), Fading(4 * LEARN_MS)
-        self.busy_from: float | None = None
+
+    def own_reads(self) -> float:
+        return sum(t.price for t in self.out.values() if t.reading)
 
     def own_tokens(self) -> float:
         return sum(t.job.tokens for t in self.out.values() if not t.reading) + sum(self.places.values())
@@ -219,6 +226,19 @@
         self.claimed, self.found = Fading(2 * LEARN_MS), Fading(2 * LEARN_MS)
         self.taken = {True: Fading(12 * LEARN_MS), False: Fading(12 * LEARN_MS)}
         self.recent: dict[str, Fading] = {}
+        self.shared = Shared(max((spec.give_up_ms for spec in settings.classes), default=0.0))
+
+    def reads_out(self, server: Server) -> float:
+        """Priced reads out there: ours, and what the other fronts told of theirs."""
+        mixed = self.role(server) is Role.BOTH  # those tell tokens
+        return server.own_reads() + (0.0 if mixed else self.shared.at(server.tag))
+
+    def tokens_out(self, server: Server) -> float:
+        return server.own_tokens() + self.shared.at(server.tag)
+
+    def whole(self, amount: float) -> float:
+        """What all fronts have out, by what those that are heard have."""
+        return amount * self.settings.fleet_size / (1.0 + self.shared.heard)
 
     def role(self, server: Server) -> Role:
         roles, kind = self.settings.roles, server.entry.kind
@@ -265,18 +285,21 @@
         return server.tickets.within(now) and not server.places
 
     def speed(self, server: Server, now: float) -> float:
-        """Price cleared in a millisecond in which reads of ours were out; an unheard reader counts average.
+        """Price cleared in a millisecond: what was out when our reads went there over the time they took.
 
-        Guards against readers that hang, crawl or lose our reads: time out there counts though no outcome
-        came. All slow alike changes no order. Harms a reader given one very long prompt, for that read only.
+        An unheard reader counts average. Guards against readers that hang, crawl or lose our reads: one that
+        is out for longer than it should counts though no outcome came. All slow alike changes no order.
         """
         average = (self.cleared.at(now) + FIRST_SPEED) / (self.busy_ms.at(now) + 1.0)
-        busy = server.busy_ms.at(now) + (now - server.busy_from if server.busy_from is not None else 0.0)
-        return (server.cleared.at(now) + average * PRIOR_MS) / (busy + PRIOR_MS)
+        cleared, busy = server.cleared.at(now), server.busy_ms.at(now)
+        for t in server.out.values():
+            if t.reading and (now - t.sent_at) * average > t.ahead:
+                cleared, busy = cleared + t.ahead, busy + now - t.sent_at
+        return (cleared + average * PRIOR_MS) / (busy + PRIOR_MS)
 
     def wait_ms(self, server: Server, job: Job, now: float) -> float:
-        """How long this reader should need for our reads there and this one; 0 with none out or heard."""
-        backlog = sum(t.price for t in server.out.values() if t.reading)
+        """How long this reader should need for the reads there and this one; 0 with none out or heard."""
+        backlog = self.reads_out(server)
         if backlog == 0.0 or not self.cleared.at(now):
             return 0.0
         backlog += self.unread_price(server, job, now)
@@ -292,13 +315,6 @@
         rate = self.recent[scope].rate(now) if scope in self.recent else 0.0
         return waiting / rate if rate > 0.0 else 0.0
 
-    def count_busy(self, server: Server, now: float) -> None:
-        """Called at each send and end of a read there: the time since the last counts if a read was out."""
-        if server.busy_from is not None:
-            for owner in (self, server):
-                owner.busy_ms.add(now, now - server.busy_from)
-        server.busy_from = now if any(t.reading for t in server.out.values()) else None
-
     def order(self, key: str) -> list[Server]:
         """The readers in the order of a hash with this key, the same at every front."""
         if key not in self.orders:
@@ -340,10 +356,9 @@
 
     def read_freeness(self, server: Server, job: Job, now: float) -> float:
         """Virtual Freeness of a reader with this prompt added: one minus the priced reads over the budget."""
-        backlog = self.unread_price(server, job, now)
-        for t in server.out.values():
-            if t.reading or (self.role(server) is Role.BOTH and not t.begun):
-                backlog += t.price
+        backlog = self.unread_price(server, job, now) + self.reads_out(server)
+        if self.role(server) is Role.BOTH:
+            backlog += sum(t.price for t in server.out.values() if not t.reading and not t.begun)
         budget = job.aim * self.speed(server, now)
         return 1.0 - backlog / budget - server.left.at(now)
 
@@ -354,24 +369,26 @@
         learned = (server.seen_tokens.at(now) + size) / (server.seen_share.at(now) + 1.0)
         return min(2.0 * size, max(0.5 * size, learned))
 
-    def mean_share(self) -> float:
-        shares = [s.share for s in self.servers.values() if s.usable and s.share is not None]
-        return sum(shares) / len(shares) if shares else 0.0
+    def means(self) -> tuple[float, float]:
+        """Share that writers reported, and tokens known of there, on average."""
+        writers = [s for s in self.pools[False] if s.share is not None]
+        count = len(writers) or 1
+        return sum(s.share or 0.0 for s in writers) / count, sum(map(self.tokens_out, writers)) / count
 
-    def write_freeness(self, server: Server, now: float) -> float:
-        """Memory headroom of a writer: one minus reported share and our streams since, over its size.
+    def write_freeness(self, server: Server, now: float, means: tuple[float, float]) -> float:
+        """Memory headroom of a writer: one minus its reported share and the streams known of since.
 
-        An old report fades towards the fleet's mean. Where none came, our streams alone decide, against our
-        share of the memory: the other fronts' streams take theirs. Failures count as held.
+        An old report fades towards the fleet's mean, from which the writer differs by what is known of there.
+        Where none came, streams alone decide, for those fronts that are not heard as well. Failures count
+        as held.
         """
-        size = self.memory(server, now)
-        used = server.own_tokens() - server.own_then
+        size, known = self.memory(server, now), self.tokens_out(server)
         if server.share is None:
-            used *= self.settings.fleet_size
-        mean = self.mean_share()
-        weight = exp((server.share_at - now) / LEARN_MS) if server.share is not None else 0.0
-        share = mean + weight * ((server.share or 0.0) - mean)
-        return 1.0 - share - used / size - server.left.at(now)
+            return 1.0 - means[0] - (self.whole(known) - means[1]) / size - server.left.at(now)
+        weight = exp((server.share_at - now) / LEARN_MS)
+        share = means[0] + weight * (server.share - means[0])
+        then = means[1] + weight * (server.known_then - means[1])
+        return 1.0 - share - (known - then) / size - server.left.at(now)
 
     def report(self, server: Server, row: tuple[float | None, ...] | None, now: float) -> None:
         names = self.settings.report_names
@@ -379,8 +396,8 @@
         share = values.get("x0")
         if share is None:
             return
-        server.share, server.share_at, server.own_then = share, now, server.own_tokens()
-        server.seen_tokens.add(now, server.own_then * self.settings.fleet_size)
+        server.share, server.share_at, server.known_then = share, now, self.tokens_out(server)
+        server.seen_tokens.add(now, self.whole(server.known_then))
         server.seen_share.add(now, share)
 
 
@@ -400,13 +417,15 @@
         self.actions: list[Action] = []
         self.buckets = {n: tenant_share(spec, settings) for n, spec in enumerate(settings.tenants)}
         self.shortest = min((spec.aim_ms for spec in settings.classes), default=0.0)
-        self.started = False
+        self.started = self.telling = False
+        self.failures: dict[bytes, None] = {}  # servers that failed us, to be told
         self.polled = 0
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         self.now, self.actions = now, []
         if not self.started:
             self.start()
+        self.fleet.shared.lapse(now)
         for event in events:
             self.dispatch(event)
         return self.actions
@@ -417,6 +436,43 @@
             self.act(Watch(True))
         if self.settings.reports_on_probe and self.settings.may_probe:
             self.act(Timer(RETRY_MS, "poll"))
+        if self.settings.may_tell:
+            self.act(Tell(ANEW))
+
+    # --- the other fronts ---
+
+    def tell_soon(self) -> None:
+        if self.settings.may_tell and not self.telling:
+            self.telling = True
+            self.act(Timer(TELL_MS, "tell"))
+
+    def tell(self) -> None:
+        """What we have out where it changed since it was told, and who failed us."""
+        self.telling = False
+        entries = [(tag, FAILED) for tag in self.failures]
+        self.failures = {}
+        for server in self.fleet.servers.values():
+            if server.out or server.places or server.told:
+                reader = self.fleet.role(server) is Role.READ
+                code = code_of(server.own_reads() if reader else server.own_tokens())
+                if code != server.told:
+                    entries.append((server.tag, code))
+                    server.told = code
+        if entries:
+            self.act(Tell(datagram(entries)))
+
+    def on_peer(self, message: PeerMessage) -> None:
+        """Guards against learning it forty times over: a server that failed one front has failed all."""
+        if message.peer == self.settings.me:
+            return
+        try:
+            failed = self.fleet.shared.hear(self.now, message.peer, message.payload)
+        except BadDatagram as error:
+            self.act(Log(f"peer {message.peer}: {error}"))
+            return
+        for server in self.fleet.servers.values() if failed else ():
+            if server.tag in failed:
+                server.blame(self.now, 0.0)
 
     def act(self, action: Action) -> None:
         self.actions.append(action)
@@ -440,8 +496,8 @@
             case Probed():
                 if (server := self.fleet.servers.get(event.server)) is not None:
                     self.fleet.report(server, event.report, self.now)
-            case _:
-                pass  # peers are told nothing and asked nothing
+            case PeerMessage():
+                self.on_peer(event)
 
     # --- the list of servers ---
 
@@ -488,7 +544,8 @@
             1.0 - sum(t.price for t in s.out.values()) / budget - s.left.at(now)
             for s, budget in budgets if budget > 0.0
         ]  # fmt: skip
-        writes = [fleet.write_freeness(s, now) for s in fleet.pools[False]]
+        means = fleet.means()
+        writes = [fleet.write_freeness(s, now, means) for s in fleet.pools[False]]
         return max(reads, default=None), max(writes, default=None)
 
     # --- a request's way ---
@@ -539,7 +596,7 @@
         """
         now, worth, fleet = self.now, self.worth(job), self.fleet
         jobs = [j for j in self.jobs.values() if j.scope == job.scope]
-        if len(jobs) > sum(1 for s in fleet.pools[True] if job.within(s, now)):
+        if fleet.shared.heard or len(jobs) > sum(1 for s in fleet.pools[True] if job.within(s, now)):
             wait = fleet.wait_ms(reader, job, now) + fleet.write_wait_ms(job.scope, now)
             patience = job.shortest * (0.1 + 0.4 * worth) - (now - job.arrived)
             return wait > max(0.0, min(job.deadline - now, patience))
@@ -570,7 +627,8 @@
         choice = [s for s in self.candidates(job, False) if s not in job.asked]
         if not choice:
             return None
-        free = {s.entry.server: self.fleet.write_freeness(s, self.now) for s in choice}
+        means = self.fleet.means()
+        free = {s.entry.server: self.fleet.write_freeness(s, self.now, means) for s in choice}
         best = max(free.values())
 
 
@@ -592,19 +650,22 @@
         job.asked.append(writer)
         job.place, job.held, job.pinned = writer, False, True
         writer.places[job.req.id] = job.tokens
+        self.tell_soon()
         self.act(HoldPlace(job.req.id, writer.entry.server))
 
     def forget_place(self, job: Job) -> None:
         if job.place is not None:
             job.place.places.pop(job.req.id, None)
+            self.tell_soon()
         job.place, job.held = None, False
 
     def send(self, job: Job, server: Server, reading: bool) -> None:
         n, job.sent = job.sent, job.sent + 1
         t = Try(job, n, server, reading, self.now)
         t.claim, t.price = self.fleet.claim(server, job), self.fleet.unread_price(server, job, self.now)
+        t.ahead = t.price + self.fleet.reads_out(server)
         job.out[n] = server.out[(job.req.id, n)] = t
-        self.fleet.count_busy(server, self.now)
+        self.tell_soon()
         server.tickets.take()
         self.act(Send(job.req.id, server.entry.server, min(job.deadline, self.now + self.bound(job, t))))
 
@@ -657,7 +718,7 @@
         if job is None or t is None:
             return
         t.server.out.pop((event.id, event.attempt), None)
-        self.fleet.count_busy(t.server, self.now)
+        self.tell_soon()
         self.learn(t, event)
         job.done = job.done or event.settled
         if job.done:
@@ -676,8 +737,10 @@
         if event.status is Status.TIMEOUT and not t.reading and not t.begun:
             fleet.waits.add(now, event.took_ms)
         if event.status is Status.READ:
+            ahead = t.ahead - t.price + price(t.job.req.prompt_tokens - event.note)
             for owner in (fleet, server):
-                owner.cleared.add(now, price(t.job.req.prompt_tokens - event.note))
+                owner.cleared.add(now, ahead)
+                owner.busy_ms.add(now, event.took_ms)
             fleet.taken[True].add(now, 1.0)
             fleet.claimed.add(now, t.claim)
             fleet.found.add(now, min(t.claim, event.note))
@@ -690,6 +753,8 @@
         if event.status in BLAMED and not t.begun and not (event.status is Status.FULL and event.note == 1):
             budget = t.job.aim * fleet.speed(server, now) if t.reading else fleet.memory(server, now)
             server.blame(now, (t.price if t.reading else t.job.tokens) / budget)
+            if event.status in TOLD:
+                self.failures[server.tag] = None
 
     def after_read(self, job: Job, t: Try) -> None:
         """The state goes on in the same batch, to the held writer, else to the freest, or is let go."""
@@ -776,6 +841,8 @@
             self.act(Watch(True))
         elif kind == "poll":
             self.poll()
+        elif kind == "tell":
+            self.tell()
         job = self.jobs.get(rest)
         if job is None or job.done or any(t.begun for t in job.out.values()):
             return
--- a/violetstack/wirehost.py
+++ b/violetstack/wirehost.py
@@ -256,6 +256,8 @@
             body = {"op": "snapshot"}
         case t.Probe():
             body = {"op": "poll", "engine": action.server}
+        case t.Tell():
+            body = {"op": "post", "dst": "*", "blob": action.payload.hex()}
         case t.Log():
             body = {"op": "emit", "msg": action.text}
     return {**body, "i": instance}
