One write on its way is no jam, and the end of a stream is told with the next word

Cause: with the reads of all dispatchers known, refusing early applies at small fronts too, and router.py's write_wait_ms divided writes waiting by the rate of begins: at a front with one begin in two seconds a single write, 20 ms old, was a wait of seconds. It is now at most twice what the oldest write has waited.

--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 from hashlib import blake2b
-from math import exp
+from math import exp, inf
 
 from violetstack.interface import (
     Action, Begun, Cancel, ClassSpec, Effect, Entry, Event, Fail, Group, HoldPlace, Left, ListNews, Log,
@@ -35,7 +35,7 @@
 FEW, LATE_FROM = 5, 0.6  # starts that make evidence; part of the shortest aim from which refusals begin
 SHARE_MS = 3_000.0  # a tenant may be this far ahead of its share before it counts as beyond it
 MOST_SESSIONS, MOST_ORDERS = 4_000, 1_000
-TELL_MS = 20.0  # what changed within this time goes to the other fronts in one datagram
+TELL_MS, LATER_MS = 20.0, 1_000.0  # what changed within this time goes to the others in one datagram
 RETRY_MS = 500.0  # between calls to a list that failed, and between probes
 
 MAY_HAVE_RUN = frozenset({Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED})
@@ -308,12 +308,13 @@
     def write_wait_ms(self, scope: str, now: float) -> float:
         """How long writers let us wait: our writes that have not begun over the rate at which ours begin.
 
-        By count, not by past times, so that nothing is refused for a jam that has drained.
+        By count, not by past times, so that nothing is refused for a jam that has drained; and at most twice
+        what the oldest has waited, since at a front that sees little one write on its way is no jam.
         """
         out = [t for s in self.servers.values() for t in s.out.values()]
-        waiting = sum(1 for t in out if not t.reading and not t.begun and t.job.scope == scope)
+        waiting = [now - t.sent_at for t in out if not t.reading and not t.begun and t.job.scope == scope]
         rate = self.recent[scope].rate(now) if scope in self.recent else 0.0
-        return waiting / rate if rate > 0.0 else 0.0
+        return min(len(waiting) / rate, 2.0 * max(waiting)) if rate > 0.0 and waiting else 0.0
 
     def order(self, key: str) -> list[Server]:
         """The readers in the order of a hash with this key, the same at every front."""
@@ -417,7 +418,7 @@
         self.actions: list[Action] = []
         self.buckets = {n: tenant_share(spec, settings) for n, spec in enumerate(settings.tenants)}
         self.shortest = min((spec.aim_ms for spec in settings.classes), default=0.0)
-        self.started = self.telling = False
+        self.started, self.telling = False, inf
         self.failures: dict[bytes, None] = {}  # servers that failed us, to be told
         self.polled = 0
 
@@ -441,14 +442,17 @@
 
     # --- the other fronts ---
 
-    def tell_soon(self) -> None:
-        if self.settings.may_tell and not self.telling:
-            self.telling = True
-            self.act(Timer(TELL_MS, "tell"))
+    def tell_soon(self, within_ms: float = TELL_MS) -> None:
+        """A stream's end may wait for the next word: a datagram has its price, and streams take seconds."""
+        if self.settings.may_tell and self.now + within_ms < self.telling:
+            self.telling = self.now + within_ms
+            self.act(Timer(within_ms, "tell"))
 
     def tell(self) -> None:
         """What we have out where it changed since it was told, and who failed us."""
-        self.telling = False
+        if self.now < self.telling - 1.0:
+            return  # told since this timer was set
+        self.telling = inf
         entries = [(tag, FAILED) for tag in self.failures]
         self.failures = {}
         for server in self.fleet.servers.values():
@@ -718,7 +722,7 @@
         if job is None or t is None:
             return
         t.server.out.pop((event.id, event.attempt), None)
-        self.tell_soon()
+        self.tell_soon(TELL_MS if t.reading or event.status in TOLD else LATER_MS)
         self.learn(t, event)
         job.done = job.done or event.settled
         if job.done:
