--- /dev/null
+++ b/benchmarks/fleet_cost.py
@@ -0,0 +1,106 @@
+"""What a decision costs at 10, 60 and 200 hosts, and a start, as ratios; against another revision if named.
+
+    python -m benchmarks.fleet_cost [--against REV]
+
+The other revision is unpacked into a folder of its own and measured with this file, in turns with this one.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+HOSTS = (10, 60, 200)
+ROUNDS, REQUESTS, TURNS = 3, 400, 3
+
+
+def decision_us(hosts: int) -> float:
+    """CPU of the module for a served request, from its arrival to its end; the best of some rounds."""
+    import dataclasses  # noqa: PLC0415 - measured in a process of its own
+
+    from tests.front import SETTINGS, Front, entry  # noqa: PLC0415
+    from violetstack import interface as t  # noqa: PLC0415
+
+    telling = any(f.name == "may_tell" for f in dataclasses.fields(SETTINGS))
+    more: dict[str, Any] = {"may_tell": True} if telling else {}
+    best = float("inf")
+    for _ in range(ROUNDS):
+        entries = [entry(f"s{n}", n % 2, cell=n // 5) for n in range(hosts)]
+        front = Front(*entries, report_names=("inflight", "x0"), fleet_size=40, **more)
+        began = time.process_time()
+        for n in range(REQUESTS):
+            request = front.ask(after=700.0, shared=f"p{n % 30}", shared_tokens=1000.0, session=f"s{n % 90}")
+            front.end(request, t.Status.READ, report=(3.0, 0.4))
+            front.begin(request)
+            front.end(request, t.Status.OK, after=200.0, report=(3.0, 0.4))
+            front.feed(t.TimerDue("tell"), after=1_100.0)
+        best = min(best, (time.process_time() - began) / REQUESTS * 1e6)
+    return best
+
+
+def start_ms(root: Path) -> float:
+    """CPU of a process that loads all that the daemon loads before it listens; the best of some."""
+    best = float("inf")
+    for _ in range(5):
+        before = os.times()
+        subprocess.run([sys.executable, "-c", "import violetstack.net.daemon"], cwd=root, check=True)
+        after = os.times()
+        spent = after.children_user + after.children_system - before.children_user - before.children_system
+        best = min(best, spent * 1000.0)
+    return best
+
+
+def measured(root: Path) -> dict[str, float]:
+    """In processes of their own, so that each revision loads its own modules."""
+    told = subprocess.run(
+        [sys.executable, __file__, "--here"], cwd=root, env={**os.environ, "PYTHONPATH": str(root)},
+        check=True, capture_output=True, text=True,
+    )  # fmt: skip
+    figures: dict[str, float] = json.loads(told.stdout)
+    return {**figures, "start": start_ms(root)}
+
+
+def best_of(root: Path, so_far: dict[str, float]) -> dict[str, float]:
+    return {key: min(value, so_far.get(key, value)) for key, value in measured(root).items()}
+
+
+def show(name: str, figures: dict[str, float]) -> None:
+    least = figures[str(HOSTS[0])]
+    row = ", ".join(f"{n} hosts {figures[str(n)]:.0f} us ({figures[str(n)] / least:.2f})" for n in HOSTS)
+    print(f"{name}: {row}; start {figures['start']:.0f} ms of CPU")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--against", metavar="REV", help="another revision, measured in turns with this one")
+    parser.add_argument("--here", action="store_true", help=argparse.SUPPRESS)
+    told = parser.parse_args()
+    if told.here:
+        print(json.dumps({str(n): decision_us(n) for n in HOSTS}))
+        return
+    root, now, then = Path(__file__).resolve().parent.parent, dict[str, float](), dict[str, float]()
+    with tempfile.TemporaryDirectory() as folder:
+        other = Path(folder)
+        if told.against:
+            pack = ["git", "archive", told.against]
+            archive = subprocess.run(pack, cwd=root, check=True, capture_output=True)
+            subprocess.run(["tar", "-x", "-C", folder], input=archive.stdout, check=True)
+        for _ in range(TURNS):
+            now = best_of(root, now)
+            if told.against:
+                then = best_of(other, then)
+    show("this one", now)
+    if told.against:
+        show(told.against, then)
+        print(", ".join(f"{key}: {now[key] / then[key]:.2f}" for key in now) + f" times {told.against}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,6 +21,7 @@
     datagram,
     tag_of,
 )  # fmt: skip
+from violetstack.router import HOMES, Fleet, rendezvous
 
 FLEET = 40
 READERS = tuple(entry(f"r{i}", 0) for i in range(8))
@@ -176,3 +177,49 @@
     front.serve()
     front.feed(t.TimerDue("tell"))
     assert not SETTINGS.may_tell and not front.all(t.Tell)
+
+
+def first_home(fleet: Fleet, shared: str) -> str:
+    near = sorted(fleet.order(shared)[:HOMES], key=lambda s: rendezvous(f"None\n{shared}", s))
+    return near[0].entry.server
+
+
+def test_tickets_of_forty_fronts_together_keep_a_cold_host_standing_and_use_it() -> None:
+    """In every window of the fall rule, the first instant too, and though each front hears of it at once."""
+    tier = Tier(FLEET, cold_share=0.3, cold_ms=10_000.0, fall_ms=2_000.0, fall_multiple=2.5)
+    sent: list[float] = []
+    began, hot = 0.0, [f"p{n}" for n in range(40)]
+    for step in range(1_200):  # 50 requests a second over 8 readers, each read in 20 ms
+        if step == 400:
+            began = tier.fronts[0].now
+            for front in tier.fronts:
+                front.news(t.ListScope.DELTA, entry("cold", 0, started_ms=front.now))
+            fleet = tier.fronts[0].router.fleet  # from now on all prompts have the new reader as their home
+            hot = [key for key in hot if first_home(fleet, key) == "cold"]
+        front = tier.fronts[step % FLEET]
+        request = front.ask(prompt_tokens=800.0, shared=hot[step % len(hot)])
+        if front.sends[request][0].server == "cold":
+            sent.append(front.now)
+        for other in tier.fronts:
+            if other is not front:
+                other.now += 20.0
+        front.end(request, t.Status.READ, after=20.0)
+        front.begin(request, after=0.0)
+        front.end(request, t.Status.OK, after=0.0)
+    usual = 50.0 / len(READERS) / 1000.0 / 0.8  # hosts run at 0.8 of what they can do at the most
+    for at in (at for at in sent if at + 2_000.0 <= began + 10_000.0):  # it is warm then
+        capacity = 0.3 + 0.7 * min(1.0, (at - began) / 10_000.0)
+        window = sum(1 for other in sent if at <= other < at + 2_000.0)
+        assert window <= 2.5 * capacity * usual * 2_000.0 + 3.0
+    assert len(sent) >= 10
+
+
+def test_a_restart_serves_from_the_list_it_is_told_and_takes_no_older_word_for_news() -> None:
+    """Discovery is slow, failing or silent: the list from the configuration is all there is."""
+    front = Front(may_tell=True, fleet_size=FLEET)
+    assert front.sends[front.ask()][0].server in {"r1", "r2"}
+    front.news(t.ListScope.FAILED)
+    assert front.sends[front.ask()][0].server in {"r1", "r2"}
+    front.news(t.ListScope.DELTA, entry("r1", 0, state=t.ServerState.GONE))
+    front.news(t.ListScope.FAILED)
+    assert {front.sends[front.ask()][0].server for _ in range(4)} == {"r2"}
