Tests: a host that refuses connections is met a few times by all fronts, and tried again

A refused connection is told like an error: 40 fronts, with and without a third of the datagrams lost, meet such a host at most 10 times in 200 requests, and all of them try it again when its price has faded.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -78,19 +78,33 @@
     assert 0.35 * FLEET <= places["w2"] <= 0.65 * FLEET
 
 
+@pytest.mark.parametrize("status", [t.Status.ERROR, t.Status.CONNECT_FAILED])
 @pytest.mark.parametrize("lost", [0.0, 0.3])
-def test_a_host_that_fails_is_met_a_few_times_by_all_fronts_together(lost: float) -> None:
+def test_a_host_that_fails_is_met_a_few_times_by_all_fronts_together(lost: float, status: t.Status) -> None:
+    """One that refuses connections for want of room as well, and with a third of the datagrams lost."""
     tier, met = Tier(FLEET, lost), 0
     for turn in range(5 * FLEET):
         front = tier.fronts[turn % FLEET]
         request = front.ask(prompt_tokens=1000.0, shared=f"p{turn}")
         bad = front.sends[request][0].server == "r0"
         met += bad
-        front.end(request, t.Status.ERROR if bad else t.Status.READ, after=3.0)
+        front.end(request, status if bad else t.Status.READ, after=3.0)
         tier.tick()
     assert 1 <= met <= 10
 
 
+def test_a_host_that_failed_others_is_tried_again_by_all_when_its_price_has_faded() -> None:
+    tier = Tier(FLEET)
+    told = datagram([(tag_of("r0"), FAILED)])
+    for front in tier.fronts:
+        front.feed(t.PeerMessage(99, told))
+    at_once = [front.sends[front.ask(shared=f"p{n}")][0].server for n, front in enumerate(tier.fronts)]
+    for front in tier.fronts:
+        front.now += 20_000.0
+    later = [front.sends[front.ask(shared=f"p{n}")][0].server for n, front in enumerate(tier.fronts)]
+    assert "r0" not in at_once and "r0" in later
+
+
 def test_a_full_queue_and_a_time_out_are_not_told_as_a_failure() -> None:
     for status in (t.Status.FULL, t.Status.TIMEOUT):
         front = Front(*READERS, *WRITERS, may_tell=True)
