--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,379 @@
+"""Two processes of one dispatcher: what one leaves, what the other makes of it, and real ones."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+import trio
+import trio.testing
+
+from tests.test_admin import get, post
+from violetstack.admin.cordons import Mark
+from violetstack.config import Address, BadConfig
+from violetstack.handover.record import VERSION, BadRecord, Record, decode, encode
+from violetstack.handover.succession import ALIVE_MS, Succession
+from violetstack.net.inherited import inherited_socket
+from violetstack.net.records import Records
+from violetstack.protocol.discovery import WServer
+from violetstack.rehearsal.clients import BODY, Call, ask_platform, connect, platform_headers, raw
+from violetstack.rehearsal.discovery import Discovery
+from violetstack.rehearsal.hosts import Act, ModelHost
+from violetstack.rehearsal.stage import SETTINGS
+
+NOW = 1_700_000_000_000.0
+
+
+def record(owner: str = "a", born: float = NOW, at: float = NOW, **changes: Any) -> Record:
+    told: dict[str, Any] = {
+        "name": "n0", "owner": owner, "born": born, "at": at, "serving": True, "version": 7,
+        "servers": (WServer("w", "127.0.0.1:1", "z", "decode"),), "marks": {"w": Mark(True, at, at)},
+    }  # fmt: skip
+    return Record(**{**told, **changes})
+
+
+# --- the record ---
+
+
+def test_a_record_comes_back_as_it_was_left() -> None:
+    assert decode(encode(record()), "n0", NOW) == record()
+
+
+def test_a_record_cut_at_any_byte_or_with_any_byte_spoilt_is_not_believed() -> None:
+    whole = encode(record())
+    for n in range(len(whole)):
+        with pytest.raises(BadRecord):
+            decode(whole[:n], "n0", NOW)
+        with pytest.raises(BadRecord):
+            decode(whole[:n] + bytes([whole[n] ^ 1]) + whole[n + 1 :], "n0", NOW)
+
+
+OTHERS = {
+    "another form": (b"violetstack-record-2 " + encode(record()).partition(b" ")[2], "another form"),
+    "another dispatcher": (encode(record(name="n1")), "another dispatcher"),
+    "the future": (encode(record(at=NOW + 10_000.0)), "future"),
+    "empty": (b"", "another form"),
+}
+
+
+@pytest.mark.parametrize("name", OTHERS)
+def test_a_record_that_is_not_ours_says_why(name: str) -> None:
+    assert VERSION == "violetstack-record-1"
+    data, reason = OTHERS[name]
+    with pytest.raises(BadRecord, match=reason):
+        decode(data, "n0", NOW)
+
+
+def test_records_that_can_not_be_read_are_passed_over_with_one_line(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    mine, other = Records(str(tmp_path), "n0", "a"), Records(str(tmp_path), "n0", "b")
+    other.write(record("b"))
+    path = next(tmp_path.iterdir())
+    path.write_bytes(path.read_bytes()[:-3])
+    told = os.stat(path).st_mtime * 1000.0
+    for _ in range(3):
+        assert mine.others(told)[0] == []
+    assert capfd.readouterr().out.count('"event":"record_refused"') == 1
+    other.write(record("b", at=NOW + 1.0))
+    assert [r.at for r in mine.others(told)[0]] == [NOW + 1.0]
+    other.remove()
+    assert mine.others(told) == ([], {})
+
+
+# --- who follows whom ---
+
+
+def test_the_heir_is_a_later_process_that_takes_clients_and_lives() -> None:
+    mine = Succession("b", NOW)
+    earlier, later = record("a", NOW - 5.0), record("c", NOW + 5.0, serving=False)
+    mine.heard([earlier, later], {"a": NOW, "c": NOW})
+    assert (mine.heir(NOW), mine.company(NOW)) == (None, True)
+    later = record("c", NOW + 5.0)
+    mine.heard([later], {"a": NOW, "c": NOW})
+    assert mine.heir(NOW + 1.0) == later
+    assert mine.heir(NOW + ALIVE_MS) is None  # it has been silent for too long
+    mine.heard([], {"a": NOW + ALIVE_MS})
+    assert [r.owner for r in mine.alive(NOW + ALIVE_MS)] == ["a"]
+
+
+def test_of_each_host_the_latest_call_at_any_process_counts() -> None:
+    mine = Succession("c", NOW)
+    back = Mark(False, NOW + 9.0, NOW)
+    mine.heard([record("a"), record("b", at=NOW + 9.0, marks={"w": back})], {"a": NOW, "b": NOW})
+    assert mine.marks() == {"w": back}
+    assert mine.newest() == record("b", at=NOW + 9.0, marks={"w": back})
+
+
+# --- the inherited listener ---
+
+
+def test_only_a_listening_socket_at_the_configured_address_is_taken_over() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as bound, socket.socket() as plain:
+        at: Address = bound.getsockname()
+        for descriptor, where, reason in (
+            (bound.fileno(), ("127.0.0.1", 1), "it listens on"),
+            (plain.fileno(), at, "no listening TCP socket"),
+            (os.open(os.devnull, os.O_RDONLY), at, "NODE_INHERITED_FD"),
+        ):
+            with pytest.raises(BadConfig, match=reason):
+                inherited_socket(descriptor, where)
+        mine = inherited_socket(os.dup(bound.fileno()), at)
+        mine.close()
+        with socket.create_connection(at):  # a close of ours ends nothing for the others
+            bound.accept()[0].close()
+
+
+# --- two real processes ---
+
+
+@dataclass
+class Platform:
+    """What starts the processes, as the operators' platform does, and holds their listener."""
+
+    folder: Path
+    hosts: tuple[ModelHost, ...]
+    discovery: Discovery
+    held: socket.socket
+    nursery: trio.Nursery
+    processes: list[trio.Process] = field(default_factory=list)
+    lines: dict[int, list[dict[str, Any]]] = field(default_factory=dict)
+
+    @property
+    def at(self) -> Address:
+        bound: Address = self.held.getsockname()
+        return bound
+
+    async def start(self, wait: bool = True, **changes: Any) -> tuple[trio.Process, Address]:
+        """One more process, and its door once it takes clients."""
+        told = {
+            "name": "n0", "listen": f"127.0.0.1:{self.at[1]}", "discovery": self.discovery.address,
+            "seed": "ff", "settings": SETTINGS, "mgmt": "127.0.0.1:0", **changes,
+        }  # fmt: skip
+        file = self.folder / f"config{len(self.processes)}.json"
+        file.write_text(json.dumps(told))
+        descriptor = self.held.fileno()
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", "violetstack"], stdout=subprocess.PIPE, pass_fds=[descriptor],
+            env={**os.environ, "NODE_CONFIG": str(file), "NODE_INHERITED_FD": str(descriptor),
+                 "TMPDIR": str(self.folder)},
+        )  # fmt: skip
+        self.processes.append(process)
+        lines = self.lines[process.pid] = []
+        started = trio.Event()
+        self.nursery.start_soon(self._read, process, lines, started)
+        if not wait:
+            return process, ("", 0)
+        await started.wait()
+        return process, tuple(next(line["door"] for line in lines if line["event"] == "started"))
+
+    async def _read(self, process: trio.Process, lines: list[dict[str, Any]], started: trio.Event) -> None:
+        rest = b""
+        assert process.stdout is not None
+        async for data in process.stdout:
+            *whole, rest = (rest + data).split(b"\n")
+            lines += [orjson.loads(line) for line in whole]
+            if any(line["event"] == "started" for line in lines):
+                started.set()
+
+    def told(self, process: trio.Process, event: str) -> list[dict[str, Any]]:
+        return [line for line in self.lines[process.pid] if line["event"] == event]
+
+
+def upgrade(tmp_path: Path, *hosts: ModelHost, story: Callable[[Platform], Awaitable[None]]) -> None:
+    async def main() -> None:
+        with trio.fail_after(30.0):
+            async with trio.open_nursery() as nursery:
+                for host in hosts:
+                    await nursery.start(host.serve)
+                discovery = Discovery(*(host.row() for host in hosts))
+                await nursery.start(discovery.serve)
+                with socket.create_server(("127.0.0.1", 0), backlog=64) as held:
+                    held.setblocking(False)
+                    platform = Platform(tmp_path, hosts, discovery, held, nursery)
+                    try:
+                        await story(platform)
+                    finally:
+                        for process in platform.processes:
+                            if process.returncode is None:
+                                process.kill()
+                            with trio.CancelScope(shield=True):
+                                await process.wait()
+                        nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def ask_on(call: Call, request_id: str) -> int:
+    await call.send("POST", "/v1/chat/completions", platform_headers(request_id, "consulta"), BODY)
+    return (await call.receive()).status
+
+
+def test_a_new_version_takes_over_under_streams_and_every_client_has_one_whole_answer(tmp_path: Path) -> None:
+    hold = trio.Event()
+    reader, writer = ModelHost("r", "prefill"), ModelHost("w", "decode", Act(pause=hold))
+
+    async def story(on: Platform) -> None:
+        old, _ = await on.start()
+        call = await connect(on.at)
+        await call.send("POST", "/v1/chat/completions", platform_headers("q0", "orden"), BODY)
+        await call.receive(events=3)
+        waiting = await connect(on.at)  # has connected, and asks only once the old process ends
+        half = await connect(on.at)
+        await half.stream.send_all(b"POST /v1/chat/completions HTTP/1.1\r\n")
+        assert (await ask_platform(on.at, "first", "consulta")).outcome == "served"  # all are accepted
+        new, door = await on.start()
+        assert (await raw(door, get("/admin/health"))).startswith(b"HTTP/1.1 200 ")
+        old.send_signal(signal.SIGTERM)
+        while not on.told(old, "stopping"):
+            await trio.sleep(0.001)
+        assert on.told(old, "stopping")[0]["heir"] is not None
+        for n in range(5):
+            assert (await ask_platform(on.at, f"n{n}", "consulta")).outcome == "served"
+        assert await ask_on(waiting, "late") == 200
+        hold.set()
+        assert (await call.receive()).whole
+        await half.stream.aclose()
+        assert await old.wait() == 0
+        served = [line["id"] for line in on.told(old, "request")] + [
+            line["id"] for line in on.told(new, "request")
+        ]
+        assert sorted(served) == sorted(["q0", "first", "late", *(f"n{n}" for n in range(5))])
+        assert writer.begun.count("q0") == 1
+
+    upgrade(tmp_path, reader, writer, story=story)
+
+
+def test_hosts_out_by_hand_stay_out_over_two_upgrades_and_a_call_at_either_process_binds_both(
+    tmp_path: Path,
+) -> None:
+    hosts = (ModelHost("r", "prefill"), ModelHost("r2", "prefill"), ModelHost("w", "decode"))
+
+    async def out(door: Address) -> int:
+        told = orjson.loads((await raw(door, get("/admin/stats"))).partition(b"\r\n\r\n")[2])
+        return int(told["out_of_rotation"])
+
+    async def story(on: Platform) -> None:
+        first, door1 = await on.start()
+        assert (await raw(door1, post("/admin/cordon", b"r"))).startswith(b"HTTP/1.1 200 ")
+        first.kill()  # at once: the record was there before the yes
+        second, door2 = await on.start()
+        assert on.told(second, "succession")[0]["out"] == ["r"]
+        assert await out(door2) == 1
+        third, door3 = await on.start()
+        assert await out(door3) == 1
+        assert (await raw(door3, post("/admin/uncordon", b"r"))).startswith(b"HTTP/1.1 200 ")
+        while await out(door2) != 0:
+            await trio.sleep(0.01)
+        assert (await raw(door2, post("/admin/cordon", b"r2"))).startswith(b"HTTP/1.1 200 ")
+        while await out(door3) != 1:
+            await trio.sleep(0.01)
+        third.kill()  # the new one dies: the old one serves on, with what was called there
+        n = 0
+        while (await ask_platform(on.at, f"q{n}", "consulta")).outcome != "served":
+            n += 1  # `r` counts as cold, and gets a little at first
+        assert hosts[1].begun == []
+
+    upgrade(tmp_path, *hosts, story=story)
+
+
+def test_a_new_version_that_fails_its_configuration_leaves_the_old_one_serving(tmp_path: Path) -> None:
+    async def story(on: Platform) -> None:
+        old, _ = await on.start()
+        new, _ = await on.start(wait=False, listen="127.0.0.1:1")
+        assert await new.wait() == 2
+        old.send_signal(signal.SIGHUP)
+        assert (await ask_platform(on.at, "q1", "consulta")).outcome == "served"
+        assert "it listens on" in on.told(new, "bad_config")[0]["error"]
+        assert on.told(old, "reload_failed") == []
+
+    upgrade(tmp_path, ModelHost("r", "prefill"), ModelHost("w", "decode"), story=story)
+
+
+def test_without_discovery_a_new_version_begins_with_what_the_old_one_was_told(tmp_path: Path) -> None:
+    async def story(on: Platform) -> None:
+        await on.start()
+        on.discovery.die()
+        new, _ = await on.start()
+        assert on.told(new, "no_list")[0]["hosts"] == 2
+        assert on.told(new, "succession")[0]["hosts"] == 2
+
+    upgrade(tmp_path, ModelHost("r", "prefill"), ModelHost("w", "decode"), story=story)
+
+
+def test_requests_without_a_first_token_are_given_up_in_time_and_nothing_stays_held(tmp_path: Path) -> None:
+    """SIGKILL found them, and states that nobody released."""
+    reader, writer = ModelHost("r", "prefill"), ModelHost("w", "decode", Act(before=trio.Event()))
+
+    async def story(on: Platform) -> None:
+        old, _ = await on.start(settings={**SETTINGS, "classes": [
+            {"name": "consulta", "aim": 100.0, "give_up": 800.0, "idempotency": "read_like", "value": 3.0},
+            {"name": "orden", "aim": 100.0, "give_up": 800.0, "idempotency": "non_idempotent", "value": 2.0},
+        ]})  # fmt: skip
+        call = await connect(on.at)
+        await call.send("POST", "/v1/chat/completions", platform_headers("q0", "orden"), BODY)
+        await writer.until(lambda: writer.begun == ["q0"])
+        old.send_signal(signal.SIGTERM)
+        began = trio.current_time()
+        assert (await call.receive()).status == 500
+        assert await old.wait() == 0
+        assert trio.current_time() - began < 2.5  # of the client's 5 s
+        assert ("DELETE", "q0") in writer.calls + reader.calls
+
+    upgrade(tmp_path, reader, writer, story=story)
+
+
+def test_late_comers_at_a_process_that_ends_are_refused_and_not_taken(tmp_path: Path) -> None:
+    hold = trio.Event()
+    hosts = (ModelHost("r", "prefill"), ModelHost("w", "decode", Act(pause=hold)))
+
+    async def story(on: Platform) -> None:
+        old, _ = await on.start()
+        stream = await connect(on.at)
+        await stream.send("POST", "/v1/chat/completions", platform_headers("q0", "orden"), BODY)
+        await stream.receive(events=3)
+        late = await connect(on.at)
+        await late.stream.send_all(b"POST /v1/chat/completions HTTP/1.1\r\n")
+        assert (await ask_platform(on.at, "first", "consulta")).outcome == "served"  # all are accepted
+        await on.start()
+        old.send_signal(signal.SIGTERM)
+        while not on.told(old, "refusing"):
+            await trio.sleep(0.01)
+        headers = "".join(f"{n}: {v}\r\n" for n, v in platform_headers("late", "consulta"))
+        await late.stream.send_all(f"Host: x\r\n{headers}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY)
+        heard = b""
+        while data := await late.stream.receive_some(4096):
+            heard += data
+        assert heard.startswith(b"HTTP/1.1 503 ")
+        hold.set()
+        assert (await stream.receive()).whole
+        assert await old.wait() == 0
+
+    upgrade(tmp_path, *hosts, story=story)
+
+
+def test_two_processes_bind_the_peers_address_and_the_later_one_hears() -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as old, socket.socket(
+        socket.AF_INET, socket.SOCK_DGRAM
+    ) as new, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+        for sock in (old, new):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        old.bind(("127.0.0.1", 0))
+        new.bind(old.getsockname())
+        old.setblocking(False)
+        new.settimeout(2.0)
+        for n in range(3):
+            peer.sendto(bytes([n]), new.getsockname())
+            assert new.recv(16) == bytes([n])
+        with pytest.raises(BlockingIOError):
+            old.recv(16)
--- /dev/null
+++ b/violetstack/admin/cordons.py
@@ -0,0 +1,106 @@
+"""Hosts out by hand: an overlay on discovery's list, which the core and the module see only through it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from violetstack import interface as t
+
+MOST = 1_000  # marks kept; a call beyond that is answered with a no
+
+
+class Unknown(Exception):
+    """No listed host has this id, and none that is out."""
+
+
+class TooMany(Exception):
+    """As many hosts have been taken out as can be kept track of."""
+
+
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """The last call for a host: out or back, and when. `since`: when it went out. Unix milliseconds."""
+
+    out: bool
+    at: float
+    since: float
+
+
+class Cordons:
+    """Whichever call for a host is the latest holds, at whatever process of this dispatcher it came in.
+
+    A host that is out reads as draining, whatever lists say; one that is gone stays gone, and is out again
+    should its id come back. Whether a host that is put back was restarted meanwhile may be told late, so
+    until the list tells of a start since it went out, it counts as started when it was put back: guards
+    against a cold host that gets a warm one's share, and against old failures that keep it unused.
+    """
+
+    def __init__(self) -> None:
+        self.marks: dict[str, Mark] = {}
+        self._listed: dict[str, t.Entry] = {}
+
+    def told(self, news: t.ListNews) -> t.ListNews:
+        """Discovery's news as the core is to see it."""
+        if news.scope is not t.ListScope.DELTA:
+            self._listed = {}
+        for entry in news.entries:
+            self._listed[entry.server] = entry
+            if entry.state is t.ServerState.GONE:
+                del self._listed[entry.server]
+        if not self.marks:
+            return news
+        return replace(news, entries=tuple(self._seen(entry) for entry in news.entries))
+
+    def cordon(self, now: float, server: str) -> t.ListNews:
+        """Raises Unknown or TooMany. Taken out twice, it is out since the first call."""
+        mark = self.marks.get(server)
+        if mark is not None and mark.out:
+            return self._news(server)
+        if server not in self._listed:
+            raise Unknown(server)
+        if len(self.marks) >= MOST:
+            self._forget()
+        self.marks[server] = Mark(True, now, now)
+        return self._news(server)
+
+    def uncordon(self, now: float, server: str) -> t.ListNews:
+        """Raises Unknown. For a host that is not out it changes nothing."""
+        mark = self.marks.get(server)
+        if mark is not None and mark.out:
+            self.marks[server] = Mark(False, max(now, mark.at + 1.0), mark.since)
+        elif server not in self._listed:
+            raise Unknown(server)
+        return self._news(server)
+
+    def merge(self, marks: Mapping[str, Mark]) -> t.ListNews | None:
+        """Another process's marks; the news that follows, if any."""
+        newer = {s: m for s, m in marks.items() if s not in self.marks or m.at > self.marks[s].at}
+        self.marks.update(newer)
+        return self._news(*newer) if newer else None
+
+    @property
+    def out(self) -> list[str]:
+        return sorted(server for server, mark in self.marks.items() if mark.out)
+
+    def _forget(self) -> None:
+        """Guards the memory: what was said of hosts that are back goes, unlisted ones first."""
+        old = [s for s, mark in self.marks.items() if s not in self._listed and not mark.out]
+        old = old or [s for s, mark in self.marks.items() if not mark.out]
+        if not old:
+            raise TooMany(f"{MOST} hosts are out")
+        del self.marks[min(old, key=lambda s: self.marks[s].at)]
+
+    def _news(self, *servers: str) -> t.ListNews:
+        listed = [self._listed[s] for s in servers if s in self._listed]
+        return t.ListNews(t.ListScope.DELTA, tuple(self._seen(entry) for entry in listed), 0)
+
+    def _seen(self, entry: t.Entry) -> t.Entry:
+        mark = self.marks.get(entry.server)
+        if mark is None or entry.state is t.ServerState.GONE:
+            return entry
+        if mark.out:
+            return replace(entry, state=t.ServerState.DRAINING)
+        if (entry.started_ms or 0.0) < mark.since:
+            return replace(entry, started_ms=mark.at)
+        return entry
--- /dev/null
+++ b/violetstack/admin/figures.py
@@ -0,0 +1,27 @@
+"""The figures as the operators read them. Each is counted where its event happens:
+
+`fulfilled`, `throttled`, `faulted`, `open_requests`: core/tally.py, at the request's taking and its settling;
+`relayed`: the driver, in the step that writes an attempt's last byte (Dispatcher.relayed);
+`registry_entries`: the core's list; `out_of_rotation`: the decision module (Router.avoided).
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from violetstack.core.tally import Tally
+
+
+def figures(tally: Tally, classes: tuple[str, ...], listed: int, avoided: int) -> dict[str, Any]:
+    """Every class of the settings stands there from the start, with zeros."""
+    operations = {
+        name: {"fulfilled": row.fulfilled, "throttled": row.throttled, "faulted": row.faulted}
+        for name, row in zip(classes, tally.rows, strict=True)
+    }
+    return {
+        "operations": operations,
+        "relayed": tally.relayed,
+        "open_requests": tally.open,
+        "registry_entries": listed,
+        "out_of_rotation": avoided,
+    }
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -4,6 +4,7 @@
 
 import os
 import secrets
+import socket
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -39,6 +40,7 @@
     discovery: str = ""
     seed: str = "0"
     limits: WLimitsOfMachine = msgspec.field(default_factory=WLimitsOfMachine)
+    mgmt: str | None = None
     peer_listen: str | None = None
     peers: list[str] = []
     peers_all: str | None = None
@@ -92,6 +94,10 @@
         checked = ChatConfig(operator, self.facts) if operator is not None else None
         self.chat = checked if operator is not None and operator.listen else None
         self.listen = address(told.listen) if told.listen else None
+        self.mgmt = address(told.mgmt) if told.mgmt else None
+        self.inherited_fd: int | None = None  # the clients' listener, bound by whoever started this process
+        self.inherited: socket.socket | None = None  # the same, once it has been looked at
+        self.shared_folder: str | None = None  # kept from one process of this dispatcher to the next
         self.discovery = address(told.discovery) if told.discovery else None
         self.peer_listen = address(told.peer_listen) if told.peer_listen else None
         self.peers = [address(peer) for peer in told.peers]
@@ -103,6 +109,12 @@
         self.idle_close_ms = idle or 30_000.0
 
 
+def descriptor(text: str) -> int | None:
+    if text and not text.isdigit():
+        raise BadConfig(f"NODE_INHERITED_FD: {text!r} is no descriptor")
+    return int(text) if text else None
+
+
 def node_config(path: str) -> WConfig:
     """The file that NODE_CONFIG names. Raises BadConfig."""
     try:
@@ -132,13 +144,15 @@
         told.listen = os.environ.get("NODE_LISTEN") or told.listen
         started_with = os.environ.get("NODE_DISCOVERY", "")
         told.discovery = (again and told.discovery) or started_with or told.discovery
+        told.mgmt = os.environ.get("NODE_MGMT") or told.mgmt
         told.name = os.environ.get("NODE_NAME") or told.name
     try:
-        if file is not None:
-            return _with_file(file, told)
-        if told is None:
+        if file is None and told is None:
             raise BadConfig("NODE_CONFIG names no file, and no operator's file is given")
-        return Config(told)
+        config = Config(told) if file is None and told is not None else _with_file(str(file), told)
+        config.inherited_fd = descriptor(os.environ.get("NODE_INHERITED_FD", ""))
+        config.shared_folder = os.environ.get("TMPDIR") if config.mgmt else None
+        return config
     except (ValueError, Malformed) as error:
         raise BadConfig(f"{path or file}: {error}") from None
     except BadOperatorFile as error:
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -18,6 +18,7 @@
     Shed,
     Sink,
 )
+from violetstack.core.tally import Tally
 from violetstack.core.timers import Timers
 
 PLACE_MARGIN_MS = 80.0  # a send's first byte leaves this long before a told drain binds, or not at all
@@ -45,6 +46,7 @@
         self.touched: dict[str, OpenRequest] = {}
         self.wake: Callable[[], None] = lambda: None
         self.timers = Timers()
+        self.tally = Tally(len(settings.classes))
         self.routes: Routes | None = None
         self.level: Level | None = None
 
@@ -54,14 +56,17 @@
         self.inbox.append(event)
         self.wake()
 
-    def news(self, now: float, news: t.ListNews) -> None:
-        """A host that is gone is forgotten here and now: hosts come with new ids all day long."""
+    def news(self, now: float, news: t.ListNews, since: float | None = None) -> None:
+        """A host that is gone is forgotten here and now: hosts come with new ids all day long.
+
+        `since`: drains were told then, at another process of this dispatcher.
+        """
         if news.scope is not t.ListScope.DELTA:
             self.entries = {}
         for entry in news.entries:
             self.entries[entry.server] = entry
             if entry.state is t.ServerState.DRAINING:
-                self.unwanted.setdefault(entry.server, now)
+                self.unwanted.setdefault(entry.server, now if since is None else min(now, since))
             else:
                 self.unwanted.pop(entry.server, None)
             if entry.state is t.ServerState.GONE:
@@ -77,7 +82,11 @@
 
     def admit(self, now: float, asked: t.Request) -> Shed | None:
         """Every front calls this right before `take`; what is shed is answered at once, with its advice."""
-        return None if self.level is None else self.level.admit(now, asked)
+        shed = None if self.level is None else self.level.admit(now, asked)
+        if shed is not None:
+            self.tally.taken(asked.cls)
+            self.tally.ended(asked.cls, "shed")
+        return shed
 
     def aim_ms(self, asked: t.Request) -> float:
         """When this request's first token is wanted."""
@@ -95,6 +104,7 @@
             raise Duplicate(asked.id)
         request = OpenRequest(asked, sink, payload, now, now + asked.expires_in_ms)
         self.open[asked.id] = request
+        self.tally.taken(asked.cls)
         if self.routes is not None:
             self.routes.taken(now, asked)
         request.timer = self.timers.at(request.deadline, lambda at: self._overdue(at, request))
@@ -111,6 +121,10 @@
             self.driver.abort(request.bound)
             self.ended(now, request.bound, t.Status.CANCELLED)
 
+    def stopping(self) -> None:
+        """Guards against what the end would cut off without a word, and states that nobody would release."""
+        self._post(t.Stopping())
+
     def probed(self, probed: t.Probed) -> None:
         self._post(probed)
 
@@ -126,6 +140,11 @@
             return False
         return since is None or now < since + self.drain_grace_ms - PLACE_MARGIN_MS
 
+    def relayed(self, attempt: Attempt) -> None:
+        """The last byte of an attempt may have left; called in the step that hands it to the kernel."""
+        attempt.written = True
+        self.tally.relayed += 1
+
     def began(self, now: float, attempt: Attempt) -> bool:
         """The first event of an answer came; False if it is not wanted (any more)."""
         request = attempt.request
@@ -324,6 +343,7 @@
         request.done, request.answer, request.answered = True, answer, now
         self.timers.cancel(request.timer)
         self.touched[request.id] = request
+        self.tally.ended(request.asked.cls, answer)
         if self.level is not None:
             self.level.ended(now, answer, request.asked.prompt_tokens)
 
--- /dev/null
+++ b/violetstack/core/tally.py
@@ -0,0 +1,39 @@
+"""How requests end, by class, from the process's start; the core counts each where it settles it, once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+ENDS = {"served": "fulfilled", "refused": "throttled", "shed": "throttled", "left": "left"}
+
+
+@dataclass(slots=True)
+class Row:
+    """One class. What is none of the others is `faulted`: failed, overdue, unusable or cut."""
+
+    taken: int = 0
+    fulfilled: int = 0
+    throttled: int = 0
+    faulted: int = 0
+    left: int = 0  # the client went away first
+
+    @property
+    def open(self) -> int:
+        return self.taken - self.fulfilled - self.throttled - self.faulted - self.left
+
+
+class Tally:
+    def __init__(self, classes: int) -> None:
+        self.rows = [Row() for _ in range(classes)]
+        self.relayed = 0  # attempts written whole, reads and writes, second copies included
+
+    def taken(self, cls: int) -> None:
+        self.rows[cls].taken += 1
+
+    def ended(self, cls: int, answer: str) -> None:
+        row, name = self.rows[cls], ENDS.get(answer, "faulted")
+        setattr(row, name, getattr(row, name) + 1)
+
+    @property
+    def open(self) -> int:
+        return sum(row.open for row in self.rows)
--- a/violetstack/interface.py
+++ b/violetstack/interface.py
@@ -226,7 +226,12 @@
     payload: bytes
 
 
-Event = ListNews | Request | Begun | Outcome | PlaceNote | Left | TimerDue | Probed | PeerMessage
+@dataclass(frozen=True, slots=True)
+class Stopping:
+    """The process is about to end: what has no first token is given up while its client can be told."""
+
+
+Event = Stopping | ListNews | Request | Begun | Outcome | PlaceNote | Left | TimerDue | Probed | PeerMessage
 
 
 @dataclass(frozen=True, slots=True)
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import math
 import signal
@@ -9,11 +10,12 @@
 import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
 from violetstack import interface as t
+from violetstack.admin.door import NotRecorded
 from violetstack.config import Address, BadConfig, Config, address
 from violetstack.core.backoff import Backoff
 from violetstack.core.dispatcher import Dispatcher
@@ -30,16 +32,23 @@
 from violetstack.net.tls import Certificate
 from violetstack.net.watch import Watch
 from violetstack.operators import Acme, BadOperatorFile, ChatConfig
-from violetstack.protocol.discovery import ListReader, Targets
+from violetstack.protocol.discovery import ListReader, Targets, WServer, WTargets
 from violetstack.protocol.headers import RequestReader
 from violetstack.router import Router
 
 if TYPE_CHECKING:
+    from violetstack.admin.cordons import Cordons
+    from violetstack.handover.record import Record
     from violetstack.levels.control import LevelPlan
+    from violetstack.net.handover import Handover
     from violetstack.net.levels import LevelDriver
     from violetstack.routing.generations import Routing
 
 KEPT_DESCRIPTORS = 40  # the program's own: standard streams, the poller, the watch, clients turned away
+FIRST_LIST_S = 1.5  # a new version that takes over waits for discovery's list for so long
+HEARD_S = 0.65  # after SIGTERM what comes later is refused: SIGKILL may find it unanswered
+KILL_MOST_S, KILL_AFTER_S = 3.0, 0.7  # SIGKILL: the longest deadline, at most the one, and the other later
+LAST_WORDS_S = 0.5  # for last answers and releases
 LISTEN_ON_S = 0.55  # after SIGTERM new connections keep coming for up to 0.4 s
 BACKLOG = 512
 CONNECTION_SHARE, CONNECTION_BYTES = 0.2, 32 * 1024  # of the memory limit, and of one client's connection
@@ -74,6 +83,7 @@
     platform: Address | None
     chat: Address | None
     challenge: Address | None
+    door: Address | None = None
 
 
 class Daemon:
@@ -90,6 +100,10 @@
         self.orders: OrderBook | None = None
         self.routing: Routing | None = None
         self.levels: LevelDriver | None = None
+        self.cordons: Cordons | None = None
+        self.handover: Handover | None = None
+        self.rows: dict[str, WServer] = {}  # the list as discovery has it
+        self.started = self.taking = False
 
     async def serve(self, task_status: trio.TaskStatus[Serving] = trio.TASK_STATUS_IGNORED) -> None:
         config = self.config
@@ -110,12 +124,17 @@
             hosts.core = core
             self._route()
             pump = Pump(core)
+            self._share()
             self._know_hosts()
+            door = await self._open_door()
             self._levels()
             nursery.start_soon(pump.run)
             nursery.start_soon(hosts.retire_idle)
+            await self._first_list()
+            self.started = True
             if config.peer_listen is not None:
-                peers = Peers(core, config.peer_listen, config.peers, config.peers_all)
+                heirs = config.inherited is not None
+                peers = Peers(core, config.peer_listen, config.peers, config.peers_all, heirs)
                 hosts.tell = peers.tell
                 nursery.start_soon(peers.run)
             self.challenge: Address | None = None
@@ -125,12 +144,16 @@
                 platform = await self._listen(config.listen, front)
             if config.chat is not None:
                 chat = await self._serve_chat(config.chat)
-            log("started", name=config.told.name, platform=platform, chat=chat)
+            self.taking = True
+            self._record()
+            log("started", name=config.told.name, platform=platform, chat=chat, door=door)
             gc.freeze()
-            task_status.started(Serving(platform, chat, self.challenge))
+            task_status.started(Serving(platform, chat, self.challenge, door))
             await self.stop.wait()
-            log("stopping", open=len(core.open))
+            log("stopping", open=len(core.open), heir=self._heir)
             await self._drain()
+            if self.handover is not None:
+                self.handover.leave()
             log("stopped")
             nursery.cancel_scope.cancel()
 
@@ -142,22 +165,138 @@
         for host in config.operator.hosts if config.operator is not None else ():
             self.hosts.hosts[host.id] = Host(address(host.address), [], plain=True, key=host.key)
             self.core.stateless.add(host.id)
-        self._told(reader.targets(config.told.known, t.ListScope.CACHED))
+        known = config.told.known
+        version: int | None = known.version
+        record = self.handover.begin() if self.handover is not None else None
+        if config.inherited is not None:
+            # What a predecessor heard a moment ago is newer than what the configuration remembers; versions
+            # may be those of another discovery, so the whole list is asked for first.
+            version = None
+            if record is not None:
+                known = WTargets(record.version, True, list(record.servers))
+        self._told(reader.targets(known, t.ListScope.CACHED))
         if config.discovery is not None:
             again = Backoff(config.settings.fleet_size, config.settings.seed)
-            self.watch = Watch(config.discovery, reader, config.told.known.version, self._told, again)
+            self.watch = Watch(config.discovery, reader, version, self._told, again)
             self.nursery.start_soon(self.watch.run)
 
+    async def _first_list(self) -> None:
+        """Guards a takeover against a list that is older than what the predecessor has been told."""
+        if self.config.inherited is not None and self.watch is not None:
+            with trio.move_on_after(FIRST_LIST_S):
+                await self.watch.heard.wait()
+            if not self.watch.heard.is_set():
+                log("no_list", hosts=len(self.rows))
+
     def _told(self, targets: Targets) -> None:
         news = targets.news
+        if news.scope is not t.ListScope.DELTA:
+            self.rows = {}
+        for row in targets.rows:
+            self.rows[row.id] = row
+            if row.state == "left":
+                del self.rows[row.id]
         if news.scope is not t.ListScope.DELTA:
             # Guards against losing the chat file's own hosts, which discovery does not know.
             news = replace(news, entries=(*news.entries, *self.config.plain))
-        self.hosts.told(news, targets.addresses)
-        self.core.news(now_ms(), news)
+        if self.cordons is not None:
+            news = self.cordons.told(news)
+        self._news(news, targets.addresses)
+        if self.handover is not None:
+            self.handover.changed = True
         entries = {entry.server: entry.state.value for entry in news.entries}
         log("list", version=news.version, scope=news.scope.value, entries=entries, skipped=targets.skipped)
 
+    def _news(self, news: t.ListNews, addresses: dict[str, str], since: float | None = None) -> None:
+        self.hosts.told(news, addresses)
+        self.core.news(now_ms(), news, since)
+
+    # --- the operators' door, and the other processes of this dispatcher ---
+
+    def _share(self) -> None:
+        """Only where operators have a door; the rest of the program does without."""
+        config = self.config
+        if config.mgmt is None:
+            return
+        from violetstack.admin.cordons import Cordons  # noqa: PLC0415 - loads only where there is a door
+
+        self.cordons = Cordons()
+        if config.shared_folder is not None:
+            from violetstack.handover.succession import Succession  # noqa: PLC0415
+            from violetstack.net.handover import Handover  # noqa: PLC0415
+            from violetstack.net.records import Records  # noqa: PLC0415
+
+            succession = Succession(uuid.uuid4().hex, now_ms())
+            records = Records(config.shared_folder, config.told.name, succession.owner)
+            self.handover = Handover(
+                records, succession, self.cordons, self._compose, lambda news, at: self._news(news, {}, at)
+            )
+            self.handover.company = self._bound
+            self.nursery.start_soon(self.handover.run)
+
+    async def _open_door(self) -> Address | None:
+        if self.config.mgmt is None:
+            return None
+        from violetstack.net.door import DoorListener  # noqa: PLC0415
+
+        door: Address = await self.nursery.start(DoorListener(self).run, self.config.mgmt)
+        return door
+
+    def _compose(self) -> Record:
+        from violetstack.handover.record import Record  # noqa: PLC0415
+
+        assert self.handover is not None and self.cordons is not None
+        mine, watch = self.handover.succession, self.watch
+        return Record(
+            name=self.config.told.name, owner=mine.owner, born=mine.born, at=now_ms(), serving=self.taking,
+            version=watch.version or 0 if watch is not None else 0, servers=tuple(self.rows.values()),
+            marks=dict(self.cordons.marks),
+        )  # fmt: skip
+
+    def _record(self) -> None:
+        if self.handover is not None:
+            with contextlib.suppress(NotRecorded):  # it is in the log, and is tried again
+                self.handover.changed = True
+                self.handover.write()
+
+    @property
+    def _heir(self) -> str | None:
+        if self.handover is not None:
+            self.handover.look()
+        heir = self.handover.heir if self.handover is not None else None
+        return heir.owner if heir is not None else None
+
+    def figures(self) -> dict[str, Any]:
+        from violetstack.admin.figures import figures  # noqa: PLC0415
+
+        classes = tuple(spec.name for spec in self.config.facts.classes)
+        listed, avoided = len(self.core.entries), self.router.avoided(now_ms())
+        return figures(self.core.tally, classes, listed, avoided)
+
+    def cordon(self, server: str) -> None:
+        assert self.cordons is not None
+        self._by_hand(server, self.cordons.cordon)
+
+    def uncordon(self, server: str) -> None:
+        assert self.cordons is not None
+        self._by_hand(server, self.cordons.uncordon)
+
+    def _by_hand(self, server: str, act: Callable[[float, str], t.ListNews]) -> None:
+        """The yes comes after this: it binds, and a successor will know."""
+        assert self.cordons is not None
+        before = dict(self.cordons.marks)
+        news = act(now_ms(), server)
+        if self.cordons.marks == before:
+            return
+        if self.handover is not None:
+            try:
+                self.handover.write()
+            except NotRecorded:
+                self.cordons.marks = before
+                raise
+        self._news(news, {})
+        log("hosts_out", out=self.cordons.out, by="call")
+
     # --- a new configuration ---
 
     def reload(self, read_again: Callable[[], Config]) -> None:
@@ -234,6 +373,8 @@
         """The limits in force, over all fronts."""
         sockets, memory = int(self.config.limits.sockets), self.config.limits.memory_mb * 2**20
         budget = sockets - KEPT_DESCRIPTORS
+        if self.handover is not None and self.handover.succession.company(now_ms()):
+            budget, memory = sockets // 2 - KEPT_DESCRIPTORS, memory / 2  # the limits are those of both
         self.hosts.most = budget // 2
         # Guards the memory limit where descriptors abound; a third of them clients may hold for requests.
         by_memory = max(sockets // 3, int(memory * CONNECTION_SHARE) // CONNECTION_BYTES)
@@ -245,7 +386,11 @@
 
     async def _listen(self, at: Address, front: Front, wrap: Wrap | None = None) -> Address:
         listener = Listener(self.core, front)
-        sockets = await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG)
+        inherited = self.config.inherited if at == self.config.listen else None
+        if inherited is None:
+            sockets = await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG)
+        else:
+            sockets = [trio.SocketListener(trio.socket.from_stdlib_socket(inherited))]
         self.listeners.append(listener)
         self._bound()
         self.sockets.extend(sockets)
@@ -296,22 +441,49 @@
     def _busy(self) -> bool:
         waits = self.chat is not None and self.chat.pending
         recording = self.orders is not None and self.orders.pending
-        return bool(self.core.open or waits or recording or any(x.busy for x in self.listeners))
+        clients = any(x.busy or x.awaited for x in self.listeners)
+        return bool(self.core.open or waits or recording or clients)
+
+    @property
+    def _end_s(self) -> float:
+        """How long after SIGTERM what has not begun is given up: a while before SIGKILL may come."""
+        longest = max((spec.give_up_ms for spec in self.config.settings.classes), default=0.0) / 1000.0
+        return min(longest, KILL_MOST_S) + KILL_AFTER_S - LAST_WORDS_S
+
+    async def _stop_accepting(self) -> None:
+        self.taking = False
+        for each in self.sockets:
+            await each.aclose()
 
     async def _drain(self) -> None:
         """Guards against losing at a planned restart what was taken, and what comes shortly after.
 
-        New connections are served for as long as the front still deals them out; answers then carry
-        `Connection: close`, idle connections are closed, and the last answer ends the program.
+        New connections are served for as long as the front still deals them out, or an heir takes them;
+        answers then carry `Connection: close`, idle connections are closed, and the last answer ends the
+        program. Whoever has connected and not asked yet is heard: served at first, later refused.
         """
+        began, refusing, ending = trio.current_time(), False, False
         for listener in self.listeners:
             listener.draining = True
-        await trio.sleep(LISTEN_ON_S)
-        for each in self.sockets:
-            await each.aclose()
-        while self._busy:
+        if self._heir is not None:
+            # Who comes now waits in the queue that the heir accepts from. It speaks to the peers as well.
+            await self._stop_accepting()
+            self.hosts.tell = lambda payload: None
+        while self.taking or self._busy:
+            after = trio.current_time() - began
+            if self.taking and after >= LISTEN_ON_S:
+                await self._stop_accepting()
+            if after >= HEARD_S and not refusing:
+                refusing = True
+                log("refusing")
             for listener in self.listeners:
-                listener.close_idle()
+                listener.refusing = refusing
+                if not self.taking:
+                    listener.close_idle()
+            if after >= self._end_s and not ending:
+                ending = True
+                log("ending", open=len(self.core.open))
+                self.core.stopping()
             await trio.sleep(0.02)
         if self.orders is not None:
             self.orders.stopping = True
--- /dev/null
+++ b/violetstack/net/handover.py
@@ -0,0 +1,97 @@
+"""Keeps this process's record in the shared folder, and takes what the others there tell."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from violetstack import interface as t
+from violetstack.admin.cordons import Cordons
+from violetstack.admin.door import NotRecorded
+from violetstack.handover.record import Record
+from violetstack.handover.succession import Succession
+from violetstack.log import log, log_outside
+from violetstack.net.clock import now_ms
+from violetstack.net.records import Records
+
+POLL_S = 0.1  # a call at the other process binds here well within the time that a drain has
+BEAT_S = 0.5
+
+
+class Handover:
+    """`compose` makes the record; `told` takes news from a call at another process, and when that came."""
+
+    def __init__(
+        self, records: Records, succession: Succession, cordons: Cordons, compose: Callable[[], Record],
+        told: Callable[[t.ListNews, float], None],
+    ) -> None:  # fmt: skip
+        self._records, self.succession, self._cordons = records, succession, cordons
+        self._compose, self._told = compose, told
+        self.changed = False  # something is to be recorded, though nobody waits for it
+        self.company: Callable[[], None] = lambda: None  # another process came or went
+        self._alone = True
+
+    def begin(self) -> Record | None:
+        """What a predecessor left, if it can be believed; its hosts out by hand are out here as well."""
+        now = now_ms()
+        self.succession.heard(*self._records.others(now))
+        self._cordons.merge(self.succession.marks())
+        record = self.succession.newest()
+        log(
+            "succession", predecessor=record.owner if record is not None else None,
+            age_ms=round(now - record.at) if record is not None else None,
+            hosts=len(record.servers) if record is not None else 0, out=self._cordons.out,
+        )  # fmt: skip
+        return record
+
+    def write(self) -> None:
+        """Raises NotRecorded."""
+        try:
+            self._records.write(self._compose())
+            self.changed = False
+        except OSError as error:
+            log("record_failed", error=str(error))
+            raise NotRecorded(str(error)) from None
+
+    @property
+    def heir(self) -> Record | None:
+        return self.succession.heir(now_ms())
+
+    def leave(self) -> None:
+        """A clean end: what an heir has read need not stay; without one the record waits for a successor."""
+        if self.heir is not None:
+            self._records.remove()
+
+    async def run(self) -> None:
+        beat = trio.current_time()
+        while True:
+            await trio.sleep(POLL_S)
+            try:
+                self.look()
+                if self.changed:
+                    self.write()
+                if trio.current_time() >= beat + BEAT_S:
+                    self._records.beat()
+                    beat = trio.current_time()
+            except NotRecorded:
+                await trio.sleep(BEAT_S)
+            except Exception as error:  # no record's failure ends the nursery
+                log_outside("record_failed", error=repr(error))
+
+    def look(self) -> None:
+        """What the others have left since the last look."""
+        now = now_ms()
+        self.succession.heard(*self._records.others(now))
+        marks = self.succession.marks()
+        since = min((m.at for s, m in marks.items() if self._cordons.marks.get(s) != m), default=now)
+        news = self._cordons.merge(marks)
+        if news is not None:
+            log("hosts_out", out=self._cordons.out, by="another process")
+            self._told(news, since)
+            self.changed = True
+        alone = not self.succession.company(now)
+        if alone != self._alone:
+            self._alone = alone
+            log("company", processes=[record.owner for record in self.succession.alive(now)])
+            self.company()
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -302,7 +302,7 @@
             self._using[attempt] = connection
 
             def written() -> None:
-                attempt.written = True
+                self.core.relayed(attempt)
                 self._sent[attempt].set()
 
             await connection.write(parts, written)
--- a/violetstack/net/listener.py
+++ b/violetstack/net/listener.py
@@ -199,6 +199,10 @@
                 if self.http.wants_continue:
                     self._put([self.http.continue_100()])
                 return
+            if self.listener.refusing:
+                # Guards against taking what the end would cut off: its client asks again, elsewhere.
+                self._reject(503, "this process ends")
+                return
             self.answering, self.served, self._answered = True, True, trio.Event()
             self.listener.engaged(self)
             self._replies = Replies(self)
@@ -296,7 +300,7 @@
         self.connections: set[Connection] = set()
         self.idle: dict[Connection, None] = {}  # answered and unused since, the longest first
         self.fresh: dict[Connection, None] = {}  # no whole request yet, the oldest first
-        self.draining = False
+        self.draining = self.refusing = False
 
     async def run(
         self,
@@ -431,6 +435,13 @@
     def busy(self) -> bool:
         return any(c.answering or c.http.busy or c._queued for c in self.connections)
 
+    @property
+    def awaited(self) -> bool:
+        """Has somebody connected who has not asked yet? Each has its time for that."""
+        return bool(self.fresh)
+
     def close_idle(self) -> None:
-        for connection in [c for c in self.connections if not c.answering and not c.http.busy]:
-            self._drop(connection)
+        """Guards against closing over a request on its way: whoever never asked here is heard once."""
+        for connection in [c for c in self.idle if not c.answering and not c.http.busy]:
+            if not connection.has_unread():
+                self._drop(connection)
--- a/violetstack/net/peers.py
+++ b/violetstack/net/peers.py
@@ -18,8 +18,11 @@
 class Peers:
     """One socket; the sender's address tells its number, and whoever is not among the peers is not heard."""
 
-    def __init__(self, core: Dispatcher, at: Address, peers: list[Address], everyone: Address | None) -> None:
-        self._core, self._at = core, at
+    def __init__(
+        self, core: Dispatcher, at: Address, peers: list[Address], everyone: Address | None,
+        heirs: bool = False,
+    ) -> None:
+        self._core, self._at, self._heirs = core, at, heirs
         self._numbers = {peer: n for n, peer in enumerate(peers)}
         self._to = [everyone] if everyone is not None else [peer for peer in peers if peer != at]
         self._raw: socket.socket | None = None
@@ -27,6 +30,9 @@
     async def run(self) -> None:
         raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         with trio.socket.from_stdlib_socket(raw) as sock:
+            if self._heirs:
+                # An heir binds beside its predecessor and hears alone from then on; both must ask for it.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             await sock.bind(self._at)
             self._raw = raw
             while True:
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -19,9 +19,11 @@
 
 class Watch:
     def __init__(
-        self, at: Address, reader: ListReader, version: int, told: Callable[[Targets], None], again: Backoff
+        self, at: Address, reader: ListReader, version: int | None, told: Callable[[Targets], None],
+        again: Backoff,
     ) -> None:
-        self._at, self._reader, self._told, self._again = at, reader, told, again
+        self.at, self._reader, self._told, self._again = at, reader, told, again
+        self.heard = trio.Event()  # discovery has told something
         self.version: int | None = version  # None: another discovery's, which has told nothing yet
         self._scope = trio.CancelScope()
 
@@ -32,9 +34,9 @@
         versions of the one discovery mean nothing to the other. So its whole list comes first and replaces
         the old one; until then that one stays in use.
         """
-        if at == self._at:
+        if at == self.at:
             return
-        self._at, self.version = at, None
+        self.at, self.version = at, None
         self._again.answered()
         self._scope.cancel()
 
@@ -49,7 +51,7 @@
 
     async def _once(self) -> None:
         with trio.fail_after(CONNECT_S):
-            stream = await trio.open_tcp_stream(*self._at)
+            stream = await trio.open_tcp_stream(*self.at)
         async with stream:
             http = HostSide()
             if self.version is None:
@@ -66,7 +68,7 @@
 
     async def _get(self, stream: trio.SocketStream, http: HostSide, target: str) -> AsyncIterator[memoryview]:
         """An answer's body as it comes."""
-        for part in http.request("GET", target, [("Host", f"{self._at[0]}:{self._at[1]}")]):
+        for part in http.request("GET", target, [("Host", f"{self.at[0]}:{self.at[1]}")]):
             await stream.send_all(part)
         while True:
             http.check()
@@ -87,3 +89,4 @@
         self.version = targets.news.version
         self._again.answered()
         self._told(targets)
+        self.heard.set()
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -40,6 +40,7 @@
     news: t.ListNews
     addresses: dict[str, str]
     skipped: tuple[str, ...] = ()  # entries of an unknown state or kind: one of them must not stop the list
+    rows: tuple[WServer, ...] = ()  # as they came
 
 
 class ListReader:
@@ -64,7 +65,8 @@
                 skipped.append(server.id)
         known = {entry.server for entry in entries}
         addresses = {server.id: server.addr for server in told.servers if server.addr and server.id in known}
-        return Targets(t.ListNews(scope, tuple(entries), told.version), addresses, tuple(skipped))
+        return Targets(t.ListNews(scope, tuple(entries), told.version), addresses, tuple(skipped),
+                       tuple(told.servers))
 
     def _entry(self, server: WServer) -> t.Entry:
         return t.Entry(
--- a/violetstack/protocol/server_side.py
+++ b/violetstack/protocol/server_side.py
@@ -40,7 +40,8 @@
 
 
 class ServerSide:
-    def __init__(self) -> None:
+    def __init__(self, most_body: int = MAX_BODY) -> None:
+        self._most_body = most_body
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
         self._head: h11.Request | None = None
         self._parts: list[bytes] = []
@@ -69,8 +70,8 @@
                     self._start(event)
                 elif isinstance(event, h11.Data):
                     self.size += len(event.data)
-                    if self.size > MAX_BODY:
-                        raise Rejected(413, "the body is larger than 256 KiB")
+                    if self.size > self._most_body:
+                        raise Rejected(413, self._too_large)
                     self._parts.append(event.data)
                 elif isinstance(event, h11.EndOfMessage):
                     return self._whole()
@@ -80,6 +81,10 @@
         except h11.RemoteProtocolError as error:
             raise Rejected(error.error_status_hint, str(error)[:MAX_REASON]) from None
 
+    @property
+    def _too_large(self) -> str:
+        return f"the body is larger than {self._most_body} bytes"
+
     def _start(self, event: h11.Request) -> None:
         self._head, self._parts, self.size = event, [], 0
         names = [name for name, _ in event.headers]
@@ -87,8 +92,8 @@
             # Guards against a second request hidden in the body: who reads which length is anyone's guess.
             raise Rejected(400, "Content-Length and Transfer-Encoding together")
         for name, value in event.headers:
-            if name == b"content-length" and (len(value) > MAX_DIGITS or int(value) > MAX_BODY):
-                raise Rejected(413, "the body is larger than 256 KiB")
+            if name == b"content-length" and (len(value) > MAX_DIGITS or int(value) > self._most_body):
+                raise Rejected(413, self._too_large)
 
     def _whole(self) -> Inbound:
         head, parts = self._head, self._parts
--- a/violetstack/rehearsal/stage.py
+++ b/violetstack/rehearsal/stage.py
@@ -59,6 +59,7 @@
     told: dict[str, Any]
     chat_file: OperatorFile
     plan: Plan | None
+    door: Address
 
     def config(self, **changes: Any) -> Config:
         """The configuration that it was started with, changed."""
@@ -73,8 +74,11 @@
     sockets: int = 256,
     memory_mb: float = 192.0,
     file: Path | None = None,
+    folder: Path | None = None,
 ) -> AsyncIterator[Stage]:
-    """`settings` and `chat` change the plain ones above; hosts of the kind `openai` are the operator's own.
+    """There is an operators' door; `folder` is what this dispatcher's processes share, if they do.
+
+    `settings` and `chat` change the plain ones above; hosts of the kind `openai` are the operator's own.
 
     `file` brings routes, pools, policies and levels; its other definitions do not count here.
     """
@@ -85,7 +89,8 @@
         discovery = Discovery(*rows)
         await nursery.start(discovery.serve)
         told = {
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "1",
+            "name": "n0", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "seed": "1",
+            "discovery": discovery.address,
             "limits": {"sockets": sockets, "memory_mb": memory_mb},
             "settings": {**SETTINGS, **(settings or {})},
             "known": {"version": 1, "full": True, "servers": rows},
@@ -94,10 +99,12 @@
         operator = msgspec.convert({**CHAT, "hosts": plain, **(chat or {})}, OperatorFile)
         compiled = load(file)[0] if file is not None else None
         plan, levels = (compiled.plan, compiled.levels) if compiled is not None else (None, None)
-        daemon = Daemon(Config(msgspec.convert(told, WConfig), operator, plan, levels=levels))
+        config = Config(msgspec.convert(told, WConfig), operator, plan, levels=levels)
+        config.shared_folder = str(folder) if folder is not None else None
+        daemon = Daemon(config)
         serving = await nursery.start(daemon.serve)
         yield Stage(
             daemon, discovery, serving.platform, serving.chat, serving.challenge, nursery, told, operator,
-            plan,
+            plan, serving.door or serving.platform,
         )  # fmt: skip
         nursery.cancel_scope.cancel()
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -17,7 +17,7 @@
 from violetstack.interface import (
     Action, Begun, Cancel, ClassSpec, Effect, Entry, Event, Fail, Group, HoldPlace, Left, ListNews, Log,
     ListScope, Outcome, PeerMessage, PlaceNote, Probe, Probed, Refuse, Release, Request, Role, Send,
-    ServerState, Settings, Status, Tell, TenantSpec, Timer, TimerDue, Watch,
+    ServerState, Settings, Status, Stopping, Tell, TenantSpec, Timer, TimerDue, Watch,
 )  # fmt: skip
 from violetstack.peers.sharing import ANEW, FAILED, BadDatagram, Shared, code_of, datagram, tag_of
 
@@ -506,6 +506,9 @@
                     self.fleet.report(server, event.report, self.now)
             case PeerMessage():
                 self.on_peer(event)
+            case Stopping():
+                for request_id in list(self.jobs):  # as if their time were up
+                    self.on_timer(f"d:{request_id}")
 
     # --- the list of servers ---
 
@@ -556,6 +559,11 @@
         writes = [fleet.write_freeness(s, now, means) for s in fleet.pools[False]]
         return max(reads, default=None), max(writes, default=None)
 
+    def avoided(self, now: float) -> int:
+        """Listed servers that are not chosen now: draining, or without any room for what failed there."""
+        listed = [s for s in self.fleet.servers.values() if s.entry.state is not ServerState.GONE]
+        return sum(1 for s in listed if not s.usable or s.left.at(now) >= 1.0)
+
     # --- a request's way ---
 
     def on_request(self, req: Request) -> None:
@@ -639,7 +647,6 @@
         free = {s.entry.server: self.fleet.write_freeness(s, self.now, means) for s in choice}
         best = max(free.values())
 
-
         def rank(s: Server) -> tuple[bool, int, float, float]:
             phi, close, lot = free[s.entry.server], 0, self.random.random()
             if reader is not None:
--- a/violetstack/serving.py
+++ b/violetstack/serving.py
@@ -9,6 +9,7 @@
 from violetstack.config import BadConfig, load
 from violetstack.log import log
 from violetstack.net.daemon import run
+from violetstack.net.inherited import inherited_socket
 
 
 def serve(path: str, file: str | None = None) -> int:
@@ -17,6 +18,8 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = load(path, file)
+        if config.inherited_fd is not None and config.listen is not None:
+            config.inherited = inherited_socket(config.inherited_fd, config.listen)
     except BadConfig as error:
         log("bad_config", error=str(error))
         return 2
