Streams that have begun pass to the new version with both connections, between two events

Seen in the logs: old processes end without 'stopped'; of 21 to 49 requests open at 'stopping' about half were streams of more than the 3.7 s after which SIGKILL comes ('[4.02] stopping open 21', killed at 7.7). Ruled out: hosts (their resets fall on other times), the new process (ready after 0.4 to 0.6 s), requests turned back (0). At fault: nothing in Daemon._drain could let a stream outlive its process.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -19,17 +19,24 @@
 import trio.testing
 
 from tests.test_admin import get, post
+from tests.test_stories import pair, play
 from violetstack.admin.cordons import Mark
 from violetstack.config import Address, BadConfig
+from violetstack.handover.passing import NO, BadOffer, Stream
+from violetstack.handover.passing import decode as decode_stream
+from violetstack.handover.passing import encode as encode_stream
 from violetstack.handover.record import VERSION, BadRecord, Record, decode, encode
 from violetstack.handover.succession import ALIVE_MS, Succession
+from violetstack.net import passing
 from violetstack.net.inherited import inherited_socket
 from violetstack.net.records import Records
 from violetstack.protocol.discovery import WServer
+from violetstack.protocol.host_side import Body, End, HostSide
+from violetstack.protocol.server_side import ServerSide
 from violetstack.rehearsal.clients import BODY, Call, ask_platform, connect, platform_headers, raw
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import Act, ModelHost
-from violetstack.rehearsal.stage import SETTINGS
+from violetstack.rehearsal.stage import SETTINGS, Stage
 
 NOW = 1_700_000_000_000.0
 
@@ -241,15 +248,25 @@
         for n in range(5):
             assert (await ask_platform(on.at, f"n{n}", "consulta")).outcome == "served"
         assert await ask_on(waiting, "late") == 200
+        await half.stream.aclose()
+        assert await old.wait() == 0  # the stream under way goes on in the new process
+        assert not call.answer.whole
         hold.set()
         assert (await call.receive()).whole
-        await half.stream.aclose()
-        assert await old.wait() == 0
-        served = [line["id"] for line in on.told(old, "request")] + [
-            line["id"] for line in on.told(new, "request")
-        ]
-        assert sorted(served) == sorted(["q0", "first", "late", *(f"n{n}" for n in range(5))])
+        assert len(call.answer.events) == 5
+        assert call.answer.outcome == "served"
+        assert call.http.reuse()
+        assert await ask_on(call, "again") == 200  # on the same connection
+        served = [
+            line["id"] for process in (old, new) for line in on.told(process, "request")
+            if line["answer"] == "served"
+        ]  # fmt: skip
+        assert sorted(served) == sorted(["q0", "first", "late", "again", *(f"n{n}" for n in range(5))])
+        assert on.told(old, "stopped")[0]["passed_on"] >= 1  # `late` may have ended before it could pass
         assert writer.begun.count("q0") == 1
+        told = orjson.loads((await raw(door, get("/admin/stats"))).partition(b"\r\n\r\n")[2])
+        assert told["operations"]["orden"] == {"fulfilled": 1, "throttled": 0, "faulted": 0}
+        assert told["open_requests"] == 0
 
     upgrade(tmp_path, reader, writer, story=story)
 
@@ -362,6 +379,94 @@
     upgrade(tmp_path, *hosts, story=story)
 
 
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def test_an_answer_can_be_read_on_elsewhere_between_two_chunks_and_nowhere_else() -> None:
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    parts = [chunk(b"data: 1\r\n\r\n"), chunk(b"data: 2\n\n"), b"0\r\n\r\n"]
+    whole = head + b"".join(parts)
+    ends = {len(head) + sum(map(len, parts[:n])) for n in range(3)}
+    for cut in range(1, len(whole)):
+        side = HostSide()
+        side.request("POST", "/", [("Host", "x")])
+        side.feed(whole[:cut])
+        assert side.between_chunks == (cut in ends), cut
+        if side.between_chunks:
+            events = HostSide.resumed().feed(whole[cut:])
+            rest = [b"data: 1\r\n\r\n", b"data: 2\n\n"][sorted(ends).index(cut) :]
+            assert [bytes(e.data) for e in events if isinstance(e, Body)] == rest
+            assert isinstance(events[-1], End)
+
+
+def test_an_answer_goes_on_with_the_framing_and_the_closing_word_of_its_head() -> None:
+    for closing in (False, True):
+        side = ServerSide.resumed(closing)
+        assert side.passable
+        assert b"".join(side.data(b"data: 2\n\n") + side.end()) == chunk(b"data: 2\n\n") + b"0\r\n\r\n"
+        assert side.reuse() is not closing
+
+
+BAD_OFFERS = {
+    "noise": b"what",
+    "another version": encode_stream(Stream("q", 0, 0, "w", 1.0, 3, 0, 9.0, False, version=2)),
+    "no such class": encode_stream(Stream("q", 7, 0, "w", 1.0, 3, 0, 9.0, False)),
+}
+
+
+@pytest.mark.parametrize("name", BAD_OFFERS)
+def test_an_offer_that_can_not_be_taken_says_why(name: str) -> None:
+    with pytest.raises(BadOffer):
+        decode_stream(BAD_OFFERS[name], 2)
+
+
+@pytest.mark.parametrize("word", ["no", "dies", "silent", "odd"])
+def test_a_stream_that_its_heir_does_not_take_goes_on_where_it_was(
+    word: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Whichever word is lost, the client has its whole answer and the host one attempt."""
+    hold = trio.Event()
+    reader, writer = pair(Act(pause=hold))
+    monkeypatch.setattr(passing, "WORD_S", 0.05)
+
+    async def heir(sock: trio.socket.SocketType, heard: trio.Event) -> None:
+        giver, _ = await sock.accept()
+        await giver.recvmsg(4096, 0)  # the descriptors are dropped, as by a process that ends
+        if word == "no":
+            await giver.send(NO)
+        elif word == "odd":
+            await giver.send(b"perhaps")
+        if word == "silent":
+            heard.set()
+            await trio.sleep_forever()
+        if word == "dies":
+            giver.close()
+        heard.set()
+        await trio.sleep_forever()
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.platform)
+        await call.send("POST", "/v1/chat/completions", platform_headers("q0", "orden"), BODY)
+        await call.receive(events=3)
+        path, heard = tmp_path / "heir.sock", trio.Event()
+        with trio.socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
+            await sock.bind(str(path))
+            sock.listen(1)
+            on.nursery.start_soon(heir, sock, heard)
+            giver = passing.Giver(on.daemon.core)
+            assert await giver.connect(path)
+            on.daemon.hosts.pass_all(giver.give)
+            await heard.wait()
+            await trio.sleep(0.1 if word == "silent" else 0)  # its time is up
+            hold.set()
+            assert (await call.receive()).whole
+        assert (giver.given, writer.begun) == (0, ["q0"])
+        assert on.daemon.core.tally.rows[1].fulfilled == 1
+
+    play(reader, writer, story=story)
+
+
 def test_two_processes_bind_the_peers_address_and_the_later_one_hears() -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as old, socket.socket(
         socket.AF_INET, socket.SOCK_DGRAM
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -28,6 +28,31 @@
     def handle(self, now: float, events: list[t.Event]) -> list[t.Action]: ...
 
 
+class Moved(Protocol):
+    """What is told of a stream that another process has begun."""
+
+    @property
+    def id(self) -> str: ...
+
+    @property
+    def cls(self) -> int: ...
+
+    @property
+    def tenant(self) -> int: ...
+
+    @property
+    def server(self) -> str: ...
+
+    @property
+    def age_ms(self) -> float: ...
+
+    @property
+    def events(self) -> int: ...
+
+    @property
+    def prompt_tokens(self) -> float: ...
+
+
 class Duplicate(Exception):
     """A request with this id is still open."""
 
@@ -121,6 +146,35 @@
             self.driver.abort(request.bound)
             self.ended(now, request.bound, t.Status.CANCELLED)
 
+    def may_move(self, attempt: Attempt) -> bool:
+        """Is the stream all that is left of its request here, with nothing held for it anywhere?"""
+        request = attempt.request
+        if attempt.over or request.done or request.bound is not attempt or len(request.out) > 1:
+            return False
+        return not (request.places or request.loose or request.releasing)
+
+    def moved(self, now: float, attempt: Attempt) -> None:
+        """Another process goes on with the stream."""
+        self._settle(now, attempt.request, "moved")
+        self._post(t.Left(attempt.request.id))
+        self.ended(now, attempt, t.Status.CANCELLED)
+
+    def adopt(self, now: float, told: Moved, sink: Sink) -> Attempt:
+        """A stream that another process began; the module hears nothing of it, since nothing is to decide."""
+        asked = t.Request(
+            told.id, told.cls, told.tenant, None, 0.0, None, None, told.prompt_tokens, 0.0, 0.0, False, False
+        )
+        if asked.id in self.open:
+            raise Duplicate(asked.id)
+        request = OpenRequest(asked, sink, None, now - told.age_ms, now)
+        attempt = Attempt(request, 0, told.server, False, request.arrived, now, True, True, told.events)
+        request.bound, request.out, request.sent = attempt, {0: attempt}, 1
+        self.open[asked.id] = request
+        self.tally.taken(asked.cls)
+        if self.routes is not None:
+            self.routes.taken(now, asked)
+        return attempt
+
     def stopping(self) -> None:
         """Guards against what the end would cut off without a word, and states that nobody would release."""
         self._post(t.Stopping())
--- a/violetstack/core/tally.py
+++ b/violetstack/core/tally.py
@@ -32,6 +32,9 @@
 
     def ended(self, cls: int, answer: str) -> None:
         row, name = self.rows[cls], ENDS.get(answer, "faulted")
+        if answer == "moved":  # it is its heir's now, and counts there alone
+            row.taken -= 1
+            return
         setattr(row, name, getattr(row, name) + 1)
 
     @property
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -14,30 +14,30 @@
 
 
 class PlatformSink:
-    def __init__(self, reply: Reply) -> None:
-        self._reply, self._begun = reply, False
+    def __init__(self, reply: Reply, begun: bool = False) -> None:
+        self.reply, self._begun = reply, begun
 
     def begun(self) -> None:
         self._begun = True
-        self._reply.stream(200, EVENTS)
+        self.reply.stream(200, EVENTS)
 
     def event(self, data: memoryview) -> None:
-        self._reply.data(data)
+        self.reply.data(data)
 
     def finished(self) -> None:
         if not self._begun:
             self.begun()
-        self._reply.end()
+        self.reply.end()
 
     def cut(self) -> None:
-        self._reply.cut()
+        self.reply.cut()
 
     def refused(self, retry_after_ms: float, status: int = 503) -> None:
         headers = [*TEXT, ("Retry-After", f"{retry_after_ms / 1000.0:.3f}")] if retry_after_ms > 0 else TEXT
-        self._reply.answer(status, headers, b"refused\n")
+        self.reply.answer(status, headers, b"refused\n")
 
     def failed(self, may_have_run: bool) -> None:
-        self._reply.answer(500, TEXT, b"failed\n")
+        self.reply.answer(500, TEXT, b"failed\n")
 
 
 class PlatformFront:
--- a/violetstack/fronts/reply.py
+++ b/violetstack/fronts/reply.py
@@ -7,7 +7,24 @@
 from typing import Protocol
 
 from violetstack.core.records import OpenRequest
-from violetstack.protocol.server_side import Headers, Inbound
+from violetstack.protocol.server_side import Headers, Inbound, ServerSide
+
+
+class Client(Protocol):
+    """A connection with an answer under way, as it is passed on to another process."""
+
+    http: ServerSide
+
+    async def park(self) -> bool:
+        """Nothing is read or written from here on; False if that can't be now, and nothing has changed."""
+
+    @property
+    def descriptor(self) -> int | None: ...
+
+    def resume(self) -> None: ...
+
+    def passed(self) -> None:
+        """The other process has it: this one's end of it goes without a word to the client."""
 
 
 class Reply(Protocol):
@@ -29,6 +46,10 @@
     def gone(self) -> bool:
         """Answered, or the client has gone away."""
 
+    @property
+    def client(self) -> Client | None:
+        """The connection, for another process that goes on with its answer."""
+
     async def room(self) -> None:
         """Returns once the client has read enough of what waits for it."""
 
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -42,6 +42,7 @@
     from violetstack.levels.control import LevelPlan
     from violetstack.net.handover import Handover
     from violetstack.net.levels import LevelDriver
+    from violetstack.net.passing import Giver
     from violetstack.routing.generations import Routing
 
 KEPT_DESCRIPTORS = 40  # the program's own: standard streams, the poller, the watch, clients turned away
@@ -104,6 +105,8 @@
         self.handover: Handover | None = None
         self.rows: dict[str, WServer] = {}  # the list as discovery has it
         self.started = self.taking = False
+        self.platform: Listener | None = None
+        self.giver: Giver | None = None
 
     async def serve(self, task_status: trio.TaskStatus[Serving] = trio.TASK_STATUS_IGNORED) -> None:
         config = self.config
@@ -142,10 +145,12 @@
             if config.listen is not None:
                 front = PlatformFront(core, RequestReader(config.facts), now_ms, log_outside)
                 platform = await self._listen(config.listen, front)
+                self.platform = self.listeners[-1]
             if config.chat is not None:
                 chat = await self._serve_chat(config.chat)
             self.taking = True
             self._record()
+            self._take_streams()
             log("started", name=config.told.name, platform=platform, chat=chat, door=door)
             gc.freeze()
             task_status.started(Serving(platform, chat, self.challenge, door))
@@ -154,7 +159,7 @@
             await self._drain()
             if self.handover is not None:
                 self.handover.leave()
-            log("stopped")
+            log("stopped", passed_on=self.giver.given if self.giver is not None else 0)
             nursery.cancel_scope.cancel()
 
     # --- model hosts ---
@@ -259,6 +264,24 @@
                 self.handover.changed = True
                 self.handover.write()
 
+    def _take_streams(self) -> None:
+        if self.config.inherited is None or self.handover is None:
+            return
+        from violetstack.net.passing import Taker, socket_path  # noqa: PLC0415
+
+        taker = Taker(self.core, self.hosts, lambda: self.platform if self.taking else None)
+        path = socket_path(str(self.config.shared_folder), self.handover.succession.owner)
+        self.nursery.start_soon(taker.run, path)
+
+    async def _pass_streams(self) -> None:
+        if self.config.inherited is None or self._heir is None:
+            return
+        from violetstack.net.passing import Giver, socket_path  # noqa: PLC0415
+
+        self.giver = Giver(self.core)
+        if await self.giver.connect(socket_path(str(self.config.shared_folder), self._heir)):
+            self.hosts.pass_all(self.giver.give)
+
     @property
     def _heir(self) -> str | None:
         if self.handover is not None:
@@ -469,6 +492,7 @@
             # Who comes now waits in the queue that the heir accepts from. It speaks to the peers as well.
             await self._stop_accepting()
             self.hosts.tell = lambda payload: None
+            await self._pass_streams()
         while self.taking or self._busy:
             after = trio.current_time() - began
             if self.taking and after >= LISTEN_ON_S:
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
@@ -32,6 +32,8 @@
 IDLE_SHARE = 0.8  # connections are retired at this part of the time after which hosts close them
 MAX_ANSWER = 64 * 1024  # of an answer that is no stream
 Report = tuple[float | None, ...] | None
+Room = Callable[[], Awaitable[None]]
+PassOn = Callable[["Attempt", "HostConnection", int], Awaitable[bool]]
 
 
 class NotUp(Exception):
@@ -132,6 +134,8 @@
         self.most, self.connections = 0, 0
         self.hosts: dict[str, Host] = {}
         self.tell: Callable[[bytes], None] = lambda payload: None  # until there are peers
+        self.pass_on: PassOn | None = None  # an heir, for streams that have begun
+        self._waits: dict[Attempt, trio.CancelScope] = {}  # for the next bytes of its answer
         self._scopes: dict[Attempt, trio.CancelScope] = {}
         self._using: dict[Attempt, HostConnection] = {}
         self._sent: dict[Attempt, trio.Event] = {}  # set once written, or over
@@ -244,7 +248,42 @@
     def start(self, attempt: Attempt) -> None:
         scope = self._scopes[attempt] = trio.CancelScope()
         self._sent[attempt] = trio.Event()
-        self.nursery.start_soon(self._attempt, attempt, scope)
+        self.nursery.start_soon(self._attempt, attempt, scope, self._exchange)
+
+    def adopt(self, attempt: Attempt, raw: socket.socket, cached: int, room: Room) -> None:
+        """A stream that another process began, on its connection."""
+        connection = HostConnection(raw, attempt.server)
+        connection.http = HostSide.resumed()
+        self.connections += 1
+        attempt.request.payload = Payload("POST", "", "", memoryview(b""), room)
+        scope = self._scopes[attempt] = trio.CancelScope()
+        self._sent[attempt] = trio.Event()
+
+        async def go_on(attempt: Attempt) -> Ended:
+            return await self._on(attempt, connection, cached)
+
+        self.nursery.start_soon(self._attempt, attempt, scope, go_on)
+
+    async def _on(self, attempt: Attempt, connection: HostConnection, cached: int) -> Ended:
+        clean = False
+        try:
+            self._using[attempt] = connection
+            ended = await self._answer(attempt, connection, False, Head(200, {}), cached)
+            clean = ended.status is not t.Status.CANCELLED
+            return ended
+        finally:
+            self._using.pop(attempt, None)
+            if clean:
+                self._put_back(connection)
+            else:
+                self._close(connection)
+
+    def pass_all(self, pass_on: PassOn) -> None:
+        """Streams go to an heir from now on, each at once or after its next event."""
+        self.pass_on = pass_on
+        for attempt, wait in self._waits.items():
+            if attempt.begun:
+                wait.cancel()
 
     def abort(self, attempt: Attempt) -> None:
         """Guards against a final answer that overtakes the attempt's end: the connection closes here and now.
@@ -257,11 +296,13 @@
         if (scope := self._scopes.get(attempt)) is not None:
             scope.cancel()
 
-    async def _attempt(self, attempt: Attempt, scope: trio.CancelScope) -> None:
+    async def _attempt(
+        self, attempt: Attempt, scope: trio.CancelScope, exchange: Callable[[Attempt], Awaitable[Ended]]
+    ) -> None:
         ended: Ended | None = None
         with scope:
             try:
-                ended = await self._exchange(attempt)
+                ended = await exchange(attempt)
             except NotUp:
                 ended = Ended(t.Status.CONNECT_FAILED)
             except (Broken, sse.NoEvent) as error:
@@ -274,6 +315,7 @@
                 log("attempt_failed", id=attempt.request.id, error=repr(error))
                 ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
         self._scopes.pop(attempt, None)
+        self._waits.pop(attempt, None)
         self._sent.pop(attempt).set()
         if ended is not None:
             self.core.ended(now_ms(), attempt, ended.status, ended.note, ended.report)
@@ -307,7 +349,7 @@
 
             await connection.write(parts, written)
             ended = await self._answer(attempt, connection, host.plain)
-            clean = True
+            clean = ended.status is not t.Status.CANCELLED
             return ended
         finally:
             self._using.pop(attempt, None)
@@ -318,22 +360,27 @@
             else:
                 self._close(connection)
 
-    async def _answer(self, attempt: Attempt, connection: HostConnection, plain: bool) -> Ended:
+    async def _answer(
+        self, attempt: Attempt, connection: HostConnection, plain: bool, head: Head | None = None,
+        cached: int = 0,
+    ) -> Ended:  # fmt: skip
         """Reads the answer; `since` is when it last was whole up to an event, or when it began to be partial.
 
         Guards against spoilt answers whose connection stays open: what does not end where it should would
         keep its client waiting for ever.
         """
-        head: Head | None = None
         body = b""
         splitter = sse.Splitter()
         tail = _Tail(self.report_names)
+        tail.cached = cached
         partial, since = False, trio.current_time()
         while True:
             patience = PARTIAL_S if partial else QUIET_S if attempt.begun else STALL_S
+            events: list[Head | Body | End] = []
             with trio.move_on_at(since + patience) as timer:
+                self._waits[attempt] = timer
                 events = await connection.receive()
-            if timer.cancelled_caught:
+            if timer.cancelled_caught and trio.current_time() >= since + patience:
                 raise Broken("the rest of the answer does not come" if partial else "silent")
             for event in events:
                 if isinstance(event, Head):
@@ -371,6 +418,11 @@
             partial = connection.http.partial or splitter.partial or waits
             if partial and not was_partial:
                 since = trio.current_time()
+            if (
+                self.pass_on is not None and attempt.begun and not partial and not plain
+                and await self.pass_on(attempt, connection, tail.cached)
+            ):  # fmt: skip
+                return Ended(t.Status.CANCELLED)  # it goes on elsewhere
 
     def _told(self, attempt: Attempt, head: Head, body: bytes) -> Ended:
         """What an answer without a stream means."""
--- a/violetstack/net/listener.py
+++ b/violetstack/net/listener.py
@@ -4,6 +4,7 @@
 
 import errno
 import math
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 
@@ -12,7 +13,7 @@
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import OpenRequest
-from violetstack.fronts.reply import Front
+from violetstack.fronts.reply import Client, Front
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
 from violetstack.protocol.server_side import Headers, Rejected, ServerSide
@@ -23,6 +24,7 @@
 ARRIVE_S = 2.2  # a new connection's first request is whole by then, and any request that has begun to come
 IDLE_S = 2.0  # a connection that has been idle for so long may be closed to make room
 FRESH_S = 0.2  # a connection that has sent nothing yet may be
+PARK_S = 0.3  # what waits for a client is written by then, or its answer is not passed on now
 LINGER_S = 0.5  # after the last answer the client is heard out for so long
 REST_S, LONGEST_REST_S = 0.05, 0.4
 MAX_UNREAD = 64 * 1024
@@ -57,6 +59,9 @@
         self._answered = trio.Event()
         self._replies: Replies | None = None
         self.scope = trio.CancelScope()
+        self._timer: trio.CancelScope | None = None  # of what is being read
+        self._parking = self._passed = False
+        self._parked, self._resumed, self._flushed = trio.Event(), trio.Event(), trio.Event()
 
     # --- what a front calls ---
 
@@ -88,6 +93,44 @@
             self._drained = trio.Event()
             await self._drained.wait()
 
+    # --- passing it on to another process ---
+
+    async def park(self) -> bool:
+        if self.closed or self._finish or self._parking or not isinstance(self.stream, trio.SocketStream):
+            return False
+        if not self.answering or not self.http.passable or self._timer is None:
+            return False
+        self._parking, self._parked, self._resumed = True, trio.Event(), trio.Event()
+        self._flushed = trio.Event()
+        self._timer.cancel()
+        self._more.set()
+        try:
+            with trio.fail_after(PARK_S):
+                await self._parked.wait()
+                if self._queued:
+                    await self._flushed.wait()
+        except trio.TooSlowError:
+            pass
+        if self.closed or self._queued or not self._parked.is_set() or not self.http.passable:
+            self.resume()
+            return False
+        return True
+
+    @property
+    def descriptor(self) -> int | None:
+        here = isinstance(self.stream, trio.SocketStream) and not self.closed
+        return self.stream.socket.fileno() if here else None  # type: ignore[attr-defined]
+
+    def resume(self) -> None:
+        self._parking = False
+        self._resumed.set()
+
+    def passed(self) -> None:
+        """Guards the other process's end: this one's is closed, and nothing is shut down or written."""
+        self.request, self._replies = None, None
+        self.listener.forget(self)
+        self.scope.cancel()
+
     # --- inside ---
 
     def has_unread(self) -> bool:
@@ -147,14 +190,22 @@
                 break
             arriving = not self.answering and (self.http.busy or not self.served)
             since = (since or trio.current_time()) if arriving else 0.0
+            if self._parking:
+                self._parked.set()
+                await self._resumed.wait()
+                continue
             with trio.move_on_at(since + ARRIVE_S if arriving else math.inf) as timer:
+                self._timer = timer
                 if self.answering and self.http.unread > MAX_UNREAD:
                     await self._answered.wait()
                     continue
                 if self._strikes > 1 and not self.answering:
                     await self._rest()
                 data = await self.stream.receive_some(READ_SIZE)
+            self._timer = None
             if timer.cancelled_caught:
+                if self._parking:
+                    continue
                 self._too_late()
                 break
             if not data:
@@ -227,6 +278,7 @@
                     await self._linger()
                 self.scope.cancel()
                 return
+            self._flushed.set()
             self._more = trio.Event()
             await self._more.wait()
 
@@ -271,6 +323,10 @@
     def lost(self) -> None:
         self._connection = None
 
+    @property
+    def client(self) -> Client | None:
+        return self._connection
+
     def opened(self, request: OpenRequest) -> None:
         if self._connection is not None:
             self._connection.request = request
@@ -301,6 +357,7 @@
         self.idle: dict[Connection, None] = {}  # answered and unused since, the longest first
         self.fresh: dict[Connection, None] = {}  # no whole request yet, the oldest first
         self.draining = self.refusing = False
+        self.nursery: trio.Nursery
 
     async def run(
         self,
@@ -309,6 +366,7 @@
     ) -> None:
         """Serves until cancelled."""
         async with trio.open_nursery() as nursery:
+            self.nursery = nursery
             for listener in listeners:
                 nursery.start_soon(self._accept, listener, nursery, wrap)
 
@@ -361,6 +419,17 @@
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
+    def adopt(self, raw: socket.socket, closing: bool) -> Replies:
+        """A connection with an answer under way, which another process has taken."""
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
+        connection = Connection(stream, self)
+        connection.http = ServerSide.resumed(closing)
+        connection.answering = connection.served = True
+        connection._replies = Replies(connection)
+        self.connections.add(connection)
+        self.nursery.start_soon(connection.serve)
+        return connection._replies
+
     def _has_room(self) -> bool:
         return len(self.connections) + self.shaking < self.most or self._make_room()
 
--- a/violetstack/protocol/host_side.py
+++ b/violetstack/protocol/host_side.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import h11
+from h11._readers import ChunkedReader
 
 from violetstack.protocol.server_side import MAX_REASON, Headers
 
@@ -43,6 +44,22 @@
         """Part of a head or of a chunk has come, and not the rest."""
         return self._in_chunk > 0 or len(self._h11.trailing_data[0]) > 0
 
+    @classmethod
+    def resumed(cls) -> HostSide:
+        """In the middle of a chunked answer, between two chunks; another process has read the rest."""
+        side = cls()
+        side.request("POST", "/", [("Host", "x")])
+        side.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        return side
+
+    @property
+    def between_chunks(self) -> bool:
+        """Could another process read on from here? The end of a chunk's framing counts to the chunk."""
+        reader = self._h11._reader
+        if not isinstance(reader, ChunkedReader) or self.partial or self._spoilt:
+            return False
+        return not (reader._bytes_in_chunk or reader._bytes_to_discard or reader._reading_trailer)
+
     def check(self) -> None:
         """Raises what was found behind the last whole event.
 
--- a/violetstack/protocol/server_side.py
+++ b/violetstack/protocol/server_side.py
@@ -49,6 +49,27 @@
         self.closing = False  # say so in the next head
         self.wants_continue = False
 
+    @classmethod
+    def resumed(cls, closing: bool) -> ServerSide:
+        """In the middle of a streamed answer, whose head another process has sent."""
+        side = cls()
+        side.closing = closing
+        side.feed(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+        side.next_request()
+        side.stream(200, [])
+        return side
+
+    @property
+    def ends(self) -> bool:
+        """Does the connection end with this answer, by either side's word?"""
+        return self.closing or self._h11.their_state is h11.MUST_CLOSE
+
+    @property
+    def passable(self) -> bool:
+        """A streamed answer is under way, the request is whole and nothing has come after it."""
+        heard = self._h11.their_state in (h11.DONE, h11.MUST_CLOSE) and not self.unread
+        return heard and self._h11.our_state is h11.SEND_BODY
+
     def feed(self, data: bytes) -> None:
         self._h11.receive_data(data)
 
