A connection that says nothing costs half: parser, queue, events and writer come with its first byte

Each had an h11 parser, two tasks, a nursery and four events (seven since streams can pass on) from its accept on. At fault: Connection.__init__ and the writing task of Connection.serve.

--- /dev/null
+++ b/benchmarks/service.py
@@ -0,0 +1,142 @@
+"""What a silent connection costs, how late the door is in a crowd, and a start to its yes, as ratios.
+
+    python -m benchmarks.service [--against REV]
+
+The other revision is unpacked into a folder of its own and measured in turns with this one, by this file.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import resource
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+from violetstack.rehearsal.stage import SETTINGS
+
+SILENT, STORM, TURNS = 1_000, 3_000, 3
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class Daemon:
+    """One started program, with room for a crowd."""
+
+    def __init__(self, root: Path) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        file = Path(self._folder.name) / "config.json"
+        told = {
+            "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "seed": "ff", "settings": SETTINGS,
+            "limits": {"sockets": 4096, "memory_mb": 1024},
+        }  # fmt: skip
+        file.write_text(json.dumps(told))
+        began = time.monotonic()
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "violetstack"], cwd=root, stdout=subprocess.PIPE,
+            env={**os.environ, "NODE_CONFIG": str(file), "TMPDIR": self._folder.name},
+        )  # fmt: skip
+        assert self.process.stdout is not None
+        lines = (json.loads(line) for line in self.process.stdout)
+        started = next(line for line in lines if line["event"] == "started")
+        self.ready_s, self.ready_cpu_s = time.monotonic() - began, self.cpu_s()
+        self.at: tuple[str, int] = tuple(started["platform"])
+        self.door: tuple[str, int] | None = tuple(started["door"]) if started.get("door") else None
+
+    def cpu_s(self) -> float:
+        row = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(row[11]) + int(row[12])) / TICKS
+
+    def resident_kib(self) -> float:
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return float(status.split("VmRSS:")[1].split()[0])
+
+    def end(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        self._folder.cleanup()
+
+
+def ask(at: tuple[str, int], path: bytes) -> bytes:
+    with socket.create_connection(at, timeout=10.0) as sock:
+        sock.sendall(b"GET %b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" % path)
+        heard = b""
+        while data := sock.recv(4096):
+            heard += data
+        return heard
+
+
+def measure(root: Path) -> dict[str, float]:
+    daemon = Daemon(root)
+    try:
+        ask(daemon.at, b"/-/ready")
+        told = {"start to yes, s": daemon.ready_s, "start to yes, CPU s": daemon.ready_cpu_s}
+        before, cpu = daemon.resident_kib(), daemon.cpu_s()
+        crowd = [socket.create_connection(daemon.at) for _ in range(SILENT)]
+        ask(daemon.at, b"/-/ready")  # behind all of them in the queue
+        told["KiB a silent connection"] = (daemon.resident_kib() - before) / SILENT
+        told["CPU us a silent connection"] = (daemon.cpu_s() - cpu) / SILENT * 1e6
+        for sock in crowd:
+            sock.close()
+        if daemon.door is not None:
+            told |= storm(daemon)
+        return told
+    finally:
+        daemon.end()
+
+
+def storm(daemon: Daemon) -> dict[str, float]:
+    """Connections as fast as they can be made, a call at the door between them."""
+    assert daemon.door is not None
+    late, crowd = [], list[socket.socket]()
+    for n in range(STORM):
+        crowd.append(socket.create_connection(daemon.at))
+        if n % 60 == 59:
+            began = time.monotonic()
+            assert b"open_requests" in ask(daemon.door, b"/admin/stats")
+            late.append((time.monotonic() - began) * 1000.0)
+        if len(crowd) >= 1_500:
+            crowd.pop(0).close()
+    for sock in crowd:
+        sock.close()
+    late.sort()
+    return {"door, median ms": median(late), "door, latest ms": late[-1]}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--against", metavar="REV", help="another revision, measured in turns with this one")
+    told = parser.parse_args()
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 16_384), hard))
+    root = Path(__file__).resolve().parent.parent
+    rows: dict[str, list[dict[str, float]]] = {"this one": []}
+    with tempfile.TemporaryDirectory() as folder:
+        if told.against:
+            archive = subprocess.run(
+                ["git", "archive", told.against], cwd=root, check=True, capture_output=True
+            )
+            subprocess.run(["tar", "-x", "-C", folder], input=archive.stdout, check=True)
+            rows[told.against] = []
+        for name in rows:  # compiled once, so that no turn counts it
+            Daemon(root if name == "this one" else Path(folder)).end()
+        for _ in range(TURNS):
+            rows["this one"].append(measure(root))
+            if told.against:
+                rows[told.against].append(measure(Path(folder)))
+    figures: dict[str, dict[str, Any]] = {
+        name: {key: median(turn[key] for turn in turns) for key in turns[0]} for name, turns in rows.items()
+    }
+    for key, value in figures["this one"].items():
+        other = figures.get(told.against or "", {}).get(key)
+        print(f"{key:28} {value:9.3f}" + (f"  {other:9.3f}  x{value / other:.2f}" if other else ""))
+
+
+if __name__ == "__main__":
+    main()
--- a/violetstack/net/listener.py
+++ b/violetstack/net/listener.py
@@ -37,31 +37,52 @@
 Wrap = Callable[[trio.SocketStream], Awaitable[trio.abc.Stream]]
 
 
+SILENT = ServerSide()  # stands for the parser of all who have sent nothing; never fed
+
+
 class Connection:
-    """One client's connection. The answering methods never wait: what they write is queued."""
+    """One client's connection. The answering methods never wait: what they write is queued.
+
+    Guards the memory against those who connect and say nothing: parser, queue, events and the writing task
+    come with the first byte.
+    """
+
+    __slots__ = (
+        "__weakref__", "_answered", "_drained", "_finish", "_flushed", "_heard_out", "_more", "_out",
+        "_parked", "_parking", "_queued", "_replies", "_resumed", "_strikes", "_timer", "answering", "closed",
+        "held", "http", "last_used", "listener", "request", "scope", "served", "stream",
+    )  # fmt: skip
+    _out: deque[bytes | memoryview]
+    _heard_out: trio.Event  # the client has ended its side
+    _more: trio.Event
+    _drained: trio.Event
+    _answered: trio.Event
+    _parked: trio.Event
+    _resumed: trio.Event
+    _flushed: trio.Event
 
     def __init__(self, stream: trio.abc.Stream, listener: Listener) -> None:
         self.stream, self.listener = stream, listener
-        self.http = ServerSide()
+        self.http = SILENT
         self.request: OpenRequest | None = None
         self.answering = False  # a request was handed to the front and its answer has not ended
         self.last_used = trio.current_time()
         self.served = False  # a whole request has come
         self._strikes = 0  # requests in a row that could not be taken
-        self._heard_out = trio.Event()  # the client has ended its side
-        self._out: deque[bytes | memoryview] = deque()
         self._queued = 0
         self.held = 0  # bytes of a request's body, here until its answer ends
         self.closed = False
         self._finish = False  # close once all is written
-        self._more = trio.Event()
-        self._drained = trio.Event()
-        self._answered = trio.Event()
         self._replies: Replies | None = None
         self.scope = trio.CancelScope()
         self._timer: trio.CancelScope | None = None  # of what is being read
-        self._parking = self._passed = False
-        self._parked, self._resumed, self._flushed = trio.Event(), trio.Event(), trio.Event()
+        self._parking = False
+
+    def begin(self, http: ServerSide) -> None:
+        """The first byte has come, or another process passed this on."""
+        self.http, self._out = http, deque()
+        self._heard_out, self._more, self._drained = trio.Event(), trio.Event(), trio.Event()
+        self._answered, self._flushed = trio.Event(), trio.Event()
 
     # --- what a front calls ---
 
@@ -160,11 +181,12 @@
     async def serve(self) -> None:
         try:
             with self.scope:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._write)
-                    await self._read()
-                    if not self._finish:
-                        nursery.cancel_scope.cancel()
+                if self.http is not SILENT or await self._speaks():
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(self._write)
+                        await self._read()
+                        if not self._finish:
+                            nursery.cancel_scope.cancel()
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except* Exception as errors:  # no connection's failure ends the nursery
@@ -178,10 +200,22 @@
             if self.request is not None:
                 self.listener.core.client_left(now_ms(), self.request)
                 self.request = None
-            self._drained.set()
+            if self.http is not SILENT:
+                self._drained.set()
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0):
                 await trio.aclose_forcefully(self.stream)
 
+    async def _speaks(self) -> bool:
+        """Until the first byte, or the end of the time for one."""
+        if isinstance(self.stream, trio.SocketStream):
+            with trio.move_on_at(self.last_used + ARRIVE_S) as timer:
+                await trio.lowlevel.wait_readable(self.stream.socket)
+            if timer.cancelled_caught:
+                log_outside("silent_closed")
+                return False
+        self.begin(ServerSide())
+        return True
+
     async def _read(self) -> None:
         since = self.last_used  # a request that only trickles in has one limit for all of it
         while not self._finish:
@@ -423,7 +457,7 @@
         """A connection with an answer under way, which another process has taken."""
         stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
         connection = Connection(stream, self)
-        connection.http = ServerSide.resumed(closing)
+        connection.begin(ServerSide.resumed(closing))
         connection.answering = connection.served = True
         connection._replies = Replies(connection)
         self.connections.add(connection)
