--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -131,6 +131,27 @@
     assert not first.all(t.Tell)  # nothing changed, nothing told
 
 
+def test_what_does_not_fit_one_datagram_is_told_in_the_next_the_longest_untold_first() -> None:
+    """Hosts past a datagram's 85 were marked as told though they were cut off."""
+    many = tuple(entry(f"h{n}", 2) for n in range(120))
+    front = Front(*many, may_tell=True, fleet_size=2, max_attempts=1)
+    asked = 0
+    while sum(1 for s in front.router.fleet.servers.values() if s.out) < len(many):
+        front.ask(expires_in_ms=60_000.0)
+        asked += 1
+        assert asked < 2_000
+    told: list[set[bytes]] = []
+    for _ in range(2):
+        front.feed(t.TimerDue("tell"), after=25.0)
+        payload = front.one(t.Tell).payload
+        assert len(payload) <= MAX_DATAGRAM
+        told.append({payload[at : at + 2] for at in range(0, len(payload), 3)})
+    assert [len(tags) for tags in told] == [85, 35]
+    assert told[0] | told[1] == {tag_of(host.server) for host in many}
+    front.feed(t.TimerDue("tell"), after=25.0)
+    assert front.all(t.Tell) == []
+
+
 def test_a_front_that_died_is_forgotten_when_it_starts_anew_or_when_its_words_are_old() -> None:
     tag = tag_of("r1")
     for anew in (True, False):
--- a/violetstack/peers/sharing.py
+++ b/violetstack/peers/sharing.py
@@ -13,7 +13,7 @@
 
 MAX_DATAGRAM = 256
 ENTRY = 3
-MOST_ENTRIES = MAX_DATAGRAM // ENTRY
+MOST_TOLD = MAX_DATAGRAM // ENTRY
 FAILED = 255
 ANEW = b"\0"
 UNIT, STEPS = 10.0, 16.0  # the smallest amount that is told, and steps in a doubling
@@ -40,7 +40,7 @@
 
 
 def datagram(entries: list[tuple[bytes, int]]) -> bytes:
-    return b"".join(tag + bytes((code,)) for tag, code in entries[:MOST_ENTRIES])
+    return b"".join(tag + bytes((code,)) for tag, code in entries[:MOST_TOLD])
 
 
 class Shared:
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -19,7 +19,7 @@
     ListScope, Outcome, PeerMessage, PlaceNote, Probe, Probed, Refuse, Release, Request, Role, Send,
     ServerState, Settings, Status, Stopping, Tell, TenantSpec, Timer, TimerDue, Watch,
 )  # fmt: skip
-from violetstack.peers.sharing import ANEW, FAILED, BadDatagram, Shared, code_of, datagram, tag_of
+from violetstack.peers.sharing import ANEW, FAILED, MOST_TOLD, BadDatagram, Shared, code_of, datagram, tag_of
 
 ALPHA, BETA, MODEL_FACTOR = 4.25e-5, 6.80e-3, 1.0  # the design page: price of a read
 NEAR = 0.1  # the design page: freeness within this of the best counts as equal
@@ -176,7 +176,7 @@
 
     def __init__(self, entry: Entry, lot: float, now: float) -> None:
         self.entry, self.usable, self.lot = entry, True, lot  # the lot differs from front to front
-        self.tag, self.told = tag_of(entry.server), 0  # for the other fronts, and the code they last had
+        self.tag, self.told, self.told_at = tag_of(entry.server), 0, now  # the code others last had, and when
         self.out: dict[tuple[str, int], Try] = {}
         self.places: dict[str, float] = {}
         self.forget(now)
@@ -230,6 +230,10 @@
         self.recent: dict[str, Fading] = {}
         self.shared = Shared(max((spec.give_up_ms for spec in settings.classes), default=0.0))
 
+    def code(self, server: Server) -> int:
+        """What the other fronts are told of our work there."""
+        return code_of(server.own_reads() if self.role(server) is Role.READ else server.own_tokens())
+
     def reads_out(self, server: Server) -> float:
         """Priced reads out there: ours, and what the other fronts told of theirs."""
         mixed = self.role(server) is Role.BOTH  # those tell tokens
@@ -457,17 +461,17 @@
         if self.now < self.telling - 1.0:
             return  # told since this timer was set
         self.telling = inf
-        entries = [(tag, FAILED) for tag in self.failures]
-        self.failures = {}
-        for server in self.fleet.servers.values():
-            if server.out or server.places or server.told:
-                reader = self.fleet.role(server) is Role.READ
-                code = code_of(server.own_reads() if reader else server.own_tokens())
-                if code != server.told:
-                    entries.append((server.tag, code))
-                    server.told = code
+        entries = [(tag, FAILED) for tag in self.failures][:MOST_TOLD]
+        self.failures = dict.fromkeys(list(self.failures)[len(entries) :])
+        busy = [s for s in self.fleet.servers.values() if s.out or s.places or s.told]
+        changed = [(s, code) for s in busy if (code := self.fleet.code(s)) != s.told]
+        for server, code in sorted(changed, key=lambda row: row[0].told_at)[: MOST_TOLD - len(entries)]:
+            entries.append((server.tag, code))
+            server.told, server.told_at = code, self.now
         if entries:
             self.act(Tell(datagram(entries)))
+        if len(entries) == MOST_TOLD:  # what did not fit goes next, the longest untold first
+            self.tell_soon()
 
     def on_peer(self, message: PeerMessage) -> None:
         """Guards against learning it forty times over: a server that failed one front has failed all."""
@@ -657,9 +661,7 @@
         return max(choice, key=rank)
 
     def hold_place(self, job: Job, reader: Server) -> None:
-        if len(job.asked) >= PLACE_TRIES:
-            return
-        writer = self.pick_writer(job, reader)
+        writer = self.pick_writer(job, reader) if len(job.asked) < PLACE_TRIES else None
         if writer is None:
             return
         job.asked.append(writer)
@@ -820,10 +822,9 @@
         job.state_at, job.pinned = None, False
 
     def close(self, job: Job) -> None:
-        if job.out:
-            return
-        self.let_go(job)
-        self.jobs.pop(job.req.id, None)
+        if not job.out:
+            self.let_go(job)
+            self.jobs.pop(job.req.id, None)
 
     def give_up(self, job: Job) -> None:
         """The final answer: a refusal with advice where a retry is known to be harmless, else a failure."""
@@ -846,8 +847,7 @@
                     self.act(Cancel(job.req.id, t.n))
 
     def on_left(self, request_id: str) -> None:
-        job = self.jobs.get(request_id)
-        if job is not None:
+        if (job := self.jobs.get(request_id)) is not None:
             self.end(job)
 
     def on_timer(self, token: str) -> None:
