A stream passes though its heir was told of a moment ago, or something may be held for it

And streams with 'places [[w, held]]' stayed without any line: a place that is answered after the first event makes a request loose until its end (Dispatcher.place_answered), and may_move waited for that. Ruled out: the heir's refusal (no passing_refused) and clients that read slowly.

Now the heir listens before it says that it serves, what may be held is told with the stream and released by the heir, and a stream that could not pass is tried again after 0.1 s.

--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -20,6 +20,10 @@
 from statistics import median
 from typing import Any
 
+import trio
+
+from violetstack.config import load
+from violetstack.net.daemon import run
 from violetstack.rehearsal.stage import SETTINGS
 
 SILENT, STORM, TURNS = 1_000, 3_000, 3
@@ -29,7 +33,7 @@
 class Daemon:
     """One started program, with room for a crowd."""
 
-    def __init__(self, root: Path) -> None:
+    def __init__(self, root: Path, watched: bool = False) -> None:
         self._folder = tempfile.TemporaryDirectory()
         file = Path(self._folder.name) / "config.json"
         told = {
@@ -38,12 +42,13 @@
         }  # fmt: skip
         file.write_text(json.dumps(told))
         began = time.monotonic()
+        words = ["benchmarks.service", "--serve"] if watched else ["violetstack"]
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "violetstack"], cwd=root, stdout=subprocess.PIPE,
+            [sys.executable, "-m", *words], cwd=root, stdout=subprocess.PIPE,
             env={**os.environ, "NODE_CONFIG": str(file), "TMPDIR": self._folder.name},
         )  # fmt: skip
         assert self.process.stdout is not None
-        lines = (json.loads(line) for line in self.process.stdout)
+        lines = self._lines = (json.loads(line) for line in self.process.stdout)
         started = next(line for line in lines if line["event"] == "started")
         self.ready_s, self.ready_cpu_s = time.monotonic() - began, self.cpu_s()
         self.at: tuple[str, int] = tuple(started["platform"])
@@ -57,6 +62,11 @@
         status = Path(f"/proc/{self.process.pid}/status").read_text()
         return float(status.split("VmRSS:")[1].split()[0])
 
+    def longest_turn_ms(self) -> float:
+        """Ends it in order."""
+        self.process.terminate()
+        return float(next(line["longest_turn_ms"] for line in self._lines if "longest_turn_ms" in line))
+
     def end(self) -> None:
         self.process.kill()
         self.process.wait()
@@ -72,6 +82,30 @@
         return heard
 
 
+class Turns(trio.abc.Instrument):
+    """The loop's longest turn: between two times at which it looks for what has come."""
+
+    def __init__(self) -> None:
+        self.longest, self._began = 0.0, time.perf_counter()
+
+    def after_io_wait(self, timeout: float) -> None:
+        self._began = time.perf_counter()
+
+    def before_io_wait(self, timeout: float) -> None:
+        self.longest = max(self.longest, time.perf_counter() - self._began)
+
+
+def serve() -> None:
+    path, turns = os.environ["NODE_CONFIG"], Turns()
+
+    async def main() -> None:
+        turns.longest = 0.0
+        await run(load(path), lambda: load(path, again=True))
+
+    trio.run(main, instruments=[turns])
+    print(json.dumps({"longest_turn_ms": turns.longest * 1000.0}), flush=True)
+
+
 def measure(root: Path) -> dict[str, float]:
     daemon = Daemon(root)
     try:
@@ -84,11 +118,17 @@
         told["CPU us a silent connection"] = (daemon.cpu_s() - cpu) / SILENT * 1e6
         for sock in crowd:
             sock.close()
-        if daemon.door is not None:
-            told |= storm(daemon)
-        return told
+        has_door = daemon.door is not None
     finally:
         daemon.end()
+    if has_door:
+        daemon = Daemon(root, watched=True)
+        try:
+            told |= storm(daemon)
+            told["loop's longest turn, ms"] = daemon.longest_turn_ms()
+        finally:
+            daemon.end()
+    return told
 
 
 def storm(daemon: Daemon) -> dict[str, float]:
@@ -112,7 +152,11 @@
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--against", metavar="REV", help="another revision, measured in turns with this one")
+    parser.add_argument("--serve", action="store_true", help=argparse.SUPPRESS)
     told = parser.parse_args()
+    if told.serve:
+        serve()
+        return
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 16_384), hard))
     root = Path(__file__).resolve().parent.parent
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import product
+
 import pytest
 import trio
 import trio.testing
@@ -10,6 +12,8 @@
 from violetstack import log
 from violetstack.config import Address
 from violetstack.net import listener
+from violetstack.net.budget import DOOR, LEAST, OWN, budget
+from violetstack.net.door import MOST_CALLERS
 from violetstack.rehearsal.clients import BODY, ask_platform, chat_headers, connect, platform_headers, raw
 from violetstack.rehearsal.stage import Stage
 
@@ -125,6 +129,42 @@
     play(*pair(), story=story, sockets=64)
 
 
+def test_who_writes_slowly_outlives_a_crowd_that_writes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The oldest unfinished connection made room, however much of its request had come."""
+    monkeypatch.setattr(listener, "FRESH_S", 0.0)
+    whole = request(LENGTH)
+
+    async def story(on: Stage) -> None:
+        front, heard = on.daemon.listeners[0], b""
+        slow = await trio.open_tcp_stream(*on.platform)
+        silent = []
+        for at in range(0, len(whole), 40):
+            await slow.send_all(whole[at : at + 40])
+            silent += await crowd(on.platform, front.most // 2)
+            assert (await ask_platform(on.platform, f"a{at}", "consulta")).outcome == "served"
+        while not heard.endswith(b"0\r\n\r\n"):
+            data = await slow.receive_some(4096)
+            assert data, heard
+            heard += data
+        assert heard.startswith(b"HTTP/1.1 200 ")
+        for stream in (slow, *silent):
+            await stream.aclose()
+
+    play(*pair(), story=story, sockets=96)
+
+
+@pytest.mark.parametrize("sockets", [48, 64, 256, 1024])
+def test_clients_hosts_door_and_the_rest_fit_the_limit_for_one_and_for_two_processes(sockets: int) -> None:
+    for door, processes, fronts in product((False, True), (1, 2), (1, 2, 3)):
+        share = budget(sockets, 192.0, fronts=fronts, door=door, processes=processes)
+        assert share.hosts >= LEAST
+        assert share.clients >= 1
+        if sockets // processes >= 96:
+            own = OWN + listener.MOST_TURNED_AWAY + (DOOR if door else 0)
+            assert processes * (own + share.hosts + fronts * share.clients) <= sockets
+    assert DOOR == MOST_CALLERS + 1
+
+
 def test_a_failure_to_make_room_turns_one_client_away_and_ends_nothing() -> None:
     async def story(on: Stage) -> None:
         front = on.daemon.listeners[0]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -257,6 +257,8 @@
         assert call.answer.outcome == "served"
         assert call.http.reuse()
         assert await ask_on(call, "again") == 200  # on the same connection
+        while not any(line["id"] == "again" for line in on.told(new, "request")):
+            await trio.sleep(0.001)
         served = [
             line["id"] for process in (old, new) for line in on.told(process, "request")
             if line["answer"] == "served"
@@ -410,8 +412,8 @@
 
 BAD_OFFERS = {
     "noise": b"what",
-    "another version": encode_stream(Stream("q", 0, 0, "w", 1.0, 3, 0, 9.0, False, version=2)),
-    "no such class": encode_stream(Stream("q", 7, 0, "w", 1.0, 3, 0, 9.0, False)),
+    "another version": encode_stream(Stream("q", 0, 0, "w", 1.0, 3, 0, 9.0, False, False, version=2)),
+    "no such class": encode_stream(Stream("q", 7, 0, "w", 1.0, 3, 0, 9.0, False, False)),
 }
 
 
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -52,6 +52,9 @@
     @property
     def prompt_tokens(self) -> float: ...
 
+    @property
+    def loose(self) -> bool: ...
+
 
 class Duplicate(Exception):
     """A request with this id is still open."""
@@ -147,14 +150,15 @@
             self.ended(now, request.bound, t.Status.CANCELLED)
 
     def may_move(self, attempt: Attempt) -> bool:
-        """Is the stream all that is left of its request here, with nothing held for it anywhere?"""
+        """Is the stream all that is under way here for its request?"""
         request = attempt.request
         if attempt.over or request.done or request.bound is not attempt or len(request.out) > 1:
             return False
-        return not (request.places or request.loose or request.releasing)
+        return not request.places and request.releasing is None
 
     def moved(self, now: float, attempt: Attempt) -> None:
-        """Another process goes on with the stream."""
+        """Another process goes on with the stream, and releases at its end what may be held for it."""
+        attempt.request.loose = False
         self._settle(now, attempt.request, "moved")
         self._post(t.Left(attempt.request.id))
         self.ended(now, attempt, t.Status.CANCELLED)
@@ -168,7 +172,7 @@
             raise Duplicate(asked.id)
         request = OpenRequest(asked, sink, None, now - told.age_ms, now)
         attempt = Attempt(request, 0, told.server, False, request.arrived, now, True, True, told.events)
-        request.bound, request.out, request.sent = attempt, {0: attempt}, 1
+        request.bound, request.out, request.sent, request.loose = attempt, {0: attempt}, 1, told.loose
         self.open[asked.id] = request
         self.tally.taken(asked.cls)
         if self.routes is not None:
--- a/violetstack/handover/passing.py
+++ b/violetstack/handover/passing.py
@@ -31,6 +31,7 @@
     events: int  # passed on so far
     cached: int
     prompt_tokens: float
+    loose: bool  # something may be held for it somewhere, to be released at its end
     closing: bool  # the head told the client that its connection ends with this answer
     version: int = VERSION
 
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -24,6 +24,7 @@
 from violetstack.fronts.reply import Front
 from violetstack.ledger import Ledger
 from violetstack.log import log, log_outside
+from violetstack.net.budget import budget
 from violetstack.net.clock import now_ms
 from violetstack.net.hosts import Host, Hosts
 from violetstack.net.listener import Listener, Wrap
@@ -45,15 +46,12 @@
     from violetstack.net.passing import Giver
     from violetstack.routing.generations import Routing
 
-KEPT_DESCRIPTORS = 40  # the program's own: standard streams, the poller, the watch, clients turned away
 FIRST_LIST_S = 1.5  # a new version that takes over waits for discovery's list for so long
 HEARD_S = 0.65  # after SIGTERM what comes later is refused: SIGKILL may find it unanswered
 KILL_MOST_S, KILL_AFTER_S = 3.0, 0.7  # SIGKILL: the longest deadline, at most the one, and the other later
 LAST_WORDS_S = 0.5  # for last answers and releases
 LISTEN_ON_S = 0.55  # after SIGTERM new connections keep coming for up to 0.4 s
 BACKLOG = 512
-CONNECTION_SHARE, CONNECTION_BYTES = 0.2, 32 * 1024  # of the memory limit, and of one client's connection
-BODY_SHARE = 0.2  # of the memory limit: request bodies held at once; each may be held twice for a moment
 
 
 class Pump:
@@ -148,9 +146,9 @@
                 self.platform = self.listeners[-1]
             if config.chat is not None:
                 chat = await self._serve_chat(config.chat)
+            await self._take_streams()
             self.taking = True
             self._record()
-            self._take_streams()
             log("started", name=config.told.name, platform=platform, chat=chat, door=door)
             gc.freeze()
             task_status.started(Serving(platform, chat, self.challenge, door))
@@ -264,14 +262,15 @@
                 self.handover.changed = True
                 self.handover.write()
 
-    def _take_streams(self) -> None:
+    async def _take_streams(self) -> None:
+        """Before anybody is told that this process takes over: SIGTERM follows that word at once."""
         if self.config.inherited is None or self.handover is None:
             return
         from violetstack.net.passing import Taker, socket_path  # noqa: PLC0415
 
         taker = Taker(self.core, self.hosts, lambda: self.platform if self.taking else None)
         path = socket_path(str(self.config.shared_folder), self.handover.succession.owner)
-        self.nursery.start_soon(taker.run, path)
+        await self.nursery.start(taker.run, path)
 
     async def _pass_streams(self) -> None:
         if self.config.inherited is None or self._heir is None:
@@ -394,16 +393,15 @@
 
     def _bound(self) -> None:
         """The limits in force, over all fronts."""
-        sockets, memory = int(self.config.limits.sockets), self.config.limits.memory_mb * 2**20
-        budget = sockets - KEPT_DESCRIPTORS
-        if self.handover is not None and self.handover.succession.company(now_ms()):
-            budget, memory = sockets // 2 - KEPT_DESCRIPTORS, memory / 2  # the limits are those of both
-        self.hosts.most = budget // 2
-        # Guards the memory limit where descriptors abound; a third of them clients may hold for requests.
-        by_memory = max(sockets // 3, int(memory * CONNECTION_SHARE) // CONNECTION_BYTES)
+        limits = self.config.limits
+        company = self.handover is not None and self.handover.succession.company(now_ms())
+        share = budget(
+            int(limits.sockets), limits.memory_mb, fronts=self.fronts, door=self.config.mgmt is not None,
+            processes=2 if company else 1,
+        )  # fmt: skip
+        self.hosts.most = share.hosts
         for listener in self.listeners:
-            listener.most = min(budget - budget // 2, by_memory) // self.fronts
-            listener.most_held = int(memory * BODY_SHARE) // self.fronts
+            listener.most, listener.most_held = share.clients, share.bodies
 
     # --- fronts ---
 
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -27,6 +27,7 @@
 QUIET_S = 4.3  # between two events; the rules let no client wait for 5 s on a stream that has stopped
 PARTIAL_S = 1.5  # the rest of a head, a first event or a chunk comes together with its beginning, or never
 UNUSABLE = frozenset({400, 404, 405, 411, 413, 414, 415, 422, 431})  # the request itself is at fault
+PASS_AGAIN_S = 0.1  # a stream that could not pass on now may, a little later
 CALL_S = 0.6  # a place, release or probe is answered by then
 RELEASE_TRY_S = 0.3
 IDLE_SHARE = 0.8  # connections are retired at this part of the time after which hosts close them
@@ -377,7 +378,10 @@
         while True:
             patience = PARTIAL_S if partial else QUIET_S if attempt.begun else STALL_S
             events: list[Head | Body | End] = []
-            with trio.move_on_at(since + patience) as timer:
+            until = since + patience
+            if self.pass_on is not None and attempt.begun:
+                until = min(until, trio.current_time() + PASS_AGAIN_S)
+            with trio.move_on_at(until) as timer:
                 self._waits[attempt] = timer
                 events = await connection.receive()
             if timer.cancelled_caught and trio.current_time() >= since + patience:
--- a/violetstack/net/listener.py
+++ b/violetstack/net/listener.py
@@ -50,7 +50,7 @@
     __slots__ = (
         "__weakref__", "_answered", "_drained", "_finish", "_flushed", "_heard_out", "_more", "_out",
         "_parked", "_parking", "_queued", "_replies", "_resumed", "_strikes", "_timer", "answering", "closed",
-        "held", "http", "last_used", "listener", "request", "scope", "served", "stream",
+        "held", "http", "last_used", "progress_at", "listener", "request", "scope", "served", "stream",
     )  # fmt: skip
     _out: deque[bytes | memoryview]
     _heard_out: trio.Event  # the client has ended its side
@@ -66,7 +66,7 @@
         self.http = SILENT
         self.request: OpenRequest | None = None
         self.answering = False  # a request was handed to the front and its answer has not ended
-        self.last_used = trio.current_time()
+        self.last_used = self.progress_at = trio.current_time()
         self.served = False  # a whole request has come
         self._strikes = 0  # requests in a row that could not be taken
         self._queued = 0
@@ -245,6 +245,8 @@
             if not data:
                 return
             self.http.feed(bytes(data))
+            if not self.served:
+                self.listener.progressed(self)
         while await self.stream.receive_some(READ_SIZE):
             pass  # what still comes is not wanted; the writer ends this
         self._heard_out.set()
@@ -389,7 +391,7 @@
         self.held = self.shaking = self.turning_away = 0
         self.connections: set[Connection] = set()
         self.idle: dict[Connection, None] = {}  # answered and unused since, the longest first
-        self.fresh: dict[Connection, None] = {}  # no whole request yet, the oldest first
+        self.fresh: dict[Connection, None] = {}  # no whole request yet, the longest without progress first
         self.draining = self.refusing = False
         self.nursery: trio.Nursery
 
@@ -468,16 +470,17 @@
         return len(self.connections) + self.shaking < self.most or self._make_room()
 
     def _make_room(self) -> bool:
-        """Long idle connections go first, then those that have sent nothing, then any that is idle.
+        """Long idle connections go first, then those that get nowhere, then any that is idle.
 
-        The oldest stand first in either record, so that a flood costs no search through all connections.
+        The longest without progress stand first in either record, so that a flood costs no search through all
+        connections, and who writes slowly outlives who writes nothing.
         """
         now = trio.current_time()
         oldest = next(iter(self.idle), None)
         if oldest is not None and oldest.last_used < now - IDLE_S and self._drop_unless_used(oldest):
             return True
         for connection in self.fresh:
-            if connection.last_used > now - FRESH_S:
+            if connection.progress_at > now - FRESH_S:
                 break
             if self._drop_unless_used(connection):
                 return True
@@ -498,6 +501,12 @@
         self.fresh.pop(connection, None)
         self.idle.pop(connection, None)
 
+    def progressed(self, connection: Connection) -> None:
+        """Some of a first request has come."""
+        if self.fresh.pop(connection, connection) is None:
+            self.fresh[connection] = None
+            connection.progress_at = trio.current_time()
+
     def forget(self, connection: Connection) -> None:
         """Guards against a connection whose descriptor is gone, while its task still ends."""
         self.hold(connection, 0)
--- a/violetstack/net/passing.py
+++ b/violetstack/net/passing.py
@@ -79,7 +79,7 @@
             stream = Stream(
                 id=asked.id, cls=asked.cls, tenant=asked.tenant, server=attempt.server,
                 age_ms=now_ms() - request.arrived, events=attempt.events, cached=cached,
-                prompt_tokens=asked.prompt_tokens, closing=client.http.ends,
+                prompt_tokens=asked.prompt_tokens, loose=request.loose, closing=client.http.ends,
             )  # fmt: skip
             async with self._turn:
                 passed = await self._offer(stream, descriptor, connection.sock.fileno())
@@ -120,14 +120,17 @@
     def __init__(self, core: Dispatcher, hosts: Hosts, listener: Callable[[], Listener | None]) -> None:
         self._core, self._hosts, self._listener = core, hosts, listener
 
-    async def run(self, path: Path) -> None:
+    async def run(self, path: Path, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled."""
         with trio.socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
             try:
-                with _short(path) as name:
-                    await sock.bind(name)
-                os.chmod(path, 0o600)
-                sock.listen(BACKLOG)
+                try:
+                    with _short(path) as name:
+                        await sock.bind(name)
+                    os.chmod(path, 0o600)
+                    sock.listen(BACKLOG)
+                finally:
+                    task_status.started()
                 async with trio.open_nursery() as nursery:
                     while True:
                         giver, _ = await sock.accept()
