A new process begins with what its predecessor's module has learned

Seen: 20 to 89 requests a second refused with no attempt after each new process ('[14.72] started', '[17.79] started'), for 10 s and more, while 5 of 14 hosts had just been replaced. Ruled out: hosts out by hand (all put back by 21.9, refusals went on to 27), the door and the figures (0 late, none untrue), streams (passed). At fault: Fleet.admits gives cold hosts a share of what was served from this front, and a new process has served nothing: a trickle of one request in 2 * fleet * fall_ms for each. Tenants' shares and bad hosts began anew as well.

handover/learned.py puts the module's sums, buckets and failures into the record, which a process that may have an heir writes every 0.5 s; the heir recalls them once it knows the list, for hosts with the same start: 'recalled servers 14 age_ms 414'. Nothing is decided there.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,15 +13,19 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import orjson
 import pytest
 import trio
 import trio.testing
 
+from tests.front import Front, entry
 from tests.test_admin import get, post
 from tests.test_stories import pair, play
+from violetstack import interface as t
 from violetstack.admin.cordons import Mark
 from violetstack.config import Address, BadConfig
+from violetstack.handover.learned import Learned, learned, recall
 from violetstack.handover.passing import NO, BadOffer, Stream
 from violetstack.handover.passing import decode as decode_stream
 from violetstack.handover.passing import encode as encode_stream
@@ -98,6 +102,30 @@
     assert mine.others(told) == ([], {})
 
 
+def test_what_a_front_has_learned_is_known_to_its_successor_and_only_for_the_same_start() -> None:
+    """A new version sent cold hosts a trickle, since it had seen nobody be served."""
+    cold = [entry(f"r{n}", 0, started_ms=500.0) for n in range(2)]
+    shared = (t.TenantSpec(1.0, 6.0),)
+    old = Front(*cold, entry("w1", 1), entry("w2", 1, started_ms=800.0), fleet_size=3, tenants=shared)
+    old.news(t.ListScope.FULL, entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=800.0))
+    for _ in range(20):
+        old.serve(after=100.0)
+    old.router.fleet.servers["w1"].blame(old.now, 1.0)
+    told = learned(old.router, old.now)
+    assert msgspec.json.decode(msgspec.json.encode(told), type=Learned) == told
+    listed = (entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=900.0))  # w2 started anew
+    new = Front(*listed, fleet_size=3, tenants=shared)
+    new.now = old.now
+    assert recall(new.router, told) == 4
+    for front in (old, new):
+        front.router.fleet.admits(front.router.fleet.servers["r0"], True, old.now)
+    before, after = (f.router.fleet.servers["r0"].tickets for f in (old, new))
+    assert (after.rate, after.level) == (before.rate, before.level)
+    assert after.rate > 5.0 / (2.0 * 3 * 2000.0)  # what a front gives that heard nothing, five times
+    assert new.router.fleet.servers["w1"].left.at(old.now) == old.router.fleet.servers["w1"].left.at(old.now)
+    assert new.router.buckets[0].level == old.router.buckets[0].level
+
+
 # --- who follows whom ---
 
 
--- a/violetstack/handover/record.py
+++ b/violetstack/handover/record.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from violetstack.admin.cordons import Mark
+from violetstack.handover.learned import Learned
 from violetstack.protocol.discovery import WServer
 
 VERSION = "violetstack-record-1"
@@ -29,6 +30,7 @@
     version: int
     servers: tuple[WServer, ...]
     marks: dict[str, Mark]
+    learned: Learned | None = None
 
 
 def encode(record: Record) -> bytes:
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -147,6 +147,7 @@
             if config.chat is not None:
                 chat = await self._serve_chat(config.chat)
             await self._take_streams()
+            self._recall()
             self.taking = True
             self._record()
             log("started", name=config.told.name, platform=platform, chat=chat, door=door)
@@ -232,7 +233,8 @@
             succession = Succession(uuid.uuid4().hex, now_ms())
             records = Records(config.shared_folder, config.told.name, succession.owner)
             self.handover = Handover(
-                records, succession, self.cordons, self._compose, lambda news, at: self._news(news, {}, at)
+                records, succession, self.cordons, self._compose, lambda news, at: self._news(news, {}, at),
+                heirs=config.inherited is not None,
             )
             self.handover.company = self._bound
             self.nursery.start_soon(self.handover.run)
@@ -246,6 +248,7 @@
         return door
 
     def _compose(self) -> Record:
+        from violetstack.handover.learned import learned  # noqa: PLC0415
         from violetstack.handover.record import Record  # noqa: PLC0415
 
         assert self.handover is not None and self.cordons is not None
@@ -254,8 +257,22 @@
             name=self.config.told.name, owner=mine.owner, born=mine.born, at=now_ms(), serving=self.taking,
             version=watch.version or 0 if watch is not None else 0, servers=tuple(self.rows.values()),
             marks=dict(self.cordons.marks),
+            learned=learned(self.router, now_ms()) if self.config.inherited is not None else None,
         )  # fmt: skip
 
+    def _recall(self) -> None:
+        """What the predecessor's module knew a moment ago."""
+        if self.handover is None or self.config.inherited is None:
+            return
+        from violetstack.handover.learned import recall  # noqa: PLC0415
+
+        self.handover.look()
+        record = self.handover.succession.newest()
+        if record is not None and record.learned is not None:
+            self.core.run(now_ms())  # the module is to know the list first
+            servers = recall(self.router, record.learned)
+            log("recalled", servers=servers, age_ms=round(now_ms() - record.learned.at))
+
     def _record(self) -> None:
         if self.handover is not None:
             with contextlib.suppress(NotRecorded):  # it is in the log, and is tried again
--- a/violetstack/net/handover.py
+++ b/violetstack/net/handover.py
@@ -24,10 +24,10 @@
 
     def __init__(
         self, records: Records, succession: Succession, cordons: Cordons, compose: Callable[[], Record],
-        told: Callable[[t.ListNews, float], None],
+        told: Callable[[t.ListNews, float], None], *, heirs: bool,
     ) -> None:  # fmt: skip
         self._records, self.succession, self._cordons = records, succession, cordons
-        self._compose, self._told = compose, told
+        self._compose, self._told, self._heirs = compose, told, heirs
         self.changed = False  # something is to be recorded, though nobody waits for it
         self.company: Callable[[], None] = lambda: None  # another process came or went
         self._alone = True
@@ -69,10 +69,12 @@
             await trio.sleep(POLL_S)
             try:
                 self.look()
-                if self.changed:
+                due = trio.current_time() >= beat + BEAT_S
+                if self.changed or (due and self._heirs):  # what is learned changes all the time
                     self.write()
-                if trio.current_time() >= beat + BEAT_S:
+                elif due:
                     self._records.beat()
+                if due:
                     beat = trio.current_time()
             except NotRecorded:
                 await trio.sleep(BEAT_S)
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -47,19 +47,19 @@
     """A sum that fades with time."""
 
     def __init__(self, tau_ms: float) -> None:
-        self._tau, self._sum, self._at = tau_ms, 0.0, 0.0
-        self._from: float | None = None
+        self._tau, self.total, self.as_of = tau_ms, 0.0, 0.0
+        self.since: float | None = None
 
     def at(self, now: float) -> float:
-        return self._sum * exp((self._at - now) / self._tau) if self._sum else 0.0
+        return self.total * exp((self.as_of - now) / self._tau) if self.total else 0.0
 
     def add(self, now: float, amount: float) -> None:
-        self._sum, self._at = self.at(now) + amount, now
-        self._from = now if self._from is None else self._from
+        self.total, self.as_of = self.at(now) + amount, now
+        self.since = now if self.since is None else self.since
 
     def rate(self, now: float) -> float:
         """What is added in a millisecond, of late."""
-        over = max(now - (now if self._from is None else self._from), self._tau / 6)
+        over = max(now - (now if self.since is None else self.since), self._tau / 6)
         return self.at(now) / (self._tau * (1.0 - exp(-over / self._tau)))
 
 
@@ -67,14 +67,14 @@
     """The last few of a kind of time, and their middle or lower third, which a few lost ones do not move."""
 
     def __init__(self, most: int, over_ms: float) -> None:
-        self._all, self._over_ms = deque[tuple[float, float]](maxlen=most), over_ms
+        self.all, self._over_ms = deque[tuple[float, float]](maxlen=most), over_ms
 
     def add(self, now: float, took: float) -> None:
-        self._all.append((now, took))
+        self.all.append((now, took))
 
     def middle(self, now: float, part: int = 2, ages: Iterable[float] = ()) -> float:
         """0 if too few are known; work that is out counts by its age once that is past the middle."""
-        took = [took for at, took in self._all if at > now - self._over_ms]
+        took = [took for at, took in self.all if at > now - self._over_ms]
         usual = sorted(took)[len(took) // part] if took else 0.0
         took += [age for age in ages if age > usual]
         return sorted(took)[len(took) // part] if len(took) >= FEW else 0.0
@@ -84,11 +84,11 @@
     """Tokens that come at a rate; a send takes one."""
 
     def __init__(self, rate: float, most: float, level: float, now: float = 0.0) -> None:
-        self.rate, self.most, self.level, self._at = rate, most, level, now
+        self.rate, self.most, self.level, self.as_of = rate, most, level, now
 
     def within(self, now: float) -> bool:
-        self.level = min(self.most, self.level + self.rate * (now - self._at))
-        self._at = now
+        self.level = min(self.most, self.level + self.rate * (now - self.as_of))
+        self.as_of = now
         return self.level >= 1.0
 
     def take(self) -> None:
