The log names the kind that hosts out by hand leave without; others' records are read only where heirs are

Where no listener is inherited no other process of this dispatcher can be beside it, so its folder is not read ten times a second. A story holds a host out over a discovery that moves.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -21,6 +21,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.net.door import MOST_CALLERS
 from violetstack.rehearsal.clients import ask_chat, ask_platform, chat_body, connect, platform_headers, raw
+from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import CUT, ERROR, Act
 from violetstack.rehearsal.stage import Stage
 from violetstack.router import Router
@@ -306,6 +307,27 @@
     play(*hosts, story=story)
 
 
+def test_a_host_stays_out_while_discovery_moves_and_the_log_names_the_kind_that_is_left_without(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        await raw(on.door, post("/admin/cordon", b"r"))
+        discovery = Discovery(reader.row(), writer.row(), {**reader.row(), "id": "r2"})
+        await on.nursery.start(discovery.serve)
+        on.daemon.reload(lambda: on.config(discovery=discovery.address))
+        while "r2" not in on.daemon.core.entries:
+            await trio.sleep(0.001)
+        assert (await stats(on))["out_of_rotation"] == 1
+        assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"  # by r2
+
+    play(reader, writer, story=story)
+    line = next(row for row in capfd.readouterr().out.splitlines() if '"hosts_out"' in row)
+    told = orjson.loads(line)
+    assert (told["out"], told["none_left"], told["by"]) == (["r"], ["prefill"], "call")
+
+
 def test_callers_that_finish_no_call_keep_no_other_call_out() -> None:
     async def story(on: Stage) -> None:
         idle = [await trio.open_tcp_stream(*on.door) for _ in range(3 * MOST_CALLERS)]
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -334,7 +334,16 @@
                 self.cordons.marks = before
                 raise
         self._news(news, {})
-        log("hosts_out", out=self.cordons.out, by="call")
+        log("hosts_out", out=self.cordons.out, by="call", none_left=self._kinds_without())
+
+    def _kinds_without(self) -> list[str]:
+        """Kinds of which no listed host is to be chosen: requests are refused at once while there is one."""
+        states: dict[int, set[t.ServerState]] = {}
+        for entry in self.core.entries.values():
+            states.setdefault(entry.kind, set()).add(entry.state)
+        kinds = self.config.facts.kinds or ()
+        without = [n for n, seen in states.items() if t.ServerState.HEALTHY not in seen]
+        return [kinds[n] for n in without if n < len(kinds)]
 
     # --- a new configuration ---
 
--- a/violetstack/net/handover.py
+++ b/violetstack/net/handover.py
@@ -68,7 +68,8 @@
         while True:
             await trio.sleep(POLL_S)
             try:
-                self.look()
+                if self._heirs:  # elsewhere nobody else is of this dispatcher
+                    self.look()
                 due = trio.current_time() >= beat + BEAT_S
                 if self.changed or (due and self._heirs):  # what is learned changes all the time
                     self.write()
