Changes older than what is known are not taken; tests of odd lists, a split, a liar and 200 fronts' tickets

A watch took any DELTA, also one of an older version than the list it had (Watch._line): a host that had returned could be lost to news that were overtaken. Now it leaves a bounded list_refused line and changes nothing; a whole list counts whatever its version, since discovery may have begun anew.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -207,6 +207,33 @@
     assert front.router.fleet.write_wait_ms("", front.now + 3_000.0) > 1_000.0  # and one that stays away is
 
 
+def test_a_front_cut_off_from_the_others_counts_their_work_no_longer_than_it_can_last() -> None:
+    """Amounts last heard before a split would stay as load for ever."""
+    front = Front(may_tell=True, fleet_size=200)
+    for peer in range(1, 200):
+        front.feed(t.PeerMessage(peer, datagram([(tag_of("r1"), code_of(5_000.0))])))
+    fleet, r1 = front.router.fleet, front.router.fleet.servers["r1"]
+    assert fleet.reads_out(r1) > 199 * 4_500.0
+    front.feed()
+    assert fleet.shared.heard == 199
+    front.feed(after=SETTINGS.classes[0].give_up_ms + 1.0)
+    assert (fleet.reads_out(r1), fleet.shared.heard) == (0.0, 0)
+    assert len(fleet.shared._told) == len(fleet.shared._order) == 0
+
+
+def test_one_lying_front_moves_choices_by_no_more_than_a_datagram_can_say_and_breaks_no_drain() -> None:
+    front = Front(may_tell=True, fleet_size=200)
+    front.news(t.ListScope.DELTA, entry("r1", 0, state=t.ServerState.DRAINING))
+    every = [(tag_of(name), FAILED - 1) for name in ("r1", "r2", "w1", "w2")]
+    for lie in (datagram(every), datagram([(tag, FAILED) for tag, _ in every]), ANEW, datagram(every)):
+        front.feed(t.PeerMessage(7, lie))
+        request = front.ask(after=600.0, expires_in_ms=60_000.0)
+        assert all(send.server == "r2" for send in front.sends.get(request, []))
+    assert front.router.fleet.shared.at(tag_of("r2")) <= amount_of(FAILED - 1)
+    front.feed(t.PeerMessage(7, ANEW))
+    assert front.router.fleet.shared.at(tag_of("r2")) == 0.0
+
+
 def test_nothing_is_told_where_the_settings_forbid_it() -> None:
     front = Front()
     front.serve()
@@ -219,9 +246,10 @@
     return near[0].entry.server
 
 
-def test_tickets_of_forty_fronts_together_keep_a_cold_host_standing_and_use_it() -> None:
+@pytest.mark.parametrize("size", [FLEET, 200])
+def test_tickets_of_all_fronts_together_keep_a_cold_host_standing_and_use_it(size: int) -> None:
     """In every window of the fall rule, the first instant too, and though each front hears of it at once."""
-    tier = Tier(FLEET, cold_share=0.3, cold_ms=10_000.0, fall_ms=2_000.0, fall_multiple=2.5)
+    tier = Tier(size, cold_share=0.3, cold_ms=10_000.0, fall_ms=2_000.0, fall_multiple=2.5)
     sent: list[float] = []
     began, hot = 0.0, [f"p{n}" for n in range(40)]
     for step in range(1_200):  # 50 requests a second over 8 readers, each read in 20 ms
@@ -231,7 +259,7 @@
                 front.news(t.ListScope.DELTA, entry("cold", 0, started_ms=front.now))
             fleet = tier.fronts[0].router.fleet  # from now on all prompts have the new reader as their home
             hot = [key for key in hot if first_home(fleet, key) == "cold"]
-        front = tier.fronts[step % FLEET]
+        front = tier.fronts[step % size]
         request = front.ask(prompt_tokens=800.0, shared=hot[step % len(hot)])
         if front.sends[request][0].server == "cold":
             sent.append(front.now)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -11,11 +11,16 @@
 import trio.testing
 
 from violetstack import interface as t
+from violetstack.config import address
 from violetstack.net import watch
+from violetstack.net.daemon import Daemon
 from violetstack.net.hosts import HostConnection
 from violetstack.net.peers import Peers
+from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import BODY, ask_platform, connect, platform_headers
+from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import CUT, DECLINE, ERROR, RESET, SILENT, Act, ModelHost
+from violetstack.rehearsal.peer import PeerConnection
 from violetstack.rehearsal.stage import Stage, stage
 
 LIMIT_S = 15.0
@@ -364,3 +369,78 @@
             assert writer.begun == []
 
     play(reader, writer, story=story)
+
+
+class Odd(Discovery):
+    """Says the given lines on its first watch, then what it knows."""
+
+    def __init__(self, *rows: dict[str, object], says: bytes = b"", status: int = 200) -> None:
+        super().__init__(*rows)
+        self.says, self.status = says, status
+
+    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+        if self.status != 200:
+            self.asked.append(inbound.target)
+            await connection.answer(self.status, [])
+            return
+        if not self.says:
+            await super().handle(inbound, connection)
+            return
+        self.asked.append(inbound.target)
+        await connection.start(200, [])
+        await connection.data(self.says)
+        self.says = b""
+        await connection.until_closed()
+
+
+GONE = b'{"id":"w","addr":"","kind":"decode","state":"left"}'
+ODD = {
+    "noise": (b"what\n", "watch_ended"),
+    "cut": (b'{"version":9,"servers":[{"id"\n', "watch_ended"),
+    "older": (b'{"version":4,"full":false,"servers":[%b]}\n' % GONE, "list_refused"),
+    "an unknown state": (b'{"version":9,"servers":[{"id":"w","kind":"decode","state":"odd"}]}\n', "list"),
+    "a host that nobody knows": (b'{"version":9,"servers":[{"id":"x","state":"left"}]}\n', "list"),
+}
+
+
+@pytest.mark.parametrize("name", ODD)
+def test_a_list_that_can_not_be_right_changes_nothing_and_leaves_a_line(
+    name: str, capfd: pytest.CaptureFixture[str]
+) -> None:
+    says, event = ODD[name]
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        capfd.readouterr()
+        discovery = Odd(reader.row(), writer.row(), says=says)
+        discovery.version = 7
+        await on.nursery.start(discovery.serve)
+        watch_on = on.daemon.watch
+        assert watch_on is not None
+        watch_on.version = 7
+        watch_on.at = address(discovery.address)
+        watch_on._scope.cancel()
+        heard = ""
+        while f'"event":"{event}"' not in heard:
+            heard += capfd.readouterr().out
+            await trio.sleep(0.001)
+        assert set(on.daemon.core.entries) == {"r", "w"}
+        assert (await ask_platform(on.platform, "q1", "orden")).outcome == "served"
+
+    play(reader, writer, story=story)
+
+
+def test_a_start_while_discovery_fails_serves_from_what_the_configuration_knows() -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        discovery = Odd(status=503)
+        await on.nursery.start(discovery.serve)
+        again = Daemon(on.config(discovery=discovery.address))
+        serving = await on.nursery.start(again.serve)
+        while len(discovery.asked) < 2:  # it goes on asking
+            answer = await ask_platform(serving.platform, f"q{len(reader.begun)}", "consulta")
+            assert answer.outcome == "served"
+        assert set(again.core.entries) == {"r", "w"}
+
+    play(reader, writer, story=story)
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -9,7 +9,7 @@
 from violetstack import interface as t
 from violetstack.config import Address
 from violetstack.core.backoff import Backoff
-from violetstack.log import log
+from violetstack.log import log, log_outside
 from violetstack.protocol.discovery import BadList, LineSplitter, ListReader, Targets
 from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
 
@@ -86,6 +86,12 @@
         targets = self._reader.read(line)
         if full and targets.news.scope is t.ListScope.DELTA:
             raise BadList("the whole list was asked for and a change came")
+        delta = targets.news.scope is t.ListScope.DELTA
+        if delta and self.version is not None and targets.news.version < self.version:
+            # Guards against news that were overtaken. A whole list counts whatever its version: discovery may
+            # have begun anew, and what it has is what there is.
+            log_outside("list_refused", version=targets.news.version, known=self.version)
+            return
         self.version = targets.news.version
         self._again.answered()
         self._told(targets)
