--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+from array import array
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -26,7 +27,7 @@
 from violetstack.admin.cordons import Mark
 from violetstack.config import Address, BadConfig
 from violetstack.handover.learned import Learned, learned, recall
-from violetstack.handover.passing import NO, BadOffer, Stream
+from violetstack.handover.passing import NO, READY, BadOffer, Stream
 from violetstack.handover.passing import decode as decode_stream
 from violetstack.handover.passing import encode as encode_stream
 from violetstack.handover.record import VERSION, BadRecord, Record, decode, encode
@@ -497,6 +498,41 @@
     play(reader, writer, story=story)
 
 
+@pytest.mark.parametrize("last", ["dies", "odd", "silent"])
+def test_an_heir_without_a_go_touches_neither_connection(
+    last: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(passing, "WORD_S", 0.05)
+
+    async def story(on: Stage) -> None:
+        core, path = on.daemon.core, tmp_path / "taker.sock"
+        taker = passing.Taker(core, on.daemon.hosts, lambda: on.daemon.platform)
+        await on.nursery.start(taker.run, path)
+        client, theirs = socket.socketpair()
+        host, hosts_own = socket.socketpair()
+        giver = trio.socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        await giver.connect(str(path))
+        offer = encode_stream(Stream("q0", 0, 0, "w", 1.0, 3, 0, 9.0, False, False))
+        both = array("i", [client.fileno(), host.fileno()])
+        await giver.sendmsg([offer], [(socket.SOL_SOCKET, socket.SCM_RIGHTS, both)])
+        assert await giver.recv(64) == READY
+        if last == "odd":
+            await giver.send(b"perhaps")
+        if last != "silent":
+            giver.close()
+        client.close()
+        host.close()
+        theirs.setblocking(False)
+        await trio.lowlevel.wait_readable(theirs)
+        assert theirs.recv(64) == b""  # its copy is closed, and not a byte was written
+        assert core.open == {}
+        assert core.tally.rows[0].taken == 0
+        for sock in (theirs, hosts_own, giver):
+            sock.close()
+
+    play(*pair(), story=story)
+
+
 def test_two_processes_bind_the_peers_address_and_the_later_one_hears() -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as old, socket.socket(
         socket.AF_INET, socket.SOCK_DGRAM
