--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -154,7 +154,7 @@
             gc.freeze()
             task_status.started(Serving(platform, chat, self.challenge, door))
             await self.stop.wait()
-            log("stopping", open=len(core.open), heir=self._heir)
+            log("stopping", open=len(core.open), heir=self._find_heir())
             await self._drain()
             if self.handover is not None:
                 self.handover.leave()
@@ -290,16 +290,16 @@
         await self.nursery.start(taker.run, path)
 
     async def _pass_streams(self) -> None:
-        if self.config.inherited is None or self._heir is None:
+        heir = self._find_heir()
+        if self.config.inherited is None or heir is None:
             return
         from violetstack.net.passing import Giver, socket_path  # noqa: PLC0415
 
         self.giver = Giver(self.core)
-        if await self.giver.connect(socket_path(str(self.config.shared_folder), self._heir)):
+        if await self.giver.connect(socket_path(str(self.config.shared_folder), heir)):
             self.hosts.pass_all(self.giver.give)
 
-    @property
-    def _heir(self) -> str | None:
+    def _find_heir(self) -> str | None:
         if self.handover is not None:
             self.handover.look()
         heir = self.handover.heir if self.handover is not None else None
@@ -512,7 +512,7 @@
         began, refusing, ending = trio.current_time(), False, False
         for listener in self.listeners:
             listener.draining = True
-        if self._heir is not None:
+        if self._find_heir() is not None:
             # Who comes now waits in the queue that the heir accepts from. It speaks to the peers as well.
             await self._stop_accepting()
             self.hosts.tell = lambda payload: None
