An address that is taken ends the start with a line; a failed accept or peers' bind ends nothing

Cause, found by reading the new code again: the heir's accept raised out of its nursery (Taker.run), so a missing descriptor would have ended the program; the door's and the front's bind ended it with a trace and status 1; and Peers.run's bind did the same beside an older version that does not share the address. Now an accept is tried again after 0.1 s, the peers' bind after 1 s with a line ('peers_unheard'), and an address that is taken is 'bad_config' with its name and status 2.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -37,3 +38,15 @@
     with start(tmp_path, {"listen": "nowhere", "settings": SETTINGS}) as program:
         out, _ = program.communicate(timeout=10)
     assert (program.returncode, json.loads(out)["event"]) == (2, "bad_config")
+
+
+def test_an_address_that_is_taken_is_a_line_and_status_2(tmp_path: Path) -> None:
+    """It ended with a trace and no line."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        at = f"127.0.0.1:{taken.getsockname()[1]}"
+        for name, told in (("listen", {"listen": at}), ("mgmt", {"listen": "127.0.0.1:0", "mgmt": at})):
+            with start(tmp_path, {**told, "seed": "ff", "settings": SETTINGS}) as program:
+                out, _ = program.communicate(timeout=10)
+            last = json.loads(out.splitlines()[-1])
+            assert (program.returncode, last["event"]) == (2, "bad_config")
+            assert last["error"].startswith(f"{name}: {at}: ")
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -12,7 +12,7 @@
 
 from violetstack import interface as t
 from violetstack.config import address
-from violetstack.net import watch
+from violetstack.net import peers, watch
 from violetstack.net.daemon import Daemon
 from violetstack.net.hosts import HostConnection
 from violetstack.net.peers import Peers
@@ -444,3 +444,25 @@
         assert set(again.core.entries) == {"r", "w"}
 
     play(reader, writer, story=story)
+
+
+def test_a_peers_address_that_is_taken_is_tried_again_and_stops_nobody(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """A new version beside one that does not share the address would not have started."""
+    monkeypatch.setattr(peers, "BIND_AGAIN_S", 0.01)
+
+    async def story(on: Stage) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind(("127.0.0.1", 0))
+            at = taken.getsockname()
+            mine = Peers(on.daemon.core, at, [at], None, heirs=True)
+            on.nursery.start_soon(mine.run)
+            while "peers_unheard" not in capfd.readouterr().out:
+                await trio.sleep(0.001)
+            assert mine._raw is None
+        while mine._raw is None:
+            await trio.sleep(0.001)
+        assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
+
+    play(*pair(), story=story)
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -28,8 +28,8 @@
         "admin_refused", "answer_broken", "answer_lost", "chat_rejected", "config_warning",
         "handshake_failed", "host_refused", "level_journal_failed", "level_journal_spoilt",
         "list_refused", "no_list", "order_refused", "passing_failed", "passing_refused", "peer_refused",
-        "pool_lost", "record_failed", "record_refused", "rejected", "release_given_up", "shed",
-        "silent_closed", "turned_away", "watch_ended",
+        "peers_unheard", "pool_lost", "record_failed", "record_refused", "rejected", "release_given_up",
+        "shed", "silent_closed", "turned_away", "watch_ended",
     ), "warning"),
 }  # fmt: skip
 least = ORDER.get(os.environ.get("VIOLETSTACK_LOG_LEVEL", "info"), 0)
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -244,8 +244,10 @@
             return None
         from violetstack.net.door import DoorListener  # noqa: PLC0415
 
-        door: Address = await self.nursery.start(DoorListener(self).run, self.config.mgmt)
-        return door
+        listener = (await listen_on(self.config.mgmt, "mgmt"))[0]
+        self.nursery.start_soon(DoorListener(self).run, listener)
+        at = listener.socket.getsockname()
+        return at[0], at[1]
 
     def _compose(self) -> Record:
         from violetstack.handover.learned import learned  # noqa: PLC0415
@@ -435,7 +437,7 @@
         listener = Listener(self.core, front)
         inherited = self.config.inherited if at == self.config.listen else None
         if inherited is None:
-            sockets = await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG)
+            sockets = await listen_on(at, "listen")
         else:
             sockets = [trio.SocketListener(trio.socket.from_stdlib_socket(inherited))]
         self.listeners.append(listener)
@@ -537,6 +539,14 @@
             self.orders.stopping = True
 
 
+async def listen_on(at: Address, name: str) -> list[trio.SocketListener]:
+    """Raises BadConfig."""
+    try:
+        return list(await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG))
+    except OSError as error:
+        raise BadConfig(f"{name}: {at[0]}:{at[1]}: {error}") from None
+
+
 async def run(config: Config, read_again: Callable[[], Config]) -> None:
     """Serves until SIGTERM; SIGHUP reads the configuration again, during a drain as well."""
     daemon = Daemon(config)
--- a/violetstack/net/door.py
+++ b/violetstack/net/door.py
@@ -7,14 +7,12 @@
 import trio
 
 from violetstack.admin.door import Call, House
-from violetstack.config import Address
 from violetstack.log import log, log_outside
 
 MOST_CALLERS = 16  # descriptors of the door; at the bound the call unfinished longest gives way
 CALL_S = 5.0  # a call is whole by then
 ANSWER_S = 2.0  # an answer that is not read by then is for nobody
 READ_SIZE = 2048
-BACKLOG = 64
 
 
 class DoorListener:
@@ -26,14 +24,9 @@
         self._open = 0
         self._freed = trio.Event()
 
-    async def run(
-        self, at: Address, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
-    ) -> None:
+    async def run(self, listener: trio.SocketListener) -> None:
         """Serves until cancelled."""
-        listener = (await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG))[0]
         async with listener, trio.open_nursery() as nursery:
-            bound = listener.socket.getsockname()
-            task_status.started((bound[0], bound[1]))
             while True:
                 try:
                     stream = await listener.accept()
--- a/violetstack/net/passing.py
+++ b/violetstack/net/passing.py
@@ -22,6 +22,7 @@
 
 WORD_S = 1.0  # the other process answers by then, or is taken for dead
 BACKLOG = 4
+ACCEPT_AGAIN_S = 0.1
 Adopt = Callable[[Stream, socket.socket, socket.socket], None]
 
 
@@ -131,15 +132,26 @@
                     sock.listen(BACKLOG)
                 finally:
                     task_status.started()
-                async with trio.open_nursery() as nursery:
-                    while True:
-                        giver, _ = await sock.accept()
-                        nursery.start_soon(self._take_all, giver)
             except OSError as error:
                 log("passing_failed", error=repr(error))  # streams end with their process, as before
+                return
+            try:
+                async with trio.open_nursery() as nursery:
+                    while True:
+                        nursery.start_soon(self._take_all, await self._accepted(sock))
             finally:
                 path.unlink(missing_ok=True)
 
+    async def _accepted(self, sock: trio.socket.SocketType) -> trio.socket.SocketType:
+        """Guards the program against an accept that fails, for want of a descriptor for example."""
+        while True:
+            try:
+                giver, _ = await sock.accept()
+                return giver
+            except OSError as error:
+                log_outside("passing_failed", error=repr(error))
+                await trio.sleep(ACCEPT_AGAIN_S)
+
     async def _take_all(self, giver: trio.socket.SocketType) -> None:
         with giver:
             try:
--- a/violetstack/net/peers.py
+++ b/violetstack/net/peers.py
@@ -12,6 +12,7 @@
 from violetstack.log import log_outside
 from violetstack.peers.sharing import MAX_DATAGRAM
 
+BIND_AGAIN_S = 1.0
 MOST_AT_ONCE = 64  # datagrams read before other tasks get their turn
 
 
@@ -33,7 +34,7 @@
             if self._heirs:
                 # An heir binds beside its predecessor and hears alone from then on; both must ask for it.
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            await sock.bind(self._at)
+            await self._bind(sock)
             self._raw = raw
             while True:
                 try:
@@ -45,6 +46,16 @@
                 except OSError:
                     continue  # a peer that is down shows here as refused; the next one may be heard
 
+    async def _bind(self, sock: trio.socket.SocketType) -> None:
+        """Guards the service: who can't hear the others serves all the same, and tries again."""
+        while True:
+            try:
+                await sock.bind(self._at)
+                return
+            except OSError as error:
+                log_outside("peers_unheard", at=f"{self._at[0]}:{self._at[1]}", error=str(error))
+                await trio.sleep(BIND_AGAIN_S)
+
     def _heard(self, data: bytes, sender: Address) -> None:
         number = self._numbers.get(sender)
         if sender == self._at:
--- a/violetstack/serving.py
+++ b/violetstack/serving.py
@@ -23,5 +23,19 @@
     except BadConfig as error:
         log("bad_config", error=str(error))
         return 2
-    trio.run(run, config, lambda: load(path, file, again=True))
-    return 0
+    unusable: list[Exception] = []
+    try:
+        trio.run(run, config, lambda: load(path, file, again=True))
+    except* BadConfig as errors:  # an address that is taken, or none of this machine's
+        unusable += flat(errors)
+    for reason in unusable:
+        log("bad_config", error=str(reason))
+    return 2 if unusable else 0
+
+
+def flat(errors: BaseExceptionGroup[Exception]) -> list[Exception]:
+    return [
+        each
+        for error in errors.exceptions
+        for each in (flat(error) if isinstance(error, BaseExceptionGroup) else [error])
+    ]
