--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any
 
-HOSTS = (10, 60, 200)
+HOSTS = (10, 60, 100, 200)
 ROUNDS, REQUESTS, TURNS = 3, 400, 3
 
 
@@ -45,6 +45,35 @@
     return best
 
 
+def datagrams_us() -> dict[str, float]:
+    """CPU of the module for one datagram at 100 hosts and 200 fronts: heard, with three entries, and told."""
+    from tests.front import Front, entry  # noqa: PLC0415
+    from violetstack import interface as t  # noqa: PLC0415
+    from violetstack.peers.sharing import datagram, tag_of  # noqa: PLC0415
+
+    entries = [entry(f"s{n}", n % 2, cell=n // 5) for n in range(100)]
+    heard = told = float("inf")
+    for _ in range(ROUNDS):
+        front = Front(*entries, fleet_size=200, may_tell=True)
+        rows = [
+            datagram([(tag_of(f"s{(n * k) % 100}"), 40 + (n + k) % 90) for k in (1, 7, 31)])
+            for n in range(REQUESTS)
+        ]
+        began = time.process_time()
+        for n, row in enumerate(rows):
+            front.feed(t.PeerMessage(1 + n % 199, row), after=1.0)
+        heard = min(heard, (time.process_time() - began) / REQUESTS * 1e6)
+        spent = 0.0
+        for _ in range(REQUESTS):
+            front.ask(after=30.0, expires_in_ms=60.0)
+            began = time.process_time()
+            front.feed(t.TimerDue("tell"), after=25.0)
+            spent += time.process_time() - began
+            front.feed(t.TimerDue(f"d:q{front.count}"), after=20.0)
+        told = min(told, spent / REQUESTS * 1e6)
+    return {"heard": heard, "told": told}
+
+
 def start_ms(root: Path) -> float:
     """CPU of a process that loads all that the daemon loads before it listens; the best of some."""
     best = float("inf")
@@ -75,6 +104,7 @@
     least = figures[str(HOSTS[0])]
     row = ", ".join(f"{n} hosts {figures[str(n)]:.0f} us ({figures[str(n)] / least:.2f})" for n in HOSTS)
     print(f"{name}: {row}; start {figures['start']:.0f} ms of CPU")
+    print(f"  a datagram at 100 hosts: {figures['heard']:.0f} us heard, {figures['told']:.0f} us told")
 
 
 def main() -> None:
@@ -83,7 +113,7 @@
     parser.add_argument("--here", action="store_true", help=argparse.SUPPRESS)
     told = parser.parse_args()
     if told.here:
-        print(json.dumps({str(n): decision_us(n) for n in HOSTS}))
+        print(json.dumps({**{str(n): decision_us(n) for n in HOSTS}, **datagrams_us()}))
         return
     root, now, then = Path(__file__).resolve().parent.parent, dict[str, float](), dict[str, float]()
     with tempfile.TemporaryDirectory() as folder:
