--- a/violetstack/admin/figures.py
+++ b/violetstack/admin/figures.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
+from violetstack import interface as t
 from violetstack.core.tally import Tally
 
 
@@ -25,3 +27,12 @@
         "registry_entries": listed,
         "out_of_rotation": avoided,
     }
+
+
+def kinds_without(listed: Iterable[t.Entry], kinds: tuple[str, ...]) -> list[str]:
+    """Kinds of which no listed host is to be chosen: requests are refused at once while there is one."""
+    states: dict[int, set[t.ServerState]] = {}
+    for entry in listed:
+        states.setdefault(entry.kind, set()).add(entry.state)
+    without = [n for n, seen in states.items() if t.ServerState.HEALTHY not in seen]
+    return [kinds[n] for n in without if n < len(kinds)]
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -168,8 +168,6 @@
         asked = t.Request(
             told.id, told.cls, told.tenant, None, 0.0, None, None, told.prompt_tokens, 0.0, 0.0, False, False
         )
-        if asked.id in self.open:
-            raise Duplicate(asked.id)
         request = OpenRequest(asked, sink, None, now - told.age_ms, now)
         attempt = Attempt(request, 0, told.server, False, request.arrived, now, True, True, told.events)
         request.bound, request.out, request.sent, request.loose = attempt, {0: attempt}, 1, told.loose
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -324,6 +324,8 @@
 
     def _by_hand(self, server: str, act: Callable[[float, str], t.ListNews]) -> None:
         """The yes comes after this: it binds, and a successor will know."""
+        from violetstack.admin.figures import kinds_without  # noqa: PLC0415
+
         assert self.cordons is not None
         before = dict(self.cordons.marks)
         news = act(now_ms(), server)
@@ -336,16 +338,8 @@
                 self.cordons.marks = before
                 raise
         self._news(news, {})
-        log("hosts_out", out=self.cordons.out, by="call", none_left=self._kinds_without())
-
-    def _kinds_without(self) -> list[str]:
-        """Kinds of which no listed host is to be chosen: requests are refused at once while there is one."""
-        states: dict[int, set[t.ServerState]] = {}
-        for entry in self.core.entries.values():
-            states.setdefault(entry.kind, set()).add(entry.state)
-        kinds = self.config.facts.kinds or ()
-        without = [n for n, seen in states.items() if t.ServerState.HEALTHY not in seen]
-        return [kinds[n] for n in without if n < len(kinds)]
+        left = kinds_without(self.core.entries.values(), tuple(self.config.facts.kinds or ()))
+        log("hosts_out", out=self.cordons.out, by="call", none_left=left)
 
     # --- a new configuration ---
 
--- a/violetstack/net/handover.py
+++ b/violetstack/net/handover.py
@@ -71,10 +71,8 @@
                 if self._heirs:  # elsewhere nobody else is of this dispatcher
                     self.look()
                 due = trio.current_time() >= beat + BEAT_S
-                if self.changed or (due and self._heirs):  # what is learned changes all the time
+                if self.changed or (due and self._heirs):  # that it lives, and what it learned
                     self.write()
-                elif due:
-                    self._records.beat()
                 if due:
                     beat = trio.current_time()
             except NotRecorded:
--- a/violetstack/net/records.py
+++ b/violetstack/net/records.py
@@ -33,13 +33,6 @@
         part.write_bytes(encode(record))
         os.replace(part, self._own)
 
-    def beat(self) -> None:
-        """This process lives."""
-        try:
-            os.utime(self._own)
-        except OSError as error:
-            log_outside("record_failed", error=str(error))
-
     def remove(self) -> None:
         for path in (self._own, self._own.with_suffix(".part")):
             path.unlink(missing_ok=True)
