A fleet of dispatcher processes on loopback, struck by troubles and audited

`violetstack rehearse fleet PLAN` starts the deploy file's `run` so many times, each with its own discovery agent and limits, hosts of bounded room that start cold and fall over under the rule, a relay that loses, delays or doubles datagrams by address where the plan asks for it, and an open-loop front that finds dead dispatchers late. Processes die with the rehearsal, configurations are memfds, logs have no name: its own kill -9 leaves nothing. The auditor knows no clock and no socket. Tried and not kept: h11 on the stand-ins' side (it took a core for 120 requests a second and fell behind); a relay on every run (600 datagrams a second at 12 dispatchers).

--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -5,8 +5,10 @@
 import os
 import sys
 from importlib.metadata import PackageNotFoundError, version
+from pathlib import Path
 
 import click
+import msgspec
 
 from violetstack.commands.config import config
 from violetstack.commands.level import level
@@ -67,15 +69,22 @@
 @main.command()
 @click.argument("stories", nargs=-1)
 @click.option("--quiet", is_flag=True, help="Without the dispatcher's log lines.")
-def rehearse(stories: tuple[str, ...], quiet: bool) -> None:
-    """Play STORIES (all by default) with scripted peers, and tell what came.
+@click.option("--json", "as_json", is_flag=True, help="Of a fleet's plan: one JSON object.")
+def rehearse(stories: tuple[str, ...], quiet: bool, as_json: bool) -> None:
+    """Play STORIES (all by default) with scripted peers, and tell what came; or a fleet's PLAN.
+
+    A plan starts a fleet of dispatcher processes on loopback addresses and strikes it with troubles. It
+    tells a line each half second, the time to whole service, and the rules that were broken.
 
     \b
     Examples:
       violetstack rehearse --quiet
       violetstack rehearse cut order drain
+      violetstack rehearse fleet benchmarks/fleet/herd.toml
     """
 
+    if stories[:1] == ("fleet",):
+        sys.exit(_fleet(stories[1:], as_json))
     from violetstack.rehearsal import stories as played  # noqa: PLC0415
 
     unknown = [name for name in stories if name not in played.STORIES]
@@ -84,6 +93,24 @@
     sys.exit(played.rehearse(stories or tuple(played.STORIES), quiet))
 
 
+def _fleet(plans: tuple[str, ...], as_json: bool) -> int:
+    """1 if a rule was broken, a dispatcher crashed or the stand-ins fell behind."""
+    from violetstack.rehearsal.fleet import plan, report  # noqa: PLC0415
+    from violetstack.rehearsal.fleet.ground import play  # noqa: PLC0415
+
+    if not plans:
+        raise click.UsageError("rehearse fleet needs the file of a plan; benchmarks/fleet/ has some")
+    good = True
+    for name in plans:
+        try:
+            result = play(plan.read(Path(name).read_text()))
+        except (OSError, plan.BadPlan) as error:
+            raise click.ClickException(f"{name}: {error}") from None
+        click.echo(msgspec.json.encode(result).decode() if as_json else report.told(result))
+        good = good and not (result.breaches or result.crashed or result.void)
+    return 0 if good else 1
+
+
 @main.command()
 @click.option("--port", default=8080, show_default=True, help="Where the chat front listens; 0 is any.")
 @click.option("--once", is_flag=True, help="Ask one question and end, instead of staying for curl.")
--- /dev/null
+++ b/violetstack/rehearsal/fleet/network.py
@@ -0,0 +1,113 @@
+"""What lies between dispatchers and the rest: an agent of discovery for each, and the relay among them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+import trio
+
+from violetstack.config import Address
+from violetstack.protocol.server_side import Inbound
+from violetstack.rehearsal.discovery import Discovery
+from violetstack.rehearsal.fleet.audit import Audit
+from violetstack.rehearsal.peer import Break, PeerConnection
+
+SAID, HEARD = 7000, 7946  # ports: a dispatcher as the others know it, and where it listens
+LOSS, LATE_S, USUAL_S = 0.3, 0.2, 0.003
+Where = Callable[[int, int], Address]
+
+
+class Agent(Discovery):
+    """Discovery's agent on one dispatcher's machine."""
+
+    def __init__(
+        self, number: int, rows: list[dict[str, Any]], audit: Audit, now: Callable[[], float]
+    ) -> None:
+        super().__init__(*rows)
+        self.number, self.mode, self.audit, self.now = number, "", audit, now
+        self.calls: list[float] = []
+        self.old, self.news = list(rows), trio.Event()
+
+    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+        self.calls.append(self.now())
+        if self.mode == "silent":
+            await connection.until_closed()
+            raise Break
+        if self.mode == "503":
+            await connection.answer(503, [])
+            return
+        if self.mode == "slow":
+            await trio.sleep(1.0)
+        if self.mode in ("empty", "old"):
+            rows = [] if self.mode == "empty" else self.old
+            line = orjson.dumps({"version": 1, "full": True, "servers": rows}) + b"\n"
+            await connection.start(200, [("Content-Type", "application/json")])
+            await connection.data(line)
+            await connection.until_closed()
+            raise Break
+        await connection.start(200, [("Content-Type", "application/json")])
+        index = int(inbound.target.rpartition("index=")[2]) if "index=" in inbound.target else 0
+        while True:
+            lines = [
+                orjson.dumps({"version": version, "full": version == 1, "servers": rows})
+                for version, rows in self.changes
+                if version > index
+            ]
+            index = self.version
+            await connection.data(b"\n".join([*lines, b""]) if lines else b"\n")
+            with trio.move_on_after(2.0):
+                await self.news.wait()
+
+    def tell(self, *rows: dict[str, Any]) -> None:
+        """Counts as told now, whether or not the dispatcher reads: the agent writes at once."""
+        super().tell(*rows)
+        self.news.set()
+        self.news = trio.Event()
+        for row in rows if not self.mode else ():
+            if row["state"] != "active":
+                self.audit.told[(self.number, str(row["id"]))] = self.now()
+
+
+class Relay:
+    """The network between dispatchers: one socket for each sender, which the others know as its address."""
+
+    def __init__(self, size: int, seed: int, address: Where, nursery: trio.Nursery) -> None:
+        self.size, self.seed, self.address, self.nursery = size, seed, address, nursery
+        self.how: dict[int, str] = {}
+        self.sockets: list[trio.socket.SocketType] = []
+
+    async def open(self) -> None:
+        for n in range(self.size):
+            sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+            await sock.bind(self.address(n, SAID))
+            self.sockets.append(sock)
+
+    async def run(self, number: int) -> None:
+        sock, luck = self.sockets[number], random.Random(self.seed * 1000 + number)
+        while True:
+            try:
+                data, sender = await sock.recvfrom(2048)
+            except OSError:
+                continue
+            if sender != self.address(number, HEARD):
+                continue
+            mine = self.how.get(number, "")
+            to = []
+            for other in range(len(self.sockets)):
+                theirs = self.how.get(other, "")
+                lost = mine in ("cut", "dumb") or theirs in ("cut", "deaf")
+                if other != number and not lost and not ("loss" in (mine, theirs) and luck.random() < LOSS):
+                    to += [other] * (1 + (mine == "twice"))
+            late = LATE_S if mine == "late" else USUAL_S
+            self.nursery.start_soon(self._carry, sock, data, to, late)
+
+    async def _carry(self, sock: trio.socket.SocketType, data: bytes, to: list[int], late: float) -> None:
+        await trio.sleep(late)
+        for number in to:
+            try:
+                await sock.sendto(data, self.address(number, HEARD))
+            except OSError:
+                continue
--- /dev/null
+++ b/violetstack/rehearsal/fleet/programs.py
@@ -0,0 +1,84 @@
+"""The dispatchers' processes, by the deploy file's `run`.
+
+None outlives the rehearsal (PR_SET_PDEATHSIG); configurations are in memory (memfd), logs in files without
+a name.
+"""
+
+from __future__ import annotations
+
+import ctypes
+import math
+import os
+import resource
+import signal
+import subprocess
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+from typing import IO, Any
+
+import orjson
+import trio
+
+from violetstack.config import Address
+
+ROOT = Path(__file__).parents[3]
+DIE_WITH_PARENT = 1
+LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+class Program:
+    """One dispatcher's process, its configuration and its log."""
+
+    def __init__(self, number: int, at: Address, told: dict[str, Any], sockets: int) -> None:
+        self.number, self.at, self.told, self.sockets = number, at, told, sockets
+        self.process: subprocess.Popen[bytes] | None = None
+        self.log: IO[bytes] = tempfile.TemporaryFile()  # noqa: SIM115 - until the run has been judged
+        self.started_at, self.ready_at, self.last_yes = 0.0, math.inf, -math.inf
+        self.wanted = False
+        self.idle: list[trio.SocketStream] = []  # clients' connections
+
+    def start(self, now: float, seed: int) -> None:
+        file = os.memfd_create("config")
+        os.write(file, orjson.dumps({**self.told, "seed": f"{seed:x}"}))
+        limits = resource.RLIMIT_NOFILE, (self.sockets, self.sockets)
+
+        cores = sorted(os.sched_getaffinity(0))
+
+        def child() -> None:
+            LIBC.prctl(DIE_WITH_PARENT, signal.SIGKILL)
+            if len(cores) > 2:
+                os.sched_setaffinity(0, cores[1:])  # the first is the stand-ins'
+            resource.setrlimit(*limits)
+
+        env = {"PATH": os.environ.get("PATH", ""), "NODE_CONFIG": f"/proc/self/fd/{file}"}
+        self.process = subprocess.Popen(
+            command(), cwd=ROOT, env=env, pass_fds=(file,), stdin=subprocess.DEVNULL,
+            preexec_fn=child,  # noqa: PLW1509 - the rehearsal has one thread
+            stdout=self.log, stderr=self.log,
+        )  # fmt: skip
+        os.close(file)
+        self.started_at, self.ready_at, self.wanted = now, math.inf, True
+
+    def send(self, number: int) -> None:
+        if self.process is not None:
+            self.process.send_signal(number)
+
+    def end(self) -> None:
+        self.wanted = False
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+        self.process = None
+
+    def events(self) -> list[dict[str, Any]]:
+        self.log.seek(0)
+        return [orjson.loads(row) for row in self.log.read().splitlines() if row.startswith(b"{")]
+
+
+def command() -> list[str]:
+    deploy = ROOT / "deploy" / "balancer.toml"
+    if deploy.exists() and (ROOT / ".venv").exists():
+        return ["/bin/sh", "-c", tomllib.loads(deploy.read_text())["run"]]
+    return [sys.executable, "-m", "violetstack"]
