--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -1,4 +1,4 @@
-"""What a decision costs at 10, 60 and 200 hosts, and a start, as ratios; against another revision if named.
+"""What a decision costs at 10, 60 and 200 hosts, as ratios; against another revision if named.
 
     python -m benchmarks.fleet_cost [--against REV]
 
@@ -23,12 +23,11 @@
 
 def decision_us(hosts: int) -> float:
     """CPU of the module for a served request, from its arrival to its end; the best of some rounds."""
-    import dataclasses  # noqa: PLC0415 - measured in a process of its own
 
     from tests.front import SETTINGS, Front, entry  # noqa: PLC0415
     from violetstack import interface as t  # noqa: PLC0415
 
-    telling = any(f.name == "may_tell" for f in dataclasses.fields(SETTINGS))
+    telling = hasattr(SETTINGS, "may_tell")
     more: dict[str, Any] = {"may_tell": True} if telling else {}
     best = float("inf")
     for _ in range(ROUNDS):
@@ -74,18 +73,6 @@
     return {"heard": heard, "told": told}
 
 
-def start_ms(root: Path) -> float:
-    """CPU of a process that loads all that the daemon loads before it listens; the best of some."""
-    best = float("inf")
-    for _ in range(5):
-        before = os.times()
-        subprocess.run([sys.executable, "-c", "import violetstack.net.daemon"], cwd=root, check=True)
-        after = os.times()
-        spent = after.children_user + after.children_system - before.children_user - before.children_system
-        best = min(best, spent * 1000.0)
-    return best
-
-
 def measured(root: Path) -> dict[str, float]:
     """In processes of their own, so that each revision loads its own modules."""
     told = subprocess.run(
@@ -93,7 +80,7 @@
         check=True, capture_output=True, text=True,
     )  # fmt: skip
     figures: dict[str, float] = json.loads(told.stdout)
-    return {**figures, "start": start_ms(root)}
+    return figures
 
 
 def best_of(root: Path, so_far: dict[str, float]) -> dict[str, float]:
@@ -103,7 +90,7 @@
 def show(name: str, figures: dict[str, float]) -> None:
     least = figures[str(HOSTS[0])]
     row = ", ".join(f"{n} hosts {figures[str(n)]:.0f} us ({figures[str(n)] / least:.2f})" for n in HOSTS)
-    print(f"{name}: {row}; start {figures['start']:.0f} ms of CPU")
+    print(f"{name}: {row}")
     print(f"  a datagram at 100 hosts: {figures['heard']:.0f} us heard, {figures['told']:.0f} us told")
 
 
--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -12,10 +12,12 @@
 import random
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from itertools import count
 from typing import Any
 
+from msgspec.structs import replace
+
 from tests.front import SETTINGS, entry
 from violetstack import interface as t
 from violetstack.core.dispatcher import Dispatcher
--- a/tests/front.py
+++ b/tests/front.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Any, TypeVar
 
+from msgspec.structs import replace
+
 from violetstack import interface as t
 from violetstack.router import Router
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -11,6 +11,7 @@
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from tests.front import READERS, SETTINGS, WRITERS
 from tests.test_core import Noted
@@ -123,7 +124,7 @@
         assert [e.state for e in cordons.cordon(now, IDS[0]).entries] == [t.ServerState.DRAINING]
     back = cordons.uncordon(9_000.0, IDS[0]).entries[0]
     assert (back.state, back.started_ms) == (t.ServerState.HEALTHY, 9_000.0)
-    told = t.Entry(**{**{n: getattr(LISTED[0], n) for n in LISTED[0].__slots__}, "started_ms": 7_000.0})
+    told = replace(LISTED[0], started_ms=7_000.0)
     assert cordons.told(t.ListNews(t.ListScope.DELTA, (told,), 2)).entries[0].started_ms == 7_000.0
 
 
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from tests.front import READERS, SAFE, WRITERS, Front, entry
 from violetstack import interface as t
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from tests.front import READERS, SAFE, WRITERS, Front, entry
 from violetstack import interface as t
--- a/violetstack/__main__.py
+++ b/violetstack/__main__.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 
-from violetstack.serving import serve
+gc.disable()  # until ready: what a start makes is no garbage, and looking for some is a tenth of its time
+
+from violetstack.serving import serve  # noqa: E402
 
 
 def main() -> int:
--- a/violetstack/admin/cordons.py
+++ b/violetstack/admin/cordons.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+
+import msgspec
+from msgspec.structs import replace
 
 from violetstack import interface as t
 
@@ -18,8 +20,7 @@
     """As many hosts have been taken out as can be kept track of."""
 
 
-@dataclass(frozen=True, slots=True)
-class Mark:
+class Mark(msgspec.Struct, frozen=True):
     """The last call for a host: out or back, and when. `since`: when it went out. Unix milliseconds."""
 
     out: bool
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+import msgspec
+
 from violetstack import interface as t
 from violetstack.core.timers import Timer
 
@@ -34,8 +35,7 @@
         self.reason, self.status = reason, status
 
 
-@dataclass(frozen=True, slots=True)
-class Origin:
+class Origin(msgspec.Struct, frozen=True):
     """What a front knows of a request that the module does not need."""
 
     front: str
@@ -71,8 +71,7 @@
     def ended(self, now: float, answer: str, prompt: float) -> None: ...
 
 
-@dataclass(frozen=True, slots=True)
-class Shed:
+class Shed(msgspec.Struct, frozen=True):
     """Dropped knowingly, before any host heard of it."""
 
     reason: str
@@ -116,8 +115,7 @@
     def log(self, event: str, **fields: Any) -> None: ...
 
 
-@dataclass(eq=False, slots=True)
-class Attempt:
+class Attempt(msgspec.Struct, eq=False):
     """One send. `written` is set by the driver once the last byte may have left, never before."""
 
     request: OpenRequest
@@ -133,16 +131,14 @@
     timer: Timer | None = None
 
 
-@dataclass(eq=False, slots=True)
-class PlaceCall:
+class PlaceCall(msgspec.Struct, eq=False):
     request: OpenRequest
     server: str
     attempt: Attempt | None
     after: ReleaseCall | None
 
 
-@dataclass(eq=False, slots=True)
-class ReleaseCall:
+class ReleaseCall(msgspec.Struct, eq=False):
     """Stale once a further send or place follows: what is held then is settled by that one's end."""
 
     request: OpenRequest
@@ -151,8 +147,7 @@
     tried: bool = False
 
 
-@dataclass(eq=False, slots=True)
-class OpenRequest:
+class OpenRequest(msgspec.Struct, eq=False):
     """One request from its arrival until nothing of it is left anywhere."""
 
     asked: t.Request
@@ -160,7 +155,7 @@
     payload: Any
     arrived: float
     deadline: float
-    out: dict[int, Attempt] = field(default_factory=dict)
+    out: dict[int, Attempt] = {}
     sent: int = 0
     bound: Attempt | None = None
     done: bool = False
@@ -171,8 +166,8 @@
     timer: Timer | None = None
     answer: str = ""
     answered: float = 0.0
-    placed: list[tuple[str, str]] = field(default_factory=list)  # server, what it told of a place
-    trail: list[tuple[str, str, int]] = field(default_factory=list)  # server, status, ms of each attempt
+    placed: list[tuple[str, str]] = []  # server, what it told of a place
+    trail: list[tuple[str, str, int]] = []  # server, status, ms of each attempt
 
     @property
     def id(self) -> str:
--- a/violetstack/core/tally.py
+++ b/violetstack/core/tally.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 ENDS = {"served": "fulfilled", "refused": "throttled", "shed": "throttled", "left": "left"}
 
 
-@dataclass(slots=True)
-class Row:
+class Row(msgspec.Struct):
     """One class. What is none of the others is `faulted`: failed, overdue, unusable or cut."""
 
     taken: int = 0
--- a/violetstack/core/timers.py
+++ b/violetstack/core/timers.py
@@ -4,16 +4,16 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+import msgspec
 
 NEVER = float("inf")
 
 
-@dataclass(order=True, slots=True)
-class Timer:
+class Timer(msgspec.Struct, order=True):
     when: float
     order: int
-    then: Callable[[float], None] | None = field(compare=False)
+    then: Callable[[float], None] | None = None  # never compared: no two have one order
 
 
 class Timers:
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -5,13 +5,14 @@
 import math
 import uuid
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
 from functools import partial
 from hashlib import sha256
 from hmac import compare_digest
 from typing import Any, Protocol
 
+import msgspec
 import orjson
+from msgspec.structs import replace
 
 from violetstack import interface as t
 from violetstack.core.dispatcher import Dispatcher
@@ -39,8 +40,7 @@
     def settle(self, order: Order, state: Claim | None, outcome: bytes) -> None: ...
 
 
-@dataclass(frozen=True, slots=True)
-class Errand:
+class Errand(msgspec.Struct, frozen=True):
     """One checked and routed request, before it is taken."""
 
     ask: Ask
--- a/violetstack/fronts/completions.py
+++ b/violetstack/fronts/completions.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from hashlib import sha256
 from typing import Any
 
+import msgspec
 import orjson
 
 from violetstack.protocol.headers import CHARS_A_TOKEN
@@ -31,8 +31,7 @@
     return sha256(orjson.dumps(parts, option=orjson.OPT_SORT_KEYS)).hexdigest()
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
+class Ask(msgspec.Struct, frozen=True):
     """A checked body."""
 
     body: dict[str, Any]
--- a/violetstack/fronts/reply.py
+++ b/violetstack/fronts/reply.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from violetstack.core.records import OpenRequest
 from violetstack.protocol.server_side import Headers, Inbound, ServerSide
 
@@ -54,8 +55,7 @@
         """Returns once the client has read enough of what waits for it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Payload:
+class Payload(msgspec.Struct, frozen=True):
     """What of a request goes to a model host as it is, and how the host's side waits for a slow client."""
 
     method: str
--- a/violetstack/interface.py
+++ b/violetstack/interface.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
+import msgspec
+
 
 class Effect(Enum):
     """May a request that perhaps ran be sent again?"""
@@ -56,8 +57,7 @@
     READ = "read"
 
 
-@dataclass(frozen=True, slots=True)
-class ClassSpec:
+class ClassSpec(msgspec.Struct, frozen=True):
     aim_ms: float
     give_up_ms: float
     effect: Effect
@@ -70,14 +70,12 @@
     token_aim_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class TenantSpec:
+class TenantSpec(msgspec.Struct, frozen=True):
     share: float
     allowance_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Settings:
+class Settings(msgspec.Struct, frozen=True):
     seed: int
     me: int
     fleet_size: int
@@ -110,8 +108,7 @@
     grace_to_answer_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True):
     """One server as the list has it; started_ms is None when it started a long time back."""
 
     server: str
@@ -123,8 +120,7 @@
     started_ms: float | None
 
 
-@dataclass(frozen=True, slots=True)
-class ListNews:
+class ListNews(msgspec.Struct, frozen=True):
     scope: ListScope
     entries: tuple[Entry, ...]
     version: int
@@ -148,8 +144,7 @@
         """May one more attempt follow a failed one? Each yes is counted."""
 
 
-@dataclass(slots=True)
-class Request:
+class Request(msgspec.Struct):
     """answer_ms is the rough length of the answer, as time at the class's token aim, where it is told.
 
     Without a course, every server may be chosen and the settings alone bound the attempts. The routing sets
@@ -173,16 +168,14 @@
     age_ms: float = 0.0  # it may have lain unread for so long; off expires_in_ms already
 
 
-@dataclass(frozen=True, slots=True)
-class Begun:
+class Begun(msgspec.Struct, frozen=True):
     id: str
     server: str
     attempt: int
     took_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class Outcome:
+class Outcome(msgspec.Struct, frozen=True):
     """How one attempt ended; settled when the request is over; report in the order of report_names."""
 
     id: str
@@ -195,45 +188,38 @@
     report: tuple[float | None, ...] | None
 
 
-@dataclass(frozen=True, slots=True)
-class PlaceNote:
+class PlaceNote(msgspec.Struct, frozen=True):
     id: str
     server: str
     attempt: int
     held: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Left:
+class Left(msgspec.Struct, frozen=True):
     id: str
 
 
-@dataclass(frozen=True, slots=True)
-class TimerDue:
+class TimerDue(msgspec.Struct, frozen=True):
     token: str
 
 
-@dataclass(frozen=True, slots=True)
-class Probed:
+class Probed(msgspec.Struct, frozen=True):
     server: str
     status: Status
     took_ms: float
     report: tuple[float | None, ...] | None
 
 
-@dataclass(frozen=True, slots=True)
-class PeerMessage:
+class PeerMessage(msgspec.Struct, frozen=True):
     peer: int
     payload: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Stopping:
+class Stopping(msgspec.Struct, frozen=True):
     """The process is about to end: what has no first token is given up while its client can be told."""
 
 
-@dataclass(frozen=True, slots=True)
-class Woke:
+class Woke(msgspec.Struct, frozen=True):
     """The process saw nothing for so long; the other events of this batch came in that time."""
 
     gap_ms: float
@@ -245,8 +231,7 @@
 )  # fmt: skip
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(msgspec.Struct, frozen=True):
     """stop_at_ms 0: until the client gives up."""
 
     id: str
@@ -254,69 +239,57 @@
     stop_at_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class HoldPlace:
+class HoldPlace(msgspec.Struct, frozen=True):
     id: str
     server: str
 
 
-@dataclass(frozen=True, slots=True)
-class Release:
+class Release(msgspec.Struct, frozen=True):
     id: str
 
 
-@dataclass(frozen=True, slots=True)
-class Cancel:
+class Cancel(msgspec.Struct, frozen=True):
     id: str
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(msgspec.Struct, frozen=True):
     id: str
     retry_after_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class Fail:
+class Fail(msgspec.Struct, frozen=True):
     id: str
 
 
-@dataclass(frozen=True, slots=True)
-class Move:
+class Move(msgspec.Struct, frozen=True):
     id: str
 
 
-@dataclass(frozen=True, slots=True)
-class Timer:
+class Timer(msgspec.Struct, frozen=True):
     after_ms: float
     token: str
 
 
-@dataclass(frozen=True, slots=True)
-class Watch:
+class Watch(msgspec.Struct, frozen=True):
     on: bool
 
 
-@dataclass(frozen=True, slots=True)
-class FetchList:
+class FetchList(msgspec.Struct, frozen=True):
     pass
 
 
-@dataclass(frozen=True, slots=True)
-class Probe:
+class Probe(msgspec.Struct, frozen=True):
     server: str
 
 
-@dataclass(frozen=True, slots=True)
-class Tell:
+class Tell(msgspec.Struct, frozen=True):
     """A datagram to every other dispatcher of the tier."""
 
     payload: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Log:
+class Log(msgspec.Struct, frozen=True):
     text: str
 
 
--- a/violetstack/net/budget.py
+++ b/violetstack/net/budget.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from violetstack.net.listener import MOST_TURNED_AWAY
 
@@ -13,8 +13,7 @@
 BODY_SHARE = 0.2  # of the memory: request bodies held at once; each may be held twice for a moment
 
 
-@dataclass(frozen=True, slots=True)
-class Budget:
+class Budget(msgspec.Struct, frozen=True):
     """`clients` and `bodies` (bytes) are those of each front; `hosts` are connections to model hosts."""
 
     hosts: int
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -8,26 +8,24 @@
 import time
 import uuid
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import trio
+from msgspec.structs import replace
 
 from violetstack import interface as t
 from violetstack.admin.door import NotRecorded
 from violetstack.config import Address, BadConfig, Config, address
 from violetstack.core.backoff import Backoff
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.fronts.chat import ChatFront
 from violetstack.fronts.platform import PlatformFront
 from violetstack.fronts.reply import Front
-from violetstack.ledger import Ledger
 from violetstack.log import log, log_outside
 from violetstack.net.budget import budget
 from violetstack.net.clock import now_ms
 from violetstack.net.hosts import Host, Hosts
 from violetstack.net.listener import Listener, Wrap
-from violetstack.net.orders import OrderBook
 from violetstack.net.peers import Peers
 from violetstack.net.tls import Certificate
 from violetstack.net.waking import Waking
@@ -39,10 +37,12 @@
 
 if TYPE_CHECKING:
     from violetstack.admin.cordons import Cordons
+    from violetstack.fronts.chat import ChatFront
     from violetstack.handover.record import Record
     from violetstack.levels.control import LevelPlan
     from violetstack.net.handover import Handover
     from violetstack.net.levels import LevelDriver
+    from violetstack.net.orders import OrderBook
     from violetstack.net.passing import Giver
     from violetstack.routing.generations import Routing
 
@@ -78,8 +78,7 @@
                 await self._woken.wait()
 
 
-@dataclass(frozen=True, slots=True)
-class Serving:
+class Serving(msgspec.Struct, frozen=True):
     """Where a started daemon listens."""
 
     platform: Address | None
@@ -152,6 +151,7 @@
             self._record()
             log("started", name=config.told.name, platform=platform, chat=chat, door=door)
             gc.freeze()
+            gc.enable()
             task_status.started(Serving(platform, chat, self.challenge, door))
             await self.stop.wait()
             log("stopping", open=len(core.open), heir=self._find_heir())
@@ -463,6 +463,10 @@
         return bound[0], bound[1]
 
     async def _serve_chat(self, chat: ChatConfig) -> Address:
+        from violetstack.fronts.chat import ChatFront  # noqa: PLC0415 - only where it is served
+        from violetstack.ledger import Ledger  # noqa: PLC0415
+        from violetstack.net.orders import OrderBook  # noqa: PLC0415
+
         told = chat.told
         if told.ledger is not None:
             owner = f"{self.config.told.name}/{uuid.uuid4().hex}"  # a restart is another owner
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -4,7 +4,6 @@
 
 import socket
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any, NamedTuple
 
 import msgspec
@@ -105,8 +104,7 @@
         self.sock.close()
 
 
-@dataclass(slots=True)
-class Host:
+class Host(msgspec.Struct):
     """An address, and the idle connections there."""
 
     at: Address
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 import msgspec
 
@@ -35,8 +34,7 @@
     """Discovery wrote something that is no list."""
 
 
-@dataclass(frozen=True, slots=True)
-class Targets:
+class Targets(msgspec.Struct, frozen=True):
     news: t.ListNews
     addresses: dict[str, str]
     skipped: tuple[str, ...] = ()  # entries of an unknown state or kind: one of them must not stop the list
--- a/violetstack/protocol/host_side.py
+++ b/violetstack/protocol/host_side.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import h11
+import msgspec
 from h11._readers import ChunkedReader
 
 from violetstack.protocol.server_side import MAX_REASON, Headers
@@ -14,19 +13,16 @@
     """The answer is not HTTP, or ended before its end."""
 
 
-@dataclass(frozen=True, slots=True)
-class Head:
+class Head(msgspec.Struct, frozen=True):
     status: int
     headers: dict[str, str]
 
 
-@dataclass(frozen=True, slots=True)
-class Body:
+class Body(msgspec.Struct, frozen=True):
     data: memoryview
 
 
-@dataclass(frozen=True, slots=True)
-class End:
+class End(msgspec.Struct, frozen=True):
     pass
 
 
--- a/violetstack/protocol/server_side.py
+++ b/violetstack/protocol/server_side.py
@@ -6,10 +6,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from http import HTTPStatus
 
 import h11
+import msgspec
 
 MAX_BODY = 256 * 1024
 REASONS = {status.value for status in HTTPStatus}
@@ -27,8 +27,7 @@
         self.status, self.reason = status, reason
 
 
-@dataclass(frozen=True, slots=True)
-class Inbound:
+class Inbound(msgspec.Struct, frozen=True):
     method: str
     target: str
     headers: dict[str, str]
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
+from msgspec.structs import replace
 from hashlib import blake2b
 from math import exp, inf
 
