What a dispatcher knows is kept over its end, and a start goes through named phases

Need: a dispatcher that was killed while discovery is away, with a configuration that knows no host, turns every request away until discovery answers; and nobody can see how far a start has come.

`recovery/sources.py` merges `known` and the disk entry by entry: remembered, doubtful (it counts as just started, so a list that is a minute old puts no more on a host than on a cold one) or refused, with its reason. `recovery/phases.py` is the table of a start: unknown, recalled, filling, full; each step is a `phase` line. What the module had learned comes back as it does for a new version. On only where the operator's file has a `state` block; `run` loads none of it.

--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,132 @@
+"""Coming back: which remembered hosts count, and the phases of a start."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+
+from violetstack import log
+from violetstack.config import Config, WConfig
+from violetstack.net.daemon import Daemon
+from violetstack.protocol.discovery import WServer
+from violetstack.protocol.server_side import Inbound
+from violetstack.recovery.phases import Phase, Start
+from violetstack.recovery.sources import Entry, Source, Trust, merged
+from violetstack.rehearsal.clients import ask_platform
+from violetstack.rehearsal.discovery import Discovery
+from violetstack.rehearsal.hosts import ModelHost
+from violetstack.rehearsal.peer import Break, PeerConnection
+from violetstack.rehearsal.stage import Stage, stage
+
+NOW, COLD, KEEP = 1e9, 14_000.0, 3_600_000.0
+
+
+def row(name: str, port: int, state: str = "active", started_ms: float = 0.0) -> WServer:
+    return WServer(name, f"127.0.0.1:{port}", "z", "prefill", 0, state, 1.0, started_ms)
+
+
+def judged(*sources: Source) -> dict[str, Entry]:
+    return {entry.server.id: entry for entry in merged(sources, NOW, COLD, KEEP)}
+
+
+def disk(age_ms: float, *rows: WServer) -> Source:
+    return Source("disk", NOW - age_ms, 7, rows)
+
+
+def known(*rows: WServer) -> Source:
+    return Source("known", None, 3, rows)
+
+
+@pytest.mark.parametrize(
+    ("age", "trust", "started"),
+    [
+        (1_000.0, Trust.REMEMBERED, 0.0),
+        (60_000.0, Trust.DOUBTFUL, NOW),  # it may have started anew: cold from now on
+        (2 * KEEP, Trust.REFUSED, 0.0),
+        (-86_400_000.0, Trust.DOUBTFUL, NOW),  # the clock was set back by a day
+    ],
+)
+def test_a_remembered_host_counts_by_the_age_of_its_list(age: float, trust: Trust, started: float) -> None:
+    entry = judged(disk(age, row("a", 1)))["a"]
+    assert (entry.trust, entry.server.started_ms) == (trust, started)
+
+
+def test_the_later_word_counts_entry_by_entry() -> None:
+    found = judged(known(row("a", 1), row("b", 2)), disk(5_000.0, row("a", 1, "leaving")))
+    assert (found["a"].trust, found["a"].server.state) == (Trust.REMEMBERED, "leaving")
+    assert found["b"].trust is Trust.REFUSED and "newer list" in found["b"].why
+    alone = judged(known(row("a", 1)), disk(5_000.0))
+    assert alone["a"].trust is Trust.DOUBTFUL  # the disk has no list at all
+
+
+def test_an_address_that_two_have_had_belongs_to_the_later_start() -> None:
+    found = judged(disk(1_000.0, row("old", 1, started_ms=5.0), row("new", 1, started_ms=9.0), row("c", 2)))
+    assert found["old"].trust is Trust.REFUSED and "new" in found["old"].why
+    assert found["new"].trust is found["c"].trust is Trust.REMEMBERED
+
+
+def test_a_start_goes_through_its_phases_and_back_when_the_list_is_lost() -> None:
+    start = Start(0.0, 10_000.0)
+    assert start.recalled(1.0, 0) is None and start.phase is Phase.UNKNOWN
+    steps = [start.recalled(1.0, 3), start.told(50.0, 4), start.told(60.0, 5), start.tick(9_000.0)]
+    steps += [start.tick(10_050.0), start.told(20_000.0, 0), start.told(21_000.0, 4), start.learned(21_001.0)]
+    assert [step and step.new.value for step in steps] == [
+        "recalled", "filling", None, None, "full", "unknown", "filling", "full",
+    ]  # fmt: skip
+    assert start.tick(99_000.0) is None and start.due() is None
+
+
+class Silent(Discovery):
+    """An agent that has nothing to tell."""
+
+    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+        await connection.until_closed()
+        raise Break
+
+
+def test_a_dispatcher_that_was_killed_serves_by_what_it_kept_while_discovery_is_silent(
+    tmp_path: Path,
+) -> None:
+    """Nothing else tells it of any host: its configuration knows none."""
+    state: dict[str, Any] = {"state": {"folder": str(tmp_path / "state")}}
+    lines: list[dict[str, Any]] = []
+    note = lines.append
+    log.observers.append(note)
+
+    async def first(on: Stage) -> None:
+        assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
+        assert on.daemon.kept is not None and on.daemon.watch is not None
+        await on.daemon.watch.heard.wait()
+        on.daemon.kept.learn()
+        await on.daemon.kept.flush()  # the group is on the disk; then it is killed, without a drain
+
+    async def second(on: Stage) -> None:
+        assert (await ask_platform(on.platform, "q2", "orden")).outcome == "served"
+        assert {e.started_ms for e in on.daemon.core.entries.values()} == {None}  # told a moment ago
+
+    async def both() -> None:
+        reader, writer = ModelHost("reader", "prefill"), ModelHost("writer", "decode")
+        async with stage(reader, writer, chat=state) as on:
+            await first(on)
+            silent = Silent()
+            await on.nursery.start(silent.serve)
+            told = {**on.told, "known": {"version": 0, "full": True, "servers": []}}
+            told |= {"discovery": silent.address, "mgmt": ""}
+            on.daemon.nursery.cancel_scope.cancel()
+            daemon = Daemon(Config(msgspec.convert(told, WConfig), on.chat_file))
+            serving = await on.nursery.start(daemon.serve)
+            await second(replace(on, daemon=daemon, platform=serving.platform))
+
+    try:
+        trio.run(both)
+    finally:
+        log.observers.remove(note)
+    phases = [(row["old"], row["new"]) for row in lines if row["event"] == "phase"]
+    assert phases[-1] == ("unknown", "recalled")
+    assert [row["remembered"] for row in lines if row["event"] == "remembered"] == [0, 2]
+    assert [row["servers"] for row in lines if row["event"] == "recalled"] == [2]
--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -12,6 +12,7 @@
 
 from violetstack.commands.config import config
 from violetstack.commands.level import level
+from violetstack.commands.state import state
 
 CONTEXT = {"help_option_names": ["-h", "--help"], "max_content_width": 100}
 
@@ -41,6 +42,7 @@
 
 main.add_command(config)
 main.add_command(level)
+main.add_command(state)
 
 
 @main.command()
--- a/violetstack/language/compiling.py
+++ b/violetstack/language/compiling.py
@@ -19,6 +19,7 @@
     Model,
     OperatorFile,
     PlainHost,
+    StateFile,
     Tenant,
     Tls,
 )  # fmt: skip
@@ -89,6 +90,7 @@
             for d in meaning.of("host").values()
         ],
         ledger=_ledger(meaning.one("ledger")),
+        state=_state(meaning.one("state")),
         tls=_tls(meaning.one("tls")),
         acme=_acme(meaning.one("acme")),
         settings=_settings(meaning) if meaning.of("class") else None,
@@ -108,6 +110,10 @@
     )
 
 
+def _state(d: Definition | None) -> StateFile | None:
+    return None if d is None else StateFile(d.get("folder"), d.get("keep", 48 * 3_600_000.0) / 3_600_000.0)
+
+
 def _tls(d: Definition | None) -> Tls | None:
     return None if d is None else Tls(d.get("certificate"), d.get("key"))
 
--- a/violetstack/language/schema.py
+++ b/violetstack/language/schema.py
@@ -100,6 +100,10 @@
         _duration("keep", "how long an outcome is kept for retries", "48h", 1000.0),
         _duration("lease", "silence after which a running order's dispatcher is taken for dead", "10s", 100.0),
     ), labelled=False),
+    BlockSpec("state", "What a dispatcher knows of hosts, kept over its end; without it, nothing is.", (
+        Field("folder", FILE, "of this dispatcher alone, on a disk that outlives it; made when it is missing", required=True),
+        _duration("keep", "age past which what was kept is not used", "48h", 1000.0),
+    ), labelled=False),
     BlockSpec("machine", "What the program may use.", (
         Field("cores", NUMBER, "share of the machine's processors", default="1", low=0.01, high=1024),
         Field("memory", SIZE, "its limit", default="192MiB", low=16 * 2**20, high=2**40),
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -22,14 +22,14 @@
     **dict.fromkeys((
         "accept_failed", "action_failed", "attempt_failed", "bad_config", "certificate_failed",
         "certificate_unusable", "connection_failed", "ledger_failed", "module_failed", "overdue",
-        "place_failed", "probe_failed", "release_failed", "reload_failed", "request_failed",
+        "place_failed", "probe_failed", "release_failed", "reload_failed", "request_failed", "state_failed",
     ), "error"),
     **dict.fromkeys((
         "admin_refused", "answer_broken", "answer_lost", "chat_rejected", "config_warning",
         "handshake_failed", "host_refused", "level_journal_failed", "level_journal_spoilt",
         "list_refused", "no_list", "order_refused", "passing_failed", "passing_refused", "peer_refused",
         "peers_unheard", "pool_lost", "record_failed", "record_refused", "rejected", "release_given_up",
-        "shed", "silent_closed", "turned_away", "watch_ended",
+        "shed", "silent_closed", "state_spoilt", "turned_away", "watch_ended",
     ), "warning"),
 }  # fmt: skip
 least = ORDER.get(os.environ.get("VIOLETSTACK_LOG_LEVEL", "info"), 0)
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -24,6 +24,7 @@
 from violetstack.log import log, log_outside
 from violetstack.net.budget import budget
 from violetstack.net.clock import now_ms
+from violetstack.net.comeback import Comeback
 from violetstack.net.hosts import Host, Hosts
 from violetstack.net.listener import Listener, Wrap
 from violetstack.net.peers import Peers
@@ -38,9 +39,11 @@
 if TYPE_CHECKING:
     from violetstack.admin.cordons import Cordons
     from violetstack.fronts.chat import ChatFront
+    from violetstack.handover.learned import Learned
     from violetstack.handover.record import Record
     from violetstack.levels.control import LevelPlan
     from violetstack.net.handover import Handover
+    from violetstack.net.keeping import Kept
     from violetstack.net.levels import LevelDriver
     from violetstack.net.orders import OrderBook
     from violetstack.net.passing import Giver
@@ -107,6 +110,7 @@
         self.started = self.taking = False
         self.platform: Listener | None = None
         self.giver: Giver | None = None
+        self.kept: Kept | None = None
 
     async def serve(self, task_status: trio.TaskStatus[Serving] = trio.TASK_STATUS_IGNORED) -> None:
         config = self.config
@@ -127,9 +131,11 @@
             hosts.core = core
             self._route()
             waking = self._mind_gaps()
+            self.kept = self._keep()
+            self.comeback = Comeback(nursery, self.kept)
             pump = Pump(core, waking)
             self._share()
-            self._know_hosts()
+            await self._know_hosts()
             door = await self._open_door()
             self._levels()
             nursery.start_soon(pump.run)
@@ -156,6 +162,7 @@
             await self.stop.wait()
             log("stopping", open=len(core.open), heir=self._find_heir())
             await self._drain()
+            await self.comeback.stop()
             if self.handover is not None:
                 self.handover.leave()
             log("stopped", passed_on=self.giver.given if self.giver is not None else 0)
@@ -183,7 +190,7 @@
 
     # --- model hosts ---
 
-    def _know_hosts(self) -> None:
+    async def _know_hosts(self) -> None:
         config = self.config
         reader = ListReader(config.facts)
         for host in config.operator.hosts if config.operator is not None else ():
@@ -198,10 +205,14 @@
             version = None
             if record is not None:
                 known = WTargets(record.version, True, list(record.servers))
+        if self.kept is not None:
+            version = None  # what is remembered is of several lists: changes of one would not fit
+        known = await self.comeback.remembered(known)
         self._told(reader.targets(known, t.ListScope.CACHED))
         if config.discovery is not None:
             again = Backoff(config.settings.fleet_size, config.settings.seed)
             self.watch = Watch(config.discovery, reader, version, self._told, again)
+            self.watch.confirmed = self._confirmed
             self.waking.sources.append(self.watch)
             self.nursery.start_soon(self.watch.run)
 
@@ -229,9 +240,16 @@
         self._news(news, targets.addresses)
         if self.handover is not None:
             self.handover.changed = True
+        if news.scope is not t.ListScope.CACHED:
+            full = news.scope is t.ListScope.FULL
+            self.comeback.told(targets.rows, news.version, full=full, listed=len(self.rows))
         entries = {entry.server: entry.state.value for entry in news.entries}
         log("list", version=news.version, scope=news.scope.value, entries=entries, skipped=targets.skipped)
 
+    def _confirmed(self) -> None:
+        version = self.watch.version or 0 if self.watch is not None else 0
+        self.comeback.told((), version, full=False, listed=len(self.rows))
+
     def _news(self, news: t.ListNews, addresses: dict[str, str], since: float | None = None) -> None:
         self.hosts.told(news, addresses)
         self.core.news(now_ms(), news, self.waking.since() if since is None else since)
@@ -271,7 +289,6 @@
         return at[0], at[1]
 
     def _compose(self) -> Record:
-        from violetstack.handover.learned import learned  # noqa: PLC0415
         from violetstack.handover.record import Record  # noqa: PLC0415
 
         assert self.handover is not None and self.cordons is not None
@@ -280,21 +297,41 @@
             name=self.config.told.name, owner=mine.owner, born=mine.born, at=now_ms(), serving=self.taking,
             version=watch.version or 0 if watch is not None else 0, servers=tuple(self.rows.values()),
             marks=dict(self.cordons.marks),
-            learned=learned(self.router, now_ms()) if self.config.inherited is not None else None,
+            learned=self._learned() if self.config.inherited is not None else None,
         )  # fmt: skip
 
+    def _keep(self) -> Kept | None:
+        """Only where the operator's file names a folder; the rest of the program does without."""
+        state = self.config.operator.state if self.config.operator is not None else None
+        if state is None:
+            return None
+        from violetstack.net.keeping import Kept  # noqa: PLC0415
+
+        settings = self.config.settings
+        kept = Kept(state, settings.seed, settings.cold_ms, self._learned)
+        self.nursery.start_soon(kept.run)
+        return kept
+
+    def _learned(self) -> Learned:
+        from violetstack.handover.learned import learned  # noqa: PLC0415
+
+        return learned(self.router, now_ms())
+
     def _recall(self) -> None:
-        """What the predecessor's module knew a moment ago."""
-        if self.handover is None or self.config.inherited is None:
+        """What the predecessor's module knew a moment ago, or the disk has of it."""
+        found = self.comeback.learned()
+        if self.handover is not None and self.config.inherited is not None:
+            self.handover.look()
+            record = self.handover.succession.newest()
+            found = record.learned if record is not None else found
+        if found is None:
             return
         from violetstack.handover.learned import recall  # noqa: PLC0415
 
-        self.handover.look()
-        record = self.handover.succession.newest()
-        if record is not None and record.learned is not None:
-            self.core.run(now_ms())  # the module is to know the list first
-            servers = recall(self.router, record.learned)
-            log("recalled", servers=servers, age_ms=round(now_ms() - record.learned.at))
+        self.core.run(now_ms())  # the module is to know the list first
+        servers = recall(self.router, found)
+        log("recalled", servers=servers, age_ms=round(now_ms() - found.at))
+        self.comeback.recalled()
 
     def _record(self) -> None:
         if self.handover is not None:
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -22,6 +22,7 @@
         self, at: Address, reader: ListReader, version: int | None, told: Callable[[Targets], None],
         again: Backoff,
     ) -> None:
+        self.confirmed: Callable[[], None] = lambda: None  # nothing has changed since `version`
         self.at, self._reader, self._told, self._again = at, reader, told, again
         self.heard = trio.Event()  # discovery has told something
         self.version: int | None = version  # None: another discovery's, which has told nothing yet
@@ -71,6 +72,10 @@
                 for line in lines.feed(data):
                     if line:
                         self._line(line)
+                    elif not self.heard.is_set():
+                        self.heard.set()
+                        self._again.answered()
+                        self.confirmed()
 
     async def _get(self, stream: trio.SocketStream, http: HostSide, target: str) -> AsyncIterator[memoryview]:
         """An answer's body as it comes."""
--- a/violetstack/operators.py
+++ b/violetstack/operators.py
@@ -65,6 +65,13 @@
     lease_s: float = 10.0
 
 
+class StateFile(msgspec.Struct, forbid_unknown_fields=True):
+    """`folder`: of this dispatcher alone, on a disk that outlives the process."""
+
+    folder: str
+    keep_hours: float = 48.0
+
+
 class Tls(msgspec.Struct, forbid_unknown_fields=True):
     certificate: str
     key: str
@@ -97,6 +104,7 @@
     tenants: list[Tenant] = []
     hosts: list[PlainHost] = []
     ledger: LedgerFile | None = None
+    state: StateFile | None = None
     tls: Tls | None = None
     acme: Acme | None = None
     settings: WFacts | None = None
--- a/violetstack/rehearsal/discovery.py
+++ b/violetstack/rehearsal/discovery.py
@@ -34,6 +34,8 @@
             return
         index = int(inbound.target.rpartition("index=")[2])
         await connection.start(200, [("Content-Type", "application/json")])
+        if index >= self.version:
+            await connection.data(b"\n")  # nothing has changed
         while True:
             for version, rows in self.changes:
                 if version > index:
