--- a/violetstack/rehearsal/fleet/ground.py
+++ b/violetstack/rehearsal/fleet/ground.py
@@ -10,6 +10,7 @@
 import random
 import signal
 import time
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -21,7 +22,7 @@
 from violetstack.rehearsal.fleet.lean import Client, Ended, connect, message
 from violetstack.rehearsal.fleet.network import HEARD, SAID, Agent, Relay
 from violetstack.rehearsal.fleet.plan import Plan, Trouble, numbers
-from violetstack.rehearsal.fleet.programs import Program
+from violetstack.rehearsal.fleet.programs import ROOT, Program
 from violetstack.rehearsal.fleet.report import Result
 from violetstack.rehearsal.stage import SETTINGS
 
@@ -36,8 +37,8 @@
 
 
 class Ground:
-    def __init__(self, plan: Plan) -> None:
-        self.plan, self.random = plan, random.Random(plan.seed)
+    def __init__(self, plan: Plan, root: Path = ROOT) -> None:
+        self.plan, self.random, self.root = plan, random.Random(plan.seed), root
         rules = SETTINGS["rules"]
         self.audit = Audit(
             rules["stop_sending_within"] / 1000.0, SETTINGS["family_info"]["release"] / 1000.0,
@@ -115,7 +116,7 @@
                     nursery.start_soon(self.relay.run, n)
             try:
                 for n in range(plan.dispatchers):
-                    program = Program(n, self.address(n, 5000), self._told(n, rows), plan.sockets)
+                    program = Program(n, self.address(n, 5000), self._told(n, rows), plan.sockets, self.root)
                     self.programs.append(program)
                     self._start(program)
                     nursery.start_soon(self._watch, program)
@@ -327,6 +328,6 @@
         )  # fmt: skip
 
 
-def play(plan: Plan) -> Result:
-    """The stand-ins have a core to themselves, where there are more than two."""
-    return trio.run(Ground(plan).run)
+def play(plan: Plan, root: Path = ROOT) -> Result:
+    """`root`: the tree whose `run` is started. The stand-ins have a core of their own, if there are three."""
+    return trio.run(Ground(plan, root).run)
--- a/violetstack/rehearsal/fleet/programs.py
+++ b/violetstack/rehearsal/fleet/programs.py
@@ -31,8 +31,8 @@
 class Program:
     """One dispatcher's process, its configuration and its log."""
 
-    def __init__(self, number: int, at: Address, told: dict[str, Any], sockets: int) -> None:
-        self.number, self.at, self.told, self.sockets = number, at, told, sockets
+    def __init__(self, number: int, at: Address, told: dict[str, Any], sockets: int, root: Path) -> None:
+        self.number, self.at, self.told, self.sockets, self.root = number, at, told, sockets, root
         self.process: subprocess.Popen[bytes] | None = None
         self.log: IO[bytes] = tempfile.TemporaryFile()  # noqa: SIM115 - until the run has been judged
         self.started_at, self.ready_at, self.last_yes = 0.0, math.inf, -math.inf
@@ -54,7 +54,7 @@
 
         env = {"PATH": os.environ.get("PATH", ""), "NODE_CONFIG": f"/proc/self/fd/{file}"}
         self.process = subprocess.Popen(
-            command(), cwd=ROOT, env=env, pass_fds=(file,), stdin=subprocess.DEVNULL,
+            command(self.root), cwd=self.root, env=env, pass_fds=(file,), stdin=subprocess.DEVNULL,
             preexec_fn=child,  # noqa: PLW1509 - the rehearsal has one thread
             stdout=self.log, stderr=self.log,
         )  # fmt: skip
@@ -77,8 +77,8 @@
         return [orjson.loads(row) for row in self.log.read().splitlines() if row.startswith(b"{")]
 
 
-def command() -> list[str]:
-    deploy = ROOT / "deploy" / "balancer.toml"
-    if deploy.exists() and (ROOT / ".venv").exists():
+def command(root: Path) -> list[str]:
+    deploy = root / "deploy" / "balancer.toml"
+    if deploy.exists() and (root / ".venv").exists():
         return ["/bin/sh", "-c", tomllib.loads(deploy.read_text())["run"]]
     return [sys.executable, "-m", "violetstack"]
