A lost list is doubted where the operator asks for it; remembered hosts are met before they get work

Need: discovery that lost its memory tells an empty list, and the whole service ends though every host serves; a host remembered from an old list may be gone, or its address another's; clients refused by a fleet that comes back return all at once.

`recovery/doubt.py`: a whole list that loses a stated share of the active hosts at once, without a word that they left, counts with them, as if just started, for 30 s, and is asked for again then; what is told as leaving or left binds as ever. Off unless the `state` block sets `doubt`: on the platform an unlisted host is gone. Doubtful hosts are met one after another, 0.1 s apart, until discovery tells the list; one that refuses the connection gets nothing. While a dispatcher comes back its Retry-After lies between half and the whole of the usual, by seed; where no host is known, within what the settings allow and ten seconds.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -10,11 +10,14 @@
 import pytest
 import trio
 
+from tests.front import SETTINGS
 from violetstack import log
 from violetstack.config import Config, WConfig
+from violetstack.net.comeback import Comeback
 from violetstack.net.daemon import Daemon
 from violetstack.protocol.discovery import WServer
 from violetstack.protocol.server_side import Inbound
+from violetstack.recovery.doubt import Doubt
 from violetstack.recovery.phases import Phase, Start
 from violetstack.recovery.sources import Entry, Source, Trust, merged
 from violetstack.rehearsal.clients import ask_platform
@@ -130,3 +133,63 @@
     assert phases[-1] == ("unknown", "recalled")
     assert [row["remembered"] for row in lines if row["event"] == "remembered"] == [0, 2]
     assert [row["servers"] for row in lines if row["event"] == "recalled"] == [2]
+
+
+def test_a_list_that_loses_most_hosts_at_once_is_doubted_for_a_while_and_a_drain_never_is() -> None:
+    before = {name: row(name, n) for n, name in enumerate("abcd")}
+    doubt = Doubt(0.5, 30_000.0)
+    assert doubt.whole(NOW, before, [row("a", 0), row("b", 1), row("c", 2)]) is None  # one of four may go
+    found = doubt.whole(NOW, before, [row("b", 1, "leaving")])
+    assert found is not None and found.until == NOW + 30_000.0
+    assert {(s.id, s.started_ms) for s in found.kept} == {("a", NOW), ("c", NOW), ("d", NOW)}
+    assert doubt.whole(NOW + 29_000.0, before, []) is not None
+    assert doubt.whole(NOW + 30_000.0, before, []) is None  # said again: it counts
+    assert Doubt(float("inf"), 1.0).whole(NOW, before, []) is None  # the platform's way
+
+
+def test_a_discovery_that_lost_its_memory_does_not_end_the_service_where_that_is_doubted(
+    tmp_path: Path,
+) -> None:
+    """And a host that it remembered, which is not there, gets nothing."""
+    state: dict[str, Any] = {"state": {"folder": str(tmp_path / "state"), "doubt": 0.5}}
+    lines: list[dict[str, Any]] = []
+    note = lines.append
+    log.observers.append(note)
+
+    async def story() -> None:
+        reader, writer = ModelHost("reader", "prefill"), ModelHost("writer", "decode")
+        async with stage(reader, writer, chat=state) as on:
+            assert on.daemon.watch is not None
+            await on.daemon.watch.heard.wait()
+            on.discovery.changes, on.discovery.version = [], 9
+            on.daemon.watch.ask_again()
+            while not any(line["event"] == "list_doubted" for line in lines):
+                await trio.sleep(0.01)
+            answers = [await ask_platform(on.platform, f"q{n}", "consulta") for n in range(2)]
+            assert "served" in [answer.outcome for answer in answers]
+            on.daemon._not_met(WServer("reader"))
+            assert set(on.daemon.core.entries) == {"writer"}
+
+    try:
+        trio.run(story)
+    finally:
+        log.observers.remove(note)
+
+
+def test_clients_are_sent_back_at_times_of_their_own_while_a_dispatcher_comes_back() -> None:
+    async def times() -> list[float]:
+        async with trio.open_nursery() as nursery:
+            comeback = Comeback(nursery, None, SETTINGS)
+            found = [comeback.advice_ms(400.0) for _ in range(50)]
+            comeback.told((), 1, full=True, listed=2)
+            found += [comeback.advice_ms(400.0) for _ in range(50)]
+            comeback.recalled()
+            found.append(comeback.advice_ms(400.0))
+            nursery.cancel_scope.cancel()
+        return found
+
+    found = trio.run(times)
+    unknown, filling = found[:50], found[50:100]
+    assert min(unknown) >= 500.0 and max(unknown) <= 1000.0 and len(set(unknown)) == 50
+    assert min(filling) >= 200.0 and max(filling) <= 400.0 and max(filling) - min(filling) > 100.0
+    assert found[-1] == 400.0
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -77,6 +77,7 @@
         self.tally = Tally(len(settings.classes))
         self.routes: Routes | None = None
         self.level: Level | None = None
+        self.advice_ms: Callable[[float], float] = lambda ms: ms  # when to come back
         self.unseen_ms: Callable[[], float] = lambda: 0.0  # how long what is read now may have lain unread
 
     # --- events in ---
@@ -396,7 +397,7 @@
                 self._cancel(now, action)
             case t.Refuse():
                 if (request := self._answerable(now, action.id, "refused")) is not None:
-                    self._tell(request.sink.refused, action.retry_after_ms)
+                    self._tell(request.sink.refused, self.advice_ms(action.retry_after_ms))
             case t.Fail():
                 if (request := self._answerable(now, action.id, "failed")) is not None:
                     self._tell(request.sink.failed, may_have_run(request))
--- a/violetstack/language/compiling.py
+++ b/violetstack/language/compiling.py
@@ -111,7 +111,10 @@
 
 
 def _state(d: Definition | None) -> StateFile | None:
-    return None if d is None else StateFile(d.get("folder"), d.get("keep", 48 * 3_600_000.0) / 3_600_000.0)
+    if d is None:
+        return None
+    keep_hours = d.get("keep", 48 * 3_600_000.0) / 3_600_000.0
+    return StateFile(d.get("folder"), keep_hours, d.get("doubt", 0.0), d.get("doubt_for", 30_000.0) / 1000.0)
 
 
 def _tls(d: Definition | None) -> Tls | None:
--- a/violetstack/language/schema.py
+++ b/violetstack/language/schema.py
@@ -103,6 +103,8 @@
     BlockSpec("state", "What a dispatcher knows of hosts, kept over its end; without it, nothing is.", (
         Field("folder", FILE, "of this dispatcher alone, on a disk that outlives it; made when it is missing", required=True),
         _duration("keep", "age past which what was kept is not used", "48h", 1000.0),
+        Field("doubt", SHARE, "a list that loses this share of the hosts at once is doubted; 0% doubts none", default="0%", low=0, high=1),
+        _duration("doubt_for", "for how long such a list is doubted", "30s", 1000.0),
     ), labelled=False),
     BlockSpec("machine", "What the program may use.", (
         Field("cores", NUMBER, "share of the machine's processors", default="1", low=0.01, high=1024),
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -27,7 +27,8 @@
     **dict.fromkeys((
         "admin_refused", "answer_broken", "answer_lost", "chat_rejected", "config_warning",
         "handshake_failed", "host_refused", "level_journal_failed", "level_journal_spoilt",
-        "list_refused", "no_list", "order_refused", "passing_failed", "passing_refused", "peer_refused",
+        "list_doubted", "list_refused", "no_list", "not_met", "order_refused", "passing_failed",
+        "passing_refused", "peer_refused",
         "peers_unheard", "pool_lost", "record_failed", "record_refused", "rejected", "release_given_up",
         "shed", "silent_closed", "state_spoilt", "turned_away", "watch_ended",
     ), "warning"),
--- a/violetstack/net/comeback.py
+++ b/violetstack/net/comeback.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING
 
 import trio
@@ -9,11 +10,12 @@
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.protocol.discovery import WServer, WTargets
-from violetstack.recovery.phases import Start, Step
+from violetstack.recovery.phases import Phase, Start, Step
 from violetstack.router import LEARN_MS
 
 if TYPE_CHECKING:
     from violetstack.handover.learned import Learned
+    from violetstack.interface import Settings
     from violetstack.net.keeping import Kept
 
 # A sixth of the memory of what hosts take: from then on what was seen outweighs what was assumed.
@@ -21,10 +23,19 @@
 
 
 class Comeback:
-    def __init__(self, nursery: trio.Nursery, kept: Kept | None) -> None:
-        self._nursery, self._kept = nursery, kept
+    def __init__(self, nursery: trio.Nursery, kept: Kept | None, settings: Settings) -> None:
+        self._nursery, self._kept, self._most_ms = nursery, kept, settings.max_retry_after_ms
+        self._random = Random(settings.seed)
         self.start = Start(now_ms(), FILL_MS)
 
+    def advice_ms(self, ms: float) -> float:
+        """Guards a fleet that comes back against clients that return all at once: each gets its own time."""
+        if self.start.phase is Phase.FULL or ms <= 0.0:
+            return ms
+        if self.start.phase is Phase.UNKNOWN:  # nothing can be served before a list comes
+            ms = max(ms, min(self._most_ms, FILL_MS))
+        return ms * (0.5 + 0.5 * self._random.random())
+
     async def remembered(self, known: WTargets) -> WTargets:
         """The list to begin with: the configuration's, or what it and the disk tell together."""
         if self._kept is not None:
@@ -47,6 +58,11 @@
         if self._kept is not None:
             self._kept.told(rows, version, full=full)
 
+    @property
+    def listed(self) -> bool:
+        """Discovery has told."""
+        return self.start.phase in (Phase.FILLING, Phase.FULL)
+
     async def stop(self) -> None:
         if self._kept is not None:
             await self._kept.stop()
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -132,7 +132,8 @@
             self._route()
             waking = self._mind_gaps()
             self.kept = self._keep()
-            self.comeback = Comeback(nursery, self.kept)
+            self.comeback = Comeback(nursery, self.kept, config.settings)
+            core.advice_ms = self.comeback.advice_ms
             pump = Pump(core, waking)
             self._share()
             await self._know_hosts()
@@ -209,6 +210,8 @@
             version = None  # what is remembered is of several lists: changes of one would not fit
         known = await self.comeback.remembered(known)
         self._told(reader.targets(known, t.ListScope.CACHED))
+        if self.kept is not None:
+            self.nursery.start_soon(self.kept.verify, self._not_met, lambda: self.comeback.listed)
         if config.discovery is not None:
             again = Backoff(config.settings.fleet_size, config.settings.seed)
             self.watch = Watch(config.discovery, reader, version, self._told, again)
@@ -216,6 +219,13 @@
             self.waking.sources.append(self.watch)
             self.nursery.start_soon(self.watch.run)
 
+    def _not_met(self, server: WServer) -> None:
+        """A remembered host that is not there; discovery may still tell of it."""
+        entry = self.core.entries.get(server.id)
+        if entry is not None and self.rows.pop(server.id, None) is not None:
+            gone = replace(entry, state=t.ServerState.GONE)
+            self._news(t.ListNews(t.ListScope.DELTA, (gone,), 0), {})
+
     async def _first_list(self) -> None:
         """Guards a takeover against a list that is older than what the predecessor has been told."""
         if self.config.inherited is not None and self.watch is not None:
@@ -225,6 +235,8 @@
                 log("no_list", hosts=len(self.rows))
 
     def _told(self, targets: Targets) -> None:
+        if self.kept is not None and targets.news.scope is t.ListScope.FULL:
+            targets = self._doubted(targets)
         news = targets.news
         if news.scope is not t.ListScope.DELTA:
             self.rows = {}
@@ -246,6 +258,22 @@
         entries = {entry.server: entry.state.value for entry in news.entries}
         log("list", version=news.version, scope=news.scope.value, entries=entries, skipped=targets.skipped)
 
+    def _doubted(self, targets: Targets) -> Targets:
+        """A list that lost most hosts counts with them for a while; then it is asked for again."""
+        assert self.kept is not None
+        found = self.kept.doubt.whole(now_ms(), self.rows, targets.rows)
+        if found is None:
+            return targets
+        log("list_doubted", version=targets.news.version, kept=[row.id for row in found.kept][:50])
+        self.nursery.start_soon(self._ask_again, found.until)
+        told = WTargets(targets.news.version, True, [*targets.rows, *found.kept])
+        return ListReader(self.config.facts).targets(told, t.ListScope.FULL)
+
+    async def _ask_again(self, until: float) -> None:
+        await trio.sleep(max(0.0, until - now_ms()) / 1000.0)
+        if self.watch is not None:
+            self.watch.ask_again()
+
     def _confirmed(self) -> None:
         version = self.watch.version or 0 if self.watch is not None else 0
         self.comeback.told((), version, full=False, listed=len(self.rows))
--- a/violetstack/net/keeping.py
+++ b/violetstack/net/keeping.py
@@ -9,17 +9,20 @@
 
 import trio
 
+from violetstack.config import address
 from violetstack.handover.learned import Learned
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
 from violetstack.operators import StateFile
 from violetstack.protocol.discovery import WServer, WTargets
+from violetstack.recovery.doubt import Doubt
 from violetstack.recovery.sources import AHEAD_MS, Source, Trust, merged
 from violetstack.state import content as kept
 from violetstack.state.content import Content
 from violetstack.state.store import Recovered, Store, recover
 
 LEARNED_S = 2.0  # between records of what was learned
+VERIFY_S, VERIFY_MOST_S = 0.1, 0.5  # between two remembered hosts, and for each
 GROUP_S = 1.0  # what came within it goes to the disk together
 READ_S = 1.0  # a start waits for the disk for so long, then begins without what it has
 AGAIN_S, AGAIN_MOST_S = 1.0, 60.0
@@ -149,6 +152,9 @@
 
     def __init__(self, told: StateFile, seed: int, cold_ms: float, compose: Callable[[], Learned]) -> None:
         self._keeper, self._cold_ms, self._compose = Keeper(told.folder, seed), cold_ms, compose
+        self._random = random.Random(seed)
+        self.unverified: list[WServer] = []
+        self.doubt = Doubt(told.doubt or float("inf"), told.doubt_s * 1000.0)
         self._keep_ms = told.keep_hours * 3_600_000.0
 
     async def remembered(self, known: WTargets) -> WTargets:
@@ -163,8 +169,30 @@
         why = [f"{e.server.id}: {e.why}" for e in entries if e.trust is Trust.REFUSED]
         age_s = round((now - found.heard_at) / 1000.0, 1) if found.heard_at else None
         log("remembered", age_s=age_s, why=why[:10], **counts)
+        self.unverified = [entry.server for entry in entries if entry.trust is Trust.DOUBTFUL]
         return WTargets(known.version, True, rows)
 
+    async def verify(self, gone: Callable[[WServer], None], settled: Callable[[], bool]) -> None:
+        """A doubtful host that refuses a connection is none. One at a time, so that hosts see no burst.
+
+        Ends when discovery has told the list: `settled`.
+        """
+        met = 0
+        for server in self.unverified:
+            await trio.sleep(VERIFY_S * (0.5 + self._random.random()))
+            if settled():
+                break
+            try:
+                with trio.fail_after(VERIFY_MOST_S):
+                    stream = await trio.open_tcp_stream(*address(server.addr))
+                await stream.aclose()
+                met += 1
+            except (OSError, ValueError, trio.TooSlowError) as error:
+                log("not_met", server=server.id, error=repr(error))
+                gone(server)
+        if self.unverified:
+            log("verified", met=met, of=len(self.unverified))
+
     def learned(self) -> Learned | None:
         """What the process before this one had learned, if its time can be believed."""
         found = self._keeper.content.learned
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -46,6 +46,11 @@
         self._again.answered()
         self._scope.cancel()
 
+    def ask_again(self) -> None:
+        """The whole list, from the same discovery."""
+        self.version = None
+        self._scope.cancel()
+
     async def run(self) -> None:
         while True:
             with trio.CancelScope() as self._scope:
--- a/violetstack/operators.py
+++ b/violetstack/operators.py
@@ -70,6 +70,8 @@
 
     folder: str
     keep_hours: float = 48.0
+    doubt: float = 0.0  # share of the hosts whose loss at once is doubted; 0: none is
+    doubt_s: float = 30.0
 
 
 class Tls(msgspec.Struct, forbid_unknown_fields=True):
