Retry-After is spread only until discovery has told the list

Sooner retries gain nothing once hosts are known, so the spread stays where no list was told, and the wait may be longer.

--- a/violetstack/net/comeback.py
+++ b/violetstack/net/comeback.py
@@ -30,7 +30,7 @@
 
     def advice_ms(self, ms: float) -> float:
         """Guards a fleet that comes back against clients that return all at once: each gets its own time."""
-        if self.start.phase is Phase.FULL or ms <= 0.0:
+        if self.listed or ms <= 0.0:  # a time is spread only where it may be longer than usual
             return ms
         if self.start.phase is Phase.UNKNOWN:  # nothing can be served before a list comes
             ms = max(ms, min(self._most_ms, FILL_MS))
