A watch is replaced before it is given up; nothing begins at a host told as leaving

Watch (net/watch.py, core/backoff.py, protocol/discovery.py) - 5.5 s of silence, then up to 2 s to connect, then a wait: past the 6 s after which what a silent watch misses counts as told. Now another is opened after 3 s of silence and the old one is heard until it has told something. - After a reset the first try waited 25 to 50 ms of a drain's 250. Now none; tries are 50 ms apart at least. - A connection that was accepted and stayed silent (an outage) was waited on for 5.5 s, so news at discovery's return came late. Where an agent on this machine answers, one more is opened every 0.2 s beside those that wait, ten at most. - SIGHUP closed the old watch with what lay unread, before the new discovery was up. Its news count until the new whole list replaces them. The former test asked that they be dropped; only what comes after the new list is. - A line was taken for an object: indented lists ended the watch, and a bad one was asked for again from its index for ever. Whole JSON objects are read, cut anywhere, each byte once, bounded; after a bad one the whole list is asked for, less and less often; one bad entry hides no other. - A new process served before its agent had answered. It waits for that, 0.3 s at most.

Hosts (net/hosts.py; connections now in net/pool.py, moved before adding) - may_write let sends to a leaving host out for 170 ms after the news was read, though news count as told before that. Now none goes out, asked in the step that writes the first byte, for reads, moves, places and probes alike. The tests that set a time since which a drain was told now set the drain: stricter, no grace is left. - An idle connection closed between choice and first byte made an order fail; it is looked at again in that step. - A second answer that came after the next request was written was taken for its answer. A connection rests 0.1 s. - A connection that came up at an address the host has left was used; a release overtaken by a send was written; where attempts may not be withdrawn, unwritten ones went out for clients that had left.

Clients (net/listener.py) - A stream whose host had finished was cut at SIGTERM when its client read slowly: its connection counted as idle with bytes unwritten, and the process even ended. The same when room was made. - Past 64 KiB behind a request nothing was read, the client's end neither. What comes is dropped, the end is heard. - A request unread on an idle connection did not keep the process from ending.

--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -11,7 +11,7 @@
 import trio
 
 from tests.test_stories import pair, play
-from violetstack.net.hosts import HostConnection, Withheld
+from violetstack.net.pool import HostConnection, Withheld
 from violetstack.rehearsal.clients import (
     Answer,
     ask_chat,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -47,6 +47,12 @@
     again.answered()
     assert again.next_s() <= 0.25
     agent = Backoff(200, 7, agent=True)  # on this machine: left alone only where it turns callers away
+    assert agent.next_s(turned_away=False) == 0.0  # a wait would be taken from a drain's grace
     assert all(0.025 <= agent.next_s(turned_away=False) <= 0.2 for _ in range(20))
     assert agent.next_s() > 2.0
+    agent.answered()
+    bad = [agent.next_s(bad=True) for _ in range(12)]  # it may be right the next time, or never
+    assert bad[0] == 0.0 and bad[1] <= 0.25 and all(2.0 <= wait <= 4.0 for wait in bad[-4:])
+    asked = Backoff(200, 7)  # a list that is asked for: before what is missed counts as told
+    assert asked.next_s(turned_away=False) <= 2.0 < asked.next_s(turned_away=False)
     assert [Backoff(3, 7).next_s() for _ in range(2)] == [Backoff(3, 7).next_s() for _ in range(2)]
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -23,7 +23,6 @@
 from violetstack.core.timers import Timers
 
 FAILING = frozenset({t.Status.ERROR, t.Status.RESET, t.Status.CONNECT_FAILED})  # the rest is a matter of load
-PLACE_MARGIN_MS = 80.0  # a send's first byte leaves this long before a told drain binds, or not at all
 
 
 class Decider(Protocol):
@@ -70,7 +69,7 @@
         self.drain_grace_ms = drain_grace_ms
         self.open: dict[str, OpenRequest] = {}
         self.entries: dict[str, t.Entry] = {}
-        self.unwanted: dict[str, float] = {}  # since when a server is known to drain or to be gone
+        self.unwanted: set[str] = set()  # servers that are known to drain
         self.stateless: set[str] = set()  # hosts that take no states, places or releases
         self.inbox: list[t.Event] = []
         self.touched: dict[str, OpenRequest] = {}
@@ -89,22 +88,19 @@
         self.inbox.append(event)
         self.wake()
 
-    def news(self, now: float, news: t.ListNews, since: float | None = None) -> None:
-        """A host that is gone is forgotten here and now: hosts come with new ids all day long.
-
-        `since`: drains were told then, at another process of this dispatcher, or may have been, unread.
-        """
+    def news(self, now: float, news: t.ListNews) -> None:
+        """A host that is gone is forgotten here and now: hosts come with new ids all day long."""
         if news.scope is not t.ListScope.DELTA:
             self.entries = {}
         for entry in news.entries:
             self.entries[entry.server] = entry
             if entry.state is t.ServerState.DRAINING:
-                self.unwanted.setdefault(entry.server, now if since is None else min(now, since))
+                self.unwanted.add(entry.server)
             else:
-                self.unwanted.pop(entry.server, None)
+                self.unwanted.discard(entry.server)
             if entry.state is t.ServerState.GONE:
                 del self.entries[entry.server]
-        self.unwanted = {s: since for s, since in self.unwanted.items() if s in self.entries}
+        self.unwanted &= self.entries.keys()
         if self.routes is not None:
             self.routes.told(now, news)
         if self.witness is not None:
@@ -216,12 +212,17 @@
 
     # --- what attempts report ---
 
-    def may_write(self, now: float, server: str) -> bool:
-        """Guards against a drain told between the decision and the first byte."""
-        since = self.unwanted.get(server)
-        if server not in self.entries:
-            return False
-        return since is None or now < since + self.drain_grace_ms - PLACE_MARGIN_MS
+    def may_write(self, server: str) -> bool:
+        """Asked in the step that writes a first byte, whatever it begins.
+
+        Guards against a host told as leaving, or gone, since it was chosen. Nothing is left of the time in
+        which a drain binds: what is pushed counts as told before this process has read it.
+        """
+        return server in self.entries and server not in self.unwanted
+
+    def may_send(self, attempt: Attempt) -> bool:
+        """The same for an attempt; its request may be over by now as well, its client gone."""
+        return not attempt.over and not attempt.request.done and self.may_write(attempt.server)
 
     def relayed(self, attempt: Attempt) -> None:
         """The last byte of an attempt may have left; called in the step that hands it to the kernel."""
--- a/violetstack/net/daemon.py
+++ b/violetstack/net/daemon.py
@@ -25,9 +25,10 @@
 from violetstack.net.budget import budget
 from violetstack.net.clock import now_ms
 from violetstack.net.comeback import Comeback
-from violetstack.net.hosts import Host, Hosts
+from violetstack.net.hosts import Hosts
 from violetstack.net.listener import Listener, Wrap
 from violetstack.net.peers import Peers
+from violetstack.net.pool import Host
 from violetstack.net.tls import Certificate
 from violetstack.net.waking import Waking
 from violetstack.net.watch import Watch
@@ -51,6 +52,7 @@
     from violetstack.routing.generations import Routing
 
 FIRST_LIST_S = 1.5  # a new version that takes over waits for discovery's list for so long
+AGENT_LIST_S = 0.3  # and any other for an agent on this machine, which answers at once if discovery is up
 HEARD_S = 0.65  # after SIGTERM what comes later is refused: SIGKILL may find it unanswered
 KILL_MOST_S, KILL_AFTER_S = 3.0, 0.7  # SIGKILL: the longest deadline, at most the one, and the other later
 LAST_WORDS_S = 0.5  # for last answers and releases
@@ -243,12 +245,16 @@
             self.news(t.ListNews(t.ListScope.DELTA, (gone,), 0), {})
 
     async def _first_list(self) -> None:
-        """Guards a takeover against a list that is older than what the predecessor has been told."""
-        if self.config.inherited is not None and self.watch is not None:
-            with trio.move_on_after(FIRST_LIST_S):
-                await self.watch.heard.wait()
-            if not self.watch.heard.is_set():
-                log("no_list", hosts=len(self.rows))
+        """Guards against sends on an old list: what an agent has counts as told from the first moment, and
+        what a predecessor was told counts for its heir.
+        """
+        inherited = self.config.inherited is not None
+        if self.watch is None or (self.config.settings.must_ask and not inherited):
+            return
+        with trio.move_on_after(FIRST_LIST_S if inherited else AGENT_LIST_S):
+            await self.watch.heard.wait()
+        if not self.watch.heard.is_set():
+            log("no_list", hosts=len(self.rows))
 
     def _told(self, targets: Targets) -> None:
         if self.kept is not None and targets.news.scope is t.ListScope.FULL:
@@ -294,9 +300,9 @@
         version = self.watch.version or 0 if self.watch is not None else 0
         self.comeback.told((), version, full=False, listed=len(self.rows))
 
-    def news(self, news: t.ListNews, addresses: dict[str, str], since: float | None = None) -> None:
+    def news(self, news: t.ListNews, addresses: dict[str, str]) -> None:
         self.hosts.told(news, addresses)
-        self.core.news(now_ms(), news, self.waking.since() if since is None else since)
+        self.core.news(now_ms(), news)
 
     # --- the operators' door, and the other processes of this dispatcher ---
 
@@ -316,7 +322,7 @@
             succession = Succession(uuid.uuid4().hex, now_ms())
             records = Records(config.shared_folder, config.told.name, succession.owner)
             self.handover = Handover(
-                records, succession, self.cordons, self._compose, lambda news, at: self.news(news, {}, at),
+                records, succession, self.cordons, self._compose, lambda news: self.news(news, {}),
                 heirs=config.inherited is not None,
             )
             self.handover.company = self._bound
--- a/violetstack/net/handover.py
+++ b/violetstack/net/handover.py
@@ -20,11 +20,11 @@
 
 
 class Handover:
-    """`compose` makes the record; `told` takes news from a call at another process, and when that came."""
+    """`compose` makes the record; `told` takes news from a call at another process."""
 
     def __init__(
         self, records: Records, succession: Succession, cordons: Cordons, compose: Callable[[], Record],
-        told: Callable[[t.ListNews, float], None], *, heirs: bool,
+        told: Callable[[t.ListNews], None], *, heirs: bool,
     ) -> None:  # fmt: skip
         self._records, self.succession, self._cordons = records, succession, cordons
         self._compose, self._told, self._heirs = compose, told, heirs
@@ -85,11 +85,10 @@
         now = now_ms()
         self.succession.heard(*self._records.others(now))
         marks = self.succession.marks()
-        since = min((m.at for s, m in marks.items() if self._cordons.marks.get(s) != m), default=now)
         news = self._cordons.merge(marks)
         if news is not None:
             log("hosts_out", out=self._cordons.out, by="another process")
-            self._told(news, since)
+            self._told(news)
             self.changed = True
         alone = not self.succession.company(now)
         if alone != self._alone:
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -10,18 +10,17 @@
 import trio
 
 from violetstack import interface as t
-from violetstack.config import Address, address
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.core.records import Attempt, PlaceCall, ReleaseCall, always
+from violetstack.core.records import Attempt, PlaceCall, ReleaseCall
 from violetstack.fronts.reply import Payload
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
+from violetstack.net.pool import HostConnection, NotUp, Pool, Withheld
 from violetstack.protocol import sse
 from violetstack.protocol.headers import report_of
 from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
 from violetstack.protocol.server_side import Headers
 
-READ_SIZE = 32 * 1024
 STALL_S = 30.0  # an answer that has not begun: the attempt's own time ends long before
 QUIET_S = 4.3  # between two events; the rules let no client wait for 5 s on a stream that has stopped
 PARTIAL_S = 1.5  # the rest of a head, a first event or a chunk comes together with its beginning, or never
@@ -29,17 +28,12 @@
 PASS_AGAIN_S = 0.1  # a stream that could not pass on now may, a little later
 CALL_S = 0.6  # a place, release or probe is answered by then
 RELEASE_TRY_S = 0.3
-IDLE_SHARE = 0.8  # connections are retired at this part of the time after which hosts close them
 MAX_ANSWER = 64 * 1024  # of an answer that is no stream
 Report = tuple[float | None, ...] | None
 Room = Callable[[], Awaitable[None]]
 PassOn = Callable[["Attempt", "HostConnection", int], Awaitable[bool]]
 
 
-class NotUp(Exception):
-    """No connection, or it broke before the last byte was written: nothing has run."""
-
-
 class Ended(NamedTuple):
     status: t.Status
     note: int = 0
@@ -62,71 +56,7 @@
     error: Any = None
 
 
-class Withheld(Exception):
-    """The request may no longer be sent; the host got no whole one."""
-
-
-class HostConnection:
-    """One connection; one request at a time travels on it."""
-
-    def __init__(self, raw: socket.socket, server: str) -> None:
-        self._raw, self.server = raw, server
-        self.sock = trio.socket.from_stdlib_socket(raw)
-        self.closed = False
-        self.http = HostSide()
-        self.idle_since = 0.0
-
-    async def write(
-        self, parts: list[bytes | memoryview], written: Callable[[], None],
-        allowed: Callable[[], bool] = always,
-    ) -> None:  # fmt: skip
-        """Calls `written` in the same step in which the last byte goes to the kernel, and never before.
-
-        Raises Withheld, with the last byte unsent, as soon as `allowed` says no.
-
-        Guards against an attempt that was sent and yet is told as not run: trio's own send lets other
-        tasks run between the system call and its return, and a deadline in between would see no write.
-        """
-        for n, part in enumerate(parts):
-            rest = memoryview(part)
-            while rest:
-                if not allowed():
-                    raise Withheld
-                try:
-                    rest = rest[self._raw.send(rest) :]
-                except BlockingIOError:
-                    await trio.lowlevel.wait_writable(self._raw)
-            if n == len(parts) - 1:
-                written()
-
-    async def receive(self) -> list[Head | Body | End]:
-        self.http.check()
-        data = await self.sock.recv(READ_SIZE)
-        if self.closed:
-            raise Broken("aborted")
-        return self.http.feed(data)
-
-    def dead(self) -> bool:
-        """Something to read. On an idle connection that is its end: its host has closed it."""
-        return self.sock.is_readable()
-
-    def close(self) -> None:
-        self.closed = True
-        self.sock.close()
-
-
-class Host(msgspec.Struct):
-    """An address, and the idle connections there."""
-
-    at: Address
-    idle: list[HostConnection]
-    plain: bool = False  # speaks OpenAI's API and nothing of the platform's
-    key: str = ""
-    started_ms: float | None = None
-    heard_at: float = 0.0
-
-
-class Hosts:
+class Hosts(Pool):
     """The core's driver."""
 
     def __init__(
@@ -136,15 +66,11 @@
         idle_close_ms: float,
         report_names: tuple[str, ...],
     ) -> None:
+        super().__init__(connect_timeout_ms, idle_close_ms)
         self.core: Dispatcher
         self.nursery = nursery
-        self.connect_s = (connect_timeout_ms or 250.0) / 1000.0
-        self.idle_s = idle_close_ms / 1000.0 * IDLE_SHARE
         self.report_names = report_names
-        self.most, self.connections = 0, 0
-        self.hosts: dict[str, Host] = {}
         self.tell: Callable[[bytes], None] = lambda payload: None  # until there are peers
-        self.fresh: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint_if_cancelled
         self.pass_on: PassOn | None = None  # an heir, for streams that have begun
         self._waits: dict[Attempt, trio.CancelScope] = {}  # for the next bytes of its answer
         self._scopes: dict[Attempt, trio.CancelScope] = {}
@@ -155,108 +81,9 @@
         """Guards the log: what the module says of others' datagrams, they can cause at will."""
         (log_outside if event == "module" else log)(event, **fields)
 
-    # --- addresses ---
-
-    def told(self, news: t.ListNews, addresses: dict[str, str]) -> None:
-        for name, text in addresses.items():
-            try:
-                at = address(text)
-            except ValueError as error:
-                log("bad_address", server=name, error=str(error))
-                continue
-            host = self.hosts.setdefault(name, Host(at, []))
-            if host.at != at:
-                self._drop_idle(host)
-                host.at = at
-        for entry in news.entries:
-            known = self.hosts.get(entry.server)
-            if known is None:
-                continue
-            if entry.state is t.ServerState.GONE or entry.started_ms != known.started_ms:
-                self._drop_idle(known)  # what was open belongs to a process that is no more
-            known.started_ms = entry.started_ms
-            if entry.state is t.ServerState.GONE:
-                del self.hosts[entry.server]
-        if news.scope is not t.ListScope.DELTA:
-            # Guards the memory: whoever a whole list does not name is gone, with its connections.
-            named = {entry.server for entry in news.entries}
-            for name in [name for name in self.hosts if name not in named]:
-                self._drop_idle(self.hosts.pop(name))
-
-    def _drop_idle(self, host: Host) -> None:
-        for connection in host.idle:
-            self._close(connection)
-        host.idle = []
-
-    def _close(self, connection: HostConnection) -> None:
-        connection.close()
-        self.connections -= 1
-
     def pending(self) -> bool:
         return any(c.dead() for c in self._using.values() if not c.closed)
 
-    async def retire_idle(self) -> None:
-        """Guards against writing on a connection that its host is about to close."""
-        while True:
-            await trio.sleep(1.0)
-            before = trio.current_time() - self.idle_s
-            for host in self.hosts.values():
-                keep = []
-                for connection in host.idle:
-                    if connection.idle_since < before or connection.dead():
-                        self._close(connection)
-                    else:
-                        keep.append(connection)
-                host.idle = keep
-
-    # --- connections ---
-
-    async def _open(self, server: str, timeout: float) -> HostConnection:
-        host = self.hosts.get(server)
-        if host is None:
-            raise NotUp("no address")
-        before = trio.current_time() - self.idle_s
-        while host.idle:
-            connection = host.idle.pop()
-            if connection.idle_since >= before and not connection.dead():
-                return connection
-            self._close(connection)
-        if self.connections >= self.most and not self._spare():
-            raise NotUp("too many connections")
-        raw = socket.socket(socket.AF_INET6 if ":" in host.at[0] else socket.AF_INET)
-        connection = HostConnection(raw, server)
-        self.connections += 1
-        up = False
-        try:
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            with trio.fail_after(timeout):
-                await connection.sock.connect(host.at)
-            up = True
-        except (OSError, trio.TooSlowError) as error:
-            raise NotUp(repr(error)) from None
-        finally:
-            if not up:
-                self._close(connection)
-        return connection
-
-    def _spare(self) -> bool:
-        """Guards against running out of descriptors: the longest idle connection anywhere makes room."""
-        hosts = [host for host in self.hosts.values() if host.idle]
-        if not hosts:
-            return False
-        host = min(hosts, key=lambda h: h.idle[0].idle_since)
-        self._close(host.idle.pop(0))
-        return True
-
-    def _put_back(self, connection: HostConnection) -> None:
-        host = self.hosts.get(connection.server)
-        if host is None or connection.closed or not connection.http.reuse():
-            self._close(connection)
-            return
-        connection.idle_since = trio.current_time()
-        host.heard_at = connection.idle_since
-        host.idle.append(connection)
-
     # --- attempts ---
 
     def start(self, attempt: Attempt) -> None:
@@ -336,14 +163,11 @@
 
     async def _exchange(self, attempt: Attempt) -> Ended:
         payload: Payload = attempt.request.payload
-        connection = await self._open(attempt.server, self.connect_s)
-        clean = unused = False
+        connection = await self._ready(attempt.server, lambda: self.core.may_send(attempt))
+        if connection is None:
+            return Ended(t.Status.MOOT)
+        clean = False
         try:
-            await trio.lowlevel.checkpoint_if_cancelled()
-            await self.fresh()
-            if not self.core.may_write(now_ms(), attempt.server):
-                unused = True
-                return Ended(t.Status.MOOT)
             wait = max(1, int(attempt.stop_at - now_ms()))
             host = self.hosts[attempt.server]
             headers: Headers = [
@@ -368,9 +192,7 @@
             return ended
         finally:
             self._using.pop(attempt, None)
-            if unused:
-                self._put_back_unused(connection)
-            elif clean:
+            if clean:
                 self._put_back(connection)
             else:
                 self._close(connection)
@@ -490,14 +312,9 @@
             with trio.move_on_after(CALL_S):
                 if call.server in self.core.stateless:
                     raise NotUp("holds no places")
-                connection = await self._open(call.server, self.connect_s)
-                wanted = False
-                try:
-                    wanted = await self._place_wanted(call)
-                finally:
-                    if not wanted:
-                        self._put_back_unused(connection)
-                if wanted:
+                sent = self._sent.get(call.attempt) if call.attempt is not None else None
+                connection = await self._ready(call.server, lambda: self._place_wanted(call), sent)
+                if connection is not None:
                     nothing_done = False
                     head = await self._call(connection, "POST", f"/state/{call.request.id}")
                     held = {200: True, 409: False}.get(head.status)
@@ -509,28 +326,15 @@
             log("place_failed", id=call.request.id, error=repr(error))
         self.core.place_answered(call, held, nothing_done)
 
-    async def _place_wanted(self, call: PlaceCall) -> bool:
+    def _place_wanted(self, call: PlaceCall) -> bool:
         """Guards against a place call that overtakes its read, or comes after it.
 
         The writer knows of no read then and says 204 after 0.3 s; the state may have gone to a place on
         which nobody counts.
         """
         attempt = call.attempt
-        if attempt is None:
-            return False
-        if (sent := self._sent.get(attempt)) is not None:
-            await sent.wait()
-        await self.fresh()
-        out = attempt.written and not attempt.over
-        return out and not call.request.done and self.core.may_write(now_ms(), call.server)
-
-    def _put_back_unused(self, connection: HostConnection) -> None:
-        host = self.hosts.get(connection.server)
-        if host is None:
-            self._close(connection)
-        else:
-            connection.idle_since = trio.current_time()
-            host.idle.append(connection)
+        out = attempt is not None and attempt.written and not attempt.over
+        return out and not call.request.done and self.core.may_write(call.server)
 
     def release(self, call: ReleaseCall) -> None:
         self.nursery.start_soon(self._release, call)
@@ -554,7 +358,9 @@
                 tried.add(server)
                 try:
                     with trio.fail_after(RELEASE_TRY_S):
-                        connection = await self._open(server, self.connect_s)
+                        connection = await self._ready(server, lambda: not call.stale)
+                        if connection is None:
+                            break  # what a further send left is not to be let go by this
                         head = await self._call(connection, "DELETE", f"/state/{call.request.id}")
                         done = head.status < 300
                 except (NotUp, OSError, Broken, trio.TooSlowError):
@@ -586,7 +392,9 @@
         status, report = t.Status.TIMEOUT, None
         try:
             with trio.move_on_after(CALL_S):
-                connection = await self._open(server, self.connect_s)
+                connection = await self._ready(server, lambda: self.core.may_write(server))
+                if connection is None:
+                    return
                 head = await self._call(connection, "GET", "/-/load")
                 status = t.Status.OK if head.status == 200 else t.Status.ERROR
                 report = report_of(head.headers.get("srv-load"), self.report_names)
--- a/violetstack/net/listener.py
+++ b/violetstack/net/listener.py
@@ -28,6 +28,7 @@
 LINGER_S = 0.5  # after the last answer the client is heard out for so long
 REST_S, LONGEST_REST_S = 0.05, 0.4
 MAX_UNREAD = 64 * 1024
+FLOOD_S = 0.01  # between two reads of what is dropped
 MOST_TURNED_AWAY = 12  # at once; further ones are closed without a word
 FULL = b"the dispatcher holds too many connections\n"
 TURNED_AWAY = (
@@ -158,6 +159,11 @@
         """Guards against closing over a request that has come but has not been read yet."""
         return isinstance(self.stream, trio.SocketStream) and self.stream.socket.is_readable()
 
+    @property
+    def unwritten(self) -> int:
+        """Bytes of answers that wait for the client to read."""
+        return self._queued
+
     def _mark_closing(self) -> None:
         self.http.closing = self.http.closing or self.listener.draining
 
@@ -231,8 +237,9 @@
             with trio.move_on_at(since + ARRIVE_S if arriving else math.inf) as timer:
                 self._timer = timer
                 if self.answering and self.http.unread > MAX_UNREAD:
-                    await self._answered.wait()
-                    continue
+                    if await self._hear_out():
+                        continue
+                    return
                 if self._strikes > 1 and not self.answering:
                     await self._rest()
                 data = await self.stream.receive_some(READ_SIZE)
@@ -251,6 +258,19 @@
             pass  # what still comes is not wanted; the writer ends this
         self._heard_out.set()
 
+    async def _hear_out(self) -> bool:
+        """Until the answer's end, or the client's (False): what comes behind so much is dropped unread.
+
+        Guards against work for a client that sends much at once and goes, which only reading on shows; the
+        processor, by reading little at a time; and against taking up a request whose beginning was dropped.
+        """
+        self.http.closing = True
+        while self.answering:
+            await trio.sleep(FLOOD_S)
+            if not await self.stream.receive_some(READ_SIZE):
+                return False
+        return True
+
     async def _rest(self) -> None:
         """Guards the processor for the usual clients: who sends only what can't be taken is read less often.
 
@@ -487,7 +507,8 @@
         return any(self._drop_unless_used(connection) for connection in self.idle)
 
     def _drop_unless_used(self, connection: Connection) -> bool:
-        if connection.has_unread() or (connection.served and connection.http.busy):
+        """Guards an answer that has ended and is not written yet, since its client reads slowly."""
+        if connection.unwritten or connection.has_unread() or (connection.served and connection.http.busy):
             return False
         self._drop(connection)
         return True
@@ -545,7 +566,9 @@
 
     @property
     def busy(self) -> bool:
-        return any(c.answering or c.http.busy or c._queued for c in self.connections)
+        """Guards what has come and nobody has read yet, on a connection that was idle."""
+        served = any(c.answering or c.http.busy or c.unwritten for c in self.connections)
+        return served or any(c.has_unread() for c in self.idle)
 
     @property
     def awaited(self) -> bool:
@@ -554,6 +577,5 @@
 
     def close_idle(self) -> None:
         """Guards against closing over a request on its way: whoever never asked here is heard once."""
-        for connection in [c for c in self.idle if not c.answering and not c.http.busy]:
-            if not connection.has_unread():
-                self._drop(connection)
+        for connection in [c for c in self.idle if not c.answering]:
+            self._drop_unless_used(connection)
--- a/violetstack/net/passing.py
+++ b/violetstack/net/passing.py
@@ -17,8 +17,9 @@
 from violetstack.handover.passing import GO, MAX_OFFER, NO, READY, BadOffer, Stream, decode, encode
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
-from violetstack.net.hosts import HostConnection, Hosts
+from violetstack.net.hosts import Hosts
 from violetstack.net.listener import Listener
+from violetstack.net.pool import HostConnection
 
 WORD_S = 1.0  # the other process answers by then, or is taken for dead
 BACKLOG = 4
--- a/violetstack/net/waking.py
+++ b/violetstack/net/waking.py
@@ -51,10 +51,6 @@
 
     # --- everybody's ---
 
-    def since(self) -> float:
-        """What is read now came no earlier, Unix milliseconds."""
-        return self._since if self.reading else self._turns.since
-
     def unseen_ms(self) -> float:
         """For how long at most a request that is read now may have lain; 0 but in a waking."""
         return now_ms() - self._since if self.reading else 0.0
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -1,7 +1,8 @@
-"""Discovery's lists and the lines of its watch as the module's news."""
+"""Discovery's lists and the changes that its watch tells as the module's news."""
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 
 import msgspec
@@ -9,7 +10,9 @@
 from violetstack import interface as t
 from violetstack.facts import WFacts
 
-MAX_LINE = 1024 * 1024
+MAX_LIST = 1024 * 1024  # bytes; a hundred hosts take some 15,000
+PLAIN = re.compile(rb'[{}\[\]"]')  # what ends or nests outside a string
+QUOTED = re.compile(rb'["\\]')  # and within one
 STATES = {"active": t.ServerState.HEALTHY, "leaving": t.ServerState.DRAINING, "left": t.ServerState.GONE}
 
 
@@ -30,6 +33,14 @@
     servers: list[WServer] = []
 
 
+class WLoose(msgspec.Struct):
+    """A list of which an entry can't be read: the others count all the same."""
+
+    version: int = 0
+    full: bool = False
+    servers: list[msgspec.Raw] = []
+
+
 class BadList(Exception):
     """Discovery wrote something that is no list."""
 
@@ -47,12 +58,15 @@
         self._kinds = {name: n for n, name in enumerate(facts.kinds or ())}
         self._decoder = msgspec.json.Decoder(WTargets)
 
-    def read(self, line: bytes) -> Targets:
+    def read(self, value: bytes) -> Targets:
+        """Raises BadList."""
+        unread: tuple[str, ...] = ()
         try:
-            targets = self._decoder.decode(line)
+            told = self._decoder.decode(value)
         except msgspec.MsgspecError as error:
-            raise BadList(str(error)) from None
-        return self.targets(targets, t.ListScope.FULL if targets.full else t.ListScope.DELTA)
+            told, unread = _loosely(value, str(error))
+        targets = self.targets(told, t.ListScope.FULL if told.full else t.ListScope.DELTA)
+        return msgspec.structs.replace(targets, skipped=targets.skipped + unread) if unread else targets
 
     def targets(self, told: WTargets, scope: t.ListScope) -> Targets:
         entries, skipped = [], []
@@ -78,15 +92,85 @@
         )
 
 
-class LineSplitter:
-    """Whole lines out of a chunked answer; an empty one means that nothing changed."""
+def _loosely(value: bytes, why: str) -> tuple[WTargets, tuple[str, ...]]:
+    """What can be read of a list, and how each other entry begins; raises BadList where nothing can.
+
+    Guards against one spoilt entry that keeps all the others, drains among them, from being known.
+    """
+    rows, unread = [], []
+    try:
+        loose = msgspec.json.decode(value, type=WLoose)
+    except msgspec.MsgspecError:
+        raise BadList(why[:200]) from None
+    for row in loose.servers:
+        try:
+            rows.append(msgspec.json.decode(row, type=WServer))
+        except msgspec.MsgspecError:
+            unread.append(bytes(row)[:60].decode("latin-1"))
+    return WTargets(loose.version, loose.full, rows), tuple(unread[:20])
+
+
+class Values:
+    """Whole JSON objects out of an answer's bytes, cut anywhere; b"" for an empty line between them.
+
+    Guards against lists that come indented, several in one read or one in many: a line is no measure. Each
+    byte is looked at once, so that one cut at every byte costs no more than one that comes in a piece. Raises
+    BadList for what can't be the beginning of an object, and for one that is larger than MAX_LIST.
+    """
 
     def __init__(self) -> None:
-        self._rest = b""
-
-    def feed(self, data: memoryview) -> Iterator[bytes]:
-        lines = (self._rest + bytes(data)).split(b"\n")
-        self._rest = lines.pop()
-        if len(self._rest) > MAX_LINE:
-            raise BadList("a line without an end")
-        yield from (line.strip() for line in lines)
+        self._parts: list[bytes] = []  # of the object that has begun
+        self._size = self._depth = 0
+        self._quoted = self._escaped = False
+        self._ended = False  # an object ended on this line: its line's end is no empty line
+
+    def feed(self, data: memoryview | bytes) -> Iterator[bytes]:
+        raw = bytes(data)
+        at = 0
+        while at < len(raw):
+            if not self._depth:
+                begin = raw.find(b"{", at)
+                yield from self._between(raw[at : begin if begin >= 0 else len(raw)])
+                if begin < 0:
+                    return
+                at, self._depth, self._ended = begin + 1, 1, True
+                self._parts, self._size = [b"{"], 1
+            end = self._scan(raw, at)
+            self._parts.append(raw[at:end])
+            self._size += end - at
+            if self._size > MAX_LIST:
+                raise BadList(f"a list of more than {MAX_LIST} bytes")
+            at = end
+            if not self._depth:
+                whole, self._parts = b"".join(self._parts), []
+                yield whole
+
+    def _between(self, raw: bytes) -> Iterator[bytes]:
+        if raw.strip():
+            raise BadList(f"no list: {raw.strip()[:40]!r}")
+        for _ in range(raw.count(b"\n")):
+            if not self._ended:
+                yield b""
+            self._ended = False
+
+    def _scan(self, raw: bytes, at: int) -> int:
+        """The index behind the object that has begun, or behind all that came."""
+        if self._escaped and at < len(raw):
+            at, self._escaped = at + 1, False
+        while at < len(raw):
+            found = (QUOTED if self._quoted else PLAIN).search(raw, at)
+            if found is None:
+                return len(raw)
+            at, mark = found.end(), found.group()
+            if mark == b'"':
+                self._quoted = not self._quoted
+            elif mark == b"\\":
+                self._escaped = at == len(raw)
+                at += 1
+            elif mark in b"{[":
+                self._depth += 1
+            else:
+                self._depth -= 1
+                if not self._depth:
+                    return at
+        return len(raw)
