--- /dev/null
+++ b/tests/test_sites.py
@@ -0,0 +1,70 @@
+"""The script that makes the project's own deployments; a small site stands in for the given one."""
+
+from __future__ import annotations
+
+import importlib.util
+import tomllib
+from pathlib import Path
+from types import ModuleType
+
+import pytest
+
+SITES = Path(__file__).parent.parent / "deploy" / "sites"
+GIVEN = """
+name = "given"
+[scale]
+servers = [1, 2]
+balancers = [1, 2]
+[[class]]
+name = "first"
+effect = "safe"
+worth = 1
+[[class]]
+name = "second"
+effect = "unsafe"
+worth = 2
+[[tier]]
+name = "hosts"
+[tier.conn]
+idle_s = 30
+streams = 8
+[[tier.kind]]
+name = "prefill"
+"""
+
+
+@pytest.fixture
+def script() -> ModuleType:
+    spec = importlib.util.spec_from_file_location("make_sites", SITES / "make.py")
+    assert spec is not None and spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+def test_each_variant_is_made_with_the_three_files_beside_it(script: ModuleType, tmp_path: Path) -> None:
+    given, into = tmp_path / "given", tmp_path / "made"
+    given.mkdir()
+    (given / "site.toml").write_text(GIVEN)
+    for name in script.BESIDE:
+        (given / name).write_text(name)
+    made = script.make(given / "site.toml", into)
+    assert [path.stem for path in made] == ["helpdesk", "parcels"]
+    for path in made:
+        site = tomllib.loads(path.read_text())
+        values = tomllib.loads((SITES / f"{path.stem}.values.toml").read_text())
+        assert site["name"] == path.stem
+        assert [each["name"] for each in site["class"]] == [each["name"] for each in values["class"]]
+        assert site["tier"][0]["conn"] == {"streams": 8, **values["tier"][0]["conn"]}
+        assert site["tier"][0]["kind"] == [{"name": "prefill"}]
+        assert sorted(each.name for each in path.parent.iterdir()) == sorted([path.name, *script.BESIDE])
+    parcels = tomllib.loads(made[1].read_text())
+    assert [each["effect"] for each in parcels["class"]] == ["unsafe", "safe", "safe"]
+
+
+def test_what_is_missing_is_named(script: ModuleType, tmp_path: Path) -> None:
+    (tmp_path / "site.toml").write_text(GIVEN)
+    (tmp_path / "real.json").write_text("{}")
+    with pytest.raises(SystemExit, match=r"wire\.json.*unlock\.txt"):
+        script.make(tmp_path / "site.toml", tmp_path / "made")
+    assert not (tmp_path / "made").exists()
--- a/violetstack/commands/config.py
+++ b/violetstack/commands/config.py
@@ -191,7 +191,7 @@
 
     \b
     Example:
-      violetstack config explain deploy/operator.violet --class orden --tenant red-kioscos --prompt 9ktok
+      violetstack config explain FILE --class CLASS --tenant TENANT --prompt 9ktok
     """
     from violetstack.language.checker import universe  # noqa: PLC0415
     from violetstack.language.difference import tables  # noqa: PLC0415
