An order whose client leaves before anything of it can have run is given up

The new test fails without the change. Open: a write that is turned away after its client left is tried again.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,6 +13,7 @@
 import trio
 import trio.testing
 
+from tests.test_chat import ledger
 from tests.test_program import start
 from tests.test_stories import pair, play
 from violetstack.net import listener as listener_module
@@ -23,6 +24,7 @@
 from violetstack.rehearsal.clients import (
     BODY,
     Call,
+    ask_chat,
     ask_platform,
     chat_body,
     chat_headers,
@@ -551,3 +553,26 @@
         assert sorted(answers) == [500, 503]
 
     play(reader, writer, story=story)
+
+
+def test_an_order_whose_client_leaves_before_it_ran_is_not_sent_on_and_its_retry_runs_it(
+    tmp_path: Path,
+) -> None:
+    """It went on for nobody, so that it was written later than its client had left."""
+    gate = trio.Event()
+    reader, writer = pair(reads=(Act(before=gate),))
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.chat)
+        await call.send("POST", "/v1/chat/completions", chat_headers("k1"), chat_body("giro-orden"))
+        await until(lambda: len(reader.begun) == 1)
+        await call.stream.aclose()
+        await until(lambda: all(request.done for request in on.daemon.core.open.values()), 0.3)
+        gate.set()
+        await until(lambda: not on.daemon.core.open)
+        assert (len(writer.begun), [what for what in writer.calls if what[0] == "POST"][1:]) == (0, [])
+        while (again := await ask_chat(on.chat, chat_body("giro-orden"), chat_headers("k1"))).status == 409:
+            await trio.sleep(0.01)  # the record's change is on its way to the disk
+        assert (again.outcome, len(writer.begun)) == ("served", 1)
+
+    play(reader, writer, story=story, chat=ledger(tmp_path))
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -151,9 +151,11 @@
 
     def client_left(self, now: float, request: OpenRequest) -> None:
         """Guards against work for nobody: a stream that nobody reads ends, the module is told of the rest."""
-        if request.done:
+        if request.done or (request.outlives and may_have_run(request)):
             return
         self._settle(now, request, "left")
+        if request.outlives:
+            self._tell(request.sink.failed, False)  # nothing of it has run, which its record is to say
         self._post(t.Left(request.id))
         if request.bound is not None:
             self.driver.abort(request.bound)
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -176,6 +176,7 @@
     sent: int = 0
     bound: Attempt | None = None
     allowed: Callable[[], bool] = always
+    outlives: bool = False  # once it may have run it goes on without its client, for a retry to find
     done: bool = False
     may_have_run: bool = False
     loose: bool = False  # a state or place may be held for it somewhere
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -223,7 +223,7 @@
     def _complete(self, inbound: Inbound, key: Key, reply: Reply) -> None:
         errand = self._errand(inbound, key)
         if errand.safe:
-            self._take(errand, reply, lambda state, outcome: None, follow=True)
+            self._take(errand, reply, lambda state, outcome: None)
             return
         name = inbound.headers.get("idempotency-key", "").strip()
         if not name or len(name) > MAX_KEY:
@@ -292,7 +292,7 @@
                 return
             self._take(
                 errand, reply, lambda state, kept: orders.settle(order, state, kept),
-                follow=False, waited_ms=self._clock() - arrived, allowed=orders.holds,
+                outlives=True, waited_ms=self._clock() - arrived, allowed=orders.holds,
             )  # fmt: skip
             return
         log("order_known", state=claim.value)
@@ -317,9 +317,9 @@
 
     def _take(
         self, errand: Errand, reply: Reply, settle: Callable[[Claim | None, bytes], None], *,
-        follow: bool, waited_ms: float = 0.0, allowed: Callable[[], bool] = always,
+        outlives: bool = False, waited_ms: float = 0.0, allowed: Callable[[], bool] = always,
     ) -> None:  # fmt: skip
-        """`follow`: the core hears of a client that goes away. An order runs on, for its retry to find."""
+        """`outlives`: what may have run goes on when its client goes away, for the retry to find."""
         ask, now = errand.ask, self._clock()
         asked = errand.asked
         shed = self._core.admit(now, asked)
@@ -337,9 +337,8 @@
         payload = Payload("POST", COMPLETIONS, "application/json", body, reply.room)
         answer = Answer(f"chatcmpl-{asked.id}", errand.model.name, int(now / 1000.0))
         request = self._core.take(now, asked, ChatSink(errand, reply, answer, settle), payload)
-        request.allowed = allowed
-        if follow:
-            reply.opened(request)
+        request.allowed, request.outlives = allowed, outlives
+        reply.opened(request)
 
 
 def client_wait_ms(inbound: Inbound) -> float:
