Of watches that are answered in one instant one goes on

At fault: Watch._take drops all others, but a task whose bytes had already been read by then went on to its word, took the watch in turn and dropped the first; the last one was marked as dropped itself, ended, and counted as nobody's (`_follow` returns early for what was dropped).

Now what was dropped tells nothing more, of what it has read neither (Watch._get).

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -138,6 +138,39 @@
     play(reader, writer, story=story)
 
 
+def test_connections_that_are_all_answered_in_one_instant_leave_one_that_goes_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each dropped all others, so that none was left and nobody noticed (seen on a short day)."""
+    monkeypatch.setattr(watch, "UNHEARD_S", 60.0)
+    monkeypatch.setattr(watch, "SILENT_S", 60.0)
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        back = trio.Event()
+
+        async def answered(connection: PeerConnection) -> None:
+            await back.wait()
+            await connection.start(200, [])
+            await connection.data(told(1))
+            while agent.version == 1:
+                await trio.sleep(0.001)
+            await connection.data(told(2, writer.row(state="leaving")))
+            await silent(connection)
+
+        agent = await meet(on, *[answered] * 5)
+        await until(lambda: not agent.scripts)
+        agent.scripts = [silent] * 500
+        back.set()
+        await until(lambda: on.daemon.watch is not None and not on.daemon.watch._lost)
+        await until(lambda: on.daemon.watch is not None and len(on.daemon.watch._lines) < 2)
+        agent.tell(writer.row(state="leaving"))
+        await until(lambda: drains(on))
+        assert on.daemon.watch is not None and len(on.daemon.watch._lines) == 1
+
+    play(reader, writer, story=story)
+
+
 def test_no_more_than_a_few_connections_wait_for_a_silent_agent() -> None:
     async def story(on: Stage) -> None:
         agent = await meet(on, *[silent] * 500)
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -39,7 +39,10 @@
         self.heard = self.silent = self.dropped = False
 
     def drop(self) -> None:
-        """Guards against its word after another's: what it has not told by now it does not tell any more."""
+        """Guards against its word after another's: what it has not told by now it does not tell any more.
+
+        That holds for what has been read as well: a return of discovery answers all that wait in one instant.
+        """
         self.dropped = True
         self.scope.cancel()
 
@@ -241,6 +244,7 @@
                     raise TurnedAway(f"status {event.status}")
                 if isinstance(event, Body):
                     for value in values.feed(event.data):
+                        await trio.lowlevel.checkpoint_if_cancelled()
                         yield value
                 if isinstance(event, End):
                     return
