A first request that is being read neither makes room nor is taken up once dropped

Found by reading trio's receive: where bytes are there before they are asked for, it takes them from the kernel and then lets other tasks run before it returns them. A new connection waits until it is readable and asks then, so that its first bytes always go that way. In between neither `has_unread` nor the parser knows of them.

- Listener._make_room dropped such a connection as one that had sent nothing for 0.2 s.
Its first byte counts as progress now (Connection._speaks).

Idle connections do not go that way: they are asked before anything is there, and then bytes are taken and used in one step.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,6 +18,7 @@
 from tests.test_stories import pair, play
 from violetstack.net import listener as listener_module
 from violetstack.net import pool
+from violetstack.net.listener import Connection
 from violetstack.net.pool import HostConnection
 from violetstack.protocol.host_side import Body, End, Head
 from violetstack.protocol.server_side import Inbound
@@ -283,6 +284,63 @@
     play(reader, writer, story=story)
 
 
+# --- a client's first bytes, and the room that is made for another ---
+
+
+class Reading:
+    """Calls `between` once bytes have left the kernel's buffer, before the connection's task has them.
+
+    trio lets other tasks run there whenever the bytes were there before they were asked for.
+    """
+
+    def __init__(self, stream: Any, between: Callable[[], object]) -> None:
+        self._receive, self._between = stream.receive_some, between
+        stream.receive_some = self.receive_some
+
+    async def receive_some(self, most: int | None = None) -> bytes | bytearray:
+        data: bytes | bytearray = await self._receive(most)
+        self._between()
+        return data
+
+
+async def silent_since_long(on: Stage) -> tuple[Call, Connection]:
+    call = await connect(on.platform)
+    listener = on.daemon.listeners[0]
+    await until(lambda: len(listener.fresh) == 1)
+    connection = next(iter(listener.fresh))
+    connection.progress_at -= 1.0  # it may be closed to make room
+    return call, connection
+
+
+def test_a_first_request_that_is_being_read_does_not_make_room_for_another_connection() -> None:
+    """Read from the socket and not yet looked at, it counted as never sent."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        call, connection = await silent_since_long(on)
+        made: list[bool] = []
+        Reading(connection.stream, lambda: made.append(on.daemon.listeners[0]._make_room()))
+        await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
+        assert (await call.receive()).outcome == "served"
+        assert made[0] is False
+
+    play(reader, writer, story=story)
+
+
+def test_a_request_read_from_a_connection_that_was_dropped_just_then_is_not_sent_on() -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        call, connection = await silent_since_long(on)
+        Reading(connection.stream, lambda: on.daemon.listeners[0]._drop(connection))
+        await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
+        assert await call.stream.receive_some(100) == b""  # closed, so that its client asks once more
+        await trio.testing.wait_all_tasks_blocked()
+        assert (reader.begun, on.daemon.core.open) == ([], {})
+
+    play(reader, writer, story=story)
+
+
 # --- a release, and the send that makes it pointless ---
 
 
--- a/violetstack/net/listener.py
+++ b/violetstack/net/listener.py
@@ -220,6 +220,8 @@
                 log_outside("silent_closed")
                 return False
         self.begin(ServerSide())
+        # Guards against being dropped as silent, to make room, between these bytes' reading and their use.
+        self.listener.progressed(self)
         return True
 
     async def _read(self) -> None:
@@ -249,8 +251,8 @@
                     continue
                 self._too_late()
                 break
-            if not data:
-                return
+            if not data or self.scope.cancel_called:
+                return  # dropped while the bytes were on their way here: what they ask for is not taken up
             self.http.feed(bytes(data))
             if not self.served:
                 self.listener.progressed(self)
