What may have run is not sent again once its class's window is over, however late the send

- Router.write took the place held during the read that a repeat begins with, without asking again: reads take hundreds of milliseconds.
- Between the decision and the first byte lies the connection, which may take the whole connect time-out.
Now Dispatcher.may_send, asked in the step that writes the first byte, asks the window as well.

Both tests were seen to fail without the change; the other order (the window still open) has its own case.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -165,6 +165,34 @@
     play(reader, writer, story=story)
 
 
+KEYED = {**SETTINGS["classes"][1], "idempotency": "idempotency_key", "group": "all", "window": 5000.0}
+
+
+@pytest.mark.parametrize("late", [True, False])
+def test_what_may_have_run_is_not_repeated_once_its_window_ends_while_the_connection_comes_up(
+    late: bool,
+) -> None:
+    """The repeat was decided on in time, and went out whenever its connection was up."""
+    gate = trio.Event()
+    reader, writer = pair(Act(before=gate, events=0, breaks=True))
+
+    async def story(on: Stage) -> None:
+        call = await asked_by(on, "q1")
+        await until(lambda: writer.begun == ["q1"])
+        again = Late(on, "w")
+        gate.set()  # it breaks after the request's last byte
+        await again.asked.wait()
+        if late:
+            on.daemon.core.open["q1"].ran_at -= 5000.0  # as if the connection had taken that long
+        again.up.set()
+        answer = await call.receive()
+        assert (answer.outcome, len(writer.begun)) == (("refused", 1) if late else ("served", 2))
+
+    family = {**SETTINGS["family_info"], "ahead": False}
+    settings = {"classes": [SETTINGS["classes"][0], KEYED], "family_info": family}
+    play(reader, writer, story=story, settings=settings)
+
+
 # --- an idle connection that its host closes, or says more on ---
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -119,6 +119,21 @@
             assert {first, front.one(t.Send).server} in ({"w1", "w3"}, {"w2"})
 
 
+def test_a_keyed_write_does_not_go_to_its_held_place_once_the_window_is_over() -> None:
+    """The place was chosen while a repeat was still allowed; the read it waited for took longer than that."""
+    front = Front(classes=(replace(KEYED, group=t.Group.ALL),))
+    request = front.ask()
+    place = front.one(t.HoldPlace).server
+    front.feed(t.PlaceNote(request, front.sends[request][0].server, 0, True))
+    front.end(request, t.Status.READ)
+    assert front.one(t.Send).server == place
+    front.end(request, t.Status.ERROR)  # it may have run, and its state is gone: read again
+    front.feed(t.PlaceNote(request, front.sends[request][-1].server, len(front.sends[request]) - 1, True))
+    front.end(request, t.Status.READ, after=1100.0)
+    assert not front.all(t.Send)
+    assert isinstance(finals(front)[0], t.Refuse) and front.all(t.Release)
+
+
 def test_never_two_attempts_out() -> None:
     front = Front()
     out: dict[str, int] = {}
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -222,9 +222,16 @@
         """
         return server in self.entries and server not in self.unwanted
 
-    def may_send(self, attempt: Attempt) -> bool:
-        """The same for an attempt; its request may be over by now as well, its client gone."""
-        return not attempt.over and not attempt.request.done and self.may_write(attempt.server)
+    def may_send(self, now: float, attempt: Attempt) -> bool:
+        """The same for an attempt; its request may be over by now as well, its client gone, or the time past
+        in which its class lets what may have run be sent again.
+        """
+        request = attempt.request
+        spec = self.settings.classes[request.asked.cls]
+        if spec.effect is t.Effect.KEYED and request.may_have_run and not attempt.reading:
+            if now >= request.ran_at + spec.window_ms:
+                return False
+        return not attempt.over and not request.done and self.may_write(attempt.server)
 
     def relayed(self, attempt: Attempt) -> None:
         """The last byte of an attempt may have left; called in the step that hands it to the kernel."""
@@ -277,6 +284,7 @@
             else:
                 self._tell(request.sink.cut)
         if not attempt.reading and attempt.written and not proves_idle(status):
+            request.ran_at = request.ran_at if request.may_have_run else attempt.sent_at
             request.may_have_run = True
         if status is t.Status.READ or (attempt.reading and attempt.written and not proves_idle(status)):
             request.loose = True  # a read may have ended well just as its connection broke
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -179,6 +179,7 @@
     outlives: bool = False  # once it may have run it goes on without its client, for a retry to find
     done: bool = False
     may_have_run: bool = False
+    ran_at: float = 0.0  # when the first of them was sent
     loose: bool = False  # a state or place may be held for it somewhere
     places: int = 0  # place calls under way
     releasing: ReleaseCall | None = None
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -163,7 +163,7 @@
 
     async def _exchange(self, attempt: Attempt) -> Ended:
         payload: Payload = attempt.request.payload
-        connection = await self._ready(attempt.server, lambda: self.core.may_send(attempt))
+        connection = await self._ready(attempt.server, lambda: self.core.may_send(now_ms(), attempt))
         if connection is None:
             return Ended(t.Status.MOOT)
         clean = False
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -769,7 +769,7 @@
 
     def write(self, job: Job) -> None:
         writer = job.place if job.held else None
-        if writer is None:
+        if writer is None or not job.may_repeat(writer, self.now):
             self.forget_place(job)
             job.asked = []
             writer = self.pick_writer(job, job.state_at)
