--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -228,10 +228,10 @@
         """
         request = attempt.request
         spec = self.settings.classes[request.asked.cls]
-        if spec.effect is t.Effect.KEYED and request.may_have_run and not attempt.reading:
-            if now >= request.ran_at + spec.window_ms:
-                return False
-        return not attempt.over and not request.done and self.may_write(attempt.server)
+        repeats = spec.effect is t.Effect.KEYED and request.may_have_run and not attempt.reading
+        if attempt.over or request.done or (repeats and now >= request.ran_at + spec.window_ms):
+            return False
+        return self.may_write(attempt.server)
 
     def relayed(self, attempt: Attempt) -> None:
         """The last byte of an attempt may have left; called in the step that hands it to the kernel."""
