A release that a place's answer overtakes is made anew; an order left by its client ends when turned away

A place call was answered while the release of what the broken read had left was out; Dispatcher.place_answered called that release pointless, rightly, since the place may have been taken after it, but another came only at the request's end. Now another is begun there and then. A further send waits for whichever is in force.

An order of the chat front whose client leaves while a write is out goes on, for the retry to find. When that write is then turned away nothing has run, and it was tried again all the same; now it ends there and its record is set back (listed as open in docs/crossings.md until now).

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -172,6 +172,22 @@
     assert len(scene.noted.releases) == 2
 
 
+def test_the_same_while_the_request_goes_on() -> None:
+    """The release was dropped and not made again, so that the place stayed held until the request's end."""
+    scene = Scene()
+    read = scene.send("r1")
+    scene.run(t.HoldPlace("q", "w1"))
+    read.written = True
+    scene.core.ended(scene.now, read, t.Status.RESET)
+    scene.run(t.Release("q"))
+    scene.core.place_answered(scene.noted.places[0], True, False)
+    assert [call.stale for call in scene.noted.releases] == [True, False]
+    scene.core.released(scene.noted.releases[0], True)
+    assert scene.request.loose
+    scene.core.released(scene.noted.releases[1], True)
+    assert not scene.request.loose
+
+
 def test_a_read_that_broke_is_released_since_it_may_have_ended_well() -> None:
     scene = Scene()
     read = scene.send("r1")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -408,11 +408,8 @@
     async def story(on: Stage) -> None:
         late = {name: Late(on, name) for name in ("r", "r2")}
         call = await asked_by(on, "q1")
-        while not (reader.begun or other.begun):
-            await trio.sleep(0.001)
-            first = next((name for name in late if late[name].asked.is_set()), None)
-            if first is not None:
-                late[first].up.set()
+        await until(lambda: any(each.asked.is_set() for each in late.values()))
+        next(each for each in late.values() if each.asked.is_set()).up.set()
         released = ("DELETE", "q1")
         await until(lambda: released in reader.calls + other.calls + writer.calls)
         assert len(reader.begun) + len(other.begun) == 1  # the next is not sent yet
@@ -593,6 +590,7 @@
         while core.open:
             await read()
         assert any(c.unwritten for c in connections)  # the host has finished, the client reads no more
+        assert not on.daemon.listeners[0]._make_room()  # nor is it closed for a newcomer
         on.daemon.stop.set()
         await trio.testing.wait_all_tasks_blocked()
         on.daemon.stop.set()  # a second signal changes nothing
@@ -698,6 +696,29 @@
     play(reader, writer, story=story)
 
 
+def test_an_order_whose_client_left_while_a_write_was_out_is_not_sent_on_once_that_is_turned_away(
+    tmp_path: Path,
+) -> None:
+    """It went on for the retry to find, which it need not do once it is known that nothing has run."""
+    gate = trio.Event()
+    reader, writer = pair(Act(status=503, headers=DECLINE.headers, before=gate))
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.chat)
+        await call.send("POST", "/v1/chat/completions", chat_headers("k1"), chat_body("giro-orden"))
+        await until(lambda: len(writer.begun) == 1)
+        await call.stream.aclose()
+        await until(lambda: any(request.left for request in on.daemon.core.open.values()))
+        gate.set()
+        await until(lambda: not on.daemon.core.open)
+        assert (len(reader.begun), len(writer.begun)) == (1, 1)
+        while (again := await ask_chat(on.chat, chat_body("giro-orden"), chat_headers("k1"))).status == 409:
+            await trio.sleep(0.01)  # the record's change is on its way to the disk
+        assert (again.outcome, len(writer.begun)) == ("served", 2)
+
+    play(reader, writer, story=story, chat=ledger(tmp_path))
+
+
 def test_an_order_whose_client_leaves_before_it_ran_is_not_sent_on_and_its_retry_runs_it(
     tmp_path: Path,
 ) -> None:
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -153,6 +153,7 @@
 
     def client_left(self, now: float, request: OpenRequest) -> None:
         """Guards against work for nobody: a stream that nobody reads ends, the module is told of the rest."""
+        request.left = True
         if request.done or (request.outlives and may_have_run(request)):
             return
         self._settle(now, request, "left")
@@ -319,6 +320,8 @@
             t.Outcome(request.id, attempt.server, attempt.number, status, took, request.done, note, report)
         )
         self.touched[request.id] = request
+        if request.left and not may_have_run(request):
+            self.client_left(now, request)  # what could have run did not, so nothing is left to go on with
 
     def unusable(self, now: float, attempt: Attempt) -> None:
         """A host says that the request itself is at fault: no other host is asked, and none is blamed."""
@@ -337,8 +340,9 @@
         request.placed.append((call.server, told))
         if not nothing_done:
             request.loose = True
-            if request.releasing is not None:
-                request.releasing.stale = True  # the place may have been taken after it
+            if (overtaken := request.releasing) is not None and not overtaken.stale:
+                overtaken.stale = True  # the place may have been taken after it
+                self._release(overtaken.since, request)
         self.touched[request.id] = request
         attempt = call.attempt
         if held is not None and attempt is not None and not attempt.over:
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -177,6 +177,7 @@
     bound: Attempt | None = None
     allowed: Callable[[], bool] = always
     outlives: bool = False  # once it may have run it goes on without its client, for a retry to find
+    left: bool = False  # its client has
     done: bool = False
     may_have_run: bool = False
     ran_at: float = 0.0  # when the first of them was sent
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/hosts.py
@@ -11,7 +11,7 @@
 
 from violetstack import interface as t
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.core.records import Attempt, PlaceCall, ReleaseCall
+from violetstack.core.records import Attempt, OpenRequest, PlaceCall, ReleaseCall
 from violetstack.fronts.reply import Payload
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
@@ -169,7 +169,7 @@
         payload: Payload = attempt.request.payload
         connection = await self._ready(
             attempt.server, lambda: self.core.may_send(now_ms(), attempt),
-            lambda: self._let_go(attempt.request.releasing), self.core.connect_ms(now_ms(), attempt) / 1000.0,
+            lambda: self._let_go(attempt.request), self.core.connect_ms(now_ms(), attempt) / 1000.0,
         )  # fmt: skip
         if connection is None:
             return Ended(t.Status.MOOT)
@@ -349,11 +349,11 @@
         self._releases[call] = trio.Event()
         self.nursery.start_soon(self._release, call)
 
-    async def _let_go(self, call: ReleaseCall | None) -> None:
+    async def _let_go(self, request: OpenRequest) -> None:
         """Guards against a further send that keeps what the one before has left from being let go."""
-        if call is not None and (through := self._releases.get(call)) is not None:
-            with trio.move_on_after(RELEASE_FIRST_S):
-                await through.wait()
+        with trio.move_on_after(RELEASE_FIRST_S):
+            while (call := request.releasing) is not None and not call.stale:
+                await self._releases[call].wait()
 
     async def _release(self, call: ReleaseCall) -> None:
         """Any host takes it, so one after the other is asked, each beside those that have not answered yet.
