--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -257,6 +257,44 @@
     play(reader, writer, story=story)
 
 
+class Halving(ModelHost):
+    """Reads a little of what comes on its first connection and breaks it; serves on the next ones."""
+
+    async def _connection(self, raw: trio.SocketStream) -> None:
+        if self.opened:
+            await super()._connection(raw)
+            return
+        self.opened += 1
+        raw.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4096)
+        assert await raw.receive_some(100)
+        await trio.testing.wait_all_tasks_blocked()  # the other side waits to write on
+        await trio.aclose_forcefully(raw)  # over what it has not read: a reset
+
+
+def test_a_connection_closed_between_the_first_and_the_last_byte_costs_no_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The host has got no whole request, so that nothing has run, whatever the class allows."""
+    reader, writer = ModelHost("r", "prefill"), Halving("w", "decode")
+    begin = HostConnection.__init__
+
+    def small(self: HostConnection, raw: Any, *args: Any) -> None:
+        raw.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_SNDBUF, 4096)
+        begin(self, raw, *args)
+
+    monkeypatch.setattr(HostConnection, "__init__", small)
+
+    async def story(on: Stage) -> None:
+        writer._sockets[0].socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4096)
+        answer = await ask_platform(on.platform, "q1", "orden", text="x" * 200_000)
+        assert (answer.outcome, writer.begun, writer.opened) == ("served", ["q1"], 2)
+        assert [status for _, status, _ in trails["q1"]] == ["read", "connect_failed", "ok"]
+
+    trails: dict[str, list[tuple[str, str, int]]] = {}
+    family = {**SETTINGS["family_info"], "ahead": False}
+    play(reader, writer, story=recording(story, trails), settings={"family_info": family})
+
+
 class Echoing(ModelHost):
     """Says `EXTRA` on the connection of its first request, as soon as its second has come whole."""
 
