A configuration that leaves nothing to serve with is refused at the start, its key named

Both are one line now that names it. Ten cases are in tests/test_program.py; of them classes, classes[1].give_up, seed, listen and discovery did not hold before.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,6 +9,9 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
+
+import pytest
 
 from violetstack.rehearsal.stage import SETTINGS
 
@@ -40,6 +43,34 @@
     assert (program.returncode, json.loads(out)["event"]) == (2, "bad_config")
 
 
+BAD: dict[str, dict[str, Any]] = {
+    "listen": {"listen": "here"},
+    "discovery": {"discovery": "127.0.0.1"},
+    "seed": {"seed": "zz"},
+    "settings": {"settings": None},
+    "classes": {"settings": {**SETTINGS, "classes": []}},
+    "classes[1].give_up": {"settings": {**SETTINGS, "classes": [
+        SETTINGS["classes"][0], {**SETTINGS["classes"][1], "give_up": 0.0}]}},
+    "aim": {"settings": {**SETTINGS, "classes": [{"give_up": 100.0}]}},
+    "idempotency": {"settings": {**SETTINGS, "classes": [
+        {**SETTINGS["classes"][0], "idempotency": "perhaps"}]}},
+    "stage_of_kind": {"settings": {**SETTINGS, "family_info": {"stage_of_kind": ["read", "paint"]}}},
+    "limits": {"limits": {"sockets": 3}},
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("key", BAD)
+def test_a_bad_configuration_names_its_key_in_one_bounded_line(tmp_path: Path, key: str) -> None:
+    """Without a class, or with no time to answer in, it started and served nobody."""
+    told = {"listen": "127.0.0.1:0", "seed": "ff", "settings": SETTINGS, **BAD[key]}
+    with start(tmp_path, told) as program:
+        out, _ = program.communicate(timeout=10)
+    (line,) = out.splitlines()
+    assert (program.returncode, json.loads(line)["event"]) == (2, "bad_config")
+    said = json.loads(line)["error"].replace(str(tmp_path / "config.json"), "")
+    assert key in said and len(line) < 500
+
+
 def test_an_address_that_is_taken_is_a_line_and_status_2(tmp_path: Path) -> None:
     """It ended with a trace and no line."""
     with socket.create_server(("127.0.0.1", 0)) as taken:
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -54,6 +54,21 @@
     return host.strip("[]"), int(port)
 
 
+def address_of(key: str, text: str | None) -> Address | None:
+    """Raises BadConfig with the key that it stands at."""
+    try:
+        return address(text) if text else None
+    except BadConfig as error:
+        raise BadConfig(f"{key}: {error}") from None
+
+
+def seed_of(text: str) -> int:
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise BadConfig(f"seed: {text[:40]!r} is no hexadecimal number") from None
+
+
 PLAIN_KIND = "openai"
 PLAIN_MEMORY_TOKENS = 100_000.0
 
@@ -90,18 +105,18 @@
         self.facts, self.plain = with_plain_hosts(
             told.settings, operator.hosts if operator is not None else []
         )
-        self.settings: t.Settings = settings_of(self.facts, int(told.seed, 16))
+        self.settings: t.Settings = settings_of(self.facts, seed_of(told.seed))
         checked = ChatConfig(operator, self.facts) if operator is not None else None
         self.chat = checked if operator is not None and operator.listen else None
-        self.listen = address(told.listen) if told.listen else None
-        self.mgmt = address(told.mgmt) if told.mgmt else None
+        self.listen = address_of("listen", told.listen)
+        self.mgmt = address_of("mgmt", told.mgmt)
         self.inherited_fd: int | None = None  # the clients' listener, bound by whoever started this process
         self.inherited: socket.socket | None = None  # the same, once it has been looked at
         self.shared_folder: str | None = None  # kept from one process of this dispatcher to the next
-        self.discovery = address(told.discovery) if told.discovery else None
-        self.peer_listen = address(told.peer_listen) if told.peer_listen else None
+        self.discovery = address_of("discovery", told.discovery)
+        self.peer_listen = address_of("peer_listen", told.peer_listen)
         self.peers = [address(peer) for peer in told.peers]
-        self.peers_all = address(told.peers_all) if told.peers_all else None
+        self.peers_all = address_of("peers_all", told.peers_all)
         if operator is not None and operator.duties is not None:
             self._check(operator.duties)
         rules, limits = told.settings.rules, told.settings.limits
--- a/violetstack/facts.py
+++ b/violetstack/facts.py
@@ -113,6 +113,9 @@
 
 
 def _class(spec: WClass, index: int, family: WFamily) -> t.ClassSpec:
+    for key, value, least in (("aim", spec.aim, 0.0), ("give_up", spec.give_up, 1.0)):
+        if value < least:
+            raise Malformed(f"classes[{index}].{key}: {value:g} ms leaves no time to answer in")
     try:
         group = t.Group(spec.group or "all")
     except ValueError:
@@ -133,6 +136,8 @@
 
 def settings_of(facts: WFacts, seed: int) -> t.Settings:
     """The start-up facts as the module's settings; what is absent gets the mildest reading."""
+    if not facts.classes:
+        raise Malformed("classes: there is none, so nothing could be served")
     family, limits = facts.family_info or WFamily(), facts.limits or WLimits()
     rules, report = facts.rules or WRules(), facts.report or WReport()
     stages = family.stage_of_kind or ["both"] * max(1, len(facts.kinds or []))
