Tests of time limits count the time in which this process ran

The limits stay as they are (0.3 s for an event and for a client that left); what a look sees of a gap counts 20 ms at most (tests/steady.py, which is also one `until` in place of two). A dispatcher that holds an event back or serves nobody is seen as before, since the tests look every millisecond. The late second answer no longer depends on the machine being quick: the rest that its test is about is made long.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,6 +13,7 @@
 import trio
 import trio.testing
 
+from tests.steady import Steady, until
 from tests.test_chat import ledger
 from tests.test_program import start
 from tests.test_stories import pair, play
@@ -41,12 +42,6 @@
 EXTRA = b"HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n" + b'{"cached_tokens":99}'
 
 
-async def until(condition: Callable[[], bool], within_s: float = 3.0) -> None:
-    with trio.fail_after(within_s):
-        while not condition():
-            await trio.sleep(0.001)
-
-
 class Late:
     """The next connections to one host come up when told to, as over a slow network."""
 
@@ -308,8 +303,9 @@
         await super().play(act, inbound, connection)
 
 
-def test_a_late_second_answer_is_not_taken_for_the_next_requests() -> None:
+def test_a_late_second_answer_is_not_taken_for_the_next_requests(monkeypatch: pytest.MonkeyPatch) -> None:
     """The next request had been written on the connection by then, and its prompt counted as read."""
+    monkeypatch.setattr(pool, "REST_S", 60.0)  # however long this machine takes from one to the other
     gate = trio.Event()
     reader = Echoing("r", "prefill", Act(), Act(before=gate))
     writer = ModelHost("w", "decode")
@@ -566,11 +562,12 @@
         self.gaps = []
         await connection.start(200, [("Content-Type", "text/event-stream")])
         for n in range(20):
-            began = trio.current_time()
+            time = Steady()
             await connection.data(b'data: {"choices":[{"index":0,"delta":{"content":"%d "}}]}\n\n' % n)
             while self.had <= n:
+                time.look()
                 await trio.sleep(0.0005)
-            self.gaps.append(trio.current_time() - began)
+            self.gaps.append(time.look())
         await connection.data(b"data: [DONE]\n\n")
         await connection.end()
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -12,6 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.steady import until
 from tests.test_stories import pair, play
 from violetstack.config import address
 from violetstack.core import backoff
@@ -72,12 +73,6 @@
     return agent
 
 
-async def until(condition: Callable[[], bool], within_s: float = 2.0) -> None:
-    with trio.fail_after(within_s):
-        while not condition():
-            await trio.sleep(0.001)
-
-
 def drains(on: Stage, name: str = "w") -> bool:
     return name in on.daemon.core.unwanted
 
@@ -336,9 +331,9 @@
             await connection.answer(200, [], b'{"version":3,"full":false,"servers":[]}')
 
         agent = await meet(on, saying(b"what\n"), *[bad] * 500)
-        with trio.move_on_after(1.0):
-            await until(lambda: len(agent.asked) > 8)
-        assert 3 <= len(agent.asked) <= 8
+        with pytest.raises(AssertionError, match="not in time"):
+            await until(lambda: len(agent.asked) > 8, 1.0)
+        assert len(agent.asked) >= 3
         assert (await ask_platform(on.platform, "q1", "orden")).outcome == "served"
 
     play(*pair(), story=story)
