Advisory headers never turn a request away; Req-Cost is read in microseconds

Cause: RequestReader.read passed Req-Cost to duration_ms, which wants a unit and raises Rejected(400) without one. The same held for unreadable or impossible lengths in Req-Extra.

Change: Req-Cost, prompt_len, prefix_len and max_out are advisory; what is missing, unknown or unreadable is ignored. Each 400 that is left says why the request cannot be served.

--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -24,17 +24,32 @@
 PLAIN_WORD = re.compile(r"[A-Za-z0-9._~-]{1,128}")  # it stands in the path of calls to hosts as it is
 UNITS = {"m": 1.0, "u": 0.001}
 MAX_DIGITS = 12  # of a duration
+MAX_TOKEN_DIGITS = 9
 MAX_WAIT_MS = 600_000.0  # nobody waits longer for a first token; bounds what an odd deadline can hold
 MAX_ANSWER_TOKENS = 100_000.0  # bounds what an odd request can claim of a writer's memory
 MAX_REPORTED = 1e9
 
 
 def duration_ms(text: str, name: str = "Req-Deadline") -> float:
-    """`4800m` or `250000u`."""
-    number, unit = text[:-1], text[-1:]
-    if unit not in UNITS or not number.isascii() or not number.isdigit() or len(number) > MAX_DIGITS:
+    """Milliseconds of `4800m` or `250000u`, at most `MAX_WAIT_MS`.
+
+    Raises Rejected: required where a client states one, since without it no answer can be in time.
+    """
+    milliseconds = parse_duration_ms(text, default_unit="")
+    if milliseconds is None:
         raise Rejected(400, f"{name} is a whole number and a unit, m or u")
-    return min(MAX_WAIT_MS, int(number) * UNITS[unit])
+    return min(MAX_WAIT_MS, milliseconds)
+
+
+def parse_duration_ms(text: str, default_unit: str) -> float | None:
+    """Milliseconds of a whole number and its unit (`m` or `u`); None if it cannot be read.
+
+    `default_unit` is taken where the text is a number alone; empty: a unit is required.
+    """
+    number, unit = (text[:-1], text[-1:]) if text[-1:] in UNITS else (text, default_unit)
+    if unit not in UNITS or not number.isascii() or not number.isdigit() or len(number) > MAX_DIGITS:
+        return None
+    return int(number) * UNITS[unit]
 
 
 def extras(text: str) -> dict[str, str]:
@@ -42,12 +57,14 @@
     return {name.strip(): value.strip() for name, _, value in pairs}
 
 
-def _count(values: dict[str, str], name: str, default: float) -> float:
-    text = values.get(name)
-    if text is None:
-        return default
-    if not text.isascii() or not text.isdigit() or len(text) > 9:
-        raise Rejected(400, f"Req-Extra: {name} is not a number of tokens")
+def _advised_tokens(values: dict[str, str], name: str) -> float | None:
+    """A number of tokens from `Req-Extra`; None where it is missing or cannot be read.
+
+    Advisory: a length only steers routing, so an unreadable one is ignored and the request is served.
+    """
+    text = values.get(name, "")
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_TOKEN_DIGITS:
+        return None
     return float(text)
 
 
@@ -77,7 +94,12 @@
 
 
 class RequestReader:
-    """Reads a client's headers into the module's request."""
+    """Reads a client's headers into the module's request.
+
+    What makes a request impossible to serve is rejected: no usable id, an unknown class or tenant, a
+    deadline or a body that cannot be read. All else is advisory; what of it is missing, unknown or
+    unreadable is ignored.
+    """
 
     def __init__(self, facts: WFacts) -> None:
         self.classes = {spec.name: n for n, spec in enumerate(facts.classes)}
@@ -85,37 +107,51 @@
         self.tenants = {spec.name: n for n, spec in enumerate(facts.parties or ())}
 
     def read(self, inbound: Inbound) -> t.Request:
+        """Raises Rejected if the request cannot be served."""
         headers = inbound.headers
         request_id = headers.get("req-id", "")
         if not PLAIN_WORD.fullmatch(request_id):
+            # Impossible to serve: calls to hosts name the request by its id.
             raise Rejected(400, "Req-Id is missing or no plain word")
         kind = headers.get("req-kind", "")
         if kind not in self.classes:
+            # Impossible to serve: nothing says whether it may run twice.
             raise Rejected(400, "Req-Kind names no class of the settings")
         owner = headers.get("req-owner")
         if self.tenants and owner not in self.tenants:
+            # Impossible to serve: no share of the capacity is set aside for it.
             raise Rejected(400, "Req-Owner names no tenant of the settings")
         cls = self.classes[kind]
         deadline = headers.get("req-deadline")
+        check_body(inbound.body)
         values = extras(headers.get("req-extra", ""))
         retry = headers.get("req-retry")
-        hint = headers.get("req-cost")
-        check_body(inbound.body)
-        size = float(len(inbound.body))
-        prompt = _count(values, "prompt_len", size // CHARS_A_TOKEN)
-        if prompt > size:
-            raise Rejected(400, "Req-Extra: prompt_len is more than the body can hold")
+        prompt = _prompt_tokens(values, len(inbound.body))
         return t.Request(
             id=request_id,
             cls=cls,
             tenant=self.tenants.get(owner or "", 0),
             session=headers.get("req-key") or None,
             expires_in_ms=self.give_up[cls] if deadline is None else duration_ms(deadline),
-            answer_ms=duration_ms(hint, "Req-Cost") if hint else None,
+            answer_ms=_answer_hint_ms(headers.get("req-cost", "")),
             shared=values.get("prefix") or None,
             prompt_tokens=prompt,
-            shared_tokens=min(prompt, _count(values, "prefix_len", 0.0)),
-            max_tokens=min(MAX_ANSWER_TOKENS, _count(values, "max_out", 0.0)),
+            shared_tokens=min(prompt, _advised_tokens(values, "prefix_len") or 0.0),
+            max_tokens=min(MAX_ANSWER_TOKENS, _advised_tokens(values, "max_out") or 0.0),
             repeat=retry == "1",
             resumed=retry == "again",
         )
+
+
+def _prompt_tokens(values: dict[str, str], body_size: int) -> float:
+    """The advised prompt length, or an estimate from the body where the advice is absent or impossible."""
+    advised = _advised_tokens(values, "prompt_len")
+    if advised is None or advised > body_size:
+        return float(body_size // CHARS_A_TOKEN)
+    return advised
+
+
+def _answer_hint_ms(text: str) -> float | None:
+    """`Req-Cost`, a guess at the work in microseconds, in milliseconds; a unit may follow the number."""
+    hint = parse_duration_ms(text, default_unit="u")
+    return None if hint is None else min(MAX_WAIT_MS, hint)
