--- a/benchmarks/comeback.py
+++ b/benchmarks/comeback.py
@@ -16,10 +16,10 @@
 from pathlib import Path
 from statistics import median
 
-from violetstack.rehearsal.fleet.ground import play
 from violetstack.rehearsal.fleet.plan import Plan, read
 from violetstack.rehearsal.fleet.programs import ROOT
 from violetstack.rehearsal.fleet.report import Result
+from violetstack.rehearsal.fleet.runner import play
 
 PLANS = sorted((Path(__file__).parent / "fleet").glob("*.toml"))
 AFTER_S = 4.0
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -18,14 +18,16 @@
 from typing import Any
 
 HOSTS = (10, 60, 100, 200)
-ROUNDS, REQUESTS, TURNS = 3, 400, 3
+ROUNDS = 3
+REQUESTS = 400
+TURNS = 3
 
 
 def decision_us(hosts: int) -> float:
     """CPU of the module for a served request, from its arrival to its end; the best of some rounds."""
 
     from tests.front import SETTINGS, Front, entry  # noqa: PLC0415
-    from violetstack import interface as t  # noqa: PLC0415
+    from violetstack.policy_api import AttemptStatus, TimerFired  # noqa: PLC0415
 
     telling = hasattr(SETTINGS, "may_tell")
     more: dict[str, Any] = {"may_tell": True} if telling else {}
@@ -36,10 +38,10 @@
         began = time.process_time()
         for n in range(REQUESTS):
             request = front.ask(after=700.0, shared=f"p{n % 30}", shared_tokens=1000.0, session=f"s{n % 90}")
-            front.end(request, t.Status.READ, report=(3.0, 0.4))
+            front.end(request, AttemptStatus.PREFILLED, report=(3.0, 0.4))
             front.begin(request)
-            front.end(request, t.Status.OK, after=200.0, report=(3.0, 0.4))
-            front.feed(t.TimerDue("tell"), after=1_100.0)
+            front.end(request, AttemptStatus.OK, after=200.0, report=(3.0, 0.4))
+            front.feed(TimerFired("tell"), after=1_100.0)
         best = min(best, (time.process_time() - began) / REQUESTS * 1e6)
     return best
 
@@ -47,8 +49,8 @@
 def datagrams_us() -> dict[str, float]:
     """CPU of the module for one datagram at 100 hosts and 200 fronts: heard, with three entries, and told."""
     from tests.front import Front, entry  # noqa: PLC0415
-    from violetstack import interface as t  # noqa: PLC0415
-    from violetstack.peers.sharing import datagram, tag_of  # noqa: PLC0415
+    from violetstack.gossip.load_gossip import datagram, tag_of  # noqa: PLC0415
+    from violetstack.policy_api import GossipReceived, TimerFired  # noqa: PLC0415
 
     entries = [entry(f"s{n}", n % 2, cell=n // 5) for n in range(100)]
     heard = told = float("inf")
@@ -60,15 +62,15 @@
         ]
         began = time.process_time()
         for n, row in enumerate(rows):
-            front.feed(t.PeerMessage(1 + n % 199, row), after=1.0)
+            front.feed(GossipReceived(1 + n % 199, row), after=1.0)
         heard = min(heard, (time.process_time() - began) / REQUESTS * 1e6)
         spent = 0.0
         for _ in range(REQUESTS):
             front.ask(after=30.0, expires_in_ms=60.0)
             began = time.process_time()
-            front.feed(t.TimerDue("tell"), after=25.0)
+            front.feed(TimerFired("tell"), after=25.0)
             spent += time.process_time() - began
-            front.feed(t.TimerDue(f"d:q{front.count}"), after=20.0)
+            front.feed(TimerFired(f"d:q{front.count}"), after=20.0)
         told = min(told, spent / REQUESTS * 1e6)
     return {"heard": heard, "told": told}
 
@@ -76,9 +78,13 @@
 def measured(root: Path) -> dict[str, float]:
     """In processes of their own, so that each revision loads its own modules."""
     told = subprocess.run(
-        [sys.executable, __file__, "--here"], cwd=root, env={**os.environ, "PYTHONPATH": str(root)},
-        check=True, capture_output=True, text=True,
-    )  # fmt: skip
+        [sys.executable, __file__, "--here"],
+        cwd=root,
+        env={**os.environ, "PYTHONPATH": str(root)},
+        check=True,
+        capture_output=True,
+        text=True,
+    )
     figures: dict[str, float] = json.loads(told.stdout)
     return figures
 
@@ -102,7 +108,9 @@
     if told.here:
         print(json.dumps({**{str(n): decision_us(n) for n in HOSTS}, **datagrams_us()}))
         return
-    root, now, then = Path(__file__).resolve().parent.parent, dict[str, float](), dict[str, float]()
+    root = Path(__file__).resolve().parent.parent
+    now = dict[str, float]()
+    then = dict[str, float]()
     with tempfile.TemporaryDirectory() as folder:
         other = Path(folder)
         if told.against:
--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -19,20 +19,41 @@
 from msgspec.structs import replace
 
 from tests.front import SETTINGS, entry
-from violetstack import interface as t
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt, PlaceCall, ReleaseCall
-from violetstack.levels.control import TICK_MS, LevelPlan, Levels, weights_of
-from violetstack.levels.history import Resumed
+from violetstack.load_shedding.control import TICK_MS, LevelPlan, Levels, weights_of
+from violetstack.load_shedding.history import Resumed
+from violetstack.policy_api import (
+    AttemptStatus,
+    EndpointUpdate,
+    Request,
+    Settings,
+    TenantSettings,
+    UpdateScope,
+)
 from violetstack.router import Router
 
 READ_TOKENS_MS = 18.0  # a reader's rate
-READ_QUEUE, WRITE_SLOTS, WRITE_QUEUE = 40, 80, 25
+READ_QUEUE = 40
+WRITE_SLOTS = 80
+WRITE_QUEUE = 25
 TOKEN_MS = 40.0
-CONSULTA = replace(SETTINGS.classes[0], aim_ms=1500.0, give_up_ms=7500.0, value=3.0, late_value=0.2,
-                   aim_ms_per_1000_tokens=40.0)  # fmt: skip
-ORDEN = replace(SETTINGS.classes[1], aim_ms=2500.0, give_up_ms=10_000.0, value=2.0, late_value=0.1,
-                aim_ms_per_1000_tokens=40.0)  # fmt: skip
+CONSULTA = replace(
+    SETTINGS.classes[0],
+    aim_ms=1500.0,
+    give_up_ms=7500.0,
+    value=3.0,
+    late_value=0.2,
+    aim_ms_per_1000_tokens=40.0,
+)
+ORDEN = replace(
+    SETTINGS.classes[1],
+    aim_ms=2500.0,
+    give_up_ms=10_000.0,
+    value=2.0,
+    late_value=0.1,
+    aim_ms_per_1000_tokens=40.0,
+)
 TENANTS = (("app-propia", 0.36), ("red-kioscos", 0.34), ("mesa-agentes", 0.30))
 
 
@@ -59,7 +80,7 @@
 
     def take(self, work: Work) -> None:
         if len(self.queue) >= READ_QUEUE:
-            work.node.ended(work.attempt, t.Status.FULL)
+            work.node.ended(work.attempt, AttemptStatus.REJECTED)
             return
         self.queue.append(work)
         self._next()
@@ -75,7 +96,7 @@
 
     def _done(self, work: Work) -> None:
         self.busy = False
-        work.node.ended(work.attempt, t.Status.READ)
+        work.node.ended(work.attempt, AttemptStatus.PREFILLED)
         self._next()
 
 
@@ -85,7 +106,7 @@
 
     def take(self, work: Work) -> None:
         if self.running >= WRITE_SLOTS and len(self.queue) >= WRITE_QUEUE:
-            work.node.ended(work.attempt, t.Status.FULL)
+            work.node.ended(work.attempt, AttemptStatus.REJECTED)
             return
         self.queue.append(work)
         self._next()
@@ -107,15 +128,16 @@
 
     def _done(self, work: Work) -> None:
         self.running -= 1
-        work.node.ended(work.attempt, t.Status.OK)
+        work.node.ended(work.attempt, AttemptStatus.OK)
         self._next()
 
 
 class Node:
     """One dispatcher: the real core and module, the driver that they ask, and the levels, if any."""
 
-    def __init__(self, fleet: Fleet, settings: t.Settings, plan: LevelPlan | None) -> None:
-        self.fleet, self.clock = fleet, fleet.clock
+    def __init__(self, fleet: Fleet, settings: Settings, plan: LevelPlan | None) -> None:
+        self.fleet = fleet
+        self.clock = fleet.clock
         self.router = Router(settings)
         self.core = Dispatcher(settings, self.router, self, 250.0)
         self.works: dict[int, Work] = {}
@@ -155,7 +177,7 @@
         self.levels.records.clear()
         self.clock.at(now + TICK_MS, self.tick)
 
-    def ended(self, attempt: Attempt, status: t.Status) -> None:
+    def ended(self, attempt: Attempt, status: AttemptStatus) -> None:
         self.works.pop(id(attempt), None)
         self.core.ended(self.clock.now, attempt, status)
         self.wake()
@@ -202,15 +224,26 @@
     since: float = 0.0
 
     def ask(self) -> None:
-        fleet, now = self.fleet, self.fleet.clock.now
+        fleet = self.fleet
+        now = self.fleet.clock.now
         self.tries += 1
         self.since = now
         node = fleet.rng.choice(fleet.nodes)
         spec = fleet.settings.classes[self.cls]
-        asked = t.Request(
-            f"q{next(fleet.ids)}", self.cls, self.tenant, self.session, spec.give_up_ms, None, None,
-            self.prompt, 0.0, self.tokens, self.tries > 1, False,
-        )  # fmt: skip
+        asked = Request(
+            f"q{next(fleet.ids)}",
+            self.cls,
+            self.tenant,
+            self.session,
+            spec.give_up_ms,
+            None,
+            None,
+            self.prompt,
+            0.0,
+            self.tokens,
+            self.tries > 1,
+            False,
+        )
         shed = node.core.admit(now, asked)
         if shed is not None:
             fleet.counts["shed"] += 1
@@ -249,17 +282,29 @@
     """`load`: offered first tries, in parts of what the readers can read; arrivals depend on the seed."""
 
     def __init__(
-        self, load: Callable[[float], float], plan: LevelPlan | None, *, dispatchers: int = 3,
-        readers: int = 5, writers: int = 6, seconds: float = 60.0, seed: int = 1,
-    ) -> None:  # fmt: skip
+        self,
+        load: Callable[[float], float],
+        plan: LevelPlan | None,
+        *,
+        dispatchers: int = 3,
+        readers: int = 5,
+        writers: int = 6,
+        seconds: float = 60.0,
+        seed: int = 1,
+    ) -> None:
         self.clock, self.rng, self.ids, self.end = Clock(), random.Random(seed), count(), seconds * 1000.0
         self.earned: dict[int, float] = {0: 0.0, 1: 0.0}
-        self.counts, self.offered = Counter[str](), Counter[int]()
+        self.counts = Counter[str]()
+        self.offered = Counter[int]()
         self.settings = replace(
-            SETTINGS, classes=(CONSULTA, ORDEN), fleet_size=dispatchers, max_attempts=5,
-            tenants=tuple(t.TenantSpec(share, 1000.0) for _, share in TENANTS), over_share_worth=0.05,
+            SETTINGS,
+            classes=(CONSULTA, ORDEN),
+            fleet_size=dispatchers,
+            max_attempts=5,
+            tenants=tuple(TenantSettings(share, 1000.0) for _, share in TENANTS),
+            over_share_worth=0.05,
             max_retry_after_ms=1000.0,
-        )  # fmt: skip
+        )
         entries = [entry(f"r{n}", 0) for n in range(readers)]
         entries += [entry(f"w{n}", 1) for n in range(writers)]
         self.hosts: dict[str, Reader | Writer] = {
@@ -269,15 +314,17 @@
             Node(self, replace(self.settings, me=n, seed=seed + n), plan) for n in range(dispatchers)
         ]
         for node in self.nodes:
-            node.core.news(0.0, t.ListNews(t.ListScope.FULL, tuple(entries), 1))
+            node.core.news(0.0, EndpointUpdate(UpdateScope.SNAPSHOT, tuple(entries), 1))
         mean = 5_000.0
         usual = readers * READ_TOKENS_MS / mean  # requests a millisecond at load 1
-        arrivals, now = random.Random(seed + 1000), 0.0
+        arrivals = random.Random(seed + 1000)
+        now = 0.0
         while now < self.end:
             now += arrivals.expovariate(max(1e-9, usual * load(now / 1000.0)))
             cls = 0 if arrivals.random() < 0.64 else 1
             tenant = arrivals.choices(range(3), [share for _, share in TENANTS])[0]
-            prompt, tokens = arrivals.uniform(2_000.0, 8_000.0), float(arrivals.randrange(45, 200))
+            prompt = arrivals.uniform(2_000.0, 8_000.0)
+            tokens = float(arrivals.randrange(45, 200))
             session = f"s{arrivals.randrange(2_000)}"
             asking = Asking(self, cls, tenant, prompt, tokens, session)
             if now < self.end:
--- a/benchmarks/language.py
+++ b/benchmarks/language.py
@@ -31,7 +31,8 @@
         *(f"pool p{n} {{ members = cell == {n} }}" for n in range(10)),
     ]
     for n in range((lines - len(rows)) // 4):
-        tenant, low = rng.randrange(max(2, lines // 40)), rng.randrange(0, 90) + n * 100
+        tenant = rng.randrange(max(2, lines // 40))
+        low = rng.randrange(0, 90) + n * 100
         when = f"tenant == t{tenant} and class == {rng.choice(('consulta', 'orden'))}"
         rows.append(
             f"route r{n} {{\n  when = {when} and prompt in {low}tok .. {low + 50}tok\n  pool = p{n % 10}\n}}"
@@ -53,9 +54,7 @@
             assert difference(result.meaning, other.meaning)
     took = time.perf_counter() - started
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
-    print(
-        f"{what:6} {lines:6} lines {took:8.2f} s {took / lines * 1e6:8.1f} us/line {peak:5.0f} MB"
-    )
+    print(f"{what:6} {lines:6} lines {took:8.2f} s {took / lines * 1e6:8.1f} us/line {peak:5.0f} MB")
 
 
 def main() -> None:
--- a/benchmarks/lease_check.py
+++ b/benchmarks/lease_check.py
@@ -11,13 +11,18 @@
 import argparse
 import time
 
-from violetstack.lab.exhaustive import Bounds, Explorer
-from violetstack.lab.faults import PLANTED, planted
+from violetstack.simulation.exhaustive import Bounds, Explorer
+from violetstack.simulation.faults import PLANTED, planted
 
 BOUNDS = (
-    Bounds((1, 1), 1, 0), Bounds((2, 1), 1, 0), Bounds((1, 1), 2, 0), Bounds((1, 1), 1, 1),
-    Bounds((2, 1), 2, 0), Bounds((1, 1), 3, 0), Bounds((2, 1), 3, 1),
-)  # fmt: skip
+    Bounds((1, 1), 1, 0),
+    Bounds((2, 1), 1, 0),
+    Bounds((1, 1), 2, 0),
+    Bounds((1, 1), 1, 1),
+    Bounds((2, 1), 2, 0),
+    Bounds((1, 1), 3, 0),
+    Bounds((2, 1), 3, 1),
+)
 FAULTS = {  # where each is to be looked for; "a promise is forgotten" is a matter of times left out here
     "no silence after a restart": Bounds((1, 1), 1, 1),
     "no margin for the clocks": Bounds((1, 1), 2, 0),
@@ -39,16 +44,22 @@
         with planted(fault):
             found = Explorer(bounds).explore(given.states)
         took = time.monotonic() - began
-        print(f"{fault}: {found.breach or 'NOT FOUND'} after {found.states} states, {took:.1f} s, "
-              f"{len(found.trace)} steps: {'; '.join(found.trace)}", flush=True)  # fmt: skip
+        print(
+            f"{fault}: {found.breach or 'NOT FOUND'} after {found.states} states, {took:.1f} s, "
+            f"{len(found.trace)} steps: {'; '.join(found.trace)}",
+            flush=True,
+        )
     print(f"not looked for: {', '.join(set(PLANTED) - set(FAULTS))}", flush=True)
     for bounds in BOUNDS:
         began = time.monotonic()
         found = Explorer(bounds).explore(given.states)
-        took, whole = time.monotonic() - began, "all" if found.whole else "the nearest"
-        print(f"tries {bounds.starts}, {bounds.times} times, {bounds.restarts} restarts: {found.states} "
-              f"states ({whole}) in {took:.0f} s; {found.breach or 'no breach'} {found.trace or ''}",
-              flush=True)  # fmt: skip
+        took = time.monotonic() - began
+        whole = "all" if found.whole else "the nearest"
+        print(
+            f"tries {bounds.starts}, {bounds.times} times, {bounds.restarts} restarts: {found.states} "
+            f"states ({whole}) in {took:.0f} s; {found.breach or 'no breach'} {found.trace or ''}",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -16,10 +16,11 @@
 from collections.abc import Callable
 from statistics import median
 
-from violetstack.lab.leases import LENGTH_MS, Process, World
-from violetstack.lease.member import EVERYONE, Member
+from violetstack.lease.node import EVERYONE, Member
+from violetstack.simulation.leases import LENGTH_MS, Process, World
 
-STEP_MS, MOST_MS = 10.0, 60_000.0
+STEP_MS = 10.0
+MOST_MS = 60_000.0
 QUIET_MS = 6_000.0  # a world's own start, before its holder is struck
 
 
@@ -72,8 +73,11 @@
         world = World(1, size, loss, troubles=False)
         world.run(minutes * 60_000.0)
         held = world.held_ms / (minutes * 60_000.0)
-        print(f"{size} dispatchers, {loss:.0%} loss, {minutes:.0f} min: {world.changes - 1} false changes, "
-              f"held {held:.1%} of the time, breaches {len(world.breaches)}", flush=True)  # fmt: skip
+        print(
+            f"{size} dispatchers, {loss:.0%} loss, {minutes:.0f} min: {world.changes - 1} false changes, "
+            f"held {held:.1%} of the time, breaches {len(world.breaches)}",
+            flush=True,
+        )
 
 
 def cost(size: int, duties: int, seconds: float, per_s: float) -> None:
@@ -85,13 +89,17 @@
     for member in members:
         for duty in range(duties):
             member.want(f"d{duty}")
-    now, waiting, taken = 0.0, list[tuple[float, int, int, bytes]](), 0.0
+    now = 0.0
+    waiting = list[tuple[float, int, int, bytes]]()
+    taken = 0.0
     settle = 20_000.0
-    base, sent_bytes = 0, 0
+    base = 0
+    sent_bytes = 0
     while now < settle + seconds * 1000.0:
         now += 3.0
         began = time.process_time()
-        due, waiting = waiting, []
+        due = waiting
+        waiting = []
         for _, sender, to, data in due:
             for number in range(size) if to == EVERYONE else (to,):
                 if number != sender:
@@ -102,14 +110,18 @@
         if now >= settle:
             taken += time.process_time() - began
         else:
-            base, sent_bytes = sum(m.sent for m in members), sum(m.sent_bytes for m in members)
-    sent, size_b = sum(m.sent for m in members) - base, sum(m.sent_bytes for m in members) - sent_bytes
+            base = sum(m.sent for m in members)
+            sent_bytes = sum(m.sent_bytes for m in members)
+    sent = sum(m.sent for m in members) - base
+    size_b = sum(m.sent_bytes for m in members) - sent_bytes
     holders = [sum(m.holds(now, f"d{d}") for d in range(duties)) for m in members]
     renewals = duties * seconds * 1000.0 / (LENGTH_MS * 0.3)
-    print(f"{size} dispatchers, {duties} duties: {sent / seconds:.0f} datagrams and "
-          f"{size_b / seconds:.0f} bytes a second in all, held {sum(holders)}, at one {min(holders)} to "
-          f"{max(holders)}, {1e6 * taken / renewals:.0f} us of CPU a renewal at all dispatchers together",
-          flush=True)  # fmt: skip
+    print(
+        f"{size} dispatchers, {duties} duties: {sent / seconds:.0f} datagrams and "
+        f"{size_b / seconds:.0f} bytes a second in all, held {sum(holders)}, at one {min(holders)} to "
+        f"{max(holders)}, {1e6 * taken / renewals:.0f} us of CPU a renewal at all dispatchers together",
+        flush=True,
+    )
 
 
 def main() -> None:
--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -13,9 +13,9 @@
 
 from benchmarks.fleet_model import Fleet
 from violetstack.language.compiling import load_text
-from violetstack.levels.admission import Admission, Weights
-from violetstack.levels.control import LevelPlan
-from violetstack.levels.machine import Measures
+from violetstack.load_shedding.admission import Admission, Weights
+from violetstack.load_shedding.control import LevelPlan
+from violetstack.load_shedding.state_machine import Measures
 
 FILE = """
 level strained {
--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -41,7 +41,8 @@
 def main() -> None:
     here = Path(__file__).parent.parent
     with tempfile.TemporaryDirectory() as folder:
-        node, file = Path(folder) / "node.json", Path(folder) / "operator.violet"
+        node = Path(folder) / "node.json"
+        file = Path(folder) / "operator.violet"
         node.write_text(json.dumps({"listen": "127.0.0.1:0", "seed": "ff", "settings": SETTINGS}))
         file.write_text(FILE)
         env = {"NODE_CONFIG": str(node)}
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 
 from tests.front import SETTINGS
-from violetstack import interface as t
 from violetstack.core.records import Origin
+from violetstack.policy_api import Endpoint, EndpointState, EndpointUpdate, Request, UpdateScope
 from violetstack.routing.conditions import All, Among, Between, Condition, Not
 from violetstack.routing.generations import Plan, Routing
 from violetstack.routing.policies import Policy
@@ -45,17 +45,24 @@
 
 def requests(count: int, rng: random.Random) -> list[Asked]:
     return [
-        Asked(rng.choice(CLASSES), f"tenant-{rng.randrange(count)}", rng.choice(MODELS),
-              rng.choice(("chat", "platform")), rng.randrange(40_000), rng.random() < 0.1)
+        Asked(
+            rng.choice(CLASSES),
+            f"tenant-{rng.randrange(count)}",
+            rng.choice(MODELS),
+            rng.choice(("chat", "platform")),
+            rng.randrange(40_000),
+            rng.random() < 0.1,
+        )
         for _ in range(1_000)
-    ]  # fmt: skip
+    ]
 
 
 def each_us(act: Callable[[Asked], object], asked: list[Asked], least_s: float = 0.3) -> float:
     """Microseconds of one call, the best of three rounds."""
     best = float("inf")
     for _ in range(3):
-        done, started = 0, time.perf_counter()
+        done = 0
+        started = time.perf_counter()
         while time.perf_counter() - started < least_s:
             for each in asked:
                 act(each)
@@ -76,7 +83,8 @@
         asked = requests(count, rng)
         few = asked if count < 10_000 else asked[:50]
         assert all(table.find(each) == table.walk(each) for each in few)
-        index, walk = each_us(table.find, asked), each_us(table.walk, few)
+        index = each_us(table.find, asked)
+        walk = each_us(table.walk, few)
         first = first or index
         print(
             f"{count:6} {built:12.1f} {index:10.2f} {walk:10.1f} {walk / index:12.1f} {index / first:12.2f}"
@@ -88,14 +96,19 @@
     rows = (*routes(999, random.Random(1)), Route("all", pool="near", policy="usual"))
     rows = tuple(row for row in rows if row.name != "rest")
     near = PoolSpec("near", Among("cell", frozenset({"0"})), 1, ("far",))
-    plan = Plan(rows, {"near": near, "far": PoolSpec("far")},
-                {"usual": Policy("usual", 9_000.0, 4, 0.2)})  # fmt: skip
-    routing = Routing(plan, SETTINGS, classes=tuple(CLASSES), tenants=(),
-                      kinds=("prefill", "decode"), zones=("z",),
-                      log=lambda event, **fields: None)  # fmt: skip
-    entries = tuple(t.Entry(f"h{n}", n % 2, 1.0, 0, t.ServerState.HEALTHY, n % 2, None) for n in range(11))
-    routing.told(0.0, t.ListNews(t.ListScope.FULL, entries, 1))
-    request = t.Request("q", 0, 0, "s", 5000.0, None, None, 3000.0, 0.0, 200.0, False, False)
+    plan = Plan(rows, {"near": near, "far": PoolSpec("far")}, {"usual": Policy("usual", 9_000.0, 4, 0.2)})
+    routing = Routing(
+        plan,
+        SETTINGS,
+        classes=tuple(CLASSES),
+        tenants=(),
+        kinds=("prefill", "decode"),
+        zones=("z",),
+        log=lambda event, **fields: None,
+    )
+    entries = tuple(Endpoint(f"h{n}", n % 2, 1.0, 0, EndpointState.HEALTHY, n % 2, None) for n in range(11))
+    routing.told(0.0, EndpointUpdate(UpdateScope.SNAPSHOT, entries, 1))
+    request = Request("q", 0, 0, "s", 5000.0, None, None, 3000.0, 0.0, 200.0, False, False)
     origin = Origin("chat", "model-3", 4_000)
 
     def routed(_: Asked) -> None:
--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -23,10 +23,12 @@
 import trio
 
 from violetstack.config import load
-from violetstack.net.daemon import run
+from violetstack.daemon.daemon import run
 from violetstack.rehearsal.stage import SETTINGS
 
-SILENT, STORM, TURNS = 1_000, 3_000, 3
+SILENT = 1_000
+STORM = 3_000
+TURNS = 3
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -37,16 +39,21 @@
         self._folder = tempfile.TemporaryDirectory()
         file = Path(self._folder.name) / "config.json"
         told = {
-            "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "seed": "ff", "settings": SETTINGS,
+            "listen": "127.0.0.1:0",
+            "mgmt": "127.0.0.1:0",
+            "seed": "ff",
+            "settings": SETTINGS,
             "limits": {"sockets": 4096, "memory_mb": 1024},
-        }  # fmt: skip
+        }
         file.write_text(json.dumps(told))
         began = time.monotonic()
         words = ["benchmarks.service", "--serve"] if watched else ["violetstack"]
         self.process = subprocess.Popen(
-            [sys.executable, "-m", *words], cwd=root, stdout=subprocess.PIPE,
+            [sys.executable, "-m", *words],
+            cwd=root,
+            stdout=subprocess.PIPE,
             env={**os.environ, "NODE_CONFIG": str(file), "TMPDIR": self._folder.name},
-        )  # fmt: skip
+        )
         assert self.process.stdout is not None
         lines = self._lines = (json.loads(line) for line in self.process.stdout)
         started = next(line for line in lines if line["event"] == "started")
@@ -96,7 +103,8 @@
 
 
 def serve() -> None:
-    path, turns = os.environ["NODE_CONFIG"], Turns()
+    path = os.environ["NODE_CONFIG"]
+    turns = Turns()
 
     async def main() -> None:
         turns.longest = 0.0
@@ -111,7 +119,8 @@
     try:
         ask(daemon.at, b"/-/ready")
         told = {"start to yes, s": daemon.ready_s, "start to yes, CPU s": daemon.ready_cpu_s}
-        before, cpu = daemon.resident_kib(), daemon.cpu_s()
+        before = daemon.resident_kib()
+        cpu = daemon.cpu_s()
         crowd = [socket.create_connection(daemon.at) for _ in range(SILENT)]
         ask(daemon.at, b"/-/ready")  # behind all of them in the queue
         told["KiB a silent connection"] = (daemon.resident_kib() - before) / SILENT
@@ -134,7 +143,8 @@
 def storm(daemon: Daemon) -> dict[str, float]:
     """Connections as fast as they can be made, a call at the door between them."""
     assert daemon.door is not None
-    late, crowd = [], list[socket.socket]()
+    late = []
+    crowd = list[socket.socket]()
     for n in range(STORM):
         crowd.append(socket.create_connection(daemon.at))
         if n % 60 == 59:
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -63,7 +63,8 @@
             subprocess.run(compiled, cwd=tree, check=True)
         rows = [{name: start(tree, file) for name, tree in trees.items()} for _ in range(told.plays)]
     for name in trees:
-        cpu, memory = [row[name][0] for row in rows], [row[name][1] for row in rows]
+        cpu = [row[name][0] for row in rows]
+        memory = [row[name][1] for row in rows]
         print(f"{name}: {median(cpu):.2f} s of CPU (least {min(cpu):.2f}), {median(memory):.1f} MiB at ready")
 
 
--- a/deploy/sites/make.py
+++ b/deploy/sites/make.py
@@ -32,7 +32,8 @@
 
 def written(table: dict[str, Any], path: str = "") -> str:
     """TOML: plain keys first, then tables, then lists of tables."""
-    plain, tables = [], []
+    plain = []
+    tables = []
     for key, value in table.items():
         name = f"{path}.{key}" if path else key
         if isinstance(value, dict):
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -12,7 +12,9 @@
 
 STEPS = (["ruff", "check", "."], ["mypy"], ["pytest"])
 RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
-PASSED, FAILED = 0, 1  # pytest's own codes; any other says that the test did not run
+# pytest's own codes; any other says that the test did not run
+PASSED = 0
+FAILED = 1
 
 
 def run(*words: str) -> int:
--- a/tests/front.py
+++ b/tests/front.py
@@ -6,30 +6,78 @@
 
 from msgspec.structs import replace
 
-from violetstack import interface as t
+from violetstack.policy_api import (
+    Action,
+    AttemptFinished,
+    AttemptStatus,
+    ClassSettings,
+    DeduplicationScope,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    Event,
+    Idempotency,
+    Request,
+    Role,
+    SendAttempt,
+    Settings,
+    StreamStarted,
+    UpdateScope,
+)
 from violetstack.router import Router
 
 A = TypeVar("A")
 
-SAFE = t.ClassSpec(
-    aim_ms=1000.0, give_up_ms=4000.0, effect=t.Effect.SAFE, group=t.Group.ALL, window_ms=5000.0, value=1.0,
-    late_value=0.2, aim_ms_per_1000_tokens=0.0, aim_stretch=0.0, token_aim_ms=50.0,
-)  # fmt: skip
-UNSAFE = replace(SAFE, effect=t.Effect.UNSAFE, value=2.0)
-
-SETTINGS = t.Settings(
-    seed=1, me=0, fleet_size=2, zone=0, classes=(SAFE, UNSAFE), tenants=(), over_share_worth=1.0,
-    roles=(t.Role.READ, t.Role.WRITE, t.Role.BOTH), memory_tokens=(100_000.0, 100_000.0, 100_000.0),
-    ahead=True, local_read=False, resume=False, release_ms=300.0, max_attempts=4, may_cancel=True,
-    may_duplicate=False, may_probe=False, may_tell=False, retry_after=True, max_retry_after_ms=1000.0,
-    connect_timeout_ms=250.0, must_ask=False, must_ask_in_ms=10_000.0, report_names=(),
-    reports_on_probe=False, cold_share=0.3, cold_ms=10_000.0, fall_ms=2000.0, fall_multiple=2.5,
+SAFE = ClassSettings(
+    aim_ms=1000.0,
+    give_up_ms=4000.0,
+    effect=Idempotency.IDEMPOTENT,
+    group=DeduplicationScope.ALL,
+    window_ms=5000.0,
+    value=1.0,
+    late_value=0.2,
+    aim_ms_per_1000_tokens=0.0,
+    aim_stretch=0.0,
+    token_aim_ms=50.0,
+)
+UNSAFE = replace(SAFE, effect=Idempotency.NON_IDEMPOTENT, value=2.0)
+
+SETTINGS = Settings(
+    seed=1,
+    me=0,
+    fleet_size=2,
+    zone=0,
+    classes=(SAFE, UNSAFE),
+    tenants=(),
+    over_share_worth=1.0,
+    roles=(Role.PREFILL, Role.DECODE, Role.MIXED),
+    memory_tokens=(100_000.0, 100_000.0, 100_000.0),
+    ahead=True,
+    local_read=False,
+    resume=False,
+    release_ms=300.0,
+    max_attempts=4,
+    may_cancel=True,
+    may_duplicate=False,
+    may_probe=False,
+    may_tell=False,
+    retry_after=True,
+    max_retry_after_ms=1000.0,
+    connect_timeout_ms=250.0,
+    must_ask=False,
+    must_ask_in_ms=10_000.0,
+    report_names=(),
+    reports_on_probe=False,
+    cold_share=0.3,
+    cold_ms=10_000.0,
+    fall_ms=2000.0,
+    fall_multiple=2.5,
     grace_to_answer_ms=16.0,
-)  # fmt: skip
+)
 
 
-def entry(server: str, kind: int, **changes: Any) -> t.Entry:
-    base = t.Entry(server, 0, 1.0, 0, t.ServerState.HEALTHY, kind, None)
+def entry(server: str, kind: int, **changes: Any) -> Endpoint:
+    base = Endpoint(server, 0, 1.0, 0, EndpointState.HEALTHY, kind, None)
     return replace(base, **changes)
 
 
@@ -40,23 +88,23 @@
 class Front:
     """One Router and its clock; what it did last is in `did`."""
 
-    def __init__(self, *entries: t.Entry, **settings: Any) -> None:
+    def __init__(self, *entries: Endpoint, **settings: Any) -> None:
         self.router = Router(replace(SETTINGS, **settings))
         self.now = 1000.0
-        self.did: list[t.Action] = []
+        self.did: list[Action] = []
         self.count = 0
-        self.sends: dict[str, list[t.Send]] = {}
-        self.news(t.ListScope.CACHED, *(entries or READERS + WRITERS))
+        self.sends: dict[str, list[SendAttempt]] = {}
+        self.news(UpdateScope.CACHED, *(entries or READERS + WRITERS))
 
-    def feed(self, *events: t.Event, after: float = 0.0) -> list[t.Action]:
+    def feed(self, *events: Event, after: float = 0.0) -> list[Action]:
         self.now += after
         self.did = self.router.handle(self.now, list(events))
-        for send in self.all(t.Send):
+        for send in self.all(SendAttempt):
             self.sends.setdefault(send.id, []).append(send)
         return self.did
 
-    def news(self, scope: t.ListScope, *entries: t.Entry) -> list[t.Action]:
-        return self.feed(t.ListNews(scope, entries, 1))
+    def news(self, scope: UpdateScope, *entries: Endpoint) -> list[Action]:
+        return self.feed(EndpointUpdate(scope, entries, 1))
 
     def all(self, kind: type[A]) -> list[A]:
         return [action for action in self.did if isinstance(action, kind)]
@@ -69,34 +117,54 @@
     def ask(self, after: float = 0.0, **changes: Any) -> str:
         """A request arrives; returns its id."""
         self.count += 1
-        request = t.Request(
-            id=f"q{self.count}", cls=0, tenant=0, session=None, expires_in_ms=3000.0, answer_ms=None,
-            shared=None, prompt_tokens=2000.0, shared_tokens=0.0, max_tokens=200.0, repeat=False,
+        request = Request(
+            id=f"q{self.count}",
+            cls=0,
+            tenant=0,
+            session=None,
+            expires_in_ms=3000.0,
+            answer_ms=None,
+            shared=None,
+            prompt_tokens=2000.0,
+            shared_tokens=0.0,
+            max_tokens=200.0,
+            repeat=False,
             resumed=False,
-        )  # fmt: skip
+        )
         request = replace(request, **changes)
         self.feed(request, after=after)
         return request.id
 
     def end(
-        self, request: str, status: t.Status, after: float = 50.0, took: float | None = None, **extra: Any
-    ) -> list[t.Action]:
+        self,
+        request: str,
+        status: AttemptStatus,
+        after: float = 50.0,
+        took: float | None = None,
+        **extra: Any,
+    ) -> list[Action]:
         """The latest attempt of a request ends; ok settles the request, as on the wire."""
         n = extra.pop("attempt", len(self.sends[request]) - 1)
-        outcome = t.Outcome(
-            id=request, server=self.sends[request][n].server, attempt=n, status=status,
-            took_ms=after if took is None else took, settled=status is t.Status.OK, note=0, report=None,
-        )  # fmt: skip
+        outcome = AttemptFinished(
+            id=request,
+            server=self.sends[request][n].server,
+            attempt=n,
+            status=status,
+            took_ms=after if took is None else took,
+            settled=status is AttemptStatus.OK,
+            note=0,
+            report=None,
+        )
         return self.feed(replace(outcome, **extra), after=after)
 
-    def begin(self, request: str, after: float = 20.0) -> list[t.Action]:
+    def begin(self, request: str, after: float = 20.0) -> list[Action]:
         n = len(self.sends[request]) - 1
-        return self.feed(t.Begun(request, self.sends[request][n].server, n, after), after=after)
+        return self.feed(StreamStarted(request, self.sends[request][n].server, n, after), after=after)
 
     def serve(self, **changes: Any) -> str:
         """A request goes the ordinary way to its end."""
         request = self.ask(**changes)
-        self.end(request, t.Status.READ)
+        self.end(request, AttemptStatus.PREFILLED)
         self.begin(request)
-        self.end(request, t.Status.OK, after=200.0)
+        self.end(request, AttemptStatus.OK, after=200.0)
         return request
--- a/tests/steady.py
+++ b/tests/steady.py
@@ -17,7 +17,8 @@
     """
 
     def __init__(self) -> None:
-        self.spent, self._last = 0.0, trio.current_time()
+        self.spent = 0.0
+        self._last = trio.current_time()
 
     def look(self) -> float:
         now = trio.current_time()
--- a/tests/test_acme.py
+++ b/tests/test_acme.py
@@ -28,10 +28,12 @@
                 await nursery.start(authority.serve)
                 files = {"certificate": str(tmp_path / "chain.pem"), "key": str(tmp_path / "key.pem")}
                 acme = {
-                    "directory": f"http://{authority.address}/directory", "domains": ["localhost"],
-                    "account_key": str(tmp_path / "account.pem"), "challenge_listen": "127.0.0.1:0",
+                    "directory": f"http://{authority.address}/directory",
+                    "domains": ["localhost"],
+                    "account_key": str(tmp_path / "account.pem"),
+                    "challenge_listen": "127.0.0.1:0",
                     "check_every_s": 0.05,
-                }  # fmt: skip
+                }
                 async with stage(*pair(), chat={"tls": files, "acme": acme}) as on:
                     assert on.challenge is not None
                     authority.challenge_at = f"{on.challenge[0]}:{on.challenge[1]}"
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -16,11 +16,18 @@
 from tests.front import READERS, SETTINGS, WRITERS
 from tests.test_core import Noted
 from tests.test_stories import pair, play
-from violetstack import interface as t
+from violetstack.admin.api import MAX_CALL, Call, Refused
 from violetstack.admin.cordons import MOST, Cordons, TooMany, Unknown
-from violetstack.admin.door import MAX_CALL, Call, Refused
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.net.door import MOST_CALLERS
+from violetstack.net.admin_server import MOST_CALLERS
+from violetstack.policy_api import (
+    AttemptStatus,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    Request,
+    UpdateScope,
+)
 from violetstack.rehearsal.clients import ask_chat, ask_platform, chat_body, connect, platform_headers, raw
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import CUT, ERROR, Act
@@ -66,8 +73,10 @@
 
 def post(path: str, body: bytes, length: int | None = None) -> bytes:
     return b"POST %b HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%b" % (
-        path.encode(), len(body) if length is None else length, body,
-    )  # fmt: skip
+        path.encode(),
+        len(body) if length is None else length,
+        body,
+    )
 
 
 def get(path: str) -> bytes:
@@ -91,7 +100,8 @@
 
 @pytest.mark.parametrize("name", REFUSED)
 def test_a_call_that_can_not_be_taken_changes_nothing_and_leaves_a_line(name: str) -> None:
-    scene, (sent, status) = Scene(), REFUSED[name]
+    scene = Scene()
+    (sent, status) = REFUSED[name]
     answer = answer_to(scene, sent)
     assert answer.startswith(b"HTTP/1.1 %d " % status)
     assert (b"Allow: " in answer) == (status == 405)
@@ -124,19 +134,19 @@
 IDS = [entry.server for entry in LISTED]
 
 
-def full(*entries: t.Entry) -> t.ListNews:
-    return t.ListNews(t.ListScope.FULL, entries, 1)
+def full(*entries: Endpoint) -> EndpointUpdate:
+    return EndpointUpdate(UpdateScope.SNAPSHOT, entries, 1)
 
 
 def test_a_host_taken_out_twice_is_back_after_one_call_and_counts_as_cold() -> None:
     cordons = Cordons()
     cordons.told(full(*LISTED))
     for now in (5_000.0, 6_000.0):
-        assert [e.state for e in cordons.cordon(now, IDS[0]).entries] == [t.ServerState.DRAINING]
+        assert [e.state for e in cordons.cordon(now, IDS[0]).entries] == [EndpointState.DRAINING]
     back = cordons.uncordon(9_000.0, IDS[0]).entries[0]
-    assert (back.state, back.started_ms) == (t.ServerState.HEALTHY, 9_000.0)
+    assert (back.state, back.started_ms) == (EndpointState.HEALTHY, 9_000.0)
     told = replace(LISTED[0], started_ms=7_000.0)
-    assert cordons.told(t.ListNews(t.ListScope.DELTA, (told,), 2)).entries[0].started_ms == 7_000.0
+    assert cordons.told(EndpointUpdate(UpdateScope.DELTA, (told,), 2)).entries[0].started_ms == 7_000.0
 
 
 def test_calls_for_hosts_that_nobody_knows_are_refused_and_a_needless_one_back_is_not() -> None:
@@ -151,7 +161,7 @@
 
 def test_hosts_out_are_bounded_and_those_that_are_back_go_first() -> None:
     cordons = Cordons()
-    many = (t.Entry(f"h{n}", 0, 1.0, 0, t.ServerState.HEALTHY, 0, None) for n in range(MOST + 1))
+    many = (Endpoint(f"h{n}", 0, 1.0, 0, EndpointState.HEALTHY, 0, None) for n in range(MOST + 1))
     cordons.told(full(*many))
     for n in range(MOST):
         cordons.cordon(float(n), f"h{n}")
@@ -179,22 +189,23 @@
 ) -> None:
     """Two processes of one dispatcher, each with its own list, and a set as the model."""
     processes = [Cordons(), Cordons()]
-    cores: list[dict[str, t.Entry]] = [{}, {}]
+    cores: list[dict[str, Endpoint]] = [{}, {}]
     out: set[str] = set()
 
-    def see(n: int, news: t.ListNews | None) -> None:
+    def see(n: int, news: EndpointUpdate | None) -> None:
         if news is None:
             return
-        if news.scope is not t.ListScope.DELTA:
+        if news.scope is not UpdateScope.DELTA:
             cores[n] = {}
         cores[n].update({entry.server: entry for entry in news.entries})
 
     for n in (0, 1):
         see(n, processes[n].told(full(*LISTED[:3])))
     for at, (step, server, n) in enumerate(steps):
-        now, entry = 1000.0 + at, LISTED[IDS.index(server)]
+        now = 1000.0 + at
+        entry = LISTED[IDS.index(server)]
         if step in ("cordon", "uncordon"):
-            known = server in out or cores[n].get(server, LISTED[0]).state is not t.ServerState.GONE
+            known = server in out or cores[n].get(server, LISTED[0]).state is not EndpointState.REMOVED
             if not known:
                 continue
             see(n, getattr(processes[n], step)(now, server))
@@ -203,13 +214,13 @@
         elif step == "list":
             see(n, processes[n].told(full(*LISTED[:3])))
         elif step == "leave":
-            gone = t.Entry(entry.server, 0, 1.0, 0, t.ServerState.GONE, 0, None)
-            see(n, processes[n].told(t.ListNews(t.ListScope.DELTA, (gone,), 2)))
+            gone = Endpoint(entry.server, 0, 1.0, 0, EndpointState.REMOVED, 0, None)
+            see(n, processes[n].told(EndpointUpdate(UpdateScope.DELTA, (gone,), 2)))
         else:
             see(n, processes[n].merge(processes[1 - n].marks))
         for core in cores:
-            states = {s: e.state for s, e in core.items() if e.state is not t.ServerState.GONE}
-            drains = {s for s, state in states.items() if state is t.ServerState.DRAINING}
+            states = {s: e.state for s, e in core.items() if e.state is not EndpointState.REMOVED}
+            drains = {s for s, state in states.items() if state is EndpointState.DRAINING}
             assert drains == out & set(states)
 
 
@@ -219,10 +230,12 @@
 @given(st.integers(0, 2**32))
 def test_figures_agree_with_a_plain_recount_of_random_lives(seed: int) -> None:
     """Clients that go and come, attempts that end in every way, and a module that decides for itself."""
-    rng, noted, now = random.Random(seed), Noted(), 1000.0
+    rng = random.Random(seed)
+    noted = Noted()
+    now = 1000.0
     router = Router(SETTINGS)
     core = Dispatcher(SETTINGS, router, noted, 250.0)
-    core.news(now, t.ListNews(t.ListScope.CACHED, LISTED, 1))
+    core.news(now, EndpointUpdate(UpdateScope.CACHED, LISTED, 1))
     taken: Counter[int] = Counter()
     left = relayed = 0
     for n in range(60):
@@ -230,7 +243,7 @@
         if rng.random() < 0.5:
             cls = rng.randrange(len(SETTINGS.classes))
             told_of = (f"q{n}", cls, 0, f"s{n % 7}", 4000.0, None, None, 900.0, 0.0, 200.0, False, False)
-            core.take(now, t.Request(*told_of), noted, None)
+            core.take(now, Request(*told_of), noted, None)
             taken[cls] += 1
         core.run(now)
         for attempt in [a for a in noted.attempts if not a.over and rng.random() < 0.6]:
@@ -238,11 +251,18 @@
                 core.relayed(attempt)
                 relayed += 1
             if attempt.reading:
-                status = rng.choice([t.Status.READ, t.Status.READ, t.Status.ERROR, t.Status.FULL])
+                status = rng.choice(
+                    [
+                        AttemptStatus.PREFILLED,
+                        AttemptStatus.PREFILLED,
+                        AttemptStatus.ERROR,
+                        AttemptStatus.REJECTED,
+                    ]
+                )
             elif core.began(now, attempt):
-                status = rng.choice([t.Status.OK, t.Status.OK, t.Status.RESET])
+                status = rng.choice([AttemptStatus.OK, AttemptStatus.OK, AttemptStatus.RESET])
             else:
-                status = t.Status.ERROR
+                status = AttemptStatus.ERROR
             core.ended(now, attempt, status)
         for request in list(core.open.values()):
             if not request.done and rng.random() < 0.05:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -11,14 +11,14 @@
 from tests.test_stories import pair, play
 from violetstack import log
 from violetstack.config import Address
-from violetstack.facts import WClass, WFacts
-from violetstack.net import listener
-from violetstack.net.budget import DOOR, LEAST, OWN, budget
-from violetstack.net.door import MOST_CALLERS
+from violetstack.net.admin_server import MOST_CALLERS
+from violetstack.net.downstream import listener
+from violetstack.net.resource_limits import DOOR, LEAST, OWN, budget
 from violetstack.protocol.headers import MAX_WAIT_MS, RequestReader
 from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import BODY, ask_platform, chat_headers, connect, platform_headers, raw
 from violetstack.rehearsal.stage import Stage
+from violetstack.settings import WClass, WFacts
 
 PATH = "/v1/chat/completions"
 
@@ -199,7 +199,8 @@
     whole = request(LENGTH)
 
     async def story(on: Stage) -> None:
-        front, heard = on.daemon.listeners[0], b""
+        front = on.daemon.listeners[0]
+        heard = b""
         slow = await trio.open_tcp_stream(*on.platform)
         silent = []
         for at in range(0, len(whole), 40):
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -11,7 +11,7 @@
 import trio
 
 from tests.test_stories import pair, play
-from violetstack.net.pool import HostConnection, Withheld
+from violetstack.net.upstream.connection_pool import HostConnection, Withheld
 from violetstack.rehearsal.clients import (
     Answer,
     ask_chat,
@@ -19,11 +19,12 @@
     chat_body,
     chat_headers,
     connect,
-)  # fmt: skip
+)
 from violetstack.rehearsal.hosts import CUT, DECLINE, ERROR, RESET, SILENT, TOO_MANY, Act, ModelHost, what
 from violetstack.rehearsal.stage import Stage, stage
 
-ORDER, QUERY = "giro-orden", "giro-consulta"
+ORDER = "giro-orden"
+QUERY = "giro-consulta"
 
 
 def plain(*acts: Act) -> ModelHost:
@@ -192,7 +193,8 @@
 
 def test_openais_own_retries_run_no_order_twice(tmp_path: Path) -> None:
     """Its client sends again by itself what it was not told to leave alone."""
-    broken, turned = plain(RESET), plain(*[TOO_MANY] * 2)
+    broken = plain(RESET)
+    turned = plain(*[TOO_MANY] * 2)
 
     def ask(on: Stage, key: str) -> openai.types.chat.ChatCompletion:
         url = f"http://{on.chat[0]}:{on.chat[1]}/v1"
@@ -259,7 +261,8 @@
 
 def test_dispatchers_that_share_the_ledger_run_an_order_once(tmp_path: Path) -> None:
     hold = trio.Event()
-    first, second = plain(Act(pause=hold)), plain()
+    first = plain(Act(pause=hold))
+    second = plain()
 
     async def main() -> None:
         with trio.fail_after(15):
@@ -352,7 +355,8 @@
 
     async def story(on: Stage) -> None:
         assert on.daemon.orders is not None
-        holds, on.daemon.orders.holds = on.daemon.orders.holds, lambda: False  # type: ignore[method-assign]
+        holds = on.daemon.orders.holds
+        on.daemon.orders.holds = lambda: False  # type: ignore[method-assign]
         told = await ask_chat(on.chat, chat_body(ORDER), chat_headers("k1"))
         assert (told.status, reader.begun, writer.begun) == (503, [], [])
         on.daemon.orders.holds = holds  # type: ignore[method-assign]
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -66,9 +66,11 @@
 
 def test_check_tells_by_its_status_what_it_found(good: Path, tmp_path: Path) -> None:
     assert (run("config", "check", good).exit_code, run("config", "check", good).output) == (
-        0, "1 file(s): 0 error(s), 0 warning(s)\n",
-    )  # fmt: skip
-    doubtful, broken = tmp_path / "doubtful.violet", tmp_path / "broken.violet"
+        0,
+        "1 file(s): 0 error(s), 0 warning(s)\n",
+    )
+    doubtful = tmp_path / "doubtful.violet"
+    broken = tmp_path / "broken.violet"
     doubtful.write_text(GOOD + "pool spare {}\n")
     broken.write_text(GOOD.replace("10s", "250"))
     assert run("config", "check", doubtful).exit_code == 1
@@ -106,7 +108,8 @@
 
 
 def test_diff_and_explain(good: Path, tmp_path: Path) -> None:
-    new, traffic = tmp_path / "new.violet", tmp_path / "log"
+    new = tmp_path / "new.violet"
+    traffic = tmp_path / "log"
     new.write_text(GOOD.replace("8ktok", "6ktok"))
     row = {
         "event": "request",
@@ -136,7 +139,8 @@
 
 
 def test_convert_never_writes_over_a_file(tmp_path: Path) -> None:
-    old, out = tmp_path / "chat.toml", tmp_path / "new.violet"
+    old = tmp_path / "chat.toml"
+    out = tmp_path / "new.violet"
     old.write_text('listen = "127.0.0.1:8080"\nmodels = []\nkeys = []\n')
     assert run("config", "convert", old, "--out", out).exit_code == 0
     assert out.read_text() == 'listen chat {\n  address = "127.0.0.1:8080"\n}\n'
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,26 +8,43 @@
 import pytest
 
 from tests.front import READERS, SETTINGS, WRITERS
-from violetstack import interface as t
 from violetstack.core.dispatcher import LEAST_CONNECT_MS, Dispatcher, Duplicate
 from violetstack.core.records import Attempt, OpenRequest, PlaceCall, ReleaseCall
+from violetstack.policy_api import (
+    Action,
+    AttemptFinished,
+    AttemptStatus,
+    CancelAttempt,
+    ClientDisconnected,
+    EndpointUpdate,
+    Event,
+    FailRequest,
+    RejectRequest,
+    ReleaseState,
+    Request,
+    ReserveDecodeSlot,
+    SendAttempt,
+    TimerFired,
+    UpdateScope,
+)
 
 
 class Noted:
     """Decider, driver and sink in one: acts as told, and notes what it is asked."""
 
     def __init__(self) -> None:
-        self.next: list[t.Action] = []
-        self.events: list[t.Event] = []
+        self.next: list[Action] = []
+        self.events: list[Event] = []
         self.attempts: list[Attempt] = []
         self.aborted: list[Attempt] = []
         self.places: list[PlaceCall] = []
         self.releases: list[ReleaseCall] = []
         self.answers: list[str] = []
 
-    def handle(self, now: float, events: list[t.Event]) -> list[t.Action]:
+    def handle(self, now: float, events: list[Event]) -> list[Action]:
         self.events += events
-        actions, self.next = self.next, []
+        actions = self.next
+        self.next = []
         return actions
 
     def start(self, attempt: Attempt) -> None:
@@ -70,36 +87,39 @@
         self.answers.append(f"failed {may_have_run}")
 
     @property
-    def statuses(self) -> list[t.Status]:
-        return [event.status for event in self.events if isinstance(event, t.Outcome)]
+    def statuses(self) -> list[AttemptStatus]:
+        return [event.status for event in self.events if isinstance(event, AttemptFinished)]
 
 
 class Scene:
     def __init__(self) -> None:
-        self.noted, self.now = Noted(), 1000.0
+        self.noted = Noted()
+        self.now = 1000.0
         self.core = Dispatcher(SETTINGS, self.noted, self.noted, 250.0)
-        self.core.news(self.now, t.ListNews(t.ListScope.CACHED, READERS + WRITERS, 1))
+        self.core.news(self.now, EndpointUpdate(UpdateScope.CACHED, READERS + WRITERS, 1))
         self.request = self.take("q")
         self.run()
 
     def take(self, name: str) -> OpenRequest:
-        asked = t.Request(name, 1, 0, None, 3000.0, None, None, 100.0, 0.0, 50.0, False, False)
+        asked = Request(name, 1, 0, None, 3000.0, None, None, 100.0, 0.0, 50.0, False, False)
         return self.core.take(self.now, asked, self.noted, None)
 
-    def run(self, *actions: t.Action, after: float = 0.0) -> None:
+    def run(self, *actions: Action, after: float = 0.0) -> None:
         self.now += after
         self.noted.next += actions
         if actions:
-            self.core.inbox.append(t.TimerDue("go"))
+            self.core.inbox.append(TimerFired("go"))
         self.core.run(self.now)
 
     def send(self, server: str, stop_after: float = 500.0) -> Attempt:
-        self.run(t.Send("q", server, self.now + stop_after))
+        self.run(SendAttempt("q", server, self.now + stop_after))
         return self.noted.attempts[-1]
 
 
-@pytest.mark.parametrize(("written", "status"), [(False, t.Status.CONNECT_FAILED), (True, t.Status.TIMEOUT)])
-def test_only_what_was_written_may_have_run_at_its_time_limit(written: bool, status: t.Status) -> None:
+@pytest.mark.parametrize(
+    ("written", "status"), [(False, AttemptStatus.CONNECT_FAILED), (True, AttemptStatus.TIMEOUT)]
+)
+def test_only_what_was_written_may_have_run_at_its_time_limit(written: bool, status: AttemptStatus) -> None:
     scene = Scene()
     scene.send("w1").written = written
     scene.run(after=501.0)
@@ -107,20 +127,22 @@
     assert scene.request.may_have_run is written
 
 
-@pytest.mark.parametrize(("written", "status"), [(False, t.Status.MOOT), (True, t.Status.CANCELLED)])
-def test_only_what_was_written_may_have_run_when_withdrawn(written: bool, status: t.Status) -> None:
+@pytest.mark.parametrize(
+    ("written", "status"), [(False, AttemptStatus.ALREADY_FINISHED), (True, AttemptStatus.CANCELLED)]
+)
+def test_only_what_was_written_may_have_run_when_withdrawn(written: bool, status: AttemptStatus) -> None:
     scene = Scene()
     scene.send("w1").written = written
-    scene.run(t.Cancel("q", 0))
+    scene.run(CancelAttempt("q", 0))
     assert scene.noted.statuses == [status]
 
 
 def test_one_final_answer_whatever_is_decided_after_it() -> None:
     scene = Scene()
-    scene.run(t.Refuse("q", 100.0), t.Fail("q"), t.Send("q", "w1", 0.0))
+    scene.run(RejectRequest("q", 100.0), FailRequest("q"), SendAttempt("q", "w1", 0.0))
     scene.run(after=4000.0)
     assert scene.noted.answers == ["refused"]
-    assert scene.noted.statuses == [t.Status.MOOT]
+    assert scene.noted.statuses == [AttemptStatus.ALREADY_FINISHED]
     assert not scene.core.open
 
 
@@ -129,7 +151,7 @@
     scene.send("w1", stop_after=9000.0).written = True
     scene.run(after=3001.0)
     assert len(scene.noted.answers) == 1
-    assert t.Left("q") in scene.noted.events or scene.noted.statuses == [t.Status.TIMEOUT]
+    assert ClientDisconnected("q") in scene.noted.events or scene.noted.statuses == [AttemptStatus.TIMEOUT]
 
 
 def test_a_begun_stream_has_no_deadline_and_its_break_is_the_answer() -> None:
@@ -138,8 +160,8 @@
     assert scene.core.began(scene.now, attempt)
     scene.run(after=9000.0)
     assert scene.noted.answers == ["begun"]
-    scene.core.ended(scene.now, attempt, t.Status.RESET)
-    scene.run(t.Refuse("q", 0.0))
+    scene.core.ended(scene.now, attempt, AttemptStatus.RESET)
+    scene.run(RejectRequest("q", 0.0))
     assert scene.noted.answers == ["begun", "cut"]
 
 
@@ -151,9 +173,9 @@
 ) -> None:
     scene = Scene()
     read = scene.send("r1")
-    scene.run(t.HoldPlace("q", "w1"))
-    scene.core.ended(scene.now, read, t.Status.CONNECT_FAILED)
-    scene.run(t.Refuse("q", 0.0))
+    scene.run(ReserveDecodeSlot("q", "w1"))
+    scene.core.ended(scene.now, read, AttemptStatus.CONNECT_FAILED)
+    scene.run(RejectRequest("q", 0.0))
     scene.core.place_answered(scene.noted.places[0], held, nothing)
     scene.run()
     assert len(scene.noted.releases) == released
@@ -163,9 +185,9 @@
     """The release may have come first."""
     scene = Scene()
     read = scene.send("r1")
-    scene.run(t.HoldPlace("q", "w1"))
-    scene.core.ended(scene.now, read, t.Status.READ)
-    scene.run(t.Refuse("q", 0.0), t.Release("q"))
+    scene.run(ReserveDecodeSlot("q", "w1"))
+    scene.core.ended(scene.now, read, AttemptStatus.PREFILLED)
+    scene.run(RejectRequest("q", 0.0), ReleaseState("q"))
     scene.core.place_answered(scene.noted.places[0], None, False)
     scene.core.released(scene.noted.releases[0], True)
     scene.run()
@@ -176,10 +198,10 @@
     """The release was dropped and not made again, so that the place stayed held until the request's end."""
     scene = Scene()
     read = scene.send("r1")
-    scene.run(t.HoldPlace("q", "w1"))
+    scene.run(ReserveDecodeSlot("q", "w1"))
     read.written = True
-    scene.core.ended(scene.now, read, t.Status.RESET)
-    scene.run(t.Release("q"))
+    scene.core.ended(scene.now, read, AttemptStatus.RESET)
+    scene.run(ReleaseState("q"))
     scene.core.place_answered(scene.noted.places[0], True, False)
     assert [call.stale for call in scene.noted.releases] == [True, False]
     scene.core.released(scene.noted.releases[0], True)
@@ -192,8 +214,8 @@
     scene = Scene()
     read = scene.send("r1")
     read.written = True
-    scene.core.ended(scene.now, read, t.Status.RESET)
-    scene.run(t.Refuse("q", 0.0))
+    scene.core.ended(scene.now, read, AttemptStatus.RESET)
+    scene.run(RejectRequest("q", 0.0))
     assert len(scene.noted.releases) == 1
     scene.core.released(scene.noted.releases[0], True)
     scene.run()
@@ -203,15 +225,15 @@
 def test_a_further_send_makes_a_release_pointless_once_it_goes_out_and_its_end_needs_one_again() -> None:
     """Decided on is not enough: its connection may never come up, and what is held has its time."""
     scene = Scene()
-    scene.core.ended(scene.now, scene.send("r1"), t.Status.READ)
-    scene.run(t.Release("q"))
+    scene.core.ended(scene.now, scene.send("r1"), AttemptStatus.PREFILLED)
+    scene.run(ReleaseState("q"))
     read = scene.send("r2")
     assert not scene.noted.releases[0].stale
     scene.core.sending(read)
     assert scene.noted.releases[0].stale
     scene.core.released(scene.noted.releases[0], False)
-    scene.core.ended(scene.now, read, t.Status.ERROR)
-    scene.run(t.Refuse("q", 0.0))
+    scene.core.ended(scene.now, read, AttemptStatus.ERROR)
+    scene.run(RejectRequest("q", 0.0))
     assert len(scene.noted.releases) == 2
 
 
@@ -219,10 +241,10 @@
     """It waited for that call's end, 0.6 s, where half a second may be all that the rule gives."""
     scene = Scene()
     read = scene.send("r1")
-    scene.run(t.HoldPlace("q", "w1"))
+    scene.run(ReserveDecodeSlot("q", "w1"))
     read.written = True
-    scene.core.ended(scene.now, read, t.Status.READ)
-    scene.run(t.Refuse("q", 0.0))
+    scene.core.ended(scene.now, read, AttemptStatus.PREFILLED)
+    scene.run(RejectRequest("q", 0.0))
     assert len(scene.noted.releases) == 1
     scene.core.released(scene.noted.releases[0], True)
     scene.run()
@@ -241,17 +263,17 @@
     read = scene.send("r1")
     assert scene.core.connect_ms(scene.now, read) == math.inf
     read.written = True
-    scene.core.ended(scene.now, read, t.Status.READ)
+    scene.core.ended(scene.now, read, AttemptStatus.PREFILLED)
     scene.now += 100.0
     write = scene.send("w1")
     assert scene.core.connect_ms(scene.now, write) == 200.0
-    scene.core.ended(scene.now + 100.0, write, t.Status.CONNECT_FAILED)
+    scene.core.ended(scene.now + 100.0, write, AttemptStatus.CONNECT_FAILED)
     scene.now += 100.0
     again = scene.send("w2")
     assert scene.core.connect_ms(scene.now, again) == 100.0
     assert scene.core.connect_ms(scene.now + 400.0, again) == LEAST_CONNECT_MS
     again.written = True
-    scene.core.ended(scene.now, again, t.Status.FULL)
+    scene.core.ended(scene.now, again, AttemptStatus.REJECTED)
     assert scene.core.connect_ms(scene.now, scene.send("w1")) == 300.0
 
 
@@ -268,7 +290,7 @@
 def test_a_front_whose_answer_fails_loses_that_answer_only() -> None:
     scene = Scene()
     scene.request.sink.finished = lambda: 1 / 0  # type: ignore[method-assign, assignment]
-    scene.core.ended(scene.now, scene.send("w1"), t.Status.OK)
+    scene.core.ended(scene.now, scene.send("w1"), AttemptStatus.OK)
     scene.run()
     assert not scene.core.open
 
@@ -282,9 +304,9 @@
 def test_attempts_beyond_the_cap_are_not_sent() -> None:
     scene = Scene()
     for _ in range(SETTINGS.max_attempts + 1):
-        scene.run(t.Send("q", "w1", 0.0))
+        scene.run(SendAttempt("q", "w1", 0.0))
         for attempt in list(scene.request.out.values()):
-            scene.core.ended(scene.now, attempt, t.Status.FULL)
+            scene.core.ended(scene.now, attempt, AttemptStatus.REJECTED)
     scene.run()
     assert len(scene.noted.attempts) == SETTINGS.max_attempts
-    assert scene.noted.statuses[-1] is t.Status.MOOT
+    assert scene.noted.statuses[-1] is AttemptStatus.ALREADY_FINISHED
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,11 +17,11 @@
 from tests.test_chat import ledger
 from tests.test_program import start
 from tests.test_stories import pair, play
-from violetstack.net import hosts as hosts_module
-from violetstack.net import listener as listener_module
-from violetstack.net import pool
-from violetstack.net.listener import Connection
-from violetstack.net.pool import HostConnection
+from violetstack.net.downstream import listener as listener_module
+from violetstack.net.downstream.listener import Connection
+from violetstack.net.upstream import attempt as hosts_module
+from violetstack.net.upstream import connection_pool
+from violetstack.net.upstream.connection_pool import HostConnection
 from violetstack.protocol.host_side import Body, End, Head
 from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import (
@@ -46,8 +46,10 @@
     """The next connections to one host come up when told to, as over a slow network."""
 
     def __init__(self, on: Stage, name: str) -> None:
-        self.asked, self.up = trio.Event(), trio.Event()
-        self._open, self._name = on.daemon.hosts._open, name
+        self.asked = trio.Event()
+        self.up = trio.Event()
+        self._open = on.daemon.hosts._open
+        self._name = name
         on.daemon.hosts._open = self.open  # type: ignore[method-assign]
 
     async def open(self, server: str, timeout: float) -> HostConnection:
@@ -197,7 +199,8 @@
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
-        hosts, core = on.daemon.hosts, on.daemon.core
+        hosts = on.daemon.hosts
+        core = on.daemon.core
         await ask_platform(on.platform, "q1", "orden")
         for host in hosts.hosts.values():
             for connection in host.idle:
@@ -270,7 +273,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The host has got no whole request, so that nothing has run, whatever the class allows."""
-    reader, writer = ModelHost("r", "prefill"), Halving("w", "decode")
+    reader = ModelHost("r", "prefill")
+    writer = Halving("w", "decode")
     begin = HostConnection.__init__
 
     def small(self: HostConnection, raw: Any, *args: Any) -> None:
@@ -305,7 +309,8 @@
 
 def test_a_late_second_answer_is_not_taken_for_the_next_requests(monkeypatch: pytest.MonkeyPatch) -> None:
     """The next request had been written on the connection by then, and its prompt counted as read."""
-    monkeypatch.setattr(pool, "REST_S", 60.0)  # however long this machine takes from one to the other
+    # However long this machine takes from one request to the next.
+    monkeypatch.setattr(connection_pool, "REST_S", 60.0)
     gate = trio.Event()
     reader = Echoing("r", "prefill", Act(), Act(before=gate))
     writer = ModelHost("w", "decode")
@@ -323,7 +328,8 @@
 
 
 def test_the_other_order_a_second_answer_that_comes_first_ends_the_connection() -> None:
-    reader, writer = ModelHost("r", "prefill", Act(behind=EXTRA)), ModelHost("w", "decode")
+    reader = ModelHost("r", "prefill", Act(behind=EXTRA))
+    writer = ModelHost("w", "decode")
 
     async def story(on: Stage) -> None:
         await ask_platform(on.platform, "q1", "orden")
@@ -336,7 +342,7 @@
 
 
 def test_a_connection_that_has_rested_is_used_again(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(pool, "REST_S", 0.0)
+    monkeypatch.setattr(connection_pool, "REST_S", 0.0)
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
@@ -357,7 +363,8 @@
     """
 
     def __init__(self, stream: Any, between: Callable[[], object]) -> None:
-        self._receive, self._between = stream.receive_some, between
+        self._receive = stream.receive_some
+        self._between = between
         stream.receive_some = self.receive_some
 
     async def receive_some(self, most: int | None = None) -> bytes | bytearray:
@@ -461,7 +468,8 @@
     monkeypatch.setattr(hosts_module, "RELEASE_TRY_S", 60.0)
     reader, writer = pair(DECLINE, DECLINE, DECLINE, DECLINE, DECLINE)
     more = [ModelHost(f"r{n}", "prefill") for n in range(2, 6)]
-    gate, asked = trio.Event(), []
+    gate = trio.Event()
+    asked = []
 
     async def cut_off(inbound: Inbound, connection: PeerConnection) -> None:
         asked.append(inbound.method)
@@ -574,7 +582,8 @@
 
 @pytest.mark.parametrize("front", ["platform", "chat"])
 def test_each_event_is_passed_on_before_the_next_and_within_300_ms(front: str) -> None:
-    reader, writer = ModelHost("r", "prefill"), Pacing("w", "decode")
+    reader = ModelHost("r", "prefill")
+    writer = Pacing("w", "decode")
 
     async def story(on: Stage) -> None:
         if front == "platform":
@@ -607,7 +616,8 @@
 
 def test_sigterm_passes_a_stream_on_whose_host_has_finished_and_whose_client_reads_late() -> None:
     """Its connection counted as idle, and was closed over what waited to be written."""
-    reader, writer = ModelHost("r", "prefill"), Large("w", "decode")
+    reader = ModelHost("r", "prefill")
+    writer = Large("w", "decode")
 
     async def story(on: Stage) -> None:
         sock = trio.socket.socket()
@@ -615,7 +625,8 @@
         await sock.connect(on.platform)
         call = Call(trio.SocketStream(sock))
         await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
-        core, connections = on.daemon.core, on.daemon.listeners[0].connections
+        core = on.daemon.core
+        connections = on.daemon.listeners[0].connections
         told: list[Head | Body | End] = []
 
         async def read() -> None:
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -5,25 +5,41 @@
 from msgspec.structs import replace
 
 from tests.front import READERS, SAFE, WRITERS, Front, entry
-from violetstack import interface as t
-
-TENANTS = (t.TenantSpec(0.5, 4.0), t.TenantSpec(0.5, 1000.0))
+from violetstack.policy_api import (
+    AttemptStatus,
+    HealthCheckResult,
+    RejectRequest,
+    ReserveDecodeSlot,
+    SendAttempt,
+    SendHealthCheck,
+    StreamStarted,
+    TenantSettings,
+    TimerFired,
+    UpdateScope,
+)
+
+TENANTS = (TenantSettings(0.5, 4.0), TenantSettings(0.5, 1000.0))
 
 
 def warm_up(front: Front, rounds: int = 20) -> None:
     for _ in range(rounds):
-        front.end(front.ask(), t.Status.READ, after=100.0)
+        front.end(front.ask(), AttemptStatus.PREFILLED, after=100.0)
 
 
 def test_a_reader_that_fails_fast_stops_looking_free() -> None:
     front = Front(*(entry(f"r{i}", 0) for i in range(4)), *WRITERS)
-    sent, bad = 0, ""
+    sent = 0
+    bad = ""
     for _ in range(60):
         request = front.ask(prompt_tokens=1500.0)
         at = front.sends[request][0].server
         bad = bad or at
         sent += at == bad
-        front.end(request, t.Status.ERROR if at == bad else t.Status.READ, after=4.0 if at == bad else 50.0)
+        front.end(
+            request,
+            AttemptStatus.ERROR if at == bad else AttemptStatus.PREFILLED,
+            after=4.0 if at == bad else 50.0,
+        )
     assert 1 <= sent < 10
 
 
@@ -31,8 +47,8 @@
     front = Front(*READERS, *WRITERS)
     request = front.ask()
     bad = front.sends[request][0].server
-    front.end(request, t.Status.ERROR, after=4.0)
-    front.end(request, t.Status.READ)
+    front.end(request, AttemptStatus.ERROR, after=4.0)
+    front.end(request, AttemptStatus.PREFILLED)
     front.now += 30_000.0
     picks = {front.sends[front.ask(shared=f"p{i}", prompt_tokens=100.0)][0].server for i in range(6)}
     assert bad in picks
@@ -50,20 +66,20 @@
 def test_when_all_readers_fail_the_least_blamed_serves() -> None:
     front = Front(max_attempts=2)
     for _ in range(10):
-        front.end(front.ask(), t.Status.ERROR, after=4.0)
-        assert len(front.all(t.Refuse)) == 1
+        front.end(front.ask(), AttemptStatus.ERROR, after=4.0)
+        assert len(front.all(RejectRequest)) == 1
     front.ask()
-    front.one(t.Send)
+    front.one(SendAttempt)
 
 
 def test_a_read_is_bounded_and_read_again_while_attempts_allow() -> None:
     front = Front()
     warm_up(front)
     request = front.ask()
-    first = front.one(t.Send)
+    first = front.one(SendAttempt)
     assert front.now < first.stop_at_ms < front.now + 3000.0
-    front.end(request, t.Status.TIMEOUT, after=500.0)
-    again = front.one(t.Send)
+    front.end(request, AttemptStatus.TIMEOUT, after=500.0)
+    again = front.one(SendAttempt)
     assert again.server != first.server
     assert again.stop_at_ms == front.now - 500.0 + 3000.0
 
@@ -74,11 +90,11 @@
     warm_up(front)
     for _ in range(200):
         front.ask()
-        if front.all(t.Refuse):
+        if front.all(RejectRequest):
             break
-    refusal = front.one(t.Refuse)
+    refusal = front.one(RejectRequest)
     assert 0 < refusal.retry_after_ms <= 1000.0
-    assert not front.all(t.Send)
+    assert not front.all(SendAttempt)
 
 
 def test_the_cheapest_worth_is_refused_first() -> None:
@@ -90,7 +106,7 @@
         admitted[cls] = 0
         for _ in range(200):
             front.ask(cls=cls)
-            admitted[cls] += len(front.all(t.Send))
+            admitted[cls] += len(front.all(SendAttempt))
     assert 0 < admitted[0] < admitted[1]
 
 
@@ -102,7 +118,7 @@
         admitted[tenant] = 0
         for _ in range(200):
             front.ask(tenant=tenant)
-            admitted[tenant] += len(front.all(t.Send))
+            admitted[tenant] += len(front.all(SendAttempt))
     assert 0 < admitted[0] < admitted[1]
 
 
@@ -110,15 +126,15 @@
     front = Front()
     warm_up(front)
     for _ in range(50):
-        front.end(front.ask(prompt_tokens=30_000.0), t.Status.READ, after=2900.0)
-        front.one(t.Send)
+        front.end(front.ask(prompt_tokens=30_000.0), AttemptStatus.PREFILLED, after=2900.0)
+        front.one(SendAttempt)
 
 
 def test_a_front_that_heard_nothing_refuses_nothing_by_estimate() -> None:
     front = Front()
     for _ in range(20):
         front.ask(prompt_tokens=6000.0)
-        front.one(t.Send)
+        front.one(SendAttempt)
 
 
 def test_refusals_end_with_the_jam_that_caused_them() -> None:
@@ -127,26 +143,26 @@
     jammed = []
     for _ in range(10):
         request = front.ask()
-        front.end(request, t.Status.READ)
+        front.end(request, AttemptStatus.PREFILLED)
         jammed.append(request)
     for request in jammed:
-        front.feed(t.Begun(request, front.sends[request][-1].server, 1, 2500.0), after=250.0)
+        front.feed(StreamStarted(request, front.sends[request][-1].server, 1, 2500.0), after=250.0)
     front.ask(after=10.0)
-    front.one(t.Send)
+    front.one(SendAttempt)
 
 
 def test_writes_that_do_not_begin_close_the_door() -> None:
     front = Front()
     for _ in range(20):
         request = front.ask()
-        front.end(request, t.Status.READ)
+        front.end(request, AttemptStatus.PREFILLED)
         front.begin(request)
     for _ in range(60):
         request = front.ask(after=20.0)
-        if front.all(t.Refuse):
+        if front.all(RejectRequest):
             break
-        front.end(request, t.Status.READ, after=5.0)
-    front.one(t.Refuse)
+        front.end(request, AttemptStatus.PREFILLED, after=5.0)
+    front.one(RejectRequest)
 
 
 def test_a_dear_class_with_a_short_aim_outlasts_a_cheap_patient_one() -> None:
@@ -159,7 +175,7 @@
         admitted[cls] = 0
         for _ in range(200):
             front.ask(cls=cls)
-            admitted[cls] += len(front.all(t.Send))
+            admitted[cls] += len(front.all(SendAttempt))
     assert 0 < admitted[0] < admitted[1]
 
 
@@ -168,14 +184,15 @@
     front = Front(READERS[0], *WRITERS)
     asked = [front.ask(prompt_tokens=100.0) for _ in range(6)]
     for request in asked:
-        front.end(request, t.Status.RESET, after=0.0, took=50.0)
+        front.end(request, AttemptStatus.RESET, after=0.0, took=50.0)
     reader = front.router.fleet.servers["r1"]
     assert 0.1 <= reader.left.at(front.now) <= 0.3
 
 
 def test_what_a_failure_leaves_counts_at_readers_alone_too() -> None:
     front = Front()
-    fleet, job = front.router.fleet, front.router.jobs[front.ask(prompt_tokens=100.0)]
+    fleet = front.router.fleet
+    job = front.router.jobs[front.ask(prompt_tokens=100.0)]
     before = fleet.read_freeness(fleet.servers["r2"], job, front.now)
     fleet.servers["r2"].blame(front.now, 0.0)
     assert fleet.read_freeness(fleet.servers["r2"], job, front.now) <= before - 0.2
@@ -194,14 +211,15 @@
     readers = [entry(f"r{i}", 0) for i in range(30)]
     refused = {}
     for late in (False, True):
-        front, refused[late] = Front(*readers, *WRITERS), 0
+        front = Front(*readers, *WRITERS)
+        refused[late] = 0
         for _ in range(60):
             request = front.ask(after=700.0)
-            refused[late] += len(front.all(t.Refuse))
+            refused[late] += len(front.all(RejectRequest))
             if request in front.sends:
-                front.end(request, t.Status.READ, after=900.0 if late else 90.0)
+                front.end(request, AttemptStatus.PREFILLED, after=900.0 if late else 90.0)
                 front.begin(request)
-                front.end(request, t.Status.OK)
+                front.end(request, AttemptStatus.OK)
     assert refused[False] == 0
     assert 20 < refused[True] < 60  # some are always let in, so that the end of the jam is seen
 
@@ -210,12 +228,12 @@
     front = Front(*(entry(f"r{i}", 0) for i in range(30)), *WRITERS)
     for n in range(60):
         request = front.ask(after=700.0)
-        front.one(t.Send)
+        front.one(SendAttempt)
         if n % 5 == 0:
-            front.end(request, t.Status.TIMEOUT, after=1000.0)
-        front.end(request, t.Status.READ, after=90.0)
+            front.end(request, AttemptStatus.TIMEOUT, after=1000.0)
+        front.end(request, AttemptStatus.PREFILLED, after=90.0)
         front.begin(request)
-        front.end(request, t.Status.OK)
+        front.end(request, AttemptStatus.OK)
 
 
 def test_time_without_an_outcome_lowers_a_readers_speed() -> None:
@@ -231,7 +249,7 @@
     front = Front()
     server = front.router.fleet.servers["r1"]
     server.blame(front.now, 0.0)
-    front.news(t.ListScope.DELTA, entry("r1", 0, started_ms=front.now))
+    front.news(UpdateScope.DELTA, entry("r1", 0, started_ms=front.now))
     assert server.left.at(front.now) == 0.0 and server.streak == 0
 
 
@@ -240,8 +258,8 @@
     front.router.fleet.servers["r2"].left.add(front.now, 50.0)
     request = front.ask()
     assert front.sends[request][0].server == "r1"
-    front.end(request, t.Status.ERROR, after=4.0)
-    assert front.one(t.Send).server == "r2"
+    front.end(request, AttemptStatus.ERROR, after=4.0)
+    assert front.one(SendAttempt).server == "r2"
 
 
 def test_own_streams_weigh_by_the_number_of_fronts_without_reports() -> None:
@@ -249,7 +267,7 @@
     for fleet_size in (1, 4):
         front = Front(fleet_size=fleet_size)
         front.ask(prompt_tokens=9800.0)
-        place = front.one(t.HoldPlace).server
+        place = front.one(ReserveDecodeSlot).server
         fleet = front.router.fleet
         used.append(1.0 - fleet.write_freeness(fleet.servers[place], front.now, fleet.means()))
     assert abs(used[1] - 4 * used[0]) < 1e-9
@@ -269,7 +287,7 @@
     front = Front(report_names=("x0",))
     fleet = front.router.fleet
     front.ask(prompt_tokens=30_000.0)
-    server = fleet.servers[front.one(t.HoldPlace).server]
+    server = fleet.servers[front.one(ReserveDecodeSlot).server]
     for _ in range(30):
         fleet.report(server, (0.9,), front.now)
     assert 0.5 * 100_000.0 <= fleet.memory(server, front.now) < 0.8 * 100_000.0
@@ -279,17 +297,17 @@
     """Incident i85aa01: the state is gone after an error, the next writer answered no_room with note 1."""
     front = Front(ahead=False)
     request = front.ask()
-    front.end(request, t.Status.READ)
-    front.end(request, t.Status.ERROR, after=4.0)
-    assert front.one(t.Send).server in ("r1", "r2")
+    front.end(request, AttemptStatus.PREFILLED)
+    front.end(request, AttemptStatus.ERROR, after=4.0)
+    assert front.one(SendAttempt).server in ("r1", "r2")
 
 
 def test_servers_are_polled_in_turn_where_only_polls_carry_reports() -> None:
     front = Front(reports_on_probe=True, may_probe=True, report_names=("x0",))
     polled = set()
     for _ in range(4):
-        front.feed(t.TimerDue("poll"), after=500.0)
-        polled.add(front.one(t.Probe).server)
+        front.feed(TimerFired("poll"), after=500.0)
+        polled.add(front.one(SendHealthCheck).server)
     assert polled == {"r1", "r2", "w1", "w2"}
-    front.feed(t.Probed("w1", t.Status.OK, 1.0, (0.4,)))
+    front.feed(HealthCheckResult("w1", AttemptStatus.OK, 1.0, (0.4,)))
     assert front.router.fleet.servers["w1"].share == 0.4
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -13,40 +13,59 @@
 from click.testing import CliRunner
 
 from tests.front import Front, entry
-from violetstack import interface as t
 from violetstack.commands.main import main
 from violetstack.config import BadConfig, Config, WConfig
-from violetstack.lease.leave import ASKED_MS, Leave
-from violetstack.lease.member import EVERYONE, Budget, Effect, Member
 from violetstack.lease.messages import BadDatagram, Ballot, Item, Kind, duty_of, encode
-from violetstack.lease.trials import PATIENCE_MS, TRYING, WELL, Trials, name_of
+from violetstack.lease.node import EVERYONE, Budget, Effect, Member
+from violetstack.lease.outlier_checks import PATIENCE_MS, TRYING, WELL, Trials, name_of
+from violetstack.lease.restart_permits import ASKED_MS, Leave
 from violetstack.operators import OperatorFile
-from violetstack.rehearsal.fleet.ground import DOOR, Ground
+from violetstack.policy_api import OutlierCheckResult, SendAttempt
 from violetstack.rehearsal.fleet.plan import Plan, Trouble
 from violetstack.rehearsal.fleet.report import Result
+from violetstack.rehearsal.fleet.runner import DOOR, Ground
 from violetstack.rehearsal.stage import SETTINGS
 
 # --- processes ---
 
 
 STRIKES = [
-    Trouble(3.0, "stop", "holder", 2.2), Trouble(7.0, "kill", "holder"),
+    Trouble(3.0, "stop", "holder", 2.2),
+    Trouble(7.0, "kill", "holder"),
     Trouble(10.5, "network", "holder", 2.0, "deaf"),
-]  # fmt: skip
+]
 HANDED_ON = Plan(
-    seed=7, dispatchers=5, readers=4, rate=30, warm=1, seconds=13.5, notice=4,
+    seed=7,
+    dispatchers=5,
+    readers=4,
+    rate=30,
+    warm=1,
+    seconds=13.5,
+    notice=4,
     file='duties { lease = 600ms trials = true keys = ["of the tier"] }',
     trouble=[Trouble(0.1, "fail", "r0"), *STRIKES],
-)  # fmt: skip
+)
 ENDED = Plan(
-    seed=8, dispatchers=4, rate=20, warm=1, seconds=12, door=True,
+    seed=8,
+    dispatchers=4,
+    rate=20,
+    warm=1,
+    seconds=12,
+    door=True,
     file="duties { lease = 500ms leave = 1 leave_wait = 20s }",
     trouble=[Trouble(2.0, "term", "0-2", 25.0), Trouble(2.0, "network", "all", 6.0, "loss")],
-)  # fmt: skip
+)
 ROLLED = Plan(
-    seed=9, dispatchers=3, rate=10, warm=1, seconds=14, door=True, supervised=True,
-    file="duties { lease = 500ms leave = 1 }", trouble=[Trouble(0.2, "network", "2", 60.0, "cut")],
-)  # fmt: skip
+    seed=9,
+    dispatchers=3,
+    rate=10,
+    warm=1,
+    seconds=14,
+    door=True,
+    supervised=True,
+    file="duties { lease = 500ms leave = 1 }",
+    trouble=[Trouble(0.2, "network", "2", 60.0, "cut")],
+)
 
 
 class Played:
@@ -116,7 +135,8 @@
 
 
 def test_the_tier_is_rolled_by_its_doors_and_who_is_cut_off_stops_it(played: Played) -> None:
-    (dry, both, cut, who, resigned), doors = played.told, played.doors
+    (dry, both, cut, who, resigned) = played.told
+    doors = played.doors
     assert dry == (0, "".join(f"{n + 1}. {door}: serves\n" for n, door in enumerate(doors)))
     assert both == (0, f"1. {doors[0]}: back\n2. {doors[1]}: back\n")
     assert cut[0] == 1 and "no majority" in cut[1] and f"not restarted: {doors[0]}" in cut[1]
@@ -240,8 +260,9 @@
 
 
 def test_one_tries_a_suspect_host_and_its_finding_is_everybodys() -> None:
-    tier, bad = Tier(4), {0, 1, 2}
-    told: list[list[t.Trial]] = [[] for _ in tier.members]
+    tier = Tier(4)
+    bad = {0, 1, 2}
+    told: list[list[OutlierCheckResult]] = [[] for _ in tier.members]
     trials = []
     for n, member in enumerate(tier.members):
         each = Trials(member, lambda host, n=n: host == "h" and n in bad, told[n].append)  # type: ignore[misc]
@@ -257,7 +278,7 @@
     (holder,) = tier.holders(name_of("h"))
     assert holder in bad
     for n, rows in enumerate(told):
-        assert t.Trial("h", 0.0 if n == holder else 1_000.0, False) in rows
+        assert OutlierCheckResult("h", 0.0 if n == holder else 1_000.0, False) in rows
     tier.run(PATIENCE_MS, turn)  # without any outcome, another's turn
     (second,) = tier.holders(name_of("h"))
     assert second != holder
@@ -265,7 +286,7 @@
     trials[second].seen(tier.now, "h", True)
     tier.run(50.0, turn)
     assert tier.holders(name_of("h")) == [] and not any(each.suspects for each in trials)
-    assert all(rows[-1] == t.Trial("h", 0.0, True) for n, rows in enumerate(told) if n != second)
+    assert all(rows[-1] == OutlierCheckResult("h", 0.0, True) for n, rows in enumerate(told) if n != second)
     bad |= {0}
     tier.run(500.0, turn)
     trials[0].listed(tier.now, ["g"])  # it is gone
@@ -276,20 +297,20 @@
 
 def test_the_module_leaves_a_suspect_to_the_one_that_tries_it_and_not_for_a_word_alone() -> None:
     front = Front(entry("r0", 0), entry("r1", 0), entry("w0", 1))
-    front.feed(t.Trial("r0", 2_000.0, False), t.Trial("nobody", 2_000.0, False))
+    front.feed(OutlierCheckResult("r0", 2_000.0, False), OutlierCheckResult("nobody", 2_000.0, False))
     server = front.router.fleet.servers["r0"]
     assert server.away_until == 0.0 and not front.router.suspected("r0")
     for at in (front.now, front.now + 1.0):
         server.blame(at, 0.0)
     assert front.router.suspected("r0")
     server.left.total = 0.0  # its failures no longer cost anything
-    front.feed(t.Trial("r0", 2_000.0, False), after=2.0)
+    front.feed(OutlierCheckResult("r0", 2_000.0, False), after=2.0)
     sent = []
     for _ in range(6):
         front.ask()
-        sent.append(front.all(t.Send)[-1].server)
+        sent.append(front.all(SendAttempt)[-1].server)
     assert set(sent) == {"r1"}
-    front.feed(t.Trial("r0", 0.0, True))
+    front.feed(OutlierCheckResult("r0", 0.0, True))
     assert not front.router.suspected("r0") and server.away_until == 0.0
 
 
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -15,8 +15,25 @@
 from msgspec.structs import replace
 
 from tests.front import SAFE, SETTINGS, entry
-from violetstack import interface as t
-from violetstack.peers.sharing import code_of, datagram, tag_of
+from violetstack.gossip.load_gossip import code_of, datagram, tag_of
+from violetstack.policy_api import (
+    AttemptFinished,
+    AttemptStatus,
+    CancelAttempt,
+    EndpointUpdate,
+    Event,
+    FailRequest,
+    GossipReceived,
+    RejectRequest,
+    Request,
+    ReservationResult,
+    ReserveDecodeSlot,
+    SendAttempt,
+    StartTimer,
+    StreamStarted,
+    TimerFired,
+    UpdateScope,
+)
 from violetstack.router import Router
 
 RATE = 18.0  # prompt tokens that a reader reads in a millisecond
@@ -35,14 +52,16 @@
         self.random = Random(seed)
         self.router = Router(replace(SETTINGS, classes=CLASSES, may_tell=True, seed=seed))
         self.heap: list[tuple[float, int, Any]] = []
-        self.count, self.now, self.until = 0, 0.0, seconds * 1000.0
+        self.count = 0
+        self.now = 0.0
+        self.until = seconds * 1000.0
         self.free_at = dict.fromkeys(READERS, 0.0)
-        self.asked: dict[str, t.Request] = {}
+        self.asked: dict[str, Request] = {}
         self.answers: dict[str, str] = {}
         self.out: dict[tuple[str, int], tuple[str, float]] = {}
         self.ended: set[tuple[str, int]] = set()
         hosts = [entry(n, 0) for n in READERS] + [entry(n, 1) for n in WRITERS]
-        self.feed(t.ListNews(t.ListScope.FULL, tuple(hosts), 1))
+        self.feed(EndpointUpdate(UpdateScope.SNAPSHOT, tuple(hosts), 1))
         mean = sum(self.length() for _ in range(2000)) / 2000
         self.gap = mean / (load * RATE * len(READERS))
         self.at(0.0, self.arrive)
@@ -59,59 +78,69 @@
         return min(28_000.0, max(60.0, self.random.lognormvariate(8.6, 0.75)))
 
     def hear(self) -> None:
-        self.feed(t.PeerMessage(1, datagram([(tag_of("elsewhere"), code_of(0.0))])))
+        self.feed(GossipReceived(1, datagram([(tag_of("elsewhere"), code_of(0.0))])))
         if self.now < self.until:
             self.at(self.now + 500.0, self.hear)
 
     def arrive(self) -> None:
         self.count += 1
         session = f"s{self.random.randrange(1 + len(self.asked) // 2)}"
-        request = t.Request(
-            f"q{self.count}", self.random.randrange(2), 0, session, 7500.0, None, None, self.length(), 0.0,
-            200.0, False, False,
-        )  # fmt: skip
+        request = Request(
+            f"q{self.count}",
+            self.random.randrange(2),
+            0,
+            session,
+            7500.0,
+            None,
+            None,
+            self.length(),
+            0.0,
+            200.0,
+            False,
+            False,
+        )
         self.asked[request.id] = request
         self.feed(request)
         if self.now < self.until:
             self.at(self.now + self.random.expovariate(1.0 / self.gap), self.arrive)
 
-    def feed(self, *events: t.Event) -> None:
+    def feed(self, *events: Event) -> None:
         for action in self.router.handle(self.now, list(events)):
             match action:
-                case t.Send():
+                case SendAttempt():
                     self.send(action, sum(key[0] == action.id for key in self.out))
-                case t.HoldPlace():
-                    note = t.PlaceNote(action.id, "", 0, True)
+                case ReserveDecodeSlot():
+                    note = ReservationResult(action.id, "", 0, True)
                     self.at(self.now + 5.0, lambda note=note: self.feed(note))
-                case t.Timer():
-                    due = t.TimerDue(action.token)
+                case StartTimer():
+                    due = TimerFired(action.token)
                     self.at(self.now + action.after_ms, lambda due=due: self.feed(due))
-                case t.Cancel():
-                    self.end(action.id, action.attempt, t.Status.CANCELLED)
-                case t.Refuse() | t.Fail():
+                case CancelAttempt():
+                    self.end(action.id, action.attempt, AttemptStatus.CANCELLED)
+                case RejectRequest() | FailRequest():
                     self.answers[action.id] = "refused"
 
-    def send(self, action: t.Send, n: int) -> None:
+    def send(self, action: SendAttempt, n: int) -> None:
         self.out[action.id, n] = action.server, self.now
         if action.server in self.free_at:
             begins = max(self.now, self.free_at[action.server])
             ends = begins + self.asked[action.id].prompt_tokens / RATE
             self.free_at[action.server] = ends
-            self.at(ends, lambda: self.end(action.id, n, t.Status.READ))
+            self.at(ends, lambda: self.end(action.id, n, AttemptStatus.PREFILLED))
         else:
-            begun = t.Begun(action.id, action.server, n, 60.0)
+            begun = StreamStarted(action.id, action.server, n, 60.0)
             self.at(self.now + 60.0, lambda: self.feed(begun))
-            self.at(self.now + 900.0, lambda: self.end(action.id, n, t.Status.OK))
+            self.at(self.now + 900.0, lambda: self.end(action.id, n, AttemptStatus.OK))
 
-    def end(self, request: str, n: int, status: t.Status) -> None:
+    def end(self, request: str, n: int, status: AttemptStatus) -> None:
         if (request, n) in self.ended:
             return
         self.ended.add((request, n))
         server, since = self.out[request, n]
-        settled = status is t.Status.OK
+        settled = status is AttemptStatus.OK
         if settled:
             self.answers[request] = "served"
-        outcome = t.Outcome(request, server, n, status, self.now - since, settled, 0, None)
+        outcome = AttemptFinished(request, server, n, status, self.now - since, settled, 0, None)
         self.at(self.now, lambda: self.feed(outcome))
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,7 +16,8 @@
 
     A call that finds more than 0.2 s of work waiting is refused after that work's time.
     """
-    free_at, through = 0.0, 0
+    free_at = 0.0
+    through = 0
     calls = [(0.0, n) for n in range(len(next_s))]
     while calls:
         now, n = heapq.heappop(calls)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -23,19 +23,19 @@
 from tests.front import Front, entry
 from tests.test_admin import get, post
 from tests.test_stories import pair, play
-from violetstack import interface as t
 from violetstack.admin.cordons import Mark
 from violetstack.config import Address, BadConfig
 from violetstack.handover.learned import Learned, learned, recall
-from violetstack.handover.passing import GO, NO, READY, BadOffer, Stream
-from violetstack.handover.passing import decode as decode_stream
-from violetstack.handover.passing import encode as encode_stream
 from violetstack.handover.record import VERSION, BadRecord, Record, decode, encode
-from violetstack.handover.succession import ALIVE_MS, Succession
-from violetstack.net import passing
-from violetstack.net.inherited import inherited_socket
-from violetstack.net.peers import Peers
+from violetstack.handover.stream_migration import GO, NO, READY, BadOffer, Stream
+from violetstack.handover.stream_migration import decode as decode_stream
+from violetstack.handover.stream_migration import encode as encode_stream
+from violetstack.handover.successor import ALIVE_MS, Succession
+from violetstack.net import stream_migration
+from violetstack.net.gossip import Peers
+from violetstack.net.inherited_listener import inherited_socket
 from violetstack.net.records import Records
+from violetstack.policy_api import GossipReceived, TenantSettings, UpdateScope
 from violetstack.protocol.discovery import WServer
 from violetstack.protocol.host_side import Body, End, HostSide
 from violetstack.protocol.server_side import ServerSide
@@ -49,9 +49,15 @@
 
 def record(owner: str = "a", born: float = NOW, at: float = NOW, **changes: Any) -> Record:
     told: dict[str, Any] = {
-        "name": "n0", "owner": owner, "born": born, "at": at, "serving": True, "version": 7,
-        "servers": (WServer("w", "127.0.0.1:1", "z", "decode"),), "marks": {"w": Mark(True, at, at)},
-    }  # fmt: skip
+        "name": "n0",
+        "owner": owner,
+        "born": born,
+        "at": at,
+        "serving": True,
+        "version": 7,
+        "servers": (WServer("w", "127.0.0.1:1", "z", "decode"),),
+        "marks": {"w": Mark(True, at, at)},
+    }
     return Record(**{**told, **changes})
 
 
@@ -90,7 +96,8 @@
 def test_records_that_can_not_be_read_are_passed_over_with_one_line(
     tmp_path: Path, capfd: pytest.CaptureFixture[str]
 ) -> None:
-    mine, other = Records(str(tmp_path), "n0", "a"), Records(str(tmp_path), "n0", "b")
+    mine = Records(str(tmp_path), "n0", "a")
+    other = Records(str(tmp_path), "n0", "b")
     other.write(record("b"))
     path = next(tmp_path.iterdir())
     path.write_bytes(path.read_bytes()[:-3])
@@ -107,9 +114,9 @@
 def test_what_a_front_has_learned_is_known_to_its_successor_and_only_for_the_same_start() -> None:
     """A new version sent cold hosts a trickle, since it had seen nobody be served."""
     cold = [entry(f"r{n}", 0, started_ms=500.0) for n in range(2)]
-    shared = (t.TenantSpec(1.0, 6.0),)
+    shared = (TenantSettings(1.0, 6.0),)
     old = Front(*cold, entry("w1", 1), entry("w2", 1, started_ms=800.0), fleet_size=3, tenants=shared)
-    old.news(t.ListScope.FULL, entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=800.0))
+    old.news(UpdateScope.SNAPSHOT, entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=800.0))
     for _ in range(20):
         old.serve(after=100.0)
     old.router.fleet.servers["w1"].blame(old.now, 1.0)
@@ -133,7 +140,8 @@
 
 def test_the_heir_is_a_later_process_that_takes_clients_and_lives() -> None:
     mine = Succession("b", NOW)
-    earlier, later = record("a", NOW - 5.0), record("c", NOW + 5.0, serving=False)
+    earlier = record("a", NOW - 5.0)
+    later = record("c", NOW + 5.0, serving=False)
     mine.heard([earlier, later], {"a": NOW, "c": NOW})
     assert (mine.heir(NOW), mine.company(NOW)) == (None, True)
     later = record("c", NOW + 5.0)
@@ -194,17 +202,28 @@
     async def start(self, wait: bool = True, **changes: Any) -> tuple[trio.Process, Address]:
         """One more process, and its door once it takes clients."""
         told = {
-            "name": "n0", "listen": f"127.0.0.1:{self.at[1]}", "discovery": self.discovery.address,
-            "seed": "ff", "settings": SETTINGS, "mgmt": "127.0.0.1:0", **changes,
-        }  # fmt: skip
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.at[1]}",
+            "discovery": self.discovery.address,
+            "seed": "ff",
+            "settings": SETTINGS,
+            "mgmt": "127.0.0.1:0",
+            **changes,
+        }
         file = self.folder / f"config{len(self.processes)}.json"
         file.write_text(json.dumps(told))
         descriptor = self.held.fileno()
         process = await trio.lowlevel.open_process(
-            [sys.executable, "-m", "violetstack"], stdout=subprocess.PIPE, pass_fds=[descriptor],
-            env={**os.environ, "NODE_CONFIG": str(file), "NODE_INHERITED_FD": str(descriptor),
-                 "TMPDIR": str(self.folder)},
-        )  # fmt: skip
+            [sys.executable, "-m", "violetstack"],
+            stdout=subprocess.PIPE,
+            pass_fds=[descriptor],
+            env={
+                **os.environ,
+                "NODE_CONFIG": str(file),
+                "NODE_INHERITED_FD": str(descriptor),
+                "TMPDIR": str(self.folder),
+            },
+        )
         self.processes.append(process)
         lines = self.lines[process.pid] = []
         started = trio.Event()
@@ -258,7 +277,8 @@
 
 def test_a_new_version_takes_over_under_streams_and_every_client_has_one_whole_answer(tmp_path: Path) -> None:
     hold = trio.Event()
-    reader, writer = ModelHost("r", "prefill"), ModelHost("w", "decode", Act(pause=hold))
+    reader = ModelHost("r", "prefill")
+    writer = ModelHost("w", "decode", Act(pause=hold))
 
     async def story(on: Platform) -> None:
         old, _ = await on.start()
@@ -290,9 +310,11 @@
         while not any(line["id"] == "again" for line in on.told(new, "request")):
             await trio.sleep(0.001)
         served = [
-            line["id"] for process in (old, new) for line in on.told(process, "request")
+            line["id"]
+            for process in (old, new)
+            for line in on.told(process, "request")
             if line["answer"] == "served"
-        ]  # fmt: skip
+        ]
         assert sorted(served) == sorted(["q0", "first", "late", "again", *(f"n{n}" for n in range(5))])
         assert on.told(old, "stopped")[0]["passed_on"] >= 1  # `late` may have ended before it could pass
         assert writer.begun.count("q0") == 1
@@ -362,13 +384,31 @@
 
 def test_requests_without_a_first_token_are_given_up_in_time_and_nothing_stays_held(tmp_path: Path) -> None:
     """SIGKILL found them, and states that nobody released."""
-    reader, writer = ModelHost("r", "prefill"), ModelHost("w", "decode", Act(before=trio.Event()))
+    reader = ModelHost("r", "prefill")
+    writer = ModelHost("w", "decode", Act(before=trio.Event()))
 
     async def story(on: Platform) -> None:
-        old, _ = await on.start(settings={**SETTINGS, "classes": [
-            {"name": "consulta", "aim": 100.0, "give_up": 800.0, "idempotency": "read_like", "value": 3.0},
-            {"name": "orden", "aim": 100.0, "give_up": 800.0, "idempotency": "non_idempotent", "value": 2.0},
-        ]})  # fmt: skip
+        old, _ = await on.start(
+            settings={
+                **SETTINGS,
+                "classes": [
+                    {
+                        "name": "consulta",
+                        "aim": 100.0,
+                        "give_up": 800.0,
+                        "idempotency": "read_like",
+                        "value": 3.0,
+                    },
+                    {
+                        "name": "orden",
+                        "aim": 100.0,
+                        "give_up": 800.0,
+                        "idempotency": "non_idempotent",
+                        "value": 2.0,
+                    },
+                ],
+            }
+        )
         call = await connect(on.at)
         await call.send("POST", "/v1/chat/completions", platform_headers("q0", "orden"), BODY)
         await writer.until(lambda: writer.begun == ["q0"])
@@ -460,7 +500,7 @@
     """Whichever word is lost, the client has its whole answer and the host one attempt."""
     hold = trio.Event()
     reader, writer = pair(Act(pause=hold))
-    monkeypatch.setattr(passing, "WORD_S", 0.05)
+    monkeypatch.setattr(stream_migration, "WORD_S", 0.05)
 
     async def heir(sock: trio.socket.SocketType, heard: trio.Event) -> None:
         giver, _ = await sock.accept()
@@ -481,12 +521,13 @@
         call = await connect(on.platform)
         await call.send("POST", "/v1/chat/completions", platform_headers("q0", "orden"), BODY)
         await call.receive(events=3)
-        path, heard = tmp_path / "heir.sock", trio.Event()
+        path = tmp_path / "heir.sock"
+        heard = trio.Event()
         with trio.socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
             await sock.bind(str(path))
             sock.listen(1)
             on.nursery.start_soon(heir, sock, heard)
-            giver = passing.Giver(on.daemon.core)
+            giver = stream_migration.Giver(on.daemon.core)
             assert await giver.connect(path)
             on.daemon.hosts.pass_all(giver.give)
             await heard.wait()
@@ -500,12 +541,11 @@
 
 
 @pytest.mark.parametrize("last", ["dies", "odd", "an id that came meanwhile"])
-def test_an_heir_without_a_go_touches_neither_connection(
-    last: str, tmp_path: Path
-) -> None:
+def test_an_heir_without_a_go_touches_neither_connection(last: str, tmp_path: Path) -> None:
     async def story(on: Stage) -> None:
-        core, path = on.daemon.core, tmp_path / "taker.sock"
-        taker = passing.Taker(core, on.daemon.hosts, lambda: on.daemon.platform)
+        core = on.daemon.core
+        path = tmp_path / "taker.sock"
+        taker = stream_migration.Taker(core, on.daemon.hosts, lambda: on.daemon.platform)
         await on.nursery.start(taker.run, path)
         client, theirs = socket.socketpair()
         host, hosts_own = socket.socketpair()
@@ -559,14 +599,14 @@
 
 class Heard:
     def __init__(self) -> None:
-        self.told: list[t.PeerMessage] = []
+        self.told: list[GossipReceived] = []
 
-    def peer(self, message: t.PeerMessage) -> None:
+    def peer(self, message: GossipReceived) -> None:
         self.told.append(message)
 
 
 def test_an_accept_that_fails_ends_neither_the_taker_nor_the_program(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(passing, "ACCEPT_AGAIN_S", 0.0)
+    monkeypatch.setattr(stream_migration, "ACCEPT_AGAIN_S", 0.0)
 
     class Failing:
         tries = 0
@@ -579,7 +619,7 @@
             return "giver", None
 
     async def main() -> None:
-        taker = passing.Taker(None, None, lambda: None)  # type: ignore[arg-type]
+        taker = stream_migration.Taker(None, None, lambda: None)  # type: ignore[arg-type]
         giver: object = await taker._accepted(Failing())  # type: ignore[arg-type]
         assert giver == "giver"
 
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -52,7 +52,8 @@
     assert sorted(line.split("#", 1)[1] for line in text.split("\n") if "#" in line) == sorted(
         line.split("#", 1)[1] for line in laid.split("\n") if "#" in line
     )
-    before, after = checked(text), checked(laid)
+    before = checked(text)
+    after = checked(laid)
     assert [p.message for p in before.problems] == [p.message for p in after.problems]
     if before.meaning is not None and after.meaning is not None:
         assert difference(before.meaning, after.meaning) == []
@@ -241,7 +242,8 @@
 @MANY
 @given(programs(), programs())
 def test_diff_and_the_plain_walk_agree_on_where_requests_go(one: str, other: str) -> None:
-    a, b = checked(one), checked(other)
+    a = checked(one)
+    b = checked(other)
     if a.meaning is None or b.meaning is None:
         return
     old, new = tables(a.meaning, b.meaning)
@@ -275,7 +277,8 @@
 
 
 def test_host_conditions_compare_by_the_hosts_they_choose() -> None:
-    a, b = Among("zone", frozenset({"x"})), Among("label", frozenset({"gpu"}))
+    a = Among("zone", frozenset({"x"}))
+    b = Among("label", frozenset({"gpu"}))
     assert same_hosts(Not(Any((a, b))), Not(Any((b, a))))
     assert not same_hosts(a, b)
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -4,9 +4,6 @@
 
 import pytest
 
-from violetstack.lab.exhaustive import Bounds, Explorer
-from violetstack.lab.faults import BY_CHANCE, planted
-from violetstack.lab.leases import LENGTH_MS, NAME, World
 from violetstack.lease import candidate as candidates
 from violetstack.lease.candidate import electors
 from violetstack.lease.messages import (
@@ -19,7 +16,10 @@
     decode,
     encode,
     who,
-)  # fmt: skip
+)
+from violetstack.simulation.exhaustive import Bounds, Explorer
+from violetstack.simulation.faults import BY_CHANCE, planted
+from violetstack.simulation.leases import LENGTH_MS, NAME, World
 
 
 def campaign(seeds: int, *, size: int = 5, minute: float = 60_000.0) -> list[str]:
@@ -80,7 +80,8 @@
     world.run(5_000.0)
     (holder,) = [p for p in world.processes if p.candidate.holds(p.now())]
     heir = world.processes[(holder.number + 1) % 5]
-    began, before = world.time, holder.candidate.fence
+    began = world.time
+    before = holder.candidate.fence
     assert holder.member.give_up(holder.now(), NAME, heir.candidate.me)
     while not heir.candidate.holds(heir.now()):
         assert world.time < began + 400.0
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from violetstack.lease.watched import MOST_WATCHED, Watched
-from violetstack.ledger import Claim, Ledger, LedgerError, Order
+from violetstack.idempotency.store import Claim, Ledger, LedgerError, Order
+from violetstack.lease.liveness import MOST_WATCHED, Watched
 
 ORDER = Order("acme", "k1", "body", "digest")
 AGAIN = Order("acme", "k2", "body", "digest")
@@ -30,7 +30,9 @@
 
 
 def clocked(tmp_path: Path) -> tuple[Ledger, Ledger, Clock, Clock]:
-    file, mine, theirs = tmp_path / "orders.sqlite", Clock(), Clock()
+    file = tmp_path / "orders.sqlite"
+    mine = Clock()
+    theirs = Clock()
     return Ledger(file, "a", 100.0, 10.0, mine), Ledger(file, "b", 100.0, 10.0, theirs), mine, theirs
 
 
@@ -66,13 +68,16 @@
         folder = tmp_path / str(round_)
         folder.mkdir()
         a, b, mine, theirs = clocked(folder)
-        rate_a, rate_b, at = rng.uniform(0.991, 1.009), rng.uniform(0.991, 1.009), 0.0
+        rate_a = rng.uniform(0.991, 1.009)
+        rate_b = rng.uniform(0.991, 1.009)
+        at = 0.0
         fell = rng.uniform(1.0, 12.0)
         assert not a.holds()  # nothing is sent before the first mark
         failed = False
         for _ in range(80):
             at += rng.uniform(0.1, 0.6)
-            mine.now, theirs.now = at * rate_a, 500.0 + at * rate_b
+            mine.now = at * rate_a
+            theirs.now = 500.0 + at * rate_b
             if at < fell:
                 a.beat(at)
                 a.claim(ORDER, at)
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -13,20 +13,24 @@
 from tests.front import SETTINGS
 from tests.test_routing import request
 from violetstack.core.records import Shed
-from violetstack.levels import history
-from violetstack.levels.admission import Admission, Weights, fill
-from violetstack.levels.control import LevelPlan, Levels, weights_of
-from violetstack.levels.history import Record
-from violetstack.levels.machine import NORMAL, LevelSpec, Machine, Measures, Moved, Pin
-from violetstack.levels.rules import Crossing, Every, Some, both, cases, negated, text, truth
-from violetstack.levels.signals import FEW, Reading, Signals
-
-HIGH, LOW = Crossing("lateness", True, 1.5), Crossing("lateness", False, 1.0)
+from violetstack.load_shedding import history
+from violetstack.load_shedding.admission import Admission, Weights, fill
+from violetstack.load_shedding.control import LevelPlan, Levels, weights_of
+from violetstack.load_shedding.history import Record
+from violetstack.load_shedding.rules import Crossing, Every, Some, both, cases, negated, text, truth
+from violetstack.load_shedding.signals import FEW, Reading, Signals
+from violetstack.load_shedding.state_machine import NORMAL, LevelSpec, Machine, Measures, Moved, Pin
+
+HIGH = Crossing("lateness", True, 1.5)
+LOW = Crossing("lateness", False, 1.0)
 STRAINED = LevelSpec("strained", HIGH, LOW, measures=Measures(admit=0.9), where="a:1")
 CRISIS = LevelSpec(
-    "crisis", Crossing("lateness", True, 3.0), Crossing("lateness", False, 2.0),
-    measures=Measures(admit=0.5, retries=0.0, hold_ahead=False), where="a:5",
-)  # fmt: skip
+    "crisis",
+    Crossing("lateness", True, 3.0),
+    Crossing("lateness", False, 2.0),
+    measures=Measures(admit=0.5, retries=0.0, hold_ahead=False),
+    where="a:5",
+)
 SPECS = (STRAINED, CRISIS)
 TICK = 250.0
 
@@ -165,7 +169,8 @@
 
 
 def test_the_window_slides_and_its_memory_is_bounded() -> None:
-    signals, rng = Signals(), random.Random(3)
+    signals = Signals()
+    rng = random.Random(3)
     values = [rng.lognormvariate(0.0, 0.5) for _ in range(20_000)]
     for n, value in enumerate(values):
         signals.begun(n * 1.0, value)
@@ -223,7 +228,8 @@
 
 def test_what_the_fleet_can_do_is_not_talked_down_by_the_level_itself() -> None:
     """Each step of work held back lowered the work done, which lowered the limit, to nothing."""
-    admission, now = ready(Measures(admit=0.5), 100.0), 20_000.0
+    admission = ready(Measures(admit=0.5), 100.0)
+    now = 20_000.0
     for _ in range(600):  # a minute in which half is done and nothing is refused
         for _ in range(5):
             admission.did(now, 1000.0, 0.5)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -6,27 +6,36 @@
 from msgspec.structs import replace
 
 from tests.front import READERS, SAFE, WRITERS, Front, entry
-from violetstack import interface as t
+from violetstack.policy_api import (
+    AttemptStatus,
+    RejectRequest,
+    Request,
+    ReservationResult,
+    ReserveDecodeSlot,
+    SendAttempt,
+    StartTimer,
+    UpdateScope,
+)
 from violetstack.router import Job
 
 
 def test_price_is_quadratic_plus_linear() -> None:
-    request = t.Request("q", 0, 0, None, 1000.0, None, None, 2000.0, 0.0, 200.0, False, False)
+    request = Request("q", 0, 0, None, 1000.0, None, None, 2000.0, 0.0, 200.0, False, False)
     assert Job(request, SAFE, SAFE.aim_ms, 4, 0.0).price == pytest.approx(4.25e-5 * 2000**2 + 6.8e-3 * 2000)
 
 
 def test_the_read_goes_where_the_own_backlog_is_smallest() -> None:
     front = Front()
     front.ask(prompt_tokens=6000.0)
-    busy = front.one(t.Send).server
+    busy = front.one(SendAttempt).server
     front.ask(prompt_tokens=2000.0)
-    assert front.one(t.Send).server != busy
+    assert front.one(SendAttempt).server != busy
 
 
 def test_one_long_prompt_outweighs_several_short_ones() -> None:
     front = Front()
     front.ask(prompt_tokens=8000.0)
-    long_at = front.one(t.Send).server
+    long_at = front.one(SendAttempt).server
     others = {front.sends[front.ask(prompt_tokens=1000.0)][0].server for _ in range(5)}
     assert long_at not in others
 
@@ -35,7 +44,7 @@
     front = Front()
     for _ in range(40):
         front.ask(prompt_tokens=8000.0)
-        front.one(t.Send)
+        front.one(SendAttempt)
     job = front.router.jobs["q1"]
     free = [front.router.fleet.read_freeness(s, job, front.now) for s in front.router.fleet.pools[True]]
     assert max(free) < 0
@@ -80,7 +89,7 @@
     for seed in range(10):
         front = Front(*READERS, *(entry(f"w{i}", 1) for i in range(10)), seed=seed)
         front.ask()
-        first.add(front.one(t.HoldPlace).server)
+        first.add(front.one(ReserveDecodeSlot).server)
     assert len(first) > 3
 
 
@@ -90,46 +99,46 @@
     for _ in range(12):
         request = front.ask(prompt_tokens=1000.0)
         slow = front.sends[request][0].server == "r1"
-        front.end(request, t.Status.READ, after=400.0 if slow else 100.0)
+        front.end(request, AttemptStatus.PREFILLED, after=400.0 if slow else 100.0)
     speeds = {name: fleet.speed(fleet.servers[name], front.now) for name in ("r1", "r2")}
     assert speeds["r1"] < speeds["r2"]
-    front.news(t.ListScope.DELTA, entry("r3", 0))
+    front.news(UpdateScope.DELTA, entry("r3", 0))
     assert speeds["r1"] < fleet.speed(fleet.servers["r3"], front.now) < speeds["r2"]
 
 
 def test_a_place_is_held_with_the_read_and_taken_by_the_send() -> None:
     front = Front()
     request = front.ask()
-    place = front.one(t.HoldPlace)
-    assert [type(a) for a in front.did if not isinstance(a, t.Timer)] == [t.Send, t.HoldPlace]
-    front.feed(t.PlaceNote(request, front.sends[request][0].server, 0, True))
-    front.end(request, t.Status.READ)
-    assert front.one(t.Send).server == place.server
+    place = front.one(ReserveDecodeSlot)
+    assert [type(a) for a in front.did if not isinstance(a, StartTimer)] == [SendAttempt, ReserveDecodeSlot]
+    front.feed(ReservationResult(request, front.sends[request][0].server, 0, True))
+    front.end(request, AttemptStatus.PREFILLED)
+    assert front.one(SendAttempt).server == place.server
 
 
 def test_without_a_place_the_next_writer_is_tried() -> None:
     front = Front()
     request = front.ask()
-    first = front.one(t.HoldPlace).server
-    front.feed(t.PlaceNote(request, first, 0, False))
-    assert front.one(t.HoldPlace).server != first
+    first = front.one(ReserveDecodeSlot).server
+    front.feed(ReservationResult(request, first, 0, False))
+    assert front.one(ReserveDecodeSlot).server != first
 
 
 def test_no_place_is_asked_for_where_the_site_has_none() -> None:
     front = Front(ahead=False)
     request = front.ask()
-    assert not front.all(t.HoldPlace)
-    front.end(request, t.Status.READ)
-    assert front.one(t.Send).server in ("w1", "w2")
+    assert not front.all(ReserveDecodeSlot)
+    front.end(request, AttemptStatus.PREFILLED)
+    assert front.one(SendAttempt).server in ("w1", "w2")
 
 
 def test_writers_go_by_own_streams_in_tokens_without_reports() -> None:
     front = Front()
     request = front.ask(prompt_tokens=30_000.0)
-    first = front.one(t.HoldPlace).server
-    front.feed(t.PlaceNote(request, front.sends[request][0].server, 0, True))
+    first = front.one(ReserveDecodeSlot).server
+    front.feed(ReservationResult(request, front.sends[request][0].server, 0, True))
     front.ask()
-    assert front.one(t.HoldPlace).server != first
+    assert front.one(ReserveDecodeSlot).server != first
 
 
 def test_writers_go_by_reported_share_plus_own_streams_since() -> None:
@@ -138,35 +147,37 @@
     for name, share in (("w1", 0.7), ("w2", 0.2)):
         fleet.report(fleet.servers[name], (share,), front.now)
     front.ask()
-    assert front.one(t.HoldPlace).server == "w2"
+    assert front.one(ReserveDecodeSlot).server == "w2"
     front.ask(prompt_tokens=70_000.0)
     front.ask()
-    assert front.one(t.HoldPlace).server == "w1"
+    assert front.one(ReserveDecodeSlot).server == "w1"
 
 
 def test_the_hint_stands_for_the_told_maximum() -> None:
-    request = t.Request("q", 0, 0, None, 1000.0, 2000.0, None, 1000.0, 0.0, 500.0, False, False)
+    request = Request("q", 0, 0, None, 1000.0, 2000.0, None, 1000.0, 0.0, 500.0, False, False)
     assert Job(request, SAFE, SAFE.aim_ms, 4, 0.0).tokens == 1000.0 + 2000.0 / 50.0
 
 
 def test_near_best_writers_in_the_readers_cell_then_zone_are_preferred() -> None:
     reader = entry("r1", 0, cell=3, zone=1)
-    far, zone, cell = entry("w1", 1, cell=1), entry("w2", 1, cell=2, zone=1), entry("w3", 1, cell=3, zone=1)
+    far = entry("w1", 1, cell=1)
+    zone = entry("w2", 1, cell=2, zone=1)
+    cell = entry("w3", 1, cell=3, zone=1)
     front = Front(reader, far, zone, cell)
     front.ask()
-    assert front.one(t.HoldPlace).server == "w3"
+    assert front.one(ReserveDecodeSlot).server == "w3"
     front = Front(reader, far, zone)
     front.ask()
-    assert front.one(t.HoldPlace).server == "w2"
+    assert front.one(ReserveDecodeSlot).server == "w2"
 
 
 def test_a_mixed_server_stands_in_both_lists() -> None:
     front = Front(entry("m1", 2))
     request = front.ask()
-    assert front.one(t.Send).server == "m1"
-    assert not front.all(t.HoldPlace)
+    assert front.one(SendAttempt).server == "m1"
+    assert not front.all(ReserveDecodeSlot)
     front.begin(request)
-    front.end(request, t.Status.OK)
+    front.end(request, AttemptStatus.OK)
     front = Front(entry("r1", 0), entry("m1", 2))
     assert {s.entry.server for s in front.router.fleet.pools[False]} == {"m1"}
     assert {s.entry.server for s in front.router.fleet.pools[True]} == {"r1", "m1"}
@@ -175,20 +186,21 @@
 def test_a_writer_reads_itself_where_it_may_and_no_reader_is_left() -> None:
     front = Front(*WRITERS, local_read=True)
     front.ask()
-    assert front.one(t.Send).server in ("w1", "w2")
+    assert front.one(SendAttempt).server in ("w1", "w2")
     front = Front(*WRITERS)
     front.ask()
-    front.one(t.Refuse)
+    front.one(RejectRequest)
 
 
 def test_equal_events_give_equal_actions() -> None:
     logs = []
     for _ in range(2):
-        front, log = Front(), []
+        front = Front()
+        log = []
         for i in range(30):
             request = front.ask(shared=f"p{i % 3}", session=f"s{i % 5}", prompt_tokens=500.0 + 37 * i)
             log += front.did
-            log += front.end(request, t.Status.READ)
+            log += front.end(request, AttemptStatus.PREFILLED)
         logs.append(log)
     assert logs[0] == logs[1]
 
@@ -196,7 +208,7 @@
 def test_reads_that_only_time_out_leave_a_speed_to_divide_by() -> None:
     front = Front(max_attempts=2)
     for _ in range(30):
-        front.end(front.ask(prompt_tokens=10.0), t.Status.TIMEOUT, after=900.0)
+        front.end(front.ask(prompt_tokens=10.0), AttemptStatus.TIMEOUT, after=900.0)
     assert all(front.router.fleet.speed(s, front.now) > 0 for s in front.router.fleet.pools[True])
 
 
@@ -216,7 +228,7 @@
     fleet = front.router.fleet
     for i in range(20):
         request = front.ask(session="s", prompt_tokens=3000.0)
-        front.end(request, t.Status.READ, note=0)
+        front.end(request, AttemptStatus.PREFILLED, note=0)
         job = front.router.jobs[request]
         unread = fleet.unread_price(fleet.servers[front.sends[request][0].server], job, front.now)
         if i > 10:
@@ -227,8 +239,8 @@
     """The note names the reader; matched against the writer, every held place was thrown away."""
     front = Front(READERS[0], *WRITERS)
     first = front.ask(prompt_tokens=20_000.0)
-    place = front.one(t.HoldPlace).server
-    front.feed(t.PlaceNote(first, "r1", 0, True))
+    place = front.one(ReserveDecodeSlot).server
+    front.feed(ReservationResult(first, "r1", 0, True))
     front.router.fleet.servers[place].left.add(front.now, 1.0)
-    front.end(first, t.Status.READ)
-    assert front.one(t.Send).server == place
+    front.end(first, AttemptStatus.PREFILLED)
+    assert front.one(SendAttempt).server == place
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -10,10 +10,10 @@
 
 from tests.front import READERS, WRITERS, Front, entry
 from tests.test_stories import pair, play
-from violetstack import interface as t
 from violetstack.core.records import OpenRequest
 from violetstack.core.timers import NEVER, Timers
-from violetstack.net.listener import Connection, Replies
+from violetstack.net.downstream.listener import Connection, Replies
+from violetstack.policy_api import AttemptStatus, EndpointState, UpdateScope
 from violetstack.rehearsal.clients import ask_chat, ask_platform, chat_body, chat_headers
 from violetstack.rehearsal.hosts import CUT, DECLINE, ERROR, SILENT, SPOILT, SPOILT_LATER
 from violetstack.rehearsal.stage import Stage
@@ -62,13 +62,13 @@
     servers = front.router.fleet.servers
     request = front.ask()
     reader = front.sends[request][0].server
-    gone = entry(reader, 0, state=t.ServerState.GONE)
-    front.news(t.ListScope.DELTA, gone)
+    gone = entry(reader, 0, state=EndpointState.REMOVED)
+    front.news(UpdateScope.DELTA, gone)
     assert reader in servers
-    front.end(request, t.Status.CANCELLED)
-    front.news(t.ListScope.DELTA, entry("r3", 0))
+    front.end(request, AttemptStatus.CANCELLED)
+    front.news(UpdateScope.DELTA, entry("r3", 0))
     assert reader not in servers
-    front.news(t.ListScope.FULL, *READERS, *WRITERS)
+    front.news(UpdateScope.SNAPSHOT, *READERS, *WRITERS)
     assert set(servers) == {"r1", "r2", "w1", "w2"}
 
 
@@ -98,7 +98,8 @@
         while daemon.core.open:
             await trio.sleep(0.01)
         await trio.testing.wait_all_tasks_blocked()
-        router, hosts = daemon.core.decider, daemon.hosts
+        router = daemon.core.decider
+        hosts = daemon.hosts
         servers = router.fleet.servers.values()  # type: ignore[attr-defined]
         assert not router.jobs  # type: ignore[attr-defined]
         assert [(len(s.out), len(s.places)) for s in servers] == [(0, 0), (0, 0)]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,8 +9,7 @@
 import pytest
 
 from tests.front import SETTINGS, WRITERS, Front, entry
-from violetstack import interface as t
-from violetstack.peers.sharing import (
+from violetstack.gossip.load_gossip import (
     ANEW,
     BLAMED_MS,
     FAILED,
@@ -22,8 +21,20 @@
     code_of,
     datagram,
     tag_of,
-)  # fmt: skip
-from violetstack.router import HOMES, Fleet, rendezvous
+)
+from violetstack.policy_api import (
+    AttemptStatus,
+    EndpointState,
+    GossipReceived,
+    ReserveDecodeSlot,
+    SendAttempt,
+    SendGossip,
+    TimerFired,
+    UpdateScope,
+    WriteLog,
+)
+from violetstack.rendezvous import host_score
+from violetstack.router import HOMES, Fleet
 
 FLEET = 40
 READERS = tuple(entry(f"r{i}", 0) for i in range(8))
@@ -37,19 +48,20 @@
             Front(*READERS, *WRITERS, may_tell=True, fleet_size=size, me=n, seed=n, **settings)
             for n in range(size)
         ]
-        self.random, self.lost = random.Random(3), lost
+        self.random = random.Random(3)
+        self.lost = lost
         for n in range(size):
             self.carry(n)
 
     def carry(self, n: int) -> None:
-        for told in self.fronts[n].all(t.Tell):
+        for told in self.fronts[n].all(SendGossip):
             for other in self.fronts:
                 if other is not self.fronts[n] and self.random.random() >= self.lost:
-                    other.feed(t.PeerMessage(n, told.payload))
+                    other.feed(GossipReceived(n, told.payload))
 
     def tick(self, ms: float = 25.0) -> None:
         for n, front in enumerate(self.fronts):
-            front.feed(t.TimerDue("tell"), after=ms)
+            front.feed(TimerFired("tell"), after=ms)
             self.carry(n)
 
 
@@ -75,22 +87,25 @@
             front.router.fleet.report(front.router.fleet.servers[name], (share,), front.now)
     for front in tier.fronts:
         front.ask(max_tokens=1000.0, prompt_tokens=4000.0)
-        places[front.one(t.HoldPlace).server] += 1
+        places[front.one(ReserveDecodeSlot).server] += 1
         tier.tick(1.0)
     assert 0.35 * FLEET <= places["w2"] <= 0.65 * FLEET
 
 
-@pytest.mark.parametrize("status", [t.Status.ERROR, t.Status.CONNECT_FAILED])
+@pytest.mark.parametrize("status", [AttemptStatus.ERROR, AttemptStatus.CONNECT_FAILED])
 @pytest.mark.parametrize("lost", [0.0, 0.3])
-def test_a_host_that_fails_is_met_a_few_times_by_all_fronts_together(lost: float, status: t.Status) -> None:
+def test_a_host_that_fails_is_met_a_few_times_by_all_fronts_together(
+    lost: float, status: AttemptStatus
+) -> None:
     """One that refuses connections for want of room as well, and with a third of the datagrams lost."""
-    tier, met = Tier(FLEET, lost), 0
+    tier = Tier(FLEET, lost)
+    met = 0
     for turn in range(5 * FLEET):
         front = tier.fronts[turn % FLEET]
         request = front.ask(prompt_tokens=1000.0, shared=f"p{turn}")
         bad = front.sends[request][0].server == "r0"
         met += bad
-        front.end(request, status if bad else t.Status.READ, after=3.0)
+        front.end(request, status if bad else AttemptStatus.PREFILLED, after=3.0)
         tier.tick()
     assert 1 <= met <= 10
 
@@ -99,7 +114,7 @@
     tier = Tier(FLEET)
     told = datagram([(tag_of("r0"), FAILED)])
     for front in tier.fronts:
-        front.feed(t.PeerMessage(99, told))
+        front.feed(GossipReceived(99, told))
     at_once = [front.sends[front.ask(shared=f"p{n}")][0].server for n, front in enumerate(tier.fronts)]
     for front in tier.fronts:
         front.now += 20_000.0
@@ -108,11 +123,11 @@
 
 
 def test_a_full_queue_and_a_time_out_are_not_told_as_a_failure() -> None:
-    for status in (t.Status.FULL, t.Status.TIMEOUT):
+    for status in (AttemptStatus.REJECTED, AttemptStatus.TIMEOUT):
         front = Front(*READERS, *WRITERS, may_tell=True)
         front.end(front.ask(), status)
-        front.feed(t.TimerDue("tell"))
-        assert all(FAILED not in told.payload[2::3] for told in front.all(t.Tell))
+        front.feed(TimerFired("tell"))
+        assert all(FAILED not in told.payload[2::3] for told in front.all(SendGossip))
 
 
 def test_what_is_told_comes_back_and_is_gone_with_the_work() -> None:
@@ -124,13 +139,13 @@
     reader = first.sends[request][0].server
     own = first.router.fleet.servers[reader].own_reads()
     assert shared.at(tag_of(reader)) == pytest.approx(own, rel=0.03)
-    first.end(request, t.Status.READ)
+    first.end(request, AttemptStatus.PREFILLED)
     first.begin(request)
-    first.end(request, t.Status.OK)
+    first.end(request, AttemptStatus.OK)
     tier.tick(1_000.0)  # a stream's end waits for the next word
     assert all(shared.at(tag_of(e.server)) == 0.0 for e in READERS + WRITERS)
     tier.tick()
-    assert not first.all(t.Tell)  # nothing changed, nothing told
+    assert not first.all(SendGossip)  # nothing changed, nothing told
 
 
 def test_what_does_not_fit_one_datagram_is_told_in_the_next_the_longest_untold_first() -> None:
@@ -144,14 +159,14 @@
         assert asked < 2_000
     told: list[set[bytes]] = []
     for _ in range(2):
-        front.feed(t.TimerDue("tell"), after=25.0)
-        payload = front.one(t.Tell).payload
+        front.feed(TimerFired("tell"), after=25.0)
+        payload = front.one(SendGossip).payload
         assert len(payload) <= MAX_DATAGRAM
         told.append({payload[at : at + 2] for at in range(0, len(payload), 3)})
     assert [len(tags) for tags in told] == [85, 35]
     assert told[0] | told[1] == {tag_of(host.server) for host in many}
-    front.feed(t.TimerDue("tell"), after=25.0)
-    assert front.all(t.Tell) == []
+    front.feed(TimerFired("tell"), after=25.0)
+    assert front.all(SendGossip) == []
 
 
 def test_a_front_that_died_is_forgotten_when_it_starts_anew_or_when_its_words_are_old() -> None:
@@ -183,29 +198,29 @@
     with pytest.raises(BadDatagram):
         Shared(1000.0).hear(0.0, 1, payload, 9)
     front = Front(may_tell=True)
-    front.feed(t.PeerMessage(1, payload))
-    assert len(front.all(t.Log)) == 1
+    front.feed(GossipReceived(1, payload))
+    assert len(front.all(WriteLog)) == 1
     front.ask()
-    front.one(t.Send)
+    front.one(SendAttempt)
 
 
 def test_words_about_a_host_that_the_list_does_not_name_send_nothing_there() -> None:
     front = Front(may_tell=True)
-    front.feed(t.PeerMessage(1, datagram([(tag_of("stranger"), FAILED), (tag_of("other"), 3)])))
+    front.feed(GossipReceived(1, datagram([(tag_of("stranger"), FAILED), (tag_of("other"), 3)])))
     assert front.sends[front.ask()][0].server in {"r1", "r2"}
 
 
 def test_one_write_on_its_way_at_a_front_that_sees_little_is_no_jam() -> None:
     """Else a front of forty with one begin a second behind it would expect a second's wait, and refuse."""
     front = Front(may_tell=True, fleet_size=FLEET)
-    front.feed(t.PeerMessage(1, datagram([(tag_of("r1"), 9)])))
+    front.feed(GossipReceived(1, datagram([(tag_of("r1"), 9)])))
     for _ in range(4):
         front.serve(after=2_000.0)
     first = front.ask()
-    front.end(first, t.Status.READ)
+    front.end(first, AttemptStatus.PREFILLED)
     assert front.router.fleet.write_wait_ms("", front.now + 20.0) <= 40.0
     front.ask(after=20.0)
-    front.one(t.Send)
+    front.one(SendAttempt)
     assert front.router.fleet.write_wait_ms("", front.now + 3_000.0) > 1_000.0  # and one that stays away is
 
 
@@ -213,8 +228,9 @@
     """Amounts last heard before a split would stay as load for ever."""
     front = Front(may_tell=True, fleet_size=200)
     for peer in range(1, 200):
-        front.feed(t.PeerMessage(peer, datagram([(tag_of("r1"), code_of(5_000.0))])))
-    fleet, r1 = front.router.fleet, front.router.fleet.servers["r1"]
+        front.feed(GossipReceived(peer, datagram([(tag_of("r1"), code_of(5_000.0))])))
+    fleet = front.router.fleet
+    r1 = front.router.fleet.servers["r1"]
     assert fleet.reads_out(r1) > 199 * 4_500.0
     front.feed()
     assert fleet.shared.heard == 199
@@ -225,26 +241,26 @@
 
 def test_one_lying_front_moves_choices_by_no_more_than_a_datagram_can_say_and_breaks_no_drain() -> None:
     front = Front(may_tell=True, fleet_size=200)
-    front.news(t.ListScope.DELTA, entry("r1", 0, state=t.ServerState.DRAINING))
+    front.news(UpdateScope.DELTA, entry("r1", 0, state=EndpointState.DRAINING))
     every = [(tag_of(name), FAILED - 1) for name in ("r1", "r2", "w1", "w2")]
     for lie in (datagram(every), datagram([(tag, FAILED) for tag, _ in every]), ANEW, datagram(every)):
-        front.feed(t.PeerMessage(7, lie))
+        front.feed(GossipReceived(7, lie))
         request = front.ask(after=600.0, expires_in_ms=60_000.0)
         assert all(send.server == "r2" for send in front.sends.get(request, []))
     assert front.router.fleet.shared.at(tag_of("r2")) <= amount_of(FAILED - 1)
-    front.feed(t.PeerMessage(7, ANEW))
+    front.feed(GossipReceived(7, ANEW))
     assert front.router.fleet.shared.at(tag_of("r2")) == 0.0
 
 
 def test_nothing_is_told_where_the_settings_forbid_it() -> None:
     front = Front()
     front.serve()
-    front.feed(t.TimerDue("tell"))
-    assert not SETTINGS.may_tell and not front.all(t.Tell)
+    front.feed(TimerFired("tell"))
+    assert not SETTINGS.may_tell and not front.all(SendGossip)
 
 
 def first_home(fleet: Fleet, shared: str) -> str:
-    near = sorted(fleet.order(shared)[:HOMES], key=lambda s: rendezvous(f"None\n{shared}", s))
+    near = sorted(fleet.order(shared)[:HOMES], key=lambda s: host_score(f"None\n{shared}", s.entry.server))
     return near[0].entry.server
 
 
@@ -253,12 +269,13 @@
     """In every window of the fall rule, the first instant too, and though each front hears of it at once."""
     tier = Tier(size, cold_share=0.3, cold_ms=10_000.0, fall_ms=2_000.0, fall_multiple=2.5)
     sent: list[float] = []
-    began, hot = 0.0, [f"p{n}" for n in range(40)]
+    began = 0.0
+    hot = [f"p{n}" for n in range(40)]
     for step in range(1_200):  # 50 requests a second over 8 readers, each read in 20 ms
         if step == 400:
             began = tier.fronts[0].now
             for front in tier.fronts:
-                front.news(t.ListScope.DELTA, entry("cold", 0, started_ms=front.now))
+                front.news(UpdateScope.DELTA, entry("cold", 0, started_ms=front.now))
             fleet = tier.fronts[0].router.fleet  # from now on all prompts have the new reader as their home
             hot = [key for key in hot if first_home(fleet, key) == "cold"]
         front = tier.fronts[step % size]
@@ -268,9 +285,9 @@
         for other in tier.fronts:
             if other is not front:
                 other.now += 20.0
-        front.end(request, t.Status.READ, after=20.0)
+        front.end(request, AttemptStatus.PREFILLED, after=20.0)
         front.begin(request, after=0.0)
-        front.end(request, t.Status.OK, after=0.0)
+        front.end(request, AttemptStatus.OK, after=0.0)
     usual = 50.0 / len(READERS) / 1000.0 / 0.8  # hosts run at 0.8 of what they can do at the most
     for at in (at for at in sent if at + 2_000.0 <= began + 10_000.0):  # it is warm then
         capacity = 0.3 + 0.7 * min(1.0, (at - began) / 10_000.0)
@@ -298,5 +315,5 @@
     front = Front(*(entry(f"r{n}", 0) for n in range(4)), entry("w0", 1))
     for _ in range(50):
         for n in range(4):
-            front.feed(t.PeerMessage(1, datagram([(tag_of(f"r{n}"), FAILED)])), after=100.0)
+            front.feed(GossipReceived(1, datagram([(tag_of(f"r{n}"), FAILED)])), after=100.0)
     assert max(front.router.fleet.servers[f"r{n}"].left.at(front.now) for n in range(4)) < 0.1
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -169,7 +169,8 @@
 
 
 def test_a_bad_file_changes_nothing_and_says_where(tmp_path: Path, capfd: pytest.CaptureFixture[str]) -> None:
-    hosts, path = fleet(), write(tmp_path)
+    hosts = fleet()
+    path = write(tmp_path)
 
     async def story(on: Stage) -> None:
         path.write_text(FILE.replace("pool = near }", "pool = naer }"))
@@ -185,7 +186,8 @@
 def test_a_thousand_reloads_under_load_leave_nothing_behind(tmp_path: Path) -> None:
     """Streams stay open meanwhile: only the generation that they were taken under is kept for them."""
     hold = trio.Event()
-    hosts, path = fleet(*[Act(pause=hold)] * 4), write(tmp_path)
+    hosts = fleet(*[Act(pause=hold)] * 4)
+    path = write(tmp_path)
     plan = load_file(path)[0].plan
 
     async def story(on: Stage) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -20,9 +20,11 @@
     file = tmp_path / "config.json"
     file.write_text(json.dumps(told))
     return subprocess.Popen(
-        [sys.executable, "-m", "violetstack"], stdout=subprocess.PIPE, text=True,
+        [sys.executable, "-m", "violetstack"],
+        stdout=subprocess.PIPE,
+        text=True,
         env={**os.environ, "NODE_CONFIG": str(file)},
-    )  # fmt: skip
+    )
 
 
 def test_sigterm_ends_the_program_with_status_0(tmp_path: Path) -> None:
@@ -49,14 +51,19 @@
     "seed": {"seed": "zz"},
     "settings": {"settings": None},
     "classes": {"settings": {**SETTINGS, "classes": []}},
-    "classes[1].give_up": {"settings": {**SETTINGS, "classes": [
-        SETTINGS["classes"][0], {**SETTINGS["classes"][1], "give_up": 0.0}]}},
+    "classes[1].give_up": {
+        "settings": {
+            **SETTINGS,
+            "classes": [SETTINGS["classes"][0], {**SETTINGS["classes"][1], "give_up": 0.0}],
+        }
+    },
     "aim": {"settings": {**SETTINGS, "classes": [{"give_up": 100.0}]}},
-    "idempotency": {"settings": {**SETTINGS, "classes": [
-        {**SETTINGS["classes"][0], "idempotency": "perhaps"}]}},
+    "idempotency": {
+        "settings": {**SETTINGS, "classes": [{**SETTINGS["classes"][0], "idempotency": "perhaps"}]}
+    },
     "stage_of_kind": {"settings": {**SETTINGS, "family_info": {"stage_of_kind": ["read", "paint"]}}},
     "limits": {"limits": {"sockets": 3}},
-}  # fmt: skip
+}
 
 
 @pytest.mark.parametrize("key", BAD)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -13,11 +13,11 @@
 from tests.front import SETTINGS
 from violetstack import log
 from violetstack.config import Config, WConfig
-from violetstack.net.comeback import Comeback
-from violetstack.net.daemon import Daemon
+from violetstack.daemon.daemon import Daemon
+from violetstack.net.startup_recovery import Comeback
 from violetstack.protocol.discovery import WServer
 from violetstack.protocol.server_side import Inbound
-from violetstack.recovery.doubt import Doubt
+from violetstack.recovery.panic_threshold import Doubt
 from violetstack.recovery.phases import Phase, Start
 from violetstack.recovery.sources import Entry, Source, Trust, merged
 from violetstack.rehearsal.clients import ask_platform
@@ -26,7 +26,9 @@
 from violetstack.rehearsal.peer import Break, PeerConnection
 from violetstack.rehearsal.stage import Stage, stage
 
-NOW, COLD, KEEP = 1e9, 14_000.0, 3_600_000.0
+NOW = 1e9
+COLD = 14_000.0
+KEEP = 3_600_000.0
 
 
 def row(name: str, port: int, state: str = "active", started_ms: float = 0.0) -> WServer:
@@ -79,8 +81,15 @@
     steps = [start.recalled(1.0, 3), start.told(50.0, 4), start.told(60.0, 5), start.tick(9_000.0)]
     steps += [start.tick(10_050.0), start.told(20_000.0, 0), start.told(21_000.0, 4), start.learned(21_001.0)]
     assert [step and step.new.value for step in steps] == [
-        "recalled", "filling", None, None, "full", "unknown", "filling", "full",
-    ]  # fmt: skip
+        "recalled",
+        "filling",
+        None,
+        None,
+        "full",
+        "unknown",
+        "filling",
+        "full",
+    ]
     assert start.tick(99_000.0) is None and start.due() is None
 
 
@@ -113,7 +122,8 @@
         assert {e.started_ms for e in on.daemon.core.entries.values()} == {None}  # told a moment ago
 
     async def both() -> None:
-        reader, writer = ModelHost("reader", "prefill"), ModelHost("writer", "decode")
+        reader = ModelHost("reader", "prefill")
+        writer = ModelHost("writer", "decode")
         async with stage(reader, writer, chat=state) as on:
             await first(on)
             silent = Silent()
@@ -157,11 +167,13 @@
     log.observers.append(note)
 
     async def story() -> None:
-        reader, writer = ModelHost("reader", "prefill"), ModelHost("writer", "decode")
+        reader = ModelHost("reader", "prefill")
+        writer = ModelHost("writer", "decode")
         async with stage(reader, writer, chat=state) as on:
             assert on.daemon.watch is not None
             await on.daemon.watch.heard.wait()
-            on.discovery.changes, on.discovery.version = [], 9
+            on.discovery.changes = []
+            on.discovery.version = 9
             on.daemon.watch.ask_again()
             while not any(line["event"] == "list_doubted" for line in lines):
                 await trio.sleep(0.01)
--- a/tests/test_rehearsal_fleet.py
+++ b/tests/test_rehearsal_fleet.py
@@ -6,8 +6,8 @@
 import pytest
 
 from violetstack.rehearsal.fleet.audit import Asked, Audit, lines, to_full_s
-from violetstack.rehearsal.fleet.ground import play
 from violetstack.rehearsal.fleet.plan import BadPlan, Plan, Trouble, read
+from violetstack.rehearsal.fleet.runner import play
 
 
 def audit() -> Audit:
@@ -52,7 +52,8 @@
 def test_service_is_whole_when_nearly_all_is_served_as_fast_as_before() -> None:
     rows = []
     for n in range(80):
-        answer, took = "served", 0.1
+        answer = "served"
+        took = 0.1
         if 2.0 <= n * 0.1 < 3.0:
             answer = "refused"
         if 3.0 <= n * 0.1 < 3.5:
@@ -82,7 +83,8 @@
 def test_a_stopped_dispatcher_wakes_to_fresh_decisions_while_another_is_killed() -> None:
     """Its streams were cut as silent though their events lay in the sockets, and its sends were stale."""
     stop = Trouble(1.5, "stop", "0", 4.6)
-    drain, kill = Trouble(2.5, "drain", "r0,w0"), Trouble(3.0, "kill", "1", 0.2)
+    drain = Trouble(2.5, "drain", "r0,w0")
+    kill = Trouble(3.0, "kill", "1", 0.2)
     plan = Plan(seed=4, dispatchers=3, rate=30, warm=2, seconds=8, notice=3, trouble=[stop, drain, kill])
     result = play(plan)
     assert (result.breaches, result.stale, result.crashed) == ([], 0, [])
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,11 +10,19 @@
 
 from tests.front import READERS, SETTINGS, WRITERS, Front, entry
 from tests.programs import ASKED, CLASSES, TENANTS, programs
-from violetstack import interface as t
 from violetstack.core.records import NotRouted, Origin
 from violetstack.language.checker import check
 from violetstack.language.files import read_text
 from violetstack.language.meaning import plan_of
+from violetstack.policy_api import (
+    AttemptStatus,
+    EndpointState,
+    EndpointUpdate,
+    RejectRequest,
+    Request,
+    ReserveDecodeSlot,
+    UpdateScope,
+)
 from violetstack.routing import regions
 from violetstack.routing import table as tables
 from violetstack.routing.conditions import (
@@ -53,11 +61,12 @@
     return st.recursive(
         leaves,
         lambda inner: st.one_of(
-            inner.map(Not), st.lists(inner, max_size=3).map(lambda p: All(tuple(p))),
+            inner.map(Not),
+            st.lists(inner, max_size=3).map(lambda p: All(tuple(p))),
             st.lists(inner, min_size=1, max_size=3).map(lambda p: Any(tuple(p))),
         ),
         max_leaves=6,
-    )  # fmt: skip
+    )
 
 
 @settings(max_examples=80)
@@ -158,7 +167,9 @@
 
 
 def test_a_pool_that_flaps_gets_its_traffic_back_ever_later() -> None:
-    pools, now, waits = two_pools(), 0.0, []
+    pools = two_pools()
+    now = 0.0
+    waits = []
     for _ in range(6):
         pools.told(now, {}, ["a2"], False)
         assert pools.active("a", now) == "b"
@@ -212,7 +223,9 @@
 
 def test_the_retry_budget_bounds_what_retries_add() -> None:
     budget = RetryBudget(0.2, 1.0)
-    allowed, now, rng = 0, 0.0, random.Random(5)
+    allowed = 0
+    now = 0.0
+    rng = random.Random(5)
     for _ in range(5_000):  # 50 requests a second for 100 s, each failing and asked again at once
         now += rng.expovariate(1 / 20.0)
         budget.taken(now)
@@ -224,17 +237,32 @@
 
 def routing(plan: Plan) -> Routing:
     return Routing(
-        plan, SETTINGS, classes=("safe", "unsafe"), tenants=(),
-        kinds=("prefill", "decode", "both"), zones=("z",),
+        plan,
+        SETTINGS,
+        classes=("safe", "unsafe"),
+        tenants=(),
+        kinds=("prefill", "decode", "both"),
+        zones=("z",),
         log=lambda event, **fields: None,
-    )  # fmt: skip
+    )
 
 
-def request(n: int = 0, **changes: object) -> t.Request:
-    told = {"id": f"q{n}", "cls": 0, "tenant": 0, "session": None, "expires_in_ms": 5000.0, "answer_ms": None,
-            "shared": None, "prompt_tokens": 100.0, "shared_tokens": 0.0, "max_tokens": 10.0, "repeat": False,
-            "resumed": False}  # fmt: skip
-    return t.Request(**{**told, **changes})  # type: ignore[arg-type]
+def request(n: int = 0, **changes: object) -> Request:
+    told = {
+        "id": f"q{n}",
+        "cls": 0,
+        "tenant": 0,
+        "session": None,
+        "expires_in_ms": 5000.0,
+        "answer_ms": None,
+        "shared": None,
+        "prompt_tokens": 100.0,
+        "shared_tokens": 0.0,
+        "max_tokens": 10.0,
+        "repeat": False,
+        "resumed": False,
+    }
+    return Request(**{**told, **changes})  # type: ignore[arg-type]
 
 
 CELLS = {"one": PoolSpec("one", among("cell", "1"), 1, ("rest",)), "rest": PoolSpec("rest")}
@@ -256,7 +284,8 @@
 
 
 def test_old_generations_end_with_their_last_request() -> None:
-    routes, kept = routing(PLAN), []
+    routes = routing(PLAN)
+    kept = []
     for n in range(1_000):
         asked = routes.route(request(n), Origin("chat"))
         routes.taken(0.0, asked)
@@ -279,7 +308,7 @@
     ]
     routes = routing(plan)
     on = Front(*rows)
-    routes.told(on.now, t.ListNews(t.ListScope.FULL, tuple(rows), 1))
+    routes.told(on.now, EndpointUpdate(UpdateScope.SNAPSHOT, tuple(rows), 1))
     return on, routes
 
 
@@ -293,34 +322,34 @@
     on, routes = front()
     for _ in range(20):
         asked = on.ask(course=course(routes))
-        assert on.sends[asked][0].server == "r1" and on.one(t.HoldPlace).server == "w1"
-        on.end(asked, t.Status.READ)
+        assert on.sends[asked][0].server == "r1" and on.one(ReserveDecodeSlot).server == "w1"
+        on.end(asked, AttemptStatus.PREFILLED)
         on.begin(asked)
-        on.end(asked, t.Status.OK)
+        on.end(asked, AttemptStatus.OK)
 
 
 def test_a_lost_pool_hands_on_what_is_under_way() -> None:
     on, routes = front(plan=LOOSE)
     asked = on.ask(course=course(routes))
     gone = (
-        entry("r1", 0, cell=1, state=t.ServerState.GONE),
-        entry("w1", 1, cell=1, state=t.ServerState.GONE),
+        entry("r1", 0, cell=1, state=EndpointState.REMOVED),
+        entry("w1", 1, cell=1, state=EndpointState.REMOVED),
     )
-    routes.told(on.now, t.ListNews(t.ListScope.DELTA, gone, 2))
-    on.news(t.ListScope.DELTA, *gone)
-    on.end(asked, t.Status.RESET)
+    routes.told(on.now, EndpointUpdate(UpdateScope.DELTA, gone, 2))
+    on.news(UpdateScope.DELTA, *gone)
+    on.end(asked, AttemptStatus.RESET)
     assert [send.server for send in on.sends[asked]] == ["r1", "r2"]
 
 
 def test_attempts_and_budget_of_the_policy_bind() -> None:
     on, routes = front()  # 2 attempts: one read and one write, and a failed read is the end
     asked = on.ask(course=course(routes))
-    on.end(asked, t.Status.RESET)
-    assert on.one(t.Refuse).id == asked
+    on.end(asked, AttemptStatus.RESET)
+    assert on.one(RejectRequest).id == asked
     on, routes = front(plan=LOOSE)
     for n in range(3):  # the floor allows one a second
         asked = on.ask(course=course(routes), after=1.0)
-        on.end(asked, t.Status.ERROR, after=1.0)
+        on.end(asked, AttemptStatus.ERROR, after=1.0)
         assert len(on.sends[asked]) == (2 if n == 0 else 1)
 
 
@@ -334,8 +363,8 @@
         on.serve(course=other, cls=1, after=400.0)
     sent = [on.ask(course=course(routes)) for _ in range(4)]
     for asked in sent:  # pool one's only writer begins nothing any more
-        on.end(asked, t.Status.READ, after=5.0)
+        on.end(asked, AttemptStatus.PREFILLED, after=5.0)
     jammed = on.ask(course=course(routes), after=1_000.0)
-    assert jammed not in on.sends and on.one(t.Refuse).id == jammed
+    assert jammed not in on.sends and on.one(RejectRequest).id == jammed
     free = on.ask(course=other, cls=1)
     assert on.sends[free][0].server == "r2"
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -43,7 +43,8 @@
 
 
 def test_each_variant_is_made_with_the_three_files_beside_it(script: ModuleType, tmp_path: Path) -> None:
-    given, into = tmp_path / "given", tmp_path / "made"
+    given = tmp_path / "given"
+    into = tmp_path / "made"
     given.mkdir()
     (given / "site.toml").write_text(GIVEN)
     for name in script.BESIDE:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -12,11 +12,11 @@
 from tests.front import Front
 from violetstack.commands.main import main
 from violetstack.handover.learned import learned
-from violetstack.net.keeping import Disk, Keeper
+from violetstack.net.state_writer import Disk, Keeper
 from violetstack.protocol.discovery import WServer
-from violetstack.state import content as kept
-from violetstack.state.content import Content
+from violetstack.state import snapshot as kept
 from violetstack.state.frames import frame
+from violetstack.state.snapshot import Content
 from violetstack.state.store import LEAST_LOG, Store, recover
 
 
@@ -103,7 +103,8 @@
 
 
 def written() -> tuple[Memory, Content]:
-    files, content = Memory(), Content()
+    files = Memory()
+    content = Content()
     front = Front()
     front.serve()
     store = Store(files, recover(files))
@@ -124,7 +125,8 @@
     assert recover(files).content == content
     (log,) = [name for name in files.files if name.endswith(".log")]
     whole = files.files[log]
-    seen, firsts = set[int](), list[int]()
+    seen = set[int]()
+    firsts = list[int]()
     for size in range(len(whole)):
         files.files[log] = whole[:size]
         found = recover(files)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -10,12 +10,12 @@
 import trio
 import trio.testing
 
-from violetstack import interface as t
 from violetstack.config import address
-from violetstack.net import peers, watch
-from violetstack.net.daemon import Daemon
-from violetstack.net.peers import Peers
-from violetstack.net.pool import HostConnection
+from violetstack.daemon.daemon import Daemon
+from violetstack.net import gossip, watch
+from violetstack.net.gossip import Peers
+from violetstack.net.upstream.connection_pool import HostConnection
+from violetstack.policy_api import Action, Event, GossipReceived
 from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import BODY, ask_platform, connect, platform_headers
 from violetstack.rehearsal.discovery import Discovery
@@ -94,7 +94,8 @@
     reader, writer = pair(reads=(SILENT,))
 
     async def story(on: Stage) -> None:
-        core, closed = on.daemon.core, []
+        core = on.daemon.core
+        closed = []
         abort = core.driver.abort
 
         def watched(attempt: object) -> None:
@@ -256,9 +257,10 @@
 
 def test_a_module_that_raises_ends_neither_the_program_nor_the_one_answer() -> None:
     async def story(on: Stage) -> None:
-        decider, decide = on.daemon.core.decider, on.daemon.core.decider.handle
+        decider = on.daemon.core.decider
+        decide = on.daemon.core.decider.handle
 
-        def broken(now: float, events: list[t.Event]) -> list[t.Action]:
+        def broken(now: float, events: list[Event]) -> list[Action]:
             decider.handle = decide  # type: ignore[method-assign]
             raise ZeroDivisionError
 
@@ -307,10 +309,11 @@
 
 def test_only_peers_are_heard() -> None:
     async def story(on: Stage) -> None:
-        core, heard = on.daemon.core, trio.Event()
-        told: list[t.PeerMessage] = []
+        core = on.daemon.core
+        heard = trio.Event()
+        told: list[GossipReceived] = []
 
-        def note(message: t.PeerMessage) -> None:
+        def note(message: GossipReceived) -> None:
             told.append(message)
             heard.set()
 
@@ -322,17 +325,17 @@
             await sock.bind(("127.0.0.1", 0))
             at = sock.getsockname()
             sock.close()
-            peers = Peers(core, at, [at, peer.getsockname()], peer.getsockname())
-            on.nursery.start_soon(peers.run)
+            gossip = Peers(core, at, [at, peer.getsockname()], peer.getsockname())
+            on.nursery.start_soon(gossip.run)
             while not heard.is_set():
                 await stranger.sendto(b"no", at)
                 await peer.sendto(b"hi", at)
                 with trio.move_on_after(0.01):
                     await heard.wait()
-            peers.tell(b"ho")
+            gossip.tell(b"ho")
             with trio.fail_after(2.0):
                 assert await peer.recvfrom(16) == (b"ho", at)
-        assert told[0] == t.PeerMessage(1, b"hi")
+        assert told[0] == GossipReceived(1, b"hi")
 
     play(*pair(), story=story)
 
@@ -390,7 +393,8 @@
 
     def __init__(self, *rows: dict[str, object], says: bytes = b"", status: int = 200) -> None:
         super().__init__(*rows)
-        self.says, self.status = says, status
+        self.says = says
+        self.status = status
 
     async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
         if self.status != 200:
@@ -464,7 +468,7 @@
     monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
     """A new version beside one that does not share the address would not have started."""
-    monkeypatch.setattr(peers, "BIND_AGAIN_S", 0.01)
+    monkeypatch.setattr(gossip, "BIND_AGAIN_S", 0.01)
 
     async def story(on: Stage) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
--- a/tests/test_waking.py
+++ b/tests/test_waking.py
@@ -7,12 +7,24 @@
 
 from tests.front import SETTINGS, WRITERS, Front, entry
 from tests.test_core import Noted
-from violetstack import interface as t
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Shed
-from violetstack.freshness.turns import Turns
-from violetstack.net.peers import Peers
-from violetstack.peers.sharing import ANEW, amount_of, code_of, datagram, tag_of
+from violetstack.gossip.load_gossip import ANEW, amount_of, code_of, datagram, tag_of
+from violetstack.net.gossip import Peers
+from violetstack.policy_api import (
+    AttemptFinished,
+    AttemptStatus,
+    EndpointState,
+    EndpointUpdate,
+    GossipReceived,
+    ProcessPaused,
+    Request,
+    SendGossip,
+    StartTimer,
+    TimerFired,
+    UpdateScope,
+)
+from violetstack.process_pause import Turns
 
 GRACE_MS = 250.0
 
@@ -20,14 +32,14 @@
 def core_of() -> tuple[Dispatcher, Noted]:
     noted = Noted()
     core = Dispatcher(SETTINGS, noted, noted, GRACE_MS)
-    core.news(1000.0, t.ListNews(t.ListScope.FULL, WRITERS, 1))
+    core.news(1000.0, EndpointUpdate(UpdateScope.SNAPSHOT, WRITERS, 1))
     core.run(1000.0)
     noted.events.clear()
     return core, noted
 
 
-def asked(expires_in_ms: float = 3000.0) -> t.Request:
-    return t.Request("q1", 0, 0, None, expires_in_ms, None, None, 2000.0, 0.0, 200.0, False, False)
+def asked(expires_in_ms: float = 3000.0) -> Request:
+    return Request("q1", 0, 0, None, expires_in_ms, None, None, 2000.0, 0.0, 200.0, False, False)
 
 
 @pytest.mark.parametrize(
@@ -56,36 +68,39 @@
     """
     core, noted = core_of()
     core.take(5000.0, asked(), noted, None)
-    core.news(5000.0, t.ListNews(t.ListScope.FULL, (entry("w1", 1, state=t.ServerState.DRAINING),), 2))
+    core.news(
+        5000.0, EndpointUpdate(UpdateScope.SNAPSHOT, (entry("w1", 1, state=EndpointState.DRAINING),), 2)
+    )
     core.woke(5000.0, 4000.0)
     core.run(5000.0)
-    assert [type(event) for event in noted.events] == [t.Woke, t.ListNews, t.Request]
+    assert [type(event) for event in noted.events] == [ProcessPaused, EndpointUpdate, Request]
     assert not core.may_write("w1")
 
 
 def test_a_request_that_lay_unread_for_its_whole_time_is_refused_at_once() -> None:
     core, _ = core_of()
     core.unseen_ms = lambda: 4000.0
-    shed, later = core.admit(5000.0, asked(3000.0)), asked(6000.0)
+    shed = core.admit(5000.0, asked(3000.0))
+    later = asked(6000.0)
     assert isinstance(shed, Shed) and shed.reason == "unread"
     assert core.admit(5000.0, later) is None and (later.expires_in_ms, later.age_ms) == (2000.0, 4000.0)
 
 
 def test_nothing_is_learned_across_a_gap_and_others_words_from_before_do_not_count() -> None:
     front = Front(may_tell=True)
-    front.feed(t.PeerMessage(1, datagram([(tag_of("r1"), code_of(500.0))])))
+    front.feed(GossipReceived(1, datagram([(tag_of("r1"), code_of(500.0))])))
     request = front.ask()
-    front.feed(t.TimerDue("tell"), after=25.0)
-    told = front.one(t.Tell).payload
+    front.feed(TimerFired("tell"), after=25.0)
+    told = front.one(SendGossip).payload
     fleet = front.router.fleet
     assert fleet.shared.at(tag_of("r1")) == amount_of(code_of(500.0))
-    front.feed(t.Woke(5000.0), after=5000.0)
-    assert fleet.shared.at(tag_of("r1")) == 0.0 and front.one(t.Tell).payload == ANEW
-    front.feed(t.TimerDue("tell"), after=25.0)
-    assert front.one(t.Tell).payload == told  # all that is out is told anew
-    front.end(request, t.Status.READ, took=5050.0)
+    front.feed(ProcessPaused(5000.0), after=5000.0)
+    assert fleet.shared.at(tag_of("r1")) == 0.0 and front.one(SendGossip).payload == ANEW
+    front.feed(TimerFired("tell"), after=25.0)
+    assert front.one(SendGossip).payload == told  # all that is out is told anew
+    front.end(request, AttemptStatus.PREFILLED, took=5050.0)
     assert not fleet.cleared.at(front.now) and not fleet.reads.all
-    front.feed(t.Woke(500.0), after=500.0)  # the write is out now
+    front.feed(ProcessPaused(500.0), after=500.0)  # the write is out now
     front.begin(request)
     assert not fleet.waits.all
     front.serve()
@@ -97,8 +112,8 @@
     request = front.ask()
     front.now += 5000.0
     reader = front.sends[request][0].server
-    outcome = t.Outcome(request, reader, 0, t.Status.READ, 5000.0, False, 0, (0.5,))
-    front.feed(t.Woke(5000.0), outcome)
+    outcome = AttemptFinished(request, reader, 0, AttemptStatus.PREFILLED, 5000.0, False, 0, (0.5,))
+    front.feed(ProcessPaused(5000.0), outcome)
     assert front.router.fleet.servers[reader].share_at == front.now - 5000.0
 
 
@@ -106,12 +121,12 @@
     """It heard only of changes, and took hosts that were full for idle ones."""
     front = Front(may_tell=True)
     front.ask()
-    front.feed(t.TimerDue("tell"), after=25.0)
-    told = front.one(t.Tell).payload
-    front.feed(t.PeerMessage(1, ANEW), t.PeerMessage(2, ANEW))
-    assert 20.0 <= front.all(t.Timer)[0].after_ms <= 200.0
-    front.feed(t.TimerDue("tell"), after=250.0)
-    assert front.one(t.Tell).payload == told
+    front.feed(TimerFired("tell"), after=25.0)
+    told = front.one(SendGossip).payload
+    front.feed(GossipReceived(1, ANEW), GossipReceived(2, ANEW))
+    assert 20.0 <= front.all(StartTimer)[0].after_ms <= 200.0
+    front.feed(TimerFired("tell"), after=250.0)
+    assert front.one(SendGossip).payload == told
 
 
 async def _first_words() -> bytes:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -16,8 +16,9 @@
 from tests.test_stories import pair, play
 from violetstack.config import address
 from violetstack.core import backoff
-from violetstack.net import daemon, watch
-from violetstack.net.daemon import Daemon
+from violetstack.daemon import daemon
+from violetstack.daemon.daemon import Daemon
+from violetstack.net import watch
 from violetstack.protocol.discovery import MAX_LIST, BadList, Values
 from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import ask_platform
@@ -394,7 +395,8 @@
 
 
 def test_an_object_without_an_end_is_bounded() -> None:
-    values, came = Values(), 0
+    values = Values()
+    came = 0
     with pytest.raises(BadList):
         for _ in range(MAX_LIST // 1000 + 2):
             list(values.feed(b'{"a":"' + b"x" * 994 if not came else b"y" * 1000))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,10 +10,10 @@
 
 import pytest
 
-from violetstack import interface as t
-from violetstack import wirehost
-from violetstack.facts import Malformed
+from violetstack import simulator_adapter
+from violetstack.policy_api import Action, Event
 from violetstack.router import Router
+from violetstack.settings import Malformed
 
 FACTS: dict[str, Any] = {
     "fleet_size": 2,
@@ -21,9 +21,7 @@
     "zone": 0,
     "kinds": ["a", "b"],
     "unheard_of": {"x": 1},
-    "classes": [
-        {"name": "c", "aim": 1000.0, "give_up": 4000.0, "idempotency": "read_like", "value": 1.0}
-    ],
+    "classes": [{"name": "c", "aim": 1000.0, "give_up": 4000.0, "idempotency": "read_like", "value": 1.0}],
     "family_info": {
         "ahead": True,
         "stage_of_kind": ["read", "write"],
@@ -72,7 +70,7 @@
         for turn, events in enumerate(batches)
     ]
     sink = io.BytesIO()
-    wirehost.serve(io.BytesIO(b"".join(lines)), sink)
+    simulator_adapter.serve(io.BytesIO(b"".join(lines)), sink)
     replies = [json.loads(line) for line in sink.getvalue().splitlines()]
     assert [reply["turn"] for reply in replies] == list(range(len(batches)))
     return [reply["actions"] for reply in replies]
@@ -108,9 +106,9 @@
 def test_a_list_number_used_again_in_one_batch_means_the_newer_list_from_there_on() -> None:
     newer = {**LIST, "nodes_list": [{**NODES[0], "engine": "engine.x"}, NODES[1]]}
     other = {**UP, "i": "front/1"}
-    actions = play(
-        [LIST, UP, NEWS, newer, other, {**NEWS, "i": "front/1"}, WORK, {**WORK, "i": "front/1"}]
-    )[0]
+    actions = play([LIST, UP, NEWS, newer, other, {**NEWS, "i": "front/1"}, WORK, {**WORK, "i": "front/1"}])[
+        0
+    ]
     sent = {a["i"]: a["engine"] for a in actions if a["op"] == "assign"}
     assert sent == {"front/0": "engine.r", "front/1": "engine.x"}
 
@@ -138,7 +136,7 @@
 def test_an_exception_in_the_decisions_is_reported_as_a_fault(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    def broken(self: object, now: float, events: list[t.Event]) -> list[t.Action]:
+    def broken(self: object, now: float, events: list[Event]) -> list[Action]:
         raise ValueError("no such thing")
 
     monkeypatch.setattr(Router, "handle", broken)
@@ -155,11 +153,9 @@
         (b'{"now":"x","turn":1,"arrivals":[]}', "now"),
     ],
 )
-def test_malformed_input_gets_one_plain_message_and_a_non_zero_exit(
-    line: bytes, named: str
-) -> None:
+def test_malformed_input_gets_one_plain_message_and_a_non_zero_exit(line: bytes, named: str) -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "violetstack.wirehost"],
+        [sys.executable, "-m", "violetstack.simulator_adapter"],
         input=line + b"\n",
         capture_output=True,
         check=False,
--- a/violetstack/admin/door.py
+++ b/violetstack/admin/api.py
@@ -15,9 +15,14 @@
 PLAIN_ID = re.compile(r"[!-~]{1,128}")
 JSON: Headers = [("Content-Type", "application/json"), ("Cache-Control", "no-store")]
 CALLS = {
-    "/admin/health": "GET", "/admin/stats": "GET", "/admin/cordon": "POST", "/admin/uncordon": "POST",
-    "/admin/duties": "GET", "/admin/leave": "POST", "/admin/resign": "POST",
-}  # fmt: skip
+    "/admin/health": "GET",
+    "/admin/stats": "GET",
+    "/admin/cordon": "POST",
+    "/admin/uncordon": "POST",
+    "/admin/duties": "GET",
+    "/admin/leave": "POST",
+    "/admin/resign": "POST",
+}
 
 
 class House(Protocol):
@@ -57,14 +62,17 @@
 
     def __init__(self, status: int, reason: str, headers: Headers | None = None) -> None:
         super().__init__(reason)
-        self.status, self.reason, self.headers = status, reason, headers or []
+        self.status = status
+        self.reason = reason
+        self.headers = headers or []
 
 
 class Call:
     """One connection, for one call. `feed` until `answer` is there; it is the connection's last word."""
 
     def __init__(self, house: House, log: Callable[..., None]) -> None:
-        self._house, self._log = house, log
+        self._house = house
+        self._log = log
         self._http = ServerSide(most_body=MAX_CALL)
         self._http.closing = True
 
@@ -76,7 +84,9 @@
             inbound = self._http.next_request()
             if inbound is None:
                 return self._http.continue_100() if self._http.wants_continue else None
-            status, headers, told = 200, JSON, msgspec.json.encode(self._act(inbound))
+            status = 200
+            headers = JSON
+            told = msgspec.json.encode(self._act(inbound))
         except Rejected as error:
             status, headers, told = self._no(inbound, error.status, error.reason, [])
         except Refused as error:
--- a/violetstack/admin/cordons.py
+++ b/violetstack/admin/cordons.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from violetstack import interface as t
+from violetstack.policy_api import Endpoint, EndpointState, EndpointUpdate, UpdateScope
 
 MOST = 1_000  # marks kept; a call beyond that is answered with a no
 
@@ -39,21 +39,21 @@
 
     def __init__(self) -> None:
         self.marks: dict[str, Mark] = {}
-        self._listed: dict[str, t.Entry] = {}
+        self._listed: dict[str, Endpoint] = {}
 
-    def told(self, news: t.ListNews) -> t.ListNews:
+    def told(self, news: EndpointUpdate) -> EndpointUpdate:
         """Discovery's news as the core is to see it."""
-        if news.scope is not t.ListScope.DELTA:
+        if news.scope is not UpdateScope.DELTA:
             self._listed = {}
         for entry in news.entries:
             self._listed[entry.server] = entry
-            if entry.state is t.ServerState.GONE:
+            if entry.state is EndpointState.REMOVED:
                 del self._listed[entry.server]
         if not self.marks:
             return news
         return replace(news, entries=tuple(self._seen(entry) for entry in news.entries))
 
-    def cordon(self, now: float, server: str) -> t.ListNews:
+    def cordon(self, now: float, server: str) -> EndpointUpdate:
         """Raises Unknown or TooMany. Taken out twice, it is out since the first call."""
         mark = self.marks.get(server)
         if mark is not None and mark.out:
@@ -65,7 +65,7 @@
         self.marks[server] = Mark(True, now, now)
         return self._news(server)
 
-    def uncordon(self, now: float, server: str) -> t.ListNews:
+    def uncordon(self, now: float, server: str) -> EndpointUpdate:
         """Raises Unknown. For a host that is not out it changes nothing."""
         mark = self.marks.get(server)
         if mark is not None and mark.out:
@@ -74,7 +74,7 @@
             raise Unknown(server)
         return self._news(server)
 
-    def merge(self, marks: Mapping[str, Mark]) -> t.ListNews | None:
+    def merge(self, marks: Mapping[str, Mark]) -> EndpointUpdate | None:
         """Another process's marks; the news that follows, if any."""
         newer = {s: m for s, m in marks.items() if s not in self.marks or m.at > self.marks[s].at}
         self.marks.update(newer)
@@ -92,16 +92,16 @@
             raise TooMany(f"{MOST} hosts are out")
         del self.marks[min(old, key=lambda s: self.marks[s].at)]
 
-    def _news(self, *servers: str) -> t.ListNews:
+    def _news(self, *servers: str) -> EndpointUpdate:
         listed = [self._listed[s] for s in servers if s in self._listed]
-        return t.ListNews(t.ListScope.DELTA, tuple(self._seen(entry) for entry in listed), 0)
+        return EndpointUpdate(UpdateScope.DELTA, tuple(self._seen(entry) for entry in listed), 0)
 
-    def _seen(self, entry: t.Entry) -> t.Entry:
+    def _seen(self, entry: Endpoint) -> Endpoint:
         mark = self.marks.get(entry.server)
-        if mark is None or entry.state is t.ServerState.GONE:
+        if mark is None or entry.state is EndpointState.REMOVED:
             return entry
         if mark.out:
-            return replace(entry, state=t.ServerState.DRAINING)
+            return replace(entry, state=EndpointState.DRAINING)
         if (entry.started_ms or 0.0) < mark.since:
             return replace(entry, started_ms=mark.at)
         return entry
--- a/violetstack/admin/figures.py
+++ b/violetstack/admin/metrics.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-from violetstack import interface as t
-from violetstack.core.tally import Tally
+from violetstack.core.metrics import Tally
+from violetstack.policy_api import Endpoint, EndpointState
 
 
 def figures(tally: Tally, classes: tuple[str, ...], listed: int, avoided: int) -> dict[str, Any]:
@@ -29,10 +29,10 @@
     }
 
 
-def kinds_without(listed: Iterable[t.Entry], kinds: tuple[str, ...]) -> list[str]:
+def kinds_without(listed: Iterable[Endpoint], kinds: tuple[str, ...]) -> list[str]:
     """Kinds of which no listed host is to be chosen: requests are refused at once while there is one."""
-    states: dict[int, set[t.ServerState]] = {}
+    states: dict[int, set[EndpointState]] = {}
     for entry in listed:
         states.setdefault(entry.kind, set()).add(entry.state)
-    without = [n for n, seen in states.items() if t.ServerState.HEALTHY not in seen]
+    without = [n for n, seen in states.items() if EndpointState.HEALTHY not in seen]
     return [kinds[n] for n in without if n < len(kinds)]
--- a/violetstack/commands/config.py
+++ b/violetstack/commands/config.py
@@ -13,7 +13,9 @@
     from violetstack.language.checker import Checked, Known
     from violetstack.language.meaning import Meaning
 
-CLEAN, FOUND, BROKEN = 0, 1, 2
+CLEAN = 0
+FOUND = 1
+BROKEN = 2
 FILE = click.Path(dir_okay=False)
 SETTINGS = click.option(
     "--settings", type=FILE, help="A NODE_CONFIG file; its classes, tenants, kinds and zones are known."
@@ -159,7 +161,8 @@
     from violetstack.language.difference import difference, replayed, tables  # noqa: PLC0415
 
     known = _known(settings)
-    before, after = _meaning(old, known), _meaning(new, known)
+    before = _meaning(old, known)
+    after = _meaning(new, known)
     found = difference(before, after, known)
     for each in found:
         click.echo(str(each))
--- a/violetstack/commands/fleet.py
+++ b/violetstack/commands/fleet.py
@@ -11,7 +11,8 @@
 import click
 import orjson
 
-CALL_S, AGAIN_S = 1.0, 0.2
+CALL_S = 1.0
+AGAIN_S = 0.2
 
 
 class NoAnswer(Exception):
@@ -54,7 +55,8 @@
 
     Exit status 1 if one does not answer, or two claim a duty.
     """
-    bad, claimed = False, dict[str, int]()
+    bad = False
+    claimed = dict[str, int]()
     for door in doors:
         try:
             status, told = call(door, "GET", "/admin/duties")
@@ -67,8 +69,10 @@
             bad = True
             continue
         speaks = {None: "no elector", True: "elector", False: "elector, silent yet"}[told["speaks"]]
-        click.echo(f"{door}: dispatcher {told['me']}, {'fit' if told['fit'] else 'not fit'}, {speaks}, "
-                   f"{told['datagrams']} datagrams sent")  # fmt: skip
+        click.echo(
+            f"{door}: dispatcher {told['me']}, {'fit' if told['fit'] else 'not fit'}, {speaks}, "
+            f"{told['datagrams']} datagrams sent"
+        )
         for row in told["duties"]:
             holder = "nobody, or not known" if row["holder"] is None else f"dispatcher {row['holder']}"
             since = "" if row["since_ms"] is None else f"; {row['why']} {row['since_ms'] / 1000.0:.1f} s ago"
--- a/violetstack/commands/level.py
+++ b/violetstack/commands/level.py
@@ -85,8 +85,14 @@
 @level.command()
 @click.argument("name")
 @SOCKET
-@click.option("--for", "minutes", type=click.FloatRange(0.1, 10_000), default=60.0, show_default=True,
-              help="Minutes; then the signals decide again.")  # fmt: skip
+@click.option(
+    "--for",
+    "minutes",
+    type=click.FloatRange(0.1, 10_000),
+    default=60.0,
+    show_default=True,
+    help="Minutes; then the signals decide again.",
+)
 def pin(name: str, path: str, minutes: float) -> None:
     """Keep the level NAME in force, whatever the signals say."""
     shown(ask(path, do="pin", level=name, for_ms=minutes * 60_000.0, by=getpass.getuser()))
--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -49,8 +49,13 @@
 
 @main.command()
 @click.argument("file", required=False, type=click.Path(dir_okay=False))
-@click.option("--log", "form", type=click.Choice(["auto", "json", "text"]), default="auto",
-              help="Form of the log; auto is text on a terminal.")  # fmt: skip
+@click.option(
+    "--log",
+    "form",
+    type=click.Choice(["auto", "json", "text"]),
+    default="auto",
+    help="Form of the log; auto is text on a terminal.",
+)
 def serve(file: str | None, form: str) -> None:
     """Serve what FILE, NODE_CONFIG or both tell.
 
@@ -89,7 +94,7 @@
 
     if stories[:1] == ("fleet",):
         sys.exit(_fleet(stories[1:], as_json))
-    from violetstack.rehearsal import stories as played  # noqa: PLC0415
+    from violetstack.rehearsal import scenarios as played  # noqa: PLC0415
 
     unknown = [name for name in stories if name not in played.STORIES]
     if unknown:
@@ -100,7 +105,7 @@
 def _fleet(plans: tuple[str, ...], as_json: bool) -> int:
     """1 if a rule was broken, a dispatcher crashed or the stand-ins fell behind."""
     from violetstack.rehearsal.fleet import plan, report  # noqa: PLC0415
-    from violetstack.rehearsal.fleet.ground import play  # noqa: PLC0415
+    from violetstack.rehearsal.fleet.runner import play  # noqa: PLC0415
 
     if not plans:
         raise click.UsageError("rehearse fleet needs the file of a plan; benchmarks/fleet/ has some")
--- a/violetstack/commands/state.py
+++ b/violetstack/commands/state.py
@@ -27,7 +27,7 @@
 @FOLDER
 def show(folder: str) -> None:
     """What a start would find in FOLDER, for a person."""
-    from violetstack.net.keeping import Disk  # noqa: PLC0415 - only what a command needs is loaded
+    from violetstack.net.state_writer import Disk  # noqa: PLC0415 - only what a command needs is loaded
     from violetstack.state.store import recover  # noqa: PLC0415
 
     found = recover(Disk(folder))
@@ -49,7 +49,7 @@
 @FOLDER
 def verify(folder: str) -> None:
     """Exit status 1 if anything in FOLDER can't be believed, 2 if nothing can."""
-    from violetstack.net.keeping import Disk  # noqa: PLC0415
+    from violetstack.net.state_writer import Disk  # noqa: PLC0415
     from violetstack.state.store import generations, recover  # noqa: PLC0415
 
     disk = Disk(folder)
@@ -65,7 +65,7 @@
 @FOLDER
 def export(folder: str) -> None:
     """What a start would find in FOLDER, as one JSON object."""
-    from violetstack.net.keeping import Disk  # noqa: PLC0415
+    from violetstack.net.state_writer import Disk  # noqa: PLC0415
     from violetstack.state.store import recover  # noqa: PLC0415
 
     found = recover(Disk(folder))
@@ -76,7 +76,7 @@
 @FOLDER
 def prune(folder: str) -> None:
     """Remove files in FOLDER that no start would read; not while its dispatcher runs."""
-    from violetstack.net.keeping import Disk  # noqa: PLC0415
+    from violetstack.net.state_writer import Disk  # noqa: PLC0415
     from violetstack.state.store import PART, prunable, recover  # noqa: PLC0415
 
     disk = Disk(folder)
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -10,13 +10,13 @@
 
 import msgspec
 
-from violetstack import interface as t
-from violetstack.facts import Malformed, WFacts, WFamily, settings_of
 from violetstack.operators import BadOperatorFile, ChatConfig, DutiesFile, OperatorFile, PlainHost
+from violetstack.policy_api import Endpoint, EndpointState, Settings
 from violetstack.protocol.discovery import WTargets
+from violetstack.settings import Malformed, WFacts, WFamily, settings_of
 
 if TYPE_CHECKING:
-    from violetstack.levels.control import LevelPlan
+    from violetstack.load_shedding.control import LevelPlan
     from violetstack.routing.generations import Plan
 
 Address = tuple[str, int]
@@ -73,7 +73,7 @@
 PLAIN_MEMORY_TOKENS = 100_000.0
 
 
-def with_plain_hosts(facts: WFacts, hosts: list[PlainHost]) -> tuple[WFacts, tuple[t.Entry, ...]]:
+def with_plain_hosts(facts: WFacts, hosts: list[PlainHost]) -> tuple[WFacts, tuple[Endpoint, ...]]:
     """The settings with one more kind, for the chat file's own hosts, and these hosts as list entries."""
     if not hosts:
         return facts, ()
@@ -85,7 +85,7 @@
     memory.append(sum(sizes) / len(sizes) if sizes else PLAIN_MEMORY_TOKENS)
     family = msgspec.structs.replace(family, stage_of_kind=[*stages, "both"], kv_tokens=memory)
     entries = tuple(
-        t.Entry(host.id, 0, host.weight, facts.zone, t.ServerState.HEALTHY, len(kinds), None)
+        Endpoint(host.id, 0, host.weight, facts.zone, EndpointState.HEALTHY, len(kinds), None)
         for host in hosts
     )
     return msgspec.structs.replace(facts, family_info=family, kinds=[*kinds, PLAIN_KIND]), entries
@@ -95,17 +95,25 @@
     """`operator` is the operator's file, `plan` its routes; both may be missing on the platform."""
 
     def __init__(
-        self, told: WConfig, operator: OperatorFile | None = None, plan: Plan | None = None,
-        warnings: tuple[str, ...] = (), levels: LevelPlan | None = None,
-    ) -> None:  # fmt: skip
-        self.told, self.limits = told, told.limits
-        self.operator, self.plan, self.warnings, self.levels = operator, plan, warnings, levels
+        self,
+        told: WConfig,
+        operator: OperatorFile | None = None,
+        plan: Plan | None = None,
+        warnings: tuple[str, ...] = (),
+        levels: LevelPlan | None = None,
+    ) -> None:
+        self.told = told
+        self.limits = told.limits
+        self.operator = operator
+        self.plan = plan
+        self.warnings = warnings
+        self.levels = levels
         if told.limits.sockets < LEAST_SOCKETS or told.limits.memory_mb <= 0:
             raise BadConfig(f"limits: nothing can be served with {told.limits}")
         self.facts, self.plain = with_plain_hosts(
             told.settings, operator.hosts if operator is not None else []
         )
-        self.settings: t.Settings = settings_of(self.facts, seed_of(told.seed))
+        self.settings: Settings = settings_of(self.facts, seed_of(told.seed))
         checked = ChatConfig(operator, self.facts) if operator is not None else None
         self.chat = checked if operator is not None and operator.listen else None
         self.listen = address_of("listen", told.listen)
@@ -119,16 +127,17 @@
         self.peers_all = address_of("peers_all", told.peers_all)
         if operator is not None and operator.duties is not None:
             self._check(operator.duties)
-        rules, limits = told.settings.rules, told.settings.limits
+        rules = told.settings.rules
+        limits = told.settings.limits
         within = rules.stop_sending_within if rules is not None else None
         self.drain_grace_ms = 250.0 if within is None else within
         idle = limits.idle_close if limits is not None else None
         self.idle_close_ms = idle or 30_000.0
 
-
     def _check(self, duties: DutiesFile) -> None:
         """Whoever is not reached can't vote, so each of the tier has to be named."""
-        size, named = self.settings.fleet_size, len(self.peers)
+        size = self.settings.fleet_size
+        named = len(self.peers)
         if self.peer_listen is None or named != size or self.settings.me >= named:
             raise BadConfig(f"duties: {named} peers are named for a fleet of {size}; each is to be there")
         if duties.leave >= size > 1:
@@ -195,7 +204,10 @@
             raise BadOperatorFile(f"{file}: no class is defined, and no NODE_CONFIG brings any")
         limits = WLimitsOfMachine(operator.cores, operator.memory_mb, operator.descriptors)
         told = WConfig(
-            settings=operator.settings, seed=secrets.token_hex(8), listen=operator.platform,
-            discovery=operator.discovery, limits=limits,
-        )  # fmt: skip
+            settings=operator.settings,
+            seed=secrets.token_hex(8),
+            listen=operator.platform,
+            discovery=operator.discovery,
+            limits=limits,
+        )
     return Config(told, operator, compiled.plan, tuple(warnings), compiled.levels)
--- a/violetstack/core/backoff.py
+++ b/violetstack/core/backoff.py
@@ -4,10 +4,14 @@
 
 import random
 
-FIRST_S, MOST_S = 0.25, 4.0  # the window of a first and of the latest further try
+# the window of a first and of the latest further try
+FIRST_S = 0.25
+MOST_S = 4.0
 A_CALL_S = 0.025  # of the service's time, for each dispatcher that asks when all of them do
 SOON_S = 2.0  # the first try after a watch has ended: what it misses counts as told after 6 s
-AGENT_FIRST_S, AGENT_MOST_S = 0.05, 0.2  # further tries where an agent on this machine has what was pushed
+# further tries where an agent on this machine has what was pushed
+AGENT_FIRST_S = 0.05
+AGENT_MOST_S = 0.2
 
 
 class Backoff:
@@ -33,7 +37,8 @@
 
     def next_s(self, *, turned_away: bool = True, bad: bool = False) -> float:
         """Seconds. `turned_away`: it answered, and not with a list; `bad`: with one that can't be read."""
-        tries, self._failures = self._failures, self._failures + 1
+        tries = self._failures
+        self._failures = self._failures + 1
         window = min(max(MOST_S, self._first), self._first * 2.0 ** min(tries, 10))
         if self.agent and (bad or not turned_away):
             first, most = (FIRST_S, MOST_S) if bad else (AGENT_FIRST_S, AGENT_MOST_S)
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from violetstack import interface as t
+from violetstack.core.metrics import Tally
 from violetstack.core.records import (
     Attempt,
     Driver,
@@ -20,15 +20,50 @@
     Sink,
     Witness,
 )
-from violetstack.core.tally import Tally
 from violetstack.core.timers import Timers
+from violetstack.policy_api import (
+    FAILURE_STATUSES,
+    Action,
+    AttemptFinished,
+    AttemptStatus,
+    CancelAttempt,
+    ClientDisconnected,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    Event,
+    FailRequest,
+    FetchEndpoints,
+    GossipReceived,
+    HealthCheckResult,
+    Idempotency,
+    MigrateStream,
+    OutlierCheckResult,
+    ProcessPaused,
+    RejectRequest,
+    ReleaseState,
+    Request,
+    ReservationResult,
+    ReserveDecodeSlot,
+    Role,
+    SendAttempt,
+    SendGossip,
+    SendHealthCheck,
+    Settings,
+    SetWatch,
+    ShutdownStarted,
+    StartTimer,
+    StreamStarted,
+    TimerFired,
+    UpdateScope,
+    WriteLog,
+)
 
 LEAST_CONNECT_MS = 40.0  # even where the time of what is held is nearly over; a release takes a few
-FAILING = frozenset({t.Status.ERROR, t.Status.RESET, t.Status.CONNECT_FAILED})  # the rest is a matter of load
 
 
 class Decider(Protocol):
-    def handle(self, now: float, events: list[t.Event]) -> list[t.Action]: ...
+    def handle(self, now: float, events: list[Event]) -> list[Action]: ...
 
 
 class Moved(Protocol):
@@ -66,14 +101,16 @@
 class Dispatcher:
     """One dispatcher's requests. Every method that needs the time takes it; `run` is called when woken."""
 
-    def __init__(self, settings: t.Settings, decider: Decider, driver: Driver, drain_grace_ms: float) -> None:
-        self.settings, self.decider, self.driver = settings, decider, driver
+    def __init__(self, settings: Settings, decider: Decider, driver: Driver, drain_grace_ms: float) -> None:
+        self.settings = settings
+        self.decider = decider
+        self.driver = driver
         self.drain_grace_ms = drain_grace_ms
         self.open: dict[str, OpenRequest] = {}
-        self.entries: dict[str, t.Entry] = {}
+        self.entries: dict[str, Endpoint] = {}
         self.unwanted: set[str] = set()  # servers that are known to drain
         self.stateless: set[str] = set()  # hosts that take no states, places or releases
-        self.inbox: list[t.Event] = []
+        self.inbox: list[Event] = []
         self.touched: dict[str, OpenRequest] = {}
         self.wake: Callable[[], None] = lambda: None
         self.timers = Timers()
@@ -86,21 +123,21 @@
 
     # --- events in ---
 
-    def _post(self, event: t.Event) -> None:
+    def _post(self, event: Event) -> None:
         self.inbox.append(event)
         self.wake()
 
-    def news(self, now: float, news: t.ListNews) -> None:
+    def news(self, now: float, news: EndpointUpdate) -> None:
         """A host that is gone is forgotten here and now: hosts come with new ids all day long."""
-        if news.scope is not t.ListScope.DELTA:
+        if news.scope is not UpdateScope.DELTA:
             self.entries = {}
         for entry in news.entries:
             self.entries[entry.server] = entry
-            if entry.state is t.ServerState.DRAINING:
+            if entry.state is EndpointState.DRAINING:
                 self.unwanted.add(entry.server)
             else:
                 self.unwanted.discard(entry.server)
-            if entry.state is t.ServerState.GONE:
+            if entry.state is EndpointState.REMOVED:
                 del self.entries[entry.server]
         self.unwanted &= self.entries.keys()
         if self.routes is not None:
@@ -109,11 +146,11 @@
             self.witness.listed(now, self.entries)
         self._post(news)
 
-    def route(self, asked: t.Request, origin: Origin) -> t.Request:
+    def route(self, asked: Request, origin: Origin) -> Request:
         """Every front calls this before `take`, with the request as it read it. Raises NotRouted."""
         return asked if self.routes is None else self.routes.route(asked, origin)
 
-    def admit(self, now: float, asked: t.Request) -> Shed | None:
+    def admit(self, now: float, asked: Request) -> Shed | None:
         """Every front calls this right before `take`; what is shed is answered at once, with its advice.
 
         Guards against answers past their time: what may have lain unread counts as having done so.
@@ -128,7 +165,7 @@
             self.tally.ended(asked.cls, "shed")
         return shed
 
-    def aim_ms(self, asked: t.Request) -> float:
+    def aim_ms(self, asked: Request) -> float:
         """When this request's first token is wanted."""
         spec = self.settings.classes[asked.cls]
         stretch = spec.aim_stretch * (asked.answer_ms or 0.0)
@@ -139,7 +176,7 @@
         rows = [r for r in self.open.values() if not r.done and r.bound is None]
         return [(now - r.arrived) / self.aim_ms(r.asked) for r in rows]
 
-    def take(self, now: float, asked: t.Request, sink: Sink, payload: object) -> OpenRequest:
+    def take(self, now: float, asked: Request, sink: Sink, payload: object) -> OpenRequest:
         if asked.id in self.open:
             raise Duplicate(asked.id)
         request = OpenRequest(asked, sink, payload, now, now + asked.expires_in_ms)
@@ -159,10 +196,10 @@
         self._settle(now, request, "left")
         if request.outlives:
             self._tell(request.sink.failed, False)  # nothing of it has run, which its record is to say
-        self._post(t.Left(request.id))
+        self._post(ClientDisconnected(request.id))
         if request.bound is not None:
             self.driver.abort(request.bound)
-            self.ended(now, request.bound, t.Status.CANCELLED)
+            self.ended(now, request.bound, AttemptStatus.CANCELLED)
 
     def may_move(self, attempt: Attempt) -> bool:
         """Is the stream all that is under way here for its request?"""
@@ -175,17 +212,20 @@
         """Another process goes on with the stream, and releases at its end what may be held for it."""
         attempt.request.loose = False
         self._settle(now, attempt.request, "moved")
-        self._post(t.Left(attempt.request.id))
-        self.ended(now, attempt, t.Status.CANCELLED)
+        self._post(ClientDisconnected(attempt.request.id))
+        self.ended(now, attempt, AttemptStatus.CANCELLED)
 
     def adopt(self, now: float, told: Moved, sink: Sink) -> Attempt:
         """A stream that another process began; the module hears nothing of it, since nothing is to decide."""
-        asked = t.Request(
+        asked = Request(
             told.id, told.cls, told.tenant, None, 0.0, None, None, told.prompt_tokens, 0.0, 0.0, False, False
         )
         request = OpenRequest(asked, sink, None, now - told.age_ms, now)
         attempt = Attempt(request, 0, told.server, False, request.arrived, now, True, True, told.events)
-        request.bound, request.out, request.sent, request.loose = attempt, {0: attempt}, 1, told.loose
+        request.bound = attempt
+        request.out = {0: attempt}
+        request.sent = 1
+        request.loose = told.loose
         self.open[asked.id] = request
         self.tally.taken(asked.cls)
         if self.routes is not None:
@@ -197,22 +237,22 @@
 
         The module hears of the gap first, then of the list, whichever socket was read first.
         """
-        lists = [event for event in self.inbox if isinstance(event, t.ListNews)]
-        others = [event for event in self.inbox if not isinstance(event, t.ListNews)]
-        self.inbox = [t.Woke(gap_ms), *lists, *others]
+        lists = [event for event in self.inbox if isinstance(event, EndpointUpdate)]
+        others = [event for event in self.inbox if not isinstance(event, EndpointUpdate)]
+        self.inbox = [ProcessPaused(gap_ms), *lists, *others]
         self.wake()
 
     def stopping(self) -> None:
         """Guards against what the end would cut off without a word, and states that nobody would release."""
-        self._post(t.Stopping())
+        self._post(ShutdownStarted())
 
-    def probed(self, probed: t.Probed) -> None:
+    def probed(self, probed: HealthCheckResult) -> None:
         self._post(probed)
 
-    def peer(self, message: t.PeerMessage) -> None:
+    def peer(self, message: GossipReceived) -> None:
         self._post(message)
 
-    def trial(self, trial: t.Trial) -> None:
+    def trial(self, trial: OutlierCheckResult) -> None:
         self._post(trial)
 
     # --- what attempts report ---
@@ -231,7 +271,7 @@
         """
         request = attempt.request
         spec = self.settings.classes[request.asked.cls]
-        repeats = spec.effect is t.Effect.KEYED and request.may_have_run and not attempt.reading
+        repeats = spec.effect is Idempotency.IDEMPOTENCY_KEY and request.may_have_run and not attempt.reading
         if attempt.over or request.done or (repeats and now >= request.ran_at + spec.window_ms):
             return False
         return self.may_write(attempt.server)
@@ -242,7 +282,8 @@
         Guards against states and places that outlive it while one connection after the other does not come
         up: nothing that was not written takes them.
         """
-        request, within = attempt.request, self.settings.release_ms
+        request = attempt.request
+        within = self.settings.release_ms
         if not (request.loose and request.held_at and within):
             return math.inf
         return max(LEAST_CONNECT_MS, request.held_at + within - now)
@@ -262,7 +303,8 @@
         request = attempt.request
         if attempt.over or request.done or request.bound is not None:
             return False
-        attempt.begun, request.bound = True, attempt
+        attempt.begun = True
+        request.bound = attempt
         if self.level is not None:
             ratio = (now - request.arrived) / self.aim_ms(request.asked)
             self.level.begun(now, ratio, request.asked.prompt_tokens)
@@ -273,7 +315,7 @@
         if self.witness is not None:
             self.witness.seen(now, attempt.server, True)
         self._tell(request.sink.begun)
-        self._post(t.Begun(request.id, attempt.server, attempt.number, now - attempt.sent_at))
+        self._post(StreamStarted(request.id, attempt.server, attempt.number, now - attempt.sent_at))
         return True
 
     def event(self, attempt: Attempt, data: memoryview) -> None:
@@ -285,7 +327,7 @@
         self,
         now: float,
         attempt: Attempt,
-        status: t.Status,
+        status: AttemptStatus,
         note: int = 0,
         report: tuple[float | None, ...] | None = None,
     ) -> None:
@@ -296,9 +338,9 @@
         attempt.over = True
         self.timers.cancel(attempt.timer)
         del request.out[attempt.number]
-        if not request.done and (status is t.Status.OK or request.bound is attempt):
-            self._settle(now, request, "served" if status is t.Status.OK else "cut")
-            if status is t.Status.OK:
+        if not request.done and (status is AttemptStatus.OK or request.bound is attempt):
+            self._settle(now, request, "served" if status is AttemptStatus.OK else "cut")
+            if status is AttemptStatus.OK:
                 self._tell(request.sink.finished)
             else:
                 self._tell(request.sink.cut)
@@ -307,17 +349,21 @@
             request.may_have_run = True
         if attempt.written:
             request.held_at = now
-        if status is t.Status.READ or (attempt.reading and attempt.written and not proves_idle(status)):
+        if status is AttemptStatus.PREFILLED or (
+            attempt.reading and attempt.written and not proves_idle(status)
+        ):
             request.loose = True  # a read may have ended well just as its connection broke
         if self.witness is not None:
-            if status is t.Status.READ:
+            if status is AttemptStatus.PREFILLED:
                 self.witness.seen(now, attempt.server, True)
-            elif status in FAILING and not attempt.begun:
+            elif status in FAILURE_STATUSES and not attempt.begun:
                 self.witness.seen(now, attempt.server, False)
         took = now - attempt.sent_at
         request.trail.append((attempt.server, status.value, round(took)))
         self._post(
-            t.Outcome(request.id, attempt.server, attempt.number, status, took, request.done, note, report)
+            AttemptFinished(
+                request.id, attempt.server, attempt.number, status, took, request.done, note, report
+            )
         )
         self.touched[request.id] = request
         if request.left and not may_have_run(request):
@@ -330,7 +376,7 @@
             return
         self._settle(now, request, "unusable")
         self._tell(request.sink.failed, may_have_run(request))
-        self.ended(now, attempt, t.Status.CANCELLED)
+        self.ended(now, attempt, AttemptStatus.CANCELLED)
 
     def place_answered(self, call: PlaceCall, held: bool | None, nothing_done: bool) -> None:
         """None: not known. Then, and also when the place is held, it stays loose until the request's end."""
@@ -346,7 +392,7 @@
         self.touched[request.id] = request
         attempt = call.attempt
         if held is not None and attempt is not None and not attempt.over:
-            self._post(t.PlaceNote(request.id, attempt.server, attempt.number, held))
+            self._post(ReservationResult(request.id, attempt.server, attempt.number, held))
         self.wake()
 
     def released(self, call: ReleaseCall, done: bool) -> None:
@@ -370,15 +416,17 @@
         """Timers that are due, then the events that came, then whatever follows from the actions."""
         self.timers.run(now)
         while self.inbox or self.touched:
-            events, self.inbox = self.inbox, []
+            events = self.inbox
+            self.inbox = []
             if events:
                 for action in self._decide(now, events):
                     self._guarded(now, action)
-            touched, self.touched = self.touched, {}
+            touched = self.touched
+            self.touched = {}
             for request in touched.values():
                 self._tidy(now, request)
 
-    def _decide(self, now: float, events: list[t.Event]) -> list[t.Action]:
+    def _decide(self, now: float, events: list[Event]) -> list[Action]:
         """Guards against an end of the whole program: what the module leaves open is failed when overdue."""
         try:
             return self.decider.handle(now, events)
@@ -386,7 +434,7 @@
             self.driver.log("module_failed", error=repr(error))
             return []
 
-    def _guarded(self, now: float, action: t.Action) -> None:
+    def _guarded(self, now: float, action: Action) -> None:
         try:
             self._carry_out(now, action)
         except Exception as error:
@@ -399,14 +447,14 @@
         self.driver.log("overdue", id=request.id)
         self._settle(now, request, "overdue")
         self._tell(request.sink.failed, may_have_run(request))
-        self.inbox.append(t.Left(request.id))
+        self.inbox.append(ClientDisconnected(request.id))
 
     def _expire(self, now: float, attempt: Attempt) -> None:
         if attempt.over or attempt.begun:
             return
         self.driver.abort(attempt)
         # Not yet written means that it never ran, however long it took.
-        self.ended(now, attempt, t.Status.TIMEOUT if attempt.written else t.Status.CONNECT_FAILED)
+        self.ended(now, attempt, AttemptStatus.TIMEOUT if attempt.written else AttemptStatus.CONNECT_FAILED)
 
     def _tidy(self, now: float, request: OpenRequest) -> None:
         """Guards against states and places that outlive their request: nothing loose is left behind."""
@@ -434,38 +482,40 @@
 
     # --- actions out ---
 
-    def _carry_out(self, now: float, action: t.Action) -> None:
+    def _carry_out(self, now: float, action: Action) -> None:
         match action:
-            case t.Send():
+            case SendAttempt():
                 self._send(now, action)
-            case t.HoldPlace():
+            case ReserveDecodeSlot():
                 self._hold(now, action)
-            case t.Release():
+            case ReleaseState():
                 if (request := self.open.get(action.id)) is not None:
                     self._release(now, request)
-            case t.Cancel():
+            case CancelAttempt():
                 self._cancel(now, action)
-            case t.Refuse():
+            case RejectRequest():
                 if (request := self._answerable(now, action.id, "refused")) is not None:
                     self._tell(request.sink.refused, self.advice_ms(action.retry_after_ms))
-            case t.Fail():
+            case FailRequest():
                 if (request := self._answerable(now, action.id, "failed")) is not None:
                     self._tell(request.sink.failed, may_have_run(request))
-            case t.Timer():
+            case StartTimer():
                 token = action.token
-                self.timers.at(now + action.after_ms, lambda at: self.inbox.append(t.TimerDue(token)))
-            case t.Probe():
+                self.timers.at(now + action.after_ms, lambda at: self.inbox.append(TimerFired(token)))
+            case SendHealthCheck():
                 self.driver.probe(action.server)
-            case t.Tell():
+            case SendGossip():
                 self.driver.tell(action.payload)
-            case t.Log():
+            case WriteLog():
                 self.driver.log("module", text=action.text)
-            case t.Watch() | t.FetchList() | t.Move():
+            case SetWatch() | FetchEndpoints() | MigrateStream():
                 pass  # the watch always runs; nothing resumes here
 
     def _settle(self, now: float, request: OpenRequest, answer: str) -> None:
         """The request has its one final answer, or nobody is left to have it."""
-        request.done, request.answer, request.answered = True, answer, now
+        request.done = True
+        request.answer = answer
+        request.answered = now
         self.timers.cancel(request.timer)
         self.touched[request.id] = request
         self.tally.ended(request.asked.cls, answer)
@@ -487,13 +537,13 @@
         self._settle(now, request, answer)
         return request
 
-    def _send(self, now: float, action: t.Send) -> None:
+    def _send(self, now: float, action: SendAttempt) -> None:
         request = self.open.get(action.id)
         if request is None:
             return
         entry = self.entries.get(action.server)
         roles = self.settings.roles
-        reading = entry is not None and entry.kind < len(roles) and roles[entry.kind] is t.Role.READ
+        reading = entry is not None and entry.kind < len(roles) and roles[entry.kind] is Role.PREFILL
         stop_at = min(action.stop_at_ms or request.deadline, request.deadline)
         attempt = Attempt(request, request.sent, action.server, reading, now, stop_at)
         request.sent += 1
@@ -501,12 +551,12 @@
         twice = len(request.out) > 1 and not self.settings.may_duplicate
         spent = attempt.number >= self.settings.max_attempts or stop_at <= now
         if request.done or request.bound is not None or twice or spent or entry is None:
-            self.ended(now, attempt, t.Status.MOOT)
+            self.ended(now, attempt, AttemptStatus.ALREADY_FINISHED)
             return
         attempt.timer = self.timers.at(stop_at, lambda at: self._expire(at, attempt))
         self.driver.start(attempt)
 
-    def _hold(self, now: float, action: t.HoldPlace) -> None:
+    def _hold(self, now: float, action: ReserveDecodeSlot) -> None:
         request = self.open.get(action.id)
         if request is None or request.done or not self.settings.ahead:
             return
@@ -515,13 +565,15 @@
         call = PlaceCall(request, action.server, reads[-1] if reads else None, request.releasing)
         self.driver.hold_place(call)
 
-    def _cancel(self, now: float, action: t.Cancel) -> None:
+    def _cancel(self, now: float, action: CancelAttempt) -> None:
         request = self.open.get(action.id)
         attempt = request.out.get(action.attempt) if request is not None else None
         if attempt is None or attempt.begun:
             return
         self.driver.abort(attempt)
-        self.ended(now, attempt, t.Status.CANCELLED if attempt.written else t.Status.MOOT)
+        self.ended(
+            now, attempt, AttemptStatus.CANCELLED if attempt.written else AttemptStatus.ALREADY_FINISHED
+        )
 
     def _release(self, now: float, request: OpenRequest) -> None:
         if request.loose and (request.releasing is None or request.releasing.stale):
@@ -534,6 +586,6 @@
     return request.may_have_run or any(not attempt.reading for attempt in request.out.values())
 
 
-def proves_idle(status: t.Status) -> bool:
+def proves_idle(status: AttemptStatus) -> bool:
     """Does this outcome prove that the server keeps nothing of the attempt?"""
-    return status in (t.Status.FULL, t.Status.CONNECT_FAILED, t.Status.MOOT)
+    return status in (AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED, AttemptStatus.ALREADY_FINISHED)
--- a/violetstack/core/tally.py
+++ b/violetstack/core/metrics.py
@@ -30,7 +30,8 @@
         self.rows[cls].taken += 1
 
     def ended(self, cls: int, answer: str) -> None:
-        row, name = self.rows[cls], ENDS.get(answer, "faulted")
+        row = self.rows[cls]
+        name = ENDS.get(answer, "faulted")
         if answer == "moved":  # it is its heir's now, and counts there alone
             row.taken -= 1
             return
