--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from violetstack import interface as t
 from violetstack.core.timers import Timer
+from violetstack.policy_api import EndpointUpdate, Request
 
 
 class Sink(Protocol):
@@ -33,7 +33,8 @@
 
     def __init__(self, reason: str, status: int) -> None:
         super().__init__(reason)
-        self.reason, self.status = reason, status
+        self.reason = reason
+        self.status = status
 
 
 class Origin(msgspec.Struct, frozen=True):
@@ -47,23 +48,23 @@
 class Routes(Protocol):
     """Who gives requests their course. Without one, every request may go to every host."""
 
-    def route(self, request: t.Request, origin: Origin) -> t.Request:
+    def route(self, request: Request, origin: Origin) -> Request:
         """The request with its course. Raises NotRouted."""
 
-    def taken(self, now: float, request: t.Request) -> None: ...
+    def taken(self, now: float, request: Request) -> None: ...
 
-    def closed(self, now: float, request: t.Request) -> None: ...
+    def closed(self, now: float, request: Request) -> None: ...
 
-    def told(self, now: float, news: t.ListNews) -> None: ...
+    def told(self, now: float, news: EndpointUpdate) -> None: ...
 
-    def told_of(self, request: t.Request) -> dict[str, Any]:
+    def told_of(self, request: Request) -> dict[str, Any]:
         """For the request's log line."""
 
 
 class Level(Protocol):
     """Who bounds what is taken at all, and is told how it went."""
 
-    def admit(self, now: float, request: t.Request) -> Shed | None:
+    def admit(self, now: float, request: Request) -> Shed | None:
         """Called right before a request is taken; None: it may be. It may bound the request's course."""
 
     def begun(self, now: float, ratio: float, prompt: float) -> None:
@@ -167,7 +168,7 @@
     `allowed` is asked in each step that writes a part of an attempt; a no keeps the rest unsent.
     """
 
-    asked: t.Request
+    asked: Request
     sink: Sink
     payload: Any
     arrived: float
@@ -197,4 +198,6 @@
 
     def close(self) -> None:
         """Guards the memory: body, front and connection go now, not when a collection finds the circle."""
-        self.sink, self.payload, self.bound = CLOSED, None, None
+        self.sink = CLOSED
+        self.payload = None
+        self.bound = None
--- a/violetstack/core/timers.py
+++ b/violetstack/core/timers.py
@@ -55,6 +55,7 @@
     def run(self, now: float) -> None:
         while self.next_due() <= now:
             timer = heapq.heappop(self._heap)
-            then, timer.then = timer.then, None
+            then = timer.then
+            timer.then = None
             if then is not None:
                 then(now)
--- a/violetstack/net/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -14,25 +14,25 @@
 import trio
 from msgspec.structs import replace
 
-from violetstack import interface as t
-from violetstack.admin.door import NotRecorded
+from violetstack.admin.api import NotRecorded
 from violetstack.config import Address, BadConfig, Config, address
 from violetstack.core.backoff import Backoff
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.platform import PlatformFront
 from violetstack.fronts.reply import Front
 from violetstack.log import log, log_outside
-from violetstack.net.budget import budget
 from violetstack.net.clock import now_ms
-from violetstack.net.comeback import Comeback
-from violetstack.net.hosts import Hosts
-from violetstack.net.listener import Listener, Wrap
-from violetstack.net.peers import Peers
-from violetstack.net.pool import Host
+from violetstack.net.downstream.listener import Listener, Wrap
+from violetstack.net.gossip import Peers
+from violetstack.net.pause_detector import Waking
+from violetstack.net.resource_limits import budget
+from violetstack.net.startup_recovery import Comeback
 from violetstack.net.tls import Certificate
-from violetstack.net.waking import Waking
+from violetstack.net.upstream.attempt import Hosts
+from violetstack.net.upstream.connection_pool import Host
 from violetstack.net.watch import Watch
 from violetstack.operators import Acme, BadOperatorFile, ChatConfig
+from violetstack.policy_api import EndpointState, EndpointUpdate, UpdateScope
 from violetstack.protocol.discovery import ListReader, Targets, WServer, WTargets
 from violetstack.protocol.headers import RequestReader
 from violetstack.router import Router
@@ -42,19 +42,21 @@
     from violetstack.fronts.chat import ChatFront
     from violetstack.handover.learned import Learned
     from violetstack.handover.record import Record
-    from violetstack.levels.control import LevelPlan
-    from violetstack.net.duties import Duties
+    from violetstack.idempotency.service import OrderBook
+    from violetstack.load_shedding.control import LevelPlan
     from violetstack.net.handover import Handover
-    from violetstack.net.keeping import Kept
-    from violetstack.net.levels import LevelDriver
-    from violetstack.net.orders import OrderBook
-    from violetstack.net.passing import Giver
+    from violetstack.net.lease_service import Duties
+    from violetstack.net.load_shedding import LevelDriver
+    from violetstack.net.state_writer import Kept
+    from violetstack.net.stream_migration import Giver
     from violetstack.routing.generations import Routing
 
 FIRST_LIST_S = 1.5  # a new version that takes over waits for discovery's list for so long
 AGENT_LIST_S = 0.3  # and any other for an agent on this machine, which answers at once if discovery is up
 HEARD_S = 0.65  # after SIGTERM what comes later is refused: SIGKILL may find it unanswered
-KILL_MOST_S, KILL_AFTER_S = 3.0, 0.7  # SIGKILL: the longest deadline, at most the one, and the other later
+# SIGKILL: the longest deadline, at most the one, and the other later
+KILL_MOST_S = 3.0
+KILL_AFTER_S = 0.7
 LAST_WORDS_S = 0.5  # for last answers and releases
 LISTEN_ON_S = 0.55  # after SIGTERM new connections keep coming for up to 0.4 s
 BACKLOG = 512
@@ -64,7 +66,8 @@
     """Runs the core when something has come in or a timer is due."""
 
     def __init__(self, core: Dispatcher, waking: Waking) -> None:
-        self._core, self._waking = core, waking
+        self._core = core
+        self._waking = waking
         self._woken = trio.Event()
         # A wait longer than half the time in which a drain binds could hide a stop for as long.
         self._beat_s = core.drain_grace_ms / 2000.0
@@ -175,7 +178,8 @@
         """Nothing is decided or sent on what was known before the process was stopped."""
         core = self.core
         waking = self.waking = Waking(self.config.drain_grace_ms, lambda gap: core.woke(now_ms(), gap))
-        core.unseen_ms, self.hosts.fresh = waking.unseen_ms, waking.fresh
+        core.unseen_ms = waking.unseen_ms
+        self.hosts.fresh = waking.fresh
         waking.sources.append(self.hosts)
         self.nursery.start_soon(waking.run)
         return waking
@@ -197,13 +201,16 @@
         told = self.config.operator.duties if self.config.operator is not None else None
         if told is None:
             return
-        from violetstack.net.duties import Duties  # noqa: PLC0415
+        from violetstack.net.lease_service import Duties  # noqa: PLC0415
 
         self.duties = Duties(
-            told, self.core, peers, self.waking,
+            told,
+            self.core,
+            peers,
+            self.waking,
             fit=lambda: self.taking and self.comeback.listed and not self.stop.is_set(),
             suspected=self.router.suspected,
-        )  # fmt: skip
+        )
         self.nursery.start_soon(self.duties.run)
 
     # --- model hosts ---
@@ -226,7 +233,7 @@
         if self.kept is not None:
             version = None  # what is remembered is of several lists: changes of one would not fit
         known = await self.comeback.remembered(known)
-        self._told(reader.targets(known, t.ListScope.CACHED))
+        self._told(reader.targets(known, UpdateScope.CACHED))
         if self.kept is not None:
             self.nursery.start_soon(self.kept.verify, self._not_met, lambda: self.comeback.listed)
         if config.discovery is not None:
@@ -241,8 +248,8 @@
         """A remembered host that is not there; discovery may still tell of it."""
         entry = self.core.entries.get(server.id)
         if entry is not None and self.rows.pop(server.id, None) is not None:
-            gone = replace(entry, state=t.ServerState.GONE)
-            self.news(t.ListNews(t.ListScope.DELTA, (gone,), 0), {})
+            gone = replace(entry, state=EndpointState.REMOVED)
+            self.news(EndpointUpdate(UpdateScope.DELTA, (gone,), 0), {})
 
     async def _first_list(self) -> None:
         """Guards against sends on an old list: what an agent has counts as told from the first moment, and
@@ -257,16 +264,16 @@
             log("no_list", hosts=len(self.rows))
 
     def _told(self, targets: Targets) -> None:
-        if self.kept is not None and targets.news.scope is t.ListScope.FULL:
+        if self.kept is not None and targets.news.scope is UpdateScope.SNAPSHOT:
             targets = self._doubted(targets)
         news = targets.news
-        if news.scope is not t.ListScope.DELTA:
+        if news.scope is not UpdateScope.DELTA:
             self.rows = {}
         for row in targets.rows:
             self.rows[row.id] = row
             if row.state == "left":
                 del self.rows[row.id]
-        if news.scope is not t.ListScope.DELTA:
+        if news.scope is not UpdateScope.DELTA:
             # Guards against losing the chat file's own hosts, which discovery does not know.
             news = replace(news, entries=(*news.entries, *self.config.plain))
         if self.cordons is not None:
@@ -274,8 +281,8 @@
         self.news(news, targets.addresses)
         if self.handover is not None:
             self.handover.changed = True
-        if news.scope is not t.ListScope.CACHED:
-            full = news.scope is t.ListScope.FULL
+        if news.scope is not UpdateScope.CACHED:
+            full = news.scope is UpdateScope.SNAPSHOT
             self.comeback.told(targets.rows, news.version, full=full, listed=len(self.rows))
         entries = {entry.server: entry.state.value for entry in news.entries}
         log("list", version=news.version, scope=news.scope.value, entries=entries, skipped=targets.skipped)
@@ -289,7 +296,7 @@
         log("list_doubted", version=targets.news.version, kept=[row.id for row in found.kept][:50])
         self.nursery.start_soon(self._ask_again, found.until)
         told = WTargets(targets.news.version, True, [*targets.rows, *found.kept])
-        return ListReader(self.config.facts).targets(told, t.ListScope.FULL)
+        return ListReader(self.config.facts).targets(told, UpdateScope.SNAPSHOT)
 
     async def _ask_again(self, until: float) -> None:
         await trio.sleep(max(0.0, until - now_ms()) / 1000.0)
@@ -300,7 +307,7 @@
         version = self.watch.version or 0 if self.watch is not None else 0
         self.comeback.told((), version, full=False, listed=len(self.rows))
 
-    def news(self, news: t.ListNews, addresses: dict[str, str]) -> None:
+    def news(self, news: EndpointUpdate, addresses: dict[str, str]) -> None:
         self.hosts.told(news, addresses)
         self.core.news(now_ms(), news)
 
@@ -315,14 +322,18 @@
 
         self.cordons = Cordons()
         if config.shared_folder is not None:
-            from violetstack.handover.succession import Succession  # noqa: PLC0415
+            from violetstack.handover.successor import Succession  # noqa: PLC0415
             from violetstack.net.handover import Handover  # noqa: PLC0415
             from violetstack.net.records import Records  # noqa: PLC0415
 
             succession = Succession(uuid.uuid4().hex, now_ms())
             records = Records(config.shared_folder, config.told.name, succession.owner)
             self.handover = Handover(
-                records, succession, self.cordons, self._compose, lambda news: self.news(news, {}),
+                records,
+                succession,
+                self.cordons,
+                self._compose,
+                lambda news: self.news(news, {}),
                 heirs=config.inherited is not None,
             )
             self.handover.company = self._bound
@@ -331,8 +342,8 @@
     async def _open_door(self) -> Address | None:
         if self.config.mgmt is None:
             return None
-        from violetstack.net.door import DoorListener  # noqa: PLC0415
-        from violetstack.net.house import Rooms  # noqa: PLC0415
+        from violetstack.net.admin_server import DoorListener  # noqa: PLC0415
+        from violetstack.net.admin_service import Rooms  # noqa: PLC0415
 
         listener = (await listen_on(self.config.mgmt, "mgmt"))[0]
         self.nursery.start_soon(DoorListener(Rooms(self)).run, listener)
@@ -343,20 +354,26 @@
         from violetstack.handover.record import Record  # noqa: PLC0415
 
         assert self.handover is not None and self.cordons is not None
-        mine, watch = self.handover.succession, self.watch
+        mine = self.handover.succession
+        watch = self.watch
         return Record(
-            name=self.config.told.name, owner=mine.owner, born=mine.born, at=now_ms(), serving=self.taking,
-            version=watch.version or 0 if watch is not None else 0, servers=tuple(self.rows.values()),
+            name=self.config.told.name,
+            owner=mine.owner,
+            born=mine.born,
+            at=now_ms(),
+            serving=self.taking,
+            version=watch.version or 0 if watch is not None else 0,
+            servers=tuple(self.rows.values()),
             marks=dict(self.cordons.marks),
             learned=self._learned() if self.config.inherited is not None else None,
-        )  # fmt: skip
+        )
 
     def _keep(self) -> Kept | None:
         """Only where the operator's file names a folder; the rest of the program does without."""
         state = self.config.operator.state if self.config.operator is not None else None
         if state is None:
             return None
-        from violetstack.net.keeping import Kept  # noqa: PLC0415
+        from violetstack.net.state_writer import Kept  # noqa: PLC0415
 
         settings = self.config.settings
         kept = Kept(state, settings.seed, settings.cold_ms, self._learned)
@@ -394,7 +411,7 @@
         """Before anybody is told that this process takes over: SIGTERM follows that word at once."""
         if self.config.inherited is None or self.handover is None:
             return
-        from violetstack.net.passing import Taker, socket_path  # noqa: PLC0415
+        from violetstack.net.stream_migration import Taker, socket_path  # noqa: PLC0415
 
         taker = Taker(self.core, self.hosts, lambda: self.platform if self.taking else None)
         path = socket_path(str(self.config.shared_folder), self.handover.succession.owner)
@@ -404,7 +421,7 @@
         heir = self._find_heir()
         if self.config.inherited is None or heir is None:
             return
-        from violetstack.net.passing import Giver, socket_path  # noqa: PLC0415
+        from violetstack.net.stream_migration import Giver, socket_path  # noqa: PLC0415
 
         self.giver = Giver(self.core)
         if await self.giver.connect(socket_path(str(self.config.shared_folder), heir)):
@@ -448,25 +465,31 @@
         return bool(getattr(config.told, name) != getattr(self.config.told, name))
 
     def _file_differs(self, config: Config, name: str) -> bool:
-        old, new = self.config.operator, config.operator
+        old = self.config.operator
+        new = config.operator
         return bool(getattr(old, name, None) != getattr(new, name, None))
 
     def _route(self) -> None:
         """The plan in force, as a generation of its own for requests from now on."""
-        plan, facts = self.config.plan, self.config.facts
+        plan = self.config.plan
+        facts = self.config.facts
         if self.routing is not None and plan is not None:
             self.routing.swap(now_ms(), plan)
         elif plan:
             from violetstack.routing.generations import Routing  # noqa: PLC0415 - only where there are routes
 
             self.routing = Routing(
-                plan, self.config.settings, log=log, classes=tuple(spec.name for spec in facts.classes),
-                tenants=tuple(spec.name for spec in facts.parties or ()), kinds=tuple(facts.kinds or ()),
+                plan,
+                self.config.settings,
+                log=log,
+                classes=tuple(spec.name for spec in facts.classes),
+                tenants=tuple(spec.name for spec in facts.parties or ()),
+                kinds=tuple(facts.kinds or ()),
                 zones=tuple(facts.zones or ()),
-            )  # fmt: skip
+            )
             self.core.routes = self.routing
             entries = tuple(self.core.entries.values())
-            self.routing.told(now_ms(), t.ListNews(t.ListScope.FULL, entries, 0))
+            self.routing.told(now_ms(), EndpointUpdate(UpdateScope.SNAPSHOT, entries, 0))
 
     def _levels(self, plan: LevelPlan | None = None) -> None:
         """Starts the levels of the file, or takes over those of a new one."""
@@ -474,10 +497,11 @@
         if self.levels is not None and plan is not None:
             self.levels.levels.reload(now_ms(), time.time(), plan)
         elif plan:
-            from violetstack.levels.control import Levels, weights_of  # noqa: PLC0415
-            from violetstack.net.levels import LevelDriver  # noqa: PLC0415
+            from violetstack.load_shedding.control import Levels, weights_of  # noqa: PLC0415
+            from violetstack.net.load_shedding import LevelDriver  # noqa: PLC0415
 
-            facts, settings = self.config.facts, self.config.settings
+            facts = self.config.facts
+            settings = self.config.settings
             classes = tuple(spec.name for spec in facts.classes)
             tenants = tuple(spec.name for spec in facts.parties or ())
             levels = Levels(plan, weights_of(settings, classes, tenants), log)
@@ -494,12 +518,16 @@
         limits = self.config.limits
         company = self.handover is not None and self.handover.succession.company(now_ms())
         share = budget(
-            int(limits.sockets), limits.memory_mb, fronts=self.fronts, door=self.config.mgmt is not None,
+            int(limits.sockets),
+            limits.memory_mb,
+            fronts=self.fronts,
+            door=self.config.mgmt is not None,
             processes=2 if company else 1,
-        )  # fmt: skip
+        )
         self.hosts.most = share.hosts
         for listener in self.listeners:
-            listener.most, listener.most_held = share.clients, share.bodies
+            listener.most = share.clients
+            listener.most_held = share.bodies
 
     # --- fronts ---
 
@@ -519,8 +547,8 @@
 
     async def _serve_chat(self, chat: ChatConfig) -> Address:
         from violetstack.fronts.chat import ChatFront  # noqa: PLC0415 - only where it is served
-        from violetstack.ledger import Ledger  # noqa: PLC0415
-        from violetstack.net.orders import OrderBook  # noqa: PLC0415
+        from violetstack.idempotency.service import OrderBook  # noqa: PLC0415
+        from violetstack.idempotency.store import Ledger  # noqa: PLC0415
 
         told = chat.told
         if told.ledger is not None:
@@ -592,7 +620,9 @@
         answers then carry `Connection: close`, idle connections are closed, and the last answer ends the
         program. Whoever has connected and not asked yet is heard: served at first, later refused.
         """
-        began, refusing, ending = trio.current_time(), False, False
+        began = trio.current_time()
+        refusing = False
+        ending = False
         for listener in self.listeners:
             listener.draining = True
         if self._find_heir() is not None:
--- a/violetstack/freshness/ageing.py
+++ b/violetstack/estimation/decay.py
@@ -13,14 +13,17 @@
     """A sum that fades with time."""
 
     def __init__(self, tau_ms: float) -> None:
-        self._tau, self.total, self.as_of = tau_ms, 0.0, 0.0
+        self._tau = tau_ms
+        self.total = 0.0
+        self.as_of = 0.0
         self.since: float | None = None
 
     def at(self, now: float) -> float:
         return self.total * exp((self.as_of - now) / self._tau) if self.total else 0.0
 
     def add(self, now: float, amount: float) -> None:
-        self.total, self.as_of = self.at(now) + amount, now
+        self.total = self.at(now) + amount
+        self.as_of = now
         self.since = now if self.since is None else self.since
 
     def rate(self, now: float) -> float:
@@ -28,7 +31,6 @@
         over = max(now - (now if self.since is None else self.since), self._tau / 6)
         return self.at(now) / (self._tau * (1.0 - exp(-over / self._tau)))
 
-
     def expected(self, now: float, prior: float) -> float:
         """What is added in a millisecond; `prior` where nothing is known, outweighed by what is seen.
 
@@ -42,7 +44,8 @@
     """The last few of a kind of time, and their middle or lower third, which a few lost ones do not move."""
 
     def __init__(self, most: int, over_ms: float) -> None:
-        self.all, self._over_ms = deque[tuple[float, float]](maxlen=most), over_ms
+        self.all = deque[tuple[float, float]](maxlen=most)
+        self._over_ms = over_ms
 
     def add(self, now: float, took: float) -> None:
         self.all.append((now, took))
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -14,19 +14,21 @@
 import orjson
 from msgspec.structs import replace
 
-from violetstack import interface as t
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import NotRouted, Origin, always
 from violetstack.fronts.completions import Answer, Ask, Invalid, error_object, read_body
 from violetstack.fronts.reply import EVENTS, Payload, Reply
-from violetstack.ledger import Claim, LedgerError, Order
+from violetstack.idempotency.store import Claim, LedgerError, Order
 from violetstack.operators import ChatConfig, Key, Model
+from violetstack.policy_api import Idempotency, Request
 from violetstack.protocol import sse
 from violetstack.protocol.headers import duration_ms
 from violetstack.protocol.server_side import Headers, Inbound, Rejected
 
 JSON: Headers = [("Content-Type", "application/json")]
-COMPLETIONS, MODELS, READY = "/v1/chat/completions", "/v1/models", "/-/ready"
+COMPLETIONS = "/v1/chat/completions"
+MODELS = "/v1/models"
+READY = "/-/ready"
 MAX_KEPT = 1024 * 1024  # of one answer, in memory and in the ledger
 MAX_KEY = 255
 NO_LEDGER_RETRY_S = 60
@@ -49,15 +51,21 @@
     ask: Ask
     model: Model
     key: Key
-    asked: t.Request
+    asked: Request
     most_tokens: int
     safe: bool
 
 
 def send_error(
-    reply: Reply, status: int, message: str, kind: str, *, param: str | None = None,
-    code: str | None = None, headers: Headers | None = None,
-) -> None:  # fmt: skip
+    reply: Reply,
+    status: int,
+    message: str,
+    kind: str,
+    *,
+    param: str | None = None,
+    code: str | None = None,
+    headers: Headers | None = None,
+) -> None:
     reply.answer(status, [*JSON, *(headers or [])], error_object(message, kind, param, code))
 
 
@@ -76,7 +84,10 @@
     def __init__(
         self, errand: Errand, reply: Reply, answer: Answer, settle: Callable[[Claim | None, bytes], None]
     ):
-        self._errand, self._reply, self._answer, self._settle = errand, reply, answer, settle
+        self._errand = errand
+        self._reply = reply
+        self._answer = answer
+        self._settle = settle
         self._streaming = self._too_long = False
 
     def begun(self) -> None:
@@ -122,9 +133,13 @@
         self._settle(None, b"")
         headers = retry_headers(retry_after_ms or 1000.0)
         send_error(
-            self._reply, 503, "Too busy to serve this in time; trying again does no harm.", "server_error",
-            code="overloaded", headers=headers,
-        )  # fmt: skip
+            self._reply,
+            503,
+            "Too busy to serve this in time; trying again does no harm.",
+            "server_error",
+            code="overloaded",
+            headers=headers,
+        )
 
     def failed(self, may_have_run: bool) -> None:
         self._settle(Claim.FAILED if may_have_run else None, b"")
@@ -160,8 +175,12 @@
         spawn: Callable[[Callable[[], Awaitable[None]]], None],
         log: Callable[..., None],
     ) -> None:
-        self.config, self._core, self._orders = config, core, orders
-        self._clock, self._spawn, self._log = clock, spawn, log
+        self.config = config
+        self._core = core
+        self._orders = orders
+        self._clock = clock
+        self._spawn = spawn
+        self._log = log
         self.pending = 0  # claims under way
 
     def handle(self, inbound: Inbound, reply: Reply) -> None:
@@ -186,7 +205,8 @@
             send_error(reply, status, reason, "invalid_request_error")
 
     def _route(self, inbound: Inbound, reply: Reply) -> None:
-        path, method = inbound.path, inbound.method
+        path = inbound.path
+        method = inbound.method
         if path == READY:
             reply.answer(200, JSON, b'{"ready":true}')
             return
@@ -234,12 +254,17 @@
             self._log("order_refused", reason="no ledger")
             headers: Headers = [("Retry-After", str(NO_LEDGER_RETRY_S))]
             send_error(
-                reply, 503, "Orders are not taken here: no ledger is configured.", "server_error",
-                code="orders_unavailable", headers=headers,
-            )  # fmt: skip
+                reply,
+                503,
+                "Orders are not taken here: no ledger is configured.",
+                "server_error",
+                code="orders_unavailable",
+                headers=headers,
+            )
             return
         order = Order(key.tenant, name, errand.ask.same_body(), errand.ask.identity(key.tenant))
-        orders, arrived = self._orders, self._clock()
+        orders = self._orders
+        arrived = self._clock()
         self.pending += 1
         self._spawn(lambda: self._order(errand, order, orders, arrived, reply))
 
@@ -253,7 +278,7 @@
         give_up = spec.give_up_ms + 2.0 * spec.aim_ms_per_1000_tokens * ask.prompt_tokens / 1000.0
         most = ask.max_tokens or model.max_tokens
         session = ask.conversation
-        asked = t.Request(
+        asked = Request(
             id=uuid.uuid4().hex,
             cls=cls,
             tenant=self.config.tenant_index(key.tenant),
@@ -268,7 +293,7 @@
             resumed=False,
         )
         asked = self._core.route(asked, Origin("chat", model.name, len(inbound.body)))
-        return Errand(ask, model, key, asked, most, spec.effect is t.Effect.SAFE)
+        return Errand(ask, model, key, asked, most, spec.effect is Idempotency.IDEMPOTENT)
 
     async def _order(
         self, errand: Errand, order: Order, orders: Orders, arrived: float, reply: Reply
@@ -280,9 +305,13 @@
         except LedgerError as error:
             log("ledger_failed", error=str(error))
             send_error(
-                reply, 503, "Orders can't be recorded just now; this one has not run.", "server_error",
-                code="ledger_unavailable", headers=retry_headers(1000.0),
-            )  # fmt: skip
+                reply,
+                503,
+                "Orders can't be recorded just now; this one has not run.",
+                "server_error",
+                code="ledger_unavailable",
+                headers=retry_headers(1000.0),
+            )
             return
         finally:
             self.pending -= 1
@@ -291,9 +320,13 @@
                 orders.settle(order, None, b"")
                 return
             self._take(
-                errand, reply, lambda state, kept: orders.settle(order, state, kept),
-                outlives=True, waited_ms=self._clock() - arrived, allowed=orders.holds,
-            )  # fmt: skip
+                errand,
+                reply,
+                lambda state, kept: orders.settle(order, state, kept),
+                outlives=True,
+                waited_ms=self._clock() - arrived,
+                allowed=orders.holds,
+            )
             return
         log("order_known", state=claim.value)
         if claim is Claim.FINISHED:
@@ -301,35 +334,58 @@
         elif claim is Claim.RUNNING:
             headers = retry_headers(1000.0)
             send_error(
-                reply, 409, "This order is still running.", "conflict_error", code="order_running",
+                reply,
+                409,
+                "This order is still running.",
+                "conflict_error",
+                code="order_running",
                 headers=headers,
-            )  # fmt: skip
+            )
         elif claim is Claim.OTHER_BODY:
             send_error(
-                reply, 422, "This Idempotency-Key was used with another body.", "invalid_request_error",
-                code="idempotency_key_reused", headers=NO_RETRY,
-            )  # fmt: skip
+                reply,
+                422,
+                "This Idempotency-Key was used with another body.",
+                "invalid_request_error",
+                code="idempotency_key_reused",
+                headers=NO_RETRY,
+            )
         else:
             send_error(
-                reply, 502, "This order failed and may have run; it is not sent again.", "server_error",
-                code="order_may_have_run", headers=NO_RETRY,
-            )  # fmt: skip
+                reply,
+                502,
+                "This order failed and may have run; it is not sent again.",
+                "server_error",
+                code="order_may_have_run",
+                headers=NO_RETRY,
+            )
 
     def _take(
-        self, errand: Errand, reply: Reply, settle: Callable[[Claim | None, bytes], None], *,
-        outlives: bool = False, waited_ms: float = 0.0, allowed: Callable[[], bool] = always,
-    ) -> None:  # fmt: skip
+        self,
+        errand: Errand,
+        reply: Reply,
+        settle: Callable[[Claim | None, bytes], None],
+        *,
+        outlives: bool = False,
+        waited_ms: float = 0.0,
+        allowed: Callable[[], bool] = always,
+    ) -> None:
         """`outlives`: what may have run goes on when its client goes away, for the retry to find."""
-        ask, now = errand.ask, self._clock()
+        ask = errand.ask
+        now = self._clock()
         asked = errand.asked
         shed = self._core.admit(now, asked)
         if shed is not None:
             settle(None, b"")
             self._log("shed", reason=shed.reason, cls=asked.cls, tenant=asked.tenant)
             send_error(
-                reply, 429, "Only a part is served just now; this has not run.", "server_error",
-                code="reduced_service", headers=retry_headers(shed.retry_after_ms),
-            )  # fmt: skip
+                reply,
+                429,
+                "Only a part is served just now; this has not run.",
+                "server_error",
+                code="reduced_service",
+                headers=retry_headers(shed.retry_after_ms),
+            )
             return
         if waited_ms > 0.0:
             asked = replace(asked, expires_in_ms=max(1.0, asked.expires_in_ms - waited_ms))
@@ -337,7 +393,8 @@
         payload = Payload("POST", COMPLETIONS, "application/json", body, reply.room)
         answer = Answer(f"chatcmpl-{asked.id}", errand.model.name, int(now / 1000.0))
         request = self._core.take(now, asked, ChatSink(errand, reply, answer, settle), payload)
-        request.allowed, request.outlives = allowed, outlives
+        request.allowed = allowed
+        request.outlives = outlives
         reply.opened(request)
 
 
--- a/violetstack/fronts/completions.py
+++ b/violetstack/fronts/completions.py
@@ -20,7 +20,10 @@
         self, message: str, param: str | None = None, status: int = 400, code: str | None = None
     ) -> None:
         super().__init__(message)
-        self.message, self.param, self.status, self.code = message, param, status, code
+        self.message = message
+        self.param = param
+        self.status = status
+        self.code = code
 
 
 def error_object(message: str, kind: str, param: str | None = None, code: str | None = None) -> bytes:
@@ -142,7 +145,9 @@
     """One answer as it comes: a host's events in, OpenAI chunks out, the whole completion at the end."""
 
     def __init__(self, answer_id: str, model: str, created: int) -> None:
-        self.id, self.model, self.created = answer_id, model, created
+        self.id = answer_id
+        self.model = model
+        self.created = created
         self.choices: list[dict[str, Any]] = []  # each chunk's only choice
         self.usage: dict[str, Any] | None = None
         self.size = 0
@@ -204,7 +209,8 @@
     def recorded(cls, raw: bytes) -> Answer:
         kept = orjson.loads(raw)
         answer = cls(kept["id"], kept["model"], kept["created"])
-        answer.choices, answer.usage = kept["choices"], kept["usage"]
+        answer.choices = kept["choices"]
+        answer.usage = kept["usage"]
         return answer
 
 
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -10,12 +10,14 @@
 from violetstack.protocol.headers import RequestReader
 from violetstack.protocol.server_side import Inbound, Rejected
 
-READY, COMPLETIONS = "/-/ready", "/v1/chat/completions"
+READY = "/-/ready"
+COMPLETIONS = "/v1/chat/completions"
 
 
 class PlatformSink:
     def __init__(self, reply: Reply, begun: bool = False) -> None:
-        self.reply, self._begun = reply, begun
+        self.reply = reply
+        self._begun = begun
 
     def begun(self) -> None:
         self._begun = True
@@ -48,7 +50,10 @@
         clock: Callable[[], float],
         log: Callable[..., None],
     ) -> None:
-        self._core, self._reader, self._clock, self._log = core, reader, clock, log
+        self._core = core
+        self._reader = reader
+        self._clock = clock
+        self._log = log
 
     def handle(self, inbound: Inbound, reply: Reply) -> None:
         if inbound.path == READY and inbound.method == "GET":
@@ -60,7 +65,8 @@
                 raise Rejected(404, f"only {COMPLETIONS} is served here")
             if inbound.method != "POST":
                 raise Rejected(405, "POST only")
-            now, asked = self._clock(), self._reader.read(inbound)
+            now = self._clock()
+            asked = self._reader.read(inbound)
             kind = inbound.headers.get("content-type", "application/json")
             payload = Payload(inbound.method, inbound.target, kind, inbound.body, reply.room)
             asked = self._core.route(asked, Origin("platform", "", len(inbound.body)))
--- a/violetstack/peers/sharing.py
+++ b/violetstack/gossip/load_gossip.py
@@ -18,8 +18,11 @@
 UNTOLD = -1  # no code: tell it, whatever it is
 ANEW = b"\0"
 BLAMED_MS = 12_000.0  # within it, whoever says that half of the hosts fail is itself the suspect
-LEAST_BLAMED, MOST_WORDS = 3, 256
-UNIT, STEPS = 10.0, 16.0  # the smallest amount that is told, and steps in a doubling
+LEAST_BLAMED = 3
+MOST_WORDS = 256
+# the smallest amount that is told, and steps in a doubling
+UNIT = 10.0
+STEPS = 16.0
 
 
 class BadDatagram(Exception):
@@ -77,7 +80,8 @@
         self._heard[peer] = now
         failed = []
         for at in range(0, len(payload), ENTRY):
-            tag, code = payload[at : at + 2], payload[at + 2]
+            tag = payload[at : at + 2]
+            code = payload[at + 2]
             if code == FAILED:
                 failed.append(tag)
             else:
@@ -93,7 +97,11 @@
 
     def forget(self) -> None:
         """After a gap: what was told before it is old, and what was told in it may be lost in part."""
-        self._told, self._sums, self._heard, self._words, self.heard = {}, {}, {}, {}, 0
+        self._told = {}
+        self._sums = {}
+        self._heard = {}
+        self._words = {}
+        self.heard = 0
         self._order.clear()
 
     def at(self, tag: bytes) -> float:
--- a/violetstack/handover/learned.py
+++ b/violetstack/handover/learned.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from violetstack.freshness.ageing import Fading, Recent
+from violetstack.estimation.decay import Fading, Recent
 from violetstack.router import LEARN_MS, Router, Server
 
 
@@ -46,9 +46,13 @@
 def _sums(router: Router) -> dict[str, Fading]:
     fleet = router.fleet
     return {
-        "cleared": fleet.cleared, "busy_ms": fleet.busy_ms, "claimed": fleet.claimed, "found": fleet.found,
-        "read": fleet.taken[True], "written": fleet.taken[False],
-    }  # fmt: skip
+        "cleared": fleet.cleared,
+        "busy_ms": fleet.busy_ms,
+        "claimed": fleet.claimed,
+        "found": fleet.found,
+        "read": fleet.taken[True],
+        "written": fleet.taken[False],
+    }
 
 
 def _told(fading: Fading, now: float) -> Sum:
@@ -57,10 +61,16 @@
 
 def _known(server: Server, now: float) -> Known:
     return Known(
-        server.entry.started_ms, _told(server.cleared, now), _told(server.busy_ms, now),
-        _told(server.left, now), server.streak, server.blamed_at,
-        (server.tickets.level, server.tickets.as_of), server.share, server.share_at,
-    )  # fmt: skip
+        server.entry.started_ms,
+        _told(server.cleared, now),
+        _told(server.busy_ms, now),
+        _told(server.left, now),
+        server.streak,
+        server.blamed_at,
+        (server.tickets.level, server.tickets.as_of),
+        server.share,
+        server.share_at,
+    )
 
 
 def learned(router: Router, now: float) -> Learned:
@@ -77,12 +87,15 @@
 
 
 def _set(fading: Fading, told: Sum, at: float) -> None:
-    fading.total, fading.as_of, fading.since = told.amount, at, told.since
+    fading.total = told.amount
+    fading.as_of = at
+    fading.since = told.since
 
 
 def recall(router: Router, told: Learned) -> int:
     """Into a module that knows the list already; how many of its servers it now knows more of."""
-    fleet, servers = router.fleet, 0
+    fleet = router.fleet
+    servers = 0
     for name, fading in _sums(router).items():
         if name in told.sums:
             _set(fading, told.sums[name], told.at)
@@ -99,12 +112,16 @@
             continue
         servers += 1
         for mine, theirs in (
-            (server.cleared, known.cleared), (server.busy_ms, known.busy_ms), (server.left, known.left),
-        ):  # fmt: skip
+            (server.cleared, known.cleared),
+            (server.busy_ms, known.busy_ms),
+            (server.left, known.left),
+        ):
             _set(mine, theirs, told.at)
-        server.streak, server.blamed_at = known.streak, known.blamed_at
+        server.streak = known.streak
+        server.blamed_at = known.blamed_at
         server.tickets.level, server.tickets.as_of = known.tickets
-        server.share, server.share_at = known.share, known.share_at
+        server.share = known.share
+        server.share_at = known.share_at
     return servers
 
 
--- a/violetstack/handover/passing.py
+++ b/violetstack/handover/stream_migration.py
@@ -11,7 +11,9 @@
 
 import msgspec
 
-READY, NO, GO = b"ready", b"no", b"go"
+READY = b"ready"
+NO = b"no"
+GO = b"go"
 MAX_OFFER = 4096
 VERSION = 1
 
--- a/violetstack/handover/succession.py
+++ b/violetstack/handover/successor.py
@@ -14,7 +14,8 @@
     """`born` orders the processes: whoever started later is the heir of those before."""
 
     def __init__(self, owner: str, born: float) -> None:
-        self.owner, self.born = owner, born
+        self.owner = owner
+        self.born = born
         self._others: dict[str, Record] = {}
         self._beats: dict[str, float] = {}
 
--- a/violetstack/net/orders.py
+++ b/violetstack/idempotency/service.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from violetstack.ledger import Claim, Ledger, LedgerError, Order
+from violetstack.idempotency.store import Claim, Ledger, LedgerError, Order
 from violetstack.log import log
 
 T = TypeVar("T")
@@ -20,7 +20,8 @@
 
 class OrderBook:
     def __init__(self, ledger: Ledger, lease_s: float) -> None:
-        self._ledger, self._lease_s = ledger, lease_s
+        self._ledger = ledger
+        self._lease_s = lease_s
         self._send, self._calls = trio.open_memory_channel[Callable[[], None]](math.inf)
         self.pending = 0
         self.stopping = False
--- a/violetstack/ledger.py
+++ b/violetstack/idempotency/store.py
@@ -18,7 +18,7 @@
 from enum import Enum
 from pathlib import Path
 
-from violetstack.lease.watched import Watched
+from violetstack.lease.liveness import Watched
 
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS orders (
@@ -63,11 +63,18 @@
     """
 
     def __init__(
-        self, path: str | Path, owner: str, keep_s: float, lease_s: float,
+        self,
+        path: str | Path,
+        owner: str,
+        keep_s: float,
+        lease_s: float,
         tick: Callable[[], float] = time.monotonic,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._tick = tick
-        self._path, self._owner, self._keep_s, self._lease_s = str(path), owner, keep_s, lease_s
+        self._path = str(path)
+        self._owner = owner
+        self._keep_s = keep_s
+        self._lease_s = lease_s
         self._watched, self._mark, self._until = Watched(lease_s), 0.0, float("-inf")
         self._db: sqlite3.Connection | None = None
 
@@ -118,7 +125,8 @@
                 )
         except sqlite3.Error as error:
             raise LedgerError(str(error)) from None
-        self._mark, self._until = mark, began + self._lease_s
+        self._mark = mark
+        self._until = began + self._lease_s
 
     def claim(self, order: Order, now: float) -> tuple[Claim, bytes]:
         """Commits the order as running, or tells what became of it."""
--- a/violetstack/language/checker.py
+++ b/violetstack/language/checker.py
@@ -21,8 +21,8 @@
 from violetstack.language.source import MAX_PROBLEMS, Broken, Problem, Sources, Span, nearest
 from violetstack.language.syntax import Block, Const, Item, Setting
 from violetstack.language.values import Constants, Typer
-from violetstack.levels.machine import NORMAL, Measures
-from violetstack.levels.rules import Rule, TooManyCases, both, cases
+from violetstack.load_shedding.rules import Rule, TooManyCases, both, cases
+from violetstack.load_shedding.state_machine import NORMAL, Measures
 from violetstack.routing.conditions import (
     ALWAYS,
     All,
@@ -32,7 +32,7 @@
     Not,
     TooEntangled,
     boxes,
-)  # fmt: skip
+)
 from violetstack.routing.conditions import (
     Any as AnyOf,
 )
@@ -89,8 +89,9 @@
     run = _Run(reading, known or {}, list(reading.problems), complete=not reading.problems)
     _constants(run)
     blocks = _blocks(run)
-    typer = Typer(run.constants, lambda kind, name, at: run.references.append((kind, name, at)),
-                  reading.sources.where)  # fmt: skip
+    typer = Typer(
+        run.constants, lambda kind, name, at: run.references.append((kind, name, at)), reading.sources.where
+    )
     for definition, block in blocks:
         _settings(run, typer, definition, block)
     _references(run)
@@ -278,7 +279,8 @@
 
 def _classes(run: _Run) -> None:
     for each in run.of("class").values():
-        aim, give_up = each.get("aim"), each.get("give_up")
+        aim = each.get("aim")
+        give_up = each.get("give_up")
         if aim is not None and give_up is not None and give_up < aim:
             run.wrong(
                 "give_up comes before aim", each.place("give_up"), "", ("aim is set here", each.place("aim"))
@@ -291,8 +293,12 @@
                     )
     fleet = run.of("fleet").get("")
     if fleet is not None and fleet.get("number", 0) >= fleet.get("dispatchers", 1):
-        run.wrong("number counts from 0 and is below dispatchers", fleet.place("number"), "",
-                  ("dispatchers", fleet.place("dispatchers")))  # fmt: skip
+        run.wrong(
+            "number counts from 0 and is below dispatchers",
+            fleet.place("number"),
+            "",
+            ("dispatchers", fleet.place("dispatchers")),
+        )
 
 
 def _shares(run: _Run) -> None:
@@ -312,7 +318,8 @@
 def _keys(run: _Run) -> None:
     seen: dict[str, Definition] = {}
     for each in run.of("key").values():
-        hashed, secret = each.get("sha256"), each.get("secret")
+        hashed = each.get("sha256")
+        secret = each.get("secret")
         if "sha256" in each.places and "secret" in each.places:
             run.wrong("a key has sha256 or secret, not both", each.place("secret"), "remove one")
         elif "sha256" not in each.places and "secret" not in each.places:
@@ -330,8 +337,12 @@
             continue
         if hashed in seen:
             place = each.place("sha256" if "sha256" in each.places else "secret")
-            run.wrong(f"keys {seen[hashed].name!r} and {each.name!r} are the same", place, "remove one",
-                      ("first here", seen[hashed].span))  # fmt: skip
+            run.wrong(
+                f"keys {seen[hashed].name!r} and {each.name!r} are the same",
+                place,
+                "remove one",
+                ("first here", seen[hashed].span),
+            )
         seen.setdefault(hashed, each)
 
 
@@ -342,8 +353,11 @@
     except OSError:
         return
     if mode & (stat.S_IRGRP | stat.S_IROTH):
-        run.doubt("a secret in clear text, in a file that others can read", each.place("secret"),
-                  f"chmod 600 the file, or write sha256 = \"{hashed}\"")  # fmt: skip
+        run.doubt(
+            "a secret in clear text, in a file that others can read",
+            each.place("secret"),
+            f'chmod 600 the file, or write sha256 = "{hashed}"',
+        )
 
 
 def _hosts(run: _Run) -> None:
@@ -370,8 +384,12 @@
         if ring is not None and not told.intersection(ring):
             told.update(ring)
             also = tuple((f"{n} falls back here", run.of("pool")[n].place("fallback")) for n in ring[1:-1])
-            run.wrong(f"pools fall back in a circle: {' -> '.join(ring)}", each.place("fallback"),
-                      "end the chain at one of them", *also)  # fmt: skip
+            run.wrong(
+                f"pools fall back in a circle: {' -> '.join(ring)}",
+                each.place("fallback"),
+                "end the chain at one of them",
+                *also,
+            )
     _served(run, plan)
     if not run.sound:
         return
@@ -403,9 +421,10 @@
         if spec is None:
             continue
         stages = {
-            kind.get("stage") for kind in run.of("kind").values()
+            kind.get("stage")
+            for kind in run.of("kind").values()
             if True in possible(spec.members, {"kind": kind.name})
-        }  # fmt: skip
+        }
         for name in listed:
             told = run.of("host")[name]
             values = {"host": name, "kind": "openai", "cell": "0", "label": frozenset(told.get("labels", ()))}
@@ -482,14 +501,20 @@
         names = [rows[n].name for n in covers]
         listed = ", ".join(repr(name) for name in names[:3]) + (", ..." if len(names) > 3 else "")
         one = "takes" if len(names) == 1 else "take"
-        run.wrong(f"the route {rows[lost].name!r} never matches: {listed} before it {one} all it asks for",
-                  rows[lost].span, "move it up, or remove it",
-                  *((f"route {rows[n].name!r}", rows[n].span) for n in covers[:3]))  # fmt: skip
+        run.wrong(
+            f"the route {rows[lost].name!r} never matches: {listed} before it {one} all it asks for",
+            rows[lost].span,
+            "move it up, or remove it",
+            *((f"route {rows[n].name!r}", rows[n].span) for n in covers[:3]),
+        )
     gap = table.gap() if run.sound else None
     if gap is not None:
         last = rows[-1]
-        run.doubt(f"some requests match no route and are refused: {gap}", last.span,
-                  "end with a route without 'when'")  # fmt: skip
+        run.doubt(
+            f"some requests match no route and are refused: {gap}",
+            last.span,
+            "end with a route without 'when'",
+        )
 
 
 def _levels(run: _Run) -> None:
@@ -499,7 +524,8 @@
     for n, each in enumerate(rows):
         if each.name == NORMAL:
             run.wrong(f"{NORMAL!r} is what no level is called", each.span, "rename it")
-        enter, leave = each.get("enter"), each.get("leave")
+        enter = each.get("enter")
+        leave = each.get("leave")
         try:
             for name, rule in (("enter", enter), ("leave", leave)):
                 if rule is not None and not cases(rule):
@@ -530,8 +556,12 @@
         bound = f"{at:g}ms" if signal == "lag" else f"{at * 100:g}%"
         shown.append(f"{signal} {'at' if at == low else 'just below'} {bound}")
     message = f"{each.name!r} would be entered and left by the same readings: {', '.join(shown)}"
-    run.wrong(message, each.place("leave"), "let 'leave' ask for clearly less than 'enter'",
-              ("entered by this", each.place("enter")))  # fmt: skip
+    run.wrong(
+        message,
+        each.place("leave"),
+        "let 'leave' ask for clearly less than 'enter'",
+        ("entered by this", each.place("enter")),
+    )
 
 
 def _milder(lower: Measures, higher: Measures) -> Iterable[tuple[str, str]]:
--- a/violetstack/language/compiling.py
+++ b/violetstack/language/compiling.py
@@ -6,11 +6,10 @@
 from pathlib import Path
 from typing import Any
 
-from violetstack.facts import WClass, WFacts, WFamily, WLimits, WParty, WReport, WRules
 from violetstack.language.checker import Checked, Known, check, in_order
 from violetstack.language.files import Unreadable, read, read_text
 from violetstack.language.meaning import Definition, Meaning
-from violetstack.levels.control import LevelPlan
+from violetstack.load_shedding.control import LevelPlan
 from violetstack.operators import (
     Acme,
     BadOperatorFile,
@@ -23,8 +22,9 @@
     StateFile,
     Tenant,
     Tls,
-)  # fmt: skip
+)
 from violetstack.routing.generations import Plan
+from violetstack.settings import WClass, WFacts, WFamily, WLimits, WParty, WReport, WRules
 
 EFFECTS = {"repeatable": "read_like", "keyed": "idempotency_key", "once": "non_idempotent"}
 MIB = 2.0**20
@@ -69,7 +69,8 @@
 
 def compile_file(meaning: Meaning) -> OperatorFile:
     listens = {name: each.get("address") for name, each in meaning.of("listen").items()}
-    fleet, machine = meaning.one("fleet"), meaning.one("machine")
+    fleet = meaning.one("fleet")
+    machine = meaning.one("machine")
     return OperatorFile(
         listen=listens.get("chat", ""),
         platform=listens.get("platform", ""),
@@ -85,7 +86,11 @@
         tenants=[Tenant(d.name, d.get("class")) for d in meaning.of("tenant").values()],
         hosts=[
             PlainHost(
-                d.name, d.get("address"), d.get("bearer", ""), d.get("memory", 0.0), d.get("weight", 1.0),
+                d.name,
+                d.get("address"),
+                d.get("bearer", ""),
+                d.get("memory", 0.0),
+                d.get("weight", 1.0),
                 list(d.get("labels", ())),
             )
             for d in meaning.of("host").values()
@@ -96,7 +101,7 @@
         tls=_tls(meaning.one("tls")),
         acme=_acme(meaning.one("acme")),
         settings=_settings(meaning) if meaning.of("class") else None,
-    )  # fmt: skip
+    )
 
 
 def _key(d: Definition) -> Key:
@@ -123,9 +128,13 @@
     if d is None:
         return None
     return DutiesFile(
-        d.get("lease", 2_000.0) / 1000.0, list(d.get("keys", ())), d.get("datagrams", 200.0),
-        d.get("trials", False), int(d.get("leave", 0)), d.get("leave_wait", 0.0) / 1000.0,
-    )  # fmt: skip
+        d.get("lease", 2_000.0) / 1000.0,
+        list(d.get("keys", ())),
+        d.get("datagrams", 200.0),
+        d.get("trials", False),
+        int(d.get("leave", 0)),
+        d.get("leave_wait", 0.0) / 1000.0,
+    )
 
 
 def _tls(d: Definition | None) -> Tls | None:
@@ -136,11 +145,15 @@
     if d is None:
         return None
     return Acme(
-        d.get("directory"), list(d.get("domains")), d.get("account_key"), d.get("challenge"),
+        d.get("directory"),
+        list(d.get("domains")),
+        d.get("account_key"),
+        d.get("challenge"),
         d.get("contact", ""),
-        d.get("renew_before", 30 * 86_400_000.0) / 86_400_000.0, d.get("check_every", 3_600_000.0) / 1000.0,
+        d.get("renew_before", 30 * 86_400_000.0) / 86_400_000.0,
+        d.get("check_every", 3_600_000.0) / 1000.0,
         d.get("trust", ""),
-    )  # fmt: skip
+    )
 
 
 def _settings(meaning: Meaning) -> WFacts:
@@ -149,16 +162,24 @@
     def one(kind: str) -> Any:
         return meaning.one(kind) or Definition(kind, "", None)  # type: ignore[arg-type]
 
-    classes, kinds = list(meaning.of("class").values()), list(meaning.of("kind").values())
+    classes = list(meaning.of("class").values())
+    kinds = list(meaning.of("kind").values())
     zones = list(meaning.of("zone"))
-    fleet, limits, rules = one("fleet"), one("limits"), one("rules")
+    fleet = one("fleet")
+    limits = one("limits")
+    rules = one("rules")
     here = fleet.get("zone")
     return WFacts(
         classes=[
             WClass(
-                aim=d.get("aim"), give_up=d.get("give_up"), idempotency=EFFECTS[d.get("effect")],
-                group=d.get("group"), window=d.get("window"), value=d.get("worth", 1.0),
-                late_value=d.get("late_worth", 0.0), name=d.name,
+                aim=d.get("aim"),
+                give_up=d.get("give_up"),
+                idempotency=EFFECTS[d.get("effect")],
+                group=d.get("group"),
+                window=d.get("window"),
+                value=d.get("worth", 1.0),
+                late_value=d.get("late_worth", 0.0),
+                name=d.name,
             )
             for d in classes
         ],
@@ -170,26 +191,36 @@
         parties=[
             WParty(fraction=d.get("share"), allowance_per_s=d.get("rate"), name=d.name)
             for d in meaning.of("tenant").values()
-        ] or None,
+        ]
+        or None,
         over_share_worth=fleet.get("over_share_worth"),
         family_info=WFamily(
             ahead=fleet.get("hold_ahead"),
             aim_us_per_1000_prompt_tokens=[1000.0 * d.get("aim_per_ktok", 0.0) for d in classes],
             kv_tokens=[d.get("memory", 0.0) for d in kinds] or None,
-            local_read=fleet.get("local_read"), release=fleet.get("release"), resume=fleet.get("resume"),
+            local_read=fleet.get("local_read"),
+            release=fleet.get("release"),
+            resume=fleet.get("resume"),
             stage_of_kind=[d.get("stage") for d in kinds] or None,
             token_aim=[d.get("token_aim", 0.0) for d in classes],
         ),
         limits=WLimits(
-            cancel=limits.get("cancel"), connect_timeout=limits.get("connect_timeout"),
-            max_attempts=limits.get("attempts"), max_retry_after=limits.get("most_retry_after"),
-            may_duplicate=limits.get("duplicate"), probes=limits.get("probes"),
-            retry_after=limits.get("retry_after"), idle_close=limits.get("idle_close"),
+            cancel=limits.get("cancel"),
+            connect_timeout=limits.get("connect_timeout"),
+            max_attempts=limits.get("attempts"),
+            max_retry_after=limits.get("most_retry_after"),
+            may_duplicate=limits.get("duplicate"),
+            probes=limits.get("probes"),
+            retry_after=limits.get("retry_after"),
+            idle_close=limits.get("idle_close"),
         ),
         rules=WRules(
-            cold=rules.get("cold"), cold_share=rules.get("cold_share"), fall=rules.get("fall"),
-            fall_multiple=rules.get("fall_multiple"), grace_to_answer=rules.get("grace"),
+            cold=rules.get("cold"),
+            cold_share=rules.get("cold_share"),
+            fall=rules.get("fall"),
+            fall_multiple=rules.get("fall_multiple"),
+            grace_to_answer=rules.get("grace"),
             stop_sending_within=rules.get("drain_within"),
         ),
         report=WReport(how=fleet.get("reports"), names=list(fleet.get("report_names", ())) or None),
-    )  # fmt: skip
+    )
--- a/violetstack/language/converting.py
+++ b/violetstack/language/converting.py
@@ -17,38 +17,67 @@
 Names = tuple[tuple[str, str, str], ...]
 TABLES: dict[str, tuple[str, Names]] = {
     "tls": ("tls", (("certificate", "certificate", ""), ("key", "key", ""))),
-    "acme": ("acme", (
-        ("directory", "directory", ""), ("domains", "domains", "l"), ("account_key", "account_key", ""),
-        ("challenge_listen", "challenge", ""), ("contact", "contact", ""),
-        ("renew_before_days", "renew_before", "d"), ("check_every_s", "check_every", "s"),
-        ("trust", "trust", ""),
-    )),
+    "acme": (
+        "acme",
+        (
+            ("directory", "directory", ""),
+            ("domains", "domains", "l"),
+            ("account_key", "account_key", ""),
+            ("challenge_listen", "challenge", ""),
+            ("contact", "contact", ""),
+            ("renew_before_days", "renew_before", "d"),
+            ("check_every_s", "check_every", "s"),
+            ("trust", "trust", ""),
+        ),
+    ),
     "ledger": ("ledger", (("file", "file", ""), ("keep_hours", "keep", "h"), ("lease_s", "lease", "s"))),
-}  # fmt: skip
+}
 LIMITS: Names = (
-    ("max_attempts", "attempts", "n"), ("cancel", "cancel", "b"), ("may_duplicate", "duplicate", "b"),
-    ("probes", "probes", "b"), ("retry_after", "retry_after", "b"),
+    ("max_attempts", "attempts", "n"),
+    ("cancel", "cancel", "b"),
+    ("may_duplicate", "duplicate", "b"),
+    ("probes", "probes", "b"),
+    ("retry_after", "retry_after", "b"),
     ("max_retry_after", "most_retry_after", "ms"),
-    ("connect_timeout", "connect_timeout", "ms"), ("idle_close", "idle_close", "ms"),
-)  # fmt: skip
+    ("connect_timeout", "connect_timeout", "ms"),
+    ("idle_close", "idle_close", "ms"),
+)
 RULES: Names = (
-    ("stop_sending_within", "drain_within", "ms"), ("cold", "cold", "ms"), ("cold_share", "cold_share", "%"),
-    ("fall", "fall", "ms"), ("fall_multiple", "fall_multiple", "n"), ("grace_to_answer", "grace", "ms"),
-)  # fmt: skip
+    ("stop_sending_within", "drain_within", "ms"),
+    ("cold", "cold", "ms"),
+    ("cold_share", "cold_share", "%"),
+    ("fall", "fall", "ms"),
+    ("fall_multiple", "fall_multiple", "n"),
+    ("grace_to_answer", "grace", "ms"),
+)
 CLASS: Names = (
-    ("aim", "aim", "ms"), ("give_up", "give_up", "ms"), ("idempotency", "effect", "effect"),
-    ("group", "group", "w"), ("window", "window", "ms"), ("value", "worth", "n"),
+    ("aim", "aim", "ms"),
+    ("give_up", "give_up", "ms"),
+    ("idempotency", "effect", "effect"),
+    ("group", "group", "w"),
+    ("window", "window", "ms"),
+    ("value", "worth", "n"),
     ("late_value", "late_worth", "%"),
-)  # fmt: skip
+)
 TENANT: Names = (("fraction", "share", "%"), ("allowance_per_s", "rate", " req/s"))
 MODEL: Names = (("class", "class", "w"), ("upstream", "upstream", ""), ("max_tokens", "max_tokens", "tok"))
-HOST: Names = (("address", "address", ""), ("key", "bearer", ""), ("memory_tokens", "memory", "tok"),
-               ("weight", "weight", "n"))  # fmt: skip
-FAMILY: Names = (("ahead", "hold_ahead", "b"), ("local_read", "local_read", "b"), ("resume", "resume", "b"),
-                 ("release", "release", "ms"))  # fmt: skip
+HOST: Names = (
+    ("address", "address", ""),
+    ("key", "bearer", ""),
+    ("memory_tokens", "memory", "tok"),
+    ("weight", "weight", "n"),
+)
+FAMILY: Names = (
+    ("ahead", "hold_ahead", "b"),
+    ("local_read", "local_read", "b"),
+    ("resume", "resume", "b"),
+    ("release", "release", "ms"),
+)
 FLEET: Names = (
-    ("fleet_size", "dispatchers", "n"), ("me", "number", "n"), ("over_share_worth", "over_share_worth", "%"),
-)  # fmt: skip
+    ("fleet_size", "dispatchers", "n"),
+    ("me", "number", "n"),
+    ("over_share_worth", "over_share_worth", "%"),
+)
 KNOWN = {"listen", "models", "keys", "tenants", "hosts", "ledger", "tls", "acme", "settings"}
 
 
@@ -95,13 +124,28 @@
 def _settings(told: Mapping[str, Any]) -> list[str]:
     if not told:
         return []
-    known = {"classes", "parties", "fleet_size", "me", "zone", "zones", "kinds", "over_share_worth",
-             "family_info",              "limits", "rules", "report"}  # fmt: skip
+    known = {
+        "classes",
+        "parties",
+        "fleet_size",
+        "me",
+        "zone",
+        "zones",
+        "kinds",
+        "over_share_worth",
+        "family_info",
+        "limits",
+        "rules",
+        "report",
+    }
     _only(told, known, "settings")
-    family, report = dict(told.get("family_info", {})), told.get("report", {})
+    family = dict(told.get("family_info", {}))
+    report = told.get("report", {})
     zones = told.get("zones", [])
-    stages, memory = family.pop("stage_of_kind", []), family.pop("kv_tokens", [])
-    token_aims, aims = family.pop("token_aim", []), family.pop("aim_us_per_1000_prompt_tokens", [])
+    stages = family.pop("stage_of_kind", [])
+    memory = family.pop("kv_tokens", [])
+    token_aims = family.pop("token_aim", [])
+    aims = family.pop("aim_us_per_1000_prompt_tokens", [])
     fleet = _values({k: told[k] for k, _, _ in FLEET if k in told}, FLEET, "settings")
     fleet += _values(family, FAMILY, "settings.family_info")
     if zones:
--- a/violetstack/language/difference.py
+++ b/violetstack/language/difference.py
@@ -22,8 +22,8 @@
 from violetstack.language.syntax import Setting, parse
 from violetstack.language.units import DURATION, RATE, SHARE, SIZE, TOKENS, Dimension, canonical, number
 from violetstack.language.values import Constants, Typer
-from violetstack.levels.rules import Crossing, Every, Some
-from violetstack.levels.rules import text as rule_text
+from violetstack.load_shedding.rules import Crossing, Every, Some
+from violetstack.load_shedding.rules import text as rule_text
 from violetstack.routing.conditions import (
     HOST_ATTRIBUTES,
     All,
@@ -32,7 +32,7 @@
     Not,
     holds,
     text,
-)  # fmt: skip
+)
 from violetstack.routing.conditions import (
     Any as AnyOf,
 )
@@ -60,7 +60,8 @@
     for kind in BLOCKS:
         if kind == "route":
             continue
-        before, after = old.of(kind), new.of(kind)
+        before = old.of(kind)
+        after = new.of(kind)
         for name in dict.fromkeys([*before, *after]):
             told = f"{kind} {name}".strip()
             if name not in after:
@@ -100,7 +101,8 @@
 ) -> Iterable[Difference]:
     for spec in BLOCKS[kind].fields:
         default = default_of(spec)
-        a, b = before.get(spec.name, default), after.get(spec.name, default)
+        a = before.get(spec.name, default)
+        b = after.get(spec.name, default)
         if a == b or (spec.form is Form.HOSTS and same_hosts(a, b)):
             continue
         if spec.name in SECRET:
@@ -190,7 +192,8 @@
             skipped += line.strip() != b""
             continue
         total += 1
-        a, b = target(old.find(asked)), target(new.find(asked))
+        a = target(old.find(asked))
+        b = target(new.find(asked))
         if a != b:
             found[a, b] += 1
     return found, total, skipped
--- a/violetstack/language/files.py
+++ b/violetstack/language/files.py
@@ -77,14 +77,17 @@
     """Follows includes depth first; `seen` has each real file with the include that brought it."""
 
     def __init__(self, reading: Reading) -> None:
-        self.reading, self.base = reading, Path.cwd()
+        self.reading = reading
+        self.base = Path.cwd()
         self.seen: dict[str, Include | None] = {}
 
     def wrong(self, message: str, span: Span, fix: str = "", *also: tuple[str, Span]) -> None:
         self.reading.problems.append(Problem(message, span, fix, also))
 
     def take(self, path: Path, raw: bytes, chain: Chain, by: Include | None = None) -> None:
-        reading, name, real = self.reading, shown_name(path, self.base), os.path.realpath(path)
+        reading = self.reading
+        name = shown_name(path, self.base)
+        real = os.path.realpath(path)
         self.seen[real] = by
         reading.size += len(raw)
         source, trouble = _decode(name, raw)
@@ -138,7 +141,8 @@
 
     def fits(self, path: Path, item: Include, chain: Chain) -> bool:
         """Not on the way here, not read before, and not one too many."""
-        real, span = os.path.realpath(path), item.pattern.span
+        real = os.path.realpath(path)
+        span = item.pattern.span
         on_the_way = [name for name, _ in chain]
         if real in on_the_way:
             start = on_the_way.index(real)
--- a/violetstack/language/layout.py
+++ b/violetstack/language/layout.py
@@ -33,7 +33,7 @@
     Tree,
     Value,
     parse,
-)  # fmt: skip
+)
 from violetstack.language.units import TOKENS, UNITS, base, canonical, number, plain
 
 WIDTH = 100
@@ -47,7 +47,8 @@
 
     def __init__(self, source: Source, problems: list[Problem]) -> None:
         super().__init__(problems[0].message)
-        self.source, self.problems = source, problems
+        self.source = source
+        self.problems = problems
 
 
 def layout(text: str, name: str = "text") -> str:
@@ -294,7 +295,9 @@
 
 def _comparison(value: Comparison) -> str:
     """Names compare without quotes; a set of one is `==`; whole tokens compare by < and >= alone."""
-    left, right, operator = _bare(value.left), _bare(value.right), value.operator
+    left = _bare(value.left)
+    right = _bare(value.right)
+    operator = value.operator
     names = Field("", Form.REQUESTS, "")
     if operator == "in" and isinstance(right, Sequence) and right.is_set:
         parts = _parts(right, names)
@@ -314,7 +317,8 @@
     inner: Value = value.part
     negated = True
     while isinstance(inner := _bare(inner), Negation):
-        inner, negated = inner.part, not negated
+        inner = inner.part
+        negated = not negated
     if not negated:
         return show(inner)
     if isinstance(inner, Comparison) and inner.operator in ("==", "!=") and not _is_prompt(inner):
--- a/violetstack/language/meaning.py
+++ b/violetstack/language/meaning.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from violetstack.language.source import Span
-from violetstack.levels.control import LevelPlan
-from violetstack.levels.machine import LevelSpec, Measures
+from violetstack.load_shedding.control import LevelPlan
+from violetstack.load_shedding.state_machine import LevelSpec, Measures
 from violetstack.routing.conditions import ALWAYS
 from violetstack.routing.generations import Plan
 from violetstack.routing.policies import Policy
@@ -62,18 +62,27 @@
     ]
     pools = {
         d.name: PoolSpec(
-            d.name, d.get("members", ALWAYS), d.get("least", 1), tuple(d.get("fallback", ())),
-            d.get("return_after", 5_000.0), at(d),
+            d.name,
+            d.get("members", ALWAYS),
+            d.get("least", 1),
+            tuple(d.get("fallback", ())),
+            d.get("return_after", 5_000.0),
+            at(d),
         )
         for d in definitions.get("pool", {}).values()
-    }  # fmt: skip
+    }
     policies = {
         d.name: Policy(
-            d.name, d.get("deadline"), d.get("attempts"), d.get("retries"), d.get("retry_floor", 1.0),
-            None if d.get("body") is None else int(d.get("body")), at(d),
+            d.name,
+            d.get("deadline"),
+            d.get("attempts"),
+            d.get("retries"),
+            d.get("retry_floor", 1.0),
+            None if d.get("body") is None else int(d.get("body")),
+            at(d),
         )
         for d in definitions.get("policy", {}).values()
-    }  # fmt: skip
+    }
     labels = {
         d.name: frozenset(d.get("labels", ()))
         for d in definitions.get("host", {}).values()
--- a/violetstack/language/source.py
+++ b/violetstack/language/source.py
@@ -25,7 +25,8 @@
     """One file's text; `line` and `column` count from 1."""
 
     def __init__(self, file: str, text: str) -> None:
-        self.file, self.text = file, text
+        self.file = file
+        self.text = text
         self._lines = [0]
         for n, char in enumerate(text):
             if char == "\n":
@@ -97,10 +98,16 @@
         line, column = source.place(problem.span.start)
         end_line, end_column = source.place(min(problem.span.end, len(source.text)))
         return {
-            "file": problem.span.file, "line": line, "column": column, "end_line": end_line,
-            "end_column": end_column, "severity": problem.severity, "message": problem.message,
-            "fix": problem.fix, "also": [{"at": self.where(s), "text": text} for text, s in problem.also],
-        }  # fmt: skip
+            "file": problem.span.file,
+            "line": line,
+            "column": column,
+            "end_line": end_line,
+            "end_column": end_column,
+            "severity": problem.severity,
+            "message": problem.message,
+            "fix": problem.fix,
+            "also": [{"at": self.where(s), "text": text} for text, s in problem.also],
+        }
 
 
 def shown_name(path: Path, base: Path) -> str:
--- a/violetstack/language/syntax.py
+++ b/violetstack/language/syntax.py
@@ -138,12 +138,28 @@
 
 
 WORDS = {
-    "NAME": "a name", "STRING": "a text in quotes", "QUANTITY": "a number", "CONSTANT": "a constant",
-    "COMPARISON": "a comparison", "LBRACE": "'{'", "RBRACE": "'}'", "EQUAL": "'='",
+    "NAME": "a name",
+    "STRING": "a text in quotes",
+    "QUANTITY": "a number",
+    "CONSTANT": "a constant",
+    "COMPARISON": "a comparison",
+    "LBRACE": "'{'",
+    "RBRACE": "'}'",
+    "EQUAL": "'='",
     "$END": "the end of the file",
-    "LPAR": "'('", "RPAR": "')'", "LSQB": "'['", "RSQB": "']'", "COMMA": "','", "AND": "'and'", "OR": "'or'",
-    "NOT": "'not'", "IN": "'in'", "INCLUDE": "'include'", "CONST": "'const'", "__ANON_0": "'..'",
-}  # fmt: skip
+    "LPAR": "'('",
+    "RPAR": "')'",
+    "LSQB": "'['",
+    "RSQB": "']'",
+    "COMMA": "','",
+    "AND": "'and'",
+    "OR": "'or'",
+    "NOT": "'not'",
+    "IN": "'in'",
+    "INCLUDE": "'include'",
+    "CONST": "'const'",
+    "__ANON_0": "'..'",
+}
 NUMBER = re.compile(r"(-?[0-9][0-9_]*(?:\.[0-9]+)?)[ \t]*(.*)", re.DOTALL)
 ESCAPES = {'"': '"', "\\": "\\", "n": "\n", "t": "\t"}
 
@@ -199,7 +215,8 @@
 
     def _sequence(self, parts: tuple[Token | Value | None, ...], is_set: bool) -> Sequence:
         values = [part for part in parts if part is not None and not isinstance(part, Token)]
-        opening, closing = parts[0], parts[-1]
+        opening = parts[0]
+        closing = parts[-1]
         assert isinstance(opening, Token) and isinstance(closing, Token)
         span, depth = self._over(*values, span=self._between(opening, closing))
         return Sequence(span, values, is_set, depth=depth)
@@ -269,16 +286,23 @@
 def _machine() -> tuple[Lark, _Build]:
     build = _Build()
     machine = Lark(
-        GRAMMAR, parser="lalr", lexer="basic", start="file", keep_all_tokens=True, transformer=build,
-        lexer_callbacks={"COMMENT": build.keep}, maybe_placeholders=True,
-    )  # fmt: skip
+        GRAMMAR,
+        parser="lalr",
+        lexer="basic",
+        start="file",
+        keep_all_tokens=True,
+        transformer=build,
+        lexer_callbacks={"COMMENT": build.keep},
+        maybe_placeholders=True,
+    )
     return machine, build
 
 
 def parse(source: Source) -> Tree:
     """Never raises: what can't be read is a problem in the tree."""
     tree = Tree(source, [], [], [])
-    text, start = source.text, 0
+    text = source.text
+    start = 0
     while start < len(text):
         start = _parse_from(tree, text, start)
         if len(tree.problems) >= MAX_ERRORS:
@@ -312,7 +336,8 @@
 def _read(tree: Tree, text: str, start: int) -> Exception | None:
     """Adds the definitions from `start` on to the tree, or returns what is wrong and adds nothing."""
     machine, build = _machine()
-    build.path, build.comments = tree.source.file, []
+    build.path = tree.source.file
+    build.comments = []
     # What was read before is blank, so that positions hold.
     window = re.sub(r"[^\n]", " ", text[:start]) + text[start:] if start else text
     try:
@@ -337,9 +362,15 @@
         char = text[at]
         if char == '"':
             return Problem("this text has no end on its line", span, "close it with '\"'")
-        fixes = {"'": 'texts stand in double quotes: "..."', ";": "leave it out: a new line is enough",
-                 ":": "write '=' between a name and its value", "&": "write 'and'", "|": "write 'or'",
-                 "!": "write 'not', or '!=' between two values", "=": "compare with '=='"}  # fmt: skip
+        fixes = {
+            "'": 'texts stand in double quotes: "..."',
+            ";": "leave it out: a new line is enough",
+            ":": "write '=' between a name and its value",
+            "&": "write 'and'",
+            "|": "write 'or'",
+            "!": "write 'not', or '!=' between two values",
+            "=": "compare with '=='",
+        }
         return Problem(f"{char!r} means nothing here", span, fixes.get(char, ""))
     if isinstance(error, UnexpectedToken):
         token = error.token
@@ -367,8 +398,9 @@
         return Problem(f"{empty[1]!r} has no value", at, f"write a value after '{empty[1]} ='")
     if token.type == "EQUAL" and expected == {"'{'"} and (bare := BARE.search(before)):
         at = Span(source.file, bare.start(1), bare.end(1))
-        return Problem(f"{bare[1]!r} needs a value ('= ...') or a block ('{{ ... }}')", at,
-                       f"write '{bare[1]} = ...'")  # fmt: skip
+        return Problem(
+            f"{bare[1]!r} needs a value ('= ...') or a block ('{{ ... }}')", at, f"write '{bare[1]} = ...'"
+        )
     if expected == {"'{'"}:
         return Problem(f"{_short(token)} is one name too many", span, "a definition is KIND NAME { ... }")
     if token.type == "RBRACE" and "'}'" not in expected and "a name" in expected and "'='" not in expected:
--- a/violetstack/language/units.py
+++ b/violetstack/language/units.py
@@ -23,31 +23,51 @@
 DURATION = Dimension(
     "duration",
     _scale(us="0.001", ms="1", s="1000", min="60000", h="3600000", d="86400000"),
-    ("us", "ms", "s", "min", "h", "d"), "250ms",
-)  # fmt: skip
+    ("us", "ms", "s", "min", "h", "d"),
+    "250ms",
+)
 SIZE = Dimension(
     "size",
     _scale(B="1", KB="1000", MB="1000000", GB="1000000000", KiB="1024", MiB="1048576", GiB="1073741824"),
-    ("B", "KB", "KiB", "MB", "MiB", "GB", "GiB"), "256KiB",
-)  # fmt: skip
+    ("B", "KB", "KiB", "MB", "MiB", "GB", "GiB"),
+    "256KiB",
+)
 TOKENS = Dimension(
     "token count", _scale(tok="1", ktok="1000", Mtok="1000000"), ("tok", "ktok", "Mtok"), "8ktok"
 )
 RATE = Dimension(
     "rate",
     {"req/s": Decimal(1), "req/min": 1 / Decimal(60), "req/h": 1 / Decimal(3600)},
-    ("req/h", "req/min", "req/s"), "30 req/min",
-)  # fmt: skip
+    ("req/h", "req/min", "req/s"),
+    "30 req/min",
+)
 SHARE = Dimension("share", _scale(**{"%": "0.01"}), ("%",), "34%")
 DIMENSIONS = (DURATION, SIZE, TOKENS, RATE, SHARE)
 UNITS = {unit: dimension for dimension in DIMENSIONS for unit in dimension.units}
 MAX_NUMBER = Decimal(10) ** 15
 PLURALS = {
-    "tokens": "tok", "token": "tok", "sec": "s", "secs": "s", "seconds": "s", "minutes": "min",
-    "m": "min", "hours": "h", "days": "d", "k": "ktok", "rps": "req/s", "rpm": "req/min",
-    "msec": "ms", "percent": "%", "kb": "KB", "mb": "MB", "gb": "GB", "kib": "KiB",
-    "mib": "MiB", "gib": "GiB", "b": "B",
-}  # fmt: skip
+    "tokens": "tok",
+    "token": "tok",
+    "sec": "s",
+    "secs": "s",
+    "seconds": "s",
+    "minutes": "min",
+    "m": "min",
+    "hours": "h",
+    "days": "d",
+    "k": "ktok",
+    "rps": "req/s",
+    "rpm": "req/min",
+    "msec": "ms",
+    "percent": "%",
+    "kb": "KB",
+    "mb": "MB",
+    "gb": "GB",
+    "kib": "KiB",
+    "mib": "MiB",
+    "gib": "GiB",
+    "b": "B",
+}
 
 
 def number(text: str) -> Decimal | None:
--- a/violetstack/language/values.py
+++ b/violetstack/language/values.py
@@ -21,7 +21,7 @@
     Sequence,
     String,
     Value,
-)  # fmt: skip
+)
 from violetstack.language.units import (
     DURATION,
     SHARE,
@@ -33,7 +33,7 @@
     plain,
     unit_fix,
 )
-from violetstack.levels.rules import SIGNALS, Crossing, Every, Rule, Some, negated
+from violetstack.load_shedding.rules import SIGNALS, Crossing, Every, Rule, Some, negated
 from violetstack.routing.conditions import (
     HOST_ATTRIBUTES,
     NEVER_ENDS,
@@ -44,7 +44,7 @@
     Between,
     Condition,
     Not,
-)  # fmt: skip
+)
 from violetstack.routing.conditions import (
     Any as AnyOf,
 )
@@ -100,7 +100,9 @@
     def __init__(
         self, constants: Constants, refer: Callable[[str, str, Span], None], where: Callable[[Span], str]
     ) -> None:
-        self.constants, self.refer, self.where = constants, refer, where
+        self.constants = constants
+        self.refer = refer
+        self.where = where
 
     def read(self, spec: Field, value: Value) -> Any:
         """In the field's base: a duration in milliseconds, a size in bytes. Raises Broken."""
@@ -273,7 +275,8 @@
             text = left.text if isinstance(left, Name) else kind_of(left)
             fix = nearest(text, list(attributes)) or f"one of {', '.join(attributes)}"
             raise Broken(Problem(f"{text!r} is nothing that a condition can ask for", left.span, fix))
-        attribute, where = left.text, self.where(told.span)
+        attribute = left.text
+        where = self.where(told.span)
         if attribute == "prompt":
             return self._interval(told, where)
         if attribute == "retry":
@@ -351,7 +354,8 @@
         if isinstance(right, Range):
             if told.operator != "in":
                 raise Broken(Problem("a range goes with 'in'", told.right.span, "prompt in ... .. ...?"))
-            low, high = self._tokens(right.low), self._tokens(right.high)
+            low = self._tokens(right.low)
+            high = self._tokens(right.high)
             if low >= high:
                 fix = "the range holds its first value and not its last"
                 raise Broken(Problem("the range is empty", told.right.span, fix))
--- a/violetstack/lease/candidate.py
+++ b/violetstack/lease/candidate.py
@@ -13,12 +13,17 @@
 
 from violetstack.lease.messages import Ballot, Item, Kind
 
-TRY_MS, RESEND_MS = 300.0, 70.0  # for a majority's answer; until it is sent again to those that may lack it
+# for a majority's answer; until it is sent again to those that may lack it
+TRY_MS = 300.0
+RESEND_MS = 70.0
 TURN_MS = 60.0  # between one and the next in line for a duty: what two round trips take
-BACK_OFF_MS, BACK_OFF_MOST_MS = 100.0, 2_000.0
+BACK_OFF_MS = 100.0
+BACK_OFF_MOST_MS = 2_000.0
 RENEW_SHARE = 1 / 3  # of the lease: two renewals may be lost
 GRID_SHARE = 1 / 20  # of the lease
-NEAR, MOST_DOUBLED = 2, 10  # the nearest look for a duty's end each lease, each two further half as often
+# the nearest look for a duty's end each lease, each two further half as often
+NEAR = 2
+MOST_DOUBLED = 10
 
 
 class Phase(Enum):
@@ -45,13 +50,19 @@
 
     def __init__(
         self, duty: int, me: int, electors: int, length_ms: float, *, luck: random.Random, rank: int = 0
-    ) -> None:  # fmt: skip
-        self.duty, self.me, self.length_ms = duty, me, length_ms
+    ) -> None:
+        self.duty = duty
+        self.me = me
+        self.length_ms = length_ms
         self.fit = True  # may it hold? Not while it starts, is overloaded or ends
-        self.until, self.fence = 0.0, 0
+        self.until = 0.0
+        self.fence = 0
         self.phase, self.changes = Phase.IDLE, list[Change]()
-        self._majority, self._luck, self._rank = electors // 2 + 1, luck, rank
-        self._ballot, self._sent_at = Ballot(0, me), 0.0
+        self._majority = electors // 2 + 1
+        self._luck = luck
+        self._rank = rank
+        self._ballot = Ballot(0, me)
+        self._sent_at = 0.0
         self._answers: set[int] = set()
         self._highest = 0  # fencing number that was heard of
         self._was_mine = self._told = False
@@ -83,7 +94,9 @@
         if not self.holds(now):
             return []
         if successor is not None:
-            self._successor, self.phase, self._next_at = successor, Phase.IDLE, now
+            self._successor = successor
+            self.phase = Phase.IDLE
+            self._next_at = now
             return self.tick(now)
         self._lose(now, "resigned")
         return [Item(Kind.RELEASE, self.duty, self._ballot)]
@@ -114,7 +127,9 @@
             self._again(now)  # no majority answered
             return []
         self._ballot = Ballot(self._ballot.round + 1, self.me)
-        self.phase, self._answers, self._sent_at = Phase.PREPARING, set(), now
+        self.phase = Phase.PREPARING
+        self._answers = set()
+        self._sent_at = now
         self._was_mine = self.holds(now)
         self._next_at = now + RESEND_MS
         self._asked = Item(Kind.PREPARE, self.duty, self._ballot)
@@ -164,7 +179,8 @@
         if item.owner == self.me and not self.holds(now):
             self._ballot = Ballot(max(item.ballot.round, self._ballot.round), self.me)
             self._highest = max(self._highest, item.fence)
-            self.phase, self._next_at = Phase.IDLE, now
+            self.phase = Phase.IDLE
+            self._next_at = now
 
     def freed(self, now: float, owner: int) -> None:
         """The one who held it let it go."""
@@ -179,13 +195,17 @@
         return self._propose(now, successor, fence)
 
     def _propose(self, now: float, owner: int, fence: int) -> list[Item]:
-        self.phase, self._answers, self._sent_at = Phase.PROPOSING, set(), now
-        self._proposed, self._next_at = fence, now + RESEND_MS
+        self.phase = Phase.PROPOSING
+        self._answers = set()
+        self._sent_at = now
+        self._proposed = fence
+        self._next_at = now + RESEND_MS
         self._asked = Item(Kind.PROPOSE, self.duty, self._ballot, fence, round(self.length_ms), owner)
         return [self._asked]
 
     def _granted(self, now: float) -> list[Item]:
-        self.phase, until = Phase.IDLE, self._sent_at + self.length_ms
+        self.phase = Phase.IDLE
+        until = self._sent_at + self.length_ms
         if self._successor is not None:
             item = Item(Kind.GRANT, self.duty, self._ballot, self._proposed, 0, self._successor)
             self._successor = None
@@ -200,7 +220,9 @@
         if not self.until:
             self.changes.append(Change(self.duty, True, fence, why))
         self.other = None
-        self.until, self.fence, self._failures = until, fence, 0
+        self.until = until
+        self.fence = fence
+        self._failures = 0
         self.phase = Phase.IDLE
         # With jitter, so that members do not renew in step; on a grid of its own clock, so that a member's
         # renewals share datagrams.
@@ -211,7 +233,8 @@
     def _lose(self, now: float, why: str) -> None:
         if self.until:
             self.changes.append(Change(self.duty, False, self.fence, why))
-        self.until, self.phase = 0.0, Phase.IDLE
+        self.until = 0.0
+        self.phase = Phase.IDLE
         self._next_at = now + self._wait(BACK_OFF_MS)
 
     def _again(self, now: float) -> None:
@@ -225,9 +248,12 @@
         self._next_at = now + self._wait(min(BACK_OFF_MOST_MS, BACK_OFF_MS * 2.0 ** min(self._failures, 10)))
 
     def _in_line(self, now: float, item: Item) -> None:
-        self.other, self.other_until = item.owner, now + item.length_ms
+        self.other = item.owner
+        self.other_until = now + item.length_ms
         self._next_at = self.other_until + self._wait(BACK_OFF_MS) + self._turn()
-        self.phase, self._failures, self._successor = Phase.IDLE, 0, None
+        self.phase = Phase.IDLE
+        self._failures = 0
+        self._successor = None
 
     def _wait(self, most: float) -> float:
         return most * (0.2 + 0.8 * self._luck.random())
--- a/violetstack/lease/elector.py
+++ b/violetstack/lease/elector.py
@@ -66,7 +66,8 @@
                 told = Item(Kind.PROMISE, item.duty, item.ballot, self._fence(state), left, state.owner)
                 if item.ballot < state.promised:
                     return [told._replace(kind=Kind.REFUSED, ballot=state.promised)]
-                state.promised, state.promised_at = item.ballot, now
+                state.promised = item.ballot
+                state.promised_at = now
                 return [told]
             case Kind.PROPOSE:
                 if item.ballot < state.promised or item.length_ms > self._most_ms:
@@ -79,7 +80,8 @@
                 return [Item(Kind.ACCEPTED, item.duty, item.ballot, state.fence)]
             case Kind.RELEASE:
                 if state.ballot == item.ballot:
-                    state.owner, state.until = None, 0.0
+                    state.owner = None
+                    state.until = 0.0
         return []
 
     def _current(self, now: float, duty: int) -> Granted:
--- a/violetstack/lease/messages.py
+++ b/violetstack/lease/messages.py
@@ -13,7 +13,8 @@
 from hmac import compare_digest
 from typing import NamedTuple
 
-MAGIC, VERSION = b"vL", 1
+MAGIC = b"vL"
+VERSION = 1
 HEAD = struct.Struct(">2sBI")  # magic, version, the highest fencing number that the sender has heard of
 ITEM = struct.Struct(">BIIIIII")  # kind, duty, round, who, fence, length, owner
 SEAL_BYTES = 8
--- a/violetstack/lease/member.py
+++ b/violetstack/lease/node.py
@@ -18,7 +18,8 @@
 from violetstack.lease.messages import MOST_ITEMS, Ballot, Item, Kind, decode, duty_of, encode, who
 
 EVERYONE = -1
-ASK_MS, FORGET_MS = 500.0, 1_000.0
+ASK_MS = 500.0
+FORGET_MS = 1_000.0
 GATHER_MS = 10.0  # items wait so long for others that go the same way
 AWAY_LEASES = 2.0  # for so long who was told to give a duty up leaves it to others
 MOST_SEEN = 4_096  # duties whose last effect is remembered
@@ -29,11 +30,14 @@
     """Datagrams a second, in bursts of at most half a second's."""
 
     def __init__(self, per_s: float) -> None:
-        self._rate, self._most = per_s / 1000.0, max(1.0, per_s / 2.0)
-        self._level, self._as_of = self._most, 0.0
+        self._rate = per_s / 1000.0
+        self._most = max(1.0, per_s / 2.0)
+        self._level = self._most
+        self._as_of = 0.0
 
     def take(self, now: float) -> bool:
-        self._level, self._as_of = self.left(now), now
+        self._level = self.left(now)
+        self._as_of = now
         if self._level < 1.0:
             return False
         self._level -= 1.0
@@ -71,10 +75,21 @@
     """`number` of `fleet`; `incarnation` tells this process from others of the same number."""
 
     def __init__(
-        self, now: float, number: int, fleet: int, incarnation: int, length_ms: float, *,
-        luck: random.Random, keys: tuple[bytes, ...] = (), per_s: float = 200.0, fresh: bool = True,
-    ) -> None:  # fmt: skip
-        self.number, self.fleet, self.length_ms = number, fleet, length_ms
+        self,
+        now: float,
+        number: int,
+        fleet: int,
+        incarnation: int,
+        length_ms: float,
+        *,
+        luck: random.Random,
+        keys: tuple[bytes, ...] = (),
+        per_s: float = 200.0,
+        fresh: bool = True,
+    ) -> None:
+        self.number = number
+        self.fleet = fleet
+        self.length_ms = length_ms
         self.me, self.electors = who(number, incarnation), electors(fleet)
         self.fit = True
         self.elector: Elector | None = None
@@ -83,7 +98,9 @@
         self.log: Callable[..., None] = lambda event, **told: None
         self.applied: Callable[[float, Effect], None] = lambda now, effect: None
         self.sent = self.sent_bytes = 0
-        self._luck, self._keys, self._budget = luck, keys, Budget(per_s)
+        self._luck = luck
+        self._keys = keys
+        self._budget = Budget(per_s)
         self._names: dict[int, str] = {}
         self._mine: dict[int, Candidate] = {}
         self._due: list[tuple[float, int]] = []
@@ -109,7 +126,8 @@
             mine.fit = self.fit or own
             if own:
                 self._own.add(duty)
-            self._mine[duty], self._names[duty] = mine, name
+            self._mine[duty] = mine
+            self._names[duty] = name
             heapq.heappush(self._due, (0.0, duty))
 
     def drop(self, now: float, name: str) -> None:
@@ -194,7 +212,8 @@
                     self._put(to, Item(Kind.ASK, 0, Ballot(0, self.me)))
         for duty in [duty for duty, until in self._away.items() if now >= until]:
             del self._away[duty]
-        later, room = list[tuple[float, int]](), self._budget.left(now) * MOST_ITEMS / 3.0
+        later = list[tuple[float, int]]()
+        room = self._budget.left(now) * MOST_ITEMS / 3.0
         while self._due and self._due[0][0] <= now:
             _, duty = heapq.heappop(self._due)
             mine = self._mine.get(duty)
@@ -262,10 +281,13 @@
 
     def _apply(self, now: float, sender: int, item: Item) -> None:
         """Guards against a holder that was stopped between its check and its sending: its number is old."""
-        last, told = self._seen.get(item.duty, (0, item.ballot.who)), (item.fence, item.ballot.who)
-        if item.ballot.who & 0xFFF != sender or item.fence < last[0] or (
-            item.fence == last[0] and told[1] != last[1]
-        ):  # fmt: skip
+        last = self._seen.get(item.duty, (0, item.ballot.who))
+        told = (item.fence, item.ballot.who)
+        if (
+            item.ballot.who & 0xFFF != sender
+            or item.fence < last[0]
+            or (item.fence == last[0] and told[1] != last[1])
+        ):
             self.log("effect_refused", sender=sender, fence=item.fence, seen=last[0])
             return
         self._seen.pop(item.duty, None)
@@ -331,7 +353,8 @@
 
     def _flush(self, now: float) -> list[tuple[int, bytes]]:
         """Whoever has waited longest goes first, so that a bound starves nobody."""
-        sent, key = [], self._keys[0] if self._keys else b""
+        sent = []
+        key = self._keys[0] if self._keys else b""
         floor = self._floor() if self._out else 0
         while self._out and self._budget.take(now):
             to, waiting = next(iter(self._out.items()))
--- a/violetstack/lease/trials.py
+++ b/violetstack/lease/outlier_checks.py
@@ -10,27 +10,32 @@
 
 from collections.abc import Callable, Iterable
 
-from violetstack.interface import Trial
-from violetstack.lease.member import Effect, Member
 from violetstack.lease.messages import duty_of
+from violetstack.lease.node import Effect, Member
+from violetstack.policy_api import OutlierCheckResult
 
 SAY_SHARE = 1 / 3  # of the lease: two words may be lost
 PATIENCE_MS = 9_000.0  # without an outcome: three times what a failure's price takes to fade
-TRYING, WELL = 0, 1
+TRYING = 0
+WELL = 1
 
 
 class Suspect:
     def __init__(self, now: float) -> None:
-        self.last_at, self.say_at, self.mine = now, now, False
+        self.last_at = now
+        self.say_at = now
+        self.mine = False
 
 
 class Trials:
     """`suspected`: has the module evidence against the host? `decided`: what follows for its choice."""
 
     def __init__(
-        self, member: Member, suspected: Callable[[str], bool], decided: Callable[[Trial], None]
+        self, member: Member, suspected: Callable[[str], bool], decided: Callable[[OutlierCheckResult], None]
     ) -> None:
-        self._member, self._suspected, self._decided = member, suspected, decided
+        self._member = member
+        self._suspected = suspected
+        self._decided = decided
         self._hosts: dict[int, str] = {}
         self.suspects: dict[str, Suspect] = {}
 
@@ -57,9 +62,9 @@
             return
         if effect.value == WELL:
             self._clear(now, host)
-            self._decided(Trial(host, 0.0, True))
+            self._decided(OutlierCheckResult(host, 0.0, True))
         elif effect.value == TRYING:
-            self._decided(Trial(host, self._member.length_ms, False))
+            self._decided(OutlierCheckResult(host, self._member.length_ms, False))
 
     def tick(self, now: float) -> float:
         """Looks for new suspects, says again what is tried here; returns when to be called next."""
@@ -73,7 +78,7 @@
             if mine and not suspect.mine:
                 suspect.last_at = suspect.say_at = now
                 self._member.log("host_tried", server=host, well=None)
-                self._decided(Trial(host, 0.0, False))
+                self._decided(OutlierCheckResult(host, 0.0, False))
             suspect.mine = mine
             if not self._suspected(host):
                 self._clear(now, host)
--- a/violetstack/lease/leave.py
+++ b/violetstack/lease/restart_permits.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from violetstack.lease.member import Member
+from violetstack.lease.node import Member
 
 ASKED_MS = 5_000.0  # who has not asked again for so long does not mean it any more
 
--- a/violetstack/levels/admission.py
+++ b/violetstack/load_shedding/admission.py
@@ -20,14 +20,18 @@
 from math import exp
 
 from violetstack.core.records import Shed
-from violetstack.levels.machine import Measures
+from violetstack.load_shedding.state_machine import Measures
 
 DEMAND_MS = 500.0  # memory of demand: 86% of a change is seen within a second
 WORK_MS = 1_000.0  # of work done and work lost
 FULL_FROM = 0.10  # of the work let through refused or late: the fleet is full
 FOLLOW = 0.05  # a tick, of the way to the work done: about 5 s
-UP, PROBE = 1.005, 1.3  # a tick, and at most
-QUICK, MOST_OF_DONE = 1.05, 3.0  # a tick, where nothing is held back on purpose; and at most
+# a tick, and at most
+UP = 1.005
+PROBE = 1.3
+# a tick, where nothing is held back on purpose; and at most
+QUICK = 1.05
+MOST_OF_DONE = 3.0
 MOST_CELLS = 50_000
 MOST_SESSIONS = 50_000  # in each of two sets
 FORGET_MS = 60_000.0  # a set of sessions is dropped after two of these
@@ -52,7 +56,9 @@
     __slots__ = ("at", "sum", "tau")
 
     def __init__(self, tau: float, now: float) -> None:
-        self.tau, self.sum, self.at = tau, 0.0, now
+        self.tau = tau
+        self.sum = 0.0
+        self.at = now
 
     def add(self, now: float, amount: float) -> None:
         self.sum = self.sum * exp(min(0.0, self.at - now) / self.tau) + amount
@@ -71,12 +77,14 @@
 def fill(budget: float, demand: Mapping[int, float], weight: Mapping[int, float]) -> dict[int, float]:
     """Water-filling: what each gets, at most its demand, the unfilled all in proportion to their weights."""
     given: dict[int, float] = {}
-    left, rest = budget, sum(weight.get(n, 0.0) for n in demand)
+    left = budget
+    rest = sum(weight.get(n, 0.0) for n in demand)
     for n in sorted(demand, key=lambda n: demand[n] / max(weight.get(n, 0.0), 1e-9)):
         mine = weight.get(n, 0.0)
         part = left * mine / rest if rest > 0 else 0.0
         given[n] = min(demand[n], max(0.0, part))
-        left, rest = left - given[n], rest - mine
+        left = left - given[n]
+        rest = rest - mine
     return given
 
 
@@ -101,8 +109,11 @@
         self.shed = 0
 
     def set(self, measures: Measures) -> None:
-        self.measures, self.parts, self.usual = measures, {}, 1.0
-        classes, tenants = self.weights.classes, self.weights.tenants
+        self.measures = measures
+        self.parts = {}
+        self.usual = 1.0
+        classes = self.weights.classes
+        tenants = self.weights.tenants
         self.by_cell = {}
         for cls, tenant, most in measures.by_cell:
             for c in [classes.index(cls)] if cls in classes else range(len(classes)):
@@ -137,7 +148,9 @@
         tried upward: quickly, where the level means to let through all that the fleet can do; up to PROBE
         times what was last seen, where it holds back on purpose.
         """
-        done, late, refused = self.work.rate(now), self.late.rate(now), self.refused.rate(now)
+        done = self.work.rate(now)
+        late = self.late.rate(now)
+        refused = self.refused.rate(now)
         tried = done + refused
         bad = (refused + late) / tried if tried > 0.0 else 0.0
         admit = self.measures.admit
@@ -156,7 +169,9 @@
     def tick(self, now: float) -> None:
         self.steer(now)
         if now - self.turned > FORGET_MS:
-            self.old, self.young, self.turned = self.young, set(), now
+            self.old = self.young
+            self.young = set()
+            self.turned = now
         asked = {cell: each.rate(now) for cell, each in self.demand.items()}
         for cell in [cell for cell, rate in asked.items() if rate < 1e-6]:
             del self.demand[cell], asked[cell]
@@ -165,7 +180,8 @@
         total = sum(asked.values())
         admit = self.measures.admit
         if admit is None and not self.by_cell and not self.measures.within_share:
-            self.parts, self.usual = {}, 1.0
+            self.parts = {}
+            self.usual = 1.0
             return
         # Until the fleet was seen full, a level that holds back on purpose does so from what is asked.
         can = total if self.limit is None else self.limit
@@ -232,5 +248,6 @@
 
     def _remember(self, name: str) -> None:
         if len(self.young) >= MOST_SESSIONS:
-            self.old, self.young = self.young, set()
+            self.old = self.young
+            self.young = set()
         self.young.add(hash(name))
--- a/violetstack/levels/control.py
+++ b/violetstack/load_shedding/control.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
-from violetstack import interface as t
 from violetstack.core.records import Shed
-from violetstack.levels.admission import Admission, Weights
-from violetstack.levels.history import STILL_S, Record, Resumed
-from violetstack.levels.machine import NORMAL, LevelSpec, Machine, Measures, Moved, Pin
-from violetstack.levels.signals import Reading, Signals
+from violetstack.load_shedding.admission import Admission, Weights
+from violetstack.load_shedding.history import STILL_S, Record, Resumed
+from violetstack.load_shedding.signals import Reading, Signals
+from violetstack.load_shedding.state_machine import NORMAL, LevelSpec, Machine, Measures, Moved, Pin
+from violetstack.policy_api import Request, Route, Settings
 from violetstack.routing.policies import RetryBudget
 
 TICK_MS = 250.0
@@ -33,13 +33,16 @@
         return bool(self.specs)
 
 
-def weights_of(settings: t.Settings, classes: tuple[str, ...], tenants: tuple[str, ...]) -> Weights:
+def weights_of(settings: Settings, classes: tuple[str, ...], tenants: tuple[str, ...]) -> Weights:
     top = max((spec.value for spec in settings.classes), default=1.0) or 1.0
     shares = tuple(spec.share for spec in settings.tenants)
     return Weights(
-        tuple(spec.value / top for spec in settings.classes), classes,
-        shares if any(shares) else (), tenants, settings.over_share_worth,
-    )  # fmt: skip
+        tuple(spec.value / top for spec in settings.classes),
+        classes,
+        shares if any(shares) else (),
+        tenants,
+        settings.over_share_worth,
+    )
 
 
 class Bounded:
@@ -47,8 +50,9 @@
 
     __slots__ = ("attempts", "inner", "levels")
 
-    def __init__(self, levels: Levels, inner: t.Course | None) -> None:
-        self.levels, self.inner = levels, inner
+    def __init__(self, levels: Levels, inner: Route | None) -> None:
+        self.levels = levels
+        self.inner = inner
         self.attempts = inner.attempts if inner is not None else 1_000_000
 
     def scope(self, now: float) -> str:
@@ -69,9 +73,11 @@
 
 class Levels:
     def __init__(self, plan: LevelPlan, weights: Weights, log: Callable[..., None]) -> None:
-        self.plan, self.log = plan, log
+        self.plan = plan
+        self.log = log
         self.machine = Machine(plan.specs, plan.most_changes)
-        self.signals, self.admission = Signals(), Admission(weights)
+        self.signals = Signals()
+        self.admission = Admission(weights)
         self.readings: dict[str, Reading] = {}
         self.budget: RetryBudget | None = None
         self.records: list[Record] = []  # for the journal, taken by the driver
@@ -115,9 +121,10 @@
 
     # --- the core's port ---
 
-    def admit(self, now: float, request: t.Request) -> Shed | None:
+    def admit(self, now: float, request: Request) -> Shed | None:
         """Called once for each request that is about to be taken; bounds its course if it is served."""
-        prompt, name = request.prompt_tokens, request.session or request.id
+        prompt = request.prompt_tokens
+        name = request.session or request.id
         self.admission.note(now, request.cls, request.tenant, prompt)
         if self.machine.rank == 0:
             return None
@@ -143,9 +150,13 @@
     # --- time ---
 
     def tick(
-        self, now: float, wall: float, gauges: Mapping[str, float | None], hosts: tuple[int, int],
+        self,
+        now: float,
+        wall: float,
+        gauges: Mapping[str, float | None],
+        hosts: tuple[int, int],
         waiting: Iterable[float],
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`hosts`: how many are here, and how many of them are cold."""
         for name, value in gauges.items():
             self.signals.gauge(now, name, value)
--- a/violetstack/levels/machine.py
+++ b/violetstack/load_shedding/state_machine.py
@@ -17,15 +17,17 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from violetstack.levels.rules import Rule, crossings, text, truth
-from violetstack.levels.signals import Reading
+from violetstack.load_shedding.rules import Rule, crossings, text, truth
+from violetstack.load_shedding.signals import Reading
 
 NORMAL = "normal"
 IDLE_MS = 30_000.0
 FLAP_MS = 60_000.0
 MAX_DOUBLINGS = 3
 MINUTE_MS = 60_000.0
-CAUTIOUS_MS, CAUTIOUS_PART = 30_000.0, 0.25  # after a start that knows nothing, entry times are this part
+# after a start that knows nothing, entry times are this part
+CAUTIOUS_MS = 30_000.0
+CAUTIOUS_PART = 0.25
 SETTLE_MS = 10_000.0  # a level that a restart took over is kept at least so long
 
 
@@ -74,7 +76,8 @@
 
 class Machine:
     def __init__(self, specs: tuple[LevelSpec, ...], most_changes: int = 6) -> None:
-        self.specs, self.most_changes = specs, most_changes
+        self.specs = specs
+        self.most_changes = most_changes
         self.rank = 0  # 0 is normal, n the n-th of the specs
         self.since = 0.0
         self.pin: Pin | None = None
@@ -100,7 +103,9 @@
 
     def start(self, now: float, rank: int, since: float, *, cautious: bool = False) -> None:
         """At a level that a journal or the peers told, or at normal and `cautious`."""
-        self.rank, self.since, self.started = min(rank, len(self.specs)), since, now
+        self.rank = min(rank, len(self.specs))
+        self.since = since
+        self.started = now
         self.settled_from = now + SETTLE_MS if rank else now
         self.cautious_until = now + CAUTIOUS_MS if cautious else 0.0
 
@@ -110,14 +115,18 @@
         old = self.name
         kept = next(
             (
-                n for rank in range(self.rank, -1, -1)
+                n
+                for rank in range(self.rank, -1, -1)
                 for n in range(len(specs) + 1)
                 if (NORMAL if n == 0 else specs[n - 1].name) == self.name_of(rank)
             ),
             0,
-        )  # fmt: skip
-        self.specs, self.most_changes, self.rank = specs, most_changes, kept
-        self.held, self.leaving = {}, None
+        )
+        self.specs = specs
+        self.most_changes = most_changes
+        self.rank = kept
+        self.held = {}
+        self.leaving = None
         if self.pin is not None and self.rank_of(self.pin.level) is None:
             self.pin = None
         if self.name == old:
@@ -143,7 +152,9 @@
         if self.pin is not None:
             if now < self.pin.until:
                 return None
-            self.pin, self.settled_from = None, now + SETTLE_MS  # its own evidence decides from here
+            # its own evidence decides from here
+            self.pin = None
+            self.settled_from = now + SETTLE_MS
         return self._up(now, values) or self._down(now, values)
 
     def _watch(self, now: float, values: Mapping[str, float | None]) -> None:
@@ -200,10 +211,14 @@
         self, now: float, rank: int, cause: str, values: Mapping[str, float | None], old: str = ""
     ) -> Moved:
         moved = Moved(
-            old or self.name, self.name_of(rank), cause,
+            old or self.name,
+            self.name_of(rank),
+            cause,
             {name: round(value, 3) for name, value in values.items() if value is not None},
-        )  # fmt: skip
-        self.rank, self.since, self.leaving = rank, now, None
+        )
+        self.rank = rank
+        self.since = now
+        self.leaving = None
         self.changes = [at for at in self.changes if at > now - MINUTE_MS] + [now]
         return moved
 
@@ -216,12 +231,16 @@
                 continue
             rule = spec.leave if rank == self.rank else spec.enter
             since = self.leaving if rank == self.rank else self.held.get(spec.name)
-            rows.append({
-                "level": spec.name, "would": "leave" if rank == self.rank else "enter", "if": text(rule),
-                "holds": truth(rule, values),
-                "for_s": None if since is None else round((now - since) / 1000, 1),
-                "signals": {
-                    c.signal: {"value": values.get(c.signal), "bound": c.bound} for c in crossings(rule)
-                },
-            })  # fmt: skip
+            rows.append(
+                {
+                    "level": spec.name,
+                    "would": "leave" if rank == self.rank else "enter",
+                    "if": text(rule),
+                    "holds": truth(rule, values),
+                    "for_s": None if since is None else round((now - since) / 1000, 1),
+                    "signals": {
+                        c.signal: {"value": values.get(c.signal), "bound": c.bound} for c in crossings(rule)
+                    },
+                }
+            )
         return rows
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -19,21 +19,63 @@
 MAX_TEXT = 200
 ORDER = {"info": 0, "warning": 1, "error": 2}
 LEVELS = {
-    **dict.fromkeys((
-        "accept_failed", "action_failed", "attempt_failed", "bad_config", "certificate_failed",
-        "certificate_unusable", "connection_failed", "ledger_failed", "module_failed", "overdue",
-        "place_failed", "probe_failed", "release_failed", "reload_failed", "request_failed", "state_failed",
-    ), "error"),
-    **dict.fromkeys((
-        "admin_refused", "answer_broken", "answer_lost", "chat_rejected", "config_warning",
-        "duties_refused", "effect_refused",
-        "handshake_failed", "host_refused", "level_journal_failed", "level_journal_spoilt",
-        "list_doubted", "list_refused", "no_list", "not_met", "order_refused", "passing_failed",
-        "passing_refused", "peer_refused",
-        "peers_unheard", "pool_lost", "record_failed", "record_refused", "rejected", "release_given_up",
-        "shed", "silent_closed", "state_spoilt", "turned_away", "watch_ended",
-    ), "warning"),
-}  # fmt: skip
+    **dict.fromkeys(
+        (
+            "accept_failed",
+            "action_failed",
+            "attempt_failed",
+            "bad_config",
+            "certificate_failed",
+            "certificate_unusable",
+            "connection_failed",
+            "ledger_failed",
+            "module_failed",
+            "overdue",
+            "place_failed",
+            "probe_failed",
+            "release_failed",
+            "reload_failed",
+            "request_failed",
+            "state_failed",
+        ),
+        "error",
+    ),
+    **dict.fromkeys(
+        (
+            "admin_refused",
+            "answer_broken",
+            "answer_lost",
+            "chat_rejected",
+            "config_warning",
+            "duties_refused",
+            "effect_refused",
+            "handshake_failed",
+            "host_refused",
+            "level_journal_failed",
+            "level_journal_spoilt",
+            "list_doubted",
+            "list_refused",
+            "no_list",
+            "not_met",
+            "order_refused",
+            "passing_failed",
+            "passing_refused",
+            "peer_refused",
+            "peers_unheard",
+            "pool_lost",
+            "record_failed",
+            "record_refused",
+            "rejected",
+            "release_given_up",
+            "shed",
+            "silent_closed",
+            "state_spoilt",
+            "turned_away",
+            "watch_ended",
+        ),
+        "warning",
+    ),
+}
 least = ORDER.get(os.environ.get("VIOLETSTACK_LOG_LEVEL", "info"), 0)
 observers: list[Callable[[dict[str, Any]], None]] = []  # the demo looks on
 
--- a/violetstack/net/acme.py
+++ b/violetstack/net/acme.py
@@ -62,7 +62,8 @@
 
 def _new_key() -> tuple[ec.EllipticCurvePrivateKey, bytes]:
     key = ec.generate_private_key(ec.SECP256R1())
-    form, plain = serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+    form = serialization.PrivateFormat.PKCS8
+    plain = serialization.NoEncryption()
     return key, key.private_bytes(serialization.Encoding.PEM, form, plain)
 
 
@@ -70,7 +71,8 @@
     """The account with one authority. Blocking: runs on a thread."""
 
     def __init__(self, config: Acme, front: Challenges) -> None:
-        self._config, self._front = config, front
+        self._config = config
+        self._front = front
 
     def _account_key(self) -> JWKEC:
         path = Path(self._config.account_key)
@@ -142,7 +144,8 @@
         certificate = x509.load_pem_x509_certificate(Path(files.certificate).read_bytes())
     except (OSError, ValueError):
         return Life(0.0, 0.0)
-    now, end = datetime.datetime.now(datetime.UTC), certificate.not_valid_after_utc
+    now = datetime.datetime.now(datetime.UTC)
+    end = certificate.not_valid_after_utc
     whole = end - certificate.not_valid_before_utc
     return Life(max(0.0, (end - now).total_seconds()), whole.total_seconds())
 
@@ -170,7 +173,8 @@
                 )
             except Exception as error:  # the library raises many kinds; none may end the service
                 log("certificate_failed", error=repr(error)[:500], left_s=round(life.left_s))
-                wait, again = again, min(2.0 * again, config.check_every_s)
+                wait = again
+                again = min(2.0 * again, config.check_every_s)
         await trio.sleep(wait)
 
 
--- a/violetstack/net/door.py
+++ b/violetstack/net/admin_server.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from violetstack.admin.door import Call, House
+from violetstack.admin.api import Call, House
 from violetstack.log import log, log_outside
 
 MOST_CALLERS = 16  # descriptors of the door; at the bound the call unfinished longest gives way
@@ -83,4 +83,3 @@
             await stream.send_eof()
             while await stream.receive_some(READ_SIZE):
                 pass
-
--- a/violetstack/net/house.py
+++ b/violetstack/net/admin_service.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from violetstack import interface as t
-from violetstack.admin.door import NotRecorded, Refused
-from violetstack.admin.figures import figures, kinds_without
+from violetstack.admin.api import NotRecorded, Refused
+from violetstack.admin.metrics import figures, kinds_without
 from violetstack.log import log
 from violetstack.net.clock import now_ms
+from violetstack.policy_api import EndpointUpdate
 
 if TYPE_CHECKING:
-    from violetstack.net.daemon import Daemon
+    from violetstack.daemon.daemon import Daemon
 
 NO_DUTIES = "no duties are configured here (`duties` in the operator's file)"
 
@@ -34,7 +34,8 @@
     def figures(self) -> dict[str, Any]:
         daemon = self._daemon
         classes = tuple(spec.name for spec in daemon.config.facts.classes)
-        listed, avoided = len(daemon.core.entries), daemon.router.avoided(now_ms())
+        listed = len(daemon.core.entries)
+        avoided = daemon.router.avoided(now_ms())
         return figures(daemon.core.tally, classes, listed, avoided)
 
     # --- hosts by hand ---
@@ -47,7 +48,7 @@
         assert self._daemon.cordons is not None
         self._by_hand(server, self._daemon.cordons.uncordon)
 
-    def _by_hand(self, server: str, act: Callable[[float, str], t.ListNews]) -> None:
+    def _by_hand(self, server: str, act: Callable[[float, str], EndpointUpdate]) -> None:
         """The yes comes after this: it binds, and a successor will know."""
         daemon = self._daemon
         assert daemon.cordons is not None
@@ -71,20 +72,30 @@
         duties = self._daemon.duties
         if duties is None:
             raise Refused(404, NO_DUTIES)
-        member, now = duties.member, now_ms()
+        member = duties.member
+        now = now_ms()
         rows = [
             {
-                "name": row.name, "holder": row.holder, "mine": row.mine, "number": row.fence,
-                "left_ms": round(row.left_ms), "why": row.why,
+                "name": row.name,
+                "holder": row.holder,
+                "mine": row.mine,
+                "number": row.fence,
+                "left_ms": round(row.left_ms),
+                "why": row.why,
                 "since_ms": None if row.since is None else round(now - row.since),
             }
             for row in duties.tenures()
-        ]  # fmt: skip
+        ]
         speaks = None if member.elector is None else member.elector.speaks(now)
         return {
-            "me": member.number, "fit": member.fit, "electors": list(member.electors), "speaks": speaks,
-            "datagrams": member.sent, "bytes": member.sent_bytes, "duties": rows,
-        }  # fmt: skip
+            "me": member.number,
+            "fit": member.fit,
+            "electors": list(member.electors),
+            "speaks": speaks,
+            "datagrams": member.sent,
+            "bytes": member.sent_bytes,
+            "duties": rows,
+        }
 
     def leave(self) -> dict[str, Any]:
         """The yes ends this process, as SIGTERM would."""
--- /dev/null
+++ b/violetstack/net/downstream/__init__.py
@@ -0,0 +1,1 @@
+"""Client connections: the listener and what it accepts."""
--- a/violetstack/net/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -26,7 +26,8 @@
 FRESH_S = 0.2  # a connection that has sent nothing yet may be
 PARK_S = 0.3  # what waits for a client is written by then, or its answer is not passed on now
 LINGER_S = 0.5  # after the last answer the client is heard out for so long
-REST_S, LONGEST_REST_S = 0.05, 0.4
+REST_S = 0.05
+LONGEST_REST_S = 0.4
 MAX_UNREAD = 64 * 1024
 FLOOD_S = 0.01  # between two reads of what is dropped
 MOST_TURNED_AWAY = 12  # at once; further ones are closed without a word
@@ -49,10 +50,33 @@
     """
 
     __slots__ = (
-        "__weakref__", "_answered", "_drained", "_finish", "_flushed", "_heard_out", "_more", "_out",
-        "_parked", "_parking", "_queued", "_replies", "_resumed", "_strikes", "_timer", "answering", "closed",
-        "held", "http", "last_used", "progress_at", "listener", "request", "scope", "served", "stream",
-    )  # fmt: skip
+        "__weakref__",
+        "_answered",
+        "_drained",
+        "_finish",
+        "_flushed",
+        "_heard_out",
+        "_more",
+        "_out",
+        "_parked",
+        "_parking",
+        "_queued",
+        "_replies",
+        "_resumed",
+        "_strikes",
+        "_timer",
+        "answering",
+        "closed",
+        "held",
+        "http",
+        "last_used",
+        "progress_at",
+        "listener",
+        "request",
+        "scope",
+        "served",
+        "stream",
+    )
     _out: deque[bytes | memoryview]
     _heard_out: trio.Event  # the client has ended its side
     _more: trio.Event
@@ -63,7 +87,8 @@
     _flushed: trio.Event
 
     def __init__(self, stream: trio.abc.Stream, listener: Listener) -> None:
-        self.stream, self.listener = stream, listener
+        self.stream = stream
+        self.listener = listener
         self.http = SILENT
         self.request: OpenRequest | None = None
         self.answering = False  # a request was handed to the front and its answer has not ended
@@ -81,9 +106,13 @@
 
     def begin(self, http: ServerSide) -> None:
         """The first byte has come, or another process passed this on."""
-        self.http, self._out = http, deque()
-        self._heard_out, self._more, self._drained = trio.Event(), trio.Event(), trio.Event()
-        self._answered, self._flushed = trio.Event(), trio.Event()
+        self.http = http
+        self._out = deque()
+        self._heard_out = trio.Event()
+        self._more = trio.Event()
+        self._drained = trio.Event()
+        self._answered = trio.Event()
+        self._flushed = trio.Event()
 
     # --- what a front calls ---
 
@@ -122,7 +151,9 @@
             return False
         if not self.answering or not self.http.passable or self._timer is None:
             return False
-        self._parking, self._parked, self._resumed = True, trio.Event(), trio.Event()
+        self._parking = True
+        self._parked = trio.Event()
+        self._resumed = trio.Event()
         self._flushed = trio.Event()
         self._timer.cancel()
         self._more.set()
@@ -149,7 +180,8 @@
 
     def passed(self) -> None:
         """Guards the other process's end: this one's is closed, and nothing is shut down or written."""
-        self.request, self._replies = None, None
+        self.request = None
+        self._replies = None
         self.listener.forget(self)
         self.scope.cancel()
 
@@ -174,7 +206,8 @@
         self._more.set()
 
     def _ended(self) -> None:
-        self.answering, self.request = False, None
+        self.answering = False
+        self.request = None
         self.last_used = trio.current_time()
         self.listener.hold(self, 0)
         if self.http.closing or (not self._finish and not self.http.reuse()):
@@ -312,7 +345,9 @@
                 # Guards against taking what the end would cut off: its client asks again, elsewhere.
                 self._reject(503, "this process ends")
                 return
-            self.answering, self.served, self._answered = True, True, trio.Event()
+            self.answering = True
+            self.served = True
+            self._answered = trio.Event()
             self.listener.engaged(self)
             self._replies = Replies(self)
             self.listener.front.handle(inbound, self._replies)
@@ -394,7 +429,8 @@
             await self._connection.room()
 
     def _once(self, act: Callable[[Connection], None]) -> None:
-        connection, self._connection = self._connection, None
+        connection = self._connection
+        self._connection = None
         if connection is None:
             return
         try:
@@ -408,7 +444,8 @@
     """Accepts all, holds a bounded number; on a drain it goes on until told to stop."""
 
     def __init__(self, core: Dispatcher, front: Front) -> None:
-        self.core, self.front = core, front
+        self.core = core
+        self.front = front
         self.most = self.most_held = 0  # connections, and bytes of bodies; set by the daemon
         self.held = self.shaking = self.turning_away = 0
         self.connections: set[Connection] = set()
--- a/violetstack/net/peers.py
+++ b/violetstack/net/gossip.py
@@ -8,11 +8,11 @@
 
 import trio
 
-from violetstack import interface as t
 from violetstack.config import Address
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.gossip.load_gossip import MAX_DATAGRAM
 from violetstack.log import log_outside
-from violetstack.peers.sharing import MAX_DATAGRAM
+from violetstack.policy_api import GossipReceived
 
 BIND_AGAIN_S = 1.0
 MOST_UNSAID = 4
@@ -23,11 +23,18 @@
     """One socket; the sender's address tells its number, and whoever is not among the peers is not heard."""
 
     def __init__(
-        self, core: Dispatcher, at: Address, peers: list[Address], everyone: Address | None,
+        self,
+        core: Dispatcher,
+        at: Address,
+        peers: list[Address],
+        everyone: Address | None,
         heirs: bool = False,
     ) -> None:
-        self._core, self._at, self._heirs = core, at, heirs
-        self._numbers, self._all = {peer: n for n, peer in enumerate(peers)}, peers
+        self._core = core
+        self._at = at
+        self._heirs = heirs
+        self._numbers = {peer: n for n, peer in enumerate(peers)}
+        self._all = peers
         self._to = [everyone] if everyone is not None else [peer for peer in peers if peer != at]
         self._raw: socket.socket | None = None
         self._sock: trio.socket.SocketType | None = None
@@ -42,7 +49,8 @@
                 # An heir binds beside its predecessor and hears alone from then on; both must ask for it.
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             await self._bind(sock)
-            self._raw, self._sock = raw, sock
+            self._raw = raw
+            self._sock = sock
             for payload in self._unsaid:
                 self.tell(payload)
             self._unsaid = []
@@ -77,7 +85,7 @@
             reason = "no peer of this tier" if number is None else "too long"
             log_outside("peer_refused", sender=f"{sender[0]}:{sender[1]}", reason=reason)
         elif not self.deaf() and not (self.duties is not None and self.duties(number, data)):
-            self._core.peer(t.PeerMessage(number, data))
+            self._core.peer(GossipReceived(number, data))
 
     def tell(self, payload: bytes) -> None:
         """Now or not at all: a datagram that can't leave is as good as one that is lost on its way.
--- a/violetstack/net/handover.py
+++ b/violetstack/net/handover.py
@@ -6,14 +6,14 @@
 
 import trio
 
-from violetstack import interface as t
+from violetstack.admin.api import NotRecorded
 from violetstack.admin.cordons import Cordons
-from violetstack.admin.door import NotRecorded
 from violetstack.handover.record import Record
-from violetstack.handover.succession import Succession
+from violetstack.handover.successor import Succession
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
 from violetstack.net.records import Records
+from violetstack.policy_api import EndpointUpdate
 
 POLL_S = 0.1  # a call at the other process binds here well within the time that a drain has
 BEAT_S = 0.5
@@ -23,11 +23,21 @@
     """`compose` makes the record; `told` takes news from a call at another process."""
 
     def __init__(
-        self, records: Records, succession: Succession, cordons: Cordons, compose: Callable[[], Record],
-        told: Callable[[t.ListNews], None], *, heirs: bool,
-    ) -> None:  # fmt: skip
-        self._records, self.succession, self._cordons = records, succession, cordons
-        self._compose, self._told, self._heirs = compose, told, heirs
+        self,
+        records: Records,
+        succession: Succession,
+        cordons: Cordons,
+        compose: Callable[[], Record],
+        told: Callable[[EndpointUpdate], None],
+        *,
+        heirs: bool,
+    ) -> None:
+        self._records = records
+        self.succession = succession
+        self._cordons = cordons
+        self._compose = compose
+        self._told = told
+        self._heirs = heirs
         self.changed = False  # something is to be recorded, though nobody waits for it
         self.company: Callable[[], None] = lambda: None  # another process came or went
         self._alone = True
@@ -39,10 +49,12 @@
         self._cordons.merge(self.succession.marks())
         record = self.succession.newest()
         log(
-            "succession", predecessor=record.owner if record is not None else None,
+            "succession",
+            predecessor=record.owner if record is not None else None,
             age_ms=round(now - record.at) if record is not None else None,
-            hosts=len(record.servers) if record is not None else 0, out=self._cordons.out,
-        )  # fmt: skip
+            hosts=len(record.servers) if record is not None else 0,
+            out=self._cordons.out,
+        )
         return record
 
     def write(self) -> None:
--- a/violetstack/net/duties.py
+++ b/violetstack/net/lease_service.py
@@ -10,14 +10,14 @@
 import trio
 
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.lease.leave import Leave
-from violetstack.lease.member import EVERYONE, Member, Tenure
 from violetstack.lease.messages import BadDatagram, is_lease
-from violetstack.lease.trials import Trials
+from violetstack.lease.node import EVERYONE, Member, Tenure
+from violetstack.lease.outlier_checks import Trials
+from violetstack.lease.restart_permits import Leave
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
-from violetstack.net.peers import Peers
-from violetstack.net.waking import Waking
+from violetstack.net.gossip import Peers
+from violetstack.net.pause_detector import Waking
 from violetstack.operators import DutiesFile
 
 ASLEEP_MS = 1_000.0  # a longer sleep would hide that this one has become fit
@@ -28,21 +28,36 @@
     """`fit`: may this dispatcher take on duties now? `suspected`: has the module evidence against a host?"""
 
     def __init__(
-        self, told: DutiesFile, core: Dispatcher, peers: Peers, waking: Waking, *,
-        fit: Callable[[], bool], suspected: Callable[[str], bool],
-    ) -> None:  # fmt: skip
+        self,
+        told: DutiesFile,
+        core: Dispatcher,
+        peers: Peers,
+        waking: Waking,
+        *,
+        fit: Callable[[], bool],
+        suspected: Callable[[str], bool],
+    ) -> None:
         settings = core.settings
         incarnation = secrets.randbits(20)
-        self._told, self._peers, self._waking, self._fit = told, peers, waking, fit
+        self._told = told
+        self._peers = peers
+        self._waking = waking
+        self._fit = fit
         self.member = Member(
-            now_ms(), settings.me, settings.fleet_size, incarnation, told.lease_s * 1000.0,
+            now_ms(),
+            settings.me,
+            settings.fleet_size,
+            incarnation,
+            told.lease_s * 1000.0,
             luck=random.Random(f"{settings.seed} {incarnation}"),
-            keys=tuple(key.encode()[:64] for key in told.keys), per_s=told.datagrams_per_s,
-        )  # fmt: skip
+            keys=tuple(key.encode()[:64] for key in told.keys),
+            per_s=told.datagrams_per_s,
+        )
         self.member.log = log
         self.trials = Trials(self.member, suspected, core.trial) if told.trials else None
         if self.trials is not None:
-            self.member.applied, core.witness = self.trials.heard, self.trials
+            self.member.applied = self.trials.heard
+            core.witness = self.trials
             self.trials.listed(now_ms(), core.entries)
         self.leave = Leave(self.member, told.leave) if told.leave else None
         self._news = trio.Event()
@@ -100,7 +115,8 @@
     async def go(self) -> None:
         """Before the end: waits for leave as long as it may, then lets go of everything else."""
         if self.leave is not None:
-            began, why = trio.current_time(), self.may_go()
+            began = trio.current_time()
+            why = self.may_go()
             while why is not None and trio.current_time() < began + self._told.leave_wait_s:
                 await trio.sleep(LEAVE_LOOK_S)
                 why = self.may_go()
@@ -110,4 +126,3 @@
             log("leave", place=place, waited_ms=waited, why="" if place is not None else why)
         self.member.leave(now_ms(), frozenset(self.leave.names if self.leave is not None else ()))
         self._news.set()
-
--- a/violetstack/net/levels.py
+++ b/violetstack/net/load_shedding.py
@@ -13,11 +13,11 @@
 import trio
 
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.levels import history
-from violetstack.levels.control import TICK_MS, Levels
+from violetstack.load_shedding import history
+from violetstack.load_shedding.control import TICK_MS, Levels
 from violetstack.log import log
 from violetstack.net.clock import now_ms
-from violetstack.net.listener import Listener
+from violetstack.net.downstream.listener import Listener
 from violetstack.router import Router
 
 COMPLAIN_S = 60.0  # between two lines on a journal that can't be written
@@ -73,8 +73,11 @@
     def __init__(
         self, levels: Levels, core: Dispatcher, router: Router, listeners: list[Listener], cores: float
     ) -> None:
-        self.levels, self.core, self.router = levels, core, router
-        self.listeners, self.cores = listeners, cores
+        self.levels = levels
+        self.core = core
+        self.router = router
+        self.listeners = listeners
+        self.cores = cores
         self.journal = JournalFile(levels.plan.journal) if levels.plan.journal else None
         self.complained = -COMPLAIN_S
         self.cold_ms = core.settings.cold_ms
@@ -100,16 +103,21 @@
         self.levels.start(now_ms(), wall, resumed)
 
     async def run(self) -> None:
-        due, cpu, since = trio.current_time(), time.process_time(), trio.current_time()
+        due = trio.current_time()
+        cpu = time.process_time()
+        since = trio.current_time()
         while True:
             due = max(due + TICK_MS / 1000.0, trio.current_time())
             await trio.sleep_until(due)
-            woke, used = trio.current_time(), time.process_time()
+            woke = trio.current_time()
+            used = time.process_time()
             share = (used - cpu) / max(1e-6, woke - since) / max(0.01, self.cores)
-            cpu, since = used, woke
+            cpu = used
+            since = woke
             self.tick((woke - due) * 1000.0, share)
             if self.journal is not None and self.levels.records:
-                records, self.levels.records = self.levels.records, []
+                records = self.levels.records
+                self.levels.records = []
                 await self._write(self.journal, records)
             elif self.journal is None:
                 self.levels.records.clear()
@@ -130,10 +138,13 @@
         now = now_ms()
         reader, writer = self.router.headroom(now)
         gauges = {
-            "reader_free": reader, "writer_free": writer, "lag": lag_ms, "cpu": cpu,
+            "reader_free": reader,
+            "writer_free": writer,
+            "lag": lag_ms,
+            "cpu": cpu,
             "clients": max((len(x.connections) / x.most for x in self.listeners if x.most), default=None),
             "bytes": max((x.held / x.most_held for x in self.listeners if x.most_held), default=None),
-        }  # fmt: skip
+        }
         entries = [e for e in self.core.entries.values() if e.server not in self.core.unwanted]
         cold = sum(1 for e in entries if e.started_ms is not None and now < e.started_ms + self.cold_ms)
         self.levels.tick(now, time.time(), gauges, (len(entries), cold), self.core.waiting(now))
@@ -194,7 +205,9 @@
         return {"changes": [json.loads(history.line(row).partition(b" ")[2]) for row in rows]}
 
     def do_pin(self, asked: dict[str, Any]) -> dict[str, Any]:
-        level, for_ms, by = asked.get("level"), asked.get("for_ms"), asked.get("by")
+        level = asked.get("level")
+        for_ms = asked.get("for_ms")
+        by = asked.get("by")
         if not isinstance(level, str) or not isinstance(for_ms, int | float) or not 0 < for_ms < 1e9:
             return {"error": "a pin needs a level and a time"}
         if not self.levels.pin(now_ms(), time.time(), level, for_ms, str(by)[:60]):
--- a/violetstack/net/waking.py
+++ b/violetstack/net/pause_detector.py
@@ -7,9 +7,9 @@
 
 import trio
 
-from violetstack.freshness.turns import Turns
 from violetstack.log import log
 from violetstack.net.clock import now_ms
+from violetstack.process_pause import Turns
 
 MOST_TURNS = 16  # of reading before a send: a flood on one socket holds sends up for no longer than this
 MOST_S = 0.05
@@ -30,9 +30,12 @@
     """
 
     def __init__(self, waking_ms: float, woke: Callable[[float], None]) -> None:
-        self._turns, self._waking_ms = Turns(now_ms(), waking_ms), waking_ms
-        self._woke, self._gap = woke, 0.0
-        self._begun, self._fresh = trio.Event(), trio.Event()
+        self._turns = Turns(now_ms(), waking_ms)
+        self._waking_ms = waking_ms
+        self._woke = woke
+        self._gap = 0.0
+        self._begun = trio.Event()
+        self._fresh = trio.Event()
         self.sources: list[Source] = []
         self.reading = False
         self._since = 0.0
@@ -45,7 +48,9 @@
     def after_io_wait(self, timeout: float) -> None:
         gap = self._turns.looked(now_ms())
         if gap and not self.reading:
-            self.reading, self._gap, self._since = True, gap, self._turns.since
+            self.reading = True
+            self._gap = gap
+            self._since = self._turns.since
             self._fresh = trio.Event()
             self._begun.set()
 
@@ -66,7 +71,8 @@
         while True:
             await self._begun.wait()
             self._begun = trio.Event()
-            turns, until = 0, trio.current_time() + MOST_S
+            turns = 0
+            until = trio.current_time() + MOST_S
             while turns < 2 or any(source.pending() for source in self.sources):
                 await trio.lowlevel.checkpoint()
                 turns += 1
--- a/violetstack/net/records.py
+++ b/violetstack/net/records.py
@@ -22,7 +22,8 @@
 
     def __init__(self, folder: str, name: str, owner: str) -> None:
         plain = re.sub(r"[^A-Za-z0-9._-]", "_", name) or "_"
-        self._folder, self._name = Path(folder), name
+        self._folder = Path(folder)
+        self._name = name
         self._prefix = f"violetstack-{plain}-"
         self._own = self._folder / f"{self._prefix}{owner}{SUFFIX}"
         self._seen: dict[Path, tuple[int, int]] = {}  # size and time of what was read, or refused
--- a/violetstack/net/budget.py
+++ b/violetstack/net/resource_limits.py
@@ -4,12 +4,14 @@
 
 import msgspec
 
-from violetstack.net.listener import MOST_TURNED_AWAY
+from violetstack.net.downstream.listener import MOST_TURNED_AWAY
 
 OWN = 28  # streams 3, poller 3, listeners 4, watch 2, peers 1, files and heirs 5, and what just ends
 DOOR = 17  # the operators' listener and its callers
 LEAST = 4  # of clients and of hosts, however little there is
-CONNECTION_SHARE, CONNECTION_BYTES = 0.2, 32 * 1024  # of the memory, and of one client's connection
+# of the memory, and of one client's connection
+CONNECTION_SHARE = 0.2
+CONNECTION_BYTES = 32 * 1024
 BODY_SHARE = 0.2  # of the memory: request bodies held at once; each may be held twice for a moment
 
 
@@ -26,7 +28,8 @@
 
     Guards the memory limit where descriptors abound; a third of them clients may hold for requests.
     """
-    sockets, memory = sockets // processes, memory_mb * 2**20 / processes
+    sockets = sockets // processes
+    memory = memory_mb * 2**20 / processes
     left = max(2 * LEAST, sockets - OWN - MOST_TURNED_AWAY - (DOOR if door else 0))
     by_memory = max(sockets // 3, int(memory * CONNECTION_SHARE) // CONNECTION_BYTES)
     return Budget(
--- a/violetstack/net/comeback.py
+++ b/violetstack/net/startup_recovery.py
@@ -15,8 +15,8 @@
 
 if TYPE_CHECKING:
     from violetstack.handover.learned import Learned
-    from violetstack.interface import Settings
-    from violetstack.net.keeping import Kept
+    from violetstack.net.state_writer import Kept
+    from violetstack.policy_api import Settings
 
 # A sixth of the memory of what hosts take: from then on what was seen outweighs what was assumed.
 FILL_MS = 2.0 * LEARN_MS
@@ -24,7 +24,9 @@
 
 class Comeback:
     def __init__(self, nursery: trio.Nursery, kept: Kept | None, settings: Settings) -> None:
-        self._nursery, self._kept, self._most_ms = nursery, kept, settings.max_retry_after_ms
+        self._nursery = nursery
+        self._kept = kept
+        self._most_ms = settings.max_retry_after_ms
         self._random = Random(settings.seed)
         self.start = Start(now_ms(), FILL_MS)
 
--- a/violetstack/net/keeping.py
+++ b/violetstack/net/state_writer.py
@@ -15,17 +15,20 @@
 from violetstack.net.clock import now_ms
 from violetstack.operators import StateFile
 from violetstack.protocol.discovery import WServer, WTargets
-from violetstack.recovery.doubt import Doubt
+from violetstack.recovery.panic_threshold import Doubt
 from violetstack.recovery.sources import AHEAD_MS, Source, Trust, merged
-from violetstack.state import content as kept
-from violetstack.state.content import Content
+from violetstack.state import snapshot as kept
+from violetstack.state.snapshot import Content
 from violetstack.state.store import Recovered, Store, recover
 
 LEARNED_S = 2.0  # between records of what was learned
-VERIFY_S, VERIFY_MOST_S = 0.1, 0.5  # between two remembered hosts, and for each
+# between two remembered hosts, and for each
+VERIFY_S = 0.1
+VERIFY_MOST_S = 0.5
 GROUP_S = 1.0  # what came within it goes to the disk together
 READ_S = 1.0  # a start waits for the disk for so long, then begins without what it has
-AGAIN_S, AGAIN_MOST_S = 1.0, 60.0
+AGAIN_S = 1.0
+AGAIN_MOST_S = 60.0
 LAST_S = 0.3
 MOST_WAITING = 8 * 1024 * 1024
 
@@ -118,7 +121,8 @@
                 continue
             try:
                 await self.flush()
-                self.failed, pause = 0, GROUP_S
+                self.failed = 0
+                pause = GROUP_S
             except Exception as error:  # no disk's failure ends the nursery
                 self.failed += 1
                 pause = min(AGAIN_MOST_S, AGAIN_S * 2.0**self.failed)
@@ -130,7 +134,8 @@
             await self._flush()
 
     async def _flush(self) -> None:
-        frames, self._waiting = b"".join(self._waiting), []
+        frames = b"".join(self._waiting)
+        self._waiting = []
         if not frames:
             return
         try:
@@ -151,7 +156,9 @@
     """What a state on disk means for a start, and what goes there. `compose` tells what was learned."""
 
     def __init__(self, told: StateFile, seed: int, cold_ms: float, compose: Callable[[], Learned]) -> None:
-        self._keeper, self._cold_ms, self._compose = Keeper(told.folder, seed), cold_ms, compose
+        self._keeper = Keeper(told.folder, seed)
+        self._cold_ms = cold_ms
+        self._compose = compose
         self._random = random.Random(seed)
         self.unverified: list[WServer] = []
         self.doubt = Doubt(told.doubt or float("inf"), told.doubt_s * 1000.0)
@@ -159,7 +166,8 @@
 
     async def remembered(self, known: WTargets) -> WTargets:
         await self._keeper.begin()
-        now, found = now_ms(), self._keeper.content
+        now = now_ms()
+        found = self._keeper.content
         sources = [Source("known", None, known.version, tuple(known.servers))]
         if found.heard_at:
             sources.append(Source("disk", found.heard_at, found.version, tuple(found.servers.values())))
--- a/violetstack/net/passing.py
+++ b/violetstack/net/stream_migration.py
@@ -14,12 +14,12 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt
 from violetstack.fronts.platform import PlatformSink
-from violetstack.handover.passing import GO, MAX_OFFER, NO, READY, BadOffer, Stream, decode, encode
+from violetstack.handover.stream_migration import GO, MAX_OFFER, NO, READY, BadOffer, Stream, decode, encode
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
-from violetstack.net.hosts import Hosts
-from violetstack.net.listener import Listener
-from violetstack.net.pool import HostConnection
+from violetstack.net.downstream.listener import Listener
+from violetstack.net.upstream.attempt import Hosts
+from violetstack.net.upstream.connection_pool import HostConnection
 
 WORD_S = 1.0  # the other process answers by then, or is taken for dead
 BACKLOG = 4
@@ -64,7 +64,8 @@
 
     async def give(self, attempt: Attempt, connection: HostConnection, cached: int) -> bool:
         """Between two events. False: it goes on here."""
-        request, sink = attempt.request, attempt.request.sink
+        request = attempt.request
+        sink = attempt.request.sink
         if self._sock is None or not isinstance(sink, PlatformSink) or not connection.http.between_chunks:
             return False
         client = sink.reply.client
@@ -79,10 +80,17 @@
                 return False
             asked = request.asked
             stream = Stream(
-                id=asked.id, cls=asked.cls, tenant=asked.tenant, server=attempt.server,
-                age_ms=now_ms() - request.arrived, events=attempt.events, cached=cached,
-                prompt_tokens=asked.prompt_tokens, loose=request.loose, closing=client.http.ends,
-            )  # fmt: skip
+                id=asked.id,
+                cls=asked.cls,
+                tenant=asked.tenant,
+                server=attempt.server,
+                age_ms=now_ms() - request.arrived,
+                events=attempt.events,
+                cached=cached,
+                prompt_tokens=asked.prompt_tokens,
+                loose=request.loose,
+                closing=client.http.ends,
+            )
             async with self._turn:
                 passed = await self._offer(stream, descriptor, connection.sock.fileno())
             if passed and not attempt.over:
@@ -120,7 +128,9 @@
     """The new process's side."""
 
     def __init__(self, core: Dispatcher, hosts: Hosts, listener: Callable[[], Listener | None]) -> None:
-        self._core, self._hosts, self._listener = core, hosts, listener
+        self._core = core
+        self._hosts = hosts
+        self._listener = listener
 
     async def run(self, path: Path, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled."""
--- /dev/null
+++ b/violetstack/net/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to model hosts, and what travels on them."""
--- a/violetstack/net/hosts.py
+++ b/violetstack/net/upstream/attempt.py
@@ -9,13 +9,13 @@
 import msgspec
 import trio
 
-from violetstack import interface as t
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt, OpenRequest, PlaceCall, ReleaseCall
 from violetstack.fronts.reply import Payload
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
-from violetstack.net.pool import HostConnection, NotUp, Pool, Withheld
+from violetstack.net.upstream.connection_pool import HostConnection, NotUp, Pool, Withheld
+from violetstack.policy_api import AttemptStatus, HealthCheckResult
 from violetstack.protocol import sse
 from violetstack.protocol.headers import report_of
 from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
@@ -38,7 +38,7 @@
 
 
 class Ended(NamedTuple):
-    status: t.Status
+    status: AttemptStatus
     note: int = 0
     report: Report = None
 
@@ -114,7 +114,7 @@
         try:
             self._using[attempt] = connection
             ended = await self._answer(attempt, connection, False, Head(200, {}), cached)
-            clean = ended.status is not t.Status.CANCELLED
+            clean = ended.status is not AttemptStatus.CANCELLED
             return ended
         finally:
             self._using.pop(attempt, None)
@@ -149,16 +149,17 @@
             try:
                 ended = await exchange(attempt)
             except (NotUp, Withheld):
-                ended = Ended(t.Status.CONNECT_FAILED)
+                ended = Ended(AttemptStatus.CONNECT_FAILED)
             except (Broken, sse.NoEvent) as error:
-                request, told = attempt.request.id, {"events": attempt.events, "reason": str(error)}
+                request = attempt.request.id
+                told = {"events": attempt.events, "reason": str(error)}
                 log_outside("answer_broken", id=request, server=attempt.server, **told)
-                ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
+                ended = Ended(AttemptStatus.RESET if attempt.written else AttemptStatus.CONNECT_FAILED)
             except (OSError, trio.TooSlowError, trio.ClosedResourceError):
-                ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
+                ended = Ended(AttemptStatus.RESET if attempt.written else AttemptStatus.CONNECT_FAILED)
             except Exception as error:  # no attempt's failure ends the nursery
                 log("attempt_failed", id=attempt.request.id, error=repr(error))
-                ended = Ended(t.Status.RESET if attempt.written else t.Status.CONNECT_FAILED)
+                ended = Ended(AttemptStatus.RESET if attempt.written else AttemptStatus.CONNECT_FAILED)
         self._scopes.pop(attempt, None)
         self._waits.pop(attempt, None)
         self._sent.pop(attempt).set()
@@ -168,11 +169,13 @@
     async def _exchange(self, attempt: Attempt) -> Ended:
         payload: Payload = attempt.request.payload
         connection = await self._ready(
-            attempt.server, lambda: self.core.may_send(now_ms(), attempt),
-            lambda: self._let_go(attempt.request), self.core.connect_ms(now_ms(), attempt) / 1000.0,
-        )  # fmt: skip
+            attempt.server,
+            lambda: self.core.may_send(now_ms(), attempt),
+            lambda: self._let_go(attempt.request),
+            self.core.connect_ms(now_ms(), attempt) / 1000.0,
+        )
         if connection is None:
-            return Ended(t.Status.MOOT)
+            return Ended(AttemptStatus.ALREADY_FINISHED)
         self.core.sending(attempt)
         clean = False
         try:
@@ -196,7 +199,7 @@
 
             await connection.write(parts, written, attempt.request.allowed)
             ended = await self._answer(attempt, connection, host.plain)
-            clean = ended.status is not t.Status.CANCELLED
+            clean = ended.status is not AttemptStatus.CANCELLED
             return ended
         finally:
             self._using.pop(attempt, None)
@@ -206,9 +209,13 @@
                 self._close(connection)
 
     async def _answer(  # noqa: PLR0915 - one answer, from its head to its end
-        self, attempt: Attempt, connection: HostConnection, plain: bool, head: Head | None = None,
+        self,
+        attempt: Attempt,
+        connection: HostConnection,
+        plain: bool,
+        head: Head | None = None,
         cached: int = 0,
-    ) -> Ended:  # fmt: skip
+    ) -> Ended:
         """Reads the answer; `since` is when it last was whole up to an event, or when it began to be partial.
 
         Guards against spoilt answers whose connection stays open: what does not end where it should would
@@ -218,7 +225,8 @@
         splitter = sse.Splitter()
         tail = _Tail(self.report_names)
         tail.cached = cached
-        partial, since = False, trio.current_time()
+        partial = False
+        since = trio.current_time()
         while True:
             patience = PARTIAL_S if partial else QUIET_S if attempt.begun else STALL_S
             events: list[Head | Body | End] = []
@@ -248,7 +256,8 @@
                             raise Broken("an answer that nobody wants")
                         tail.look(part)
                         self.core.event(attempt, part)
-                        since, partial = trio.current_time(), False
+                        since = trio.current_time()
+                        partial = False
                 elif isinstance(event, End) and head is not None:
                     if head.status != 200:
                         return _plain(head) if plain else self._told(attempt, head, body)
@@ -258,35 +267,39 @@
                         raise Broken("a stream without an event")
                     if rest := splitter.end():
                         self.core.event(attempt, memoryview(rest))
-                    return Ended(t.Status.OK, _kept(tail.cached, attempt), tail.report)
+                    return Ended(AttemptStatus.OK, _kept(tail.cached, attempt), tail.report)
             if attempt.begun:
                 before = trio.current_time()
                 await attempt.request.payload.room()
                 since += trio.current_time() - before  # a slow client's time is not the host's
-            was_partial, begun = partial, attempt.begun
+            was_partial = partial
+            begun = attempt.begun
             waits = head is not None and not begun and not plain  # a plain host's head comes long before
             partial = connection.http.partial or splitter.partial or waits
             if partial and not was_partial:
                 since = trio.current_time()
             if (
-                self.pass_on is not None and attempt.begun and not partial and not plain
+                self.pass_on is not None
+                and attempt.begun
+                and not partial
+                and not plain
                 and await self.pass_on(attempt, connection, tail.cached)
-            ):  # fmt: skip
-                return Ended(t.Status.CANCELLED)  # it goes on elsewhere
+            ):
+                return Ended(AttemptStatus.CANCELLED)  # it goes on elsewhere
 
     def _told(self, attempt: Attempt, head: Head, body: bytes) -> Ended:
         """What an answer without a stream means."""
         report = report_of(head.headers.get("srv-load"), self.report_names)
         declined = head.headers.get("srv-declined") == "1"
         if head.status == 202:
-            return Ended(t.Status.READ, _kept(_cached(body), attempt), report)
+            return Ended(AttemptStatus.PREFILLED, _kept(_cached(body), attempt), report)
         if declined:
-            return Ended(t.Status.FULL, 1 if head.status == 410 else 0, report)
+            return Ended(AttemptStatus.REJECTED, 1 if head.status == 410 else 0, report)
         if head.status in UNUSABLE:
             # Guards good hosts against blame, and the request against being shown to all of them.
             log_outside("host_refused", id=attempt.request.id, server=attempt.server, status=head.status)
             self.core.unusable(now_ms(), attempt)
-        return Ended(t.Status.ERROR, 0, report)
+        return Ended(AttemptStatus.ERROR, 0, report)
 
     # --- short calls ---
 
@@ -419,22 +432,23 @@
         if server in self.core.stateless:
             return
         began = now_ms()
-        status, report = t.Status.TIMEOUT, None
+        status = AttemptStatus.TIMEOUT
+        report = None
         try:
             with trio.move_on_after(CALL_S):
                 connection = await self._ready(server, lambda: self.core.may_write(server))
                 if connection is None:
                     return
                 head = await self._call(connection, "GET", "/-/load")
-                status = t.Status.OK if head.status == 200 else t.Status.ERROR
+                status = AttemptStatus.OK if head.status == 200 else AttemptStatus.ERROR
                 report = report_of(head.headers.get("srv-load"), self.report_names)
         except NotUp:
-            status = t.Status.CONNECT_FAILED
+            status = AttemptStatus.CONNECT_FAILED
         except (OSError, Broken):
-            status = t.Status.RESET
+            status = AttemptStatus.RESET
         except Exception as error:
             log("probe_failed", server=server, error=repr(error))
-        self.core.probed(t.Probed(server, status, now_ms() - began, report))
+        self.core.probed(HealthCheckResult(server, status, now_ms() - began, report))
 
 
 class _Tail:
@@ -476,7 +490,7 @@
 
 def _plain(head: Head) -> Ended:
     """OpenAI's statuses: a 429 did not run, anything else may have."""
-    return Ended(t.Status.FULL if head.status == 429 else t.Status.ERROR)
+    return Ended(AttemptStatus.REJECTED if head.status == 429 else AttemptStatus.ERROR)
 
 
 def _kept(tokens: int, attempt: Attempt) -> int:
--- a/violetstack/net/pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -9,10 +9,10 @@
 import msgspec
 import trio
 
-from violetstack import interface as t
 from violetstack.config import Address, address
 from violetstack.core.records import always
 from violetstack.log import log
+from violetstack.policy_api import EndpointState, EndpointUpdate, UpdateScope
 from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
 
 READ_SIZE = 32 * 1024
@@ -32,7 +32,8 @@
     """One connection; one request at a time travels on it."""
 
     def __init__(self, raw: socket.socket, server: str, at: Address | None = None) -> None:
-        self._raw, self.server = raw, server
+        self._raw = raw
+        self.server = server
         self.sock = trio.socket.from_stdlib_socket(raw)
         self.at = at
         self.closed = False
@@ -41,9 +42,11 @@
         self.idle_since = self.rested_at = 0.0
 
     async def write(
-        self, parts: list[bytes | memoryview], written: Callable[[], None],
+        self,
+        parts: list[bytes | memoryview],
+        written: Callable[[], None],
         allowed: Callable[[], bool] = always,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """Calls `written` in the same step in which the last byte goes to the kernel, and never before.
 
         Raises Withheld, with the last byte unsent, as soon as `allowed` says no.
@@ -96,13 +99,14 @@
     def __init__(self, connect_timeout_ms: float, idle_close_ms: float) -> None:
         self.connect_s = (connect_timeout_ms or 250.0) / 1000.0
         self.idle_s = idle_close_ms / 1000.0 * IDLE_SHARE
-        self.most, self.connections = 0, 0
+        self.most = 0
+        self.connections = 0
         self.hosts: dict[str, Host] = {}
         self.fresh: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint_if_cancelled
 
     # --- addresses ---
 
-    def told(self, news: t.ListNews, addresses: dict[str, str]) -> None:
+    def told(self, news: EndpointUpdate, addresses: dict[str, str]) -> None:
         for name, text in addresses.items():
             try:
                 at = address(text)
@@ -117,12 +121,12 @@
             known = self.hosts.get(entry.server)
             if known is None:
                 continue
-            if entry.state is t.ServerState.GONE or entry.started_ms != known.started_ms:
+            if entry.state is EndpointState.REMOVED or entry.started_ms != known.started_ms:
                 self._drop_idle(known)  # what was open belongs to a process that is no more
             known.started_ms = entry.started_ms
-            if entry.state is t.ServerState.GONE:
+            if entry.state is EndpointState.REMOVED:
                 del self.hosts[entry.server]
-        if news.scope is not t.ListScope.DELTA:
+        if news.scope is not UpdateScope.DELTA:
             # Guards the memory: whoever a whole list does not name is gone, with its connections.
             named = {entry.server for entry in news.entries}
             for name in [name for name in self.hosts if name not in named]:
@@ -192,9 +196,12 @@
         return None
 
     async def _ready(
-        self, server: str, wanted: Callable[[], bool],
-        after: Callable[[], Awaitable[object]] | None = None, most_s: float = math.inf,
-    ) -> HostConnection | None:  # fmt: skip
+        self,
+        server: str,
+        wanted: Callable[[], bool],
+        after: Callable[[], Awaitable[object]] | None = None,
+        most_s: float = math.inf,
+    ) -> HostConnection | None:
         """A connection for bytes written in this very step; None if they are not wanted any more.
 
         Guards against what happens while a connection comes up, or while the process did not look: a host
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -7,10 +7,10 @@
 
 import trio
 
-from violetstack import interface as t
 from violetstack.config import Address
 from violetstack.core.backoff import Backoff
 from violetstack.log import log_outside
+from violetstack.policy_api import UpdateScope
 from violetstack.protocol.discovery import BadList, ListReader, Targets, Values
 from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
 
@@ -32,7 +32,9 @@
     """One connection to discovery, which has told nothing yet, or is the one whose word counts."""
 
     def __init__(self, at: Address, index: int | None) -> None:
-        self.at, self.index = at, index  # no index: the whole list comes first
+        # no index: the whole list comes first
+        self.at = at
+        self.index = index
         self.scope = trio.CancelScope()
         self.stream: trio.SocketStream | None = None
         self.alive_at = trio.current_time()  # its last whole word; a part of one is none
@@ -60,17 +62,26 @@
     """
 
     def __init__(
-        self, at: Address, reader: ListReader, version: int | None, told: Callable[[Targets], None],
+        self,
+        at: Address,
+        reader: ListReader,
+        version: int | None,
+        told: Callable[[Targets], None],
         again: Backoff,
     ) -> None:
         self.confirmed: Callable[[], None] = lambda: None  # nothing has changed since `version`
-        self.at, self._reader, self._told, self._again = at, reader, told, again
+        self.at = at
+        self._reader = reader
+        self._told = told
+        self._again = again
         self.heard = trio.Event()  # discovery has told something
         self.version: int | None = version  # None: nothing that its changes could be asked from
         self._whole = version is None  # the whole list is owed, whatever is known
         self._line: Line | None = None
         self._lines: set[Line] = set()
-        self._lost, self._next_at, self._opened_at = True, -math.inf, -math.inf
+        self._lost = True
+        self._next_at = -math.inf
+        self._opened_at = -math.inf
         self._stir = trio.Event()
 
     def pending(self) -> bool:
@@ -119,7 +130,8 @@
     def _take(self, line: Line) -> None:
         """Its word counts from here on, and no other's."""
         line.heard = True
-        self._line, self._lost = line, self._whole
+        self._line = line
+        self._lost = self._whole
         for other in self._lines - {line}:
             if other.heard or other.index is not None or not self._whole:
                 other.drop()
@@ -145,7 +157,8 @@
         if line.dropped:
             return
         log_outside("watch_ended", index=line.index, error=repr(error)[:200])
-        away, bad = isinstance(error, TurnedAway), isinstance(error, BadList)
+        away = isinstance(error, TurnedAway)
+        bad = isinstance(error, BadList)
         self._whole = self._whole or bad  # guards against the same bad list, asked for again from its index
         if line is self._line:
             self._line = None
@@ -185,7 +198,7 @@
                     raise BadList("two lists where one was asked for")
                 told = True
                 targets = self._reader.read(value)
-                if targets.news.scope is t.ListScope.DELTA:
+                if targets.news.scope is UpdateScope.DELTA:
                     raise BadList("the whole list was asked for and a change came")
                 self._whole = False
                 self._take(line)
@@ -219,7 +232,7 @@
 
     def _tell(self, line: Line, targets: Targets) -> None:
         news = targets.news
-        delta = news.scope is t.ListScope.DELTA
+        delta = news.scope is UpdateScope.DELTA
         if delta and self.version is not None and news.version < self.version:
             # Guards against news that were overtaken. A whole list counts whatever its version: discovery may
             # have begun anew, and what it has is what there is.
--- a/violetstack/operators.py
+++ b/violetstack/operators.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from violetstack.facts import WFacts
+from violetstack.settings import WFacts
 
 
 class BadOperatorFile(Exception):
@@ -128,7 +128,9 @@
     """The file checked against the settings it is used with."""
 
     def __init__(self, told: OperatorFile, facts: WFacts) -> None:
-        self.told, self.models, self.keys = told, told.models, told.keys
+        self.told = told
+        self.models = told.models
+        self.keys = told.keys
         self._classes = {spec.name: n for n, spec in enumerate(facts.classes)}
         self._tenants = {spec.name: n for n, spec in enumerate(facts.parties or ())}
         named = [m.cls for m in told.models]
--- a/violetstack/interface.py
+++ b/violetstack/policy_api.py
@@ -8,15 +8,15 @@
 import msgspec
 
 
-class Effect(Enum):
+class Idempotency(Enum):
     """May a request that perhaps ran be sent again?"""
 
-    SAFE = "safe"
-    KEYED = "keyed"
-    UNSAFE = "unsafe"
+    IDEMPOTENT = "safe"
+    IDEMPOTENCY_KEY = "keyed"
+    NON_IDEMPOTENT = "unsafe"
 
 
-class Group(Enum):
+class DeduplicationScope(Enum):
     """Which servers drop the repeats of a keyed request."""
 
     ALL = "all"
@@ -25,43 +25,52 @@
 
 
 class Role(Enum):
-    READ = "read"
-    WRITE = "write"
-    BOTH = "both"
+    PREFILL = "read"
+    DECODE = "write"
+    MIXED = "both"
 
 
-class ServerState(Enum):
+class EndpointState(Enum):
     HEALTHY = "healthy"
     DRAINING = "draining"
-    GONE = "gone"
+    REMOVED = "gone"
 
 
-class ListScope(Enum):
+class UpdateScope(Enum):
     DELTA = "delta"
-    FULL = "full"
+    SNAPSHOT = "full"
     CACHED = "cached"
     FAILED = "failed"
 
 
-class Status(Enum):
+class AttemptStatus(Enum):
     """How an attempt ended."""
 
     OK = "ok"
     ERROR = "error"
-    FULL = "full"
+    REJECTED = "full"
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
     CANCELLED = "cancelled"
-    MOOT = "moot"
-    READ = "read"
+    ALREADY_FINISHED = "moot"
+    PREFILLED = "read"
 
 
-class ClassSpec(msgspec.Struct, frozen=True):
+MAY_HAVE_RUN_STATUSES = frozenset(
+    {AttemptStatus.ERROR, AttemptStatus.TIMEOUT, AttemptStatus.RESET, AttemptStatus.CANCELLED}
+)
+FAILURE_STATUSES = frozenset({AttemptStatus.ERROR, AttemptStatus.RESET, AttemptStatus.CONNECT_FAILED})
+"""Failures of the host itself; the others are a matter of load."""
+GOSSIPED_STATUSES = FAILURE_STATUSES
+BLAMED_STATUSES = FAILURE_STATUSES | {AttemptStatus.TIMEOUT, AttemptStatus.REJECTED}
+
+
+class ClassSettings(msgspec.Struct, frozen=True):
     aim_ms: float
     give_up_ms: float
-    effect: Effect
-    group: Group
+    effect: Idempotency
+    group: DeduplicationScope
     window_ms: float
     value: float
     late_value: float
@@ -70,7 +79,7 @@
     token_aim_ms: float
 
 
-class TenantSpec(msgspec.Struct, frozen=True):
+class TenantSettings(msgspec.Struct, frozen=True):
     share: float
     allowance_per_s: float
 
@@ -80,8 +89,8 @@
     me: int
     fleet_size: int
     zone: int
-    classes: tuple[ClassSpec, ...]
-    tenants: tuple[TenantSpec, ...]
+    classes: tuple[ClassSettings, ...]
+    tenants: tuple[TenantSettings, ...]
     over_share_worth: float
     roles: tuple[Role, ...]
     memory_tokens: tuple[float, ...]
@@ -108,25 +117,25 @@
     grace_to_answer_ms: float
 
 
-class Entry(msgspec.Struct, frozen=True):
+class Endpoint(msgspec.Struct, frozen=True):
     """One server as the list has it; started_ms is None when it started a long time back."""
 
     server: str
     cell: int
     weight: float
     zone: int
-    state: ServerState
+    state: EndpointState
     kind: int
     started_ms: float | None
 
 
-class ListNews(msgspec.Struct, frozen=True):
-    scope: ListScope
-    entries: tuple[Entry, ...]
+class EndpointUpdate(msgspec.Struct, frozen=True):
+    scope: UpdateScope
+    entries: tuple[Endpoint, ...]
     version: int
 
 
-class Course(Protocol):
+class Route(Protocol):
     """What a request's route allows, asked at each choice; times in milliseconds."""
 
     attempts: int
@@ -164,68 +173,68 @@
     max_tokens: float
     repeat: bool
     resumed: bool
-    course: Course | None = None
+    course: Route | None = None
     age_ms: float = 0.0  # it may have lain unread for so long; off expires_in_ms already
 
 
-class Begun(msgspec.Struct, frozen=True):
+class StreamStarted(msgspec.Struct, frozen=True):
     id: str
     server: str
     attempt: int
     took_ms: float
 
 
-class Outcome(msgspec.Struct, frozen=True):
+class AttemptFinished(msgspec.Struct, frozen=True):
     """How one attempt ended; settled when the request is over; report in the order of report_names."""
 
     id: str
     server: str
     attempt: int
-    status: Status
+    status: AttemptStatus
     took_ms: float
     settled: bool
     note: int
     report: tuple[float | None, ...] | None
 
 
-class PlaceNote(msgspec.Struct, frozen=True):
+class ReservationResult(msgspec.Struct, frozen=True):
     id: str
     server: str
     attempt: int
     held: bool
 
 
-class Left(msgspec.Struct, frozen=True):
+class ClientDisconnected(msgspec.Struct, frozen=True):
     id: str
 
 
-class TimerDue(msgspec.Struct, frozen=True):
+class TimerFired(msgspec.Struct, frozen=True):
     token: str
 
 
-class Probed(msgspec.Struct, frozen=True):
+class HealthCheckResult(msgspec.Struct, frozen=True):
     server: str
-    status: Status
+    status: AttemptStatus
     took_ms: float
     report: tuple[float | None, ...] | None
 
 
-class PeerMessage(msgspec.Struct, frozen=True):
+class GossipReceived(msgspec.Struct, frozen=True):
     peer: int
     payload: bytes
 
 
-class Stopping(msgspec.Struct, frozen=True):
+class ShutdownStarted(msgspec.Struct, frozen=True):
     """The process is about to end: what has no first token is given up while its client can be told."""
 
 
-class Woke(msgspec.Struct, frozen=True):
+class ProcessPaused(msgspec.Struct, frozen=True):
     """The process saw nothing for so long; the other events of this batch came in that time."""
 
     gap_ms: float
 
 
-class Trial(msgspec.Struct, frozen=True):
+class OutlierCheckResult(msgspec.Struct, frozen=True):
     """Another front tries this server, which failed, for so long yet; 0: ours does, or none. `well`: it is
     well again."""
 
@@ -235,12 +244,22 @@
 
 
 Event = (
-    Woke | Trial | Stopping | ListNews | Request | Begun | Outcome | PlaceNote | Left | TimerDue | Probed
-    | PeerMessage
-)  # fmt: skip
+    ProcessPaused
+    | OutlierCheckResult
+    | ShutdownStarted
+    | EndpointUpdate
+    | Request
+    | StreamStarted
+    | AttemptFinished
+    | ReservationResult
+    | ClientDisconnected
+    | TimerFired
+    | HealthCheckResult
+    | GossipReceived
+)
 
 
-class Send(msgspec.Struct, frozen=True):
+class SendAttempt(msgspec.Struct, frozen=True):
     """stop_at_ms 0: until the client gives up."""
 
     id: str
@@ -248,61 +267,72 @@
     stop_at_ms: float
 
 
-class HoldPlace(msgspec.Struct, frozen=True):
+class ReserveDecodeSlot(msgspec.Struct, frozen=True):
     id: str
     server: str
 
 
-class Release(msgspec.Struct, frozen=True):
+class ReleaseState(msgspec.Struct, frozen=True):
     id: str
 
 
-class Cancel(msgspec.Struct, frozen=True):
+class CancelAttempt(msgspec.Struct, frozen=True):
     id: str
     attempt: int
 
 
-class Refuse(msgspec.Struct, frozen=True):
+class RejectRequest(msgspec.Struct, frozen=True):
     id: str
     retry_after_ms: float
 
 
-class Fail(msgspec.Struct, frozen=True):
+class FailRequest(msgspec.Struct, frozen=True):
     id: str
 
 
-class Move(msgspec.Struct, frozen=True):
+class MigrateStream(msgspec.Struct, frozen=True):
     id: str
 
 
-class Timer(msgspec.Struct, frozen=True):
+class StartTimer(msgspec.Struct, frozen=True):
     after_ms: float
     token: str
 
 
-class Watch(msgspec.Struct, frozen=True):
+class SetWatch(msgspec.Struct, frozen=True):
     on: bool
 
 
-class FetchList(msgspec.Struct, frozen=True):
+class FetchEndpoints(msgspec.Struct, frozen=True):
     pass
 
 
-class Probe(msgspec.Struct, frozen=True):
+class SendHealthCheck(msgspec.Struct, frozen=True):
     server: str
 
 
-class Tell(msgspec.Struct, frozen=True):
+class SendGossip(msgspec.Struct, frozen=True):
     """A datagram to every other dispatcher of the tier."""
 
     payload: bytes
 
 
-class Log(msgspec.Struct, frozen=True):
+class WriteLog(msgspec.Struct, frozen=True):
     text: str
 
 
 Action = (
-    Send | HoldPlace | Release | Cancel | Refuse | Fail | Move | Timer | Watch | FetchList | Probe | Tell
-    | Log
+    SendAttempt
+    | ReserveDecodeSlot
+    | ReleaseState
+    | CancelAttempt
+    | RejectRequest
+    | FailRequest
+    | MigrateStream
+    | StartTimer
+    | SetWatch
+    | FetchEndpoints
+    | SendHealthCheck
+    | SendGossip
+    | WriteLog
 )
--- a/violetstack/freshness/turns.py
+++ b/violetstack/process_pause.py
@@ -28,7 +28,8 @@
         self._timeout = 0.0
 
     def waiting(self, now: float, timeout_ms: float) -> None:
-        self._waiting, self._timeout = now, timeout_ms
+        self._waiting = now
+        self._timeout = timeout_ms
 
     def looked(self, now: float) -> float:
         """The gap that this look ends if it was a waking, else 0."""
@@ -39,7 +40,8 @@
             since = self._waiting  # a wait that went on past its end did not see what came
         else:
             since = now  # a wait in time ends with the first thing that comes
-        self._looked, self._since = now, since
+        self._looked = now
+        self._since = since
         gap = now - since
         return gap if gap >= self._waking_ms else 0.0
 
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from violetstack import interface as t
-from violetstack.facts import WFacts
+from violetstack.policy_api import Endpoint, EndpointState, EndpointUpdate, UpdateScope
+from violetstack.settings import WFacts
 
 MAX_LIST = 1024 * 1024  # bytes; a hundred hosts take some 15,000
 PLAIN = re.compile(rb'[{}\[\]"]')  # what ends or nests outside a string
 QUOTED = re.compile(rb'["\\]')  # and within one
-STATES = {"active": t.ServerState.HEALTHY, "leaving": t.ServerState.DRAINING, "left": t.ServerState.GONE}
+STATES = {"active": EndpointState.HEALTHY, "leaving": EndpointState.DRAINING, "left": EndpointState.REMOVED}
 
 
 class WServer(msgspec.Struct):
@@ -46,7 +46,7 @@
 
 
 class Targets(msgspec.Struct, frozen=True):
-    news: t.ListNews
+    news: EndpointUpdate
     addresses: dict[str, str]
     skipped: tuple[str, ...] = ()  # entries of an unknown state or kind: one of them must not stop the list
     rows: tuple[WServer, ...] = ()  # as they came
@@ -65,11 +65,12 @@
             told = self._decoder.decode(value)
         except msgspec.MsgspecError as error:
             told, unread = _loosely(value, str(error))
-        targets = self.targets(told, t.ListScope.FULL if told.full else t.ListScope.DELTA)
+        targets = self.targets(told, UpdateScope.SNAPSHOT if told.full else UpdateScope.DELTA)
         return msgspec.structs.replace(targets, skipped=targets.skipped + unread) if unread else targets
 
-    def targets(self, told: WTargets, scope: t.ListScope) -> Targets:
-        entries, skipped = [], []
+    def targets(self, told: WTargets, scope: UpdateScope) -> Targets:
+        entries = []
+        skipped = []
         for server in told.servers:
             if server.state in STATES and (server.kind in self._kinds or not self._kinds):
                 entries.append(self._entry(server))
@@ -77,11 +78,15 @@
                 skipped.append(server.id)
         known = {entry.server for entry in entries}
         addresses = {server.id: server.addr for server in told.servers if server.addr and server.id in known}
-        return Targets(t.ListNews(scope, tuple(entries), told.version), addresses, tuple(skipped),
-                       tuple(told.servers))
+        return Targets(
+            EndpointUpdate(scope, tuple(entries), told.version),
+            addresses,
+            tuple(skipped),
+            tuple(told.servers),
+        )
 
-    def _entry(self, server: WServer) -> t.Entry:
-        return t.Entry(
+    def _entry(self, server: WServer) -> Endpoint:
+        return Endpoint(
             server=server.id,
             cell=server.cell,
             weight=server.weight,
@@ -97,7 +102,8 @@
 
     Guards against one spoilt entry that keeps all the others, drains among them, from being known.
     """
-    rows, unread = [], []
+    rows = []
+    unread = []
     try:
         loose = msgspec.json.decode(value, type=WLoose)
     except msgspec.MsgspecError:
@@ -133,8 +139,11 @@
                 yield from self._between(raw[at : begin if begin >= 0 else len(raw)])
                 if begin < 0:
                     return
-                at, self._depth, self._ended = begin + 1, 1, True
-                self._parts, self._size = [b"{"], 1
+                at = begin + 1
+                self._depth = 1
+                self._ended = True
+                self._parts = [b"{"]
+                self._size = 1
             end = self._scan(raw, at)
             self._parts.append(raw[at:end])
             self._size += end - at
@@ -142,7 +151,8 @@
                 raise BadList(f"a list of more than {MAX_LIST} bytes")
             at = end
             if not self._depth:
-                whole, self._parts = b"".join(self._parts), []
+                whole = b"".join(self._parts)
+                self._parts = []
                 yield whole
 
     def _between(self, raw: bytes) -> Iterator[bytes]:
@@ -156,12 +166,14 @@
     def _scan(self, raw: bytes, at: int) -> int:
         """The index behind the object that has begun, or behind all that came."""
         if self._escaped and at < len(raw):
-            at, self._escaped = at + 1, False
+            at = at + 1
+            self._escaped = False
         while at < len(raw):
             found = (QUOTED if self._quoted else PLAIN).search(raw, at)
             if found is None:
                 return len(raw)
-            at, mark = found.end(), found.group()
+            at = found.end()
+            mark = found.group()
             if mark == b'"':
                 self._quoted = not self._quoted
             elif mark == b"\\":
--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from violetstack import interface as t
-from violetstack.facts import WFacts
+from violetstack.policy_api import Request
 from violetstack.protocol.server_side import Inbound, Rejected
+from violetstack.settings import WFacts
 
 CHARS_A_TOKEN = 4
 # The settings name report fields in the simulator's words; on the wire they may come in the plain ones.
@@ -106,7 +106,7 @@
         self.give_up = [spec.give_up for spec in facts.classes]
         self.tenants = {spec.name: n for n, spec in enumerate(facts.parties or ())}
 
-    def read(self, inbound: Inbound) -> t.Request:
+    def read(self, inbound: Inbound) -> Request:
         """Raises Rejected if the request cannot be served."""
         headers = inbound.headers
         request_id = headers.get("req-id", "")
@@ -127,7 +127,7 @@
         values = extras(headers.get("req-extra", ""))
         retry = headers.get("req-retry")
         prompt = _prompt_tokens(values, len(inbound.body))
-        return t.Request(
+        return Request(
             id=request_id,
             cls=cls,
             tenant=self.tenants.get(owner or "", 0),
--- a/violetstack/protocol/server_side.py
+++ b/violetstack/protocol/server_side.py
@@ -24,7 +24,8 @@
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
-        self.status, self.reason = status, reason
+        self.status = status
+        self.reason = reason
 
 
 class Inbound(msgspec.Struct, frozen=True):
@@ -106,7 +107,9 @@
         return f"the body is larger than {self._most_body} bytes"
 
     def _start(self, event: h11.Request) -> None:
-        self._head, self._parts, self.size = event, [], 0
+        self._head = event
+        self._parts = []
+        self.size = 0
         names = [name for name, _ in event.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             # Guards against a second request hidden in the body: who reads which length is anyone's guess.
@@ -116,9 +119,11 @@
                 raise Rejected(413, self._too_large)
 
     def _whole(self) -> Inbound:
-        head, parts = self._head, self._parts
+        head = self._head
+        parts = self._parts
         assert head is not None
-        self._head, self._parts = None, []
+        self._head = None
+        self._parts = []
         body = parts[0] if len(parts) == 1 else b"".join(parts)
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
         return Inbound(
--- a/violetstack/protocol/sse.py
+++ b/violetstack/protocol/sse.py
@@ -56,7 +56,8 @@
 
 def _blank_line(raw: bytes | bytearray, start: int) -> int:
     """The index after the next blank line, whichever line ends the host uses; -1 if there is none yet."""
-    plain, crlf = raw.find(b"\n\n", start), raw.find(b"\r\n\r\n", start)
+    plain = raw.find(b"\n\n", start)
+    crlf = raw.find(b"\r\n\r\n", start)
     if crlf >= 0 and (plain < 0 or crlf < plain):
         return crlf + 4
     return plain + 2 if plain >= 0 else -1
--- a/violetstack/recovery/doubt.py
+++ b/violetstack/recovery/panic_threshold.py
@@ -26,7 +26,8 @@
     """`share`: of the active hosts that must be missing; `hold_ms`: for how long they count on."""
 
     def __init__(self, share: float, hold_ms: float) -> None:
-        self._share, self._hold_ms = share, hold_ms
+        self._share = share
+        self._hold_ms = hold_ms
         self._until: float | None = None
 
     def whole(self, now: float, before: Mapping[str, WServer], told: Iterable[WServer]) -> Doubted | None:
--- a/violetstack/recovery/phases.py
+++ b/violetstack/recovery/phases.py
@@ -31,7 +31,9 @@
     """One start. `fill_ms`: after so long with the list told, what was seen outweighs what was assumed."""
 
     def __init__(self, now: float, fill_ms: float) -> None:
-        self.phase, self.began, self._fill_ms = Phase.UNKNOWN, now, fill_ms
+        self.phase = Phase.UNKNOWN
+        self.began = now
+        self._fill_ms = fill_ms
         self._told_at: float | None = None
 
     def recalled(self, now: float, hosts: int) -> Step | None:
@@ -65,5 +67,6 @@
         return told_at + self._fill_ms if self.phase is Phase.FILLING and told_at is not None else None
 
     def _to(self, phase: Phase, why: str) -> Step:
-        old, self.phase = self.phase, phase
+        old = self.phase
+        self.phase = phase
         return Step(old, phase, why)
--- a/violetstack/rehearsal/authority.py
+++ b/violetstack/rehearsal/authority.py
@@ -29,7 +29,9 @@
 class Problem(Exception):
     def __init__(self, status: int, kind: str, detail: str) -> None:
         super().__init__(detail)
-        self.status, self.kind, self.detail = status, kind, detail
+        self.status = status
+        self.kind = kind
+        self.detail = detail
 
 
 class Authority(Peer):
@@ -76,7 +78,8 @@
                 status, headers, body = await self._signed(path, bytes(inbound.body))
             except Problem as problem:
                 kind = f"urn:ietf:params:acme:error:{problem.kind}"
-                status, headers = problem.status, [("Content-Type", "application/problem+json")]
+                status = problem.status
+                headers = [("Content-Type", "application/problem+json")]
                 body = orjson.dumps({"type": kind, "detail": problem.detail, "status": problem.status})
             await connection.answer(status, [*headers, self._nonce()], body)
 
@@ -122,20 +125,25 @@
         if self.refuses:
             self.refused += 1
             raise Problem(429, "rateLimited", "no more orders")
-        name, urls = secrets.token_hex(8), []
+        name = secrets.token_hex(8)
+        urls = []
         for identifier in payload["identifiers"]:
             authorization = secrets.token_hex(8)
             token = b64encode(secrets.token_bytes(32)).decode()
             at = self._url(f"/challenge/{authorization}")
             challenge = {"type": "http-01", "url": at, "token": token, "status": "pending"}
             self._authorizations[authorization] = {
-                "identifier": identifier, "status": "pending", "challenges": [challenge],
-            }  # fmt: skip
+                "identifier": identifier,
+                "status": "pending",
+                "challenges": [challenge],
+            }
             urls.append(self._url(f"/authorization/{authorization}"))
         order = self._orders[name] = {
-            "status": "pending", "identifiers": payload["identifiers"], "authorizations": urls,
+            "status": "pending",
+            "identifiers": payload["identifiers"],
+            "authorizations": urls,
             "finalize": self._url(f"/finalize/{name}"),
-        }  # fmt: skip
+        }
         return 201, [*JSON, ("Location", self._url(f"/order/{name}"))], orjson.dumps(order)
 
     async def _challenge(self, name: str, key: JWK) -> tuple[int, Headers, bytes]:
--- a/violetstack/rehearsal/clients.py
+++ b/violetstack/rehearsal/clients.py
@@ -56,7 +56,9 @@
     """One request on a connection that the caller may also leave in the middle."""
 
     def __init__(self, stream: trio.abc.Stream) -> None:
-        self.stream, self.http, self.answer = stream, HostSide(), Answer()
+        self.stream = stream
+        self.http = HostSide()
+        self.answer = Answer()
 
     async def send(
         self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes = b""
@@ -75,7 +77,8 @@
                 return answer
             for event in told:
                 if isinstance(event, Head):
-                    answer.status, answer.headers = event.status, event.headers
+                    answer.status = event.status
+                    answer.headers = event.headers
                 elif isinstance(event, Body):
                     answer.body += bytes(event.data)
                 elif isinstance(event, End):
--- a/violetstack/rehearsal/demo.py
+++ b/violetstack/rehearsal/demo.py
@@ -16,7 +16,7 @@
 
 from violetstack import log
 from violetstack.config import Address, Config, load
-from violetstack.net.daemon import Daemon
+from violetstack.daemon.daemon import Daemon
 from violetstack.rehearsal.clients import ask_chat, chat_body, chat_headers
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import ModelHost
@@ -116,7 +116,7 @@
     click.echo(
         "\nIt stays until Ctrl-C. An order goes by another route, and sent twice runs once:\n\n"
         f"    curl -N {url} -H 'Authorization: Bearer {KEY}' \\\n"
-        "      -d '{\"model\":\"giro-consulta\",\"stream\":true,"
+        '      -d \'{"model":"giro-consulta","stream":true,'
         '"messages":[{"role":"user","content":"hello"}]}\'\n\n'
         f"    curl -i {url} -H 'Authorization: Bearer {KEY}' -H 'Idempotency-Key: order-1' \\\n"
         '      -d \'{"model":"giro-orden","messages":[{"role":"user","content":"ten to Ana"}]}\'\n'
--- a/violetstack/rehearsal/fleet/audit.py
+++ b/violetstack/rehearsal/fleet/audit.py
@@ -13,7 +13,9 @@
 LATE_ANSWER_S = 0.5  # past its time an answer earns nothing; later than this it is lost
 BUCKET_S = 0.5
 WHOLE_FOR_S = 1.0  # service is whole from when it has been so for this long
-SERVED_PART, FIRST_TOKEN_MOST = 0.98, 1.5  # of the first tries; times the median before the first trouble
+# of the first tries; times the median before the first trouble
+SERVED_PART = 0.98
+FIRST_TOKEN_MOST = 1.5
 
 
 @dataclass(slots=True)
@@ -201,7 +203,8 @@
     before = [row.first_ms for row in rows if warm <= row.at < fault_at and row.first_ms is not None]
     if not before:
         return None
-    usual, need = median(before), int(WHOLE_FOR_S / BUCKET_S)
+    usual = median(before)
+    need = int(WHOLE_FOR_S / BUCKET_S)
 
     def whole(row: Line) -> bool:
         if not row.asked or row.first_ms is None:
--- a/violetstack/rehearsal/fleet/hosts.py
+++ b/violetstack/rehearsal/fleet/hosts.py
@@ -8,12 +8,14 @@
 import trio
 
 from violetstack.rehearsal.fleet.audit import Audit
-from violetstack.rehearsal.fleet.lean import LAST, Ended, Wire, chunk, message
+from violetstack.rehearsal.fleet.minimal_http import LAST, Ended, Wire, chunk, message
 from violetstack.rehearsal.peer import Peer
 
-COLD_SHARE, COLD_S = 0.3, 14.0
+COLD_SHARE = 0.3
+COLD_S = 14.0
 REPORT_S = 0.4  # a report is refreshed so often
-STREAM_S, STREAM_EVENTS = 0.6, 4
+STREAM_S = 0.6
+STREAM_EVENTS = 4
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 WORD = b'data: {"choices":[{"index":0,"delta":{"content":"word"},"finish_reason":null}]}\n\n'
 
@@ -34,12 +36,21 @@
         born: float | None = None,
     ) -> None:
         super().__init__()
-        self.name, self.kind, self.slots, self.queue, self.work_s = name, kind, slots, queue, work_s
-        self.audit, self.clock, self.born = audit, clock, born
-        self.inside, self.state, self.fallen = 0, "active", False
+        self.name = name
+        self.kind = kind
+        self.slots = slots
+        self.queue = queue
+        self.work_s = work_s
+        self.audit = audit
+        self.clock = clock
+        self.born = born
+        self.inside = 0
+        self.state = "active"
+        self.fallen = False
         self.fails = False  # answers each request with an error
         self._room = trio.CapacityLimiter(slots)
-        self._report, self._report_at = (0, 0.0), -math.inf
+        self._report = (0, 0.0)
+        self._report_at = -math.inf
 
     def warmth(self) -> float:
         if self.born is None:
@@ -50,7 +61,8 @@
         now = self.clock()
         if now - self._report_at >= REPORT_S:
             share = min(1.0, self.inside / (self.slots + self.queue))
-            self._report, self._report_at = (self.inside, share), now
+            self._report = (self.inside, share)
+            self._report_at = now
         return f"TEXT rif={self._report[0]}, x0={self._report[1]:.3f}"
 
     async def _connection(self, raw: trio.SocketStream) -> None:
@@ -69,7 +81,8 @@
     async def _request(self, wire: Wire) -> None:
         words, headers = await wire.head()
         body = await wire.body(int(headers.get("content-length", 0)))
-        now, path = self.clock(), words[1]
+        now = self.clock()
+        path = words[1]
         if path.startswith("/state/"):
             request = path.removeprefix("/state/")
             if words[0] == "DELETE":
@@ -82,7 +95,8 @@
                 await self._answer(wire, 200 if held else 409)
             return
         request = headers["req-id"]
-        work, warmth = self.work_s * self._size(body), self.warmth()
+        work = self.work_s * self._size(body)
+        warmth = self.warmth()
         capacity = warmth * self.slots if warmth < 1.0 else None
         if not self.audit.arrived(now, self.name, request, work, capacity):
             self.fallen = True
@@ -137,6 +151,12 @@
     def row(self, started_ms: float = 0.0) -> dict[str, object]:
         """Its entry in discovery's list."""
         return {
-            "id": self.name, "addr": self.address, "zone": "z", "kind": self.kind, "cell": 0,
-            "state": self.state, "weight": 1.0, "started_ms": started_ms,
-        }  # fmt: skip
+            "id": self.name,
+            "addr": self.address,
+            "zone": "z",
+            "kind": self.kind,
+            "cell": 0,
+            "state": self.state,
+            "weight": 1.0,
+            "started_ms": started_ms,
+        }
--- a/violetstack/rehearsal/fleet/lean.py
+++ b/violetstack/rehearsal/fleet/minimal_http.py
@@ -18,7 +18,8 @@
     """One connection; what was read too much waits for the next message."""
 
     def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream, self.rest = stream, b""
+        self.stream = stream
+        self.rest = b""
 
     async def more(self) -> None:
         try:
@@ -41,7 +42,8 @@
     async def body(self, length: int) -> bytes:
         while len(self.rest) < length:
             await self.more()
-        body, self.rest = self.rest[:length], self.rest[length:]
+        body = self.rest[:length]
+        self.rest = self.rest[length:]
         return body
 
     async def send(self, data: bytes) -> None:
@@ -68,7 +70,10 @@
     stays."""
 
     def __init__(self) -> None:
-        self.status, self.retry_after, self.first, self.whole = 0, 0.0, False, False
+        self.status = 0
+        self.retry_after = 0.0
+        self.first = False
+        self.whole = False
         self.kept = False
 
     @property
@@ -82,7 +87,8 @@
 
 class Client:
     def __init__(self, stream: trio.SocketStream) -> None:
-        self.wire, self.answer = Wire(stream), Answer()
+        self.wire = Wire(stream)
+        self.answer = Answer()
 
     async def ask(self, request: bytes) -> None:
         """Until the answer's head and, of a stream, its first bytes."""
@@ -101,7 +107,8 @@
     async def finish(self) -> None:
         while not self.wire.rest.endswith(LAST):
             await self.wire.more()
-        self.answer.whole, self.wire.rest = True, b""
+        self.answer.whole = True
+        self.wire.rest = b""
 
 
 async def connect(at: Address) -> trio.SocketStream:
--- a/violetstack/rehearsal/fleet/network.py
+++ b/violetstack/rehearsal/fleet/network.py
@@ -15,8 +15,12 @@
 from violetstack.rehearsal.fleet.audit import Audit
 from violetstack.rehearsal.peer import Break, PeerConnection
 
-SAID, HEARD = 7000, 7946  # ports: a dispatcher as the others know it, and where it listens
-LOSS, LATE_S, USUAL_S = 0.3, 0.2, 0.003
+# ports: a dispatcher as the others know it, and where it listens
+SAID = 7000
+HEARD = 7946
+LOSS = 0.3
+LATE_S = 0.2
+USUAL_S = 0.003
 Where = Callable[[int, int], Address]
 
 
@@ -27,9 +31,13 @@
         self, number: int, rows: list[dict[str, Any]], audit: Audit, now: Callable[[], float]
     ) -> None:
         super().__init__(*rows)
-        self.number, self.mode, self.audit, self.now = number, "", audit, now
+        self.number = number
+        self.mode = ""
+        self.audit = audit
+        self.now = now
         self.calls: list[float] = []
-        self.old, self.news = list(rows), trio.Event()
+        self.old = list(rows)
+        self.news = trio.Event()
 
     async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
         self.calls.append(self.now())
@@ -78,7 +86,10 @@
     """
 
     def __init__(self, size: int, seed: int, address: Where, nursery: trio.Nursery) -> None:
-        self.size, self.seed, self.address, self.nursery = size, seed, address, nursery
+        self.size = size
+        self.seed = seed
+        self.address = address
+        self.nursery = nursery
         self.how: dict[int, str] = {}
         self.sockets: list[trio.socket.SocketType] = []
         self.saw: Callable[[int, bytes], None] = lambda by, data: None
@@ -95,7 +106,8 @@
             sock.close()
 
     async def run(self, number: int) -> None:
-        sock, luck = self.sockets[number], random.Random(self.seed * 1000 + number)
+        sock = self.sockets[number]
+        luck = random.Random(self.seed * 1000 + number)
         while True:
             try:
                 data, sender = await sock.recvfrom(2048)
--- a/violetstack/rehearsal/fleet/programs.py
+++ b/violetstack/rehearsal/fleet/programs.py
@@ -33,11 +33,17 @@
     """One dispatcher's process, its configuration and its log."""
 
     def __init__(self, number: int, at: Address, told: dict[str, Any], plan: Plan, root: Path) -> None:
-        self.number, self.at, self.told, self.root = number, at, told, root
-        self.sockets, self.file = plan.sockets, plan.file
+        self.number = number
+        self.at = at
+        self.told = told
+        self.root = root
+        self.sockets = plan.sockets
+        self.file = plan.file
         self.process: subprocess.Popen[bytes] | None = None
         self.log: IO[bytes] = tempfile.TemporaryFile()  # noqa: SIM115 - until the run has been judged
-        self.started_at, self.ready_at, self.last_yes = 0.0, math.inf, -math.inf
+        self.started_at = 0.0
+        self.ready_at = math.inf
+        self.last_yes = -math.inf
         self.wanted = False
         self.idle: list[trio.SocketStream] = []  # clients' connections
 
@@ -58,13 +64,20 @@
         env = {"PATH": os.environ.get("PATH", ""), "NODE_CONFIG": f"/proc/self/fd/{files[0]}"}
         more = f" serve /proc/self/fd/{files[1]}" if self.file else ""
         self.process = subprocess.Popen(
-            command(self.root, more), cwd=self.root, env=env, pass_fds=files, stdin=subprocess.DEVNULL,
+            command(self.root, more),
+            cwd=self.root,
+            env=env,
+            pass_fds=files,
+            stdin=subprocess.DEVNULL,
             preexec_fn=child,  # noqa: PLW1509 - the rehearsal has one thread
-            stdout=self.log, stderr=self.log,
-        )  # fmt: skip
+            stdout=self.log,
+            stderr=self.log,
+        )
         for file in files:
             os.close(file)
-        self.started_at, self.ready_at, self.wanted = now, math.inf, True
+        self.started_at = now
+        self.ready_at = math.inf
+        self.wanted = True
 
     def send(self, number: int) -> None:
         if self.process is not None:
--- a/violetstack/rehearsal/fleet/report.py
+++ b/violetstack/rehearsal/fleet/report.py
@@ -45,8 +45,10 @@
     for first, last, by, fence in result.holders:
         rows.append(f"  duty: dispatcher {by} by {fence}, {first:.2f} to {last:.2f} s")
     if result.ready_s:
-        rows.append(f"ready after a start: {min(result.ready_s):.2f} to {max(result.ready_s):.2f} s, "
-                    f"median {median(result.ready_s):.2f} s")  # fmt: skip
+        rows.append(
+            f"ready after a start: {min(result.ready_s):.2f} to {max(result.ready_s):.2f} s, "
+            f"median {median(result.ready_s):.2f} s"
+        )
     rows += [f"BROKEN {breach}" for breach in result.breaches[:20]]
     rows += [f"  {line}" for line in result.loud]
     rows += [f"CRASHED {text}" for text in result.crashed]
