--- a/violetstack/rehearsal/fleet/ground.py
+++ b/violetstack/rehearsal/fleet/runner.py
@@ -22,7 +22,7 @@
 from violetstack.lease.messages import Kind, decode, is_lease
 from violetstack.rehearsal.fleet.audit import Asked, Audit, Line, lines, to_full_s
 from violetstack.rehearsal.fleet.hosts import COLD_S, COLD_SHARE, STREAM_S, Engine
-from violetstack.rehearsal.fleet.lean import Client, Ended, connect, message
+from violetstack.rehearsal.fleet.minimal_http import Client, Ended, connect, message
 from violetstack.rehearsal.fleet.network import HEARD, SAID, Agent, Relay
 from violetstack.rehearsal.fleet.plan import Plan, Trouble, numbers
 from violetstack.rehearsal.fleet.programs import ROOT, Program
@@ -51,9 +51,11 @@
         self._run = next(RUNS)
         rules = SETTINGS["rules"]
         self.audit = Audit(
-            rules["stop_sending_within"] / 1000.0, SETTINGS["family_info"]["release"] / 1000.0,
-            rules["fall"] / 1000.0, rules["fall_multiple"],
-        )  # fmt: skip
+            rules["stop_sending_within"] / 1000.0,
+            SETTINGS["family_info"]["release"] / 1000.0,
+            rules["fall"] / 1000.0,
+            rules["fall_multiple"],
+        )
         self.nursery: trio.Nursery
         self.began = time.monotonic()
         self.programs: list[Program] = []
@@ -66,7 +68,9 @@
         # A relay carries what would cost each sender a call a receiver: only where it is to lose something.
         self.relayed = "duties" in plan.file or any(each.do == "network" for each in plan.trouble)
         self.struck: set[int] = set()  # whose links were broken
-        self.lag, self._asked, self._starts = 0.0, 0, 0
+        self.lag = 0.0
+        self._asked = 0
+        self._starts = 0
 
     def now(self) -> float:
         return time.monotonic() - self.began
@@ -84,30 +88,43 @@
         work_s = READ_S if kind == "prefill" else STREAM_S
         slots = max(2, math.ceil(plan.rate / count / plan.load * work_s))
         return Engine(
-            name, kind, slots=slots, queue=4 * slots, work_s=work_s, audit=self.audit, clock=self.now,
+            name,
+            kind,
+            slots=slots,
+            queue=4 * slots,
+            work_s=work_s,
+            audit=self.audit,
+            clock=self.now,
             born=born,
-        )  # fmt: skip
+        )
 
     def _told(self, number: int, rows: list[dict[str, Any]]) -> dict[str, Any]:
         plan = self.plan
         settings = {
-            **SETTINGS, "fleet_size": plan.dispatchers, "me": number,
+            **SETTINGS,
+            "fleet_size": plan.dispatchers,
+            "me": number,
             "parties": [{"name": "acme", "fraction": 1.0, "allowance_per_s": 2.0 * plan.rate}],
             "limits": {**SETTINGS["limits"], "peers": plan.tells},
             "rules": {**SETTINGS["rules"], "cold_share": COLD_SHARE, "cold": COLD_S * 1000.0},
-        }  # fmt: skip
-        own, relayed = self.address(number, HEARD), self.relayed
+        }
+        own = self.address(number, HEARD)
+        relayed = self.relayed
         at = [self.address(n, SAID if relayed and n != number else HEARD) for n in range(plan.dispatchers)]
         everyone = self.address(number, SAID) if relayed else None
         host, port = self.address(number, 5000)
         return {
             "mgmt": f"{host}:{DOOR}" if plan.door else None,
-            "name": f"n{number}", "listen": f"{host}:{port}", "discovery": self.agents[number].address,
-            "peer_listen": f"{own[0]}:{own[1]}", "peers": [f"{host}:{port}" for host, port in at],
+            "name": f"n{number}",
+            "listen": f"{host}:{port}",
+            "discovery": self.agents[number].address,
+            "peer_listen": f"{own[0]}:{own[1]}",
+            "peers": [f"{host}:{port}" for host, port in at],
             "peers_all": f"{everyone[0]}:{everyone[1]}" if everyone is not None else None,
             "limits": {"sockets": plan.sockets, "memory_mb": 192.0},
-            "known": {"version": 1, "full": True, "servers": rows}, "settings": settings,
-        }  # fmt: skip
+            "known": {"version": 1, "full": True, "servers": rows},
+            "settings": settings,
+        }
 
     async def run(self) -> Result:
         plan = self.plan
@@ -137,9 +154,11 @@
                 with trio.fail_after(30.0):
                     while any(p.ready_at == math.inf for p in self.programs):
                         await trio.sleep(0.02)
-                self.began, self.lag = time.monotonic(), 0.0
+                self.began = time.monotonic()
+                self.lag = 0.0
                 self.audit.holders = []
-                self.inside, self.ready_s = [], []
+                self.inside = []
+                self.ready_s = []
                 for agent in self.agents:
                     agent.calls = []
                 for p in self.programs:
@@ -224,16 +243,21 @@
         there = [p for p in self.programs if self.now() - p.last_yes < self.plan.notice]
         if not there:
             there = self.programs
-        program, now = self.random.choice(there), self.now()
+        program = self.random.choice(there)
+        now = self.now()
         self._asked += 1
         asked = Asked(f"q{self._asked}", program.number, order, first, now, now + GIVE_UP_S)
         self.audit.asked[asked.id] = asked
         headers = {
-            "Host": "app.svc", "Req-Id": asked.id, "Req-Kind": "orden" if order else "consulta",
-            "Req-Owner": "acme", "Req-Key": f"s{session}", "Req-Deadline": f"{GIVE_UP_S * 1000:.0f}m",
+            "Host": "app.svc",
+            "Req-Id": asked.id,
+            "Req-Kind": "orden" if order else "consulta",
+            "Req-Owner": "acme",
+            "Req-Key": f"s{session}",
+            "Req-Deadline": f"{GIVE_UP_S * 1000:.0f}m",
             "Req-Extra": f"prefix=p{session % 8},prompt_len={length // 4},prefix_len={length // 8},"
             "max_out=50",
-        }  # fmt: skip
+        }
         request = message("POST /v1/chat/completions HTTP/1.1", headers, BODY % (b"x" * length))
         client: Client | None = None
         try:
@@ -360,7 +384,8 @@
             agent.tell(*rows)
 
     def _result(self) -> Result:
-        plan, audit = self.plan, self.audit
+        plan = self.plan
+        audit = self.audit
         audit.close(self.now())
         calls = [at for agent in self.agents for at in agent.calls]
         rows: list[Line] = lines(list(audit.asked.values()), self.inside, calls, plan.seconds)
@@ -383,22 +408,32 @@
         return Result(
             [msgspec.to_builtins(row) for row in rows],
             to_full_s(rows, plan.warm / 2, plan.fault_at, plan.over_at),
-            [round(s, 3) for s in self.ready_s], audit.breaches, audit.stale, answers, round(self.lag, 3),
-            self.lag > VOID_LAG_S, self.crashed, events, loud, dict(audit.failures),
+            [round(s, 3) for s in self.ready_s],
+            audit.breaches,
+            audit.stale,
+            answers,
+            round(self.lag, 3),
+            self.lag > VOID_LAG_S,
+            self.crashed,
+            events,
+            loud,
+            dict(audit.failures),
             [(round(row.first, 2), round(row.last, 2), row.by, row.fence) for row in audit.holders],
-            sorted(ends), self._others(),
-        )  # fmt: skip
-
+            sorted(ends),
+            self._others(),
+        )
 
     def _others(self) -> tuple[int, int, float] | None:
         """Of the dispatchers whose links held, while others' were broken: asked, served, first token, ms."""
         plan = self.plan
         times = [(each.at, each.at + each.lasts) for each in plan.trouble if each.do == "link"]
         rows = [
-            each for each in self.audit.asked.values()
-            if each.first_try and each.dispatcher not in self.struck
+            each
+            for each in self.audit.asked.values()
+            if each.first_try
+            and each.dispatcher not in self.struck
             and any(first <= each.sent < last for first, last in times)
-        ]  # fmt: skip
+        ]
         firsts = [(each.first - each.sent) * 1000.0 for each in rows if each.first is not None]
         if not firsts:
             return None
--- a/violetstack/rehearsal/hosts.py
+++ b/violetstack/rehearsal/hosts.py
@@ -80,7 +80,9 @@
 
     def __init__(self, name: str, kind: str, *acts: Act, cell: int = 0) -> None:
         super().__init__()
-        self.name, self.kind, self.cell = name, kind, cell
+        self.name = name
+        self.kind = kind
+        self.cell = cell
         self.acts = deque(acts)
         self.begun: list[str] = []  # ids (or names, on a plain host) of requests that arrived whole
         self.runs: Counter[str] = Counter()  # answers begun, by what was asked
--- a/violetstack/rehearsal/peer.py
+++ b/violetstack/rehearsal/peer.py
@@ -12,7 +12,8 @@
     """One accepted connection, as a script sees it."""
 
     def __init__(self, stream: trio.abc.Stream) -> None:
-        self.stream, self.http = stream, ServerSide()
+        self.stream = stream
+        self.http = ServerSide()
 
     async def _send(self, parts: list[bytes]) -> None:
         if parts:
--- a/violetstack/rehearsal/stories.py
+++ b/violetstack/rehearsal/scenarios.py
@@ -134,7 +134,8 @@
 
 async def reload(on: Stage, reader: ModelHost, writer: ModelHost) -> Told:
     """The configuration names another discovery, which knows another writer."""
-    other, discovery = ModelHost("other", "decode"), Discovery()
+    other = ModelHost("other", "decode")
+    discovery = Discovery()
     await on.nursery.start(other.serve)
     discovery.tell(reader.row(), other.row())
     await on.nursery.start(discovery.serve)
@@ -151,7 +152,8 @@
 
 
 async def play(story: Story) -> Told:
-    reader, writer = ModelHost("reader", "prefill"), ModelHost("writer", "decode")
+    reader = ModelHost("reader", "prefill")
+    writer = ModelHost("writer", "decode")
     with tempfile.TemporaryDirectory() as folder, trio.fail_after(LIMIT_S):
         chat: dict[str, Any] = {"ledger": {"file": str(Path(folder) / "orders.sqlite")}}
         async with stage(reader, writer, chat=chat) as on:
--- a/violetstack/rehearsal/stage.py
+++ b/violetstack/rehearsal/stage.py
@@ -12,8 +12,8 @@
 import trio
 
 from violetstack.config import Address, Config, WConfig
+from violetstack.daemon.daemon import Daemon
 from violetstack.language.compiling import load
-from violetstack.net.daemon import Daemon
 from violetstack.operators import OperatorFile
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import ModelHost
@@ -29,17 +29,31 @@
     "kinds": ["prefill", "decode"],
     "zones": ["z"],
     "family_info": {
-        "ahead": True, "release": 1000.0, "stage_of_kind": ["read", "write"],
-        "kv_tokens": [200000.0, 200000.0], "token_aim": [60.0, 80.0],
+        "ahead": True,
+        "release": 1000.0,
+        "stage_of_kind": ["read", "write"],
+        "kv_tokens": [200000.0, 200000.0],
+        "token_aim": [60.0, 80.0],
     },
     "limits": {
-        "cancel": True, "connect_timeout": 250.0, "max_attempts": 5, "max_retry_after": 500.0,
-        "may_duplicate": True, "retry_after": True, "idle_close": 30000.0,
+        "cancel": True,
+        "connect_timeout": 250.0,
+        "max_attempts": 5,
+        "max_retry_after": 500.0,
+        "may_duplicate": True,
+        "retry_after": True,
+        "idle_close": 30000.0,
     },
     "report": {"how": "inline", "names": ["rif", "x0"]},
-    "rules": {"cold": 14000.0, "cold_share": 0.3, "fall": 1500.0, "fall_multiple": 2.5,
-              "grace_to_answer": 16.0, "stop_sending_within": 250.0},
-}  # fmt: skip
+    "rules": {
+        "cold": 14000.0,
+        "cold_share": 0.3,
+        "fall": 1500.0,
+        "fall_multiple": 2.5,
+        "grace_to_answer": 16.0,
+        "stop_sending_within": 250.0,
+    },
+}
 
 CHAT: dict[str, Any] = {
     "listen": "127.0.0.1:0",
@@ -89,12 +103,15 @@
         discovery = Discovery(*rows)
         await nursery.start(discovery.serve)
         told = {
-            "name": "n0", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "seed": "1",
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "mgmt": "127.0.0.1:0",
+            "seed": "1",
             "discovery": discovery.address,
             "limits": {"sockets": sockets, "memory_mb": memory_mb},
             "settings": {**SETTINGS, **(settings or {})},
             "known": {"version": 1, "full": True, "servers": rows},
-        }  # fmt: skip
+        }
         plain = [{"id": h.name, "address": h.address} for h in hosts if h.kind == "openai"]
         operator = msgspec.convert({**CHAT, "hosts": plain, **(chat or {})}, OperatorFile)
         compiled = load(file)[0] if file is not None else None
@@ -104,7 +121,15 @@
         daemon = Daemon(config)
         serving = await nursery.start(daemon.serve)
         yield Stage(
-            daemon, discovery, serving.platform, serving.chat, serving.challenge, nursery, told, operator,
-            plan, serving.door or serving.platform,
-        )  # fmt: skip
+            daemon,
+            discovery,
+            serving.platform,
+            serving.chat,
+            serving.challenge,
+            nursery,
+            told,
+            operator,
+            plan,
+            serving.door or serving.platform,
+        )
         nursery.cancel_scope.cancel()
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -1,4 +1,4 @@
-"""All of violetstack's decisions. Its types, events and actions stand in violetstack/interface.py.
+"""All of violetstack's decisions. Its types, events and actions stand in violetstack/policy_api.py.
 
 The mechanism is Phasor's Virtual Freeness (docs/design.md): a prompt goes to the reader with the most
 headroom, its own reads out there priced quadratically against a budget; a place is held ahead, as the
@@ -9,21 +9,24 @@
 
 import random
 from msgspec.structs import replace
-from hashlib import blake2b
 from math import exp, inf
 
-from violetstack.interface import (
-    Action, Begun, Cancel, ClassSpec, Effect, Entry, Event, Fail, Group, HoldPlace, Left, ListNews, Log,
-    ListScope, Outcome, PeerMessage, PlaceNote, Probe, Probed, Refuse, Release, Request, Role, Send,
-    ServerState, Settings, Status, Stopping, Tell, Timer, TimerDue, Trial, Watch, Woke,
+from violetstack.policy_api import (
+    Action, AttemptFinished, AttemptStatus, CancelAttempt, ClassSettings, ClientDisconnected,
+    DeduplicationScope, Endpoint, EndpointState, EndpointUpdate, Event, FailRequest, GossipReceived,
+    HealthCheckResult, Idempotency, OutlierCheckResult, ProcessPaused, RejectRequest, ReleaseState, Request,
+    ReservationResult, ReserveDecodeSlot, Role, SendAttempt, SendGossip, SendHealthCheck, SetWatch, Settings,
+    ShutdownStarted, StartTimer, StreamStarted, TimerFired, UpdateScope, WriteLog, BLAMED_STATUSES,
+    GOSSIPED_STATUSES, MAY_HAVE_RUN_STATUSES,
 )  # fmt: skip
-from violetstack.freshness.ageing import FEW, Fading, Recent
-from violetstack.peers.sharing import (
+from violetstack.estimation.decay import FEW, Fading, Recent
+from violetstack.estimation.prefill_cost import price
+from violetstack.gossip.load_gossip import (
     ANEW, FAILED, MOST_TOLD, UNTOLD, BadDatagram, Shared, code_of, datagram, tag_of,
 )  # fmt: skip
+from violetstack.rendezvous import host_score
 from violetstack.shared.budgets import Bucket, tenant_share
 
-ALPHA, BETA, MODEL_FACTOR = 4.25e-5, 6.80e-3, 1.0  # the design page: price of a read
 NEAR = 0.1  # the design page: freeness within this of the best counts as equal
 FIRST_SPEED = 1.0  # price a millisecond until any reader was heard; only scales the near-best band
 FIRST_MEMORY_TOKENS = 100_000.0  # where no memory size is told and none was learned
@@ -40,14 +43,6 @@
 TELL_MS, LATER_MS = 20.0, 1_000.0  # what changed within this time goes to the others in one datagram
 RETRY_MS = 500.0  # between calls to a list that failed, and between probes
 
-MAY_HAVE_RUN = frozenset({Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED})
-BLAMED = frozenset({Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CONNECT_FAILED, Status.FULL})
-TOLD = frozenset({Status.ERROR, Status.RESET, Status.CONNECT_FAILED})  # the others are a matter of load
-
-
-def price(length: float) -> float:
-    return ALPHA * length * length + BETA * MODEL_FACTOR * length
-
 
 class Try:
     """One attempt, until its outcome."""
@@ -62,7 +57,7 @@
 class Job:
     """One request: owns its attempts, the state and the place held for it, its deadline and final answer."""
 
-    def __init__(self, req: Request, spec: ClassSpec, shortest: float, most: int, now: float) -> None:
+    def __init__(self, req: Request, spec: ClassSettings, shortest: float, most: int, now: float) -> None:
         self.req, self.spec, self.sent = req, spec, 0
         self.deadline = now + req.expires_in_ms
         length = req.prompt_tokens
@@ -98,20 +93,21 @@
     def may_repeat(self, server: Server, now: float) -> bool:
         """Rule 2: may a (further) attempt with effect go to this server?"""
         first = self.ran
-        if first is None or self.spec.effect is Effect.SAFE:
+        if first is None or self.spec.effect is Idempotency.IDEMPOTENT:
             return True
-        if self.spec.effect is Effect.UNSAFE or now >= first.sent_at + self.spec.window_ms - GUARD_MS:
+        past_window = now >= first.sent_at + self.spec.window_ms - GUARD_MS
+        if self.spec.effect is Idempotency.NON_IDEMPOTENT or past_window:
             return False
         mine, theirs = server.entry, first.server.entry
-        if self.spec.group is Group.ZONE:
+        if self.spec.group is DeduplicationScope.ZONE:
             return mine.zone == theirs.zone
-        return self.spec.group is Group.ALL or mine.cell == theirs.cell
+        return self.spec.group is DeduplicationScope.ALL or mine.cell == theirs.cell
 
     def refusable(self) -> bool:
         """Rule 2: a refusal says that a retry does no harm."""
-        if self.spec.effect is Effect.SAFE:
+        if self.spec.effect is Idempotency.IDEMPOTENT:
             return True
-        if self.spec.effect is Effect.KEYED and self.spec.group is Group.ALL:
+        if self.spec.effect is Idempotency.IDEMPOTENCY_KEY and self.spec.group is DeduplicationScope.ALL:
             return True
         return self.ran is None and not self.out
 
@@ -119,7 +115,7 @@
 class Server:
     """What this front knows of one server: the list's entry, its own work there, what it learned."""
 
-    def __init__(self, entry: Entry, lot: float, now: float) -> None:
+    def __init__(self, entry: Endpoint, lot: float, now: float) -> None:
         self.entry, self.usable, self.lot = entry, True, lot  # the lot differs from front to front
         self.tag, self.told, self.told_at = tag_of(entry.server), 0, now  # the code others last had, and when
         self.out: dict[tuple[str, int], Try] = {}
@@ -178,11 +174,11 @@
 
     def code(self, server: Server) -> int:
         """What the other fronts are told of our work there."""
-        return code_of(server.own_reads() if self.role(server) is Role.READ else server.own_tokens())
+        return code_of(server.own_reads() if self.role(server) is Role.PREFILL else server.own_tokens())
 
     def reads_out(self, server: Server) -> float:
         """Priced reads out there: ours, and what the other fronts told; of mixed servers they tell tokens."""
-        return server.own_reads() + (0.0 if self.role(server) is Role.BOTH else self.shared.at(server.tag))
+        return server.own_reads() + (0.0 if self.role(server) is Role.MIXED else self.shared.at(server.tag))
 
     def tokens_out(self, server: Server) -> float:
         return server.own_tokens() + self.shared.at(server.tag)
@@ -193,21 +189,22 @@
 
     def role(self, server: Server) -> Role:
         roles, kind = self.settings.roles, server.entry.kind
-        return roles[kind] if kind < len(roles) else Role.BOTH
+        return roles[kind] if kind < len(roles) else Role.MIXED
 
     def list_changed(self) -> None:
         for server in self.servers.values():
-            server.usable = server.entry.state is ServerState.HEALTHY
+            server.usable = server.entry.state is EndpointState.HEALTHY
         usable = [(s, self.role(s)) for s in self.servers.values() if s.usable]
         self.pools = {
-            True: [s for s, role in usable if role is not Role.WRITE],
-            False: [s for s, role in usable if role is not Role.READ],
+            True: [s for s, role in usable if role is not Role.DECODE],
+            False: [s for s, role in usable if role is not Role.PREFILL],
         }
         self.orders = {}
 
     def forget_gone(self) -> None:
         """Guards the memory: hosts come with new ids all day; one that is gone ends with its last attempt."""
-        for server in [s for s in self.servers.values() if s.entry.state is ServerState.GONE and not s.out]:
+        removed = [s for s in self.servers.values() if s.entry.state is EndpointState.REMOVED]
+        for server in [s for s in removed if not s.out]:
             del self.servers[server.entry.server]
 
     def warmth(self, server: Server, now: float) -> float:
@@ -277,7 +274,7 @@
         if key not in self.orders:
             if len(self.orders) > MOST_ORDERS:
                 self.orders = {}
-            self.orders[key] = sorted(self.pools[True], key=lambda s: rendezvous(key, s))
+            self.orders[key] = sorted(self.pools[True], key=lambda s: host_score(key, s.entry.server))
         return self.orders[key]
 
     def homes(self, req: Request) -> list[Server]:
@@ -289,7 +286,7 @@
         if req.shared is None:
             return self.order(req.session or req.id)
         order = self.order(req.shared)
-        near = sorted(order[:HOMES], key=lambda s: rendezvous(f"{req.session}\n{req.shared}", s))
+        near = sorted(order[:HOMES], key=lambda s: host_score(f"{req.session}\n{req.shared}", s.entry.server))
         return near + order[HOMES:]
 
     def claim(self, server: Server, job: Job) -> float:
@@ -314,7 +311,7 @@
     def read_freeness(self, server: Server, job: Job, now: float) -> float:
         """Virtual Freeness of a reader with this prompt added: one minus the priced reads over the budget."""
         backlog = self.unread_price(server, job, now) + self.reads_out(server)
-        if self.role(server) is Role.BOTH:
+        if self.role(server) is Role.MIXED:
             backlog += sum(t.price for t in server.out.values() if not t.reading and not t.begun)
         budget = job.aim * self.speed(server, now)
         return 1.0 - backlog / budget - server.left.at(now)
@@ -360,10 +357,6 @@
         server.seen_share.add(now, share)
 
 
-def rendezvous(key: str, server: Server) -> bytes:
-    return blake2b(f"{key}\n{server.entry.server}".encode(), digest_size=8).digest()
-
-
 class Router:
     """One front's decisions: events in, actions out; the clock and the seed are handed in."""
 
@@ -392,11 +385,11 @@
     def start(self) -> None:
         self.started = True
         if self.settings.must_ask:
-            self.act(Watch(True))
+            self.act(SetWatch(True))
         if self.settings.reports_on_probe and self.settings.may_probe:
-            self.act(Timer(RETRY_MS, "poll"))
+            self.act(StartTimer(RETRY_MS, "poll"))
         if self.settings.may_tell:
-            self.act(Tell(ANEW))
+            self.act(SendGossip(ANEW))
 
     # --- the other fronts ---
 
@@ -404,7 +397,7 @@
         """A stream's end may wait for the next word: a datagram has its price, and streams take seconds."""
         if self.settings.may_tell and self.now + within_ms < self.telling:
             self.telling = self.now + within_ms
-            self.act(Timer(within_ms, "tell"))
+            self.act(StartTimer(within_ms, "tell"))
 
     def tell(self) -> None:
         """What we have out where it changed since it was told, and who failed us."""
@@ -419,7 +412,7 @@
             entries.append((server.tag, code))
             server.told, server.told_at = code, self.now
         if entries:
-            self.act(Tell(datagram(entries)))
+            self.act(SendGossip(datagram(entries)))
         if len(entries) == MOST_TOLD:  # what did not fit goes next, the longest untold first
             self.tell_soon()
 
@@ -431,17 +424,17 @@
         if busy:
             self.tell_soon(within_ms)
 
-    def on_woke(self, event: Woke) -> None:
+    def on_woke(self, event: ProcessPaused) -> None:
         """Nothing is decided on what was known before the gap, and nothing is learned across it."""
         self.gap = event.gap_ms
         for t in [t for job in self.jobs.values() for t in job.out.values()]:
             t.across = True
         self.fleet.shared.forget()
         if self.settings.may_tell:
-            self.act(Tell(ANEW))
+            self.act(SendGossip(ANEW))
             self.tell_anew(TELL_MS)
 
-    def on_peer(self, message: PeerMessage) -> None:
+    def on_peer(self, message: GossipReceived) -> None:
         """Guards against learning it forty times over: a server that failed one front has failed all."""
         fleet = self.fleet
         if message.peer == self.settings.me:
@@ -451,13 +444,13 @@
         try:
             failed = fleet.shared.hear(self.now, message.peer, message.payload, len(fleet.servers))
         except BadDatagram as error:
-            self.act(Log(f"peer {message.peer}: {error}"))
+            self.act(WriteLog(f"peer {message.peer}: {error}"))
             return
         for server in fleet.servers.values() if failed else ():
             if server.tag in failed:
                 server.blame(self.now, 0.0)
 
-    def on_trial(self, event: Trial) -> None:
+    def on_trial(self, event: OutlierCheckResult) -> None:
         """Guards against finding out at each front: one tries what failed, and the others leave it alone.
 
         Its word takes nothing out by itself: two failures have to be known here, ours or told by others.
@@ -475,51 +468,51 @@
         match event:
             case Request():
                 self.on_request(event)
-            case Outcome():
+            case AttemptFinished():
                 self.on_outcome(event)
-            case Begun():
+            case StreamStarted():
                 self.on_begun(event)
-            case PlaceNote():
+            case ReservationResult():
                 self.on_place(event)
-            case TimerDue():
+            case TimerFired():
                 self.on_timer(event.token)
-            case ListNews():
+            case EndpointUpdate():
                 self.on_list(event)
-            case Left():
+            case ClientDisconnected():
                 self.on_left(event.id)
-            case Probed():
+            case HealthCheckResult():
                 if (server := self.fleet.servers.get(event.server)) is not None:
                     self.fleet.report(server, event.report, self.now)
-            case PeerMessage():
+            case GossipReceived():
                 self.on_peer(event)
-            case Woke():
+            case ProcessPaused():
                 self.on_woke(event)
-            case Trial():
+            case OutlierCheckResult():
                 self.on_trial(event)
-            case Stopping():
+            case ShutdownStarted():
                 for request_id in list(self.jobs):  # as if their time were up
                     self.on_timer(f"d:{request_id}")
 
     # --- the list of servers ---
 
-    def on_list(self, news: ListNews) -> None:
-        if news.scope is ListScope.FAILED:
+    def on_list(self, news: EndpointUpdate) -> None:
+        if news.scope is UpdateScope.FAILED:
             if self.settings.must_ask:
-                self.act(Timer(RETRY_MS * (1.0 + self.random.random()), "watch"))
+                self.act(StartTimer(RETRY_MS * (1.0 + self.random.random()), "watch"))
             return
         named = {entry.server for entry in news.entries}
         for name, server in self.fleet.servers.items():
-            if news.scope is not ListScope.DELTA and name not in named:
-                server.entry = replace(server.entry, state=ServerState.GONE)
+            if news.scope is not UpdateScope.DELTA and name not in named:
+                server.entry = replace(server.entry, state=EndpointState.REMOVED)
         for entry in news.entries:
             self.on_entry(entry)
         self.fleet.list_changed()
         for server in self.fleet.servers.values():
             if not server.usable and (server.places or server.out):
-                self.drop(server, server.entry.state is ServerState.GONE)
+                self.drop(server, server.entry.state is EndpointState.REMOVED)
         self.fleet.forget_gone()
 
-    def on_entry(self, entry: Entry) -> None:
+    def on_entry(self, entry: Endpoint) -> None:
         server = self.fleet.servers.get(entry.server)
         if server is None:
             server = self.fleet.servers[entry.server] = Server(entry, self.random.random(), self.now)
@@ -535,7 +528,7 @@
                 self.hold_place(job, next(iter(job.out.values())).server)
         for t in list(server.out.values()) if gone and self.settings.may_cancel else ():
             if t.reading and not t.job.done:
-                self.act(Cancel(t.job.req.id, t.n))
+                self.act(CancelAttempt(t.job.req.id, t.n))
 
     def headroom(self, now: float) -> tuple[float | None, float | None]:
         """Freeness of the best reader and writer now, for whoever watches; None where there is none."""
@@ -554,7 +547,7 @@
 
     def avoided(self, now: float) -> int:
         """Listed servers that are not chosen now: draining, or without any room for what failed there."""
-        listed = [s for s in self.fleet.servers.values() if s.entry.state is not ServerState.GONE]
+        listed = [s for s in self.fleet.servers.values() if s.entry.state is not EndpointState.REMOVED]
         return sum(1 for s in listed if not s.usable or s.left.at(now) >= 1.0)
 
     # --- a request's way ---
@@ -562,8 +555,8 @@
     def on_request(self, req: Request) -> None:
         spec = self.settings.classes[req.cls]
         job = self.jobs[req.id] = Job(req, spec, self.shortest, self.settings.max_attempts, self.now)
-        self.act(Timer(max(0.0, req.expires_in_ms - GUARD_MS), f"g:{req.id}"))
-        self.act(Timer(max(0.0, req.expires_in_ms - LAST_MS), f"d:{req.id}"))
+        self.act(StartTimer(max(0.0, req.expires_in_ms - GUARD_MS), f"g:{req.id}"))
+        self.act(StartTimer(max(0.0, req.expires_in_ms - LAST_MS), f"d:{req.id}"))
         self.start_read(job)
 
     def start_read(self, job: Job) -> None:
@@ -576,7 +569,7 @@
             else:
                 self.send(job, writer, False)
             return
-        reading = self.fleet.role(reader) is Role.READ
+        reading = self.fleet.role(reader) is Role.PREFILL
         if self.too_late(job, reader) or (reading and not self.candidates(job, False)):
             self.give_up(job)  # the second: nobody could write the answer, so the read would be for nothing
             return
@@ -656,7 +649,7 @@
         job.place, job.held, job.pinned = writer, False, True
         writer.places[job.req.id] = job.tokens
         self.tell_soon()
-        self.act(HoldPlace(job.req.id, writer.entry.server))
+        self.act(ReserveDecodeSlot(job.req.id, writer.entry.server))
 
     def forget_place(self, job: Job) -> None:
         if job.place is not None:
@@ -672,7 +665,8 @@
         job.out[n] = server.out[(job.req.id, n)] = t
         self.tell_soon()
         server.tickets.take()
-        self.act(Send(job.req.id, server.entry.server, min(job.deadline, self.now + self.bound(job, t))))
+        stop_at = min(job.deadline, self.now + self.bound(job, t))
+        self.act(SendAttempt(job.req.id, server.entry.server, stop_at))
 
     def bound(self, job: Job, t: Try) -> float:
         """How long a try may take before another is made elsewhere; the client's time where none could be.
@@ -684,10 +678,10 @@
         patience = max(2.0 * job.aim - 1.5 * job.spec.aim_ms, 4.0 * usual.middle(self.now))
         patience /= self.fleet.warmth(t.server, self.now)
         spare = job.most - job.sent - (3 if t.reading else 2)
-        may = t.reading or job.spec.effect is Effect.SAFE
+        may = t.reading or job.spec.effect is Idempotency.IDEMPOTENT
         return patience if may and spare >= 0 else job.deadline - self.now
 
-    def on_place(self, note: PlaceNote) -> None:
+    def on_place(self, note: ReservationResult) -> None:
         """The note comes with the reading attempt and names the reader, so it speaks of the latest place."""
         job = self.jobs.get(note.id)
         if job is None or job.place is None or note.attempt not in job.out:
@@ -701,7 +695,7 @@
         if reads and not job.done:
             self.hold_place(job, reads[0].server)
 
-    def on_begun(self, event: Begun) -> None:
+    def on_begun(self, event: StreamStarted) -> None:
         job = self.jobs.get(event.id)
         t = job.out.get(event.attempt) if job is not None else None
         if job is None or t is None:
@@ -718,31 +712,31 @@
         fleet.took.setdefault(job.scope, Recent(FEW + 1, 6 * LEARN_MS)).add(self.now, job.part(self.now))
         server.streak = 0
 
-    def on_outcome(self, event: Outcome) -> None:
+    def on_outcome(self, event: AttemptFinished) -> None:
         job = self.jobs.get(event.id)
         t = job.out.pop(event.attempt, None) if job is not None else None
         if job is None or t is None:
             return
         t.server.out.pop((event.id, event.attempt), None)
-        self.tell_soon(TELL_MS if t.reading or event.status in TOLD else LATER_MS)
+        self.tell_soon(TELL_MS if t.reading or event.status in GOSSIPED_STATUSES else LATER_MS)
         self.learn(t, event)
         job.done = job.done or event.settled
         if job.done:
-            job.pinned = job.pinned or event.status is Status.READ
+            job.pinned = job.pinned or event.status is AttemptStatus.PREFILLED
             self.close(job)
-        elif event.status is Status.READ:
+        elif event.status is AttemptStatus.PREFILLED:
             self.after_read(job, t)
         else:
             self.after_failure(job, t, event)
 
-    def learn(self, t: Try, event: Outcome) -> None:
+    def learn(self, t: Try, event: AttemptFinished) -> None:
         now, server, fleet = self.now, t.server, self.fleet
         fleet.report(server, event.report, now - self.gap)
-        if t.reading and not t.across and event.status in (Status.READ, Status.TIMEOUT):
+        if t.reading and not t.across and event.status in (AttemptStatus.PREFILLED, AttemptStatus.TIMEOUT):
             fleet.reads.add(now, event.took_ms)
-        if event.status is Status.TIMEOUT and not t.reading and not t.begun:
+        if event.status is AttemptStatus.TIMEOUT and not t.reading and not t.begun:
             fleet.waits.add(now, event.took_ms)
-        if event.status is Status.READ:
+        if event.status is AttemptStatus.PREFILLED:
             ahead = t.ahead - t.price + price(t.job.req.prompt_tokens - event.note)
             for owner in () if t.across else (fleet, server):
                 owner.cleared.add(now, ahead)
@@ -756,10 +750,11 @@
                 if len(fleet.last) > MOST_SESSIONS:
                     del fleet.last[next(iter(fleet.last))]
             server.streak = 0
-        if event.status in BLAMED and not t.begun and not (event.status is Status.FULL and event.note == 1):
+        state_lost = event.status is AttemptStatus.REJECTED and event.note == 1
+        if event.status in BLAMED_STATUSES and not t.begun and not state_lost:
             budget = t.job.aim * fleet.speed(server, now) if t.reading else fleet.memory(server, now)
             server.blame(now, (t.price if t.reading else t.job.tokens) / budget)
-            if event.status in TOLD:
+            if event.status in GOSSIPED_STATUSES:
                 self.failures[server.tag] = None
 
     def after_read(self, job: Job, t: Try) -> None:
@@ -779,19 +774,19 @@
             self.send(job, writer, False)
             writer.places.pop(job.req.id, None)
 
-    def after_failure(self, job: Job, t: Try, event: Outcome) -> None:
+    def after_failure(self, job: Job, t: Try, event: AttemptFinished) -> None:
         """Another try, where attempts, time and the class's effect rule allow; else the final answer."""
         job.failed.append(t.server)
-        if not t.reading and event.status in MAY_HAVE_RUN:
+        if not t.reading and event.status in MAY_HAVE_RUN_STATUSES:
             job.ran = job.ran or t
         if job.out:
             return
         again = job.most - job.sent
-        no_state = event.status is Status.ERROR or (event.status is Status.FULL and event.note == 1)
+        rejected = event.status is AttemptStatus.REJECTED
+        no_state = event.status is AttemptStatus.ERROR or (rejected and event.note == 1)
         lost = t.reading or job.held or job.state_at is None or no_state
         late = self.now >= job.deadline - GUARD_MS
-        away = event.status is Status.FULL and event.note != 1  # asked again, the same would turn it away
-        away = away and all(s in job.failed for s in self.candidates(job, t.reading))
+        away = rejected and event.note != 1 and all(s in job.failed for s in self.candidates(job, t.reading))
         spent = late or away or again < (2 if lost else 1)
         if spent or (job.course is not None and not job.course.may_repeat(self.now)):
             self.give_up(job)
@@ -806,7 +801,7 @@
     def let_go(self, job: Job) -> None:
         """Rule 5: once no attempt is out, whatever is held for the request is released."""
         if job.pinned:
-            self.act(Release(job.req.id))
+            self.act(ReleaseState(job.req.id))
         self.forget_place(job)
         job.state_at, job.pinned = None, False
 
@@ -819,9 +814,9 @@
         """The final answer: a refusal with advice where a retry is known to be harmless, else a failure."""
         if job.refusable():
             advice = min(self.settings.max_retry_after_ms, job.aim) if self.settings.retry_after else 0.0
-            self.act(Refuse(job.req.id, advice))
+            self.act(RejectRequest(job.req.id, advice))
         else:
-            self.act(Fail(job.req.id))
+            self.act(FailRequest(job.req.id))
         self.end(job)
 
     def end(self, job: Job) -> None:
@@ -833,7 +828,7 @@
         if self.settings.may_cancel:
             for t in job.out.values():
                 if not t.begun:
-                    self.act(Cancel(job.req.id, t.n))
+                    self.act(CancelAttempt(job.req.id, t.n))
 
     def on_left(self, request_id: str) -> None:
         if (job := self.jobs.get(request_id)) is not None:
@@ -842,7 +837,7 @@
     def on_timer(self, token: str) -> None:
         kind, _, rest = token.partition(":")
         if kind == "watch":
-            self.act(Watch(True))
+            self.act(SetWatch(True))
         elif kind == "poll":
             self.poll()
         elif kind == "tell":
@@ -859,5 +854,5 @@
         servers = [s for s in self.fleet.servers.values() if s.usable]
         if servers:
             self.polled += 1
-            self.act(Probe(servers[self.polled % len(servers)].entry.server))
-        self.act(Timer(RETRY_MS, "poll"))
+            self.act(SendHealthCheck(servers[self.polled % len(servers)].entry.server))
+        self.act(StartTimer(RETRY_MS, "poll"))
--- a/violetstack/routing/conditions.py
+++ b/violetstack/routing/conditions.py
@@ -15,7 +15,8 @@
 PROMPT = "prompt"
 REQUEST_ATTRIBUTES = (*FINITE, PROMPT)
 HOST_ATTRIBUTES = ("kind", "zone", "cell", "label", "host")
-YES, NO = "yes", "no"
+YES = "yes"
+NO = "no"
 CLOSED: dict[str, frozenset[str]] = {"front": frozenset({"platform", "chat"}), "retry": frozenset({YES, NO})}
 NEVER_ENDS = 1 << 62  # tokens; the open end of an interval
 MAX_BOXES = 256  # of one condition; guards the index against conditions that multiply out
@@ -171,7 +172,8 @@
     high: int = NEVER_ENDS
 
     def meet(self, other: Box) -> Box | None:
-        low, high = max(self.low, other.low), min(self.high, other.high)
+        low = max(self.low, other.low)
+        high = min(self.high, other.high)
         if low >= high:
             return None
         choices = tuple(a.meet(b) for a, b in zip(self.choices, other.choices, strict=True))
@@ -197,9 +199,11 @@
     match condition:
         case Among():
             level = FINITE.index(condition.attribute)
-            names, out = condition.values, not wanted
+            names = condition.values
+            out = not wanted
             if condition.attribute in CLOSED and out:
-                names, out = CLOSED[condition.attribute] - names, False
+                names = CLOSED[condition.attribute] - names
+                out = False
             choice = Choice(names, out)
             row = tuple(choice if n == level else WHOLE for n in range(len(FINITE)))
             return [] if choice.empty else [Box(row)]
--- a/violetstack/routing/generations.py
+++ b/violetstack/routing/generations.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from violetstack import interface as t
 from violetstack.core.records import NotRouted, Origin
+from violetstack.policy_api import EndpointState, EndpointUpdate, Request, Settings, UpdateScope
 from violetstack.routing.policies import Policy, RetryBudget
 from violetstack.routing.pools import HostFacts, PoolBook, PoolSpec, facts_of
 from violetstack.routing.table import Asked, Route, Table
@@ -32,7 +32,10 @@
     """One configuration's routing. `open` counts the requests that were taken under it."""
 
     def __init__(self, number: int, plan: Plan, classes: tuple[str, ...], tenants: tuple[str, ...]) -> None:
-        self.number, self.plan, self.classes, self.tenants = number, plan, classes, tenants
+        self.number = number
+        self.plan = plan
+        self.classes = classes
+        self.tenants = tenants
         closed = {"class": frozenset(classes)}
         if tenants:
             closed["tenant"] = frozenset(tenants)
@@ -45,7 +48,7 @@
         }
         self.open = 0
 
-    def asked(self, request: t.Request, origin: Origin) -> Asked:
+    def asked(self, request: Request, origin: Origin) -> Asked:
         tenant = self.tenants[request.tenant] if request.tenant < len(self.tenants) else ""
         repeat = request.repeat or request.resumed
         prompt = int(request.prompt_tokens)
@@ -58,7 +61,10 @@
     __slots__ = ("_at", "_members", "asked", "attempts", "budget", "generation", "pool", "route", "used")
 
     def __init__(self, generation: Generation, route: Route, asked: Asked) -> None:
-        self.generation, self.route, self.pool, self.asked = generation, route, route.pool, asked
+        self.generation = generation
+        self.route = route
+        self.pool = route.pool
+        self.asked = asked
         policy = generation.plan.policies.get(route.policy, EVERYONE)
         self.attempts = policy.attempts or 1_000_000
         self.budget = generation.budgets.get(route.policy)
@@ -70,7 +76,8 @@
         """The pool in use now; empty for all hosts."""
         if self.pool and now != self._at:
             book = self.generation.book
-            self.used, self._at = book.active(self.pool, now), now
+            self.used = book.active(self.pool, now)
+            self._at = now
             self._members = book.states[self.used].members
         return self.used
 
@@ -92,11 +99,22 @@
     """The generation in force, and the older ones that still have requests."""
 
     def __init__(
-        self, plan: Plan, settings: t.Settings, *, classes: tuple[str, ...], tenants: tuple[str, ...],
-        kinds: tuple[str, ...], zones: tuple[str, ...], log: Callable[..., None],
-    ) -> None:  # fmt: skip
-        self._roles, self._kinds, self._zones, self._log = settings.roles, kinds, zones, log
-        self._classes, self._tenants = classes, tenants
+        self,
+        plan: Plan,
+        settings: Settings,
+        *,
+        classes: tuple[str, ...],
+        tenants: tuple[str, ...],
+        kinds: tuple[str, ...],
+        zones: tuple[str, ...],
+        log: Callable[..., None],
+    ) -> None:
+        self._roles = settings.roles
+        self._kinds = kinds
+        self._zones = zones
+        self._log = log
+        self._classes = classes
+        self._tenants = tenants
         self.current = Generation(1, plan, classes, tenants)
         self.older: list[Generation] = []
 
@@ -109,21 +127,21 @@
             self.older.append(old)
         return self.current
 
-    def told(self, now: float, news: t.ListNews) -> None:
+    def told(self, now: float, news: EndpointUpdate) -> None:
         """News of the list, to every generation that still has requests."""
-        if news.scope is t.ListScope.FAILED:
+        if news.scope is UpdateScope.FAILED:
             return
         here: dict[str, HostFacts] = {}
         gone = []
         labels = self.current.plan.labels
         for entry in news.entries:
-            if entry.state is t.ServerState.HEALTHY:
+            if entry.state is EndpointState.HEALTHY:
                 label = labels.get(entry.server, frozenset())
                 here[entry.server] = facts_of(entry, self._roles, self._kinds, self._zones, label)
             else:
                 gone.append(entry.server)
         for generation in (self.current, *self.older):
-            generation.book.told(now, here, gone, news.scope is not t.ListScope.DELTA)
+            generation.book.told(now, here, gone, news.scope is not UpdateScope.DELTA)
         self.tell_changes()
 
     def tell_changes(self) -> None:
@@ -134,7 +152,7 @@
         for generation in (self.current, *self.older):
             generation.book.changes.clear()
 
-    def route(self, request: t.Request, origin: Origin) -> t.Request:
+    def route(self, request: Request, origin: Origin) -> Request:
         """Sets the request's course and its policy's deadline, and returns it. Raises NotRouted."""
         generation = self.current
         if not generation.plan:
@@ -151,7 +169,7 @@
             request.expires_in_ms = min(request.expires_in_ms, policy.deadline_ms)
         return request
 
-    def taken(self, now: float, request: t.Request) -> None:
+    def taken(self, now: float, request: Request) -> None:
         course = request.course
         if isinstance(course, Course):
             course.generation.open += 1
@@ -160,7 +178,7 @@
             if course.budget is not None:
                 course.budget.taken(now)
 
-    def closed(self, now: float, request: t.Request) -> None:
+    def closed(self, now: float, request: Request) -> None:
         """The request is over; a generation that is not in force ends with its last one."""
         course = request.course
         if isinstance(course, Course):
@@ -170,13 +188,19 @@
                 self.older = [g for g in self.older if g is not generation]
         self.tell_changes()
 
-    def told_of(self, request: t.Request) -> dict[str, Any]:
+    def told_of(self, request: Request) -> dict[str, Any]:
         course = request.course
         if not isinstance(course, Course):
             return {}
         asked = course.asked
         return {
-            "route": course.route.name, "pool": course.used, "generation": course.generation.number,
-            "class": asked.cls, "tenant": asked.tenant, "model": asked.model, "front": asked.front,
-            "prompt": asked.prompt, "retry": asked.retry,
-        }  # fmt: skip
+            "route": course.route.name,
+            "pool": course.used,
+            "generation": course.generation.number,
+            "class": asked.cls,
+            "tenant": asked.tenant,
+            "model": asked.model,
+            "front": asked.front,
+            "prompt": asked.prompt,
+            "retry": asked.retry,
+        }
--- a/violetstack/routing/policies.py
+++ b/violetstack/routing/policies.py
@@ -30,7 +30,8 @@
     MOST_REQUESTS = 200.0  # and the share of so many requests
 
     def __init__(self, share: float, floor: float) -> None:
-        self.share, self.floor = share, floor
+        self.share = share
+        self.floor = floor
         self.most = max(1.0, floor * self.KEPT_S, share * self.MOST_REQUESTS)
         self.left = max(1.0, floor)
         self.at: float | None = None
--- a/violetstack/routing/pools.py
+++ b/violetstack/routing/pools.py
@@ -18,7 +18,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
-from violetstack import interface as t
+from violetstack.policy_api import Endpoint, Role
 from violetstack.routing.conditions import ALWAYS, Condition, Values, holds
 
 FLAP_MS = 60_000.0
@@ -123,12 +123,14 @@
             if state.usable:
                 soon = state.lost and state.back_at is not None and now < state.back_at + FLAP_MS
                 state.flaps = state.flaps + 1 if soon else 0
-                state.usable, state.lost = False, True
+                state.usable = False
+                state.lost = True
                 self.changes.append(Change(name, True, len(state.members), self.active(name, now)))
         elif state.enough_since is None:
             state.enough_since = now
             if not state.lost:
-                state.usable, state.back_at = True, now
+                state.usable = True
+                state.back_at = now
 
     def hold_ms(self, name: str) -> float:
         """How long it must stay whole before it takes its traffic back."""
@@ -139,7 +141,8 @@
         if not state.usable and state.enough_since is not None:
             if now < state.enough_since + self.hold_ms(name):
                 return False
-            state.usable, state.back_at = True, now
+            state.usable = True
+            state.back_at = now
             self.changes.append(Change(name, False, len(state.members), name))
         return state.usable
 
@@ -181,17 +184,23 @@
 
 
 def facts_of(
-    entry: t.Entry, roles: tuple[t.Role, ...], kinds: tuple[str, ...], zones: tuple[str, ...],
+    entry: Endpoint,
+    roles: tuple[Role, ...],
+    kinds: tuple[str, ...],
+    zones: tuple[str, ...],
     labels: frozenset[str] = frozenset(),
-) -> HostFacts:  # fmt: skip
+) -> HostFacts:
     """A list entry in the words of the operator's file."""
 
     def named(names: tuple[str, ...], index: int) -> str:
         return names[index] if 0 <= index < len(names) else str(index)
 
-    role = roles[entry.kind] if entry.kind < len(roles) else t.Role.BOTH
+    role = roles[entry.kind] if entry.kind < len(roles) else Role.MIXED
     values: Values = {
-        "host": entry.server, "kind": named(kinds, entry.kind), "zone": named(zones, entry.zone),
-        "cell": str(entry.cell), "label": labels,
-    }  # fmt: skip
-    return HostFacts(values, role is not t.Role.WRITE, role is not t.Role.READ)
+        "host": entry.server,
+        "kind": named(kinds, entry.kind),
+        "zone": named(zones, entry.zone),
+        "cell": str(entry.cell),
+        "label": labels,
+    }
+    return HostFacts(values, role is not Role.DECODE, role is not Role.PREFILL)
--- a/violetstack/routing/regions.py
+++ b/violetstack/routing/regions.py
@@ -45,7 +45,9 @@
 
 class _Builder:
     def __init__(self, found: list[tuple[int, Box]], universe: Universe) -> None:
-        self.found, self.universe, self.work = found, universe, 0
+        self.found = found
+        self.universe = universe
+        self.work = 0
         self.known: dict[tuple[int, tuple[int, ...]], Node] = {}
 
     def build(self, level: int, ids: list[int]) -> Node:
@@ -92,7 +94,10 @@
     """All regions of a table's routes. `universe` tells the closed sets of names."""
 
     def __init__(self, table: Table) -> None:
-        self.table, self.routes, self.universe, self.boxes = table, table.routes, table.universe, table.boxes
+        self.table = table
+        self.routes = table.routes
+        self.universe = table.universe
+        self.boxes = table.boxes
         found = [(rank, box) for rank, row in enumerate(self.boxes) for box in row]
         self.root = _Builder(found, self.universe).build(0, list(range(len(found))))
 
@@ -184,7 +189,8 @@
 
 def moved(before: Table, after: Table) -> list[Moved]:
     """What goes elsewhere, from the two partitions alone: equal regions compare equal however written."""
-    old, new = Partition(before), Partition(after)
+    old = Partition(before)
+    new = Partition(after)
     found: list[Moved] = []
     same: set[tuple[int, int]] = set()
 
--- a/violetstack/routing/table.py
+++ b/violetstack/routing/table.py
@@ -27,7 +27,7 @@
     boxes,
     holds,
     why_not,
-)  # fmt: skip
+)
 
 MAX_WORK = 50_000  # entries placed for the names that others exclude, in one node; past it they are loose
 NONE = 1 << 60  # the rank of no route
@@ -138,7 +138,8 @@
     for rank, box in entries:
         n = next_free(at[box.low])
         while n < at[box.high]:
-            painted[n], free[n] = rank, n + 1
+            painted[n] = rank
+            free[n] = n + 1
             n = next_free(n)
     starts: list[int] = []
     winners: list[int] = []
@@ -169,7 +170,9 @@
         self.root = build([(rank, box, False) for rank, row in enumerate(self.boxes) for box in row])
 
     def find(self, asked: Asked) -> Route | None:
-        finite, prompt, best = asked.finite, asked.prompt, NONE
+        finite = asked.finite
+        prompt = asked.prompt
+        best = NONE
         ahead = [self.root]
         while ahead:
             node = ahead.pop()
--- a/violetstack/serving.py
+++ b/violetstack/serving.py
@@ -7,9 +7,9 @@
 import trio
 
 from violetstack.config import BadConfig, load
+from violetstack.daemon.daemon import run
 from violetstack.log import log
-from violetstack.net.daemon import run
-from violetstack.net.inherited import inherited_socket
+from violetstack.net.inherited_listener import inherited_socket
 
 
 def serve(path: str, file: str | None = None) -> int:
--- a/violetstack/facts.py
+++ b/violetstack/settings.py
@@ -10,7 +10,14 @@
 
 import msgspec
 
-from violetstack import interface as t
+from violetstack.policy_api import (
+    ClassSettings,
+    DeduplicationScope,
+    Idempotency,
+    Role,
+    Settings,
+    TenantSettings,
+)
 
 T = TypeVar("T")
 
@@ -92,9 +99,9 @@
 
 
 _EFFECT = {
-    "read_like": t.Effect.SAFE,
-    "idempotency_key": t.Effect.KEYED,
-    "non_idempotent": t.Effect.UNSAFE,
+    "read_like": Idempotency.IDEMPOTENT,
+    "idempotency_key": Idempotency.IDEMPOTENCY_KEY,
+    "non_idempotent": Idempotency.NON_IDEMPOTENT,
 }
 
 
@@ -112,15 +119,15 @@
     return values[index] if values is not None and index < len(values) else 0.0
 
 
-def _class(spec: WClass, index: int, family: WFamily) -> t.ClassSpec:
+def _class(spec: WClass, index: int, family: WFamily) -> ClassSettings:
     for key, value, least in (("aim", spec.aim, 0.0), ("give_up", spec.give_up, 1.0)):
         if value < least:
             raise Malformed(f"classes[{index}].{key}: {value:g} ms leaves no time to answer in")
     try:
-        group = t.Group(spec.group or "all")
+        group = DeduplicationScope(spec.group or "all")
     except ValueError:
         raise Malformed(f"unknown group {spec.group!r}") from None
-    return t.ClassSpec(
+    return ClassSettings(
         aim_ms=spec.aim,
         give_up_ms=spec.give_up,
         effect=word_in(_EFFECT, spec.idempotency, "idempotency"),
@@ -134,25 +141,29 @@
     )
 
 
-def settings_of(facts: WFacts, seed: int) -> t.Settings:
+def settings_of(facts: WFacts, seed: int) -> Settings:
     """The start-up facts as the module's settings; what is absent gets the mildest reading."""
     if not facts.classes:
         raise Malformed("classes: there is none, so nothing could be served")
-    family, limits = facts.family_info or WFamily(), facts.limits or WLimits()
-    rules, report = facts.rules or WRules(), facts.report or WReport()
+    family = facts.family_info or WFamily()
+    limits = facts.limits or WLimits()
+    rules = facts.rules or WRules()
+    report = facts.report or WReport()
     stages = family.stage_of_kind or ["both"] * max(1, len(facts.kinds or []))
     try:
-        roles = tuple(t.Role(word) for word in stages)
+        roles = tuple(Role(word) for word in stages)
     except ValueError as error:
         raise Malformed(f"unknown stage_of_kind: {error}") from None
     names = tuple(report.names or ()) if report.how in ("inline", "on_probe") else ()
-    return t.Settings(
+    return Settings(
         seed=seed,
         me=facts.me,
         fleet_size=max(1, facts.fleet_size),
         zone=facts.zone,
         classes=tuple(_class(spec, index, family) for index, spec in enumerate(facts.classes)),
-        tenants=tuple(t.TenantSpec(p.fraction or 0.0, p.allowance_per_s or 0.0) for p in facts.parties or ()),
+        tenants=tuple(
+            TenantSettings(p.fraction or 0.0, p.allowance_per_s or 0.0) for p in facts.parties or ()
+        ),
         over_share_worth=1.0 if facts.over_share_worth is None else facts.over_share_worth,
         roles=roles,
         memory_tokens=tuple(family.kv_tokens or ()),
--- a/violetstack/lab/exhaustive.py
+++ b/violetstack/simulation/exhaustive.py
@@ -19,9 +19,12 @@
 from violetstack.lease.elector import Elector, Granted
 from violetstack.lease.messages import Ballot, Item, Kind, who
 
-LENGTH_MS, DUTY, ELECTORS = 100.0, 7, 3
+LENGTH_MS = 100.0
+DUTY = 7
+ELECTORS = 3
 TIMES = (0.0, 100.0, 103.0, 203.0, 206.0)  # within a lease, at its end, after it; and again
-SLOW, FAST = 1.0 / 1.01, 1.0 / 0.99
+SLOW = 1.0 / 1.01
+FAST = 1.0 / 0.99
 ANSWER_TO = {Phase.PREPARING: Kind.PROMISE, Phase.PROPOSING: Kind.ACCEPTED}
 ZERO = Ballot(0, 0)
 
@@ -103,7 +106,8 @@
 
     def _as_elector(self, at: Voter) -> Elector:
         each = self._elector
-        each.silent_until, each.floor = at.silent_until, at.floor
+        each.silent_until = at.silent_until
+        each.floor = at.floor
         each._alone_until, each._need, each._told = float("inf"), 2, set(range(at.told))
         each.duties = {DUTY: Granted(at.promised, at.ballot, at.owner, at.until, at.fence, 0.0)}
         return each
@@ -112,29 +116,50 @@
         row = each.duties.get(DUTY) or Granted()
         until = row.until if row.owner is not None else 0.0
         return at._replace(
-            promised=row.promised, ballot=row.ballot, owner=row.owner, until=until, fence=row.fence,
-            floor=each.floor, silent_until=each.silent_until, told=len(each._told),
-        )  # fmt: skip
+            promised=row.promised,
+            ballot=row.ballot,
+            owner=row.owner,
+            until=until,
+            fence=row.fence,
+            floor=each.floor,
+            silent_until=each.silent_until,
+            told=len(each._told),
+        )
 
     def _as_candidate(self, n: int, at: Asker) -> Candidate:
         each = self._candidates[n]
-        each.phase, each._ballot, each._sent_at, each._answers = at.phase, at.ballot, at.sent_at, set()
-        each._highest, each._was_mine, each._proposed = at.highest, at.was_mine, at.proposed
-        each.until, each.fence, each._next_at = at.until, at.fence, 0.0
+        each.phase = at.phase
+        each._ballot = at.ballot
+        each._sent_at = at.sent_at
+        each._answers = set()
+        each._highest = at.highest
+        each._was_mine = at.was_mine
+        each._proposed = at.proposed
+        each.until = at.until
+        each.fence = at.fence
+        each._next_at = 0.0
         each.changes.clear()
         return each
 
     def _as_asker(self, each: Candidate, starts: int) -> Asker:
         busy = each.phase is not Phase.IDLE
         return Asker(
-            each.phase, each._ballot, each._sent_at if busy else 0.0, each._highest, each._was_mine and busy,
-            each._proposed if busy else 0, each.until, each.fence if each.until else 0, starts,
-        )  # fmt: skip
+            each.phase,
+            each._ballot,
+            each._sent_at if busy else 0.0,
+            each._highest,
+            each._was_mine and busy,
+            each._proposed if busy else 0,
+            each.until,
+            each.fence if each.until else 0,
+            starts,
+        )
 
     # --- what may happen next ---
 
     def following(self, at: State) -> Iterator[tuple[str, State]]:
-        mine, theirs = TIMES[at.time] * SLOW, TIMES[at.time] * FAST
+        mine = TIMES[at.time] * SLOW
+        theirs = TIMES[at.time] * FAST
         for n, asker in enumerate(at.askers):
             yield from self._asks(at, n, asker, mine)
         for e, voter in enumerate(at.voters):
@@ -162,11 +187,14 @@
         each._again(now)
         yield f"{n} gives up its try", self._moved(at, n, each, [], asker.starts)
         kind = ANSWER_TO[asker.phase]
-        rows = [[i for m, i in v.answers if m == n and i.kind is kind and i.ballot == asker.ballot]
-                for v in at.voters]  # fmt: skip
+        rows = [
+            [i for m, i in v.answers if m == n and i.kind is kind and i.ballot == asker.ballot]
+            for v in at.voters
+        ]
         for some in (*combinations(range(ELECTORS), 1), *combinations(range(ELECTORS), 2)):
             for items in product(*(rows[e] for e in some)):
-                each, more = self._as_candidate(n, asker), list[Item]()
+                each = self._as_candidate(n, asker)
+                more = list[Item]()
                 for e, item in zip(some, items, strict=True):
                     if each.phase is asker.phase:
                         more = each.on(now, e, item)
@@ -226,14 +254,16 @@
         if len(holding) > 1:
             return "two hold it"
         for n in holding:
-            fence, (highest, whose) = after.askers[n].fence, before.last
+            fence = after.askers[n].fence
+            (highest, whose) = before.last
             if not before.askers[n].until and (fence < highest or (fence == highest and n != whose)):
                 return f"{n} holds by {fence}, {whose} had by {highest}"
         return ""
 
     def explore(self, most: int) -> Found:
         """Up to `most` states, the nearest first."""
-        seen, came = {_key(self.first)}, dict[int, tuple[int, str]]()
+        seen = {_key(self.first)}
+        came = dict[int, tuple[int, str]]()
         queue = deque([self.first])
         while queue and len(seen) < most:
             at = queue.popleft()
--- a/violetstack/lab/faults.py
+++ b/violetstack/simulation/faults.py
@@ -57,10 +57,14 @@
 
 # Found by chance within a minute of virtual time; the others take every order of events (`exhaustive`).
 BY_CHANCE = (
-    "no silence after a restart", "an elector's time is too short", "a number is used again",
-    "a majority is one too few", "it holds past its time", "an old ballot is accepted",
+    "no silence after a restart",
+    "an elector's time is too short",
+    "a number is used again",
+    "a majority is one too few",
+    "it holds past its time",
+    "an old ballot is accepted",
     "a promise is forgotten at once",
-)  # fmt: skip
+)
 
 
 @contextmanager
--- a/violetstack/lab/leases.py
+++ b/violetstack/simulation/leases.py
@@ -9,10 +9,12 @@
 from itertools import count
 
 from violetstack.lease.candidate import electors
-from violetstack.lease.member import EVERYONE, Member
 from violetstack.lease.messages import duty_of
+from violetstack.lease.node import EVERYONE, Member
 
-LENGTH_MS, NAME, KEYS = 2_000.0, "tickets r0", (b"new", b"old")
+LENGTH_MS = 2_000.0
+NAME = "tickets r0"
+KEYS = (b"new", b"old")
 DUTY = duty_of(NAME)
 
 
@@ -20,7 +22,9 @@
     """One dispatcher's part in the duty. Its clock runs at a rate of its own."""
 
     def __init__(self, world: World, number: int, born: int, *, fresh: bool) -> None:
-        self.world, self.number, self.born = world, number, born
+        self.world = world
+        self.number = number
+        self.born = born
         luck = random.Random(f"{world.seed} {number} {born}")
         self.rate, self.offset = 1.0 + luck.uniform(-0.009, 0.009), luck.uniform(0.0, 1e6)
         self.stopped_until = 0.0
@@ -51,7 +55,8 @@
         self.processes = [Process(self, n, 1, fresh=False) for n in range(size)]
         self.fences: list[tuple[int, int]] = []  # of the effects that were applied: fence, who
         self.breaches: list[str] = []
-        self.held_ms, self.changes = 0.0, 0
+        self.held_ms = 0.0
+        self.changes = 0
         self._last: int | None = None
         self.forgotten = False
         for n in range(size):
--- a/violetstack/wirehost.py
+++ b/violetstack/simulator_adapter.py
@@ -1,7 +1,7 @@
 """Adapter for the operators' wire: JSON lines on standard input and output, one Router an instance.
 
 It translates and nothing else; every decision is the module's (violetstack/router.py).
-Run it with `python -m violetstack.wirehost`.
+Run it with `python -m violetstack.simulator_adapter`.
 """
 
 from __future__ import annotations
@@ -11,9 +11,38 @@
 
 import msgspec
 
-from violetstack import interface as t
-from violetstack.facts import Malformed, WFacts, Wire, settings_of, word_in
+from violetstack.policy_api import (
+    Action,
+    AttemptFinished,
+    AttemptStatus,
+    CancelAttempt,
+    ClientDisconnected,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    Event,
+    FailRequest,
+    FetchEndpoints,
+    GossipReceived,
+    HealthCheckResult,
+    MigrateStream,
+    RejectRequest,
+    ReleaseState,
+    Request,
+    ReservationResult,
+    ReserveDecodeSlot,
+    SendAttempt,
+    SendGossip,
+    SendHealthCheck,
+    SetWatch,
+    StartTimer,
+    StreamStarted,
+    TimerFired,
+    UpdateScope,
+    WriteLog,
+)
 from violetstack.router import Router
+from violetstack.settings import Malformed, WFacts, Wire, settings_of, word_in
 
 
 class _Event(Wire, tag_field="op"):
@@ -120,8 +149,18 @@
 
 
 WEvent = (
-    WUp | WList | WAnnounce | WWorkItem | WPong | WBegun
-    | WElapsed | WAhead | WInbox | WKilled | WLeft | WResolved
+    WUp
+    | WList
+    | WAnnounce
+    | WWorkItem
+    | WPong
+    | WBegun
+    | WElapsed
+    | WAhead
+    | WInbox
+    | WKilled
+    | WLeft
+    | WResolved
 )
 
 
@@ -132,31 +171,31 @@
 
 
 _STATUS = {
-    "pass": t.Status.OK,
-    "fault": t.Status.ERROR,
-    "no_room": t.Status.FULL,
-    "too_slow": t.Status.TIMEOUT,
-    "no_route": t.Status.CONNECT_FAILED,
-    "cut": t.Status.RESET,
-    "undone": t.Status.CANCELLED,
-    "stale_send": t.Status.MOOT,
-    "ready_to_answer": t.Status.READ,
+    "pass": AttemptStatus.OK,
+    "fault": AttemptStatus.ERROR,
+    "no_room": AttemptStatus.REJECTED,
+    "too_slow": AttemptStatus.TIMEOUT,
+    "no_route": AttemptStatus.CONNECT_FAILED,
+    "cut": AttemptStatus.RESET,
+    "undone": AttemptStatus.CANCELLED,
+    "stale_send": AttemptStatus.ALREADY_FINISHED,
+    "ready_to_answer": AttemptStatus.PREFILLED,
 }
 _STATE = {
-    "healthy": t.ServerState.HEALTHY,
-    "cordoned": t.ServerState.DRAINING,
-    "deregistered": t.ServerState.GONE,
+    "healthy": EndpointState.HEALTHY,
+    "cordoned": EndpointState.DRAINING,
+    "deregistered": EndpointState.REMOVED,
 }
 _SCOPE = {
-    "incr": t.ListScope.DELTA,
-    "total": t.ListScope.FULL,
-    "warm_copy": t.ListScope.CACHED,
-    "lost": t.ListScope.FAILED,
+    "incr": UpdateScope.DELTA,
+    "total": UpdateScope.SNAPSHOT,
+    "warm_copy": UpdateScope.CACHED,
+    "lost": UpdateScope.FAILED,
 }
 
 
-def _entry(row: WEntry) -> t.Entry:
-    return t.Entry(
+def _entry(row: WEntry) -> Endpoint:
+    return Endpoint(
         server=row.engine,
         cell=row.pod,
         weight=1.0 if row.heft is None else row.heft,
@@ -171,9 +210,9 @@
     return tuple(load) if load is not None else None
 
 
-def _request(w: WWorkItem) -> t.Request:
+def _request(w: WWorkItem) -> Request:
     flags = w.flags or 0
-    return t.Request(
+    return Request(
         id=w.handle,
         cls=w.priority,
         tenant=w.customer or 0,
@@ -189,76 +228,78 @@
     )
 
 
-def _outcome(w: WResolved) -> t.Outcome:
+def _outcome(w: WResolved) -> AttemptFinished:
     status = word_in(_STATUS, w.ending, "ending")
-    return t.Outcome(
+    return AttemptFinished(
         w.handle, w.engine, w.n, status, w.took or 0.0, bool(w.settled), w.detail or 0, _row(w.load)
     )
 
 
-def event_of(w: Any, pages: dict[int, tuple[t.Entry, ...]]) -> t.Event:
+def event_of(w: Any, pages: dict[int, tuple[Endpoint, ...]]) -> Event:
     """One wire event as the module's type; `pages` holds the numbered lists as of this event."""
     match w:
         case WAnnounce():
             scope = word_in(_SCOPE, w.scope, "scope")
-            entries: tuple[t.Entry, ...] = ()
-            if scope is not t.ListScope.FAILED:
+            entries: tuple[Endpoint, ...] = ()
+            if scope is not UpdateScope.FAILED:
                 if w.page not in pages:
                     raise Malformed(f"announce names page {w.page}, which was never defined")
                 entries = pages[w.page]
-            return t.ListNews(scope, entries, w.seq_no or 0)
+            return EndpointUpdate(scope, entries, w.seq_no or 0)
         case WWorkItem():
             return _request(w)
         case WBegun():
-            return t.Begun(w.handle, w.engine, w.n, w.took or 0.0)
+            return StreamStarted(w.handle, w.engine, w.n, w.took or 0.0)
         case WResolved():
             return _outcome(w)
         case WAhead():
-            return t.PlaceNote(w.handle, w.engine, w.n, w.topic == 1)
+            return ReservationResult(w.handle, w.engine, w.n, w.topic == 1)
         case WLeft():
-            return t.Left(w.handle)
+            return ClientDisconnected(w.handle)
         case WElapsed():
-            return t.TimerDue(w.token)
+            return TimerFired(w.token)
         case WPong():
-            return t.Probed(w.engine, word_in(_STATUS, w.ending, "ending"), w.took or 0.0, _row(w.load))
+            return HealthCheckResult(
+                w.engine, word_in(_STATUS, w.ending, "ending"), w.took or 0.0, _row(w.load)
+            )
         case WInbox():
             try:
-                return t.PeerMessage(w.src_peer, bytes.fromhex(w.blob))
+                return GossipReceived(w.src_peer, bytes.fromhex(w.blob))
             except ValueError:
                 raise Malformed("inbox blob is not hex") from None
     raise Malformed(f"unexpected event {w!r}")
 
 
-def row_of(instance: str, action: t.Action) -> dict[str, Any]:
+def row_of(instance: str, action: Action) -> dict[str, Any]:
     """One action of the module as a wire row."""
     body: dict[str, Any]
     match action:
-        case t.Send():
+        case SendAttempt():
             body = {"op": "assign", "handle": action.id, "engine": action.server}
             body["stop_at"] = action.stop_at_ms
-        case t.HoldPlace():
+        case ReserveDecodeSlot():
             body = {"op": "pre_pair", "handle": action.id, "engine": action.server}
-        case t.Release():
+        case ReleaseState():
             body = {"op": "unhold", "handle": action.id}
-        case t.Cancel():
+        case CancelAttempt():
             body = {"op": "withdraw", "handle": action.id, "n": action.attempt}
-        case t.Refuse():
+        case RejectRequest():
             body = {"op": "decline", "handle": action.id, "stay_away": action.retry_after_ms}
-        case t.Fail():
+        case FailRequest():
             body = {"op": "abort", "handle": action.id}
-        case t.Move():
+        case MigrateStream():
             body = {"op": "bounce", "handle": action.id}
-        case t.Timer():
+        case StartTimer():
             body = {"op": "remind", "after": action.after_ms, "token": action.token}
-        case t.Watch():
+        case SetWatch():
             body = {"op": "stream_changes", "enable": action.on}
-        case t.FetchList():
+        case FetchEndpoints():
             body = {"op": "snapshot"}
-        case t.Probe():
+        case SendHealthCheck():
             body = {"op": "poll", "engine": action.server}
-        case t.Tell():
+        case SendGossip():
             body = {"op": "post", "dst": "*", "blob": action.payload.hex()}
-        case t.Log():
+        case WriteLog():
             body = {"op": "emit", "msg": action.text}
     return {**body, "i": instance}
 
@@ -268,11 +309,11 @@
 
     def __init__(self) -> None:
         self.routers: dict[str, Router] = {}
-        self.pages: dict[int, tuple[t.Entry, ...]] = {}
+        self.pages: dict[int, tuple[Endpoint, ...]] = {}
 
     def batch(self, batch: WBatch) -> list[dict[str, Any]]:
         """Answer one batch; an instance's consecutive events go to its Router in one call."""
-        queued: dict[str, list[t.Event]] = {}
+        queued: dict[str, list[Event]] = {}
         rows: list[dict[str, Any]] = []
         for w in batch.arrivals:
             if isinstance(w, WList):
@@ -289,7 +330,7 @@
             rows.extend(self._handle(instance, batch.now, events))
         return rows
 
-    def _handle(self, instance: str, now: float, events: list[t.Event]) -> list[dict[str, Any]]:
+    def _handle(self, instance: str, now: float, events: list[Event]) -> list[dict[str, Any]]:
         try:
             actions = self.routers[instance].handle(now, events)
         except Exception as error:
@@ -300,7 +341,9 @@
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
     """Answer batch by batch until the end of input."""
-    decoder, encoder, host = msgspec.json.Decoder(WBatch), msgspec.json.Encoder(), Host()
+    decoder = msgspec.json.Decoder(WBatch)
+    encoder = msgspec.json.Encoder()
+    host = Host()
     for number, line in enumerate(source, 1):
         try:
             batch = decoder.decode(line)
--- a/violetstack/state/content.py
+++ b/violetstack/state/snapshot.py
@@ -10,7 +10,10 @@
 from violetstack.protocol.discovery import WServer
 from violetstack.state.frames import Frame, frame
 
-WHOLE, LIST, CHANGE, LEARNED = 1, 2, 3, 4
+WHOLE = 1
+LIST = 2
+CHANGE = 3
+LEARNED = 4
 
 
 class Told(msgspec.Struct, frozen=True):
@@ -64,14 +67,17 @@
             content.servers.pop(server.id, None)
         else:
             content.servers[server.id] = server
-    content.heard_at, content.version = news.at, news.version
+    content.heard_at = news.at
+    content.version = news.version
 
 
 def _one(content: Content, each: Frame) -> None:
     if each.kind == WHOLE:
         found = msgspec.msgpack.decode(each.body, type=Content)
-        content.heard_at, content.version = found.heard_at, found.version
-        content.servers, content.learned = found.servers, found.learned
+        content.heard_at = found.heard_at
+        content.version = found.version
+        content.servers = found.servers
+        content.learned = found.learned
     elif each.kind in (LIST, CHANGE):
         apply(content, msgspec.msgpack.decode(each.body, type=Told), full=each.kind == LIST)
     elif each.kind == LEARNED:
--- a/violetstack/state/store.py
+++ b/violetstack/state/store.py
@@ -10,12 +10,14 @@
 import re
 from typing import NamedTuple, Protocol
 
-from violetstack.state.content import Content, fold
 from violetstack.state.frames import BadFile, Found, header, read
+from violetstack.state.snapshot import Content, fold
 
 NAME = re.compile(r"state-(\d{1,18})\.(snapshot|log)\Z")
 PART = "state.part"
-LEAST_LOG, LOG_TIMES = 64 * 1024, 4  # a new snapshot once the log is so long, and so many times the snapshot
+# a new snapshot once the log is so long, and so many times the snapshot
+LEAST_LOG = 64 * 1024
+LOG_TIMES = 4
 KEPT = 2  # generations
 
 
@@ -62,7 +64,8 @@
 
 def recover(files: Files) -> Recovered:
     """Raises OSError only where the folder itself can't be read."""
-    names, notes = files.names(), list[str]()
+    names = files.names()
+    notes = list[str]()
     for generation in generations(names):
         content = Content()
         name = snapshot_name(generation)
@@ -127,7 +130,9 @@
         data = header(generation) + whole
         self._files.write(PART, data)
         self._files.rename(PART, snapshot_name(generation))
-        self.generation, self._snapshot_size, self._log_size = generation, len(data), 0
+        self.generation = generation
+        self._snapshot_size = len(data)
+        self._log_size = 0
         self._whole = True
         for name in prunable(self._files.names(), generation):
             self._files.remove(name)
@@ -138,5 +143,3 @@
     kept = set(generations(names)[:KEPT]) | {newest}
     rows = [(name, int(match[1])) for name in names if (match := NAME.match(name))]
     return [name for name, generation in rows if generation not in kept]
-
-
