A request is not taken, or sent on, once its client has closed the connection

Change: the socket is asked for the peer's end (POLLRDHUP, which shows it behind unread bytes) in the step that takes a request, and again in the step that writes an attempt's first byte (Dispatcher.may_send).

Tests force both on real sockets.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -268,6 +268,9 @@
 
     def cut(self) -> None: ...
 
+    def client_gone(self) -> bool:
+        return False
+
     def refused(self, retry_after_ms: float) -> None:
         self.fleet.counts["refused"] += 1
         self.again(retry_after_ms)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -40,6 +40,7 @@
         self.places: list[PlaceCall] = []
         self.releases: list[ReleaseCall] = []
         self.answers: list[str] = []
+        self.gone = False
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         self.events += events
@@ -80,6 +81,9 @@
     def cut(self) -> None:
         self.answers.append("cut")
 
+    def client_gone(self) -> bool:
+        return self.gone
+
     def refused(self, retry_after_ms: float) -> None:
         self.answers.append("refused")
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
@@ -526,6 +527,59 @@
     play(reader, writer, story=story, settings={"limits": {**LIMITS, "cancel": cancel}})
 
 
+@pytest.mark.parametrize("chat", [False, True])
+def test_a_request_whose_clients_close_lies_right_behind_it_is_not_taken(
+    chat: bool, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """As after a wait in the kernel's queue, for want of descriptors or while the process was busy."""
+    reader, writer = pair()
+    body = chat_body("consulta") if chat else BODY
+    lines = chat_headers() if chat else platform_headers("q1", "consulta")
+    head = "".join(f"{name}: {value}\r\n" for name, value in [*lines, ("Content-Length", str(len(body)))])
+
+    async def story(on: Stage) -> None:
+        client = socket.create_connection(on.chat if chat else on.platform)
+        client.sendall(f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n{head}\r\n".encode() + body)
+        client.close()  # all in one step: the dispatcher has not run since the connection was made
+        assert (await ask_platform(on.platform, "q2", "consulta")).status == 200
+        await until(lambda: not on.daemon.core.open)
+        assert reader.begun == ["q2"]
+
+    play(reader, writer, story=story)
+    assert capfd.readouterr().out.count('"event":"request"') == 1
+
+
+def test_nothing_is_sent_on_for_a_client_whose_close_has_not_been_read_yet() -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        late = Late(on, "r")
+        call = await connect(on.platform)
+        listener = on.daemon.listeners[0]
+        await until(lambda: bool(listener.connections))
+        connection = next(iter(listener.connections))
+        receive = connection.stream.receive_some
+
+        async def receive_nothing(max_bytes: int | None = None) -> bytes:
+            await trio.sleep_forever()
+            return b""
+
+        async def receive_once(max_bytes: int | None = None) -> bytes | bytearray:
+            connection.stream.receive_some = receive_nothing  # type: ignore[method-assign]
+            return await receive(max_bytes)
+
+        connection.stream.receive_some = receive_once  # type: ignore[method-assign]
+        await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
+        await late.asked.wait()
+        call.stream.socket.close()  # type: ignore[attr-defined]
+        late.up.set()
+        await until(lambda: not on.daemon.core.open)
+        assert (reader.begun, writer.begun) == ([], [])
+        assert not connection.closed
+
+    play(reader, writer, story=story)
+
+
 def test_a_client_that_sends_much_at_once_and_goes_is_noticed() -> None:
     """Past 64 KiB of what it sent behind its request nothing was read, its end neither."""
     reader, writer = pair(reads=(SILENT,))
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -270,6 +270,9 @@
         in which its class lets what may have run be sent again.
         """
         request = attempt.request
+        if not attempt.over and not request.done and request.sink.client_gone():
+            # Its close may lie unread in the socket still.
+            self.client_left(now, request)
         spec = self.settings.classes[request.asked.cls]
         repeats = spec.effect is Idempotency.IDEMPOTENCY_KEY and request.may_have_run and not attempt.reading
         if attempt.over or request.done or (repeats and now >= request.ran_at + spec.window_ms):
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -27,6 +27,9 @@
 
     def failed(self, may_have_run: bool) -> None: ...
 
+    def client_gone(self) -> bool:
+        """Has the client closed its connection by now, or been answered?"""
+
 
 class NotRouted(Exception):
     """No route takes this request, or its route's policy does not; the text is for the client."""
@@ -104,6 +107,9 @@
 
     def failed(self, may_have_run: bool) -> None: ...
 
+    def client_gone(self) -> bool:
+        return True
+
 
 CLOSED = Closed()
 
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -103,6 +103,9 @@
         if chunk is not None and self._errand.ask.stream:
             self._chunk(chunk)
 
+    def client_gone(self) -> bool:
+        return self._reply.gone
+
     def _chunk(self, chunk: dict[str, Any]) -> None:
         if not self._streaming:
             self._streaming = True
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -41,6 +41,9 @@
     def failed(self, may_have_run: bool) -> None:
         self.reply.answer(500, TEXT, b"failed\n")
 
+    def client_gone(self) -> bool:
+        return self.reply.gone
+
 
 class PlatformFront:
     def __init__(
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -4,6 +4,7 @@
 
 import errno
 import math
+import select
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -187,6 +188,19 @@
 
     # --- inside ---
 
+    def client_has_closed(self) -> bool:
+        """Has the client closed its connection, or ended its sending, whatever still lies unread before that?
+
+        Reading alone shows the end only after all bytes before it: a request and the close behind it may both
+        have waited in the kernel's queue while the listener had no room, or while this process was busy.
+        """
+        stream = self.stream.transport_stream if isinstance(self.stream, trio.SSLStream) else self.stream
+        if self.closed or not isinstance(stream, trio.SocketStream):
+            return self.closed
+        poll = select.poll()
+        poll.register(stream.socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def has_unread(self) -> bool:
         """Guards against closing over a request that has come but has not been read yet."""
         return isinstance(self.stream, trio.SocketStream) and self.stream.socket.is_readable()
@@ -345,6 +359,10 @@
                 # Guards against taking what the end would cut off: its client asks again, elsewhere.
                 self._reject(503, "this process ends")
                 return
+            if self.client_has_closed():
+                self._finish = True
+                self._more.set()
+                return
             self.answering = True
             self.served = True
             self._answered = trio.Event()
@@ -394,7 +412,7 @@
 
     @property
     def gone(self) -> bool:
-        return self._connection is None
+        return self._connection is None or self._connection.client_has_closed()
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         self._once(lambda connection: connection.answer(status, headers, body))
