Daemon: split by concern into endpoints, fronts, hot restart, reload and shutdown

daemon.py held startup, the endpoint list, the fronts, the hand-over, reload and shutdown in one class of twenty attributes. Each is a module of its own now; Daemon builds them in order.

- endpoint list and watch -> endpoints.EndpointService; fronts -> fronts.FrontServers
- the admin service states what it needs of the daemon as a Protocol and no longer imports it

--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -23,7 +23,7 @@
 import trio
 
 from violetstack.config import load
-from violetstack.daemon.daemon import run
+from violetstack.daemon.process import run
 from violetstack.rehearsal.stage import SETTINGS
 
 SILENT = 1_000
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -354,12 +354,12 @@
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
-        assert on.daemon.orders is not None
-        holds = on.daemon.orders.holds
-        on.daemon.orders.holds = lambda: False  # type: ignore[method-assign]
+        assert on.daemon.fronts.orders is not None
+        holds = on.daemon.fronts.orders.holds
+        on.daemon.fronts.orders.holds = lambda: False  # type: ignore[method-assign]
         told = await ask_chat(on.chat, chat_body(ORDER), chat_headers("k1"))
         assert (told.status, reader.begun, writer.begun) == (503, [], [])
-        on.daemon.orders.holds = holds  # type: ignore[method-assign]
+        on.daemon.fronts.orders.holds = holds  # type: ignore[method-assign]
         while (again := await ask_chat(on.chat, chat_body(ORDER), chat_headers("k1"))).status == 409:
             await trio.sleep(0.01)
         assert again.outcome == "served" and len(writer.begun) == 1
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -545,7 +545,7 @@
     async def story(on: Stage) -> None:
         core = on.daemon.core
         path = tmp_path / "taker.sock"
-        taker = stream_migration.Taker(core, on.daemon.hosts, lambda: on.daemon.platform)
+        taker = stream_migration.Taker(core, on.daemon.hosts, lambda: on.daemon.fronts.platform)
         await on.nursery.start(taker.run, path)
         client, theirs = socket.socketpair()
         host, hosts_own = socket.socketpair()
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -179,7 +179,7 @@
                 await trio.sleep(0.01)
             answers = [await ask_platform(on.platform, f"q{n}", "consulta") for n in range(2)]
             assert "served" in [answer.outcome for answer in answers]
-            on.daemon._not_met(WServer("reader"))
+            on.daemon.endpoints.remove_unreachable(WServer("reader"))
             assert set(on.daemon.core.entries) == {"writer"}
 
     try:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -16,7 +16,7 @@
 from tests.test_stories import pair, play
 from violetstack.config import address
 from violetstack.core import backoff
-from violetstack.daemon import daemon
+from violetstack.daemon import endpoints
 from violetstack.daemon.daemon import Daemon
 from violetstack.net import watch
 from violetstack.protocol.discovery import MAX_LIST, BadList, Values
@@ -279,7 +279,7 @@
 
 
 def test_a_new_process_whose_agent_is_silent_starts_all_the_same(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(daemon, "AGENT_LIST_S", 0.05)
+    monkeypatch.setattr(endpoints, "AGENT_LIST_S", 0.05)
 
     async def story(on: Stage) -> None:
         agent = Agent(scripts=(silent,) * 500)
--- a/violetstack/__main__.py
+++ b/violetstack/__main__.py
@@ -8,12 +8,12 @@
 
 gc.disable()  # until ready: what a start makes is no garbage, and looking for some is a tenth of its time
 
-from violetstack.serving import serve  # noqa: E402
+from violetstack.daemon.process import serve  # noqa: E402
 
 
 def main() -> int:
     if len(sys.argv) > 1:
-        from violetstack.commands.main import main as command  # noqa: PLC0415 - click is not the daemon's
+        from violetstack.commands.main import main as command
 
         command(prog_name="violetstack")
     return serve(os.environ.get("NODE_CONFIG", ""))
--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -68,7 +68,7 @@
       NODE_CONFIG=/run/balancer/config.json violetstack serve deploy/operator.violet
     """
     from violetstack import log  # noqa: PLC0415 - only what a command needs is loaded
-    from violetstack.serving import serve as run  # noqa: PLC0415
+    from violetstack.daemon.process import serve as run  # noqa: PLC0415
 
     if form == "text" or (form == "auto" and sys.stdout.isatty()):
         log.readable()
--- /dev/null
+++ b/violetstack/daemon/endpoints.py
@@ -0,0 +1,161 @@
+"""The endpoint list: remembered hosts, discovery's watch, and updates to the core and the pool."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import trio
+from msgspec.structs import replace
+
+from violetstack.config import Config, address
+from violetstack.core.backoff import Backoff
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.log import log
+from violetstack.net.clock import now_ms
+from violetstack.net.pause_detector import Waking
+from violetstack.net.startup_recovery import Comeback
+from violetstack.net.upstream.attempt import Hosts
+from violetstack.net.upstream.connection_pool import Host
+from violetstack.net.watch import Watch
+from violetstack.policy_api import EndpointState, EndpointUpdate, UpdateScope
+from violetstack.protocol.discovery import ListReader, Targets, WServer, WTargets
+
+if TYPE_CHECKING:
+    from violetstack.admin.cordons import Cordons
+    from violetstack.handover.record import Record
+    from violetstack.net.state_writer import Kept
+
+FIRST_LIST_S = 1.5  # a new version that takes over waits for discovery's list for so long
+AGENT_LIST_S = 0.3  # and any other for an agent on this machine, which answers at once if discovery is up
+
+
+class EndpointService:
+    """Owns the list as discovery has it (`rows`); every update goes through `publish`."""
+
+    def __init__(
+        self,
+        config: Config,
+        core: Dispatcher,
+        hosts: Hosts,
+        *,
+        recovery: Comeback,
+        kept: Kept | None,
+        cordons: Cordons | None,
+        changed: Callable[[], None],
+    ) -> None:
+        self._config = config
+        self._core = core
+        self._hosts = hosts
+        self._recovery = recovery
+        self._kept = kept
+        self._cordons = cordons
+        self._changed = changed
+        self._reader = ListReader(config.facts)
+        self._nursery: trio.Nursery | None = None
+        self.rows: dict[str, WServer] = {}
+        self.watch: Watch | None = None
+
+    @property
+    def version(self) -> int:
+        """Of the list that is known; 0 where there is none."""
+        return self.watch.version or 0 if self.watch is not None else 0
+
+    def publish(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
+        """Hands an update to the connection pool and the core."""
+        self._hosts.told(update, addresses)
+        self._core.news(now_ms(), update)
+
+    # --- startup ---
+
+    async def start(self, nursery: trio.Nursery, waking: Waking, predecessor: Record | None) -> None:
+        """Publishes the hosts that are remembered and starts the watch."""
+        self._nursery = nursery
+        config = self._config
+        for host in config.operator.hosts if config.operator is not None else ():
+            self._hosts.hosts[host.id] = Host(address(host.address), [], plain=True, key=host.key)
+            self._core.stateless.add(host.id)
+        known = config.told.known
+        version: int | None = known.version
+        if config.inherited is not None:
+            # What a predecessor heard a moment ago is newer than what the configuration remembers; versions
+            # may be those of another discovery, so the whole list is asked for first.
+            version = None
+            if predecessor is not None:
+                known = WTargets(predecessor.version, True, list(predecessor.servers))
+        if self._kept is not None:
+            version = None  # what is remembered is of several lists: changes of one would not fit
+        known = await self._recovery.remembered(known)
+        self._told(self._reader.targets(known, UpdateScope.CACHED))
+        if self._kept is not None:
+            nursery.start_soon(self._kept.verify, self.remove_unreachable, lambda: self._recovery.listed)
+        if config.discovery is not None:
+            settings = config.settings
+            again = Backoff(settings.fleet_size, settings.seed, agent=not settings.must_ask)
+            self.watch = Watch(config.discovery, self._reader, version, self._told, again)
+            self.watch.confirmed = self._confirmed
+            waking.sources.append(self.watch)
+            nursery.start_soon(self.watch.run)
+
+    async def wait_for_first_list(self) -> None:
+        """Guards against sends on an old list: what an agent has counts as told from the first moment, and
+        what a predecessor was told counts for its heir.
+        """
+        inherited = self._config.inherited is not None
+        if self.watch is None or (self._config.settings.must_ask and not inherited):
+            return
+        with trio.move_on_after(FIRST_LIST_S if inherited else AGENT_LIST_S):
+            await self.watch.heard.wait()
+        if not self.watch.heard.is_set():
+            log("no_list", hosts=len(self.rows))
+
+    # --- updates ---
+
+    def remove_unreachable(self, server: WServer) -> None:
+        """A remembered host that is not there; discovery may still tell of it."""
+        entry = self._core.entries.get(server.id)
+        if entry is not None and self.rows.pop(server.id, None) is not None:
+            gone = replace(entry, state=EndpointState.REMOVED)
+            self.publish(EndpointUpdate(UpdateScope.DELTA, (gone,), 0), {})
+
+    def _told(self, targets: Targets) -> None:
+        if self._kept is not None and targets.news.scope is UpdateScope.SNAPSHOT:
+            targets = self._doubted(targets, self._kept)
+        news = targets.news
+        if news.scope is not UpdateScope.DELTA:
+            self.rows = {}
+        for row in targets.rows:
+            self.rows[row.id] = row
+            if row.state == "left":
+                del self.rows[row.id]
+        if news.scope is not UpdateScope.DELTA:
+            # Guards against losing the chat file's own hosts, which discovery does not know.
+            news = replace(news, entries=(*news.entries, *self._config.plain))
+        if self._cordons is not None:
+            news = self._cordons.told(news)
+        self.publish(news, targets.addresses)
+        self._changed()
+        if news.scope is not UpdateScope.CACHED:
+            full = news.scope is UpdateScope.SNAPSHOT
+            self._recovery.told(targets.rows, news.version, full=full, listed=len(self.rows))
+        entries = {entry.server: entry.state.value for entry in news.entries}
+        log("list", version=news.version, scope=news.scope.value, entries=entries, skipped=targets.skipped)
+
+    def _doubted(self, targets: Targets, kept: Kept) -> Targets:
+        """A list that lost most hosts counts with them for a while; then it is asked for again."""
+        found = kept.doubt.whole(now_ms(), self.rows, targets.rows)
+        if found is None:
+            return targets
+        log("list_doubted", version=targets.news.version, kept=[row.id for row in found.kept][:50])
+        if self._nursery is not None:
+            self._nursery.start_soon(self._ask_again, found.until)
+        told = WTargets(targets.news.version, True, [*targets.rows, *found.kept])
+        return self._reader.targets(told, UpdateScope.SNAPSHOT)
+
+    async def _ask_again(self, until: float) -> None:
+        await trio.sleep(max(0.0, until - now_ms()) / 1000.0)
+        if self.watch is not None:
+            self.watch.ask_again()
+
+    def _confirmed(self) -> None:
+        self._recovery.told((), self.version, full=False, listed=len(self.rows))
--- /dev/null
+++ b/violetstack/daemon/fronts.py
@@ -0,0 +1,140 @@
+"""The client-facing listeners: the platform's front, the chat front and its certificate."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import trio
+
+from violetstack.config import Address, BadConfig, Config, address
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.fronts.platform import PlatformFront
+from violetstack.fronts.reply import Front
+from violetstack.log import log, log_outside
+from violetstack.net.clock import now_ms
+from violetstack.net.downstream.listener import Listener, Wrap
+from violetstack.net.tls import Certificate
+from violetstack.operators import Acme, ChatConfig
+from violetstack.protocol.headers import RequestReader
+
+if TYPE_CHECKING:
+    from violetstack.fronts.chat import ChatFront
+    from violetstack.idempotency.service import OrderBook
+
+BACKLOG = 512
+
+
+class FrontServers:
+    """Opens the listeners that the configuration names. `listeners` is shared with those who bound them."""
+
+    def __init__(
+        self,
+        config: Config,
+        core: Dispatcher,
+        nursery: trio.Nursery,
+        listeners: list[Listener],
+        apply_limits: Callable[[], None],
+    ) -> None:
+        self._config = config
+        self._core = core
+        self._nursery = nursery
+        self._apply_limits = apply_limits
+        self.listeners = listeners
+        self.sockets: list[trio.SocketListener] = []
+        self.platform: Listener | None = None
+        self.chat: ChatFront | None = None
+        self.orders: OrderBook | None = None
+        self.certificate: Certificate | None = None  # one that no ACME keeps
+        self.challenge_at: Address | None = None
+
+    async def start_platform(self, at: Address) -> Address:
+        """Raises BadConfig if the address can't be bound."""
+        front = PlatformFront(self._core, RequestReader(self._config.facts), now_ms, log_outside)
+        bound = await self._listen(at, front)
+        self.platform = self.listeners[-1]
+        return bound
+
+    async def start_chat(self, chat: ChatConfig) -> Address:
+        """Raises BadConfig if the address can't be bound, OSError if a certificate can't be read."""
+        from violetstack.fronts.chat import ChatFront
+
+        told = chat.told
+        self.orders = self._open_ledger(chat)
+        self.chat = ChatFront(chat, self._core, self.orders, clock=now_ms, spawn=self._spawn, log=log_outside)
+        wrap = None
+        if told.tls is not None:
+            certificate = Certificate(told.tls)
+            if told.acme is not None:
+                await self._keep_certified(told.acme, certificate)
+            else:
+                certificate.load()
+                self.certificate = certificate
+            wrap = certificate.wrap
+        return await self._listen(address(told.listen), self.chat, wrap)
+
+    async def stop_accepting(self) -> None:
+        """Closes the listening sockets; open connections go on."""
+        for each in self.sockets:
+            await each.aclose()
+
+    @property
+    def busy(self) -> bool:
+        """Does any client still wait for an answer, or an order for its record?"""
+        waits = self.chat is not None and self.chat.pending
+        recording = self.orders is not None and self.orders.pending
+        return bool(waits or recording or any(x.busy or x.awaited for x in self.listeners))
+
+    async def _listen(self, at: Address, front: Front, wrap: Wrap | None = None) -> Address:
+        listener = Listener(self._core, front)
+        inherited = self._config.inherited if at == self._config.listen else None
+        if inherited is None:
+            sockets = await listen_on(at, "listen")
+        else:
+            sockets = [trio.SocketListener(trio.socket.from_stdlib_socket(inherited))]
+        self.listeners.append(listener)
+        self._apply_limits()
+        self.sockets.extend(sockets)
+        self._nursery.start_soon(listener.run, sockets, wrap)
+        bound = sockets[0].socket.getsockname()
+        return bound[0], bound[1]
+
+    def _open_ledger(self, chat: ChatConfig) -> OrderBook | None:
+        file = chat.told.ledger
+        if file is None:
+            return None
+        from violetstack.idempotency.service import OrderBook
+        from violetstack.idempotency.store import Ledger
+
+        owner = f"{self._config.told.name}/{uuid.uuid4().hex}"  # a restart is another owner
+        ledger = Ledger(file.file, owner, file.keep_hours * 3600.0, file.lease_s)
+        orders = OrderBook(ledger, file.lease_s)
+        self._nursery.start_soon(orders.run)
+        return orders
+
+    async def _keep_certified(self, told: Acme, certificate: Certificate) -> None:
+        from violetstack.net import acme
+
+        front = acme.Challenges()
+        self.challenge_at = await self._listen(address(told.challenge_listen), front)
+        issue = acme.Authority(told, front).issue
+        self._nursery.start_soon(acme.keep_certified, told, certificate, issue)
+
+    def _spawn(self, act: Callable[[], Awaitable[None]]) -> None:
+        self._nursery.start_soon(_guarded, act)
+
+
+async def _guarded(act: Callable[[], Awaitable[None]]) -> None:
+    try:
+        await act()
+    except Exception as error:  # no request's failure ends the nursery
+        log("request_failed", error=repr(error))
+
+
+async def listen_on(at: Address, name: str) -> list[trio.SocketListener]:
+    """Raises BadConfig."""
+    try:
+        return list(await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG))
+    except OSError as error:
+        raise BadConfig(f"{name}: {at[0]}:{at[1]}: {error}") from None
--- /dev/null
+++ b/violetstack/daemon/limits.py
@@ -0,0 +1,39 @@
+"""Applies the machine's limits to the listeners and the upstream connection pool."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from violetstack.config import Config
+from violetstack.net.downstream.listener import Listener
+from violetstack.net.resource_limits import budget
+from violetstack.net.upstream.attempt import Hosts
+
+
+class LimitAllocator:
+    """Divides the limits of the configuration between listeners, upstream connections and processes."""
+
+    def __init__(
+        self, config: Config, hosts: Hosts, listeners: list[Listener], processes: Callable[[], int]
+    ) -> None:
+        acme = config.chat.told.acme if config.chat is not None else None
+        self._config = config
+        self._hosts = hosts
+        self._listeners = listeners
+        self._processes = processes
+        self._fronts = sum(front is not None for front in (config.listen, config.chat, acme)) or 1
+
+    def apply(self) -> None:
+        """Sets the limits in force: after a reload, a new listener, or another process that came or went."""
+        limits = self._config.limits
+        share = budget(
+            int(limits.sockets),
+            limits.memory_mb,
+            fronts=self._fronts,
+            door=self._config.mgmt is not None,
+            processes=self._processes(),
+        )
+        self._hosts.most = share.hosts
+        for listener in self._listeners:
+            listener.most = share.clients
+            listener.most_held = share.bodies
--- a/violetstack/serving.py
+++ b/violetstack/daemon/process.py
@@ -1,13 +1,14 @@
-"""One real dispatcher from its configuration to its end."""
+"""One real dispatcher from its configuration to its exit status; signals drive reload and shutdown."""
 
 from __future__ import annotations
 
 import signal
+from collections.abc import Callable
 
 import trio
 
-from violetstack.config import BadConfig, load
-from violetstack.daemon.daemon import run
+from violetstack.config import BadConfig, Config, load
+from violetstack.daemon.daemon import Daemon
 from violetstack.log import log
 from violetstack.net.inherited_listener import inherited_socket
 
@@ -33,7 +34,26 @@
     return 2 if unusable else 0
 
 
+async def run(config: Config, read_again: Callable[[], Config]) -> None:
+    """Serves until SIGTERM; SIGHUP reads the configuration again, during a drain as well."""
+    daemon = Daemon(config)
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+
+        async def obey() -> None:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    daemon.reload(read_again)
+                else:
+                    daemon.stop.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(obey)
+            await daemon.serve()
+            nursery.cancel_scope.cancel()
+
+
 def flat(errors: BaseExceptionGroup[Exception]) -> list[Exception]:
+    """The exceptions of a group and of the groups within it."""
     return [
         each
         for error in errors.exceptions
--- /dev/null
+++ b/violetstack/daemon/reload.py
@@ -0,0 +1,43 @@
+"""Reads the configuration again and finds what in it has to wait for a restart."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from violetstack.config import BadConfig, Config
+from violetstack.log import log
+from violetstack.operators import BadOperatorFile, ChatConfig
+
+NODE_CONFIG_KEYS_FIXED = ("listen", "settings", "peer_listen", "peers")
+OPERATOR_KEYS_FIXED = ("hosts", "ledger", "acme", "platform", "duties")
+
+
+class NewConfig(msgspec.Struct, frozen=True):
+    """A configuration that was read while serving; `chat` is checked against the settings in force."""
+
+    config: Config
+    chat: ChatConfig | None
+
+
+def read_config(read_again: Callable[[], Config], running: Config) -> NewConfig | None:
+    """None, and a line in the log, if the new configuration can't be used."""
+    try:
+        config = read_again()
+        chat = ChatConfig(config.chat.told, running.facts) if config.chat is not None else None
+    except (BadConfig, BadOperatorFile) as error:
+        log("reload_failed", error=str(error))
+        return None
+    return NewConfig(config, chat)
+
+
+def until_restart(running: Config, new: Config) -> list[str]:
+    """The keys that differ and that a reload does not take."""
+    changed = [key for key in NODE_CONFIG_KEYS_FIXED if getattr(new.told, key) != getattr(running.told, key)]
+    changed += [
+        key
+        for key in OPERATOR_KEYS_FIXED
+        if getattr(running.operator, key, None) != getattr(new.operator, key, None)
+    ]
+    return changed
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
+
+import trio
 
 from violetstack.admin.api import NotRecorded, Refused
 from violetstack.admin.metrics import figures, kinds_without
@@ -12,15 +14,49 @@
 from violetstack.policy_api import EndpointUpdate
 
 if TYPE_CHECKING:
-    from violetstack.daemon.daemon import Daemon
+    from violetstack.admin.cordons import Cordons
+    from violetstack.config import Config
+    from violetstack.core.dispatcher import Dispatcher
+    from violetstack.net.handover import Handover
+    from violetstack.net.lease_service import Duties
+    from violetstack.router import Router
 
 NO_DUTIES = "no duties are configured here (`duties` in the operator's file)"
 
 
+class AdministeredDaemon(Protocol):
+    """What the admin service reads and calls of a daemon."""
+
+    config: Config
+    core: Dispatcher
+    router: Router
+    cordons: Cordons | None
+    duties: Duties | None
+
+    @property
+    def started(self) -> bool:
+        """Is the endpoint list known?"""
+
+    @property
+    def taking(self) -> bool:
+        """Are new requests taken?"""
+
+    @property
+    def stop(self) -> trio.Event:
+        """Set to shut down."""
+
+    @property
+    def handover(self) -> Handover | None:
+        """The record that this process keeps for another of its dispatcher."""
+
+    def news(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
+        """Hands an update of the endpoint list to the connection pool and the core."""
+
+
 class Rooms:
     """`admin.door.House`, for one daemon."""
 
-    def __init__(self, daemon: Daemon) -> None:
+    def __init__(self, daemon: AdministeredDaemon) -> None:
         self._daemon = daemon
 
     @property
