Gossip: the datagram's codec, the failure reports and the state are modules of their own

gossip/load_gossip.py held the wire format and what was heard. It becomes gossip/codec.py, gossip/failure_reports.py and gossip/state.py. The bytes on the wire are the same.

Shared -> GossipState (hear -> receive, at -> load_at, lapse -> expire, forget -> clear, heard -> active_peers), code_of -> encode_load, amount_of -> decode_load, datagram -> encode_datagram, tag_of -> endpoint_tag, ANEW -> RESET_DATAGRAM, FAILED -> FAILURE_CODE, UNTOLD -> NOT_ANNOUNCED, MOST_TOLD -> MAX_ENTRIES, BadDatagram -> GossipDecodeError, BLAMED_MS -> SUSPECT_WINDOW_MS, MOST_WORDS -> MAX_REPORTS_PER_PEER. Tests read record_count and failure_reports.count in place of private fields.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -49,7 +49,7 @@
 def datagrams_us() -> dict[str, float]:
     """CPU of the module for one datagram at 100 hosts and 200 fronts: heard, with three entries, and told."""
     from tests.front import Front, entry  # noqa: PLC0415
-    from violetstack.gossip.load_gossip import datagram, tag_of  # noqa: PLC0415
+    from violetstack.gossip.codec import encode_datagram, endpoint_tag  # noqa: PLC0415
     from violetstack.policy_api import GossipReceived, TimerFired  # noqa: PLC0415
 
     entries = [entry(f"s{n}", n % 2, cell=n // 5) for n in range(100)]
@@ -57,7 +57,7 @@
     for _ in range(ROUNDS):
         front = Front(*entries, fleet_size=200, may_tell=True)
         rows = [
-            datagram([(tag_of(f"s{(n * k) % 100}"), 40 + (n + k) % 90) for k in (1, 7, 31)])
+            encode_datagram([(endpoint_tag(f"s{(n * k) % 100}"), 40 + (n + k) % 90) for k in (1, 7, 31)])
             for n in range(REQUESTS)
         ]
         began = time.process_time()
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -15,7 +15,7 @@
 from msgspec.structs import replace
 
 from tests.front import SAFE, SETTINGS, entry
-from violetstack.gossip.load_gossip import code_of, datagram, tag_of
+from violetstack.gossip.codec import encode_datagram, encode_load, endpoint_tag
 from violetstack.policy_api import (
     AttemptFinished,
     AttemptStatus,
@@ -78,7 +78,7 @@
         return min(28_000.0, max(60.0, self.random.lognormvariate(8.6, 0.75)))
 
     def hear(self) -> None:
-        self.feed(GossipReceived(1, datagram([(tag_of("elsewhere"), code_of(0.0))])))
+        self.feed(GossipReceived(1, encode_datagram([(endpoint_tag("elsewhere"), encode_load(0.0))])))
         if self.now < self.until:
             self.at(self.now + 500.0, self.hear)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,19 +9,18 @@
 import pytest
 
 from tests.front import SETTINGS, WRITERS, Front, entry
-from violetstack.gossip.load_gossip import (
-    ANEW,
-    BLAMED_MS,
-    FAILED,
-    MAX_DATAGRAM,
-    MOST_WORDS,
-    BadDatagram,
-    Shared,
-    amount_of,
-    code_of,
-    datagram,
-    tag_of,
+from violetstack.gossip.codec import (
+    FAILURE_CODE,
+    MAX_DATAGRAM_BYTES,
+    RESET_DATAGRAM,
+    GossipDecodeError,
+    decode_load,
+    encode_datagram,
+    encode_load,
+    endpoint_tag,
 )
+from violetstack.gossip.failure_reports import MAX_REPORTS_PER_PEER, SUSPECT_WINDOW_MS
+from violetstack.gossip.state import GossipState
 from violetstack.policy_api import (
     AttemptStatus,
     EndpointState,
@@ -112,7 +111,7 @@
 
 def test_a_host_that_failed_others_is_tried_again_by_all_when_its_price_has_faded() -> None:
     tier = Tier(FLEET)
-    told = datagram([(tag_of("r0"), FAILED)])
+    told = encode_datagram([(endpoint_tag("r0"), FAILURE_CODE)])
     for front in tier.fronts:
         front.feed(GossipReceived(99, told))
     at_once = [front.sends[front.ask(shared=f"p{n}")][0].server for n, front in enumerate(tier.fronts)]
@@ -127,7 +126,7 @@
         front = Front(*READERS, *WRITERS, may_tell=True)
         front.end(front.ask(), status)
         front.feed(TimerFired("tell"))
-        assert all(FAILED not in told.payload[2::3] for told in front.all(SendGossip))
+        assert all(FAILURE_CODE not in told.payload[2::3] for told in front.all(SendGossip))
 
 
 def test_what_is_told_comes_back_and_is_gone_with_the_work() -> None:
@@ -138,12 +137,12 @@
     shared = second.router.fleet.shared
     reader = first.sends[request][0].server
     own = first.router.fleet.servers[reader].own_reads()
-    assert shared.at(tag_of(reader)) == pytest.approx(own, rel=0.03)
+    assert shared.load_at(endpoint_tag(reader)) == pytest.approx(own, rel=0.03)
     first.end(request, AttemptStatus.PREFILLED)
     first.begin(request)
     first.end(request, AttemptStatus.OK)
     tier.tick(1_000.0)  # a stream's end waits for the next word
-    assert all(shared.at(tag_of(e.server)) == 0.0 for e in READERS + WRITERS)
+    assert all(shared.load_at(endpoint_tag(e.server)) == 0.0 for e in READERS + WRITERS)
     tier.tick()
     assert not first.all(SendGossip)  # nothing changed, nothing told
 
@@ -161,42 +160,45 @@
     for _ in range(2):
         front.feed(TimerFired("tell"), after=25.0)
         payload = front.one(SendGossip).payload
-        assert len(payload) <= MAX_DATAGRAM
+        assert len(payload) <= MAX_DATAGRAM_BYTES
         told.append({payload[at : at + 2] for at in range(0, len(payload), 3)})
     assert [len(tags) for tags in told] == [85, 35]
-    assert told[0] | told[1] == {tag_of(host.server) for host in many}
+    assert told[0] | told[1] == {endpoint_tag(host.server) for host in many}
     front.feed(TimerFired("tell"), after=25.0)
     assert front.all(SendGossip) == []
 
 
 def test_a_front_that_died_is_forgotten_when_it_starts_anew_or_when_its_words_are_old() -> None:
-    tag = tag_of("r1")
+    tag = endpoint_tag("r1")
     for anew in (True, False):
-        shared = Shared(1000.0)
-        shared.hear(0.0, 1, datagram([(tag, 90)]), 9)
-        shared.hear(900.0, 2, datagram([(tag, 50)]), 9)
-        shared.lapse(950.0)
-        assert shared.at(tag) == pytest.approx(amount_of(90) + amount_of(50)) and shared.heard == 2
+        shared = GossipState(1000.0)
+        shared.receive(0.0, 1, encode_datagram([(tag, 90)]), 9)
+        shared.receive(900.0, 2, encode_datagram([(tag, 50)]), 9)
+        shared.expire(950.0)
+        assert (
+            shared.load_at(tag) == pytest.approx(decode_load(90) + decode_load(50))
+            and shared.active_peers == 2
+        )
         if anew:
-            shared.hear(960.0, 1, ANEW, 9)
+            shared.receive(960.0, 1, RESET_DATAGRAM, 9)
         else:
-            shared.lapse(1500.0)
-        assert shared.at(tag) == pytest.approx(amount_of(50))
-    shared.lapse(5000.0)
-    assert shared.at(tag) == 0.0 and shared.heard == 0
+            shared.expire(1500.0)
+        assert shared.load_at(tag) == pytest.approx(decode_load(50))
+    shared.expire(5000.0)
+    assert shared.load_at(tag) == 0.0 and shared.active_peers == 0
 
 
 def test_amounts_keep_their_size_on_the_way_and_datagrams_their_bound() -> None:
     for amount in (0.0, 7.0, 50.0, 2774.0, 30_000.0, 400_000.0):
-        assert amount_of(code_of(amount)) == pytest.approx(amount, rel=0.03, abs=0.4)
-    assert code_of(1e12) == FAILED - 1 and code_of(-5.0) == 0
-    assert len(datagram([(b"ab", 1)] * 200)) <= MAX_DATAGRAM
+        assert decode_load(encode_load(amount)) == pytest.approx(amount, rel=0.03, abs=0.4)
+    assert encode_load(1e12) == FAILURE_CODE - 1 and encode_load(-5.0) == 0
+    assert len(encode_datagram([(b"ab", 1)] * 200)) <= MAX_DATAGRAM_BYTES
 
 
 @pytest.mark.parametrize("payload", [b"", b"\1", b"hello", b"x" * 256])
 def test_a_datagram_that_cannot_be_read_changes_nothing_and_is_logged(payload: bytes) -> None:
-    with pytest.raises(BadDatagram):
-        Shared(1000.0).hear(0.0, 1, payload, 9)
+    with pytest.raises(GossipDecodeError):
+        GossipState(1000.0).receive(0.0, 1, payload, 9)
     front = Front(may_tell=True)
     front.feed(GossipReceived(1, payload))
     assert len(front.all(WriteLog)) == 1
@@ -206,14 +208,18 @@
 
 def test_words_about_a_host_that_the_list_does_not_name_send_nothing_there() -> None:
     front = Front(may_tell=True)
-    front.feed(GossipReceived(1, datagram([(tag_of("stranger"), FAILED), (tag_of("other"), 3)])))
+    front.feed(
+        GossipReceived(
+            1, encode_datagram([(endpoint_tag("stranger"), FAILURE_CODE), (endpoint_tag("other"), 3)])
+        )
+    )
     assert front.sends[front.ask()][0].server in {"r1", "r2"}
 
 
 def test_one_write_on_its_way_at_a_front_that_sees_little_is_no_jam() -> None:
     """Else a front of forty with one begin a second behind it would expect a second's wait, and refuse."""
     front = Front(may_tell=True, fleet_size=FLEET)
-    front.feed(GossipReceived(1, datagram([(tag_of("r1"), 9)])))
+    front.feed(GossipReceived(1, encode_datagram([(endpoint_tag("r1"), 9)])))
     for _ in range(4):
         front.serve(after=2_000.0)
     first = front.ask()
@@ -228,28 +234,33 @@
     """Amounts last heard before a split would stay as load for ever."""
     front = Front(may_tell=True, fleet_size=200)
     for peer in range(1, 200):
-        front.feed(GossipReceived(peer, datagram([(tag_of("r1"), code_of(5_000.0))])))
+        front.feed(GossipReceived(peer, encode_datagram([(endpoint_tag("r1"), encode_load(5_000.0))])))
     fleet = front.router.fleet
     r1 = front.router.fleet.servers["r1"]
     assert fleet.reads_out(r1) > 199 * 4_500.0
     front.feed()
-    assert fleet.shared.heard == 199
+    assert fleet.shared.active_peers == 199
     front.feed(after=SETTINGS.classes[0].give_up_ms + 1.0)
-    assert (fleet.reads_out(r1), fleet.shared.heard) == (0.0, 0)
-    assert len(fleet.shared._told) == len(fleet.shared._order) == 0
+    assert (fleet.reads_out(r1), fleet.shared.active_peers) == (0.0, 0)
+    assert fleet.shared.record_count == 0
 
 
 def test_one_lying_front_moves_choices_by_no_more_than_a_datagram_can_say_and_breaks_no_drain() -> None:
     front = Front(may_tell=True, fleet_size=200)
     front.news(UpdateScope.DELTA, entry("r1", 0, state=EndpointState.DRAINING))
-    every = [(tag_of(name), FAILED - 1) for name in ("r1", "r2", "w1", "w2")]
-    for lie in (datagram(every), datagram([(tag, FAILED) for tag, _ in every]), ANEW, datagram(every)):
+    every = [(endpoint_tag(name), FAILURE_CODE - 1) for name in ("r1", "r2", "w1", "w2")]
+    for lie in (
+        encode_datagram(every),
+        encode_datagram([(tag, FAILURE_CODE) for tag, _ in every]),
+        RESET_DATAGRAM,
+        encode_datagram(every),
+    ):
         front.feed(GossipReceived(7, lie))
         request = front.ask(after=600.0, expires_in_ms=60_000.0)
         assert all(send.server == "r2" for send in front.sends.get(request, []))
-    assert front.router.fleet.shared.at(tag_of("r2")) <= amount_of(FAILED - 1)
-    front.feed(GossipReceived(7, ANEW))
-    assert front.router.fleet.shared.at(tag_of("r2")) == 0.0
+    assert front.router.fleet.shared.load_at(endpoint_tag("r2")) <= decode_load(FAILURE_CODE - 1)
+    front.feed(GossipReceived(7, RESET_DATAGRAM))
+    assert front.router.fleet.shared.load_at(endpoint_tag("r2")) == 0.0
 
 
 def test_nothing_is_told_where_the_settings_forbid_it() -> None:
@@ -298,22 +309,24 @@
 
 def test_who_says_that_half_of_the_hosts_fail_is_itself_the_suspect() -> None:
     """Each word was believed, so one front with a broken link took all hosts' good name from all others."""
-    tags = [tag_of(f"h{n}") for n in range(8)]
+    tags = [endpoint_tag(f"h{n}") for n in range(8)]
 
     def says(peer: int, now: float, *which: int) -> list[bytes]:
-        return shared.hear(now, peer, datagram([(tags[n], FAILED) for n in which]), len(tags))
+        return shared.receive(now, peer, encode_datagram([(tags[n], FAILURE_CODE) for n in which]), len(tags))
 
-    shared = Shared(5_000.0)
+    shared = GossipState(5_000.0)
     assert says(3, 0.0, 0, 1, 2) == tags[:3]
     assert says(3, 100.0, 3, 4) == []  # five of eight: its own link is what fails
     assert says(3, 200.0, 0) == []
     assert says(2, 300.0, 0, 1) == tags[:2]  # another's word counts as before
-    assert says(3, BLAMED_MS + 300.0, 5) == [tags[5]]
-    for n in range(3 * MOST_WORDS):
-        shared.hear(0.0, 4, datagram([(n.to_bytes(2, "big"), FAILED)]), len(tags))
-    assert len(shared._words[4]) <= MOST_WORDS
+    assert says(3, SUSPECT_WINDOW_MS + 300.0, 5) == [tags[5]]
+    for n in range(3 * MAX_REPORTS_PER_PEER):
+        shared.receive(0.0, 4, encode_datagram([(n.to_bytes(2, "big"), FAILURE_CODE)]), len(tags))
+    assert shared.failure_reports.count(4) <= MAX_REPORTS_PER_PEER
     front = Front(*(entry(f"r{n}", 0) for n in range(4)), entry("w0", 1))
     for _ in range(50):
         for n in range(4):
-            front.feed(GossipReceived(1, datagram([(tag_of(f"r{n}"), FAILED)])), after=100.0)
+            front.feed(
+                GossipReceived(1, encode_datagram([(endpoint_tag(f"r{n}"), FAILURE_CODE)])), after=100.0
+            )
     assert max(front.router.fleet.servers[f"r{n}"].left.at(front.now) for n in range(4)) < 0.1
--- a/tests/test_waking.py
+++ b/tests/test_waking.py
@@ -9,7 +9,7 @@
 from tests.test_core import Noted
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Shed
-from violetstack.gossip.load_gossip import ANEW, amount_of, code_of, datagram, tag_of
+from violetstack.gossip.codec import RESET_DATAGRAM, decode_load, encode_datagram, encode_load, endpoint_tag
 from violetstack.net.gossip import Peers
 from violetstack.policy_api import (
     AttemptFinished,
@@ -88,14 +88,14 @@
 
 def test_nothing_is_learned_across_a_gap_and_others_words_from_before_do_not_count() -> None:
     front = Front(may_tell=True)
-    front.feed(GossipReceived(1, datagram([(tag_of("r1"), code_of(500.0))])))
+    front.feed(GossipReceived(1, encode_datagram([(endpoint_tag("r1"), encode_load(500.0))])))
     request = front.ask()
     front.feed(TimerFired("tell"), after=25.0)
     told = front.one(SendGossip).payload
     fleet = front.router.fleet
-    assert fleet.shared.at(tag_of("r1")) == amount_of(code_of(500.0))
+    assert fleet.shared.load_at(endpoint_tag("r1")) == decode_load(encode_load(500.0))
     front.feed(ProcessPaused(5000.0), after=5000.0)
-    assert fleet.shared.at(tag_of("r1")) == 0.0 and front.one(SendGossip).payload == ANEW
+    assert fleet.shared.load_at(endpoint_tag("r1")) == 0.0 and front.one(SendGossip).payload == RESET_DATAGRAM
     front.feed(TimerFired("tell"), after=25.0)
     assert front.one(SendGossip).payload == told  # all that is out is told anew
     front.end(request, AttemptStatus.PREFILLED, took=5050.0)
@@ -123,7 +123,7 @@
     front.ask()
     front.feed(TimerFired("tell"), after=25.0)
     told = front.one(SendGossip).payload
-    front.feed(GossipReceived(1, ANEW), GossipReceived(2, ANEW))
+    front.feed(GossipReceived(1, RESET_DATAGRAM), GossipReceived(2, RESET_DATAGRAM))
     assert 20.0 <= front.all(StartTimer)[0].after_ms <= 200.0
     front.feed(TimerFired("tell"), after=250.0)
     assert front.one(SendGossip).payload == told
@@ -134,7 +134,7 @@
     with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as other:
         await other.bind(("127.0.0.1", 0))
         peers = Peers(core, ("127.0.0.1", 0), [], other.getsockname())
-        peers.tell(ANEW)
+        peers.tell(RESET_DATAGRAM)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(peers.run)
             with trio.fail_after(5.0):
@@ -145,4 +145,4 @@
 
 def test_that_a_dispatcher_is_new_is_told_though_its_socket_was_not_bound_yet() -> None:
     """It never was, and what the process before it had out counted for as long as a request may take."""
-    assert trio.run(_first_words) == ANEW
+    assert trio.run(_first_words) == RESET_DATAGRAM
--- a/violetstack/gossip/__init__.py
+++ b/violetstack/gossip/__init__.py
@@ -1,6 +1,10 @@
-"""What dispatchers of one tier tell each other about the model hosts.
+"""Load gossip between the dispatchers of one tier.
 
-Owns the datagrams' form and what was heard: how much each other dispatcher has out at each host, which
-hosts failed them, and for how long such words count. It does no I/O and takes the clock as an argument;
-net/peers.py carries the datagrams, and the decision module alone says what follows from them.
+`codec` is the format of the datagrams, `state` is what the other dispatchers have announced, and
+`failure_reports` decides which of their failure reports count. The package does no I/O and takes the clock
+as an argument: `violetstack.net.gossip` is the transport, and the routing policy alone acts on the state.
 """
+
+from violetstack.gossip.state import GossipState
+
+__all__ = ["GossipState"]
--- /dev/null
+++ b/violetstack/gossip/state.py
@@ -0,0 +1,127 @@
+"""The load that the other dispatchers of the tier have announced, per endpoint."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+
+from violetstack.gossip.codec import (
+    FAILURE_CODE,
+    RESET_DATAGRAM,
+    SMALLEST_STEP,
+    decode_datagram,
+    decode_load,
+)
+from violetstack.gossip.failure_reports import FailureReports
+
+LOADS = tuple(decode_load(code) for code in range(FAILURE_CODE))
+
+
+class _Announcement(NamedTuple):
+    load: float
+    at_ms: float
+
+
+class _ArrivalRecord(NamedTuple):
+    at_ms: float
+    tag: bytes
+    peer: int
+
+
+NO_ANNOUNCEMENT = _Announcement(0.0, -1.0)
+
+
+class GossipState:
+    """The announced loads of all peers, with their sum per endpoint.
+
+    A load counts until its sender announces another one or a reset, or until `expiry_ms` have passed. The
+    expiry removes the load of a dispatcher that crashed and will never announce its end.
+
+    Attributes:
+        active_peers: How many peers were heard within `expiry_ms`, as of the last `expire`.
+    """
+
+    def __init__(self, expiry_ms: float) -> None:
+        """Takes the time after which an announced load no longer counts, in milliseconds."""
+        self.active_peers = 0
+        self.failure_reports = FailureReports()
+        self._expiry_ms = expiry_ms
+        self._announced: dict[tuple[bytes, int], _Announcement] = {}  # by tag and peer
+        self._arrivals: deque[_ArrivalRecord] = deque()  # oldest first; superseded ones stay until expiry
+        self._totals: dict[bytes, float] = {}
+        self._last_heard: dict[int, float] = {}
+
+    def receive(self, now: float, peer: int, payload: bytes, endpoint_count: int) -> list[bytes]:
+        """Applies a datagram and returns the tags of the endpoints whose failure report counts.
+
+        Args:
+            now: Milliseconds of the caller's clock.
+            peer: Number of the sending dispatcher.
+            payload: The datagram.
+            endpoint_count: Endpoints in the endpoint list.
+
+        Raises:
+            GossipDecodeError: The datagram is malformed; nothing has changed.
+        """
+        if payload == RESET_DATAGRAM:
+            self._last_heard[peer] = now
+            self._reset_peer(now, peer)
+            return []
+        entries = decode_datagram(payload)
+        self._last_heard[peer] = now
+        failed: list[bytes] = []
+        for tag, code in entries:
+            if code == FAILURE_CODE:
+                failed.append(tag)
+            else:
+                self._set_load(now, tag, peer, LOADS[code])
+        if failed and self.failure_reports.accept(now, peer, failed, endpoint_count):
+            return failed
+        return []
+
+    def clear(self) -> None:
+        """Discards everything announced so far.
+
+        Called after a pause of the process: older announcements are stale, and later ones may be lost.
+        """
+        self.active_peers = 0
+        self.failure_reports.clear()
+        self._announced = {}
+        self._arrivals.clear()
+        self._totals = {}
+        self._last_heard = {}
+
+    def load_at(self, tag: bytes) -> float:
+        """Returns the sum of the loads that the peers announced for an endpoint."""
+        return self._totals.get(tag, 0.0)
+
+    def expire(self, now: float) -> None:
+        """Removes loads older than the expiry time; to be called before loads are read."""
+        oldest = now - self._expiry_ms
+        self.active_peers = sum(1 for at in self._last_heard.values() if at > oldest)
+        while self._arrivals and self._arrivals[0].at_ms <= oldest:
+            at, tag, peer = self._arrivals.popleft()
+            if self._announced.get((tag, peer), NO_ANNOUNCEMENT).at_ms == at:
+                self._set_load(now, tag, peer, 0.0)
+
+    @property
+    def record_count(self) -> int:
+        """How many announcements are in memory, superseded ones included."""
+        return len(self._arrivals)
+
+    def _reset_peer(self, now: float, peer: int) -> None:
+        for tag, sender in list(self._announced):
+            if sender == peer:
+                self._set_load(now, tag, peer, 0.0)
+
+    def _set_load(self, now: float, tag: bytes, peer: int, load: float) -> None:
+        previous = self._announced.pop((tag, peer), NO_ANNOUNCEMENT).load
+        total = self._totals.get(tag, 0.0) - previous + load
+        if load > 0.0:
+            self._announced[(tag, peer)] = _Announcement(load, now)
+            self._arrivals.append(_ArrivalRecord(now, tag, peer))
+        # Rounding leaves a remainder of less than half a step; without this, idle endpoints would stay here.
+        if total > SMALLEST_STEP / 2.0:
+            self._totals[tag] = total
+        else:
+            self._totals.pop(tag, None)
--- a/violetstack/net/gossip.py
+++ b/violetstack/net/gossip.py
@@ -10,7 +10,7 @@
 
 from violetstack.config import Address
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.gossip.load_gossip import MAX_DATAGRAM
+from violetstack.gossip.codec import MAX_DATAGRAM_BYTES
 from violetstack.log import log_outside
 from violetstack.policy_api import GossipReceived
 
@@ -56,11 +56,11 @@
             self._unsaid = []
             while True:
                 try:
-                    self._heard(*await sock.recvfrom(MAX_DATAGRAM + 1))
+                    self._heard(*await sock.recvfrom(MAX_DATAGRAM_BYTES + 1))
                     for _ in range(MOST_AT_ONCE):
                         if not sock.is_readable():
                             break
-                        self._heard(*await sock.recvfrom(MAX_DATAGRAM + 1))
+                        self._heard(*await sock.recvfrom(MAX_DATAGRAM_BYTES + 1))
                 except OSError:
                     continue  # a peer that is down shows here as refused; the next one may be heard
 
@@ -81,7 +81,7 @@
         number = self._numbers.get(sender)
         if sender == self._at:
             return  # our own, by way of everyone
-        if number is None or len(data) > MAX_DATAGRAM:
+        if number is None or len(data) > MAX_DATAGRAM_BYTES:
             reason = "no peer of this tier" if number is None else "too long"
             log_outside("peer_refused", sender=f"{sender[0]}:{sender[1]}", reason=reason)
         elif not self.deaf() and not (self.duties is not None and self.duties(number, data)):
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -21,9 +21,7 @@
 )  # fmt: skip
 from violetstack.estimation.decay import FEW, Fading, Recent
 from violetstack.estimation.prefill_cost import price
-from violetstack.gossip.load_gossip import (
-    ANEW, FAILED, MOST_TOLD, UNTOLD, BadDatagram, Shared, code_of, datagram, tag_of,
-)  # fmt: skip
+from violetstack.gossip import GossipState, codec
 from violetstack.rendezvous import host_score
 from violetstack.shared.budgets import Bucket, tenant_share
 
@@ -117,7 +115,7 @@
 
     def __init__(self, entry: Endpoint, lot: float, now: float) -> None:
         self.entry, self.usable, self.lot = entry, True, lot  # the lot differs from front to front
-        self.tag, self.told, self.told_at = tag_of(entry.server), 0, now  # the code others last had, and when
+        self.tag, self.told, self.told_at = codec.endpoint_tag(entry.server), 0, now  # last code, when
         self.out: dict[tuple[str, int], Try] = {}
         self.places: dict[str, float] = {}
         self.forget(now)
@@ -170,22 +168,24 @@
         self.taken = {True: Fading(12 * LEARN_MS), False: Fading(12 * LEARN_MS)}
         self.recent: dict[str, Fading] = {}
         self.prior = 0.5 * sum(x.allowance_per_s for x in settings.tenants) / 1000.0 / settings.fleet_size
-        self.shared = Shared(max((spec.give_up_ms for spec in settings.classes), default=0.0))
+        self.shared = GossipState(max((spec.give_up_ms for spec in settings.classes), default=0.0))
 
     def code(self, server: Server) -> int:
         """What the other fronts are told of our work there."""
-        return code_of(server.own_reads() if self.role(server) is Role.PREFILL else server.own_tokens())
+        own = server.own_reads() if self.role(server) is Role.PREFILL else server.own_tokens()
+        return codec.encode_load(own)
 
     def reads_out(self, server: Server) -> float:
         """Priced reads out there: ours, and what the other fronts told; of mixed servers they tell tokens."""
-        return server.own_reads() + (0.0 if self.role(server) is Role.MIXED else self.shared.at(server.tag))
+        others = 0.0 if self.role(server) is Role.MIXED else self.shared.load_at(server.tag)
+        return server.own_reads() + others
 
     def tokens_out(self, server: Server) -> float:
-        return server.own_tokens() + self.shared.at(server.tag)
+        return server.own_tokens() + self.shared.load_at(server.tag)
 
     def whole(self, amount: float) -> float:
         """What all fronts have out, by what those that are heard have."""
-        return amount * self.settings.fleet_size / (1.0 + self.shared.heard)
+        return amount * self.settings.fleet_size / (1.0 + self.shared.active_peers)
 
     def role(self, server: Server) -> Role:
         roles, kind = self.settings.roles, server.entry.kind
@@ -377,7 +377,7 @@
         self.now, self.actions, self.gap = now, [], 0.0
         if not self.started:
             self.start()
-        self.fleet.shared.lapse(now)
+        self.fleet.shared.expire(now)
         for event in events:
             self.dispatch(event)
         return self.actions
@@ -389,7 +389,7 @@
         if self.settings.reports_on_probe and self.settings.may_probe:
             self.act(StartTimer(RETRY_MS, "poll"))
         if self.settings.may_tell:
-            self.act(SendGossip(ANEW))
+            self.act(SendGossip(codec.RESET_DATAGRAM))
 
     # --- the other fronts ---
 
@@ -404,23 +404,23 @@
         if self.now < self.telling - 1.0:
             return  # told since this timer was set
         self.telling = inf
-        entries = [(tag, FAILED) for tag in self.failures][:MOST_TOLD]
+        entries = [codec.LoadEntry(tag, codec.FAILURE_CODE) for tag in self.failures][:codec.MAX_ENTRIES]
         self.failures = dict.fromkeys(list(self.failures)[len(entries) :])
         busy = [s for s in self.fleet.servers.values() if s.out or s.places or s.told]
         changed = [(s, code) for s in busy if (code := self.fleet.code(s)) != s.told]
-        for server, code in sorted(changed, key=lambda row: row[0].told_at)[: MOST_TOLD - len(entries)]:
-            entries.append((server.tag, code))
+        for server, code in sorted(changed, key=lambda x: x[0].told_at)[: codec.MAX_ENTRIES - len(entries)]:
+            entries.append(codec.LoadEntry(server.tag, code))
             server.told, server.told_at = code, self.now
         if entries:
-            self.act(SendGossip(datagram(entries)))
-        if len(entries) == MOST_TOLD:  # what did not fit goes next, the longest untold first
+            self.act(SendGossip(codec.encode_datagram(entries)))
+        if len(entries) == codec.MAX_ENTRIES:  # what did not fit goes next, the longest untold first
             self.tell_soon()
 
     def tell_anew(self, within_ms: float) -> None:
         """All that we have out, for whoever may not know it."""
         busy = [s for s in self.fleet.servers.values() if s.out or s.places or s.told]
         for server in busy:
-            server.told = UNTOLD
+            server.told = codec.NOT_ANNOUNCED
         if busy:
             self.tell_soon(within_ms)
 
@@ -429,9 +429,9 @@
         self.gap = event.gap_ms
         for t in [t for job in self.jobs.values() for t in job.out.values()]:
             t.across = True
-        self.fleet.shared.forget()
+        self.fleet.shared.clear()
         if self.settings.may_tell:
-            self.act(SendGossip(ANEW))
+            self.act(SendGossip(codec.RESET_DATAGRAM))
             self.tell_anew(TELL_MS)
 
     def on_peer(self, message: GossipReceived) -> None:
@@ -439,11 +439,11 @@
         fleet = self.fleet
         if message.peer == self.settings.me:
             return
-        if message.payload == ANEW:  # it knows nothing of ours, as may others that start with it
+        if message.payload == codec.RESET_DATAGRAM:  # it and others that start now know none of our load
             self.tell_anew(TELL_MS * (1.0 + 9.0 * self.random.random()))
         try:
-            failed = fleet.shared.hear(self.now, message.peer, message.payload, len(fleet.servers))
-        except BadDatagram as error:
+            failed = fleet.shared.receive(self.now, message.peer, message.payload, len(fleet.servers))
+        except codec.GossipDecodeError as error:
             self.act(WriteLog(f"peer {message.peer}: {error}"))
             return
         for server in fleet.servers.values() if failed else ():
@@ -598,7 +598,7 @@
         """
         now, worth, fleet = self.now, self.worth(job), self.fleet
         jobs = [j for j in self.jobs.values() if j.scope == job.scope]
-        if fleet.shared.heard or len(jobs) > sum(1 for s in fleet.pools[True] if job.within(s, now)):
+        if fleet.shared.active_peers or len(jobs) > sum(1 for s in fleet.pools[True] if job.within(s, now)):
             wait = fleet.wait_ms(reader, job, now) + fleet.write_wait_ms(job.scope, now)
             patience = job.shortest * (0.1 + 0.4 * worth) - (now - job.arrived)
             return wait > max(0.0, min(job.deadline - now, patience))
