Estimation: DecayingSum, RecentSamples, prefill_cost in place of Fading, Recent, price

The estimators take the terms of statistics: Fading -> DecayingSum (at -> value_at, rate -> rate_per_ms, expected -> rate_per_ms_with_prior), Recent -> RecentSamples (all -> samples, middle -> median and lower_tercile), FEW -> MIN_SAMPLES, price -> prefill_cost. Samples are named tuples. The arithmetic is the same, operation by operation.

--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -186,7 +186,7 @@
     for request in asked:
         front.end(request, AttemptStatus.RESET, after=0.0, took=50.0)
     reader = front.router.fleet.servers["r1"]
-    assert 0.1 <= reader.left.at(front.now) <= 0.3
+    assert 0.1 <= reader.left.value_at(front.now) <= 0.3
 
 
 def test_what_a_failure_leaves_counts_at_readers_alone_too() -> None:
@@ -250,7 +250,7 @@
     server = front.router.fleet.servers["r1"]
     server.blame(front.now, 0.0)
     front.news(UpdateScope.DELTA, entry("r1", 0, started_ms=front.now))
-    assert server.left.at(front.now) == 0.0 and server.streak == 0
+    assert server.left.value_at(front.now) == 0.0 and server.streak == 0
 
 
 def test_a_further_read_goes_to_a_reader_that_has_not_failed_it() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -131,7 +131,9 @@
     before, after = (f.router.fleet.servers["r0"].tickets for f in (old, new))
     assert (after.rate, after.level) == (before.rate, before.level)
     assert after.rate > 5.0 / (2.0 * 3 * 2000.0)  # what a front gives that heard nothing, five times
-    assert new.router.fleet.servers["w1"].left.at(old.now) == old.router.fleet.servers["w1"].left.at(old.now)
+    assert new.router.fleet.servers["w1"].left.value_at(old.now) == old.router.fleet.servers[
+        "w1"
+    ].left.value_at(old.now)
     assert new.router.buckets[0].level == old.router.buckets[0].level
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -329,4 +329,4 @@
             front.feed(
                 GossipReceived(1, encode_datagram([(endpoint_tag(f"r{n}"), FAILURE_CODE)])), after=100.0
             )
-    assert max(front.router.fleet.servers[f"r{n}"].left.at(front.now) for n in range(4)) < 0.1
+    assert max(front.router.fleet.servers[f"r{n}"].left.value_at(front.now) for n in range(4)) < 0.1
--- a/tests/test_waking.py
+++ b/tests/test_waking.py
@@ -99,12 +99,12 @@
     front.feed(TimerFired("tell"), after=25.0)
     assert front.one(SendGossip).payload == told  # all that is out is told anew
     front.end(request, AttemptStatus.PREFILLED, took=5050.0)
-    assert not fleet.cleared.at(front.now) and not fleet.reads.all
+    assert not fleet.cleared.value_at(front.now) and not fleet.reads.samples
     front.feed(ProcessPaused(500.0), after=500.0)  # the write is out now
     front.begin(request)
-    assert not fleet.waits.all
+    assert not fleet.waits.samples
     front.serve()
-    assert fleet.cleared.at(front.now) and fleet.waits.all  # from then on it learns again
+    assert fleet.cleared.value_at(front.now) and fleet.waits.samples  # from then on it learns again
 
 
 def test_a_report_read_after_a_gap_is_as_old_as_the_gap() -> None:
--- a/violetstack/estimation/__init__.py
+++ b/violetstack/estimation/__init__.py
@@ -1,5 +1,4 @@
-"""Owns how old what is known may be: when the sockets were last looked at, and what a gap does to it.
+"""Estimators: `decay` has sums and samples that lose weight with age, `prefill_cost` the cost of a prompt.
 
-`turns` tells a turn that came late from one in time, and since when what is read now may have lain in its
-socket; `ageing` are the sums and times that fade. No I/O, and no clock of its own.
+No I/O, no decisions, and no clock: the caller passes the time.
 """
--- a/violetstack/estimation/decay.py
+++ b/violetstack/estimation/decay.py
@@ -1,58 +1,97 @@
-"""What was learned, and how it fades: times are milliseconds of the caller's clock."""
+"""Estimators over recent observations: a sum that decays exponentially and a bounded window of samples.
+
+All times are milliseconds of one clock, which the caller chooses and passes in. Nothing is decided here.
+"""
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Iterable
 from math import exp
+from typing import NamedTuple
+
+MIN_SAMPLES = 5  # with fewer samples, one outlier would decide a median
+PRIOR_DIVISOR = 6  # a prior weighs, and a rate's span is at least, the time constant divided by this
 
-FEW = 5  # as many make evidence
 
+class DecayingSum:
+    """A sum in which an amount counts exp(-age / tau_ms), as in an exponentially weighted moving average.
 
-class Fading:
-    """A sum that fades with time."""
+    Attributes:
+        total: The sum as it was at `as_of_ms`.
+        as_of_ms: The time of the last addition.
+        since_ms: The time of the first addition; None before it.
+    """
 
     def __init__(self, tau_ms: float) -> None:
-        self._tau = tau_ms
+        """Starts at zero; `tau_ms` is the time constant of the decay."""
+        self._tau_ms = tau_ms
         self.total = 0.0
-        self.as_of = 0.0
-        self.since: float | None = None
+        self.as_of_ms = 0.0
+        self.since_ms: float | None = None
 
-    def at(self, now: float) -> float:
-        return self.total * exp((self.as_of - now) / self._tau) if self.total else 0.0
+    def value_at(self, now: float) -> float:
+        """Returns the sum, decayed to `now`."""
+        return self.total * exp((self.as_of_ms - now) / self._tau_ms) if self.total else 0.0
 
     def add(self, now: float, amount: float) -> None:
-        self.total = self.at(now) + amount
-        self.as_of = now
-        self.since = now if self.since is None else self.since
+        """Adds an amount observed at `now`."""
+        self.total = self.value_at(now) + amount
+        self.as_of_ms = now
+        self.since_ms = now if self.since_ms is None else self.since_ms
+
+    def rate_per_ms(self, now: float) -> float:
+        """Returns the recent rate of additions, corrected for the time before the first one."""
+        observed_ms = now - (now if self.since_ms is None else self.since_ms)
+        span_ms = max(observed_ms, self._tau_ms / PRIOR_DIVISOR)
+        return self.value_at(now) / (self._tau_ms * (1.0 - exp(-span_ms / self._tau_ms)))
+
+    def rate_per_ms_with_prior(self, now: float, prior_per_ms: float) -> float:
+        """Returns the recent rate of additions, blended with a prior that observations outweigh.
+
+        The prior weighs as much as a `PRIOR_DIVISOR`-th of the time constant, so that a surge right after a
+        start is not taken for the steady rate.
+        """
+        observed_ms = 0.0
+        if self.since_ms is not None:
+            observed_ms = self._tau_ms * (1.0 - exp((self.since_ms - now) / self._tau_ms))
+        prior = prior_per_ms * self._tau_ms / PRIOR_DIVISOR
+        return (self.value_at(now) + prior) / (observed_ms + self._tau_ms / PRIOR_DIVISOR)
 
-    def rate(self, now: float) -> float:
-        """What is added in a millisecond, of late."""
-        over = max(now - (now if self.since is None else self.since), self._tau / 6)
-        return self.at(now) / (self._tau * (1.0 - exp(-over / self._tau)))
 
-    def expected(self, now: float, prior: float) -> float:
-        """What is added in a millisecond; `prior` where nothing is known, outweighed by what is seen.
+class Sample(NamedTuple):
+    """One observation: when it was made, and its value."""
 
-        It weighs as much as a sixth of the memory, so that a surge after a start does not count as the rate.
-        """
-        seen = self._tau * (1.0 - exp((self.since - now) / self._tau)) if self.since is not None else 0.0
-        return (self.at(now) + prior * self._tau / 6) / (seen + self._tau / 6)
+    at_ms: float
+    value: float
 
 
-class Recent:
-    """The last few of a kind of time, and their middle or lower third, which a few lost ones do not move."""
+class RecentSamples:
+    """The most recent samples of one quantity, with order statistics that a few outliers do not move."""
 
-    def __init__(self, most: int, over_ms: float) -> None:
-        self.all = deque[tuple[float, float]](maxlen=most)
-        self._over_ms = over_ms
+    def __init__(self, max_samples: int, max_age_ms: float) -> None:
+        """Keeps at most `max_samples` samples; those older than `max_age_ms` do not count."""
+        self.samples = deque[Sample](maxlen=max_samples)
+        self._max_age_ms = max_age_ms
 
-    def add(self, now: float, took: float) -> None:
-        self.all.append((now, took))
+    def add(self, now: float, value: float) -> None:
+        """Adds a sample observed at `now`; the oldest one goes once the window is full."""
+        self.samples.append(Sample(now, value))
+
+    def median(self, now: float) -> float:
+        """Returns the median of the recent samples, or 0 with fewer than `MIN_SAMPLES` of them."""
+        return self._order_statistic(now, 2, ())
+
+    def lower_tercile(self, now: float, unfinished: Iterable[float]) -> float:
+        """Returns the value that a third of the recent samples stay below, or 0 with too few of them.
+
+        `unfinished` holds the ages of work that has not ended. An age counts as a sample once it exceeds the
+        tercile of the finished work, since its final value can then only be larger.
+        """
+        return self._order_statistic(now, 3, unfinished)
 
-    def middle(self, now: float, part: int = 2, ages: Iterable[float] = ()) -> float:
-        """0 if too few are known; work that is out counts by its age once that is past the middle."""
-        took = [took for at, took in self.all if at > now - self._over_ms]
-        usual = sorted(took)[len(took) // part] if took else 0.0
-        took += [age for age in ages if age > usual]
-        return sorted(took)[len(took) // part] if len(took) >= FEW else 0.0
+    def _order_statistic(self, now: float, divisor: int, unfinished: Iterable[float]) -> float:
+        values = [sample.value for sample in self.samples if sample.at_ms > now - self._max_age_ms]
+        usual = sorted(values)[len(values) // divisor] if values else 0.0
+        values += [age for age in unfinished if age > usual]
+        return sorted(values)[len(values) // divisor] if len(values) >= MIN_SAMPLES else 0.0
--- a/violetstack/handover/learned.py
+++ b/violetstack/handover/learned.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from violetstack.estimation.decay import Fading, Recent
+from violetstack.estimation.decay import DecayingSum, RecentSamples
 from violetstack.router import LEARN_MS, Router, Server
 
 
@@ -43,7 +43,7 @@
     servers: dict[str, Known]
 
 
-def _sums(router: Router) -> dict[str, Fading]:
+def _sums(router: Router) -> dict[str, DecayingSum]:
     fleet = router.fleet
     return {
         "cleared": fleet.cleared,
@@ -55,8 +55,8 @@
     }
 
 
-def _told(fading: Fading, now: float) -> Sum:
-    return Sum(fading.at(now), fading.since)
+def _told(fading: DecayingSum, now: float) -> Sum:
+    return Sum(fading.value_at(now), fading.since_ms)
 
 
 def _known(server: Server, now: float) -> Known:
@@ -79,17 +79,17 @@
         at=now,
         sums={name: _told(fading, now) for name, fading in _sums(router).items()},
         begun={scope: _told(fading, now) for scope, fading in fleet.recent.items()},
-        reads=list(fleet.reads.all),
-        waits=list(fleet.waits.all),
+        reads=list(fleet.reads.samples),
+        waits=list(fleet.waits.samples),
         tenants={n: (bucket.level, bucket.as_of) for n, bucket in router.buckets.items()},
         servers={name: _known(server, now) for name, server in fleet.servers.items() if server.usable},
     )
 
 
-def _set(fading: Fading, told: Sum, at: float) -> None:
+def _set(fading: DecayingSum, told: Sum, at: float) -> None:
     fading.total = told.amount
-    fading.as_of = at
-    fading.since = told.since
+    fading.as_of_ms = at
+    fading.since_ms = told.since
 
 
 def recall(router: Router, told: Learned) -> int:
@@ -100,7 +100,7 @@
         if name in told.sums:
             _set(fading, told.sums[name], told.at)
     for scope, row in told.begun.items():
-        _set(fleet.recent.setdefault(scope, Fading(2 * LEARN_MS)), row, told.at)
+        _set(fleet.recent.setdefault(scope, DecayingSum(2 * LEARN_MS)), row, told.at)
     for recent, rows in ((fleet.reads, told.reads), (fleet.waits, told.waits)):
         _fill(recent, rows)
     for n, level in told.tenants.items():
@@ -125,6 +125,6 @@
     return servers
 
 
-def _fill(recent: Recent, rows: list[tuple[float, float]]) -> None:
+def _fill(recent: RecentSamples, rows: list[tuple[float, float]]) -> None:
     for at, took in rows:
         recent.add(at, took)
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from collections import defaultdict
 from msgspec.structs import replace
 from math import exp, inf
 
@@ -19,8 +20,8 @@
     ShutdownStarted, StartTimer, StreamStarted, TimerFired, UpdateScope, WriteLog, BLAMED_STATUSES,
     GOSSIPED_STATUSES, MAY_HAVE_RUN_STATUSES,
 )  # fmt: skip
-from violetstack.estimation.decay import FEW, Fading, Recent
-from violetstack.estimation.prefill_cost import price
+from violetstack.estimation.decay import MIN_SAMPLES, DecayingSum, RecentSamples
+from violetstack.estimation.prefill_cost import prefill_cost
 from violetstack.gossip import GossipState, codec
 from violetstack.rendezvous import host_score
 from violetstack.shared.budgets import Bucket, tenant_share
@@ -59,7 +60,7 @@
         self.req, self.spec, self.sent = req, spec, 0
         self.deadline = now + req.expires_in_ms
         length = req.prompt_tokens
-        self.price = price(length)
+        self.price = prefill_cost(length)
         self.aim = spec.aim_ms + spec.aim_ms_per_1000_tokens * length / 1000.0
         answer = req.max_tokens
         if req.answer_ms is not None and spec.token_aim_ms > 0:
@@ -123,12 +124,12 @@
     def forget(self, now: float) -> None:
         """A restart resets what was learned."""
         self.tickets = Bucket(0.0, 1.0, self.lot, now)
-        self.cleared, self.busy_ms = Fading(LEARN_MS), Fading(LEARN_MS)
-        self.left, self.blamed_at, self.streak = Fading(FORGET_MS), -1.0, 0
+        self.cleared, self.busy_ms = DecayingSum(LEARN_MS), DecayingSum(LEARN_MS)
+        self.left, self.blamed_at, self.streak = DecayingSum(FORGET_MS), -1.0, 0
         self.away_until = 0.0  # another front tries it
         self.share: float | None = None
         self.share_at = self.known_then = 0.0
-        self.seen_tokens, self.seen_share = Fading(4 * LEARN_MS), Fading(4 * LEARN_MS)
+        self.seen_tokens, self.seen_share = DecayingSum(4 * LEARN_MS), DecayingSum(4 * LEARN_MS)
 
     def own_reads(self) -> float:
         return sum(t.price for t in self.out.values() if t.reading) if self.out else 0.0
@@ -161,12 +162,12 @@
         self.pools: dict[bool, list[Server]] = {True: [], False: []}
         self.orders: dict[str, list[Server]] = {}
         self.last: dict[str, str] = {}  # a session's last reader
-        self.reads, self.waits = Recent(3 * FEW, 2 * LEARN_MS), Recent(3 * FEW, 2 * LEARN_MS)
-        self.took: dict[str, Recent] = {}  # by scope, like the next
-        self.cleared, self.busy_ms = Fading(LEARN_MS), Fading(LEARN_MS)
-        self.claimed, self.found = Fading(2 * LEARN_MS), Fading(2 * LEARN_MS)
-        self.taken = {True: Fading(12 * LEARN_MS), False: Fading(12 * LEARN_MS)}
-        self.recent: dict[str, Fading] = {}
+        self.reads, self.waits = (RecentSamples(3 * MIN_SAMPLES, 2 * LEARN_MS) for _ in range(2))
+        self.took = defaultdict[str, RecentSamples](lambda: RecentSamples(MIN_SAMPLES + 1, 6 * LEARN_MS))
+        self.cleared, self.busy_ms = DecayingSum(LEARN_MS), DecayingSum(LEARN_MS)
+        self.claimed, self.found = DecayingSum(2 * LEARN_MS), DecayingSum(2 * LEARN_MS)
+        self.taken = {True: DecayingSum(12 * LEARN_MS), False: DecayingSum(12 * LEARN_MS)}
+        self.recent: dict[str, DecayingSum] = {}  # by scope
         self.prior = 0.5 * sum(x.allowance_per_s for x in settings.tenants) / 1000.0 / settings.fleet_size
         self.shared = GossipState(max((spec.give_up_ms for spec in settings.classes), default=0.0))
 
@@ -227,7 +228,7 @@
         warmth, rules = self.warmth(server, now), self.settings
         if warmth >= 1.0:
             return True
-        usual = self.taken[reading].expected(now, self.prior) / max(1, len(self.pools[reading]))
+        usual = self.taken[reading].rate_per_ms_with_prior(now, self.prior) / max(1, len(self.pools[reading]))
         trickle = 1.0 / (2.0 * rules.fleet_size * rules.fall_ms)
         server.tickets.rate = max(trickle, 1.25 * rules.fall_multiple * warmth * usual)
         return server.tickets.within(now) and not server.places
@@ -238,8 +239,8 @@
         An unheard reader counts average. Guards against readers that hang, crawl or lose our reads: one that
         is out for longer than it should counts though no outcome came. All slow alike changes no order.
         """
-        average = (self.cleared.at(now) + FIRST_SPEED) / (self.busy_ms.at(now) + 1.0)
-        cleared, busy = server.cleared.at(now), server.busy_ms.at(now)
+        average = (self.cleared.value_at(now) + FIRST_SPEED) / (self.busy_ms.value_at(now) + 1.0)
+        cleared, busy = server.cleared.value_at(now), server.busy_ms.value_at(now)
         for t in server.out.values():
             if t.reading and (now - t.sent_at) * average > t.ahead:
                 cleared, busy = cleared + t.ahead, busy + now - t.sent_at
@@ -252,11 +253,11 @@
         most were refused on quiet days: a price grows as the square of the length, a time less than that.
         """
         backlog = self.reads_out(server)
-        if backlog == 0.0 or not self.cleared.at(now):
+        if backlog == 0.0 or not self.cleared.value_at(now):
             return 0.0
         pace = self.speed(server, now) * self.warmth(server, now)
         own = self.unread_price(server, job, now) / pace
-        return backlog / pace + min(own, self.reads.middle(now) or own)
+        return backlog / pace + min(own, self.reads.median(now) or own)
 
     def write_wait_ms(self, scope: str, now: float) -> float:
         """How long writers let us wait: our writes that have not begun over the rate at which ours begin.
@@ -266,7 +267,7 @@
         """
         out = [t for s in self.servers.values() for t in s.out.values()]
         waiting = [now - t.sent_at for t in out if not t.reading and not t.begun and t.job.scope == scope]
-        rate = self.recent[scope].rate(now) if scope in self.recent else 0.0
+        rate = self.recent[scope].rate_per_ms(now) if scope in self.recent else 0.0
         return min(len(waiting) / rate, 2.0 * max(waiting)) if rate > 0.0 and waiting else 0.0
 
     def order(self, key: str) -> list[Server]:
@@ -304,9 +305,9 @@
         readers saturate and more is moved. Claims are scaled by how much of them was found. Could harm when
         kept text is dropped faster than the finds tell: then a session waits at a reader for nothing.
         """
-        claimed = self.claimed.at(now)
-        trust = (self.found.at(now) + 1.0) / (claimed + 1.0)
-        return price(job.req.prompt_tokens - min(1.0, trust) * self.claim(server, job))
+        claimed = self.claimed.value_at(now)
+        trust = (self.found.value_at(now) + 1.0) / (claimed + 1.0)
+        return prefill_cost(job.req.prompt_tokens - min(1.0, trust) * self.claim(server, job))
 
     def read_freeness(self, server: Server, job: Job, now: float) -> float:
         """Virtual Freeness of a reader with this prompt added: one minus the priced reads over the budget."""
@@ -314,7 +315,7 @@
         if self.role(server) is Role.MIXED:
             backlog += sum(t.price for t in server.out.values() if not t.reading and not t.begun)
         budget = job.aim * self.speed(server, now)
-        return 1.0 - backlog / budget - server.left.at(now)
+        return 1.0 - backlog / budget - server.left.value_at(now)
 
     def memory(self, server: Server, now: float) -> float:
         """Memory size in tokens as we count them: told, corrected by reports against our own streams."""
@@ -322,7 +323,7 @@
         size = told[kind] if kind < len(told) and told[kind] > 0 else FIRST_MEMORY_TOKENS
         if server.share is None:
             return size
-        learned = (server.seen_tokens.at(now) + size) / (server.seen_share.at(now) + 1.0)
+        learned = (server.seen_tokens.value_at(now) + size) / (server.seen_share.value_at(now) + 1.0)
         return min(2.0 * size, max(0.5 * size, learned))
 
     def means(self) -> tuple[float, float]:
@@ -340,11 +341,11 @@
         """
         size, known = self.memory(server, now), self.tokens_out(server)
         if server.share is None:
-            return 1.0 - means[0] - (self.whole(known) - means[1]) / size - server.left.at(now)
+            return 1.0 - means[0] - (self.whole(known) - means[1]) / size - server.left.value_at(now)
         weight = exp((server.share_at - now) / LEARN_MS)
         share = means[0] + weight * (server.share - means[0])
         then = means[1] + weight * (server.known_then - means[1])
-        return 1.0 - share - (known - then) / size - server.left.at(now)
+        return 1.0 - share - (known - then) / size - server.left.value_at(now)
 
     def report(self, server: Server, row: tuple[float | None, ...] | None, now: float) -> None:
         names = self.settings.report_names
@@ -458,7 +459,7 @@
         if (server := self.fleet.servers.get(event.server)) is None:
             return
         if event.well:
-            server.left, server.streak = Fading(FORGET_MS), 0
+            server.left, server.streak = DecayingSum(FORGET_MS), 0
         server.away_until = self.now + event.for_ms if server.streak >= TRIED_FROM else 0.0
 
     def act(self, action: Action) -> None:
@@ -535,7 +536,7 @@
         fleet = self.fleet
         budgets = [(s, self.shortest * fleet.speed(s, now)) for s in fleet.pools[True]]
         reads = [
-            1.0 - sum(t.price for t in s.out.values()) / budget - s.left.at(now)
+            1.0 - sum(t.price for t in s.out.values()) / budget - s.left.value_at(now)
             for s, budget in budgets if budget > 0.0
         ]  # fmt: skip
         means = fleet.means()
@@ -548,7 +549,7 @@
     def avoided(self, now: float) -> int:
         """Listed servers that are not chosen now: draining, or without any room for what failed there."""
         listed = [s for s in self.fleet.servers.values() if s.entry.state is not EndpointState.REMOVED]
-        return sum(1 for s in listed if not s.usable or s.left.at(now) >= 1.0)
+        return sum(1 for s in listed if not s.usable or s.left.value_at(now) >= 1.0)
 
     # --- a request's way ---
 
@@ -602,8 +603,7 @@
             wait = fleet.wait_ms(reader, job, now) + fleet.write_wait_ms(job.scope, now)
             patience = job.shortest * (0.1 + 0.4 * worth) - (now - job.arrived)
             return wait > max(0.0, min(job.deadline - now, patience))
-        took = fleet.took.setdefault(job.scope, Recent(FEW + 1, 6 * LEARN_MS))
-        late = took.middle(now, 3, (j.part(now) for j in jobs if not j.begun))
+        late = fleet.took[job.scope].lower_tercile(now, (j.part(now) for j in jobs if not j.begun))
         return self.random.random() > max(0.1, 2.0 - late / (LATE_FROM * (0.5 + 0.5 * worth)))
 
     def candidates(self, job: Job, reading: bool) -> list[Server]:
@@ -675,7 +675,7 @@
         Reads have no effect and may always be tried again; a write only where its class allows.
         """
         usual = self.fleet.reads if t.reading else self.fleet.waits
-        patience = max(2.0 * job.aim - 1.5 * job.spec.aim_ms, 4.0 * usual.middle(self.now))
+        patience = max(2.0 * job.aim - 1.5 * job.spec.aim_ms, 4.0 * usual.median(self.now))
         patience /= self.fleet.warmth(t.server, self.now)
         spare = job.most - job.sent - (3 if t.reading else 2)
         may = t.reading or job.spec.effect is Idempotency.IDEMPOTENT
@@ -707,9 +707,9 @@
         if not t.across:
             fleet.waits.add(self.now, event.took_ms)
         fleet.taken[False].add(self.now, 1.0)
-        fleet.recent.setdefault(job.scope, Fading(2 * LEARN_MS)).add(self.now, 1.0)
+        fleet.recent.setdefault(job.scope, DecayingSum(2 * LEARN_MS)).add(self.now, 1.0)
         job.begun = True
-        fleet.took.setdefault(job.scope, Recent(FEW + 1, 6 * LEARN_MS)).add(self.now, job.part(self.now))
+        fleet.took[job.scope].add(self.now, job.part(self.now))
         server.streak = 0
 
     def on_outcome(self, event: AttemptFinished) -> None:
@@ -737,7 +737,7 @@
         if event.status is AttemptStatus.TIMEOUT and not t.reading and not t.begun:
             fleet.waits.add(now, event.took_ms)
         if event.status is AttemptStatus.PREFILLED:
-            ahead = t.ahead - t.price + price(t.job.req.prompt_tokens - event.note)
+            ahead = t.ahead - t.price + prefill_cost(t.job.req.prompt_tokens - event.note)
             for owner in () if t.across else (fleet, server):
                 owner.cleared.add(now, ahead)
                 owner.busy_ms.add(now, event.took_ms)
