Process pauses: PauseTracker and PauseDetector in place of Turns and Waking

process_pause.Turns -> PauseTracker (waiting -> wait_started, looked -> wait_ended, since -> earliest_arrival), net.pause_detector.Waking -> PauseDetector (reading -> catching_up, fresh -> wait_caught_up, unseen_ms -> max_unread_ms, sources -> add_source), Dispatcher.woke -> process_paused. The log event woke is process_paused now, with pause_ms and loop_iterations in place of gap_ms and turns.

--- a/tests/test_waking.py
+++ b/tests/test_process_pause.py
@@ -1,4 +1,4 @@
-"""A process that was stopped: what it knew is old, and what lies unread comes first."""
+"""Process pauses: what was known before is outdated, and unread input is handled first."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
     TimerFired,
     UpdateScope,
 )
-from violetstack.process_pause import Turns
+from violetstack.process_pause import PauseTracker
 
 GRACE_MS = 250.0
 
@@ -43,50 +43,50 @@
 
 
 @pytest.mark.parametrize(
-    ("timeout", "waited", "busy", "gap", "since"),
+    ("timeout_ms", "waited_ms", "busy_ms", "pause_ms", "earliest_arrival"),
     [
-        (100.0, 60.0, 5.0, 0.0, 1065.0),  # a wait that something ended: it came just now
-        (100.0, 0.2, 200.0, 0.0, 1000.0),  # a long turn: what was there may have come since the last look
-        (100.0, 0.2, 300.0, 300.2, 1000.0),  # too long
-        (100.0, 5000.0, 5.0, 5000.0, 1005.0),  # stopped in the wait
-        (100.0, 115.0, 5.0, 0.0, 1120.0),  # a wait that ended late for want of a processor
+        (100.0, 60.0, 5.0, 0.0, 1065.0),  # a wait that data ended: it came just now
+        (100.0, 0.2, 200.0, 0.0, 1000.0),  # a long iteration: the data may have come during all of it
+        (100.0, 0.2, 300.0, 300.2, 1000.0),  # an iteration longer than the threshold
+        (100.0, 5000.0, 5.0, 5000.0, 1005.0),  # stopped during the wait
+        (100.0, 115.0, 5.0, 0.0, 1120.0),  # a wait that ended late because the machine was busy
     ],
 )
-def test_a_gap_is_told_from_a_wait(
-    timeout: float, waited: float, busy: float, gap: float, since: float
+def test_a_pause_is_told_from_a_wait(
+    timeout_ms: float, waited_ms: float, busy_ms: float, pause_ms: float, earliest_arrival: float
 ) -> None:
-    turns = Turns(1000.0, GRACE_MS)
-    turns.waiting(1000.0 + busy, timeout)
-    assert turns.looked(1000.0 + busy + waited) == pytest.approx(gap)
-    assert turns.since == pytest.approx(since)
+    tracker = PauseTracker(1000.0, GRACE_MS)
+    tracker.wait_started(1000.0 + busy_ms, timeout_ms)
+    assert tracker.wait_ended(1000.0 + busy_ms + waited_ms) == pytest.approx(pause_ms)
+    assert tracker.earliest_arrival == pytest.approx(earliest_arrival)
 
 
-def test_a_drain_that_lay_unread_binds_at_once_and_is_decided_on_first() -> None:
-    """Sends decided on the old list went out for 170 ms more, whenever the requests' sockets were read first.
+def test_a_drain_that_was_unread_during_a_pause_is_applied_before_requests() -> None:
+    """Attempts went to a draining host for 170 ms more whenever the clients' sockets were read first.
 
-    Now none does: it binds with the news, whatever its age.
+    Now none does: a drain binds as soon as its update is read, whatever its age.
     """
     core, noted = core_of()
     core.take(5000.0, asked(), noted, None)
     core.news(
         5000.0, EndpointUpdate(UpdateScope.SNAPSHOT, (entry("w1", 1, state=EndpointState.DRAINING),), 2)
     )
-    core.woke(5000.0, 4000.0)
+    core.process_paused(5000.0, 4000.0)
     core.run(5000.0)
     assert [type(event) for event in noted.events] == [ProcessPaused, EndpointUpdate, Request]
     assert not core.may_write("w1")
 
 
-def test_a_request_that_lay_unread_for_its_whole_time_is_refused_at_once() -> None:
+def test_a_request_that_was_unread_until_its_deadline_is_rejected_at_once() -> None:
     core, _ = core_of()
-    core.unseen_ms = lambda: 4000.0
+    core.max_unread_ms = lambda: 4000.0
     shed = core.admit(5000.0, asked(3000.0))
     later = asked(6000.0)
     assert isinstance(shed, Shed) and shed.reason == "unread"
     assert core.admit(5000.0, later) is None and (later.expires_in_ms, later.age_ms) == (2000.0, 4000.0)
 
 
-def test_nothing_is_learned_across_a_gap_and_others_words_from_before_do_not_count() -> None:
+def test_a_pause_discards_gossip_and_no_estimator_learns_across_it() -> None:
     front = Front(may_tell=True)
     front.feed(GossipReceived(1, encode_datagram([(endpoint_tag("r1"), encode_load(500.0))])))
     request = front.ask()
@@ -97,17 +97,19 @@
     front.feed(ProcessPaused(5000.0), after=5000.0)
     assert fleet.shared.load_at(endpoint_tag("r1")) == 0.0 and front.one(SendGossip).payload == RESET_DATAGRAM
     front.feed(TimerFired("tell"), after=25.0)
-    assert front.one(SendGossip).payload == told  # all that is out is told anew
+    assert front.one(SendGossip).payload == told  # all attempts in flight are announced anew
     front.end(request, AttemptStatus.PREFILLED, took=5050.0)
     assert not fleet.cleared.value_at(front.now) and not fleet.reads.samples
-    front.feed(ProcessPaused(500.0), after=500.0)  # the write is out now
+    front.feed(ProcessPaused(500.0), after=500.0)  # the decode attempt is in flight now
     front.begin(request)
     assert not fleet.waits.samples
     front.serve()
-    assert fleet.cleared.value_at(front.now) and fleet.waits.samples  # from then on it learns again
+    assert (
+        fleet.cleared.value_at(front.now) and fleet.waits.samples
+    )  # attempts after the pause are learned from
 
 
-def test_a_report_read_after_a_gap_is_as_old_as_the_gap() -> None:
+def test_a_load_report_read_after_a_pause_is_dated_before_it() -> None:
     front = Front(report_names=("x0",))
     request = front.ask()
     front.now += 5000.0
@@ -117,8 +119,8 @@
     assert front.router.fleet.servers[reader].share_at == front.now - 5000.0
 
 
-def test_whoever_hears_of_a_new_dispatcher_tells_it_what_is_out() -> None:
-    """It heard only of changes, and took hosts that were full for idle ones."""
+def test_a_new_dispatcher_is_sent_all_attempts_in_flight() -> None:
+    """It received only changes, and took hosts that were full for idle ones."""
     front = Front(may_tell=True)
     front.ask()
     front.feed(TimerFired("tell"), after=25.0)
@@ -129,7 +131,7 @@
     assert front.one(SendGossip).payload == told
 
 
-async def _first_words() -> bytes:
+async def _first_datagram() -> bytes:
     core, _ = core_of()
     with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as other:
         await other.bind(("127.0.0.1", 0))
@@ -138,11 +140,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(peers.run)
             with trio.fail_after(5.0):
-                heard: bytes = await other.recv(256)
+                received: bytes = await other.recv(256)
             nursery.cancel_scope.cancel()
-    return heard
+    return received
 
 
-def test_that_a_dispatcher_is_new_is_told_though_its_socket_was_not_bound_yet() -> None:
-    """It never was, and what the process before it had out counted for as long as a request may take."""
-    assert trio.run(_first_words) == RESET_DATAGRAM
+def test_the_first_datagram_is_sent_though_the_socket_was_not_bound_yet() -> None:
+    """It was lost, and the load of the previous process counted for as long as a request may take."""
+    assert trio.run(_first_datagram) == RESET_DATAGRAM
--- a/tests/test_rehearsal_fleet.py
+++ b/tests/test_rehearsal_fleet.py
@@ -88,7 +88,7 @@
     plan = Plan(seed=4, dispatchers=3, rate=30, warm=2, seconds=8, notice=3, trouble=[stop, drain, kill])
     result = play(plan)
     assert (result.breaches, result.stale, result.crashed) == ([], 0, [])
-    assert result.events["woke"] >= 1 and result.events["started"] == 4
+    assert result.events["process_paused"] >= 1 and result.events["started"] == 4
     assert result.answers["served"] > 150
     assert not [line for line in result.loud if "'silent'" in line]
 
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -119,7 +119,7 @@
         self.level: Level | None = None
         self.witness: Witness | None = None
         self.advice_ms: Callable[[float], float] = lambda ms: ms  # when to come back
-        self.unseen_ms: Callable[[], float] = lambda: 0.0  # how long what is read now may have lain unread
+        self.max_unread_ms: Callable[[], float] = lambda: 0.0  # age of what is read now, at most
 
     # --- events in ---
 
@@ -155,7 +155,7 @@
 
         Guards against answers past their time: what may have lain unread counts as having done so.
         """
-        asked.age_ms = self.unseen_ms()
+        asked.age_ms = self.max_unread_ms()
         asked.expires_in_ms -= asked.age_ms
         shed = None if self.level is None else self.level.admit(now, asked)
         if asked.expires_in_ms <= 0.0:
@@ -232,7 +232,7 @@
             self.routes.taken(now, asked)
         return attempt
 
-    def woke(self, now: float, gap_ms: float) -> None:
+    def process_paused(self, now: float, gap_ms: float) -> None:
         """Guards against decisions on what was known before the gap.
 
         The module hears of the gap first, then of the list, whichever socket was read first.
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -29,7 +29,7 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.gossip import Peers
-from violetstack.net.pause_detector import Waking
+from violetstack.net.pause_detector import PauseDetector
 from violetstack.net.startup_recovery import Comeback
 from violetstack.net.upstream.attempt import Hosts
 from violetstack.policy_api import EndpointUpdate
@@ -152,19 +152,19 @@
 
     async def _start(self) -> Serving:
         self._build()
-        waking = self._watch_for_pauses()
+        pause_detector = self._watch_for_pauses()
         self._build_state()
-        loop = EventLoop(self.core, waking)
+        loop = EventLoop(self.core, pause_detector)
         self._build_endpoints()
         predecessor = self.handover.begin() if self.handover is not None else None
-        await self.endpoints.start(self.nursery, waking, predecessor)
+        await self.endpoints.start(self.nursery, pause_detector, predecessor)
         door = await self._open_door()
         self._shed_load(self.config.levels)
         self.nursery.start_soon(loop.run)
         self.nursery.start_soon(self.hosts.retire_idle)
         await self.endpoints.wait_for_first_list()
         self.lifecycle.started = True
-        self._join_tier(waking)
+        self._join_tier(pause_detector)
         platform = chat = None
         if self.config.listen is not None:
             platform = await self.fronts.start_platform(self.config.listen)
@@ -193,15 +193,17 @@
         self.fronts = FrontServers(config, self.core, self.nursery, self.listeners, self.limits.apply)
         self._route()
 
-    def _watch_for_pauses(self) -> Waking:
+    def _watch_for_pauses(self) -> PauseDetector:
         """Nothing is decided or sent on what was known before the process was stopped."""
         core = self.core
-        waking = Waking(self.config.drain_grace_ms, lambda gap: core.woke(now_ms(), gap))
-        core.unseen_ms = waking.unseen_ms
-        self.hosts.fresh = waking.fresh
-        waking.sources.append(self.hosts)
-        self.nursery.start_soon(waking.run)
-        return waking
+        pause_detector = PauseDetector(
+            self.config.drain_grace_ms, lambda gap: core.process_paused(now_ms(), gap)
+        )
+        core.max_unread_ms = pause_detector.max_unread_ms
+        self.hosts.fresh = pause_detector.wait_caught_up
+        pause_detector.add_source(self.hosts)
+        self.nursery.start_soon(pause_detector.run)
+        return pause_detector
 
     def _build_state(self) -> None:
         self.kept = start_state_writer(self.config, self.nursery, self._learned)
@@ -250,7 +252,7 @@
         at = listener.socket.getsockname()
         return at[0], at[1]
 
-    def _join_tier(self, waking: Waking) -> None:
+    def _join_tier(self, pause_detector: PauseDetector) -> None:
         """Exchanges load with the other dispatchers, and holds leases where they are configured."""
         config = self.config
         if config.peer_listen is None:
@@ -258,14 +260,14 @@
         heirs = config.inherited is not None
         peers = Peers(self.core, config.peer_listen, config.peers, config.peers_all, heirs)
         self.hosts.tell = peers.tell
-        peers.deaf = lambda: waking.reading
-        waking.sources.append(peers)
+        peers.deaf = lambda: pause_detector.catching_up
+        pause_detector.add_source(peers)
         self.duties = start_lease_service(
             config,
             self.nursery,
             self.core,
             peers,
-            waking,
+            pause_detector,
             fit=lambda: self.taking and self.comeback.listed and not self.stop.is_set(),
             suspected=self.router.suspected,
         )
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -13,7 +13,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.log import log
 from violetstack.net.clock import now_ms
-from violetstack.net.pause_detector import Waking
+from violetstack.net.pause_detector import PauseDetector
 from violetstack.net.startup_recovery import Comeback
 from violetstack.net.upstream.attempt import Hosts
 from violetstack.net.upstream.connection_pool import Host
@@ -68,7 +68,9 @@
 
     # --- startup ---
 
-    async def start(self, nursery: trio.Nursery, waking: Waking, predecessor: Record | None) -> None:
+    async def start(
+        self, nursery: trio.Nursery, pause_detector: PauseDetector, predecessor: Record | None
+    ) -> None:
         """Publishes the hosts that are remembered and starts the watch."""
         self._nursery = nursery
         config = self._config
@@ -94,7 +96,7 @@
             again = Backoff(settings.fleet_size, settings.seed, agent=not settings.must_ask)
             self.watch = Watch(config.discovery, self._reader, version, self._told, again)
             self.watch.confirmed = self._confirmed
-            waking.sources.append(self.watch)
+            pause_detector.add_source(self.watch)
             nursery.start_soon(self.watch.run)
 
     async def wait_for_first_list(self) -> None:
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -14,7 +14,7 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.gossip import Peers
-from violetstack.net.pause_detector import Waking
+from violetstack.net.pause_detector import PauseDetector
 from violetstack.policy_api import EndpointUpdate, UpdateScope
 from violetstack.router import Router
 
@@ -44,7 +44,7 @@
     nursery: trio.Nursery,
     core: Dispatcher,
     peers: Peers,
-    waking: Waking,
+    pause_detector: PauseDetector,
     *,
     fit: Callable[[], bool],
     suspected: Callable[[str], bool],
@@ -55,7 +55,7 @@
         return None
     from violetstack.net.lease_service import Duties
 
-    duties = Duties(told, core, peers, waking, fit=fit, suspected=suspected)
+    duties = Duties(told, core, peers, pause_detector, fit=fit, suspected=suspected)
     nursery.start_soon(duties.run)
     return duties
 
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -17,7 +17,7 @@
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
 from violetstack.net.gossip import Peers
-from violetstack.net.pause_detector import Waking
+from violetstack.net.pause_detector import PauseDetector
 from violetstack.operators import DutiesFile
 
 ASLEEP_MS = 1_000.0  # a longer sleep would hide that this one has become fit
@@ -32,7 +32,7 @@
         told: DutiesFile,
         core: Dispatcher,
         peers: Peers,
-        waking: Waking,
+        pause_detector: PauseDetector,
         *,
         fit: Callable[[], bool],
         suspected: Callable[[str], bool],
@@ -41,7 +41,7 @@
         incarnation = secrets.randbits(20)
         self._told = told
         self._peers = peers
-        self._waking = waking
+        self._pause_detector = pause_detector
         self._fit = fit
         self.member = Member(
             now_ms(),
@@ -66,7 +66,8 @@
     async def run(self) -> None:
         while True:
             self._news = trio.Event()
-            await self._waking.fresh()  # a lease that ran out in a gap is over before anything is done by it
+            # A lease that expired during a pause has to end before anything is done under it.
+            await self._pause_detector.wait_caught_up()
             now = now_ms()
             if self.leave is not None:
                 self.leave.tick(now)
--- a/violetstack/net/pause_detector.py
+++ b/violetstack/net/pause_detector.py
@@ -1,4 +1,4 @@
-"""Tells a waking, and holds what is decided and sent until the sockets have been read up."""
+"""Detects that the process was paused, and holds decisions and sends until its sockets have been read."""
 
 from __future__ import annotations
 
@@ -9,76 +9,97 @@
 
 from violetstack.log import log
 from violetstack.net.clock import now_ms
-from violetstack.process_pause import Turns
+from violetstack.process_pause import PauseTracker
 
-MOST_TURNS = 16  # of reading before a send: a flood on one socket holds sends up for no longer than this
-MOST_S = 0.05
+# Limits of catching up, so that a flood on one socket cannot hold up sends for longer.
+MAX_LOOP_ITERATIONS = 16
+MAX_CATCH_UP_S = 0.05
+MIN_LOOP_ITERATIONS = 2  # the reading tasks first run in the iteration after the one that found the pause
 
 
-class Source(Protocol):
+class InputSource(Protocol):
+    """A reader of sockets that is caught up with before anything is decided."""
+
     def pending(self) -> bool:
-        """Is there anything unread?"""
+        """Returns whether anything is still unread."""
 
 
-class Waking(trio.abc.Instrument):
-    """`woke` is called with the gap once all sources are read up, before anything is decided.
+class PauseDetector(trio.abc.Instrument):
+    """Watches the event loop for pauses; after one, lets the input sources read before `on_pause` is called.
 
-    Guards against stale decisions. A process that was stopped finds its time-outs due before it has looked at
-    any socket: Linux ends the wait with EINTR, and Python then gives an empty answer if the wait's time is
-    over. Without this, attempts end as timed out whose answers lie unread, and sends go to hosts whose
-    drain was told seconds ago.
-    """
+    A process that was stopped finds its deadlines expired before it has read any socket: Linux ends the wait
+    for I/O with EINTR, and Python returns no events if the wait's time is over. Without this class, attempts
+    would time out although their answers are unread, and requests would go to hosts whose drain was announced
+    seconds ago.
 
-    def __init__(self, waking_ms: float, woke: Callable[[float], None]) -> None:
-        self._turns = Turns(now_ms(), waking_ms)
-        self._waking_ms = waking_ms
-        self._woke = woke
-        self._gap = 0.0
-        self._begun = trio.Event()
-        self._fresh = trio.Event()
-        self.sources: list[Source] = []
-        self.reading = False
-        self._since = 0.0
+    Attributes:
+        catching_up: Whether a pause was detected and the input sources are still being read.
+    """
 
-    # --- the loop's ---
+    def __init__(self, pause_threshold_ms: float, on_pause: Callable[[float], None]) -> None:
+        """Creates a detector that does nothing until `run`.
+
+        Args:
+            pause_threshold_ms: The shortest gap that counts as a pause (see `PauseTracker`).
+            on_pause: Called with the length of the pause in milliseconds once all sources are caught up.
+        """
+        self.catching_up = False
+        self._pause_threshold_ms = pause_threshold_ms
+        self._on_pause = on_pause
+        self._tracker = PauseTracker(now_ms(), pause_threshold_ms)
+        self._sources: list[InputSource] = []
+        self._pause_ms = 0.0
+        self._earliest_arrival = 0.0
+        self._pause_detected = trio.Event()
+        self._caught_up = trio.Event()
+
+    def add_source(self, source: InputSource) -> None:
+        """Adds a source that has to be read after a pause."""
+        self._sources.append(source)
 
     def before_io_wait(self, timeout: float) -> None:
-        self._turns.waiting(now_ms(), timeout * 1000.0)
-
-    def after_io_wait(self, timeout: float) -> None:
-        gap = self._turns.looked(now_ms())
-        if gap and not self.reading:
-            self.reading = True
-            self._gap = gap
-            self._since = self._turns.since
-            self._fresh = trio.Event()
-            self._begun.set()
-
-    # --- everybody's ---
-
-    def unseen_ms(self) -> float:
-        """For how long at most a request that is read now may have lain; 0 but in a waking."""
-        return now_ms() - self._since if self.reading else 0.0
-
-    async def fresh(self) -> None:
-        """Returns at once, or once what came in the gap has been read."""
-        if self.reading:
-            await self._fresh.wait()
+        """Called by trio before each wait for I/O; `timeout` is in seconds."""
+        self._tracker.wait_started(now_ms(), timeout * 1000.0)
+
+    def after_io_wait(self, timeout: float) -> None:  # noqa: ARG002 - trio's interface
+        """Called by trio after each wait for I/O; `timeout` is in seconds."""
+        pause_ms = self._tracker.wait_ended(now_ms())
+        if pause_ms and not self.catching_up:
+            self.catching_up = True
+            self._pause_ms = pause_ms
+            self._earliest_arrival = self._tracker.earliest_arrival
+            self._caught_up = trio.Event()
+            self._pause_detected.set()
+
+    def max_unread_ms(self) -> float:
+        """Returns how long a request that is read now may have been in its socket; 0 outside of a pause."""
+        return now_ms() - self._earliest_arrival if self.catching_up else 0.0
+
+    async def wait_caught_up(self) -> None:
+        """Waits until what came in during a pause has been read; returns at once if there was none."""
+        if self.catching_up:
+            await self._caught_up.wait()
 
     async def run(self) -> None:
-        self._turns = Turns(now_ms(), self._waking_ms)  # what a start takes is no waking
+        """Detects pauses until cancelled. The time that the program took to start does not count as one."""
+        self._tracker = PauseTracker(now_ms(), self._pause_threshold_ms)
         trio.lowlevel.add_instrument(self)
         while True:
-            await self._begun.wait()
-            self._begun = trio.Event()
-            turns = 0
-            until = trio.current_time() + MOST_S
-            while turns < 2 or any(source.pending() for source in self.sources):
-                await trio.lowlevel.checkpoint()
-                turns += 1
-                if turns >= MOST_TURNS or trio.current_time() >= until:
-                    break
-            log("woke", gap_ms=round(self._gap), turns=turns)
-            self._woke(self._gap)
-            self.reading = False
-            self._fresh.set()
+            await self._pause_detected.wait()
+            self._pause_detected = trio.Event()
+            iterations = await self._read_sources()
+            log("process_paused", pause_ms=round(self._pause_ms), loop_iterations=iterations)
+            self._on_pause(self._pause_ms)
+            self.catching_up = False
+            self._caught_up.set()
+
+    async def _read_sources(self) -> int:
+        """Lets the reading tasks run until nothing is unread; returns the number of loop iterations."""
+        give_up_at = trio.current_time() + MAX_CATCH_UP_S
+        iterations = 0
+        while iterations < MIN_LOOP_ITERATIONS or any(source.pending() for source in self._sources):
+            await trio.lowlevel.checkpoint()
+            iterations += 1
+            if iterations >= MAX_LOOP_ITERATIONS or trio.current_time() >= give_up_at:
+                break
+        return iterations
--- a/violetstack/process_pause.py
+++ b/violetstack/process_pause.py
@@ -1,51 +1,57 @@
-"""When this process last looked at its sockets.
+"""Measures how long the process may have read nothing from its sockets.
 
-A turn of the loop waits for sockets, then acts on what it read. Between two looks nothing is known: a turn
-that was long, a process that was stopped (SIGSTOP) or had no processor for a while. What is read after such
-a gap may have lain in its socket for as long, and what is due may have been answered in one.
+An iteration of the event loop waits for I/O, then runs tasks. Between two such waits nothing is read: after a
+long iteration, or when the process was stopped (SIGSTOP) or got no processor time, data may have been in a
+socket's receive buffer for the whole gap, and deadlines may have passed although their answers were there.
 
-`time.monotonic` goes on while a process is stopped, so a stop shows as a gap. On Linux it does not while the
-whole machine is suspended: to this program such a time has not passed, and connections tell of it by their
-end.
+`time.monotonic` advances while a process is stopped, so a stop shows as a gap. On Linux it does not advance
+while the machine is suspended: a suspension is not detected here, only by connections that broke.
 """
 
 from __future__ import annotations
 
-PROMPT_MS = 1.0  # a wait shorter than this found something that was there already
-OVERSLEPT_MS = 20.0  # a wait may end so late for want of a processor without having been a stop
-
-
-class Turns:
-    """Fed by the loop: `waiting` before each wait for sockets, `looked` after it. Times are milliseconds.
-
-    `waking_ms`: a gap as long as this is a waking. It is the time in which a told drain binds: after it, what
-    lies unread in discovery's socket may bind already, so nothing is to be sent before that was read.
-    """
-
-    def __init__(self, now: float, waking_ms: float) -> None:
-        self._waking_ms = waking_ms
-        self._looked = self._waiting = self._since = now
-        self._timeout = 0.0
-
-    def waiting(self, now: float, timeout_ms: float) -> None:
-        self._waiting = now
-        self._timeout = timeout_ms
-
-    def looked(self, now: float) -> float:
-        """The gap that this look ends if it was a waking, else 0."""
-        waited = now - self._waiting
-        if waited < PROMPT_MS:
-            since = self._looked  # it may have come at any time since the last look
-        elif waited > self._timeout + OVERSLEPT_MS:
-            since = self._waiting  # a wait that went on past its end did not see what came
+IMMEDIATE_MS = 1.0  # an I/O wait shorter than this returned data that was there before it began
+OVERSLEPT_MS = 20.0  # a wait may return this late because the scheduler was busy, without a pause
+
+
+class PauseTracker:
+    """Computes pauses from the start and end of each I/O wait; times are milliseconds of one clock."""
+
+    def __init__(self, now: float, pause_threshold_ms: float) -> None:
+        """Starts at `now`, with nothing unread.
+
+        Args:
+            now: The current time.
+            pause_threshold_ms: A gap of this length counts as a pause. It is the time within which a drain
+                that was announced becomes binding: after a longer gap, a drain that is still unread may
+                bind already, so nothing may be sent before it was read.
+        """
+        self._pause_threshold_ms = pause_threshold_ms
+        self._last_wait_ended = now
+        self._wait_started = now
+        self._timeout_ms = 0.0
+        self._earliest_arrival = now
+
+    def wait_started(self, now: float, timeout_ms: float) -> None:
+        """Records that the event loop begins to wait for I/O, for `timeout_ms` at most."""
+        self._wait_started = now
+        self._timeout_ms = timeout_ms
+
+    def wait_ended(self, now: float) -> float:
+        """Records the end of the wait; returns the pause in milliseconds, or 0 if there was none."""
+        waited_ms = now - self._wait_started
+        if waited_ms < IMMEDIATE_MS:
+            earliest_arrival = self._last_wait_ended  # the data may have come at any time since then
+        elif waited_ms > self._timeout_ms + OVERSLEPT_MS:
+            earliest_arrival = self._wait_started  # the process did not run when the wait should have ended
         else:
-            since = now  # a wait in time ends with the first thing that comes
-        self._looked = now
-        self._since = since
-        gap = now - since
-        return gap if gap >= self._waking_ms else 0.0
+            earliest_arrival = now  # a wait that ends in time ends with the first data that comes
+        self._last_wait_ended = now
+        self._earliest_arrival = earliest_arrival
+        gap_ms = now - earliest_arrival
+        return gap_ms if gap_ms >= self._pause_threshold_ms else 0.0
 
     @property
-    def since(self) -> float:
-        """What is read in this turn came no earlier."""
-        return self._since
+    def earliest_arrival(self) -> float:
+        """The earliest time at which data read in this iteration can have arrived."""
+        return self._earliest_arrival
