Tests read the state folder that release wrote

fixtures/make_state_records.py writes two generations with that release's code; the tests read them with the current code, by value, and check that what is written now has the same form. Nothing else held the stored form in place while its types are renamed.

--- /dev/null
+++ b/tests/test_stored_state.py
@@ -0,0 +1,112 @@
+"""The state folder that release 5a5ffca wrote is read to the same values (fixtures/make_state_records.py)."""
+
+from __future__ import annotations
+
+import shutil
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from violetstack.commands.main import main
+from violetstack.net.state_writer import Disk
+from violetstack.state.store import Store, recover
+
+STORED = Path(__file__).parent / "fixtures" / "state-5a5ffca"
+PREFILL = {
+    "id": "p1",
+    "addr": "127.0.0.1:9001",
+    "zone": "zone-a",
+    "kind": "prefill",
+    "cell": 1,
+    "state": "active",
+    "weight": 1.5,
+    "started_ms": 1_000.0,
+}
+DECODE = {
+    "id": "d1",
+    "addr": "127.0.0.1:9002",
+    "zone": "zone-b",
+    "kind": "decode",
+    "cell": 2,
+    "state": "leaving",
+    "weight": 2.0,
+    "started_ms": 2_000.0,
+}
+LEARNED = {
+    "at": 1_700_000_002_500.0,
+    "sums": {"cleared": [1.0, 2.0], "written": [3.0, None]},
+    "begun": {"scope": [19.0, 20.0]},
+    "reads": [[21.0, 22.0]],
+    "waits": [[23.0, 24.0], [25.0, 26.0]],
+    "tenants": {"0": [0.75, 27.0]},
+    "servers": {
+        "p1": [500.0, [11.0, 12.0], [13.0, 14.0], [15.0, None], 3, 16.0, [0.25, 17.0], 0.5, 18.0],
+    },
+}
+
+
+def stored_copy(folder: Path) -> Path:
+    """Returns a copy of the fixture that a test may change."""
+    return Path(shutil.copytree(STORED, folder / "state"))
+
+
+def json_of(value: Any) -> Any:
+    return msgspec.json.decode(msgspec.json.encode(value))
+
+
+def test_the_newest_generation_of_an_earlier_release_is_read() -> None:
+    found = recover(Disk(str(STORED)))
+    assert (found.generation, found.notes) == (2, [])
+    assert json_of(found.content) == {
+        "heard_at": 1_700_000_003_000.0,
+        "version": 10,
+        "servers": {"p1": PREFILL, "d1": DECODE},
+        "learned": LEARNED,
+    }
+
+
+@pytest.mark.parametrize(("lost", "generation"), [("state-2.snapshot", 1), ("state-2.log", 2)])
+def test_what_is_left_of_an_earlier_release_is_read(tmp_path: Path, lost: str, generation: int) -> None:
+    """Both the first generation and the second snapshot hold the list of version 8."""
+    folder = stored_copy(tmp_path)
+    (folder / lost).unlink()
+    found = recover(Disk(str(folder)))
+    assert (found.generation, found.notes) == (generation, [])
+    assert json_of(found.content) == {
+        "heard_at": 1_700_000_001_000.0,
+        "version": 8,
+        "servers": {"p1": PREFILL, "d1": DECODE},
+        "learned": None,
+    }
+
+
+def test_what_is_written_now_has_the_form_of_the_earlier_release(tmp_path: Path) -> None:
+    """An older version may be started after a newer one, and has to read its files."""
+    folder = stored_copy(tmp_path)
+    disk = Disk(str(folder))
+    found = recover(disk)
+    Store(disk, found).begin(found.content.whole())
+    frame = (folder / "state-3.snapshot").read_bytes()
+    magic, header_size, frame_header_size = b"vlst", 14, 9
+    assert frame.startswith(magic)
+    stored = msgspec.msgpack.decode(frame[header_size + frame_header_size :])
+    assert json_of(stored) == {
+        "heard_at": 1_700_000_003_000.0,
+        "version": 10,
+        "servers": {"p1": PREFILL, "d1": DECODE},
+        "learned": LEARNED,
+    }
+
+
+def test_the_command_exports_the_state_of_an_earlier_release() -> None:
+    exported = CliRunner().invoke(main, ["state", "export", str(STORED)])
+    assert exported.exit_code == 0
+    assert msgspec.json.decode(exported.output) == {
+        "heard_at": 1_700_000_003_000.0,
+        "version": 10,
+        "servers": {"p1": PREFILL, "d1": DECODE},
+        "learned": LEARNED,
+    }
