Client connections: connection, table, response handle and write queue are modules of their own

net/downstream/listener.py (600 lines, four jobs) is split: the listener accepts, ConnectionTable bounds and evicts, DownstreamConnection reads and answers, WriteQueue holds output, ResponseHandle is a front's view. Connection -> DownstreamConnection, Replies -> ResponseHandle, park/passed -> pause_for_migration/detach, opened -> attach, room -> wait_writable, strikes -> rejections in a row, lingering close as in nginx. Log events: silent_closed -> silent_connection_closed, turned_away -> connection_rejected, answer_lost -> response_failed. Tests follow the names.

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -12,7 +12,7 @@
 from violetstack import log
 from violetstack.config import Address
 from violetstack.net.admin_server import MOST_CALLERS
-from violetstack.net.downstream import listener
+from violetstack.net.downstream import connection, connection_table, listener
 from violetstack.net.resource_limits import DOOR, LEAST, OWN, budget
 from violetstack.protocol.headers import MAX_WAIT_MS, RequestReader
 from violetstack.protocol.server_side import Inbound
@@ -167,7 +167,7 @@
 def test_silence_and_half_requests_are_ended(
     chat: bool, sent: bytes, told: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(listener, "ARRIVE_S", 0.05)
+    monkeypatch.setattr(connection, "REQUEST_TIMEOUT_S", 0.05)
 
     async def story(on: Stage) -> None:
         answer = await raw(on.chat if chat else on.platform, sent)
@@ -181,12 +181,12 @@
 
 
 def test_silent_connections_make_room_for_a_client_that_asks(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(listener, "FRESH_S", 0.0)
+    monkeypatch.setattr(connection_table, "MIN_SILENCE_S", 0.0)
 
     async def story(on: Stage) -> None:
         silent = await crowd(on.platform, 40)
         assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
-        assert len(on.daemon.listeners[0].connections) <= on.daemon.listeners[0].most
+        assert len(on.daemon.listeners[0].table.connections) <= on.daemon.listeners[0].table.max_connections
         for stream in silent:
             await stream.aclose()
 
@@ -195,7 +195,7 @@
 
 def test_who_writes_slowly_outlives_a_crowd_that_writes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     """The oldest unfinished connection made room, however much of its request had come."""
-    monkeypatch.setattr(listener, "FRESH_S", 0.0)
+    monkeypatch.setattr(connection_table, "MIN_SILENCE_S", 0.0)
     whole = request(LENGTH)
 
     async def story(on: Stage) -> None:
@@ -205,7 +205,7 @@
         silent = []
         for at in range(0, len(whole), 40):
             await slow.send_all(whole[at : at + 40])
-            silent += await crowd(on.platform, front.most // 2)
+            silent += await crowd(on.platform, front.table.max_connections // 2)
             assert (await ask_platform(on.platform, f"a{at}", "consulta")).outcome == "served"
         while not heard.endswith(b"0\r\n\r\n"):
             data = await slow.receive_some(4096)
@@ -225,7 +225,7 @@
         assert share.hosts >= LEAST
         assert share.clients >= 1
         if sockets // processes >= 96:
-            own = OWN + listener.MOST_TURNED_AWAY + (DOOR if door else 0)
+            own = OWN + listener.MAX_CONCURRENT_REJECTIONS + (DOOR if door else 0)
             assert processes * (own + share.hosts + fronts * share.clients) <= sockets
     assert DOOR == MOST_CALLERS + 1
 
@@ -233,13 +233,13 @@
 def test_a_failure_to_make_room_turns_one_client_away_and_ends_nothing() -> None:
     async def story(on: Stage) -> None:
         front = on.daemon.listeners[0]
-        has_room = front._has_room
+        has_room = front.table.has_room
 
         def broken() -> bool:
-            front._has_room = has_room  # type: ignore[method-assign]
+            front.table.has_room = has_room  # type: ignore[method-assign]
             raise ValueError("file descriptor cannot be a negative integer")
 
-        front._has_room = broken  # type: ignore[method-assign]
+        front.table.has_room = broken  # type: ignore[method-assign]
         assert (await ask_platform(on.platform, "q1", "consulta")).status == 503
         assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
 
@@ -248,10 +248,10 @@
 
 def test_a_client_that_finds_no_room_is_told_so_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """It waited unseen in the kernel's queue before."""
-    monkeypatch.setattr(listener, "FRESH_S", 60.0)
+    monkeypatch.setattr(connection_table, "MIN_SILENCE_S", 60.0)
 
     async def story(on: Stage) -> None:
-        silent = await crowd(on.platform, on.daemon.listeners[0].most)
+        silent = await crowd(on.platform, on.daemon.listeners[0].table.max_connections)
         answer = await ask_platform(on.platform, "q1", "consulta")
         assert (answer.outcome, answer.headers["connection"]) == ("refused", "close")
         for stream in silent:
@@ -263,10 +263,10 @@
 def test_who_sends_only_what_cannot_be_taken_is_read_less_often(monkeypatch: pytest.MonkeyPatch) -> None:
     rested = []
 
-    async def rest(self: listener.Connection) -> None:
-        rested.append(self._strikes)
+    async def rest(self: connection.DownstreamConnection) -> None:
+        rested.append(self._rejections_in_a_row)
 
-    monkeypatch.setattr(listener.Connection, "_rest", rest)
+    monkeypatch.setattr(connection.DownstreamConnection, "_delay_after_rejections", rest)
 
     async def story(on: Stage) -> None:
         call = await connect(on.platform)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,8 +18,8 @@
 from tests.test_chat import ledger
 from tests.test_program import start
 from tests.test_stories import pair, play
-from violetstack.net.downstream import listener as listener_module
-from violetstack.net.downstream.listener import Connection
+from violetstack.net.downstream import connection as connection_module
+from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.net.upstream import attempt as hosts_module
 from violetstack.net.upstream import connection_pool
 from violetstack.net.upstream.connection_pool import HostConnection
@@ -374,11 +374,11 @@
         return data
 
 
-async def silent_since_long(on: Stage) -> tuple[Call, Connection]:
+async def silent_since_long(on: Stage) -> tuple[Call, DownstreamConnection]:
     call = await connect(on.platform)
     listener = on.daemon.listeners[0]
-    await until(lambda: len(listener.fresh) == 1)
-    connection = next(iter(listener.fresh))
+    await until(lambda: len(listener.table.awaiting_first_request) == 1)
+    connection = next(iter(listener.table.awaiting_first_request))
     connection.progress_at -= 1.0  # it may be closed to make room
     return call, connection
 
@@ -390,7 +390,7 @@
     async def story(on: Stage) -> None:
         call, connection = await silent_since_long(on)
         made: list[bool] = []
-        Reading(connection.stream, lambda: made.append(on.daemon.listeners[0]._make_room()))
+        Reading(connection.stream, lambda: made.append(on.daemon.listeners[0].table.evict_one()))
         await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
         assert (await call.receive()).outcome == "served"
         assert made[0] is False
@@ -403,7 +403,7 @@
 
     async def story(on: Stage) -> None:
         call, connection = await silent_since_long(on)
-        Reading(connection.stream, lambda: on.daemon.listeners[0]._drop(connection))
+        Reading(connection.stream, lambda: on.daemon.listeners[0].table.evict(connection))
         await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
         assert await call.stream.receive_some(100) == b""  # closed, so that its client asks once more
         await trio.testing.wait_all_tasks_blocked()
@@ -556,8 +556,8 @@
         late = Late(on, "r")
         call = await connect(on.platform)
         listener = on.daemon.listeners[0]
-        await until(lambda: bool(listener.connections))
-        connection = next(iter(listener.connections))
+        await until(lambda: bool(listener.table.connections))
+        connection = next(iter(listener.table.connections))
         receive = connection.stream.receive_some
 
         async def receive_nothing(max_bytes: int | None = None) -> bytes:
@@ -602,11 +602,11 @@
         call = await asked_by(on, "q1")
         await until(lambda: reader.begun == ["q1"])
         await call.stream.send_all(b"x" * 3_000_000)
-        connection = next(iter(c for c in on.daemon.listeners[0].connections if c.answering))
-        assert connection.http.unread <= listener_module.MAX_UNREAD + listener_module.READ_SIZE
+        connection = next(iter(c for c in on.daemon.listeners[0].table.connections if c.answering))
+        assert connection.http.unread <= connection_module.MAX_UNREAD_BYTES + connection_module.READ_SIZE
         gate.set()
         assert (await call.receive()).outcome == "served"
-        await until(lambda: not on.daemon.listeners[0].connections)
+        await until(lambda: not on.daemon.listeners[0].table.connections)
 
     play(reader, writer, story=story)
 
@@ -680,23 +680,23 @@
         call = Call(trio.SocketStream(sock))
         await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
         core = on.daemon.core
-        connections = on.daemon.listeners[0].connections
+        connections = on.daemon.listeners[0].table.connections
         told: list[Head | Body | End] = []
 
         async def read() -> None:
             told.extend(call.http.feed(bytes(await call.stream.receive_some(64 * 1024))))
 
-        await until(lambda: any(c.unwritten for c in connections))
+        await until(lambda: any(c.unwritten_bytes for c in connections))
         while core.open:
             await read()
-        assert any(c.unwritten for c in connections)  # the host has finished, the client reads no more
-        assert not on.daemon.listeners[0]._make_room()  # nor is it closed for a newcomer
+        assert any(c.unwritten_bytes for c in connections)  # the host has finished, the client reads no more
+        assert not on.daemon.listeners[0].table.evict_one()  # nor is it closed for a newcomer
         on.daemon.stop.set()
         await trio.testing.wait_all_tasks_blocked()
         on.daemon.stop.set()  # a second signal changes nothing
         await until(lambda: not on.daemon.taking)
         await trio.sleep(0.1)  # the process has looked for idle connections since
-        assert any(c.unwritten for c in connections)
+        assert any(c.unwritten_bytes for c in connections)
         while not isinstance(told[-1], End):
             await read()
         bodies = [event for event in told if isinstance(event, Body)]
@@ -715,7 +715,7 @@
             )
         )
         await call.stream.send_all(whole[:40])
-        await until(lambda: any(c.http.busy for c in on.daemon.listeners[0].connections))
+        await until(lambda: any(c.http.busy for c in on.daemon.listeners[0].table.connections))
         on.daemon.stop.set()
         await trio.testing.wait_all_tasks_blocked()
         await call.stream.send_all(whole[40:])
@@ -747,15 +747,15 @@
         call = await asked_by(on, "q1")
         await call.receive()
         listener = on.daemon.listeners[0]
-        await until(lambda: bool(listener.idle) and not listener.busy)
+        await until(lambda: bool(listener.table.idle) and not listener.table.busy)
         again = Call(call.stream)
         sent = again.http.request(
             "POST", "/v1/chat/completions", [("Host", "x"), *platform_headers("q2", "orden")], BODY
         )
         assert isinstance(call.stream, trio.SocketStream)
         await call.stream.socket.send(b"".join(bytes(part) for part in sent))
-        assert listener.busy  # in this very step: nobody has read it
-        listener.close_idle()
+        assert listener.table.busy  # in this very step: nobody has read it
+        listener.table.close_idle()
         assert (await again.receive()).outcome == "served"
 
     play(*pair(), story=story)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -570,7 +570,7 @@
         assert theirs.recv(64) == b""  # its copy is closed, and not a byte was written
         core.open.pop("q0", None)
         assert (core.open, core.tally.rows[0].taken) == ({}, 0)
-        assert on.daemon.listeners[0].connections == set()
+        assert on.daemon.listeners[0].table.connections == set()
         theirs.close()
         hosts_own.close()
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -12,7 +12,8 @@
 from tests.test_stories import pair, play
 from violetstack.core.records import OpenRequest
 from violetstack.core.timers import NEVER, Timers
-from violetstack.net.downstream.listener import Connection, Replies
+from violetstack.net.downstream.connection import DownstreamConnection
+from violetstack.net.downstream.response_handle import ResponseHandle
 from violetstack.policy_api import AttemptStatus, EndpointState, UpdateScope
 from violetstack.rehearsal.clients import ask_chat, ask_platform, chat_body, chat_headers
 from violetstack.rehearsal.hosts import CUT, DECLINE, ERROR, SILENT, SPOILT, SPOILT_LATER
@@ -29,10 +30,11 @@
             for n in range(3):
                 await ask_platform(on.platform, f"q{n}", "consulta")
                 await ask_chat(on.chat, chat_body("giro-consulta"), chat_headers())
-            while any(listener.connections for listener in on.daemon.listeners) or on.daemon.core.open:
+            while any(listener.table.connections for listener in on.daemon.listeners) or on.daemon.core.open:
                 await trio.testing.wait_all_tasks_blocked(0.01)
             await trio.testing.wait_all_tasks_blocked()
-            left = [o for o in gc.get_objects() if isinstance(o, OpenRequest | Connection | Replies)]
+            kept_types = OpenRequest | DownstreamConnection | ResponseHandle
+            left = [o for o in gc.get_objects() if isinstance(o, kept_types)]
             assert left == []
         finally:
             gc.enable()
@@ -105,8 +107,9 @@
         assert [(len(s.out), len(s.places)) for s in servers] == [(0, 0), (0, 0)]
         assert hosts.connections == sum(len(host.idle) for host in hosts.hosts.values())
         assert not hosts._scopes and not hosts._using and not hosts._sent
-        front = daemon.listeners[0]
-        assert (front.held, front.connections, front.idle, front.fresh) == (0, set(), {}, {})
+        table = daemon.listeners[0].table
+        assert (table.buffered_bytes, table.connections) == (0, set())
+        assert (table.idle, table.awaiting_first_request) == ({}, {})
         open_there = len(reader.connections) + len(writer.connections)
         assert hosts.connections == open_there
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -69,16 +69,16 @@
         def bad() -> Config:
             raise BadConfig("no file")
 
-        most = on.daemon.listeners[0].most
+        most = on.daemon.listeners[0].table.max_connections
         on.daemon.reload(bad)
         assert (await ask_platform(on.platform, "q1", "orden")).outcome == "served"
-        assert on.daemon.listeners[0].most == most
+        assert on.daemon.listeners[0].table.max_connections == most
         on.daemon.reload(lambda: on.config(limits={"sockets": 0}))
-        assert on.daemon.listeners[0].most == most
+        assert on.daemon.listeners[0].table.max_connections == most
         on.daemon.reload(lambda: on.config(limits={"sockets": 128, "memory_mb": 64.0}))
-        assert on.daemon.listeners[0].most < most
+        assert on.daemon.listeners[0].table.max_connections < most
         on.daemon.reload(lambda: on.config(limits={"sockets": 1024, "memory_mb": 32.0}))
-        assert sum(listener.most for listener in on.daemon.listeners) == 1024 // 3 // 2 * 2
+        assert sum(listener.table.max_connections for listener in on.daemon.listeners) == 1024 // 3 // 2 * 2
 
     play(*pair(), story=story)
     assert '"event":"reload_failed"' in capfd.readouterr().out
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -84,7 +84,9 @@
         """Does any client still wait for an answer, or an order for its record?"""
         waits = self.chat is not None and self.chat.pending
         recording = self.orders is not None and self.orders.pending
-        return bool(waits or recording or any(x.busy or x.awaited for x in self.listeners))
+        return bool(
+            waits or recording or any(x.table.busy or x.table.awaiting_requests for x in self.listeners)
+        )
 
     async def _listen(self, at: Address, front: Front, wrap: Wrap | None = None) -> Address:
         listener = Listener(self._core, front)
--- a/violetstack/daemon/limits.py
+++ b/violetstack/daemon/limits.py
@@ -35,5 +35,5 @@
         )
         self._hosts.most = share.hosts
         for listener in self._listeners:
-            listener.most = share.clients
-            listener.most_held = share.bodies
+            listener.table.max_connections = share.clients
+            listener.table.max_buffered_bytes = share.bodies
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -71,7 +71,7 @@
             for listener in self._fronts.listeners:
                 listener.refusing = refusing
                 if not self._lifecycle.accepting:
-                    listener.close_idle()
+                    listener.table.close_idle()
             if after >= self._end_s and not ending:
                 ending = True
                 log("ending", open=len(self._core.open))
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -393,12 +393,12 @@
         if waited_ms > 0.0:
             asked = replace(asked, expires_in_ms=max(1.0, asked.expires_in_ms - waited_ms))
         body = memoryview(ask.upstream(errand.model.upstream or errand.model.name, errand.most_tokens))
-        payload = Payload("POST", COMPLETIONS, "application/json", body, reply.room)
+        payload = Payload("POST", COMPLETIONS, "application/json", body, reply.wait_writable)
         answer = Answer(f"chatcmpl-{asked.id}", errand.model.name, int(now / 1000.0))
         request = self._core.take(now, asked, ChatSink(errand, reply, answer, settle), payload)
         request.allowed = allowed
         request.outlives = outlives
-        reply.opened(request)
+        reply.attach(request)
 
 
 def client_wait_ms(inbound: Inbound) -> float:
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -71,7 +71,7 @@
             now = self._clock()
             asked = self._reader.read(inbound)
             kind = inbound.headers.get("content-type", "application/json")
-            payload = Payload(inbound.method, inbound.target, kind, inbound.body, reply.room)
+            payload = Payload(inbound.method, inbound.target, kind, inbound.body, reply.wait_writable)
             asked = self._core.route(asked, Origin("platform", "", len(inbound.body)))
             shed = self._core.admit(now, asked)
             if shed is not None:
@@ -79,7 +79,7 @@
                 advice = shed.retry_after_ms if self._core.settings.retry_after else 0.0
                 PlatformSink(reply).refused(advice, 429)
                 return
-            reply.opened(self._core.take(now, asked, PlatformSink(reply), payload))
+            reply.attach(self._core.take(now, asked, PlatformSink(reply), payload))
         except Rejected as error:
             self.rejected(error.status, error.reason, reply)
         except NotRouted as error:
--- a/violetstack/fronts/reply.py
+++ b/violetstack/fronts/reply.py
@@ -16,16 +16,17 @@
 
     http: ServerSide
 
-    async def park(self) -> bool:
-        """Nothing is read or written from here on; False if that can't be now, and nothing has changed."""
+    async def pause_for_migration(self) -> bool:
+        """Stops reading and writing between two events; False, with no effect, if not possible now."""
 
     @property
     def descriptor(self) -> int | None: ...
 
-    def resume(self) -> None: ...
+    def resume(self) -> None:
+        """Goes on after a migration that did not take place."""
 
-    def passed(self) -> None:
-        """The other process has it: this one's end of it goes without a word to the client."""
+    def detach(self) -> None:
+        """Another process has the connection: closes this end without shutting it down."""
 
 
 class Reply(Protocol):
@@ -40,7 +41,7 @@
     def cut(self) -> None:
         """End the connection without the last chunk."""
 
-    def opened(self, request: OpenRequest) -> None:
+    def attach(self, request: OpenRequest) -> None:
         """From here on the core is told if this client goes away."""
 
     @property
@@ -51,7 +52,7 @@
     def client(self) -> Client | None:
         """The connection, for another process that goes on with its answer."""
 
-    async def room(self) -> None:
+    async def wait_writable(self) -> None:
         """Returns once the client has read enough of what waits for it."""
 
 
@@ -62,7 +63,7 @@
     target: str
     content_type: str
     body: memoryview
-    room: Callable[[], Awaitable[None]]
+    wait_writable: Callable[[], Awaitable[None]]
 
 
 class Front(Protocol):
--- /dev/null
+++ b/violetstack/net/downstream/connection.py
@@ -0,0 +1,396 @@
+"""One client connection: one task reads requests, one writes responses."""
+
+from __future__ import annotations
+
+import math
+import select
+from typing import TYPE_CHECKING
+
+import trio
+
+from violetstack.core.records import OpenRequest
+from violetstack.log import log_outside
+from violetstack.net.clock import now_ms
+from violetstack.net.downstream.response_handle import ResponseHandle
+from violetstack.net.downstream.write_queue import WriteQueue
+from violetstack.protocol.server_side import Headers, Rejected, ServerSide
+
+if TYPE_CHECKING:
+    from violetstack.net.downstream.listener import Listener
+
+READ_SIZE = 32 * 1024
+REQUEST_TIMEOUT_S = 2.2
+"""A new connection's first request, and the rest of any request that has begun, arrive within this time."""
+MIGRATION_FLUSH_TIMEOUT_S = 0.3
+"""Output that is not written by then keeps a stream from being migrated to another process."""
+LINGERING_CLOSE_S = 0.5
+"""After the last response the client's side is read for this long, so that no reset overtakes it."""
+REJECTION_DELAY_S = 0.05
+MAX_REJECTION_DELAY_S = 0.4
+MAX_UNREAD_BYTES = 64 * 1024
+"""Bytes behind an unanswered request that are kept; beyond them the connection ends with its answer."""
+DISCARD_INTERVAL_S = 0.01
+CLOSE_TIMEOUT_S = 1.0
+
+UNUSED_PARSER = ServerSide()
+"""Stands for the parser of every connection that has sent nothing yet; never fed."""
+
+
+class _MigrationPause:
+    """Reading stops for as long as the stream may pass to another process."""
+
+    def __init__(self) -> None:
+        self.reading_stopped = trio.Event()
+        self.resumed = trio.Event()
+
+
+class DownstreamConnection:
+    """One client's connection. The answering methods never wait: what they write is queued.
+
+    Parser, output queue and the writing task are made with the first byte: connections that send nothing
+    cost little memory.
+    """
+
+    __slots__ = (
+        "__weakref__",
+        "_answered",
+        "_client_ended",
+        "_close_when_written",
+        "_migration",
+        "_output",
+        "_read_timer",
+        "_rejections_in_a_row",
+        "_response",
+        "answering",
+        "buffered_bytes",
+        "closed",
+        "http",
+        "last_used",
+        "listener",
+        "progress_at",
+        "request",
+        "scope",
+        "served",
+        "stream",
+    )
+    _output: WriteQueue
+    _client_ended: trio.Event
+    _answered: trio.Event
+
+    def __init__(self, stream: trio.abc.Stream, listener: Listener) -> None:
+        self.stream = stream
+        self.listener = listener
+        self.http = UNUSED_PARSER
+        self.request: OpenRequest | None = None
+        self.answering = False
+        """A request was handed to the front and its answer has not ended."""
+        self.last_used = trio.current_time()
+        self.progress_at = self.last_used
+        self.served = False
+        """At least one complete request has arrived."""
+        self.buffered_bytes = 0
+        """Size of the body of the request that is arriving or being answered."""
+        self.closed = False
+        self.scope = trio.CancelScope()
+        self._rejections_in_a_row = 0
+        self._close_when_written = False
+        self._response: ResponseHandle | None = None
+        self._read_timer: trio.CancelScope | None = None
+        self._migration: _MigrationPause | None = None
+
+    def start_parsing(self, http: ServerSide) -> None:
+        """Called with the first byte, or when another process has handed the connection over."""
+        self.http = http
+        self._output = WriteQueue()
+        self._client_ended = trio.Event()
+        self._answered = trio.Event()
+
+    def adopt_response(self) -> ResponseHandle:
+        """The handle of a response whose beginning another process has written."""
+        self.answering = True
+        self.served = True
+        self._response = ResponseHandle(self)
+        return self._response
+
+    # --- responses, called by ResponseHandle ---
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Queues a complete response."""
+        self._announce_close()
+        rejected = 400 <= status < 500 and self.request is None
+        self._rejections_in_a_row = self._rejections_in_a_row + 1 if rejected else 0
+        self._output.put(self.http.answer(status, headers, body))
+        self._response_ended()
+
+    def stream_head(self, status: int, headers: Headers) -> None:
+        """Queues the head of a streamed response."""
+        self._announce_close()
+        self._rejections_in_a_row = 0
+        self._output.put(self.http.stream(status, headers))
+
+    def data(self, data: memoryview | bytes) -> None:
+        """Queues a part of a streamed response's body."""
+        self._output.put(self.http.data(data))
+
+    def end(self) -> None:
+        """Queues the last chunk."""
+        self._output.put(self.http.end())
+        self._response_ended()
+
+    def cut(self) -> None:
+        """Closes once all is written, without the last chunk: a broken stream must not look complete."""
+        self._close_when_written = True
+        self._response_ended()
+
+    async def wait_writable(self) -> None:
+        """Returns once the client has read enough, or the connection is closed."""
+        if not self.closed:
+            await self._output.wait_writable()
+
+    def _announce_close(self) -> None:
+        self.http.closing = self.http.closing or self.listener.draining
+
+    def _response_ended(self) -> None:
+        self.answering = False
+        self.request = None
+        self.last_used = trio.current_time()
+        self.listener.table.set_buffered_bytes(self, 0)
+        if self.http.closing or (not self._close_when_written and not self.http.reuse()):
+            self._close_when_written = True
+        if not self._close_when_written and not self.closed:
+            self.listener.table.mark_idle(self)
+        self._output.wake()
+        self._answered.set()
+
+    # --- migration of a stream to another process ---
+
+    async def pause_for_migration(self) -> bool:
+        """Stops reading and writing between two events; False, with no effect, if not possible now."""
+        if not self._can_migrate() or self._read_timer is None:
+            return False
+        pause = self._migration = _MigrationPause()
+        self._output.expect_flush()
+        self._read_timer.cancel()
+        with trio.move_on_after(MIGRATION_FLUSH_TIMEOUT_S):
+            await pause.reading_stopped.wait()
+            await self._output.wait_flushed()
+        ready = pause.reading_stopped.is_set() and not self.closed and self.http.passable
+        if not ready or self._output.pending_bytes:
+            self.resume()
+            return False
+        return True
+
+    def _can_migrate(self) -> bool:
+        if self.closed or self._close_when_written or self._migration is not None:
+            return False
+        return isinstance(self.stream, trio.SocketStream) and self.answering and self.http.passable
+
+    @property
+    def descriptor(self) -> int | None:
+        """The socket's file descriptor; None for TLS and for closed connections."""
+        if self.closed or not isinstance(self.stream, trio.SocketStream):
+            return None
+        return self.stream.socket.fileno()
+
+    def resume(self) -> None:
+        """Goes on after a migration that did not take place."""
+        if self._migration is not None:
+            self._migration.resumed.set()
+        self._migration = None
+
+    def detach(self) -> None:
+        """Another process has the connection: this end is closed without shutting it down."""
+        self.request = None
+        self._response = None
+        self.listener.table.forget(self)
+        self.scope.cancel()
+
+    # --- state of the socket ---
+
+    def client_has_closed(self) -> bool:
+        """Whether the client has closed its connection, or ended its sending, even behind unread bytes.
+
+        Reading alone shows the end only after all bytes before it: a request and the close behind it may both
+        have waited in the kernel's queue while the listener had no room, or while this process was busy.
+        """
+        stream = self.stream.transport_stream if isinstance(self.stream, trio.SSLStream) else self.stream
+        if self.closed or not isinstance(stream, trio.SocketStream):
+            return self.closed
+        poll = select.poll()
+        poll.register(stream.socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def has_unread(self) -> bool:
+        """Whether bytes, or the client's end, wait in the socket."""
+        return isinstance(self.stream, trio.SocketStream) and self.stream.socket.is_readable()
+
+    @property
+    def unwritten_bytes(self) -> int:
+        """Bytes of responses that wait for the client to read."""
+        return self._output.pending_bytes if self.http is not UNUSED_PARSER else 0
+
+    # --- tasks ---
+
+    async def serve(self) -> None:
+        """Reads requests and writes responses until the connection ends; raises nothing but Cancelled."""
+        try:
+            with self.scope:
+                if self.http is not UNUSED_PARSER or await self._first_byte():
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(self._write)
+                        await self._read()
+                        if not self._close_when_written:
+                            nursery.cancel_scope.cancel()
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except* Exception as errors:  # a failing connection must not end the listener
+            log_outside("connection_failed", error=repr(errors.exceptions[0]))
+        finally:
+            await self._close()
+
+    async def _close(self) -> None:
+        if self._response is not None:
+            self._response.connection_lost()
+            self._response = None
+        self.closed = True
+        self.listener.table.forget(self)
+        if self.request is not None:
+            self.listener.core.client_left(now_ms(), self.request)
+            self.request = None
+        if self.http is not UNUSED_PARSER:
+            self._output.release_waiters()
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + CLOSE_TIMEOUT_S):
+            await trio.aclose_forcefully(self.stream)
+
+    async def _first_byte(self) -> bool:
+        """Waits for the first byte; False if the time for one is over."""
+        if isinstance(self.stream, trio.SocketStream):
+            with trio.move_on_at(self.last_used + REQUEST_TIMEOUT_S) as timer:
+                await trio.lowlevel.wait_readable(self.stream.socket)
+            if timer.cancelled_caught:
+                log_outside("silent_connection_closed")
+                return False
+        self.start_parsing(ServerSide())
+        # Not to be evicted as silent between the arrival of these bytes and their use.
+        self.listener.table.mark_progress(self)
+        return True
+
+    async def _read(self) -> None:
+        arriving_since = self.last_used  # one time limit for all of a request that trickles in
+        while not self._close_when_written:
+            self._handle_next_request()
+            if self._close_when_written:
+                break
+            if self._migration is not None:
+                self._migration.reading_stopped.set()
+                await self._migration.resumed.wait()
+                continue
+            arriving = not self.answering and (self.http.busy or not self.served)
+            arriving_since = (arriving_since or trio.current_time()) if arriving else 0.0
+            if not await self._receive(arriving_since + REQUEST_TIMEOUT_S if arriving else math.inf):
+                return
+        while await self.stream.receive_some(READ_SIZE):
+            pass  # nothing more is wanted; the writing task closes the connection
+        self._client_ended.set()
+
+    async def _receive(self, deadline: float) -> bool:
+        """Reads once, until `deadline` on trio's clock; False if the connection has ended."""
+        data: bytes | bytearray = b""
+        with trio.move_on_at(deadline) as timer:
+            self._read_timer = timer
+            if self.answering and self.http.unread > MAX_UNREAD_BYTES:
+                return await self._discard_until_answered()
+            if self._rejections_in_a_row > 1 and not self.answering:
+                await self._delay_after_rejections()
+            data = await self.stream.receive_some(READ_SIZE)
+        self._read_timer = None
+        if timer.cancelled_caught:
+            if self._migration is None:
+                self._request_timed_out()
+            return True
+        if not data or self.scope.cancel_called:
+            return False  # evicted while these bytes arrived: what they ask for is not taken
+        self.http.feed(bytes(data))
+        if not self.served:
+            self.listener.table.mark_progress(self)
+        return True
+
+    async def _discard_until_answered(self) -> bool:
+        """Drops what comes behind the request until its answer has ended; False if the client ends first.
+
+        Reading on is the only way to notice that a client which sent much at once has gone. It is done
+        slowly, to spare the processor; the connection ends with the answer, since the beginning of what
+        follows is lost.
+        """
+        self.http.closing = True
+        while self.answering:
+            await trio.sleep(DISCARD_INTERVAL_S)
+            if not await self.stream.receive_some(READ_SIZE):
+                return False
+        return True
+
+    async def _delay_after_rejections(self) -> None:
+        """Reads less often from a client whose requests are all invalid, to spare the processor."""
+        delay = REJECTION_DELAY_S * 2.0 ** (self._rejections_in_a_row - 2)
+        await trio.sleep(min(MAX_REJECTION_DELAY_S, delay))
+
+    def _request_timed_out(self) -> None:
+        if self.http.busy and self.http.can_answer:
+            self._reject(408, "the request did not arrive in time")
+        else:
+            log_outside("silent_connection_closed")
+            self.scope.cancel()
+        self._close_when_written = True
+
+    def _reject(self, status: int, reason: str) -> None:
+        self.http.closing = True
+        self.answering = True
+        self.listener.front.rejected(status, reason, ResponseHandle(self))
+
+    def _handle_next_request(self) -> None:
+        """Hands the next complete request to the front, once the one before is answered."""
+        while not self.answering and not self._close_when_written:
+            try:
+                inbound = self.http.next_request()
+            except Rejected as error:
+                self._reject(error.status, error.reason)
+                return
+            self.listener.table.set_buffered_bytes(self, self.http.size)
+            if self.listener.table.bodies_full and self.http.size:
+                self._reject(503, "too many requests are being held")
+                return
+            if inbound is None:
+                if self.http.wants_continue:
+                    self._output.put([self.http.continue_100()])
+                return
+            if self.listener.refusing:
+                # The end of this process would cut the answer off; the client asks again elsewhere.
+                self._reject(503, "this process ends")
+                return
+            if self.client_has_closed():
+                self._close_when_written = True
+                self._output.wake()
+                return
+            self.answering = True
+            self.served = True
+            self._answered = trio.Event()
+            self.listener.table.mark_engaged(self)
+            self._response = ResponseHandle(self)
+            self.listener.front.handle(inbound, self._response)
+
+    async def _write(self) -> None:
+        while True:
+            await self._output.write_all(self.stream)
+            if self._close_when_written:
+                if self.http.can_answer or self.http.closing:
+                    await self._lingering_close()
+                self.scope.cancel()
+                return
+            await self._output.wait_for_output()
+
+    async def _lingering_close(self) -> None:
+        """Ends the sending and reads on for a moment: a reset could overtake the response (RFC 9112, 9.6)."""
+        if isinstance(self.stream, trio.SocketStream):
+            with trio.move_on_after(LINGERING_CLOSE_S):
+                await self.stream.send_eof()
+                await self._client_ended.wait()
--- /dev/null
+++ b/violetstack/net/downstream/connection_table.py
@@ -0,0 +1,137 @@
+"""The open connections of one listener: their bounds, and which one is closed to make room for another."""
+
+from __future__ import annotations
+
+import trio
+
+from violetstack.net.downstream.connection import DownstreamConnection
+
+MIN_IDLE_S = 2.0
+"""A connection that has been idle for this long is the first to be closed to make room."""
+MIN_SILENCE_S = 0.2
+"""A connection that has made no progress towards its first request for this long comes next."""
+
+
+class ConnectionTable:
+    """Connections bounded in number, and their request bodies bounded in bytes.
+
+    The bounds are set whenever the limits in force change. Idle connections and those without a complete
+    request are kept in order, the longest unused first, so that a flood of new connections costs no search,
+    and a client that writes slowly outlives one that writes nothing.
+    """
+
+    def __init__(self) -> None:
+        self.max_connections = 0
+        self.max_buffered_bytes = 0
+        self.buffered_bytes = 0
+        self.handshakes = 0
+        """TLS handshakes under way; they count as connections."""
+        self.connections: set[DownstreamConnection] = set()
+        self.idle: dict[DownstreamConnection, None] = {}
+        self.awaiting_first_request: dict[DownstreamConnection, None] = {}
+
+    # --- life of a connection ---
+
+    def add(self, connection: DownstreamConnection) -> None:
+        """A new connection, of which no request has arrived yet."""
+        self.connections.add(connection)
+        self.awaiting_first_request[connection] = None
+
+    def add_engaged(self, connection: DownstreamConnection) -> None:
+        """A connection with a response under way, taken over from another process."""
+        self.connections.add(connection)
+
+    def mark_progress(self, connection: DownstreamConnection) -> None:
+        """A part of a first request has arrived."""
+        if connection in self.awaiting_first_request:
+            del self.awaiting_first_request[connection]
+            self.awaiting_first_request[connection] = None
+            connection.progress_at = trio.current_time()
+
+    def mark_engaged(self, connection: DownstreamConnection) -> None:
+        """A complete request has arrived."""
+        self.awaiting_first_request.pop(connection, None)
+        self.idle.pop(connection, None)
+
+    def mark_idle(self, connection: DownstreamConnection) -> None:
+        """A response has ended, and another request may come."""
+        self.idle[connection] = None
+
+    def forget(self, connection: DownstreamConnection) -> None:
+        """The connection is closed, or about to be."""
+        self.set_buffered_bytes(connection, 0)
+        self.mark_engaged(connection)
+        self.connections.discard(connection)
+
+    # --- bounds ---
+
+    def set_buffered_bytes(self, connection: DownstreamConnection, size: int) -> None:
+        """Accounts for the body of the request that is arriving or being answered."""
+        self.buffered_bytes += size - connection.buffered_bytes
+        connection.buffered_bytes = size
+
+    @property
+    def bodies_full(self) -> bool:
+        """Whether the bound on buffered request bodies is exceeded."""
+        return self.buffered_bytes > self.max_buffered_bytes
+
+    @property
+    def connection_utilization(self) -> float | None:
+        """Connections as a part of their bound; None where none is set."""
+        return len(self.connections) / self.max_connections if self.max_connections else None
+
+    @property
+    def body_utilization(self) -> float | None:
+        """Buffered bodies as a part of their bound; None where none is set."""
+        return self.buffered_bytes / self.max_buffered_bytes if self.max_buffered_bytes else None
+
+    def has_room(self) -> bool:
+        """Whether one more connection may be kept; closes the least useful one for it if need be."""
+        return len(self.connections) + self.handshakes < self.max_connections or self.evict_one()
+
+    def evict_one(self) -> bool:
+        """Closes the least useful connection; False if all are in use.
+
+        Long idle connections go first, then those without progress, then any that is idle.
+        """
+        now = trio.current_time()
+        oldest = next(iter(self.idle), None)
+        if oldest is not None and oldest.last_used < now - MIN_IDLE_S and self._evict_unless_used(oldest):
+            return True
+        for connection in self.awaiting_first_request:
+            if connection.progress_at > now - MIN_SILENCE_S:
+                break
+            if self._evict_unless_used(connection):
+                return True
+        return any(self._evict_unless_used(connection) for connection in self.idle)
+
+    def _evict_unless_used(self, connection: DownstreamConnection) -> bool:
+        """False if a response is still being read by its client, or a request has arrived unread."""
+        request_arriving = connection.served and connection.http.busy
+        if connection.unwritten_bytes or connection.has_unread() or request_arriving:
+            return False
+        self.evict(connection)
+        return True
+
+    def evict(self, connection: DownstreamConnection) -> None:
+        """Closes the connection; what it has sent and nobody has looked at yet is not taken."""
+        self.forget(connection)
+        connection.scope.cancel()
+
+    # --- shutdown ---
+
+    @property
+    def busy(self) -> bool:
+        """Whether any response is under way, or a request lies unread on an idle connection."""
+        engaged = any(c.answering or c.http.busy or c.unwritten_bytes for c in self.connections)
+        return engaged or any(c.has_unread() for c in self.idle)
+
+    @property
+    def awaiting_requests(self) -> bool:
+        """Whether a client has connected and not sent its first request yet."""
+        return bool(self.awaiting_first_request)
+
+    def close_idle(self) -> None:
+        """Closes idle connections; one that has never sent a request is given its time for that."""
+        for connection in [c for c in self.idle if not c.answering]:
+            self._evict_unless_used(connection)
--- /dev/null
+++ b/violetstack/net/downstream/response_handle.py
@@ -0,0 +1,84 @@
+"""A front's access to the connection that asked, valid for one request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import h11
+
+from violetstack.core.records import OpenRequest
+from violetstack.fronts.reply import Client
+from violetstack.log import log_outside
+from violetstack.protocol.server_side import Headers
+
+if TYPE_CHECKING:
+    from violetstack.net.downstream.connection import DownstreamConnection
+
+
+class ResponseHandle:
+    """Answers one request; calls after its final answer, or after the client has gone, have no effect.
+
+    It lets go of the connection with the final answer, so that a request that is kept longer does not keep
+    the connection in memory.
+    """
+
+    def __init__(self, connection: DownstreamConnection) -> None:
+        self._connection: DownstreamConnection | None = connection
+
+    @property
+    def gone(self) -> bool:
+        """Whether the request is answered, or its client has closed the connection."""
+        return self._connection is None or self._connection.client_has_closed()
+
+    @property
+    def client(self) -> Client | None:
+        """The connection, for a stream that another process goes on with; None once it is answered."""
+        return self._connection
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """A complete response."""
+        self._finish(lambda connection: connection.answer(status, headers, body))
+
+    def stream(self, status: int, headers: Headers) -> None:
+        """The head of a streamed response."""
+        if self._connection is not None:
+            self._connection.stream_head(status, headers)
+
+    def data(self, data: memoryview | bytes) -> None:
+        """A part of a streamed response's body."""
+        if self._connection is not None:
+            self._connection.data(data)
+
+    def end(self) -> None:
+        """The regular end of a streamed response."""
+        self._finish(lambda connection: connection.end())
+
+    def cut(self) -> None:
+        """Ends the connection without the last chunk, so that the client sees an incomplete response."""
+        self._finish(lambda connection: connection.cut())
+
+    def attach(self, request: OpenRequest) -> None:
+        """From here on the core is notified when this client disconnects."""
+        if self._connection is not None:
+            self._connection.request = request
+
+    def connection_lost(self) -> None:
+        """The connection is closed: nothing can be answered any more."""
+        self._connection = None
+
+    async def wait_writable(self) -> None:
+        """Returns once the client has read enough of what was written."""
+        if self._connection is not None:
+            await self._connection.wait_writable()
+
+    def _finish(self, act: Callable[[DownstreamConnection], None]) -> None:
+        connection = self._connection
+        self._connection = None
+        if connection is None:
+            return
+        try:
+            act(connection)
+        except h11.LocalProtocolError as error:
+            log_outside("response_failed", error=str(error))
+            connection.cut()
--- a/violetstack/net/load_shedding.py
+++ b/violetstack/net/load_shedding.py
@@ -6,7 +6,7 @@
 import os
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -142,8 +142,8 @@
             "writer_free": writer,
             "lag": lag_ms,
             "cpu": cpu,
-            "clients": max((len(x.connections) / x.most for x in self.listeners if x.most), default=None),
-            "bytes": max((x.held / x.most_held for x in self.listeners if x.most_held), default=None),
+            "clients": _highest(listener.table.connection_utilization for listener in self.listeners),
+            "bytes": _highest(listener.table.body_utilization for listener in self.listeners),
         }
         entries = [e for e in self.core.entries.values() if e.server not in self.core.unwanted]
         cold = sum(1 for e in entries if e.started_ms is not None and now < e.started_ms + self.cold_ms)
@@ -217,3 +217,7 @@
     def do_unpin(self, asked: dict[str, Any]) -> dict[str, Any]:
         self.levels.unpin()
         return self.do_show(asked)
+
+
+def _highest(values: Iterable[float | None]) -> float | None:
+    return max((value for value in values if value is not None), default=None)
--- a/violetstack/net/resource_limits.py
+++ b/violetstack/net/resource_limits.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from violetstack.net.downstream.listener import MOST_TURNED_AWAY
+from violetstack.net.downstream.listener import MAX_CONCURRENT_REJECTIONS
 
 OWN = 28  # streams 3, poller 3, listeners 4, watch 2, peers 1, files and heirs 5, and what just ends
 DOOR = 17  # the operators' listener and its callers
@@ -30,7 +30,7 @@
     """
     sockets = sockets // processes
     memory = memory_mb * 2**20 / processes
-    left = max(2 * LEAST, sockets - OWN - MOST_TURNED_AWAY - (DOOR if door else 0))
+    left = max(2 * LEAST, sockets - OWN - MAX_CONCURRENT_REJECTIONS - (DOOR if door else 0))
     by_memory = max(sockets // 3, int(memory * CONNECTION_SHARE) // CONNECTION_BYTES)
     return Budget(
         hosts=left // 2,
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -71,7 +71,7 @@
         client = sink.reply.client
         if client is None or not self._core.may_move(attempt):
             return False
-        if not await client.park():
+        if not await client.pause_for_migration():
             return False
         passed = False
         try:
@@ -95,7 +95,7 @@
                 passed = await self._offer(stream, descriptor, connection.sock.fileno())
             if passed and not attempt.over:
                 self._core.moved(now_ms(), attempt)
-                client.passed()
+                client.detach()
                 self.given += 1
             return passed
         finally:
@@ -217,8 +217,8 @@
             raise BadOffer(f"{stream.id} came or this process ended between the two words")
         replies = listener.adopt(client, stream.closing)
         attempt = self._core.adopt(now_ms(), stream, PlatformSink(replies, begun=True))
-        replies.opened(attempt.request)
-        self._hosts.adopt(attempt, host, stream.cached, replies.room)
+        replies.attach(attempt.request)
+        self._hosts.adopt(attempt, host, stream.cached, replies.wait_writable)
 
 
 def _descriptors(rights: list[tuple[int, int, bytes]]) -> list[int]:
--- a/violetstack/net/upstream/attempt.py
+++ b/violetstack/net/upstream/attempt.py
@@ -270,7 +270,7 @@
                     return Ended(AttemptStatus.OK, _kept(tail.cached, attempt), tail.report)
             if attempt.begun:
                 before = trio.current_time()
-                await attempt.request.payload.room()
+                await attempt.request.payload.wait_writable()
                 since += trio.current_time() - before  # a slow client's time is not the host's
             was_partial = partial
             begun = attempt.begun
