Class and tenant settings take the field's names

ClassSettings: aim_ms -> latency_objective_ms, give_up_ms -> client_timeout_ms, effect -> idempotency, group -> deduplication_scope, window_ms -> deduplication_window_ms, value -> priority_weight, late_value -> late_priority_weight, aim_ms_per_1000_tokens -> objective_ms_per_1000_tokens, aim_stretch -> objective_stretch, token_aim_ms -> inter_token_objective_ms. TenantSettings: share -> quota_share, allowance_per_s -> quota_per_s. The settings file's keys are the same.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -40,19 +40,19 @@
 TOKEN_MS = 40.0
 CONSULTA = replace(
     SETTINGS.classes[0],
-    aim_ms=1500.0,
-    give_up_ms=7500.0,
-    value=3.0,
-    late_value=0.2,
-    aim_ms_per_1000_tokens=40.0,
+    latency_objective_ms=1500.0,
+    client_timeout_ms=7500.0,
+    priority_weight=3.0,
+    late_priority_weight=0.2,
+    objective_ms_per_1000_tokens=40.0,
 )
 ORDEN = replace(
     SETTINGS.classes[1],
-    aim_ms=2500.0,
-    give_up_ms=10_000.0,
-    value=2.0,
-    late_value=0.1,
-    aim_ms_per_1000_tokens=40.0,
+    latency_objective_ms=2500.0,
+    client_timeout_ms=10_000.0,
+    priority_weight=2.0,
+    late_priority_weight=0.1,
+    objective_ms_per_1000_tokens=40.0,
 )
 TENANTS = (("app-propia", 0.36), ("red-kioscos", 0.34), ("mesa-agentes", 0.30))
 
@@ -235,7 +235,7 @@
             self.cls,
             self.tenant,
             self.session,
-            spec.give_up_ms,
+            spec.client_timeout_ms,
             None,
             None,
             self.prompt,
@@ -258,8 +258,8 @@
 
     def begun(self) -> None:
         spec = self.fleet.settings.classes[self.cls]
-        part = 1.0 if self.fleet.clock.now <= self.due else spec.late_value
-        self.fleet.earned[self.cls] += spec.value * part * (self.prompt + self.tokens) / 1000.0
+        part = 1.0 if self.fleet.clock.now <= self.due else spec.late_priority_weight
+        self.fleet.earned[self.cls] += spec.priority_weight * part * (self.prompt + self.tokens) / 1000.0
         self.fleet.counts["in time" if part == 1.0 else "late"] += 1
 
     def event(self, data: memoryview) -> None: ...
--- a/tests/front.py
+++ b/tests/front.py
@@ -29,18 +29,18 @@
 A = TypeVar("A")
 
 SAFE = ClassSettings(
-    aim_ms=1000.0,
-    give_up_ms=4000.0,
-    effect=Idempotency.IDEMPOTENT,
-    group=DeduplicationScope.ALL,
-    window_ms=5000.0,
-    value=1.0,
-    late_value=0.2,
-    aim_ms_per_1000_tokens=0.0,
-    aim_stretch=0.0,
-    token_aim_ms=50.0,
+    latency_objective_ms=1000.0,
+    client_timeout_ms=4000.0,
+    idempotency=Idempotency.IDEMPOTENT,
+    deduplication_scope=DeduplicationScope.ALL,
+    deduplication_window_ms=5000.0,
+    priority_weight=1.0,
+    late_priority_weight=0.2,
+    objective_ms_per_1000_tokens=0.0,
+    objective_stretch=0.0,
+    inter_token_objective_ms=50.0,
 )
-UNSAFE = replace(SAFE, effect=Idempotency.NON_IDEMPOTENT, value=2.0)
+UNSAFE = replace(SAFE, idempotency=Idempotency.NON_IDEMPOTENT, priority_weight=2.0)
 
 SETTINGS = Settings(
     seed=1,
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -98,7 +98,7 @@
 
 
 def test_the_cheapest_worth_is_refused_first() -> None:
-    classes = (replace(SAFE, value=1.0), replace(SAFE, value=4.0))
+    classes = (replace(SAFE, priority_weight=1.0), replace(SAFE, priority_weight=4.0))
     admitted = {}
     for cls in (0, 1):
         front = Front(classes=classes)
@@ -167,7 +167,10 @@
 
 def test_a_dear_class_with_a_short_aim_outlasts_a_cheap_patient_one() -> None:
     """Incident ic7164e: bounds by each class's own aim refused the dear, short-aimed class first."""
-    classes = (replace(SAFE, value=1.0, aim_ms=3000.0), replace(SAFE, value=2.0, aim_ms=700.0))
+    classes = (
+        replace(SAFE, priority_weight=1.0, latency_objective_ms=3000.0),
+        replace(SAFE, priority_weight=2.0, latency_objective_ms=700.0),
+    )
     admitted = {}
     for cls in (0, 1):
         front = Front(classes=classes)
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -40,8 +40,20 @@
 READERS = [f"r{n}" for n in range(4)]
 WRITERS = [f"w{n}" for n in range(4)]
 CLASSES = (
-    replace(SAFE, aim_ms=1500.0, give_up_ms=7500.0, value=3.0, aim_ms_per_1000_tokens=40.0),
-    replace(SAFE, aim_ms=2500.0, give_up_ms=10_000.0, value=2.0, aim_ms_per_1000_tokens=40.0),
+    replace(
+        SAFE,
+        latency_objective_ms=1500.0,
+        client_timeout_ms=7500.0,
+        priority_weight=3.0,
+        objective_ms_per_1000_tokens=40.0,
+    ),
+    replace(
+        SAFE,
+        latency_objective_ms=2500.0,
+        client_timeout_ms=10_000.0,
+        priority_weight=2.0,
+        objective_ms_per_1000_tokens=40.0,
+    ),
 )
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -21,7 +21,9 @@
 
 def test_price_is_quadratic_plus_linear() -> None:
     request = Request("q", 0, 0, None, 1000.0, None, None, 2000.0, 0.0, 200.0, False, False)
-    assert Job(request, SAFE, SAFE.aim_ms, 4, 0.0).price == pytest.approx(4.25e-5 * 2000**2 + 6.8e-3 * 2000)
+    assert Job(request, SAFE, SAFE.latency_objective_ms, 4, 0.0).price == pytest.approx(
+        4.25e-5 * 2000**2 + 6.8e-3 * 2000
+    )
 
 
 def test_the_read_goes_where_the_own_backlog_is_smallest() -> None:
@@ -59,7 +61,7 @@
 
 
 def test_a_session_does_not_follow_its_reader_past_the_near_best() -> None:
-    front = Front(classes=(replace(SAFE, aim_ms=60_000.0),))
+    front = Front(classes=(replace(SAFE, latency_objective_ms=60_000.0),))
     front.serve(session="s", prompt_tokens=500.0)
     asked = [front.ask(prompt_tokens=9000.0, session="s", expires_in_ms=90_000.0) for _ in range(4)]
     assert {front.sends[request][0].server for request in asked} == {"r1", "r2"}
@@ -155,7 +157,7 @@
 
 def test_the_hint_stands_for_the_told_maximum() -> None:
     request = Request("q", 0, 0, None, 1000.0, 2000.0, None, 1000.0, 0.0, 500.0, False, False)
-    assert Job(request, SAFE, SAFE.aim_ms, 4, 0.0).tokens == 1000.0 + 2000.0 / 50.0
+    assert Job(request, SAFE, SAFE.latency_objective_ms, 4, 0.0).tokens == 1000.0 + 2000.0 / 50.0
 
 
 def test_near_best_writers_in_the_readers_cell_then_zone_are_preferred() -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -240,7 +240,7 @@
     assert fleet.reads_out(r1) > 199 * 4_500.0
     front.feed()
     assert fleet.shared.active_peers == 199
-    front.feed(after=SETTINGS.classes[0].give_up_ms + 1.0)
+    front.feed(after=SETTINGS.classes[0].client_timeout_ms + 1.0)
     assert (fleet.reads_out(r1), fleet.shared.active_peers) == (0.0, 0)
     assert fleet.shared.record_count == 0
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -232,7 +232,10 @@
     text = 'listen platform { address = "127.0.0.1:0" } machine { memory = 64MiB descriptors = 300 }' + FILE
     config = load("", str(write(tmp_path, text)))
     assert (config.limits.memory_mb, config.limits.sockets, config.listen) == (64.0, 300, ("127.0.0.1", 0))
-    assert [c.aim_ms for c in config.settings.classes] == [1500.0, 2500.0] and config.chat is None
+    assert [c.latency_objective_ms for c in config.settings.classes] == [
+        1500.0,
+        2500.0,
+    ] and config.chat is None
     with pytest.raises(BadConfig, match=r"violet:1:1: there is no 'lisen' \(did you mean 'listen'\?\)"):
         load("", str(write(tmp_path, "lisen chat {}")))
     with pytest.raises(BadConfig, match="no class is defined"):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -28,7 +28,12 @@
     UpdateScope,
 )
 
-KEYED = replace(SAFE, effect=Idempotency.IDEMPOTENCY_KEY, group=DeduplicationScope.ZONE, window_ms=1000.0)
+KEYED = replace(
+    SAFE,
+    idempotency=Idempotency.IDEMPOTENCY_KEY,
+    deduplication_scope=DeduplicationScope.ZONE,
+    deduplication_window_ms=1000.0,
+)
 
 
 def finals(front: Front) -> list[Action]:
@@ -141,7 +146,7 @@
 
 def test_a_keyed_write_does_not_go_to_its_held_place_once_the_window_is_over() -> None:
     """The place was chosen while a repeat was still allowed; the read it waited for took longer than that."""
-    front = Front(classes=(replace(KEYED, group=DeduplicationScope.ALL),))
+    front = Front(classes=(replace(KEYED, deduplication_scope=DeduplicationScope.ALL),))
     request = front.ask()
     place = front.one(ReserveDecodeSlot).server
     front.feed(ReservationResult(request, front.sends[request][0].server, 0, True))
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -168,8 +168,13 @@
     def aim_ms(self, asked: Request) -> float:
         """When this request's first token is wanted."""
         spec = self.settings.classes[asked.cls]
-        stretch = spec.aim_stretch * (asked.answer_ms or 0.0)
-        return max(1.0, spec.aim_ms + spec.aim_ms_per_1000_tokens * asked.prompt_tokens / 1000.0 + stretch)
+        stretch = spec.objective_stretch * (asked.answer_ms or 0.0)
+        return max(
+            1.0,
+            spec.latency_objective_ms
+            + spec.objective_ms_per_1000_tokens * asked.prompt_tokens / 1000.0
+            + stretch,
+        )
 
     def waiting(self, now: float) -> list[float]:
         """Ages of the requests without a first token, as parts of their aims."""
@@ -274,8 +279,10 @@
             # Its close may lie unread in the socket still.
             self.client_left(now, request)
         spec = self.settings.classes[request.asked.cls]
-        repeats = spec.effect is Idempotency.IDEMPOTENCY_KEY and request.may_have_run and not attempt.reading
-        if attempt.over or request.done or (repeats and now >= request.ran_at + spec.window_ms):
+        repeats = (
+            spec.idempotency is Idempotency.IDEMPOTENCY_KEY and request.may_have_run and not attempt.reading
+        )
+        if attempt.over or request.done or (repeats and now >= request.ran_at + spec.deduplication_window_ms):
             return False
         return self.may_write(attempt.server)
 
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -48,7 +48,7 @@
         self._hosts = hosts
         self._fronts = fronts
         self._hot_restart = hot_restart
-        longest = max((spec.give_up_ms for spec in settings.classes), default=0.0) / 1000.0
+        longest = max((spec.client_timeout_ms for spec in settings.classes), default=0.0) / 1000.0
         # What has not begun is given up a while before SIGKILL may come.
         self._end_s = min(longest, KILL_MOST_S) + KILL_AFTER_S - LAST_WORDS_S
 
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -278,7 +278,9 @@
             raise Invalid(f"there is no model {ask.model!r}", "model", status=404, code="model_not_found")
         cls = self.config.class_of(key, model)
         spec = self._core.settings.classes[cls]
-        give_up = spec.give_up_ms + 2.0 * spec.aim_ms_per_1000_tokens * ask.prompt_tokens / 1000.0
+        give_up = (
+            spec.client_timeout_ms + 2.0 * spec.objective_ms_per_1000_tokens * ask.prompt_tokens / 1000.0
+        )
         most = ask.max_tokens or model.max_tokens
         session = ask.conversation
         asked = Request(
@@ -296,7 +298,7 @@
             resumed=False,
         )
         asked = self._core.route(asked, Origin("chat", model.name, len(inbound.body)))
-        return Errand(ask, model, key, asked, most, spec.effect is Idempotency.IDEMPOTENT)
+        return Errand(ask, model, key, asked, most, spec.idempotency is Idempotency.IDEMPOTENT)
 
     async def _order(
         self, errand: Errand, order: Order, orders: Orders, arrived: float, reply: Reply
--- a/violetstack/load_shedding/control.py
+++ b/violetstack/load_shedding/control.py
@@ -34,10 +34,10 @@
 
 
 def weights_of(settings: Settings, classes: tuple[str, ...], tenants: tuple[str, ...]) -> Weights:
-    top = max((spec.value for spec in settings.classes), default=1.0) or 1.0
-    shares = tuple(spec.share for spec in settings.tenants)
+    top = max((spec.priority_weight for spec in settings.classes), default=1.0) or 1.0
+    shares = tuple(spec.quota_share for spec in settings.tenants)
     return Weights(
-        tuple(spec.value / top for spec in settings.classes),
+        tuple(spec.priority_weight / top for spec in settings.classes),
         classes,
         shares if any(shares) else (),
         tenants,
--- a/violetstack/policy_api.py
+++ b/violetstack/policy_api.py
@@ -67,21 +67,21 @@
 
 
 class ClassSettings(msgspec.Struct, frozen=True):
-    aim_ms: float
-    give_up_ms: float
-    effect: Idempotency
-    group: DeduplicationScope
-    window_ms: float
-    value: float
-    late_value: float
-    aim_ms_per_1000_tokens: float
-    aim_stretch: float
-    token_aim_ms: float
+    latency_objective_ms: float
+    client_timeout_ms: float
+    idempotency: Idempotency
+    deduplication_scope: DeduplicationScope
+    deduplication_window_ms: float
+    priority_weight: float
+    late_priority_weight: float
+    objective_ms_per_1000_tokens: float
+    objective_stretch: float
+    inter_token_objective_ms: float
 
 
 class TenantSettings(msgspec.Struct, frozen=True):
-    share: float
-    allowance_per_s: float
+    quota_share: float
+    quota_per_s: float
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -60,13 +60,13 @@
         self.deadline = now + req.expires_in_ms
         length = req.prompt_tokens
         self.price = price(length)
-        self.aim = spec.aim_ms + spec.aim_ms_per_1000_tokens * length / 1000.0
+        self.aim = spec.latency_objective_ms + spec.objective_ms_per_1000_tokens * length / 1000.0
         answer = req.max_tokens
-        if req.answer_ms is not None and spec.token_aim_ms > 0:
-            answer = min(answer, req.answer_ms / spec.token_aim_ms)
-            self.aim += spec.aim_stretch * req.answer_ms
+        if req.answer_ms is not None and spec.inter_token_objective_ms > 0:
+            answer = min(answer, req.answer_ms / spec.inter_token_objective_ms)
+            self.aim += spec.objective_stretch * req.answer_ms
         self.arrived, self.begun = now - req.age_ms, False
-        self.shortest = shortest + self.aim - spec.aim_ms
+        self.shortest = shortest + self.aim - spec.latency_objective_ms
         self.tokens = length + answer
         self.out: dict[int, Try] = {}
         self.state_at: Server | None = None
@@ -91,21 +91,20 @@
     def may_repeat(self, server: Server, now: float) -> bool:
         """Rule 2: may a (further) attempt with effect go to this server?"""
         first = self.ran
-        if first is None or self.spec.effect is Idempotency.IDEMPOTENT:
+        if first is None or self.spec.idempotency is Idempotency.IDEMPOTENT:
             return True
-        past_window = now >= first.sent_at + self.spec.window_ms - GUARD_MS
-        if self.spec.effect is Idempotency.NON_IDEMPOTENT or past_window:
+        past_window = now >= first.sent_at + self.spec.deduplication_window_ms - GUARD_MS
+        if self.spec.idempotency is Idempotency.NON_IDEMPOTENT or past_window:
             return False
         mine, theirs = server.entry, first.server.entry
-        if self.spec.group is DeduplicationScope.ZONE:
+        if self.spec.deduplication_scope is DeduplicationScope.ZONE:
             return mine.zone == theirs.zone
-        return self.spec.group is DeduplicationScope.ALL or mine.cell == theirs.cell
+        return self.spec.deduplication_scope is DeduplicationScope.ALL or mine.cell == theirs.cell
 
     def refusable(self) -> bool:
         """Rule 2: a refusal says that a retry does no harm."""
-        if self.spec.effect is Idempotency.IDEMPOTENT:
-            return True
-        if self.spec.effect is Idempotency.IDEMPOTENCY_KEY and self.spec.group is DeduplicationScope.ALL:
+        kind, everywhere = self.spec.idempotency, self.spec.deduplication_scope is DeduplicationScope.ALL
+        if kind is Idempotency.IDEMPOTENT or (kind is Idempotency.IDEMPOTENCY_KEY and everywhere):
             return True
         return self.ran is None and not self.out
 
@@ -167,8 +166,8 @@
         self.claimed, self.found = Fading(2 * LEARN_MS), Fading(2 * LEARN_MS)
         self.taken = {True: Fading(12 * LEARN_MS), False: Fading(12 * LEARN_MS)}
         self.recent: dict[str, Fading] = {}
-        self.prior = 0.5 * sum(x.allowance_per_s for x in settings.tenants) / 1000.0 / settings.fleet_size
-        self.shared = GossipState(max((spec.give_up_ms for spec in settings.classes), default=0.0))
+        self.prior = 0.5 * sum(x.quota_per_s for x in settings.tenants) / 1000.0 / settings.fleet_size
+        self.shared = GossipState(max((spec.client_timeout_ms for spec in settings.classes), default=0.0))
 
     def code(self, server: Server) -> int:
         """What the other fronts are told of our work there."""
@@ -368,7 +367,7 @@
         self.now = 0.0
         self.actions: list[Action] = []
         self.buckets = {n: tenant_share(spec, settings) for n, spec in enumerate(settings.tenants)}
-        self.shortest = min((spec.aim_ms for spec in settings.classes), default=0.0)
+        self.shortest = min((spec.latency_objective_ms for spec in settings.classes), default=0.0)
         self.started, self.telling, self.gap = False, inf, 0.0
         self.failures: dict[bytes, None] = {}  # servers that failed us, to be told
         self.polled = 0
@@ -582,8 +581,8 @@
 
     def worth(self, job: Job) -> float:
         """Worth beside the dearest class; little beyond the tenant's share of what this front may pass."""
-        top = max(spec.value for spec in self.settings.classes)
-        worth = job.spec.value / top if top > 0 else 1.0
+        top = max(spec.priority_weight for spec in self.settings.classes)
+        worth = job.spec.priority_weight / top if top > 0 else 1.0
         bucket = self.buckets.get(job.req.tenant)
         if bucket is not None and not bucket.within(self.now):
             worth *= self.settings.over_share_worth
@@ -675,10 +674,10 @@
         Reads have no effect and may always be tried again; a write only where its class allows.
         """
         usual = self.fleet.reads if t.reading else self.fleet.waits
-        patience = max(2.0 * job.aim - 1.5 * job.spec.aim_ms, 4.0 * usual.middle(self.now))
+        patience = max(2.0 * job.aim - 1.5 * job.spec.latency_objective_ms, 4.0 * usual.middle(self.now))
         patience /= self.fleet.warmth(t.server, self.now)
         spare = job.most - job.sent - (3 if t.reading else 2)
-        may = t.reading or job.spec.effect is Idempotency.IDEMPOTENT
+        may = t.reading or job.spec.idempotency is Idempotency.IDEMPOTENT
         return patience if may and spare >= 0 else job.deadline - self.now
 
     def on_place(self, note: ReservationResult) -> None:
--- a/violetstack/settings.py
+++ b/violetstack/settings.py
@@ -128,16 +128,16 @@
     except ValueError:
         raise Malformed(f"unknown group {spec.group!r}") from None
     return ClassSettings(
-        aim_ms=spec.aim,
-        give_up_ms=spec.give_up,
-        effect=word_in(_EFFECT, spec.idempotency, "idempotency"),
-        group=group,
-        window_ms=spec.window or 0.0,
-        value=1.0 if spec.value is None else spec.value,
-        late_value=spec.late_value or 0.0,
-        aim_ms_per_1000_tokens=_nth(family.aim_us_per_1000_prompt_tokens, index) / 1000.0,
-        aim_stretch=spec.aim_stretch or 0.0,
-        token_aim_ms=_nth(family.token_aim, index),
+        latency_objective_ms=spec.aim,
+        client_timeout_ms=spec.give_up,
+        idempotency=word_in(_EFFECT, spec.idempotency, "idempotency"),
+        deduplication_scope=group,
+        deduplication_window_ms=spec.window or 0.0,
+        priority_weight=1.0 if spec.value is None else spec.value,
+        late_priority_weight=spec.late_value or 0.0,
+        objective_ms_per_1000_tokens=_nth(family.aim_us_per_1000_prompt_tokens, index) / 1000.0,
+        objective_stretch=spec.aim_stretch or 0.0,
+        inter_token_objective_ms=_nth(family.token_aim, index),
     )
 
 
