Settings take the field's names

Settings: me -> dispatcher_index, fleet_size -> dispatcher_count, over_share_worth -> over_quota_weight, ahead -> reserve_ahead, local_read -> decode_hosts_prefill, resume -> resume_supported, release_ms -> state_retention_ms, may_cancel -> cancellation_allowed, may_duplicate -> hedging_allowed, may_probe -> health_checks_allowed, may_tell -> gossip_allowed, retry_after -> send_retry_after, must_ask -> watch_required, must_ask_in_ms -> watch_deadline_ms, report_names -> load_report_fields, reports_on_probe -> health_checks_report_load, cold_share -> slow_start_capacity, cold_ms -> slow_start_ms, fall_ms -> overload_window_ms, fall_multiple -> overload_multiple, grace_to_answer_ms -> answer_grace_ms.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -34,7 +34,7 @@
     best = float("inf")
     for _ in range(ROUNDS):
         entries = [entry(f"s{n}", n % 2, cell=n // 5) for n in range(hosts)]
-        front = Front(*entries, report_names=("inflight", "x0"), fleet_size=40, **more)
+        front = Front(*entries, load_report_fields=("inflight", "x0"), dispatcher_count=40, **more)
         began = time.process_time()
         for n in range(REQUESTS):
             request = front.ask(after=700.0, shared=f"p{n % 30}", shared_tokens=1000.0, session=f"s{n % 90}")
@@ -55,7 +55,7 @@
     entries = [entry(f"s{n}", n % 2, cell=n // 5) for n in range(100)]
     heard = told = float("inf")
     for _ in range(ROUNDS):
-        front = Front(*entries, fleet_size=200, may_tell=True)
+        front = Front(*entries, dispatcher_count=200, gossip_allowed=True)
         rows = [
             encode_datagram([(endpoint_tag(f"s{(n * k) % 100}"), 40 + (n + k) % 90) for k in (1, 7, 31)])
             for n in range(REQUESTS)
--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -302,10 +302,10 @@
         self.settings = replace(
             SETTINGS,
             classes=(CONSULTA, ORDEN),
-            fleet_size=dispatchers,
+            dispatcher_count=dispatchers,
             max_attempts=5,
             tenants=tuple(TenantSettings(share, 1000.0) for _, share in TENANTS),
-            over_share_worth=0.05,
+            over_quota_weight=0.05,
             max_retry_after_ms=1000.0,
         )
         entries = [entry(f"r{n}", 0) for n in range(readers)]
@@ -314,7 +314,8 @@
             e.server: Reader(self.clock) if e.kind == 0 else Writer(self.clock) for e in entries
         }
         self.nodes = [
-            Node(self, replace(self.settings, me=n, seed=seed + n), plan) for n in range(dispatchers)
+            Node(self, replace(self.settings, dispatcher_index=n, seed=seed + n), plan)
+            for n in range(dispatchers)
         ]
         for node in self.nodes:
             node.core.news(0.0, EndpointUpdate(UpdateScope.SNAPSHOT, tuple(entries), 1))
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -113,7 +113,7 @@
 def test_a_tenant_beyond_its_share_is_refused_first() -> None:
     admitted = {}
     for tenant in (0, 1):
-        front = Front(tenants=TENANTS, over_share_worth=0.1)
+        front = Front(tenants=TENANTS, over_quota_weight=0.1)
         warm_up(front)
         admitted[tenant] = 0
         for _ in range(200):
@@ -268,7 +268,7 @@
 def test_own_streams_weigh_by_the_number_of_fronts_without_reports() -> None:
     used = []
     for fleet_size in (1, 4):
-        front = Front(fleet_size=fleet_size)
+        front = Front(dispatcher_count=fleet_size)
         front.ask(prompt_tokens=9800.0)
         place = front.one(ReserveDecodeSlot).server
         fleet = front.router.fleet
@@ -277,7 +277,7 @@
 
 
 def test_an_old_report_fades_towards_the_fleets_mean() -> None:
-    front = Front(report_names=("x0",))
+    front = Front(load_report_fields=("x0",))
     fleet = front.router.fleet
     for name, share in (("w1", 0.8), ("w2", 0.2)):
         fleet.report(fleet.servers[name], (share,), front.now)
@@ -287,7 +287,7 @@
 
 
 def test_memory_size_is_learned_from_reports_against_own_streams() -> None:
-    front = Front(report_names=("x0",))
+    front = Front(load_report_fields=("x0",))
     fleet = front.router.fleet
     front.ask(prompt_tokens=30_000.0)
     server = fleet.servers[front.one(ReserveDecodeSlot).server]
@@ -298,7 +298,7 @@
 
 def test_after_an_error_at_a_writer_the_prompt_is_read_again() -> None:
     """Incident i85aa01: the state is gone after an error, the next writer answered no_room with note 1."""
-    front = Front(ahead=False)
+    front = Front(reserve_ahead=False)
     request = front.ask()
     front.end(request, AttemptStatus.PREFILLED)
     front.end(request, AttemptStatus.ERROR, after=4.0)
@@ -306,7 +306,7 @@
 
 
 def test_servers_are_polled_in_turn_where_only_polls_carry_reports() -> None:
-    front = Front(reports_on_probe=True, may_probe=True, report_names=("x0",))
+    front = Front(health_checks_report_load=True, health_checks_allowed=True, load_report_fields=("x0",))
     polled = set()
     for _ in range(4):
         front.feed(TimerFired("poll"), after=500.0)
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -62,7 +62,7 @@
 
     def __init__(self, seed: int, load: float, seconds: float) -> None:
         self.random = Random(seed)
-        self.router = Router(replace(SETTINGS, classes=CLASSES, may_tell=True, seed=seed))
+        self.router = Router(replace(SETTINGS, classes=CLASSES, gossip_allowed=True, seed=seed))
         self.heap: list[tuple[float, int, Any]] = []
         self.count = 0
         self.now = 0.0
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -115,7 +115,7 @@
     """A new version sent cold hosts a trickle, since it had seen nobody be served."""
     cold = [entry(f"r{n}", 0, started_ms=500.0) for n in range(2)]
     shared = (TenantSettings(1.0, 6.0),)
-    old = Front(*cold, entry("w1", 1), entry("w2", 1, started_ms=800.0), fleet_size=3, tenants=shared)
+    old = Front(*cold, entry("w1", 1), entry("w2", 1, started_ms=800.0), dispatcher_count=3, tenants=shared)
     old.news(UpdateScope.SNAPSHOT, entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=800.0))
     for _ in range(20):
         old.serve(after=100.0)
@@ -123,7 +123,7 @@
     told = learned(old.router, old.now)
     assert msgspec.json.decode(msgspec.json.encode(told), type=Learned) == told
     listed = (entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=900.0))  # w2 started anew
-    new = Front(*listed, fleet_size=3, tenants=shared)
+    new = Front(*listed, dispatcher_count=3, tenants=shared)
     new.now = old.now
     assert recall(new.router, told) == 4
     for front in (old, new):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -127,7 +127,7 @@
 
 
 def test_no_place_is_asked_for_where_the_site_has_none() -> None:
-    front = Front(ahead=False)
+    front = Front(reserve_ahead=False)
     request = front.ask()
     assert not front.all(ReserveDecodeSlot)
     front.end(request, AttemptStatus.PREFILLED)
@@ -144,7 +144,7 @@
 
 
 def test_writers_go_by_reported_share_plus_own_streams_since() -> None:
-    front = Front(report_names=("x0",))
+    front = Front(load_report_fields=("x0",))
     fleet = front.router.fleet
     for name, share in (("w1", 0.7), ("w2", 0.2)):
         fleet.report(fleet.servers[name], (share,), front.now)
@@ -186,7 +186,7 @@
 
 
 def test_a_writer_reads_itself_where_it_may_and_no_reader_is_left() -> None:
-    front = Front(*WRITERS, local_read=True)
+    front = Front(*WRITERS, decode_hosts_prefill=True)
     front.ask()
     assert front.one(SendAttempt).server in ("w1", "w2")
     front = Front(*WRITERS)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -44,7 +44,15 @@
 
     def __init__(self, size: int, lost: float = 0.0, **settings: Any) -> None:
         self.fronts = [
-            Front(*READERS, *WRITERS, may_tell=True, fleet_size=size, me=n, seed=n, **settings)
+            Front(
+                *READERS,
+                *WRITERS,
+                gossip_allowed=True,
+                dispatcher_count=size,
+                dispatcher_index=n,
+                seed=n,
+                **settings,
+            )
             for n in range(size)
         ]
         self.random = random.Random(3)
@@ -80,7 +88,7 @@
 
 def test_forty_fronts_do_not_hold_their_places_at_one_writer_after_one_report() -> None:
     places: Counter[str] = Counter()
-    tier = Tier(FLEET, report_names=("x0",))
+    tier = Tier(FLEET, load_report_fields=("x0",))
     for front in tier.fronts:
         for name, share in (("w1", 0.30), ("w2", 0.55)):
             front.router.fleet.report(front.router.fleet.servers[name], (share,), front.now)
@@ -123,7 +131,7 @@
 
 def test_a_full_queue_and_a_time_out_are_not_told_as_a_failure() -> None:
     for status in (AttemptStatus.REJECTED, AttemptStatus.TIMEOUT):
-        front = Front(*READERS, *WRITERS, may_tell=True)
+        front = Front(*READERS, *WRITERS, gossip_allowed=True)
         front.end(front.ask(), status)
         front.feed(TimerFired("tell"))
         assert all(FAILURE_CODE not in told.payload[2::3] for told in front.all(SendGossip))
@@ -150,7 +158,7 @@
 def test_what_does_not_fit_one_datagram_is_told_in_the_next_the_longest_untold_first() -> None:
     """Hosts past a datagram's 85 were marked as told though they were cut off."""
     many = tuple(entry(f"h{n}", 2) for n in range(120))
-    front = Front(*many, may_tell=True, fleet_size=2, max_attempts=1)
+    front = Front(*many, gossip_allowed=True, dispatcher_count=2, max_attempts=1)
     asked = 0
     while sum(1 for s in front.router.fleet.servers.values() if s.out) < len(many):
         front.ask(expires_in_ms=60_000.0)
@@ -199,7 +207,7 @@
 def test_a_datagram_that_cannot_be_read_changes_nothing_and_is_logged(payload: bytes) -> None:
     with pytest.raises(GossipDecodeError):
         GossipState(1000.0).receive(0.0, 1, payload, 9)
-    front = Front(may_tell=True)
+    front = Front(gossip_allowed=True)
     front.feed(GossipReceived(1, payload))
     assert len(front.all(WriteLog)) == 1
     front.ask()
@@ -207,7 +215,7 @@
 
 
 def test_words_about_a_host_that_the_list_does_not_name_send_nothing_there() -> None:
-    front = Front(may_tell=True)
+    front = Front(gossip_allowed=True)
     front.feed(
         GossipReceived(
             1, encode_datagram([(endpoint_tag("stranger"), FAILURE_CODE), (endpoint_tag("other"), 3)])
@@ -218,7 +226,7 @@
 
 def test_one_write_on_its_way_at_a_front_that_sees_little_is_no_jam() -> None:
     """Else a front of forty with one begin a second behind it would expect a second's wait, and refuse."""
-    front = Front(may_tell=True, fleet_size=FLEET)
+    front = Front(gossip_allowed=True, dispatcher_count=FLEET)
     front.feed(GossipReceived(1, encode_datagram([(endpoint_tag("r1"), 9)])))
     for _ in range(4):
         front.serve(after=2_000.0)
@@ -232,7 +240,7 @@
 
 def test_a_front_cut_off_from_the_others_counts_their_work_no_longer_than_it_can_last() -> None:
     """Amounts last heard before a split would stay as load for ever."""
-    front = Front(may_tell=True, fleet_size=200)
+    front = Front(gossip_allowed=True, dispatcher_count=200)
     for peer in range(1, 200):
         front.feed(GossipReceived(peer, encode_datagram([(endpoint_tag("r1"), encode_load(5_000.0))])))
     fleet = front.router.fleet
@@ -246,7 +254,7 @@
 
 
 def test_one_lying_front_moves_choices_by_no_more_than_a_datagram_can_say_and_breaks_no_drain() -> None:
-    front = Front(may_tell=True, fleet_size=200)
+    front = Front(gossip_allowed=True, dispatcher_count=200)
     front.news(UpdateScope.DELTA, entry("r1", 0, state=EndpointState.DRAINING))
     every = [(endpoint_tag(name), FAILURE_CODE - 1) for name in ("r1", "r2", "w1", "w2")]
     for lie in (
@@ -267,7 +275,7 @@
     front = Front()
     front.serve()
     front.feed(TimerFired("tell"))
-    assert not SETTINGS.may_tell and not front.all(SendGossip)
+    assert not SETTINGS.gossip_allowed and not front.all(SendGossip)
 
 
 def first_home(fleet: Fleet, shared: str) -> str:
@@ -278,7 +286,13 @@
 @pytest.mark.parametrize("size", [FLEET, 200])
 def test_tickets_of_all_fronts_together_keep_a_cold_host_standing_and_use_it(size: int) -> None:
     """In every window of the fall rule, the first instant too, and though each front hears of it at once."""
-    tier = Tier(size, cold_share=0.3, cold_ms=10_000.0, fall_ms=2_000.0, fall_multiple=2.5)
+    tier = Tier(
+        size,
+        slow_start_capacity=0.3,
+        slow_start_ms=10_000.0,
+        overload_window_ms=2_000.0,
+        overload_multiple=2.5,
+    )
     sent: list[float] = []
     began = 0.0
     hot = [f"p{n}" for n in range(40)]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -133,7 +133,7 @@
 def test_a_keyed_write_stays_in_its_group_and_window() -> None:
     writers = (entry("w1", 1, zone=0), entry("w2", 1, zone=1), entry("w3", 1, zone=0))
     for late, seed in ((late, seed) for late in (False, True) for seed in range(6)):
-        front = Front(*READERS, *writers, classes=(KEYED,), ahead=False, seed=seed)
+        front = Front(*READERS, *writers, classes=(KEYED,), reserve_ahead=False, seed=seed)
         request = front.ask()
         front.end(request, AttemptStatus.PREFILLED)
         first = front.one(SendAttempt).server
@@ -244,7 +244,9 @@
 
 def test_many_fronts_together_keep_a_cold_server_within_its_budget() -> None:
     """Forty fronts of one request a second, in any window, the first too; and yet it gets work."""
-    fronts = [Front(entry("r1", 0), *WRITERS, seed=n, me=n, fleet_size=40) for n in range(40)]
+    fronts = [
+        Front(entry("r1", 0), *WRITERS, seed=n, dispatcher_index=n, dispatcher_count=40) for n in range(40)
+    ]
     for front in fronts:
         for _ in range(20):
             front.end(front.ask(after=500.0), AttemptStatus.PREFILLED, after=500.0)
@@ -275,7 +277,10 @@
     tenants = (TenantSettings(1.0, 80.0),)
     started = 1000.0
     listed = [entry(f"r{n}", 0) for n in range(3)] + [entry("cold", 0, started_ms=started)]
-    fronts = [Front(*listed, *WRITERS, seed=n, me=n, fleet_size=size, tenants=tenants) for n in range(size)]
+    fronts = [
+        Front(*listed, *WRITERS, seed=n, dispatcher_index=n, dispatcher_count=size, tenants=tenants)
+        for n in range(size)
+    ]
     at: list[float] = []
     now = started
     n = 0
--- a/tests/test_waking.py
+++ b/tests/test_waking.py
@@ -87,7 +87,7 @@
 
 
 def test_nothing_is_learned_across_a_gap_and_others_words_from_before_do_not_count() -> None:
-    front = Front(may_tell=True)
+    front = Front(gossip_allowed=True)
     front.feed(GossipReceived(1, encode_datagram([(endpoint_tag("r1"), encode_load(500.0))])))
     request = front.ask()
     front.feed(TimerFired("tell"), after=25.0)
@@ -108,7 +108,7 @@
 
 
 def test_a_report_read_after_a_gap_is_as_old_as_the_gap() -> None:
-    front = Front(report_names=("x0",))
+    front = Front(load_report_fields=("x0",))
     request = front.ask()
     front.now += 5000.0
     reader = front.sends[request][0].server
@@ -119,7 +119,7 @@
 
 def test_whoever_hears_of_a_new_dispatcher_tells_it_what_is_out() -> None:
     """It heard only of changes, and took hosts that were full for idle ones."""
-    front = Front(may_tell=True)
+    front = Front(gossip_allowed=True)
     front.ask()
     front.feed(TimerFired("tell"), after=25.0)
     told = front.one(SendGossip).payload
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -136,9 +136,9 @@
 
     def _check(self, duties: DutiesFile) -> None:
         """Whoever is not reached can't vote, so each of the tier has to be named."""
-        size = self.settings.fleet_size
+        size = self.settings.dispatcher_count
         named = len(self.peers)
-        if self.peer_listen is None or named != size or self.settings.me >= named:
+        if self.peer_listen is None or named != size or self.settings.dispatcher_index >= named:
             raise BadConfig(f"duties: {named} peers are named for a fleet of {size}; each is to be there")
         if duties.leave >= size > 1:
             raise BadConfig(f"duties: leave = {duties.leave} bounds nothing in a fleet of {size}")
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -293,7 +293,7 @@
         up: nothing that was not written takes them.
         """
         request = attempt.request
-        within = self.settings.release_ms
+        within = self.settings.state_retention_ms
         if not (request.loose and request.held_at and within):
             return math.inf
         return max(LEAST_CONNECT_MS, request.held_at + within - now)
@@ -558,7 +558,7 @@
         attempt = Attempt(request, request.sent, action.server, reading, now, stop_at)
         request.sent += 1
         request.out[attempt.number] = attempt
-        twice = len(request.out) > 1 and not self.settings.may_duplicate
+        twice = len(request.out) > 1 and not self.settings.hedging_allowed
         spent = attempt.number >= self.settings.max_attempts or stop_at <= now
         if request.done or request.bound is not None or twice or spent or entry is None:
             self.ended(now, attempt, AttemptStatus.ALREADY_FINISHED)
@@ -568,7 +568,7 @@
 
     def _hold(self, now: float, action: ReserveDecodeSlot) -> None:
         request = self.open.get(action.id)
-        if request is None or request.done or not self.settings.ahead:
+        if request is None or request.done or not self.settings.reserve_ahead:
             return
         reads = [a for a in request.out.values() if a.reading]
         request.places += 1
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -184,7 +184,7 @@
         config = self.config
         settings = config.settings
         self.hosts = Hosts(
-            self.nursery, settings.connect_timeout_ms, config.idle_close_ms, settings.report_names
+            self.nursery, settings.connect_timeout_ms, config.idle_close_ms, settings.load_report_fields
         )
         self.router = Router(settings)
         self.core = Dispatcher(settings, self.router, self.hosts, config.drain_grace_ms)
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -91,7 +91,7 @@
             nursery.start_soon(self._kept.verify, self.remove_unreachable, lambda: self._recovery.listed)
         if config.discovery is not None:
             settings = config.settings
-            again = Backoff(settings.fleet_size, settings.seed, agent=not settings.must_ask)
+            again = Backoff(settings.dispatcher_count, settings.seed, agent=not settings.watch_required)
             self.watch = Watch(config.discovery, self._reader, version, self._told, again)
             self.watch.confirmed = self._confirmed
             waking.sources.append(self.watch)
@@ -102,7 +102,7 @@
         what a predecessor was told counts for its heir.
         """
         inherited = self._config.inherited is not None
-        if self.watch is None or (self._config.settings.must_ask and not inherited):
+        if self.watch is None or (self._config.settings.watch_required and not inherited):
             return
         with trio.move_on_after(FIRST_LIST_S if inherited else AGENT_LIST_S):
             await self.watch.heard.wait()
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -34,7 +34,7 @@
         return None
     from violetstack.net.state_writer import Kept
 
-    kept = Kept(state, config.settings.seed, config.settings.cold_ms, learned)
+    kept = Kept(state, config.settings.seed, config.settings.slow_start_ms, learned)
     nursery.start_soon(kept.run)
     return kept
 
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -76,7 +76,7 @@
             shed = self._core.admit(now, asked)
             if shed is not None:
                 self._log("shed", reason=shed.reason, cls=asked.cls, tenant=asked.tenant)
-                advice = shed.retry_after_ms if self._core.settings.retry_after else 0.0
+                advice = shed.retry_after_ms if self._core.settings.send_retry_after else 0.0
                 PlatformSink(reply).refused(advice, 429)
                 return
             reply.opened(self._core.take(now, asked, PlatformSink(reply), payload))
--- a/violetstack/load_shedding/control.py
+++ b/violetstack/load_shedding/control.py
@@ -41,7 +41,7 @@
         classes,
         shares if any(shares) else (),
         tenants,
-        settings.over_share_worth,
+        settings.over_quota_weight,
     )
 
 
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -45,8 +45,8 @@
         self._fit = fit
         self.member = Member(
             now_ms(),
-            settings.me,
-            settings.fleet_size,
+            settings.dispatcher_index,
+            settings.dispatcher_count,
             incarnation,
             told.lease_s * 1000.0,
             luck=random.Random(f"{settings.seed} {incarnation}"),
--- a/violetstack/net/load_shedding.py
+++ b/violetstack/net/load_shedding.py
@@ -80,7 +80,7 @@
         self.cores = cores
         self.journal = JournalFile(levels.plan.journal) if levels.plan.journal else None
         self.complained = -COMPLAIN_S
-        self.cold_ms = core.settings.cold_ms
+        self.cold_ms = core.settings.slow_start_ms
 
     def start(self) -> None:
         """Before anything is taken: the level that the journal tells, or a cautious normal."""
--- a/violetstack/policy_api.py
+++ b/violetstack/policy_api.py
@@ -86,35 +86,35 @@
 
 class Settings(msgspec.Struct, frozen=True):
     seed: int
-    me: int
-    fleet_size: int
+    dispatcher_index: int
+    dispatcher_count: int
     zone: int
     classes: tuple[ClassSettings, ...]
     tenants: tuple[TenantSettings, ...]
-    over_share_worth: float
+    over_quota_weight: float
     roles: tuple[Role, ...]
     memory_tokens: tuple[float, ...]
-    ahead: bool
-    local_read: bool
-    resume: bool
-    release_ms: float
+    reserve_ahead: bool
+    decode_hosts_prefill: bool
+    resume_supported: bool
+    state_retention_ms: float
     max_attempts: int
-    may_cancel: bool
-    may_duplicate: bool
-    may_probe: bool
-    may_tell: bool
-    retry_after: bool
+    cancellation_allowed: bool
+    hedging_allowed: bool
+    health_checks_allowed: bool
+    gossip_allowed: bool
+    send_retry_after: bool
     max_retry_after_ms: float
     connect_timeout_ms: float
-    must_ask: bool
-    must_ask_in_ms: float
-    report_names: tuple[str, ...]
-    reports_on_probe: bool
-    cold_share: float
-    cold_ms: float
-    fall_ms: float
-    fall_multiple: float
-    grace_to_answer_ms: float
+    watch_required: bool
+    watch_deadline_ms: float
+    load_report_fields: tuple[str, ...]
+    health_checks_report_load: bool
+    slow_start_capacity: float
+    slow_start_ms: float
+    overload_window_ms: float
+    overload_multiple: float
+    answer_grace_ms: float
 
 
 class Endpoint(msgspec.Struct, frozen=True):
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -166,7 +166,7 @@
         self.claimed, self.found = Fading(2 * LEARN_MS), Fading(2 * LEARN_MS)
         self.taken = {True: Fading(12 * LEARN_MS), False: Fading(12 * LEARN_MS)}
         self.recent: dict[str, Fading] = {}
-        self.prior = 0.5 * sum(x.quota_per_s for x in settings.tenants) / 1000.0 / settings.fleet_size
+        self.prior = 0.5 * sum(x.quota_per_s for x in settings.tenants) / 1000.0 / settings.dispatcher_count
         self.shared = GossipState(max((spec.client_timeout_ms for spec in settings.classes), default=0.0))
 
     def code(self, server: Server) -> int:
@@ -184,7 +184,7 @@
 
     def whole(self, amount: float) -> float:
         """What all fronts have out, by what those that are heard have."""
-        return amount * self.settings.fleet_size / (1.0 + self.shared.active_peers)
+        return amount * self.settings.dispatcher_count / (1.0 + self.shared.active_peers)
 
     def role(self, server: Server) -> Role:
         roles, kind = self.settings.roles, server.entry.kind
@@ -208,10 +208,10 @@
 
     def warmth(self, server: Server, now: float) -> float:
         """Share of its capacity that a server which just started is taken to have; 1 when warm."""
-        started, cold = server.entry.started_ms, self.settings.cold_ms
+        started, cold = server.entry.started_ms, self.settings.slow_start_ms
         if started is None or now >= started + cold:
             return 1.0
-        share = self.settings.cold_share
+        share = self.settings.slow_start_capacity
         return share + (1.0 - share) * 0.5 * max(0.0, now - started) / cold
 
     def admits(self, server: Server, reading: bool, now: float) -> bool:
@@ -227,8 +227,8 @@
         if warmth >= 1.0:
             return True
         usual = self.taken[reading].expected(now, self.prior) / max(1, len(self.pools[reading]))
-        trickle = 1.0 / (2.0 * rules.fleet_size * rules.fall_ms)
-        server.tickets.rate = max(trickle, 1.25 * rules.fall_multiple * warmth * usual)
+        trickle = 1.0 / (2.0 * rules.dispatcher_count * rules.overload_window_ms)
+        server.tickets.rate = max(trickle, 1.25 * rules.overload_multiple * warmth * usual)
         return server.tickets.within(now) and not server.places
 
     def speed(self, server: Server, now: float) -> float:
@@ -346,7 +346,7 @@
         return 1.0 - share - (known - then) / size - server.left.at(now)
 
     def report(self, server: Server, row: tuple[float | None, ...] | None, now: float) -> None:
-        names = self.settings.report_names
+        names = self.settings.load_report_fields
         values = dict(zip(names, row or (), strict=False))
         share = values.get("x0")
         if share is None:
@@ -383,18 +383,18 @@
 
     def start(self) -> None:
         self.started = True
-        if self.settings.must_ask:
+        if self.settings.watch_required:
             self.act(SetWatch(True))
-        if self.settings.reports_on_probe and self.settings.may_probe:
+        if self.settings.health_checks_report_load and self.settings.health_checks_allowed:
             self.act(StartTimer(RETRY_MS, "poll"))
-        if self.settings.may_tell:
+        if self.settings.gossip_allowed:
             self.act(SendGossip(codec.RESET_DATAGRAM))
 
     # --- the other fronts ---
 
     def tell_soon(self, within_ms: float = TELL_MS) -> None:
         """A stream's end may wait for the next word: a datagram has its price, and streams take seconds."""
-        if self.settings.may_tell and self.now + within_ms < self.telling:
+        if self.settings.gossip_allowed and self.now + within_ms < self.telling:
             self.telling = self.now + within_ms
             self.act(StartTimer(within_ms, "tell"))
 
@@ -429,14 +429,14 @@
         for t in [t for job in self.jobs.values() for t in job.out.values()]:
             t.across = True
         self.fleet.shared.clear()
-        if self.settings.may_tell:
+        if self.settings.gossip_allowed:
             self.act(SendGossip(codec.RESET_DATAGRAM))
             self.tell_anew(TELL_MS)
 
     def on_peer(self, message: GossipReceived) -> None:
         """Guards against learning it forty times over: a server that failed one front has failed all."""
         fleet = self.fleet
-        if message.peer == self.settings.me:
+        if message.peer == self.settings.dispatcher_index:
             return
         if message.payload == codec.RESET_DATAGRAM:  # it and others that start now know none of our load
             self.tell_anew(TELL_MS * (1.0 + 9.0 * self.random.random()))
@@ -496,7 +496,7 @@
 
     def on_list(self, news: EndpointUpdate) -> None:
         if news.scope is UpdateScope.FAILED:
-            if self.settings.must_ask:
+            if self.settings.watch_required:
                 self.act(StartTimer(RETRY_MS * (1.0 + self.random.random()), "watch"))
             return
         named = {entry.server for entry in news.entries}
@@ -525,7 +525,7 @@
             self.forget_place(job)
             if not job.done and job.out:
                 self.hold_place(job, next(iter(job.out.values())).server)
-        for t in list(server.out.values()) if gone and self.settings.may_cancel else ():
+        for t in list(server.out.values()) if gone and self.settings.cancellation_allowed else ():
             if t.reading and not t.job.done:
                 self.act(CancelAttempt(t.job.req.id, t.n))
 
@@ -562,7 +562,7 @@
         job.scope = job.scope if job.course is None else job.course.scope(self.now)
         reader = self.pick_reader(job)
         if reader is None:
-            writer = self.pick_writer(job, None) if self.settings.local_read else None
+            writer = self.pick_writer(job, None) if self.settings.decode_hosts_prefill else None
             if writer is None:
                 self.give_up(job)
             else:
@@ -575,7 +575,7 @@
         if job.sent == 0 and (bucket := self.buckets.get(job.req.tenant)) is not None:
             bucket.take()
         self.send(job, reader, reading)
-        if reading and self.settings.ahead and (job.course is None or job.course.may_hold(self.now)):
+        if reading and self.settings.reserve_ahead and (job.course is None or job.course.may_hold(self.now)):
             job.asked = []
             self.hold_place(job, reader)
 
@@ -585,7 +585,7 @@
         worth = job.spec.priority_weight / top if top > 0 else 1.0
         bucket = self.buckets.get(job.req.tenant)
         if bucket is not None and not bucket.within(self.now):
-            worth *= self.settings.over_share_worth
+            worth *= self.settings.over_quota_weight
         return worth
 
     def too_late(self, job: Job, reader: Server) -> bool:
@@ -812,7 +812,7 @@
     def give_up(self, job: Job) -> None:
         """The final answer: a refusal with advice where a retry is known to be harmless, else a failure."""
         if job.refusable():
-            advice = min(self.settings.max_retry_after_ms, job.aim) if self.settings.retry_after else 0.0
+            advice = min(self.settings.max_retry_after_ms, job.aim) if self.settings.send_retry_after else 0.0
             self.act(RejectRequest(job.req.id, advice))
         else:
             self.act(FailRequest(job.req.id))
@@ -824,7 +824,7 @@
         self.close(job)
 
     def withdraw(self, job: Job) -> None:
-        if self.settings.may_cancel:
+        if self.settings.cancellation_allowed:
             for t in job.out.values():
                 if not t.begun:
                     self.act(CancelAttempt(job.req.id, t.n))
--- a/violetstack/shared/budgets.py
+++ b/violetstack/shared/budgets.py
@@ -27,5 +27,5 @@
 
 def tenant_share(spec: TenantSettings, settings: Settings) -> Bucket:
     """A tenant's share at this front: its allowance over the number of fronts."""
-    rate = spec.quota_per_s / 1000.0 / settings.fleet_size
+    rate = spec.quota_per_s / 1000.0 / settings.dispatcher_count
     return Bucket(rate, max(2.0, rate * SHARE_MS), max(2.0, rate * SHARE_MS))
