Requests and their routes take the field's names

Request: cls -> class_index, tenant -> tenant_index, answer_ms -> expected_answer_ms, shared -> prefix_id, shared_tokens -> prefix_tokens, repeat -> is_retry, resumed -> is_resumed, course -> route. Route: attempts -> max_attempts, scope -> active_pool, holds -> contains, may_hold -> reservation_allowed, may_repeat -> take_retry.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -37,7 +37,9 @@
         front = Front(*entries, load_report_fields=("inflight", "x0"), dispatcher_count=40, **more)
         began = time.process_time()
         for n in range(REQUESTS):
-            request = front.ask(after=700.0, shared=f"p{n % 30}", shared_tokens=1000.0, session=f"s{n % 90}")
+            request = front.ask(
+                after=700.0, prefix_id=f"p{n % 30}", prefix_tokens=1000.0, session=f"s{n % 90}"
+            )
             front.end(request, AttemptStatus.PREFILLED, report=(3.0, 0.4))
             front.begin(request)
             front.end(request, AttemptStatus.OK, after=200.0, report=(3.0, 0.4))
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -112,14 +112,14 @@
     origin = Origin("chat", "model-3", 4_000)
 
     def routed(_: Asked) -> None:
-        request.course = None
+        request.route = None
         asked = routing.route(request, origin)
         routing.taken(1.0, asked)
-        course = asked.course
+        course = asked.route
         assert course is not None
-        course.scope(1.0)
+        course.active_pool(1.0)
         for entry in entries:
-            course.holds(entry.server, 1.0)
+            course.contains(entry.server, 1.0)
         routing.told_of(asked)
         routing.closed(2.0, asked)
 
--- a/tests/front.py
+++ b/tests/front.py
@@ -119,17 +119,17 @@
         self.count += 1
         request = Request(
             id=f"q{self.count}",
-            cls=0,
-            tenant=0,
+            class_index=0,
+            tenant_index=0,
             session=None,
             expires_in_ms=3000.0,
-            answer_ms=None,
-            shared=None,
+            expected_answer_ms=None,
+            prefix_id=None,
             prompt_tokens=2000.0,
-            shared_tokens=0.0,
+            prefix_tokens=0.0,
             max_tokens=200.0,
-            repeat=False,
-            resumed=False,
+            is_retry=False,
+            is_resumed=False,
         )
         request = replace(request, **changes)
         self.feed(request, after=after)
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -135,7 +135,7 @@
     headers = {"req-id": "q1", "req-kind": "ask", "req-cost": text}
     facts = WFacts(classes=[WClass(aim=1000.0, give_up=4000.0, name="ask")])
     inbound = Inbound("POST", "/v1/chat/completions", headers, memoryview(b"{}"))
-    assert RequestReader(facts).read(inbound).answer_ms == milliseconds
+    assert RequestReader(facts).read(inbound).expected_answer_ms == milliseconds
 
 
 @pytest.mark.parametrize(
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -50,7 +50,7 @@
     front.end(request, AttemptStatus.ERROR, after=4.0)
     front.end(request, AttemptStatus.PREFILLED)
     front.now += 30_000.0
-    picks = {front.sends[front.ask(shared=f"p{i}", prompt_tokens=100.0)][0].server for i in range(6)}
+    picks = {front.sends[front.ask(prefix_id=f"p{i}", prompt_tokens=100.0)][0].server for i in range(6)}
     assert bad in picks
 
 
@@ -105,7 +105,7 @@
         warm_up(front)
         admitted[cls] = 0
         for _ in range(200):
-            front.ask(cls=cls)
+            front.ask(class_index=cls)
             admitted[cls] += len(front.all(SendAttempt))
     assert 0 < admitted[0] < admitted[1]
 
@@ -117,7 +117,7 @@
         warm_up(front)
         admitted[tenant] = 0
         for _ in range(200):
-            front.ask(tenant=tenant)
+            front.ask(tenant_index=tenant)
             admitted[tenant] += len(front.all(SendAttempt))
     assert 0 < admitted[0] < admitted[1]
 
@@ -177,7 +177,7 @@
         warm_up(front)
         admitted[cls] = 0
         for _ in range(200):
-            front.ask(cls=cls)
+            front.ask(class_index=cls)
             admitted[cls] += len(front.all(SendAttempt))
     assert 0 < admitted[0] < admitted[1]
 
@@ -204,7 +204,7 @@
 def test_a_home_is_charged_only_what_it_does_not_keep() -> None:
     front = Front(*(entry(f"r{i}", 0) for i in range(6)), *WRITERS)
     fleet = front.router.fleet
-    job = front.router.jobs[front.ask(shared="p", shared_tokens=1500.0, session="s")]
+    job = front.router.jobs[front.ask(prefix_id="p", prefix_tokens=1500.0, session="s")]
     charged = [fleet.unread_price(s, job, front.now) for s in fleet.homes(job.req)]
     assert charged[0] < charged[1] == charged[2] < charged[3] == charged[5]
 
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -158,7 +158,7 @@
 
 def shares(day: Day, cls: int) -> tuple[float, float, float]:
     """Answered of the class, of its largest tenth, and of the fifth below."""
-    rows = sorted((r for r in day.asked.values() if r.cls == cls), key=lambda r: r.prompt_tokens)
+    rows = sorted((r for r in day.asked.values() if r.class_index == cls), key=lambda r: r.prompt_tokens)
     served = [day.answers.get(r.id) == "served" for r in rows]
     tenth = len(rows) // 10
     return (
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -366,11 +366,11 @@
     on, _ = levels()
     on.start(0.0, 1_000.0, history.Resumed(2, 990.0, True, ""))
     served = request(prompt_tokens=10.0)
-    assert on.admit(0.0, served) is None and served.course is not None
+    assert on.admit(0.0, served) is None and served.route is not None
     assert (
-        not served.course.may_hold(0.0)
-        and not served.course.may_repeat(0.0)
-        and served.course.holds("x", 0.0)
+        not served.route.reservation_allowed(0.0)
+        and not served.route.take_retry(0.0)
+        and served.route.contains("x", 0.0)
     )
     for n in range(40):
         on.tick(n * TICK, 1_000.0 + n / 4, {}, (3, 0), [])
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -69,7 +69,7 @@
 
 def test_a_shared_beginning_keeps_to_one_reader_and_all_fronts_agree() -> None:
     fronts = [Front(*(entry(f"r{i}", 0) for i in range(8)), *WRITERS, seed=seed) for seed in (1, 2, 3)]
-    asked = [(front, front.serve(shared="p", prompt_tokens=500.0)) for front in fronts for _ in range(4)]
+    asked = [(front, front.serve(prefix_id="p", prompt_tokens=500.0)) for front in fronts for _ in range(4)]
     picks = {front.sends[request][0].server for front, request in asked}
     assert len(picks) == 1
 
@@ -80,7 +80,7 @@
     for seed in range(5):
         front = Front(*(entry(f"r{i}", 0) for i in range(20)), *WRITERS, seed=seed)
         for n in range(40):
-            request = front.serve(shared="p", session=f"s{n}", prompt_tokens=500.0)
+            request = front.serve(prefix_id="p", session=f"s{n}", prompt_tokens=500.0)
             picks.setdefault(f"s{n}", set()).add(front.sends[request][0].server)
     assert all(len(at) == 1 for at in picks.values())
     assert 2 <= len(set.union(*picks.values())) <= 5
@@ -200,7 +200,7 @@
         front = Front()
         log = []
         for i in range(30):
-            request = front.ask(shared=f"p{i % 3}", session=f"s{i % 5}", prompt_tokens=500.0 + 37 * i)
+            request = front.ask(prefix_id=f"p{i % 3}", session=f"s{i % 5}", prompt_tokens=500.0 + 37 * i)
             log += front.did
             log += front.end(request, AttemptStatus.PREFILLED)
         logs.append(log)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -79,7 +79,7 @@
         tier = Tier(FLEET, lost=0.0 if tells else 1.0)
         sent[tells] = Counter()
         for n in range(FLEET):
-            request = tier.fronts[n].ask(shared="hot", prompt_tokens=4000.0)
+            request = tier.fronts[n].ask(prefix_id="hot", prompt_tokens=4000.0)
             sent[tells][tier.fronts[n].sends[request][0].server] += 1
             tier.tick()
     assert max(sent[False].values()) == FLEET  # each front alone sees an empty fleet
@@ -109,7 +109,7 @@
     met = 0
     for turn in range(5 * FLEET):
         front = tier.fronts[turn % FLEET]
-        request = front.ask(prompt_tokens=1000.0, shared=f"p{turn}")
+        request = front.ask(prompt_tokens=1000.0, prefix_id=f"p{turn}")
         bad = front.sends[request][0].server == "r0"
         met += bad
         front.end(request, status if bad else AttemptStatus.PREFILLED, after=3.0)
@@ -122,10 +122,10 @@
     told = encode_datagram([(endpoint_tag("r0"), FAILURE_CODE)])
     for front in tier.fronts:
         front.feed(GossipReceived(99, told))
-    at_once = [front.sends[front.ask(shared=f"p{n}")][0].server for n, front in enumerate(tier.fronts)]
+    at_once = [front.sends[front.ask(prefix_id=f"p{n}")][0].server for n, front in enumerate(tier.fronts)]
     for front in tier.fronts:
         front.now += 20_000.0
-    later = [front.sends[front.ask(shared=f"p{n}")][0].server for n, front in enumerate(tier.fronts)]
+    later = [front.sends[front.ask(prefix_id=f"p{n}")][0].server for n, front in enumerate(tier.fronts)]
     assert "r0" not in at_once and "r0" in later
 
 
@@ -304,7 +304,7 @@
             fleet = tier.fronts[0].router.fleet  # from now on all prompts have the new reader as their home
             hot = [key for key in hot if first_home(fleet, key) == "cold"]
         front = tier.fronts[step % size]
-        request = front.ask(prompt_tokens=800.0, shared=hot[step % len(hot)])
+        request = front.ask(prompt_tokens=800.0, prefix_id=hot[step % len(hot)])
         if front.sends[request][0].server == "cold":
             sent.append(front.now)
         for other in tier.fronts:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -250,17 +250,17 @@
 def request(n: int = 0, **changes: object) -> Request:
     told = {
         "id": f"q{n}",
-        "cls": 0,
-        "tenant": 0,
+        "class_index": 0,
+        "tenant_index": 0,
         "session": None,
         "expires_in_ms": 5000.0,
-        "answer_ms": None,
-        "shared": None,
+        "expected_answer_ms": None,
+        "prefix_id": None,
         "prompt_tokens": 100.0,
-        "shared_tokens": 0.0,
+        "prefix_tokens": 0.0,
         "max_tokens": 10.0,
-        "repeat": False,
-        "resumed": False,
+        "is_retry": False,
+        "is_resumed": False,
     }
     return Request(**{**told, **changes})  # type: ignore[arg-type]
 
@@ -274,9 +274,9 @@
 def test_a_request_gets_its_course_or_a_reason() -> None:
     routes = routing(PLAN)
     asked = routes.route(request(), Origin("platform", "", 10))
-    assert asked.expires_in_ms == 2000.0 and asked.course is not None and asked.course.attempts == 2
+    assert asked.expires_in_ms == 2000.0 and asked.route is not None and asked.route.max_attempts == 2
     with pytest.raises(NotRouted) as told:
-        routes.route(request(cls=1), Origin("platform"))
+        routes.route(request(class_index=1), Origin("platform"))
     assert told.value.status == 404
     with pytest.raises(NotRouted) as told:
         routes.route(request(), Origin("platform", "", 51))
@@ -313,7 +313,7 @@
 
 
 def course(routes: Routing) -> Course:
-    found = routes.route(request(), Origin("platform")).course
+    found = routes.route(request(), Origin("platform")).route
     assert isinstance(found, Course)
     return found
 
@@ -321,7 +321,7 @@
 def test_the_module_chooses_among_the_pools_hosts_and_no_other() -> None:
     on, routes = front()
     for _ in range(20):
-        asked = on.ask(course=course(routes))
+        asked = on.ask(route=course(routes))
         assert on.sends[asked][0].server == "r1" and on.one(ReserveDecodeSlot).server == "w1"
         on.end(asked, AttemptStatus.PREFILLED)
         on.begin(asked)
@@ -330,7 +330,7 @@
 
 def test_a_lost_pool_hands_on_what_is_under_way() -> None:
     on, routes = front(plan=LOOSE)
-    asked = on.ask(course=course(routes))
+    asked = on.ask(route=course(routes))
     gone = (
         entry("r1", 0, cell=1, state=EndpointState.REMOVED),
         entry("w1", 1, cell=1, state=EndpointState.REMOVED),
@@ -343,12 +343,12 @@
 
 def test_attempts_and_budget_of_the_policy_bind() -> None:
     on, routes = front()  # 2 attempts: one read and one write, and a failed read is the end
-    asked = on.ask(course=course(routes))
+    asked = on.ask(route=course(routes))
     on.end(asked, AttemptStatus.RESET)
     assert on.one(RejectRequest).id == asked
     on, routes = front(plan=LOOSE)
     for n in range(3):  # the floor allows one a second
-        asked = on.ask(course=course(routes), after=1.0)
+        asked = on.ask(route=course(routes), after=1.0)
         on.end(asked, AttemptStatus.ERROR, after=1.0)
         assert len(on.sends[asked]) == (2 if n == 0 else 1)
 
@@ -357,14 +357,14 @@
     specs = {"one": PoolSpec("one", among("cell", "1")), "two": PoolSpec("two", among("cell", "2"))}
     rows = (Route("a", among("class", "safe"), "one"), Route("b", ALWAYS, "two"))
     on, routes = front(plan=Plan(rows, specs))
-    other = routes.route(request(cls=1), Origin("platform")).course
+    other = routes.route(request(class_index=1), Origin("platform")).route
     for _ in range(3):
-        on.serve(course=course(routes), after=400.0)
-        on.serve(course=other, cls=1, after=400.0)
-    sent = [on.ask(course=course(routes)) for _ in range(4)]
+        on.serve(route=course(routes), after=400.0)
+        on.serve(route=other, class_index=1, after=400.0)
+    sent = [on.ask(route=course(routes)) for _ in range(4)]
     for asked in sent:  # pool one's only writer begins nothing any more
         on.end(asked, AttemptStatus.PREFILLED, after=5.0)
-    jammed = on.ask(course=course(routes), after=1_000.0)
+    jammed = on.ask(route=course(routes), after=1_000.0)
     assert jammed not in on.sends and on.one(RejectRequest).id == jammed
-    free = on.ask(course=other, cls=1)
+    free = on.ask(route=other, class_index=1)
     assert on.sends[free][0].server == "r2"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -45,7 +45,7 @@
 
 def test_a_hung_read_is_taken_back_and_answered_before_the_deadline() -> None:
     front = Front(max_attempts=2)
-    request = front.ask(cls=1, expires_in_ms=1000.0)
+    request = front.ask(class_index=1, expires_in_ms=1000.0)
     guard = min(front.all(StartTimer), key=lambda timer: timer.after_ms)
     front.feed(TimerFired(guard.token), after=guard.after_ms)
     assert front.one(CancelAttempt).id == request
@@ -55,7 +55,7 @@
 
 def test_a_hung_write_is_failed_before_the_deadline_and_only_once() -> None:
     front = Front()
-    request = front.ask(cls=1, expires_in_ms=1000.0)
+    request = front.ask(class_index=1, expires_in_ms=1000.0)
     last = max(front.all(StartTimer), key=lambda timer: timer.after_ms)
     front.end(request, AttemptStatus.PREFILLED)
     front.feed(TimerFired(last.token), after=last.after_ms - 50.0)
@@ -105,7 +105,7 @@
 )
 def test_an_unsafe_write_that_may_have_run_is_failed_not_repeated(status: AttemptStatus) -> None:
     front = Front()
-    request = front.ask(cls=1)
+    request = front.ask(class_index=1)
     front.end(request, AttemptStatus.PREFILLED)
     front.end(request, status)
     assert not front.all(SendAttempt)
@@ -115,7 +115,7 @@
 @pytest.mark.parametrize("status", [AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED])
 def test_an_unsafe_write_that_never_ran_is_tried_elsewhere(status: AttemptStatus) -> None:
     front = Front()
-    request = front.ask(cls=1)
+    request = front.ask(class_index=1)
     front.end(request, AttemptStatus.PREFILLED)
     first = front.one(SendAttempt).server
     front.end(request, status)
@@ -124,7 +124,7 @@
 
 def test_a_read_has_no_effect_and_is_repeated_for_an_unsafe_class() -> None:
     front = Front()
-    request = front.ask(cls=1)
+    request = front.ask(class_index=1)
     first = front.one(SendAttempt).server
     front.end(request, AttemptStatus.TIMEOUT)
     assert front.one(SendAttempt).server != first
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -161,14 +161,14 @@
         if asked.expires_in_ms <= 0.0:
             shed = Shed("unread", min(self.settings.max_retry_after_ms, self.aim_ms(asked)))
         if shed is not None:
-            self.tally.taken(asked.cls)
-            self.tally.ended(asked.cls, "shed")
+            self.tally.taken(asked.class_index)
+            self.tally.ended(asked.class_index, "shed")
         return shed
 
     def aim_ms(self, asked: Request) -> float:
         """When this request's first token is wanted."""
-        spec = self.settings.classes[asked.cls]
-        stretch = spec.objective_stretch * (asked.answer_ms or 0.0)
+        spec = self.settings.classes[asked.class_index]
+        stretch = spec.objective_stretch * (asked.expected_answer_ms or 0.0)
         return max(
             1.0,
             spec.latency_objective_ms
@@ -186,7 +186,7 @@
             raise Duplicate(asked.id)
         request = OpenRequest(asked, sink, payload, now, now + asked.expires_in_ms)
         self.open[asked.id] = request
-        self.tally.taken(asked.cls)
+        self.tally.taken(asked.class_index)
         if self.routes is not None:
             self.routes.taken(now, asked)
         request.timer = self.timers.at(request.deadline, lambda at: self._overdue(at, request))
@@ -232,7 +232,7 @@
         request.sent = 1
         request.loose = told.loose
         self.open[asked.id] = request
-        self.tally.taken(asked.cls)
+        self.tally.taken(asked.class_index)
         if self.routes is not None:
             self.routes.taken(now, asked)
         return attempt
@@ -278,7 +278,7 @@
         if not attempt.over and not request.done and request.sink.client_gone():
             # Its close may lie unread in the socket still.
             self.client_left(now, request)
-        spec = self.settings.classes[request.asked.cls]
+        spec = self.settings.classes[request.asked.class_index]
         repeats = (
             spec.idempotency is Idempotency.IDEMPOTENCY_KEY and request.may_have_run and not attempt.reading
         )
@@ -482,7 +482,7 @@
             self.driver.log(
                 "request",
                 id=request.id,
-                cls=request.asked.cls,
+                cls=request.asked.class_index,
                 answer=request.answer,
                 ms=round(request.answered - request.arrived),
                 attempts=request.trail,
@@ -528,7 +528,7 @@
         request.answered = now
         self.timers.cancel(request.timer)
         self.touched[request.id] = request
-        self.tally.ended(request.asked.cls, answer)
+        self.tally.ended(request.asked.class_index, answer)
         if self.level is not None:
             self.level.ended(now, answer, request.asked.prompt_tokens)
 
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -285,17 +285,17 @@
         session = ask.conversation
         asked = Request(
             id=uuid.uuid4().hex,
-            cls=cls,
-            tenant=self.config.tenant_index(key.tenant),
+            class_index=cls,
+            tenant_index=self.config.tenant_index(key.tenant),
             session=f"{key.tenant}/{session}" if session else None,
             expires_in_ms=min(give_up, client_wait_ms(inbound)),
-            answer_ms=None,
-            shared=ask.opening,
+            expected_answer_ms=None,
+            prefix_id=ask.opening,
             prompt_tokens=float(ask.prompt_tokens),
-            shared_tokens=float(ask.opening_tokens),
+            prefix_tokens=float(ask.opening_tokens),
             max_tokens=float(most),
-            repeat=inbound.headers.get("x-stainless-retry-count", "0").strip("0") != "",
-            resumed=False,
+            is_retry=inbound.headers.get("x-stainless-retry-count", "0").strip("0") != "",
+            is_resumed=False,
         )
         asked = self._core.route(asked, Origin("chat", model.name, len(inbound.body)))
         return Errand(ask, model, key, asked, most, spec.idempotency is Idempotency.IDEMPOTENT)
@@ -382,7 +382,7 @@
         shed = self._core.admit(now, asked)
         if shed is not None:
             settle(None, b"")
-            self._log("shed", reason=shed.reason, cls=asked.cls, tenant=asked.tenant)
+            self._log("shed", reason=shed.reason, cls=asked.class_index, tenant=asked.tenant_index)
             send_error(
                 reply,
                 429,
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -75,7 +75,7 @@
             asked = self._core.route(asked, Origin("platform", "", len(inbound.body)))
             shed = self._core.admit(now, asked)
             if shed is not None:
-                self._log("shed", reason=shed.reason, cls=asked.cls, tenant=asked.tenant)
+                self._log("shed", reason=shed.reason, cls=asked.class_index, tenant=asked.tenant_index)
                 advice = shed.retry_after_ms if self._core.settings.send_retry_after else 0.0
                 PlatformSink(reply).refused(advice, 429)
                 return
--- a/violetstack/load_shedding/control.py
+++ b/violetstack/load_shedding/control.py
@@ -48,25 +48,25 @@
 class Bounded:
     """A request's course under a level: what its route allows, and no more than the level does."""
 
-    __slots__ = ("attempts", "inner", "levels")
+    __slots__ = ("max_attempts", "inner", "levels")
 
     def __init__(self, levels: Levels, inner: Route | None) -> None:
         self.levels = levels
         self.inner = inner
-        self.attempts = inner.attempts if inner is not None else 1_000_000
+        self.max_attempts = inner.max_attempts if inner is not None else 1_000_000
 
-    def scope(self, now: float) -> str:
-        return self.inner.scope(now) if self.inner is not None else ""
+    def active_pool(self, now: float) -> str:
+        return self.inner.active_pool(now) if self.inner is not None else ""
 
-    def holds(self, server: str, now: float) -> bool:
-        return self.inner is None or self.inner.holds(server, now)
+    def contains(self, server: str, now: float) -> bool:
+        return self.inner is None or self.inner.contains(server, now)
 
-    def may_hold(self, now: float) -> bool:
+    def reservation_allowed(self, now: float) -> bool:
         mine = self.levels.measures.hold_ahead
-        return mine and (self.inner is None or self.inner.may_hold(now))
+        return mine and (self.inner is None or self.inner.reservation_allowed(now))
 
-    def may_repeat(self, now: float) -> bool:
-        if self.inner is not None and not self.inner.may_repeat(now):
+    def take_retry(self, now: float) -> bool:
+        if self.inner is not None and not self.inner.take_retry(now):
             return False
         return self.levels.budget is None or self.levels.budget.spend(now)
 
@@ -125,17 +125,17 @@
         """Called once for each request that is about to be taken; bounds its course if it is served."""
         prompt = request.prompt_tokens
         name = request.session or request.id
-        self.admission.note(now, request.cls, request.tenant, prompt)
+        self.admission.note(now, request.class_index, request.tenant_index, prompt)
         if self.machine.rank == 0:
             return None
         found = self.admission.decide(
-            now, request.cls, request.tenant, name, prompt, session=request.session is not None
+            now, request.class_index, request.tenant_index, name, prompt, session=request.session is not None
         )
         if found is not None:
             return found
         if self.budget is not None:
             self.budget.taken(now)
-        request.course = Bounded(self, request.course)
+        request.route = Bounded(self, request.route)
         return None
 
     def begun(self, now: float, ratio: float, prompt: float) -> None:
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -81,8 +81,8 @@
             asked = request.asked
             stream = Stream(
                 id=asked.id,
-                cls=asked.cls,
-                tenant=asked.tenant,
+                cls=asked.class_index,
+                tenant=asked.tenant_index,
                 server=attempt.server,
                 age_ms=now_ms() - request.arrived,
                 events=attempt.events,
--- a/violetstack/policy_api.py
+++ b/violetstack/policy_api.py
@@ -138,18 +138,18 @@
 class Route(Protocol):
     """What a request's route allows, asked at each choice; times in milliseconds."""
 
-    attempts: int
+    max_attempts: int
 
-    def scope(self, now: float) -> str:
+    def active_pool(self, now: float) -> str:
         """The pool in use; requests of one pool do not wait for those of another. Empty: all servers."""
 
-    def holds(self, server: str, now: float) -> bool:
+    def contains(self, server: str, now: float) -> bool:
         """Is the server in that pool?"""
 
-    def may_hold(self, now: float) -> bool:
+    def reservation_allowed(self, now: float) -> bool:
         """May a place be held ahead?"""
 
-    def may_repeat(self, now: float) -> bool:
+    def take_retry(self, now: float) -> bool:
         """May one more attempt follow a failed one? Each yes is counted."""
 
 
@@ -162,18 +162,18 @@
     """
 
     id: str
-    cls: int
-    tenant: int
+    class_index: int
+    tenant_index: int
     session: str | None
     expires_in_ms: float
-    answer_ms: float | None
-    shared: str | None
+    expected_answer_ms: float | None
+    prefix_id: str | None
     prompt_tokens: float
-    shared_tokens: float
+    prefix_tokens: float
     max_tokens: float
-    repeat: bool
-    resumed: bool
-    course: Route | None = None
+    is_retry: bool
+    is_resumed: bool
+    route: Route | None = None
     age_ms: float = 0.0  # it may have lain unread for so long; off expires_in_ms already
 
 
--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -129,17 +129,17 @@
         prompt = _prompt_tokens(values, len(inbound.body))
         return Request(
             id=request_id,
-            cls=cls,
-            tenant=self.tenants.get(owner or "", 0),
+            class_index=cls,
+            tenant_index=self.tenants.get(owner or "", 0),
             session=headers.get("req-key") or None,
             expires_in_ms=self.give_up[cls] if deadline is None else duration_ms(deadline),
-            answer_ms=_answer_hint_ms(headers.get("req-cost", "")),
-            shared=values.get("prefix") or None,
+            expected_answer_ms=_answer_hint_ms(headers.get("req-cost", "")),
+            prefix_id=values.get("prefix") or None,
             prompt_tokens=prompt,
-            shared_tokens=min(prompt, _advised_tokens(values, "prefix_len") or 0.0),
+            prefix_tokens=min(prompt, _advised_tokens(values, "prefix_len") or 0.0),
             max_tokens=min(MAX_ANSWER_TOKENS, _advised_tokens(values, "max_out") or 0.0),
-            repeat=retry == "1",
-            resumed=retry == "again",
+            is_retry=retry == "1",
+            is_resumed=retry == "again",
         )
 
 
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -62,9 +62,9 @@
         self.price = price(length)
         self.aim = spec.latency_objective_ms + spec.objective_ms_per_1000_tokens * length / 1000.0
         answer = req.max_tokens
-        if req.answer_ms is not None and spec.inter_token_objective_ms > 0:
-            answer = min(answer, req.answer_ms / spec.inter_token_objective_ms)
-            self.aim += spec.objective_stretch * req.answer_ms
+        if req.expected_answer_ms is not None and spec.inter_token_objective_ms > 0:
+            answer = min(answer, req.expected_answer_ms / spec.inter_token_objective_ms)
+            self.aim += spec.objective_stretch * req.expected_answer_ms
         self.arrived, self.begun = now - req.age_ms, False
         self.shortest = shortest + self.aim - spec.latency_objective_ms
         self.tokens = length + answer
@@ -77,12 +77,12 @@
         self.failed: list[Server] = []
         self.ran: Try | None = None
         self.done = False
-        self.course, self.scope = req.course, "" if req.course is None else req.course.scope(now)
-        self.most = most if req.course is None else min(most, req.course.attempts)
+        self.course, self.scope = req.route, "" if req.route is None else req.route.active_pool(now)
+        self.most = most if req.route is None else min(most, req.route.max_attempts)
 
     def within(self, server: Server, now: float) -> bool:
         """Is the server one of those that the request's route allows?"""
-        return self.course is None or self.course.holds(server.entry.server, now)
+        return self.course is None or self.course.contains(server.entry.server, now)
 
     def part(self, now: float) -> float:
         """Its age as a part of what the most impatient class would want for this length."""
@@ -282,10 +282,10 @@
         A session comes to many fronts, so what one front remembers of it is not enough; one reader for each
         beginning is too few where the beginning is hot. Could harm where readers keep little text.
         """
-        if req.shared is None:
+        if req.prefix_id is None:
             return self.order(req.session or req.id)
-        order = self.order(req.shared)
-        near = sorted(order[:HOMES], key=lambda s: host_score(f"{req.session}\n{req.shared}", s.entry.server))
+        order, key = self.order(req.prefix_id), f"{req.session}\n{req.prefix_id}"
+        near = sorted(order[:HOMES], key=lambda s: host_score(key, s.entry.server))
         return near + order[HOMES:]
 
     def claim(self, server: Server, job: Job) -> float:
@@ -294,7 +294,7 @@
             return job.req.prompt_tokens
         if job.req.session is not None and job.homes[:1] == [server]:
             return job.req.prompt_tokens
-        return job.req.shared_tokens if job.req.shared and server in job.homes[:HOMES] else 0.0
+        return job.req.prefix_tokens if job.req.prefix_id and server in job.homes[:HOMES] else 0.0
 
     def unread_price(self, server: Server, job: Job, now: float) -> float:
         """The price of what this reader would still have to read of a prompt.
@@ -552,14 +552,14 @@
     # --- a request's way ---
 
     def on_request(self, req: Request) -> None:
-        spec = self.settings.classes[req.cls]
+        spec = self.settings.classes[req.class_index]
         job = self.jobs[req.id] = Job(req, spec, self.shortest, self.settings.max_attempts, self.now)
         self.act(StartTimer(max(0.0, req.expires_in_ms - GUARD_MS), f"g:{req.id}"))
         self.act(StartTimer(max(0.0, req.expires_in_ms - LAST_MS), f"d:{req.id}"))
         self.start_read(job)
 
     def start_read(self, job: Job) -> None:
-        job.scope = job.scope if job.course is None else job.course.scope(self.now)
+        job.scope = job.scope if job.course is None else job.course.active_pool(self.now)
         reader = self.pick_reader(job)
         if reader is None:
             writer = self.pick_writer(job, None) if self.settings.decode_hosts_prefill else None
@@ -572,10 +572,11 @@
         if self.too_late(job, reader) or (reading and not self.candidates(job, False)):
             self.give_up(job)  # the second: nobody could write the answer, so the read would be for nothing
             return
-        if job.sent == 0 and (bucket := self.buckets.get(job.req.tenant)) is not None:
+        if job.sent == 0 and (bucket := self.buckets.get(job.req.tenant_index)) is not None:
             bucket.take()
         self.send(job, reader, reading)
-        if reading and self.settings.reserve_ahead and (job.course is None or job.course.may_hold(self.now)):
+        route = job.course
+        if reading and self.settings.reserve_ahead and (route is None or route.reservation_allowed(self.now)):
             job.asked = []
             self.hold_place(job, reader)
 
@@ -583,7 +584,7 @@
         """Worth beside the dearest class; little beyond the tenant's share of what this front may pass."""
         top = max(spec.priority_weight for spec in self.settings.classes)
         worth = job.spec.priority_weight / top if top > 0 else 1.0
-        bucket = self.buckets.get(job.req.tenant)
+        bucket = self.buckets.get(job.req.tenant_index)
         if bucket is not None and not bucket.within(self.now):
             worth *= self.settings.over_quota_weight
         return worth
@@ -787,7 +788,7 @@
         late = self.now >= job.deadline - GUARD_MS
         away = rejected and event.note != 1 and all(s in job.failed for s in self.candidates(job, t.reading))
         spent = late or away or again < (2 if lost else 1)
-        if spent or (job.course is not None and not job.course.may_repeat(self.now)):
+        if spent or (job.course is not None and not job.course.take_retry(self.now)):
             self.give_up(job)
         elif lost:
             self.let_go(job)
--- a/violetstack/routing/generations.py
+++ b/violetstack/routing/generations.py
@@ -49,16 +49,16 @@
         self.open = 0
 
     def asked(self, request: Request, origin: Origin) -> Asked:
-        tenant = self.tenants[request.tenant] if request.tenant < len(self.tenants) else ""
-        repeat = request.repeat or request.resumed
+        tenant = self.tenants[request.tenant_index] if request.tenant_index < len(self.tenants) else ""
+        repeat = request.is_retry or request.is_resumed
         prompt = int(request.prompt_tokens)
-        return Asked(self.classes[request.cls], tenant, origin.model, origin.front, prompt, repeat)
+        return Asked(self.classes[request.class_index], tenant, origin.model, origin.front, prompt, repeat)
 
 
 class Course:
     """One request's route, pool and policy; the decision module asks it at each choice."""
 
-    __slots__ = ("_at", "_members", "asked", "attempts", "budget", "generation", "pool", "route", "used")
+    __slots__ = ("_at", "_members", "asked", "max_attempts", "budget", "generation", "pool", "route", "used")
 
     def __init__(self, generation: Generation, route: Route, asked: Asked) -> None:
         self.generation = generation
@@ -66,13 +66,13 @@
         self.pool = route.pool
         self.asked = asked
         policy = generation.plan.policies.get(route.policy, EVERYONE)
-        self.attempts = policy.attempts or 1_000_000
+        self.max_attempts = policy.attempts or 1_000_000
         self.budget = generation.budgets.get(route.policy)
         self.used = route.pool  # the pool last chosen from, and since when
         self._at = -1.0
         self._members: set[str] = set()
 
-    def scope(self, now: float) -> str:
+    def active_pool(self, now: float) -> str:
         """The pool in use now; empty for all hosts."""
         if self.pool and now != self._at:
             book = self.generation.book
@@ -81,17 +81,17 @@
             self._members = book.states[self.used].members
         return self.used
 
-    def holds(self, server: str, now: float) -> bool:
+    def contains(self, server: str, now: float) -> bool:
         if not self.pool:
             return True
         if now != self._at:
-            self.scope(now)
+            self.active_pool(now)
         return server in self._members
 
-    def may_hold(self, now: float) -> bool:
+    def reservation_allowed(self, now: float) -> bool:
         return True
 
-    def may_repeat(self, now: float) -> bool:
+    def take_retry(self, now: float) -> bool:
         return self.budget is None or self.budget.spend(now)
 
 
@@ -164,13 +164,13 @@
         policy = generation.plan.policies.get(route.policy, EVERYONE)
         if policy.body_bytes is not None and origin.body_bytes > policy.body_bytes:
             raise NotRouted(f"the body is longer than the {policy.body_bytes} bytes allowed here", 413)
-        request.course = Course(generation, route, asked)
+        request.route = Course(generation, route, asked)
         if policy.deadline_ms is not None:
             request.expires_in_ms = min(request.expires_in_ms, policy.deadline_ms)
         return request
 
     def taken(self, now: float, request: Request) -> None:
-        course = request.course
+        course = request.route
         if isinstance(course, Course):
             course.generation.open += 1
             if course.generation is not self.current and course.generation not in self.older:
@@ -180,7 +180,7 @@
 
     def closed(self, now: float, request: Request) -> None:
         """The request is over; a generation that is not in force ends with its last one."""
-        course = request.course
+        course = request.route
         if isinstance(course, Course):
             generation = course.generation
             generation.open -= 1
@@ -189,7 +189,7 @@
         self.tell_changes()
 
     def told_of(self, request: Request) -> dict[str, Any]:
-        course = request.course
+        course = request.route
         if not isinstance(course, Course):
             return {}
         asked = course.asked
--- a/violetstack/simulator_adapter.py
+++ b/violetstack/simulator_adapter.py
@@ -214,17 +214,17 @@
     flags = w.flags or 0
     return Request(
         id=w.handle,
-        cls=w.priority,
-        tenant=w.customer or 0,
+        class_index=w.priority,
+        tenant_index=w.customer or 0,
         session=w.talk or None,
         expires_in_ms=w.expires_in,
-        answer_ms=w.weight_hint if flags & 1 else None,
-        shared=w.shared_prefix or None,
+        expected_answer_ms=w.weight_hint if flags & 1 else None,
+        prefix_id=w.shared_prefix or None,
         prompt_tokens=w.prompt_tokens or 0.0,
-        shared_tokens=w.prefix_tokens or 0.0,
+        prefix_tokens=w.prefix_tokens or 0.0,
         max_tokens=w.n_max or 0.0,
-        repeat=bool(flags & 2),
-        resumed=bool(flags & 16),
+        is_retry=bool(flags & 2),
+        is_resumed=bool(flags & 16),
     )
 
 
