Events and actions take the field's names

EndpointUpdate: entries -> endpoints. StreamStarted: took_ms -> duration_ms. AttemptFinished: took_ms -> duration_ms, settled -> request_finished, note -> detail, report -> load_report. HealthCheckResult: took_ms -> duration_ms, report -> load_report. ReservationResult: held -> reserved. ProcessPaused: gap_ms -> pause_ms. OutlierCheckResult: for_ms -> checked_elsewhere_ms, well -> recovered. SendAttempt: stop_at_ms -> deadline_ms. StartTimer: after_ms -> delay_ms. SetWatch: on -> enabled.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -40,9 +40,9 @@
             request = front.ask(
                 after=700.0, prefix_id=f"p{n % 30}", prefix_tokens=1000.0, session=f"s{n % 90}"
             )
-            front.end(request, AttemptStatus.PREFILLED, report=(3.0, 0.4))
+            front.end(request, AttemptStatus.PREFILLED, load_report=(3.0, 0.4))
             front.begin(request)
-            front.end(request, AttemptStatus.OK, after=200.0, report=(3.0, 0.4))
+            front.end(request, AttemptStatus.OK, after=200.0, load_report=(3.0, 0.4))
             front.feed(TimerFired("tell"), after=1_100.0)
         best = min(best, (time.process_time() - began) / REQUESTS * 1e6)
     return best
--- a/tests/front.py
+++ b/tests/front.py
@@ -150,10 +150,10 @@
             server=self.sends[request][n].server,
             attempt=n,
             status=status,
-            took_ms=after if took is None else took,
-            settled=status is AttemptStatus.OK,
-            note=0,
-            report=None,
+            duration_ms=after if took is None else took,
+            request_finished=status is AttemptStatus.OK,
+            detail=0,
+            load_report=None,
         )
         return self.feed(replace(outcome, **extra), after=after)
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -142,11 +142,11 @@
     cordons = Cordons()
     cordons.told(full(*LISTED))
     for now in (5_000.0, 6_000.0):
-        assert [e.state for e in cordons.cordon(now, IDS[0]).entries] == [EndpointState.DRAINING]
-    back = cordons.uncordon(9_000.0, IDS[0]).entries[0]
+        assert [e.state for e in cordons.cordon(now, IDS[0]).endpoints] == [EndpointState.DRAINING]
+    back = cordons.uncordon(9_000.0, IDS[0]).endpoints[0]
     assert (back.state, back.started_ms) == (EndpointState.HEALTHY, 9_000.0)
     told = replace(LISTED[0], started_ms=7_000.0)
-    assert cordons.told(EndpointUpdate(UpdateScope.DELTA, (told,), 2)).entries[0].started_ms == 7_000.0
+    assert cordons.told(EndpointUpdate(UpdateScope.DELTA, (told,), 2)).endpoints[0].started_ms == 7_000.0
 
 
 def test_calls_for_hosts_that_nobody_knows_are_refused_and_a_needless_one_back_is_not() -> None:
@@ -155,7 +155,7 @@
     for call in (cordons.cordon, cordons.uncordon):
         with pytest.raises(Unknown):
             call(1.0, IDS[0])
-    assert cordons.uncordon(1.0, IDS[1]).entries == (LISTED[1],)
+    assert cordons.uncordon(1.0, IDS[1]).endpoints == (LISTED[1],)
     assert cordons.marks == {}
 
 
@@ -197,7 +197,7 @@
             return
         if news.scope is not UpdateScope.DELTA:
             cores[n] = {}
-        cores[n].update({entry.server: entry for entry in news.entries})
+        cores[n].update({entry.server: entry for entry in news.endpoints})
 
     for n in (0, 1):
         see(n, processes[n].told(full(*LISTED[:3])))
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -77,11 +77,11 @@
     warm_up(front)
     request = front.ask()
     first = front.one(SendAttempt)
-    assert front.now < first.stop_at_ms < front.now + 3000.0
+    assert front.now < first.deadline_ms < front.now + 3000.0
     front.end(request, AttemptStatus.TIMEOUT, after=500.0)
     again = front.one(SendAttempt)
     assert again.server != first.server
-    assert again.stop_at_ms == front.now - 500.0 + 3000.0
+    assert again.deadline_ms == front.now - 500.0 + 3000.0
 
 
 def test_a_jammed_reader_pool_refuses_early_with_advice() -> None:
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -126,7 +126,7 @@
                     self.at(self.now + 5.0, lambda note=note: self.feed(note))
                 case StartTimer():
                     due = TimerFired(action.token)
-                    self.at(self.now + action.after_ms, lambda due=due: self.feed(due))
+                    self.at(self.now + action.delay_ms, lambda due=due: self.feed(due))
                 case CancelAttempt():
                     self.end(action.id, action.attempt, AttemptStatus.CANCELLED)
                 case RejectRequest() | FailRequest():
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -230,7 +230,7 @@
     fleet = front.router.fleet
     for i in range(20):
         request = front.ask(session="s", prompt_tokens=3000.0)
-        front.end(request, AttemptStatus.PREFILLED, note=0)
+        front.end(request, AttemptStatus.PREFILLED, detail=0)
         job = front.router.jobs[request]
         unread = fleet.unread_price(fleet.servers[front.sends[request][0].server], job, front.now)
         if i > 10:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -46,8 +46,8 @@
 def test_a_hung_read_is_taken_back_and_answered_before_the_deadline() -> None:
     front = Front(max_attempts=2)
     request = front.ask(class_index=1, expires_in_ms=1000.0)
-    guard = min(front.all(StartTimer), key=lambda timer: timer.after_ms)
-    front.feed(TimerFired(guard.token), after=guard.after_ms)
+    guard = min(front.all(StartTimer), key=lambda timer: timer.delay_ms)
+    front.feed(TimerFired(guard.token), after=guard.delay_ms)
     assert front.one(CancelAttempt).id == request
     front.end(request, AttemptStatus.CANCELLED, after=4.0)
     assert front.one(RejectRequest).id == request
@@ -56,9 +56,9 @@
 def test_a_hung_write_is_failed_before_the_deadline_and_only_once() -> None:
     front = Front()
     request = front.ask(class_index=1, expires_in_ms=1000.0)
-    last = max(front.all(StartTimer), key=lambda timer: timer.after_ms)
+    last = max(front.all(StartTimer), key=lambda timer: timer.delay_ms)
     front.end(request, AttemptStatus.PREFILLED)
-    front.feed(TimerFired(last.token), after=last.after_ms - 50.0)
+    front.feed(TimerFired(last.token), after=last.delay_ms - 50.0)
     assert front.now < 2000.0
     assert front.one(FailRequest).id == request
     front.feed(TimerFired(last.token))
@@ -70,10 +70,10 @@
 def test_no_deadline_for_a_stream_that_has_begun() -> None:
     front = Front()
     request = front.ask()
-    last = max(front.all(StartTimer), key=lambda timer: timer.after_ms)
+    last = max(front.all(StartTimer), key=lambda timer: timer.delay_ms)
     front.end(request, AttemptStatus.PREFILLED)
     front.begin(request)
-    front.feed(TimerFired(last.token), after=last.after_ms)
+    front.feed(TimerFired(last.token), after=last.delay_ms)
     assert not finals(front) and not front.all(CancelAttempt)
 
 
--- a/tests/test_waking.py
+++ b/tests/test_waking.py
@@ -124,7 +124,7 @@
     front.feed(TimerFired("tell"), after=25.0)
     told = front.one(SendGossip).payload
     front.feed(GossipReceived(1, RESET_DATAGRAM), GossipReceived(2, RESET_DATAGRAM))
-    assert 20.0 <= front.all(StartTimer)[0].after_ms <= 200.0
+    assert 20.0 <= front.all(StartTimer)[0].delay_ms <= 200.0
     front.feed(TimerFired("tell"), after=250.0)
     assert front.one(SendGossip).payload == told
 
--- a/violetstack/admin/cordons.py
+++ b/violetstack/admin/cordons.py
@@ -45,13 +45,13 @@
         """Discovery's news as the core is to see it."""
         if news.scope is not UpdateScope.DELTA:
             self._listed = {}
-        for entry in news.entries:
+        for entry in news.endpoints:
             self._listed[entry.server] = entry
             if entry.state is EndpointState.REMOVED:
                 del self._listed[entry.server]
         if not self.marks:
             return news
-        return replace(news, entries=tuple(self._seen(entry) for entry in news.entries))
+        return replace(news, endpoints=tuple(self._seen(entry) for entry in news.endpoints))
 
     def cordon(self, now: float, server: str) -> EndpointUpdate:
         """Raises Unknown or TooMany. Taken out twice, it is out since the first call."""
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -131,7 +131,7 @@
         """A host that is gone is forgotten here and now: hosts come with new ids all day long."""
         if news.scope is not UpdateScope.DELTA:
             self.entries = {}
-        for entry in news.entries:
+        for entry in news.endpoints:
             self.entries[entry.server] = entry
             if entry.state is EndpointState.DRAINING:
                 self.unwanted.add(entry.server)
@@ -511,7 +511,7 @@
                     self._tell(request.sink.failed, may_have_run(request))
             case StartTimer():
                 token = action.token
-                self.timers.at(now + action.after_ms, lambda at: self.inbox.append(TimerFired(token)))
+                self.timers.at(now + action.delay_ms, lambda at: self.inbox.append(TimerFired(token)))
             case SendHealthCheck():
                 self.driver.probe(action.server)
             case SendGossip():
@@ -554,7 +554,7 @@
         entry = self.entries.get(action.server)
         roles = self.settings.roles
         reading = entry is not None and entry.kind < len(roles) and roles[entry.kind] is Role.PREFILL
-        stop_at = min(action.stop_at_ms or request.deadline, request.deadline)
+        stop_at = min(action.deadline_ms or request.deadline, request.deadline)
         attempt = Attempt(request, request.sent, action.server, reading, now, stop_at)
         request.sent += 1
         request.out[attempt.number] = attempt
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -130,7 +130,7 @@
                 del self.rows[row.id]
         if news.scope is not UpdateScope.DELTA:
             # Guards against losing the chat file's own hosts, which discovery does not know.
-            news = replace(news, entries=(*news.entries, *self._config.plain))
+            news = replace(news, endpoints=(*news.endpoints, *self._config.plain))
         if self._cordons is not None:
             news = self._cordons.told(news)
         self.publish(news, targets.addresses)
@@ -138,7 +138,7 @@
         if news.scope is not UpdateScope.CACHED:
             full = news.scope is UpdateScope.SNAPSHOT
             self._recovery.told(targets.rows, news.version, full=full, listed=len(self.rows))
-        entries = {entry.server: entry.state.value for entry in news.entries}
+        entries = {entry.server: entry.state.value for entry in news.endpoints}
         log("list", version=news.version, scope=news.scope.value, entries=entries, skipped=targets.skipped)
 
     def _doubted(self, targets: Targets, kept: Kept) -> Targets:
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -117,7 +117,7 @@
             if host.at != at:
                 self._drop_idle(host)
                 host.at = at
-        for entry in news.entries:
+        for entry in news.endpoints:
             known = self.hosts.get(entry.server)
             if known is None:
                 continue
@@ -128,7 +128,7 @@
                 del self.hosts[entry.server]
         if news.scope is not UpdateScope.DELTA:
             # Guards the memory: whoever a whole list does not name is gone, with its connections.
-            named = {entry.server for entry in news.entries}
+            named = {entry.server for entry in news.endpoints}
             for name in [name for name in self.hosts if name not in named]:
                 self._drop_idle(self.hosts.pop(name))
 
--- a/violetstack/policy_api.py
+++ b/violetstack/policy_api.py
@@ -131,7 +131,7 @@
 
 class EndpointUpdate(msgspec.Struct, frozen=True):
     scope: UpdateScope
-    entries: tuple[Endpoint, ...]
+    endpoints: tuple[Endpoint, ...]
     version: int
 
 
@@ -181,7 +181,7 @@
     id: str
     server: str
     attempt: int
-    took_ms: float
+    duration_ms: float
 
 
 class AttemptFinished(msgspec.Struct, frozen=True):
@@ -191,17 +191,17 @@
     server: str
     attempt: int
     status: AttemptStatus
-    took_ms: float
-    settled: bool
-    note: int
-    report: tuple[float | None, ...] | None
+    duration_ms: float
+    request_finished: bool
+    detail: int
+    load_report: tuple[float | None, ...] | None
 
 
 class ReservationResult(msgspec.Struct, frozen=True):
     id: str
     server: str
     attempt: int
-    held: bool
+    reserved: bool
 
 
 class ClientDisconnected(msgspec.Struct, frozen=True):
@@ -215,8 +215,8 @@
 class HealthCheckResult(msgspec.Struct, frozen=True):
     server: str
     status: AttemptStatus
-    took_ms: float
-    report: tuple[float | None, ...] | None
+    duration_ms: float
+    load_report: tuple[float | None, ...] | None
 
 
 class GossipReceived(msgspec.Struct, frozen=True):
@@ -231,7 +231,7 @@
 class ProcessPaused(msgspec.Struct, frozen=True):
     """The process saw nothing for so long; the other events of this batch came in that time."""
 
-    gap_ms: float
+    pause_ms: float
 
 
 class OutlierCheckResult(msgspec.Struct, frozen=True):
@@ -239,8 +239,8 @@
     well again."""
 
     server: str
-    for_ms: float
-    well: bool
+    checked_elsewhere_ms: float
+    recovered: bool
 
 
 Event = (
@@ -264,7 +264,7 @@
 
     id: str
     server: str
-    stop_at_ms: float
+    deadline_ms: float
 
 
 class ReserveDecodeSlot(msgspec.Struct, frozen=True):
@@ -295,12 +295,12 @@
 
 
 class StartTimer(msgspec.Struct, frozen=True):
-    after_ms: float
+    delay_ms: float
     token: str
 
 
 class SetWatch(msgspec.Struct, frozen=True):
-    on: bool
+    enabled: bool
 
 
 class FetchEndpoints(msgspec.Struct, frozen=True):
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -425,7 +425,7 @@
 
     def on_woke(self, event: ProcessPaused) -> None:
         """Nothing is decided on what was known before the gap, and nothing is learned across it."""
-        self.gap = event.gap_ms
+        self.gap = event.pause_ms
         for t in [t for job in self.jobs.values() for t in job.out.values()]:
             t.across = True
         self.fleet.shared.clear()
@@ -456,9 +456,9 @@
         """
         if (server := self.fleet.servers.get(event.server)) is None:
             return
-        if event.well:
+        if event.recovered:
             server.left, server.streak = Fading(FORGET_MS), 0
-        server.away_until = self.now + event.for_ms if server.streak >= TRIED_FROM else 0.0
+        server.away_until = self.now + event.checked_elsewhere_ms if server.streak >= TRIED_FROM else 0.0
 
     def act(self, action: Action) -> None:
         self.actions.append(action)
@@ -481,7 +481,7 @@
                 self.on_left(event.id)
             case HealthCheckResult():
                 if (server := self.fleet.servers.get(event.server)) is not None:
-                    self.fleet.report(server, event.report, self.now)
+                    self.fleet.report(server, event.load_report, self.now)
             case GossipReceived():
                 self.on_peer(event)
             case ProcessPaused():
@@ -499,11 +499,11 @@
             if self.settings.watch_required:
                 self.act(StartTimer(RETRY_MS * (1.0 + self.random.random()), "watch"))
             return
-        named = {entry.server for entry in news.entries}
+        named = {entry.server for entry in news.endpoints}
         for name, server in self.fleet.servers.items():
             if news.scope is not UpdateScope.DELTA and name not in named:
                 server.entry = replace(server.entry, state=EndpointState.REMOVED)
-        for entry in news.entries:
+        for entry in news.endpoints:
             self.on_entry(entry)
         self.fleet.list_changed()
         for server in self.fleet.servers.values():
@@ -686,7 +686,7 @@
         job = self.jobs.get(note.id)
         if job is None or job.place is None or note.attempt not in job.out:
             return
-        if note.held:
+        if note.reserved:
             job.held = True
             return
         job.place.left.add(self.now, job.tokens / self.fleet.memory(job.place, self.now))
@@ -705,7 +705,7 @@
         job.state_at, job.pinned = None, False
         fleet, server = self.fleet, t.server
         if not t.across:
-            fleet.waits.add(self.now, event.took_ms)
+            fleet.waits.add(self.now, event.duration_ms)
         fleet.taken[False].add(self.now, 1.0)
         fleet.recent.setdefault(job.scope, Fading(2 * LEARN_MS)).add(self.now, 1.0)
         job.begun = True
@@ -720,7 +720,7 @@
         t.server.out.pop((event.id, event.attempt), None)
         self.tell_soon(TELL_MS if t.reading or event.status in GOSSIPED_STATUSES else LATER_MS)
         self.learn(t, event)
-        job.done = job.done or event.settled
+        job.done = job.done or event.request_finished
         if job.done:
             job.pinned = job.pinned or event.status is AttemptStatus.PREFILLED
             self.close(job)
@@ -731,26 +731,26 @@
 
     def learn(self, t: Try, event: AttemptFinished) -> None:
         now, server, fleet = self.now, t.server, self.fleet
-        fleet.report(server, event.report, now - self.gap)
+        fleet.report(server, event.load_report, now - self.gap)
         if t.reading and not t.across and event.status in (AttemptStatus.PREFILLED, AttemptStatus.TIMEOUT):
-            fleet.reads.add(now, event.took_ms)
+            fleet.reads.add(now, event.duration_ms)
         if event.status is AttemptStatus.TIMEOUT and not t.reading and not t.begun:
-            fleet.waits.add(now, event.took_ms)
+            fleet.waits.add(now, event.duration_ms)
         if event.status is AttemptStatus.PREFILLED:
-            ahead = t.ahead - t.price + price(t.job.req.prompt_tokens - event.note)
+            ahead = t.ahead - t.price + price(t.job.req.prompt_tokens - event.detail)
             for owner in () if t.across else (fleet, server):
                 owner.cleared.add(now, ahead)
-                owner.busy_ms.add(now, event.took_ms)
+                owner.busy_ms.add(now, event.duration_ms)
             fleet.taken[True].add(now, 1.0)
             fleet.claimed.add(now, t.claim)
-            fleet.found.add(now, min(t.claim, event.note))
+            fleet.found.add(now, min(t.claim, event.detail))
             if t.job.req.session is not None:
                 fleet.last.pop(t.job.req.session, None)
                 fleet.last[t.job.req.session] = server.entry.server
                 if len(fleet.last) > MOST_SESSIONS:
                     del fleet.last[next(iter(fleet.last))]
             server.streak = 0
-        state_lost = event.status is AttemptStatus.REJECTED and event.note == 1
+        state_lost = event.status is AttemptStatus.REJECTED and event.detail == 1
         if event.status in BLAMED_STATUSES and not t.begun and not state_lost:
             budget = t.job.aim * fleet.speed(server, now) if t.reading else fleet.memory(server, now)
             server.blame(now, (t.price if t.reading else t.job.tokens) / budget)
@@ -783,10 +783,10 @@
             return
         again = job.most - job.sent
         rejected = event.status is AttemptStatus.REJECTED
-        no_state = event.status is AttemptStatus.ERROR or (rejected and event.note == 1)
+        no_state = event.status is AttemptStatus.ERROR or (rejected and event.detail == 1)
         lost = t.reading or job.held or job.state_at is None or no_state
         late = self.now >= job.deadline - GUARD_MS
-        away = rejected and event.note != 1 and all(s in job.failed for s in self.candidates(job, t.reading))
+        away = rejected and event.detail != 1 and set(job.failed).issuperset(self.candidates(job, t.reading))
         spent = late or away or again < (2 if lost else 1)
         if spent or (job.course is not None and not job.course.take_retry(self.now)):
             self.give_up(job)
--- a/violetstack/routing/generations.py
+++ b/violetstack/routing/generations.py
@@ -134,7 +134,7 @@
         here: dict[str, HostFacts] = {}
         gone = []
         labels = self.current.plan.labels
-        for entry in news.entries:
+        for entry in news.endpoints:
             if entry.state is EndpointState.HEALTHY:
                 label = labels.get(entry.server, frozenset())
                 here[entry.server] = facts_of(entry, self._roles, self._kinds, self._zones, label)
--- a/violetstack/simulator_adapter.py
+++ b/violetstack/simulator_adapter.py
@@ -276,7 +276,7 @@
     match action:
         case SendAttempt():
             body = {"op": "assign", "handle": action.id, "engine": action.server}
-            body["stop_at"] = action.stop_at_ms
+            body["stop_at"] = action.deadline_ms
         case ReserveDecodeSlot():
             body = {"op": "pre_pair", "handle": action.id, "engine": action.server}
         case ReleaseState():
@@ -290,9 +290,9 @@
         case MigrateStream():
             body = {"op": "bounce", "handle": action.id}
         case StartTimer():
-            body = {"op": "remind", "after": action.after_ms, "token": action.token}
+            body = {"op": "remind", "after": action.delay_ms, "token": action.token}
         case SetWatch():
-            body = {"op": "stream_changes", "enable": action.on}
+            body = {"op": "stream_changes", "enable": action.enabled}
         case FetchEndpoints():
             body = {"op": "snapshot"}
         case SendHealthCheck():
