Records of open requests and attempts take the field's names

Attempt: reading -> is_prefill, stop_at -> deadline, written -> request_written, begun -> stream_started, events -> events_forwarded, over -> finished. OpenRequest: asked -> policy_request, arrived -> arrived_at, out -> in_flight, sent -> attempts_sent, bound -> committed_attempt, allowed -> sending_allowed, outlives -> survives_disconnect, left -> client_disconnected, ran_at -> first_run_at, loose -> holds_remote_state, held_at -> state_held_since, places -> reservations_in_flight, releasing -> release, timer -> deadline_timer, answer -> outcome, answered -> answered_at, placed -> reservation_log, trail -> attempt_log. PlaceCall: after -> after_release. ReleaseCall: stale -> superseded, tried -> attempted. Timer: when -> due_at, then -> callback. Timers: at -> schedule.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -91,7 +91,7 @@
             if work.dropped:
                 continue
             self.busy = True
-            took = work.attempt.request.asked.prompt_tokens / READ_TOKENS_MS
+            took = work.attempt.request.policy_request.prompt_tokens / READ_TOKENS_MS
             self.clock.at(self.clock.now + took, lambda w=work: self._done(w))  # type: ignore[misc]
 
     def _done(self, work: Work) -> None:
@@ -123,7 +123,7 @@
         node = work.node
         if not work.dropped:
             node.core.began(self.clock.now, work.attempt)
-        took = TOKEN_MS * work.attempt.request.asked.max_tokens
+        took = TOKEN_MS * work.attempt.request.policy_request.max_tokens
         self.clock.at(self.clock.now + took, lambda: self._done(work))
 
     def _done(self, work: Work) -> None:
@@ -185,7 +185,7 @@
     # --- what the core asks ---
 
     def start(self, attempt: Attempt) -> None:
-        attempt.written = True
+        attempt.request_written = True
         work = self.works[id(attempt)] = Work(self, attempt)
         host = self.fleet.hosts[attempt.server]
         self.clock.at(self.clock.now + 1.0, lambda: host.take(work))
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -246,11 +246,11 @@
             core.take(now, Request(*told_of), noted, None)
             taken[cls] += 1
         core.run(now)
-        for attempt in [a for a in noted.attempts if not a.over and rng.random() < 0.6]:
-            if not attempt.written:
+        for attempt in [a for a in noted.attempts if not a.finished and rng.random() < 0.6]:
+            if not attempt.request_written:
                 core.relayed(attempt)
                 relayed += 1
-            if attempt.reading:
+            if attempt.is_prefill:
                 status = rng.choice(
                     [
                         AttemptStatus.PREFILLED,
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -125,7 +125,7 @@
 )
 def test_only_what_was_written_may_have_run_at_its_time_limit(written: bool, status: AttemptStatus) -> None:
     scene = Scene()
-    scene.send("w1").written = written
+    scene.send("w1").request_written = written
     scene.run(after=501.0)
     assert scene.noted.statuses == [status]
     assert scene.request.may_have_run is written
@@ -136,7 +136,7 @@
 )
 def test_only_what_was_written_may_have_run_when_withdrawn(written: bool, status: AttemptStatus) -> None:
     scene = Scene()
-    scene.send("w1").written = written
+    scene.send("w1").request_written = written
     scene.run(CancelAttempt("q", 0))
     assert scene.noted.statuses == [status]
 
@@ -152,7 +152,7 @@
 
 def test_a_request_left_open_is_failed_at_its_deadline() -> None:
     scene = Scene()
-    scene.send("w1", stop_after=9000.0).written = True
+    scene.send("w1", stop_after=9000.0).request_written = True
     scene.run(after=3001.0)
     assert len(scene.noted.answers) == 1
     assert ClientDisconnected("q") in scene.noted.events or scene.noted.statuses == [AttemptStatus.TIMEOUT]
@@ -203,21 +203,21 @@
     scene = Scene()
     read = scene.send("r1")
     scene.run(ReserveDecodeSlot("q", "w1"))
-    read.written = True
+    read.request_written = True
     scene.core.ended(scene.now, read, AttemptStatus.RESET)
     scene.run(ReleaseState("q"))
     scene.core.place_answered(scene.noted.places[0], True, False)
-    assert [call.stale for call in scene.noted.releases] == [True, False]
+    assert [call.superseded for call in scene.noted.releases] == [True, False]
     scene.core.released(scene.noted.releases[0], True)
-    assert scene.request.loose
+    assert scene.request.holds_remote_state
     scene.core.released(scene.noted.releases[1], True)
-    assert not scene.request.loose
+    assert not scene.request.holds_remote_state
 
 
 def test_a_read_that_broke_is_released_since_it_may_have_ended_well() -> None:
     scene = Scene()
     read = scene.send("r1")
-    read.written = True
+    read.request_written = True
     scene.core.ended(scene.now, read, AttemptStatus.RESET)
     scene.run(RejectRequest("q", 0.0))
     assert len(scene.noted.releases) == 1
@@ -232,9 +232,9 @@
     scene.core.ended(scene.now, scene.send("r1"), AttemptStatus.PREFILLED)
     scene.run(ReleaseState("q"))
     read = scene.send("r2")
-    assert not scene.noted.releases[0].stale
+    assert not scene.noted.releases[0].superseded
     scene.core.sending(read)
-    assert scene.noted.releases[0].stale
+    assert scene.noted.releases[0].superseded
     scene.core.released(scene.noted.releases[0], False)
     scene.core.ended(scene.now, read, AttemptStatus.ERROR)
     scene.run(RejectRequest("q", 0.0))
@@ -246,7 +246,7 @@
     scene = Scene()
     read = scene.send("r1")
     scene.run(ReserveDecodeSlot("q", "w1"))
-    read.written = True
+    read.request_written = True
     scene.core.ended(scene.now, read, AttemptStatus.PREFILLED)
     scene.run(RejectRequest("q", 0.0))
     assert len(scene.noted.releases) == 1
@@ -266,7 +266,7 @@
     scene = Scene()
     read = scene.send("r1")
     assert scene.core.connect_ms(scene.now, read) == math.inf
-    read.written = True
+    read.request_written = True
     scene.core.ended(scene.now, read, AttemptStatus.PREFILLED)
     scene.now += 100.0
     write = scene.send("w1")
@@ -276,7 +276,7 @@
     again = scene.send("w2")
     assert scene.core.connect_ms(scene.now, again) == 100.0
     assert scene.core.connect_ms(scene.now + 400.0, again) == LEAST_CONNECT_MS
-    again.written = True
+    again.request_written = True
     scene.core.ended(scene.now, again, AttemptStatus.REJECTED)
     assert scene.core.connect_ms(scene.now, scene.send("w1")) == 300.0
 
@@ -309,7 +309,7 @@
     scene = Scene()
     for _ in range(SETTINGS.max_attempts + 1):
         scene.run(SendAttempt("q", "w1", 0.0))
-        for attempt in list(scene.request.out.values()):
+        for attempt in list(scene.request.in_flight.values()):
             scene.core.ended(scene.now, attempt, AttemptStatus.REJECTED)
     scene.run()
     assert len(scene.noted.attempts) == SETTINGS.max_attempts
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -182,7 +182,7 @@
         gate.set()  # it breaks after the request's last byte
         await again.asked.wait()
         if late:
-            on.daemon.core.open["q1"].ran_at -= 5000.0  # as if the connection had taken that long
+            on.daemon.core.open["q1"].first_run_at -= 5000.0  # as if the connection had taken that long
         again.up.set()
         answer = await call.receive()
         assert (answer.outcome, len(writer.begun)) == (("refused", 1) if late else ("served", 2))
@@ -233,7 +233,7 @@
 
         def taking(*args: Any, **more: Any) -> Any:
             request = take(*args, **more)
-            trails[request.id] = request.trail
+            trails[request.id] = request.attempt_log
             return request
 
         on.daemon.core.take = taking  # type: ignore[method-assign]
@@ -428,13 +428,13 @@
         late = Late(on, "r")
         on.daemon.hosts.hosts.pop("w")  # the release has but one host to go to
         request = core.open["q1"]
-        request.loose = True
+        request.holds_remote_state = True
         core._release(0.0, request)
         await late.asked.wait()
-        assert request.releasing is not None
-        request.releasing.stale = True  # as by a send
+        assert request.release is not None
+        request.release.superseded = True  # as by a send
         late.up.set()
-        await until(lambda: request.releasing is None)
+        await until(lambda: request.release is None)
         assert reader.calls == []
         gate.set()
         await call.receive()
@@ -808,7 +808,7 @@
         await call.send("POST", "/v1/chat/completions", chat_headers("k1"), chat_body("giro-orden"))
         await until(lambda: len(writer.begun) == 1)
         await call.stream.aclose()
-        await until(lambda: any(request.left for request in on.daemon.core.open.values()))
+        await until(lambda: any(request.client_disconnected for request in on.daemon.core.open.values()))
         gate.set()
         await until(lambda: not on.daemon.core.open)
         assert (len(reader.begun), len(writer.begun)) == (1, 1)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -75,11 +75,11 @@
 def test_cancelled_timers_let_go_and_leave_the_heap() -> None:
     timers = Timers()
     ran: list[float] = []
-    kept = [timers.at(float(n), ran.append) for n in range(100)]
+    kept = [timers.schedule(float(n), ran.append) for n in range(100)]
     for timer in kept[1:]:
         timers.cancel(timer)
     assert len(timers) < 50
-    assert all(timer.then is None for timer in kept[1:])
+    assert all(timer.callback is None for timer in kept[1:])
     timers.run(200.0)
     assert (ran, timers.next_due()) == ([200.0], NEVER)
 
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -178,8 +178,8 @@
 
     def waiting(self, now: float) -> list[float]:
         """Ages of the requests without a first token, as parts of their aims."""
-        rows = [r for r in self.open.values() if not r.done and r.bound is None]
-        return [(now - r.arrived) / self.aim_ms(r.asked) for r in rows]
+        rows = [r for r in self.open.values() if not r.done and r.committed_attempt is None]
+        return [(now - r.arrived_at) / self.aim_ms(r.policy_request) for r in rows]
 
     def take(self, now: float, asked: Request, sink: Sink, payload: object) -> OpenRequest:
         if asked.id in self.open:
@@ -189,33 +189,38 @@
         self.tally.taken(asked.class_index)
         if self.routes is not None:
             self.routes.taken(now, asked)
-        request.timer = self.timers.at(request.deadline, lambda at: self._overdue(at, request))
+        request.deadline_timer = self.timers.schedule(request.deadline, lambda at: self._overdue(at, request))
         self._post(asked)
         return request
 
     def client_left(self, now: float, request: OpenRequest) -> None:
         """Guards against work for nobody: a stream that nobody reads ends, the module is told of the rest."""
-        request.left = True
-        if request.done or (request.outlives and may_have_run(request)):
+        request.client_disconnected = True
+        if request.done or (request.survives_disconnect and may_have_run(request)):
             return
         self._settle(now, request, "left")
-        if request.outlives:
+        if request.survives_disconnect:
             self._tell(request.sink.failed, False)  # nothing of it has run, which its record is to say
         self._post(ClientDisconnected(request.id))
-        if request.bound is not None:
-            self.driver.abort(request.bound)
-            self.ended(now, request.bound, AttemptStatus.CANCELLED)
+        if request.committed_attempt is not None:
+            self.driver.abort(request.committed_attempt)
+            self.ended(now, request.committed_attempt, AttemptStatus.CANCELLED)
 
     def may_move(self, attempt: Attempt) -> bool:
         """Is the stream all that is under way here for its request?"""
         request = attempt.request
-        if attempt.over or request.done or request.bound is not attempt or len(request.out) > 1:
+        if (
+            attempt.finished
+            or request.done
+            or request.committed_attempt is not attempt
+            or len(request.in_flight) > 1
+        ):
             return False
-        return not request.places and request.releasing is None
+        return not request.reservations_in_flight and request.release is None
 
     def moved(self, now: float, attempt: Attempt) -> None:
         """Another process goes on with the stream, and releases at its end what may be held for it."""
-        attempt.request.loose = False
+        attempt.request.holds_remote_state = False
         self._settle(now, attempt.request, "moved")
         self._post(ClientDisconnected(attempt.request.id))
         self.ended(now, attempt, AttemptStatus.CANCELLED)
@@ -226,11 +231,11 @@
             told.id, told.cls, told.tenant, None, 0.0, None, None, told.prompt_tokens, 0.0, 0.0, False, False
         )
         request = OpenRequest(asked, sink, None, now - told.age_ms, now)
-        attempt = Attempt(request, 0, told.server, False, request.arrived, now, True, True, told.events)
-        request.bound = attempt
-        request.out = {0: attempt}
-        request.sent = 1
-        request.loose = told.loose
+        attempt = Attempt(request, 0, told.server, False, request.arrived_at, now, True, True, told.events)
+        request.committed_attempt = attempt
+        request.in_flight = {0: attempt}
+        request.attempts_sent = 1
+        request.holds_remote_state = told.loose
         self.open[asked.id] = request
         self.tally.taken(asked.class_index)
         if self.routes is not None:
@@ -275,14 +280,20 @@
         in which its class lets what may have run be sent again.
         """
         request = attempt.request
-        if not attempt.over and not request.done and request.sink.client_gone():
+        if not attempt.finished and not request.done and request.sink.client_gone():
             # Its close may lie unread in the socket still.
             self.client_left(now, request)
-        spec = self.settings.classes[request.asked.class_index]
+        spec = self.settings.classes[request.policy_request.class_index]
         repeats = (
-            spec.idempotency is Idempotency.IDEMPOTENCY_KEY and request.may_have_run and not attempt.reading
+            spec.idempotency is Idempotency.IDEMPOTENCY_KEY
+            and request.may_have_run
+            and not attempt.is_prefill
         )
-        if attempt.over or request.done or (repeats and now >= request.ran_at + spec.deduplication_window_ms):
+        if (
+            attempt.finished
+            or request.done
+            or (repeats and now >= request.first_run_at + spec.deduplication_window_ms)
+        ):
             return False
         return self.may_write(attempt.server)
 
@@ -294,34 +305,34 @@
         """
         request = attempt.request
         within = self.settings.state_retention_ms
-        if not (request.loose and request.held_at and within):
+        if not (request.holds_remote_state and request.state_held_since and within):
             return math.inf
-        return max(LEAST_CONNECT_MS, request.held_at + within - now)
+        return max(LEAST_CONNECT_MS, request.state_held_since + within - now)
 
     def sending(self, attempt: Attempt) -> None:
         """Its first byte goes out in this step: a release written from now on would let go of its state."""
-        if attempt.request.releasing is not None:
-            attempt.request.releasing.stale = True
+        if attempt.request.release is not None:
+            attempt.request.release.superseded = True
 
     def relayed(self, attempt: Attempt) -> None:
         """The last byte of an attempt may have left; called in the step that hands it to the kernel."""
-        attempt.written = True
+        attempt.request_written = True
         self.tally.relayed += 1
 
     def began(self, now: float, attempt: Attempt) -> bool:
         """The first event of an answer came; False if it is not wanted (any more)."""
         request = attempt.request
-        if attempt.over or request.done or request.bound is not None:
+        if attempt.finished or request.done or request.committed_attempt is not None:
             return False
-        attempt.begun = True
-        request.bound = attempt
+        attempt.stream_started = True
+        request.committed_attempt = attempt
         if self.level is not None:
-            ratio = (now - request.arrived) / self.aim_ms(request.asked)
-            self.level.begun(now, ratio, request.asked.prompt_tokens)
-        if not request.places and attempt.server not in self.stateless:
-            request.loose = False  # what else was held goes by itself
-        if request.releasing is not None:
-            request.releasing.stale = True
+            ratio = (now - request.arrived_at) / self.aim_ms(request.policy_request)
+            self.level.begun(now, ratio, request.policy_request.prompt_tokens)
+        if not request.reservations_in_flight and attempt.server not in self.stateless:
+            request.holds_remote_state = False  # what else was held goes by itself
+        if request.release is not None:
+            request.release.superseded = True
         if self.witness is not None:
             self.witness.seen(now, attempt.server, True)
         self._tell(request.sink.begun)
@@ -329,8 +340,8 @@
         return True
 
     def event(self, attempt: Attempt, data: memoryview) -> None:
-        if not attempt.over:
-            attempt.events += 1
+        if not attempt.finished:
+            attempt.events_forwarded += 1
             self._tell(attempt.request.sink.event, data)
 
     def ended(
@@ -342,47 +353,47 @@
         report: tuple[float | None, ...] | None = None,
     ) -> None:
         """The one outcome of an attempt; whatever comes after it is dropped."""
-        if attempt.over:
+        if attempt.finished:
             return
         request = attempt.request
-        attempt.over = True
+        attempt.finished = True
         self.timers.cancel(attempt.timer)
-        del request.out[attempt.number]
-        if not request.done and (status is AttemptStatus.OK or request.bound is attempt):
+        del request.in_flight[attempt.number]
+        if not request.done and (status is AttemptStatus.OK or request.committed_attempt is attempt):
             self._settle(now, request, "served" if status is AttemptStatus.OK else "cut")
             if status is AttemptStatus.OK:
                 self._tell(request.sink.finished)
             else:
                 self._tell(request.sink.cut)
-        if not attempt.reading and attempt.written and not proves_idle(status):
-            request.ran_at = request.ran_at if request.may_have_run else attempt.sent_at
+        if not attempt.is_prefill and attempt.request_written and not proves_idle(status):
+            request.first_run_at = request.first_run_at if request.may_have_run else attempt.sent_at
             request.may_have_run = True
-        if attempt.written:
-            request.held_at = now
+        if attempt.request_written:
+            request.state_held_since = now
         if status is AttemptStatus.PREFILLED or (
-            attempt.reading and attempt.written and not proves_idle(status)
+            attempt.is_prefill and attempt.request_written and not proves_idle(status)
         ):
-            request.loose = True  # a read may have ended well just as its connection broke
+            request.holds_remote_state = True  # a read may have ended well just as its connection broke
         if self.witness is not None:
             if status is AttemptStatus.PREFILLED:
                 self.witness.seen(now, attempt.server, True)
-            elif status in FAILURE_STATUSES and not attempt.begun:
+            elif status in FAILURE_STATUSES and not attempt.stream_started:
                 self.witness.seen(now, attempt.server, False)
         took = now - attempt.sent_at
-        request.trail.append((attempt.server, status.value, round(took)))
+        request.attempt_log.append((attempt.server, status.value, round(took)))
         self._post(
             AttemptFinished(
                 request.id, attempt.server, attempt.number, status, took, request.done, note, report
             )
         )
         self.touched[request.id] = request
-        if request.left and not may_have_run(request):
+        if request.client_disconnected and not may_have_run(request):
             self.client_left(now, request)  # what could have run did not, so nothing is left to go on with
 
     def unusable(self, now: float, attempt: Attempt) -> None:
         """A host says that the request itself is at fault: no other host is asked, and none is blamed."""
         request = attempt.request
-        if attempt.over or request.done or request.bound is not None:
+        if attempt.finished or request.done or request.committed_attempt is not None:
             return
         self._settle(now, request, "unusable")
         self._tell(request.sink.failed, may_have_run(request))
@@ -391,28 +402,28 @@
     def place_answered(self, call: PlaceCall, held: bool | None, nothing_done: bool) -> None:
         """None: not known. Then, and also when the place is held, it stays loose until the request's end."""
         request = call.request
-        request.places -= 1
+        request.reservations_in_flight -= 1
         told = "unknown" if held is None else "held" if held else "not_held"
-        request.placed.append((call.server, told))
+        request.reservation_log.append((call.server, told))
         if not nothing_done:
-            request.loose = True
-            if (overtaken := request.releasing) is not None and not overtaken.stale:
-                overtaken.stale = True  # the place may have been taken after it
+            request.holds_remote_state = True
+            if (overtaken := request.release) is not None and not overtaken.superseded:
+                overtaken.superseded = True  # the place may have been taken after it
                 self._release(overtaken.since, request)
         self.touched[request.id] = request
         attempt = call.attempt
-        if held is not None and attempt is not None and not attempt.over:
+        if held is not None and attempt is not None and not attempt.finished:
             self._post(ReservationResult(request.id, attempt.server, attempt.number, held))
         self.wake()
 
     def released(self, call: ReleaseCall, done: bool) -> None:
         request = call.request
-        if request.releasing is call:
-            request.releasing = None
-            if done and not call.stale:
-                request.loose = False
-            elif not done and not call.stale:
-                request.loose = False
+        if request.release is call:
+            request.release = None
+            if done and not call.superseded:
+                request.holds_remote_state = False
+            elif not done and not call.superseded:
+                request.holds_remote_state = False
                 self.driver.log("release_given_up", id=request.id)
         self.touched[request.id] = request
         self.wake()
@@ -452,7 +463,7 @@
 
     def _overdue(self, now: float, request: OpenRequest) -> None:
         """The module answers before this; the core still owes the one final answer if it did not."""
-        if request.done or request.bound is not None:
+        if request.done or request.committed_attempt is not None:
             return
         self.driver.log("overdue", id=request.id)
         self._settle(now, request, "overdue")
@@ -460,33 +471,35 @@
         self.inbox.append(ClientDisconnected(request.id))
 
     def _expire(self, now: float, attempt: Attempt) -> None:
-        if attempt.over or attempt.begun:
+        if attempt.finished or attempt.stream_started:
             return
         self.driver.abort(attempt)
         # Not yet written means that it never ran, however long it took.
-        self.ended(now, attempt, AttemptStatus.TIMEOUT if attempt.written else AttemptStatus.CONNECT_FAILED)
+        self.ended(
+            now, attempt, AttemptStatus.TIMEOUT if attempt.request_written else AttemptStatus.CONNECT_FAILED
+        )
 
     def _tidy(self, now: float, request: OpenRequest) -> None:
         """Guards against states and places that outlive their request: nothing loose is left behind."""
-        if not request.done or request.out:
+        if not request.done or request.in_flight:
             return
-        if request.loose:
+        if request.holds_remote_state:
             self._release(now, request)  # a place call that is still out needs one more after it
-        elif request.releasing is None and not request.places:
+        elif request.release is None and not request.reservations_in_flight:
             self.open.pop(request.id, None)
             request.close()
             more: dict[str, Any] = {}
             if self.routes is not None:
-                more = self.routes.told_of(request.asked)
-                self.routes.closed(now, request.asked)
+                more = self.routes.told_of(request.policy_request)
+                self.routes.closed(now, request.policy_request)
             self.driver.log(
                 "request",
                 id=request.id,
-                cls=request.asked.class_index,
-                answer=request.answer,
-                ms=round(request.answered - request.arrived),
-                attempts=request.trail,
-                places=request.placed,
+                cls=request.policy_request.class_index,
+                answer=request.outcome,
+                ms=round(request.answered_at - request.arrived_at),
+                attempts=request.attempt_log,
+                places=request.reservation_log,
                 **more,
             )
 
@@ -511,7 +524,7 @@
                     self._tell(request.sink.failed, may_have_run(request))
             case StartTimer():
                 token = action.token
-                self.timers.at(now + action.delay_ms, lambda at: self.inbox.append(TimerFired(token)))
+                self.timers.schedule(now + action.delay_ms, lambda at: self.inbox.append(TimerFired(token)))
             case SendHealthCheck():
                 self.driver.probe(action.server)
             case SendGossip():
@@ -524,13 +537,13 @@
     def _settle(self, now: float, request: OpenRequest, answer: str) -> None:
         """The request has its one final answer, or nobody is left to have it."""
         request.done = True
-        request.answer = answer
-        request.answered = now
-        self.timers.cancel(request.timer)
+        request.outcome = answer
+        request.answered_at = now
+        self.timers.cancel(request.deadline_timer)
         self.touched[request.id] = request
-        self.tally.ended(request.asked.class_index, answer)
+        self.tally.ended(request.policy_request.class_index, answer)
         if self.level is not None:
-            self.level.ended(now, answer, request.asked.prompt_tokens)
+            self.level.ended(now, answer, request.policy_request.prompt_tokens)
 
     def _tell(self, answer: Callable[..., None], *told: object) -> None:
         """Guards against a front whose answer fails: it loses that one answer, not the program."""
@@ -542,7 +555,7 @@
     def _answerable(self, now: float, request_id: str, answer: str) -> OpenRequest | None:
         """Guards against a second final answer, and against one for a stream that has begun."""
         request = self.open.get(request_id)
-        if request is None or request.done or request.bound is not None:
+        if request is None or request.done or request.committed_attempt is not None:
             return None
         self._settle(now, request, answer)
         return request
@@ -555,45 +568,47 @@
         roles = self.settings.roles
         reading = entry is not None and entry.kind < len(roles) and roles[entry.kind] is Role.PREFILL
         stop_at = min(action.deadline_ms or request.deadline, request.deadline)
-        attempt = Attempt(request, request.sent, action.server, reading, now, stop_at)
-        request.sent += 1
-        request.out[attempt.number] = attempt
-        twice = len(request.out) > 1 and not self.settings.hedging_allowed
+        attempt = Attempt(request, request.attempts_sent, action.server, reading, now, stop_at)
+        request.attempts_sent += 1
+        request.in_flight[attempt.number] = attempt
+        twice = len(request.in_flight) > 1 and not self.settings.hedging_allowed
         spent = attempt.number >= self.settings.max_attempts or stop_at <= now
-        if request.done or request.bound is not None or twice or spent or entry is None:
+        if request.done or request.committed_attempt is not None or twice or spent or entry is None:
             self.ended(now, attempt, AttemptStatus.ALREADY_FINISHED)
             return
-        attempt.timer = self.timers.at(stop_at, lambda at: self._expire(at, attempt))
+        attempt.timer = self.timers.schedule(stop_at, lambda at: self._expire(at, attempt))
         self.driver.start(attempt)
 
     def _hold(self, now: float, action: ReserveDecodeSlot) -> None:
         request = self.open.get(action.id)
         if request is None or request.done or not self.settings.reserve_ahead:
             return
-        reads = [a for a in request.out.values() if a.reading]
-        request.places += 1
-        call = PlaceCall(request, action.server, reads[-1] if reads else None, request.releasing)
+        reads = [a for a in request.in_flight.values() if a.is_prefill]
+        request.reservations_in_flight += 1
+        call = PlaceCall(request, action.server, reads[-1] if reads else None, request.release)
         self.driver.hold_place(call)
 
     def _cancel(self, now: float, action: CancelAttempt) -> None:
         request = self.open.get(action.id)
-        attempt = request.out.get(action.attempt) if request is not None else None
-        if attempt is None or attempt.begun:
+        attempt = request.in_flight.get(action.attempt) if request is not None else None
+        if attempt is None or attempt.stream_started:
             return
         self.driver.abort(attempt)
         self.ended(
-            now, attempt, AttemptStatus.CANCELLED if attempt.written else AttemptStatus.ALREADY_FINISHED
+            now,
+            attempt,
+            AttemptStatus.CANCELLED if attempt.request_written else AttemptStatus.ALREADY_FINISHED,
         )
 
     def _release(self, now: float, request: OpenRequest) -> None:
-        if request.loose and (request.releasing is None or request.releasing.stale):
-            request.releasing = ReleaseCall(request, now)
-            self.driver.release(request.releasing)
+        if request.holds_remote_state and (request.release is None or request.release.superseded):
+            request.release = ReleaseCall(request, now)
+            self.driver.release(request.release)
 
 
 def may_have_run(request: OpenRequest) -> bool:
     """An attempt still out counts, since it may be written before it is withdrawn."""
-    return request.may_have_run or any(not attempt.reading for attempt in request.out.values())
+    return request.may_have_run or any(not attempt.is_prefill for attempt in request.in_flight.values())
 
 
 def proves_idle(status: AttemptStatus) -> bool:
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -138,13 +138,13 @@
     request: OpenRequest
     number: int
     server: str
-    reading: bool
+    is_prefill: bool
     sent_at: float
-    stop_at: float
-    written: bool = False
-    begun: bool = False
-    events: int = 0  # passed on
-    over: bool = False
+    deadline: float
+    request_written: bool = False
+    stream_started: bool = False
+    events_forwarded: int = 0  # passed on
+    finished: bool = False
     timer: Timer | None = None
 
 
@@ -152,7 +152,7 @@
     request: OpenRequest
     server: str
     attempt: Attempt | None
-    after: ReleaseCall | None
+    after_release: ReleaseCall | None
 
 
 class ReleaseCall(msgspec.Struct, eq=False):
@@ -160,8 +160,8 @@
 
     request: OpenRequest
     since: float
-    stale: bool = False
-    tried: bool = False
+    superseded: bool = False
+    attempted: bool = False
 
 
 def always() -> bool:
@@ -174,36 +174,40 @@
     `allowed` is asked in each step that writes a part of an attempt; a no keeps the rest unsent.
     """
 
-    asked: Request
+    policy_request: Request
     sink: Sink
     payload: Any
-    arrived: float
+    arrived_at: float
     deadline: float
-    out: dict[int, Attempt] = {}
-    sent: int = 0
-    bound: Attempt | None = None
-    allowed: Callable[[], bool] = always
-    outlives: bool = False  # once it may have run it goes on without its client, for a retry to find
-    left: bool = False  # its client has
+    in_flight: dict[int, Attempt] = {}
+    attempts_sent: int = 0
+    committed_attempt: Attempt | None = None
+    sending_allowed: Callable[[], bool] = always
+    survives_disconnect: bool = (
+        False  # once it may have run it goes on without its client, for a retry to find
+    )
+    client_disconnected: bool = False  # its client has
     done: bool = False
     may_have_run: bool = False
-    ran_at: float = 0.0  # when the first of them was sent
-    loose: bool = False  # a state or place may be held for it somewhere
-    held_at: float = 0.0  # the last outcome of what had reached a host: what is held has its time from then
-    places: int = 0  # place calls under way
-    releasing: ReleaseCall | None = None
-    timer: Timer | None = None
-    answer: str = ""
-    answered: float = 0.0
-    placed: list[tuple[str, str]] = []  # server, what it told of a place
-    trail: list[tuple[str, str, int]] = []  # server, status, ms of each attempt
+    first_run_at: float = 0.0  # when the first of them was sent
+    holds_remote_state: bool = False  # a state or place may be held for it somewhere
+    state_held_since: float = (
+        0.0  # the last outcome of what had reached a host: what is held has its time from then
+    )
+    reservations_in_flight: int = 0  # place calls under way
+    release: ReleaseCall | None = None
+    deadline_timer: Timer | None = None
+    outcome: str = ""
+    answered_at: float = 0.0
+    reservation_log: list[tuple[str, str]] = []  # server, what it told of a place
+    attempt_log: list[tuple[str, str, int]] = []  # server, status, ms of each attempt
 
     @property
     def id(self) -> str:
-        return self.asked.id
+        return self.policy_request.id
 
     def close(self) -> None:
         """Guards the memory: body, front and connection go now, not when a collection finds the circle."""
         self.sink = CLOSED
         self.payload = None
-        self.bound = None
+        self.committed_attempt = None
--- a/violetstack/core/timers.py
+++ b/violetstack/core/timers.py
@@ -11,9 +11,9 @@
 
 
 class Timer(msgspec.Struct, order=True):
-    when: float
+    due_at: float
     order: int
-    then: Callable[[float], None] | None = None  # never compared: no two have one order
+    callback: Callable[[float], None] | None = None  # never compared: no two have one order
 
 
 class Timers:
@@ -30,32 +30,32 @@
     def __len__(self) -> int:
         return len(self._heap)
 
-    def at(self, when: float, then: Callable[[float], None]) -> Timer:
+    def schedule(self, when: float, then: Callable[[float], None]) -> Timer:
         timer = Timer(when, self._set, then)
         self._set += 1
         heapq.heappush(self._heap, timer)
         return timer
 
     def cancel(self, timer: Timer | None) -> None:
-        if timer is None or timer.then is None:
+        if timer is None or timer.callback is None:
             return
-        timer.then = None
+        timer.callback = None
         self._cancelled += 1
         if self._cancelled > 16 + len(self._heap) // 2:
-            self._heap = [each for each in self._heap if each.then is not None]
+            self._heap = [each for each in self._heap if each.callback is not None]
             heapq.heapify(self._heap)
             self._cancelled = 0
 
     def next_due(self) -> float:
-        while self._heap and self._heap[0].then is None:
+        while self._heap and self._heap[0].callback is None:
             heapq.heappop(self._heap)
             self._cancelled -= 1
-        return self._heap[0].when if self._heap else NEVER
+        return self._heap[0].due_at if self._heap else NEVER
 
     def run(self, now: float) -> None:
         while self.next_due() <= now:
             timer = heapq.heappop(self._heap)
-            then = timer.then
-            timer.then = None
+            then = timer.callback
+            timer.callback = None
             if then is not None:
                 then(now)
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -398,8 +398,8 @@
         payload = Payload("POST", COMPLETIONS, "application/json", body, reply.room)
         answer = Answer(f"chatcmpl-{asked.id}", errand.model.name, int(now / 1000.0))
         request = self._core.take(now, asked, ChatSink(errand, reply, answer, settle), payload)
-        request.allowed = allowed
-        request.outlives = outlives
+        request.sending_allowed = allowed
+        request.survives_disconnect = outlives
         reply.opened(request)
 
 
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -78,22 +78,22 @@
             descriptor = client.descriptor
             if descriptor is None or not self._core.may_move(attempt):
                 return False
-            asked = request.asked
+            asked = request.policy_request
             stream = Stream(
                 id=asked.id,
                 cls=asked.class_index,
                 tenant=asked.tenant_index,
                 server=attempt.server,
-                age_ms=now_ms() - request.arrived,
-                events=attempt.events,
+                age_ms=now_ms() - request.arrived_at,
+                events=attempt.events_forwarded,
                 cached=cached,
                 prompt_tokens=asked.prompt_tokens,
-                loose=request.loose,
+                loose=request.holds_remote_state,
                 closing=client.http.ends,
             )
             async with self._turn:
                 passed = await self._offer(stream, descriptor, connection.sock.fileno())
-            if passed and not attempt.over:
+            if passed and not attempt.finished:
                 self._core.moved(now_ms(), attempt)
                 client.passed()
                 self.given += 1
--- a/violetstack/net/upstream/attempt.py
+++ b/violetstack/net/upstream/attempt.py
@@ -127,7 +127,7 @@
         """Streams go to an heir from now on, each at once or after its next event."""
         self.pass_on = pass_on
         for attempt, wait in self._waits.items():
-            if attempt.begun:
+            if attempt.stream_started:
                 wait.cancel()
 
     def abort(self, attempt: Attempt) -> None:
@@ -152,14 +152,20 @@
                 ended = Ended(AttemptStatus.CONNECT_FAILED)
             except (Broken, sse.NoEvent) as error:
                 request = attempt.request.id
-                told = {"events": attempt.events, "reason": str(error)}
+                told = {"events": attempt.events_forwarded, "reason": str(error)}
                 log_outside("answer_broken", id=request, server=attempt.server, **told)
-                ended = Ended(AttemptStatus.RESET if attempt.written else AttemptStatus.CONNECT_FAILED)
+                ended = Ended(
+                    AttemptStatus.RESET if attempt.request_written else AttemptStatus.CONNECT_FAILED
+                )
             except (OSError, trio.TooSlowError, trio.ClosedResourceError):
-                ended = Ended(AttemptStatus.RESET if attempt.written else AttemptStatus.CONNECT_FAILED)
+                ended = Ended(
+                    AttemptStatus.RESET if attempt.request_written else AttemptStatus.CONNECT_FAILED
+                )
             except Exception as error:  # no attempt's failure ends the nursery
                 log("attempt_failed", id=attempt.request.id, error=repr(error))
-                ended = Ended(AttemptStatus.RESET if attempt.written else AttemptStatus.CONNECT_FAILED)
+                ended = Ended(
+                    AttemptStatus.RESET if attempt.request_written else AttemptStatus.CONNECT_FAILED
+                )
         self._scopes.pop(attempt, None)
         self._waits.pop(attempt, None)
         self._sent.pop(attempt).set()
@@ -179,7 +185,7 @@
         self.core.sending(attempt)
         clean = False
         try:
-            wait = max(1, int(attempt.stop_at - now_ms()))
+            wait = max(1, int(attempt.deadline - now_ms()))
             host = self.hosts[attempt.server]
             headers: Headers = [
                 ("Host", "app.svc"),
@@ -197,7 +203,7 @@
                 self.core.relayed(attempt)
                 self._sent[attempt].set()
 
-            await connection.write(parts, written, attempt.request.allowed)
+            await connection.write(parts, written, attempt.request.sending_allowed)
             ended = await self._answer(attempt, connection, host.plain)
             clean = ended.status is not AttemptStatus.CANCELLED
             return ended
@@ -228,10 +234,10 @@
         partial = False
         since = trio.current_time()
         while True:
-            patience = PARTIAL_S if partial else QUIET_S if attempt.begun else STALL_S
+            patience = PARTIAL_S if partial else QUIET_S if attempt.stream_started else STALL_S
             events: list[Head | Body | End] = []
             until = since + patience
-            if self.pass_on is not None and attempt.begun:
+            if self.pass_on is not None and attempt.stream_started:
                 until = min(until, trio.current_time() + PASS_AGAIN_S)
             with trio.move_on_at(until) as timer:
                 self._waits[attempt] = timer
@@ -252,7 +258,7 @@
                     for part in splitter.feed(event.data):
                         if plain and tail.error(part):
                             raise Broken("an error in the stream")
-                        if not attempt.begun and not self.core.began(now_ms(), attempt):
+                        if not attempt.stream_started and not self.core.began(now_ms(), attempt):
                             raise Broken("an answer that nobody wants")
                         tail.look(part)
                         self.core.event(attempt, part)
@@ -263,24 +269,24 @@
                         return _plain(head) if plain else self._told(attempt, head, body)
                     if plain and not tail.done:
                         raise Broken("a stream without [DONE]")
-                    if not attempt.begun:
+                    if not attempt.stream_started:
                         raise Broken("a stream without an event")
                     if rest := splitter.end():
                         self.core.event(attempt, memoryview(rest))
                     return Ended(AttemptStatus.OK, _kept(tail.cached, attempt), tail.report)
-            if attempt.begun:
+            if attempt.stream_started:
                 before = trio.current_time()
                 await attempt.request.payload.room()
                 since += trio.current_time() - before  # a slow client's time is not the host's
             was_partial = partial
-            begun = attempt.begun
+            begun = attempt.stream_started
             waits = head is not None and not begun and not plain  # a plain host's head comes long before
             partial = connection.http.partial or splitter.partial or waits
             if partial and not was_partial:
                 since = trio.current_time()
             if (
                 self.pass_on is not None
-                and attempt.begun
+                and attempt.stream_started
                 and not partial
                 and not plain
                 and await self.pass_on(attempt, connection, tail.cached)
@@ -355,7 +361,7 @@
         which nobody counts.
         """
         attempt = call.attempt
-        out = attempt is not None and attempt.written and not attempt.over
+        out = attempt is not None and attempt.request_written and not attempt.finished
         return out and not call.request.done and self.core.may_write(call.server)
 
     def release(self, call: ReleaseCall) -> None:
@@ -365,7 +371,7 @@
     async def _let_go(self, request: OpenRequest) -> None:
         """Guards against a further send that keeps what the one before has left from being let go."""
         with trio.move_on_after(RELEASE_FIRST_S):
-            while (call := request.releasing) is not None and not call.stale:
+            while (call := request.release) is not None and not call.superseded:
                 await self._releases[call].wait()
 
     async def _release(self, call: ReleaseCall) -> None:
@@ -378,7 +384,7 @@
         until = trio.current_time() + RELEASE_MOST_S
         tried: set[str] = set()
         async with trio.open_nursery() as nursery:
-            while not through.is_set() and not call.stale and trio.current_time() < until:
+            while not through.is_set() and not call.superseded and trio.current_time() < until:
                 server = self._release_host(tried)
                 if server is None:
                     tried.clear()
@@ -400,7 +406,7 @@
     ) -> None:
         try:
             with trio.move_on_after(RELEASE_TRY_S):
-                connection = await self._ready(server, lambda: not call.stale and not through.is_set())
+                connection = await self._ready(server, lambda: not call.superseded and not through.is_set())
                 if connection is not None:
                     head = await self._call(connection, "DELETE", f"/state/{call.request.id}")
                     if head.status < 300:
@@ -495,7 +501,7 @@
 
 def _kept(tokens: int, attempt: Attempt) -> int:
     """Guards the decisions against a count that can't be true."""
-    return int(max(0, min(tokens, attempt.request.asked.prompt_tokens)))
+    return int(max(0, min(tokens, attempt.request.policy_request.prompt_tokens)))
 
 
 def _cached(body: bytes) -> int:
