The dispatcher's ports take the field's names

Sink: begun -> stream_started, cut -> stream_broken, refused -> rejected. Routes: taken -> request_accepted, closed -> request_closed, told -> update_endpoints, told_of -> log_fields. Level: begun -> stream_started, ended -> request_finished. Witness: listed -> endpoints_listed, seen -> attempt_observed. Driver: start -> start_attempt, abort -> abort_attempt, hold_place -> reserve_decode_slot, release -> release_state, probe -> check_health, tell -> send_gossip. Noted: begun -> stream_started, cut -> stream_broken, refused -> rejected, start -> start_attempt, abort -> abort_attempt, hold_place -> reserve_decode_slot, release -> release_state, probe -> check_health, tell -> send_gossip.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -184,27 +184,27 @@
 
     # --- what the core asks ---
 
-    def start(self, attempt: Attempt) -> None:
+    def start_attempt(self, attempt: Attempt) -> None:
         attempt.request_written = True
         work = self.works[id(attempt)] = Work(self, attempt)
         host = self.fleet.hosts[attempt.server]
         self.clock.at(self.clock.now + 1.0, lambda: host.take(work))
 
-    def abort(self, attempt: Attempt) -> None:
+    def abort_attempt(self, attempt: Attempt) -> None:
         if (work := self.works.pop(id(attempt), None)) is not None:
             work.dropped = True
 
-    def hold_place(self, call: PlaceCall) -> None:
+    def reserve_decode_slot(self, call: PlaceCall) -> None:
         host = self.fleet.hosts[call.server]
         held = isinstance(host, Writer) and host.running < WRITE_SLOTS
         self.clock.at(self.clock.now + 1.0, lambda: self.core.place_answered(call, held, not held))
 
-    def release(self, call: ReleaseCall) -> None:
+    def release_state(self, call: ReleaseCall) -> None:
         self.clock.at(self.clock.now + 1.0, lambda: self.core.released(call, True))
 
-    def probe(self, server: str) -> None: ...
+    def check_health(self, server: str) -> None: ...
 
-    def tell(self, payload: bytes, /) -> None: ...
+    def send_gossip(self, payload: bytes, /) -> None: ...
 
     def log(self, event: str, **fields: Any) -> None: ...
 
@@ -256,7 +256,7 @@
         if self.tries <= 3 and self.fleet.clock.now < self.fleet.end:
             self.fleet.clock.at(self.fleet.clock.now + max(after, 50.0), self.ask)
 
-    def begun(self) -> None:
+    def stream_started(self) -> None:
         spec = self.fleet.settings.classes[self.cls]
         part = 1.0 if self.fleet.clock.now <= self.due else spec.late_priority_weight
         self.fleet.earned[self.cls] += spec.priority_weight * part * (self.prompt + self.tokens) / 1000.0
@@ -266,12 +266,12 @@
 
     def finished(self) -> None: ...
 
-    def cut(self) -> None: ...
+    def stream_broken(self) -> None: ...
 
     def client_gone(self) -> bool:
         return False
 
-    def refused(self, retry_after_ms: float) -> None:
+    def rejected(self, retry_after_ms: float) -> None:
         self.fleet.counts["refused"] += 1
         self.again(retry_after_ms)
 
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -107,21 +107,21 @@
         log=lambda event, **fields: None,
     )
     entries = tuple(Endpoint(f"h{n}", n % 2, 1.0, 0, EndpointState.HEALTHY, n % 2, None) for n in range(11))
-    routing.told(0.0, EndpointUpdate(UpdateScope.SNAPSHOT, entries, 1))
+    routing.update_endpoints(0.0, EndpointUpdate(UpdateScope.SNAPSHOT, entries, 1))
     request = Request("q", 0, 0, "s", 5000.0, None, None, 3000.0, 0.0, 200.0, False, False)
     origin = Origin("chat", "model-3", 4_000)
 
     def routed(_: Asked) -> None:
         request.route = None
         asked = routing.route(request, origin)
-        routing.taken(1.0, asked)
+        routing.request_accepted(1.0, asked)
         course = asked.route
         assert course is not None
         course.active_pool(1.0)
         for entry in entries:
             course.contains(entry.server, 1.0)
-        routing.told_of(asked)
-        routing.closed(2.0, asked)
+        routing.log_fields(asked)
+        routing.request_closed(2.0, asked)
 
     cost = each_us(routed, requests(10, random.Random(2)))
     print(f"\nadded to a request, 1,000 routes and 11 hosts: {cost:.1f} us")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -48,28 +48,28 @@
         self.next = []
         return actions
 
-    def start(self, attempt: Attempt) -> None:
+    def start_attempt(self, attempt: Attempt) -> None:
         self.attempts.append(attempt)
 
-    def abort(self, attempt: Attempt) -> None:
+    def abort_attempt(self, attempt: Attempt) -> None:
         self.aborted.append(attempt)
 
-    def hold_place(self, call: PlaceCall) -> None:
+    def reserve_decode_slot(self, call: PlaceCall) -> None:
         self.places.append(call)
 
-    def release(self, call: ReleaseCall) -> None:
+    def release_state(self, call: ReleaseCall) -> None:
         self.releases.append(call)
 
-    def probe(self, server: str) -> None:
+    def check_health(self, server: str) -> None:
         pass
 
-    def tell(self, payload: bytes, /) -> None:
+    def send_gossip(self, payload: bytes, /) -> None:
         pass
 
     def log(self, event: str, **fields: Any) -> None:
         pass
 
-    def begun(self) -> None:
+    def stream_started(self) -> None:
         self.answers.append("begun")
 
     def event(self, data: memoryview) -> None:
@@ -78,13 +78,13 @@
     def finished(self) -> None:
         self.answers.append("finished")
 
-    def cut(self) -> None:
+    def stream_broken(self) -> None:
         self.answers.append("cut")
 
     def client_gone(self) -> bool:
         return self.gone
 
-    def refused(self, retry_after_ms: float) -> None:
+    def rejected(self, retry_after_ms: float) -> None:
         self.answers.append("refused")
 
     def failed(self, may_have_run: bool) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -135,7 +135,7 @@
 
     async def story(on: Stage) -> None:
         late = Late(on, "w")
-        on.daemon.hosts.probe("w")
+        on.daemon.hosts.check_health("w")
         await late.asked.wait()
         on.discovery.tell(writer.row(state="leaving"))
         await until(lambda: "w" in on.daemon.core.unwanted)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -267,7 +267,7 @@
     for n, member in enumerate(tier.members):
         each = Trials(member, lambda host, n=n: host == "h" and n in bad, told[n].append)  # type: ignore[misc]
         member.applied = each.heard
-        each.listed(0.0, ["h", "g"])
+        each.endpoints_listed(0.0, ["h", "g"])
         trials.append(each)
 
     def turn() -> None:
@@ -283,13 +283,13 @@
     (second,) = tier.holders(name_of("h"))
     assert second != holder
     bad.clear()
-    trials[second].seen(tier.now, "h", True)
+    trials[second].attempt_observed(tier.now, "h", True)
     tier.run(50.0, turn)
     assert tier.holders(name_of("h")) == [] and not any(each.suspects for each in trials)
     assert all(rows[-1] == OutlierCheckResult("h", 0.0, True) for n, rows in enumerate(told) if n != second)
     bad |= {0}
     tier.run(500.0, turn)
-    trials[0].listed(tier.now, ["g"])  # it is gone
+    trials[0].endpoints_listed(tier.now, ["g"])  # it is gone
     assert not trials[0].suspects and tier.holders(name_of("h")) == []
     trials[0].heard(tier.now, Effect(duty_of(name_of("h")), 1, 99, WELL))  # of a host that nobody knows
     trials[1].heard(tier.now, Effect(duty_of("else"), 1, 99, TRYING))
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -355,7 +355,7 @@
     on.start(0.0, 1_000.0, history.resume(history.Journal(()), NAMES, 1_000.0, 60.0))
     assert lines[0][1]["cautious"] is True
     for n in range(30):
-        on.begun(n * 10.0, 2.0, 100.0)
+        on.stream_started(n * 10.0, 2.0, 100.0)
     for n in range(4):
         on.tick(500.0 + n * TICK, 1_000.0 + n, {}, (3, 0), [])
     assert on.machine.name == "strained" and lines[-1][0] == "level_changed"
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -288,14 +288,14 @@
     kept = []
     for n in range(1_000):
         asked = routes.route(request(n), Origin("chat"))
-        routes.taken(0.0, asked)
+        routes.request_accepted(0.0, asked)
         kept.append(asked)
         routes.swap(0.0, PLAN)
         if len(kept) > 5:
-            routes.closed(0.0, kept.pop(0))
+            routes.request_closed(0.0, kept.pop(0))
         assert len(routes.older) <= 6
     for asked in kept:
-        routes.closed(0.0, asked)
+        routes.request_closed(0.0, asked)
     assert routes.older == [] and routes.current.number == 1_001
 
 
@@ -308,7 +308,7 @@
     ]
     routes = routing(plan)
     on = Front(*rows)
-    routes.told(on.now, EndpointUpdate(UpdateScope.SNAPSHOT, tuple(rows), 1))
+    routes.update_endpoints(on.now, EndpointUpdate(UpdateScope.SNAPSHOT, tuple(rows), 1))
     return on, routes
 
 
@@ -335,7 +335,7 @@
         entry("r1", 0, cell=1, state=EndpointState.REMOVED),
         entry("w1", 1, cell=1, state=EndpointState.REMOVED),
     )
-    routes.told(on.now, EndpointUpdate(UpdateScope.DELTA, gone, 2))
+    routes.update_endpoints(on.now, EndpointUpdate(UpdateScope.DELTA, gone, 2))
     on.news(UpdateScope.DELTA, *gone)
     on.end(asked, AttemptStatus.RESET)
     assert [send.server for send in on.sends[asked]] == ["r1", "r2"]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -96,14 +96,14 @@
     async def story(on: Stage) -> None:
         core = on.daemon.core
         closed = []
-        abort = core.driver.abort
+        abort = core.driver.abort_attempt
 
         def watched(attempt: object) -> None:
             using = on.daemon.hosts._using[attempt]  # type: ignore[index]
             abort(attempt)  # type: ignore[arg-type]
             closed.append(using.sock.fileno())
 
-        core.driver.abort = watched  # type: ignore[method-assign]
+        core.driver.abort_attempt = watched  # type: ignore[method-assign]
         answer = await ask_platform(on.platform, "q1", "orden", Req_Deadline="400m")
         assert answer.outcome == "refused"
         assert closed == [-1]
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -141,9 +141,9 @@
                 del self.entries[entry.server]
         self.unwanted &= self.entries.keys()
         if self.routes is not None:
-            self.routes.told(now, news)
+            self.routes.update_endpoints(now, news)
         if self.witness is not None:
-            self.witness.listed(now, self.entries)
+            self.witness.endpoints_listed(now, self.entries)
         self._post(news)
 
     def route(self, asked: Request, origin: Origin) -> Request:
@@ -188,7 +188,7 @@
         self.open[asked.id] = request
         self.tally.taken(asked.class_index)
         if self.routes is not None:
-            self.routes.taken(now, asked)
+            self.routes.request_accepted(now, asked)
         request.deadline_timer = self.timers.schedule(request.deadline, lambda at: self._overdue(at, request))
         self._post(asked)
         return request
@@ -203,7 +203,7 @@
             self._tell(request.sink.failed, False)  # nothing of it has run, which its record is to say
         self._post(ClientDisconnected(request.id))
         if request.committed_attempt is not None:
-            self.driver.abort(request.committed_attempt)
+            self.driver.abort_attempt(request.committed_attempt)
             self.ended(now, request.committed_attempt, AttemptStatus.CANCELLED)
 
     def may_move(self, attempt: Attempt) -> bool:
@@ -239,7 +239,7 @@
         self.open[asked.id] = request
         self.tally.taken(asked.class_index)
         if self.routes is not None:
-            self.routes.taken(now, asked)
+            self.routes.request_accepted(now, asked)
         return attempt
 
     def woke(self, now: float, gap_ms: float) -> None:
@@ -328,14 +328,14 @@
         request.committed_attempt = attempt
         if self.level is not None:
             ratio = (now - request.arrived_at) / self.aim_ms(request.policy_request)
-            self.level.begun(now, ratio, request.policy_request.prompt_tokens)
+            self.level.stream_started(now, ratio, request.policy_request.prompt_tokens)
         if not request.reservations_in_flight and attempt.server not in self.stateless:
             request.holds_remote_state = False  # what else was held goes by itself
         if request.release is not None:
             request.release.superseded = True
         if self.witness is not None:
-            self.witness.seen(now, attempt.server, True)
-        self._tell(request.sink.begun)
+            self.witness.attempt_observed(now, attempt.server, True)
+        self._tell(request.sink.stream_started)
         self._post(StreamStarted(request.id, attempt.server, attempt.number, now - attempt.sent_at))
         return True
 
@@ -364,7 +364,7 @@
             if status is AttemptStatus.OK:
                 self._tell(request.sink.finished)
             else:
-                self._tell(request.sink.cut)
+                self._tell(request.sink.stream_broken)
         if not attempt.is_prefill and attempt.request_written and not proves_idle(status):
             request.first_run_at = request.first_run_at if request.may_have_run else attempt.sent_at
             request.may_have_run = True
@@ -376,9 +376,9 @@
             request.holds_remote_state = True  # a read may have ended well just as its connection broke
         if self.witness is not None:
             if status is AttemptStatus.PREFILLED:
-                self.witness.seen(now, attempt.server, True)
+                self.witness.attempt_observed(now, attempt.server, True)
             elif status in FAILURE_STATUSES and not attempt.stream_started:
-                self.witness.seen(now, attempt.server, False)
+                self.witness.attempt_observed(now, attempt.server, False)
         took = now - attempt.sent_at
         request.attempt_log.append((attempt.server, status.value, round(took)))
         self._post(
@@ -473,7 +473,7 @@
     def _expire(self, now: float, attempt: Attempt) -> None:
         if attempt.finished or attempt.stream_started:
             return
-        self.driver.abort(attempt)
+        self.driver.abort_attempt(attempt)
         # Not yet written means that it never ran, however long it took.
         self.ended(
             now, attempt, AttemptStatus.TIMEOUT if attempt.request_written else AttemptStatus.CONNECT_FAILED
@@ -490,8 +490,8 @@
             request.close()
             more: dict[str, Any] = {}
             if self.routes is not None:
-                more = self.routes.told_of(request.policy_request)
-                self.routes.closed(now, request.policy_request)
+                more = self.routes.log_fields(request.policy_request)
+                self.routes.request_closed(now, request.policy_request)
             self.driver.log(
                 "request",
                 id=request.id,
@@ -518,7 +518,7 @@
                 self._cancel(now, action)
             case RejectRequest():
                 if (request := self._answerable(now, action.id, "refused")) is not None:
-                    self._tell(request.sink.refused, self.advice_ms(action.retry_after_ms))
+                    self._tell(request.sink.rejected, self.advice_ms(action.retry_after_ms))
             case FailRequest():
                 if (request := self._answerable(now, action.id, "failed")) is not None:
                     self._tell(request.sink.failed, may_have_run(request))
@@ -526,9 +526,9 @@
                 token = action.token
                 self.timers.schedule(now + action.delay_ms, lambda at: self.inbox.append(TimerFired(token)))
             case SendHealthCheck():
-                self.driver.probe(action.server)
+                self.driver.check_health(action.server)
             case SendGossip():
-                self.driver.tell(action.payload)
+                self.driver.send_gossip(action.payload)
             case WriteLog():
                 self.driver.log("module", text=action.text)
             case SetWatch() | FetchEndpoints() | MigrateStream():
@@ -543,7 +543,7 @@
         self.touched[request.id] = request
         self.tally.ended(request.policy_request.class_index, answer)
         if self.level is not None:
-            self.level.ended(now, answer, request.policy_request.prompt_tokens)
+            self.level.request_finished(now, answer, request.policy_request.prompt_tokens)
 
     def _tell(self, answer: Callable[..., None], *told: object) -> None:
         """Guards against a front whose answer fails: it loses that one answer, not the program."""
@@ -577,7 +577,7 @@
             self.ended(now, attempt, AttemptStatus.ALREADY_FINISHED)
             return
         attempt.timer = self.timers.schedule(stop_at, lambda at: self._expire(at, attempt))
-        self.driver.start(attempt)
+        self.driver.start_attempt(attempt)
 
     def _hold(self, now: float, action: ReserveDecodeSlot) -> None:
         request = self.open.get(action.id)
@@ -586,14 +586,14 @@
         reads = [a for a in request.in_flight.values() if a.is_prefill]
         request.reservations_in_flight += 1
         call = PlaceCall(request, action.server, reads[-1] if reads else None, request.release)
-        self.driver.hold_place(call)
+        self.driver.reserve_decode_slot(call)
 
     def _cancel(self, now: float, action: CancelAttempt) -> None:
         request = self.open.get(action.id)
         attempt = request.in_flight.get(action.attempt) if request is not None else None
         if attempt is None or attempt.stream_started:
             return
-        self.driver.abort(attempt)
+        self.driver.abort_attempt(attempt)
         self.ended(
             now,
             attempt,
@@ -603,7 +603,7 @@
     def _release(self, now: float, request: OpenRequest) -> None:
         if request.holds_remote_state and (request.release is None or request.release.superseded):
             request.release = ReleaseCall(request, now)
-            self.driver.release(request.release)
+            self.driver.release_state(request.release)
 
 
 def may_have_run(request: OpenRequest) -> bool:
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -257,7 +257,7 @@
             return
         heirs = config.inherited is not None
         peers = Peers(self.core, config.peer_listen, config.peers, config.peers_all, heirs)
-        self.hosts.tell = peers.tell
+        self.hosts.send_gossip = peers.tell
         peers.deaf = lambda: waking.reading
         waking.sources.append(peers)
         self.duties = start_lease_service(
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -78,7 +78,7 @@
     )
     core.routes = routing
     entries = tuple(core.entries.values())
-    routing.told(now_ms(), EndpointUpdate(UpdateScope.SNAPSHOT, entries, 0))
+    routing.update_endpoints(now_ms(), EndpointUpdate(UpdateScope.SNAPSHOT, entries, 0))
     return routing
 
 
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -85,7 +85,7 @@
             return
         # Who comes now waits in the queue that the heir accepts from. It speaks to the peers as well.
         await self._stop_accepting()
-        self._hosts.tell = lambda payload: None
+        self._hosts.send_gossip = lambda payload: None
         await self._hot_restart.pass_streams(self._core, self._hosts)
 
     async def _stop_accepting(self) -> None:
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -90,7 +90,7 @@
         self._settle = settle
         self._streaming = self._too_long = False
 
-    def begun(self) -> None:
+    def stream_started(self) -> None:
         pass  # the head goes out with the first event, so that a break before it still gets a status
 
     def event(self, data: memoryview) -> None:
@@ -119,7 +119,7 @@
         self._settle(Claim.FINISHED, self._answer.record())
         deliver(self._reply, self._answer, self._errand.ask, self._chunk)
 
-    def cut(self) -> None:
+    def stream_broken(self) -> None:
         self._broken("The stream broke before its end.")
 
     def _broken(self, message: str) -> None:
@@ -132,7 +132,7 @@
         else:
             self._fail(message, "stream_broken", harmless=self._errand.safe)
 
-    def refused(self, retry_after_ms: float) -> None:
+    def rejected(self, retry_after_ms: float) -> None:
         self._settle(None, b"")
         headers = retry_headers(retry_after_ms or 1000.0)
         send_error(
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -15,26 +15,26 @@
 
 
 class PlatformSink:
-    def __init__(self, reply: Reply, begun: bool = False) -> None:
+    def __init__(self, reply: Reply, stream_started: bool = False) -> None:
         self.reply = reply
-        self._begun = begun
+        self._stream_started = stream_started
 
-    def begun(self) -> None:
-        self._begun = True
+    def stream_started(self) -> None:
+        self._stream_started = True
         self.reply.stream(200, EVENTS)
 
     def event(self, data: memoryview) -> None:
         self.reply.data(data)
 
     def finished(self) -> None:
-        if not self._begun:
-            self.begun()
+        if not self._stream_started:
+            self.stream_started()
         self.reply.end()
 
-    def cut(self) -> None:
+    def stream_broken(self) -> None:
         self.reply.cut()
 
-    def refused(self, retry_after_ms: float, status: int = 503) -> None:
+    def rejected(self, retry_after_ms: float, status: int = 503) -> None:
         headers = [*TEXT, ("Retry-After", f"{retry_after_ms / 1000.0:.3f}")] if retry_after_ms > 0 else TEXT
         self.reply.answer(status, headers, b"refused\n")
 
@@ -77,7 +77,7 @@
             if shed is not None:
                 self._log("shed", reason=shed.reason, cls=asked.class_index, tenant=asked.tenant_index)
                 advice = shed.retry_after_ms if self._core.settings.send_retry_after else 0.0
-                PlatformSink(reply).refused(advice, 429)
+                PlatformSink(reply).rejected(advice, 429)
                 return
             reply.opened(self._core.take(now, asked, PlatformSink(reply), payload))
         except Rejected as error:
--- a/violetstack/lease/outlier_checks.py
+++ b/violetstack/lease/outlier_checks.py
@@ -39,14 +39,14 @@
         self._hosts: dict[int, str] = {}
         self.suspects: dict[str, Suspect] = {}
 
-    def listed(self, now: float, hosts: Iterable[str]) -> None:
+    def endpoints_listed(self, now: float, hosts: Iterable[str]) -> None:
         """Guards the memory as well: of hosts that are gone nothing is kept."""
         self._hosts = {duty_of(name_of(host)): host for host in hosts}
         there = set(self._hosts.values())
         for host in [host for host in self.suspects if host not in there]:
             self._clear(now, host)
 
-    def seen(self, now: float, host: str, well: bool) -> None:
+    def attempt_observed(self, now: float, host: str, well: bool) -> None:
         """An attempt of this dispatcher's went well at a host, or the host failed it."""
         if (suspect := self.suspects.get(host)) is None:
             return
--- a/violetstack/load_shedding/control.py
+++ b/violetstack/load_shedding/control.py
@@ -138,11 +138,11 @@
         request.route = Bounded(self, request.route)
         return None
 
-    def begun(self, now: float, ratio: float, prompt: float) -> None:
+    def stream_started(self, now: float, ratio: float, prompt: float) -> None:
         self.signals.begun(now, ratio)
         self.admission.did(now, prompt, ratio)
 
-    def ended(self, now: float, answer: str, prompt: float) -> None:
+    def request_finished(self, now: float, answer: str, prompt: float) -> None:
         self.signals.ended(now, answer)
         if answer in ("refused", "failed"):
             self.admission.lost(now, prompt)
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -58,7 +58,7 @@
         if self.trials is not None:
             self.member.applied = self.trials.heard
             core.witness = self.trials
-            self.trials.listed(now_ms(), core.entries)
+            self.trials.endpoints_listed(now_ms(), core.entries)
         self.leave = Leave(self.member, told.leave) if told.leave else None
         self._news = trio.Event()
         peers.duties = self._hear
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -216,7 +216,7 @@
         if listener is None or stream.id in self._core.open:
             raise BadOffer(f"{stream.id} came or this process ended between the two words")
         replies = listener.adopt(client, stream.closing)
-        attempt = self._core.adopt(now_ms(), stream, PlatformSink(replies, begun=True))
+        attempt = self._core.adopt(now_ms(), stream, PlatformSink(replies, stream_started=True))
         replies.opened(attempt.request)
         self._hosts.adopt(attempt, host, stream.cached, replies.room)
 
--- a/violetstack/net/upstream/attempt.py
+++ b/violetstack/net/upstream/attempt.py
@@ -73,7 +73,7 @@
         self.core: Dispatcher
         self.nursery = nursery
         self.report_names = report_names
-        self.tell: Callable[[bytes], None] = lambda payload: None  # until there are peers
+        self.send_gossip: Callable[[bytes], None] = lambda payload: None  # until there are peers
         self.pass_on: PassOn | None = None  # an heir, for streams that have begun
         self._waits: dict[Attempt, trio.CancelScope] = {}  # for the next bytes of its answer
         self._scopes: dict[Attempt, trio.CancelScope] = {}
@@ -90,7 +90,7 @@
 
     # --- attempts ---
 
-    def start(self, attempt: Attempt) -> None:
+    def start_attempt(self, attempt: Attempt) -> None:
         scope = self._scopes[attempt] = trio.CancelScope()
         self._sent[attempt] = trio.Event()
         self.nursery.start_soon(self._attempt, attempt, scope, self._exchange)
@@ -130,7 +130,7 @@
             if attempt.stream_started:
                 wait.cancel()
 
-    def abort(self, attempt: Attempt) -> None:
+    def abort_attempt(self, attempt: Attempt) -> None:
         """Guards against a final answer that overtakes the attempt's end: the connection closes here and now.
 
         Cancelling alone closes it only when the attempt's task runs again; by then the client may have
@@ -329,7 +329,7 @@
             else:
                 self._close(connection)
 
-    def hold_place(self, call: PlaceCall) -> None:
+    def reserve_decode_slot(self, call: PlaceCall) -> None:
         self.nursery.start_soon(self._hold_place, call)
 
     async def _hold_place(self, call: PlaceCall) -> None:
@@ -364,7 +364,7 @@
         out = attempt is not None and attempt.request_written and not attempt.finished
         return out and not call.request.done and self.core.may_write(call.server)
 
-    def release(self, call: ReleaseCall) -> None:
+    def release_state(self, call: ReleaseCall) -> None:
         self._releases[call] = trio.Event()
         self.nursery.start_soon(self._release, call)
 
@@ -431,7 +431,7 @@
 
         return max(names, key=rank)
 
-    def probe(self, server: str) -> None:
+    def check_health(self, server: str) -> None:
         self.nursery.start_soon(self._probe, server)
 
     async def _probe(self, server: str) -> None:
--- a/violetstack/routing/generations.py
+++ b/violetstack/routing/generations.py
@@ -127,7 +127,7 @@
             self.older.append(old)
         return self.current
 
-    def told(self, now: float, news: EndpointUpdate) -> None:
+    def update_endpoints(self, now: float, news: EndpointUpdate) -> None:
         """News of the list, to every generation that still has requests."""
         if news.scope is UpdateScope.FAILED:
             return
@@ -169,7 +169,7 @@
             request.expires_in_ms = min(request.expires_in_ms, policy.deadline_ms)
         return request
 
-    def taken(self, now: float, request: Request) -> None:
+    def request_accepted(self, now: float, request: Request) -> None:
         course = request.route
         if isinstance(course, Course):
             course.generation.open += 1
@@ -178,7 +178,7 @@
             if course.budget is not None:
                 course.budget.taken(now)
 
-    def closed(self, now: float, request: Request) -> None:
+    def request_closed(self, now: float, request: Request) -> None:
         """The request is over; a generation that is not in force ends with its last one."""
         course = request.route
         if isinstance(course, Course):
@@ -188,7 +188,7 @@
                 self.older = [g for g in self.older if g is not generation]
         self.tell_changes()
 
-    def told_of(self, request: Request) -> dict[str, Any]:
+    def log_fields(self, request: Request) -> dict[str, Any]:
         course = request.route
         if not isinstance(course, Course):
             return {}
