--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -122,7 +122,7 @@
     def _begin(self, work: Work) -> None:
         node = work.node
         if not work.dropped:
-            node.core.began(self.clock.now, work.attempt)
+            node.core.stream_started(self.clock.now, work.attempt)
         took = TOKEN_MS * work.attempt.request.policy_request.max_tokens
         self.clock.at(self.clock.now + took, lambda: self._done(work))
 
@@ -149,7 +149,7 @@
             weights = weights_of(settings, ("consulta", "orden"), tuple(name for name, _ in TENANTS))
             self.levels = Levels(plan, weights, self._log)
             self.levels.start(0.0, 0.0, Resumed(0, 0.0, True, "the model"))
-            self.core.level = self.levels
+            self.core.load_shedder = self.levels
             self.clock.at(0.0, self.tick)
 
     def _log(self, event: str, **fields: Any) -> None:
@@ -173,13 +173,15 @@
         now = self.clock.now
         reader, writer = self.router.headroom(now)
         gauges = {"reader_free": reader, "writer_free": writer}
-        self.levels.tick(now, now / 1000.0, gauges, (len(self.core.entries), 0), self.core.waiting(now))
+        self.levels.tick(
+            now, now / 1000.0, gauges, (len(self.core.endpoints), 0), self.core.waiting_ratios(now)
+        )
         self.levels.records.clear()
         self.clock.at(now + TICK_MS, self.tick)
 
     def ended(self, attempt: Attempt, status: AttemptStatus) -> None:
         self.works.pop(id(attempt), None)
-        self.core.ended(self.clock.now, attempt, status)
+        self.core.attempt_finished(self.clock.now, attempt, status)
         self.wake()
 
     # --- what the core asks ---
@@ -197,10 +199,10 @@
     def reserve_decode_slot(self, call: PlaceCall) -> None:
         host = self.fleet.hosts[call.server]
         held = isinstance(host, Writer) and host.running < WRITE_SLOTS
-        self.clock.at(self.clock.now + 1.0, lambda: self.core.place_answered(call, held, not held))
+        self.clock.at(self.clock.now + 1.0, lambda: self.core.reservation_finished(call, held, not held))
 
     def release_state(self, call: ReleaseCall) -> None:
-        self.clock.at(self.clock.now + 1.0, lambda: self.core.released(call, True))
+        self.clock.at(self.clock.now + 1.0, lambda: self.core.release_finished(call, True))
 
     def check_health(self, server: str) -> None: ...
 
@@ -249,8 +251,8 @@
             fleet.counts["shed"] += 1
             self.again(shed.retry_after_ms)
             return
-        self.due = now + node.core.aim_ms(asked)
-        node.core.take(now, asked, self, None)
+        self.due = now + node.core.latency_objective_ms(asked)
+        node.core.accept(now, asked, self, None)
 
     def again(self, after: float) -> None:
         if self.tries <= 3 and self.fleet.clock.now < self.fleet.end:
@@ -318,7 +320,7 @@
             for n in range(dispatchers)
         ]
         for node in self.nodes:
-            node.core.news(0.0, EndpointUpdate(UpdateScope.SNAPSHOT, tuple(entries), 1))
+            node.core.update_endpoints(0.0, EndpointUpdate(UpdateScope.SNAPSHOT, tuple(entries), 1))
         mean = 5_000.0
         usual = readers * READ_TOKENS_MS / mean  # requests a millisecond at load 1
         arrivals = random.Random(seed + 1000)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -235,7 +235,7 @@
     now = 1000.0
     router = Router(SETTINGS)
     core = Dispatcher(SETTINGS, router, noted, 250.0)
-    core.news(now, EndpointUpdate(UpdateScope.CACHED, LISTED, 1))
+    core.update_endpoints(now, EndpointUpdate(UpdateScope.CACHED, LISTED, 1))
     taken: Counter[int] = Counter()
     left = relayed = 0
     for n in range(60):
@@ -243,12 +243,12 @@
         if rng.random() < 0.5:
             cls = rng.randrange(len(SETTINGS.classes))
             told_of = (f"q{n}", cls, 0, f"s{n % 7}", 4000.0, None, None, 900.0, 0.0, 200.0, False, False)
-            core.take(now, Request(*told_of), noted, None)
+            core.accept(now, Request(*told_of), noted, None)
             taken[cls] += 1
         core.run(now)
         for attempt in [a for a in noted.attempts if not a.finished and rng.random() < 0.6]:
             if not attempt.request_written:
-                core.relayed(attempt)
+                core.request_written(attempt)
                 relayed += 1
             if attempt.is_prefill:
                 status = rng.choice(
@@ -259,32 +259,32 @@
                         AttemptStatus.REJECTED,
                     ]
                 )
-            elif core.began(now, attempt):
+            elif core.stream_started(now, attempt):
                 status = rng.choice([AttemptStatus.OK, AttemptStatus.OK, AttemptStatus.RESET])
             else:
                 status = AttemptStatus.ERROR
-            core.ended(now, attempt, status)
-        for request in list(core.open.values()):
+            core.attempt_finished(now, attempt, status)
+        for request in list(core.open_requests.values()):
             if not request.done and rng.random() < 0.05:
-                core.client_left(now, request)
+                core.client_disconnected(now, request)
                 left += 1
         core.run(now)
         for release in noted.releases:
-            core.released(release, True)
+            core.release_finished(release, True)
         noted.releases.clear()
         for call in noted.places:
-            core.place_answered(call, False, True)
+            core.reservation_finished(call, False, True)
         noted.places.clear()
         core.run(now)
     told = Counter(answer.split()[0] for answer in noted.answers)
-    rows = core.tally.rows
+    rows = core.metrics.classes
     assert [row.taken for row in rows] == [taken[n] for n in range(len(rows))]
     assert sum(row.fulfilled for row in rows) == told["finished"]
     assert sum(row.throttled for row in rows) == told["refused"]
     assert sum(row.faulted for row in rows) == told["failed"] + told["cut"]
     assert sum(row.left for row in rows) == left
-    assert core.tally.open == sum(1 for request in core.open.values() if not request.done)
-    assert core.tally.relayed == relayed
+    assert core.metrics.open == sum(1 for request in core.open_requests.values() if not request.done)
+    assert core.metrics.requests_written == relayed
 
 
 async def stats(on: Stage) -> Any:
@@ -349,7 +349,7 @@
         discovery = Discovery(reader.row(), writer.row(), {**reader.row(), "id": "r2"})
         await on.nursery.start(discovery.serve)
         on.daemon.reload(lambda: on.config(discovery=discovery.address))
-        while "r2" not in on.daemon.core.entries:
+        while "r2" not in on.daemon.core.endpoints:
             await trio.sleep(0.001)
         assert (await stats(on))["out_of_rotation"] == 1
         assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"  # by r2
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -100,19 +100,19 @@
         self.noted = Noted()
         self.now = 1000.0
         self.core = Dispatcher(SETTINGS, self.noted, self.noted, 250.0)
-        self.core.news(self.now, EndpointUpdate(UpdateScope.CACHED, READERS + WRITERS, 1))
+        self.core.update_endpoints(self.now, EndpointUpdate(UpdateScope.CACHED, READERS + WRITERS, 1))
         self.request = self.take("q")
         self.run()
 
     def take(self, name: str) -> OpenRequest:
         asked = Request(name, 1, 0, None, 3000.0, None, None, 100.0, 0.0, 50.0, False, False)
-        return self.core.take(self.now, asked, self.noted, None)
+        return self.core.accept(self.now, asked, self.noted, None)
 
     def run(self, *actions: Action, after: float = 0.0) -> None:
         self.now += after
         self.noted.next += actions
         if actions:
-            self.core.inbox.append(TimerFired("go"))
+            self.core.pending_events.append(TimerFired("go"))
         self.core.run(self.now)
 
     def send(self, server: str, stop_after: float = 500.0) -> Attempt:
@@ -147,7 +147,7 @@
     scene.run(after=4000.0)
     assert scene.noted.answers == ["refused"]
     assert scene.noted.statuses == [AttemptStatus.ALREADY_FINISHED]
-    assert not scene.core.open
+    assert not scene.core.open_requests
 
 
 def test_a_request_left_open_is_failed_at_its_deadline() -> None:
@@ -161,10 +161,10 @@
 def test_a_begun_stream_has_no_deadline_and_its_break_is_the_answer() -> None:
     scene = Scene()
     attempt = scene.send("w1")
-    assert scene.core.began(scene.now, attempt)
+    assert scene.core.stream_started(scene.now, attempt)
     scene.run(after=9000.0)
     assert scene.noted.answers == ["begun"]
-    scene.core.ended(scene.now, attempt, AttemptStatus.RESET)
+    scene.core.attempt_finished(scene.now, attempt, AttemptStatus.RESET)
     scene.run(RejectRequest("q", 0.0))
     assert scene.noted.answers == ["begun", "cut"]
 
@@ -178,9 +178,9 @@
     scene = Scene()
     read = scene.send("r1")
     scene.run(ReserveDecodeSlot("q", "w1"))
-    scene.core.ended(scene.now, read, AttemptStatus.CONNECT_FAILED)
+    scene.core.attempt_finished(scene.now, read, AttemptStatus.CONNECT_FAILED)
     scene.run(RejectRequest("q", 0.0))
-    scene.core.place_answered(scene.noted.places[0], held, nothing)
+    scene.core.reservation_finished(scene.noted.places[0], held, nothing)
     scene.run()
     assert len(scene.noted.releases) == released
 
@@ -190,10 +190,10 @@
     scene = Scene()
     read = scene.send("r1")
     scene.run(ReserveDecodeSlot("q", "w1"))
-    scene.core.ended(scene.now, read, AttemptStatus.PREFILLED)
+    scene.core.attempt_finished(scene.now, read, AttemptStatus.PREFILLED)
     scene.run(RejectRequest("q", 0.0), ReleaseState("q"))
-    scene.core.place_answered(scene.noted.places[0], None, False)
-    scene.core.released(scene.noted.releases[0], True)
+    scene.core.reservation_finished(scene.noted.places[0], None, False)
+    scene.core.release_finished(scene.noted.releases[0], True)
     scene.run()
     assert len(scene.noted.releases) == 2
 
@@ -204,13 +204,13 @@
     read = scene.send("r1")
     scene.run(ReserveDecodeSlot("q", "w1"))
     read.request_written = True
-    scene.core.ended(scene.now, read, AttemptStatus.RESET)
+    scene.core.attempt_finished(scene.now, read, AttemptStatus.RESET)
     scene.run(ReleaseState("q"))
-    scene.core.place_answered(scene.noted.places[0], True, False)
+    scene.core.reservation_finished(scene.noted.places[0], True, False)
     assert [call.superseded for call in scene.noted.releases] == [True, False]
-    scene.core.released(scene.noted.releases[0], True)
+    scene.core.release_finished(scene.noted.releases[0], True)
     assert scene.request.holds_remote_state
-    scene.core.released(scene.noted.releases[1], True)
+    scene.core.release_finished(scene.noted.releases[1], True)
     assert not scene.request.holds_remote_state
 
 
@@ -218,22 +218,22 @@
     scene = Scene()
     read = scene.send("r1")
     read.request_written = True
-    scene.core.ended(scene.now, read, AttemptStatus.RESET)
+    scene.core.attempt_finished(scene.now, read, AttemptStatus.RESET)
     scene.run(RejectRequest("q", 0.0))
     assert len(scene.noted.releases) == 1
-    scene.core.released(scene.noted.releases[0], True)
+    scene.core.release_finished(scene.noted.releases[0], True)
     scene.run()
-    assert not scene.core.open
+    assert not scene.core.open_requests
 
 
 def test_a_further_send_makes_a_release_pointless_once_it_goes_out_and_its_end_needs_one_again() -> None:
     """Decided on is not enough: its connection may never come up, and what is held has its time."""
     scene = Scene()
-    scene.core.ended(scene.now, scene.send("r1"), AttemptStatus.PREFILLED)
+    scene.core.attempt_finished(scene.now, scene.send("r1"), AttemptStatus.PREFILLED)
     scene.run(ReleaseState("q"))
     read = scene.send("r2")
     assert not scene.noted.releases[0].superseded
-    scene.core.sending(read)
+    scene.core.request_started(read)
     assert scene.noted.releases[0].superseded
     scene.core.released(scene.noted.releases[0], False)
     scene.core.ended(scene.now, read, AttemptStatus.ERROR)
@@ -247,56 +247,56 @@
     read = scene.send("r1")
     scene.run(ReserveDecodeSlot("q", "w1"))
     read.request_written = True
-    scene.core.ended(scene.now, read, AttemptStatus.PREFILLED)
+    scene.core.attempt_finished(scene.now, read, AttemptStatus.PREFILLED)
     scene.run(RejectRequest("q", 0.0))
     assert len(scene.noted.releases) == 1
-    scene.core.released(scene.noted.releases[0], True)
+    scene.core.release_finished(scene.noted.releases[0], True)
     scene.run()
-    assert scene.core.open  # the place may be taken after that release
-    scene.core.place_answered(scene.noted.places[0], None, False)
+    assert scene.core.open_requests  # the place may be taken after that release
+    scene.core.reservation_finished(scene.noted.places[0], None, False)
     scene.run()
     assert len(scene.noted.releases) == 2
-    scene.core.released(scene.noted.releases[1], True)
+    scene.core.release_finished(scene.noted.releases[1], True)
     scene.run()
-    assert not scene.core.open
+    assert not scene.core.open_requests
 
 
 def test_connections_have_as_long_to_come_up_as_what_is_held_may_still_wait() -> None:
     """300 ms from the last outcome of what had reached a host; what never went out changes nothing."""
     scene = Scene()
     read = scene.send("r1")
-    assert scene.core.connect_ms(scene.now, read) == math.inf
+    assert scene.core.connect_timeout_ms(scene.now, read) == math.inf
     read.request_written = True
-    scene.core.ended(scene.now, read, AttemptStatus.PREFILLED)
+    scene.core.attempt_finished(scene.now, read, AttemptStatus.PREFILLED)
     scene.now += 100.0
     write = scene.send("w1")
-    assert scene.core.connect_ms(scene.now, write) == 200.0
-    scene.core.ended(scene.now + 100.0, write, AttemptStatus.CONNECT_FAILED)
+    assert scene.core.connect_timeout_ms(scene.now, write) == 200.0
+    scene.core.attempt_finished(scene.now + 100.0, write, AttemptStatus.CONNECT_FAILED)
     scene.now += 100.0
     again = scene.send("w2")
-    assert scene.core.connect_ms(scene.now, again) == 100.0
-    assert scene.core.connect_ms(scene.now + 400.0, again) == LEAST_CONNECT_MS
+    assert scene.core.connect_timeout_ms(scene.now, again) == 100.0
+    assert scene.core.connect_timeout_ms(scene.now + 400.0, again) == LEAST_CONNECT_MS
     again.request_written = True
-    scene.core.ended(scene.now, again, AttemptStatus.REJECTED)
-    assert scene.core.connect_ms(scene.now, scene.send("w1")) == 300.0
+    scene.core.attempt_finished(scene.now, again, AttemptStatus.REJECTED)
+    assert scene.core.connect_timeout_ms(scene.now, scene.send("w1")) == 300.0
 
 
 def test_a_client_that_leaves_ends_the_stream() -> None:
     scene = Scene()
     attempt = scene.send("w1")
-    scene.core.began(scene.now, attempt)
-    scene.core.client_left(scene.now, scene.request)
+    scene.core.stream_started(scene.now, attempt)
+    scene.core.client_disconnected(scene.now, scene.request)
     scene.run()
     assert scene.noted.aborted == [attempt]
-    assert not scene.core.open
+    assert not scene.core.open_requests
 
 
 def test_a_front_whose_answer_fails_loses_that_answer_only() -> None:
     scene = Scene()
     scene.request.sink.finished = lambda: 1 / 0  # type: ignore[method-assign, assignment]
-    scene.core.ended(scene.now, scene.send("w1"), AttemptStatus.OK)
+    scene.core.attempt_finished(scene.now, scene.send("w1"), AttemptStatus.OK)
     scene.run()
-    assert not scene.core.open
+    assert not scene.core.open_requests
 
 
 def test_an_id_that_is_open_is_not_taken_again() -> None:
@@ -310,7 +310,7 @@
     for _ in range(SETTINGS.max_attempts + 1):
         scene.run(SendAttempt("q", "w1", 0.0))
         for attempt in list(scene.request.in_flight.values()):
-            scene.core.ended(scene.now, attempt, AttemptStatus.REJECTED)
+            scene.core.attempt_finished(scene.now, attempt, AttemptStatus.REJECTED)
     scene.run()
     assert len(scene.noted.attempts) == SETTINGS.max_attempts
     assert scene.noted.statuses[-1] is AttemptStatus.ALREADY_FINISHED
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -88,7 +88,7 @@
         await late.asked.wait()
         on.discovery.tell(host.row(state=state))
         core = on.daemon.core
-        await until(lambda: role in core.unwanted or role not in core.entries)
+        await until(lambda: role in core.draining or role not in core.endpoints)
         late.up.set()
         answer = await call.receive()
         assert (answer.outcome, host.begun) == ("refused", [])
@@ -106,7 +106,7 @@
         call = await asked_by(on, "q1")
         await call.receive(events=1)
         on.discovery.tell(writer.row(state="leaving"))
-        await until(lambda: "w" in on.daemon.core.unwanted)
+        await until(lambda: "w" in on.daemon.core.draining)
         hold.set()
         assert (await call.receive()).outcome == "served"
 
@@ -122,7 +122,7 @@
         call = await asked_by(on, "q1")
         await late.asked.wait()  # for the place, or for the write that the other one turned away
         on.discovery.tell(other.row(state="leaving"))
-        await until(lambda: "w2" in on.daemon.core.unwanted)
+        await until(lambda: "w2" in on.daemon.core.draining)
         late.up.set()
         await call.receive()
         assert (other.begun, [what for what in other.calls if what[0] == "POST"]) == ([], [])
@@ -138,7 +138,7 @@
         on.daemon.hosts.check_health("w")
         await late.asked.wait()
         on.discovery.tell(writer.row(state="leaving"))
-        await until(lambda: "w" in on.daemon.core.unwanted)
+        await until(lambda: "w" in on.daemon.core.draining)
         late.up.set()
         await until(lambda: len(on.daemon.hosts.hosts["w"].idle) == 1)  # what came up unused is kept
         assert (writer.calls, writer.bodies) == ([], [])
@@ -182,7 +182,9 @@
         gate.set()  # it breaks after the request's last byte
         await again.asked.wait()
         if late:
-            on.daemon.core.open["q1"].first_run_at -= 5000.0  # as if the connection had taken that long
+            on.daemon.core.open_requests[
+                "q1"
+            ].first_run_at -= 5000.0  # as if the connection had taken that long
         again.up.set()
         answer = await call.receive()
         assert (answer.outcome, len(writer.begun)) == (("refused", 1) if late else ("served", 2))
@@ -210,7 +212,7 @@
 
         async def fresh() -> None:
             """The last wait before the first byte."""
-            if not closed and "q2" in core.open:
+            if not closed and "q2" in core.open_requests:
                 closed.append("q2")
                 reader.hang_up()
                 writer.hang_up()
@@ -229,14 +231,14 @@
     story: Callable[[Stage], Awaitable[None]], trails: dict[str, list[tuple[str, str, int]]]
 ) -> Callable[[Stage], Awaitable[None]]:
     async def recorded(on: Stage) -> None:
-        take = on.daemon.core.take
+        take = on.daemon.core.accept
 
         def taking(*args: Any, **more: Any) -> Any:
             request = take(*args, **more)
             trails[request.id] = request.attempt_log
             return request
 
-        on.daemon.core.take = taking  # type: ignore[method-assign]
+        on.daemon.core.accept = taking  # type: ignore[method-assign]
         await story(on)
 
     return recorded
@@ -407,7 +409,7 @@
         await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
         assert await call.stream.receive_some(100) == b""  # closed, so that its client asks once more
         await trio.testing.wait_all_tasks_blocked()
-        assert (reader.begun, on.daemon.core.open) == ([], {})
+        assert (reader.begun, on.daemon.core.open_requests) == ([], {})
 
     play(reader, writer, story=story)
 
@@ -427,7 +429,7 @@
         await until(lambda: reader.begun == ["q1"])
         late = Late(on, "r")
         on.daemon.hosts.hosts.pop("w")  # the release has but one host to go to
-        request = core.open["q1"]
+        request = core.open_requests["q1"]
         request.holds_remote_state = True
         core._release(0.0, request)
         await late.asked.wait()
@@ -490,7 +492,7 @@
 
     async def story(on: Stage) -> None:
         assert (await ask_platform(on.platform, "q1", "orden")).outcome == "refused"
-        await until(lambda: not on.daemon.core.open)
+        await until(lambda: not on.daemon.core.open_requests)
         assert len(asked) == 4
 
     play(reader, writer, *more, story=story)
@@ -518,9 +520,9 @@
         for call in calls:
             await call.stream.aclose()
         core = on.daemon.core
-        await until(lambda: all(request.done for request in core.open.values()), 0.3)
+        await until(lambda: all(request.done for request in core.open_requests.values()), 0.3)
         late.up.set()
-        await until(lambda: not core.open)
+        await until(lambda: not core.open_requests)
         sent = [name for name in left if name in host.begun]
         assert (sent, [what for what in host.calls if what[0] == "POST"]) == ([], [])
 
@@ -542,7 +544,7 @@
         client.sendall(f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n{head}\r\n".encode() + body)
         client.close()  # all in one step: the dispatcher has not run since the connection was made
         assert (await ask_platform(on.platform, "q2", "consulta")).status == 200
-        await until(lambda: not on.daemon.core.open)
+        await until(lambda: not on.daemon.core.open_requests)
         assert reader.begun == ["q2"]
 
     play(reader, writer, story=story)
@@ -573,7 +575,7 @@
         await late.asked.wait()
         call.stream.socket.close()  # type: ignore[attr-defined]
         late.up.set()
-        await until(lambda: not on.daemon.core.open)
+        await until(lambda: not on.daemon.core.open_requests)
         assert (reader.begun, writer.begun) == ([], [])
         assert not connection.closed
 
@@ -589,7 +591,7 @@
         await until(lambda: reader.begun == ["q1"])
         await call.stream.send_all(b"x" * 300_000)
         await call.stream.aclose()
-        await until(lambda: not on.daemon.core.open, 0.3)
+        await until(lambda: not on.daemon.core.open_requests, 0.3)
 
     play(reader, writer, story=story)
 
@@ -687,7 +689,7 @@
             told.extend(call.http.feed(bytes(await call.stream.receive_some(64 * 1024))))
 
         await until(lambda: any(c.unwritten for c in connections))
-        while core.open:
+        while core.open_requests:
             await read()
         assert any(c.unwritten for c in connections)  # the host has finished, the client reads no more
         assert not on.daemon.listeners[0]._make_room()  # nor is it closed for a newcomer
@@ -808,9 +810,11 @@
         await call.send("POST", "/v1/chat/completions", chat_headers("k1"), chat_body("giro-orden"))
         await until(lambda: len(writer.begun) == 1)
         await call.stream.aclose()
-        await until(lambda: any(request.client_disconnected for request in on.daemon.core.open.values()))
+        await until(
+            lambda: any(request.client_disconnected for request in on.daemon.core.open_requests.values())
+        )
         gate.set()
-        await until(lambda: not on.daemon.core.open)
+        await until(lambda: not on.daemon.core.open_requests)
         assert (len(reader.begun), len(writer.begun)) == (1, 1)
         while (again := await ask_chat(on.chat, chat_body("giro-orden"), chat_headers("k1"))).status == 409:
             await trio.sleep(0.01)  # the record's change is on its way to the disk
@@ -831,9 +835,9 @@
         await call.send("POST", "/v1/chat/completions", chat_headers("k1"), chat_body("giro-orden"))
         await until(lambda: len(reader.begun) == 1)
         await call.stream.aclose()
-        await until(lambda: all(request.done for request in on.daemon.core.open.values()), 0.3)
+        await until(lambda: all(request.done for request in on.daemon.core.open_requests.values()), 0.3)
         gate.set()
-        await until(lambda: not on.daemon.core.open)
+        await until(lambda: not on.daemon.core.open_requests)
         assert (len(writer.begun), [what for what in writer.calls if what[0] == "POST"][1:]) == (0, [])
         while (again := await ask_chat(on.chat, chat_body("giro-orden"), chat_headers("k1"))).status == 409:
             await trio.sleep(0.01)  # the record's change is on its way to the disk
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -535,7 +535,7 @@
             hold.set()
             assert (await call.receive()).whole
         assert (giver.given, writer.begun) == (0, ["q0"])
-        assert on.daemon.core.tally.rows[1].fulfilled == 1
+        assert on.daemon.core.metrics.classes[1].fulfilled == 1
 
     play(reader, writer, story=story)
 
@@ -558,7 +558,7 @@
         if last == "odd":
             await giver.send(b"perhaps")
         elif last != "dies":
-            core.open["q0"] = None  # type: ignore[assignment]
+            core.open_requests["q0"] = None  # type: ignore[assignment]
             await giver.send(GO)
         giver.close()
         client.close()
@@ -566,8 +566,8 @@
         theirs.setblocking(False)
         await trio.lowlevel.wait_readable(theirs)
         assert theirs.recv(64) == b""  # its copy is closed, and not a byte was written
-        core.open.pop("q0", None)
-        assert (core.open, core.tally.rows[0].taken) == ({}, 0)
+        core.open_requests.pop("q0", None)
+        assert (core.open_requests, core.metrics.classes[0].taken) == ({}, 0)
         assert on.daemon.listeners[0].connections == set()
         theirs.close()
         hosts_own.close()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -29,7 +29,9 @@
             for n in range(3):
                 await ask_platform(on.platform, f"q{n}", "consulta")
                 await ask_chat(on.chat, chat_body("giro-consulta"), chat_headers())
-            while any(listener.connections for listener in on.daemon.listeners) or on.daemon.core.open:
+            while (
+                any(listener.connections for listener in on.daemon.listeners) or on.daemon.core.open_requests
+            ):
                 await trio.testing.wait_all_tasks_blocked(0.01)
             await trio.testing.wait_all_tasks_blocked()
             left = [o for o in gc.get_objects() if isinstance(o, OpenRequest | Connection | Replies)]
@@ -49,10 +51,10 @@
             on.discovery.tell({**writer.row(), "id": f"w{n}"})
             on.discovery.tell({**writer.row(state="left"), "id": f"w{n}"})
         on.discovery.tell(writer.row(state="leaving"))
-        while "w" not in daemon.core.unwanted:
+        while "w" not in daemon.core.draining:
             await trio.sleep(0.001)
         await trio.testing.wait_all_tasks_blocked()
-        assert set(daemon.core.entries) == set(daemon.hosts.hosts) == {"r", "w"}
+        assert set(daemon.core.endpoints) == set(daemon.hosts.hosts) == {"r", "w"}
 
     play(reader, writer, story=story)
 
@@ -95,10 +97,10 @@
             for n in range(len(acts)):
                 told = {"Req_Deadline": "600m"}
                 nursery.start_soon(partial(ask_platform, on.platform, f"q{n}", "consulta", **told))
-        while daemon.core.open:
+        while daemon.core.open_requests:
             await trio.sleep(0.01)
         await trio.testing.wait_all_tasks_blocked()
-        router = daemon.core.decider
+        router = daemon.core.policy
         hosts = daemon.hosts
         servers = router.fleet.servers.values()  # type: ignore[attr-defined]
         assert not router.jobs  # type: ignore[attr-defined]
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -68,7 +68,7 @@
         assert (long.status, long.json["error"]["code"]) == (413, "body_too_long")
         lost = await ask_chat(on.chat, chat_body("giro-consulta", "x" * 200_000, n=1))
         assert lost.status == 413
-        while on.daemon.core.open:
+        while on.daemon.core.open_requests:
             await trio.sleep(0.001)
 
     log.observers.append(lines.append)
@@ -117,7 +117,7 @@
             await hosts[1].until(lambda: len(hosts[1].begun) == 3)
             hosts[1].die()
             on.discovery.tell(hosts[1].row(state="left"))
-            while "w0" in on.daemon.core.entries:
+            while "w0" in on.daemon.core.endpoints:
                 await trio.sleep(0.001)
             for lane in range(3):
                 clients.start_soon(several, range(3 + lane, 30, 3))
@@ -129,7 +129,7 @@
         back = ModelHost("w2", "decode")
         await on.nursery.start(back.serve)
         on.discovery.tell(back.row())
-        while "w2" not in on.daemon.core.entries:
+        while "w2" not in on.daemon.core.endpoints:
             await trio.sleep(0.001)
         n = 30
         while not back.begun:  # after return_after, and not before
@@ -161,7 +161,7 @@
         hold.set()
         for call in calls:
             assert (await call.receive()).outcome == "served"
-        while on.daemon.core.open:
+        while on.daemon.core.open_requests:
             await trio.sleep(0.001)
         assert routing.older == [] and routing.current.number == 2
 
@@ -217,7 +217,7 @@
         hold.set()
         for call in calls:
             assert (await call.receive()).outcome == "served"
-        while on.daemon.core.open:
+        while on.daemon.core.open_requests:
             await trio.sleep(0.001)
         assert routing.older == []
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -119,7 +119,7 @@
 
     async def second(on: Stage) -> None:
         assert (await ask_platform(on.platform, "q2", "orden")).outcome == "served"
-        assert {e.started_ms for e in on.daemon.core.entries.values()} == {None}  # told a moment ago
+        assert {e.started_ms for e in on.daemon.core.endpoints.values()} == {None}  # told a moment ago
 
     async def both() -> None:
         reader = ModelHost("reader", "prefill")
@@ -180,7 +180,7 @@
             answers = [await ask_platform(on.platform, f"q{n}", "consulta") for n in range(2)]
             assert "served" in [answer.outcome for answer in answers]
             on.daemon.endpoints.remove_unreachable(WServer("reader"))
-            assert set(on.daemon.core.entries) == {"writer"}
+            assert set(on.daemon.core.endpoints) == {"writer"}
 
     try:
         trio.run(story)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -52,11 +52,11 @@
         await on.nursery.start(discovery.serve)
         on.daemon.reload(lambda: on.config(discovery=discovery.address))
         on.discovery.tell({**writer.row(), "id": "old"})  # from the old one, after the move
-        while "w" in on.daemon.core.entries:
+        while "w" in on.daemon.core.endpoints:
             await trio.sleep(0.001)
         assert (await ask_platform(on.platform, "q2", "orden")).outcome == "served"
         assert other.begun == ["q2"]
-        assert "old" not in on.daemon.core.entries
+        assert "old" not in on.daemon.core.endpoints
         assert discovery.asked[0] == "/api/targets"
         hold.set()
         assert (await call.receive()).whole
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -124,7 +124,7 @@
         while len(writer.connections) > len(idle):
             await trio.testing.wait_all_tasks_blocked()
             hold.set()
-        assert len(idle) == 1 and not on.daemon.core.open
+        assert len(idle) == 1 and not on.daemon.core.open_requests
 
     play(reader, writer, story=story)
 
@@ -148,7 +148,7 @@
 
     async def story(on: Stage) -> None:
         core = on.daemon.core
-        core.unwanted.add("w")  # told before the module heard of it
+        core.draining.add("w")  # told before the module heard of it
         answer = await ask_platform(on.platform, "q1", "orden")
         assert answer.outcome == "refused"
         assert (writer.begun, writer.calls) == ([], [])
@@ -191,7 +191,7 @@
 
     async def story(on: Stage) -> None:
         on.discovery.tell(writer.row(state="leaving"))
-        while "w" not in on.daemon.core.unwanted:
+        while "w" not in on.daemon.core.draining:
             await trio.sleep(0.001)
         on.discovery.hang_up()
         while len(on.discovery.asked) < 2:
@@ -257,8 +257,8 @@
 
 def test_a_module_that_raises_ends_neither_the_program_nor_the_one_answer() -> None:
     async def story(on: Stage) -> None:
-        decider = on.daemon.core.decider
-        decide = on.daemon.core.decider.handle
+        decider = on.daemon.core.policy
+        decide = on.daemon.core.policy.handle
 
         def broken(now: float, events: list[Event]) -> list[Action]:
             decider.handle = decide  # type: ignore[method-assign]
@@ -276,9 +276,9 @@
 
     async def story(on: Stage) -> None:
         on.discovery.tell({**writer.row(), "id": "x", "kind": "new"}, writer.row(state="leaving"))
-        while "w" not in on.daemon.core.unwanted:
+        while "w" not in on.daemon.core.draining:
             await trio.sleep(0.001)
-        assert "x" not in on.daemon.core.entries
+        assert "x" not in on.daemon.core.endpoints
 
     play(reader, writer, story=story)
 
@@ -317,7 +317,7 @@
             told.append(message)
             heard.set()
 
-        core.peer = note  # type: ignore[method-assign]
+        core.gossip_received = note  # type: ignore[method-assign]
         peer, stranger = (trio.socket.socket(type=trio.socket.SOCK_DGRAM) for _ in range(2))
         with peer, stranger:
             await peer.bind(("127.0.0.1", 0))
@@ -442,7 +442,7 @@
         while f'"event":"{event}"' not in heard:
             heard += capfd.readouterr().out
             await trio.sleep(0.001)
-        assert set(on.daemon.core.entries) == {"r", "w"}
+        assert set(on.daemon.core.endpoints) == {"r", "w"}
         assert (await ask_platform(on.platform, "q1", "orden")).outcome == "served"
 
     play(reader, writer, story=story)
@@ -459,7 +459,7 @@
         while len(discovery.asked) < 2:  # it goes on asking
             answer = await ask_platform(serving.platform, f"q{len(reader.begun)}", "consulta")
             assert answer.outcome == "served"
-        assert set(again.core.entries) == {"r", "w"}
+        assert set(again.core.endpoints) == {"r", "w"}
 
     play(reader, writer, story=story)
 
--- a/tests/test_waking.py
+++ b/tests/test_waking.py
@@ -32,7 +32,7 @@
 def core_of() -> tuple[Dispatcher, Noted]:
     noted = Noted()
     core = Dispatcher(SETTINGS, noted, noted, GRACE_MS)
-    core.news(1000.0, EndpointUpdate(UpdateScope.SNAPSHOT, WRITERS, 1))
+    core.update_endpoints(1000.0, EndpointUpdate(UpdateScope.SNAPSHOT, WRITERS, 1))
     core.run(1000.0)
     noted.events.clear()
     return core, noted
@@ -67,19 +67,19 @@
     Now none does: it binds with the news, whatever its age.
     """
     core, noted = core_of()
-    core.take(5000.0, asked(), noted, None)
-    core.news(
+    core.accept(5000.0, asked(), noted, None)
+    core.update_endpoints(
         5000.0, EndpointUpdate(UpdateScope.SNAPSHOT, (entry("w1", 1, state=EndpointState.DRAINING),), 2)
     )
-    core.woke(5000.0, 4000.0)
+    core.process_paused(5000.0, 4000.0)
     core.run(5000.0)
     assert [type(event) for event in noted.events] == [ProcessPaused, EndpointUpdate, Request]
-    assert not core.may_write("w1")
+    assert not core.may_write_to("w1")
 
 
 def test_a_request_that_lay_unread_for_its_whole_time_is_refused_at_once() -> None:
     core, _ = core_of()
-    core.unseen_ms = lambda: 4000.0
+    core.unread_ms = lambda: 4000.0
     shed = core.admit(5000.0, asked(3000.0))
     later = asked(6000.0)
     assert isinstance(shed, Shed) and shed.reason == "unread"
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -75,7 +75,7 @@
 
 
 def drains(on: Stage, name: str = "w") -> bool:
-    return name in on.daemon.core.unwanted
+    return name in on.daemon.core.draining
 
 
 @pytest.fixture(autouse=True)
@@ -271,7 +271,7 @@
         await on.nursery.start(agent.serve)
         again = Daemon(on.config(discovery=agent.address))
         serving = await on.nursery.start(again.serve)
-        assert "w" in again.core.unwanted
+        assert "w" in again.core.draining
         assert (await ask_platform(serving.platform, "q1", "orden")).outcome == "refused"
         assert (reader.begun, writer.begun) == ([], [])
 
@@ -347,7 +347,7 @@
         odd = {**writer.row(), "id": "x", "cell": "three"}
         on.discovery.tell(odd, writer.row(state="leaving"))
         await until(lambda: drains(on))
-        assert "x" not in on.daemon.core.entries
+        assert "x" not in on.daemon.core.endpoints
 
     play(reader, writer, story=story)
     assert r'"skipped":["{\"id\":\"x\"' in capfd.readouterr().out
--- a/violetstack/admin/metrics.py
+++ b/violetstack/admin/metrics.py
@@ -18,11 +18,11 @@
     """Every class of the settings stands there from the start, with zeros."""
     operations = {
         name: {"fulfilled": row.fulfilled, "throttled": row.throttled, "faulted": row.faulted}
-        for name, row in zip(classes, tally.rows, strict=True)
+        for name, row in zip(classes, tally.classes, strict=True)
     }
     return {
         "operations": operations,
-        "relayed": tally.relayed,
+        "relayed": tally.requests_written,
         "open_requests": tally.open,
         "registry_entries": listed,
         "out_of_rotation": avoided,
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -103,47 +103,47 @@
 
     def __init__(self, settings: Settings, decider: Decider, driver: Driver, drain_grace_ms: float) -> None:
         self.settings = settings
-        self.decider = decider
+        self.policy = decider
         self.driver = driver
         self.drain_grace_ms = drain_grace_ms
-        self.open: dict[str, OpenRequest] = {}
-        self.entries: dict[str, Endpoint] = {}
-        self.unwanted: set[str] = set()  # servers that are known to drain
-        self.stateless: set[str] = set()  # hosts that take no states, places or releases
-        self.inbox: list[Event] = []
-        self.touched: dict[str, OpenRequest] = {}
+        self.open_requests: dict[str, OpenRequest] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.draining: set[str] = set()  # servers that are known to drain
+        self.stateless_hosts: set[str] = set()  # hosts that take no states, places or releases
+        self.pending_events: list[Event] = []
+        self.changed_requests: dict[str, OpenRequest] = {}
         self.wake: Callable[[], None] = lambda: None
         self.timers = Timers()
-        self.tally = Tally(len(settings.classes))
+        self.metrics = Tally(len(settings.classes))
         self.routes: Routes | None = None
-        self.level: Level | None = None
-        self.witness: Witness | None = None
-        self.advice_ms: Callable[[float], float] = lambda ms: ms  # when to come back
-        self.unseen_ms: Callable[[], float] = lambda: 0.0  # how long what is read now may have lain unread
+        self.load_shedder: Level | None = None
+        self.outlier_observer: Witness | None = None
+        self.retry_after_ms: Callable[[float], float] = lambda ms: ms  # when to come back
+        self.unread_ms: Callable[[], float] = lambda: 0.0  # how long what is read now may have lain unread
 
     # --- events in ---
 
     def _post(self, event: Event) -> None:
-        self.inbox.append(event)
+        self.pending_events.append(event)
         self.wake()
 
-    def news(self, now: float, news: EndpointUpdate) -> None:
+    def update_endpoints(self, now: float, news: EndpointUpdate) -> None:
         """A host that is gone is forgotten here and now: hosts come with new ids all day long."""
         if news.scope is not UpdateScope.DELTA:
-            self.entries = {}
+            self.endpoints = {}
         for entry in news.endpoints:
-            self.entries[entry.server] = entry
+            self.endpoints[entry.server] = entry
             if entry.state is EndpointState.DRAINING:
-                self.unwanted.add(entry.server)
+                self.draining.add(entry.server)
             else:
-                self.unwanted.discard(entry.server)
+                self.draining.discard(entry.server)
             if entry.state is EndpointState.REMOVED:
-                del self.entries[entry.server]
-        self.unwanted &= self.entries.keys()
+                del self.endpoints[entry.server]
+        self.draining &= self.endpoints.keys()
         if self.routes is not None:
             self.routes.update_endpoints(now, news)
-        if self.witness is not None:
-            self.witness.endpoints_listed(now, self.entries)
+        if self.outlier_observer is not None:
+            self.outlier_observer.endpoints_listed(now, self.endpoints)
         self._post(news)
 
     def route(self, asked: Request, origin: Origin) -> Request:
@@ -155,17 +155,17 @@
 
         Guards against answers past their time: what may have lain unread counts as having done so.
         """
-        asked.age_ms = self.unseen_ms()
+        asked.age_ms = self.unread_ms()
         asked.expires_in_ms -= asked.age_ms
-        shed = None if self.level is None else self.level.admit(now, asked)
+        shed = None if self.load_shedder is None else self.load_shedder.admit(now, asked)
         if asked.expires_in_ms <= 0.0:
-            shed = Shed("unread", min(self.settings.max_retry_after_ms, self.aim_ms(asked)))
+            shed = Shed("unread", min(self.settings.max_retry_after_ms, self.latency_objective_ms(asked)))
         if shed is not None:
-            self.tally.taken(asked.class_index)
-            self.tally.ended(asked.class_index, "shed")
+            self.metrics.request_accepted(asked.class_index)
+            self.metrics.request_finished(asked.class_index, "shed")
         return shed
 
-    def aim_ms(self, asked: Request) -> float:
+    def latency_objective_ms(self, asked: Request) -> float:
         """When this request's first token is wanted."""
         spec = self.settings.classes[asked.class_index]
         stretch = spec.objective_stretch * (asked.expected_answer_ms or 0.0)
@@ -176,24 +176,24 @@
             + stretch,
         )
 
-    def waiting(self, now: float) -> list[float]:
+    def waiting_ratios(self, now: float) -> list[float]:
         """Ages of the requests without a first token, as parts of their aims."""
-        rows = [r for r in self.open.values() if not r.done and r.committed_attempt is None]
-        return [(now - r.arrived_at) / self.aim_ms(r.policy_request) for r in rows]
+        rows = [r for r in self.open_requests.values() if not r.done and r.committed_attempt is None]
+        return [(now - r.arrived_at) / self.latency_objective_ms(r.policy_request) for r in rows]
 
-    def take(self, now: float, asked: Request, sink: Sink, payload: object) -> OpenRequest:
-        if asked.id in self.open:
+    def accept(self, now: float, asked: Request, sink: Sink, payload: object) -> OpenRequest:
+        if asked.id in self.open_requests:
             raise Duplicate(asked.id)
         request = OpenRequest(asked, sink, payload, now, now + asked.expires_in_ms)
-        self.open[asked.id] = request
-        self.tally.taken(asked.class_index)
+        self.open_requests[asked.id] = request
+        self.metrics.request_accepted(asked.class_index)
         if self.routes is not None:
             self.routes.request_accepted(now, asked)
         request.deadline_timer = self.timers.schedule(request.deadline, lambda at: self._overdue(at, request))
         self._post(asked)
         return request
 
-    def client_left(self, now: float, request: OpenRequest) -> None:
+    def client_disconnected(self, now: float, request: OpenRequest) -> None:
         """Guards against work for nobody: a stream that nobody reads ends, the module is told of the rest."""
         request.client_disconnected = True
         if request.done or (request.survives_disconnect and may_have_run(request)):
@@ -204,9 +204,9 @@
         self._post(ClientDisconnected(request.id))
         if request.committed_attempt is not None:
             self.driver.abort_attempt(request.committed_attempt)
-            self.ended(now, request.committed_attempt, AttemptStatus.CANCELLED)
+            self.attempt_finished(now, request.committed_attempt, AttemptStatus.CANCELLED)
 
-    def may_move(self, attempt: Attempt) -> bool:
+    def can_migrate(self, attempt: Attempt) -> bool:
         """Is the stream all that is under way here for its request?"""
         request = attempt.request
         if (
@@ -218,14 +218,14 @@
             return False
         return not request.reservations_in_flight and request.release is None
 
-    def moved(self, now: float, attempt: Attempt) -> None:
+    def stream_migrated(self, now: float, attempt: Attempt) -> None:
         """Another process goes on with the stream, and releases at its end what may be held for it."""
         attempt.request.holds_remote_state = False
         self._settle(now, attempt.request, "moved")
         self._post(ClientDisconnected(attempt.request.id))
-        self.ended(now, attempt, AttemptStatus.CANCELLED)
+        self.attempt_finished(now, attempt, AttemptStatus.CANCELLED)
 
-    def adopt(self, now: float, told: Moved, sink: Sink) -> Attempt:
+    def adopt_stream(self, now: float, told: Moved, sink: Sink) -> Attempt:
         """A stream that another process began; the module hears nothing of it, since nothing is to decide."""
         asked = Request(
             told.id, told.cls, told.tenant, None, 0.0, None, None, told.prompt_tokens, 0.0, 0.0, False, False
@@ -236,44 +236,44 @@
         request.in_flight = {0: attempt}
         request.attempts_sent = 1
         request.holds_remote_state = told.loose
-        self.open[asked.id] = request
-        self.tally.taken(asked.class_index)
+        self.open_requests[asked.id] = request
+        self.metrics.request_accepted(asked.class_index)
         if self.routes is not None:
             self.routes.request_accepted(now, asked)
         return attempt
 
-    def woke(self, now: float, gap_ms: float) -> None:
+    def process_paused(self, now: float, gap_ms: float) -> None:
         """Guards against decisions on what was known before the gap.
 
         The module hears of the gap first, then of the list, whichever socket was read first.
         """
-        lists = [event for event in self.inbox if isinstance(event, EndpointUpdate)]
-        others = [event for event in self.inbox if not isinstance(event, EndpointUpdate)]
-        self.inbox = [ProcessPaused(gap_ms), *lists, *others]
+        lists = [event for event in self.pending_events if isinstance(event, EndpointUpdate)]
+        others = [event for event in self.pending_events if not isinstance(event, EndpointUpdate)]
+        self.pending_events = [ProcessPaused(gap_ms), *lists, *others]
         self.wake()
 
-    def stopping(self) -> None:
+    def shutdown_started(self) -> None:
         """Guards against what the end would cut off without a word, and states that nobody would release."""
         self._post(ShutdownStarted())
 
-    def probed(self, probed: HealthCheckResult) -> None:
+    def health_checked(self, probed: HealthCheckResult) -> None:
         self._post(probed)
 
-    def peer(self, message: GossipReceived) -> None:
+    def gossip_received(self, message: GossipReceived) -> None:
         self._post(message)
 
-    def trial(self, trial: OutlierCheckResult) -> None:
+    def outlier_checked(self, trial: OutlierCheckResult) -> None:
         self._post(trial)
 
     # --- what attempts report ---
 
-    def may_write(self, server: str) -> bool:
+    def may_write_to(self, server: str) -> bool:
         """Asked in the step that writes a first byte, whatever it begins.
 
         Guards against a host told as leaving, or gone, since it was chosen. Nothing is left of the time in
         which a drain binds: what is pushed counts as told before this process has read it.
         """
-        return server in self.entries and server not in self.unwanted
+        return server in self.endpoints and server not in self.draining
 
     def may_send(self, now: float, attempt: Attempt) -> bool:
         """The same for an attempt; its request may be over by now as well, its client gone, or the time past
@@ -282,7 +282,7 @@
         request = attempt.request
         if not attempt.finished and not request.done and request.sink.client_gone():
             # Its close may lie unread in the socket still.
-            self.client_left(now, request)
+            self.client_disconnected(now, request)
         spec = self.settings.classes[request.policy_request.class_index]
         repeats = (
             spec.idempotency is Idempotency.IDEMPOTENCY_KEY
@@ -295,9 +295,9 @@
             or (repeats and now >= request.first_run_at + spec.deduplication_window_ms)
         ):
             return False
-        return self.may_write(attempt.server)
+        return self.may_write_to(attempt.server)
 
-    def connect_ms(self, now: float, attempt: Attempt) -> float:
+    def connect_timeout_ms(self, now: float, attempt: Attempt) -> float:
         """How long its connection may take to come up; what is held for its request has a time of its own.
 
         Guards against states and places that outlive it while one connection after the other does not come
@@ -309,42 +309,42 @@
             return math.inf
         return max(LEAST_CONNECT_MS, request.state_held_since + within - now)
 
-    def sending(self, attempt: Attempt) -> None:
+    def request_started(self, attempt: Attempt) -> None:
         """Its first byte goes out in this step: a release written from now on would let go of its state."""
         if attempt.request.release is not None:
             attempt.request.release.superseded = True
 
-    def relayed(self, attempt: Attempt) -> None:
+    def request_written(self, attempt: Attempt) -> None:
         """The last byte of an attempt may have left; called in the step that hands it to the kernel."""
         attempt.request_written = True
-        self.tally.relayed += 1
+        self.metrics.requests_written += 1
 
-    def began(self, now: float, attempt: Attempt) -> bool:
+    def stream_started(self, now: float, attempt: Attempt) -> bool:
         """The first event of an answer came; False if it is not wanted (any more)."""
         request = attempt.request
         if attempt.finished or request.done or request.committed_attempt is not None:
             return False
         attempt.stream_started = True
         request.committed_attempt = attempt
-        if self.level is not None:
-            ratio = (now - request.arrived_at) / self.aim_ms(request.policy_request)
-            self.level.stream_started(now, ratio, request.policy_request.prompt_tokens)
-        if not request.reservations_in_flight and attempt.server not in self.stateless:
+        if self.load_shedder is not None:
+            ratio = (now - request.arrived_at) / self.latency_objective_ms(request.policy_request)
+            self.load_shedder.stream_started(now, ratio, request.policy_request.prompt_tokens)
+        if not request.reservations_in_flight and attempt.server not in self.stateless_hosts:
             request.holds_remote_state = False  # what else was held goes by itself
         if request.release is not None:
             request.release.superseded = True
-        if self.witness is not None:
-            self.witness.attempt_observed(now, attempt.server, True)
+        if self.outlier_observer is not None:
+            self.outlier_observer.attempt_observed(now, attempt.server, True)
         self._tell(request.sink.stream_started)
         self._post(StreamStarted(request.id, attempt.server, attempt.number, now - attempt.sent_at))
         return True
 
-    def event(self, attempt: Attempt, data: memoryview) -> None:
+    def forward_event(self, attempt: Attempt, data: memoryview) -> None:
         if not attempt.finished:
             attempt.events_forwarded += 1
             self._tell(attempt.request.sink.event, data)
 
-    def ended(
+    def attempt_finished(
         self,
         now: float,
         attempt: Attempt,
@@ -374,11 +374,11 @@
             attempt.is_prefill and attempt.request_written and not proves_idle(status)
         ):
             request.holds_remote_state = True  # a read may have ended well just as its connection broke
-        if self.witness is not None:
+        if self.outlier_observer is not None:
             if status is AttemptStatus.PREFILLED:
-                self.witness.attempt_observed(now, attempt.server, True)
+                self.outlier_observer.attempt_observed(now, attempt.server, True)
             elif status in FAILURE_STATUSES and not attempt.stream_started:
-                self.witness.attempt_observed(now, attempt.server, False)
+                self.outlier_observer.attempt_observed(now, attempt.server, False)
         took = now - attempt.sent_at
         request.attempt_log.append((attempt.server, status.value, round(took)))
         self._post(
@@ -386,20 +386,22 @@
                 request.id, attempt.server, attempt.number, status, took, request.done, note, report
             )
         )
-        self.touched[request.id] = request
+        self.changed_requests[request.id] = request
         if request.client_disconnected and not may_have_run(request):
-            self.client_left(now, request)  # what could have run did not, so nothing is left to go on with
+            self.client_disconnected(
+                now, request
+            )  # what could have run did not, so nothing is left to go on with
 
-    def unusable(self, now: float, attempt: Attempt) -> None:
+    def request_invalid(self, now: float, attempt: Attempt) -> None:
         """A host says that the request itself is at fault: no other host is asked, and none is blamed."""
         request = attempt.request
         if attempt.finished or request.done or request.committed_attempt is not None:
             return
         self._settle(now, request, "unusable")
         self._tell(request.sink.failed, may_have_run(request))
-        self.ended(now, attempt, AttemptStatus.CANCELLED)
+        self.attempt_finished(now, attempt, AttemptStatus.CANCELLED)
 
-    def place_answered(self, call: PlaceCall, held: bool | None, nothing_done: bool) -> None:
+    def reservation_finished(self, call: PlaceCall, held: bool | None, nothing_done: bool) -> None:
         """None: not known. Then, and also when the place is held, it stays loose until the request's end."""
         request = call.request
         request.reservations_in_flight -= 1
@@ -410,13 +412,13 @@
             if (overtaken := request.release) is not None and not overtaken.superseded:
                 overtaken.superseded = True  # the place may have been taken after it
                 self._release(overtaken.since, request)
-        self.touched[request.id] = request
+        self.changed_requests[request.id] = request
         attempt = call.attempt
         if held is not None and attempt is not None and not attempt.finished:
             self._post(ReservationResult(request.id, attempt.server, attempt.number, held))
         self.wake()
 
-    def released(self, call: ReleaseCall, done: bool) -> None:
+    def release_finished(self, call: ReleaseCall, done: bool) -> None:
         request = call.request
         if request.release is call:
             request.release = None
@@ -425,7 +427,7 @@
             elif not done and not call.superseded:
                 request.holds_remote_state = False
                 self.driver.log("release_given_up", id=request.id)
-        self.touched[request.id] = request
+        self.changed_requests[request.id] = request
         self.wake()
 
     # --- time ---
@@ -436,21 +438,21 @@
     def run(self, now: float) -> None:
         """Timers that are due, then the events that came, then whatever follows from the actions."""
         self.timers.run(now)
-        while self.inbox or self.touched:
-            events = self.inbox
-            self.inbox = []
+        while self.pending_events or self.changed_requests:
+            events = self.pending_events
+            self.pending_events = []
             if events:
                 for action in self._decide(now, events):
                     self._guarded(now, action)
-            touched = self.touched
-            self.touched = {}
+            touched = self.changed_requests
+            self.changed_requests = {}
             for request in touched.values():
                 self._tidy(now, request)
 
     def _decide(self, now: float, events: list[Event]) -> list[Action]:
         """Guards against an end of the whole program: what the module leaves open is failed when overdue."""
         try:
-            return self.decider.handle(now, events)
+            return self.policy.handle(now, events)
         except Exception as error:
             self.driver.log("module_failed", error=repr(error))
             return []
@@ -468,14 +470,14 @@
         self.driver.log("overdue", id=request.id)
         self._settle(now, request, "overdue")
         self._tell(request.sink.failed, may_have_run(request))
-        self.inbox.append(ClientDisconnected(request.id))
+        self.pending_events.append(ClientDisconnected(request.id))
 
     def _expire(self, now: float, attempt: Attempt) -> None:
         if attempt.finished or attempt.stream_started:
             return
         self.driver.abort_attempt(attempt)
         # Not yet written means that it never ran, however long it took.
-        self.ended(
+        self.attempt_finished(
             now, attempt, AttemptStatus.TIMEOUT if attempt.request_written else AttemptStatus.CONNECT_FAILED
         )
 
@@ -486,7 +488,7 @@
         if request.holds_remote_state:
             self._release(now, request)  # a place call that is still out needs one more after it
         elif request.release is None and not request.reservations_in_flight:
-            self.open.pop(request.id, None)
+            self.open_requests.pop(request.id, None)
             request.close()
             more: dict[str, Any] = {}
             if self.routes is not None:
@@ -512,19 +514,21 @@
             case ReserveDecodeSlot():
                 self._hold(now, action)
             case ReleaseState():
-                if (request := self.open.get(action.id)) is not None:
+                if (request := self.open_requests.get(action.id)) is not None:
                     self._release(now, request)
             case CancelAttempt():
                 self._cancel(now, action)
             case RejectRequest():
                 if (request := self._answerable(now, action.id, "refused")) is not None:
-                    self._tell(request.sink.rejected, self.advice_ms(action.retry_after_ms))
+                    self._tell(request.sink.rejected, self.retry_after_ms(action.retry_after_ms))
             case FailRequest():
                 if (request := self._answerable(now, action.id, "failed")) is not None:
                     self._tell(request.sink.failed, may_have_run(request))
             case StartTimer():
                 token = action.token
-                self.timers.schedule(now + action.delay_ms, lambda at: self.inbox.append(TimerFired(token)))
+                self.timers.schedule(
+                    now + action.delay_ms, lambda at: self.pending_events.append(TimerFired(token))
+                )
             case SendHealthCheck():
                 self.driver.check_health(action.server)
             case SendGossip():
@@ -540,10 +544,10 @@
         request.outcome = answer
         request.answered_at = now
         self.timers.cancel(request.deadline_timer)
-        self.touched[request.id] = request
-        self.tally.ended(request.policy_request.class_index, answer)
-        if self.level is not None:
-            self.level.request_finished(now, answer, request.policy_request.prompt_tokens)
+        self.changed_requests[request.id] = request
+        self.metrics.request_finished(request.policy_request.class_index, answer)
+        if self.load_shedder is not None:
+            self.load_shedder.request_finished(now, answer, request.policy_request.prompt_tokens)
 
     def _tell(self, answer: Callable[..., None], *told: object) -> None:
         """Guards against a front whose answer fails: it loses that one answer, not the program."""
@@ -554,17 +558,17 @@
 
     def _answerable(self, now: float, request_id: str, answer: str) -> OpenRequest | None:
         """Guards against a second final answer, and against one for a stream that has begun."""
-        request = self.open.get(request_id)
+        request = self.open_requests.get(request_id)
         if request is None or request.done or request.committed_attempt is not None:
             return None
         self._settle(now, request, answer)
         return request
 
     def _send(self, now: float, action: SendAttempt) -> None:
-        request = self.open.get(action.id)
+        request = self.open_requests.get(action.id)
         if request is None:
             return
-        entry = self.entries.get(action.server)
+        entry = self.endpoints.get(action.server)
         roles = self.settings.roles
         reading = entry is not None and entry.kind < len(roles) and roles[entry.kind] is Role.PREFILL
         stop_at = min(action.deadline_ms or request.deadline, request.deadline)
@@ -574,13 +578,13 @@
         twice = len(request.in_flight) > 1 and not self.settings.hedging_allowed
         spent = attempt.number >= self.settings.max_attempts or stop_at <= now
         if request.done or request.committed_attempt is not None or twice or spent or entry is None:
-            self.ended(now, attempt, AttemptStatus.ALREADY_FINISHED)
+            self.attempt_finished(now, attempt, AttemptStatus.ALREADY_FINISHED)
             return
         attempt.timer = self.timers.schedule(stop_at, lambda at: self._expire(at, attempt))
         self.driver.start_attempt(attempt)
 
     def _hold(self, now: float, action: ReserveDecodeSlot) -> None:
-        request = self.open.get(action.id)
+        request = self.open_requests.get(action.id)
         if request is None or request.done or not self.settings.reserve_ahead:
             return
         reads = [a for a in request.in_flight.values() if a.is_prefill]
@@ -589,12 +593,12 @@
         self.driver.reserve_decode_slot(call)
 
     def _cancel(self, now: float, action: CancelAttempt) -> None:
-        request = self.open.get(action.id)
+        request = self.open_requests.get(action.id)
         attempt = request.in_flight.get(action.attempt) if request is not None else None
         if attempt is None or attempt.stream_started:
             return
         self.driver.abort_attempt(attempt)
-        self.ended(
+        self.attempt_finished(
             now,
             attempt,
             AttemptStatus.CANCELLED if attempt.request_written else AttemptStatus.ALREADY_FINISHED,
--- a/violetstack/core/metrics.py
+++ b/violetstack/core/metrics.py
@@ -23,14 +23,14 @@
 
 class Tally:
     def __init__(self, classes: int) -> None:
-        self.rows = [Row() for _ in range(classes)]
-        self.relayed = 0  # attempts written whole, reads and writes, second copies included
+        self.classes = [Row() for _ in range(classes)]
+        self.requests_written = 0  # attempts written whole, reads and writes, second copies included
 
-    def taken(self, cls: int) -> None:
-        self.rows[cls].taken += 1
+    def request_accepted(self, cls: int) -> None:
+        self.classes[cls].taken += 1
 
-    def ended(self, cls: int, answer: str) -> None:
-        row = self.rows[cls]
+    def request_finished(self, cls: int, answer: str) -> None:
+        row = self.classes[cls]
         name = ENDS.get(answer, "faulted")
         if answer == "moved":  # it is its heir's now, and counts there alone
             row.taken -= 1
@@ -39,4 +39,4 @@
 
     @property
     def open(self) -> int:
-        return sum(row.open for row in self.rows)
+        return sum(row.open for row in self.classes)
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -196,8 +196,8 @@
     def _watch_for_pauses(self) -> Waking:
         """Nothing is decided or sent on what was known before the process was stopped."""
         core = self.core
-        waking = Waking(self.config.drain_grace_ms, lambda gap: core.woke(now_ms(), gap))
-        core.unseen_ms = waking.unseen_ms
+        waking = Waking(self.config.drain_grace_ms, lambda gap: core.process_paused(now_ms(), gap))
+        core.unread_ms = waking.unseen_ms
         self.hosts.fresh = waking.fresh
         waking.sources.append(self.hosts)
         self.nursery.start_soon(waking.run)
@@ -206,7 +206,7 @@
     def _build_state(self) -> None:
         self.kept = start_state_writer(self.config, self.nursery, self._learned)
         self.comeback = Comeback(self.nursery, self.kept, self.config.settings)
-        self.core.advice_ms = self.comeback.advice_ms
+        self.core.retry_after_ms = self.comeback.advice_ms
 
     def _build_endpoints(self) -> None:
         """With cordons and a hot restart only where operators have a door."""
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -64,7 +64,7 @@
     def publish(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
         """Hands an update to the connection pool and the core."""
         self._hosts.told(update, addresses)
-        self._core.news(now_ms(), update)
+        self._core.update_endpoints(now_ms(), update)
 
     # --- startup ---
 
@@ -74,7 +74,7 @@
         config = self._config
         for host in config.operator.hosts if config.operator is not None else ():
             self._hosts.hosts[host.id] = Host(address(host.address), [], plain=True, key=host.key)
-            self._core.stateless.add(host.id)
+            self._core.stateless_hosts.add(host.id)
         known = config.told.known
         version: int | None = known.version
         if config.inherited is not None:
@@ -113,7 +113,7 @@
 
     def remove_unreachable(self, server: WServer) -> None:
         """A remembered host that is not there; discovery may still tell of it."""
-        entry = self._core.entries.get(server.id)
+        entry = self._core.endpoints.get(server.id)
         if entry is not None and self.rows.pop(server.id, None) is not None:
             gone = replace(entry, state=EndpointState.REMOVED)
             self.publish(EndpointUpdate(UpdateScope.DELTA, (gone,), 0), {})
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -77,7 +77,7 @@
         zones=tuple(facts.zones or ()),
     )
     core.routes = routing
-    entries = tuple(core.entries.values())
+    entries = tuple(core.endpoints.values())
     routing.update_endpoints(now_ms(), EndpointUpdate(UpdateScope.SNAPSHOT, entries, 0))
     return routing
 
@@ -101,7 +101,7 @@
     levels = Levels(plan, weights_of(config.settings, classes, tenants), log)
     driver = LevelDriver(levels, core, router, listeners, config.limits.cores)
     driver.start()
-    core.level = levels
+    core.load_shedder = levels
     nursery.start_soon(driver.run)
     if plan.admin:
         nursery.start_soon(driver.serve_socket, plan.admin)
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -54,14 +54,14 @@
 
     async def run(self) -> None:
         """Returns once nothing is open any more."""
-        log("stopping", open=len(self._core.open), heir=self._find_successor())
+        log("stopping", open=len(self._core.open_requests), heir=self._find_successor())
         began = trio.current_time()
         for listener in self._fronts.listeners:
             listener.draining = True
         await self._pass_to_successor()
         refusing = False
         ending = False
-        while self._lifecycle.accepting or self._core.open or self._fronts.busy:
+        while self._lifecycle.accepting or self._core.open_requests or self._fronts.busy:
             after = trio.current_time() - began
             if self._lifecycle.accepting and after >= LISTEN_ON_S:
                 await self._stop_accepting()
@@ -74,8 +74,8 @@
                     listener.close_idle()
             if after >= self._end_s and not ending:
                 ending = True
-                log("ending", open=len(self._core.open))
-                self._core.stopping()
+                log("ending", open=len(self._core.open_requests))
+                self._core.shutdown_started()
             await trio.sleep(POLL_S)
         if self._fronts.orders is not None:
             self._fronts.orders.stopping = True
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -397,7 +397,7 @@
         body = memoryview(ask.upstream(errand.model.upstream or errand.model.name, errand.most_tokens))
         payload = Payload("POST", COMPLETIONS, "application/json", body, reply.room)
         answer = Answer(f"chatcmpl-{asked.id}", errand.model.name, int(now / 1000.0))
-        request = self._core.take(now, asked, ChatSink(errand, reply, answer, settle), payload)
+        request = self._core.accept(now, asked, ChatSink(errand, reply, answer, settle), payload)
         request.sending_allowed = allowed
         request.survives_disconnect = outlives
         reply.opened(request)
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -79,7 +79,7 @@
                 advice = shed.retry_after_ms if self._core.settings.send_retry_after else 0.0
                 PlatformSink(reply).rejected(advice, 429)
                 return
-            reply.opened(self._core.take(now, asked, PlatformSink(reply), payload))
+            reply.opened(self._core.accept(now, asked, PlatformSink(reply), payload))
         except Rejected as error:
             self.rejected(error.status, error.reason, reply)
         except NotRouted as error:
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -70,9 +70,9 @@
     def figures(self) -> dict[str, Any]:
         daemon = self._daemon
         classes = tuple(spec.name for spec in daemon.config.facts.classes)
-        listed = len(daemon.core.entries)
+        listed = len(daemon.core.endpoints)
         avoided = daemon.router.avoided(now_ms())
-        return figures(daemon.core.tally, classes, listed, avoided)
+        return figures(daemon.core.metrics, classes, listed, avoided)
 
     # --- hosts by hand ---
 
@@ -99,7 +99,7 @@
                 daemon.cordons.marks = before
                 raise
         daemon.news(news, {})
-        left = kinds_without(daemon.core.entries.values(), tuple(daemon.config.facts.kinds or ()))
+        left = kinds_without(daemon.core.endpoints.values(), tuple(daemon.config.facts.kinds or ()))
         log("hosts_out", out=daemon.cordons.out, by="call", none_left=left)
 
     # --- duties ---
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -251,7 +251,7 @@
             self.closed = True
             self.listener.forget(self)
             if self.request is not None:
-                self.listener.core.client_left(now_ms(), self.request)
+                self.listener.core.client_disconnected(now_ms(), self.request)
                 self.request = None
             if self.http is not SILENT:
                 self._drained.set()
--- a/violetstack/net/gossip.py
+++ b/violetstack/net/gossip.py
@@ -85,7 +85,7 @@
             reason = "no peer of this tier" if number is None else "too long"
             log_outside("peer_refused", sender=f"{sender[0]}:{sender[1]}", reason=reason)
         elif not self.deaf() and not (self.duties is not None and self.duties(number, data)):
-            self._core.peer(GossipReceived(number, data))
+            self._core.gossip_received(GossipReceived(number, data))
 
     def tell(self, payload: bytes) -> None:
         """Now or not at all: a datagram that can't leave is as good as one that is lost on its way.
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -54,11 +54,11 @@
             per_s=told.datagrams_per_s,
         )
         self.member.log = log
-        self.trials = Trials(self.member, suspected, core.trial) if told.trials else None
+        self.trials = Trials(self.member, suspected, core.outlier_checked) if told.trials else None
         if self.trials is not None:
             self.member.applied = self.trials.heard
-            core.witness = self.trials
-            self.trials.endpoints_listed(now_ms(), core.entries)
+            core.outlier_observer = self.trials
+            self.trials.endpoints_listed(now_ms(), core.endpoints)
         self.leave = Leave(self.member, told.leave) if told.leave else None
         self._news = trio.Event()
         peers.duties = self._hear
--- a/violetstack/net/load_shedding.py
+++ b/violetstack/net/load_shedding.py
@@ -145,9 +145,9 @@
             "clients": max((len(x.connections) / x.most for x in self.listeners if x.most), default=None),
             "bytes": max((x.held / x.most_held for x in self.listeners if x.most_held), default=None),
         }
-        entries = [e for e in self.core.entries.values() if e.server not in self.core.unwanted]
+        entries = [e for e in self.core.endpoints.values() if e.server not in self.core.draining]
         cold = sum(1 for e in entries if e.started_ms is not None and now < e.started_ms + self.cold_ms)
-        self.levels.tick(now, time.time(), gauges, (len(entries), cold), self.core.waiting(now))
+        self.levels.tick(now, time.time(), gauges, (len(entries), cold), self.core.waiting_ratios(now))
 
     # --- the socket ---
 
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -69,14 +69,14 @@
         if self._sock is None or not isinstance(sink, PlatformSink) or not connection.http.between_chunks:
             return False
         client = sink.reply.client
-        if client is None or not self._core.may_move(attempt):
+        if client is None or not self._core.can_migrate(attempt):
             return False
         if not await client.park():
             return False
         passed = False
         try:
             descriptor = client.descriptor
-            if descriptor is None or not self._core.may_move(attempt):
+            if descriptor is None or not self._core.can_migrate(attempt):
                 return False
             asked = request.policy_request
             stream = Stream(
@@ -94,7 +94,7 @@
             async with self._turn:
                 passed = await self._offer(stream, descriptor, connection.sock.fileno())
             if passed and not attempt.finished:
-                self._core.moved(now_ms(), attempt)
+                self._core.stream_migrated(now_ms(), attempt)
                 client.passed()
                 self.given += 1
             return passed
@@ -202,7 +202,7 @@
             stream = decode(data, len(self._core.settings.classes))
             if len(held) != 2:
                 raise BadOffer(f"{len(held)} descriptors")
-            if stream.id in self._core.open:
+            if stream.id in self._core.open_requests:
                 raise BadOffer("a request with this id is open here")
             if self._listener() is None:
                 raise BadOffer("this process takes no clients")
@@ -213,10 +213,10 @@
 
     def _adopt(self, stream: Stream, client: socket.socket, host: socket.socket) -> None:
         listener = self._listener()
-        if listener is None or stream.id in self._core.open:
+        if listener is None or stream.id in self._core.open_requests:
             raise BadOffer(f"{stream.id} came or this process ended between the two words")
         replies = listener.adopt(client, stream.closing)
-        attempt = self._core.adopt(now_ms(), stream, PlatformSink(replies, stream_started=True))
+        attempt = self._core.adopt_stream(now_ms(), stream, PlatformSink(replies, stream_started=True))
         replies.opened(attempt.request)
         self._hosts.adopt(attempt, host, stream.cached, replies.room)
 
--- a/violetstack/net/upstream/attempt.py
+++ b/violetstack/net/upstream/attempt.py
@@ -170,7 +170,7 @@
         self._waits.pop(attempt, None)
         self._sent.pop(attempt).set()
         if ended is not None:
-            self.core.ended(now_ms(), attempt, ended.status, ended.note, ended.report)
+            self.core.attempt_finished(now_ms(), attempt, ended.status, ended.note, ended.report)
 
     async def _exchange(self, attempt: Attempt) -> Ended:
         payload: Payload = attempt.request.payload
@@ -178,11 +178,11 @@
             attempt.server,
             lambda: self.core.may_send(now_ms(), attempt),
             lambda: self._let_go(attempt.request),
-            self.core.connect_ms(now_ms(), attempt) / 1000.0,
+            self.core.connect_timeout_ms(now_ms(), attempt) / 1000.0,
         )
         if connection is None:
             return Ended(AttemptStatus.ALREADY_FINISHED)
-        self.core.sending(attempt)
+        self.core.request_started(attempt)
         clean = False
         try:
             wait = max(1, int(attempt.deadline - now_ms()))
@@ -200,7 +200,7 @@
             self._using[attempt] = connection
 
             def written() -> None:
-                self.core.relayed(attempt)
+                self.core.request_written(attempt)
                 self._sent[attempt].set()
 
             await connection.write(parts, written, attempt.request.sending_allowed)
@@ -258,10 +258,10 @@
                     for part in splitter.feed(event.data):
                         if plain and tail.error(part):
                             raise Broken("an error in the stream")
-                        if not attempt.stream_started and not self.core.began(now_ms(), attempt):
+                        if not attempt.stream_started and not self.core.stream_started(now_ms(), attempt):
                             raise Broken("an answer that nobody wants")
                         tail.look(part)
-                        self.core.event(attempt, part)
+                        self.core.forward_event(attempt, part)
                         since = trio.current_time()
                         partial = False
                 elif isinstance(event, End) and head is not None:
@@ -272,7 +272,7 @@
                     if not attempt.stream_started:
                         raise Broken("a stream without an event")
                     if rest := splitter.end():
-                        self.core.event(attempt, memoryview(rest))
+                        self.core.forward_event(attempt, memoryview(rest))
                     return Ended(AttemptStatus.OK, _kept(tail.cached, attempt), tail.report)
             if attempt.stream_started:
                 before = trio.current_time()
@@ -304,7 +304,7 @@
         if head.status in UNUSABLE:
             # Guards good hosts against blame, and the request against being shown to all of them.
             log_outside("host_refused", id=attempt.request.id, server=attempt.server, status=head.status)
-            self.core.unusable(now_ms(), attempt)
+            self.core.request_invalid(now_ms(), attempt)
         return Ended(AttemptStatus.ERROR, 0, report)
 
     # --- short calls ---
@@ -337,7 +337,7 @@
         nothing_done = True
         try:
             with trio.move_on_after(CALL_S):
-                if call.server in self.core.stateless:
+                if call.server in self.core.stateless_hosts:
                     raise NotUp("holds no places")
                 sent = self._sent.get(call.attempt) if call.attempt is not None else None
                 first = sent.wait if sent is not None else None
@@ -352,7 +352,7 @@
             pass
         except Exception as error:
             log("place_failed", id=call.request.id, error=repr(error))
-        self.core.place_answered(call, held, nothing_done)
+        self.core.reservation_finished(call, held, nothing_done)
 
     def _place_wanted(self, call: PlaceCall) -> bool:
         """Guards against a place call that overtakes its read, or comes after it.
@@ -362,7 +362,7 @@
         """
         attempt = call.attempt
         out = attempt is not None and attempt.request_written and not attempt.finished
-        return out and not call.request.done and self.core.may_write(call.server)
+        return out and not call.request.done and self.core.may_write_to(call.server)
 
     def release_state(self, call: ReleaseCall) -> None:
         self._releases[call] = trio.Event()
@@ -398,7 +398,7 @@
                     await ended.wait()
             nursery.cancel_scope.cancel()
         del self._releases[call]
-        self.core.released(call, through.is_set())
+        self.core.release_finished(call, through.is_set())
         through.set()
 
     async def _ask_release(
@@ -420,14 +420,14 @@
 
     def _release_host(self, tried: set[str]) -> str | None:
         """The one most likely to answer: wanted by the list, heard of late, with a connection open."""
-        names = [n for n in self.core.entries if n in self.hosts and n not in tried]
-        names = [n for n in names if n not in self.core.stateless]
+        names = [n for n in self.core.endpoints if n in self.hosts and n not in tried]
+        names = [n for n in names if n not in self.core.stateless_hosts]
         if not names:
             return None
 
         def rank(name: str) -> tuple[bool, bool, float]:
             host = self.hosts[name]
-            return name not in self.core.unwanted, bool(host.idle), host.heard_at
+            return name not in self.core.draining, bool(host.idle), host.heard_at
 
         return max(names, key=rank)
 
@@ -435,14 +435,14 @@
         self.nursery.start_soon(self._probe, server)
 
     async def _probe(self, server: str) -> None:
-        if server in self.core.stateless:
+        if server in self.core.stateless_hosts:
             return
         began = now_ms()
         status = AttemptStatus.TIMEOUT
         report = None
         try:
             with trio.move_on_after(CALL_S):
-                connection = await self._ready(server, lambda: self.core.may_write(server))
+                connection = await self._ready(server, lambda: self.core.may_write_to(server))
                 if connection is None:
                     return
                 head = await self._call(connection, "GET", "/-/load")
@@ -454,7 +454,7 @@
             status = AttemptStatus.RESET
         except Exception as error:
             log("probe_failed", server=server, error=repr(error))
-        self.core.probed(HealthCheckResult(server, status, now_ms() - began, report))
+        self.core.health_checked(HealthCheckResult(server, status, now_ms() - began, report))
 
 
 class _Tail:
--- a/violetstack/rehearsal/demo.py
+++ b/violetstack/rehearsal/demo.py
@@ -84,7 +84,7 @@
             file.write_text(FILE % told)
             daemon = Daemon(config(file))
             serving = await nursery.start(daemon.serve)
-            while len(daemon.core.entries) < len(hosts):
+            while len(daemon.core.endpoints) < len(hosts):
                 await trio.sleep(0.01)
             good = await _ask(serving.chat, seen)
             if not once:
--- a/violetstack/rehearsal/scenarios.py
+++ b/violetstack/rehearsal/scenarios.py
@@ -82,7 +82,7 @@
 async def drain(on: Stage, reader: ModelHost, writer: ModelHost) -> Told:
     """The only writer drains: the next request is refused, not sent there."""
     on.discovery.tell(writer.row(state="leaving"))
-    while writer.name not in on.daemon.core.unwanted:
+    while writer.name not in on.daemon.core.draining:
         await trio.sleep(0.001)
     answer = await ask_platform(on.platform, "d1", "consulta")
     return [_saw("platform", answer, "refused"), ("nothing reached the writer", not writer.begun)]
@@ -140,7 +140,7 @@
     discovery.tell(reader.row(), other.row())
     await on.nursery.start(discovery.serve)
     on.daemon.reload(lambda: on.config(discovery=discovery.address))
-    while writer.name in on.daemon.core.entries:
+    while writer.name in on.daemon.core.endpoints:
         await trio.sleep(0.001)
     answer = await ask_platform(on.platform, "n1", "orden")
     return [_saw("platform", answer, "served"), ("by the new writer", other.begun == ["n1"])]
