--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -40,19 +40,19 @@
 TOKEN_MS = 40.0
 CONSULTA = replace(
     SETTINGS.classes[0],
-    aim_ms=1500.0,
-    give_up_ms=7500.0,
-    value=3.0,
-    late_value=0.2,
-    aim_ms_per_1000_tokens=40.0,
+    latency_objective_ms=1500.0,
+    client_timeout_ms=7500.0,
+    priority_weight=3.0,
+    late_priority_weight=0.2,
+    objective_ms_per_1000_tokens=40.0,
 )
 ORDEN = replace(
     SETTINGS.classes[1],
-    aim_ms=2500.0,
-    give_up_ms=10_000.0,
-    value=2.0,
-    late_value=0.1,
-    aim_ms_per_1000_tokens=40.0,
+    latency_objective_ms=2500.0,
+    client_timeout_ms=10_000.0,
+    priority_weight=2.0,
+    late_priority_weight=0.1,
+    objective_ms_per_1000_tokens=40.0,
 )
 TENANTS = (("app-propia", 0.36), ("red-kioscos", 0.34), ("mesa-agentes", 0.30))
 
@@ -91,7 +91,7 @@
             if work.dropped:
                 continue
             self.busy = True
-            took = work.attempt.request.asked.prompt_tokens / READ_TOKENS_MS
+            took = work.attempt.request.policy_request.prompt_tokens / READ_TOKENS_MS
             self.clock.at(self.clock.now + took, lambda w=work: self._done(w))  # type: ignore[misc]
 
     def _done(self, work: Work) -> None:
@@ -122,8 +122,8 @@
     def _begin(self, work: Work) -> None:
         node = work.node
         if not work.dropped:
-            node.core.began(self.clock.now, work.attempt)
-        took = TOKEN_MS * work.attempt.request.asked.max_tokens
+            node.core.stream_started(self.clock.now, work.attempt)
+        took = TOKEN_MS * work.attempt.request.policy_request.max_tokens
         self.clock.at(self.clock.now + took, lambda: self._done(work))
 
     def _done(self, work: Work) -> None:
@@ -149,7 +149,7 @@
             weights = weights_of(settings, ("consulta", "orden"), tuple(name for name, _ in TENANTS))
             self.levels = Levels(plan, weights, self._log)
             self.levels.start(0.0, 0.0, Resumed(0, 0.0, True, "the model"))
-            self.core.level = self.levels
+            self.core.load_shedder = self.levels
             self.clock.at(0.0, self.tick)
 
     def _log(self, event: str, **fields: Any) -> None:
@@ -173,38 +173,40 @@
         now = self.clock.now
         reader, writer = self.router.headroom(now)
         gauges = {"reader_free": reader, "writer_free": writer}
-        self.levels.tick(now, now / 1000.0, gauges, (len(self.core.entries), 0), self.core.waiting(now))
+        self.levels.tick(
+            now, now / 1000.0, gauges, (len(self.core.endpoints), 0), self.core.waiting_ratios(now)
+        )
         self.levels.records.clear()
         self.clock.at(now + TICK_MS, self.tick)
 
     def ended(self, attempt: Attempt, status: AttemptStatus) -> None:
         self.works.pop(id(attempt), None)
-        self.core.ended(self.clock.now, attempt, status)
+        self.core.attempt_finished(self.clock.now, attempt, status)
         self.wake()
 
     # --- what the core asks ---
 
-    def start(self, attempt: Attempt) -> None:
-        attempt.written = True
+    def start_attempt(self, attempt: Attempt) -> None:
+        attempt.request_written = True
         work = self.works[id(attempt)] = Work(self, attempt)
         host = self.fleet.hosts[attempt.server]
         self.clock.at(self.clock.now + 1.0, lambda: host.take(work))
 
-    def abort(self, attempt: Attempt) -> None:
+    def abort_attempt(self, attempt: Attempt) -> None:
         if (work := self.works.pop(id(attempt), None)) is not None:
             work.dropped = True
 
-    def hold_place(self, call: PlaceCall) -> None:
+    def reserve_decode_slot(self, call: PlaceCall) -> None:
         host = self.fleet.hosts[call.server]
         held = isinstance(host, Writer) and host.running < WRITE_SLOTS
-        self.clock.at(self.clock.now + 1.0, lambda: self.core.place_answered(call, held, not held))
+        self.clock.at(self.clock.now + 1.0, lambda: self.core.reservation_finished(call, held, not held))
 
-    def release(self, call: ReleaseCall) -> None:
-        self.clock.at(self.clock.now + 1.0, lambda: self.core.released(call, True))
+    def release_state(self, call: ReleaseCall) -> None:
+        self.clock.at(self.clock.now + 1.0, lambda: self.core.release_finished(call, True))
 
-    def probe(self, server: str) -> None: ...
+    def check_health(self, server: str) -> None: ...
 
-    def tell(self, payload: bytes, /) -> None: ...
+    def send_gossip(self, payload: bytes, /) -> None: ...
 
     def log(self, event: str, **fields: Any) -> None: ...
 
@@ -235,7 +237,7 @@
             self.cls,
             self.tenant,
             self.session,
-            spec.give_up_ms,
+            spec.client_timeout_ms,
             None,
             None,
             self.prompt,
@@ -249,29 +251,29 @@
             fleet.counts["shed"] += 1
             self.again(shed.retry_after_ms)
             return
-        self.due = now + node.core.aim_ms(asked)
-        node.core.take(now, asked, self, None)
+        self.due = now + node.core.latency_objective_ms(asked)
+        node.core.accept(now, asked, self, None)
 
     def again(self, after: float) -> None:
         if self.tries <= 3 and self.fleet.clock.now < self.fleet.end:
             self.fleet.clock.at(self.fleet.clock.now + max(after, 50.0), self.ask)
 
-    def begun(self) -> None:
+    def stream_started(self) -> None:
         spec = self.fleet.settings.classes[self.cls]
-        part = 1.0 if self.fleet.clock.now <= self.due else spec.late_value
-        self.fleet.earned[self.cls] += spec.value * part * (self.prompt + self.tokens) / 1000.0
+        part = 1.0 if self.fleet.clock.now <= self.due else spec.late_priority_weight
+        self.fleet.earned[self.cls] += spec.priority_weight * part * (self.prompt + self.tokens) / 1000.0
         self.fleet.counts["in time" if part == 1.0 else "late"] += 1
 
     def event(self, data: memoryview) -> None: ...
 
     def finished(self) -> None: ...
 
-    def cut(self) -> None: ...
+    def stream_broken(self) -> None: ...
 
     def client_gone(self) -> bool:
         return False
 
-    def refused(self, retry_after_ms: float) -> None:
+    def rejected(self, retry_after_ms: float) -> None:
         self.fleet.counts["refused"] += 1
         self.again(retry_after_ms)
 
@@ -302,10 +304,10 @@
         self.settings = replace(
             SETTINGS,
             classes=(CONSULTA, ORDEN),
-            fleet_size=dispatchers,
+            dispatcher_count=dispatchers,
             max_attempts=5,
             tenants=tuple(TenantSettings(share, 1000.0) for _, share in TENANTS),
-            over_share_worth=0.05,
+            over_quota_weight=0.05,
             max_retry_after_ms=1000.0,
         )
         entries = [entry(f"r{n}", 0) for n in range(readers)]
@@ -314,10 +316,11 @@
             e.server: Reader(self.clock) if e.kind == 0 else Writer(self.clock) for e in entries
         }
         self.nodes = [
-            Node(self, replace(self.settings, me=n, seed=seed + n), plan) for n in range(dispatchers)
+            Node(self, replace(self.settings, dispatcher_index=n, seed=seed + n), plan)
+            for n in range(dispatchers)
         ]
         for node in self.nodes:
-            node.core.news(0.0, EndpointUpdate(UpdateScope.SNAPSHOT, tuple(entries), 1))
+            node.core.update_endpoints(0.0, EndpointUpdate(UpdateScope.SNAPSHOT, tuple(entries), 1))
         mean = 5_000.0
         usual = readers * READ_TOKENS_MS / mean  # requests a millisecond at load 1
         arrivals = random.Random(seed + 1000)
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -50,7 +50,7 @@
     front.end(request, AttemptStatus.ERROR, after=4.0)
     front.end(request, AttemptStatus.PREFILLED)
     front.now += 30_000.0
-    picks = {front.sends[front.ask(shared=f"p{i}", prompt_tokens=100.0)][0].server for i in range(6)}
+    picks = {front.sends[front.ask(prefix_id=f"p{i}", prompt_tokens=100.0)][0].server for i in range(6)}
     assert bad in picks
 
 
@@ -77,11 +77,11 @@
     warm_up(front)
     request = front.ask()
     first = front.one(SendAttempt)
-    assert front.now < first.stop_at_ms < front.now + 3000.0
+    assert front.now < first.deadline_ms < front.now + 3000.0
     front.end(request, AttemptStatus.TIMEOUT, after=500.0)
     again = front.one(SendAttempt)
     assert again.server != first.server
-    assert again.stop_at_ms == front.now - 500.0 + 3000.0
+    assert again.deadline_ms == front.now - 500.0 + 3000.0
 
 
 def test_a_jammed_reader_pool_refuses_early_with_advice() -> None:
@@ -98,14 +98,14 @@
 
 
 def test_the_cheapest_worth_is_refused_first() -> None:
-    classes = (replace(SAFE, value=1.0), replace(SAFE, value=4.0))
+    classes = (replace(SAFE, priority_weight=1.0), replace(SAFE, priority_weight=4.0))
     admitted = {}
     for cls in (0, 1):
         front = Front(classes=classes)
         warm_up(front)
         admitted[cls] = 0
         for _ in range(200):
-            front.ask(cls=cls)
+            front.ask(class_index=cls)
             admitted[cls] += len(front.all(SendAttempt))
     assert 0 < admitted[0] < admitted[1]
 
@@ -113,11 +113,11 @@
 def test_a_tenant_beyond_its_share_is_refused_first() -> None:
     admitted = {}
     for tenant in (0, 1):
-        front = Front(tenants=TENANTS, over_share_worth=0.1)
+        front = Front(tenants=TENANTS, over_quota_weight=0.1)
         warm_up(front)
         admitted[tenant] = 0
         for _ in range(200):
-            front.ask(tenant=tenant)
+            front.ask(tenant_index=tenant)
             admitted[tenant] += len(front.all(SendAttempt))
     assert 0 < admitted[0] < admitted[1]
 
@@ -167,14 +167,17 @@
 
 def test_a_dear_class_with_a_short_aim_outlasts_a_cheap_patient_one() -> None:
     """Incident ic7164e: bounds by each class's own aim refused the dear, short-aimed class first."""
-    classes = (replace(SAFE, value=1.0, aim_ms=3000.0), replace(SAFE, value=2.0, aim_ms=700.0))
+    classes = (
+        replace(SAFE, priority_weight=1.0, latency_objective_ms=3000.0),
+        replace(SAFE, priority_weight=2.0, latency_objective_ms=700.0),
+    )
     admitted = {}
     for cls in (0, 1):
         front = Front(classes=classes)
         warm_up(front)
         admitted[cls] = 0
         for _ in range(200):
-            front.ask(cls=cls)
+            front.ask(class_index=cls)
             admitted[cls] += len(front.all(SendAttempt))
     assert 0 < admitted[0] < admitted[1]
 
@@ -201,7 +204,7 @@
 def test_a_home_is_charged_only_what_it_does_not_keep() -> None:
     front = Front(*(entry(f"r{i}", 0) for i in range(6)), *WRITERS)
     fleet = front.router.fleet
-    job = front.router.jobs[front.ask(shared="p", shared_tokens=1500.0, session="s")]
+    job = front.router.jobs[front.ask(prefix_id="p", prefix_tokens=1500.0, session="s")]
     charged = [fleet.unread_price(s, job, front.now) for s in fleet.homes(job.req)]
     assert charged[0] < charged[1] == charged[2] < charged[3] == charged[5]
 
@@ -265,7 +268,7 @@
 def test_own_streams_weigh_by_the_number_of_fronts_without_reports() -> None:
     used = []
     for fleet_size in (1, 4):
-        front = Front(fleet_size=fleet_size)
+        front = Front(dispatcher_count=fleet_size)
         front.ask(prompt_tokens=9800.0)
         place = front.one(ReserveDecodeSlot).server
         fleet = front.router.fleet
@@ -274,7 +277,7 @@
 
 
 def test_an_old_report_fades_towards_the_fleets_mean() -> None:
-    front = Front(report_names=("x0",))
+    front = Front(load_report_fields=("x0",))
     fleet = front.router.fleet
     for name, share in (("w1", 0.8), ("w2", 0.2)):
         fleet.report(fleet.servers[name], (share,), front.now)
@@ -284,7 +287,7 @@
 
 
 def test_memory_size_is_learned_from_reports_against_own_streams() -> None:
-    front = Front(report_names=("x0",))
+    front = Front(load_report_fields=("x0",))
     fleet = front.router.fleet
     front.ask(prompt_tokens=30_000.0)
     server = fleet.servers[front.one(ReserveDecodeSlot).server]
@@ -295,7 +298,7 @@
 
 def test_after_an_error_at_a_writer_the_prompt_is_read_again() -> None:
     """Incident i85aa01: the state is gone after an error, the next writer answered no_room with note 1."""
-    front = Front(ahead=False)
+    front = Front(reserve_ahead=False)
     request = front.ask()
     front.end(request, AttemptStatus.PREFILLED)
     front.end(request, AttemptStatus.ERROR, after=4.0)
@@ -303,7 +306,7 @@
 
 
 def test_servers_are_polled_in_turn_where_only_polls_carry_reports() -> None:
-    front = Front(reports_on_probe=True, may_probe=True, report_names=("x0",))
+    front = Front(health_checks_report_load=True, health_checks_allowed=True, load_report_fields=("x0",))
     polled = set()
     for _ in range(4):
         front.feed(TimerFired("poll"), after=500.0)
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -40,8 +40,20 @@
 READERS = [f"r{n}" for n in range(4)]
 WRITERS = [f"w{n}" for n in range(4)]
 CLASSES = (
-    replace(SAFE, aim_ms=1500.0, give_up_ms=7500.0, value=3.0, aim_ms_per_1000_tokens=40.0),
-    replace(SAFE, aim_ms=2500.0, give_up_ms=10_000.0, value=2.0, aim_ms_per_1000_tokens=40.0),
+    replace(
+        SAFE,
+        latency_objective_ms=1500.0,
+        client_timeout_ms=7500.0,
+        priority_weight=3.0,
+        objective_ms_per_1000_tokens=40.0,
+    ),
+    replace(
+        SAFE,
+        latency_objective_ms=2500.0,
+        client_timeout_ms=10_000.0,
+        priority_weight=2.0,
+        objective_ms_per_1000_tokens=40.0,
+    ),
 )
 
 
@@ -50,7 +62,7 @@
 
     def __init__(self, seed: int, load: float, seconds: float) -> None:
         self.random = Random(seed)
-        self.router = Router(replace(SETTINGS, classes=CLASSES, may_tell=True, seed=seed))
+        self.router = Router(replace(SETTINGS, classes=CLASSES, gossip_allowed=True, seed=seed))
         self.heap: list[tuple[float, int, Any]] = []
         self.count = 0
         self.now = 0.0
@@ -114,7 +126,7 @@
                     self.at(self.now + 5.0, lambda note=note: self.feed(note))
                 case StartTimer():
                     due = TimerFired(action.token)
-                    self.at(self.now + action.after_ms, lambda due=due: self.feed(due))
+                    self.at(self.now + action.delay_ms, lambda due=due: self.feed(due))
                 case CancelAttempt():
                     self.end(action.id, action.attempt, AttemptStatus.CANCELLED)
                 case RejectRequest() | FailRequest():
@@ -146,7 +158,7 @@
 
 def shares(day: Day, cls: int) -> tuple[float, float, float]:
     """Answered of the class, of its largest tenth, and of the fifth below."""
-    rows = sorted((r for r in day.asked.values() if r.cls == cls), key=lambda r: r.prompt_tokens)
+    rows = sorted((r for r in day.asked.values() if r.class_index == cls), key=lambda r: r.prompt_tokens)
     served = [day.answers.get(r.id) == "served" for r in rows]
     tenth = len(rows) // 10
     return (
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -115,7 +115,7 @@
     """A new version sent cold hosts a trickle, since it had seen nobody be served."""
     cold = [entry(f"r{n}", 0, started_ms=500.0) for n in range(2)]
     shared = (TenantSettings(1.0, 6.0),)
-    old = Front(*cold, entry("w1", 1), entry("w2", 1, started_ms=800.0), fleet_size=3, tenants=shared)
+    old = Front(*cold, entry("w1", 1), entry("w2", 1, started_ms=800.0), dispatcher_count=3, tenants=shared)
     old.news(UpdateScope.SNAPSHOT, entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=800.0))
     for _ in range(20):
         old.serve(after=100.0)
@@ -123,7 +123,7 @@
     told = learned(old.router, old.now)
     assert msgspec.json.decode(msgspec.json.encode(told), type=Learned) == told
     listed = (entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=900.0))  # w2 started anew
-    new = Front(*listed, fleet_size=3, tenants=shared)
+    new = Front(*listed, dispatcher_count=3, tenants=shared)
     new.now = old.now
     assert recall(new.router, told) == 4
     for front in (old, new):
@@ -537,7 +537,7 @@
             hold.set()
             assert (await call.receive()).whole
         assert (giver.given, writer.begun) == (0, ["q0"])
-        assert on.daemon.core.tally.rows[1].fulfilled == 1
+        assert on.daemon.core.metrics.classes[1].fulfilled == 1
 
     play(reader, writer, story=story)
 
@@ -560,7 +560,7 @@
         if last == "odd":
             await giver.send(b"perhaps")
         elif last != "dies":
-            core.open["q0"] = None  # type: ignore[assignment]
+            core.open_requests["q0"] = None  # type: ignore[assignment]
             await giver.send(GO)
         giver.close()
         client.close()
@@ -568,8 +568,8 @@
         theirs.setblocking(False)
         await trio.lowlevel.wait_readable(theirs)
         assert theirs.recv(64) == b""  # its copy is closed, and not a byte was written
-        core.open.pop("q0", None)
-        assert (core.open, core.tally.rows[0].taken) == ({}, 0)
+        core.open_requests.pop("q0", None)
+        assert (core.open_requests, core.metrics.classes[0].taken) == ({}, 0)
         assert on.daemon.listeners[0].table.connections == set()
         theirs.close()
         hosts_own.close()
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -21,7 +21,9 @@
 
 def test_price_is_quadratic_plus_linear() -> None:
     request = Request("q", 0, 0, None, 1000.0, None, None, 2000.0, 0.0, 200.0, False, False)
-    assert Job(request, SAFE, SAFE.aim_ms, 4, 0.0).price == pytest.approx(4.25e-5 * 2000**2 + 6.8e-3 * 2000)
+    assert Job(request, SAFE, SAFE.latency_objective_ms, 4, 0.0).price == pytest.approx(
+        4.25e-5 * 2000**2 + 6.8e-3 * 2000
+    )
 
 
 def test_the_read_goes_where_the_own_backlog_is_smallest() -> None:
@@ -59,7 +61,7 @@
 
 
 def test_a_session_does_not_follow_its_reader_past_the_near_best() -> None:
-    front = Front(classes=(replace(SAFE, aim_ms=60_000.0),))
+    front = Front(classes=(replace(SAFE, latency_objective_ms=60_000.0),))
     front.serve(session="s", prompt_tokens=500.0)
     asked = [front.ask(prompt_tokens=9000.0, session="s", expires_in_ms=90_000.0) for _ in range(4)]
     assert {front.sends[request][0].server for request in asked} == {"r1", "r2"}
@@ -67,7 +69,7 @@
 
 def test_a_shared_beginning_keeps_to_one_reader_and_all_fronts_agree() -> None:
     fronts = [Front(*(entry(f"r{i}", 0) for i in range(8)), *WRITERS, seed=seed) for seed in (1, 2, 3)]
-    asked = [(front, front.serve(shared="p", prompt_tokens=500.0)) for front in fronts for _ in range(4)]
+    asked = [(front, front.serve(prefix_id="p", prompt_tokens=500.0)) for front in fronts for _ in range(4)]
     picks = {front.sends[request][0].server for front, request in asked}
     assert len(picks) == 1
 
@@ -78,7 +80,7 @@
     for seed in range(5):
         front = Front(*(entry(f"r{i}", 0) for i in range(20)), *WRITERS, seed=seed)
         for n in range(40):
-            request = front.serve(shared="p", session=f"s{n}", prompt_tokens=500.0)
+            request = front.serve(prefix_id="p", session=f"s{n}", prompt_tokens=500.0)
             picks.setdefault(f"s{n}", set()).add(front.sends[request][0].server)
     assert all(len(at) == 1 for at in picks.values())
     assert 2 <= len(set.union(*picks.values())) <= 5
@@ -125,7 +127,7 @@
 
 
 def test_no_place_is_asked_for_where_the_site_has_none() -> None:
-    front = Front(ahead=False)
+    front = Front(reserve_ahead=False)
     request = front.ask()
     assert not front.all(ReserveDecodeSlot)
     front.end(request, AttemptStatus.PREFILLED)
@@ -142,7 +144,7 @@
 
 
 def test_writers_go_by_reported_share_plus_own_streams_since() -> None:
-    front = Front(report_names=("x0",))
+    front = Front(load_report_fields=("x0",))
     fleet = front.router.fleet
     for name, share in (("w1", 0.7), ("w2", 0.2)):
         fleet.report(fleet.servers[name], (share,), front.now)
@@ -155,7 +157,7 @@
 
 def test_the_hint_stands_for_the_told_maximum() -> None:
     request = Request("q", 0, 0, None, 1000.0, 2000.0, None, 1000.0, 0.0, 500.0, False, False)
-    assert Job(request, SAFE, SAFE.aim_ms, 4, 0.0).tokens == 1000.0 + 2000.0 / 50.0
+    assert Job(request, SAFE, SAFE.latency_objective_ms, 4, 0.0).tokens == 1000.0 + 2000.0 / 50.0
 
 
 def test_near_best_writers_in_the_readers_cell_then_zone_are_preferred() -> None:
@@ -184,7 +186,7 @@
 
 
 def test_a_writer_reads_itself_where_it_may_and_no_reader_is_left() -> None:
-    front = Front(*WRITERS, local_read=True)
+    front = Front(*WRITERS, decode_hosts_prefill=True)
     front.ask()
     assert front.one(SendAttempt).server in ("w1", "w2")
     front = Front(*WRITERS)
@@ -198,7 +200,7 @@
         front = Front()
         log = []
         for i in range(30):
-            request = front.ask(shared=f"p{i % 3}", session=f"s{i % 5}", prompt_tokens=500.0 + 37 * i)
+            request = front.ask(prefix_id=f"p{i % 3}", session=f"s{i % 5}", prompt_tokens=500.0 + 37 * i)
             log += front.did
             log += front.end(request, AttemptStatus.PREFILLED)
         logs.append(log)
@@ -228,7 +230,7 @@
     fleet = front.router.fleet
     for i in range(20):
         request = front.ask(session="s", prompt_tokens=3000.0)
-        front.end(request, AttemptStatus.PREFILLED, note=0)
+        front.end(request, AttemptStatus.PREFILLED, detail=0)
         job = front.router.jobs[request]
         unread = fleet.unread_price(fleet.servers[front.sends[request][0].server], job, front.now)
         if i > 10:
--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -32,7 +32,7 @@
 def core_of() -> tuple[Dispatcher, Noted]:
     noted = Noted()
     core = Dispatcher(SETTINGS, noted, noted, GRACE_MS)
-    core.news(1000.0, EndpointUpdate(UpdateScope.SNAPSHOT, WRITERS, 1))
+    core.update_endpoints(1000.0, EndpointUpdate(UpdateScope.SNAPSHOT, WRITERS, 1))
     core.run(1000.0)
     noted.events.clear()
     return core, noted
@@ -67,14 +67,14 @@
     Now none does: a drain binds as soon as its update is read, whatever its age.
     """
     core, noted = core_of()
-    core.take(5000.0, asked(), noted, None)
-    core.news(
+    core.accept(5000.0, asked(), noted, None)
+    core.update_endpoints(
         5000.0, EndpointUpdate(UpdateScope.SNAPSHOT, (entry("w1", 1, state=EndpointState.DRAINING),), 2)
     )
     core.process_paused(5000.0, 4000.0)
     core.run(5000.0)
     assert [type(event) for event in noted.events] == [ProcessPaused, EndpointUpdate, Request]
-    assert not core.may_write("w1")
+    assert not core.may_write_to("w1")
 
 
 def test_a_request_that_was_unread_until_its_deadline_is_rejected_at_once() -> None:
@@ -87,7 +87,7 @@
 
 
 def test_a_pause_discards_gossip_and_no_estimator_learns_across_it() -> None:
-    front = Front(may_tell=True)
+    front = Front(gossip_allowed=True)
     front.feed(GossipReceived(1, encode_datagram([(endpoint_tag("r1"), encode_load(500.0))])))
     request = front.ask()
     front.feed(TimerFired("tell"), after=25.0)
@@ -110,7 +110,7 @@
 
 
 def test_a_load_report_read_after_a_pause_is_dated_before_it() -> None:
-    front = Front(report_names=("x0",))
+    front = Front(load_report_fields=("x0",))
     request = front.ask()
     front.now += 5000.0
     reader = front.sends[request][0].server
@@ -121,12 +121,12 @@
 
 def test_a_new_dispatcher_is_sent_all_attempts_in_flight() -> None:
     """It received only changes, and took hosts that were full for idle ones."""
-    front = Front(may_tell=True)
+    front = Front(gossip_allowed=True)
     front.ask()
     front.feed(TimerFired("tell"), after=25.0)
     told = front.one(SendGossip).payload
     front.feed(GossipReceived(1, RESET_DATAGRAM), GossipReceived(2, RESET_DATAGRAM))
-    assert 20.0 <= front.all(StartTimer)[0].after_ms <= 200.0
+    assert 20.0 <= front.all(StartTimer)[0].delay_ms <= 200.0
     front.feed(TimerFired("tell"), after=250.0)
     assert front.one(SendGossip).payload == told
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -28,7 +28,12 @@
     UpdateScope,
 )
 
-KEYED = replace(SAFE, effect=Idempotency.IDEMPOTENCY_KEY, group=DeduplicationScope.ZONE, window_ms=1000.0)
+KEYED = replace(
+    SAFE,
+    idempotency=Idempotency.IDEMPOTENCY_KEY,
+    deduplication_scope=DeduplicationScope.ZONE,
+    deduplication_window_ms=1000.0,
+)
 
 
 def finals(front: Front) -> list[Action]:
@@ -40,9 +45,9 @@
 
 def test_a_hung_read_is_taken_back_and_answered_before_the_deadline() -> None:
     front = Front(max_attempts=2)
-    request = front.ask(cls=1, expires_in_ms=1000.0)
-    guard = min(front.all(StartTimer), key=lambda timer: timer.after_ms)
-    front.feed(TimerFired(guard.token), after=guard.after_ms)
+    request = front.ask(class_index=1, expires_in_ms=1000.0)
+    guard = min(front.all(StartTimer), key=lambda timer: timer.delay_ms)
+    front.feed(TimerFired(guard.token), after=guard.delay_ms)
     assert front.one(CancelAttempt).id == request
     front.end(request, AttemptStatus.CANCELLED, after=4.0)
     assert front.one(RejectRequest).id == request
@@ -50,10 +55,10 @@
 
 def test_a_hung_write_is_failed_before_the_deadline_and_only_once() -> None:
     front = Front()
-    request = front.ask(cls=1, expires_in_ms=1000.0)
-    last = max(front.all(StartTimer), key=lambda timer: timer.after_ms)
+    request = front.ask(class_index=1, expires_in_ms=1000.0)
+    last = max(front.all(StartTimer), key=lambda timer: timer.delay_ms)
     front.end(request, AttemptStatus.PREFILLED)
-    front.feed(TimerFired(last.token), after=last.after_ms - 50.0)
+    front.feed(TimerFired(last.token), after=last.delay_ms - 50.0)
     assert front.now < 2000.0
     assert front.one(FailRequest).id == request
     front.feed(TimerFired(last.token))
@@ -65,10 +70,10 @@
 def test_no_deadline_for_a_stream_that_has_begun() -> None:
     front = Front()
     request = front.ask()
-    last = max(front.all(StartTimer), key=lambda timer: timer.after_ms)
+    last = max(front.all(StartTimer), key=lambda timer: timer.delay_ms)
     front.end(request, AttemptStatus.PREFILLED)
     front.begin(request)
-    front.feed(TimerFired(last.token), after=last.after_ms)
+    front.feed(TimerFired(last.token), after=last.delay_ms)
     assert not finals(front) and not front.all(CancelAttempt)
 
 
@@ -100,7 +105,7 @@
 )
 def test_an_unsafe_write_that_may_have_run_is_failed_not_repeated(status: AttemptStatus) -> None:
     front = Front()
-    request = front.ask(cls=1)
+    request = front.ask(class_index=1)
     front.end(request, AttemptStatus.PREFILLED)
     front.end(request, status)
     assert not front.all(SendAttempt)
@@ -110,7 +115,7 @@
 @pytest.mark.parametrize("status", [AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED])
 def test_an_unsafe_write_that_never_ran_is_tried_elsewhere(status: AttemptStatus) -> None:
     front = Front()
-    request = front.ask(cls=1)
+    request = front.ask(class_index=1)
     front.end(request, AttemptStatus.PREFILLED)
     first = front.one(SendAttempt).server
     front.end(request, status)
@@ -119,7 +124,7 @@
 
 def test_a_read_has_no_effect_and_is_repeated_for_an_unsafe_class() -> None:
     front = Front()
-    request = front.ask(cls=1)
+    request = front.ask(class_index=1)
     first = front.one(SendAttempt).server
     front.end(request, AttemptStatus.TIMEOUT)
     assert front.one(SendAttempt).server != first
@@ -128,7 +133,7 @@
 def test_a_keyed_write_stays_in_its_group_and_window() -> None:
     writers = (entry("w1", 1, zone=0), entry("w2", 1, zone=1), entry("w3", 1, zone=0))
     for late, seed in ((late, seed) for late in (False, True) for seed in range(6)):
-        front = Front(*READERS, *writers, classes=(KEYED,), ahead=False, seed=seed)
+        front = Front(*READERS, *writers, classes=(KEYED,), reserve_ahead=False, seed=seed)
         request = front.ask()
         front.end(request, AttemptStatus.PREFILLED)
         first = front.one(SendAttempt).server
@@ -141,7 +146,7 @@
 
 def test_a_keyed_write_does_not_go_to_its_held_place_once_the_window_is_over() -> None:
     """The place was chosen while a repeat was still allowed; the read it waited for took longer than that."""
-    front = Front(classes=(replace(KEYED, group=DeduplicationScope.ALL),))
+    front = Front(classes=(replace(KEYED, deduplication_scope=DeduplicationScope.ALL),))
     request = front.ask()
     place = front.one(ReserveDecodeSlot).server
     front.feed(ReservationResult(request, front.sends[request][0].server, 0, True))
@@ -239,7 +244,9 @@
 
 def test_many_fronts_together_keep_a_cold_server_within_its_budget() -> None:
     """Forty fronts of one request a second, in any window, the first too; and yet it gets work."""
-    fronts = [Front(entry("r1", 0), *WRITERS, seed=n, me=n, fleet_size=40) for n in range(40)]
+    fronts = [
+        Front(entry("r1", 0), *WRITERS, seed=n, dispatcher_index=n, dispatcher_count=40) for n in range(40)
+    ]
     for front in fronts:
         for _ in range(20):
             front.end(front.ask(after=500.0), AttemptStatus.PREFILLED, after=500.0)
@@ -270,7 +277,10 @@
     tenants = (TenantSettings(1.0, 80.0),)
     started = 1000.0
     listed = [entry(f"r{n}", 0) for n in range(3)] + [entry("cold", 0, started_ms=started)]
-    fronts = [Front(*listed, *WRITERS, seed=n, me=n, fleet_size=size, tenants=tenants) for n in range(size)]
+    fronts = [
+        Front(*listed, *WRITERS, seed=n, dispatcher_index=n, dispatcher_count=size, tenants=tenants)
+        for n in range(size)
+    ]
     at: list[float] = []
     now = started
     n = 0
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -103,47 +103,47 @@
 
     def __init__(self, settings: Settings, decider: Decider, driver: Driver, drain_grace_ms: float) -> None:
         self.settings = settings
-        self.decider = decider
+        self.policy = decider
         self.driver = driver
         self.drain_grace_ms = drain_grace_ms
-        self.open: dict[str, OpenRequest] = {}
-        self.entries: dict[str, Endpoint] = {}
-        self.unwanted: set[str] = set()  # servers that are known to drain
-        self.stateless: set[str] = set()  # hosts that take no states, places or releases
-        self.inbox: list[Event] = []
-        self.touched: dict[str, OpenRequest] = {}
+        self.open_requests: dict[str, OpenRequest] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.draining: set[str] = set()  # servers that are known to drain
+        self.stateless_hosts: set[str] = set()  # hosts that take no states, places or releases
+        self.pending_events: list[Event] = []
+        self.changed_requests: dict[str, OpenRequest] = {}
         self.wake: Callable[[], None] = lambda: None
         self.timers = Timers()
-        self.tally = Tally(len(settings.classes))
+        self.metrics = Tally(len(settings.classes))
         self.routes: Routes | None = None
-        self.level: Level | None = None
-        self.witness: Witness | None = None
-        self.advice_ms: Callable[[float], float] = lambda ms: ms  # when to come back
+        self.load_shedder: Level | None = None
+        self.outlier_observer: Witness | None = None
+        self.retry_after_ms: Callable[[float], float] = lambda ms: ms  # when to come back
         self.max_unread_ms: Callable[[], float] = lambda: 0.0  # age of what is read now, at most
 
     # --- events in ---
 
     def _post(self, event: Event) -> None:
-        self.inbox.append(event)
+        self.pending_events.append(event)
         self.wake()
 
-    def news(self, now: float, news: EndpointUpdate) -> None:
+    def update_endpoints(self, now: float, news: EndpointUpdate) -> None:
         """A host that is gone is forgotten here and now: hosts come with new ids all day long."""
         if news.scope is not UpdateScope.DELTA:
-            self.entries = {}
-        for entry in news.entries:
-            self.entries[entry.server] = entry
+            self.endpoints = {}
+        for entry in news.endpoints:
+            self.endpoints[entry.server] = entry
             if entry.state is EndpointState.DRAINING:
-                self.unwanted.add(entry.server)
+                self.draining.add(entry.server)
             else:
-                self.unwanted.discard(entry.server)
+                self.draining.discard(entry.server)
             if entry.state is EndpointState.REMOVED:
-                del self.entries[entry.server]
-        self.unwanted &= self.entries.keys()
+                del self.endpoints[entry.server]
+        self.draining &= self.endpoints.keys()
         if self.routes is not None:
-            self.routes.told(now, news)
-        if self.witness is not None:
-            self.witness.listed(now, self.entries)
+            self.routes.update_endpoints(now, news)
+        if self.outlier_observer is not None:
+            self.outlier_observer.endpoints_listed(now, self.endpoints)
         self._post(news)
 
     def route(self, asked: Request, origin: Origin) -> Request:
@@ -157,79 +157,89 @@
         """
         asked.age_ms = self.max_unread_ms()
         asked.expires_in_ms -= asked.age_ms
-        shed = None if self.level is None else self.level.admit(now, asked)
+        shed = None if self.load_shedder is None else self.load_shedder.admit(now, asked)
         if asked.expires_in_ms <= 0.0:
-            shed = Shed("unread", min(self.settings.max_retry_after_ms, self.aim_ms(asked)))
+            shed = Shed("unread", min(self.settings.max_retry_after_ms, self.latency_objective_ms(asked)))
         if shed is not None:
-            self.tally.taken(asked.cls)
-            self.tally.ended(asked.cls, "shed")
+            self.metrics.request_accepted(asked.class_index)
+            self.metrics.request_finished(asked.class_index, "shed")
         return shed
 
-    def aim_ms(self, asked: Request) -> float:
+    def latency_objective_ms(self, asked: Request) -> float:
         """When this request's first token is wanted."""
-        spec = self.settings.classes[asked.cls]
-        stretch = spec.aim_stretch * (asked.answer_ms or 0.0)
-        return max(1.0, spec.aim_ms + spec.aim_ms_per_1000_tokens * asked.prompt_tokens / 1000.0 + stretch)
+        spec = self.settings.classes[asked.class_index]
+        stretch = spec.objective_stretch * (asked.expected_answer_ms or 0.0)
+        return max(
+            1.0,
+            spec.latency_objective_ms
+            + spec.objective_ms_per_1000_tokens * asked.prompt_tokens / 1000.0
+            + stretch,
+        )
 
-    def waiting(self, now: float) -> list[float]:
+    def waiting_ratios(self, now: float) -> list[float]:
         """Ages of the requests without a first token, as parts of their aims."""
-        rows = [r for r in self.open.values() if not r.done and r.bound is None]
-        return [(now - r.arrived) / self.aim_ms(r.asked) for r in rows]
+        rows = [r for r in self.open_requests.values() if not r.done and r.committed_attempt is None]
+        return [(now - r.arrived_at) / self.latency_objective_ms(r.policy_request) for r in rows]
 
-    def take(self, now: float, asked: Request, sink: Sink, payload: object) -> OpenRequest:
-        if asked.id in self.open:
+    def accept(self, now: float, asked: Request, sink: Sink, payload: object) -> OpenRequest:
+        if asked.id in self.open_requests:
             raise Duplicate(asked.id)
         request = OpenRequest(asked, sink, payload, now, now + asked.expires_in_ms)
-        self.open[asked.id] = request
-        self.tally.taken(asked.cls)
+        self.open_requests[asked.id] = request
+        self.metrics.request_accepted(asked.class_index)
         if self.routes is not None:
-            self.routes.taken(now, asked)
-        request.timer = self.timers.at(request.deadline, lambda at: self._overdue(at, request))
+            self.routes.request_accepted(now, asked)
+        request.deadline_timer = self.timers.schedule(request.deadline, lambda at: self._overdue(at, request))
         self._post(asked)
         return request
 
-    def client_left(self, now: float, request: OpenRequest) -> None:
+    def client_disconnected(self, now: float, request: OpenRequest) -> None:
         """Guards against work for nobody: a stream that nobody reads ends, the module is told of the rest."""
-        request.left = True
-        if request.done or (request.outlives and may_have_run(request)):
+        request.client_disconnected = True
+        if request.done or (request.survives_disconnect and may_have_run(request)):
             return
         self._settle(now, request, "left")
-        if request.outlives:
+        if request.survives_disconnect:
             self._tell(request.sink.failed, False)  # nothing of it has run, which its record is to say
         self._post(ClientDisconnected(request.id))
-        if request.bound is not None:
-            self.driver.abort(request.bound)
-            self.ended(now, request.bound, AttemptStatus.CANCELLED)
+        if request.committed_attempt is not None:
+            self.driver.abort_attempt(request.committed_attempt)
+            self.attempt_finished(now, request.committed_attempt, AttemptStatus.CANCELLED)
 
-    def may_move(self, attempt: Attempt) -> bool:
+    def can_migrate(self, attempt: Attempt) -> bool:
         """Is the stream all that is under way here for its request?"""
         request = attempt.request
-        if attempt.over or request.done or request.bound is not attempt or len(request.out) > 1:
+        if (
+            attempt.finished
+            or request.done
+            or request.committed_attempt is not attempt
+            or len(request.in_flight) > 1
+        ):
             return False
-        return not request.places and request.releasing is None
+        return not request.reservations_in_flight and request.release is None
 
-    def moved(self, now: float, attempt: Attempt) -> None:
+    def stream_migrated(self, now: float, attempt: Attempt) -> None:
         """Another process goes on with the stream, and releases at its end what may be held for it."""
-        attempt.request.loose = False
+        attempt.request.holds_remote_state = False
         self._settle(now, attempt.request, "moved")
         self._post(ClientDisconnected(attempt.request.id))
-        self.ended(now, attempt, AttemptStatus.CANCELLED)
+        self.attempt_finished(now, attempt, AttemptStatus.CANCELLED)
 
-    def adopt(self, now: float, told: Moved, sink: Sink) -> Attempt:
+    def adopt_stream(self, now: float, told: Moved, sink: Sink) -> Attempt:
         """A stream that another process began; the module hears nothing of it, since nothing is to decide."""
         asked = Request(
             told.id, told.cls, told.tenant, None, 0.0, None, None, told.prompt_tokens, 0.0, 0.0, False, False
         )
         request = OpenRequest(asked, sink, None, now - told.age_ms, now)
-        attempt = Attempt(request, 0, told.server, False, request.arrived, now, True, True, told.events)
-        request.bound = attempt
-        request.out = {0: attempt}
-        request.sent = 1
-        request.loose = told.loose
-        self.open[asked.id] = request
-        self.tally.taken(asked.cls)
+        attempt = Attempt(request, 0, told.server, False, request.arrived_at, now, True, True, told.events)
+        request.committed_attempt = attempt
+        request.in_flight = {0: attempt}
+        request.attempts_sent = 1
+        request.holds_remote_state = told.loose
+        self.open_requests[asked.id] = request
+        self.metrics.request_accepted(asked.class_index)
         if self.routes is not None:
-            self.routes.taken(now, asked)
+            self.routes.request_accepted(now, asked)
         return attempt
 
     def process_paused(self, now: float, gap_ms: float) -> None:
@@ -237,96 +247,104 @@
 
         The module hears of the gap first, then of the list, whichever socket was read first.
         """
-        lists = [event for event in self.inbox if isinstance(event, EndpointUpdate)]
-        others = [event for event in self.inbox if not isinstance(event, EndpointUpdate)]
-        self.inbox = [ProcessPaused(gap_ms), *lists, *others]
+        lists = [event for event in self.pending_events if isinstance(event, EndpointUpdate)]
+        others = [event for event in self.pending_events if not isinstance(event, EndpointUpdate)]
+        self.pending_events = [ProcessPaused(gap_ms), *lists, *others]
         self.wake()
 
-    def stopping(self) -> None:
+    def shutdown_started(self) -> None:
         """Guards against what the end would cut off without a word, and states that nobody would release."""
         self._post(ShutdownStarted())
 
-    def probed(self, probed: HealthCheckResult) -> None:
+    def health_checked(self, probed: HealthCheckResult) -> None:
         self._post(probed)
 
-    def peer(self, message: GossipReceived) -> None:
+    def gossip_received(self, message: GossipReceived) -> None:
         self._post(message)
 
-    def trial(self, trial: OutlierCheckResult) -> None:
+    def outlier_checked(self, trial: OutlierCheckResult) -> None:
         self._post(trial)
 
     # --- what attempts report ---
 
-    def may_write(self, server: str) -> bool:
+    def may_write_to(self, server: str) -> bool:
         """Asked in the step that writes a first byte, whatever it begins.
 
         Guards against a host told as leaving, or gone, since it was chosen. Nothing is left of the time in
         which a drain binds: what is pushed counts as told before this process has read it.
         """
-        return server in self.entries and server not in self.unwanted
+        return server in self.endpoints and server not in self.draining
 
     def may_send(self, now: float, attempt: Attempt) -> bool:
         """The same for an attempt; its request may be over by now as well, its client gone, or the time past
         in which its class lets what may have run be sent again.
         """
         request = attempt.request
-        if not attempt.over and not request.done and request.sink.client_gone():
+        if not attempt.finished and not request.done and request.sink.client_gone():
             # Its close may lie unread in the socket still.
-            self.client_left(now, request)
-        spec = self.settings.classes[request.asked.cls]
-        repeats = spec.effect is Idempotency.IDEMPOTENCY_KEY and request.may_have_run and not attempt.reading
-        if attempt.over or request.done or (repeats and now >= request.ran_at + spec.window_ms):
+            self.client_disconnected(now, request)
+        spec = self.settings.classes[request.policy_request.class_index]
+        repeats = (
+            spec.idempotency is Idempotency.IDEMPOTENCY_KEY
+            and request.may_have_run
+            and not attempt.is_prefill
+        )
+        if (
+            attempt.finished
+            or request.done
+            or (repeats and now >= request.first_run_at + spec.deduplication_window_ms)
+        ):
             return False
-        return self.may_write(attempt.server)
+        return self.may_write_to(attempt.server)
 
-    def connect_ms(self, now: float, attempt: Attempt) -> float:
+    def connect_timeout_ms(self, now: float, attempt: Attempt) -> float:
         """How long its connection may take to come up; what is held for its request has a time of its own.
 
         Guards against states and places that outlive it while one connection after the other does not come
         up: nothing that was not written takes them.
         """
         request = attempt.request
-        within = self.settings.release_ms
-        if not (request.loose and request.held_at and within):
+        within = self.settings.state_retention_ms
+        if not (request.holds_remote_state and request.state_held_since and within):
             return math.inf
-        return max(LEAST_CONNECT_MS, request.held_at + within - now)
+        return max(LEAST_CONNECT_MS, request.state_held_since + within - now)
 
-    def sending(self, attempt: Attempt) -> None:
+    def request_started(self, attempt: Attempt) -> None:
         """Its first byte goes out in this step: a release written from now on would let go of its state."""
-        if attempt.request.releasing is not None:
-            attempt.request.releasing.stale = True
+        if attempt.request.release is not None:
+            attempt.request.release.superseded = True
 
-    def relayed(self, attempt: Attempt) -> None:
+    def request_written(self, attempt: Attempt) -> None:
         """The last byte of an attempt may have left; called in the step that hands it to the kernel."""
-        attempt.written = True
-        self.tally.relayed += 1
+        attempt.request_written = True
+        self.metrics.requests_written += 1
 
-    def began(self, now: float, attempt: Attempt) -> bool:
+    def stream_started(self, now: float, attempt: Attempt) -> bool:
         """The first event of an answer came; False if it is not wanted (any more)."""
         request = attempt.request
-        if attempt.over or request.done or request.bound is not None:
+        if attempt.finished or request.done or request.committed_attempt is not None:
             return False
-        attempt.begun = True
-        request.bound = attempt
-        if self.level is not None:
-            ratio = (now - request.arrived) / self.aim_ms(request.asked)
-            self.level.begun(now, ratio, request.asked.prompt_tokens)
-        if not request.places and attempt.server not in self.stateless:
-            request.loose = False  # what else was held goes by itself
-        if request.releasing is not None:
-            request.releasing.stale = True
-        if self.witness is not None:
-            self.witness.seen(now, attempt.server, True)
-        self._tell(request.sink.begun)
+        attempt.stream_started = True
+        request.committed_attempt = attempt
+        if self.load_shedder is not None:
+            ratio = (now - request.arrived_at) / self.latency_objective_ms(request.policy_request)
+            self.load_shedder.stream_started(now, ratio, request.policy_request.prompt_tokens)
+        if not request.reservations_in_flight and attempt.server not in self.stateless_hosts:
+            request.holds_remote_state = False  # what else was held goes by itself
+        if request.release is not None:
+            request.release.superseded = True
+        if self.outlier_observer is not None:
+            self.outlier_observer.attempt_observed(now, attempt.server, True)
+        self._tell(request.sink.stream_started)
         self._post(StreamStarted(request.id, attempt.server, attempt.number, now - attempt.sent_at))
         return True
 
-    def event(self, attempt: Attempt, data: memoryview) -> None:
-        if not attempt.over:
-            attempt.events += 1
+    def forward_event(self, attempt: Attempt, data: memoryview) -> None:
+        if not attempt.finished:
+            attempt.events_forwarded += 1
             self._tell(attempt.request.sink.event, data)
 
-    def ended(
+    def attempt_finished(
         self,
         now: float,
         attempt: Attempt,
@@ -335,79 +353,81 @@
         report: tuple[float | None, ...] | None = None,
     ) -> None:
         """The one outcome of an attempt; whatever comes after it is dropped."""
-        if attempt.over:
+        if attempt.finished:
             return
         request = attempt.request
-        attempt.over = True
+        attempt.finished = True
         self.timers.cancel(attempt.timer)
-        del request.out[attempt.number]
-        if not request.done and (status is AttemptStatus.OK or request.bound is attempt):
+        del request.in_flight[attempt.number]
+        if not request.done and (status is AttemptStatus.OK or request.committed_attempt is attempt):
             self._settle(now, request, "served" if status is AttemptStatus.OK else "cut")
             if status is AttemptStatus.OK:
                 self._tell(request.sink.finished)
             else:
-                self._tell(request.sink.cut)
-        if not attempt.reading and attempt.written and not proves_idle(status):
-            request.ran_at = request.ran_at if request.may_have_run else attempt.sent_at
+                self._tell(request.sink.stream_broken)
+        if not attempt.is_prefill and attempt.request_written and not proves_idle(status):
+            request.first_run_at = request.first_run_at if request.may_have_run else attempt.sent_at
             request.may_have_run = True
-        if attempt.written:
-            request.held_at = now
+        if attempt.request_written:
+            request.state_held_since = now
         if status is AttemptStatus.PREFILLED or (
-            attempt.reading and attempt.written and not proves_idle(status)
+            attempt.is_prefill and attempt.request_written and not proves_idle(status)
         ):
-            request.loose = True  # a read may have ended well just as its connection broke
-        if self.witness is not None:
+            request.holds_remote_state = True  # a read may have ended well just as its connection broke
+        if self.outlier_observer is not None:
             if status is AttemptStatus.PREFILLED:
-                self.witness.seen(now, attempt.server, True)
-            elif status in FAILURE_STATUSES and not attempt.begun:
-                self.witness.seen(now, attempt.server, False)
+                self.outlier_observer.attempt_observed(now, attempt.server, True)
+            elif status in FAILURE_STATUSES and not attempt.stream_started:
+                self.outlier_observer.attempt_observed(now, attempt.server, False)
         took = now - attempt.sent_at
-        request.trail.append((attempt.server, status.value, round(took)))
+        request.attempt_log.append((attempt.server, status.value, round(took)))
         self._post(
             AttemptFinished(
                 request.id, attempt.server, attempt.number, status, took, request.done, note, report
             )
         )
-        self.touched[request.id] = request
-        if request.left and not may_have_run(request):
-            self.client_left(now, request)  # what could have run did not, so nothing is left to go on with
+        self.changed_requests[request.id] = request
+        if request.client_disconnected and not may_have_run(request):
+            self.client_disconnected(
+                now, request
+            )  # what could have run did not, so nothing is left to go on with
 
-    def unusable(self, now: float, attempt: Attempt) -> None:
+    def request_invalid(self, now: float, attempt: Attempt) -> None:
         """A host says that the request itself is at fault: no other host is asked, and none is blamed."""
         request = attempt.request
-        if attempt.over or request.done or request.bound is not None:
+        if attempt.finished or request.done or request.committed_attempt is not None:
             return
         self._settle(now, request, "unusable")
         self._tell(request.sink.failed, may_have_run(request))
-        self.ended(now, attempt, AttemptStatus.CANCELLED)
+        self.attempt_finished(now, attempt, AttemptStatus.CANCELLED)
 
-    def place_answered(self, call: PlaceCall, held: bool | None, nothing_done: bool) -> None:
+    def reservation_finished(self, call: PlaceCall, held: bool | None, nothing_done: bool) -> None:
         """None: not known. Then, and also when the place is held, it stays loose until the request's end."""
         request = call.request
-        request.places -= 1
+        request.reservations_in_flight -= 1
         told = "unknown" if held is None else "held" if held else "not_held"
-        request.placed.append((call.server, told))
+        request.reservation_log.append((call.server, told))
         if not nothing_done:
-            request.loose = True
-            if (overtaken := request.releasing) is not None and not overtaken.stale:
-                overtaken.stale = True  # the place may have been taken after it
+            request.holds_remote_state = True
+            if (overtaken := request.release) is not None and not overtaken.superseded:
+                overtaken.superseded = True  # the place may have been taken after it
                 self._release(overtaken.since, request)
-        self.touched[request.id] = request
+        self.changed_requests[request.id] = request
         attempt = call.attempt
-        if held is not None and attempt is not None and not attempt.over:
+        if held is not None and attempt is not None and not attempt.finished:
             self._post(ReservationResult(request.id, attempt.server, attempt.number, held))
         self.wake()
 
-    def released(self, call: ReleaseCall, done: bool) -> None:
+    def release_finished(self, call: ReleaseCall, done: bool) -> None:
         request = call.request
-        if request.releasing is call:
-            request.releasing = None
-            if done and not call.stale:
-                request.loose = False
-            elif not done and not call.stale:
-                request.loose = False
+        if request.release is call:
+            request.release = None
+            if done and not call.superseded:
+                request.holds_remote_state = False
+            elif not done and not call.superseded:
+                request.holds_remote_state = False
                 self.driver.log("release_given_up", id=request.id)
-        self.touched[request.id] = request
+        self.changed_requests[request.id] = request
         self.wake()
 
     # --- time ---
@@ -418,21 +438,21 @@
     def run(self, now: float) -> None:
         """Timers that are due, then the events that came, then whatever follows from the actions."""
         self.timers.run(now)
-        while self.inbox or self.touched:
-            events = self.inbox
-            self.inbox = []
+        while self.pending_events or self.changed_requests:
+            events = self.pending_events
+            self.pending_events = []
             if events:
                 for action in self._decide(now, events):
                     self._guarded(now, action)
-            touched = self.touched
-            self.touched = {}
+            touched = self.changed_requests
+            self.changed_requests = {}
             for request in touched.values():
                 self._tidy(now, request)
 
     def _decide(self, now: float, events: list[Event]) -> list[Action]:
         """Guards against an end of the whole program: what the module leaves open is failed when overdue."""
         try:
-            return self.decider.handle(now, events)
+            return self.policy.handle(now, events)
         except Exception as error:
             self.driver.log("module_failed", error=repr(error))
             return []
@@ -445,41 +465,43 @@
 
     def _overdue(self, now: float, request: OpenRequest) -> None:
         """The module answers before this; the core still owes the one final answer if it did not."""
-        if request.done or request.bound is not None:
+        if request.done or request.committed_attempt is not None:
             return
         self.driver.log("overdue", id=request.id)
         self._settle(now, request, "overdue")
         self._tell(request.sink.failed, may_have_run(request))
-        self.inbox.append(ClientDisconnected(request.id))
+        self.pending_events.append(ClientDisconnected(request.id))
 
     def _expire(self, now: float, attempt: Attempt) -> None:
-        if attempt.over or attempt.begun:
+        if attempt.finished or attempt.stream_started:
             return
-        self.driver.abort(attempt)
+        self.driver.abort_attempt(attempt)
         # Not yet written means that it never ran, however long it took.
-        self.ended(now, attempt, AttemptStatus.TIMEOUT if attempt.written else AttemptStatus.CONNECT_FAILED)
+        self.attempt_finished(
+            now, attempt, AttemptStatus.TIMEOUT if attempt.request_written else AttemptStatus.CONNECT_FAILED
+        )
 
     def _tidy(self, now: float, request: OpenRequest) -> None:
         """Guards against states and places that outlive their request: nothing loose is left behind."""
-        if not request.done or request.out:
+        if not request.done or request.in_flight:
             return
-        if request.loose:
+        if request.holds_remote_state:
             self._release(now, request)  # a place call that is still out needs one more after it
-        elif request.releasing is None and not request.places:
-            self.open.pop(request.id, None)
+        elif request.release is None and not request.reservations_in_flight:
+            self.open_requests.pop(request.id, None)
             request.close()
             more: dict[str, Any] = {}
             if self.routes is not None:
-                more = self.routes.told_of(request.asked)
-                self.routes.closed(now, request.asked)
+                more = self.routes.log_fields(request.policy_request)
+                self.routes.request_closed(now, request.policy_request)
             self.driver.log(
                 "request",
                 id=request.id,
-                cls=request.asked.cls,
-                answer=request.answer,
-                ms=round(request.answered - request.arrived),
-                attempts=request.trail,
-                places=request.placed,
+                cls=request.policy_request.class_index,
+                answer=request.outcome,
+                ms=round(request.answered_at - request.arrived_at),
+                attempts=request.attempt_log,
+                places=request.reservation_log,
                 **more,
             )
 
@@ -492,23 +514,25 @@
             case ReserveDecodeSlot():
                 self._hold(now, action)
             case ReleaseState():
-                if (request := self.open.get(action.id)) is not None:
+                if (request := self.open_requests.get(action.id)) is not None:
                     self._release(now, request)
             case CancelAttempt():
                 self._cancel(now, action)
             case RejectRequest():
                 if (request := self._answerable(now, action.id, "refused")) is not None:
-                    self._tell(request.sink.refused, self.advice_ms(action.retry_after_ms))
+                    self._tell(request.sink.rejected, self.retry_after_ms(action.retry_after_ms))
             case FailRequest():
                 if (request := self._answerable(now, action.id, "failed")) is not None:
                     self._tell(request.sink.failed, may_have_run(request))
             case StartTimer():
                 token = action.token
-                self.timers.at(now + action.after_ms, lambda at: self.inbox.append(TimerFired(token)))
+                self.timers.schedule(
+                    now + action.delay_ms, lambda at: self.pending_events.append(TimerFired(token))
+                )
             case SendHealthCheck():
-                self.driver.probe(action.server)
+                self.driver.check_health(action.server)
             case SendGossip():
-                self.driver.tell(action.payload)
+                self.driver.send_gossip(action.payload)
             case WriteLog():
                 self.driver.log("module", text=action.text)
             case SetWatch() | FetchEndpoints() | MigrateStream():
@@ -517,13 +541,13 @@
     def _settle(self, now: float, request: OpenRequest, answer: str) -> None:
         """The request has its one final answer, or nobody is left to have it."""
         request.done = True
-        request.answer = answer
-        request.answered = now
-        self.timers.cancel(request.timer)
-        self.touched[request.id] = request
-        self.tally.ended(request.asked.cls, answer)
-        if self.level is not None:
-            self.level.ended(now, answer, request.asked.prompt_tokens)
+        request.outcome = answer
+        request.answered_at = now
+        self.timers.cancel(request.deadline_timer)
+        self.changed_requests[request.id] = request
+        self.metrics.request_finished(request.policy_request.class_index, answer)
+        if self.load_shedder is not None:
+            self.load_shedder.request_finished(now, answer, request.policy_request.prompt_tokens)
 
     def _tell(self, answer: Callable[..., None], *told: object) -> None:
         """Guards against a front whose answer fails: it loses that one answer, not the program."""
@@ -534,59 +558,61 @@
 
     def _answerable(self, now: float, request_id: str, answer: str) -> OpenRequest | None:
         """Guards against a second final answer, and against one for a stream that has begun."""
-        request = self.open.get(request_id)
-        if request is None or request.done or request.bound is not None:
+        request = self.open_requests.get(request_id)
+        if request is None or request.done or request.committed_attempt is not None:
             return None
         self._settle(now, request, answer)
         return request
 
     def _send(self, now: float, action: SendAttempt) -> None:
-        request = self.open.get(action.id)
+        request = self.open_requests.get(action.id)
         if request is None:
             return
-        entry = self.entries.get(action.server)
+        entry = self.endpoints.get(action.server)
         roles = self.settings.roles
         reading = entry is not None and entry.kind < len(roles) and roles[entry.kind] is Role.PREFILL
-        stop_at = min(action.stop_at_ms or request.deadline, request.deadline)
-        attempt = Attempt(request, request.sent, action.server, reading, now, stop_at)
-        request.sent += 1
-        request.out[attempt.number] = attempt
-        twice = len(request.out) > 1 and not self.settings.may_duplicate
+        stop_at = min(action.deadline_ms or request.deadline, request.deadline)
+        attempt = Attempt(request, request.attempts_sent, action.server, reading, now, stop_at)
+        request.attempts_sent += 1
+        request.in_flight[attempt.number] = attempt
+        twice = len(request.in_flight) > 1 and not self.settings.hedging_allowed
         spent = attempt.number >= self.settings.max_attempts or stop_at <= now
-        if request.done or request.bound is not None or twice or spent or entry is None:
-            self.ended(now, attempt, AttemptStatus.ALREADY_FINISHED)
+        if request.done or request.committed_attempt is not None or twice or spent or entry is None:
+            self.attempt_finished(now, attempt, AttemptStatus.ALREADY_FINISHED)
             return
-        attempt.timer = self.timers.at(stop_at, lambda at: self._expire(at, attempt))
-        self.driver.start(attempt)
+        attempt.timer = self.timers.schedule(stop_at, lambda at: self._expire(at, attempt))
+        self.driver.start_attempt(attempt)
 
     def _hold(self, now: float, action: ReserveDecodeSlot) -> None:
-        request = self.open.get(action.id)
-        if request is None or request.done or not self.settings.ahead:
+        request = self.open_requests.get(action.id)
+        if request is None or request.done or not self.settings.reserve_ahead:
             return
-        reads = [a for a in request.out.values() if a.reading]
-        request.places += 1
-        call = PlaceCall(request, action.server, reads[-1] if reads else None, request.releasing)
-        self.driver.hold_place(call)
+        reads = [a for a in request.in_flight.values() if a.is_prefill]
+        request.reservations_in_flight += 1
+        call = PlaceCall(request, action.server, reads[-1] if reads else None, request.release)
+        self.driver.reserve_decode_slot(call)
 
     def _cancel(self, now: float, action: CancelAttempt) -> None:
-        request = self.open.get(action.id)
-        attempt = request.out.get(action.attempt) if request is not None else None
-        if attempt is None or attempt.begun:
+        request = self.open_requests.get(action.id)
+        attempt = request.in_flight.get(action.attempt) if request is not None else None
+        if attempt is None or attempt.stream_started:
             return
-        self.driver.abort(attempt)
-        self.ended(
-            now, attempt, AttemptStatus.CANCELLED if attempt.written else AttemptStatus.ALREADY_FINISHED
+        self.driver.abort_attempt(attempt)
+        self.attempt_finished(
+            now,
+            attempt,
+            AttemptStatus.CANCELLED if attempt.request_written else AttemptStatus.ALREADY_FINISHED,
         )
 
     def _release(self, now: float, request: OpenRequest) -> None:
-        if request.loose and (request.releasing is None or request.releasing.stale):
-            request.releasing = ReleaseCall(request, now)
-            self.driver.release(request.releasing)
+        if request.holds_remote_state and (request.release is None or request.release.superseded):
+            request.release = ReleaseCall(request, now)
+            self.driver.release_state(request.release)
 
 
 def may_have_run(request: OpenRequest) -> bool:
     """An attempt still out counts, since it may be written before it is withdrawn."""
-    return request.may_have_run or any(not attempt.reading for attempt in request.out.values())
+    return request.may_have_run or any(not attempt.is_prefill for attempt in request.in_flight.values())
 
 
 def proves_idle(status: AttemptStatus) -> bool:
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -14,16 +14,16 @@
 class Sink(Protocol):
     """Where a request's answer goes; a front's. After `begun` and any `event`, exactly one of the rest."""
 
-    def begun(self) -> None: ...
+    def stream_started(self) -> None: ...
 
     def event(self, data: memoryview) -> None: ...
 
     def finished(self) -> None: ...
 
-    def cut(self) -> None:
+    def stream_broken(self) -> None:
         """The stream broke after its first event."""
 
-    def refused(self, retry_after_ms: float) -> None: ...
+    def rejected(self, retry_after_ms: float) -> None: ...
 
     def failed(self, may_have_run: bool) -> None: ...
 
@@ -54,13 +54,13 @@
     def route(self, request: Request, origin: Origin) -> Request:
         """The request with its course. Raises NotRouted."""
 
-    def taken(self, now: float, request: Request) -> None: ...
+    def request_accepted(self, now: float, request: Request) -> None: ...
 
-    def closed(self, now: float, request: Request) -> None: ...
+    def request_closed(self, now: float, request: Request) -> None: ...
 
-    def told(self, now: float, news: EndpointUpdate) -> None: ...
+    def update_endpoints(self, now: float, news: EndpointUpdate) -> None: ...
 
-    def told_of(self, request: Request) -> dict[str, Any]:
+    def log_fields(self, request: Request) -> dict[str, Any]:
         """For the request's log line."""
 
 
@@ -70,18 +70,18 @@
     def admit(self, now: float, request: Request) -> Shed | None:
         """Called right before a request is taken; None: it may be. It may bound the request's course."""
 
-    def begun(self, now: float, ratio: float, prompt: float) -> None:
+    def stream_started(self, now: float, ratio: float, prompt: float) -> None:
         """A first token came, after so many times the request's aim."""
 
-    def ended(self, now: float, answer: str, prompt: float) -> None: ...
+    def request_finished(self, now: float, answer: str, prompt: float) -> None: ...
 
 
 class Witness(Protocol):
     """Who is told how hosts do, beside the module."""
 
-    def listed(self, now: float, hosts: Iterable[str]) -> None: ...
+    def endpoints_listed(self, now: float, hosts: Iterable[str]) -> None: ...
 
-    def seen(self, now: float, host: str, well: bool) -> None:
+    def attempt_observed(self, now: float, host: str, well: bool) -> None:
         """An attempt went well there, or the host failed it."""
 
 
@@ -95,15 +95,15 @@
 class Closed:
     """Takes the place of a sink whose request is over."""
 
-    def begun(self) -> None: ...
+    def stream_started(self) -> None: ...
 
     def event(self, data: memoryview) -> None: ...
 
     def finished(self) -> None: ...
 
-    def cut(self) -> None: ...
+    def stream_broken(self) -> None: ...
 
-    def refused(self, retry_after_ms: float) -> None: ...
+    def rejected(self, retry_after_ms: float) -> None: ...
 
     def failed(self, may_have_run: bool) -> None: ...
 
@@ -117,17 +117,17 @@
 class Driver(Protocol):
     """Who carries out what the core asks; the net's. Each call returns at once."""
 
-    def start(self, attempt: Attempt) -> None: ...
+    def start_attempt(self, attempt: Attempt) -> None: ...
 
-    def abort(self, attempt: Attempt) -> None: ...
+    def abort_attempt(self, attempt: Attempt) -> None: ...
 
-    def hold_place(self, call: PlaceCall) -> None: ...
+    def reserve_decode_slot(self, call: PlaceCall) -> None: ...
 
-    def release(self, call: ReleaseCall) -> None: ...
+    def release_state(self, call: ReleaseCall) -> None: ...
 
-    def probe(self, server: str) -> None: ...
+    def check_health(self, server: str) -> None: ...
 
-    def tell(self, payload: bytes, /) -> None: ...
+    def send_gossip(self, payload: bytes, /) -> None: ...
 
     def log(self, event: str, **fields: Any) -> None: ...
 
@@ -138,13 +138,13 @@
     request: OpenRequest
     number: int
     server: str
-    reading: bool
+    is_prefill: bool
     sent_at: float
-    stop_at: float
-    written: bool = False
-    begun: bool = False
-    events: int = 0  # passed on
-    over: bool = False
+    deadline: float
+    request_written: bool = False
+    stream_started: bool = False
+    events_forwarded: int = 0  # passed on
+    finished: bool = False
     timer: Timer | None = None
 
 
@@ -152,7 +152,7 @@
     request: OpenRequest
     server: str
     attempt: Attempt | None
-    after: ReleaseCall | None
+    after_release: ReleaseCall | None
 
 
 class ReleaseCall(msgspec.Struct, eq=False):
@@ -160,8 +160,8 @@
 
     request: OpenRequest
     since: float
-    stale: bool = False
-    tried: bool = False
+    superseded: bool = False
+    attempted: bool = False
 
 
 def always() -> bool:
@@ -174,36 +174,40 @@
     `allowed` is asked in each step that writes a part of an attempt; a no keeps the rest unsent.
     """
 
-    asked: Request
+    policy_request: Request
     sink: Sink
     payload: Any
-    arrived: float
+    arrived_at: float
     deadline: float
-    out: dict[int, Attempt] = {}
-    sent: int = 0
-    bound: Attempt | None = None
-    allowed: Callable[[], bool] = always
-    outlives: bool = False  # once it may have run it goes on without its client, for a retry to find
-    left: bool = False  # its client has
+    in_flight: dict[int, Attempt] = {}
+    attempts_sent: int = 0
+    committed_attempt: Attempt | None = None
+    sending_allowed: Callable[[], bool] = always
+    survives_disconnect: bool = (
+        False  # once it may have run it goes on without its client, for a retry to find
+    )
+    client_disconnected: bool = False  # its client has
     done: bool = False
     may_have_run: bool = False
-    ran_at: float = 0.0  # when the first of them was sent
-    loose: bool = False  # a state or place may be held for it somewhere
-    held_at: float = 0.0  # the last outcome of what had reached a host: what is held has its time from then
-    places: int = 0  # place calls under way
-    releasing: ReleaseCall | None = None
-    timer: Timer | None = None
-    answer: str = ""
-    answered: float = 0.0
-    placed: list[tuple[str, str]] = []  # server, what it told of a place
-    trail: list[tuple[str, str, int]] = []  # server, status, ms of each attempt
+    first_run_at: float = 0.0  # when the first of them was sent
+    holds_remote_state: bool = False  # a state or place may be held for it somewhere
+    state_held_since: float = (
+        0.0  # the last outcome of what had reached a host: what is held has its time from then
+    )
+    reservations_in_flight: int = 0  # place calls under way
+    release: ReleaseCall | None = None
+    deadline_timer: Timer | None = None
+    outcome: str = ""
+    answered_at: float = 0.0
+    reservation_log: list[tuple[str, str]] = []  # server, what it told of a place
+    attempt_log: list[tuple[str, str, int]] = []  # server, status, ms of each attempt
 
     @property
     def id(self) -> str:
-        return self.asked.id
+        return self.policy_request.id
 
     def close(self) -> None:
         """Guards the memory: body, front and connection go now, not when a collection finds the circle."""
         self.sink = CLOSED
         self.payload = None
-        self.bound = None
+        self.committed_attempt = None
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -184,7 +184,7 @@
         config = self.config
         settings = config.settings
         self.hosts = Hosts(
-            self.nursery, settings.connect_timeout_ms, config.idle_close_ms, settings.report_names
+            self.nursery, settings.connect_timeout_ms, config.idle_close_ms, settings.load_report_fields
         )
         self.router = Router(settings)
         self.core = Dispatcher(settings, self.router, self.hosts, config.drain_grace_ms)
@@ -208,7 +208,7 @@
     def _build_state(self) -> None:
         self.kept = start_state_writer(self.config, self.nursery, self._learned)
         self.comeback = Comeback(self.nursery, self.kept, self.config.settings)
-        self.core.advice_ms = self.comeback.advice_ms
+        self.core.retry_after_ms = self.comeback.advice_ms
 
     def _build_endpoints(self) -> None:
         """With cordons and a hot restart only where operators have a door."""
@@ -259,7 +259,7 @@
             return
         heirs = config.inherited is not None
         peers = Peers(self.core, config.peer_listen, config.peers, config.peers_all, heirs)
-        self.hosts.tell = peers.tell
+        self.hosts.send_gossip = peers.tell
         peers.deaf = lambda: pause_detector.catching_up
         pause_detector.add_source(peers)
         self.duties = start_lease_service(
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -64,7 +64,7 @@
     def publish(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
         """Hands an update to the connection pool and the core."""
         self._hosts.told(update, addresses)
-        self._core.news(now_ms(), update)
+        self._core.update_endpoints(now_ms(), update)
 
     # --- startup ---
 
@@ -76,7 +76,7 @@
         config = self._config
         for host in config.operator.hosts if config.operator is not None else ():
             self._hosts.hosts[host.id] = Host(address(host.address), [], plain=True, key=host.key)
-            self._core.stateless.add(host.id)
+            self._core.stateless_hosts.add(host.id)
         known = config.told.known
         version: int | None = known.version
         if config.inherited is not None:
@@ -93,7 +93,7 @@
             nursery.start_soon(self._kept.verify, self.remove_unreachable, lambda: self._recovery.listed)
         if config.discovery is not None:
             settings = config.settings
-            again = Backoff(settings.fleet_size, settings.seed, agent=not settings.must_ask)
+            again = Backoff(settings.dispatcher_count, settings.seed, agent=not settings.watch_required)
             self.watch = Watch(config.discovery, self._reader, version, self._told, again)
             self.watch.confirmed = self._confirmed
             pause_detector.add_source(self.watch)
@@ -104,7 +104,7 @@
         what a predecessor was told counts for its heir.
         """
         inherited = self._config.inherited is not None
-        if self.watch is None or (self._config.settings.must_ask and not inherited):
+        if self.watch is None or (self._config.settings.watch_required and not inherited):
             return
         with trio.move_on_after(FIRST_LIST_S if inherited else AGENT_LIST_S):
             await self.watch.heard.wait()
@@ -115,7 +115,7 @@
 
     def remove_unreachable(self, server: WServer) -> None:
         """A remembered host that is not there; discovery may still tell of it."""
-        entry = self._core.entries.get(server.id)
+        entry = self._core.endpoints.get(server.id)
         if entry is not None and self.rows.pop(server.id, None) is not None:
             gone = replace(entry, state=EndpointState.REMOVED)
             self.publish(EndpointUpdate(UpdateScope.DELTA, (gone,), 0), {})
@@ -132,7 +132,7 @@
                 del self.rows[row.id]
         if news.scope is not UpdateScope.DELTA:
             # Guards against losing the chat file's own hosts, which discovery does not know.
-            news = replace(news, entries=(*news.entries, *self._config.plain))
+            news = replace(news, endpoints=(*news.endpoints, *self._config.plain))
         if self._cordons is not None:
             news = self._cordons.told(news)
         self.publish(news, targets.addresses)
@@ -140,7 +140,7 @@
         if news.scope is not UpdateScope.CACHED:
             full = news.scope is UpdateScope.SNAPSHOT
             self._recovery.told(targets.rows, news.version, full=full, listed=len(self.rows))
-        entries = {entry.server: entry.state.value for entry in news.entries}
+        entries = {entry.server: entry.state.value for entry in news.endpoints}
         log("list", version=news.version, scope=news.scope.value, entries=entries, skipped=targets.skipped)
 
     def _doubted(self, targets: Targets, kept: Kept) -> Targets:
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -34,7 +34,7 @@
         return None
     from violetstack.net.state_writer import Kept
 
-    kept = Kept(state, config.settings.seed, config.settings.cold_ms, learned)
+    kept = Kept(state, config.settings.seed, config.settings.slow_start_ms, learned)
     nursery.start_soon(kept.run)
     return kept
 
@@ -77,8 +77,8 @@
         zones=tuple(facts.zones or ()),
     )
     core.routes = routing
-    entries = tuple(core.entries.values())
-    routing.told(now_ms(), EndpointUpdate(UpdateScope.SNAPSHOT, entries, 0))
+    entries = tuple(core.endpoints.values())
+    routing.update_endpoints(now_ms(), EndpointUpdate(UpdateScope.SNAPSHOT, entries, 0))
     return routing
 
 
@@ -101,7 +101,7 @@
     levels = Levels(plan, weights_of(config.settings, classes, tenants), log)
     driver = LevelDriver(levels, core, router, listeners, config.limits.cores)
     driver.start()
-    core.level = levels
+    core.load_shedder = levels
     nursery.start_soon(driver.run)
     if plan.admin:
         nursery.start_soon(driver.serve_socket, plan.admin)
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -48,20 +48,20 @@
         self._hosts = hosts
         self._fronts = fronts
         self._hot_restart = hot_restart
-        longest = max((spec.give_up_ms for spec in settings.classes), default=0.0) / 1000.0
+        longest = max((spec.client_timeout_ms for spec in settings.classes), default=0.0) / 1000.0
         # What has not begun is given up a while before SIGKILL may come.
         self._end_s = min(longest, KILL_MOST_S) + KILL_AFTER_S - LAST_WORDS_S
 
     async def run(self) -> None:
         """Returns once nothing is open any more."""
-        log("stopping", open=len(self._core.open), heir=self._find_successor())
+        log("stopping", open=len(self._core.open_requests), heir=self._find_successor())
         began = trio.current_time()
         for listener in self._fronts.listeners:
             listener.draining = True
         await self._pass_to_successor()
         refusing = False
         ending = False
-        while self._lifecycle.accepting or self._core.open or self._fronts.busy:
+        while self._lifecycle.accepting or self._core.open_requests or self._fronts.busy:
             after = trio.current_time() - began
             if self._lifecycle.accepting and after >= LISTEN_ON_S:
                 await self._stop_accepting()
@@ -74,8 +74,8 @@
                     listener.table.close_idle()
             if after >= self._end_s and not ending:
                 ending = True
-                log("ending", open=len(self._core.open))
-                self._core.stopping()
+                log("ending", open=len(self._core.open_requests))
+                self._core.shutdown_started()
             await trio.sleep(POLL_S)
         if self._fronts.orders is not None:
             self._fronts.orders.stopping = True
@@ -85,7 +85,7 @@
             return
         # Who comes now waits in the queue that the heir accepts from. It speaks to the peers as well.
         await self._stop_accepting()
-        self._hosts.tell = lambda payload: None
+        self._hosts.send_gossip = lambda payload: None
         await self._hot_restart.pass_streams(self._core, self._hosts)
 
     async def _stop_accepting(self) -> None:
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -90,7 +90,7 @@
         self._settle = settle
         self._streaming = self._too_long = False
 
-    def begun(self) -> None:
+    def stream_started(self) -> None:
         pass  # the head goes out with the first event, so that a break before it still gets a status
 
     def event(self, data: memoryview) -> None:
@@ -119,7 +119,7 @@
         self._settle(Claim.FINISHED, self._answer.record())
         deliver(self._reply, self._answer, self._errand.ask, self._chunk)
 
-    def cut(self) -> None:
+    def stream_broken(self) -> None:
         self._broken("The stream broke before its end.")
 
     def _broken(self, message: str) -> None:
@@ -132,7 +132,7 @@
         else:
             self._fail(message, "stream_broken", harmless=self._errand.safe)
 
-    def refused(self, retry_after_ms: float) -> None:
+    def rejected(self, retry_after_ms: float) -> None:
         self._settle(None, b"")
         headers = retry_headers(retry_after_ms or 1000.0)
         send_error(
@@ -278,25 +278,27 @@
             raise Invalid(f"there is no model {ask.model!r}", "model", status=404, code="model_not_found")
         cls = self.config.class_of(key, model)
         spec = self._core.settings.classes[cls]
-        give_up = spec.give_up_ms + 2.0 * spec.aim_ms_per_1000_tokens * ask.prompt_tokens / 1000.0
+        give_up = (
+            spec.client_timeout_ms + 2.0 * spec.objective_ms_per_1000_tokens * ask.prompt_tokens / 1000.0
+        )
         most = ask.max_tokens or model.max_tokens
         session = ask.conversation
         asked = Request(
             id=uuid.uuid4().hex,
-            cls=cls,
-            tenant=self.config.tenant_index(key.tenant),
+            class_index=cls,
+            tenant_index=self.config.tenant_index(key.tenant),
             session=f"{key.tenant}/{session}" if session else None,
             expires_in_ms=min(give_up, client_wait_ms(inbound)),
-            answer_ms=None,
-            shared=ask.opening,
+            expected_answer_ms=None,
+            prefix_id=ask.opening,
             prompt_tokens=float(ask.prompt_tokens),
-            shared_tokens=float(ask.opening_tokens),
+            prefix_tokens=float(ask.opening_tokens),
             max_tokens=float(most),
-            repeat=inbound.headers.get("x-stainless-retry-count", "0").strip("0") != "",
-            resumed=False,
+            is_retry=inbound.headers.get("x-stainless-retry-count", "0").strip("0") != "",
+            is_resumed=False,
         )
         asked = self._core.route(asked, Origin("chat", model.name, len(inbound.body)))
-        return Errand(ask, model, key, asked, most, spec.effect is Idempotency.IDEMPOTENT)
+        return Errand(ask, model, key, asked, most, spec.idempotency is Idempotency.IDEMPOTENT)
 
     async def _order(
         self, errand: Errand, order: Order, orders: Orders, arrived: float, reply: Reply
@@ -380,7 +382,7 @@
         shed = self._core.admit(now, asked)
         if shed is not None:
             settle(None, b"")
-            self._log("shed", reason=shed.reason, cls=asked.cls, tenant=asked.tenant)
+            self._log("shed", reason=shed.reason, cls=asked.class_index, tenant=asked.tenant_index)
             send_error(
                 reply,
                 429,
@@ -395,9 +397,9 @@
         body = memoryview(ask.upstream(errand.model.upstream or errand.model.name, errand.most_tokens))
         payload = Payload("POST", COMPLETIONS, "application/json", body, reply.wait_writable)
         answer = Answer(f"chatcmpl-{asked.id}", errand.model.name, int(now / 1000.0))
-        request = self._core.take(now, asked, ChatSink(errand, reply, answer, settle), payload)
-        request.allowed = allowed
-        request.outlives = outlives
+        request = self._core.accept(now, asked, ChatSink(errand, reply, answer, settle), payload)
+        request.sending_allowed = allowed
+        request.survives_disconnect = outlives
         reply.attach(request)
 
 
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -255,7 +255,7 @@
         self.closed = True
         self.listener.table.forget(self)
         if self.request is not None:
-            self.listener.core.client_left(now_ms(), self.request)
+            self.listener.core.client_disconnected(now_ms(), self.request)
             self.request = None
         if self.http is not UNUSED_PARSER:
             self._output.release_waiters()
--- a/violetstack/net/load_shedding.py
+++ b/violetstack/net/load_shedding.py
@@ -80,7 +80,7 @@
         self.cores = cores
         self.journal = JournalFile(levels.plan.journal) if levels.plan.journal else None
         self.complained = -COMPLAIN_S
-        self.cold_ms = core.settings.cold_ms
+        self.cold_ms = core.settings.slow_start_ms
 
     def start(self) -> None:
         """Before anything is taken: the level that the journal tells, or a cautious normal."""
@@ -145,9 +145,9 @@
             "clients": _highest(listener.table.connection_utilization for listener in self.listeners),
             "bytes": _highest(listener.table.body_utilization for listener in self.listeners),
         }
-        entries = [e for e in self.core.entries.values() if e.server not in self.core.unwanted]
+        entries = [e for e in self.core.endpoints.values() if e.server not in self.core.draining]
         cold = sum(1 for e in entries if e.started_ms is not None and now < e.started_ms + self.cold_ms)
-        self.levels.tick(now, time.time(), gauges, (len(entries), cold), self.core.waiting(now))
+        self.levels.tick(now, time.time(), gauges, (len(entries), cold), self.core.waiting_ratios(now))
 
     # --- the socket ---
 
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -69,32 +69,32 @@
         if self._sock is None or not isinstance(sink, PlatformSink) or not connection.http.between_chunks:
             return False
         client = sink.reply.client
-        if client is None or not self._core.may_move(attempt):
+        if client is None or not self._core.can_migrate(attempt):
             return False
         if not await client.pause_for_migration():
             return False
         passed = False
         try:
             descriptor = client.descriptor
-            if descriptor is None or not self._core.may_move(attempt):
+            if descriptor is None or not self._core.can_migrate(attempt):
                 return False
-            asked = request.asked
+            asked = request.policy_request
             stream = Stream(
                 id=asked.id,
-                cls=asked.cls,
-                tenant=asked.tenant,
+                cls=asked.class_index,
+                tenant=asked.tenant_index,
                 server=attempt.server,
-                age_ms=now_ms() - request.arrived,
-                events=attempt.events,
+                age_ms=now_ms() - request.arrived_at,
+                events=attempt.events_forwarded,
                 cached=cached,
                 prompt_tokens=asked.prompt_tokens,
-                loose=request.loose,
+                loose=request.holds_remote_state,
                 closing=client.http.ends,
             )
             async with self._turn:
                 passed = await self._offer(stream, descriptor, connection.sock.fileno())
-            if passed and not attempt.over:
-                self._core.moved(now_ms(), attempt)
+            if passed and not attempt.finished:
+                self._core.stream_migrated(now_ms(), attempt)
                 client.detach()
                 self.given += 1
             return passed
@@ -202,7 +202,7 @@
             stream = decode(data, len(self._core.settings.classes))
             if len(held) != 2:
                 raise BadOffer(f"{len(held)} descriptors")
-            if stream.id in self._core.open:
+            if stream.id in self._core.open_requests:
                 raise BadOffer("a request with this id is open here")
             if self._listener() is None:
                 raise BadOffer("this process takes no clients")
@@ -213,10 +213,10 @@
 
     def _adopt(self, stream: Stream, client: socket.socket, host: socket.socket) -> None:
         listener = self._listener()
-        if listener is None or stream.id in self._core.open:
+        if listener is None or stream.id in self._core.open_requests:
             raise BadOffer(f"{stream.id} came or this process ended between the two words")
         replies = listener.adopt(client, stream.closing)
-        attempt = self._core.adopt(now_ms(), stream, PlatformSink(replies, begun=True))
+        attempt = self._core.adopt_stream(now_ms(), stream, PlatformSink(replies, stream_started=True))
         replies.attach(attempt.request)
         self._hosts.adopt(attempt, host, stream.cached, replies.wait_writable)
 
--- a/violetstack/net/upstream/attempt.py
+++ b/violetstack/net/upstream/attempt.py
@@ -73,7 +73,7 @@
         self.core: Dispatcher
         self.nursery = nursery
         self.report_names = report_names
-        self.tell: Callable[[bytes], None] = lambda payload: None  # until there are peers
+        self.send_gossip: Callable[[bytes], None] = lambda payload: None  # until there are peers
         self.pass_on: PassOn | None = None  # an heir, for streams that have begun
         self._waits: dict[Attempt, trio.CancelScope] = {}  # for the next bytes of its answer
         self._scopes: dict[Attempt, trio.CancelScope] = {}
@@ -90,7 +90,7 @@
 
     # --- attempts ---
 
-    def start(self, attempt: Attempt) -> None:
+    def start_attempt(self, attempt: Attempt) -> None:
         scope = self._scopes[attempt] = trio.CancelScope()
         self._sent[attempt] = trio.Event()
         self.nursery.start_soon(self._attempt, attempt, scope, self._exchange)
@@ -127,10 +127,10 @@
         """Streams go to an heir from now on, each at once or after its next event."""
         self.pass_on = pass_on
         for attempt, wait in self._waits.items():
-            if attempt.begun:
+            if attempt.stream_started:
                 wait.cancel()
 
-    def abort(self, attempt: Attempt) -> None:
+    def abort_attempt(self, attempt: Attempt) -> None:
         """Guards against a final answer that overtakes the attempt's end: the connection closes here and now.
 
         Cancelling alone closes it only when the attempt's task runs again; by then the client may have
@@ -152,19 +152,25 @@
                 ended = Ended(AttemptStatus.CONNECT_FAILED)
             except (Broken, sse.NoEvent) as error:
                 request = attempt.request.id
-                told = {"events": attempt.events, "reason": str(error)}
+                told = {"events": attempt.events_forwarded, "reason": str(error)}
                 log_outside("answer_broken", id=request, server=attempt.server, **told)
-                ended = Ended(AttemptStatus.RESET if attempt.written else AttemptStatus.CONNECT_FAILED)
+                ended = Ended(
+                    AttemptStatus.RESET if attempt.request_written else AttemptStatus.CONNECT_FAILED
+                )
             except (OSError, trio.TooSlowError, trio.ClosedResourceError):
-                ended = Ended(AttemptStatus.RESET if attempt.written else AttemptStatus.CONNECT_FAILED)
+                ended = Ended(
+                    AttemptStatus.RESET if attempt.request_written else AttemptStatus.CONNECT_FAILED
+                )
             except Exception as error:  # no attempt's failure ends the nursery
                 log("attempt_failed", id=attempt.request.id, error=repr(error))
-                ended = Ended(AttemptStatus.RESET if attempt.written else AttemptStatus.CONNECT_FAILED)
+                ended = Ended(
+                    AttemptStatus.RESET if attempt.request_written else AttemptStatus.CONNECT_FAILED
+                )
         self._scopes.pop(attempt, None)
         self._waits.pop(attempt, None)
         self._sent.pop(attempt).set()
         if ended is not None:
-            self.core.ended(now_ms(), attempt, ended.status, ended.note, ended.report)
+            self.core.attempt_finished(now_ms(), attempt, ended.status, ended.note, ended.report)
 
     async def _exchange(self, attempt: Attempt) -> Ended:
         payload: Payload = attempt.request.payload
@@ -172,14 +178,14 @@
             attempt.server,
             lambda: self.core.may_send(now_ms(), attempt),
             lambda: self._let_go(attempt.request),
-            self.core.connect_ms(now_ms(), attempt) / 1000.0,
+            self.core.connect_timeout_ms(now_ms(), attempt) / 1000.0,
         )
         if connection is None:
             return Ended(AttemptStatus.ALREADY_FINISHED)
-        self.core.sending(attempt)
+        self.core.request_started(attempt)
         clean = False
         try:
-            wait = max(1, int(attempt.stop_at - now_ms()))
+            wait = max(1, int(attempt.deadline - now_ms()))
             host = self.hosts[attempt.server]
             headers: Headers = [
                 ("Host", "app.svc"),
@@ -194,10 +200,10 @@
             self._using[attempt] = connection
 
             def written() -> None:
-                self.core.relayed(attempt)
+                self.core.request_written(attempt)
                 self._sent[attempt].set()
 
-            await connection.write(parts, written, attempt.request.allowed)
+            await connection.write(parts, written, attempt.request.sending_allowed)
             ended = await self._answer(attempt, connection, host.plain)
             clean = ended.status is not AttemptStatus.CANCELLED
             return ended
@@ -228,10 +234,10 @@
         partial = False
         since = trio.current_time()
         while True:
-            patience = PARTIAL_S if partial else QUIET_S if attempt.begun else STALL_S
+            patience = PARTIAL_S if partial else QUIET_S if attempt.stream_started else STALL_S
             events: list[Head | Body | End] = []
             until = since + patience
-            if self.pass_on is not None and attempt.begun:
+            if self.pass_on is not None and attempt.stream_started:
                 until = min(until, trio.current_time() + PASS_AGAIN_S)
             with trio.move_on_at(until) as timer:
                 self._waits[attempt] = timer
@@ -252,10 +258,10 @@
                     for part in splitter.feed(event.data):
                         if plain and tail.error(part):
                             raise Broken("an error in the stream")
-                        if not attempt.begun and not self.core.began(now_ms(), attempt):
+                        if not attempt.stream_started and not self.core.stream_started(now_ms(), attempt):
                             raise Broken("an answer that nobody wants")
                         tail.look(part)
-                        self.core.event(attempt, part)
+                        self.core.forward_event(attempt, part)
                         since = trio.current_time()
                         partial = False
                 elif isinstance(event, End) and head is not None:
@@ -263,24 +269,24 @@
                         return _plain(head) if plain else self._told(attempt, head, body)
                     if plain and not tail.done:
                         raise Broken("a stream without [DONE]")
-                    if not attempt.begun:
+                    if not attempt.stream_started:
                         raise Broken("a stream without an event")
                     if rest := splitter.end():
-                        self.core.event(attempt, memoryview(rest))
+                        self.core.forward_event(attempt, memoryview(rest))
                     return Ended(AttemptStatus.OK, _kept(tail.cached, attempt), tail.report)
-            if attempt.begun:
+            if attempt.stream_started:
                 before = trio.current_time()
                 await attempt.request.payload.wait_writable()
                 since += trio.current_time() - before  # a slow client's time is not the host's
             was_partial = partial
-            begun = attempt.begun
+            begun = attempt.stream_started
             waits = head is not None and not begun and not plain  # a plain host's head comes long before
             partial = connection.http.partial or splitter.partial or waits
             if partial and not was_partial:
                 since = trio.current_time()
             if (
                 self.pass_on is not None
-                and attempt.begun
+                and attempt.stream_started
                 and not partial
                 and not plain
                 and await self.pass_on(attempt, connection, tail.cached)
@@ -298,7 +304,7 @@
         if head.status in UNUSABLE:
             # Guards good hosts against blame, and the request against being shown to all of them.
             log_outside("host_refused", id=attempt.request.id, server=attempt.server, status=head.status)
-            self.core.unusable(now_ms(), attempt)
+            self.core.request_invalid(now_ms(), attempt)
         return Ended(AttemptStatus.ERROR, 0, report)
 
     # --- short calls ---
@@ -323,7 +329,7 @@
             else:
                 self._close(connection)
 
-    def hold_place(self, call: PlaceCall) -> None:
+    def reserve_decode_slot(self, call: PlaceCall) -> None:
         self.nursery.start_soon(self._hold_place, call)
 
     async def _hold_place(self, call: PlaceCall) -> None:
@@ -331,7 +337,7 @@
         nothing_done = True
         try:
             with trio.move_on_after(CALL_S):
-                if call.server in self.core.stateless:
+                if call.server in self.core.stateless_hosts:
                     raise NotUp("holds no places")
                 sent = self._sent.get(call.attempt) if call.attempt is not None else None
                 first = sent.wait if sent is not None else None
@@ -346,7 +352,7 @@
             pass
         except Exception as error:
             log("place_failed", id=call.request.id, error=repr(error))
-        self.core.place_answered(call, held, nothing_done)
+        self.core.reservation_finished(call, held, nothing_done)
 
     def _place_wanted(self, call: PlaceCall) -> bool:
         """Guards against a place call that overtakes its read, or comes after it.
@@ -355,17 +361,17 @@
         which nobody counts.
         """
         attempt = call.attempt
-        out = attempt is not None and attempt.written and not attempt.over
-        return out and not call.request.done and self.core.may_write(call.server)
+        out = attempt is not None and attempt.request_written and not attempt.finished
+        return out and not call.request.done and self.core.may_write_to(call.server)
 
-    def release(self, call: ReleaseCall) -> None:
+    def release_state(self, call: ReleaseCall) -> None:
         self._releases[call] = trio.Event()
         self.nursery.start_soon(self._release, call)
 
     async def _let_go(self, request: OpenRequest) -> None:
         """Guards against a further send that keeps what the one before has left from being let go."""
         with trio.move_on_after(RELEASE_FIRST_S):
-            while (call := request.releasing) is not None and not call.stale:
+            while (call := request.release) is not None and not call.superseded:
                 await self._releases[call].wait()
 
     async def _release(self, call: ReleaseCall) -> None:
@@ -378,7 +384,7 @@
         until = trio.current_time() + RELEASE_MOST_S
         tried: set[str] = set()
         async with trio.open_nursery() as nursery:
-            while not through.is_set() and not call.stale and trio.current_time() < until:
+            while not through.is_set() and not call.superseded and trio.current_time() < until:
                 server = self._release_host(tried)
                 if server is None:
                     tried.clear()
@@ -392,7 +398,7 @@
                     await ended.wait()
             nursery.cancel_scope.cancel()
         del self._releases[call]
-        self.core.released(call, through.is_set())
+        self.core.release_finished(call, through.is_set())
         through.set()
 
     async def _ask_release(
@@ -400,7 +406,7 @@
     ) -> None:
         try:
             with trio.move_on_after(RELEASE_TRY_S):
-                connection = await self._ready(server, lambda: not call.stale and not through.is_set())
+                connection = await self._ready(server, lambda: not call.superseded and not through.is_set())
                 if connection is not None:
                     head = await self._call(connection, "DELETE", f"/state/{call.request.id}")
                     if head.status < 300:
@@ -414,29 +420,29 @@
 
     def _release_host(self, tried: set[str]) -> str | None:
         """The one most likely to answer: wanted by the list, heard of late, with a connection open."""
-        names = [n for n in self.core.entries if n in self.hosts and n not in tried]
-        names = [n for n in names if n not in self.core.stateless]
+        names = [n for n in self.core.endpoints if n in self.hosts and n not in tried]
+        names = [n for n in names if n not in self.core.stateless_hosts]
         if not names:
             return None
 
         def rank(name: str) -> tuple[bool, bool, float]:
             host = self.hosts[name]
-            return name not in self.core.unwanted, bool(host.idle), host.heard_at
+            return name not in self.core.draining, bool(host.idle), host.heard_at
 
         return max(names, key=rank)
 
-    def probe(self, server: str) -> None:
+    def check_health(self, server: str) -> None:
         self.nursery.start_soon(self._probe, server)
 
     async def _probe(self, server: str) -> None:
-        if server in self.core.stateless:
+        if server in self.core.stateless_hosts:
             return
         began = now_ms()
         status = AttemptStatus.TIMEOUT
         report = None
         try:
             with trio.move_on_after(CALL_S):
-                connection = await self._ready(server, lambda: self.core.may_write(server))
+                connection = await self._ready(server, lambda: self.core.may_write_to(server))
                 if connection is None:
                     return
                 head = await self._call(connection, "GET", "/-/load")
@@ -448,7 +454,7 @@
             status = AttemptStatus.RESET
         except Exception as error:
             log("probe_failed", server=server, error=repr(error))
-        self.core.probed(HealthCheckResult(server, status, now_ms() - began, report))
+        self.core.health_checked(HealthCheckResult(server, status, now_ms() - began, report))
 
 
 class _Tail:
@@ -495,7 +501,7 @@
 
 def _kept(tokens: int, attempt: Attempt) -> int:
     """Guards the decisions against a count that can't be true."""
-    return int(max(0, min(tokens, attempt.request.asked.prompt_tokens)))
+    return int(max(0, min(tokens, attempt.request.policy_request.prompt_tokens)))
 
 
 def _cached(body: bytes) -> int:
--- a/violetstack/policy_api.py
+++ b/violetstack/policy_api.py
@@ -67,54 +67,54 @@
 
 
 class ClassSettings(msgspec.Struct, frozen=True):
-    aim_ms: float
-    give_up_ms: float
-    effect: Idempotency
-    group: DeduplicationScope
-    window_ms: float
-    value: float
-    late_value: float
-    aim_ms_per_1000_tokens: float
-    aim_stretch: float
-    token_aim_ms: float
+    latency_objective_ms: float
+    client_timeout_ms: float
+    idempotency: Idempotency
+    deduplication_scope: DeduplicationScope
+    deduplication_window_ms: float
+    priority_weight: float
+    late_priority_weight: float
+    objective_ms_per_1000_tokens: float
+    objective_stretch: float
+    inter_token_objective_ms: float
 
 
 class TenantSettings(msgspec.Struct, frozen=True):
-    share: float
-    allowance_per_s: float
+    quota_share: float
+    quota_per_s: float
 
 
 class Settings(msgspec.Struct, frozen=True):
     seed: int
-    me: int
-    fleet_size: int
+    dispatcher_index: int
+    dispatcher_count: int
     zone: int
     classes: tuple[ClassSettings, ...]
     tenants: tuple[TenantSettings, ...]
-    over_share_worth: float
+    over_quota_weight: float
     roles: tuple[Role, ...]
     memory_tokens: tuple[float, ...]
-    ahead: bool
-    local_read: bool
-    resume: bool
-    release_ms: float
+    reserve_ahead: bool
+    decode_hosts_prefill: bool
+    resume_supported: bool
+    state_retention_ms: float
     max_attempts: int
-    may_cancel: bool
-    may_duplicate: bool
-    may_probe: bool
-    may_tell: bool
-    retry_after: bool
+    cancellation_allowed: bool
+    hedging_allowed: bool
+    health_checks_allowed: bool
+    gossip_allowed: bool
+    send_retry_after: bool
     max_retry_after_ms: float
     connect_timeout_ms: float
-    must_ask: bool
-    must_ask_in_ms: float
-    report_names: tuple[str, ...]
-    reports_on_probe: bool
-    cold_share: float
-    cold_ms: float
-    fall_ms: float
-    fall_multiple: float
-    grace_to_answer_ms: float
+    watch_required: bool
+    watch_deadline_ms: float
+    load_report_fields: tuple[str, ...]
+    health_checks_report_load: bool
+    slow_start_capacity: float
+    slow_start_ms: float
+    overload_window_ms: float
+    overload_multiple: float
+    answer_grace_ms: float
 
 
 class Endpoint(msgspec.Struct, frozen=True):
@@ -131,25 +131,25 @@
 
 class EndpointUpdate(msgspec.Struct, frozen=True):
     scope: UpdateScope
-    entries: tuple[Endpoint, ...]
+    endpoints: tuple[Endpoint, ...]
     version: int
 
 
 class Route(Protocol):
     """What a request's route allows, asked at each choice; times in milliseconds."""
 
-    attempts: int
+    max_attempts: int
 
-    def scope(self, now: float) -> str:
+    def active_pool(self, now: float) -> str:
         """The pool in use; requests of one pool do not wait for those of another. Empty: all servers."""
 
-    def holds(self, server: str, now: float) -> bool:
+    def contains(self, server: str, now: float) -> bool:
         """Is the server in that pool?"""
 
-    def may_hold(self, now: float) -> bool:
+    def reservation_allowed(self, now: float) -> bool:
         """May a place be held ahead?"""
 
-    def may_repeat(self, now: float) -> bool:
+    def take_retry(self, now: float) -> bool:
         """May one more attempt follow a failed one? Each yes is counted."""
 
 
@@ -162,18 +162,18 @@
     """
 
     id: str
-    cls: int
-    tenant: int
+    class_index: int
+    tenant_index: int
     session: str | None
     expires_in_ms: float
-    answer_ms: float | None
-    shared: str | None
+    expected_answer_ms: float | None
+    prefix_id: str | None
     prompt_tokens: float
-    shared_tokens: float
+    prefix_tokens: float
     max_tokens: float
-    repeat: bool
-    resumed: bool
-    course: Route | None = None
+    is_retry: bool
+    is_resumed: bool
+    route: Route | None = None
     age_ms: float = 0.0  # it may have lain unread for so long; off expires_in_ms already
 
 
@@ -181,7 +181,7 @@
     id: str
     server: str
     attempt: int
-    took_ms: float
+    duration_ms: float
 
 
 class AttemptFinished(msgspec.Struct, frozen=True):
@@ -191,17 +191,17 @@
     server: str
     attempt: int
     status: AttemptStatus
-    took_ms: float
-    settled: bool
-    note: int
-    report: tuple[float | None, ...] | None
+    duration_ms: float
+    request_finished: bool
+    detail: int
+    load_report: tuple[float | None, ...] | None
 
 
 class ReservationResult(msgspec.Struct, frozen=True):
     id: str
     server: str
     attempt: int
-    held: bool
+    reserved: bool
 
 
 class ClientDisconnected(msgspec.Struct, frozen=True):
@@ -215,8 +215,8 @@
 class HealthCheckResult(msgspec.Struct, frozen=True):
     server: str
     status: AttemptStatus
-    took_ms: float
-    report: tuple[float | None, ...] | None
+    duration_ms: float
+    load_report: tuple[float | None, ...] | None
 
 
 class GossipReceived(msgspec.Struct, frozen=True):
@@ -231,7 +231,7 @@
 class ProcessPaused(msgspec.Struct, frozen=True):
     """The process saw nothing for so long; the other events of this batch came in that time."""
 
-    gap_ms: float
+    pause_ms: float
 
 
 class OutlierCheckResult(msgspec.Struct, frozen=True):
@@ -239,8 +239,8 @@
     well again."""
 
     server: str
-    for_ms: float
-    well: bool
+    checked_elsewhere_ms: float
+    recovered: bool
 
 
 Event = (
@@ -264,7 +264,7 @@
 
     id: str
     server: str
-    stop_at_ms: float
+    deadline_ms: float
 
 
 class ReserveDecodeSlot(msgspec.Struct, frozen=True):
@@ -295,12 +295,12 @@
 
 
 class StartTimer(msgspec.Struct, frozen=True):
-    after_ms: float
+    delay_ms: float
     token: str
 
 
 class SetWatch(msgspec.Struct, frozen=True):
-    on: bool
+    enabled: bool
 
 
 class FetchEndpoints(msgspec.Struct, frozen=True):
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -61,13 +61,13 @@
         self.deadline = now + req.expires_in_ms
         length = req.prompt_tokens
         self.price = prefill_cost(length)
-        self.aim = spec.aim_ms + spec.aim_ms_per_1000_tokens * length / 1000.0
+        self.aim = spec.latency_objective_ms + spec.objective_ms_per_1000_tokens * length / 1000.0
         answer = req.max_tokens
-        if req.answer_ms is not None and spec.token_aim_ms > 0:
-            answer = min(answer, req.answer_ms / spec.token_aim_ms)
-            self.aim += spec.aim_stretch * req.answer_ms
+        if req.expected_answer_ms is not None and spec.inter_token_objective_ms > 0:
+            answer = min(answer, req.expected_answer_ms / spec.inter_token_objective_ms)
+            self.aim += spec.objective_stretch * req.expected_answer_ms
         self.arrived, self.begun = now - req.age_ms, False
-        self.shortest = shortest + self.aim - spec.aim_ms
+        self.shortest = shortest + self.aim - spec.latency_objective_ms
         self.tokens = length + answer
         self.out: dict[int, Try] = {}
         self.state_at: Server | None = None
@@ -78,12 +78,12 @@
         self.failed: list[Server] = []
         self.ran: Try | None = None
         self.done = False
-        self.course, self.scope = req.course, "" if req.course is None else req.course.scope(now)
-        self.most = most if req.course is None else min(most, req.course.attempts)
+        self.course, self.scope = req.route, "" if req.route is None else req.route.active_pool(now)
+        self.most = most if req.route is None else min(most, req.route.max_attempts)
 
     def within(self, server: Server, now: float) -> bool:
         """Is the server one of those that the request's route allows?"""
-        return self.course is None or self.course.holds(server.entry.server, now)
+        return self.course is None or self.course.contains(server.entry.server, now)
 
     def part(self, now: float) -> float:
         """Its age as a part of what the most impatient class would want for this length."""
@@ -92,21 +92,20 @@
     def may_repeat(self, server: Server, now: float) -> bool:
         """Rule 2: may a (further) attempt with effect go to this server?"""
         first = self.ran
-        if first is None or self.spec.effect is Idempotency.IDEMPOTENT:
+        if first is None or self.spec.idempotency is Idempotency.IDEMPOTENT:
             return True
-        past_window = now >= first.sent_at + self.spec.window_ms - GUARD_MS
-        if self.spec.effect is Idempotency.NON_IDEMPOTENT or past_window:
+        past_window = now >= first.sent_at + self.spec.deduplication_window_ms - GUARD_MS
+        if self.spec.idempotency is Idempotency.NON_IDEMPOTENT or past_window:
             return False
         mine, theirs = server.entry, first.server.entry
-        if self.spec.group is DeduplicationScope.ZONE:
+        if self.spec.deduplication_scope is DeduplicationScope.ZONE:
             return mine.zone == theirs.zone
-        return self.spec.group is DeduplicationScope.ALL or mine.cell == theirs.cell
+        return self.spec.deduplication_scope is DeduplicationScope.ALL or mine.cell == theirs.cell
 
     def refusable(self) -> bool:
         """Rule 2: a refusal says that a retry does no harm."""
-        if self.spec.effect is Idempotency.IDEMPOTENT:
-            return True
-        if self.spec.effect is Idempotency.IDEMPOTENCY_KEY and self.spec.group is DeduplicationScope.ALL:
+        kind, everywhere = self.spec.idempotency, self.spec.deduplication_scope is DeduplicationScope.ALL
+        if kind is Idempotency.IDEMPOTENT or (kind is Idempotency.IDEMPOTENCY_KEY and everywhere):
             return True
         return self.ran is None and not self.out
 
@@ -168,8 +167,8 @@
         self.claimed, self.found = DecayingSum(2 * LEARN_MS), DecayingSum(2 * LEARN_MS)
         self.taken = {True: DecayingSum(12 * LEARN_MS), False: DecayingSum(12 * LEARN_MS)}
         self.recent: dict[str, DecayingSum] = {}  # by scope
-        self.prior = 0.5 * sum(x.allowance_per_s for x in settings.tenants) / 1000.0 / settings.fleet_size
-        self.shared = GossipState(max((spec.give_up_ms for spec in settings.classes), default=0.0))
+        self.prior = 0.5 * sum(x.quota_per_s for x in settings.tenants) / 1000.0 / settings.dispatcher_count
+        self.shared = GossipState(max((spec.client_timeout_ms for spec in settings.classes), default=0.0))
 
     def code(self, server: Server) -> int:
         """What the other fronts are told of our work there."""
@@ -186,7 +185,7 @@
 
     def whole(self, amount: float) -> float:
         """What all fronts have out, by what those that are heard have."""
-        return amount * self.settings.fleet_size / (1.0 + self.shared.active_peers)
+        return amount * self.settings.dispatcher_count / (1.0 + self.shared.active_peers)
 
     def role(self, server: Server) -> Role:
         roles, kind = self.settings.roles, server.entry.kind
@@ -210,10 +209,10 @@
 
     def warmth(self, server: Server, now: float) -> float:
         """Share of its capacity that a server which just started is taken to have; 1 when warm."""
-        started, cold = server.entry.started_ms, self.settings.cold_ms
+        started, cold = server.entry.started_ms, self.settings.slow_start_ms
         if started is None or now >= started + cold:
             return 1.0
-        share = self.settings.cold_share
+        share = self.settings.slow_start_capacity
         return share + (1.0 - share) * 0.5 * max(0.0, now - started) / cold
 
     def admits(self, server: Server, reading: bool, now: float) -> bool:
@@ -229,8 +228,8 @@
         if warmth >= 1.0:
             return True
         usual = self.taken[reading].rate_per_ms_with_prior(now, self.prior) / max(1, len(self.pools[reading]))
-        trickle = 1.0 / (2.0 * rules.fleet_size * rules.fall_ms)
-        server.tickets.rate = max(trickle, 1.25 * rules.fall_multiple * warmth * usual)
+        trickle = 1.0 / (2.0 * rules.dispatcher_count * rules.overload_window_ms)
+        server.tickets.rate = max(trickle, 1.25 * rules.overload_multiple * warmth * usual)
         return server.tickets.within(now) and not server.places
 
     def speed(self, server: Server, now: float) -> float:
@@ -284,10 +283,10 @@
         A session comes to many fronts, so what one front remembers of it is not enough; one reader for each
         beginning is too few where the beginning is hot. Could harm where readers keep little text.
         """
-        if req.shared is None:
+        if req.prefix_id is None:
             return self.order(req.session or req.id)
-        order = self.order(req.shared)
-        near = sorted(order[:HOMES], key=lambda s: host_score(f"{req.session}\n{req.shared}", s.entry.server))
+        order, key = self.order(req.prefix_id), f"{req.session}\n{req.prefix_id}"
+        near = sorted(order[:HOMES], key=lambda s: host_score(key, s.entry.server))
         return near + order[HOMES:]
 
     def claim(self, server: Server, job: Job) -> float:
@@ -296,7 +295,7 @@
             return job.req.prompt_tokens
         if job.req.session is not None and job.homes[:1] == [server]:
             return job.req.prompt_tokens
-        return job.req.shared_tokens if job.req.shared and server in job.homes[:HOMES] else 0.0
+        return job.req.prefix_tokens if job.req.prefix_id and server in job.homes[:HOMES] else 0.0
 
     def unread_price(self, server: Server, job: Job, now: float) -> float:
         """The price of what this reader would still have to read of a prompt.
@@ -348,7 +347,7 @@
         return 1.0 - share - (known - then) / size - server.left.value_at(now)
 
     def report(self, server: Server, row: tuple[float | None, ...] | None, now: float) -> None:
-        names = self.settings.report_names
+        names = self.settings.load_report_fields
         values = dict(zip(names, row or (), strict=False))
         share = values.get("x0")
         if share is None:
@@ -369,7 +368,7 @@
         self.now = 0.0
         self.actions: list[Action] = []
         self.buckets = {n: tenant_share(spec, settings) for n, spec in enumerate(settings.tenants)}
-        self.shortest = min((spec.aim_ms for spec in settings.classes), default=0.0)
+        self.shortest = min((spec.latency_objective_ms for spec in settings.classes), default=0.0)
         self.started, self.telling, self.gap = False, inf, 0.0
         self.failures: dict[bytes, None] = {}  # servers that failed us, to be told
         self.polled = 0
@@ -385,18 +384,18 @@
 
     def start(self) -> None:
         self.started = True
-        if self.settings.must_ask:
+        if self.settings.watch_required:
             self.act(SetWatch(True))
-        if self.settings.reports_on_probe and self.settings.may_probe:
+        if self.settings.health_checks_report_load and self.settings.health_checks_allowed:
             self.act(StartTimer(RETRY_MS, "poll"))
-        if self.settings.may_tell:
+        if self.settings.gossip_allowed:
             self.act(SendGossip(codec.RESET_DATAGRAM))
 
     # --- the other fronts ---
 
     def tell_soon(self, within_ms: float = TELL_MS) -> None:
         """A stream's end may wait for the next word: a datagram has its price, and streams take seconds."""
-        if self.settings.may_tell and self.now + within_ms < self.telling:
+        if self.settings.gossip_allowed and self.now + within_ms < self.telling:
             self.telling = self.now + within_ms
             self.act(StartTimer(within_ms, "tell"))
 
@@ -427,18 +426,18 @@
 
     def on_woke(self, event: ProcessPaused) -> None:
         """Nothing is decided on what was known before the gap, and nothing is learned across it."""
-        self.gap = event.gap_ms
+        self.gap = event.pause_ms
         for t in [t for job in self.jobs.values() for t in job.out.values()]:
             t.across = True
         self.fleet.shared.clear()
-        if self.settings.may_tell:
+        if self.settings.gossip_allowed:
             self.act(SendGossip(codec.RESET_DATAGRAM))
             self.tell_anew(TELL_MS)
 
     def on_peer(self, message: GossipReceived) -> None:
         """Guards against learning it forty times over: a server that failed one front has failed all."""
         fleet = self.fleet
-        if message.peer == self.settings.me:
+        if message.peer == self.settings.dispatcher_index:
             return
         if message.payload == codec.RESET_DATAGRAM:  # it and others that start now know none of our load
             self.tell_anew(TELL_MS * (1.0 + 9.0 * self.random.random()))
@@ -458,9 +457,9 @@
         """
         if (server := self.fleet.servers.get(event.server)) is None:
             return
-        if event.well:
+        if event.recovered:
             server.left, server.streak = DecayingSum(FORGET_MS), 0
-        server.away_until = self.now + event.for_ms if server.streak >= TRIED_FROM else 0.0
+        server.away_until = self.now + event.checked_elsewhere_ms if server.streak >= TRIED_FROM else 0.0
 
     def act(self, action: Action) -> None:
         self.actions.append(action)
@@ -483,7 +482,7 @@
                 self.on_left(event.id)
             case HealthCheckResult():
                 if (server := self.fleet.servers.get(event.server)) is not None:
-                    self.fleet.report(server, event.report, self.now)
+                    self.fleet.report(server, event.load_report, self.now)
             case GossipReceived():
                 self.on_peer(event)
             case ProcessPaused():
@@ -498,14 +497,14 @@
 
     def on_list(self, news: EndpointUpdate) -> None:
         if news.scope is UpdateScope.FAILED:
-            if self.settings.must_ask:
+            if self.settings.watch_required:
                 self.act(StartTimer(RETRY_MS * (1.0 + self.random.random()), "watch"))
             return
-        named = {entry.server for entry in news.entries}
+        named = {entry.server for entry in news.endpoints}
         for name, server in self.fleet.servers.items():
             if news.scope is not UpdateScope.DELTA and name not in named:
                 server.entry = replace(server.entry, state=EndpointState.REMOVED)
-        for entry in news.entries:
+        for entry in news.endpoints:
             self.on_entry(entry)
         self.fleet.list_changed()
         for server in self.fleet.servers.values():
@@ -527,7 +526,7 @@
             self.forget_place(job)
             if not job.done and job.out:
                 self.hold_place(job, next(iter(job.out.values())).server)
-        for t in list(server.out.values()) if gone and self.settings.may_cancel else ():
+        for t in list(server.out.values()) if gone and self.settings.cancellation_allowed else ():
             if t.reading and not t.job.done:
                 self.act(CancelAttempt(t.job.req.id, t.n))
 
@@ -554,17 +553,17 @@
     # --- a request's way ---
 
     def on_request(self, req: Request) -> None:
-        spec = self.settings.classes[req.cls]
+        spec = self.settings.classes[req.class_index]
         job = self.jobs[req.id] = Job(req, spec, self.shortest, self.settings.max_attempts, self.now)
         self.act(StartTimer(max(0.0, req.expires_in_ms - GUARD_MS), f"g:{req.id}"))
         self.act(StartTimer(max(0.0, req.expires_in_ms - LAST_MS), f"d:{req.id}"))
         self.start_read(job)
 
     def start_read(self, job: Job) -> None:
-        job.scope = job.scope if job.course is None else job.course.scope(self.now)
+        job.scope = job.scope if job.course is None else job.course.active_pool(self.now)
         reader = self.pick_reader(job)
         if reader is None:
-            writer = self.pick_writer(job, None) if self.settings.local_read else None
+            writer = self.pick_writer(job, None) if self.settings.decode_hosts_prefill else None
             if writer is None:
                 self.give_up(job)
             else:
@@ -574,20 +573,21 @@
         if self.too_late(job, reader) or (reading and not self.candidates(job, False)):
             self.give_up(job)  # the second: nobody could write the answer, so the read would be for nothing
             return
-        if job.sent == 0 and (bucket := self.buckets.get(job.req.tenant)) is not None:
+        if job.sent == 0 and (bucket := self.buckets.get(job.req.tenant_index)) is not None:
             bucket.take()
         self.send(job, reader, reading)
-        if reading and self.settings.ahead and (job.course is None or job.course.may_hold(self.now)):
+        route = job.course
+        if reading and self.settings.reserve_ahead and (route is None or route.reservation_allowed(self.now)):
             job.asked = []
             self.hold_place(job, reader)
 
     def worth(self, job: Job) -> float:
         """Worth beside the dearest class; little beyond the tenant's share of what this front may pass."""
-        top = max(spec.value for spec in self.settings.classes)
-        worth = job.spec.value / top if top > 0 else 1.0
-        bucket = self.buckets.get(job.req.tenant)
+        top = max(spec.priority_weight for spec in self.settings.classes)
+        worth = job.spec.priority_weight / top if top > 0 else 1.0
+        bucket = self.buckets.get(job.req.tenant_index)
         if bucket is not None and not bucket.within(self.now):
-            worth *= self.settings.over_share_worth
+            worth *= self.settings.over_quota_weight
         return worth
 
     def too_late(self, job: Job, reader: Server) -> bool:
@@ -675,10 +675,10 @@
         Reads have no effect and may always be tried again; a write only where its class allows.
         """
         usual = self.fleet.reads if t.reading else self.fleet.waits
-        patience = max(2.0 * job.aim - 1.5 * job.spec.aim_ms, 4.0 * usual.median(self.now))
+        patience = max(2.0 * job.aim - 1.5 * job.spec.latency_objective_ms, 4.0 * usual.median(self.now))
         patience /= self.fleet.warmth(t.server, self.now)
         spare = job.most - job.sent - (3 if t.reading else 2)
-        may = t.reading or job.spec.effect is Idempotency.IDEMPOTENT
+        may = t.reading or job.spec.idempotency is Idempotency.IDEMPOTENT
         return patience if may and spare >= 0 else job.deadline - self.now
 
     def on_place(self, note: ReservationResult) -> None:
@@ -686,7 +686,7 @@
         job = self.jobs.get(note.id)
         if job is None or job.place is None or note.attempt not in job.out:
             return
-        if note.held:
+        if note.reserved:
             job.held = True
             return
         job.place.left.add(self.now, job.tokens / self.fleet.memory(job.place, self.now))
@@ -705,7 +705,7 @@
         job.state_at, job.pinned = None, False
         fleet, server = self.fleet, t.server
         if not t.across:
-            fleet.waits.add(self.now, event.took_ms)
+            fleet.waits.add(self.now, event.duration_ms)
         fleet.taken[False].add(self.now, 1.0)
         fleet.recent.setdefault(job.scope, DecayingSum(2 * LEARN_MS)).add(self.now, 1.0)
         job.begun = True
@@ -720,7 +720,7 @@
         t.server.out.pop((event.id, event.attempt), None)
         self.tell_soon(TELL_MS if t.reading or event.status in GOSSIPED_STATUSES else LATER_MS)
         self.learn(t, event)
-        job.done = job.done or event.settled
+        job.done = job.done or event.request_finished
         if job.done:
             job.pinned = job.pinned or event.status is AttemptStatus.PREFILLED
             self.close(job)
@@ -731,26 +731,26 @@
 
     def learn(self, t: Try, event: AttemptFinished) -> None:
         now, server, fleet = self.now, t.server, self.fleet
-        fleet.report(server, event.report, now - self.gap)
+        fleet.report(server, event.load_report, now - self.gap)
         if t.reading and not t.across and event.status in (AttemptStatus.PREFILLED, AttemptStatus.TIMEOUT):
-            fleet.reads.add(now, event.took_ms)
+            fleet.reads.add(now, event.duration_ms)
         if event.status is AttemptStatus.TIMEOUT and not t.reading and not t.begun:
-            fleet.waits.add(now, event.took_ms)
+            fleet.waits.add(now, event.duration_ms)
         if event.status is AttemptStatus.PREFILLED:
-            ahead = t.ahead - t.price + prefill_cost(t.job.req.prompt_tokens - event.note)
+            ahead = t.ahead - t.price + prefill_cost(t.job.req.prompt_tokens - event.detail)
             for owner in () if t.across else (fleet, server):
                 owner.cleared.add(now, ahead)
-                owner.busy_ms.add(now, event.took_ms)
+                owner.busy_ms.add(now, event.duration_ms)
             fleet.taken[True].add(now, 1.0)
             fleet.claimed.add(now, t.claim)
-            fleet.found.add(now, min(t.claim, event.note))
+            fleet.found.add(now, min(t.claim, event.detail))
             if t.job.req.session is not None:
                 fleet.last.pop(t.job.req.session, None)
                 fleet.last[t.job.req.session] = server.entry.server
                 if len(fleet.last) > MOST_SESSIONS:
                     del fleet.last[next(iter(fleet.last))]
             server.streak = 0
-        state_lost = event.status is AttemptStatus.REJECTED and event.note == 1
+        state_lost = event.status is AttemptStatus.REJECTED and event.detail == 1
         if event.status in BLAMED_STATUSES and not t.begun and not state_lost:
             budget = t.job.aim * fleet.speed(server, now) if t.reading else fleet.memory(server, now)
             server.blame(now, (t.price if t.reading else t.job.tokens) / budget)
@@ -783,12 +783,12 @@
             return
         again = job.most - job.sent
         rejected = event.status is AttemptStatus.REJECTED
-        no_state = event.status is AttemptStatus.ERROR or (rejected and event.note == 1)
+        no_state = event.status is AttemptStatus.ERROR or (rejected and event.detail == 1)
         lost = t.reading or job.held or job.state_at is None or no_state
         late = self.now >= job.deadline - GUARD_MS
-        away = rejected and event.note != 1 and all(s in job.failed for s in self.candidates(job, t.reading))
+        away = rejected and event.detail != 1 and set(job.failed).issuperset(self.candidates(job, t.reading))
         spent = late or away or again < (2 if lost else 1)
-        if spent or (job.course is not None and not job.course.may_repeat(self.now)):
+        if spent or (job.course is not None and not job.course.take_retry(self.now)):
             self.give_up(job)
         elif lost:
             self.let_go(job)
@@ -813,7 +813,7 @@
     def give_up(self, job: Job) -> None:
         """The final answer: a refusal with advice where a retry is known to be harmless, else a failure."""
         if job.refusable():
-            advice = min(self.settings.max_retry_after_ms, job.aim) if self.settings.retry_after else 0.0
+            advice = min(self.settings.max_retry_after_ms, job.aim) if self.settings.send_retry_after else 0.0
             self.act(RejectRequest(job.req.id, advice))
         else:
             self.act(FailRequest(job.req.id))
@@ -825,7 +825,7 @@
         self.close(job)
 
     def withdraw(self, job: Job) -> None:
-        if self.settings.may_cancel:
+        if self.settings.cancellation_allowed:
             for t in job.out.values():
                 if not t.begun:
                     self.act(CancelAttempt(job.req.id, t.n))
--- a/violetstack/simulator_adapter.py
+++ b/violetstack/simulator_adapter.py
@@ -214,17 +214,17 @@
     flags = w.flags or 0
     return Request(
         id=w.handle,
-        cls=w.priority,
-        tenant=w.customer or 0,
+        class_index=w.priority,
+        tenant_index=w.customer or 0,
         session=w.talk or None,
         expires_in_ms=w.expires_in,
-        answer_ms=w.weight_hint if flags & 1 else None,
-        shared=w.shared_prefix or None,
+        expected_answer_ms=w.weight_hint if flags & 1 else None,
+        prefix_id=w.shared_prefix or None,
         prompt_tokens=w.prompt_tokens or 0.0,
-        shared_tokens=w.prefix_tokens or 0.0,
+        prefix_tokens=w.prefix_tokens or 0.0,
         max_tokens=w.n_max or 0.0,
-        repeat=bool(flags & 2),
-        resumed=bool(flags & 16),
+        is_retry=bool(flags & 2),
+        is_resumed=bool(flags & 16),
     )
 
 
@@ -276,7 +276,7 @@
     match action:
         case SendAttempt():
             body = {"op": "assign", "handle": action.id, "engine": action.server}
-            body["stop_at"] = action.stop_at_ms
+            body["stop_at"] = action.deadline_ms
         case ReserveDecodeSlot():
             body = {"op": "pre_pair", "handle": action.id, "engine": action.server}
         case ReleaseState():
@@ -290,9 +290,9 @@
         case MigrateStream():
             body = {"op": "bounce", "handle": action.id}
         case StartTimer():
-            body = {"op": "remind", "after": action.after_ms, "token": action.token}
+            body = {"op": "remind", "after": action.delay_ms, "token": action.token}
         case SetWatch():
-            body = {"op": "stream_changes", "enable": action.on}
+            body = {"op": "stream_changes", "enable": action.enabled}
         case FetchEndpoints():
             body = {"op": "snapshot"}
         case SendHealthCheck():
