--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -235,8 +235,8 @@
     assert not scene.noted.releases[0].superseded
     scene.core.request_started(read)
     assert scene.noted.releases[0].superseded
-    scene.core.released(scene.noted.releases[0], False)
-    scene.core.ended(scene.now, read, AttemptStatus.ERROR)
+    scene.core.release_finished(scene.noted.releases[0], False)
+    scene.core.attempt_finished(scene.now, read, AttemptStatus.ERROR)
     scene.run(RejectRequest("q", 0.0))
     assert len(scene.noted.releases) == 2
 
