--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -603,7 +603,7 @@
     def __init__(self) -> None:
         self.told: list[GossipReceived] = []
 
-    def peer(self, message: GossipReceived) -> None:
+    def gossip_received(self, message: GossipReceived) -> None:
         self.told.append(message)
 
 
