--- a/tests/test_bad_hosts.py
+++ b/tests/test_bad_hosts.py
@@ -9,7 +9,7 @@
 import trio.testing
 
 from tests.test_stories import pair, play
-from violetstack.net.upstream import attempt
+from violetstack.net.upstream import response_reader
 from violetstack.protocol.headers import report_of
 from violetstack.rehearsal.clients import ask_chat, ask_platform, chat_body, chat_headers
 from violetstack.rehearsal.hosts import SPOILT, SPOILT_LATER, Act
@@ -18,7 +18,7 @@
 
 @pytest.fixture(autouse=True)
 def _impatient(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(attempt, "PARTIAL_S", 0.05)
+    monkeypatch.setattr(response_reader, "PARTIAL_TIMEOUT_S", 0.05)
 
 
 @pytest.mark.parametrize("act", SPOILT.values(), ids=SPOILT)
@@ -55,7 +55,7 @@
 
 def test_a_stream_that_stops_between_two_events_ends_its_client(monkeypatch: pytest.MonkeyPatch) -> None:
     """On a day with silent hosts two clients were left waiting on streams that had stopped."""
-    monkeypatch.setattr(attempt, "QUIET_S", 0.05)
+    monkeypatch.setattr(response_reader, "EVENT_TIMEOUT_S", 0.05)
     reader, writer = pair(Act(events=2, pause=trio.Event()))
 
     async def story(on: Stage) -> None:
--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -11,7 +11,7 @@
 import trio
 
 from tests.test_stories import pair, play
-from violetstack.net.upstream.connection_pool import HostConnection, Withheld
+from violetstack.net.upstream.connection import SendWithheldError, UpstreamConnection
 from violetstack.rehearsal.clients import (
     Answer,
     ask_chat,
@@ -372,14 +372,14 @@
         ours, theirs = socket.socketpair()
         asked: list[bool] = []
         ours.setblocking(False)
-        connection = HostConnection(ours, "w")
+        connection = UpstreamConnection(ours, "w")
         with theirs:
 
             def allowed() -> bool:
                 asked.append(True)
                 return len(asked) < 3
 
-            with pytest.raises(Withheld):
+            with pytest.raises(SendWithheldError):
                 await connection.write([b"head", bytes(8 * 2**20)], asked.clear, allowed)
             assert len(asked) == 3
             connection.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,9 +20,8 @@
 from tests.test_stories import pair, play
 from violetstack.net.downstream import connection as connection_module
 from violetstack.net.downstream.connection import DownstreamConnection
-from violetstack.net.upstream import attempt as hosts_module
-from violetstack.net.upstream import connection_pool
-from violetstack.net.upstream.connection_pool import HostConnection
+from violetstack.net.upstream import connection_pool, state_release
+from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.protocol.host_side import Body, End, Head
 from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import (
@@ -49,12 +48,12 @@
     def __init__(self, on: Stage, name: str) -> None:
         self.asked = trio.Event()
         self.up = trio.Event()
-        self._open = on.daemon.hosts._open
+        self._open = on.daemon.hosts.pool.open
         self._name = name
-        on.daemon.hosts._open = self.open  # type: ignore[method-assign]
+        on.daemon.hosts.pool.open = self.open  # type: ignore[method-assign]
 
-    async def open(self, server: str, timeout: float) -> HostConnection:
-        connection = await self._open(server, timeout)
+    async def open(self, server: str, timeout_s: float) -> UpstreamConnection:
+        connection = await self._open(server, timeout_s)
         if server == self._name:
             self.asked.set()
             await self.up.wait()
@@ -140,7 +139,7 @@
         on.discovery.tell(writer.row(state="leaving"))
         await until(lambda: "w" in on.daemon.core.draining)
         late.up.set()
-        await until(lambda: len(on.daemon.hosts.hosts["w"].idle) == 1)  # what came up unused is kept
+        await until(lambda: len(on.daemon.hosts.pool.hosts["w"].idle) == 1)  # what came up unused is kept
         assert (writer.calls, writer.bodies) == ([], [])
 
     play(reader, writer, story=story)
@@ -156,7 +155,9 @@
         call = await asked_by(on, "q1")
         await late.asked.wait()
         on.discovery.tell(moved.row())
-        await until(lambda: on.daemon.hosts.hosts["w"].at[1] == int(moved.address.rpartition(":")[2]))
+        await until(
+            lambda: on.daemon.hosts.pool.hosts["w"].address[1] == int(moved.address.rpartition(":")[2])
+        )
         late.up.set()
         assert (await call.receive()).outcome == "served"
         assert (writer.begun, moved.begun) == ([], ["q1"])
@@ -202,12 +203,12 @@
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
-        hosts = on.daemon.hosts
+        pool = on.daemon.hosts.pool
         core = on.daemon.core
         await ask_platform(on.platform, "q1", "orden")
-        for host in hosts.hosts.values():
+        for host in pool.hosts.values():
             for connection in host.idle:
-                connection.rested_at = 0.0
+                connection.usable_from = 0.0
         closed: list[str] = []
 
         async def fresh() -> None:
@@ -218,7 +219,7 @@
                 writer.hang_up()
                 await trio.testing.wait_all_tasks_blocked()
 
-        hosts.fresh = fresh
+        pool.wait_caught_up = fresh
         answer = await ask_platform(on.platform, "q2", "orden")
         assert (answer.outcome, reader.begun, writer.begun) == ("served", ["q1", "q2"], ["q1", "q2"])
         assert [status for _, status, _ in trails["q2"]] == ["read", "ok"]
@@ -278,13 +279,13 @@
     """The host has got no whole request, so that nothing has run, whatever the class allows."""
     reader = ModelHost("r", "prefill")
     writer = Halving("w", "decode")
-    begin = HostConnection.__init__
+    begin = UpstreamConnection.__init__
 
-    def small(self: HostConnection, raw: Any, *args: Any) -> None:
+    def small(self: UpstreamConnection, raw: Any, *args: Any) -> None:
         raw.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_SNDBUF, 4096)
         begin(self, raw, *args)
 
-    monkeypatch.setattr(HostConnection, "__init__", small)
+    monkeypatch.setattr(UpstreamConnection, "__init__", small)
 
     async def story(on: Stage) -> None:
         writer._sockets[0].socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4096)
@@ -313,7 +314,7 @@
 def test_a_late_second_answer_is_not_taken_for_the_next_requests(monkeypatch: pytest.MonkeyPatch) -> None:
     """The next request had been written on the connection by then, and its prompt counted as read."""
     # However long this machine takes from one request to the next.
-    monkeypatch.setattr(connection_pool, "REST_S", 60.0)
+    monkeypatch.setattr(connection_pool, "REUSE_DELAY_S", 60.0)
     gate = trio.Event()
     reader = Echoing("r", "prefill", Act(), Act(before=gate))
     writer = ModelHost("w", "decode")
@@ -336,8 +337,8 @@
 
     async def story(on: Stage) -> None:
         await ask_platform(on.platform, "q1", "orden")
-        for connection in on.daemon.hosts.hosts["r"].idle:
-            connection.rested_at = 0.0
+        for connection in on.daemon.hosts.pool.hosts["r"].idle:
+            connection.usable_from = 0.0
         assert (await ask_platform(on.platform, "q2", "orden")).outcome == "served"
         assert reader.opened == 2
 
@@ -345,7 +346,7 @@
 
 
 def test_a_connection_that_has_rested_is_used_again(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(connection_pool, "REST_S", 0.0)
+    monkeypatch.setattr(connection_pool, "REUSE_DELAY_S", 0.0)
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
@@ -428,7 +429,7 @@
         call = await asked_by(on, "q1")
         await until(lambda: reader.begun == ["q1"])
         late = Late(on, "r")
-        on.daemon.hosts.hosts.pop("w")  # the release has but one host to go to
+        on.daemon.hosts.pool.hosts.pop("w")  # the release has but one host to go to
         request = core.open_requests["q1"]
         request.holds_remote_state = True
         core._release(0.0, request)
@@ -468,7 +469,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """One after the other, 0.3 s each, three hosts that are cut off outlasted what the rule gives."""
-    monkeypatch.setattr(hosts_module, "RELEASE_TRY_S", 60.0)
+    monkeypatch.setattr(state_release, "TRY_TIMEOUT_S", 60.0)
     reader, writer = pair(DECLINE, DECLINE, DECLINE, DECLINE, DECLINE)
     more = [ModelHost(f"r{n}", "prefill") for n in range(2, 6)]
     gate = trio.Event()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -531,7 +531,7 @@
             on.nursery.start_soon(heir, sock, heard)
             giver = stream_migration.Giver(on.daemon.core)
             assert await giver.connect(path)
-            on.daemon.hosts.pass_all(giver.give)
+            on.daemon.hosts.migrate_streams(giver.give)
             await heard.wait()
             await trio.sleep(0.1 if word == "silent" else 0)  # its time is up
             hold.set()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -55,7 +55,7 @@
         while "w" not in daemon.core.draining:
             await trio.sleep(0.001)
         await trio.testing.wait_all_tasks_blocked()
-        assert set(daemon.core.endpoints) == set(daemon.hosts.hosts) == {"r", "w"}
+        assert set(daemon.core.endpoints) == set(daemon.hosts.pool.hosts) == {"r", "w"}
 
     play(reader, writer, story=story)
 
@@ -102,16 +102,16 @@
             await trio.sleep(0.01)
         await trio.testing.wait_all_tasks_blocked()
         router = daemon.core.policy
-        hosts = daemon.hosts
+        pool = daemon.hosts.pool
         servers = router.fleet.servers.values()  # type: ignore[attr-defined]
         assert not router.jobs  # type: ignore[attr-defined]
         assert [(len(s.out), len(s.places)) for s in servers] == [(0, 0), (0, 0)]
-        assert hosts.connections == sum(len(host.idle) for host in hosts.hosts.values())
-        assert not hosts._scopes and not hosts._using and not hosts._sent
+        assert pool.open_connections == sum(len(host.idle) for host in pool.hosts.values())
+        assert len(daemon.hosts.attempts) == 0
         table = daemon.listeners[0].table
         assert (table.buffered_bytes, table.connections) == (0, set())
         assert (table.idle, table.awaiting_first_request) == ({}, {})
         open_there = len(reader.connections) + len(writer.connections)
-        assert hosts.connections == open_there
+        assert pool.open_connections == open_there
 
     play(reader, writer, story=story)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -11,10 +11,11 @@
 import trio.testing
 
 from violetstack.config import address
+from violetstack.core.records import Attempt
 from violetstack.daemon.daemon import Daemon
 from violetstack.net import gossip, watch
 from violetstack.net.gossip import Peers
-from violetstack.net.upstream.connection_pool import HostConnection
+from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.policy_api import Action, Event, GossipReceived
 from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import BODY, ask_platform, connect, platform_headers
@@ -98,9 +99,10 @@
         closed = []
         abort = core.driver.abort_attempt
 
-        def watched(attempt: object) -> None:
-            using = on.daemon.hosts._using[attempt]  # type: ignore[index]
-            abort(attempt)  # type: ignore[arg-type]
+        def watched(attempt: Attempt) -> None:
+            using = on.daemon.hosts.attempts.connection_of(attempt)
+            assert using is not None
+            abort(attempt)
             closed.append(using.sock.fileno())
 
         core.driver.abort_attempt = watched  # type: ignore[method-assign]
@@ -120,7 +122,7 @@
         await call.send("POST", "/v1/chat/completions", platform_headers("q1", "consulta"), BODY)
         await call.receive(events=3)
         await call.stream.aclose()
-        idle = on.daemon.hosts.hosts["w"].idle  # the place was asked for on a connection of its own
+        idle = on.daemon.hosts.pool.hosts["w"].idle  # the place was asked for on a connection of its own
         while len(writer.connections) > len(idle):
             await trio.testing.wait_all_tasks_blocked()
             hold.set()
@@ -353,15 +355,15 @@
 
     async def story(on: Stage) -> None:
         await ask_platform(on.platform, "q1", "consulta")  # opens the connections
-        exchange = on.daemon.hosts._open
+        exchange = on.daemon.hosts.pool.open
 
-        async def slow(server: str, timeout: float) -> HostConnection:
+        async def slow(server: str, timeout_s: float) -> UpstreamConnection:
             if server == "r":
                 await trio.testing.wait_all_tasks_blocked()
                 order.append("read")
-            return await exchange(server, timeout)
+            return await exchange(server, timeout_s)
 
-        on.daemon.hosts._open = slow  # type: ignore[method-assign]
+        on.daemon.hosts.pool.open = slow  # type: ignore[method-assign]
         order.clear()
         await ask_platform(on.platform, "q2", "consulta")
         assert order == ["read", "POST"]
@@ -381,7 +383,7 @@
                 filler = stack.enter_context(socket.socket())
                 filler.setblocking(False)
                 filler.connect_ex(full.getsockname())
-            on.daemon.hosts.hosts["w"].at = full.getsockname()
+            on.daemon.hosts.pool.hosts["w"].address = full.getsockname()
             assert (await ask_platform(on.platform, "q1", "orden")).outcome == "refused"
             assert writer.begun == []
 
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -31,7 +31,8 @@
 from violetstack.net.gossip import Peers
 from violetstack.net.pause_detector import PauseDetector
 from violetstack.net.startup_recovery import Comeback
-from violetstack.net.upstream.attempt import Hosts
+from violetstack.net.upstream.connection_pool import ConnectionPool
+from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.policy_api import EndpointUpdate
 from violetstack.router import Router
 
@@ -161,7 +162,7 @@
         door = await self._open_door()
         self._shed_load(self.config.levels)
         self.nursery.start_soon(loop.run)
-        self.nursery.start_soon(self.hosts.retire_idle)
+        self.nursery.start_soon(self.hosts.pool.close_expired)
         await self.endpoints.wait_for_first_list()
         self.lifecycle.started = True
         self._join_tier(pause_detector)
@@ -183,12 +184,11 @@
     def _build(self) -> None:
         config = self.config
         settings = config.settings
-        self.hosts = Hosts(
-            self.nursery, settings.connect_timeout_ms, config.idle_close_ms, settings.load_report_fields
-        )
+        pool = ConnectionPool(settings.connect_timeout_ms, config.idle_close_ms)
+        self.hosts = UpstreamDriver(self.nursery, pool, settings.load_report_fields)
         self.router = Router(settings)
         self.core = Dispatcher(settings, self.router, self.hosts, config.drain_grace_ms)
-        self.hosts.core = self.core
+        self.hosts.connect_core(self.core)
         self.limits = LimitAllocator(config, self.hosts, self.listeners, self._processes)
         self.fronts = FrontServers(config, self.core, self.nursery, self.listeners, self.limits.apply)
         self._route()
@@ -200,7 +200,7 @@
             self.config.drain_grace_ms, lambda gap: core.process_paused(now_ms(), gap)
         )
         core.max_unread_ms = pause_detector.max_unread_ms
-        self.hosts.fresh = pause_detector.wait_caught_up
+        self.hosts.pool.wait_caught_up = pause_detector.wait_caught_up
         pause_detector.add_source(self.hosts)
         self.nursery.start_soon(pause_detector.run)
         return pause_detector
@@ -259,7 +259,7 @@
             return
         heirs = config.inherited is not None
         peers = Peers(self.core, config.peer_listen, config.peers, config.peers_all, heirs)
-        self.hosts.send_gossip = peers.tell
+        self.hosts.gossip = peers.tell
         peers.deaf = lambda: pause_detector.catching_up
         pause_detector.add_source(peers)
         self.duties = start_lease_service(
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -15,8 +15,8 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.pause_detector import PauseDetector
 from violetstack.net.startup_recovery import Comeback
-from violetstack.net.upstream.attempt import Hosts
-from violetstack.net.upstream.connection_pool import Host
+from violetstack.net.upstream.connection_pool import UpstreamHost
+from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.net.watch import Watch
 from violetstack.policy_api import EndpointState, EndpointUpdate, UpdateScope
 from violetstack.protocol.discovery import ListReader, Targets, WServer, WTargets
@@ -37,7 +37,7 @@
         self,
         config: Config,
         core: Dispatcher,
-        hosts: Hosts,
+        hosts: UpstreamDriver,
         *,
         recovery: Comeback,
         kept: Kept | None,
@@ -63,7 +63,7 @@
 
     def publish(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
         """Hands an update to the connection pool and the core."""
-        self._hosts.told(update, addresses)
+        self._hosts.pool.update(update, addresses)
         self._core.update_endpoints(now_ms(), update)
 
     # --- startup ---
@@ -75,7 +75,9 @@
         self._nursery = nursery
         config = self._config
         for host in config.operator.hosts if config.operator is not None else ():
-            self._hosts.hosts[host.id] = Host(address(host.address), [], plain=True, key=host.key)
+            self._hosts.pool.hosts[host.id] = UpstreamHost(
+                address(host.address), [], openai_api=True, api_key=host.key
+            )
             self._core.stateless_hosts.add(host.id)
         known = config.told.known
         version: int | None = known.version
--- a/violetstack/daemon/hot_restart.py
+++ b/violetstack/daemon/hot_restart.py
@@ -21,7 +21,7 @@
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.handover import Handover
 from violetstack.net.records import Records
-from violetstack.net.upstream.attempt import Hosts
+from violetstack.net.upstream.driver import UpstreamDriver
 
 
 class HotRestart:
@@ -85,7 +85,11 @@
         return self._succession.newest()
 
     async def take_streams(
-        self, nursery: trio.Nursery, core: Dispatcher, hosts: Hosts, platform: Callable[[], Listener | None]
+        self,
+        nursery: trio.Nursery,
+        core: Dispatcher,
+        hosts: UpstreamDriver,
+        platform: Callable[[], Listener | None],
     ) -> None:
         """Before anybody is told that this process takes over: SIGTERM follows that word at once."""
         if not self._inherited:
@@ -95,7 +99,7 @@
         taker = Taker(core, hosts, lambda: platform() if self._lifecycle.accepting else None)
         await nursery.start(taker.run, socket_path(self._folder, self._succession.owner))
 
-    async def pass_streams(self, core: Dispatcher, hosts: Hosts) -> None:
+    async def pass_streams(self, core: Dispatcher, hosts: UpstreamDriver) -> None:
         """Gives the streams that have begun to the successor, if there is one."""
         heir = self.find_successor()
         if not self._inherited or heir is None:
@@ -105,7 +109,7 @@
         giver = Giver(core)
         self.streams_given = lambda: giver.given
         if await giver.connect(socket_path(self._folder, heir)):
-            hosts.pass_all(giver.give)
+            hosts.migrate_streams(giver.give)
 
     def _compose(self) -> Record:
         return Record(
--- a/violetstack/daemon/limits.py
+++ b/violetstack/daemon/limits.py
@@ -7,14 +7,14 @@
 from violetstack.config import Config
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.resource_limits import budget
-from violetstack.net.upstream.attempt import Hosts
+from violetstack.net.upstream.driver import UpstreamDriver
 
 
 class LimitAllocator:
     """Divides the limits of the configuration between listeners, upstream connections and processes."""
 
     def __init__(
-        self, config: Config, hosts: Hosts, listeners: list[Listener], processes: Callable[[], int]
+        self, config: Config, hosts: UpstreamDriver, listeners: list[Listener], processes: Callable[[], int]
     ) -> None:
         acme = config.chat.told.acme if config.chat is not None else None
         self._config = config
@@ -33,7 +33,7 @@
             door=self._config.mgmt is not None,
             processes=self._processes(),
         )
-        self._hosts.most = share.hosts
+        self._hosts.pool.max_connections = share.hosts
         for listener in self._listeners:
             listener.table.max_connections = share.clients
             listener.table.max_buffered_bytes = share.bodies
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -10,7 +10,7 @@
 from violetstack.daemon.fronts import FrontServers
 from violetstack.daemon.lifecycle import Lifecycle
 from violetstack.log import log
-from violetstack.net.upstream.attempt import Hosts
+from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.policy_api import Settings
 
 if TYPE_CHECKING:
@@ -39,7 +39,7 @@
         lifecycle: Lifecycle,
         *,
         core: Dispatcher,
-        hosts: Hosts,
+        hosts: UpstreamDriver,
         fronts: FrontServers,
         hot_restart: HotRestart | None,
     ) -> None:
@@ -85,7 +85,7 @@
             return
         # Who comes now waits in the queue that the heir accepts from. It speaks to the peers as well.
         await self._stop_accepting()
-        self._hosts.send_gossip = lambda payload: None
+        self._hosts.gossip = lambda payload: None
         await self._hot_restart.pass_streams(self._core, self._hosts)
 
     async def _stop_accepting(self) -> None:
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -18,8 +18,8 @@
 from violetstack.log import log, log_outside
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
-from violetstack.net.upstream.attempt import Hosts
-from violetstack.net.upstream.connection_pool import HostConnection
+from violetstack.net.upstream.connection import UpstreamConnection
+from violetstack.net.upstream.driver import UpstreamDriver
 
 WORD_S = 1.0  # the other process answers by then, or is taken for dead
 BACKLOG = 4
@@ -62,7 +62,7 @@
         self._sock = sock
         return True
 
-    async def give(self, attempt: Attempt, connection: HostConnection, cached: int) -> bool:
+    async def give(self, attempt: Attempt, connection: UpstreamConnection, cached: int) -> bool:
         """Between two events. False: it goes on here."""
         request = attempt.request
         sink = attempt.request.sink
@@ -127,7 +127,9 @@
 class Taker:
     """The new process's side."""
 
-    def __init__(self, core: Dispatcher, hosts: Hosts, listener: Callable[[], Listener | None]) -> None:
+    def __init__(
+        self, core: Dispatcher, hosts: UpstreamDriver, listener: Callable[[], Listener | None]
+    ) -> None:
         self._core = core
         self._hosts = hosts
         self._listener = listener
@@ -218,7 +220,7 @@
         replies = listener.adopt(client, stream.closing)
         attempt = self._core.adopt_stream(now_ms(), stream, PlatformSink(replies, stream_started=True))
         replies.attach(attempt.request)
-        self._hosts.adopt(attempt, host, stream.cached, replies.wait_writable)
+        self._hosts.adopt_stream(attempt, host, stream.cached, replies.wait_writable)
 
 
 def _descriptors(rights: list[tuple[int, int, bytes]]) -> list[int]:
--- /dev/null
+++ b/violetstack/net/upstream/attempts.py
@@ -0,0 +1,236 @@
+"""Carries out attempts: one request to one model host, and the way back of its response."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.core.records import Attempt
+from violetstack.fronts.reply import Payload
+from violetstack.log import log, log_outside
+from violetstack.net.clock import now_ms
+from violetstack.net.upstream.connection import NotConnectedError, SendWithheldError, UpstreamConnection
+from violetstack.net.upstream.connection_pool import ConnectionPool, UpstreamHost
+from violetstack.net.upstream.response_reader import AttemptResult, MigrateStream, ResponseReader
+from violetstack.net.upstream.state_release import StateReleaser
+from violetstack.policy_api import AttemptStatus
+from violetstack.protocol import sse
+from violetstack.protocol.host_side import Broken, HostSide
+from violetstack.protocol.server_side import Headers
+
+WaitWritable = Callable[[], Awaitable[None]]
+
+
+class _Running:
+    """What belongs to one attempt while it runs."""
+
+    def __init__(self) -> None:
+        self.scope = trio.CancelScope()
+        self.request_sent = trio.Event()
+        """Set once the request is written, or the attempt has ended."""
+        self.receive_scope: trio.CancelScope | None = None
+        self.connection: UpstreamConnection | None = None
+
+
+class AttemptRunner:
+    """The attempts under way, a task for each."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        core: Dispatcher,
+        pool: ConnectionPool,
+        releases: StateReleaser,
+        report_fields: tuple[str, ...],
+    ) -> None:
+        self._nursery = nursery
+        self._core = core
+        self._pool = pool
+        self._releases = releases
+        self._report_fields = report_fields
+        self._migrate_stream: MigrateStream | None = None
+        self._running: dict[Attempt, _Running] = {}
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    def start(self, attempt: Attempt) -> None:
+        """Connects, writes the request and reads the response; the core hears of each step."""
+
+        async def exchange(running: _Running) -> AttemptResult:
+            return await self._exchange(attempt, running)
+
+        self._spawn(attempt, exchange)
+
+    def adopt(
+        self, attempt: Attempt, raw: socket.socket, cached_tokens: int, wait_writable: WaitWritable
+    ) -> None:
+        """Goes on with a stream that another process began, on its connection."""
+        connection = self._pool.adopt(raw, attempt.server)
+        connection.http = HostSide.resumed()
+        attempt.request.payload = Payload("POST", "", "", memoryview(b""), wait_writable)
+
+        async def read_on(running: _Running) -> AttemptResult:
+            reader = self._reader(attempt, running, connection, openai_api=False)
+            return await self._read_response(running, connection, lambda: reader.resume(cached_tokens))
+
+        self._spawn(attempt, read_on)
+
+    def migrate_streams(self, migrate_stream: MigrateStream) -> None:
+        """From now on each stream passes to another process, at once or after its next event."""
+        self._migrate_stream = migrate_stream
+        for attempt, running in self._running.items():
+            if attempt.stream_started and running.receive_scope is not None:
+                running.receive_scope.cancel()
+
+    def abort(self, attempt: Attempt) -> None:
+        """Closes the attempt's connection in this very step.
+
+        Cancelling alone closes it only when the attempt's task runs again; by then the client may have
+        read its final answer while the host still held the attempt.
+        """
+        if (running := self._running.get(attempt)) is None:
+            return
+        if running.connection is not None:
+            running.connection.close()
+        running.scope.cancel()
+
+    def request_sent(self, attempt: Attempt) -> Callable[[], Awaitable[None]] | None:
+        """Waits until the attempt's request is written, or it has ended; None if it has already."""
+        running = self._running.get(attempt)
+        return running.request_sent.wait if running is not None else None
+
+    def connection_of(self, attempt: Attempt) -> UpstreamConnection | None:
+        """The connection that the attempt uses now."""
+        running = self._running.get(attempt)
+        return running.connection if running is not None else None
+
+    def has_unread_input(self) -> bool:
+        """Whether bytes of any response wait in a socket."""
+        connections = (running.connection for running in self._running.values())
+        return any(c.has_input() for c in connections if c is not None and not c.closed)
+
+    # --- the task of an attempt ---
+
+    def _spawn(self, attempt: Attempt, exchange: Callable[[_Running], Awaitable[AttemptResult]]) -> None:
+        running = self._running[attempt] = _Running()
+        self._nursery.start_soon(self._run, attempt, running, exchange)
+
+    async def _run(
+        self, attempt: Attempt, running: _Running, exchange: Callable[[_Running], Awaitable[AttemptResult]]
+    ) -> None:
+        result: AttemptResult | None = None
+        with running.scope:
+            result = await self._guard(attempt, running, exchange)
+        del self._running[attempt]
+        running.request_sent.set()
+        if result is not None:
+            self._core.attempt_finished(now_ms(), attempt, result.status, result.detail, result.load_report)
+
+    async def _guard(
+        self, attempt: Attempt, running: _Running, exchange: Callable[[_Running], Awaitable[AttemptResult]]
+    ) -> AttemptResult:
+        """The exchange's result, whatever it raises: no attempt's failure may end the program."""
+        try:
+            return await exchange(running)
+        except (NotConnectedError, SendWithheldError):
+            return AttemptResult(AttemptStatus.CONNECT_FAILED)
+        except (Broken, sse.NoEvent) as error:
+            log_outside(
+                "upstream_response_invalid",
+                id=attempt.request.id,
+                server=attempt.server,
+                events=attempt.events_forwarded,
+                reason=str(error),
+            )
+        except (OSError, trio.TooSlowError, trio.ClosedResourceError):
+            pass
+        except Exception as error:
+            log("attempt_failed", id=attempt.request.id, error=repr(error))
+        written = attempt.request_written
+        return AttemptResult(AttemptStatus.RESET if written else AttemptStatus.CONNECT_FAILED)
+
+    async def _exchange(self, attempt: Attempt, running: _Running) -> AttemptResult:
+        connection = await self._pool.acquire(
+            attempt.server,
+            wanted=lambda: self._core.may_send(now_ms(), attempt),
+            prerequisite=lambda: self._releases.wait_for(attempt.request),
+            timeout_s=self._core.connect_timeout_ms(now_ms(), attempt) / 1000.0,
+        )
+        if connection is None:
+            return AttemptResult(AttemptStatus.ALREADY_FINISHED)
+        self._core.request_started(attempt)
+        host = self._pool.hosts[attempt.server]
+        reader = self._reader(attempt, running, connection, host.openai_api)
+
+        async def send_and_read() -> AttemptResult:
+            await self._send(attempt, running, connection, host)
+            return await reader.read()
+
+        return await self._read_response(running, connection, send_and_read)
+
+    async def _send(
+        self, attempt: Attempt, running: _Running, connection: UpstreamConnection, host: UpstreamHost
+    ) -> None:
+        payload: Payload = attempt.request.payload
+        headers = _headers(attempt, payload, host)
+        parts = connection.http.request(payload.method, payload.target, headers, payload.body)
+
+        def written() -> None:
+            self._core.request_written(attempt)
+            running.request_sent.set()
+
+        await connection.write(parts, written, attempt.request.sending_allowed)
+
+    async def _read_response(
+        self,
+        running: _Running,
+        connection: UpstreamConnection,
+        read: Callable[[], Awaitable[AttemptResult]],
+    ) -> AttemptResult:
+        """Runs `read`, and keeps the connection only if a complete response came on it."""
+        complete = False
+        running.connection = connection
+        try:
+            result = await read()
+            complete = result.status is not AttemptStatus.CANCELLED
+            return result
+        finally:
+            running.connection = None
+            if complete:
+                self._pool.put_back(connection)
+            else:
+                self._pool.close(connection)
+
+    def _reader(
+        self, attempt: Attempt, running: _Running, connection: UpstreamConnection, openai_api: bool
+    ) -> ResponseReader:
+        def waiting(scope: trio.CancelScope) -> None:
+            running.receive_scope = scope
+
+        return ResponseReader(
+            self._core,
+            attempt,
+            connection,
+            report_fields=self._report_fields,
+            openai_api=openai_api,
+            migration=lambda: self._migrate_stream,
+            waiting=waiting,
+        )
+
+
+def _headers(attempt: Attempt, payload: Payload, host: UpstreamHost) -> Headers:
+    if host.openai_api:
+        name, port = host.address
+        rows = [("Host", f"{name}:{port}"), ("Content-Type", "application/json")]
+        return [*rows, ("Authorization", f"Bearer {host.api_key}")] if host.api_key else rows
+    wait_ms = max(1, int(attempt.deadline - now_ms()))
+    return [
+        ("Host", "app.svc"),
+        ("Req-Id", attempt.request.id),
+        ("Req-Deadline", f"{wait_ms}m"),
+        ("Content-Type", payload.content_type),
+    ]
--- /dev/null
+++ b/violetstack/net/upstream/connection.py
@@ -0,0 +1,85 @@
+"""One connection to a model host; one request at a time travels on it."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import trio
+
+from violetstack.config import Address
+from violetstack.core.records import always
+from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
+
+READ_SIZE = 32 * 1024
+
+
+class UpstreamError(Exception):
+    """Base of the errors of connections to model hosts."""
+
+
+class NotConnectedError(UpstreamError):
+    """No connection came up, or it broke before the last byte was written: the request has not run."""
+
+
+class SendWithheldError(UpstreamError):
+    """The request may no longer be sent; the host has not received all of it."""
+
+
+class UpstreamConnection:
+    """A connection to `server`. `address` is None for one that another process opened."""
+
+    def __init__(self, raw: socket.socket, server: str, address: Address | None = None) -> None:
+        self._raw = raw
+        self.server = server
+        self.sock = trio.socket.from_stdlib_socket(raw)
+        self.address = address
+        self.closed = False
+        self.reused = False
+        """A response has arrived on it before."""
+        self.http = HostSide()
+        self.idle_since = 0.0
+        self.usable_from = 0.0
+        """Not to be used before this time, on trio's clock."""
+
+    async def write(
+        self,
+        parts: list[bytes | memoryview],
+        written: Callable[[], None],
+        allowed: Callable[[], bool] = always,
+    ) -> None:
+        """Writes a request; `written` is called in the same step as the system call for its last byte.
+
+        trio's own send lets other tasks run between the system call and its return: a deadline in between
+        would count an attempt as not sent that the host has received.
+
+        Raises SendWithheldError, with the last byte unsent, as soon as `allowed` returns False.
+        """
+        for n, part in enumerate(parts):
+            rest = memoryview(part)
+            while rest:
+                if not allowed():
+                    raise SendWithheldError
+                try:
+                    rest = rest[self._raw.send(rest) :]
+                except BlockingIOError:
+                    await trio.lowlevel.wait_writable(self._raw)
+            if n == len(parts) - 1:
+                written()
+
+    async def receive(self) -> list[Head | Body | End]:
+        """Reads once and returns what is complete; raises Broken, OSError."""
+        self.http.check()
+        data = await self.sock.recv(READ_SIZE)
+        if self.closed:
+            raise Broken("aborted")
+        return self.http.feed(data)
+
+    def has_input(self) -> bool:
+        """Whether there is something to read. On an idle connection that is its end."""
+        return self.sock.is_readable()
+
+    def close(self) -> None:
+        """Closes the socket at once."""
+        self.closed = True
+        self.sock.close()
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -1,4 +1,4 @@
-"""Connections to model hosts: who is where, which idle ones may be used again, and how many are open."""
+"""Addresses of the model hosts, and the idle connections to them."""
 
 from __future__ import annotations
 
@@ -10,257 +10,220 @@
 import trio
 
 from violetstack.config import Address, address
-from violetstack.core.records import always
 from violetstack.log import log
+from violetstack.net.upstream.connection import NotConnectedError, UpstreamConnection
 from violetstack.policy_api import EndpointState, EndpointUpdate, UpdateScope
-from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
 
-READ_SIZE = 32 * 1024
-IDLE_SHARE = 0.8  # connections are retired at this part of the time after which hosts close them
-REST_S = 0.1  # after an answer: a second one that comes late would be taken for the next request's
+DEFAULT_CONNECT_TIMEOUT_MS = 250.0
+IDLE_LIFETIME_SHARE = 0.8
+"""Idle connections are closed after this part of the time after which hosts close them."""
+IDLE_CHECK_INTERVAL_S = 1.0
+REUSE_DELAY_S = 0.1
+"""Rest after a response: a spurious second one that comes late would be read as the next request's."""
 
 
-class NotUp(Exception):
-    """No connection, or it broke before the last byte was written: nothing has run."""
+class UpstreamHost(msgspec.Struct):
+    """One host's address, and the idle connections to it, the one used last at the end."""
 
-
-class Withheld(Exception):
-    """The request may no longer be sent; the host got no whole one."""
-
-
-class HostConnection:
-    """One connection; one request at a time travels on it."""
-
-    def __init__(self, raw: socket.socket, server: str, at: Address | None = None) -> None:
-        self._raw = raw
-        self.server = server
-        self.sock = trio.socket.from_stdlib_socket(raw)
-        self.at = at
-        self.closed = False
-        self.pooled = False  # an answer has come on it before
-        self.http = HostSide()
-        self.idle_since = self.rested_at = 0.0
-
-    async def write(
-        self,
-        parts: list[bytes | memoryview],
-        written: Callable[[], None],
-        allowed: Callable[[], bool] = always,
-    ) -> None:
-        """Calls `written` in the same step in which the last byte goes to the kernel, and never before.
-
-        Raises Withheld, with the last byte unsent, as soon as `allowed` says no.
-
-        Guards against an attempt that was sent and yet is told as not run: trio's own send lets other
-        tasks run between the system call and its return, and a deadline in between would see no write.
-        """
-        for n, part in enumerate(parts):
-            rest = memoryview(part)
-            while rest:
-                if not allowed():
-                    raise Withheld
-                try:
-                    rest = rest[self._raw.send(rest) :]
-                except BlockingIOError:
-                    await trio.lowlevel.wait_writable(self._raw)
-            if n == len(parts) - 1:
-                written()
-
-    async def receive(self) -> list[Head | Body | End]:
-        self.http.check()
-        data = await self.sock.recv(READ_SIZE)
-        if self.closed:
-            raise Broken("aborted")
-        return self.http.feed(data)
-
-    def dead(self) -> bool:
-        """Something to read. On an idle connection that is its end: its host has closed it."""
-        return self.sock.is_readable()
-
-    def close(self) -> None:
-        self.closed = True
-        self.sock.close()
-
-
-class Host(msgspec.Struct):
-    """An address, and the idle connections there."""
-
-    at: Address
-    idle: list[HostConnection]
-    plain: bool = False  # speaks OpenAI's API and nothing of the platform's
-    key: str = ""
+    address: Address
+    idle: list[UpstreamConnection]
+    openai_api: bool = False
+    """It speaks OpenAI's API and has none of the platform's calls."""
+    api_key: str = ""
     started_ms: float | None = None
-    heard_at: float = 0.0
+    last_response_at: float = 0.0
+
 
+class ConnectionPool:
+    """Opens, keeps and bounds connections to model hosts.
 
-class Pool:
-    """Addresses, and the connections there."""
+    `connect_timeout_ms`: 0 means the default; `idle_close_ms`: after this long hosts close idle connections.
+    `wait_caught_up` returns once all sockets have been read after a pause of the process.
+    """
 
     def __init__(self, connect_timeout_ms: float, idle_close_ms: float) -> None:
-        self.connect_s = (connect_timeout_ms or 250.0) / 1000.0
-        self.idle_s = idle_close_ms / 1000.0 * IDLE_SHARE
-        self.most = 0
-        self.connections = 0
-        self.hosts: dict[str, Host] = {}
-        self.fresh: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint_if_cancelled
+        self.connect_timeout_s = (connect_timeout_ms or DEFAULT_CONNECT_TIMEOUT_MS) / 1000.0
+        self.idle_lifetime_s = idle_close_ms / 1000.0 * IDLE_LIFETIME_SHARE
+        self.max_connections = 0
+        self.open_connections = 0
+        self.hosts: dict[str, UpstreamHost] = {}
+        self.wait_caught_up: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint_if_cancelled
 
     # --- addresses ---
 
-    def told(self, news: EndpointUpdate, addresses: dict[str, str]) -> None:
+    def update(self, news: EndpointUpdate, addresses: dict[str, str]) -> None:
+        """Applies an endpoint update; `addresses` has a `host:port` for each server."""
         for name, text in addresses.items():
-            try:
-                at = address(text)
-            except ValueError as error:
-                log("bad_address", server=name, error=str(error))
-                continue
-            host = self.hosts.setdefault(name, Host(at, []))
-            if host.at != at:
-                self._drop_idle(host)
-                host.at = at
+            self._set_address(name, text)
         for entry in news.endpoints:
-            known = self.hosts.get(entry.server)
-            if known is None:
-                continue
-            if entry.state is EndpointState.REMOVED or entry.started_ms != known.started_ms:
-                self._drop_idle(known)  # what was open belongs to a process that is no more
-            known.started_ms = entry.started_ms
-            if entry.state is EndpointState.REMOVED:
-                del self.hosts[entry.server]
+            self._apply_entry(entry.server, entry.state, entry.started_ms)
         if news.scope is not UpdateScope.DELTA:
-            # Guards the memory: whoever a whole list does not name is gone, with its connections.
             named = {entry.server for entry in news.endpoints}
             for name in [name for name in self.hosts if name not in named]:
-                self._drop_idle(self.hosts.pop(name))
+                self._close_idle(self.hosts.pop(name))
+
+    def _set_address(self, name: str, text: str) -> None:
+        try:
+            new_address = address(text)
+        except ValueError as error:
+            log("endpoint_address_invalid", server=name, error=str(error))
+            return
+        host = self.hosts.setdefault(name, UpstreamHost(new_address, []))
+        if host.address != new_address:
+            self._close_idle(host)
+            host.address = new_address
 
-    def _drop_idle(self, host: Host) -> None:
+    def _apply_entry(self, server: str, state: EndpointState, started_ms: float | None) -> None:
+        host = self.hosts.get(server)
+        if host is None:
+            return
+        if state is EndpointState.REMOVED or started_ms != host.started_ms:
+            self._close_idle(host)  # these connections belong to a process that has ended
+        host.started_ms = started_ms
+        if state is EndpointState.REMOVED:
+            del self.hosts[server]
+
+    def _close_idle(self, host: UpstreamHost) -> None:
         for connection in host.idle:
-            self._close(connection)
+            self.close(connection)
         host.idle = []
 
-    def _close(self, connection: HostConnection) -> None:
+    # --- connections ---
+
+    def close(self, connection: UpstreamConnection) -> None:
+        """Closes a connection that this pool has opened or adopted."""
         connection.close()
-        self.connections -= 1
+        self.open_connections -= 1
 
-    async def retire_idle(self) -> None:
-        """Guards against writing on a connection that its host is about to close."""
+    def adopt(self, raw: socket.socket, server: str) -> UpstreamConnection:
+        """Takes over a connection that another process opened."""
+        self.open_connections += 1
+        return UpstreamConnection(raw, server)
+
+    async def close_expired(self) -> None:
+        """Closes idle connections before their hosts do; runs until cancelled."""
         while True:
-            await trio.sleep(1.0)
-            before = trio.current_time() - self.idle_s
+            await trio.sleep(IDLE_CHECK_INTERVAL_S)
+            expired_before = trio.current_time() - self.idle_lifetime_s
             for host in self.hosts.values():
                 keep = []
                 for connection in host.idle:
-                    if connection.idle_since < before or connection.dead():
-                        self._close(connection)
+                    if connection.idle_since < expired_before or connection.has_input():
+                        self.close(connection)
                     else:
                         keep.append(connection)
                 host.idle = keep
 
-    # --- connections ---
+    async def acquire(
+        self,
+        server: str,
+        wanted: Callable[[], bool],
+        prerequisite: Callable[[], Awaitable[object]] | None = None,
+        timeout_s: float = math.inf,
+    ) -> UpstreamConnection | None:
+        """A connection for bytes that are written in this very step; None if they are not wanted any more.
+
+        `wanted` is asked once the connection is up: meanwhile the host may have been told to drain, been
+        replaced or removed, or the request may be over. `prerequisite` is awaited before that; `timeout_s`
+        bounds the connecting, if it is less than the pool's own time-out.
+
+        Raises NotConnectedError.
+        """
+        deadline = trio.current_time() + min(self.connect_timeout_s, timeout_s)
+        while True:
+            connection = await self.open(server, max(0.0, deadline - trio.current_time()))
+            sound = False
+            try:
+                await trio.lowlevel.checkpoint_if_cancelled()
+                if prerequisite is not None:
+                    await prerequisite()
+                await self.wait_caught_up()
+                sound = self._is_sound(connection)
+                if sound and wanted():
+                    return connection
+            finally:
+                if not sound:
+                    self.close(connection)
+            if sound:
+                self._put_back_unused(connection)
+                return None
+            if not wanted():
+                return None
+            if not connection.reused:
+                raise NotConnectedError("it broke, or the host sent bytes before it was asked")
 
-    async def _open(self, server: str, timeout: float) -> HostConnection:
-        """An idle connection, or a new one within `timeout` seconds; raises NotUp."""
+    async def open(self, server: str, timeout_s: float) -> UpstreamConnection:
+        """An idle connection, or a new one within `timeout_s`; raises NotConnectedError."""
         host = self.hosts.get(server)
         if host is None:
-            raise NotUp("no address")
-        if (kept := self._rested(host)) is not None:
-            return kept
-        if self.connections >= self.most and not self._spare():
-            raise NotUp("too many connections")
-        raw = socket.socket(socket.AF_INET6 if ":" in host.at[0] else socket.AF_INET)
-        connection = HostConnection(raw, server, host.at)
-        self.connections += 1
-        up = False
+            raise NotConnectedError("no address")
+        if (idle := self._take_idle(host)) is not None:
+            return idle
+        if self.open_connections >= self.max_connections and not self._close_longest_idle():
+            raise NotConnectedError("too many connections")
+        return await self._connect(server, host.address, timeout_s)
+
+    async def _connect(self, server: str, to: Address, timeout_s: float) -> UpstreamConnection:
+        raw = socket.socket(socket.AF_INET6 if ":" in to[0] else socket.AF_INET)
+        connection = UpstreamConnection(raw, server, to)
+        self.open_connections += 1
+        connected = False
         try:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            with trio.fail_after(timeout):
-                await connection.sock.connect(host.at)
-            up = True
+            with trio.fail_after(timeout_s):
+                await connection.sock.connect(to)
+            connected = True
         except (OSError, trio.TooSlowError) as error:
-            raise NotUp(repr(error)) from None
+            raise NotConnectedError(repr(error)) from None
         finally:
-            if not up:
-                self._close(connection)
+            if not connected:
+                self.close(connection)
         return connection
 
-    def _rested(self, host: Host) -> HostConnection | None:
-        """The one used last that has rested since: what comes on it later belongs to the next request."""
+    def _take_idle(self, host: UpstreamHost) -> UpstreamConnection | None:
+        """The one used last of those that have rested since."""
         now = trio.current_time()
         for n in range(len(host.idle) - 1, -1, -1):
             connection = host.idle[n]
-            if connection.rested_at > now:
+            if connection.usable_from > now:
                 continue
             del host.idle[n]
-            if connection.idle_since >= now - self.idle_s and not connection.dead():
+            if connection.idle_since >= now - self.idle_lifetime_s and not connection.has_input():
                 return connection
-            self._close(connection)
+            self.close(connection)
         return None
 
-    async def _ready(
-        self,
-        server: str,
-        wanted: Callable[[], bool],
-        after: Callable[[], Awaitable[object]] | None = None,
-        most_s: float = math.inf,
-    ) -> HostConnection | None:
-        """A connection for bytes written in this very step; None if they are not wanted any more.
-
-        Guards against what happens while a connection comes up, or while the process did not look: a host
-        told as leaving, replaced or gone, a request that is over, an idle connection that its host has
-        closed. Raises NotUp. `after`: what has to be first. `most_s`: for connections to come up, if less.
-        """
-        until = trio.current_time() + min(self.connect_s, most_s)
-        while True:
-            connection = await self._open(server, max(0.0, until - trio.current_time()))
-            sound = False
-            try:
-                await trio.lowlevel.checkpoint_if_cancelled()
-                if after is not None:
-                    await after()
-                await self.fresh()
-                sound = self._sound(connection)
-                if sound and wanted():
-                    return connection
-            finally:
-                if not sound:
-                    self._close(connection)
-            if sound or not wanted():
-                if sound:
-                    self._put_back_unused(connection)
-                return None
-            if not connection.pooled:
-                raise NotUp("it broke, or spoke before it was asked")
-
-    def _sound(self, connection: HostConnection) -> bool:
+    def _is_sound(self, connection: UpstreamConnection) -> bool:
         host = self.hosts.get(connection.server)
-        there = host is not None and host.at == connection.at
-        return there and not connection.closed and not connection.dead()
+        if host is None or host.address != connection.address:
+            return False
+        return not connection.closed and not connection.has_input()
 
-    def _spare(self) -> bool:
-        """Guards against running out of descriptors: the longest idle connection anywhere makes room."""
+    def _close_longest_idle(self) -> bool:
         hosts = [host for host in self.hosts.values() if host.idle]
         if not hosts:
             return False
         host = min(hosts, key=lambda h: h.idle[0].idle_since)
-        self._close(host.idle.pop(0))
+        self.close(host.idle.pop(0))
         return True
 
-    def _put_back(self, connection: HostConnection) -> None:
-        """After a whole answer."""
+    def put_back(self, connection: UpstreamConnection) -> None:
+        """Keeps a connection after a complete response, if it can be used again."""
         host = self.hosts.get(connection.server)
-        moved = host is None or host.at != connection.at
+        moved = host is None or host.address != connection.address
         if host is None or moved or connection.closed or not connection.http.reuse():
-            self._close(connection)
+            self.close(connection)
             return
-        connection.pooled = True
+        connection.reused = True
         connection.idle_since = trio.current_time()
-        connection.rested_at = connection.idle_since + REST_S
-        host.heard_at = connection.idle_since
+        connection.usable_from = connection.idle_since + REUSE_DELAY_S
+        host.last_response_at = connection.idle_since
         host.idle.append(connection)
 
-    def _put_back_unused(self, connection: HostConnection) -> None:
+    def _put_back_unused(self, connection: UpstreamConnection) -> None:
         host = self.hosts.get(connection.server)
         if host is None or connection.closed:
-            self._close(connection)
+            self.close(connection)
         else:
             connection.idle_since = trio.current_time()
             host.idle.append(connection)
--- /dev/null
+++ b/violetstack/net/upstream/driver.py
@@ -0,0 +1,92 @@
+"""Carries out what the core asks of model hosts and of the other dispatchers."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.core.records import Attempt, PlaceCall, ReleaseCall
+from violetstack.log import log, log_outside
+from violetstack.net.upstream.attempts import AttemptRunner, WaitWritable
+from violetstack.net.upstream.connection_pool import ConnectionPool
+from violetstack.net.upstream.health_check import HealthChecker
+from violetstack.net.upstream.reservation import ReservationCaller
+from violetstack.net.upstream.response_reader import MigrateStream
+from violetstack.net.upstream.state_release import StateReleaser
+
+
+def _no_gossip(payload: bytes, /) -> None:
+    """Where dispatchers do not gossip, or not yet."""
+
+
+class UpstreamDriver:
+    """The core's `Driver`. Core and driver need each other: `connect_core` completes the driver."""
+
+    attempts: AttemptRunner
+    _reservations: ReservationCaller
+    _releases: StateReleaser
+    _health_checks: HealthChecker
+
+    def __init__(self, nursery: trio.Nursery, pool: ConnectionPool, report_fields: tuple[str, ...]) -> None:
+        self.pool = pool
+        self.gossip: Callable[[bytes], None] = _no_gossip
+        self._nursery = nursery
+        self._report_fields = report_fields
+
+    def connect_core(self, core: Dispatcher) -> None:
+        """Called once, before the core runs."""
+        self._releases = StateReleaser(core, self.pool)
+        self.attempts = AttemptRunner(self._nursery, core, self.pool, self._releases, self._report_fields)
+        self._reservations = ReservationCaller(core, self.pool, self.attempts.request_sent)
+        self._health_checks = HealthChecker(core, self.pool, self._report_fields)
+
+    # --- the core's Driver ---
+
+    def start_attempt(self, attempt: Attempt) -> None:
+        """Starts the attempt's task."""
+        self.attempts.start(attempt)
+
+    def abort_attempt(self, attempt: Attempt) -> None:
+        """Closes the attempt's connection at once."""
+        self.attempts.abort(attempt)
+
+    def reserve_decode_slot(self, call: PlaceCall) -> None:
+        """Starts a reservation call."""
+        self._nursery.start_soon(self._reservations.run, call)
+
+    def release_state(self, call: ReleaseCall) -> None:
+        """Starts a release call."""
+        self._releases.register(call)
+        self._nursery.start_soon(self._releases.run, call)
+
+    def check_health(self, server: str) -> None:
+        """Starts a health check."""
+        self._nursery.start_soon(self._health_checks.run, server)
+
+    def send_gossip(self, payload: bytes, /) -> None:
+        """Sends a datagram to the other dispatchers."""
+        self.gossip(payload)
+
+    def log(self, event: str, **fields: Any) -> None:
+        """Writes a log line; the policy's lines are rate-limited, since other dispatchers can cause them."""
+        (log_outside if event == "module" else log)(event, **fields)
+
+    # --- for the daemon ---
+
+    def pending(self) -> bool:
+        """Whether a response lies unread in a socket."""
+        return self.attempts.has_unread_input()
+
+    def adopt_stream(
+        self, attempt: Attempt, raw: socket.socket, cached_tokens: int, wait_writable: WaitWritable
+    ) -> None:
+        """Goes on with a stream that another process began."""
+        self.attempts.adopt(attempt, raw, cached_tokens, wait_writable)
+
+    def migrate_streams(self, migrate_stream: MigrateStream) -> None:
+        """Hands all streams over to another process from now on."""
+        self.attempts.migrate_streams(migrate_stream)
--- /dev/null
+++ b/violetstack/net/upstream/health_check.py
@@ -0,0 +1,46 @@
+"""Health checks of model hosts, where the settings allow them."""
+
+from __future__ import annotations
+
+import trio
+
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.log import log
+from violetstack.net.clock import now_ms
+from violetstack.net.upstream.connection import NotConnectedError
+from violetstack.net.upstream.connection_pool import ConnectionPool
+from violetstack.net.upstream.short_call import CALL_TIMEOUT_S, short_call
+from violetstack.policy_api import AttemptStatus, HealthCheckResult
+from violetstack.protocol.headers import report_of
+from violetstack.protocol.host_side import Broken
+
+
+class HealthChecker:
+    """Carries out the core's health checks."""
+
+    def __init__(self, core: Dispatcher, pool: ConnectionPool, report_fields: tuple[str, ...]) -> None:
+        self._core = core
+        self._pool = pool
+        self._report_fields = report_fields
+
+    async def run(self, server: str) -> None:
+        """Makes one check and gives the core its result; none if the host is draining by then."""
+        if server in self._core.stateless_hosts:
+            return
+        began_at = now_ms()
+        status, report = AttemptStatus.TIMEOUT, None
+        try:
+            with trio.move_on_after(CALL_TIMEOUT_S):
+                connection = await self._pool.acquire(server, lambda: self._core.may_write_to(server))
+                if connection is None:
+                    return
+                head = await short_call(self._pool, connection, "GET", "/-/load")
+                status = AttemptStatus.OK if head.status == 200 else AttemptStatus.ERROR
+                report = report_of(head.headers.get("srv-load"), self._report_fields)
+        except NotConnectedError:
+            status = AttemptStatus.CONNECT_FAILED
+        except (OSError, Broken):
+            status = AttemptStatus.RESET
+        except Exception as error:  # no check's failure may end the program
+            log("health_check_failed", server=server, error=repr(error))
+        self._core.health_checked(HealthCheckResult(server, status, now_ms() - began_at, report))
--- /dev/null
+++ b/violetstack/net/upstream/reservation.py
@@ -0,0 +1,62 @@
+"""Reserves a slot for a request at a decode host while its prompt is read at a prefill host."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.core.records import Attempt, PlaceCall
+from violetstack.log import log
+from violetstack.net.upstream.connection import NotConnectedError
+from violetstack.net.upstream.connection_pool import ConnectionPool
+from violetstack.net.upstream.short_call import CALL_TIMEOUT_S, short_call
+from violetstack.protocol.host_side import Broken
+
+RESERVED_BY_STATUS = {200: True, 409: False}
+NOTHING_RESERVED_STATUSES = frozenset({404, 409})
+"""A 204 is not among them: a slot may be reserved even so."""
+
+RequestSent = Callable[[Attempt], Callable[[], Awaitable[None]] | None]
+"""Gives a wait for the time when the attempt's request is written, or None if it has ended."""
+
+
+class ReservationCaller:
+    """Carries out the core's reservation calls."""
+
+    def __init__(self, core: Dispatcher, pool: ConnectionPool, request_sent: RequestSent) -> None:
+        self._core = core
+        self._pool = pool
+        self._request_sent = request_sent
+
+    async def run(self, call: PlaceCall) -> None:
+        """Makes one call and gives the core its result."""
+        reserved: bool | None = None
+        nothing_reserved = True
+        try:
+            with trio.move_on_after(CALL_TIMEOUT_S):
+                if call.server in self._core.stateless_hosts:
+                    raise NotConnectedError("it reserves no slots")
+                prerequisite = self._request_sent(call.attempt) if call.attempt is not None else None
+                connection = await self._pool.acquire(call.server, lambda: self._wanted(call), prerequisite)
+                if connection is not None:
+                    nothing_reserved = False
+                    head = await short_call(self._pool, connection, "POST", f"/state/{call.request.id}")
+                    reserved = RESERVED_BY_STATUS.get(head.status)
+                    nothing_reserved = head.status in NOTHING_RESERVED_STATUSES
+        except (NotConnectedError, OSError, Broken):
+            pass
+        except Exception as error:  # no call's failure may end the program
+            log("reservation_failed", id=call.request.id, error=repr(error))
+        self._core.reservation_finished(call, reserved, nothing_reserved)
+
+    def _wanted(self, call: PlaceCall) -> bool:
+        """Only while the prefill attempt is out: else the decode host knows of no state to wait for.
+
+        It would answer 204 after 0.3 s, and a slot could be reserved that nobody counts on.
+        """
+        attempt = call.attempt
+        if attempt is None or not attempt.request_written or attempt.finished:
+            return False
+        return not call.request.done and self._core.may_write_to(call.server)
--- /dev/null
+++ b/violetstack/net/upstream/state_release.py
@@ -0,0 +1,99 @@
+"""Releases what model hosts hold for a request: its prefill state, and a reserved decode slot."""
+
+from __future__ import annotations
+
+import trio
+
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.core.records import OpenRequest, ReleaseCall
+from violetstack.log import log
+from violetstack.net.upstream.connection import NotConnectedError
+from violetstack.net.upstream.connection_pool import ConnectionPool
+from violetstack.net.upstream.short_call import short_call
+from violetstack.protocol.host_side import Broken
+
+TRY_TIMEOUT_S = 0.3
+"""For one host to answer."""
+GIVE_UP_S = 5.0
+"""Longer than the rule allows, since the state is still there after that."""
+NEXT_HOST_S = 0.1
+"""Without an answer by then, another host is asked beside it."""
+MAX_SEND_DELAY_S = 0.1
+"""A further attempt waits this long for the release of what the one before has left."""
+
+
+class StateReleaser:
+    """Carries out the core's release calls. Any host takes one, whoever holds the state."""
+
+    def __init__(self, core: Dispatcher, pool: ConnectionPool) -> None:
+        self._core = core
+        self._pool = pool
+        self._running: dict[ReleaseCall, trio.Event] = {}
+        """Set once the release is through, or over."""
+
+    def register(self, call: ReleaseCall) -> None:
+        """From now on `wait_for` waits for this call; `run` follows."""
+        self._running[call] = trio.Event()
+
+    async def wait_for(self, request: OpenRequest) -> None:
+        """Returns once no release of the request is under way, or after `MAX_SEND_DELAY_S`."""
+        with trio.move_on_after(MAX_SEND_DELAY_S):
+            while (call := request.release) is not None and not call.superseded:
+                await self._running[call].wait()
+
+    async def run(self, call: ReleaseCall) -> None:
+        """Asks one host after the other, each beside those that have not answered yet.
+
+        Ends when one has taken it, when a further attempt has made it pointless, or after `GIVE_UP_S`.
+        """
+        through = self._running[call]
+        give_up_at = trio.current_time() + GIVE_UP_S
+        tried: set[str] = set()
+        async with trio.open_nursery() as nursery:
+            while not through.is_set() and not call.superseded and trio.current_time() < give_up_at:
+                server = self._best_host(tried)
+                if server is None:
+                    tried.clear()
+                    with trio.move_on_after(NEXT_HOST_S):
+                        await through.wait()
+                    continue
+                tried.add(server)
+                ended = trio.Event()
+                nursery.start_soon(self._ask, call, server, through, ended)
+                with trio.move_on_after(NEXT_HOST_S):
+                    await ended.wait()
+            nursery.cancel_scope.cancel()
+        del self._running[call]
+        self._core.release_finished(call, through.is_set())
+        through.set()
+
+    async def _ask(self, call: ReleaseCall, server: str, through: trio.Event, ended: trio.Event) -> None:
+        try:
+            with trio.move_on_after(TRY_TIMEOUT_S):
+                connection = await self._pool.acquire(
+                    server, lambda: not call.superseded and not through.is_set()
+                )
+                if connection is not None:
+                    head = await short_call(self._pool, connection, "DELETE", f"/state/{call.request.id}")
+                    if head.status < 300:
+                        through.set()
+        except (NotConnectedError, OSError, Broken):
+            pass
+        except Exception as error:  # no call's failure may end the program
+            log("release_failed", id=call.request.id, error=repr(error))
+        finally:
+            ended.set()
+
+    def _best_host(self, tried: set[str]) -> str | None:
+        """The one most likely to answer: not draining, with an idle connection, heard from most recently."""
+        names = [
+            name
+            for name in self._core.endpoints
+            if name in self._pool.hosts and name not in tried and name not in self._core.stateless_hosts
+        ]
+
+        def rank(name: str) -> tuple[bool, bool, float]:
+            host = self._pool.hosts[name]
+            return name not in self._core.draining, bool(host.idle), host.last_response_at
+
+        return max(names, key=rank, default=None)
--- /dev/null
+++ b/violetstack/net/upstream/stream_trailer.py
@@ -0,0 +1,82 @@
+"""What the last events of a stream say besides the answer: its usage, a load report, its regular end."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from violetstack.protocol import sse
+from violetstack.protocol.headers import report_of
+
+LoadReport = tuple[float | None, ...] | None
+"""Values in the order of the settings' report fields; None where there is no report."""
+
+
+class _PromptTokensDetails(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens_details: _PromptTokensDetails | None = None
+
+
+class _UsageEvent(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+class _ErrorEvent(msgspec.Struct):
+    error: Any = None
+
+
+class StreamTrailer:
+    """Collects from the events of one stream as they pass."""
+
+    def __init__(self, report_fields: tuple[str, ...], cached_tokens: int = 0) -> None:
+        self._report_fields = report_fields
+        self.cached_tokens = cached_tokens
+        self.done = False
+        """`[DONE]` has come."""
+        self.load_report: LoadReport = None
+
+    def read(self, event: memoryview) -> None:
+        """Looks at one event; what cannot be read is ignored."""
+        raw = bytes(event)
+        if b"[DONE]" in raw and sse.payload(event).strip() == b"[DONE]":
+            self.done = True
+        if raw.startswith(b":") or b"\n:" in raw:
+            self._read_comments(event)
+        if b'"usage"' in raw:
+            self._read_usage(event)
+
+    def _read_comments(self, event: memoryview) -> None:
+        for comment in sse.comments(event):
+            name, _, value = comment.partition(":")
+            if name.strip().lower() == "srv-load":
+                self.load_report = report_of(value, self._report_fields)
+
+    def _read_usage(self, event: memoryview) -> None:
+        try:
+            usage = msgspec.json.decode(sse.payload(event), type=_UsageEvent).usage
+        except msgspec.MsgspecError:
+            return
+        if usage is not None and usage.prompt_tokens_details is not None:
+            self.cached_tokens = usage.prompt_tokens_details.cached_tokens
+
+
+def is_error_event(event: memoryview) -> bool:
+    """Whether an OpenAI-style host reports an error within its stream."""
+    if b'"error"' not in bytes(event):
+        return False
+    try:
+        return msgspec.json.decode(sse.payload(event), type=_ErrorEvent).error is not None
+    except msgspec.MsgspecError:
+        return False
+
+
+def cached_tokens_of(body: bytes) -> int:
+    """The count of cached prompt tokens in a prefill host's 202; 0 if it cannot be read."""
+    try:
+        return msgspec.json.decode(body, type=_PromptTokensDetails).cached_tokens
+    except msgspec.MsgspecError:
+        return 0
