--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -284,12 +284,12 @@
 
 def test_lines_that_outsiders_cause_are_bounded(capfd: pytest.CaptureFixture[str]) -> None:
     now = [5.0]
-    bounded = log.Bounded(lambda: now[0])
+    bounded = log.RateLimitedLog(lambda: now[0])
     for _ in range(100):
         bounded("rejected", reason="x" * 5000)
     now[0] = 6.0
     bounded("rejected", reason="y")
     lines = capfd.readouterr().out.splitlines()
-    assert len(lines) == log.MOST_A_SECOND + 1
+    assert len(lines) == log.LINES_PER_SECOND + 1
     assert max(map(len, lines)) < 400
     assert '"unlogged":80' in lines[-1]
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -207,17 +207,19 @@
 
 
 def test_a_terminal_gets_readable_lines() -> None:
-    code = "from violetstack import log; log.readable(); log.log('pool_lost', pool='near', members=1)"
+    code = (
+        "from violetstack import log; log.use_console_format(); log.log('pool_lost', pool='near', members=1)"
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert "pool_lost" in done.stdout and "near" in done.stdout and "{" not in done.stdout
-    assert log.LEVELS["pool_lost"] == "warning"
+    assert log.EVENT_LEVELS["pool_lost"] == "warning"
 
 
 def test_lines_below_the_least_level_are_left_out(
     capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     log.log("request", ms=5)
-    monkeypatch.setattr(log, "least", log.ORDER["error"])
+    monkeypatch.setattr(log, "minimum_level", log.LEVEL_ORDER["error"])
     log.log("pool_lost")
     log.log("overdue")
     rows = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -71,7 +71,7 @@
     from violetstack.daemon.process import serve as run  # noqa: PLC0415
 
     if form == "text" or (form == "auto" and sys.stdout.isatty()):
-        log.readable()
+        log.use_console_format()
     sys.exit(run(os.environ.get("NODE_CONFIG", ""), file))
 
 
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -12,7 +12,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.platform import PlatformFront
 from violetstack.fronts.reply import Front
-from violetstack.log import log, log_outside
+from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener, Wrap
 from violetstack.net.tls import Certificate
@@ -51,7 +51,7 @@
 
     async def start_platform(self, at: Address) -> Address:
         """Raises BadConfig if the address can't be bound."""
-        front = PlatformFront(self._core, RequestReader(self._config.facts), now_ms, log_outside)
+        front = PlatformFront(self._core, RequestReader(self._config.facts), now_ms, log_rate_limited)
         bound = await self._listen(at, front)
         self.platform = self.listeners[-1]
         return bound
@@ -62,7 +62,9 @@
 
         told = chat.told
         self.orders = self._open_ledger(chat)
-        self.chat = ChatFront(chat, self._core, self.orders, clock=now_ms, spawn=self._spawn, log=log_outside)
+        self.chat = ChatFront(
+            chat, self._core, self.orders, clock=now_ms, spawn=self._spawn, log=log_rate_limited
+        )
         wrap = None
         if told.tls is not None:
             certificate = Certificate(told.tls)
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -1,7 +1,8 @@
-"""One JSON line an event, on standard output; a readable form where that is a terminal.
+"""Structured log: one JSON line an event on standard output, or a readable form on a terminal.
 
-Levels are a matter of the event, not of who logs it: LEVELS is the one table, and what is not in it is
-`info`. VIOLETSTACK_LOG_LEVEL (`info`, `warning`, `error`) leaves out what is below it.
+The level belongs to the event, not to who logs it: EVENT_LEVELS is the one table, and an event that is not
+in it has the level `info`. The environment variable VIOLETSTACK_LOG_LEVEL (`info`, `warning`, `error`) drops
+events of a lower level.
 """
 
 from __future__ import annotations
@@ -10,15 +11,14 @@
 import sys
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 
-quiet = False  # set by the rehearsal command
-MOST_A_SECOND = 20  # lines of one kind that outsiders can cause
-MAX_TEXT = 200
-ORDER = {"info": 0, "warning": 1, "error": 2}
-LEVELS = {
+LINES_PER_SECOND = 20  # of one event that clients or peers can cause
+MAX_TEXT_LENGTH = 200  # characters of a field of such an event
+LEVEL_ORDER = {"info": 0, "warning": 1, "error": 2}
+EVENT_LEVELS = {
     **dict.fromkeys(
         (
             "accept_failed",
@@ -76,14 +76,16 @@
         "warning",
     ),
 }
-least = ORDER.get(os.environ.get("VIOLETSTACK_LOG_LEVEL", "info"), 0)
-observers: list[Callable[[dict[str, Any]], None]] = []  # the demo looks on
+
+quiet = False  # set by the rehearsal command: observers see the events, standard output does not
+minimum_level = LEVEL_ORDER.get(os.environ.get("VIOLETSTACK_LOG_LEVEL", "info"), 0)
+observers: list[Callable[[dict[str, Any]], None]] = []  # called with each event; the demo registers one
 
 
 def log(event: str, **fields: Any) -> None:
-    """Guards against its own end: a reader of the log that went away must not stop the service."""
-    level = LEVELS.get(event, "info")
-    if ORDER[level] < least:
+    """Writes one event. Errors of the output are ignored: a closed pipe must not stop the service."""
+    level = EVENT_LEVELS.get(event, "info")
+    if LEVEL_ORDER[level] < minimum_level:
         return
     line = {"at": round(time.time(), 3), "level": level, "event": event, **fields}
     for observe in observers:
@@ -98,16 +100,17 @@
 
 
 def as_json(line: dict[str, Any]) -> bytes:
+    """The line as JSON; what JSON has no form for is written as its `str`."""
     return orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
 
 
 render: Callable[[dict[str, Any]], bytes] = as_json
 
 
-def readable() -> None:
-    """For a terminal. structlog loads only here: it would take 1 MiB of a daemon that has 32."""
-    global render  # noqa: PLW0603 - one form of the log for the process
-    import structlog  # noqa: PLC0415
+def use_console_format() -> None:
+    """Writes readable lines from now on. structlog is imported only here: it takes 1 MiB of memory."""
+    global render  # noqa: PLW0603 - the process has one log, in one format
+    import structlog
 
     console = structlog.dev.ConsoleRenderer(colors=True, sort_keys=False, pad_event_to=16)
 
@@ -119,26 +122,41 @@
     render = as_text
 
 
-class Bounded:
-    """For what outsiders can cause at will: so many lines a second of each kind, and short ones.
+class _Window(NamedTuple):
+    """The lines of one event: in the second `second`, and those dropped since the last line."""
+
+    second: int
+    lines: int
+    dropped: int
+
+
+class RateLimitedLog:
+    """Logs events that clients or peers can cause at will: LINES_PER_SECOND of each, with short fields.
 
-    What was left out is counted in the next line's `unlogged`. Guards the processor and the log's disk.
+    The next line that is written has the number of dropped ones as `unlogged`. This bounds the processor time
+    and the disk space that a client or a peer can use up. `clock` returns seconds.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._kinds: dict[str, tuple[int, int, int]] = {}  # second, lines in it, left out so far
+        self._windows: dict[str, _Window] = {}
 
     def __call__(self, event: str, **fields: Any) -> None:
+        """Writes the event, or counts it where there were too many of its kind in this second."""
         second = int(self._clock())
-        at, lines, unlogged = self._kinds.get(event, (second, 0, 0))
-        lines = lines if at == second else 0
-        if lines >= MOST_A_SECOND:
-            self._kinds[event] = (second, lines, unlogged + 1)
+        window = self._windows.get(event, _Window(second, 0, 0))
+        lines = window.lines if window.second == second else 0
+        if lines >= LINES_PER_SECOND:
+            self._windows[event] = _Window(second, lines, window.dropped + 1)
             return
-        self._kinds[event] = (second, lines + 1, 0)
-        short = {k: v[:MAX_TEXT] if isinstance(v, str) else v for k, v in fields.items()}
-        log(event, **short, **({"unlogged": unlogged} if unlogged else {}))
+        self._windows[event] = _Window(second, lines + 1, 0)
+        short = {
+            name: value[:MAX_TEXT_LENGTH] if isinstance(value, str) else value
+            for name, value in fields.items()
+        }
+        if window.dropped:
+            short["unlogged"] = window.dropped
+        log(event, **short)
 
 
-log_outside = Bounded()
+log_rate_limited = RateLimitedLog()
--- a/violetstack/net/admin_server.py
+++ b/violetstack/net/admin_server.py
@@ -7,7 +7,7 @@
 import trio
 
 from violetstack.admin.api import Call, House
-from violetstack.log import log, log_outside
+from violetstack.log import log, log_rate_limited
 
 MOST_CALLERS = 16  # descriptors of the door; at the bound the call unfinished longest gives way
 CALL_S = 5.0  # a call is whole by then
@@ -53,11 +53,11 @@
             with scope:
                 await self._call(stream, scope)
             if scope.cancelled_caught:
-                log_outside("admin_refused", path="", status=0, reason="made room for other calls")
+                log_rate_limited("admin_refused", path="", status=0, reason="made room for other calls")
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except Exception as error:  # no call's failure ends the nursery
-            log_outside("connection_failed", error=repr(error))
+            log_rate_limited("connection_failed", error=repr(error))
         finally:
             self._calls.pop(scope, None)
             with trio.CancelScope(shield=True):
@@ -66,7 +66,7 @@
             self._freed.set()
 
     async def _call(self, stream: trio.SocketStream, scope: trio.CancelScope) -> None:
-        call = Call(self._house, log_outside)
+        call = Call(self._house, log_rate_limited)
         with trio.move_on_after(CALL_S) as late:
             while not call.answered:
                 data = await stream.receive_some(READ_SIZE)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -9,7 +9,7 @@
 import trio
 
 from violetstack.core.records import OpenRequest
-from violetstack.log import log_outside
+from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.response_handle import ResponseHandle
 from violetstack.net.downstream.write_queue import WriteQueue
@@ -244,7 +244,7 @@
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except* Exception as errors:  # a failing connection must not end the listener
-            log_outside("connection_failed", error=repr(errors.exceptions[0]))
+            log_rate_limited("connection_failed", error=repr(errors.exceptions[0]))
         finally:
             await self._close()
 
@@ -268,7 +268,7 @@
             with trio.move_on_at(self.last_used + REQUEST_TIMEOUT_S) as timer:
                 await trio.lowlevel.wait_readable(self.stream.socket)
             if timer.cancelled_caught:
-                log_outside("silent_connection_closed")
+                log_rate_limited("silent_connection_closed")
                 return False
         self.start_parsing(ServerSide())
         # Not to be evicted as silent between the arrival of these bytes and their use.
@@ -338,7 +338,7 @@
         if self.http.busy and self.http.can_answer:
             self._reject(408, "the request did not arrive in time")
         else:
-            log_outside("silent_connection_closed")
+            log_rate_limited("silent_connection_closed")
             self.scope.cancel()
         self._close_when_written = True
 
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -10,7 +10,7 @@
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.reply import Front
-from violetstack.log import log, log_outside
+from violetstack.log import log, log_rate_limited
 from violetstack.net.downstream.connection import (
     LINGERING_CLOSE_S,
     READ_SIZE,
@@ -91,18 +91,18 @@
         try:
             has_room = self.table.has_room()
         except Exception as error:  # a failure over one connection must not end the listener
-            log_outside("accept_failed", error=repr(error))
+            log_rate_limited("accept_failed", error=repr(error))
             has_room = False
         if has_room:
             self._nursery.start_soon(self._serve, stream, wrap)
         elif self._rejections < MAX_CONCURRENT_REJECTIONS and wrap is None:
             self._nursery.start_soon(self._reject, stream)
         else:
-            log_outside("connection_rejected")
+            log_rate_limited("connection_rejected")
             await trio.aclose_forcefully(stream)
 
     async def _reject(self, stream: trio.SocketStream) -> None:
-        log_outside("connection_rejected", status=503)
+        log_rate_limited("connection_rejected", status=503)
         self._rejections += 1
         try:
             with trio.move_on_after(LINGERING_CLOSE_S):
@@ -131,7 +131,7 @@
             with trio.fail_after(REQUEST_TIMEOUT_S):
                 return await wrap(raw)
         except (OSError, trio.BrokenResourceError, trio.TooSlowError) as error:
-            log_outside("handshake_failed", error=repr(error))
+            log_rate_limited("handshake_failed", error=repr(error))
             await trio.aclose_forcefully(raw)
             return None
         finally:
--- a/violetstack/net/downstream/response_handle.py
+++ b/violetstack/net/downstream/response_handle.py
@@ -9,7 +9,7 @@
 
 from violetstack.core.records import OpenRequest
 from violetstack.fronts.reply import Client
-from violetstack.log import log_outside
+from violetstack.log import log_rate_limited
 from violetstack.protocol.server_side import Headers
 
 if TYPE_CHECKING:
@@ -80,5 +80,5 @@
         try:
             act(connection)
         except h11.LocalProtocolError as error:
-            log_outside("response_failed", error=str(error))
+            log_rate_limited("response_failed", error=str(error))
             connection.cut()
--- a/violetstack/net/gossip.py
+++ b/violetstack/net/gossip.py
@@ -11,7 +11,7 @@
 from violetstack.config import Address
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.gossip.codec import MAX_DATAGRAM_BYTES
-from violetstack.log import log_outside
+from violetstack.log import log_rate_limited
 from violetstack.policy_api import GossipReceived
 
 BIND_AGAIN_S = 1.0
@@ -74,7 +74,7 @@
                 await sock.bind(self._at)
                 return
             except OSError as error:
-                log_outside("peers_unheard", at=f"{self._at[0]}:{self._at[1]}", error=str(error))
+                log_rate_limited("peers_unheard", at=f"{self._at[0]}:{self._at[1]}", error=str(error))
                 await trio.sleep(BIND_AGAIN_S)
 
     def _heard(self, data: bytes, sender: Address) -> None:
@@ -83,7 +83,7 @@
             return  # our own, by way of everyone
         if number is None or len(data) > MAX_DATAGRAM_BYTES:
             reason = "no peer of this tier" if number is None else "too long"
-            log_outside("peer_refused", sender=f"{sender[0]}:{sender[1]}", reason=reason)
+            log_rate_limited("peer_refused", sender=f"{sender[0]}:{sender[1]}", reason=reason)
         elif not self.deaf() and not (self.duties is not None and self.duties(number, data)):
             self._core.gossip_received(GossipReceived(number, data))
 
--- a/violetstack/net/handover.py
+++ b/violetstack/net/handover.py
@@ -10,7 +10,7 @@
 from violetstack.admin.cordons import Cordons
 from violetstack.handover.record import Record
 from violetstack.handover.successor import Succession
-from violetstack.log import log, log_outside
+from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.records import Records
 from violetstack.policy_api import EndpointUpdate
@@ -90,7 +90,7 @@
             except NotRecorded:
                 await trio.sleep(BEAT_S)
             except Exception as error:  # no record's failure ends the nursery
-                log_outside("record_failed", error=repr(error))
+                log_rate_limited("record_failed", error=repr(error))
 
     def look(self) -> None:
         """What the others have left since the last look."""
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -14,7 +14,7 @@
 from violetstack.lease.node import EVERYONE, Member, Tenure
 from violetstack.lease.outlier_checks import Trials
 from violetstack.lease.restart_permits import Leave
-from violetstack.log import log, log_outside
+from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.gossip import Peers
 from violetstack.net.pause_detector import PauseDetector
@@ -91,7 +91,7 @@
         try:
             self.member.hear(now_ms(), sender, data)
         except BadDatagram as error:
-            log_outside("duties_refused", sender=sender, reason=str(error))
+            log_rate_limited("duties_refused", sender=sender, reason=str(error))
         self._news.set()
         return True
 
--- a/violetstack/net/records.py
+++ b/violetstack/net/records.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from violetstack.handover.record import MAX_RECORD, BadRecord, Record, decode, encode
-from violetstack.log import log_outside
+from violetstack.log import log_rate_limited
 
 SUFFIX = ".record"
 OLD_MS = 3_600_000.0  # a record of a process that has been silent for so long is of no use to anybody
@@ -45,7 +45,7 @@
         try:
             rows = [row for row in os.scandir(self._folder) if self._is_record(row.name)]
         except OSError as error:
-            log_outside("record_failed", error=str(error))
+            log_rate_limited("record_failed", error=str(error))
             return [], {}
         for row in rows:
             path = Path(row.path)
@@ -68,7 +68,7 @@
             except FileNotFoundError:
                 continue  # its process has just removed it
             except (OSError, BadRecord) as error:
-                log_outside("record_refused", file=row.name, reason=str(error))
+                log_rate_limited("record_refused", file=row.name, reason=str(error))
         return new, beats
 
     def _is_record(self, name: str) -> bool:
--- a/violetstack/net/state_writer.py
+++ b/violetstack/net/state_writer.py
@@ -11,7 +11,7 @@
 
 from violetstack.config import address
 from violetstack.handover.learned import Learned
-from violetstack.log import log, log_outside
+from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.operators import StateFile
 from violetstack.protocol.discovery import WServer, WTargets
@@ -126,7 +126,7 @@
             except Exception as error:  # no disk's failure ends the nursery
                 self.failed += 1
                 pause = min(AGAIN_MOST_S, AGAIN_S * 2.0**self.failed)
-                log_outside("state_failed", error=str(error), doing="write", again_s=round(pause))
+                log_rate_limited("state_failed", error=str(error), doing="write", again_s=round(pause))
 
     async def flush(self) -> None:
         """Raises OSError; what was to be written then is in the next generation's snapshot."""
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -15,7 +15,7 @@
 from violetstack.core.records import Attempt
 from violetstack.fronts.platform import PlatformSink
 from violetstack.handover.stream_migration import GO, MAX_OFFER, NO, READY, BadOffer, Stream, decode, encode
-from violetstack.log import log, log_outside
+from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.upstream.attempt import Hosts
@@ -160,7 +160,7 @@
                 giver, _ = await sock.accept()
                 return giver
             except OSError as error:
-                log_outside("passing_failed", error=repr(error))
+                log_rate_limited("passing_failed", error=repr(error))
                 await trio.sleep(ACCEPT_AGAIN_S)
 
     async def _take_all(self, giver: trio.socket.SocketType) -> None:
@@ -171,7 +171,7 @@
             except OSError as error:
                 log("passing_failed", error=repr(error))
             except Exception as error:  # no stream's failure ends the nursery
-                log_outside("passing_failed", error=repr(error))
+                log_rate_limited("passing_failed", error=repr(error))
 
     async def _take(self, giver: trio.socket.SocketType) -> bool:
         """One offer; False once there are no more."""
--- a/violetstack/net/upstream/attempt.py
+++ b/violetstack/net/upstream/attempt.py
@@ -12,7 +12,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt, OpenRequest, PlaceCall, ReleaseCall
 from violetstack.fronts.reply import Payload
-from violetstack.log import log, log_outside
+from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.upstream.connection_pool import HostConnection, NotUp, Pool, Withheld
 from violetstack.policy_api import AttemptStatus, HealthCheckResult
@@ -83,7 +83,7 @@
 
     def log(self, event: str, **fields: Any) -> None:
         """Guards the log: what the module says of others' datagrams, they can cause at will."""
-        (log_outside if event == "module" else log)(event, **fields)
+        (log_rate_limited if event == "module" else log)(event, **fields)
 
     def pending(self) -> bool:
         return any(c.dead() for c in self._using.values() if not c.closed)
@@ -153,7 +153,7 @@
             except (Broken, sse.NoEvent) as error:
                 request = attempt.request.id
                 told = {"events": attempt.events_forwarded, "reason": str(error)}
-                log_outside("answer_broken", id=request, server=attempt.server, **told)
+                log_rate_limited("answer_broken", id=request, server=attempt.server, **told)
                 ended = Ended(
                     AttemptStatus.RESET if attempt.request_written else AttemptStatus.CONNECT_FAILED
                 )
@@ -303,7 +303,7 @@
             return Ended(AttemptStatus.REJECTED, 1 if head.status == 410 else 0, report)
         if head.status in UNUSABLE:
             # Guards good hosts against blame, and the request against being shown to all of them.
-            log_outside("host_refused", id=attempt.request.id, server=attempt.server, status=head.status)
+            log_rate_limited("host_refused", id=attempt.request.id, server=attempt.server, status=head.status)
             self.core.request_invalid(now_ms(), attempt)
         return Ended(AttemptStatus.ERROR, 0, report)
 
