--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -355,7 +355,7 @@
         assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"  # by r2
 
     play(reader, writer, story=story)
-    line = next(row for row in capfd.readouterr().out.splitlines() if '"hosts_out"' in row)
+    line = next(row for row in capfd.readouterr().out.splitlines() if '"hosts_cordoned"' in row)
     told = orjson.loads(line)
     assert (told["out"], told["none_left"], told["by"]) == (["r"], ["prefill"], "call")
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -286,9 +286,9 @@
     now = [5.0]
     bounded = log.RateLimitedLog(lambda: now[0])
     for _ in range(100):
-        bounded("rejected", reason="x" * 5000)
+        bounded("client_rejected", reason="x" * 5000)
     now[0] = 6.0
-    bounded("rejected", reason="y")
+    bounded("client_rejected", reason="y")
     lines = capfd.readouterr().out.splitlines()
     assert len(lines) == log.LINES_PER_SECOND + 1
     assert max(map(len, lines)) < 400
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -186,7 +186,7 @@
     done = subprocess.run(
         words, capture_output=True, text=True, env={**os.environ, "NODE_CONFIG": ""}, check=False
     )
-    assert done.returncode == 2 and json.loads(done.stdout)["event"] == "bad_config"
+    assert done.returncode == 2 and json.loads(done.stdout)["event"] == "config_invalid"
 
 
 def test_the_plain_daemon_loads_no_parser_and_no_command_line(tmp_path: Path) -> None:
@@ -208,11 +208,12 @@
 
 def test_a_terminal_gets_readable_lines() -> None:
     code = (
-        "from violetstack import log; log.use_console_format(); log.log('pool_lost', pool='near', members=1)"
+        "from violetstack import log; log.use_console_format(); "
+        "log.log('pool_degraded', pool='near', members=1)"
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
-    assert "pool_lost" in done.stdout and "near" in done.stdout and "{" not in done.stdout
-    assert log.EVENT_LEVELS["pool_lost"] == "warning"
+    assert "pool_degraded" in done.stdout and "near" in done.stdout and "{" not in done.stdout
+    assert log.EVENT_LEVELS["pool_degraded"] == "warning"
 
 
 def test_lines_below_the_least_level_are_left_out(
@@ -220,7 +221,7 @@
 ) -> None:
     log.log("request", ms=5)
     monkeypatch.setattr(log, "minimum_level", log.LEVEL_ORDER["error"])
-    log.log("pool_lost")
-    log.log("overdue")
+    log.log("pool_degraded")
+    log.log("request_overdue")
     rows = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
-    assert [(r["event"], r["level"]) for r in rows] == [("request", "info"), ("overdue", "error")]
+    assert [(r["event"], r["level"]) for r in rows] == [("request", "info"), ("request_overdue", "error")]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -770,13 +770,13 @@
         events = []
         for line in program.stdout:
             events.append(json.loads(line)["event"])
-            if events[-1] == "list":  # the first line of a start
+            if events[-1] == "endpoint_list_updated":  # the first line of a start
                 program.send_signal(signal.SIGTERM)
                 program.send_signal(signal.SIGHUP)
-            elif events[-1] == "stopping":
+            elif events[-1] == "shutdown_started":
                 program.send_signal(signal.SIGTERM)
         assert program.wait(10) == 0
-    assert events[-1] == "stopped" and "stopping" in events
+    assert events[-1] == "stopped" and "shutdown_started" in events
 
 
 def test_hosts_that_hang_at_sigterm_cost_their_requests_an_answer_and_no_more() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -104,7 +104,7 @@
     told = os.stat(path).st_mtime * 1000.0
     for _ in range(3):
         assert mine.others(told)[0] == []
-    assert capfd.readouterr().out.count('"event":"record_refused"') == 1
+    assert capfd.readouterr().out.count('"event":"handover_record_invalid"') == 1
     other.write(record("b", at=NOW + 1.0))
     assert [r.at for r in mine.others(told)[0]] == [NOW + 1.0]
     other.remove()
@@ -294,9 +294,9 @@
         new, door = await on.start()
         assert (await raw(door, get("/admin/health"))).startswith(b"HTTP/1.1 200 ")
         old.send_signal(signal.SIGTERM)
-        while not on.told(old, "stopping"):
+        while not on.told(old, "shutdown_started"):
             await trio.sleep(0.001)
-        assert on.told(old, "stopping")[0]["heir"] is not None
+        assert on.told(old, "shutdown_started")[0]["heir"] is not None
         for n in range(5):
             assert (await ask_platform(on.at, f"n{n}", "consulta")).outcome == "served"
         assert await ask_on(waiting, "late") == 200
@@ -341,7 +341,7 @@
         assert (await raw(door1, post("/admin/cordon", b"r"))).startswith(b"HTTP/1.1 200 ")
         first.kill()  # at once: the record was there before the yes
         second, door2 = await on.start()
-        assert on.told(second, "succession")[0]["out"] == ["r"]
+        assert on.told(second, "predecessor_state_read")[0]["out"] == ["r"]
         assert await out(door2) == 1
         third, door3 = await on.start()
         assert await out(door3) == 1
@@ -367,8 +367,8 @@
         assert await new.wait() == 2
         old.send_signal(signal.SIGHUP)
         assert (await ask_platform(on.at, "q1", "consulta")).outcome == "served"
-        assert "it listens on" in on.told(new, "bad_config")[0]["error"]
-        assert on.told(old, "reload_failed") == []
+        assert "it listens on" in on.told(new, "config_invalid")[0]["error"]
+        assert on.told(old, "config_reload_failed") == []
 
     upgrade(tmp_path, ModelHost("r", "prefill"), ModelHost("w", "decode"), story=story)
 
@@ -378,8 +378,8 @@
         await on.start()
         on.discovery.die()
         new, _ = await on.start()
-        assert on.told(new, "no_list")[0]["hosts"] == 2
-        assert on.told(new, "succession")[0]["hosts"] == 2
+        assert on.told(new, "endpoint_list_missing")[0]["hosts"] == 2
+        assert on.told(new, "predecessor_state_read")[0]["hosts"] == 2
 
     upgrade(tmp_path, ModelHost("r", "prefill"), ModelHost("w", "decode"), story=story)
 
@@ -438,7 +438,7 @@
         assert (await ask_platform(on.at, "first", "consulta")).outcome == "served"  # all are accepted
         await on.start()
         old.send_signal(signal.SIGTERM)
-        while not on.told(old, "refusing"):
+        while not on.told(old, "shutdown_rejecting"):
             await trio.sleep(0.01)
         headers = "".join(f"{n}: {v}\r\n" for n, v in platform_headers("late", "consulta"))
         await late.stream.send_all(f"Host: x\r\n{headers}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -179,7 +179,7 @@
         assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
 
     play(*hosts, story=story, file=path)
-    line = next(x for x in capfd.readouterr().out.splitlines() if "reload_failed" in x)
+    line = next(x for x in capfd.readouterr().out.splitlines() if "config_reload_failed" in x)
     assert "operator.violet:8:" in line and "no pool 'naer'" in line and "did you mean 'near'" in line
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -36,13 +36,13 @@
             if events[-1] == "started":
                 program.send_signal(signal.SIGTERM)
         assert program.wait(10) == 0
-    assert events == ["list", "started", "stopping", "stopped"]
+    assert events == ["endpoint_list_updated", "started", "shutdown_started", "stopped"]
 
 
 def test_a_bad_configuration_is_a_line_and_status_2(tmp_path: Path) -> None:
     with start(tmp_path, {"listen": "nowhere", "settings": SETTINGS}) as program:
         out, _ = program.communicate(timeout=10)
-    assert (program.returncode, json.loads(out)["event"]) == (2, "bad_config")
+    assert (program.returncode, json.loads(out)["event"]) == (2, "config_invalid")
 
 
 BAD: dict[str, dict[str, Any]] = {
@@ -73,7 +73,7 @@
     with start(tmp_path, told) as program:
         out, _ = program.communicate(timeout=10)
     (line,) = out.splitlines()
-    assert (program.returncode, json.loads(line)["event"]) == (2, "bad_config")
+    assert (program.returncode, json.loads(line)["event"]) == (2, "config_invalid")
     said = json.loads(line)["error"].replace(str(tmp_path / "config.json"), "")
     assert key in said and len(line) < 500
 
@@ -86,5 +86,5 @@
             with start(tmp_path, {**told, "seed": "ff", "settings": SETTINGS}) as program:
                 out, _ = program.communicate(timeout=10)
             last = json.loads(out.splitlines()[-1])
-            assert (program.returncode, last["event"]) == (2, "bad_config")
+            assert (program.returncode, last["event"]) == (2, "config_invalid")
             assert last["error"].startswith(f"{name}: {at}: ")
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -139,10 +139,10 @@
         trio.run(both)
     finally:
         log.observers.remove(note)
-    phases = [(row["old"], row["new"]) for row in lines if row["event"] == "phase"]
+    phases = [(row["old"], row["new"]) for row in lines if row["event"] == "recovery_phase_changed"]
     assert phases[-1] == ("unknown", "recalled")
-    assert [row["remembered"] for row in lines if row["event"] == "remembered"] == [0, 2]
-    assert [row["servers"] for row in lines if row["event"] == "recalled"] == [2]
+    assert [row["remembered"] for row in lines if row["event"] == "endpoints_recovered"] == [0, 2]
+    assert [row["servers"] for row in lines if row["event"] == "estimates_restored"] == [2]
 
 
 def test_a_list_that_loses_most_hosts_at_once_is_doubted_for_a_while_and_a_drain_never_is() -> None:
@@ -175,7 +175,7 @@
             on.discovery.changes = []
             on.discovery.version = 9
             on.daemon.watch.ask_again()
-            while not any(line["event"] == "list_doubted" for line in lines):
+            while not any(line["event"] == "endpoint_list_loss_suspected" for line in lines):
                 await trio.sleep(0.01)
             answers = [await ask_platform(on.platform, f"q{n}", "consulta") for n in range(2)]
             assert "served" in [answer.outcome for answer in answers]
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -28,13 +28,20 @@
             if events[-1] == "started":
                 (tmp_path / "config.json").write_text("{no JSON")
                 program.send_signal(signal.SIGHUP)
-            elif events[-1] == "reload_failed":
+            elif events[-1] == "config_reload_failed":
                 (tmp_path / "config.json").write_text(json.dumps(told))
                 program.send_signal(signal.SIGHUP)
-            elif events[-1] == "reloaded":
+            elif events[-1] == "config_reloaded":
                 program.send_signal(signal.SIGTERM)
         assert program.wait(10) == 0
-    assert events == ["list", "started", "reload_failed", "reloaded", "stopping", "stopped"]
+    assert events == [
+        "endpoint_list_updated",
+        "started",
+        "config_reload_failed",
+        "config_reloaded",
+        "shutdown_started",
+        "stopped",
+    ]
 
 
 def test_a_new_discovery_replaces_the_list_and_requests_in_flight_go_on() -> None:
@@ -81,4 +88,4 @@
         assert sum(listener.table.max_connections for listener in on.daemon.listeners) == 1024 // 3 // 2 * 2
 
     play(*pair(), story=story)
-    assert '"event":"reload_failed"' in capfd.readouterr().out
+    assert '"event":"config_reload_failed"' in capfd.readouterr().out
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -217,7 +217,7 @@
         assert (await ask_platform(on.platform, "q1", "consulta", **changes)).status == status
 
     play(*pair(), story=story)
-    assert '"event":"rejected"' in capfd.readouterr().out
+    assert '"event":"client_rejected"' in capfd.readouterr().out
 
 
 def test_a_body_over_the_limit_gets_413() -> None:
@@ -413,11 +413,17 @@
 
 GONE = b'{"id":"w","addr":"","kind":"decode","state":"left"}'
 ODD = {
-    "noise": (b"what\n", "watch_ended"),
-    "cut": (b'{"version":9,"servers":[{"id"\n', "watch_ended"),
-    "older": (b'{"version":4,"full":false,"servers":[%b]}\n' % GONE, "list_refused"),
-    "an unknown state": (b'{"version":9,"servers":[{"id":"w","kind":"decode","state":"odd"}]}\n', "list"),
-    "a host that nobody knows": (b'{"version":9,"servers":[{"id":"x","state":"left"}]}\n', "list"),
+    "noise": (b"what\n", "watch_closed"),
+    "cut": (b'{"version":9,"servers":[{"id"\n', "watch_closed"),
+    "older": (b'{"version":4,"full":false,"servers":[%b]}\n' % GONE, "endpoint_list_stale"),
+    "an unknown state": (
+        b'{"version":9,"servers":[{"id":"w","kind":"decode","state":"odd"}]}\n',
+        "endpoint_list_updated",
+    ),
+    "a host that nobody knows": (
+        b'{"version":9,"servers":[{"id":"x","state":"left"}]}\n',
+        "endpoint_list_updated",
+    ),
 }
 
 
@@ -476,7 +482,7 @@
             at = taken.getsockname()
             mine = Peers(on.daemon.core, at, [at], None, heirs=True)
             on.nursery.start_soon(mine.run)
-            while "peers_unheard" not in capfd.readouterr().out:
+            while "gossip_bind_failed" not in capfd.readouterr().out:
                 await trio.sleep(0.001)
             assert mine._raw is None
         while mine._raw is None:
--- a/violetstack/admin/api.py
+++ b/violetstack/admin/api.py
@@ -108,7 +108,7 @@
         self, inbound: Inbound | None, status: int, reason: str, headers: Headers
     ) -> tuple[int, Headers, bytes]:
         path = inbound.path if inbound is not None else ""
-        self._log("admin_refused", path=path, status=status, reason=reason)
+        self._log("admin_call_rejected", path=path, status=status, reason=reason)
         return status, [*JSON, *headers], msgspec.json.encode({"error": reason})
 
     def _act(self, inbound: Inbound) -> dict[str, Any]:
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -426,7 +426,7 @@
                 request.holds_remote_state = False
             elif not done and not call.superseded:
                 request.holds_remote_state = False
-                self.driver.log("release_given_up", id=request.id)
+                self.driver.log("release_abandoned", id=request.id)
         self.changed_requests[request.id] = request
         self.wake()
 
@@ -454,7 +454,7 @@
         try:
             return self.policy.handle(now, events)
         except Exception as error:
-            self.driver.log("module_failed", error=repr(error))
+            self.driver.log("policy_failed", error=repr(error))
             return []
 
     def _guarded(self, now: float, action: Action) -> None:
@@ -467,7 +467,7 @@
         """The module answers before this; the core still owes the one final answer if it did not."""
         if request.done or request.committed_attempt is not None:
             return
-        self.driver.log("overdue", id=request.id)
+        self.driver.log("request_overdue", id=request.id)
         self._settle(now, request, "overdue")
         self._tell(request.sink.failed, may_have_run(request))
         self.pending_events.append(ClientDisconnected(request.id))
@@ -534,7 +534,7 @@
             case SendGossip():
                 self.driver.send_gossip(action.payload)
             case WriteLog():
-                self.driver.log("module", text=action.text)
+                self.driver.log("policy", text=action.text)
             case SetWatch() | FetchEndpoints() | MigrateStream():
                 pass  # the watch always runs; nothing resumes here
 
@@ -554,7 +554,7 @@
         try:
             answer(*told)
         except Exception as error:
-            self.driver.log("answer_lost", error=repr(error))
+            self.driver.log("response_dropped", error=repr(error))
 
     def _answerable(self, now: float, request_id: str, answer: str) -> OpenRequest | None:
         """Guards against a second final answer, and against one for a stream that has begun."""
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -111,7 +111,7 @@
             self.watch.move(config.discovery)
         generation = self.routing.current.number if self.routing is not None else 0
         log(
-            "reloaded",
+            "config_reloaded",
             discovery=config.discovery,
             until_restart=until_restart(self.config, config),
             generation=generation,
@@ -285,7 +285,7 @@
 
         self.core.run(now_ms())  # the module is to know the list first
         servers = recall(self.router, found)
-        log("recalled", servers=servers, age_ms=round(now_ms() - found.at))
+        log("estimates_restored", servers=servers, age_ms=round(now_ms() - found.at))
         self.comeback.recalled()
 
     # --- what can change ---
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -109,7 +109,7 @@
         with trio.move_on_after(FIRST_LIST_S if inherited else AGENT_LIST_S):
             await self.watch.heard.wait()
         if not self.watch.heard.is_set():
-            log("no_list", hosts=len(self.rows))
+            log("endpoint_list_missing", hosts=len(self.rows))
 
     # --- updates ---
 
@@ -141,14 +141,24 @@
             full = news.scope is UpdateScope.SNAPSHOT
             self._recovery.told(targets.rows, news.version, full=full, listed=len(self.rows))
         entries = {entry.server: entry.state.value for entry in news.endpoints}
-        log("list", version=news.version, scope=news.scope.value, entries=entries, skipped=targets.skipped)
+        log(
+            "endpoint_list_updated",
+            version=news.version,
+            scope=news.scope.value,
+            entries=entries,
+            skipped=targets.skipped,
+        )
 
     def _doubted(self, targets: Targets, kept: Kept) -> Targets:
         """A list that lost most hosts counts with them for a while; then it is asked for again."""
         found = kept.doubt.whole(now_ms(), self.rows, targets.rows)
         if found is None:
             return targets
-        log("list_doubted", version=targets.news.version, kept=[row.id for row in found.kept][:50])
+        log(
+            "endpoint_list_loss_suspected",
+            version=targets.news.version,
+            kept=[row.id for row in found.kept][:50],
+        )
         if self._nursery is not None:
             self._nursery.start_soon(self._ask_again, found.until)
         told = WTargets(targets.news.version, True, [*targets.rows, *found.kept])
--- a/violetstack/daemon/process.py
+++ b/violetstack/daemon/process.py
@@ -22,7 +22,7 @@
         if config.inherited_fd is not None and config.listen is not None:
             config.inherited = inherited_socket(config.inherited_fd, config.listen)
     except BadConfig as error:
-        log("bad_config", error=str(error))
+        log("config_invalid", error=str(error))
         return 2
     unusable: list[Exception] = []
     try:
@@ -30,7 +30,7 @@
     except* BadConfig as errors:  # an address that is taken, or none of this machine's
         unusable += flat(errors)
     for reason in unusable:
-        log("bad_config", error=str(reason))
+        log("config_invalid", error=str(reason))
     return 2 if unusable else 0
 
 
--- a/violetstack/daemon/reload.py
+++ b/violetstack/daemon/reload.py
@@ -27,7 +27,7 @@
         config = read_again()
         chat = ChatConfig(config.chat.told, running.facts) if config.chat is not None else None
     except (BadConfig, BadOperatorFile) as error:
-        log("reload_failed", error=str(error))
+        log("config_reload_failed", error=str(error))
         return None
     return NewConfig(config, chat)
 
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -54,7 +54,7 @@
 
     async def run(self) -> None:
         """Returns once nothing is open any more."""
-        log("stopping", open=len(self._core.open_requests), heir=self._find_successor())
+        log("shutdown_started", open=len(self._core.open_requests), heir=self._find_successor())
         began = trio.current_time()
         for listener in self._fronts.listeners:
             listener.draining = True
@@ -67,14 +67,14 @@
                 await self._stop_accepting()
             if after >= HEARD_S and not refusing:
                 refusing = True
-                log("refusing")
+                log("shutdown_rejecting")
             for listener in self._fronts.listeners:
                 listener.refusing = refusing
                 if not self._lifecycle.accepting:
                     listener.table.close_idle()
             if after >= self._end_s and not ending:
                 ending = True
-                log("ending", open=len(self._core.open_requests))
+                log("shutdown_deadline", open=len(self._core.open_requests))
                 self._core.shutdown_started()
             await trio.sleep(POLL_S)
         if self._fronts.orders is not None:
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -190,18 +190,18 @@
         try:
             self._route(inbound, reply)
         except Invalid as error:
-            self._log("chat_rejected", status=error.status, reason=error.message)
+            self._log("chat_client_rejected", status=error.status, reason=error.message)
             kind = "authentication_error" if error.status == 401 else "invalid_request_error"
             send_error(reply, error.status, error.message, kind, param=error.param, code=error.code)
         except NotRouted as error:
-            self._log("chat_rejected", status=error.status, reason=error.reason)
+            self._log("chat_client_rejected", status=error.status, reason=error.reason)
             code = "no_route" if error.status == 404 else "body_too_long"
             send_error(reply, error.status, error.reason, "invalid_request_error", code=code)
         except Rejected as error:
             self.rejected(error.status, error.reason, reply)
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
-        self._log("chat_rejected", status=status, reason=reason)
+        self._log("chat_client_rejected", status=status, reason=reason)
         if status == 503:
             send_error(reply, status, reason, "server_error", headers=retry_headers(1000.0))
         else:
@@ -254,7 +254,7 @@
                 "an order needs an Idempotency-Key of at most 255 characters", code="idempotency_key_missing"
             )
         if self._orders is None:
-            self._log("order_refused", reason="no ledger")
+            self._log("idempotency_store_missing", reason="no ledger")
             headers: Headers = [("Retry-After", str(NO_LEDGER_RETRY_S))]
             send_error(
                 reply,
@@ -308,7 +308,7 @@
         try:
             claim, outcome = await orders.claim(order)
         except LedgerError as error:
-            log("ledger_failed", error=str(error))
+            log("idempotency_store_failed", error=str(error))
             send_error(
                 reply,
                 503,
@@ -333,7 +333,7 @@
                 allowed=orders.holds,
             )
             return
-        log("order_known", state=claim.value)
+        log("idempotency_record_found", state=claim.value)
         if claim is Claim.FINISHED:
             replay(Answer.recorded(outcome), errand.ask, reply)
         elif claim is Claim.RUNNING:
@@ -382,7 +382,7 @@
         shed = self._core.admit(now, asked)
         if shed is not None:
             settle(None, b"")
-            self._log("shed", reason=shed.reason, cls=asked.class_index, tenant=asked.tenant_index)
+            self._log("request_shed", reason=shed.reason, cls=asked.class_index, tenant=asked.tenant_index)
             send_error(
                 reply,
                 429,
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -75,7 +75,9 @@
             asked = self._core.route(asked, Origin("platform", "", len(inbound.body)))
             shed = self._core.admit(now, asked)
             if shed is not None:
-                self._log("shed", reason=shed.reason, cls=asked.class_index, tenant=asked.tenant_index)
+                self._log(
+                    "request_shed", reason=shed.reason, cls=asked.class_index, tenant=asked.tenant_index
+                )
                 advice = shed.retry_after_ms if self._core.settings.send_retry_after else 0.0
                 PlatformSink(reply).rejected(advice, 429)
                 return
@@ -88,6 +90,6 @@
             self.rejected(409, "a request with this Req-Id is still open", reply)
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
-        self._log("rejected", status=status, reason=reason)
+        self._log("client_rejected", status=status, reason=reason)
         headers = [*TEXT, ("Retry-After", "1")] if status == 503 else TEXT
         reply.answer(status, headers, reason.encode() + b"\n")
--- a/violetstack/idempotency/service.py
+++ b/violetstack/idempotency/service.py
@@ -39,7 +39,7 @@
         try:
             await trio.to_thread.run_sync(call)
         except LedgerError as error:
-            log("ledger_failed", error=str(error))
+            log("idempotency_store_failed", error=str(error))
 
     def _mark(self) -> None:
         self._ledger.beat(time.time())
@@ -57,7 +57,7 @@
         try:
             return await self._result(act)
         except LedgerError as error:
-            log("ledger_failed", error=str(error))
+            log("idempotency_store_failed", error=str(error))
             return None
 
     async def _result(self, act: Callable[[], T]) -> T:
@@ -97,7 +97,7 @@
                     self._ledger.settle(order, state, outcome, time.time())
                     return
                 except LedgerError as error:
-                    log("ledger_failed", error=str(error))
+                    log("idempotency_store_failed", error=str(error))
                     time.sleep(AGAIN_S)
 
         self.pending += 1
--- a/violetstack/net/acme.py
+++ b/violetstack/net/acme.py
@@ -172,7 +172,7 @@
                     days=life_of(certificate.files).left_s / 86400.0,
                 )
             except Exception as error:  # the library raises many kinds; none may end the service
-                log("certificate_failed", error=repr(error)[:500], left_s=round(life.left_s))
+                log("certificate_order_failed", error=repr(error)[:500], left_s=round(life.left_s))
                 wait = again
                 again = min(2.0 * again, config.check_every_s)
         await trio.sleep(wait)
@@ -182,6 +182,6 @@
     try:
         certificate.load()
     except OSError as error:  # a key that does not fit, or a broken file
-        log("certificate_unusable", error=str(error))
+        log("certificate_invalid", error=str(error))
         return False
     return True
--- a/violetstack/net/admin_server.py
+++ b/violetstack/net/admin_server.py
@@ -53,7 +53,7 @@
             with scope:
                 await self._call(stream, scope)
             if scope.cancelled_caught:
-                log_rate_limited("admin_refused", path="", status=0, reason="made room for other calls")
+                log_rate_limited("admin_call_rejected", path="", status=0, reason="made room for other calls")
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except Exception as error:  # no call's failure ends the nursery
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -100,7 +100,7 @@
                 raise
         daemon.news(news, {})
         left = kinds_without(daemon.core.endpoints.values(), tuple(daemon.config.facts.kinds or ()))
-        log("hosts_out", out=daemon.cordons.out, by="call", none_left=left)
+        log("hosts_cordoned", out=daemon.cordons.out, by="call", none_left=left)
 
     # --- duties ---
 
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -131,7 +131,7 @@
             with trio.fail_after(REQUEST_TIMEOUT_S):
                 return await wrap(raw)
         except (OSError, trio.BrokenResourceError, trio.TooSlowError) as error:
-            log_rate_limited("handshake_failed", error=repr(error))
+            log_rate_limited("tls_handshake_failed", error=repr(error))
             await trio.aclose_forcefully(raw)
             return None
         finally:
--- a/violetstack/net/gossip.py
+++ b/violetstack/net/gossip.py
@@ -74,7 +74,7 @@
                 await sock.bind(self._at)
                 return
             except OSError as error:
-                log_rate_limited("peers_unheard", at=f"{self._at[0]}:{self._at[1]}", error=str(error))
+                log_rate_limited("gossip_bind_failed", at=f"{self._at[0]}:{self._at[1]}", error=str(error))
                 await trio.sleep(BIND_AGAIN_S)
 
     def _heard(self, data: bytes, sender: Address) -> None:
@@ -83,7 +83,7 @@
             return  # our own, by way of everyone
         if number is None or len(data) > MAX_DATAGRAM_BYTES:
             reason = "no peer of this tier" if number is None else "too long"
-            log_rate_limited("peer_refused", sender=f"{sender[0]}:{sender[1]}", reason=reason)
+            log_rate_limited("gossip_datagram_rejected", sender=f"{sender[0]}:{sender[1]}", reason=reason)
         elif not self.deaf() and not (self.duties is not None and self.duties(number, data)):
             self._core.gossip_received(GossipReceived(number, data))
 
--- a/violetstack/net/handover.py
+++ b/violetstack/net/handover.py
@@ -49,7 +49,7 @@
         self._cordons.merge(self.succession.marks())
         record = self.succession.newest()
         log(
-            "succession",
+            "predecessor_state_read",
             predecessor=record.owner if record is not None else None,
             age_ms=round(now - record.at) if record is not None else None,
             hosts=len(record.servers) if record is not None else 0,
@@ -63,7 +63,7 @@
             self._records.write(self._compose())
             self.changed = False
         except OSError as error:
-            log("record_failed", error=str(error))
+            log("handover_record_failed", error=str(error))
             raise NotRecorded(str(error)) from None
 
     @property
@@ -90,7 +90,7 @@
             except NotRecorded:
                 await trio.sleep(BEAT_S)
             except Exception as error:  # no record's failure ends the nursery
-                log_rate_limited("record_failed", error=repr(error))
+                log_rate_limited("handover_record_failed", error=repr(error))
 
     def look(self) -> None:
         """What the others have left since the last look."""
@@ -99,11 +99,13 @@
         marks = self.succession.marks()
         news = self._cordons.merge(marks)
         if news is not None:
-            log("hosts_out", out=self._cordons.out, by="another process")
+            log("hosts_cordoned", out=self._cordons.out, by="another process")
             self._told(news)
             self.changed = True
         alone = not self.succession.company(now)
         if alone != self._alone:
             self._alone = alone
-            log("company", processes=[record.owner for record in self.succession.alive(now)])
+            log(
+                "sibling_processes_changed", processes=[record.owner for record in self.succession.alive(now)]
+            )
             self.company()
--- a/violetstack/net/load_shedding.py
+++ b/violetstack/net/load_shedding.py
@@ -97,7 +97,7 @@
         if self.journal is not None and not resumed.trusted and told:
             try:
                 aside = self.journal.set_aside()
-                log("level_journal_spoilt", why=resumed.why, kept=str(aside))
+                log("level_journal_corrupt", why=resumed.why, kept=str(aside))
             except OSError as error:
                 log("level_journal_failed", error=str(error))
         self.levels.start(now_ms(), wall, resumed)
--- a/violetstack/net/records.py
+++ b/violetstack/net/records.py
@@ -45,7 +45,7 @@
         try:
             rows = [row for row in os.scandir(self._folder) if self._is_record(row.name)]
         except OSError as error:
-            log_rate_limited("record_failed", error=str(error))
+            log_rate_limited("handover_record_failed", error=str(error))
             return [], {}
         for row in rows:
             path = Path(row.path)
@@ -68,7 +68,7 @@
             except FileNotFoundError:
                 continue  # its process has just removed it
             except (OSError, BadRecord) as error:
-                log_rate_limited("record_refused", file=row.name, reason=str(error))
+                log_rate_limited("handover_record_invalid", file=row.name, reason=str(error))
         return new, beats
 
     def _is_record(self, name: str) -> bool:
--- a/violetstack/net/startup_recovery.py
+++ b/violetstack/net/startup_recovery.py
@@ -75,4 +75,4 @@
 
     def _log(self, step: Step | None) -> None:
         if step is not None:
-            log("phase", old=step.old.value, new=step.new.value, why=step.why)
+            log("recovery_phase_changed", old=step.old.value, new=step.new.value, why=step.why)
--- a/violetstack/net/state_writer.py
+++ b/violetstack/net/state_writer.py
@@ -97,11 +97,11 @@
             with trio.move_on_after(READ_S):
                 found = await trio.to_thread.run_sync(recover, self._files, abandon_on_cancel=True)
         except OSError as error:
-            log("state_failed", error=str(error), doing="read")
+            log("state_io_failed", error=str(error), doing="read")
         if found is None:
             return
         for note in found.notes[:20]:
-            log("state_spoilt", what=note)
+            log("state_corrupt", what=note)
         self.content = found.content
         self._store = Store(self._files, found)
 
@@ -126,7 +126,7 @@
             except Exception as error:  # no disk's failure ends the nursery
                 self.failed += 1
                 pause = min(AGAIN_MOST_S, AGAIN_S * 2.0**self.failed)
-                log_rate_limited("state_failed", error=str(error), doing="write", again_s=round(pause))
+                log_rate_limited("state_io_failed", error=str(error), doing="write", again_s=round(pause))
 
     async def flush(self) -> None:
         """Raises OSError; what was to be written then is in the next generation's snapshot."""
@@ -176,7 +176,7 @@
         counts = {trust.value: sum(1 for e in entries if e.trust is trust) for trust in Trust}
         why = [f"{e.server.id}: {e.why}" for e in entries if e.trust is Trust.REFUSED]
         age_s = round((now - found.heard_at) / 1000.0, 1) if found.heard_at else None
-        log("remembered", age_s=age_s, why=why[:10], **counts)
+        log("endpoints_recovered", age_s=age_s, why=why[:10], **counts)
         self.unverified = [entry.server for entry in entries if entry.trust is Trust.DOUBTFUL]
         return WTargets(known.version, True, rows)
 
@@ -196,10 +196,10 @@
                 await stream.aclose()
                 met += 1
             except (OSError, ValueError, trio.TooSlowError) as error:
-                log("not_met", server=server.id, error=repr(error))
+                log("recovered_endpoint_unreachable", server=server.id, error=repr(error))
                 gone(server)
         if self.unverified:
-            log("verified", met=met, of=len(self.unverified))
+            log("recovered_endpoints_verified", met=met, of=len(self.unverified))
 
     def learned(self) -> Learned | None:
         """What the process before this one had learned, if its time can be believed."""
@@ -235,4 +235,4 @@
             try:
                 await self._keeper.flush()
             except OSError as error:
-                log("state_failed", error=str(error), doing="write", again_s=0)
+                log("state_io_failed", error=str(error), doing="write", again_s=0)
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -57,7 +57,7 @@
                 await sock.connect(name)
         except (OSError, trio.TooSlowError) as error:
             sock.close()
-            log("passing_failed", error=repr(error))
+            log("stream_migration_failed", error=repr(error))
             return False
         self._sock = sock
         return True
@@ -118,7 +118,7 @@
             await sock.send(GO)
             return True
         except (OSError, trio.TooSlowError) as error:
-            log("passing_failed", id=stream.id, error=repr(error))
+            log("stream_migration_failed", id=stream.id, error=repr(error))
             self._sock = None
             sock.close()
             return False
@@ -144,7 +144,7 @@
                 finally:
                     task_status.started()
             except OSError as error:
-                log("passing_failed", error=repr(error))  # streams end with their process, as before
+                log("stream_migration_failed", error=repr(error))  # streams end with their process, as before
                 return
             try:
                 async with trio.open_nursery() as nursery:
@@ -160,7 +160,7 @@
                 giver, _ = await sock.accept()
                 return giver
             except OSError as error:
-                log_rate_limited("passing_failed", error=repr(error))
+                log_rate_limited("stream_migration_failed", error=repr(error))
                 await trio.sleep(ACCEPT_AGAIN_S)
 
     async def _take_all(self, giver: trio.socket.SocketType) -> None:
@@ -169,9 +169,9 @@
                 while await self._take(giver):
                     pass
             except OSError as error:
-                log("passing_failed", error=repr(error))
+                log("stream_migration_failed", error=repr(error))
             except Exception as error:  # no stream's failure ends the nursery
-                log_rate_limited("passing_failed", error=repr(error))
+                log_rate_limited("stream_migration_failed", error=repr(error))
 
     async def _take(self, giver: trio.socket.SocketType) -> bool:
         """One offer; False once there are no more."""
@@ -208,7 +208,7 @@
                 raise BadOffer("this process takes no clients")
             return stream
         except BadOffer as error:
-            log("passing_refused", reason=str(error))
+            log("stream_migration_rejected", reason=str(error))
             return None
 
     def _adopt(self, stream: Stream, client: socket.socket, host: socket.socket) -> None:
--- a/violetstack/net/tls.py
+++ b/violetstack/net/tls.py
@@ -27,7 +27,7 @@
         try:
             self.load()
         except OSError as error:
-            log("certificate_unusable", error=str(error))
+            log("certificate_invalid", error=str(error))
 
     async def wrap(self, stream: trio.SocketStream) -> trio.abc.Stream:
         if self._context is None:
--- a/violetstack/net/upstream/attempt.py
+++ b/violetstack/net/upstream/attempt.py
@@ -83,7 +83,7 @@
 
     def log(self, event: str, **fields: Any) -> None:
         """Guards the log: what the module says of others' datagrams, they can cause at will."""
-        (log_rate_limited if event == "module" else log)(event, **fields)
+        (log_rate_limited if event == "policy" else log)(event, **fields)
 
     def pending(self) -> bool:
         return any(c.dead() for c in self._using.values() if not c.closed)
@@ -153,7 +153,7 @@
             except (Broken, sse.NoEvent) as error:
                 request = attempt.request.id
                 told = {"events": attempt.events_forwarded, "reason": str(error)}
-                log_rate_limited("answer_broken", id=request, server=attempt.server, **told)
+                log_rate_limited("upstream_response_truncated", id=request, server=attempt.server, **told)
                 ended = Ended(
                     AttemptStatus.RESET if attempt.request_written else AttemptStatus.CONNECT_FAILED
                 )
@@ -303,7 +303,9 @@
             return Ended(AttemptStatus.REJECTED, 1 if head.status == 410 else 0, report)
         if head.status in UNUSABLE:
             # Guards good hosts against blame, and the request against being shown to all of them.
-            log_rate_limited("host_refused", id=attempt.request.id, server=attempt.server, status=head.status)
+            log_rate_limited(
+                "upstream_rejected_request", id=attempt.request.id, server=attempt.server, status=head.status
+            )
             self.core.request_invalid(now_ms(), attempt)
         return Ended(AttemptStatus.ERROR, 0, report)
 
@@ -351,7 +353,7 @@
         except (NotUp, OSError, Broken):
             pass
         except Exception as error:
-            log("place_failed", id=call.request.id, error=repr(error))
+            log("reservation_failed", id=call.request.id, error=repr(error))
         self.core.reservation_finished(call, held, nothing_done)
 
     def _place_wanted(self, call: PlaceCall) -> bool:
@@ -453,7 +455,7 @@
         except (OSError, Broken):
             status = AttemptStatus.RESET
         except Exception as error:
-            log("probe_failed", server=server, error=repr(error))
+            log("health_check_failed", server=server, error=repr(error))
         self.core.health_checked(HealthCheckResult(server, status, now_ms() - began, report))
 
 
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -111,7 +111,7 @@
             try:
                 at = address(text)
             except ValueError as error:
-                log("bad_address", server=name, error=str(error))
+                log("endpoint_address_invalid", server=name, error=str(error))
                 continue
             host = self.hosts.setdefault(name, Host(at, []))
             if host.at != at:
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -156,7 +156,7 @@
         self._stir.set()
         if line.dropped:
             return
-        log_rate_limited("watch_ended", index=line.index, error=repr(error)[:200])
+        log_rate_limited("watch_closed", index=line.index, error=repr(error)[:200])
         away = isinstance(error, TurnedAway)
         bad = isinstance(error, BadList)
         self._whole = self._whole or bad  # guards against the same bad list, asked for again from its index
@@ -224,7 +224,7 @@
         except BadList as error:
             if not line.heard:
                 raise
-            log_rate_limited("bad_list", index=self.version, error=str(error)[:200])
+            log_rate_limited("endpoint_list_invalid", index=self.version, error=str(error)[:200])
             if not self._whole:
                 self._whole = True
                 self._lose(self._again.next_s(bad=True))
@@ -236,7 +236,7 @@
         if delta and self.version is not None and news.version < self.version:
             # Guards against news that were overtaken. A whole list counts whatever its version: discovery may
             # have begun anew, and what it has is what there is.
-            log_rate_limited("list_refused", version=news.version, known=self.version)
+            log_rate_limited("endpoint_list_stale", version=news.version, known=self.version)
             return
         self.version = line.index = news.version
         self._told(targets)
@@ -275,6 +275,6 @@
             if not line.heard:
                 raise trio.TooSlowError
             line.silent = True
-            log_rate_limited("watch_silent", index=self.version)
+            log_rate_limited("watch_stalled", index=self.version)
             if line is self._line and not self._lost:
                 self._lose(self._again.next_s(turned_away=False))
--- a/violetstack/rehearsal/fleet/runner.py
+++ b/violetstack/rehearsal/fleet/runner.py
@@ -38,7 +38,14 @@
 READY = b"GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n"
 BODY = b'{"model":"chat","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"%b"}]}'
 LOUD = frozenset(
-    {"answer_broken", "module_failed", "action_failed", "attempt_failed", "overdue", "peer_refused"}
+    {
+        "upstream_response_truncated",
+        "policy_failed",
+        "action_failed",
+        "attempt_failed",
+        "request_overdue",
+        "gossip_datagram_rejected",
+    }
 )
 
 
@@ -397,7 +404,7 @@
         ends: list[tuple[float, float, int]] = []
         for program in self.programs:
             for line in program.events():
-                if line["event"] == "stopping":
+                if line["event"] == "shutdown_started":
                     ends.append((line["at"], math.inf, program.number))
                 elif line["event"] == "stopped":
                     ends[-1] = (ends[-1][0], line["at"], program.number)
--- a/violetstack/routing/generations.py
+++ b/violetstack/routing/generations.py
@@ -147,7 +147,7 @@
     def tell_changes(self) -> None:
         book = self.current.book
         for change in book.changes:
-            event = "pool_lost" if change.lost else "pool_back"
+            event = "pool_degraded" if change.lost else "pool_recovered"
             self._log(event, pool=change.pool, members=change.members, instead=change.instead)
         for generation in (self.current, *self.older):
             generation.book.changes.clear()
