--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -10,7 +10,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt
 from violetstack.fronts.reply import Payload
-from violetstack.log import log, log_outside
+from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.upstream.connection import NotConnectedError, SendWithheldError, UpstreamConnection
 from violetstack.net.upstream.connection_pool import ConnectionPool, UpstreamHost
@@ -139,8 +139,8 @@
         except (NotConnectedError, SendWithheldError):
             return AttemptResult(AttemptStatus.CONNECT_FAILED)
         except (Broken, sse.NoEvent) as error:
-            log_outside(
-                "upstream_response_invalid",
+            log_rate_limited(
+                "upstream_response_truncated",
                 id=attempt.request.id,
                 server=attempt.server,
                 events=attempt.events_forwarded,
--- a/violetstack/net/upstream/driver.py
+++ b/violetstack/net/upstream/driver.py
@@ -10,7 +10,7 @@
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt, PlaceCall, ReleaseCall
-from violetstack.log import log, log_outside
+from violetstack.log import log, log_rate_limited
 from violetstack.net.upstream.attempts import AttemptRunner, WaitWritable
 from violetstack.net.upstream.connection_pool import ConnectionPool
 from violetstack.net.upstream.health_check import HealthChecker
@@ -73,7 +73,7 @@
 
     def log(self, event: str, **fields: Any) -> None:
         """Writes a log line; the policy's lines are rate-limited, since other dispatchers can cause them."""
-        (log_outside if event == "module" else log)(event, **fields)
+        (log_rate_limited if event == "module" else log)(event, **fields)
 
     # --- for the daemon ---
 
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -9,7 +9,7 @@
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt
-from violetstack.log import log_outside
+from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.stream_trailer import (
@@ -202,8 +202,8 @@
         if head.status in INVALID_REQUEST_STATUSES:
             # No other host is asked, and none is blamed.
             attempt = self._attempt
-            log_outside(
-                "request_rejected_by_host", id=attempt.request.id, server=attempt.server, status=head.status
+            log_rate_limited(
+                "upstream_rejected_request", id=attempt.request.id, server=attempt.server, status=head.status
             )
             self._core.request_invalid(now_ms(), attempt)
         return AttemptResult(AttemptStatus.ERROR, 0, report)
