--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,4 +1,4 @@
-"""Coming back: which remembered hosts count, and the phases of a start."""
+"""Recovery: cached endpoints, the phases of a start, and the panic threshold."""
 
 from __future__ import annotations
 
@@ -14,12 +14,17 @@
 from violetstack import log
 from violetstack.config import Config, WConfig
 from violetstack.daemon.daemon import Daemon
-from violetstack.net.startup_recovery import Comeback
+from violetstack.net.startup_recovery import StartupRecovery
 from violetstack.protocol.discovery import WServer
 from violetstack.protocol.server_side import Inbound
-from violetstack.recovery.panic_threshold import Doubt
-from violetstack.recovery.phases import Phase, Start
-from violetstack.recovery.sources import Entry, Source, Trust, merged
+from violetstack.recovery.cached_endpoints import (
+    CachedEndpoint,
+    CacheStatus,
+    EndpointSource,
+    merge_sources,
+)
+from violetstack.recovery.panic_threshold import PanicThreshold
+from violetstack.recovery.startup_phases import Phase, StartupPhases
 from violetstack.rehearsal.clients import ask_platform
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import ModelHost
@@ -27,84 +32,97 @@
 from violetstack.rehearsal.stage import Stage, stage
 
 NOW = 1e9
-COLD = 14_000.0
-KEEP = 3_600_000.0
+WARM_UP_MS = 14_000.0
+MAX_AGE_MS = 3_600_000.0
 
 
-def row(name: str, port: int, state: str = "active", started_ms: float = 0.0) -> WServer:
+def server(name: str, port: int, state: str = "active", started_ms: float = 0.0) -> WServer:
     return WServer(name, f"127.0.0.1:{port}", "z", "prefill", 0, state, 1.0, started_ms)
 
 
-def judged(*sources: Source) -> dict[str, Entry]:
-    return {entry.server.id: entry for entry in merged(sources, NOW, COLD, KEEP)}
+def merged(*sources: EndpointSource) -> dict[str, CachedEndpoint]:
+    endpoints = merge_sources(sources, NOW, warm_up_ms=WARM_UP_MS, max_age_ms=MAX_AGE_MS)
+    return {endpoint.server.id: endpoint for endpoint in endpoints}
 
 
-def disk(age_ms: float, *rows: WServer) -> Source:
-    return Source("disk", NOW - age_ms, 7, rows)
+def stored(age_ms: float, *servers: WServer) -> EndpointSource:
+    return EndpointSource("disk", NOW - age_ms, 7, servers)
 
 
-def known(*rows: WServer) -> Source:
-    return Source("known", None, 3, rows)
+def configured(*servers: WServer) -> EndpointSource:
+    return EndpointSource("known", None, 3, servers)
 
 
 @pytest.mark.parametrize(
-    ("age", "trust", "started"),
+    ("age_ms", "status", "started_ms"),
     [
-        (1_000.0, Trust.REMEMBERED, 0.0),
-        (60_000.0, Trust.DOUBTFUL, NOW),  # it may have started anew: cold from now on
-        (2 * KEEP, Trust.REFUSED, 0.0),
-        (-86_400_000.0, Trust.DOUBTFUL, NOW),  # the clock was set back by a day
+        (1_000.0, CacheStatus.FRESH, 0.0),
+        (60_000.0, CacheStatus.STALE, NOW),  # it may have restarted: warming up from now on
+        (2 * MAX_AGE_MS, CacheStatus.REJECTED, 0.0),
+        (-86_400_000.0, CacheStatus.STALE, NOW),  # the clock was set back by a day
     ],
 )
-def test_a_remembered_host_counts_by_the_age_of_its_list(age: float, trust: Trust, started: float) -> None:
-    entry = judged(disk(age, row("a", 1)))["a"]
-    assert (entry.trust, entry.server.started_ms) == (trust, started)
-
-
-def test_the_later_word_counts_entry_by_entry() -> None:
-    found = judged(known(row("a", 1), row("b", 2)), disk(5_000.0, row("a", 1, "leaving")))
-    assert (found["a"].trust, found["a"].server.state) == (Trust.REMEMBERED, "leaving")
-    assert found["b"].trust is Trust.REFUSED and "newer list" in found["b"].why
-    alone = judged(known(row("a", 1)), disk(5_000.0))
-    assert alone["a"].trust is Trust.DOUBTFUL  # the disk has no list at all
-
-
-def test_an_address_that_two_have_had_belongs_to_the_later_start() -> None:
-    found = judged(disk(1_000.0, row("old", 1, started_ms=5.0), row("new", 1, started_ms=9.0), row("c", 2)))
-    assert found["old"].trust is Trust.REFUSED and "new" in found["old"].why
-    assert found["new"].trust is found["c"].trust is Trust.REMEMBERED
-
-
-def test_a_start_goes_through_its_phases_and_back_when_the_list_is_lost() -> None:
-    start = Start(0.0, 10_000.0)
-    assert start.recalled(1.0, 0) is None and start.phase is Phase.UNKNOWN
-    steps = [start.recalled(1.0, 3), start.told(50.0, 4), start.told(60.0, 5), start.tick(9_000.0)]
-    steps += [start.tick(10_050.0), start.told(20_000.0, 0), start.told(21_000.0, 4), start.learned(21_001.0)]
-    assert [step and step.new.value for step in steps] == [
-        "recalled",
-        "filling",
+def test_a_cached_endpoint_is_rated_by_the_age_of_its_list(
+    age_ms: float, status: CacheStatus, started_ms: float
+) -> None:
+    endpoint = merged(stored(age_ms, server("a", 1)))["a"]
+    assert (endpoint.status, endpoint.server.started_ms) == (status, started_ms)
+
+
+def test_the_most_recent_source_of_each_endpoint_counts() -> None:
+    found = merged(configured(server("a", 1), server("b", 2)), stored(5_000.0, server("a", 1, "leaving")))
+    assert (found["a"].status, found["a"].server.state) == (CacheStatus.FRESH, "leaving")
+    assert found["b"].status is CacheStatus.REJECTED and "newer list" in found["b"].reason
+    alone = merged(configured(server("a", 1)), stored(5_000.0))
+    assert alone["a"].status is CacheStatus.STALE  # nothing is stored
+
+
+def test_an_address_belongs_to_the_endpoint_that_started_last() -> None:
+    found = merged(
+        stored(1_000.0, server("old", 1, started_ms=5.0), server("new", 1, started_ms=9.0), server("c", 2))
+    )
+    assert found["old"].status is CacheStatus.REJECTED and "new" in found["old"].reason
+    assert found["new"].status is found["c"].status is CacheStatus.FRESH
+
+
+def test_a_start_passes_its_phases_and_begins_anew_when_the_list_becomes_empty() -> None:
+    start = StartupPhases(0.0, 10_000.0)
+    assert start.cache_loaded(0) is None and start.phase is Phase.NO_ENDPOINTS
+    changes = [
+        start.cache_loaded(3),
+        start.list_received(50.0, 4),
+        start.list_received(60.0, 5),
+        start.tick(9_000.0),
+        start.tick(10_050.0),
+        start.list_received(20_000.0, 0),
+        start.list_received(21_000.0, 4),
+        start.learned_state_restored(),
+    ]
+    assert [change and change.new.value for change in changes] == [
+        "cached_endpoints",
+        "warming_up",
         None,
         None,
-        "full",
-        "unknown",
-        "filling",
-        "full",
+        "ready",
+        "no_endpoints",
+        "warming_up",
+        "ready",
     ]
-    assert start.tick(99_000.0) is None and start.due() is None
+    assert start.tick(99_000.0) is None and start.warm_up_ends_at is None
 
 
-class Silent(Discovery):
-    """An agent that has nothing to tell."""
+class SilentDiscovery(Discovery):
+    """Accepts requests and never answers."""
 
     async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
         await connection.until_closed()
         raise Break
 
 
-def test_a_dispatcher_that_was_killed_serves_by_what_it_kept_while_discovery_is_silent(
+def test_a_dispatcher_that_was_killed_serves_from_stored_state_while_discovery_is_silent(
     tmp_path: Path,
 ) -> None:
-    """Nothing else tells it of any host: its configuration knows none."""
+    """Its configuration has no endpoint."""
     state: dict[str, Any] = {"state": {"folder": str(tmp_path / "state")}}
     lines: list[dict[str, Any]] = []
     note = lines.append
@@ -112,21 +130,21 @@
 
     async def first(on: Stage) -> None:
         assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
-        assert on.daemon.kept is not None and on.daemon.watch is not None
+        assert on.daemon.state_writer is not None and on.daemon.watch is not None
         await on.daemon.watch.heard.wait()
-        on.daemon.kept.learn()
-        await on.daemon.kept.flush()  # the group is on the disk; then it is killed, without a drain
+        on.daemon.state_writer.store_learned_state()
+        await on.daemon.state_writer.flush()  # it is killed after this, without a drain
 
     async def second(on: Stage) -> None:
         assert (await ask_platform(on.platform, "q2", "orden")).outcome == "served"
-        assert {e.started_ms for e in on.daemon.core.endpoints.values()} == {None}  # told a moment ago
+        assert {e.started_ms for e in on.daemon.core.endpoints.values()} == {None}  # the list is fresh
 
     async def both() -> None:
         reader = ModelHost("reader", "prefill")
         writer = ModelHost("writer", "decode")
         async with stage(reader, writer, chat=state) as on:
             await first(on)
-            silent = Silent()
+            silent = SilentDiscovery()
             await on.nursery.start(silent.serve)
             told = {**on.told, "known": {"version": 0, "full": True, "servers": []}}
             told |= {"discovery": silent.address, "mgmt": ""}
@@ -140,27 +158,28 @@
     finally:
         log.observers.remove(note)
     phases = [(row["old"], row["new"]) for row in lines if row["event"] == "recovery_phase_changed"]
-    assert phases[-1] == ("unknown", "recalled")
-    assert [row["remembered"] for row in lines if row["event"] == "endpoints_recovered"] == [0, 2]
+    assert phases[-1] == ("no_endpoints", "cached_endpoints")
+    assert [row["fresh"] for row in lines if row["event"] == "endpoints_recovered"] == [0, 2]
     assert [row["servers"] for row in lines if row["event"] == "estimates_restored"] == [2]
 
 
-def test_a_list_that_loses_most_hosts_at_once_is_doubted_for_a_while_and_a_drain_never_is() -> None:
-    before = {name: row(name, n) for n, name in enumerate("abcd")}
-    doubt = Doubt(0.5, 30_000.0)
-    assert doubt.whole(NOW, before, [row("a", 0), row("b", 1), row("c", 2)]) is None  # one of four may go
-    found = doubt.whole(NOW, before, [row("b", 1, "leaving")])
-    assert found is not None and found.until == NOW + 30_000.0
-    assert {(s.id, s.started_ms) for s in found.kept} == {("a", NOW), ("c", NOW), ("d", NOW)}
-    assert doubt.whole(NOW + 29_000.0, before, []) is not None
-    assert doubt.whole(NOW + 30_000.0, before, []) is None  # said again: it counts
-    assert Doubt(float("inf"), 1.0).whole(NOW, before, []) is None  # the platform's way
+def test_a_list_that_lacks_most_endpoints_is_overridden_for_a_while_and_a_drain_never_is() -> None:
+    current = {name: server(name, n) for n, name in enumerate("abcd")}
+    threshold = PanicThreshold(0.5, 30_000.0)
+    one_missing = [server("a", 0), server("b", 1), server("c", 2)]
+    assert threshold.check(NOW, current, one_missing) is None
+    retained = threshold.check(NOW, current, [server("b", 1, "leaving")])
+    assert retained is not None and retained.until == NOW + 30_000.0
+    assert {(s.id, s.started_ms) for s in retained.servers} == {("a", NOW), ("c", NOW), ("d", NOW)}
+    assert threshold.check(NOW + 29_000.0, current, []) is not None
+    assert threshold.check(NOW + 30_000.0, current, []) is None  # confirmed after the time: accepted
+    assert PanicThreshold(float("inf"), 1.0).check(NOW, current, []) is None  # turned off
 
 
-def test_a_discovery_that_lost_its_memory_does_not_end_the_service_where_that_is_doubted(
+def test_an_empty_list_below_the_panic_threshold_does_not_end_the_service(
     tmp_path: Path,
 ) -> None:
-    """And a host that it remembered, which is not there, gets nothing."""
+    """And an endpoint that cannot be reached is removed."""
     state: dict[str, Any] = {"state": {"folder": str(tmp_path / "state"), "doubt": 0.5}}
     lines: list[dict[str, Any]] = []
     note = lines.append
@@ -188,17 +207,17 @@
         log.observers.remove(note)
 
 
-def test_clients_are_sent_back_at_times_of_their_own_until_discovery_has_told() -> None:
-    async def times() -> list[float]:
+def test_retry_after_has_jitter_until_a_list_is_received() -> None:
+    async def retry_times() -> list[float]:
         async with trio.open_nursery() as nursery:
-            comeback = Comeback(nursery, None, SETTINGS)
-            found = [comeback.advice_ms(400.0) for _ in range(50)]
-            comeback.told((), 1, full=True, listed=2)
-            found.append(comeback.advice_ms(400.0))
+            recovery = StartupRecovery(nursery, None, SETTINGS)
+            times = [recovery.retry_after_ms(400.0) for _ in range(50)]
+            recovery.list_changed((), 1, complete=True, listed=2)
+            times.append(recovery.retry_after_ms(400.0))
             nursery.cancel_scope.cancel()
-        return found
+        return times
 
-    found = trio.run(times)
-    unknown = found[:50]
-    assert min(unknown) >= 500.0 and max(unknown) <= 1000.0 and len(set(unknown)) == 50
-    assert found[-1] == 400.0
+    times = trio.run(retry_times)
+    without_list = times[:50]
+    assert min(without_list) >= 500.0 and max(without_list) <= 1000.0 and len(set(without_list)) == 50
+    assert times[-1] == 400.0
--- a/tests/test_stored_state.py
+++ b/tests/test_stored_state.py
@@ -11,10 +11,12 @@
 from click.testing import CliRunner
 
 from violetstack.commands.main import main
-from violetstack.net.state_writer import Disk
-from violetstack.state.store import Store, recover
+from violetstack.net.state_directory import StateDirectory
+from violetstack.state.store import SnapshotStore, recover
 
 STORED = Path(__file__).parent / "fixtures" / "state-5a5ffca"
+FILE_HEADER_BYTES = 14
+RECORD_HEADER_BYTES = 9
 PREFILL = {
     "id": "p1",
     "addr": "127.0.0.1:9001",
@@ -58,9 +60,9 @@
 
 
 def test_the_newest_generation_of_an_earlier_release_is_read() -> None:
-    found = recover(Disk(str(STORED)))
-    assert (found.generation, found.notes) == (2, [])
-    assert json_of(found.content) == {
+    recovered = recover(StateDirectory(str(STORED)))
+    assert (recovered.generation, recovered.problems) == (2, [])
+    assert json_of(recovered.snapshot) == {
         "heard_at": 1_700_000_003_000.0,
         "version": 10,
         "servers": {"p1": PREFILL, "d1": DECODE},
@@ -73,9 +75,9 @@
     """Both the first generation and the second snapshot hold the list of version 8."""
     folder = stored_copy(tmp_path)
     (folder / lost).unlink()
-    found = recover(Disk(str(folder)))
-    assert (found.generation, found.notes) == (generation, [])
-    assert json_of(found.content) == {
+    recovered = recover(StateDirectory(str(folder)))
+    assert (recovered.generation, recovered.problems) == (generation, [])
+    assert json_of(recovered.snapshot) == {
         "heard_at": 1_700_000_001_000.0,
         "version": 8,
         "servers": {"p1": PREFILL, "d1": DECODE},
@@ -86,13 +88,12 @@
 def test_what_is_written_now_has_the_form_of_the_earlier_release(tmp_path: Path) -> None:
     """An older version may be started after a newer one, and has to read its files."""
     folder = stored_copy(tmp_path)
-    disk = Disk(str(folder))
-    found = recover(disk)
-    Store(disk, found).begin(found.content.whole())
-    frame = (folder / "state-3.snapshot").read_bytes()
-    magic, header_size, frame_header_size = b"vlst", 14, 9
-    assert frame.startswith(magic)
-    stored = msgspec.msgpack.decode(frame[header_size + frame_header_size :])
+    directory = StateDirectory(str(folder))
+    recovered = recover(directory)
+    SnapshotStore(directory, recovered).write_snapshot(recovered.snapshot.encode())
+    data = (folder / "state-3.snapshot").read_bytes()
+    assert data.startswith(b"vlst")
+    stored = msgspec.msgpack.decode(data[FILE_HEADER_BYTES + RECORD_HEADER_BYTES :])
     assert json_of(stored) == {
         "heard_at": 1_700_000_003_000.0,
         "version": 10,
--- a/violetstack/commands/state.py
+++ b/violetstack/commands/state.py
@@ -1,17 +1,26 @@
-"""`violetstack state`: looks at what a dispatcher keeps in its folder. It changes nothing but by `prune`."""
+"""`violetstack state`: inspects the folder with a dispatcher's stored state; only `prune` changes it."""
 
 from __future__ import annotations
 
 import sys
 import time
+from typing import TYPE_CHECKING
 
 import click
 import msgspec
 
+if TYPE_CHECKING:
+    from violetstack.state.snapshot import StateSnapshot
+
+# Exit statuses of `state verify`.
+EXIT_VALID = 0
+EXIT_PROBLEMS = 1
+EXIT_UNREADABLE = 2
+
 
 @click.group()
 def state() -> None:
-    """Look at the state that a dispatcher keeps over its end (`state` in the operator's file).
+    r"""Look at the state that a dispatcher stores for its next start (`state` in the operator's file).
 
     \b
     Examples:
@@ -26,67 +35,71 @@
 @state.command()
 @FOLDER
 def show(folder: str) -> None:
-    """What a start would find in FOLDER, for a person."""
-    from violetstack.net.state_writer import Disk  # noqa: PLC0415 - only what a command needs is loaded
-    from violetstack.state.store import recover  # noqa: PLC0415
+    """Show what a start would read from FOLDER."""
+    from violetstack.net.state_directory import StateDirectory
+    from violetstack.state.store import recover
 
-    found = recover(Disk(folder))
-    if not found.generation:
-        click.echo("nothing is kept here")
+    recovered = recover(StateDirectory(folder))
+    if recovered.generation:
+        _print_snapshot(recovered.generation, recovered.snapshot)
     else:
-        content = found.content
-        age = time.time() - content.heard_at / 1000.0
-        click.echo(f"generation {found.generation}; list of version {content.version}, told {age:.0f} s ago")
-        for server in sorted(content.servers.values(), key=lambda s: s.id):
-            click.echo(f"  {server.id}  {server.kind}  {server.addr}  {server.state}")
-        if content.learned is not None:
-            ago = time.time() - content.learned.at / 1000.0
-            click.echo(f"learned of {len(content.learned.servers)} hosts, {ago:.0f} s ago")
-    _tell(found.notes)
+        click.echo("no stored state")
+    _print_problems(recovered.problems)
 
 
 @state.command()
 @FOLDER
 def verify(folder: str) -> None:
-    """Exit status 1 if anything in FOLDER can't be believed, 2 if nothing can."""
-    from violetstack.net.state_writer import Disk  # noqa: PLC0415
-    from violetstack.state.store import generations, recover  # noqa: PLC0415
+    """Check FOLDER: exit status 1 if a part of it cannot be read, 2 if nothing can."""
+    from violetstack.net.state_directory import StateDirectory
+    from violetstack.state.store import generations, recover
 
-    disk = Disk(folder)
-    found = recover(disk)
-    _tell(found.notes)
-    if not found.generation and generations(disk.names()):
-        sys.exit(2)
-    click.echo(f"generation {found.generation}" if found.generation else "nothing is kept here")
-    sys.exit(1 if found.notes else 0)
+    directory = StateDirectory(folder)
+    recovered = recover(directory)
+    _print_problems(recovered.problems)
+    if not recovered.generation and generations(directory.names()):
+        sys.exit(EXIT_UNREADABLE)
+    click.echo(f"generation {recovered.generation}" if recovered.generation else "no stored state")
+    sys.exit(EXIT_PROBLEMS if recovered.problems else EXIT_VALID)
 
 
 @state.command()
 @FOLDER
 def export(folder: str) -> None:
-    """What a start would find in FOLDER, as one JSON object."""
-    from violetstack.net.state_writer import Disk  # noqa: PLC0415
-    from violetstack.state.store import recover  # noqa: PLC0415
+    """Print what a start would read from FOLDER, as one JSON object."""
+    from violetstack.net.state_directory import StateDirectory
+    from violetstack.state.store import recover
 
-    found = recover(Disk(folder))
-    click.echo(msgspec.json.encode(found.content).decode())
+    recovered = recover(StateDirectory(folder))
+    click.echo(msgspec.json.encode(recovered.snapshot).decode())
 
 
 @state.command()
 @FOLDER
 def prune(folder: str) -> None:
     """Remove files in FOLDER that no start would read; not while its dispatcher runs."""
-    from violetstack.net.state_writer import Disk  # noqa: PLC0415
-    from violetstack.state.store import PART, prunable, recover  # noqa: PLC0415
-
-    disk = Disk(folder)
-    names = disk.names()
-    gone = prunable(names, recover(disk).generation) + [name for name in names if name == PART]
-    for name in gone:
-        disk.remove(name)
+    from violetstack.net.state_directory import StateDirectory
+    from violetstack.state.store import TEMPORARY_NAME, obsolete_files, recover
+
+    directory = StateDirectory(folder)
+    names = directory.names()
+    obsolete = obsolete_files(names, recover(directory).generation)
+    for name in [*obsolete, *(name for name in names if name == TEMPORARY_NAME)]:
+        directory.remove(name)
         click.echo(f"removed {name}")
 
 
-def _tell(notes: list[str]) -> None:
-    for note in notes:
-        click.echo(f"not believed: {note}", err=True)
+def _print_snapshot(generation: int, snapshot: StateSnapshot) -> None:
+    now_s = time.time()
+    age_s = now_s - snapshot.received_at / 1000.0
+    click.echo(f"generation {generation}; list of version {snapshot.version}, received {age_s:.0f} s ago")
+    for server in sorted(snapshot.servers.values(), key=lambda s: s.id):
+        click.echo(f"  {server.id}  {server.kind}  {server.addr}  {server.state}")
+    if snapshot.learned is not None:
+        age_s = now_s - snapshot.learned.at / 1000.0
+        click.echo(f"learned state of {len(snapshot.learned.servers)} hosts, {age_s:.0f} s old")
+
+
+def _print_problems(problems: list[str]) -> None:
+    for problem in problems:
+        click.echo(f"unreadable: {problem}", err=True)
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -30,7 +30,7 @@
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.gossip import Peers
 from violetstack.net.pause_detector import PauseDetector
-from violetstack.net.startup_recovery import Comeback
+from violetstack.net.startup_recovery import StartupRecovery
 from violetstack.net.upstream.connection_pool import ConnectionPool
 from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.policy_api import EndpointUpdate
@@ -44,7 +44,7 @@
     from violetstack.net.handover import Handover
     from violetstack.net.lease_service import Duties
     from violetstack.net.load_shedding import LevelDriver
-    from violetstack.net.state_writer import Kept
+    from violetstack.net.state_writer import StateWriter
     from violetstack.net.watch import Watch
     from violetstack.routing.generations import Routing
 
@@ -69,7 +69,7 @@
         self.hot_restart: HotRestart | None = None
         self.routing: Routing | None = None
         self.levels: LevelDriver | None = None
-        self.kept: Kept | None = None
+        self.state_writer: StateWriter | None = None
         self.duties: Duties | None = None
 
     async def serve(self, task_status: trio.TaskStatus[Serving] = trio.TASK_STATUS_IGNORED) -> None:
@@ -206,9 +206,9 @@
         return pause_detector
 
     def _build_state(self) -> None:
-        self.kept = start_state_writer(self.config, self.nursery, self._learned)
-        self.comeback = Comeback(self.nursery, self.kept, self.config.settings)
-        self.core.retry_after_ms = self.comeback.advice_ms
+        self.state_writer = start_state_writer(self.config, self.nursery, self._learned)
+        self.recovery = StartupRecovery(self.nursery, self.state_writer, self.config.settings)
+        self.core.retry_after_ms = self.recovery.retry_after_ms
 
     def _build_endpoints(self) -> None:
         """With cordons and a hot restart only where operators have a door."""
@@ -221,8 +221,8 @@
             config,
             self.core,
             self.hosts,
-            recovery=self.comeback,
-            kept=self.kept,
+            recovery=self.recovery,
+            state_writer=self.state_writer,
             cordons=self.cordons,
             changed=self._list_changed,
         )
@@ -268,14 +268,14 @@
             self.core,
             peers,
             pause_detector,
-            fit=lambda: self.taking and self.comeback.listed and not self.stop.is_set(),
+            fit=lambda: self.taking and self.recovery.list_received and not self.stop.is_set(),
             suspected=self.router.suspected,
         )
         self.nursery.start_soon(peers.run)
 
     def _recall(self) -> None:
         """What the predecessor's module knew a moment ago, or the disk has of it."""
-        found = self.comeback.learned()
+        found = self.recovery.stored_learned_state()
         if self.hot_restart is not None and self.config.inherited is not None:
             record = self.hot_restart.predecessor()
             found = record.learned if record is not None else found
@@ -286,7 +286,7 @@
         self.core.run(now_ms())  # the module is to know the list first
         servers = recall(self.router, found)
         log("estimates_restored", servers=servers, age_ms=round(now_ms() - found.at))
-        self.comeback.recalled()
+        self.recovery.learned_state_restored()
 
     # --- what can change ---
 
@@ -340,7 +340,7 @@
             hot_restart=self.hot_restart,
         )
         await shutdown.run()
-        await self.comeback.stop()
+        await self.recovery.stop()
         given = 0
         if self.hot_restart is not None:
             self.hot_restart.handover.leave()
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -14,7 +14,7 @@
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.net.pause_detector import PauseDetector
-from violetstack.net.startup_recovery import Comeback
+from violetstack.net.startup_recovery import StartupRecovery
 from violetstack.net.upstream.connection_pool import UpstreamHost
 from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.net.watch import Watch
@@ -24,10 +24,11 @@
 if TYPE_CHECKING:
     from violetstack.admin.cordons import Cordons
     from violetstack.handover.record import Record
-    from violetstack.net.state_writer import Kept
+    from violetstack.net.state_writer import StateWriter
 
 FIRST_LIST_S = 1.5  # a new version that takes over waits for discovery's list for so long
 AGENT_LIST_S = 0.3  # and any other for an agent on this machine, which answers at once if discovery is up
+MAX_ENDPOINTS_LOGGED = 50
 
 
 class EndpointService:
@@ -39,8 +40,8 @@
         core: Dispatcher,
         hosts: UpstreamDriver,
         *,
-        recovery: Comeback,
-        kept: Kept | None,
+        recovery: StartupRecovery,
+        state_writer: StateWriter | None,
         cordons: Cordons | None,
         changed: Callable[[], None],
     ) -> None:
@@ -48,7 +49,7 @@
         self._core = core
         self._hosts = hosts
         self._recovery = recovery
-        self._kept = kept
+        self._state_writer = state_writer
         self._cordons = cordons
         self._changed = changed
         self._reader = ListReader(config.facts)
@@ -87,12 +88,16 @@
             version = None
             if predecessor is not None:
                 known = WTargets(predecessor.version, True, list(predecessor.servers))
-        if self._kept is not None:
+        if self._state_writer is not None:
             version = None  # what is remembered is of several lists: changes of one would not fit
-        known = await self._recovery.remembered(known)
+        known = await self._recovery.load_endpoints(known)
         self._told(self._reader.targets(known, UpdateScope.CACHED))
-        if self._kept is not None:
-            nursery.start_soon(self._kept.verify, self.remove_unreachable, lambda: self._recovery.listed)
+        if self._state_writer is not None:
+            nursery.start_soon(
+                self._state_writer.endpoint_cache.verify,
+                self.remove_unreachable,
+                lambda: self._recovery.list_received,
+            )
         if config.discovery is not None:
             settings = config.settings
             again = Backoff(settings.dispatcher_count, settings.seed, agent=not settings.watch_required)
@@ -123,8 +128,8 @@
             self.publish(EndpointUpdate(UpdateScope.DELTA, (gone,), 0), {})
 
     def _told(self, targets: Targets) -> None:
-        if self._kept is not None and targets.news.scope is UpdateScope.SNAPSHOT:
-            targets = self._doubted(targets, self._kept)
+        if self._state_writer is not None and targets.news.scope is UpdateScope.SNAPSHOT:
+            targets = self._with_retained(targets, self._state_writer)
         news = targets.news
         if news.scope is not UpdateScope.DELTA:
             self.rows = {}
@@ -140,8 +145,8 @@
         self.publish(news, targets.addresses)
         self._changed()
         if news.scope is not UpdateScope.CACHED:
-            full = news.scope is UpdateScope.SNAPSHOT
-            self._recovery.told(targets.rows, news.version, full=full, listed=len(self.rows))
+            complete = news.scope is UpdateScope.SNAPSHOT
+            self._recovery.list_changed(targets.rows, news.version, complete=complete, listed=len(self.rows))
         entries = {entry.server: entry.state.value for entry in news.endpoints}
         log(
             "endpoint_list_updated",
@@ -151,19 +156,19 @@
             skipped=targets.skipped,
         )
 
-    def _doubted(self, targets: Targets, kept: Kept) -> Targets:
+    def _with_retained(self, targets: Targets, state_writer: StateWriter) -> Targets:
         """A list that lost most hosts counts with them for a while; then it is asked for again."""
-        found = kept.doubt.whole(now_ms(), self.rows, targets.rows)
+        found = state_writer.panic_threshold.check(now_ms(), self.rows, targets.rows)
         if found is None:
             return targets
         log(
             "endpoint_list_loss_suspected",
             version=targets.news.version,
-            kept=[row.id for row in found.kept][:50],
+            retained=[row.id for row in found.servers][:MAX_ENDPOINTS_LOGGED],
         )
         if self._nursery is not None:
             self._nursery.start_soon(self._ask_again, found.until)
-        told = WTargets(targets.news.version, True, [*targets.rows, *found.kept])
+        told = WTargets(targets.news.version, True, [*targets.rows, *found.servers])
         return self._reader.targets(told, UpdateScope.SNAPSHOT)
 
     async def _ask_again(self, until: float) -> None:
@@ -172,4 +177,4 @@
             self.watch.ask_again()
 
     def _confirmed(self) -> None:
-        self._recovery.told((), self.version, full=False, listed=len(self.rows))
+        self._recovery.list_changed((), self.version, complete=False, listed=len(self.rows))
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -23,20 +23,22 @@
     from violetstack.load_shedding.control import LevelPlan
     from violetstack.net.lease_service import Duties
     from violetstack.net.load_shedding import LevelDriver
-    from violetstack.net.state_writer import Kept
+    from violetstack.net.state_writer import StateWriter
     from violetstack.routing.generations import Routing
 
 
-def start_state_writer(config: Config, nursery: trio.Nursery, learned: Callable[[], Learned]) -> Kept | None:
+def start_state_writer(
+    config: Config, nursery: trio.Nursery, learned: Callable[[], Learned]
+) -> StateWriter | None:
     """The durable state, where the operator's file names a folder."""
     state = config.operator.state if config.operator is not None else None
     if state is None:
         return None
-    from violetstack.net.state_writer import Kept
+    from violetstack.net.state_writer import StateWriter
 
-    kept = Kept(state, config.settings.seed, config.settings.slow_start_ms, learned)
-    nursery.start_soon(kept.run)
-    return kept
+    state_writer = StateWriter(state, config.settings.seed, config.settings.slow_start_ms, learned)
+    nursery.start_soon(state_writer.run)
+    return state_writer
 
 
 def start_lease_service(
--- /dev/null
+++ b/violetstack/net/endpoint_cache.py
@@ -0,0 +1,78 @@
+"""The endpoints that a start uses until service discovery sends its list."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import trio
+
+from violetstack.config import address
+from violetstack.log import log
+from violetstack.net.clock import now_ms
+from violetstack.protocol.discovery import WServer, WTargets
+from violetstack.recovery.cached_endpoints import CachedEndpoint, CacheStatus, EndpointSource, merge_sources
+from violetstack.state.snapshot import StateSnapshot
+
+VERIFY_INTERVAL_S = 0.1  # between connection attempts, so that the endpoints see no burst
+VERIFY_TIMEOUT_S = 0.5
+MAX_REASONS_LOGGED = 10
+
+
+class EndpointCache:
+    """Chooses cached endpoints, and checks those that may be gone."""
+
+    def __init__(self, *, warm_up_ms: float, max_age_ms: float, rng: Random) -> None:
+        """Creates an empty cache.
+
+        Args:
+            warm_up_ms: How long an endpoint warms up after its start.
+            max_age_ms: The age from which a stored list is not used any more.
+            rng: Spreads the connection attempts of several processes.
+        """
+        self._warm_up_ms = warm_up_ms
+        self._max_age_ms = max_age_ms
+        self._rng = rng
+        self._stale: list[WServer] = []
+
+    def load(self, configured: WTargets, stored: StateSnapshot) -> WTargets:
+        """Merges the configured endpoints, whose age is unknown, with the stored ones."""
+        now = now_ms()
+        sources = [EndpointSource("known", None, configured.version, tuple(configured.servers))]
+        if stored.received_at:
+            servers = tuple(stored.servers.values())
+            sources.append(EndpointSource("disk", stored.received_at, stored.version, servers))
+        endpoints = merge_sources(sources, now, warm_up_ms=self._warm_up_ms, max_age_ms=self._max_age_ms)
+        self._log_loaded(endpoints, now - stored.received_at if stored.received_at else None)
+        self._stale = [e.server for e in endpoints if e.status is CacheStatus.STALE]
+        usable = [e.server for e in endpoints if e.status is not CacheStatus.REJECTED]
+        return WTargets(configured.version, True, usable)
+
+    async def verify(self, remove: Callable[[WServer], None], list_received: Callable[[], bool]) -> None:
+        """Connects to each stale endpoint in turn and removes those that cannot be reached.
+
+        Args:
+            remove: Called with an endpoint that cannot be reached.
+            list_received: Whether service discovery has sent its list, which makes further checks needless.
+        """
+        reachable = 0
+        for server in self._stale:
+            await trio.sleep(VERIFY_INTERVAL_S * (0.5 + self._rng.random()))
+            if list_received():
+                break
+            try:
+                with trio.fail_after(VERIFY_TIMEOUT_S):
+                    stream = await trio.open_tcp_stream(*address(server.addr))
+                await stream.aclose()
+                reachable += 1
+            except (OSError, ValueError, trio.TooSlowError) as error:
+                log("recovered_endpoint_unreachable", server=server.id, error=repr(error))
+                remove(server)
+        if self._stale:
+            log("recovered_endpoints_verified", reachable=reachable, stale=len(self._stale))
+
+    def _log_loaded(self, endpoints: list[CachedEndpoint], age_ms: float | None) -> None:
+        counts = {status.value: sum(1 for e in endpoints if e.status is status) for status in CacheStatus}
+        reasons = [f"{e.server.id}: {e.reason}" for e in endpoints if e.status is CacheStatus.REJECTED]
+        age_s = None if age_ms is None else round(age_ms / 1000.0, 1)
+        log("endpoints_recovered", age_s=age_s, reasons=reasons[:MAX_REASONS_LOGGED], **counts)
--- a/violetstack/net/startup_recovery.py
+++ b/violetstack/net/startup_recovery.py
@@ -1,4 +1,4 @@
-"""The phases of a start in the log, and what a state on disk gives it where the operator asks for one."""
+"""Drives a start: the endpoints and estimates to begin with, its phases, and Retry-After times."""
 
 from __future__ import annotations
 
@@ -10,69 +10,93 @@
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.protocol.discovery import WServer, WTargets
-from violetstack.recovery.phases import Phase, Start, Step
+from violetstack.recovery.startup_phases import Phase, PhaseChange, StartupPhases
 from violetstack.router import LEARN_MS
 
 if TYPE_CHECKING:
     from violetstack.handover.learned import Learned
-    from violetstack.net.state_writer import Kept
+    from violetstack.net.state_writer import StateWriter
     from violetstack.policy_api import Settings
 
-# A sixth of the memory of what hosts take: from then on what was seen outweighs what was assumed.
-FILL_MS = 2.0 * LEARN_MS
+# A sixth of the time constant of the estimator of endpoint load (12 * LEARN_MS): from then on observations
+# outweigh its prior.
+WARM_UP_MS = 2.0 * LEARN_MS
+TIMER_SLACK_S = 0.001  # so that a timer does not fire just before the time that it was set for
 
 
-class Comeback:
-    def __init__(self, nursery: trio.Nursery, kept: Kept | None, settings: Settings) -> None:
+class StartupRecovery:
+    """One start of the daemon, with stored state where there is any."""
+
+    def __init__(self, nursery: trio.Nursery, state_writer: StateWriter | None, settings: Settings) -> None:
+        """Starts in the phase without endpoints."""
         self._nursery = nursery
-        self._kept = kept
-        self._most_ms = settings.max_retry_after_ms
-        self._random = Random(settings.seed)
-        self.start = Start(now_ms(), FILL_MS)
-
-    def advice_ms(self, ms: float) -> float:
-        """Guards a fleet that comes back against clients that return all at once: each gets its own time."""
-        if self.listed or ms <= 0.0:  # a time is spread only where it may be longer than usual
-            return ms
-        if self.start.phase is Phase.UNKNOWN:  # nothing can be served before a list comes
-            ms = max(ms, min(self._most_ms, FILL_MS))
-        return ms * (0.5 + 0.5 * self._random.random())
-
-    async def remembered(self, known: WTargets) -> WTargets:
-        """The list to begin with: the configuration's, or what it and the disk tell together."""
-        if self._kept is not None:
-            known = await self._kept.remembered(known)
-        self._log(self.start.recalled(now_ms(), len(known.servers)))
-        return known
-
-    def learned(self) -> Learned | None:
-        return self._kept.learned() if self._kept is not None else None
-
-    def recalled(self) -> None:
-        self._log(self.start.learned(now_ms()))
-
-    def told(self, rows: tuple[WServer, ...], version: int, *, full: bool, listed: int) -> None:
-        """Discovery's word: at once for the phase, a second later at most for the disk."""
-        step = self.start.told(now_ms(), listed)
-        self._log(step)
-        if step is not None and (due := self.start.due()) is not None:
-            self._nursery.start_soon(self._fill, due)
-        if self._kept is not None:
-            self._kept.told(rows, version, full=full)
+        self._state_writer = state_writer
+        self._max_retry_after_ms = settings.max_retry_after_ms
+        self._rng = Random(settings.seed)
+        self._phases = StartupPhases(now_ms(), WARM_UP_MS)
 
     @property
-    def listed(self) -> bool:
-        """Discovery has told."""
-        return self.start.phase in (Phase.FILLING, Phase.FULL)
+    def list_received(self) -> bool:
+        """Whether service discovery has sent a list that is not empty."""
+        return self._phases.phase in (Phase.WARMING_UP, Phase.READY)
+
+    def retry_after_ms(self, usual_ms: float) -> float:
+        """Returns when a rejected client should retry, in milliseconds.
+
+        Until a list was received, the time has jitter, so that clients that were all rejected at once do not
+        all return at once; without any endpoint it also covers the warm-up.
+        """
+        if self.list_received or usual_ms <= 0.0:
+            return usual_ms
+        longest_ms = usual_ms
+        if self._phases.phase is Phase.NO_ENDPOINTS:
+            longest_ms = max(usual_ms, min(self._max_retry_after_ms, WARM_UP_MS))
+        return longest_ms * (0.5 + 0.5 * self._rng.random())
+
+    async def load_endpoints(self, configured: WTargets) -> WTargets:
+        """Returns the endpoints to start with: the configured ones, merged with the stored ones."""
+        endpoints = configured
+        if self._state_writer is not None:
+            endpoints = await self._state_writer.load_endpoints(configured)
+        self._log_change(self._phases.cache_loaded(len(endpoints.servers)))
+        return endpoints
+
+    def stored_learned_state(self) -> Learned | None:
+        """Returns the stored estimates of the previous process, if there are any that can be used."""
+        return self._state_writer.stored_learned_state() if self._state_writer is not None else None
+
+    def learned_state_restored(self) -> None:
+        """Handles that the decision module works with the estimates of a previous process."""
+        self._log_change(self._phases.learned_state_restored())
+
+    def list_changed(
+        self, servers: tuple[WServer, ...], version: int, *, complete: bool, listed: int
+    ) -> None:
+        """Handles a message of service discovery.
+
+        Args:
+            servers: The endpoints in the message.
+            version: The version of the list.
+            complete: Whether the message is a complete list, rather than changes.
+            listed: How many endpoints are listed now.
+        """
+        change = self._phases.list_received(now_ms(), listed)
+        self._log_change(change)
+        ends_at = self._phases.warm_up_ends_at
+        if change is not None and ends_at is not None:
+            self._nursery.start_soon(self._end_warm_up, ends_at)
+        if self._state_writer is not None:
+            self._state_writer.store_endpoints(servers, version, complete=complete)
 
     async def stop(self) -> None:
-        if self._kept is not None:
-            await self._kept.stop()
+        """Writes the state that is pending."""
+        if self._state_writer is not None:
+            await self._state_writer.stop()
 
-    async def _fill(self, due: float) -> None:
-        await trio.sleep(max(0.0, due - now_ms()) / 1000.0 + 0.001)
-        self._log(self.start.tick(now_ms()))
+    async def _end_warm_up(self, ends_at: float) -> None:
+        await trio.sleep(max(0.0, ends_at - now_ms()) / 1000.0 + TIMER_SLACK_S)
+        self._log_change(self._phases.tick(now_ms()))
 
-    def _log(self, step: Step | None) -> None:
-        if step is not None:
-            log("recovery_phase_changed", old=step.old.value, new=step.new.value, why=step.why)
+    def _log_change(self, change: PhaseChange | None) -> None:
+        if change is not None:
+            log("recovery_phase_changed", old=change.old.value, new=change.new.value, reason=change.reason)
--- a/violetstack/recovery/__init__.py
+++ b/violetstack/recovery/__init__.py
@@ -1,5 +1,6 @@
-"""Owns how a dispatcher comes back: what of a remembered list counts, and the phases of a start.
+"""How a dispatcher recovers after a start, and from an endpoint list that lost most of its endpoints.
 
-`sources` merges what is remembered, entry by entry; `phases` is the table of a start; `doubt` judges a list
-that lost most of its hosts. No I/O; the clock is an argument, times are Unix milliseconds.
+`cached_endpoints` merges endpoint lists of earlier runs, `startup_phases` is the state machine of a start,
+and `panic_threshold` overrides a list that shrank too much at once. No I/O and no clock: the caller passes
+the time, in Unix milliseconds.
 """
--- /dev/null
+++ b/violetstack/recovery/cached_endpoints.py
@@ -0,0 +1,129 @@
+"""Merges endpoint lists that were received earlier, and rates how far each endpoint can be relied on.
+
+A cached endpoint may have restarted since its list was received, and a restarted endpoint is warming up.
+Once the list is older than the warm-up, the endpoint's start is unknown and taken to be now: all
+dispatchers together then send it no more than an endpoint that is warming up, and its share grows with
+time. The first list from service discovery replaces the guess.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+from typing import NamedTuple
+
+import msgspec
+
+from violetstack.protocol.discovery import WServer
+
+MAX_CLOCK_SKEW_MS = 2_000.0  # one machine's clock moves back by less than this across a restart
+
+
+class CacheStatus(Enum):
+    """How far a cached endpoint can be relied on; the values appear in the log."""
+
+    FRESH = "fresh"  # received so recently that a restart would still show as warming up
+    STALE = "stale"  # may have restarted since: used as if it had just started
+    REJECTED = "rejected"  # not used
+
+
+class EndpointSource(NamedTuple):
+    """An endpoint list of an earlier time.
+
+    Attributes:
+        name: The name of the source, for the log.
+        received_at: When service discovery sent the list, in Unix milliseconds; None if it is unknown.
+        version: The version of the list.
+        servers: The endpoints.
+    """
+
+    name: str
+    received_at: float | None
+    version: int
+    servers: tuple[WServer, ...]
+
+
+class CachedEndpoint(NamedTuple):
+    """An endpoint, how far it can be relied on, and the reason in words."""
+
+    server: WServer
+    status: CacheStatus
+    reason: str
+
+
+def merge_sources(
+    sources: Iterable[EndpointSource], now: float, *, warm_up_ms: float, max_age_ms: float
+) -> list[CachedEndpoint]:
+    """Merges lists into one entry for each endpoint, taken from the most recent source that names it.
+
+    Args:
+        sources: The lists, in any order.
+        now: The current time, in Unix milliseconds.
+        warm_up_ms: How long an endpoint warms up after its start.
+        max_age_ms: The age from which a list is not used any more.
+
+    Returns:
+        All endpoints of all sources, those that are not used with the status `REJECTED`.
+    """
+    newest_first = sorted(
+        sources, key=lambda s: s.received_at if s.received_at is not None else float("-inf"), reverse=True
+    )
+    found: dict[str, CachedEndpoint] = {}
+    superseded = False
+    for source in newest_first:
+        for server in source.servers:
+            if server.id in found:
+                continue
+            endpoint = _rate(server, source, now, warm_up_ms, max_age_ms)
+            if superseded and endpoint.status is not CacheStatus.REJECTED and server.state == "active":
+                reason = f"{source.name}: not in a newer list"
+                endpoint = CachedEndpoint(endpoint.server, CacheStatus.REJECTED, reason)
+            found[server.id] = endpoint
+        superseded = superseded or bool(source.servers)
+    return _reject_address_conflicts(list(found.values()), now)
+
+
+def _rate(
+    server: WServer, source: EndpointSource, now: float, warm_up_ms: float, max_age_ms: float
+) -> CachedEndpoint:
+    started_now = msgspec.structs.replace(server, started_ms=now)
+    if source.received_at is None:
+        return CachedEndpoint(started_now, CacheStatus.STALE, f"{source.name}: of unknown age")
+    if source.received_at > now + MAX_CLOCK_SKEW_MS:
+        # The clock was set back, so the age of the list is unknown.
+        return CachedEndpoint(started_now, CacheStatus.STALE, f"{source.name}: dated in the future")
+    age_ms = now - source.received_at
+    reason = f"{source.name}: {age_ms / 1000.0:.0f} s old"
+    if age_ms > max_age_ms:
+        return CachedEndpoint(server, CacheStatus.REJECTED, reason)
+    if age_ms > warm_up_ms:
+        return CachedEndpoint(started_now, CacheStatus.STALE, reason)
+    return CachedEndpoint(server, CacheStatus.FRESH, source.name)
+
+
+def _reject_address_conflicts(endpoints: list[CachedEndpoint], now: float) -> list[CachedEndpoint]:
+    """Rejects all but the latest started of several endpoints with one address.
+
+    Otherwise a request for one endpoint would reach another one.
+    """
+    best_first = sorted(
+        endpoints,
+        key=lambda e: (
+            e.status is CacheStatus.REJECTED,
+            e.status is CacheStatus.STALE,
+            -min(e.server.started_ms, now),
+        ),
+    )
+    owners: dict[str, str] = {}
+    checked: list[CachedEndpoint] = []
+    for endpoint in best_first:
+        address = endpoint.server.addr
+        if endpoint.status is CacheStatus.REJECTED or not address:
+            checked.append(endpoint)
+        elif address in owners:
+            reason = f"{address} belongs to {owners[address]} now"
+            checked.append(CachedEndpoint(endpoint.server, CacheStatus.REJECTED, reason))
+        else:
+            owners[address] = endpoint.server.id
+            checked.append(endpoint)
+    return checked
--- a/violetstack/recovery/panic_threshold.py
+++ b/violetstack/recovery/panic_threshold.py
@@ -1,8 +1,10 @@
-"""A list that loses most of its hosts at once, without a word that they left, is doubted for a while.
+"""A panic threshold for endpoint lists, after the one that Envoy applies to health checks.
 
-Guards against a discovery that lost its memory: an empty or a short list would take the fleet out of service,
-though its hosts serve. Only where the operator's file sets a share: on the platform an unlisted host is gone.
-What is told as leaving or left is never doubted, nor is a list that says the same again after the time.
+If a complete list lacks too large a share of the endpoints that were active, it is more likely that service
+discovery lost its state than that the endpoints are gone. The missing endpoints are then retained for a
+while. A list that still lacks them after that time is accepted. Endpoints that are announced as leaving or
+left are never retained. The threshold is off unless the operator's file sets a share: on the platform, an
+endpoint that is not listed is gone.
 """
 
 from __future__ import annotations
@@ -15,27 +17,49 @@
 from violetstack.protocol.discovery import WServer
 
 
-class Doubted(NamedTuple):
-    """`kept`: rows that count on as if just started; `until`: when the list counts as it is, Unix ms."""
+class RetainedEndpoints(NamedTuple):
+    """Endpoints that count although the list lacks them.
 
-    kept: tuple[WServer, ...]
+    Attributes:
+        servers: The missing endpoints, as if they had just started.
+        until: When a list without them is accepted, in Unix milliseconds.
+    """
+
+    servers: tuple[WServer, ...]
     until: float
 
 
-class Doubt:
-    """`share`: of the active hosts that must be missing; `hold_ms`: for how long they count on."""
+class PanicThreshold:
+    """Decides whether a complete list is accepted as it is."""
+
+    def __init__(self, missing_share: float, hold_ms: float) -> None:
+        """Creates a threshold that has not been reached.
 
-    def __init__(self, share: float, hold_ms: float) -> None:
-        self._share = share
+        Args:
+            missing_share: The share of the active endpoints that has to be missing; infinity turns it off.
+            hold_ms: For how long missing endpoints are retained.
+        """
+        self._missing_share = missing_share
         self._hold_ms = hold_ms
         self._until: float | None = None
 
-    def whole(self, now: float, before: Mapping[str, WServer], told: Iterable[WServer]) -> Doubted | None:
-        """A whole list was told; `before` is what counted. None: it counts as it is."""
-        named = {server.id for server in told}
-        active = [server for server in before.values() if server.state == "active"]
-        missing = [server for server in active if server.id not in named]
-        if not missing or len(missing) < self._share * len(active):
+    def check(
+        self, now: float, current: Mapping[str, WServer], received: Iterable[WServer]
+    ) -> RetainedEndpoints | None:
+        """Checks a complete list against the endpoints in use.
+
+        Args:
+            now: The current time.
+            current: The endpoints in use, by id.
+            received: The endpoints of the list.
+
+        Returns:
+            The endpoints to retain, or None if the list is accepted as it is.
+        """
+        listed = {server.id for server in received}
+        active = [server for server in current.values() if server.state == "active"]
+        missing = [server for server in active if server.id not in listed]
+        if not missing or len(missing) < self._missing_share * len(active):
             self._until = None
             return None
         if self._until is None:
@@ -43,5 +67,5 @@
         if now >= self._until:
             self._until = None
             return None
-        rows = (msgspec.structs.replace(server, started_ms=now) for server in missing)
-        return Doubted(tuple(rows), self._until)
+        servers = (msgspec.structs.replace(server, started_ms=now) for server in missing)
+        return RetainedEndpoints(tuple(servers), self._until)
--- a/violetstack/state/__init__.py
+++ b/violetstack/state/__init__.py
@@ -1,6 +1,7 @@
-"""Owns what a dispatcher keeps over its end: the form on disk, and what of it is believed.
+"""The durable state of a dispatcher: snapshots and a write-ahead log in a directory of its own.
 
-`frames` are checked records, `content` is what is kept and how a log changes it, `store` decides about files:
-generations, snapshots, what is cut, what is removed. A port carries the files; net/keeping.py has the disk.
-Never kept: keys, prompts, clients' text.
+`records` encodes checksummed records, `snapshot` is the state and how the log's records change it, and
+`store` handles generations of files and recovers from them. The directory is an interface here;
+`net/state_directory.py` implements it and `net/state_writer.py` writes in the background. Keys, prompts and
+texts of clients are never stored.
 """
--- a/violetstack/state/snapshot.py
+++ b/violetstack/state/snapshot.py
@@ -1,85 +1,104 @@
-"""What is kept, and how the log's frames change it. Times are Unix milliseconds."""
+"""The state that is stored, and the log records that change it. Times are Unix milliseconds.
+
+The names in the files are those of earlier releases; `msgspec.field(name=...)` maps them to the names here.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from enum import IntEnum
 
 import msgspec
 
 from violetstack.handover.learned import Learned
 from violetstack.protocol.discovery import WServer
-from violetstack.state.frames import Frame, frame
+from violetstack.state.errors import RecordError
+from violetstack.state.records import Record, encode_record
+
 
-WHOLE = 1
-LIST = 2
-CHANGE = 3
-LEARNED = 4
+class RecordKind(IntEnum):
+    """The kinds of records; a reader skips kinds that it does not know."""
 
+    SNAPSHOT = 1
+    ENDPOINT_LIST = 2
+    ENDPOINT_CHANGES = 3
+    LEARNED_STATE = 4
 
-class Told(msgspec.Struct, frozen=True):
-    """Discovery's rows, and when they were told."""
 
-    at: float
+class EndpointMessage(msgspec.Struct, frozen=True):
+    """A message of service discovery: a complete endpoint list, or changes to one."""
+
+    received_at: float = msgspec.field(name="at")
     version: int
     servers: tuple[WServer, ...]
 
 
-class Content(msgspec.Struct):
-    """`heard_at`: when discovery last told anything; `learned` holds the time of its own."""
+class StateSnapshot(msgspec.Struct):
+    """The state at one time.
+
+    Attributes:
+        received_at: When service discovery last sent a message; 0 if it never did.
+        version: The version of the endpoint list.
+        servers: The listed endpoints, by id.
+        learned: The estimates of the decision module, with a time of their own.
+    """
 
-    heard_at: float = 0.0
+    received_at: float = msgspec.field(default=0.0, name="heard_at")
     version: int = 0
     servers: dict[str, WServer] = {}
     learned: Learned | None = None
 
-    def whole(self) -> bytes:
-        return frame(WHOLE, msgspec.msgpack.encode(self))
-
-    @property
-    def at(self) -> float:
-        """The latest time in it."""
-        return max(self.heard_at, self.learned.at if self.learned is not None else 0.0)
-
-
-def told(news: Told, *, full: bool) -> bytes:
-    return frame(LIST if full else CHANGE, msgspec.msgpack.encode(news))
-
-
-def known(learned: Learned) -> bytes:
-    return frame(LEARNED, msgspec.msgpack.encode(learned))
-
-
-def fold(content: Content, frames: Iterable[Frame]) -> str:
-    """Changes it by each frame; returns why it stopped at one that it can't read, else nothing."""
-    for each in frames:
-        try:
-            _one(content, each)
-        except msgspec.MsgspecError as error:
-            return f"a frame of kind {each.kind}: {error}"
-    return ""
-
-
-def apply(content: Content, news: Told, *, full: bool) -> None:
-    if full:
-        content.servers = {}
-    for server in news.servers:
-        if server.state == "left":
-            content.servers.pop(server.id, None)
-        else:
-            content.servers[server.id] = server
-    content.heard_at = news.at
-    content.version = news.version
-
-
-def _one(content: Content, each: Frame) -> None:
-    if each.kind == WHOLE:
-        found = msgspec.msgpack.decode(each.body, type=Content)
-        content.heard_at = found.heard_at
-        content.version = found.version
-        content.servers = found.servers
-        content.learned = found.learned
-    elif each.kind in (LIST, CHANGE):
-        apply(content, msgspec.msgpack.decode(each.body, type=Told), full=each.kind == LIST)
-    elif each.kind == LEARNED:
-        content.learned = msgspec.msgpack.decode(each.body, type=Learned)
-    # Guards an older version after a newer one: what it does not know it passes over.
+    def encode(self) -> bytes:
+        """Returns the state as one record."""
+        return encode_record(RecordKind.SNAPSHOT, msgspec.msgpack.encode(self))
+
+    def apply_endpoints(self, message: EndpointMessage, *, complete: bool) -> None:
+        """Replaces the endpoint list if the message is `complete`, else changes it."""
+        if complete:
+            self.servers = {}
+        for server in message.servers:
+            if server.state == "left":
+                self.servers.pop(server.id, None)
+            else:
+                self.servers[server.id] = server
+        self.received_at = message.received_at
+        self.version = message.version
+
+    def replay(self, records: Iterable[Record]) -> None:
+        """Applies log records in order, up to the first one that cannot be decoded.
+
+        Raises:
+            RecordError: If a record cannot be decoded; those before it are applied.
+        """
+        for record in records:
+            try:
+                self._apply(record)
+            except msgspec.MsgspecError as error:
+                raise RecordError(record.kind, str(error)) from error
+
+    def _apply(self, record: Record) -> None:
+        match record.kind:
+            case RecordKind.SNAPSHOT:
+                stored = msgspec.msgpack.decode(record.body, type=StateSnapshot)
+                self.received_at = stored.received_at
+                self.version = stored.version
+                self.servers = stored.servers
+                self.learned = stored.learned
+            case RecordKind.ENDPOINT_LIST | RecordKind.ENDPOINT_CHANGES:
+                message = msgspec.msgpack.decode(record.body, type=EndpointMessage)
+                self.apply_endpoints(message, complete=record.kind == RecordKind.ENDPOINT_LIST)
+            case RecordKind.LEARNED_STATE:
+                self.learned = msgspec.msgpack.decode(record.body, type=Learned)
+            case _:
+                pass  # written by a later release
+
+
+def encode_endpoints(message: EndpointMessage, *, complete: bool) -> bytes:
+    """Returns a message of service discovery as a log record."""
+    kind = RecordKind.ENDPOINT_LIST if complete else RecordKind.ENDPOINT_CHANGES
+    return encode_record(kind, msgspec.msgpack.encode(message))
+
+
+def encode_learned(learned: Learned) -> bytes:
+    """Returns estimates of the decision module as a log record."""
+    return encode_record(RecordKind.LEARNED_STATE, msgspec.msgpack.encode(learned))
--- a/violetstack/state/store.py
+++ b/violetstack/state/store.py
@@ -1,8 +1,9 @@
-"""Which files there are, and what is believed of them: a snapshot and a log for each of two generations.
+"""Snapshots and logs in a directory: which files there are, and how the state is recovered from them.
 
-A generation begins with its snapshot, written beside and renamed when it is whole and synced, so a name
-stands for a whole file. What changes after it goes to its log, each group with one sync. Recovery takes the
-newest generation whose snapshot can be read, and of its log all up to the first frame that can't be.
+There are two generations of files, each a snapshot and a log. A snapshot is written under a temporary name
+and renamed once it is synced, so a file with a snapshot's name is complete. Later changes are appended to
+the generation's log, one sync for each group of records. Recovery takes the newest generation whose
+snapshot is valid, and its log up to the first invalid record.
 """
 
 from __future__ import annotations
@@ -10,136 +11,185 @@
 import re
 from typing import NamedTuple, Protocol
 
-from violetstack.state.frames import BadFile, Found, header, read
-from violetstack.state.snapshot import Content, fold
+from violetstack.state.errors import RecordError, StateFileError
+from violetstack.state.records import RecordFile, decode_file, encode_header
+from violetstack.state.snapshot import StateSnapshot
 
-NAME = re.compile(r"state-(\d{1,18})\.(snapshot|log)\Z")
-PART = "state.part"
-# a new snapshot once the log is so long, and so many times the snapshot
-LEAST_LOG = 64 * 1024
-LOG_TIMES = 4
-KEPT = 2  # generations
+FILE_NAME = re.compile(r"state-(\d{1,18})\.(snapshot|log)\Z")
+TEMPORARY_NAME = "state.part"
+# A new snapshot is due once the log is larger than this, and than so many snapshots: it bounds the time of a
+# recovery without writing snapshots all the time.
+MIN_LOG_BYTES = 64 * 1024
+MAX_LOG_TO_SNAPSHOT_RATIO = 4
+GENERATIONS_RETAINED = 2
 
 
-class Files(Protocol):
-    """A folder. Each call may raise OSError."""
+class Directory(Protocol):
+    """A directory of files; each method may raise OSError."""
 
-    def names(self) -> list[str]: ...
+    def names(self) -> list[str]:
+        """Returns the names of the files."""
 
-    def read(self, name: str) -> bytes: ...
+    def read(self, name: str) -> bytes:
+        """Returns the content of a file."""
 
     def write(self, name: str, data: bytes) -> None:
-        """The whole file anew, and synced with its folder, which is made where it is missing."""
+        """Creates or replaces a file, and syncs it and the directory, which is created if it is missing."""
 
     def append(self, name: str, data: bytes) -> None:
-        """At its end, and synced. Fails where there is none: somebody has emptied the folder."""
+        """Appends to a file and syncs it; fails if there is no such file."""
 
     def rename(self, old: str, new: str) -> None:
-        """In place of what is there, and the folder synced."""
+        """Renames a file, replacing one that has the new name, and syncs the directory."""
 
-    def remove(self, name: str) -> None: ...
+    def remove(self, name: str) -> None:
+        """Removes a file."""
 
 
-class Recovered(NamedTuple):
-    """`notes`: what could not be believed, for the log; `generation` 0: nothing was found."""
+class RecoveredState(NamedTuple):
+    """What was recovered from a directory.
 
-    content: Content
+    Attributes:
+        snapshot: The state; empty if there was none.
+        generation: The generation that it was read from; 0 if there was none.
+        problems: What could not be read, one line each.
+    """
+
+    snapshot: StateSnapshot
     generation: int
-    notes: list[str]
+    problems: list[str]
 
 
 def snapshot_name(generation: int) -> str:
+    """Returns the name of a generation's snapshot."""
     return f"state-{generation}.snapshot"
 
 
 def log_name(generation: int) -> str:
+    """Returns the name of a generation's log."""
     return f"state-{generation}.log"
 
 
 def generations(names: list[str]) -> list[int]:
-    """The newest first."""
-    found = {int(match[1]) for name in names if (match := NAME.match(name)) and match[2] == "snapshot"}
+    """Returns the generations that have a snapshot among the file names, the newest first."""
+    found = {int(match[1]) for name in names if (match := FILE_NAME.match(name)) and match[2] == "snapshot"}
     return sorted(found, reverse=True)
 
 
-def recover(files: Files) -> Recovered:
-    """Raises OSError only where the folder itself can't be read."""
-    names = files.names()
-    notes = list[str]()
+def obsolete_files(names: list[str], newest: int) -> list[str]:
+    """Returns the state files that no recovery would read: old generations, and logs without a snapshot."""
+    retained = set(generations(names)[:GENERATIONS_RETAINED]) | {newest}
+    matches = [match for name in names if (match := FILE_NAME.match(name))]
+    return [match.string for match in matches if int(match[1]) not in retained]
+
+
+def recover(directory: Directory) -> RecoveredState:
+    """Recovers the state from the newest generation that can be read.
+
+    Raises:
+        OSError: If the directory cannot be listed. A file that cannot be read is reported as a problem.
+    """
+    names = directory.names()
+    problems: list[str] = []
     for generation in generations(names):
-        content = Content()
-        name = snapshot_name(generation)
         try:
-            found = _checked(files, name, generation)
-        except (BadFile, OSError) as error:
-            notes.append(f"{name}: {error}")
-            continue
-        why = found.why or fold(content, found.frames) or ("empty" if not found.frames else "")
-        if why:
-            notes.append(f"{name}: {why}")
+            snapshot = _read_snapshot(directory, generation)
+        except (StateFileError, RecordError, OSError) as error:
+            problems.append(f"{snapshot_name(generation)}: {error}")
             continue
-        log = log_name(generation)
-        if log in names:
-            try:
-                found = _checked(files, log, generation)
-                why = fold(content, found.frames) or found.why
-                if why:
-                    notes.append(f"{log}: {why} from byte {found.good} on")
-            except (BadFile, OSError) as error:
-                notes.append(f"{log}: {error}")
-        return Recovered(content, generation, notes)
-    return Recovered(Content(), 0, notes)
-
-
-def _checked(files: Files, name: str, generation: int) -> Found:
-    found = read(files.read(name))
-    if found.generation != generation:
-        raise BadFile(f"of generation {found.generation}")
-    return found
-
-
-class Store:
-    """One writer's. A call that raises leaves the files readable; the next one begins a new generation."""
-
-    def __init__(self, files: Files, recovered: Recovered) -> None:
-        self._files = files
-        self.generation = max([recovered.generation, *generations(files.names())], default=0)
-        self._snapshot_size = self._log_size = 0
-        self._whole = False  # the generation's files are as this writer made them
-
-    def due(self, size: int) -> bool:
-        """Is a new generation to begin, in place of a log that is `size` longer?"""
-        most = max(LEAST_LOG, LOG_TIMES * self._snapshot_size)
-        return not self._whole or self._log_size + size > most
-
-    def append(self, frames: bytes) -> None:
-        """Where none is due. Raises OSError."""
-        self._whole = False  # until it is through
+        if log_name(generation) in names:
+            problems += _replay_log(directory, generation, snapshot)
+        return RecoveredState(snapshot, generation, problems)
+    return RecoveredState(StateSnapshot(), 0, problems)
+
+
+def _read_snapshot(directory: Directory, generation: int) -> StateSnapshot:
+    file = _read_file(directory, snapshot_name(generation), generation)
+    if file.error:
+        raise StateFileError(file.error)
+    snapshot = StateSnapshot()
+    snapshot.replay(file.records)
+    if not file.records:
+        raise StateFileError("no record")
+    return snapshot
+
+
+def _replay_log(directory: Directory, generation: int, snapshot: StateSnapshot) -> list[str]:
+    """Applies a log to its snapshot; returns what could not be read."""
+    name = log_name(generation)
+    try:
+        file = _read_file(directory, name, generation)
+    except (StateFileError, OSError) as error:
+        return [f"{name}: {error}"]
+    try:
+        snapshot.replay(file.records)
+    except RecordError as error:
+        return [f"{name}: {error}"]
+    return [f"{name}: {file.error} at byte {file.valid_bytes}"] if file.error else []
+
+
+def _read_file(directory: Directory, name: str, generation: int) -> RecordFile:
+    file = decode_file(directory.read(name))
+    if file.generation != generation:
+        raise StateFileError(f"header of generation {file.generation}")
+    return file
+
+
+class SnapshotStore:
+    """Writes snapshots and logs; the only writer of its directory.
+
+    A method that raises leaves the directory in a state that can be recovered from; a snapshot is due then.
+
+    Attributes:
+        generation: The generation of the latest snapshot.
+    """
+
+    def __init__(self, directory: Directory, recovered: RecoveredState) -> None:
+        """Continues after what was recovered. A snapshot is due first.
+
+        Raises:
+            OSError: If the directory cannot be listed.
+        """
+        self._directory = directory
+        self.generation = max([recovered.generation, *generations(directory.names())], default=0)
+        self._snapshot_bytes = 0
+        self._log_bytes = 0
+        self._consistent = False  # the generation's files hold all that this writer wrote, and nothing else
+
+    def snapshot_due(self, additional_bytes: int) -> bool:
+        """Returns whether to write a snapshot, rather than to append so many bytes to the log."""
+        max_log_bytes = max(MIN_LOG_BYTES, MAX_LOG_TO_SNAPSHOT_RATIO * self._snapshot_bytes)
+        return not self._consistent or self._log_bytes + additional_bytes > max_log_bytes
+
+    def append(self, records: bytes) -> None:
+        """Appends encoded records to the log; only if no snapshot is due.
+
+        Raises:
+            OSError: If they may not have been written.
+        """
+        self._consistent = False
         name = log_name(self.generation)
-        if self._log_size:
-            self._files.append(name, frames)
+        if self._log_bytes:
+            self._directory.append(name, records)
         else:
-            self._files.write(name, header(self.generation) + frames)
-        self._log_size += len(frames)
-        self._whole = True
+            self._directory.write(name, encode_header(self.generation) + records)
+        self._log_bytes += len(records)
+        self._consistent = True
+
+    def write_snapshot(self, snapshot: bytes) -> None:
+        """Begins a new generation with an encoded snapshot, and removes obsolete files.
 
-    def begin(self, whole: bytes) -> None:
-        """A new generation with this one frame. Raises OSError."""
-        self._whole = False
+        Raises:
+            OSError: If it may not have been written, or an obsolete file could not be removed.
+        """
+        self._consistent = False
         generation = self.generation + 1
-        data = header(generation) + whole
-        self._files.write(PART, data)
-        self._files.rename(PART, snapshot_name(generation))
+        data = encode_header(generation) + snapshot
+        self._directory.write(TEMPORARY_NAME, data)
+        self._directory.rename(TEMPORARY_NAME, snapshot_name(generation))
         self.generation = generation
-        self._snapshot_size = len(data)
-        self._log_size = 0
-        self._whole = True
-        for name in prunable(self._files.names(), generation):
-            self._files.remove(name)
-
-
-def prunable(names: list[str], newest: int) -> list[str]:
-    """Files of generations that nobody would recover from, and logs whose snapshot is not there."""
-    kept = set(generations(names)[:KEPT]) | {newest}
-    rows = [(name, int(match[1])) for name in names if (match := NAME.match(name))]
-    return [name for name, generation in rows if generation not in kept]
+        self._snapshot_bytes = len(data)
+        self._log_bytes = 0
+        self._consistent = True
+        for name in obsolete_files(self._directory.names(), generation):
+            self._directory.remove(name)
