--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 import trio
+import trio.testing
 
 from tests.front import SETTINGS, WRITERS, Front, entry
 from tests.test_core import Noted
@@ -11,6 +14,7 @@
 from violetstack.core.records import Shed
 from violetstack.gossip.codec import RESET_DATAGRAM, decode_load, encode_datagram, encode_load, endpoint_tag
 from violetstack.net.gossip import Peers
+from violetstack.net.pause_detector import PauseDetector
 from violetstack.policy_api import (
     AttemptFinished,
     AttemptStatus,
@@ -61,6 +65,49 @@
     assert tracker.earliest_arrival == pytest.approx(earliest_arrival)
 
 
+class UnreadSource:
+    """An input source that has so many messages unread, and is asked for them once an iteration."""
+
+    def __init__(self, unread: int) -> None:
+        self.unread = unread
+
+    def pending(self) -> bool:
+        self.unread -= 1
+        return self.unread >= 0
+
+
+def test_after_a_pause_the_sources_are_read_before_anything_waits_on() -> None:
+    """A task that blocks the event loop stands for a process that was stopped."""
+    unread_at_pause: list[int] = []
+    pauses_ms: list[float] = []
+    source = UnreadSource(5)
+
+    def on_pause(pause_ms: float) -> None:
+        unread_at_pause.append(source.unread)
+        pauses_ms.append(pause_ms)
+
+    async def block_the_loop() -> None:
+        detector = PauseDetector(GRACE_MS, on_pause)
+        detector.add_source(source)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(detector.run)
+            await trio.testing.wait_all_tasks_blocked()
+            await detector.wait_caught_up()  # no pause: returns at once
+            assert detector.max_unread_ms() == 0.0
+            time.sleep(1.2 * GRACE_MS / 1000.0)  # noqa: ASYNC251 - it is to block
+            await trio.lowlevel.checkpoint()
+            assert detector.catching_up
+            assert detector.max_unread_ms() >= GRACE_MS
+            await detector.wait_caught_up()
+            assert not detector.catching_up
+            nursery.cancel_scope.cancel()
+
+    trio.run(block_the_loop)
+    assert unread_at_pause == [-1]
+    assert len(pauses_ms) == 1
+    assert pauses_ms[0] >= 1.2 * GRACE_MS
+
+
 def test_a_drain_that_was_unread_during_a_pause_is_applied_before_requests() -> None:
     """Attempts went to a draining host for 170 ms more whenever the clients' sockets were read first.
 
@@ -82,8 +129,10 @@
     core.max_unread_ms = lambda: 4000.0
     shed = core.admit(5000.0, asked(3000.0))
     later = asked(6000.0)
-    assert isinstance(shed, Shed) and shed.reason == "unread"
-    assert core.admit(5000.0, later) is None and (later.expires_in_ms, later.age_ms) == (2000.0, 4000.0)
+    assert isinstance(shed, Shed)
+    assert shed.reason == "unread"
+    assert core.admit(5000.0, later) is None
+    assert (later.expires_in_ms, later.age_ms) == (2000.0, 4000.0)
 
 
 def test_a_pause_discards_gossip_and_no_estimator_learns_across_it() -> None:
@@ -95,18 +144,19 @@
     fleet = front.router.fleet
     assert fleet.shared.load_at(endpoint_tag("r1")) == decode_load(encode_load(500.0))
     front.feed(ProcessPaused(5000.0), after=5000.0)
-    assert fleet.shared.load_at(endpoint_tag("r1")) == 0.0 and front.one(SendGossip).payload == RESET_DATAGRAM
+    assert fleet.shared.load_at(endpoint_tag("r1")) == 0.0
+    assert front.one(SendGossip).payload == RESET_DATAGRAM
     front.feed(TimerFired("tell"), after=25.0)
     assert front.one(SendGossip).payload == told  # all attempts in flight are announced anew
     front.end(request, AttemptStatus.PREFILLED, took=5050.0)
-    assert not fleet.cleared.value_at(front.now) and not fleet.reads.samples
+    assert not fleet.cleared.value_at(front.now)
+    assert not fleet.reads.samples
     front.feed(ProcessPaused(500.0), after=500.0)  # the decode attempt is in flight now
     front.begin(request)
     assert not fleet.waits.samples
     front.serve()
-    assert (
-        fleet.cleared.value_at(front.now) and fleet.waits.samples
-    )  # attempts after the pause are learned from
+    assert fleet.cleared.value_at(front.now)
+    assert fleet.waits.samples
 
 
 def test_a_load_report_read_after_a_pause_is_dated_before_it() -> None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -72,7 +73,8 @@
 def test_the_most_recent_source_of_each_endpoint_counts() -> None:
     found = merged(configured(server("a", 1), server("b", 2)), stored(5_000.0, server("a", 1, "leaving")))
     assert (found["a"].status, found["a"].server.state) == (CacheStatus.FRESH, "leaving")
-    assert found["b"].status is CacheStatus.REJECTED and "newer list" in found["b"].reason
+    assert found["b"].status is CacheStatus.REJECTED
+    assert "newer list" in found["b"].reason
     alone = merged(configured(server("a", 1)), stored(5_000.0))
     assert alone["a"].status is CacheStatus.STALE  # nothing is stored
 
@@ -81,13 +83,15 @@
     found = merged(
         stored(1_000.0, server("old", 1, started_ms=5.0), server("new", 1, started_ms=9.0), server("c", 2))
     )
-    assert found["old"].status is CacheStatus.REJECTED and "new" in found["old"].reason
+    assert found["old"].status is CacheStatus.REJECTED
+    assert "new" in found["old"].reason
     assert found["new"].status is found["c"].status is CacheStatus.FRESH
 
 
 def test_a_start_passes_its_phases_and_begins_anew_when_the_list_becomes_empty() -> None:
     start = StartupPhases(0.0, 10_000.0)
-    assert start.cache_loaded(0) is None and start.phase is Phase.NO_ENDPOINTS
+    assert start.cache_loaded(0) is None
+    assert start.phase is Phase.NO_ENDPOINTS
     changes = [
         start.cache_loaded(3),
         start.list_received(50.0, 4),
@@ -108,7 +112,18 @@
         "warming_up",
         "ready",
     ]
-    assert start.tick(99_000.0) is None and start.warm_up_ends_at is None
+    assert start.tick(99_000.0) is None
+    assert start.warm_up_ends_at is None
+
+
+@pytest.fixture
+def log_lines() -> Iterator[list[dict[str, Any]]]:
+    """The lines that are logged during a test."""
+    lines: list[dict[str, Any]] = []
+    observer = lines.append
+    log.observers.append(observer)
+    yield lines
+    log.observers.remove(observer)
 
 
 class SilentDiscovery(Discovery):
@@ -120,17 +135,15 @@
 
 
 def test_a_dispatcher_that_was_killed_serves_from_stored_state_while_discovery_is_silent(
-    tmp_path: Path,
+    tmp_path: Path, log_lines: list[dict[str, Any]]
 ) -> None:
     """Its configuration has no endpoint."""
     state: dict[str, Any] = {"state": {"folder": str(tmp_path / "state")}}
-    lines: list[dict[str, Any]] = []
-    note = lines.append
-    log.observers.append(note)
 
     async def first(on: Stage) -> None:
         assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
-        assert on.daemon.state_writer is not None and on.daemon.watch is not None
+        assert on.daemon.state_writer is not None
+        assert on.daemon.watch is not None
         await on.daemon.watch.heard.wait()
         on.daemon.state_writer.store_learned_state()
         await on.daemon.state_writer.flush()  # it is killed after this, without a drain
@@ -153,14 +166,11 @@
             serving = await on.nursery.start(daemon.serve)
             await second(replace(on, daemon=daemon, platform=serving.platform))
 
-    try:
-        trio.run(both)
-    finally:
-        log.observers.remove(note)
-    phases = [(row["old"], row["new"]) for row in lines if row["event"] == "recovery_phase_changed"]
+    trio.run(both)
+    phases = [(row["old"], row["new"]) for row in log_lines if row["event"] == "recovery_phase_changed"]
     assert phases[-1] == ("no_endpoints", "cached_endpoints")
-    assert [row["fresh"] for row in lines if row["event"] == "endpoints_recovered"] == [0, 2]
-    assert [row["servers"] for row in lines if row["event"] == "estimates_restored"] == [2]
+    assert [row["fresh"] for row in log_lines if row["event"] == "endpoints_recovered"] == [0, 2]
+    assert [row["servers"] for row in log_lines if row["event"] == "estimates_restored"] == [2]
 
 
 def test_a_list_that_lacks_most_endpoints_is_overridden_for_a_while_and_a_drain_never_is() -> None:
@@ -169,7 +179,8 @@
     one_missing = [server("a", 0), server("b", 1), server("c", 2)]
     assert threshold.check(NOW, current, one_missing) is None
     retained = threshold.check(NOW, current, [server("b", 1, "leaving")])
-    assert retained is not None and retained.until == NOW + 30_000.0
+    assert retained is not None
+    assert retained.until == NOW + 30_000.0
     assert {(s.id, s.started_ms) for s in retained.servers} == {("a", NOW), ("c", NOW), ("d", NOW)}
     assert threshold.check(NOW + 29_000.0, current, []) is not None
     assert threshold.check(NOW + 30_000.0, current, []) is None  # confirmed after the time: accepted
@@ -177,13 +188,10 @@
 
 
 def test_an_empty_list_below_the_panic_threshold_does_not_end_the_service(
-    tmp_path: Path,
+    tmp_path: Path, log_lines: list[dict[str, Any]]
 ) -> None:
     """And an endpoint that cannot be reached is removed."""
     state: dict[str, Any] = {"state": {"folder": str(tmp_path / "state"), "doubt": 0.5}}
-    lines: list[dict[str, Any]] = []
-    note = lines.append
-    log.observers.append(note)
 
     async def story() -> None:
         reader = ModelHost("reader", "prefill")
@@ -194,17 +202,14 @@
             on.discovery.changes = []
             on.discovery.version = 9
             on.daemon.watch.ask_again()
-            while not any(line["event"] == "endpoint_list_loss_suspected" for line in lines):
+            while not any(line["event"] == "endpoint_list_loss_suspected" for line in log_lines):
                 await trio.sleep(0.01)
             answers = [await ask_platform(on.platform, f"q{n}", "consulta") for n in range(2)]
             assert "served" in [answer.outcome for answer in answers]
             on.daemon.endpoints.remove_unreachable(WServer("reader"))
             assert set(on.daemon.core.endpoints) == {"writer"}
 
-    try:
-        trio.run(story)
-    finally:
-        log.observers.remove(note)
+    trio.run(story)
 
 
 def test_retry_after_has_jitter_until_a_list_is_received() -> None:
@@ -219,5 +224,7 @@
 
     times = trio.run(retry_times)
     without_list = times[:50]
-    assert min(without_list) >= 500.0 and max(without_list) <= 1000.0 and len(set(without_list)) == 50
+    assert min(without_list) >= 500.0
+    assert max(without_list) <= 1000.0
+    assert len(set(without_list)) == 50
     assert times[-1] == 400.0
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -22,7 +22,7 @@
 UNKNOWN_KIND = 99  # of a later release
 
 
-class Crash(Exception):
+class CrashError(Exception):
     """The machine stops here."""
 
 
@@ -49,22 +49,22 @@
         torn = self._crashes()
         self.files[name] = data[: self.rng.randrange(len(data))] if torn else data
         if torn:
-            raise Crash
+            raise CrashError
 
     def append(self, name: str, data: bytes) -> None:
         torn = self._crashes()
         self.files[name] += data[: self.rng.randrange(len(data))] if torn else data
         if torn:
-            raise Crash
+            raise CrashError
 
     def rename(self, old: str, new: str) -> None:
         if self._crashes():
-            raise Crash
+            raise CrashError
         self.files[new] = self.files.pop(old)
 
     def remove(self, name: str) -> None:
         if self._crashes():
-            raise Crash
+            raise CrashError
         del self.files[name]
 
 
@@ -89,7 +89,7 @@
             else:
                 store.append(group)
             written = n
-    except Crash:
+    except CrashError:
         pass
     return written
 
@@ -187,7 +187,8 @@
         (tmp_path / name).write_bytes(data)
     run = CliRunner().invoke
     shown = run(main, ["state", "show", str(tmp_path)]).output
-    assert "h3  prefill  127.0.0.1:3  active" in shown and "learned state of" in shown
+    assert "h3  prefill  127.0.0.1:3  active" in shown
+    assert "learned state of" in shown
     assert run(main, ["state", "verify", str(tmp_path)]).exit_code == 0
     assert '"h3"' in run(main, ["state", "export", str(tmp_path)]).output
     (log,) = [name for name in directory.files if name.endswith(".log")]
