--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -12,6 +12,7 @@
 from tests.front import Front
 from violetstack.commands.main import main
 from violetstack.handover.learned import learned
+from violetstack.net import background_writer
 from violetstack.net.background_writer import BackgroundWriter
 from violetstack.net.state_directory import StateDirectory
 from violetstack.protocol.discovery import WServer
@@ -181,6 +182,24 @@
     assert set(recover(StateDirectory(str(folder))).snapshot.servers) == {"h1", "h2"}
 
 
+def test_pending_records_beyond_the_limit_are_replaced_by_a_snapshot(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(background_writer, "MAX_PENDING_BYTES", 200)
+
+    async def write() -> int:
+        writer = BackgroundWriter(StateDirectory(str(tmp_path)), random.Random(1))
+        await writer.recover()
+        for n in range(1, 12):
+            writer.snapshot.apply_endpoints(message(n), complete=False)
+            writer.append(encode_endpoints(message(n), complete=False))
+        await writer.flush()
+        return len(writer.snapshot.servers)
+
+    assert trio.run(write) == 11
+    assert len(recover(StateDirectory(str(tmp_path))).snapshot.servers) == 11
+
+
 def test_the_commands_show_stored_state_and_report_corruption(tmp_path: Path) -> None:
     directory, _ = stored_state()
     for name, data in directory.files.items():
--- a/violetstack/state/store.py
+++ b/violetstack/state/store.py
@@ -11,7 +11,7 @@
 import re
 from typing import NamedTuple, Protocol
 
-from violetstack.state.errors import RecordError, StateFileError
+from violetstack.state.errors import RecordError, StateError, StateFileError
 from violetstack.state.records import RecordFile, decode_file, encode_header
 from violetstack.state.snapshot import StateSnapshot
 
@@ -94,7 +94,7 @@
     for generation in generations(names):
         try:
             snapshot = _read_snapshot(directory, generation)
-        except (StateFileError, RecordError, OSError) as error:
+        except (StateError, OSError) as error:
             problems.append(f"{snapshot_name(generation)}: {error}")
             continue
         if log_name(generation) in names:
