A cached endpoint without a valid address no longer ends a start

With a state folder, stale endpoints are checked by a connection each. An address that cannot be parsed raised BadConfig, which is no ValueError, so the check ended the daemon. Such an endpoint counts as unreachable now. A test covers the check: what is reachable, refused and invalid, and its end once a list is received.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import msgspec
@@ -15,8 +16,9 @@
 from violetstack import log
 from violetstack.config import Config, WConfig
 from violetstack.daemon.daemon import Daemon
+from violetstack.net.endpoint_cache import EndpointCache
 from violetstack.net.startup_recovery import StartupRecovery
-from violetstack.protocol.discovery import WServer
+from violetstack.protocol.discovery import WServer, WTargets
 from violetstack.protocol.server_side import Inbound
 from violetstack.recovery.cached_endpoints import (
     CachedEndpoint,
@@ -31,6 +33,7 @@
 from violetstack.rehearsal.hosts import ModelHost
 from violetstack.rehearsal.peer import Break, PeerConnection
 from violetstack.rehearsal.stage import Stage, stage
+from violetstack.state.snapshot import StateSnapshot
 
 NOW = 1e9
 WARM_UP_MS = 14_000.0
@@ -54,6 +57,16 @@
     return EndpointSource("known", None, 3, servers)
 
 
+@pytest.fixture
+def log_lines() -> Iterator[list[dict[str, Any]]]:
+    """The lines that are logged during a test."""
+    lines: list[dict[str, Any]] = []
+    observer = lines.append
+    log.observers.append(observer)
+    yield lines
+    log.observers.remove(observer)
+
+
 @pytest.mark.parametrize(
     ("age_ms", "status", "started_ms"),
     [
@@ -88,6 +101,31 @@
     assert found["new"].status is found["c"].status is CacheStatus.FRESH
 
 
+@pytest.mark.parametrize("list_received", [False, True])
+def test_stale_endpoints_that_cannot_be_reached_are_removed_until_a_list_is_received(
+    list_received: bool, log_lines: list[dict[str, Any]]
+) -> None:
+    removed: list[str] = []
+
+    async def verify() -> list[WServer]:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        (closed,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        ports = [each.socket.getsockname()[1] for each in (listener, closed)]
+        await closed.aclose()
+        cache = EndpointCache(warm_up_ms=WARM_UP_MS, max_age_ms=MAX_AGE_MS, rng=Random(1))
+        known = WTargets(3, True, [server("up", ports[0]), server("down", ports[1]), server("odd", -1)])
+        usable = cache.load(known, StateSnapshot()).servers
+        await cache.verify(lambda gone: removed.append(gone.id), lambda: list_received)
+        await listener.aclose()
+        return usable
+
+    assert {endpoint.id for endpoint in trio.run(verify)} == {"up", "down", "odd"}
+    assert sorted(removed) == ([] if list_received else ["down", "odd"])
+    events = {line["event"]: line for line in log_lines}
+    assert events["endpoints_recovered"]["stale"] == 3
+    assert events["recovered_endpoints_verified"]["reachable"] == (0 if list_received else 1)
+
+
 def test_a_start_passes_its_phases_and_begins_anew_when_the_list_becomes_empty() -> None:
     start = StartupPhases(0.0, 10_000.0)
     assert start.cache_loaded(0) is None
@@ -116,16 +154,6 @@
     assert start.warm_up_ends_at is None
 
 
-@pytest.fixture
-def log_lines() -> Iterator[list[dict[str, Any]]]:
-    """The lines that are logged during a test."""
-    lines: list[dict[str, Any]] = []
-    observer = lines.append
-    log.observers.append(observer)
-    yield lines
-    log.observers.remove(observer)
-
-
 class SilentDiscovery(Discovery):
     """Accepts requests and never answers."""
 
--- a/violetstack/net/endpoint_cache.py
+++ b/violetstack/net/endpoint_cache.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from violetstack.config import address
+from violetstack.config import BadConfig, address
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.protocol.discovery import WServer, WTargets
@@ -51,6 +51,8 @@
     async def verify(self, remove: Callable[[WServer], None], list_received: Callable[[], bool]) -> None:
         """Connects to each stale endpoint in turn and removes those that cannot be reached.
 
+        An endpoint whose address is invalid counts as one that cannot be reached.
+
         Args:
             remove: Called with an endpoint that cannot be reached.
             list_received: Whether service discovery has sent its list, which makes further checks needless.
@@ -65,7 +67,7 @@
                     stream = await trio.open_tcp_stream(*address(server.addr))
                 await stream.aclose()
                 reachable += 1
-            except (OSError, ValueError, trio.TooSlowError) as error:
+            except (OSError, BadConfig, trio.TooSlowError) as error:
                 log("recovered_endpoint_unreachable", server=server.id, error=repr(error))
                 remove(server)
         if self._stale:
