--- a/violetstack/fronts/reply.py
+++ b/violetstack/fronts/reply.py
@@ -1,4 +1,4 @@
-"""What a front may do with the connection of one request; the net's listener is behind it."""
+"""The interfaces between fronts and client connections."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class Client(Protocol):
-    """A connection with an answer under way, as it is passed on to another process."""
+    """A connection with a response under way, as it is migrated to another process."""
 
     http: ServerSide
 
@@ -20,7 +20,8 @@
         """Stops reading and writing between two events; False, with no effect, if not possible now."""
 
     @property
-    def descriptor(self) -> int | None: ...
+    def descriptor(self) -> int | None:
+        """The socket's file descriptor, if the connection can be migrated."""
 
     def resume(self) -> None:
         """Goes on after a migration that did not take place."""
@@ -30,34 +31,40 @@
 
 
 class Reply(Protocol):
-    def answer(self, status: int, headers: Headers, body: bytes) -> None: ...
+    """Answers one request; calls after its final answer have no effect."""
 
-    def stream(self, status: int, headers: Headers) -> None: ...
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """A complete response."""
 
-    def data(self, data: memoryview | bytes) -> None: ...
+    def stream(self, status: int, headers: Headers) -> None:
+        """The head of a streamed response."""
 
-    def end(self) -> None: ...
+    def data(self, data: memoryview | bytes) -> None:
+        """A part of a streamed response's body."""
+
+    def end(self) -> None:
+        """The regular end of a streamed response."""
 
     def cut(self) -> None:
-        """End the connection without the last chunk."""
+        """Ends the connection without the last chunk."""
 
     def attach(self, request: OpenRequest) -> None:
-        """From here on the core is told if this client goes away."""
+        """From here on the core is notified when this client disconnects."""
 
     @property
     def gone(self) -> bool:
-        """Answered, or the client has gone away."""
+        """Whether the request is answered, or the client has closed its connection."""
 
     @property
     def client(self) -> Client | None:
-        """The connection, for another process that goes on with its answer."""
+        """The connection, for a stream that another process goes on with."""
 
     async def wait_writable(self) -> None:
-        """Returns once the client has read enough of what waits for it."""
+        """Returns once the client has read enough of what was written."""
 
 
 class Payload(msgspec.Struct, frozen=True):
-    """What of a request goes to a model host as it is, and how the host's side waits for a slow client."""
+    """What is forwarded to a model host unchanged, and the client's backpressure."""
 
     method: str
     target: str
@@ -67,11 +74,13 @@
 
 
 class Front(Protocol):
+    """A client-facing API."""
+
     def handle(self, inbound: Inbound, reply: Reply) -> None:
-        """Takes a request, or answers it at once or later."""
+        """Answers a request, at once or later."""
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
-        """Answers bytes that are no request."""
+        """Answers bytes that are no acceptable request."""
 
 
 TEXT: Headers = [("Content-Type", "text/plain; charset=utf-8")]
--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -1,4 +1,4 @@
-"""The platform's headers: what clients tell of a request, what model hosts tell of their load."""
+"""The platform's headers: a client's request, a model host's load report."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 from violetstack.settings import WFacts
 
 CHARS_A_TOKEN = 4
-# The settings name report fields in the simulator's words; on the wire they may come in the plain ones.
-PLAIN_NAMES = {
+# The settings name report fields in the simulator's words; on the wire they may have these names.
+WIRE_REPORT_NAMES = {
     "rif": "inflight",
     "q": "queue",
     "busy": "util",
@@ -21,13 +21,13 @@
     "rate": "qps",
     "fail_rate": "eps",
 }
-PLAIN_WORD = re.compile(r"[A-Za-z0-9._~-]{1,128}")  # it stands in the path of calls to hosts as it is
-UNITS = {"m": 1.0, "u": 0.001}
-MAX_DIGITS = 12  # of a duration
+REQUEST_ID = re.compile(r"[A-Za-z0-9._~-]{1,128}")  # it stands unescaped in the path of calls to hosts
+DURATION_UNITS_MS = {"m": 1.0, "u": 0.001}
+MAX_DURATION_DIGITS = 12
 MAX_TOKEN_DIGITS = 9
-MAX_WAIT_MS = 600_000.0  # nobody waits longer for a first token; bounds what an odd deadline can hold
-MAX_ANSWER_TOKENS = 100_000.0  # bounds what an odd request can claim of a writer's memory
-MAX_REPORTED = 1e9
+MAX_WAIT_MS = 600_000.0  # no client waits longer for a first token
+MAX_ANSWER_TOKENS = 100_000.0  # bounds the memory that one request can claim at a decode host
+MAX_REPORTED_VALUE = 1e9
 
 
 def duration_ms(text: str, name: str = "Req-Deadline") -> float:
@@ -46,13 +46,19 @@
 
     `default_unit` is taken where the text is a number alone; empty: a unit is required.
     """
-    number, unit = (text[:-1], text[-1:]) if text[-1:] in UNITS else (text, default_unit)
-    if unit not in UNITS or not number.isascii() or not number.isdigit() or len(number) > MAX_DIGITS:
+    number, unit = (text[:-1], text[-1:]) if text[-1:] in DURATION_UNITS_MS else (text, default_unit)
+    if (
+        unit not in DURATION_UNITS_MS
+        or not number.isascii()
+        or not number.isdigit()
+        or len(number) > MAX_DURATION_DIGITS
+    ):
         return None
-    return int(number) * UNITS[unit]
+    return int(number) * DURATION_UNITS_MS[unit]
 
 
-def extras(text: str) -> dict[str, str]:
+def parse_pairs(text: str) -> dict[str, str]:
+    """Comma-separated `name=value` pairs, as in Req-Extra and Srv-Load; a pair without `=` has no value."""
     pairs = [part.partition("=") for part in text.split(",") if part.strip()]
     return {name.strip(): value.strip() for name, _, value in pairs}
 
@@ -69,24 +75,27 @@
 
 
 def report_of(text: str | None, names: tuple[str, ...]) -> tuple[float | None, ...] | None:
-    """`TEXT inflight=7, util=0.61` in the order of the settings; None if nothing of it is known."""
+    """The values of `TEXT inflight=7, util=0.61` in the order of `names`; None if it has none of them."""
     if not text or not names:
         return None
     _, _, fields = text.strip().partition(" ")
     values: dict[str, float] = {}
-    for name, value in extras(fields).items():
+    for name, value in parse_pairs(fields).items():
         try:
             number = float(value)
         except ValueError:
             continue
-        if math.isfinite(number) and 0.0 <= number <= MAX_REPORTED:
-            values[name] = number  # guards the decisions: one NaN would spoil every comparison
-    row = tuple(values.get(name, values.get(PLAIN_NAMES.get(name, ""))) for name in names)
+        if math.isfinite(number) and 0.0 <= number <= MAX_REPORTED_VALUE:
+            values[name] = number  # a NaN would make every comparison in the policy false
+    row = tuple(values.get(name, values.get(WIRE_REPORT_NAMES.get(name, ""))) for name in names)
     return row if any(value is not None for value in row) else None
 
 
 def check_body(body: memoryview) -> None:
-    """What a host would refuse is refused here: its 400 would cost attempts, and blame at good hosts."""
+    """Raises Rejected for a body that is no JSON object.
+
+    A model host would answer 400, which costs attempts and counts against the host.
+    """
     try:
         msgspec.json.decode(body, type=dict[str, msgspec.Raw])
     except (msgspec.MsgspecError, ValueError):
@@ -110,7 +119,7 @@
         """Raises Rejected if the request cannot be served."""
         headers = inbound.headers
         request_id = headers.get("req-id", "")
-        if not PLAIN_WORD.fullmatch(request_id):
+        if not REQUEST_ID.fullmatch(request_id):
             # Impossible to serve: calls to hosts name the request by its id.
             raise Rejected(400, "Req-Id is missing or no plain word")
         kind = headers.get("req-kind", "")
@@ -124,7 +133,7 @@
         cls = self.classes[kind]
         deadline = headers.get("req-deadline")
         check_body(inbound.body)
-        values = extras(headers.get("req-extra", ""))
+        values = parse_pairs(headers.get("req-extra", ""))
         retry = headers.get("req-retry")
         prompt = _prompt_tokens(values, len(inbound.body))
         return Request(
--- a/violetstack/protocol/host_side.py
+++ b/violetstack/protocol/host_side.py
@@ -1,4 +1,4 @@
-"""The dispatcher as a model host's client: one request at a time, its answer as events."""
+"""HTTP/1.1 as a client of model hosts (RFC 9112): one request at a time, its response as events."""
 
 from __future__ import annotations
 
@@ -6,43 +6,50 @@
 import msgspec
 from h11._readers import ChunkedReader
 
-from violetstack.protocol.server_side import MAX_REASON, Headers
+from violetstack.protocol.server_side import MAX_REASON_LENGTH, Headers
 
 
 class Broken(Exception):
-    """The answer is not HTTP, or ended before its end."""
+    """The response is not HTTP, or is incomplete."""
 
 
 class Head(msgspec.Struct, frozen=True):
+    """A response's status and headers, names in lower case."""
+
     status: int
     headers: dict[str, str]
 
 
 class Body(msgspec.Struct, frozen=True):
+    """A part of a response's body."""
+
     data: memoryview
 
 
 class End(msgspec.Struct, frozen=True):
-    pass
+    """The response is complete."""
 
 
-MAX_CHUNK = 256 * 1024  # an event is far smaller; what claims more is noise that may never end
+MAX_CHUNK = 256 * 1024
+"""Events are far smaller; a larger chunk size is noise that may never end."""
 
 
 class HostSide:
+    """One connection's state machine."""
+
     def __init__(self) -> None:
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=16 * 1024)
-        self._in_chunk = 0  # bytes of a chunk of which the rest is still to come
-        self._spoilt = ""  # why nothing more can be read here
+        self._in_chunk = 0  # bytes received of an incomplete chunk
+        self._invalid_reason = ""  # why nothing more can be read
 
     @property
     def partial(self) -> bool:
-        """Part of a head or of a chunk has come, and not the rest."""
+        """Whether a part of a head or of a chunk has come, and not the rest."""
         return self._in_chunk > 0 or len(self._h11.trailing_data[0]) > 0
 
     @classmethod
     def resumed(cls) -> HostSide:
-        """In the middle of a chunked answer, between two chunks; another process has read the rest."""
+        """A connection between two chunks of a response whose beginning another process has read."""
         side = cls()
         side.request("POST", "/", [("Host", "x")])
         side.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -50,24 +57,24 @@
 
     @property
     def between_chunks(self) -> bool:
-        """Could another process read on from here? The end of a chunk's framing counts to the chunk."""
+        """Whether another process could read on from here; a chunk's closing line belongs to the chunk."""
         reader = self._h11._reader
-        if not isinstance(reader, ChunkedReader) or self.partial or self._spoilt:
+        if not isinstance(reader, ChunkedReader) or self.partial or self._invalid_reason:
             return False
         return not (reader._bytes_in_chunk or reader._bytes_to_discard or reader._reading_trailer)
 
     def check(self) -> None:
-        """Raises what was found behind the last whole event.
+        """Raises Broken for invalid bytes behind the last complete event.
 
-        Guards against waiting for bytes that never come: a spoilt stream's connection stays open and silent.
+        Nothing more may come: the connection of a spoilt stream can stay open and silent.
         """
-        if self._spoilt:
-            raise Broken(self._spoilt)
+        if self._invalid_reason:
+            raise Broken(self._invalid_reason)
 
     def request(
         self, method: str, target: str, headers: Headers, body: memoryview | bytes = b""
     ) -> list[bytes | memoryview]:
-        """The whole request as buffers; the body's own is among them, not a copy."""
+        """A complete request as buffers; the body is among them, not copied."""
         rows = list(headers)
         if method not in ("GET", "DELETE") or len(body):
             rows.append(("Content-Length", str(len(body))))
@@ -81,7 +88,10 @@
         return [part for part in parts if len(part)]
 
     def feed(self, data: bytes) -> list[Head | Body | End]:
-        """What these bytes complete; no bytes means that the host ended the connection."""
+        """The events that these bytes complete; no bytes mean that the host has closed the connection.
+
+        Raises Broken if the bytes are invalid from the start; else the next `check` or `feed` does.
+        """
         self.check()
         out: list[Head | Body | End] = []
         try:
@@ -101,10 +111,10 @@
                 elif not isinstance(event, h11.InformationalResponse):
                     return out
         except (h11.RemoteProtocolError, Broken) as error:
-            self._spoilt = str(error)[:MAX_REASON]
+            self._invalid_reason = str(error)[:MAX_REASON_LENGTH]
             if not out:
                 self.check()
-            return out  # what came whole before the break still counts; `check` tells of the break
+            return out
 
     def _body(self, event: h11.Data) -> Body:
         self._in_chunk = (0 if event.chunk_start else self._in_chunk) + len(event.data)
@@ -115,8 +125,11 @@
         return Body(memoryview(event.data))
 
     def reuse(self) -> bool:
-        """Guards against an answer too many, which would be read as the next request's: no bytes are left."""
-        if self._h11.trailing_data[0] or self._spoilt:
+        """Makes ready for another request; False if the connection has to end.
+
+        Bytes that are left would be read as the next request's response.
+        """
+        if self._h11.trailing_data[0] or self._invalid_reason:
             return False
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
--- a/violetstack/protocol/server_side.py
+++ b/violetstack/protocol/server_side.py
@@ -1,4 +1,4 @@
-"""The dispatcher as an HTTP server: bytes in, whole requests out; answers as bytes to be written.
+"""HTTP/1.1 as a server (RFC 9112): bytes in, complete requests out; responses as bytes to be written.
 
 h11 copies a body once, out of its own buffer; from there on everything is a slice of that copy.
 """
@@ -14,13 +14,13 @@
 MAX_BODY = 256 * 1024
 REASONS = {status.value for status in HTTPStatus}
 MAX_HEAD = 16 * 1024
-MAX_DIGITS = 18  # of a length; what has more is larger than anything, and costs time to read
-MAX_REASON = 120  # of what is told and logged about bad bytes, which come along in h11's words
+MAX_LENGTH_DIGITS = 18  # a longer Content-Length is larger than any limit, and slow to parse
+MAX_REASON_LENGTH = 120  # characters of h11's description of invalid bytes, which quotes them
 Headers = list[tuple[str, str]]
 
 
 class Rejected(Exception):
-    """The client's bytes can't be a request that we take; the answer says why and ends the connection."""
+    """The client's bytes are no acceptable request; the response gives the reason and ends the connection."""
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
@@ -29,6 +29,8 @@
 
 
 class Inbound(msgspec.Struct, frozen=True):
+    """A complete request; header names are in lower case."""
+
     method: str
     target: str
     headers: dict[str, str]
@@ -36,22 +38,27 @@
 
     @property
     def path(self) -> str:
+        """The target without its query."""
         return self.target.partition("?")[0]
 
 
 class ServerSide:
+    """One connection's state machine."""
+
     def __init__(self, most_body: int = MAX_BODY) -> None:
         self._most_body = most_body
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
         self._head: h11.Request | None = None
         self._parts: list[bytes] = []
-        self.size = 0  # of the body that is arriving
-        self.closing = False  # say so in the next head
+        self.size = 0
+        """Bytes of the body that is arriving."""
+        self.closing = False
+        """The next response head announces the end of the connection."""
         self.wants_continue = False
 
     @classmethod
     def resumed(cls, closing: bool) -> ServerSide:
-        """In the middle of a streamed answer, whose head another process has sent."""
+        """A connection in the middle of a streamed response, whose head another process has sent."""
         side = cls()
         side.closing = closing
         side.feed(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
@@ -61,29 +68,31 @@
 
     @property
     def ends(self) -> bool:
-        """Does the connection end with this answer, by either side's word?"""
+        """Whether either side has announced that the connection ends with this response."""
         return self.closing or self._h11.their_state is h11.MUST_CLOSE
 
     @property
     def passable(self) -> bool:
-        """A streamed answer is under way, the request is whole and nothing has come after it."""
+        """Whether a streamed response is under way and nothing has come after its request."""
         heard = self._h11.their_state in (h11.DONE, h11.MUST_CLOSE) and not self.unread
         return heard and self._h11.our_state is h11.SEND_BODY
 
     def feed(self, data: bytes) -> None:
+        """Takes received bytes; no bytes mean that the client has ended its sending."""
         self._h11.receive_data(data)
 
     @property
     def busy(self) -> bool:
-        """A request (a part of its head is enough) has begun to arrive or waits for its answer's end."""
+        """Whether a request has begun to arrive, or its response has not ended."""
         return self._h11.their_state is not h11.IDLE or self.unread > 0
 
     @property
     def unread(self) -> int:
+        """Bytes received behind the current request."""
         return len(self._h11.trailing_data[0])
 
     def next_request(self) -> Inbound | None:
-        """The next whole request, or None until more bytes have come; raises Rejected."""
+        """The next complete request, or None until more bytes have come; raises Rejected."""
         try:
             while True:
                 event = self._h11.next_event()
@@ -100,7 +109,7 @@
                     self.wants_continue = self._h11.they_are_waiting_for_100_continue
                     return None
         except h11.RemoteProtocolError as error:
-            raise Rejected(error.error_status_hint, str(error)[:MAX_REASON]) from None
+            raise Rejected(error.error_status_hint, str(error)[:MAX_REASON_LENGTH]) from None
 
     @property
     def _too_large(self) -> str:
@@ -112,10 +121,10 @@
         self.size = 0
         names = [name for name, _ in event.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
-            # Guards against a second request hidden in the body: who reads which length is anyone's guess.
+            # Request smuggling: which of the two lengths the next reader takes is undefined (RFC 9112, 6.3).
             raise Rejected(400, "Content-Length and Transfer-Encoding together")
         for name, value in event.headers:
-            if name == b"content-length" and (len(value) > MAX_DIGITS or int(value) > self._most_body):
+            if name == b"content-length" and (len(value) > MAX_LENGTH_DIGITS or int(value) > self._most_body):
                 raise Rejected(413, self._too_large)
 
     def _whole(self) -> Inbound:
@@ -131,6 +140,7 @@
         )
 
     def continue_100(self) -> bytes:
+        """The interim response that a client with `Expect: 100-continue` waits for."""
         self.wants_continue = False
         return self._h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
 
@@ -143,7 +153,7 @@
         return self._send(h11.Response(status_code=status, headers=rows, reason=reason))
 
     def answer(self, status: int, headers: Headers, body: bytes) -> list[bytes]:
-        """A whole answer."""
+        """A complete response."""
         rows = [*headers, ("Content-Length", str(len(body)))]
         parts = self._head_of(status, rows)
         if body:
@@ -151,20 +161,24 @@
         return parts + self._send(h11.EndOfMessage())
 
     def stream(self, status: int, headers: Headers) -> list[bytes]:
+        """The head of a chunked response."""
         return self._head_of(status, [*headers, ("Transfer-Encoding", "chunked")])
 
     def data(self, data: memoryview | bytes) -> list[bytes]:
+        """One chunk."""
         return self._send(h11.Data(data=data))  # type: ignore[arg-type]
 
     def end(self) -> list[bytes]:
+        """The last chunk."""
         return self._send(h11.EndOfMessage())
 
     @property
     def can_answer(self) -> bool:
+        """Whether no response head has been sent for the current request."""
         return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
     def reuse(self) -> bool:
-        """After an answer's end: may another request come on this connection?"""
+        """After a response's end: makes ready for another request; False if the connection has to end."""
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
             self.size = 0
--- a/violetstack/protocol/sse.py
+++ b/violetstack/protocol/sse.py
@@ -1,4 +1,4 @@
-"""Splits a stream of server-sent events into whole events, and reads what the last ones tell."""
+"""Splits a stream of server-sent events (WHATWG HTML, 9.2) into complete events, and reads their fields."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class NoEvent(Exception):
-    """What came is no event, or has no end and would fill the memory."""
+    """The bytes are not an event, or an event without an end that would fill the memory."""
 
 
 EVENT = re.compile(rb"(?:\r?\n)*(?:(?:data|event|id|retry)?:[^\n]*\n)+\r?\n")
@@ -18,12 +18,13 @@
 
 
 class Splitter:
-    """Fed slices; yields whole events (with their blank line) as slices wherever they lie in one piece."""
+    """Incremental splitter; complete events are slices of the fed data wherever they lie in one piece."""
 
     def __init__(self) -> None:
         self._rest = b""
 
     def feed(self, data: memoryview) -> Iterator[memoryview]:
+        """Yields the events that `data` completes, with their blank line; raises NoEvent."""
         if self._rest:
             data = memoryview(self._rest + bytes(data))
             self._rest = b""
@@ -34,7 +35,7 @@
         )
         start = 0
         while (cut := _blank_line(raw, start)) >= 0:
-            # Guards against what a chunk of the wrong size makes of a stream: framing between the events.
+            # A chunk of the wrong size would show as HTTP framing between the events.
             if not EVENT.fullmatch(raw, start, cut):
                 raise NoEvent(f"not an event: {raw[start : start + 40]!r}")
             yield data[start:cut]
@@ -44,13 +45,14 @@
         self._rest = bytes(data[start:])  # the one copy: it must outlive the buffer
 
     def end(self) -> bytes:
-        """What came after the last whole event; raises where it can't be the beginning of one."""
+        """Bytes after the last complete event; raises NoEvent if no event can begin like this."""
         if not BEGINNING.fullmatch(self._rest):
             raise NoEvent(f"not an event: {self._rest[:40]!r}")
         return self._rest
 
     @property
     def partial(self) -> bool:
+        """Whether a part of an event has come, and not its end."""
         return bool(self._rest)
 
 
@@ -70,4 +72,5 @@
 
 
 def comments(event: memoryview) -> list[str]:
+    """The event's comment lines, without the colon."""
     return [line[1:].strip().decode("latin-1") for line in bytes(event).splitlines() if line.startswith(b":")]
