--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,4 +1,4 @@
-"""The test command: `python -m tests` runs ruff, mypy and pytest, the line limits among its tests.
+"""The test command: `python -m tests` runs ruff (lint and format), mypy and pytest.
 
 Tests that KNOWN-RED.txt names are run last and by themselves: they are printed, and may fail.
 """
@@ -10,7 +10,7 @@
 
 from tests.known_red import BadRedList, Red, known_red
 
-STEPS = (["ruff", "check", "."], ["mypy"], ["pytest"])
+STEPS = (["ruff", "check", "."], ["ruff", "format", "--check", "."], ["mypy"], ["pytest"])
 RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 # pytest's own codes; any other says that the test did not run
 PASSED = 0
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.__main__ import main
+from tests.__main__ import STEPS, main
 from tests.known_red import BadRedList, known_red
 
 LINE = "tests/test_x.py::test_{}, sends late, and twice, issue 30\n"
@@ -47,5 +47,12 @@
 
     assert main(run, tmp_path / "list") == code
     if code == 0:
-        assert [words[1] for words in ran[3:]] == [f"tests/test_x.py::test_{name}" for name in names]
-        assert ran[2].count("--deselect") == len(names)
+        assert [words[1] for words in ran[len(STEPS) :]] == [
+            f"tests/test_x.py::test_{name}" for name in names
+        ]
+        assert ran[len(STEPS) - 1].count("--deselect") == len(names)
+
+
+def test_formatter_linter_types_and_tests_are_all_run() -> None:
+    assert [step[:2] for step in STEPS] == [["ruff", "check"], ["ruff", "format"], ["mypy"], ["pytest"]]
+    assert "--check" in STEPS[1]
