--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -340,8 +340,8 @@
     on, lines = levels(LevelPlan((replace(STRAINED, measures=Measures(worth=0.9)),)))
     journal = history.read(records("strained"))
     on.start(5_000.0, 1_010.0, history.resume(journal, [NORMAL, "strained"], 1_010.0, 60.0))
-    assert isinstance(on.admit(5_000.0, request(cls=0)), Shed)  # worth 1 of 2, before any tick
-    assert on.admit(5_000.0, request(cls=1)) is None
+    assert isinstance(on.admit(5_000.0, request(class_index=0)), Shed)  # worth 1 of 2, before any tick
+    assert on.admit(5_000.0, request(class_index=1)) is None
     assert lines == [
         ("level_started", {"level": "strained", "why": "strained was in force 10.0 s ago", "cautious": False})
     ]
