--- a/violetstack/handover/learned.py
+++ b/violetstack/handover/learned.py
@@ -67,7 +67,7 @@
         _told(server.left, now),
         server.streak,
         server.blamed_at,
-        (server.tickets.level, server.tickets.as_of),
+        (server.tickets.level, server.tickets.refilled_at),
         server.share,
         server.share_at,
     )
@@ -81,7 +81,7 @@
         begun={scope: _told(fading, now) for scope, fading in fleet.recent.items()},
         reads=list(fleet.reads.samples),
         waits=list(fleet.waits.samples),
-        tenants={n: (bucket.level, bucket.as_of) for n, bucket in router.buckets.items()},
+        tenants={n: (bucket.level, bucket.refilled_at) for n, bucket in router.buckets.items()},
         servers={name: _known(server, now) for name, server in fleet.servers.items() if server.usable},
     )
 
@@ -105,7 +105,7 @@
         _fill(recent, rows)
     for n, level in told.tenants.items():
         if n in router.buckets:
-            router.buckets[n].level, router.buckets[n].as_of = level
+            router.buckets[n].level, router.buckets[n].refilled_at = level
     for name, known in told.servers.items():
         server = fleet.servers.get(name)
         if server is None or server.entry.started_ms != known.started_ms:
@@ -119,7 +119,7 @@
             _set(mine, theirs, told.at)
         server.streak = known.streak
         server.blamed_at = known.blamed_at
-        server.tickets.level, server.tickets.as_of = known.tickets
+        server.tickets.level, server.tickets.refilled_at = known.tickets
         server.share = known.share
         server.share_at = known.share_at
     return servers
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -24,7 +24,7 @@
 from violetstack.estimation.prefill_cost import prefill_cost
 from violetstack.gossip import GossipState, codec
 from violetstack.rendezvous import host_score
-from violetstack.shared.budgets import Bucket, tenant_share
+from violetstack.shared.rate_limit import TokenBucket, tenant_quota
 
 NEAR = 0.1  # the design page: freeness within this of the best counts as equal
 FIRST_SPEED = 1.0  # price a millisecond until any reader was heard; only scales the near-best band
@@ -122,7 +122,7 @@
 
     def forget(self, now: float) -> None:
         """A restart resets what was learned."""
-        self.tickets = Bucket(0.0, 1.0, self.lot, now)
+        self.tickets = TokenBucket(0.0, 1.0, self.lot, now)
         self.cleared, self.busy_ms = DecayingSum(LEARN_MS), DecayingSum(LEARN_MS)
         self.left, self.blamed_at, self.streak = DecayingSum(FORGET_MS), -1.0, 0
         self.away_until = 0.0  # another front tries it
@@ -230,7 +230,7 @@
         usual = self.taken[reading].rate_per_ms_with_prior(now, self.prior) / max(1, len(self.pools[reading]))
         trickle = 1.0 / (2.0 * rules.dispatcher_count * rules.overload_window_ms)
         server.tickets.rate = max(trickle, 1.25 * rules.overload_multiple * warmth * usual)
-        return server.tickets.within(now) and not server.places
+        return server.tickets.has_token(now) and not server.places
 
     def speed(self, server: Server, now: float) -> float:
         """Price cleared in a millisecond: what was out when our reads went there over the time they took.
@@ -367,7 +367,7 @@
         self.random = random.Random(settings.seed)
         self.now = 0.0
         self.actions: list[Action] = []
-        self.buckets = {n: tenant_share(spec, settings) for n, spec in enumerate(settings.tenants)}
+        self.buckets = {n: tenant_quota(spec, settings) for n, spec in enumerate(settings.tenants)}
         self.shortest = min((spec.latency_objective_ms for spec in settings.classes), default=0.0)
         self.started, self.telling, self.gap = False, inf, 0.0
         self.failures: dict[bytes, None] = {}  # servers that failed us, to be told
@@ -586,7 +586,7 @@
         top = max(spec.priority_weight for spec in self.settings.classes)
         worth = job.spec.priority_weight / top if top > 0 else 1.0
         bucket = self.buckets.get(job.req.tenant_index)
-        if bucket is not None and not bucket.within(self.now):
+        if bucket is not None and not bucket.has_token(self.now):
             worth *= self.settings.over_quota_weight
         return worth
 
--- a/violetstack/shared/__init__.py
+++ b/violetstack/shared/__init__.py
@@ -1,4 +1,4 @@
-"""Owns the budgets that the dispatchers of a tier keep together: what part of one is a dispatcher's.
+"""Rate limits, and the part of a tier-wide limit that one dispatcher enforces.
 
-No I/O; the clock is an argument.
+No module here does I/O; the clock is an argument.
 """
