--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -8,7 +8,7 @@
 import pytest
 
 from violetstack.idempotency.store import Claim, Ledger, LedgerError, Order
-from violetstack.lease.liveness import MOST_WATCHED, Watched
+from violetstack.lease.liveness import MAX_OWNERS, LivenessMonitor
 
 ORDER = Order("acme", "k1", "body", "digest")
 AGAIN = Order("acme", "k2", "body", "digest")
@@ -88,14 +88,14 @@
 
 
 def test_a_look_that_took_long_is_no_proof_of_silence(tmp_path: Path) -> None:
-    watched = Watched(10.0)
-    assert not watched.see(0.0, 6.0, "a", 1)  # read up to 6 s after it was asked for
-    assert not watched.see(11.0, 11.0, "a", 1)
-    assert watched.see(16.3, 16.3, "a", 1) and not watched.see(16.3, 16.3, "a", 2)
-    assert not watched.see(17.0, 17.0, "b", None) and watched.see(30.0, 30.0, "b", None)
-    for n in range(MOST_WATCHED + 10):
-        watched.see(40.0, 40.0, f"x{n}", 0)
-    assert len(watched._seen) == MOST_WATCHED
+    monitor = LivenessMonitor(10.0)
+    assert not monitor.is_expired(0.0, 6.0, "a", 1)  # read up to 6 s after it was asked for
+    assert not monitor.is_expired(11.0, 11.0, "a", 1)
+    assert monitor.is_expired(16.3, 16.3, "a", 1) and not monitor.is_expired(16.3, 16.3, "a", 2)
+    assert not monitor.is_expired(17.0, 17.0, "b", None) and monitor.is_expired(30.0, 30.0, "b", None)
+    for n in range(MAX_OWNERS + 10):
+        monitor.is_expired(40.0, 40.0, f"x{n}", 0)
+    assert monitor.observed_owners == MAX_OWNERS
 
 
 def test_an_owner_that_was_given_up_cant_change_the_verdict(tmp_path: Path) -> None:
--- a/violetstack/idempotency/store.py
+++ b/violetstack/idempotency/store.py
@@ -18,7 +18,7 @@
 from enum import Enum
 from pathlib import Path
 
-from violetstack.lease.liveness import Watched
+from violetstack.lease.liveness import LivenessMonitor
 
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS orders (
@@ -75,7 +75,8 @@
         self._owner = owner
         self._keep_s = keep_s
         self._lease_s = lease_s
-        self._watched, self._mark, self._until = Watched(lease_s), 0.0, float("-inf")
+        self._liveness = LivenessMonitor(lease_s)
+        self._mark, self._until = 0.0, float("-inf")
         self._db: sqlite3.Connection | None = None
 
     def _open(self) -> sqlite3.Connection:
@@ -111,7 +112,9 @@
                 others = "SELECT owner, beat FROM owners WHERE owner != ?"
                 marks = db.execute(others, (self._owner,)).fetchall()
                 read = self._tick()
-                silent = [owner for owner, beat in marks if self._watched.see(began, read, owner, beat)]
+                silent = [
+                    owner for owner, beat in marks if self._liveness.is_expired(began, read, owner, beat)
+                ]
                 for owner in silent:
                     db.execute("DELETE FROM orders WHERE at < ? AND owner = ?", (old, owner))
                     db.execute(
@@ -172,7 +175,7 @@
         if owner == self._owner:
             return True
         row = db.execute("SELECT beat FROM owners WHERE owner = ?", (owner,)).fetchone()
-        return not self._watched.see(began, self._tick(), owner, None if row is None else row[0])
+        return not self._liveness.is_expired(began, self._tick(), owner, None if row is None else row[0])
 
     def _set(self, db: sqlite3.Connection, order: Order, state: str, outcome: bytes, now: float) -> None:
         db.execute(
