Settings file: SettingsMessage, TenantMessage and the like in place of WFacts, WParty

WFacts -> SettingsMessage, WClass -> ClassMessage, WParty -> TenantMessage, WFamily -> TwoStageMessage, WLimits -> LimitsMessage, WRules -> RulesMessage, WReport -> LoadReportMessage, Wire -> Message, Malformed -> MessageError, settings_of -> decode_settings, word_in -> look_up, facts -> settings_message. The keys of the file are the fields' names, as before.

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -18,7 +18,7 @@
 from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import BODY, ask_platform, chat_headers, connect, platform_headers, raw
 from violetstack.rehearsal.stage import Stage
-from violetstack.settings import WClass, WFacts
+from violetstack.settings import ClassMessage, SettingsMessage
 
 PATH = "/v1/chat/completions"
 
@@ -133,9 +133,9 @@
 )
 def test_the_answer_hint_is_read_in_microseconds(text: str, milliseconds: float | None) -> None:
     headers = {"req-id": "q1", "req-kind": "ask", "req-cost": text}
-    facts = WFacts(classes=[WClass(aim=1000.0, give_up=4000.0, name="ask")])
+    message = SettingsMessage(classes=[ClassMessage(aim=1000.0, give_up=4000.0, name="ask")])
     inbound = Inbound("POST", "/v1/chat/completions", headers, memoryview(b"{}"))
-    assert RequestReader(facts).read(inbound).expected_answer_ms == milliseconds
+    assert RequestReader(message).read(inbound).expected_answer_ms == milliseconds
 
 
 @pytest.mark.parametrize(
@@ -144,11 +144,11 @@
 )
 def test_a_prompt_length_that_cannot_be_is_estimated_from_the_body(extra: str, prompt: float) -> None:
     headers = {"req-id": "q1", "req-kind": "ask", "req-extra": extra}
-    facts = WFacts(classes=[WClass(aim=1000.0, give_up=4000.0, name="ask")])
+    message = SettingsMessage(classes=[ClassMessage(aim=1000.0, give_up=4000.0, name="ask")])
     body = memoryview(b'{"x":"%s"}' % (b"y" * 92))
     assert len(body) == 100
     inbound = Inbound("POST", "/v1/chat/completions", headers, body)
-    assert RequestReader(facts).read(inbound).prompt_tokens == prompt
+    assert RequestReader(message).read(inbound).prompt_tokens == prompt
 
 
 def test_a_call_meant_for_hosts_is_not_passed_on() -> None:
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -331,14 +331,14 @@
         "sha256:" + "a" * 64,
         5000.0,
     )
-    facts = file.settings
-    assert facts is not None and facts.family_info is not None and facts.zones == ["z"]
-    assert (facts.classes[0].aim, facts.classes[0].late_value, facts.classes[0].idempotency) == (
+    message = file.settings
+    assert message is not None and message.family_info is not None and message.zones == ["z"]
+    assert (message.classes[0].aim, message.classes[0].late_value, message.classes[0].idempotency) == (
         1500.0,
         0.2,
         "non_idempotent",
     )
-    assert (facts.family_info.kv_tokens, facts.family_info.token_aim) == ([1000.0], [60.0])
+    assert (message.family_info.kv_tokens, message.family_info.token_aim) == ([1000.0], [60.0])
     with pytest.raises(CantConvert, match="settings: membership_mode can't be carried over"):
         convert(b"[settings]\nmembership_mode = 'x'\n")
     with pytest.raises(CantConvert, match="not TOML"):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,7 +13,7 @@
 from violetstack import simulator_adapter
 from violetstack.policy_api import Action, Event
 from violetstack.router import Router
-from violetstack.settings import Malformed
+from violetstack.settings import MessageError
 
 FACTS: dict[str, Any] = {
     "fleet_size": 2,
@@ -166,5 +166,5 @@
 
 
 def test_an_announce_of_an_undefined_page_is_malformed() -> None:
-    with pytest.raises(Malformed, match="page 9"):
+    with pytest.raises(MessageError, match="page 9"):
         play([UP, {**NEWS, "page": 9}])
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -13,7 +13,7 @@
 from violetstack.operators import BadOperatorFile, ChatConfig, DutiesFile, OperatorFile, PlainHost
 from violetstack.policy_api import Endpoint, EndpointState, Settings
 from violetstack.protocol.discovery import WTargets
-from violetstack.settings import Malformed, WFacts, WFamily, settings_of
+from violetstack.settings import MessageError, SettingsMessage, TwoStageMessage, decode_settings
 
 if TYPE_CHECKING:
     from violetstack.load_shedding.control import LevelPlan
@@ -34,7 +34,7 @@
 
 
 class WConfig(msgspec.Struct):
-    settings: WFacts
+    settings: SettingsMessage
     name: str = ""
     listen: str = ""
     discovery: str = ""
@@ -73,22 +73,24 @@
 PLAIN_MEMORY_TOKENS = 100_000.0
 
 
-def with_plain_hosts(facts: WFacts, hosts: list[PlainHost]) -> tuple[WFacts, tuple[Endpoint, ...]]:
+def with_plain_hosts(
+    settings_message: SettingsMessage, hosts: list[PlainHost]
+) -> tuple[SettingsMessage, tuple[Endpoint, ...]]:
     """The settings with one more kind, for the chat file's own hosts, and these hosts as list entries."""
     if not hosts:
-        return facts, ()
-    family = facts.family_info or WFamily()
-    kinds = list(facts.kinds or [])
+        return settings_message, ()
+    family = settings_message.family_info or TwoStageMessage()
+    kinds = list(settings_message.kinds or [])
     stages = list(family.stage_of_kind or ["both"] * len(kinds))
     memory = list(family.kv_tokens or [0.0] * len(kinds))
     sizes = [host.memory_tokens for host in hosts if host.memory_tokens > 0]
     memory.append(sum(sizes) / len(sizes) if sizes else PLAIN_MEMORY_TOKENS)
     family = msgspec.structs.replace(family, stage_of_kind=[*stages, "both"], kv_tokens=memory)
     entries = tuple(
-        Endpoint(host.id, 0, host.weight, facts.zone, EndpointState.HEALTHY, len(kinds), None)
+        Endpoint(host.id, 0, host.weight, settings_message.zone, EndpointState.HEALTHY, len(kinds), None)
         for host in hosts
     )
-    return msgspec.structs.replace(facts, family_info=family, kinds=[*kinds, PLAIN_KIND]), entries
+    return msgspec.structs.replace(settings_message, family_info=family, kinds=[*kinds, PLAIN_KIND]), entries
 
 
 class Config:
@@ -110,11 +112,11 @@
         self.levels = levels
         if told.limits.sockets < LEAST_SOCKETS or told.limits.memory_mb <= 0:
             raise BadConfig(f"limits: nothing can be served with {told.limits}")
-        self.facts, self.plain = with_plain_hosts(
+        self.settings_message, self.plain = with_plain_hosts(
             told.settings, operator.hosts if operator is not None else []
         )
-        self.settings: Settings = settings_of(self.facts, seed_of(told.seed))
-        checked = ChatConfig(operator, self.facts) if operator is not None else None
+        self.settings: Settings = decode_settings(self.settings_message, seed_of(told.seed))
+        checked = ChatConfig(operator, self.settings_message) if operator is not None else None
         self.chat = checked if operator is not None and operator.listen else None
         self.listen = address_of("listen", told.listen)
         self.mgmt = address_of("mgmt", told.mgmt)
@@ -160,12 +162,12 @@
 
 def known_of(told: WConfig) -> dict[str, frozenset[str]]:
     """The names that the settings bring, for the check of an operator's file."""
-    facts = told.settings
+    settings_message = told.settings
     return {
-        "class": frozenset(spec.name for spec in facts.classes),
-        "tenant": frozenset(spec.name for spec in facts.parties or ()),
-        "kind": frozenset(facts.kinds or ()),
-        "zone": frozenset(facts.zones or ()),
+        "class": frozenset(spec.name for spec in settings_message.classes),
+        "tenant": frozenset(spec.name for spec in settings_message.parties or ()),
+        "kind": frozenset(settings_message.kinds or ()),
+        "zone": frozenset(settings_message.zones or ()),
     }
 
 
@@ -188,7 +190,7 @@
         config.inherited_fd = descriptor(os.environ.get("NODE_INHERITED_FD", ""))
         config.shared_folder = os.environ.get("TMPDIR") if config.mgmt else None
         return config
-    except (ValueError, Malformed) as error:
+    except (ValueError, MessageError) as error:
         raise BadConfig(f"{path or file}: {error}") from None
     except BadOperatorFile as error:
         raise BadConfig(str(error)) from None
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -51,7 +51,7 @@
         self._kept = kept
         self._cordons = cordons
         self._changed = changed
-        self._reader = ListReader(config.facts)
+        self._reader = ListReader(config.settings_message)
         self._nursery: trio.Nursery | None = None
         self.rows: dict[str, WServer] = {}
         self.watch: Watch | None = None
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -51,7 +51,7 @@
 
     async def start_platform(self, at: Address) -> Address:
         """Raises BadConfig if the address can't be bound."""
-        front = PlatformFront(self._core, RequestReader(self._config.facts), now_ms, log_outside)
+        front = PlatformFront(self._core, RequestReader(self._config.settings_message), now_ms, log_outside)
         bound = await self._listen(at, front)
         self.platform = self.listeners[-1]
         return bound
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -66,15 +66,15 @@
         return None
     from violetstack.routing.generations import Routing
 
-    facts = config.facts
+    settings_message = config.settings_message
     routing = Routing(
         config.plan,
         config.settings,
         log=log,
-        classes=tuple(spec.name for spec in facts.classes),
-        tenants=tuple(spec.name for spec in facts.parties or ()),
-        kinds=tuple(facts.kinds or ()),
-        zones=tuple(facts.zones or ()),
+        classes=tuple(spec.name for spec in settings_message.classes),
+        tenants=tuple(spec.name for spec in settings_message.parties or ()),
+        kinds=tuple(settings_message.kinds or ()),
+        zones=tuple(settings_message.zones or ()),
     )
     core.routes = routing
     entries = tuple(core.endpoints.values())
@@ -95,9 +95,9 @@
     from violetstack.load_shedding.control import Levels, weights_of
     from violetstack.net.load_shedding import LevelDriver
 
-    facts = config.facts
-    classes = tuple(spec.name for spec in facts.classes)
-    tenants = tuple(spec.name for spec in facts.parties or ())
+    settings_message = config.settings_message
+    classes = tuple(spec.name for spec in settings_message.classes)
+    tenants = tuple(spec.name for spec in settings_message.parties or ())
     levels = Levels(plan, weights_of(config.settings, classes, tenants), log)
     driver = LevelDriver(levels, core, router, listeners, config.limits.cores)
     driver.start()
--- a/violetstack/daemon/reload.py
+++ b/violetstack/daemon/reload.py
@@ -25,7 +25,7 @@
     """None, and a line in the log, if the new configuration can't be used."""
     try:
         config = read_again()
-        chat = ChatConfig(config.chat.told, running.facts) if config.chat is not None else None
+        chat = ChatConfig(config.chat.told, running.settings_message) if config.chat is not None else None
     except (BadConfig, BadOperatorFile) as error:
         log("reload_failed", error=str(error))
         return None
--- a/violetstack/language/compiling.py
+++ b/violetstack/language/compiling.py
@@ -24,7 +24,15 @@
     Tls,
 )
 from violetstack.routing.generations import Plan
-from violetstack.settings import WClass, WFacts, WFamily, WLimits, WParty, WReport, WRules
+from violetstack.settings import (
+    ClassMessage,
+    LimitsMessage,
+    LoadReportMessage,
+    RulesMessage,
+    SettingsMessage,
+    TenantMessage,
+    TwoStageMessage,
+)
 
 EFFECTS = {"repeatable": "read_like", "keyed": "idempotency_key", "once": "non_idempotent"}
 MIB = 2.0**20
@@ -156,7 +164,7 @@
     )
 
 
-def _settings(meaning: Meaning) -> WFacts:
+def _settings(meaning: Meaning) -> SettingsMessage:
     """In the words and units of NODE_CONFIG's settings."""
 
     def one(kind: str) -> Any:
@@ -169,9 +177,9 @@
     limits = one("limits")
     rules = one("rules")
     here = fleet.get("zone")
-    return WFacts(
+    return SettingsMessage(
         classes=[
-            WClass(
+            ClassMessage(
                 aim=d.get("aim"),
                 give_up=d.get("give_up"),
                 idempotency=EFFECTS[d.get("effect")],
@@ -189,12 +197,12 @@
         kinds=[d.name for d in kinds] or None,
         zones=zones or None,
         parties=[
-            WParty(fraction=d.get("share"), allowance_per_s=d.get("rate"), name=d.name)
+            TenantMessage(fraction=d.get("share"), allowance_per_s=d.get("rate"), name=d.name)
             for d in meaning.of("tenant").values()
         ]
         or None,
         over_share_worth=fleet.get("over_share_worth"),
-        family_info=WFamily(
+        family_info=TwoStageMessage(
             ahead=fleet.get("hold_ahead"),
             aim_us_per_1000_prompt_tokens=[1000.0 * d.get("aim_per_ktok", 0.0) for d in classes],
             kv_tokens=[d.get("memory", 0.0) for d in kinds] or None,
@@ -204,7 +212,7 @@
             stage_of_kind=[d.get("stage") for d in kinds] or None,
             token_aim=[d.get("token_aim", 0.0) for d in classes],
         ),
-        limits=WLimits(
+        limits=LimitsMessage(
             cancel=limits.get("cancel"),
             connect_timeout=limits.get("connect_timeout"),
             max_attempts=limits.get("attempts"),
@@ -214,7 +222,7 @@
             retry_after=limits.get("retry_after"),
             idle_close=limits.get("idle_close"),
         ),
-        rules=WRules(
+        rules=RulesMessage(
             cold=rules.get("cold"),
             cold_share=rules.get("cold_share"),
             fall=rules.get("fall"),
@@ -222,5 +230,5 @@
             grace_to_answer=rules.get("grace"),
             stop_sending_within=rules.get("drain_within"),
         ),
-        report=WReport(how=fleet.get("reports"), names=list(fleet.get("report_names", ())) or None),
+        report=LoadReportMessage(how=fleet.get("reports"), names=list(fleet.get("report_names", ())) or None),
     )
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -69,7 +69,7 @@
 
     def figures(self) -> dict[str, Any]:
         daemon = self._daemon
-        classes = tuple(spec.name for spec in daemon.config.facts.classes)
+        classes = tuple(spec.name for spec in daemon.config.settings_message.classes)
         listed = len(daemon.core.endpoints)
         avoided = daemon.router.avoided(now_ms())
         return figures(daemon.core.metrics, classes, listed, avoided)
@@ -99,7 +99,9 @@
                 daemon.cordons.marks = before
                 raise
         daemon.news(news, {})
-        left = kinds_without(daemon.core.endpoints.values(), tuple(daemon.config.facts.kinds or ()))
+        left = kinds_without(
+            daemon.core.endpoints.values(), tuple(daemon.config.settings_message.kinds or ())
+        )
         log("hosts_out", out=daemon.cordons.out, by="call", none_left=left)
 
     # --- duties ---
--- a/violetstack/operators.py
+++ b/violetstack/operators.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from violetstack.settings import WFacts
+from violetstack.settings import SettingsMessage
 
 
 class BadOperatorFile(Exception):
@@ -121,18 +121,18 @@
     duties: DutiesFile | None = None
     tls: Tls | None = None
     acme: Acme | None = None
-    settings: WFacts | None = None
+    settings: SettingsMessage | None = None
 
 
 class ChatConfig:
     """The file checked against the settings it is used with."""
 
-    def __init__(self, told: OperatorFile, facts: WFacts) -> None:
+    def __init__(self, told: OperatorFile, settings_message: SettingsMessage) -> None:
         self.told = told
         self.models = told.models
         self.keys = told.keys
-        self._classes = {spec.name: n for n, spec in enumerate(facts.classes)}
-        self._tenants = {spec.name: n for n, spec in enumerate(facts.parties or ())}
+        self._classes = {spec.name: n for n, spec in enumerate(settings_message.classes)}
+        self._tenants = {spec.name: n for n, spec in enumerate(settings_message.parties or ())}
         named = [m.cls for m in told.models]
         named += [key.cls for key in told.keys if key.cls is not None]
         named += [tenant.cls for tenant in told.tenants if tenant.cls is not None]
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from violetstack.policy_api import Endpoint, EndpointState, EndpointUpdate, UpdateScope
-from violetstack.settings import WFacts
+from violetstack.settings import SettingsMessage
 
 MAX_LIST = 1024 * 1024  # bytes; a hundred hosts take some 15,000
 PLAIN = re.compile(rb'[{}\[\]"]')  # what ends or nests outside a string
@@ -53,9 +53,9 @@
 
 
 class ListReader:
-    def __init__(self, facts: WFacts) -> None:
-        self._zones = {name: n for n, name in enumerate(facts.zones or ())}
-        self._kinds = {name: n for n, name in enumerate(facts.kinds or ())}
+    def __init__(self, settings_message: SettingsMessage) -> None:
+        self._zones = {name: n for n, name in enumerate(settings_message.zones or ())}
+        self._kinds = {name: n for n, name in enumerate(settings_message.kinds or ())}
         self._decoder = msgspec.json.Decoder(WTargets)
 
     def read(self, value: bytes) -> Targets:
--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -9,7 +9,7 @@
 
 from violetstack.policy_api import Request
 from violetstack.protocol.server_side import Inbound, Rejected
-from violetstack.settings import WFacts
+from violetstack.settings import SettingsMessage
 
 CHARS_A_TOKEN = 4
 # The settings name report fields in the simulator's words; on the wire they may come in the plain ones.
@@ -101,10 +101,10 @@
     unreadable is ignored.
     """
 
-    def __init__(self, facts: WFacts) -> None:
-        self.classes = {spec.name: n for n, spec in enumerate(facts.classes)}
-        self.give_up = [spec.give_up for spec in facts.classes]
-        self.tenants = {spec.name: n for n, spec in enumerate(facts.parties or ())}
+    def __init__(self, settings_message: SettingsMessage) -> None:
+        self.classes = {spec.name: n for n, spec in enumerate(settings_message.classes)}
+        self.give_up = [spec.give_up for spec in settings_message.classes]
+        self.tenants = {spec.name: n for n, spec in enumerate(settings_message.parties or ())}
 
     def read(self, inbound: Inbound) -> Request:
         """Raises Rejected if the request cannot be served."""
--- a/violetstack/settings.py
+++ b/violetstack/settings.py
@@ -22,11 +22,11 @@
 T = TypeVar("T")
 
 
-class Wire(msgspec.Struct):
+class Message(msgspec.Struct):
     """Unknown keys are ignored, an absent value is null."""
 
 
-class WClass(Wire):
+class ClassMessage(Message):
     aim: float
     give_up: float
     idempotency: str = "read_like"
@@ -38,13 +38,13 @@
     name: str = ""
 
 
-class WParty(Wire):
+class TenantMessage(Message):
     fraction: float | None = None
     allowance_per_s: float | None = None
     name: str = ""
 
 
-class WFamily(Wire):
+class TwoStageMessage(Message):
     ahead: bool | None = None
     aim_us_per_1000_prompt_tokens: list[float] | None = None
     kv_tokens: list[float] | None = None
@@ -55,7 +55,7 @@
     token_aim: list[float] | None = None
 
 
-class WLimits(Wire):
+class LimitsMessage(Message):
     cancel: bool | None = None
     connect_timeout: float | None = None
     max_attempts: int | None = None
@@ -67,7 +67,7 @@
     peers: bool | None = None
 
 
-class WRules(Wire):
+class RulesMessage(Message):
     cold: float | None = None
     cold_share: float | None = None
     fall: float | None = None
@@ -77,24 +77,24 @@
     stop_sending_within: float | None = None
 
 
-class WReport(Wire):
+class LoadReportMessage(Message):
     how: str | None = None
     names: list[str] | None = None
 
 
-class WFacts(Wire):
-    classes: list[WClass]
+class SettingsMessage(Message):
+    classes: list[ClassMessage]
     fleet_size: int = 1
     me: int = 0
     zone: int = 0
     kinds: list[str] | None = None
     zones: list[str] | None = None
-    parties: list[WParty] | None = None
+    parties: list[TenantMessage] | None = None
     over_share_worth: float | None = None
-    family_info: WFamily | None = None
-    limits: WLimits | None = None
-    rules: WRules | None = None
-    report: WReport | None = None
+    family_info: TwoStageMessage | None = None
+    limits: LimitsMessage | None = None
+    rules: RulesMessage | None = None
+    report: LoadReportMessage | None = None
     membership_mode: str | None = None
 
 
@@ -105,13 +105,13 @@
 }
 
 
-class Malformed(Exception):
+class MessageError(Exception):
     """The other side sent something the wire does not allow."""
 
 
-def word_in(table: dict[str, T], word: str, field: str) -> T:
+def look_up(table: dict[str, T], word: str, field: str) -> T:
     if word not in table:
-        raise Malformed(f"unknown {field} {word!r}")
+        raise MessageError(f"unknown {field} {word!r}")
     return table[word]
 
 
@@ -119,18 +119,18 @@
     return values[index] if values is not None and index < len(values) else 0.0
 
 
-def _class(spec: WClass, index: int, family: WFamily) -> ClassSettings:
+def _class(spec: ClassMessage, index: int, family: TwoStageMessage) -> ClassSettings:
     for key, value, least in (("aim", spec.aim, 0.0), ("give_up", spec.give_up, 1.0)):
         if value < least:
-            raise Malformed(f"classes[{index}].{key}: {value:g} ms leaves no time to answer in")
+            raise MessageError(f"classes[{index}].{key}: {value:g} ms leaves no time to answer in")
     try:
         group = DeduplicationScope(spec.group or "all")
     except ValueError:
-        raise Malformed(f"unknown group {spec.group!r}") from None
+        raise MessageError(f"unknown group {spec.group!r}") from None
     return ClassSettings(
         latency_objective_ms=spec.aim,
         client_timeout_ms=spec.give_up,
-        idempotency=word_in(_EFFECT, spec.idempotency, "idempotency"),
+        idempotency=look_up(_EFFECT, spec.idempotency, "idempotency"),
         deduplication_scope=group,
         deduplication_window_ms=spec.window or 0.0,
         priority_weight=1.0 if spec.value is None else spec.value,
@@ -141,30 +141,30 @@
     )
 
 
-def settings_of(facts: WFacts, seed: int) -> Settings:
-    """The start-up facts as the module's settings; what is absent gets the mildest reading."""
-    if not facts.classes:
-        raise Malformed("classes: there is none, so nothing could be served")
-    family = facts.family_info or WFamily()
-    limits = facts.limits or WLimits()
-    rules = facts.rules or WRules()
-    report = facts.report or WReport()
-    stages = family.stage_of_kind or ["both"] * max(1, len(facts.kinds or []))
+def decode_settings(message: SettingsMessage, seed: int) -> Settings:
+    """The start-up message as the module's settings; what is absent gets the mildest reading."""
+    if not message.classes:
+        raise MessageError("classes: there is none, so nothing could be served")
+    family = message.family_info or TwoStageMessage()
+    limits = message.limits or LimitsMessage()
+    rules = message.rules or RulesMessage()
+    report = message.report or LoadReportMessage()
+    stages = family.stage_of_kind or ["both"] * max(1, len(message.kinds or []))
     try:
         roles = tuple(Role(word) for word in stages)
     except ValueError as error:
-        raise Malformed(f"unknown stage_of_kind: {error}") from None
+        raise MessageError(f"unknown stage_of_kind: {error}") from None
     names = tuple(report.names or ()) if report.how in ("inline", "on_probe") else ()
     return Settings(
         seed=seed,
-        dispatcher_index=facts.me,
-        dispatcher_count=max(1, facts.fleet_size),
-        zone=facts.zone,
-        classes=tuple(_class(spec, index, family) for index, spec in enumerate(facts.classes)),
+        dispatcher_index=message.me,
+        dispatcher_count=max(1, message.fleet_size),
+        zone=message.zone,
+        classes=tuple(_class(spec, index, family) for index, spec in enumerate(message.classes)),
         tenants=tuple(
-            TenantSettings(p.fraction or 0.0, p.allowance_per_s or 0.0) for p in facts.parties or ()
+            TenantSettings(p.fraction or 0.0, p.allowance_per_s or 0.0) for p in message.parties or ()
         ),
-        over_quota_weight=1.0 if facts.over_share_worth is None else facts.over_share_worth,
+        over_quota_weight=1.0 if message.over_share_worth is None else message.over_share_worth,
         roles=roles,
         memory_tokens=tuple(family.kv_tokens or ()),
         reserve_ahead=bool(family.ahead),
@@ -175,11 +175,11 @@
         cancellation_allowed=bool(limits.cancel),
         hedging_allowed=bool(limits.may_duplicate),
         health_checks_allowed=bool(limits.probes),
-        gossip_allowed=bool(limits.peers) and facts.fleet_size > 1,
+        gossip_allowed=bool(limits.peers) and message.fleet_size > 1,
         send_retry_after=bool(limits.retry_after),
         max_retry_after_ms=limits.max_retry_after or 0.0,
         connect_timeout_ms=limits.connect_timeout or 0.0,
-        watch_required=facts.membership_mode == "subscribe",
+        watch_required=message.membership_mode == "subscribe",
         watch_deadline_ms=rules.must_ask_in or 0.0,
         load_report_fields=names,
         health_checks_report_load=report.how == "on_probe",
--- a/violetstack/simulator_adapter.py
+++ b/violetstack/simulator_adapter.py
@@ -42,20 +42,20 @@
     WriteLog,
 )
 from violetstack.router import Router
-from violetstack.settings import Malformed, WFacts, Wire, settings_of, word_in
+from violetstack.settings import Message, MessageError, SettingsMessage, decode_settings, look_up
 
 
-class _Event(Wire, tag_field="op"):
+class _Event(Message, tag_field="op"):
     pass
 
 
 class WUp(_Event, tag="up"):
     i: str
     rng_seed: int
-    facts: WFacts
+    facts: SettingsMessage
 
 
-class WEntry(Wire):
+class WEntry(Message):
     engine: str
     pod: int = 0
     heft: float | None = None
@@ -164,7 +164,7 @@
 )
 
 
-class WBatch(Wire):
+class WBatch(Message):
     now: float
     turn: int
     arrivals: list[WEvent]
@@ -200,7 +200,7 @@
         cell=row.pod,
         weight=1.0 if row.heft is None else row.heft,
         zone=row.rack_zone,
-        state=word_in(_STATE, row.stage_state, "stage_state"),
+        state=look_up(_STATE, row.stage_state, "stage_state"),
         kind=row.hw,
         started_ms=row.online_since or None,
     )
@@ -229,7 +229,7 @@
 
 
 def _outcome(w: WResolved) -> AttemptFinished:
-    status = word_in(_STATUS, w.ending, "ending")
+    status = look_up(_STATUS, w.ending, "ending")
     return AttemptFinished(
         w.handle, w.engine, w.n, status, w.took or 0.0, bool(w.settled), w.detail or 0, _row(w.load)
     )
@@ -239,11 +239,11 @@
     """One wire event as the module's type; `pages` holds the numbered lists as of this event."""
     match w:
         case WAnnounce():
-            scope = word_in(_SCOPE, w.scope, "scope")
+            scope = look_up(_SCOPE, w.scope, "scope")
             entries: tuple[Endpoint, ...] = ()
             if scope is not UpdateScope.FAILED:
                 if w.page not in pages:
-                    raise Malformed(f"announce names page {w.page}, which was never defined")
+                    raise MessageError(f"announce names page {w.page}, which was never defined")
                 entries = pages[w.page]
             return EndpointUpdate(scope, entries, w.seq_no or 0)
         case WWorkItem():
@@ -260,14 +260,14 @@
             return TimerFired(w.token)
         case WPong():
             return HealthCheckResult(
-                w.engine, word_in(_STATUS, w.ending, "ending"), w.took or 0.0, _row(w.load)
+                w.engine, look_up(_STATUS, w.ending, "ending"), w.took or 0.0, _row(w.load)
             )
         case WInbox():
             try:
                 return GossipReceived(w.src_peer, bytes.fromhex(w.blob))
             except ValueError:
-                raise Malformed("inbox blob is not hex") from None
-    raise Malformed(f"unexpected event {w!r}")
+                raise MessageError("inbox blob is not hex") from None
+    raise MessageError(f"unexpected event {w!r}")
 
 
 def row_of(instance: str, action: Action) -> dict[str, Any]:
@@ -323,7 +323,7 @@
                 self.routers.pop(w.i, None)
             elif isinstance(w, WUp):
                 queued[w.i] = []
-                self.routers[w.i] = Router(settings_of(w.facts, w.rng_seed))
+                self.routers[w.i] = Router(decode_settings(w.facts, w.rng_seed))
             elif w.i in self.routers:
                 queued.setdefault(w.i, []).append(event_of(w, self.pages))
         for instance, events in queued.items():
@@ -348,8 +348,8 @@
         try:
             batch = decoder.decode(line)
             rows = host.batch(batch)
-        except (msgspec.MsgspecError, Malformed, UnicodeDecodeError) as error:
-            raise Malformed(f"line {number}: {error}") from None
+        except (msgspec.MsgspecError, MessageError, UnicodeDecodeError) as error:
+            raise MessageError(f"line {number}: {error}") from None
         sink.write(encoder.encode({"turn": batch.turn, "actions": rows}) + b"\n")
         sink.flush()
 
@@ -357,7 +357,7 @@
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except Malformed as error:
+    except MessageError as error:
         print(f"wirehost: {error}", file=sys.stderr)
         return 2
     return 0
