Core: the ports and records take the field's names

Decider -> Policy, Level -> LoadShedder, Witness -> OutlierObserver, Moved -> MigratedStream, Duplicate -> DuplicateRequestError, Tally -> RequestMetrics, Row -> ClassMetrics, Closed -> ClosedSink, PlaceCall -> ReservationCall.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -20,7 +20,7 @@
 
 from tests.front import SETTINGS, entry
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.core.records import Attempt, PlaceCall, ReleaseCall
+from violetstack.core.records import Attempt, ReleaseCall, ReservationCall
 from violetstack.load_shedding.control import TICK_MS, LevelPlan, Levels, weights_of
 from violetstack.load_shedding.history import Resumed
 from violetstack.policy_api import (
@@ -196,7 +196,7 @@
         if (work := self.works.pop(id(attempt), None)) is not None:
             work.dropped = True
 
-    def reserve_decode_slot(self, call: PlaceCall) -> None:
+    def reserve_decode_slot(self, call: ReservationCall) -> None:
         host = self.fleet.hosts[call.server]
         held = isinstance(host, Writer) and host.running < WRITE_SLOTS
         self.clock.at(self.clock.now + 1.0, lambda: self.core.reservation_finished(call, held, not held))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,8 +8,8 @@
 import pytest
 
 from tests.front import READERS, SETTINGS, WRITERS
-from violetstack.core.dispatcher import LEAST_CONNECT_MS, Dispatcher, Duplicate
-from violetstack.core.records import Attempt, OpenRequest, PlaceCall, ReleaseCall
+from violetstack.core.dispatcher import LEAST_CONNECT_MS, Dispatcher, DuplicateRequestError
+from violetstack.core.records import Attempt, OpenRequest, ReleaseCall, ReservationCall
 from violetstack.policy_api import (
     Action,
     AttemptFinished,
@@ -30,14 +30,14 @@
 
 
 class Noted:
-    """Decider, driver and sink in one: acts as told, and notes what it is asked."""
+    """Policy, driver and sink in one: acts as told, and notes what it is asked."""
 
     def __init__(self) -> None:
         self.next: list[Action] = []
         self.events: list[Event] = []
         self.attempts: list[Attempt] = []
         self.aborted: list[Attempt] = []
-        self.places: list[PlaceCall] = []
+        self.places: list[ReservationCall] = []
         self.releases: list[ReleaseCall] = []
         self.answers: list[str] = []
         self.gone = False
@@ -54,7 +54,7 @@
     def abort_attempt(self, attempt: Attempt) -> None:
         self.aborted.append(attempt)
 
-    def reserve_decode_slot(self, call: PlaceCall) -> None:
+    def reserve_decode_slot(self, call: ReservationCall) -> None:
         self.places.append(call)
 
     def release_state(self, call: ReleaseCall) -> None:
@@ -301,7 +301,7 @@
 
 def test_an_id_that_is_open_is_not_taken_again() -> None:
     scene = Scene()
-    with pytest.raises(Duplicate):
+    with pytest.raises(DuplicateRequestError):
         scene.take("q")
 
 
--- a/violetstack/admin/metrics.py
+++ b/violetstack/admin/metrics.py
@@ -10,11 +10,11 @@
 from collections.abc import Iterable
 from typing import Any
 
-from violetstack.core.metrics import Tally
+from violetstack.core.metrics import RequestMetrics
 from violetstack.policy_api import Endpoint, EndpointState
 
 
-def figures(tally: Tally, classes: tuple[str, ...], listed: int, avoided: int) -> dict[str, Any]:
+def figures(tally: RequestMetrics, classes: tuple[str, ...], listed: int, avoided: int) -> dict[str, Any]:
     """Every class of the settings stands there from the start, with zeros."""
     operations = {
         name: {"fulfilled": row.fulfilled, "throttled": row.throttled, "faulted": row.faulted}
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -6,19 +6,19 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from violetstack.core.metrics import Tally
+from violetstack.core.metrics import RequestMetrics
 from violetstack.core.records import (
     Attempt,
     Driver,
-    Level,
+    LoadShedder,
     OpenRequest,
     Origin,
-    PlaceCall,
+    OutlierObserver,
     ReleaseCall,
+    ReservationCall,
     Routes,
     Shed,
     Sink,
-    Witness,
 )
 from violetstack.core.timers import Timers
 from violetstack.policy_api import (
@@ -62,11 +62,11 @@
 LEAST_CONNECT_MS = 40.0  # even where the time of what is held is nearly over; a release takes a few
 
 
-class Decider(Protocol):
+class Policy(Protocol):
     def handle(self, now: float, events: list[Event]) -> list[Action]: ...
 
 
-class Moved(Protocol):
+class MigratedStream(Protocol):
     """What is told of a stream that another process has begun."""
 
     @property
@@ -94,14 +94,14 @@
     def loose(self) -> bool: ...
 
 
-class Duplicate(Exception):
+class DuplicateRequestError(Exception):
     """A request with this id is still open."""
 
 
 class Dispatcher:
     """One dispatcher's requests. Every method that needs the time takes it; `run` is called when woken."""
 
-    def __init__(self, settings: Settings, decider: Decider, driver: Driver, drain_grace_ms: float) -> None:
+    def __init__(self, settings: Settings, decider: Policy, driver: Driver, drain_grace_ms: float) -> None:
         self.settings = settings
         self.policy = decider
         self.driver = driver
@@ -114,10 +114,10 @@
         self.changed_requests: dict[str, OpenRequest] = {}
         self.wake: Callable[[], None] = lambda: None
         self.timers = Timers()
-        self.metrics = Tally(len(settings.classes))
+        self.metrics = RequestMetrics(len(settings.classes))
         self.routes: Routes | None = None
-        self.load_shedder: Level | None = None
-        self.outlier_observer: Witness | None = None
+        self.load_shedder: LoadShedder | None = None
+        self.outlier_observer: OutlierObserver | None = None
         self.retry_after_ms: Callable[[float], float] = lambda ms: ms  # when to come back
         self.max_unread_ms: Callable[[], float] = lambda: 0.0  # age of what is read now, at most
 
@@ -183,7 +183,7 @@
 
     def accept(self, now: float, asked: Request, sink: Sink, payload: object) -> OpenRequest:
         if asked.id in self.open_requests:
-            raise Duplicate(asked.id)
+            raise DuplicateRequestError(asked.id)
         request = OpenRequest(asked, sink, payload, now, now + asked.expires_in_ms)
         self.open_requests[asked.id] = request
         self.metrics.request_accepted(asked.class_index)
@@ -225,7 +225,7 @@
         self._post(ClientDisconnected(attempt.request.id))
         self.attempt_finished(now, attempt, AttemptStatus.CANCELLED)
 
-    def adopt_stream(self, now: float, told: Moved, sink: Sink) -> Attempt:
+    def adopt_stream(self, now: float, told: MigratedStream, sink: Sink) -> Attempt:
         """A stream that another process began; the module hears nothing of it, since nothing is to decide."""
         asked = Request(
             told.id, told.cls, told.tenant, None, 0.0, None, None, told.prompt_tokens, 0.0, 0.0, False, False
@@ -401,7 +401,7 @@
         self._tell(request.sink.failed, may_have_run(request))
         self.attempt_finished(now, attempt, AttemptStatus.CANCELLED)
 
-    def reservation_finished(self, call: PlaceCall, held: bool | None, nothing_done: bool) -> None:
+    def reservation_finished(self, call: ReservationCall, held: bool | None, nothing_done: bool) -> None:
         """None: not known. Then, and also when the place is held, it stays loose until the request's end."""
         request = call.request
         request.reservations_in_flight -= 1
@@ -589,7 +589,7 @@
             return
         reads = [a for a in request.in_flight.values() if a.is_prefill]
         request.reservations_in_flight += 1
-        call = PlaceCall(request, action.server, reads[-1] if reads else None, request.release)
+        call = ReservationCall(request, action.server, reads[-1] if reads else None, request.release)
         self.driver.reserve_decode_slot(call)
 
     def _cancel(self, now: float, action: CancelAttempt) -> None:
--- a/violetstack/core/metrics.py
+++ b/violetstack/core/metrics.py
@@ -7,7 +7,7 @@
 ENDS = {"served": "fulfilled", "refused": "throttled", "shed": "throttled", "left": "left"}
 
 
-class Row(msgspec.Struct):
+class ClassMetrics(msgspec.Struct):
     """One class. What is none of the others is `faulted`: failed, overdue, unusable or cut."""
 
     taken: int = 0
@@ -21,9 +21,9 @@
         return self.taken - self.fulfilled - self.throttled - self.faulted - self.left
 
 
-class Tally:
+class RequestMetrics:
     def __init__(self, classes: int) -> None:
-        self.classes = [Row() for _ in range(classes)]
+        self.classes = [ClassMetrics() for _ in range(classes)]
         self.requests_written = 0  # attempts written whole, reads and writes, second copies included
 
     def request_accepted(self, cls: int) -> None:
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -64,7 +64,7 @@
         """For the request's log line."""
 
 
-class Level(Protocol):
+class LoadShedder(Protocol):
     """Who bounds what is taken at all, and is told how it went."""
 
     def admit(self, now: float, request: Request) -> Shed | None:
@@ -76,7 +76,7 @@
     def request_finished(self, now: float, answer: str, prompt: float) -> None: ...
 
 
-class Witness(Protocol):
+class OutlierObserver(Protocol):
     """Who is told how hosts do, beside the module."""
 
     def endpoints_listed(self, now: float, hosts: Iterable[str]) -> None: ...
@@ -92,7 +92,7 @@
     retry_after_ms: float
 
 
-class Closed:
+class ClosedSink:
     """Takes the place of a sink whose request is over."""
 
     def stream_started(self) -> None: ...
@@ -111,7 +111,7 @@
         return True
 
 
-CLOSED = Closed()
+CLOSED_SINK = ClosedSink()
 
 
 class Driver(Protocol):
@@ -121,7 +121,7 @@
 
     def abort_attempt(self, attempt: Attempt) -> None: ...
 
-    def reserve_decode_slot(self, call: PlaceCall) -> None: ...
+    def reserve_decode_slot(self, call: ReservationCall) -> None: ...
 
     def release_state(self, call: ReleaseCall) -> None: ...
 
@@ -148,7 +148,7 @@
     timer: Timer | None = None
 
 
-class PlaceCall(msgspec.Struct, eq=False):
+class ReservationCall(msgspec.Struct, eq=False):
     request: OpenRequest
     server: str
     attempt: Attempt | None
@@ -208,6 +208,6 @@
 
     def close(self) -> None:
         """Guards the memory: body, front and connection go now, not when a collection finds the circle."""
-        self.sink = CLOSED
+        self.sink = CLOSED_SINK
         self.payload = None
         self.committed_attempt = None
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from violetstack.core.dispatcher import Dispatcher, Duplicate
+from violetstack.core.dispatcher import Dispatcher, DuplicateRequestError
 from violetstack.core.records import NotRouted, Origin
 from violetstack.fronts.reply import EVENTS, TEXT, Payload, Reply
 from violetstack.protocol.headers import RequestReader
@@ -84,7 +84,7 @@
             self.rejected(error.status, error.reason, reply)
         except NotRouted as error:
             self.rejected(error.status, error.reason, reply)
-        except Duplicate:
+        except DuplicateRequestError:
             self.rejected(409, "a request with this Req-Id is still open", reply)
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
--- a/violetstack/net/upstream/driver.py
+++ b/violetstack/net/upstream/driver.py
@@ -9,7 +9,7 @@
 import trio
 
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.core.records import Attempt, PlaceCall, ReleaseCall
+from violetstack.core.records import Attempt, ReleaseCall, ReservationCall
 from violetstack.log import log, log_outside
 from violetstack.net.upstream.attempts import AttemptRunner, WaitWritable
 from violetstack.net.upstream.connection_pool import ConnectionPool
@@ -54,7 +54,7 @@
         """Closes the attempt's connection at once."""
         self.attempts.abort(attempt)
 
-    def reserve_decode_slot(self, call: PlaceCall) -> None:
+    def reserve_decode_slot(self, call: ReservationCall) -> None:
         """Starts a reservation call."""
         self._nursery.start_soon(self._reservations.run, call)
 
--- a/violetstack/net/upstream/reservation.py
+++ b/violetstack/net/upstream/reservation.py
@@ -7,7 +7,7 @@
 import trio
 
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.core.records import Attempt, PlaceCall
+from violetstack.core.records import Attempt, ReservationCall
 from violetstack.log import log
 from violetstack.net.upstream.connection import NotConnectedError
 from violetstack.net.upstream.connection_pool import ConnectionPool
@@ -30,7 +30,7 @@
         self._pool = pool
         self._request_sent = request_sent
 
-    async def run(self, call: PlaceCall) -> None:
+    async def run(self, call: ReservationCall) -> None:
         """Makes one call and gives the core its result."""
         reserved: bool | None = None
         nothing_reserved = True
@@ -51,7 +51,7 @@
             log("reservation_failed", id=call.request.id, error=repr(error))
         self._core.reservation_finished(call, reserved, nothing_reserved)
 
-    def _wanted(self, call: PlaceCall) -> bool:
+    def _wanted(self, call: ReservationCall) -> bool:
         """Only while the prefill attempt is out: else the decode host knows of no state to wait for.
 
         It would answer 204 after 0.3 s, and a slot could be reserved that nobody counts on.
