--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from violetstack.core.dispatcher import Dispatcher, Duplicate
+from violetstack.core.dispatcher import Dispatcher, DuplicateRequestError
 from violetstack.core.records import NotRouted, Origin
 from violetstack.fronts.reply import EVENTS, TEXT, Payload, Reply
 from violetstack.protocol.headers import RequestReader
@@ -79,7 +79,7 @@
             self._take(inbound, reply)
         except (Rejected, NotRouted) as error:
             self.rejected(error.status, error.reason, reply)
-        except Duplicate:
+        except DuplicateRequestError:
             self.rejected(409, "a request with this Req-Id is still open", reply)
 
     def _take(self, inbound: Inbound, reply: Reply) -> None:
