net/gossip: GossipTransport takes its handler by run, in place of attributes set later

The socket knows neither the core nor the leases now: GossipTransport calls the handler that run is given, and GossipReceiver hands a datagram to the lease service or the core.

The test of two processes at one address reads what each transport received from its handler, no longer from the core's private field; the other tests read GossipTransport.bound in place of a private socket.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -32,10 +32,10 @@
 from violetstack.handover.stream_migration import encode as encode_stream
 from violetstack.handover.successor import ALIVE_MS, Succession
 from violetstack.net import stream_migration
-from violetstack.net.gossip import Peers
+from violetstack.net.gossip import GossipTransport
 from violetstack.net.inherited_listener import inherited_socket
 from violetstack.net.records import Records
-from violetstack.policy_api import GossipReceived, TenantSettings, UpdateScope
+from violetstack.policy_api import TenantSettings, UpdateScope
 from violetstack.protocol.discovery import WServer
 from violetstack.protocol.host_side import Body, End, HostSide
 from violetstack.protocol.server_side import ServerSide
@@ -585,28 +585,21 @@
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
                 free.bind(("127.0.0.1", 0))
                 at = free.getsockname()
-            both = [Peers(Heard(), at, [at, other], None, heirs=True) for _ in range(2)]  # type: ignore[arg-type]
-            for one in both:
-                on.nursery.start_soon(one.run)
-                while one._raw is None:
+            received_by_old: list[bytes] = []
+            received_by_new: list[bytes] = []
+            for received in (received_by_old, received_by_new):
+                transport = GossipTransport(at, [at, other], reuse_address=True)
+                on.nursery.start_soon(transport.run, lambda _, payload, to=received: to.append(payload))
+                while not transport.bound:
                     await trio.sleep(0)
             peer.sendto(b"x", at)
-            old, new = (one._core.told for one in both)  # type: ignore[attr-defined]
-            while not new:
+            while not received_by_new:
                 await trio.sleep(0)
-            assert (old, [m.payload for m in new]) == ([], [b"x"])
+            assert (received_by_old, received_by_new) == ([], [b"x"])
 
     play(*pair(), story=story)
 
 
-class Heard:
-    def __init__(self) -> None:
-        self.told: list[GossipReceived] = []
-
-    def gossip_received(self, message: GossipReceived) -> None:
-        self.told.append(message)
-
-
 def test_an_accept_that_fails_ends_neither_the_taker_nor_the_program(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(stream_migration, "ACCEPT_AGAIN_S", 0.0)
 
--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -13,7 +13,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Shed
 from violetstack.gossip.codec import RESET_DATAGRAM, decode_load, encode_datagram, encode_load, endpoint_tag
-from violetstack.net.gossip import Peers
+from violetstack.net.gossip import GossipReceiver, GossipTransport
 from violetstack.net.pause_detector import PauseDetector
 from violetstack.policy_api import (
     AttemptFinished,
@@ -185,10 +185,10 @@
     core, _ = core_of()
     with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as other:
         await other.bind(("127.0.0.1", 0))
-        peers = Peers(core, ("127.0.0.1", 0), [], other.getsockname())
-        peers.tell(RESET_DATAGRAM)
+        transport = GossipTransport(("127.0.0.1", 0), [], other.getsockname())
+        transport.broadcast(RESET_DATAGRAM)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(peers.run)
+            nursery.start_soon(transport.run, GossipReceiver(core).receive)
             with trio.fail_after(5.0):
                 received: bytes = await other.recv(256)
             nursery.cancel_scope.cancel()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -14,7 +14,7 @@
 from violetstack.core.records import Attempt
 from violetstack.daemon.daemon import Daemon
 from violetstack.net import gossip, watch
-from violetstack.net.gossip import Peers
+from violetstack.net.gossip import GossipReceiver, GossipTransport
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.policy_api import Action, Event, GossipReceived
 from violetstack.protocol.server_side import Inbound
@@ -327,14 +327,14 @@
             await sock.bind(("127.0.0.1", 0))
             at = sock.getsockname()
             sock.close()
-            gossip = Peers(core, at, [at, peer.getsockname()], peer.getsockname())
-            on.nursery.start_soon(gossip.run)
+            transport = GossipTransport(at, [at, peer.getsockname()], peer.getsockname())
+            on.nursery.start_soon(transport.run, GossipReceiver(core).receive)
             while not heard.is_set():
                 await stranger.sendto(b"no", at)
                 await peer.sendto(b"hi", at)
                 with trio.move_on_after(0.01):
                     await heard.wait()
-            gossip.tell(b"ho")
+            transport.broadcast(b"ho")
             with trio.fail_after(2.0):
                 assert await peer.recvfrom(16) == (b"ho", at)
         assert told[0] == GossipReceived(1, b"hi")
@@ -476,18 +476,18 @@
     monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
     """A new version beside one that does not share the address would not have started."""
-    monkeypatch.setattr(gossip, "BIND_AGAIN_S", 0.01)
+    monkeypatch.setattr(gossip, "BIND_RETRY_S", 0.01)
 
     async def story(on: Stage) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
             taken.bind(("127.0.0.1", 0))
             at = taken.getsockname()
-            mine = Peers(on.daemon.core, at, [at], None, heirs=True)
-            on.nursery.start_soon(mine.run)
+            transport = GossipTransport(at, [at], reuse_address=True)
+            on.nursery.start_soon(transport.run, GossipReceiver(on.daemon.core).receive)
             while "gossip_bind_failed" not in capfd.readouterr().out:
                 await trio.sleep(0.001)
-            assert mine._raw is None
-        while mine._raw is None:
+            assert not transport.bound
+        while not transport.bound:
             await trio.sleep(0.001)
         assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
 
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -28,7 +28,7 @@
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
-from violetstack.net.gossip import Peers
+from violetstack.net.gossip import GossipReceiver, GossipTransport
 from violetstack.net.pause_detector import PauseDetector
 from violetstack.net.startup_recovery import StartupRecovery
 from violetstack.net.upstream.connection_pool import ConnectionPool
@@ -257,21 +257,29 @@
         config = self.config
         if config.peer_listen is None:
             return
-        heirs = config.inherited is not None
-        peers = Peers(self.core, config.peer_listen, config.peers, config.peers_all, heirs)
-        self.hosts.gossip = peers.tell
-        peers.deaf = lambda: pause_detector.catching_up
-        pause_detector.add_source(peers)
+        transport = GossipTransport(
+            config.peer_listen,
+            config.peers,
+            config.peers_all,
+            reuse_address=config.inherited is not None,
+        )
+        self.hosts.gossip = transport.broadcast
+        pause_detector.add_source(transport)
         self.leases = start_lease_service(
             config,
             self.nursery,
             self.core,
-            peers,
+            transport,
             pause_detector,
             is_eligible=lambda: self.taking and self.recovery.list_received and not self.stop.is_set(),
             is_suspect=self.router.suspected,
         )
-        self.nursery.start_soon(peers.run)
+        receiver = GossipReceiver(
+            self.core,
+            discard=lambda: pause_detector.catching_up,
+            handle_lease=self.leases.receive if self.leases is not None else None,
+        )
+        self.nursery.start_soon(transport.run, receiver.receive)
 
     def _recall(self) -> None:
         """What the predecessor's module knew a moment ago, or the disk has of it."""
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -13,7 +13,7 @@
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
-from violetstack.net.gossip import Peers
+from violetstack.net.gossip import GossipTransport
 from violetstack.net.pause_detector import PauseDetector
 from violetstack.policy_api import EndpointUpdate, UpdateScope
 from violetstack.router import Router
@@ -45,7 +45,7 @@
     config: Config,
     nursery: trio.Nursery,
     core: Dispatcher,
-    peers: Peers,
+    transport: GossipTransport,
     pause_detector: PauseDetector,
     *,
     is_eligible: Callable[[], bool],
@@ -57,7 +57,9 @@
         return None
     from violetstack.net.lease_service import LeaseService
 
-    leases = LeaseService(told, core, peers, pause_detector, is_eligible=is_eligible, is_suspect=is_suspect)
+    leases = LeaseService(
+        told, core, transport, pause_detector, is_eligible=is_eligible, is_suspect=is_suspect
+    )
     nursery.start_soon(leases.run)
     return leases
 
--- a/violetstack/net/gossip.py
+++ b/violetstack/net/gossip.py
@@ -1,108 +1,191 @@
-"""Datagrams to and from the other dispatchers of the tier."""
+"""UDP transport of the datagrams between the dispatchers of a tier."""
 
 from __future__ import annotations
 
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
 import trio
 
 from violetstack.config import Address
-from violetstack.core.dispatcher import Dispatcher
 from violetstack.gossip.codec import MAX_DATAGRAM_BYTES
 from violetstack.log import log_rate_limited
 from violetstack.policy_api import GossipReceived
 
-BIND_AGAIN_S = 1.0
-MOST_UNSAID = 4
-MOST_AT_ONCE = 64  # datagrams read before other tasks get their turn
+BIND_RETRY_S = 1.0
+MAX_UNSENT_DATAGRAMS = 4
+READ_BATCH = 64  # datagrams read before other tasks run
 
 
-class Peers:
-    """One socket; the sender's address tells its number, and whoever is not among the peers is not heard."""
+class DatagramHandler(Protocol):
+    """Called with each datagram of a peer."""
+
+    def __call__(self, peer: int, payload: bytes, /) -> None:
+        """Handles a datagram from the peer of that number."""
+
+
+class LeaseDatagramHandler(Protocol):
+    """The lease service's part of the shared socket."""
+
+    def __call__(self, peer: int, payload: bytes, /) -> bool:
+        """Handles a lease datagram; returns whether it was one."""
+
+
+class GossipSink(Protocol):
+    """The part of the core that takes load gossip."""
+
+    def gossip_received(self, message: GossipReceived) -> None:
+        """Queues a datagram as an event of the policy."""
+
+
+class GossipTransport:
+    """One UDP socket to all peers.
+
+    The sender's address identifies the peer; datagrams from any other address are dropped. Sending never
+    waits: a datagram that cannot leave at once is lost, as it may be in the network.
+
+    Attributes:
+        bound: Whether the socket is bound.
+    """
 
     def __init__(
         self,
-        core: Dispatcher,
-        at: Address,
-        peers: list[Address],
-        everyone: Address | None,
-        heirs: bool = False,
+        address: Address,
+        peers: Sequence[Address],
+        broadcast_address: Address | None = None,
+        *,
+        reuse_address: bool = False,
     ) -> None:
-        self._core = core
-        self._at = at
-        self._heirs = heirs
-        self._numbers = {peer: n for n, peer in enumerate(peers)}
-        self._all = peers
-        self._to = [everyone] if everyone is not None else [peer for peer in peers if peer != at]
-        self._raw: socket.socket | None = None
-        self._sock: trio.socket.SocketType | None = None
-        self._unsaid: list[bytes] = []
-        self.deaf: Callable[[], bool] = lambda: False  # what lay unread over a gap is not believed
-        self.duties: Callable[[int, bytes], bool] | None = None  # True: it was for them
-
-    async def run(self) -> None:
-        raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        with trio.socket.from_stdlib_socket(raw) as sock:
-            if self._heirs:
-                # An heir binds beside its predecessor and hears alone from then on; both must ask for it.
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            await self._bind(sock)
-            self._raw = raw
-            self._sock = sock
-            for payload in self._unsaid:
-                self.tell(payload)
-            self._unsaid = []
+        """Configures the transport; `run` opens the socket.
+
+        Args:
+            address: Where to bind.
+            peers: The addresses of all dispatchers of the tier by number, this one's included.
+            broadcast_address: Delivers one datagram to all peers; without it each peer is sent a copy.
+            reuse_address: For a hot restart, in which the successor binds the same address beside its
+                predecessor and receives everything from then on. Both processes have to set it.
+        """
+        self.bound = False
+        self._address = address
+        self._reuse_address = reuse_address
+        self._peers = tuple(peers)
+        self._peer_numbers = {peer: number for number, peer in enumerate(peers)}
+        if broadcast_address is not None:
+            self._broadcast_to = [broadcast_address]
+        else:
+            self._broadcast_to = [peer for peer in peers if peer != address]
+        self._sending_socket: socket.socket | None = None
+        self._receiving_socket: trio.socket.SocketType | None = None
+        self._unsent: list[bytes] = []
+
+    async def run(self, handle: DatagramHandler) -> None:
+        """Binds the socket, then calls `handle` for each datagram of a peer; never returns."""
+        raw_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        with trio.socket.from_stdlib_socket(raw_socket) as trio_socket:
+            if self._reuse_address:
+                trio_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            await self._bind(trio_socket)
+            self._sending_socket = raw_socket
+            self._receiving_socket = trio_socket
+            self.bound = True
+            for payload in self._unsent:
+                self.broadcast(payload)
+            self._unsent = []
             while True:
-                try:
-                    self._heard(*await sock.recvfrom(MAX_DATAGRAM_BYTES + 1))
-                    for _ in range(MOST_AT_ONCE):
-                        if not sock.is_readable():
-                            break
-                        self._heard(*await sock.recvfrom(MAX_DATAGRAM_BYTES + 1))
-                except OSError:
-                    continue  # a peer that is down shows here as refused; the next one may be heard
+                # Linux reports that a peer's port is closed as an error of the next receive.
+                with contextlib.suppress(OSError):
+                    await self._read_batch(trio_socket, handle)
 
     def pending(self) -> bool:
-        return self._sock is not None and self._sock.is_readable()
+        """Returns whether an unread datagram is waiting."""
+        return self._receiving_socket is not None and self._receiving_socket.is_readable()
+
+    def broadcast(self, payload: bytes) -> None:
+        """Sends a datagram to all peers.
 
-    async def _bind(self, sock: trio.socket.SocketType) -> None:
-        """Guards the service: who can't hear the others serves all the same, and tries again."""
+        The first few before the socket is bound are sent once it is: a reset sent at startup ends what the
+        peers still count as this dispatcher's load from before.
+        """
+        if not self.bound:
+            self._unsent = [*self._unsent, payload][:MAX_UNSENT_DATAGRAMS]
+            return
+        for peer in self._broadcast_to:
+            self._send_to(payload, peer)
+
+    def send(self, peer: int, payload: bytes) -> None:
+        """Sends a datagram to the peer of that number."""
+        self._send_to(payload, self._peers[peer])
+
+    async def _bind(self, trio_socket: trio.socket.SocketType) -> None:
+        """Binds, trying again for as long as the address is taken: requests are served without gossip."""
         while True:
             try:
-                await sock.bind(self._at)
+                await trio_socket.bind(self._address)
                 return
             except OSError as error:
-                log_rate_limited("gossip_bind_failed", at=f"{self._at[0]}:{self._at[1]}", error=str(error))
-                await trio.sleep(BIND_AGAIN_S)
-
-    def _heard(self, data: bytes, sender: Address) -> None:
-        number = self._numbers.get(sender)
-        if sender == self._at:
-            return  # our own, by way of everyone
-        if number is None or len(data) > MAX_DATAGRAM_BYTES:
-            reason = "no peer of this tier" if number is None else "too long"
-            log_rate_limited("gossip_datagram_rejected", sender=f"{sender[0]}:{sender[1]}", reason=reason)
-        elif not self.deaf() and not (self.duties is not None and self.duties(number, data)):
-            self._core.gossip_received(GossipReceived(number, data))
-
-    def tell(self, payload: bytes) -> None:
-        """Now or not at all: a datagram that can't leave is as good as one that is lost on its way.
-
-        But for the first words: that this dispatcher is new is said before its socket is bound.
+                log_rate_limited("gossip_bind_failed", at=format_address(self._address), error=str(error))
+                await trio.sleep(BIND_RETRY_S)
+
+    async def _read_batch(self, trio_socket: trio.socket.SocketType, handle: DatagramHandler) -> None:
+        """Waits for a datagram, then reads what else has arrived, up to `READ_BATCH` more."""
+        self._received(*await trio_socket.recvfrom(MAX_DATAGRAM_BYTES + 1), handle)
+        for _ in range(READ_BATCH):
+            if not trio_socket.is_readable():
+                return
+            self._received(*await trio_socket.recvfrom(MAX_DATAGRAM_BYTES + 1), handle)
+
+    def _received(self, payload: bytes, sender: Address, handle: DatagramHandler) -> None:
+        if sender == self._address:
+            return  # this dispatcher's own broadcast
+        peer = self._peer_numbers.get(sender)
+        if peer is None:
+            log_rate_limited(
+                "gossip_datagram_rejected", sender=format_address(sender), reason="no peer of this tier"
+            )
+        elif len(payload) > MAX_DATAGRAM_BYTES:
+            log_rate_limited("gossip_datagram_rejected", sender=format_address(sender), reason="too long")
+        else:
+            handle(peer, payload)
+
+    def _send_to(self, payload: bytes, address: Address) -> None:
+        if self._sending_socket is not None:
+            with contextlib.suppress(OSError):
+                self._sending_socket.sendto(payload, address)
+
+
+class GossipReceiver:
+    """Hands the datagrams of peers to the lease service or, as load gossip, to the core."""
+
+    def __init__(
+        self,
+        core: GossipSink,
+        *,
+        discard: Callable[[], bool] = lambda: False,
+        handle_lease: LeaseDatagramHandler | None = None,
+    ) -> None:
+        """Takes the receivers.
+
+        Args:
+            core: Takes load gossip.
+            discard: Whether datagrams are dropped now. After a pause of the process, those that queued up
+                meanwhile describe a past state, and some of them were lost.
+            handle_lease: Takes lease datagrams; None without leases.
         """
-        if self._raw is None:
-            self._unsaid = [*self._unsaid, payload][:MOST_UNSAID]
+        self._core = core
+        self._discard = discard
+        self._handle_lease = handle_lease
+
+    def receive(self, peer: int, payload: bytes) -> None:
+        """Handles one datagram of a peer."""
+        if self._discard():
+            return
+        if self._handle_lease is not None and self._handle_lease(peer, payload):
             return
-        for peer in self._to:
-            self._send(payload, peer)
+        self._core.gossip_received(GossipReceived(peer, payload))
 
-    def send(self, number: int, payload: bytes) -> None:
-        """To one of them, now or not at all."""
-        self._send(payload, self._all[number])
 
-    def _send(self, payload: bytes, peer: Address) -> None:
-        if self._raw is not None:
-            with contextlib.suppress(OSError):
-                self._raw.sendto(payload, peer)
+def format_address(address: Address) -> str:
+    """Returns `host:port`."""
+    return f"{address[0]}:{address[1]}"
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -35,13 +35,10 @@
 class LeaseTransport(Protocol):
     """Sends datagrams to the other dispatchers of the tier."""
 
-    duties: Callable[[int, bytes], bool] | None
-    """Takes a received datagram and its sender's number; returns whether it was about leases."""
-
-    def tell(self, payload: bytes) -> None:
+    def broadcast(self, payload: bytes) -> None:
         """Send to all."""
 
-    def send(self, number: int, payload: bytes) -> None:
+    def send(self, peer: int, payload: bytes) -> None:
         """Send to one."""
 
 
@@ -68,7 +65,7 @@
         Args:
             config: The operator's settings.
             core: Gets the results of outlier checks, and reports attempts to them.
-            transport: Sends and receives datagrams.
+            transport: Sends datagrams; those received go to `receive`.
             pause_detector: Delays decisions after a pause of the process.
             is_eligible: Whether this dispatcher may acquire leases now.
             is_suspect: Whether the policy has evidence against a host.
@@ -98,7 +95,6 @@
             core.outlier_observer = self._outlier_checks
         self.restart_permits = RestartPermits(self.node, config.leave) if config.leave else None
         self._woken = trio.Event()
-        transport.duties = self._receive
 
     # --- timers and datagrams ---
 
@@ -121,11 +117,12 @@
         self.node.set_eligible(now_ms(), self._is_eligible())
         for receiver, data in self.node.tick(now_ms()):
             if receiver == EVERYONE:
-                self._transport.tell(data)
+                self._transport.broadcast(data)
             else:
                 self._transport.send(receiver, data)
 
-    def _receive(self, sender: int, data: bytes) -> bool:
+    def receive(self, sender: int, data: bytes) -> bool:
+        """Take a datagram of a dispatcher; returns whether it was about leases."""
         if not is_lease_datagram(data):
             return False
         try:
