--- a/violetstack/net/gossip.py
+++ b/violetstack/net/gossip.py
@@ -123,10 +123,11 @@
         while True:
             try:
                 await trio_socket.bind(self._address)
-                return
             except OSError as error:
                 log_rate_limited("gossip_bind_failed", at=format_address(self._address), error=str(error))
                 await trio.sleep(BIND_RETRY_S)
+            else:
+                return
 
     async def _read_batch(self, trio_socket: trio.socket.SocketType, handle: DatagramHandler) -> None:
         """Waits for a datagram, then reads what else has arrived, up to `READ_BATCH` more."""
@@ -140,14 +141,11 @@
         if sender == self._address:
             return  # this dispatcher's own broadcast
         peer = self._peer_numbers.get(sender)
-        if peer is None:
-            log_rate_limited(
-                "gossip_datagram_rejected", sender=format_address(sender), reason="no peer of this tier"
-            )
-        elif len(payload) > MAX_DATAGRAM_BYTES:
-            log_rate_limited("gossip_datagram_rejected", sender=format_address(sender), reason="too long")
-        else:
+        if peer is not None and len(payload) <= MAX_DATAGRAM_BYTES:
             handle(peer, payload)
+            return
+        reason = "no peer of this tier" if peer is None else "too long"
+        log_rate_limited("gossip_datagram_rejected", sender=format_address(sender), reason=reason)
 
     def _send_to(self, payload: bytes, address: Address) -> None:
         if self._sending_socket is not None:
