--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,4 +1,4 @@
-"""The operators' door: its calls, the figures against a recount, hosts out by hand against a model."""
+"""The admin API: its requests, the metrics against a recount, cordons against a model."""
 
 from __future__ import annotations
 
@@ -16,10 +16,17 @@
 from tests.front import READERS, SETTINGS, WRITERS
 from tests.test_core import Noted
 from tests.test_stories import pair, play
-from violetstack.admin.api import MAX_CALL, Call, Refused
-from violetstack.admin.cordons import MOST, Cordons, TooMany, Unknown
+from violetstack.admin.api import MAX_BODY_BYTES, AdminConnection
+from violetstack.admin.cordons import MAX_CORDONS, Cordons
+from violetstack.admin.errors import RequestRejectedError, TooManyCordonsError, UnknownEndpointError
+from violetstack.admin.responses import (
+    LeasesResponse,
+    ResignResponse,
+    RestartPermitResponse,
+    StatsResponse,
+)
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.net.admin_server import MOST_CALLERS
+from violetstack.net.admin_server import MAX_CONNECTIONS
 from violetstack.policy_api import (
     AttemptStatus,
     Endpoint,
@@ -35,40 +42,41 @@
 from violetstack.router import Router
 
 
-class Scene:
-    """A house of two hosts."""
+class FakeOperations:
+    """A dispatcher of two endpoints, `a` and `b`, that records its cordons and its log lines."""
 
     def __init__(self) -> None:
-        self.started = self.taking = True
-        self.out: set[str] = set()
+        self.started = True
+        self.accepting = True
+        self.cordoned: set[str] = set()
         self.lines: list[dict[str, Any]] = []
 
-    def figures(self) -> dict[str, Any]:
-        return {"open_requests": 0}
+    def stats(self) -> StatsResponse:
+        return StatsResponse({}, 0, 0, 2, 0)
 
-    def cordon(self, server: str) -> None:
-        if server not in ("a", "b"):
-            raise Unknown(server)
-        self.out.add(server)
+    def cordon(self, endpoint_id: str) -> None:
+        if endpoint_id not in ("a", "b"):
+            raise UnknownEndpointError(endpoint_id)
+        self.cordoned.add(endpoint_id)
 
-    def uncordon(self, server: str) -> None:
-        self.out.discard(server)
+    def uncordon(self, endpoint_id: str) -> None:
+        self.cordoned.discard(endpoint_id)
 
-    def duties(self) -> dict[str, Any]:
-        return {"duties": []}
+    def leases(self) -> LeasesResponse:
+        return LeasesResponse(0, True, [0], True, 0, 0, [])
 
-    def leave(self) -> dict[str, Any]:
-        raise Refused(503, "leave:0 is held by 3", [("Retry-After", "1")])
+    def request_restart(self) -> RestartPermitResponse:
+        raise RequestRejectedError(503, "leave:0 is held by 3", [("Retry-After", "1")])
 
-    def resign(self, name: str) -> dict[str, Any]:
-        return {"resigned": name}
+    def resign(self, lease_name: str) -> ResignResponse:
+        return ResignResponse(lease_name)
 
-    def log(self, event: str, **fields: Any) -> None:
+    def log(self, _: str, **fields: Any) -> None:
         self.lines.append(fields)
 
 
-def answer_to(scene: Scene, sent: bytes) -> bytes:
-    return Call(scene, scene.log).feed(sent) or b""
+def response_to(operations: FakeOperations, request: bytes) -> bytes:
+    return AdminConnection(operations, operations.log).feed(request) or b""
 
 
 def post(path: str, body: bytes, length: int | None = None) -> bytes:
@@ -83,7 +91,7 @@
     return b"GET %b HTTP/1.1\r\nHost: x\r\n\r\n" % path.encode()
 
 
-REFUSED = {
+REJECTED_REQUESTS = {
     "unknown path": (get("/admin"), 404),
     "wrong method": (get("/admin/cordon"), 405),
     "post to stats": (post("/admin/stats", b""), 405),
@@ -93,42 +101,62 @@
     "no leave yet": (post("/admin/leave", b""), 503),
     "no name of a duty": (post("/admin/resign", b""), 400),
     "unknown id": (post("/admin/cordon", b"nobody"), 404),
-    "oversized": (post("/admin/cordon", b"", MAX_CALL + 1), 413),
+    "oversized": (post("/admin/cordon", b"", MAX_BODY_BYTES + 1), 413),
     "noise": (b"\x16\x03\x01\r\n\r\n", 400),
 }
 
 
-@pytest.mark.parametrize("name", REFUSED)
-def test_a_call_that_can_not_be_taken_changes_nothing_and_leaves_a_line(name: str) -> None:
-    scene = Scene()
-    (sent, status) = REFUSED[name]
-    answer = answer_to(scene, sent)
-    assert answer.startswith(b"HTTP/1.1 %d " % status)
-    assert (b"Allow: " in answer) == (status == 405)
-    assert scene.out == set()
-    assert [line["status"] for line in scene.lines] == [status]
+@pytest.mark.parametrize("name", REJECTED_REQUESTS)
+def test_a_rejected_request_changes_nothing_and_is_logged(name: str) -> None:
+    operations = FakeOperations()
+    request, status = REJECTED_REQUESTS[name]
+    response = response_to(operations, request)
+    assert response.startswith(b"HTTP/1.1 %d " % status)
+    assert (b"Allow: " in response) == (status == 405)
+    assert operations.cordoned == set()
+    assert [line["status"] for line in operations.lines] == [status]
 
 
-def test_the_door_says_no_until_the_process_takes_clients() -> None:
-    scene = Scene()
-    scene.taking = False
-    assert answer_to(scene, get("/admin/health")).startswith(b"HTTP/1.1 503 ")
-    assert answer_to(scene, get("/admin/stats")).startswith(b"HTTP/1.1 200 ")
-    assert answer_to(scene, post("/admin/cordon", b"a")).startswith(b"HTTP/1.1 200 ")  # while it ends
-    scene.started = False
-    assert answer_to(scene, post("/admin/cordon", b"b")).startswith(b"HTTP/1.1 503 ")
-    assert scene.out == {"a"}
+def test_requests_are_rejected_before_the_start_and_health_while_not_accepting() -> None:
+    operations = FakeOperations()
+    operations.accepting = False
+    assert response_to(operations, get("/admin/health")).startswith(b"HTTP/1.1 503 ")
+    assert response_to(operations, get("/admin/stats")).startswith(b"HTTP/1.1 200 ")
+    assert response_to(operations, post("/admin/cordon", b"a")).startswith(b"HTTP/1.1 200 ")  # in a shutdown
+    operations.started = False
+    assert response_to(operations, post("/admin/cordon", b"b")).startswith(b"HTTP/1.1 503 ")
+    assert operations.cordoned == {"a"}
 
 
 @given(st.integers(1, 80), st.sampled_from([get("/admin/health"), post("/admin/cordon", b"a\n")]))
-def test_a_call_may_come_in_any_pieces(cut: int, sent: bytes) -> None:
-    scene = Scene()
-    call = Call(scene, scene.log)
-    words = [call.feed(part) for part in (sent[:cut], sent[cut:]) if part]
-    assert [w for w in words if w] == [answer_to(Scene(), sent)]
+def test_a_request_may_arrive_in_any_two_parts(cut: int, request: bytes) -> None:
+    operations = FakeOperations()
+    connection = AdminConnection(operations, operations.log)
+    responses = [connection.feed(part) for part in (request[:cut], request[cut:]) if part]
+    assert [response for response in responses if response] == [response_to(FakeOperations(), request)]
+
+
+EMPTY_STATS = b'{"operations":{},"relayed":0,"open_requests":0,"registry_entries":2,"out_of_rotation":0}\n'
+EMPTY_LEASES = b'{"me":0,"fit":true,"electors":[0],"speaks":true,"datagrams":0,"bytes":0,"duties":[]}\n'
+
+
+@pytest.mark.parametrize(
+    ("sent", "body"),
+    [
+        (get("/admin/health"), b'{"status":"serving"}\n'),
+        (get("/admin/stats"), EMPTY_STATS),
+        (post("/admin/cordon", b"a"), b'{"out":"a"}\n'),
+        (post("/admin/uncordon", b"a"), b'{"back":"a"}\n'),
+        (get("/admin/duties"), EMPTY_LEASES),
+        (post("/admin/resign", b"try:r3"), b'{"resigned":"try:r3"}\n'),
+        (post("/admin/leave", b""), b'{"error":"leave:0 is held by 3"}\n'),
+    ],
+)
+def test_the_json_of_each_response_keeps_its_names(sent: bytes, body: bytes) -> None:
+    assert response_to(FakeOperations(), sent).endswith(b"\r\n\r\n" + body)
 
 
-# --- hosts out by hand ---
+# --- cordons ---
 
 LISTED = READERS + WRITERS
 IDS = [entry.server for entry in LISTED]
@@ -138,39 +166,39 @@
     return EndpointUpdate(UpdateScope.SNAPSHOT, entries, 1)
 
 
-def test_a_host_taken_out_twice_is_back_after_one_call_and_counts_as_cold() -> None:
+def test_an_endpoint_cordoned_twice_is_uncordoned_once_and_then_gets_a_slow_start() -> None:
     cordons = Cordons()
-    cordons.told(full(*LISTED))
+    cordons.apply(full(*LISTED))
     for now in (5_000.0, 6_000.0):
         assert [e.state for e in cordons.cordon(now, IDS[0]).endpoints] == [EndpointState.DRAINING]
     back = cordons.uncordon(9_000.0, IDS[0]).endpoints[0]
     assert (back.state, back.started_ms) == (EndpointState.HEALTHY, 9_000.0)
     told = replace(LISTED[0], started_ms=7_000.0)
-    assert cordons.told(EndpointUpdate(UpdateScope.DELTA, (told,), 2)).endpoints[0].started_ms == 7_000.0
+    assert cordons.apply(EndpointUpdate(UpdateScope.DELTA, (told,), 2)).endpoints[0].started_ms == 7_000.0
 
 
-def test_calls_for_hosts_that_nobody_knows_are_refused_and_a_needless_one_back_is_not() -> None:
+def test_unknown_endpoints_are_rejected_and_a_needless_uncordon_is_not() -> None:
     cordons = Cordons()
-    cordons.told(full(*LISTED[1:]))
+    cordons.apply(full(*LISTED[1:]))
     for call in (cordons.cordon, cordons.uncordon):
-        with pytest.raises(Unknown):
+        with pytest.raises(UnknownEndpointError):
             call(1.0, IDS[0])
     assert cordons.uncordon(1.0, IDS[1]).endpoints == (LISTED[1],)
-    assert cordons.marks == {}
+    assert cordons.records == {}
 
 
-def test_hosts_out_are_bounded_and_those_that_are_back_go_first() -> None:
+def test_cordons_are_bounded_and_ended_ones_are_forgotten_first() -> None:
     cordons = Cordons()
-    many = (Endpoint(f"h{n}", 0, 1.0, 0, EndpointState.HEALTHY, 0, None) for n in range(MOST + 1))
-    cordons.told(full(*many))
-    for n in range(MOST):
+    many = (Endpoint(f"h{n}", 0, 1.0, 0, EndpointState.HEALTHY, 0, None) for n in range(MAX_CORDONS + 1))
+    cordons.apply(full(*many))
+    for n in range(MAX_CORDONS):
         cordons.cordon(float(n), f"h{n}")
-    with pytest.raises(TooMany):
-        cordons.cordon(5000.0, f"h{MOST}")
+    with pytest.raises(TooManyCordonsError):
+        cordons.cordon(5000.0, f"h{MAX_CORDONS}")
     cordons.uncordon(6000.0, "h7")
-    cordons.cordon(7000.0, f"h{MOST}")
-    assert len(cordons.marks) == MOST
-    assert "h7" not in cordons.marks
+    cordons.cordon(7000.0, f"h{MAX_CORDONS}")
+    assert len(cordons.records) == MAX_CORDONS
+    assert "h7" not in cordons.records
 
 
 STEPS = st.lists(
@@ -184,15 +212,15 @@
 
 
 @given(STEPS)
-def test_whatever_order_calls_lists_and_processes_come_in_the_last_call_holds(
+def test_the_latest_call_counts_in_any_order_of_calls_lists_and_merges(
     steps: list[tuple[str, str, int]],
 ) -> None:
-    """Two processes of one dispatcher, each with its own list, and a set as the model."""
+    """Two processes of one dispatcher, each with its own endpoint list; the model is a set."""
     processes = [Cordons(), Cordons()]
     cores: list[dict[str, Endpoint]] = [{}, {}]
     out: set[str] = set()
 
-    def see(n: int, news: EndpointUpdate | None) -> None:
+    def publish(n: int, news: EndpointUpdate | None) -> None:
         if news is None:
             return
         if news.scope is not UpdateScope.DELTA:
@@ -200,7 +228,7 @@
         cores[n].update({entry.server: entry for entry in news.endpoints})
 
     for n in (0, 1):
-        see(n, processes[n].told(full(*LISTED[:3])))
+        publish(n, processes[n].apply(full(*LISTED[:3])))
     for at, (step, server, n) in enumerate(steps):
         now = 1000.0 + at
         entry = LISTED[IDS.index(server)]
@@ -208,28 +236,28 @@
             known = server in out or cores[n].get(server, LISTED[0]).state is not EndpointState.REMOVED
             if not known:
                 continue
-            see(n, getattr(processes[n], step)(now, server))
-            see(1 - n, processes[1 - n].merge(processes[n].marks))
+            publish(n, getattr(processes[n], step)(now, server))
+            publish(1 - n, processes[1 - n].merge(processes[n].records))
             (out.add if step == "cordon" else out.discard)(server)
         elif step == "list":
-            see(n, processes[n].told(full(*LISTED[:3])))
+            publish(n, processes[n].apply(full(*LISTED[:3])))
         elif step == "leave":
             gone = Endpoint(entry.server, 0, 1.0, 0, EndpointState.REMOVED, 0, None)
-            see(n, processes[n].told(EndpointUpdate(UpdateScope.DELTA, (gone,), 2)))
+            publish(n, processes[n].apply(EndpointUpdate(UpdateScope.DELTA, (gone,), 2)))
         else:
-            see(n, processes[n].merge(processes[1 - n].marks))
+            publish(n, processes[n].merge(processes[1 - n].records))
         for core in cores:
             states = {s: e.state for s, e in core.items() if e.state is not EndpointState.REMOVED}
             drains = {s for s, state in states.items() if state is EndpointState.DRAINING}
             assert drains == out & set(states)
 
 
-# --- figures ---
+# --- metrics ---
 
 
 @given(st.integers(0, 2**32))
-def test_figures_agree_with_a_plain_recount_of_random_lives(seed: int) -> None:
-    """Clients that go and come, attempts that end in every way, and a module that decides for itself."""
+def test_metrics_agree_with_a_recount_of_random_requests(seed: int) -> None:
+    """Clients that disconnect, attempts that end in every way, and the real policy."""
     rng = random.Random(seed)
     noted = Noted()
     now = 1000.0
@@ -291,7 +319,7 @@
     return orjson.loads((await raw(on.door, get("/admin/stats"))).partition(b"\r\n\r\n")[2])
 
 
-def test_figures_of_both_fronts_are_held_against_what_their_clients_saw() -> None:
+def test_metrics_of_both_fronts_match_what_their_clients_saw() -> None:
     reader, writer = pair(Act(), ERROR, CUT, Act(), Act(pause=trio.Event()))
 
     async def story(on: Stage) -> None:
@@ -314,10 +342,10 @@
     play(reader, writer, story=story)
 
 
-# --- the door on sockets ---
+# --- over sockets ---
 
 
-def test_a_host_out_by_hand_gets_nothing_new_and_is_used_again_after_the_call_back() -> None:
+def test_a_cordoned_host_gets_no_new_work_until_it_is_uncordoned() -> None:
     async def story(on: Stage) -> None:
         reader, writer = hosts
         assert (await raw(on.door, post("/admin/cordon", b"w"))).startswith(b"HTTP/1.1 200 ")
@@ -339,7 +367,7 @@
     play(*hosts, story=story)
 
 
-def test_a_host_stays_out_while_discovery_moves_and_the_log_names_the_kind_that_is_left_without(
+def test_a_cordon_outlasts_a_change_of_discovery_and_the_log_names_a_kind_without_hosts(
     capfd: pytest.CaptureFixture[str],
 ) -> None:
     reader, writer = pair()
@@ -360,9 +388,9 @@
     assert (told["out"], told["none_left"], told["by"]) == (["r"], ["prefill"], "call")
 
 
-def test_callers_that_finish_no_call_keep_no_other_call_out() -> None:
+def test_incomplete_requests_do_not_block_others() -> None:
     async def story(on: Stage) -> None:
-        idle = [await trio.open_tcp_stream(*on.door) for _ in range(3 * MOST_CALLERS)]
+        idle = [await trio.open_tcp_stream(*on.door) for _ in range(3 * MAX_CONNECTIONS)]
         for stream in idle[::2]:
             await stream.send_all(b"GET /admin/st")
         with trio.fail_after(1.0):
@@ -373,7 +401,7 @@
     play(*pair(), story=story)
 
 
-def test_the_door_answers_while_a_thousand_silent_connections_stand_at_the_clients_listener() -> None:
+def test_the_admin_api_answers_with_a_thousand_idle_client_connections() -> None:
     async def story(on: Stage) -> None:
         crowd = []
         for _ in range(1000):
@@ -388,7 +416,7 @@
     play(*pair(), story=story)
 
 
-def test_the_calls_are_not_reachable_from_a_clients_listener() -> None:
+def test_the_admin_api_is_not_reachable_from_client_listeners() -> None:
     async def story(on: Stage) -> None:
         for at in (on.platform, on.chat):
             call = await connect(at)
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -11,7 +11,7 @@
 from tests.test_stories import pair, play
 from violetstack import log
 from violetstack.config import Address
-from violetstack.net.admin_server import MOST_CALLERS
+from violetstack.net.admin_server import MAX_CONNECTIONS
 from violetstack.net.downstream import connection, connection_table, listener
 from violetstack.net.resource_limits import DOOR, LEAST, OWN, budget
 from violetstack.protocol.headers import MAX_WAIT_MS, RequestReader
@@ -227,7 +227,7 @@
         if sockets // processes >= 96:
             own = OWN + listener.MAX_CONCURRENT_REJECTIONS + (DOOR if door else 0)
             assert processes * (own + share.hosts + fronts * share.clients) <= sockets
-    assert DOOR == MOST_CALLERS + 1
+    assert DOOR == MAX_CONNECTIONS + 1
 
 
 def test_a_failure_to_make_room_turns_one_client_away_and_ends_nothing() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -23,7 +23,7 @@
 from tests.front import Front, entry
 from tests.test_admin import get, post
 from tests.test_stories import pair, play
-from violetstack.admin.cordons import Mark
+from violetstack.admin.cordons import Cordon
 from violetstack.config import Address, BadConfig
 from violetstack.handover.learned import Learned, learned, recall
 from violetstack.handover.record import VERSION, BadRecord, Record, decode, encode
@@ -56,7 +56,7 @@
         "serving": True,
         "version": 7,
         "servers": (WServer("w", "127.0.0.1:1", "z", "decode"),),
-        "marks": {"w": Mark(True, at, at)},
+        "cordons": {"w": Cordon(True, at, at)},
     }
     return Record(**{**told, **changes})
 
@@ -156,10 +156,10 @@
 
 def test_of_each_host_the_latest_call_at_any_process_counts() -> None:
     mine = Succession("c", NOW)
-    back = Mark(False, NOW + 9.0, NOW)
-    mine.heard([record("a"), record("b", at=NOW + 9.0, marks={"w": back})], {"a": NOW, "b": NOW})
-    assert mine.marks() == {"w": back}
-    assert mine.newest() == record("b", at=NOW + 9.0, marks={"w": back})
+    back = Cordon(False, NOW + 9.0, NOW)
+    mine.heard([record("a"), record("b", at=NOW + 9.0, cordons={"w": back})], {"a": NOW, "b": NOW})
+    assert mine.latest_cordons() == {"w": back}
+    assert mine.newest() == record("b", at=NOW + 9.0, cordons={"w": back})
 
 
 # --- the inherited listener ---
--- a/violetstack/admin/__init__.py
+++ b/violetstack/admin/__init__.py
@@ -1,6 +1,7 @@
-"""Owns what the operators' staff see and do: their calls, the figures, the hosts out by hand.
+"""The admin API: metrics, cordons and leases for operators.
 
-`door` reads a call and words its answer, `figures` says what the counts are called, `cordons` lays the hosts
-that are out by hand over discovery's list. Nothing here does I/O or reads a clock; net/door.py carries the
-calls. Model hosts are still chosen by the decision module alone: to it a host that is out is one that drains.
+`api` maps HTTP requests to operations, `responses` are the bodies, `metrics` and `cordons` are two of the
+things operated on, `errors` are the refusals. Nothing here does I/O or reads a clock:
+`violetstack.net.admin_server` carries the connections and `violetstack.net.admin_service` implements the
+operations on a dispatcher.
 """
--- a/violetstack/admin/api.py
+++ b/violetstack/admin/api.py
@@ -1,158 +1,224 @@
-"""The operators' calls: a call's bytes in, its answer's bytes out, and what it asks of the dispatcher."""
+"""The admin API over HTTP/1.1 without I/O: the bytes of a request in, the bytes of its response out."""
 
 from __future__ import annotations
 
 import re
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import NamedTuple, Protocol
 
 import msgspec
 
-from violetstack.admin.cordons import TooMany, Unknown
+from violetstack.admin.errors import (
+    NotRecordedError,
+    RequestRejectedError,
+    TooManyCordonsError,
+    UnknownEndpointError,
+)
+from violetstack.admin.responses import (
+    CordonResponse,
+    ErrorResponse,
+    HealthResponse,
+    LeasesResponse,
+    ResignResponse,
+    RestartPermitResponse,
+    StatsResponse,
+    UncordonResponse,
+)
 from violetstack.protocol.server_side import Headers, Inbound, Rejected, ServerSide
 
-MAX_CALL = 1024  # bytes of a body; an id is a short word
-PLAIN_ID = re.compile(r"[!-~]{1,128}")
-JSON: Headers = [("Content-Type", "application/json"), ("Cache-Control", "no-store")]
-CALLS = {
-    "/admin/health": "GET",
-    "/admin/stats": "GET",
-    "/admin/cordon": "POST",
-    "/admin/uncordon": "POST",
-    "/admin/duties": "GET",
-    "/admin/leave": "POST",
-    "/admin/resign": "POST",
-}
+MAX_BODY_BYTES = 1024  # the longest body is one id or lease name
+NAME_PATTERN = re.compile(r"[!-~]{1,128}")
+JSON_HEADERS: Headers = [("Content-Type", "application/json"), ("Cache-Control", "no-store")]
 
 
-class House(Protocol):
-    """What the door opens to; the daemon's."""
+class AdminOperations(Protocol):
+    """What the API can do with a dispatcher."""
 
     @property
     def started(self) -> bool:
-        """With a list at hand; from then on hosts can be taken out, also while it ends."""
+        """Whether the endpoint list is known; hosts can be cordoned from then on, until the process ends."""
 
     @property
-    def taking(self) -> bool:
-        """Does it take clients?"""
+    def accepting(self) -> bool:
+        """Whether client requests are accepted."""
+
+    def stats(self) -> StatsResponse:
+        """Returns the metrics as they are now."""
+
+    def cordon(self, endpoint_id: str) -> None:
+        """Sends no new work to an endpoint, and records that for a successor process.
+
+        Raises:
+            UnknownEndpointError: No listed or cordoned endpoint has this id.
+            TooManyCordonsError: No more cordons can be kept track of.
+            NotRecordedError: The record could not be written.
+        """
+
+    def uncordon(self, endpoint_id: str) -> None:
+        """Ends a cordon.
 
-    def figures(self) -> dict[str, Any]: ...
+        Raises:
+            UnknownEndpointError: No listed or cordoned endpoint has this id.
+            NotRecordedError: The record could not be written.
+        """
 
-    def cordon(self, server: str) -> None:
-        """Out from now on, and recorded for a successor. Raises Unknown, TooMany or NotRecorded."""
+    def leases(self) -> LeasesResponse:
+        """Returns the leases of the tier as far as this dispatcher knows them.
 
-    def uncordon(self, server: str) -> None: ...
+        Raises:
+            RequestRejectedError: No leases are configured.
+        """
 
-    def duties(self) -> dict[str, Any]:
-        """Who holds what, as far as this dispatcher knows. Raises Refused, as the next two."""
+    def request_restart(self) -> RestartPermitResponse:
+        """Asks for a restart permit, and shuts the process down once there is one.
 
-    def leave(self) -> dict[str, Any]:
-        """Asks for leave to be restarted; with it, the process ends."""
+        Raises:
+            RequestRejectedError: There is no permit yet, or permits are not configured.
+        """
 
-    def resign(self, name: str) -> dict[str, Any]:
-        """The duty goes to others."""
+    def resign(self, lease_name: str) -> ResignResponse:
+        """Gives up a lease.
 
+        Raises:
+            RequestRejectedError: The lease is not held here, or no leases are configured.
+        """
 
-class NotRecorded(Exception):
-    """The record for a successor could not be written; nothing was changed."""
 
+class Route(NamedTuple):
+    """The method of a path, and the function that serves it."""
 
-class Refused(Exception):
-    """A no; the text says why."""
+    method: str
+    handle: Callable[[AdminOperations, Inbound], msgspec.Struct]
+    needs_start: bool  # whether the endpoint list has to be known
 
-    def __init__(self, status: int, reason: str, headers: Headers | None = None) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.headers = headers or []
 
+class AdminConnection:
+    """One connection, which carries one request.
 
-class Call:
-    """One connection, for one call. `feed` until `answer` is there; it is the connection's last word."""
+    `feed` returns what is to be sent; after the response, `finished` is true.
+    """
 
-    def __init__(self, house: House, log: Callable[..., None]) -> None:
-        self._house = house
+    def __init__(self, operations: AdminOperations, log: Callable[..., None]) -> None:
+        """Takes the operations and the log function, called with an event name and its fields."""
+        self._operations = operations
         self._log = log
-        self._http = ServerSide(most_body=MAX_CALL)
+        self._http = ServerSide(most_body=MAX_BODY_BYTES)
         self._http.closing = True
 
     def feed(self, data: bytes) -> bytes | None:
-        """The whole answer, once the call is whole or can't become one."""
-        inbound: Inbound | None = None
+        """Takes received bytes; returns the response, an interim response, or None to wait for more."""
+        request: Inbound | None = None
         try:
             self._http.feed(data)
-            inbound = self._http.next_request()
-            if inbound is None:
+            request = self._http.next_request()
+            if request is None:
                 return self._http.continue_100() if self._http.wants_continue else None
-            status = 200
-            headers = JSON
-            told = msgspec.json.encode(self._act(inbound))
+            body = msgspec.json.encode(self._dispatch(request))
         except Rejected as error:
-            status, headers, told = self._no(inbound, error.status, error.reason, [])
-        except Refused as error:
-            status, headers, told = self._no(inbound, error.status, error.reason, error.headers)
-        except Exception as error:  # no call's failure ends the door
-            status, headers, told = self._no(inbound, 500, repr(error), [])
-        return b"".join(self._http.answer(status, headers, told + b"\n"))
+            return self._reject(request, RequestRejectedError(error.status, error.reason))
+        except RequestRejectedError as error:
+            return self._reject(request, error)
+        except Exception as error:  # a bug in one operation must not end the server
+            return self._reject(request, RequestRejectedError(500, repr(error)))
+        return self._respond(200, JSON_HEADERS, body)
 
     @property
-    def answered(self) -> bool:
+    def finished(self) -> bool:
+        """Whether the response has been returned."""
         return not self._http.can_answer
 
-    def late(self) -> bytes:
-        """The answer to a call that does not come whole in time."""
-        status, headers, told = self._no(None, 408, "the call did not arrive in time", [])
-        return b"".join(self._http.answer(status, headers, told + b"\n"))
-
-    def _no(
-        self, inbound: Inbound | None, status: int, reason: str, headers: Headers
-    ) -> tuple[int, Headers, bytes]:
-        path = inbound.path if inbound is not None else ""
-        self._log("admin_call_rejected", path=path, status=status, reason=reason)
-        return status, [*JSON, *headers], msgspec.json.encode({"error": reason})
-
-    def _act(self, inbound: Inbound) -> dict[str, Any]:
-        method = CALLS.get(inbound.path)
-        if method is None:
-            raise Refused(404, f"there is no such call; there are {', '.join(CALLS)}")
-        if inbound.method != method:
-            raise Refused(405, f"{inbound.path} takes {method}", [("Allow", method)])
-        if inbound.path == "/admin/stats":
-            return self._house.figures()
-        if inbound.path == "/admin/health":
-            if not self._house.taking:
-                raise Refused(503, "this process does not take clients now")
-            return {"status": "serving"}
-        if not self._house.started:
-            raise Refused(503, "this process has not started yet")
-        match inbound.path:
-            case "/admin/duties":
-                return self._house.duties()
-            case "/admin/leave":
-                return self._house.leave()
-            case "/admin/resign":
-                return self._house.resign(self._id(inbound, "a duty's name"))
-        return self._move(inbound.path, self._id(inbound, "the id of one model host"))
-
-    def _move(self, path: str, server: str) -> dict[str, Any]:
-        try:
-            if path == "/admin/cordon":
-                self._house.cordon(server)
-                return {"out": server}
-            self._house.uncordon(server)
-            return {"back": server}
-        except Unknown:
-            raise Refused(404, f"no model host has the id {server!r}") from None
-        except TooMany as error:
-            raise Refused(409, str(error)) from None
-        except NotRecorded as error:
-            raise Refused(503, f"not recorded for a successor: {error}") from None
-
-    def _id(self, inbound: Inbound, what: str) -> str:
-        try:
-            text = bytes(inbound.body).decode().strip()
-        except UnicodeDecodeError:
-            text = ""
-        if not PLAIN_ID.fullmatch(text):
-            raise Refused(400, f"the body is to be {what}")
-        return text
+    def time_out(self) -> bytes:
+        """Returns the response to a request that did not arrive completely in time."""
+        return self._reject(None, RequestRejectedError(408, "the call did not arrive in time"))
+
+    def _dispatch(self, request: Inbound) -> msgspec.Struct:
+        route = ROUTES.get(request.path)
+        if route is None:
+            raise RequestRejectedError(404, f"there is no such call; there are {', '.join(ROUTES)}")
+        if request.method != route.method:
+            allow = [("Allow", route.method)]
+            raise RequestRejectedError(405, f"{request.path} takes {route.method}", allow)
+        if route.needs_start and not self._operations.started:
+            raise RequestRejectedError(503, "this process has not started yet")
+        return route.handle(self._operations, request)
+
+    def _reject(self, request: Inbound | None, error: RequestRejectedError) -> bytes:
+        path = request.path if request is not None else ""
+        self._log("admin_call_rejected", path=path, status=error.status, reason=error.reason)
+        body = msgspec.json.encode(ErrorResponse(error.reason))
+        return self._respond(error.status, [*JSON_HEADERS, *error.headers], body)
+
+    def _respond(self, status: int, headers: Headers, body: bytes) -> bytes:
+        return b"".join(self._http.answer(status, headers, body + b"\n"))
+
+
+def _health(operations: AdminOperations, _: Inbound) -> HealthResponse:
+    if not operations.accepting:
+        raise RequestRejectedError(503, "this process does not take clients now")
+    return HealthResponse()
+
+
+def _stats(operations: AdminOperations, _: Inbound) -> StatsResponse:
+    return operations.stats()
+
+
+def _cordon(operations: AdminOperations, request: Inbound) -> CordonResponse:
+    endpoint_id = _endpoint_id(request)
+    _change_cordon(operations.cordon, endpoint_id)
+    return CordonResponse(endpoint_id)
+
+
+def _uncordon(operations: AdminOperations, request: Inbound) -> UncordonResponse:
+    endpoint_id = _endpoint_id(request)
+    _change_cordon(operations.uncordon, endpoint_id)
+    return UncordonResponse(endpoint_id)
+
+
+def _leases(operations: AdminOperations, _: Inbound) -> LeasesResponse:
+    return operations.leases()
+
+
+def _request_restart(operations: AdminOperations, _: Inbound) -> RestartPermitResponse:
+    return operations.request_restart()
+
+
+def _resign(operations: AdminOperations, request: Inbound) -> ResignResponse:
+    return operations.resign(_name(request, "a duty's name"))
+
+
+def _change_cordon(change: Callable[[str], None], endpoint_id: str) -> None:
+    """Calls an operation and turns its errors into error responses."""
+    try:
+        change(endpoint_id)
+    except UnknownEndpointError as error:
+        raise RequestRejectedError(404, str(error)) from None
+    except TooManyCordonsError as error:
+        raise RequestRejectedError(409, str(error)) from None
+    except NotRecordedError as error:
+        raise RequestRejectedError(503, f"not recorded for a successor: {error}") from None
+
+
+def _endpoint_id(request: Inbound) -> str:
+    return _name(request, "the id of one model host")
+
+
+def _name(request: Inbound, expected: str) -> str:
+    """Returns the one name that the request's body consists of."""
+    try:
+        name = bytes(request.body).decode().strip()
+    except UnicodeDecodeError:
+        name = ""
+    if not NAME_PATTERN.fullmatch(name):
+        raise RequestRejectedError(400, f"the body is to be {expected}")
+    return name
+
+
+ROUTES = {
+    "/admin/health": Route("GET", _health, needs_start=False),
+    "/admin/stats": Route("GET", _stats, needs_start=False),
+    "/admin/cordon": Route("POST", _cordon, needs_start=True),
+    "/admin/uncordon": Route("POST", _uncordon, needs_start=True),
+    "/admin/duties": Route("GET", _leases, needs_start=True),
+    "/admin/leave": Route("POST", _request_restart, needs_start=True),
+    "/admin/resign": Route("POST", _resign, needs_start=True),
+}
--- a/violetstack/admin/cordons.py
+++ b/violetstack/admin/cordons.py
@@ -1,4 +1,4 @@
-"""Hosts out by hand: an overlay on discovery's list, which the core and the module see only through it."""
+"""Cordons: endpoints that operators take out of rotation, as an overlay on the endpoint list."""
 
 from __future__ import annotations
 
@@ -7,101 +7,123 @@
 import msgspec
 from msgspec.structs import replace
 
+from violetstack.admin.errors import TooManyCordonsError, UnknownEndpointError
 from violetstack.policy_api import Endpoint, EndpointState, EndpointUpdate, UpdateScope
 
-MOST = 1_000  # marks kept; a call beyond that is answered with a no
+MAX_CORDONS = 1_000  # ended ones included, which are forgotten first; bounds the handover record
 
 
-class Unknown(Exception):
-    """No listed host has this id, and none that is out."""
+class Cordon(msgspec.Struct, frozen=True):
+    """The last call for an endpoint; part of the handover record, which keeps the short names.
 
+    Attributes:
+        active: Whether it cordoned the endpoint or ended the cordon.
+        changed_ms: When that was, in Unix milliseconds.
+        since_ms: When the endpoint was cordoned, in Unix milliseconds.
+    """
 
-class TooMany(Exception):
-    """As many hosts have been taken out as can be kept track of."""
-
+    active: bool = msgspec.field(name="out")
+    changed_ms: float = msgspec.field(name="at")
+    since_ms: float = msgspec.field(name="since")
 
-class Mark(msgspec.Struct, frozen=True):
-    """The last call for a host: out or back, and when. `since`: when it went out. Unix milliseconds."""
 
-    out: bool
-    at: float
-    since: float
+class Cordons:
+    """The cordons of a dispatcher, laid over its endpoint list.
 
+    The latest call for an endpoint counts, whichever of the dispatcher's processes received it. A cordoned
+    endpoint is published as draining, whatever the list says. One that has left the list stays removed, and
+    is cordoned again if its id returns.
 
-class Cordons:
-    """Whichever call for a host is the latest holds, at whatever process of this dispatcher it came in.
+    The list may report late that an endpoint was restarted while cordoned. Until it reports a start after
+    the cordon began, the endpoint counts as started when the cordon ended: it gets a slow start, and failures
+    from before no longer count against it.
 
-    A host that is out reads as draining, whatever lists say; one that is gone stays gone, and is out again
-    should its id come back. Whether a host that is put back was restarted meanwhile may be told late, so
-    until the list tells of a start since it went out, it counts as started when it was put back: guards
-    against a cold host that gets a warm one's share, and against old failures that keep it unused.
+    Attributes:
+        records: The last call by endpoint id.
     """
 
     def __init__(self) -> None:
-        self.marks: dict[str, Mark] = {}
+        """Starts without cordons."""
+        self.records: dict[str, Cordon] = {}
         self._listed: dict[str, Endpoint] = {}
 
-    def told(self, news: EndpointUpdate) -> EndpointUpdate:
-        """Discovery's news as the core is to see it."""
-        if news.scope is not UpdateScope.DELTA:
+    def apply(self, update: EndpointUpdate) -> EndpointUpdate:
+        """Returns an update of the endpoint list with the cordons laid over it."""
+        if update.scope is not UpdateScope.DELTA:
             self._listed = {}
-        for entry in news.endpoints:
-            self._listed[entry.server] = entry
-            if entry.state is EndpointState.REMOVED:
-                del self._listed[entry.server]
-        if not self.marks:
-            return news
-        return replace(news, endpoints=tuple(self._seen(entry) for entry in news.endpoints))
-
-    def cordon(self, now: float, server: str) -> EndpointUpdate:
-        """Raises Unknown or TooMany. Taken out twice, it is out since the first call."""
-        mark = self.marks.get(server)
-        if mark is not None and mark.out:
-            return self._news(server)
-        if server not in self._listed:
-            raise Unknown(server)
-        if len(self.marks) >= MOST:
-            self._forget()
-        self.marks[server] = Mark(True, now, now)
-        return self._news(server)
-
-    def uncordon(self, now: float, server: str) -> EndpointUpdate:
-        """Raises Unknown. For a host that is not out it changes nothing."""
-        mark = self.marks.get(server)
-        if mark is not None and mark.out:
-            self.marks[server] = Mark(False, max(now, mark.at + 1.0), mark.since)
-        elif server not in self._listed:
-            raise Unknown(server)
-        return self._news(server)
-
-    def merge(self, marks: Mapping[str, Mark]) -> EndpointUpdate | None:
-        """Another process's marks; the news that follows, if any."""
-        newer = {s: m for s, m in marks.items() if s not in self.marks or m.at > self.marks[s].at}
-        self.marks.update(newer)
-        return self._news(*newer) if newer else None
+        for endpoint in update.endpoints:
+            self._listed[endpoint.server] = endpoint
+            if endpoint.state is EndpointState.REMOVED:
+                del self._listed[endpoint.server]
+        if not self.records:
+            return update
+        return replace(update, endpoints=tuple(self._overlay(endpoint) for endpoint in update.endpoints))
+
+    def cordon(self, now: float, endpoint_id: str) -> EndpointUpdate:
+        """Cordons an endpoint and returns the update that follows; a second call changes nothing.
+
+        Raises:
+            UnknownEndpointError: The endpoint is neither listed nor cordoned.
+            TooManyCordonsError: `MAX_CORDONS` endpoints are cordoned.
+        """
+        cordon = self.records.get(endpoint_id)
+        if cordon is not None and cordon.active:
+            return self._update(endpoint_id)
+        if endpoint_id not in self._listed:
+            raise UnknownEndpointError(endpoint_id)
+        if len(self.records) >= MAX_CORDONS:
+            self._forget_one()
+        self.records[endpoint_id] = Cordon(True, now, now)
+        return self._update(endpoint_id)
+
+    def uncordon(self, now: float, endpoint_id: str) -> EndpointUpdate:
+        """Ends a cordon and returns the update that follows; without a cordon it changes nothing.
+
+        Raises:
+            UnknownEndpointError: The endpoint is neither listed nor cordoned.
+        """
+        cordon = self.records.get(endpoint_id)
+        if cordon is not None and cordon.active:
+            changed_ms = max(now, cordon.changed_ms + 1.0)
+            self.records[endpoint_id] = Cordon(False, changed_ms, cordon.since_ms)
+        elif endpoint_id not in self._listed:
+            raise UnknownEndpointError(endpoint_id)
+        return self._update(endpoint_id)
+
+    def merge(self, records: Mapping[str, Cordon]) -> EndpointUpdate | None:
+        """Takes another process's records; returns the update that follows, None if they are not newer."""
+        newer = {
+            endpoint_id: cordon
+            for endpoint_id, cordon in records.items()
+            if endpoint_id not in self.records or cordon.changed_ms > self.records[endpoint_id].changed_ms
+        }
+        self.records.update(newer)
+        return self._update(*newer) if newer else None
 
     @property
-    def out(self) -> list[str]:
-        return sorted(server for server, mark in self.marks.items() if mark.out)
-
-    def _forget(self) -> None:
-        """Guards the memory: what was said of hosts that are back goes, unlisted ones first."""
-        old = [s for s, mark in self.marks.items() if s not in self._listed and not mark.out]
-        old = old or [s for s, mark in self.marks.items() if not mark.out]
-        if not old:
-            raise TooMany(f"{MOST} hosts are out")
-        del self.marks[min(old, key=lambda s: self.marks[s].at)]
-
-    def _news(self, *servers: str) -> EndpointUpdate:
-        listed = [self._listed[s] for s in servers if s in self._listed]
-        return EndpointUpdate(UpdateScope.DELTA, tuple(self._seen(entry) for entry in listed), 0)
-
-    def _seen(self, entry: Endpoint) -> Endpoint:
-        mark = self.marks.get(entry.server)
-        if mark is None or entry.state is EndpointState.REMOVED:
-            return entry
-        if mark.out:
-            return replace(entry, state=EndpointState.DRAINING)
-        if (entry.started_ms or 0.0) < mark.since:
-            return replace(entry, started_ms=mark.at)
-        return entry
+    def active(self) -> list[str]:
+        """The ids of the cordoned endpoints, sorted."""
+        return sorted(endpoint_id for endpoint_id, cordon in self.records.items() if cordon.active)
+
+    def _forget_one(self) -> None:
+        """Forgets the oldest ended cordon, of an unlisted endpoint if there is one."""
+        ended = [endpoint_id for endpoint_id, cordon in self.records.items() if not cordon.active]
+        unlisted = [endpoint_id for endpoint_id in ended if endpoint_id not in self._listed]
+        candidates = unlisted or ended
+        if not candidates:
+            raise TooManyCordonsError(MAX_CORDONS)
+        del self.records[min(candidates, key=lambda endpoint_id: self.records[endpoint_id].changed_ms)]
+
+    def _update(self, *endpoint_ids: str) -> EndpointUpdate:
+        listed = [self._listed[endpoint_id] for endpoint_id in endpoint_ids if endpoint_id in self._listed]
+        return EndpointUpdate(UpdateScope.DELTA, tuple(self._overlay(endpoint) for endpoint in listed), 0)
+
+    def _overlay(self, endpoint: Endpoint) -> Endpoint:
+        cordon = self.records.get(endpoint.server)
+        if cordon is None or endpoint.state is EndpointState.REMOVED:
+            return endpoint
+        if cordon.active:
+            return replace(endpoint, state=EndpointState.DRAINING)
+        if (endpoint.started_ms or 0.0) < cordon.since_ms:
+            return replace(endpoint, started_ms=cordon.changed_ms)
+        return endpoint
--- a/violetstack/admin/metrics.py
+++ b/violetstack/admin/metrics.py
@@ -1,38 +1,36 @@
-"""The figures as the operators read them. Each is counted where its event happens:
+"""Composes the metrics that operators read.
 
-`fulfilled`, `throttled`, `faulted`, `open_requests`: core/tally.py, at the request's taking and its settling;
-`relayed`: the driver, in the step that writes an attempt's last byte (Dispatcher.relayed);
-`registry_entries`: the core's list; `out_of_rotation`: the decision module (Router.avoided).
+Each is counted where its event happens: the request counters by the core as it accepts and finishes a request
+(`violetstack.core.metrics`), `relayed` as the last byte of an attempt is written, `registry_entries` from the
+core's endpoint list, `out_of_rotation` by the policy.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Iterable, Sequence
 
+from violetstack.admin.responses import OperationCounts, StatsResponse
 from violetstack.core.metrics import RequestMetrics
 from violetstack.policy_api import Endpoint, EndpointState
 
 
-def figures(tally: RequestMetrics, classes: tuple[str, ...], listed: int, avoided: int) -> dict[str, Any]:
-    """Every class of the settings stands there from the start, with zeros."""
+def stats_response(
+    metrics: RequestMetrics, class_names: Sequence[str], *, listed_endpoints: int, avoided_endpoints: int
+) -> StatsResponse:
+    """Composes the response; each class of the settings has its counters from the start."""
     operations = {
-        name: {"fulfilled": row.fulfilled, "throttled": row.throttled, "faulted": row.faulted}
-        for name, row in zip(classes, tally.classes, strict=True)
-    }
-    return {
-        "operations": operations,
-        "relayed": tally.requests_written,
-        "open_requests": tally.open,
-        "registry_entries": listed,
-        "out_of_rotation": avoided,
+        name: OperationCounts(row.fulfilled, row.throttled, row.faulted)
+        for name, row in zip(class_names, metrics.classes, strict=True)
     }
+    return StatsResponse(
+        operations, metrics.requests_written, metrics.open, listed_endpoints, avoided_endpoints
+    )
 
 
-def kinds_without(listed: Iterable[Endpoint], kinds: tuple[str, ...]) -> list[str]:
-    """Kinds of which no listed host is to be chosen: requests are refused at once while there is one."""
+def kinds_without_healthy_endpoint(endpoints: Iterable[Endpoint], kind_names: Sequence[str]) -> list[str]:
+    """Returns the kinds whose listed endpoints are all not healthy: requests that need one are rejected."""
     states: dict[int, set[EndpointState]] = {}
-    for entry in listed:
-        states.setdefault(entry.kind, set()).add(entry.state)
-    without = [n for n, seen in states.items() if EndpointState.HEALTHY not in seen]
-    return [kinds[n] for n in without if n < len(kinds)]
+    for endpoint in endpoints:
+        states.setdefault(endpoint.kind, set()).add(endpoint.state)
+    missing = [kind for kind, seen in states.items() if EndpointState.HEALTHY not in seen]
+    return [kind_names[kind] for kind in missing if kind < len(kind_names)]
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -159,7 +159,7 @@
         self._build_endpoints()
         predecessor = self.handover.begin() if self.handover is not None else None
         await self.endpoints.start(self.nursery, pause_detector, predecessor)
-        door = await self._open_door()
+        door = await self._start_admin_server()
         self._shed_load(self.config.levels)
         self.nursery.start_soon(loop.run)
         self.nursery.start_soon(self.hosts.pool.close_expired)
@@ -241,14 +241,14 @@
         )
         self.nursery.start_soon(self.hot_restart.handover.run)
 
-    async def _open_door(self) -> Address | None:
+    async def _start_admin_server(self) -> Address | None:
         if self.config.mgmt is None:
             return None
-        from violetstack.net.admin_server import DoorListener
-        from violetstack.net.admin_service import Rooms
+        from violetstack.net.admin_server import AdminServer
+        from violetstack.net.admin_service import AdminService
 
         listener = (await listen_on(self.config.mgmt, "mgmt"))[0]
-        self.nursery.start_soon(DoorListener(Rooms(self)).run, listener)
+        self.nursery.start_soon(AdminServer(AdminService(self)).run, listener)
         at = listener.socket.getsockname()
         return at[0], at[1]
 
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -141,7 +141,7 @@
             # Guards against losing the chat file's own hosts, which discovery does not know.
             news = replace(news, endpoints=(*news.endpoints, *self._config.plain))
         if self._cordons is not None:
-            news = self._cordons.told(news)
+            news = self._cordons.apply(news)
         self.publish(news, targets.addresses)
         self._changed()
         if news.scope is not UpdateScope.CACHED:
--- a/violetstack/daemon/hot_restart.py
+++ b/violetstack/daemon/hot_restart.py
@@ -8,8 +8,8 @@
 
 import trio
 
-from violetstack.admin.api import NotRecorded
 from violetstack.admin.cordons import Cordons
+from violetstack.admin.errors import NotRecordedError
 from violetstack.config import Config
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.daemon.endpoints import EndpointService
@@ -69,7 +69,7 @@
 
     def write(self) -> None:
         """Writes the record now; a failure is logged and tried again in the next round."""
-        with contextlib.suppress(NotRecorded):
+        with contextlib.suppress(NotRecordedError):
             self.handover.changed = True
             self.handover.write()
 
@@ -120,6 +120,6 @@
             serving=self._lifecycle.accepting,
             version=self._endpoints.version,
             servers=tuple(self._endpoints.rows.values()),
-            marks=dict(self._cordons.marks),
+            cordons=dict(self._cordons.records),
             learned=self._learned() if self._inherited else None,
         )
--- a/violetstack/handover/record.py
+++ b/violetstack/handover/record.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from violetstack.admin.cordons import Mark
+from violetstack.admin.cordons import Cordon
 from violetstack.handover.learned import Learned
 from violetstack.protocol.discovery import WServer
 
@@ -29,7 +29,7 @@
     serving: bool
     version: int
     servers: tuple[WServer, ...]
-    marks: dict[str, Mark]
+    cordons: dict[str, Cordon] = msgspec.field(name="marks")
     learned: Learned | None = None
 
 
@@ -52,6 +52,7 @@
         raise BadRecord(str(error)) from None
     if record.name != name:
         raise BadRecord(f"of another dispatcher: {record.name[:40]!r}")
-    if max([record.at, record.born, *(mark.at for mark in record.marks.values())]) > now + AHEAD_MS:
+    cordon_times = (cordon.changed_ms for cordon in record.cordons.values())
+    if max([record.at, record.born, *cordon_times]) > now + AHEAD_MS:
         raise BadRecord("from the future")
     return record
--- a/violetstack/handover/successor.py
+++ b/violetstack/handover/successor.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from violetstack.admin.cordons import Mark
+from violetstack.admin.cordons import Cordon
 from violetstack.handover.record import Record
 
 ALIVE_MS = 2_500.0  # a process says far more often that it lives; one silent for so long died
@@ -31,14 +31,14 @@
         """What to begin with."""
         return max(self._others.values(), key=lambda record: record.at, default=None)
 
-    def marks(self) -> dict[str, Mark]:
+    def latest_cordons(self) -> dict[str, Cordon]:
         """Of each host the latest call."""
-        marks: dict[str, Mark] = {}
+        cordons: dict[str, Cordon] = {}
         for record in self._others.values():
-            for server, mark in record.marks.items():
-                if server not in marks or mark.at > marks[server].at:
-                    marks[server] = mark
-        return marks
+            for server, cordon in record.cordons.items():
+                if server not in cordons or cordon.changed_ms > cordons[server].changed_ms:
+                    cordons[server] = cordon
+        return cordons
 
     def alive(self, now: float) -> list[Record]:
         return [r for owner, r in self._others.items() if self._beats.get(owner, 0.0) > now - ALIVE_MS]
--- a/violetstack/net/admin_server.py
+++ b/violetstack/net/admin_server.py
@@ -1,4 +1,7 @@
-"""The operators' listener: a few connections of its own, one call on each."""
+"""The admin API's listener.
+
+It has few connections of its own, so that a crowd of clients cannot keep operators out, nor the reverse.
+"""
 
 from __future__ import annotations
 
@@ -6,80 +9,90 @@
 
 import trio
 
-from violetstack.admin.api import Call, House
+from violetstack.admin.api import AdminConnection, AdminOperations
 from violetstack.log import log, log_rate_limited
 
-MOST_CALLERS = 16  # descriptors of the door; at the bound the call unfinished longest gives way
-CALL_S = 5.0  # a call is whole by then
-ANSWER_S = 2.0  # an answer that is not read by then is for nobody
-READ_SIZE = 2048
+MAX_CONNECTIONS = 16  # beyond it, the connection whose request has been incomplete for longest is closed
+REQUEST_TIMEOUT_S = 5.0  # for a complete request
+RESPONSE_TIMEOUT_S = 2.0  # for the client to read the response
+READ_SIZE_BYTES = 2048
+ACCEPT_RETRY_S = 0.05
+TRANSIENT_ACCEPT_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOMEM)
 
 
-class DoorListener:
-    """Guards the operators against the clients' crowds: neither takes the other's descriptors."""
+class AdminServer:
+    """Serves the admin API; each connection carries one request."""
 
-    def __init__(self, house: House) -> None:
-        self._house = house
-        self._calls: dict[trio.CancelScope, None] = {}  # unfinished, the oldest first
+    def __init__(self, operations: AdminOperations) -> None:
+        """Takes the operations that the API offers."""
+        self._operations = operations
+        self._waiting: dict[trio.CancelScope, None] = {}  # request incomplete; oldest first
         self._open = 0
-        self._freed = trio.Event()
+        self._closed = trio.Event()
 
     async def run(self, listener: trio.SocketListener) -> None:
-        """Serves until cancelled."""
+        """Serves until cancelled.
+
+        Raises:
+            OSError: Accepting failed for a reason that will not go away.
+        """
         async with listener, trio.open_nursery() as nursery:
             while True:
                 try:
                     stream = await listener.accept()
                 except OSError as error:
-                    if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOMEM):
+                    if error.errno not in TRANSIENT_ACCEPT_ERRORS:
                         raise
                     log("accept_failed", error=str(error))
-                    await trio.sleep(0.05)
+                    await trio.sleep(ACCEPT_RETRY_S)
                     continue
                 self._open += 1
                 nursery.start_soon(self._serve, stream)
-                while self._open >= MOST_CALLERS:
-                    if self._calls:
-                        oldest = next(iter(self._calls))
-                        del self._calls[oldest]
-                        oldest.cancel()
-                    self._freed = trio.Event()
-                    await self._freed.wait()
+                while self._open >= MAX_CONNECTIONS:
+                    self._close_oldest_waiting()
+                    self._closed = trio.Event()
+                    await self._closed.wait()
+
+    def _close_oldest_waiting(self) -> None:
+        if self._waiting:
+            oldest = next(iter(self._waiting))
+            del self._waiting[oldest]
+            oldest.cancel()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         scope = trio.CancelScope()
-        self._calls[scope] = None
+        self._waiting[scope] = None
         try:
             with scope:
-                await self._call(stream, scope)
+                await self._serve_request(stream, scope)
             if scope.cancelled_caught:
                 log_rate_limited("admin_call_rejected", path="", status=0, reason="made room for other calls")
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
-        except Exception as error:  # no call's failure ends the nursery
+        except Exception as error:  # a bug in serving one connection must not end the server
             log_rate_limited("connection_failed", error=repr(error))
         finally:
-            self._calls.pop(scope, None)
+            self._waiting.pop(scope, None)
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
             self._open -= 1
-            self._freed.set()
+            self._closed.set()
 
-    async def _call(self, stream: trio.SocketStream, scope: trio.CancelScope) -> None:
-        call = Call(self._house, log_rate_limited)
-        with trio.move_on_after(CALL_S) as late:
-            while not call.answered:
-                data = await stream.receive_some(READ_SIZE)
+    async def _serve_request(self, stream: trio.SocketStream, scope: trio.CancelScope) -> None:
+        connection = AdminConnection(self._operations, log_rate_limited)
+        with trio.move_on_after(REQUEST_TIMEOUT_S) as timeout:
+            while not connection.finished:
+                data = await stream.receive_some(READ_SIZE_BYTES)
                 if not data:
                     return
-                words = call.feed(bytes(data))
-                if words is not None:
-                    await stream.send_all(words)
-        self._calls.pop(scope, None)
-        with trio.move_on_after(ANSWER_S):
-            if late.cancelled_caught:
-                await stream.send_all(call.late())
-            # Guards against a reset that overtakes the answer, where more came than the call.
+                response = connection.feed(bytes(data))
+                if response is not None:
+                    await stream.send_all(response)
+        self._waiting.pop(scope, None)
+        with trio.move_on_after(RESPONSE_TIMEOUT_S):
+            if timeout.cancelled_caught:
+                await stream.send_all(connection.time_out())
+            # Closing with unread input would reset the connection and could destroy the response on its way.
             await stream.send_eof()
-            while await stream.receive_some(READ_SIZE):
+            while await stream.receive_some(READ_SIZE_BYTES):
                 pass
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -1,14 +1,21 @@
-"""What the operators' door opens to: the daemon's figures, hosts and duties."""
+"""The operations of the admin API on a running dispatcher: metrics, cordons and leases."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 
-from violetstack.admin.api import NotRecorded, Refused
-from violetstack.admin.metrics import figures, kinds_without
+from violetstack.admin.errors import NotRecordedError, RequestRejectedError
+from violetstack.admin.metrics import kinds_without_healthy_endpoint, stats_response
+from violetstack.admin.responses import (
+    LeaseRow,
+    LeasesResponse,
+    ResignResponse,
+    RestartPermitResponse,
+    StatsResponse,
+)
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.policy_api import EndpointUpdate
@@ -17,11 +24,14 @@
     from violetstack.admin.cordons import Cordons
     from violetstack.config import Config
     from violetstack.core.dispatcher import Dispatcher
+    from violetstack.lease.candidacy import LeaseView
     from violetstack.net.handover import Handover
     from violetstack.net.lease_service import LeaseService
     from violetstack.router import Router
 
-NO_DUTIES = "no duties are configured here (`duties` in the operator's file)"
+LEASES_NOT_CONFIGURED = "no duties are configured here (`duties` in the operator's file)"
+PERMITS_NOT_CONFIGURED = "`leave` is not set in `duties`"
+NOT_STARTED = "this process has not started yet"
 
 
 class AdministeredDaemon(Protocol):
@@ -35,121 +45,160 @@
 
     @property
     def started(self) -> bool:
-        """Is the endpoint list known?"""
+        """Whether the endpoint list is known."""
 
     @property
     def taking(self) -> bool:
-        """Are new requests taken?"""
+        """Whether client requests are accepted."""
 
     @property
     def stop(self) -> trio.Event:
-        """Set to shut down."""
+        """Set to shut the daemon down."""
 
     @property
     def handover(self) -> Handover | None:
-        """The record that this process keeps for another of its dispatcher."""
+        """Keeps the record for a successor process; None without one."""
 
     def news(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
         """Hands an update of the endpoint list to the connection pool and the core."""
 
 
-class Rooms:
-    """`admin.door.House`, for one daemon."""
+class AdminService:
+    """Implements `violetstack.admin.api.AdminOperations` on a daemon."""
 
     def __init__(self, daemon: AdministeredDaemon) -> None:
+        """Takes the daemon to operate on."""
         self._daemon = daemon
 
     @property
     def started(self) -> bool:
+        """Whether the endpoint list is known."""
         return self._daemon.started
 
     @property
-    def taking(self) -> bool:
+    def accepting(self) -> bool:
+        """Whether client requests are accepted."""
         return self._daemon.taking
 
-    def figures(self) -> dict[str, Any]:
+    def stats(self) -> StatsResponse:
+        """Returns the metrics as they are now."""
         daemon = self._daemon
-        classes = tuple(spec.name for spec in daemon.config.settings_message.classes)
-        listed = len(daemon.core.endpoints)
-        avoided = daemon.router.avoided(now_ms())
-        return figures(daemon.core.metrics, classes, listed, avoided)
+        return stats_response(
+            daemon.core.metrics,
+            [spec.name for spec in daemon.config.settings_message.classes],
+            listed_endpoints=len(daemon.core.endpoints),
+            avoided_endpoints=daemon.router.avoided(now_ms()),
+        )
+
+    # --- cordons ---
+
+    def cordon(self, endpoint_id: str) -> None:
+        """Cordons an endpoint.
 
-    # --- hosts by hand ---
+        Raises:
+            UnknownEndpointError: No listed or cordoned endpoint has this id.
+            TooManyCordonsError: No more cordons can be kept track of.
+            NotRecordedError: The record for a successor process could not be written.
+        """
+        cordons = self._cordons
+        self._change(cordons, lambda now: cordons.cordon(now, endpoint_id))
 
-    def cordon(self, server: str) -> None:
-        assert self._daemon.cordons is not None
-        self._by_hand(server, self._daemon.cordons.cordon)
+    def uncordon(self, endpoint_id: str) -> None:
+        """Ends a cordon.
 
-    def uncordon(self, server: str) -> None:
-        assert self._daemon.cordons is not None
-        self._by_hand(server, self._daemon.cordons.uncordon)
+        Raises:
+            UnknownEndpointError: No listed or cordoned endpoint has this id.
+            NotRecordedError: The record for a successor process could not be written.
+        """
+        cordons = self._cordons
+        self._change(cordons, lambda now: cordons.uncordon(now, endpoint_id))
 
-    def _by_hand(self, server: str, act: Callable[[float, str], EndpointUpdate]) -> None:
-        """The yes comes after this: it binds, and a successor will know."""
+    @property
+    def _cordons(self) -> Cordons:
+        cordons = self._daemon.cordons
+        if cordons is None:
+            raise RequestRejectedError(503, NOT_STARTED)
+        return cordons
+
+    def _change(self, cordons: Cordons, change: Callable[[float], EndpointUpdate]) -> None:
+        """Changes cordons, then records them for a successor; undoes the change if that fails."""
         daemon = self._daemon
-        assert daemon.cordons is not None
-        before = dict(daemon.cordons.marks)
-        news = act(now_ms(), server)
-        if daemon.cordons.marks == before:
+        before = dict(cordons.records)
+        update = change(now_ms())
+        if cordons.records == before:
             return
         if daemon.handover is not None:
             try:
                 daemon.handover.write()
-            except NotRecorded:
-                daemon.cordons.marks = before
+            except NotRecordedError:
+                cordons.records = before
                 raise
-        daemon.news(news, {})
-        left = kinds_without(
-            daemon.core.endpoints.values(), tuple(daemon.config.settings_message.kinds or ())
-        )
-        log("hosts_cordoned", out=daemon.cordons.out, by="call", none_left=left)
+        daemon.news(update, {})
+        kinds = tuple(daemon.config.settings_message.kinds or ())
+        missing = kinds_without_healthy_endpoint(daemon.core.endpoints.values(), kinds)
+        log("hosts_cordoned", out=cordons.active, by="call", none_left=missing)
 
     # --- leases ---
 
-    def duties(self) -> dict[str, Any]:
-        leases = self._daemon.leases
-        if leases is None:
-            raise Refused(404, NO_DUTIES)
-        node = leases.node
+    def leases(self) -> LeasesResponse:
+        """Returns the leases of the tier as far as this dispatcher knows them.
+
+        Raises:
+            RequestRejectedError: No leases are configured.
+        """
+        service = self._lease_service
+        node = service.node
         now = now_ms()
-        rows = [
-            {
-                "name": row.name,
-                "holder": row.holder,
-                "mine": row.held_here,
-                "number": row.fencing_token,
-                "left_ms": round(row.remaining_ms),
-                "why": row.reason,
-                "since_ms": None if row.changed_at is None else round(now - row.changed_at),
-            }
-            for row in leases.views()
-        ]
-        ready = None if node.acceptor is None else node.acceptor.is_ready(now)
-        return {
-            "me": node.number,
-            "fit": node.eligible,
-            "electors": list(node.acceptors),
-            "speaks": ready,
-            "datagrams": node.outbox.datagrams_sent,
-            "bytes": node.outbox.bytes_sent,
-            "duties": rows,
-        }
-
-    def leave(self) -> dict[str, Any]:
-        """The yes ends this process, as SIGTERM would."""
-        leases = self._daemon.leases
-        if leases is None or leases.restart_permits is None:
-            raise Refused(404, NO_DUTIES if leases is None else "`leave` is not set in `duties`")
-        why = leases.request_restart_permit()
-        if why is not None:
-            raise Refused(503, why, [("Retry-After", "1")])
+        return LeasesResponse(
+            dispatcher=node.number,
+            eligible=node.eligible,
+            electors=list(node.acceptors),
+            grants=None if node.acceptor is None else node.acceptor.is_ready(now),
+            datagrams_sent=node.outbox.datagrams_sent,
+            bytes_sent=node.outbox.bytes_sent,
+            leases=[_lease_row(view, now) for view in service.views()],
+        )
+
+    def request_restart(self) -> RestartPermitResponse:
+        """Asks for a restart permit, and shuts the process down as SIGTERM would once there is one.
+
+        Raises:
+            RequestRejectedError: There is no permit yet, or permits are not configured.
+        """
+        service = self._lease_service
+        if service.restart_permits is None:
+            raise RequestRejectedError(404, PERMITS_NOT_CONFIGURED)
+        obstacle = service.request_restart_permit()
+        if obstacle is not None:
+            raise RequestRejectedError(503, obstacle, [("Retry-After", "1")])
         self._daemon.stop.set()
-        return {"leave": "given"}
-
-    def resign(self, name: str) -> dict[str, Any]:
-        leases = self._daemon.leases
-        if leases is None:
-            raise Refused(404, NO_DUTIES)
-        if not leases.resign(name):
-            raise Refused(409, f"{name!r} is not held here")
-        return {"resigned": name}
+        return RestartPermitResponse()
+
+    def resign(self, lease_name: str) -> ResignResponse:
+        """Gives up a lease.
+
+        Raises:
+            RequestRejectedError: The lease is not held here, or no leases are configured.
+        """
+        if not self._lease_service.resign(lease_name):
+            raise RequestRejectedError(409, f"{lease_name!r} is not held here")
+        return ResignResponse(lease_name)
+
+    @property
+    def _lease_service(self) -> LeaseService:
+        service = self._daemon.leases
+        if service is None:
+            raise RequestRejectedError(404, LEASES_NOT_CONFIGURED)
+        return service
+
+
+def _lease_row(view: LeaseView, now: float) -> LeaseRow:
+    return LeaseRow(
+        name=view.name,
+        holder=view.holder,
+        held_here=view.held_here,
+        fencing_token=view.fencing_token,
+        remaining_ms=round(view.remaining_ms),
+        reason=view.reason,
+        changed_ms_ago=None if view.changed_at is None else round(now - view.changed_at),
+    )
--- a/violetstack/net/handover.py
+++ b/violetstack/net/handover.py
@@ -6,8 +6,8 @@
 
 import trio
 
-from violetstack.admin.api import NotRecorded
 from violetstack.admin.cordons import Cordons
+from violetstack.admin.errors import NotRecordedError
 from violetstack.handover.record import Record
 from violetstack.handover.successor import Succession
 from violetstack.log import log, log_rate_limited
@@ -46,25 +46,25 @@
         """What a predecessor left, if it can be believed; its hosts out by hand are out here as well."""
         now = now_ms()
         self.succession.heard(*self._records.others(now))
-        self._cordons.merge(self.succession.marks())
+        self._cordons.merge(self.succession.latest_cordons())
         record = self.succession.newest()
         log(
             "predecessor_state_read",
             predecessor=record.owner if record is not None else None,
             age_ms=round(now - record.at) if record is not None else None,
             hosts=len(record.servers) if record is not None else 0,
-            out=self._cordons.out,
+            out=self._cordons.active,
         )
         return record
 
     def write(self) -> None:
-        """Raises NotRecorded."""
+        """Raises NotRecordedError."""
         try:
             self._records.write(self._compose())
             self.changed = False
         except OSError as error:
             log("handover_record_failed", error=str(error))
-            raise NotRecorded(str(error)) from None
+            raise NotRecordedError(str(error)) from None
 
     @property
     def heir(self) -> Record | None:
@@ -87,7 +87,7 @@
                     self.write()
                 if due:
                     beat = trio.current_time()
-            except NotRecorded:
+            except NotRecordedError:
                 await trio.sleep(BEAT_S)
             except Exception as error:  # no record's failure ends the nursery
                 log_rate_limited("handover_record_failed", error=repr(error))
@@ -96,10 +96,10 @@
         """What the others have left since the last look."""
         now = now_ms()
         self.succession.heard(*self._records.others(now))
-        marks = self.succession.marks()
-        news = self._cordons.merge(marks)
+        cordons = self.succession.latest_cordons()
+        news = self._cordons.merge(cordons)
         if news is not None:
-            log("hosts_cordoned", out=self._cordons.out, by="another process")
+            log("hosts_cordoned", out=self._cordons.active, by="another process")
             self._told(news)
             self.changed = True
         alone = not self.succession.company(now)
