--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -28,7 +28,7 @@
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
-from violetstack.net.gossip import Peers
+from violetstack.net.gossip import GossipReceiver, GossipTransport
 from violetstack.net.pause_detector import PauseDetector
 from violetstack.net.startup_recovery import StartupRecovery
 from violetstack.net.upstream.connection_pool import ConnectionPool
@@ -159,7 +159,7 @@
         self._build_endpoints()
         predecessor = self.handover.begin() if self.handover is not None else None
         await self.endpoints.start(self.nursery, pause_detector, predecessor)
-        door = await self._open_door()
+        door = await self._start_admin_server()
         self._shed_load(self.config.levels)
         self.nursery.start_soon(loop.run)
         self.nursery.start_soon(self.hosts.pool.close_expired)
@@ -241,14 +241,14 @@
         )
         self.nursery.start_soon(self.hot_restart.handover.run)
 
-    async def _open_door(self) -> Address | None:
+    async def _start_admin_server(self) -> Address | None:
         if self.config.mgmt is None:
             return None
-        from violetstack.net.admin_server import DoorListener
-        from violetstack.net.admin_service import Rooms
+        from violetstack.net.admin_server import AdminServer
+        from violetstack.net.admin_service import AdminService
 
         listener = (await listen_on(self.config.mgmt, "mgmt"))[0]
-        self.nursery.start_soon(DoorListener(Rooms(self)).run, listener)
+        self.nursery.start_soon(AdminServer(AdminService(self)).run, listener)
         at = listener.socket.getsockname()
         return at[0], at[1]
 
@@ -257,21 +257,29 @@
         config = self.config
         if config.peer_listen is None:
             return
-        heirs = config.inherited is not None
-        peers = Peers(self.core, config.peer_listen, config.peers, config.peers_all, heirs)
-        self.hosts.gossip = peers.tell
-        peers.deaf = lambda: pause_detector.catching_up
-        pause_detector.add_source(peers)
+        transport = GossipTransport(
+            config.peer_listen,
+            config.peers,
+            config.peers_all,
+            reuse_address=config.inherited is not None,
+        )
+        self.hosts.gossip = transport.broadcast
+        pause_detector.add_source(transport)
         self.leases = start_lease_service(
             config,
             self.nursery,
             self.core,
-            peers,
+            transport,
             pause_detector,
             is_eligible=lambda: self.taking and self.recovery.list_received and not self.stop.is_set(),
             is_suspect=self.router.suspected,
         )
-        self.nursery.start_soon(peers.run)
+        receiver = GossipReceiver(
+            self.core,
+            discard=lambda: pause_detector.catching_up,
+            handle_lease=self.leases.receive if self.leases is not None else None,
+        )
+        self.nursery.start_soon(transport.run, receiver.receive)
 
     def _recall(self) -> None:
         """What the predecessor's module knew a moment ago, or the disk has of it."""
