Idempotency: store and service with claims, outcomes and leases

A transaction is one context manager, outcomes are an enum in place of a claim or None, the lease is renewed in short functions. Tables, columns and stored states stay as they are.

--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -31,7 +31,7 @@
     return ModelHost("o", "openai", *acts)
 
 
-def ledger(tmp_path: Path) -> dict[str, object]:
+def with_idempotency_store(tmp_path: Path) -> dict[str, object]:
     tmp_path.mkdir(exist_ok=True)
     return {"ledger": {"file": str(tmp_path / "orders.sqlite"), "lease_s": 0.5}}
 
@@ -144,7 +144,7 @@
         assert (fresh.text, fresh.headers["idempotent-replayed"]) == (first.text, "true")
         assert sum(writer.runs.values()) == 1
 
-    play(reader, writer, story=story, chat=ledger(tmp_path))
+    play(reader, writer, story=story, chat=with_idempotency_store(tmp_path))
 
 
 def test_one_key_stands_for_one_body(tmp_path: Path) -> None:
@@ -153,7 +153,7 @@
         other = await ask_chat(on.chat, chat_body(ORDER, text="more"), chat_headers("k1"))
         assert (other.status, other.json["error"]["code"]) == (422, "idempotency_key_reused")
 
-    play(*pair(), story=story, chat=ledger(tmp_path))
+    play(*pair(), story=story, chat=with_idempotency_store(tmp_path))
 
 
 def test_a_running_order_is_a_conflict_and_outlives_its_client(tmp_path: Path) -> None:
@@ -172,7 +172,7 @@
             pass
         assert (later.outcome, sum(writer.runs.values())) == ("served", 1)
 
-    play(reader, writer, story=story, chat=ledger(tmp_path))
+    play(reader, writer, story=story, chat=with_idempotency_store(tmp_path))
 
 
 @pytest.mark.parametrize("act", [CUT, RESET, ERROR], ids=["cut", "reset", "error"])
@@ -188,7 +188,7 @@
             assert "retry-after" not in again.headers
         assert len(writer.begun) == 1
 
-    play(reader, writer, story=story, chat=ledger(tmp_path))
+    play(reader, writer, story=story, chat=with_idempotency_store(tmp_path))
 
 
 def test_openais_own_retries_run_no_order_twice(tmp_path: Path) -> None:
@@ -215,8 +215,8 @@
         assert answer.choices[0].finish_reason == "stop"
         assert (len(turned.begun), sum(turned.runs.values())) == (3, 1)
 
-    play(broken, story=fails, chat=ledger(tmp_path / "a"))
-    play(turned, story=goes_again, chat=ledger(tmp_path / "b"))
+    play(broken, story=fails, chat=with_idempotency_store(tmp_path / "a"))
+    play(turned, story=goes_again, chat=with_idempotency_store(tmp_path / "b"))
 
 
 def test_an_order_proven_not_run_may_go_again(tmp_path: Path) -> None:
@@ -230,7 +230,7 @@
             pass
         assert (again.outcome, sum(host.runs.values())) == ("served", 1)
 
-    play(host, story=story, chat=ledger(tmp_path))
+    play(host, story=story, chat=with_idempotency_store(tmp_path))
 
 
 def test_a_plain_hosts_stream_without_done_is_broken() -> None:
@@ -256,10 +256,10 @@
         again = await ask_chat(on.chat, chat_body(ORDER), chat_headers("k1"))
         assert (again.status, len(host.begun)) == (502, 1)
 
-    play(host, story=story, chat=ledger(tmp_path))
+    play(host, story=story, chat=with_idempotency_store(tmp_path))
 
 
-def test_dispatchers_that_share_the_ledger_run_an_order_once(tmp_path: Path) -> None:
+def test_dispatchers_that_share_the_idempotency_store_run_a_request_once(tmp_path: Path) -> None:
     hold = trio.Event()
     first = plain(Act(pause=hold))
     second = plain()
@@ -267,8 +267,8 @@
     async def main() -> None:
         with trio.fail_after(15):
             async with (
-                stage(first, chat=ledger(tmp_path)) as one,
-                stage(second, chat=ledger(tmp_path)) as two,
+                stage(first, chat=with_idempotency_store(tmp_path)) as one,
+                stage(second, chat=with_idempotency_store(tmp_path)) as two,
             ):
                 call = await connect(one.chat)
                 await call.send("POST", "/v1/chat/completions", chat_headers("k1"), chat_body(ORDER))
@@ -290,12 +290,12 @@
 
     async def main() -> None:
         with trio.fail_after(15):
-            async with stage(reader, writer, chat=ledger(tmp_path)) as on:
+            async with stage(reader, writer, chat=with_idempotency_store(tmp_path)) as on:
                 call = await connect(on.chat)
                 await call.send("POST", "/v1/chat/completions", chat_headers("k1"), chat_body(ORDER))
                 await call.receive(events=3)
             fresh = pair()
-            async with stage(*fresh, chat=ledger(tmp_path)) as on:
+            async with stage(*fresh, chat=with_idempotency_store(tmp_path)) as on:
                 while (again := await ask_chat(on.chat, chat_body(ORDER), chat_headers("k1"))).status == 409:
                     await trio.sleep(0.05)
                 assert again.json["error"]["code"] == "order_may_have_run"
@@ -329,7 +329,7 @@
         reader, writer = pair(*acts)
         told: list[str] = []
         for part in (range(6), range(6, 12)):  # a restart lies between
-            async with stage(reader, writer, chat=ledger(tmp_path)) as on:
+            async with stage(reader, writer, chat=with_idempotency_store(tmp_path)) as on:
                 for n in part:
                     told.append((await ask(face, on, n)).outcome)
                 if face == "chat":
@@ -349,22 +349,22 @@
     trio.run(main)
 
 
-def test_an_order_that_another_may_have_called_failed_is_not_sent(tmp_path: Path) -> None:
-    """Its owner was stopped after the claim, longer than its lease."""
+def test_a_claimed_request_is_not_sent_once_the_lease_is_lost(tmp_path: Path) -> None:
+    """The process did not run for longer than its lease after the claim."""
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
-        assert on.daemon.fronts.orders is not None
-        holds = on.daemon.fronts.orders.holds
-        on.daemon.fronts.orders.holds = lambda: False  # type: ignore[method-assign]
+        assert on.daemon.fronts.idempotency is not None
+        holds_lease = on.daemon.fronts.idempotency.holds_lease
+        on.daemon.fronts.idempotency.holds_lease = lambda: False  # type: ignore[method-assign]
         told = await ask_chat(on.chat, chat_body(ORDER), chat_headers("k1"))
         assert (told.status, reader.begun, writer.begun) == (503, [], [])
-        on.daemon.fronts.orders.holds = holds  # type: ignore[method-assign]
+        on.daemon.fronts.idempotency.holds_lease = holds_lease  # type: ignore[method-assign]
         while (again := await ask_chat(on.chat, chat_body(ORDER), chat_headers("k1"))).status == 409:
             await trio.sleep(0.01)
         assert again.outcome == "served" and len(writer.begun) == 1
 
-    play(reader, writer, story=story, chat=ledger(tmp_path))
+    play(reader, writer, story=story, chat=with_idempotency_store(tmp_path))
 
 
 def test_a_request_withheld_on_its_way_never_reaches_its_host_whole() -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,7 +15,7 @@
 import trio.testing
 
 from tests.steady import Steady, until
-from tests.test_chat import ledger
+from tests.test_chat import with_idempotency_store
 from tests.test_program import start
 from tests.test_stories import pair, play
 from violetstack.net.downstream import connection as connection_module
@@ -821,7 +821,7 @@
             await trio.sleep(0.01)  # the record's change is on its way to the disk
         assert (again.outcome, len(writer.begun)) == ("served", 2)
 
-    play(reader, writer, story=story, chat=ledger(tmp_path))
+    play(reader, writer, story=story, chat=with_idempotency_store(tmp_path))
 
 
 def test_an_order_whose_client_leaves_before_it_ran_is_not_sent_on_and_its_retry_runs_it(
@@ -844,4 +844,4 @@
             await trio.sleep(0.01)  # the record's change is on its way to the disk
         assert (again.outcome, len(writer.begun)) == ("served", 1)
 
-    play(reader, writer, story=story, chat=ledger(tmp_path))
+    play(reader, writer, story=story, chat=with_idempotency_store(tmp_path))
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     from violetstack.fronts.chat import ChatFront
-    from violetstack.idempotency.service import OrderBook
+    from violetstack.idempotency.service import IdempotencyService
 
 BACKLOG = 512
 
@@ -45,7 +45,7 @@
         self.sockets: list[trio.SocketListener] = []
         self.platform: Listener | None = None
         self.chat: ChatFront | None = None
-        self.orders: OrderBook | None = None
+        self.idempotency: IdempotencyService | None = None
         self.certificate: Certificate | None = None  # one that no ACME keeps
         self.challenge_at: Address | None = None
 
@@ -63,9 +63,9 @@
         from violetstack.fronts.chat import ChatFront
 
         told = chat.told
-        self.orders = self._open_ledger(chat)
+        self.idempotency = self._open_idempotency_store(chat)
         self.chat = ChatFront(
-            chat, self._core, self.orders, clock=now_ms, spawn=self._spawn, log=log_rate_limited
+            chat, self._core, self.idempotency, clock=now_ms, spawn=self._spawn, log=log_rate_limited
         )
         wrap = None
         if told.tls is not None:
@@ -87,7 +87,7 @@
     def busy(self) -> bool:
         """Does any client still wait for an answer, or an order for its record?"""
         waits = self.chat is not None and self.chat.pending
-        recording = self.orders is not None and self.orders.pending
+        recording = self.idempotency is not None and self.idempotency.pending
         return bool(
             waits or recording or any(x.table.busy or x.table.awaiting_requests for x in self.listeners)
         )
@@ -106,18 +106,18 @@
         bound = sockets[0].socket.getsockname()
         return bound[0], bound[1]
 
-    def _open_ledger(self, chat: ChatConfig) -> OrderBook | None:
+    def _open_idempotency_store(self, chat: ChatConfig) -> IdempotencyService | None:
         file = chat.told.ledger
         if file is None:
             return None
-        from violetstack.idempotency.service import OrderBook
-        from violetstack.idempotency.store import Ledger
+        from violetstack.idempotency.service import IdempotencyService
+        from violetstack.idempotency.store import IdempotencyStore
 
         owner = f"{self._config.told.name}/{uuid.uuid4().hex}"  # a restart is another owner
-        ledger = Ledger(file.file, owner, file.keep_hours * 3600.0, file.lease_s)
-        orders = OrderBook(ledger, file.lease_s)
-        self._nursery.start_soon(orders.run)
-        return orders
+        store = IdempotencyStore(file.file, owner, file.keep_hours * 3600.0, file.lease_s)
+        service = IdempotencyService(store, file.lease_s)
+        self._nursery.start_soon(service.run)
+        return service
 
     async def _keep_certified(self, told: Acme, certificate: Certificate) -> None:
         from violetstack.net import acme
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -77,8 +77,8 @@
                 log("shutdown_deadline", open=len(self._core.open_requests))
                 self._core.shutdown_started()
             await trio.sleep(POLL_S)
-        if self._fronts.orders is not None:
-            self._fronts.orders.stopping = True
+        if self._fronts.idempotency is not None:
+            self._fronts.idempotency.stop_retrying()
 
     async def _pass_to_successor(self) -> None:
         if self._hot_restart is None or self._hot_restart.find_successor() is None:
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -18,7 +18,13 @@
 from violetstack.core.records import NotRouted, Origin, always
 from violetstack.fronts.completions import Answer, Ask, Invalid, error_object, read_body
 from violetstack.fronts.reply import EVENTS, Payload, Reply
-from violetstack.idempotency.store import Claim, LedgerError, Order
+from violetstack.idempotency.store import (
+    ClaimResult,
+    ClaimStatus,
+    IdempotencyStoreError,
+    KeyedRequest,
+    Outcome,
+)
 from violetstack.operators import ChatConfig, Key, Model
 from violetstack.policy_api import Idempotency, Request
 from violetstack.protocol import sse
@@ -29,20 +35,20 @@
 COMPLETIONS = "/v1/chat/completions"
 MODELS = "/v1/models"
 READY = "/-/ready"
-MAX_KEPT = 1024 * 1024  # of one answer, in memory and in the ledger
+MAX_KEPT = 1024 * 1024  # of one answer, in memory and in the idempotency store
 MAX_KEY = 255
-NO_LEDGER_RETRY_S = 60
+NO_STORE_RETRY_S = 60
 
 
-class Orders(Protocol):
-    """The ledger, as the front sees it."""
+class IdempotencyRecords(Protocol):
+    """The idempotency service, as the front sees it."""
 
-    async def claim(self, order: Order) -> tuple[Claim, bytes]: ...
+    async def claim(self, request: KeyedRequest) -> ClaimResult: ...
 
-    def settle(self, order: Order, state: Claim | None, outcome: bytes) -> None: ...
+    def record_outcome(self, request: KeyedRequest, outcome: Outcome, response: bytes) -> None: ...
 
-    def holds(self) -> bool:
-        """Asked right before each send of an order."""
+    def holds_lease(self) -> bool:
+        """Asked right before each send of a claimed request."""
 
 
 class Errand(msgspec.Struct, frozen=True):
@@ -82,7 +88,7 @@
     """One answer: a status before the first event, exactly one final event after it."""
 
     def __init__(
-        self, errand: Errand, reply: Reply, answer: Answer, settle: Callable[[Claim | None, bytes], None]
+        self, errand: Errand, reply: Reply, answer: Answer, settle: Callable[[Outcome, bytes], None]
     ):
         self._errand = errand
         self._reply = reply
@@ -116,14 +122,14 @@
         if self._too_long:
             self._broken("The answer is longer than can be kept.")
             return
-        self._settle(Claim.FINISHED, self._answer.record())
+        self._settle(Outcome.COMPLETED, self._answer.record())
         deliver(self._reply, self._answer, self._errand.ask, self._chunk)
 
     def stream_broken(self) -> None:
         self._broken("The stream broke before its end.")
 
     def _broken(self, message: str) -> None:
-        self._settle(Claim.FAILED, b"")
+        self._settle(Outcome.FAILED, b"")
         if self._streaming:
             self._reply.data(
                 b"data: " + error_object(message, "server_error", code="stream_broken") + b"\n\n"
@@ -133,7 +139,7 @@
             self._fail(message, "stream_broken", harmless=self._errand.safe)
 
     def rejected(self, retry_after_ms: float) -> None:
-        self._settle(None, b"")
+        self._settle(Outcome.RELEASED, b"")
         headers = retry_headers(retry_after_ms or 1000.0)
         send_error(
             self._reply,
@@ -145,7 +151,7 @@
         )
 
     def failed(self, may_have_run: bool) -> None:
-        self._settle(Claim.FAILED if may_have_run else None, b"")
+        self._settle(Outcome.FAILED if may_have_run else Outcome.RELEASED, b"")
         self._fail("No answer came in time.", "no_answer", harmless=self._errand.safe or not may_have_run)
 
     def _fail(self, message: str, code: str, harmless: bool) -> None:
@@ -172,7 +178,7 @@
         self,
         config: ChatConfig,
         core: Dispatcher,
-        orders: Orders | None,
+        idempotency: IdempotencyRecords | None,
         *,
         clock: Callable[[], float],
         spawn: Callable[[Callable[[], Awaitable[None]]], None],
@@ -180,7 +186,7 @@
     ) -> None:
         self.config = config
         self._core = core
-        self._orders = orders
+        self._idempotency = idempotency
         self._clock = clock
         self._spawn = spawn
         self._log = log
@@ -246,16 +252,16 @@
     def _complete(self, inbound: Inbound, key: Key, reply: Reply) -> None:
         errand = self._errand(inbound, key)
         if errand.safe:
-            self._take(errand, reply, lambda state, outcome: None)
+            self._take(errand, reply, lambda outcome, response: None)
             return
         name = inbound.headers.get("idempotency-key", "").strip()
         if not name or len(name) > MAX_KEY:
             raise Invalid(
                 "an order needs an Idempotency-Key of at most 255 characters", code="idempotency_key_missing"
             )
-        if self._orders is None:
+        if self._idempotency is None:
             self._log("idempotency_store_missing", reason="no ledger")
-            headers: Headers = [("Retry-After", str(NO_LEDGER_RETRY_S))]
+            headers: Headers = [("Retry-After", str(NO_STORE_RETRY_S))]
             send_error(
                 reply,
                 503,
@@ -265,11 +271,11 @@
                 headers=headers,
             )
             return
-        order = Order(key.tenant, name, errand.ask.same_body(), errand.ask.identity(key.tenant))
-        orders = self._orders
+        keyed = KeyedRequest(key.tenant, name, errand.ask.same_body(), errand.ask.identity(key.tenant))
+        idempotency = self._idempotency
         arrived = self._clock()
         self.pending += 1
-        self._spawn(lambda: self._order(errand, order, orders, arrived, reply))
+        self._spawn(lambda: self._complete_keyed(errand, keyed, idempotency, arrived, reply))
 
     def _errand(self, inbound: Inbound, key: Key) -> Errand:
         ask = read_body(inbound.body)
@@ -300,15 +306,20 @@
         asked = self._core.route(asked, Origin("chat", model.name, len(inbound.body)))
         return Errand(ask, model, key, asked, most, spec.idempotency is Idempotency.IDEMPOTENT)
 
-    async def _order(
-        self, errand: Errand, order: Order, orders: Orders, arrived: float, reply: Reply
+    async def _complete_keyed(
+        self,
+        errand: Errand,
+        keyed: KeyedRequest,
+        idempotency: IdempotencyRecords,
+        arrived: float,
+        reply: Reply,
     ) -> None:
-        """Nothing of an order is sent before its record is committed."""
-        log = partial(self._log, id=errand.asked.id, tenant=order.tenant)
+        """Nothing of a keyed request is sent before its record is committed."""
+        log = partial(self._log, id=errand.asked.id, tenant=keyed.tenant)
         try:
-            claim, outcome = await orders.claim(order)
-        except LedgerError as error:
-            log("idempotency_store_failed", error=str(error))
+            status, response = await idempotency.claim(keyed)
+        except IdempotencyStoreError as error:
+            log("idempotency_store_failed", error=error.reason)
             send_error(
                 reply,
                 503,
@@ -320,23 +331,23 @@
             return
         finally:
             self.pending -= 1
-        if claim is Claim.MINE:
+        if status is ClaimStatus.ACQUIRED:
             if reply.gone:
-                orders.settle(order, None, b"")
+                idempotency.record_outcome(keyed, Outcome.RELEASED, b"")
                 return
             self._take(
                 errand,
                 reply,
-                lambda state, kept: orders.settle(order, state, kept),
+                lambda outcome, response: idempotency.record_outcome(keyed, outcome, response),
                 outlives=True,
                 waited_ms=self._clock() - arrived,
-                allowed=orders.holds,
+                allowed=idempotency.holds_lease,
             )
             return
-        log("idempotency_record_found", state=claim.value)
-        if claim is Claim.FINISHED:
-            replay(Answer.recorded(outcome), errand.ask, reply)
-        elif claim is Claim.RUNNING:
+        log("idempotency_record_found", state=status.value)
+        if status is ClaimStatus.COMPLETED:
+            replay(Answer.recorded(response), errand.ask, reply)
+        elif status is ClaimStatus.RUNNING:
             headers = retry_headers(1000.0)
             send_error(
                 reply,
@@ -346,7 +357,7 @@
                 code="order_running",
                 headers=headers,
             )
-        elif claim is Claim.OTHER_BODY:
+        elif status is ClaimStatus.KEY_REUSED:
             send_error(
                 reply,
                 422,
@@ -369,7 +380,7 @@
         self,
         errand: Errand,
         reply: Reply,
-        settle: Callable[[Claim | None, bytes], None],
+        settle: Callable[[Outcome, bytes], None],
         *,
         outlives: bool = False,
         waited_ms: float = 0.0,
@@ -381,7 +392,7 @@
         asked = errand.asked
         shed = self._core.admit(now, asked)
         if shed is not None:
-            settle(None, b"")
+            settle(Outcome.RELEASED, b"")
             self._log("request_shed", reason=shed.reason, cls=asked.class_index, tenant=asked.tenant_index)
             send_error(
                 reply,
--- a/violetstack/fronts/completions.py
+++ b/violetstack/fronts/completions.py
@@ -201,7 +201,7 @@
         return {**whole, "choices": [choice], "usage": self.usage}
 
     def record(self) -> bytes:
-        """For the ledger: enough to give the same answer again, streamed or whole."""
+        """For the idempotency store: enough to give the same answer again, streamed or whole."""
         head = {"id": self.id, "model": self.model, "created": self.created}
         return orjson.dumps({**head, "choices": self.choices, "usage": self.usage})
 
--- a/violetstack/idempotency/store.py
+++ b/violetstack/idempotency/store.py
@@ -1,22 +1,29 @@
-"""The record of orders: what was sent where it may run, so that no retry runs it twice.
+"""The durable records of non-idempotent requests.
 
-One SQLite file, shared by the dispatchers that serve the same clients. An order is known by tenant,
-conversation and messages; keys (`Idempotency-Key`) point to orders. A row is committed before the order
-may reach a host, and outlives the process: a row whose owner has gone away is an order that may have run.
+One SQLite file is shared by the dispatchers that serve the same clients. A request is identified by its
+tenant, conversation and messages; values of the ``Idempotency-Key`` header refer to requests. A record is
+committed before its request may be sent to a host, and outlives the process: a running record whose owner has
+failed is a request that may have run.
 
-Owners change their mark (`beat`) while they live. Whether one does is judged by watching that mark on one's
-own monotonic clock, never by comparing clocks; an owner holds its orders for a lease from before its last
-mark, on its own clock, and asks `holds` right before it sends. So what another has called failed is not sent.
+Each dispatcher holds a lease on the requests it has claimed, and renews it by changing its heartbeat in the
+file. An observer measures the time since the last change on its own monotonic clock; clocks of two machines
+are never compared. The holder counts its lease from before it wrote the heartbeat, and checks it right before
+it sends. So a request that another dispatcher has declared failed is not sent any more.
+
+The names of the tables, columns and states are those of the first release, which may share the file.
 """
 
 from __future__ import annotations
 
+import contextlib
 import sqlite3
 import time
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
 from enum import Enum
 from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
 
 from violetstack.lease.liveness import LivenessMonitor
 
@@ -30,172 +37,262 @@
 CREATE INDEX IF NOT EXISTS keys_of_order ON keys (tenant, digest);
 CREATE TABLE IF NOT EXISTS owners (owner TEXT PRIMARY KEY, beat REAL NOT NULL) WITHOUT ROWID;
 """
-BUSY_S = 2.0
+RUNNING = "running"  # the stored state between a claim and its outcome
+LOCK_TIMEOUT_S = 2.0
+HEARTBEAT_STEP_S = 0.001  # added where the clock shows the same time as at the last heartbeat
+
+
+class ClaimStatus(Enum):
+    """What the claim of a request found."""
+
+    ACQUIRED = "acquired"  # recorded as running: the caller may send it
+    RUNNING = "running"  # another attempt holds it
+    COMPLETED = "finished"  # it has a response
+    FAILED = "failed"  # it may have run
+    KEY_REUSED = "other_body"  # the key belongs to a request with another body
 
 
-class Claim(Enum):
-    """What a request for an order finds."""
+class Outcome(Enum):
+    """How a running request ended; the values are the stored states."""
 
-    MINE = "mine"  # committed as running, it may be sent
-    RUNNING = "running"
-    FINISHED = "finished"  # with its outcome
+    COMPLETED = "finished"
     FAILED = "failed"  # it may have run
-    OTHER_BODY = "other_body"  # the key was used with another body
+    RELEASED = "free"  # it certainly did not run, and may be claimed again
 
 
-class LedgerError(Exception):
-    """The file can't be read or written now; nothing was committed."""
+class IdempotencyStoreError(Exception):
+    """The file cannot be read or written now, and nothing was committed; `reason` says why."""
 
+    def __init__(self, reason: str) -> None:
+        """Sets the reason, which is for the log."""
+        super().__init__(reason)
+        self.reason = reason
+
+
+class KeyedRequest(msgspec.Struct, frozen=True):
+    """A request with an idempotency key.
+
+    Attributes:
+        tenant: Name of the tenant; keys of two tenants are independent.
+        key: Value of the ``Idempotency-Key`` header.
+        fingerprint: Hash of the body, to detect a key that is used with another body.
+        digest: Hash of tenant, conversation and messages, which identifies the request under all its keys.
+    """
 
-@dataclass(frozen=True, slots=True)
-class Order:
     tenant: str
     key: str
-    body: str
+    fingerprint: str
     digest: str
 
 
-class Ledger:
-    """Blocking; the net calls it from one thread, `holds` from any.
+class ClaimResult(NamedTuple):
+    """The status of a claimed request, and the recorded response if it is COMPLETED."""
+
+    status: ClaimStatus
+    response: bytes
+
 
-    Times are in seconds. `now` is handed in: the Unix clock's, for how long records are kept. `tick` is this
-    process's monotonic clock, for who lives; it is read before and after what it times.
+class _StoredRequest(NamedTuple):
+    """A row of the table `orders`, without its key."""
+
+    state: str
+    owner: str
+    outcome: bytes | None
+
+
+class IdempotencyStore:
+    """The SQLite file.
+
+    All methods block. `holds_lease` may be called from any thread, the others from one at a time.
     """
 
     def __init__(
         self,
         path: str | Path,
         owner: str,
-        keep_s: float,
+        retention_s: float,
         lease_s: float,
-        tick: Callable[[], float] = time.monotonic,
+        monotonic: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._tick = tick
+        """Creates a store; the file is opened by the first call.
+
+        Args:
+            path: The SQLite file; it is created if it is missing.
+            owner: Unique name of this process.
+            retention_s: How long records of ended requests are kept.
+            lease_s: How long after its last heartbeat an owner keeps the requests it claimed.
+            monotonic: The clock for leases, in seconds. Retention is measured by the Unix time that the
+                caller passes.
+        """
         self._path = str(path)
         self._owner = owner
-        self._keep_s = keep_s
+        self._retention_s = retention_s
         self._lease_s = lease_s
+        self._monotonic = monotonic
         self._liveness = LivenessMonitor(lease_s)
-        self._mark, self._until = 0.0, float("-inf")
-        self._db: sqlite3.Connection | None = None
-
-    def _open(self) -> sqlite3.Connection:
-        if self._db is None:
-            db = sqlite3.connect(self._path, timeout=BUSY_S, isolation_level=None, check_same_thread=False)
-            db.execute("PRAGMA journal_mode=WAL")
-            db.execute("PRAGMA synchronous=FULL")  # a commit that a crash can undo is none
-            db.executescript(SCHEMA)
-            self._db = db
-        return self._db
+        self._heartbeat = 0.0
+        self._lease_end = float("-inf")
+        self._database: sqlite3.Connection | None = None
 
     def close(self) -> None:
-        if self._db is not None:
-            self._db.close()
-            self._db = None
-
-    def holds(self) -> bool:
-        """May what this owner claimed still be sent? Not once another may have called it failed."""
-        return self._tick() < self._until
-
-    def beat(self, now: float) -> None:
-        """Tells the other owners that this one lives, looks who of them does; and forgets what is past its
-        time."""
-        began = self._tick()
-        try:
-            db = self._open()
-            db.execute("BEGIN IMMEDIATE")
-            with db:
-                mark = now if now != self._mark else now + 0.001  # a clock set back may tell a time again
-                db.execute("INSERT OR REPLACE INTO owners VALUES (?, ?)", (self._owner, mark))
-                old = now - self._keep_s
-                db.execute("DELETE FROM orders WHERE at < ? AND state != 'running'", (old,))
-                others = "SELECT owner, beat FROM owners WHERE owner != ?"
-                marks = db.execute(others, (self._owner,)).fetchall()
-                read = self._tick()
-                silent = [
-                    owner for owner, beat in marks if self._liveness.is_expired(began, read, owner, beat)
-                ]
-                for owner in silent:
-                    db.execute("DELETE FROM orders WHERE at < ? AND owner = ?", (old, owner))
-                    db.execute(
-                        "DELETE FROM owners WHERE owner = ? AND beat < ? AND NOT EXISTS "
-                        "(SELECT 1 FROM orders o WHERE o.owner = owners.owner AND o.state = 'running')",
-                        (owner, old),
-                    )
-                db.execute(
-                    "DELETE FROM keys WHERE NOT EXISTS (SELECT 1 FROM orders o "
-                    "WHERE o.tenant = keys.tenant AND o.digest = keys.digest)"
-                )
-        except sqlite3.Error as error:
-            raise LedgerError(str(error)) from None
-        self._mark = mark
-        self._until = began + self._lease_s
+        """Closes the file."""
+        if self._database is not None:
+            self._database.close()
+            self._database = None
 
-    def claim(self, order: Order, now: float) -> tuple[Claim, bytes]:
-        """Commits the order as running, or tells what became of it."""
-        began = self._tick()
-        try:
-            db = self._open()
-            db.execute("BEGIN IMMEDIATE")
-            with db:
-                return self._claim(db, order, now, began)
-        except sqlite3.Error as error:
-            raise LedgerError(str(error)) from None
+    def holds_lease(self) -> bool:
+        """Returns whether a request that this process claimed may still be sent."""
+        return self._monotonic() < self._lease_end
 
-    def _claim(self, db: sqlite3.Connection, order: Order, now: float, began: float) -> tuple[Claim, bytes]:
-        row = db.execute(
-            "SELECT body FROM keys WHERE tenant = ? AND key = ?", (order.tenant, order.key)
-        ).fetchone()
-        if row is not None and row[0] != order.body:
-            return Claim.OTHER_BODY, b""
-        found = db.execute(
-            "SELECT state, owner, outcome FROM orders WHERE tenant = ? AND digest = ?",
-            (order.tenant, order.digest),
+    def renew_lease(self, now_s: float) -> None:
+        """Writes a heartbeat, observes those of the other owners, and deletes expired records.
+
+        Args:
+            now_s: Unix time.
+
+        Raises:
+            IdempotencyStoreError: The lease is not renewed.
+        """
+        started = self._monotonic()
+        # An owner is alive while its heartbeat changes, and a clock that was set back may show a time again.
+        heartbeat = now_s if now_s != self._heartbeat else now_s + HEARTBEAT_STEP_S
+        oldest = now_s - self._retention_s
+        with self._transaction() as database:
+            database.execute("INSERT OR REPLACE INTO owners VALUES (?, ?)", (self._owner, heartbeat))
+            database.execute("DELETE FROM orders WHERE at < ? AND state != ?", (oldest, RUNNING))
+            for owner in self._failed_owners(database, started):
+                self._delete_owner_records(database, owner, oldest)
+            database.execute(
+                "DELETE FROM keys WHERE NOT EXISTS (SELECT 1 FROM orders o "
+                "WHERE o.tenant = keys.tenant AND o.digest = keys.digest)"
+            )
+        self._heartbeat = heartbeat
+        self._lease_end = started + self._lease_s
+
+    def claim(self, request: KeyedRequest, now_s: float) -> ClaimResult:
+        """Records a request as running, or returns what is recorded of it.
+
+        Args:
+            request: The request; its key is recorded as well.
+            now_s: Unix time.
+
+        Raises:
+            IdempotencyStoreError: Nothing was recorded, so the request must not be sent.
+        """
+        started = self._monotonic()
+        with self._transaction() as database:
+            return self._claim(database, request, now_s, started)
+
+    def record_outcome(self, request: KeyedRequest, outcome: Outcome, response: bytes, now_s: float) -> bool:
+        """Records how a request ended that this process claimed.
+
+        Args:
+            request: The claimed request.
+            outcome: How it ended.
+            response: What a retry is answered, if it is COMPLETED.
+            now_s: Unix time.
+
+        Returns:
+            False if the lease was lost and another owner has declared the request failed, which stands.
+
+        Raises:
+            IdempotencyStoreError: Nothing was recorded.
+        """
+        with self._transaction() as database:
+            stored = self._find(database, request)
+            if stored is None or (stored.state, stored.owner) != (RUNNING, self._owner):
+                return False
+            self._update(database, request, outcome, response, now_s)
+            return True
+
+    def _claim(
+        self, database: sqlite3.Connection, request: KeyedRequest, now_s: float, started: float
+    ) -> ClaimResult:
+        key_row = database.execute(
+            "SELECT body FROM keys WHERE tenant = ? AND key = ?", (request.tenant, request.key)
         ).fetchone()
-        state = found[0] if found is not None else "free"
-        if state == "running" and not self._lives(db, found[1], began):
-            # Guards against an order run again after its owner died: nobody knows how far it came.
-            state = "failed"
-            self._set(db, order, "failed", b"", now)
-        if row is None:
-            db.execute(
+        if key_row is not None and key_row[0] != request.fingerprint:
+            return ClaimResult(ClaimStatus.KEY_REUSED, b"")
+        stored = self._find(database, request)
+        state = stored.state if stored is not None else Outcome.RELEASED.value
+        if stored is not None and state == RUNNING and not self._is_alive(database, stored.owner, started):
+            # How far its owner came is unknown, so it must not run again.
+            state = Outcome.FAILED.value
+            self._update(database, request, Outcome.FAILED, b"", now_s)
+        if key_row is None:
+            database.execute(
                 "INSERT INTO keys VALUES (?, ?, ?, ?)",
-                (order.tenant, order.key, order.body, order.digest),
+                (request.tenant, request.key, request.fingerprint, request.digest),
             )
-        if state != "free":
-            return Claim(state), found[2] or b""
-        db.execute("INSERT OR IGNORE INTO owners VALUES (?, ?)", (self._owner, now))
-        db.execute(
-            "INSERT OR REPLACE INTO orders VALUES (?, ?, 'running', ?, NULL, ?)",
-            (order.tenant, order.digest, self._owner, now),
+        if stored is not None and state != Outcome.RELEASED.value:
+            return ClaimResult(ClaimStatus(state), stored.outcome or b"")
+        database.execute("INSERT OR IGNORE INTO owners VALUES (?, ?)", (self._owner, now_s))
+        database.execute(
+            "INSERT OR REPLACE INTO orders VALUES (?, ?, ?, ?, NULL, ?)",
+            (request.tenant, request.digest, RUNNING, self._owner, now_s),
         )
-        return Claim.MINE, b""
+        return ClaimResult(ClaimStatus.ACQUIRED, b"")
 
-    def _lives(self, db: sqlite3.Connection, owner: str, began: float) -> bool:
+    def _find(self, database: sqlite3.Connection, request: KeyedRequest) -> _StoredRequest | None:
+        row = database.execute(
+            "SELECT state, owner, outcome FROM orders WHERE tenant = ? AND digest = ?",
+            (request.tenant, request.digest),
+        ).fetchone()
+        return None if row is None else _StoredRequest(*row)
+
+    def _update(
+        self,
+        database: sqlite3.Connection,
+        request: KeyedRequest,
+        outcome: Outcome,
+        response: bytes,
+        now_s: float,
+    ) -> None:
+        database.execute(
+            "UPDATE orders SET state = ?, outcome = ?, at = ? WHERE tenant = ? AND digest = ?",
+            (outcome.value, response, now_s, request.tenant, request.digest),
+        )
+
+    def _is_alive(self, database: sqlite3.Connection, owner: str, started: float) -> bool:
         if owner == self._owner:
             return True
-        row = db.execute("SELECT beat FROM owners WHERE owner = ?", (owner,)).fetchone()
-        return not self._liveness.is_expired(began, self._tick(), owner, None if row is None else row[0])
+        row = database.execute("SELECT beat FROM owners WHERE owner = ?", (owner,)).fetchone()
+        heartbeat = None if row is None else row[0]
+        return not self._liveness.is_expired(started, self._monotonic(), owner, heartbeat)
 
-    def _set(self, db: sqlite3.Connection, order: Order, state: str, outcome: bytes, now: float) -> None:
-        db.execute(
-            "UPDATE orders SET state = ?, outcome = ?, at = ? WHERE tenant = ? AND digest = ?",
-            (state, outcome, now, order.tenant, order.digest),
+    def _failed_owners(self, database: sqlite3.Connection, started: float) -> list[str]:
+        """Owners whose heartbeat has not changed for a lease."""
+        rows = database.execute("SELECT owner, beat FROM owners WHERE owner != ?", (self._owner,)).fetchall()
+        read = self._monotonic()
+        return [owner for owner, beat in rows if self._liveness.is_expired(started, read, owner, beat)]
+
+    def _delete_owner_records(self, database: sqlite3.Connection, owner: str, oldest: float) -> None:
+        """Deletes the expired records of a failed owner, and the owner once it has no running request."""
+        database.execute("DELETE FROM orders WHERE at < ? AND owner = ?", (oldest, owner))
+        database.execute(
+            "DELETE FROM owners WHERE owner = ? AND beat < ? AND NOT EXISTS "
+            "(SELECT 1 FROM orders o WHERE o.owner = owners.owner AND o.state = ?)",
+            (owner, oldest, RUNNING),
         )
 
-    def settle(self, order: Order, state: Claim | None, outcome: bytes, now: float) -> bool:
-        """Finished or failed; None frees an order that provably did not run. False: another has judged it."""
+    @contextlib.contextmanager
+    def _transaction(self) -> Iterator[sqlite3.Connection]:
+        """A write transaction, committed at the end and rolled back by an exception."""
         try:
-            db = self._open()
-            db.execute("BEGIN IMMEDIATE")
-            with db:
-                found = db.execute(
-                    "SELECT state, owner FROM orders WHERE tenant = ? AND digest = ?",
-                    (order.tenant, order.digest),
-                ).fetchone()
-                if found != ("running", self._owner):
-                    return False
-                self._set(db, order, "free" if state is None else state.value, outcome, now)
-                return True
+            database = self._connect()
+            database.execute("BEGIN IMMEDIATE")
+            with database:
+                yield database
         except sqlite3.Error as error:
-            raise LedgerError(str(error)) from None
+            raise IdempotencyStoreError(str(error)) from None
+
+    def _connect(self) -> sqlite3.Connection:
+        if self._database is None:
+            database = sqlite3.connect(
+                self._path, timeout=LOCK_TIMEOUT_S, isolation_level=None, check_same_thread=False
+            )
+            database.execute("PRAGMA journal_mode=WAL")
+            database.execute("PRAGMA synchronous=FULL")  # a commit must survive a crash of the machine
+            database.executescript(SCHEMA)
+            self._database = database
+        return self._database
