--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -25,16 +25,22 @@
 from tests.test_stories import pair, play
 from violetstack.admin.cordons import Mark
 from violetstack.config import Address, BadConfig
-from violetstack.handover.learned import Learned, learned, recall
-from violetstack.handover.record import VERSION, BadRecord, Record, decode, encode
-from violetstack.handover.stream_migration import GO, NO, READY, BadOffer, Stream
-from violetstack.handover.stream_migration import decode as decode_stream
-from violetstack.handover.stream_migration import encode as encode_stream
-from violetstack.handover.successor import ALIVE_MS, Succession
+from violetstack.handover.errors import InvalidOfferError, InvalidRecordError
+from violetstack.handover.learned_state import LearnedState, capture_learned_state, restore_learned_state
+from violetstack.handover.record import FORMAT_VERSION, HandoverRecord, decode_record, encode_record
+from violetstack.handover.stream_migration import (
+    COMMIT,
+    DECLINE,
+    READY,
+    StreamOffer,
+    decode_offer,
+    encode_offer,
+)
+from violetstack.handover.successor import ALIVE_TIMEOUT_MS, SiblingProcesses
 from violetstack.net import stream_migration
 from violetstack.net.gossip import Peers
-from violetstack.net.inherited_listener import inherited_socket
-from violetstack.net.records import Records
+from violetstack.net.handover_directory import DirectoryScan, HandoverDirectory
+from violetstack.net.inherited_listener import open_inherited_listener
 from violetstack.policy_api import GossipReceived, TenantSettings, UpdateScope
 from violetstack.protocol.discovery import WServer
 from violetstack.protocol.host_side import Body, End, HostSide
@@ -47,72 +53,78 @@
 NOW = 1_700_000_000_000.0
 
 
-def record(owner: str = "a", born: float = NOW, at: float = NOW, **changes: Any) -> Record:
-    told: dict[str, Any] = {
-        "name": "n0",
-        "owner": owner,
-        "born": born,
-        "at": at,
-        "serving": True,
-        "version": 7,
-        "servers": (WServer("w", "127.0.0.1:1", "z", "decode"),),
-        "marks": {"w": Mark(True, at, at)},
+def record(
+    process_id: str = "a", started_at_ms: float = NOW, written_at_ms: float = NOW, **changes: Any
+) -> HandoverRecord:
+    fields: dict[str, Any] = {
+        "dispatcher": "n0",
+        "process_id": process_id,
+        "started_at_ms": started_at_ms,
+        "written_at_ms": written_at_ms,
+        "accepting": True,
+        "list_version": 7,
+        "endpoints": (WServer("w", "127.0.0.1:1", "z", "decode"),),
+        "cordons": {"w": Mark(True, written_at_ms, written_at_ms)},
     }
-    return Record(**{**told, **changes})
+    return HandoverRecord(**{**fields, **changes})
 
 
 # --- the record ---
 
 
-def test_a_record_comes_back_as_it_was_left() -> None:
-    assert decode(encode(record()), "n0", NOW) == record()
+def test_a_record_is_read_as_it_was_written() -> None:
+    assert decode_record(encode_record(record()), "n0", NOW) == record()
 
 
-def test_a_record_cut_at_any_byte_or_with_any_byte_spoilt_is_not_believed() -> None:
-    whole = encode(record())
-    for n in range(len(whole)):
-        with pytest.raises(BadRecord):
-            decode(whole[:n], "n0", NOW)
-        with pytest.raises(BadRecord):
-            decode(whole[:n] + bytes([whole[n] ^ 1]) + whole[n + 1 :], "n0", NOW)
+def test_a_record_truncated_at_any_byte_or_with_any_byte_corrupt_is_rejected() -> None:
+    data = encode_record(record())
+    for n in range(len(data)):
+        with pytest.raises(InvalidRecordError):
+            decode_record(data[:n], "n0", NOW)
+        with pytest.raises(InvalidRecordError):
+            decode_record(data[:n] + bytes([data[n] ^ 1]) + data[n + 1 :], "n0", NOW)
 
 
-OTHERS = {
-    "another form": (b"violetstack-record-2 " + encode(record()).partition(b" ")[2], "another form"),
-    "another dispatcher": (encode(record(name="n1")), "another dispatcher"),
-    "the future": (encode(record(at=NOW + 10_000.0)), "future"),
-    "empty": (b"", "another form"),
+REJECTED_RECORDS = {
+    "another format": (
+        b"violetstack-record-2 " + encode_record(record()).partition(b" ")[2],
+        "unknown format",
+    ),
+    "another dispatcher": (encode_record(record(dispatcher="n1")), "another dispatcher"),
+    "the future": (encode_record(record(written_at_ms=NOW + 10_000.0)), "future"),
+    "empty": (b"", "unknown format"),
 }
 
 
-@pytest.mark.parametrize("name", OTHERS)
-def test_a_record_that_is_not_ours_says_why(name: str) -> None:
-    assert VERSION == "violetstack-record-1"
-    data, reason = OTHERS[name]
-    with pytest.raises(BadRecord, match=reason):
-        decode(data, "n0", NOW)
+@pytest.mark.parametrize("name", REJECTED_RECORDS)
+def test_the_error_for_a_rejected_record_names_the_reason(name: str) -> None:
+    assert FORMAT_VERSION == "violetstack-record-1"
+    data, reason = REJECTED_RECORDS[name]
+    with pytest.raises(InvalidRecordError, match=reason) as raised:
+        decode_record(data, "n0", NOW)
+    assert reason in raised.value.reason
 
 
-def test_records_that_can_not_be_read_are_passed_over_with_one_line(
+def test_a_record_that_cannot_be_read_is_skipped_and_logged_once(
     tmp_path: Path, capfd: pytest.CaptureFixture[str]
 ) -> None:
-    mine = Records(str(tmp_path), "n0", "a")
-    other = Records(str(tmp_path), "n0", "b")
+    mine = HandoverDirectory(str(tmp_path), "n0", "a")
+    other = HandoverDirectory(str(tmp_path), "n0", "b")
     other.write(record("b"))
     path = next(tmp_path.iterdir())
     path.write_bytes(path.read_bytes()[:-3])
-    told = os.stat(path).st_mtime * 1000.0
+    now = os.stat(path).st_mtime * 1000.0
     for _ in range(3):
-        assert mine.others(told)[0] == []
+        assert mine.scan(now).changed == []
     assert capfd.readouterr().out.count('"event":"handover_record_invalid"') == 1
-    other.write(record("b", at=NOW + 1.0))
-    assert [r.at for r in mine.others(told)[0]] == [NOW + 1.0]
+    other.write(record("b", written_at_ms=NOW + 1.0))
+    assert [r.written_at_ms for r in mine.scan(now).changed] == [NOW + 1.0]
     other.remove()
-    assert mine.others(told) == ([], {})
+    assert mine.scan(now) == DirectoryScan([], {})
 
 
-def test_what_a_front_has_learned_is_known_to_its_successor_and_only_for_the_same_start() -> None:
-    """A new version sent cold hosts a trickle, since it had seen nobody be served."""
+def test_learned_state_is_restored_only_for_endpoints_that_have_not_restarted() -> None:
+    """Without it a new process sends warming hosts only a trickle of requests."""
     cold = [entry(f"r{n}", 0, started_ms=500.0) for n in range(2)]
     shared = (TenantSettings(1.0, 6.0),)
     old = Front(*cold, entry("w1", 1), entry("w2", 1, started_ms=800.0), dispatcher_count=3, tenants=shared)
@@ -120,52 +132,54 @@
     for _ in range(20):
         old.serve(after=100.0)
     old.router.fleet.servers["w1"].blame(old.now, 1.0)
-    told = learned(old.router, old.now)
-    assert msgspec.json.decode(msgspec.json.encode(told), type=Learned) == told
-    listed = (entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=900.0))  # w2 started anew
+    state = capture_learned_state(old.router, old.now)
+    assert msgspec.json.decode(msgspec.json.encode(state), type=LearnedState) == state
+    listed = (entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=900.0))  # w2 has restarted
     new = Front(*listed, dispatcher_count=3, tenants=shared)
     new.now = old.now
-    assert recall(new.router, told) == 4
+    assert restore_learned_state(new.router, state) == 4
     for front in (old, new):
         front.router.fleet.admits(front.router.fleet.servers["r0"], True, old.now)
     before, after = (f.router.fleet.servers["r0"].tickets for f in (old, new))
     assert (after.rate, after.level) == (before.rate, before.level)
-    assert after.rate > 5.0 / (2.0 * 3 * 2000.0)  # what a front gives that heard nothing, five times
+    assert after.rate > 5.0 / (2.0 * 3 * 2000.0)  # five times the rate of a process without estimates
     assert new.router.fleet.servers["w1"].left.value_at(old.now) == old.router.fleet.servers[
         "w1"
     ].left.value_at(old.now)
     assert new.router.buckets[0].level == old.router.buckets[0].level
 
 
-# --- who follows whom ---
+# --- the successor ---
 
 
-def test_the_heir_is_a_later_process_that_takes_clients_and_lives() -> None:
-    mine = Succession("b", NOW)
+def test_the_successor_is_a_later_process_that_accepts_clients_and_is_alive() -> None:
+    siblings = SiblingProcesses("b", NOW)
     earlier = record("a", NOW - 5.0)
-    later = record("c", NOW + 5.0, serving=False)
-    mine.heard([earlier, later], {"a": NOW, "c": NOW})
-    assert (mine.heir(NOW), mine.company(NOW)) == (None, True)
+    later = record("c", NOW + 5.0, accepting=False)
+    siblings.update([earlier, later], {"a": NOW, "c": NOW})
+    assert siblings.successor(NOW) is None
+    assert siblings.any_alive(NOW)
     later = record("c", NOW + 5.0)
-    mine.heard([later], {"a": NOW, "c": NOW})
-    assert mine.heir(NOW + 1.0) == later
-    assert mine.heir(NOW + ALIVE_MS) is None  # it has been silent for too long
-    mine.heard([], {"a": NOW + ALIVE_MS})
-    assert [r.owner for r in mine.alive(NOW + ALIVE_MS)] == ["a"]
+    siblings.update([later], {"a": NOW, "c": NOW})
+    assert siblings.successor(NOW + 1.0) == later
+    assert siblings.successor(NOW + ALIVE_TIMEOUT_MS) is None
+    siblings.update([], {"a": NOW + ALIVE_TIMEOUT_MS})
+    assert [r.process_id for r in siblings.alive(NOW + ALIVE_TIMEOUT_MS)] == ["a"]
 
 
-def test_of_each_host_the_latest_call_at_any_process_counts() -> None:
-    mine = Succession("c", NOW)
-    back = Mark(False, NOW + 9.0, NOW)
-    mine.heard([record("a"), record("b", at=NOW + 9.0, marks={"w": back})], {"a": NOW, "b": NOW})
-    assert mine.marks() == {"w": back}
-    assert mine.newest() == record("b", at=NOW + 9.0, marks={"w": back})
+def test_the_latest_cordon_of_a_host_at_any_process_counts() -> None:
+    siblings = SiblingProcesses("c", NOW)
+    uncordoned = Mark(False, NOW + 9.0, NOW)
+    latest = record("b", written_at_ms=NOW + 9.0, cordons={"w": uncordoned})
+    siblings.update([record("a"), latest], {"a": NOW, "b": NOW})
+    assert siblings.latest_cordons() == {"w": uncordoned}
+    assert siblings.latest_record() == latest
 
 
 # --- the inherited listener ---
 
 
-def test_only_a_listening_socket_at_the_configured_address_is_taken_over() -> None:
+def test_only_a_listening_socket_at_the_configured_address_is_inherited() -> None:
     with socket.create_server(("127.0.0.1", 0)) as bound, socket.socket() as plain:
         at: Address = bound.getsockname()
         for descriptor, where, reason in (
@@ -174,10 +188,10 @@
             (os.open(os.devnull, os.O_RDONLY), at, "NODE_INHERITED_FD"),
         ):
             with pytest.raises(BadConfig, match=reason):
-                inherited_socket(descriptor, where)
-        mine = inherited_socket(os.dup(bound.fileno()), at)
-        mine.close()
-        with socket.create_connection(at):  # a close of ours ends nothing for the others
+                open_inherited_listener(descriptor, where)
+        inherited = open_inherited_listener(os.dup(bound.fileno()), at)
+        inherited.close()
+        with socket.create_connection(at):  # the listener still accepts in the other processes
             bound.accept()[0].close()
 
 
@@ -186,7 +200,7 @@
 
 @dataclass
 class Platform:
-    """What starts the processes, as the operators' platform does, and holds their listener."""
+    """Starts the processes with an inherited listener, as the operators' platform does."""
 
     folder: Path
     hosts: tuple[ModelHost, ...]
@@ -202,8 +216,8 @@
         return bound
 
     async def start(self, wait: bool = True, **changes: Any) -> tuple[trio.Process, Address]:
-        """One more process, and its door once it takes clients."""
-        told = {
+        """Starts a process; returns it with the address of its admin API once it accepts clients."""
+        config = {
             "name": "n0",
             "listen": f"127.0.0.1:{self.at[1]}",
             "discovery": self.discovery.address,
@@ -213,7 +227,7 @@
             **changes,
         }
         file = self.folder / f"config{len(self.processes)}.json"
-        file.write_text(json.dumps(told))
+        file.write_text(json.dumps(config))
         descriptor = self.held.fileno()
         process = await trio.lowlevel.open_process(
             [sys.executable, "-m", "violetstack"],
@@ -239,12 +253,12 @@
         rest = b""
         assert process.stdout is not None
         async for data in process.stdout:
-            *whole, rest = (rest + data).split(b"\n")
-            lines += [orjson.loads(line) for line in whole]
+            *complete, rest = (rest + data).split(b"\n")
+            lines += [orjson.loads(line) for line in complete]
             if any(line["event"] == "started" for line in lines):
                 started.set()
 
-    def told(self, process: trio.Process, event: str) -> list[dict[str, Any]]:
+    def logged(self, process: trio.Process, event: str) -> list[dict[str, Any]]:
         return [line for line in self.lines[process.pid] if line["event"] == event]
 
 
@@ -277,7 +291,9 @@
     return (await call.receive()).status
 
 
-def test_a_new_version_takes_over_under_streams_and_every_client_has_one_whole_answer(tmp_path: Path) -> None:
+def test_open_streams_migrate_to_the_successor_and_each_client_gets_one_complete_response(
+    tmp_path: Path,
+) -> None:
     hold = trio.Event()
     reader = ModelHost("r", "prefill")
     writer = ModelHost("w", "decode", Act(pause=hold))
@@ -291,12 +307,12 @@
         half = await connect(on.at)
         await half.stream.send_all(b"POST /v1/chat/completions HTTP/1.1\r\n")
         assert (await ask_platform(on.at, "first", "consulta")).outcome == "served"  # all are accepted
-        new, door = await on.start()
-        assert (await raw(door, get("/admin/health"))).startswith(b"HTTP/1.1 200 ")
+        new, admin = await on.start()
+        assert (await raw(admin, get("/admin/health"))).startswith(b"HTTP/1.1 200 ")
         old.send_signal(signal.SIGTERM)
-        while not on.told(old, "shutdown_started"):
+        while not on.logged(old, "shutdown_started"):
             await trio.sleep(0.001)
-        assert on.told(old, "shutdown_started")[0]["heir"] is not None
+        assert on.logged(old, "shutdown_started")[0]["successor"] is not None
         for n in range(5):
             assert (await ask_platform(on.at, f"n{n}", "consulta")).outcome == "served"
         assert await ask_on(waiting, "late") == 200
@@ -309,47 +325,47 @@
         assert call.answer.outcome == "served"
         assert call.http.reuse()
         assert await ask_on(call, "again") == 200  # on the same connection
-        while not any(line["id"] == "again" for line in on.told(new, "request")):
+        while not any(line["id"] == "again" for line in on.logged(new, "request")):
             await trio.sleep(0.001)
         served = [
             line["id"]
             for process in (old, new)
-            for line in on.told(process, "request")
+            for line in on.logged(process, "request")
             if line["answer"] == "served"
         ]
         assert sorted(served) == sorted(["q0", "first", "late", "again", *(f"n{n}" for n in range(5))])
-        assert on.told(old, "stopped")[0]["passed_on"] >= 1  # `late` may have ended before it could pass
+        assert on.logged(old, "stopped")[0]["migrated_streams"] >= 1  # `late` may have ended earlier
         assert writer.begun.count("q0") == 1
-        told = orjson.loads((await raw(door, get("/admin/stats"))).partition(b"\r\n\r\n")[2])
-        assert told["operations"]["orden"] == {"fulfilled": 1, "throttled": 0, "faulted": 0}
-        assert told["open_requests"] == 0
+        stats = orjson.loads((await raw(admin, get("/admin/stats"))).partition(b"\r\n\r\n")[2])
+        assert stats["operations"]["orden"] == {"fulfilled": 1, "throttled": 0, "faulted": 0}
+        assert stats["open_requests"] == 0
 
     upgrade(tmp_path, reader, writer, story=story)
 
 
-def test_hosts_out_by_hand_stay_out_over_two_upgrades_and_a_call_at_either_process_binds_both(
+def test_cordons_outlive_two_hot_restarts_and_apply_to_both_processes(
     tmp_path: Path,
 ) -> None:
     hosts = (ModelHost("r", "prefill"), ModelHost("r2", "prefill"), ModelHost("w", "decode"))
 
-    async def out(door: Address) -> int:
-        told = orjson.loads((await raw(door, get("/admin/stats"))).partition(b"\r\n\r\n")[2])
-        return int(told["out_of_rotation"])
+    async def out(admin: Address) -> int:
+        stats = orjson.loads((await raw(admin, get("/admin/stats"))).partition(b"\r\n\r\n")[2])
+        return int(stats["out_of_rotation"])
 
     async def story(on: Platform) -> None:
-        first, door1 = await on.start()
-        assert (await raw(door1, post("/admin/cordon", b"r"))).startswith(b"HTTP/1.1 200 ")
-        first.kill()  # at once: the record was there before the yes
-        second, door2 = await on.start()
-        assert on.told(second, "predecessor_state_read")[0]["out"] == ["r"]
-        assert await out(door2) == 1
-        third, door3 = await on.start()
-        assert await out(door3) == 1
-        assert (await raw(door3, post("/admin/uncordon", b"r"))).startswith(b"HTTP/1.1 200 ")
-        while await out(door2) != 0:
+        first, admin1 = await on.start()
+        assert (await raw(admin1, post("/admin/cordon", b"r"))).startswith(b"HTTP/1.1 200 ")
+        first.kill()  # its record was written before the response
+        second, admin2 = await on.start()
+        assert on.logged(second, "predecessor_state_read")[0]["cordoned"] == ["r"]
+        assert await out(admin2) == 1
+        third, admin3 = await on.start()
+        assert await out(admin3) == 1
+        assert (await raw(admin3, post("/admin/uncordon", b"r"))).startswith(b"HTTP/1.1 200 ")
+        while await out(admin2) != 0:
             await trio.sleep(0.01)
-        assert (await raw(door2, post("/admin/cordon", b"r2"))).startswith(b"HTTP/1.1 200 ")
-        while await out(door3) != 1:
+        assert (await raw(admin2, post("/admin/cordon", b"r2"))).startswith(b"HTTP/1.1 200 ")
+        while await out(admin3) != 1:
             await trio.sleep(0.01)
         third.kill()  # the new one dies: the old one serves on, with what was called there
         n = 0
@@ -360,32 +376,38 @@
     upgrade(tmp_path, *hosts, story=story)
 
 
-def test_a_new_version_that_fails_its_configuration_leaves_the_old_one_serving(tmp_path: Path) -> None:
+def test_a_successor_with_an_invalid_configuration_exits_and_the_predecessor_keeps_serving(
+    tmp_path: Path,
+) -> None:
     async def story(on: Platform) -> None:
         old, _ = await on.start()
         new, _ = await on.start(wait=False, listen="127.0.0.1:1")
         assert await new.wait() == 2
         old.send_signal(signal.SIGHUP)
         assert (await ask_platform(on.at, "q1", "consulta")).outcome == "served"
-        assert "it listens on" in on.told(new, "config_invalid")[0]["error"]
-        assert on.told(old, "config_reload_failed") == []
+        assert "it listens on" in on.logged(new, "config_invalid")[0]["error"]
+        assert on.logged(old, "config_reload_failed") == []
 
     upgrade(tmp_path, ModelHost("r", "prefill"), ModelHost("w", "decode"), story=story)
 
 
-def test_without_discovery_a_new_version_begins_with_what_the_old_one_was_told(tmp_path: Path) -> None:
+def test_without_discovery_the_successor_starts_with_the_endpoint_list_of_its_predecessor(
+    tmp_path: Path,
+) -> None:
     async def story(on: Platform) -> None:
         await on.start()
         on.discovery.die()
         new, _ = await on.start()
-        assert on.told(new, "endpoint_list_missing")[0]["hosts"] == 2
-        assert on.told(new, "predecessor_state_read")[0]["hosts"] == 2
+        assert on.logged(new, "endpoint_list_missing")[0]["hosts"] == 2
+        assert on.logged(new, "predecessor_state_read")[0]["hosts"] == 2
 
     upgrade(tmp_path, ModelHost("r", "prefill"), ModelHost("w", "decode"), story=story)
 
 
-def test_requests_without_a_first_token_are_given_up_in_time_and_nothing_stays_held(tmp_path: Path) -> None:
-    """SIGKILL found them, and states that nobody released."""
+def test_requests_without_a_first_token_fail_before_the_kill_and_their_state_is_released(
+    tmp_path: Path,
+) -> None:
+    """Otherwise SIGKILL cuts them off, and the hosts keep their state."""
     reader = ModelHost("r", "prefill")
     writer = ModelHost("w", "decode", Act(before=trio.Event()))
 
@@ -424,7 +446,7 @@
     upgrade(tmp_path, reader, writer, story=story)
 
 
-def test_late_comers_at_a_process_that_ends_are_refused_and_not_taken(tmp_path: Path) -> None:
+def test_a_late_request_at_a_process_that_shuts_down_gets_a_503(tmp_path: Path) -> None:
     hold = trio.Event()
     hosts = (ModelHost("r", "prefill"), ModelHost("w", "decode", Act(pause=hold)))
 
@@ -438,7 +460,7 @@
         assert (await ask_platform(on.at, "first", "consulta")).outcome == "served"  # all are accepted
         await on.start()
         old.send_signal(signal.SIGTERM)
-        while not on.told(old, "shutdown_rejecting"):
+        while not on.logged(old, "shutdown_rejecting"):
             await trio.sleep(0.01)
         headers = "".join(f"{n}: {v}\r\n" for n, v in platform_headers("late", "consulta"))
         await late.stream.send_all(f"Host: x\r\n{headers}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY)
@@ -457,24 +479,24 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def test_an_answer_can_be_read_on_elsewhere_between_two_chunks_and_nowhere_else() -> None:
+def test_a_response_can_be_resumed_between_two_chunks_and_nowhere_else() -> None:
     head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     parts = [chunk(b"data: 1\r\n\r\n"), chunk(b"data: 2\n\n"), b"0\r\n\r\n"]
-    whole = head + b"".join(parts)
+    response = head + b"".join(parts)
     ends = {len(head) + sum(map(len, parts[:n])) for n in range(3)}
-    for cut in range(1, len(whole)):
+    for cut in range(1, len(response)):
         side = HostSide()
         side.request("POST", "/", [("Host", "x")])
-        side.feed(whole[:cut])
+        side.feed(response[:cut])
         assert side.between_chunks == (cut in ends), cut
         if side.between_chunks:
-            events = HostSide.resumed().feed(whole[cut:])
+            events = HostSide.resumed().feed(response[cut:])
             rest = [b"data: 1\r\n\r\n", b"data: 2\n\n"][sorted(ends).index(cut) :]
             assert [bytes(e.data) for e in events if isinstance(e, Body)] == rest
             assert isinstance(events[-1], End)
 
 
-def test_an_answer_goes_on_with_the_framing_and_the_closing_word_of_its_head() -> None:
+def test_a_resumed_response_keeps_the_framing_and_the_connection_header_of_its_head() -> None:
     for closing in (False, True):
         side = ServerSide.resumed(closing)
         assert side.passable
@@ -482,87 +504,102 @@
         assert side.reuse() is not closing
 
 
-BAD_OFFERS = {
-    "noise": b"what",
-    "another version": encode_stream(Stream("q", 0, 0, "w", 1.0, 3, 0, 9.0, False, False, version=2)),
-    "no such class": encode_stream(Stream("q", 7, 0, "w", 1.0, 3, 0, 9.0, False, False)),
+def offer(**changes: Any) -> StreamOffer:
+    plain = StreamOffer(
+        id="q0",
+        class_index=0,
+        tenant_index=0,
+        server="w",
+        age_ms=1.0,
+        events_forwarded=3,
+        cached_tokens=0,
+        prompt_tokens=9.0,
+        holds_remote_state=False,
+        closing=False,
+    )
+    return msgspec.structs.replace(plain, **changes)
+
+
+INVALID_OFFERS = {
+    "no JSON": (b"what", "JSON"),
+    "another version": (encode_offer(offer(version=2)), "version 2, expected 1"),
+    "unknown class": (encode_offer(offer(class_index=7)), "class 7, expected less than 2"),
 }
 
 
-@pytest.mark.parametrize("name", BAD_OFFERS)
-def test_an_offer_that_can_not_be_taken_says_why(name: str) -> None:
-    with pytest.raises(BadOffer):
-        decode_stream(BAD_OFFERS[name], 2)
+@pytest.mark.parametrize("name", INVALID_OFFERS)
+def test_the_error_for_an_invalid_offer_names_the_reason(name: str) -> None:
+    data, reason = INVALID_OFFERS[name]
+    with pytest.raises(InvalidOfferError, match=reason) as raised:
+        decode_offer(data, 2)
+    assert reason in raised.value.reason
 
 
-@pytest.mark.parametrize("word", ["no", "dies", "silent", "odd"])
-def test_a_stream_that_its_heir_does_not_take_goes_on_where_it_was(
-    word: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("reply", ["declined", "closed", "none", "unexpected"])
+def test_a_stream_that_the_successor_does_not_take_over_continues_in_its_process(
+    reply: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Whichever word is lost, the client has its whole answer and the host one attempt."""
+    """The client gets the complete response, from one attempt at one host."""
     hold = trio.Event()
     reader, writer = pair(Act(pause=hold))
-    monkeypatch.setattr(stream_migration, "WORD_S", 0.05)
-
-    async def heir(sock: trio.socket.SocketType, heard: trio.Event) -> None:
-        giver, _ = await sock.accept()
-        await giver.recvmsg(4096, 0)  # the descriptors are dropped, as by a process that ends
-        if word == "no":
-            await giver.send(NO)
-        elif word == "odd":
-            await giver.send(b"perhaps")
-        if word == "silent":
-            heard.set()
-            await trio.sleep_forever()
-        if word == "dies":
-            giver.close()
-        heard.set()
+    monkeypatch.setattr(stream_migration, "REPLY_TIMEOUT_S", 0.05)
+
+    async def successor(sock: trio.socket.SocketType, replied: trio.Event) -> None:
+        sender, _ = await sock.accept()
+        await sender.recvmsg(4096, 0)  # without room for the descriptors, as if the process exited
+        if reply == "declined":
+            await sender.send(DECLINE)
+        elif reply == "unexpected":
+            await sender.send(b"perhaps")
+        elif reply == "closed":
+            sender.close()
+        replied.set()
         await trio.sleep_forever()
 
     async def story(on: Stage) -> None:
         call = await connect(on.platform)
         await call.send("POST", "/v1/chat/completions", platform_headers("q0", "orden"), BODY)
         await call.receive(events=3)
-        path = tmp_path / "heir.sock"
-        heard = trio.Event()
+        path = tmp_path / "successor.sock"
+        replied = trio.Event()
         with trio.socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
             await sock.bind(str(path))
             sock.listen(1)
-            on.nursery.start_soon(heir, sock, heard)
-            giver = stream_migration.Giver(on.daemon.core)
-            assert await giver.connect(path)
-            on.daemon.hosts.migrate_streams(giver.give)
-            await heard.wait()
-            await trio.sleep(0.1 if word == "silent" else 0)  # its time is up
+            on.nursery.start_soon(successor, sock, replied)
+            sender = stream_migration.StreamSender(on.daemon.core)
+            assert await sender.connect(path)
+            on.daemon.hosts.migrate_streams(sender.migrate)
+            await replied.wait()
+            await trio.sleep(0.1 if reply == "none" else 0)  # past REPLY_TIMEOUT_S
             hold.set()
             assert (await call.receive()).whole
-        assert (giver.given, writer.begun) == (0, ["q0"])
+        assert (sender.migrated, writer.begun) == (0, ["q0"])
         assert on.daemon.core.metrics.classes[1].fulfilled == 1
 
     play(reader, writer, story=story)
 
 
-@pytest.mark.parametrize("last", ["dies", "odd", "an id that came meanwhile"])
-def test_an_heir_without_a_go_touches_neither_connection(last: str, tmp_path: Path) -> None:
+@pytest.mark.parametrize("last", ["closed", "unexpected", "the request was opened meanwhile"])
+def test_without_a_commit_the_successor_touches_neither_connection(last: str, tmp_path: Path) -> None:
     async def story(on: Stage) -> None:
         core = on.daemon.core
-        path = tmp_path / "taker.sock"
-        taker = stream_migration.Taker(core, on.daemon.hosts, lambda: on.daemon.fronts.platform)
-        await on.nursery.start(taker.run, path)
+        path = tmp_path / "receiver.sock"
+        receiver = stream_migration.StreamReceiver(core, on.daemon.hosts, lambda: on.daemon.fronts.platform)
+        await on.nursery.start(receiver.run, path)
         client, theirs = socket.socketpair()
         host, hosts_own = socket.socketpair()
-        giver = trio.socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        await giver.connect(str(path))
-        offer = encode_stream(Stream("q0", 0, 0, "w", 1.0, 3, 0, 9.0, False, False))
-        both = array("i", [client.fileno(), host.fileno()])
-        await giver.sendmsg([offer], [(socket.SOL_SOCKET, socket.SCM_RIGHTS, both)])
-        assert await giver.recv(64) == READY
-        if last == "odd":
-            await giver.send(b"perhaps")
-        elif last != "dies":
+        sender = trio.socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        await sender.connect(str(path))
+        descriptors = array("i", [client.fileno(), host.fileno()])
+        rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, descriptors)]
+        await sender.sendmsg([encode_offer(offer(id="q0"))], rights)
+        assert await sender.recv(64) == READY
+        if last == "unexpected":
+            await sender.send(b"perhaps")
+        elif last != "closed":
             core.open_requests["q0"] = None  # type: ignore[assignment]
-            await giver.send(GO)
-        giver.close()
+            await sender.send(COMMIT)
+        sender.close()
         client.close()
         host.close()
         theirs.setblocking(False)
@@ -577,7 +614,7 @@
     play(*pair(), story=story)
 
 
-def test_the_later_of_two_processes_hears_the_peers() -> None:
+def test_gossip_goes_to_the_later_of_two_processes() -> None:
     async def story(on: Stage) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
             peer.bind(("127.0.0.1", 0))
@@ -585,13 +622,13 @@
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
                 free.bind(("127.0.0.1", 0))
                 at = free.getsockname()
-            both = [Peers(Heard(), at, [at, other], None, heirs=True) for _ in range(2)]  # type: ignore[arg-type]
+            both = [Peers(GossipRecorder(), at, [at, other], None, heirs=True) for _ in range(2)]  # type: ignore[arg-type]
             for one in both:
                 on.nursery.start_soon(one.run)
                 while one._raw is None:
                     await trio.sleep(0)
             peer.sendto(b"x", at)
-            old, new = (one._core.told for one in both)  # type: ignore[attr-defined]
+            old, new = (one._core.messages for one in both)  # type: ignore[attr-defined]
             while not new:
                 await trio.sleep(0)
             assert (old, [m.payload for m in new]) == ([], [b"x"])
@@ -599,16 +636,16 @@
     play(*pair(), story=story)
 
 
-class Heard:
+class GossipRecorder:
     def __init__(self) -> None:
-        self.told: list[GossipReceived] = []
+        self.messages: list[GossipReceived] = []
 
     def gossip_received(self, message: GossipReceived) -> None:
-        self.told.append(message)
+        self.messages.append(message)
 
 
-def test_an_accept_that_fails_ends_neither_the_taker_nor_the_program(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(stream_migration, "ACCEPT_AGAIN_S", 0.0)
+def test_a_failed_accept_is_retried(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(stream_migration, "ACCEPT_RETRY_S", 0.0)
 
     class Failing:
         tries = 0
@@ -618,11 +655,11 @@
             await trio.sleep(0)
             if self.tries < 3:
                 raise OSError(24, "Too many open files")
-            return "giver", None
+            return "sender", None
 
     async def main() -> None:
-        taker = stream_migration.Taker(None, None, lambda: None)  # type: ignore[arg-type]
-        giver: object = await taker._accepted(Failing())  # type: ignore[arg-type]
-        assert giver == "giver"
+        receiver = stream_migration.StreamReceiver(None, None, lambda: None)  # type: ignore[arg-type]
+        sender: object = await receiver._accept(Failing())  # type: ignore[arg-type]
+        assert sender == "sender"
 
     trio.run(main)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -11,7 +11,7 @@
 
 from tests.front import Front
 from violetstack.commands.main import main
-from violetstack.handover.learned import learned
+from violetstack.handover.learned_state import capture_learned_state
 from violetstack.net import background_writer
 from violetstack.net.background_writer import BackgroundWriter
 from violetstack.net.state_directory import StateDirectory
@@ -120,7 +120,7 @@
     snapshot.apply_endpoints(message(1), complete=True)
     store.write_snapshot(snapshot.encode())
     snapshot.apply_endpoints(message(2), complete=False)
-    snapshot.learned = learned(front.router, front.now)
+    snapshot.learned = capture_learned_state(front.router, front.now)
     store.append(encode_learned(snapshot.learned) + encode_endpoints(message(2), complete=False))
     snapshot.apply_endpoints(message(3), complete=False)
     store.append(encode_endpoints(message(3), complete=False))
--- a/violetstack/commands/state.py
+++ b/violetstack/commands/state.py
@@ -96,8 +96,8 @@
     for server in sorted(snapshot.servers.values(), key=lambda s: s.id):
         click.echo(f"  {server.id}  {server.kind}  {server.addr}  {server.state}")
     if snapshot.learned is not None:
-        age_s = now_s - snapshot.learned.at / 1000.0
-        click.echo(f"learned state of {len(snapshot.learned.servers)} hosts, {age_s:.0f} s old")
+        age_s = now_s - snapshot.learned.captured_at_ms / 1000.0
+        click.echo(f"learned state of {len(snapshot.learned.endpoints)} hosts, {age_s:.0f} s old")
 
 
 def _print_problems(problems: list[str]) -> None:
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -73,10 +73,10 @@
     def id(self) -> str: ...
 
     @property
-    def cls(self) -> int: ...
+    def class_index(self) -> int: ...
 
     @property
-    def tenant(self) -> int: ...
+    def tenant_index(self) -> int: ...
 
     @property
     def server(self) -> str: ...
@@ -85,13 +85,13 @@
     def age_ms(self) -> float: ...
 
     @property
-    def events(self) -> int: ...
+    def events_forwarded(self) -> int: ...
 
     @property
     def prompt_tokens(self) -> float: ...
 
     @property
-    def loose(self) -> bool: ...
+    def holds_remote_state(self) -> bool: ...
 
 
 class DuplicateRequestError(Exception):
@@ -228,14 +228,27 @@
     def adopt_stream(self, now: float, told: MigratedStream, sink: Sink) -> Attempt:
         """A stream that another process began; the module hears nothing of it, since nothing is to decide."""
         asked = Request(
-            told.id, told.cls, told.tenant, None, 0.0, None, None, told.prompt_tokens, 0.0, 0.0, False, False
+            told.id,
+            told.class_index,
+            told.tenant_index,
+            None,
+            0.0,
+            None,
+            None,
+            told.prompt_tokens,
+            0.0,
+            0.0,
+            False,
+            False,
         )
         request = OpenRequest(asked, sink, None, now - told.age_ms, now)
-        attempt = Attempt(request, 0, told.server, False, request.arrived_at, now, True, True, told.events)
+        attempt = Attempt(
+            request, 0, told.server, False, request.arrived_at, now, True, True, told.events_forwarded
+        )
         request.committed_attempt = attempt
         request.in_flight = {0: attempt}
         request.attempts_sent = 1
-        request.holds_remote_state = told.loose
+        request.holds_remote_state = told.holds_remote_state
         self.open_requests[asked.id] = request
         self.metrics.request_accepted(asked.class_index)
         if self.routes is not None:
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -39,9 +39,9 @@
 if TYPE_CHECKING:
     from violetstack.admin.cordons import Cordons
     from violetstack.daemon.hot_restart import HotRestart
-    from violetstack.handover.learned import Learned
+    from violetstack.handover.learned_state import LearnedState
     from violetstack.load_shedding.control import LevelPlan
-    from violetstack.net.handover import Handover
+    from violetstack.net.handover import HandoverService
     from violetstack.net.lease_service import LeaseService
     from violetstack.net.load_shedding import LevelDriver
     from violetstack.net.state_writer import StateWriter
@@ -136,7 +136,7 @@
         return self.lifecycle.stop
 
     @property
-    def handover(self) -> Handover | None:
+    def handover(self) -> HandoverService | None:
         """The record that this process keeps for another of its dispatcher."""
         return self.hot_restart.handover if self.hot_restart is not None else None
 
@@ -157,7 +157,7 @@
         self._build_state()
         loop = EventLoop(self.core, pause_detector)
         self._build_endpoints()
-        predecessor = self.handover.begin() if self.handover is not None else None
+        predecessor = self.handover.load_predecessor() if self.handover is not None else None
         await self.endpoints.start(self.nursery, pause_detector, predecessor)
         door = await self._open_door()
         self._shed_load(self.config.levels)
@@ -172,7 +172,7 @@
         if self.config.chat is not None:
             chat = await self.fronts.start_chat(self.config.chat)
         if self.hot_restart is not None:
-            await self.hot_restart.take_streams(
+            await self.hot_restart.receive_streams(
                 self.nursery, self.core, self.hosts, lambda: self.fronts.platform
             )
         self._recall()
@@ -237,7 +237,7 @@
             cordons=self.cordons,
             endpoints=self.endpoints,
             learned=self._learned,
-            company=self.limits.apply,
+            on_siblings_changed=self.limits.apply,
         )
         self.nursery.start_soon(self.hot_restart.handover.run)
 
@@ -278,14 +278,14 @@
         found = self.recovery.stored_learned_state()
         if self.hot_restart is not None and self.config.inherited is not None:
             record = self.hot_restart.predecessor()
-            found = record.learned if record is not None else found
+            found = record.learned_state if record is not None else found
         if found is None:
             return
-        from violetstack.handover.learned import recall
+        from violetstack.handover.learned_state import restore_learned_state
 
         self.core.run(now_ms())  # the module is to know the list first
-        servers = recall(self.router, found)
-        log("estimates_restored", servers=servers, age_ms=round(now_ms() - found.at))
+        servers = restore_learned_state(self.router, found)
+        log("estimates_restored", servers=servers, age_ms=round(now_ms() - found.captured_at_ms))
         self.recovery.learned_state_restored()
 
     # --- what can change ---
@@ -321,10 +321,10 @@
     def _processes(self) -> int:
         return self.hot_restart.processes if self.hot_restart is not None else 1
 
-    def _learned(self) -> Learned:
-        from violetstack.handover.learned import learned
+    def _learned(self) -> LearnedState:
+        from violetstack.handover.learned_state import capture_learned_state
 
-        return learned(self.router, now_ms())
+        return capture_learned_state(self.router, now_ms())
 
     # --- shutdown ---
 
@@ -341,8 +341,8 @@
         )
         await shutdown.run()
         await self.recovery.stop()
-        given = 0
+        migrated_streams = 0
         if self.hot_restart is not None:
-            self.hot_restart.handover.leave()
-            given = self.hot_restart.streams_given()
-        log("stopped", passed_on=given)
+            self.hot_restart.handover.remove_record()
+            migrated_streams = self.hot_restart.migrated_streams()
+        log("stopped", migrated_streams=migrated_streams)
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from violetstack.admin.cordons import Cordons
-    from violetstack.handover.record import Record
+    from violetstack.handover.record import HandoverRecord
     from violetstack.net.state_writer import StateWriter
 
 FIRST_LIST_S = 1.5  # a new version that takes over waits for discovery's list for so long
@@ -70,7 +70,7 @@
     # --- startup ---
 
     async def start(
-        self, nursery: trio.Nursery, pause_detector: PauseDetector, predecessor: Record | None
+        self, nursery: trio.Nursery, pause_detector: PauseDetector, predecessor: HandoverRecord | None
     ) -> None:
         """Publishes the hosts that are remembered and starts the watch."""
         self._nursery = nursery
@@ -87,7 +87,7 @@
             # may be those of another discovery, so the whole list is asked for first.
             version = None
             if predecessor is not None:
-                known = WTargets(predecessor.version, True, list(predecessor.servers))
+                known = WTargets(predecessor.list_version, True, list(predecessor.endpoints))
         if self._state_writer is not None:
             version = None  # what is remembered is of several lists: changes of one would not fit
         known = await self._recovery.load_endpoints(known)
@@ -108,7 +108,7 @@
 
     async def wait_for_first_list(self) -> None:
         """Guards against sends on an old list: what an agent has counts as told from the first moment, and
-        what a predecessor was told counts for its heir.
+        what a predecessor was told counts for its successor.
         """
         inherited = self._config.inherited is not None
         if self.watch is None or (self._config.settings.watch_required and not inherited):
--- a/violetstack/daemon/hot_restart.py
+++ b/violetstack/daemon/hot_restart.py
@@ -1,4 +1,4 @@
-"""The hand-over between two processes of one dispatcher; loaded only where they share a folder."""
+"""Hot restart between two processes of one dispatcher; loaded only where they share a directory."""
 
 from __future__ import annotations
 
@@ -14,18 +14,18 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.daemon.endpoints import EndpointService
 from violetstack.daemon.lifecycle import Lifecycle
-from violetstack.handover.learned import Learned
-from violetstack.handover.record import Record
-from violetstack.handover.successor import Succession
+from violetstack.handover.learned_state import LearnedState
+from violetstack.handover.record import HandoverRecord
+from violetstack.handover.successor import SiblingProcesses
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
-from violetstack.net.handover import Handover
-from violetstack.net.records import Records
+from violetstack.net.handover import HandoverService
+from violetstack.net.handover_directory import HandoverDirectory
 from violetstack.net.upstream.driver import UpstreamDriver
 
 
 class HotRestart:
-    """This process's record in the shared folder, and the streams that pass from one process to another."""
+    """This process's handover record, and the streams that migrate from one process to another."""
 
     def __init__(
         self,
@@ -35,8 +35,8 @@
         lifecycle: Lifecycle,
         cordons: Cordons,
         endpoints: EndpointService,
-        learned: Callable[[], Learned],
-        company: Callable[[], None],
+        learned: Callable[[], LearnedState],
+        on_siblings_changed: Callable[[], None],
     ) -> None:
         self._folder = folder
         self._name = config.told.name
@@ -45,81 +45,80 @@
         self._cordons = cordons
         self._endpoints = endpoints
         self._learned = learned
-        self._succession = Succession(uuid.uuid4().hex, now_ms())
-        records = Records(folder, config.told.name, self._succession.owner)
-        self.handover = Handover(
-            records,
-            self._succession,
+        self._siblings = SiblingProcesses(uuid.uuid4().hex, now_ms())
+        self.handover = HandoverService(
+            HandoverDirectory(folder, config.told.name, self._siblings.process_id),
+            self._siblings,
             cordons,
             self._compose,
-            lambda update: endpoints.publish(update, {}),
-            heirs=self._inherited,
+            on_cordons_changed=lambda update: endpoints.publish(update, {}),
+            on_siblings_changed=on_siblings_changed,
+            hot_restart=self._inherited,
         )
-        self.handover.company = company
-        self.streams_given: Callable[[], int] = lambda: 0
+        self.migrated_streams: Callable[[], int] = lambda: 0
 
     @property
     def processes(self) -> int:
         """How many processes of this dispatcher share the machine's limits: one or two."""
-        return 2 if self._succession.company(now_ms()) else 1
+        return 2 if self._siblings.any_alive(now_ms()) else 1
 
     def write_soon(self) -> None:
         """Has the record written in the next round."""
-        self.handover.changed = True
+        self.handover.request_write()
 
     def write(self) -> None:
         """Writes the record now; a failure is logged and tried again in the next round."""
         with contextlib.suppress(NotRecorded):
-            self.handover.changed = True
-            self.handover.write()
+            self.handover.request_write()
+            self.handover.write_record()
 
     def find_successor(self) -> str | None:
-        """The owner name of the process that takes over from this one."""
-        self.handover.look()
-        heir = self.handover.heir
-        return heir.owner if heir is not None else None
+        """The id of the process that takes over from this one."""
+        self.handover.refresh()
+        successor = self.handover.successor
+        return successor.process_id if successor is not None else None
 
-    def predecessor(self) -> Record | None:
+    def predecessor(self) -> HandoverRecord | None:
         """The newest record that another process of this dispatcher has left."""
-        self.handover.look()
-        return self._succession.newest()
+        self.handover.refresh()
+        return self._siblings.latest_record()
 
-    async def take_streams(
+    async def receive_streams(
         self,
         nursery: trio.Nursery,
         core: Dispatcher,
         hosts: UpstreamDriver,
         platform: Callable[[], Listener | None],
     ) -> None:
-        """Before anybody is told that this process takes over: SIGTERM follows that word at once."""
+        """Called before this process reports ready, since SIGTERM to the predecessor follows at once."""
         if not self._inherited:
             return
-        from violetstack.net.stream_migration import Taker, socket_path
+        from violetstack.net.stream_migration import StreamReceiver, socket_path
 
-        taker = Taker(core, hosts, lambda: platform() if self._lifecycle.accepting else None)
-        await nursery.start(taker.run, socket_path(self._folder, self._succession.owner))
+        receiver = StreamReceiver(core, hosts, lambda: platform() if self._lifecycle.accepting else None)
+        await nursery.start(receiver.run, socket_path(self._folder, self._siblings.process_id))
 
-    async def pass_streams(self, core: Dispatcher, hosts: UpstreamDriver) -> None:
-        """Gives the streams that have begun to the successor, if there is one."""
-        heir = self.find_successor()
-        if not self._inherited or heir is None:
+    async def migrate_streams(self, core: Dispatcher, hosts: UpstreamDriver) -> None:
+        """Offers the streams that have started to the successor, if there is one."""
+        successor = self.find_successor()
+        if not self._inherited or successor is None:
             return
-        from violetstack.net.stream_migration import Giver, socket_path
-
-        giver = Giver(core)
-        self.streams_given = lambda: giver.given
-        if await giver.connect(socket_path(self._folder, heir)):
-            hosts.migrate_streams(giver.give)
-
-    def _compose(self) -> Record:
-        return Record(
-            name=self._name,
-            owner=self._succession.owner,
-            born=self._succession.born,
-            at=now_ms(),
-            serving=self._lifecycle.accepting,
-            version=self._endpoints.version,
-            servers=tuple(self._endpoints.rows.values()),
-            marks=dict(self._cordons.marks),
-            learned=self._learned() if self._inherited else None,
+        from violetstack.net.stream_migration import StreamSender, socket_path
+
+        sender = StreamSender(core)
+        self.migrated_streams = lambda: sender.migrated
+        if await sender.connect(socket_path(self._folder, successor)):
+            hosts.migrate_streams(sender.migrate)
+
+    def _compose(self) -> HandoverRecord:
+        return HandoverRecord(
+            dispatcher=self._name,
+            process_id=self._siblings.process_id,
+            started_at_ms=self._siblings.started_at_ms,
+            written_at_ms=now_ms(),
+            accepting=self._lifecycle.accepting,
+            list_version=self._endpoints.version,
+            endpoints=tuple(self._endpoints.rows.values()),
+            cordons=dict(self._cordons.marks),
+            learned_state=self._learned() if self._inherited else None,
         )
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -19,7 +19,7 @@
 from violetstack.router import Router
 
 if TYPE_CHECKING:
-    from violetstack.handover.learned import Learned
+    from violetstack.handover.learned_state import LearnedState
     from violetstack.load_shedding.control import LevelPlan
     from violetstack.net.lease_service import LeaseService
     from violetstack.net.load_shedding import LevelDriver
@@ -28,7 +28,7 @@
 
 
 def start_state_writer(
-    config: Config, nursery: trio.Nursery, learned: Callable[[], Learned]
+    config: Config, nursery: trio.Nursery, learned: Callable[[], LearnedState]
 ) -> StateWriter | None:
     """The durable state, where the operator's file names a folder."""
     state = config.operator.state if config.operator is not None else None
--- a/violetstack/daemon/process.py
+++ b/violetstack/daemon/process.py
@@ -10,7 +10,7 @@
 from violetstack.config import BadConfig, Config, load
 from violetstack.daemon.daemon import Daemon
 from violetstack.log import log
-from violetstack.net.inherited_listener import inherited_socket
+from violetstack.net.inherited_listener import open_inherited_listener
 
 
 def serve(path: str, file: str | None = None) -> int:
@@ -20,7 +20,7 @@
     try:
         config = load(path, file)
         if config.inherited_fd is not None and config.listen is not None:
-            config.inherited = inherited_socket(config.inherited_fd, config.listen)
+            config.inherited = open_inherited_listener(config.inherited_fd, config.listen)
     except BadConfig as error:
         log("config_invalid", error=str(error))
         return 2
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -28,7 +28,7 @@
 class GracefulShutdown:
     """Guards against losing at a planned restart what was taken, and what comes shortly after.
 
-    New connections are served for as long as the front still deals them out, or an heir takes them;
+    New connections are served for as long as the front still deals them out, or a successor takes them;
     answers then carry `Connection: close`, idle connections are closed, and the last answer ends the
     program. Whoever has connected and not asked yet is heard: served at first, later refused.
     """
@@ -54,7 +54,7 @@
 
     async def run(self) -> None:
         """Returns once nothing is open any more."""
-        log("shutdown_started", open=len(self._core.open_requests), heir=self._find_successor())
+        log("shutdown_started", open=len(self._core.open_requests), successor=self._find_successor())
         began = trio.current_time()
         for listener in self._fronts.listeners:
             listener.draining = True
@@ -83,10 +83,10 @@
     async def _pass_to_successor(self) -> None:
         if self._hot_restart is None or self._hot_restart.find_successor() is None:
             return
-        # Who comes now waits in the queue that the heir accepts from. It speaks to the peers as well.
+        # Who comes now waits in the queue that the successor accepts from. It speaks to the peers as well.
         await self._stop_accepting()
         self._hosts.gossip = lambda payload: None
-        await self._hot_restart.pass_streams(self._core, self._hosts)
+        await self._hot_restart.migrate_streams(self._core, self._hosts)
 
     async def _stop_accepting(self) -> None:
         self._lifecycle.accepting = False
--- a/violetstack/handover/__init__.py
+++ b/violetstack/handover/__init__.py
@@ -1,6 +1,7 @@
-"""Owns what one process owes its successor, and what two processes of one dispatcher owe each other.
+"""Hot restart: the records and messages that two processes of one dispatcher exchange.
 
-`record` is the form of what a process leaves, `succession` reads what others have left: what a new process
-begins with, whose hosts out by hand bind, and whether somebody else takes the clients. Nothing here does I/O
-or reads a clock; net/records.py keeps the files.
+`record` is the file that a process writes for the others, `learned_state` the part of it that holds the
+policy's estimates, `successor` derives from all records which process takes over, and `stream_migration`
+holds the messages that move an open stream. Nothing here does I/O or reads a clock; the drivers are in
+`violetstack.net`.
 """
--- /dev/null
+++ b/violetstack/handover/learned_state.py
@@ -0,0 +1,196 @@
+"""A snapshot of the policy's estimates, which a process passes to the next one.
+
+A policy without estimates sends warming hosts only a trickle of requests, gives each tenant its complete
+burst and has to find each failing host again. The snapshot is stored in the handover record as JSON and in
+the state folder as MessagePack, with the keys of the first release. Times are Unix milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from violetstack.estimation.decay import DecayingSum, RecentSamples
+from violetstack.router import LEARN_MS, Router, Server
+from violetstack.shared.rate_limit import TokenBucket
+
+
+class DecayingSumSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """A decaying sum at the time of the snapshot, and when its first value was added."""
+
+    amount: float
+    since_ms: float | None
+
+
+class BucketSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The level of a token bucket, and when it was last refilled."""
+
+    level: float
+    refilled_at_ms: float
+
+
+class TimedSample(msgspec.Struct, frozen=True, array_like=True):
+    """A measured duration, and when it was measured."""
+
+    measured_at_ms: float
+    duration_ms: float
+
+
+class EndpointSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """What the policy has learned of one endpoint; valid only for the start at `started_ms`.
+
+    Attributes:
+        started_ms: When the endpoint's process started, None if the endpoint list does not say.
+        prefill_cost: Decaying sum of the prefill cost that the endpoint completed.
+        busy_ms: Decaying sum of the time it took.
+        failure_penalty: Decaying sum of the cost charged for failures.
+        failure_streak: Failures in a row.
+        failed_at_ms: The last failure.
+        slow_start_tokens: Requests that it may be sent while it warms up.
+        memory_share: Share of its memory in use by its last load report, None without one.
+        reported_at_ms: The last load report.
+    """
+
+    started_ms: float | None
+    prefill_cost: DecayingSumSnapshot
+    busy_ms: DecayingSumSnapshot
+    failure_penalty: DecayingSumSnapshot
+    failure_streak: int
+    failed_at_ms: float
+    slow_start_tokens: BucketSnapshot
+    memory_share: float | None
+    reported_at_ms: float
+
+
+class LearnedState(msgspec.Struct, frozen=True):
+    """The policy's estimates.
+
+    Attributes:
+        captured_at_ms: When the snapshot was taken.
+        totals: Decaying sums over all endpoints, by the names in `_totals`.
+        started_by_scope: Decaying count of the streams started, by route scope.
+        prefill_times: The last prefill durations.
+        first_token_times: The last times to the first token.
+        tenants: Token buckets of the quotas, by tenant number.
+        endpoints: By endpoint id.
+    """
+
+    captured_at_ms: float = msgspec.field(name="at")
+    totals: dict[str, DecayingSumSnapshot] = msgspec.field(name="sums")
+    started_by_scope: dict[str, DecayingSumSnapshot] = msgspec.field(name="begun")
+    prefill_times: list[TimedSample] = msgspec.field(name="reads")
+    first_token_times: list[TimedSample] = msgspec.field(name="waits")
+    tenants: dict[int, BucketSnapshot]
+    endpoints: dict[str, EndpointSnapshot] = msgspec.field(name="servers")
+
+
+def capture_learned_state(router: Router, now_ms: float) -> LearnedState:
+    """Returns a snapshot of the policy's estimates."""
+    fleet = router.fleet
+    return LearnedState(
+        captured_at_ms=now_ms,
+        totals={name: _capture_sum(total, now_ms) for name, total in _totals(router).items()},
+        started_by_scope={scope: _capture_sum(count, now_ms) for scope, count in fleet.recent.items()},
+        prefill_times=_capture_samples(fleet.reads),
+        first_token_times=_capture_samples(fleet.waits),
+        tenants={tenant: _capture_bucket(bucket) for tenant, bucket in router.buckets.items()},
+        endpoints={
+            name: _capture_endpoint(server, now_ms) for name, server in fleet.servers.items() if server.usable
+        },
+    )
+
+
+def restore_learned_state(router: Router, state: LearnedState) -> int:
+    """Sets the estimates of a policy that already has the endpoint list.
+
+    An endpoint that is not listed, or that has restarted since the snapshot, is skipped.
+
+    Returns:
+        The number of endpoints whose estimates were set.
+    """
+    captured_at_ms = state.captured_at_ms
+    fleet = router.fleet
+    for name, total in _totals(router).items():
+        if name in state.totals:
+            _restore_sum(total, state.totals[name], captured_at_ms)
+    for scope, count in state.started_by_scope.items():
+        _restore_sum(fleet.recent.setdefault(scope, DecayingSum(2 * LEARN_MS)), count, captured_at_ms)
+    _restore_samples(fleet.reads, state.prefill_times)
+    _restore_samples(fleet.waits, state.first_token_times)
+    for tenant, bucket in state.tenants.items():
+        if tenant in router.buckets:
+            _restore_bucket(router.buckets[tenant], bucket)
+    restored = 0
+    for name, endpoint in state.endpoints.items():
+        server = fleet.servers.get(name)
+        if server is not None and server.entry.started_ms == endpoint.started_ms:
+            _restore_endpoint(server, endpoint, captured_at_ms)
+            restored += 1
+    return restored
+
+
+def _totals(router: Router) -> dict[str, DecayingSum]:
+    """The sums over all endpoints, by their names in the stored snapshot."""
+    fleet = router.fleet
+    return {
+        "cleared": fleet.cleared,
+        "busy_ms": fleet.busy_ms,
+        "claimed": fleet.claimed,
+        "found": fleet.found,
+        "read": fleet.taken[True],
+        "written": fleet.taken[False],
+    }
+
+
+def _capture_sum(decaying: DecayingSum, now_ms: float) -> DecayingSumSnapshot:
+    return DecayingSumSnapshot(decaying.value_at(now_ms), decaying.since_ms)
+
+
+def _restore_sum(decaying: DecayingSum, snapshot: DecayingSumSnapshot, captured_at_ms: float) -> None:
+    decaying.total = snapshot.amount
+    decaying.as_of_ms = captured_at_ms
+    decaying.since_ms = snapshot.since_ms
+
+
+def _capture_bucket(bucket: TokenBucket) -> BucketSnapshot:
+    return BucketSnapshot(bucket.level, bucket.refilled_at)
+
+
+def _restore_bucket(bucket: TokenBucket, snapshot: BucketSnapshot) -> None:
+    bucket.level = snapshot.level
+    bucket.refilled_at = snapshot.refilled_at_ms
+
+
+def _capture_samples(samples: RecentSamples) -> list[TimedSample]:
+    return [TimedSample(measured_at_ms, duration_ms) for measured_at_ms, duration_ms in samples.samples]
+
+
+def _restore_samples(samples: RecentSamples, snapshot: Iterable[TimedSample]) -> None:
+    for sample in snapshot:
+        samples.add(sample.measured_at_ms, sample.duration_ms)
+
+
+def _capture_endpoint(server: Server, now_ms: float) -> EndpointSnapshot:
+    return EndpointSnapshot(
+        started_ms=server.entry.started_ms,
+        prefill_cost=_capture_sum(server.cleared, now_ms),
+        busy_ms=_capture_sum(server.busy_ms, now_ms),
+        failure_penalty=_capture_sum(server.left, now_ms),
+        failure_streak=server.streak,
+        failed_at_ms=server.blamed_at,
+        slow_start_tokens=_capture_bucket(server.tickets),
+        memory_share=server.share,
+        reported_at_ms=server.share_at,
+    )
+
+
+def _restore_endpoint(server: Server, snapshot: EndpointSnapshot, captured_at_ms: float) -> None:
+    _restore_sum(server.cleared, snapshot.prefill_cost, captured_at_ms)
+    _restore_sum(server.busy_ms, snapshot.busy_ms, captured_at_ms)
+    _restore_sum(server.left, snapshot.failure_penalty, captured_at_ms)
+    server.streak = snapshot.failure_streak
+    server.blamed_at = snapshot.failed_at_ms
+    _restore_bucket(server.tickets, snapshot.slow_start_tokens)
+    server.share = snapshot.memory_share
+    server.share_at = snapshot.reported_at_ms
--- a/violetstack/handover/record.py
+++ b/violetstack/handover/record.py
@@ -1,4 +1,9 @@
-"""What a process leaves for others of its dispatcher: one line of a version, a sum and a JSON object."""
+"""The handover record: the file that a process writes for the other processes of its dispatcher.
+
+Two lines: the format version with the BLAKE2b-128 checksum of the rest in hexadecimal, then a JSON object.
+The JSON keys are those of the first release, since a process of an older release may read the file; the
+attributes have names of their own.
+"""
 
 from __future__ import annotations
 
@@ -7,51 +12,83 @@
 import msgspec
 
 from violetstack.admin.cordons import Mark
-from violetstack.handover.learned import Learned
+from violetstack.handover.errors import InvalidRecordError
+from violetstack.handover.learned_state import LearnedState
 from violetstack.protocol.discovery import WServer
 
-VERSION = "violetstack-record-1"
-AHEAD_MS = 2_000.0  # both processes read one clock; what is dated later than this is not believed
-MAX_RECORD = 4 * 1024 * 1024
-
+FORMAT_VERSION = "violetstack-record-1"
+CHECKSUM_BYTES = 16
+MAX_RECORD_BYTES = 4 * 1024 * 1024
+MAX_CLOCK_SKEW_MS = 2_000.0  # both processes read the same clock, which may be set back between two reads
+MAX_NAME_IN_ERROR = 40
 
-class BadRecord(Exception):
-    """Not to be believed; the text says why."""
 
+class HandoverRecord(msgspec.Struct, frozen=True):
+    """What one process knows and does.
 
-class Record(msgspec.Struct, frozen=True):
-    """`at`: when it was written; `born`: when its process started, Unix milliseconds."""
+    Attributes:
+        dispatcher: Name of the dispatcher, which all its processes share.
+        process_id: Random name of the process.
+        started_at_ms: When the process started, in Unix milliseconds.
+        written_at_ms: When the record was written, in Unix milliseconds.
+        accepting: Whether the process accepts client connections.
+        list_version: Version of the endpoint list, 0 if discovery has not answered.
+        endpoints: The endpoint list as discovery sent it.
+        cordons: By host, the last call of an operator that took it out of rotation or put it back.
+        learned_state: The policy's estimates; None without an inherited listener, where no successor can
+            follow.
+    """
 
-    name: str
-    owner: str
-    born: float
-    at: float
-    serving: bool
-    version: int
-    servers: tuple[WServer, ...]
-    marks: dict[str, Mark]
-    learned: Learned | None = None
+    dispatcher: str = msgspec.field(name="name")
+    process_id: str = msgspec.field(name="owner")
+    started_at_ms: float = msgspec.field(name="born")
+    written_at_ms: float = msgspec.field(name="at")
+    accepting: bool = msgspec.field(name="serving")
+    list_version: int = msgspec.field(name="version")
+    endpoints: tuple[WServer, ...] = msgspec.field(name="servers")
+    cordons: dict[str, Mark] = msgspec.field(name="marks")
+    learned_state: LearnedState | None = msgspec.field(name="learned", default=None)
 
 
-def encode(record: Record) -> bytes:
+def encode_record(record: HandoverRecord) -> bytes:
+    """Returns the record in its file format."""
     body = msgspec.json.encode(record)
-    return f"{VERSION} {blake2b(body, digest_size=16).hexdigest()}\n".encode() + body
+    return f"{FORMAT_VERSION} {_checksum(body)}\n".encode() + body
 
 
-def decode(data: bytes, name: str, now: float) -> Record:
-    """Raises BadRecord for what is cut, spoilt, of another form, of another dispatcher or of the future."""
-    head, _, body = data.partition(b"\n")
-    version, _, told = head.decode("latin-1").partition(" ")
-    if version != VERSION:
-        raise BadRecord(f"another form: {version[:40]!r}")
-    if told != blake2b(body, digest_size=16).hexdigest():
-        raise BadRecord("cut or spoilt")
+def decode_record(data: bytes, dispatcher: str, now_ms: float) -> HandoverRecord:
+    """Reads a record of a process of `dispatcher`.
+
+    Raises:
+        InvalidRecordError: The data is truncated, corrupt, of another format or another dispatcher, or dated
+            more than MAX_CLOCK_SKEW_MS after `now_ms`.
+    """
+    header, _, body = data.partition(b"\n")
+    version, _, checksum = header.decode("latin-1").partition(" ")
+    if version != FORMAT_VERSION:
+        raise InvalidRecordError(
+            f"unknown format {version[:MAX_NAME_IN_ERROR]!r}, expected {FORMAT_VERSION!r}"
+        )
+    if checksum != _checksum(body):
+        raise InvalidRecordError("checksum mismatch: truncated or corrupt")
     try:
-        record = msgspec.json.decode(body, type=Record)
+        record = msgspec.json.decode(body, type=HandoverRecord)
     except msgspec.MsgspecError as error:
-        raise BadRecord(str(error)) from None
-    if record.name != name:
-        raise BadRecord(f"of another dispatcher: {record.name[:40]!r}")
-    if max([record.at, record.born, *(mark.at for mark in record.marks.values())]) > now + AHEAD_MS:
-        raise BadRecord("from the future")
+        raise InvalidRecordError(str(error)) from None
+    if record.dispatcher != dispatcher:
+        raise InvalidRecordError(f"written by another dispatcher: {record.dispatcher[:MAX_NAME_IN_ERROR]!r}")
+    ahead_ms = _latest_time_ms(record) - now_ms
+    if ahead_ms > MAX_CLOCK_SKEW_MS:
+        raise InvalidRecordError(
+            f"dated {ahead_ms:.0f} ms in the future, more than {MAX_CLOCK_SKEW_MS:.0f} ms"
+        )
     return record
+
+
+def _checksum(body: bytes) -> str:
+    return blake2b(body, digest_size=CHECKSUM_BYTES).hexdigest()
+
+
+def _latest_time_ms(record: HandoverRecord) -> float:
+    cordon_times_ms = [mark.at for mark in record.cordons.values()]
+    return max([record.written_at_ms, record.started_at_ms, *cordon_times_ms])
--- a/violetstack/handover/successor.py
+++ b/violetstack/handover/successor.py
@@ -1,53 +1,69 @@
-"""What the other processes of this dispatcher have left, and what follows for this one."""
+"""Which other processes of this dispatcher run, and which of them takes over, derived from their records."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
 
 from violetstack.admin.cordons import Mark
-from violetstack.handover.record import Record
-
-ALIVE_MS = 2_500.0  # a process says far more often that it lives; one silent for so long died
-
-
-class Succession:
-    """`born` orders the processes: whoever started later is the heir of those before."""
-
-    def __init__(self, owner: str, born: float) -> None:
-        self.owner = owner
-        self.born = born
-        self._others: dict[str, Record] = {}
-        self._beats: dict[str, float] = {}
-
-    def heard(self, records: Iterable[Record], beats: Mapping[str, float]) -> None:
-        """`beats`: when each other process last was heard of. Whoever is not among them has left nothing."""
-        for record in records:
-            if record.owner != self.owner:
-                self._others[record.owner] = record
-        self._others = {owner: record for owner, record in self._others.items() if owner in beats}
-        self._beats = dict(beats)
-
-    def newest(self) -> Record | None:
-        """What to begin with."""
-        return max(self._others.values(), key=lambda record: record.at, default=None)
-
-    def marks(self) -> dict[str, Mark]:
-        """Of each host the latest call."""
-        marks: dict[str, Mark] = {}
-        for record in self._others.values():
-            for server, mark in record.marks.items():
-                if server not in marks or mark.at > marks[server].at:
-                    marks[server] = mark
-        return marks
-
-    def alive(self, now: float) -> list[Record]:
-        return [r for owner, r in self._others.items() if self._beats.get(owner, 0.0) > now - ALIVE_MS]
-
-    def heir(self, now: float) -> Record | None:
-        """A later process that takes clients: from then on this one need not."""
-        later = [r for r in self.alive(now) if r.serving and (r.born, r.owner) > (self.born, self.owner)]
-        return max(later, key=lambda r: r.born, default=None)
-
-    def company(self, now: float) -> bool:
-        """Does another process share the limits now?"""
-        return bool(self.alive(now))
+from violetstack.handover.record import HandoverRecord
+
+ALIVE_TIMEOUT_MS = 2_500.0  # five times the interval at which a process writes its record
+
+
+class SiblingProcesses:
+    """The other processes of one dispatcher on this machine.
+
+    Processes are ordered by their start: the successor of a process is the latest that started after it and
+    accepts clients. All times are Unix milliseconds.
+    """
+
+    def __init__(self, process_id: str, started_at_ms: float) -> None:
+        """Creates a view without any other process.
+
+        Args:
+            process_id: Random name of this process.
+            started_at_ms: When this process started.
+        """
+        self.process_id = process_id
+        self.started_at_ms = started_at_ms
+        self._records: dict[str, HandoverRecord] = {}
+        self._last_seen_ms: dict[str, float] = {}
+
+    def update(self, changed: Iterable[HandoverRecord], last_seen_ms: Mapping[str, float]) -> None:
+        """Takes the records that changed, and when each process that still has one last wrote it.
+
+        The record of a process that is missing in `last_seen_ms` is dropped.
+        """
+        for record in changed:
+            if record.process_id != self.process_id:
+                self._records[record.process_id] = record
+        self._records = {name: record for name, record in self._records.items() if name in last_seen_ms}
+        self._last_seen_ms = dict(last_seen_ms)
+
+    def latest_record(self) -> HandoverRecord | None:
+        """The record that was written last, whether or not its process is alive."""
+        return max(self._records.values(), key=lambda record: record.written_at_ms, default=None)
+
+    def latest_cordons(self) -> dict[str, Mark]:
+        """By host, the latest operator call that any process has recorded."""
+        latest: dict[str, Mark] = {}
+        for record in self._records.values():
+            for host, mark in record.cordons.items():
+                if host not in latest or mark.at > latest[host].at:
+                    latest[host] = mark
+        return latest
+
+    def alive(self, now_ms: float) -> list[HandoverRecord]:
+        """Records of the processes that wrote one within the last ALIVE_TIMEOUT_MS."""
+        oldest_ms = now_ms - ALIVE_TIMEOUT_MS
+        return [r for name, r in self._records.items() if self._last_seen_ms.get(name, 0.0) > oldest_ms]
+
+    def any_alive(self, now_ms: float) -> bool:
+        """Whether another process uses a part of the machine's limits."""
+        return bool(self.alive(now_ms))
+
+    def successor(self, now_ms: float) -> HandoverRecord | None:
+        """The live process that accepts clients in this one's place, None if there is none."""
+        own_start = (self.started_at_ms, self.process_id)
+        later = [r for r in self.alive(now_ms) if r.accepting and (r.started_at_ms, r.process_id) > own_start]
+        return max(later, key=lambda record: record.started_at_ms, default=None)
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -17,7 +17,7 @@
     from violetstack.admin.cordons import Cordons
     from violetstack.config import Config
     from violetstack.core.dispatcher import Dispatcher
-    from violetstack.net.handover import Handover
+    from violetstack.net.handover import HandoverService
     from violetstack.net.lease_service import LeaseService
     from violetstack.router import Router
 
@@ -46,7 +46,7 @@
         """Set to shut down."""
 
     @property
-    def handover(self) -> Handover | None:
+    def handover(self) -> HandoverService | None:
         """The record that this process keeps for another of its dispatcher."""
 
     def news(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
@@ -94,7 +94,7 @@
             return
         if daemon.handover is not None:
             try:
-                daemon.handover.write()
+                daemon.handover.write_record()
             except NotRecorded:
                 daemon.cordons.marks = before
                 raise
--- a/violetstack/net/handover.py
+++ b/violetstack/net/handover.py
@@ -1,4 +1,4 @@
-"""Keeps this process's record in the shared folder, and takes what the others there tell."""
+"""Keeps this process's handover record up to date and applies what the records of the others say."""
 
 from __future__ import annotations
 
@@ -8,104 +8,133 @@
 
 from violetstack.admin.api import NotRecorded
 from violetstack.admin.cordons import Cordons
-from violetstack.handover.record import Record
-from violetstack.handover.successor import Succession
+from violetstack.handover.record import HandoverRecord
+from violetstack.handover.successor import SiblingProcesses
 from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
-from violetstack.net.records import Records
+from violetstack.net.handover_directory import HandoverDirectory
 from violetstack.policy_api import EndpointUpdate
 
-POLL_S = 0.1  # a call at the other process binds here well within the time that a drain has
-BEAT_S = 0.5
+SCAN_INTERVAL_S = 0.1  # a cordon set at another process takes effect here well within the drain grace period
+WRITE_INTERVAL_S = 0.5
 
 
-class Handover:
-    """`compose` makes the record; `told` takes news from a call at another process."""
+class HandoverService:
+    """Exchanges records with the other processes of this dispatcher.
+
+    Attributes:
+        siblings: The other processes, by the records last read.
+    """
 
     def __init__(
         self,
-        records: Records,
-        succession: Succession,
+        directory: HandoverDirectory,
+        siblings: SiblingProcesses,
         cordons: Cordons,
-        compose: Callable[[], Record],
-        told: Callable[[EndpointUpdate], None],
+        compose: Callable[[], HandoverRecord],
         *,
-        heirs: bool,
+        on_cordons_changed: Callable[[EndpointUpdate], None],
+        on_siblings_changed: Callable[[], None],
+        hot_restart: bool,
     ) -> None:
-        self._records = records
-        self.succession = succession
+        """Creates a service that has not read any record.
+
+        Args:
+            directory: Where the records are.
+            siblings: Takes the records of the other processes.
+            cordons: The hosts that operators took out of rotation; merged with those of the other processes.
+            compose: Returns this process's record.
+            on_cordons_changed: Called with the endpoint update that follows from another process's cordons.
+            on_siblings_changed: Called when the first other process appears, and when the last has gone.
+            hot_restart: Whether another process can run beside this one, that is, whether the listener is
+                inherited. Without it the records of others are read once, by `load_predecessor`.
+        """
+        self.siblings = siblings
+        self._directory = directory
         self._cordons = cordons
         self._compose = compose
-        self._told = told
-        self._heirs = heirs
-        self.changed = False  # something is to be recorded, though nobody waits for it
-        self.company: Callable[[], None] = lambda: None  # another process came or went
-        self._alone = True
-
-    def begin(self) -> Record | None:
-        """What a predecessor left, if it can be believed; its hosts out by hand are out here as well."""
+        self._on_cordons_changed = on_cordons_changed
+        self._on_siblings_changed = on_siblings_changed
+        self._hot_restart = hot_restart
+        self._write_requested = False
+        self._had_siblings = False
+
+    def load_predecessor(self) -> HandoverRecord | None:
+        """Reads the records of the other processes and applies their cordons; returns the latest record."""
         now = now_ms()
-        self.succession.heard(*self._records.others(now))
-        self._cordons.merge(self.succession.marks())
-        record = self.succession.newest()
+        self._read_records(now)
+        self._cordons.merge(self.siblings.latest_cordons())
+        record = self.siblings.latest_record()
         log(
             "predecessor_state_read",
-            predecessor=record.owner if record is not None else None,
-            age_ms=round(now - record.at) if record is not None else None,
-            hosts=len(record.servers) if record is not None else 0,
-            out=self._cordons.out,
+            predecessor=record.process_id if record is not None else None,
+            age_ms=round(now - record.written_at_ms) if record is not None else None,
+            hosts=len(record.endpoints) if record is not None else 0,
+            cordoned=self._cordons.out,
         )
         return record
 
-    def write(self) -> None:
-        """Raises NotRecorded."""
+    def request_write(self) -> None:
+        """Has `run` write the record at its next turn."""
+        self._write_requested = True
+
+    def write_record(self) -> None:
+        """Writes the record now.
+
+        Raises:
+            NotRecorded: The record cannot be written.
+        """
         try:
-            self._records.write(self._compose())
-            self.changed = False
+            self._directory.write(self._compose())
+            self._write_requested = False
         except OSError as error:
             log("handover_record_failed", error=str(error))
             raise NotRecorded(str(error)) from None
 
     @property
-    def heir(self) -> Record | None:
-        return self.succession.heir(now_ms())
+    def successor(self) -> HandoverRecord | None:
+        """The process that accepts clients in this one's place, by the records last read."""
+        return self.siblings.successor(now_ms())
 
-    def leave(self) -> None:
-        """A clean end: what an heir has read need not stay; without one the record waits for a successor."""
-        if self.heir is not None:
-            self._records.remove()
+    def remove_record(self) -> None:
+        """Deletes the record if a successor has read it; without one it is left for the next process."""
+        if self.successor is not None:
+            self._directory.remove()
 
     async def run(self) -> None:
-        beat = trio.current_time()
+        """Reads and writes records until cancelled."""
+        written_at = trio.current_time()
         while True:
-            await trio.sleep(POLL_S)
+            await trio.sleep(SCAN_INTERVAL_S)
             try:
-                if self._heirs:  # elsewhere nobody else is of this dispatcher
-                    self.look()
-                due = trio.current_time() >= beat + BEAT_S
-                if self.changed or (due and self._heirs):  # that it lives, and what it learned
-                    self.write()
+                if self._hot_restart:
+                    self.refresh()
+                due = trio.current_time() >= written_at + WRITE_INTERVAL_S
+                # The periodic write shows the others that this process is alive, and holds its estimates.
+                if self._write_requested or (due and self._hot_restart):
+                    self.write_record()
                 if due:
-                    beat = trio.current_time()
+                    written_at = trio.current_time()
             except NotRecorded:
-                await trio.sleep(BEAT_S)
-            except Exception as error:  # no record's failure ends the nursery
+                await trio.sleep(WRITE_INTERVAL_S)
+            except Exception as error:  # an unforeseen failure here must not end the service
                 log_rate_limited("handover_record_failed", error=repr(error))
 
-    def look(self) -> None:
-        """What the others have left since the last look."""
+    def refresh(self) -> None:
+        """Reads the records that changed and applies them."""
         now = now_ms()
-        self.succession.heard(*self._records.others(now))
-        marks = self.succession.marks()
-        news = self._cordons.merge(marks)
-        if news is not None:
+        self._read_records(now)
+        update = self._cordons.merge(self.siblings.latest_cordons())
+        if update is not None:
             log("hosts_cordoned", out=self._cordons.out, by="another process")
-            self._told(news)
-            self.changed = True
-        alone = not self.succession.company(now)
-        if alone != self._alone:
-            self._alone = alone
-            log(
-                "sibling_processes_changed", processes=[record.owner for record in self.succession.alive(now)]
-            )
-            self.company()
+            self._on_cordons_changed(update)
+            self.request_write()
+        alive = self.siblings.alive(now)
+        if bool(alive) != self._had_siblings:
+            self._had_siblings = bool(alive)
+            log("sibling_processes_changed", processes=[record.process_id for record in alive])
+            self._on_siblings_changed()
+
+    def _read_records(self, now: float) -> None:
+        scan = self._directory.scan(now)
+        self.siblings.update(scan.changed, scan.last_seen_ms)
--- /dev/null
+++ b/violetstack/net/handover_directory.py
@@ -0,0 +1,126 @@
+"""The directory in which the processes of one dispatcher keep their handover records."""
+
+from __future__ import annotations
+
+import os
+import re
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from violetstack.handover.errors import InvalidRecordError
+from violetstack.handover.record import MAX_RECORD_BYTES, HandoverRecord, decode_record, encode_record
+from violetstack.log import log_rate_limited
+
+RECORD_SUFFIX = ".record"
+PARTIAL_SUFFIX = ".part"
+UNSAFE_IN_FILE_NAME = re.compile(r"[^A-Za-z0-9._-]")
+MAX_RECORD_AGE_MS = 3_600_000.0  # older records are deleted: their processes have died
+
+
+class DirectoryScan(msgspec.Struct):
+    """What a scan of the directory found.
+
+    Attributes:
+        changed: The valid records that were written since the previous scan.
+        last_seen_ms: By process id, when each other process last wrote its record, in Unix milliseconds.
+    """
+
+    changed: list[HandoverRecord]
+    last_seen_ms: dict[str, float]
+
+
+class _FileVersion(NamedTuple):
+    size: int
+    modified_ns: int
+
+
+class HandoverDirectory:
+    """Reads the records of the other processes and writes this one's.
+
+    Each process writes a file of its own, replaced atomically, so a reader never sees a partial record.
+    Nothing is flushed to the disk: the page cache outlives the process, and the directory need not outlive
+    the machine.
+    """
+
+    def __init__(self, path: str, dispatcher: str, process_id: str) -> None:
+        """Creates a directory that has not been scanned.
+
+        Args:
+            path: The directory; it must exist.
+            dispatcher: Name of the dispatcher, which all its processes share.
+            process_id: Random name of this process.
+        """
+        file_name = UNSAFE_IN_FILE_NAME.sub("_", dispatcher) or "_"
+        self._path = Path(path)
+        self._dispatcher = dispatcher
+        self._prefix = f"violetstack-{file_name}-"
+        self._own_path = self._path / f"{self._prefix}{process_id}{RECORD_SUFFIX}"
+        self._read_versions: dict[Path, _FileVersion] = {}  # of the files that were accepted or rejected
+
+    def write(self, record: HandoverRecord) -> None:
+        """Replaces this process's record.
+
+        Raises:
+            OSError: The file cannot be written; the previous record is still in place.
+        """
+        partial_path = self._own_path.with_suffix(PARTIAL_SUFFIX)
+        partial_path.write_bytes(encode_record(record))
+        os.replace(partial_path, self._own_path)
+
+    def remove(self) -> None:
+        """Deletes this process's record.
+
+        Raises:
+            OSError: The file exists and cannot be deleted.
+        """
+        for path in (self._own_path, self._own_path.with_suffix(PARTIAL_SUFFIX)):
+            path.unlink(missing_ok=True)
+
+    def scan(self, now_ms: float) -> DirectoryScan:
+        """Reads the records that changed since the last call, and deletes those older than MAX_RECORD_AGE_MS.
+
+        A record that cannot be read is logged once for each of its versions.
+        """
+        scan = DirectoryScan([], {})
+        try:
+            entries = [entry for entry in os.scandir(self._path) if self._is_record(entry.name)]
+        except OSError as error:
+            log_rate_limited("handover_record_failed", error=str(error))
+            return scan
+        for entry in entries:
+            if Path(entry.path) != self._own_path:
+                self._scan_entry(entry, now_ms, scan)
+        return scan
+
+    def _scan_entry(self, entry: os.DirEntry[str], now_ms: float, scan: DirectoryScan) -> None:
+        path = Path(entry.path)
+        try:
+            status = entry.stat()
+            modified_ms = status.st_mtime * 1000.0
+            if modified_ms < now_ms - MAX_RECORD_AGE_MS:
+                path.unlink(missing_ok=True)
+                return
+            scan.last_seen_ms[self._process_id(entry.name)] = modified_ms
+            version = _FileVersion(status.st_size, status.st_mtime_ns)
+            if self._read_versions.get(path) == version:
+                return
+            self._read_versions[path] = version
+            scan.changed.append(self._read(path, version.size, now_ms))
+        except FileNotFoundError:
+            return  # its process removed it after the directory was listed
+        except (OSError, InvalidRecordError) as error:
+            log_rate_limited("handover_record_invalid", file=entry.name, reason=str(error))
+
+    def _read(self, path: Path, size: int, now_ms: float) -> HandoverRecord:
+        """Raises InvalidRecordError or OSError."""
+        if size > MAX_RECORD_BYTES:
+            raise InvalidRecordError(f"{size} bytes, more than {MAX_RECORD_BYTES}")
+        return decode_record(path.read_bytes(), self._dispatcher, now_ms)
+
+    def _is_record(self, file_name: str) -> bool:
+        return file_name.startswith(self._prefix) and file_name.endswith(RECORD_SUFFIX)
+
+    def _process_id(self, file_name: str) -> str:
+        return file_name[len(self._prefix) : -len(RECORD_SUFFIX)]
--- a/violetstack/net/inherited_listener.py
+++ b/violetstack/net/inherited_listener.py
@@ -1,4 +1,4 @@
-"""The clients' listener, where whoever starts this process has bound it already."""
+"""The client listener of a process whose parent has bound it already (``NODE_INHERITED_FD``)."""
 
 from __future__ import annotations
 
@@ -6,25 +6,42 @@
 
 from violetstack.config import Address, BadConfig
 
-ANY = ("0.0.0.0", "::")
+WILDCARD_ADDRESSES = ("0.0.0.0", "::")
 
 
-def inherited_socket(descriptor: int, at: Address) -> socket.socket:
-    """Raises BadConfig. Its end here is to be a close, never a shutdown: others still accept on it."""
-    name = f"NODE_INHERITED_FD={descriptor}"
+def open_inherited_listener(descriptor: int, expected: Address) -> socket.socket:
+    """Returns the listening TCP socket that this process inherited.
+
+    Other processes accept on the same socket, so it may be closed but must not be shut down.
+
+    Args:
+        descriptor: Number of the inherited file descriptor.
+        expected: The address in `listen`; a wildcard address with the same port is accepted as well.
+
+    Raises:
+        BadConfig: The descriptor is no listening TCP socket, or listens on another address.
+    """
+    setting = f"NODE_INHERITED_FD={descriptor}"
     try:
-        raw = socket.socket(fileno=descriptor)
+        listener = socket.socket(fileno=descriptor)
     except OSError as error:
-        raise BadConfig(f"{name}: {error}") from None
+        raise BadConfig(f"{setting}: {error}") from None
     try:
-        tcp = raw.family in (socket.AF_INET, socket.AF_INET6) and raw.type == socket.SOCK_STREAM
-        if not tcp or not raw.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-            raise BadConfig(f"{name}: it is no listening TCP socket")
-        host, port = raw.getsockname()[:2]
-        if port != at[1] or host not in (at[0], *ANY):
-            raise BadConfig(f"{name}: it listens on {host}:{port}, and `listen` is {at[0]}:{at[1]}")
-        raw.set_inheritable(False)
+        _check_listener(listener, expected, setting)
+        listener.set_inheritable(False)
     except BadConfig:
-        raw.detach()
+        listener.detach()  # the descriptor stays as it was
         raise
-    return raw
+    return listener
+
+
+def _check_listener(listener: socket.socket, expected: Address, setting: str) -> None:
+    """Raises BadConfig."""
+    is_tcp = listener.family in (socket.AF_INET, socket.AF_INET6) and listener.type == socket.SOCK_STREAM
+    if not is_tcp or not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise BadConfig(f"{setting}: it is no listening TCP socket")
+    host, port = listener.getsockname()[:2]
+    if port != expected[1] or host not in (expected[0], *WILDCARD_ADDRESSES):
+        raise BadConfig(
+            f"{setting}: it listens on {host}:{port}, and `listen` is {expected[0]}:{expected[1]}"
+        )
--- a/violetstack/net/startup_recovery.py
+++ b/violetstack/net/startup_recovery.py
@@ -14,7 +14,7 @@
 from violetstack.router import LEARN_MS
 
 if TYPE_CHECKING:
-    from violetstack.handover.learned import Learned
+    from violetstack.handover.learned_state import LearnedState
     from violetstack.net.state_writer import StateWriter
     from violetstack.policy_api import Settings
 
@@ -61,7 +61,7 @@
         self._log_change(self._phases.cache_loaded(len(endpoints.servers)))
         return endpoints
 
-    def stored_learned_state(self) -> Learned | None:
+    def stored_learned_state(self) -> LearnedState | None:
         """Returns the stored estimates of the previous process, if there are any that can be used."""
         return self._state_writer.stored_learned_state() if self._state_writer is not None else None
 
--- a/violetstack/net/state_writer.py
+++ b/violetstack/net/state_writer.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from violetstack.handover.learned import Learned
+from violetstack.handover.learned_state import LearnedState
 from violetstack.log import log
 from violetstack.net.background_writer import BackgroundWriter
 from violetstack.net.clock import now_ms
@@ -33,7 +33,7 @@
     """
 
     def __init__(
-        self, file: StateFile, seed: int, warm_up_ms: float, learned_state: Callable[[], Learned]
+        self, file: StateFile, seed: int, warm_up_ms: float, learned_state: Callable[[], LearnedState]
     ) -> None:
         """Creates a writer; nothing is read or written yet.
 
@@ -56,10 +56,10 @@
         await self._writer.recover()
         return self.endpoint_cache.load(configured, self._writer.snapshot)
 
-    def stored_learned_state(self) -> Learned | None:
+    def stored_learned_state(self) -> LearnedState | None:
         """Returns the estimates of the previous process, unless they are too old or dated in the future."""
         learned = self._writer.snapshot.learned
-        if learned is None or not -MAX_CLOCK_SKEW_MS <= now_ms() - learned.at <= self._max_age_ms:
+        if learned is None or not -MAX_CLOCK_SKEW_MS <= now_ms() - learned.captured_at_ms <= self._max_age_ms:
             return None
         return learned
 
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -1,4 +1,8 @@
-"""Streams that have begun, from a process that ends to its heir, with both their connections."""
+"""Moves open streams from a process that shuts down to its successor, with both connections of each.
+
+The sockets pass as ancillary data (SCM_RIGHTS) over a Unix socket in the shared directory. The messages and
+their order are in `violetstack.handover.stream_migration`.
+"""
 
 from __future__ import annotations
 
@@ -6,55 +10,84 @@
 import contextlib
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import NamedTuple
 
 import trio
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt
 from violetstack.fronts.platform import PlatformSink
-from violetstack.handover.stream_migration import GO, MAX_OFFER, NO, READY, BadOffer, Stream, decode, encode
+from violetstack.fronts.reply import Client
+from violetstack.handover.errors import InvalidOfferError
+from violetstack.handover.stream_migration import (
+    COMMIT,
+    DECLINE,
+    MAX_MESSAGE_BYTES,
+    READY,
+    StreamOffer,
+    decode_offer,
+    encode_offer,
+)
 from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.driver import UpstreamDriver
 
-WORD_S = 1.0  # the other process answers by then, or is taken for dead
+REPLY_TIMEOUT_S = 1.0  # a successor that has not replied by then is taken for dead
+ACCEPT_RETRY_S = 0.1
 BACKLOG = 4
-ACCEPT_AGAIN_S = 0.1
-Adopt = Callable[[Stream, socket.socket, socket.socket], None]
+SOCKETS_PER_STREAM = 2
+SOCKET_MODE = 0o600
+
+# One type of ancillary data as `recvmsg` returns it: level, type, data.
+AncillaryData = tuple[int, int, bytes]
+
 
+class StreamSockets(NamedTuple):
+    """The two connections of a stream."""
 
-def socket_path(folder: str, owner: str) -> Path:
-    return Path(folder) / f"violetstack-{owner}.sock"
+    client: socket.socket
+    host: socket.socket
+
+
+def socket_path(directory: str, process_id: str) -> Path:
+    """Where the process with this id receives streams."""
+    return Path(directory) / f"violetstack-{process_id}.sock"
 
 
 @contextlib.contextmanager
-def _short(path: Path):  # type: ignore[no-untyped-def]
-    """Guards against folders deeper than an address of this family can be long."""
-    folder = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
+def _short_address(path: Path) -> Iterator[str]:
+    """An address for `path` that fits the 108 bytes of `sockaddr_un` however deep its directory is."""
+    directory = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
     try:
-        yield f"/proc/self/fd/{folder}/{path.name}"
+        yield f"/proc/self/fd/{directory}/{path.name}"
     finally:
-        os.close(folder)
+        os.close(directory)
+
 
+class StreamSender:
+    """The predecessor's side. After a failure it offers no more streams; they end in this process.
 
-class Giver:
-    """The old process's side. After any failure it gives nothing more, and streams end where they are."""
+    Attributes:
+        migrated: Number of streams that the successor took over.
+    """
 
     def __init__(self, core: Dispatcher) -> None:
+        """Creates a sender that is not connected; `core` has the streams."""
+        self.migrated = 0
         self._core = core
         self._sock: trio.socket.SocketType | None = None
-        self._turn = trio.Lock()
-        self.given = 0
+        self._one_offer_at_a_time = trio.Lock()
 
     async def connect(self, path: Path) -> bool:
+        """Connects to the successor's socket; returns whether that succeeded."""
         sock = trio.socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         try:
-            with trio.fail_after(WORD_S), _short(path) as name:
-                await sock.connect(name)
+            with trio.fail_after(REPLY_TIMEOUT_S), _short_address(path) as address:
+                await sock.connect(address)
         except (OSError, trio.TooSlowError) as error:
             sock.close()
             log("stream_migration_failed", error=repr(error))
@@ -62,170 +95,221 @@
         self._sock = sock
         return True
 
-    async def give(self, attempt: Attempt, connection: UpstreamConnection, cached: int) -> bool:
-        """Between two events. False: it goes on here."""
-        request = attempt.request
+    async def migrate(self, attempt: Attempt, connection: UpstreamConnection, cached_tokens: int) -> bool:
+        """Offers the stream of an attempt to the successor, between two of its events.
+
+        Args:
+            attempt: An attempt whose response has started.
+            connection: Its connection to the host.
+            cached_tokens: Prompt tokens that the host found in its cache.
+
+        Returns:
+            Whether the successor took the stream over. If not, it continues in this process.
+        """
         sink = attempt.request.sink
         if self._sock is None or not isinstance(sink, PlatformSink) or not connection.http.between_chunks:
             return False
         client = sink.reply.client
-        if client is None or not self._core.can_migrate(attempt):
+        if client is None or not self._core.can_migrate(attempt) or not await client.pause_for_migration():
             return False
-        if not await client.pause_for_migration():
-            return False
-        passed = False
+        migrated = False
         try:
-            descriptor = client.descriptor
-            if descriptor is None or not self._core.can_migrate(attempt):
-                return False
-            asked = request.policy_request
-            stream = Stream(
-                id=asked.id,
-                cls=asked.class_index,
-                tenant=asked.tenant_index,
-                server=attempt.server,
-                age_ms=now_ms() - request.arrived_at,
-                events=attempt.events_forwarded,
-                cached=cached,
-                prompt_tokens=asked.prompt_tokens,
-                loose=request.holds_remote_state,
-                closing=client.http.ends,
-            )
-            async with self._turn:
-                passed = await self._offer(stream, descriptor, connection.sock.fileno())
-            if passed and not attempt.finished:
-                self._core.stream_migrated(now_ms(), attempt)
-                client.detach()
-                self.given += 1
-            return passed
+            migrated = await self._migrate_paused(attempt, connection, client, cached_tokens)
+            return migrated
         finally:
-            if not passed:
+            if not migrated:
                 client.resume()
 
-    async def _offer(self, stream: Stream, *descriptors: int) -> bool:
+    async def _migrate_paused(
+        self, attempt: Attempt, connection: UpstreamConnection, client: Client, cached_tokens: int
+    ) -> bool:
+        client_descriptor = client.descriptor
+        if client_descriptor is None or not self._core.can_migrate(attempt):
+            return False  # one of the two connections closed while the client was paused
+        request = attempt.request
+        offer = StreamOffer(
+            id=request.policy_request.id,
+            class_index=request.policy_request.class_index,
+            tenant_index=request.policy_request.tenant_index,
+            server=attempt.server,
+            age_ms=now_ms() - request.arrived_at,
+            events_forwarded=attempt.events_forwarded,
+            cached_tokens=cached_tokens,
+            prompt_tokens=request.policy_request.prompt_tokens,
+            holds_remote_state=request.holds_remote_state,
+            closing=client.http.ends,
+        )
+        async with self._one_offer_at_a_time:
+            committed = await self._offer(offer, client_descriptor, connection.sock.fileno())
+        if committed and not attempt.finished:
+            self._core.stream_migrated(now_ms(), attempt)
+            client.detach()
+            self.migrated += 1
+        return committed
+
+    async def _offer(self, offer: StreamOffer, *descriptors: int) -> bool:
+        """Returns whether the successor committed to the stream; after a failure no other is offered."""
         sock = self._sock
         if sock is None:
             return False
-        rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", descriptors))]
         try:
-            with trio.fail_after(WORD_S):
-                await sock.sendmsg([encode(stream)], rights)
-                word = await sock.recv(MAX_OFFER)
-                if word == NO:
-                    return False
-                if word != READY:
-                    raise OSError(f"an odd word: {word!r}")
-            await sock.send(GO)
-            return True
+            return await self._exchange_messages(sock, offer, descriptors)
         except (OSError, trio.TooSlowError) as error:
-            log("stream_migration_failed", id=stream.id, error=repr(error))
+            log("stream_migration_failed", id=offer.id, error=repr(error))
             self._sock = None
             sock.close()
             return False
 
+    async def _exchange_messages(
+        self, sock: trio.socket.SocketType, offer: StreamOffer, descriptors: tuple[int, ...]
+    ) -> bool:
+        """Returns False if the successor declined; raises OSError or TooSlowError."""
+        rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", descriptors))]
+        with trio.fail_after(REPLY_TIMEOUT_S):
+            await sock.sendmsg([encode_offer(offer)], rights)
+            reply = await sock.recv(MAX_MESSAGE_BYTES)
+        if reply == DECLINE:
+            return False
+        if reply != READY:
+            raise OSError(f"unexpected reply {reply!r}")
+        await sock.send(COMMIT)
+        return True
+
 
-class Taker:
-    """The new process's side."""
+class StreamReceiver:
+    """The successor's side."""
 
     def __init__(
         self, core: Dispatcher, hosts: UpstreamDriver, listener: Callable[[], Listener | None]
     ) -> None:
+        """Creates a receiver that does not listen yet.
+
+        Args:
+            core: The dispatcher that continues the streams.
+            hosts: Takes over the connections to the hosts.
+            listener: Returns the listener that takes over the client connections, None while no clients are
+                accepted.
+        """
         self._core = core
         self._hosts = hosts
         self._listener = listener
 
     async def run(self, path: Path, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serves until cancelled."""
+        """Receives streams at `path` until cancelled; returns at once if it cannot listen there."""
         with trio.socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
             try:
                 try:
-                    with _short(path) as name:
-                        await sock.bind(name)
-                    os.chmod(path, 0o600)
-                    sock.listen(BACKLOG)
+                    await self._listen(sock, path)
                 finally:
                     task_status.started()
             except OSError as error:
-                log("stream_migration_failed", error=repr(error))  # streams end with their process, as before
+                log("stream_migration_failed", error=repr(error))  # streams end in their own process
                 return
             try:
                 async with trio.open_nursery() as nursery:
                     while True:
-                        nursery.start_soon(self._take_all, await self._accepted(sock))
+                        nursery.start_soon(self._serve_sender, await self._accept(sock))
             finally:
-                path.unlink(missing_ok=True)
+                _remove(path)
+
+    async def _listen(self, sock: trio.socket.SocketType, path: Path) -> None:
+        with _short_address(path) as address:
+            await sock.bind(address)
+        os.chmod(path, SOCKET_MODE)
+        sock.listen(BACKLOG)
 
-    async def _accepted(self, sock: trio.socket.SocketType) -> trio.socket.SocketType:
-        """Guards the program against an accept that fails, for want of a descriptor for example."""
+    async def _accept(self, sock: trio.socket.SocketType) -> trio.socket.SocketType:
+        """Accepts one sender; a failure, for example EMFILE, is logged and retried."""
         while True:
             try:
-                giver, _ = await sock.accept()
-                return giver
+                sender, _ = await sock.accept()
             except OSError as error:
                 log_rate_limited("stream_migration_failed", error=repr(error))
-                await trio.sleep(ACCEPT_AGAIN_S)
+                await trio.sleep(ACCEPT_RETRY_S)
+            else:
+                return sender
 
-    async def _take_all(self, giver: trio.socket.SocketType) -> None:
-        with giver:
+    async def _serve_sender(self, sender: trio.socket.SocketType) -> None:
+        with sender:
             try:
-                while await self._take(giver):
+                while await self._receive(sender):
                     pass
             except OSError as error:
                 log("stream_migration_failed", error=repr(error))
-            except Exception as error:  # no stream's failure ends the nursery
+            except Exception as error:  # one stream's failure must not end the service
                 log_rate_limited("stream_migration_failed", error=repr(error))
 
-    async def _take(self, giver: trio.socket.SocketType) -> bool:
-        """One offer; False once there are no more."""
-        room = socket.CMSG_SPACE(2 * array.array("i").itemsize)
-        data, rights, _, _ = await giver.recvmsg(MAX_OFFER, room, socket.MSG_CMSG_CLOEXEC)
-        held = [socket.socket(fileno=descriptor) for descriptor in _descriptors(rights)]
-        taken = False
+    async def _receive(self, sender: trio.socket.SocketType) -> bool:
+        """Receives one offer; returns whether another may follow."""
+        descriptor_space = socket.CMSG_SPACE(SOCKETS_PER_STREAM * array.array("i").itemsize)
+        data, ancillary, _, _ = await sender.recvmsg(
+            MAX_MESSAGE_BYTES, descriptor_space, socket.MSG_CMSG_CLOEXEC
+        )
+        sockets = [socket.socket(fileno=descriptor) for descriptor in _descriptors(ancillary)]
+        adopted = False
         try:
             if not data:
                 return False
-            stream = self._wanted(data, held)
-            await giver.send(NO if stream is None else READY)
-            if stream is None:
+            offer = self._acceptable(data, sockets)
+            await sender.send(DECLINE if offer is None else READY)
+            if offer is None:
                 return True
-            # Without a limit of time: a GO that came as we gave up would leave the stream to nobody.
-            # The other process's end is the bound.
-            if await giver.recv(MAX_OFFER) == GO:
-                self._adopt(stream, held[0], held[1])
-                taken = True
-            return taken
+            # No timeout: a COMMIT that arrives just as it expires would leave the stream with neither
+            # process.
+            # The wait ends when the predecessor exits, since that closes its socket.
+            if await sender.recv(MAX_MESSAGE_BYTES) == COMMIT:
+                self._adopt(offer, StreamSockets(*sockets))
+                adopted = True
+            return adopted
         finally:
-            if not taken:
-                for sock in held:
+            if not adopted:
+                for sock in sockets:
                     sock.close()
 
-    def _wanted(self, data: bytes, held: list[socket.socket]) -> Stream | None:
+    def _acceptable(self, data: bytes, sockets: list[socket.socket]) -> StreamOffer | None:
+        """Returns the offer, or None if this process cannot accept it."""
         try:
-            stream = decode(data, len(self._core.settings.classes))
-            if len(held) != 2:
-                raise BadOffer(f"{len(held)} descriptors")
-            if stream.id in self._core.open_requests:
-                raise BadOffer("a request with this id is open here")
-            if self._listener() is None:
-                raise BadOffer("this process takes no clients")
-            return stream
-        except BadOffer as error:
-            log("stream_migration_rejected", reason=str(error))
+            return self._check_offer(data, sockets)
+        except InvalidOfferError as error:
+            log("stream_migration_rejected", reason=error.reason)
             return None
 
-    def _adopt(self, stream: Stream, client: socket.socket, host: socket.socket) -> None:
+    def _check_offer(self, data: bytes, sockets: list[socket.socket]) -> StreamOffer:
+        """Raises InvalidOfferError."""
+        offer = decode_offer(data, len(self._core.settings.classes))
+        if len(sockets) != SOCKETS_PER_STREAM:
+            raise InvalidOfferError(f"{len(sockets)} sockets, expected {SOCKETS_PER_STREAM}")
+        if offer.id in self._core.open_requests:
+            raise InvalidOfferError(f"request {offer.id!r} is already open")
+        if self._listener() is None:
+            raise InvalidOfferError("this process accepts no clients")
+        return offer
+
+    def _adopt(self, offer: StreamOffer, sockets: StreamSockets) -> None:
+        """Continues a stream after COMMIT.
+
+        Raises:
+            InvalidOfferError: Since READY, the request was opened here or this process stopped accepting
+                clients.
+        """
         listener = self._listener()
-        if listener is None or stream.id in self._core.open_requests:
-            raise BadOffer(f"{stream.id} came or this process ended between the two words")
-        replies = listener.adopt(client, stream.closing)
-        attempt = self._core.adopt_stream(now_ms(), stream, PlatformSink(replies, stream_started=True))
+        if listener is None or offer.id in self._core.open_requests:
+            raise InvalidOfferError(f"request {offer.id!r} can no longer be accepted")
+        replies = listener.adopt(sockets.client, offer.closing)
+        attempt = self._core.adopt_stream(now_ms(), offer, PlatformSink(replies, stream_started=True))
         replies.attach(attempt.request)
-        self._hosts.adopt_stream(attempt, host, stream.cached, replies.wait_writable)
+        self._hosts.adopt_stream(attempt, sockets.host, offer.cached_tokens, replies.wait_writable)
+
+
+def _remove(path: Path) -> None:
+    """Deletes the socket's file, which takes microseconds and may run in an event loop."""
+    path.unlink(missing_ok=True)
 
 
-def _descriptors(rights: list[tuple[int, int, bytes]]) -> list[int]:
-    found = array.array("i")
-    for level, kind, data in rights:
+def _descriptors(ancillary: list[AncillaryData]) -> list[int]:
+    """File descriptors in the ancillary data of a message."""
+    descriptors = array.array("i")
+    for level, kind, data in ancillary:
         if (level, kind) == (socket.SOL_SOCKET, socket.SCM_RIGHTS):
-            found.frombytes(data[: len(data) - len(data) % found.itemsize])
-    return list(found)
+            descriptors.frombytes(data[: len(data) - len(data) % descriptors.itemsize])
+    return list(descriptors)
--- a/violetstack/state/snapshot.py
+++ b/violetstack/state/snapshot.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from violetstack.handover.learned import Learned
+from violetstack.handover.learned_state import LearnedState
 from violetstack.protocol.discovery import WServer
 from violetstack.state.errors import RecordError
 from violetstack.state.records import Record, encode_record
@@ -46,7 +46,7 @@
     received_at: float = msgspec.field(default=0.0, name="heard_at")
     version: int = 0
     servers: dict[str, WServer] = {}
-    learned: Learned | None = None
+    learned: LearnedState | None = None
 
     def encode(self) -> bytes:
         """Returns the state as one record."""
@@ -88,7 +88,7 @@
                 message = msgspec.msgpack.decode(record.body, type=EndpointMessage)
                 self.apply_endpoints(message, complete=record.kind == RecordKind.ENDPOINT_LIST)
             case RecordKind.LEARNED_STATE:
-                self.learned = msgspec.msgpack.decode(record.body, type=Learned)
+                self.learned = msgspec.msgpack.decode(record.body, type=LearnedState)
             case _:
                 pass  # written by a later release
 
@@ -99,6 +99,6 @@
     return encode_record(kind, msgspec.msgpack.encode(message))
 
 
-def encode_learned(learned: Learned) -> bytes:
+def encode_learned(learned: LearnedState) -> bytes:
     """Returns estimates of the decision module as a log record."""
     return encode_record(RecordKind.LEARNED_STATE, msgspec.msgpack.encode(learned))
