--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -25,7 +25,7 @@
     from violetstack.config import Config
     from violetstack.core.dispatcher import Dispatcher
     from violetstack.lease.candidacy import LeaseView
-    from violetstack.net.handover import Handover
+    from violetstack.net.handover import HandoverService
     from violetstack.net.lease_service import LeaseService
     from violetstack.router import Router
 
@@ -56,8 +56,8 @@
         """Set to shut the daemon down."""
 
     @property
-    def handover(self) -> Handover | None:
-        """Keeps the record for a successor process; None without one."""
+    def handover(self) -> HandoverService | None:
+        """The record that this process keeps for another of its dispatcher."""
 
     def news(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
         """Hands an update of the endpoint list to the connection pool and the core."""
@@ -129,7 +129,7 @@
             return
         if daemon.handover is not None:
             try:
-                daemon.handover.write()
+                daemon.handover.write_record()
             except NotRecordedError:
                 cordons.records = before
                 raise
