Core: backoff and timers name their windows and say what they guard

FIRST_S, MOST_S, A_CALL_S, SOON_S -> FIRST_WINDOW_S, MAX_WINDOW_S, DISCOVERY_CALL_S, FIRST_WINDOW_AFTER_WATCH_S; AGENT_FIRST_S, AGENT_MOST_S -> AGENT_FIRST_WINDOW_S, AGENT_MAX_WINDOW_S. The same waits are drawn.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -90,8 +90,8 @@
 
 def test_a_watch_that_was_reset_is_open_again_without_any_wait(monkeypatch: pytest.MonkeyPatch) -> None:
     """What the agent has by then counts as told: each wait was taken from the drain's 250 ms."""
-    monkeypatch.setattr(backoff, "AGENT_FIRST_S", 60.0)
-    monkeypatch.setattr(backoff, "AGENT_MOST_S", 60.0)
+    monkeypatch.setattr(backoff, "AGENT_FIRST_WINDOW_S", 60.0)
+    monkeypatch.setattr(backoff, "AGENT_MAX_WINDOW_S", 60.0)
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
--- a/violetstack/core/backoff.py
+++ b/violetstack/core/backoff.py
@@ -1,48 +1,75 @@
-"""When to ask a shared service again."""
+"""Backoff between requests to the discovery service."""
 
 from __future__ import annotations
 
 import random
 
-# the window of a first and of the latest further try
-FIRST_S = 0.25
-MOST_S = 4.0
-A_CALL_S = 0.025  # of the service's time, for each dispatcher that asks when all of them do
-SOON_S = 2.0  # the first try after a watch has ended: what it misses counts as told after 6 s
-# further tries where an agent on this machine has what was pushed
-AGENT_FIRST_S = 0.05
-AGENT_MOST_S = 0.2
+# Backoff windows in seconds.
+FIRST_WINDOW_S = 0.25
+MAX_WINDOW_S = 4.0
+DISCOVERY_CALL_S = 0.025  # what a call costs the service; all dispatchers ask at the same time
+FIRST_WINDOW_AFTER_WATCH_S = 2.0  # updates missed after a watch ended count as received 6 s later
+# The same for an agent on this machine, to which updates are pushed.
+AGENT_FIRST_WINDOW_S = 0.05
+AGENT_MAX_WINDOW_S = 0.2
+MAX_DOUBLINGS = 10
 
 
 class Backoff:
-    """How long to wait before discovery is asked again: in the later half of a window that doubles.
+    """Exponential backoff with jitter: the wait is drawn from the later half of a window that doubles.
 
-    Guards discovery against its own clients. When it falters, every dispatcher of the fleet loses its watch
-    in the same instant, and tries in step each quarter of a second keep it too busy to answer any of them.
-    So the first window grows with the fleet, and the place in it comes from the dispatcher's own seed.
+    When discovery falters, every dispatcher loses its watch at the same moment. Retries in step each quarter
+    of a second would keep it too busy to answer any of them, so the first window grows with the number of
+    dispatchers, and the jitter comes from the dispatcher's own seed.
 
-    `agent`: lists are pushed to an agent on this machine. It answers at no cost, and what it has counts as
-    told, whether or not a watch is open: any wait before the first try is taken from a drain's grace. So only
-    an agent that turns callers away, or tells what can't be read, is left alone for longer.
+    An agent on this machine answers at no cost, and what is pushed to it counts as received by this process
+    whether or not a watch is open: a wait before the first retry would be taken from a draining host's grace
+    period. So only an agent that rejects callers, or sends a list that can't be decoded, gets longer windows.
     """
 
-    def __init__(self, fleet_size: int, seed: int, *, agent: bool = False) -> None:
+    def __init__(self, dispatcher_count: int, seed: int, *, agent: bool = False) -> None:
+        """Creates a backoff without failures.
+
+        Args:
+            dispatcher_count: Number of dispatchers that share the discovery service.
+            seed: Seed of the jitter.
+            agent: Whether an agent on this machine is asked.
+        """
         self.agent = agent
-        self._first = max(FIRST_S, fleet_size * A_CALL_S)
+        self._first_window_s = max(FIRST_WINDOW_S, dispatcher_count * DISCOVERY_CALL_S)
         self._random = random.Random(seed)
         self._failures = 0
 
     def answered(self) -> None:
+        """Resets the window after a successful request."""
         self._failures = 0
 
     def next_s(self, *, turned_away: bool = True, bad: bool = False) -> float:
-        """Seconds. `turned_away`: it answered, and not with a list; `bad`: with one that can't be read."""
-        tries = self._failures
-        self._failures = self._failures + 1
-        window = min(max(MOST_S, self._first), self._first * 2.0 ** min(tries, 10))
+        """Returns how many seconds to wait after one more failure.
+
+        Args:
+            turned_away: The service answered, but not with a list.
+            bad: It answered with a list that can't be decoded.
+        """
+        failures = self._failures
+        self._failures += 1
         if self.agent and (bad or not turned_away):
-            first, most = (FIRST_S, MOST_S) if bad else (AGENT_FIRST_S, AGENT_MOST_S)
-            window = min(most, first * 2.0 ** min(tries - 1, 10)) if tries else 0.0
-        elif not turned_away and not tries:
-            window = min(window, SOON_S)
-        return window * (0.5 + 0.5 * self._random.random())
+            window_s = _agent_window_s(failures, bad=bad)
+        else:
+            max_window_s = max(MAX_WINDOW_S, self._first_window_s)
+            window_s = min(max_window_s, self._first_window_s * _doubled(failures))
+            if not turned_away and not failures:
+                window_s = min(window_s, FIRST_WINDOW_AFTER_WATCH_S)
+        return window_s * (0.5 + 0.5 * self._random.random())
+
+
+def _agent_window_s(failures: int, *, bad: bool) -> float:
+    if not failures:
+        return 0.0
+    first_s = FIRST_WINDOW_S if bad else AGENT_FIRST_WINDOW_S
+    max_s = MAX_WINDOW_S if bad else AGENT_MAX_WINDOW_S
+    return min(max_s, first_s * _doubled(failures - 1))
+
+
+def _doubled(failures: int) -> float:
+    return 2.0 ** min(failures, MAX_DOUBLINGS)
--- a/violetstack/core/timers.py
+++ b/violetstack/core/timers.py
@@ -1,4 +1,4 @@
-"""What is to be done at a time to come."""
+"""Callbacks that are due at a later time."""
 
 from __future__ import annotations
 
@@ -8,54 +8,68 @@
 import msgspec
 
 NEVER = float("inf")
+MIN_CANCELLED_TO_COMPACT = 16  # below this, rebuilding the heap costs more than it frees
 
 
 class Timer(msgspec.Struct, order=True):
+    """A scheduled callback; None once it ran or was cancelled.
+
+    `order` makes timers of equal time run in the order in which they were scheduled, and keeps the callbacks
+    out of comparisons.
+    """
+
     due_at: float
     order: int
-    callback: Callable[[float], None] | None = None  # never compared: no two have one order
+    callback: Callable[[float], None] | None = None
 
 
 class Timers:
-    """Equal times keep the order in which they were set.
+    """A heap of timers, ordered by time and then by the order of scheduling.
 
-    Guards the memory: a cancelled timer lets go of what it holds at once, and its place in the heap goes
-    when cancelled ones are the greater part. A deadline is far off when most requests are over.
+    Most requests end long before their deadline, so cancelled timers outnumber the others. A cancelled timer
+    drops its callback at once, and the heap is rebuilt when more than half of it is cancelled.
     """
 
     def __init__(self) -> None:
+        """Creates an empty heap."""
         self._heap: list[Timer] = []
-        self._set = self._cancelled = 0
+        self._scheduled = 0
+        self._cancelled = 0
 
     def __len__(self) -> int:
+        """Returns the size of the heap, with the cancelled timers that are still in it."""
         return len(self._heap)
 
-    def schedule(self, when: float, then: Callable[[float], None]) -> Timer:
-        timer = Timer(when, self._set, then)
-        self._set += 1
+    def schedule(self, due_at: float, callback: Callable[[float], None]) -> Timer:
+        """Schedules `callback`, which is called with the time at which it runs; times in milliseconds."""
+        timer = Timer(due_at, self._scheduled, callback)
+        self._scheduled += 1
         heapq.heappush(self._heap, timer)
         return timer
 
     def cancel(self, timer: Timer | None) -> None:
+        """Cancels a timer; one that ran or was cancelled before is left alone."""
         if timer is None or timer.callback is None:
             return
         timer.callback = None
         self._cancelled += 1
-        if self._cancelled > 16 + len(self._heap) // 2:
+        if self._cancelled > MIN_CANCELLED_TO_COMPACT + len(self._heap) // 2:
             self._heap = [each for each in self._heap if each.callback is not None]
             heapq.heapify(self._heap)
             self._cancelled = 0
 
     def next_due(self) -> float:
+        """Returns the time of the next timer, or `NEVER`."""
         while self._heap and self._heap[0].callback is None:
             heapq.heappop(self._heap)
             self._cancelled -= 1
         return self._heap[0].due_at if self._heap else NEVER
 
     def run(self, now: float) -> None:
+        """Calls every timer that is due, with those that these calls schedule for `now` or before."""
         while self.next_due() <= now:
             timer = heapq.heappop(self._heap)
-            then = timer.callback
+            callback = timer.callback
             timer.callback = None
-            if then is not None:
-                then(now)
+            if callback is not None:
+                callback(now)
