--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -139,17 +139,16 @@
         self.fleet = fleet
         self.clock = fleet.clock
         self.router = Router(settings)
-        self.core = Dispatcher(settings, self.router, self, 250.0)
+        self.core = Dispatcher(settings, self.router, self, 250.0, wake=self.wake)
         self.works: dict[int, Work] = {}
         self.woken = False
-        self.core.wake = self.wake
         self.levels: Levels | None = None
         self.moves: list[str] = []
         if plan is not None:
             weights = weights_of(settings, ("consulta", "orden"), tuple(name for name, _ in TENANTS))
             self.levels = Levels(plan, weights, self._log)
             self.levels.start(0.0, 0.0, Resumed(0, 0.0, True, "the model"))
-            self.core.load_shedder = self.levels
+            self.core.use_load_shedder(self.levels)
             self.clock.at(0.0, self.tick)
 
     def _log(self, event: str, **fields: Any) -> None:
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from tests.front import SETTINGS
-from violetstack.core.records import Origin
+from violetstack.core.ports import Origin
 from violetstack.policy_api import Endpoint, EndpointState, EndpointUpdate, Request, UpdateScope
 from violetstack.routing.conditions import All, Among, Between, Condition, Not
 from violetstack.routing.generations import Plan, Routing
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -278,11 +278,11 @@
         core.run(now)
     told = Counter(answer.split()[0] for answer in noted.answers)
     rows = core.metrics.classes
-    assert [row.taken for row in rows] == [taken[n] for n in range(len(rows))]
+    assert [row.accepted for row in rows] == [taken[n] for n in range(len(rows))]
     assert sum(row.fulfilled for row in rows) == told["finished"]
     assert sum(row.throttled for row in rows) == told["refused"]
     assert sum(row.faulted for row in rows) == told["failed"] + told["cut"]
-    assert sum(row.left for row in rows) == left
+    assert sum(row.client_disconnected for row in rows) == left
     assert core.metrics.open == sum(1 for request in core.open_requests.values() if not request.done)
     assert core.metrics.requests_written == relayed
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,7 +8,9 @@
 import pytest
 
 from tests.front import READERS, SETTINGS, WRITERS
-from violetstack.core.dispatcher import LEAST_CONNECT_MS, Dispatcher, DuplicateRequestError
+from violetstack.core.attempts import MIN_CONNECT_TIMEOUT_MS
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.core.errors import DuplicateRequestError
 from violetstack.core.records import Attempt, OpenRequest, ReleaseCall, ReservationCall
 from violetstack.policy_api import (
     Action,
@@ -275,7 +277,7 @@
     scene.now += 100.0
     again = scene.send("w2")
     assert scene.core.connect_timeout_ms(scene.now, again) == 100.0
-    assert scene.core.connect_timeout_ms(scene.now + 400.0, again) == LEAST_CONNECT_MS
+    assert scene.core.connect_timeout_ms(scene.now + 400.0, again) == MIN_CONNECT_TIMEOUT_MS
     again.request_written = True
     scene.core.attempt_finished(scene.now, again, AttemptStatus.REJECTED)
     assert scene.core.connect_timeout_ms(scene.now, scene.send("w1")) == 300.0
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,6 +18,7 @@
 from tests.test_chat import ledger
 from tests.test_program import start
 from tests.test_stories import pair, play
+from violetstack.core.records import AttemptLogEntry
 from violetstack.net.downstream import connection as connection_module
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.net.upstream import connection_pool, state_release
@@ -222,14 +223,14 @@
         pool.wait_caught_up = fresh
         answer = await ask_platform(on.platform, "q2", "orden")
         assert (answer.outcome, reader.begun, writer.begun) == ("served", ["q1", "q2"], ["q1", "q2"])
-        assert [status for _, status, _ in trails["q2"]] == ["read", "ok"]
+        assert [each.status.value for each in trails["q2"]] == ["read", "ok"]
 
-    trails: dict[str, list[tuple[str, str, int]]] = {}
+    trails: dict[str, list[AttemptLogEntry]] = {}
     play(reader, writer, story=recording(story, trails))
 
 
 def recording(
-    story: Callable[[Stage], Awaitable[None]], trails: dict[str, list[tuple[str, str, int]]]
+    story: Callable[[Stage], Awaitable[None]], trails: dict[str, list[AttemptLogEntry]]
 ) -> Callable[[Stage], Awaitable[None]]:
     async def recorded(on: Stage) -> None:
         take = on.daemon.core.accept
@@ -291,9 +292,9 @@
         writer._sockets[0].socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4096)
         answer = await ask_platform(on.platform, "q1", "orden", text="x" * 200_000)
         assert (answer.outcome, writer.begun, writer.opened) == ("served", ["q1"], 2)
-        assert [status for _, status, _ in trails["q1"]] == ["read", "connect_failed", "ok"]
+        assert [each.status.value for each in trails["q1"]] == ["read", "connect_failed", "ok"]
 
-    trails: dict[str, list[tuple[str, str, int]]] = {}
+    trails: dict[str, list[AttemptLogEntry]] = {}
     family = {**SETTINGS["family_info"], "ahead": False}
     play(reader, writer, story=recording(story, trails), settings={"family_info": family})
 
@@ -432,7 +433,7 @@
         on.daemon.hosts.pool.hosts.pop("w")  # the release has but one host to go to
         request = core.open_requests["q1"]
         request.holds_remote_state = True
-        core._release(0.0, request)
+        core._reservations.release(0.0, request)
         await late.asked.wait()
         assert request.release is not None
         request.release.superseded = True  # as by a send
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -569,7 +569,7 @@
         await trio.lowlevel.wait_readable(theirs)
         assert theirs.recv(64) == b""  # its copy is closed, and not a byte was written
         core.open_requests.pop("q0", None)
-        assert (core.open_requests, core.metrics.classes[0].taken) == ({}, 0)
+        assert (core.open_requests, core.metrics.classes[0].accepted) == ({}, 0)
         assert on.daemon.listeners[0].table.connections == set()
         theirs.close()
         hosts_own.close()
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -12,7 +12,7 @@
 
 from tests.front import SETTINGS
 from tests.test_routing import request
-from violetstack.core.records import Shed
+from violetstack.core.ports import Shed
 from violetstack.load_shedding import history
 from violetstack.load_shedding.admission import Admission, Weights, fill
 from violetstack.load_shedding.control import LevelPlan, Levels, weights_of
--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -11,7 +11,7 @@
 from tests.front import SETTINGS, WRITERS, Front, entry
 from tests.test_core import Noted
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.core.records import Shed
+from violetstack.core.ports import Shed
 from violetstack.gossip.codec import RESET_DATAGRAM, decode_load, encode_datagram, encode_load, endpoint_tag
 from violetstack.net.gossip import Peers
 from violetstack.net.pause_detector import PauseDetector
@@ -118,15 +118,15 @@
     core.update_endpoints(
         5000.0, EndpointUpdate(UpdateScope.SNAPSHOT, (entry("w1", 1, state=EndpointState.DRAINING),), 2)
     )
-    core.process_paused(5000.0, 4000.0)
+    core.process_paused(4000.0)
     core.run(5000.0)
     assert [type(event) for event in noted.events] == [ProcessPaused, EndpointUpdate, Request]
     assert not core.may_write_to("w1")
 
 
 def test_a_request_that_was_unread_until_its_deadline_is_rejected_at_once() -> None:
-    core, _ = core_of()
-    core.max_unread_ms = lambda: 4000.0
+    noted = Noted()
+    core = Dispatcher(SETTINGS, noted, noted, GRACE_MS, max_unread=lambda: 4000.0)
     shed = core.admit(5000.0, asked(3000.0))
     later = asked(6000.0)
     assert isinstance(shed, Shed)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,7 +10,8 @@
 
 from tests.front import READERS, SETTINGS, WRITERS, Front, entry
 from tests.programs import ASKED, CLASSES, TENANTS, programs
-from violetstack.core.records import NotRouted, Origin
+from violetstack.core.errors import NotRoutedError
+from violetstack.core.ports import Origin
 from violetstack.language.checker import check
 from violetstack.language.files import read_text
 from violetstack.language.meaning import plan_of
@@ -275,10 +276,10 @@
     routes = routing(PLAN)
     asked = routes.route(request(), Origin("platform", "", 10))
     assert asked.expires_in_ms == 2000.0 and asked.route is not None and asked.route.max_attempts == 2
-    with pytest.raises(NotRouted) as told:
+    with pytest.raises(NotRoutedError) as told:
         routes.route(request(class_index=1), Origin("platform"))
     assert told.value.status == 404
-    with pytest.raises(NotRouted) as told:
+    with pytest.raises(NotRoutedError) as told:
         routes.route(request(), Origin("platform", "", 51))
     assert told.value.status == 413
 
--- /dev/null
+++ b/violetstack/core/attempts.py
@@ -0,0 +1,266 @@
+"""Attempts of requests at hosts: their start, what the driver reports of them, and their end."""
+
+from __future__ import annotations
+
+import math
+
+from violetstack.core.lifecycle import RequestLifecycle
+from violetstack.core.records import Attempt, AttemptLogEntry, OpenRequest, RequestOutcome
+from violetstack.core.state import DispatcherState
+from violetstack.policy_api import (
+    FAILURE_STATUSES,
+    AttemptFinished,
+    AttemptStatus,
+    ClientDisconnected,
+    Idempotency,
+    StreamStarted,
+)
+
+# A connection gets this long even if the state held for its request expires sooner; a release takes a few ms.
+MIN_CONNECT_TIMEOUT_MS = 40.0
+
+NOTHING_HELD_STATUSES = frozenset(
+    {AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED, AttemptStatus.ALREADY_FINISHED}
+)
+"""After these, the host holds nothing of the attempt and has not executed it."""
+
+
+class Attempts:
+    """Starts, cancels and finishes attempts, and commits a request to the first that streams."""
+
+    def __init__(self, state: DispatcherState, lifecycle: RequestLifecycle) -> None:
+        """Creates it for a dispatcher's state."""
+        self._state = state
+        self._lifecycle = lifecycle
+
+    # --- what the policy decides ---
+
+    def send(self, now: float, request: OpenRequest, server: str, deadline: float) -> None:
+        """Starts an attempt that times out at `deadline`, or at the request's own; 0 means the latter.
+
+        An attempt that the settings forbid, or that comes too late, ends at once as ALREADY_FINISHED.
+        """
+        state = self._state
+        deadline = min(deadline or request.deadline, request.deadline)
+        attempt = Attempt(
+            request,
+            request.attempts_sent,
+            server,
+            is_prefill=state.endpoints.only_prefills(server),
+            sent_at=now,
+            deadline=deadline,
+        )
+        request.attempts_sent += 1
+        request.in_flight[attempt.number] = attempt
+        if not self._may_start(now, attempt):
+            self.finished(now, attempt, AttemptStatus.ALREADY_FINISHED)
+            return
+        attempt.timer = state.timers.schedule(deadline, lambda at: self._timed_out(at, attempt))
+        state.driver.start_attempt(attempt)
+
+    def _may_start(self, now: float, attempt: Attempt) -> bool:
+        request = attempt.request
+        settings = self._state.settings
+        if request.has_response or attempt.server not in self._state.endpoints.endpoints:
+            return False
+        if len(request.in_flight) > 1 and not settings.hedging_allowed:
+            return False
+        return attempt.number < settings.max_attempts and attempt.deadline > now
+
+    def cancel(self, now: float, attempt: Attempt) -> None:
+        """Cancels an attempt, unless its stream has started."""
+        if attempt.stream_started:
+            return
+        self._state.driver.abort_attempt(attempt)
+        written = attempt.request_written
+        self.finished(now, attempt, AttemptStatus.CANCELLED if written else AttemptStatus.ALREADY_FINISHED)
+
+    def _timed_out(self, now: float, attempt: Attempt) -> None:
+        if attempt.finished or attempt.stream_started:
+            return
+        self._state.driver.abort_attempt(attempt)
+        # What was not written has never run, however long the connection took.
+        written = attempt.request_written
+        self.finished(now, attempt, AttemptStatus.TIMEOUT if written else AttemptStatus.CONNECT_FAILED)
+
+    # --- what the driver asks and reports ---
+
+    def may_send(self, now: float, attempt: Attempt) -> bool:
+        """Returns whether the first byte of the attempt may be written now.
+
+        It may not if the host is draining or gone, the request is over, its client has closed the connection,
+        or it may have run and the class's deduplication window is over.
+        """
+        request = attempt.request
+        if not attempt.finished and not request.done and request.sink.client_gone():
+            # The end of the connection may not have been read from the socket yet.
+            self.client_disconnected(now, request)
+        if attempt.finished or request.done or self._past_deduplication_window(now, attempt):
+            return False
+        return self._state.endpoints.accepts_writes(attempt.server)
+
+    def _past_deduplication_window(self, now: float, attempt: Attempt) -> bool:
+        request = attempt.request
+        spec = self._state.settings.classes[request.policy_request.class_index]
+        if spec.idempotency is not Idempotency.IDEMPOTENCY_KEY or attempt.is_prefill:
+            return False
+        return request.may_have_run and now >= request.first_run_at + spec.deduplication_window_ms
+
+    def connect_timeout_ms(self, now: float, attempt: Attempt) -> float:
+        """Returns how long the connection of an attempt may take to come up; infinite if nothing is held.
+
+        A host frees the state held for a request some time after the request's last attempt. While one
+        connection after the other does not come up nothing reaches a host, so that time must not be exceeded.
+        """
+        request = attempt.request
+        retention_ms = self._state.settings.state_retention_ms
+        if not (request.holds_remote_state and request.state_held_since and retention_ms):
+            return math.inf
+        return max(MIN_CONNECT_TIMEOUT_MS, request.state_held_since + retention_ms - now)
+
+    def request_started(self, attempt: Attempt) -> None:
+        """The first byte is being written: a release that is written later would release this one's state."""
+        if attempt.request.release is not None:
+            attempt.request.release.superseded = True
+
+    def request_written(self, attempt: Attempt) -> None:
+        """The last byte may have left; called in the step that hands it to the kernel."""
+        attempt.request_written = True
+        self._state.metrics.requests_written += 1
+
+    def stream_started(self, now: float, attempt: Attempt) -> bool:
+        """Commits the request to the attempt; returns False if its response is not wanted any more."""
+        request = attempt.request
+        state = self._state
+        if attempt.finished or request.has_response:
+            return False
+        attempt.stream_started = True
+        request.committed_attempt = attempt
+        if state.load_shedder is not None:
+            ratio = (now - request.arrived_at) / state.latency_objective_ms(request.policy_request)
+            state.load_shedder.stream_started(now, ratio, request.policy_request.prompt_tokens)
+        if not request.reservations_in_flight and attempt.server not in state.endpoints.stateless_hosts:
+            request.holds_remote_state = False  # the host that streams has taken over what was held
+        if request.release is not None:
+            request.release.superseded = True
+        state.observe_attempt(attempt.server, now, well=True)
+        state.notify(request.sink.stream_started)
+        state.post(StreamStarted(request.id, attempt.server, attempt.number, now - attempt.sent_at))
+        return True
+
+    def forward_event(self, attempt: Attempt, data: memoryview) -> None:
+        """Forwards one event of the stream to the client."""
+        if not attempt.finished:
+            attempt.events_forwarded += 1
+            self._state.notify(attempt.request.sink.event, data)
+
+    def request_invalid(self, now: float, attempt: Attempt) -> None:
+        """A host says that the request itself is at fault: no other host is tried, and none is blamed."""
+        request = attempt.request
+        if attempt.finished or request.has_response:
+            return
+        self._lifecycle.finish_failed(now, request, RequestOutcome.INVALID)
+        self.finished(now, attempt, AttemptStatus.CANCELLED)
+
+    # --- the end of an attempt ---
+
+    def finished(
+        self,
+        now: float,
+        attempt: Attempt,
+        status: AttemptStatus,
+        detail: int = 0,
+        load_report: tuple[float | None, ...] | None = None,
+    ) -> None:
+        """Records the one outcome of an attempt and tells the policy; later outcomes are ignored."""
+        if attempt.finished:
+            return
+        request = attempt.request
+        state = self._state
+        attempt.finished = True
+        state.timers.cancel(attempt.timer)
+        del request.in_flight[attempt.number]
+        self._finish_request(now, attempt, status)
+        _record_effects(now, attempt, status)
+        self._observe(now, attempt, status)
+        duration_ms = now - attempt.sent_at
+        request.attempt_log.append(AttemptLogEntry(attempt.server, status, round(duration_ms)))
+        state.post(
+            AttemptFinished(
+                id=request.id,
+                server=attempt.server,
+                attempt=attempt.number,
+                status=status,
+                duration_ms=duration_ms,
+                request_finished=request.done,
+                detail=detail,
+                load_report=load_report,
+            )
+        )
+        state.mark_changed(request)
+        if request.client_disconnected and not request.possibly_executed:
+            # It went on without its client since it might have run; now it is known that it did not.
+            self.client_disconnected(now, request)
+
+    def _finish_request(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
+        """Ends the request if this attempt carried its response."""
+        request = attempt.request
+        if request.done or not (status is AttemptStatus.OK or request.committed_attempt is attempt):
+            return
+        if status is AttemptStatus.OK:
+            self._lifecycle.finish(now, request, RequestOutcome.COMPLETED)
+            self._state.notify(request.sink.finished)
+        else:
+            self._lifecycle.finish(now, request, RequestOutcome.TRUNCATED)
+            self._state.notify(request.sink.stream_broken)
+
+    def _observe(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
+        if status is AttemptStatus.PREFILLED:
+            self._state.observe_attempt(attempt.server, now, well=True)
+        elif status in FAILURE_STATUSES and not attempt.stream_started:
+            self._state.observe_attempt(attempt.server, now, well=False)
+
+    # --- the client, and other processes ---
+
+    def client_disconnected(self, now: float, request: OpenRequest) -> None:
+        """Ends a request that nobody waits for, unless it has to go on for a retry to find."""
+        state = self._state
+        request.client_disconnected = True
+        if request.done or (request.survives_disconnect and request.possibly_executed):
+            return
+        self._lifecycle.finish(now, request, RequestOutcome.CLIENT_DISCONNECTED)
+        if request.survives_disconnect:
+            state.notify(request.sink.failed, False)  # its stored record is to say that nothing ran
+        state.post(ClientDisconnected(request.id))
+        if request.committed_attempt is not None:
+            state.driver.abort_attempt(request.committed_attempt)
+            self.finished(now, request.committed_attempt, AttemptStatus.CANCELLED)
+
+    def can_migrate(self, attempt: Attempt) -> bool:
+        """Returns whether the attempt's stream is all that is in flight for its request."""
+        request = attempt.request
+        if attempt.finished or request.done or request.committed_attempt is not attempt:
+            return False
+        return len(request.in_flight) == 1 and not request.reservations_in_flight and request.release is None
+
+    def migrated(self, now: float, attempt: Attempt) -> None:
+        """Another process took over the stream, and will release what hosts hold for its request."""
+        attempt.request.holds_remote_state = False
+        self._lifecycle.finish(now, attempt.request, RequestOutcome.MIGRATED)
+        self._state.post(ClientDisconnected(attempt.request.id))
+        self.finished(now, attempt, AttemptStatus.CANCELLED)
+
+
+def _record_effects(now: float, attempt: Attempt, status: AttemptStatus) -> None:
+    """Records what an attempt that ended may have left at its host."""
+    request = attempt.request
+    reached_host = attempt.request_written and status not in NOTHING_HELD_STATUSES
+    if reached_host and not attempt.is_prefill:
+        if not request.may_have_run:
+            request.first_run_at = attempt.sent_at
+        request.may_have_run = True
+    if attempt.request_written:
+        request.state_held_since = now
+    # A prefill may have succeeded just as its connection broke.
+    if status is AttemptStatus.PREFILLED or (attempt.is_prefill and reached_host):
+        request.holds_remote_state = True
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -1,51 +1,42 @@
-"""Feeds the decision module and carries out its actions; owns attempts, deadlines and final answers."""
+"""The dispatcher's core: passes events to the policy and carries out the actions that it returns."""
 
 from __future__ import annotations
 
-import math
-from collections.abc import Callable
-from typing import Any, Protocol
-
-from violetstack.core.metrics import RequestMetrics
-from violetstack.core.records import (
-    Attempt,
+from violetstack.core.attempts import Attempts
+from violetstack.core.lifecycle import RequestLifecycle
+from violetstack.core.ports import (
     Driver,
     LoadShedder,
-    OpenRequest,
+    MaxUnread,
+    MigratedStream,
     Origin,
     OutlierObserver,
-    ReleaseCall,
-    ReservationCall,
-    Routes,
+    Policy,
+    RequestRouter,
+    RetryAfter,
     Shed,
     Sink,
+    Wake,
 )
-from violetstack.core.timers import Timers
+from violetstack.core.records import Attempt, OpenRequest, ReleaseCall, RequestOutcome, ReservationCall
+from violetstack.core.reservations import Reservations
+from violetstack.core.state import DispatcherState
 from violetstack.policy_api import (
-    FAILURE_STATUSES,
     Action,
-    AttemptFinished,
     AttemptStatus,
     CancelAttempt,
-    ClientDisconnected,
-    Endpoint,
-    EndpointState,
     EndpointUpdate,
     Event,
     FailRequest,
     FetchEndpoints,
     GossipReceived,
     HealthCheckResult,
-    Idempotency,
     MigrateStream,
     OutlierCheckResult,
-    ProcessPaused,
     RejectRequest,
     ReleaseState,
     Request,
-    ReservationResult,
     ReserveDecodeSlot,
-    Role,
     SendAttempt,
     SendGossip,
     SendHealthCheck,
@@ -53,481 +44,298 @@
     SetWatch,
     ShutdownStarted,
     StartTimer,
-    StreamStarted,
     TimerFired,
-    UpdateScope,
     WriteLog,
 )
 
-LEAST_CONNECT_MS = 40.0  # even where the time of what is held is nearly over; a release takes a few
 
+def _do_not_wake() -> None:
+    """For a dispatcher whose caller runs it after each event."""
 
-class Policy(Protocol):
-    def handle(self, now: float, events: list[Event]) -> list[Action]: ...
 
+def _as_advised(retry_after_ms: float) -> float:
+    return retry_after_ms
 
-class MigratedStream(Protocol):
-    """What is told of a stream that another process has begun."""
 
-    @property
-    def id(self) -> str: ...
+def _never_unread() -> float:
+    return 0.0
 
-    @property
-    def cls(self) -> int: ...
 
-    @property
-    def tenant(self) -> int: ...
-
-    @property
-    def server(self) -> str: ...
+class Dispatcher:
+    """Owns one dispatcher's open requests, between the fronts, the policy and the driver.
+
+    Every method that needs the time takes it, in milliseconds of one monotonic clock. Methods only queue
+    events; `run` has the policy decide on them.
+
+    Attributes:
+        settings: The operators' settings.
+        policy: Decides on events.
+        driver: Carries out calls against hosts.
+        drain_grace_ms: How long a host that drains still accepts attempts.
+        open_requests: Requests by id, until no host holds anything for them.
+        endpoints: Listed endpoints by host id.
+        draining: Ids of hosts that are draining.
+        stateless_hosts: Ids of hosts that hold no state and take no reservations or releases.
+        metrics: Counters of requests.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        policy: Policy,
+        driver: Driver,
+        drain_grace_ms: float,
+        *,
+        wake: Wake = _do_not_wake,
+        retry_after: RetryAfter = _as_advised,
+        max_unread: MaxUnread = _never_unread,
+    ) -> None:
+        """Creates a dispatcher without requests and endpoints.
+
+        Args:
+            settings: The operators' settings.
+            policy: Decides on events.
+            driver: Carries out calls against hosts.
+            drain_grace_ms: How long a host that drains still accepts attempts.
+            wake: Called when there is something to `run` for.
+            retry_after: Adjusts the advice of a rejection.
+            max_unread: Tells how long a request that is read now may have waited in its socket.
+        """
+        self.settings = settings
+        self.policy = policy
+        self.driver = driver
+        self.drain_grace_ms = drain_grace_ms
+        self._max_unread = max_unread
+        self._state = DispatcherState(settings, driver, wake)
+        self._reservations = Reservations(self._state)
+        self._lifecycle = RequestLifecycle(self._state, self._reservations, retry_after)
+        self._attempts = Attempts(self._state, self._lifecycle)
+        self.open_requests = self._state.open_requests
+        self.endpoints = self._state.endpoints.endpoints
+        self.draining = self._state.endpoints.draining
+        self.stateless_hosts = self._state.endpoints.stateless_hosts
+        self.metrics = self._state.metrics
 
     @property
-    def age_ms(self) -> float: ...
+    def pending_events(self) -> list[Event]:
+        """Events that the policy has not seen yet."""
+        return self._state.pending_events
 
-    @property
-    def events(self) -> int: ...
+    def use_router(self, router: RequestRouter) -> None:
+        """Has requests routed by `router` from now on."""
+        self._state.router = router
 
-    @property
-    def prompt_tokens(self) -> float: ...
+    def use_load_shedder(self, load_shedder: LoadShedder) -> None:
+        """Has requests admitted by `load_shedder` from now on."""
+        self._state.load_shedder = load_shedder
 
-    @property
-    def loose(self) -> bool: ...
+    def use_outlier_observer(self, observer: OutlierObserver) -> None:
+        """Reports the endpoint list and the outcomes of attempts to `observer` from now on."""
+        self._state.outlier_observer = observer
 
+    # --- requests, from the fronts ---
 
-class DuplicateRequestError(Exception):
-    """A request with this id is still open."""
+    def route(self, request: Request, origin: Origin) -> Request:
+        """Returns the request with its route; every front calls this before `admit`.
 
+        Raises:
+            NotRoutedError: No route matches, or the route's policy rejects the request.
+        """
+        router = self._state.router
+        return request if router is None else router.route(request, origin)
 
-class Dispatcher:
-    """One dispatcher's requests. Every method that needs the time takes it; `run` is called when woken."""
+    def admit(self, now: float, request: Request) -> Shed | None:
+        """Returns None to admit the request; every front calls this right before `accept`.
 
-    def __init__(self, settings: Settings, decider: Policy, driver: Driver, drain_grace_ms: float) -> None:
-        self.settings = settings
-        self.policy = decider
-        self.driver = driver
-        self.drain_grace_ms = drain_grace_ms
-        self.open_requests: dict[str, OpenRequest] = {}
-        self.endpoints: dict[str, Endpoint] = {}
-        self.draining: set[str] = set()  # servers that are known to drain
-        self.stateless_hosts: set[str] = set()  # hosts that take no states, places or releases
-        self.pending_events: list[Event] = []
-        self.changed_requests: dict[str, OpenRequest] = {}
-        self.wake: Callable[[], None] = lambda: None
-        self.timers = Timers()
-        self.metrics = RequestMetrics(len(settings.classes))
-        self.routes: Routes | None = None
-        self.load_shedder: LoadShedder | None = None
-        self.outlier_observer: OutlierObserver | None = None
-        self.retry_after_ms: Callable[[float], float] = lambda ms: ms  # when to come back
-        self.max_unread_ms: Callable[[], float] = lambda: 0.0  # age of what is read now, at most
-
-    # --- events in ---
-
-    def _post(self, event: Event) -> None:
-        self.pending_events.append(event)
-        self.wake()
-
-    def update_endpoints(self, now: float, news: EndpointUpdate) -> None:
-        """A host that is gone is forgotten here and now: hosts come with new ids all day long."""
-        if news.scope is not UpdateScope.DELTA:
-            self.endpoints = {}
-        for entry in news.endpoints:
-            self.endpoints[entry.server] = entry
-            if entry.state is EndpointState.DRAINING:
-                self.draining.add(entry.server)
-            else:
-                self.draining.discard(entry.server)
-            if entry.state is EndpointState.REMOVED:
-                del self.endpoints[entry.server]
-        self.draining &= self.endpoints.keys()
-        if self.routes is not None:
-            self.routes.update_endpoints(now, news)
-        if self.outlier_observer is not None:
-            self.outlier_observer.endpoints_listed(now, self.endpoints)
-        self._post(news)
-
-    def route(self, asked: Request, origin: Origin) -> Request:
-        """Every front calls this before `take`, with the request as it read it. Raises NotRouted."""
-        return asked if self.routes is None else self.routes.route(asked, origin)
-
-    def admit(self, now: float, asked: Request) -> Shed | None:
-        """Every front calls this right before `take`; what is shed is answered at once, with its advice.
-
-        Guards against answers past their time: what may have lain unread counts as having done so.
+        The time that the request may have waited in its socket counts as part of its deadline.
         """
-        asked.age_ms = self.max_unread_ms()
-        asked.expires_in_ms -= asked.age_ms
-        shed = None if self.load_shedder is None else self.load_shedder.admit(now, asked)
-        if asked.expires_in_ms <= 0.0:
-            shed = Shed("unread", min(self.settings.max_retry_after_ms, self.latency_objective_ms(asked)))
+        request.age_ms = self._max_unread()
+        request.expires_in_ms -= request.age_ms
+        load_shedder = self._state.load_shedder
+        shed = None if load_shedder is None else load_shedder.admit(now, request)
+        if request.expires_in_ms <= 0.0:
+            objective_ms = self._state.latency_objective_ms(request)
+            shed = Shed("unread", min(self.settings.max_retry_after_ms, objective_ms))
         if shed is not None:
-            self.metrics.request_accepted(asked.class_index)
-            self.metrics.request_finished(asked.class_index, "shed")
+            self.metrics.request_accepted(request.class_index)
+            self.metrics.request_finished(request.class_index, RequestOutcome.SHED)
         return shed
 
-    def latency_objective_ms(self, asked: Request) -> float:
-        """When this request's first token is wanted."""
-        spec = self.settings.classes[asked.class_index]
-        stretch = spec.objective_stretch * (asked.expected_answer_ms or 0.0)
-        return max(
-            1.0,
-            spec.latency_objective_ms
-            + spec.objective_ms_per_1000_tokens * asked.prompt_tokens / 1000.0
-            + stretch,
-        )
+    def accept(self, now: float, request: Request, sink: Sink, payload: object) -> OpenRequest:
+        """Opens a request. Its response goes to `sink`; `payload` goes to the driver with each attempt.
 
-    def waiting_ratios(self, now: float) -> list[float]:
-        """Ages of the requests without a first token, as parts of their aims."""
-        rows = [r for r in self.open_requests.values() if not r.done and r.committed_attempt is None]
-        return [(now - r.arrived_at) / self.latency_objective_ms(r.policy_request) for r in rows]
-
-    def accept(self, now: float, asked: Request, sink: Sink, payload: object) -> OpenRequest:
-        if asked.id in self.open_requests:
-            raise DuplicateRequestError(asked.id)
-        request = OpenRequest(asked, sink, payload, now, now + asked.expires_in_ms)
-        self.open_requests[asked.id] = request
-        self.metrics.request_accepted(asked.class_index)
-        if self.routes is not None:
-            self.routes.request_accepted(now, asked)
-        request.deadline_timer = self.timers.schedule(request.deadline, lambda at: self._overdue(at, request))
-        self._post(asked)
-        return request
+        Raises:
+            DuplicateRequestError: A request with the same id is open.
+        """
+        return self._lifecycle.accept(now, request, sink, payload)
 
     def client_disconnected(self, now: float, request: OpenRequest) -> None:
-        """Guards against work for nobody: a stream that nobody reads ends, the module is told of the rest."""
-        request.client_disconnected = True
-        if request.done or (request.survives_disconnect and may_have_run(request)):
-            return
-        self._settle(now, request, "left")
-        if request.survives_disconnect:
-            self._tell(request.sink.failed, False)  # nothing of it has run, which its record is to say
-        self._post(ClientDisconnected(request.id))
-        if request.committed_attempt is not None:
-            self.driver.abort_attempt(request.committed_attempt)
-            self.attempt_finished(now, request.committed_attempt, AttemptStatus.CANCELLED)
+        """The client has closed its connection."""
+        self._attempts.client_disconnected(now, request)
 
-    def can_migrate(self, attempt: Attempt) -> bool:
-        """Is the stream all that is under way here for its request?"""
-        request = attempt.request
-        if (
-            attempt.finished
-            or request.done
-            or request.committed_attempt is not attempt
-            or len(request.in_flight) > 1
-        ):
-            return False
-        return not request.reservations_in_flight and request.release is None
+    def latency_objective_ms(self, request: Request) -> float:
+        """Returns the time within which the request's first token is wanted."""
+        return self._state.latency_objective_ms(request)
 
-    def stream_migrated(self, now: float, attempt: Attempt) -> None:
-        """Another process goes on with the stream, and releases at its end what may be held for it."""
-        attempt.request.holds_remote_state = False
-        self._settle(now, attempt.request, "moved")
-        self._post(ClientDisconnected(attempt.request.id))
-        self.attempt_finished(now, attempt, AttemptStatus.CANCELLED)
-
-    def adopt_stream(self, now: float, told: MigratedStream, sink: Sink) -> Attempt:
-        """A stream that another process began; the module hears nothing of it, since nothing is to decide."""
-        asked = Request(
-            told.id, told.cls, told.tenant, None, 0.0, None, None, told.prompt_tokens, 0.0, 0.0, False, False
-        )
-        request = OpenRequest(asked, sink, None, now - told.age_ms, now)
-        attempt = Attempt(request, 0, told.server, False, request.arrived_at, now, True, True, told.events)
-        request.committed_attempt = attempt
-        request.in_flight = {0: attempt}
-        request.attempts_sent = 1
-        request.holds_remote_state = told.loose
-        self.open_requests[asked.id] = request
-        self.metrics.request_accepted(asked.class_index)
-        if self.routes is not None:
-            self.routes.request_accepted(now, asked)
-        return attempt
-
-    def process_paused(self, now: float, gap_ms: float) -> None:
-        """Guards against decisions on what was known before the gap.
-
-        The module hears of the gap first, then of the list, whichever socket was read first.
-        """
-        lists = [event for event in self.pending_events if isinstance(event, EndpointUpdate)]
-        others = [event for event in self.pending_events if not isinstance(event, EndpointUpdate)]
-        self.pending_events = [ProcessPaused(gap_ms), *lists, *others]
-        self.wake()
+    def waiting_ratios(self, now: float) -> list[float]:
+        """Returns the ages of the requests without a first token, each divided by its latency objective."""
+        state = self._state
+        waiting = [request for request in self.open_requests.values() if not request.has_response]
+        return [
+            (now - request.arrived_at) / state.latency_objective_ms(request.policy_request)
+            for request in waiting
+        ]
+
+    # --- other events ---
+
+    def update_endpoints(self, now: float, update: EndpointUpdate) -> None:
+        """Applies an update of the endpoint list."""
+        state = self._state
+        state.endpoints.update(update)
+        if state.router is not None:
+            state.router.update_endpoints(now, update)
+        if state.outlier_observer is not None:
+            state.outlier_observer.endpoints_listed(now, self.endpoints)
+        state.post(update)
+
+    def process_paused(self, pause_ms: float) -> None:
+        """The process did not run for `pause_ms`; the policy learns this before anything else."""
+        self._state.post_pause(pause_ms)
 
     def shutdown_started(self) -> None:
-        """Guards against what the end would cut off without a word, and states that nobody would release."""
-        self._post(ShutdownStarted())
+        """The process is about to end: the policy ends requests while their clients can be answered."""
+        self._state.post(ShutdownStarted())
 
-    def health_checked(self, probed: HealthCheckResult) -> None:
-        self._post(probed)
+    def health_checked(self, result: HealthCheckResult) -> None:
+        """A health check ended."""
+        self._state.post(result)
 
     def gossip_received(self, message: GossipReceived) -> None:
-        self._post(message)
+        """Another dispatcher sent a datagram."""
+        self._state.post(message)
 
-    def outlier_checked(self, trial: OutlierCheckResult) -> None:
-        self._post(trial)
+    def outlier_checked(self, result: OutlierCheckResult) -> None:
+        """The check of an outlier host changed hands or ended."""
+        self._state.post(result)
 
-    # --- what attempts report ---
+    # --- streams that move to another process ---
+
+    def can_migrate(self, attempt: Attempt) -> bool:
+        """Returns whether the attempt's stream is all that is in flight for its request."""
+        return self._attempts.can_migrate(attempt)
+
+    def stream_migrated(self, now: float, attempt: Attempt) -> None:
+        """Another process took over the stream, and will release what hosts hold for its request."""
+        self._attempts.migrated(now, attempt)
+
+    def adopt_stream(self, now: float, stream: MigratedStream, sink: Sink) -> Attempt:
+        """Opens a request whose stream another process began."""
+        return self._lifecycle.adopt(now, stream, sink)
+
+    # --- what the driver asks and reports ---
 
     def may_write_to(self, server: str) -> bool:
-        """Asked in the step that writes a first byte, whatever it begins.
+        """Returns whether a first byte may be written to the host now; asked in the step that writes it.
 
-        Guards against a host told as leaving, or gone, since it was chosen. Nothing is left of the time in
-        which a drain binds: what is pushed counts as told before this process has read it.
+        The host may have been listed as draining, or removed, since it was chosen.
         """
-        return server in self.endpoints and server not in self.draining
+        return self._state.endpoints.accepts_writes(server)
 
     def may_send(self, now: float, attempt: Attempt) -> bool:
-        """The same for an attempt; its request may be over by now as well, its client gone, or the time past
-        in which its class lets what may have run be sent again.
-        """
-        request = attempt.request
-        if not attempt.finished and not request.done and request.sink.client_gone():
-            # Its close may lie unread in the socket still.
-            self.client_disconnected(now, request)
-        spec = self.settings.classes[request.policy_request.class_index]
-        repeats = (
-            spec.idempotency is Idempotency.IDEMPOTENCY_KEY
-            and request.may_have_run
-            and not attempt.is_prefill
-        )
-        if (
-            attempt.finished
-            or request.done
-            or (repeats and now >= request.first_run_at + spec.deduplication_window_ms)
-        ):
-            return False
-        return self.may_write_to(attempt.server)
+        """Returns whether the first byte of the attempt may be written now; see `Attempts.may_send`."""
+        return self._attempts.may_send(now, attempt)
 
     def connect_timeout_ms(self, now: float, attempt: Attempt) -> float:
-        """How long its connection may take to come up; what is held for its request has a time of its own.
-
-        Guards against states and places that outlive it while one connection after the other does not come
-        up: nothing that was not written takes them.
-        """
-        request = attempt.request
-        within = self.settings.state_retention_ms
-        if not (request.holds_remote_state and request.state_held_since and within):
-            return math.inf
-        return max(LEAST_CONNECT_MS, request.state_held_since + within - now)
+        """Returns how long the connection of an attempt may take to come up."""
+        return self._attempts.connect_timeout_ms(now, attempt)
 
     def request_started(self, attempt: Attempt) -> None:
-        """Its first byte goes out in this step: a release written from now on would let go of its state."""
-        if attempt.request.release is not None:
-            attempt.request.release.superseded = True
+        """The first byte of the attempt is written in this step."""
+        self._attempts.request_started(attempt)
 
     def request_written(self, attempt: Attempt) -> None:
-        """The last byte of an attempt may have left; called in the step that hands it to the kernel."""
-        attempt.request_written = True
-        self.metrics.requests_written += 1
+        """The last byte of the attempt may have left; called in the step that hands it to the kernel."""
+        self._attempts.request_written(attempt)
 
     def stream_started(self, now: float, attempt: Attempt) -> bool:
-        """The first event of an answer came; False if it is not wanted (any more)."""
-        request = attempt.request
-        if attempt.finished or request.done or request.committed_attempt is not None:
-            return False
-        attempt.stream_started = True
-        request.committed_attempt = attempt
-        if self.load_shedder is not None:
-            ratio = (now - request.arrived_at) / self.latency_objective_ms(request.policy_request)
-            self.load_shedder.stream_started(now, ratio, request.policy_request.prompt_tokens)
-        if not request.reservations_in_flight and attempt.server not in self.stateless_hosts:
-            request.holds_remote_state = False  # what else was held goes by itself
-        if request.release is not None:
-            request.release.superseded = True
-        if self.outlier_observer is not None:
-            self.outlier_observer.attempt_observed(now, attempt.server, True)
-        self._tell(request.sink.stream_started)
-        self._post(StreamStarted(request.id, attempt.server, attempt.number, now - attempt.sent_at))
-        return True
+        """The first event of a response came; returns False if it is not wanted any more."""
+        return self._attempts.stream_started(now, attempt)
 
     def forward_event(self, attempt: Attempt, data: memoryview) -> None:
-        if not attempt.finished:
-            attempt.events_forwarded += 1
-            self._tell(attempt.request.sink.event, data)
+        """Forwards one event of the stream to the client."""
+        self._attempts.forward_event(attempt, data)
 
     def attempt_finished(
         self,
         now: float,
         attempt: Attempt,
         status: AttemptStatus,
-        note: int = 0,
-        report: tuple[float | None, ...] | None = None,
+        detail: int = 0,
+        load_report: tuple[float | None, ...] | None = None,
     ) -> None:
-        """The one outcome of an attempt; whatever comes after it is dropped."""
-        if attempt.finished:
-            return
-        request = attempt.request
-        attempt.finished = True
-        self.timers.cancel(attempt.timer)
-        del request.in_flight[attempt.number]
-        if not request.done and (status is AttemptStatus.OK or request.committed_attempt is attempt):
-            self._settle(now, request, "served" if status is AttemptStatus.OK else "cut")
-            if status is AttemptStatus.OK:
-                self._tell(request.sink.finished)
-            else:
-                self._tell(request.sink.stream_broken)
-        if not attempt.is_prefill and attempt.request_written and not proves_idle(status):
-            request.first_run_at = request.first_run_at if request.may_have_run else attempt.sent_at
-            request.may_have_run = True
-        if attempt.request_written:
-            request.state_held_since = now
-        if status is AttemptStatus.PREFILLED or (
-            attempt.is_prefill and attempt.request_written and not proves_idle(status)
-        ):
-            request.holds_remote_state = True  # a read may have ended well just as its connection broke
-        if self.outlier_observer is not None:
-            if status is AttemptStatus.PREFILLED:
-                self.outlier_observer.attempt_observed(now, attempt.server, True)
-            elif status in FAILURE_STATUSES and not attempt.stream_started:
-                self.outlier_observer.attempt_observed(now, attempt.server, False)
-        took = now - attempt.sent_at
-        request.attempt_log.append((attempt.server, status.value, round(took)))
-        self._post(
-            AttemptFinished(
-                request.id, attempt.server, attempt.number, status, took, request.done, note, report
-            )
-        )
-        self.changed_requests[request.id] = request
-        if request.client_disconnected and not may_have_run(request):
-            self.client_disconnected(
-                now, request
-            )  # what could have run did not, so nothing is left to go on with
+        """Reports the one outcome of an attempt; see `AttemptFinished` for the arguments."""
+        self._attempts.finished(now, attempt, status, detail, load_report)
 
     def request_invalid(self, now: float, attempt: Attempt) -> None:
-        """A host says that the request itself is at fault: no other host is asked, and none is blamed."""
-        request = attempt.request
-        if attempt.finished or request.done or request.committed_attempt is not None:
-            return
-        self._settle(now, request, "unusable")
-        self._tell(request.sink.failed, may_have_run(request))
-        self.attempt_finished(now, attempt, AttemptStatus.CANCELLED)
-
-    def reservation_finished(self, call: ReservationCall, held: bool | None, nothing_done: bool) -> None:
-        """None: not known. Then, and also when the place is held, it stays loose until the request's end."""
-        request = call.request
-        request.reservations_in_flight -= 1
-        told = "unknown" if held is None else "held" if held else "not_held"
-        request.reservation_log.append((call.server, told))
-        if not nothing_done:
-            request.holds_remote_state = True
-            if (overtaken := request.release) is not None and not overtaken.superseded:
-                overtaken.superseded = True  # the place may have been taken after it
-                self._release(overtaken.since, request)
-        self.changed_requests[request.id] = request
-        attempt = call.attempt
-        if held is not None and attempt is not None and not attempt.finished:
-            self._post(ReservationResult(request.id, attempt.server, attempt.number, held))
-        self.wake()
+        """A host says that the request itself is at fault."""
+        self._attempts.request_invalid(now, attempt)
+
+    def reservation_finished(
+        self, call: ReservationCall, reserved: bool | None, nothing_reserved: bool
+    ) -> None:
+        """A reservation ended; see `Reservations.finished`."""
+        self._reservations.finished(call, reserved, nothing_reserved)
 
     def release_finished(self, call: ReleaseCall, done: bool) -> None:
-        request = call.request
-        if request.release is call:
-            request.release = None
-            if done and not call.superseded:
-                request.holds_remote_state = False
-            elif not done and not call.superseded:
-                request.holds_remote_state = False
-                self.driver.log("release_abandoned", id=request.id)
-        self.changed_requests[request.id] = request
-        self.wake()
-
-    # --- time ---
+        """A release ended, or was given up if not `done`."""
+        self._reservations.release_finished(call, done)
+
+    # --- the policy's turn ---
 
     def next_due(self) -> float:
-        return self.timers.next_due()
+        """Returns the time of the next timer; infinite if there is none."""
+        return self._state.timers.next_due()
 
     def run(self, now: float) -> None:
-        """Timers that are due, then the events that came, then whatever follows from the actions."""
-        self.timers.run(now)
-        while self.pending_events or self.changed_requests:
-            events = self.pending_events
-            self.pending_events = []
+        """Runs the timers that are due, then the policy, until nothing is left to decide."""
+        state = self._state
+        state.timers.run(now)
+        while state.pending_events or state.changed_requests:
+            events = state.take_events()
             if events:
                 for action in self._decide(now, events):
-                    self._guarded(now, action)
-            touched = self.changed_requests
-            self.changed_requests = {}
-            for request in touched.values():
-                self._tidy(now, request)
+                    self._try_action(now, action)
+            for request in state.take_changed():
+                self._lifecycle.clean_up(now, request)
 
     def _decide(self, now: float, events: list[Event]) -> list[Action]:
-        """Guards against an end of the whole program: what the module leaves open is failed when overdue."""
+        """If the policy raises, requests that it leaves open fail at their deadlines; the process goes on."""
         try:
             return self.policy.handle(now, events)
         except Exception as error:
             self.driver.log("policy_failed", error=repr(error))
             return []
 
-    def _guarded(self, now: float, action: Action) -> None:
+    def _try_action(self, now: float, action: Action) -> None:
         try:
             self._carry_out(now, action)
         except Exception as error:
             self.driver.log("action_failed", action=repr(action), error=repr(error))
 
-    def _overdue(self, now: float, request: OpenRequest) -> None:
-        """The module answers before this; the core still owes the one final answer if it did not."""
-        if request.done or request.committed_attempt is not None:
-            return
-        self.driver.log("request_overdue", id=request.id)
-        self._settle(now, request, "overdue")
-        self._tell(request.sink.failed, may_have_run(request))
-        self.pending_events.append(ClientDisconnected(request.id))
-
-    def _expire(self, now: float, attempt: Attempt) -> None:
-        if attempt.finished or attempt.stream_started:
-            return
-        self.driver.abort_attempt(attempt)
-        # Not yet written means that it never ran, however long it took.
-        self.attempt_finished(
-            now, attempt, AttemptStatus.TIMEOUT if attempt.request_written else AttemptStatus.CONNECT_FAILED
-        )
-
-    def _tidy(self, now: float, request: OpenRequest) -> None:
-        """Guards against states and places that outlive their request: nothing loose is left behind."""
-        if not request.done or request.in_flight:
-            return
-        if request.holds_remote_state:
-            self._release(now, request)  # a place call that is still out needs one more after it
-        elif request.release is None and not request.reservations_in_flight:
-            self.open_requests.pop(request.id, None)
-            request.close()
-            more: dict[str, Any] = {}
-            if self.routes is not None:
-                more = self.routes.log_fields(request.policy_request)
-                self.routes.request_closed(now, request.policy_request)
-            self.driver.log(
-                "request",
-                id=request.id,
-                cls=request.policy_request.class_index,
-                answer=request.outcome,
-                ms=round(request.answered_at - request.arrived_at),
-                attempts=request.attempt_log,
-                places=request.reservation_log,
-                **more,
-            )
-
-    # --- actions out ---
-
     def _carry_out(self, now: float, action: Action) -> None:
         match action:
-            case SendAttempt():
-                self._send(now, action)
-            case ReserveDecodeSlot():
-                self._hold(now, action)
-            case ReleaseState():
-                if (request := self.open_requests.get(action.id)) is not None:
-                    self._release(now, request)
-            case CancelAttempt():
-                self._cancel(now, action)
+            case SendAttempt() | ReserveDecodeSlot() | ReleaseState() | CancelAttempt():
+                request = self.open_requests.get(action.id)
+                if request is not None:
+                    self._carry_out_for(now, request, action)
             case RejectRequest():
-                if (request := self._answerable(now, action.id, "refused")) is not None:
-                    self._tell(request.sink.rejected, self.retry_after_ms(action.retry_after_ms))
+                self._lifecycle.reject(now, action.id, action.retry_after_ms)
             case FailRequest():
-                if (request := self._answerable(now, action.id, "failed")) is not None:
-                    self._tell(request.sink.failed, may_have_run(request))
+                self._lifecycle.fail(now, action.id)
             case StartTimer():
-                token = action.token
-                self.timers.schedule(
-                    now + action.delay_ms, lambda at: self.pending_events.append(TimerFired(token))
+                fired = TimerFired(action.token)
+                self._state.timers.schedule(
+                    now + action.delay_ms, lambda _now: self._state.pending_events.append(fired)
                 )
             case SendHealthCheck():
                 self.driver.check_health(action.server)
@@ -536,85 +344,23 @@
             case WriteLog():
                 self.driver.log("policy", text=action.text)
             case SetWatch() | FetchEndpoints() | MigrateStream():
-                pass  # the watch always runs; nothing resumes here
-
-    def _settle(self, now: float, request: OpenRequest, answer: str) -> None:
-        """The request has its one final answer, or nobody is left to have it."""
-        request.done = True
-        request.outcome = answer
-        request.answered_at = now
-        self.timers.cancel(request.deadline_timer)
-        self.changed_requests[request.id] = request
-        self.metrics.request_finished(request.policy_request.class_index, answer)
-        if self.load_shedder is not None:
-            self.load_shedder.request_finished(now, answer, request.policy_request.prompt_tokens)
-
-    def _tell(self, answer: Callable[..., None], *told: object) -> None:
-        """Guards against a front whose answer fails: it loses that one answer, not the program."""
-        try:
-            answer(*told)
-        except Exception as error:
-            self.driver.log("response_dropped", error=repr(error))
-
-    def _answerable(self, now: float, request_id: str, answer: str) -> OpenRequest | None:
-        """Guards against a second final answer, and against one for a stream that has begun."""
-        request = self.open_requests.get(request_id)
-        if request is None or request.done or request.committed_attempt is not None:
-            return None
-        self._settle(now, request, answer)
-        return request
-
-    def _send(self, now: float, action: SendAttempt) -> None:
-        request = self.open_requests.get(action.id)
-        if request is None:
-            return
-        entry = self.endpoints.get(action.server)
-        roles = self.settings.roles
-        reading = entry is not None and entry.kind < len(roles) and roles[entry.kind] is Role.PREFILL
-        stop_at = min(action.deadline_ms or request.deadline, request.deadline)
-        attempt = Attempt(request, request.attempts_sent, action.server, reading, now, stop_at)
-        request.attempts_sent += 1
-        request.in_flight[attempt.number] = attempt
-        twice = len(request.in_flight) > 1 and not self.settings.hedging_allowed
-        spent = attempt.number >= self.settings.max_attempts or stop_at <= now
-        if request.done or request.committed_attempt is not None or twice or spent or entry is None:
-            self.attempt_finished(now, attempt, AttemptStatus.ALREADY_FINISHED)
-            return
-        attempt.timer = self.timers.schedule(stop_at, lambda at: self._expire(at, attempt))
-        self.driver.start_attempt(attempt)
-
-    def _hold(self, now: float, action: ReserveDecodeSlot) -> None:
-        request = self.open_requests.get(action.id)
-        if request is None or request.done or not self.settings.reserve_ahead:
-            return
-        reads = [a for a in request.in_flight.values() if a.is_prefill]
-        request.reservations_in_flight += 1
-        call = ReservationCall(request, action.server, reads[-1] if reads else None, request.release)
-        self.driver.reserve_decode_slot(call)
-
-    def _cancel(self, now: float, action: CancelAttempt) -> None:
-        request = self.open_requests.get(action.id)
-        attempt = request.in_flight.get(action.attempt) if request is not None else None
-        if attempt is None or attempt.stream_started:
-            return
-        self.driver.abort_attempt(attempt)
-        self.attempt_finished(
-            now,
-            attempt,
-            AttemptStatus.CANCELLED if attempt.request_written else AttemptStatus.ALREADY_FINISHED,
-        )
-
-    def _release(self, now: float, request: OpenRequest) -> None:
-        if request.holds_remote_state and (request.release is None or request.release.superseded):
-            request.release = ReleaseCall(request, now)
-            self.driver.release_state(request.release)
-
-
-def may_have_run(request: OpenRequest) -> bool:
-    """An attempt still out counts, since it may be written before it is withdrawn."""
-    return request.may_have_run or any(not attempt.is_prefill for attempt in request.in_flight.values())
-
-
-def proves_idle(status: AttemptStatus) -> bool:
-    """Does this outcome prove that the server keeps nothing of the attempt?"""
-    return status in (AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED, AttemptStatus.ALREADY_FINISHED)
+                pass  # this program always watches the list, and resumes no stream at another host
+
+    def _carry_out_for(
+        self,
+        now: float,
+        request: OpenRequest,
+        action: SendAttempt | ReserveDecodeSlot | ReleaseState | CancelAttempt,
+    ) -> None:
+        match action:
+            case SendAttempt():
+                self._attempts.send(now, request, action.server, action.deadline_ms)
+            case ReserveDecodeSlot():
+                if not request.done and self.settings.reserve_ahead:
+                    self._reservations.reserve(request, action.server)
+            case ReleaseState():
+                self._reservations.release(now, request)
+            case CancelAttempt():
+                attempt = request.in_flight.get(action.attempt)
+                if attempt is not None:
+                    self._attempts.cancel(now, attempt)
--- /dev/null
+++ b/violetstack/core/endpoint_table.py
@@ -0,0 +1,47 @@
+"""The endpoint list as the core knows it."""
+
+from __future__ import annotations
+
+from violetstack.policy_api import Endpoint, EndpointState, EndpointUpdate, Role, Settings, UpdateScope
+
+
+class EndpointTable:
+    """Listed endpoints by host id, and which of them are draining.
+
+    Attributes:
+        endpoints: Endpoints by host id; the dictionary stays the same one over updates.
+        draining: Ids of listed hosts that are draining.
+        stateless_hosts: Ids of hosts that hold no state and take no reservations or releases.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        """Creates an empty table."""
+        self._roles = settings.roles
+        self.endpoints: dict[str, Endpoint] = {}
+        self.draining: set[str] = set()
+        self.stateless_hosts: set[str] = set()
+
+    def update(self, update: EndpointUpdate) -> None:
+        """Applies an update. A removed host leaves nothing behind: hosts come with new ids all day long."""
+        if update.scope is not UpdateScope.DELTA:
+            self.endpoints.clear()
+        for endpoint in update.endpoints:
+            self.endpoints[endpoint.server] = endpoint
+            if endpoint.state is EndpointState.DRAINING:
+                self.draining.add(endpoint.server)
+            else:
+                self.draining.discard(endpoint.server)
+            if endpoint.state is EndpointState.REMOVED:
+                del self.endpoints[endpoint.server]
+        self.draining.intersection_update(self.endpoints)
+
+    def accepts_writes(self, server: str) -> bool:
+        """Returns whether the host is listed and not draining."""
+        return server in self.endpoints and server not in self.draining
+
+    def only_prefills(self, server: str) -> bool:
+        """Returns whether the host is listed as one that prefills prompts and decodes none."""
+        endpoint = self.endpoints.get(server)
+        if endpoint is None or endpoint.kind >= len(self._roles):
+            return False
+        return self._roles[endpoint.kind] is Role.PREFILL
--- /dev/null
+++ b/violetstack/core/errors.py
@@ -0,0 +1,31 @@
+"""Errors of the core."""
+
+from __future__ import annotations
+
+
+class DispatchError(Exception):
+    """Base class of the errors that the core raises."""
+
+
+class DuplicateRequestError(DispatchError):
+    """A request with the same id is still open."""
+
+    def __init__(self, request_id: str) -> None:
+        """Creates the error for the id that is in use."""
+        super().__init__(f"request {request_id!r} is still open")
+        self.request_id = request_id
+
+
+class NotRoutedError(DispatchError):
+    """No route matches the request, or the policy of its route rejects it.
+
+    Attributes:
+        reason: Text for the client.
+        status: HTTP status of the response.
+    """
+
+    def __init__(self, reason: str, status: int) -> None:
+        """Creates the error with the client's text and the HTTP status."""
+        super().__init__(reason)
+        self.reason = reason
+        self.status = status
--- /dev/null
+++ b/violetstack/core/lifecycle.py
@@ -0,0 +1,158 @@
+"""The life of a request: acceptance, one final response, and the end of its record."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from violetstack.core.errors import DuplicateRequestError
+from violetstack.core.ports import MigratedStream, RetryAfter, Sink
+from violetstack.core.records import Attempt, OpenRequest, RequestOutcome
+from violetstack.core.reservations import Reservations
+from violetstack.core.state import DispatcherState
+from violetstack.policy_api import ClientDisconnected, Request
+
+
+class RequestLifecycle:
+    """Accepts requests, gives each exactly one final response, and closes its record."""
+
+    def __init__(self, state: DispatcherState, reservations: Reservations, retry_after: RetryAfter) -> None:
+        """Creates it for a dispatcher's state; `retry_after` adjusts the advice of rejections."""
+        self._state = state
+        self._reservations = reservations
+        self._retry_after = retry_after
+
+    def accept(self, now: float, policy_request: Request, sink: Sink, payload: object) -> OpenRequest:
+        """Opens a request and hands it to the policy.
+
+        Raises:
+            DuplicateRequestError: A request with the same id is open.
+        """
+        if policy_request.id in self._state.open_requests:
+            raise DuplicateRequestError(policy_request.id)
+        request = OpenRequest(policy_request, sink, payload, now, now + policy_request.expires_in_ms)
+        self._open(now, request)
+        request.deadline_timer = self._state.timers.schedule(
+            request.deadline, lambda at: self._deadline_exceeded(at, request)
+        )
+        self._state.post(policy_request)
+        return request
+
+    def adopt(self, now: float, stream: MigratedStream, sink: Sink) -> Attempt:
+        """Opens a request whose stream another process began.
+
+        The policy gets no event of it, since nothing is left to decide.
+        """
+        policy_request = Request(
+            id=stream.id,
+            class_index=stream.cls,
+            tenant_index=stream.tenant,
+            session=None,
+            expires_in_ms=0.0,
+            expected_answer_ms=None,
+            prefix_id=None,
+            prompt_tokens=stream.prompt_tokens,
+            prefix_tokens=0.0,
+            max_tokens=0.0,
+            is_retry=False,
+            is_resumed=False,
+        )
+        request = OpenRequest(policy_request, sink, None, now - stream.age_ms, now)
+        attempt = Attempt(
+            request,
+            0,
+            stream.server,
+            is_prefill=False,
+            sent_at=request.arrived_at,
+            deadline=now,
+            request_written=True,
+            stream_started=True,
+            events_forwarded=stream.events,
+        )
+        request.committed_attempt = attempt
+        request.in_flight = {0: attempt}
+        request.attempts_sent = 1
+        request.holds_remote_state = stream.loose
+        self._open(now, request)
+        return attempt
+
+    def _open(self, now: float, request: OpenRequest) -> None:
+        state = self._state
+        state.open_requests[request.id] = request
+        state.metrics.request_accepted(request.policy_request.class_index)
+        if state.router is not None:
+            state.router.request_accepted(now, request.policy_request)
+
+    def reject(self, now: float, request_id: str, advised_ms: float) -> None:
+        """Answers that a retry does no harm; the policy advises to wait for `advised_ms`.
+
+        Does nothing if the request has a response.
+        """
+        request = self._without_response(request_id)
+        if request is not None:
+            self.finish(now, request, RequestOutcome.REJECTED)
+            self._state.notify(request.sink.rejected, self._retry_after(advised_ms))
+
+    def fail(self, now: float, request_id: str) -> None:
+        """Answers that the request failed. Does nothing if the request has a response."""
+        request = self._without_response(request_id)
+        if request is not None:
+            self.finish_failed(now, request, RequestOutcome.FAILED)
+
+    def finish_failed(self, now: float, request: OpenRequest, outcome: RequestOutcome) -> None:
+        """Ends the request, and answers that it failed."""
+        self.finish(now, request, outcome)
+        self._state.notify(request.sink.failed, request.possibly_executed)
+
+    def finish(self, now: float, request: OpenRequest, outcome: RequestOutcome) -> None:
+        """Ends the request: its final response is decided, or its client is gone."""
+        state = self._state
+        request.done = True
+        request.outcome = outcome
+        request.answered_at = now
+        state.timers.cancel(request.deadline_timer)
+        state.mark_changed(request)
+        state.metrics.request_finished(request.policy_request.class_index, outcome)
+        if state.load_shedder is not None:
+            state.load_shedder.request_finished(now, outcome, request.policy_request.prompt_tokens)
+
+    def _without_response(self, request_id: str) -> OpenRequest | None:
+        request = self._state.open_requests.get(request_id)
+        return None if request is None or request.has_response else request
+
+    def _deadline_exceeded(self, now: float, request: OpenRequest) -> None:
+        """The policy ends a request before its deadline; if it did not, the client still gets a response."""
+        if request.has_response:
+            return
+        self._state.driver.log("request_overdue", id=request.id)
+        self.finish_failed(now, request, RequestOutcome.DEADLINE_EXCEEDED)
+        self._state.pending_events.append(ClientDisconnected(request.id))
+
+    def clean_up(self, now: float, request: OpenRequest) -> None:
+        """Releases what hosts hold for a request that is over, then closes its record."""
+        if not request.done or request.in_flight:
+            return
+        if request.holds_remote_state:
+            # A reservation that is in flight needs one more release after it.
+            self._reservations.release(now, request)
+        elif request.release is None and not request.reservations_in_flight:
+            self._close(now, request)
+
+    def _close(self, now: float, request: OpenRequest) -> None:
+        self._state.open_requests.pop(request.id, None)
+        request.close()
+        route_fields: dict[str, Any] = {}
+        router = self._state.router
+        if router is not None:
+            route_fields = router.log_fields(request.policy_request)
+            router.request_closed(now, request.policy_request)
+        outcome = request.outcome
+        self._state.driver.log(
+            "request",
+            id=request.id,
+            cls=request.policy_request.class_index,
+            answer=outcome.value if outcome is not None else "",
+            ms=round(request.answered_at - request.arrived_at),
+            attempts=[(each.server, each.status.value, each.duration_ms) for each in request.attempt_log],
+            places=[(each.server, each.outcome.value) for each in request.reservation_log],
+            **route_fields,
+        )
--- a/violetstack/core/metrics.py
+++ b/violetstack/core/metrics.py
@@ -1,42 +1,68 @@
-"""How requests end, by class, from the process's start; the core counts each where it settles it, once."""
+"""Counters of how requests ended, by class, since the process started."""
 
 from __future__ import annotations
 
 import msgspec
 
-ENDS = {"served": "fulfilled", "refused": "throttled", "shed": "throttled", "left": "left"}
+from violetstack.core.records import RequestOutcome
 
 
 class ClassMetrics(msgspec.Struct):
-    """One class. What is none of the others is `faulted`: failed, overdue, unusable or cut."""
+    """Counters of one class of requests.
 
-    taken: int = 0
+    Attributes:
+        accepted: Requests that were accepted or shed.
+        fulfilled: Complete responses.
+        throttled: Rejected or shed requests.
+        faulted: Every other end: failed, truncated, past the deadline, or invalid for the host.
+        client_disconnected: The client closed its connection before the response was complete.
+    """
+
+    accepted: int = 0
     fulfilled: int = 0
     throttled: int = 0
     faulted: int = 0
-    left: int = 0  # the client went away first
+    client_disconnected: int = 0
 
     @property
     def open(self) -> int:
-        return self.taken - self.fulfilled - self.throttled - self.faulted - self.left
+        """Requests without an end."""
+        return self.accepted - self.fulfilled - self.throttled - self.faulted - self.client_disconnected
 
 
 class RequestMetrics:
-    def __init__(self, classes: int) -> None:
-        self.classes = [ClassMetrics() for _ in range(classes)]
-        self.requests_written = 0  # attempts written whole, reads and writes, second copies included
+    """Counters of all classes.
+
+    Attributes:
+        classes: Counters by class index.
+        requests_written: Attempts whose last byte was written, prefills and hedged requests included.
+    """
+
+    def __init__(self, class_count: int) -> None:
+        """Creates counters of zero."""
+        self.classes = [ClassMetrics() for _ in range(class_count)]
+        self.requests_written = 0
 
-    def request_accepted(self, cls: int) -> None:
-        self.classes[cls].taken += 1
+    def request_accepted(self, class_index: int) -> None:
+        """Counts a request that was accepted, shed or adopted."""
+        self.classes[class_index].accepted += 1
 
-    def request_finished(self, cls: int, answer: str) -> None:
-        row = self.classes[cls]
-        name = ENDS.get(answer, "faulted")
-        if answer == "moved":  # it is its heir's now, and counts there alone
-            row.taken -= 1
-            return
-        setattr(row, name, getattr(row, name) + 1)
+    def request_finished(self, class_index: int, outcome: RequestOutcome) -> None:
+        """Counts the end of a request. A migrated stream counts in the process that took it over, alone."""
+        metrics = self.classes[class_index]
+        match outcome:
+            case RequestOutcome.MIGRATED:
+                metrics.accepted -= 1
+            case RequestOutcome.COMPLETED:
+                metrics.fulfilled += 1
+            case RequestOutcome.REJECTED | RequestOutcome.SHED:
+                metrics.throttled += 1
+            case RequestOutcome.CLIENT_DISCONNECTED:
+                metrics.client_disconnected += 1
+            case _:
+                metrics.faulted += 1
 
     @property
     def open(self) -> int:
-        return sum(row.open for row in self.classes)
+        """Requests without an end, over all classes."""
+        return sum(metrics.open for metrics in self.classes)
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -1,139 +1,103 @@
-"""What the core keeps: an open request, its attempts, the calls made for it, and its ports."""
+"""Records of an open request, its attempts, and the calls made to hosts on its behalf."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any
 
 import msgspec
 
+from violetstack.core.ports import Sink
 from violetstack.core.timers import Timer
-from violetstack.policy_api import EndpointUpdate, Request
+from violetstack.policy_api import AttemptStatus, Request
 
 
-class Sink(Protocol):
-    """Where a request's answer goes; a front's. After `begun` and any `event`, exactly one of the rest."""
+class RequestOutcome(StrEnum):
+    """How a request ended. The values are those of the log's `answer` field."""
 
-    def stream_started(self) -> None: ...
+    COMPLETED = "served"
+    REJECTED = "refused"
+    SHED = "shed"
+    FAILED = "failed"
+    INVALID = "unusable"
+    """A host says that the request itself is at fault."""
+    DEADLINE_EXCEEDED = "overdue"
+    TRUNCATED = "cut"
+    """The stream broke after its first event."""
+    CLIENT_DISCONNECTED = "left"
+    MIGRATED = "moved"
+    """Another process took over the stream."""
 
-    def event(self, data: memoryview) -> None: ...
 
-    def finished(self) -> None: ...
+class ReservationOutcome(StrEnum):
+    """What a host answered to a reservation. The values are those of the log's `places` field."""
 
-    def stream_broken(self) -> None:
-        """The stream broke after its first event."""
-
-    def rejected(self, retry_after_ms: float) -> None: ...
-
-    def failed(self, may_have_run: bool) -> None: ...
-
-    def client_gone(self) -> bool:
-        """Has the client closed its connection by now, or been answered?"""
-
-
-class NotRouted(Exception):
-    """No route takes this request, or its route's policy does not; the text is for the client."""
-
-    def __init__(self, reason: str, status: int) -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.status = status
-
-
-class Origin(msgspec.Struct, frozen=True):
-    """What a front knows of a request that the module does not need."""
-
-    front: str
-    model: str = ""
-    body_bytes: int = 0
-
-
-class Routes(Protocol):
-    """Who gives requests their course. Without one, every request may go to every host."""
-
-    def route(self, request: Request, origin: Origin) -> Request:
-        """The request with its course. Raises NotRouted."""
-
-    def request_accepted(self, now: float, request: Request) -> None: ...
-
-    def request_closed(self, now: float, request: Request) -> None: ...
-
-    def update_endpoints(self, now: float, news: EndpointUpdate) -> None: ...
-
-    def log_fields(self, request: Request) -> dict[str, Any]:
-        """For the request's log line."""
-
-
-class LoadShedder(Protocol):
-    """Who bounds what is taken at all, and is told how it went."""
-
-    def admit(self, now: float, request: Request) -> Shed | None:
-        """Called right before a request is taken; None: it may be. It may bound the request's course."""
-
-    def stream_started(self, now: float, ratio: float, prompt: float) -> None:
-        """A first token came, after so many times the request's aim."""
-
-    def request_finished(self, now: float, answer: str, prompt: float) -> None: ...
-
-
-class OutlierObserver(Protocol):
-    """Who is told how hosts do, beside the module."""
-
-    def endpoints_listed(self, now: float, hosts: Iterable[str]) -> None: ...
-
-    def attempt_observed(self, now: float, host: str, well: bool) -> None:
-        """An attempt went well there, or the host failed it."""
-
-
-class Shed(msgspec.Struct, frozen=True):
-    """Dropped knowingly, before any host heard of it."""
-
-    reason: str
-    retry_after_ms: float
+    RESERVED = "held"
+    NOT_RESERVED = "not_held"
+    UNKNOWN = "unknown"
 
 
 class ClosedSink:
-    """Takes the place of a sink whose request is over."""
+    """Takes the place of the sink of a closed request, and ignores every call."""
 
-    def stream_started(self) -> None: ...
+    def stream_started(self) -> None:
+        """Does nothing."""
 
-    def event(self, data: memoryview) -> None: ...
+    def event(self, data: memoryview) -> None:
+        """Does nothing."""
 
-    def finished(self) -> None: ...
+    def finished(self) -> None:
+        """Does nothing."""
 
-    def stream_broken(self) -> None: ...
+    def stream_broken(self) -> None:
+        """Does nothing."""
 
-    def rejected(self, retry_after_ms: float) -> None: ...
+    def rejected(self, retry_after_ms: float) -> None:
+        """Does nothing."""
 
-    def failed(self, may_have_run: bool) -> None: ...
+    def failed(self, may_have_run: bool) -> None:
+        """Does nothing."""
 
     def client_gone(self) -> bool:
+        """Returns True: the client has its response."""
         return True
 
 
 CLOSED_SINK = ClosedSink()
 
 
-class Driver(Protocol):
-    """Who carries out what the core asks; the net's. Each call returns at once."""
+class AttemptLogEntry(msgspec.Struct, frozen=True):
+    """One finished attempt, for the request's log line."""
 
-    def start_attempt(self, attempt: Attempt) -> None: ...
-
-    def abort_attempt(self, attempt: Attempt) -> None: ...
-
-    def reserve_decode_slot(self, call: ReservationCall) -> None: ...
-
-    def release_state(self, call: ReleaseCall) -> None: ...
+    server: str
+    status: AttemptStatus
+    duration_ms: int
 
-    def check_health(self, server: str) -> None: ...
 
-    def send_gossip(self, payload: bytes, /) -> None: ...
+class ReservationLogEntry(msgspec.Struct, frozen=True):
+    """One finished reservation, for the request's log line."""
 
-    def log(self, event: str, **fields: Any) -> None: ...
+    server: str
+    outcome: ReservationOutcome
 
 
 class Attempt(msgspec.Struct, eq=False):
-    """One send. `written` is set by the driver once the last byte may have left, never before."""
+    """One attempt of a request at one host. Times are in milliseconds.
+
+    Attributes:
+        request: The request that it belongs to.
+        number: Attempts of a request are numbered from 0.
+        server: Id of the host.
+        is_prefill: Whether the host only prefills the prompt, which has no effect of its own.
+        sent_at: When the attempt was started.
+        deadline: When it times out.
+        request_written: Set by the driver in the step in which the last byte may have left, never before.
+        stream_started: Whether the first event of its response was accepted.
+        events_forwarded: Number of events that went to the client.
+        finished: Whether its outcome is known.
+        timer: The timer of its deadline.
+    """
 
     request: OpenRequest
     number: int
@@ -143,12 +107,21 @@
     deadline: float
     request_written: bool = False
     stream_started: bool = False
-    events_forwarded: int = 0  # passed on
+    events_forwarded: int = 0
     finished: bool = False
     timer: Timer | None = None
 
 
 class ReservationCall(msgspec.Struct, eq=False):
+    """Reserves a decode slot while the prompt is prefilled.
+
+    Attributes:
+        request: The request that the slot is for.
+        server: Id of the decode host.
+        attempt: The prefill attempt that the reservation goes along with, if one is in flight.
+        after_release: A release in flight that has to end before the reservation is sent.
+    """
+
     request: OpenRequest
     server: str
     attempt: Attempt | None
@@ -156,7 +129,14 @@
 
 
 class ReleaseCall(msgspec.Struct, eq=False):
-    """Stale once a further send or place goes out: what is held then is settled by that one's end."""
+    """Releases the prefilled state and the reservations that hosts hold for a request.
+
+    Attributes:
+        request: The request that they are held for.
+        since: When the release was first wanted, in milliseconds.
+        superseded: An attempt or a reservation was sent since: its own end settles what is held then.
+        attempted: Whether the driver has sent it at least once.
+    """
 
     request: OpenRequest
     since: float
@@ -165,13 +145,38 @@
 
 
 def always() -> bool:
+    """Returns True."""
     return True
 
 
 class OpenRequest(msgspec.Struct, eq=False):
-    """One request from its arrival until nothing of it is left anywhere.
-
-    `allowed` is asked in each step that writes a part of an attempt; a no keeps the rest unsent.
+    """One request, from its acceptance until no host holds anything for it. Times are in milliseconds.
+
+    Attributes:
+        policy_request: The request as the policy sees it.
+        sink: Where its response goes.
+        payload: The front's message for the driver; opaque to the core.
+        arrived_at: When it was accepted.
+        deadline: When its client gives up.
+        in_flight: Unfinished attempts by number.
+        attempts_sent: Number of attempts that were started.
+        committed_attempt: The attempt whose stream goes to the client.
+        sending_allowed: Asked in each step that writes a part of an attempt; False keeps the rest unsent.
+        survives_disconnect: Once it may have run, it goes on without its client, for a retry to find.
+        client_disconnected: Whether its client has closed the connection.
+        done: Whether it has its final response.
+        may_have_run: Whether an attempt that has an effect may have reached a host and finished since.
+        first_run_at: When the first such attempt was sent.
+        holds_remote_state: Whether a host may hold state or a reservation for it.
+        state_held_since: The last end of an attempt that had reached a host: what is held expires
+            `Settings.state_retention_ms` after that.
+        reservations_in_flight: Number of unfinished reservations.
+        release: The release that is in flight.
+        deadline_timer: The timer of its deadline.
+        outcome: How it ended; None while it is open.
+        answered_at: When it ended.
+        reservation_log: Finished reservations, for the log.
+        attempt_log: Finished attempts, for the log.
     """
 
     policy_request: Request
@@ -183,31 +188,45 @@
     attempts_sent: int = 0
     committed_attempt: Attempt | None = None
     sending_allowed: Callable[[], bool] = always
-    survives_disconnect: bool = (
-        False  # once it may have run it goes on without its client, for a retry to find
-    )
-    client_disconnected: bool = False  # its client has
+    survives_disconnect: bool = False
+    client_disconnected: bool = False
     done: bool = False
     may_have_run: bool = False
-    first_run_at: float = 0.0  # when the first of them was sent
-    holds_remote_state: bool = False  # a state or place may be held for it somewhere
-    state_held_since: float = (
-        0.0  # the last outcome of what had reached a host: what is held has its time from then
-    )
-    reservations_in_flight: int = 0  # place calls under way
+    first_run_at: float = 0.0
+    holds_remote_state: bool = False
+    state_held_since: float = 0.0
+    reservations_in_flight: int = 0
     release: ReleaseCall | None = None
     deadline_timer: Timer | None = None
-    outcome: str = ""
+    outcome: RequestOutcome | None = None
     answered_at: float = 0.0
-    reservation_log: list[tuple[str, str]] = []  # server, what it told of a place
-    attempt_log: list[tuple[str, str, int]] = []  # server, status, ms of each attempt
+    reservation_log: list[ReservationLogEntry] = []
+    attempt_log: list[AttemptLogEntry] = []
 
     @property
     def id(self) -> str:
+        """The request's id."""
         return self.policy_request.id
 
+    @property
+    def has_response(self) -> bool:
+        """Whether the request is over, or its client already receives a stream."""
+        return self.done or self.committed_attempt is not None
+
+    @property
+    def possibly_executed(self) -> bool:
+        """Whether a host may have executed the request.
+
+        An attempt in flight counts, since it may be written before it is cancelled.
+        """
+        return self.may_have_run or any(not attempt.is_prefill for attempt in self.in_flight.values())
+
     def close(self) -> None:
-        """Guards the memory: body, front and connection go now, not when a collection finds the circle."""
+        """Drops the references to the front and the connection.
+
+        They point back to this record; without this, the memory is held until a garbage collection finds the
+        cycle.
+        """
         self.sink = CLOSED_SINK
         self.payload = None
         self.committed_attempt = None
--- /dev/null
+++ b/violetstack/core/reservations.py
@@ -0,0 +1,83 @@
+"""Decode slots that are reserved for a request, and the release of what hosts hold for it."""
+
+from __future__ import annotations
+
+from violetstack.core.records import (
+    OpenRequest,
+    ReleaseCall,
+    ReservationCall,
+    ReservationLogEntry,
+    ReservationOutcome,
+)
+from violetstack.core.state import DispatcherState
+from violetstack.policy_api import ReservationResult
+
+
+class Reservations:
+    """Makes reservations and releases, and keeps track of whether a host may hold anything."""
+
+    def __init__(self, state: DispatcherState) -> None:
+        """Creates it for a dispatcher's state."""
+        self._state = state
+
+    def reserve(self, request: OpenRequest, server: str) -> None:
+        """Reserves a decode slot at the host, after a release that is in flight."""
+        prefills = [attempt for attempt in request.in_flight.values() if attempt.is_prefill]
+        request.reservations_in_flight += 1
+        latest_prefill = prefills[-1] if prefills else None
+        self._state.driver.reserve_decode_slot(
+            ReservationCall(request, server, latest_prefill, request.release)
+        )
+
+    def finished(self, call: ReservationCall, reserved: bool | None, nothing_reserved: bool) -> None:
+        """A reservation ended.
+
+        Args:
+            call: The reservation.
+            reserved: What the host answered; None if that is unknown.
+            nothing_reserved: Whether it is certain that the host holds nothing of this call. If it is not,
+                the request keeps its remote state until it is released.
+        """
+        request = call.request
+        request.reservations_in_flight -= 1
+        request.reservation_log.append(ReservationLogEntry(call.server, _outcome(reserved)))
+        if not nothing_reserved:
+            request.holds_remote_state = True
+            self._repeat_overtaken_release(request)
+        self._state.mark_changed(request)
+        attempt = call.attempt
+        if reserved is not None and attempt is not None and not attempt.finished:
+            self._state.post(ReservationResult(request.id, attempt.server, attempt.number, reserved))
+        self._state.wake()
+
+    def _repeat_overtaken_release(self, request: OpenRequest) -> None:
+        """The slot may have been taken after a release that is in flight, so one more release follows."""
+        overtaken = request.release
+        if overtaken is None or overtaken.superseded:
+            return
+        overtaken.superseded = True
+        self.release(overtaken.since, request)
+
+    def release(self, now: float, request: OpenRequest) -> None:
+        """Releases what hosts may hold for the request, unless a release that covers it is in flight."""
+        if request.holds_remote_state and (request.release is None or request.release.superseded):
+            request.release = ReleaseCall(request, now)
+            self._state.driver.release_state(request.release)
+
+    def release_finished(self, call: ReleaseCall, done: bool) -> None:
+        """A release ended; not `done` means that the driver gave it up, and the hosts' expiry has to do."""
+        request = call.request
+        if request.release is call:
+            request.release = None
+            if not call.superseded:
+                request.holds_remote_state = False
+                if not done:
+                    self._state.driver.log("release_abandoned", id=request.id)
+        self._state.mark_changed(request)
+        self._state.wake()
+
+
+def _outcome(reserved: bool | None) -> ReservationOutcome:
+    if reserved is None:
+        return ReservationOutcome.UNKNOWN
+    return ReservationOutcome.RESERVED if reserved else ReservationOutcome.NOT_RESERVED
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -12,7 +12,7 @@
 from violetstack.config import Address, Config
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.daemon.endpoints import EndpointService
-from violetstack.daemon.event_loop import EventLoop
+from violetstack.daemon.event_loop import EventLoop, WakeSignal
 from violetstack.daemon.fronts import FrontServers, listen_on
 from violetstack.daemon.lifecycle import Lifecycle
 from violetstack.daemon.limits import LimitAllocator
@@ -152,10 +152,8 @@
     # --- startup ---
 
     async def _start(self) -> Serving:
-        self._build()
-        pause_detector = self._watch_for_pauses()
-        self._build_state()
-        loop = EventLoop(self.core, pause_detector)
+        pause_detector = self._build()
+        loop = EventLoop(self.core, pause_detector, self.wake_signal)
         self._build_endpoints()
         predecessor = self.handover.begin() if self.handover is not None else None
         await self.endpoints.start(self.nursery, pause_detector, predecessor)
@@ -181,34 +179,41 @@
             self.hot_restart.write()
         return Serving(platform, chat, self.fronts.challenge_at, door)
 
-    def _build(self) -> None:
+    def _build(self) -> PauseDetector:
         config = self.config
         settings = config.settings
         pool = ConnectionPool(settings.connect_timeout_ms, config.idle_close_ms)
         self.hosts = UpstreamDriver(self.nursery, pool, settings.load_report_fields)
         self.router = Router(settings)
-        self.core = Dispatcher(settings, self.router, self.hosts, config.drain_grace_ms)
+        self.state_writer = start_state_writer(config, self.nursery, self._learned)
+        self.recovery = StartupRecovery(self.nursery, self.state_writer, settings)
+        pause_detector = self._watch_for_pauses()
+        self.wake_signal = WakeSignal()
+        self.core = Dispatcher(
+            settings,
+            self.router,
+            self.hosts,
+            config.drain_grace_ms,
+            wake=self.wake_signal.set,
+            retry_after=self.recovery.retry_after_ms,
+            max_unread=pause_detector.max_unread_ms,
+        )
         self.hosts.connect_core(self.core)
         self.limits = LimitAllocator(config, self.hosts, self.listeners, self._processes)
         self.fronts = FrontServers(config, self.core, self.nursery, self.listeners, self.limits.apply)
         self._route()
+        return pause_detector
 
     def _watch_for_pauses(self) -> PauseDetector:
         """Nothing is decided or sent on what was known before the process was stopped."""
-        core = self.core
-        pause_detector = PauseDetector(
-            self.config.drain_grace_ms, lambda gap: core.process_paused(now_ms(), gap)
-        )
-        core.max_unread_ms = pause_detector.max_unread_ms
+        pause_detector = PauseDetector(self.config.drain_grace_ms, self._paused)
         self.hosts.pool.wait_caught_up = pause_detector.wait_caught_up
         pause_detector.add_source(self.hosts)
         self.nursery.start_soon(pause_detector.run)
         return pause_detector
 
-    def _build_state(self) -> None:
-        self.state_writer = start_state_writer(self.config, self.nursery, self._learned)
-        self.recovery = StartupRecovery(self.nursery, self.state_writer, self.config.settings)
-        self.core.retry_after_ms = self.recovery.retry_after_ms
+    def _paused(self, pause_ms: float) -> None:
+        self.core.process_paused(pause_ms)
 
     def _build_endpoints(self) -> None:
         """With cordons and a hot restart only where operators have a door."""
--- a/violetstack/daemon/event_loop.py
+++ b/violetstack/daemon/event_loop.py
@@ -9,28 +9,44 @@
 from violetstack.net.pause_detector import PauseDetector
 
 
+class WakeSignal:
+    """Ends the event loop's wait for the next timer."""
+
+    def __init__(self) -> None:
+        """Creates a signal that is not set."""
+        self._event = trio.Event()
+
+    def set(self) -> None:
+        """Ends the current wait; the core runs in the next turn."""
+        self._event.set()
+
+    def clear(self) -> None:
+        """Has the next `wait` wait for a `set` from now on."""
+        self._event = trio.Event()
+
+    async def wait(self) -> None:
+        """Waits until the signal is set."""
+        await self._event.wait()
+
+
 class EventLoop:
-    """Runs the core; `wake` makes it run without waiting for the next timer."""
+    """Runs the core when its wake signal is set or a timer is due."""
 
-    def __init__(self, core: Dispatcher, pause_detector: PauseDetector) -> None:
+    def __init__(self, core: Dispatcher, pause_detector: PauseDetector, wake_signal: WakeSignal) -> None:
+        """Creates a loop that does nothing until `run`."""
         self._core = core
         self._pause_detector = pause_detector
-        self._woken = trio.Event()
+        self._wake_signal = wake_signal
         # A wait longer than half the time in which a drain binds could hide a stop for as long.
         self._longest_wait_s = core.drain_grace_ms / 2000.0
-        core.wake = self.wake
-
-    def wake(self) -> None:
-        """Ends the current wait; the core runs in the next turn."""
-        self._woken.set()
 
     async def run(self) -> None:
         """Runs until cancelled."""
         while True:
-            self._woken = trio.Event()
+            self._wake_signal.clear()
             await self._pause_detector.wait_caught_up()
             self._core.run(now_ms())
             due = self._core.next_due()
             wait_s = min(self._longest_wait_s, max(0.0, (due - now_ms()) / 1000.0))
             with trio.move_on_after(wait_s):
-                await self._woken.wait()
+                await self._wake_signal.wait()
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -78,7 +78,7 @@
         kinds=tuple(settings_message.kinds or ()),
         zones=tuple(settings_message.zones or ()),
     )
-    core.routes = routing
+    core.use_router(routing)
     entries = tuple(core.endpoints.values())
     routing.update_endpoints(now_ms(), EndpointUpdate(UpdateScope.SNAPSHOT, entries, 0))
     return routing
@@ -103,7 +103,7 @@
     levels = Levels(plan, weights_of(config.settings, classes, tenants), log)
     driver = LevelDriver(levels, core, router, listeners, config.limits.cores)
     driver.start()
-    core.load_shedder = levels
+    core.use_load_shedder(levels)
     nursery.start_soon(driver.run)
     if plan.admin:
         nursery.start_soon(driver.serve_socket, plan.admin)
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -15,7 +15,9 @@
 from msgspec.structs import replace
 
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.core.records import NotRouted, Origin, always
+from violetstack.core.errors import NotRoutedError
+from violetstack.core.ports import Origin
+from violetstack.core.records import always
 from violetstack.fronts.completions import Answer, Ask, Invalid, error_object, read_body
 from violetstack.fronts.reply import EVENTS, Payload, Reply
 from violetstack.idempotency.store import Claim, LedgerError, Order
@@ -193,7 +195,7 @@
             self._log("chat_client_rejected", status=error.status, reason=error.message)
             kind = "authentication_error" if error.status == 401 else "invalid_request_error"
             send_error(reply, error.status, error.message, kind, param=error.param, code=error.code)
-        except NotRouted as error:
+        except NotRoutedError as error:
             self._log("chat_client_rejected", status=error.status, reason=error.reason)
             code = "no_route" if error.status == 404 else "body_too_long"
             send_error(reply, error.status, error.reason, "invalid_request_error", code=code)
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Callable
 
-from violetstack.core.dispatcher import Dispatcher, DuplicateRequestError
-from violetstack.core.records import NotRouted, Origin
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.core.errors import DuplicateRequestError, NotRoutedError
+from violetstack.core.ports import Origin
 from violetstack.fronts.reply import EVENTS, TEXT, Payload, Reply
 from violetstack.protocol.headers import RequestReader
 from violetstack.protocol.server_side import Inbound, Rejected
@@ -77,7 +78,7 @@
             return
         try:
             self._take(inbound, reply)
-        except (Rejected, NotRouted) as error:
+        except (Rejected, NotRoutedError) as error:
             self.rejected(error.status, error.reason, reply)
         except DuplicateRequestError:
             self.rejected(409, "a request with this Req-Id is still open", reply)
--- a/violetstack/load_shedding/admission.py
+++ b/violetstack/load_shedding/admission.py
@@ -19,7 +19,7 @@
 from hashlib import blake2b
 from math import exp
 
-from violetstack.core.records import Shed
+from violetstack.core.ports import Shed
 from violetstack.load_shedding.state_machine import Measures
 
 DEMAND_MS = 500.0  # memory of demand: 86% of a change is seen within a second
--- a/violetstack/load_shedding/control.py
+++ b/violetstack/load_shedding/control.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
-from violetstack.core.records import Shed
+from violetstack.core.ports import Shed
 from violetstack.load_shedding.admission import Admission, Weights
 from violetstack.load_shedding.history import STILL_S, Record, Resumed
 from violetstack.load_shedding.signals import Reading, Signals
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -95,7 +95,7 @@
         if config.trials:
             self._outlier_checks = OutlierChecks(self.node, is_suspect, self)
             self._outlier_checks.endpoints_listed(now_ms(), core.endpoints)
-            core.outlier_observer = self._outlier_checks
+            core.use_outlier_observer(self._outlier_checks)
         self.restart_permits = RestartPermits(self.node, config.leave) if config.leave else None
         self._woken = trio.Event()
         transport.duties = self._receive
--- a/violetstack/routing/generations.py
+++ b/violetstack/routing/generations.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from violetstack.core.records import NotRouted, Origin
+from violetstack.core.errors import NotRoutedError
+from violetstack.core.ports import Origin
 from violetstack.policy_api import EndpointState, EndpointUpdate, Request, Settings, UpdateScope
 from violetstack.routing.policies import Policy, RetryBudget
 from violetstack.routing.pools import HostFacts, PoolBook, PoolSpec, facts_of
@@ -153,17 +154,17 @@
             generation.book.changes.clear()
 
     def route(self, request: Request, origin: Origin) -> Request:
-        """Sets the request's course and its policy's deadline, and returns it. Raises NotRouted."""
+        """Sets the request's course and its policy's deadline, and returns it. Raises NotRoutedError."""
         generation = self.current
         if not generation.plan:
             return request
         asked = generation.asked(request, origin)
         route = generation.table.find(asked)
         if route is None:
-            raise NotRouted("no route takes this request", 404)
+            raise NotRoutedError("no route takes this request", 404)
         policy = generation.plan.policies.get(route.policy, EVERYONE)
         if policy.body_bytes is not None and origin.body_bytes > policy.body_bytes:
-            raise NotRouted(f"the body is longer than the {policy.body_bytes} bytes allowed here", 413)
+            raise NotRoutedError(f"the body is longer than the {policy.body_bytes} bytes allowed here", 413)
         request.route = Course(generation, route, asked)
         if policy.deadline_ms is not None:
             request.expires_in_ms = min(request.expires_in_ms, policy.deadline_ms)
