Policy API: a package by concern, each type with a docstring

settings, endpoints, requests, events and actions; imports from violetstack.policy_api stay as they are. late_priority_weight -> late_weight_share, since it is a share of the weight.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -43,7 +43,7 @@
     latency_objective_ms=1500.0,
     client_timeout_ms=7500.0,
     priority_weight=3.0,
-    late_priority_weight=0.2,
+    late_weight_share=0.2,
     objective_ms_per_1000_tokens=40.0,
 )
 ORDEN = replace(
@@ -51,7 +51,7 @@
     latency_objective_ms=2500.0,
     client_timeout_ms=10_000.0,
     priority_weight=2.0,
-    late_priority_weight=0.1,
+    late_weight_share=0.1,
     objective_ms_per_1000_tokens=40.0,
 )
 TENANTS = (("app-propia", 0.36), ("red-kioscos", 0.34), ("mesa-agentes", 0.30))
@@ -259,7 +259,7 @@
 
     def stream_started(self) -> None:
         spec = self.fleet.settings.classes[self.cls]
-        part = 1.0 if self.fleet.clock.now <= self.due else spec.late_priority_weight
+        part = 1.0 if self.fleet.clock.now <= self.due else spec.late_weight_share
         self.fleet.earned[self.cls] += spec.priority_weight * part * (self.prompt + self.tokens) / 1000.0
         self.fleet.counts["in time" if part == 1.0 else "late"] += 1
 
--- a/violetstack/router.py
+++ b/violetstack/router.py
@@ -1,4 +1,4 @@
-"""All of violetstack's decisions. Its types, events and actions stand in violetstack/policy_api.py.
+"""All of violetstack's decisions. Its types, events and actions stand in violetstack/policy_api.
 
 The mechanism is Phasor's Virtual Freeness (docs/design.md): a prompt goes to the reader with the most
 headroom, its own reads out there priced quadratically against a budget; a place is held ahead, as the
--- a/violetstack/settings.py
+++ b/violetstack/settings.py
@@ -134,7 +134,7 @@
         deduplication_scope=group,
         deduplication_window_ms=spec.window or 0.0,
         priority_weight=1.0 if spec.value is None else spec.value,
-        late_priority_weight=spec.late_value or 0.0,
+        late_weight_share=spec.late_value or 0.0,
         objective_ms_per_1000_tokens=_nth(family.aim_us_per_1000_prompt_tokens, index) / 1000.0,
         objective_stretch=spec.aim_stretch or 0.0,
         inter_token_objective_ms=_nth(family.token_aim, index),
