--- a/violetstack/settings.py
+++ b/violetstack/settings.py
@@ -1,7 +1,9 @@
-"""The settings as the operators write them, and their reading as the module's own type.
+"""Decodes the settings object that operators and the simulator provide.
 
-Both hosts of the module read the same object: the simulator's adapter from its first message, the
-real dispatcher from its configuration file.
+The dispatcher reads it from its configuration, the simulator's adapter from its first message. The attributes
+of the `...Message` types are the object's keys and keep their spelling; `decode_settings` translates them.
+Durations are in milliseconds unless a key says otherwise. Unknown keys are ignored, and an absent value is
+null.
 """
 
 from __future__ import annotations
@@ -21,12 +23,30 @@
 
 T = TypeVar("T")
 
+MIN_LATENCY_OBJECTIVE_MS = 0.0
+MIN_CLIENT_TIMEOUT_MS = 1.0
+US_PER_MS = 1000.0
+
+# Values of `report.how`.
+REPORT_INLINE = "inline"
+REPORT_ON_HEALTH_CHECK = "on_probe"
+# The value of `membership_mode` that has the dispatcher watch the endpoint list.
+MODE_WATCH = "subscribe"
+
+IDEMPOTENCY_BY_WORD = {
+    "read_like": Idempotency.IDEMPOTENT,
+    "idempotency_key": Idempotency.IDEMPOTENCY_KEY,
+    "non_idempotent": Idempotency.NON_IDEMPOTENT,
+}
+
 
 class Message(msgspec.Struct):
-    """Unknown keys are ignored, an absent value is null."""
+    """Base of the types that are decoded from JSON."""
 
 
 class ClassMessage(Message):
+    """A class of requests; see `ClassSettings`."""
+
     aim: float
     give_up: float
     idempotency: str = "read_like"
@@ -39,12 +59,16 @@
 
 
 class TenantMessage(Message):
+    """A tenant; see `TenantSettings`."""
+
     fraction: float | None = None
     allowance_per_s: float | None = None
     name: str = ""
 
 
 class TwoStageMessage(Message):
+    """What the hosts of a two-stage service can do; lists are by index of the host's kind or of the class."""
+
     ahead: bool | None = None
     aim_us_per_1000_prompt_tokens: list[float] | None = None
     kv_tokens: list[float] | None = None
@@ -56,6 +80,8 @@
 
 
 class LimitsMessage(Message):
+    """What the dispatcher may do to hosts."""
+
     cancel: bool | None = None
     connect_timeout: float | None = None
     max_attempts: int | None = None
@@ -68,6 +94,8 @@
 
 
 class RulesMessage(Message):
+    """Times and shares that the service has to keep to."""
+
     cold: float | None = None
     cold_share: float | None = None
     fall: float | None = None
@@ -78,11 +106,15 @@
 
 
 class LoadReportMessage(Message):
+    """How hosts report their load, and the names of the values in a report."""
+
     how: str | None = None
     names: list[str] | None = None
 
 
 class SettingsMessage(Message):
+    """The whole settings object."""
+
     classes: list[ClassMessage]
     fleet_size: int = 1
     me: int = 0
@@ -98,79 +130,84 @@
     membership_mode: str | None = None
 
 
-_EFFECT = {
-    "read_like": Idempotency.IDEMPOTENT,
-    "idempotency_key": Idempotency.IDEMPOTENCY_KEY,
-    "non_idempotent": Idempotency.NON_IDEMPOTENT,
-}
+class MessageError(Exception):
+    """A message is not one that the protocol allows; the text names the field and the value."""
 
 
-class MessageError(Exception):
-    """The other side sent something the wire does not allow."""
+class UnknownWordError(MessageError):
+    """A field has a word that the protocol does not define."""
 
+    def __init__(self, field: str, word: str | None) -> None:
+        """Creates the error for a field and its value."""
+        super().__init__(f"unknown {field} {word!r}")
+        self.field = field
+        self.word = word
 
-def look_up(table: dict[str, T], word: str, field: str) -> T:
-    if word not in table:
-        raise MessageError(f"unknown {field} {word!r}")
-    return table[word]
 
+class UnknownRoleError(MessageError):
+    """A kind of host has a role that the protocol does not define."""
 
-def _nth(values: list[float] | None, index: int) -> float:
-    return values[index] if values is not None and index < len(values) else 0.0
+    def __init__(self, reason: str) -> None:
+        """Creates the error; `reason` names the role."""
+        super().__init__(f"unknown stage_of_kind: {reason}")
 
 
-def _class(spec: ClassMessage, index: int, family: TwoStageMessage) -> ClassSettings:
-    for key, value, least in (("aim", spec.aim, 0.0), ("give_up", spec.give_up, 1.0)):
-        if value < least:
-            raise MessageError(f"classes[{index}].{key}: {value:g} ms leaves no time to answer in")
-    try:
-        group = DeduplicationScope(spec.group or "all")
-    except ValueError:
-        raise MessageError(f"unknown group {spec.group!r}") from None
-    return ClassSettings(
-        latency_objective_ms=spec.aim,
-        client_timeout_ms=spec.give_up,
-        idempotency=look_up(_EFFECT, spec.idempotency, "idempotency"),
-        deduplication_scope=group,
-        deduplication_window_ms=spec.window or 0.0,
-        priority_weight=1.0 if spec.value is None else spec.value,
-        late_weight_share=spec.late_value or 0.0,
-        objective_ms_per_1000_tokens=_nth(family.aim_us_per_1000_prompt_tokens, index) / 1000.0,
-        objective_stretch=spec.aim_stretch or 0.0,
-        inter_token_objective_ms=_nth(family.token_aim, index),
-    )
+class TimeTooShortError(MessageError):
+    """A class of requests has no time for a response."""
+
+    def __init__(self, field: str, value_ms: float) -> None:
+        """Creates the error for a field and its value."""
+        super().__init__(f"{field}: {value_ms:g} ms leaves no time to answer in")
+        self.field = field
+        self.value_ms = value_ms
+
+
+class NoClassesError(MessageError):
+    """No class of requests is defined."""
+
+    def __init__(self) -> None:
+        """Creates the error."""
+        super().__init__("classes: there is none, so nothing could be served")
+
+
+def look_up(table: dict[str, T], word: str, field: str) -> T:
+    """Returns the table's entry for the word.
+
+    Raises:
+        UnknownWordError: There is none.
+    """
+    if word not in table:
+        raise UnknownWordError(field, word)
+    return table[word]
 
 
 def decode_settings(message: SettingsMessage, seed: int) -> Settings:
-    """The start-up message as the module's settings; what is absent gets the mildest reading."""
+    """Translates the settings object; what is absent is not limited, not allowed or not known.
+
+    Raises:
+        MessageError: A value is outside of its range or is no word of the protocol, or no class is defined.
+    """
     if not message.classes:
-        raise MessageError("classes: there is none, so nothing could be served")
-    family = message.family_info or TwoStageMessage()
+        raise NoClassesError
+    two_stage = message.family_info or TwoStageMessage()
     limits = message.limits or LimitsMessage()
     rules = message.rules or RulesMessage()
     report = message.report or LoadReportMessage()
-    stages = family.stage_of_kind or ["both"] * max(1, len(message.kinds or []))
-    try:
-        roles = tuple(Role(word) for word in stages)
-    except ValueError as error:
-        raise MessageError(f"unknown stage_of_kind: {error}") from None
-    names = tuple(report.names or ()) if report.how in ("inline", "on_probe") else ()
+    roles = _roles(two_stage, len(message.kinds or []))
     return Settings(
         seed=seed,
         dispatcher_index=message.me,
         dispatcher_count=max(1, message.fleet_size),
         zone=message.zone,
-        classes=tuple(_class(spec, index, family) for index, spec in enumerate(message.classes)),
-        tenants=tuple(
-            TenantSettings(p.fraction or 0.0, p.allowance_per_s or 0.0) for p in message.parties or ()
-        ),
-        over_quota_weight=1.0 if message.over_share_worth is None else message.over_share_worth,
+        classes=tuple(_class_settings(each, n, two_stage) for n, each in enumerate(message.classes)),
+        tenants=tuple(_tenant_settings(each) for each in message.parties or ()),
+        over_quota_weight=_or_default(message.over_share_worth, 1.0),
         roles=roles,
-        memory_tokens=tuple(family.kv_tokens or ()),
-        reserve_ahead=bool(family.ahead),
-        decode_hosts_prefill=bool(family.local_read),
-        resume_supported=bool(family.resume),
-        state_retention_ms=family.release or 0.0,
+        memory_tokens=tuple(two_stage.kv_tokens or ()),
+        reserve_ahead=bool(two_stage.ahead),
+        decode_hosts_prefill=bool(two_stage.local_read),
+        resume_supported=bool(two_stage.resume),
+        state_retention_ms=two_stage.release or 0.0,
         max_attempts=limits.max_attempts or 1,
         cancellation_allowed=bool(limits.cancel),
         hedging_allowed=bool(limits.may_duplicate),
@@ -179,13 +216,72 @@
         send_retry_after=bool(limits.retry_after),
         max_retry_after_ms=limits.max_retry_after or 0.0,
         connect_timeout_ms=limits.connect_timeout or 0.0,
-        watch_required=message.membership_mode == "subscribe",
+        watch_required=message.membership_mode == MODE_WATCH,
         watch_deadline_ms=rules.must_ask_in or 0.0,
-        load_report_fields=names,
-        health_checks_report_load=report.how == "on_probe",
-        slow_start_capacity=1.0 if rules.cold_share is None else rules.cold_share,
+        load_report_fields=_load_report_fields(report),
+        health_checks_report_load=report.how == REPORT_ON_HEALTH_CHECK,
+        slow_start_capacity=_or_default(rules.cold_share, 1.0),
         slow_start_ms=rules.cold or 0.0,
         overload_window_ms=rules.fall or 0.0,
         overload_multiple=rules.fall_multiple or 0.0,
         answer_grace_ms=rules.grace_to_answer or 0.0,
     )
+
+
+def _class_settings(message: ClassMessage, index: int, two_stage: TwoStageMessage) -> ClassSettings:
+    _require_at_least(MIN_LATENCY_OBJECTIVE_MS, message.aim, f"classes[{index}].aim")
+    _require_at_least(MIN_CLIENT_TIMEOUT_MS, message.give_up, f"classes[{index}].give_up")
+    scope = _deduplication_scope(message.group)
+    return ClassSettings(
+        latency_objective_ms=message.aim,
+        client_timeout_ms=message.give_up,
+        idempotency=look_up(IDEMPOTENCY_BY_WORD, message.idempotency, "idempotency"),
+        deduplication_scope=scope,
+        deduplication_window_ms=message.window or 0.0,
+        priority_weight=_or_default(message.value, 1.0),
+        late_weight_share=message.late_value or 0.0,
+        objective_ms_per_1000_tokens=_nth(two_stage.aim_us_per_1000_prompt_tokens, index) / US_PER_MS,
+        objective_stretch=message.aim_stretch or 0.0,
+        inter_token_objective_ms=_nth(two_stage.token_aim, index),
+    )
+
+
+def _require_at_least(least_ms: float, value_ms: float, field: str) -> None:
+    if value_ms < least_ms:
+        raise TimeTooShortError(field, value_ms)
+
+
+def _deduplication_scope(word: str | None) -> DeduplicationScope:
+    try:
+        return DeduplicationScope(word or "all")
+    except ValueError:
+        raise UnknownWordError("group", word) from None
+
+
+def _tenant_settings(message: TenantMessage) -> TenantSettings:
+    return TenantSettings(
+        quota_share=message.fraction or 0.0,
+        quota_per_s=message.allowance_per_s or 0.0,
+    )
+
+
+def _roles(two_stage: TwoStageMessage, kind_count: int) -> tuple[Role, ...]:
+    words = two_stage.stage_of_kind or [Role.MIXED.value] * max(1, kind_count)
+    try:
+        return tuple(Role(word) for word in words)
+    except ValueError as error:
+        raise UnknownRoleError(str(error)) from None
+
+
+def _load_report_fields(report: LoadReportMessage) -> tuple[str, ...]:
+    if report.how not in (REPORT_INLINE, REPORT_ON_HEALTH_CHECK):
+        return ()
+    return tuple(report.names or ())
+
+
+def _or_default(value: float | None, default: float) -> float:
+    return default if value is None else value
+
+
+def _nth(values: list[float] | None, index: int) -> float:
+    return values[index] if values is not None and index < len(values) else 0.0
