--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,10 +10,10 @@
 
 import pytest
 
-from violetstack import simulator_adapter
 from violetstack.policy_api import Action, Event
 from violetstack.router import Router
 from violetstack.settings import MessageError
+from violetstack.simulator_adapter.adapter import serve
 
 FACTS: dict[str, Any] = {
     "fleet_size": 2,
@@ -70,7 +70,7 @@
         for turn, events in enumerate(batches)
     ]
     sink = io.BytesIO()
-    simulator_adapter.serve(io.BytesIO(b"".join(lines)), sink)
+    serve(io.BytesIO(b"".join(lines)), sink)
     replies = [json.loads(line) for line in sink.getvalue().splitlines()]
     assert [reply["turn"] for reply in replies] == list(range(len(batches)))
     return [reply["actions"] for reply in replies]
