Load shedding: modules by concern with the field's names

load_shedding/ had a class that sampled, estimated, divided and decided at once. Now: levels (the plan), signal_conditions, signals, state_machine, capacity, fair_share, decaying_rate, admission, limited_route,

net/level_socket.py.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -21,8 +21,10 @@
 from tests.front import SETTINGS, entry
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt, ReleaseCall, ReservationCall
-from violetstack.load_shedding.control import TICK_MS, LevelPlan, Levels, weights_of
-from violetstack.load_shedding.history import Resumed
+from violetstack.load_shedding.journal import RestoredLevel
+from violetstack.load_shedding.levels import LevelPlan
+from violetstack.load_shedding.load_shedder import TICK_MS, LoadShedder, admission_weights
+from violetstack.load_shedding.signals import EndpointCounts
 from violetstack.policy_api import (
     AttemptStatus,
     EndpointUpdate,
@@ -142,13 +144,13 @@
         self.core = Dispatcher(settings, self.router, self, 250.0, wake=self.wake)
         self.works: dict[int, Work] = {}
         self.woken = False
-        self.levels: Levels | None = None
+        self.load_shedder: LoadShedder | None = None
         self.moves: list[str] = []
         if plan is not None:
-            weights = weights_of(settings, ("consulta", "orden"), tuple(name for name, _ in TENANTS))
-            self.levels = Levels(plan, weights, self._log)
-            self.levels.start(0.0, 0.0, Resumed(0, 0.0, True, "the model"))
-            self.core.use_load_shedder(self.levels)
+            weights = admission_weights(settings, ("consulta", "orden"), tuple(name for name, _ in TENANTS))
+            self.load_shedder = LoadShedder(plan, weights, self._log)
+            self.load_shedder.start(0.0, 0.0, RestoredLevel(0, 0.0, True, "the model"))
+            self.core.use_load_shedder(self.load_shedder)
             self.clock.at(0.0, self.tick)
 
     def _log(self, event: str, **fields: Any) -> None:
@@ -168,14 +170,13 @@
             self.clock.at(due, self.wake)
 
     def tick(self) -> None:
-        assert self.levels is not None
+        assert self.load_shedder is not None
         now = self.clock.now
         reader, writer = self.router.headroom(now)
         gauges = {"reader_free": reader, "writer_free": writer}
-        self.levels.tick(
-            now, now / 1000.0, gauges, (len(self.core.endpoints), 0), self.core.waiting_ratios(now)
-        )
-        self.levels.records.clear()
+        endpoints = EndpointCounts(len(self.core.endpoints), 0)
+        self.load_shedder.tick(now, now / 1000.0, gauges, endpoints, self.core.waiting_ratios(now))
+        self.load_shedder.take_records()
         self.clock.at(now + TICK_MS, self.tick)
 
     def ended(self, attempt: Attempt, status: AttemptStatus) -> None:
--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -13,9 +13,8 @@
 
 from benchmarks.fleet_model import Fleet
 from violetstack.language.compiling import load_text
-from violetstack.load_shedding.admission import Admission, Weights
-from violetstack.load_shedding.control import LevelPlan
-from violetstack.load_shedding.state_machine import Measures
+from violetstack.load_shedding.admission import AdmissionController, AdmissionWeights
+from violetstack.load_shedding.levels import LevelActions, LevelPlan
 
 FILE = """
 level strained {
@@ -61,11 +60,11 @@
     print("\nsessions  tenants   decision us   tick ms")
     for sessions, tenants in ((10, 10), (1_000, 10), (100_000, 10), (10, 10_000), (100_000, 10_000)):
         names = tuple(f"t{n}" for n in range(tenants))
-        weights = Weights((1.0, 0.6), ("a", "b"), (1.0 / tenants,) * tenants, names)
-        admission = Admission(weights)
+        weights = AdmissionWeights((1.0, 0.6), ("a", "b"), (1.0 / tenants,) * tenants, names)
+        admission = AdmissionController(weights)
         for n in range(max(sessions, tenants)):
-            admission.note(n * 0.001, n % 2, n % tenants, 1000.0)
-        admission.set(Measures(admit=0.5))
+            admission.record_demand(n * 0.001, n % 2, n % tenants, 1000.0)
+        admission.set_actions(LevelActions(admitted_share=0.5))
         started = time.perf_counter()
         admission.tick(200.0)
         tick = (time.perf_counter() - started) * 1e3
@@ -74,7 +73,7 @@
         started = time.perf_counter()
         for _ in range(rounds):
             for n, name in enumerate(asking):
-                admission.decide(200.0, n % 2, n % tenants, name, 1000.0, session=True)
+                admission.decide(200.0, n % 2, n % tenants, name, 1000.0, is_session=True)
         each = (time.perf_counter() - started) / rounds / sessions * 1e6
         print(f"{sessions:8} {tenants:8} {each:13.2f} {tick:9.2f}")
 
--- a/tests/test_stored_records.py
+++ b/tests/test_stored_records.py
@@ -22,7 +22,8 @@
 from violetstack.handover.record import HandoverRecord, decode_record, encode_record
 from violetstack.handover.stream_migration import StreamOffer, decode_offer, encode_offer
 from violetstack.idempotency.store import ClaimStatus, IdempotencyStore, KeyedRequest, Outcome
-from violetstack.load_shedding import history
+from violetstack.load_shedding.journal import Journal, JournalRecord, decode_journal, restore_level
+from violetstack.load_shedding.journal import encode_record as encode_level_record
 from violetstack.protocol.discovery import WServer
 
 FIXTURES = Path(__file__).parent / "fixtures"
@@ -165,17 +166,19 @@
 
 def test_a_journal_of_levels_of_an_earlier_release_is_read_and_written_as_it_was() -> None:
     stored = (FIXTURES / "levels.journal").read_bytes()
-    changed = history.Record(
+    changed = JournalRecord(
         level="reduced",
-        at=WRITTEN_AT_S,
-        since=WRITTEN_AT_S,
+        recorded_s=WRITTEN_AT_S,
+        since_s=WRITTEN_AT_S,
         old="normal",
         cause="lag > 80 ms",
         readings={"lag": 91.5, "cpu": 0.25},
     )
-    in_force = history.Record(level="reduced", at=WRITTEN_AT_S + 2.0, since=WRITTEN_AT_S, still=True)
-    journal = history.read(stored)
-    assert journal == history.Journal((changed, in_force), spoilt=1)
-    resumed = history.resume(journal, ["normal", "reduced", "minimal"], WRITTEN_AT_S + 3.0, 60.0)
-    assert (resumed.rank, resumed.since_s, resumed.trusted) == (1, WRITTEN_AT_S, True)
-    assert b"".join(map(history.line, journal.records)) == stored[: stored.rindex(b"\n") + 1]
+    in_force = JournalRecord(
+        level="reduced", recorded_s=WRITTEN_AT_S + 2.0, since_s=WRITTEN_AT_S, is_heartbeat=True
+    )
+    journal = decode_journal(stored)
+    assert journal == Journal((changed, in_force), corrupt_lines=1)
+    restored = restore_level(journal, ["normal", "reduced", "minimal"], WRITTEN_AT_S + 3.0, 60.0)
+    assert (restored.rank, restored.since_s, restored.is_known) == (1, WRITTEN_AT_S, True)
+    assert b"".join(map(encode_level_record, journal.records)) == stored[: stored.rindex(b"\n") + 1]
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -16,7 +16,7 @@
 from violetstack.settings import MessageError, SettingsMessage, TwoStageMessage, decode_settings
 
 if TYPE_CHECKING:
-    from violetstack.load_shedding.control import LevelPlan
+    from violetstack.load_shedding.levels import LevelPlan
     from violetstack.routing.generations import Plan
 
 Address = tuple[str, int]
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -18,7 +18,6 @@
 from violetstack.daemon.limits import LimitAllocator
 from violetstack.daemon.optional_services import (
     build_routing,
-    reload_load_shedding,
     start_lease_service,
     start_load_shedding,
     start_state_writer,
@@ -40,10 +39,10 @@
     from violetstack.admin.cordons import Cordons
     from violetstack.daemon.hot_restart import HotRestart
     from violetstack.handover.learned_state import LearnedState
-    from violetstack.load_shedding.control import LevelPlan
+    from violetstack.load_shedding.levels import LevelPlan
     from violetstack.net.handover import HandoverService
     from violetstack.net.lease_service import LeaseService
-    from violetstack.net.load_shedding import LevelDriver
+    from violetstack.net.load_shedding import LoadSheddingService
     from violetstack.net.state_writer import StateWriter
     from violetstack.net.watch import Watch
     from violetstack.routing.generations import Routing
@@ -68,7 +67,7 @@
         self.cordons: Cordons | None = None
         self.hot_restart: HotRestart | None = None
         self.routing: Routing | None = None
-        self.levels: LevelDriver | None = None
+        self.load_shedding: LoadSheddingService | None = None
         self.state_writer: StateWriter | None = None
         self.leases: LeaseService | None = None
 
@@ -315,10 +314,10 @@
         plan = plan or self.config.levels
         if plan is None:
             return
-        if self.levels is not None:
-            reload_load_shedding(self.levels, plan)
+        if self.load_shedding is not None:
+            self.load_shedding.reload(plan)
         else:
-            self.levels = start_load_shedding(
+            self.load_shedding = start_load_shedding(
                 plan,
                 self.config,
                 self.nursery,
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -20,9 +19,9 @@
 
 if TYPE_CHECKING:
     from violetstack.handover.learned_state import LearnedState
-    from violetstack.load_shedding.control import LevelPlan
+    from violetstack.load_shedding.levels import LevelPlan
     from violetstack.net.lease_service import LeaseService
-    from violetstack.net.load_shedding import LevelDriver
+    from violetstack.net.load_shedding import LoadSheddingService
     from violetstack.net.state_writer import StateWriter
     from violetstack.routing.generations import Routing
 
@@ -94,24 +93,19 @@
     core: Dispatcher,
     router: Router,
     listeners: list[Listener],
-) -> LevelDriver:
+) -> LoadSheddingService:
     """The levels of reduced service that the operator's file defines."""
-    from violetstack.load_shedding.control import Levels, weights_of
-    from violetstack.net.load_shedding import LevelDriver
-
-    settings_message = config.settings_message
-    classes = tuple(spec.name for spec in settings_message.classes)
-    tenants = tuple(spec.name for spec in settings_message.parties or ())
-    levels = Levels(plan, weights_of(config.settings, classes, tenants), log)
-    driver = LevelDriver(levels, core, router, listeners, config.limits.cores)
-    driver.start()
-    core.use_load_shedder(levels)
-    nursery.start_soon(driver.run)
-    if plan.admin:
-        nursery.start_soon(driver.serve_socket, plan.admin)
-    return driver
-
-
-def reload_load_shedding(driver: LevelDriver, plan: LevelPlan) -> None:
-    """Takes over the levels of a new file."""
-    driver.levels.reload(now_ms(), time.time(), plan)
+    from violetstack.load_shedding.load_shedder import LoadShedder, admission_weights
+    from violetstack.net.load_shedding import LoadSheddingService
+
+    message = config.settings_message
+    class_names = [spec.name for spec in message.classes]
+    tenant_names = [spec.name for spec in message.parties or ()]
+    load_shedder = LoadShedder(plan, admission_weights(config.settings, class_names, tenant_names), log)
+    service = LoadSheddingService(load_shedder, core, router, listeners, config.limits.cores)
+    service.start()
+    core.use_load_shedder(load_shedder)
+    nursery.start_soon(service.run)
+    if plan.socket_path:
+        nursery.start_soon(service.serve_socket, plan.socket_path)
+    return service
--- a/violetstack/language/checker.py
+++ b/violetstack/language/checker.py
@@ -21,8 +21,9 @@
 from violetstack.language.source import MAX_PROBLEMS, Broken, Problem, Sources, Span, nearest
 from violetstack.language.syntax import Block, Const, Item, Setting
 from violetstack.language.values import Constants, Typer
-from violetstack.load_shedding.rules import Rule, TooManyCases, both, cases
-from violetstack.load_shedding.state_machine import NORMAL, Measures
+from violetstack.load_shedding.errors import TooManyRegionsError
+from violetstack.load_shedding.levels import NORMAL, LevelActions
+from violetstack.load_shedding.signal_conditions import SignalCondition, overlap, regions
 from violetstack.routing.conditions import (
     ALWAYS,
     All,
@@ -528,16 +529,16 @@
         leave = each.get("leave")
         try:
             for name, rule in (("enter", enter), ("leave", leave)):
-                if rule is not None and not cases(rule):
+                if rule is not None and not regions(rule):
                     what = "entered" if name == "enter" else "left"
                     message = f"the level {each.name!r} can never be {what}"
                     run.wrong(message, each.place(name), "its parts exclude each other")
             if enter is not None and leave is not None:
                 _flap(run, each, enter, leave)
-        except TooManyCases:
+        except TooManyRegionsError:
             run.wrong("this condition has too many cases", each.place("enter"), "make it simpler")
         if n and len(plan) == len(rows):
-            for message, setting in _milder(plan[n - 1].measures, plan[n].measures):
+            for message, setting in _milder(plan[n - 1].actions, plan[n].actions):
                 told = f"the level {each.name!r} {message} {rows[n - 1].name!r} before it"
                 also = ("the level before", rows[n - 1].span)
                 run.wrong(told, each.place(setting), "a later level is more severe", also)
@@ -546,8 +547,8 @@
         run.doubt("there is no level", whole.span, "level NAME { ... }")
 
 
-def _flap(run: _Run, each: Definition, enter: Rule, leave: Rule) -> None:
-    found = both(enter, leave)
+def _flap(run: _Run, each: Definition, enter: SignalCondition, leave: SignalCondition) -> None:
+    found = overlap(enter, leave)
     if found is None:
         return
     shown = []
@@ -564,21 +565,26 @@
     )
 
 
-def _milder(lower: Measures, higher: Measures) -> Iterable[tuple[str, str]]:
+def _milder(lower: LevelActions, higher: LevelActions) -> Iterable[tuple[str, str]]:
     """In what a higher level sheds less than the one below it."""
-    if lower.admit is not None and (higher.admit is None or higher.admit > lower.admit):
-        told = "all" if higher.admit is None else f"{higher.admit * 100:g}%"
-        yield f"admits {told}, more than the {lower.admit * 100:g}% of", "admit"
-    if higher.worth < lower.worth:
+    if _is_laxer(lower.admitted_share, higher.admitted_share):
+        told = "all" if higher.admitted_share is None else f"{higher.admitted_share * 100:g}%"
+        yield f"admits {told}, more than the {(lower.admitted_share or 0.0) * 100:g}% of", "admit"
+    if higher.min_class_weight < lower.min_class_weight:
         yield "asks for less worth than", "worth"
-    if lower.within_share and not higher.within_share:
+    if lower.enforce_quotas and not higher.enforce_quotas:
         yield "lets tenants go beyond their shares, unlike", "within_share"
-    if lower.prompt is not None and (higher.prompt is None or higher.prompt > lower.prompt):
+    if _is_laxer(lower.max_prompt_tokens, higher.max_prompt_tokens):
         yield "takes longer prompts than", "prompt"
-    if lower.retries is not None and (higher.retries is None or higher.retries > lower.retries):
+    if _is_laxer(lower.retry_share, higher.retry_share):
         yield "allows more retries than", "retries"
 
 
+def _is_laxer(lower: float | None, higher: float | None) -> bool:
+    """Whether the limit of the higher level is above that of the lower one; None is no limit."""
+    return lower is not None and (higher is None or higher > lower)
+
+
 def universe(definitions: Definitions, known: Known) -> dict[str, frozenset[str]]:
     """The closed sets of names that conditions can meet; what is not told may be any name."""
     found: dict[str, frozenset[str]] = {}
--- a/violetstack/language/compiling.py
+++ b/violetstack/language/compiling.py
@@ -9,7 +9,7 @@
 from violetstack.language.checker import Checked, Known, check, in_order
 from violetstack.language.files import Unreadable, read, read_text
 from violetstack.language.meaning import Definition, Meaning
-from violetstack.load_shedding.control import LevelPlan
+from violetstack.load_shedding.levels import LevelPlan
 from violetstack.operators import (
     Acme,
     BadOperatorFile,
--- a/violetstack/language/difference.py
+++ b/violetstack/language/difference.py
@@ -22,8 +22,7 @@
 from violetstack.language.syntax import Setting, parse
 from violetstack.language.units import DURATION, RATE, SHARE, SIZE, TOKENS, Dimension, canonical, number
 from violetstack.language.values import Constants, Typer
-from violetstack.load_shedding.rules import Crossing, Every, Some
-from violetstack.load_shedding.rules import text as rule_text
+from violetstack.load_shedding.signal_conditions import Conjunction, Disjunction, Threshold, describe
 from violetstack.routing.conditions import (
     HOST_ATTRIBUTES,
     All,
@@ -132,8 +131,8 @@
         return "none"
     if isinstance(value, Among | All | AnyOf | Not):
         return text(value)
-    if isinstance(value, Crossing | Every | Some):
-        return rule_text(value)
+    if isinstance(value, Threshold | Conjunction | Disjunction):
+        return describe(value)
     if isinstance(spec.form, Dimension):
         scaled = value * 100 if spec.form is SHARE else value
         told = number(f"{scaled:.9f}".rstrip("0").rstrip("."))
--- a/violetstack/language/meaning.py
+++ b/violetstack/language/meaning.py
@@ -6,8 +6,7 @@
 from typing import Any
 
 from violetstack.language.source import Span
-from violetstack.load_shedding.control import LevelPlan
-from violetstack.load_shedding.state_machine import LevelSpec, Measures
+from violetstack.load_shedding.levels import DemandLimit, LevelActions, LevelPlan, LevelSpec
 from violetstack.routing.conditions import ALWAYS
 from violetstack.routing.generations import Plan
 from violetstack.routing.policies import Policy
@@ -92,11 +91,11 @@
 
 
 def levels_of(definitions: Definitions, where: dict[str, str]) -> LevelPlan:
-    """Levels in the order of the file, each with its measures."""
-    by_level: dict[str, list[tuple[str, str, float]]] = {}
+    """Levels in the order of the file, each with its actions."""
+    limits: dict[str, list[DemandLimit]] = {}
     for d in definitions.get("measure", {}).values():
-        by_level.setdefault(d.get("level"), []).append(
-            (d.get("class", ""), d.get("tenant", ""), d.get("admit"))
+        limits.setdefault(d.get("level"), []).append(
+            DemandLimit(d.get("class", ""), d.get("tenant", ""), d.get("admit"))
         )
     specs = [
         LevelSpec(
@@ -106,15 +105,15 @@
             d.get("enter_after", 2_000.0),
             d.get("leave_after", 10_000.0),
             d.get("stay", 15_000.0),
-            Measures(
-                admit=d.get("admit"),
-                worth=d.get("worth", 0.0),
-                within_share=d.get("within_share", False),
-                prompt=None if d.get("prompt") is None else int(d.get("prompt")),
-                retries=d.get("retries"),
-                hold_ahead=d.get("hold_ahead", True),
+            LevelActions(
+                admitted_share=d.get("admit"),
+                min_class_weight=d.get("worth", 0.0),
+                enforce_quotas=d.get("within_share", False),
+                max_prompt_tokens=None if d.get("prompt") is None else int(d.get("prompt")),
+                retry_share=d.get("retries"),
+                reserve_ahead=d.get("hold_ahead", True),
                 retry_after_ms=d.get("retry_after", 1_000.0),
-                by_cell=tuple(by_level.get(d.name, ())),
+                demand_limits=tuple(limits.get(d.name, ())),
             ),
             where.get(f"level {d.name}", ""),
         )
--- a/violetstack/language/values.py
+++ b/violetstack/language/values.py
@@ -33,7 +33,14 @@
     plain,
     unit_fix,
 )
-from violetstack.load_shedding.rules import SIGNALS, Crossing, Every, Rule, Some, negated
+from violetstack.load_shedding.signal_conditions import (
+    SIGNALS,
+    Conjunction,
+    Disjunction,
+    SignalCondition,
+    Threshold,
+    negate,
+)
 from violetstack.routing.conditions import (
     HOST_ATTRIBUTES,
     NEVER_ENDS,
@@ -316,21 +323,21 @@
 
     # --- conditions on signals ---
 
-    def rule(self, value: Value) -> Rule:
+    def rule(self, value: Value) -> SignalCondition:
         told = self.constants.resolve(value)
         match told:
             case Junction():
                 parts = tuple(self.rule(part) for part in told.parts)
-                return Every(parts) if told.word == "and" else Some(parts)
+                return Conjunction(parts) if told.word == "and" else Disjunction(parts)
             case Negation():
-                return negated(self.rule(told.part))
+                return negate(self.rule(told.part))
             case Comparison():
                 return self._crossing(told)
             case _:
                 wanted = "a signal against a bound is wanted here"
                 raise Broken(Problem(f"{wanted}, not {kind_of(told)}", value.span, "lateness >= 150%?"))
 
-    def _crossing(self, told: Comparison) -> Crossing:
+    def _crossing(self, told: Comparison) -> Threshold:
         left = told.left
         name = left.text if isinstance(left, Name) else kind_of(left)
         if name not in SIGNALS:
@@ -344,7 +351,7 @@
         bound = self._quantity(
             Field(name, wanted, ""), wanted, self.constants.resolve(told.right), told.right.span
         )
-        return Crossing(name, told.operator == ">=", bound, self.where(told.span))
+        return Threshold(name, told.operator == ">=", bound, self.where(told.span))
 
     def _tokens(self, value: Value) -> int:
         return int(self._quantity(PROMPT, TOKENS, self.constants.resolve(value), value.span))
--- a/violetstack/load_shedding/__init__.py
+++ b/violetstack/load_shedding/__init__.py
@@ -1,7 +1,9 @@
-"""Owns the levels of reduced service: which one is in force, why, and what traffic it drops.
+"""Load shedding: levels of reduced service that the operator's file defines.
 
-`signals` turns what crosses the sockets into readings with age and confidence, `machine` moves between the
-levels of the operator's file, `admission` says who is served under one, `history` is the journal that a
-restart reads, `control` puts them together behind the core's port. Nothing here does I/O or reads a clock.
-The decision module still refuses, retries and picks hosts; the level sets the bounds that it works under.
+`signals` turns events and gauges into readings, `signal_conditions` are the rules over them,
+`state_machine` moves between the levels, `admission` admits or sheds requests under one, `journal` is what a
+restart reads, and `load_shedder` puts them together behind the core's port. Nothing here does I/O or reads a
+clock.
+
+A level bounds what the policy works under. The policy itself still rejects, retries and chooses endpoints.
 """
--- /dev/null
+++ b/violetstack/net/level_socket.py
@@ -0,0 +1,166 @@
+"""The Unix socket of `violetstack level`: one JSON object a line each way."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+import trio
+
+from violetstack.load_shedding.errors import UnknownLevelError
+from violetstack.load_shedding.journal import JournalRecord
+from violetstack.load_shedding.status import LevelStatus
+
+MAX_REQUEST_BYTES = 64 * 1024
+REQUEST_TIMEOUT_S = 5.0
+MAX_CONNECTIONS = 8
+READ_SIZE_BYTES = 4096
+MAX_HISTORY = 50
+MAX_NAME_LENGTH = 60
+MAX_PIN_MS = 1e9
+OWNER_ONLY_UMASK = 0o177
+
+
+class LevelOperations(Protocol):
+    """What can be asked over the socket."""
+
+    def status(self) -> LevelStatus:
+        """Returns the level in force and what would change it."""
+
+    def recent_changes(self, limit: int) -> list[JournalRecord] | None:
+        """Returns the last changes, newest first; None without a journal.
+
+        Raises:
+            OSError: The journal cannot be read.
+        """
+
+    def pin(self, level: str, duration_ms: float, by: str) -> None:
+        """Keeps a level in force for a time.
+
+        Raises:
+            UnknownLevelError: There is no such level.
+        """
+
+    def unpin(self) -> None:
+        """Lets the signals decide again."""
+
+
+class ErrorReply(msgspec.Struct, frozen=True):
+    """A request that could not be carried out."""
+
+    error: str
+
+
+class HistoryReply(msgspec.Struct, frozen=True):
+    """The last changes of level, newest first."""
+
+    changes: list[JournalRecord]
+
+
+class PinRequest(msgspec.Struct, frozen=True):
+    """Arguments of `pin`; each is checked when it is carried out."""
+
+    level: object = None
+    duration_ms: object = msgspec.field(name="for_ms", default=None)
+    by: object = None
+
+
+Reply = LevelStatus | HistoryReply | ErrorReply
+
+
+class LevelSocket:
+    """Serves `violetstack level`; only the owner of the process may connect."""
+
+    def __init__(self, operations: LevelOperations) -> None:
+        """Takes the operations that requests are carried out on."""
+        self._operations = operations
+        self._handlers: dict[str, Callable[[bytes], Reply]] = {
+            "show": self._show,
+            "history": self._history,
+            "pin": self._pin,
+            "unpin": self._unpin,
+        }
+
+    async def serve(self, path: str) -> None:
+        """Serves until cancelled, and removes the socket.
+
+        Raises:
+            OSError: The path cannot be bound.
+        """
+        _remove(path)
+        with trio.socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as listener:
+            previous_umask = os.umask(OWNER_ONLY_UMASK)
+            try:
+                await listener.bind(path)
+            finally:
+                os.umask(previous_umask)
+            listener.listen(MAX_CONNECTIONS)
+            limiter = trio.CapacityLimiter(MAX_CONNECTIONS)
+            try:
+                async with trio.open_nursery() as nursery:
+                    while True:
+                        connection, _ = await listener.accept()
+                        nursery.start_soon(self._serve_one, trio.SocketStream(connection), limiter)
+            finally:
+                _remove(path)
+
+    def reply_to(self, request: bytes) -> Reply:
+        """Carries out one request and returns the reply."""
+        try:
+            handler = self._handlers[json.loads(request)["do"]]
+        except (ValueError, TypeError, KeyError):
+            return ErrorReply("ask one of show, history, pin, unpin")
+        return handler(request)
+
+    async def _serve_one(self, stream: trio.SocketStream, limiter: trio.CapacityLimiter) -> None:
+        async with limiter, stream:
+            try:
+                with trio.fail_after(REQUEST_TIMEOUT_S):
+                    request = b""
+                    while not request.endswith(b"\n") and len(request) < MAX_REQUEST_BYTES:
+                        part = await stream.receive_some(READ_SIZE_BYTES)
+                        if not part:
+                            return
+                        request += part
+                    await stream.send_all(msgspec.json.encode(self.reply_to(request)) + b"\n")
+            except (trio.TooSlowError, trio.BrokenResourceError):
+                pass
+
+    def _show(self, _: bytes) -> Reply:
+        return self._operations.status()
+
+    def _history(self, _: bytes) -> Reply:
+        try:
+            changes = self._operations.recent_changes(MAX_HISTORY)
+        except OSError as error:
+            return ErrorReply(str(error))
+        if changes is None:
+            return ErrorReply("no journal is configured")
+        return HistoryReply(changes)
+
+    def _pin(self, request: bytes) -> Reply:
+        pin = msgspec.json.decode(request, type=PinRequest)
+        level = pin.level
+        duration_ms = pin.duration_ms
+        if not isinstance(level, str) or not isinstance(duration_ms, int | float):
+            return ErrorReply("a pin needs a level and a time")
+        if not 0 < duration_ms < MAX_PIN_MS:
+            return ErrorReply("a pin needs a level and a time")
+        try:
+            self._operations.pin(level, duration_ms, str(pin.by)[:MAX_NAME_LENGTH])
+        except UnknownLevelError as error:
+            return ErrorReply(str(error))
+        return self._operations.status()
+
+    def _unpin(self, _: bytes) -> Reply:
+        self._operations.unpin()
+        return self._operations.status()
+
+
+def _remove(path: str) -> None:
+    Path(path).unlink(missing_ok=True)
--- a/violetstack/net/load_shedding.py
+++ b/violetstack/net/load_shedding.py
@@ -1,222 +1,199 @@
-"""Drives the levels: a tick, their journal on a thread, and a socket for `violetstack level`."""
+"""Drives load shedding: restores the level at startup, samples gauges, ticks, and writes the journal."""
 
 from __future__ import annotations
 
-import json
-import os
-import socket
 import time
-from collections.abc import Callable, Iterable
-from pathlib import Path
-from typing import Any
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 import trio
 
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.load_shedding import history
-from violetstack.load_shedding.control import TICK_MS, Levels
+from violetstack.load_shedding.journal import (
+    Journal,
+    JournalRecord,
+    RestoredLevel,
+    recent_changes,
+    restore_level,
+)
+from violetstack.load_shedding.levels import LevelPlan
+from violetstack.load_shedding.load_shedder import TICK_MS, LoadShedder
+from violetstack.load_shedding.signals import EndpointCounts
+from violetstack.load_shedding.status import LevelStatus
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
+from violetstack.net.level_journal import LevelJournalFile
+from violetstack.net.level_socket import LevelSocket
 from violetstack.router import Router
 
-COMPLAIN_S = 60.0  # between two lines on a journal that can't be written
-MAX_ASK = 64 * 1024
-ASK_S = 5.0  # for one question on the socket
-MOST_ASKING = 8
+WRITE_TIMEOUT_S = 5.0
+WRITE_ERROR_LOG_S = 60.0  # between two log lines about a journal that cannot be written
+MIN_INTERVAL_S = 1e-6
+MIN_CORES = 0.01
 
 
-class JournalFile:
-    """Runs on a thread: whole lines appended, rewritten with its tail when it is long."""
+class ProcessorTime(NamedTuple):
+    """Processor time of the process at a time of the event loop's clock, both in seconds."""
 
-    def __init__(self, path: str) -> None:
-        self.path = Path(path)
+    used_s: float
+    at_s: float
+
+
+class LoadSheddingService:
+    """The load shedder of a daemon, with its timer, its journal and its socket.
+
+    Attributes:
+        load_shedder: Decides which level is in force, and who is served under it.
+    """
 
-    def read(self) -> history.Journal:
-        try:
-            return history.read(self.path.read_bytes())
-        except FileNotFoundError:
-            return history.Journal(())
-
-    def set_aside(self) -> Path:
-        """What can't be believed is kept for a person to look at."""
-        aside = self.path.with_name(f"{self.path.name}.aside")
-        self.path.replace(aside)
-        return aside
-
-    def append(self, records: list[history.Record]) -> None:
-        data = b"".join(history.line(record) for record in records)
-        with self.path.open("ab") as file:
-            if file.tell() and not self._ends_whole():
-                data = b"\n" + data  # after a torn tail
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-            size = file.tell()
-        if size > history.MOST_BYTES:
-            self._rewrite()
-
-    def _ends_whole(self) -> bool:
-        with self.path.open("rb") as file:
-            file.seek(-1, os.SEEK_END)
-            return file.read(1) == b"\n"
-
-    def _rewrite(self) -> None:
-        kept = self.read().records
-        changes = [record for record in kept if not record.still][-history.KEPT :]
-        beside = self.path.with_name(f"{self.path.name}.new")
-        beside.write_bytes(b"".join(history.line(record) for record in [*changes, kept[-1]]))
-        beside.replace(self.path)
-
-
-class LevelDriver:
     def __init__(
-        self, levels: Levels, core: Dispatcher, router: Router, listeners: list[Listener], cores: float
+        self,
+        load_shedder: LoadShedder,
+        core: Dispatcher,
+        router: Router,
+        listeners: Sequence[Listener],
+        cores: float,
     ) -> None:
-        self.levels = levels
-        self.core = core
-        self.router = router
-        self.listeners = listeners
-        self.cores = cores
-        self.journal = JournalFile(levels.plan.journal) if levels.plan.journal else None
-        self.complained = -COMPLAIN_S
-        self.cold_ms = core.settings.slow_start_ms
+        """Configures the service; `start`, then `run`.
+
+        Args:
+            load_shedder: Driven by this service.
+            core: Gives the endpoint list and the waiting requests.
+            router: Gives the headroom of the best hosts.
+            listeners: Give their utilization.
+            cores: Processor cores that the limits grant.
+        """
+        self.load_shedder = load_shedder
+        self._core = core
+        self._router = router
+        self._listeners = listeners
+        self._cores = cores
+        journal_path = load_shedder.plan.journal_path
+        self._journal = LevelJournalFile(journal_path) if journal_path else None
+        self._write_error_logged_s = -WRITE_ERROR_LOG_S
 
     def start(self) -> None:
-        """Before anything is taken: the level that the journal tells, or a cautious normal."""
-        wall = time.time()
-        journal = history.Journal(())
-        if self.journal is not None:
-            try:
-                journal = self.journal.read()
-            except OSError as error:
-                log("level_journal_failed", error=str(error))
-        names = [self.levels.machine.name_of(n) for n in range(len(self.levels.machine.specs) + 1)]
-        resumed = history.resume(journal, names, wall, self.levels.plan.remember_s)
-        told = journal.records or journal.spoilt or journal.newer
-        if self.journal is not None and not resumed.trusted and told:
-            try:
-                aside = self.journal.set_aside()
-                log("level_journal_corrupt", why=resumed.why, kept=str(aside))
-            except OSError as error:
-                log("level_journal_failed", error=str(error))
-        self.levels.start(now_ms(), wall, resumed)
+        """Restores the level of the journal, before anything is accepted."""
+        wall_s = time.time()
+        journal = Journal(()) if self._journal is None else self._read_journal(self._journal)
+        names = self.load_shedder.state_machine.names
+        restored = restore_level(journal, names, wall_s, self.load_shedder.plan.restore_within_s)
+        has_lines = bool(journal.records or journal.corrupt_lines or journal.newer_records)
+        if self._journal is not None and has_lines and not restored.is_known:
+            self._set_aside(self._journal, restored)
+        self.load_shedder.start(now_ms(), wall_s, restored)
+
+    def reload(self, plan: LevelPlan) -> None:
+        """Takes the levels of a new file."""
+        self.load_shedder.reload(now_ms(), time.time(), plan)
 
     async def run(self) -> None:
-        due = trio.current_time()
-        cpu = time.process_time()
-        since = trio.current_time()
+        """Ticks until cancelled."""
+        due_s = trio.current_time()
+        last = ProcessorTime(time.process_time(), due_s)
         while True:
-            due = max(due + TICK_MS / 1000.0, trio.current_time())
-            await trio.sleep_until(due)
-            woke = trio.current_time()
-            used = time.process_time()
-            share = (used - cpu) / max(1e-6, woke - since) / max(0.01, self.cores)
-            cpu = used
-            since = woke
-            self.tick((woke - due) * 1000.0, share)
-            if self.journal is not None and self.levels.records:
-                records = self.levels.records
-                self.levels.records = []
-                await self._write(self.journal, records)
-            elif self.journal is None:
-                self.levels.records.clear()
-
-    async def _write(self, journal: JournalFile, records: list[history.Record]) -> None:
-        """Guards the service: a full, slow or missing disk costs lines of the journal and nothing else."""
-        with trio.move_on_after(5.0):
-            try:
-                await trio.to_thread.run_sync(journal.append, records, abandon_on_cancel=True)
-                return
-            except OSError as error:
-                reason = str(error)
-            if trio.current_time() - self.complained >= COMPLAIN_S:
-                self.complained = trio.current_time()
-                log("level_journal_failed", error=reason)
+            due_s = max(due_s + TICK_MS / 1000.0, trio.current_time())
+            await trio.sleep_until(due_s)
+            sample = ProcessorTime(time.process_time(), trio.current_time())
+            self._tick((sample.at_s - due_s) * 1000.0, self._processor_share(last, sample))
+            last = sample
+            records = self.load_shedder.take_records()
+            if self._journal is not None and records:
+                await self._write(self._journal, records)
+
+    async def serve_socket(self, path: str) -> None:
+        """Serves `violetstack level` until cancelled.
+
+        Raises:
+            OSError: The path cannot be bound.
+        """
+        await LevelSocket(self).serve(path)
+
+    # --- what the socket offers ---
+
+    def status(self) -> LevelStatus:
+        """Returns the level in force and what would change it."""
+        return self.load_shedder.status(now_ms(), time.time())
+
+    def recent_changes(self, limit: int) -> list[JournalRecord] | None:
+        """Returns the last changes, newest first; None without a journal.
 
-    def tick(self, lag_ms: float, cpu: float) -> None:
+        Raises:
+            OSError: The journal cannot be read.
+        """
+        return None if self._journal is None else recent_changes(self._journal.read(), limit)
+
+    def pin(self, level: str, duration_ms: float, by: str) -> None:
+        """Keeps a level in force for a time.
+
+        Raises:
+            UnknownLevelError: There is no such level.
+        """
+        self.load_shedder.pin(now_ms(), time.time(), level, duration_ms, by)
+
+    def unpin(self) -> None:
+        """Lets the signals decide again."""
+        self.load_shedder.unpin()
+
+    # --- ticks ---
+
+    def _tick(self, lag_ms: float, processor_share: float) -> None:
         now = now_ms()
-        reader, writer = self.router.headroom(now)
+        prefill_headroom, decode_headroom = self._router.headroom(now)
+        tables = [listener.table for listener in self._listeners]
         gauges = {
-            "reader_free": reader,
-            "writer_free": writer,
+            "reader_free": prefill_headroom,
+            "writer_free": decode_headroom,
             "lag": lag_ms,
-            "cpu": cpu,
-            "clients": _highest(listener.table.connection_utilization for listener in self.listeners),
-            "bytes": _highest(listener.table.body_utilization for listener in self.listeners),
+            "cpu": processor_share,
+            "clients": _highest(table.connection_utilization for table in tables),
+            "bytes": _highest(table.body_utilization for table in tables),
         }
-        entries = [e for e in self.core.endpoints.values() if e.server not in self.core.draining]
-        cold = sum(1 for e in entries if e.started_ms is not None and now < e.started_ms + self.cold_ms)
-        self.levels.tick(now, time.time(), gauges, (len(entries), cold), self.core.waiting_ratios(now))
-
-    # --- the socket ---
-
-    async def serve_socket(self, path: str) -> None:
-        """One JSON object a line each way. Only the owner may open the socket."""
-        Path(path).unlink(missing_ok=True)
-        with trio.socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as server:
-            before = os.umask(0o177)
-            try:
-                await server.bind(path)
-            finally:
-                os.umask(before)
-            server.listen(MOST_ASKING)
-            asking = trio.CapacityLimiter(MOST_ASKING)
-            try:
-                async with trio.open_nursery() as nursery:
-                    while True:
-                        stream, _ = await server.accept()
-                        nursery.start_soon(self._asked, trio.SocketStream(stream), asking)
-            finally:
-                Path(path).unlink(missing_ok=True)
-
-    async def _asked(self, stream: trio.SocketStream, asking: trio.CapacityLimiter) -> None:
-        async with asking, stream:
-            try:
-                with trio.fail_after(ASK_S):
-                    data = b""
-                    while not data.endswith(b"\n") and len(data) < MAX_ASK:
-                        part = await stream.receive_some(4096)
-                        if not part:
-                            return
-                        data += part
-                    await stream.send_all(json.dumps(self.answer(data)).encode() + b"\n")
-            except (trio.TooSlowError, trio.BrokenResourceError):
-                pass
-
-    def answer(self, data: bytes) -> dict[str, Any]:
+        self.load_shedder.tick(
+            now, time.time(), gauges, self._endpoint_counts(now), self._core.waiting_ratios(now)
+        )
+
+    def _endpoint_counts(self, now: float) -> EndpointCounts:
+        slow_start_ms = self._core.settings.slow_start_ms
+        started = [
+            endpoint.started_ms
+            for endpoint in self._core.endpoints.values()
+            if endpoint.server not in self._core.draining
+        ]
+        in_slow_start = sum(1 for at in started if at is not None and now < at + slow_start_ms)
+        return EndpointCounts(len(started), in_slow_start)
+
+    def _processor_share(self, last: ProcessorTime, sample: ProcessorTime) -> float:
+        interval_s = max(MIN_INTERVAL_S, sample.at_s - last.at_s)
+        return (sample.used_s - last.used_s) / interval_s / max(MIN_CORES, self._cores)
+
+    # --- journal ---
+
+    def _read_journal(self, file: LevelJournalFile) -> Journal:
         try:
-            asked = json.loads(data)
-            handler: Callable[[dict[str, Any]], dict[str, Any]] = getattr(self, f"do_{asked['do']}")
-        except (ValueError, TypeError, KeyError, AttributeError):
-            return {"error": "ask one of show, history, pin, unpin"}
-        return handler(asked)
-
-    def do_show(self, asked: dict[str, Any]) -> dict[str, Any]:
-        return self.levels.show(now_ms(), time.time())
-
-    def do_history(self, asked: dict[str, Any]) -> dict[str, Any]:
-        if self.journal is None:
-            return {"error": "no journal is configured"}
+            return file.read()
+        except OSError as error:
+            log("level_journal_failed", error=str(error))
+            return Journal(())
+
+    def _set_aside(self, file: LevelJournalFile, restored: RestoredLevel) -> None:
         try:
-            rows = history.history(self.journal.read(), 50)
+            aside = file.set_aside()
         except OSError as error:
-            return {"error": str(error)}
-        return {"changes": [json.loads(history.line(row).partition(b" ")[2]) for row in rows]}
-
-    def do_pin(self, asked: dict[str, Any]) -> dict[str, Any]:
-        level = asked.get("level")
-        for_ms = asked.get("for_ms")
-        by = asked.get("by")
-        if not isinstance(level, str) or not isinstance(for_ms, int | float) or not 0 < for_ms < 1e9:
-            return {"error": "a pin needs a level and a time"}
-        if not self.levels.pin(now_ms(), time.time(), level, for_ms, str(by)[:60]):
-            return {"error": f"there is no level {level!r}"}
-        return self.do_show(asked)
-
-    def do_unpin(self, asked: dict[str, Any]) -> dict[str, Any]:
-        self.levels.unpin()
-        return self.do_show(asked)
+            log("level_journal_failed", error=str(error))
+        else:
+            log("level_journal_corrupt", why=restored.reason, kept=str(aside))
+
+    async def _write(self, file: LevelJournalFile, records: Sequence[JournalRecord]) -> None:
+        """Writes records on a thread; a full, slow or missing disk costs lines of the journal only."""
+        with trio.move_on_after(WRITE_TIMEOUT_S):
+            try:
+                await trio.to_thread.run_sync(file.append, records, abandon_on_cancel=True)
+            except OSError as error:
+                if trio.current_time() - self._write_error_logged_s >= WRITE_ERROR_LOG_S:
+                    self._write_error_logged_s = trio.current_time()
+                    log("level_journal_failed", error=str(error))
 
 
 def _highest(values: Iterable[float | None]) -> float | None:
