--- a/violetstack/commands/level.py
+++ b/violetstack/commands/level.py
@@ -1,4 +1,4 @@
-"""`violetstack level show|history|pin|unpin`, over the daemon's socket."""
+"""`violetstack level show|history|pin|unpin`: the levels of reduced service, over the daemon's socket."""
 
 from __future__ import annotations
 
@@ -11,6 +11,10 @@
 
 import click
 
+TIMEOUT_S = 5.0
+READ_SIZE_BYTES = 65536
+MS_PER_MINUTE = 60_000.0
+NO_ANSWER_EXIT_STATUS = 2
 SOCKET = click.option(
     "--socket", "path", required=True, help="The daemon's `admin` socket, of its file's levels."
 )
@@ -21,65 +25,25 @@
     """Look at the level of reduced service, and pin it."""
 
 
-def ask(path: str, **asked: Any) -> dict[str, Any]:
-    """The daemon's answer; ends with 2 if there is none or it is an error."""
-    try:
-        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as peer:
-            peer.settimeout(5.0)
-            peer.connect(path)
-            peer.sendall(json.dumps(asked).encode() + b"\n")
-            data = b""
-            while not data.endswith(b"\n") and (part := peer.recv(65536)):
-                data += part
-        told: dict[str, Any] = json.loads(data)
-    except (OSError, ValueError) as error:
-        click.echo(f"{path}: {error}", err=True)
-        sys.exit(2)
-    if "error" in told:
-        click.echo(told["error"], err=True)
-        sys.exit(2)
-    return told
-
-
-def shown(told: dict[str, Any]) -> None:
-    pin = told["pin"]
-    click.echo(
-        f"{told['level']} for {told['for_s']:.0f} s, of {', '.join(told['levels'])}; {told['shed']} shed"
-    )
-    if pin is not None:
-        click.echo(f"pinned by {pin['by']} for another {pin['for_s']} s")
-    if told["cautious_for_s"]:
-        click.echo(
-            f"cautious for another {told['cautious_for_s']:g} s: levels are entered four times as fast"
-        )
-    for name, row in told["signals"].items():
-        value = "not known" if row["value"] is None else f"{row['value']:.3g}"
-        click.echo(f"  {name:12} {value:>10}  from {row['count']} in all, {row['age_s']:g} s ago")
-    for row in told["outlook"]:
-        since = "" if row["for_s"] is None else f", for {row['for_s']:g} s"
-        holds = {True: "holds", False: "does not hold", None: "is not known"}[row["holds"]]
-        click.echo(f"  would {row['would']} {row['level']} if {row['if']}: it {holds}{since}")
-
-
 @level.command()
 @SOCKET
 @click.option("--json", "as_json", is_flag=True, help="All of it, for programs.")
 def show(path: str, as_json: bool) -> None:
     """The level, since when, every signal, and what would change it."""
-    told = ask(path, do="show")
+    status = _request(path, do="show")
     if as_json:
-        click.echo(json.dumps(told, indent=1))
+        click.echo(json.dumps(status, indent=1))
     else:
-        shown(told)
+        _print_status(status)
 
 
 @level.command()
 @SOCKET
 def history(path: str) -> None:
     """The last changes with their causes, the newest first."""
-    for row in ask(path, do="history")["changes"]:
-        at = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(row["at"]))
-        click.echo(f"{at}  {row['old']} -> {row['level']}: {row['cause']}")
+    for change in _request(path, do="history")["changes"]:
+        at = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(change["at"]))
+        click.echo(f"{at}  {change['old']} -> {change['level']}: {change['cause']}")
 
 
 @level.command()
@@ -95,11 +59,57 @@
 )
 def pin(name: str, path: str, minutes: float) -> None:
     """Keep the level NAME in force, whatever the signals say."""
-    shown(ask(path, do="pin", level=name, for_ms=minutes * 60_000.0, by=getpass.getuser()))
+    status = _request(path, do="pin", level=name, for_ms=minutes * MS_PER_MINUTE, by=getpass.getuser())
+    _print_status(status)
 
 
 @level.command()
 @SOCKET
 def unpin(path: str) -> None:
     """Let the signals decide again."""
-    shown(ask(path, do="unpin"))
+    _print_status(_request(path, do="unpin"))
+
+
+def _request(path: str, **request: Any) -> dict[str, Any]:
+    """Returns the daemon's reply; exits with `NO_ANSWER_EXIT_STATUS` if there is none or it is an error."""
+    try:
+        reply: dict[str, Any] = json.loads(_exchange(path, json.dumps(request).encode() + b"\n"))
+    except (OSError, ValueError) as error:
+        click.echo(f"{path}: {error}", err=True)
+        sys.exit(NO_ANSWER_EXIT_STATUS)
+    if "error" in reply:
+        click.echo(reply["error"], err=True)
+        sys.exit(NO_ANSWER_EXIT_STATUS)
+    return reply
+
+
+def _exchange(path: str, line: bytes) -> bytes:
+    """Sends a line and returns the line that comes back."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as connection:
+        connection.settimeout(TIMEOUT_S)
+        connection.connect(path)
+        connection.sendall(line)
+        data = b""
+        while not data.endswith(b"\n") and (part := connection.recv(READ_SIZE_BYTES)):
+            data += part
+    return data
+
+
+def _print_status(status: dict[str, Any]) -> None:
+    names = ", ".join(status["levels"])
+    click.echo(f"{status['level']} for {status['for_s']:.0f} s, of {names}; {status['shed']} shed")
+    pinned = status["pin"]
+    if pinned is not None:
+        click.echo(f"pinned by {pinned['by']} for another {pinned['for_s']} s")
+    if status["cautious_for_s"]:
+        click.echo(
+            f"cautious for another {status['cautious_for_s']:g} s: levels are entered four times as fast"
+        )
+    for name, signal in status["signals"].items():
+        value = "not known" if signal["value"] is None else f"{signal['value']:.3g}"
+        click.echo(f"  {name:12} {value:>10}  from {signal['count']} in all, {signal['age_s']:g} s ago")
+    for transition in status["outlook"]:
+        since = "" if transition["for_s"] is None else f", for {transition['for_s']:g} s"
+        holds = {True: "holds", False: "does not hold", None: "is not known"}[transition["holds"]]
+        change = f"{transition['would']} {transition['level']}"
+        click.echo(f"  would {change} if {transition['if']}: it {holds}{since}")
--- a/violetstack/load_shedding/signals.py
+++ b/violetstack/load_shedding/signals.py
@@ -6,7 +6,7 @@
 look punctual.
 
 Quantiles come from t-digests (Dunning and Ertl), one for each second of the window; their size is bounded
-for any rate. `docs/levels.md` compares them with DDSketch and HdrHistogram.
+for any rate.
 """
 
 from __future__ import annotations
--- a/violetstack/net/level_socket.py
+++ b/violetstack/net/level_socket.py
@@ -79,7 +79,7 @@
     def __init__(self, operations: LevelOperations) -> None:
         """Takes the operations that requests are carried out on."""
         self._operations = operations
-        self._handlers: dict[str, Callable[[bytes], Reply]] = {
+        self._handlers: dict[str, Callable[[dict[str, object]], Reply]] = {
             "show": self._show,
             "history": self._history,
             "pin": self._pin,
@@ -109,10 +109,11 @@
             finally:
                 _remove(path)
 
-    def reply_to(self, request: bytes) -> Reply:
+    def reply_to(self, data: bytes) -> Reply:
         """Carries out one request and returns the reply."""
         try:
-            handler = self._handlers[json.loads(request)["do"]]
+            request = json.loads(data)
+            handler = self._handlers[request["do"]]
         except (ValueError, TypeError, KeyError):
             return ErrorReply("ask one of show, history, pin, unpin")
         return handler(request)
@@ -127,14 +128,15 @@
                         if not part:
                             return
                         request += part
-                    await stream.send_all(msgspec.json.encode(self.reply_to(request)) + b"\n")
+                    reply = msgspec.to_builtins(self.reply_to(request))
+                    await stream.send_all(json.dumps(reply).encode() + b"\n")
             except (trio.TooSlowError, trio.BrokenResourceError):
                 pass
 
-    def _show(self, _: bytes) -> Reply:
+    def _show(self, _: dict[str, object]) -> Reply:
         return self._operations.status()
 
-    def _history(self, _: bytes) -> Reply:
+    def _history(self, _: dict[str, object]) -> Reply:
         try:
             changes = self._operations.recent_changes(MAX_HISTORY)
         except OSError as error:
@@ -143,8 +145,8 @@
             return ErrorReply("no journal is configured")
         return HistoryReply(changes)
 
-    def _pin(self, request: bytes) -> Reply:
-        pin = msgspec.json.decode(request, type=PinRequest)
+    def _pin(self, request: dict[str, object]) -> Reply:
+        pin = msgspec.convert(request, PinRequest)
         level = pin.level
         duration_ms = pin.duration_ms
         if not isinstance(level, str) or not isinstance(duration_ms, int | float):
@@ -157,7 +159,7 @@
             return ErrorReply(str(error))
         return self._operations.status()
 
-    def _unpin(self, _: bytes) -> Reply:
+    def _unpin(self, _: dict[str, object]) -> Reply:
         self._operations.unpin()
         return self._operations.status()
 
