--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 import math
+import os
 import random
+import stat
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
+from pathlib import Path
 from typing import Any
 from zlib import crc32
 
 import msgspec
 import pytest
+import trio
+from click.testing import CliRunner, Result
 
 from tests.front import SETTINGS
 from tests.test_routing import request
+from violetstack.commands.main import main
 from violetstack.core.ports import Shed
 from violetstack.core.records import RequestOutcome
 from violetstack.load_shedding.admission import AdmissionController, AdmissionWeights
@@ -543,3 +550,33 @@
     request_fields: dict[str, object], error: str
 ) -> None:
     assert reply_to(FakeOperations(), **request_fields) == {"error": error}
+
+
+def test_the_level_command_talks_to_the_socket(tmp_path: Path) -> None:
+    path = str(tmp_path / "level")
+    operations = FakeOperations()
+    outputs: list[Result] = []
+
+    async def invoke(*arguments: str) -> None:
+        command = ["level", *arguments, "--socket", path]
+        outputs.append(await trio.to_thread.run_sync(partial(CliRunner().invoke, main, command)))
+
+    async def story() -> None:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(LevelSocket(operations).serve, path)
+            assert stat.S_IMODE(os.stat(path).st_mode) == 0o600
+            await invoke("show")
+            await invoke("pin", "crisis", "--for", "2")
+            await invoke("history")
+            await invoke("unpin")
+            await invoke("pin", "nothing")
+            nursery.cancel_scope.cancel()
+
+    trio.run(story)
+    shown, pinned, history, unpinned, unknown = outputs
+    assert shown.output.startswith("strained for 20 s, of normal, strained, crisis; 0 shed\n")
+    assert "for another 120 s" in pinned.output
+    assert " -> strained: lateness >= 150%" in history.output
+    assert "pinned by" not in unpinned.output
+    assert (unknown.exit_code, unknown.output) == (2, "there is no level 'nothing'\n")
+    assert not Path(path).exists()
--- a/violetstack/net/level_socket.py
+++ b/violetstack/net/level_socket.py
@@ -86,8 +86,8 @@
             "unpin": self._unpin,
         }
 
-    async def serve(self, path: str) -> None:
-        """Serves until cancelled, and removes the socket.
+    async def serve(self, path: str, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serves until cancelled, then removes the socket; started once clients can connect.
 
         Raises:
             OSError: The path cannot be bound.
@@ -100,6 +100,7 @@
             finally:
                 os.umask(previous_umask)
             listener.listen(MAX_CONNECTIONS)
+            task_status.started()
             limiter = trio.CapacityLimiter(MAX_CONNECTIONS)
             try:
                 async with trio.open_nursery() as nursery:
