The admin API's address is called admin, no longer door

Serving.door, Stage.door -> admin; the field door of the started line -> admin; budget(door=) -> admin_api=; DOOR -> ADMIN_API_DESCRIPTORS in resource_limits and ADMIN_PORT in the rehearsal, whose plan files keep the key door. benchmarks/service.py reads the old field of revisions that it compares with.

--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -1,4 +1,4 @@
-"""What a silent connection costs, how late the door is in a crowd, and a start to its yes, as ratios.
+"""What a silent connection costs, how late the admin API is in a crowd, and a start to its yes, as ratios.
 
     python -m benchmarks.service [--against REV]
 
@@ -59,7 +59,8 @@
         started = next(line for line in lines if line["event"] == "started")
         self.ready_s, self.ready_cpu_s = time.monotonic() - began, self.cpu_s()
         self.at: tuple[str, int] = tuple(started["platform"])
-        self.door: tuple[str, int] | None = tuple(started["door"]) if started.get("door") else None
+        admin = started.get("admin") or started.get("door")  # the second: as revisions before named it
+        self.admin: tuple[str, int] | None = tuple(admin) if admin else None
 
     def cpu_s(self) -> float:
         row = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
@@ -127,10 +128,10 @@
         told["CPU us a silent connection"] = (daemon.cpu_s() - cpu) / SILENT * 1e6
         for sock in crowd:
             sock.close()
-        has_door = daemon.door is not None
+        has_admin_api = daemon.admin is not None
     finally:
         daemon.end()
-    if has_door:
+    if has_admin_api:
         daemon = Daemon(root, watched=True)
         try:
             told |= storm(daemon)
@@ -141,22 +142,22 @@
 
 
 def storm(daemon: Daemon) -> dict[str, float]:
-    """Connections as fast as they can be made, a call at the door between them."""
-    assert daemon.door is not None
+    """Connections as fast as they can be made, a request to the admin API between them."""
+    assert daemon.admin is not None
     late = []
     crowd = list[socket.socket]()
     for n in range(STORM):
         crowd.append(socket.create_connection(daemon.at))
         if n % 60 == 59:
             began = time.monotonic()
-            assert b"open_requests" in ask(daemon.door, b"/admin/stats")
+            assert b"open_requests" in ask(daemon.admin, b"/admin/stats")
             late.append((time.monotonic() - began) * 1000.0)
         if len(crowd) >= 1_500:
             crowd.pop(0).close()
     for sock in crowd:
         sock.close()
     late.sort()
-    return {"door, median ms": median(late), "door, latest ms": late[-1]}
+    return {"admin API, median ms": median(late), "admin API, latest ms": late[-1]}
 
 
 def main() -> None:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -316,7 +316,7 @@
 
 
 async def stats(on: Stage) -> Any:
-    return orjson.loads((await raw(on.door, get("/admin/stats"))).partition(b"\r\n\r\n")[2])
+    return orjson.loads((await raw(on.admin, get("/admin/stats"))).partition(b"\r\n\r\n")[2])
 
 
 def test_metrics_of_both_fronts_match_what_their_clients_saw() -> None:
@@ -336,7 +336,7 @@
         assert told["operations"]["consulta"] == {"fulfilled": 1, "throttled": 0, "faulted": 0}
         assert (told["open_requests"], told["relayed"]) == (1, len(reader.begun) + len(writer.begun))
         assert (told["registry_entries"], told["out_of_rotation"]) == (2, 0)
-        await raw(on.door, post("/admin/cordon", b"w"))
+        await raw(on.admin, post("/admin/cordon", b"w"))
         assert (await stats(on))["out_of_rotation"] == 1
 
     play(reader, writer, story=story)
@@ -348,14 +348,14 @@
 def test_a_cordoned_host_gets_no_new_work_until_it_is_uncordoned() -> None:
     async def story(on: Stage) -> None:
         reader, writer = hosts
-        assert (await raw(on.door, post("/admin/cordon", b"w"))).startswith(b"HTTP/1.1 200 ")
+        assert (await raw(on.admin, post("/admin/cordon", b"w"))).startswith(b"HTTP/1.1 200 ")
         assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "refused"
         on.discovery.tell(writer.row())  # whatever lists say meanwhile
         while on.daemon.watch is None or on.daemon.watch.version != 2:
             await trio.sleep(0.001)
         assert (await ask_platform(on.platform, "q2", "consulta")).outcome == "refused"
-        assert (await raw(on.door, post("/admin/uncordon", b"w"))).startswith(b"HTTP/1.1 200 ")
-        assert (await raw(on.door, post("/admin/cordon", b"x"))).startswith(b"HTTP/1.1 404 ")
+        assert (await raw(on.admin, post("/admin/uncordon", b"w"))).startswith(b"HTTP/1.1 200 ")
+        assert (await raw(on.admin, post("/admin/cordon", b"x"))).startswith(b"HTTP/1.1 404 ")
         with trio.fail_after(5.0):
             n = 0
             while (await ask_platform(on.platform, f"b{n}", "consulta")).outcome != "served":
@@ -373,7 +373,7 @@
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
-        await raw(on.door, post("/admin/cordon", b"r"))
+        await raw(on.admin, post("/admin/cordon", b"r"))
         discovery = Discovery(reader.row(), writer.row(), {**reader.row(), "id": "r2"})
         await on.nursery.start(discovery.serve)
         on.daemon.reload(lambda: on.config(discovery=discovery.address))
@@ -390,7 +390,7 @@
 
 def test_incomplete_requests_do_not_block_others() -> None:
     async def story(on: Stage) -> None:
-        idle = [await trio.open_tcp_stream(*on.door) for _ in range(3 * MAX_CONNECTIONS)]
+        idle = [await trio.open_tcp_stream(*on.admin) for _ in range(3 * MAX_CONNECTIONS)]
         for stream in idle[::2]:
             await stream.send_all(b"GET /admin/st")
         with trio.fail_after(1.0):
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -13,7 +13,7 @@
 from violetstack.config import Address
 from violetstack.net.admin_server import MAX_CONNECTIONS
 from violetstack.net.downstream import connection, connection_table, listener
-from violetstack.net.resource_limits import DOOR, LEAST, OWN, budget
+from violetstack.net.resource_limits import ADMIN_API_DESCRIPTORS, LEAST, OWN, budget
 from violetstack.protocol.headers import MAX_WAIT_MS, RequestReader
 from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import BODY, ask_platform, chat_headers, connect, platform_headers, raw
@@ -219,15 +219,17 @@
 
 
 @pytest.mark.parametrize("sockets", [48, 64, 256, 1024])
-def test_clients_hosts_door_and_the_rest_fit_the_limit_for_one_and_for_two_processes(sockets: int) -> None:
-    for door, processes, fronts in product((False, True), (1, 2), (1, 2, 3)):
-        share = budget(sockets, 192.0, fronts=fronts, door=door, processes=processes)
+def test_clients_hosts_admin_api_and_the_rest_fit_the_limit_for_one_and_for_two_processes(
+    sockets: int,
+) -> None:
+    for admin_api, processes, fronts in product((False, True), (1, 2), (1, 2, 3)):
+        share = budget(sockets, 192.0, fronts=fronts, admin_api=admin_api, processes=processes)
         assert share.hosts >= LEAST
         assert share.clients >= 1
         if sockets // processes >= 96:
-            own = OWN + listener.MAX_CONCURRENT_REJECTIONS + (DOOR if door else 0)
+            own = OWN + listener.MAX_CONCURRENT_REJECTIONS + (ADMIN_API_DESCRIPTORS if admin_api else 0)
             assert processes * (own + share.hosts + fronts * share.clients) <= sockets
-    assert DOOR == MAX_CONNECTIONS + 1
+    assert ADMIN_API_DESCRIPTORS == MAX_CONNECTIONS + 1
 
 
 def test_a_failure_to_make_room_turns_one_client_away_and_ends_nothing() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -247,7 +247,7 @@
         if not wait:
             return process, ("", 0)
         await started.wait()
-        return process, tuple(next(line["door"] for line in lines if line["event"] == "started"))
+        return process, tuple(next(line["admin"] for line in lines if line["event"] == "started"))
 
     async def _read(self, process: trio.Process, lines: list[dict[str, Any]], started: trio.Event) -> None:
         rest = b""
--- a/tests/test_lease_service.py
+++ b/tests/test_lease_service.py
@@ -15,7 +15,7 @@
 from violetstack.operators import OperatorFile
 from violetstack.rehearsal.fleet.plan import Plan, Trouble
 from violetstack.rehearsal.fleet.report import Result
-from violetstack.rehearsal.fleet.runner import DOOR, Ground
+from violetstack.rehearsal.fleet.runner import ADMIN_PORT, Ground
 from violetstack.rehearsal.stage import SETTINGS
 
 HOLDER_FAULTS = [
@@ -40,7 +40,7 @@
     rate=20,
     warm=1,
     seconds=12,
-    door=True,
+    admin_api=True,
     file="duties { lease = 500ms leave = 1 leave_wait = 20s }",
     trouble=[Trouble(2.0, "term", "0-2", 25.0), Trouble(2.0, "network", "all", 6.0, "loss")],
 )
@@ -50,7 +50,7 @@
     rate=10,
     warm=1,
     seconds=14,
-    door=True,
+    admin_api=True,
     supervised=True,
     file="duties { lease = 500ms leave = 1 }",
     trouble=[Trouble(0.2, "network", "2", 60.0, "cut")],
@@ -72,7 +72,9 @@
         self.shutdown: Result
         self.commands: list[CommandResult] = []
         self.rolling_restart = Ground(ROLLING_RESTART_PLAN)
-        self.admin_addresses = [":".join(map(str, self.rolling_restart.address(n, DOOR))) for n in range(3)]
+        self.admin_addresses = [
+            ":".join(map(str, self.rolling_restart.address(n, ADMIN_PORT))) for n in range(3)
+        ]
         trio.run(self._run)
 
     async def _run(self) -> None:
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -54,7 +54,7 @@
     platform: Address | None
     chat: Address | None
     challenge: Address | None
-    door: Address | None = None
+    admin: Address | None = None
 
 
 class Daemon:
@@ -83,7 +83,7 @@
                 name=self.config.told.name,
                 platform=serving.platform,
                 chat=serving.chat,
-                door=serving.door,
+                admin=serving.admin,
             )
             gc.freeze()
             gc.enable()
@@ -156,7 +156,7 @@
         self._build_endpoints()
         predecessor = self.handover.load_predecessor() if self.handover is not None else None
         await self.endpoints.start(self.nursery, pause_detector, predecessor)
-        door = await self._start_admin_server()
+        admin = await self._start_admin_server()
         self._shed_load(self.config.levels)
         self.nursery.start_soon(loop.run)
         self.nursery.start_soon(self.hosts.pool.close_expired)
@@ -176,7 +176,7 @@
         self.lifecycle.accepting = True
         if self.hot_restart is not None:
             self.hot_restart.write()
-        return Serving(platform, chat, self.fronts.challenge_at, door)
+        return Serving(platform, chat, self.fronts.challenge_at, admin)
 
     def _build(self) -> PauseDetector:
         config = self.config
@@ -215,7 +215,7 @@
         self.core.process_paused(pause_ms)
 
     def _build_endpoints(self) -> None:
-        """With cordons and a hot restart only where operators have a door."""
+        """With cordons and a hot restart only with an admin API."""
         config = self.config
         if config.mgmt is not None:
             from violetstack.admin.cordons import Cordons
--- a/violetstack/daemon/limits.py
+++ b/violetstack/daemon/limits.py
@@ -30,7 +30,7 @@
             int(limits.sockets),
             limits.memory_mb,
             fronts=self._fronts,
-            door=self._config.mgmt is not None,
+            admin_api=self._config.mgmt is not None,
             processes=self._processes(),
         )
         self._hosts.pool.max_connections = share.hosts
--- a/violetstack/net/resource_limits.py
+++ b/violetstack/net/resource_limits.py
@@ -7,7 +7,7 @@
 from violetstack.net.downstream.listener import MAX_CONCURRENT_REJECTIONS
 
 OWN = 28  # streams 3, poller 3, listeners 4, watch 2, peers 1, files and heirs 5, and what just ends
-DOOR = 17  # the operators' listener and its callers
+ADMIN_API_DESCRIPTORS = 17  # its listener and connections
 LEAST = 4  # of clients and of hosts, however little there is
 # of the memory, and of one client's connection
 CONNECTION_SHARE = 0.2
@@ -23,14 +23,16 @@
     bodies: int
 
 
-def budget(sockets: int, memory_mb: float, *, fronts: int, door: bool, processes: int) -> Budget:
+def budget(sockets: int, memory_mb: float, *, fronts: int, admin_api: bool, processes: int) -> Budget:
     """Half of what is left goes to hosts, half to clients; processes side by side share all limits alike.
 
     Guards the memory limit where descriptors abound; a third of them clients may hold for requests.
     """
     sockets = sockets // processes
     memory = memory_mb * 2**20 / processes
-    left = max(2 * LEAST, sockets - OWN - MAX_CONCURRENT_REJECTIONS - (DOOR if door else 0))
+    left = max(
+        2 * LEAST, sockets - OWN - MAX_CONCURRENT_REJECTIONS - (ADMIN_API_DESCRIPTORS if admin_api else 0)
+    )
     by_memory = max(sockets // 3, int(memory * CONNECTION_SHARE) // CONNECTION_BYTES)
     return Budget(
         hosts=left // 2,
--- a/violetstack/rehearsal/fleet/plan.py
+++ b/violetstack/rehearsal/fleet/plan.py
@@ -48,7 +48,7 @@
     sockets: int = 256
     tells: bool = True
     file: str = ""  # the operator's file of every dispatcher, as text
-    door: bool = False  # does each have one for operators?
+    admin_api: bool = msgspec.field(name="door", default=False)  # does each serve it?
     supervised: bool = False  # is one that ends in order started again?
     trouble: list[Trouble] = []
 
--- a/violetstack/rehearsal/fleet/runner.py
+++ b/violetstack/rehearsal/fleet/runner.py
@@ -31,7 +31,7 @@
 
 GIVE_UP_S = 5.0
 READ_S = 0.1  # how long a reader needs for the mean prompt
-DOOR = 5001
+ADMIN_PORT = 5001
 TERM_S = 3.7
 RUNS_APART = 4_099
 VOID_LAG_S = 0.25  # stand-ins that were later than this measured themselves
@@ -121,7 +121,7 @@
         everyone = self.address(number, SAID) if relayed else None
         host, port = self.address(number, 5000)
         return {
-            "mgmt": f"{host}:{DOOR}" if plan.door else None,
+            "mgmt": f"{host}:{ADMIN_PORT}" if plan.admin_api else None,
             "name": f"n{number}",
             "listen": f"{host}:{port}",
             "discovery": self.agents[number].address,
--- a/violetstack/rehearsal/stage.py
+++ b/violetstack/rehearsal/stage.py
@@ -73,7 +73,7 @@
     told: dict[str, Any]
     chat_file: OperatorFile
     plan: Plan | None
-    door: Address
+    admin: Address
 
     def config(self, **changes: Any) -> Config:
         """The configuration that it was started with, changed."""
@@ -90,7 +90,7 @@
     file: Path | None = None,
     folder: Path | None = None,
 ) -> AsyncIterator[Stage]:
-    """There is an operators' door; `folder` is what this dispatcher's processes share, if they do.
+    """The daemon serves the admin API; `folder` is what this dispatcher's processes share, if they do.
 
     `settings` and `chat` change the plain ones above; hosts of the kind `openai` are the operator's own.
 
@@ -130,6 +130,6 @@
             told,
             operator,
             plan,
-            serving.door or serving.platform,
+            serving.admin or serving.platform,
         )
         nursery.cancel_scope.cancel()
