--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -18,7 +18,6 @@
 from violetstack.daemon.limits import LimitAllocator
 from violetstack.daemon.optional_services import (
     build_routing,
-    reload_load_shedding,
     start_lease_service,
     start_load_shedding,
     start_state_writer,
@@ -40,10 +39,10 @@
     from violetstack.admin.cordons import Cordons
     from violetstack.daemon.hot_restart import HotRestart
     from violetstack.handover.learned_state import LearnedState
-    from violetstack.load_shedding.control import LevelPlan
+    from violetstack.load_shedding.levels import LevelPlan
     from violetstack.net.handover import HandoverService
     from violetstack.net.lease_service import LeaseService
-    from violetstack.net.load_shedding import LevelDriver
+    from violetstack.net.load_shedding import LoadSheddingService
     from violetstack.net.state_writer import StateWriter
     from violetstack.net.watch import Watch
     from violetstack.routing.generations import Routing
@@ -55,7 +54,7 @@
     platform: Address | None
     chat: Address | None
     challenge: Address | None
-    door: Address | None = None
+    admin: Address | None = None
 
 
 class Daemon:
@@ -68,7 +67,7 @@
         self.cordons: Cordons | None = None
         self.hot_restart: HotRestart | None = None
         self.routing: Routing | None = None
-        self.levels: LevelDriver | None = None
+        self.load_shedding: LoadSheddingService | None = None
         self.state_writer: StateWriter | None = None
         self.leases: LeaseService | None = None
 
@@ -84,7 +83,7 @@
                 name=self.config.told.name,
                 platform=serving.platform,
                 chat=serving.chat,
-                door=serving.door,
+                admin=serving.admin,
             )
             gc.freeze()
             gc.enable()
@@ -157,7 +156,7 @@
         self._build_endpoints()
         predecessor = self.handover.load_predecessor() if self.handover is not None else None
         await self.endpoints.start(self.nursery, pause_detector, predecessor)
-        door = await self._start_admin_server()
+        admin = await self._start_admin_server()
         self._shed_load(self.config.levels)
         self.nursery.start_soon(loop.run)
         self.nursery.start_soon(self.hosts.pool.close_expired)
@@ -177,7 +176,7 @@
         self.lifecycle.accepting = True
         if self.hot_restart is not None:
             self.hot_restart.write()
-        return Serving(platform, chat, self.fronts.challenge_at, door)
+        return Serving(platform, chat, self.fronts.challenge_at, admin)
 
     def _build(self) -> PauseDetector:
         config = self.config
@@ -216,7 +215,7 @@
         self.core.process_paused(pause_ms)
 
     def _build_endpoints(self) -> None:
-        """With cordons and a hot restart only where operators have a door."""
+        """With cordons and a hot restart only with an admin API."""
         config = self.config
         if config.mgmt is not None:
             from violetstack.admin.cordons import Cordons
@@ -315,10 +314,10 @@
         plan = plan or self.config.levels
         if plan is None:
             return
-        if self.levels is not None:
-            reload_load_shedding(self.levels, plan)
+        if self.load_shedding is not None:
+            self.load_shedding.reload(plan)
         else:
-            self.levels = start_load_shedding(
+            self.load_shedding = start_load_shedding(
                 plan,
                 self.config,
                 self.nursery,
