Stored state: errors with fields, and tests of invalid headers

StateFileError is the base of TruncatedHeaderError, UnknownFormatError, UnsupportedVersionError, GenerationMismatchError and InvalidSnapshotError; each names the value and what was expected.

--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -65,6 +65,11 @@
     assert tracker.earliest_arrival == pytest.approx(earliest_arrival)
 
 
+def pause_process(pause_ms: float) -> None:
+    """Blocks the event loop, like a process that is stopped."""
+    time.sleep(pause_ms / 1000.0)
+
+
 class UnreadSource:
     """An input source that has so many messages unread, and is asked for them once an iteration."""
 
@@ -77,7 +82,6 @@
 
 
 def test_after_a_pause_the_sources_are_read_before_anything_waits_on() -> None:
-    """A task that blocks the event loop stands for a process that was stopped."""
     unread_at_pause: list[int] = []
     pauses_ms: list[float] = []
     source = UnreadSource(5)
@@ -94,7 +98,7 @@
             await trio.testing.wait_all_tasks_blocked()
             await detector.wait_caught_up()  # no pause: returns at once
             assert detector.max_unread_ms() == 0.0
-            time.sleep(1.2 * GRACE_MS / 1000.0)  # noqa: ASYNC251 - it is to block
+            pause_process(1.2 * GRACE_MS)
             await trio.lowlevel.checkpoint()
             assert detector.catching_up
             assert detector.max_unread_ms() >= GRACE_MS
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -16,7 +16,13 @@
 from violetstack.net.background_writer import BackgroundWriter
 from violetstack.net.state_directory import StateDirectory
 from violetstack.protocol.discovery import WServer
-from violetstack.state.records import encode_record
+from violetstack.state.errors import (
+    StateFileError,
+    TruncatedHeaderError,
+    UnknownFormatError,
+    UnsupportedVersionError,
+)
+from violetstack.state.records import decode_file, encode_header, encode_record
 from violetstack.state.snapshot import EndpointMessage, StateSnapshot, encode_endpoints, encode_learned
 from violetstack.state.store import MIN_LOG_BYTES, SnapshotStore, recover
 
@@ -158,6 +164,31 @@
             assert all(snapshot.servers[key] == server for key, server in servers.items())
 
 
+@pytest.mark.parametrize(
+    ("data", "error"),
+    [
+        (encode_header(1)[:-1], TruncatedHeaderError),
+        (b"sqli" + encode_header(1)[4:], UnknownFormatError),
+        (encode_header(1)[:4] + b"\0\2" + encode_header(1)[6:], UnsupportedVersionError),
+    ],
+)
+def test_a_file_with_an_invalid_header_is_rejected(data: bytes, error: type[StateFileError]) -> None:
+    with pytest.raises(error):
+        decode_file(data)
+
+
+def test_a_snapshot_under_the_name_of_another_generation_is_not_used() -> None:
+    directory, _ = stored_state()
+    directory.files["state-7.snapshot"] = directory.files["state-1.snapshot"]
+    directory.files["state-9.snapshot"] = encode_header(9)
+    recovered = recover(directory)
+    assert recovered.generation == 1
+    assert recovered.problems == [
+        "state-9.snapshot: no record",
+        "state-7.snapshot: header of generation 1, expected 7",
+    ]
+
+
 def test_a_write_that_failed_is_retried_with_a_snapshot(tmp_path: Path) -> None:
     folder = tmp_path / "state"
 
--- a/violetstack/state/errors.py
+++ b/violetstack/state/errors.py
@@ -8,10 +8,72 @@
 
 
 class StateFileError(StateError):
-    """A file of which nothing can be used.
+    """The base class of errors for which nothing of a file can be used."""
+
+
+class TruncatedHeaderError(StateFileError):
+    """A file that is shorter than its header.
+
+    Attributes:
+        size: The length of the file in bytes.
+        header_size: The length of a header in bytes.
+    """
+
+    def __init__(self, size: int, header_size: int) -> None:
+        """Creates an error that names both lengths."""
+        super().__init__(f"header cut off after {size} of {header_size} bytes")
+        self.size = size
+        self.header_size = header_size
+
+
+class UnknownFormatError(StateFileError):
+    """A file that was not written by this program.
+
+    Attributes:
+        magic: The first bytes of the file.
+    """
+
+    def __init__(self, magic: bytes) -> None:
+        """Creates an error that names the first bytes."""
+        super().__init__(f"not a state file: begins with {magic!r}")
+        self.magic = magic
+
+
+class UnsupportedVersionError(StateFileError):
+    """A file in a format version that this release cannot read.
+
+    Attributes:
+        version: The version of the file.
+        supported: The version that can be read.
+    """
+
+    def __init__(self, version: int, supported: int) -> None:
+        """Creates an error that names both versions."""
+        super().__init__(f"format version {version}, supported is {supported}")
+        self.version = version
+        self.supported = supported
+
+
+class GenerationMismatchError(StateFileError):
+    """A file whose header has another generation than its name.
+
+    Attributes:
+        generation: The generation in the header.
+        expected: The generation in the name.
+    """
+
+    def __init__(self, generation: int, expected: int) -> None:
+        """Creates an error that names both generations."""
+        super().__init__(f"header of generation {generation}, expected {expected}")
+        self.generation = generation
+        self.expected = expected
+
+
+class InvalidSnapshotError(StateFileError):
+    """A snapshot that is not complete.
 
     Attributes:
-        reason: What is wrong with the file, in words.
+        reason: What is wrong with it, in words.
     """
 
     def __init__(self, reason: str) -> None:
--- a/violetstack/state/records.py
+++ b/violetstack/state/records.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 from zlib import crc32
 
-from violetstack.state.errors import StateFileError
+from violetstack.state.errors import TruncatedHeaderError, UnknownFormatError, UnsupportedVersionError
 
 MAGIC = b"vlst"
 FORMAT_VERSION = 1
@@ -83,10 +83,10 @@
 
 def _decode_header(data: bytes) -> int:
     if len(data) < FILE_HEADER.size:
-        raise StateFileError(f"header cut off after {len(data)} of {FILE_HEADER.size} bytes")
+        raise TruncatedHeaderError(len(data), FILE_HEADER.size)
     magic, version, generation = FILE_HEADER.unpack_from(data)
     if magic != MAGIC:
-        raise StateFileError("not a state file")
+        raise UnknownFormatError(magic)
     if version != FORMAT_VERSION:
-        raise StateFileError(f"unsupported format version {version}")
+        raise UnsupportedVersionError(version, FORMAT_VERSION)
     return int(generation)
--- a/violetstack/state/store.py
+++ b/violetstack/state/store.py
@@ -11,7 +11,13 @@
 import re
 from typing import NamedTuple, Protocol
 
-from violetstack.state.errors import RecordError, StateError, StateFileError
+from violetstack.state.errors import (
+    GenerationMismatchError,
+    InvalidSnapshotError,
+    RecordError,
+    StateError,
+    StateFileError,
+)
 from violetstack.state.records import RecordFile, decode_file, encode_header
 from violetstack.state.snapshot import StateSnapshot
 
@@ -22,6 +28,7 @@
 MIN_LOG_BYTES = 64 * 1024
 MAX_LOG_TO_SNAPSHOT_RATIO = 4
 GENERATIONS_RETAINED = 2
+NO_RECORD = "no record"
 
 
 class Directory(Protocol):
@@ -105,12 +112,10 @@
 
 def _read_snapshot(directory: Directory, generation: int) -> StateSnapshot:
     file = _read_file(directory, snapshot_name(generation), generation)
-    if file.error:
-        raise StateFileError(file.error)
+    if file.error or not file.records:
+        raise InvalidSnapshotError(file.error or NO_RECORD)
     snapshot = StateSnapshot()
     snapshot.replay(file.records)
-    if not file.records:
-        raise StateFileError("no record")
     return snapshot
 
 
@@ -131,7 +136,7 @@
 def _read_file(directory: Directory, name: str, generation: int) -> RecordFile:
     file = decode_file(directory.read(name))
     if file.generation != generation:
-        raise StateFileError(f"header of generation {file.generation}")
+        raise GenerationMismatchError(file.generation, generation)
     return file
 
 
