--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -24,7 +24,7 @@
 from tests.test_admin import get, post
 from tests.test_stories import pair, play
 from violetstack.admin.cordons import Cordon
-from violetstack.config import Address, BadConfig
+from violetstack.config import Address, ConfigError
 from violetstack.handover.errors import InvalidOfferError, InvalidRecordError
 from violetstack.handover.learned_state import LearnedState, capture_learned_state, restore_learned_state
 from violetstack.handover.record import FORMAT_VERSION, HandoverRecord, decode_record, encode_record
@@ -42,7 +42,7 @@
 from violetstack.net.handover_directory import DirectoryScan, HandoverDirectory
 from violetstack.net.inherited_listener import open_inherited_listener
 from violetstack.policy_api import TenantSettings, UpdateScope
-from violetstack.protocol.discovery import WServer
+from violetstack.protocol.discovery import ListedEndpoint
 from violetstack.protocol.host_side import Body, End, HostSide
 from violetstack.protocol.server_side import ServerSide
 from violetstack.rehearsal.clients import BODY, Call, ask_platform, connect, platform_headers, raw
@@ -63,7 +63,7 @@
         "written_at_ms": written_at_ms,
         "accepting": True,
         "list_version": 7,
-        "endpoints": (WServer("w", "127.0.0.1:1", "z", "decode"),),
+        "endpoints": (ListedEndpoint("w", "127.0.0.1:1", "z", "decode"),),
         "cordons": {"w": Cordon(True, written_at_ms, written_at_ms)},
     }
     return HandoverRecord(**{**fields, **changes})
@@ -187,7 +187,7 @@
             (plain.fileno(), at, "no listening TCP socket"),
             (os.open(os.devnull, os.O_RDONLY), at, "NODE_INHERITED_FD"),
         ):
-            with pytest.raises(BadConfig, match=reason):
+            with pytest.raises(ConfigError, match=reason):
                 open_inherited_listener(descriptor, where)
         inherited = open_inherited_listener(os.dup(bound.fileno()), at)
         inherited.close()
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -23,7 +23,7 @@
 from violetstack.language.layout import CantLayOut, layout
 from violetstack.language.meaning import Meaning
 from violetstack.language.units import UNITS, base, canonical
-from violetstack.operators import BadOperatorFile
+from violetstack.operator_config import OperatorConfigError
 from violetstack.routing.conditions import Among, Any, Not
 from violetstack.routing.table import Table
 
@@ -289,7 +289,7 @@
     compiled, _ = load(path)
     assert len(compiled.plan.routes) == 2
     with pytest.raises(
-        BadOperatorFile, match=r"a.violet:1:27: there is no class 'ordne' \(did you mean 'orden'\?\)"
+        OperatorConfigError, match=r"a.violet:1:27: there is no class 'ordne' \(did you mean 'orden'\?\)"
     ):
         load(path, {"class": frozenset({"orden", "consulta"})})
     assert universe({}, {"class": frozenset({"orden"})}) == {"class": frozenset({"orden"})}
--- a/tests/test_lease_service.py
+++ b/tests/test_lease_service.py
@@ -11,8 +11,8 @@
 from click.testing import CliRunner
 
 from violetstack.commands.main import main
-from violetstack.config import BadConfig, Config, WConfig
-from violetstack.operators import OperatorFile
+from violetstack.config import Config, ConfigError, NodeConfig
+from violetstack.operator_config import OperatorConfig
 from violetstack.rehearsal.fleet.plan import Plan, Trouble
 from violetstack.rehearsal.fleet.report import Result
 from violetstack.rehearsal.fleet.runner import DOOR, Ground
@@ -157,12 +157,12 @@
 
 def test_leases_need_every_peer_to_be_named() -> None:
     def config(size: int, permits: int, **options: Any) -> Config:
-        file = msgspec.convert({"duties": {"leave": permits}}, OperatorFile)
+        file = msgspec.convert({"duties": {"leave": permits}}, OperatorConfig)
         settings = {**SETTINGS, "fleet_size": size, "me": 0}
-        return Config(msgspec.convert({"settings": settings, **options}, WConfig), file)
+        return Config(msgspec.convert({"settings": settings, **options}, NodeConfig), file)
 
     peers = ["127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"]
     assert config(3, 1, peer_listen=peers[0], peers=peers).operator is not None
     for size, permits, options in ((3, 1, {}), (4, 1, {"peers": peers}), (3, 3, {"peers": peers})):
-        with pytest.raises(BadConfig, match="duties"):
+        with pytest.raises(ConfigError, match="duties"):
             config(size, permits, peer_listen=peers[0], **options)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -11,9 +11,9 @@
 
 from tests.test_stories import play
 from violetstack import log
-from violetstack.config import BadConfig, Config, load
+from violetstack.config import Config, ConfigError, load
 from violetstack.language.compiling import load as load_file
-from violetstack.operators import BadOperatorFile
+from violetstack.operator_config import OperatorConfigError
 from violetstack.rehearsal.clients import ask_chat, ask_platform, chat_body, chat_headers, connect
 from violetstack.rehearsal.hosts import Act, ModelHost
 from violetstack.rehearsal.stage import Stage
@@ -46,8 +46,8 @@
         try:
             config = on.config()
             config.plan = load_file(path)[0].plan
-        except BadOperatorFile as error:
-            raise BadConfig(str(error)) from None
+        except OperatorConfigError as error:
+            raise ConfigError(str(error)) from None
         return config
 
     on.daemon.reload(read_again)
@@ -236,9 +236,9 @@
         1500.0,
         2500.0,
     ] and config.chat is None
-    with pytest.raises(BadConfig, match=r"violet:1:1: there is no 'lisen' \(did you mean 'listen'\?\)"):
+    with pytest.raises(ConfigError, match=r"violet:1:1: there is no 'lisen' \(did you mean 'listen'\?\)"):
         load("", str(write(tmp_path, "lisen chat {}")))
-    with pytest.raises(BadConfig, match="no class is defined"):
+    with pytest.raises(ConfigError, match="no class is defined"):
         load("", str(write(tmp_path, "pool near {}\nroute all { pool = near }")))
-    with pytest.raises(BadConfig, match="no such file"):
+    with pytest.raises(ConfigError, match="no such file"):
         load("", str(tmp_path / "nothing"))
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -14,11 +14,11 @@
 
 from tests.front import SETTINGS
 from violetstack import log
-from violetstack.config import Config, WConfig
+from violetstack.config import Config, NodeConfig
 from violetstack.daemon.daemon import Daemon
 from violetstack.net.endpoint_cache import EndpointCache
 from violetstack.net.startup_recovery import StartupRecovery
-from violetstack.protocol.discovery import WServer, WTargets
+from violetstack.protocol.discovery import EndpointListMessage, ListedEndpoint
 from violetstack.protocol.server_side import Inbound
 from violetstack.recovery.cached_endpoints import (
     CachedEndpoint,
@@ -40,8 +40,8 @@
 MAX_AGE_MS = 3_600_000.0
 
 
-def server(name: str, port: int, state: str = "active", started_ms: float = 0.0) -> WServer:
-    return WServer(name, f"127.0.0.1:{port}", "z", "prefill", 0, state, 1.0, started_ms)
+def server(name: str, port: int, state: str = "active", started_ms: float = 0.0) -> ListedEndpoint:
+    return ListedEndpoint(name, f"127.0.0.1:{port}", "z", "prefill", 0, state, 1.0, started_ms)
 
 
 def merged(*sources: EndpointSource) -> dict[str, CachedEndpoint]:
@@ -49,11 +49,11 @@
     return {endpoint.server.id: endpoint for endpoint in endpoints}
 
 
-def stored(age_ms: float, *servers: WServer) -> EndpointSource:
+def stored(age_ms: float, *servers: ListedEndpoint) -> EndpointSource:
     return EndpointSource("disk", NOW - age_ms, 7, servers)
 
 
-def configured(*servers: WServer) -> EndpointSource:
+def configured(*servers: ListedEndpoint) -> EndpointSource:
     return EndpointSource("known", None, 3, servers)
 
 
@@ -107,13 +107,15 @@
 ) -> None:
     removed: list[str] = []
 
-    async def verify() -> list[WServer]:
+    async def verify() -> list[ListedEndpoint]:
         (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
         (closed,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
         ports = [each.socket.getsockname()[1] for each in (listener, closed)]
         await closed.aclose()
         cache = EndpointCache(warm_up_ms=WARM_UP_MS, max_age_ms=MAX_AGE_MS, rng=Random(1))
-        known = WTargets(3, True, [server("up", ports[0]), server("down", ports[1]), server("odd", -1)])
+        known = EndpointListMessage(
+            3, True, [server("up", ports[0]), server("down", ports[1]), server("odd", -1)]
+        )
         usable = cache.load(known, StateSnapshot()).servers
         await cache.verify(lambda gone: removed.append(gone.id), lambda: list_received)
         await listener.aclose()
@@ -190,7 +192,7 @@
             told = {**on.told, "known": {"version": 0, "full": True, "servers": []}}
             told |= {"discovery": silent.address, "mgmt": ""}
             on.daemon.nursery.cancel_scope.cancel()
-            daemon = Daemon(Config(msgspec.convert(told, WConfig), on.chat_file))
+            daemon = Daemon(Config(msgspec.convert(told, NodeConfig), on.chat_file))
             serving = await on.nursery.start(daemon.serve)
             await second(replace(on, daemon=daemon, platform=serving.platform))
 
@@ -229,12 +231,12 @@
             await on.daemon.watch.heard.wait()
             on.discovery.changes = []
             on.discovery.version = 9
-            on.daemon.watch.ask_again()
+            on.daemon.watch.request_list()
             while not any(line["event"] == "endpoint_list_loss_suspected" for line in log_lines):
                 await trio.sleep(0.01)
             answers = [await ask_platform(on.platform, f"q{n}", "consulta") for n in range(2)]
             assert "served" in [answer.outcome for answer in answers]
-            on.daemon.endpoints.remove_unreachable(WServer("reader"))
+            on.daemon.endpoints.remove_unreachable(ListedEndpoint("reader"))
             assert set(on.daemon.core.endpoints) == {"writer"}
 
     trio.run(story)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -11,7 +11,7 @@
 
 from tests.test_program import start
 from tests.test_stories import pair, play
-from violetstack.config import BadConfig, Config
+from violetstack.config import Config, ConfigError
 from violetstack.rehearsal.clients import BODY, ask_platform, connect, platform_headers
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import Act, ModelHost
@@ -74,7 +74,7 @@
 def test_a_bad_file_keeps_the_old_configuration(capfd: pytest.CaptureFixture[str]) -> None:
     async def story(on: Stage) -> None:
         def bad() -> Config:
-            raise BadConfig("no file")
+            raise ConfigError("no file")
 
         most = on.daemon.listeners[0].table.max_connections
         on.daemon.reload(bad)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -15,7 +15,7 @@
 from violetstack.net import background_writer
 from violetstack.net.background_writer import BackgroundWriter
 from violetstack.net.state_directory import StateDirectory
-from violetstack.protocol.discovery import WServer
+from violetstack.protocol.discovery import ListedEndpoint
 from violetstack.state.records import encode_record
 from violetstack.state.snapshot import EndpointMessage, StateSnapshot, encode_endpoints, encode_learned
 from violetstack.state.store import MIN_LOG_BYTES, SnapshotStore, recover
@@ -71,7 +71,7 @@
 
 def message(n: int) -> EndpointMessage:
     """The n-th message of service discovery, with one endpoint."""
-    return EndpointMessage(1000.0 * n, n, (WServer(f"h{n}", f"127.0.0.1:{n}", "z", "prefill"),))
+    return EndpointMessage(1000.0 * n, n, (ListedEndpoint(f"h{n}", f"127.0.0.1:{n}", "z", "prefill"),))
 
 
 def write_until_crash(directory: CrashingDirectory, count: int) -> int:
--- a/tests/test_stored_records.py
+++ b/tests/test_stored_records.py
@@ -23,7 +23,7 @@
 from violetstack.handover.stream_migration import StreamOffer, decode_offer, encode_offer
 from violetstack.idempotency.store import ClaimStatus, IdempotencyStore, KeyedRequest, Outcome
 from violetstack.load_shedding import history
-from violetstack.protocol.discovery import WServer
+from violetstack.protocol.discovery import ListedEndpoint
 
 FIXTURES = Path(__file__).parent / "fixtures"
 WRITTEN_AT_MS = 1_700_000_000_000.0
@@ -37,8 +37,8 @@
     accepting=True,
     list_version=7,
     endpoints=(
-        WServer("r1", "127.0.0.1:1", "z", "prefill", 2, "active", 1.5, 500.0),
-        WServer("w1", "127.0.0.1:2", "z", "decode", 0, "leaving"),
+        ListedEndpoint("r1", "127.0.0.1:1", "z", "prefill", 2, "active", 1.5, 500.0),
+        ListedEndpoint("w1", "127.0.0.1:2", "z", "decode", 0, "leaving"),
     ),
     cordons={
         "r1": Cordon(True, WRITTEN_AT_MS - 10.0, WRITTEN_AT_MS - 20.0),
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -19,7 +19,7 @@
 from violetstack.daemon import endpoints
 from violetstack.daemon.daemon import Daemon
 from violetstack.net import watch
-from violetstack.protocol.discovery import MAX_LIST, BadList, Values
+from violetstack.protocol.discovery import MAX_OBJECT_BYTES, EndpointListError, JsonObjectSplitter
 from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import ask_platform
 from violetstack.rehearsal.discovery import Discovery
@@ -68,7 +68,7 @@
     agent = Agent(*(row for _, rows in on.discovery.changes for row in rows), scripts=scripts)
     await on.nursery.start(agent.serve)
     assert on.daemon.watch is not None
-    on.daemon.watch.at = address(agent.address)
+    on.daemon.watch.address = address(agent.address)
     on.discovery.hang_up()
     await until(lambda: bool(agent.asked))
     return agent
@@ -80,9 +80,9 @@
 
 @pytest.fixture(autouse=True)
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(watch, "SILENT_S", 0.2)
-    monkeypatch.setattr(watch, "UNHEARD_S", 0.2)
-    monkeypatch.setattr(watch, "AGAIN_S", 0.05)
+    monkeypatch.setattr(watch, "STALLED_S", 0.2)
+    monkeypatch.setattr(watch, "FIRST_WORD_S", 0.2)
+    monkeypatch.setattr(watch, "HEDGE_S", 0.05)
 
 
 # --- a watch that ends ---
@@ -112,7 +112,7 @@
         agent = await meet(on, *[ends] * 500)
         began = trio.current_time()
         await until(lambda: len(agent.asked) > 8)
-        assert trio.current_time() - began > 7 * watch.APART_S * 0.9
+        assert trio.current_time() - began > 7 * watch.MIN_INTERVAL_S * 0.9
 
     play(*pair(), story=story)
 
@@ -121,8 +121,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """What discovery has at its return counts at once; the connection that hung was waited on for 5.5 s."""
-    monkeypatch.setattr(watch, "SILENT_S", 60.0)
-    monkeypatch.setattr(watch, "UNHEARD_S", 60.0)
+    monkeypatch.setattr(watch, "STALLED_S", 60.0)
+    monkeypatch.setattr(watch, "FIRST_WORD_S", 60.0)
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
@@ -138,8 +138,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Each dropped all others, so that none was left and nobody noticed (seen on a short day)."""
-    monkeypatch.setattr(watch, "UNHEARD_S", 60.0)
-    monkeypatch.setattr(watch, "SILENT_S", 60.0)
+    monkeypatch.setattr(watch, "FIRST_WORD_S", 60.0)
+    monkeypatch.setattr(watch, "STALLED_S", 60.0)
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
@@ -159,10 +159,10 @@
         agent.scripts = [silent] * 500
         back.set()
         await until(lambda: on.daemon.watch is not None and not on.daemon.watch._lost)
-        await until(lambda: on.daemon.watch is not None and len(on.daemon.watch._lines) < 2)
+        await until(lambda: on.daemon.watch is not None and len(on.daemon.watch._connections) < 2)
         agent.tell(writer.row(state="leaving"))
         await until(lambda: drains(on))
-        assert on.daemon.watch is not None and len(on.daemon.watch._lines) == 1
+        assert on.daemon.watch is not None and len(on.daemon.watch._connections) == 1
 
     play(reader, writer, story=story)
 
@@ -174,7 +174,7 @@
         while len(agent.asked) < 12:
             await trio.sleep(0.001)
             most = max(most, len(agent.connections))
-        assert most <= watch.MOST_LINES
+        assert most <= watch.MAX_WAITING
         assert (await ask_platform(on.platform, "q1", "orden")).outcome == "served"
 
     play(*pair(), story=story)
@@ -381,7 +381,7 @@
     option = orjson.OPT_INDENT_2 if indented else 0
     objects = [orjson.dumps({"row": row}, option=option) for row in rows]
     sent = b"".join(each + between.encode() for each in objects)
-    values = Values()
+    values = JsonObjectSplitter()
     came = [v for n in range(0, len(sent), cut) for v in values.feed(memoryview(sent)[n : n + cut])]
     assert [value for value in came if value] == objects
     assert came.count(b"") == (between.count("\n") - 1) * len(objects)
@@ -390,15 +390,15 @@
 
 @pytest.mark.parametrize("noise", [b"x", b"[]", b"}", b'{"a":1}x', b'"{}"'])
 def test_what_is_no_object_is_told_at_its_first_byte(noise: bytes) -> None:
-    with pytest.raises(BadList):
-        list(Values().feed(noise))
+    with pytest.raises(EndpointListError):
+        list(JsonObjectSplitter().feed(noise))
 
 
 def test_an_object_without_an_end_is_bounded() -> None:
-    values = Values()
+    values = JsonObjectSplitter()
     came = 0
-    with pytest.raises(BadList):
-        for _ in range(MAX_LIST // 1000 + 2):
+    with pytest.raises(EndpointListError):
+        for _ in range(MAX_OBJECT_BYTES // 1000 + 2):
             list(values.feed(b'{"a":"' + b"x" * 994 if not came else b"y" * 1000))
             came += 1000
-    assert came <= MAX_LIST + 1000
+    assert came <= MAX_OBJECT_BYTES + 1000
--- a/violetstack/commands/config.py
+++ b/violetstack/commands/config.py
@@ -30,11 +30,11 @@
 def _known(settings: str | None) -> Known | None:
     if settings is None:
         return None
-    from violetstack.config import BadConfig, known_of, node_config  # noqa: PLC0415
+    from violetstack.config import ConfigError, known_of, node_config  # noqa: PLC0415
 
     try:
         return known_of(node_config(settings))
-    except BadConfig as error:
+    except ConfigError as error:
         _stop(str(error))
 
 
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -10,9 +10,15 @@
 
 import msgspec
 
-from violetstack.operators import BadOperatorFile, ChatConfig, DutiesFile, OperatorFile, PlainHost
+from violetstack.operator_config import (
+    ChatConfig,
+    LeaseConfig,
+    OpenAIHost,
+    OperatorConfig,
+    OperatorConfigError,
+)
 from violetstack.policy_api import Endpoint, EndpointState, Settings
-from violetstack.protocol.discovery import WTargets
+from violetstack.protocol.discovery import EndpointListMessage
 from violetstack.settings import MessageError, SettingsMessage, TwoStageMessage, decode_settings
 
 if TYPE_CHECKING:
@@ -23,50 +29,50 @@
 LEAST_SOCKETS = 48
 
 
-class BadConfig(Exception):
+class ConfigError(Exception):
     """The configuration can't be used; the text says why."""
 
 
-class WLimitsOfMachine(msgspec.Struct):
+class MachineLimits(msgspec.Struct):
     cores: float = 1.0
     memory_mb: float = 192.0
     sockets: int = 1024
 
 
-class WConfig(msgspec.Struct):
+class NodeConfig(msgspec.Struct):
     settings: SettingsMessage
     name: str = ""
     listen: str = ""
     discovery: str = ""
     seed: str = "0"
-    limits: WLimitsOfMachine = msgspec.field(default_factory=WLimitsOfMachine)
+    limits: MachineLimits = msgspec.field(default_factory=MachineLimits)
     mgmt: str | None = None
     peer_listen: str | None = None
     peers: list[str] = []
     peers_all: str | None = None
-    known: WTargets = msgspec.field(default_factory=WTargets)
+    known: EndpointListMessage = msgspec.field(default_factory=EndpointListMessage)
 
 
 def address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
-        raise BadConfig(f"{text!r} is not an address and a port")
+        raise ConfigError(f"{text!r} is not an address and a port")
     return host.strip("[]"), int(port)
 
 
 def address_of(key: str, text: str | None) -> Address | None:
-    """Raises BadConfig with the key that it stands at."""
+    """Raises ConfigError with the key that it stands at."""
     try:
         return address(text) if text else None
-    except BadConfig as error:
-        raise BadConfig(f"{key}: {error}") from None
+    except ConfigError as error:
+        raise ConfigError(f"{key}: {error}") from None
 
 
 def seed_of(text: str) -> int:
     try:
         return int(text, 16)
     except ValueError:
-        raise BadConfig(f"seed: {text[:40]!r} is no hexadecimal number") from None
+        raise ConfigError(f"seed: {text[:40]!r} is no hexadecimal number") from None
 
 
 PLAIN_KIND = "openai"
@@ -74,7 +80,7 @@
 
 
 def with_plain_hosts(
-    settings_message: SettingsMessage, hosts: list[PlainHost]
+    settings_message: SettingsMessage, hosts: list[OpenAIHost]
 ) -> tuple[SettingsMessage, tuple[Endpoint, ...]]:
     """The settings with one more kind, for the chat file's own hosts, and these hosts as list entries."""
     if not hosts:
@@ -98,8 +104,8 @@
 
     def __init__(
         self,
-        told: WConfig,
-        operator: OperatorFile | None = None,
+        told: NodeConfig,
+        operator: OperatorConfig | None = None,
         plan: Plan | None = None,
         warnings: tuple[str, ...] = (),
         levels: LevelPlan | None = None,
@@ -111,7 +117,7 @@
         self.warnings = warnings
         self.levels = levels
         if told.limits.sockets < LEAST_SOCKETS or told.limits.memory_mb <= 0:
-            raise BadConfig(f"limits: nothing can be served with {told.limits}")
+            raise ConfigError(f"limits: nothing can be served with {told.limits}")
         self.settings_message, self.plain = with_plain_hosts(
             told.settings, operator.hosts if operator is not None else []
         )
@@ -136,31 +142,31 @@
         idle = limits.idle_close if limits is not None else None
         self.idle_close_ms = idle or 30_000.0
 
-    def _check(self, duties: DutiesFile) -> None:
+    def _check(self, duties: LeaseConfig) -> None:
         """Whoever is not reached can't vote, so each of the tier has to be named."""
         size = self.settings.dispatcher_count
         named = len(self.peers)
         if self.peer_listen is None or named != size or self.settings.dispatcher_index >= named:
-            raise BadConfig(f"duties: {named} peers are named for a fleet of {size}; each is to be there")
+            raise ConfigError(f"duties: {named} peers are named for a fleet of {size}; each is to be there")
         if duties.leave >= size > 1:
-            raise BadConfig(f"duties: leave = {duties.leave} bounds nothing in a fleet of {size}")
+            raise ConfigError(f"duties: leave = {duties.leave} bounds nothing in a fleet of {size}")
 
 
 def descriptor(text: str) -> int | None:
     if text and not text.isdigit():
-        raise BadConfig(f"NODE_INHERITED_FD: {text!r} is no descriptor")
+        raise ConfigError(f"NODE_INHERITED_FD: {text!r} is no descriptor")
     return int(text) if text else None
 
 
-def node_config(path: str) -> WConfig:
-    """The file that NODE_CONFIG names. Raises BadConfig."""
+def node_config(path: str) -> NodeConfig:
+    """The file that NODE_CONFIG names. Raises ConfigError."""
     try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=WConfig)
+        return msgspec.json.decode(Path(path).read_bytes(), type=NodeConfig)
     except (OSError, ValueError, msgspec.MsgspecError) as error:
-        raise BadConfig(f"{path}: {error}") from None
+        raise ConfigError(f"{path}: {error}") from None
 
 
-def known_of(told: WConfig) -> dict[str, frozenset[str]]:
+def known_of(told: NodeConfig) -> dict[str, frozenset[str]]:
     """The names that the settings bring, for the check of an operator's file."""
     settings_message = told.settings
     return {
@@ -185,27 +191,27 @@
         told.name = os.environ.get("NODE_NAME") or told.name
     try:
         if file is None and told is None:
-            raise BadConfig("NODE_CONFIG names no file, and no operator's file is given")
+            raise ConfigError("NODE_CONFIG names no file, and no operator's file is given")
         config = Config(told) if file is None and told is not None else _with_file(str(file), told)
         config.inherited_fd = descriptor(os.environ.get("NODE_INHERITED_FD", ""))
         config.shared_folder = os.environ.get("TMPDIR") if config.mgmt else None
         return config
     except (ValueError, MessageError) as error:
-        raise BadConfig(f"{path or file}: {error}") from None
-    except BadOperatorFile as error:
-        raise BadConfig(str(error)) from None
+        raise ConfigError(f"{path or file}: {error}") from None
+    except OperatorConfigError as error:
+        raise ConfigError(str(error)) from None
 
 
-def _with_file(file: str, told: WConfig | None) -> Config:
+def _with_file(file: str, told: NodeConfig | None) -> Config:
     from violetstack.language import compiling  # noqa: PLC0415 - the parser loads only where there is a file
 
     compiled, warnings = compiling.load(file, known_of(told) if told is not None else None)
     operator = compiled.file
     if told is None:
         if operator.settings is None:
-            raise BadOperatorFile(f"{file}: no class is defined, and no NODE_CONFIG brings any")
-        limits = WLimitsOfMachine(operator.cores, operator.memory_mb, operator.descriptors)
-        told = WConfig(
+            raise OperatorConfigError(f"{file}: no class is defined, and no NODE_CONFIG brings any")
+        limits = MachineLimits(operator.cores, operator.memory_mb, operator.descriptors)
+        told = NodeConfig(
             settings=operator.settings,
             seed=secrets.token_hex(8),
             listen=operator.platform,
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -73,7 +73,7 @@
         self.leases: LeaseService | None = None
 
     async def serve(self, task_status: trio.TaskStatus[Serving] = trio.TASK_STATUS_IGNORED) -> None:
-        """Raises BadConfig, in a group, for an address that can't be bound."""
+        """Raises ConfigError, in a group, for an address that can't be bound."""
         for text in self.config.warnings:
             log("config_warning", text=text)
         async with trio.open_nursery() as nursery:
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -1,4 +1,4 @@
-"""The endpoint list: remembered hosts, discovery's watch, and updates to the core and the pool."""
+"""The endpoint list: recovered endpoints, discovery's watch, and the updates to the core and the pool."""
 
 from __future__ import annotations
 
@@ -19,20 +19,31 @@
 from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.net.watch import Watch
 from violetstack.policy_api import EndpointState, EndpointUpdate, UpdateScope
-from violetstack.protocol.discovery import ListReader, Targets, WServer, WTargets
+from violetstack.protocol.discovery import (
+    STATES,
+    EndpointListDecoder,
+    EndpointListMessage,
+    ListedEndpoint,
+    WatchEvent,
+)
 
 if TYPE_CHECKING:
     from violetstack.admin.cordons import Cordons
     from violetstack.handover.record import HandoverRecord
     from violetstack.net.state_writer import StateWriter
 
-FIRST_LIST_S = 1.5  # a new version that takes over waits for discovery's list for so long
-AGENT_LIST_S = 0.3  # and any other for an agent on this machine, which answers at once if discovery is up
+# A process that takes over from another waits this long for discovery's list; any other process waits only
+# for an agent on this machine, which answers at once if discovery is up.
+FIRST_LIST_S = 1.5
+AGENT_LIST_S = 0.3
 MAX_ENDPOINTS_LOGGED = 50
 
 
 class EndpointService:
-    """Owns the list as discovery has it (`rows`); every update goes through `publish`."""
+    """Owns the list as discovery has it; every update goes through `publish`.
+
+    `messages` has the entries by host id. `changed` is called after each update that discovery caused.
+    """
 
     def __init__(
         self,
@@ -45,6 +56,8 @@
         cordons: Cordons | None,
         changed: Callable[[], None],
     ) -> None:
+        self.messages: dict[str, ListedEndpoint] = {}
+        self.watch: Watch | None = None
         self._config = config
         self._core = core
         self._hosts = hosts
@@ -52,14 +65,12 @@
         self._state_writer = state_writer
         self._cordons = cordons
         self._changed = changed
-        self._reader = ListReader(config.settings_message)
+        self._decoder = EndpointListDecoder(config.settings_message)
         self._nursery: trio.Nursery | None = None
-        self.rows: dict[str, WServer] = {}
-        self.watch: Watch | None = None
 
     @property
     def version(self) -> int:
-        """Of the list that is known; 0 where there is none."""
+        """The version of the list that is known; 0 where there is none."""
         return self.watch.version or 0 if self.watch is not None else 0
 
     def publish(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
@@ -72,43 +83,61 @@
     async def start(
         self, nursery: trio.Nursery, pause_detector: PauseDetector, predecessor: HandoverRecord | None
     ) -> None:
-        """Publishes the hosts that are remembered and starts the watch."""
+        """Publishes the endpoints that are known already and starts the watch."""
         self._nursery = nursery
-        config = self._config
-        for host in config.operator.hosts if config.operator is not None else ():
-            self._hosts.pool.hosts[host.id] = UpstreamHost(
-                address(host.address), [], openai_api=True, api_key=host.key
-            )
-            self._core.stateless_hosts.add(host.id)
-        known = config.told.known
-        version: int | None = known.version
-        if config.inherited is not None:
-            # What a predecessor heard a moment ago is newer than what the configuration remembers; versions
-            # may be those of another discovery, so the whole list is asked for first.
-            version = None
-            if predecessor is not None:
-                known = WTargets(predecessor.list_version, True, list(predecessor.endpoints))
-        if self._state_writer is not None:
-            version = None  # what is remembered is of several lists: changes of one would not fit
+        self._add_openai_hosts()
+        known = self._known_list(predecessor)
         known = await self._recovery.load_endpoints(known)
-        self._told(self._reader.targets(known, UpdateScope.CACHED))
+        self._receive(self._decoder.to_event(known, UpdateScope.CACHED))
         if self._state_writer is not None:
             nursery.start_soon(
                 self._state_writer.endpoint_cache.verify,
                 self.remove_unreachable,
                 lambda: self._recovery.list_received,
             )
-        if config.discovery is not None:
-            settings = config.settings
-            again = Backoff(settings.dispatcher_count, settings.seed, agent=not settings.watch_required)
-            self.watch = Watch(config.discovery, self._reader, version, self._told, again)
-            self.watch.confirmed = self._confirmed
-            pause_detector.add_source(self.watch)
-            nursery.start_soon(self.watch.run)
+        if self._config.discovery is None:
+            return
+        settings = self._config.settings
+        self.watch = Watch(
+            self._config.discovery,
+            self._decoder,
+            self._known_version(),
+            Backoff(settings.dispatcher_count, settings.seed, agent=not settings.watch_required),
+            on_event=self._receive,
+            on_unchanged=self._confirm,
+        )
+        pause_detector.add_source(self.watch)
+        nursery.start_soon(self.watch.run)
+
+    def _add_openai_hosts(self) -> None:
+        operator = self._config.operator
+        for host in operator.hosts if operator is not None else ():
+            self._hosts.pool.hosts[host.id] = UpstreamHost(
+                address(host.address), [], openai_api=True, api_key=host.key
+            )
+            self._core.stateless_hosts.add(host.id)
+
+    def _known_list(self, predecessor: HandoverRecord | None) -> EndpointListMessage:
+        """A predecessor's list, which it received a moment ago, rather than the configuration's."""
+        if self._config.inherited is None or predecessor is None:
+            return self._config.told.known
+        return EndpointListMessage(predecessor.list_version, True, list(predecessor.endpoints))
+
+    def _known_version(self) -> int | None:
+        """The version that changes are asked for from; None where the complete list has to come first.
+
+        A predecessor's version may be that of another discovery, and the durable state merges several lists:
+        the changes of one would not fit it.
+        """
+        if self._config.inherited is not None or self._state_writer is not None:
+            return None
+        return self._config.told.known.version
 
     async def wait_for_first_list(self) -> None:
-        """Guards against sends on an old list: what an agent has counts as told from the first moment, and
-        what a predecessor was told counts for its successor.
+        """Waits for discovery's first word where the list at hand may be stale.
+
+        What an agent on this machine has counts as known from the first moment, and what a predecessor had
+        received counts for its successor: requests must not be forwarded by an older list.
         """
         inherited = self._config.inherited is not None
         if self.watch is None or (self._config.settings.watch_required and not inherited):
@@ -116,65 +145,70 @@
         with trio.move_on_after(FIRST_LIST_S if inherited else AGENT_LIST_S):
             await self.watch.heard.wait()
         if not self.watch.heard.is_set():
-            log("endpoint_list_missing", hosts=len(self.rows))
+            log("endpoint_list_missing", hosts=len(self.messages))
 
     # --- updates ---
 
-    def remove_unreachable(self, server: WServer) -> None:
-        """A remembered host that is not there; discovery may still tell of it."""
-        entry = self._core.endpoints.get(server.id)
-        if entry is not None and self.rows.pop(server.id, None) is not None:
-            gone = replace(entry, state=EndpointState.REMOVED)
+    def remove_unreachable(self, server: ListedEndpoint) -> None:
+        """Removes a recovered endpoint that did not answer, until discovery lists it again."""
+        endpoint = self._core.endpoints.get(server.id)
+        if endpoint is not None and self.messages.pop(server.id, None) is not None:
+            gone = replace(endpoint, state=EndpointState.REMOVED)
             self.publish(EndpointUpdate(UpdateScope.DELTA, (gone,), 0), {})
 
-    def _told(self, targets: Targets) -> None:
-        if self._state_writer is not None and targets.news.scope is UpdateScope.SNAPSHOT:
-            targets = self._with_retained(targets, self._state_writer)
-        news = targets.news
-        if news.scope is not UpdateScope.DELTA:
-            self.rows = {}
-        for row in targets.rows:
-            self.rows[row.id] = row
-            if row.state == "left":
-                del self.rows[row.id]
-        if news.scope is not UpdateScope.DELTA:
-            # Guards against losing the chat file's own hosts, which discovery does not know.
-            news = replace(news, endpoints=(*news.endpoints, *self._config.plain))
+    def _receive(self, event: WatchEvent) -> None:
+        if self._state_writer is not None and event.update.scope is UpdateScope.SNAPSHOT:
+            event = self._defer_loss(event, self._state_writer)
+        self._store_messages(event)
+        update = event.update
+        if update.scope is not UpdateScope.DELTA:
+            # Discovery does not list the operator's own hosts: a complete list would remove them.
+            update = replace(update, endpoints=(*update.endpoints, *self._config.plain))
         if self._cordons is not None:
-            news = self._cordons.apply(news)
-        self.publish(news, targets.addresses)
+            update = self._cordons.apply(update)
+        self.publish(update, event.addresses)
         self._changed()
-        if news.scope is not UpdateScope.CACHED:
-            complete = news.scope is UpdateScope.SNAPSHOT
-            self._recovery.list_changed(targets.rows, news.version, complete=complete, listed=len(self.rows))
-        entries = {entry.server: entry.state.value for entry in news.endpoints}
+        if update.scope is not UpdateScope.CACHED:
+            complete = update.scope is UpdateScope.SNAPSHOT
+            self._recovery.list_changed(
+                event.messages, update.version, complete=complete, listed=len(self.messages)
+            )
         log(
             "endpoint_list_updated",
-            version=news.version,
-            scope=news.scope.value,
-            entries=entries,
-            skipped=targets.skipped,
+            version=update.version,
+            scope=update.scope.value,
+            entries={endpoint.server: endpoint.state.value for endpoint in update.endpoints},
+            skipped=event.skipped,
         )
 
-    def _with_retained(self, targets: Targets, state_writer: StateWriter) -> Targets:
-        """A list that lost most hosts counts with them for a while; then it is asked for again."""
-        found = state_writer.panic_threshold.check(now_ms(), self.rows, targets.rows)
+    def _store_messages(self, event: WatchEvent) -> None:
+        if event.update.scope is not UpdateScope.DELTA:
+            self.messages = {}
+        for message in event.messages:
+            self.messages[message.id] = message
+            if STATES.get(message.state) is EndpointState.REMOVED:
+                del self.messages[message.id]
+
+    def _defer_loss(self, event: WatchEvent, state_writer: StateWriter) -> WatchEvent:
+        """Adds the lost hosts to a list that lost most of them, and has it fetched again after a while."""
+        found = state_writer.panic_threshold.check(now_ms(), self.messages, event.messages)
         if found is None:
-            return targets
+            return event
         log(
             "endpoint_list_loss_suspected",
-            version=targets.news.version,
-            retained=[row.id for row in found.servers][:MAX_ENDPOINTS_LOGGED],
+            version=event.update.version,
+            retained=[message.id for message in found.servers][:MAX_ENDPOINTS_LOGGED],
         )
         if self._nursery is not None:
-            self._nursery.start_soon(self._ask_again, found.until)
-        told = WTargets(targets.news.version, True, [*targets.rows, *found.servers])
-        return self._reader.targets(told, UpdateScope.SNAPSHOT)
+            self._nursery.start_soon(self._request_list_at, found.until)
+        merged = EndpointListMessage(event.update.version, True, [*event.messages, *found.servers])
+        return self._decoder.to_event(merged, UpdateScope.SNAPSHOT)
 
-    async def _ask_again(self, until: float) -> None:
-        await trio.sleep(max(0.0, until - now_ms()) / 1000.0)
+    async def _request_list_at(self, at_ms: float) -> None:
+        await trio.sleep(max(0.0, at_ms - now_ms()) / 1000.0)
         if self.watch is not None:
-            self.watch.ask_again()
+            self.watch.request_list()
 
-    def _confirmed(self) -> None:
-        self._recovery.list_changed((), self.version, complete=False, listed=len(self.rows))
+    def _confirm(self) -> None:
+        """Nothing has changed since the list that was known at the start."""
+        self._recovery.list_changed((), self.version, complete=False, listed=len(self.messages))
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from violetstack.config import Address, BadConfig, Config, address
+from violetstack.config import Address, Config, ConfigError, address
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.platform import PlatformFront
 from violetstack.fronts.reply import Front
@@ -16,7 +16,7 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener, Wrap
 from violetstack.net.tls import Certificate
-from violetstack.operators import Acme, ChatConfig
+from violetstack.operator_config import Acme, ChatConfig
 from violetstack.protocol.headers import RequestReader
 
 if TYPE_CHECKING:
@@ -50,7 +50,7 @@
         self.challenge_at: Address | None = None
 
     async def start_platform(self, at: Address) -> Address:
-        """Raises BadConfig if the address can't be bound."""
+        """Raises ConfigError if the address can't be bound."""
         front = PlatformFront(
             self._core, RequestReader(self._config.settings_message), now_ms, log_rate_limited
         )
@@ -59,7 +59,7 @@
         return bound
 
     async def start_chat(self, chat: ChatConfig) -> Address:
-        """Raises BadConfig if the address can't be bound, OSError if a certificate can't be read."""
+        """Raises ConfigError if the address can't be bound, OSError if a certificate can't be read."""
         from violetstack.fronts.chat import ChatFront
 
         told = chat.told
@@ -139,8 +139,8 @@
 
 
 async def listen_on(at: Address, name: str) -> list[trio.SocketListener]:
-    """Raises BadConfig."""
+    """Raises ConfigError."""
     try:
         return list(await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG))
     except OSError as error:
-        raise BadConfig(f"{name}: {at[0]}:{at[1]}: {error}") from None
+        raise ConfigError(f"{name}: {at[0]}:{at[1]}: {error}") from None
--- a/violetstack/daemon/hot_restart.py
+++ b/violetstack/daemon/hot_restart.py
@@ -118,7 +118,7 @@
             written_at_ms=now_ms(),
             accepting=self._lifecycle.accepting,
             list_version=self._endpoints.version,
-            endpoints=tuple(self._endpoints.rows.values()),
+            endpoints=tuple(self._endpoints.messages.values()),
             cordons=dict(self._cordons.records),
             learned_state=self._learned() if self._inherited else None,
         )
--- a/violetstack/daemon/process.py
+++ b/violetstack/daemon/process.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from violetstack.config import BadConfig, Config, load
+from violetstack.config import Config, ConfigError, load
 from violetstack.daemon.daemon import Daemon
 from violetstack.log import log
 from violetstack.net.inherited_listener import open_inherited_listener
@@ -21,13 +21,13 @@
         config = load(path, file)
         if config.inherited_fd is not None and config.listen is not None:
             config.inherited = open_inherited_listener(config.inherited_fd, config.listen)
-    except BadConfig as error:
+    except ConfigError as error:
         log("config_invalid", error=str(error))
         return 2
     unusable: list[Exception] = []
     try:
         trio.run(run, config, lambda: load(path, file, again=True))
-    except* BadConfig as errors:  # an address that is taken, or none of this machine's
+    except* ConfigError as errors:  # an address that is taken, or none of this machine's
         unusable += flat(errors)
     for reason in unusable:
         log("config_invalid", error=str(reason))
--- a/violetstack/daemon/reload.py
+++ b/violetstack/daemon/reload.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from violetstack.config import BadConfig, Config
+from violetstack.config import Config, ConfigError
 from violetstack.log import log
-from violetstack.operators import BadOperatorFile, ChatConfig
+from violetstack.operator_config import ChatConfig, OperatorConfigError
 
 NODE_CONFIG_KEYS_FIXED = ("listen", "settings", "peer_listen", "peers")
 OPERATOR_KEYS_FIXED = ("hosts", "ledger", "acme", "platform", "duties")
@@ -26,7 +26,7 @@
     try:
         config = read_again()
         chat = ChatConfig(config.chat.told, running.settings_message) if config.chat is not None else None
-    except (BadConfig, BadOperatorFile) as error:
+    except (ConfigError, OperatorConfigError) as error:
         log("config_reload_failed", error=str(error))
         return None
     return NewConfig(config, chat)
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -27,7 +27,7 @@
     KeyedRequest,
     Outcome,
 )
-from violetstack.operators import ChatConfig, Key, Model
+from violetstack.operator_config import ChatConfig, Key, Model
 from violetstack.policy_api import Idempotency, Request
 from violetstack.protocol import sse
 from violetstack.protocol.headers import duration_ms
--- a/violetstack/handover/record.py
+++ b/violetstack/handover/record.py
@@ -14,7 +14,7 @@
 from violetstack.admin.cordons import Cordon
 from violetstack.handover.errors import InvalidRecordError
 from violetstack.handover.learned_state import LearnedState
-from violetstack.protocol.discovery import WServer
+from violetstack.protocol.discovery import ListedEndpoint
 
 FORMAT_VERSION = "violetstack-record-1"
 CHECKSUM_BYTES = 16
@@ -45,7 +45,7 @@
     written_at_ms: float = msgspec.field(name="at")
     accepting: bool = msgspec.field(name="serving")
     list_version: int = msgspec.field(name="version")
-    endpoints: tuple[WServer, ...] = msgspec.field(name="servers")
+    endpoints: tuple[ListedEndpoint, ...] = msgspec.field(name="servers")
     cordons: dict[str, Cordon] = msgspec.field(name="marks")
     learned_state: LearnedState | None = msgspec.field(name="learned", default=None)
 
--- a/violetstack/language/compiling.py
+++ b/violetstack/language/compiling.py
@@ -10,16 +10,16 @@
 from violetstack.language.files import Unreadable, read, read_text
 from violetstack.language.meaning import Definition, Meaning
 from violetstack.load_shedding.control import LevelPlan
-from violetstack.operators import (
+from violetstack.operator_config import (
     Acme,
-    BadOperatorFile,
-    DutiesFile,
+    IdempotencyStoreConfig,
     Key,
-    LedgerFile,
+    LeaseConfig,
     Model,
-    OperatorFile,
-    PlainHost,
-    StateFile,
+    OpenAIHost,
+    OperatorConfig,
+    OperatorConfigError,
+    StateConfig,
     Tenant,
     Tls,
 )
@@ -40,28 +40,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Compiled:
-    file: OperatorFile
+    file: OperatorConfig
     plan: Plan
     levels: LevelPlan
 
 
 def load(path: str | Path, known: Known | None = None) -> tuple[Compiled, list[str]]:
-    """The file and its warnings as text. Raises BadOperatorFile with the first error and its place."""
+    """The file and its warnings as text. Raises OperatorConfigError with the first error and its place."""
     try:
         checked = check(read(path), known)
     except Unreadable as error:
-        raise BadOperatorFile(str(error)) from None
+        raise OperatorConfigError(str(error)) from None
     if checked.meaning is None:
-        raise BadOperatorFile(first_error(checked))
+        raise OperatorConfigError(first_error(checked))
     warnings = in_order([p for p in checked.problems if p.warning], checked.sources)
     return Compiled(compile_file(checked.meaning), checked.meaning.plan, checked.meaning.levels), warnings
 
 
 def load_text(text: str) -> Compiled:
-    """For an embedded file. Raises BadOperatorFile."""
+    """For an embedded file. Raises OperatorConfigError."""
     checked = check(read_text(text))
     if checked.meaning is None:
-        raise BadOperatorFile(first_error(checked))
+        raise OperatorConfigError(first_error(checked))
     return Compiled(compile_file(checked.meaning), checked.meaning.plan, checked.meaning.levels)
 
 
@@ -75,11 +75,11 @@
     return f"{first.span.file}:{line}:{column}: {first.message}{fix}{more}"
 
 
-def compile_file(meaning: Meaning) -> OperatorFile:
+def compile_file(meaning: Meaning) -> OperatorConfig:
     listens = {name: each.get("address") for name, each in meaning.of("listen").items()}
     fleet = meaning.one("fleet")
     machine = meaning.one("machine")
-    return OperatorFile(
+    return OperatorConfig(
         listen=listens.get("chat", ""),
         platform=listens.get("platform", ""),
         discovery=fleet.get("discovery", "") if fleet is not None else "",
@@ -93,7 +93,7 @@
         keys=[_key(d) for d in meaning.of("key").values()],
         tenants=[Tenant(d.name, d.get("class")) for d in meaning.of("tenant").values()],
         hosts=[
-            PlainHost(
+            OpenAIHost(
                 d.name,
                 d.get("address"),
                 d.get("bearer", ""),
@@ -117,25 +117,27 @@
     return Key(secret, d.get("tenant"), d.get("class"), list(d.get("models", ())))
 
 
-def _ledger(d: Definition | None) -> LedgerFile | None:
+def _ledger(d: Definition | None) -> IdempotencyStoreConfig | None:
     if d is None:
         return None
-    return LedgerFile(
+    return IdempotencyStoreConfig(
         d.get("file"), d.get("keep", 48 * 3_600_000.0) / 3_600_000.0, d.get("lease", 10_000.0) / 1000.0
     )
 
 
-def _state(d: Definition | None) -> StateFile | None:
+def _state(d: Definition | None) -> StateConfig | None:
     if d is None:
         return None
     keep_hours = d.get("keep", 48 * 3_600_000.0) / 3_600_000.0
-    return StateFile(d.get("folder"), keep_hours, d.get("doubt", 0.0), d.get("doubt_for", 30_000.0) / 1000.0)
+    return StateConfig(
+        d.get("folder"), keep_hours, d.get("doubt", 0.0), d.get("doubt_for", 30_000.0) / 1000.0
+    )
 
 
-def _duties(d: Definition | None) -> DutiesFile | None:
+def _duties(d: Definition | None) -> LeaseConfig | None:
     if d is None:
         return None
-    return DutiesFile(
+    return LeaseConfig(
         d.get("lease", 2_000.0) / 1000.0,
         list(d.get("keys", ())),
         d.get("datagrams", 200.0),
--- a/violetstack/net/acme.py
+++ b/violetstack/net/acme.py
@@ -20,7 +20,7 @@
 from violetstack.fronts.reply import TEXT, Reply
 from violetstack.log import log
 from violetstack.net.tls import Certificate
-from violetstack.operators import Acme, Tls
+from violetstack.operator_config import Acme, Tls
 from violetstack.protocol.server_side import Inbound
 
 ORDER_S = 90.0
--- a/violetstack/net/endpoint_cache.py
+++ b/violetstack/net/endpoint_cache.py
@@ -7,10 +7,10 @@
 
 import trio
 
-from violetstack.config import BadConfig, address
+from violetstack.config import ConfigError, address
 from violetstack.log import log
 from violetstack.net.clock import now_ms
-from violetstack.protocol.discovery import WServer, WTargets
+from violetstack.protocol.discovery import EndpointListMessage, ListedEndpoint
 from violetstack.recovery.cached_endpoints import CachedEndpoint, CacheStatus, EndpointSource, merge_sources
 from violetstack.state.snapshot import StateSnapshot
 
@@ -33,9 +33,9 @@
         self._warm_up_ms = warm_up_ms
         self._max_age_ms = max_age_ms
         self._rng = rng
-        self._stale: list[WServer] = []
+        self._stale: list[ListedEndpoint] = []
 
-    def load(self, configured: WTargets, stored: StateSnapshot) -> WTargets:
+    def load(self, configured: EndpointListMessage, stored: StateSnapshot) -> EndpointListMessage:
         """Merges the configured endpoints, whose age is unknown, with the stored ones."""
         now = now_ms()
         sources = [EndpointSource("known", None, configured.version, tuple(configured.servers))]
@@ -46,9 +46,11 @@
         self._log_loaded(endpoints, now - stored.received_at if stored.received_at else None)
         self._stale = [e.server for e in endpoints if e.status is CacheStatus.STALE]
         usable = [e.server for e in endpoints if e.status is not CacheStatus.REJECTED]
-        return WTargets(configured.version, True, usable)
+        return EndpointListMessage(configured.version, True, usable)
 
-    async def verify(self, remove: Callable[[WServer], None], list_received: Callable[[], bool]) -> None:
+    async def verify(
+        self, remove: Callable[[ListedEndpoint], None], list_received: Callable[[], bool]
+    ) -> None:
         """Connects to each stale endpoint in turn and removes those that cannot be reached.
 
         An endpoint whose address is invalid counts as one that cannot be reached.
@@ -67,7 +69,7 @@
                     stream = await trio.open_tcp_stream(*address(server.addr))
                 await stream.aclose()
                 reachable += 1
-            except (OSError, BadConfig, trio.TooSlowError) as error:
+            except (OSError, ConfigError, trio.TooSlowError) as error:
                 log("recovered_endpoint_unreachable", server=server.id, error=repr(error))
                 remove(server)
         if self._stale:
--- a/violetstack/net/inherited_listener.py
+++ b/violetstack/net/inherited_listener.py
@@ -4,7 +4,7 @@
 
 import socket
 
-from violetstack.config import Address, BadConfig
+from violetstack.config import Address, ConfigError
 
 WILDCARD_ADDRESSES = ("0.0.0.0", "::")
 
@@ -19,29 +19,29 @@
         expected: The address in `listen`; a wildcard address with the same port is accepted as well.
 
     Raises:
-        BadConfig: The descriptor is no listening TCP socket, or listens on another address.
+        ConfigError: The descriptor is no listening TCP socket, or listens on another address.
     """
     setting = f"NODE_INHERITED_FD={descriptor}"
     try:
         listener = socket.socket(fileno=descriptor)
     except OSError as error:
-        raise BadConfig(f"{setting}: {error}") from None
+        raise ConfigError(f"{setting}: {error}") from None
     try:
         _check_listener(listener, expected, setting)
         listener.set_inheritable(False)
-    except BadConfig:
+    except ConfigError:
         listener.detach()  # the descriptor stays as it was
         raise
     return listener
 
 
 def _check_listener(listener: socket.socket, expected: Address, setting: str) -> None:
-    """Raises BadConfig."""
+    """Raises ConfigError."""
     is_tcp = listener.family in (socket.AF_INET, socket.AF_INET6) and listener.type == socket.SOCK_STREAM
     if not is_tcp or not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-        raise BadConfig(f"{setting}: it is no listening TCP socket")
+        raise ConfigError(f"{setting}: it is no listening TCP socket")
     host, port = listener.getsockname()[:2]
     if port != expected[1] or host not in (expected[0], *WILDCARD_ADDRESSES):
-        raise BadConfig(
+        raise ConfigError(
             f"{setting}: it listens on {host}:{port}, and `listen` is {expected[0]}:{expected[1]}"
         )
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -23,7 +23,7 @@
 from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.pause_detector import PauseDetector
-from violetstack.operators import DutiesFile
+from violetstack.operator_config import LeaseConfig
 from violetstack.policy_api import OutlierCheckResult
 
 MAX_SLEEP_MS = 1_000.0  # how late at most a change of eligibility is noticed
@@ -52,7 +52,7 @@
 
     def __init__(
         self,
-        config: DutiesFile,
+        config: LeaseConfig,
         core: Dispatcher,
         transport: LeaseTransport,
         pause_detector: PauseDetector,
--- a/violetstack/net/startup_recovery.py
+++ b/violetstack/net/startup_recovery.py
@@ -9,7 +9,7 @@
 
 from violetstack.log import log
 from violetstack.net.clock import now_ms
-from violetstack.protocol.discovery import WServer, WTargets
+from violetstack.protocol.discovery import EndpointListMessage, ListedEndpoint
 from violetstack.recovery.startup_phases import Phase, PhaseChange, StartupPhases
 from violetstack.router import LEARN_MS
 
@@ -53,7 +53,7 @@
             longest_ms = max(usual_ms, min(self._max_retry_after_ms, WARM_UP_MS))
         return longest_ms * (0.5 + 0.5 * self._rng.random())
 
-    async def load_endpoints(self, configured: WTargets) -> WTargets:
+    async def load_endpoints(self, configured: EndpointListMessage) -> EndpointListMessage:
         """Returns the endpoints to start with: the configured ones, merged with the stored ones."""
         endpoints = configured
         if self._state_writer is not None:
@@ -70,7 +70,7 @@
         self._log_change(self._phases.learned_state_restored())
 
     def list_changed(
-        self, servers: tuple[WServer, ...], version: int, *, complete: bool, listed: int
+        self, servers: tuple[ListedEndpoint, ...], version: int, *, complete: bool, listed: int
     ) -> None:
         """Handles a message of service discovery.
 
--- a/violetstack/net/state_writer.py
+++ b/violetstack/net/state_writer.py
@@ -13,8 +13,8 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.endpoint_cache import EndpointCache
 from violetstack.net.state_directory import StateDirectory
-from violetstack.operators import StateFile
-from violetstack.protocol.discovery import WServer, WTargets
+from violetstack.operator_config import StateConfig
+from violetstack.protocol.discovery import EndpointListMessage, ListedEndpoint
 from violetstack.recovery.cached_endpoints import MAX_CLOCK_SKEW_MS
 from violetstack.recovery.panic_threshold import PanicThreshold
 from violetstack.state.snapshot import EndpointMessage, encode_endpoints, encode_learned
@@ -33,7 +33,7 @@
     """
 
     def __init__(
-        self, file: StateFile, seed: int, warm_up_ms: float, learned_state: Callable[[], LearnedState]
+        self, file: StateConfig, seed: int, warm_up_ms: float, learned_state: Callable[[], LearnedState]
     ) -> None:
         """Creates a writer; nothing is read or written yet.
 
@@ -51,7 +51,7 @@
         )
         self.panic_threshold = PanicThreshold(file.doubt or float("inf"), file.doubt_s * 1000.0)
 
-    async def load_endpoints(self, configured: WTargets) -> WTargets:
+    async def load_endpoints(self, configured: EndpointListMessage) -> EndpointListMessage:
         """Reads the stored state; returns the endpoints to start with, the `configured` ones among them."""
         await self._writer.recover()
         return self.endpoint_cache.load(configured, self._writer.snapshot)
@@ -63,7 +63,7 @@
             return None
         return learned
 
-    def store_endpoints(self, servers: tuple[WServer, ...], version: int, *, complete: bool) -> None:
+    def store_endpoints(self, servers: tuple[ListedEndpoint, ...], version: int, *, complete: bool) -> None:
         """Stores a message of service discovery: a complete list, or changes to it."""
         message = EndpointMessage(now_ms(), version, servers)
         self._writer.snapshot.apply_endpoints(message, complete=complete)
--- a/violetstack/net/tls.py
+++ b/violetstack/net/tls.py
@@ -7,7 +7,7 @@
 import trio
 
 from violetstack.log import log
-from violetstack.operators import Tls
+from violetstack.operator_config import Tls
 
 
 class Certificate:
--- a/violetstack/net/upstream/driver.py
+++ b/violetstack/net/upstream/driver.py
@@ -73,7 +73,7 @@
 
     def log(self, event: str, **fields: Any) -> None:
         """Writes a log line; the policy's lines are rate-limited, since other dispatchers can cause them."""
-        (log_rate_limited if event == "module" else log)(event, **fields)
+        (log_rate_limited if event == "policy" else log)(event, **fields)
 
     # --- for the daemon ---
 
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -1,4 +1,9 @@
-"""Discovery's watch: a connection that stays open, and others that are opened before it is given up."""
+"""The watch of the endpoint list: one long-lived connection to discovery, and its replacements.
+
+What an agent on this machine has counts as known to the dispatcher whether or not a watch is open, and so
+does a change that a stalled watch has missed for a while. A watch that ended is therefore opened again at
+once; one that has stalled, or whose discovery has a new address, is read until another has sent something.
+"""
 
 from __future__ import annotations
 
@@ -11,270 +16,309 @@
 from violetstack.core.backoff import Backoff
 from violetstack.log import log_rate_limited
 from violetstack.policy_api import UpdateScope
-from violetstack.protocol.discovery import BadList, ListReader, Targets, Values
+from violetstack.protocol.discovery import (
+    EndpointListDecoder,
+    EndpointListError,
+    JsonObjectSplitter,
+    WatchEvent,
+)
 from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
 
-# An empty line is due every 2 s, and what a silent watch misses counts as told 6 s after it fell silent,
-# at the earliest 6 s after its last word. So another is opened a second after a line did not come.
-SILENT_S = 3.0
+TARGETS_PATH = "/api/targets"
+# Discovery sends an empty line every 2 s, and a change that a stalled watch misses counts as known 6 s after
+# the watch stalled. So another connection is opened a second after a line did not come.
+STALLED_S = 3.0
 CONNECT_S = 2.0
-UNHEARD_S = 1.5  # an agent on this machine answers within milliseconds, or not on this connection
-AGAIN_S = 0.2  # without an answer from it, one more connection is opened beside those that wait
-MOST_LINES = 10  # at once
-APART_S = 0.05  # two are opened no sooner after each other: guards the processor where each ends at once
+FIRST_WORD_S = 1.5  # an agent on this machine answers within milliseconds, or not on this connection
+HEDGE_S = 0.2  # without an answer from an agent, one more connection is opened beside those that wait
+MAX_WAITING = 10  # connections that have sent nothing yet
+MIN_INTERVAL_S = 0.05  # between two connections: bounds processor time where each ends at once
+RECEIVE_BYTES = 64 * 1024
+MAX_ERROR_LENGTH = 200
+
 
+class DiscoveryRejected(Broken):
+    """Discovery answered with another status than 200."""
 
-class TurnedAway(Broken):
-    """Discovery answered, and not with a list."""
 
+class WatchConnection:
+    """One connection to discovery: it waits for its first word, or it is the current one, or it has stalled.
 
-class Line:
-    """One connection to discovery, which has told nothing yet, or is the one whose word counts."""
+    `index` is the version that changes are asked for from; None: the complete list is asked for first.
+    """
 
-    def __init__(self, at: Address, index: int | None) -> None:
-        # no index: the whole list comes first
-        self.at = at
+    def __init__(self, address: Address, index: int | None) -> None:
+        self.address = address
         self.index = index
         self.scope = trio.CancelScope()
         self.stream: trio.SocketStream | None = None
-        self.alive_at = trio.current_time()  # its last whole word; a part of one is none
-        self.heard = self.silent = self.dropped = False
+        self.alive_at = trio.current_time()  # of the last complete object or empty line
+        self.heard = False  # it has sent something that was taken
+        self.stalled = False
+        self.dropped = False
 
     def drop(self) -> None:
-        """Guards against its word after another's: what it has not told by now it does not tell any more.
+        """Ends the connection; nothing of it counts any more, and what has been read of it does not either.
 
-        That holds for what has been read as well: a return of discovery answers all that wait in one instant.
+        When discovery comes back it answers all that wait in one instant, so a dropped connection may have
+        unread data that is older than what another has sent.
         """
         self.dropped = True
         self.scope.cancel()
 
     def pending(self) -> bool:
+        """Is there anything unread?"""
         stream = self.stream
         return stream is not None and stream.socket.fileno() >= 0 and stream.socket.is_readable()
 
 
 class Watch:
-    """Tells what discovery tells, for ever.
+    """Calls `on_event` with each list and change that discovery sends, until it is cancelled.
 
-    What an agent on this machine has counts as told whether or not a watch is open, and news that a silent
-    watch misses after a while. So a watch that ended is opened again at once; one that fell silent, or that a
-    new address replaces, is heard until another has told something.
+    `on_unchanged` is called once if the first word is an empty line: nothing has changed since `version`.
     """
 
     def __init__(
         self,
-        at: Address,
-        reader: ListReader,
+        address: Address,
+        decoder: EndpointListDecoder,
         version: int | None,
-        told: Callable[[Targets], None],
-        again: Backoff,
+        backoff: Backoff,
+        *,
+        on_event: Callable[[WatchEvent], None],
+        on_unchanged: Callable[[], None],
     ) -> None:
-        self.confirmed: Callable[[], None] = lambda: None  # nothing has changed since `version`
-        self.at = at
-        self._reader = reader
-        self._told = told
-        self._again = again
-        self.heard = trio.Event()  # discovery has told something
-        self.version: int | None = version  # None: nothing that its changes could be asked from
-        self._whole = version is None  # the whole list is owed, whatever is known
-        self._line: Line | None = None
-        self._lines: set[Line] = set()
+        self.address = address
+        self.heard = trio.Event()  # set once discovery has sent something
+        self.version: int | None = version  # None: no list is known that changes could be asked for from
+        self._decoder = decoder
+        self._backoff = backoff
+        self._on_event = on_event
+        self._on_unchanged = on_unchanged
+        self._list_owed = version is None  # the complete list is to be asked for
+        self._current: WatchConnection | None = None
+        self._connections: set[WatchConnection] = set()
         self._lost = True
         self._next_at = -math.inf
         self._opened_at = -math.inf
-        self._stir = trio.Event()
+        self._changed = trio.Event()
 
     def pending(self) -> bool:
-        return any(line.pending() for line in self._lines)
+        """Is anything unread on any connection?"""
+        return any(connection.pending() for connection in self._connections)
 
-    def move(self, at: Address) -> None:
-        """Another address from now on.
+    def move(self, address: Address) -> None:
+        """Watches another address from now on.
 
-        The old watch's news count until the new discovery has told its whole list, which replaces the old one
-        in the same step: versions of the one mean nothing to the other.
+        Changes from the old one count until the new one has sent its complete list, which replaces the old
+        list in the same step: the versions of the two are not comparable.
         """
-        if at == self.at:
+        if address == self.address:
             return
-        self.at = at
-        self._again.answered()
-        self.ask_again()
+        self.address = address
+        self._backoff.answered()
+        self.request_list()
 
-    def ask_again(self) -> None:
-        """The whole list, whatever is known; what is known stays in use until it has come."""
-        self._whole = True
-        for line in [line for line in self._lines if not line.heard]:
-            line.drop()
-        self._lose(self._again.next_s(turned_away=False))
+    def request_list(self) -> None:
+        """Asks for the complete list; what is known stays in use until it has come."""
+        self._list_owed = True
+        for connection in [each for each in self._connections if not each.heard]:
+            connection.drop()
+        self._lose(self._backoff.next_s(turned_away=False))
 
     async def run(self) -> None:
+        """Opens connections when they are due, until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                waiting = sum(not line.heard for line in self._lines)
-                if self._lost and trio.current_time() >= self._next_at and waiting < MOST_LINES:
-                    line = Line(self.at, None if self._whole else self.version)
-                    self._lines.add(line)
-                    self._opened_at = line.alive_at
-                    self._next_at = line.alive_at + AGAIN_S if self._again.agent else math.inf
-                    nursery.start_soon(self._follow, line)
-                with trio.move_on_at(self._next_at if self._lost and waiting < MOST_LINES else math.inf):
-                    await self._stir.wait()
-                self._stir = trio.Event()
-
-    # --- whose word counts ---
+                waiting = sum(not connection.heard for connection in self._connections)
+                if self._lost and trio.current_time() >= self._next_at and waiting < MAX_WAITING:
+                    self._open(nursery)
+                due = self._next_at if self._lost and waiting < MAX_WAITING else math.inf
+                with trio.move_on_at(due):
+                    await self._changed.wait()
+                self._changed = trio.Event()
+
+    # --- which connection counts ---
+
+    def _open(self, nursery: trio.Nursery) -> None:
+        connection = WatchConnection(self.address, None if self._list_owed else self.version)
+        self._connections.add(connection)
+        self._opened_at = connection.alive_at
+        self._next_at = connection.alive_at + HEDGE_S if self._backoff.agent else math.inf
+        nursery.start_soon(self._follow, connection)
 
     def _lose(self, wait_s: float) -> None:
+        """Has another connection opened after `wait_s`."""
         self._lost = True
-        self._next_at = max(trio.current_time() + wait_s, self._opened_at + APART_S)
-        self._stir.set()
-
-    def _take(self, line: Line) -> None:
-        """Its word counts from here on, and no other's."""
-        line.heard = True
-        self._line = line
-        self._lost = self._whole
-        for other in self._lines - {line}:
-            if other.heard or other.index is not None or not self._whole:
+        self._next_at = max(trio.current_time() + wait_s, self._opened_at + MIN_INTERVAL_S)
+        self._changed.set()
+
+    def _make_current(self, connection: WatchConnection) -> None:
+        """Takes changes from this connection on, and drops those that it makes superfluous."""
+        connection.heard = True
+        self._current = connection
+        self._lost = self._list_owed
+        for other in self._connections - {connection}:
+            if other.heard or other.index is not None or not self._list_owed:
                 other.drop()
         if not self._lost:
-            self._again.answered()
-        self._stir.set()
+            self._backoff.answered()
+        self._changed.set()
 
-    def _alive(self, line: Line) -> None:
-        line.alive_at = trio.current_time()
-        if line.silent:
-            line.silent = False
-            self._take(line)
+    def _mark_alive(self, connection: WatchConnection) -> None:
+        connection.alive_at = trio.current_time()
+        if connection.stalled:
+            connection.stalled = False
+            self._make_current(connection)
 
-    async def _follow(self, line: Line) -> None:
+    async def _follow(self, connection: WatchConnection) -> None:
         error: Exception | None = None
-        with line.scope:
+        with connection.scope:
             try:
-                await self._talk(line)
-            except (OSError, Broken, trio.BrokenResourceError, trio.TooSlowError, BadList) as caught:
+                await self._converse(connection)
+            except (
+                OSError,
+                Broken,
+                trio.BrokenResourceError,
+                trio.TooSlowError,
+                EndpointListError,
+            ) as caught:
                 error = caught
-        self._lines.discard(line)
-        self._stir.set()
-        if line.dropped:
+        self._connections.discard(connection)
+        self._changed.set()
+        if connection.dropped:
             return
-        log_rate_limited("watch_closed", index=line.index, error=repr(error)[:200])
-        away = isinstance(error, TurnedAway)
-        bad = isinstance(error, BadList)
-        self._whole = self._whole or bad  # guards against the same bad list, asked for again from its index
-        if line is self._line:
-            self._line = None
+        log_rate_limited("watch_closed", index=connection.index, error=repr(error)[:MAX_ERROR_LENGTH])
+        self._closed(connection, error)
+
+    def _closed(self, connection: WatchConnection, error: Exception | None) -> None:
+        rejected = isinstance(error, DiscoveryRejected)
+        invalid = isinstance(error, EndpointListError)
+        # An invalid change would come again if it were asked for from the same index.
+        self._list_owed = self._list_owed or invalid
+        if connection is self._current:
+            self._current = None
             if not self._lost:
-                self._lose(self._again.next_s(turned_away=away, bad=bad))
+                self._lose(self._backoff.next_s(turned_away=rejected, bad=invalid))
         elif self._lost:
-            wait_s = self._again.next_s(turned_away=away, bad=bad)
-            if away or bad or not any(not each.heard for each in self._lines):
+            wait_s = self._backoff.next_s(turned_away=rejected, bad=invalid)
+            if rejected or invalid or all(other.heard for other in self._connections):
                 self._lose(wait_s)
 
-    # --- the connection ---
+    # --- the exchange on one connection ---
 
-    async def _talk(self, line: Line) -> None:
+    async def _converse(self, connection: WatchConnection) -> None:
         while True:
-            await self._connect(line)
-            assert line.stream is not None
-            async with line.stream as stream:
+            async with await self._connect(connection) as stream:
                 http = HostSide()
-                if line.index is None:
-                    await self._whole_list(line, stream, http)
+                if connection.index is None:
+                    await self._fetch_list(connection, stream, http)
                     if not http.reuse():
                         continue  # the changes follow on a connection of their own
-                target = f"/api/targets?stream=1&index={line.index}"
-                async for value in self._get(line, stream, http, target):
-                    self._word(line, value)
+                target = f"{TARGETS_PATH}?stream=1&index={connection.index}"
+                async for value in self._get(connection, stream, http, target):
+                    self._receive_value(connection, value)
                 raise Broken("the watch has ended")
 
-    async def _connect(self, line: Line) -> None:
-        with trio.fail_after(UNHEARD_S if self._again.agent else CONNECT_S):
-            line.stream = await trio.open_tcp_stream(*line.at)
-
-    async def _whole_list(self, line: Line, stream: trio.SocketStream, http: HostSide) -> None:
-        told = False
-        async for value in self._get(line, stream, http, "/api/targets"):
-            if value:
-                if told:
-                    raise BadList("two lists where one was asked for")
-                told = True
-                targets = self._reader.read(value)
-                if targets.news.scope is UpdateScope.DELTA:
-                    raise BadList("the whole list was asked for and a change came")
-                self._whole = False
-                self._take(line)
-                self._tell(line, targets)
-        if not told:
-            raise BadList("no list where the whole one was asked for")
-
-    def _word(self, line: Line, value: bytes) -> None:
-        """A whole object or an empty line of the watch."""
-        targets = self._read(line, value) if value else None
-        self._alive(line)
-        if line is not self._line:
-            self._take(line)
-        if targets is not None:
-            self._tell(line, targets)
+    async def _connect(self, connection: WatchConnection) -> trio.SocketStream:
+        with trio.fail_after(FIRST_WORD_S if self._backoff.agent else CONNECT_S):
+            stream = await trio.open_tcp_stream(*connection.address)
+        connection.stream = stream
+        return stream
+
+    async def _fetch_list(
+        self, connection: WatchConnection, stream: trio.SocketStream, http: HostSide
+    ) -> None:
+        received = False
+        async for value in self._get(connection, stream, http, TARGETS_PATH):
+            if not value:
+                continue
+            if received:
+                raise EndpointListError("two lists where one was asked for")
+            received = True
+            event = self._decoder.decode(value)
+            if event.update.scope is UpdateScope.DELTA:
+                raise EndpointListError("the whole list was asked for and a change came")
+            self._list_owed = False
+            self._make_current(connection)
+            self._publish(connection, event)
+        if not received:
+            raise EndpointListError("no list where the whole one was asked for")
+
+    def _receive_value(self, connection: WatchConnection, value: bytes) -> None:
+        """A complete object, or an empty line, of the stream of changes."""
+        event = self._decode(connection, value) if value else None
+        self._mark_alive(connection)
+        if connection is not self._current:
+            self._make_current(connection)
+        if event is not None:
+            self._publish(connection, event)
         elif not value and not self.heard.is_set():
             self.heard.set()
-            self.confirmed()
+            self._on_unchanged()
 
-    def _read(self, line: Line, value: bytes) -> Targets | None:
+    def _decode(self, connection: WatchConnection, value: bytes) -> WatchEvent | None:
         try:
-            return self._reader.read(value)
-        except BadList as error:
-            if not line.heard:
+            return self._decoder.decode(value)
+        except EndpointListError as error:
+            if not connection.heard:
                 raise
-            log_rate_limited("endpoint_list_invalid", index=self.version, error=str(error)[:200])
-            if not self._whole:
-                self._whole = True
-                self._lose(self._again.next_s(bad=True))
+            log_rate_limited("endpoint_list_invalid", index=self.version, error=str(error)[:MAX_ERROR_LENGTH])
+            if not self._list_owed:
+                self._list_owed = True
+                self._lose(self._backoff.next_s(bad=True))
             return None
 
-    def _tell(self, line: Line, targets: Targets) -> None:
-        news = targets.news
-        delta = news.scope is UpdateScope.DELTA
-        if delta and self.version is not None and news.version < self.version:
-            # Guards against news that were overtaken. A whole list counts whatever its version: discovery may
-            # have begun anew, and what it has is what there is.
-            log_rate_limited("endpoint_list_stale", version=news.version, known=self.version)
+    def _publish(self, connection: WatchConnection, event: WatchEvent) -> None:
+        update = event.update
+        is_change = update.scope is UpdateScope.DELTA
+        if is_change and self.version is not None and update.version < self.version:
+            # The change was overtaken. A complete list counts whatever its version: discovery may have begun
+            # anew, and what it has is what there is.
+            log_rate_limited("endpoint_list_stale", version=update.version, known=self.version)
             return
-        self.version = line.index = news.version
-        self._told(targets)
+        self.version = update.version
+        connection.index = update.version
+        self._on_event(event)
         self.heard.set()
 
     async def _get(
-        self, line: Line, stream: trio.SocketStream, http: HostSide, target: str
+        self, connection: WatchConnection, stream: trio.SocketStream, http: HostSide, target: str
     ) -> AsyncIterator[bytes]:
-        """An answer's objects and empty lines as they come whole."""
-        for part in http.request("GET", target, [("Host", f"{line.at[0]}:{line.at[1]}")]):
+        """The objects and empty lines of a response, each when it is complete."""
+        host = f"{connection.address[0]}:{connection.address[1]}"
+        for part in http.request("GET", target, [("Host", host)]):
             await stream.send_all(part)
-        values = Values()
+        splitter = JsonObjectSplitter()
         while True:
             http.check()
-            received = await self._receive(line, stream)
+            received = await self._receive(connection, stream)
             for event in http.feed(bytes(received)):
                 if isinstance(event, Head) and event.status != 200:
-                    raise TurnedAway(f"status {event.status}")
+                    raise DiscoveryRejected(f"status {event.status}")
                 if isinstance(event, Body):
-                    for value in values.feed(event.data):
+                    for value in splitter.feed(event.data):
                         await trio.lowlevel.checkpoint_if_cancelled()
                         yield value
                 if isinstance(event, End):
                     return
 
-    async def _receive(self, line: Line, stream: trio.SocketStream) -> bytes:
-        """Guards against silence and words that never end: only a whole one is a sign of life."""
+    async def _receive(self, connection: WatchConnection, stream: trio.SocketStream) -> bytes:
+        """The next bytes; a connection without a complete object or line for too long stalls or ends.
+
+        Raises trio.TooSlowError for one that has sent nothing yet. Incomplete objects are no sign of life.
+        """
         while True:
-            if line.silent:
-                return bytes(await stream.receive_some(64 * 1024))
-            patience = SILENT_S if line.heard or not self._again.agent else UNHEARD_S
-            with trio.move_on_at(line.alive_at + patience):
-                return bytes(await stream.receive_some(64 * 1024))
+            if connection.stalled:
+                return bytes(await stream.receive_some(RECEIVE_BYTES))
+            patience_s = STALLED_S if connection.heard or not self._backoff.agent else FIRST_WORD_S
+            with trio.move_on_at(connection.alive_at + patience_s):
+                return bytes(await stream.receive_some(RECEIVE_BYTES))
             if stream.socket.is_readable():
-                return bytes(await stream.receive_some(64 * 1024))  # this process had not looked
-            if not line.heard:
+                return bytes(await stream.receive_some(RECEIVE_BYTES))  # this process had not looked
+            if not connection.heard:
                 raise trio.TooSlowError
-            line.silent = True
+            connection.stalled = True
             log_rate_limited("watch_stalled", index=self.version)
-            if line is self._line and not self._lost:
-                self._lose(self._again.next_s(turned_away=False))
+            if connection is self._current and not self._lost:
+                self._lose(self._backoff.next_s(turned_away=False))
--- a/violetstack/operators.py
+++ b/violetstack/operator_config.py
@@ -12,7 +12,7 @@
 from violetstack.settings import SettingsMessage
 
 
-class BadOperatorFile(Exception):
+class OperatorConfigError(Exception):
     """The file can't be used; the text says why."""
 
 
@@ -48,7 +48,7 @@
     cls: str | None = msgspec.field(name="class", default=None)
 
 
-class PlainHost(msgspec.Struct, forbid_unknown_fields=True):
+class OpenAIHost(msgspec.Struct, forbid_unknown_fields=True):
     """A host that speaks OpenAI's API: it reads and writes, and takes no states or places."""
 
     id: str
@@ -59,13 +59,13 @@
     labels: list[str] = []
 
 
-class LedgerFile(msgspec.Struct, forbid_unknown_fields=True):
+class IdempotencyStoreConfig(msgspec.Struct, forbid_unknown_fields=True):
     file: str
     keep_hours: float = 48.0
     lease_s: float = 10.0
 
 
-class StateFile(msgspec.Struct, forbid_unknown_fields=True):
+class StateConfig(msgspec.Struct, forbid_unknown_fields=True):
     """`folder`: of this dispatcher alone, on a disk that outlives the process."""
 
     folder: str
@@ -74,7 +74,7 @@
     doubt_s: float = 30.0
 
 
-class DutiesFile(msgspec.Struct, forbid_unknown_fields=True):
+class LeaseConfig(msgspec.Struct, forbid_unknown_fields=True):
     """`keys`: secrets of which the first seals what is sent, and any opens what is heard."""
 
     lease_s: float = 2.0
@@ -103,7 +103,7 @@
     trust: str = ""
 
 
-class OperatorFile(msgspec.Struct, forbid_unknown_fields=True):
+class OperatorConfig(msgspec.Struct, forbid_unknown_fields=True):
     """`listen` is the chat front's address, empty where that is off; `platform` that of the other front."""
 
     listen: str = ""
@@ -115,10 +115,10 @@
     models: list[Model] = []
     keys: list[Key] = []
     tenants: list[Tenant] = []
-    hosts: list[PlainHost] = []
-    ledger: LedgerFile | None = None
-    state: StateFile | None = None
-    duties: DutiesFile | None = None
+    hosts: list[OpenAIHost] = []
+    ledger: IdempotencyStoreConfig | None = None
+    state: StateConfig | None = None
+    duties: LeaseConfig | None = None
     tls: Tls | None = None
     acme: Acme | None = None
     settings: SettingsMessage | None = None
@@ -127,7 +127,7 @@
 class ChatConfig:
     """The file checked against the settings it is used with."""
 
-    def __init__(self, told: OperatorFile, settings_message: SettingsMessage) -> None:
+    def __init__(self, told: OperatorConfig, settings_message: SettingsMessage) -> None:
         self.told = told
         self.models = told.models
         self.keys = told.keys
@@ -138,15 +138,15 @@
         named += [tenant.cls for tenant in told.tenants if tenant.cls is not None]
         for name in named:
             if name not in self._classes:
-                raise BadOperatorFile(f"class {name!r} is not among the settings' classes")
+                raise OperatorConfigError(f"class {name!r} is not among the settings' classes")
         for key in told.keys:
             if self._tenants and key.tenant not in self._tenants:
-                raise BadOperatorFile(f"tenant {key.tenant!r} is not among the settings' tenants")
+                raise OperatorConfigError(f"tenant {key.tenant!r} is not among the settings' tenants")
             for model in key.models:
                 if model not in [m.name for m in told.models]:
-                    raise BadOperatorFile(f"a key names the unknown model {model!r}")
+                    raise OperatorConfigError(f"a key names the unknown model {model!r}")
         if told.acme is not None and told.tls is None:
-            raise BadOperatorFile("acme needs [tls], which names the files that it keeps")
+            raise OperatorConfigError("acme needs [tls], which names the files that it keeps")
 
     def class_of(self, key: Key, model: Model) -> int:
         """The key's class, else its tenant's, else the model's."""
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -1,22 +1,28 @@
-"""Discovery's lists and the changes that its watch tells as the module's news."""
+"""Discovery's wire format: the endpoint list and its changes as JSON objects, decoded to endpoint updates."""
 
 from __future__ import annotations
 
 import re
 from collections.abc import Iterator
+from typing import NamedTuple
 
 import msgspec
 
 from violetstack.policy_api import Endpoint, EndpointState, EndpointUpdate, UpdateScope
 from violetstack.settings import SettingsMessage
 
-MAX_LIST = 1024 * 1024  # bytes; a hundred hosts take some 15,000
-PLAIN = re.compile(rb'[{}\[\]"]')  # what ends or nests outside a string
-QUOTED = re.compile(rb'["\\]')  # and within one
+MAX_OBJECT_BYTES = 1024 * 1024  # a hundred hosts take some 15,000
+MAX_UNREADABLE = 20  # entries of a list that are reported
+UNREADABLE_LENGTH = 60  # bytes of each
+ERROR_LENGTH = 200
+OUTSIDE_STRING = re.compile(rb'[{}\[\]"]')  # the bytes that nest objects or begin a string
+INSIDE_STRING = re.compile(rb'["\\]')  # the bytes that end a string or escape one
 STATES = {"active": EndpointState.HEALTHY, "leaving": EndpointState.DRAINING, "left": EndpointState.REMOVED}
 
 
-class WServer(msgspec.Struct):
+class ListedEndpoint(msgspec.Struct):
+    """One host as discovery writes it; `started_ms` is Unix time, 0 where it is not known."""
+
     id: str
     addr: str = ""
     zone: str = ""
@@ -27,65 +33,80 @@
     started_ms: float = 0.0
 
 
-class WTargets(msgspec.Struct):
+class EndpointListMessage(msgspec.Struct):
+    """A complete list (`full`), or the entries that have changed since an earlier version."""
+
     version: int = 0
     full: bool = False
-    servers: list[WServer] = []
+    servers: list[ListedEndpoint] = []
 
 
-class WLoose(msgspec.Struct):
-    """A list of which an entry can't be read: the others count all the same."""
+class UndecodedListMessage(msgspec.Struct):
+    """A list whose entries are decoded one by one, because one of them could not be."""
 
     version: int = 0
     full: bool = False
     servers: list[msgspec.Raw] = []
 
 
-class BadList(Exception):
-    """Discovery wrote something that is no list."""
+class EndpointListError(Exception):
+    """Discovery sent something that is no endpoint list."""
+
 
+class WatchEvent(msgspec.Struct, frozen=True):
+    """A list or a change, decoded. `messages` are the entries as they came."""
 
-class Targets(msgspec.Struct, frozen=True):
-    news: EndpointUpdate
+    update: EndpointUpdate
     addresses: dict[str, str]
-    skipped: tuple[str, ...] = ()  # entries of an unknown state or kind: one of them must not stop the list
-    rows: tuple[WServer, ...] = ()  # as they came
+    skipped: tuple[
+        str, ...
+    ] = ()  # entries of an unknown state or kind, and the beginnings of unreadable ones
+    messages: tuple[ListedEndpoint, ...] = ()
+
+
+class _PartialList(NamedTuple):
+    message: EndpointListMessage
+    unreadable: tuple[str, ...]  # the beginning of each entry that could not be decoded
+
 
+class EndpointListDecoder:
+    """Decodes lists with the zones and kinds of the settings."""
 
-class ListReader:
     def __init__(self, settings_message: SettingsMessage) -> None:
         self._zones = {name: n for n, name in enumerate(settings_message.zones or ())}
         self._kinds = {name: n for n, name in enumerate(settings_message.kinds or ())}
-        self._decoder = msgspec.json.Decoder(WTargets)
+        self._decoder = msgspec.json.Decoder(EndpointListMessage)
 
-    def read(self, value: bytes) -> Targets:
-        """Raises BadList."""
-        unread: tuple[str, ...] = ()
+    def decode(self, value: bytes) -> WatchEvent:
+        """One JSON object of discovery. Raises EndpointListError if nothing of it can be read."""
+        unreadable: tuple[str, ...] = ()
         try:
-            told = self._decoder.decode(value)
+            message = self._decoder.decode(value)
         except msgspec.MsgspecError as error:
-            told, unread = _loosely(value, str(error))
-        targets = self.targets(told, UpdateScope.SNAPSHOT if told.full else UpdateScope.DELTA)
-        return msgspec.structs.replace(targets, skipped=targets.skipped + unread) if unread else targets
-
-    def targets(self, told: WTargets, scope: UpdateScope) -> Targets:
-        entries = []
+            message, unreadable = _decode_entries(value, str(error))
+        event = self.to_event(message, UpdateScope.SNAPSHOT if message.full else UpdateScope.DELTA)
+        if unreadable:
+            event = msgspec.structs.replace(event, skipped=event.skipped + unreadable)
+        return event
+
+    def to_event(self, message: EndpointListMessage, scope: UpdateScope) -> WatchEvent:
+        """The message as an update of the given scope; entries of an unknown state or kind are left out."""
+        endpoints = []
         skipped = []
-        for server in told.servers:
+        for server in message.servers:
             if server.state in STATES and (server.kind in self._kinds or not self._kinds):
-                entries.append(self._entry(server))
+                endpoints.append(self._to_endpoint(server))
             else:
                 skipped.append(server.id)
-        known = {entry.server for entry in entries}
-        addresses = {server.id: server.addr for server in told.servers if server.addr and server.id in known}
-        return Targets(
-            EndpointUpdate(scope, tuple(entries), told.version),
-            addresses,
-            tuple(skipped),
-            tuple(told.servers),
+        known = {endpoint.server for endpoint in endpoints}
+        return WatchEvent(
+            update=EndpointUpdate(scope, tuple(endpoints), message.version),
+            addresses={s.id: s.addr for s in message.servers if s.addr and s.id in known},
+            skipped=tuple(skipped),
+            messages=tuple(message.servers),
         )
 
-    def _entry(self, server: WServer) -> Endpoint:
+    def _to_endpoint(self, server: ListedEndpoint) -> Endpoint:
         return Endpoint(
             server=server.id,
             cell=server.cell,
@@ -97,40 +118,47 @@
         )
 
 
-def _loosely(value: bytes, why: str) -> tuple[WTargets, tuple[str, ...]]:
-    """What can be read of a list, and how each other entry begins; raises BadList where nothing can.
+def _decode_entries(value: bytes, reason: str) -> _PartialList:
+    """Decodes each entry on its own, so that an invalid one does not hide the others, drains among them.
 
-    Guards against one spoilt entry that keeps all the others, drains among them, from being known.
+    Raises EndpointListError, with `reason`, where the object around the entries can't be decoded either.
     """
-    rows = []
-    unread = []
+    servers = []
+    unreadable = []
     try:
-        loose = msgspec.json.decode(value, type=WLoose)
+        message = msgspec.json.decode(value, type=UndecodedListMessage)
     except msgspec.MsgspecError:
-        raise BadList(why[:200]) from None
-    for row in loose.servers:
+        raise EndpointListError(reason[:ERROR_LENGTH]) from None
+    for server in message.servers:
         try:
-            rows.append(msgspec.json.decode(row, type=WServer))
+            servers.append(msgspec.json.decode(server, type=ListedEndpoint))
         except msgspec.MsgspecError:
-            unread.append(bytes(row)[:60].decode("latin-1"))
-    return WTargets(loose.version, loose.full, rows), tuple(unread[:20])
+            unreadable.append(bytes(server)[:UNREADABLE_LENGTH].decode("latin-1"))
+    return _PartialList(
+        EndpointListMessage(message.version, message.full, servers), tuple(unreadable[:MAX_UNREADABLE])
+    )
 
 
-class Values:
-    """Whole JSON objects out of an answer's bytes, cut anywhere; b"" for an empty line between them.
+class JsonObjectSplitter:
+    """Splits a stream of JSON objects, cut anywhere, into the objects; b"" stands for an empty line.
 
-    Guards against lists that come indented, several in one read or one in many: a line is no measure. Each
-    byte is looked at once, so that one cut at every byte costs no more than one that comes in a piece. Raises
-    BadList for what can't be the beginning of an object, and for one that is larger than MAX_LIST.
+    Objects may be indented, several in one read or one in many, so the end of a line does not end an object.
+    Each byte is looked at once: a stream that is cut at every byte costs no more than one that is not.
     """
 
     def __init__(self) -> None:
         self._parts: list[bytes] = []  # of the object that has begun
-        self._size = self._depth = 0
-        self._quoted = self._escaped = False
-        self._ended = False  # an object ended on this line: its line's end is no empty line
+        self._size = 0
+        self._depth = 0
+        self._in_string = False
+        self._escaped = False
+        self._object_on_line = False  # an object ended on this line: the line's end is no empty line
 
     def feed(self, data: memoryview | bytes) -> Iterator[bytes]:
+        """The objects and empty lines that `data` completes.
+
+        Raises EndpointListError for bytes that can't begin an object and for more than MAX_OBJECT_BYTES.
+        """
         raw = bytes(data)
         at = 0
         while at < len(raw):
@@ -140,49 +168,55 @@
                 if begin < 0:
                     return
                 at = begin + 1
-                self._depth = 1
-                self._ended = True
-                self._parts = [b"{"]
-                self._size = 1
+                self._begin_object()
             end = self._scan(raw, at)
-            self._parts.append(raw[at:end])
-            self._size += end - at
-            if self._size > MAX_LIST:
-                raise BadList(f"a list of more than {MAX_LIST} bytes")
+            self._append(raw[at:end])
             at = end
             if not self._depth:
-                whole = b"".join(self._parts)
+                complete = b"".join(self._parts)
                 self._parts = []
-                yield whole
+                yield complete
+
+    def _begin_object(self) -> None:
+        self._depth = 1
+        self._object_on_line = True
+        self._parts = [b"{"]
+        self._size = 1
+
+    def _append(self, part: bytes) -> None:
+        self._parts.append(part)
+        self._size += len(part)
+        if self._size > MAX_OBJECT_BYTES:
+            raise EndpointListError(f"a list of more than {MAX_OBJECT_BYTES} bytes")
 
     def _between(self, raw: bytes) -> Iterator[bytes]:
         if raw.strip():
-            raise BadList(f"no list: {raw.strip()[:40]!r}")
+            raise EndpointListError(f"no list: {raw.strip()[:40]!r}")
         for _ in range(raw.count(b"\n")):
-            if not self._ended:
+            if not self._object_on_line:
                 yield b""
-            self._ended = False
+            self._object_on_line = False
 
     def _scan(self, raw: bytes, at: int) -> int:
-        """The index behind the object that has begun, or behind all that came."""
+        """The index after the end of the object that has begun, or after all of `raw`."""
         if self._escaped and at < len(raw):
-            at = at + 1
+            at += 1
             self._escaped = False
         while at < len(raw):
-            found = (QUOTED if self._quoted else PLAIN).search(raw, at)
+            found = (INSIDE_STRING if self._in_string else OUTSIDE_STRING).search(raw, at)
             if found is None:
                 return len(raw)
             at = found.end()
-            mark = found.group()
-            if mark == b'"':
-                self._quoted = not self._quoted
-            elif mark == b"\\":
-                self._escaped = at == len(raw)
-                at += 1
-            elif mark in b"{[":
-                self._depth += 1
-            else:
-                self._depth -= 1
-                if not self._depth:
-                    return at
+            match found.group():
+                case b'"':
+                    self._in_string = not self._in_string
+                case b"\\":
+                    self._escaped = at == len(raw)
+                    at += 1
+                case b"{" | b"[":
+                    self._depth += 1
+                case _:
+                    self._depth -= 1
+                    if not self._depth:
+                        return at
         return len(raw)
--- a/violetstack/recovery/cached_endpoints.py
+++ b/violetstack/recovery/cached_endpoints.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from violetstack.protocol.discovery import WServer
+from violetstack.protocol.discovery import ListedEndpoint
 
 MAX_CLOCK_SKEW_MS = 2_000.0  # one machine's clock moves back by less than this across a restart
 
@@ -40,13 +40,13 @@
     name: str
     received_at: float | None
     version: int
-    servers: tuple[WServer, ...]
+    servers: tuple[ListedEndpoint, ...]
 
 
 class CachedEndpoint(NamedTuple):
     """An endpoint, how far it can be relied on, and the reason in words."""
 
-    server: WServer
+    server: ListedEndpoint
     status: CacheStatus
     reason: str
 
@@ -84,7 +84,7 @@
 
 
 def _rate(
-    server: WServer, source: EndpointSource, now: float, warm_up_ms: float, max_age_ms: float
+    server: ListedEndpoint, source: EndpointSource, now: float, warm_up_ms: float, max_age_ms: float
 ) -> CachedEndpoint:
     started_now = msgspec.structs.replace(server, started_ms=now)
     if source.received_at is None:
--- a/violetstack/recovery/panic_threshold.py
+++ b/violetstack/recovery/panic_threshold.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from violetstack.protocol.discovery import WServer
+from violetstack.protocol.discovery import ListedEndpoint
 
 
 class RetainedEndpoints(NamedTuple):
@@ -25,7 +25,7 @@
         until: When a list without them is accepted, in Unix milliseconds.
     """
 
-    servers: tuple[WServer, ...]
+    servers: tuple[ListedEndpoint, ...]
     until: float
 
 
@@ -44,7 +44,7 @@
         self._until: float | None = None
 
     def check(
-        self, now: float, current: Mapping[str, WServer], received: Iterable[WServer]
+        self, now: float, current: Mapping[str, ListedEndpoint], received: Iterable[ListedEndpoint]
     ) -> RetainedEndpoints | None:
         """Checks a complete list against the endpoints in use.
 
--- a/violetstack/rehearsal/stage.py
+++ b/violetstack/rehearsal/stage.py
@@ -11,10 +11,10 @@
 import msgspec
 import trio
 
-from violetstack.config import Address, Config, WConfig
+from violetstack.config import Address, Config, NodeConfig
 from violetstack.daemon.daemon import Daemon
 from violetstack.language.compiling import load
-from violetstack.operators import OperatorFile
+from violetstack.operator_config import OperatorConfig
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import ModelHost
 from violetstack.routing.generations import Plan
@@ -71,13 +71,13 @@
     challenge: Address | None
     nursery: trio.Nursery
     told: dict[str, Any]
-    chat_file: OperatorFile
+    chat_file: OperatorConfig
     plan: Plan | None
     door: Address
 
     def config(self, **changes: Any) -> Config:
         """The configuration that it was started with, changed."""
-        return Config(msgspec.convert({**self.told, **changes}, WConfig), self.chat_file, self.plan)
+        return Config(msgspec.convert({**self.told, **changes}, NodeConfig), self.chat_file, self.plan)
 
 
 @asynccontextmanager
@@ -113,10 +113,10 @@
             "known": {"version": 1, "full": True, "servers": rows},
         }
         plain = [{"id": h.name, "address": h.address} for h in hosts if h.kind == "openai"]
-        operator = msgspec.convert({**CHAT, "hosts": plain, **(chat or {})}, OperatorFile)
+        operator = msgspec.convert({**CHAT, "hosts": plain, **(chat or {})}, OperatorConfig)
         compiled = load(file)[0] if file is not None else None
         plan, levels = (compiled.plan, compiled.levels) if compiled is not None else (None, None)
-        config = Config(msgspec.convert(told, WConfig), operator, plan, levels=levels)
+        config = Config(msgspec.convert(told, NodeConfig), operator, plan, levels=levels)
         config.shared_folder = str(folder) if folder is not None else None
         daemon = Daemon(config)
         serving = await nursery.start(daemon.serve)
--- a/violetstack/state/snapshot.py
+++ b/violetstack/state/snapshot.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from violetstack.handover.learned_state import LearnedState
-from violetstack.protocol.discovery import WServer
+from violetstack.protocol.discovery import ListedEndpoint
 from violetstack.state.errors import RecordError
 from violetstack.state.records import Record, encode_record
 
@@ -30,7 +30,7 @@
 
     received_at: float = msgspec.field(name="at")
     version: int
-    servers: tuple[WServer, ...]
+    servers: tuple[ListedEndpoint, ...]
 
 
 class StateSnapshot(msgspec.Struct):
@@ -45,7 +45,7 @@
 
     received_at: float = msgspec.field(default=0.0, name="heard_at")
     version: int = 0
-    servers: dict[str, WServer] = {}
+    servers: dict[str, ListedEndpoint] = {}
     learned: LearnedState | None = None
 
     def encode(self) -> bytes:
