--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -23,7 +23,7 @@
 from violetstack.language.layout import CantLayOut, layout
 from violetstack.language.meaning import Meaning
 from violetstack.language.units import UNITS, base, canonical
-from violetstack.operators import BadOperatorFile
+from violetstack.operator_config import OperatorConfigError
 from violetstack.routing.conditions import Among, Any, Not
 from violetstack.routing.table import Table
 
@@ -289,7 +289,7 @@
     compiled, _ = load(path)
     assert len(compiled.plan.routes) == 2
     with pytest.raises(
-        BadOperatorFile, match=r"a.violet:1:27: there is no class 'ordne' \(did you mean 'orden'\?\)"
+        OperatorConfigError, match=r"a.violet:1:27: there is no class 'ordne' \(did you mean 'orden'\?\)"
     ):
         load(path, {"class": frozenset({"orden", "consulta"})})
     assert universe({}, {"class": frozenset({"orden"})}) == {"class": frozenset({"orden"})}
@@ -325,7 +325,7 @@
     path = tmp_path / "a.violet"
     path.write_text(convert(told.encode()))
     file = load(path)[0].file
-    assert (file.listen, file.models[0].cls, file.keys[0].key, file.hosts[0].memory_tokens) == (
+    assert (file.listen, file.models[0].class_name, file.keys[0].key, file.hosts[0].memory_tokens) == (
         "127.0.0.1:8443",
         "c",
         "sha256:" + "a" * 64,
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -31,7 +31,7 @@
     KeyedRequest,
     Outcome,
 )
-from violetstack.operators import ChatConfig, Key, Model
+from violetstack.operator_config import ApiKey, ChatFrontConfig, ModelConfig
 from violetstack.policy_api import Idempotency, Request
 from violetstack.protocol.headers import duration_ms
 from violetstack.protocol.server_side import Inbound, Rejected
@@ -59,8 +59,8 @@
     """A checked and routed request, before the core accepts it."""
 
     completion_request: CompletionRequest
-    model: Model
-    key: Key
+    model: ModelConfig
+    key: ApiKey
     policy_request: Request
     max_tokens: int
     idempotent: bool
@@ -80,7 +80,7 @@
 
     def __init__(
         self,
-        config: ChatConfig,
+        config: ChatFrontConfig,
         core: Dispatcher,
         idempotency: IdempotencyRecords | None,
         *,
@@ -140,7 +140,7 @@
         else:
             self._describe_models(path, key, reply)
 
-    def _authenticate(self, inbound: Inbound) -> Key:
+    def _authenticate(self, inbound: Inbound) -> ApiKey:
         scheme, _, token = inbound.headers.get("authorization", "").partition(" ")
         hashed = sha256(token.strip().encode()).hexdigest()
         found = [key for key in self.config.keys if compare_digest(key.hashed, hashed)]
@@ -150,7 +150,7 @@
             )
         return found[0]
 
-    def _describe_models(self, path: str, key: Key, reply: Reply) -> None:
+    def _describe_models(self, path: str, key: ApiKey, reply: Reply) -> None:
         rows = [
             {"id": model.name, "object": "model", "created": 0, "owned_by": "violetstack"}
             for model in self.config.models
@@ -167,7 +167,7 @@
 
     # --- completions ---
 
-    def _complete(self, inbound: Inbound, key: Key, reply: Reply) -> None:
+    def _complete(self, inbound: Inbound, key: ApiKey, reply: Reply) -> None:
         request = self._read(inbound, key)
         if request.idempotent:
             self._accept(request, reply, _record_nothing)
@@ -191,7 +191,7 @@
         self.pending += 1
         self._spawn(partial(self._complete_keyed, request, keyed, self._idempotency, self._clock(), reply))
 
-    def _read(self, inbound: Inbound, key: Key) -> RoutedRequest:
+    def _read(self, inbound: Inbound, key: ApiKey) -> RoutedRequest:
         body = read_completion_request(inbound.body)
         model = next((m for m in self.config.models if m.name == body.model and key.may_use(m)), None)
         if model is None:
