Log events of leases: lease_acquired, lease_lost, restart_permit_acquired and others

duty -> lease_acquired, lease_lost; leave -> restart_permit_acquired, restart_permit_denied; host_tried -> outlier_check_started, outlier_check_passed; duties_refused -> lease_datagram_rejected; effect_refused -> lease_broadcast_rejected. Fields: fence -> fencing_token, why -> reason, place -> permit, seen -> newest_token. Reasons: 'handed on to N' -> 'transferred to N', 'number N was behind M' -> 'fencing token N is older than M'.

--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -97,7 +97,7 @@
         cluster.run(cluster.time + 10.0)
     assert successor.proposer.fencing_token > token
     assert not holder.holds()
-    assert holder.node.views(holder.now())[0].reason.startswith("handed on")
+    assert holder.node.views(holder.now())[0].reason == f"transferred to {successor.number}"
 
 
 def test_datagram_round_trip_and_rejection_of_anything_else() -> None:
--- a/tests/test_lease_service.py
+++ b/tests/test_lease_service.py
@@ -134,7 +134,8 @@
 def test_one_dispatcher_at_a_time_shuts_down_and_each_gets_a_permit(fleets: Fleets) -> None:
     result = fleets.shutdown
     assert (result.breaches, result.crashed) == ([], [])
-    assert result.events["leave"] == 3
+    assert result.events["restart_permit_acquired"] == 3
+    assert "restart_permit_denied" not in result.events
     assert result.events["started"] == 7
     assert sorted(number for *_, number in result.ends) == [0, 1, 2]
     for (_, ended, _), (began, _, _) in zip(result.ends, result.ends[1:], strict=False):
--- a/violetstack/lease/proposer.py
+++ b/violetstack/lease/proposer.py
@@ -144,7 +144,7 @@
         self.highest_token = max(self.highest_token, token)
         if not self.holds(now):
             return []
-        self._lose(now, f"number {self.fencing_token} was behind {token}")
+        self._lose(now, f"fencing token {self.fencing_token} is older than {token}")
         self.next_attempt_at = now
         return [self._release_message()]
 
@@ -258,7 +258,7 @@
         return []
 
     def _transfer(self, now: float, successor: int) -> Message:
-        self._lose(now, f"handed on to {number_of(successor)}")
+        self._lose(now, f"transferred to {number_of(successor)}")
         return self._propose(now, successor, self.fencing_token + 1)
 
     def _propose(self, now: float, owner: int, token: int) -> Message:
--- a/violetstack/lease/restart_permits.py
+++ b/violetstack/lease/restart_permits.py
@@ -59,4 +59,4 @@
         taken = [f"{view.name} is held by {view.holder}" for view in views if view.holder is not None]
         if len(taken) == len(self.names):
             return ", ".join(taken)
-        return "no majority of the electors has answered yet"
+        return "no majority of the acceptors has answered yet"
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -128,7 +128,7 @@
         try:
             self.node.receive(now_ms(), sender, data)
         except InvalidDatagramError as error:
-            log_rate_limited("duties_refused", sender=sender, reason=str(error))
+            log_rate_limited("lease_datagram_rejected", sender=sender, reason=str(error))
         self._woken.set()
         return True
 
@@ -136,7 +136,8 @@
 
     def lease_changed(self, name: str, change: HolderChange) -> None:
         """Log that this node acquired or lost a lease."""
-        log("duty", name=name, held=change.held, fence=change.fencing_token, why=change.reason)
+        event = "lease_acquired" if change.held else "lease_lost"
+        log(event, name=name, fencing_token=change.fencing_token, reason=change.reason)
 
     def broadcast_received(self, now: float, broadcast: Broadcast) -> None:
         """Pass a broadcast to the outlier checks, which are the only ones to use them."""
@@ -145,7 +146,7 @@
 
     def broadcast_rejected(self, sender: int, fencing_token: int, newest_token: int) -> None:
         """Log an outdated broadcast."""
-        log("effect_refused", sender=sender, fence=fencing_token, seen=newest_token)
+        log("lease_broadcast_rejected", sender=sender, fencing_token=fencing_token, newest_token=newest_token)
 
     def outlier_check_result(self, result: OutlierCheckResult) -> None:
         """Pass a result to the policy."""
@@ -153,11 +154,11 @@
 
     def outlier_check_started(self, host: str) -> None:
         """Log that this dispatcher checks a host."""
-        log("host_tried", server=host, well=None)
+        log("outlier_check_started", server=host)
 
     def outlier_check_passed(self, host: str) -> None:
         """Log that a host has passed this dispatcher's check."""
-        log("host_tried", server=host, well=True)
+        log("outlier_check_passed", server=host)
 
     # --- the admin API and the daemon's shutdown ---
 
@@ -203,4 +204,7 @@
         waited_ms = round((trio.current_time() - started) * 1000.0)
         permit = permits.held(now_ms())
         permits.use()
-        log("leave", place=permit, waited_ms=waited_ms, why="" if permit is not None else denial)
+        if permit is not None:
+            log("restart_permit_acquired", permit=permit, waited_ms=waited_ms)
+        else:
+            log("restart_permit_denied", waited_ms=waited_ms, reason=denial)
