violetstack fleet: a typed admin client, restart steps of their own, terms of leases

call -> commands/admin_client.AdminClient, which decodes the admin API's response types; NoAnswer -> AdminClientError with address and reason; doors -> addresses. Command names stay. What who prints has the new terms: fit -> eligible, elector -> acceptor, 'nobody, or not known by N' -> 'no known holder, fencing token N'. LeasesResponse.electors -> acceptors; its JSON name stays.

--- a/violetstack/admin/responses.py
+++ b/violetstack/admin/responses.py
@@ -93,9 +93,9 @@
     Attributes:
         dispatcher: Its number.
         eligible: Whether it may acquire leases.
-        electors: Numbers of the dispatchers whose majority grants a lease.
-        grants: Whether it grants leases itself; None if it is no elector. An elector grants none for the time
-            of one lease after its start.
+        acceptors: Numbers of the dispatchers whose majority grants a lease.
+        grants: Whether it grants leases itself; None if it is no acceptor. An acceptor grants none for the
+            time of one lease after its start.
         datagrams_sent: Lease datagrams sent since the start.
         bytes_sent: Their bytes.
         leases: The leases it knows.
@@ -103,7 +103,7 @@
 
     dispatcher: int = msgspec.field(name="me")
     eligible: bool = msgspec.field(name="fit")
-    electors: list[int]
+    acceptors: list[int] = msgspec.field(name="electors")
     grants: bool | None = msgspec.field(name="speaks")
     datagrams_sent: int = msgspec.field(name="datagrams")
     bytes_sent: int = msgspec.field(name="bytes")
--- a/violetstack/commands/fleet.py
+++ b/violetstack/commands/fleet.py
@@ -1,41 +1,46 @@
-"""`violetstack fleet`: who holds which duty, and a restart of the tier one after another, by the operators'
-doors."""
+"""`violetstack fleet`: the lease holders of a tier, and its rolling restart, over the admin API."""
 
 from __future__ import annotations
 
-import http.client
 import sys
 import time
-from typing import Any
+from collections.abc import Iterator
+from http import HTTPStatus
 
 import click
-import orjson
 
-CALL_S = 1.0
-AGAIN_S = 0.2
+from violetstack.admin.responses import LeaseRow, LeasesResponse
+from violetstack.commands.admin_client import (
+    AdminCallRejectedError,
+    AdminClient,
+    AdminClientError,
+    AdminUnreachableError,
+)
 
+POLL_S = 0.2
+ACCEPTOR_STATES = {
+    None: "not an acceptor",
+    True: "acceptor",
+    False: "acceptor that grants nothing yet after its start",
+}
+ADDRESSES = click.argument("addresses", nargs=-1, required=True, metavar="ADDRESS...")
 
-class NoAnswer(Exception):
-    """A door that can't be reached, or tells nothing that can be read."""
 
+class RestartError(AdminClientError):
+    """A dispatcher did not restart in time."""
 
-def call(door: str, method: str, path: str, body: str = "") -> tuple[int, dict[str, Any]]:
-    """Raises NoAnswer."""
-    connection = http.client.HTTPConnection(door, timeout=CALL_S)
-    try:
-        connection.request(method, path, body or None, {"Content-Length": str(len(body))})
-        answer = connection.getresponse()
-        told = orjson.loads(answer.read())
-    except (OSError, ValueError, http.client.HTTPException) as error:
-        raise NoAnswer(f"{door}: {error or type(error).__name__}") from None
-    finally:
-        connection.close()
-    return answer.status, told if isinstance(told, dict) else {}
+
+class RestartPermitError(RestartError):
+    """A dispatcher got no permit to restart."""
+
+    def __init__(self, address: str, reason: str) -> None:
+        """Say what kept the permit from it."""
+        super().__init__(address, f"no permit: {reason}")
 
 
 @click.group()
 def fleet() -> None:
-    """Look after a tier of dispatchers by their operators' doors (`duties` in the operator's file).
+    """Look after a tier of dispatchers over their admin API (`duties` in the operator's file).
 
     \b
     Examples:
@@ -45,99 +50,137 @@
     """
 
 
-DOORS = click.argument("doors", nargs=-1, required=True, metavar="DOOR...")
-
-
 @fleet.command()
-@DOORS
-def who(doors: tuple[str, ...]) -> None:
-    """Who holds what, as each DOOR's dispatcher knows it.
+@ADDRESSES
+def who(addresses: tuple[str, ...]) -> None:
+    """Show the lease holders, as the dispatcher at each ADDRESS knows them.
 
-    Exit status 1 if one does not answer, or two claim a duty.
+    Exit status 1 if one does not answer, or two claim a lease.
     """
-    bad = False
-    claimed = dict[str, int]()
-    for door in doors:
+    problems = False
+    claimed_by = dict[str, int]()
+    for address in addresses:
         try:
-            status, told = call(door, "GET", "/admin/duties")
-        except NoAnswer as error:
+            leases = AdminClient(address).leases()
+        except AdminClientError as error:
             click.echo(str(error), err=True)
-            bad = True
-            continue
-        if status != 200:
-            click.echo(f"{door}: {told.get('error', status)}", err=True)
-            bad = True
+            problems = True
             continue
-        speaks = {None: "no elector", True: "elector", False: "elector, silent yet"}[told["speaks"]]
-        click.echo(
-            f"{door}: dispatcher {told['me']}, {'fit' if told['fit'] else 'not fit'}, {speaks}, "
-            f"{told['datagrams']} datagrams sent"
-        )
-        for row in told["duties"]:
-            holder = "nobody, or not known" if row["holder"] is None else f"dispatcher {row['holder']}"
-            since = "" if row["since_ms"] is None else f"; {row['why']} {row['since_ms'] / 1000.0:.1f} s ago"
-            click.echo(f"  {row['name']}: {holder} by {row['number']}, {row['left_ms']} ms left{since}")
-            if row["mine"] and claimed.setdefault(row["name"], told["me"]) != told["me"]:
-                click.echo(f"{row['name']} is claimed by {claimed[row['name']]} as well", err=True)
-                bad = True
-    sys.exit(1 if bad else 0)
+        for line in _describe(address, leases):
+            click.echo(line)
+        for row in leases.leases:
+            if not row.held_here:
+                continue
+            holder = claimed_by.setdefault(row.name, leases.dispatcher)
+            if holder != leases.dispatcher:
+                click.echo(f"{row.name} is claimed by {holder} as well", err=True)
+                problems = True
+    sys.exit(1 if problems else 0)
+
+
+def _describe(address: str, leases: LeasesResponse) -> Iterator[str]:
+    eligible = "eligible" if leases.eligible else "not eligible"
+    yield (
+        f"{address}: dispatcher {leases.dispatcher}, {eligible}, {ACCEPTOR_STATES[leases.grants]}, "
+        f"{leases.datagrams_sent} datagrams sent"
+    )
+    for row in leases.leases:
+        yield f"  {_describe_lease(row)}"
+
+
+def _describe_lease(row: LeaseRow) -> str:
+    holder = "no known holder" if row.holder is None else f"dispatcher {row.holder}"
+    text = f"{row.name}: {holder}, fencing token {row.fencing_token}, {row.remaining_ms} ms left"
+    if row.changed_ms_ago is None:
+        return text
+    return f"{text}; {row.reason} {row.changed_ms_ago / 1000.0:.1f} s ago"
 
 
 @fleet.command()
-@click.argument("door")
+@click.argument("address")
 @click.argument("name")
-def resign(door: str, name: str) -> None:
-    """Take the duty NAME from the dispatcher behind DOOR; it stays away from it for two leases."""
+def resign(address: str, name: str) -> None:
+    """Take the lease NAME from the dispatcher at ADDRESS.
+
+    The dispatcher leaves it to others for two lease durations.
+    """
     try:
-        status, told = call(door, "POST", "/admin/resign", name)
-    except NoAnswer as error:
+        AdminClient(address).resign(name)
+    except AdminClientError as error:
         raise click.ClickException(str(error)) from None
-    if status != 200:
-        raise click.ClickException(f"{door}: {told.get('error', status)}")
-    click.echo(f"{door}: {name} goes to others")
+    click.echo(f"{address}: {name} goes to others")
 
 
 @fleet.command()
-@DOORS
-@click.option("--within", default=60.0, show_default=True, help="Seconds for each: leave, end, back again.")
-@click.option("--dry-run", is_flag=True, help="Only tell the order, and what each dispatcher says now.")
-def roll(doors: tuple[str, ...], within: float, dry_run: bool) -> None:
-    """Restart the dispatchers behind the DOORs, one after another, each with the tier's leave.
-
-    Whoever supervises them starts each again once it has ended. A dispatcher that gets no leave, or does
-    not come back, ends the roll there (exit status 1); those after it keep running.
+@ADDRESSES
+@click.option(
+    "--within", "timeout_s", default=60.0, show_default=True, help="Seconds for each, permit included."
+)
+@click.option("--dry-run", is_flag=True, help="Only show the order, and whether each dispatcher serves.")
+def roll(addresses: tuple[str, ...], timeout_s: float, dry_run: bool) -> None:
+    """Restart the dispatchers at the ADDRESSes one after another, each with a permit of the tier.
+
+    A supervisor has to start each again once it has ended. If a dispatcher gets no permit or does not come
+    back, those after it are not restarted (exit status 1).
     """
-    for n, door in enumerate(doors):
+    for index, address in enumerate(addresses):
         try:
-            if dry_run:
-                status, told = call(door, "GET", "/admin/health")
-                state = "serves" if status == 200 else told.get("error", status)
-                click.echo(f"{n + 1}. {door}: {state}")
-            else:
-                _restart(door, time.monotonic() + within)
-                click.echo(f"{n + 1}. {door}: back")
-        except NoAnswer as error:
-            left = ", ".join(doors[n + 1 :]) or "nobody"
-            raise click.ClickException(f"{error}; not restarted: {left}") from None
-
-
-def _restart(door: str, until: float) -> None:
-    """Raises NoAnswer with what stood in the way."""
-    status, told = call(door, "POST", "/admin/leave")
-    while status != 200:
-        if status == 404 or time.monotonic() >= until:
-            raise NoAnswer(f"{door}: no leave: {told.get('error', status)}")
-        time.sleep(AGAIN_S)
-        status, told = call(door, "POST", "/admin/leave")
-    gone = False
+            outcome = _health(address) if dry_run else _restart(address, time.monotonic() + timeout_s)
+        except AdminClientError as error:
+            remaining = ", ".join(addresses[index + 1 :]) or "nobody"
+            message = f"{error}; not restarted: {remaining}"
+            raise click.ClickException(message) from None
+        click.echo(f"{index + 1}. {address}: {outcome}")
+
+
+def _health(address: str) -> str:
+    try:
+        AdminClient(address).check_health()
+    except AdminCallRejectedError as error:
+        return error.reason
+    return "serves"
+
+
+def _restart(address: str, deadline: float) -> str:
+    client = AdminClient(address)
+    _request_restart(client, deadline)
+    _await_end(client, deadline)
+    _await_start(client, deadline)
+    return "back"
+
+
+def _request_restart(client: AdminClient, deadline: float) -> None:
+    while True:
+        try:
+            client.request_restart()
+        except AdminCallRejectedError as error:
+            if error.status == HTTPStatus.NOT_FOUND or time.monotonic() >= deadline:
+                raise RestartPermitError(client.address, error.reason) from None
+        else:
+            return
+        time.sleep(POLL_S)
+
+
+def _await_end(client: AdminClient, deadline: float) -> None:
+    while True:
+        try:
+            client.check_health()
+        except AdminUnreachableError:
+            return
+        except AdminCallRejectedError:
+            pass  # it still finishes requests
+        if time.monotonic() >= deadline:
+            raise RestartError(client.address, "did not end")
+        time.sleep(POLL_S)
+
+
+def _await_start(client: AdminClient, deadline: float) -> None:
     while True:
         try:
-            status, _ = call(door, "GET", "/admin/health")
-        except NoAnswer:
-            status = 0
-        gone = gone or status == 0
-        if gone and status == 200:
+            client.check_health()
+        except AdminClientError:
+            if time.monotonic() >= deadline:
+                raise RestartError(client.address, "did not come back") from None
+            time.sleep(POLL_S)
+        else:
             return
-        if time.monotonic() >= until:
-            raise NoAnswer(f"{door}: {'did not come back' if gone else 'did not end'}")
-        time.sleep(AGAIN_S)
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -152,7 +152,7 @@
         return LeasesResponse(
             dispatcher=node.number,
             eligible=node.eligible,
-            electors=list(node.acceptors),
+            acceptors=list(node.acceptors),
             grants=None if node.acceptor is None else node.acceptor.is_ready(now),
             datagrams_sent=node.outbox.datagrams_sent,
             bytes_sent=node.outbox.bytes_sent,
