--- /dev/null
+++ b/violetstack/tracking/in_flight.py
@@ -0,0 +1,103 @@
+"""Records what was sent and reserved, and has the other dispatchers notified of the load that it makes."""
+
+from __future__ import annotations
+
+from violetstack.policy_api import GOSSIPED_STATUSES, AttemptFinished, Request, StreamStarted
+from violetstack.tracking.endpoint import TrackedEndpoint
+from violetstack.tracking.gossip_sender import GOSSIP_DELAY_MS, LAZY_GOSSIP_DELAY_MS, GossipSender
+from violetstack.tracking.outcomes import record_outcome, record_start
+from violetstack.tracking.request import Attempt, RequestState
+from violetstack.tracking.state import PolicyState
+
+
+class InFlightTracker:
+    """Opens and closes the records of requests, attempts and reservations."""
+
+    def __init__(self, state: PolicyState, gossip: GossipSender) -> None:
+        """Keep the records in `state`; changes of load go out by `gossip`."""
+        self._state = state
+        self._gossip = gossip
+
+    def open_request(self, params: Request) -> RequestState:
+        """A request arrived."""
+        state = self._state
+        request = RequestState(
+            params,
+            state.settings.classes[params.class_index],
+            state.shortest_objective_ms,
+            state.settings.max_attempts,
+            state.now,
+        )
+        state.requests[request.id] = request
+        return request
+
+    def close_request(self, request: RequestState) -> None:
+        """Its last attempt has ended and nothing is held for it."""
+        self._state.requests.pop(request.id, None)
+
+    def add_attempt(self, request: RequestState, host: TrackedEndpoint, *, is_prefill: bool) -> Attempt:
+        """The request is sent to the host."""
+        state = self._state
+        cost = state.load.uncached_prefill_cost(host, request, state.statistics.cache_trust(state.now))
+        attempt = Attempt(
+            request,
+            request.sent,
+            host,
+            is_prefill=is_prefill,
+            sent_at=state.now,
+            expected_cached_tokens=state.endpoints.affinity.expected_cached_tokens(host, request),
+            prefill_cost=cost,
+            cost_ahead=cost + state.load.prefill_cost_in_flight(host),
+        )
+        request.sent += 1
+        request.in_flight[attempt.number] = attempt
+        host.in_flight[(request.id, attempt.number)] = attempt
+        host.statistics.slow_start.take()
+        self._gossip.schedule()
+        return attempt
+
+    def start_stream(self, event: StreamStarted) -> None:
+        """An attempt's first token came: from here on nothing is held for the request elsewhere."""
+        request = self._state.requests.get(event.id)
+        attempt = None if request is None else request.in_flight.get(event.attempt)
+        if attempt is None:
+            return
+        attempt.started = True
+        attempt.request.started = True
+        self.drop_held(attempt.request)
+        record_start(self._state, attempt, event)
+
+    def end_attempt(self, event: AttemptFinished) -> Attempt | None:
+        """An attempt ended: learn from it, and return it; None if it is not known."""
+        request = self._state.requests.get(event.id)
+        attempt = None if request is None else request.in_flight.pop(event.attempt, None)
+        if attempt is None:
+            return None
+        attempt.endpoint.in_flight.pop((event.id, event.attempt), None)
+        urgent = attempt.is_prefill or event.status in GOSSIPED_STATUSES
+        self._gossip.schedule(GOSSIP_DELAY_MS if urgent else LAZY_GOSSIP_DELAY_MS)
+        record_outcome(self._state, attempt, event)
+        return attempt
+
+    def add_reservation(self, request: RequestState, host: TrackedEndpoint) -> None:
+        """A decode slot is asked for at the host."""
+        request.slot.hosts_asked.append(host)
+        request.slot.host = host
+        request.slot.reserved = False
+        request.holds_remote_state = True
+        host.reservations[request.id] = request.tokens
+        self._gossip.schedule()
+
+    def drop_reservation(self, request: RequestState) -> None:
+        """The request's slot is counted on no more."""
+        if request.slot.host is not None:
+            request.slot.host.reservations.pop(request.id, None)
+            self._gossip.schedule()
+        request.slot.host = None
+        request.slot.reserved = False
+
+    def drop_held(self, request: RequestState) -> None:
+        """Neither a slot nor computed state is held for the request any more."""
+        self.drop_reservation(request)
+        request.state_at = None
+        request.holds_remote_state = False
--- /dev/null
+++ b/violetstack/tracking/outcomes.py
@@ -0,0 +1,57 @@
+"""What is learned from attempts: times, speeds, cache finds and load reports."""
+
+from __future__ import annotations
+
+from violetstack.estimation.prefill_cost import prefill_cost
+from violetstack.policy_api import AttemptFinished, AttemptStatus, StreamStarted
+from violetstack.tracking.request import Attempt
+from violetstack.tracking.state import PolicyState
+
+STATE_MISSING = 1  # detail of a rejection: the decode host had no state of the request
+
+
+def lost_state(event: AttemptFinished) -> bool:
+    """Did the host reject the attempt since it did not have the request's state?"""
+    return event.status is AttemptStatus.REJECTED and event.detail == STATE_MISSING
+
+
+def record_start(state: PolicyState, attempt: Attempt, event: StreamStarted) -> None:
+    """Learn from a first token."""
+    statistics = state.statistics
+    request = attempt.request
+    if not attempt.spans_pause:
+        statistics.first_token_times_ms.add(state.now, event.duration_ms)
+    statistics.decodes.add(state.now, 1.0)
+    statistics.decode_starts_of(request.scope).add(state.now, 1.0)
+    statistics.lateness_of(request.scope).add(state.now, request.lateness(state.now))
+    attempt.endpoint.statistics.consecutive_failures = 0
+
+
+def record_outcome(state: PolicyState, attempt: Attempt, event: AttemptFinished) -> None:
+    """Learn from an attempt's end, except what it costs the endpoint to have failed."""
+    statistics = state.statistics
+    ended_prefill = event.status in (AttemptStatus.PREFILLED, AttemptStatus.TIMEOUT)
+    state.load.add_report(attempt.endpoint, event.load_report, state.now - state.pause_ms)
+    if attempt.is_prefill and not attempt.spans_pause and ended_prefill:
+        statistics.prefill_times_ms.add(state.now, event.duration_ms)
+    if event.status is AttemptStatus.TIMEOUT and not attempt.is_prefill and not attempt.started:
+        statistics.first_token_times_ms.add(state.now, event.duration_ms)
+    if event.status is AttemptStatus.PREFILLED:
+        _record_prefill(state, attempt, event)
+
+
+def _record_prefill(state: PolicyState, attempt: Attempt, event: AttemptFinished) -> None:
+    """Learn from a prefill; the event's detail is the number of prompt tokens that were cached."""
+    now = state.now
+    params = attempt.request.params
+    statistics = state.statistics
+    endpoint = attempt.endpoint
+    if not attempt.spans_pause:
+        cost = attempt.cost_ahead - attempt.prefill_cost + prefill_cost(params.prompt_tokens - event.detail)
+        statistics.add_prefill(now, cost, event.duration_ms)
+        endpoint.statistics.add_prefill(now, cost, event.duration_ms)
+    statistics.prefills.add(now, 1.0)
+    statistics.add_cached_tokens(now, attempt.expected_cached_tokens, event.detail)
+    if params.session is not None:
+        state.endpoints.affinity.remember(params.session, endpoint.name)
+    endpoint.statistics.consecutive_failures = 0
