The decision module becomes a package: router.py -> policy/, one concern a file

Names: pick_reader/pick_writer -> choose_prefill_host/choose_decode_host, read_freeness/write_freeness -> of_prefill_hosts/of_decode_hosts, too_late -> sheds, admits -> admits_warming, worth -> priority_weight, bound -> attempt_timeout_ms, may_repeat -> may_retry_at, refusable -> may_reject, blame -> penalize, streak -> consecutive_failures, away_until -> avoid_until, suspected -> suspects, avoided -> EndpointSet.unavailable, headroom -> load_shedding.headroom; own_reads -> prefill_cost_in_flight, places -> reservations, homes -> preferred_hosts, claim -> expected_cached_tokens, unread_price -> uncached_prefill_cost, pinned -> holds_remote_state, across -> spans_pause.

Handover, load shedding, the admin service and tests read the policy through Router.state, freeness, admission and outliers.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -21,10 +21,12 @@
 from tests.front import SETTINGS, entry
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt, ReleaseCall, ReservationCall
+from violetstack.load_shedding.headroom import headroom
 from violetstack.load_shedding.journal import RestoredLevel
 from violetstack.load_shedding.levels import LevelPlan
 from violetstack.load_shedding.load_shedder import TICK_MS, LoadShedder, admission_weights
 from violetstack.load_shedding.signals import EndpointCounts
+from violetstack.policy.router import Router
 from violetstack.policy_api import (
     AttemptStatus,
     EndpointUpdate,
@@ -33,7 +35,6 @@
     TenantSettings,
     UpdateScope,
 )
-from violetstack.router import Router
 
 READ_TOKENS_MS = 18.0  # a reader's rate
 READ_QUEUE = 40
@@ -172,8 +173,8 @@
     def tick(self) -> None:
         assert self.load_shedder is not None
         now = self.clock.now
-        reader, writer = self.router.headroom(now)
-        gauges = {"reader_free": reader, "writer_free": writer}
+        free = headroom(self.router, now)
+        gauges = {"reader_free": free.prefill, "writer_free": free.decode}
         endpoints = EndpointCounts(len(self.core.endpoints), 0)
         self.load_shedder.tick(now, now / 1000.0, gauges, endpoints, self.core.waiting_ratios(now))
         self.load_shedder.take_records()
--- a/tests/front.py
+++ b/tests/front.py
@@ -6,6 +6,7 @@
 
 from msgspec.structs import replace
 
+from violetstack.policy.router import Router
 from violetstack.policy_api import (
     Action,
     AttemptFinished,
@@ -24,7 +25,8 @@
     StreamStarted,
     UpdateScope,
 )
-from violetstack.router import Router
+from violetstack.tracking.endpoint import TrackedEndpoint
+from violetstack.tracking.state import PolicyState
 
 A = TypeVar("A")
 
@@ -96,6 +98,15 @@
         self.sends: dict[str, list[SendAttempt]] = {}
         self.news(UpdateScope.CACHED, *(entries or READERS + WRITERS))
 
+    @property
+    def state(self) -> PolicyState:
+        """What the policy knows."""
+        return self.router.state
+
+    def endpoint(self, name: str) -> TrackedEndpoint:
+        """The policy's record of an endpoint."""
+        return self.state.endpoints.by_name[name]
+
     def feed(self, *events: Event, after: float = 0.0) -> list[Action]:
         self.now += after
         self.did = self.router.handle(self.now, list(events))
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -27,6 +27,7 @@
 )
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.net.admin_server import MAX_CONNECTIONS
+from violetstack.policy.router import Router
 from violetstack.policy_api import (
     AttemptStatus,
     Endpoint,
@@ -39,7 +40,6 @@
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import CUT, ERROR, Act
 from violetstack.rehearsal.stage import Stage
-from violetstack.router import Router
 
 
 class FakeOperations:
--- a/tests/test_bad_hosts.py
+++ b/tests/test_bad_hosts.py
@@ -86,7 +86,8 @@
             answer = await ask_platform(on.platform, f"q{n}", "orden")
             assert answer.outcome == "served" and b"data: [DONE]" in answer.body
         assert reader.begun == writer.begun == ["q0", "q1", "q2", "q3"]
-        shares = [s.share for s in on.daemon.core.policy.fleet.servers.values()]  # type: ignore[attr-defined]
+        endpoints = on.daemon.router.state.endpoints.by_name.values()
+        shares = [endpoint.statistics.memory.share for endpoint in endpoints]
         assert shares == [None, None]
 
     play(reader, writer, story=story)
@@ -105,8 +106,8 @@
     async def story(on: Stage) -> None:
         assert (await ask_platform(on.platform, "q1", "consulta")).status == 500
         assert reader.begun == ["q1"]
-        fleet = on.daemon.core.policy.fleet  # type: ignore[attr-defined]
-        assert fleet.servers["r"].streak == 0
+        endpoint = on.daemon.router.state.endpoints.by_name["r"]
+        assert endpoint.statistics.consecutive_failures == 0
         await trio.testing.wait_all_tasks_blocked()
         assert not on.daemon.core.open_requests
 
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -5,6 +5,7 @@
 from msgspec.structs import replace
 
 from tests.front import READERS, SAFE, WRITERS, Front, entry
+from violetstack.policy.outliers import penalize
 from violetstack.policy_api import (
     AttemptStatus,
     HealthCheckResult,
@@ -188,24 +189,26 @@
     asked = [front.ask(prompt_tokens=100.0) for _ in range(6)]
     for request in asked:
         front.end(request, AttemptStatus.RESET, after=0.0, took=50.0)
-    reader = front.router.fleet.servers["r1"]
-    assert 0.1 <= reader.left.value_at(front.now) <= 0.3
+    reader = front.endpoint("r1")
+    assert 0.1 <= reader.statistics.penalty.value_at(front.now) <= 0.3
 
 
 def test_what_a_failure_leaves_counts_at_readers_alone_too() -> None:
     front = Front()
-    fleet = front.router.fleet
-    job = front.router.jobs[front.ask(prompt_tokens=100.0)]
-    before = fleet.read_freeness(fleet.servers["r2"], job, front.now)
-    fleet.servers["r2"].blame(front.now, 0.0)
-    assert fleet.read_freeness(fleet.servers["r2"], job, front.now) <= before - 0.2
+    request = front.state.requests[front.ask(prompt_tokens=100.0)]
+    host = front.endpoint("r2")
+    before = front.router.freeness.of_prefill_hosts([host], request, front.now)["r2"]
+    penalize(host, 0.0, front.now)
+    assert front.router.freeness.of_prefill_hosts([host], request, front.now)["r2"] <= before - 0.2
 
 
 def test_a_home_is_charged_only_what_it_does_not_keep() -> None:
     front = Front(*(entry(f"r{i}", 0) for i in range(6)), *WRITERS)
-    fleet = front.router.fleet
-    job = front.router.jobs[front.ask(prefix_id="p", prefix_tokens=1500.0, session="s")]
-    charged = [fleet.unread_price(s, job, front.now) for s in fleet.homes(job.req)]
+    state = front.state
+    request = state.requests[front.ask(prefix_id="p", prefix_tokens=1500.0, session="s")]
+    hosts = state.endpoints.affinity.preferred_hosts(request.params)
+    cache_trust = state.statistics.cache_trust(front.now)
+    charged = [state.load.uncached_prefill_cost(host, request, cache_trust) for host in hosts]
     assert charged[0] < charged[1] == charged[2] < charged[3] == charged[5]
 
 
@@ -242,58 +245,61 @@
 def test_time_without_an_outcome_lowers_a_readers_speed() -> None:
     front = Front()
     warm_up(front)
-    fleet = front.router.fleet
-    server = fleet.servers[front.sends[front.ask()][0].server]
-    before = fleet.speed(server, front.now)
-    assert fleet.speed(server, front.now + 3000.0) < before / 2
+    load = front.state.load
+    host = front.endpoint(front.sends[front.ask()][0].server)
+    before = load.prefill_speed(host, front.now)
+    assert load.prefill_speed(host, front.now + 3000.0) < before / 2
 
 
 def test_a_restart_resets_what_was_learned() -> None:
     front = Front()
-    server = front.router.fleet.servers["r1"]
-    server.blame(front.now, 0.0)
+    endpoint = front.endpoint("r1")
+    penalize(endpoint, 0.0, front.now)
     front.news(UpdateScope.DELTA, entry("r1", 0, started_ms=front.now))
-    assert server.left.value_at(front.now) == 0.0 and server.streak == 0
+    assert endpoint.statistics.penalty.value_at(front.now) == 0.0
+    assert endpoint.statistics.consecutive_failures == 0
 
 
 def test_a_further_read_goes_to_a_reader_that_has_not_failed_it() -> None:
     front = Front()
-    front.router.fleet.servers["r2"].left.add(front.now, 50.0)
+    front.endpoint("r2").statistics.penalty.add(front.now, 50.0)
     request = front.ask()
     assert front.sends[request][0].server == "r1"
     front.end(request, AttemptStatus.ERROR, after=4.0)
     assert front.one(SendAttempt).server == "r2"
 
 
+def decode_freeness(front: Front, name: str, now: float) -> float:
+    return front.router.freeness.of_decode_hosts([front.endpoint(name)], now)[name]
+
+
 def test_own_streams_weigh_by_the_number_of_fronts_without_reports() -> None:
     used = []
     for fleet_size in (1, 4):
         front = Front(dispatcher_count=fleet_size)
         front.ask(prompt_tokens=9800.0)
         place = front.one(ReserveDecodeSlot).server
-        fleet = front.router.fleet
-        used.append(1.0 - fleet.write_freeness(fleet.servers[place], front.now, fleet.means()))
+        used.append(1.0 - decode_freeness(front, place, front.now))
     assert abs(used[1] - 4 * used[0]) < 1e-9
 
 
 def test_an_old_report_fades_towards_the_fleets_mean() -> None:
     front = Front(load_report_fields=("x0",))
-    fleet = front.router.fleet
     for name, share in (("w1", 0.8), ("w2", 0.2)):
-        fleet.report(fleet.servers[name], (share,), front.now)
-    fresh = fleet.write_freeness(fleet.servers["w1"], front.now, fleet.means())
-    old = fleet.write_freeness(fleet.servers["w1"], front.now + 20_000.0, fleet.means())
+        front.state.load.add_report(front.endpoint(name), (share,), front.now)
+    fresh = decode_freeness(front, "w1", front.now)
+    old = decode_freeness(front, "w1", front.now + 20_000.0)
     assert abs(fresh - 0.2) < 0.01 and abs(old - 0.5) < 0.02
 
 
 def test_memory_size_is_learned_from_reports_against_own_streams() -> None:
     front = Front(load_report_fields=("x0",))
-    fleet = front.router.fleet
+    load = front.state.load
     front.ask(prompt_tokens=30_000.0)
-    server = fleet.servers[front.one(ReserveDecodeSlot).server]
+    host = front.endpoint(front.one(ReserveDecodeSlot).server)
     for _ in range(30):
-        fleet.report(server, (0.9,), front.now)
-    assert 0.5 * 100_000.0 <= fleet.memory(server, front.now) < 0.8 * 100_000.0
+        load.add_report(host, (0.9,), front.now)
+    assert 0.5 * 100_000.0 <= host.memory_tokens(front.now) < 0.8 * 100_000.0
 
 
 def test_after_an_error_at_a_writer_the_prompt_is_read_again() -> None:
@@ -313,4 +319,4 @@
         polled.add(front.one(SendHealthCheck).server)
     assert polled == {"r1", "r2", "w1", "w2"}
     front.feed(HealthCheckResult("w1", AttemptStatus.OK, 1.0, (0.4,)))
-    assert front.router.fleet.servers["w1"].share == 0.4
+    assert front.endpoint("w1").statistics.memory.share == 0.4
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -16,6 +16,7 @@
 
 from tests.front import SAFE, SETTINGS, entry
 from violetstack.gossip.codec import encode_datagram, encode_load, endpoint_tag
+from violetstack.policy.router import Router
 from violetstack.policy_api import (
     AttemptFinished,
     AttemptStatus,
@@ -34,7 +35,6 @@
     TimerFired,
     UpdateScope,
 )
-from violetstack.router import Router
 
 RATE = 18.0  # prompt tokens that a reader reads in a millisecond
 READERS = [f"r{n}" for n in range(4)]
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -33,7 +33,7 @@
     WriteLog,
 )
 from violetstack.rendezvous import host_score
-from violetstack.router import HOMES, Fleet
+from violetstack.tracking.affinity import PREFIX_HOSTS, PrefillAffinity
 
 TIER_SIZE = 40
 PREFILL_HOSTS = tuple(entry(f"r{i}", 0) for i in range(8))
@@ -91,7 +91,7 @@
     tier = Tier(TIER_SIZE, load_report_fields=("x0",))
     for front in tier.fronts:
         for name, share in (("w1", 0.30), ("w2", 0.55)):
-            front.router.fleet.report(front.router.fleet.servers[name], (share,), front.now)
+            front.state.load.add_report(front.endpoint(name), (share,), front.now)
     for front in tier.fronts:
         front.ask(max_tokens=1000.0, prompt_tokens=4000.0)
         reservations[front.one(ReserveDecodeSlot).server] += 1
@@ -141,9 +141,9 @@
     first, second = tier.fronts
     request = first.ask(prompt_tokens=4000.0)
     tier.tick()
-    state = second.router.fleet.shared
+    state = second.state.remote_load
     reader = first.sends[request][0].server
-    own = first.router.fleet.servers[reader].own_reads()
+    own = first.endpoint(reader).prefill_cost_in_flight()
     assert state.load_at(endpoint_tag(reader)) == pytest.approx(own, rel=0.03)
     first.end(request, AttemptStatus.PREFILLED)
     first.begin(request)
@@ -159,7 +159,7 @@
     many = tuple(entry(f"h{n}", 2) for n in range(120))
     front = Front(*many, gossip_allowed=True, dispatcher_count=2, max_attempts=1)
     asked = 0
-    while sum(1 for s in front.router.fleet.servers.values() if s.out) < len(many):
+    while sum(1 for host in front.state.endpoints.by_name.values() if host.in_flight) < len(many):
         front.ask(expires_in_ms=60_000.0)
         asked += 1
         assert asked < 2_000
@@ -228,10 +228,10 @@
         front.serve(after=2_000.0)
     first = front.ask()
     front.end(first, AttemptStatus.PREFILLED)
-    assert front.router.fleet.write_wait_ms("", front.now + 20.0) <= 40.0
+    assert front.state.load.decode_wait_ms("", front.now + 20.0) <= 40.0
     front.ask(after=20.0)
     front.one(SendAttempt)
-    assert front.router.fleet.write_wait_ms("", front.now + 3_000.0) > 1_000.0  # a stream that does not start
+    assert front.state.load.decode_wait_ms("", front.now + 3_000.0) > 1_000.0  # a stream that does not start
 
 
 def test_a_partitioned_dispatcher_expires_the_load_of_its_peers() -> None:
@@ -239,14 +239,14 @@
     front = Front(gossip_allowed=True, dispatcher_count=200)
     for peer in range(1, 200):
         front.feed(GossipReceived(peer, encode_datagram([(endpoint_tag("r1"), encode_load(5_000.0))])))
-    fleet = front.router.fleet
-    r1 = front.router.fleet.servers["r1"]
-    assert fleet.reads_out(r1) > 199 * 4_500.0
+    load = front.state.load
+    r1 = front.endpoint("r1")
+    assert load.prefill_cost_in_flight(r1) > 199 * 4_500.0
     front.feed()
-    assert fleet.shared.active_peers == 199
+    assert front.state.remote_load.active_peers == 199
     front.feed(after=SETTINGS.classes[0].client_timeout_ms + 1.0)
-    assert (fleet.reads_out(r1), fleet.shared.active_peers) == (0.0, 0)
-    assert fleet.shared.record_count == 0
+    assert (load.prefill_cost_in_flight(r1), front.state.remote_load.active_peers) == (0.0, 0)
+    assert front.state.remote_load.record_count == 0
 
 
 def test_a_faulty_peer_has_a_bounded_effect_and_cannot_undo_a_drain() -> None:
@@ -262,9 +262,9 @@
         front.feed(GossipReceived(7, payload))
         request = front.ask(after=600.0, expires_in_ms=60_000.0)
         assert all(send.server == "r2" for send in front.sends.get(request, []))
-    assert front.router.fleet.shared.load_at(endpoint_tag("r2")) <= decode_load(FAILURE_CODE - 1)
+    assert front.state.remote_load.load_at(endpoint_tag("r2")) <= decode_load(FAILURE_CODE - 1)
     front.feed(GossipReceived(7, RESET_DATAGRAM))
-    assert front.router.fleet.shared.load_at(endpoint_tag("r2")) == 0.0
+    assert front.state.remote_load.load_at(endpoint_tag("r2")) == 0.0
 
 
 def test_no_gossip_is_sent_where_the_settings_forbid_it() -> None:
@@ -275,9 +275,9 @@
     assert not front.all(SendGossip)
 
 
-def first_home(fleet: Fleet, prefix: str) -> str:
-    near = sorted(fleet.order(prefix)[:HOMES], key=lambda s: host_score(f"None\n{prefix}", s.entry.server))
-    return near[0].entry.server
+def first_host(affinity: PrefillAffinity, prefix: str) -> str:
+    hosts = affinity.ranking(prefix)[:PREFIX_HOSTS]
+    return min(hosts, key=lambda host: host_score(f"None\n{prefix}", host.name)).name
 
 
 @pytest.mark.parametrize("size", [TIER_SIZE, 200])
@@ -298,8 +298,8 @@
             began = tier.fronts[0].now
             for front in tier.fronts:
                 front.news(UpdateScope.DELTA, entry("cold", 0, started_ms=front.now))
-            fleet = tier.fronts[0].router.fleet  # from now on all prompts have the new reader as their home
-            hot = [key for key in hot if first_home(fleet, key) == "cold"]
+            affinity = tier.fronts[0].state.endpoints.affinity  # all prompts go to the new host from now on
+            hot = [key for key in hot if first_host(affinity, key) == "cold"]
         front = tier.fronts[step % size]
         request = front.ask(prompt_tokens=800.0, prefix_id=hot[step % len(hot)])
         if front.sends[request][0].server == "cold":
@@ -339,4 +339,4 @@
         for n in range(4):
             failure = encode_datagram([(endpoint_tag(f"r{n}"), FAILURE_CODE)])
             front.feed(GossipReceived(1, failure), after=100.0)
-    assert max(front.router.fleet.servers[f"r{n}"].left.value_at(front.now) for n in range(4)) < 0.1
+    assert max(front.endpoint(f"r{n}").statistics.penalty.value_at(front.now) for n in range(4)) < 0.1
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -41,6 +41,7 @@
 from violetstack.net.gossip import GossipTransport
 from violetstack.net.handover_directory import DirectoryScan, HandoverDirectory
 from violetstack.net.inherited_listener import open_inherited_listener
+from violetstack.policy.outliers import penalize
 from violetstack.policy_api import TenantSettings, UpdateScope
 from violetstack.protocol.discovery import ListedEndpoint
 from violetstack.protocol.host_side import Body, End, HostSide
@@ -131,22 +132,21 @@
     old.news(UpdateScope.SNAPSHOT, entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=800.0))
     for _ in range(20):
         old.serve(after=100.0)
-    old.router.fleet.servers["w1"].blame(old.now, 1.0)
-    state = capture_learned_state(old.router, old.now)
+    penalize(old.endpoint("w1"), 1.0, old.now)
+    state = capture_learned_state(old.state, old.now)
     assert msgspec.json.decode(msgspec.json.encode(state), type=LearnedState) == state
     listed = (entry("warm", 0), *cold, entry("w1", 1), entry("w2", 1, started_ms=900.0))  # w2 has restarted
     new = Front(*listed, dispatcher_count=3, tenants=shared)
     new.now = old.now
-    assert restore_learned_state(new.router, state) == 4
+    assert restore_learned_state(new.state, state) == 4
     for front in (old, new):
-        front.router.fleet.admits(front.router.fleet.servers["r0"], True, old.now)
-    before, after = (f.router.fleet.servers["r0"].tickets for f in (old, new))
+        front.router.admission.admits_warming(front.endpoint("r0"), old.now, is_prefill=True)
+    before, after = (f.endpoint("r0").statistics.slow_start for f in (old, new))
     assert (after.rate, after.level) == (before.rate, before.level)
     assert after.rate > 5.0 / (2.0 * 3 * 2000.0)  # five times the rate of a process without estimates
-    assert new.router.fleet.servers["w1"].left.value_at(old.now) == old.router.fleet.servers[
-        "w1"
-    ].left.value_at(old.now)
-    assert new.router.buckets[0].level == old.router.buckets[0].level
+    penalties = [front.endpoint("w1").statistics.penalty.value_at(old.now) for front in (old, new)]
+    assert penalties[0] == penalties[1]
+    assert new.state.tenant_quotas[0].level == old.state.tenant_quotas[0].level
 
 
 # --- the successor ---
--- a/tests/test_lease_node.py
+++ b/tests/test_lease_node.py
@@ -22,6 +22,7 @@
     lease_name,
 )
 from violetstack.lease.restart_permits import REQUEST_TIMEOUT_MS, RestartPermits
+from violetstack.policy.outliers import penalize
 from violetstack.policy_api import OutlierCheckResult, SendAttempt
 from violetstack.shared.rate_limit import TokenBucket
 
@@ -234,13 +235,13 @@
 def test_policy_avoids_a_suspect_that_another_dispatcher_checks_only_with_evidence_of_its_own() -> None:
     front = Front(entry("r0", 0), entry("r1", 0), entry("w0", 1))
     front.feed(OutlierCheckResult("r0", 2_000.0, False), OutlierCheckResult("nobody", 2_000.0, False))
-    server = front.router.fleet.servers["r0"]
-    assert server.away_until == 0.0
-    assert not front.router.suspected("r0")
+    endpoint = front.endpoint("r0")
+    assert endpoint.statistics.avoid_until == 0.0
+    assert not front.router.outliers.suspects("r0")
     for at in (front.now, front.now + 1.0):
-        server.blame(at, 0.0)
-    assert front.router.suspected("r0")
-    server.left.total = 0.0  # its failures no longer cost anything
+        penalize(endpoint, 0.0, at)
+    assert front.router.outliers.suspects("r0")
+    endpoint.statistics.penalty.total = 0.0  # its failures no longer cost anything
     front.feed(OutlierCheckResult("r0", 2_000.0, False), after=2.0)
     sent = []
     for _ in range(6):
@@ -248,5 +249,5 @@
         sent.append(front.all(SendAttempt)[-1].server)
     assert set(sent) == {"r1"}
     front.feed(OutlierCheckResult("r0", 0.0, True))
-    assert not front.router.suspected("r0")
-    assert server.away_until == 0.0
+    assert not front.router.outliers.suspects("r0")
+    assert endpoint.statistics.avoid_until == 0.0
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -16,14 +16,13 @@
     StartTimer,
     UpdateScope,
 )
-from violetstack.router import Job
+from violetstack.tracking.request import RequestState
 
 
 def test_price_is_quadratic_plus_linear() -> None:
     request = Request("q", 0, 0, None, 1000.0, None, None, 2000.0, 0.0, 200.0, False, False)
-    assert Job(request, SAFE, SAFE.latency_objective_ms, 4, 0.0).price == pytest.approx(
-        4.25e-5 * 2000**2 + 6.8e-3 * 2000
-    )
+    state = RequestState(request, SAFE, SAFE.latency_objective_ms, 4, 0.0)
+    assert state.prefill_cost == pytest.approx(4.25e-5 * 2000**2 + 6.8e-3 * 2000)
 
 
 def test_the_read_goes_where_the_own_backlog_is_smallest() -> None:
@@ -47,9 +46,10 @@
     for _ in range(40):
         front.ask(prompt_tokens=8000.0)
         front.one(SendAttempt)
-    job = front.router.jobs["q1"]
-    free = [front.router.fleet.read_freeness(s, job, front.now) for s in front.router.fleet.pools[True]]
-    assert max(free) < 0
+    request = front.state.requests["q1"]
+    hosts = front.state.endpoints.prefill_hosts
+    freeness = front.router.freeness.of_prefill_hosts(hosts, request, front.now)
+    assert max(freeness.values()) < 0
 
 
 def test_among_near_best_the_sessions_last_reader_wins() -> None:
@@ -97,15 +97,15 @@
 
 def test_a_slow_readers_learned_speed_falls_and_the_unheard_count_average() -> None:
     front = Front()
-    fleet = front.router.fleet
+    load = front.state.load
     for _ in range(12):
         request = front.ask(prompt_tokens=1000.0)
         slow = front.sends[request][0].server == "r1"
         front.end(request, AttemptStatus.PREFILLED, after=400.0 if slow else 100.0)
-    speeds = {name: fleet.speed(fleet.servers[name], front.now) for name in ("r1", "r2")}
+    speeds = {name: load.prefill_speed(front.endpoint(name), front.now) for name in ("r1", "r2")}
     assert speeds["r1"] < speeds["r2"]
     front.news(UpdateScope.DELTA, entry("r3", 0))
-    assert speeds["r1"] < fleet.speed(fleet.servers["r3"], front.now) < speeds["r2"]
+    assert speeds["r1"] < load.prefill_speed(front.endpoint("r3"), front.now) < speeds["r2"]
 
 
 def test_a_place_is_held_with_the_read_and_taken_by_the_send() -> None:
@@ -145,9 +145,8 @@
 
 def test_writers_go_by_reported_share_plus_own_streams_since() -> None:
     front = Front(load_report_fields=("x0",))
-    fleet = front.router.fleet
     for name, share in (("w1", 0.7), ("w2", 0.2)):
-        fleet.report(fleet.servers[name], (share,), front.now)
+        front.state.load.add_report(front.endpoint(name), (share,), front.now)
     front.ask()
     assert front.one(ReserveDecodeSlot).server == "w2"
     front.ask(prompt_tokens=70_000.0)
@@ -157,7 +156,7 @@
 
 def test_the_hint_stands_for_the_told_maximum() -> None:
     request = Request("q", 0, 0, None, 1000.0, 2000.0, None, 1000.0, 0.0, 500.0, False, False)
-    assert Job(request, SAFE, SAFE.latency_objective_ms, 4, 0.0).tokens == 1000.0 + 2000.0 / 50.0
+    assert RequestState(request, SAFE, SAFE.latency_objective_ms, 4, 0.0).tokens == 1000.0 + 2000.0 / 50.0
 
 
 def test_near_best_writers_in_the_readers_cell_then_zone_are_preferred() -> None:
@@ -181,8 +180,8 @@
     front.begin(request)
     front.end(request, AttemptStatus.OK)
     front = Front(entry("r1", 0), entry("m1", 2))
-    assert {s.entry.server for s in front.router.fleet.pools[False]} == {"m1"}
-    assert {s.entry.server for s in front.router.fleet.pools[True]} == {"r1", "m1"}
+    assert {host.name for host in front.state.endpoints.decode_hosts} == {"m1"}
+    assert {host.name for host in front.state.endpoints.prefill_hosts} == {"r1", "m1"}
 
 
 def test_a_writer_reads_itself_where_it_may_and_no_reader_is_left() -> None:
@@ -211,7 +210,8 @@
     front = Front(max_attempts=2)
     for _ in range(30):
         front.end(front.ask(prompt_tokens=10.0), AttemptStatus.TIMEOUT, after=900.0)
-    assert all(front.router.fleet.speed(s, front.now) > 0 for s in front.router.fleet.pools[True])
+    hosts = front.state.endpoints.prefill_hosts
+    assert all(front.state.load.prefill_speed(host, front.now) > 0 for host in hosts)
 
 
 def test_a_reader_that_keeps_the_session_is_worth_waiting_for() -> None:
@@ -227,14 +227,15 @@
 
 def test_claims_that_are_not_found_lose_their_weight() -> None:
     front = Front()
-    fleet = front.router.fleet
     for i in range(20):
         request = front.ask(session="s", prompt_tokens=3000.0)
         front.end(request, AttemptStatus.PREFILLED, detail=0)
-        job = front.router.jobs[request]
-        unread = fleet.unread_price(fleet.servers[front.sends[request][0].server], job, front.now)
+        state = front.state.requests[request]
+        host = front.endpoint(front.sends[request][0].server)
+        cache_trust = front.state.statistics.cache_trust(front.now)
+        uncached_cost = front.state.load.uncached_prefill_cost(host, state, cache_trust)
         if i > 10:
-            assert unread > 0.8 * job.price
+            assert uncached_cost > 0.8 * state.prefill_cost
 
 
 def test_a_held_place_is_taken_even_if_another_writer_has_become_freer() -> None:
@@ -243,6 +244,6 @@
     first = front.ask(prompt_tokens=20_000.0)
     place = front.one(ReserveDecodeSlot).server
     front.feed(ReservationResult(first, "r1", 0, True))
-    front.router.fleet.servers[place].left.add(front.now, 1.0)
+    front.endpoint(place).statistics.penalty.add(front.now, 1.0)
     front.end(first, AttemptStatus.PREFILLED)
     assert front.one(SendAttempt).server == place
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -62,7 +62,7 @@
 
 def test_the_module_forgets_a_gone_host_after_its_last_attempt() -> None:
     front = Front()
-    servers = front.router.fleet.servers
+    servers = front.state.endpoints.by_name
     request = front.ask()
     reader = front.sends[request][0].server
     gone = entry(reader, 0, state=EndpointState.REMOVED)
@@ -101,11 +101,11 @@
         while daemon.core.open_requests:
             await trio.sleep(0.01)
         await trio.testing.wait_all_tasks_blocked()
-        router = daemon.core.policy
+        state = daemon.router.state
         pool = daemon.hosts.pool
-        servers = router.fleet.servers.values()  # type: ignore[attr-defined]
-        assert not router.jobs  # type: ignore[attr-defined]
-        assert [(len(s.out), len(s.places)) for s in servers] == [(0, 0), (0, 0)]
+        endpoints = state.endpoints.by_name.values()
+        assert not state.requests
+        assert [(len(x.in_flight), len(x.reservations)) for x in endpoints] == [(0, 0), (0, 0)]
         assert pool.open_connections == sum(len(host.idle) for host in pool.hosts.values())
         assert len(daemon.hosts.attempts) == 0
         table = daemon.listeners[0].table
--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -145,22 +145,23 @@
     request = front.ask()
     front.feed(TimerFired("tell"), after=25.0)
     told = front.one(SendGossip).payload
-    fleet = front.router.fleet
-    assert fleet.shared.load_at(endpoint_tag("r1")) == decode_load(encode_load(500.0))
+    remote_load = front.state.remote_load
+    statistics = front.state.statistics
+    assert remote_load.load_at(endpoint_tag("r1")) == decode_load(encode_load(500.0))
     front.feed(ProcessPaused(5000.0), after=5000.0)
-    assert fleet.shared.load_at(endpoint_tag("r1")) == 0.0
+    assert remote_load.load_at(endpoint_tag("r1")) == 0.0
     assert front.one(SendGossip).payload == RESET_DATAGRAM
     front.feed(TimerFired("tell"), after=25.0)
     assert front.one(SendGossip).payload == told  # all attempts in flight are announced anew
     front.end(request, AttemptStatus.PREFILLED, took=5050.0)
-    assert not fleet.cleared.value_at(front.now)
-    assert not fleet.reads.samples
+    assert not statistics.cost_done.value_at(front.now)
+    assert not statistics.prefill_times_ms.samples
     front.feed(ProcessPaused(500.0), after=500.0)  # the decode attempt is in flight now
     front.begin(request)
-    assert not fleet.waits.samples
+    assert not statistics.first_token_times_ms.samples
     front.serve()
-    assert fleet.cleared.value_at(front.now)
-    assert fleet.waits.samples
+    assert statistics.cost_done.value_at(front.now)
+    assert statistics.first_token_times_ms.samples
 
 
 def test_a_load_report_read_after_a_pause_is_dated_before_it() -> None:
@@ -170,7 +171,7 @@
     reader = front.sends[request][0].server
     outcome = AttemptFinished(request, reader, 0, AttemptStatus.PREFILLED, 5000.0, False, 0, (0.5,))
     front.feed(ProcessPaused(5000.0), outcome)
-    assert front.router.fleet.servers[reader].share_at == front.now - 5000.0
+    assert front.endpoint(reader).statistics.memory.reported_at == front.now - 5000.0
 
 
 def test_a_new_dispatcher_is_sent_all_attempts_in_flight() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -221,7 +221,7 @@
     front = Front(entry("r1", 0), *WRITERS)
     for _ in range(300):
         front.end(front.ask(after=20.0), AttemptStatus.PREFILLED, after=20.0)
-    rate = front.router.fleet.taken[True].value_at(front.now) / 10_000.0
+    rate = front.state.statistics.prefills.value_at(front.now) / 10_000.0
     start = front.now
     front.news(UpdateScope.DELTA, entry("r2", 0, started_ms=start))
     at: list[float] = []
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -126,7 +126,7 @@
     snapshot.apply_endpoints(message(1), complete=True)
     store.write_snapshot(snapshot.encode())
     snapshot.apply_endpoints(message(2), complete=False)
-    snapshot.learned = capture_learned_state(front.router, front.now)
+    snapshot.learned = capture_learned_state(front.state, front.now)
     store.append(encode_learned(snapshot.learned) + encode_endpoints(message(2), complete=False))
     snapshot.apply_endpoints(message(3), complete=False)
     store.append(encode_endpoints(message(3), complete=False))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,8 @@
 
 import pytest
 
+from violetstack.policy.router import Router
 from violetstack.policy_api import Action, Event
-from violetstack.router import Router
 from violetstack.settings import MessageError
 from violetstack.simulator_adapter.adapter import serve
 
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -32,8 +32,8 @@
 from violetstack.net.startup_recovery import StartupRecovery
 from violetstack.net.upstream.connection_pool import ConnectionPool
 from violetstack.net.upstream.driver import UpstreamDriver
+from violetstack.policy.router import Router
 from violetstack.policy_api import EndpointUpdate
-from violetstack.router import Router
 
 if TYPE_CHECKING:
     from violetstack.admin.cordons import Cordons
@@ -276,7 +276,7 @@
             transport,
             pause_detector,
             is_eligible=lambda: self.taking and self.recovery.list_received and not self.stop.is_set(),
-            is_suspect=self.router.suspected,
+            is_suspect=self.router.outliers.suspects,
         )
         receiver = GossipReceiver(
             self.core,
@@ -296,7 +296,7 @@
         from violetstack.handover.learned_state import restore_learned_state
 
         self.core.run(now_ms())  # the module is to know the list first
-        servers = restore_learned_state(self.router, found)
+        servers = restore_learned_state(self.router.state, found)
         log("estimates_restored", servers=servers, age_ms=round(now_ms() - found.captured_at_ms))
         self.recovery.learned_state_restored()
 
@@ -336,7 +336,7 @@
     def _learned(self) -> LearnedState:
         from violetstack.handover.learned_state import capture_learned_state
 
-        return capture_learned_state(self.router, now_ms())
+        return capture_learned_state(self.router.state, now_ms())
 
     # --- shutdown ---
 
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -14,8 +14,8 @@
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.gossip import GossipTransport
 from violetstack.net.pause_detector import PauseDetector
+from violetstack.policy.router import Router
 from violetstack.policy_api import EndpointUpdate, UpdateScope
-from violetstack.router import Router
 
 if TYPE_CHECKING:
     from violetstack.handover.learned_state import LearnedState
--- a/violetstack/handover/learned_state.py
+++ b/violetstack/handover/learned_state.py
@@ -12,8 +12,10 @@
 import msgspec
 
 from violetstack.estimation.decay import DecayingSum, RecentSamples
-from violetstack.router import LEARN_MS, Router, Server
+from violetstack.estimation.statistics import EndpointStatistics, FleetStatistics
 from violetstack.shared.rate_limit import TokenBucket
+from violetstack.tracking.endpoint import TrackedEndpoint
+from violetstack.tracking.state import PolicyState
 
 
 class DecayingSumSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -85,23 +87,27 @@
     endpoints: dict[str, EndpointSnapshot] = msgspec.field(name="servers")
 
 
-def capture_learned_state(router: Router, now_ms: float) -> LearnedState:
+def capture_learned_state(policy: PolicyState, now_ms: float) -> LearnedState:
     """Returns a snapshot of the policy's estimates."""
-    fleet = router.fleet
+    statistics = policy.statistics
     return LearnedState(
         captured_at_ms=now_ms,
-        totals={name: _capture_sum(total, now_ms) for name, total in _totals(router).items()},
-        started_by_scope={scope: _capture_sum(count, now_ms) for scope, count in fleet.recent.items()},
-        prefill_times=_capture_samples(fleet.reads),
-        first_token_times=_capture_samples(fleet.waits),
-        tenants={tenant: _capture_bucket(bucket) for tenant, bucket in router.buckets.items()},
+        totals={name: _capture_sum(total, now_ms) for name, total in _totals(policy.statistics).items()},
+        started_by_scope={
+            scope: _capture_sum(count, now_ms) for scope, count in statistics.decode_starts.items()
+        },
+        prefill_times=_capture_samples(statistics.prefill_times_ms),
+        first_token_times=_capture_samples(statistics.first_token_times_ms),
+        tenants={tenant: _capture_bucket(bucket) for tenant, bucket in policy.tenant_quotas.items()},
         endpoints={
-            name: _capture_endpoint(server, now_ms) for name, server in fleet.servers.items() if server.usable
+            name: _capture_endpoint(endpoint, now_ms)
+            for name, endpoint in policy.endpoints.by_name.items()
+            if endpoint.usable
         },
     )
 
 
-def restore_learned_state(router: Router, state: LearnedState) -> int:
+def restore_learned_state(policy: PolicyState, state: LearnedState) -> int:
     """Sets the estimates of a policy that already has the endpoint list.
 
     An endpoint that is not listed, or that has restarted since the snapshot, is skipped.
@@ -110,36 +116,35 @@
         The number of endpoints whose estimates were set.
     """
     captured_at_ms = state.captured_at_ms
-    fleet = router.fleet
-    for name, total in _totals(router).items():
+    statistics = policy.statistics
+    for name, total in _totals(policy.statistics).items():
         if name in state.totals:
             _restore_sum(total, state.totals[name], captured_at_ms)
     for scope, count in state.started_by_scope.items():
-        _restore_sum(fleet.recent.setdefault(scope, DecayingSum(2 * LEARN_MS)), count, captured_at_ms)
-    _restore_samples(fleet.reads, state.prefill_times)
-    _restore_samples(fleet.waits, state.first_token_times)
+        _restore_sum(statistics.decode_starts_of(scope), count, captured_at_ms)
+    _restore_samples(statistics.prefill_times_ms, state.prefill_times)
+    _restore_samples(statistics.first_token_times_ms, state.first_token_times)
     for tenant, bucket in state.tenants.items():
-        if tenant in router.buckets:
-            _restore_bucket(router.buckets[tenant], bucket)
+        if tenant in policy.tenant_quotas:
+            _restore_bucket(policy.tenant_quotas[tenant], bucket)
     restored = 0
-    for name, endpoint in state.endpoints.items():
-        server = fleet.servers.get(name)
-        if server is not None and server.entry.started_ms == endpoint.started_ms:
-            _restore_endpoint(server, endpoint, captured_at_ms)
+    for name, snapshot in state.endpoints.items():
+        endpoint = policy.endpoints.by_name.get(name)
+        if endpoint is not None and endpoint.entry.started_ms == snapshot.started_ms:
+            _restore_endpoint(endpoint.statistics, snapshot, captured_at_ms)
             restored += 1
     return restored
 
 
-def _totals(router: Router) -> dict[str, DecayingSum]:
+def _totals(statistics: FleetStatistics) -> dict[str, DecayingSum]:
     """The sums over all endpoints, by their names in the stored snapshot."""
-    fleet = router.fleet
     return {
-        "cleared": fleet.cleared,
-        "busy_ms": fleet.busy_ms,
-        "claimed": fleet.claimed,
-        "found": fleet.found,
-        "read": fleet.taken[True],
-        "written": fleet.taken[False],
+        "cleared": statistics.cost_done,
+        "busy_ms": statistics.busy_ms,
+        "claimed": statistics.cached_tokens_expected,
+        "found": statistics.cached_tokens_found,
+        "read": statistics.prefills,
+        "written": statistics.decodes,
     }
 
 
@@ -171,26 +176,29 @@
         samples.add(sample.measured_at_ms, sample.duration_ms)
 
 
-def _capture_endpoint(server: Server, now_ms: float) -> EndpointSnapshot:
+def _capture_endpoint(endpoint: TrackedEndpoint, now_ms: float) -> EndpointSnapshot:
+    statistics = endpoint.statistics
     return EndpointSnapshot(
-        started_ms=server.entry.started_ms,
-        prefill_cost=_capture_sum(server.cleared, now_ms),
-        busy_ms=_capture_sum(server.busy_ms, now_ms),
-        failure_penalty=_capture_sum(server.left, now_ms),
-        failure_streak=server.streak,
-        failed_at_ms=server.blamed_at,
-        slow_start_tokens=_capture_bucket(server.tickets),
-        memory_share=server.share,
-        reported_at_ms=server.share_at,
+        started_ms=endpoint.entry.started_ms,
+        prefill_cost=_capture_sum(statistics.cost_done, now_ms),
+        busy_ms=_capture_sum(statistics.busy_ms, now_ms),
+        failure_penalty=_capture_sum(statistics.penalty, now_ms),
+        failure_streak=statistics.consecutive_failures,
+        failed_at_ms=statistics.last_failure_at,
+        slow_start_tokens=_capture_bucket(statistics.slow_start),
+        memory_share=statistics.memory.share,
+        reported_at_ms=statistics.memory.reported_at,
     )
 
 
-def _restore_endpoint(server: Server, snapshot: EndpointSnapshot, captured_at_ms: float) -> None:
-    _restore_sum(server.cleared, snapshot.prefill_cost, captured_at_ms)
-    _restore_sum(server.busy_ms, snapshot.busy_ms, captured_at_ms)
-    _restore_sum(server.left, snapshot.failure_penalty, captured_at_ms)
-    server.streak = snapshot.failure_streak
-    server.blamed_at = snapshot.failed_at_ms
-    _restore_bucket(server.tickets, snapshot.slow_start_tokens)
-    server.share = snapshot.memory_share
-    server.share_at = snapshot.reported_at_ms
+def _restore_endpoint(
+    statistics: EndpointStatistics, snapshot: EndpointSnapshot, captured_at_ms: float
+) -> None:
+    _restore_sum(statistics.cost_done, snapshot.prefill_cost, captured_at_ms)
+    _restore_sum(statistics.busy_ms, snapshot.busy_ms, captured_at_ms)
+    _restore_sum(statistics.penalty, snapshot.failure_penalty, captured_at_ms)
+    statistics.consecutive_failures = snapshot.failure_streak
+    statistics.last_failure_at = snapshot.failed_at_ms
+    _restore_bucket(statistics.slow_start, snapshot.slow_start_tokens)
+    statistics.memory.share = snapshot.memory_share
+    statistics.memory.reported_at = snapshot.reported_at_ms
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -27,7 +27,7 @@
     from violetstack.lease.candidacy import LeaseView
     from violetstack.net.handover import HandoverService
     from violetstack.net.lease_service import LeaseService
-    from violetstack.router import Router
+    from violetstack.policy.router import Router
 
 LEASES_NOT_CONFIGURED = "no duties are configured here (`duties` in the operator's file)"
 PERMITS_NOT_CONFIGURED = "`leave` is not set in `duties`"
@@ -87,7 +87,7 @@
             daemon.core.metrics,
             [spec.name for spec in daemon.config.settings_message.classes],
             listed_endpoints=len(daemon.core.endpoints),
-            avoided_endpoints=daemon.router.avoided(now_ms()),
+            avoided_endpoints=daemon.router.state.endpoints.unavailable(now_ms()),
         )
 
     # --- cordons ---
--- a/violetstack/net/load_shedding.py
+++ b/violetstack/net/load_shedding.py
@@ -9,6 +9,7 @@
 import trio
 
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.load_shedding.headroom import headroom
 from violetstack.load_shedding.journal import (
     Journal,
     JournalRecord,
@@ -25,7 +26,7 @@
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.level_journal import LevelJournalFile
 from violetstack.net.level_socket import LevelSocket
-from violetstack.router import Router
+from violetstack.policy.router import Router
 
 WRITE_TIMEOUT_S = 5.0
 WRITE_ERROR_LOG_S = 60.0  # between two log lines about a journal that cannot be written
@@ -140,11 +141,11 @@
 
     def _tick(self, lag_ms: float, processor_share: float) -> None:
         now = now_ms()
-        prefill_headroom, decode_headroom = self._router.headroom(now)
+        free = headroom(self._router, now)
         tables = [listener.table for listener in self._listeners]
         gauges = {
-            "reader_free": prefill_headroom,
-            "writer_free": decode_headroom,
+            "reader_free": free.prefill,
+            "writer_free": free.decode,
             "lag": lag_ms,
             "cpu": processor_share,
             "clients": _highest(table.connection_utilization for table in tables),
--- a/violetstack/net/startup_recovery.py
+++ b/violetstack/net/startup_recovery.py
@@ -7,20 +7,20 @@
 
 import trio
 
+from violetstack.estimation.statistics import LEARNING_WINDOW_MS
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.protocol.discovery import EndpointListMessage, ListedEndpoint
 from violetstack.recovery.startup_phases import Phase, PhaseChange, StartupPhases
-from violetstack.router import LEARN_MS
 
 if TYPE_CHECKING:
     from violetstack.handover.learned_state import LearnedState
     from violetstack.net.state_writer import StateWriter
     from violetstack.policy_api import Settings
 
-# A sixth of the time constant of the estimator of endpoint load (12 * LEARN_MS): from then on observations
-# outweigh its prior.
-WARM_UP_MS = 2.0 * LEARN_MS
+# A sixth of the time constant of the estimator of endpoint load (12 * LEARNING_WINDOW_MS): from then on
+# observations outweigh its prior.
+WARM_UP_MS = 2.0 * LEARNING_WINDOW_MS
 TIMER_SLACK_S = 0.001  # so that a timer does not fire just before the time that it was set for
 
 
--- /dev/null
+++ b/violetstack/policy/endpoint_changes.py
@@ -0,0 +1,43 @@
+"""What follows from a change of the endpoint list."""
+
+from __future__ import annotations
+
+from violetstack.policy.decode_slots import DecodeSlots
+from violetstack.policy_api import CancelAttempt, EndpointUpdate
+from violetstack.tracking.endpoint import TrackedEndpoint
+from violetstack.tracking.in_flight import InFlightTracker
+from violetstack.tracking.state import PolicyState
+
+
+class EndpointChanges:
+    """Follows the endpoint list, and moves work off endpoints that drain or are removed."""
+
+    def __init__(self, state: PolicyState, slots: DecodeSlots, tracker: InFlightTracker) -> None:
+        """Change this state's endpoints."""
+        self._state = state
+        self._slots = slots
+        self._tracker = tracker
+
+    def on_update(self, update: EndpointUpdate) -> None:
+        """The list changed."""
+        state = self._state
+        state.endpoints.apply(update, state.now)
+        for endpoint in state.endpoints.by_name.values():
+            if not endpoint.usable and endpoint.has_load:
+                self._evacuate(endpoint)
+        state.endpoints.discard_removed()
+
+    def _evacuate(self, endpoint: TrackedEndpoint) -> None:
+        """Rule 3: nothing new goes there. Slots move; prefills at a removed host are cancelled."""
+        state = self._state
+        holders = [state.requests[name] for name in endpoint.reservations if name in state.requests]
+        for request in holders:
+            self._tracker.drop_reservation(request)
+            if not request.done and request.in_flight:
+                attempt = next(iter(request.in_flight.values()))
+                self._slots.reserve(request, attempt.endpoint)
+        if not endpoint.removed or not state.settings.cancellation_allowed:
+            return
+        for attempt in endpoint.in_flight.values():
+            if attempt.is_prefill and not attempt.request.done:
+                state.act(CancelAttempt(attempt.request.id, attempt.number))
--- a/violetstack/simulator_adapter/adapter.py
+++ b/violetstack/simulator_adapter/adapter.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
+from violetstack.policy.router import Router
 from violetstack.policy_api import Endpoint, Event
-from violetstack.router import Router
 from violetstack.settings import MessageError, decode_settings
 from violetstack.simulator_adapter.messages import (
     ActionMessage,
