--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,4 +1,4 @@
-"""The admin API: its requests, the metrics against a recount, cordons against a model."""
+"""The admin API: its requests, the metrics against a recount, and its operations over sockets."""
 
 from __future__ import annotations
 
@@ -11,14 +11,12 @@
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
-from msgspec.structs import replace
 
 from tests.front import READERS, SETTINGS, WRITERS
 from tests.test_core import Noted
 from tests.test_stories import pair, play
 from violetstack.admin.api import MAX_BODY_BYTES, AdminConnection
-from violetstack.admin.cordons import MAX_CORDONS, Cordons
-from violetstack.admin.errors import RequestRejectedError, TooManyCordonsError, UnknownEndpointError
+from violetstack.admin.errors import RequestRejectedError, UnknownEndpointError
 from violetstack.admin.responses import (
     LeasesResponse,
     ResignResponse,
@@ -26,11 +24,10 @@
     StatsResponse,
 )
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.core.records import Attempt
 from violetstack.net.admin_server import MAX_CONNECTIONS
 from violetstack.policy_api import (
     AttemptStatus,
-    Endpoint,
-    EndpointState,
     EndpointUpdate,
     Request,
     UpdateScope,
@@ -156,103 +153,18 @@
     assert response_to(FakeOperations(), sent).endswith(b"\r\n\r\n" + body)
 
 
-# --- cordons ---
-
-LISTED = READERS + WRITERS
-IDS = [entry.server for entry in LISTED]
-
-
-def full(*entries: Endpoint) -> EndpointUpdate:
-    return EndpointUpdate(UpdateScope.SNAPSHOT, entries, 1)
-
-
-def test_an_endpoint_cordoned_twice_is_uncordoned_once_and_then_gets_a_slow_start() -> None:
-    cordons = Cordons()
-    cordons.apply(full(*LISTED))
-    for now in (5_000.0, 6_000.0):
-        assert [e.state for e in cordons.cordon(now, IDS[0]).endpoints] == [EndpointState.DRAINING]
-    back = cordons.uncordon(9_000.0, IDS[0]).endpoints[0]
-    assert (back.state, back.started_ms) == (EndpointState.HEALTHY, 9_000.0)
-    told = replace(LISTED[0], started_ms=7_000.0)
-    assert cordons.apply(EndpointUpdate(UpdateScope.DELTA, (told,), 2)).endpoints[0].started_ms == 7_000.0
-
-
-def test_unknown_endpoints_are_rejected_and_a_needless_uncordon_is_not() -> None:
-    cordons = Cordons()
-    cordons.apply(full(*LISTED[1:]))
-    for call in (cordons.cordon, cordons.uncordon):
-        with pytest.raises(UnknownEndpointError):
-            call(1.0, IDS[0])
-    assert cordons.uncordon(1.0, IDS[1]).endpoints == (LISTED[1],)
-    assert cordons.records == {}
-
-
-def test_cordons_are_bounded_and_ended_ones_are_forgotten_first() -> None:
-    cordons = Cordons()
-    many = (Endpoint(f"h{n}", 0, 1.0, 0, EndpointState.HEALTHY, 0, None) for n in range(MAX_CORDONS + 1))
-    cordons.apply(full(*many))
-    for n in range(MAX_CORDONS):
-        cordons.cordon(float(n), f"h{n}")
-    with pytest.raises(TooManyCordonsError):
-        cordons.cordon(5000.0, f"h{MAX_CORDONS}")
-    cordons.uncordon(6000.0, "h7")
-    cordons.cordon(7000.0, f"h{MAX_CORDONS}")
-    assert len(cordons.records) == MAX_CORDONS
-    assert "h7" not in cordons.records
-
-
-STEPS = st.lists(
-    st.tuples(
-        st.sampled_from(["cordon", "uncordon", "list", "leave", "merge"]),
-        st.sampled_from(IDS[:3]),
-        st.integers(0, 1),
-    ),
-    max_size=40,
-)
-
-
-@given(STEPS)
-def test_the_latest_call_counts_in_any_order_of_calls_lists_and_merges(
-    steps: list[tuple[str, str, int]],
-) -> None:
-    """Two processes of one dispatcher, each with its own endpoint list; the model is a set."""
-    processes = [Cordons(), Cordons()]
-    cores: list[dict[str, Endpoint]] = [{}, {}]
-    out: set[str] = set()
-
-    def publish(n: int, news: EndpointUpdate | None) -> None:
-        if news is None:
-            return
-        if news.scope is not UpdateScope.DELTA:
-            cores[n] = {}
-        cores[n].update({entry.server: entry for entry in news.endpoints})
-
-    for n in (0, 1):
-        publish(n, processes[n].apply(full(*LISTED[:3])))
-    for at, (step, server, n) in enumerate(steps):
-        now = 1000.0 + at
-        entry = LISTED[IDS.index(server)]
-        if step in ("cordon", "uncordon"):
-            known = server in out or cores[n].get(server, LISTED[0]).state is not EndpointState.REMOVED
-            if not known:
-                continue
-            publish(n, getattr(processes[n], step)(now, server))
-            publish(1 - n, processes[1 - n].merge(processes[n].records))
-            (out.add if step == "cordon" else out.discard)(server)
-        elif step == "list":
-            publish(n, processes[n].apply(full(*LISTED[:3])))
-        elif step == "leave":
-            gone = Endpoint(entry.server, 0, 1.0, 0, EndpointState.REMOVED, 0, None)
-            publish(n, processes[n].apply(EndpointUpdate(UpdateScope.DELTA, (gone,), 2)))
-        else:
-            publish(n, processes[n].merge(processes[1 - n].records))
-        for core in cores:
-            states = {s: e.state for s, e in core.items() if e.state is not EndpointState.REMOVED}
-            drains = {s for s, state in states.items() if state is EndpointState.DRAINING}
-            assert drains == out & set(states)
+# --- metrics ---
 
 
-# --- metrics ---
+def random_status(rng: random.Random, core: Dispatcher, attempt: Attempt, now: float) -> AttemptStatus:
+    """Starts a decode's stream if the core allows it, and returns how the attempt ends."""
+    if attempt.is_prefill:
+        return rng.choice(
+            [AttemptStatus.PREFILLED, AttemptStatus.PREFILLED, AttemptStatus.ERROR, AttemptStatus.REJECTED]
+        )
+    if core.stream_started(now, attempt):
+        return rng.choice([AttemptStatus.OK, AttemptStatus.OK, AttemptStatus.RESET])
+    return AttemptStatus.ERROR
 
 
 @given(st.integers(0, 2**32))
@@ -263,39 +175,27 @@
     now = 1000.0
     router = Router(SETTINGS)
     core = Dispatcher(SETTINGS, router, noted, 250.0)
-    core.update_endpoints(now, EndpointUpdate(UpdateScope.CACHED, LISTED, 1))
-    taken: Counter[int] = Counter()
-    left = relayed = 0
+    core.update_endpoints(now, EndpointUpdate(UpdateScope.CACHED, READERS + WRITERS, 1))
+    accepted: Counter[int] = Counter()
+    disconnected = 0
+    written = 0
     for n in range(60):
         now += rng.random() * 400.0
         if rng.random() < 0.5:
             cls = rng.randrange(len(SETTINGS.classes))
-            told_of = (f"q{n}", cls, 0, f"s{n % 7}", 4000.0, None, None, 900.0, 0.0, 200.0, False, False)
-            core.accept(now, Request(*told_of), noted, None)
-            taken[cls] += 1
+            fields = (f"q{n}", cls, 0, f"s{n % 7}", 4000.0, None, None, 900.0, 0.0, 200.0, False, False)
+            core.accept(now, Request(*fields), noted, None)
+            accepted[cls] += 1
         core.run(now)
         for attempt in [a for a in noted.attempts if not a.finished and rng.random() < 0.6]:
             if not attempt.request_written:
                 core.request_written(attempt)
-                relayed += 1
-            if attempt.is_prefill:
-                status = rng.choice(
-                    [
-                        AttemptStatus.PREFILLED,
-                        AttemptStatus.PREFILLED,
-                        AttemptStatus.ERROR,
-                        AttemptStatus.REJECTED,
-                    ]
-                )
-            elif core.stream_started(now, attempt):
-                status = rng.choice([AttemptStatus.OK, AttemptStatus.OK, AttemptStatus.RESET])
-            else:
-                status = AttemptStatus.ERROR
-            core.attempt_finished(now, attempt, status)
+                written += 1
+            core.attempt_finished(now, attempt, random_status(rng, core, attempt, now))
         for request in list(core.open_requests.values()):
             if not request.done and rng.random() < 0.05:
                 core.client_disconnected(now, request)
-                left += 1
+                disconnected += 1
         core.run(now)
         for release in noted.releases:
             core.release_finished(release, True)
@@ -304,15 +204,15 @@
             core.reservation_finished(call, False, True)
         noted.places.clear()
         core.run(now)
-    told = Counter(answer.split()[0] for answer in noted.answers)
+    answers = Counter(answer.split()[0] for answer in noted.answers)
     rows = core.metrics.classes
-    assert [row.accepted for row in rows] == [taken[n] for n in range(len(rows))]
-    assert sum(row.fulfilled for row in rows) == told["finished"]
-    assert sum(row.throttled for row in rows) == told["refused"]
-    assert sum(row.faulted for row in rows) == told["failed"] + told["cut"]
-    assert sum(row.client_disconnected for row in rows) == left
+    assert [row.accepted for row in rows] == [accepted[n] for n in range(len(rows))]
+    assert sum(row.fulfilled for row in rows) == answers["finished"]
+    assert sum(row.throttled for row in rows) == answers["refused"]
+    assert sum(row.faulted for row in rows) == answers["failed"] + answers["cut"]
+    assert sum(row.client_disconnected for row in rows) == disconnected
     assert core.metrics.open == sum(1 for request in core.open_requests.values() if not request.done)
-    assert core.metrics.requests_written == relayed
+    assert core.metrics.requests_written == written
 
 
 async def stats(on: Stage) -> Any:
@@ -331,11 +231,11 @@
         call = await connect(on.platform)
         await call.send("POST", "/v1/chat/completions", platform_headers("q9", "orden"), b"{}" + b" " * 400)
         await call.receive(events=3)
-        told = await stats(on)
-        assert told["operations"]["orden"] == {"fulfilled": 1, "throttled": 0, "faulted": 2}
-        assert told["operations"]["consulta"] == {"fulfilled": 1, "throttled": 0, "faulted": 0}
-        assert (told["open_requests"], told["relayed"]) == (1, len(reader.begun) + len(writer.begun))
-        assert (told["registry_entries"], told["out_of_rotation"]) == (2, 0)
+        metrics = await stats(on)
+        assert metrics["operations"]["orden"] == {"fulfilled": 1, "throttled": 0, "faulted": 2}
+        assert metrics["operations"]["consulta"] == {"fulfilled": 1, "throttled": 0, "faulted": 0}
+        assert (metrics["open_requests"], metrics["relayed"]) == (1, len(reader.begun) + len(writer.begun))
+        assert (metrics["registry_entries"], metrics["out_of_rotation"]) == (2, 0)
         await raw(on.admin, post("/admin/cordon", b"w"))
         assert (await stats(on))["out_of_rotation"] == 1
 
@@ -384,8 +284,8 @@
 
     play(reader, writer, story=story)
     line = next(row for row in capfd.readouterr().out.splitlines() if '"hosts_cordoned"' in row)
-    told = orjson.loads(line)
-    assert (told["out"], told["none_left"], told["by"]) == (["r"], ["prefill"], "call")
+    fields = orjson.loads(line)
+    assert (fields["out"], fields["none_left"], fields["by"]) == (["r"], ["prefill"], "call")
 
 
 def test_incomplete_requests_do_not_block_others() -> None:
