--- a/tests/test_level_state_machine.py
+++ b/tests/test_level_state_machine.py
@@ -59,7 +59,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_noise_around_a_threshold_changes_the_level_twice_at_most(at: float, seed: int) -> None:
     rng = random.Random(seed)
-    assert len(changes(lambda s: at * rng.uniform(0.9, 1.1), 5)) <= 2
+    assert len(changes(lambda _: at * rng.uniform(0.9, 1.1), 5)) <= 2
 
 
 def test_a_fast_square_wave_enters_a_level_once_at_most() -> None:
