--- a/violetstack/gossip/codec.py
+++ b/violetstack/gossip/codec.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from hashlib import blake2b
 from math import exp2, log2
 from typing import NamedTuple
@@ -73,12 +73,14 @@
     return b"".join(ENTRY.pack(tag, code) for tag, code in entries[:MAX_ENTRIES])
 
 
-def decode_datagram(payload: bytes) -> list[LoadEntry]:
-    """Decodes the entries of a datagram that is not a reset.
+def decode_datagram(payload: bytes) -> Iterator[tuple[bytes, int]]:
+    """Decodes a datagram that is not a reset into the tag and the code of each entry.
+
+    The entries are plain tuples, not `LoadEntry`: a large tier receives thousands of datagrams a second.
 
     Raises:
         GossipDecodeError: The datagram is empty or its length is not a multiple of an entry's.
     """
     if not payload or len(payload) % ENTRY.size:
         raise GossipDecodeError(len(payload))
-    return [LoadEntry._make(fields) for fields in ENTRY.iter_unpack(payload)]
+    return ENTRY.iter_unpack(payload)
--- a/violetstack/gossip/state.py
+++ b/violetstack/gossip/state.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import NamedTuple
+
+import msgspec
 
 from violetstack.gossip.codec import (
     FAILURE_CODE,
@@ -17,18 +18,11 @@
 LOADS = tuple(decode_load(code) for code in range(FAILURE_CODE))
 
 
-class _Announcement(NamedTuple):
-    load: float
-    at_ms: float
-
-
-class _ArrivalRecord(NamedTuple):
+class _Announcement(msgspec.Struct, frozen=True, gc=False):
     at_ms: float
     tag: bytes
     peer: int
-
-
-NO_ANNOUNCEMENT = _Announcement(0.0, -1.0)
+    load: float
 
 
 class GossipState:
@@ -47,7 +41,7 @@
         self.failure_reports = FailureReports()
         self._expiry_ms = expiry_ms
         self._announced: dict[tuple[bytes, int], _Announcement] = {}  # by tag and peer
-        self._arrivals: deque[_ArrivalRecord] = deque()  # oldest first; superseded ones stay until expiry
+        self._arrivals: deque[_Announcement] = deque()  # oldest first; superseded ones stay until expiry
         self._totals: dict[bytes, float] = {}
         self._last_heard: dict[int, float] = {}
 
@@ -100,9 +94,9 @@
         oldest = now - self._expiry_ms
         self.active_peers = sum(1 for at in self._last_heard.values() if at > oldest)
         while self._arrivals and self._arrivals[0].at_ms <= oldest:
-            at, tag, peer = self._arrivals.popleft()
-            if self._announced.get((tag, peer), NO_ANNOUNCEMENT).at_ms == at:
-                self._set_load(now, tag, peer, 0.0)
+            expired = self._arrivals.popleft()
+            if self._announced.get((expired.tag, expired.peer)) is expired:
+                self._set_load(now, expired.tag, expired.peer, 0.0)
 
     @property
     def record_count(self) -> int:
@@ -115,11 +109,12 @@
                 self._set_load(now, tag, peer, 0.0)
 
     def _set_load(self, now: float, tag: bytes, peer: int, load: float) -> None:
-        previous = self._announced.pop((tag, peer), NO_ANNOUNCEMENT).load
-        total = self._totals.get(tag, 0.0) - previous + load
+        previous = self._announced.pop((tag, peer), None)
+        total = self._totals.get(tag, 0.0) - (0.0 if previous is None else previous.load) + load
         if load > 0.0:
-            self._announced[(tag, peer)] = _Announcement(load, now)
-            self._arrivals.append(_ArrivalRecord(now, tag, peer))
+            announcement = _Announcement(now, tag, peer, load)
+            self._announced[(tag, peer)] = announcement
+            self._arrivals.append(announcement)
         # Rounding leaves a remainder of less than half a step; without this, idle endpoints would stay here.
         if total > SMALLEST_STEP / 2.0:
             self._totals[tag] = total
