Core tests: harness, recorded ports and test names in the field's terms

Noted -> RecordingPorts, Scene -> CoreHarness, Noted.places -> reservations; no assertion changes beyond the recorder's own words: begun, cut, refused -> stream_started, stream_broken, rejected.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -14,7 +14,7 @@
 from msgspec.structs import replace
 
 from tests.front import READERS, SETTINGS, WRITERS
-from tests.test_core import Noted
+from tests.test_core import RecordingPorts
 from tests.test_stories import pair, play
 from violetstack.admin.api import MAX_BODY_BYTES, AdminConnection
 from violetstack.admin.cordons import MAX_CORDONS, Cordons
@@ -259,10 +259,10 @@
 def test_metrics_agree_with_a_recount_of_random_requests(seed: int) -> None:
     """Clients that disconnect, attempts that end in every way, and the real policy."""
     rng = random.Random(seed)
-    noted = Noted()
+    ports = RecordingPorts()
     now = 1000.0
     router = Router(SETTINGS)
-    core = Dispatcher(SETTINGS, router, noted, 250.0)
+    core = Dispatcher(SETTINGS, router, ports, 250.0)
     core.update_endpoints(now, EndpointUpdate(UpdateScope.CACHED, LISTED, 1))
     taken: Counter[int] = Counter()
     left = relayed = 0
@@ -271,10 +271,10 @@
         if rng.random() < 0.5:
             cls = rng.randrange(len(SETTINGS.classes))
             told_of = (f"q{n}", cls, 0, f"s{n % 7}", 4000.0, None, None, 900.0, 0.0, 200.0, False, False)
-            core.accept(now, Request(*told_of), noted, None)
+            core.accept(now, Request(*told_of), ports, None)
             taken[cls] += 1
         core.run(now)
-        for attempt in [a for a in noted.attempts if not a.finished and rng.random() < 0.6]:
+        for attempt in [a for a in ports.attempts if not a.finished and rng.random() < 0.6]:
             if not attempt.request_written:
                 core.request_written(attempt)
                 relayed += 1
@@ -297,19 +297,19 @@
                 core.client_disconnected(now, request)
                 left += 1
         core.run(now)
-        for release in noted.releases:
+        for release in ports.releases:
             core.release_finished(release, True)
-        noted.releases.clear()
-        for call in noted.places:
+        ports.releases.clear()
+        for call in ports.reservations:
             core.reservation_finished(call, False, True)
-        noted.places.clear()
+        ports.reservations.clear()
         core.run(now)
-    told = Counter(answer.split()[0] for answer in noted.answers)
+    told = Counter(answer.split()[0] for answer in ports.answers)
     rows = core.metrics.classes
     assert [row.accepted for row in rows] == [taken[n] for n in range(len(rows))]
     assert sum(row.fulfilled for row in rows) == told["finished"]
-    assert sum(row.throttled for row in rows) == told["refused"]
-    assert sum(row.faulted for row in rows) == told["failed"] + told["cut"]
+    assert sum(row.throttled for row in rows) == told["rejected"]
+    assert sum(row.faulted for row in rows) == told["failed"] + told["stream_broken"]
     assert sum(row.client_disconnected for row in rows) == left
     assert core.metrics.open == sum(1 for request in core.open_requests.values() if not request.done)
     assert core.metrics.requests_written == relayed
--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -9,7 +9,7 @@
 import trio.testing
 
 from tests.front import SETTINGS, WRITERS, Front, entry
-from tests.test_core import Noted
+from tests.test_core import RecordingPorts
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.ports import Shed
 from violetstack.gossip.codec import RESET_DATAGRAM, decode_load, encode_datagram, encode_load, endpoint_tag
@@ -33,13 +33,13 @@
 GRACE_MS = 250.0
 
 
-def core_of() -> tuple[Dispatcher, Noted]:
-    noted = Noted()
-    core = Dispatcher(SETTINGS, noted, noted, GRACE_MS)
+def core_of() -> tuple[Dispatcher, RecordingPorts]:
+    ports = RecordingPorts()
+    core = Dispatcher(SETTINGS, ports, ports, GRACE_MS)
     core.update_endpoints(1000.0, EndpointUpdate(UpdateScope.SNAPSHOT, WRITERS, 1))
     core.run(1000.0)
-    noted.events.clear()
-    return core, noted
+    ports.events.clear()
+    return core, ports
 
 
 def asked(expires_in_ms: float = 3000.0) -> Request:
@@ -117,20 +117,20 @@
 
     Now none does: a drain binds as soon as its update is read, whatever its age.
     """
-    core, noted = core_of()
-    core.accept(5000.0, asked(), noted, None)
+    core, ports = core_of()
+    core.accept(5000.0, asked(), ports, None)
     core.update_endpoints(
         5000.0, EndpointUpdate(UpdateScope.SNAPSHOT, (entry("w1", 1, state=EndpointState.DRAINING),), 2)
     )
     core.process_paused(4000.0)
     core.run(5000.0)
-    assert [type(event) for event in noted.events] == [ProcessPaused, EndpointUpdate, Request]
+    assert [type(event) for event in ports.events] == [ProcessPaused, EndpointUpdate, Request]
     assert not core.may_write_to("w1")
 
 
 def test_a_request_that_was_unread_until_its_deadline_is_rejected_at_once() -> None:
-    noted = Noted()
-    core = Dispatcher(SETTINGS, noted, noted, GRACE_MS, max_unread=lambda: 4000.0)
+    ports = RecordingPorts()
+    core = Dispatcher(SETTINGS, ports, ports, GRACE_MS, max_unread=lambda: 4000.0)
     shed = core.admit(5000.0, asked(3000.0))
     later = asked(6000.0)
     assert isinstance(shed, Shed)
