--- /dev/null
+++ b/tests/test_crossings_clients.py
@@ -0,0 +1,295 @@
+"""Races between the dispatcher and clients, forced on real sockets; `docs/crossings.md` lists them."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from tests.crossings import LIMITS, SlowConnects, send_request
+from tests.steady import Steady, until
+from tests.test_chat import with_idempotency_store
+from tests.test_stories import pair, play
+from violetstack.net.downstream import connection as connection_module
+from violetstack.net.downstream.connection import DownstreamConnection
+from violetstack.rehearsal.clients import (
+    BODY,
+    Call,
+    ask_chat,
+    ask_platform,
+    chat_body,
+    chat_headers,
+    connect,
+    platform_headers,
+)
+from violetstack.rehearsal.hosts import DECLINE, SILENT, Act, ModelHost
+from violetstack.rehearsal.peer import PeerConnection
+from violetstack.rehearsal.stage import Stage
+
+# --- a client's first bytes, and the eviction of its connection ---
+
+
+class InterceptedRead:
+    """Calls `between` after bytes have left the kernel's buffer and before the connection's task has them.
+
+    trio runs other tasks there if the bytes were available without a wait.
+    """
+
+    def __init__(self, stream: Any, between: Callable[[], object]) -> None:
+        self._receive = stream.receive_some
+        self._between = between
+        stream.receive_some = self.receive_some
+
+    async def receive_some(self, most: int | None = None) -> bytes | bytearray:
+        data: bytes | bytearray = await self._receive(most)
+        self._between()
+        return data
+
+
+async def connection_to_evict(on: Stage) -> tuple[Call, DownstreamConnection]:
+    call = await connect(on.platform)
+    listener = on.daemon.listeners[0]
+    await until(lambda: len(listener.table.awaiting_first_request) == 1)
+    connection = next(iter(listener.table.awaiting_first_request))
+    connection.progress_at -= 1.0  # it may be closed to make room
+    return call, connection
+
+
+def test_a_connection_whose_first_request_is_being_read_is_not_evicted() -> None:
+    """The request was read from the socket and not parsed yet, and counted as never sent."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        call, connection = await connection_to_evict(on)
+        made: list[bool] = []
+        InterceptedRead(connection.stream, lambda: made.append(on.daemon.listeners[0].table.evict_one()))
+        await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
+        assert (await call.receive()).outcome == "served"
+        assert made[0] is False
+
+    play(reader, writer, story=story)
+
+
+def test_a_request_read_from_a_connection_that_was_just_evicted_is_not_forwarded() -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        call, connection = await connection_to_evict(on)
+        InterceptedRead(connection.stream, lambda: on.daemon.listeners[0].table.evict(connection))
+        await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
+        assert await call.stream.receive_some(100) == b""  # closed, so that its client asks once more
+        await trio.testing.wait_all_tasks_blocked()
+        assert (reader.begun, on.daemon.core.open_requests) == ([], {})
+
+    play(reader, writer, story=story)
+
+
+# --- a client that disconnects ---
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("role", ["r", "w"])
+def test_nothing_is_forwarded_for_a_client_that_disconnected_while_it_waited(role: str, cancel: bool) -> None:
+    """Twenty clients disconnect while a connection comes up.
+
+    Where attempts can't be cancelled, those that were not written yet were sent all the same.
+    """
+    reader, writer = pair()
+    host = reader if role == "r" else writer
+    left = [f"q{n}" for n in range(20)]
+
+    async def story(on: Stage) -> None:
+        late = SlowConnects(on, role)
+        calls = [await send_request(on, name) for name in left]
+        await late.asked.wait()
+        await trio.testing.wait_all_tasks_blocked()
+        for call in calls:
+            await call.stream.aclose()
+        core = on.daemon.core
+        await until(lambda: all(request.done for request in core.open_requests.values()), 0.3)
+        late.up.set()
+        await until(lambda: not core.open_requests)
+        sent = [name for name in left if name in host.begun]
+        assert (sent, [what for what in host.calls if what[0] == "POST"]) == ([], [])
+
+    play(reader, writer, story=story, settings={"limits": {**LIMITS, "cancel": cancel}})
+
+
+@pytest.mark.parametrize("chat", [False, True])
+def test_a_request_followed_by_the_close_of_its_connection_is_not_accepted(
+    chat: bool, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """As after a wait in the kernel's queue, without free descriptors or while the process was busy."""
+    reader, writer = pair()
+    body = chat_body("consulta") if chat else BODY
+    lines = chat_headers() if chat else platform_headers("q1", "consulta")
+    head = "".join(f"{name}: {value}\r\n" for name, value in [*lines, ("Content-Length", str(len(body)))])
+
+    async def story(on: Stage) -> None:
+        client = socket.create_connection(on.chat if chat else on.platform)
+        client.sendall(f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n{head}\r\n".encode() + body)
+        client.close()  # all in one step: the dispatcher has not run since the connection was made
+        assert (await ask_platform(on.platform, "q2", "consulta")).status == 200
+        await until(lambda: not on.daemon.core.open_requests)
+        assert reader.begun == ["q2"]
+
+    play(reader, writer, story=story)
+    assert capfd.readouterr().out.count('"event":"request"') == 1
+
+
+def test_nothing_is_forwarded_for_a_client_whose_close_is_still_unread() -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        late = SlowConnects(on, "r")
+        call = await connect(on.platform)
+        listener = on.daemon.listeners[0]
+        await until(lambda: bool(listener.table.connections))
+        connection = next(iter(listener.table.connections))
+        receive = connection.stream.receive_some
+
+        async def receive_nothing(max_bytes: int | None = None) -> bytes:
+            await trio.sleep_forever()
+            return b""
+
+        async def receive_once(max_bytes: int | None = None) -> bytes | bytearray:
+            connection.stream.receive_some = receive_nothing  # type: ignore[method-assign]
+            return await receive(max_bytes)
+
+        connection.stream.receive_some = receive_once  # type: ignore[method-assign]
+        await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
+        await late.asked.wait()
+        call.stream.socket.close()  # type: ignore[attr-defined]
+        late.up.set()
+        await until(lambda: not on.daemon.core.open_requests)
+        assert (reader.begun, writer.begun) == ([], [])
+        assert not connection.closed
+
+    play(reader, writer, story=story)
+
+
+def test_the_disconnect_of_a_client_that_pipelined_much_is_noticed() -> None:
+    """After 64 KiB of pipelined bytes nothing more was read, so the end of the connection was not seen."""
+    reader, writer = pair(reads=(SILENT,))
+
+    async def story(on: Stage) -> None:
+        call = await send_request(on, "q1")
+        await until(lambda: reader.begun == ["q1"])
+        await call.stream.send_all(b"x" * 300_000)
+        await call.stream.aclose()
+        await until(lambda: not on.daemon.core.open_requests, 0.3)
+
+    play(reader, writer, story=story)
+
+
+def test_a_client_that_pipelines_without_end_is_answered_and_costs_no_memory() -> None:
+    gate = trio.Event()
+    reader, writer = pair(reads=(Act(before=gate),))
+
+    async def story(on: Stage) -> None:
+        call = await send_request(on, "q1")
+        await until(lambda: reader.begun == ["q1"])
+        await call.stream.send_all(b"x" * 3_000_000)
+        connection = next(iter(c for c in on.daemon.listeners[0].table.connections if c.answering))
+        assert connection.http.unread <= connection_module.MAX_UNREAD_BYTES + connection_module.READ_SIZE
+        gate.set()
+        assert (await call.receive()).outcome == "served"
+        await until(lambda: not on.daemon.listeners[0].table.connections)
+
+    play(reader, writer, story=story)
+
+
+# --- an event, and the next ---
+
+
+class WaitsForClient(ModelHost):
+    """Writes an event once the client has received the one before; a buffered event would stop it."""
+
+    had = 0
+    gaps: list[float]
+
+    async def stream(self, act: Act, body: memoryview, connection: PeerConnection) -> None:
+        self.gaps = []
+        await connection.start(200, [("Content-Type", "text/event-stream")])
+        for n in range(20):
+            time = Steady()
+            await connection.data(b'data: {"choices":[{"index":0,"delta":{"content":"%d "}}]}\n\n' % n)
+            while self.had <= n:
+                time.look()
+                await trio.sleep(0.0005)
+            self.gaps.append(time.look())
+        await connection.data(b"data: [DONE]\n\n")
+        await connection.end()
+
+
+@pytest.mark.parametrize("front", ["platform", "chat"])
+def test_each_event_is_forwarded_before_the_next_and_within_300_ms(front: str) -> None:
+    reader = ModelHost("r", "prefill")
+    writer = WaitsForClient("w", "decode")
+
+    async def story(on: Stage) -> None:
+        if front == "platform":
+            call = await send_request(on, "q1")
+        else:
+            call = await connect(on.chat)
+            await call.send("POST", "/v1/chat/completions", chat_headers(), chat_body("giro-consulta"))
+        for n in range(20):
+            await call.receive(events=n + 1)
+            writer.had = n + 1
+        assert (await call.receive()).outcome == "served"
+        assert len(writer.gaps) == 20 and max(writer.gaps) < 0.3
+
+    play(reader, writer, story=story)
+
+
+def test_a_request_whose_client_disconnected_is_not_retried_once_its_attempt_is_rejected(
+    tmp_path: Path,
+) -> None:
+    """It goes on only while it may have run, for the retry to find."""
+    gate = trio.Event()
+    reader, writer = pair(Act(status=503, headers=DECLINE.headers, before=gate))
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.chat)
+        await call.send("POST", "/v1/chat/completions", chat_headers("k1"), chat_body("giro-orden"))
+        await until(lambda: len(writer.begun) == 1)
+        await call.stream.aclose()
+        await until(
+            lambda: any(request.client_disconnected for request in on.daemon.core.open_requests.values())
+        )
+        gate.set()
+        await until(lambda: not on.daemon.core.open_requests)
+        assert (len(reader.begun), len(writer.begun)) == (1, 1)
+        while (again := await ask_chat(on.chat, chat_body("giro-orden"), chat_headers("k1"))).status == 409:
+            await trio.sleep(0.01)  # the record's change is on its way to the disk
+        assert (again.outcome, len(writer.begun)) == ("served", 2)
+
+    play(reader, writer, story=story, chat=with_idempotency_store(tmp_path))
+
+
+def test_a_request_whose_client_disconnects_before_it_ran_is_not_forwarded_and_its_retry_runs_it(
+    tmp_path: Path,
+) -> None:
+    """It was written after its client had disconnected."""
+    gate = trio.Event()
+    reader, writer = pair(reads=(Act(before=gate),))
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.chat)
+        await call.send("POST", "/v1/chat/completions", chat_headers("k1"), chat_body("giro-orden"))
+        await until(lambda: len(reader.begun) == 1)
+        await call.stream.aclose()
+        await until(lambda: all(request.done for request in on.daemon.core.open_requests.values()), 0.3)
+        gate.set()
+        await until(lambda: not on.daemon.core.open_requests)
+        assert (len(writer.begun), [what for what in writer.calls if what[0] == "POST"][1:]) == (0, [])
+        while (again := await ask_chat(on.chat, chat_body("giro-orden"), chat_headers("k1"))).status == 409:
+            await trio.sleep(0.01)  # the record's change is on its way to the disk
+        assert (again.outcome, len(writer.begun)) == ("served", 1)
+
+    play(reader, writer, story=story, chat=with_idempotency_store(tmp_path))
--- /dev/null
+++ b/tests/test_crossings_shutdown.py
@@ -0,0 +1,168 @@
+"""Races at shutdown, forced on real sockets; `docs/crossings.md` lists them."""
+
+from __future__ import annotations
+
+import json
+import signal
+from functools import partial
+from pathlib import Path
+
+import trio
+import trio.testing
+
+from tests.crossings import SlowConnects, send_request
+from tests.steady import until
+from tests.test_program import start
+from tests.test_stories import pair, play
+from violetstack.protocol.host_side import Body, End, Head
+from violetstack.rehearsal.clients import (
+    BODY,
+    Call,
+    ask_platform,
+    connect,
+    platform_headers,
+)
+from violetstack.rehearsal.hosts import SILENT, Act, ModelHost
+from violetstack.rehearsal.peer import PeerConnection
+from violetstack.rehearsal.stage import SETTINGS, Stage
+
+# --- the end of the process ---
+
+
+class LargeResponse(ModelHost):
+    """Sends more than fits into the buffers on the way."""
+
+    async def stream(self, act: Act, body: memoryview, connection: PeerConnection) -> None:
+        await connection.start(200, [("Content-Type", "text/event-stream")])
+        for _ in range(120):
+            await connection.data(b'data: {"choices":[],"x":"%b"}\n\n' % (b"x" * 60_000))
+        await connection.data(b"data: [DONE]\n\n")
+        await connection.end()
+
+
+def test_sigterm_completes_a_stream_whose_host_has_finished_and_whose_client_reads_late() -> None:
+    """The client's connection counted as idle, and was closed with unwritten bytes."""
+    reader = ModelHost("r", "prefill")
+    writer = LargeResponse("w", "decode")
+
+    async def story(on: Stage) -> None:
+        sock = trio.socket.socket()
+        sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 8192)  # the rest stays unwritten
+        await sock.connect(on.platform)
+        call = Call(trio.SocketStream(sock))
+        await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
+        core = on.daemon.core
+        connections = on.daemon.listeners[0].table.connections
+        told: list[Head | Body | End] = []
+
+        async def read() -> None:
+            told.extend(call.http.feed(bytes(await call.stream.receive_some(64 * 1024))))
+
+        await until(lambda: any(c.unwritten_bytes for c in connections))
+        while core.open_requests:
+            await read()
+        assert any(c.unwritten_bytes for c in connections)  # the host has finished, the client reads no more
+        assert not on.daemon.listeners[0].table.evict_one()  # nor is it closed for a newcomer
+        on.daemon.stop.set()
+        await trio.testing.wait_all_tasks_blocked()
+        on.daemon.stop.set()  # a second signal changes nothing
+        await until(lambda: not on.daemon.taking)
+        await trio.sleep(0.1)  # the process has looked for idle connections since
+        assert any(c.unwritten_bytes for c in connections)
+        while not isinstance(told[-1], End):
+            await read()
+        bodies = [event for event in told if isinstance(event, Body)]
+        assert bytes(bodies[-1].data).endswith(b"data: [DONE]\n\n")
+
+    play(reader, writer, story=story)
+
+
+def test_sigterm_waits_for_the_rest_of_a_request() -> None:
+    async def story(on: Stage) -> None:
+        call = await connect(on.platform)
+        whole = b"".join(
+            bytes(part)
+            for part in call.http.request(
+                "POST", "/v1/chat/completions", [("Host", "x"), *platform_headers("q1", "orden")], BODY
+            )
+        )
+        await call.stream.send_all(whole[:40])
+        await until(lambda: any(c.http.busy for c in on.daemon.listeners[0].table.connections))
+        on.daemon.stop.set()
+        await trio.testing.wait_all_tasks_blocked()
+        await call.stream.send_all(whole[40:])
+        assert (await call.receive()).outcome == "served"
+
+    play(*pair(), story=story)
+
+
+def test_sigterm_between_prefill_and_decode_serves_the_request() -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        late = SlowConnects(on, "w")
+        call = await send_request(on, "q1")
+        await until(lambda: reader.begun == ["q1"])
+        await late.asked.wait()
+        on.daemon.stop.set()
+        await trio.testing.wait_all_tasks_blocked()
+        late.up.set()
+        assert (await call.receive()).outcome == "served"
+
+    play(reader, writer, story=story)
+
+
+def test_an_unread_request_on_an_idle_connection_is_answered_before_the_process_ends() -> None:
+    """The process looked for idle connections before it read the socket, so the request was lost."""
+
+    async def story(on: Stage) -> None:
+        call = await send_request(on, "q1")
+        await call.receive()
+        listener = on.daemon.listeners[0]
+        await until(lambda: bool(listener.table.idle) and not listener.table.busy)
+        again = Call(call.stream)
+        sent = again.http.request(
+            "POST", "/v1/chat/completions", [("Host", "x"), *platform_headers("q2", "orden")], BODY
+        )
+        assert isinstance(call.stream, trio.SocketStream)
+        await call.stream.socket.send(b"".join(bytes(part) for part in sent))
+        assert listener.table.busy  # in this very step: nobody has read it
+        listener.table.close_idle()
+        assert (await again.receive()).outcome == "served"
+
+    play(*pair(), story=story)
+
+
+def test_sigterm_during_startup_shuts_down_in_order(tmp_path: Path) -> None:
+    told: dict[str, object] = {"listen": "127.0.0.1:0", "seed": "ff", "settings": SETTINGS}
+    with start(tmp_path, told) as program:
+        assert program.stdout is not None
+        events = []
+        for line in program.stdout:
+            events.append(json.loads(line)["event"])
+            if events[-1] == "endpoint_list_updated":  # the first line of a start
+                program.send_signal(signal.SIGTERM)
+                program.send_signal(signal.SIGHUP)
+            elif events[-1] == "shutdown_started":
+                program.send_signal(signal.SIGTERM)
+        assert program.wait(10) == 0
+    assert events[-1] == "stopped" and "shutdown_started" in events
+
+
+def test_hosts_that_hang_at_sigterm_cost_their_requests_a_response_and_no_more() -> None:
+    reader, writer = pair(SILENT, SILENT, SILENT, SILENT)
+
+    async def story(on: Stage) -> None:
+        answers: list[int] = []
+
+        async def ask(name: str, kind: str) -> None:
+            answers.append((await ask_platform(on.platform, name, kind, Req_Deadline="60000m")).status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(ask, "q1", "orden"))
+            nursery.start_soon(partial(ask, "q2", "consulta"))
+            await until(lambda: len(writer.begun) >= 2)
+            on.daemon.stop.set()
+        assert sorted(answers) == [500, 503]
+
+    play(reader, writer, story=story)
