--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -242,7 +242,8 @@
             await call.receive(events=n + 1)
             writer.had = n + 1
         assert (await call.receive()).outcome == "served"
-        assert len(writer.gaps) == 20 and max(writer.gaps) < 0.3
+        assert len(writer.gaps) == 20
+        assert max(writer.gaps) < 0.3
 
     play(reader, writer, story=story)
 
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -146,7 +146,8 @@
             elif events[-1] == "shutdown_started":
                 program.send_signal(signal.SIGTERM)
         assert program.wait(10) == 0
-    assert events[-1] == "stopped" and "shutdown_started" in events
+    assert events[-1] == "stopped"
+    assert "shutdown_started" in events
 
 
 def test_hosts_that_hang_at_sigterm_cost_their_requests_a_response_and_no_more() -> None:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,4 +1,4 @@
-"""Stories of a long day: whatever is kept by host, client, request or connection has an end."""
+"""Every record of a host, client, request or connection is dropped in time."""
 
 from __future__ import annotations
 
@@ -20,8 +20,8 @@
 from violetstack.rehearsal.stage import Stage
 
 
-def test_nothing_of_a_request_waits_for_a_collection() -> None:
-    """Each ended connection left a circle with its body: 16 MB in 45 s of the churn day."""
+def test_a_request_leaves_no_reference_cycle() -> None:
+    """Each connection that ended left a cycle with its body: 16 MB in 45 s under churn."""
 
     async def story(on: Stage) -> None:
         gc.collect()
@@ -43,7 +43,7 @@
     play(*pair(CUT, ERROR, DECLINE), story=story)
 
 
-def test_a_host_that_is_gone_is_forgotten_everywhere() -> None:
+def test_a_removed_host_leaves_nothing_behind() -> None:
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
@@ -60,7 +60,7 @@
     play(reader, writer, story=story)
 
 
-def test_the_module_forgets_a_gone_host_after_its_last_attempt() -> None:
+def test_the_policy_drops_a_removed_host_after_its_last_attempt() -> None:
     front = Front()
     servers = front.router.fleet.servers
     request = front.ask()
@@ -75,7 +75,7 @@
     assert set(servers) == {"r1", "r2", "w1", "w2"}
 
 
-def test_cancelled_timers_let_go_and_leave_the_heap() -> None:
+def test_cancelled_timers_drop_their_callbacks_and_leave_the_heap() -> None:
     timers = Timers()
     ran: list[float] = []
     kept = [timers.schedule(float(n), ran.append) for n in range(100)]
@@ -87,8 +87,8 @@
     assert (ran, timers.next_due()) == ([200.0], NEVER)
 
 
-def test_what_is_believed_of_the_hosts_is_what_is_open_there() -> None:
-    """After mixed troubles nothing is counted as out, held or connected that is not."""
+def test_after_failures_the_counters_match_what_is_open_at_the_hosts() -> None:
+    """After mixed faults nothing counts as in flight, reserved or connected that is not."""
     acts = [*SPOILT.values(), *SPOILT_LATER.values(), CUT, ERROR, DECLINE, SILENT]
     reader, writer = pair(*acts, reads=(SILENT, ERROR, DECLINE))
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,4 @@
-"""The adapter: what comes in as lines goes out as lines, and malformed input is named."""
+"""The simulator adapter: one line of output for each line of input, and errors that name the field."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from violetstack.settings import MessageError
 from violetstack.simulator_adapter.adapter import serve
 
-FACTS: dict[str, Any] = {
+SETTINGS_MESSAGE: dict[str, Any] = {
     "fleet_size": 2,
     "me": 0,
     "zone": 0,
@@ -44,10 +44,10 @@
         "hw": 1,
     },
 ]
-UP = {"op": "up", "i": "front/0", "rng_seed": 7, "facts": FACTS}
-LIST = {"op": "define_list", "page": 3, "nodes_list": NODES}
-NEWS = {"op": "announce", "i": "front/0", "scope": "warm_copy", "page": 3, "seq_no": 1}
-WORK = {
+INSTANCE_STARTED = {"op": "up", "i": "front/0", "rng_seed": 7, "facts": SETTINGS_MESSAGE}
+LIST_DEFINED = {"op": "define_list", "page": 3, "nodes_list": NODES}
+LIST_ANNOUNCED = {"op": "announce", "i": "front/0", "scope": "warm_copy", "page": 3, "seq_no": 1}
+REQUEST_ARRIVED = {
     "op": "work_item",
     "i": "front/0",
     "handle": "h1",
@@ -64,7 +64,7 @@
 }
 
 
-def play(*batches: list[dict[str, Any]]) -> list[list[dict[str, Any]]]:
+def run_batches(*batches: list[dict[str, Any]]) -> list[list[dict[str, Any]]]:
     lines = [
         json.dumps({"now": 1000.0 + 4 * turn, "turn": turn, "arrivals": events}).encode() + b"\n"
         for turn, events in enumerate(batches)
@@ -76,7 +76,7 @@
     return [reply["actions"] for reply in replies]
 
 
-def test_a_request_goes_its_way_over_the_wire() -> None:
+def test_a_request_is_prefilled_and_decoded() -> None:
     read = {
         "op": "resolved",
         "i": "front/0",
@@ -97,50 +97,63 @@
         "engine": "engine.r",
         "topic": 1,
     }
-    empty, first, second = play([], [LIST, UP, NEWS, WORK], [note, read])
+    empty, first, second = run_batches(
+        [], [LIST_DEFINED, INSTANCE_STARTED, LIST_ANNOUNCED, REQUEST_ARRIVED], [note, read]
+    )
     assert empty == []
     assert [a["op"] for a in first] == ["remind", "remind", "assign", "pre_pair"]
     assert [(a["op"], a["engine"]) for a in second] == [("assign", "engine.w")]
 
 
-def test_a_list_number_used_again_in_one_batch_means_the_newer_list_from_there_on() -> None:
-    newer = {**LIST, "nodes_list": [{**NODES[0], "engine": "engine.x"}, NODES[1]]}
-    other = {**UP, "i": "front/1"}
-    actions = play([LIST, UP, NEWS, newer, other, {**NEWS, "i": "front/1"}, WORK, {**WORK, "i": "front/1"}])[
-        0
-    ]
+def test_a_page_that_is_defined_again_in_a_batch_applies_to_later_announcements() -> None:
+    newer = {**LIST_DEFINED, "nodes_list": [{**NODES[0], "engine": "engine.x"}, NODES[1]]}
+    other = {**INSTANCE_STARTED, "i": "front/1"}
+    actions = run_batches(
+        [
+            LIST_DEFINED,
+            INSTANCE_STARTED,
+            LIST_ANNOUNCED,
+            newer,
+            other,
+            {**LIST_ANNOUNCED, "i": "front/1"},
+            REQUEST_ARRIVED,
+            {**REQUEST_ARRIVED, "i": "front/1"},
+        ]
+    )[0]
     sent = {a["i"]: a["engine"] for a in actions if a["op"] == "assign"}
     assert sent == {"front/0": "engine.r", "front/1": "engine.x"}
 
 
-def test_a_killed_instance_forgets_and_may_start_again_in_the_same_batch() -> None:
+def test_a_killed_instance_may_start_again_in_the_same_batch() -> None:
     killed = {"op": "killed", "i": "front/0"}
     late = {"op": "left", "i": "front/0", "handle": "h1"}
-    _, again, gone = play(
-        [LIST, UP, NEWS, WORK], [killed, UP, NEWS, {**WORK, "handle": "h2"}], [killed, late]
+    _, again, gone = run_batches(
+        [LIST_DEFINED, INSTANCE_STARTED, LIST_ANNOUNCED, REQUEST_ARRIVED],
+        [killed, INSTANCE_STARTED, LIST_ANNOUNCED, {**REQUEST_ARRIVED, "handle": "h2"}],
+        [killed, late],
     )
     assert {a.get("handle") for a in again if a["op"] == "assign"} == {"h2"}
     assert gone == []
 
 
-def test_asked_lists_are_subscribed_to_and_again_after_a_failure() -> None:
-    asks = {**UP, "facts": {**FACTS, "membership_mode": "subscribe"}}
-    first, second, third = play(
-        [asks], [{**NEWS, "scope": "lost"}], [{"op": "elapsed", "i": "front/0", "token": "watch"}]
+def test_the_list_is_watched_and_again_after_a_failure() -> None:
+    asks = {**INSTANCE_STARTED, "facts": {**SETTINGS_MESSAGE, "membership_mode": "subscribe"}}
+    first, second, third = run_batches(
+        [asks], [{**LIST_ANNOUNCED, "scope": "lost"}], [{"op": "elapsed", "i": "front/0", "token": "watch"}]
     )
     assert [a["op"] for a in first] == ["stream_changes"]
     assert [a["op"] for a in second] == ["remind"]
     assert [a["op"] for a in third] == ["stream_changes"]
 
 
-def test_an_exception_in_the_decisions_is_reported_as_a_fault(
+def test_an_exception_of_the_policy_is_reported_as_a_fault(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     def broken(self: object, now: float, events: list[Event]) -> list[Action]:
         raise ValueError("no such thing")
 
     monkeypatch.setattr(Router, "handle", broken)
-    (actions,) = play([LIST, UP, NEWS])
+    (actions,) = run_batches([LIST_DEFINED, INSTANCE_STARTED, LIST_ANNOUNCED])
     assert [(a["op"], a["msg"]) for a in actions] == [("fault", "ValueError: no such thing")]
 
 
@@ -153,7 +166,7 @@
         (b'{"now":"x","turn":1,"arrivals":[]}', "now"),
     ],
 )
-def test_malformed_input_gets_one_plain_message_and_a_non_zero_exit(line: bytes, named: str) -> None:
+def test_malformed_input_gives_one_line_on_stderr_and_a_non_zero_exit(line: bytes, named: str) -> None:
     done = subprocess.run(
         [sys.executable, "-m", "violetstack.simulator_adapter"],
         input=line + b"\n",
@@ -162,9 +175,10 @@
     )
     assert done.returncode != 0
     message = done.stderr.decode()
-    assert named in message and len(message.splitlines()) == 1
+    assert named in message
+    assert len(message.splitlines()) == 1
 
 
-def test_an_announce_of_an_undefined_page_is_malformed() -> None:
+def test_an_announcement_of_an_undefined_page_is_malformed() -> None:
     with pytest.raises(MessageError, match="page 9"):
-        play([UP, {**NEWS, "page": 9}])
+        run_batches([INSTANCE_STARTED, {**LIST_ANNOUNCED, "page": 9}])
--- a/violetstack/core/state.py
+++ b/violetstack/core/state.py
@@ -29,6 +29,7 @@
         router: Assigns routes, if there are any.
         load_shedder: Limits what is accepted, if it is configured.
         outlier_observer: Observes the health of hosts, if it is configured.
+        wake: Makes the event loop run the dispatcher soon.
     """
 
     def __init__(self, settings: Settings, driver: Driver, wake: Wake) -> None:
