--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from tests.front import READERS, SETTINGS, WRITERS
-from tests.test_core import Noted
+from tests.test_core import RecordingPorts
 from tests.test_stories import pair, play
 from violetstack.admin.api import MAX_BODY_BYTES, AdminConnection
 from violetstack.admin.errors import RequestRejectedError, UnknownEndpointError
@@ -171,10 +171,10 @@
 def test_metrics_agree_with_a_recount_of_random_requests(seed: int) -> None:
     """Clients that disconnect, attempts that end in every way, and the real policy."""
     rng = random.Random(seed)
-    noted = Noted()
+    ports = RecordingPorts()
     now = 1000.0
     router = Router(SETTINGS)
-    core = Dispatcher(SETTINGS, router, noted, 250.0)
+    core = Dispatcher(SETTINGS, router, ports, 250.0)
     core.update_endpoints(now, EndpointUpdate(UpdateScope.CACHED, READERS + WRITERS, 1))
     accepted: Counter[int] = Counter()
     disconnected = 0
@@ -184,10 +184,10 @@
         if rng.random() < 0.5:
             cls = rng.randrange(len(SETTINGS.classes))
             fields = (f"q{n}", cls, 0, f"s{n % 7}", 4000.0, None, None, 900.0, 0.0, 200.0, False, False)
-            core.accept(now, Request(*fields), noted, None)
+            core.accept(now, Request(*fields), ports, None)
             accepted[cls] += 1
         core.run(now)
-        for attempt in [a for a in noted.attempts if not a.finished and rng.random() < 0.6]:
+        for attempt in [a for a in ports.attempts if not a.finished and rng.random() < 0.6]:
             if not attempt.request_written:
                 core.request_written(attempt)
                 written += 1
@@ -197,14 +197,14 @@
                 core.client_disconnected(now, request)
                 disconnected += 1
         core.run(now)
-        for release in noted.releases:
+        for release in ports.releases:
             core.release_finished(release, True)
-        noted.releases.clear()
-        for call in noted.places:
+        ports.releases.clear()
+        for call in ports.reservations:
             core.reservation_finished(call, False, True)
-        noted.places.clear()
+        ports.reservations.clear()
         core.run(now)
-    answers = Counter(answer.split()[0] for answer in noted.answers)
+    answers = Counter(answer.split()[0] for answer in ports.answers)
     rows = core.metrics.classes
     assert [row.accepted for row in rows] == [accepted[n] for n in range(len(rows))]
     assert sum(row.fulfilled for row in rows) == answers["finished"]
