--- a/tests/test_acme.py
+++ b/tests/test_acme.py
@@ -11,7 +11,7 @@
 from cryptography import x509
 
 from tests.test_stories import pair
-from violetstack.net.acme import Life
+from violetstack.net.acme import CertificateLifetime
 from violetstack.rehearsal.authority import Authority
 from violetstack.rehearsal.clients import Call, chat_body, chat_headers, connect
 from violetstack.rehearsal.stage import Stage, stage
@@ -122,4 +122,4 @@
 )
 def test_a_renewal_is_due_in_the_last_third_at_most(left: float, whole: float, due: bool) -> None:
     """Else certificates that live six days would be ordered at every check."""
-    assert Life(left * 86400.0, whole * 86400.0).due(30.0) is due
+    assert CertificateLifetime(left * 86400.0, whole * 86400.0).is_renewal_due(30.0) is due
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -13,7 +13,12 @@
 from violetstack.config import Address
 from violetstack.net.admin_server import MAX_CONNECTIONS
 from violetstack.net.downstream import connection, connection_table, listener
-from violetstack.net.resource_limits import ADMIN_API_DESCRIPTORS, LEAST, OWN, budget
+from violetstack.net.resource_limits import (
+    ADMIN_API_DESCRIPTORS,
+    MIN_CONNECTIONS,
+    RESERVED_DESCRIPTORS,
+    divide_limits,
+)
 from violetstack.protocol.headers import MAX_WAIT_MS, RequestReader
 from violetstack.protocol.server_side import Inbound
 from violetstack.rehearsal.clients import BODY, ask_platform, chat_headers, connect, platform_headers, raw
@@ -223,12 +228,16 @@
     sockets: int,
 ) -> None:
     for admin_api, processes, fronts in product((False, True), (1, 2), (1, 2, 3)):
-        share = budget(sockets, 192.0, fronts=fronts, admin_api=admin_api, processes=processes)
-        assert share.hosts >= LEAST
+        share = divide_limits(sockets, 192.0, fronts=fronts, admin_api=admin_api, processes=processes)
+        assert share.upstream >= MIN_CONNECTIONS
         assert share.clients >= 1
         if sockets // processes >= 96:
-            own = OWN + listener.MAX_CONCURRENT_REJECTIONS + (ADMIN_API_DESCRIPTORS if admin_api else 0)
-            assert processes * (own + share.hosts + fronts * share.clients) <= sockets
+            own = (
+                RESERVED_DESCRIPTORS
+                + listener.MAX_CONCURRENT_REJECTIONS
+                + (ADMIN_API_DESCRIPTORS if admin_api else 0)
+            )
+            assert processes * (own + share.upstream + fronts * share.clients) <= sockets
     assert ADMIN_API_DESCRIPTORS == MAX_CONNECTIONS + 1
 
 
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -71,7 +71,7 @@
         if told.tls is not None:
             certificate = Certificate(told.tls)
             if told.acme is not None:
-                await self._keep_certified(told.acme, certificate)
+                await self._start_acme(told.acme, certificate)
             else:
                 certificate.load()
                 self.certificate = certificate
@@ -119,13 +119,13 @@
         self._nursery.start_soon(service.run)
         return service
 
-    async def _keep_certified(self, told: AcmeConfig, certificate: Certificate) -> None:
+    async def _start_acme(self, told: AcmeConfig, certificate: Certificate) -> None:
         from violetstack.net import acme
 
-        front = acme.Challenges()
+        front = acme.ChallengeFront()
         self.challenge_at = await self._listen(parse_address(told.challenge_listen), front)
-        issue = acme.Authority(told, front).issue
-        self._nursery.start_soon(acme.keep_certified, told, certificate, issue)
+        issue = acme.AcmeClient(told, front).issue
+        self._nursery.start_soon(acme.renew_certificate, told, certificate, issue)
 
     def _spawn(self, act: Callable[[], Awaitable[None]]) -> None:
         self._nursery.start_soon(_guarded, act)
--- a/violetstack/daemon/limits.py
+++ b/violetstack/daemon/limits.py
@@ -6,7 +6,7 @@
 
 from violetstack.config import Config
 from violetstack.net.downstream.listener import Listener
-from violetstack.net.resource_limits import budget
+from violetstack.net.resource_limits import divide_limits
 from violetstack.net.upstream.driver import UpstreamDriver
 
 
@@ -26,14 +26,14 @@
     def apply(self) -> None:
         """Sets the limits in force: after a reload, a new listener, or another process that came or went."""
         limits = self._config.limits
-        share = budget(
+        share = divide_limits(
             int(limits.sockets),
             limits.memory_mb,
             fronts=self._fronts,
             admin_api=self._config.admin_listen is not None,
             processes=self._processes(),
         )
-        self._hosts.pool.max_connections = share.hosts
+        self._hosts.pool.max_connections = share.upstream
         for listener in self._listeners:
             listener.table.max_connections = share.clients
-            listener.table.max_buffered_bytes = share.bodies
+            listener.table.max_buffered_bytes = share.body_bytes
--- a/violetstack/net/acme.py
+++ b/violetstack/net/acme.py
@@ -1,4 +1,7 @@
-"""Certificates by ACME (RFC 8555): order, http-01, issue, renew. Imported only where configured."""
+"""Certificates by ACME (RFC 8555): order, http-01 challenge, issue and renewal.
+
+Imported only where it is configured: its libraries take several MiB.
+"""
 
 from __future__ import annotations
 
@@ -23,165 +26,214 @@
 from violetstack.operator_config import AcmeConfig, TlsFiles
 from violetstack.protocol.server_side import Inbound
 
-ORDER_S = 90.0
-NETWORK_S = 30
-FIRST_AGAIN_S = 5.0  # after a failure; doubled up to the time between checks
+ORDER_TIMEOUT_S = 90.0  # from the order to the certificate
+REQUEST_TIMEOUT_S = 30
+FIRST_RETRY_S = 5.0  # after a failed order; doubled up to the time between checks
+SECONDS_PER_DAY = 86400.0
+MAX_ERROR_LENGTH = 500
+OWNER_ONLY = 0o600
 
 
-class Challenges:
-    """The front that answers http-01: what the authority may fetch, and nothing else."""
+class ChallengeFront:
+    """The front that answers the authority's http-01 requests, and nothing else."""
 
     def __init__(self) -> None:
-        self.answers: dict[str, str] = {}
+        self._responses: dict[str, str] = {}  # by path
+
+    def add(self, path: str, validation: str) -> None:
+        """Answers requests for `path` with `validation`."""
+        self._responses[path] = validation
+
+    def remove(self, path: str) -> None:
+        """Answers requests for `path` with 404 again."""
+        self._responses.pop(path, None)
 
     def handle(self, inbound: Inbound, reply: Reply) -> None:
-        found = self.answers.get(inbound.path) if inbound.method == "GET" else None
-        if found is None:
+        """Answers one request."""
+        validation = self._responses.get(inbound.path) if inbound.method == "GET" else None
+        if validation is None:
             reply.answer(404, TEXT, b"not found\n")
         else:
-            reply.answer(200, [("Content-Type", "application/octet-stream")], found.encode())
+            reply.answer(200, [("Content-Type", "application/octet-stream")], validation.encode())
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
+        """Answers a request that could not be read."""
         reply.answer(status, TEXT, reason.encode() + b"\n")
 
 
-class Issued(NamedTuple):
+class IssuedCertificate(NamedTuple):
+    """A private key and its certificate chain, both PEM."""
+
     key: bytes
     chain: bytes
 
 
-def _private(path: Path, data: bytes) -> None:
-    """Whole or not at all, and readable by its owner only."""
-    new = path.with_name(path.name + ".new")
-    with os.fdopen(os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    new.replace(path)
-
+class PrivateKey(NamedTuple):
+    """A key, and its PEM form without a password."""
 
-def _new_key() -> tuple[ec.EllipticCurvePrivateKey, bytes]:
-    key = ec.generate_private_key(ec.SECP256R1())
-    form = serialization.PrivateFormat.PKCS8
-    plain = serialization.NoEncryption()
-    return key, key.private_bytes(serialization.Encoding.PEM, form, plain)
+    key: ec.EllipticCurvePrivateKey
+    pem: bytes
 
 
-class Authority:
-    """The account with one authority. Blocking: runs on a thread."""
+class AcmeClient:
+    """The account with one authority. Its methods block and run on a thread."""
 
-    def __init__(self, config: AcmeConfig, front: Challenges) -> None:
+    def __init__(self, config: AcmeConfig, front: ChallengeFront) -> None:
         self._config = config
         self._front = front
 
+    def issue(self) -> IssuedCertificate:
+        """Orders one certificate and answers its challenges.
+
+        Raises acme.errors.Error, and what its HTTP client raises, if the order fails.
+        """
+        account_key = self._account_key()
+        authority = self._connect(account_key)
+        private_key = _generate_key()
+        order = authority.new_order(make_csr(private_key.pem, domains=self._config.domains))
+        paths: list[str] = []
+        try:
+            for authorization in order.authorizations:
+                if authorization.body.status != messages.STATUS_VALID:
+                    paths.append(self._answer_challenge(authority, authorization, account_key))
+            deadline = datetime.datetime.now() + datetime.timedelta(seconds=ORDER_TIMEOUT_S)
+            finished = authority.poll_and_finalize(order, deadline)
+            return IssuedCertificate(private_key.pem, finished.fullchain_pem.encode())
+        finally:
+            for path in paths:
+                self._front.remove(path)
+
     def _account_key(self) -> JWKEC:
         path = Path(self._config.account_key)
         if path.exists():
             key = serialization.load_pem_private_key(path.read_bytes(), None)
-        else:
-            key, pem = _new_key()
-            _private(path, pem)
-        return JWKEC(key=key)
+            return JWKEC(key=key)
+        created = _generate_key()
+        _write_private_file(path, created.pem)
+        return JWKEC(key=created.key)
 
-    def _client(self, key: JWKEC) -> client.ClientV2:
+    def _connect(self, key: JWKEC) -> client.ClientV2:
         trust: bool | str = self._config.trust or True
         net = client.ClientNetwork(
             key,
             alg=ES256,
             user_agent="violetstack",
             verify_ssl=trust,  # type: ignore[arg-type]  # requests takes a file of roots here too
-            timeout=NETWORK_S,
+            timeout=REQUEST_TIMEOUT_S,
         )
         authority = client.ClientV2(client.ClientV2.get_directory(self._config.directory, net), net)
         contact = (f"mailto:{self._config.contact}",) if self._config.contact else ()
-        new = messages.NewRegistration(contact=contact, terms_of_service_agreed=True)
+        registration = messages.NewRegistration(contact=contact, terms_of_service_agreed=True)
         try:
-            authority.new_account(new)
-        except errors.ConflictError as known:
-            account = messages.RegistrationResource(body=messages.Registration(), uri=known.location)
-            net.account = account
+            authority.new_account(registration)
+        except errors.ConflictError as known:  # the account exists
+            net.account = messages.RegistrationResource(body=messages.Registration(), uri=known.location)
         return authority
 
-    def issue(self) -> Issued:
-        """One order, from the account to the chain."""
-        key = self._account_key()
-        authority = self._client(key)
-        _, pem = _new_key()
-        order = authority.new_order(make_csr(pem, domains=self._config.domains))
-        paths: list[str] = []
+    def _answer_challenge(
+        self, authority: client.ClientV2, authorization: messages.AuthorizationResource, key: JWKEC
+    ) -> str:
+        """Returns the path that the authority will fetch."""
+        offered = [c for c in authorization.body.challenges if isinstance(c.chall, challenges.HTTP01)]
+        if not offered:
+            raise errors.Error("the authority offers no http-01 challenge")
+        challenge = offered[0]
+        response, validation = challenge.response_and_validation(key)
+        path = str(challenge.chall.path)
+        self._front.add(path, validation)
         try:
-            for authorization in order.authorizations:
-                if authorization.body.status == messages.STATUS_VALID:
-                    continue
-                offered = [c for c in authorization.body.challenges if isinstance(c.chall, challenges.HTTP01)]
-                if not offered:
-                    raise errors.Error("the authority offers no http-01 challenge")
-                response, validation = offered[0].response_and_validation(key)
-                paths.append(offered[0].chall.path)
-                self._front.answers[offered[0].chall.path] = validation
-                authority.answer_challenge(offered[0], response)
-            deadline = datetime.datetime.now() + datetime.timedelta(seconds=ORDER_S)
-            finished = authority.poll_and_finalize(order, deadline)
-            return Issued(pem, finished.fullchain_pem.encode())
-        finally:
-            for path in paths:
-                self._front.answers.pop(path, None)
+            authority.answer_challenge(challenge, response)
+        except BaseException:
+            self._front.remove(path)
+            raise
+        return path
 
 
-class Life(NamedTuple):
-    """Of the certificate in the files: seconds that are left, and of the whole; 0 where none can be read."""
+class CertificateLifetime(NamedTuple):
+    """Of the certificate in the files, in seconds; both are 0 where none can be read."""
 
     left_s: float
-    whole_s: float
+    total_s: float
 
-    def due(self, renew_before_days: float) -> bool:
-        """Guards against ordering again and again where certificates live shorter than the set time."""
-        return self.left_s < min(renew_before_days * 86400.0, self.whole_s / 3.0) or not self.left_s
+    def is_renewal_due(self, renew_before_days: float) -> bool:
+        """True within the set time before expiry, but not before the last third of the lifetime.
 
+        Without that bound a certificate that lives shorter than the set time is ordered at every check.
+        """
+        renew_before_s = min(renew_before_days * SECONDS_PER_DAY, self.total_s / 3.0)
+        return self.left_s < renew_before_s or not self.left_s
 
-def life_of(files: TlsFiles) -> Life:
+
+def lifetime_of(files: TlsFiles) -> CertificateLifetime:
+    """Reads the certificate's validity."""
     try:
         certificate = x509.load_pem_x509_certificate(Path(files.certificate).read_bytes())
     except (OSError, ValueError):
-        return Life(0.0, 0.0)
+        return CertificateLifetime(0.0, 0.0)
     now = datetime.datetime.now(datetime.UTC)
     end = certificate.not_valid_after_utc
-    whole = end - certificate.not_valid_before_utc
-    return Life(max(0.0, (end - now).total_seconds()), whole.total_seconds())
+    total = end - certificate.not_valid_before_utc
+    return CertificateLifetime(max(0.0, (end - now).total_seconds()), total.total_seconds())
+
 
+async def renew_certificate(
+    config: AcmeConfig, certificate: Certificate, issue: Callable[[], IssuedCertificate]
+) -> None:
+    """Orders a certificate whenever there is none or it is near its end, until cancelled.
 
-async def keep_certified(config: AcmeConfig, certificate: Certificate, issue: Callable[[], Issued]) -> None:
-    """Orders when the certificate is missing or near its end; a failure keeps the one there is."""
-    again = min(FIRST_AGAIN_S, config.check_every_s)
-    served = False
+    A failed order keeps the certificate in use and is tried again with backoff.
+    """
+    retry_s = min(FIRST_RETRY_S, config.check_every_s)
+    loaded = False
     while True:
-        life = life_of(certificate.files)
-        if life.left_s and not served:
-            served = _load(certificate)
-        wait = config.check_every_s
-        if not served or life.due(config.renew_before_days):
+        lifetime = lifetime_of(certificate.files)
+        if lifetime.left_s and not loaded:
+            loaded = certificate.reload()
+        wait_s = config.check_every_s
+        if not loaded or lifetime.is_renewal_due(config.renew_before_days):
             try:
-                issued = await trio.to_thread.run_sync(issue, abandon_on_cancel=True)
-                _private(Path(certificate.files.key), issued.key)
-                _private(Path(certificate.files.certificate), issued.chain)
-                served = _load(certificate)
-                again = min(FIRST_AGAIN_S, config.check_every_s)
+                loaded = await _order(certificate, issue, config.domains)
+                retry_s = min(FIRST_RETRY_S, config.check_every_s)
+            except Exception as error:  # the library raises many kinds; none may end the service
                 log(
-                    "certificate_issued",
-                    domains=config.domains,
-                    days=life_of(certificate.files).left_s / 86400.0,
+                    "certificate_order_failed",
+                    error=repr(error)[:MAX_ERROR_LENGTH],
+                    left_s=round(lifetime.left_s),
                 )
-            except Exception as error:  # the library raises many kinds; none may end the service
-                log("certificate_order_failed", error=repr(error)[:500], left_s=round(life.left_s))
-                wait = again
-                again = min(2.0 * again, config.check_every_s)
-        await trio.sleep(wait)
+                wait_s = retry_s
+                retry_s = min(2.0 * retry_s, config.check_every_s)
+        await trio.sleep(wait_s)
+
+
+async def _order(
+    certificate: Certificate, issue: Callable[[], IssuedCertificate], domains: list[str]
+) -> bool:
+    """Returns whether the new certificate could be loaded."""
+    issued = await trio.to_thread.run_sync(issue, abandon_on_cancel=True)
+    _write_private_file(Path(certificate.files.key), issued.key)
+    _write_private_file(Path(certificate.files.certificate), issued.chain)
+    loaded = certificate.reload()
+    log(
+        "certificate_issued",
+        domains=domains,
+        days=lifetime_of(certificate.files).left_s / SECONDS_PER_DAY,
+    )
+    return loaded
+
+
+def _write_private_file(path: Path, data: bytes) -> None:
+    """Writes the file completely or not at all, readable by its owner only."""
+    new = path.with_name(path.name + ".new")
+    with os.fdopen(os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, OWNER_ONLY), "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    new.replace(path)
 
 
-def _load(certificate: Certificate) -> bool:
-    try:
-        certificate.load()
-    except OSError as error:  # a key that does not fit, or a broken file
-        log("certificate_invalid", error=str(error))
-        return False
-    return True
+def _generate_key() -> PrivateKey:
+    key = ec.generate_private_key(ec.SECP256R1())
+    pem = key.private_bytes(
+        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+    )
+    return PrivateKey(key, pem)
--- a/violetstack/net/resource_limits.py
+++ b/violetstack/net/resource_limits.py
@@ -1,4 +1,4 @@
-"""What the limits of the machine leave for whom: descriptors, and memory that others can fill."""
+"""Divides the machine's limits: file descriptors, and the memory that clients can fill."""
 
 from __future__ import annotations
 
@@ -6,36 +6,45 @@
 
 from violetstack.net.downstream.listener import MAX_CONCURRENT_REJECTIONS
 
-OWN = 28  # streams 3, poller 3, listeners 4, watch 2, peers 1, files and heirs 5, and what just ends
-ADMIN_API_DESCRIPTORS = 17  # its listener and connections
-LEAST = 4  # of clients and of hosts, however little there is
-# of the memory, and of one client's connection
-CONNECTION_SHARE = 0.2
-CONNECTION_BYTES = 32 * 1024
-BODY_SHARE = 0.2  # of the memory: request bodies held at once; each may be held twice for a moment
+# Descriptors of the program itself: 3 standard streams, 3 of the poller, 4 listeners, 2 watch connections,
+# 1 gossip socket, 5 for files and another process, and those of connections that are being closed.
+RESERVED_DESCRIPTORS = 28
+ADMIN_API_DESCRIPTORS = 17  # the admin listener and its connections
+MIN_CONNECTIONS = 4  # to hosts, and of clients, however few descriptors there are
+CONNECTION_MEMORY_SHARE = 0.2  # of the memory, for client connections
+CONNECTION_BYTES = 32 * 1024  # of one client connection
+BODY_MEMORY_SHARE = 0.2  # of the memory, for buffered request bodies; each may be held twice for a moment
+DESCRIPTORS_PER_CLIENT = 3  # with little memory, clients still get one descriptor of so many
+BYTES_PER_MB = 2**20
 
 
-class Budget(msgspec.Struct, frozen=True):
-    """`clients` and `bodies` (bytes) are those of each front; `hosts` are connections to model hosts."""
+class ConnectionLimits(msgspec.Struct, frozen=True):
+    """`upstream` connections of the process; `clients` and buffered `body_bytes` of each listener."""
 
-    hosts: int
+    upstream: int
     clients: int
-    bodies: int
+    body_bytes: int
 
 
-def budget(sockets: int, memory_mb: float, *, fronts: int, admin_api: bool, processes: int) -> Budget:
-    """Half of what is left goes to hosts, half to clients; processes side by side share all limits alike.
+def divide_limits(
+    sockets: int, memory_mb: float, *, fronts: int, admin_api: bool, processes: int
+) -> ConnectionLimits:
+    """Half of the descriptors that are left goes to upstream connections, half to clients.
 
-    Guards the memory limit where descriptors abound; a third of them clients may hold for requests.
+    Each of `processes` takes the same part of all limits. Where descriptors abound, the memory limits the
+    number of clients, but never to less than a third of the descriptors.
     """
     sockets = sockets // processes
-    memory = memory_mb * 2**20 / processes
-    left = max(
-        2 * LEAST, sockets - OWN - MAX_CONCURRENT_REJECTIONS - (ADMIN_API_DESCRIPTORS if admin_api else 0)
+    memory_bytes = memory_mb * BYTES_PER_MB / processes
+    reserved = RESERVED_DESCRIPTORS + MAX_CONCURRENT_REJECTIONS + (ADMIN_API_DESCRIPTORS if admin_api else 0)
+    left = max(2 * MIN_CONNECTIONS, sockets - reserved)
+    upstream = left // 2
+    clients_by_memory = max(
+        sockets // DESCRIPTORS_PER_CLIENT,
+        int(memory_bytes * CONNECTION_MEMORY_SHARE) // CONNECTION_BYTES,
     )
-    by_memory = max(sockets // 3, int(memory * CONNECTION_SHARE) // CONNECTION_BYTES)
-    return Budget(
-        hosts=left // 2,
-        clients=max(1, min(left - left // 2, by_memory) // fronts),
-        bodies=int(memory * BODY_SHARE) // fronts,
+    return ConnectionLimits(
+        upstream=upstream,
+        clients=max(1, min(left - upstream, clients_by_memory) // fronts),
+        body_bytes=int(memory_bytes * BODY_MEMORY_SHARE) // fronts,
     )
