Daemon: dispatch parts, admin server and gossip are built by functions of their own

Daemon keeps the order of startup, reload and shutdown; build_dispatch makes the parts that every dispatcher has, and optional_services those that are configured.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -698,7 +698,7 @@
         on.daemon.stop.set()
         await trio.testing.wait_all_tasks_blocked()
         on.daemon.stop.set()  # a second signal changes nothing
-        await until(lambda: not on.daemon.taking)
+        await until(lambda: not on.daemon.accepting)
         await trio.sleep(0.1)  # the process has looked for idle connections since
         assert any(c.unwritten_bytes for c in connections)
         while not isinstance(told[-1], End):
--- a/violetstack/__main__.py
+++ b/violetstack/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m violetstack`: one real dispatcher, told by NODE_CONFIG; with arguments, the command line."""
+"""`python -m violetstack`: serves with the file that NODE_CONFIG names; with arguments, the command line."""
 
 from __future__ import annotations
 
@@ -6,12 +6,13 @@
 import os
 import sys
 
-gc.disable()  # until ready: what a start makes is no garbage, and looking for some is a tenth of its time
+gc.disable()  # until the daemon has started: a start leaves no garbage, and collections take a tenth of it
 
 from violetstack.daemon.process import serve  # noqa: E402
 
 
 def main() -> int:
+    """Returns the exit status."""
     if len(sys.argv) > 1:
         from violetstack.commands.main import main as command
 
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -11,26 +11,24 @@
 
 from violetstack.config import Address, Config
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.daemon.dispatch import build_dispatch, capture_learned_state
 from violetstack.daemon.endpoints import EndpointService
-from violetstack.daemon.event_loop import EventLoop, WakeSignal
-from violetstack.daemon.fronts import FrontServers, listen_on
+from violetstack.daemon.fronts import FrontServers
 from violetstack.daemon.lifecycle import Lifecycle
 from violetstack.daemon.limits import LimitAllocator
 from violetstack.daemon.optional_services import (
+    build_gossip_transport,
     build_routing,
+    start_admin_server,
     start_lease_service,
     start_load_shedding,
-    start_state_writer,
 )
 from violetstack.daemon.reload import read_config, until_restart
 from violetstack.daemon.shutdown import GracefulShutdown
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
-from violetstack.net.gossip import GossipReceiver, GossipTransport
-from violetstack.net.pause_detector import PauseDetector
-from violetstack.net.startup_recovery import StartupRecovery
-from violetstack.net.upstream.connection_pool import ConnectionPool
+from violetstack.net.gossip import GossipReceiver
 from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.policy_api import EndpointUpdate
 from violetstack.router import Router
@@ -48,8 +46,8 @@
     from violetstack.routing.generations import Routing
 
 
-class Serving(msgspec.Struct, frozen=True):
-    """Where a started daemon listens."""
+class BoundAddresses(msgspec.Struct, frozen=True):
+    """The addresses that a started daemon listens at."""
 
     platform: Address | None
     chat: Address | None
@@ -58,9 +56,10 @@
 
 
 class Daemon:
-    """One dispatcher: `serve` until `stop`, then finish what was taken."""
+    """One dispatcher. `serve` returns after `stop` is set and the requests that were taken are finished."""
 
     def __init__(self, config: Config) -> None:
+        """Takes the configuration; nothing is opened before `serve`."""
         self.config = config
         self.lifecycle = Lifecycle()
         self.listeners: list[Listener] = []
@@ -68,40 +67,39 @@
         self.hot_restart: HotRestart | None = None
         self.routing: Routing | None = None
         self.load_shedding: LoadSheddingService | None = None
-        self.state_writer: StateWriter | None = None
         self.leases: LeaseService | None = None
 
-    async def serve(self, task_status: trio.TaskStatus[Serving] = trio.TASK_STATUS_IGNORED) -> None:
-        """Raises ConfigError, in a group, for an address that can't be bound."""
+    async def serve(self, task_status: trio.TaskStatus[BoundAddresses] = trio.TASK_STATUS_IGNORED) -> None:
+        """Runs the dispatcher. Raises ConfigError, in a group, for an address that can't be bound."""
         for text in self.config.warnings:
             log("config_warning", text=text)
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
-            serving = await self._start()
+            bound = await self._start()
             log(
                 "started",
                 name=self.config.node.name,
-                platform=serving.platform,
-                chat=serving.chat,
-                admin=serving.admin,
+                platform=bound.platform,
+                chat=bound.chat,
+                admin=bound.admin,
             )
             gc.freeze()
             gc.enable()
-            task_status.started(serving)
+            task_status.started(bound)
             await self.lifecycle.stop.wait()
             await self._stop()
             nursery.cancel_scope.cancel()
 
     def reload(self, read_again: Callable[[], Config]) -> None:
-        """Takes what can change while serving; requests in flight go on. A bad file changes nothing."""
+        """Applies what can change while serving. An invalid configuration changes nothing."""
         new = read_config(read_again, self.config)
         if new is None:
             return
         config = new.config
         self.config.limits = config.limits
         self.config.routing_plan = config.routing_plan
-        self._route()
-        self._shed_load(config.load_shedding_plan)
+        self._apply_routing_plan()
+        self._apply_load_shedding_plan(config.load_shedding_plan)
         self.limits.apply()
         if self.fronts.chat is not None and new.chat is not None:
             self.fronts.chat.config = new.chat
@@ -117,7 +115,27 @@
             generation=generation,
         )
 
-    # --- for the admin service ---
+    # --- the parts, for the admin service and tests ---
+
+    @property
+    def core(self) -> Dispatcher:
+        """The request state machine."""
+        return self.parts.core
+
+    @property
+    def router(self) -> Router:
+        """The policy."""
+        return self.parts.router
+
+    @property
+    def hosts(self) -> UpstreamDriver:
+        """The upstream side."""
+        return self.parts.hosts
+
+    @property
+    def state_writer(self) -> StateWriter | None:
+        """The durable state, where it is configured."""
+        return self.parts.state_writer
 
     @property
     def started(self) -> bool:
@@ -125,7 +143,7 @@
         return self.lifecycle.started
 
     @property
-    def taking(self) -> bool:
+    def accepting(self) -> bool:
         """Are new requests taken?"""
         return self.lifecycle.accepting
 
@@ -144,26 +162,32 @@
         """Discovery's watch, where there is a discovery."""
         return self.endpoints.watch
 
-    def news(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
+    def publish(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
         """Hands an update of the endpoint list to the connection pool and the core."""
         self.endpoints.publish(update, addresses)
 
     # --- startup ---
 
-    async def _start(self) -> Serving:
-        pause_detector = self._build()
-        loop = EventLoop(self.core, pause_detector, self.wake_signal)
+    async def _start(self) -> BoundAddresses:
+        config = self.config
+        self.parts = build_dispatch(config, self.nursery)
+        self.limits = LimitAllocator(config, self.hosts, self.listeners, self._processes)
+        self.fronts = FrontServers(config, self.core, self.nursery, self.listeners, self.limits.apply)
+        self._apply_routing_plan()
         self._build_endpoints()
         predecessor = self.handover.load_predecessor() if self.handover is not None else None
-        await self.endpoints.start(self.nursery, pause_detector, predecessor)
-        admin = await self._start_admin_server()
-        self._shed_load(self.config.load_shedding_plan)
-        self.nursery.start_soon(loop.run)
-        self.nursery.start_soon(self.hosts.pool.close_expired)
+        await self.endpoints.start(self.nursery, self.parts.pause_detector, predecessor)
+        admin = await start_admin_server(config, self.nursery, self)
+        self._apply_load_shedding_plan(config.load_shedding_plan)
+        self.parts.start(self.nursery)
         await self.endpoints.wait_for_first_list()
         self.lifecycle.started = True
-        self._join_tier(pause_detector)
-        platform = chat = None
+        self._start_gossip()
+        return await self._start_accepting(admin)
+
+    async def _start_accepting(self, admin: Address | None) -> BoundAddresses:
+        platform = None
+        chat = None
         if self.config.listen is not None:
             platform = await self.fronts.start_platform(self.config.listen)
         if self.config.chat is not None:
@@ -172,50 +196,14 @@
             await self.hot_restart.receive_streams(
                 self.nursery, self.core, self.hosts, lambda: self.fronts.platform
             )
-        self._recall()
+        self.parts.restore_learned_state(self._learned_state())
         self.lifecycle.accepting = True
         if self.hot_restart is not None:
             self.hot_restart.write()
-        return Serving(platform, chat, self.fronts.challenge_at, admin)
-
-    def _build(self) -> PauseDetector:
-        config = self.config
-        settings = config.settings
-        pool = ConnectionPool(settings.connect_timeout_ms, config.idle_close_ms)
-        self.hosts = UpstreamDriver(self.nursery, pool, settings.load_report_fields)
-        self.router = Router(settings)
-        self.state_writer = start_state_writer(config, self.nursery, self._learned)
-        self.recovery = StartupRecovery(self.nursery, self.state_writer, settings)
-        pause_detector = self._watch_for_pauses()
-        self.wake_signal = WakeSignal()
-        self.core = Dispatcher(
-            settings,
-            self.router,
-            self.hosts,
-            config.drain_grace_ms,
-            wake=self.wake_signal.set,
-            retry_after=self.recovery.retry_after_ms,
-            max_unread=pause_detector.max_unread_ms,
-        )
-        self.hosts.connect_core(self.core)
-        self.limits = LimitAllocator(config, self.hosts, self.listeners, self._processes)
-        self.fronts = FrontServers(config, self.core, self.nursery, self.listeners, self.limits.apply)
-        self._route()
-        return pause_detector
-
-    def _watch_for_pauses(self) -> PauseDetector:
-        """Nothing is decided or sent on what was known before the process was stopped."""
-        pause_detector = PauseDetector(self.config.drain_grace_ms, self._paused)
-        self.hosts.pool.wait_caught_up = pause_detector.wait_caught_up
-        pause_detector.add_source(self.hosts)
-        self.nursery.start_soon(pause_detector.run)
-        return pause_detector
-
-    def _paused(self, pause_ms: float) -> None:
-        self.core.process_paused(pause_ms)
+        return BoundAddresses(platform, chat, self.fronts.challenge_at, admin)
 
     def _build_endpoints(self) -> None:
-        """With cordons and a hot restart only with an admin API."""
+        """Builds the endpoint service, with cordons and a hot restart only where there is an admin API."""
         config = self.config
         if config.admin_listen is not None:
             from violetstack.admin.cordons import Cordons
@@ -225,7 +213,7 @@
             config,
             self.core,
             self.hosts,
-            recovery=self.recovery,
+            recovery=self.parts.recovery,
             state_writer=self.state_writer,
             cordons=self.cordons,
             changed=self._list_changed,
@@ -240,42 +228,26 @@
             lifecycle=self.lifecycle,
             cordons=self.cordons,
             endpoints=self.endpoints,
-            learned=self._learned,
+            learned=lambda: capture_learned_state(self.router),
             on_siblings_changed=self.limits.apply,
         )
         self.nursery.start_soon(self.hot_restart.handover.run)
 
-    async def _start_admin_server(self) -> Address | None:
-        if self.config.admin_listen is None:
-            return None
-        from violetstack.net.admin_server import AdminServer
-        from violetstack.net.admin_service import AdminService
-
-        listener = (await listen_on(self.config.admin_listen, "mgmt"))[0]
-        self.nursery.start_soon(AdminServer(AdminService(self)).run, listener)
-        at = listener.socket.getsockname()
-        return at[0], at[1]
-
-    def _join_tier(self, pause_detector: PauseDetector) -> None:
+    def _start_gossip(self) -> None:
         """Exchanges load with the other dispatchers, and holds leases where they are configured."""
-        config = self.config
-        if config.peer_listen is None:
+        pause_detector = self.parts.pause_detector
+        transport = build_gossip_transport(self.config)
+        if transport is None:
             return
-        transport = GossipTransport(
-            config.peer_listen,
-            config.peers,
-            config.peers_all,
-            reuse_address=config.inherited_listener is not None,
-        )
         self.hosts.gossip = transport.broadcast
         pause_detector.add_source(transport)
         self.leases = start_lease_service(
-            config,
+            self.config,
             self.nursery,
             self.core,
             transport,
             pause_detector,
-            is_eligible=lambda: self.taking and self.recovery.list_received and not self.stop.is_set(),
+            is_eligible=self._is_eligible,
             is_suspect=self.router.suspected,
         )
         receiver = GossipReceiver(
@@ -285,32 +257,33 @@
         )
         self.nursery.start_soon(transport.run, receiver.receive)
 
-    def _recall(self) -> None:
-        """What the predecessor's module knew a moment ago, or the disk has of it."""
-        found = self.recovery.stored_learned_state()
+    def _is_eligible(self) -> bool:
+        """May this dispatcher take on leases now?"""
+        return (
+            self.lifecycle.accepting
+            and self.parts.recovery.list_received
+            and not self.lifecycle.stop.is_set()
+        )
+
+    def _learned_state(self) -> LearnedState | None:
+        """The predecessor's newest estimates, else those of the durable state."""
+        learned_state = self.parts.recovery.stored_learned_state()
         if self.hot_restart is not None and self.config.inherited_listener is not None:
             record = self.hot_restart.predecessor()
-            found = record.learned_state if record is not None else found
-        if found is None:
-            return
-        from violetstack.handover.learned_state import restore_learned_state
-
-        self.core.run(now_ms())  # the module is to know the list first
-        servers = restore_learned_state(self.router, found)
-        log("estimates_restored", servers=servers, age_ms=round(now_ms() - found.captured_at_ms))
-        self.recovery.learned_state_restored()
+            learned_state = record.learned_state if record is not None else learned_state
+        return learned_state
 
     # --- what can change ---
 
-    def _route(self) -> None:
-        """The plan in force, as a generation of its own for requests from now on."""
+    def _apply_routing_plan(self) -> None:
+        """Requests from now on are routed by the plan in force; those in flight keep theirs."""
         if self.routing is None:
             self.routing = build_routing(self.config, self.core)
         elif self.config.routing_plan is not None:
             self.routing.swap(now_ms(), self.config.routing_plan)
 
-    def _shed_load(self, plan: LevelPlan | None) -> None:
-        """Starts the levels of the file, or takes over those of a new one."""
+    def _apply_load_shedding_plan(self, plan: LevelPlan | None) -> None:
+        """Starts load shedding with the plan, or replaces the plan in force."""
         plan = plan or self.config.load_shedding_plan
         if plan is None:
             return
@@ -333,11 +306,6 @@
     def _processes(self) -> int:
         return self.hot_restart.processes if self.hot_restart is not None else 1
 
-    def _learned(self) -> LearnedState:
-        from violetstack.handover.learned_state import capture_learned_state
-
-        return capture_learned_state(self.router, now_ms())
-
     # --- shutdown ---
 
     async def _stop(self) -> None:
@@ -352,7 +320,7 @@
             hot_restart=self.hot_restart,
         )
         await shutdown.run()
-        await self.recovery.stop()
+        await self.parts.recovery.stop()
         migrated_streams = 0
         if self.hot_restart is not None:
             self.hot_restart.handover.remove_record()
--- /dev/null
+++ b/violetstack/daemon/dispatch.py
@@ -0,0 +1,92 @@
+"""The parts that every dispatcher has: policy, core, upstream driver, pause detector and startup recovery."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from violetstack.config import Config
+from violetstack.core.dispatcher import Dispatcher
+from violetstack.daemon.event_loop import EventLoop, WakeSignal
+from violetstack.daemon.optional_services import start_state_writer
+from violetstack.log import log
+from violetstack.net.clock import now_ms
+from violetstack.net.pause_detector import PauseDetector
+from violetstack.net.startup_recovery import StartupRecovery
+from violetstack.net.upstream.connection_pool import ConnectionPool
+from violetstack.net.upstream.driver import UpstreamDriver
+from violetstack.router import Router
+
+if TYPE_CHECKING:
+    from violetstack.handover.learned_state import LearnedState
+    from violetstack.net.state_writer import StateWriter
+
+
+@dataclass(frozen=True)
+class DispatchParts:
+    """What is built before the endpoint list is known."""
+
+    core: Dispatcher
+    router: Router
+    hosts: UpstreamDriver
+    loop: EventLoop
+    pause_detector: PauseDetector
+    recovery: StartupRecovery
+    state_writer: StateWriter | None
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Starts the event loop, and closes upstream connections that are idle for too long."""
+        nursery.start_soon(self.loop.run)
+        nursery.start_soon(self.hosts.pool.close_expired)
+
+    def restore_learned_state(self, learned_state: LearnedState | None) -> None:
+        """Gives the policy the estimates of a predecessor or of the durable state."""
+        if learned_state is None:
+            return
+        from violetstack.handover.learned_state import restore_learned_state
+
+        self.core.run(now_ms())  # the policy has to have the endpoint list first
+        servers = restore_learned_state(self.router, learned_state)
+        log("estimates_restored", servers=servers, age_ms=round(now_ms() - learned_state.captured_at_ms))
+        self.recovery.learned_state_restored()
+
+
+def build_dispatch(config: Config, nursery: trio.Nursery) -> DispatchParts:
+    """Builds the parts and starts the pause detector and, where it is configured, the state writer."""
+    settings = config.settings
+    pool = ConnectionPool(settings.connect_timeout_ms, config.idle_close_ms)
+    hosts = UpstreamDriver(nursery, pool, settings.load_report_fields)
+    router = Router(settings)
+    state_writer = start_state_writer(config, nursery, lambda: capture_learned_state(router))
+    recovery = StartupRecovery(nursery, state_writer, settings)
+
+    def process_paused(pause_ms: float) -> None:
+        core.process_paused(pause_ms)
+
+    # Nothing is decided or sent on what was known before the process was paused.
+    pause_detector = PauseDetector(config.drain_grace_ms, process_paused)
+    pool.wait_caught_up = pause_detector.wait_caught_up
+    pause_detector.add_source(hosts)
+    nursery.start_soon(pause_detector.run)
+    wake_signal = WakeSignal()
+    core = Dispatcher(
+        settings,
+        router,
+        hosts,
+        config.drain_grace_ms,
+        wake=wake_signal.set,
+        retry_after=recovery.retry_after_ms,
+        max_unread=pause_detector.max_unread_ms,
+    )
+    hosts.connect_core(core)
+    loop = EventLoop(core, pause_detector, wake_signal)
+    return DispatchParts(core, router, hosts, loop, pause_detector, recovery, state_writer)
+
+
+def capture_learned_state(router: Router) -> LearnedState:
+    """The policy's estimates as they are now."""
+    from violetstack.handover import learned_state
+
+    return learned_state.capture_learned_state(router, now_ms())
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -1,4 +1,4 @@
-"""The client-facing listeners: the platform's front, the chat front and its certificate."""
+"""The client-facing listeners: the platform front, the chat front, its certificate and its store."""
 
 from __future__ import annotations
 
@@ -27,7 +27,11 @@
 
 
 class FrontServers:
-    """Opens the listeners that the configuration names. `listeners` is shared with those who bound them."""
+    """Opens the listeners that the configuration names.
+
+    `listeners` is the daemon's own list, which load shedding and the limits read; new ones are appended, and
+    `apply_limits` is called after each.
+    """
 
     def __init__(
         self,
@@ -37,6 +41,7 @@
         listeners: list[Listener],
         apply_limits: Callable[[], None],
     ) -> None:
+        """Opens nothing yet."""
         self._config = config
         self._core = core
         self._nursery = nursery
@@ -50,7 +55,7 @@
         self.challenge_at: Address | None = None
 
     async def start_platform(self, at: Address) -> Address:
-        """Raises ConfigError if the address can't be bound."""
+        """Starts the platform front. Raises ConfigError if the address can't be bound."""
         front = PlatformFront(
             self._core, RequestReader(self._config.settings_message), now_ms, log_rate_limited
         )
@@ -59,38 +64,40 @@
         return bound
 
     async def start_chat(self, chat: ChatFrontConfig) -> Address:
-        """Raises ConfigError if the address can't be bound, OSError if a certificate can't be read."""
+        """Starts the chat front with its store and certificate.
+
+        Raises ConfigError if the address can't be bound, OSError if a certificate can't be read.
+        """
         from violetstack.fronts.chat import ChatFront
 
-        told = chat.operator
+        operator = chat.operator
         self.idempotency = self._open_idempotency_store(chat)
         self.chat = ChatFront(
             chat, self._core, self.idempotency, clock=now_ms, spawn=self._spawn, log=log_rate_limited
         )
         wrap = None
-        if told.tls is not None:
-            certificate = Certificate(told.tls)
-            if told.acme is not None:
-                await self._start_acme(told.acme, certificate)
+        if operator.tls is not None:
+            certificate = Certificate(operator.tls)
+            if operator.acme is not None:
+                await self._start_acme(operator.acme, certificate)
             else:
                 certificate.load()
                 self.certificate = certificate
             wrap = certificate.wrap
-        return await self._listen(parse_address(told.listen), self.chat, wrap)
+        return await self._listen(parse_address(operator.listen), self.chat, wrap)
 
     async def stop_accepting(self) -> None:
         """Closes the listening sockets; open connections go on."""
-        for each in self.sockets:
-            await each.aclose()
+        for listening in self.sockets:
+            await listening.aclose()
 
     @property
     def busy(self) -> bool:
-        """Does any client still wait for an answer, or an order for its record?"""
-        waits = self.chat is not None and self.chat.pending
+        """Is a response still awaited, or the record of a non-idempotent request?"""
+        waiting = self.chat is not None and self.chat.pending
         recording = self.idempotency is not None and self.idempotency.pending
-        return bool(
-            waits or recording or any(x.table.busy or x.table.awaiting_requests for x in self.listeners)
-        )
+        connected = any(each.table.busy or each.table.awaiting_requests for each in self.listeners)
+        return bool(waiting or recording or connected)
 
     async def _listen(self, at: Address, front: Front, wrap: Wrap | None = None) -> Address:
         listener = Listener(self._core, front)
@@ -119,19 +126,19 @@
         self._nursery.start_soon(service.run)
         return service
 
-    async def _start_acme(self, told: AcmeConfig, certificate: Certificate) -> None:
+    async def _start_acme(self, acme_config: AcmeConfig, certificate: Certificate) -> None:
         from violetstack.net import acme
 
         front = acme.ChallengeFront()
-        self.challenge_at = await self._listen(parse_address(told.challenge_listen), front)
-        issue = acme.AcmeClient(told, front).issue
-        self._nursery.start_soon(acme.renew_certificate, told, certificate, issue)
+        self.challenge_at = await self._listen(parse_address(acme_config.challenge_listen), front)
+        issue = acme.AcmeClient(acme_config, front).issue
+        self._nursery.start_soon(acme.renew_certificate, acme_config, certificate, issue)
 
     def _spawn(self, act: Callable[[], Awaitable[None]]) -> None:
-        self._nursery.start_soon(_guarded, act)
+        self._nursery.start_soon(_run_guarded, act)
 
 
-async def _guarded(act: Callable[[], Awaitable[None]]) -> None:
+async def _run_guarded(act: Callable[[], Awaitable[None]]) -> None:
     try:
         await act()
     except Exception as error:  # no request's failure ends the nursery
@@ -139,7 +146,7 @@
 
 
 async def listen_on(at: Address, name: str) -> list[trio.SocketListener]:
-    """Raises ConfigError."""
+    """Listens at the address of the key `name`. Raises ConfigError if it can't be bound."""
     try:
         return list(await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG))
     except OSError as error:
--- a/violetstack/daemon/hot_restart.py
+++ b/violetstack/daemon/hot_restart.py
@@ -30,7 +30,7 @@
     def __init__(
         self,
         config: Config,
-        folder: str,
+        directory: str,
         *,
         lifecycle: Lifecycle,
         cordons: Cordons,
@@ -38,7 +38,8 @@
         learned: Callable[[], LearnedState],
         on_siblings_changed: Callable[[], None],
     ) -> None:
-        self._folder = folder
+        """`learned` captures the policy's estimates; `on_siblings_changed`: a process began or ended."""
+        self._directory = directory
         self._name = config.node.name
         self._inherited = config.inherited_listener is not None
         self._lifecycle = lifecycle
@@ -47,10 +48,10 @@
         self._learned = learned
         self._siblings = SiblingProcesses(uuid.uuid4().hex, now_ms())
         self.handover = HandoverService(
-            HandoverDirectory(folder, config.node.name, self._siblings.process_id),
+            HandoverDirectory(directory, config.node.name, self._siblings.process_id),
             self._siblings,
             cordons,
-            self._compose,
+            self._build_record,
             on_cordons_changed=lambda update: endpoints.publish(update, {}),
             on_siblings_changed=on_siblings_changed,
             hot_restart=self._inherited,
@@ -96,7 +97,7 @@
         from violetstack.net.stream_migration import StreamReceiver, socket_path
 
         receiver = StreamReceiver(core, hosts, lambda: platform() if self._lifecycle.accepting else None)
-        await nursery.start(receiver.run, socket_path(self._folder, self._siblings.process_id))
+        await nursery.start(receiver.run, socket_path(self._directory, self._siblings.process_id))
 
     async def migrate_streams(self, core: Dispatcher, hosts: UpstreamDriver) -> None:
         """Offers the streams that have started to the successor, if there is one."""
@@ -107,10 +108,10 @@
 
         sender = StreamSender(core)
         self.migrated_streams = lambda: sender.migrated
-        if await sender.connect(socket_path(self._folder, successor)):
+        if await sender.connect(socket_path(self._directory, successor)):
             hosts.migrate_streams(sender.migrate)
 
-    def _compose(self) -> HandoverRecord:
+    def _build_record(self) -> HandoverRecord:
         return HandoverRecord(
             dispatcher=self._name,
             process_id=self._siblings.process_id,
--- a/violetstack/daemon/limits.py
+++ b/violetstack/daemon/limits.py
@@ -16,6 +16,7 @@
     def __init__(
         self, config: Config, hosts: UpstreamDriver, listeners: list[Listener], processes: Callable[[], int]
     ) -> None:
+        """Counts the listeners that the configuration opens; they share the clients' part of the limits."""
         acme = config.chat.operator.acme if config.chat is not None else None
         self._config = config
         self._hosts = hosts
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -7,8 +7,9 @@
 
 import trio
 
-from violetstack.config import Config
+from violetstack.config import Address, Config
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.daemon.fronts import listen_on
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
@@ -20,6 +21,7 @@
 if TYPE_CHECKING:
     from violetstack.handover.learned_state import LearnedState
     from violetstack.load_shedding.levels import LevelPlan
+    from violetstack.net.admin_service import AdministeredDaemon
     from violetstack.net.lease_service import LeaseService
     from violetstack.net.load_shedding import LoadSheddingService
     from violetstack.net.state_writer import StateWriter
@@ -40,6 +42,29 @@
     return state_writer
 
 
+def build_gossip_transport(config: Config) -> GossipTransport | None:
+    """The gossip socket, where the configuration names one. A successor binds it beside its predecessor."""
+    if config.peer_listen is None:
+        return None
+    reuse_address = config.inherited_listener is not None
+    return GossipTransport(config.peer_listen, config.peers, config.peers_all, reuse_address=reuse_address)
+
+
+async def start_admin_server(
+    config: Config, nursery: trio.Nursery, daemon: AdministeredDaemon
+) -> Address | None:
+    """The admin API, where the configuration names an address. Raises ConfigError if it can't be bound."""
+    if config.admin_listen is None:
+        return None
+    from violetstack.net.admin_server import AdminServer
+    from violetstack.net.admin_service import AdminService
+
+    listener = (await listen_on(config.admin_listen, "mgmt"))[0]
+    nursery.start_soon(AdminServer(AdminService(daemon)).run, listener)
+    bound = listener.socket.getsockname()
+    return bound[0], bound[1]
+
+
 def start_lease_service(
     config: Config,
     nursery: trio.Nursery,
--- a/violetstack/daemon/process.py
+++ b/violetstack/daemon/process.py
@@ -1,4 +1,4 @@
-"""One real dispatcher from its configuration to its exit status; signals drive reload and shutdown."""
+"""The process: configuration, signals and exit status of one dispatcher."""
 
 from __future__ import annotations
 
@@ -14,8 +14,11 @@
 
 
 def serve(path: str, file: str | None = None) -> int:
-    """Until SIGTERM. `path` is NODE_CONFIG's file, `file` the operator's; either may be missing."""
-    # Guards against a reload asked for while the program still starts: what it is about to read is the news.
+    """Serves until SIGTERM and returns the exit status: 0, or 2 for a configuration that can't be used.
+
+    `path` is the file that NODE_CONFIG names, `file` the operator's; either may be missing.
+    """
+    # A SIGHUP during startup is ignored: the file that it announces is about to be read anyway.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = load(path, file)
@@ -28,7 +31,7 @@
     try:
         trio.run(run, config, lambda: load(path, file, again=True))
     except* ConfigError as errors:  # an address that is taken, or none of this machine's
-        unusable += flat(errors)
+        unusable += flatten(errors)
     for reason in unusable:
         log("config_invalid", error=str(reason))
     return 2 if unusable else 0
@@ -39,7 +42,7 @@
     daemon = Daemon(config)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
 
-        async def obey() -> None:
+        async def handle_signals() -> None:
             async for number in signals:
                 if number == signal.SIGHUP:
                     daemon.reload(read_again)
@@ -47,15 +50,15 @@
                     daemon.stop.set()
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(obey)
+            nursery.start_soon(handle_signals)
             await daemon.serve()
             nursery.cancel_scope.cancel()
 
 
-def flat(errors: BaseExceptionGroup[Exception]) -> list[Exception]:
+def flatten(errors: BaseExceptionGroup[Exception]) -> list[Exception]:
     """The exceptions of a group and of the groups within it."""
     return [
         each
         for error in errors.exceptions
-        for each in (flat(error) if isinstance(error, BaseExceptionGroup) else [error])
+        for each in (flatten(error) if isinstance(error, BaseExceptionGroup) else [error])
     ]
--- a/violetstack/daemon/reload.py
+++ b/violetstack/daemon/reload.py
@@ -10,8 +10,9 @@
 from violetstack.log import log
 from violetstack.operator_config import ChatFrontConfig, OperatorConfigError
 
-NODE_CONFIG_KEYS_FIXED = ("listen", "settings", "peer_listen", "peers")
-OPERATOR_KEYS_FIXED = ("hosts", "ledger", "acme", "platform", "duties")
+# Keys whose change takes effect at the next start.
+FIXED_NODE_KEYS = ("listen", "settings", "peer_listen", "peers")
+FIXED_OPERATOR_KEYS = ("hosts", "ledger", "acme", "platform", "duties")
 
 
 class NewConfig(msgspec.Struct, frozen=True):
@@ -22,14 +23,12 @@
 
 
 def read_config(read_again: Callable[[], Config], running: Config) -> NewConfig | None:
-    """None, and a line in the log, if the new configuration can't be used."""
+    """Reads the new configuration; None, and a line in the log, if it can't be used."""
     try:
         config = read_again()
-        chat = (
-            ChatFrontConfig(config.chat.operator, running.settings_message)
-            if config.chat is not None
-            else None
-        )
+        chat = None
+        if config.chat is not None:
+            chat = ChatFrontConfig(config.chat.operator, running.settings_message)
     except (ConfigError, OperatorConfigError) as error:
         log("config_reload_failed", error=str(error))
         return None
@@ -38,10 +37,10 @@
 
 def until_restart(running: Config, new: Config) -> list[str]:
     """The keys that differ and that a reload does not take."""
-    changed = [key for key in NODE_CONFIG_KEYS_FIXED if getattr(new.node, key) != getattr(running.node, key)]
+    changed = [key for key in FIXED_NODE_KEYS if getattr(new.node, key) != getattr(running.node, key)]
     changed += [
         key
-        for key in OPERATOR_KEYS_FIXED
+        for key in FIXED_OPERATOR_KEYS
         if getattr(running.operator, key, None) != getattr(new.operator, key, None)
     ]
     return changed
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -38,17 +38,23 @@
     """What the admin service reads and calls of a daemon."""
 
     config: Config
-    core: Dispatcher
-    router: Router
     cordons: Cordons | None
     leases: LeaseService | None
 
+    @property
+    def core(self) -> Dispatcher:
+        """The request state machine."""
+
+    @property
+    def router(self) -> Router:
+        """The policy."""
+
     @property
     def started(self) -> bool:
         """Whether the endpoint list is known."""
 
     @property
-    def taking(self) -> bool:
+    def accepting(self) -> bool:
         """Whether client requests are accepted."""
 
     @property
@@ -59,7 +65,7 @@
     def handover(self) -> HandoverService | None:
         """The record that this process keeps for another of its dispatcher."""
 
-    def news(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
+    def publish(self, update: EndpointUpdate, addresses: dict[str, str]) -> None:
         """Hands an update of the endpoint list to the connection pool and the core."""
 
 
@@ -78,7 +84,7 @@
     @property
     def accepting(self) -> bool:
         """Whether client requests are accepted."""
-        return self._daemon.taking
+        return self._daemon.accepting
 
     def stats(self) -> StatsResponse:
         """Returns the metrics as they are now."""
@@ -133,7 +139,7 @@
             except NotRecordedError:
                 cordons.records = before
                 raise
-        daemon.news(update, {})
+        daemon.publish(update, {})
         kinds = tuple(daemon.config.settings_message.kinds or ())
         missing = kinds_without_healthy_endpoint(daemon.core.endpoints.values(), kinds)
         log("hosts_cordoned", out=cordons.active, by="call", none_left=missing)
