--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -77,7 +77,8 @@
         if isinstance(child, ast.Import):
             yield from (Import(alias.name, for_types) for alias in child.names)
         elif isinstance(child, ast.ImportFrom):
-            assert child.level == 0 and child.module is not None, "imports are absolute"
+            assert child.level == 0, "imports are absolute"
+            assert child.module is not None
             for alias in child.names:
                 submodule = f"{child.module}.{alias.name}"
                 yield Import(submodule if submodule in MODULES else child.module, for_types)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -75,7 +75,8 @@
     (line,) = out.splitlines()
     assert (program.returncode, json.loads(line)["event"]) == (2, "config_invalid")
     said = json.loads(line)["error"].replace(str(tmp_path / "config.json"), "")
-    assert key in said and len(line) < 500
+    assert key in said
+    assert len(line) < 500
 
 
 def test_an_address_that_is_taken_is_a_line_and_status_2(tmp_path: Path) -> None:
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -36,7 +36,8 @@
 @pytest.fixture
 def script() -> ModuleType:
     spec = importlib.util.spec_from_file_location("make_sites", SITES / "make.py")
-    assert spec is not None and spec.loader is not None
+    assert spec is not None
+    assert spec.loader is not None
     module = importlib.util.module_from_spec(spec)
     spec.loader.exec_module(module)
     return module
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -162,7 +162,8 @@
         await until(lambda: on.daemon.watch is not None and len(on.daemon.watch._connections) < 2)
         agent.tell(writer.row(state="leaving"))
         await until(lambda: drains(on))
-        assert on.daemon.watch is not None and len(on.daemon.watch._connections) == 1
+        assert on.daemon.watch is not None
+        assert len(on.daemon.watch._connections) == 1
 
     play(reader, writer, story=story)
 
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -76,6 +76,7 @@
         warnings: tuple[str, ...] = (),
         load_shedding_plan: LevelPlan | None = None,
     ) -> None:
+        """Checks what was read; `warnings` are those of the operator's file."""
         self.node = node
         self.operator = operator
         self.routing_plan = routing_plan
@@ -144,11 +145,11 @@
             raise ConfigError("NODE_CONFIG names no file, and no operator's file is given")
         config.inherited_fd = parse_descriptor(os.environ.get("NODE_INHERITED_FD", ""))
         config.shared_directory = os.environ.get("TMPDIR") if config.admin_listen else None
-        return config
     except (ValueError, MessageError) as error:
         raise ConfigError(f"{path or file}: {error}") from None
     except OperatorConfigError as error:
         raise ConfigError(str(error)) from None
+    return config
 
 
 def read_node_config(path: str) -> NodeConfig:
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -56,6 +56,7 @@
         cordons: Cordons | None,
         changed: Callable[[], None],
     ) -> None:
+        """Publishes nothing before `start`."""
         self.messages: dict[str, ListedEndpoint] = {}
         self.watch: Watch | None = None
         self._config = config
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -138,6 +138,7 @@
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        """Starts with no lines counted."""
         self._clock = clock
         self._windows: dict[str, _Window] = {}
 
--- a/violetstack/net/acme.py
+++ b/violetstack/net/acme.py
@@ -38,15 +38,16 @@
     """The front that answers the authority's http-01 requests, and nothing else."""
 
     def __init__(self) -> None:
+        """Answers with 404 until a response is added."""
         self._responses: dict[str, str] = {}  # by path
 
     def add(self, path: str, validation: str) -> None:
         """Answers requests for `path` with `validation`."""
         self._responses[path] = validation
 
-    def remove(self, path: str) -> None:
-        """Answers requests for `path` with 404 again."""
-        self._responses.pop(path, None)
+    def clear(self) -> None:
+        """Answers every request with 404 again."""
+        self._responses.clear()
 
     def handle(self, inbound: Inbound, reply: Reply) -> None:
         """Answers one request."""
@@ -79,6 +80,7 @@
     """The account with one authority. Its methods block and run on a thread."""
 
     def __init__(self, config: AcmeConfig, front: ChallengeFront) -> None:
+        """Takes the front that the authority reaches; nothing is sent before `issue`."""
         self._config = config
         self._front = front
 
@@ -91,17 +93,15 @@
         authority = self._connect(account_key)
         private_key = _generate_key()
         order = authority.new_order(make_csr(private_key.pem, domains=self._config.domains))
-        paths: list[str] = []
         try:
             for authorization in order.authorizations:
                 if authorization.body.status != messages.STATUS_VALID:
-                    paths.append(self._answer_challenge(authority, authorization, account_key))
+                    self._answer_challenge(authority, authorization, account_key)
             deadline = datetime.datetime.now() + datetime.timedelta(seconds=ORDER_TIMEOUT_S)
             finished = authority.poll_and_finalize(order, deadline)
             return IssuedCertificate(private_key.pem, finished.fullchain_pem.encode())
         finally:
-            for path in paths:
-                self._front.remove(path)
+            self._front.clear()
 
     def _account_key(self) -> JWKEC:
         path = Path(self._config.account_key)
@@ -132,21 +132,14 @@
 
     def _answer_challenge(
         self, authority: client.ClientV2, authorization: messages.AuthorizationResource, key: JWKEC
-    ) -> str:
-        """Returns the path that the authority will fetch."""
+    ) -> None:
         offered = [c for c in authorization.body.challenges if isinstance(c.chall, challenges.HTTP01)]
         if not offered:
             raise errors.Error("the authority offers no http-01 challenge")
         challenge = offered[0]
         response, validation = challenge.response_and_validation(key)
-        path = str(challenge.chall.path)
-        self._front.add(path, validation)
-        try:
-            authority.answer_challenge(challenge, response)
-        except BaseException:
-            self._front.remove(path)
-            raise
-        return path
+        self._front.add(challenge.chall.path, validation)
+        authority.answer_challenge(challenge, response)
 
 
 class CertificateLifetime(NamedTuple):
--- a/violetstack/net/tls.py
+++ b/violetstack/net/tls.py
@@ -14,6 +14,7 @@
     """The certificate in use; new connections get the one that was loaded last."""
 
     def __init__(self, files: TlsFiles) -> None:
+        """Reads nothing before `load`."""
         self.files = files
         self._context: ssl.SSLContext | None = None
 
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -48,6 +48,7 @@
     """
 
     def __init__(self, address: Address, index: int | None) -> None:
+        """Connects to nothing yet."""
         self.address = address
         self.index = index
         self.scope = trio.CancelScope()
@@ -88,6 +89,7 @@
         on_event: Callable[[WatchEvent], None],
         on_unchanged: Callable[[], None],
     ) -> None:
+        """`version` is that of the list that is known; None: the complete list is asked for first."""
         self.address = address
         self.heard = trio.Event()  # set once discovery has sent something
         self.version: int | None = version  # None: no list is known that changes could be asked for from
--- a/violetstack/operator_config.py
+++ b/violetstack/operator_config.py
@@ -149,6 +149,7 @@
     """
 
     def __init__(self, operator: OperatorConfig, settings: SettingsMessage) -> None:
+        """Checks the file's classes, tenants and models."""
         self.operator = operator
         self.models = operator.models
         self.keys = operator.keys
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -70,9 +70,10 @@
 
 
 class EndpointListDecoder:
-    """Decodes lists with the zones and kinds of the settings."""
+    """Decodes lists and changes to watch events."""
 
     def __init__(self, settings_message: SettingsMessage) -> None:
+        """Takes the zones and kinds of the settings."""
         self._zones = {name: n for n, name in enumerate(settings_message.zones or ())}
         self._kinds = {name: n for n, name in enumerate(settings_message.kinds or ())}
         self._decoder = msgspec.json.Decoder(EndpointListMessage)
@@ -147,6 +148,7 @@
     """
 
     def __init__(self) -> None:
+        """Starts between two objects."""
         self._parts: list[bytes] = []  # of the object that has begun
         self._size = 0
         self._depth = 0
