--- a/tests/test_acme.py
+++ b/tests/test_acme.py
@@ -1,4 +1,4 @@
-"""Certificates: ordered, served, renewed without dropping a connection, kept when a renewal fails."""
+"""Certificates by ACME: ordered, served, renewed without closing connections, kept if a renewal fails."""
 
 from __future__ import annotations
 
@@ -86,7 +86,7 @@
     play(tmp_path, authority, story)
 
 
-def test_a_renewal_reaches_new_connections_and_drops_no_open_one(tmp_path: Path) -> None:
+def test_a_renewed_certificate_is_used_by_new_connections_and_open_ones_stay(tmp_path: Path) -> None:
     authority = Authority(SHORT)
 
     async def story(on: Stage, trust: ssl.SSLContext) -> None:
@@ -103,7 +103,7 @@
     play(tmp_path, authority, story)
 
 
-def test_a_failed_renewal_keeps_the_old_certificate(tmp_path: Path) -> None:
+def test_a_failed_renewal_keeps_the_certificate_in_use(tmp_path: Path) -> None:
     authority = Authority(SHORT)
 
     async def story(on: Stage, trust: ssl.SSLContext) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,4 +1,4 @@
-"""The programs as they are started: `run` until SIGTERM, and what a bad configuration gets."""
+"""The program as a process: exit status, log lines, and errors of the configuration."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
     assert events == ["endpoint_list_updated", "started", "shutdown_started", "stopped"]
 
 
-def test_a_bad_configuration_is_a_line_and_status_2(tmp_path: Path) -> None:
+def test_an_invalid_configuration_logs_one_line_and_exits_with_status_2(tmp_path: Path) -> None:
     with start(tmp_path, {"listen": "nowhere", "settings": SETTINGS}) as program:
         out, _ = program.communicate(timeout=10)
     assert (program.returncode, json.loads(out)["event"]) == (2, "config_invalid")
@@ -67,8 +67,8 @@
 
 
 @pytest.mark.parametrize("key", BAD)
-def test_a_bad_configuration_names_its_key_in_one_bounded_line(tmp_path: Path, key: str) -> None:
-    """Without a class, or with no time to answer in, it started and served nobody."""
+def test_an_invalid_configuration_is_logged_with_its_key_in_a_short_line(tmp_path: Path, key: str) -> None:
+    """A configuration without a class, or without a timeout, must not start."""
     told = {"listen": "127.0.0.1:0", "seed": "ff", "settings": SETTINGS, **BAD[key]}
     with start(tmp_path, told) as program:
         out, _ = program.communicate(timeout=10)
@@ -79,8 +79,8 @@
     assert len(line) < 500
 
 
-def test_an_address_that_is_taken_is_a_line_and_status_2(tmp_path: Path) -> None:
-    """It ended with a trace and no line."""
+def test_an_address_in_use_logs_one_line_and_exits_with_status_2(tmp_path: Path) -> None:
+    """It must not end with a traceback."""
     with socket.create_server(("127.0.0.1", 0)) as taken:
         at = f"127.0.0.1:{taken.getsockname()[1]}"
         for name, told in (("listen", {"listen": at}), ("mgmt", {"listen": "127.0.0.1:0", "mgmt": at})):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,4 +1,4 @@
-"""Stories of a configuration that is read again while the dispatcher serves."""
+"""A configuration that is reloaded while the dispatcher serves."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 from violetstack.rehearsal.stage import SETTINGS, Stage
 
 
-def test_sighup_reads_the_file_again_and_ends_nothing(tmp_path: Path) -> None:
+def test_sighup_reloads_the_file_and_keeps_the_process_running(tmp_path: Path) -> None:
     told: dict[str, object] = {"listen": "127.0.0.1:0", "seed": "ff", "settings": SETTINGS}
     with start(tmp_path, told) as program:
         assert program.stdout is not None
@@ -44,8 +44,8 @@
     ]
 
 
-def test_a_new_discovery_replaces_the_list_and_requests_in_flight_go_on() -> None:
-    """The program ended on SIGHUP, with every stream it was passing on."""
+def test_a_new_discovery_replaces_the_list_and_requests_in_flight_continue() -> None:
+    """SIGHUP must not end the streams in flight."""
     hold = trio.Event()
     reader, writer = pair(Act(pause=hold))
     other = ModelHost("w2", "decode")
@@ -71,7 +71,7 @@
     play(reader, writer, story=story)
 
 
-def test_a_bad_file_keeps_the_old_configuration(capfd: pytest.CaptureFixture[str]) -> None:
+def test_an_invalid_file_keeps_the_configuration_in_force(capfd: pytest.CaptureFixture[str]) -> None:
     async def story(on: Stage) -> None:
         def bad() -> Config:
             raise ConfigError("no file")
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -43,7 +43,7 @@
     return module
 
 
-def test_each_variant_is_made_with_the_three_files_beside_it(script: ModuleType, tmp_path: Path) -> None:
+def test_each_variant_is_written_with_the_three_other_files(script: ModuleType, tmp_path: Path) -> None:
     given = tmp_path / "given"
     into = tmp_path / "made"
     given.mkdir()
@@ -64,7 +64,7 @@
     assert [each["effect"] for each in parcels["class"]] == ["unsafe", "safe", "safe"]
 
 
-def test_what_is_missing_is_named(script: ModuleType, tmp_path: Path) -> None:
+def test_missing_files_are_named_in_the_error(script: ModuleType, tmp_path: Path) -> None:
     (tmp_path / "site.toml").write_text(GIVEN)
     (tmp_path / "real.json").write_text("{}")
     with pytest.raises(SystemExit, match=r"wire\.json.*unlock\.txt"):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -1,4 +1,4 @@
-"""Where discovery's news and its watch's state cross, on real sockets: the agent acts at a known byte."""
+"""The watch of the endpoint list on real sockets, with an agent that acts at a known byte."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 class Agent(Discovery):
-    """Discovery's agent: the n-th call is played by the n-th script, the rest as usual."""
+    """Discovery's agent: the n-th connection is answered by the n-th script, the others as usual."""
 
     def __init__(self, *rows: dict[str, Any], scripts: tuple[Script, ...] = ()) -> None:
         super().__init__(*rows)
@@ -45,11 +45,11 @@
 
 
 async def silent(connection: PeerConnection) -> None:
-    """Accepted, and never answered."""
+    """Accepts the connection and sends nothing."""
     await connection.until_closed()
 
 
-def saying(*parts: bytes, then: Script = silent) -> Script:
+def sending(*parts: bytes, then: Script = silent) -> Script:
     async def script(connection: PeerConnection) -> None:
         await connection.start(200, [])
         for part in parts:
@@ -59,12 +59,12 @@
     return script
 
 
-def told(version: int, *rows: dict[str, Any], full: bool = False, **dump: Any) -> bytes:
+def list_message(version: int, *rows: dict[str, Any], full: bool = False, **dump: Any) -> bytes:
     return orjson.dumps({"version": version, "full": full, "servers": rows}, **dump)
 
 
-async def meet(on: Stage, *scripts: Script) -> Agent:
-    """The dispatcher's watch is at an agent that plays these from its first call on."""
+async def watch_agent(on: Stage, *scripts: Script) -> Agent:
+    """Has the dispatcher watch an agent that answers its first connections by these scripts."""
     agent = Agent(*(row for _, rows in on.discovery.changes for row in rows), scripts=scripts)
     await on.nursery.start(agent.serve)
     assert on.daemon.watch is not None
@@ -74,7 +74,7 @@
     return agent
 
 
-def drains(on: Stage, name: str = "w") -> bool:
+def is_draining(on: Stage, name: str = "w") -> bool:
     return name in on.daemon.core.draining
 
 
@@ -85,31 +85,31 @@
     monkeypatch.setattr(watch, "HEDGE_S", 0.05)
 
 
-# --- a watch that ends ---
+# --- a watch that closes ---
 
 
-def test_a_watch_that_was_reset_is_open_again_without_any_wait(monkeypatch: pytest.MonkeyPatch) -> None:
-    """What the agent has by then counts as told: each wait was taken from the drain's 250 ms."""
+def test_a_watch_that_was_reset_is_reopened_without_backoff(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What the agent has counts as known: any backoff would be taken from the drain's 250 ms."""
     monkeypatch.setattr(backoff, "AGENT_FIRST_WINDOW_S", 60.0)
     monkeypatch.setattr(backoff, "AGENT_MAX_WINDOW_S", 60.0)
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
         on.discovery.hang_up()
-        on.discovery.tell(writer.row(state="leaving"))  # told while no watch is open
-        await until(lambda: drains(on))
+        on.discovery.tell(writer.row(state="leaving"))  # while no watch is open
+        await until(lambda: is_draining(on))
 
     play(reader, writer, story=story)
 
 
-def test_a_watch_that_ends_at_once_each_time_is_not_opened_without_pause() -> None:
+def test_a_watch_that_closes_at_once_each_time_is_reopened_at_a_minimum_interval() -> None:
     async def story(on: Stage) -> None:
         async def ends(connection: PeerConnection) -> None:
             await connection.start(200, [])
             await connection.data(b"\n")
             await connection.end()
 
-        agent = await meet(on, *[ends] * 500)
+        agent = await watch_agent(on, *[ends] * 500)
         began = trio.current_time()
         await until(lambda: len(agent.asked) > 8)
         assert trio.current_time() - began > 7 * watch.MIN_INTERVAL_S * 0.9
@@ -117,27 +117,27 @@
     play(*pair(), story=story)
 
 
-def test_an_outage_in_which_connections_are_accepted_and_stay_silent_ends_with_it(
+def test_a_list_is_received_as_soon_as_an_outage_with_hanging_connections_ends(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """What discovery has at its return counts at once; the connection that hung was waited on for 5.5 s."""
+    """Waiting for a connection that hung took 5.5 s longer."""
     monkeypatch.setattr(watch, "STALLED_S", 60.0)
     monkeypatch.setattr(watch, "FIRST_WORD_S", 60.0)
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
-        agent = await meet(on, *[silent] * 4)
+        agent = await watch_agent(on, *[silent] * 4)
         await until(lambda: not agent.scripts)  # the fourth is as silent: more are opened beside it
         agent.tell(writer.row(state="leaving"))
-        await until(lambda: drains(on), 1.0)
+        await until(lambda: is_draining(on), 1.0)
 
     play(reader, writer, story=story)
 
 
-def test_connections_that_are_all_answered_in_one_instant_leave_one_that_goes_on(
+def test_of_connections_that_are_answered_in_one_instant_one_stays_open(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Each dropped all others, so that none was left and nobody noticed (seen on a short day)."""
+    """Each of them dropped all the others, so that no watch was left."""
     monkeypatch.setattr(watch, "FIRST_WORD_S", 60.0)
     monkeypatch.setattr(watch, "STALLED_S", 60.0)
     reader, writer = pair()
@@ -148,29 +148,29 @@
         async def answered(connection: PeerConnection) -> None:
             await back.wait()
             await connection.start(200, [])
-            await connection.data(told(1))
+            await connection.data(list_message(1))
             while agent.version == 1:
                 await trio.sleep(0.001)
-            await connection.data(told(2, writer.row(state="leaving")))
+            await connection.data(list_message(2, writer.row(state="leaving")))
             await silent(connection)
 
-        agent = await meet(on, *[answered] * 5)
+        agent = await watch_agent(on, *[answered] * 5)
         await until(lambda: not agent.scripts)
         agent.scripts = [silent] * 500
         back.set()
         await until(lambda: on.daemon.watch is not None and not on.daemon.watch._lost)
         await until(lambda: on.daemon.watch is not None and len(on.daemon.watch._connections) < 2)
         agent.tell(writer.row(state="leaving"))
-        await until(lambda: drains(on))
+        await until(lambda: is_draining(on))
         assert on.daemon.watch is not None
         assert len(on.daemon.watch._connections) == 1
 
     play(reader, writer, story=story)
 
 
-def test_no_more_than_a_few_connections_wait_for_a_silent_agent() -> None:
+def test_the_number_of_connections_to_a_hanging_agent_is_limited() -> None:
     async def story(on: Stage) -> None:
-        agent = await meet(on, *[silent] * 500)
+        agent = await watch_agent(on, *[silent] * 500)
         most = 0
         while len(agent.asked) < 12:
             await trio.sleep(0.001)
@@ -181,12 +181,12 @@
     play(*pair(), story=story)
 
 
-# --- a watch that falls silent ---
+# --- a watch that stalls ---
 
 
 @pytest.mark.parametrize("last", [b"\n", b'\n{"version":1,"servers":[', b'\n{"version":1,"servers":[]}'])
-def test_a_silent_watch_is_heard_until_another_has_told_something(last: bytes) -> None:
-    """Silence between lines, inside an object and behind one; the old one speaks first, then a new one."""
+def test_a_stalled_watch_is_read_until_another_has_sent_something(last: bytes) -> None:
+    """Stalled between lines, inside an object and after one; the old one resumes first, then a new one."""
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
@@ -195,26 +195,26 @@
         async def late(connection: PeerConnection) -> None:
             await speak.wait()
             end = b"]}" if last.endswith(b"[") else b""
-            await connection.data(end + told(2, writer.row(state="leaving")))
+            await connection.data(end + list_message(2, writer.row(state="leaving")))
             await silent(connection)
 
-        agent = await meet(on, saying(last, then=late), *[silent] * 500)
+        agent = await watch_agent(on, sending(last, then=late), *[silent] * 500)
         await until(lambda: len(agent.asked) > 3)
-        speak.set()  # the new ones are silent as well, and the old one's word comes after all
-        await until(lambda: drains(on))
+        speak.set()  # the new ones hang as well, and the old one resumes
+        await until(lambda: is_draining(on))
         opened = agent.opened
         await trio.testing.wait_all_tasks_blocked()
         assert (agent.opened, len(agent.connections)) == (opened, 1)
-        agent.scripts.clear()  # then it falls silent again, and a new one speaks
+        agent.scripts.clear()  # then it stalls again, and a new one sends a list
         agent.version = 2
         agent.tell(writer.row())
-        await until(lambda: not drains(on))
+        await until(lambda: not is_draining(on))
         await until(lambda: len(agent.connections) == 1)
 
     play(reader, writer, story=story)
 
 
-def test_a_trickle_that_never_comes_to_an_object_is_silence() -> None:
+def test_a_watch_that_sends_no_complete_object_stalls() -> None:
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
@@ -223,9 +223,9 @@
                 await connection.data(b" ")
                 await trio.sleep(0.01)
 
-        agent = await meet(on, saying(b'\n{"version":2,', then=trickle))
+        agent = await watch_agent(on, sending(b'\n{"version":2,', then=trickle))
         agent.tell(writer.row(state="leaving"))
-        await until(lambda: drains(on))
+        await until(lambda: is_draining(on))
 
     play(reader, writer, story=story)
 
@@ -233,8 +233,8 @@
 # --- a new address, and a new process ---
 
 
-def test_the_old_watchs_news_count_until_the_new_discovery_has_told_its_list() -> None:
-    """After SIGHUP the old watch was closed at once, with what lay unread; the new one was not up yet."""
+def test_changes_from_the_old_discovery_count_until_the_new_one_has_sent_its_list() -> None:
+    """The old watch must not be closed with unread data before the new one is up."""
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
@@ -242,20 +242,20 @@
         await on.nursery.start(new.serve)
         on.discovery.tell(writer.row(state="leaving"))  # unread when the signal comes
         on.daemon.reload(lambda: on.config(discovery=new.address))
-        await until(lambda: drains(on))
+        await until(lambda: is_draining(on))
         await until(lambda: not new.scripts)  # then it answers: its whole list replaces the old one
-        await until(lambda: not drains(on))
+        await until(lambda: not is_draining(on))
         assert set(new.asked[:4]) == {"/api/targets"}
         on.discovery.tell(reader.row(state="leaving"))
         new.tell(writer.row(state="leaving"))
-        await until(lambda: drains(on))
-        assert not drains(on, "r")
+        await until(lambda: is_draining(on))
+        assert not is_draining(on, "r")
 
     play(reader, writer, story=story)
 
 
-def test_a_new_process_serves_nobody_before_it_has_heard_its_agent() -> None:
-    """The configuration's list is older than what the agent has, which counts from the first moment."""
+def test_a_new_process_accepts_requests_after_its_agents_first_word() -> None:
+    """The configuration's list is older than the agent's, which counts from the first moment."""
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
@@ -265,7 +265,7 @@
         async def late(connection: PeerConnection) -> None:
             await trio.testing.wait_all_tasks_blocked()
             await connection.start(200, [])
-            await connection.data(told(2, writer.row(state="leaving")))
+            await connection.data(list_message(2, writer.row(state="leaving")))
             await silent(connection)
 
         agent.scripts = [late]
@@ -279,7 +279,7 @@
     play(reader, writer, story=story)
 
 
-def test_a_new_process_whose_agent_is_silent_starts_all_the_same(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_new_process_with_a_hanging_agent_starts_after_a_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(endpoints, "AGENT_LIST_S", 0.05)
 
     async def story(on: Stage) -> None:
@@ -292,10 +292,10 @@
     play(*pair(), story=story)
 
 
-# --- what can't be read ---
+# --- invalid messages ---
 
 
-def test_a_bad_change_is_not_asked_for_again_from_its_index_and_the_watch_goes_on() -> None:
+def test_after_an_invalid_change_the_complete_list_is_requested_and_the_watch_stays_open() -> None:
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
@@ -303,36 +303,36 @@
 
         async def go_on(connection: PeerConnection) -> None:
             await more.wait()
-            await connection.data(told(9, writer.row(state="leaving")))
+            await connection.data(list_message(9, writer.row(state="leaving")))
             await silent(connection)
 
-        agent = await meet(on, saying(b'\n{"version":2,"servers":7}\n', then=go_on), *[silent] * 500)
+        agent = await watch_agent(on, sending(b'\n{"version":2,"servers":7}\n', then=go_on), *[silent] * 500)
         await until(lambda: len(agent.asked) > 3)
         assert set(agent.asked[1:]) == {"/api/targets"}
         more.set()
-        await until(lambda: drains(on))
+        await until(lambda: is_draining(on))
 
     play(reader, writer, story=story)
 
 
-def test_a_bad_change_that_breaks_the_watch_is_followed_by_the_whole_list() -> None:
+def test_after_a_change_that_is_no_json_the_complete_list_is_requested() -> None:
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
-        agent = await meet(on, saying(b"what\n"))
+        agent = await watch_agent(on, sending(b"what\n"))
         agent.tell(writer.row(state="leaving"))
-        await until(lambda: drains(on))
+        await until(lambda: is_draining(on))
         assert agent.asked[1] == "/api/targets"
 
     play(reader, writer, story=story)
 
 
-def test_whole_lists_that_can_not_be_read_are_asked_for_less_and_less() -> None:
+def test_invalid_complete_lists_are_requested_with_backoff() -> None:
     async def story(on: Stage) -> None:
         async def bad(connection: PeerConnection) -> None:
             await connection.answer(200, [], b'{"version":3,"full":false,"servers":[]}')
 
-        agent = await meet(on, saying(b"what\n"), *[bad] * 500)
+        agent = await watch_agent(on, sending(b"what\n"), *[bad] * 500)
         with pytest.raises(AssertionError, match="not in time"):
             await until(lambda: len(agent.asked) > 8, 1.0)
         assert len(agent.asked) >= 3
@@ -341,26 +341,26 @@
     play(*pair(), story=story)
 
 
-def test_one_entry_that_can_not_be_read_hides_no_other(capfd: pytest.CaptureFixture[str]) -> None:
+def test_an_invalid_entry_does_not_hide_the_others(capfd: pytest.CaptureFixture[str]) -> None:
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
         odd = {**writer.row(), "id": "x", "cell": "three"}
         on.discovery.tell(odd, writer.row(state="leaving"))
-        await until(lambda: drains(on))
+        await until(lambda: is_draining(on))
         assert "x" not in on.daemon.core.endpoints
 
     play(reader, writer, story=story)
     assert r'"skipped":["{\"id\":\"x\"' in capfd.readouterr().out
 
 
-def test_indented_lists_cut_at_every_byte_are_read() -> None:
+def test_indented_lists_that_arrive_byte_by_byte_are_decoded() -> None:
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
-        change = told(2, writer.row(state="leaving"), option=orjson.OPT_INDENT_2)
-        await meet(on, saying(b"\n", *(bytes([byte]) for byte in change)))
-        await until(lambda: drains(on))
+        change = list_message(2, writer.row(state="leaving"), option=orjson.OPT_INDENT_2)
+        await watch_agent(on, sending(b"\n", *(bytes([byte]) for byte in change)))
+        await until(lambda: is_draining(on))
 
     play(reader, writer, story=story)
 
@@ -376,7 +376,7 @@
 
 
 @given(TEXTS, st.booleans(), st.integers(1, 40), st.sampled_from(["\n", "\n\n", " \r\n"]))
-def test_objects_come_whole_however_they_are_laid_out_and_cut(
+def test_objects_are_split_whatever_their_layout_and_chunks(
     rows: list[Any], indented: bool, cut: int, between: str
 ) -> None:
     option = orjson.OPT_INDENT_2 if indented else 0
@@ -390,12 +390,12 @@
 
 
 @pytest.mark.parametrize("noise", [b"x", b"[]", b"}", b'{"a":1}x', b'"{}"'])
-def test_what_is_no_object_is_told_at_its_first_byte(noise: bytes) -> None:
+def test_bytes_that_begin_no_object_are_an_error_at_once(noise: bytes) -> None:
     with pytest.raises(EndpointListError):
         list(JsonObjectSplitter().feed(noise))
 
 
-def test_an_object_without_an_end_is_bounded() -> None:
+def test_the_size_of_an_object_is_limited() -> None:
     values = JsonObjectSplitter()
     came = 0
     with pytest.raises(EndpointListError):
