--- a/violetstack/daemon/lifecycle.py
+++ b/violetstack/daemon/lifecycle.py
@@ -1,4 +1,4 @@
-"""The phase that the process is in, shared by those who start, serve and stop."""
+"""The phase of the process: starting, accepting requests, shutting down."""
 
 from __future__ import annotations
 
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -76,13 +76,13 @@
     is_suspect: Callable[[str], bool],
 ) -> LeaseService | None:
     """Leases, where the operator's file has them."""
-    told = config.operator.duties if config.operator is not None else None
-    if told is None:
+    lease_config = config.operator.duties if config.operator is not None else None
+    if lease_config is None:
         return None
     from violetstack.net.lease_service import LeaseService
 
     leases = LeaseService(
-        told, core, transport, pause_detector, is_eligible=is_eligible, is_suspect=is_suspect
+        lease_config, core, transport, pause_detector, is_eligible=is_eligible, is_suspect=is_suspect
     )
     nursery.start_soon(leases.run)
     return leases
--- a/violetstack/net/clock.py
+++ b/violetstack/net/clock.py
@@ -1,4 +1,4 @@
-"""The program's clock: Unix milliseconds that never step back."""
+"""A monotonic clock in Unix milliseconds."""
 
 from __future__ import annotations
 
@@ -8,5 +8,8 @@
 
 
 def now_ms() -> float:
-    """Model hosts' starts come as Unix time, so the module's clock is that, carried on monotonically."""
+    """Unix time as of the start of the process, continued monotonically.
+
+    Hosts report their start as Unix time; a step of the system clock must not reach the timers.
+    """
     return _OFFSET_MS + time.monotonic() * 1000.0
