--- a/tests/test_acme.py
+++ b/tests/test_acme.py
@@ -1,4 +1,4 @@
-"""Certificates: ordered, served, renewed without dropping a connection, kept when a renewal fails."""
+"""Certificates by ACME: ordered, served, renewed without closing connections, kept if a renewal fails."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from cryptography import x509
 
 from tests.test_stories import pair
-from violetstack.net.acme import Life
+from violetstack.net.acme import CertificateLifetime
 from violetstack.rehearsal.authority import Authority
 from violetstack.rehearsal.clients import Call, chat_body, chat_headers, connect
 from violetstack.rehearsal.stage import Stage, stage
@@ -86,7 +86,7 @@
     play(tmp_path, authority, story)
 
 
-def test_a_renewal_reaches_new_connections_and_drops_no_open_one(tmp_path: Path) -> None:
+def test_a_renewed_certificate_is_used_by_new_connections_and_open_ones_stay(tmp_path: Path) -> None:
     authority = Authority(SHORT)
 
     async def story(on: Stage, trust: ssl.SSLContext) -> None:
@@ -103,7 +103,7 @@
     play(tmp_path, authority, story)
 
 
-def test_a_failed_renewal_keeps_the_old_certificate(tmp_path: Path) -> None:
+def test_a_failed_renewal_keeps_the_certificate_in_use(tmp_path: Path) -> None:
     authority = Authority(SHORT)
 
     async def story(on: Stage, trust: ssl.SSLContext) -> None:
@@ -122,4 +122,4 @@
 )
 def test_a_renewal_is_due_in_the_last_third_at_most(left: float, whole: float, due: bool) -> None:
     """Else certificates that live six days would be ordered at every check."""
-    assert Life(left * 86400.0, whole * 86400.0).due(30.0) is due
+    assert CertificateLifetime(left * 86400.0, whole * 86400.0).is_renewal_due(30.0) is due
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -208,8 +208,8 @@
     rows = core.metrics.classes
     assert [row.accepted for row in rows] == [accepted[n] for n in range(len(rows))]
     assert sum(row.fulfilled for row in rows) == answers["finished"]
-    assert sum(row.throttled for row in rows) == answers["refused"]
-    assert sum(row.faulted for row in rows) == answers["failed"] + answers["cut"]
+    assert sum(row.throttled for row in rows) == answers["rejected"]
+    assert sum(row.faulted for row in rows) == answers["failed"] + answers["stream_broken"]
     assert sum(row.client_disconnected for row in rows) == disconnected
     assert core.metrics.open == sum(1 for request in core.open_requests.values() if not request.done)
     assert core.metrics.requests_written == written
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,7 +16,7 @@
 # From the lowest to the highest. A module imports from its own layer and from lower ones.
 LAYERS: dict[str, frozenset[str]] = {
     "vocabulary": frozenset({"log", "policy_api", "process_pause", "rendezvous", "settings", "shared"}),
-    "policy": frozenset({"estimation", "gossip", "policy", "router"}),
+    "policy": frozenset({"estimation", "gossip", "policy", "tracking"}),
     "domain": frozenset(
         {
             "admin",
@@ -77,7 +77,8 @@
         if isinstance(child, ast.Import):
             yield from (Import(alias.name, for_types) for alias in child.names)
         elif isinstance(child, ast.ImportFrom):
-            assert child.level == 0 and child.module is not None, "imports are absolute"
+            assert child.level == 0, "imports are absolute"
+            assert child.module is not None
             for alias in child.names:
                 submodule = f"{child.module}.{alias.name}"
                 yield Import(submodule if submodule in MODULES else child.module, for_types)
--- a/violetstack/daemon/lifecycle.py
+++ b/violetstack/daemon/lifecycle.py
@@ -1,4 +1,4 @@
-"""The phase that the process is in, shared by those who start, serve and stop."""
+"""The phase of the process: starting, accepting requests, shutting down."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
     """Whether the endpoint list is known, new requests are taken, and shutdown has been asked for."""
 
     def __init__(self) -> None:
+        """Creates the state of a process that has just begun."""
         self.started = False
         self.accepting = False
         self.stop = trio.Event()
