--- a/violetstack/__init__.py
+++ b/violetstack/__init__.py
@@ -0,0 +1,1 @@
+"""violetstack: a dispatcher for two-stage language-model serving."""
