--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -18,7 +18,7 @@
 from statistics import median
 from typing import NamedTuple
 
-from violetstack.lease.node import LeaseNode
+from violetstack.lease.node import LeaseNode, NodeSettings
 from violetstack.lease.outbox import EVERYONE
 from violetstack.simulation.lease_cluster import LEASE_MS, Cluster, Process
 
@@ -165,16 +165,15 @@
 
 
 def _new_node(number: int, fleet_size: int) -> LeaseNode:
-    return LeaseNode(
-        0.0,
-        number,
-        fleet_size,
-        1,
-        LEASE_MS,
-        rng=random.Random(number),
+    settings = NodeSettings(
+        number=number,
+        fleet_size=fleet_size,
+        incarnation=1,
+        duration_ms=LEASE_MS,
         datagrams_per_s=DATAGRAMS_PER_S,
         restarted=False,
     )
+    return LeaseNode(0.0, settings, rng=random.Random(number))
 
 
 def print_cost(workload: Workload) -> None:
--- a/tests/test_lease_node.py
+++ b/tests/test_lease_node.py
@@ -11,7 +11,7 @@
 from tests.front import Front, entry
 from violetstack.lease.errors import InvalidDatagramError
 from violetstack.lease.messages import Ballot, Message, MessageType, encode, lease_id_of, node_id_of
-from violetstack.lease.node import LeaseNode
+from violetstack.lease.node import LeaseNode, NodeSettings
 from violetstack.lease.observer import Broadcast, IgnoreEvents, LeaseObserver
 from violetstack.lease.outbox import EVERYONE
 from violetstack.lease.outlier_checks import (
@@ -31,6 +31,18 @@
 MAX_DATAGRAM = 256
 
 
+def node_settings(number: int, size: int, **options: Any) -> NodeSettings:
+    """The settings of a node in a tier that never had a holder."""
+    return NodeSettings(
+        number=number,
+        fleet_size=size,
+        incarnation=number + 1,
+        duration_ms=LEASE_MS,
+        restarted=False,
+        **options,
+    )
+
+
 class Tier:
     """Lease nodes that get each other's datagrams at once."""
 
@@ -38,8 +50,7 @@
         self.now = 0.0
         rng = random.Random(5)
         self.nodes = [
-            LeaseNode(0.0, n, size, n + 1, LEASE_MS, rng=rng, observer=observer, restarted=False, **options)
-            for n in range(size)
+            LeaseNode(0.0, node_settings(n, size, **options), rng=rng, observer=observer) for n in range(size)
         ]
 
     def run(self, duration_ms: float, each_step: Callable[[], object] = lambda: None) -> None:
@@ -72,9 +83,7 @@
 
     def __init__(self, now: float, number: int, size: int, rng: random.Random, suspecting: set[int]) -> None:
         self.results: list[OutlierCheckResult] = []
-        self.node = LeaseNode(
-            now, number, size, number + 1, LEASE_MS, rng=rng, observer=self, restarted=False
-        )
+        self.node = LeaseNode(now, node_settings(number, size), rng=rng, observer=self)
         self.checks = OutlierChecks(self.node, lambda host: host == "h" and number in suspecting, self)
         self.checks.endpoints_listed(now, ["h", "g"])
 
--- a/violetstack/lease/messages.py
+++ b/violetstack/lease/messages.py
@@ -145,7 +145,8 @@
     if magic != MAGIC or version != VERSION:
         raise DatagramVersionError(version)
     if keys:
-        data, tag = data[:-TAG_BYTES], data[-TAG_BYTES:]
+        tag = data[-TAG_BYTES:]
+        data = data[:-TAG_BYTES]
         if not any(compare_digest(authentication_tag(data, sender, key), tag) for key in keys):
             raise DatagramTagError
     messages = []
--- a/violetstack/lease/node.py
+++ b/violetstack/lease/node.py
@@ -8,9 +8,12 @@
 
 import heapq
 import random
+from functools import partial
 from hashlib import blake2b
 from math import inf
 
+import msgspec
+
 from violetstack.lease.acceptor import Acceptor
 from violetstack.lease.candidacy import Candidacy, LeaseView
 from violetstack.lease.fencing import FencingFilter
@@ -40,14 +43,34 @@
 )
 
 
-class LeaseNode:
-    """Dispatcher `number` of a tier of `fleet_size`. Times are this process's monotonic milliseconds.
+class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The settings of a lease node.
 
     Attributes:
-        number: This dispatcher's number.
-        fleet_size: How many dispatchers there are.
+        number: This dispatcher's number in its tier.
+        fleet_size: How many dispatchers the tier has.
+        incarnation: Tells this process from earlier and later ones of the same number.
         duration_ms: How long a lease is.
-        node_id: The id of this process.
+        keys: Secrets. What is sent is authenticated by the first; what is received may be by any.
+        datagrams_per_s: How many datagrams are sent at most.
+        restarted: Whether an earlier process of this number may have granted leases.
+    """
+
+    number: int
+    fleet_size: int
+    incarnation: int
+    duration_ms: float
+    keys: tuple[bytes, ...] = ()
+    datagrams_per_s: float = DATAGRAMS_PER_S
+    restarted: bool = True
+
+
+class LeaseNode:
+    """One dispatcher's part in all leases. Times are this process's monotonic milliseconds.
+
+    Attributes:
+        settings: The node's settings.
+        node_id: The id of this process, see `messages.node_id_of`.
         eligible: Whether this node may acquire leases.
         acceptors: The numbers of the dispatchers that are acceptors.
         acceptor: This dispatcher's acceptor, if it has one.
@@ -57,50 +80,39 @@
     def __init__(
         self,
         now: float,
-        number: int,
-        fleet_size: int,
-        incarnation: int,
-        duration_ms: float,
+        settings: NodeSettings,
         *,
         rng: random.Random,
         observer: LeaseObserver | None = None,
-        keys: tuple[bytes, ...] = (),
-        datagrams_per_s: float = DATAGRAMS_PER_S,
-        restarted: bool = True,
     ) -> None:
-        """Start a node.
-
-        Args:
-            now: The present time.
-            number: This dispatcher's number.
-            fleet_size: How many dispatchers there are.
-            incarnation: Tells this process from earlier and later ones of the same number.
-            duration_ms: How long a lease is.
-            rng: The random source of all delays.
-            observer: Receives changes of holder and broadcasts.
-            keys: Secrets. What is sent is authenticated by the first; what is received may be by any.
-            datagrams_per_s: How many datagrams are sent at most.
-            restarted: Whether an earlier process of this number may have granted leases.
-        """
-        self.number = number
-        self.fleet_size = fleet_size
-        self.duration_ms = duration_ms
-        self.node_id = node_id_of(number, incarnation)
+        """Start a node; `rng` is the random source of all delays."""
+        self.settings = settings
+        self.node_id = node_id_of(settings.number, settings.incarnation)
         self.eligible = True
-        self.acceptors = acceptor_numbers(fleet_size)
+        self.acceptors = acceptor_numbers(settings.fleet_size)
         self.acceptor: Acceptor | None = None
-        if number in self.acceptors:
-            self.acceptor = Acceptor(now, duration_ms, len(self.acceptors) - 1, restarted=restarted)
-        self.outbox = Outbox(number, keys, datagrams_per_s)
+        if settings.number in self.acceptors:
+            others = len(self.acceptors) - 1
+            self.acceptor = Acceptor(now, settings.duration_ms, others, restarted=settings.restarted)
+        self.outbox = Outbox(settings.number, settings.keys, settings.datagrams_per_s)
         self._observer = IgnoreEvents() if observer is None else observer
         self._rng = rng
-        self._keys = keys
         self._candidacies: dict[int, Candidacy] = {}
         self._timers: list[tuple[float, int]] = []  # a heap; entries may be out of date
         self._fencing = FencingFilter()
         self._next_query_at = now
         self._next_discard_at = now
 
+    @property
+    def number(self) -> int:
+        """This dispatcher's number."""
+        return self.settings.number
+
+    @property
+    def duration_ms(self) -> float:
+        """How long a lease is."""
+        return self.settings.duration_ms
+
     # --- leases by name ---
 
     def campaign(self, name: str, *, unconditional: bool = False) -> Proposer:
@@ -199,11 +211,7 @@
 
     def preference_order(self, name: str) -> list[int]:
         """Return all dispatcher numbers in the lease's own order, which spreads many leases evenly."""
-
-        def position(number: int) -> bytes:
-            return blake2b(f"{name}\n{number}".encode(), digest_size=ORDER_BYTES).digest()
-
-        return sorted(range(self.fleet_size), key=position)
+        return sorted(range(self.settings.fleet_size), key=partial(_position, name))
 
     # --- timers ---
 
@@ -274,7 +282,7 @@
         Raises:
             InvalidDatagramError: It can't be decoded or authenticated, and was ignored.
         """
-        datagram = decode(data, sender, self._keys)
+        datagram = decode(data, sender, self.settings.keys)
         if self.acceptor is not None:
             self.acceptor.observe_token(datagram.highest_token)
         for message in datagram.messages:
@@ -361,3 +369,7 @@
         tokens = (candidacy.proposer.fencing_token for candidacy in self._candidacies.values())
         known = max(tokens, default=0)
         return max(known, self.acceptor.highest_token if self.acceptor is not None else 0)
+
+
+def _position(name: str, number: int) -> bytes:
+    return blake2b(f"{name}\n{number}".encode(), digest_size=ORDER_BYTES).digest()
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -14,7 +14,7 @@
 from violetstack.lease.candidacy import LeaseView
 from violetstack.lease.errors import InvalidDatagramError
 from violetstack.lease.messages import is_lease_datagram
-from violetstack.lease.node import LeaseNode
+from violetstack.lease.node import LeaseNode, NodeSettings
 from violetstack.lease.observer import Broadcast
 from violetstack.lease.outbox import EVERYONE
 from violetstack.lease.outlier_checks import OutlierChecks
@@ -24,7 +24,7 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.pause_detector import PauseDetector
 from violetstack.operator_config import LeaseConfig
-from violetstack.policy_api import OutlierCheckResult
+from violetstack.policy_api import OutlierCheckResult, Settings
 
 MAX_SLEEP_MS = 1_000.0  # how late at most a change of eligibility is noticed
 PERMIT_POLL_S = 0.02
@@ -70,24 +70,14 @@
             is_eligible: Whether this dispatcher may acquire leases now.
             is_suspect: Whether the policy has evidence against a host.
         """
-        settings = core.settings
-        incarnation = secrets.randbits(INCARNATION_BITS)
         self._config = config
         self._core = core
         self._transport = transport
         self._pause_detector = pause_detector
         self._is_eligible = is_eligible
-        self.node = LeaseNode(
-            now_ms(),
-            settings.dispatcher_index,
-            settings.dispatcher_count,
-            incarnation,
-            config.lease_s * 1000.0,
-            rng=random.Random(f"{settings.seed} {incarnation}"),
-            observer=self,
-            keys=tuple(key.encode()[:MAX_KEY_BYTES] for key in config.keys),
-            datagrams_per_s=config.datagrams_per_s,
-        )
+        settings = _node_settings(config, core.settings)
+        rng = random.Random(f"{core.settings.seed} {settings.incarnation}")
+        self.node = LeaseNode(now_ms(), settings, rng=rng, observer=self)
         self._outlier_checks: OutlierChecks | None = None
         if config.trials:
             self._outlier_checks = OutlierChecks(self.node, is_suspect, self)
@@ -208,3 +198,14 @@
             log("restart_permit_acquired", permit=permit, waited_ms=waited_ms)
         else:
             log("restart_permit_denied", waited_ms=waited_ms, reason=denial)
+
+
+def _node_settings(config: LeaseConfig, settings: Settings) -> NodeSettings:
+    return NodeSettings(
+        number=settings.dispatcher_index,
+        fleet_size=settings.dispatcher_count,
+        incarnation=secrets.randbits(INCARNATION_BITS),
+        duration_ms=config.lease_s * 1000.0,
+        keys=tuple(key.encode()[:MAX_KEY_BYTES] for key in config.keys),
+        datagrams_per_s=config.datagrams_per_s,
+    )
--- a/violetstack/simulation/faults.py
+++ b/violetstack/simulation/faults.py
@@ -41,18 +41,18 @@
 
 
 def _with_small_quorum(real: Function) -> Function:
-    def init(proposer: Proposer, *args: Any, **options: Any) -> None:
+    def _init(proposer: Proposer, *args: Any, **options: Any) -> None:
         real(proposer, *args, **options)
         proposer.quorum -= 1
 
-    return init
+    return _init
 
 
 def _with_shared_ballots(real: Function) -> Function:
-    def init(proposer: Proposer, lease_id: int, node_id: int, *args: Any, **options: Any) -> None:
+    def _init(proposer: Proposer, lease_id: int, node_id: int, *args: Any, **options: Any) -> None:
         real(proposer, lease_id, node_id & ~NUMBER_MASK, *args, **options)
 
-    return init
+    return _init
 
 
 def _held_too_long(_real: Function) -> Function:
@@ -60,13 +60,13 @@
 
 
 def _accepting_old_ballots(real: Function) -> Function:
-    def handle(acceptor: Acceptor, now: float, message: Message) -> Any:
+    def _handle(acceptor: Acceptor, now: float, message: Message) -> Any:
         state = acceptor.leases.get(message.lease_id)
         if state is not None:
             state.promised = Ballot(0, 0)
         return real(acceptor, now, message)
 
-    return handle
+    return _handle
 
 
 def _forgetting_promises(_real: Function) -> Function:
--- a/violetstack/simulation/lease_cluster.py
+++ b/violetstack/simulation/lease_cluster.py
@@ -9,7 +9,7 @@
 from itertools import count
 
 from violetstack.lease.messages import lease_id_of
-from violetstack.lease.node import LeaseNode
+from violetstack.lease.node import LeaseNode, NodeSettings
 from violetstack.lease.outbox import EVERYONE
 from violetstack.lease.proposer import Proposer
 from violetstack.lease.quorum import acceptor_numbers
@@ -56,9 +56,15 @@
         self._clock_offset_ms = rng.uniform(0.0, MAX_CLOCK_OFFSET_MS)
         self.paused_until = 0.0
         self.pending_action: tuple[int, int] | None = None
-        self.node = LeaseNode(
-            self.now(), number, cluster.size, incarnation, LEASE_MS, rng=rng, restarted=restarted, keys=KEYS
+        settings = NodeSettings(
+            number=number,
+            fleet_size=cluster.size,
+            incarnation=incarnation,
+            duration_ms=LEASE_MS,
+            keys=KEYS,
+            restarted=restarted,
         )
+        self.node = LeaseNode(self.now(), settings, rng=rng)
         self.proposer: Proposer = self.node.campaign(LEASE_NAME)
 
     def now(self) -> float:
