--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -124,8 +124,8 @@
         named = len(self.peers)
         if self.peer_listen is None or named != size or self.settings.dispatcher_index >= named:
             raise ConfigError(f"duties: {named} peers are named for a fleet of {size}; each is to be there")
-        if leases.leave >= size > 1:
-            raise ConfigError(f"duties: leave = {leases.leave} bounds nothing in a fleet of {size}")
+        if leases.restart_permits >= size > 1:
+            raise ConfigError(f"duties: leave = {leases.restart_permits} bounds nothing in a fleet of {size}")
 
 
 def load(path: str, file: str | None = None, *, again: bool = False) -> Config:
--- a/violetstack/net/lease_service.py
+++ b/violetstack/net/lease_service.py
@@ -79,11 +79,13 @@
         rng = random.Random(f"{core.settings.seed} {settings.incarnation}")
         self.node = LeaseNode(now_ms(), settings, rng=rng, observer=self)
         self._outlier_checks: OutlierChecks | None = None
-        if config.trials:
+        if config.outlier_checks:
             self._outlier_checks = OutlierChecks(self.node, is_suspect, self)
             self._outlier_checks.endpoints_listed(now_ms(), core.endpoints)
             core.use_outlier_observer(self._outlier_checks)
-        self.restart_permits = RestartPermits(self.node, config.leave) if config.leave else None
+        self.restart_permits: RestartPermits | None = None
+        if config.restart_permits:
+            self.restart_permits = RestartPermits(self.node, config.restart_permits)
         self._woken = trio.Event()
 
     # --- timers and datagrams ---
@@ -188,7 +190,7 @@
     async def _await_restart_permit(self, permits: RestartPermits) -> None:
         started = trio.current_time()
         denial = self.request_restart_permit()
-        while denial is not None and trio.current_time() < started + self._config.leave_wait_s:
+        while denial is not None and trio.current_time() < started + self._config.restart_permit_wait_s:
             await trio.sleep(PERMIT_POLL_S)
             denial = self.request_restart_permit()
         waited_ms = round((trio.current_time() - started) * 1000.0)
--- a/violetstack/operator_config.py
+++ b/violetstack/operator_config.py
@@ -89,16 +89,16 @@
 class LeaseConfig(msgspec.Struct, forbid_unknown_fields=True):
     """Leases between the dispatchers. The first of `keys` signs what is sent, any of them verifies.
 
-    `trials`: one dispatcher at a time checks an outlier. `leave`: the number of dispatchers that may restart
-    at once, each waiting up to `leave_wait_s` for its permit; 0 is no limit.
+    `outlier_checks`: one dispatcher at a time checks an outlier. `restart_permits`: the number of dispatchers
+    that may restart at once, each waiting up to `restart_permit_wait_s` for its permit; 0 is no limit.
     """
 
     lease_s: float = 2.0
     keys: list[str] = []
     datagrams_per_s: float = 200.0
-    trials: bool = False
-    leave: int = 0
-    leave_wait_s: float = 0.0
+    outlier_checks: bool = msgspec.field(name="trials", default=False)
+    restart_permits: int = msgspec.field(name="leave", default=0)
+    restart_permit_wait_s: float = msgspec.field(name="leave_wait_s", default=0.0)
 
 
 class TlsFiles(msgspec.Struct, forbid_unknown_fields=True):
