Rehearsal: the audit checks lease broadcasts and names their holders

effect -> lease_broadcast, Holder.duty/by/fence -> lease_id/dispatcher/fencing_token; the report's rows of four are LeaseHolder tuples, the same in its JSON. The rule that a breach names: duty -> lease.

--- a/tests/test_lease_service.py
+++ b/tests/test_lease_service.py
@@ -121,16 +121,16 @@
     assert (result.breaches, result.crashed) == ([], [])
     assert result.answers["served"] > 300
     assert "failed" not in result.answers
-    tokens = [token for *_, token in result.holders]
+    tokens = [holder.fencing_token for holder in result.holders]
     assert tokens == sorted(set(tokens))
     assert len(tokens) >= 4
     for fault in HOLDER_FAULTS:  # its holder is followed by another, after a lease and not much later
-        before = [row for row in result.holders if row[0] <= fault.at]
-        after = [row for row in result.holders if row[0] > fault.at]
+        before = [holder for holder in result.holders if holder.first <= fault.at]
+        after = [holder for holder in result.holders if holder.first > fault.at]
         assert before
         assert after
-        assert after[0][2] != before[-1][2]
-        assert after[0][0] - fault.at < 3.0
+        assert after[0].dispatcher != before[-1].dispatcher
+        assert after[0].first - fault.at < 3.0
 
 
 def test_one_dispatcher_at_a_time_shuts_down_and_each_gets_a_permit(fleets: Fleets) -> None:
--- a/violetstack/rehearsal/fleet/audit.py
+++ b/violetstack/rehearsal/fleet/audit.py
@@ -44,11 +44,11 @@
 
 @dataclass
 class Holder:
-    """Who acted by a duty, by which number, and when first and last."""
+    """A dispatcher that acted under a lease, its fencing token, and the times of its first and last act."""
 
-    duty: int
-    by: int
-    fence: int
+    lease_id: int
+    dispatcher: int
+    fencing_token: int
     first: float
     last: float
 
@@ -68,23 +68,26 @@
     failures: Counter[str] = field(default_factory=Counter)  # answers of failing hosts
     broken: set[int] = field(default_factory=set)  # dispatchers whose path to all hosts is broken
     stale: int = 0  # sends past the drain's time
-    holders: list[Holder] = field(default_factory=list)  # of duties, one after the other
+    holders: list[Holder] = field(default_factory=list)  # of leases, one after the other
     lag: float = 0.0  # how late the stand-ins themselves are at most: no breach is theirs
     _work: dict[str, deque[tuple[float, float]]] = field(default_factory=dict)
 
-    def effect(self, now: float, by: int, duty: int, fence: int) -> None:
-        """An effect of a duty, as it passed between dispatchers; numbers never go down, one holder each."""
-        last = next((row for row in reversed(self.holders) if row.duty == duty), None)
-        if last is not None and (fence < last.fence or (fence == last.fence and by != last.by)):
-            self._broken("duty", f"{by} acted by number {fence} after {last.by} had by {last.fence}")
-        elif last is None or last.by != by or last.fence != fence:
-            self.holders.append(Holder(duty, by, fence, now, now))
-        else:
+    def lease_broadcast(self, now: float, dispatcher: int, lease_id: int, token: int) -> None:
+        """Checks a broadcast under a lease: fencing tokens never go down, and each has one holder."""
+        last = next((row for row in reversed(self.holders) if row.lease_id == lease_id), None)
+        if last is None or token > last.fencing_token:
+            self.holders.append(Holder(lease_id, dispatcher, token, now, now))
+        elif token == last.fencing_token and dispatcher == last.dispatcher:
             last.last = now
+        else:
+            self._broken(
+                "lease",
+                f"{dispatcher} acted with token {token} after {last.dispatcher} with {last.fencing_token}",
+            )
 
     def holder(self) -> int | None:
-        """Who acted last by any duty."""
-        return max(self.holders, key=lambda row: row.last).by if self.holders else None
+        """Returns the dispatcher that acted last under any lease."""
+        return max(self.holders, key=lambda row: row.last).dispatcher if self.holders else None
 
     def _broken(self, rule: str, text: str) -> None:
         self.breaches.append(f"{rule}: {text}")
--- a/violetstack/rehearsal/fleet/plan.py
+++ b/violetstack/rehearsal/fleet/plan.py
@@ -27,7 +27,7 @@
 
     at: float
     do: DO
-    who: str = "all"  # `0-9`, `0,3`, `holder` of a duty; hosts `r0,w1` for drain, replace and fail
+    who: str = "all"  # `0-9`, `0,3`, `holder` of a lease; hosts `r0,w1` for drain, replace and fail
     lasts: float = 0.0
     how: str = ""
 
--- a/violetstack/rehearsal/fleet/report.py
+++ b/violetstack/rehearsal/fleet/report.py
@@ -3,11 +3,20 @@
 from __future__ import annotations
 
 from statistics import median
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
 
+class LeaseHolder(NamedTuple):
+    """A dispatcher that acted under a lease: the times of its first and last act, and its fencing token."""
+
+    first: float
+    last: float
+    dispatcher: int
+    fencing_token: int
+
+
 class Result(msgspec.Struct):
     """What one run showed; `to_full_s` is None if service was not whole before its end."""
 
@@ -23,7 +32,7 @@
     events: dict[str, int]  # log lines of the dispatchers, by kind
     loud: list[str]  # the first of those that tell of trouble
     failures: dict[str, int] = {}  # answers of failing hosts
-    holders: list[tuple[float, float, int, int]] = []  # of duties: first and last act, who, by which number
+    holders: list[LeaseHolder] = []
     ends: list[tuple[float, float, int]] = []  # Unix seconds: `stopping`, `stopped`, whose
     others: tuple[int, int, float] | None = None  # beside broken links: asked, served, first token
 
@@ -42,8 +51,11 @@
     if result.others is not None:
         asked, served, first_ms = result.others
         rows.append(f"beside the broken links: {served} of {asked} served, first token {first_ms} ms")
-    for first, last, by, fence in result.holders:
-        rows.append(f"  duty: dispatcher {by} by {fence}, {first:.2f} to {last:.2f} s")
+    for holder in result.holders:
+        rows.append(
+            f"  lease: dispatcher {holder.dispatcher} with token {holder.fencing_token}, "
+            f"{holder.first:.2f} to {holder.last:.2f} s"
+        )
     if result.ready_s:
         rows.append(
             f"ready after a start: {min(result.ready_s):.2f} to {max(result.ready_s):.2f} s, "
--- a/violetstack/rehearsal/fleet/runner.py
+++ b/violetstack/rehearsal/fleet/runner.py
@@ -26,7 +26,7 @@
 from violetstack.rehearsal.fleet.network import HEARD, SAID, Agent, Relay
 from violetstack.rehearsal.fleet.plan import Plan, Trouble, numbers
 from violetstack.rehearsal.fleet.programs import ROOT, Program
-from violetstack.rehearsal.fleet.report import Result
+from violetstack.rehearsal.fleet.report import LeaseHolder, Result
 from violetstack.rehearsal.stage import SETTINGS
 
 GIVE_UP_S = 5.0
@@ -187,7 +187,7 @@
         if is_lease_datagram(data):
             for message in decode(data).messages:
                 if message.type is MessageType.BROADCAST:
-                    self.audit.effect(self.now(), by, message.lease_id, message.fencing_token)
+                    self.audit.lease_broadcast(self.now(), by, message.lease_id, message.fencing_token)
 
     def _start(self, program: Program) -> None:
         self._starts += 1
@@ -425,7 +425,10 @@
             events,
             loud,
             dict(audit.failures),
-            [(round(row.first, 2), round(row.last, 2), row.by, row.fence) for row in audit.holders],
+            [
+                LeaseHolder(round(row.first, 2), round(row.last, 2), row.dispatcher, row.fencing_token)
+                for row in audit.holders
+            ],
             sorted(ends),
             self._others(),
         )
