--- a/violetstack/commands/fleet.py
+++ b/violetstack/commands/fleet.py
@@ -127,7 +127,7 @@
         try:
             outcome = _health(address) if dry_run else _restart(address, time.monotonic() + timeout_s)
         except AdminClientError as error:
-            remaining = ", ".join(addresses[index + 1 :]) or "nobody"
+            remaining = ", ".join(addresses[index + 1 :]) or "none"
             message = f"{error}; not restarted: {remaining}"
             raise click.ClickException(message) from None
         click.echo(f"{index + 1}. {address}: {outcome}")
