--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,7 +16,8 @@
 # From the lowest to the highest. A module imports from its own layer and from lower ones.
 LAYERS: dict[str, frozenset[str]] = {
     "vocabulary": frozenset({"log", "policy_api", "process_pause", "rendezvous", "settings", "shared"}),
-    "policy": frozenset({"estimation", "gossip", "policy", "router"}),
+    "tracking": frozenset({"estimation", "gossip", "tracking"}),
+    "policy": frozenset({"policy"}),
     "domain": frozenset(
         {
             "admin",
@@ -42,7 +43,7 @@
 RANKS = {part: rank for rank, parts in enumerate(LAYERS.values()) for part in parts}
 
 # Below these layers nothing waits for a socket or a thread, so nothing there imports trio.
-SYNCHRONOUS_LAYERS = ("vocabulary", "policy", "domain")
+SYNCHRONOUS_LAYERS = ("vocabulary", "tracking", "policy", "domain")
 # The service that runs the store's calls on a thread; it is to move to `net`.
 TRIO_EXCEPTIONS = frozenset({"violetstack.idempotency.service"})
 
@@ -121,7 +122,7 @@
 def test_the_core_and_the_policy_know_nothing_of_the_protocols_bytes() -> None:
     """They decide on records; what comes over the wire is decoded before it gets there."""
     for name, targets in IMPORTS.items():
-        if name != PACKAGE and part_of(name) in {"core", *LAYERS["policy"]}:
+        if name != PACKAGE and part_of(name) in {"core", *LAYERS["tracking"], *LAYERS["policy"]}:
             assert [each.target for each in targets if each.target.startswith("violetstack.protocol")] == []
 
 
