--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -13,7 +13,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.ports import Shed
 from violetstack.gossip.codec import RESET_DATAGRAM, decode_load, encode_datagram, encode_load, endpoint_tag
-from violetstack.net.gossip import GossipReceiver, GossipTransport
+from violetstack.net.gossip import DatagramDemultiplexer, GossipTransport
 from violetstack.net.pause_detector import PauseDetector
 from violetstack.policy_api import (
     AttemptFinished,
@@ -193,7 +193,7 @@
         transport = GossipTransport(("127.0.0.1", 0), [], other.getsockname())
         transport.broadcast(RESET_DATAGRAM)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(transport.run, GossipReceiver(core).receive)
+            nursery.start_soon(transport.run, DatagramDemultiplexer(core).receive)
             with trio.fail_after(5.0):
                 received: bytes = await other.recv(256)
             nursery.cancel_scope.cancel()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -14,7 +14,7 @@
 from violetstack.core.records import Attempt
 from violetstack.daemon.daemon import Daemon
 from violetstack.net import gossip, watch
-from violetstack.net.gossip import GossipReceiver, GossipTransport
+from violetstack.net.gossip import DatagramDemultiplexer, GossipTransport
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.policy_api import Action, Event, GossipReceived
 from violetstack.protocol.server_side import Inbound
@@ -328,7 +328,7 @@
             at = sock.getsockname()
             sock.close()
             transport = GossipTransport(at, [at, peer.getsockname()], peer.getsockname())
-            on.nursery.start_soon(transport.run, GossipReceiver(core).receive)
+            on.nursery.start_soon(transport.run, DatagramDemultiplexer(core).receive)
             while not heard.is_set():
                 await stranger.sendto(b"no", at)
                 await peer.sendto(b"hi", at)
@@ -483,7 +483,7 @@
             taken.bind(("127.0.0.1", 0))
             at = taken.getsockname()
             transport = GossipTransport(at, [at], reuse_address=True)
-            on.nursery.start_soon(transport.run, GossipReceiver(on.daemon.core).receive)
+            on.nursery.start_soon(transport.run, DatagramDemultiplexer(on.daemon.core).receive)
             while "gossip_bind_failed" not in capfd.readouterr().out:
                 await trio.sleep(0.001)
             assert not transport.bound
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -28,7 +28,7 @@
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
-from violetstack.net.gossip import GossipReceiver
+from violetstack.net.gossip import DatagramDemultiplexer
 from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.policy.router import Router
 from violetstack.policy_api import EndpointUpdate
@@ -250,7 +250,7 @@
             is_eligible=self._is_eligible,
             is_suspect=self.router.outliers.suspects,
         )
-        receiver = GossipReceiver(
+        receiver = DatagramDemultiplexer(
             self.core,
             discard=lambda: pause_detector.catching_up,
             handle_lease=self.leases.receive if self.leases is not None else None,
--- a/violetstack/net/gossip.py
+++ b/violetstack/net/gossip.py
@@ -153,7 +153,7 @@
                 self._sending_socket.sendto(payload, address)
 
 
-class GossipReceiver:
+class DatagramDemultiplexer:
     """Hands the datagrams of peers to the lease service or, as load gossip, to the core."""
 
     def __init__(
