--- a/violetstack/language/schema.py
+++ b/violetstack/language/schema.py
@@ -162,20 +162,18 @@
         ),
         BlockSpec(
             "duties",
-            "Duties that one dispatcher holds at a time; without it, each does them alone. Needs peers in NODE_CONFIG.",
+            "Leases that one dispatcher of the tier holds at a time; off without it. Needs peers in NODE_CONFIG.",
             (
-                _duration(
-                    "lease", "for how long a holder keeps a duty without a majority's word", "2s", 500.0
-                ),
+                _duration("lease", "how long a lease is; its holder renews it earlier", "2s", 500.0),
                 Field(
                     "keys",
                     TEXTS,
-                    "secrets of the tier: the first seals what is sent, each opens what is heard",
+                    "secrets of the tier: the first authenticates what is sent, any of them what is received",
                 ),
                 Field(
                     "datagrams",
                     RATE,
-                    "what one dispatcher sends for duties at most",
+                    "how many lease datagrams a dispatcher sends at most",
                     default="200 req/s",
                     low=10,
                     high=100_000,
@@ -183,20 +181,20 @@
                 Field(
                     "trials",
                     SWITCH,
-                    "one dispatcher at a time tries a host that fails; the others keep away",
+                    "one dispatcher at a time checks a failing host; the others avoid it",
                     default="false",
                 ),
                 Field(
                     "leave",
                     COUNT,
-                    "how many may be restarted at once; 0 bounds nothing",
+                    "how many dispatchers may restart at a time; 0 is no limit",
                     default="0",
                     low=0,
                     high=1000,
                 ),
                 _duration(
                     "leave_wait",
-                    "for how long SIGTERM waits for leave while all is served; after it the end begins anyway",
+                    "how long SIGTERM waits for a restart permit while requests are served; then it shuts down all the same",
                     "0s",
                 ),
             ),
