--- a/tests/test_acme.py
+++ b/tests/test_acme.py
@@ -10,6 +10,7 @@
 import trio
 from cryptography import x509
 
+from tests.steady import until
 from tests.test_stories import pair
 from violetstack.net.acme import CertificateLifetime
 from violetstack.rehearsal.authority import Authority
@@ -109,8 +110,7 @@
     async def story(on: Stage, trust: ssl.SSLContext) -> None:
         await authority.until_issued(1)
         authority.refuses = True
-        while authority.refused < 2:
-            await trio.sleep(0.01)
+        await until(lambda: authority.refused >= 2, 30.0)
         assert await serial(on, trust) == authority.issued[0].serial_number
         assert len(authority.issued) == 1
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -149,8 +149,7 @@
             await back.wait()
             await connection.start(200, [])
             await connection.data(list_message(1))
-            while agent.version == 1:
-                await trio.sleep(0.001)
+            await until(lambda: agent.version > 1)
             await connection.data(list_message(2, writer.row(state="leaving")))
             await silent(connection)
 
@@ -158,12 +157,12 @@
         await until(lambda: not agent.scripts)
         agent.scripts = [silent] * 500
         back.set()
-        await until(lambda: on.daemon.watch is not None and not on.daemon.watch._lost)
-        await until(lambda: on.daemon.watch is not None and len(on.daemon.watch._connections) < 2)
+        await until(lambda: on.daemon.watch is not None and not on.daemon.watch.reconnecting)
+        await until(lambda: on.daemon.watch is not None and on.daemon.watch.connection_count < 2)
         agent.tell(writer.row(state="leaving"))
         await until(lambda: is_draining(on))
         assert on.daemon.watch is not None
-        assert len(on.daemon.watch._connections) == 1
+        assert on.daemon.watch.connection_count == 1
 
     play(reader, writer, story=story)
 
@@ -396,10 +395,15 @@
 
 
 def test_the_size_of_an_object_is_limited() -> None:
-    values = JsonObjectSplitter()
-    came = 0
-    with pytest.raises(EndpointListError):
+    splitter = JsonObjectSplitter()
+    accepted_bytes = 0
+
+    def feed_without_end() -> None:
+        nonlocal accepted_bytes
         for _ in range(MAX_OBJECT_BYTES // 1000 + 2):
-            list(values.feed(b'{"a":"' + b"x" * 994 if not came else b"y" * 1000))
-            came += 1000
-    assert came <= MAX_OBJECT_BYTES + 1000
+            list(splitter.feed(b'{"a":"' + b"x" * 994 if not accepted_bytes else b"y" * 1000))
+            accepted_bytes += 1000
+
+    with pytest.raises(EndpointListError):
+        feed_without_end()
+    assert accepted_bytes <= MAX_OBJECT_BYTES + 1000
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -105,6 +105,16 @@
         self._opened_at = -math.inf
         self._changed = trio.Event()
 
+    @property
+    def connection_count(self) -> int:
+        """Of connections that are open or being opened."""
+        return len(self._connections)
+
+    @property
+    def reconnecting(self) -> bool:
+        """Is another connection to be opened, since none is current or the complete list is missing?"""
+        return self._lost
+
     def pending(self) -> bool:
         """Is anything unread on any connection?"""
         return any(connection.pending() for connection in self._connections)
