--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from tests.known_red import BadRedList, Red, known_red
+from tests.known_red import KnownRedListError, Red, known_red
 
 STEPS = (["ruff", "check", "."], ["ruff", "format", "--check", "."], ["mypy"], ["pytest"])
 RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -25,7 +25,7 @@
 def main(run: Callable[..., int] = run, red: Path = RED) -> int:
     try:
         reds = known_red(red.read_text() if red.exists() else "")
-    except BadRedList as error:
+    except KnownRedListError as error:
         print(f"KNOWN-RED.txt: {error}")
         return 1
     for step in STEPS:
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -7,7 +7,7 @@
 MOST = 3
 
 
-class BadRedList(Exception):
+class KnownRedListError(Exception):
     """The list is too long, or a line does not say test, cause and issue."""
 
 
@@ -18,7 +18,7 @@
 
 
 def known_red(text: str) -> list[Red]:
-    """Lines of `tests/FILE.py::TEST, cause, issue`; raises BadRedList."""
+    """Lines of `tests/FILE.py::TEST, cause, issue`; raises KnownRedListError."""
     found = []
     for line in text.splitlines():
         if not line.strip():
@@ -27,8 +27,8 @@
         cause, _, issue = rest.rpartition(",")
         red = Red(test.strip(), cause.strip(), issue.strip())
         if not all(red) or not red.test.startswith("tests/") or "::" not in red.test:
-            raise BadRedList(f"not 'tests/FILE.py::TEST, cause, issue': {line[:80]!r}")
+            raise KnownRedListError(f"not 'tests/FILE.py::TEST, cause, issue': {line[:80]!r}")
         found.append(red)
     if len(found) > MOST:
-        raise BadRedList(f"{len(found)} tests, {MOST} are the most")
+        raise KnownRedListError(f"{len(found)} tests, {MOST} are the most")
     return found
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -20,7 +20,7 @@
     divide_limits,
 )
 from violetstack.protocol.headers import MAX_WAIT_MS, RequestReader
-from violetstack.protocol.server_side import Inbound
+from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.clients import BODY, ask_platform, chat_headers, connect, platform_headers, raw
 from violetstack.rehearsal.stage import Stage
 from violetstack.settings import ClassMessage, SettingsMessage
@@ -139,7 +139,7 @@
 def test_the_answer_hint_is_read_in_microseconds(text: str, milliseconds: float | None) -> None:
     headers = {"req-id": "q1", "req-kind": "ask", "req-cost": text}
     message = SettingsMessage(classes=[ClassMessage(aim=1000.0, give_up=4000.0, name="ask")])
-    inbound = Inbound("POST", "/v1/chat/completions", headers, memoryview(b"{}"))
+    inbound = HttpRequest("POST", "/v1/chat/completions", headers, memoryview(b"{}"))
     assert RequestReader(message).read(inbound).expected_answer_ms == milliseconds
 
 
@@ -152,7 +152,7 @@
     message = SettingsMessage(classes=[ClassMessage(aim=1000.0, give_up=4000.0, name="ask")])
     body = memoryview(b'{"x":"%s"}' % (b"y" * 92))
     assert len(body) == 100
-    inbound = Inbound("POST", "/v1/chat/completions", headers, body)
+    inbound = HttpRequest("POST", "/v1/chat/completions", headers, body)
     assert RequestReader(message).read(inbound).prompt_tokens == prompt
 
 
--- a/tests/test_crossings_hosts.py
+++ b/tests/test_crossings_hosts.py
@@ -14,7 +14,7 @@
 from violetstack.core.records import AttemptLogEntry
 from violetstack.net.upstream import connection_pool, state_release
 from violetstack.net.upstream.connection import UpstreamConnection
-from violetstack.protocol.server_side import Inbound
+from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.clients import (
     ask_platform,
 )
@@ -240,7 +240,7 @@
 
     first: PeerConnection | None = None
 
-    async def play(self, act: Act, inbound: Inbound, connection: PeerConnection) -> None:
+    async def play(self, act: Act, inbound: HttpRequest, connection: PeerConnection) -> None:
         if self.first is None:
             self.first = connection
         elif self.begun.count("q2") == 1 and not act.silent:
@@ -354,7 +354,7 @@
     gate = trio.Event()
     asked = []
 
-    async def cut_off(inbound: Inbound, connection: PeerConnection) -> None:
+    async def cut_off(inbound: HttpRequest, connection: PeerConnection) -> None:
         asked.append(inbound.method)
         if len(asked) < 4:
             await gate.wait()
@@ -365,7 +365,7 @@
     for host in (reader, writer, *more):
         handle = host.handle
 
-        async def handled(inbound: Inbound, connection: PeerConnection, handle: Any = handle) -> None:
+        async def handled(inbound: HttpRequest, connection: PeerConnection, handle: Any = handle) -> None:
             await (cut_off if inbound.method == "DELETE" else handle)(inbound, connection)
 
         host.handle = handled  # type: ignore[method-assign]
--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -14,7 +14,7 @@
 from tests.steady import until
 from tests.test_program import start
 from tests.test_stories import pair, play
-from violetstack.protocol.host_side import Body, End, Head
+from violetstack.protocol.http_client import ResponseData, ResponseEnd, ResponseHead
 from violetstack.rehearsal.clients import (
     BODY,
     Call,
@@ -53,7 +53,7 @@
         await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
         core = on.daemon.core
         connections = on.daemon.listeners[0].table.connections
-        told: list[Head | Body | End] = []
+        told: list[ResponseHead | ResponseData | ResponseEnd] = []
 
         async def read() -> None:
             told.extend(call.http.feed(bytes(await call.stream.receive_some(64 * 1024))))
@@ -69,9 +69,9 @@
         await until(lambda: not on.daemon.accepting)
         await trio.sleep(0.1)  # the process has looked for idle connections since
         assert any(c.unwritten_bytes for c in connections)
-        while not isinstance(told[-1], End):
+        while not isinstance(told[-1], ResponseEnd):
             await read()
-        bodies = [event for event in told if isinstance(event, Body)]
+        bodies = [event for event in told if isinstance(event, ResponseData)]
         assert bytes(bodies[-1].data).endswith(b"data: [DONE]\n\n")
 
     play(reader, writer, story=story)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -44,8 +44,8 @@
 from violetstack.policy.outliers import penalize
 from violetstack.policy_api import TenantSettings, UpdateScope
 from violetstack.protocol.discovery import ListedEndpoint
-from violetstack.protocol.host_side import Body, End, HostSide
-from violetstack.protocol.server_side import ServerSide
+from violetstack.protocol.http_client import HttpClientConnection, ResponseData, ResponseEnd
+from violetstack.protocol.http_server import HttpServerConnection
 from violetstack.rehearsal.clients import BODY, Call, ask_platform, connect, platform_headers, raw
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import Act, ModelHost
@@ -485,20 +485,20 @@
     response = head + b"".join(parts)
     ends = {len(head) + sum(map(len, parts[:n])) for n in range(3)}
     for cut in range(1, len(response)):
-        side = HostSide()
+        side = HttpClientConnection()
         side.request("POST", "/", [("Host", "x")])
         side.feed(response[:cut])
         assert side.between_chunks == (cut in ends), cut
         if side.between_chunks:
-            events = HostSide.resumed().feed(response[cut:])
+            events = HttpClientConnection.resumed().feed(response[cut:])
             rest = [b"data: 1\r\n\r\n", b"data: 2\n\n"][sorted(ends).index(cut) :]
-            assert [bytes(e.data) for e in events if isinstance(e, Body)] == rest
-            assert isinstance(events[-1], End)
+            assert [bytes(e.data) for e in events if isinstance(e, ResponseData)] == rest
+            assert isinstance(events[-1], ResponseEnd)
 
 
 def test_a_resumed_response_keeps_the_framing_and_the_connection_header_of_its_head() -> None:
     for closing in (False, True):
-        side = ServerSide.resumed(closing)
+        side = HttpServerConnection.resumed(closing)
         assert side.passable
         assert b"".join(side.data(b"data: 2\n\n") + side.end()) == chunk(b"data: 2\n\n") + b"0\r\n\r\n"
         assert side.reuse() is not closing
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.__main__ import STEPS, main
-from tests.known_red import BadRedList, known_red
+from tests.known_red import KnownRedListError, known_red
 
 LINE = "tests/test_x.py::test_{}, sends late, and twice, issue 30\n"
 
@@ -19,7 +19,7 @@
 
 @pytest.mark.parametrize("text", ["tests/test_x.py::test_a", "test_a, cause, issue", "tests/, b, c", "a,b,"])
 def test_a_line_that_says_less_is_no_excuse(text: str) -> None:
-    with pytest.raises(BadRedList):
+    with pytest.raises(KnownRedListError):
         known_red(text)
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -19,7 +19,7 @@
 from violetstack.net.endpoint_cache import EndpointCache
 from violetstack.net.startup_recovery import StartupRecovery
 from violetstack.protocol.discovery import EndpointListMessage, ListedEndpoint
-from violetstack.protocol.server_side import Inbound
+from violetstack.protocol.http_server import HttpRequest
 from violetstack.recovery.cached_endpoints import (
     CachedEndpoint,
     CacheStatus,
@@ -159,7 +159,7 @@
 class SilentDiscovery(Discovery):
     """Accepts requests and never answers."""
 
-    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+    async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
         await connection.until_closed()
         raise Break
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -17,7 +17,7 @@
 from violetstack.net.gossip import DatagramDemultiplexer, GossipTransport
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.policy_api import Action, Event, GossipReceived
-from violetstack.protocol.server_side import Inbound
+from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.clients import BODY, ask_platform, connect, platform_headers
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import CUT, DECLINE, ERROR, RESET, SILENT, Act, ModelHost
@@ -398,7 +398,7 @@
         self.says = says
         self.status = status
 
-    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+    async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
         if self.status != 200:
             self.asked.append(inbound.target)
             await connection.answer(self.status, [])
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -20,7 +20,7 @@
 from violetstack.daemon.daemon import Daemon
 from violetstack.net import watch
 from violetstack.protocol.discovery import MAX_OBJECT_BYTES, EndpointListError, JsonObjectSplitter
-from violetstack.protocol.server_side import Inbound
+from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.clients import ask_platform
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.peer import PeerConnection
@@ -36,7 +36,7 @@
         super().__init__(*rows)
         self.scripts = list(scripts)
 
-    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+    async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
         if not self.scripts:
             await super().handle(inbound, connection)
             return
--- a/violetstack/admin/api.py
+++ b/violetstack/admin/api.py
@@ -24,7 +24,7 @@
     StatsResponse,
     UncordonResponse,
 )
-from violetstack.protocol.server_side import Headers, Inbound, Rejected, ServerSide
+from violetstack.protocol.http_server import Headers, HttpRequest, HttpServerConnection, InvalidRequestError
 
 MAX_BODY_BYTES = 1024  # the longest body is one id or lease name
 NAME_PATTERN = re.compile(r"[!-~]{1,128}")
@@ -88,7 +88,7 @@
     """The method of a path, and the function that serves it."""
 
     method: str
-    handle: Callable[[AdminOperations, Inbound], msgspec.Struct]
+    handle: Callable[[AdminOperations, HttpRequest], msgspec.Struct]
     needs_start: bool  # whether the endpoint list has to be known
 
 
@@ -102,19 +102,19 @@
         """Takes the operations and the log function, called with an event name and its fields."""
         self._operations = operations
         self._log = log
-        self._http = ServerSide(most_body=MAX_BODY_BYTES)
+        self._http = HttpServerConnection(most_body=MAX_BODY_BYTES)
         self._http.closing = True
 
     def feed(self, data: bytes) -> bytes | None:
         """Takes received bytes; returns the response, an interim response, or None to wait for more."""
-        request: Inbound | None = None
+        request: HttpRequest | None = None
         try:
             self._http.feed(data)
             request = self._http.next_request()
             if request is None:
                 return self._http.continue_100() if self._http.wants_continue else None
             body = msgspec.json.encode(self._dispatch(request))
-        except Rejected as error:
+        except InvalidRequestError as error:
             return self._reject(request, RequestRejectedError(error.status, error.reason))
         except RequestRejectedError as error:
             return self._reject(request, error)
@@ -131,7 +131,7 @@
         """Returns the response to a request that did not arrive completely in time."""
         return self._reject(None, RequestRejectedError(408, "the call did not arrive in time"))
 
-    def _dispatch(self, request: Inbound) -> msgspec.Struct:
+    def _dispatch(self, request: HttpRequest) -> msgspec.Struct:
         route = ROUTES.get(request.path)
         if route is None:
             raise RequestRejectedError(404, f"there is no such call; there are {', '.join(ROUTES)}")
@@ -142,7 +142,7 @@
             raise RequestRejectedError(503, "this process has not started yet")
         return route.handle(self._operations, request)
 
-    def _reject(self, request: Inbound | None, error: RequestRejectedError) -> bytes:
+    def _reject(self, request: HttpRequest | None, error: RequestRejectedError) -> bytes:
         path = request.path if request is not None else ""
         self._log("admin_call_rejected", path=path, status=error.status, reason=error.reason)
         body = msgspec.json.encode(ErrorResponse(error.reason))
@@ -152,37 +152,37 @@
         return b"".join(self._http.answer(status, headers, body + b"\n"))
 
 
-def _health(operations: AdminOperations, _: Inbound) -> HealthResponse:
+def _health(operations: AdminOperations, _: HttpRequest) -> HealthResponse:
     if not operations.accepting:
         raise RequestRejectedError(503, "this process does not take clients now")
     return HealthResponse()
 
 
-def _stats(operations: AdminOperations, _: Inbound) -> StatsResponse:
+def _stats(operations: AdminOperations, _: HttpRequest) -> StatsResponse:
     return operations.stats()
 
 
-def _cordon(operations: AdminOperations, request: Inbound) -> CordonResponse:
+def _cordon(operations: AdminOperations, request: HttpRequest) -> CordonResponse:
     endpoint_id = _endpoint_id(request)
     _change_cordon(operations.cordon, endpoint_id)
     return CordonResponse(endpoint_id)
 
 
-def _uncordon(operations: AdminOperations, request: Inbound) -> UncordonResponse:
+def _uncordon(operations: AdminOperations, request: HttpRequest) -> UncordonResponse:
     endpoint_id = _endpoint_id(request)
     _change_cordon(operations.uncordon, endpoint_id)
     return UncordonResponse(endpoint_id)
 
 
-def _leases(operations: AdminOperations, _: Inbound) -> LeasesResponse:
+def _leases(operations: AdminOperations, _: HttpRequest) -> LeasesResponse:
     return operations.leases()
 
 
-def _request_restart(operations: AdminOperations, _: Inbound) -> RestartPermitResponse:
+def _request_restart(operations: AdminOperations, _: HttpRequest) -> RestartPermitResponse:
     return operations.request_restart()
 
 
-def _resign(operations: AdminOperations, request: Inbound) -> ResignResponse:
+def _resign(operations: AdminOperations, request: HttpRequest) -> ResignResponse:
     return operations.resign(_name(request, "a duty's name"))
 
 
@@ -198,11 +198,11 @@
         raise RequestRejectedError(503, f"not recorded for a successor: {error}") from None
 
 
-def _endpoint_id(request: Inbound) -> str:
+def _endpoint_id(request: HttpRequest) -> str:
     return _name(request, "the id of one model host")
 
 
-def _name(request: Inbound, expected: str) -> str:
+def _name(request: HttpRequest, expected: str) -> str:
     """Returns the one name that the request's body consists of."""
     try:
         name = bytes(request.body).decode().strip()
--- a/violetstack/admin/errors.py
+++ b/violetstack/admin/errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from violetstack.protocol.server_side import Headers
+from violetstack.protocol.http_server import Headers
 
 
 class AdminError(Exception):
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -34,7 +34,7 @@
 from violetstack.operator_config import ApiKey, ChatFrontConfig, ModelConfig
 from violetstack.policy_api import Idempotency, Request
 from violetstack.protocol.headers import duration_ms
-from violetstack.protocol.server_side import Inbound, Rejected
+from violetstack.protocol.http_server import HttpRequest, InvalidRequestError
 
 COMPLETIONS_PATH = "/v1/chat/completions"
 MODELS_PATH = "/v1/models"
@@ -99,7 +99,7 @@
 
     # --- requests ---
 
-    def handle(self, inbound: Inbound, reply: Reply) -> None:
+    def handle(self, inbound: HttpRequest, reply: Reply) -> None:
         """Answers a request, at once or later."""
         try:
             self._dispatch(inbound, reply)
@@ -111,7 +111,7 @@
             self._log("chat_client_rejected", status=error.status, reason=error.reason)
             code = "no_route" if error.status == 404 else "body_too_long"
             ErrorResponse(error.status, error.reason, "invalid_request_error", code=code).send(reply)
-        except Rejected as error:
+        except InvalidRequestError as error:
             self.rejected(error.status, error.reason, reply)
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
@@ -123,7 +123,7 @@
         else:
             ErrorResponse(status, reason, "invalid_request_error").send(reply)
 
-    def _dispatch(self, inbound: Inbound, reply: Reply) -> None:
+    def _dispatch(self, inbound: HttpRequest, reply: Reply) -> None:
         path = inbound.path
         if path == READY_PATH:
             reply.answer(200, JSON, b'{"ready":true}')
@@ -140,7 +140,7 @@
         else:
             self._describe_models(path, key, reply)
 
-    def _authenticate(self, inbound: Inbound) -> ApiKey:
+    def _authenticate(self, inbound: HttpRequest) -> ApiKey:
         scheme, _, token = inbound.headers.get("authorization", "").partition(" ")
         hashed = sha256(token.strip().encode()).hexdigest()
         found = [key for key in self.config.keys if compare_digest(key.hashed, hashed)]
@@ -167,7 +167,7 @@
 
     # --- completions ---
 
-    def _complete(self, inbound: Inbound, key: ApiKey, reply: Reply) -> None:
+    def _complete(self, inbound: HttpRequest, key: ApiKey, reply: Reply) -> None:
         request = self._read(inbound, key)
         if request.idempotent:
             self._accept(request, reply, _record_nothing)
@@ -191,7 +191,7 @@
         self.pending += 1
         self._spawn(partial(self._complete_keyed, request, keyed, self._idempotency, self._clock(), reply))
 
-    def _read(self, inbound: Inbound, key: ApiKey) -> RoutedRequest:
+    def _read(self, inbound: HttpRequest, key: ApiKey) -> RoutedRequest:
         body = read_completion_request(inbound.body)
         model = next((m for m in self.config.models if m.name == body.model and key.may_use(m)), None)
         if model is None:
@@ -309,7 +309,7 @@
         reply.attach(open_request)
 
 
-def client_timeout_ms(inbound: Inbound) -> float:
+def client_timeout_ms(inbound: HttpRequest) -> float:
     """How long this client waits for the first token; OpenAI's clients tell it in seconds."""
     if (text := inbound.headers.get("req-deadline")) is not None:
         return duration_ms(text)
--- a/violetstack/fronts/chat_errors.py
+++ b/violetstack/fronts/chat_errors.py
@@ -8,7 +8,7 @@
 import orjson
 
 from violetstack.fronts.reply import Reply
-from violetstack.protocol.server_side import Headers
+from violetstack.protocol.http_server import Headers
 
 JSON: Headers = [("Content-Type", "application/json")]
 NO_RETRY: Headers = [("X-Should-Retry", "false")]
--- a/violetstack/fronts/chat_sink.py
+++ b/violetstack/fronts/chat_sink.py
@@ -13,7 +13,7 @@
 from violetstack.fronts.reply import EVENTS, Reply
 from violetstack.idempotency.store import Outcome
 from violetstack.protocol import sse
-from violetstack.protocol.server_side import Headers
+from violetstack.protocol.http_server import Headers
 
 MAX_COMPLETION_BYTES = 1024 * 1024
 """Of one answer, in memory and in the idempotency store."""
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -9,7 +9,7 @@
 from violetstack.core.ports import Origin
 from violetstack.fronts.reply import EVENTS, TEXT, Payload, Reply
 from violetstack.protocol.headers import RequestReader
-from violetstack.protocol.server_side import Inbound, Rejected
+from violetstack.protocol.http_server import HttpRequest, InvalidRequestError
 
 READY_PATH = "/-/ready"
 COMPLETIONS_PATH = "/v1/chat/completions"
@@ -71,24 +71,24 @@
         self._clock = clock
         self._log = log
 
-    def handle(self, inbound: Inbound, reply: Reply) -> None:
+    def handle(self, inbound: HttpRequest, reply: Reply) -> None:
         """Answers a request, at once or later."""
         if inbound.path == READY_PATH and inbound.method == "GET":
             reply.answer(200, TEXT, b"ready\n")
             return
         try:
             self._take(inbound, reply)
-        except (Rejected, NotRoutedError) as error:
+        except (InvalidRequestError, NotRoutedError) as error:
             self.rejected(error.status, error.reason, reply)
         except DuplicateRequestError:
             self.rejected(409, "a request with this Req-Id is still open", reply)
 
-    def _take(self, inbound: Inbound, reply: Reply) -> None:
+    def _take(self, inbound: HttpRequest, reply: Reply) -> None:
         # Calls meant for model hosts (/state/ID) or for discovery are not forwarded.
         if inbound.path != COMPLETIONS_PATH:
-            raise Rejected(404, f"only {COMPLETIONS_PATH} is served here")
+            raise InvalidRequestError(404, f"only {COMPLETIONS_PATH} is served here")
         if inbound.method != "POST":
-            raise Rejected(405, "POST only")
+            raise InvalidRequestError(405, "POST only")
         now = self._clock()
         request = self._reader.read(inbound)
         request = self._core.route(request, Origin("platform", "", len(inbound.body)))
--- a/violetstack/fronts/reply.py
+++ b/violetstack/fronts/reply.py
@@ -8,13 +8,13 @@
 import msgspec
 
 from violetstack.core.records import OpenRequest
-from violetstack.protocol.server_side import Headers, Inbound, ServerSide
+from violetstack.protocol.http_server import Headers, HttpRequest, HttpServerConnection
 
 
 class Client(Protocol):
     """A connection with a response under way, as it is migrated to another process."""
 
-    http: ServerSide
+    http: HttpServerConnection
 
     async def pause_for_migration(self) -> bool:
         """Stops reading and writing between two events; False, with no effect, if not possible now."""
@@ -76,7 +76,7 @@
 class Front(Protocol):
     """A client-facing API."""
 
-    def handle(self, inbound: Inbound, reply: Reply) -> None:
+    def handle(self, inbound: HttpRequest, reply: Reply) -> None:
         """Answers a request, at once or later."""
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
--- a/violetstack/net/acme.py
+++ b/violetstack/net/acme.py
@@ -24,7 +24,7 @@
 from violetstack.log import log
 from violetstack.net.tls import Certificate
 from violetstack.operator_config import AcmeConfig, TlsFiles
-from violetstack.protocol.server_side import Inbound
+from violetstack.protocol.http_server import HttpRequest
 
 ORDER_TIMEOUT_S = 90.0  # from the order to the certificate
 REQUEST_TIMEOUT_S = 30
@@ -49,7 +49,7 @@
         """Answers every request with 404 again."""
         self._responses.clear()
 
-    def handle(self, inbound: Inbound, reply: Reply) -> None:
+    def handle(self, inbound: HttpRequest, reply: Reply) -> None:
         """Answers one request."""
         validation = self._responses.get(inbound.path) if inbound.method == "GET" else None
         if validation is None:
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -13,7 +13,7 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.response_handle import ResponseHandle
 from violetstack.net.downstream.write_queue import WriteQueue
-from violetstack.protocol.server_side import Headers, Rejected, ServerSide
+from violetstack.protocol.http_server import Headers, HttpServerConnection, InvalidRequestError
 
 if TYPE_CHECKING:
     from violetstack.net.downstream.listener import Listener
@@ -32,7 +32,7 @@
 DISCARD_INTERVAL_S = 0.01
 CLOSE_TIMEOUT_S = 1.0
 
-UNUSED_PARSER = ServerSide()
+UNUSED_PARSER = HttpServerConnection()
 """Stands for the parser of every connection that has sent nothing yet; never fed."""
 
 
@@ -98,7 +98,7 @@
         self._read_timer: trio.CancelScope | None = None
         self._migration: _MigrationPause | None = None
 
-    def start_parsing(self, http: ServerSide) -> None:
+    def start_parsing(self, http: HttpServerConnection) -> None:
         """Called with the first byte, or when another process has handed the connection over."""
         self.http = http
         self._output = WriteQueue()
@@ -270,7 +270,7 @@
             if timer.cancelled_caught:
                 log_rate_limited("client_request_timeout")
                 return False
-        self.start_parsing(ServerSide())
+        self.start_parsing(HttpServerConnection())
         # Not to be evicted as silent between the arrival of these bytes and their use.
         self.listener.table.mark_progress(self)
         return True
@@ -352,7 +352,7 @@
         while not self.answering and not self._close_when_written:
             try:
                 inbound = self.http.next_request()
-            except Rejected as error:
+            except InvalidRequestError as error:
                 self._reject(error.status, error.reason)
                 return
             self.listener.table.set_buffered_bytes(self, self.http.size)
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -19,7 +19,7 @@
 )
 from violetstack.net.downstream.connection_table import ConnectionTable
 from violetstack.net.downstream.response_handle import ResponseHandle
-from violetstack.protocol.server_side import ServerSide
+from violetstack.protocol.http_server import HttpServerConnection
 
 ACCEPT_RETRY_S = 0.1
 """Pause after the system had no descriptor or memory for a connection."""
@@ -67,7 +67,7 @@
         """
         stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
         connection = DownstreamConnection(stream, self)
-        connection.start_parsing(ServerSide.resumed(closing))
+        connection.start_parsing(HttpServerConnection.resumed(closing))
         response = connection.adopt_response()
         self.table.add_engaged(connection)
         self._nursery.start_soon(connection.serve)
--- a/violetstack/net/downstream/response_handle.py
+++ b/violetstack/net/downstream/response_handle.py
@@ -10,7 +10,7 @@
 from violetstack.core.records import OpenRequest
 from violetstack.fronts.reply import Client
 from violetstack.log import log_rate_limited
-from violetstack.protocol.server_side import Headers
+from violetstack.protocol.http_server import Headers
 
 if TYPE_CHECKING:
     from violetstack.net.downstream.connection import DownstreamConnection
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -18,8 +18,8 @@
 from violetstack.net.upstream.state_release import StateReleaser
 from violetstack.policy_api import AttemptStatus
 from violetstack.protocol import sse
-from violetstack.protocol.host_side import Broken, HostSide
-from violetstack.protocol.server_side import Headers
+from violetstack.protocol.http_client import HttpClientConnection, InvalidResponseError
+from violetstack.protocol.http_server import Headers
 
 WaitWritable = Callable[[], Awaitable[None]]
 
@@ -70,7 +70,7 @@
     ) -> None:
         """Goes on with a stream that another process began, on its connection."""
         connection = self._pool.adopt(raw, attempt.server)
-        connection.http = HostSide.resumed()
+        connection.http = HttpClientConnection.resumed()
         attempt.request.payload = Payload("POST", "", "", memoryview(b""), wait_writable)
 
         async def read_on(running: _Running) -> AttemptResult:
@@ -138,7 +138,7 @@
             return await exchange(running)
         except (NotConnectedError, SendWithheldError):
             return AttemptResult(AttemptStatus.CONNECT_FAILED)
-        except (Broken, sse.NoEvent) as error:
+        except (InvalidResponseError, sse.InvalidEventError) as error:
             log_rate_limited(
                 "upstream_response_truncated",
                 id=attempt.request.id,
--- a/violetstack/net/upstream/connection.py
+++ b/violetstack/net/upstream/connection.py
@@ -9,7 +9,13 @@
 
 from violetstack.config import Address
 from violetstack.core.records import always
-from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
+from violetstack.protocol.http_client import (
+    HttpClientConnection,
+    InvalidResponseError,
+    ResponseData,
+    ResponseEnd,
+    ResponseHead,
+)
 
 READ_SIZE = 32 * 1024
 
@@ -37,7 +43,7 @@
         self.closed = False
         self.reused = False
         """A response has arrived on it before."""
-        self.http = HostSide()
+        self.http = HttpClientConnection()
         self.idle_since = 0.0
         self.usable_from = 0.0
         """Not to be used before this time, on trio's clock."""
@@ -67,12 +73,12 @@
             if n == len(parts) - 1:
                 written()
 
-    async def receive(self) -> list[Head | Body | End]:
-        """Reads once and returns what is complete; raises Broken, OSError."""
+    async def receive(self) -> list[ResponseHead | ResponseData | ResponseEnd]:
+        """Reads once and returns what is complete; raises InvalidResponseError, OSError."""
         self.http.check()
         data = await self.sock.recv(READ_SIZE)
         if self.closed:
-            raise Broken("aborted")
+            raise InvalidResponseError("aborted")
         return self.http.feed(data)
 
     def has_input(self) -> bool:
--- a/violetstack/net/upstream/health_check.py
+++ b/violetstack/net/upstream/health_check.py
@@ -12,7 +12,7 @@
 from violetstack.net.upstream.short_call import CALL_TIMEOUT_S, short_call
 from violetstack.policy_api import AttemptStatus, HealthCheckResult
 from violetstack.protocol.headers import report_of
-from violetstack.protocol.host_side import Broken
+from violetstack.protocol.http_client import InvalidResponseError
 
 
 class HealthChecker:
@@ -39,7 +39,7 @@
                 report = report_of(head.headers.get("srv-load"), self._report_fields)
         except NotConnectedError:
             status = AttemptStatus.CONNECT_FAILED
-        except (OSError, Broken):
+        except (OSError, InvalidResponseError):
             status = AttemptStatus.RESET
         except Exception as error:  # no check's failure may end the program
             log("health_check_failed", server=server, error=repr(error))
--- a/violetstack/net/upstream/reservation.py
+++ b/violetstack/net/upstream/reservation.py
@@ -12,7 +12,7 @@
 from violetstack.net.upstream.connection import NotConnectedError
 from violetstack.net.upstream.connection_pool import ConnectionPool
 from violetstack.net.upstream.short_call import CALL_TIMEOUT_S, short_call
-from violetstack.protocol.host_side import Broken
+from violetstack.protocol.http_client import InvalidResponseError
 
 RESERVED_BY_STATUS = {200: True, 409: False}
 NOTHING_RESERVED_STATUSES = frozenset({404, 409})
@@ -45,7 +45,7 @@
                     head = await short_call(self._pool, connection, "POST", f"/state/{call.request.id}")
                     reserved = RESERVED_BY_STATUS.get(head.status)
                     nothing_reserved = head.status in NOTHING_RESERVED_STATUSES
-        except (NotConnectedError, OSError, Broken):
+        except (NotConnectedError, OSError, InvalidResponseError):
             pass
         except Exception as error:  # no call's failure may end the program
             log("reservation_failed", id=call.request.id, error=repr(error))
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -21,7 +21,7 @@
 from violetstack.policy_api import AttemptStatus
 from violetstack.protocol import sse
 from violetstack.protocol.headers import report_of
-from violetstack.protocol.host_side import Body, Broken, End, Head
+from violetstack.protocol.http_client import InvalidResponseError, ResponseData, ResponseEnd, ResponseHead
 
 HEAD_TIMEOUT_S = 30.0
 """For the first byte of a response; the attempt's own deadline is far shorter."""
@@ -77,7 +77,7 @@
         self._openai_api = openai_api
         self._migration = migration
         self._waiting = waiting
-        self._head: Head | None = None
+        self._head: ResponseHead | None = None
         self._body = b""
         self._splitter = sse.Splitter()
         self._trailer = StreamTrailer(report_fields)
@@ -87,22 +87,28 @@
 
     async def resume(self, cached_tokens: int) -> AttemptResult:
         """Goes on with a stream whose beginning another process has read."""
-        self._head = Head(200, {})
+        self._head = ResponseHead(200, {})
         self._trailer.cached_tokens = cached_tokens
         return await self.read()
 
     async def read(self) -> AttemptResult:
-        """Until the response's end. Raises Broken, sse.NoEvent and OSError; CANCELLED: it was migrated."""
+        """Reads until the response's end; the status CANCELLED means that the stream was migrated.
+
+        Raises:
+            InvalidResponseError: The response is not HTTP, or is incomplete.
+            sse.InvalidEventError: Its body is no stream of events.
+            OSError: The connection broke.
+        """
         while True:
             events = await self._receive()
             if events is None:
                 continue
             for event in events:
-                if isinstance(event, Head):
+                if isinstance(event, ResponseHead):
                     self._head = event
-                elif isinstance(event, Body) and self._head is not None:
+                elif isinstance(event, ResponseData) and self._head is not None:
                     self._read_body(self._head, event.data)
-                elif isinstance(event, End) and self._head is not None:
+                elif isinstance(event, ResponseEnd) and self._head is not None:
                     return self._result(self._head)
             if self._attempt.stream_started:
                 await self._wait_for_client()
@@ -110,7 +116,7 @@
             if await self._migrate():
                 return AttemptResult(AttemptStatus.CANCELLED)
 
-    async def _receive(self) -> list[Head | Body | End] | None:
+    async def _receive(self) -> list[ResponseHead | ResponseData | ResponseEnd] | None:
         """Reads once; None if the time was over before this process had looked at its input."""
         timeout_s = HEAD_TIMEOUT_S
         if self._partial:
@@ -121,27 +127,27 @@
         wake_at = deadline
         if self._migration() is not None and self._attempt.stream_started:
             wake_at = min(wake_at, trio.current_time() + MIGRATION_RETRY_S)
-        events: list[Head | Body | End] = []
+        events: list[ResponseHead | ResponseData | ResponseEnd] = []
         with trio.move_on_at(wake_at) as timer:
             self._waiting(timer)
             events = await self._connection.receive()
         if timer.cancelled_caught and self._connection.has_input():
             return None
         if timer.cancelled_caught and trio.current_time() >= deadline:
-            raise Broken("the rest of the answer does not come" if self._partial else "silent")
+            raise InvalidResponseError("the rest of the answer does not come" if self._partial else "silent")
         return events
 
-    def _read_body(self, head: Head, data: memoryview) -> None:
+    def _read_body(self, head: ResponseHead, data: memoryview) -> None:
         if head.status != 200:
             self._body += bytes(data)
             if len(self._body) > MAX_BODY_BYTES:
-                raise Broken("an answer without an end")
+                raise InvalidResponseError("an answer without an end")
             return
         for event in self._splitter.feed(data):
             if self._openai_api and is_error_event(event):
-                raise Broken("an error in the stream")
+                raise InvalidResponseError("an error in the stream")
             if not self._attempt.stream_started and not self._core.stream_started(now_ms(), self._attempt):
-                raise Broken("an answer that nobody wants")
+                raise InvalidResponseError("an answer that nobody wants")
             self._trailer.read(event)
             self._core.forward_event(self._attempt, event)
             self._progress_at = trio.current_time()
@@ -173,25 +179,25 @@
 
     # --- what a complete response means ---
 
-    def _result(self, head: Head) -> AttemptResult:
+    def _result(self, head: ResponseHead) -> AttemptResult:
         if head.status != 200:
             return self._openai_result(head) if self._openai_api else self._platform_result(head)
         if self._openai_api and not self._trailer.done:
-            raise Broken("a stream without [DONE]")
+            raise InvalidResponseError("a stream without [DONE]")
         if not self._attempt.stream_started:
-            raise Broken("a stream without an event")
+            raise InvalidResponseError("a stream without an event")
         if rest := self._splitter.end():
             self._core.forward_event(self._attempt, memoryview(rest))
         cached = self._plausible(self._trailer.cached_tokens)
         return AttemptResult(AttemptStatus.OK, cached, self._trailer.load_report)
 
     @staticmethod
-    def _openai_result(head: Head) -> AttemptResult:
+    def _openai_result(head: ResponseHead) -> AttemptResult:
         """A 429 has not run, anything else may have."""
         rejected = head.status == TOO_MANY_REQUESTS
         return AttemptResult(AttemptStatus.REJECTED if rejected else AttemptStatus.ERROR)
 
-    def _platform_result(self, head: Head) -> AttemptResult:
+    def _platform_result(self, head: ResponseHead) -> AttemptResult:
         report = report_of(head.headers.get("srv-load"), self._report_fields)
         if head.status == 202:
             cached = self._plausible(cached_tokens_of(self._body))
--- a/violetstack/net/upstream/short_call.py
+++ b/violetstack/net/upstream/short_call.py
@@ -4,25 +4,32 @@
 
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.connection_pool import ConnectionPool
-from violetstack.protocol.host_side import End, Head
+from violetstack.protocol.http_client import ResponseEnd, ResponseHead
 
 CALL_TIMEOUT_S = 0.6
 """Reservations and health checks are answered by then."""
 
 
-async def short_call(pool: ConnectionPool, connection: UpstreamConnection, method: str, target: str) -> Head:
-    """Makes one call; the connection is kept only after a complete response. Raises Broken, OSError."""
+async def short_call(
+    pool: ConnectionPool, connection: UpstreamConnection, method: str, target: str
+) -> ResponseHead:
+    """Makes one call; the connection is kept only after a complete response.
+
+    Raises:
+        InvalidResponseError: The response is not HTTP, or is incomplete.
+        OSError: The connection broke.
+    """
     complete = False
     try:
         await connection.write(
             connection.http.request(method, target, [("Host", "app.svc")]), written=lambda: None
         )
-        head: Head | None = None
+        head: ResponseHead | None = None
         while True:
             for event in await connection.receive():
-                if isinstance(event, Head):
+                if isinstance(event, ResponseHead):
                     head = event
-                elif isinstance(event, End) and head is not None:
+                elif isinstance(event, ResponseEnd) and head is not None:
                     complete = True
                     return head
     finally:
--- a/violetstack/net/upstream/state_release.py
+++ b/violetstack/net/upstream/state_release.py
@@ -10,7 +10,7 @@
 from violetstack.net.upstream.connection import NotConnectedError
 from violetstack.net.upstream.connection_pool import ConnectionPool
 from violetstack.net.upstream.short_call import short_call
-from violetstack.protocol.host_side import Broken
+from violetstack.protocol.http_client import InvalidResponseError
 
 TRY_TIMEOUT_S = 0.3
 """For one host to answer."""
@@ -77,7 +77,7 @@
                     head = await short_call(self._pool, connection, "DELETE", f"/state/{call.request.id}")
                     if head.status < 300:
                         through.set()
-        except (NotConnectedError, OSError, Broken):
+        except (NotConnectedError, OSError, InvalidResponseError):
             pass
         except Exception as error:  # no call's failure may end the program
             log("release_failed", id=call.request.id, error=repr(error))
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -22,7 +22,13 @@
     JsonObjectSplitter,
     WatchEvent,
 )
-from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
+from violetstack.protocol.http_client import (
+    HttpClientConnection,
+    InvalidResponseError,
+    ResponseData,
+    ResponseEnd,
+    ResponseHead,
+)
 
 TARGETS_PATH = "/api/targets"
 # Discovery sends an empty line every 2 s, and a change that a stalled watch misses counts as known 6 s after
@@ -37,7 +43,7 @@
 MAX_ERROR_LENGTH = 200
 
 
-class DiscoveryRejected(Broken):
+class DiscoveryRejected(InvalidResponseError):
     """Discovery answered with another status than 200."""
 
 
@@ -190,7 +196,7 @@
                 await self._converse(connection)
             except (
                 OSError,
-                Broken,
+                InvalidResponseError,
                 trio.BrokenResourceError,
                 trio.TooSlowError,
                 EndpointListError,
@@ -222,7 +228,7 @@
     async def _converse(self, connection: WatchConnection) -> None:
         while True:
             async with await self._connect(connection) as stream:
-                http = HostSide()
+                http = HttpClientConnection()
                 if connection.index is None:
                     await self._fetch_list(connection, stream, http)
                     if not http.reuse():
@@ -230,7 +236,7 @@
                 target = f"{TARGETS_PATH}?stream=1&index={connection.index}"
                 async for value in self._get(connection, stream, http, target):
                     self._receive_value(connection, value)
-                raise Broken("the watch has ended")
+                raise InvalidResponseError("the watch has ended")
 
     async def _connect(self, connection: WatchConnection) -> trio.SocketStream:
         with trio.fail_after(FIRST_WORD_S if self._backoff.agent else CONNECT_S):
@@ -239,7 +245,7 @@
         return stream
 
     async def _fetch_list(
-        self, connection: WatchConnection, stream: trio.SocketStream, http: HostSide
+        self, connection: WatchConnection, stream: trio.SocketStream, http: HttpClientConnection
     ) -> None:
         received = False
         async for value in self._get(connection, stream, http, TARGETS_PATH):
@@ -295,7 +301,7 @@
         self.heard.set()
 
     async def _get(
-        self, connection: WatchConnection, stream: trio.SocketStream, http: HostSide, target: str
+        self, connection: WatchConnection, stream: trio.SocketStream, http: HttpClientConnection, target: str
     ) -> AsyncIterator[bytes]:
         """The objects and empty lines of a response, each when it is complete."""
         host = f"{connection.address[0]}:{connection.address[1]}"
@@ -306,13 +312,13 @@
             http.check()
             received = await self._receive(connection, stream)
             for event in http.feed(bytes(received)):
-                if isinstance(event, Head) and event.status != 200:
+                if isinstance(event, ResponseHead) and event.status != 200:
                     raise DiscoveryRejected(f"status {event.status}")
-                if isinstance(event, Body):
+                if isinstance(event, ResponseData):
                     for value in splitter.feed(event.data):
                         await trio.lowlevel.checkpoint_if_cancelled()
                         yield value
-                if isinstance(event, End):
+                if isinstance(event, ResponseEnd):
                     return
 
     async def _receive(self, connection: WatchConnection, stream: trio.SocketStream) -> bytes:
--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from violetstack.policy_api import Request
-from violetstack.protocol.server_side import Inbound, Rejected
+from violetstack.protocol.http_server import HttpRequest, InvalidRequestError
 from violetstack.settings import SettingsMessage
 
 CHARS_A_TOKEN = 4
@@ -33,11 +33,11 @@
 def duration_ms(text: str, name: str = "Req-Deadline") -> float:
     """Milliseconds of `4800m` or `250000u`, at most `MAX_WAIT_MS`.
 
-    Raises Rejected: required where a client states one, since without it no answer can be in time.
+    Raises InvalidRequestError: required where a client states one, since without it no answer can be in time.
     """
     milliseconds = parse_duration_ms(text, default_unit="")
     if milliseconds is None:
-        raise Rejected(400, f"{name} is a whole number and a unit, m or u")
+        raise InvalidRequestError(400, f"{name} is a whole number and a unit, m or u")
     return min(MAX_WAIT_MS, milliseconds)
 
 
@@ -92,14 +92,14 @@
 
 
 def check_body(body: memoryview) -> None:
-    """Raises Rejected for a body that is no JSON object.
+    """Raises InvalidRequestError for a body that is no JSON object.
 
     A model host would answer 400, which costs attempts and counts against the host.
     """
     try:
         msgspec.json.decode(body, type=dict[str, msgspec.Raw])
     except (msgspec.MsgspecError, ValueError):
-        raise Rejected(400, "the body is no JSON object") from None
+        raise InvalidRequestError(400, "the body is no JSON object") from None
 
 
 class RequestReader:
@@ -115,21 +115,21 @@
         self.give_up = [spec.give_up for spec in settings_message.classes]
         self.tenants = {spec.name: n for n, spec in enumerate(settings_message.parties or ())}
 
-    def read(self, inbound: Inbound) -> Request:
-        """Raises Rejected if the request cannot be served."""
+    def read(self, inbound: HttpRequest) -> Request:
+        """Raises InvalidRequestError if the request cannot be served."""
         headers = inbound.headers
         request_id = headers.get("req-id", "")
         if not REQUEST_ID.fullmatch(request_id):
             # Impossible to serve: calls to hosts name the request by its id.
-            raise Rejected(400, "Req-Id is missing or no plain word")
+            raise InvalidRequestError(400, "Req-Id is missing or no plain word")
         kind = headers.get("req-kind", "")
         if kind not in self.classes:
             # Impossible to serve: nothing says whether it may run twice.
-            raise Rejected(400, "Req-Kind names no class of the settings")
+            raise InvalidRequestError(400, "Req-Kind names no class of the settings")
         owner = headers.get("req-owner")
         if self.tenants and owner not in self.tenants:
             # Impossible to serve: no share of the capacity is set aside for it.
-            raise Rejected(400, "Req-Owner names no tenant of the settings")
+            raise InvalidRequestError(400, "Req-Owner names no tenant of the settings")
         cls = self.classes[kind]
         deadline = headers.get("req-deadline")
         check_body(inbound.body)
--- a/violetstack/protocol/host_side.py
+++ b/violetstack/protocol/http_client.py
@@ -6,27 +6,27 @@
 import msgspec
 from h11._readers import ChunkedReader
 
-from violetstack.protocol.server_side import MAX_REASON_LENGTH, Headers
+from violetstack.protocol.http_server import MAX_REASON_LENGTH, Headers
 
 
-class Broken(Exception):
+class InvalidResponseError(Exception):
     """The response is not HTTP, or is incomplete."""
 
 
-class Head(msgspec.Struct, frozen=True):
+class ResponseHead(msgspec.Struct, frozen=True):
     """A response's status and headers, names in lower case."""
 
     status: int
     headers: dict[str, str]
 
 
-class Body(msgspec.Struct, frozen=True):
+class ResponseData(msgspec.Struct, frozen=True):
     """A part of a response's body."""
 
     data: memoryview
 
 
-class End(msgspec.Struct, frozen=True):
+class ResponseEnd(msgspec.Struct, frozen=True):
     """The response is complete."""
 
 
@@ -34,7 +34,7 @@
 """Events are far smaller; a larger chunk size is noise that may never end."""
 
 
-class HostSide:
+class HttpClientConnection:
     """One connection's state machine."""
 
     def __init__(self) -> None:
@@ -48,7 +48,7 @@
         return self._in_chunk > 0 or len(self._h11.trailing_data[0]) > 0
 
     @classmethod
-    def resumed(cls) -> HostSide:
+    def resumed(cls) -> HttpClientConnection:
         """A connection between two chunks of a response whose beginning another process has read."""
         side = cls()
         side.request("POST", "/", [("Host", "x")])
@@ -64,12 +64,12 @@
         return not (reader._bytes_in_chunk or reader._bytes_to_discard or reader._reading_trailer)
 
     def check(self) -> None:
-        """Raises Broken for invalid bytes behind the last complete event.
+        """Raises InvalidResponseError for invalid bytes behind the last complete event.
 
         Nothing more may come: the connection of a spoilt stream can stay open and silent.
         """
         if self._invalid_reason:
-            raise Broken(self._invalid_reason)
+            raise InvalidResponseError(self._invalid_reason)
 
     def request(
         self, method: str, target: str, headers: Headers, body: memoryview | bytes = b""
@@ -87,42 +87,43 @@
         parts += send(h11.EndOfMessage()) or []
         return [part for part in parts if len(part)]
 
-    def feed(self, data: bytes) -> list[Head | Body | End]:
+    def feed(self, data: bytes) -> list[ResponseHead | ResponseData | ResponseEnd]:
         """The events that these bytes complete; no bytes mean that the host has closed the connection.
 
-        Raises Broken if the bytes are invalid from the start; else the next `check` or `feed` does.
+        Raises InvalidResponseError if the bytes are invalid from the start; else the next `check` or
+        `feed` does.
         """
         self.check()
-        out: list[Head | Body | End] = []
+        out: list[ResponseHead | ResponseData | ResponseEnd] = []
         try:
             self._h11.receive_data(data)
             while True:
                 event = self._h11.next_event()
                 if isinstance(event, h11.Response):
                     rows = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
-                    out.append(Head(event.status_code, rows))
+                    out.append(ResponseHead(event.status_code, rows))
                 elif isinstance(event, h11.Data):
                     out.append(self._body(event))
                 elif isinstance(event, h11.EndOfMessage):
-                    out.append(End())
+                    out.append(ResponseEnd())
                     return out
                 elif isinstance(event, h11.ConnectionClosed):
-                    raise Broken("the connection ended before the answer")
+                    raise InvalidResponseError("the connection ended before the answer")
                 elif not isinstance(event, h11.InformationalResponse):
                     return out
-        except (h11.RemoteProtocolError, Broken) as error:
+        except (h11.RemoteProtocolError, InvalidResponseError) as error:
             self._invalid_reason = str(error)[:MAX_REASON_LENGTH]
             if not out:
                 self.check()
             return out
 
-    def _body(self, event: h11.Data) -> Body:
+    def _body(self, event: h11.Data) -> ResponseData:
         self._in_chunk = (0 if event.chunk_start else self._in_chunk) + len(event.data)
         if self._in_chunk > MAX_CHUNK:
-            raise Broken("a chunk of more than 256 KiB")
+            raise InvalidResponseError("a chunk of more than 256 KiB")
         if event.chunk_end:
             self._in_chunk = 0
-        return Body(memoryview(event.data))
+        return ResponseData(memoryview(event.data))
 
     def reuse(self) -> bool:
         """Makes ready for another request; False if the connection has to end.
--- a/violetstack/protocol/server_side.py
+++ b/violetstack/protocol/http_server.py
@@ -19,7 +19,7 @@
 Headers = list[tuple[str, str]]
 
 
-class Rejected(Exception):
+class InvalidRequestError(Exception):
     """The client's bytes are no acceptable request; the response gives the reason and ends the connection."""
 
     def __init__(self, status: int, reason: str) -> None:
@@ -28,7 +28,7 @@
         self.reason = reason
 
 
-class Inbound(msgspec.Struct, frozen=True):
+class HttpRequest(msgspec.Struct, frozen=True):
     """A complete request; header names are in lower case."""
 
     method: str
@@ -42,7 +42,7 @@
         return self.target.partition("?")[0]
 
 
-class ServerSide:
+class HttpServerConnection:
     """One connection's state machine."""
 
     def __init__(self, most_body: int = MAX_BODY) -> None:
@@ -57,7 +57,7 @@
         self.wants_continue = False
 
     @classmethod
-    def resumed(cls, closing: bool) -> ServerSide:
+    def resumed(cls, closing: bool) -> HttpServerConnection:
         """A connection in the middle of a streamed response, whose head another process has sent."""
         side = cls()
         side.closing = closing
@@ -91,8 +91,8 @@
         """Bytes received behind the current request."""
         return len(self._h11.trailing_data[0])
 
-    def next_request(self) -> Inbound | None:
-        """The next complete request, or None until more bytes have come; raises Rejected."""
+    def next_request(self) -> HttpRequest | None:
+        """The next complete request, or None until more bytes have come; raises InvalidRequestError."""
         try:
             while True:
                 event = self._h11.next_event()
@@ -101,7 +101,7 @@
                 elif isinstance(event, h11.Data):
                     self.size += len(event.data)
                     if self.size > self._most_body:
-                        raise Rejected(413, self._too_large)
+                        raise InvalidRequestError(413, self._too_large)
                     self._parts.append(event.data)
                 elif isinstance(event, h11.EndOfMessage):
                     return self._whole()
@@ -109,7 +109,7 @@
                     self.wants_continue = self._h11.they_are_waiting_for_100_continue
                     return None
         except h11.RemoteProtocolError as error:
-            raise Rejected(error.error_status_hint, str(error)[:MAX_REASON_LENGTH]) from None
+            raise InvalidRequestError(error.error_status_hint, str(error)[:MAX_REASON_LENGTH]) from None
 
     @property
     def _too_large(self) -> str:
@@ -122,12 +122,12 @@
         names = [name for name, _ in event.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             # Request smuggling: which of the two lengths the next reader takes is undefined (RFC 9112, 6.3).
-            raise Rejected(400, "Content-Length and Transfer-Encoding together")
+            raise InvalidRequestError(400, "Content-Length and Transfer-Encoding together")
         for name, value in event.headers:
             if name == b"content-length" and (len(value) > MAX_LENGTH_DIGITS or int(value) > self._most_body):
-                raise Rejected(413, self._too_large)
+                raise InvalidRequestError(413, self._too_large)
 
-    def _whole(self) -> Inbound:
+    def _whole(self) -> HttpRequest:
         head = self._head
         parts = self._parts
         assert head is not None
@@ -135,7 +135,7 @@
         self._parts = []
         body = parts[0] if len(parts) == 1 else b"".join(parts)
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
-        return Inbound(
+        return HttpRequest(
             head.method.decode("latin-1"), head.target.decode("latin-1"), headers, memoryview(body)
         )
 
--- a/violetstack/protocol/sse.py
+++ b/violetstack/protocol/sse.py
@@ -8,7 +8,7 @@
 MAX_EVENT = 256 * 1024
 
 
-class NoEvent(Exception):
+class InvalidEventError(Exception):
     """The bytes are not an event, or an event without an end that would fill the memory."""
 
 
@@ -24,7 +24,7 @@
         self._rest = b""
 
     def feed(self, data: memoryview) -> Iterator[memoryview]:
-        """Yields the events that `data` completes, with their blank line; raises NoEvent."""
+        """Yields the events that `data` completes, with their blank line; raises InvalidEventError."""
         if self._rest:
             data = memoryview(self._rest + bytes(data))
             self._rest = b""
@@ -37,17 +37,17 @@
         while (cut := _blank_line(raw, start)) >= 0:
             # A chunk of the wrong size would show as HTTP framing between the events.
             if not EVENT.fullmatch(raw, start, cut):
-                raise NoEvent(f"not an event: {raw[start : start + 40]!r}")
+                raise InvalidEventError(f"not an event: {raw[start : start + 40]!r}")
             yield data[start:cut]
             start = cut
         if len(raw) - start > MAX_EVENT:
-            raise NoEvent("an event of more than 256 KiB")
+            raise InvalidEventError("an event of more than 256 KiB")
         self._rest = bytes(data[start:])  # the one copy: it must outlive the buffer
 
     def end(self) -> bytes:
-        """Bytes after the last complete event; raises NoEvent if no event can begin like this."""
+        """Bytes after the last complete event; raises InvalidEventError if no event can begin like this."""
         if not BEGINNING.fullmatch(self._rest):
-            raise NoEvent(f"not an event: {self._rest[:40]!r}")
+            raise InvalidEventError(f"not an event: {self._rest[:40]!r}")
         return self._rest
 
     @property
--- a/violetstack/rehearsal/authority.py
+++ b/violetstack/rehearsal/authority.py
@@ -18,7 +18,7 @@
 from josepy.jwk import JWK
 
 from violetstack.config import parse_address
-from violetstack.protocol.server_side import Headers, Inbound
+from violetstack.protocol.http_server import Headers, HttpRequest
 from violetstack.rehearsal.clients import connect
 from violetstack.rehearsal.peer import Peer, PeerConnection
 
@@ -65,7 +65,7 @@
         self._nonces.add(nonce)
         return "Replay-Nonce", nonce
 
-    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+    async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
         path = inbound.path
         if path == "/directory":
             names = {"newNonce": "/nonce", "newAccount": "/account", "newOrder": "/order"}
--- a/violetstack/rehearsal/clients.py
+++ b/violetstack/rehearsal/clients.py
@@ -12,7 +12,13 @@
 
 from violetstack.config import Address
 from violetstack.protocol import sse
-from violetstack.protocol.host_side import Body, Broken, End, Head, HostSide
+from violetstack.protocol.http_client import (
+    HttpClientConnection,
+    InvalidResponseError,
+    ResponseData,
+    ResponseEnd,
+    ResponseHead,
+)
 
 
 @dataclass
@@ -57,7 +63,7 @@
 
     def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
-        self.http = HostSide()
+        self.http = HttpClientConnection()
         self.answer = Answer()
 
     async def send(
@@ -73,15 +79,15 @@
             try:
                 self.http.check()
                 told = self.http.feed(bytes(await self.stream.receive_some(64 * 1024)))
-            except (Broken, trio.BrokenResourceError):
+            except (InvalidResponseError, trio.BrokenResourceError):
                 return answer
             for event in told:
-                if isinstance(event, Head):
+                if isinstance(event, ResponseHead):
                     answer.status = event.status
                     answer.headers = event.headers
-                elif isinstance(event, Body):
+                elif isinstance(event, ResponseData):
                     answer.body += bytes(event.data)
-                elif isinstance(event, End):
+                elif isinstance(event, ResponseEnd):
                     answer.whole = True
                     return answer
         return answer
--- a/violetstack/rehearsal/discovery.py
+++ b/violetstack/rehearsal/discovery.py
@@ -7,7 +7,7 @@
 import orjson
 import trio
 
-from violetstack.protocol.server_side import Inbound
+from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.peer import Peer, PeerConnection
 
 
@@ -25,7 +25,7 @@
         self._news.set()
         self._news = trio.Event()
 
-    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+    async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
         self.asked.append(inbound.target)
         if inbound.target == "/api/targets":
             told = {row["id"]: row for _, rows in self.changes for row in rows}
--- a/violetstack/rehearsal/fleet/network.py
+++ b/violetstack/rehearsal/fleet/network.py
@@ -10,7 +10,7 @@
 import trio
 
 from violetstack.config import Address
-from violetstack.protocol.server_side import Inbound
+from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.fleet.audit import Audit
 from violetstack.rehearsal.peer import Break, PeerConnection
@@ -39,7 +39,7 @@
         self.old = list(rows)
         self.news = trio.Event()
 
-    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+    async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
         self.calls.append(self.now())
         if self.mode == "silent":
             await connection.until_closed()
--- a/violetstack/rehearsal/hosts.py
+++ b/violetstack/rehearsal/hosts.py
@@ -10,7 +10,7 @@
 import orjson
 import trio
 
-from violetstack.protocol.server_side import Headers, Inbound
+from violetstack.protocol.http_server import Headers, HttpRequest
 from violetstack.rehearsal.peer import Break, Peer, PeerConnection
 
 EVENTS: Headers = [("Content-Type", "text/event-stream")]
@@ -100,7 +100,7 @@
             while not condition():
                 await self.changed.wait()
 
-    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+    async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
         if inbound.path.startswith("/state/"):
             request_id = inbound.path.removeprefix("/state/")
             self.calls.append((inbound.method, request_id))
@@ -114,7 +114,7 @@
         act = self.acts.popleft() if self.acts else SERVE
         await self.play(act, inbound, connection)
 
-    async def play(self, act: Act, inbound: Inbound, connection: PeerConnection) -> None:
+    async def play(self, act: Act, inbound: HttpRequest, connection: PeerConnection) -> None:
         if act.before is not None:
             await act.before.wait()
         await connection.raw(act.ahead)
--- a/violetstack/rehearsal/peer.py
+++ b/violetstack/rehearsal/peer.py
@@ -5,7 +5,7 @@
 import h11
 import trio
 
-from violetstack.protocol.server_side import Headers, Inbound, Rejected, ServerSide
+from violetstack.protocol.http_server import Headers, HttpRequest, HttpServerConnection, InvalidRequestError
 
 
 class PeerConnection:
@@ -13,7 +13,7 @@
 
     def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
-        self.http = ServerSide()
+        self.http = HttpServerConnection()
 
     async def _send(self, parts: list[bytes]) -> None:
         if parts:
@@ -59,7 +59,7 @@
         self._sockets: list[trio.SocketListener] = []
         self._accepting = trio.CancelScope()
 
-    async def handle(self, inbound: Inbound, connection: PeerConnection) -> None:
+    async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
         raise NotImplementedError
 
     async def wrap(self, stream: trio.SocketStream) -> trio.abc.Stream:
@@ -90,7 +90,7 @@
             try:
                 stream = await self.wrap(raw)
                 await self._requests(PeerConnection(stream))
-            except (Break, Rejected, trio.BrokenResourceError, trio.ClosedResourceError):
+            except (Break, InvalidRequestError, trio.BrokenResourceError, trio.ClosedResourceError):
                 pass
             except h11.LocalProtocolError:
                 pass  # the other side is gone in the middle of an answer
