--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -330,8 +330,7 @@
         told: list[str] = []
         for part in (range(6), range(6, 12)):  # a restart lies between
             async with stage(reader, writer, chat=with_idempotency_store(tmp_path)) as on:
-                for n in part:
-                    told.append((await ask(face, on, n)).outcome)
+                told.extend([(await ask(face, on, n)).outcome for n in part])
                 if face == "chat":
                     await retry(on, told)
         return told, writer
--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -91,7 +91,6 @@
       violetstack rehearse cut order drain
       violetstack rehearse fleet benchmarks/fleet/herd.toml
     """
-
     if stories[:1] == ("fleet",):
         sys.exit(_fleet(stories[1:], as_json))
     from violetstack.rehearsal import scenarios as played  # noqa: PLC0415
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -43,7 +43,7 @@
 MAX_ERROR_LENGTH = 200
 
 
-class DiscoveryRejected(InvalidResponseError):
+class DiscoveryRejectedError(InvalidResponseError):
     """Discovery answered with another status than 200."""
 
 
@@ -210,7 +210,7 @@
         self._closed(connection, error)
 
     def _closed(self, connection: WatchConnection, error: Exception | None) -> None:
-        rejected = isinstance(error, DiscoveryRejected)
+        rejected = isinstance(error, DiscoveryRejectedError)
         invalid = isinstance(error, EndpointListError)
         # An invalid change would come again if it were asked for from the same index.
         self._list_owed = self._list_owed or invalid
@@ -313,7 +313,7 @@
             received = await self._receive(connection, stream)
             for event in http.feed(bytes(received)):
                 if isinstance(event, ResponseHead) and event.status != 200:
-                    raise DiscoveryRejected(f"status {event.status}")
+                    raise DiscoveryRejectedError(f"status {event.status}")
                 if isinstance(event, ResponseData):
                     for value in splitter.feed(event.data):
                         await trio.lowlevel.checkpoint_if_cancelled()
