--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -16,7 +16,7 @@
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.errors import NotRoutedError
-from violetstack.core.ports import Origin
+from violetstack.core.ports import Origin, Shed
 from violetstack.core.records import always
 from violetstack.fronts import chat_errors
 from violetstack.fronts.chat_errors import JSON, ErrorResponse, InvalidChatRequestError, retry_headers
@@ -286,13 +286,7 @@
         shed = self._core.admit(now, policy_request)
         if shed is not None:
             record_outcome(Outcome.RELEASED, b"")
-            self._log(
-                "request_shed",
-                reason=shed.reason,
-                cls=policy_request.class_index,
-                tenant=policy_request.tenant_index,
-            )
-            chat_errors.load_shed(shed.retry_after_ms).send(reply)
+            self._reject_shed(policy_request, shed, reply)
             return
         if waited_ms > 0.0:
             remaining_ms = max(1.0, policy_request.expires_in_ms - waited_ms)
@@ -308,6 +302,10 @@
         open_request.survives_disconnect = survives_disconnect
         reply.attach(open_request)
 
+    def _reject_shed(self, request: Request, shed: Shed, reply: Reply) -> None:
+        self._log("request_shed", reason=shed.reason, cls=request.class_index, tenant=request.tenant_index)
+        chat_errors.load_shed(shed.retry_after_ms).send(reply)
+
 
 def client_timeout_ms(inbound: HttpRequest) -> float:
     """How long this client waits for the first token; OpenAI's clients tell it in seconds."""
--- a/violetstack/net/upstream/health_check.py
+++ b/violetstack/net/upstream/health_check.py
@@ -28,7 +28,8 @@
         if server in self._core.stateless_hosts:
             return
         began_at = now_ms()
-        status, report = AttemptStatus.TIMEOUT, None
+        status = AttemptStatus.TIMEOUT
+        report = None
         try:
             with trio.move_on_after(CALL_TIMEOUT_S):
                 connection = await self._pool.acquire(server, lambda: self._core.may_write_to(server))
