A request that was read behind another on its connection is answered

Observed: of two requests written at once on one connection the first was served, and the second never answered: the client waited until its time was up, and a shutdown until SIGKILL.

Cause: net/downstream/connection.py, `_response_ended` sets `_answered`, for which nothing has waited since made the connection read on while it answers. The reading task stays in `receive_some`, with the second request in the parser, until further bytes come.

Ruled out: the parser. h11 keeps the bytes, and `next_request` gives the second request as soon as it is asked.

Change: the end of a response ends the read under way if bytes lie in the parser, or if the connection is to be closed. A read that has taken bytes returns them all the same, as trio cancels only its waits.

--- /dev/null
+++ b/tests/test_requests_are_answered.py
@@ -0,0 +1,110 @@
+"""Each request that was read from a client's connection gets its final answer, forced on real sockets."""
+
+from __future__ import annotations
+
+import re
+
+import trio
+import trio.testing
+
+from tests.steady import until
+from tests.test_stories import pair, play
+from violetstack.config import Address
+from violetstack.rehearsal.clients import BODY, platform_headers
+from violetstack.rehearsal.hosts import Act
+from violetstack.rehearsal.stage import Stage
+
+PATH = "/v1/chat/completions"
+NO_ANSWER_S = 1.0
+"""A client that hears nothing for this long has been left without an answer."""
+
+
+def request(name: str, *more: str, kind: str = "consulta", body: bytes = BODY, **changes: str) -> bytes:
+    """The bytes of one request in the platform's form."""
+    told = [*platform_headers(name, kind, **changes), ("Content-Length", str(len(body)))]
+    lines = [f"POST {PATH} HTTP/1.1", "Host: x", *(f"{k}: {v}" for k, v in told), *more]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class RawClient:
+    """Writes bytes and collects the statuses of what comes back."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self.heard = b""
+        self.ended = False
+        self.reset = False
+
+    @classmethod
+    async def connect(cls, at: Address) -> RawClient:
+        return cls(await trio.open_tcp_stream(*at))
+
+    @property
+    def statuses(self) -> list[int]:
+        return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d{3}) ", self.heard)]
+
+    async def send(self, *parts: bytes) -> None:
+        await self.stream.send_all(b"".join(parts))
+
+    async def receive_once(self) -> None:
+        try:
+            data = bytes(await self.stream.receive_some(64 * 1024))
+        except trio.BrokenResourceError:
+            self.reset = True
+            data = b""
+        self.heard += data
+        self.ended = not data
+
+    async def receive_answers(self, count: int) -> list[int]:
+        """The statuses, once so many answers have come whole, the connection has ended, or none comes."""
+        with trio.move_on_after(NO_ANSWER_S):
+            while not self.ended and self._whole_answers() < count:
+                await self.receive_once()
+        return self.statuses
+
+    async def receive_to_end(self) -> list[int]:
+        """The statuses of everything up to the connection's end."""
+        with trio.fail_after(NO_ANSWER_S + 2.0):
+            while not self.ended:
+                await self.receive_once()
+        return self.statuses
+
+    def _whole_answers(self) -> int:
+        streamed = self.heard.count(b"\r\n0\r\n\r\n")
+        plain = len(re.findall(rb"HTTP/1\.1 [45]\d\d [^\0]*?\r\n\r\n[^\n]+\n", self.heard))
+        return streamed + plain
+
+
+# --- requests that were read together ---
+
+
+def test_requests_sent_in_one_write_are_all_answered() -> None:
+    """The second stayed in the parser until more bytes came."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"), request("q2"), request("q3"))
+        assert await client.receive_answers(3) == [200, 200, 200]
+        assert writer.begun == ["q1", "q2", "q3"]
+        await client.stream.aclose()
+
+    play(reader, writer, story=story)
+
+
+def test_a_request_read_during_the_answer_before_it_is_answered() -> None:
+    gate = trio.Event()
+    reader, writer = pair(Act(pause=gate))
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"))
+        await until(lambda: writer.begun == ["q1"])
+        await client.send(request("q2"))
+        connection = next(iter(on.daemon.listeners[0].table.connections))
+        await until(lambda: connection.http.unread > 0)
+        gate.set()
+        assert await client.receive_answers(2) == [200, 200]
+        await client.stream.aclose()
+
+    play(reader, writer, story=story)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -159,6 +159,8 @@
             self._close_when_written = True
         if not self._close_when_written and not self.closed:
             self.listener.table.mark_idle(self)
+        if self._read_timer is not None and (self._close_when_written or self.http.unread):
+            self._read_timer.cancel()  # the next request has been read already, or nothing more is wanted
         self._output.wake()
         self._answered.set()
 
@@ -305,7 +307,7 @@
             data = await self.stream.receive_some(READ_SIZE)
         self._read_timer = None
         if timer.cancelled_caught:
-            if self._migration is None:
+            if trio.current_time() >= deadline and self._migration is None:
                 self._request_timed_out()
             return True
         if not data or self.scope.cancel_called:
