Platform front: a client's other header fields, such as Idempotency-Key, reach the host

Cause: net/upstream/attempts.py, _headers, writes four fields of its own, and Payload carried none of the client's; the platform front dropped every field that the dispatcher does not read.

Ruled out: the settings (effect, group and window decode), the start and the policy (no request got that far).

Change: fields that are neither addressed to the dispatcher nor bound to one connection are forwarded unchanged with every attempt (RFC 9110, 5.1 and 7.6.1).

The tests fail without the change in attempts.py.

--- /dev/null
+++ b/tests/test_forwarded_headers.py
@@ -0,0 +1,75 @@
+"""Header fields of a client that every attempt has to carry on to a model host."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.test_stories import pair, play
+from violetstack.protocol.headers import forwarded_headers
+from violetstack.protocol.http_server import HttpRequest
+from violetstack.rehearsal.clients import BODY, connect, platform_headers
+from violetstack.rehearsal.hosts import ERROR, ModelHost
+from violetstack.rehearsal.peer import PeerConnection
+from violetstack.rehearsal.stage import SETTINGS, Stage
+
+KEY = "958c55e3245a7a6e9be8e5960c9cf223"
+KEYED_CLASS = {
+    "name": "booking",
+    "aim": 2500.0,
+    "give_up": 9000.0,
+    "idempotency": "idempotency_key",
+    "group": "all",
+    "window": 5000.0,
+    "value": 1.0,
+}
+
+
+class RecordingHost(ModelHost):
+    """Keeps the header fields of each request."""
+
+    received: list[dict[str, str]]
+
+    async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
+        if not inbound.path.startswith("/state/"):
+            self.received = [*getattr(self, "received", []), inbound.headers]
+        await super().handle(inbound, connection)
+
+
+@pytest.mark.parametrize("retried", [False, True], ids=["first attempt", "retry"])
+def test_every_attempt_carries_the_clients_idempotency_key(retried: bool) -> None:
+    reader = RecordingHost("r", "prefill")
+    writer = RecordingHost("w", "decode", *([ERROR] if retried else []))
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.platform)
+        headers = [*platform_headers("q1", "booking"), ("Idempotency-Key", KEY)]
+        await call.send("POST", "/v1/chat/completions", headers, BODY)
+        answer = await call.receive()
+        assert (answer.status, answer.whole) == (200, True)
+        received = [*reader.received, *writer.received]
+        assert [headers.get("idempotency-key") for headers in received] == [KEY] * (4 if retried else 2)
+
+    play(reader, writer, story=story, settings={"classes": [*SETTINGS["classes"], KEYED_CLASS]})
+
+
+def test_the_hosts_get_no_field_that_is_meant_for_the_dispatcher_or_one_connection() -> None:
+    reader = RecordingHost("r", "prefill")
+    _, writer = pair()
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.platform)
+        more = [("Traceparent", "00-1-2-01"), ("Connection", "keep-alive, X-Hop"), ("X-Hop", "1")]
+        await call.send("POST", "/v1/chat/completions", [*platform_headers("q1", "consulta"), *more], BODY)
+        answer = await call.receive()
+        assert answer.status == 200
+        (headers,) = reader.received
+        expected = {"host", "req-id", "req-deadline", "content-type", "content-length", "traceparent"}
+        assert set(headers) == expected
+
+    play(reader, writer, story=story)
+
+
+def test_forwarded_headers_keeps_unknown_fields_only() -> None:
+    headers = {"host": "app.svc", "req-id": "q1", "te": "trailers", "idempotency-key": KEY, "x-hop": "1"}
+    assert forwarded_headers(headers) == [("idempotency-key", KEY), ("x-hop", "1")]
+    assert forwarded_headers({**headers, "connection": "X-Hop"}) == [("idempotency-key", KEY)]
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -8,7 +8,7 @@
 from violetstack.core.errors import DuplicateRequestError, NotRoutedError
 from violetstack.core.ports import Origin
 from violetstack.fronts.reply import EVENTS, TEXT, Payload, Reply
-from violetstack.protocol.headers import RequestReader
+from violetstack.protocol.headers import RequestReader, forwarded_headers
 from violetstack.protocol.http_server import HttpRequest, InvalidRequestError
 
 READY_PATH = "/-/ready"
@@ -101,7 +101,14 @@
             PlatformSink(reply).rejected(advice, 429)
             return
         content_type = inbound.headers.get("content-type", DEFAULT_CONTENT_TYPE)
-        payload = Payload(inbound.method, inbound.target, content_type, inbound.body, reply.wait_writable)
+        payload = Payload(
+            inbound.method,
+            inbound.target,
+            content_type,
+            inbound.body,
+            reply.wait_writable,
+            forwarded_headers(inbound.headers),
+        )
         reply.attach(self._core.accept(now, request, PlatformSink(reply), payload))
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
--- a/violetstack/fronts/reply.py
+++ b/violetstack/fronts/reply.py
@@ -71,6 +71,8 @@
     content_type: str
     body: memoryview
     wait_writable: Callable[[], Awaitable[None]]
+    headers: Headers = []
+    """Header fields beside those that each attempt has of its own."""
 
 
 class Front(Protocol):
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -233,4 +233,5 @@
         ("Req-Id", attempt.request.id),
         ("Req-Deadline", f"{wait_ms}m"),
         ("Content-Type", payload.content_type),
+        *payload.headers,
     ]
--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from violetstack.policy_api import Request
-from violetstack.protocol.http_server import HttpRequest, InvalidRequestError
+from violetstack.protocol.http_server import Headers, HttpRequest, InvalidRequestError
 from violetstack.settings import SettingsMessage
 
 CHARS_A_TOKEN = 4
@@ -28,6 +28,37 @@
 MAX_WAIT_MS = 600_000.0  # no client waits longer for a first token
 MAX_ANSWER_TOKENS = 100_000.0  # bounds the memory that one request can claim at a decode host
 MAX_REPORTED_VALUE = 1e9
+# Header fields of the platform's clients that are addressed to the dispatcher, or set anew for each attempt.
+DISPATCHER_HEADERS = frozenset(
+    {
+        "content-type",
+        "req-cost",
+        "req-deadline",
+        "req-extra",
+        "req-id",
+        "req-key",
+        "req-kind",
+        "req-owner",
+        "req-retry",
+    }
+)
+# Header fields that hold for one connection only, or describe the framing of its messages (RFC 9110, 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
 
 
 def duration_ms(text: str, name: str = "Req-Deadline") -> float:
@@ -91,6 +122,17 @@
     return row if any(value is not None for value in row) else None
 
 
+def forwarded_headers(headers: dict[str, str]) -> Headers:
+    """The client's fields that every attempt carries unchanged, such as `Idempotency-Key`.
+
+    Fields that this proxy does not know are forwarded (RFC 9110, 5.1), but for those of one connection and
+    those that the client's `Connection` names.
+    """
+    named = {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    kept_back = DISPATCHER_HEADERS | CONNECTION_HEADERS | named
+    return [(name, value) for name, value in headers.items() if name not in kept_back]
+
+
 def check_body(body: memoryview) -> None:
     """Raises InvalidRequestError for a body that is no JSON object.
 
