No attempt begins or goes on being written once its request is over or its client gone

Cause: `Attempts.client_disconnected` returned early for a request that survives its client and was `possibly_executed`, the policy heard nothing, and `may_send` only asked whether the request was done: a keyed chat request whose attempt failed later was retried for nobody. `possibly_executed` also counted attempts that were not written, so one whose connection came up later was written for a client long gone. `OpenRequest.sending_allowed` was the only question asked after the first byte, and by default it was always yes: a large body to a host with a full receive window went out to its last byte after the client's end, the final answer or the attempt's deadline, where the settings forbid cancelling.

Change: `Attempts.may_continue_sending` is asked in each step that writes a part. `Dispatcher.run` withdraws unwritten attempts once the request has a response or its client has gone, whatever `cancellation_allowed` says: no host has begun them. A request that outlives its client gets no further attempt; its end is told to the policy with its attempt's, and its record says whether it may have run.

Ruled out: a drain told after the first byte does not stop the rest, as a send counts from its first byte there.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
 from tests.front import READERS, SETTINGS, WRITERS
 from violetstack.core.attempts import MIN_CONNECT_TIMEOUT_MS
@@ -98,12 +99,17 @@
 
 
 class CoreHarness:
-    """A dispatcher with one open request, `q`, whose clock moves only by `run`."""
+    """A dispatcher with one open request, `q`, whose clock moves only by `run`.
 
-    def __init__(self) -> None:
+    Attributes:
+        settings: Those of `SETTINGS`, with the changes that the test gives.
+    """
+
+    def __init__(self, **changes: Any) -> None:
         self.ports = RecordingPorts()
         self.now = 1000.0
-        self.core = Dispatcher(SETTINGS, self.ports, self.ports, 250.0)
+        self.settings = replace(SETTINGS, **changes)
+        self.core = Dispatcher(self.settings, self.ports, self.ports, 250.0)
         self.core.update_endpoints(self.now, EndpointUpdate(UpdateScope.CACHED, READERS + WRITERS, 1))
         self.request = self.accept("q")
         self.run()
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -61,7 +61,7 @@
     def _may_start(self, now: float, attempt: Attempt) -> bool:
         request = attempt.request
         settings = self._state.settings
-        if request.has_response or attempt.server not in self._state.endpoints.endpoints:
+        if not request.accepts_attempts or attempt.server not in self._state.endpoints.endpoints:
             return False
         if len(request.in_flight) > 1 and not settings.hedging_allowed:
             return False
@@ -88,16 +88,25 @@
     def may_send(self, now: float, attempt: Attempt) -> bool:
         """Returns whether the first byte of the attempt may be written now.
 
-        It may not if the host is draining or gone, the request is over, its client has closed the connection,
-        or it may have run and the class's deduplication window is over.
+        It may not if the host is draining or gone, or `may_continue_sending` forbids it.
+        """
+        listed = self._state.endpoints.accepts_writes(attempt.server)
+        return self.may_continue_sending(now, attempt) and listed
+
+    def may_continue_sending(self, now: float, attempt: Attempt) -> bool:
+        """Returns whether a part of the attempt may be written now; asked in each step that writes one.
+
+        A host begins the request when its last byte arrives, so until then everything that forbids an attempt
+        withholds the rest: the end of the request, its client's or the attempt's own, and the rules on
+        repeated execution. A host that drains still finishes what it has the first byte of.
         """
         request = attempt.request
-        if not attempt.finished and not request.done and request.sink.client_gone():
+        if not attempt.finished and request.accepts_attempts and request.sink.client_gone():
             # The end of the connection may not have been read from the socket yet.
             self.client_disconnected(now, request)
-        if attempt.finished or request.done or self._past_deduplication_window(now, attempt):
+        if attempt.finished or not request.accepts_attempts or now >= attempt.deadline:
             return False
-        return self._state.endpoints.accepts_writes(attempt.server)
+        return request.sending_allowed() and not self._past_deduplication_window(now, attempt)
 
     def _past_deduplication_window(self, now: float, attempt: Attempt) -> bool:
         request = attempt.request
@@ -106,6 +115,18 @@
             return False
         return request.may_have_run and now >= request.first_run_at + spec.deduplication_window_ms
 
+    def withdraw_unsent(self, now: float, request: OpenRequest) -> None:
+        """Ends attempts whose last byte is not written if nothing may be sent for the request any more.
+
+        Hosts have not begun them, so this is no cancellation that the settings could forbid.
+        """
+        if request.accepts_attempts:
+            return
+        for attempt in list(request.in_flight.values()):
+            if not attempt.request_written and not attempt.stream_started:
+                self._state.driver.abort_attempt(attempt)
+                self.finished(now, attempt, AttemptStatus.ALREADY_FINISHED)
+
     def connect_timeout_ms(self, now: float, attempt: Attempt) -> float:
         """Returns how long the connection of an attempt may take to come up; infinite if nothing is held.
 
@@ -136,6 +157,7 @@
             return False
         attempt.stream_started = True
         request.committed_attempt = attempt
+        state.mark_changed(request)
         if state.load_shedder is not None:
             ratio = (now - request.arrived_at) / state.latency_objective_ms(request.policy_request)
             state.load_shedder.stream_started(now, ratio, request.policy_request.prompt_tokens)
@@ -183,6 +205,9 @@
         self._finish_request(now, attempt, status)
         _record_effects(now, attempt, status)
         self._observe(now, attempt, status)
+        if request.client_disconnected:
+            # The policy is to hear of the request's end with this attempt's, or it would retry.
+            self.client_disconnected(now, request)
         duration_ms = now - attempt.sent_at
         request.attempt_log.append(AttemptLogEntry(attempt.server, status, round(duration_ms)))
         state.post(
@@ -198,9 +223,6 @@
             )
         )
         state.mark_changed(request)
-        if request.client_disconnected and not request.possibly_executed:
-            # It went on without its client since it might have run; now it is known that it did not.
-            self.client_disconnected(now, request)
 
     def _finish_request(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
         """Ends the request if this attempt carried its response."""
@@ -223,14 +245,21 @@
     # --- the client, and other processes ---
 
     def client_disconnected(self, now: float, request: OpenRequest) -> None:
-        """Ends a request that nobody waits for, unless it has to go on for a retry to find."""
+        """Ends a request that nobody waits for, once no host executes it for a retry to find.
+
+        Nothing more is sent for it in any case.
+        """
         state = self._state
         request.client_disconnected = True
-        if request.done or (request.survives_disconnect and request.possibly_executed):
+        if request.done:
+            return
+        state.mark_changed(request)
+        state.wake()
+        if request.survives_disconnect and request.executing:
             return
         self._lifecycle.finish(now, request, RequestOutcome.CLIENT_DISCONNECTED)
         if request.survives_disconnect:
-            state.notify(request.sink.failed, False)  # its stored record is to say that nothing ran
+            state.notify(request.sink.failed, request.may_have_run)  # for its stored record
         state.post(ClientDisconnected(request.id))
         if request.committed_attempt is not None:
             state.driver.abort_attempt(request.committed_attempt)
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -245,6 +245,10 @@
         """Returns whether the first byte of the attempt may be written now; see `Attempts.may_send`."""
         return self._attempts.may_send(now, attempt)
 
+    def may_continue_sending(self, now: float, attempt: Attempt) -> bool:
+        """Returns whether a part of the attempt may be written; see `Attempts.may_continue_sending`."""
+        return self._attempts.may_continue_sending(now, attempt)
+
     def connect_timeout_ms(self, now: float, attempt: Attempt) -> float:
         """Returns how long the connection of an attempt may take to come up."""
         return self._attempts.connect_timeout_ms(now, attempt)
@@ -306,6 +310,7 @@
                 for action in self._decide(now, events):
                     self._try_action(now, action)
             for request in state.take_changed():
+                self._attempts.withdraw_unsent(now, request)
                 self._lifecycle.clean_up(now, request)
 
     def _decide(self, now: float, events: list[Event]) -> list[Action]:
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -162,7 +162,8 @@
         attempts_sent: Number of attempts that were started.
         committed_attempt: The attempt whose stream goes to the client.
         sending_allowed: Asked in each step that writes a part of an attempt; False keeps the rest unsent.
-        survives_disconnect: Once it may have run, it goes on without its client, for a retry to find.
+        survives_disconnect: An attempt that a host may be executing goes on without its client, for a retry
+            to find.
         client_disconnected: Whether its client has closed the connection.
         done: Whether it has its final response.
         may_have_run: Whether an attempt that has an effect may have reached a host and finished since.
@@ -214,12 +215,19 @@
         return self.done or self.committed_attempt is not None
 
     @property
-    def possibly_executed(self) -> bool:
-        """Whether a host may have executed the request.
+    def accepts_attempts(self) -> bool:
+        """Whether anything may still be sent for it: it has no response, and its client waits for one."""
+        return not self.has_response and not self.client_disconnected
 
-        An attempt in flight counts, since it may be written before it is cancelled.
-        """
-        return self.may_have_run or any(not attempt.is_prefill for attempt in self.in_flight.values())
+    @property
+    def executing(self) -> bool:
+        """Whether a host may be executing the request: an attempt with an effect is written and in flight."""
+        return any(each.request_written and not each.is_prefill for each in self.in_flight.values())
+
+    @property
+    def possibly_executed(self) -> bool:
+        """Whether a host may have executed the request, or may be executing it."""
+        return self.may_have_run or self.executing
 
     def close(self) -> None:
         """Drops the references to the front and the connection.
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -136,7 +136,9 @@
         """The exchange's result, whatever it raises: no attempt's failure may end the program."""
         try:
             return await exchange(running)
-        except (NotConnectedError, SendWithheldError):
+        except SendWithheldError:
+            return AttemptResult(AttemptStatus.ALREADY_FINISHED)
+        except NotConnectedError:
             return AttemptResult(AttemptStatus.CONNECT_FAILED)
         except (InvalidResponseError, sse.InvalidEventError) as error:
             log_rate_limited(
@@ -183,7 +185,7 @@
             self._core.request_written(attempt)
             running.request_sent.set()
 
-        await connection.write(parts, written, attempt.request.sending_allowed)
+        await connection.write(parts, written, lambda: self._core.may_continue_sending(now_ms(), attempt))
 
     async def _read_response(
         self,
