An aborted attempt leaves nothing in the kernel for its host to begin later

Cause: `AttemptRunner.abort` closed the socket plainly (`UpstreamConnection.close`). The kernel goes on delivering what it holds after that. A host whose receive window was full when the client left, the attempt timed out or the final answer was given got the rest of the request later, complete, and began it: an attempt forwarded after its end, up to 256 KiB of it from the system's own send buffer.

Change: `UpstreamConnection.abort` resets the connection (SO_LINGER of no time) if the host has not acknowledged all bytes; otherwise it closes as before.

Ruled out: data that the host's own kernel already has is not touched.

Left: where cancelling is forbidden, an attempt that the kernel has taken whole is not withdrawn, since its host may have begun it.

--- a/tests/test_client_disconnect.py
+++ b/tests/test_client_disconnect.py
@@ -180,15 +180,15 @@
 
 @pytest.mark.parametrize(
     ("send_buffer", "cancel"),
-    [(4096, True), (4096, False)],
-    ids=["small buffer", "small buffer, no cancellation"],
+    [(4096, True), (4096, False), (0, True)],
+    ids=["small buffer", "small buffer, no cancellation", "system's buffer"],
 )
 def test_the_rest_of_a_large_request_is_not_sent_after_its_client_has_gone(
     send_buffer: int, cancel: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The host begins a request with its last byte, however early its first came.
 
-    A small send buffer keeps the rest in the process.
+    A small send buffer keeps the rest in the process; a large one takes all of it, with most still unsent.
     """
     reader, writer = ReadsLate("r", "prefill"), ModelHost("w", "decode")
     begin = UpstreamConnection.__init__
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -95,7 +95,7 @@
         if (running := self._running.get(attempt)) is None:
             return
         if running.connection is not None:
-            running.connection.close()
+            running.connection.abort()
         running.scope.cancel()
 
     def request_sent(self, attempt: Attempt) -> Callable[[], Awaitable[None]] | None:
--- a/violetstack/net/upstream/connection.py
+++ b/violetstack/net/upstream/connection.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 
 import trio
@@ -18,6 +21,8 @@
 )
 
 READ_SIZE = 32 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""SO_LINGER for no time: the kernel drops what it has not sent, and resets the connection."""
 
 
 class UpstreamError(Exception):
@@ -85,6 +90,24 @@
         """Whether there is something to read. On an idle connection that is its end."""
         return self.sock.is_readable()
 
+    def abort(self) -> None:
+        """Closes the socket at once, so that no further byte reaches the host.
+
+        After a plain close the kernel still delivers what it holds: a host whose receive window was full
+        would get the rest of a request that is over, and begin it.
+        """
+        if not self.closed and self._unsent_bytes():
+            self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.close()
+
+    def _unsent_bytes(self) -> int:
+        """Bytes in the kernel that the host has not acknowledged; 0 where the system does not tell."""
+        try:
+            answer = fcntl.ioctl(self._raw, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+        except OSError:
+            return 0
+        return int(struct.unpack("i", answer)[0])
+
     def close(self) -> None:
         """Closes the socket at once."""
         self.closed = True
