--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -4,6 +4,7 @@
 
 import math
 
+from violetstack.core.execution import may_execute
 from violetstack.core.lifecycle import RequestLifecycle
 from violetstack.core.records import Attempt, AttemptLogEntry, OpenRequest, RequestOutcome
 from violetstack.core.state import DispatcherState
@@ -11,8 +12,8 @@
     FAILURE_STATUSES,
     AttemptFinished,
     AttemptStatus,
+    ClassSettings,
     ClientDisconnected,
-    Idempotency,
     StreamStarted,
 )
 
@@ -49,6 +50,7 @@
             is_prefill=state.endpoints.only_prefills(server),
             sent_at=now,
             deadline=deadline,
+            endpoint=state.endpoints.endpoints.get(server),
         )
         request.attempts_sent += 1
         request.in_flight[attempt.number] = attempt
@@ -61,11 +63,16 @@
     def _may_start(self, now: float, attempt: Attempt) -> bool:
         request = attempt.request
         settings = self._state.settings
-        if not request.accepts_attempts or attempt.server not in self._state.endpoints.endpoints:
+        if not request.accepts_attempts or attempt.endpoint is None:
             return False
         if len(request.in_flight) > 1 and not settings.hedging_allowed:
             return False
-        return attempt.number < settings.max_attempts and attempt.deadline > now
+        if attempt.number >= settings.max_attempts or attempt.deadline <= now:
+            return False
+        return may_execute(now, attempt, self._class_settings(request))
+
+    def _class_settings(self, request: OpenRequest) -> ClassSettings:
+        return self._state.settings.classes[request.policy_request.class_index]
 
     def cancel(self, now: float, attempt: Attempt) -> None:
         """Cancels an attempt, unless its stream has started."""
@@ -106,14 +113,7 @@
             self.client_disconnected(now, request)
         if attempt.finished or not request.accepts_attempts or now >= attempt.deadline:
             return False
-        return request.sending_allowed() and not self._past_deduplication_window(now, attempt)
-
-    def _past_deduplication_window(self, now: float, attempt: Attempt) -> bool:
-        request = attempt.request
-        spec = self._state.settings.classes[request.policy_request.class_index]
-        if spec.idempotency is not Idempotency.IDEMPOTENCY_KEY or attempt.is_prefill:
-            return False
-        return request.may_have_run and now >= request.first_run_at + spec.deduplication_window_ms
+        return request.sending_allowed() and may_execute(now, attempt, self._class_settings(request))
 
     def withdraw_unsent(self, now: float, request: OpenRequest) -> None:
         """Ends attempts whose last byte is not written if nothing may be sent for the request any more.
@@ -285,8 +285,9 @@
     request = attempt.request
     reached_host = attempt.request_written and status not in NOTHING_HELD_STATUSES
     if reached_host and not attempt.is_prefill:
-        if not request.may_have_run:
+        if not request.may_have_run or attempt.sent_at < request.first_run_at:
             request.first_run_at = attempt.sent_at
+            request.first_run_endpoint = attempt.endpoint
         request.may_have_run = True
     if attempt.request_written:
         request.state_held_since = now
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -10,7 +10,7 @@
 
 from violetstack.core.ports import Sink
 from violetstack.core.timers import Timer
-from violetstack.policy_api import AttemptStatus, Request
+from violetstack.policy_api import AttemptStatus, Endpoint, Request
 
 
 class RequestOutcome(StrEnum):
@@ -89,6 +89,7 @@
         request: The request that it belongs to.
         number: Attempts of a request are numbered from 0.
         server: Id of the host.
+        endpoint: The host's entry in the endpoint list when the attempt was started.
         is_prefill: Whether the host only prefills the prompt, which has no effect of its own.
         sent_at: When the attempt was started.
         deadline: When it times out.
@@ -110,6 +111,7 @@
     events_forwarded: int = 0
     finished: bool = False
     timer: Timer | None = None
+    endpoint: Endpoint | None = None
 
 
 class ReservationCall(msgspec.Struct, eq=False):
@@ -168,6 +170,7 @@
         done: Whether it has its final response.
         may_have_run: Whether an attempt that has an effect may have reached a host and finished since.
         first_run_at: When the first such attempt was sent.
+        first_run_endpoint: The host that it was sent to.
         holds_remote_state: Whether a host may hold state or a reservation for it.
         state_held_since: The last end of an attempt that had reached a host: what is held expires
             `Settings.state_retention_ms` after that.
@@ -194,6 +197,7 @@
     done: bool = False
     may_have_run: bool = False
     first_run_at: float = 0.0
+    first_run_endpoint: Endpoint | None = None
     holds_remote_state: bool = False
     state_held_since: float = 0.0
     reservations_in_flight: int = 0
