--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -10,7 +10,7 @@
 
 from violetstack.core.ports import Sink
 from violetstack.core.timers import Timer
-from violetstack.policy_api import AttemptStatus, Request
+from violetstack.policy_api import AttemptStatus, Endpoint, Request
 
 
 class RequestOutcome(StrEnum):
@@ -89,6 +89,7 @@
         request: The request that it belongs to.
         number: Attempts of a request are numbered from 0.
         server: Id of the host.
+        endpoint: The host's entry in the endpoint list when the attempt was started.
         is_prefill: Whether the host only prefills the prompt, which has no effect of its own.
         sent_at: When the attempt was started.
         deadline: When it times out.
@@ -110,6 +111,7 @@
     events_forwarded: int = 0
     finished: bool = False
     timer: Timer | None = None
+    endpoint: Endpoint | None = None
 
 
 class ReservationCall(msgspec.Struct, eq=False):
@@ -162,11 +164,13 @@
         attempts_sent: Number of attempts that were started.
         committed_attempt: The attempt whose stream goes to the client.
         sending_allowed: Asked in each step that writes a part of an attempt; False keeps the rest unsent.
-        survives_disconnect: Once it may have run, it goes on without its client, for a retry to find.
+        survives_disconnect: An attempt that a host may be executing goes on without its client, for a retry
+            to find.
         client_disconnected: Whether its client has closed the connection.
         done: Whether it has its final response.
         may_have_run: Whether an attempt that has an effect may have reached a host and finished since.
         first_run_at: When the first such attempt was sent.
+        first_run_endpoint: The host that it was sent to.
         holds_remote_state: Whether a host may hold state or a reservation for it.
         state_held_since: The last end of an attempt that had reached a host: what is held expires
             `Settings.state_retention_ms` after that.
@@ -193,6 +197,7 @@
     done: bool = False
     may_have_run: bool = False
     first_run_at: float = 0.0
+    first_run_endpoint: Endpoint | None = None
     holds_remote_state: bool = False
     state_held_since: float = 0.0
     reservations_in_flight: int = 0
@@ -214,12 +219,19 @@
         return self.done or self.committed_attempt is not None
 
     @property
-    def possibly_executed(self) -> bool:
-        """Whether a host may have executed the request.
+    def accepts_attempts(self) -> bool:
+        """Whether anything may still be sent for it: it has no response, and its client waits for one."""
+        return not self.has_response and not self.client_disconnected
 
-        An attempt in flight counts, since it may be written before it is cancelled.
-        """
-        return self.may_have_run or any(not attempt.is_prefill for attempt in self.in_flight.values())
+    @property
+    def executing(self) -> bool:
+        """Whether a host may be executing the request: an attempt with an effect is written and in flight."""
+        return any(each.request_written and not each.is_prefill for each in self.in_flight.values())
+
+    @property
+    def possibly_executed(self) -> bool:
+        """Whether a host may have executed the request, or may be executing it."""
+        return self.may_have_run or self.executing
 
     def close(self) -> None:
         """Drops the references to the front and the connection.
