A request that is read as its connection is evicted is answered, not dropped

Cause: net/downstream/connection.py, `_receive`: bytes that had left the socket when `evict` cancelled the connection's scope were dropped. trio yields between a successful recv and its return, so an eviction, or the `close_idle` of a shutdown, meets a request that is neither unread nor parsed; `has_unread` doesn't see it. `evict` also closed a connection with half a first request with no answer, over bytes that were still coming.

Ruled out: a read that is cancelled in its wait. It has taken nothing, so the request stays unread, and the client sends it once more, as the protocol has it.

Change: `DownstreamConnection.evict` cancels only the read under way. What it has taken all the same is parsed and answered 503, also half a request and complete ones behind the first; nothing is forwarded.

--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -13,7 +13,12 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.response_handle import ResponseHandle
 from violetstack.net.downstream.write_queue import WriteQueue
-from violetstack.protocol.http_server import Headers, HttpServerConnection, InvalidRequestError
+from violetstack.protocol.http_server import (
+    Headers,
+    HttpRequest,
+    HttpServerConnection,
+    InvalidRequestError,
+)
 
 if TYPE_CHECKING:
     from violetstack.net.downstream.listener import Listener
@@ -56,6 +61,7 @@
         "_answered",
         "_client_ended",
         "_close_when_written",
+        "_evicted",
         "_migration",
         "_output",
         "_read_timer",
@@ -97,6 +103,7 @@
         self._response: ResponseHandle | None = None
         self._read_timer: trio.CancelScope | None = None
         self._migration: _MigrationPause | None = None
+        self._evicted = False
 
     def start_parsing(self, http: HttpServerConnection) -> None:
         """Called with the first byte, or when another process has handed the connection over."""
@@ -157,7 +164,7 @@
         self.listener.table.set_buffered_bytes(self, 0)
         if self.http.closing or (not self._close_when_written and not self.http.reuse()):
             self._close_when_written = True
-        if not self._close_when_written and not self.closed:
+        if not self._close_when_written and not self.closed and not self._evicted:
             self.listener.table.mark_idle(self)
         if self._read_timer is not None and (self._close_when_written or self.http.unread):
             self._read_timer.cancel()  # the next request has been read already, or nothing more is wanted
@@ -207,6 +214,17 @@
         self.listener.table.forget(self)
         self.scope.cancel()
 
+    def evict(self) -> None:
+        """Closes the connection; a request that has been read, or begun to be, is answered first.
+
+        A read that has already taken bytes from the socket returns them, although it is cancelled.
+        """
+        self._evicted = True
+        if self._read_timer is not None:
+            self._read_timer.cancel()
+        else:
+            self.scope.cancel()
+
     # --- state of the socket ---
 
     def client_has_closed(self) -> bool:
@@ -307,16 +325,22 @@
             data = await self.stream.receive_some(READ_SIZE)
         self._read_timer = None
         if timer.cancelled_caught:
-            if trio.current_time() >= deadline and self._migration is None:
-                self._request_timed_out()
-            return True
-        if not data or self.scope.cancel_called:
-            return False  # evicted while these bytes arrived: what they ask for is not taken
+            return self._receiving_stopped(deadline)
+        if not data:
+            return False
         self.http.feed(bytes(data))
         if not self.served:
             self.listener.table.mark_progress(self)
         return True
 
+    def _receiving_stopped(self, deadline: float) -> bool:
+        """No bytes were read; False if the connection is to be closed at once."""
+        if self._evicted:
+            return self.http.busy
+        if trio.current_time() >= deadline and self._migration is None:
+            self._request_timed_out()
+        return True
+
     async def _discard_until_answered(self) -> bool:
         """Drops what comes behind the request until its answer has ended; False if the client ends first.
 
@@ -349,6 +373,19 @@
         self.answering = True
         self.listener.front.rejected(status, reason, ResponseHandle(self))
 
+    def _turn_away(self, reason: str) -> None:
+        """Rejects a complete request; the connection ends unless another has been read behind it."""
+        self.http.closing = self.http.closing or not self.http.unread
+        self.answering = True
+        self.listener.front.rejected(503, reason, ResponseHandle(self))
+
+    def _reject_evicted(self, inbound: HttpRequest | None) -> None:
+        reason = "the connection was closed to make room"
+        if inbound is not None:
+            self._turn_away(reason)
+        else:
+            self._reject(503, reason)
+
     def _handle_next_request(self) -> None:
         """Hands the next complete request to the front, once the one before is answered."""
         while not self.answering and not self._close_when_written:
@@ -357,6 +394,9 @@
             except InvalidRequestError as error:
                 self._reject(error.status, error.reason)
                 return
+            if self._evicted:
+                self._reject_evicted(inbound)
+                continue
             self.listener.table.set_buffered_bytes(self, self.http.size)
             if self.listener.table.bodies_full and self.http.size:
                 self._reject(503, "too many requests are being held")
--- a/violetstack/net/downstream/connection_table.py
+++ b/violetstack/net/downstream/connection_table.py
@@ -114,9 +114,9 @@
         return True
 
     def evict(self, connection: DownstreamConnection) -> None:
-        """Closes the connection; what it has sent and nobody has looked at yet is not taken."""
+        """Closes the connection, once it has answered what was read of a request."""
         self.forget(connection)
-        connection.scope.cancel()
+        connection.evict()
 
     # --- shutdown ---
 
