A client that only ends its sending gets a final answer; nothing is begun for it

Cause: net/downstream/connection.py. `_handle_next_request` closed the connection without a word when the client's end lay behind a complete request (`client_has_closed` asks for POLLRDHUP), and `_read` did the same when the end came while a request waited. A client that has closed and one that has only ended its sending (half-close) look alike until something is written to them, so a request of the latter was read and lost.

Ruled out: serving it. A stream that has started still ends with its client's end, as before: its head is out, and no status can be told.

Change: such a request is answered: 503 if nothing can have run, 500 if an attempt may have. Pipelined requests are answered one by one; the connection's end is announced with the last.

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import socket
 
 import pytest
 import trio
@@ -14,7 +15,7 @@
 from violetstack.net.downstream import connection_table
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.rehearsal.clients import BODY, platform_headers
-from violetstack.rehearsal.hosts import Act
+from violetstack.rehearsal.hosts import SILENT, Act
 from violetstack.rehearsal.stage import Stage
 
 PATH = "/v1/chat/completions"
@@ -186,3 +187,43 @@
         assert await client.receive_to_end() == [200, 503]
 
     play(*pair(), story=story)
+
+
+# --- a client that ends its sending, and still reads ---
+
+
+def test_a_request_that_comes_with_the_end_of_its_clients_sending_is_answered() -> None:
+    """It was closed with no answer; from here a client that has gone looks the same."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        client.stream.socket._sock.send(request("q1") + request("q2"))  # type: ignore[attr-defined]
+        client.stream.socket.shutdown(socket.SHUT_WR)
+        assert await client.receive_to_end() == [503, 503]
+        assert (reader.begun, client.reset) == ([], False)
+
+    play(reader, writer, story=story)
+
+
+@pytest.mark.parametrize(
+    ("kind", "at_writer", "status"),
+    [("orden", False, 503), ("orden", True, 500), ("consulta", True, 500)],
+    ids=["prefill in flight", "decode in flight", "decode in flight, idempotent"],
+)
+def test_a_request_whose_client_ends_its_sending_while_it_waits_is_answered_once(
+    kind: str, at_writer: bool, status: int
+) -> None:
+    reader, writer = pair(SILENT) if at_writer else pair(reads=(SILENT,))
+    host = writer if at_writer else reader
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1", kind=kind))
+        await until(lambda: host.begun == ["q1"])
+        await client.stream.send_eof()
+        assert await client.receive_to_end() == [status]
+        await until(lambda: not on.daemon.core.open_requests)
+        assert len(reader.begun) + len(writer.begun) == 1 + at_writer
+
+    play(reader, writer, story=story)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -36,6 +36,7 @@
 """Bytes behind an unanswered request that are kept; beyond them the connection ends with its answer."""
 DISCARD_INTERVAL_S = 0.01
 CLOSE_TIMEOUT_S = 1.0
+CLIENT_ENDED = "the client has ended its sending"
 
 UNUSED_PARSER = HttpServerConnection()
 """Stands for the parser of every connection that has sent nothing yet; never fed."""
@@ -308,11 +309,29 @@
             arriving = not self.answering and (self.http.busy or not self.served)
             arriving_since = (arriving_since or trio.current_time()) if arriving else 0.0
             if not await self._receive(arriving_since + REQUEST_TIMEOUT_S if arriving else math.inf):
+                self._reading_ended()
                 return
         while await self.stream.receive_some(READ_SIZE):
             pass  # nothing more is wanted; the writing task closes the connection
         self._client_ended.set()
 
+    def _reading_ended(self) -> None:
+        """Ends the request that waits for its answer, and answers it: the client may still read.
+
+        A client that has closed its connection and one that has only ended its sending look alike.
+        """
+        self._client_ended.set()
+        if not self.answering or not self.http.can_answer:
+            return
+        request, self.request = self.request, None
+        may_have_run = request is not None and request.possibly_executed
+        if request is not None:
+            self.listener.core.client_disconnected(now_ms(), request)
+        if self.answering:
+            if self._response is not None:
+                self._response.connection_lost()
+            self._reject(500 if may_have_run else 503, CLIENT_ENDED)
+
     async def _receive(self, deadline: float) -> bool:
         """Reads once, until `deadline` on trio's clock; False if the connection has ended."""
         data: bytes | bytearray = b""
@@ -410,9 +429,9 @@
                 self._reject(503, "this process ends")
                 return
             if self.client_has_closed():
-                self._close_when_written = True
-                self._output.wake()
-                return
+                # Nothing is begun for it; it may have ended its sending alone, and still read.
+                self._turn_away(CLIENT_ENDED)
+                continue
             self.answering = True
             self.served = True
             self._answered = trio.Event()
