Requests behind an answer that ends the connection are answered or left unread

Cause, all in net/downstream/connection.py: a request that had been read was dropped with no answer - `_announce_close` announced the end under `draining` though the parser held the next request; - `_handle_next_request` rejected with `_reject`, which ends the connection, also complete requests ('this process ends', 'too many requests are being held'), and what was read behind them went with it; - `_discard_until_answered` set `closing` beyond 64 KiB, and so dropped complete requests that were kept; - `_read` went on to read and drop whatever came behind an answer that had announced the end.

Ruled out: what lies behind a stream that breaks, or behind bytes that are no HTTP. The framing is gone, so no answer can follow (RFC 9112, 9.3.2); and what a client sends behind its own `Connection: close`.

Change: the end is announced with the last request that was read. From then on the socket is left unread, and the client's end is watched without reading; a request that crosses the close counts as unread. The rest of a rejected request is still read, so that a client that is writing hears its answer. 512 KiB are kept behind a request, counted with the bodies (64 KiB while their bound is exceeded); beyond them bytes are dropped as before, and the connection ends once what is kept has been answered. Every close now lets the client read what was written, also that of a cut stream and of TLS.

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -12,6 +12,7 @@
 from tests.steady import until
 from tests.test_stories import pair, play
 from violetstack.config import Address
+from violetstack.net.downstream import connection as connection_module
 from violetstack.net.downstream import connection_table
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.rehearsal.clients import BODY, platform_headers
@@ -227,3 +228,125 @@
         assert len(reader.begun) + len(writer.begun) == 1 + at_writer
 
     play(reader, writer, story=story)
+
+
+# --- requests behind an answer that ends the connection ---
+
+
+def test_a_request_read_before_the_connections_end_is_announced_is_answered() -> None:
+    """The answer before it announced the end, as the process was ending, and the request was dropped."""
+    gate = trio.Event()
+    reader, writer = pair(reads=(Act(before=gate),))
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"), request("q2"))
+        await until(lambda: reader.begun == ["q1"])
+        on.daemon.stop.set()
+        await until(lambda: on.daemon.listeners[0].draining)
+        gate.set()
+        assert await client.receive_to_end() == [200, 200]
+        assert client.heard.count(b"Connection: close") == 1
+
+    play(reader, writer, story=story)
+
+
+def test_a_request_behind_an_announced_end_is_left_unread() -> None:
+    """It was read and dropped; unread, its client sends it once more."""
+    gate = trio.Event()
+    reader, writer = pair(Act(pause=gate))
+
+    async def story(on: Stage) -> None:
+        on.daemon.listeners[0].draining = True
+        client = await RawClient.connect(on.platform)
+        connection = await connection_of(on)
+        await client.send(request("q1"))
+        while b"data: " not in client.heard:
+            await client.receive_once()
+        assert b"Connection: close" in client.heard
+        await client.send(request("q2"))
+        await until(connection.has_unread)
+        await trio.testing.wait_all_tasks_blocked()
+        gate.set()
+        assert await client.receive_to_end() == [200]
+        assert client.heard.endswith(b"\r\n0\r\n\r\n")
+        assert connection.closed or connection.has_unread()
+        assert reader.begun == ["q1"]
+
+    play(reader, writer, story=story)
+
+
+def test_a_client_that_leaves_behind_an_announced_end_is_noticed() -> None:
+    reader, writer = pair(Act(pause=trio.Event()))
+
+    async def story(on: Stage) -> None:
+        on.daemon.listeners[0].draining = True
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"))
+        while b"data: " not in client.heard:
+            await client.receive_once()
+        await client.send(request("q2"))
+        await client.stream.aclose()
+        await until(lambda: not on.daemon.core.open_requests, 0.1)
+
+    play(reader, writer, story=story)
+
+
+@pytest.mark.parametrize("why", ["refusing", "bodies full"])
+def test_each_request_is_answered_where_requests_are_turned_away(why: str) -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        listener = on.daemon.listeners[0]
+        listener.refusing = why == "refusing"
+        if why == "bodies full":
+            listener.table.max_buffered_bytes = 0
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"), request("q2"), request("q3"))
+        assert await client.receive_to_end() == [503, 503, 503]
+        assert reader.begun == []
+
+    play(reader, writer, story=story)
+
+
+LARGE = b'{"x":"%b"}' % (b"x" * 40_000)
+
+
+def test_large_requests_behind_another_are_all_answered() -> None:
+    """What exceeded 64 KiB was dropped, and with it complete requests."""
+    gate = trio.Event()
+    reader, writer = pair(reads=(Act(before=gate),))
+    names = [f"q{n}" for n in range(8)]
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(*(request(name, body=LARGE) for name in names))
+        connection = await connection_of(on)
+        await until(lambda: connection.http.unread > 7 * len(LARGE))
+        gate.set()
+        assert await client.receive_answers(8) == [200] * 8
+        assert writer.begun == names
+        await client.stream.aclose()
+
+    play(reader, writer, story=story)
+
+
+def test_requests_that_are_kept_are_answered_before_the_connection_ends_over_dropped_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(connection_module, "MAX_UNREAD_BYTES", 100_000)
+    gate = trio.Event()
+    reader, writer = pair(reads=(Act(before=gate),))
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        connection = await connection_of(on)
+        await client.send(*(request(f"q{n}", body=LARGE) for n in range(20)))
+        await until(lambda: not connection.has_unread() and connection.http.unread > 100_000)
+        gate.set()
+        statuses = await client.receive_to_end()
+        assert len(statuses) >= 4
+        assert statuses == [200] * (len(statuses) - 1) + [503]
+        assert not client.reset
+
+    play(reader, writer, story=story)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -32,10 +32,16 @@
 """After the last response the client's side is read for this long, so that no reset overtakes it."""
 REJECTION_DELAY_S = 0.05
 MAX_REJECTION_DELAY_S = 0.4
-MAX_UNREAD_BYTES = 64 * 1024
-"""Bytes behind an unanswered request that are kept; beyond them the connection ends with its answer."""
+MAX_UNREAD_BYTES = 512 * 1024
+"""Bytes behind an unanswered request that are kept; what comes beyond them is dropped."""
+MAX_UNREAD_BYTES_WHEN_FULL = 64 * 1024
+"""The same while the bound on request bodies is exceeded."""
 DISCARD_INTERVAL_S = 0.01
+DISCARD_SIZE = 256 * 1024
+CLIENT_END_POLL_S = 0.02
+"""Bytes that are left unread in the socket hide the client's end; it is looked for this often."""
 CLOSE_TIMEOUT_S = 1.0
+BODIES_FULL = "too many requests are being held"
 CLIENT_ENDED = "the client has ended its sending"
 
 UNUSED_PARSER = HttpServerConnection()
@@ -62,6 +68,7 @@
         "_answered",
         "_client_ended",
         "_close_when_written",
+        "_discarded",
         "_evicted",
         "_migration",
         "_output",
@@ -105,6 +112,8 @@
         self._read_timer: trio.CancelScope | None = None
         self._migration: _MigrationPause | None = None
         self._evicted = False
+        self._discarded = False
+        """Bytes behind the requests that are kept were dropped."""
 
     def start_parsing(self, http: HttpServerConnection) -> None:
         """Called with the first byte, or when another process has handed the connection over."""
@@ -133,6 +142,8 @@
     def stream_head(self, status: int, headers: Headers) -> None:
         """Queues the head of a streamed response."""
         self._announce_close()
+        if self.http.closing and self._read_timer is not None:
+            self._read_timer.cancel()  # what comes now is left unread
         self._rejections_in_a_row = 0
         self._output.put(self.http.stream(status, headers))
 
@@ -156,7 +167,9 @@
             await self._output.wait_writable()
 
     def _announce_close(self) -> None:
-        self.http.closing = self.http.closing or self.listener.draining
+        """Announces the connection's end while this process ends, unless another request has been read."""
+        if self.listener.draining and not self.http.unread:
+            self.http.closing = True
 
     def _response_ended(self) -> None:
         self.answering = False
@@ -228,17 +241,23 @@
 
     # --- state of the socket ---
 
+    @property
+    def _transport(self) -> trio.SocketStream | None:
+        """The TCP connection, also below TLS."""
+        stream = self.stream.transport_stream if isinstance(self.stream, trio.SSLStream) else self.stream
+        return stream if isinstance(stream, trio.SocketStream) else None
+
     def client_has_closed(self) -> bool:
         """Whether the client has closed its connection, or ended its sending, even behind unread bytes.
 
         Reading alone shows the end only after all bytes before it: a request and the close behind it may both
         have waited in the kernel's queue while the listener had no room, or while this process was busy.
         """
-        stream = self.stream.transport_stream if isinstance(self.stream, trio.SSLStream) else self.stream
-        if self.closed or not isinstance(stream, trio.SocketStream):
+        transport = self._transport
+        if self.closed or transport is None:
             return self.closed
         poll = select.poll()
-        poll.register(stream.socket, select.POLLRDHUP)
+        poll.register(transport.socket, select.POLLRDHUP)
         return bool(poll.poll(0))
 
     def has_unread(self) -> bool:
@@ -308,13 +327,40 @@
                 continue
             arriving = not self.answering and (self.http.busy or not self.served)
             arriving_since = (arriving_since or trio.current_time()) if arriving else 0.0
-            if not await self._receive(arriving_since + REQUEST_TIMEOUT_S if arriving else math.inf):
+            if self.answering and self.http.closing:
+                open_for_more = await self._wait_for_answer()
+            elif self.answering and self.http.unread > self._max_unread_bytes:
+                open_for_more = await self._discard_until_answered()
+            else:
+                open_for_more = await self._receive(
+                    arriving_since + REQUEST_TIMEOUT_S if arriving else math.inf
+                )
+            if not open_for_more:
                 self._reading_ended()
                 return
-        while await self.stream.receive_some(READ_SIZE):
-            pass  # nothing more is wanted; the writing task closes the connection
+        await self._drop_rest_of_request()
+        await self._wait_for_client_end()
         self._client_ended.set()
 
+    async def _drop_rest_of_request(self) -> None:
+        """Reads on while the client may still send a request that has been rejected."""
+        while self.http.arriving:
+            if not await self.stream.receive_some(READ_SIZE):
+                return
+
+    async def _wait_for_client_end(self) -> None:
+        """Returns once the client has closed its connection; what it sends is left unread in the socket.
+
+        The connection's end has been announced. A request that crosses it is not read, so that its client
+        sends it once more.
+        """
+        transport = self._transport
+        while transport is not None and not self.client_has_closed():
+            if transport.socket.is_readable():
+                await trio.sleep(CLIENT_END_POLL_S)
+            else:
+                await trio.lowlevel.wait_readable(transport.socket)
+
     def _reading_ended(self) -> None:
         """Ends the request that waits for its answer, and answers it: the client may still read.
 
@@ -337,8 +383,6 @@
         data: bytes | bytearray = b""
         with trio.move_on_at(deadline) as timer:
             self._read_timer = timer
-            if self.answering and self.http.unread > MAX_UNREAD_BYTES:
-                return await self._discard_until_answered()
             if self._rejections_in_a_row > 1 and not self.answering:
                 await self._delay_after_rejections()
             data = await self.stream.receive_some(READ_SIZE)
@@ -348,6 +392,8 @@
         if not data:
             return False
         self.http.feed(bytes(data))
+        if self.answering:
+            self.listener.table.set_buffered_bytes(self, self.http.size + self.http.unread)
         if not self.served:
             self.listener.table.mark_progress(self)
         return True
@@ -360,18 +406,29 @@
             self._request_timed_out()
         return True
 
+    @property
+    def _max_unread_bytes(self) -> int:
+        return MAX_UNREAD_BYTES_WHEN_FULL if self.listener.table.bodies_full else MAX_UNREAD_BYTES
+
+    async def _wait_for_answer(self) -> bool:
+        """Waits for the answer's end with nothing read any more; False if the client ends first."""
+        with trio.CancelScope() as self._read_timer:
+            await self._wait_for_client_end()
+            return False
+        return True
+
     async def _discard_until_answered(self) -> bool:
-        """Drops what comes behind the request until its answer has ended; False if the client ends first.
+        """Drops what comes behind the requests that are kept; False if the client ends before the answer.
 
         Reading on is the only way to notice that a client which sent much at once has gone. It is done
-        slowly, to spare the processor; the connection ends with the answer, since the beginning of what
-        follows is lost.
+        slowly, to spare the processor. The connection ends once what is kept has been answered.
         """
-        self.http.closing = True
-        while self.answering:
-            await trio.sleep(DISCARD_INTERVAL_S)
-            if not await self.stream.receive_some(READ_SIZE):
-                return False
+        self._discarded = True
+        with trio.CancelScope() as self._read_timer:
+            while self.answering:
+                await trio.sleep(DISCARD_INTERVAL_S)
+                if not await self.stream.receive_some(DISCARD_SIZE):
+                    return False
         return True
 
     async def _delay_after_rejections(self) -> None:
@@ -417,41 +474,61 @@
                 self._reject_evicted(inbound)
                 continue
             self.listener.table.set_buffered_bytes(self, self.http.size)
-            if self.listener.table.bodies_full and self.http.size:
-                self._reject(503, "too many requests are being held")
-                return
             if inbound is None:
-                if self.http.wants_continue:
-                    self._output.put([self.http.continue_100()])
-                return
-            if self.listener.refusing:
-                # The end of this process would cut the answer off; the client asks again elsewhere.
-                self._reject(503, "this process ends")
+                self._await_rest_of_request()
                 return
-            if self.client_has_closed():
-                # Nothing is begun for it; it may have ended its sending alone, and still read.
-                self._turn_away(CLIENT_ENDED)
-                continue
-            self.answering = True
-            self.served = True
-            self._answered = trio.Event()
-            self.listener.table.mark_engaged(self)
-            self._response = ResponseHandle(self)
-            self.listener.front.handle(inbound, self._response)
+            reason = self._reason_to_turn_away()
+            if reason:
+                self._turn_away(reason)
+            else:
+                self._hand_to_front(inbound)
+
+    def _await_rest_of_request(self) -> None:
+        if self.listener.table.bodies_full and self.http.size:
+            self._reject(503, BODIES_FULL)
+        elif self._discarded and self.http.busy:
+            self._reject(503, "more was sent at once than is kept")
+        elif self._discarded:
+            self._close_when_written = True
+            self._output.wake()
+        elif self.http.wants_continue:
+            self._output.put([self.http.continue_100()])
+
+    def _reason_to_turn_away(self) -> str:
+        """Why a complete request is not handed to the front; empty if it is."""
+        if self.listener.table.bodies_full and self.http.size:
+            return BODIES_FULL
+        if self.listener.refusing:
+            # The end of this process would cut the answer off; the client asks again elsewhere.
+            return "this process ends"
+        if self.client_has_closed():
+            # Nothing is begun for it; it may have ended its sending alone, and still read.
+            return CLIENT_ENDED
+        return ""
+
+    def _hand_to_front(self, inbound: HttpRequest) -> None:
+        self.answering = True
+        self.served = True
+        self._answered = trio.Event()
+        self.listener.table.mark_engaged(self)
+        self._response = ResponseHandle(self)
+        self.listener.front.handle(inbound, self._response)
 
     async def _write(self) -> None:
         while True:
             await self._output.write_all(self.stream)
             if self._close_when_written:
-                if self.http.can_answer or self.http.closing:
-                    await self._lingering_close()
+                await self._lingering_close()
                 self.scope.cancel()
                 return
             await self._output.wait_for_output()
 
     async def _lingering_close(self) -> None:
-        """Ends the sending and reads on for a moment: a reset could overtake the response (RFC 9112, 9.6)."""
-        if isinstance(self.stream, trio.SocketStream):
+        """Ends the sending, and waits for the client's end: a reset could overtake what was written.
+
+        See RFC 9112, section 9.6.
+        """
+        if self._transport is not None:
             with trio.move_on_after(LINGERING_CLOSE_S):
-                await self.stream.send_eof()
+                await self._transport.send_eof()
                 await self._client_ended.wait()
--- a/violetstack/protocol/http_server.py
+++ b/violetstack/protocol/http_server.py
@@ -86,6 +86,13 @@
         """Whether a request has begun to arrive, or its response has not ended."""
         return self._h11.their_state is not h11.IDLE or self.unread > 0
 
+    @property
+    def arriving(self) -> bool:
+        """Whether a request has begun to arrive and its end has not come, or can't be known."""
+        return self._h11.their_state in (h11.SEND_BODY, h11.ERROR) or (
+            self._h11.their_state is h11.IDLE and self.unread > 0
+        )
+
     @property
     def unread(self) -> int:
         """Bytes received behind the current request."""
