A connection over the bound is read, and its request answered 503 rather than cut off

Cause: net/downstream/listener.py. Over the bound at most 12 connections were answered at a time, each for half a second whether or not its client had sent anything (`_reject`); all others, and every one on TLS, were closed unread, although idle ones held the twelve places. The answer was written before the request was there, and the close half a second later reset a client that was still writing. A clear error of accept(2) other than the four named ones (ENOBUFS, for instance) ended the process.

Ruled out: a reset that overtakes the written answer while the client is quick; the socket was read on.

Change: such a connection is served by the ordinary code, which answers each of its requests 503. A connection that is evicted over half a request counts among them. The shutdown waits for them and for TLS handshakes, as for other clients without a request yet.

Both new tests failed before: no answer, and an answer to a request that was not yet written.

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -14,6 +14,7 @@
 from violetstack.config import Address
 from violetstack.net.downstream import connection as connection_module
 from violetstack.net.downstream import connection_table
+from violetstack.net.downstream import listener as listener_module
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.rehearsal.clients import BODY, platform_headers
 from violetstack.rehearsal.hosts import SILENT, Act
@@ -350,3 +351,56 @@
         assert not client.reset
 
     play(reader, writer, story=story)
+
+
+# --- connections over the bound ---
+
+
+async def crowd(on: Stage, count: int) -> list[trio.SocketStream]:
+    return [await trio.open_tcp_stream(*on.platform) for _ in range(count)]
+
+
+def test_silent_connections_over_the_bound_do_not_cost_a_client_its_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Twelve of them were kept for half a second each, and all others closed unread."""
+    monkeypatch.setattr(connection_table, "MIN_SILENCE_S", 60.0)
+
+    async def story(on: Stage) -> None:
+        table = on.daemon.listeners[0].table
+        silent = await crowd(on, table.max_connections + 3 * table.max_refused)
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"), request("q2"))
+        assert await client.receive_to_end() == [503, 503]
+        assert not client.reset
+        assert len(table.connections) <= table.max_connections + table.max_refused
+        for stream in silent:
+            await stream.aclose()
+
+    play(*pair(), story=story, sockets=64)
+
+
+def test_a_client_over_the_bound_that_writes_late_is_answered_once_it_has_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was answered before it had written, and the connection closed while it wrote."""
+    monkeypatch.setattr(connection_table, "MIN_SILENCE_S", 60.0)
+    monkeypatch.setattr(connection_module, "LINGERING_CLOSE_S", 0.05)
+    monkeypatch.setattr(listener_module, "LINGERING_CLOSE_S", 0.05, raising=False)
+    whole = request("q1")
+
+    async def story(on: Stage) -> None:
+        silent = await crowd(on, on.daemon.listeners[0].table.max_connections)
+        client = await RawClient.connect(on.platform)
+        await trio.sleep(0.1)
+        await client.send(whole[:-20])
+        await trio.sleep(0.1)
+        with trio.move_on_after(0.01):
+            await client.receive_once()
+        assert client.heard == b""
+        await client.send(whole[-20:])
+        assert await client.receive_to_end() == [503]
+        for stream in silent:
+            await stream.aclose()
+
+    play(*pair(), story=story, sockets=64)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -82,6 +82,7 @@
         "last_used",
         "listener",
         "progress_at",
+        "refused",
         "request",
         "scope",
         "served",
@@ -91,7 +92,7 @@
     _client_ended: trio.Event
     _answered: trio.Event
 
-    def __init__(self, stream: trio.abc.Stream, listener: Listener) -> None:
+    def __init__(self, stream: trio.abc.Stream, listener: Listener, *, refused: bool = False) -> None:
         self.stream = stream
         self.listener = listener
         self.http = UNUSED_PARSER
@@ -105,6 +106,8 @@
         self.buffered_bytes = 0
         """Size of the body of the request that is arriving or being answered."""
         self.closed = False
+        self.refused = refused
+        """Over the bound on connections: requests are answered 503."""
         self.scope = trio.CancelScope()
         self._rejections_in_a_row = 0
         self._close_when_written = False
@@ -496,6 +499,8 @@
 
     def _reason_to_turn_away(self) -> str:
         """Why a complete request is not handed to the front; empty if it is."""
+        if self.refused:
+            return "the dispatcher holds too many connections"
         if self.listener.table.bodies_full and self.http.size:
             return BODIES_FULL
         if self.listener.refusing:
--- a/violetstack/net/downstream/connection_table.py
+++ b/violetstack/net/downstream/connection_table.py
@@ -20,8 +20,10 @@
     and a client that writes slowly outlives one that writes nothing.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_refused: int) -> None:
         self.max_connections = 0
+        self.max_refused = max_refused
+        """Connections over the bound that are kept until they have been answered."""
         self.max_buffered_bytes = 0
         self.buffered_bytes = 0
         self.handshakes = 0
@@ -29,6 +31,9 @@
         self.connections: set[DownstreamConnection] = set()
         self.idle: dict[DownstreamConnection, None] = {}
         self.awaiting_first_request: dict[DownstreamConnection, None] = {}
+        self.refused: dict[DownstreamConnection, None] = {}
+        """Connections over the bound: their requests are answered 503, then they are closed."""
+        self.refused_handshakes = 0
 
     # --- life of a connection ---
 
@@ -37,6 +42,11 @@
         self.connections.add(connection)
         self.awaiting_first_request[connection] = None
 
+    def add_refused(self, connection: DownstreamConnection) -> None:
+        """A new connection over the bound, or one that is evicted and has to be answered first."""
+        self.connections.add(connection)
+        self.refused[connection] = None
+
     def add_engaged(self, connection: DownstreamConnection) -> None:
         """A connection with a response under way, taken over from another process."""
         self.connections.add(connection)
@@ -61,6 +71,7 @@
         """The connection is closed, or about to be."""
         self.set_buffered_bytes(connection, 0)
         self.mark_engaged(connection)
+        self.refused.pop(connection, None)
         self.connections.discard(connection)
 
     # --- bounds ---
@@ -87,7 +98,17 @@
 
     def has_room(self) -> bool:
         """Whether one more connection may be kept; closes the least useful one for it if need be."""
-        return len(self.connections) + self.handshakes < self.max_connections or self.evict_one()
+        kept = len(self.connections) - len(self.refused) + self.handshakes
+        return kept < self.max_connections or self.evict_one()
+
+    def may_refuse(self) -> bool:
+        """Whether one more connection may be kept to be answered 503; closes a silent one for it if need be.
+
+        False means that the descriptors for such connections are all in use: the new one is closed unread.
+        """
+        if len(self.refused) + self.refused_handshakes < self.max_refused:
+            return True
+        return any(self._evict_unless_used(c) for c in self.refused if not c.http.busy)
 
     def evict_one(self) -> bool:
         """Closes the least useful connection; False if all are in use.
@@ -107,15 +128,19 @@
 
     def _evict_unless_used(self, connection: DownstreamConnection) -> bool:
         """False if a response is still being read by its client, or a request has arrived unread."""
-        request_arriving = connection.served and connection.http.busy
-        if connection.unwritten_bytes or connection.has_unread() or request_arriving:
+        if connection.unwritten_bytes or connection.has_unread():
             return False
+        if connection.http.busy and (connection.served or len(self.refused) >= self.max_refused):
+            return False  # it has to be answered first
         self.evict(connection)
         return True
 
     def evict(self, connection: DownstreamConnection) -> None:
         """Closes the connection, once it has answered what was read of a request."""
+        answer_first = connection.http.busy
         self.forget(connection)
+        if answer_first:
+            self.add_refused(connection)
         connection.evict()
 
     # --- shutdown ---
@@ -129,7 +154,7 @@
     @property
     def awaiting_requests(self) -> bool:
         """Whether a client has connected and not sent its first request yet."""
-        return bool(self.awaiting_first_request)
+        return bool(self.awaiting_first_request or self.refused or self.handshakes)
 
     def close_idle(self) -> None:
         """Closes idle connections; one that has never sent a request is given its time for that."""
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -10,10 +10,8 @@
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.reply import Front
-from violetstack.log import log, log_rate_limited
+from violetstack.log import log_rate_limited
 from violetstack.net.downstream.connection import (
-    LINGERING_CLOSE_S,
-    READ_SIZE,
     REQUEST_TIMEOUT_S,
     DownstreamConnection,
 )
@@ -23,14 +21,8 @@
 
 ACCEPT_RETRY_S = 0.1
 """Pause after the system had no descriptor or memory for a connection."""
-TRANSIENT_ACCEPT_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOMEM})
 MAX_CONCURRENT_REJECTIONS = 12
-"""Connections over the bound that are answered at the same time; further ones are closed unanswered."""
-OVERLOAD_BODY = b"the dispatcher holds too many connections\n"
-OVERLOAD_RESPONSE = (
-    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\n"
-    b"Connection: close\r\nContent-Length: %d\r\n\r\n%b" % (len(OVERLOAD_BODY), OVERLOAD_BODY)
-)
+"""Connections over the bound that are kept until they are answered; further ones are closed unread."""
 Wrap = Callable[[trio.SocketStream], Awaitable[trio.abc.Stream]]
 """Performs the TLS handshake."""
 
@@ -45,12 +37,11 @@
     def __init__(self, core: Dispatcher, front: Front) -> None:
         self.core = core
         self.front = front
-        self.table = ConnectionTable()
+        self.table = ConnectionTable(MAX_CONCURRENT_REJECTIONS)
         self.draining = False
         """Responses announce the connection's end, as this process shuts down."""
         self.refusing = False
         """Requests are rejected, as the shutdown would cut their answers off."""
-        self._rejections = 0
         self._nursery: trio.Nursery
 
     async def run(self, listeners: list[trio.SocketListener], wrap: Wrap | None = None) -> None:
@@ -79,11 +70,10 @@
                 stream = await listener.accept()
             except trio.ClosedResourceError:
                 return  # the shutdown has closed the listening socket
-            except OSError as error:
-                if error.errno not in TRANSIENT_ACCEPT_ERRORS:
-                    raise
-                log("accept_failed", error=str(error))
-                await trio.sleep(ACCEPT_RETRY_S)
+            except OSError as error:  # the fault of one connection, or no descriptor or memory is left
+                log_rate_limited("accept_failed", error=str(error))
+                if error.errno != errno.ECONNABORTED:
+                    await trio.sleep(ACCEPT_RETRY_S)
                 continue
             await self._accepted(stream, wrap)
 
@@ -95,27 +85,24 @@
             has_room = False
         if has_room:
             self._nursery.start_soon(self._serve, stream, wrap)
-        elif self._rejections < MAX_CONCURRENT_REJECTIONS and wrap is None:
-            self._nursery.start_soon(self._reject, stream)
+        elif self.table.may_refuse():
+            log_rate_limited("connection_rejected", status=503)
+            self.table.refused_handshakes += 1
+            self._nursery.start_soon(self._refuse, stream, wrap)
         else:
             log_rate_limited("connection_rejected")
             await trio.aclose_forcefully(stream)
 
-    async def _reject(self, stream: trio.SocketStream) -> None:
-        log_rate_limited("connection_rejected", status=503)
-        self._rejections += 1
+    async def _refuse(self, raw: trio.SocketStream, wrap: Wrap | None) -> None:
+        """Reads the requests of a connection over the bound and answers them 503."""
         try:
-            with trio.move_on_after(LINGERING_CLOSE_S):
-                await stream.send_all(OVERLOAD_RESPONSE)
-                await stream.send_eof()
-                while await stream.receive_some(READ_SIZE):
-                    pass
-        except (OSError, trio.BrokenResourceError):
-            pass
+            stream: trio.abc.Stream | None = raw if wrap is None else await self._handshake(raw, wrap)
         finally:
-            self._rejections -= 1
-            with trio.CancelScope(shield=True):
-                await trio.aclose_forcefully(stream)
+            self.table.refused_handshakes -= 1
+        if stream is not None:
+            connection = DownstreamConnection(stream, self, refused=True)
+            self.table.add_refused(connection)
+            await connection.serve()
 
     async def _serve(self, raw: trio.SocketStream, wrap: Wrap | None) -> None:
         stream: trio.abc.Stream | None = raw if wrap is None else await self._handshake(raw, wrap)
