HEAD requests, and requests over which the program fails, get an answer

Cause: protocol/http_server.py, `answer` wrote a body also for HEAD, which h11 refuses (LocalProtocolError), so `ResponseHandle._finish` dropped the answer and closed. net/downstream/connection.py, `_handle_next_request`: an exception of a front ended the connection's task, and with it the connection, with no answer.

Ruled out by a probe of both fronts: CONNECT, Upgrade, OPTIONS, HTTP/1.0, no Host, HTTP/2 preface, TLS bytes, NUL in the target, an unknown transfer coding, Expect: 100-continue. Each got one answer before as well.

Change: the response to HEAD is its head alone; a failing front costs its request a 500 and one log line.

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -12,10 +12,13 @@
 from tests.steady import until
 from tests.test_stories import pair, play
 from violetstack.config import Address
+from violetstack.fronts.platform import PlatformFront
+from violetstack.fronts.reply import Reply
 from violetstack.net.downstream import connection as connection_module
 from violetstack.net.downstream import connection_table
 from violetstack.net.downstream import listener as listener_module
 from violetstack.net.downstream.connection import DownstreamConnection
+from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.clients import BODY, platform_headers
 from violetstack.rehearsal.hosts import SILENT, Act
 from violetstack.rehearsal.stage import Stage
@@ -404,3 +407,33 @@
             await stream.aclose()
 
     play(*pair(), story=story, sockets=64)
+
+
+# --- bytes that no host would take ---
+
+
+@pytest.mark.parametrize("path", ["/-/ready", "/nothing"])
+def test_a_head_request_is_answered(path: str) -> None:
+    """The body that its answer may not have was written all the same, and the answer dropped."""
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(b"HEAD %b HTTP/1.1\r\nHost: x\r\n\r\n" % path.encode(), request("q1"))
+        assert await client.receive_answers(2) == [404, 200]
+        await client.stream.aclose()
+
+    play(*pair(), story=story)
+
+
+def test_a_fault_over_one_request_costs_it_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail(self: PlatformFront, inbound: HttpRequest, reply: Reply) -> None:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(PlatformFront, "_take", fail)
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"))
+        assert await client.receive_to_end() == [500]
+
+    play(*pair(), story=story)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -517,7 +517,13 @@
         self._answered = trio.Event()
         self.listener.table.mark_engaged(self)
         self._response = ResponseHandle(self)
-        self.listener.front.handle(inbound, self._response)
+        try:
+            self.listener.front.handle(inbound, self._response)
+        except Exception as error:  # a fault that one request shows must not cost it its answer
+            log_rate_limited("request_failed", error=repr(error))
+            if self.answering and self.request is None:
+                self._response.connection_lost()
+                self._reject(500, "the request could not be handled")
 
     async def _write(self) -> None:
         while True:
--- a/violetstack/protocol/http_server.py
+++ b/violetstack/protocol/http_server.py
@@ -55,6 +55,8 @@
         self.closing = False
         """The next response head announces the end of the connection."""
         self.wants_continue = False
+        self._without_body = False
+        """The request is a HEAD: its response is a head alone (RFC 9110, 9.3.2)."""
 
     @classmethod
     def resumed(cls, closing: bool) -> HttpServerConnection:
@@ -124,6 +126,7 @@
 
     def _start(self, event: h11.Request) -> None:
         self._head = event
+        self._without_body = event.method == b"HEAD"
         self._parts = []
         self.size = 0
         names = [name for name, _ in event.headers]
@@ -163,7 +166,7 @@
         """A complete response."""
         rows = [*headers, ("Content-Length", str(len(body)))]
         parts = self._head_of(status, rows)
-        if body:
+        if body and not self._without_body:
             parts += self._send(h11.Data(data=body))
         return parts + self._send(h11.EndOfMessage())
 
