A SIGHUP during the start counts, and a reload that fails ends no request

Cause: daemon/process.py ignored SIGHUP from before the file was read until the event loop ran, so a process that had read the older file just before kept its discovery until the next SIGHUP; daemon/daemon.py reload raised whatever ConfigError and OperatorConfigError do not cover into the task of the signals, which ended the process and every request in flight; a reload before the watch was made lost the new address. Ruled out: a broken file, a file with smaller limits (no connection in use is closed; has_room evicts at the next accept) and a second SIGHUP (reload runs in one step). Change: SIGHUP is recorded from before the file is read; a reload during the start is applied once its parts exist; any other failure is logged as config_reload_failed.

--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import errno
 import json
+import os
 import signal
+import subprocess
+import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -89,3 +94,60 @@
 
     play(*pair(), story=story)
     assert '"event":"config_reload_failed"' in capfd.readouterr().out
+
+
+def open_for_reader(path: Path, within_s: float = 5.0) -> int:
+    """Opens a named pipe for writing once another process has opened it for reading."""
+    give_up_at = time.monotonic() + within_s
+    while time.monotonic() < give_up_at:
+        try:
+            return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError as error:
+            if error.errno != errno.ENXIO:
+                raise
+        time.sleep(0.005)
+    raise AssertionError("nobody reads the file")
+
+
+def test_sighup_while_the_file_is_read_for_the_first_time_reads_it_again(tmp_path: Path) -> None:
+    """It was ignored until the event loop ran, so the process kept the discovery of the older file."""
+    told: dict[str, object] = {"listen": "127.0.0.1:0", "seed": "ff", "settings": SETTINGS}
+    config = tmp_path / "config.json"
+    os.mkfifo(config)
+    environment = {**os.environ, "NODE_CONFIG": str(config)}
+    with subprocess.Popen(
+        [sys.executable, "-m", "violetstack"], stdout=subprocess.PIPE, text=True, env=environment
+    ) as program:
+        try:
+            pipe = open_for_reader(config)
+            program.send_signal(signal.SIGHUP)
+            config.unlink()
+            config.write_text(json.dumps(told))
+            os.write(pipe, json.dumps(told).encode())
+            os.close(pipe)
+            assert program.stdout is not None
+            events = []
+            for line in program.stdout:
+                events.append(json.loads(line)["event"])
+                if events[-1] == "started":
+                    program.send_signal(signal.SIGTERM)
+            assert program.wait(10) == 0
+        finally:
+            program.kill()
+    assert "config_reloaded" in events
+
+
+def test_an_unforeseen_failure_of_a_reload_is_logged_and_requests_are_served(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """It ended the process, and every request in flight with it."""
+
+    async def story(on: Stage) -> None:
+        def broken() -> Config:
+            raise RuntimeError("not foreseen")
+
+        on.daemon.reload(broken)
+        assert (await ask_platform(on.platform, "q1", "orden")).outcome == "served"
+
+    play(*pair(), story=story)
+    assert '"event":"config_reload_failed"' in capfd.readouterr().out
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -68,6 +68,8 @@
         self.routing: Routing | None = None
         self.load_shedding: LoadSheddingService | None = None
         self.leases: LeaseService | None = None
+        self._reloadable = False
+        self._deferred_reload: Callable[[], Config] | None = None
 
     async def serve(self, task_status: trio.TaskStatus[BoundAddresses] = trio.TASK_STATUS_IGNORED) -> None:
         """Runs the dispatcher. Raises ConfigError, in a group, for an address that can't be bound."""
@@ -91,7 +93,20 @@
             nursery.cancel_scope.cancel()
 
     def reload(self, read_again: Callable[[], Config]) -> None:
-        """Applies what can change while serving. An invalid configuration changes nothing."""
+        """Applies what can change while serving. An invalid configuration changes nothing.
+
+        During the start it waits until there are parts to apply it to. A failure is logged: the requests in
+        flight must not end with it.
+        """
+        if not self._reloadable:
+            self._deferred_reload = read_again
+            return
+        try:
+            self._reload(read_again)
+        except Exception as error:
+            log("config_reload_failed", error=repr(error))
+
+    def _reload(self, read_again: Callable[[], Config]) -> None:
         new = read_config(read_again, self.config)
         if new is None:
             return
@@ -180,11 +195,17 @@
         admin = await start_admin_server(config, self.nursery, self)
         self._apply_load_shedding_plan(config.load_shedding_plan)
         self.parts.start(self.nursery)
+        self._apply_deferred_reload()
         await self.endpoints.wait_for_first_list()
         self.lifecycle.started = True
         self._start_gossip()
         return await self._start_accepting(admin)
 
+    def _apply_deferred_reload(self) -> None:
+        self._reloadable = True
+        if self._deferred_reload is not None:
+            self.reload(self._deferred_reload)
+
     async def _start_accepting(self, admin: Address | None) -> BoundAddresses:
         platform = None
         chat = None
--- a/violetstack/daemon/process.py
+++ b/violetstack/daemon/process.py
@@ -4,6 +4,7 @@
 
 import signal
 from collections.abc import Callable
+from types import FrameType
 
 import trio
 
@@ -18,8 +19,8 @@
 
     `path` is the file that NODE_CONFIG names, `file` the operator's; either may be missing.
     """
-    # A SIGHUP during startup is ignored: the file that it announces is about to be read anyway.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # The file may have been read already when a SIGHUP comes, so one during startup counts as well.
+    early_reload = SignalRecorder(signal.SIGHUP)
     try:
         config = load(path, file)
         if config.inherited_fd is not None and config.listen is not None:
@@ -29,7 +30,7 @@
         return 2
     unusable: list[Exception] = []
     try:
-        trio.run(run, config, lambda: load(path, file, again=True))
+        trio.run(run, config, lambda: load(path, file, again=True), early_reload)
     except* ConfigError as errors:  # an address that is taken, or none of this machine's
         unusable += flatten(errors)
     for reason in unusable:
@@ -37,12 +38,31 @@
     return 2 if unusable else 0
 
 
-async def run(config: Config, read_again: Callable[[], Config]) -> None:
-    """Serves until SIGTERM; SIGHUP reads the configuration again, during a drain as well."""
+class SignalRecorder:
+    """Remembers whether a signal came before the process was ready to act on it."""
+
+    def __init__(self, number: signal.Signals) -> None:
+        """Handles the signal until another handler is installed."""
+        self.received = False
+        signal.signal(number, self._record)
+
+    def _record(self, _number: int, _frame: FrameType | None) -> None:
+        self.received = True
+
+
+async def run(
+    config: Config, read_again: Callable[[], Config], early_reload: SignalRecorder | None = None
+) -> None:
+    """Serves until SIGTERM; SIGHUP reads the configuration again, during a drain as well.
+
+    `early_reload` has recorded the SIGHUPs since before `config` was read.
+    """
     daemon = Daemon(config)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
 
         async def handle_signals() -> None:
+            if early_reload is not None and early_reload.received:
+                daemon.reload(read_again)
             async for number in signals:
                 if number == signal.SIGHUP:
                     daemon.reload(read_again)
