A failed turn of the event loop is logged and does not end the process

Cause: EventLoop.run (daemon/event_loop.py) let what core.run raised outside of the policy and its actions (a timer's callback, the clean-up of a record, a router's log fields) end the daemon's nursery, and with it all requests. Ruled out: an exception of the policy or of one action is caught in the core, and the request is answered at its deadline (test_core.py). Change: the failure is logged, rate-limited, and the next turn takes up what was left. Result: the new test failed before (the process ended) and passes.

--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -151,3 +151,23 @@
 
     play(*pair(), story=story)
     assert '"event":"config_reload_failed"' in capfd.readouterr().out
+
+
+def test_a_failure_of_one_turn_of_the_event_loop_ends_no_other_request(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    async def story(on: Stage) -> None:
+        run = on.daemon.core.run
+        failures = [RuntimeError("not foreseen")]
+
+        def failing_once(now: float) -> None:
+            if on.daemon.core.open_requests and failures:
+                raise failures.pop()
+            run(now)
+
+        on.daemon.core.run = failing_once  # type: ignore[method-assign]
+        assert (await ask_platform(on.platform, "q1", "orden")).outcome == "served"
+        assert not failures
+
+    play(*pair(), story=story)
+    assert '"event":"event_loop_failed"' in capfd.readouterr().out
--- a/violetstack/daemon/event_loop.py
+++ b/violetstack/daemon/event_loop.py
@@ -5,9 +5,12 @@
 import trio
 
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.pause_detector import PauseDetector
 
+FAILURE_RETRY_S = 0.01  # after a turn that failed; what it left undone is taken up in the next
+
 
 class WakeSignal:
     """Ends the event loop's wait for the next timer."""
@@ -45,8 +48,19 @@
         while True:
             self._wake_signal.clear()
             await self._pause_detector.wait_caught_up()
-            self._core.run(now_ms())
+            if not self._run_core():
+                await trio.sleep(FAILURE_RETRY_S)
+                continue
             due = self._core.next_due()
             wait_s = min(self._longest_wait_s, max(0.0, (due - now_ms()) / 1000.0))
             with trio.move_on_after(wait_s):
                 await self._wake_signal.wait()
+
+    def _run_core(self) -> bool:
+        """Runs the core; False if it raised, which must not end the process and every request with it."""
+        try:
+            self._core.run(now_ms())
+        except Exception as error:
+            log_rate_limited("event_loop_failed", error=repr(error))
+            return False
+        return True
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -28,6 +28,7 @@
             "certificate_order_failed",
             "certificate_invalid",
             "connection_failed",
+            "event_loop_failed",
             "idempotency_store_failed",
             "policy_failed",
             "request_overdue",
