Shutdown accepts what is queued, counts from the signal and leaves no connection behind

Cause, daemon/shutdown.py and daemon/fronts.py: - _stop_accepting closed the listening socket over its queue; the kernel resets what waits there, also requests that were written already. - run looked whether anything was left 20 ms after it had closed idle connections: a stream that ended in between left an idle connection, and a request read on it while the state was written ended with the process. - all times counted from when the event loop got to SIGTERM; after a long iteration, or a wait for a restart permit, requests were taken later than 0.7 s after the signal, which SIGKILL cuts off. - a silent connection stayed open for 2.2 s; with time-outs under 1.5 s SIGKILL came first and met its request. - with a time-out of 0.3 s waiting requests were ended (0.5 s) before the last request was accepted (0.65 s). Ruled out: half-read requests (refused when complete), streams past the end of the drain (they go on), releases (their requests stay open), answers to slow readers and lingering connections (they count as busy). Change: the steps are computed in daemon/shutdown_schedule.py from the longest time-out; the time of the signal is taken in its handler; requests are rejected from 0.6 s; listening sockets close once their queue is empty, 0.2 s later at most; silent connections close 0.15 s before SIGKILL may come; idle connections are closed in the step that finds nothing left.

--- /dev/null
+++ b/tests/test_shutdown_deadlines.py
@@ -0,0 +1,162 @@
+"""The deadlines of a shutdown: what is still accepted, and what is answered before SIGKILL may come."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from tests.crossings import send_request
+from tests.steady import until
+from tests.test_stories import pair, play
+from violetstack.daemon.shutdown_schedule import KILL_DELAY_S, ShutdownSchedule
+from violetstack.net.clock import now_ms
+from violetstack.rehearsal.clients import BODY, Call, connect, platform_headers
+from violetstack.rehearsal.hosts import SILENT, Act
+from violetstack.rehearsal.stage import SETTINGS, Stage
+
+LAST_NEW_CONNECTION_S = 0.4  # after SIGTERM, from a load balancer in front
+
+
+def settings_with_timeout(timeout_ms: float) -> dict[str, Any]:
+    """The plain settings, with one client timeout in all classes."""
+    return {"classes": [{**each, "give_up": timeout_ms} for each in SETTINGS["classes"]]}
+
+
+def stop_as_if_asked(on: Stage, seconds_ago: float) -> None:
+    """Shuts down as if SIGTERM had come earlier, and the event loop had just got to it."""
+    on.daemon.lifecycle._signal_at_ms = now_ms() - seconds_ago * 1000.0
+    on.daemon.stop.set()
+
+
+async def until_closed(stream: trio.abc.Stream) -> bytes:
+    """What the peer still sends before it closes the connection."""
+    received = b""
+    try:
+        while data := await stream.receive_some(4096):
+            received += bytes(data)
+    except trio.BrokenResourceError:
+        pass
+    return received
+
+
+@pytest.mark.parametrize("timeout_ms", [300.0, 500.0, 650.0, 3000.0, 15000.0])
+def test_the_steps_of_a_shutdown_are_in_order_for_each_timeout(timeout_ms: float) -> None:
+    schedule = ShutdownSchedule.for_longest_timeout(timeout_ms)
+    assert LAST_NEW_CONNECTION_S < schedule.stop_accepting_s <= schedule.reject_s < KILL_DELAY_S
+    assert schedule.kill_s == pytest.approx(min(timeout_ms / 1000.0, 3.0) + 0.7)
+    # No request is accepted after the waiting ones were ended, and their answers have time to be sent.
+    assert schedule.reject_s < schedule.end_waiting_s <= schedule.kill_s - 0.1
+    assert schedule.close_listener_s <= schedule.close_silent_s + 0.2
+    assert schedule.end_waiting_s <= schedule.close_silent_s <= schedule.kill_s - 0.1
+
+
+def test_a_request_on_a_connection_that_waits_to_be_accepted_is_answered_before_the_socket_closes() -> None:
+    """The listening socket was closed over its queue, which reset the connections in it."""
+
+    async def story(on: Stage) -> None:
+        listener = on.daemon.listeners[0]
+        accept = listener._accepted
+        held = trio.Event()
+        go_on = trio.Event()
+
+        async def accept_slowly(stream: trio.SocketStream, wrap: Any) -> None:
+            held.set()
+            await go_on.wait()
+            await accept(stream, wrap)
+
+        listener._accepted = accept_slowly  # type: ignore[method-assign]
+        first = await connect(on.platform)
+        await held.wait()
+        queued = await send_request(on, "q1")  # nobody has accepted this connection yet
+        on.daemon.stop.set()
+        await trio.sleep(0.6)
+        go_on.set()
+        assert (await queued.receive()).status in (200, 503)
+        await first.stream.aclose()
+
+    play(*pair(), story=story)
+
+
+def test_no_idle_connection_is_left_when_the_process_ends() -> None:
+    """A request that came on one while the state was written was read, and ended with the process."""
+    hold = trio.Event()
+
+    async def story(on: Stage) -> None:
+        call = await send_request(on, "q1")
+        await call.receive(events=3)  # the response's head does not announce the connection's end
+        listener = on.daemon.listeners[0]
+        idle_at_end: list[bool] = []
+
+        async def stop_recovery() -> None:
+            idle_at_end.append(bool(listener.table.idle))
+
+        on.daemon.parts.recovery.stop = stop_recovery  # type: ignore[method-assign]
+        stop_as_if_asked(on, 0.56)
+        await until(lambda: not on.daemon.accepting)
+        hold.set()
+        assert (await call.receive()).whole
+        await until(lambda: bool(idle_at_end))
+        assert idle_at_end == [False]
+
+    play(*pair(Act(pause=hold)), story=story)
+
+
+def test_a_silent_connection_is_closed_before_sigkill_may_come() -> None:
+    """It stayed open for 2.2 s, and a request that came on it late was found unanswered by SIGKILL."""
+
+    async def story(on: Stage) -> None:
+        silent = await connect(on.platform)
+        await until(lambda: bool(on.daemon.listeners[0].table.awaiting_first_request))
+        stop_as_if_asked(on, 0.8)
+        with trio.fail_after(0.2 + 0.5):  # SIGKILL may come after 0.2 s; the rest is the machine's
+            assert await until_closed(silent.stream) == b""
+
+    play(*pair(), story=story, settings=settings_with_timeout(300.0))
+
+
+def test_a_request_read_after_a_late_look_at_sigterm_is_rejected() -> None:
+    """The time counted from when the event loop got to the signal, so what it took was cut off by SIGKILL."""
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.platform)
+        whole = b"".join(
+            bytes(part)
+            for part in call.http.request(
+                "POST", "/v1/chat/completions", [("Host", "x"), *platform_headers("q1", "orden")], BODY
+            )
+        )
+        await call.stream.send_all(whole[:40])
+        await until(lambda: any(c.http.busy for c in on.daemon.listeners[0].table.connections))
+        on.daemon.lifecycle.signal_received()
+        time.sleep(0.65)  # one long iteration of the event loop  # noqa: ASYNC251
+        on.daemon.stop.set()
+        await trio.sleep(0.06)  # three looks of the shutdown at its clock
+        await call.stream.send_all(whole[40:])
+        assert (await call.receive()).status == 503
+
+    reader, writer = pair()
+    play(reader, writer, story=story)
+    assert reader.begun == []
+
+
+def test_streams_go_on_and_waiting_requests_are_answered_when_the_drain_ends() -> None:
+    """Where a timeout is longer than the drain, requests still wait when it ends."""
+    hold = trio.Event()
+    reader, writer = pair(Act(pause=hold), SILENT, SILENT, SILENT, SILENT)
+
+    async def story(on: Stage) -> None:
+        streaming = await send_request(on, "q1")
+        await streaming.receive(events=3)
+        waiting: Call = await send_request(on, "q2", Req_Deadline="15000m")
+        await until(lambda: len(writer.begun) >= 2)
+        stop_as_if_asked(on, 3.25)
+        with trio.fail_after(0.45 + 0.5):  # SIGKILL may come after 0.45 s; the rest is the machine's
+            assert (await waiting.receive()).status in (500, 503)
+        hold.set()
+        assert (await streaming.receive()).whole
+
+    play(reader, writer, story=story, settings=settings_with_timeout(15000.0))
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -86,10 +86,15 @@
             wrap = certificate.wrap
         return await self._listen(parse_address(operator.listen), self.chat, wrap)
 
-    async def stop_accepting(self) -> None:
+    def stop_accepting(self) -> None:
         """Closes the listening sockets; open connections go on."""
         for listening in self.sockets:
-            await listening.aclose()
+            listening.socket.close()
+
+    @property
+    def connections_queued(self) -> bool:
+        """Does a connection wait in a listening socket's queue?"""
+        return any(listening.socket.is_readable() for listening in self.sockets)
 
     @property
     def busy(self) -> bool:
--- a/violetstack/daemon/process.py
+++ b/violetstack/daemon/process.py
@@ -59,6 +59,8 @@
     """
     daemon = Daemon(config)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            _call_before_handler(number, daemon.lifecycle.signal_received)
 
         async def handle_signals() -> None:
             if early_reload is not None and early_reload.received:
@@ -75,6 +77,18 @@
             nursery.cancel_scope.cancel()
 
 
+def _call_before_handler(number: signal.Signals, notify: Callable[[], None]) -> None:
+    """Has `notify` called when the signal comes, ahead of the handler that is installed."""
+    handler = signal.getsignal(number)
+
+    def notify_and_handle(received: int, frame: FrameType | None) -> None:
+        notify()
+        if callable(handler):
+            handler(received, frame)
+
+    signal.signal(number, notify_and_handle)
+
+
 def flatten(errors: BaseExceptionGroup[Exception]) -> list[Exception]:
     """The exceptions of a group and of the groups within it."""
     return [
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -9,29 +9,24 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.daemon.fronts import FrontServers
 from violetstack.daemon.lifecycle import Lifecycle
+from violetstack.daemon.shutdown_schedule import ShutdownSchedule
 from violetstack.log import log
+from violetstack.net.downstream.connection_table import ConnectionTable
 from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.policy_api import Settings
 
 if TYPE_CHECKING:
     from violetstack.daemon.hot_restart import HotRestart
 
-# Seconds after SIGTERM.
-STOP_ACCEPTING_S = 0.55  # load balancers in front send new connections for up to 0.4 s
-REJECT_REQUESTS_S = 0.65  # a request that comes later may not be answered before SIGKILL
-# SIGKILL follows after the longest client timeout, at most MAX_DRAIN_S, and KILL_DELAY_S more.
-MAX_DRAIN_S = 3.0
-KILL_DELAY_S = 0.7
-FINAL_ANSWERS_S = 0.5  # before SIGKILL, for the last answers and releases
 POLL_S = 0.02
 
 
 class GracefulShutdown:
     """Ends the process without losing a request that it has taken, or that comes shortly after SIGTERM.
 
-    New connections are accepted for STOP_ACCEPTING_S, or until a successor accepts them. Responses carry
-    `Connection: close` (RFC 9112, section 9.6) and idle connections are closed. A connection that has not
-    sent its request yet is still read: the request is served, and rejected from REJECT_REQUESTS_S on.
+    New connections are accepted until `ShutdownSchedule.stop_accepting_s`, or until a successor accepts them.
+    Responses carry `Connection: close` (RFC 9112, section 9.6) and idle connections are closed. A connection
+    that has not sent its request yet is still read: the request is served, and rejected from `reject_s` on.
     """
 
     def __init__(
@@ -51,38 +46,54 @@
         self._fronts = fronts
         self._hot_restart = hot_restart
         longest_ms = max((spec.client_timeout_ms for spec in settings.classes), default=0.0)
-        self._deadline_s = min(longest_ms / 1000.0, MAX_DRAIN_S) + KILL_DELAY_S - FINAL_ANSWERS_S
+        self._schedule = ShutdownSchedule.for_longest_timeout(longest_ms)
         self._rejecting = False
-        self._aborting = False
+        self._waiting_ended = False
 
     async def run(self) -> None:
-        """Returns once no request is open any more."""
+        """Returns once no request is open any more, and no connection is left on which one could come."""
         log("shutdown_started", open=len(self._core.open_requests), successor=self._find_successor())
-        began = trio.current_time()
+        requested_at = self._lifecycle.stop_requested_at(trio.current_time())
         for listener in self._fronts.listeners:
             listener.draining = True
         await self._hand_over()
-        while self._lifecycle.accepting or self._core.open_requests or self._fronts.busy:
-            await self._advance(trio.current_time() - began)
+        # Whether anything is left is asked in the very step in which idle connections were closed.
+        nothing_left = self._advance(trio.current_time() - requested_at)
+        while not nothing_left:
             await trio.sleep(POLL_S)
+            nothing_left = self._advance(trio.current_time() - requested_at)
         if self._fronts.idempotency is not None:
             self._fronts.idempotency.stop_retrying()
 
-    async def _advance(self, elapsed_s: float) -> None:
-        """Takes the steps that are due `elapsed_s` after SIGTERM."""
-        if self._lifecycle.accepting and elapsed_s >= STOP_ACCEPTING_S:
-            await self._stop_accepting()
-        if elapsed_s >= REJECT_REQUESTS_S and not self._rejecting:
+    def _advance(self, elapsed_s: float) -> bool:
+        """Takes the steps that are due `elapsed_s` after SIGTERM; returns whether nothing is left to do."""
+        schedule = self._schedule
+        if elapsed_s >= schedule.reject_s and not self._rejecting:
             self._rejecting = True
             log("shutdown_rejecting")
         for listener in self._fronts.listeners:
             listener.refusing = self._rejecting
-            if not self._lifecycle.accepting:
-                listener.table.close_idle()
-        if elapsed_s >= self._deadline_s and not self._aborting:
-            self._aborting = True
+        if elapsed_s >= schedule.end_waiting_s and not self._waiting_ended:
+            self._waiting_ended = True
             log("shutdown_deadline", open=len(self._core.open_requests))
             self._core.shutdown_started()
+        if self._lifecycle.accepting:
+            if elapsed_s >= schedule.stop_accepting_s:
+                self._stop_accepting_unless_queued(elapsed_s)
+            return False  # what was accepted last is not in its listener's table before the next turn
+        for listener in self._fronts.listeners:
+            listener.table.close_idle()
+            if elapsed_s >= schedule.close_silent_s:
+                _close_silent(listener.table)
+        return not self._core.open_requests and not self._fronts.busy
+
+    def _stop_accepting_unless_queued(self, elapsed_s: float) -> None:
+        """Closes the listening sockets once their queues are empty: closing resets what waits in them.
+
+        A client may have written its request to a connection that nobody has accepted yet.
+        """
+        if elapsed_s >= self._schedule.close_listener_s or not self._fronts.connections_queued:
+            self._stop_accepting()
 
     async def _hand_over(self) -> None:
         """Leaves new connections, gossip and the streams that have started to the successor, if there is one.
@@ -91,17 +102,24 @@
         """
         if self._hot_restart is None or self._hot_restart.find_successor() is None:
             return
-        await self._stop_accepting()
+        self._stop_accepting()
         self._hosts.gossip = _discard
         await self._hot_restart.migrate_streams(self._core, self._hosts)
 
-    async def _stop_accepting(self) -> None:
+    def _stop_accepting(self) -> None:
         self._lifecycle.accepting = False
-        await self._fronts.stop_accepting()
+        self._fronts.stop_accepting()
 
     def _find_successor(self) -> str | None:
         return self._hot_restart.find_successor() if self._hot_restart is not None else None
 
 
+def _close_silent(table: ConnectionTable) -> None:
+    """Closes connections on which nothing has come: what came now could not be answered before SIGKILL."""
+    for connection in list(table.awaiting_first_request):
+        if not connection.http.busy and not connection.has_unread():
+            table.evict(connection)
+
+
 def _discard(_payload: bytes) -> None:
     """Sends no gossip: the successor has the same address, and receivers replace what they had from it."""
