Time unread counts after any gap and until the accept queue is empty

Cause: net/pause_detector.py max_unread_ms told an age only while catching up after a gap as long as the drain grace (daemon/dispatch.py): with a grace of 1000 ms a process stopped for 0.9 s took what it read then for new, told hosts a deadline 0.9 s too long and sent on what was over. After any pause, requests on connections that waited to be accepted were read after the catching up, with age 0. EventLoop waited up to half the grace, in which a stop that data ends does not show (process_pause.py wait_ended). Ruled out: attempts for clients that left meanwhile (may_send looks at the socket in the step of the first byte); connections that were open and readable (read in the first iteration after the gap). Change: the age of what is read counts from the last time the sockets are known to have been read, whatever the gap; after a gap of 50 ms until the queue has been empty for five iterations, 0.3 s at most. The loop waits 60 ms at most, a pause is declared from min(drain grace, 250 ms) on.

--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 
 import pytest
@@ -10,6 +11,7 @@
 
 from tests.front import SETTINGS, WRITERS, Front, entry
 from tests.test_core import RecordingPorts
+from tests.test_stories import play
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.ports import Shed
 from violetstack.gossip.codec import RESET_DATAGRAM, decode_load, encode_datagram, encode_load, endpoint_tag
@@ -28,7 +30,13 @@
     TimerFired,
     UpdateScope,
 )
-from violetstack.process_pause import PauseTracker
+from violetstack.process_pause import PauseTracker, UnreadAge
+from violetstack.protocol.http_server import HttpRequest
+from violetstack.rehearsal.clients import BODY, Call, platform_headers
+from violetstack.rehearsal.hosts import ModelHost
+from violetstack.rehearsal.peer import PeerConnection
+from violetstack.rehearsal.stage import SETTINGS as STAGE_SETTINGS
+from violetstack.rehearsal.stage import Stage
 
 GRACE_MS = 250.0
 
@@ -203,3 +211,67 @@
 def test_the_first_datagram_is_sent_though_the_socket_was_not_bound_yet() -> None:
     """It was lost, and the load of the previous process counted for as long as a request may take."""
     assert trio.run(_first_datagram) == RESET_DATAGRAM
+
+
+LEFT_MS = 500.0  # of a request's time after a pause
+
+
+class DeadlineRecorder(ModelHost):
+    """Records the deadlines that it is told, in milliseconds."""
+
+    def __init__(self, name: str, kind: str) -> None:
+        super().__init__(name, kind)
+        self.told_ms: list[float] = []
+
+    async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
+        if "req-deadline" in inbound.headers:
+            self.told_ms.append(float(inbound.headers["req-deadline"].removesuffix("m")))
+        await super().handle(inbound, connection)
+
+
+def queue_request(on: Stage, name: str, deadline_ms: float) -> Call:
+    """Writes a whole request to a new connection that nobody has accepted yet."""
+    sock = socket.create_connection(on.platform)
+    call = Call(trio.SocketStream(trio.socket.from_stdlib_socket(sock)))
+    headers = [("Host", "x"), *platform_headers(name, "orden", Req_Deadline=f"{deadline_ms:.0f}m")]
+    sock.sendall(
+        b"".join(bytes(part) for part in call.http.request("POST", "/v1/chat/completions", headers, BODY))
+    )
+    sock.setblocking(False)
+    return call
+
+
+@pytest.mark.parametrize("pause_ms", [200.0, 600.0])
+def test_a_deadline_passed_on_after_a_pause_that_is_shorter_than_the_drain_grace(pause_ms: float) -> None:
+    """Time unread counted only in pauses as long as the drain grace, and only until the upstream was read."""
+    reader = DeadlineRecorder("r", "prefill")
+
+    async def story(on: Stage) -> None:
+        await trio.testing.wait_all_tasks_blocked()
+        calls = [queue_request(on, f"q{number}", pause_ms + LEFT_MS) for number in range(6)]
+        pause_process(pause_ms)
+        for call in calls:
+            assert (await call.receive()).outcome == "served"
+        assert len(reader.told_ms) == len(calls)
+        # Each was told when it was written to the host, so later than the end of the pause.
+        assert max(reader.told_ms) <= LEFT_MS + 100.0
+
+    rules = {**STAGE_SETTINGS["rules"], "stop_sending_within": 1000.0}
+    play(reader, ModelHost("w", "decode"), story=story, settings={"rules": rules})
+
+
+def test_unread_age_counts_a_gap_until_the_accept_queue_has_been_empty_for_a_while() -> None:
+    age = UnreadAge()
+    age.wait_ended(1000.0, 1000.0)
+    assert age.max_age(1002.0, 1000.0) == 0.0
+    age.wait_ended(1100.0, 1020.0)  # a gap of 80 ms
+    queue = [True, True, True]  # then it is empty
+    for iteration in range(8):
+        at = 1101.0 + iteration
+        assert age.max_age(at, at) == pytest.approx(at - 1020.0)
+        age.iteration_ended(at, lambda: bool(queue) and queue.pop())
+        age.wait_ended(at, at)
+    assert age.max_age(1110.0, 1110.0) == 0.0
+    age.wait_ended(2000.0, 1900.0)
+    age.iteration_ended(2301.0, lambda: True)  # more connections than can be accepted
+    assert age.max_age(2301.0, 2301.0) == 0.0
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -188,6 +188,7 @@
         self.parts = build_dispatch(config, self.nursery)
         self.limits = LimitAllocator(config, self.hosts, self.listeners, self._processes)
         self.fronts = FrontServers(config, self.core, self.nursery, self.listeners, self.limits.apply)
+        self.parts.pause_detector.connections_queued = self.fronts.connections_queued
         self._apply_routing_plan()
         self._build_endpoints()
         predecessor = self.handover.load_predecessor() if self.handover is not None else None
--- a/violetstack/daemon/event_loop.py
+++ b/violetstack/daemon/event_loop.py
@@ -9,6 +9,9 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.pause_detector import PauseDetector
 
+# A stop during a wait for I/O shows only if it outlasts the wait, so this bounds the age of what may be read
+# as if it had just come.
+MAX_WAIT_S = 0.06
 FAILURE_RETRY_S = 0.01  # after a turn that failed; what it left undone is taken up in the next
 
 
@@ -41,7 +44,7 @@
         self._pause_detector = pause_detector
         self._wake_signal = wake_signal
         # A wait longer than half the time in which a drain binds could hide a stop for as long.
-        self._longest_wait_s = core.drain_grace_ms / 2000.0
+        self._longest_wait_s = min(MAX_WAIT_S, core.drain_grace_ms / 2000.0)
 
     async def run(self) -> None:
         """Runs until cancelled."""
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -90,8 +90,8 @@
         """Closes the listening sockets; open connections go on."""
         for listening in self.sockets:
             listening.socket.close()
+        self.sockets.clear()
 
-    @property
     def connections_queued(self) -> bool:
         """Does a connection wait in a listening socket's queue?"""
         return any(listening.socket.is_readable() for listening in self.sockets)
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -92,7 +92,7 @@
 
         A client may have written its request to a connection that nobody has accepted yet.
         """
-        if elapsed_s >= self._schedule.close_listener_s or not self._fronts.connections_queued:
+        if elapsed_s >= self._schedule.close_listener_s or not self._fronts.connections_queued():
             self._stop_accepting()
 
     async def _hand_over(self) -> None:
--- a/violetstack/net/pause_detector.py
+++ b/violetstack/net/pause_detector.py
@@ -9,11 +9,12 @@
 
 from violetstack.log import log
 from violetstack.net.clock import now_ms
-from violetstack.process_pause import PauseTracker
+from violetstack.process_pause import PauseTracker, UnreadAge
 
 # Limits of catching up, so that a flood on one socket cannot hold up sends for longer.
 MAX_LOOP_ITERATIONS = 16
 MAX_CATCH_UP_S = 0.05
+MAX_PAUSE_THRESHOLD_MS = 250.0  # however long a drain may take to bind: deadlines pass meanwhile
 MIN_LOOP_ITERATIONS = 2  # the reading tasks first run in the iteration after the one that found the pause
 
 
@@ -34,19 +35,23 @@
 
     Attributes:
         catching_up: Whether a pause was detected and the input sources are still being read.
+        connections_queued: Returns whether client connections wait to be accepted.
     """
 
     def __init__(self, pause_threshold_ms: float, on_pause: Callable[[float], None]) -> None:
         """Creates a detector that does nothing until `run`.
 
         Args:
-            pause_threshold_ms: The shortest gap that counts as a pause (see `PauseTracker`).
+            pause_threshold_ms: The shortest gap that counts as a pause (see `PauseTracker`); at most
+                MAX_PAUSE_THRESHOLD_MS is used.
             on_pause: Called with the length of the pause in milliseconds once all sources are caught up.
         """
         self.catching_up = False
-        self._pause_threshold_ms = pause_threshold_ms
+        self.connections_queued: Callable[[], bool] = _none_queued
+        self._pause_threshold_ms = min(pause_threshold_ms, MAX_PAUSE_THRESHOLD_MS)
         self._on_pause = on_pause
-        self._tracker = PauseTracker(now_ms(), pause_threshold_ms)
+        self._tracker = PauseTracker(now_ms(), self._pause_threshold_ms)
+        self._unread = UnreadAge()
         self._sources: list[InputSource] = []
         self._pause_ms = 0.0
         self._earliest_arrival = 0.0
@@ -59,11 +64,15 @@
 
     def before_io_wait(self, timeout: float) -> None:
         """Called by trio before each wait for I/O; `timeout` is in seconds."""
-        self._tracker.wait_started(now_ms(), timeout * 1000.0)
+        now = now_ms()
+        self._unread.iteration_ended(now, self.connections_queued)
+        self._tracker.wait_started(now, timeout * 1000.0)
 
     def after_io_wait(self, timeout: float) -> None:  # noqa: ARG002 - trio's interface
         """Called by trio after each wait for I/O; `timeout` is in seconds."""
-        pause_ms = self._tracker.wait_ended(now_ms())
+        now = now_ms()
+        pause_ms = self._tracker.wait_ended(now)
+        self._unread.wait_ended(now, self._tracker.earliest_arrival)
         if pause_ms and not self.catching_up:
             self.catching_up = True
             self._pause_ms = pause_ms
@@ -72,8 +81,15 @@
             self._pause_detected.set()
 
     def max_unread_ms(self) -> float:
-        """Returns how long a request that is read now may have been in its socket; 0 outside of a pause."""
-        return now_ms() - self._earliest_arrival if self.catching_up else 0.0
+        """Returns how long a request that is read now may have been in its socket.
+
+        Any gap counts, however short: the deadline that is passed on to a host must not exceed what is left
+        to the client, whatever the time in which a drain binds.
+        """
+        earliest_arrival = self._tracker.earliest_arrival
+        if self.catching_up:
+            earliest_arrival = min(earliest_arrival, self._earliest_arrival)
+        return self._unread.max_age(now_ms(), earliest_arrival)
 
     async def wait_caught_up(self) -> None:
         """Waits until what came in during a pause has been read; returns at once if there was none."""
@@ -103,3 +119,7 @@
             if iterations >= MAX_LOOP_ITERATIONS or trio.current_time() >= give_up_at:
                 break
         return iterations
+
+
+def _none_queued() -> bool:
+    return False
