A bad entry in discovery's list no longer ends the process or hides a drain

Cause: `ConnectionPool._set_address` catches ValueError, but `parse_address` raises ConfigError, so an address without a port, or with letters as its port, left `Watch._follow` (its `except` list does not have it) and ended the process. Entries without an address, with port 0 or 99999, or with no id were applied as usable hosts and took attempts of requests. `EndpointListDecoder.to_event` left out entries of an unknown kind or state, and `_decode_entries` unreadable ones: a drain in such an entry was missed, and in a complete list the host was removed. Of two entries with one id, `left` before `active`, the pool lost the address.

Change: the decoder checks addresses, keeps what is known of a host in place of a field that can't be used, lets the later of two entries count, and reports at most 20 of them, 60 characters each, in the line of the update. A list whose application fails is asked for again with backoff. The cache's check of an address can raise only what it catches.

--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -66,7 +66,7 @@
         self._state_writer = state_writer
         self._cordons = cordons
         self._changed = changed
-        self._decoder = EndpointListDecoder(config.settings_message)
+        self._decoder = EndpointListDecoder(config.settings_message, self._known_entry)
         self._nursery: trio.Nursery | None = None
 
     @property
@@ -182,6 +182,9 @@
             skipped=event.skipped,
         )
 
+    def _known_entry(self, server: str) -> ListedEndpoint | None:
+        return self.messages.get(server)
+
     def _store_messages(self, event: WatchEvent) -> None:
         if event.update.scope is not UpdateScope.DELTA:
             self.messages = {}
--- a/violetstack/net/endpoint_cache.py
+++ b/violetstack/net/endpoint_cache.py
@@ -10,7 +10,7 @@
 from violetstack.config import ConfigError, parse_address
 from violetstack.log import log
 from violetstack.net.clock import now_ms
-from violetstack.protocol.discovery import EndpointListMessage, ListedEndpoint
+from violetstack.protocol.discovery import EndpointListMessage, ListedEndpoint, is_valid_address
 from violetstack.recovery.cached_endpoints import CachedEndpoint, CacheStatus, EndpointSource, merge_sources
 from violetstack.state.snapshot import StateSnapshot
 
@@ -65,9 +65,7 @@
             if list_received():
                 break
             try:
-                with trio.fail_after(VERIFY_TIMEOUT_S):
-                    stream = await trio.open_tcp_stream(*parse_address(server.addr))
-                await stream.aclose()
+                await _connect_once(server.addr)
                 reachable += 1
             except (OSError, ConfigError, trio.TooSlowError) as error:
                 log("recovered_endpoint_unreachable", server=server.id, error=repr(error))
@@ -80,3 +78,18 @@
         reasons = [f"{e.server.id}: {e.reason}" for e in endpoints if e.status is CacheStatus.REJECTED]
         age_s = None if age_ms is None else round(age_ms / 1000.0, 1)
         log("endpoints_recovered", age_s=age_s, reasons=reasons[:MAX_REASONS_LOGGED], **counts)
+
+
+async def _connect_once(address: str) -> None:
+    """Connects and closes the connection again.
+
+    Raises:
+        ConfigError: The address is invalid.
+        OSError: It refuses connections.
+        trio.TooSlowError: It does not answer in time.
+    """
+    if not is_valid_address(address):
+        raise ConfigError(f"{address!r} is no address of a host")
+    with trio.fail_after(VERIFY_TIMEOUT_S):
+        stream = await trio.open_tcp_stream(*parse_address(address))
+    await stream.aclose()
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -297,7 +297,10 @@
             return
         self.version = update.version
         connection.index = update.version
-        self._on_event(event)
+        try:
+            self._on_event(event)
+        except Exception as error:  # no list may end the dispatcher
+            raise EndpointListError(f"not applied: {error!r}") from error
         self.heard.set()
 
     async def _get(
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 import msgspec
@@ -12,11 +12,15 @@
 from violetstack.settings import SettingsMessage
 
 MAX_OBJECT_BYTES = 1024 * 1024  # a hundred hosts take some 15,000
-MAX_UNREADABLE = 20  # entries of a list that are reported
-UNREADABLE_LENGTH = 60  # bytes of each
+MAX_SKIPPED = 20  # entries of a list that are reported
+SKIPPED_LENGTH = 60  # characters of each
 ERROR_LENGTH = 200
 OUTSIDE_STRING = re.compile(rb'[{}\[\]"]')  # the bytes that nest objects or begin a string
 INSIDE_STRING = re.compile(rb'["\\]')  # the bytes that end a string or escape one
+ADDRESS = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[0-9A-Fa-f:.]+|[A-Za-z0-9._-]+):([0-9]{1,5})")
+MAX_HOST_LENGTH = 253  # of a name (RFC 1035)
+MAX_LABEL_LENGTH = 63
+MAX_PORT = 65535
 STATES = {"active": EndpointState.HEALTHY, "leaving": EndpointState.DRAINING, "left": EndpointState.REMOVED}
 
 
@@ -41,6 +45,13 @@
     servers: list[ListedEndpoint] = []
 
 
+class EntryIdentity(msgspec.Struct):
+    """What is read of an entry that can't be decoded as a whole."""
+
+    id: str
+    state: str = ""
+
+
 class UndecodedListMessage(msgspec.Struct):
     """A list whose entries are decoded one by one, because one of them could not be."""
 
@@ -54,13 +65,18 @@
 
 
 class WatchEvent(msgspec.Struct, frozen=True):
-    """A list or a change, decoded. `messages` are the entries as they came."""
+    """A list or a change, decoded.
+
+    Attributes:
+        update: The entries that can be applied.
+        addresses: The addresses of these hosts, by id.
+        skipped: The ids, or the beginnings, of entries of which something could not be used.
+        messages: The entries that can be applied, in discovery's form.
+    """
 
     update: EndpointUpdate
     addresses: dict[str, str]
-    skipped: tuple[
-        str, ...
-    ] = ()  # entries of an unknown state or kind, and the beginnings of unreadable ones
+    skipped: tuple[str, ...] = ()
     messages: tuple[ListedEndpoint, ...] = ()
 
 
@@ -69,13 +85,35 @@
     unreadable: tuple[str, ...]  # the beginning of each entry that could not be decoded
 
 
+def is_valid_address(text: str) -> bool:
+    """Whether the text is `host:port` with a host and a port that a socket can be given."""
+    found = ADDRESS.fullmatch(text)
+    if found is None or not 0 < int(found[2]) <= MAX_PORT:
+        return False
+    labels = found[1].split(".")
+    return len(found[1]) <= MAX_HOST_LENGTH and all(len(label) <= MAX_LABEL_LENGTH for label in labels)
+
+
+def _nothing_known(_id: str) -> ListedEndpoint | None:
+    return None
+
+
 class EndpointListDecoder:
-    """Decodes lists and changes to watch events."""
+    """Decodes lists and changes to watch events.
+
+    A host that is known keeps what an entry states in no usable form, so that neither its drain nor its
+    place in a complete list is lost with a bad field. Of a host that is not known such an entry is left out.
+    """
 
-    def __init__(self, settings_message: SettingsMessage) -> None:
-        """Takes the zones and kinds of the settings."""
+    def __init__(
+        self,
+        settings_message: SettingsMessage,
+        known: Callable[[str], ListedEndpoint | None] = _nothing_known,
+    ) -> None:
+        """Takes the zones and kinds of the settings; `known` returns the entry in use for a host's id."""
         self._zones = {name: n for n, name in enumerate(settings_message.zones or ())}
         self._kinds = {name: n for n, name in enumerate(settings_message.kinds or ())}
+        self._known = known
         self._decoder = msgspec.json.Decoder(EndpointListMessage)
 
     def decode(self, value: bytes) -> WatchEvent:
@@ -84,29 +122,79 @@
         try:
             message = self._decoder.decode(value)
         except msgspec.MsgspecError as error:
-            message, unreadable = _decode_entries(value, str(error))
+            message, unreadable = self._decode_entries(value, str(error))
         event = self.to_event(message, UpdateScope.SNAPSHOT if message.full else UpdateScope.DELTA)
         if unreadable:
-            event = msgspec.structs.replace(event, skipped=event.skipped + unreadable)
+            event = msgspec.structs.replace(event, skipped=(event.skipped + unreadable)[:MAX_SKIPPED])
         return event
 
     def to_event(self, message: EndpointListMessage, scope: UpdateScope) -> WatchEvent:
-        """The message as an update of the given scope; entries of an unknown state or kind are left out."""
-        endpoints = []
+        """The message as an update of the given scope. Of two entries with one id the later counts."""
+        entries: dict[str, ListedEndpoint] = {}
         skipped = []
         for server in message.servers:
-            if server.state in STATES and (server.kind in self._kinds or not self._kinds):
-                endpoints.append(self._to_endpoint(server))
-            else:
-                skipped.append(server.id)
-        known = {endpoint.server for endpoint in endpoints}
+            usable = self._usable(server)
+            if usable is not server or server.id in entries:
+                skipped.append(server.id[:SKIPPED_LENGTH])
+            if usable is not None:
+                entries[server.id] = usable
         return WatchEvent(
-            update=EndpointUpdate(scope, tuple(endpoints), message.version),
-            addresses={s.id: s.addr for s in message.servers if s.addr and s.id in known},
-            skipped=tuple(skipped),
-            messages=tuple(message.servers),
+            update=EndpointUpdate(scope, tuple(map(self._to_endpoint, entries.values())), message.version),
+            addresses={server.id: server.addr for server in entries.values() if server.addr},
+            skipped=tuple(skipped[:MAX_SKIPPED]),
+            messages=tuple(entries.values()),
         )
 
+    def _usable(self, server: ListedEndpoint) -> ListedEndpoint | None:
+        """The entry, with what is known of the host in place of what can't be used; None if nothing is."""
+        state_valid = server.state in STATES
+        kind_valid = server.kind in self._kinds or not self._kinds
+        address_valid = is_valid_address(server.addr)
+        if server.id and state_valid and kind_valid and address_valid:
+            return server
+        known = self._known(server.id)
+        if known is None:
+            return None
+        return msgspec.structs.replace(
+            server,
+            state=server.state if state_valid else known.state,
+            kind=server.kind if kind_valid else known.kind,
+            addr=server.addr if address_valid else known.addr,
+        )
+
+    def _decode_entries(self, value: bytes, reason: str) -> _PartialList:
+        """Decodes each entry on its own, so that an invalid one does not hide the others, drains among them.
+
+        Raises EndpointListError, with `reason`, where the object around the entries can't be decoded either.
+        """
+        servers = []
+        unreadable = []
+        try:
+            message = msgspec.json.decode(value, type=UndecodedListMessage)
+        except msgspec.MsgspecError:
+            raise EndpointListError(reason[:ERROR_LENGTH]) from None
+        for entry in message.servers:
+            try:
+                servers.append(msgspec.json.decode(entry, type=ListedEndpoint))
+            except msgspec.MsgspecError:
+                unreadable.append(bytes(entry)[:SKIPPED_LENGTH].decode("latin-1"))
+                servers += self._known_part(entry)
+        return _PartialList(
+            EndpointListMessage(message.version, message.full, servers), tuple(unreadable[:MAX_SKIPPED])
+        )
+
+    def _known_part(self, entry: msgspec.Raw) -> list[ListedEndpoint]:
+        """What an unreadable entry means for a known host: its new state, if that much can be read."""
+        try:
+            identity = msgspec.json.decode(entry, type=EntryIdentity)
+        except msgspec.MsgspecError:
+            return []
+        known = self._known(identity.id)
+        if known is None:
+            return []
+        state = identity.state if identity.state in STATES else known.state
+        return [msgspec.structs.replace(known, state=state)]
+
     def _to_endpoint(self, server: ListedEndpoint) -> Endpoint:
         return Endpoint(
             server=server.id,
@@ -119,27 +207,6 @@
         )
 
 
-def _decode_entries(value: bytes, reason: str) -> _PartialList:
-    """Decodes each entry on its own, so that an invalid one does not hide the others, drains among them.
-
-    Raises EndpointListError, with `reason`, where the object around the entries can't be decoded either.
-    """
-    servers = []
-    unreadable = []
-    try:
-        message = msgspec.json.decode(value, type=UndecodedListMessage)
-    except msgspec.MsgspecError:
-        raise EndpointListError(reason[:ERROR_LENGTH]) from None
-    for server in message.servers:
-        try:
-            servers.append(msgspec.json.decode(server, type=ListedEndpoint))
-        except msgspec.MsgspecError:
-            unreadable.append(bytes(server)[:UNREADABLE_LENGTH].decode("latin-1"))
-    return _PartialList(
-        EndpointListMessage(message.version, message.full, servers), tuple(unreadable[:MAX_UNREADABLE])
-    )
-
-
 class JsonObjectSplitter:
     """Splits a stream of JSON objects, cut anywhere, into the objects; b"" stands for an empty line.
 
