Fault campaign: generated settings, faults on real sockets, and an auditor of the sockets

Operators broke rule 'lost' with another customer's settings, and nothing in the suite played these: the fleet's rehearsal has one site's settings, and excuses every request that was open during a stop.

Change: each seed draws settings (effects, windows, time-outs 0.3 to 15 s, all switches, one to three zones, prefill, decode and mixed hosts) and faults of clients, hosts, discovery and processes that meet at a stage of a request. Dispatchers are processes by the deploy file's run. The auditor sees only what clients and hosts wrote and read; each of its rules has a planted fault that it finds.

--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -78,21 +78,34 @@
 @main.command()
 @click.argument("stories", nargs=-1)
 @click.option("--quiet", is_flag=True, help="Without the dispatcher's log lines.")
-@click.option("--json", "as_json", is_flag=True, help="Of a fleet's plan: one JSON object.")
-def rehearse(stories: tuple[str, ...], quiet: bool, as_json: bool) -> None:
+@click.option("--json", "as_json", is_flag=True, help="Of a fleet's plan or a case of faults: a JSON object.")
+@click.option("--seeds", default="1", show_default=True, help="Cases of faults: 7, 1-200 or 1,5-9.")
+@click.option("--jobs", default=1, show_default=True, help="Cases of faults at the same time.")
+@click.option("--duration", "duration_s", default=4.0, show_default=True, help="Seconds of a case's load.")
+def rehearse(
+    stories: tuple[str, ...], *, quiet: bool, as_json: bool, seeds: str, jobs: int, duration_s: float
+) -> None:
     """Play STORIES (all by default) with scripted peers, and tell what came; or a fleet's PLAN.
 
     A plan starts a fleet of dispatcher processes on loopback addresses and strikes it with troubles. It
     tells a line each half second, the time to whole service, and the rules that were broken.
 
+    FAULTS starts dispatchers with settings and faults that are drawn from each seed, and judges what clients
+    and hosts saw: a line a case, the requests for which a rule was broken, and the pairs of faults that met.
+
     \b
     Examples:
       violetstack rehearse --quiet
       violetstack rehearse cut order drain
       violetstack rehearse fleet benchmarks/fleet/herd.toml
+      violetstack rehearse faults --seeds 1-200 --jobs 2
     """
     if stories[:1] == ("fleet",):
         sys.exit(_fleet(stories[1:], as_json))
+    if stories[:1] == ("faults",):
+        from violetstack.commands.faults import parse_seeds, run_faults  # noqa: PLC0415
+
+        sys.exit(run_faults(parse_seeds(seeds), jobs, duration_s, as_json))
     from violetstack.rehearsal import scenarios as played  # noqa: PLC0415
 
     unknown = [name for name in stories if name not in played.STORIES]
--- /dev/null
+++ b/violetstack/rehearsal/fleet/campaign_client.py
@@ -0,0 +1,216 @@
+"""One client request on real sockets, as its script wants it, written down for the auditor."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from violetstack.config import Address
+from violetstack.rehearsal.fleet.campaign_faults import (
+    ClientEnd,
+    ClientHabit,
+    RequestScript,
+    Stage,
+    client_act_name,
+)
+from violetstack.rehearsal.fleet.campaign_host import reset
+from violetstack.rehearsal.fleet.minimal_http import connect
+from violetstack.rehearsal.fleet.socket_audit import ClientExchange
+
+READ_SIZE = 64 * 1024
+MAX_STREAM_S = 7.0
+"""No stream here takes longer; one that its host stopped is to be cut by then."""
+PATIENCE_S = 0.5
+"""After the time at which an answer is lost, to tell a late one from none."""
+PIECE_PAUSE_S = 0.03
+CONNECT_TIMEOUT_S = 3.0
+READY_REQUEST = b"GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n"
+PIPELINED_COPIES = 40
+INCOMPLETE_S = 3.0
+"""For how long a client reads on that has ended its sending within its request."""
+
+
+class NotAcceptedError(Exception):
+    """No connection to the dispatcher came up: it has not taken the request."""
+
+
+@dataclass
+class ClientConnection:
+    """One connection to a dispatcher, and what h11 knows of it."""
+
+    stream: trio.SocketStream
+    http: h11.Connection
+
+    @classmethod
+    async def open(cls, address: Address) -> ClientConnection:
+        """Raises NotAcceptedError."""
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                return cls(await connect(address), h11.Connection(h11.CLIENT))
+        except (OSError, trio.TooSlowError) as error:
+            raise NotAcceptedError(str(error)) from None
+
+    def close(self) -> None:
+        self.stream.socket.close()
+
+
+@dataclass(frozen=True)
+class ClientMessage:
+    """What a client writes."""
+
+    request: h11.Request
+    body: bytes
+
+
+class ClientCall:
+    """Writes one request and reads its answer; the script may have the client leave in between."""
+
+    def __init__(
+        self,
+        connection: ClientConnection,
+        exchange: ClientExchange,
+        script: RequestScript,
+        message: ClientMessage,
+        clock: Callable[[], float],
+    ) -> None:
+        self.connection = connection
+        self._exchange = exchange
+        self._script = script
+        self._message = message
+        self._clock = clock
+        self._scope = trio.CancelScope()
+        self.reusable = False
+        self._ended = False
+
+    async def run(self) -> None:
+        """Returns once the answer has ended, the connection has, or the client has left."""
+        async with trio.open_nursery() as nursery:
+            if self._script.client_act is not None:
+                nursery.start_soon(self._leave)
+            with self._scope:
+                try:
+                    await self._write()
+                    if self._exchange.sent_at is not None:
+                        await self._read()
+                except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+                    self._server_closed()
+                except h11.RemoteProtocolError as error:
+                    self._exchange.surplus += f"no HTTP: {error}".encode()
+                    self._server_closed()
+            nursery.cancel_scope.cancel()
+        if not self.reusable:
+            self.connection.close()
+
+    # --- writing ---
+
+    async def _write(self) -> None:
+        http = self.connection.http
+        head = http.send(self._message.request) or b""
+        body = http.send(h11.Data(data=self._message.body)) or b""
+        http.send(h11.EndOfMessage())
+        data = head + body
+        in_pieces = self._script.habit is ClientHabit.IN_PIECES or self._leaves_at(Stage.HEAD_IN_PIECES)
+        if in_pieces:
+            for end in (len(head) // 3, len(head) - 2):
+                await self.connection.stream.send_all(data[:end])
+                data = data[end:]
+                self._script.reach(Stage.HEAD_IN_PIECES)
+                await trio.sleep(PIECE_PAUSE_S)
+        if self._leaves_at(Stage.HEAD_IN_PIECES):
+            with trio.move_on_after(INCOMPLETE_S):
+                await self._read_until(lambda: False)
+            return
+        if self._script.habit is ClientHabit.PIPELINED:
+            data += READY_REQUEST * PIPELINED_COPIES
+        await self.connection.stream.send_all(data)
+        self._exchange.sent_at = self._clock()
+        self._script.reach(Stage.QUEUED)
+        self._script.reach(Stage.WAITING)
+
+    def _leaves_at(self, stage: Stage) -> bool:
+        return self._script.client_act is not None and self._script.client_act[0] is stage
+
+    # --- reading ---
+
+    async def _read(self) -> None:
+        exchange = self._exchange
+        while (
+            exchange.committed_at is None and (left_s := exchange.lost_at + PATIENCE_S - self._clock()) > 0.0
+        ):
+            with trio.move_on_after(left_s):
+                await self._read_until(lambda: exchange.committed_at is not None)
+            if self._ended:
+                break
+        if exchange.status == 200 and exchange.committed_at is not None:
+            with trio.move_on_after(MAX_STREAM_S):
+                await self._read_until(lambda: exchange.answered_at is not None)
+        exchange.waited_until = self._clock()
+
+    async def _read_until(self, done: Callable[[], bool]) -> None:
+        while not done() and not self._ended:
+            event = self.connection.http.next_event()
+            if event is h11.NEED_DATA:
+                data = await self.connection.stream.receive_some(READ_SIZE)
+                self.connection.http.receive_data(bytes(data))
+                if not data:
+                    self._ended_by_close()
+                continue
+            self._take(event)
+
+    def _take(self, event: object) -> None:
+        exchange = self._exchange
+        if isinstance(event, h11.Response):
+            exchange.status = event.status_code
+        elif isinstance(event, h11.Data):
+            exchange.body += event.data
+            if exchange.first_byte_at is None:
+                exchange.first_byte_at = self._clock()
+        elif isinstance(event, h11.EndOfMessage):
+            exchange.complete = True
+            exchange.answered_at = self._clock()
+            self._after_answer()
+
+    def _after_answer(self) -> None:
+        http = self.connection.http
+        if self._script.habit is ClientHabit.PIPELINED:
+            return
+        self._exchange.surplus, _ = http.trailing_data
+        self.reusable = http.our_state is h11.DONE and http.their_state is h11.DONE
+
+    def _ended_by_close(self) -> None:
+        """The end of the connection is the end of an answer without a length, and breaks any other."""
+        with suppress(h11.RemoteProtocolError):
+            self._take(self.connection.http.next_event())
+        self._server_closed()
+
+    def _server_closed(self) -> None:
+        self._ended = True
+        if self._exchange.client_closed_at is None and self._exchange.server_closed_at is None:
+            self._exchange.server_closed_at = self._clock()
+
+    # --- leaving ---
+
+    async def _leave(self) -> None:
+        act = self._script.client_act
+        assert act is not None
+        stage, end = act
+        await self._script.reached[stage].wait()
+        await trio.sleep(self._script.jitter_s)
+        if self._exchange.answered_at is not None or self._exchange.server_closed_at is not None:
+            return
+        self._script.fired.add(client_act_name(act))
+        self._exchange.client_closed_at = self._clock()
+        if end is ClientEnd.HALF_CLOSE:
+            with suppress(OSError):
+                self.connection.stream.socket.shutdown(socket.SHUT_WR)
+            return
+        if end is ClientEnd.RESET:
+            reset(self.connection.stream.socket)
+        else:
+            self.connection.close()
+        self._scope.cancel()
--- /dev/null
+++ b/violetstack/rehearsal/fleet/campaign_faults.py
@@ -0,0 +1,206 @@
+"""The faults of a campaign: what clients, hosts, processes and discovery do, and which pairs are to meet."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import product
+
+import trio
+
+
+class Stage(Enum):
+    """How far a request has come when its client acts."""
+
+    HEAD_IN_PIECES = "head in pieces"
+    QUEUED = "queued in the kernel"
+    WAITING = "waiting"
+    PREFILL_IN_FLIGHT = "prefill in flight"
+    BETWEEN = "between prefill and decode"
+    DECODE_IN_FLIGHT = "decode in flight"
+    STREAMING = "streaming"
+
+
+class ClientEnd(Enum):
+    """How a client leaves."""
+
+    CLOSE = "close"
+    HALF_CLOSE = "half-close"
+    RESET = "reset"
+
+
+class ClientHabit(Enum):
+    """How a client writes its request."""
+
+    PLAIN = "plain"
+    IN_PIECES = "in pieces"
+    LARGE_BODY = "large body"
+    PIPELINED = "pipelined"
+
+
+class HostFault(Enum):
+    """What a host does to an attempt."""
+
+    NONE = "none"
+    SLOW = "slow"
+    DECLINE = "decline"
+    ERROR = "error"
+    HANG = "hang"
+    RESET_WHILE_READING = "reset while reading"
+    STALL_WHILE_READING = "stall while reading"
+    RESET_BEFORE_EVENT = "reset before the first event"
+    CLOSE_BEFORE_EVENT = "close before the first event"
+    RESET_AFTER_EVENT = "reset after the first event"
+    HANG_AFTER_EVENT = "hang after the first event"
+    SECOND_RESPONSE = "second response"
+    SPOILT_HEAD = "spoilt head"
+    SPOILT_STREAM = "spoilt stream"
+    ENDLESS_HEAD = "endless head"
+    ENDLESS_CHUNK = "endless chunk"
+    STATE_GONE = "state gone"
+    CLOSE_AFTER_RESPONSE = "close after the response"
+
+
+class EnvironmentFault(Enum):
+    """What befalls a dispatcher's process, a host as a whole, or discovery, while requests go on."""
+
+    HOST_REFUSES = "host refuses"
+    HOST_CONNECTS_LATE = "host connects late"
+    HOST_NEVER_CONNECTS = "host never connects"
+    HOST_DRAINS = "host drains"
+    DISCOVERY_SILENT = "discovery silent"
+    DISCOVERY_LATE = "discovery late"
+    DISCOVERY_RESET = "discovery reset"
+    DISCOVERY_COMPLETE_LISTS = "discovery complete lists"
+    SIGTERM = "SIGTERM"
+    SIGHUP = "SIGHUP"
+    SIGSTOP_SHORT = "SIGSTOP 0.3 s"
+    SIGSTOP_LONG = "SIGSTOP 1.2 s"
+    SIGKILL = "SIGKILL"
+    DESCRIPTORS_FULL = "descriptors full"
+
+
+STREAM_FAULTS = frozenset(
+    {
+        HostFault.RESET_AFTER_EVENT,
+        HostFault.HANG_AFTER_EVENT,
+        HostFault.SPOILT_STREAM,
+        HostFault.ENDLESS_CHUNK,
+    }
+)
+"""The stream that the client gets is not complete."""
+
+JITTERS_S = (0.0, 0.0, 0.0, 0.001, 0.004, 0.015, 0.06)
+"""Between a stage and the client's end."""
+ClientAct = tuple[Stage, ClientEnd]
+CLIENT_ACTS: tuple[ClientAct, ...] = tuple(product(Stage, ClientEnd))
+PLAIN_SHARE = 0.45
+"""Of requests that meet no fault of their own: they are to be served beside the others."""
+CLIENT_ACT_SHARE = 0.5
+SECOND_FAULT_SHARE = 0.3
+
+
+@dataclass
+class RequestScript:
+    """What befalls one request, and how far it has come.
+
+    Attributes:
+        host_faults: By attempt number at hosts, prefills included; later attempts meet none.
+        reached: Set by the host or client that takes the request to the stage.
+        fired: Names of the faults that took place.
+    """
+
+    client_act: ClientAct | None
+    habit: ClientHabit
+    host_faults: tuple[HostFault, ...]
+    jitter_s: float
+    reached: dict[Stage, trio.Event] = field(default_factory=lambda: {stage: trio.Event() for stage in Stage})
+    fired: set[str] = field(default_factory=set)
+    attempts_begun: int = 0
+
+    def next_host_fault(self) -> HostFault:
+        """The fault of the attempt that begins now."""
+        number = self.attempts_begun
+        self.attempts_begun += 1
+        return self.host_faults[number] if number < len(self.host_faults) else HostFault.NONE
+
+    def reach(self, stage: Stage) -> None:
+        self.reached[stage].set()
+
+
+@dataclass(frozen=True)
+class EnvironmentEvent:
+    """A fault of the environment, `target` being a dispatcher's or a host's number."""
+
+    at: float
+    lasts_s: float
+    fault: EnvironmentFault
+    target: int
+
+
+def client_act_name(act: ClientAct) -> str:
+    stage, end = act
+    return f"client {end.value}, {stage.value}"
+
+
+class ScriptSource:
+    """Draws the scripts of a case's requests; client ends and host faults are paired in a fixed rotation."""
+
+    def __init__(self, seed: int) -> None:
+        self._rng = random.Random(f"scripts {seed}")
+        pairs = list(product(CLIENT_ACTS, [each for each in HostFault if each is not HostFault.NONE]))
+        random.Random("pairs").shuffle(pairs)
+        self._pairs: Sequence[tuple[ClientAct, HostFault]] = pairs
+        self._next = seed * 31 % len(pairs)
+
+    def draw(self) -> RequestScript:
+        rng = self._rng
+        if rng.random() < PLAIN_SHARE:
+            return RequestScript(None, ClientHabit.PLAIN, (), 0.0)
+        act, fault = self._pairs[self._next % len(self._pairs)]
+        self._next += 1
+        habit = rng.choice((ClientHabit.PLAIN, ClientHabit.PLAIN, *ClientHabit))
+        return RequestScript(
+            client_act=act if rng.random() < CLIENT_ACT_SHARE else None,
+            habit=habit,
+            host_faults=self._place(fault),
+            jitter_s=rng.choice(JITTERS_S),
+        )
+
+    def _place(self, fault: HostFault) -> tuple[HostFault, ...]:
+        """At the first attempt (a prefill, if there are prefill hosts) or the second, and often at others."""
+        rng = self._rng
+        others = [each for each in HostFault if each is not HostFault.SLOW]
+        faults = [HostFault.NONE] * rng.randint(0, 1) + [fault]
+        while rng.random() < SECOND_FAULT_SHARE:
+            faults.append(rng.choice(others))
+        return tuple(faults)
+
+
+LASTS_S = {
+    EnvironmentFault.SIGSTOP_SHORT: 0.3,
+    EnvironmentFault.SIGSTOP_LONG: 1.2,
+    EnvironmentFault.SIGKILL: 0.1,
+    EnvironmentFault.DESCRIPTORS_FULL: 1.5,
+    EnvironmentFault.HOST_CONNECTS_LATE: 0.5,
+}
+DEFAULT_LASTS_S = 1.5
+
+
+def draw_environment(seed: int, duration_s: float, dispatchers: int, hosts: int) -> list[EnvironmentEvent]:
+    """One to three faults, in a rotation by the seed so that every pair of them comes up."""
+    rng = random.Random(f"environment {seed}")
+    faults = list(EnvironmentFault)
+    first = faults[seed % len(faults)]
+    second = faults[(seed + 1 + seed // len(faults)) % len(faults)]
+    chosen = [first, second] + ([rng.choice(faults)] if rng.random() < 0.4 else [])
+    events = []
+    at = 0.3 + rng.random() * 0.5
+    for fault in chosen[: max(1, min(3, int(duration_s)))]:
+        process_or_discovery = not fault.name.startswith("HOST")
+        target = rng.randrange(dispatchers if process_or_discovery else hosts)
+        events.append(EnvironmentEvent(at, LASTS_S.get(fault, DEFAULT_LASTS_S), fault, target))
+        at += rng.choice((0.0, 0.15, 0.6))
+    return events
--- /dev/null
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -0,0 +1,405 @@
+"""A model host that does to each attempt what the request's script says, and writes down what came."""
+
+from __future__ import annotations
+
+import fcntl
+import random
+import socket
+import struct
+import termios
+from array import array
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
+
+import trio
+
+from violetstack.policy_api import Role
+from violetstack.rehearsal.fleet.campaign_faults import (
+    STREAM_FAULTS,
+    HostFault,
+    RequestScript,
+    Stage,
+)
+from violetstack.rehearsal.fleet.campaign_settings import HostPlan
+from violetstack.rehearsal.fleet.minimal_http import LAST, Ended, Wire, chunk, message
+from violetstack.rehearsal.fleet.socket_audit import Evidence, HostAttempt
+from violetstack.rehearsal.peer import Peer
+
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+PREFILLED_BODY = b'{"cached_tokens":0}'
+STREAM_EVENTS = 4
+SLOW_S = 0.4
+BACKLOG = 128
+QUEUE_FILLERS = 3
+STALL_S = 0.45
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Small, so that a host that does not read stops the dispatcher in the middle of a large request."""
+SECOND_RESPONSE_DELAYS_S = (0.0, 0.002, 0.01, 0.05)
+ENDLESS_FOR_S = 8.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def reset(sock: trio.socket.SocketType) -> None:
+    """Closes with a TCP reset, whatever is unsent."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.close()
+
+
+def unread_bytes(sock: trio.socket.SocketType) -> int:
+    """How much lies in the socket's receive buffer."""
+    buffer = array("i", [0])
+    fcntl.ioctl(sock.fileno(), termios.FIONREAD, buffer)
+    return buffer[0]
+
+
+class CampaignHost(Peer):
+    """One model host. Its own faults (refusing, late connections) are set by the campaign."""
+
+    def __init__(
+        self,
+        plan: HostPlan,
+        evidence: Evidence,
+        scripts: Mapping[str, RequestScript],
+        clock: Callable[[], float],
+        *,
+        seed: int,
+        health_checks: bool,
+        load_report: str,
+    ) -> None:
+        super().__init__()
+        self.plan = plan
+        self.name = plan.name
+        self.state = "active"
+        self.refuses_reservations = False
+        self._evidence = evidence
+        self._scripts = scripts
+        self._clock = clock
+        self._rng = random.Random(f"host {seed} {plan.name}")
+        self._health_checks = health_checks
+        self._load_report = load_report
+        self._port = 0
+        self._fillers: list[socket.socket] = []
+        self._listening: trio.socket.SocketType
+        self._resumed = trio.Event()
+
+    # --- listening ---
+
+    async def serve(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        async with trio.open_nursery() as nursery:
+            self._listen()
+            task_status.started()
+            while True:
+                self._resumed = trio.Event()
+                self._accepting = trio.CancelScope()
+                with self._accepting:
+                    await self._accept_all(nursery)
+                await self._resumed.wait()
+
+    async def _accept_all(self, nursery: trio.Nursery) -> None:
+        while True:
+            sock, _ = await self._listening.accept()
+            nursery.start_soon(self._connection, trio.SocketStream(sock))
+
+    def _listen(self) -> None:
+        raw = socket.socket()
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        raw.bind(("127.0.0.1", self._port))
+        raw.listen(BACKLOG)
+        raw.setblocking(False)
+        self._port = raw.getsockname()[1]
+        self.address = f"127.0.0.1:{self._port}"
+        self._listening = trio.socket.from_stdlib_socket(raw)
+
+    def refuse(self) -> None:
+        """New connections are refused, and those that are open break."""
+        self.die()
+        self._listening.close()
+
+    def accept_again(self) -> None:
+        """Ends `refuse`."""
+        self._listen()
+        self._resumed.set()
+
+    def stop_connecting(self) -> None:
+        """New connections do not come up until `connect_again`: the queue of the listening socket is full."""
+        self._accepting.cancel()
+        self._listening.listen(0)
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self._port))
+            self._fillers.append(filler)
+
+    def connect_again(self) -> None:
+        """Ends `stop_connecting`; connections that wait come up with their next SYN."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._listening.listen(BACKLOG)
+        self._resumed.set()
+
+    def hang_up(self) -> None:
+        """Breaks every connection, and so every stream that has not ended."""
+        for attempt in self._evidence.attempts:
+            if attempt.host == self.name and attempt.closed_at is None:
+                attempt.stream_faulty = True
+        super().hang_up()
+
+    # --- connections ---
+
+    async def _connection(self, raw: trio.SocketStream) -> None:
+        with trio.CancelScope() as scope:
+            self.connections.add(scope)
+            try:
+                wire = Wire(raw)
+                while True:
+                    await self._request(wire)
+            except (Ended, OSError, trio.ClosedResourceError, trio.BrokenResourceError):
+                pass
+            finally:
+                self.connections.discard(scope)
+                raw.socket.close()
+
+    async def _request(self, wire: Wire) -> None:
+        words, headers = await wire.head()
+        method, path = words[0], words[1]
+        if path.startswith("/-/"):
+            await self._answer(wire, 200 if self._health_checks else 404)
+        elif path.startswith("/state/"):
+            await self._state_call(wire, method)
+        else:
+            await self._attempt(wire, headers)
+
+    async def _state_call(self, wire: Wire, method: str) -> None:
+        if method == "DELETE":
+            await self._answer(wire, 204)
+            return
+        status = self._rng.choice((200, 200, 200, 409, 204))
+        if status == 204:
+            await trio.sleep(0.3)
+        await self._answer(wire, status)
+
+    async def _attempt(self, wire: Wire, headers: dict[str, str]) -> None:
+        request_id = headers.get("req-id", "")
+        script = self._scripts.get(request_id)
+        fault = script.next_host_fault() if script is not None else HostFault.NONE
+        if fault is HostFault.RESET_WHILE_READING:
+            self._fire(script, fault)
+            reset(wire.stream.socket)
+            raise Ended
+        head_at = self._clock()
+        length = int(headers.get("content-length", 0))
+        arrived_at: float | None = None
+        if fault is HostFault.STALL_WHILE_READING:
+            self._fire(script, fault)
+            stalled_at = self._clock()
+            await trio.sleep(STALL_S)
+            if unread_bytes(wire.stream.socket) >= length - len(wire.rest):
+                arrived_at = stalled_at
+        await wire.body(length)
+        attempt = HostAttempt(
+            request_id,
+            self.name,
+            self.plan.role,
+            self.plan.zone,
+            self.plan.cell,
+            self._clock() if arrived_at is None else arrived_at,
+            _deadline_s(headers.get("req-deadline", "")),
+            head_at,
+            stalled=fault is HostFault.STALL_WHILE_READING,
+        )
+        self._evidence.attempts.append(attempt)
+        if script is not None:
+            is_prefill = self.plan.role is Role.PREFILL
+            script.reach(Stage.PREFILL_IN_FLIGHT if is_prefill else Stage.DECODE_IN_FLIGHT)
+        try:
+            await self._until_closed(wire, attempt, lambda: self._respond(wire, attempt, fault, script))
+        finally:
+            if attempt.closed_at is None:
+                attempt.closed_at = self._clock()
+
+    async def _until_closed(
+        self, wire: Wire, attempt: HostAttempt, respond: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Runs the response, and notes at once when the dispatcher ends the connection."""
+        closed = False
+
+        async def watch(scope: trio.CancelScope) -> None:
+            nonlocal closed
+            sock = wire.stream.socket
+            try:
+                await trio.lowlevel.wait_readable(sock)
+                ended = not await sock.recv(1, socket.MSG_PEEK)
+            except (OSError, trio.ClosedResourceError):
+                ended = True
+            if ended:
+                closed = True
+                attempt.closed_at = self._clock()
+                scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, nursery.cancel_scope)
+            try:
+                await respond()
+            except (Ended, OSError, trio.ClosedResourceError):
+                closed = True
+            nursery.cancel_scope.cancel()
+        if closed:
+            raise Ended
+
+    def _fire(self, script: RequestScript | None, fault: HostFault) -> None:
+        if script is not None:
+            script.fired.add(f"host {fault.value}")
+
+    # --- responses ---
+
+    async def _respond(
+        self, wire: Wire, attempt: HostAttempt, fault: HostFault, script: RequestScript | None
+    ) -> None:
+        if fault is HostFault.NONE and self.state != "active" and self._rng.random() < 0.5:
+            fault = HostFault.DECLINE
+        is_prefill = self.plan.role is Role.PREFILL
+        if is_prefill and fault in STREAM_FAULTS:
+            fault = HostFault.NONE
+        if fault is not HostFault.NONE:
+            self._fire(script, fault)
+        await trio.sleep(self._rng.choice((0.005, 0.02, 0.06)))
+        if await self._fail(wire, attempt, fault):
+            return
+        if is_prefill:
+            await self._answer(wire, 202, PREFILLED_BODY)
+            attempt.closed_at = self._clock()
+            if script is not None:
+                script.reach(Stage.BETWEEN)
+        else:
+            await self._stream(wire, attempt, fault, script)
+        await self._after_response(wire, fault, is_prefill)
+
+    async def _fail(self, wire: Wire, attempt: HostAttempt, fault: HostFault) -> bool:
+        """Carries out a fault that leaves no proper response; False if a response follows."""
+        match fault:
+            case HostFault.DECLINE:
+                attempt.declined = True
+                await self._answer(wire, self._rng.choice((503, 504)), declined=True)
+            case HostFault.STATE_GONE:
+                attempt.declined = True
+                await self._answer(wire, 410, declined=True)
+            case HostFault.ERROR:
+                await self._answer(wire, 500)
+            case HostFault.HANG:
+                await trio.sleep_forever()
+            case HostFault.RESET_BEFORE_EVENT:
+                reset(wire.stream.socket)
+                raise Ended
+            case HostFault.CLOSE_BEFORE_EVENT:
+                raise Ended
+            case HostFault.SPOILT_HEAD:
+                await wire.send(b"HTTP/9.9 banana\r\n:::\r\n\r\n")
+                await trio.sleep(0.2)
+                raise Ended
+            case HostFault.ENDLESS_HEAD:
+                await wire.send(b"HTTP/1.1 200 OK\r\n")
+                with trio.move_on_after(ENDLESS_FOR_S):
+                    while True:
+                        await wire.send(b"X-Pad: 0123456789\r\n")
+                        await trio.sleep(0.02)
+                raise Ended
+            case _:
+                if fault is HostFault.SLOW:
+                    await trio.sleep(SLOW_S)
+                return False
+        return True
+
+    async def _stream(
+        self, wire: Wire, attempt: HostAttempt, fault: HostFault, script: RequestScript | None
+    ) -> None:
+        pause_s = self._rng.choice((0.0, 0.01, 0.05, 0.12))
+        attempt.stream_faulty = fault in STREAM_FAULTS
+        first = _event(f"{attempt.request_id}@{self.name}#{len(self._evidence.attempts)}:0")
+        await self._write_events(wire, attempt, first, STREAM_HEAD)
+        if script is not None:
+            script.reach(Stage.STREAMING)
+        if fault is HostFault.RESET_AFTER_EVENT:
+            await trio.sleep(pause_s)
+            reset(wire.stream.socket)
+            raise Ended
+        for n in range(1, STREAM_EVENTS):
+            await trio.sleep(pause_s)
+            if n == 2:
+                await self._spoil(wire, attempt, fault)
+            await self._write_events(wire, attempt, _event(f"{attempt.request_id}:{n}"))
+        trailer = b"data: [DONE]\n\n"
+        if self._load_report:
+            trailer += f": Srv-Load: {self._load_report}\n\n".encode()
+        attempt.events += trailer
+        attempt.stream_ended_at = self._clock()
+        attempt.last_event_at = attempt.stream_ended_at
+        await wire.send(chunk(trailer) + LAST)
+        attempt.closed_at = self._clock()
+
+    async def _spoil(self, wire: Wire, attempt: HostAttempt, fault: HostFault) -> None:
+        if fault is HostFault.HANG_AFTER_EVENT:
+            await trio.sleep_forever()
+        if fault is HostFault.SPOILT_STREAM:
+            await wire.send(b"zz\r\nnot a chunk\r\n")
+            await trio.sleep_forever()
+        if fault is HostFault.ENDLESS_CHUNK:
+            await wire.send(b"fffff\r\ndata: ")
+            with trio.move_on_after(ENDLESS_FOR_S):
+                while True:
+                    await wire.send(b"x" * 10)
+                    await trio.sleep(0.02)
+            raise Ended
+
+    async def _write_events(
+        self, wire: Wire, attempt: HostAttempt, events: bytes, prefix: bytes = b""
+    ) -> None:
+        attempt.events += events
+        attempt.last_event_at = self._clock()
+        await wire.send(prefix + chunk(events))
+
+    async def _after_response(self, wire: Wire, fault: HostFault, is_prefill: bool) -> None:
+        if fault is HostFault.CLOSE_AFTER_RESPONSE:
+            await trio.sleep(self._rng.choice(SECOND_RESPONSE_DELAYS_S))
+            raise Ended
+        if fault is HostFault.SECOND_RESPONSE:
+            await trio.sleep(self._rng.choice(SECOND_RESPONSE_DELAYS_S))
+            if is_prefill:
+                await self._answer(wire, 202, PREFILLED_BODY)
+            else:
+                await wire.send(STREAM_HEAD + chunk(_event("second response")) + LAST)
+
+    async def _answer(self, wire: Wire, status: int, body: bytes = b"", declined: bool = False) -> None:
+        headers = {"Content-Type": "application/json"}
+        if self._load_report:
+            headers["Srv-Load"] = self._load_report
+        if declined:
+            headers["Srv-Declined"] = "1"
+        await wire.send(message(f"HTTP/1.1 {status} .", headers, body))
+
+    def row(self, started_ms: float = 0.0) -> dict[str, object]:
+        """Its entry in discovery's list."""
+        return {
+            "id": self.name,
+            "addr": self.address,
+            "zone": self.plan.zone,
+            "kind": self.plan.kind,
+            "cell": self.plan.cell,
+            "state": self.state,
+            "weight": 1.0,
+            "started_ms": started_ms,
+        }
+
+
+def _event(content: str) -> bytes:
+    text = f'{{"choices":[{{"index":0,"delta":{{"content":"{content}"}},"finish_reason":null}}]}}'
+    return f"data: {text}\n\n".encode()
+
+
+def _deadline_s(text: str) -> float | None:
+    units = {"m": 0.001, "u": 0.000001}
+    if not text or text[-1] not in units or not text[:-1].isdigit():
+        return None
+    return int(text[:-1]) * units[text[-1]]
--- a/violetstack/rehearsal/fleet/network.py
+++ b/violetstack/rehearsal/fleet/network.py
@@ -12,7 +12,6 @@
 from violetstack.config import Address
 from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.discovery import Discovery
-from violetstack.rehearsal.fleet.audit import Audit
 from violetstack.rehearsal.peer import Break, PeerConnection
 
 # ports: a dispatcher as the others know it, and where it listens
@@ -28,16 +27,23 @@
     """Discovery's agent on one dispatcher's machine."""
 
     def __init__(
-        self, number: int, rows: list[dict[str, Any]], audit: Audit, now: Callable[[], float]
+        self,
+        number: int,
+        rows: list[dict[str, Any]],
+        drains: dict[tuple[int, str], float],
+        now: Callable[[], float],
     ) -> None:
+        """`drains`: is told when a drain was written to this dispatcher, by its number and the host's id."""
         super().__init__(*rows)
         self.number = number
         self.mode = ""
-        self.audit = audit
+        self.drains = drains
         self.now = now
         self.calls: list[float] = []
         self.old = list(rows)
         self.news = trio.Event()
+        self.complete = {1}
+        """Versions that are complete lists."""
 
     async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
         self.calls.append(self.now())
@@ -60,7 +66,7 @@
         index = int(inbound.target.rpartition("index=")[2]) if "index=" in inbound.target else 0
         while True:
             lines = [
-                orjson.dumps({"version": version, "full": version == 1, "servers": rows})
+                orjson.dumps({"version": version, "full": version in self.complete, "servers": rows})
                 for version, rows in self.changes
                 if version > index
             ]
@@ -76,7 +82,12 @@
         self.news = trio.Event()
         for row in rows if not self.mode else ():
             if row["state"] != "active":
-                self.audit.told[(self.number, str(row["id"]))] = self.now()
+                self.drains.setdefault((self.number, str(row["id"])), self.now())
+
+    def tell_complete(self, rows: list[dict[str, Any]]) -> None:
+        """Sends the complete list once more."""
+        self.complete.add(self.version + 1)
+        self.tell(*rows)
 
 
 class Relay:
--- a/violetstack/rehearsal/fleet/runner.py
+++ b/violetstack/rehearsal/fleet/runner.py
@@ -52,6 +52,12 @@
 RUNS = count()
 
 
+def loopback_address(number: int, port: int, run: int = 0) -> Address:
+    """Of one run alone, among those of all processes here."""
+    own = os.getpid() + RUNS_APART * run
+    return f"127.{64 + (own >> 8) % 160}.{own % 256}.{1 + number}", port
+
+
 class Ground:
     def __init__(self, plan: Plan, root: Path = ROOT) -> None:
         self.plan, self.random, self.root = plan, random.Random(plan.seed), root
@@ -83,9 +89,7 @@
         return time.monotonic() - self.began
 
     def address(self, number: int, port: int) -> Address:
-        """Of this run alone, among those of all processes here."""
-        own = os.getpid() + RUNS_APART * self._run
-        return f"127.{64 + (own >> 8) % 160}.{own % 256}.{1 + number}", port
+        return loopback_address(number, port, self._run)
 
     # --- the pieces ---
 
@@ -148,7 +152,7 @@
                 self.relay.saw = self._saw
                 await self.relay.open()
             for n in range(plan.dispatchers):
-                self.agents.append(Agent(n, rows, self.audit, self.now))
+                self.agents.append(Agent(n, rows, self.audit.told, self.now))
                 await nursery.start(self.agents[n].serve)
                 if self.relayed:
                     nursery.start_soon(self.relay.run, n)
