--- a/violetstack/commands/faults.py
+++ b/violetstack/commands/faults.py
@@ -76,7 +76,8 @@
     environment = ", ".join(result.environment)
     return (
         f"seed {result.seed}: {verdict} {', '.join(rules + result.crashed)}| {environment} | {statuses} | "
-        f"{result.attempts} attempts, {len(result.pairs)} pairs, lag {result.lag_s * 1000:.0f} ms | "
+        f"{result.attempts} attempts, {len(result.pairs)} pairs, lag {result.lag_s * 1000:.0f} ms, "
+        f"starved {result.starved_s * 1000:.0f} ms | "
         f"{result.deployment}"
     )
 
--- a/violetstack/rehearsal/fleet/campaign.py
+++ b/violetstack/rehearsal/fleet/campaign.py
@@ -60,7 +60,7 @@
 BLIND_REUSE_SHARE = 0.5
 LARGE_BODY_BYTES = 240_000
 LAG_INTERVAL_S = 0.02
-MAX_LAG_S = 0.15
+MAX_LAG_S = 0.12
 SETTLE_S = 0.4
 COMPLETE_LIST_INTERVAL_S = 0.1
 SHOWN_LOG_LINES = 12
@@ -76,7 +76,11 @@
 
 
 class CaseResult(msgspec.Struct):
-    """What one case came to. `lag_s`: how late the observers were; the case is void beyond MAX_LAG_S."""
+    """What one case came to.
+
+    `lag_s` is how late the observers were, `starved_s` how long a dispatcher waited for a processor at a
+    time: the case is void beyond MAX_LAG_S of either.
+    """
 
     seed: int
     deployment: str
@@ -87,12 +91,13 @@
     violations: list[BrokenCase]
     crashed: list[str]
     lag_s: float
+    starved_s: float
     pairs: list[tuple[str, str]]
     events: dict[str, int]
 
     @property
     def void(self) -> bool:
-        return self.lag_s > MAX_LAG_S
+        return max(self.lag_s, self.starved_s) > MAX_LAG_S
 
 
 class Dispatcher:
@@ -127,6 +132,7 @@
         self.agents: list[Agent] = []
         self.dispatchers: list[Dispatcher] = []
         self.crashed: list[str] = []
+        self.starved_s = 0.0
         self.statuses: Counter[str] = Counter()
         self.spans: list[tuple[EnvironmentFault, int, float, float]] = []
         self._began = time.monotonic()
@@ -229,11 +235,15 @@
         }
 
     async def _measure_lag(self) -> None:
+        """How late the observers are, and how long a dispatcher waited for a processor at most."""
         self.evidence.lag_s = 0.0
         while True:
             before = self.now()
+            waited = [each.program.processor_wait_s() for each in self.dispatchers]
             await trio.sleep(LAG_INTERVAL_S)
             self.evidence.lag_s = max(self.evidence.lag_s, self.now() - before - LAG_INTERVAL_S)
+            for dispatcher, before_s in zip(self.dispatchers, waited, strict=True):
+                self.starved_s = max(self.starved_s, dispatcher.program.processor_wait_s() - before_s)
 
     # --- requests ---
 
@@ -438,7 +448,11 @@
             case EnvironmentFault.SIGHUP:
                 program.send(signal.SIGHUP)
                 await trio.sleep(0.2)
-            case EnvironmentFault.SIGSTOP_SHORT | EnvironmentFault.SIGSTOP_LONG:
+            case (
+                EnvironmentFault.SIGSTOP_SHORT
+                | EnvironmentFault.SIGSTOP_LONG
+                | EnvironmentFault.SIGSTOP_OVER_STREAM_TIMEOUT
+            ):
                 await self._pause(dispatcher, event.lasts_s)
             case EnvironmentFault.SIGKILL:
                 self._note_crash(dispatcher)
@@ -517,6 +531,7 @@
             violations=[self._broken(each, logs) for each in found],
             crashed=self.crashed,
             lag_s=round(self.evidence.lag_s, 3),
+            starved_s=round(self.starved_s, 3),
             pairs=sorted(self._pairs()),
             events=dict(counted),
         )
--- a/violetstack/rehearsal/fleet/campaign_client.py
+++ b/violetstack/rehearsal/fleet/campaign_client.py
@@ -147,10 +147,19 @@
             if self._ended:
                 break
         if exchange.status == 200 and exchange.committed_at is not None:
-            with trio.move_on_after(MAX_STREAM_S):
-                await self._read_until(lambda: exchange.answered_at is not None)
+            while exchange.answered_at is None and (left_s := self._stream_over_at() - self._clock()) > 0.0:
+                with trio.move_on_after(left_s):
+                    await self._read_until(lambda: exchange.answered_at is not None)
+                if self._ended:
+                    break
         exchange.waited_until = self._clock()
 
+    def _stream_over_at(self) -> float:
+        """When its stream should have ended, however its host and its dispatcher fared."""
+        began_at = self._exchange.first_byte_at
+        assert began_at is not None
+        return max(began_at, self._exchange.paused_until) + MAX_STREAM_S
+
     async def _read_until(self, done: Callable[[], bool]) -> None:
         while not done() and not self._ended:
             event = self.connection.http.next_event()
--- a/violetstack/rehearsal/fleet/campaign_faults.py
+++ b/violetstack/rehearsal/fleet/campaign_faults.py
@@ -61,6 +61,7 @@
     ENDLESS_CHUNK = "endless chunk"
     STATE_GONE = "state gone"
     CLOSE_AFTER_RESPONSE = "close after the response"
+    LONG_STREAM = "long stream"
 
 
 class EnvironmentFault(Enum):
@@ -78,6 +79,7 @@
     SIGHUP = "SIGHUP"
     SIGSTOP_SHORT = "SIGSTOP 0.3 s"
     SIGSTOP_LONG = "SIGSTOP 1.2 s"
+    SIGSTOP_OVER_STREAM_TIMEOUT = "SIGSTOP 4.6 s"
     SIGKILL = "SIGKILL"
     DESCRIPTORS_FULL = "descriptors full"
 
@@ -182,6 +184,7 @@
 LASTS_S = {
     EnvironmentFault.SIGSTOP_SHORT: 0.3,
     EnvironmentFault.SIGSTOP_LONG: 1.2,
+    EnvironmentFault.SIGSTOP_OVER_STREAM_TIMEOUT: 4.6,
     EnvironmentFault.SIGKILL: 0.1,
     EnvironmentFault.DESCRIPTORS_FULL: 1.5,
     EnvironmentFault.HOST_CONNECTS_LATE: 0.5,
--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -28,9 +28,13 @@
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 PREFILLED_BODY = b'{"cached_tokens":0}'
 STREAM_EVENTS = 4
+LONG_STREAM_EVENTS = 30
+LONG_STREAM_S = 3.0
 SLOW_S = 0.4
 BACKLOG = 128
 QUEUE_FILLERS = 3
+QUEUED_S = 0.1
+"""Connections that are accepted this soon after `connect_again` may have come up before."""
 STALL_S = 0.45
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """Small, so that a host that does not read stops the dispatcher in the middle of a large request."""
@@ -81,6 +85,8 @@
         self._port = 0
         self._fillers: list[socket.socket] = []
         self._listening: trio.socket.SocketType
+        self._stopped_at: float | None = None
+        self._resumed_at = 0.0
         self._resumed = trio.Event()
 
     # --- listening ---
@@ -99,7 +105,8 @@
     async def _accept_all(self, nursery: trio.Nursery) -> None:
         while True:
             sock, _ = await self._listening.accept()
-            nursery.start_soon(self._connection, trio.SocketStream(sock))
+            queued = self._stopped_at is not None and self._clock() < self._resumed_at + QUEUED_S
+            nursery.start_soon(self._accepted, trio.SocketStream(sock), self._stopped_at if queued else None)
 
     def _listen(self) -> None:
         raw = socket.socket()
@@ -125,6 +132,7 @@
     def stop_connecting(self) -> None:
         """New connections do not come up until `connect_again`: the queue of the listening socket is full."""
         self._accepting.cancel()
+        self._stopped_at = self._clock()
         self._listening.listen(0)
         for _ in range(QUEUE_FILLERS):
             filler = socket.socket()
@@ -138,6 +146,7 @@
             filler.close()
         self._fillers.clear()
         self._listening.listen(BACKLOG)
+        self._resumed_at = self._clock()
         self._resumed.set()
 
     def hang_up(self) -> None:
@@ -149,20 +158,22 @@
 
     # --- connections ---
 
-    async def _connection(self, raw: trio.SocketStream) -> None:
+    async def _accepted(self, raw: trio.SocketStream, queued_since: float | None) -> None:
+        """`queued_since`: what lies in the socket may have come at any time since then."""
         with trio.CancelScope() as scope:
             self.connections.add(scope)
             try:
                 wire = Wire(raw)
                 while True:
-                    await self._request(wire)
+                    await self._request(wire, queued_since)
+                    queued_since = None
             except (Ended, OSError, trio.ClosedResourceError, trio.BrokenResourceError):
                 pass
             finally:
                 self.connections.discard(scope)
                 raw.socket.close()
 
-    async def _request(self, wire: Wire) -> None:
+    async def _request(self, wire: Wire, queued_since: float | None) -> None:
         words, headers = await wire.head()
         method, path = words[0], words[1]
         if path.startswith("/-/"):
@@ -170,7 +181,7 @@
         elif path.startswith("/state/"):
             await self._state_call(wire, method)
         else:
-            await self._attempt(wire, headers)
+            await self._attempt(wire, headers, queued_since)
 
     async def _state_call(self, wire: Wire, method: str) -> None:
         if method == "DELETE":
@@ -181,7 +192,7 @@
             await trio.sleep(0.3)
         await self._answer(wire, status)
 
-    async def _attempt(self, wire: Wire, headers: dict[str, str]) -> None:
+    async def _attempt(self, wire: Wire, headers: dict[str, str], queued_since: float | None) -> None:
         request_id = headers.get("req-id", "")
         script = self._scripts.get(request_id)
         fault = script.next_host_fault() if script is not None else HostFault.NONE
@@ -189,9 +200,9 @@
             self._fire(script, fault)
             reset(wire.stream.socket)
             raise Ended
-        head_at = self._clock()
+        head_at = self._clock() if queued_since is None else queued_since
         length = int(headers.get("content-length", 0))
-        arrived_at: float | None = None
+        arrived_at = queued_since
         if fault is HostFault.STALL_WHILE_READING:
             self._fire(script, fault)
             stalled_at = self._clock()
@@ -232,8 +243,8 @@
             try:
                 await trio.lowlevel.wait_readable(sock)
                 ended = not await sock.recv(1, socket.MSG_PEEK)
-            except (OSError, trio.ClosedResourceError):
-                ended = True
+            except (OSError, ValueError, trio.ClosedResourceError):
+                ended = True  # a ValueError: the response has closed it already
             if ended:
                 closed = True
                 attempt.closed_at = self._clock()
@@ -261,7 +272,7 @@
         if fault is HostFault.NONE and self.state != "active" and self._rng.random() < 0.5:
             fault = HostFault.DECLINE
         is_prefill = self.plan.role is Role.PREFILL
-        if is_prefill and fault in STREAM_FAULTS:
+        if is_prefill and fault in STREAM_FAULTS | {HostFault.LONG_STREAM}:
             fault = HostFault.NONE
         if fault is not HostFault.NONE:
             self._fire(script, fault)
@@ -325,7 +336,11 @@
             await trio.sleep(pause_s)
             reset(wire.stream.socket)
             raise Ended
-        for n in range(1, STREAM_EVENTS):
+        events = STREAM_EVENTS
+        if fault is HostFault.LONG_STREAM:
+            events = LONG_STREAM_EVENTS
+            pause_s = LONG_STREAM_S / events
+        for n in range(1, events):
             await trio.sleep(pause_s)
             if n == 2:
                 await self._spoil(wire, attempt, fault)
--- a/violetstack/rehearsal/fleet/campaign_settings.py
+++ b/violetstack/rehearsal/fleet/campaign_settings.py
@@ -104,6 +104,7 @@
     roles = _draw_roles(rng)
     hosts = _draw_hosts(rng, roles, zones)
     classes = _draw_classes(rng)
+    one_attempt_serves = any(role is Role.MIXED for _, role in roles)
     timeouts_s = tuple(float(each["give_up"]) / 1000.0 for each in classes)
     message: dict[str, Any] = {
         "classes": classes,
@@ -125,7 +126,7 @@
         "limits": {
             "cancel": _switch(rng),
             "connect_timeout": rng.choice(CONNECT_TIMEOUTS_MS),
-            "max_attempts": rng.choice((1, 2, 3, 4, 5, 6, 4, 6)),
+            "max_attempts": rng.choice((1, 2, 3, 4, 5, 6)) if one_attempt_serves else rng.randint(2, 6),
             "max_retry_after": 500.0,
             "may_duplicate": _switch(rng),
             "probes": _switch(rng),
--- a/violetstack/rehearsal/fleet/programs.py
+++ b/violetstack/rehearsal/fleet/programs.py
@@ -83,6 +83,16 @@
         if self.process is not None:
             self.process.send_signal(number)
 
+    def processor_wait_s(self) -> float:
+        """How long its main thread has been ready to run and had to wait for a processor so far."""
+        if self.process is None:
+            return 0.0
+        try:
+            fields = Path(f"/proc/{self.process.pid}/schedstat").read_text().split()
+        except OSError:
+            return 0.0
+        return int(fields[1]) / 1e9 if len(fields) > 1 else 0.0
+
     def end(self) -> None:
         self.wanted = False
         self.send(signal.SIGKILL)
