Time limits towards clients fit slow writers and short time-outs, and a process that looks late

Cause, in net/downstream/connection.py: - `_read` gave the whole of a request 2.2 s (REQUEST_TIMEOUT_S), also where its class allows 15 s; - `_receive` looked at its deadline before the socket: after SIGSTOP, a request that had come in time was answered 408, or its connection closed over it; - `_lingering_close` closed half a second after a rejection, over the rest of a body that was still being written, and the reset could overtake the answer; - MAX_REJECTION_DELAY_S (0.4 s) kept a valid request behind invalid ones unread for longer than some clients wait, and longer than the 0.15 s by which a told deadline may be too late.

Change: 2.2 s is the limit from one piece of a request to the next, 15 s that of the whole, and 2.2 s where the process ends or over half of the connections are in use. Bytes that are in the socket are read before a time-out counts. The lingering close counts from the last bytes that came, 2.2 s at most. The delay is 0.1 s at most.

MIN_IDLE_S only orders evictions, and CLOSE_TIMEOUT_S guards a call that doesn't wait: both kept.

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -4,12 +4,13 @@
 
 import re
 import socket
+import time as real_time
 
 import pytest
 import trio
 import trio.testing
 
-from tests.steady import until
+from tests.steady import Steady, until
 from tests.test_stories import pair, play
 from violetstack.config import Address
 from violetstack.fronts.platform import PlatformFront
@@ -437,3 +438,122 @@
         assert await client.receive_to_end() == [500]
 
     play(*pair(), story=story)
+
+
+# --- time limits ---
+
+
+def test_a_request_whose_pieces_come_slowly_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The time limit for the next bytes held for the whole request: 2.2 s, for classes with 15 s as well."""
+    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.15)
+    whole = request("q2")
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"))
+        assert await client.receive_answers(1) == [200]
+        for start in range(0, len(whole), 60):
+            await client.send(whole[start : start + 60])
+            await trio.sleep(0.05)
+        assert await client.receive_answers(2) == [200, 200]
+        await client.stream.aclose()
+
+    play(*pair(), story=story)
+
+
+@pytest.mark.parametrize("why", ["draining", "crowded", "too long"])
+def test_a_request_that_comes_byte_by_byte_is_ended_in_time(
+    why: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(connection_module, "MAX_ARRIVAL_S", 0.2 if why == "too long" else 60.0)
+
+    async def story(on: Stage) -> None:
+        listener = on.daemon.listeners[0]
+        listener.draining = why == "draining"
+        if why == "crowded":
+            listener.table.max_connections = 1
+        client = await RawClient.connect(on.platform)
+        time = Steady()
+        for byte in request("q1"):
+            if client.ended or time.look() > NO_ANSWER_S:
+                break
+            await client.send(bytes([byte]))
+            with trio.move_on_after(0.01):
+                await client.receive_once()
+        assert client.statuses == [408]
+
+    play(*pair(), story=story)
+
+
+def stand_still(seconds: float) -> None:
+    """Blocks the whole process, as SIGSTOP does."""
+    real_time.sleep(seconds)
+
+
+class PausedRead:
+    """The process stands still after each read, for longer than the rest of the request may take."""
+
+    def __init__(self, connection: DownstreamConnection, seconds: float) -> None:
+        self._receive = connection.stream.receive_some
+        self._seconds = seconds
+        connection.stream.receive_some = self.receive_some  # type: ignore[method-assign]
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
+        data = await self._receive(max_bytes)
+        stand_still(self._seconds)
+        return data
+
+
+def test_bytes_that_came_in_time_are_read_by_a_process_that_looks_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its time limit was looked at before its socket, and a whole request was answered 408."""
+    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(connection_module, "MAX_ARRIVAL_S", 0.05)
+    monkeypatch.setattr(connection_module, "READ_SIZE", 200)
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        PausedRead(await connection_of(on), 0.06)
+        await client.send(request("q1"))
+        assert await client.receive_answers(1) == [200]
+        await client.stream.aclose()
+
+    play(*pair(), story=story)
+
+
+def test_a_client_that_writes_on_behind_its_rejection_is_not_reset(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The connection was closed half a second after the answer, over the rest of the body."""
+    monkeypatch.setattr(connection_module, "LINGERING_CLOSE_S", 0.1)
+    whole = request("q1", body=LARGE)
+
+    async def story(on: Stage) -> None:
+        on.daemon.listeners[0].table.max_buffered_bytes = 0
+        client = await RawClient.connect(on.platform)
+        for start in range(0, len(whole), 5000):
+            await client.send(whole[start : start + 5000])
+            await trio.sleep(0.03)
+        assert await client.receive_to_end() == [503]
+        assert not client.reset
+
+    play(*pair(), story=story)
+
+
+def test_a_request_behind_invalid_ones_waits_less_than_the_slack_of_its_deadline() -> None:
+    """It waited unread for up to 0.4 s, which is more than a client with 0.3 s has."""
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        for n in range(6):
+            await client.send(request(f"q{n}", kind="nobody"))
+            assert (await client.receive_answers(n + 1))[-1] == 400
+        await client.send(request("q6"))
+        time = Steady()
+        while client.statuses[-1] != 200:
+            with trio.move_on_after(0.005):
+                await client.receive_once()
+            assert time.look() < 0.15
+        await client.stream.aclose()
+
+    play(*pair(), story=story)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -25,13 +25,16 @@
 
 READ_SIZE = 32 * 1024
 REQUEST_TIMEOUT_S = 2.2
-"""A new connection's first request, and the rest of any request that has begun, arrive within this time."""
+"""A new connection's first byte, and the next bytes of a request that has begun, come within this time."""
+MAX_ARRIVAL_S = 15.0
+"""A whole request arrives within this time; within REQUEST_TIMEOUT_S if connections are many."""
 MIGRATION_FLUSH_TIMEOUT_S = 0.3
 """Output that is not written by then keeps a stream from being migrated to another process."""
 LINGERING_CLOSE_S = 0.5
-"""After the last response the client's side is read for this long, so that no reset overtakes it."""
+"""After the last response the client gets this long to close, counted from the last bytes it has sent."""
+MAX_LINGERING_CLOSE_S = 2.2
 REJECTION_DELAY_S = 0.05
-MAX_REJECTION_DELAY_S = 0.4
+MAX_REJECTION_DELAY_S = 0.1
 MAX_UNREAD_BYTES = 512 * 1024
 """Bytes behind an unanswered request that are kept; what comes beyond them is dropped."""
 MAX_UNREAD_BYTES_WHEN_FULL = 64 * 1024
@@ -66,6 +69,7 @@
     __slots__ = (
         "__weakref__",
         "_answered",
+        "_arriving_since",
         "_client_ended",
         "_close_when_written",
         "_discarded",
@@ -114,6 +118,8 @@
         self._response: ResponseHandle | None = None
         self._read_timer: trio.CancelScope | None = None
         self._migration: _MigrationPause | None = None
+        self._arriving_since = self.last_used
+        """When the first byte of the request that is arriving came; 0 while none is."""
         self._evicted = False
         self._discarded = False
         """Bytes behind the requests that are kept were dropped."""
@@ -319,7 +325,6 @@
         return True
 
     async def _read(self) -> None:
-        arriving_since = self.last_used  # one time limit for all of a request that trickles in
         while not self._close_when_written:
             self._handle_next_request()
             if self._close_when_written:
@@ -328,16 +333,12 @@
                 self._migration.reading_stopped.set()
                 await self._migration.resumed.wait()
                 continue
-            arriving = not self.answering and (self.http.busy or not self.served)
-            arriving_since = (arriving_since or trio.current_time()) if arriving else 0.0
             if self.answering and self.http.closing:
                 open_for_more = await self._wait_for_answer()
             elif self.answering and self.http.unread > self._max_unread_bytes:
                 open_for_more = await self._discard_until_answered()
             else:
-                open_for_more = await self._receive(
-                    arriving_since + REQUEST_TIMEOUT_S if arriving else math.inf
-                )
+                open_for_more = await self._receive(self._receive_deadline())
             if not open_for_more:
                 self._reading_ended()
                 return
@@ -347,9 +348,8 @@
 
     async def _drop_rest_of_request(self) -> None:
         """Reads on while the client may still send a request that has been rejected."""
-        while self.http.arriving:
-            if not await self.stream.receive_some(READ_SIZE):
-                return
+        while self.http.arriving and await self.stream.receive_some(READ_SIZE):
+            self.progress_at = trio.current_time()
 
     async def _wait_for_client_end(self) -> None:
         """Returns once the client has closed its connection; what it sends is left unread in the socket.
@@ -381,8 +381,21 @@
                 self._response.connection_lost()
             self._reject(500 if may_have_run else 503, CLIENT_ENDED)
 
+    def _receive_deadline(self) -> float:
+        """When the next bytes have to be there, on trio's clock; infinite if nothing has to come."""
+        if self.answering or (self.served and not self.http.busy):
+            self._arriving_since = 0.0
+            return math.inf
+        now = trio.current_time()
+        self._arriving_since = self._arriving_since or now
+        in_haste = self.listener.draining or self.listener.table.crowded
+        longest = REQUEST_TIMEOUT_S if in_haste else MAX_ARRIVAL_S
+        return min(now + REQUEST_TIMEOUT_S, self._arriving_since + longest)
+
     async def _receive(self, deadline: float) -> bool:
         """Reads once, until `deadline` on trio's clock; False if the connection has ended."""
+        if trio.current_time() >= deadline and self.has_unread():
+            deadline = math.inf  # it came in time, and this process looks late
         data: bytes | bytearray = b""
         with trio.move_on_at(deadline) as timer:
             self._read_timer = timer
@@ -405,7 +418,7 @@
         """No bytes were read; False if the connection is to be closed at once."""
         if self._evicted:
             return self.http.busy
-        if trio.current_time() >= deadline and self._migration is None:
+        if trio.current_time() >= deadline and self._migration is None and not self.has_unread():
             self._request_timed_out()
         return True
 
@@ -539,7 +552,14 @@
 
         See RFC 9112, section 9.6.
         """
-        if self._transport is not None:
-            with trio.move_on_after(LINGERING_CLOSE_S):
-                await self._transport.send_eof()
+        if self._transport is None:
+            return
+        await self._transport.send_eof()
+        self.progress_at = trio.current_time()
+        latest = self.progress_at + MAX_LINGERING_CLOSE_S
+        while not self._client_ended.is_set():
+            deadline = min(latest, self.progress_at + LINGERING_CLOSE_S)
+            if trio.current_time() >= deadline:
+                return
+            with trio.move_on_at(deadline):
                 await self._client_ended.wait()
--- a/violetstack/net/downstream/connection_table.py
+++ b/violetstack/net/downstream/connection_table.py
@@ -91,6 +91,11 @@
         """Connections as a part of their bound; None where none is set."""
         return len(self.connections) / self.max_connections if self.max_connections else None
 
+    @property
+    def crowded(self) -> bool:
+        """Whether so many connections are open that slow ones are not waited for at length."""
+        return 2 * len(self.connections) > self.max_connections
+
     @property
     def body_utilization(self) -> float | None:
         """Buffered bodies as a part of their bound; None where none is set."""
