A request tells its front how long it has waited in this process since its last byte came

Cause: net/downstream/connection.py hands a request to its front, which counts its deadline from that moment. A request that was read behind another waits in the parser until that one is answered; one behind invalid ones waits unread for the delay; one that found no descriptor waits unaccepted (`ACCEPT_RETRY_S` at a time). The deadline told to a host was too late by all of it.

The fronts are to take it off the deadline.

Ruled out: TCP_INFO, which tells the age of a socket's last data. It counts on the system's clock, which need not be the one that this process is given.

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import re
 import socket
 import time as real_time
@@ -557,3 +558,76 @@
         await client.stream.aclose()
 
     play(*pair(), story=story)
+
+
+# --- time that a request has spent waiting ---
+
+
+class WaitedTimes:
+    """Collects how long each request is said to have waited when a front gets it."""
+
+    def __init__(self, on: Stage) -> None:
+        self.waited_ms: list[float] = []
+        self._handle = on.daemon.listeners[0].front.handle
+        on.daemon.listeners[0].front.handle = self.handle  # type: ignore[method-assign]
+
+    def handle(self, inbound: HttpRequest, reply: Reply) -> None:
+        self.waited_ms.append(inbound.waited_ms)
+        self._handle(inbound, reply)
+
+
+def test_a_request_that_waited_behind_another_tells_how_long() -> None:
+    gate = trio.Event()
+    reader, writer = pair(reads=(Act(before=gate),))
+
+    async def story(on: Stage) -> None:
+        times = WaitedTimes(on)
+        client = await RawClient.connect(on.platform)
+        began = trio.current_time()
+        await client.send(request("q1"), request("q2"))
+        await until(lambda: reader.begun == ["q1"])
+        await trio.sleep(0.1)
+        behind = trio.current_time()
+        await client.send(request("q3"))
+        await trio.sleep(0.1)
+        gate.set()
+        assert await client.receive_answers(3) == [200] * 3
+        total_ms = (trio.current_time() - began) * 1000.0
+        first, second, third = times.waited_ms
+        assert first < 100.0
+        assert 199.0 <= second <= total_ms
+        assert 99.0 <= third <= total_ms - (behind - began) * 1000.0 + 1.0
+        await client.stream.aclose()
+
+    play(reader, writer, story=story)
+
+
+def test_a_request_that_waited_unaccepted_for_a_descriptor_tells_how_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story(on: Stage) -> None:
+        times = WaitedTimes(on)
+        accept = trio.SocketListener.accept
+        failures = [1]
+
+        async def fail_once(listener: trio.SocketListener) -> trio.SocketStream:
+            stream = await accept(listener)
+            if failures and failures.pop():
+                kept.append(stream)
+                raise OSError(errno.EMFILE, "no descriptor")
+            return stream
+
+        kept: list[trio.SocketStream] = []
+        monkeypatch.setattr(trio.SocketListener, "accept", fail_once)
+        await (await RawClient.connect(on.platform)).stream.aclose()  # the accept under way takes it
+        await (await RawClient.connect(on.platform)).stream.aclose()  # the next one fails
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"))
+        assert await client.receive_answers(1) == [200]
+        assert times.waited_ms[0] >= listener_module.ACCEPT_RETRY_S * 900.0
+        await client.send(request("q2"))
+        assert await client.receive_answers(2) == [200, 200]
+        assert times.waited_ms[1] < 50.0
+        await client.stream.aclose()
+
+    play(*pair(), story=story)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -7,10 +7,12 @@
 from typing import TYPE_CHECKING
 
 import trio
+from msgspec.structs import replace
 
 from violetstack.core.records import OpenRequest
 from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
+from violetstack.net.downstream.read_times import ReadTimes
 from violetstack.net.downstream.response_handle import ResponseHandle
 from violetstack.net.downstream.write_queue import WriteQueue
 from violetstack.protocol.http_server import (
@@ -75,6 +77,7 @@
         "_discarded",
         "_evicted",
         "_migration",
+        "_read_times",
         "_output",
         "_read_timer",
         "_rejections_in_a_row",
@@ -91,10 +94,12 @@
         "scope",
         "served",
         "stream",
+        "unread_since",
     )
     _output: WriteQueue
     _client_ended: trio.Event
     _answered: trio.Event
+    _read_times: ReadTimes
 
     def __init__(self, stream: trio.abc.Stream, listener: Listener, *, refused: bool = False) -> None:
         self.stream = stream
@@ -109,6 +114,8 @@
         """At least one complete request has arrived."""
         self.buffered_bytes = 0
         """Size of the body of the request that is arriving or being answered."""
+        self.unread_since = 0.0
+        """The bytes that are read next may have waited in the socket since then; 0 if they have not."""
         self.closed = False
         self.refused = refused
         """Over the bound on connections: requests are answered 503."""
@@ -130,6 +137,7 @@
         self._output = WriteQueue()
         self._client_ended = trio.Event()
         self._answered = trio.Event()
+        self._read_times = ReadTimes()
 
     def adopt_response(self) -> ResponseHandle:
         """The handle of a response whose beginning another process has written."""
@@ -408,6 +416,9 @@
         if not data:
             return False
         self.http.feed(bytes(data))
+        read_at = self.unread_since or trio.current_time()
+        self.unread_since = 0.0
+        self._read_times.add(len(data), read_at, behind_request=self.answering)
         if self.answering:
             self.listener.table.set_buffered_bytes(self, self.http.size + self.http.unread)
         if not self.served:
@@ -450,7 +461,10 @@
     async def _delay_after_rejections(self) -> None:
         """Reads less often from a client whose requests are all invalid, to spare the processor."""
         delay = REJECTION_DELAY_S * 2.0 ** (self._rejections_in_a_row - 2)
+        began = trio.current_time()
         await trio.sleep(min(MAX_REJECTION_DELAY_S, delay))
+        if self.has_unread():
+            self.unread_since = began
 
     def _request_timed_out(self) -> None:
         if self.http.busy and self.http.can_answer:
@@ -530,6 +544,10 @@
         self._answered = trio.Event()
         self.listener.table.mark_engaged(self)
         self._response = ResponseHandle(self)
+        read_at = self._read_times.of_last_byte(self.http.unread)
+        if read_at is not None:
+            waited_ms = (trio.current_time() - read_at) * 1000.0
+            inbound = replace(inbound, waited_ms=waited_ms)
         try:
             self.listener.front.handle(inbound, self._response)
         except Exception as error:  # a fault that one request shows must not cost it its answer
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -42,6 +42,8 @@
         """Responses announce the connection's end, as this process shuts down."""
         self.refusing = False
         """Requests are rejected, as the shutdown would cut their answers off."""
+        self._accept_failing_since = 0.0
+        """Connections have waited to be accepted since then; 0 if none waits."""
         self._nursery: trio.Nursery
 
     async def run(self, listeners: list[trio.SocketListener], wrap: Wrap | None = None) -> None:
@@ -72,10 +74,13 @@
                 return  # the shutdown has closed the listening socket
             except OSError as error:  # the fault of one connection, or no descriptor or memory is left
                 log_rate_limited("accept_failed", error=str(error))
+                self._accept_failing_since = self._accept_failing_since or trio.current_time()
                 if error.errno != errno.ECONNABORTED:
                     await trio.sleep(ACCEPT_RETRY_S)
                 continue
             await self._accepted(stream, wrap)
+            if self._accept_failing_since and not listener.socket.is_readable():
+                self._accept_failing_since = 0.0
 
     async def _accepted(self, stream: trio.SocketStream, wrap: Wrap | None) -> None:
         try:
@@ -84,7 +89,10 @@
             log_rate_limited("accept_failed", error=repr(error))
             has_room = False
         if has_room:
-            self._nursery.start_soon(self._serve, stream, wrap)
+            unread_since = 0.0
+            if wrap is None and stream.socket.is_readable():
+                unread_since = self._accept_failing_since or trio.current_time()
+            self._nursery.start_soon(self._serve, stream, wrap, unread_since)
         elif self.table.may_refuse():
             log_rate_limited("connection_rejected", status=503)
             self.table.refused_handshakes += 1
@@ -104,11 +112,12 @@
             self.table.add_refused(connection)
             await connection.serve()
 
-    async def _serve(self, raw: trio.SocketStream, wrap: Wrap | None) -> None:
+    async def _serve(self, raw: trio.SocketStream, wrap: Wrap | None, unread_since: float) -> None:
         stream: trio.abc.Stream | None = raw if wrap is None else await self._handshake(raw, wrap)
         if stream is None:
             return
         connection = DownstreamConnection(stream, self)
+        connection.unread_since = unread_since
         self.table.add(connection)
         await connection.serve()
 
--- a/violetstack/protocol/http_server.py
+++ b/violetstack/protocol/http_server.py
@@ -35,6 +35,8 @@
     target: str
     headers: dict[str, str]
     body: memoryview
+    waited_ms: float = 0.0
+    """Time since its last byte came, as far as it was spent waiting in this process."""
 
     @property
     def path(self) -> str:
