A SIGTERM that a stopped process handles late counts from when it can have come

Cause: a process that was stopped (SIGSTOP) handles a pending SIGTERM when it goes on, and its shutdown counted from then; SIGKILL counts from the signal, so requests were accepted too late to be answered before it. Ruled out: new connections; they may come for 0.4 s after the latest time, and accepting still counts from there. Change: the handler notes when the event loop was last known to run; rejecting and the final answers count from that time.

--- a/tests/test_shutdown_deadlines.py
+++ b/tests/test_shutdown_deadlines.py
@@ -12,6 +12,7 @@
 from tests.crossings import send_request
 from tests.steady import until
 from tests.test_stories import pair, play
+from violetstack.daemon.lifecycle import SignalTime
 from violetstack.daemon.shutdown_schedule import KILL_DELAY_S, ShutdownSchedule
 from violetstack.net.clock import now_ms
 from violetstack.rehearsal.clients import BODY, Call, connect, platform_headers
@@ -28,7 +29,8 @@
 
 def stop_as_if_asked(on: Stage, seconds_ago: float) -> None:
     """Shuts down as if SIGTERM had come earlier, and the event loop had just got to it."""
-    on.daemon.lifecycle._signal_at_ms = now_ms() - seconds_ago * 1000.0
+    came_at = now_ms() - seconds_ago * 1000.0
+    on.daemon.lifecycle._signal = SignalTime(came_at, came_at)
     on.daemon.stop.set()
 
 
@@ -118,8 +120,12 @@
     play(*pair(), story=story, settings=settings_with_timeout(300.0))
 
 
-def test_a_request_read_after_a_late_look_at_sigterm_is_rejected() -> None:
-    """The time counted from when the event loop got to the signal, so what it took was cut off by SIGKILL."""
+@pytest.mark.parametrize("signal_handled", ["before", "after"])
+def test_a_request_read_after_a_late_look_at_sigterm_is_rejected(signal_handled: str) -> None:
+    """The time counted from when the event loop got to the signal, so what it took was cut off by SIGKILL.
+
+    The handler runs before a long iteration of the event loop, or after a stop of the process (SIGSTOP).
+    """
 
     async def story(on: Stage) -> None:
         call = await connect(on.platform)
@@ -131,8 +137,10 @@
         )
         await call.stream.send_all(whole[:40])
         await until(lambda: any(c.http.busy for c in on.daemon.listeners[0].table.connections))
+        if signal_handled == "before":
+            on.daemon.lifecycle.signal_received()
+        time.sleep(0.65)  # noqa: ASYNC251 - the event loop stands still
         on.daemon.lifecycle.signal_received()
-        time.sleep(0.65)  # one long iteration of the event loop  # noqa: ASYNC251
         on.daemon.stop.set()
         await trio.sleep(0.06)  # three looks of the shutdown at its clock
         await call.stream.send_all(whole[40:])
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -186,6 +186,7 @@
     async def _start(self) -> BoundAddresses:
         config = self.config
         self.parts = build_dispatch(config, self.nursery)
+        self.lifecycle.last_running_ms = self.parts.pause_detector.last_running_ms
         self.limits = LimitAllocator(config, self.hosts, self.listeners, self._processes)
         self.fronts = FrontServers(config, self.core, self.nursery, self.listeners, self.limits.apply)
         self.parts.pause_detector.connections_queued = self.fronts.connections_queued
--- a/violetstack/daemon/lifecycle.py
+++ b/violetstack/daemon/lifecycle.py
@@ -2,32 +2,48 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import NamedTuple
+
 import trio
 
 from violetstack.net.clock import now_ms
 
 
+class SignalTime(NamedTuple):
+    """When a signal came, in milliseconds of `now_ms`.
+
+    A process that was stopped handles a signal once it goes on, and the event loop gets to it later still.
+
+    Attributes:
+        earliest_ms: The process was last known to run then.
+        handled_ms: When its handler ran.
+    """
+
+    earliest_ms: float
+    handled_ms: float
+
+
 class Lifecycle:
-    """Whether the endpoint list is known, new requests are taken, and shutdown has been asked for."""
+    """Whether the endpoint list is known, new requests are taken, and shutdown has been asked for.
+
+    Attributes:
+        last_running_ms: Returns when the process was last known to run.
+    """
 
     def __init__(self) -> None:
         """Creates the state of a process that has just begun."""
         self.started = False
         self.accepting = False
         self.stop = trio.Event()
-        self._signal_at_ms: float | None = None
+        self.last_running_ms: Callable[[], float] = now_ms
+        self._signal: SignalTime | None = None
 
     def signal_received(self) -> None:
         """Notes the time of the first signal that ends the process; called in the signal's handler."""
-        if self._signal_at_ms is None:
-            self._signal_at_ms = now_ms()
-
-    def stop_requested_at(self, now_s: float) -> float:
-        """When the first signal came, on the caller's clock; `now_s` if `stop` was set without one.
-
-        The event loop may get to a signal late: at the end of a long iteration, or once the process has
-        started.
-        """
-        if self._signal_at_ms is None:
-            return now_s
-        return now_s - (now_ms() - self._signal_at_ms) / 1000.0
+        if self._signal is None:
+            self._signal = SignalTime(self.last_running_ms(), now_ms())
+
+    def signal_time(self) -> SignalTime:
+        """When the first signal came; now, if `stop` was set without one."""
+        return self._signal or SignalTime(now_ms(), now_ms())
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -8,9 +8,10 @@
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.daemon.fronts import FrontServers
-from violetstack.daemon.lifecycle import Lifecycle
+from violetstack.daemon.lifecycle import Lifecycle, SignalTime
 from violetstack.daemon.shutdown_schedule import ShutdownSchedule
 from violetstack.log import log
+from violetstack.net.clock import now_ms
 from violetstack.net.downstream.connection_table import ConnectionTable
 from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.policy_api import Settings
@@ -53,21 +54,26 @@
     async def run(self) -> None:
         """Returns once no request is open any more, and no connection is left on which one could come."""
         log("shutdown_started", open=len(self._core.open_requests), successor=self._find_successor())
-        requested_at = self._lifecycle.stop_requested_at(trio.current_time())
+        signal = self._lifecycle.signal_time()
         for listener in self._fronts.listeners:
             listener.draining = True
         await self._hand_over()
         # Whether anything is left is asked in the very step in which idle connections were closed.
-        nothing_left = self._advance(trio.current_time() - requested_at)
+        nothing_left = self._advance(signal)
         while not nothing_left:
             await trio.sleep(POLL_S)
-            nothing_left = self._advance(trio.current_time() - requested_at)
+            nothing_left = self._advance(signal)
         if self._fronts.idempotency is not None:
             self._fronts.idempotency.stop_retrying()
 
-    def _advance(self, elapsed_s: float) -> bool:
-        """Takes the steps that are due `elapsed_s` after SIGTERM; returns whether nothing is left to do."""
+    def _advance(self, signal: SignalTime) -> bool:
+        """Takes the steps that are due after SIGTERM; returns whether nothing is left to do.
+
+        SIGKILL may follow from the earliest time at which the signal can have come, and new connections may
+        come until some time after the latest.
+        """
         schedule = self._schedule
+        elapsed_s = (now_ms() - signal.earliest_ms) / 1000.0
         if elapsed_s >= schedule.reject_s and not self._rejecting:
             self._rejecting = True
             log("shutdown_rejecting")
@@ -78,8 +84,7 @@
             log("shutdown_deadline", open=len(self._core.open_requests))
             self._core.shutdown_started()
         if self._lifecycle.accepting:
-            if elapsed_s >= schedule.stop_accepting_s:
-                self._stop_accepting_unless_queued(elapsed_s)
+            self._stop_accepting_if_due((now_ms() - signal.handled_ms) / 1000.0)
             return False  # what was accepted last is not in its listener's table before the next turn
         for listener in self._fronts.listeners:
             listener.table.close_idle()
@@ -87,11 +92,13 @@
                 _close_silent(listener.table)
         return not self._core.open_requests and not self._fronts.busy
 
-    def _stop_accepting_unless_queued(self, elapsed_s: float) -> None:
+    def _stop_accepting_if_due(self, elapsed_s: float) -> None:
         """Closes the listening sockets once their queues are empty: closing resets what waits in them.
 
         A client may have written its request to a connection that nobody has accepted yet.
         """
+        if elapsed_s < self._schedule.stop_accepting_s:
+            return
         if elapsed_s >= self._schedule.close_listener_s or not self._fronts.connections_queued():
             self._stop_accepting()
 
--- a/violetstack/net/pause_detector.py
+++ b/violetstack/net/pause_detector.py
@@ -91,6 +91,10 @@
             earliest_arrival = min(earliest_arrival, self._earliest_arrival)
         return self._unread.max_age(now_ms(), earliest_arrival)
 
+    def last_running_ms(self) -> float:
+        """Returns when the process was last known to run: a signal that is handled now came after that."""
+        return self._tracker.last_running_at
+
     async def wait_caught_up(self) -> None:
         """Waits until what came in during a pause has been read; returns at once if there was none."""
         if self.catching_up:
--- a/violetstack/process_pause.py
+++ b/violetstack/process_pause.py
@@ -57,6 +57,11 @@
         gap_ms = now - earliest_arrival
         return gap_ms if gap_ms >= self._pause_threshold_ms else 0.0
 
+    @property
+    def last_running_at(self) -> float:
+        """When the event loop last began or ended a wait: before that, all that had come was looked at."""
+        return max(self._wait_started, self._last_wait_ended)
+
     @property
     def earliest_arrival(self) -> float:
         """The earliest time at which data read in this iteration can have arrived."""
