The watch keeps descriptors back, so that it reconnects when clients hold all others

Cause: `Watch._connect` opened its socket by `trio.open_tcp_stream` at the moment of need (which may hold several at once), and `divide_limits` only counts: inherited descriptors, files and a system limit below `limits.sockets` are in no count. Once idle clients hold all descriptors, `accept` fails with EMFILE before the table is asked to make room, so no idle connection is evicted, and the watch's own `socket` fails with EMFILE for as long as the clients rest.

Ruled out: descriptors full within the count.

Change: `DescriptorReserve` holds 4 spare descriptors; a spare is exchanged for the watch's socket, and a closed socket for a spare, in one step, so no accept loop can take it in between. The watch connects to one address after another with one socket. `LimitAllocator` counts with the system's limit where that is lower.

--- /dev/null
+++ b/tests/test_descriptor_exhaustion.py
@@ -0,0 +1,173 @@
+"""A process whose descriptors idle clients and other files have taken: the watch reconnects all the same."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import IO, Any
+
+import pytest
+import trio
+
+from tests.faulty_discovery import FaultyDiscovery
+from tests.steady import until
+from tests.test_stories import pair, play
+from violetstack.config import Address
+from violetstack.net.descriptor_reserve import DescriptorReserve, open_tcp_connection
+from violetstack.rehearsal.stage import SETTINGS, Stage
+
+SOCKETS = 64
+OUTAGE_S = 0.4
+BOUND_S = 6.0
+KNOWN = {"id": "r", "addr": "127.0.0.1:9", "kind": "prefill", "zone": "z", "state": "active"}
+OTHER_FILES = 45  # descriptors that no count knows of
+START = """
+import os, resource, runpy, sys
+sockets, other_files = map(int, sys.argv[1:])
+sys.argv[1:] = []
+resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
+files = [os.open(os.devnull, os.O_RDONLY) for _ in range(other_files)]
+runpy.run_module("violetstack", run_name="__main__")
+"""
+
+
+class DescriptorLimitedProgram:
+    """One dispatcher's process under a hard limit of descriptors."""
+
+    def __init__(self, discovery: str, folder: Path, other_files: int) -> None:
+        told = {
+            "listen": "127.0.0.1:0",
+            "discovery": discovery,
+            "limits": {"sockets": SOCKETS},
+            "settings": SETTINGS,
+            "known": {"version": 1, "full": True, "servers": [KNOWN]},
+        }
+        file = folder / "config.json"
+        file.write_text(json.dumps(told))
+        self.log: IO[bytes] = tempfile.TemporaryFile()  # noqa: SIM115 - read until the process has ended
+        self.process = subprocess.Popen(
+            [sys.executable, "-c", START, str(SOCKETS), str(other_files)],
+            env={**os.environ, "NODE_CONFIG": str(file)},
+            stdout=self.log,
+        )
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """The lines of this event that the process has logged so far."""
+        size = os.fstat(self.log.fileno()).st_size
+        lines = os.pread(self.log.fileno(), size, 0).splitlines(keepends=True)
+        events = [json.loads(line) for line in lines if line.endswith(b"\n")]
+        return [event for event in events if event["event"] == name]
+
+    def draining(self, server: str) -> bool:
+        """Whether an update of the list has announced the host's drain."""
+        updates = self.events("endpoint_list_updated")
+        return any(update["entries"].get(server) == "draining" for update in updates)
+
+    def end(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        self.log.close()
+
+
+async def stay_connected(address: Address) -> None:
+    """An idle client: it is answered once and rests, and connects again once it is shut out."""
+    while True:
+        try:
+            stream = await trio.open_tcp_stream(*address)
+            await stream.send_all(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            while await stream.receive_some(1024):
+                pass
+            await stream.aclose()
+        except (OSError, trio.BrokenResourceError):
+            pass
+        await trio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("fault", "other_files"), [("silent", 0), ("ends in a list", OTHER_FILES)], ids=["counted", "all taken"]
+)
+def test_a_drain_is_applied_when_discovery_returns_to_a_crowded_process(
+    fault: str, other_files: int, tmp_path: Path
+) -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            discovery = FaultyDiscovery(fault)
+            await nursery.start(discovery.serve)
+            program = DescriptorLimitedProgram(discovery.address, tmp_path, other_files)
+            try:
+                await story(program, discovery, nursery)
+            finally:
+                program.end()
+            nursery.cancel_scope.cancel()
+
+    async def story(
+        program: DescriptorLimitedProgram, discovery: FaultyDiscovery, nursery: trio.Nursery
+    ) -> None:
+        await until(lambda: bool(program.events("started")), 10.0)
+        host, port = program.events("started")[0]["platform"]
+        discovery.down = True
+        discovery.hang_up()
+        for _ in range(2 * SOCKETS):
+            nursery.start_soon(stay_connected, (host, port))
+        await trio.sleep(OUTAGE_S)
+        discovery.tell({**KNOWN, "state": "leaving"})
+        discovery.down = False
+        await until(lambda: program.draining(KNOWN["id"]), BOUND_S)
+        assert bool(program.events("accept_failed")) == bool(other_files)
+
+    trio.run(main)
+
+
+def test_a_configured_limit_above_the_system_s_is_not_used(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The connections were counted against descriptors that the process could not have."""
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (SOCKETS, SOCKETS))
+
+    async def story(on: Stage) -> None:
+        bounds = [listener.table.max_connections for listener in on.daemon.listeners]
+        assert sum(bounds) + on.daemon.hosts.pool.max_connections < SOCKETS
+
+    play(*pair(), story=story, sockets=1024)
+
+
+def test_a_closed_socket_s_descriptor_is_kept_back_before_any_other_task_runs() -> None:
+    async def main() -> None:
+        reserve = DescriptorReserve(1)
+        reserve.refill()
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        stream = await open_tcp_connection(listeners[0].socket.getsockname(), reserve)
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (stream.socket.fileno(), limits[1]))
+        try:
+            taken = fill_descriptors()
+            first = reserve.open_socket(socket.AF_INET)
+            assert reserve.spares == 0
+            with pytest.raises(OSError, match="Too many open files"):
+                reserve.open_socket(socket.AF_INET)
+            reserve.close_socket(trio.socket.from_stdlib_socket(first))
+            assert reserve.spares == 1
+            with pytest.raises(OSError, match="Too many open files"):
+                socket.socket()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        for descriptor in taken:
+            os.close(descriptor)
+        reserve.close_socket(stream.socket)
+        reserve.close()
+        await listeners[0].aclose()
+
+    trio.run(main)
+
+
+def fill_descriptors() -> list[int]:
+    taken = []
+    while True:
+        try:
+            taken.append(os.open(os.devnull, os.O_RDONLY))
+        except OSError:
+            return taken
--- a/violetstack/daemon/limits.py
+++ b/violetstack/daemon/limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Callable
 
 from violetstack.config import Config
@@ -27,12 +28,14 @@
     def apply(self) -> None:
         """Sets the limits in force: after a reload, a new listener, or another process that came or went."""
         limits = self._config.limits
+        processes = self._processes()
+        allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]  # of each process, whatever is configured
         share = divide_limits(
-            int(limits.sockets),
+            min(int(limits.sockets), allowed * processes),
             limits.memory_mb,
             fronts=self._fronts,
             admin_api=self._config.admin_listen is not None,
-            processes=self._processes(),
+            processes=processes,
         )
         self._hosts.pool.max_connections = share.upstream
         for listener in self._listeners:
--- a/violetstack/net/resource_limits.py
+++ b/violetstack/net/resource_limits.py
@@ -6,8 +6,9 @@
 
 from violetstack.net.downstream.listener import MAX_CONCURRENT_REJECTIONS
 
-# Descriptors of the program itself: 3 standard streams, 3 of the poller, 4 listeners, 2 watch connections,
-# 1 gossip socket, 5 for files and another process, and those of connections that are being closed.
+# Descriptors of the program itself: 3 standard streams, 3 of the poller, 4 listeners, 2 watch connections and
+# 4 spare ones for more of them, 1 gossip socket, 5 for files and another process, and those of connections
+# that are being closed.
 RESERVED_DESCRIPTORS = 28
 ADMIN_API_DESCRIPTORS = 17  # the admin listener and its connections
 MIN_CONNECTIONS = 4  # to hosts, and of clients, however few descriptors there are
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -15,6 +15,7 @@
 from violetstack.config import Address
 from violetstack.core.backoff import Backoff
 from violetstack.log import log_rate_limited
+from violetstack.net.descriptor_reserve import DescriptorReserve, open_tcp_connection
 from violetstack.policy_api import UpdateScope
 from violetstack.protocol.discovery import (
     EndpointListDecoder,
@@ -39,6 +40,7 @@
 HEDGE_S = 0.2  # without an answer from an agent, one more connection is opened beside those that wait
 MAX_WAITING = 10  # connections that have sent nothing yet
 MIN_INTERVAL_S = 0.05  # between two connections: bounds processor time where each ends at once
+SPARE_DESCRIPTORS = 4  # for connections to discovery while clients hold all others
 RECEIVE_BYTES = 64 * 1024
 MAX_ERROR_LENGTH = 200
 
@@ -110,6 +112,7 @@
         self._next_at = -math.inf
         self._opened_at = -math.inf
         self._changed = trio.Event()
+        self._reserve = DescriptorReserve(SPARE_DESCRIPTORS)
 
     @property
     def connection_count(self) -> int:
@@ -146,15 +149,21 @@
 
     async def run(self) -> None:
         """Opens connections when they are due, until cancelled."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                waiting = sum(not connection.heard for connection in self._connections)
-                if self._lost and trio.current_time() >= self._next_at and waiting < MAX_WAITING:
-                    self._open(nursery)
-                due = self._next_at if self._lost and waiting < MAX_WAITING else math.inf
-                with trio.move_on_at(due):
-                    await self._changed.wait()
-                self._changed = trio.Event()
+        self._reserve.refill()
+        try:
+            async with trio.open_nursery() as nursery:
+                await self._open_when_due(nursery)
+        finally:
+            self._reserve.close()
+
+    async def _open_when_due(self, nursery: trio.Nursery) -> None:
+        while True:
+            if self._lost and trio.current_time() >= self._next_at and self._waiting < MAX_WAITING:
+                self._open(nursery)
+            due = self._next_at if self._lost and self._waiting < MAX_WAITING else math.inf
+            with trio.move_on_at(due):
+                await self._changed.wait()
+            self._changed = trio.Event()
 
     # --- which connection counts ---
 
@@ -165,6 +174,10 @@
         self._next_at = connection.alive_at + HEDGE_S if self._backoff.agent else math.inf
         nursery.start_soon(self._follow, connection)
 
+    @property
+    def _waiting(self) -> int:
+        return sum(not connection.heard for connection in self._connections)
+
     def _lose(self, wait_s: float) -> None:
         """Has another connection opened after `wait_s`."""
         self._lost = True
@@ -227,20 +240,30 @@
 
     async def _converse(self, connection: WatchConnection) -> None:
         while True:
-            async with await self._connect(connection) as stream:
-                http = HttpClientConnection()
-                if connection.index is None:
-                    await self._fetch_list(connection, stream, http)
-                    if not http.reuse():
-                        continue  # the changes follow on a connection of their own
-                target = f"{TARGETS_PATH}?stream=1&index={connection.index}"
-                async for value in self._get(connection, stream, http, target):
-                    self._receive_value(connection, value)
-                raise InvalidResponseError("the watch has ended")
+            stream = await self._connect(connection)
+            try:
+                await self._exchange(connection, stream)
+            finally:
+                self._reserve.close_socket(stream.socket)
+
+    async def _exchange(self, connection: WatchConnection, stream: trio.SocketStream) -> None:
+        """Follows the changes, after the complete list if that is asked for.
+
+        Returns if the changes have to be asked for on another connection.
+        """
+        http = HttpClientConnection()
+        if connection.index is None:
+            await self._fetch_list(connection, stream, http)
+            if not http.reuse():
+                return
+        target = f"{TARGETS_PATH}?stream=1&index={connection.index}"
+        async for value in self._get(connection, stream, http, target):
+            self._receive_value(connection, value)
+        raise InvalidResponseError("the watch has ended")
 
     async def _connect(self, connection: WatchConnection) -> trio.SocketStream:
         with trio.fail_after(FIRST_WORD_S if self._backoff.agent else CONNECT_S):
-            stream = await trio.open_tcp_stream(*connection.address)
+            stream = await open_tcp_connection(connection.address, self._reserve)
         connection.stream = stream
         return stream
 
