--- a/tests/faulty_discovery.py
+++ b/tests/faulty_discovery.py
@@ -115,11 +115,12 @@
 
 
 class FaultyDiscovery(Discovery):
-    """Answers as `fault` says while it is down, and as usual otherwise."""
+    """Answers as `fault` says while it is down, and otherwise as usual, after `delay_s`."""
 
     def __init__(self, fault: str) -> None:
         super().__init__({"id": "r", "addr": "10.0.0.1:80", "kind": "prefill"})
         self.down = False
+        self.delay_s = 0.0
         self.calls: list[float] = []
         self._connecting, self._script = FAULTS[fault]
 
@@ -127,6 +128,7 @@
         if self.down:
             await self._script(connection)
             raise Break
+        await trio.sleep(self.delay_s)
         await super().handle(inbound, connection)
 
     async def connect(self, nursery: trio.Nursery) -> MemoryStream:
--- a/tests/test_discovery_recovery.py
+++ b/tests/test_discovery_recovery.py
@@ -3,17 +3,30 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Awaitable, Callable, Sequence
+from contextvars import ContextVar
+from functools import partial
+from itertools import pairwise
 from typing import Any
 
 import pytest
+import trio
+import trio.testing
 
+from tests.faulty_discovery import FAULTS, FaultyDiscovery, MemoryStream
 from tests.steady import until
 from tests.test_stories import pair, play
+from violetstack.config import Address
+from violetstack.core.backoff import FIRST_WINDOW_AFTER_WATCH_S, MAX_WINDOW_S, Backoff
+from violetstack.net import watch
+from violetstack.net.descriptor_reserve import DescriptorReserve
 from violetstack.net.watch import Watch
 from violetstack.policy_api import EndpointState, EndpointUpdate
+from violetstack.protocol.discovery import EndpointListDecoder, WatchEvent
 from violetstack.rehearsal.clients import ask_platform
 from violetstack.rehearsal.hosts import ModelHost
 from violetstack.rehearsal.stage import Stage
+from violetstack.settings import ClassMessage, SettingsMessage
 
 BAD_ENTRIES: dict[str, dict[str, Any]] = {
     "no address": {"addr": ""},
@@ -36,20 +49,18 @@
 
 
 @pytest.mark.parametrize("full", [False, True], ids=["change", "whole list"])
-@pytest.mark.parametrize("name", BAD_ENTRIES)
-def test_a_bad_entry_costs_one_log_line_and_no_request(
-    name: str, full: bool, capfd: pytest.CaptureFixture[str]
-) -> None:
-    """It ended the process, or took attempts of requests, where its address could not be used."""
+def test_bad_entries_cost_one_log_line_and_no_request(full: bool, capfd: pytest.CaptureFixture[str]) -> None:
+    """They ended the process, or took attempts of requests, where an address could not be used."""
     reader, writer = pair()
 
     async def story(on: Stage) -> None:
-        bad = {**reader.row(), "id": "x", "weight": 9.0, **BAD_ENTRIES[name]}
-        rows = [bad, {**reader.row(), "weight": 2.0}, writer.row()]
-        on.discovery.tell(*rows)
+        bad = [{**reader.row(), "id": name, **entry} for name, entry in BAD_ENTRIES.items()]
+        on.discovery.changes = [(1, [])] if full else on.discovery.changes
+        on.discovery.tell(*bad, {**reader.row(), "weight": 2.0}, writer.row())
         if full:
             watch_of(on).request_list()
             await until(lambda: "/api/targets" in on.discovery.asked and watch_of(on).version == 2)
+            await until(lambda: not watch_of(on).reconnecting)
         await until(lambda: on.daemon.core.endpoints["r"].weight == 2.0)
         assert set(on.daemon.core.endpoints) == {"r", "w"}
         for n in range(3):
@@ -58,7 +69,8 @@
 
     play(reader, writer, story=story)
     lines = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
-    assert len([line for line in lines if line.get("skipped")]) == 1 + full
+    skipped = [line["skipped"] for line in lines if line.get("skipped")]
+    assert skipped == [[entry.get("id", name) for name, entry in BAD_ENTRIES.items()]] * (1 + full)
     assert not [line for line in lines if line["level"] == "error"]
 
 
@@ -132,3 +144,167 @@
         await until(lambda: "w" in on.daemon.core.draining)
 
     play(reader, writer, story=story)
+
+
+# --- how soon a change is applied after an outage, in virtual time ---
+
+OUTAGES_S = (0.7, 5.1)
+BOUND_S = 6.0  # after which a change counts as told
+MARGIN_S = 1.0
+OLD_ADDRESS = ("10.0.0.8", 80)
+NEW_ADDRESS = ("10.0.0.9", 80)
+Connect = Callable[[Address, DescriptorReserve], Awaitable[MemoryStream]]
+CONNECT: ContextVar[Connect] = ContextVar("CONNECT")
+
+
+class WatchedDiscovery:
+    """The watch of one dispatcher, and the discoveries that it is told of, in memory."""
+
+    def __init__(self, fault: str, backoff: Backoff) -> None:
+        self.draining = trio.Event()
+        self.fault = fault
+        self.discovery = FaultyDiscovery(fault)
+        self.watch = Watch(
+            OLD_ADDRESS,
+            EndpointListDecoder(SettingsMessage(classes=[ClassMessage(aim=1.0, give_up=2.0)])),
+            1,
+            backoff,
+            on_event=self._on_event,
+            on_unchanged=lambda: None,
+        )
+        self._discoveries = {OLD_ADDRESS: self.discovery}
+
+    async def recovery_s(self, outage_s: float) -> float:
+        """How long after discovery's return with a drain the drain is applied."""
+        async with trio.open_nursery() as nursery:
+            self._start(nursery)
+            await trio.sleep(1.0)
+            self.discovery.down = True
+            self.discovery.hang_up()
+            await trio.sleep(outage_s)
+            return await self._return_s(nursery)
+
+    async def recovery_after_stall_s(self) -> float:
+        """The same after the last word of a watch that stalls."""
+        async with trio.open_nursery() as nursery:
+            self.discovery.down = True
+            self._start(nursery)
+            await trio.sleep(1.0)
+            return 1.0 + await self._return_s(nursery)
+
+    async def recovery_after_move_s(self, outage_s: float, *, old_ends: bool) -> float:
+        """The same where the configuration names another discovery that is down at first."""
+        old = self.discovery
+        async with trio.open_nursery() as nursery:
+            self._start(nursery)
+            await trio.sleep(1.0)
+            self.discovery = self._discoveries[NEW_ADDRESS] = FaultyDiscovery(self.fault)
+            self.discovery.down = True
+            self.watch.move(NEW_ADDRESS)
+            await trio.sleep(outage_s / 2.0)
+            if old_ends:
+                old.hang_up()
+            await trio.sleep(outage_s / 2.0)
+            return await self._return_s(nursery)
+
+    def _start(self, nursery: trio.Nursery) -> None:
+        async def connect(address: Address, _reserve: DescriptorReserve) -> MemoryStream:
+            return await self._discoveries[address].connect(nursery)
+
+        CONNECT.set(connect)
+        nursery.start_soon(self.watch.run)
+
+    async def _return_s(self, nursery: trio.Nursery) -> float:
+        self.discovery.down = False
+        self.discovery.tell({"id": "r", "addr": "10.0.0.1:80", "state": "leaving"})
+        returned_at = trio.current_time()
+        with trio.move_on_after(3.0 * BOUND_S):
+            await self.draining.wait()
+        nursery.cancel_scope.cancel()
+        return trio.current_time() - returned_at
+
+    def _on_event(self, event: WatchEvent) -> None:
+        if any(endpoint.state is EndpointState.DRAINING for endpoint in event.update.endpoints):
+            self.draining.set()
+
+
+@pytest.fixture
+def in_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def connect(address: Address, reserve: DescriptorReserve) -> MemoryStream:
+        return await CONNECT.get()(address, reserve)
+
+    monkeypatch.setattr(watch, "open_tcp_connection", connect)
+
+
+def longest_s(cases: Sequence[Callable[[], Awaitable[float]]]) -> float:
+    """Plays the cases side by side in virtual time."""
+    found: list[float] = []
+
+    async def play_case(case: Callable[[], Awaitable[float]]) -> None:
+        found.append(await case())
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            for case in cases:
+                nursery.start_soon(play_case, case)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.0))
+    return max(found)
+
+
+MODES = [(True, 200), (False, 3), (False, 30), (False, 200)]  # an agent; a shared discovery and its fleet
+MODE_NAMES = ["agent", "3", "30", "200"]
+
+
+@pytest.mark.usefixtures("in_memory")
+@pytest.mark.parametrize(("agent", "fleet"), MODES, ids=MODE_NAMES)
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_change_is_applied_in_time_after_an_outage(fault: str, agent: bool, fleet: int) -> None:
+    """A given-up call and the wait after it took up to 8 s; connections that stay silent never answer."""
+    watched = [WatchedDiscovery(fault, Backoff(fleet, seed, agent=agent)) for seed in range(len(OUTAGES_S))]
+    cases = [partial(each.recovery_s, length) for each, length in zip(watched, OUTAGES_S, strict=True)]
+    assert longest_s(cases) <= BOUND_S - MARGIN_S
+    gaps = [later - sooner for each in watched for sooner, later in pairwise(each.discovery.calls[1:])]
+    longest_gap_s = watch.STALLED_S + FIRST_WINDOW_AFTER_WATCH_S if fault == "falls silent" else MAX_WINDOW_S
+    assert max(gaps, default=0.0) <= longest_gap_s + 0.01  # so it holds wherever in it discovery returns
+
+
+@pytest.mark.usefixtures("in_memory")
+@pytest.mark.parametrize(("agent", "fleet"), MODES, ids=MODE_NAMES)
+def test_a_change_that_a_stalled_watch_misses_is_applied_in_time(agent: bool, fleet: int) -> None:
+    watched = [WatchedDiscovery("falls silent", Backoff(fleet, seed, agent=agent)) for seed in range(20)]
+    assert longest_s([each.recovery_after_stall_s for each in watched]) <= BOUND_S - MARGIN_S
+
+
+@pytest.mark.usefixtures("in_memory")
+@pytest.mark.parametrize("old_ends", [False, True], ids=["old one stays", "old one ends"])
+@pytest.mark.parametrize(("agent", "fleet"), [(True, 200), (False, 200)], ids=["agent", "shared"])
+@pytest.mark.parametrize("fault", ["never comes up", "silent", "rejects"])
+def test_a_change_of_a_new_discovery_is_applied_in_time(
+    fault: str, agent: bool, fleet: int, old_ends: bool
+) -> None:
+    watched = [WatchedDiscovery(fault, Backoff(fleet, seed, agent=agent)) for seed in range(len(OUTAGES_S))]
+    cases = [
+        partial(each.recovery_after_move_s, length, old_ends=old_ends)
+        for each, length in zip(watched, OUTAGES_S, strict=True)
+    ]
+    assert longest_s(cases) <= BOUND_S - MARGIN_S
+
+
+@pytest.mark.usefixtures("in_memory")
+@pytest.mark.parametrize("fault", ["never comes up", "silent", "trickles"])
+def test_connections_that_wait_in_vain_never_bar_the_next_one(fault: str) -> None:
+    """There are MAX_WAITING places, and each of these connections keeps its own for seconds."""
+    watched = WatchedDiscovery(fault, Backoff(3, 7, agent=True))
+    assert longest_s([partial(watched.recovery_s, 12.0)]) <= watch.SLOW_HEDGE_S
+    calls = watched.discovery.calls[1:]
+    assert max(later - sooner for sooner, later in pairwise(calls)) <= watch.SLOW_HEDGE_S + 0.01
+
+
+@pytest.mark.usefixtures("in_memory")
+@pytest.mark.parametrize(("agent", "fleet"), MODES, ids=MODE_NAMES)
+def test_a_discovery_that_is_slow_to_answer_is_heard(agent: bool, fleet: int) -> None:
+    """An agent that took over 1.5 s to its first word was given up on each connection."""
+    watched = WatchedDiscovery("refuses", Backoff(fleet, 7, agent=agent))
+    watched.discovery.delay_s = 1.6
+    assert longest_s([partial(watched.recovery_s, 0.1)]) <= BOUND_S
--- a/violetstack/core/backoff.py
+++ b/violetstack/core/backoff.py
@@ -6,6 +6,8 @@
 
 # Backoff windows in seconds.
 FIRST_WINDOW_S = 0.25
+# A change counts as received 6 s after discovery had it and could be reached, whatever calls have failed. So
+# no window is longer, however large the fleet; the rest of the 6 s is for the answer.
 MAX_WINDOW_S = 4.0
 DISCOVERY_CALL_S = 0.025  # what a call costs the service; all dispatchers ask at the same time
 FIRST_WINDOW_AFTER_WATCH_S = 2.0  # updates missed after a watch ended count as received 6 s later
@@ -20,7 +22,7 @@
 
     When discovery falters, every dispatcher loses its watch at the same moment. Retries in step each quarter
     of a second would keep it too busy to answer any of them, so the first window grows with the number of
-    dispatchers, and the jitter comes from the dispatcher's own seed.
+    dispatchers, up to the longest window, and the jitter comes from the dispatcher's own seed.
 
     An agent on this machine answers at no cost, and what is pushed to it counts as received by this process
     whether or not a watch is open: a wait before the first retry would be taken from a draining host's grace
@@ -36,7 +38,8 @@
             agent: Whether an agent on this machine is asked.
         """
         self.agent = agent
-        self._first_window_s = max(FIRST_WINDOW_S, dispatcher_count * DISCOVERY_CALL_S)
+        fleet_window_s = dispatcher_count * DISCOVERY_CALL_S
+        self._first_window_s = min(MAX_WINDOW_S, max(FIRST_WINDOW_S, fleet_window_s))
         self._random = random.Random(seed)
         self._failures = 0
 
@@ -44,24 +47,29 @@
         """Resets the window after a successful request."""
         self._failures = 0
 
-    def next_s(self, *, turned_away: bool = True, bad: bool = False) -> float:
+    def next_s(
+        self, *, turned_away: bool = True, bad: bool = False, longest_s: float = MAX_WINDOW_S
+    ) -> float:
         """Returns how many seconds to wait after one more failure.
 
         Args:
             turned_away: The service answered, but not with a list.
             bad: It answered with a list that can't be decoded.
+            longest_s: What the failed call has left of the longest window.
         """
         failures = self._failures
         self._failures += 1
-        if self.agent and (bad or not turned_away):
-            window_s = _agent_window_s(failures, bad=bad)
-        else:
-            max_window_s = max(MAX_WINDOW_S, self._first_window_s)
-            window_s = min(max_window_s, self._first_window_s * _doubled(failures))
-            if not turned_away and not failures:
-                window_s = min(window_s, FIRST_WINDOW_AFTER_WATCH_S)
+        window_s = min(longest_s, self._window_s(failures, turned_away=turned_away, bad=bad))
         return window_s * (0.5 + 0.5 * self._random.random())
 
+    def _window_s(self, failures: int, *, turned_away: bool, bad: bool) -> float:
+        if self.agent and (bad or not turned_away):
+            return _agent_window_s(failures, bad=bad)
+        window_s = min(MAX_WINDOW_S, self._first_window_s * _doubled(failures))
+        if not turned_away and not failures:
+            return min(window_s, FIRST_WINDOW_AFTER_WATCH_S)
+        return window_s
+
 
 def _agent_window_s(failures: int, *, bad: bool) -> float:
     if not failures:
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -13,7 +13,7 @@
 import trio
 
 from violetstack.config import Address
-from violetstack.core.backoff import Backoff
+from violetstack.core.backoff import MAX_WINDOW_S, Backoff
 from violetstack.log import log_rate_limited
 from violetstack.net.descriptor_reserve import DescriptorReserve, open_tcp_connection
 from violetstack.policy_api import UpdateScope
@@ -36,10 +36,15 @@
 # the watch stalled. So another connection is opened a second after a line did not come.
 STALLED_S = 3.0
 CONNECT_S = 2.0
-FIRST_WORD_S = 1.5  # an agent on this machine answers within milliseconds, or not on this connection
+FIRST_WORD_S = 3.0  # from the beginning of a connection to the end of its first object or empty line
 HEDGE_S = 0.2  # without an answer from an agent, one more connection is opened beside those that wait
+SLOW_HEDGE_S = 0.5  # the same while many wait: none that is still open after FIRST_WORD_S bars the next one
+MANY_WAITING = 5
 MAX_WAITING = 10  # connections that have sent nothing yet
 MIN_INTERVAL_S = 0.05  # between two connections: bounds processor time where each ends at once
+# The longest time from the beginning of one connection to that of the next, for as long as none is current.
+MAX_INTERVAL_S = MAX_WINDOW_S
+MIN_WAIT_S = 0.5  # after a connection that took almost all of that time to fail
 SPARE_DESCRIPTORS = 4  # for connections to discovery while clients hold all others
 RECEIVE_BYTES = 64 * 1024
 MAX_ERROR_LENGTH = 200
@@ -145,7 +150,7 @@
         self._list_owed = True
         for connection in [each for each in self._connections if not each.heard]:
             connection.drop()
-        self._lose(self._backoff.next_s(turned_away=False))
+        self._lose(turned_away=False)
 
     async def run(self) -> None:
         """Opens connections when they are due, until cancelled."""
@@ -171,17 +176,29 @@
         connection = WatchConnection(self.address, None if self._list_owed else self.version)
         self._connections.add(connection)
         self._opened_at = connection.alive_at
-        self._next_at = connection.alive_at + HEDGE_S if self._backoff.agent else math.inf
+        self._next_at = connection.alive_at + self._hedge_s()
         nursery.start_soon(self._follow, connection)
 
     @property
     def _waiting(self) -> int:
         return sum(not connection.heard for connection in self._connections)
 
-    def _lose(self, wait_s: float) -> None:
-        """Has another connection opened after `wait_s`."""
+    def _hedge_s(self) -> float:
+        if not self._backoff.agent:
+            return MAX_INTERVAL_S
+        return HEDGE_S if self._waiting < MANY_WAITING else SLOW_HEDGE_S
+
+    def _lose(self, *, turned_away: bool, bad: bool = False) -> None:
+        """Has another connection opened after the wait of one more failure.
+
+        A call that took long to fail is waited after for less, so that the next one begins in time.
+        """
+        now = trio.current_time()
+        since = self._opened_at if self._lost else now
+        longest_s = max(MIN_WAIT_S, since + MAX_INTERVAL_S - now)
+        wait_s = self._backoff.next_s(turned_away=turned_away, bad=bad, longest_s=longest_s)
         self._lost = True
-        self._next_at = max(trio.current_time() + wait_s, self._opened_at + MIN_INTERVAL_S)
+        self._next_at = max(now + wait_s, self._opened_at + MIN_INTERVAL_S)
         self._changed.set()
 
     def _make_current(self, connection: WatchConnection) -> None:
@@ -230,11 +247,9 @@
         if connection is self._current:
             self._current = None
             if not self._lost:
-                self._lose(self._backoff.next_s(turned_away=rejected, bad=invalid))
-        elif self._lost:
-            wait_s = self._backoff.next_s(turned_away=rejected, bad=invalid)
-            if rejected or invalid or all(other.heard for other in self._connections):
-                self._lose(wait_s)
+                self._lose(turned_away=rejected, bad=invalid)
+        elif self._lost and (rejected or invalid or all(other.heard for other in self._connections)):
+            self._lose(turned_away=rejected, bad=invalid)
 
     # --- the exchange on one connection ---
 
@@ -262,7 +277,7 @@
         raise InvalidResponseError("the watch has ended")
 
     async def _connect(self, connection: WatchConnection) -> trio.SocketStream:
-        with trio.fail_after(FIRST_WORD_S if self._backoff.agent else CONNECT_S):
+        with trio.fail_after(CONNECT_S):
             stream = await open_tcp_connection(connection.address, self._reserve)
         connection.stream = stream
         return stream
@@ -281,6 +296,7 @@
             if event.update.scope is UpdateScope.DELTA:
                 raise EndpointListError("the whole list was asked for and a change came")
             self._list_owed = False
+            connection.alive_at = trio.current_time()
             self._make_current(connection)
             self._publish(connection, event)
         if not received:
@@ -307,7 +323,7 @@
             log_rate_limited("endpoint_list_invalid", index=self.version, error=str(error)[:MAX_ERROR_LENGTH])
             if not self._list_owed:
                 self._list_owed = True
-                self._lose(self._backoff.next_s(bad=True))
+                self._lose(turned_away=True, bad=True)
             return None
 
     def _publish(self, connection: WatchConnection, event: WatchEvent) -> None:
@@ -355,7 +371,7 @@
         while True:
             if connection.stalled:
                 return bytes(await stream.receive_some(RECEIVE_BYTES))
-            patience_s = STALLED_S if connection.heard or not self._backoff.agent else FIRST_WORD_S
+            patience_s = STALLED_S if connection.heard else FIRST_WORD_S
             with trio.move_on_at(connection.alive_at + patience_s):
                 return bytes(await stream.receive_some(RECEIVE_BYTES))
             if stream.socket.is_readable():
@@ -365,4 +381,4 @@
             connection.stalled = True
             log_rate_limited("watch_stalled", index=self.version)
             if connection is self._current and not self._lost:
-                self._lose(self._backoff.next_s(turned_away=False))
+                self._lose(turned_away=False)
