Slow start: saved tokens expire, and the part follows the hosts that shared the work

Cause, in `admits_warming` (policy/admission.py) and `EndpointStatistics.slow_start`: each dispatcher's bucket saved one token for any time, so that n dispatchers could send a starting host N + n requests at once; and the rate was divided by `len(pool)` of now, so that with eight of ten hosts draining the two that start were given five times their part. Ruled out: three dispatchers, uneven traffic, bursts, several or all hosts cold, restarted dispatchers: the old code kept the bound there. Sending each request on with a probability instead of by tokens: kept, but a third to a half less work for starting hosts. Tokens at half of the rate (no window over N at all): 14% less served with 200 dispatchers and six of eight hosts cold. Change: a token is lost that is not taken within a window, and tokens come at two thirds of the rate; a dispatcher of three requests a window or more gets one token less in place of that. The rate of a host is by the hosts that shared the work, kept beside the counts and handed over with them. A slot takes its token when it is reserved, and returns it unused. Settings with a warm-up but no overload window divided by zero.

--- a/violetstack/estimation/statistics.py
+++ b/violetstack/estimation/statistics.py
@@ -5,8 +5,8 @@
 from math import exp
 
 from violetstack.estimation.decay import MIN_SAMPLES, DecayingSum, RecentSamples
+from violetstack.estimation.slow_start import SlowStartBucket
 from violetstack.policy_api import Settings
-from violetstack.shared.rate_limit import TokenBucket
 
 LEARNING_WINDOW_MS = 5_000.0  # some ten requests an endpoint at a dispatcher that has ten a second
 PENALTY_DECAY_MS = 3_000.0  # time constant of a failure's penalty, so that a recovered host is used again
@@ -63,7 +63,7 @@
             first_token: the slow-start bucket's level, 0 to 1; the dispatchers' levels differ at random.
             now: the time from which that bucket fills.
         """
-        self.slow_start = TokenBucket(0.0, 1.0, first_token, now)
+        self.slow_start = SlowStartBucket(first_token, now)
         self.cost_done = DecayingSum(LEARNING_WINDOW_MS)  # prefill cost, in busy_ms
         self.busy_ms = DecayingSum(LEARNING_WINDOW_MS)
         self.memory = MemoryReports()
@@ -98,6 +98,8 @@
         self.cached_tokens_found = DecayingSum(2 * LEARNING_WINDOW_MS)
         self.prefills = DecayingSum(12 * LEARNING_WINDOW_MS)
         self.decodes = DecayingSum(12 * LEARNING_WINDOW_MS)
+        self.prefill_pool_sizes = DecayingSum(12 * LEARNING_WINDOW_MS)  # hosts at the time, for each prefill
+        self.decode_pool_sizes = DecayingSum(12 * LEARNING_WINDOW_MS)
         allowance_per_s = sum(tenant.quota_per_s for tenant in settings.tenants)
         self.prior_rate = TENANT_LOAD_PRIOR * allowance_per_s / 1000.0 / settings.dispatcher_count
 
@@ -115,6 +117,20 @@
         stage = self.prefills if is_prefill else self.decodes
         return stage.rate_per_ms_with_prior(now, self.prior_rate)
 
+    def usual_pool_size(self, now: float, *, is_prefill: bool) -> float:
+        """Hosts that shared a stage when the requests passed it; 0 if none did."""
+        stage = self.prefills if is_prefill else self.decodes
+        pool_sizes = self.prefill_pool_sizes if is_prefill else self.decode_pool_sizes
+        passed = stage.value_at(now)
+        return pool_sizes.value_at(now) / passed if passed else 0.0
+
+    def add_passed(self, now: float, pool_size: int, *, is_prefill: bool) -> None:
+        """A request passed a stage that so many hosts share."""
+        stage = self.prefills if is_prefill else self.decodes
+        pool_sizes = self.prefill_pool_sizes if is_prefill else self.decode_pool_sizes
+        stage.add(now, 1.0)
+        pool_sizes.add(now, pool_size)
+
     def add_prefill(self, now: float, cost: float, took_ms: float) -> None:
         """A prefill ended: the cost that was in flight when it was sent, and the time that it took."""
         self.cost_done.add(now, cost)
--- a/violetstack/handover/learned_state.py
+++ b/violetstack/handover/learned_state.py
@@ -145,6 +145,8 @@
         "found": statistics.cached_tokens_found,
         "read": statistics.prefills,
         "written": statistics.decodes,
+        "read_hosts": statistics.prefill_pool_sizes,
+        "written_hosts": statistics.decode_pool_sizes,
     }
 
 
--- a/violetstack/policy/admission.py
+++ b/violetstack/policy/admission.py
@@ -12,7 +12,7 @@
 LATE_FROM = 0.6  # lateness from which requests of the full weight are rejected
 MIN_ADMITTED_PART = 0.1  # however late requests are, this part is still admitted
 SLOW_START_MARGIN = 1.25  # over the multiple that the settings tell
-TRICKLE_PART = 0.5  # of one request in `overload_window_ms` from the whole tier, where no load is known
+TRICKLE = 1.0  # request in any `overload_window_ms` from the whole tier, where no load is known
 
 
 class Admission:
@@ -66,22 +66,23 @@
     def admits_warming(self, endpoint: TrackedEndpoint, now: float, *, is_prefill: bool) -> bool:
         """Rule 4: may an endpoint be sent one more request? Always, once it is warm.
 
-        While it warms up, each dispatcher has a token bucket of 1.25 times the settings' multiple of what the
-        endpoint can take now, by what an endpoint of its role took from this dispatcher (its load, not its
-        capacity). First tokens come at a random part of the time between two, so that the sum of many
-        dispatchers holds in any window, the first instant too. A dispatcher that saw little goes by its part
-        of half of what the tenants may send, so that the sum is the same whether one or all of them start;
-        without tenants, by a trickle. Could harm where endpoints run above 0.8 of their capacity.
+        While it warms up, all dispatchers together keep within the settings' multiple of what it can do in
+        any `overload_window_ms`; `docs/fleet.md` has the arithmetic. Each keeps its own part, by what an
+        endpoint of that stage took from it, so that the sum needs no word from others. A dispatcher that saw
+        little goes by its part of half of what the tenants may send, so that the sum is the same whether one
+        or all start; without tenants, by a trickle. Could harm where endpoints run above 0.8 of capacity.
         """
         state = self._state
         settings = state.settings
         fraction = capacity_fraction(endpoint.entry.started_ms, settings, now)
-        if fraction >= 1.0:
+        window_ms = settings.overload_window_ms
+        if fraction >= 1.0 or window_ms <= 0.0:
             return True
-        pool = state.endpoints.pool(is_prefill=is_prefill)
-        usual_rate = state.statistics.requests_per_ms(now, is_prefill=is_prefill) / max(1, len(pool))
+        statistics = state.statistics
+        pool_size = len(state.endpoints.pool(is_prefill=is_prefill))
+        sharing = max(1.0, pool_size, statistics.usual_pool_size(now, is_prefill=is_prefill))
+        usual = statistics.requests_per_ms(now, is_prefill=is_prefill) * window_ms / sharing
+        allowed = SLOW_START_MARGIN * settings.overload_multiple * fraction * usual
         bucket = endpoint.statistics.slow_start
-        rate = SLOW_START_MARGIN * settings.overload_multiple * fraction * usual_rate
-        trickle = TRICKLE_PART / (settings.dispatcher_count * settings.overload_window_ms)
-        bucket.rate = max(trickle, rate)
+        bucket.set_limit(max(allowed, TRICKLE / settings.dispatcher_count), window_ms)
         return bucket.has_token(now) and not endpoint.reservations
--- a/violetstack/tracking/in_flight.py
+++ b/violetstack/tracking/in_flight.py
@@ -52,7 +52,10 @@
         request.sent += 1
         request.in_flight[attempt.number] = attempt
         host.in_flight[(request.id, attempt.number)] = attempt
-        host.statistics.slow_start.take()
+        if request.id in host.reservations:
+            host.statistics.slow_start.take_reserved()
+        else:
+            host.statistics.slow_start.take()
         self._gossip.schedule()
         return attempt
 
@@ -86,12 +89,15 @@
         request.slot.reserved = False
         request.holds_remote_state = True
         host.reservations[request.id] = request.tokens
+        host.statistics.slow_start.reserve()
         self._gossip.schedule()
 
     def drop_reservation(self, request: RequestState) -> None:
         """The request's slot is counted on no more."""
-        if request.slot.host is not None:
-            request.slot.host.reservations.pop(request.id, None)
+        host = request.slot.host
+        if host is not None:
+            if host.reservations.pop(request.id, None) is not None:
+                host.statistics.slow_start.cancel_reservation()
             self._gossip.schedule()
         request.slot.host = None
         request.slot.reserved = False
--- a/violetstack/tracking/outcomes.py
+++ b/violetstack/tracking/outcomes.py
@@ -21,7 +21,7 @@
     request = attempt.request
     if not attempt.spans_pause:
         statistics.first_token_times_ms.add(state.now, event.duration_ms)
-    statistics.decodes.add(state.now, 1.0)
+    statistics.add_passed(state.now, len(state.endpoints.decode_hosts), is_prefill=False)
     statistics.decode_starts_of(request.scope).add(state.now, 1.0)
     statistics.lateness_of(request.scope).add(state.now, request.lateness(state.now))
     attempt.endpoint.statistics.consecutive_failures = 0
@@ -50,7 +50,7 @@
         cost = attempt.cost_ahead - attempt.prefill_cost + prefill_cost(params.prompt_tokens - event.detail)
         statistics.add_prefill(now, cost, event.duration_ms)
         endpoint.statistics.add_prefill(now, cost, event.duration_ms)
-    statistics.prefills.add(now, 1.0)
+    statistics.add_passed(now, len(state.endpoints.prefill_hosts), is_prefill=True)
     statistics.add_cached_tokens(now, attempt.expected_cached_tokens, event.detail)
     if params.session is not None:
         state.endpoints.affinity.remember(params.session, endpoint.name)
