--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -19,8 +19,8 @@
 import pytest
 from msgspec.structs import replace
 
-from tests.front import SETTINGS, entry
-from violetstack.estimation.slow_start import capacity_fraction
+from tests.front import SETTINGS, Front, entry
+from violetstack.estimation.slow_start import SlowStartBucket, capacity_fraction
 from violetstack.policy.router import Router
 from violetstack.policy_api import (
     Action,
@@ -342,3 +342,64 @@
 ) -> None:
     plan = Plan(dispatchers, requests_per_s=requests_per_s)
     assert Fleet(plan).play().used_share() >= least
+
+
+def test_a_token_that_nobody_takes_within_a_window_is_lost_and_the_next_one_comes_in_time() -> None:
+    bucket = SlowStartBucket(0.0, 0.0)
+    bucket.set_limit(0.6, 1_000.0)  # a token every 2500 ms
+    assert [now for now in range(50, 8_000, 100) if bucket.has_token(now)] == [
+        *range(2_550, 3_500, 100),
+        *range(5_050, 6_000, 100),
+        *range(7_550, 8_000, 100),
+    ]
+
+
+@pytest.mark.parametrize("requests", [3.0, 8.0])
+def test_one_dispatcher_of_several_requests_a_window_never_sends_more_than_its_part(requests: float) -> None:
+    bucket = SlowStartBucket(0.9, 0.0)
+    bucket.set_limit(requests, 1_000.0)
+    random = Random(1)
+    sent: list[float] = []
+    now = 0.0
+    while now < 30_000.0:
+        now += random.choice((1.0, 5.0, 400.0))
+        if bucket.try_take(now):
+            sent.append(now)
+    assert sent
+    for at in sent:
+        assert bisect_right(sent, at) - bisect_right(sent, at - 1_000.0) <= requests
+
+
+def test_a_reserved_token_is_used_once_or_comes_back() -> None:
+    bucket = SlowStartBucket(0.9, 0.0)
+    bucket.set_limit(1.0, 1_000.0)
+    assert bucket.has_token(200.0)
+    bucket.reserve()
+    assert not bucket.has_token(250.0)
+    bucket.cancel_reservation()
+    assert bucket.has_token(300.0)
+    bucket.reserve()
+    bucket.take_reserved()
+    bucket.cancel_reservation()
+    assert not bucket.has_token(350.0)
+
+
+def test_without_an_overload_window_a_starting_host_is_not_held_back() -> None:
+    """Regression: a division by zero, for each request."""
+    front = Front(entry("r1", PREFILL, started_ms=990.0), entry("w1", DECODE), overload_window_ms=0.0)
+    assert len({front.sends[front.ask()][0].server for _ in range(20)}) == 1
+
+
+def test_few_hosts_that_remain_are_not_taken_to_do_the_work_of_many() -> None:
+    many = [entry(f"r{n}", PREFILL) for n in range(10)]
+    front = Front(*many, entry("w1", DECODE))
+    for _ in range(50):
+        front.end(front.ask(after=20.0), AttemptStatus.PREFILLED, after=20.0)
+    rates = []
+    for listed in ([*many, entry("cold", PREFILL, started_ms=front.now)], many[:0]):
+        cold = entry("cold", PREFILL, started_ms=front.now)
+        front.news(UpdateScope.SNAPSHOT, *listed, cold, entry("w1", DECODE))
+        admission = front.router.admission
+        admission.admits_warming(front.endpoint("cold"), front.now, is_prefill=True)
+        rates.append(front.endpoint("cold").statistics.slow_start.rate)
+    assert rates[0] <= rates[1] <= 1.2 * rates[0]
