A flood of bytes without an object no longer keeps a connection to discovery

Cause: `Watch._receive` read on past the deadline whenever bytes lay in the socket ('this process had not looked'), without asking whether it had looked since. With bytes there at each look, a connection that sent no object was never given up, and a watch that was up never counted as stalled: no other one was opened.

Ruled out: bytes that come slowly (`trickles`, passed before).

Change: past the deadline one read is allowed, if none was made since, so what came while the process was stopped still counts. The step that gives a connection up has its own function.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -229,6 +229,23 @@
     play(reader, writer, story=story)
 
 
+@pytest.mark.parametrize("first", [b"", b"\n"], ids=["before its first word", "after it"])
+def test_a_flood_of_bytes_without_an_object_is_no_sign_of_life(first: bytes) -> None:
+    """A connection with unread bytes at each look was never given up."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        async def flood(connection: PeerConnection) -> None:
+            while True:
+                await connection.data(b" " * watch.RECEIVE_BYTES)
+
+        agent = await watch_agent(on, *[sending(first, then=flood)] * 3)
+        agent.tell(writer.row(state="leaving"))
+        await until(lambda: is_draining(on), 2.0)
+
+    play(reader, writer, story=story)
+
+
 # --- a new address, and a new process ---
 
 
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -67,6 +67,7 @@
         self.scope = trio.CancelScope()
         self.stream: trio.SocketStream | None = None
         self.alive_at = trio.current_time()  # of the last complete object or empty line
+        self.read_at = self.alive_at  # of the last read, whatever came
         self.heard = False  # it has sent something that was taken
         self.stalled = False
         self.dropped = False
@@ -368,17 +369,28 @@
 
         Raises trio.TooSlowError for one that has sent nothing yet. Incomplete objects are no sign of life.
         """
-        while True:
-            if connection.stalled:
-                return bytes(await stream.receive_some(RECEIVE_BYTES))
-            patience_s = STALLED_S if connection.heard else FIRST_WORD_S
-            with trio.move_on_at(connection.alive_at + patience_s):
-                return bytes(await stream.receive_some(RECEIVE_BYTES))
-            if stream.socket.is_readable():
-                return bytes(await stream.receive_some(RECEIVE_BYTES))  # this process had not looked
-            if not connection.heard:
-                raise trio.TooSlowError
-            connection.stalled = True
-            log_rate_limited("watch_stalled", index=self.version)
-            if connection is self._current and not self._lost:
-                self._lose(turned_away=False)
+        if not connection.stalled:
+            deadline = connection.alive_at + (STALLED_S if connection.heard else FIRST_WORD_S)
+            with trio.move_on_at(deadline):
+                return await self._read(connection, stream)
+            # If this process has not read since the deadline, it may have been stopped: what came counts.
+            if connection.read_at > deadline or not stream.socket.is_readable():
+                self._give_up(connection)
+        return await self._read(connection, stream)
+
+    async def _read(self, connection: WatchConnection, stream: trio.SocketStream) -> bytes:
+        received = await stream.receive_some(RECEIVE_BYTES)
+        connection.read_at = trio.current_time()
+        return bytes(received)
+
+    def _give_up(self, connection: WatchConnection) -> None:
+        """Marks the connection as stalled, and has another opened; it is still read.
+
+        Raises trio.TooSlowError for one that has sent nothing yet.
+        """
+        if not connection.heard:
+            raise trio.TooSlowError
+        connection.stalled = True
+        log_rate_limited("watch_stalled", index=self.version)
+        if connection is self._current and not self._lost:
+            self._lose(turned_away=False)
