Test: a drain binds at once while the panic threshold doubts a complete list

Ruled out by this test, with a drain's grace of 250 and of 1000 ms: `PanicThreshold.check` retains only hosts that the list does not name, so a `leaving` in a doubted list and a `left` after it apply in the same step as ever. No change to the program.

--- a/tests/test_discovery_recovery.py
+++ b/tests/test_discovery_recovery.py
@@ -7,6 +7,7 @@
 from contextvars import ContextVar
 from functools import partial
 from itertools import pairwise
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -25,7 +26,7 @@
 from violetstack.protocol.discovery import EndpointListDecoder, WatchEvent
 from violetstack.rehearsal.clients import ask_platform
 from violetstack.rehearsal.hosts import ModelHost
-from violetstack.rehearsal.stage import Stage
+from violetstack.rehearsal.stage import SETTINGS, Stage
 from violetstack.settings import ClassMessage, SettingsMessage
 
 BAD_ENTRIES: dict[str, dict[str, Any]] = {
@@ -308,3 +309,32 @@
     watched = WatchedDiscovery("refuses", Backoff(fleet, 7, agent=agent))
     watched.discovery.delay_s = 1.6
     assert longest_s([partial(watched.recovery_s, 0.1)]) <= BOUND_S
+
+
+# --- a complete list that lacks most hosts ---
+
+
+@pytest.mark.parametrize("grace_ms", [250.0, 1000.0])
+def test_a_drain_binds_at_once_while_a_complete_list_is_doubted(grace_ms: float, tmp_path: Path) -> None:
+    """The list is not taken for what it lacks; what it says of a host holds, as do changes after it."""
+    hosts = [ModelHost("r", "prefill"), *(ModelHost(name, "decode") for name in ("w1", "w2", "w3"))]
+    rows = {host.name: host.row for host in hosts}
+    settings = {"rules": {**SETTINGS["rules"], "stop_sending_within": grace_ms}}
+
+    async def story(on: Stage) -> None:
+        draining = on.daemon.core.draining
+        on.discovery.changes = [(1, [])]
+        on.discovery.tell(rows["w1"](state="leaving"))
+        await until(lambda: draining == {"w1"}, grace_ms / 1000.0)
+        on.discovery.changes = [(2, [rows["w1"](state="leaving"), rows["w2"](state="leaving")])]
+        watch_of(on).request_list()
+        await until(lambda: draining == {"w1", "w2"}, grace_ms / 1000.0)
+        assert on.daemon.core.endpoints.keys() == {"r", "w1", "w2", "w3"}
+        assert (await ask_platform(on.platform, "q1", "consulta")).outcome == "served"
+        on.discovery.tell(rows["w3"](state="left"))
+        await until(lambda: "w3" not in on.daemon.core.endpoints, grace_ms / 1000.0)
+        assert (await ask_platform(on.platform, "q2", "consulta")).outcome != "served"
+        assert [host.begun for host in hosts[1:]] == [[], [], ["q1"]]
+
+    state = {"state": {"folder": str(tmp_path / "state"), "doubt": 0.5}}
+    play(*hosts, story=story, settings=settings, chat=state)
