A discovery whose host name can't be encoded no longer ends the process

Cause: resolving a name with an empty or too long label raises UnicodeError, which is no OSError: it left `Watch._follow` and ended the process after a SIGHUP that named such an address.

Change: `open_tcp_connection` raises OSError for it, so the watch logs it and tries again with backoff; the old discovery is followed until a configuration names one that answers.

Measured: `a_discovery_at_an_address_that_is_none_ends_nothing`, both cases ended the process before, pass now.

--- a/tests/test_discovery_recovery.py
+++ b/tests/test_discovery_recovery.py
@@ -147,6 +147,23 @@
     play(reader, writer, story=story)
 
 
+@pytest.mark.parametrize("address", ["a..b:80", f"{'a' * 64}.b:80"], ids=["no label", "long label"])
+def test_a_discovery_at_an_address_that_is_none_ends_nothing(address: str) -> None:
+    """A host name that can't be encoded ended the process after SIGHUP."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        on.daemon.reload(lambda: on.config(discovery=address))
+        on.discovery.tell(writer.row(state="leaving"))
+        await until(lambda: "w" in on.daemon.core.draining)
+        await trio.sleep(2.0 * watch.MIN_INTERVAL_S)  # by then it has tried
+        on.daemon.reload(on.config)
+        on.discovery.tell(writer.row())
+        await until(lambda: "w" not in on.daemon.core.draining)
+
+    play(reader, writer, story=story)
+
+
 # --- how soon a change is applied after an outage, in virtual time ---
 
 OUTAGES_S = (0.7, 5.1)
--- a/violetstack/net/descriptor_reserve.py
+++ b/violetstack/net/descriptor_reserve.py
@@ -75,10 +75,14 @@
     `reserve.close_socket`.
 
     Raises:
-        OSError: No address accepts the connection, or there is no descriptor for it.
+        OSError: The host has no address, none accepts the connection, or there is no descriptor for it.
     """
     failure: OSError | None = None
-    for family, _, _, _, target in await trio.socket.getaddrinfo(*address, type=socket.SOCK_STREAM):
+    try:
+        found = await trio.socket.getaddrinfo(*address, type=socket.SOCK_STREAM)
+    except UnicodeError as error:
+        raise OSError(f"{address[0]!r} is no name of a host: {error}") from None
+    for family, _, _, _, target in found:
         try:
             return await _connect(family, target, reserve)
         except OSError as error:
