The complete list is asked for when versions on one connection go back

Cause: `Watch._publish` dropped every change below the known version as overtaken by another connection. After one change with a far too high version, or where discovery counts anew, all later changes on that connection, drains among them, were dropped for as long as it lasted.

Ruled out: a change that another connection has overtaken; the connection's own version is not above it, and it is dropped as before (`test_stories.py`, `older`).

Change: a change below what the same connection has sent is an invalid one, so the complete list is asked for, with the backoff of invalid lists.

Measured: `after_a_version_that_goes_back_...` failed before (not drained within 3 s), passes now.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -343,6 +343,20 @@
     play(reader, writer, story=story)
 
 
+def test_after_a_version_that_goes_back_the_complete_list_is_requested() -> None:
+    """Every change after one of a far too high version was taken for an overtaken one."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        changes = [list_message(10**12, reader.row()), list_message(2, writer.row(state="leaving"))]
+        agent = await watch_agent(on, sending(b"\n", *changes))
+        agent.tell(writer.row(state="leaving"))
+        await until(lambda: is_draining(on))
+        assert agent.asked[1] == "/api/targets"
+
+    play(reader, writer, story=story)
+
+
 def test_invalid_complete_lists_are_requested_with_backoff() -> None:
     async def story(on: Stage) -> None:
         async def bad(connection: PeerConnection) -> None:
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -334,6 +334,8 @@
             # The change was overtaken. A complete list counts whatever its version: discovery may have begun
             # anew, and what it has is what there is.
             log_rate_limited("endpoint_list_stale", version=update.version, known=self.version)
+            if connection.index is not None and update.version < connection.index:
+                raise EndpointListError(f"version {update.version} after {connection.index}")
             return
         self.version = update.version
         connection.index = update.version
