A list that the decoder can't take no longer ends the process

Cause: msgspec raises RecursionError for objects nested too deeply and UnicodeDecodeError for text that is no UTF-8; `EndpointListDecoder` caught MsgspecError alone, so both left `Watch._follow` and ended the process. Integers of more than 64 bits passed as a version or cell and failed where they were logged or stored.

Change: DECODE_ERRORS names all three; versions and cells are 64-bit integers.

Measured: the four cases of `a_change_that_the_decoder_can_not_take_...` failed before (each ended the process or its update), pass now.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -343,6 +343,29 @@
     play(reader, writer, story=story)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        b'{"version":2,"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}\n",
+        b'{"version":1,"servers":[{"id":"\xff\xfe"}]}\n',
+        b'{"version":%d}\n' % 10**30,
+        b'{"version":1,"servers":[{"id":"r","cell":%d}]}\n' % 10**30,
+    ],
+    ids=["nested too deeply", "no UTF-8", "version of 100 bits", "cell of 100 bits"],
+)
+def test_a_change_that_the_decoder_can_not_take_ends_nothing(change: bytes) -> None:
+    """What it raised for some of them ended the process."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        agent = await watch_agent(on, sending(b"\n", change))
+        agent.tell(writer.row(state="leaving"))
+        await until(lambda: is_draining(on))
+        assert on.daemon.core.endpoints.keys() == {"r", "w"}
+
+    play(reader, writer, story=story)
+
+
 def test_after_a_version_that_goes_back_the_complete_list_is_requested() -> None:
     """Every change after one of a far too high version was taken for an overtaken one."""
     reader, writer = pair()
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -4,7 +4,7 @@
 
 import re
 from collections.abc import Callable, Iterator
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -21,6 +21,9 @@
 MAX_HOST_LENGTH = 253  # of a name (RFC 1035)
 MAX_LABEL_LENGTH = 63
 MAX_PORT = 65535
+# What the decoder raises for a text that is not JSON, is nested too deeply, or has fields of another type.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 STATES = {"active": EndpointState.HEALTHY, "leaving": EndpointState.DRAINING, "left": EndpointState.REMOVED}
 
 
@@ -31,7 +34,7 @@
     addr: str = ""
     zone: str = ""
     kind: str = ""
-    cell: int = 0
+    cell: Int64 = 0
     state: str = "active"
     weight: float = 1.0
     started_ms: float = 0.0
@@ -40,7 +43,7 @@
 class EndpointListMessage(msgspec.Struct):
     """A complete list (`full`), or the entries that have changed since an earlier version."""
 
-    version: int = 0
+    version: Int64 = 0
     full: bool = False
     servers: list[ListedEndpoint] = []
 
@@ -55,7 +58,7 @@
 class UndecodedListMessage(msgspec.Struct):
     """A list whose entries are decoded one by one, because one of them could not be."""
 
-    version: int = 0
+    version: Int64 = 0
     full: bool = False
     servers: list[msgspec.Raw] = []
 
@@ -121,7 +124,7 @@
         unreadable: tuple[str, ...] = ()
         try:
             message = self._decoder.decode(value)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             message, unreadable = self._decode_entries(value, str(error))
         event = self.to_event(message, UpdateScope.SNAPSHOT if message.full else UpdateScope.DELTA)
         if unreadable:
@@ -171,12 +174,12 @@
         unreadable = []
         try:
             message = msgspec.json.decode(value, type=UndecodedListMessage)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             raise EndpointListError(reason[:ERROR_LENGTH]) from None
         for entry in message.servers:
             try:
                 servers.append(msgspec.json.decode(entry, type=ListedEndpoint))
-            except msgspec.MsgspecError:
+            except DECODE_ERRORS:
                 unreadable.append(bytes(entry)[:SKIPPED_LENGTH].decode("latin-1"))
                 servers += self._known_part(entry)
         return _PartialList(
@@ -187,7 +190,7 @@
         """What an unreadable entry means for a known host: its new state, if that much can be read."""
         try:
             identity = msgspec.json.decode(entry, type=EntryIdentity)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return []
         known = self._known(identity.id)
         if known is None:
