--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -95,7 +95,7 @@
         if (running := self._running.get(attempt)) is None:
             return
         if running.connection is not None:
-            running.connection.close()
+            running.connection.abort()
         running.scope.cancel()
 
     def request_sent(self, attempt: Attempt) -> Callable[[], Awaitable[None]] | None:
@@ -136,7 +136,9 @@
         """The exchange's result, whatever it raises: no attempt's failure may end the program."""
         try:
             return await exchange(running)
-        except (NotConnectedError, SendWithheldError):
+        except SendWithheldError:
+            return AttemptResult(AttemptStatus.ALREADY_FINISHED)
+        except NotConnectedError:
             return AttemptResult(AttemptStatus.CONNECT_FAILED)
         except (InvalidResponseError, sse.InvalidEventError) as error:
             log_rate_limited(
@@ -183,7 +185,7 @@
             self._core.request_written(attempt)
             running.request_sent.set()
 
-        await connection.write(parts, written, attempt.request.sending_allowed)
+        await connection.write(parts, written, lambda: self._core.may_continue_sending(now_ms(), attempt))
 
     async def _read_response(
         self,
@@ -233,4 +235,5 @@
         ("Req-Id", attempt.request.id),
         ("Req-Deadline", f"{wait_ms}m"),
         ("Content-Type", payload.content_type),
+        *payload.headers,
     ]
