--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -229,6 +229,25 @@
     play(reader, writer, story=story)
 
 
+@pytest.mark.parametrize(
+    ("first", "floods"), [(b"", watch.MAX_WAITING), (b"\n", 1)], ids=["before its first word", "after it"]
+)
+def test_a_flood_of_bytes_without_an_object_is_no_sign_of_life(first: bytes, floods: int) -> None:
+    """A connection with unread bytes at each look was never given up."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        async def flood(connection: PeerConnection) -> None:
+            while True:
+                await connection.data(b" " * watch.RECEIVE_BYTES)
+
+        agent = await watch_agent(on, *[sending(first, then=flood)] * floods)
+        agent.tell(writer.row(state="leaving"))
+        await until(lambda: is_draining(on), 2.0)
+
+    play(reader, writer, story=story)
+
+
 # --- a new address, and a new process ---
 
 
@@ -326,6 +345,43 @@
     play(reader, writer, story=story)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        b'{"version":2,"x":' + b"[" * 5000 + b"]" * 5000 + b"}\n",
+        b'{"version":1,"servers":[{"id":"\xff\xfe"}]}\n',
+        b'{"version":%d}\n' % 10**30,
+        b'{"version":1,"servers":[{"id":"r","cell":%d}]}\n' % 10**30,
+    ],
+    ids=["nested too deeply", "no UTF-8", "version of 100 bits", "cell of 100 bits"],
+)
+def test_a_change_that_the_decoder_can_not_take_ends_nothing(change: bytes) -> None:
+    """What it raised for some of them ended the process."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        agent = await watch_agent(on, sending(b"\n", change))
+        agent.tell(writer.row(state="leaving"))
+        await until(lambda: is_draining(on))
+        assert on.daemon.core.endpoints.keys() == {"r", "w"}
+
+    play(reader, writer, story=story)
+
+
+def test_after_a_version_that_goes_back_the_complete_list_is_requested() -> None:
+    """Every change after one of a far too high version was taken for an overtaken one."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        changes = [list_message(10**12, reader.row()), list_message(2, writer.row(state="leaving"))]
+        agent = await watch_agent(on, sending(b"\n", *changes))
+        agent.tell(writer.row(state="leaving"))
+        await until(lambda: is_draining(on))
+        assert agent.asked[1] == "/api/targets"
+
+    play(reader, writer, story=story)
+
+
 def test_invalid_complete_lists_are_requested_with_backoff() -> None:
     async def story(on: Stage) -> None:
         async def bad(connection: PeerConnection) -> None:
