A wait for a restart permit takes no time from the drain after it

Cause: since the shutdown counts from SIGTERM, the time in which Daemon._stop waits for a restart permit (daemon/daemon.py) counted as well: the drain was over when the permit came, and waiting requests were ended at once. Ruled out: deployments without permits, which wait for nothing there. Change: the shutdown's times begin that much later; whoever has processes wait for a permit gives them the time. Result: the new test passes; it fails if the wait is counted (the process no longer accepts).

--- a/tests/test_shutdown_deadlines.py
+++ b/tests/test_shutdown_deadlines.py
@@ -168,3 +168,29 @@
         assert (await streaming.receive()).whole
 
     play(reader, writer, story=story, settings=settings_with_timeout(15000.0))
+
+
+class _LeasesWithWait:
+    """Leases whose restart permit comes after a while."""
+
+    async def shut_down(self) -> None:
+        await trio.sleep(0.7)
+
+
+def test_a_wait_for_a_restart_permit_takes_no_time_from_the_drain() -> None:
+    """Else the requests that wait when the permit comes were ended at once."""
+    hold = trio.Event()
+
+    async def story(on: Stage) -> None:
+        on.daemon.leases = _LeasesWithWait()  # type: ignore[assignment]
+        call = await send_request(on, "q1")
+        await until(lambda: bool(on.daemon.core.open_requests))
+        on.daemon.lifecycle.signal_received()
+        on.daemon.stop.set()
+        await until(lambda: on.daemon.listeners[0].draining)
+        await trio.sleep(0.06)  # three looks of the shutdown at its clock
+        assert on.daemon.accepting
+        hold.set()
+        assert (await call.receive()).outcome == "served"
+
+    play(*pair(Act(before=hold)), story=story, settings=settings_with_timeout(1500.0))
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -332,11 +332,16 @@
     # --- shutdown ---
 
     async def _stop(self) -> None:
+        signal = self.lifecycle.signal_time()
         if self.leases is not None:
+            began_ms = now_ms()
             await self.leases.shut_down()
+            # Whoever has processes wait for a permit gives them the time for it before SIGKILL.
+            signal = signal.later(now_ms() - began_ms)
         shutdown = GracefulShutdown(
             self.config.settings,
             self.lifecycle,
+            signal,
             core=self.core,
             hosts=self.hosts,
             fronts=self.fronts,
--- a/violetstack/daemon/lifecycle.py
+++ b/violetstack/daemon/lifecycle.py
@@ -23,6 +23,10 @@
     earliest_ms: float
     handled_ms: float
 
+    def later(self, by_ms: float) -> SignalTime:
+        """The time for a shutdown that begins `by_ms` later."""
+        return SignalTime(self.earliest_ms + by_ms, self.handled_ms + by_ms)
+
 
 class Lifecycle:
     """Whether the endpoint list is known, new requests are taken, and shutdown has been asked for.
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -34,14 +34,16 @@
         self,
         settings: Settings,
         lifecycle: Lifecycle,
+        signal: SignalTime,
         *,
         core: Dispatcher,
         hosts: UpstreamDriver,
         fronts: FrontServers,
         hot_restart: HotRestart | None,
     ) -> None:
-        """Takes the parts; nothing is shut down before `run`."""
+        """Takes the parts and the time of SIGTERM; nothing is shut down before `run`."""
         self._lifecycle = lifecycle
+        self._signal = signal
         self._core = core
         self._hosts = hosts
         self._fronts = fronts
@@ -54,26 +56,25 @@
     async def run(self) -> None:
         """Returns once no request is open any more, and no connection is left on which one could come."""
         log("shutdown_started", open=len(self._core.open_requests), successor=self._find_successor())
-        signal = self._lifecycle.signal_time()
         for listener in self._fronts.listeners:
             listener.draining = True
         await self._hand_over()
         # Whether anything is left is asked in the very step in which idle connections were closed.
-        nothing_left = self._advance(signal)
+        nothing_left = self._advance()
         while not nothing_left:
             await trio.sleep(POLL_S)
-            nothing_left = self._advance(signal)
+            nothing_left = self._advance()
         if self._fronts.idempotency is not None:
             self._fronts.idempotency.stop_retrying()
 
-    def _advance(self, signal: SignalTime) -> bool:
+    def _advance(self) -> bool:
         """Takes the steps that are due after SIGTERM; returns whether nothing is left to do.
 
         SIGKILL may follow from the earliest time at which the signal can have come, and new connections may
         come until some time after the latest.
         """
         schedule = self._schedule
-        elapsed_s = (now_ms() - signal.earliest_ms) / 1000.0
+        elapsed_s = (now_ms() - self._signal.earliest_ms) / 1000.0
         if elapsed_s >= schedule.reject_s and not self._rejecting:
             self._rejecting = True
             log("shutdown_rejecting")
@@ -84,7 +85,7 @@
             log("shutdown_deadline", open=len(self._core.open_requests))
             self._core.shutdown_started()
         if self._lifecycle.accepting:
-            self._stop_accepting_if_due((now_ms() - signal.handled_ms) / 1000.0)
+            self._stop_accepting_if_due((now_ms() - self._signal.handled_ms) / 1000.0)
             return False  # what was accepted last is not in its listener's table before the next turn
         for listener in self._fronts.listeners:
             listener.table.close_idle()
