A background task that fails is logged and started again; no request ends with it

Cause: tasks of the daemon's nursery that raise end the process and every request in flight: the watch with what the pool or the core raise for an update (an address that can't be parsed did), the pool's expiry, pause detector, gossip, leases, load shedding, durable state, idempotency store, admin API, certificate renewal, the check of recovered hosts. PauseDetector.run that failed in between would have held all sends for ever (catching_up stayed set). Ruled out: attempts, releases, reservations, health checks and client connections, which catch their own failures.

--- /dev/null
+++ b/tests/test_background_tasks.py
@@ -0,0 +1,83 @@
+"""Failures of background tasks, which must not end the process and with it the requests in flight."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+import trio.testing
+
+from tests.steady import until
+from tests.test_process_pause import GRACE_MS, pause_process
+from tests.test_stories import pair, play
+from violetstack.daemon.background_task import RESTART_DELAY_S, start_background_task
+from violetstack.net.pause_detector import PauseDetector
+from violetstack.policy_api import EndpointUpdate
+from violetstack.rehearsal.clients import ask_platform
+from violetstack.rehearsal.stage import Stage
+
+
+def test_a_task_that_fails_is_started_again_until_it_ends() -> None:
+    started_at: list[float] = []
+    prepared: list[int] = []
+
+    async def fail_twice(name: str) -> None:
+        assert name == "n0"
+        started_at.append(trio.current_time())
+        if len(started_at) < 3:
+            raise RuntimeError("not foreseen")
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            start_background_task(
+                nursery, fail_twice, "n0", before_restart=lambda: prepared.append(len(started_at))
+            )
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.0))
+    assert [at - started_at[0] for at in started_at] == pytest.approx(
+        [0.0, RESTART_DELAY_S, 2 * RESTART_DELAY_S]
+    )
+    assert prepared == [1, 2]
+
+
+def test_a_watch_that_fails_asks_for_the_complete_list_and_requests_are_served() -> None:
+    """An update that the pool or the core raised for ended the process."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        await on.daemon.endpoints.watch.heard.wait()  # type: ignore[union-attr]
+        apply_update = on.daemon.core.update_endpoints
+        failures = [RuntimeError("not foreseen")]
+
+        def failing_once(now: float, update: EndpointUpdate) -> None:
+            if failures:
+                raise failures.pop()
+            apply_update(now, update)
+
+        on.daemon.core.update_endpoints = failing_once  # type: ignore[method-assign]
+        on.discovery.tell({**writer.row(), "id": "w2", "addr": "127.0.0.1:1", "state": "leaving"})
+        await until(lambda: "w2" in on.daemon.core.draining)
+        assert not failures
+        assert (await ask_platform(on.platform, "q1", "orden")).outcome == "served"
+
+    play(reader, writer, story=story)
+
+
+def test_sends_go_on_after_a_pause_whose_handling_fails() -> None:
+    """They waited for ever for the sockets to be read."""
+
+    def failing(_pause_ms: float) -> None:
+        raise RuntimeError("not foreseen")
+
+    async def main() -> None:
+        detector = PauseDetector(GRACE_MS, failing)
+        async with trio.open_nursery() as nursery:
+            start_background_task(nursery, detector.run)
+            await trio.testing.wait_all_tasks_blocked()
+            pause_process(1.2 * GRACE_MS)
+            await trio.lowlevel.checkpoint()
+            assert detector.catching_up
+            with trio.fail_after(2.0):
+                await detector.wait_caught_up()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -11,6 +11,7 @@
 
 from violetstack.config import Address, Config
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.daemon.background_task import start_background_task
 from violetstack.daemon.dispatch import build_dispatch, capture_learned_state
 from violetstack.daemon.endpoints import EndpointService
 from violetstack.daemon.fronts import FrontServers
@@ -254,7 +255,7 @@
             learned=lambda: capture_learned_state(self.router),
             on_siblings_changed=self.limits.apply,
         )
-        self.nursery.start_soon(self.hot_restart.handover.run)
+        start_background_task(self.nursery, self.hot_restart.handover.run)
 
     def _start_gossip(self) -> None:
         """Exchanges load with the other dispatchers, and holds leases where they are configured."""
@@ -278,7 +279,7 @@
             discard=lambda: pause_detector.catching_up,
             handle_lease=self.leases.receive if self.leases is not None else None,
         )
-        self.nursery.start_soon(transport.run, receiver.receive)
+        start_background_task(self.nursery, transport.run, receiver.receive)
 
     def _is_eligible(self) -> bool:
         """May this dispatcher take on leases now?"""
--- a/violetstack/daemon/dispatch.py
+++ b/violetstack/daemon/dispatch.py
@@ -9,6 +9,7 @@
 
 from violetstack.config import Config
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.daemon.background_task import start_background_task
 from violetstack.daemon.event_loop import EventLoop, WakeSignal
 from violetstack.daemon.optional_services import start_state_writer
 from violetstack.log import log
@@ -39,7 +40,7 @@
     def start(self, nursery: trio.Nursery) -> None:
         """Starts the event loop, and closes upstream connections that are idle for too long."""
         nursery.start_soon(self.loop.run)
-        nursery.start_soon(self.hosts.pool.close_expired)
+        start_background_task(nursery, self.hosts.pool.close_expired)
 
     def restore_learned_state(self, learned_state: LearnedState | None) -> None:
         """Gives the policy the estimates of a predecessor or of the durable state."""
@@ -69,7 +70,7 @@
     pause_detector = PauseDetector(config.drain_grace_ms, process_paused)
     pool.wait_caught_up = pause_detector.wait_caught_up
     pause_detector.add_source(hosts)
-    nursery.start_soon(pause_detector.run)
+    start_background_task(nursery, pause_detector.run)
     wake_signal = WakeSignal()
     core = Dispatcher(
         settings,
--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -11,6 +11,7 @@
 from violetstack.config import Config, parse_address
 from violetstack.core.backoff import Backoff
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.daemon.background_task import start_background_task
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.net.pause_detector import PauseDetector
@@ -91,7 +92,8 @@
         known = await self._recovery.load_endpoints(known)
         self._receive(self._decoder.to_event(known, UpdateScope.CACHED))
         if self._state_writer is not None:
-            nursery.start_soon(
+            start_background_task(
+                nursery,
                 self._state_writer.endpoint_cache.verify,
                 self.remove_unreachable,
                 lambda: self._recovery.list_received,
@@ -108,7 +110,8 @@
             on_unchanged=self._confirm,
         )
         pause_detector.add_source(self.watch)
-        nursery.start_soon(self.watch.run)
+        # A watch that failed has lost its connections: another asks for the complete list.
+        start_background_task(nursery, self.watch.run, before_restart=self.watch.request_list)
 
     def _add_openai_hosts(self) -> None:
         operator = self._config.operator
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -10,6 +10,7 @@
 
 from violetstack.config import Address, Config, ConfigError, parse_address
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.daemon.background_task import start_background_task
 from violetstack.fronts.platform import PlatformFront
 from violetstack.fronts.reply import Front
 from violetstack.log import log, log_rate_limited
@@ -128,7 +129,7 @@
         owner = f"{self._config.node.name}/{uuid.uuid4().hex}"  # a restart is another owner
         store = IdempotencyStore(file.file, owner, file.keep_hours * 3600.0, file.lease_s)
         service = IdempotencyService(store, file.lease_s)
-        self._nursery.start_soon(service.run)
+        start_background_task(self._nursery, service.run)
         return service
 
     async def _start_acme(self, acme_config: AcmeConfig, certificate: Certificate) -> None:
@@ -137,7 +138,7 @@
         front = acme.ChallengeFront()
         self.challenge_at = await self._listen(parse_address(acme_config.challenge_listen), front)
         issue = acme.AcmeClient(acme_config, front).issue
-        self._nursery.start_soon(acme.renew_certificate, acme_config, certificate, issue)
+        start_background_task(self._nursery, acme.renew_certificate, acme_config, certificate, issue)
 
     def _spawn(self, act: Callable[[], Awaitable[None]]) -> None:
         self._nursery.start_soon(_run_guarded, act)
--- a/violetstack/daemon/optional_services.py
+++ b/violetstack/daemon/optional_services.py
@@ -9,6 +9,7 @@
 
 from violetstack.config import Address, Config
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.daemon.background_task import start_background_task
 from violetstack.daemon.fronts import listen_on
 from violetstack.log import log
 from violetstack.net.clock import now_ms
@@ -38,7 +39,7 @@
     from violetstack.net.state_writer import StateWriter
 
     state_writer = StateWriter(state, config.settings.seed, config.settings.slow_start_ms, learned)
-    nursery.start_soon(state_writer.run)
+    start_background_task(nursery, state_writer.run)
     return state_writer
 
 
@@ -60,7 +61,7 @@
     from violetstack.net.admin_service import AdminService
 
     listener = (await listen_on(config.admin_listen, "mgmt"))[0]
-    nursery.start_soon(AdminServer(AdminService(daemon)).run, listener)
+    start_background_task(nursery, AdminServer(AdminService(daemon)).run, listener)
     bound = listener.socket.getsockname()
     return bound[0], bound[1]
 
@@ -84,7 +85,7 @@
     leases = LeaseService(
         lease_config, core, transport, pause_detector, is_eligible=is_eligible, is_suspect=is_suspect
     )
-    nursery.start_soon(leases.run)
+    start_background_task(nursery, leases.run)
     return leases
 
 
@@ -130,7 +131,7 @@
     service = LoadSheddingService(load_shedder, core, router, listeners, config.limits.cores)
     service.start()
     core.use_load_shedder(load_shedder)
-    nursery.start_soon(service.run)
+    start_background_task(nursery, service.run)
     if plan.socket_path:
-        nursery.start_soon(service.serve_socket, plan.socket_path)
+        start_background_task(nursery, service.serve_socket, plan.socket_path)
     return service
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -38,6 +38,7 @@
             "config_reload_failed",
             "request_failed",
             "state_io_failed",
+            "task_failed",
         ),
         "error",
     ),
--- a/violetstack/net/pause_detector.py
+++ b/violetstack/net/pause_detector.py
@@ -107,11 +107,13 @@
         while True:
             await self._pause_detected.wait()
             self._pause_detected = trio.Event()
-            iterations = await self._read_sources()
-            log("process_paused", pause_ms=round(self._pause_ms), loop_iterations=iterations)
-            self._on_pause(self._pause_ms)
-            self.catching_up = False
-            self._caught_up.set()
+            try:
+                iterations = await self._read_sources()
+                log("process_paused", pause_ms=round(self._pause_ms), loop_iterations=iterations)
+                self._on_pause(self._pause_ms)
+            finally:  # whatever fails here, sends must not wait any longer
+                self.catching_up = False
+                self._caught_up.set()
 
     async def _read_sources(self) -> int:
         """Lets the reading tasks run until nothing is unread; returns the number of loop iterations."""
