Gaps in which nothing was read end one by one and do not add up

Cause: UnreadAge (process_pause.py) kept the start of the first gap for as long as another followed within five iterations: a process of which every iteration is long in the end took each request for too old and refused it. Change: each gap ends by itself, after six iterations with an empty queue or 1 s; gaps count from 100 ms on.

--- a/violetstack/process_pause.py
+++ b/violetstack/process_pause.py
@@ -10,14 +10,15 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 
 IMMEDIATE_MS = 1.0  # an I/O wait shorter than this returned data that was there before it began
 OVERSLEPT_MS = 20.0  # a wait may return this late because the scheduler was busy, without a pause
-MIN_UNREAD_GAP_MS = 50.0  # a third of what a deadline that is passed on may be too long
+MIN_UNREAD_GAP_MS = 100.0  # two thirds of what a deadline that is passed on may be too long
 MIN_AGE_MS = 10.0
-SETTLE_ITERATIONS = 5  # a connection is accepted, gets its task, is read, parsed and handed on
-MAX_SETTLE_MS = 300.0
+SETTLE_ITERATIONS = 6  # a connection is accepted, gets its task, is read and handed on
+MAX_SETTLE_MS = 1000.0
 
 
 class PauseTracker:
@@ -73,33 +74,44 @@
 
     What lies in the sockets of open connections is read in the iteration after a gap. A connection that waits
     to be accepted takes some more, so after a gap its start counts until the queue has been empty for
-    SETTLE_ITERATIONS, but for MAX_SETTLE_MS at most.
+    SETTLE_ITERATIONS, but for MAX_SETTLE_MS at most. Each gap ends by itself: a process of which every
+    iteration is long must not add them up.
     """
 
     def __init__(self) -> None:
         """Starts with nothing unread."""
-        self._gap_began: float | None = None
-        self._gap_ended = 0.0
-        self._iterations_empty = 0
+        self._gaps: deque[_Gap] = deque()  # the oldest first
 
     def wait_ended(self, now: float, earliest_arrival: float) -> None:
         """Records that an iteration begins, in which data from `earliest_arrival` on may be read."""
-        if now - earliest_arrival < MIN_UNREAD_GAP_MS:
-            return
-        if self._gap_began is None:
-            self._gap_began = earliest_arrival
-        self._gap_ended = now
-        self._iterations_empty = 0
+        if now - earliest_arrival >= MIN_UNREAD_GAP_MS:
+            self._gaps.append(_Gap(earliest_arrival, now))
 
     def iteration_ended(self, now: float, queued: Callable[[], bool]) -> None:
         """Records the end of an iteration; `queued`: whether connections wait to be accepted."""
-        if self._gap_began is None:
+        if not self._gaps:
             return
-        self._iterations_empty = 0 if queued() else self._iterations_empty + 1
-        if self._iterations_empty >= SETTLE_ITERATIONS or now >= self._gap_ended + MAX_SETTLE_MS:
-            self._gap_began = None
+        if not queued():
+            for gap in self._gaps:
+                gap.iterations_empty += 1
+        while self._gaps and self._gaps[0].is_over(now):
+            self._gaps.popleft()
 
     def max_age(self, now: float, earliest_arrival: float) -> float:
         """Returns how old what is read now may be; 0 if that is less than MIN_AGE_MS."""
-        since = earliest_arrival if self._gap_began is None else min(self._gap_began, earliest_arrival)
+        since = min(self._gaps[0].began, earliest_arrival) if self._gaps else earliest_arrival
         return now - since if now - since >= MIN_AGE_MS else 0.0
+
+
+class _Gap:
+    """A time in which nothing was read, and how far the queue has been worked off since."""
+
+    __slots__ = ("began", "ended", "iterations_empty")
+
+    def __init__(self, began: float, ended: float) -> None:
+        self.began = began
+        self.ended = ended
+        self.iterations_empty = 0
+
+    def is_over(self, now: float) -> bool:
+        return self.iterations_empty >= SETTLE_ITERATIONS or now >= self.ended + MAX_SETTLE_MS
