A connection whose time ran out while the process was stopped is looked at before it is closed

Cause: net/downstream/connection.py, `_first_byte`: after SIGCONT epoll_wait ends with EINTR and, its time being over, tells no events, so trio cancels the wait although the request lies in the socket; the connection was closed over it with no answer. `has_unread` didn't see what waits below TLS either, so such a connection was answered 408, evicted or closed as idle over a request.

Ruled out: bytes lost by a read that is cancelled under TLS. trio's SSLStream hands what it has taken to the decoder in the same step, and cancels only the wait before; `requests_sent_together_under_tls_are_all_answered` passes with records cut anywhere. A retry with a deadline in the past would read nothing and spin, as trio cancels it on entry: what is there is read with a limit of its own, LATE_READ_S.

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import datetime
 import errno
 import re
 import socket
+import ssl
 import time as real_time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
 import trio.testing
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
 
 from tests.steady import Steady, until
 from tests.test_stories import pair, play
@@ -21,7 +29,7 @@
 from violetstack.net.downstream import listener as listener_module
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.protocol.http_server import HttpRequest
-from violetstack.rehearsal.clients import BODY, platform_headers
+from violetstack.rehearsal.clients import BODY, chat_body, chat_headers, connect, platform_headers
 from violetstack.rehearsal.hosts import SILENT, Act
 from violetstack.rehearsal.stage import Stage
 
@@ -40,8 +48,8 @@
 class RawClient:
     """Writes bytes and collects the statuses of what comes back."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self.stream: Any = stream
         self.heard = b""
         self.ended = False
         self.reset = False
@@ -205,7 +213,7 @@
 
     async def story(on: Stage) -> None:
         client = await RawClient.connect(on.platform)
-        client.stream.socket._sock.send(request("q1") + request("q2"))  # type: ignore[attr-defined]
+        client.stream.socket._sock.send(request("q1") + request("q2"))
         client.stream.socket.shutdown(socket.SHUT_WR)
         assert await client.receive_to_end() == [503, 503]
         assert (reader.begun, client.reset) == ([], False)
@@ -631,3 +639,98 @@
         await client.stream.aclose()
 
     play(*pair(), story=story)
+
+
+class InterruptedWait:
+    """Sees nothing until it is cancelled: epoll after SIGCONT, with the time that it was given over."""
+
+    def __init__(self, then: Callable[..., Awaitable[Any]]) -> None:
+        self._then = then
+        self._interrupted = False
+
+    async def __call__(self, *args: Any) -> Any:
+        if not self._interrupted:
+            self._interrupted = True
+            await trio.sleep_forever()
+        return await self._then(*args)
+
+
+@pytest.mark.parametrize("half_read", [False, True])
+def test_a_request_that_came_while_the_process_was_stopped_is_answered(
+    half_read: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The time for it was over before the socket was looked at, and the connection was closed over it."""
+    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.05)
+    whole = request("q1")
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        stream = (await connection_of(on)).stream
+        if half_read:
+            await client.send(whole[:-20])
+            await trio.testing.wait_all_tasks_blocked()
+            monkeypatch.setattr(stream, "receive_some", InterruptedWait(stream.receive_some))
+            await client.send(whole[-20:-10])
+            await trio.testing.wait_all_tasks_blocked()
+            await client.send(whole[-10:])
+        else:
+            waiting = InterruptedWait(trio.lowlevel.wait_readable)
+            monkeypatch.setattr(connection_module, "wait_readable", waiting)
+            client = await RawClient.connect(on.platform)
+            await client.send(whole)
+        assert await client.receive_answers(1) == [200]
+        await client.stream.aclose()
+
+    play(*pair(), story=story)
+
+
+# --- under TLS ---
+
+
+def self_signed(folder: Path) -> dict[str, str]:
+    """The files of a certificate for localhost."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "localhost")])
+    today = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(today - datetime.timedelta(days=1))
+        .not_valid_after(today + datetime.timedelta(days=1))
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    plain = (serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
+    (folder / "chain.pem").write_bytes(certificate.public_bytes(pem))
+    (folder / "key.pem").write_bytes(key.private_bytes(pem, *plain))
+    return {"certificate": str(folder / "chain.pem"), "key": str(folder / "key.pem")}
+
+
+def test_requests_sent_together_under_tls_are_all_answered(tmp_path: Path) -> None:
+    """The end of the first answer cancels a read; what TLS has taken from the socket must stay."""
+    gate = trio.Event()
+    reader, writer = pair(reads=(Act(before=gate),))
+    body = chat_body("giro-consulta")
+    told = [*chat_headers(), ("Content-Length", str(len(body)))]
+    head = "\r\n".join([f"POST {PATH} HTTP/1.1", "Host: x", *(f"{k}: {v}" for k, v in told), "", ""])
+    whole = head.encode() + body
+
+    async def story(on: Stage) -> None:
+        context = ssl.create_default_context()
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_NONE
+        call = await connect(on.chat, context)
+        await call.stream.send_all(whole + whole[:50])
+        await until(lambda: len(reader.begun) == 1)
+        await call.stream.send_all(whole[50:-5])
+        gate.set()
+        client = RawClient(call.stream)
+        assert await client.receive_answers(1) == [200]
+        await call.stream.send_all(whole[-5:] + whole)
+        assert await client.receive_answers(3) == [200, 200, 200]
+        await call.stream.aclose()
+
+    play(reader, writer, story=story, chat={"tls": self_signed(tmp_path)})
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -8,6 +8,7 @@
 
 import trio
 from msgspec.structs import replace
+from trio.lowlevel import wait_readable
 
 from violetstack.core.records import OpenRequest
 from violetstack.log import log_rate_limited
@@ -30,6 +31,8 @@
 """A new connection's first byte, and the next bytes of a request that has begun, come within this time."""
 MAX_ARRIVAL_S = 15.0
 """A whole request arrives within this time; within REQUEST_TIMEOUT_S if connections are many."""
+LATE_READ_S = 0.05
+"""For bytes that are in the socket when the time for them is over; under TLS they may be no whole record."""
 MIGRATION_FLUSH_TIMEOUT_S = 0.3
 """Output that is not written by then keeps a stream from being migrated to another process."""
 LINGERING_CLOSE_S = 0.5
@@ -279,7 +282,8 @@
 
     def has_unread(self) -> bool:
         """Whether bytes, or the client's end, wait in the socket."""
-        return isinstance(self.stream, trio.SocketStream) and self.stream.socket.is_readable()
+        transport = self._transport
+        return transport is not None and transport.socket.is_readable()
 
     @property
     def unwritten_bytes(self) -> int:
@@ -323,8 +327,8 @@
         """Waits for the first byte; False if the time for one is over."""
         if isinstance(self.stream, trio.SocketStream):
             with trio.move_on_at(self.last_used + REQUEST_TIMEOUT_S) as timer:
-                await trio.lowlevel.wait_readable(self.stream.socket)
-            if timer.cancelled_caught:
+                await wait_readable(self.stream.socket)
+            if timer.cancelled_caught and not self.has_unread():
                 log_rate_limited("client_request_timeout")
                 return False
         self.start_parsing(HttpServerConnection())
@@ -370,7 +374,7 @@
             if transport.socket.is_readable():
                 await trio.sleep(CLIENT_END_POLL_S)
             else:
-                await trio.lowlevel.wait_readable(transport.socket)
+                await wait_readable(transport.socket)
 
     def _reading_ended(self) -> None:
         """Ends the request that waits for its answer, and answers it: the client may still read.
@@ -402,8 +406,9 @@
 
     async def _receive(self, deadline: float) -> bool:
         """Reads once, until `deadline` on trio's clock; False if the connection has ended."""
-        if trio.current_time() >= deadline and self.has_unread():
-            deadline = math.inf  # it came in time, and this process looks late
+        now = trio.current_time()
+        if now >= deadline and self.has_unread():
+            deadline = now + LATE_READ_S  # it came in time, and this process looks late
         data: bytes | bytearray = b""
         with trio.move_on_at(deadline) as timer:
             self._read_timer = timer
