A client's end behind much pipelined data is read sooner; its notice within 0.1 s is tested

Ruled out by the new tests: a client's end, by FIN or by reset, with nothing, 300 KB or 3 MB behind its request, is noticed within 100 ms while the request waits in the core. TCP_NODELAY is set on every client's socket (by trio).

Change: DISCARD_SIZE is 1 MiB, and a connection whose requests are turned away counts as having sent one, so that it is not closed as silent (net/downstream/connection.py, `_turn_away`).

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -7,6 +7,7 @@
 import re
 import socket
 import ssl
+import struct
 import time as real_time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -734,3 +735,43 @@
         await call.stream.aclose()
 
     play(reader, writer, story=story, chat={"tls": self_signed(tmp_path)})
+
+
+# --- a client that leaves ---
+
+
+def reset(stream: trio.SocketStream) -> None:
+    """Closes with a reset."""
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream.socket.close()
+
+
+@pytest.mark.parametrize("behind", [0, 300_000, 3_000_000])
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_client_that_leaves_is_noticed_within_100_ms(behind: int, how: str) -> None:
+    reader, writer = pair(reads=(SILENT,))
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"))
+        await until(lambda: reader.begun == ["q1"])
+        await client.send(b"x" * behind)
+        if how == "reset":
+            reset(client.stream)
+        else:
+            client.stream.socket.close()
+        await until(lambda: not on.daemon.core.open_requests, 0.1)
+
+    play(reader, writer, story=story)
+
+
+def test_small_writes_to_clients_are_not_held_back() -> None:
+    """A close over unread bytes would take them along."""
+
+    async def story(on: Stage) -> None:
+        await RawClient.connect(on.platform)
+        stream = (await connection_of(on)).stream
+        assert isinstance(stream, trio.SocketStream)
+        assert stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    play(*pair(), story=story)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -45,7 +45,7 @@
 MAX_UNREAD_BYTES_WHEN_FULL = 64 * 1024
 """The same while the bound on request bodies is exceeded."""
 DISCARD_INTERVAL_S = 0.01
-DISCARD_SIZE = 256 * 1024
+DISCARD_SIZE = 1024 * 1024
 CLIENT_END_POLL_S = 0.02
 """Bytes that are left unread in the socket hide the client's end; it is looked for this often."""
 CLOSE_TIMEOUT_S = 1.0
@@ -488,6 +488,8 @@
         """Rejects a complete request; the connection ends unless another has been read behind it."""
         self.http.closing = self.http.closing or not self.http.unread
         self.answering = True
+        self.served = True
+        self.listener.table.mark_engaged(self)
         self.listener.front.rejected(503, reason, ResponseHandle(self))
 
     def _reject_evicted(self, inbound: HttpRequest | None) -> None:
