The reading half of a client connection has a module of its own; no behaviour changes

Its reading task with the time limits and bounds is now `ConnectionReader` (connection_reader.py), and what a socket tells without being read is in socket_state.py. Tests follow the moved names, with the same assertions.

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -12,7 +12,9 @@
 from violetstack import log
 from violetstack.config import Address
 from violetstack.net.admin_server import MAX_CONNECTIONS
-from violetstack.net.downstream import connection, connection_table, listener
+from violetstack.net.downstream import connection_reader, connection_table, listener
+from violetstack.net.downstream.connection import DownstreamConnection
+from violetstack.net.downstream.connection_reader import ConnectionReader
 from violetstack.net.resource_limits import (
     ADMIN_API_DESCRIPTORS,
     MIN_CONNECTIONS,
@@ -172,7 +174,7 @@
 def test_silence_and_half_requests_are_ended(
     chat: bool, sent: bytes, told: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(connection, "REQUEST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(connection_reader, "REQUEST_TIMEOUT_S", 0.05)
 
     async def story(on: Stage) -> None:
         answer = await raw(on.chat if chat else on.platform, sent)
@@ -274,10 +276,10 @@
 def test_who_sends_only_what_cannot_be_taken_is_read_less_often(monkeypatch: pytest.MonkeyPatch) -> None:
     rested = []
 
-    async def rest(self: connection.DownstreamConnection) -> None:
-        rested.append(self._rejections_in_a_row)
+    async def rest(self: ConnectionReader, _connection: DownstreamConnection) -> None:
+        rested.append(self.rejections_in_a_row)
 
-    monkeypatch.setattr(connection.DownstreamConnection, "_delay_after_rejections", rest)
+    monkeypatch.setattr(ConnectionReader, "_delay_after_rejections", rest)
 
     async def story(on: Stage) -> None:
         call = await connect(on.platform)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -15,7 +15,7 @@
 from tests.steady import Steady, until
 from tests.test_chat import with_idempotency_store
 from tests.test_stories import pair, play
-from violetstack.net.downstream import connection as connection_module
+from violetstack.net.downstream import connection_reader
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.rehearsal.clients import (
     BODY,
@@ -196,7 +196,7 @@
         await until(lambda: reader.begun == ["q1"])
         await call.stream.send_all(b"x" * 3_000_000)
         connection = next(iter(c for c in on.daemon.listeners[0].table.connections if c.answering))
-        assert connection.http.unread <= connection_module.MAX_UNREAD_BYTES + connection_module.READ_SIZE
+        assert connection.http.unread <= connection_reader.MAX_UNREAD_BYTES + connection_reader.READ_SIZE
         gate.set()
         assert (await call.receive()).outcome == "served"
         await until(lambda: not on.daemon.listeners[0].table.connections)
--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -26,7 +26,7 @@
 from violetstack.fronts.platform import PlatformFront
 from violetstack.fronts.reply import Reply
 from violetstack.net.downstream import connection as connection_module
-from violetstack.net.downstream import connection_table
+from violetstack.net.downstream import connection_reader, connection_table
 from violetstack.net.downstream import listener as listener_module
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.protocol.http_server import HttpRequest
@@ -349,7 +349,7 @@
 def test_requests_that_are_kept_are_answered_before_the_connection_ends_over_dropped_ones(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(connection_module, "MAX_UNREAD_BYTES", 100_000)
+    monkeypatch.setattr(connection_reader, "MAX_UNREAD_BYTES", 100_000)
     gate = trio.Event()
     reader, writer = pair(reads=(Act(before=gate),))
 
@@ -455,7 +455,7 @@
 
 def test_a_request_whose_pieces_come_slowly_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     """The time limit for the next bytes held for the whole request: 2.2 s, for classes with 15 s as well."""
-    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.15)
+    monkeypatch.setattr(connection_reader, "REQUEST_TIMEOUT_S", 0.15)
     whole = request("q2")
 
     async def story(on: Stage) -> None:
@@ -475,8 +475,8 @@
 def test_a_request_that_comes_byte_by_byte_is_ended_in_time(
     why: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(connection_module, "MAX_ARRIVAL_S", 0.2 if why == "too long" else 60.0)
+    monkeypatch.setattr(connection_reader, "REQUEST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(connection_reader, "MAX_ARRIVAL_S", 0.2 if why == "too long" else 60.0)
 
     async def story(on: Stage) -> None:
         listener = on.daemon.listeners[0]
@@ -519,9 +519,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Its time limit was looked at before its socket, and a whole request was answered 408."""
-    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.05)
-    monkeypatch.setattr(connection_module, "MAX_ARRIVAL_S", 0.05)
-    monkeypatch.setattr(connection_module, "READ_SIZE", 200)
+    monkeypatch.setattr(connection_reader, "REQUEST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(connection_reader, "MAX_ARRIVAL_S", 0.05)
+    monkeypatch.setattr(connection_reader, "READ_SIZE", 200)
 
     async def story(on: Stage) -> None:
         client = await RawClient.connect(on.platform)
@@ -662,7 +662,7 @@
     half_read: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The time for it was over before the socket was looked at, and the connection was closed over it."""
-    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(connection_reader, "REQUEST_TIMEOUT_S", 0.05)
     whole = request("q1")
 
     async def story(on: Stage) -> None:
@@ -677,7 +677,7 @@
             await client.send(whole[-10:])
         else:
             waiting = InterruptedWait(trio.lowlevel.wait_readable)
-            monkeypatch.setattr(connection_module, "wait_readable", waiting)
+            monkeypatch.setattr(connection_reader, "wait_readable", waiting)
             client = await RawClient.connect(on.platform)
             await client.send(whole)
         assert await client.receive_answers(1) == [200]
--- /dev/null
+++ b/violetstack/net/downstream/connection_reader.py
@@ -0,0 +1,205 @@
+"""The reading half of a client connection: bytes into the parser, in time and within bounds."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import trio
+from trio.lowlevel import wait_readable
+
+from violetstack.log import log_rate_limited
+from violetstack.net.downstream.read_times import ReadTimes
+from violetstack.net.downstream.socket_state import wait_for_peer_end
+
+if TYPE_CHECKING:
+    from violetstack.net.downstream.connection import DownstreamConnection
+
+READ_SIZE = 32 * 1024
+REQUEST_TIMEOUT_S = 2.2
+"""A new connection's first byte, and the next bytes of a request that has begun, come within this time."""
+MAX_ARRIVAL_S = 15.0
+"""A whole request arrives within this time; within REQUEST_TIMEOUT_S if connections are many."""
+LATE_READ_S = 0.05
+"""For bytes that are in the socket when the time for them is over; under TLS they may be no whole record."""
+REJECTION_DELAY_S = 0.05
+MAX_REJECTION_DELAY_S = 0.1
+MAX_UNREAD_BYTES = 512 * 1024
+"""Bytes behind an unanswered request that are kept; what comes beyond them is dropped."""
+MAX_UNREAD_BYTES_WHEN_FULL = 64 * 1024
+"""The same while the bound on request bodies is exceeded."""
+DISCARD_INTERVAL_S = 0.01
+DISCARD_SIZE = 1024 * 1024
+
+
+async def first_byte_arrives(connection: DownstreamConnection) -> bool:
+    """Waits for a new connection's first byte; False if the time for one is over."""
+    if not isinstance(connection.stream, trio.SocketStream):
+        return True  # a TLS handshake has been made
+    with trio.move_on_at(connection.last_used + REQUEST_TIMEOUT_S) as timer:
+        await wait_readable(connection.stream.socket)
+    if timer.cancelled_caught and not connection.has_unread():
+        log_rate_limited("client_request_timeout")
+        return False
+    return True
+
+
+class ConnectionReader:
+    """Reads one connection, and has it handle each request that is complete.
+
+    It refers to the connection until `detach`, so that no reference cycle is left.
+    """
+
+    __slots__ = (
+        "_arriving_since",
+        "_connection",
+        "_read_times",
+        "_wait",
+        "client_ended",
+        "discarded",
+        "rejections_in_a_row",
+    )
+
+    def __init__(self, connection: DownstreamConnection) -> None:
+        self.client_ended = trio.Event()
+        self.rejections_in_a_row = 0
+        """Answers 4xx since the last request that was acceptable."""
+        self.discarded = False
+        """Bytes behind the requests that are kept were dropped."""
+        self._connection: DownstreamConnection | None = connection
+        self._read_times = ReadTimes()
+        self._wait: trio.CancelScope | None = None
+        """The wait for bytes that is under way."""
+        self._arriving_since = connection.last_used
+        """When the first byte of the request that is arriving came; 0 while none is."""
+
+    def detach(self) -> None:
+        """The connection is closed."""
+        self._connection = None
+
+    @property
+    def waiting(self) -> bool:
+        """Whether a wait for bytes is under way."""
+        return self._wait is not None
+
+    def interrupt(self) -> None:
+        """Ends the wait for bytes that is under way; a read that has taken bytes still returns them."""
+        if self._wait is not None:
+            self._wait.cancel()
+
+    def waited_ms(self, unused: int) -> float:
+        """How long a complete request has waited since its last byte came; `unused` bytes lie behind it."""
+        read_at = self._read_times.of_last_byte(unused)
+        return 0.0 if read_at is None else (trio.current_time() - read_at) * 1000.0
+
+    async def run(self) -> None:
+        """Reads until the client has ended its sending, or the connection is to be closed."""
+        connection = self._connection
+        assert connection is not None
+        while not connection.close_when_written:
+            connection.handle_next_request()
+            if connection.close_when_written:
+                break
+            if connection.migration_pause is not None:
+                await connection.migration_pause.wait()
+            elif not await self._read_or_wait(connection):
+                self.client_ended.set()
+                connection.reading_ended()
+                return
+        while connection.http.arriving and await connection.stream.receive_some(READ_SIZE):
+            connection.progress_at = trio.current_time()  # the rest of a request that has been rejected
+        # A request that crosses the announced end is left unread, so that its client sends it once more.
+        await wait_for_peer_end(connection.stream)
+        self.client_ended.set()
+
+    async def _read_or_wait(self, connection: DownstreamConnection) -> bool:
+        """False if the client has ended its sending, or the connection is to be closed at once."""
+        try:
+            if connection.answering and connection.http.closing:
+                return await self._wait_for_answer(connection)
+            if connection.answering and connection.http.unread > _max_unread_bytes(connection):
+                return await self._discard_until_answered(connection)
+            return await self._receive(connection, self._deadline(connection))
+        finally:
+            self._wait = None
+
+    def _deadline(self, connection: DownstreamConnection) -> float:
+        """When the next bytes have to be there, on trio's clock; infinite if nothing has to come."""
+        if connection.answering or (connection.served and not connection.http.busy):
+            self._arriving_since = 0.0
+            return math.inf
+        now = trio.current_time()
+        self._arriving_since = self._arriving_since or now
+        in_haste = connection.listener.draining or connection.listener.table.crowded
+        longest = REQUEST_TIMEOUT_S if in_haste else MAX_ARRIVAL_S
+        return min(now + REQUEST_TIMEOUT_S, self._arriving_since + longest)
+
+    async def _receive(self, connection: DownstreamConnection, deadline: float) -> bool:
+        """Reads once, until `deadline`."""
+        now = trio.current_time()
+        if now >= deadline and connection.has_unread():
+            deadline = now + LATE_READ_S  # it came in time, and this process looks late
+        data: bytes | bytearray = b""
+        with trio.move_on_at(deadline) as self._wait:
+            if self.rejections_in_a_row > 1 and not connection.answering and not connection.http.busy:
+                await self._delay_after_rejections(connection)
+            data = await connection.stream.receive_some(READ_SIZE)
+        if self._wait is not None and self._wait.cancelled_caught:
+            return _waited_in_vain(connection, deadline)
+        if data:
+            self._feed(connection, bytes(data))
+        return bool(data)
+
+    def _feed(self, connection: DownstreamConnection, data: bytes) -> None:
+        connection.http.feed(data)
+        read_at = connection.unread_since or trio.current_time()
+        connection.unread_since = 0.0
+        self._read_times.add(len(data), read_at, behind_request=connection.answering)
+        table = connection.listener.table
+        if connection.answering:
+            table.set_buffered_bytes(connection, connection.http.size + connection.http.unread)
+        if not connection.served:
+            table.mark_progress(connection)
+
+    async def _wait_for_answer(self, connection: DownstreamConnection) -> bool:
+        """Waits for the answer's end with nothing read any more; False if the client ends first."""
+        with trio.CancelScope() as self._wait:
+            await wait_for_peer_end(connection.stream)
+            return False
+        return True
+
+    async def _discard_until_answered(self, connection: DownstreamConnection) -> bool:
+        """Drops what comes behind the requests that are kept; False if the client ends before the answer.
+
+        Reading on is the only way to notice that a client which sent much at once has gone. It is done
+        slowly, to spare the processor. The connection ends once what is kept has been answered.
+        """
+        self.discarded = True
+        with trio.CancelScope() as self._wait:
+            while connection.answering:
+                await trio.sleep(DISCARD_INTERVAL_S)
+                if not await connection.stream.receive_some(DISCARD_SIZE):
+                    return False
+        return True
+
+    async def _delay_after_rejections(self, connection: DownstreamConnection) -> None:
+        """Reads less often from a client whose requests are all invalid, to spare the processor."""
+        delay = REJECTION_DELAY_S * 2.0 ** (self.rejections_in_a_row - 2)
+        began = trio.current_time()
+        await trio.sleep(min(MAX_REJECTION_DELAY_S, delay))
+        if connection.has_unread():
+            connection.unread_since = began
+
+
+def _max_unread_bytes(connection: DownstreamConnection) -> int:
+    return MAX_UNREAD_BYTES_WHEN_FULL if connection.listener.table.bodies_full else MAX_UNREAD_BYTES
+
+
+def _waited_in_vain(connection: DownstreamConnection, deadline: float) -> bool:
+    """No bytes were read; False if the connection is to be closed at once."""
+    if connection.evicted:
+        return connection.http.busy
+    too_late = trio.current_time() >= deadline and connection.migration_pause is None
+    if too_late and not connection.has_unread():
+        connection.request_timed_out()
+    return True
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -11,10 +11,8 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.reply import Front
 from violetstack.log import log_rate_limited
-from violetstack.net.downstream.connection import (
-    REQUEST_TIMEOUT_S,
-    DownstreamConnection,
-)
+from violetstack.net.downstream.connection import DownstreamConnection
+from violetstack.net.downstream.connection_reader import REQUEST_TIMEOUT_S
 from violetstack.net.downstream.connection_table import ConnectionTable
 from violetstack.net.downstream.response_handle import ResponseHandle
 from violetstack.protocol.http_server import HttpServerConnection
--- /dev/null
+++ b/violetstack/net/downstream/socket_state.py
@@ -0,0 +1,47 @@
+"""What a client's socket tells without being read."""
+
+from __future__ import annotations
+
+import select
+
+import trio
+from trio.lowlevel import wait_readable
+
+PEER_END_POLL_S = 0.02
+"""Bytes that are left unread in the socket hide the peer's end; it is looked for this often."""
+
+
+def tcp_stream(stream: trio.abc.Stream) -> trio.SocketStream | None:
+    """The TCP connection, also below TLS; None for streams without a socket."""
+    transport = stream.transport_stream if isinstance(stream, trio.SSLStream) else stream
+    return transport if isinstance(transport, trio.SocketStream) else None
+
+
+def peer_has_closed(stream: trio.abc.Stream) -> bool:
+    """Whether the peer has closed the open stream, or ended its sending, even behind unread bytes.
+
+    Reading alone shows the end only after all bytes before it: a request and the close behind it may both
+    have waited in the kernel's queue while the listener had no room, or while this process was busy.
+    """
+    transport = tcp_stream(stream)
+    if transport is None:
+        return False
+    poll = select.poll()
+    poll.register(transport.socket, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+def has_unread(stream: trio.abc.Stream) -> bool:
+    """Whether bytes, or the peer's end, wait in the socket of the open stream."""
+    transport = tcp_stream(stream)
+    return transport is not None and transport.socket.is_readable()
+
+
+async def wait_for_peer_end(stream: trio.abc.Stream) -> None:
+    """Returns once the peer has closed the stream; what it sends is left unread in the socket."""
+    transport = tcp_stream(stream)
+    while transport is not None and not peer_has_closed(transport):
+        if transport.socket.is_readable():
+            await trio.sleep(PEER_END_POLL_S)
+        else:
+            await wait_readable(transport.socket)
