--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -385,7 +385,8 @@
         self.served = True
         self.listener.table.mark_engaged(self)
         self._response = ResponseHandle(self)
-        inbound = replace(inbound, waited_ms=self._reader.waited_ms(self.http.unread))
+        waited_ms = inbound.waited_ms + self._reader.waited_ms(self.http.unread)
+        inbound = replace(inbound, waited_ms=waited_ms)
         try:
             self.listener.front.handle(inbound, self._response)
         except Exception as error:  # a fault that one request shows must not cost it its answer
