--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import datetime
 import errno
 import re
 import socket
+import ssl
+import struct
 import time as real_time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
 import trio.testing
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
 
 from tests.steady import Steady, until
 from tests.test_stories import pair, play
@@ -17,11 +26,11 @@
 from violetstack.fronts.platform import PlatformFront
 from violetstack.fronts.reply import Reply
 from violetstack.net.downstream import connection as connection_module
-from violetstack.net.downstream import connection_table
+from violetstack.net.downstream import connection_reader, connection_table
 from violetstack.net.downstream import listener as listener_module
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.protocol.http_server import HttpRequest
-from violetstack.rehearsal.clients import BODY, platform_headers
+from violetstack.rehearsal.clients import BODY, chat_body, chat_headers, connect, platform_headers
 from violetstack.rehearsal.hosts import SILENT, Act
 from violetstack.rehearsal.stage import Stage
 
@@ -40,8 +49,8 @@
 class RawClient:
     """Writes bytes and collects the statuses of what comes back."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self.stream: Any = stream
         self.heard = b""
         self.ended = False
         self.reset = False
@@ -205,7 +214,7 @@
 
     async def story(on: Stage) -> None:
         client = await RawClient.connect(on.platform)
-        client.stream.socket._sock.send(request("q1") + request("q2"))  # type: ignore[attr-defined]
+        client.stream.socket._sock.send(request("q1") + request("q2"))
         client.stream.socket.shutdown(socket.SHUT_WR)
         assert await client.receive_to_end() == [503, 503]
         assert (reader.begun, client.reset) == ([], False)
@@ -340,7 +349,7 @@
 def test_requests_that_are_kept_are_answered_before_the_connection_ends_over_dropped_ones(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(connection_module, "MAX_UNREAD_BYTES", 100_000)
+    monkeypatch.setattr(connection_reader, "MAX_UNREAD_BYTES", 100_000)
     gate = trio.Event()
     reader, writer = pair(reads=(Act(before=gate),))
 
@@ -446,7 +455,7 @@
 
 def test_a_request_whose_pieces_come_slowly_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     """The time limit for the next bytes held for the whole request: 2.2 s, for classes with 15 s as well."""
-    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.15)
+    monkeypatch.setattr(connection_reader, "REQUEST_TIMEOUT_S", 0.15)
     whole = request("q2")
 
     async def story(on: Stage) -> None:
@@ -466,8 +475,8 @@
 def test_a_request_that_comes_byte_by_byte_is_ended_in_time(
     why: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(connection_module, "MAX_ARRIVAL_S", 0.2 if why == "too long" else 60.0)
+    monkeypatch.setattr(connection_reader, "REQUEST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(connection_reader, "MAX_ARRIVAL_S", 0.2 if why == "too long" else 60.0)
 
     async def story(on: Stage) -> None:
         listener = on.daemon.listeners[0]
@@ -510,9 +519,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Its time limit was looked at before its socket, and a whole request was answered 408."""
-    monkeypatch.setattr(connection_module, "REQUEST_TIMEOUT_S", 0.05)
-    monkeypatch.setattr(connection_module, "MAX_ARRIVAL_S", 0.05)
-    monkeypatch.setattr(connection_module, "READ_SIZE", 200)
+    monkeypatch.setattr(connection_reader, "REQUEST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(connection_reader, "MAX_ARRIVAL_S", 0.05)
+    monkeypatch.setattr(connection_reader, "READ_SIZE", 200)
 
     async def story(on: Stage) -> None:
         client = await RawClient.connect(on.platform)
@@ -541,15 +550,16 @@
     play(*pair(), story=story)
 
 
-def test_a_request_behind_invalid_ones_waits_less_than_the_slack_of_its_deadline() -> None:
-    """It waited unread for up to 0.4 s, which is more than a client with 0.3 s has."""
+@pytest.mark.parametrize("size", [100, 200_000])
+def test_a_request_behind_invalid_ones_waits_less_than_the_slack_of_its_deadline(size: int) -> None:
+    """It waited unread for up to 0.4 s, a large one at each of its pieces; some clients have 0.3 s."""
 
     async def story(on: Stage) -> None:
         client = await RawClient.connect(on.platform)
         for n in range(6):
             await client.send(request(f"q{n}", kind="nobody"))
             assert (await client.receive_answers(n + 1))[-1] == 400
-        await client.send(request("q6"))
+        await client.send(request("q6", body=b'{"x":"%b"}' % (b"x" * size)))
         time = Steady()
         while client.statuses[-1] != 200:
             with trio.move_on_after(0.005):
@@ -631,3 +641,138 @@
         await client.stream.aclose()
 
     play(*pair(), story=story)
+
+
+class InterruptedWait:
+    """Sees nothing until it is cancelled: epoll after SIGCONT, with the time that it was given over."""
+
+    def __init__(self, then: Callable[..., Awaitable[Any]]) -> None:
+        self._then = then
+        self._interrupted = False
+
+    async def __call__(self, *args: Any) -> Any:
+        if not self._interrupted:
+            self._interrupted = True
+            await trio.sleep_forever()
+        return await self._then(*args)
+
+
+@pytest.mark.parametrize("half_read", [False, True])
+def test_a_request_that_came_while_the_process_was_stopped_is_answered(
+    half_read: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The time for it was over before the socket was looked at, and the connection was closed over it."""
+    monkeypatch.setattr(connection_reader, "REQUEST_TIMEOUT_S", 0.05)
+    whole = request("q1")
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        stream = (await connection_of(on)).stream
+        if half_read:
+            await client.send(whole[:-20])
+            await trio.testing.wait_all_tasks_blocked()
+            monkeypatch.setattr(stream, "receive_some", InterruptedWait(stream.receive_some))
+            await client.send(whole[-20:-10])
+            await trio.testing.wait_all_tasks_blocked()
+            await client.send(whole[-10:])
+        else:
+            waiting = InterruptedWait(trio.lowlevel.wait_readable)
+            monkeypatch.setattr(connection_reader, "wait_readable", waiting)
+            client = await RawClient.connect(on.platform)
+            await client.send(whole)
+        assert await client.receive_answers(1) == [200]
+        await client.stream.aclose()
+
+    play(*pair(), story=story)
+
+
+# --- under TLS ---
+
+
+def self_signed(folder: Path) -> dict[str, str]:
+    """The files of a certificate for localhost."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "localhost")])
+    today = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(today - datetime.timedelta(days=1))
+        .not_valid_after(today + datetime.timedelta(days=1))
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    plain = (serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
+    (folder / "chain.pem").write_bytes(certificate.public_bytes(pem))
+    (folder / "key.pem").write_bytes(key.private_bytes(pem, *plain))
+    return {"certificate": str(folder / "chain.pem"), "key": str(folder / "key.pem")}
+
+
+def test_requests_sent_together_under_tls_are_all_answered(tmp_path: Path) -> None:
+    """The end of the first answer cancels a read; what TLS has taken from the socket must stay."""
+    gate = trio.Event()
+    reader, writer = pair(reads=(Act(before=gate),))
+    body = chat_body("giro-consulta")
+    told = [*chat_headers(), ("Content-Length", str(len(body)))]
+    head = "\r\n".join([f"POST {PATH} HTTP/1.1", "Host: x", *(f"{k}: {v}" for k, v in told), "", ""])
+    whole = head.encode() + body
+
+    async def story(on: Stage) -> None:
+        context = ssl.create_default_context()
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_NONE
+        call = await connect(on.chat, context)
+        await call.stream.send_all(whole + whole[:50])
+        await until(lambda: len(reader.begun) == 1)
+        await call.stream.send_all(whole[50:-5])
+        gate.set()
+        client = RawClient(call.stream)
+        assert await client.receive_answers(1) == [200]
+        await call.stream.send_all(whole[-5:] + whole)
+        assert await client.receive_answers(3) == [200, 200, 200]
+        await call.stream.aclose()
+
+    play(reader, writer, story=story, chat={"tls": self_signed(tmp_path)})
+
+
+# --- a client that leaves ---
+
+
+def reset(stream: trio.SocketStream) -> None:
+    """Closes with a reset."""
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream.socket.close()
+
+
+@pytest.mark.parametrize("behind", [0, 300_000, 3_000_000])
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_client_that_leaves_is_noticed_within_100_ms(behind: int, how: str) -> None:
+    reader, writer = pair(reads=(SILENT,))
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"))
+        await until(lambda: reader.begun == ["q1"])
+        await client.send(b"x" * behind)
+        if how == "reset":
+            reset(client.stream)
+        else:
+            client.stream.socket.close()
+        await until(lambda: not on.daemon.core.open_requests, 0.1)
+
+    play(reader, writer, story=story)
+
+
+def test_small_writes_to_clients_are_not_held_back() -> None:
+    """A close over unread bytes would take them along."""
+
+    async def story(on: Stage) -> None:
+        await RawClient.connect(on.platform)
+        stream = (await connection_of(on)).stream
+        assert isinstance(stream, trio.SocketStream)
+        assert stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    play(*pair(), story=story)
