The time that a request waited before it was taken up counts towards its deadline

Cause: `Dispatcher.admit` counted a request's time from the moment at which the front got it, less what a pause of the process had cost. A request that lay complete behind another answer on its connection, or in its socket, was told to hosts with a deadline later than its client's, and answered after its time. A keyed chat request whose claim took longer than its deadline was accepted with 1 ms (`ChatFront._accept`, `max(1.0, ...)`).

Change: `HttpRequest.waited_ms` says how long a request waited; both fronts hand it to `Dispatcher.admit`, which takes it off and sheds a request whose time is over. The chat front adds the time of the claim. Client connections are to set the figure; until they do it is 0 and nothing changes.

--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -144,12 +144,17 @@
         router = self._state.router
         return request if router is None else router.route(request, origin)
 
-    def admit(self, now: float, request: Request) -> Shed | None:
+    def admit(self, now: float, request: Request, waited_ms: float = 0.0) -> Shed | None:
         """Returns None to admit the request; every front calls this right before `accept`.
 
-        The time that the request may have waited in its socket counts as part of its deadline.
+        The time that the request may have waited before it was taken up counts as part of its deadline.
+
+        Args:
+            now: The time.
+            request: The request; its age and what is left of its deadline are set.
+            waited_ms: How long its connection knows it to have waited.
         """
-        request.age_ms = self._max_unread()
+        request.age_ms = max(waited_ms, self._max_unread())
         request.expires_in_ms -= request.age_ms
         load_shedder = self._state.load_shedder
         shed = None if load_shedder is None else load_shedder.admit(now, request)
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -12,7 +12,6 @@
 
 import msgspec
 import orjson
-from msgspec.structs import replace
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.errors import NotRoutedError
@@ -64,6 +63,8 @@
     policy_request: Request
     max_tokens: int
     idempotent: bool
+    waited_ms: float
+    """Before it was read."""
 
     def upstream_body(self) -> bytes:
         """The body for model hosts."""
@@ -217,7 +218,7 @@
         )
         policy_request = self._core.route(policy_request, Origin("chat", model.name, len(inbound.body)))
         idempotent = spec.idempotency is Idempotency.IDEMPOTENT
-        return RoutedRequest(body, model, key, policy_request, max_tokens, idempotent)
+        return RoutedRequest(body, model, key, policy_request, max_tokens, idempotent, inbound.waited_ms)
 
     async def _complete_keyed(
         self,
@@ -248,7 +249,7 @@
                 reply,
                 partial(idempotency.record_outcome, keyed),
                 survives_disconnect=True,
-                waited_ms=self._clock() - arrived_at,
+                claim_ms=self._clock() - arrived_at,
                 sending_allowed=idempotency.holds_lease,
             )
 
@@ -273,24 +274,21 @@
         record_outcome: RecordOutcome,
         *,
         survives_disconnect: bool = False,
-        waited_ms: float = 0.0,
+        claim_ms: float = 0.0,
         sending_allowed: Callable[[], bool] = always,
     ) -> None:
         """Gives the request to the core.
 
         `survives_disconnect`: once it may have run it goes on without its client, for a retry to find.
-        `waited_ms`: time that it has spent here. `sending_allowed` is asked right before each send.
+        `claim_ms`: time that its claim took. `sending_allowed` is asked right before each send.
         """
         now = self._clock()
         policy_request = request.policy_request
-        shed = self._core.admit(now, policy_request)
+        shed = self._core.admit(now, policy_request, request.waited_ms + claim_ms)
         if shed is not None:
             record_outcome(Outcome.RELEASED, b"")
             self._reject_shed(policy_request, shed, reply)
             return
-        if waited_ms > 0.0:
-            remaining_ms = max(1.0, policy_request.expires_in_ms - waited_ms)
-            policy_request = replace(policy_request, expires_in_ms=remaining_ms)
         body = memoryview(request.upstream_body())
         payload = Payload("POST", COMPLETIONS_PATH, "application/json", body, reply.wait_writable)
         completion = Completion(f"chatcmpl-{policy_request.id}", request.model.name, int(now / 1000.0))
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -92,7 +92,7 @@
         now = self._clock()
         request = self._reader.read(inbound)
         request = self._core.route(request, Origin("platform", "", len(inbound.body)))
-        shed = self._core.admit(now, request)
+        shed = self._core.admit(now, request, inbound.waited_ms)
         if shed is not None:
             self._log(
                 "request_shed", reason=shed.reason, cls=request.class_index, tenant=request.tenant_index
--- a/violetstack/protocol/http_server.py
+++ b/violetstack/protocol/http_server.py
@@ -29,12 +29,21 @@
 
 
 class HttpRequest(msgspec.Struct, frozen=True):
-    """A complete request; header names are in lower case."""
+    """A complete request; header names are in lower case.
+
+    Attributes:
+        method: The method.
+        target: Path and query.
+        headers: Values by name.
+        body: The body.
+        waited_ms: How long it lay complete in this process or its socket before it was taken up.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: memoryview
+    waited_ms: float = 0.0
 
     @property
     def path(self) -> str:
