A host that takes a request slowly does not get its last byte with a stale deadline

Cause: `net/upstream/attempts.py` `_headers` writes Req-Deadline with the first byte, and `UpstreamConnection.write` waited for room as long as it took. A host begins with the last byte: one that took a large body slowly was told more than its client had left by then, up to the attempt's whole time-out.

Change: a request that is not written 0.12 s after its first byte is withheld (`SEND_TIMEOUT_S`; what is told may exceed what is left by 0.15 s). It has not run, so it ends as an attempt that could not connect and may go elsewhere.

--- a/tests/test_attempt_deadlines.py
+++ b/tests/test_attempt_deadlines.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import socket
+from typing import Any
+
 import pytest
 import trio
 import trio.testing
@@ -9,12 +12,14 @@
 
 from tests.crossings import SlowConnects, send_request
 from tests.steady import until
+from tests.test_client_disconnect import LARGE_BODY, ReadsLate
 from tests.test_core import CoreHarness
 from tests.test_stories import play
+from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.policy_api import Request
 from violetstack.protocol.headers import duration_ms
 from violetstack.protocol.http_server import HttpRequest, HttpServerConnection
-from violetstack.rehearsal.clients import chat_body, chat_headers, connect, platform_headers
+from violetstack.rehearsal.clients import ask_platform, chat_body, chat_headers, connect, platform_headers
 from violetstack.rehearsal.hosts import ModelHost
 from violetstack.rehearsal.peer import PeerConnection
 from violetstack.rehearsal.stage import Stage
@@ -83,6 +88,38 @@
     play(reader, writer, story=story)
 
 
+def test_the_rest_of_a_request_is_withheld_once_what_was_told_is_out_of_date(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A host that takes a large request slowly begins it with a deadline told long before."""
+    slow, writer = ReadsLate("r", "prefill"), ModelHost("w", "decode")
+    begin = UpstreamConnection.__init__
+
+    def limited(self: UpstreamConnection, raw: Any, *args: Any) -> None:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        begin(self, raw, *args)
+
+    monkeypatch.setattr(UpstreamConnection, "__init__", limited)
+
+    async def story(on: Stage) -> None:
+        slow._sockets[0].socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+        async def read_late() -> None:
+            await slow.asked.wait()
+            await trio.sleep(0.2)
+            slow.reads.set()
+
+        on.nursery.start_soon(read_late)
+        text = LARGE_BODY[40:-4].decode()
+        answer = await ask_platform(on.platform, "q1", "orden", text=text)
+        await slow.reads.wait()
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        assert slow.received < len(text)
+        assert (answer.outcome, slow.begun) == ("served", ["q1"])
+
+    play(slow, writer, story=story)
+
+
 def test_an_attempts_deadline_is_never_after_its_requests() -> None:
     harness = CoreHarness()
     assert harness.send("w1", stop_after=9000.0).deadline == harness.request.deadline
--- a/tests/test_client_disconnect.py
+++ b/tests/test_client_disconnect.py
@@ -158,7 +158,10 @@
 
 
 class ReadsLate(ModelHost):
-    """Its receive window is full after a few kilobytes; it reads the rest once `reads` is set."""
+    """Its first connection's receive window is full at once; it reads the rest once `reads` is set.
+
+    On later connections it serves.
+    """
 
     def __init__(self, name: str, kind: str) -> None:
         super().__init__(name, kind)
@@ -167,6 +170,9 @@
         self.received = 0
 
     async def _connection(self, raw: trio.SocketStream) -> None:
+        if self.asked.is_set():
+            await super()._connection(raw)
+            return
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.received += len(await raw.receive_some(100))
         self.asked.set()
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -12,7 +12,12 @@
 from violetstack.fronts.reply import Payload
 from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
-from violetstack.net.upstream.connection import NotConnectedError, SendWithheldError, UpstreamConnection
+from violetstack.net.upstream.connection import (
+    NotConnectedError,
+    SendTimeoutError,
+    SendWithheldError,
+    UpstreamConnection,
+)
 from violetstack.net.upstream.connection_pool import ConnectionPool, UpstreamHost
 from violetstack.net.upstream.response_reader import AttemptResult, MigrateStream, ResponseReader
 from violetstack.net.upstream.state_release import StateReleaser
@@ -23,6 +28,12 @@
 
 WaitWritable = Callable[[], Awaitable[None]]
 
+SEND_TIMEOUT_S = 0.12
+"""From the first byte of a request, which tells how much time is left, to the last, with which a host begins.
+
+What is told may exceed what the client has left by 0.15 s.
+"""
+
 
 class _Running:
     """What belongs to one attempt while it runs."""
@@ -138,7 +149,7 @@
             return await exchange(running)
         except SendWithheldError:
             return AttemptResult(AttemptStatus.ALREADY_FINISHED)
-        except NotConnectedError:
+        except (NotConnectedError, SendTimeoutError):
             return AttemptResult(AttemptStatus.CONNECT_FAILED)
         except (InvalidResponseError, sse.InvalidEventError) as error:
             log_rate_limited(
@@ -185,7 +196,10 @@
             self._core.request_written(attempt)
             running.request_sent.set()
 
-        await connection.write(parts, written, lambda: self._core.may_continue_sending(now_ms(), attempt))
+        def allowed() -> bool:
+            return self._core.may_continue_sending(now_ms(), attempt)
+
+        await connection.write(parts, written, allowed, SEND_TIMEOUT_S)
 
     async def _read_response(
         self,
--- a/violetstack/net/upstream/connection.py
+++ b/violetstack/net/upstream/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import math
 import socket
 import struct
 import termios
@@ -33,6 +34,10 @@
     """No connection came up, or it broke before the last byte was written: the request has not run."""
 
 
+class SendTimeoutError(UpstreamError):
+    """The host did not take the request in time; it has not received all of it."""
+
+
 class SendWithheldError(UpstreamError):
     """The request may no longer be sent; the host has not received all of it."""
 
@@ -58,14 +63,17 @@
         parts: list[bytes | memoryview],
         written: Callable[[], None],
         allowed: Callable[[], bool] = always,
+        timeout_s: float = math.inf,
     ) -> None:
         """Writes a request; `written` is called in the same step as the system call for its last byte.
 
         trio's own send lets other tasks run between the system call and its return: a deadline in between
         would count an attempt as not sent that the host has received.
 
-        Raises SendWithheldError, with the last byte unsent, as soon as `allowed` returns False.
+        Raises SendWithheldError as soon as `allowed` returns False, and SendTimeoutError after `timeout_s`,
+        both with the last byte unsent.
         """
+        deadline = trio.current_time() + timeout_s
         for n, part in enumerate(parts):
             rest = memoryview(part)
             while rest:
@@ -74,10 +82,16 @@
                 try:
                     rest = rest[self._raw.send(rest) :]
                 except BlockingIOError:
-                    await trio.lowlevel.wait_writable(self._raw)
+                    await self._wait_writable(deadline)
             if n == len(parts) - 1:
                 written()
 
+    async def _wait_writable(self, deadline: float) -> None:
+        with trio.move_on_at(deadline):
+            await trio.lowlevel.wait_writable(self._raw)
+        if trio.current_time() >= deadline:
+            raise SendTimeoutError
+
     async def receive(self) -> list[ResponseHead | ResponseData | ResponseEnd]:
         """Reads once and returns what is complete; raises InvalidResponseError, OSError."""
         self.http.check()
