A stream counts as complete only where its host ended it, not its connection

Cause: `ResponseReader._result` took every `ResponseEnd` for the stream's end. h11 reports one, too, where a 200 has neither chunks nor a length and its connection ends, and where a wrong Content-Length ends a body anywhere: the client got the last chunk of a stream that may be broken. `_platform_result` took a 202 of a decode host for a finished prefill, after which a non-idempotent request could run again, and any status with `Srv-Declined: 1` for "never run", a 500 as well.

Change: a 200 without chunks or a length is invalid before its first event is forwarded; one with a length needs its [DONE]. A 202 counts for prefills, and `Srv-Declined` with 410, 503 and 504, as the protocol's table has it; else the outcome is an error after which the request may have run.

Ruled out, each by a case of the same test that passed before: a missing last chunk, no event, 1xx heads, a second response behind the end, 410 and 503 without `Srv-Declined`.

--- a/tests/test_response_timeouts.py
+++ b/tests/test_response_reader.py
@@ -1,4 +1,4 @@
-"""Time-outs of a host's response that are due while this process does not run."""
+"""The outcomes of a host's responses, and time-outs that are due while the process stands still."""
 
 from __future__ import annotations
 
@@ -28,13 +28,13 @@
 class ReaderHarness:
     """A response reader on one end of a socket pair; the test plays the host on the other."""
 
-    def __init__(self) -> None:
+    def __init__(self, server: str = "w1") -> None:
         self.core = CoreHarness()
         ours, self.host = socket.socketpair()
         ours.setblocking(False)
-        self.connection = UpstreamConnection(ours, "w1")
+        self.connection = UpstreamConnection(ours, server)
         self.connection.http.request("POST", "/", [("Host", "x")])
-        self.attempt: Attempt = self.core.send("w1")
+        self.attempt: Attempt = self.core.send(server)
         self.attempt.request.payload = Payload("POST", "/", "", memoryview(b""), trio.lowlevel.checkpoint)
         self.reader = ResponseReader(
             self.core.core,
@@ -102,3 +102,59 @@
         harness.connection.close()
 
     trio.run(main)
+
+
+DONE = b"data: [DONE]\n\n"
+DONE_CHUNK = b"%x\r\n%s\r\n" % (len(DONE), DONE)
+
+
+def sized(length: int, body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (length, body)
+
+
+def short(status: int, header: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n%s\r\n{}" % (status, header)
+
+
+DECLINED = b"Srv-Declined: 1\r\n"
+RESPONSES = {
+    "chunks to the last": ("w1", HEAD + CHUNK + DONE_CHUNK + END, AttemptStatus.OK),
+    "chunks to the last, without [DONE]": ("w1", HEAD + CHUNK + END, AttemptStatus.OK),
+    "no last chunk": ("w1", HEAD + CHUNK + DONE_CHUNK, AttemptStatus.RESET),
+    "no event": ("w1", HEAD + END, AttemptStatus.RESET),
+    "ended by the connection": ("w1", b"HTTP/1.1 200 OK\r\n\r\n" + EVENT + DONE, AttemptStatus.RESET),
+    "HTTP/1.0": ("w1", b"HTTP/1.0 200 OK\r\n\r\n" + EVENT + DONE, AttemptStatus.RESET),
+    "a whole length": ("w1", sized(len(EVENT + DONE), EVENT + DONE), AttemptStatus.OK),
+    "a length inside an event": ("w1", sized(5, EVENT + DONE), AttemptStatus.RESET),
+    "a length between events": ("w1", sized(len(EVENT), EVENT + DONE), AttemptStatus.RESET),
+    "a length too long": ("w1", sized(99, EVENT + DONE), AttemptStatus.RESET),
+    "an interim response": ("w1", b"HTTP/1.1 103 X\r\n\r\n" + HEAD + CHUNK + END, AttemptStatus.OK),
+    "a second response behind": ("w1", HEAD + CHUNK + END + short(202), AttemptStatus.OK),
+    "read by a prefill host": ("r1", short(202), AttemptStatus.PREFILLED),
+    "read by a decode host": ("w1", short(202), AttemptStatus.ERROR),
+    "state gone": ("w1", short(410, DECLINED), AttemptStatus.REJECTED),
+    "gone": ("w1", short(410), AttemptStatus.ERROR),
+    "full": ("w1", short(503, DECLINED), AttemptStatus.REJECTED),
+    "unavailable": ("w1", short(503), AttemptStatus.ERROR),
+    "over": ("w1", short(504, DECLINED), AttemptStatus.REJECTED),
+    "failed": ("w1", short(500), AttemptStatus.ERROR),
+    "failed, and declined": ("w1", short(500, DECLINED), AttemptStatus.ERROR),
+}
+
+
+@pytest.mark.parametrize(("server", "response", "status"), RESPONSES.values(), ids=RESPONSES.keys())
+def test_the_outcome_of_a_response_that_its_host_ends(
+    server: str, response: bytes, status: AttemptStatus
+) -> None:
+    """A stream is complete only if its host said so: the end of a connection may as well be a break."""
+
+    async def main() -> None:
+        harness = ReaderHarness(server)
+        with harness.host, trio.fail_after(2.0):
+            harness.host.sendall(response)
+            harness.host.shutdown(socket.SHUT_WR)
+            await harness.read()
+        assert harness.status is status
+        harness.connection.close()
+
+    trio.run(main)
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -37,6 +37,8 @@
 """The request itself is at fault: every other host would reject it, too."""
 TOO_MANY_REQUESTS = 429
 STATE_MISSING = 410
+REJECTION_STATUSES = frozenset({STATE_MISSING, 503, 504})
+"""With `Srv-Declined: 1` the host has not run the request; with any other status it may have."""
 STATE_MISSING_DETAIL = 1
 """`AttemptFinished.detail` of a rejection because the state is no longer there."""
 
@@ -78,6 +80,8 @@
         self._migration = migration
         self._waiting = waiting
         self._head: ResponseHead | None = None
+        self._resumed = False
+        """Another process has read the head, of a response in chunks."""
         self._body = b""
         self._splitter = sse.Splitter()
         self._trailer = StreamTrailer(report_fields)
@@ -88,6 +92,7 @@
     async def resume(self, cached_tokens: int) -> AttemptResult:
         """Goes on with a stream whose beginning another process has read."""
         self._head = ResponseHead(200, {})
+        self._resumed = True
         self._trailer.cached_tokens = cached_tokens
         return await self.read()
 
@@ -102,7 +107,7 @@
         while True:
             for event in await self._receive():
                 if isinstance(event, ResponseHead):
-                    self._head = event
+                    self._read_head(event)
                 elif isinstance(event, ResponseData) and self._head is not None:
                     self._read_body(self._head, event.data)
                 elif isinstance(event, ResponseEnd) and self._head is not None:
@@ -138,6 +143,12 @@
             raise InvalidResponseError("the rest of the answer does not come" if self._partial else "silent")
         return events
 
+    def _read_head(self, head: ResponseHead) -> None:
+        framed = "transfer-encoding" in head.headers or "content-length" in head.headers
+        if head.status == 200 and not framed and not self._openai_api:
+            raise InvalidResponseError("a stream whose end cannot be told from a break")
+        self._head = head
+
     def _read_body(self, head: ResponseHead, data: memoryview) -> None:
         if head.status != 200:
             self._body += bytes(data)
@@ -183,7 +194,9 @@
     def _result(self, head: ResponseHead) -> AttemptResult:
         if head.status != 200:
             return self._openai_result(head) if self._openai_api else self._platform_result(head)
-        if self._openai_api and not self._trailer.done:
+        # A wrong Content-Length ends a stream anywhere; the last chunk is written by whoever knows the end.
+        chunked = "transfer-encoding" in head.headers or self._resumed
+        if not self._trailer.done and (self._openai_api or not chunked):
             raise InvalidResponseError("a stream without [DONE]")
         if not self._attempt.stream_started:
             raise InvalidResponseError("a stream without an event")
@@ -200,10 +213,10 @@
 
     def _platform_result(self, head: ResponseHead) -> AttemptResult:
         report = report_of(head.headers.get("srv-load"), self._report_fields)
-        if head.status == 202:
+        if head.status == 202 and self._attempt.is_prefill:
             cached = self._plausible(cached_tokens_of(self._body))
             return AttemptResult(AttemptStatus.PREFILLED, cached, report)
-        if head.headers.get("srv-declined") == "1":
+        if head.headers.get("srv-declined") == "1" and head.status in REJECTION_STATUSES:
             detail = STATE_MISSING_DETAIL if head.status == STATE_MISSING else 0
             return AttemptResult(AttemptStatus.REJECTED, detail, report)
         if head.status in INVALID_REQUEST_STATUSES:
