A pooled connection's idle time counts from its last use, up to the first byte

Cause: `ConnectionPool._put_back_unused` set `idle_since` anew for a connection that was taken and not written to, and `_is_sound` did not ask again how long a connection had been idle once its request had waited (for a release up to 0.1 s, for a reservation up to 0.6 s, after a pause). Where hosts close connections after 1 s, a request could be written after that: a reset, after which a non-idempotent one fails. One that was put back unused also failed its next request if its host had closed it meanwhile, instead of being replaced.

Change: idle time begins when the connection comes up or its last response ends; it is asked for again in the step that writes the first byte; whatever was idle in the pool (`from_pool`, before: `reused`) is replaced if it is not sound.

Ruled out: `IDLE_CHECK_INTERVAL_S` of 1 s, since each use looks itself.

--- /dev/null
+++ b/tests/test_connection_pool.py
@@ -0,0 +1,97 @@
+"""Idle connections to model hosts, on a clock that the tests move."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from trio.testing import MockClock
+
+from violetstack.net.upstream.connection import UpstreamConnection
+from violetstack.net.upstream.connection_pool import ConnectionPool, UpstreamHost
+
+IDLE_CLOSE_MS = 1000.0
+
+
+class PoolHarness:
+    """A pool with one host, `w`, that closes connections which have been idle for a second."""
+
+    def __init__(self, clock: MockClock, address: tuple[str, int]) -> None:
+        self.clock = clock
+        self.pool = ConnectionPool(0.0, IDLE_CLOSE_MS)
+        self.pool.max_connections = 8
+        self.pool.hosts["w"] = UpstreamHost(address, [])
+
+    @property
+    def idle(self) -> list[UpstreamConnection]:
+        return self.pool.hosts["w"].idle
+
+    async def take(
+        self, *, wanted: bool = True, prerequisite: Callable[[], Awaitable[object]] | None = None
+    ) -> UpstreamConnection | None:
+        return await self.pool.acquire("w", lambda: wanted, prerequisite)
+
+    def wait(self, seconds: float) -> None:
+        self.clock.jump(seconds)
+
+
+def play(story: Callable[[PoolHarness], Awaitable[None]]) -> None:
+    clock = MockClock()
+
+    async def main() -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        harness = PoolHarness(clock, listeners[0].socket.getsockname())
+        await story(harness)
+        for connection in harness.pool.hosts["w"].idle:
+            connection.close()
+        for listener in listeners:
+            await listener.aclose()
+
+    trio.run(main, clock=clock)
+
+
+def test_a_connection_that_was_not_used_does_not_count_as_used() -> None:
+    """Its idle time began anew, and a request was written to it after its host's limit: a reset."""
+
+    async def story(harness: PoolHarness) -> None:
+        assert await harness.take(wanted=False) is None
+        harness.wait(0.5)
+        assert await harness.take(wanted=False) is None
+        (resting,) = harness.idle
+        harness.wait(0.4)
+        fresh = await harness.take()
+        assert fresh is not None
+        assert fresh is not resting
+        fresh.close()
+
+    play(story)
+
+
+def test_a_connection_that_expires_while_its_request_waits_is_replaced() -> None:
+    async def story(harness: PoolHarness) -> None:
+        assert await harness.take(wanted=False) is None
+        (resting,) = harness.idle
+        harness.wait(0.7)
+
+        async def release_state() -> None:
+            harness.wait(0.2)
+
+        fresh = await harness.take(prerequisite=release_state)
+        assert fresh is not None
+        assert fresh is not resting
+        fresh.close()
+
+    play(story)
+
+
+def test_a_connection_is_used_again_within_its_idle_time() -> None:
+    async def story(harness: PoolHarness) -> None:
+        assert await harness.take(wanted=False) is None
+        (resting,) = harness.idle
+        harness.wait(0.7)
+        again = await harness.take()
+        assert again is not None
+        assert again is resting
+        again.close()
+
+    play(story)
--- a/violetstack/net/upstream/connection.py
+++ b/violetstack/net/upstream/connection.py
@@ -51,10 +51,11 @@
         self.sock = trio.socket.from_stdlib_socket(raw)
         self.address = address
         self.closed = False
-        self.reused = False
-        """A response has arrived on it before."""
+        self.from_pool = False
+        """It was idle before, so its host may have closed it for that."""
         self.http = HttpClientConnection()
         self.idle_since = 0.0
+        """When it came up, or its last response ended; on trio's clock."""
         self.usable_from = 0.0
         """Not to be used before this time, on trio's clock."""
 
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import math
 import socket
 from collections.abc import Awaitable, Callable
@@ -104,11 +105,10 @@
         """Closes idle connections before their hosts do; runs until cancelled."""
         while True:
             await trio.sleep(IDLE_CHECK_INTERVAL_S)
-            expired_before = trio.current_time() - self.idle_lifetime_s
             for host in self.hosts.values():
                 keep = []
                 for connection in host.idle:
-                    if connection.idle_since < expired_before or connection.has_input():
+                    if self._expired(connection) or connection.has_input():
                         self.close(connection)
                     else:
                         keep.append(connection)
@@ -149,7 +149,7 @@
                 return None
             if not wanted():
                 return None
-            if not connection.reused:
+            if not connection.from_pool:
                 raise NotConnectedError("it broke, or the host sent bytes before it was asked")
 
     async def open(self, server: str, timeout_s: float) -> UpstreamConnection:
@@ -173,6 +173,7 @@
             with trio.fail_after(timeout_s):
                 await connection.sock.connect(to)
             connected = True
+            connection.idle_since = trio.current_time()
         except (OSError, trio.TooSlowError) as error:
             raise NotConnectedError(repr(error)) from None
         finally:
@@ -188,7 +189,7 @@
             if connection.usable_from > now:
                 continue
             del host.idle[n]
-            if connection.idle_since >= now - self.idle_lifetime_s and not connection.has_input():
+            if not self._expired(connection) and not connection.has_input():
                 return connection
             self.close(connection)
         return None
@@ -197,8 +198,14 @@
         host = self.hosts.get(connection.server)
         if host is None or host.address != connection.address:
             return False
+        if connection.from_pool and self._expired(connection):
+            return False
         return not connection.closed and not connection.has_input()
 
+    def _expired(self, connection: UpstreamConnection) -> bool:
+        """Whether its host may close it by now, as one that has been idle for too long."""
+        return connection.idle_since < trio.current_time() - self.idle_lifetime_s
+
     def _close_longest_idle(self) -> bool:
         hosts = [host for host in self.hosts.values() if host.idle]
         if not hosts:
@@ -214,16 +221,17 @@
         if host is None or moved or connection.closed or not connection.http.reuse():
             self.close(connection)
             return
-        connection.reused = True
+        connection.from_pool = True
         connection.idle_since = trio.current_time()
         connection.usable_from = connection.idle_since + REUSE_DELAY_S
         host.last_response_at = connection.idle_since
         host.idle.append(connection)
 
     def _put_back_unused(self, connection: UpstreamConnection) -> None:
+        """Keeps a connection that was not written to: for its host it has been idle all the time."""
         host = self.hosts.get(connection.server)
         if host is None or connection.closed:
             self.close(connection)
         else:
-            connection.idle_since = trio.current_time()
-            host.idle.append(connection)
+            connection.from_pool = True
+            bisect.insort(host.idle, connection, key=lambda each: each.idle_since)
