An address that cannot be read does not end the process; idle sockets give way

Cause: `ConnectionPool._set_address` caught ValueError, and `parse_address` raises ConfigError, which is none: one unreadable address in discovery's list ended the process with every request in flight. `_connect` made its socket outside of any handling, so without free descriptors each host that needed a new connection counted as failing, while idle connections held descriptors.

Change: the error that is raised is caught, with one rate-limited log line; without descriptors the longest idle connection is closed and the socket made again, and with none idle the attempt could not connect.

--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import contextlib
+import os
+import resource
+from collections.abc import Awaitable, Callable, Iterator
 
+import pytest
 import trio
 from trio.testing import MockClock
 
-from violetstack.net.upstream.connection import UpstreamConnection
+from tests.front import entry
+from violetstack.net.upstream.connection import NotConnectedError, UpstreamConnection
 from violetstack.net.upstream.connection_pool import ConnectionPool, UpstreamHost
+from violetstack.policy_api import EndpointUpdate, UpdateScope
 
 IDLE_CLOSE_MS = 1000.0
 
@@ -95,3 +101,44 @@
         again.close()
 
     play(story)
+
+
+@pytest.mark.parametrize("address", ["", "nowhere", "10.0.0.1:", ":::"])
+def test_an_address_that_cannot_be_read_leaves_its_host_without_connections(address: str) -> None:
+    """The error ended the process, with every request in flight."""
+
+    async def story(harness: PoolHarness) -> None:
+        update = EndpointUpdate(UpdateScope.DELTA, (entry("w2", 1),), 2)
+        harness.pool.update(update, {"w2": address})
+        with pytest.raises(NotConnectedError):
+            await harness.pool.acquire("w2", lambda: True)
+
+    play(story)
+
+
+def test_an_idle_connection_gives_way_when_the_descriptors_are_used_up() -> None:
+    """The host counted as one that could not be connected to, though idle connections held descriptors."""
+
+    async def story(harness: PoolHarness) -> None:
+        assert await harness.take(wanted=False) is None
+        (resting,) = harness.idle
+        harness.pool.hosts["other"] = UpstreamHost(harness.pool.hosts["w"].address, [])
+        with no_free_descriptors():
+            connection = await harness.pool.acquire("other", lambda: True)
+        assert connection is not None
+        assert resting.closed
+        connection.close()
+
+    play(story)
+
+
+@contextlib.contextmanager
+def no_free_descriptors() -> Iterator[None]:
+    lowest_free = os.open(os.devnull, os.O_RDONLY)
+    os.close(lowest_free)
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import errno
 import math
 import socket
 from collections.abc import Awaitable, Callable
@@ -10,8 +11,8 @@
 import msgspec
 import trio
 
-from violetstack.config import Address, parse_address
-from violetstack.log import log
+from violetstack.config import Address, ConfigError, parse_address
+from violetstack.log import log_rate_limited
 from violetstack.net.upstream.connection import NotConnectedError, UpstreamConnection
 from violetstack.policy_api import EndpointState, EndpointUpdate, UpdateScope
 
@@ -19,6 +20,7 @@
 IDLE_LIFETIME_SHARE = 0.8
 """Idle connections are closed after this part of the time after which hosts close them."""
 IDLE_CHECK_INTERVAL_S = 1.0
+NO_DESCRIPTOR_ERRORS = frozenset({errno.EMFILE, errno.ENFILE})
 REUSE_DELAY_S = 0.1
 """Rest after a response: a spurious second one that comes late would be read as the next request's."""
 
@@ -66,8 +68,8 @@
     def _set_address(self, name: str, text: str) -> None:
         try:
             new_address = parse_address(text)
-        except ValueError as error:
-            log("endpoint_address_invalid", server=name, error=str(error))
+        except ConfigError as error:
+            log_rate_limited("endpoint_address_invalid", server=name, error=str(error))
             return
         host = self.hosts.setdefault(name, UpstreamHost(new_address, []))
         if host.address != new_address:
@@ -164,7 +166,7 @@
         return await self._connect(server, host.address, timeout_s)
 
     async def _connect(self, server: str, to: Address, timeout_s: float) -> UpstreamConnection:
-        raw = socket.socket(socket.AF_INET6 if ":" in to[0] else socket.AF_INET)
+        raw = self._new_socket(socket.AF_INET6 if ":" in to[0] else socket.AF_INET)
         connection = UpstreamConnection(raw, server, to)
         self.open_connections += 1
         connected = False
@@ -181,6 +183,15 @@
                 self.close(connection)
         return connection
 
+    def _new_socket(self, family: socket.AddressFamily) -> socket.socket:
+        """A socket, for which an idle connection gives way if there are no descriptors left."""
+        while True:
+            try:
+                return socket.socket(family)
+            except OSError as error:
+                if error.errno not in NO_DESCRIPTOR_ERRORS or not self._close_longest_idle():
+                    raise NotConnectedError(repr(error)) from None
+
     def _take_idle(self, host: UpstreamHost) -> UpstreamConnection | None:
         """The one used last of those that have rested since."""
         now = trio.current_time()
