Tests: attempts that ended are closed before the next begins; asking again for a stream

Two leads that were ruled out, with a test each. An attempt that ends by its own deadline is aborted in the same step, before the policy can send the next: the generated play now breaks if another begins beside an open connection (it does if `Attempts._timed_out` does not abort). A client that asks again before its stream's end gets one host's whole stream under its new id, and the old one is passed on until its host or its client ends it; the policy never returns `MigrateStream`, so `Dispatcher._carry_out` has nothing to do for it.

--- a/tests/test_client_disconnect.py
+++ b/tests/test_client_disconnect.py
@@ -10,7 +10,7 @@
 import trio
 import trio.testing
 
-from tests.crossings import LIMITS, SlowConnects
+from tests.crossings import LIMITS, SlowConnects, send_request
 from tests.front import SETTINGS as POLICY_SETTINGS
 from tests.steady import until
 from tests.test_chat import with_idempotency_store
@@ -221,3 +221,42 @@
         assert reader.received < len(LARGE_BODY)
 
     play(reader, writer, story=story, settings={"limits": {**LIMITS, "cancel": cancel}})
+
+
+# --- clients that come again while their stream still runs ---
+
+
+def test_a_client_that_asks_again_before_its_streams_end_gets_one_hosts_whole_stream() -> None:
+    """The new request has an id of its own; the old stream goes on until its host or its client ends it."""
+    hold = trio.Event()
+    reader, writer = pair(Act(pause=hold))
+
+    async def story(on: Stage) -> None:
+        old = await send_request(on, "q1", "consulta")
+        await old.receive(events=2)
+        new = await send_request(on, "q2", "consulta", Req_Retry="again")
+        whole = await new.receive()
+        assert (whole.outcome, writer.begun) == ("served", ["q1", "q2"])
+        assert not old.answer.whole
+        hold.set()
+        assert (await old.receive()).body == whole.body  # each as its own host call made it
+
+    play(reader, writer, story=story)
+
+
+def test_the_stream_that_a_client_left_to_ask_again_is_ended_at_its_host() -> None:
+    hold = trio.Event()
+    reader, writer = pair(Act(pause=hold))
+
+    async def story(on: Stage) -> None:
+        core = on.daemon.core
+        old = await send_request(on, "q1", "consulta")
+        await old.receive(events=2)
+        new = await send_request(on, "q2", "consulta", Req_Retry="again")
+        await old.stream.aclose()
+        assert (await new.receive()).outcome == "served"
+        await until(lambda: not core.open_requests)
+        assert [len(reader.begun), len(writer.begun)] == [2, 2]  # nothing is sent again for the first
+        hold.set()
+
+    play(reader, writer, story=story)
--- a/tests/test_idempotency_invariant.py
+++ b/tests/test_idempotency_invariant.py
@@ -53,6 +53,7 @@
     Attributes:
         written: Attempts that hosts have received whole, in order.
         rejected: Numbers of those that their host rejected, and so never ran.
+        ended: Numbers of those whose end the driver reported, with their connection closed or free.
         broken: Rules that were broken.
     """
 
@@ -69,6 +70,7 @@
         self.started: set[int] = set()
         self.written: list[Written] = []
         self.rejected: set[int] = set()
+        self.ended: set[int] = set()
         self.broken: list[str] = []
         self.client_left_at: float | None = None
 
@@ -102,6 +104,7 @@
                 self.rejected.add(attempt.number)
         elif status is not AttemptStatus.CONNECT_FAILED:
             return
+        self.ended.add(attempt.number)
         self.core.attempt_finished(self.now, attempt, status)
 
     def leave(self) -> None:
@@ -120,9 +123,12 @@
             self.broken.append("too many attempts")
         if self.now >= attempt.deadline or attempt.deadline > self.request.deadline:
             self.broken.append("after the deadline")
-        others = [each for each in self.ports.attempts if each is not attempt and not each.finished]
-        if others and not self.settings.hedging_allowed:
+        others = [each for each in self.ports.attempts if each is not attempt]
+        if any(not each.finished for each in others) and not self.settings.hedging_allowed:
             self.broken.append("beside another")
+        closed = [each for each in others if each in self.ports.aborted or each.number in self.ended]
+        if any(each.finished and each not in closed for each in others):
+            self.broken.append("beside an open connection")
         if not attempt.is_prefill:
             self.audit_execution(attempt)
 
