A decode slot does not outlive the restart of its host

Cause: `EndpointChanges.on_update` moved slots off endpoints that drain or are gone, but not off one that comes with a new `started_ms` under its old id (`EndpointSet._apply_entry` told nobody). `RequestLifecycle._start_decode` follows a confirmed slot without asking slow start, so the decodes of all slots that were out went to the cold host at once, where nothing was held for them.

Change: `EndpointSet.apply` returns the endpoints that restarted, and their slots are asked for elsewhere, as at a drain.

Ruled out: a mere repetition of the entry keeps its slots.

--- a/violetstack/policy/endpoint_changes.py
+++ b/violetstack/policy/endpoint_changes.py
@@ -21,14 +21,14 @@
     def on_update(self, update: EndpointUpdate) -> None:
         """The list changed."""
         state = self._state
-        state.endpoints.apply(update, state.now)
+        restarted = state.endpoints.apply(update, state.now)
         for endpoint in state.endpoints.by_name.values():
-            if not endpoint.usable and endpoint.has_load:
+            if endpoint.has_load and (not endpoint.usable or endpoint in restarted):
                 self._evacuate(endpoint)
         state.endpoints.discard_removed()
 
     def _evacuate(self, endpoint: TrackedEndpoint) -> None:
-        """Rule 3: nothing new goes there. Slots move; prefills at a removed host are cancelled."""
+        """Rule 3: nothing new goes there, nor by a slot of its last run. Prefills of removed hosts end."""
         state = self._state
         holders = [state.requests[name] for name in endpoint.reservations if name in state.requests]
         for request in holders:
--- a/violetstack/tracking/endpoint_set.py
+++ b/violetstack/tracking/endpoint_set.py
@@ -30,16 +30,21 @@
         """The usable hosts of one stage."""
         return self.prefill_hosts if is_prefill else self.decode_hosts
 
-    def apply(self, update: EndpointUpdate, now: float) -> None:
-        """Take a change of the list. Removed endpoints stay until `discard_removed`."""
+    def apply(self, update: EndpointUpdate, now: float) -> list[TrackedEndpoint]:
+        """Take a change of the list, and return the endpoints that restarted under their old ids.
+
+        Removed endpoints stay until `discard_removed`.
+        """
         if update.scope is not UpdateScope.DELTA:
             listed = {entry.server for entry in update.endpoints}
             for name, endpoint in self.by_name.items():
                 if name not in listed:
                     endpoint.entry = replace(endpoint.entry, state=EndpointState.REMOVED)
-        for entry in update.endpoints:
-            self._apply_entry(entry, now)
+        restarted = [
+            self.by_name[entry.server] for entry in update.endpoints if self._apply_entry(entry, now)
+        ]
         self._rebuild_pools()
+        return restarted
 
     def discard_removed(self) -> None:
         """Forget removed endpoints, each once its last attempt has ended: hosts get new ids all day."""
@@ -57,15 +62,18 @@
             and (not endpoint.usable or endpoint.statistics.penalty.value_at(now) >= FULL_PENALTY)
         )
 
-    def _apply_entry(self, entry: Endpoint, now: float) -> None:
+    def _apply_entry(self, entry: Endpoint, now: float) -> bool:
+        """Take one entry; has its endpoint restarted?"""
         kind = self._kinds[entry.kind] if entry.kind < len(self._kinds) else DEFAULT_KIND
         endpoint = self.by_name.get(entry.server)
         if endpoint is None:
-            endpoint = TrackedEndpoint(entry, kind, self._rng.random(), now)
-            self.by_name[entry.server] = endpoint
-        elif entry.started_ms is not None and entry.started_ms != endpoint.entry.started_ms:
+            self.by_name[entry.server] = TrackedEndpoint(entry, kind, self._rng.random(), now)
+            return False
+        restarted = entry.started_ms is not None and entry.started_ms != endpoint.entry.started_ms
+        if restarted:
             endpoint.forget_learned(now)
         endpoint.set_entry(entry, kind)
+        return restarted
 
     def _rebuild_pools(self) -> None:
         for endpoint in self.by_name.values():
