Tests: a class that waits 300 ms is answered in time by hosts that hang

Ruled out by it that a fixed figure of the attempts or the policy (10 ms before the deadline for the final answer, 40 ms for the last send, 40 ms least for a connection, 1.5 s for a partial head, 0.1 s before a connection is used again) keeps such a class's answer past its time: read-like, keyed with a window of 60 ms and non-idempotent, with and without cancellation, hosts that close after 1 s and a drain grace of 1000 ms.

--- a/tests/test_attempt_deadlines.py
+++ b/tests/test_attempt_deadlines.py
@@ -10,19 +10,26 @@
 import trio.testing
 from msgspec.structs import replace
 
-from tests.crossings import SlowConnects, send_request
-from tests.steady import until
+from tests.crossings import LIMITS, SlowConnects, send_request
+from tests.steady import Steady, until
 from tests.test_client_disconnect import LARGE_BODY, ReadsLate
 from tests.test_core import CoreHarness
-from tests.test_stories import play
+from tests.test_stories import pair, play
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.policy_api import Request
 from violetstack.protocol.headers import duration_ms
 from violetstack.protocol.http_server import HttpRequest, HttpServerConnection
-from violetstack.rehearsal.clients import ask_platform, chat_body, chat_headers, connect, platform_headers
-from violetstack.rehearsal.hosts import ModelHost
+from violetstack.rehearsal.clients import (
+    Answer,
+    ask_platform,
+    chat_body,
+    chat_headers,
+    connect,
+    platform_headers,
+)
+from violetstack.rehearsal.hosts import Act, ModelHost
 from violetstack.rehearsal.peer import PeerConnection
-from violetstack.rehearsal.stage import Stage
+from violetstack.rehearsal.stage import SETTINGS, Stage
 
 
 class NotesDeadlines(ModelHost):
@@ -123,3 +130,47 @@
 def test_an_attempts_deadline_is_never_after_its_requests() -> None:
     harness = CoreHarness()
     assert harness.send("w1", stop_after=9000.0).deadline == harness.request.deadline
+
+
+SHORT = {"aim": 150.0, "give_up": 300.0}
+
+
+@pytest.mark.parametrize(
+    ("idempotency", "role", "cancel"),
+    [
+        ("read_like", "r", False),
+        ("read_like", "w", True),
+        ("idempotency_key", "w", False),
+        ("non_idempotent", "w", False),
+    ],
+)
+def test_a_class_that_waits_300_ms_gets_its_final_answer_from_hosts_that_hang(
+    idempotency: str, role: str, cancel: bool
+) -> None:
+    """No margin or time-out of a fixed length is longer than what is left."""
+    silent = Act(silent=True)
+    reader, writer = pair(*[silent] * 5, reads=() if role == "w" else (silent,) * 5)
+    spec = {**SETTINGS["classes"][1], **SHORT, "idempotency": idempotency, "group": "all", "window": 60.0}
+    settings = {
+        "classes": [SETTINGS["classes"][0], spec],
+        "limits": {**LIMITS, "cancel": cancel, "idle_close": 1000.0},
+        "rules": {**SETTINGS["rules"], "stop_sending_within": 1000.0},
+    }
+
+    async def story(on: Stage) -> None:
+        call = await send_request(on, "q1", Req_Deadline="")
+        time = Steady()
+        answers: list[Answer] = []
+
+        async def receive() -> None:
+            answers.append(await call.receive())
+
+        on.nursery.start_soon(receive)
+        while not answers:
+            assert time.look() < 0.45
+            await trio.sleep(0.005)
+        assert answers[0].status in (500, 503)
+        assert writer.runs.total() == 0
+        assert len(writer.begun) <= 1 or idempotency != "non_idempotent"
+
+    play(reader, writer, story=story, settings=settings)
