--- a/violetstack/protocol/http_server.py
+++ b/violetstack/protocol/http_server.py
@@ -36,7 +36,7 @@
         target: Path and query.
         headers: Values by name.
         body: The body.
-        waited_ms: How long it lay complete in this process or its socket before it was taken up.
+        waited_ms: Time since its last byte came, as far as it was spent waiting in this process.
     """
 
     method: str
@@ -64,6 +64,8 @@
         self.closing = False
         """The next response head announces the end of the connection."""
         self.wants_continue = False
+        self._without_body = False
+        """The request is a HEAD: its response is a head alone (RFC 9110, 9.3.2)."""
 
     @classmethod
     def resumed(cls, closing: bool) -> HttpServerConnection:
@@ -95,6 +97,13 @@
         """Whether a request has begun to arrive, or its response has not ended."""
         return self._h11.their_state is not h11.IDLE or self.unread > 0
 
+    @property
+    def arriving(self) -> bool:
+        """Whether a request has begun to arrive and its end has not come, or can't be known."""
+        return self._h11.their_state in (h11.SEND_BODY, h11.ERROR) or (
+            self._h11.their_state is h11.IDLE and self.unread > 0
+        )
+
     @property
     def unread(self) -> int:
         """Bytes received behind the current request."""
@@ -126,6 +135,7 @@
 
     def _start(self, event: h11.Request) -> None:
         self._head = event
+        self._without_body = event.method == b"HEAD"
         self._parts = []
         self.size = 0
         names = [name for name, _ in event.headers]
@@ -165,7 +175,7 @@
         """A complete response."""
         rows = [*headers, ("Content-Length", str(len(body)))]
         parts = self._head_of(status, rows)
-        if body:
+        if body and not self._without_body:
             parts += self._send(h11.Data(data=body))
         return parts + self._send(h11.EndOfMessage())
 
