Tests: the waiting time is handed to the front, whoever measures it

`test_the_time_that_a_request_waited_on_its_connection_is_not_told_as_left` set `HttpRequest.waited_ms` in the parser. Client connections set the figure themselves now, after the parser, so the test's own was lost and it failed (748 ms told, 500 expected). It now wraps the listener's front, behind all of them; what it asserts is unchanged.

--- a/tests/test_attempt_deadlines.py
+++ b/tests/test_attempt_deadlines.py
@@ -15,10 +15,11 @@
 from tests.test_client_disconnect import LARGE_BODY, ReadsLate
 from tests.test_core import CoreHarness
 from tests.test_stories import pair, play
+from violetstack.fronts.reply import Front, Reply
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.policy_api import Request
 from violetstack.protocol.headers import duration_ms
-from violetstack.protocol.http_server import HttpRequest, HttpServerConnection
+from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.clients import (
     Answer,
     ask_platform,
@@ -45,20 +46,24 @@
         await super().handle(inbound, connection)
 
 
+def handle_late(front: Front) -> None:
+    """Its requests come as if they had lain on their connection for 1.5 s."""
+    handle = front.handle
+
+    def handle_waited(inbound: HttpRequest, reply: Reply) -> None:
+        handle(replace(inbound, waited_ms=1500.0), reply)
+
+    front.handle = handle_waited  # type: ignore[method-assign]
+
+
 @pytest.mark.parametrize("chat", [False, True])
-def test_the_time_that_a_request_waited_on_its_connection_is_not_told_as_left(
-    chat: bool, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_the_time_that_a_request_waited_on_its_connection_is_not_told_as_left(chat: bool) -> None:
     """As behind another answer: its bytes are complete long before it is taken up."""
     reader, writer = NotesDeadlines("r", "prefill"), ModelHost("w", "decode")
-    take = HttpServerConnection.next_request
-
-    def take_late(self: HttpServerConnection) -> HttpRequest | None:
-        inbound = take(self)
-        return None if inbound is None else replace(inbound, waited_ms=1500.0)
 
     async def story(on: Stage) -> None:
-        monkeypatch.setattr(HttpServerConnection, "next_request", take_late)
+        for listener in on.daemon.listeners:
+            handle_late(listener.front)
         call = await connect(on.chat if chat else on.platform)
         headers = chat_headers(Req_Deadline="2000m") if chat else platform_headers("q1", "consulta")
         if not chat:
