--- a/violetstack/protocol/http_server.py
+++ b/violetstack/protocol/http_server.py
@@ -29,14 +29,21 @@
 
 
 class HttpRequest(msgspec.Struct, frozen=True):
-    """A complete request; header names are in lower case."""
+    """A complete request; header names are in lower case.
+
+    Attributes:
+        method: The method.
+        target: Path and query.
+        headers: Values by name.
+        body: The body.
+        waited_ms: Time since its last byte came, as far as it was spent waiting in this process.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: memoryview
     waited_ms: float = 0.0
-    """Time since its last byte came, as far as it was spent waiting in this process."""
 
     @property
     def path(self) -> str:
