--- a/violetstack/rehearsal/fleet/campaign_client.py
+++ b/violetstack/rehearsal/fleet/campaign_client.py
@@ -77,18 +77,29 @@
         script: RequestScript,
         message: ClientMessage,
         clock: Callable[[], float],
+        *,
+        rest_s: float = 0.0,
     ) -> None:
+        """`rest_s`: how long a client that connects early rests before its request."""
         self.connection = connection
         self._exchange = exchange
         self._script = script
         self._message = message
         self._clock = clock
         self._scope = trio.CancelScope()
+        self._rest_s = rest_s
         self.reusable = False
+        self.rested = False
+        """The connection was idle before its first request."""
         self._ended = False
 
     async def run(self) -> None:
-        """Returns once the answer has ended, the connection has, or the client has left."""
+        """Returns once the answer has ended, the connection has, or the client has left.
+
+        Raises:
+            NotAcceptedError: The connection ended before anything was written to it.
+        """
+        not_accepted: NotAcceptedError | None = None
         async with trio.open_nursery() as nursery:
             if self._script.client_act is not None:
                 nursery.start_soon(self._leave)
@@ -102,9 +113,13 @@
                 except h11.RemoteProtocolError as error:
                     self._exchange.surplus += f"no HTTP: {error}".encode()
                     self._server_closed()
+                except NotAcceptedError as error:
+                    not_accepted = error
             nursery.cancel_scope.cancel()
         if not self.reusable:
             self.connection.close()
+        if not_accepted is not None:
+            raise not_accepted
 
     # --- writing ---
 
@@ -114,6 +129,8 @@
         body = http.send(h11.Data(data=self._message.body)) or b""
         http.send(h11.EndOfMessage())
         data = head + body
+        if self._script.habit is ClientHabit.CONNECTS_EARLY and not self._exchange.reused_connection:
+            await self._rest()
         in_pieces = self._script.habit is ClientHabit.IN_PIECES or self._leaves_at(Stage.HEAD_IN_PIECES)
         if in_pieces:
             for end in (len(head) // 3, len(head) - 2):
@@ -132,6 +149,13 @@
         self._script.reach(Stage.QUEUED)
         self._script.reach(Stage.WAITING)
 
+    async def _rest(self) -> None:
+        """Rests before its first request; a connection that the dispatcher has ended is not written to."""
+        self.rested = True
+        await trio.sleep(self._rest_s)
+        if self.connection.stream.socket.is_readable():
+            raise NotAcceptedError("the connection ended before its first request")
+
     def _leaves_at(self, stage: Stage) -> bool:
         return self._script.client_act is not None and self._script.client_act[0] is stage
 
--- a/violetstack/rehearsal/fleet/campaign_faults.py
+++ b/violetstack/rehearsal/fleet/campaign_faults.py
@@ -38,6 +38,7 @@
     IN_PIECES = "in pieces"
     LARGE_BODY = "large body"
     PIPELINED = "pipelined"
+    CONNECTS_EARLY = "connects early"
 
 
 class HostFault(Enum):
