--- a/violetstack/rehearsal/fleet/campaign.py
+++ b/violetstack/rehearsal/fleet/campaign.py
@@ -190,7 +190,7 @@
             self.hosts.append(host)
             await nursery.start(host.serve)
         for number in range(self.deployment.dispatcher_count):
-            agent = Agent(number, self._rows(), self.evidence.drains, self.now)
+            agent = Agent(number, self._rows(), {}, self.now)
             self.agents.append(agent)
             await nursery.start(agent.serve)
             address = loopback_address(number, LISTEN_PORT)
@@ -545,6 +545,9 @@
         logs = [dispatcher.program.events() for dispatcher in self.dispatchers]
         for dispatcher in self.dispatchers:
             dispatcher.program.log.close()
+        for agent in self.agents:
+            drains = {(agent.number, host): at for host, at in agent.written_drains.items()}
+            self.evidence.drains.update(drains)
         found = audit(self.deployment.settings, self.deployment.drain_grace_s, self.evidence)
         counted: Counter[str] = Counter(str(line.get("event")) for log in logs for line in log)
         return CaseResult(
--- a/violetstack/rehearsal/fleet/network.py
+++ b/violetstack/rehearsal/fleet/network.py
@@ -42,6 +42,8 @@
         self.calls: list[float] = []
         self.old = list(rows)
         self.news = trio.Event()
+        self.written_drains: dict[str, float] = {}
+        """When a host's drain was written to the dispatcher, by the host's id."""
         self.complete = {1}
         """Versions that are complete lists."""
 
@@ -65,16 +67,23 @@
         await connection.start(200, [("Content-Type", "application/json")])
         index = int(inbound.target.rpartition("index=")[2]) if "index=" in inbound.target else 0
         while True:
+            changes = [(version, rows) for version, rows in self.changes if version > index]
             lines = [
                 orjson.dumps({"version": version, "full": version in self.complete, "servers": rows})
-                for version, rows in self.changes
-                if version > index
+                for version, rows in changes
             ]
             index = self.version
             await connection.data(b"\n".join([*lines, b""]) if lines else b"\n")
+            for _, rows in changes:
+                self._note_written(rows)
             with trio.move_on_after(2.0):
                 await self.news.wait()
 
+    def _note_written(self, rows: list[dict[str, Any]]) -> None:
+        for row in rows:
+            if row["state"] != "active":
+                self.written_drains.setdefault(str(row["id"]), self.now())
+
     def tell(self, *rows: dict[str, Any]) -> None:
         """Counts as told now, whether or not the dispatcher reads: the agent writes at once."""
         super().tell(*rows)
