Odd JSON of a client or host that the decoder refuses by other errors is an invalid message

Ruled out: a host's usage event and a prefill's body: their types refuse the value before its nesting is met, so the tests of these passed before too. The records of handover and state were read, not played.

Change: protocol/json_errors.py names the errors once; discovery's decoder, which had them, uses it too.

--- a/violetstack/handover/record.py
+++ b/violetstack/handover/record.py
@@ -15,6 +15,7 @@
 from violetstack.handover.errors import InvalidRecordError
 from violetstack.handover.learned_state import LearnedState
 from violetstack.protocol.discovery import ListedEndpoint
+from violetstack.protocol.json_errors import DECODE_ERRORS
 
 FORMAT_VERSION = "violetstack-record-1"
 CHECKSUM_BYTES = 16
@@ -73,7 +74,7 @@
         raise InvalidRecordError("checksum mismatch: truncated or corrupt")
     try:
         record = msgspec.json.decode(body, type=HandoverRecord)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise InvalidRecordError(str(error)) from None
     if record.dispatcher != dispatcher:
         raise InvalidRecordError(f"written by another dispatcher: {record.dispatcher[:MAX_NAME_IN_ERROR]!r}")
--- a/violetstack/net/upstream/stream_trailer.py
+++ b/violetstack/net/upstream/stream_trailer.py
@@ -8,6 +8,7 @@
 
 from violetstack.protocol import sse
 from violetstack.protocol.headers import report_of
+from violetstack.protocol.json_errors import DECODE_ERRORS
 
 LoadReport = tuple[float | None, ...] | None
 """Values in the order of the settings' report fields; None where there is no report."""
@@ -58,7 +59,7 @@
     def _read_usage(self, event: memoryview) -> None:
         try:
             usage = msgspec.json.decode(sse.payload(event), type=_UsageEvent).usage
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return
         if usage is not None and usage.prompt_tokens_details is not None:
             self.cached_tokens = usage.prompt_tokens_details.cached_tokens
@@ -70,7 +71,7 @@
         return False
     try:
         return msgspec.json.decode(sse.payload(event), type=_ErrorEvent).error is not None
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return False
 
 
@@ -78,5 +79,5 @@
     """The count of cached prompt tokens in a prefill host's 202; 0 if it cannot be read."""
     try:
         return msgspec.json.decode(body, type=_PromptTokensDetails).cached_tokens
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return 0
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from violetstack.policy_api import Endpoint, EndpointState, EndpointUpdate, UpdateScope
+from violetstack.protocol.json_errors import DECODE_ERRORS
 from violetstack.settings import SettingsMessage
 
 MAX_OBJECT_BYTES = 1024 * 1024  # a hundred hosts take some 15,000
@@ -21,8 +22,6 @@
 MAX_HOST_LENGTH = 253  # of a name (RFC 1035)
 MAX_LABEL_LENGTH = 63
 MAX_PORT = 65535
-# What the decoder raises for a text that is not JSON, is nested too deeply, or has fields of another type.
-DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 STATES = {"active": EndpointState.HEALTHY, "leaving": EndpointState.DRAINING, "left": EndpointState.REMOVED}
 
--- a/violetstack/protocol/headers.py
+++ b/violetstack/protocol/headers.py
@@ -9,6 +9,7 @@
 
 from violetstack.policy_api import Request
 from violetstack.protocol.http_server import Headers, HttpRequest, InvalidRequestError
+from violetstack.protocol.json_errors import DECODE_ERRORS
 from violetstack.settings import SettingsMessage
 
 CHARS_A_TOKEN = 4
@@ -140,7 +141,7 @@
     """
     try:
         msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except (msgspec.MsgspecError, ValueError):
+    except DECODE_ERRORS:
         raise InvalidRequestError(400, "the body is no JSON object") from None
 
 
--- a/violetstack/state/snapshot.py
+++ b/violetstack/state/snapshot.py
@@ -12,6 +12,7 @@
 
 from violetstack.handover.learned_state import LearnedState
 from violetstack.protocol.discovery import ListedEndpoint
+from violetstack.protocol.json_errors import DECODE_ERRORS
 from violetstack.state.errors import RecordError
 from violetstack.state.records import Record, encode_record
 
@@ -73,7 +74,7 @@
         for record in records:
             try:
                 self._apply(record)
-            except msgspec.MsgspecError as error:
+            except DECODE_ERRORS as error:
                 raise RecordError(record.kind, str(error)) from error
 
     def _apply(self, record: Record) -> None:
