--- a/tests/test_descriptor_exhaustion.py
+++ b/tests/test_descriptor_exhaustion.py
@@ -20,6 +20,13 @@
 from tests.test_stories import pair, play
 from violetstack.config import Address
 from violetstack.net.descriptor_reserve import DescriptorReserve, open_tcp_connection
+from violetstack.net.downstream.listener import MAX_CONCURRENT_REJECTIONS
+from violetstack.net.resource_limits import (
+    CONNECTION_BYTES,
+    REFUSED_MEMORY_SHARE,
+    RESERVED_DESCRIPTORS,
+    divide_limits,
+)
 from violetstack.rehearsal.stage import SETTINGS, Stage
 
 SOCKETS = 64
@@ -135,6 +142,20 @@
     play(*pair(), story=story, sockets=1024)
 
 
+@pytest.mark.parametrize("fronts", [1, 2, 3])
+@pytest.mark.parametrize(("sockets", "memory_mb"), [(256, 192.0), (4096, 64.0)], ids=["few", "little memory"])
+def test_refused_connections_of_all_listeners_fit_the_limit(
+    sockets: int, memory_mb: float, fronts: int
+) -> None:
+    """Each listener had a dozen of its own, of which one dozen was counted; and hundreds were left unused."""
+    share = divide_limits(sockets, memory_mb, fronts=fronts, admin_api=False, processes=1)
+    used = RESERVED_DESCRIPTORS + share.upstream + fronts * (share.clients + share.refused)
+    assert used <= sockets
+    for_memory = int(memory_mb * 2**20 * REFUSED_MEMORY_SHARE) // CONNECTION_BYTES
+    unused = sockets - used
+    assert unused < 2 * fronts or fronts * (share.refused + 1) > MAX_CONCURRENT_REJECTIONS + for_memory
+
+
 def test_a_closed_socket_s_descriptor_is_kept_back_before_any_other_task_runs() -> None:
     async def main() -> None:
         reserve = DescriptorReserve(1)
