A connection that waited to be accepted during a pause counts as old as the pause was long

Cause: connections are accepted one for each iteration of the event loop, and the pause detector's age counts for 300 ms at most. net/downstream/listener.py knew of waits after a failed accept alone.

Change: the listener notes the age when it accepts the first connection after a pause, and keeps it until it sees the queue empty, for one second at most: under lasting load the queue is never empty, and an age without bound would turn everybody away. `Dispatcher.max_unread_ms` tells it. The look at the queue is guarded against a socket that the shutdown has closed meanwhile, which's form of it was not: after a failed accept it could have ended the process.

The new tests failed without the change, and the one of the closed socket without its guard.

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -776,3 +776,54 @@
         assert stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
     play(*pair(), story=story)
+
+
+def test_a_request_that_waited_unaccepted_during_a_pause_tells_how_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Also one that is accepted when the pause has been over for some time."""
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        times = WaitedTimes(on)
+        pauses = [1200.0]
+        monkeypatch.setattr(on.daemon.core, "max_unread_ms", lambda: pauses.pop() if pauses else 0.0)
+        late = [socket.create_connection(on.platform) for _ in range(3)]
+        for each in late:
+            each.sendall(request(f"late{late.index(each)}"))
+        await until(lambda: len(times.waited_ms) == 3)
+        assert all(1199.0 <= waited < 1500.0 for waited in times.waited_ms)
+        for each in late:
+            each.close()
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q9"))
+        assert await client.receive_answers(1) == [200]
+        assert times.waited_ms[3] < 100.0
+        await client.stream.aclose()
+
+    play(reader, writer, story=story)
+
+
+def test_a_listener_that_is_closed_after_a_failed_accept_ends_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    gate = trio.Event()
+    reader, writer = pair(reads=(Act(before=gate),))
+
+    async def story(on: Stage) -> None:
+        async def fail(listener: trio.SocketListener) -> trio.SocketStream:
+            raise OSError(errno.EMFILE, "no descriptor")
+
+        client = await RawClient.connect(on.platform)
+        await client.send(request("q1"))
+        await until(lambda: reader.begun == ["q1"])
+        monkeypatch.setattr(trio.SocketListener, "accept", fail)
+        await RawClient.connect(on.platform)  # the accept under way takes it
+        await RawClient.connect(on.platform)
+        on.daemon.stop.set()
+        await until(lambda: not on.daemon.accepting)
+        await trio.sleep(2.0 * listener_module.ACCEPT_RETRY_S)  # it wakes with its socket closed
+        gate.set()
+        assert await client.receive_answers(1) == [200]
+
+    play(reader, writer, story=story)
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -177,6 +177,10 @@
         """Returns the time within which the request's first token is wanted."""
         return self._state.latency_objective_ms(request)
 
+    def max_unread_ms(self) -> float:
+        """Returns how long what is read now may have waited in its socket."""
+        return self._max_unread()
+
     def waiting_ratios(self, now: float) -> list[float]:
         """Returns the ages of the requests without a first token, each divided by its latency objective."""
         state = self._state
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -19,6 +19,8 @@
 
 ACCEPT_RETRY_S = 0.1
 """Pause after the system had no descriptor or memory for a connection."""
+MAX_QUEUE_S = 1.0
+"""For this long after a pause or a failed accept, connections in the queue count as old as it was long."""
 MAX_CONCURRENT_REJECTIONS = 12
 """Connections over the bound that are kept until they are answered; further ones are closed unread."""
 Wrap = Callable[[trio.SocketStream], Awaitable[trio.abc.Stream]]
@@ -40,8 +42,9 @@
         """Responses announce the connection's end, as this process shuts down."""
         self.refusing = False
         """Requests are rejected, as the shutdown would cut their answers off."""
-        self._accept_failing_since = 0.0
-        """Connections have waited to be accepted since then; 0 if none waits."""
+        self._queued_since = 0.0
+        """Connections in the queue may have waited since then; 0 if that is not known."""
+        self._queue_seen_at = 0.0
         self._nursery: trio.Nursery
 
     async def run(self, listeners: list[trio.SocketListener], wrap: Wrap | None = None) -> None:
@@ -66,19 +69,34 @@
 
     async def _accept_all(self, listener: trio.SocketListener, wrap: Wrap | None) -> None:
         while True:
+            if _queue_is_empty(listener):
+                self._queued_since = 0.0
             try:
                 stream = await listener.accept()
             except trio.ClosedResourceError:
                 return  # the shutdown has closed the listening socket
             except OSError as error:  # the fault of one connection, or no descriptor or memory is left
                 log_rate_limited("accept_failed", error=str(error))
-                self._accept_failing_since = self._accept_failing_since or trio.current_time()
+                self._note_queue(trio.current_time())
                 if error.errno != errno.ECONNABORTED:
                     await trio.sleep(ACCEPT_RETRY_S)
                 continue
+            unread_ms = self.core.max_unread_ms()
+            if unread_ms > 0.0:
+                self._note_queue(trio.current_time() - unread_ms / 1000.0)
             await self._accepted(stream, wrap)
-            if self._accept_failing_since and not listener.socket.is_readable():
-                self._accept_failing_since = 0.0
+
+    def _note_queue(self, since: float) -> None:
+        """Connections that are accepted before the queue is empty may have waited since then."""
+        if not self._queued_since:
+            self._queued_since = since
+            self._queue_seen_at = trio.current_time()
+
+    def _accepted_unread_since(self) -> float:
+        """How long ago what a new connection holds may have come, as a time on trio's clock."""
+        now = trio.current_time()
+        recent = now - self._queue_seen_at < MAX_QUEUE_S
+        return self._queued_since if self._queued_since and recent else now
 
     async def _accepted(self, stream: trio.SocketStream, wrap: Wrap | None) -> None:
         try:
@@ -89,7 +107,7 @@
         if has_room:
             unread_since = 0.0
             if wrap is None and stream.socket.is_readable():
-                unread_since = self._accept_failing_since or trio.current_time()
+                unread_since = self._accepted_unread_since()
             self._nursery.start_soon(self._serve, stream, wrap, unread_since)
         elif self.table.may_refuse():
             log_rate_limited("connection_rejected", status=503)
@@ -130,3 +148,8 @@
             return None
         finally:
             self.table.handshakes -= 1
+
+
+def _queue_is_empty(listener: trio.SocketListener) -> bool:
+    """Whether no connection waits to be accepted; also if the listener has been closed."""
+    return listener.socket.fileno() < 0 or not listener.socket.is_readable()
