Gaps under 50 ms don't count as pauses at the accept queue

Under load an iteration of the event loop takes 10 ms and more, and the queue is seldom empty: each such gap would have made new connections look up to a second old (net/downstream/listener.py, `_accept_all`).

--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -19,6 +19,8 @@
 
 ACCEPT_RETRY_S = 0.1
 """Pause after the system had no descriptor or memory for a connection."""
+MIN_PAUSE_MS = 50.0
+"""Shorter waits are not remembered: a third of what a deadline that is passed on may be too long."""
 MAX_QUEUE_S = 1.0
 """For this long after a pause or a failed accept, connections in the queue count as old as it was long."""
 MAX_CONCURRENT_REJECTIONS = 12
@@ -82,7 +84,7 @@
                     await trio.sleep(ACCEPT_RETRY_S)
                 continue
             unread_ms = self.core.max_unread_ms()
-            if unread_ms > 0.0:
+            if unread_ms > MIN_PAUSE_MS:
                 self._note_queue(trio.current_time() - unread_ms / 1000.0)
             await self._accepted(stream, wrap)
 
