Fault campaign: a module for each of processes, requests, environment and verdict

The case was one module of 600 lines. Processor time is now watched over a second: a sum of short waits had passed for a slow dispatcher.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -21,10 +21,10 @@
     connect,
     platform_headers,
 )
+from violetstack.rehearsal.fleet.addresses import loopback_address
 from violetstack.rehearsal.fleet.network import Agent
 from violetstack.rehearsal.fleet.plan import Plan
 from violetstack.rehearsal.fleet.programs import ROOT, Program
-from violetstack.rehearsal.fleet.runner import loopback_address
 from violetstack.rehearsal.hosts import ModelHost
 from violetstack.rehearsal.stage import SETTINGS, Stage
 
--- a/violetstack/commands/faults.py
+++ b/violetstack/commands/faults.py
@@ -9,7 +9,8 @@
 import click
 import msgspec
 
-from violetstack.rehearsal.fleet.campaign import CaseResult, play_case
+from violetstack.rehearsal.fleet.campaign import play_case
+from violetstack.rehearsal.fleet.campaign_result import CaseResult
 
 
 def parse_seeds(text: str) -> list[int]:
--- /dev/null
+++ b/violetstack/rehearsal/fleet/campaign_environment.py
@@ -0,0 +1,108 @@
+"""Faults of the environment: of hosts as a whole, discovery, processes and descriptors."""
+
+from __future__ import annotations
+
+import math
+import signal
+from contextlib import suppress
+
+import trio
+
+from violetstack.rehearsal.fleet.campaign_faults import EnvironmentEvent, EnvironmentFault
+from violetstack.rehearsal.fleet.campaign_processes import DispatcherProcesses
+from violetstack.rehearsal.fleet.campaign_state import CaseState, Dispatcher, FaultSpan
+from violetstack.rehearsal.fleet.minimal_http import connect
+
+IDLE_FLOOD = 140
+COMPLETE_LIST_INTERVAL_S = 0.1
+FLOOD_AFTERMATH_S = 0.4
+SIGHUP_S = 0.2
+"""A configuration is read again within this time."""
+
+
+class EnvironmentFaults:
+    """Carries out the drawn faults."""
+
+    def __init__(self, state: CaseState, processes: DispatcherProcesses) -> None:
+        self._state = state
+        self._processes = processes
+
+    async def befall(self, event: EnvironmentEvent) -> None:
+        await trio.sleep(max(0.0, event.at - self._state.now()))
+        began = self._state.now()
+        if event.fault.name.startswith("HOST"):
+            await self._befall_host(event)
+        elif event.fault.name.startswith("DISCOVERY"):
+            await self._befall_discovery(event)
+        elif event.fault is EnvironmentFault.DESCRIPTORS_FULL:
+            await self._flood(self._state.dispatchers[event.target], event.lasts_s)
+        else:
+            await self._signal(self._state.dispatchers[event.target], event)
+        self._state.spans.append(FaultSpan(event.fault, event.target, began, self._state.now()))
+
+    async def _befall_host(self, event: EnvironmentEvent) -> None:
+        host = self._state.hosts[event.target]
+        match event.fault:
+            case EnvironmentFault.HOST_REFUSES:
+                host.refuse()
+                await trio.sleep(event.lasts_s)
+                host.accept_again()
+            case EnvironmentFault.HOST_CONNECTS_LATE | EnvironmentFault.HOST_NEVER_CONNECTS:
+                host.stop_connecting()
+                host.hang_up()
+                await trio.sleep(event.lasts_s)
+                host.connect_again()
+            case _:
+                host.state = "leaving"
+                for agent in self._state.agents:
+                    agent.tell(host.row())
+                await trio.sleep(event.lasts_s)
+
+    async def _befall_discovery(self, event: EnvironmentEvent) -> None:
+        agent = self._state.agents[event.target]
+        if event.fault is EnvironmentFault.DISCOVERY_COMPLETE_LISTS:
+            for _ in range(int(event.lasts_s / COMPLETE_LIST_INTERVAL_S)):
+                agent.tell_complete(self._state.rows())
+                await trio.sleep(COMPLETE_LIST_INTERVAL_S)
+            return
+        if event.fault is EnvironmentFault.DISCOVERY_RESET:
+            agent.hang_up()
+            await trio.sleep(event.lasts_s)
+            return
+        modes = {EnvironmentFault.DISCOVERY_SILENT: "silent", EnvironmentFault.DISCOVERY_LATE: "slow"}
+        agent.mode = modes.get(event.fault, "")
+        agent.hang_up()
+        await trio.sleep(event.lasts_s)
+        agent.mode = ""
+        agent.hang_up()
+
+    async def _flood(self, dispatcher: Dispatcher, lasts_s: float) -> None:
+        """Idle clients take every descriptor that they can get."""
+        dispatcher.flooded_from = self._state.now()
+        dispatcher.flooded_until = math.inf
+        streams = []
+        with trio.move_on_after(lasts_s):
+            for _ in range(IDLE_FLOOD):
+                with suppress(OSError):
+                    streams.append(await connect(dispatcher.program.at))
+            await trio.sleep(lasts_s)
+        for stream in streams:
+            stream.socket.close()
+        dispatcher.flooded_until = self._state.now() + FLOOD_AFTERMATH_S
+
+    async def _signal(self, dispatcher: Dispatcher, event: EnvironmentEvent) -> None:
+        program = dispatcher.program
+        match event.fault:
+            case EnvironmentFault.SIGHUP:
+                program.send(signal.SIGHUP)
+                await trio.sleep(SIGHUP_S)
+            case (
+                EnvironmentFault.SIGSTOP_SHORT
+                | EnvironmentFault.SIGSTOP_LONG
+                | EnvironmentFault.SIGSTOP_OVER_STREAM_TIMEOUT
+            ):
+                await self._processes.pause(dispatcher, event.lasts_s)
+            case EnvironmentFault.SIGKILL:
+                await self._processes.kill(dispatcher, event.lasts_s)
+            case _:
+                await self._processes.restart(dispatcher)
--- /dev/null
+++ b/violetstack/rehearsal/fleet/campaign_processes.py
@@ -0,0 +1,147 @@
+"""Starts, kills and restarts the dispatcher processes of one case."""
+
+from __future__ import annotations
+
+import math
+import signal
+from typing import Any
+
+import trio
+
+from violetstack.rehearsal.fleet.addresses import loopback_address
+from violetstack.rehearsal.fleet.campaign_client import READY_REQUEST
+from violetstack.rehearsal.fleet.campaign_state import CaseState, Dispatcher
+from violetstack.rehearsal.fleet.minimal_http import Client, Ended, connect
+from violetstack.rehearsal.fleet.network import HEARD
+from violetstack.rehearsal.fleet.plan import Plan
+from violetstack.rehearsal.fleet.programs import Program
+
+LISTEN_PORT = 5000
+SOCKETS = 96
+START_TIMEOUT_S = 30.0
+NEW_CONNECTIONS_AFTER_SIGTERM_S = 0.3
+LATE_REQUEST_S = 0.7
+"""A request that comes later than this after SIGTERM is lost if SIGKILL finds it unanswered."""
+MAX_DRAIN_S = 3.0
+CATCH_UP_S = 0.5
+"""A process that was stopped may take this long to work off what came in meanwhile."""
+POLL_S = 0.02
+
+
+class DispatcherProcesses:
+    """What happens to dispatchers, and which requests a killed one owes no answer for."""
+
+    def __init__(self, state: CaseState) -> None:
+        self._state = state
+        self._starts = 0
+
+    async def start_all(self) -> None:
+        """Returns once each is ready."""
+        for number in range(self._state.deployment.dispatcher_count):
+            address = loopback_address(number, LISTEN_PORT)
+            limits = Plan(seed=self._state.seed, sockets=SOCKETS)
+            program = Program(number, address, self._configuration(number), limits, self._state.root)
+            dispatcher = Dispatcher(program)
+            self._state.dispatchers.append(dispatcher)
+            self.start(dispatcher)
+        for dispatcher in self._state.dispatchers:
+            await self.await_ready(dispatcher)
+
+    def end_all(self) -> None:
+        for dispatcher in self._state.dispatchers:
+            self._note_crash(dispatcher)
+            dispatcher.program.end()
+
+    def start(self, dispatcher: Dispatcher) -> None:
+        self._starts += 1
+        dispatcher.program.start(self._state.now(), self._state.seed * 1000 + self._starts)
+
+    async def await_ready(self, dispatcher: Dispatcher) -> None:
+        give_up_at = self._state.now() + START_TIMEOUT_S
+        while not dispatcher.accepting:
+            if self._state.now() > give_up_at:
+                self._state.crashed.append(f"dispatcher {dispatcher.program.number} was not ready in time")
+                return
+            try:
+                with trio.fail_after(0.5):
+                    async with await connect(dispatcher.program.at) as stream:
+                        client = Client(stream)
+                        await client.ask(READY_REQUEST)
+                        dispatcher.accepting = client.answer.status == 200
+            except (OSError, Ended, trio.TooSlowError):
+                pass
+            await trio.sleep(0.03)
+
+    def _configuration(self, number: int) -> dict[str, Any]:
+        count = self._state.deployment.dispatcher_count
+        peers = [loopback_address(n, HEARD) for n in range(count)]
+        host, port = loopback_address(number, LISTEN_PORT)
+        return {
+            "name": f"n{number}",
+            "listen": f"{host}:{port}",
+            "discovery": self._state.agents[number].address,
+            "peer_listen": f"{peers[number][0]}:{peers[number][1]}",
+            "peers": [f"{host}:{port}" for host, port in peers],
+            "limits": {"sockets": SOCKETS, "memory_mb": 192.0},
+            "known": {"version": 1, "full": True, "servers": self._state.rows()},
+            "settings": self._state.deployment.for_dispatcher(number),
+        }
+
+    async def kill(self, dispatcher: Dispatcher, down_s: float) -> None:
+        """SIGKILL, and a new start later."""
+        self._note_crash(dispatcher)
+        self._kill(dispatcher, since=math.inf)
+        await trio.sleep(down_s)
+        self.start(dispatcher)
+        await self.await_ready(dispatcher)
+
+    async def restart(self, dispatcher: Dispatcher) -> None:
+        """SIGTERM, SIGKILL where it may come, and a new start."""
+        program = dispatcher.program
+        self._note_crash(dispatcher)
+        program.wanted = False
+        program.send(signal.SIGTERM)
+        told_at = self._state.now()
+        kill_after_s = min(self._state.deployment.longest_timeout_s, MAX_DRAIN_S) + LATE_REQUEST_S
+        with trio.move_on_after(kill_after_s):
+            await trio.sleep(NEW_CONNECTIONS_AFTER_SIGTERM_S)
+            dispatcher.accepting = False
+            while program.process is not None and program.process.poll() is None:
+                await trio.sleep(POLL_S)
+        self._kill(dispatcher, since=told_at + LATE_REQUEST_S)
+        self.start(dispatcher)
+        await self.await_ready(dispatcher)
+
+    async def pause(self, dispatcher: Dispatcher, lasts_s: float) -> None:
+        program = dispatcher.program
+        if program.process is None or program.process.poll() is not None:
+            return
+        program.send(signal.SIGSTOP)
+        ends_at = self._state.now() + lasts_s
+        while self._state.now() < ends_at:
+            for exchange in self._state.open.values():
+                if exchange.dispatcher == program.number:
+                    exchange.paused_until = max(exchange.paused_until, ends_at + CATCH_UP_S)
+            await trio.sleep(POLL_S)
+        program.send(signal.SIGCONT)
+
+    def _kill(self, dispatcher: Dispatcher, since: float) -> None:
+        """SIGKILL excuses what it finds unanswered, if that was sent before `since` and is not overdue."""
+        now = self._state.now()
+        dispatcher.accepting = False
+        dispatcher.program.end()
+        for exchange in self._state.open.values():
+            if exchange.dispatcher != dispatcher.program.number:
+                continue
+            sent_at = exchange.sent_at
+            begun_or_in_time = exchange.committed_at is not None or now < exchange.lost_at
+            if sent_at is None or (sent_at <= since and begun_or_in_time):
+                exchange.excused = "killed"
+        dispatcher.forget_connections()
+
+    def _note_crash(self, dispatcher: Dispatcher) -> None:
+        program = dispatcher.program
+        code = program.process.poll() if program.process is not None else None
+        if program.wanted and code is not None:
+            lines = [str(line) for line in program.events()[-2:]]
+            self._state.crashed.append(f"dispatcher {program.number} ended with {code}: {' '.join(lines)}")
--- /dev/null
+++ b/violetstack/rehearsal/fleet/campaign_requests.py
@@ -0,0 +1,200 @@
+"""The clients of one case: who asks which dispatcher, on which connection, and how it is written down."""
+
+from __future__ import annotations
+
+import os
+import random
+import socket
+from contextlib import suppress
+
+import h11
+import trio
+
+from violetstack.rehearsal.fleet.campaign_client import (
+    READ_SIZE,
+    ClientCall,
+    ClientConnection,
+    ClientMessage,
+    NotAcceptedError,
+)
+from violetstack.rehearsal.fleet.campaign_faults import ClientHabit, RequestScript, ScriptSource
+from violetstack.rehearsal.fleet.campaign_state import CaseState, Dispatcher
+from violetstack.rehearsal.fleet.socket_audit import ClientExchange
+
+REQUESTS_PER_DISPATCHER_S = 14.0
+KEPT_CONNECTION_SHARE = 0.6
+BLIND_REUSE_SHARE = 0.5
+LARGE_BODY_BYTES = 240_000
+EARLY_CONNECTION_RESTS_S = (0.05, 0.5, 1.2, 2.1, 2.19, 2.2)
+"""Before the first request on a new connection."""
+CROSSING_S = 0.05
+"""On loopback a request and the end of its connection cross within this time."""
+
+
+class CaseClients:
+    """An open loop of clients; each request meets what its script says."""
+
+    def __init__(self, state: CaseState) -> None:
+        self._state = state
+        self._rng = random.Random(f"clients {state.seed}")
+        self._source = ScriptSource(state.seed)
+
+    async def send_requests(self, nursery: trio.Nursery, duration_s: float) -> None:
+        rate = REQUESTS_PER_DISPATCHER_S * self._state.deployment.dispatcher_count
+        number = 0
+        at = 0.0
+        while at < duration_s:
+            at += self._rng.expovariate(rate)
+            await trio.sleep(max(0.0, at - self._state.now()))
+            number += 1
+            nursery.start_soon(self._request, number)
+
+    async def _request(self, number: int) -> None:
+        rng = random.Random(f"request {self._state.seed} {number}")
+        script = self._source.draw()
+        request_id = f"c{self._state.seed}q{number}"
+        class_index = rng.randrange(len(self._state.deployment.class_names))
+        timeout_s = self._state.deployment.timeouts_s[class_index]
+        deadline_s = max(0.3, timeout_s * rng.choice((0.5, 1.0, 1.0)))
+        dispatcher = self._choose(rng)
+        if dispatcher is None:
+            self._state.statuses["no dispatcher"] += 1
+            return
+        exchange = ClientExchange(request_id, class_index, dispatcher.program.number, round(deadline_s, 3))
+        self._state.scripts[request_id] = script
+        self._state.evidence.exchanges[request_id] = exchange
+        self._state.open[request_id] = exchange
+        body = self._body(rng, script)
+        headers = self._headers(rng, exchange, len(body))
+        request = h11.Request(method="POST", target="/v1/chat/completions", headers=headers)
+        try:
+            await self._exchange(dispatcher, exchange, ClientMessage(request, body), rng)
+        except NotAcceptedError:
+            del self._state.evidence.exchanges[request_id]
+            self._state.statuses["not accepted"] += 1
+        else:
+            self._state.statuses[_outcome(exchange)] += 1
+        finally:
+            del self._state.open[request_id]
+
+    def _choose(self, rng: random.Random) -> Dispatcher | None:
+        """One that takes new connections, or still has kept ones."""
+        there = [each for each in self._state.dispatchers if each.accepting or each.kept]
+        return rng.choice(there) if there else None
+
+    async def _exchange(
+        self,
+        dispatcher: Dispatcher,
+        exchange: ClientExchange,
+        message: ClientMessage,
+        rng: random.Random,
+    ) -> None:
+        rest_s = rng.choice(EARLY_CONNECTION_RESTS_S)
+        connection = self._kept_connection(dispatcher, rng)
+        exchange.reused_connection = connection is not None
+        if connection is None:
+            connection = await ClientConnection.open(dispatcher.program.at)
+        call = ClientCall(
+            connection, exchange, self._state.scripts[exchange.id], message, self._state.now, rest_s=rest_s
+        )
+        await call.run()
+        if self._crossed_close(exchange, call):
+            dispatcher, call = await self._resend(exchange, message, rng)
+        if call.reusable:
+            dispatcher.kept.append((call.connection, exchange))
+        elif not exchange.status and exchange.server_closed_at is not None:
+            self._excuse_flooded(dispatcher, exchange)
+
+    def _crossed_close(self, exchange: ClientExchange, call: ClientCall) -> bool:
+        """Whether the dispatcher ended an idle connection while the request was on its way there.
+
+        One that lay unread for longer is lost: the dispatcher could have seen it.
+        """
+        if exchange.status or exchange.excused or exchange.client_closed_at is not None:
+            return False
+        if exchange.server_closed_at is None or not (exchange.reused_connection or call.rested):
+            return False
+        sent_at = exchange.sent_at
+        return (
+            sent_at is None or exchange.server_closed_at <= sent_at + CROSSING_S + self._state.evidence.lag_s
+        )
+
+    async def _resend(
+        self,
+        exchange: ClientExchange,
+        message: ClientMessage,
+        rng: random.Random,
+    ) -> tuple[Dispatcher, ClientCall]:
+        """Once more, on a new connection: the kept one ended as the request was on its way."""
+        exchange.resent_at = self._state.now()
+        exchange.server_closed_at = None
+        exchange.sent_at = None
+        exchange.reused_connection = False
+        accepting = [each for each in self._state.dispatchers if each.accepting]
+        if not accepting:
+            raise NotAcceptedError("no dispatcher takes new connections")
+        dispatcher = rng.choice(accepting)
+        exchange.dispatcher = dispatcher.program.number
+        connection = await ClientConnection.open(dispatcher.program.at)
+        call = ClientCall(connection, exchange, self._state.scripts[exchange.id], message, self._state.now)
+        await call.run()
+        return dispatcher, call
+
+    def _kept_connection(self, dispatcher: Dispatcher, rng: random.Random) -> ClientConnection | None:
+        wanted = not dispatcher.accepting or rng.random() < KEPT_CONNECTION_SHARE
+        while dispatcher.kept and wanted:
+            connection, last = dispatcher.kept.pop()
+            if connection.stream.socket.is_readable() and rng.random() > BLIND_REUSE_SHARE:
+                self._look_behind(connection, last)
+                connection.close()
+                continue
+            connection.http.start_next_cycle()
+            return connection
+        return None
+
+    def _look_behind(self, connection: ClientConnection, last: ClientExchange) -> None:
+        """What lies on an idle connection is its end, or an answer that nobody asked for."""
+        with suppress(OSError), socket.socket(fileno=os.dup(connection.stream.socket.fileno())) as copy:
+            last.surplus += copy.recv(READ_SIZE, socket.MSG_DONTWAIT)
+
+    def _excuse_flooded(self, dispatcher: Dispatcher, exchange: ClientExchange) -> None:
+        """With the descriptors full, new connections may be closed unread."""
+        closed_at = exchange.server_closed_at
+        flooded = dispatcher.flooded_from <= (closed_at or 0.0) <= dispatcher.flooded_until
+        if flooded and not exchange.reused_connection:
+            exchange.excused = "descriptors full"
+
+    def _body(self, rng: random.Random, script: RequestScript) -> bytes:
+        size = LARGE_BODY_BYTES if script.habit is ClientHabit.LARGE_BODY else rng.randint(200, 4000)
+        return b'{"model":"chat","stream":true,"messages":[{"role":"user","content":"%b"}]}' % (b"x" * size)
+
+    def _headers(self, rng: random.Random, exchange: ClientExchange, length: int) -> list[tuple[str, str]]:
+        tokens = length // 4
+        headers = [
+            ("Host", "app.svc"),
+            ("Req-Id", exchange.id),
+            ("Req-Kind", self._state.deployment.class_names[exchange.class_index]),
+            ("Req-Key", f"session{rng.randrange(20)}"),
+            ("Req-Deadline", f"{exchange.deadline_s * 1000:.0f}m"),
+            (
+                "Req-Extra",
+                f"prefix=p{rng.randrange(6)},prompt_len={tokens},prefix_len={tokens // 2},max_out=40",
+            ),
+            ("Content-Length", str(length)),
+        ]
+        if self._state.deployment.tenants:
+            headers.append(("Req-Owner", rng.choice(self._state.deployment.tenants)))
+        if rng.random() < 0.1:
+            resume = self._state.deployment.message["family_info"]["resume"]
+            headers.append(("Req-Retry", rng.choice(("again", "1")) if resume else "1"))
+        return headers
+
+
+def _outcome(exchange: ClientExchange) -> str:
+    if exchange.client_closed_at is not None:
+        return "client left"
+    if exchange.status == 200:
+        return "served" if exchange.complete else "broken stream"
+    if exchange.status:
+        return str(exchange.status)
+    return exchange.excused or "no answer"
--- /dev/null
+++ b/violetstack/rehearsal/fleet/campaign_state.py
@@ -0,0 +1,77 @@
+"""What the parts of one case share: its deployment, its stand-ins, and the evidence for the auditor."""
+
+from __future__ import annotations
+
+import math
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from violetstack.rehearsal.fleet.campaign_client import ClientConnection
+from violetstack.rehearsal.fleet.campaign_faults import EnvironmentFault, RequestScript
+from violetstack.rehearsal.fleet.campaign_host import CampaignHost
+from violetstack.rehearsal.fleet.campaign_settings import draw_deployment
+from violetstack.rehearsal.fleet.network import Agent
+from violetstack.rehearsal.fleet.programs import Program
+from violetstack.rehearsal.fleet.socket_audit import ClientExchange, Evidence
+
+
+class FaultSpan(NamedTuple):
+    """When a fault of the environment began and ended."""
+
+    fault: EnvironmentFault
+    target: int
+    began: float
+    ended: float
+
+
+class Dispatcher:
+    """One dispatcher's process as the clients' front sees it."""
+
+    def __init__(self, program: Program) -> None:
+        self.program = program
+        self.accepting = False
+        """New connections go there."""
+        self.kept: list[tuple[ClientConnection, ClientExchange]] = []
+        self.flooded_from = math.inf
+        self.flooded_until = -math.inf
+
+    def forget_connections(self) -> None:
+        for connection, _ in self.kept:
+            connection.close()
+        self.kept.clear()
+
+
+class CaseState:
+    """Attributes are by dispatcher or host number, or by request id; `open` are requests without an end."""
+
+    def __init__(self, seed: int, root: Path) -> None:
+        self.seed = seed
+        self.root = root
+        self.deployment = draw_deployment(seed)
+        self.evidence = Evidence()
+        self.scripts: dict[str, RequestScript] = {}
+        self.open: dict[str, ClientExchange] = {}
+        self.hosts: list[CampaignHost] = []
+        self.agents: list[Agent] = []
+        self.dispatchers: list[Dispatcher] = []
+        self.crashed: list[str] = []
+        self.statuses: Counter[str] = Counter()
+        self.spans: list[FaultSpan] = []
+        self.lag_s = 0.0
+        self.starved_s = 0.0
+        self._began = time.monotonic()
+
+    def now(self) -> float:
+        """Seconds since the load began."""
+        return time.monotonic() - self._began
+
+    def load_begins(self) -> None:
+        self._began = time.monotonic()
+        self.lag_s = 0.0
+        self.starved_s = 0.0
+
+    def rows(self) -> list[dict[str, Any]]:
+        """The complete endpoint list."""
+        return [host.row() for host in self.hosts]
