--- a/violetstack/rehearsal/fleet/campaign_result.py
+++ b/violetstack/rehearsal/fleet/campaign_result.py
@@ -13,6 +13,7 @@
 from violetstack.rehearsal.fleet.socket_audit import ClientExchange, Violation, audit
 
 MAX_LAG_S = 0.25
+MAX_STARVED_S = 0.5
 SHOWN_LOG_LINES = 12
 
 
@@ -29,7 +30,7 @@
     """What one case came to.
 
     `lag_s` is how late the observers were, `starved_s` how long the mean dispatcher waited for a processor
-    within one second: the case is void beyond MAX_LAG_S of either.
+    within one second: the case is void beyond MAX_LAG_S or MAX_STARVED_S.
     """
 
     seed: int
@@ -47,7 +48,7 @@
 
     @property
     def void(self) -> bool:
-        return max(self.lag_s, self.starved_s) > MAX_LAG_S
+        return self.lag_s > MAX_LAG_S or self.starved_s > MAX_STARVED_S
 
 
 class CaseReport:
