A handover record or a stream offer that is no JSON counts as invalid, however it fails

Cause: decode_record and decode_offer (handover/) expected MsgspecError alone; msgspec raises RecursionError for deep nesting and UnicodeDecodeError for bad UTF-8. Records are read at the start and at SIGTERM, outside of any guard. Ruled out: a record cut off or corrupt (checksum); an offer (caught and logged further up). Result: both cases of the new test failed before and pass.

--- a/tests/test_background_tasks.py
+++ b/tests/test_background_tasks.py
@@ -10,6 +10,9 @@
 from tests.test_process_pause import GRACE_MS, pause_process
 from tests.test_stories import pair, play
 from violetstack.daemon.background_task import RESTART_DELAY_S, start_background_task
+from violetstack.handover.errors import InvalidOfferError, InvalidRecordError
+from violetstack.handover.record import FORMAT_VERSION, _checksum, decode_record
+from violetstack.handover.stream_migration import decode_offer
 from violetstack.net.pause_detector import PauseDetector
 from violetstack.policy_api import EndpointUpdate
 from violetstack.rehearsal.clients import ask_platform
@@ -81,3 +84,13 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+@pytest.mark.parametrize("body", [b'{"a":' + b"[" * 100_000, b'{"id":"\xff"}'], ids=["nested", "utf-8"])
+def test_an_offer_or_a_record_that_is_no_json_is_invalid_and_nothing_else(body: bytes) -> None:
+    """Its error was none that the caller of the decoder expects."""
+    with pytest.raises(InvalidOfferError):
+        decode_offer(body, 1)
+    record = f"{FORMAT_VERSION} {_checksum(body)}\n".encode() + body
+    with pytest.raises(InvalidRecordError):
+        decode_record(record, "n0", 0.0)
--- a/violetstack/handover/errors.py
+++ b/violetstack/handover/errors.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import msgspec
+
+# What msgspec raises for invalid bytes; deep nesting and bad UTF-8 have errors of their own.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
 
 class HandoverError(Exception):
     """Base class; `reason` names the value that was not accepted, for the log."""
--- a/violetstack/handover/record.py
+++ b/violetstack/handover/record.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from violetstack.admin.cordons import Cordon
-from violetstack.handover.errors import InvalidRecordError
+from violetstack.handover.errors import DECODE_ERRORS, InvalidRecordError
 from violetstack.handover.learned_state import LearnedState
 from violetstack.protocol.discovery import ListedEndpoint
 
@@ -73,7 +73,7 @@
         raise InvalidRecordError("checksum mismatch: truncated or corrupt")
     try:
         record = msgspec.json.decode(body, type=HandoverRecord)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise InvalidRecordError(str(error)) from None
     if record.dispatcher != dispatcher:
         raise InvalidRecordError(f"written by another dispatcher: {record.dispatcher[:MAX_NAME_IN_ERROR]!r}")
--- a/violetstack/handover/stream_migration.py
+++ b/violetstack/handover/stream_migration.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from violetstack.handover.errors import InvalidOfferError
+from violetstack.handover.errors import DECODE_ERRORS, InvalidOfferError
 
 READY = b"ready"
 DECLINE = b"no"
@@ -69,7 +69,7 @@
     """
     try:
         offer = msgspec.json.decode(data, type=StreamOffer)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise InvalidOfferError(str(error)) from None
     if offer.version != VERSION:
         raise InvalidOfferError(f"version {offer.version}, expected {VERSION}")
