Evicted connections and half requests are answered before the end; one failure costs no other request

Cause, by reading: ConnectionTable.evict forgot a connection at once, so busy did not count one whose request had just been read and whose 503 was still to be written; daemon/shutdown.py _close_silent left half a request open up to SIGKILL; core/dispatcher.py run cleaned up all changed requests of a turn without a guard, and net/upstream/attempts.py _run reported an attempt's end outside of its guard, so that one failure took the rest, or the process, with it.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -339,3 +339,19 @@
     harness.run()
     assert len(harness.ports.attempts) == SETTINGS.max_attempts
     assert harness.ports.statuses[-1] is AttemptStatus.ALREADY_FINISHED
+
+
+def test_a_failed_clean_up_costs_no_other_request_its_own(monkeypatch: pytest.MonkeyPatch) -> None:
+    harness = CoreHarness()
+    other = harness.accept("other")
+    harness.run()
+
+    def fail(_call: ReleaseCall) -> None:
+        raise RuntimeError("the driver fails")
+
+    monkeypatch.setattr(harness.ports, "release_state", fail)
+    harness.request.holds_remote_state = True
+    for request in (harness.request, other):
+        harness.core.client_disconnected(harness.now, request)
+    harness.run()
+    assert list(harness.core.open_requests) == ["q"]
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -89,6 +89,29 @@
     play(reader, writer, story=story)
 
 
+def test_a_connection_that_is_evicted_counts_until_what_was_read_from_it_is_answered() -> None:
+    """Otherwise the process could end between the eviction and the answer."""
+    reader, writer = pair()
+    counted = []
+
+    async def story(on: Stage) -> None:
+        call, connection = await connection_to_evict(on)
+        table = on.daemon.listeners[0].table
+
+        def evict() -> None:
+            table.evict(connection)
+            counted.append(table.busy)
+
+        InterceptedRead(connection.stream, evict)
+        await call.send("POST", "/v1/chat/completions", platform_headers("q1", "orden"), BODY)
+        assert (await call.receive()).outcome == "refused"
+        assert counted[0]
+        await call.stream.aclose()
+        await until(lambda: not table.busy)
+
+    play(reader, writer, story=story)
+
+
 # --- a client that disconnects ---
 
 
--- a/tests/test_shutdown_deadlines.py
+++ b/tests/test_shutdown_deadlines.py
@@ -120,6 +120,27 @@
     play(*pair(), story=story, settings=settings_with_timeout(300.0))
 
 
+@pytest.mark.parametrize("kept", [False, True], ids=["new connection", "kept connection"])
+def test_half_a_request_is_answered_before_sigkill_may_come(kept: bool) -> None:
+    """The rest of it could come too late to be answered."""
+    reader, writer = pair()
+    schedule = ShutdownSchedule.for_longest_timeout(300.0)
+
+    async def story(on: Stage) -> None:
+        call = await connect(on.platform)
+        if kept:
+            await call.send("GET", "/-/ready", [])
+            assert (await call.receive()).status == 200
+        await call.stream.send_all(b"POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\n")
+        listener = on.daemon.listeners[0]
+        await until(lambda: any(connection.http.busy for connection in listener.table.connections))
+        stop_as_if_asked(on, schedule.close_silent_s)
+        assert b" 503 " in await until_closed(call.stream)
+        assert reader.begun == []
+
+    play(reader, writer, story=story, settings=settings_with_timeout(300.0))
+
+
 @pytest.mark.parametrize("signal_handled", ["before", "after"])
 def test_a_request_read_after_a_late_look_at_sigterm_is_rejected(signal_handled: str) -> None:
     """The time counted from when the event loop got to the signal, so what it took was cut off by SIGKILL.
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 import trio
@@ -273,6 +274,30 @@
     play(*pair(), story=story)
 
 
+def test_a_failure_over_the_end_of_one_attempt_ends_no_other_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(on: Stage) -> None:
+        finish = on.daemon.core.attempt_finished
+
+        def fail_for_one(now: float, attempt: Attempt, *outcome: Any) -> None:
+            if attempt.request.id == "q1":
+                raise RuntimeError("broken")
+            finish(now, attempt, *outcome)
+
+        monkeypatch.setattr(on.daemon.core, "attempt_finished", fail_for_one)
+        answers: list[str] = []
+
+        async def ask(request: str, wait_ms: str) -> None:
+            answer = await ask_platform(on.platform, request, "consulta", Req_Deadline=wait_ms)
+            answers.append(answer.outcome)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, "q1", "400m")
+            nursery.start_soon(ask, "q2", "4000m")
+        assert sorted(answers) in (["failed", "served"], ["refused", "served"])
+
+    play(*pair(), story=story)
+
+
 def test_an_entry_of_an_unknown_kind_does_not_stop_the_list() -> None:
     reader, writer = pair()
 
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -319,8 +319,15 @@
                 for action in self._decide(now, events):
                     self._try_action(now, action)
             for request in state.take_changed():
-                self._attempts.withdraw_unsent(now, request)
-                self._lifecycle.clean_up(now, request)
+                self._try_clean_up(now, request)
+
+    def _try_clean_up(self, now: float, request: OpenRequest) -> None:
+        """A failure over one request costs no other its clean-up."""
+        try:
+            self._attempts.withdraw_unsent(now, request)
+            self._lifecycle.clean_up(now, request)
+        except Exception as error:
+            self.driver.log("clean_up_failed", id=request.id, error=repr(error))
 
     def _decide(self, now: float, events: list[Event]) -> list[Action]:
         """If the policy raises, requests that it leaves open fail at their deadlines; the process goes on."""
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -123,9 +123,12 @@
 
 
 def _close_silent(table: ConnectionTable) -> None:
-    """Closes connections on which nothing has come: what came now could not be answered before SIGKILL."""
-    for connection in list(table.awaiting_first_request):
-        if not connection.http.busy and not connection.has_unread():
+    """Closes connections that wait for a request, or for the rest of one, which is answered 503.
+
+    What came now could not be answered before SIGKILL.
+    """
+    for connection in [*table.awaiting_first_request, *table.idle]:
+        if not connection.answering and not connection.has_unread():
             table.evict(connection)
 
 
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -26,6 +26,7 @@
             "attempt_failed",
             "config_invalid",
             "certificate_order_failed",
+            "clean_up_failed",
             "certificate_invalid",
             "connection_failed",
             "event_loop_failed",
--- a/violetstack/net/downstream/connection_table.py
+++ b/violetstack/net/downstream/connection_table.py
@@ -34,6 +34,8 @@
         self.refused: dict[DownstreamConnection, None] = {}
         """Connections over the bound: their requests are answered 503, then they are closed."""
         self.refused_handshakes = 0
+        self.closing: set[DownstreamConnection] = set()
+        """Evicted connections that are not closed yet: one may still have to answer what it has just read."""
 
     # --- life of a connection ---
 
@@ -72,6 +74,7 @@
         self.set_buffered_bytes(connection, 0)
         self.mark_engaged(connection)
         self.refused.pop(connection, None)
+        self.closing.discard(connection)
         self.connections.discard(connection)
 
     # --- bounds ---
@@ -146,6 +149,8 @@
         self.forget(connection)
         if answer_first:
             self.add_refused(connection)
+        else:
+            self.closing.add(connection)
         connection.evict()
 
     # --- shutdown ---
@@ -154,7 +159,7 @@
     def busy(self) -> bool:
         """Whether any response is under way, or a request lies unread on an idle connection."""
         engaged = any(c.answering or c.http.busy or c.unwritten_bytes for c in self.connections)
-        return engaged or any(c.has_unread() for c in self.idle)
+        return engaged or bool(self.closing) or any(c.has_unread() for c in self.idle)
 
     @property
     def awaiting_requests(self) -> bool:
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -139,7 +139,14 @@
         del self._running[attempt]
         running.request_sent.set()
         if result is not None:
+            self._report(attempt, result)
+
+    def _report(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Tells the core how the attempt ended; a failure there may not end the program either."""
+        try:
             self._core.attempt_finished(now_ms(), attempt, result.status, result.detail, result.load_report)
+        except Exception as error:
+            log("attempt_failed", id=attempt.request.id, error=repr(error))
 
     async def _guard(
         self, attempt: Attempt, running: _Running, exchange: Callable[[_Running], Awaitable[AttemptResult]]
