A request to a host is written as its head and its body, not line by line

Cause: h11 gives each line of a head as a buffer of its own, and UpstreamConnection.write makes a system call for each; since it also asks before each whether the rest may go, with a look at the client's socket: 18 such looks a request where 2 are needed.

Change: the head is one buffer.

--- a/violetstack/protocol/http_client.py
+++ b/violetstack/protocol/http_client.py
@@ -74,18 +74,18 @@
     def request(
         self, method: str, target: str, headers: Headers, body: memoryview | bytes = b""
     ) -> list[bytes | memoryview]:
-        """A complete request as buffers; the body is among them, not copied."""
+        """A complete request as two buffers at most: its head, and its body, which is not copied."""
         rows = list(headers)
         if method not in ("GET", "DELETE") or len(body):
             rows.append(("Content-Length", str(len(body))))
         send = self._h11.send_with_data_passthrough
-        parts: list[bytes | memoryview] = list(
-            send(h11.Request(method=method, target=target, headers=rows)) or []
-        )
+        # h11 gives each line of the head on its own, and each buffer is a system call of its writer.
+        head = b"".join(send(h11.Request(method=method, target=target, headers=rows)) or [])
+        parts: list[bytes | memoryview] = [head]
         if len(body):
             parts += send(h11.Data(data=body)) or []  # type: ignore[arg-type]
-        parts += send(h11.EndOfMessage()) or []
-        return [part for part in parts if len(part)]
+        send(h11.EndOfMessage())  # with a Content-Length it writes nothing
+        return parts
 
     def feed(self, data: bytes) -> list[ResponseHead | ResponseData | ResponseEnd]:
         """The events that these bytes complete; no bytes mean that the host has closed the connection.
