Rehearsal: the fleet's runner is split by job, and its names are the field's

Each is a module of its own now; Ground is FleetRun, _told the configuration, _strike the injection of a fault.

--- a/tests/test_lease_service.py
+++ b/tests/test_lease_service.py
@@ -13,9 +13,10 @@
 from violetstack.commands.main import main
 from violetstack.config import Config, ConfigError, NodeConfig
 from violetstack.operator_config import OperatorConfig
+from violetstack.rehearsal.fleet.fleet_processes import ADMIN_PORT
 from violetstack.rehearsal.fleet.plan import Plan, Trouble
 from violetstack.rehearsal.fleet.report import Result
-from violetstack.rehearsal.fleet.runner import ADMIN_PORT, Ground
+from violetstack.rehearsal.fleet.runner import FleetRun
 from violetstack.rehearsal.stage import SETTINGS
 
 HOLDER_FAULTS = [
@@ -71,7 +72,7 @@
         self.holder_faults: Result
         self.shutdown: Result
         self.commands: list[CommandResult] = []
-        self.rolling_restart = Ground(ROLLING_RESTART_PLAN)
+        self.rolling_restart = FleetRun(ROLLING_RESTART_PLAN)
         self.admin_addresses = [
             ":".join(map(str, self.rolling_restart.address(n, ADMIN_PORT))) for n in range(3)
         ]
@@ -84,10 +85,10 @@
             nursery.start_soon(self._run_shutdown)
 
     async def _run_holder_faults(self) -> None:
-        self.holder_faults = await Ground(HOLDER_FAULTS_PLAN).run()
+        self.holder_faults = await FleetRun(HOLDER_FAULTS_PLAN).run()
 
     async def _run_shutdown(self) -> None:
-        self.shutdown = await Ground(SHUTDOWN_PLAN).run()
+        self.shutdown = await FleetRun(SHUTDOWN_PLAN).run()
 
     async def _command(self, *words: str) -> None:
         result = await trio.to_thread.run_sync(partial(CliRunner().invoke, main, ["fleet", *words]))
@@ -98,7 +99,7 @@
         first, second, partitioned = self.admin_addresses
         async with trio.open_nursery() as nursery:
             nursery.start_soon(fleet.run)
-            while "relay" not in vars(fleet) or 2 not in fleet.relay.how:
+            while 2 not in fleet.network_faults:
                 await trio.sleep(0.05)
             await self._command("roll", "--dry-run", first, second, partitioned)
             await self._command("roll", "--within", "9", first, second)
