--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -152,7 +152,8 @@
     def hang_up(self) -> None:
         """Breaks every connection, and so every stream that has not ended."""
         for attempt in self._evidence.attempts:
-            if attempt.host == self.name and attempt.closed_at is None:
+            streaming = attempt.closed_at is None and attempt.stream_ended_at is None
+            if attempt.host == self.name and streaming:
                 attempt.stream_faulty = True
         super().hang_up()
 
