--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -144,12 +144,17 @@
         router = self._state.router
         return request if router is None else router.route(request, origin)
 
-    def admit(self, now: float, request: Request) -> Shed | None:
+    def admit(self, now: float, request: Request, waited_ms: float = 0.0) -> Shed | None:
         """Returns None to admit the request; every front calls this right before `accept`.
 
-        The time that the request may have waited in its socket counts as part of its deadline.
+        The time that the request may have waited before it was taken up counts as part of its deadline.
+
+        Args:
+            now: The time.
+            request: The request; its age and what is left of its deadline are set.
+            waited_ms: How long its connection knows it to have waited.
         """
-        request.age_ms = self._max_unread()
+        request.age_ms = max(waited_ms, self._max_unread())
         request.expires_in_ms -= request.age_ms
         load_shedder = self._state.load_shedder
         shed = None if load_shedder is None else load_shedder.admit(now, request)
@@ -177,6 +182,10 @@
         """Returns the time within which the request's first token is wanted."""
         return self._state.latency_objective_ms(request)
 
+    def max_unread_ms(self) -> float:
+        """Returns how long what is read now may have waited in its socket."""
+        return self._max_unread()
+
     def waiting_ratios(self, now: float) -> list[float]:
         """Returns the ages of the requests without a first token, each divided by its latency objective."""
         state = self._state
@@ -245,6 +254,10 @@
         """Returns whether the first byte of the attempt may be written now; see `Attempts.may_send`."""
         return self._attempts.may_send(now, attempt)
 
+    def may_continue_sending(self, now: float, attempt: Attempt) -> bool:
+        """Returns whether a part of the attempt may be written; see `Attempts.may_continue_sending`."""
+        return self._attempts.may_continue_sending(now, attempt)
+
     def connect_timeout_ms(self, now: float, attempt: Attempt) -> float:
         """Returns how long the connection of an attempt may take to come up."""
         return self._attempts.connect_timeout_ms(now, attempt)
@@ -306,6 +319,7 @@
                 for action in self._decide(now, events):
                     self._try_action(now, action)
             for request in state.take_changed():
+                self._attempts.withdraw_unsent(now, request)
                 self._lifecycle.clean_up(now, request)
 
     def _decide(self, now: float, events: list[Event]) -> list[Action]:
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -11,6 +11,7 @@
 
 from violetstack.config import Address, Config
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.daemon.background_task import start_background_task
 from violetstack.daemon.dispatch import build_dispatch, capture_learned_state
 from violetstack.daemon.endpoints import EndpointService
 from violetstack.daemon.fronts import FrontServers
@@ -68,6 +69,8 @@
         self.routing: Routing | None = None
         self.load_shedding: LoadSheddingService | None = None
         self.leases: LeaseService | None = None
+        self._reloadable = False
+        self._deferred_reload: Callable[[], Config] | None = None
 
     async def serve(self, task_status: trio.TaskStatus[BoundAddresses] = trio.TASK_STATUS_IGNORED) -> None:
         """Runs the dispatcher. Raises ConfigError, in a group, for an address that can't be bound."""
@@ -91,7 +94,20 @@
             nursery.cancel_scope.cancel()
 
     def reload(self, read_again: Callable[[], Config]) -> None:
-        """Applies what can change while serving. An invalid configuration changes nothing."""
+        """Applies what can change while serving. An invalid configuration changes nothing.
+
+        During the start it waits until there are parts to apply it to. A failure is logged: the requests in
+        flight must not end with it.
+        """
+        if not self._reloadable:
+            self._deferred_reload = read_again
+            return
+        try:
+            self._reload(read_again)
+        except Exception as error:
+            log("config_reload_failed", error=repr(error))
+
+    def _reload(self, read_again: Callable[[], Config]) -> None:
         new = read_config(read_again, self.config)
         if new is None:
             return
@@ -171,8 +187,10 @@
     async def _start(self) -> BoundAddresses:
         config = self.config
         self.parts = build_dispatch(config, self.nursery)
+        self.lifecycle.last_running_ms = self.parts.pause_detector.last_running_ms
         self.limits = LimitAllocator(config, self.hosts, self.listeners, self._processes)
         self.fronts = FrontServers(config, self.core, self.nursery, self.listeners, self.limits.apply)
+        self.parts.pause_detector.connections_queued = self.fronts.connections_queued
         self._apply_routing_plan()
         self._build_endpoints()
         predecessor = self.handover.load_predecessor() if self.handover is not None else None
@@ -180,11 +198,17 @@
         admin = await start_admin_server(config, self.nursery, self)
         self._apply_load_shedding_plan(config.load_shedding_plan)
         self.parts.start(self.nursery)
+        self._apply_deferred_reload()
         await self.endpoints.wait_for_first_list()
         self.lifecycle.started = True
         self._start_gossip()
         return await self._start_accepting(admin)
 
+    def _apply_deferred_reload(self) -> None:
+        self._reloadable = True
+        if self._deferred_reload is not None:
+            self.reload(self._deferred_reload)
+
     async def _start_accepting(self, admin: Address | None) -> BoundAddresses:
         platform = None
         chat = None
@@ -231,7 +255,7 @@
             learned=lambda: capture_learned_state(self.router),
             on_siblings_changed=self.limits.apply,
         )
-        self.nursery.start_soon(self.hot_restart.handover.run)
+        start_background_task(self.nursery, self.hot_restart.handover.run)
 
     def _start_gossip(self) -> None:
         """Exchanges load with the other dispatchers, and holds leases where they are configured."""
@@ -255,7 +279,7 @@
             discard=lambda: pause_detector.catching_up,
             handle_lease=self.leases.receive if self.leases is not None else None,
         )
-        self.nursery.start_soon(transport.run, receiver.receive)
+        start_background_task(self.nursery, transport.run, receiver.receive)
 
     def _is_eligible(self) -> bool:
         """May this dispatcher take on leases now?"""
@@ -309,11 +333,16 @@
     # --- shutdown ---
 
     async def _stop(self) -> None:
+        signal = self.lifecycle.signal_time()
         if self.leases is not None:
+            began_ms = now_ms()
             await self.leases.shut_down()
+            # Whoever has processes wait for a permit gives them the time for it before SIGKILL.
+            signal = signal.later(now_ms() - began_ms)
         shutdown = GracefulShutdown(
             self.config.settings,
             self.lifecycle,
+            signal,
             core=self.core,
             hosts=self.hosts,
             fronts=self.fronts,
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -8,7 +8,7 @@
 from violetstack.core.errors import DuplicateRequestError, NotRoutedError
 from violetstack.core.ports import Origin
 from violetstack.fronts.reply import EVENTS, TEXT, Payload, Reply
-from violetstack.protocol.headers import RequestReader
+from violetstack.protocol.headers import RequestReader, forwarded_headers
 from violetstack.protocol.http_server import HttpRequest, InvalidRequestError
 
 READY_PATH = "/-/ready"
@@ -92,7 +92,7 @@
         now = self._clock()
         request = self._reader.read(inbound)
         request = self._core.route(request, Origin("platform", "", len(inbound.body)))
-        shed = self._core.admit(now, request)
+        shed = self._core.admit(now, request, inbound.waited_ms)
         if shed is not None:
             self._log(
                 "request_shed", reason=shed.reason, cls=request.class_index, tenant=request.tenant_index
@@ -101,7 +101,14 @@
             PlatformSink(reply).rejected(advice, 429)
             return
         content_type = inbound.headers.get("content-type", DEFAULT_CONTENT_TYPE)
-        payload = Payload(inbound.method, inbound.target, content_type, inbound.body, reply.wait_writable)
+        payload = Payload(
+            inbound.method,
+            inbound.target,
+            content_type,
+            inbound.body,
+            reply.wait_writable,
+            forwarded_headers(inbound.headers),
+        )
         reply.attach(self._core.accept(now, request, PlatformSink(reply), payload))
 
     def rejected(self, status: int, reason: str, reply: Reply) -> None:
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -2,47 +2,53 @@
 
 from __future__ import annotations
 
-import math
-import select
 from typing import TYPE_CHECKING
 
 import trio
+from msgspec.structs import replace
 
 from violetstack.core.records import OpenRequest
 from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
+from violetstack.net.downstream.connection_reader import ConnectionReader, first_byte_arrives
 from violetstack.net.downstream.response_handle import ResponseHandle
+from violetstack.net.downstream.socket_state import has_unread, peer_has_closed, tcp_stream
 from violetstack.net.downstream.write_queue import WriteQueue
-from violetstack.protocol.http_server import Headers, HttpServerConnection, InvalidRequestError
+from violetstack.protocol.http_server import (
+    Headers,
+    HttpRequest,
+    HttpServerConnection,
+    InvalidRequestError,
+)
 
 if TYPE_CHECKING:
     from violetstack.net.downstream.listener import Listener
 
-READ_SIZE = 32 * 1024
-REQUEST_TIMEOUT_S = 2.2
-"""A new connection's first request, and the rest of any request that has begun, arrive within this time."""
 MIGRATION_FLUSH_TIMEOUT_S = 0.3
 """Output that is not written by then keeps a stream from being migrated to another process."""
 LINGERING_CLOSE_S = 0.5
-"""After the last response the client's side is read for this long, so that no reset overtakes it."""
-REJECTION_DELAY_S = 0.05
-MAX_REJECTION_DELAY_S = 0.4
-MAX_UNREAD_BYTES = 64 * 1024
-"""Bytes behind an unanswered request that are kept; beyond them the connection ends with its answer."""
-DISCARD_INTERVAL_S = 0.01
+"""After the last response the client gets this long to close, counted from the last bytes it has sent."""
+MAX_LINGERING_CLOSE_S = 2.2
 CLOSE_TIMEOUT_S = 1.0
+BODIES_FULL = "too many requests are being held"
+CLIENT_ENDED = "the client has ended its sending"
 
 UNUSED_PARSER = HttpServerConnection()
 """Stands for the parser of every connection that has sent nothing yet; never fed."""
 
 
-class _MigrationPause:
+class MigrationPause:
     """Reading stops for as long as the stream may pass to another process."""
 
     def __init__(self) -> None:
         self.reading_stopped = trio.Event()
         self.resumed = trio.Event()
 
+    async def wait(self) -> None:
+        """Called by the reading task: nothing is read until the stream goes on here."""
+        self.reading_stopped.set()
+        await self.resumed.wait()
+
 
 class DownstreamConnection:
     """One client's connection. The answering methods never wait: what they write is queued.
@@ -53,31 +59,30 @@
 
     __slots__ = (
         "__weakref__",
-        "_answered",
-        "_client_ended",
-        "_close_when_written",
-        "_migration",
         "_output",
-        "_read_timer",
-        "_rejections_in_a_row",
+        "_reader",
         "_response",
         "answering",
         "buffered_bytes",
+        "close_when_written",
         "closed",
+        "evicted",
         "http",
         "last_used",
         "listener",
+        "migration_pause",
         "progress_at",
+        "refused",
         "request",
         "scope",
         "served",
         "stream",
+        "unread_since",
     )
     _output: WriteQueue
-    _client_ended: trio.Event
-    _answered: trio.Event
+    _reader: ConnectionReader
 
-    def __init__(self, stream: trio.abc.Stream, listener: Listener) -> None:
+    def __init__(self, stream: trio.abc.Stream, listener: Listener, *, refused: bool = False) -> None:
         self.stream = stream
         self.listener = listener
         self.http = UNUSED_PARSER
@@ -90,20 +95,23 @@
         """At least one complete request has arrived."""
         self.buffered_bytes = 0
         """Size of the body of the request that is arriving or being answered."""
+        self.unread_since = 0.0
+        """The bytes that are read next may have waited in the socket since then; 0 if they have not."""
         self.closed = False
+        self.refused = refused
+        """Over the bound on connections: requests are answered 503."""
         self.scope = trio.CancelScope()
-        self._rejections_in_a_row = 0
-        self._close_when_written = False
+        self.close_when_written = False
+        """The connection ends once all output is written."""
+        self.evicted = False
+        self.migration_pause: MigrationPause | None = None
         self._response: ResponseHandle | None = None
-        self._read_timer: trio.CancelScope | None = None
-        self._migration: _MigrationPause | None = None
 
     def start_parsing(self, http: HttpServerConnection) -> None:
         """Called with the first byte, or when another process has handed the connection over."""
         self.http = http
         self._output = WriteQueue()
-        self._client_ended = trio.Event()
-        self._answered = trio.Event()
+        self._reader = ConnectionReader(self)
 
     def adopt_response(self) -> ResponseHandle:
         """The handle of a response whose beginning another process has written."""
@@ -118,14 +126,16 @@
         """Queues a complete response."""
         self._announce_close()
         rejected = 400 <= status < 500 and self.request is None
-        self._rejections_in_a_row = self._rejections_in_a_row + 1 if rejected else 0
+        self._reader.rejections_in_a_row = self._reader.rejections_in_a_row + 1 if rejected else 0
         self._output.put(self.http.answer(status, headers, body))
         self._response_ended()
 
     def stream_head(self, status: int, headers: Headers) -> None:
         """Queues the head of a streamed response."""
         self._announce_close()
-        self._rejections_in_a_row = 0
+        if self.http.closing:
+            self._reader.interrupt()  # what comes now is left unread
+        self._reader.rejections_in_a_row = 0
         self._output.put(self.http.stream(status, headers))
 
     def data(self, data: memoryview | bytes) -> None:
@@ -139,7 +149,7 @@
 
     def cut(self) -> None:
         """Closes once all is written, without the last chunk: a broken stream must not look complete."""
-        self._close_when_written = True
+        self.close_when_written = True
         self._response_ended()
 
     async def wait_writable(self) -> None:
@@ -148,29 +158,32 @@
             await self._output.wait_writable()
 
     def _announce_close(self) -> None:
-        self.http.closing = self.http.closing or self.listener.draining
+        """Announces the connection's end while this process ends, unless another request has been read."""
+        if self.listener.draining and not self.http.unread:
+            self.http.closing = True
 
     def _response_ended(self) -> None:
         self.answering = False
         self.request = None
         self.last_used = trio.current_time()
         self.listener.table.set_buffered_bytes(self, 0)
-        if self.http.closing or (not self._close_when_written and not self.http.reuse()):
-            self._close_when_written = True
-        if not self._close_when_written and not self.closed:
+        if self.http.closing or (not self.close_when_written and not self.http.reuse()):
+            self.close_when_written = True
+        if not self.close_when_written and not self.closed and not self.evicted:
             self.listener.table.mark_idle(self)
+        if self.close_when_written or self.http.unread:
+            self._reader.interrupt()  # nothing more is wanted, or the next request has been read already
         self._output.wake()
-        self._answered.set()
 
     # --- migration of a stream to another process ---
 
     async def pause_for_migration(self) -> bool:
         """Stops reading and writing between two events; False, with no effect, if not possible now."""
-        if not self._can_migrate() or self._read_timer is None:
+        if not self._can_migrate() or not self._reader.waiting:
             return False
-        pause = self._migration = _MigrationPause()
+        pause = self.migration_pause = MigrationPause()
         self._output.expect_flush()
-        self._read_timer.cancel()
+        self._reader.interrupt()
         with trio.move_on_after(MIGRATION_FLUSH_TIMEOUT_S):
             await pause.reading_stopped.wait()
             await self._output.wait_flushed()
@@ -181,7 +194,7 @@
         return True
 
     def _can_migrate(self) -> bool:
-        if self.closed or self._close_when_written or self._migration is not None:
+        if self.closed or self.close_when_written or self.migration_pause is not None:
             return False
         return isinstance(self.stream, trio.SocketStream) and self.answering and self.http.passable
 
@@ -194,9 +207,9 @@
 
     def resume(self) -> None:
         """Goes on after a migration that did not take place."""
-        if self._migration is not None:
-            self._migration.resumed.set()
-        self._migration = None
+        if self.migration_pause is not None:
+            self.migration_pause.resumed.set()
+        self.migration_pause = None
 
     def detach(self) -> None:
         """Another process has the connection: this end is closed without shutting it down."""
@@ -205,24 +218,26 @@
         self.listener.table.forget(self)
         self.scope.cancel()
 
+    def evict(self) -> None:
+        """Closes the connection; a request that has been read, or begun to be, is answered first.
+
+        A read that has already taken bytes from the socket returns them, although it is cancelled.
+        """
+        self.evicted = True
+        if self.http is not UNUSED_PARSER and self._reader.waiting:
+            self._reader.interrupt()
+        else:
+            self.scope.cancel()
+
     # --- state of the socket ---
 
     def client_has_closed(self) -> bool:
-        """Whether the client has closed its connection, or ended its sending, even behind unread bytes.
-
-        Reading alone shows the end only after all bytes before it: a request and the close behind it may both
-        have waited in the kernel's queue while the listener had no room, or while this process was busy.
-        """
-        stream = self.stream.transport_stream if isinstance(self.stream, trio.SSLStream) else self.stream
-        if self.closed or not isinstance(stream, trio.SocketStream):
-            return self.closed
-        poll = select.poll()
-        poll.register(stream.socket, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        """Whether the client has closed its connection, or ended its sending, even behind unread bytes."""
+        return self.closed or peer_has_closed(self.stream)
 
     def has_unread(self) -> bool:
         """Whether bytes, or the client's end, wait in the socket."""
-        return isinstance(self.stream, trio.SocketStream) and self.stream.socket.is_readable()
+        return not self.closed and has_unread(self.stream)
 
     @property
     def unwritten_bytes(self) -> int:
@@ -235,11 +250,11 @@
         """Reads requests and writes responses until the connection ends; raises nothing but Cancelled."""
         try:
             with self.scope:
-                if self.http is not UNUSED_PARSER or await self._first_byte():
+                if self.http is not UNUSED_PARSER or await self._begin():
                     async with trio.open_nursery() as nursery:
                         nursery.start_soon(self._write)
-                        await self._read()
-                        if not self._close_when_written:
+                        await self._reader.run()
+                        if not self.close_when_written:
                             nursery.cancel_scope.cancel()
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
@@ -259,138 +274,150 @@
             self.request = None
         if self.http is not UNUSED_PARSER:
             self._output.release_waiters()
+            self._reader.detach()
         with trio.CancelScope(shield=True, deadline=trio.current_time() + CLOSE_TIMEOUT_S):
             await trio.aclose_forcefully(self.stream)
 
-    async def _first_byte(self) -> bool:
+    async def _begin(self) -> bool:
         """Waits for the first byte; False if the time for one is over."""
-        if isinstance(self.stream, trio.SocketStream):
-            with trio.move_on_at(self.last_used + REQUEST_TIMEOUT_S) as timer:
-                await trio.lowlevel.wait_readable(self.stream.socket)
-            if timer.cancelled_caught:
-                log_rate_limited("client_request_timeout")
-                return False
+        if not await first_byte_arrives(self):
+            return False
         self.start_parsing(HttpServerConnection())
         # Not to be evicted as silent between the arrival of these bytes and their use.
         self.listener.table.mark_progress(self)
         return True
 
-    async def _read(self) -> None:
-        arriving_since = self.last_used  # one time limit for all of a request that trickles in
-        while not self._close_when_written:
-            self._handle_next_request()
-            if self._close_when_written:
-                break
-            if self._migration is not None:
-                self._migration.reading_stopped.set()
-                await self._migration.resumed.wait()
-                continue
-            arriving = not self.answering and (self.http.busy or not self.served)
-            arriving_since = (arriving_since or trio.current_time()) if arriving else 0.0
-            if not await self._receive(arriving_since + REQUEST_TIMEOUT_S if arriving else math.inf):
-                return
-        while await self.stream.receive_some(READ_SIZE):
-            pass  # nothing more is wanted; the writing task closes the connection
-        self._client_ended.set()
-
-    async def _receive(self, deadline: float) -> bool:
-        """Reads once, until `deadline` on trio's clock; False if the connection has ended."""
-        data: bytes | bytearray = b""
-        with trio.move_on_at(deadline) as timer:
-            self._read_timer = timer
-            if self.answering and self.http.unread > MAX_UNREAD_BYTES:
-                return await self._discard_until_answered()
-            if self._rejections_in_a_row > 1 and not self.answering:
-                await self._delay_after_rejections()
-            data = await self.stream.receive_some(READ_SIZE)
-        self._read_timer = None
-        if timer.cancelled_caught:
-            if self._migration is None:
-                self._request_timed_out()
-            return True
-        if not data or self.scope.cancel_called:
-            return False  # evicted while these bytes arrived: what they ask for is not taken
-        self.http.feed(bytes(data))
-        if not self.served:
-            self.listener.table.mark_progress(self)
-        return True
+    # --- requests, called by ConnectionReader ---
 
-    async def _discard_until_answered(self) -> bool:
-        """Drops what comes behind the request until its answer has ended; False if the client ends first.
+    def reading_ended(self) -> None:
+        """Ends the request that waits for its answer, and answers it: the client may still read.
 
-        Reading on is the only way to notice that a client which sent much at once has gone. It is done
-        slowly, to spare the processor; the connection ends with the answer, since the beginning of what
-        follows is lost.
+        A client that has closed its connection and one that has only ended its sending look alike.
         """
-        self.http.closing = True
-        while self.answering:
-            await trio.sleep(DISCARD_INTERVAL_S)
-            if not await self.stream.receive_some(READ_SIZE):
-                return False
-        return True
-
-    async def _delay_after_rejections(self) -> None:
-        """Reads less often from a client whose requests are all invalid, to spare the processor."""
-        delay = REJECTION_DELAY_S * 2.0 ** (self._rejections_in_a_row - 2)
-        await trio.sleep(min(MAX_REJECTION_DELAY_S, delay))
-
-    def _request_timed_out(self) -> None:
+        if not self.answering or not self.http.can_answer:
+            return
+        request, self.request = self.request, None
+        may_have_run = request is not None and request.possibly_executed
+        if request is not None:
+            self.listener.core.client_disconnected(now_ms(), request)
+        if self.answering:
+            if self._response is not None:
+                self._response.connection_lost()
+            self._reject(500 if may_have_run else 503, CLIENT_ENDED)
+
+    def request_timed_out(self) -> None:
+        """The rest of a request, or a new connection's first, has not come in time."""
         if self.http.busy and self.http.can_answer:
             self._reject(408, "the request did not arrive in time")
         else:
             log_rate_limited("client_request_timeout")
             self.scope.cancel()
-        self._close_when_written = True
+        self.close_when_written = True
 
     def _reject(self, status: int, reason: str) -> None:
         self.http.closing = True
         self.answering = True
         self.listener.front.rejected(status, reason, ResponseHandle(self))
 
-    def _handle_next_request(self) -> None:
+    def _turn_away(self, reason: str) -> None:
+        """Rejects a complete request; the connection ends unless another has been read behind it."""
+        self.http.closing = self.http.closing or not self.http.unread
+        self.answering = True
+        self.served = True
+        self.listener.table.mark_engaged(self)
+        self.listener.front.rejected(503, reason, ResponseHandle(self))
+
+    def _reject_evicted(self, inbound: HttpRequest | None) -> None:
+        reason = "the connection was closed to make room"
+        if inbound is not None:
+            self._turn_away(reason)
+        else:
+            self._reject(503, reason)
+
+    def handle_next_request(self) -> None:
         """Hands the next complete request to the front, once the one before is answered."""
-        while not self.answering and not self._close_when_written:
+        while not self.answering and not self.close_when_written:
             try:
                 inbound = self.http.next_request()
             except InvalidRequestError as error:
                 self._reject(error.status, error.reason)
                 return
+            if self.evicted:
+                self._reject_evicted(inbound)
+                continue
             self.listener.table.set_buffered_bytes(self, self.http.size)
-            if self.listener.table.bodies_full and self.http.size:
-                self._reject(503, "too many requests are being held")
-                return
             if inbound is None:
-                if self.http.wants_continue:
-                    self._output.put([self.http.continue_100()])
-                return
-            if self.listener.refusing:
-                # The end of this process would cut the answer off; the client asks again elsewhere.
-                self._reject(503, "this process ends")
+                self._await_rest_of_request()
                 return
-            if self.client_has_closed():
-                self._close_when_written = True
-                self._output.wake()
-                return
-            self.answering = True
-            self.served = True
-            self._answered = trio.Event()
-            self.listener.table.mark_engaged(self)
-            self._response = ResponseHandle(self)
+            reason = self._reason_to_turn_away()
+            if reason:
+                self._turn_away(reason)
+            else:
+                self._hand_to_front(inbound)
+
+    def _await_rest_of_request(self) -> None:
+        if self.listener.table.bodies_full and self.http.size:
+            self._reject(503, BODIES_FULL)
+        elif self._reader.discarded and self.http.busy:
+            self._reject(503, "more was sent at once than is kept")
+        elif self._reader.discarded:
+            self.close_when_written = True
+            self._output.wake()
+        elif self.http.wants_continue:
+            self._output.put([self.http.continue_100()])
+
+    def _reason_to_turn_away(self) -> str:
+        """Why a complete request is not handed to the front; empty if it is."""
+        if self.refused:
+            return "the dispatcher holds too many connections"
+        if self.listener.table.bodies_full and self.http.size:
+            return BODIES_FULL
+        if self.listener.refusing:
+            # The end of this process would cut the answer off; the client asks again elsewhere.
+            return "this process ends"
+        if self.client_has_closed():
+            # Nothing is begun for it; it may have ended its sending alone, and still read.
+            return CLIENT_ENDED
+        return ""
+
+    def _hand_to_front(self, inbound: HttpRequest) -> None:
+        self.answering = True
+        self.served = True
+        self.listener.table.mark_engaged(self)
+        self._response = ResponseHandle(self)
+        waited_ms = inbound.waited_ms + self._reader.waited_ms(self.http.unread)
+        inbound = replace(inbound, waited_ms=waited_ms)
+        try:
             self.listener.front.handle(inbound, self._response)
+        except Exception as error:  # a fault that one request shows must not cost it its answer
+            log_rate_limited("request_failed", error=repr(error))
+            if self.answering and self.request is None:
+                self._response.connection_lost()
+                self._reject(500, "the request could not be handled")
 
     async def _write(self) -> None:
         while True:
             await self._output.write_all(self.stream)
-            if self._close_when_written:
-                if self.http.can_answer or self.http.closing:
-                    await self._lingering_close()
+            if self.close_when_written:
+                await self._lingering_close()
                 self.scope.cancel()
                 return
             await self._output.wait_for_output()
 
     async def _lingering_close(self) -> None:
-        """Ends the sending and reads on for a moment: a reset could overtake the response (RFC 9112, 9.6)."""
-        if isinstance(self.stream, trio.SocketStream):
-            with trio.move_on_after(LINGERING_CLOSE_S):
-                await self.stream.send_eof()
-                await self._client_ended.wait()
+        """Ends the sending, and waits for the client's end: a reset could overtake what was written.
+
+        See RFC 9112, section 9.6.
+        """
+        transport = tcp_stream(self.stream)
+        if transport is None:
+            return
+        await transport.send_eof()
+        self.progress_at = trio.current_time()
+        latest = self.progress_at + MAX_LINGERING_CLOSE_S
+        while not self._reader.client_ended.is_set():
+            deadline = min(latest, self.progress_at + LINGERING_CLOSE_S)
+            if trio.current_time() >= deadline:
+                return
+            with trio.move_on_at(deadline):
+                await self._reader.client_ended.wait()
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -10,27 +10,21 @@
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.reply import Front
-from violetstack.log import log, log_rate_limited
-from violetstack.net.downstream.connection import (
-    LINGERING_CLOSE_S,
-    READ_SIZE,
-    REQUEST_TIMEOUT_S,
-    DownstreamConnection,
-)
+from violetstack.log import log_rate_limited
+from violetstack.net.downstream.connection import DownstreamConnection
+from violetstack.net.downstream.connection_reader import REQUEST_TIMEOUT_S
 from violetstack.net.downstream.connection_table import ConnectionTable
 from violetstack.net.downstream.response_handle import ResponseHandle
 from violetstack.protocol.http_server import HttpServerConnection
 
 ACCEPT_RETRY_S = 0.1
 """Pause after the system had no descriptor or memory for a connection."""
-TRANSIENT_ACCEPT_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOMEM})
+MIN_PAUSE_MS = 50.0
+"""Shorter waits are not remembered: a third of what a deadline that is passed on may be too long."""
+MAX_QUEUE_S = 1.0
+"""For this long after a pause or a failed accept, connections in the queue count as old as it was long."""
 MAX_CONCURRENT_REJECTIONS = 12
-"""Connections over the bound that are answered at the same time; further ones are closed unanswered."""
-OVERLOAD_BODY = b"the dispatcher holds too many connections\n"
-OVERLOAD_RESPONSE = (
-    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\n"
-    b"Connection: close\r\nContent-Length: %d\r\n\r\n%b" % (len(OVERLOAD_BODY), OVERLOAD_BODY)
-)
+"""Connections over the bound that are kept until they are answered; further ones are closed unread."""
 Wrap = Callable[[trio.SocketStream], Awaitable[trio.abc.Stream]]
 """Performs the TLS handshake."""
 
@@ -45,12 +39,14 @@
     def __init__(self, core: Dispatcher, front: Front) -> None:
         self.core = core
         self.front = front
-        self.table = ConnectionTable()
+        self.table = ConnectionTable(MAX_CONCURRENT_REJECTIONS)
         self.draining = False
         """Responses announce the connection's end, as this process shuts down."""
         self.refusing = False
         """Requests are rejected, as the shutdown would cut their answers off."""
-        self._rejections = 0
+        self._queued_since = 0.0
+        """Connections in the queue may have waited since then; 0 if that is not known."""
+        self._queue_seen_at = 0.0
         self._nursery: trio.Nursery
 
     async def run(self, listeners: list[trio.SocketListener], wrap: Wrap | None = None) -> None:
@@ -75,18 +71,35 @@
 
     async def _accept_all(self, listener: trio.SocketListener, wrap: Wrap | None) -> None:
         while True:
+            if _queue_is_empty(listener):
+                self._queued_since = 0.0
             try:
                 stream = await listener.accept()
             except trio.ClosedResourceError:
                 return  # the shutdown has closed the listening socket
-            except OSError as error:
-                if error.errno not in TRANSIENT_ACCEPT_ERRORS:
-                    raise
-                log("accept_failed", error=str(error))
-                await trio.sleep(ACCEPT_RETRY_S)
+            except OSError as error:  # the fault of one connection, or no descriptor or memory is left
+                log_rate_limited("accept_failed", error=str(error))
+                self._note_queue(trio.current_time())
+                if error.errno != errno.ECONNABORTED:
+                    await trio.sleep(ACCEPT_RETRY_S)
                 continue
+            unread_ms = self.core.max_unread_ms()
+            if unread_ms > MIN_PAUSE_MS:
+                self._note_queue(trio.current_time() - unread_ms / 1000.0)
             await self._accepted(stream, wrap)
 
+    def _note_queue(self, since: float) -> None:
+        """Connections that are accepted before the queue is empty may have waited since then."""
+        if not self._queued_since:
+            self._queued_since = since
+            self._queue_seen_at = trio.current_time()
+
+    def _accepted_unread_since(self) -> float:
+        """How long ago what a new connection holds may have come, as a time on trio's clock."""
+        now = trio.current_time()
+        recent = now - self._queue_seen_at < MAX_QUEUE_S
+        return self._queued_since if self._queued_since and recent else now
+
     async def _accepted(self, stream: trio.SocketStream, wrap: Wrap | None) -> None:
         try:
             has_room = self.table.has_room()
@@ -94,34 +107,35 @@
             log_rate_limited("accept_failed", error=repr(error))
             has_room = False
         if has_room:
-            self._nursery.start_soon(self._serve, stream, wrap)
-        elif self._rejections < MAX_CONCURRENT_REJECTIONS and wrap is None:
-            self._nursery.start_soon(self._reject, stream)
+            unread_since = 0.0
+            if wrap is None and stream.socket.is_readable():
+                unread_since = self._accepted_unread_since()
+            self._nursery.start_soon(self._serve, stream, wrap, unread_since)
+        elif self.table.may_refuse():
+            log_rate_limited("connection_rejected", status=503)
+            self.table.refused_handshakes += 1
+            self._nursery.start_soon(self._refuse, stream, wrap)
         else:
             log_rate_limited("connection_rejected")
             await trio.aclose_forcefully(stream)
 
-    async def _reject(self, stream: trio.SocketStream) -> None:
-        log_rate_limited("connection_rejected", status=503)
-        self._rejections += 1
+    async def _refuse(self, raw: trio.SocketStream, wrap: Wrap | None) -> None:
+        """Reads the requests of a connection over the bound and answers them 503."""
         try:
-            with trio.move_on_after(LINGERING_CLOSE_S):
-                await stream.send_all(OVERLOAD_RESPONSE)
-                await stream.send_eof()
-                while await stream.receive_some(READ_SIZE):
-                    pass
-        except (OSError, trio.BrokenResourceError):
-            pass
+            stream: trio.abc.Stream | None = raw if wrap is None else await self._handshake(raw, wrap)
         finally:
-            self._rejections -= 1
-            with trio.CancelScope(shield=True):
-                await trio.aclose_forcefully(stream)
+            self.table.refused_handshakes -= 1
+        if stream is not None:
+            connection = DownstreamConnection(stream, self, refused=True)
+            self.table.add_refused(connection)
+            await connection.serve()
 
-    async def _serve(self, raw: trio.SocketStream, wrap: Wrap | None) -> None:
+    async def _serve(self, raw: trio.SocketStream, wrap: Wrap | None, unread_since: float) -> None:
         stream: trio.abc.Stream | None = raw if wrap is None else await self._handshake(raw, wrap)
         if stream is None:
             return
         connection = DownstreamConnection(stream, self)
+        connection.unread_since = unread_since
         self.table.add(connection)
         await connection.serve()
 
@@ -136,3 +150,8 @@
             return None
         finally:
             self.table.handshakes -= 1
+
+
+def _queue_is_empty(listener: trio.SocketListener) -> bool:
+    """Whether no connection waits to be accepted; also if the listener has been closed."""
+    return listener.socket.fileno() < 0 or not listener.socket.is_readable()
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -12,7 +12,12 @@
 from violetstack.fronts.reply import Payload
 from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
-from violetstack.net.upstream.connection import NotConnectedError, SendWithheldError, UpstreamConnection
+from violetstack.net.upstream.connection import (
+    NotConnectedError,
+    SendTimeoutError,
+    SendWithheldError,
+    UpstreamConnection,
+)
 from violetstack.net.upstream.connection_pool import ConnectionPool, UpstreamHost
 from violetstack.net.upstream.response_reader import AttemptResult, MigrateStream, ResponseReader
 from violetstack.net.upstream.state_release import StateReleaser
@@ -23,6 +28,12 @@
 
 WaitWritable = Callable[[], Awaitable[None]]
 
+SEND_TIMEOUT_S = 0.12
+"""From the first byte of a request, which tells how much time is left, to the last, with which a host begins.
+
+What is told may exceed what the client has left by 0.15 s.
+"""
+
 
 class _Running:
     """What belongs to one attempt while it runs."""
@@ -95,7 +106,7 @@
         if (running := self._running.get(attempt)) is None:
             return
         if running.connection is not None:
-            running.connection.close()
+            running.connection.abort()
         running.scope.cancel()
 
     def request_sent(self, attempt: Attempt) -> Callable[[], Awaitable[None]] | None:
@@ -136,7 +147,9 @@
         """The exchange's result, whatever it raises: no attempt's failure may end the program."""
         try:
             return await exchange(running)
-        except (NotConnectedError, SendWithheldError):
+        except SendWithheldError:
+            return AttemptResult(AttemptStatus.ALREADY_FINISHED)
+        except (NotConnectedError, SendTimeoutError):
             return AttemptResult(AttemptStatus.CONNECT_FAILED)
         except (InvalidResponseError, sse.InvalidEventError) as error:
             log_rate_limited(
@@ -183,7 +196,10 @@
             self._core.request_written(attempt)
             running.request_sent.set()
 
-        await connection.write(parts, written, attempt.request.sending_allowed)
+        def allowed() -> bool:
+            return self._core.may_continue_sending(now_ms(), attempt)
+
+        await connection.write(parts, written, allowed, SEND_TIMEOUT_S)
 
     async def _read_response(
         self,
@@ -233,4 +249,5 @@
         ("Req-Id", attempt.request.id),
         ("Req-Deadline", f"{wait_ms}m"),
         ("Content-Type", payload.content_type),
+        *payload.headers,
     ]
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import bisect
+import errno
 import math
 import socket
 from collections.abc import Awaitable, Callable
@@ -9,8 +11,8 @@
 import msgspec
 import trio
 
-from violetstack.config import Address, parse_address
-from violetstack.log import log
+from violetstack.config import Address, ConfigError, parse_address
+from violetstack.log import log_rate_limited
 from violetstack.net.upstream.connection import NotConnectedError, UpstreamConnection
 from violetstack.policy_api import EndpointState, EndpointUpdate, UpdateScope
 
@@ -18,6 +20,7 @@
 IDLE_LIFETIME_SHARE = 0.8
 """Idle connections are closed after this part of the time after which hosts close them."""
 IDLE_CHECK_INTERVAL_S = 1.0
+NO_DESCRIPTOR_ERRORS = frozenset({errno.EMFILE, errno.ENFILE})
 REUSE_DELAY_S = 0.1
 """Rest after a response: a spurious second one that comes late would be read as the next request's."""
 
@@ -65,8 +68,8 @@
     def _set_address(self, name: str, text: str) -> None:
         try:
             new_address = parse_address(text)
-        except ValueError as error:
-            log("endpoint_address_invalid", server=name, error=str(error))
+        except ConfigError as error:
+            log_rate_limited("endpoint_address_invalid", server=name, error=str(error))
             return
         host = self.hosts.setdefault(name, UpstreamHost(new_address, []))
         if host.address != new_address:
@@ -104,11 +107,10 @@
         """Closes idle connections before their hosts do; runs until cancelled."""
         while True:
             await trio.sleep(IDLE_CHECK_INTERVAL_S)
-            expired_before = trio.current_time() - self.idle_lifetime_s
             for host in self.hosts.values():
                 keep = []
                 for connection in host.idle:
-                    if connection.idle_since < expired_before or connection.has_input():
+                    if self._expired(connection) or connection.has_input():
                         self.close(connection)
                     else:
                         keep.append(connection)
@@ -149,7 +151,7 @@
                 return None
             if not wanted():
                 return None
-            if not connection.reused:
+            if not connection.from_pool:
                 raise NotConnectedError("it broke, or the host sent bytes before it was asked")
 
     async def open(self, server: str, timeout_s: float) -> UpstreamConnection:
@@ -164,7 +166,7 @@
         return await self._connect(server, host.address, timeout_s)
 
     async def _connect(self, server: str, to: Address, timeout_s: float) -> UpstreamConnection:
-        raw = socket.socket(socket.AF_INET6 if ":" in to[0] else socket.AF_INET)
+        raw = self._new_socket(socket.AF_INET6 if ":" in to[0] else socket.AF_INET)
         connection = UpstreamConnection(raw, server, to)
         self.open_connections += 1
         connected = False
@@ -173,6 +175,7 @@
             with trio.fail_after(timeout_s):
                 await connection.sock.connect(to)
             connected = True
+            connection.idle_since = trio.current_time()
         except (OSError, trio.TooSlowError) as error:
             raise NotConnectedError(repr(error)) from None
         finally:
@@ -180,6 +183,15 @@
                 self.close(connection)
         return connection
 
+    def _new_socket(self, family: socket.AddressFamily) -> socket.socket:
+        """A socket, for which an idle connection gives way if there are no descriptors left."""
+        while True:
+            try:
+                return socket.socket(family)
+            except OSError as error:
+                if error.errno not in NO_DESCRIPTOR_ERRORS or not self._close_longest_idle():
+                    raise NotConnectedError(repr(error)) from None
+
     def _take_idle(self, host: UpstreamHost) -> UpstreamConnection | None:
         """The one used last of those that have rested since."""
         now = trio.current_time()
@@ -188,7 +200,7 @@
             if connection.usable_from > now:
                 continue
             del host.idle[n]
-            if connection.idle_since >= now - self.idle_lifetime_s and not connection.has_input():
+            if not self._expired(connection) and not connection.has_input():
                 return connection
             self.close(connection)
         return None
@@ -197,8 +209,14 @@
         host = self.hosts.get(connection.server)
         if host is None or host.address != connection.address:
             return False
+        if connection.from_pool and self._expired(connection):
+            return False
         return not connection.closed and not connection.has_input()
 
+    def _expired(self, connection: UpstreamConnection) -> bool:
+        """Whether its host may close it by now, as one that has been idle for too long."""
+        return connection.idle_since < trio.current_time() - self.idle_lifetime_s
+
     def _close_longest_idle(self) -> bool:
         hosts = [host for host in self.hosts.values() if host.idle]
         if not hosts:
@@ -214,16 +232,17 @@
         if host is None or moved or connection.closed or not connection.http.reuse():
             self.close(connection)
             return
-        connection.reused = True
+        connection.from_pool = True
         connection.idle_since = trio.current_time()
         connection.usable_from = connection.idle_since + REUSE_DELAY_S
         host.last_response_at = connection.idle_since
         host.idle.append(connection)
 
     def _put_back_unused(self, connection: UpstreamConnection) -> None:
+        """Keeps a connection that was not written to: for its host it has been idle all the time."""
         host = self.hosts.get(connection.server)
         if host is None or connection.closed:
             self.close(connection)
         else:
-            connection.idle_since = trio.current_time()
-            host.idle.append(connection)
+            connection.from_pool = True
+            bisect.insort(host.idle, connection, key=lambda each: each.idle_since)
