--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -201,9 +201,9 @@
             self._fire(script, fault)
             reset(wire.stream.socket)
             raise Ended
-        head_at = self._clock() if queued_since is None else queued_since
+        arrived_at = self._earliest_arrival(request_id, queued_since)
+        head_at = self._clock() if arrived_at is None else arrived_at
         length = int(headers.get("content-length", 0))
-        arrived_at = queued_since
         if fault is HostFault.STALL_WHILE_READING:
             self._fire(script, fault)
             stalled_at = self._clock()
@@ -232,6 +232,13 @@
             if attempt.closed_at is None:
                 attempt.closed_at = self._clock()
 
+    def _earliest_arrival(self, request_id: str, queued_since: float | None) -> float | None:
+        """When an attempt on a connection that was queued may have come; None for now."""
+        exchange = self._evidence.exchanges.get(request_id)
+        if queued_since is None or exchange is None or exchange.sent_at is None:
+            return queued_since
+        return max(queued_since, exchange.sent_at)
+
     async def _until_closed(
         self, wire: Wire, attempt: HostAttempt, respond: Callable[[], Awaitable[None]]
     ) -> None:
