--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -220,7 +220,7 @@
             self._clock() if arrived_at is None else arrived_at,
             _deadline_s(headers.get("req-deadline", "")),
             head_at,
-            stalled=fault is HostFault.STALL_WHILE_READING,
+            stalled=fault is HostFault.STALL_WHILE_READING or queued_since is not None,
         )
         self._evidence.attempts.append(attempt)
         if script is not None:
