--- a/violetstack/commands/faults.py
+++ b/violetstack/commands/faults.py
@@ -29,16 +29,21 @@
 
 
 def run_faults(seeds: list[int], jobs: int, duration_s: float, as_json: bool) -> int:
-    """Plays the cases, `jobs` at a time; returns 1 if a rule was broken or a dispatcher crashed, else 0."""
+    """Plays the cases, `jobs` at a time.
+
+    Returns 1 if a rule was broken, a dispatcher crashed or a case could not be played, else 0.
+    """
     pairs: set[tuple[str, str]] = set()
     broken: list[int] = []
     void: list[int] = []
     attempts = 0
     requests = 0
+    played = 0
     for result in _play(seeds, jobs, duration_s):
         click.echo(msgspec.json.encode(result).decode() if as_json else _line(result))
         if not as_json:
             _show_violations(result)
+        played += 1
         pairs.update(result.pairs)
         requests += result.requests
         attempts += result.attempts
@@ -48,10 +53,10 @@
             broken.append(result.seed)
     if not as_json:
         click.echo(
-            f"{len(seeds)} cases, {requests} requests, {attempts} attempts, {len(pairs)} pairs of faults; "
-            f"broken: {_list(broken)}; void: {_list(void)}"
+            f"{played} of {len(seeds)} cases, {requests} requests, {attempts} attempts, "
+            f"{len(pairs)} pairs of faults; broken: {_list(broken)}; void: {_list(void)}"
         )
-    return 1 if broken else 0
+    return 1 if broken or played < len(seeds) else 0
 
 
 def _play(seeds: list[int], jobs: int, duration_s: float) -> Iterator[CaseResult]:
