--- a/violetstack/commands/faults.py
+++ b/violetstack/commands/faults.py
@@ -11,6 +11,7 @@
 
 from violetstack.rehearsal.fleet.campaign import play_case
 from violetstack.rehearsal.fleet.campaign_result import CaseResult
+from violetstack.rehearsal.fleet.programs import die_with_parent
 
 
 def parse_seeds(text: str) -> list[int]:
@@ -66,7 +67,7 @@
         return
     # Each case starts processes of its own and runs an event loop, so nothing may be inherited by a fork.
     spawn = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(jobs, mp_context=spawn) as pool:
+    with ProcessPoolExecutor(jobs, mp_context=spawn, initializer=die_with_parent) as pool:
         futures = [pool.submit(play_case, seed, duration_s) for seed in seeds]
         for future in as_completed(futures):
             if (error := future.exception()) is not None:
--- a/violetstack/rehearsal/fleet/programs.py
+++ b/violetstack/rehearsal/fleet/programs.py
@@ -29,6 +29,11 @@
 LIBC = ctypes.CDLL(None, use_errno=True)
 
 
+def die_with_parent() -> None:
+    """Has this process end as soon as the one that started it does, however that ends."""
+    LIBC.prctl(DIE_WITH_PARENT, signal.SIGKILL)
+
+
 class Program:
     """One dispatcher's process, its configuration and its log."""
 
@@ -56,7 +61,7 @@
         cores = sorted(os.sched_getaffinity(0))
 
         def child() -> None:
-            LIBC.prctl(DIE_WITH_PARENT, signal.SIGKILL)
+            die_with_parent()
             if len(cores) > 2:
                 os.sched_setaffinity(0, cores[1:])  # the first is the stand-ins'
             resource.setrlimit(*limits)
