--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -20,11 +20,13 @@
     ScriptSource,
     draw_environment,
 )
+from violetstack.rehearsal.fleet.campaign_result import CaseResult
 from violetstack.rehearsal.fleet.campaign_settings import Deployment, draw_deployment
 
 SEEDS = range(1, 201)
 SHORT_CASE = 63
 """Complete lists from discovery, and a dispatcher that is killed: no dispatcher is stopped."""
+PLAYS = 4
 
 
 def switches(part: str, name: str) -> Callable[[Deployment], Any]:
@@ -113,10 +115,19 @@
         parse_seeds("1,x")
 
 
+def judged_case(seed: int) -> CaseResult:
+    """The first play that is not void, as one is on a machine without processor time."""
+    for _ in range(PLAYS):
+        result = play_case(seed, duration_s=1.5)
+        if not result.void:
+            return result
+    pytest.fail(
+        f"void: observers {result.lag_s} s late, a dispatcher {result.starved_s} s without a processor"
+    )
+
+
 def test_a_short_case_breaks_no_rule() -> None:
-    result = play_case(SHORT_CASE, duration_s=1.5)
-    if result.void:
-        pytest.skip(f"observers {result.lag_s} s late, a dispatcher {result.starved_s} s without a processor")
+    result = judged_case(SHORT_CASE)
     assert [each.text for each in result.violations] + result.crashed == []
     assert result.requests >= 20
     assert result.statuses["served"] >= 5
