--- a/violetstack/protocol/http_client.py
+++ b/violetstack/protocol/http_client.py
@@ -45,7 +45,7 @@
     @property
     def partial(self) -> bool:
         """Whether a part of a head or of a chunk has come, and not the rest."""
-        return self._in_chunk > 0 or len(self._h11.trailing_data[0]) > 0
+        return self._in_chunk > 0 or len(self._h11._receive_buffer) > 0
 
     @classmethod
     def resumed(cls) -> HttpClientConnection:
--- a/violetstack/protocol/http_server.py
+++ b/violetstack/protocol/http_server.py
@@ -107,7 +107,8 @@
     @property
     def unread(self) -> int:
         """Bytes received behind the current request."""
-        return len(self._h11.trailing_data[0])
+        # `trailing_data` copies them, up to half a megabyte at each look.
+        return len(self._h11._receive_buffer)
 
     def next_request(self) -> HttpRequest | None:
         """The next complete request, or None until more bytes have come; raises InvalidRequestError."""
