A client that floods one connection is answered at a pace beyond eight requests

Change: beyond eight requests in a row that have others behind them, further ones wait 50 ms and are rejected with 503 before they reach the core. All that was read is answered, unless the client goes first.

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -29,6 +29,7 @@
 from violetstack.net.downstream import connection_reader, connection_table
 from violetstack.net.downstream import listener as listener_module
 from violetstack.net.downstream.connection import DownstreamConnection
+from violetstack.net.downstream.connection_reader import PIPELINE_BURST, PIPELINE_DELAY_S
 from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.clients import BODY, chat_body, chat_headers, connect, platform_headers
 from violetstack.rehearsal.hosts import SILENT, Act
@@ -346,6 +347,39 @@
     play(reader, writer, story=story)
 
 
+def test_too_many_requests_at_once_are_each_answered_at_a_pace() -> None:
+    """A client that floods one connection took the processor, and its requests the capacity, of others."""
+    count = PIPELINE_BURST + 4
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        began = trio.current_time()
+        await client.send(*(request(f"q{n}") for n in range(count)))
+        statuses = await client.receive_answers(count)
+        # The last one has none behind it, and is taken as any other.
+        assert statuses == [200] * PIPELINE_BURST + [503] * 3 + [200]
+        assert trio.current_time() - began > 3 * PIPELINE_DELAY_S
+        assert len(writer.begun) == PIPELINE_BURST + 1
+        await client.stream.aclose()
+
+    play(reader, writer, story=story)
+
+
+def test_a_client_that_floods_a_connection_and_goes_costs_no_answers() -> None:
+    reader, writer = pair()
+
+    async def story(on: Stage) -> None:
+        client = await RawClient.connect(on.platform)
+        await client.send(*(request(f"q{n}") for n in range(200)))
+        await client.receive_answers(1)
+        await client.stream.aclose()
+        await until(lambda: not on.daemon.listeners[0].table.connections)
+        assert len(writer.begun) <= PIPELINE_BURST + 1
+
+    play(reader, writer, story=story)
+
+
 def test_requests_that_are_kept_are_answered_before_the_connection_ends_over_dropped_ones(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -337,11 +337,14 @@
     def handle_next_request(self) -> None:
         """Hands the next complete request to the front, once the one before is answered."""
         while not self.answering and not self.close_when_written:
+            if self._reader.paces_pipeline:
+                return
             try:
                 inbound = self.http.next_request()
             except InvalidRequestError as error:
                 self._reject(error.status, error.reason)
                 return
+            self._reader.note_pipelining(inbound is not None)
             if self.evicted:
                 self._reject_evicted(inbound)
                 continue
@@ -370,6 +373,8 @@
         """Why a complete request is not handed to the front; empty if it is."""
         if self.refused:
             return "the dispatcher holds too many connections"
+        if self._reader.pipelines_too_much:
+            return "too many requests at once on one connection"
         if self.listener.table.bodies_full and self.http.size:
             return BODIES_FULL
         if self.listener.refusing:
--- a/violetstack/net/downstream/connection_reader.py
+++ b/violetstack/net/downstream/connection_reader.py
@@ -28,6 +28,10 @@
 """Bytes behind an unanswered request that are kept; what comes beyond them is dropped."""
 MAX_UNREAD_BYTES_WHEN_FULL = 64 * 1024
 """The same while the bound on request bodies is exceeded."""
+PIPELINE_BURST = 8
+"""So many requests in a row that have others behind them are handled; further ones are rejected."""
+PIPELINE_DELAY_S = 0.05
+"""Before each request that is rejected for that, to spare the processor."""
 DISCARD_INTERVAL_S = 0.01
 DISCARD_SIZE = 1024 * 1024
 
@@ -53,10 +57,12 @@
     __slots__ = (
         "_arriving_since",
         "_connection",
+        "_paced",
         "_read_times",
         "_wait",
         "client_ended",
         "discarded",
+        "pipelined_in_a_row",
         "rejections_in_a_row",
     )
 
@@ -64,6 +70,10 @@
         self.client_ended = trio.Event()
         self.rejections_in_a_row = 0
         """Answers 4xx since the last request that was acceptable."""
+        self._paced = False
+        """The next request has waited already."""
+        self.pipelined_in_a_row = 0
+        """Requests behind which another had been read when they were handled."""
         self.discarded = False
         """Bytes behind the requests that are kept were dropped."""
         self._connection: DownstreamConnection | None = connection
@@ -100,6 +110,9 @@
             connection.handle_next_request()
             if connection.close_when_written:
                 break
+            if self.paces_pipeline and not connection.answering:
+                await self._delay_pipeline()
+                continue
             if connection.migration_pause is not None:
                 await connection.migration_pause.wait()
             elif not await self._read_or_wait(connection):
@@ -112,6 +125,37 @@
         await wait_for_peer_end(connection.stream)
         self.client_ended.set()
 
+    def note_pipelining(self, complete: bool) -> None:
+        """A request was taken from the parser, or `complete` is False and more bytes have to come for one."""
+        connection = self._connection
+        self._paced = False
+        if complete and connection is not None and connection.http.unread:
+            self.pipelined_in_a_row += 1
+        else:
+            self.pipelined_in_a_row = 0
+
+    @property
+    def paces_pipeline(self) -> bool:
+        """Whether the next request that has been read is to wait, as its client sends many at once.
+
+        Each is answered in its turn, unless the client goes first.
+        """
+        connection = self._connection
+        if self._paced or connection is None or connection.listener.draining or connection.evicted:
+            return False
+        return self.pipelined_in_a_row >= PIPELINE_BURST and connection.http.unread > 0
+
+    @property
+    def pipelines_too_much(self) -> bool:
+        """Whether the request that was taken from the parser last is one too many at once."""
+        return self.pipelined_in_a_row > PIPELINE_BURST
+
+    async def _delay_pipeline(self) -> None:
+        self._paced = True
+        with trio.CancelScope() as self._wait:
+            await trio.sleep(PIPELINE_DELAY_S)
+        self._wait = None
+
     async def _read_or_wait(self, connection: DownstreamConnection) -> bool:
         """False if the client has ended its sending, or the connection is to be closed at once."""
         try:
