Log lines are written by a thread: a log that nobody reads stops nothing

Cause: log.py wrote and flushed on the event loop's thread; a full pipe blocks that write for good. A half-written line is closed before the next. A process without standard output started with an exception; it is silent now.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,7 +15,9 @@
 
 # From the lowest to the highest. A module imports from its own layer and from lower ones.
 LAYERS: dict[str, frozenset[str]] = {
-    "vocabulary": frozenset({"log", "policy_api", "process_pause", "rendezvous", "settings", "shared"}),
+    "vocabulary": frozenset(
+        {"log", "log_writer", "policy_api", "process_pause", "rendezvous", "settings", "shared"}
+    ),
     "tracking": frozenset({"estimation", "gossip", "tracking"}),
     "policy": frozenset({"policy"}),
     "domain": frozenset(
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import json
 import os
+import select
+import signal
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -15,12 +18,14 @@
 import trio
 
 from violetstack.config import Address
+from violetstack.log_writer import MAX_QUEUED_BYTES, LogWriter
 from violetstack.rehearsal.stage import SETTINGS
 
 PIPE_BYTES = 4096
 REQUESTS = 60
 """Their lines are several times what the pipe holds."""
 ANSWER_TIMEOUT_S = 3.0
+INVALID_CONFIGURATION = 2
 UNREACHABLE = [
     {"id": "r", "addr": "127.0.0.1:9", "kind": "prefill", "zone": "z", "state": "active"},
     {"id": "w", "addr": "127.0.0.1:9", "kind": "decode", "zone": "z", "state": "active"},
@@ -96,3 +101,89 @@
 def test_requests_are_answered_while_nobody_reads_the_log(program: PipedProgram) -> None:
     """The event loop waited for room in the pipe, for good."""
     ask_many(program.platform)
+
+
+def test_a_process_whose_log_nobody_reads_ends_when_it_is_told_to(program: PipedProgram) -> None:
+    ask_many(program.platform)
+    program.process.send_signal(signal.SIGTERM)
+    assert program.process.wait(timeout=ANSWER_TIMEOUT_S) == 0
+
+
+def test_a_process_without_standard_output_starts_and_ends(tmp_path: Path) -> None:
+    """Its first log line raised an exception."""
+    node = {"listen": "127.0.0.1:0", "settings": SETTINGS, "known": {"version": 1, "full": True}}
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps({**node, "listen": "no address"}))
+    command = f"exec {sys.executable} -m violetstack >&-"
+    finished = subprocess.run(command, shell=True, env={**os.environ, "NODE_CONFIG": str(file)}, check=False)
+    assert finished.returncode == INVALID_CONFIGURATION
+
+
+class PipedWriter:
+    """A writer into a pipe that the test reads when it likes."""
+
+    def __init__(self) -> None:
+        self.read_end, self.write_end = os.pipe()
+        fcntl.fcntl(self.read_end, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+        self.writer = LogWriter(self.write_end, lambda lines: b"dropped %d\n" % lines)
+
+    def read_all(self) -> list[bytes]:
+        """What is written until nothing is left to write."""
+        data = b""
+        while select.select([self.read_end], [], [], 0.05)[0] or not self.writer.flush(0.0):
+            if select.select([self.read_end], [], [], 0.0)[0]:
+                data += os.read(self.read_end, PIPE_BYTES)
+        return data.splitlines()
+
+
+@pytest.fixture
+def piped() -> Iterator[PipedWriter]:
+    piped = PipedWriter()
+    yield piped
+    os.close(piped.read_end)
+    os.close(piped.write_end)
+
+
+def test_lines_that_do_not_fit_are_counted_and_told(piped: PipedWriter) -> None:
+    lines = [b"%d %s" % (number, b"x" * 1000) for number in range(3 * MAX_QUEUED_BYTES // 1000)]
+    for line in lines:
+        piped.writer.write(line + b"\n")
+    dropped = piped.writer.dropped
+    assert dropped > MAX_QUEUED_BYTES // 1000
+    read = piped.read_all()
+    piped.writer.write(b"after\n")
+    read += piped.read_all()
+    assert b"dropped %d" % dropped in read
+    written = [line for line in read if line.endswith(b"x")]
+    assert len(written) == len(lines) - dropped
+    assert written == [line for line in lines if line in set(written)]
+    assert read[-1] == b"after" or read[-2] == b"after"
+
+
+def test_lines_that_a_full_disk_does_not_take_are_counted() -> None:
+    descriptor = os.open("/dev/full", os.O_WRONLY)
+    writer = LogWriter(descriptor, lambda lines: b"dropped %d\n" % lines)
+    for _ in range(3):
+        writer.write(b"line\n")
+        assert writer.flush(ANSWER_TIMEOUT_S)
+    assert writer.dropped == 3
+    os.close(descriptor)
+
+
+def test_a_half_written_line_spoils_none_that_follows(
+    piped: PipedWriter, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    system_write = os.write
+    outcomes: Iterator[int | OSError] = iter([2, OSError(errno.ENOSPC, "no space")])  # bytes that the system takes, or its error
+
+    def write(descriptor: int, data: bytes) -> int:
+        outcome = next(outcomes, None)
+        if isinstance(outcome, OSError):
+            raise outcome
+        return system_write(descriptor, data if outcome is None else data[:outcome])
+
+    monkeypatch.setattr(os, "write", write)
+    piped.writer.write(b"half\n")
+    assert piped.writer.flush(ANSWER_TIMEOUT_S)
+    piped.writer.write(b"whole\n")
+    assert piped.read_all() == [b"ha", b"whole", b"dropped 1"]
--- a/violetstack/daemon/process.py
+++ b/violetstack/daemon/process.py
@@ -10,7 +10,7 @@
 
 from violetstack.config import Config, ConfigError, load
 from violetstack.daemon.daemon import Daemon
-from violetstack.log import log
+from violetstack.log import flush, log, write_in_background
 from violetstack.net.inherited_listener import open_inherited_listener
 
 
@@ -19,6 +19,14 @@
 
     `path` is the file that NODE_CONFIG names, `file` the operator's; either may be missing.
     """
+    write_in_background()
+    try:
+        return _serve(path, file)
+    finally:
+        flush()
+
+
+def _serve(path: str, file: str | None) -> int:
     # The file may have been read already when a SIGHUP comes, so one during startup counts as well.
     early_reload = SignalRecorder(signal.SIGHUP)
     try:
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -15,6 +15,8 @@
 
 import orjson
 
+from violetstack.log_writer import LogWriter
+
 LINES_PER_SECOND = 20  # of one event that clients or peers can cause
 MAX_TEXT_LENGTH = 200  # characters of a field of such an event
 LEVEL_ORDER = {"info": 0, "warning": 1, "error": 2}
@@ -65,6 +67,7 @@
             "stream_migration_rejected",
             "gossip_datagram_rejected",
             "gossip_bind_failed",
+            "log_lines_dropped",
             "pool_degraded",
             "handover_record_failed",
             "handover_record_invalid",
@@ -83,6 +86,35 @@
 quiet = False  # set by the rehearsal command: observers see the events, standard output does not
 minimum_level = LEVEL_ORDER.get(os.environ.get("VIOLETSTACK_LOG_LEVEL", "info"), 0)
 observers: list[Callable[[dict[str, Any]], None]] = []  # called with each event; the demo registers one
+FLUSH_TIMEOUT_S = 0.3  # at the end of the process, for an output that takes lines slowly
+_writer: LogWriter | None = None
+
+
+def write_in_background() -> None:
+    """From now on lines are written by a thread: a service must not wait for whoever reads its log."""
+    global _writer  # noqa: PLW0603 - the process has one log
+    if _writer is None and sys.stdout is not None:  # None: the descriptor was closed before the start
+        _writer = LogWriter(sys.stdout.fileno(), _describe_drops)
+
+
+def flush() -> None:
+    """Waits for the lines that a thread still has to write, for `FLUSH_TIMEOUT_S` at most."""
+    if _writer is not None:
+        _writer.flush(FLUSH_TIMEOUT_S)
+
+
+def dropped_lines() -> int:
+    """Returns how many lines the output did not take since the start."""
+    return _writer.dropped if _writer is not None else 0
+
+
+def _describe_drops(lines: int) -> bytes:
+    return render(_compose("log_lines_dropped", {"lines": lines}))
+
+
+def _compose(event: str, fields: dict[str, Any]) -> dict[str, Any]:
+    level = EVENT_LEVELS.get(event, "info")
+    return {"at": round(time.time(), 3), "level": level, "event": event, **fields}
 
 
 def log(event: str, **fields: Any) -> None:
@@ -90,10 +122,13 @@
     level = EVENT_LEVELS.get(event, "info")
     if LEVEL_ORDER[level] < minimum_level:
         return
-    line = {"at": round(time.time(), 3), "level": level, "event": event, **fields}
+    line = _compose(event, fields)
     for observe in observers:
         observe(line)
-    if quiet:
+    if quiet or sys.stdout is None:
+        return
+    if _writer is not None:
+        _writer.write(render(line))
         return
     try:
         sys.stdout.buffer.write(render(line))
