Idempotency records age by real time: a step of the wall clock deletes none

Cause: renew_lease deleted records whose Unix time was older than time.time() less the retention, so a step forward by an hour deleted every completed record, and the next retry ran a second time. Ruled out: the monotonic clock alone (it begins anew with each boot), a clock table (the tables are shared with an earlier release). Change: heartbeats carry a clock that the processes move on by their own monotonic clocks (RetentionClock); it stands still while none runs, so records are kept in doubt. In test_idempotency.py and test_stored_records.py times came as arguments; they come from the stores' clocks now, the same bounds.

--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -54,29 +54,31 @@
 
 def test_dispatchers_that_share_the_file_see_each_others_records(tmp_path: Path) -> None:
     a, b, _, _ = two_stores(tmp_path)
-    assert a.claim(REQUEST, 0.0) == (ClaimStatus.ACQUIRED, b"")
-    assert b.claim(RETRY, 1.0) == (ClaimStatus.RUNNING, b"")
-    assert a.record_outcome(REQUEST, Outcome.COMPLETED, b"response", 2.0)
-    assert b.claim(RETRY, 3.0) == (ClaimStatus.COMPLETED, b"response")
+    assert a.claim(REQUEST) == (ClaimStatus.ACQUIRED, b"")
+    assert b.claim(RETRY) == (ClaimStatus.RUNNING, b"")
+    assert a.record_outcome(REQUEST, Outcome.COMPLETED, b"response")
+    assert b.claim(RETRY) == (ClaimStatus.COMPLETED, b"response")
 
 
 @pytest.mark.parametrize("behind", [0.0, -3_600.0, 86_400.0])
 def test_an_owner_is_alive_while_its_heartbeat_changes_whatever_its_clock_shows(
     tmp_path: Path, behind: float
 ) -> None:
-    """Unix clocks of two machines are not compared."""
-    a, b, _, clock_b = two_stores(tmp_path)
-    a.renew_lease(behind)
-    a.claim(REQUEST, behind)
+    """Clocks of two machines are not compared, and one may hardly move."""
+    a, b, clock_a, clock_b = two_stores(tmp_path)
+    clock_a.now = behind
+    a.renew_lease()
+    a.claim(REQUEST)
     for second in range(0, 40, 5):
         clock_b.now = float(second)
-        a.renew_lease(behind + second / 1000.0)
-        b.renew_lease(float(second))
-        assert b.claim(RETRY, float(second)) == (ClaimStatus.RUNNING, b"")
+        clock_a.now = behind + second / 1000.0
+        a.renew_lease()
+        b.renew_lease()
+        assert b.claim(RETRY) == (ClaimStatus.RUNNING, b"")
     clock_b.now += 10.0
-    assert b.claim(RETRY, 0.0) == (ClaimStatus.RUNNING, b"")  # the margin for clocks that drift by 1%
+    assert b.claim(RETRY) == (ClaimStatus.RUNNING, b"")  # the margin for clocks that drift by 1%
     clock_b.now += 0.3
-    assert b.claim(RETRY, 0.0) == (ClaimStatus.FAILED, b"")
+    assert b.claim(RETRY) == (ClaimStatus.FAILED, b"")
 
 
 def test_a_lease_ends_at_its_holder_before_another_declares_its_requests_failed(tmp_path: Path) -> None:
@@ -97,10 +99,10 @@
             clock_a.now = at * rate_a
             clock_b.now = 500.0 + at * rate_b
             if at < paused_at:
-                a.renew_lease(at)
-                a.claim(REQUEST, at)
+                a.renew_lease()
+                a.claim(REQUEST)
             if rng.random() < 0.5:
-                failed = failed or b.claim(RETRY, at)[0] is ClaimStatus.FAILED
+                failed = failed or b.claim(RETRY)[0] is ClaimStatus.FAILED
             assert not (failed and a.holds_lease())
         assert failed
 
@@ -121,42 +123,67 @@
 def test_an_owner_that_lost_its_lease_cannot_change_a_record(tmp_path: Path) -> None:
     """Otherwise a dispatcher that was paused could release a request, and it would run again."""
     a, b, _, clock_b = two_stores(tmp_path)
-    a.claim(REQUEST, 0.0)
-    assert b.claim(RETRY, 0.0) == (ClaimStatus.RUNNING, b"")
+    a.claim(REQUEST)
+    assert b.claim(RETRY) == (ClaimStatus.RUNNING, b"")
     clock_b.now = 20.0
-    assert b.claim(RETRY, 20.0) == (ClaimStatus.FAILED, b"")
-    assert not a.record_outcome(REQUEST, Outcome.RELEASED, b"", 21.0)
-    assert b.claim(RETRY, 22.0) == (ClaimStatus.FAILED, b"")
+    assert b.claim(RETRY) == (ClaimStatus.FAILED, b"")
+    assert not a.record_outcome(REQUEST, Outcome.RELEASED, b"")
+    assert b.claim(RETRY) == (ClaimStatus.FAILED, b"")
 
 
 def test_a_released_request_can_be_claimed_once(tmp_path: Path) -> None:
     a, b, _, _ = two_stores(tmp_path)
-    a.claim(REQUEST, 0.0)
-    a.record_outcome(REQUEST, Outcome.RELEASED, b"", 1.0)
-    assert b.claim(REQUEST, 2.0) == (ClaimStatus.ACQUIRED, b"")
-    assert a.claim(REQUEST, 3.0) == (ClaimStatus.RUNNING, b"")
+    a.claim(REQUEST)
+    a.record_outcome(REQUEST, Outcome.RELEASED, b"")
+    assert b.claim(REQUEST) == (ClaimStatus.ACQUIRED, b"")
+    assert a.claim(REQUEST) == (ClaimStatus.RUNNING, b"")
 
 
 def test_ended_records_are_deleted_after_the_retention_and_running_ones_are_kept(tmp_path: Path) -> None:
-    a = two_stores(tmp_path).a
+    a, _, clock, _ = two_stores(tmp_path)
     running = KeyedRequest("acme", "k3", "other", "running")
-    a.claim(REQUEST, 0.0)
-    a.claim(running, 0.0)
-    a.record_outcome(REQUEST, Outcome.COMPLETED, b"response", 1.0)
-    a.renew_lease(100.0)
-    assert a.claim(REQUEST, 100.0) == (ClaimStatus.COMPLETED, b"response")
-    a.renew_lease(102.0)
-    assert a.claim(REQUEST, 103.0) == (ClaimStatus.ACQUIRED, b"")
-    assert a.claim(running, 103.0) == (ClaimStatus.RUNNING, b"")
+    a.claim(REQUEST)
+    a.claim(running)
+    clock.now = 1.0
+    a.record_outcome(REQUEST, Outcome.COMPLETED, b"response")
+    clock.now = 100.0
+    a.renew_lease()
+    assert a.claim(REQUEST) == (ClaimStatus.COMPLETED, b"response")
+    clock.now = 102.0
+    a.renew_lease()
+    assert a.claim(REQUEST) == (ClaimStatus.ACQUIRED, b"")
+    assert a.claim(running) == (ClaimStatus.RUNNING, b"")
+
+
+def test_the_retention_is_measured_across_restarts_and_by_no_process_twice(tmp_path: Path) -> None:
+    """Two processes that run side by side, then one that starts when both have ended."""
+    a, b, clock_a, clock_b = two_stores(tmp_path)
+    a.claim(REQUEST)
+    a.record_outcome(REQUEST, Outcome.COMPLETED, b"response")
+    for second in range(0, 61, 5):
+        clock_a.now = float(second)
+        clock_b.now = 5_000.0 + second
+        a.renew_lease()
+        b.renew_lease()
+    assert b.claim(RETRY) == (ClaimStatus.COMPLETED, b"response")
+    clock_c = Clock()
+    c = IdempotencyStore(tmp_path / "orders.sqlite", "c", 100.0, 10.0, clock_c)
+    c.renew_lease()
+    clock_c.now = 39.0
+    c.renew_lease()
+    assert c.claim(RETRY) == (ClaimStatus.COMPLETED, b"response")
+    clock_c.now = 42.0
+    c.renew_lease()
+    assert c.claim(RETRY) == (ClaimStatus.ACQUIRED, b"")
 
 
 def test_a_key_belongs_to_one_body_within_its_tenant(tmp_path: Path) -> None:
     a = two_stores(tmp_path).a
-    a.claim(REQUEST, 0.0)
-    assert a.claim(KeyedRequest("acme", "k1", "other", "else"), 1.0)[0] is ClaimStatus.KEY_REUSED
-    assert a.claim(KeyedRequest("else", "k1", "other", "else"), 1.0)[0] is ClaimStatus.ACQUIRED
+    a.claim(REQUEST)
+    assert a.claim(KeyedRequest("acme", "k1", "other", "else"))[0] is ClaimStatus.KEY_REUSED
+    assert a.claim(KeyedRequest("else", "k1", "other", "else"))[0] is ClaimStatus.ACQUIRED
 
 
 def test_a_file_that_cannot_be_opened_raises(tmp_path: Path) -> None:
     with pytest.raises(IdempotencyStoreError):
-        IdempotencyStore(tmp_path / "missing" / "orders.sqlite", "a", 1.0, 1.0).claim(REQUEST, 0.0)
+        IdempotencyStore(tmp_path / "missing" / "orders.sqlite", "a", 1.0, 1.0).claim(REQUEST)
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -174,7 +174,9 @@
     piped: PipedWriter, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     system_write = os.write
-    outcomes: Iterator[int | OSError] = iter([2, OSError(errno.ENOSPC, "no space")])  # bytes that the system takes, or its error
+    outcomes: Iterator[int | OSError] = iter(
+        [2, OSError(errno.ENOSPC, "no space")]
+    )  # bytes that the system takes, or its error
 
     def write(descriptor: int, data: bytes) -> int:
         outcome = next(outcomes, None)
--- a/tests/test_stored_records.py
+++ b/tests/test_stored_records.py
@@ -124,14 +124,13 @@
 def test_an_idempotency_database_of_an_earlier_release_is_read(tmp_path: Path) -> None:
     ticks = [0.0]
     store = IdempotencyStore(copied_database(tmp_path), "n0/second", 86_400.0, 10.0, lambda: ticks[0])
-    now = WRITTEN_AT_S + 60.0
-    assert store.claim(request("finished"), now) == (ClaimStatus.COMPLETED, b'{"outcome":1}')
-    assert store.claim(request("failed"), now) == (ClaimStatus.FAILED, b"")
-    assert store.claim(request("freed"), now) == (ClaimStatus.ACQUIRED, b"")
-    assert store.claim(request("running"), now) == (ClaimStatus.RUNNING, b"")
-    assert store.claim(request("finished", "another"), now) == (ClaimStatus.KEY_REUSED, b"")
+    assert store.claim(request("finished")) == (ClaimStatus.COMPLETED, b'{"outcome":1}')
+    assert store.claim(request("failed")) == (ClaimStatus.FAILED, b"")
+    assert store.claim(request("freed")) == (ClaimStatus.ACQUIRED, b"")
+    assert store.claim(request("running")) == (ClaimStatus.RUNNING, b"")
+    assert store.claim(request("finished", "another")) == (ClaimStatus.KEY_REUSED, b"")
     ticks[0] = 20.0  # the earlier owner has not renewed its lease
-    assert store.claim(request("running"), now + 20.0) == (ClaimStatus.FAILED, b"")
+    assert store.claim(request("running")) == (ClaimStatus.FAILED, b"")
     store.close()
 
 
@@ -141,12 +140,16 @@
     with sqlite3.connect(path) as database:
         tables_before = database.execute("SELECT name, sql FROM sqlite_master ORDER BY name").fetchall()
     database.close()
-    store = IdempotencyStore(path, "n0/second", 86_400.0, 10.0, lambda: 0.0)
-    store.renew_lease(WRITTEN_AT_S + 1.0)
+    ticks = [0.0]
+    store = IdempotencyStore(path, "n0/second", 86_400.0, 10.0, lambda: ticks[0])
+    store.renew_lease()
+    ticks[0] = 1.0
+    store.renew_lease()
     for outcome, response in ((Outcome.COMPLETED, b"answer"), (Outcome.FAILED, b""), (Outcome.RELEASED, b"")):
         written = KeyedRequest("acme", f"new-{outcome.name}", "body", f"new-{outcome.name}")
-        store.claim(written, WRITTEN_AT_S + 1.0)
-        store.record_outcome(written, outcome, response, WRITTEN_AT_S + 2.0)
+        store.claim(written)
+        ticks[0] = 2.0
+        store.record_outcome(written, outcome, response)
     store.close()
     with sqlite3.connect(path) as database:
         tables = database.execute("SELECT name, sql FROM sqlite_master ORDER BY name").fetchall()
--- a/violetstack/idempotency/service.py
+++ b/violetstack/idempotency/service.py
@@ -72,7 +72,7 @@
         """
         if self.pending >= MAX_QUEUED_CALLS:
             raise IdempotencyStoreError(f"{self.pending} calls are queued, at most {MAX_QUEUED_CALLS}")
-        return await self._call(lambda: self._store.claim(request, time.time()))
+        return await self._call(lambda: self._store.claim(request))
 
     def record_outcome(self, request: KeyedRequest, outcome: Outcome, response: bytes) -> None:
         """Records how a claimed request ended.
@@ -85,7 +85,7 @@
             """Runs on the thread."""
             while not self._stopped:
                 try:
-                    self._store.record_outcome(request, outcome, response, time.time())
+                    self._store.record_outcome(request, outcome, response)
                 except IdempotencyStoreError as error:
                     log("idempotency_store_failed", error=error.reason)
                     time.sleep(RETRY_DELAY_S)
@@ -99,7 +99,7 @@
         self._stopped = True
 
     def _renew_lease(self) -> None:
-        self._store.renew_lease(time.time())
+        self._store.renew_lease()
 
     async def _keep_lease(self) -> None:
         while True:
--- a/violetstack/idempotency/store.py
+++ b/violetstack/idempotency/store.py
@@ -7,7 +7,8 @@
 
 Each dispatcher holds a lease on the requests it has claimed, and renews it by changing its heartbeat in the
 file. An observer measures the time since the last change on its own monotonic clock; clocks of two machines
-are never compared. The holder counts its lease from before it wrote the heartbeat, and checks it right before
+are never compared, and the wall clock counts for nothing: ages are measured by the file's own clock
+(`RetentionClock`). The holder counts its lease from before it wrote the heartbeat, and checks it right before
 it sends. So a request that another dispatcher has declared failed is not sent any more.
 
 The names of the tables, columns and states are those of the first release, which may share the file.
@@ -100,6 +101,37 @@
     outcome: bytes | None
 
 
+class RetentionClock:
+    """Real time as the processes that use the file have measured it together, in seconds.
+
+    Heartbeats carry it from one process to the next: the latest one is what the file's clock showed then, and
+    each process adds what its own monotonic clock has measured since it last read the file. So the clock
+    never runs faster than real time, whatever the wall clocks do, and stands still while no process runs: a
+    record may be kept for longer than the retention, never shorter.
+
+    Only the first process of a file takes the Unix time, since an earlier release that shares the file
+    compares with it. Such a release still measures by its wall clock.
+    """
+
+    def __init__(self, monotonic: Callable[[], float]) -> None:
+        """Creates a clock that has not been read; `monotonic` returns seconds."""
+        self._monotonic = monotonic
+        self._read_at = 0.0
+        self._read = float("-inf")
+
+    def read(self, database: sqlite3.Connection) -> float:
+        """Returns the file's time; the caller's transaction holds the file."""
+        now = self._monotonic()
+        self._read = max(_latest_heartbeat(database), self._read + (now - self._read_at))
+        self._read_at = now
+        return self._read
+
+
+def _latest_heartbeat(database: sqlite3.Connection) -> float:
+    (latest,) = database.execute("SELECT max(beat) FROM owners").fetchone()
+    return time.time() if latest is None else float(latest)
+
+
 class IdempotencyStore:
     """The SQLite file.
 
@@ -121,8 +153,7 @@
             owner: Unique name of this process.
             retention_s: How long records of ended requests are kept.
             lease_s: How long after its last heartbeat an owner keeps the requests it claimed.
-            monotonic: The clock for leases, in seconds. Retention is measured by the Unix time that the
-                caller passes.
+            monotonic: The clock for leases and for the retention, in seconds.
         """
         self._path = str(path)
         self._owner = owner
@@ -130,6 +161,7 @@
         self._lease_s = lease_s
         self._monotonic = monotonic
         self._liveness = LivenessMonitor(lease_s)
+        self._clock = RetentionClock(monotonic)
         self._heartbeat = 0.0
         self._lease_end = float("-inf")
         self._database: sqlite3.Connection | None = None
@@ -144,20 +176,18 @@
         """Returns whether a request that this process claimed may still be sent."""
         return self._monotonic() < self._lease_end
 
-    def renew_lease(self, now_s: float) -> None:
+    def renew_lease(self) -> None:
         """Writes a heartbeat, observes those of the other owners, and deletes expired records.
 
-        Args:
-            now_s: Unix time.
-
         Raises:
             IdempotencyStoreError: The lease is not renewed.
         """
         started = self._monotonic()
-        # An owner is alive while its heartbeat changes, and a clock that was set back may show a time again.
-        heartbeat = now_s if now_s != self._heartbeat else now_s + HEARTBEAT_STEP_S
-        oldest = now_s - self._retention_s
         with self._transaction() as database:
+            now_s = self._clock.read(database)
+            oldest = now_s - self._retention_s
+            # An owner is alive while its heartbeat changes.
+            heartbeat = max(now_s, self._heartbeat + HEARTBEAT_STEP_S)
             database.execute("INSERT OR REPLACE INTO owners VALUES (?, ?)", (self._owner, heartbeat))
             database.execute("DELETE FROM orders WHERE at < ? AND state != ?", (oldest, RUNNING))
             for owner in self._failed_owners(database, started):
@@ -169,28 +199,26 @@
         self._heartbeat = heartbeat
         self._lease_end = started + self._lease_s
 
-    def claim(self, request: KeyedRequest, now_s: float) -> ClaimResult:
+    def claim(self, request: KeyedRequest) -> ClaimResult:
         """Records a request as running, or returns what is recorded of it.
 
         Args:
             request: The request; its key is recorded as well.
-            now_s: Unix time.
 
         Raises:
             IdempotencyStoreError: Nothing was recorded, so the request must not be sent.
         """
         started = self._monotonic()
         with self._transaction() as database:
-            return self._claim(database, request, now_s, started)
+            return self._claim(database, request, self._clock.read(database), started)
 
-    def record_outcome(self, request: KeyedRequest, outcome: Outcome, response: bytes, now_s: float) -> bool:
+    def record_outcome(self, request: KeyedRequest, outcome: Outcome, response: bytes) -> bool:
         """Records how a request ended that this process claimed.
 
         Args:
             request: The claimed request.
             outcome: How it ended.
             response: What a retry is answered, if it is COMPLETED.
-            now_s: Unix time.
 
         Returns:
             False if the lease was lost and another owner has declared the request failed, which stands.
@@ -202,7 +230,7 @@
             stored = self._find(database, request)
             if stored is None or (stored.state, stored.owner) != (RUNNING, self._owner):
                 return False
-            self._update(database, request, outcome, response, now_s)
+            self._update(database, request, outcome, response, self._clock.read(database))
             return True
 
     def _claim(
