Invariants: the operators' rules are checked at run time, counted and logged

core/invariants.py checks lost, final answer, duplicate, drain, told deadline and held state where each would be broken, by records of its own; GET /admin/invariants tells the counts, and invariant_violated the request's course. A planted fault for each shows that its counter rises (tests/test_invariants.py). Not checked at run time yet: failback (it is the sum of all dispatchers) and descriptors. With it: a send that has not arrived no longer stops the clock of what hosts hold. Cause: _record_effects counted from the hand-over to the kernel, and while an attempt was in flight nothing looked; on a connection that fell silent the state was held to the attempt's time-out. What is not acknowledged (TIOCOUTQ) 0.1 s before the retention ends is given up as one that may have run, and what is held is released (test_core.py, both failed without the change).

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -18,6 +18,7 @@
 from violetstack.admin.api import MAX_BODY_BYTES, AdminConnection
 from violetstack.admin.errors import RequestRejectedError, UnknownEndpointError
 from violetstack.admin.responses import (
+    InvariantsResponse,
     LeasesResponse,
     ResignResponse,
     RestartPermitResponse,
@@ -51,6 +52,9 @@
     def stats(self) -> StatsResponse:
         return StatsResponse({}, 0, 0, 2, 0)
 
+    def invariants(self) -> InvariantsResponse:
+        return InvariantsResponse({"lost": 1}, 2)
+
     def cordon(self, endpoint_id: str) -> None:
         if endpoint_id not in ("a", "b"):
             raise UnknownEndpointError(endpoint_id)
@@ -142,6 +146,7 @@
     [
         (get("/admin/health"), b'{"status":"serving"}\n'),
         (get("/admin/stats"), EMPTY_STATS),
+        (get("/admin/invariants"), b'{"violations":{"lost":1},"log_lines_dropped":2}\n'),
         (post("/admin/cordon", b"a"), b'{"out":"a"}\n'),
         (post("/admin/uncordon", b"a"), b'{"back":"a"}\n'),
         (get("/admin/duties"), EMPTY_LEASES),
@@ -189,7 +194,7 @@
         core.run(now)
         for attempt in [a for a in ports.attempts if not a.finished and rng.random() < 0.6]:
             if not attempt.request_written:
-                core.request_written(attempt)
+                core.request_written(now, attempt)
                 written += 1
             core.attempt_finished(now, attempt, random_status(rng, core, attempt, now))
         for request in list(core.open_requests.values()):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -44,6 +44,8 @@
         self.releases: list[ReleaseCall] = []
         self.answers: list[str] = []
         self.gone = False
+        self.unacknowledged: list[Attempt] = []
+        self.logged: list[tuple[str, dict[str, Any]]] = []
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         self.events += events
@@ -54,6 +56,9 @@
     def start_attempt(self, attempt: Attempt) -> None:
         self.attempts.append(attempt)
 
+    def has_arrived(self, attempt: Attempt) -> bool:
+        return attempt not in self.unacknowledged
+
     def abort_attempt(self, attempt: Attempt) -> None:
         self.aborted.append(attempt)
 
@@ -70,7 +75,7 @@
         pass
 
     def log(self, event: str, **fields: Any) -> None:
-        pass
+        self.logged.append((event, fields))
 
     def stream_started(self) -> None:
         self.answers.append("stream_started")
@@ -258,7 +263,7 @@
     harness.run(ReleaseState("q"))
     prefill = harness.send("r2")
     assert not harness.ports.releases[0].superseded
-    harness.core.request_started(prefill)
+    harness.core.request_started(harness.now, prefill)
     assert harness.ports.releases[0].superseded
     harness.core.release_finished(harness.ports.releases[0], False)
     harness.core.attempt_finished(harness.now, prefill, AttemptStatus.ERROR)
@@ -355,3 +360,39 @@
         harness.core.client_disconnected(harness.now, request)
     harness.run()
     assert list(harness.core.open_requests) == ["q"]
+
+
+@pytest.mark.parametrize("arrived", [True, False])
+def test_an_attempt_that_has_not_arrived_does_not_hold_state_beyond_its_retention(arrived: bool) -> None:
+    """On a connection that fell silent it counted as sent, and the state was held to its timeout."""
+    harness = CoreHarness()
+    prefill = harness.send("r1")
+    harness.core.request_written(harness.now, prefill)
+    harness.core.attempt_finished(harness.now, prefill, AttemptStatus.PREFILLED)
+    decode = harness.send("w1", stop_after=2500.0)
+    harness.core.request_written(harness.now, decode)
+    if not arrived:
+        harness.ports.unacknowledged.append(decode)
+    harness.run(after=SETTINGS.state_retention_ms)
+    assert harness.ports.aborted == ([] if arrived else [decode])
+    assert decode.finished is not arrived
+    if not arrived:
+        # What is held expires by the prefill's end, not by that of the attempt that never came.
+        assert harness.core.connect_timeout_ms(harness.now, harness.send("w2")) == MIN_CONNECT_TIMEOUT_MS
+        harness.run(RejectRequest("q", 0.0))
+    assert len(harness.ports.releases) == (0 if arrived else 1)
+
+
+def test_an_undelivered_attempt_may_have_run() -> None:
+    """Its acknowledgement may be what was lost, so nothing that may not be repeated follows it."""
+    harness = CoreHarness()
+    harness.core.attempt_finished(harness.now, harness.send("r1"), AttemptStatus.PREFILLED)
+    harness.request.state_held_since = harness.now
+    decode = harness.send("w1", stop_after=2500.0)
+    harness.core.request_written(harness.now, decode)
+    harness.ports.unacknowledged.append(decode)
+    harness.run(after=SETTINGS.state_retention_ms)
+    assert harness.request.may_have_run
+    before = len(harness.ports.attempts)
+    harness.run(SendAttempt("q", "w2", harness.now + 500.0))
+    assert len(harness.ports.attempts) == before
--- a/tests/test_idempotency_invariant.py
+++ b/tests/test_idempotency_invariant.py
@@ -85,14 +85,14 @@
     def connect(self, attempt: Attempt) -> None:
         if attempt.number not in self.started and self.core.may_send(self.now, attempt):
             self.started.add(attempt.number)
-            self.core.request_started(attempt)
+            self.core.request_started(self.now, attempt)
 
     def write(self, attempt: Attempt) -> None:
         if attempt.number not in self.started or attempt.request_written:
             return
         if self.core.may_continue_sending(self.now, attempt):
             self.audit(attempt)
-            self.core.request_written(attempt)
+            self.core.request_written(self.now, attempt)
             self.written.append(Written(self.now, attempt))
 
     def end(self, attempt: Attempt, status: AttemptStatus) -> None:
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,161 @@
+"""Each rule's counter rises when the rule is broken: the faults are planted past the code that keeps it."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec.structs import replace
+
+from tests.front import SAFE, SETTINGS, UNSAFE, entry
+from tests.test_core import CoreHarness
+from violetstack.core.invariants import MAX_LOGGED, Rule
+from violetstack.core.records import Attempt, RequestOutcome
+from violetstack.policy_api import (
+    AttemptStatus,
+    DeduplicationScope,
+    EndpointState,
+    EndpointUpdate,
+    Idempotency,
+    ReleaseState,
+    UpdateScope,
+)
+
+KEYED = replace(
+    SAFE,
+    idempotency=Idempotency.IDEMPOTENCY_KEY,
+    deduplication_scope=DeduplicationScope.CELL,
+    deduplication_window_ms=1000.0,
+)
+
+
+def violations(harness: CoreHarness) -> dict[Rule, int]:
+    return dict(harness.core.invariants.violations)
+
+
+def write(harness: CoreHarness, attempt: Attempt) -> None:
+    """What the driver reports, whatever the guards say."""
+    harness.core.request_started(harness.now, attempt)
+    harness.core.request_written(harness.now, attempt)
+
+
+def test_an_ordinary_request_violates_nothing() -> None:
+    harness = CoreHarness()
+    prefill = harness.send("r1")
+    write(harness, prefill)
+    harness.core.attempt_finished(harness.now, prefill, AttemptStatus.PREFILLED)
+    rejected = harness.send("w1")
+    write(harness, rejected)
+    harness.core.attempt_finished(harness.now, rejected, AttemptStatus.REJECTED)
+    decode = harness.send("w2")
+    write(harness, decode)
+    harness.core.stream_started(harness.now, decode)
+    harness.core.attempt_finished(harness.now, decode, AttemptStatus.OK)
+    harness.run()
+    assert not harness.core.open_requests
+    assert not violations(harness)
+
+
+def test_a_first_byte_to_a_draining_host_is_counted() -> None:
+    harness = CoreHarness()
+    attempt = harness.send("w1")
+    draining = entry("w1", 1, state=EndpointState.DRAINING)
+    harness.core.update_endpoints(harness.now, EndpointUpdate(UpdateScope.DELTA, (draining,), 2))
+    write(harness, attempt)
+    assert violations(harness) == {Rule.DRAIN: 1}
+
+
+def test_a_byte_for_a_request_that_is_over_is_counted() -> None:
+    harness = CoreHarness()
+    attempt = harness.send("w1")
+    harness.request.client_disconnected = True
+    write(harness, attempt)
+    assert violations(harness) == {Rule.LOST: 1}
+
+
+def test_a_deadline_beyond_the_client_s_is_counted() -> None:
+    harness = CoreHarness()
+    attempt = harness.send("r1")
+    attempt.deadline = harness.request.deadline + 151.0
+    harness.core.request_started(harness.now, attempt)
+    assert violations(harness) == {Rule.DEADLINE: 1}
+    harness.core.request_written(harness.now + 151.0, attempt)
+    assert violations(harness) == {Rule.DEADLINE: 2}
+
+
+@pytest.mark.parametrize("status", [None, AttemptStatus.RESET])
+def test_a_second_execution_is_counted(status: AttemptStatus | None) -> None:
+    """Beside the first one, or after it may have run."""
+    harness = CoreHarness(classes=(SAFE, UNSAFE), hedging_allowed=True)
+    first = harness.send("w1")
+    write(harness, first)
+    second = Attempt(harness.request, 1, "w2", is_prefill=False, sent_at=harness.now, deadline=harness.now)
+    if status is not None:
+        harness.core.attempt_finished(harness.now, first, status)
+    write(harness, second)
+    assert violations(harness) == {Rule.DUPLICATE: 1}
+
+
+@pytest.mark.parametrize(
+    ("after_ms", "cell", "expected"),
+    [(10.0, 0, 0), (1000.0, 0, 1), (10.0, 1, 1)],
+    ids=["kept", "late", "cell"],
+)
+def test_a_repetition_outside_the_window_or_the_scope_is_counted(
+    after_ms: float, cell: int, expected: int
+) -> None:
+    harness = CoreHarness(classes=(SAFE, KEYED))
+    first = harness.send("w1")
+    write(harness, first)
+    harness.core.attempt_finished(harness.now, first, AttemptStatus.RESET)
+    harness.now += after_ms
+    second = Attempt(
+        harness.request,
+        1,
+        "w2",
+        is_prefill=False,
+        sent_at=harness.now,
+        deadline=harness.now,
+        endpoint=entry("w2", 1, cell=cell),
+    )
+    write(harness, second)
+    assert violations(harness).get(Rule.DUPLICATE, 0) == expected
+
+
+def test_a_second_answer_and_a_late_one_are_counted() -> None:
+    harness = CoreHarness()
+    lifecycle = harness.core._lifecycle  # noqa: SLF001 - a fault is planted
+    lifecycle.finish(harness.request.deadline + 501.0, harness.request, RequestOutcome.FAILED)
+    assert violations(harness) == {Rule.LOST: 1}
+    lifecycle.finish(harness.request.deadline, harness.request, RequestOutcome.REJECTED)
+    assert violations(harness) == {Rule.LOST: 1, Rule.FINAL_ANSWER: 1}
+
+
+def test_an_answer_that_is_late_since_the_process_stood_still_is_not_counted() -> None:
+    harness = CoreHarness()
+    late = harness.request.deadline + 501.0
+    harness.core.process_paused(late, 3500.0)
+    harness.core._lifecycle.finish(late, harness.request, RequestOutcome.FAILED)  # noqa: SLF001
+    assert not violations(harness)
+
+
+def test_state_that_is_released_late_or_by_nobody_is_counted() -> None:
+    harness = CoreHarness()
+    prefill = harness.send("r1")
+    write(harness, prefill)
+    harness.core.attempt_finished(harness.now, prefill, AttemptStatus.PREFILLED)
+    harness.run(ReleaseState("q"), after=SETTINGS.state_retention_ms + 301.0)
+    assert violations(harness) == {Rule.HELD_STATE: 1}
+    harness.core.release_finished(harness.ports.releases[0], False)
+    assert violations(harness) == {Rule.HELD_STATE: 2}
+
+
+def test_a_violation_is_logged_with_its_course_and_a_flood_is_bounded() -> None:
+    harness = CoreHarness()
+    attempt = harness.send("w1")
+    harness.request.client_disconnected = True
+    for _ in range(MAX_LOGGED + 5):
+        harness.core.request_started(harness.now, attempt)
+    lines = [fields for event, fields in harness.ports.logged if event == "invariant_violated"]
+    assert len(lines) == MAX_LOGGED
+    assert lines[0]["rule"] == "lost"
+    assert (lines[0]["id"], lines[0]["server"], lines[0]["attempt"]) == ("q", "w1", 0)
+    assert violations(harness) == {Rule.LOST: MAX_LOGGED + 5}
--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -130,7 +130,7 @@
     core.update_endpoints(
         5000.0, EndpointUpdate(UpdateScope.SNAPSHOT, (entry("w1", 1, state=EndpointState.DRAINING),), 2)
     )
-    core.process_paused(4000.0)
+    core.process_paused(0.0, 4000.0)
     core.run(5000.0)
     assert [type(event) for event in ports.events] == [ProcessPaused, EndpointUpdate, Request]
     assert not core.may_write_to("w1")
--- a/violetstack/admin/api.py
+++ b/violetstack/admin/api.py
@@ -18,6 +18,7 @@
     CordonResponse,
     ErrorResponse,
     HealthResponse,
+    InvariantsResponse,
     LeasesResponse,
     ResignResponse,
     RestartPermitResponse,
@@ -45,6 +46,9 @@
     def stats(self) -> StatsResponse:
         """Returns the metrics as they are now."""
 
+    def invariants(self) -> InvariantsResponse:
+        """Returns the violations of the operators' rules that this process has counted."""
+
     def cordon(self, endpoint_id: str) -> None:
         """Sends no new work to an endpoint, and records that for a successor process.
 
@@ -162,6 +166,10 @@
     return operations.stats()
 
 
+def _invariants(operations: AdminOperations, _: HttpRequest) -> InvariantsResponse:
+    return operations.invariants()
+
+
 def _cordon(operations: AdminOperations, request: HttpRequest) -> CordonResponse:
     endpoint_id = _endpoint_id(request)
     _change_cordon(operations.cordon, endpoint_id)
@@ -216,6 +224,7 @@
 ROUTES = {
     "/admin/health": Route("GET", _health, needs_start=False),
     "/admin/stats": Route("GET", _stats, needs_start=False),
+    "/admin/invariants": Route("GET", _invariants, needs_start=False),
     "/admin/cordon": Route("POST", _cordon, needs_start=True),
     "/admin/uncordon": Route("POST", _uncordon, needs_start=True),
     "/admin/duties": Route("GET", _leases, needs_start=True),
--- a/violetstack/admin/responses.py
+++ b/violetstack/admin/responses.py
@@ -65,6 +65,18 @@
     avoided_endpoints: int = msgspec.field(name="out_of_rotation")
 
 
+class InvariantsResponse(msgspec.Struct, frozen=True):
+    """What this process has seen itself do against the operators' rules.
+
+    Attributes:
+        violations: Number of violations by rule; each rule is there from the start.
+        log_lines_dropped: Log lines that the output did not take.
+    """
+
+    violations: dict[str, int]
+    log_lines_dropped: int
+
+
 class LeaseRow(msgspec.Struct, frozen=True):
     """One lease as this dispatcher sees it.
 
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -20,8 +20,18 @@
 # A connection gets this long even if the state held for its request expires sooner; a release takes a few ms.
 MIN_CONNECT_TIMEOUT_MS = 40.0
 
+RELEASE_TIME_MS = 100.0
+"""What is held is released this long before it has to be, since the first host asked may not answer."""
+MIN_DELIVERY_MS = 60.0
+"""A host acknowledges what was written within this, or its connection has fallen silent."""
+
 NOTHING_HELD_STATUSES = frozenset(
-    {AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED, AttemptStatus.ALREADY_FINISHED}
+    {
+        AttemptStatus.REJECTED,
+        AttemptStatus.CONNECT_FAILED,
+        AttemptStatus.ALREADY_FINISHED,
+        AttemptStatus.LOCAL_FAULT,
+    }
 )
 """After these, the host holds nothing of the attempt and has not executed it."""
 
@@ -78,18 +88,23 @@
         """Cancels an attempt, unless its stream has started."""
         if attempt.stream_started:
             return
-        self._state.driver.abort_attempt(attempt)
+        self._abort(attempt)
         written = attempt.request_written
         self.finished(now, attempt, AttemptStatus.CANCELLED if written else AttemptStatus.ALREADY_FINISHED)
 
     def _timed_out(self, now: float, attempt: Attempt) -> None:
         if attempt.finished or attempt.stream_started:
             return
-        self._state.driver.abort_attempt(attempt)
+        self._abort(attempt)
         # What was not written has never run, however long the connection took.
         written = attempt.request_written
         self.finished(now, attempt, AttemptStatus.TIMEOUT if written else AttemptStatus.CONNECT_FAILED)
 
+    def _abort(self, attempt: Attempt) -> None:
+        if attempt.request.holds_remote_state and attempt.request_written:
+            attempt.undelivered = not self._state.driver.has_arrived(attempt)
+        self._state.driver.abort_attempt(attempt)
+
     # --- what the driver asks and reports ---
 
     def may_send(self, now: float, attempt: Attempt) -> bool:
@@ -139,15 +154,39 @@
             return math.inf
         return max(MIN_CONNECT_TIMEOUT_MS, request.state_held_since + retention_ms - now)
 
-    def request_started(self, attempt: Attempt) -> None:
+    def request_started(self, now: float, attempt: Attempt) -> None:
         """The first byte is being written: a release that is written later would release this one's state."""
+        accepts_writes = self._state.endpoints.accepts_writes(attempt.server)
+        self._state.invariants.first_byte(now, attempt, host_accepts_writes=accepts_writes)
         if attempt.request.release is not None:
             attempt.request.release.superseded = True
 
-    def request_written(self, attempt: Attempt) -> None:
+    def request_written(self, now: float, attempt: Attempt) -> None:
         """The last byte may have left; called in the step that hands it to the kernel."""
+        state = self._state
+        state.invariants.last_byte(now, attempt)
         attempt.request_written = True
-        self._state.metrics.requests_written += 1
+        state.metrics.requests_written += 1
+        request = attempt.request
+        if request.holds_remote_state and request.state_held_since and state.settings.state_retention_ms:
+            held_until = request.state_held_since + state.settings.state_retention_ms
+            check_at = max(held_until - RELEASE_TIME_MS, now + MIN_DELIVERY_MS)
+            attempt.delivery_timer = state.timers.schedule(
+                check_at, lambda at: self._check_arrival(at, attempt)
+            )
+
+    def _check_arrival(self, now: float, attempt: Attempt) -> None:
+        """Gives up an attempt that has not reached its host while the state held for it is about to expire.
+
+        Only an attempt that has arrived takes the state over: on a connection that fell silent without an
+        error it never does, and the state has to be released, or sent for once more, in time.
+        """
+        if attempt.finished or attempt.stream_started or self._state.driver.has_arrived(attempt):
+            return
+        attempt.undelivered = True
+        self._state.driver.log("attempt_undelivered", id=attempt.request.id, server=attempt.server)
+        self._state.driver.abort_attempt(attempt)
+        self.finished(now, attempt, AttemptStatus.RESET)
 
     def stream_started(self, now: float, attempt: Attempt) -> bool:
         """Commits the request to the attempt; returns False if its response is not wanted any more."""
@@ -201,6 +240,9 @@
         state = self._state
         attempt.finished = True
         state.timers.cancel(attempt.timer)
+        state.timers.cancel(attempt.delivery_timer)
+        if status in NOTHING_HELD_STATUSES:
+            state.invariants.attempt_not_executed(attempt)
         del request.in_flight[attempt.number]
         self._finish_request(now, attempt, status)
         _record_effects(now, attempt, status)
@@ -289,7 +331,7 @@
             request.first_run_at = attempt.sent_at
             request.first_run_endpoint = attempt.endpoint
         request.may_have_run = True
-    if attempt.request_written:
+    if attempt.request_written and not attempt.undelivered:
         request.state_held_since = now
     # A prefill may have succeeded just as its connection broke.
     if status is AttemptStatus.PREFILLED or (attempt.is_prefill and reached_host):
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -77,6 +77,7 @@
         draining: Ids of hosts that are draining.
         stateless_hosts: Ids of hosts that hold no state and take no reservations or releases.
         metrics: Counters of requests.
+        invariants: Checks the operators' rules, and counts violations.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         self.draining = self._state.endpoints.draining
         self.stateless_hosts = self._state.endpoints.stateless_hosts
         self.metrics = self._state.metrics
+        self.invariants = self._state.invariants
 
     @property
     def pending_events(self) -> list[Event]:
@@ -207,9 +209,10 @@
             state.outlier_observer.endpoints_listed(now, self.endpoints)
         state.post(update)
 
-    def process_paused(self, pause_ms: float) -> None:
+    def process_paused(self, now: float, pause_ms: float) -> None:
         """The process did not run for `pause_ms`; the policy learns this before anything else."""
         self._state.post_pause(pause_ms)
+        self._state.invariants.process_paused(now)
 
     def shutdown_started(self) -> None:
         """The process is about to end: the policy ends requests while their clients can be answered."""
@@ -262,13 +265,13 @@
         """Returns how long the connection of an attempt may take to come up."""
         return self._attempts.connect_timeout_ms(now, attempt)
 
-    def request_started(self, attempt: Attempt) -> None:
+    def request_started(self, now: float, attempt: Attempt) -> None:
         """The first byte of the attempt is written in this step."""
-        self._attempts.request_started(attempt)
+        self._attempts.request_started(now, attempt)
 
-    def request_written(self, attempt: Attempt) -> None:
+    def request_written(self, now: float, attempt: Attempt) -> None:
         """The last byte of the attempt may have left; called in the step that hands it to the kernel."""
-        self._attempts.request_written(attempt)
+        self._attempts.request_written(now, attempt)
 
     def stream_started(self, now: float, attempt: Attempt) -> bool:
         """The first event of a response came; returns False if it is not wanted any more."""
--- a/violetstack/core/execution.py
+++ b/violetstack/core/execution.py
@@ -29,7 +29,7 @@
         return True
     if spec.idempotency is Idempotency.NON_IDEMPOTENT or now >= first.sent_at + spec.deduplication_window_ms:
         return False
-    return _share_records(first.endpoint, attempt.endpoint, spec.deduplication_scope)
+    return share_records(first.endpoint, attempt.endpoint, spec.deduplication_scope)
 
 
 def _earlier_executions(attempt: Attempt) -> Iterator[Execution]:
@@ -43,7 +43,8 @@
             yield Execution(other.sent_at, other.endpoint)
 
 
-def _share_records(first: Endpoint | None, second: Endpoint | None, scope: DeduplicationScope) -> bool:
+def share_records(first: Endpoint | None, second: Endpoint | None, scope: DeduplicationScope) -> bool:
+    """Returns whether the second host drops a repetition of what the first has executed."""
     if scope is DeduplicationScope.ALL:
         return True
     if first is None or second is None:
--- /dev/null
+++ b/violetstack/core/invariants.py
@@ -0,0 +1,162 @@
+"""Checks of the operators' rules at run time, independent of the code that has to keep them.
+
+Each rule has one check at the place where it would be broken: as the first or the last byte of an attempt is
+written, as a request gets its response, as its record is closed. A violation changes nothing; it is counted
+by rule for the admin metrics, and logged with the request, the attempt, the host and the request's course.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any
+
+from violetstack.core.execution import share_records
+from violetstack.core.records import Attempt, OpenRequest, RequestOutcome, WrittenExecution
+from violetstack.policy_api import ClassSettings, Idempotency, Settings
+
+LATE_ANSWER_MS = 500.0
+"""An answer that comes later than this after the deadline counts as none."""
+DEADLINE_SLACK_MS = 150.0
+"""What a host is told may exceed what is left to the client by this much."""
+HELD_STATE_SLACK_MS = 300.0
+"""State that hosts hold has to be released this long after the settings' time at the latest."""
+MAX_LOGGED = 20
+"""Violations of one rule that are logged in full; all are counted."""
+LATE_OUTCOMES = frozenset(
+    {
+        RequestOutcome.REJECTED,
+        RequestOutcome.FAILED,
+        RequestOutcome.INVALID,
+        RequestOutcome.DEADLINE_EXCEEDED,
+    }
+)
+"""Responses that the dispatcher makes itself, and that are due by the deadline."""
+
+
+class Rule(StrEnum):
+    """The operators' rules; the values are their names in the protocol page."""
+
+    LOST = "lost"
+    """Every request gets its final answer in time, and nothing is sent for a client that has gone."""
+    FINAL_ANSWER = "final_answer"
+    """It gets one."""
+    DUPLICATE = "duplicate"
+    """What may not be repeated is executed once."""
+    DRAIN = "drain"
+    """Nothing is sent to a host that is draining or removed."""
+    DEADLINE = "deadline"
+    """No host is told more time than the client has left."""
+    HELD_STATE = "held"
+    """What hosts hold for a request is taken or released in time."""
+
+
+class InvariantChecker:
+    """Counts and logs violations.
+
+    Attributes:
+        violations: Number of violations by rule, since the start.
+    """
+
+    def __init__(self, settings: Settings, log: Callable[..., None]) -> None:
+        """Creates a checker without violations; `log` writes a log line."""
+        self.violations: Counter[Rule] = Counter()
+        self._settings = settings
+        self._log = log
+        self._paused_until = float("-inf")
+
+    def process_paused(self, now: float) -> None:
+        """The process did not run until now: answers that were due meanwhile are late by no fault of its."""
+        self._paused_until = now
+
+    # --- sending ---
+
+    def first_byte(self, now: float, attempt: Attempt, *, host_accepts_writes: bool) -> None:
+        """The first byte of an attempt is written in this step."""
+        request = attempt.request
+        if not host_accepts_writes:
+            self._violated(Rule.DRAIN, request, attempt, "the host is draining or removed")
+        if not request.accepts_attempts:
+            self._violated(Rule.LOST, request, attempt, "sent for a request that is over")
+        if attempt.deadline > request.deadline + DEADLINE_SLACK_MS:
+            self._violated(Rule.DEADLINE, request, attempt, "told more than the client has left")
+        attempt.first_byte_at = now
+
+    def last_byte(self, now: float, attempt: Attempt) -> None:
+        """The last byte of an attempt is written in this step, and a host may execute it from now on."""
+        request = attempt.request
+        if now - attempt.first_byte_at > DEADLINE_SLACK_MS:
+            self._violated(Rule.DEADLINE, request, attempt, "what was told is out of date")
+        if attempt.is_prefill:
+            return
+        spec = self._settings.classes[request.policy_request.class_index]
+        if not _may_repeat(now, attempt, spec):
+            self._violated(Rule.DUPLICATE, request, attempt, "executed more than once")
+        request.executions.append(WrittenExecution(attempt.number, now, attempt.endpoint))
+
+    def attempt_not_executed(self, attempt: Attempt) -> None:
+        """A host says that it has not executed the attempt, or the attempt never reached it."""
+        request = attempt.request
+        request.executions = [each for each in request.executions if each.attempt != attempt.number]
+
+    # --- answers and ends ---
+
+    def answered(self, now: float, request: OpenRequest, outcome: RequestOutcome) -> None:
+        """The request gets its final response, or its client is gone; called before that is recorded."""
+        if request.done:
+            self._violated(Rule.FINAL_ANSWER, request, None, f"{outcome.value} after another answer")
+        late_ms = now - request.deadline
+        paused = self._paused_until >= request.arrived_at
+        if outcome in LATE_OUTCOMES and late_ms > LATE_ANSWER_MS and not paused:
+            self._violated(Rule.LOST, request, None, f"answered {late_ms:.0f} ms after its deadline")
+
+    def release_began(self, now: float, request: OpenRequest) -> None:
+        """A release is sent for what hosts hold."""
+        limit_ms = self._settings.state_retention_ms + HELD_STATE_SLACK_MS
+        paused = self._paused_until >= request.state_held_since
+        overdue = request.state_held_since and now - request.state_held_since > limit_ms
+        if self._settings.state_retention_ms and overdue and not request.in_flight and not paused:
+            self._violated(Rule.HELD_STATE, request, None, "released too late")
+
+    def release_abandoned(self, request: OpenRequest) -> None:
+        """No host took the release."""
+        self._violated(Rule.HELD_STATE, request, None, "no host took the release")
+
+    def closed(self, request: OpenRequest) -> None:
+        """The request's record is closed."""
+        if request.outcome is None:
+            self._violated(Rule.LOST, request, None, "closed without an answer")
+        if request.holds_remote_state:
+            self._violated(Rule.HELD_STATE, request, None, "closed while hosts may hold its state")
+
+    def _violated(self, rule: Rule, request: OpenRequest, attempt: Attempt | None, detail: str) -> None:
+        self.violations[rule] += 1
+        if self.violations[rule] > MAX_LOGGED:
+            return
+        self._log("invariant_violated", rule=rule.value, detail=detail, **_course(request, attempt))
+
+
+def _may_repeat(now: float, attempt: Attempt, spec: ClassSettings) -> bool:
+    """Whether the class allows one more execution now, after those that were written before."""
+    executions = attempt.request.executions
+    if not executions or spec.idempotency is Idempotency.IDEMPOTENT:
+        return True
+    first = executions[0]
+    if spec.idempotency is Idempotency.NON_IDEMPOTENT or now >= first.at + spec.deduplication_window_ms:
+        return False
+    return share_records(first.endpoint, attempt.endpoint, spec.deduplication_scope)
+
+
+def _course(request: OpenRequest, attempt: Attempt | None) -> dict[str, Any]:
+    """What led to a violation, for the log."""
+    return {
+        "id": request.id,
+        "cls": request.policy_request.class_index,
+        "attempt": attempt.number if attempt is not None else None,
+        "server": attempt.server if attempt is not None else None,
+        "answer": request.outcome.value if request.outcome is not None else None,
+        "attempts": [(each.server, each.status.value, each.duration_ms) for each in request.attempt_log],
+        "in_flight": [(each.server, each.request_written) for each in request.in_flight.values()],
+        "places": [(each.server, each.outcome.value) for each in request.reservation_log],
+    }
--- a/violetstack/core/lifecycle.py
+++ b/violetstack/core/lifecycle.py
@@ -106,6 +106,7 @@
     def finish(self, now: float, request: OpenRequest, outcome: RequestOutcome) -> None:
         """Ends the request: its final response is decided, or its client is gone."""
         state = self._state
+        state.invariants.answered(now, request, outcome)
         request.done = True
         request.outcome = outcome
         request.answered_at = now
@@ -138,6 +139,7 @@
             self._close(now, request)
 
     def _close(self, now: float, request: OpenRequest) -> None:
+        self._state.invariants.closed(request)
         self._state.open_requests.pop(request.id, None)
         request.close()
         route_fields: dict[str, Any] = {}
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from enum import StrEnum
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -82,6 +82,14 @@
     outcome: ReservationOutcome
 
 
+class WrittenExecution(NamedTuple):
+    """An attempt with an effect whose last byte was written: its number, when that was, and where to."""
+
+    attempt: int
+    at: float
+    endpoint: Endpoint | None
+
+
 class Attempt(msgspec.Struct, eq=False):
     """One attempt of a request at one host. Times are in milliseconds.
 
@@ -94,10 +102,13 @@
         sent_at: When the attempt was started.
         deadline: When it times out.
         request_written: Set by the driver in the step in which the last byte may have left, never before.
+        first_byte_at: When its first byte was written.
+        undelivered: It ended before its host had acknowledged its last byte.
         stream_started: Whether the first event of its response was accepted.
         events_forwarded: Number of events that went to the client.
         finished: Whether its outcome is known.
         timer: The timer of its deadline.
+        delivery_timer: The timer of the check that it has arrived, while hosts hold state for its request.
     """
 
     request: OpenRequest
@@ -107,6 +118,9 @@
     sent_at: float
     deadline: float
     request_written: bool = False
+    first_byte_at: float = 0.0
+    undelivered: bool = False
+    delivery_timer: Timer | None = None
     stream_started: bool = False
     events_forwarded: int = 0
     finished: bool = False
@@ -181,6 +195,8 @@
         answered_at: When it ended.
         reservation_log: Finished reservations, for the log.
         attempt_log: Finished attempts, for the log.
+        executions: Attempts with an effect that were written, but for those that certainly did not run; for
+            the check of the rule on repeated execution, which must not rely on the code that keeps it.
     """
 
     policy_request: Request
@@ -207,6 +223,7 @@
     answered_at: float = 0.0
     reservation_log: list[ReservationLogEntry] = []
     attempt_log: list[AttemptLogEntry] = []
+    executions: list[WrittenExecution] = []
 
     @property
     def id(self) -> str:
--- a/violetstack/core/reservations.py
+++ b/violetstack/core/reservations.py
@@ -61,6 +61,7 @@
     def release(self, now: float, request: OpenRequest) -> None:
         """Releases what hosts may hold for the request, unless a release that covers it is in flight."""
         if request.holds_remote_state and (request.release is None or request.release.superseded):
+            self._state.invariants.release_began(now, request)
             request.release = ReleaseCall(request, now)
             self._state.driver.release_state(request.release)
 
@@ -72,6 +73,7 @@
             if not call.superseded:
                 request.holds_remote_state = False
                 if not done:
+                    self._state.invariants.release_abandoned(request)
                     self._state.driver.log("release_abandoned", id=request.id)
         self._state.mark_changed(request)
         self._state.wake()
--- a/violetstack/core/state.py
+++ b/violetstack/core/state.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from violetstack.core.endpoint_table import EndpointTable
+from violetstack.core.invariants import InvariantChecker
 from violetstack.core.metrics import RequestMetrics
 from violetstack.core.ports import Driver, LoadShedder, OutlierObserver, RequestRouter, Wake
 from violetstack.core.records import OpenRequest
@@ -23,6 +24,7 @@
         endpoints: The endpoint list.
         timers: Deadlines and the policy's timers.
         metrics: Counters of requests.
+        invariants: Checks the operators' rules.
         open_requests: Requests by id, until no host holds anything for them.
         pending_events: Events that the policy has not seen yet, in the order of their arrival.
         changed_requests: Requests that may be ready to be released or closed, by id.
@@ -39,6 +41,7 @@
         self.endpoints = EndpointTable(settings)
         self.timers = Timers()
         self.metrics = RequestMetrics(len(settings.classes))
+        self.invariants = InvariantChecker(settings, driver.log)
         self.open_requests: dict[str, OpenRequest] = {}
         self.pending_events: list[Event] = []
         self.changed_requests: dict[str, OpenRequest] = {}
--- a/violetstack/daemon/dispatch.py
+++ b/violetstack/daemon/dispatch.py
@@ -64,7 +64,7 @@
     recovery = StartupRecovery(nursery, state_writer, settings)
 
     def process_paused(pause_ms: float) -> None:
-        core.process_paused(pause_ms)
+        core.process_paused(now_ms(), pause_ms)
 
     # Nothing is decided or sent on what was known before the process was paused.
     pause_detector = PauseDetector(config.drain_grace_ms, process_paused)
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -10,13 +10,15 @@
 from violetstack.admin.errors import NotRecordedError, RequestRejectedError
 from violetstack.admin.metrics import kinds_without_healthy_endpoint, stats_response
 from violetstack.admin.responses import (
+    InvariantsResponse,
     LeaseRow,
     LeasesResponse,
     ResignResponse,
     RestartPermitResponse,
     StatsResponse,
 )
-from violetstack.log import log
+from violetstack.core.invariants import Rule
+from violetstack.log import dropped_lines, log
 from violetstack.net.clock import now_ms
 from violetstack.policy_api import EndpointUpdate
 
@@ -96,6 +98,11 @@
             avoided_endpoints=daemon.router.state.endpoints.unavailable(now_ms()),
         )
 
+    def invariants(self) -> InvariantsResponse:
+        """Returns the violations of the operators' rules that this process has counted."""
+        violations = self._daemon.core.invariants.violations
+        return InvariantsResponse({rule.value: violations[rule] for rule in Rule}, dropped_lines())
+
     # --- cordons ---
 
     def cordon(self, endpoint_id: str) -> None:
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -13,6 +13,7 @@
 from violetstack.log import log, log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.upstream.connection import (
+    LocalFaultError,
     NotConnectedError,
     SendTimeoutError,
     SendWithheldError,
@@ -109,6 +110,11 @@
             running.connection.abort()
         running.scope.cancel()
 
+    def has_arrived(self, attempt: Attempt) -> bool:
+        """Whether the host has acknowledged all that was written for the attempt, as far as is known."""
+        connection = self.connection_of(attempt)
+        return connection is None or not connection.unacknowledged_bytes()
+
     def request_sent(self, attempt: Attempt) -> Callable[[], Awaitable[None]] | None:
         """Waits until the attempt's request is written, or it has ended; None if it has already."""
         running = self._running.get(attempt)
@@ -156,6 +162,9 @@
             return await exchange(running)
         except SendWithheldError:
             return AttemptResult(AttemptStatus.ALREADY_FINISHED)
+        except LocalFaultError as error:
+            log_rate_limited("local_fault", id=attempt.request.id, server=attempt.server, error=str(error))
+            return AttemptResult(AttemptStatus.LOCAL_FAULT)
         except (NotConnectedError, SendTimeoutError):
             return AttemptResult(AttemptStatus.CONNECT_FAILED)
         except (InvalidResponseError, sse.InvalidEventError) as error:
@@ -182,7 +191,7 @@
         )
         if connection is None:
             return AttemptResult(AttemptStatus.ALREADY_FINISHED)
-        self._core.request_started(attempt)
+        self._core.request_started(now_ms(), attempt)
         host = self._pool.hosts[attempt.server]
         reader = self._reader(attempt, running, connection, host.openai_api)
 
@@ -200,7 +209,7 @@
         parts = connection.http.request(payload.method, payload.target, headers, payload.body)
 
         def written() -> None:
-            self._core.request_written(attempt)
+            self._core.request_written(now_ms(), attempt)
             running.request_sent.set()
 
         def allowed() -> bool:
--- a/violetstack/net/upstream/connection.py
+++ b/violetstack/net/upstream/connection.py
@@ -34,6 +34,10 @@
     """No connection came up, or it broke before the last byte was written: the request has not run."""
 
 
+class LocalFaultError(NotConnectedError):
+    """This machine lacks what a connection takes: a descriptor, memory, a port. The host is not to blame."""
+
+
 class SendTimeoutError(UpstreamError):
     """The host did not take the request in time; it has not received all of it."""
 
@@ -111,12 +115,14 @@
         After a plain close the kernel still delivers what it holds: a host whose receive window was full
         would get the rest of a request that is over, and begin it.
         """
-        if not self.closed and self._unsent_bytes():
+        if self.unacknowledged_bytes():
             self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.close()
 
-    def _unsent_bytes(self) -> int:
+    def unacknowledged_bytes(self) -> int:
         """Bytes in the kernel that the host has not acknowledged; 0 where the system does not tell."""
+        if self.closed:
+            return 0
         try:
             answer = fcntl.ioctl(self._raw, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
         except OSError:
--- a/violetstack/policy_api/events.py
+++ b/violetstack/policy_api/events.py
@@ -16,6 +16,8 @@
     REJECTED: the host was full, or no longer held the state (`AttemptFinished.detail`). CONNECT_FAILED:
     nothing reached the host. RESET: the connection broke. ALREADY_FINISHED: nothing was sent, since the
     request was over or the attempt not allowed. PREFILLED: the host holds the state of the prefilled prompt.
+    LOCAL_FAULT: nothing was sent for lack of something on this dispatcher's own machine, such as a
+    descriptor; the host is not to blame.
     """
 
     OK = "ok"
@@ -27,6 +29,7 @@
     CANCELLED = "cancelled"
     ALREADY_FINISHED = "moot"
     PREFILLED = "read"
+    LOCAL_FAULT = "local_fault"
 
 
 MAY_HAVE_RUN_STATUSES = frozenset(
