Faults of this machine cost no host anything, and leave its idle connections alone

Cause: a socket() that fails with ENFILE closed one idle connection after the other until none was left, for each attempt, and all attempts of a request were used up within milliseconds; and no descriptor, no port, no buffers and 'too many connections' ended as CONNECT_FAILED, which outlier detection and gossip count against the host. Change: LocalFaultError and AttemptStatus.LOCAL_FAULT; only EMFILE closes one idle connection; the pool waits within the connect time-out for the fault's end or an idle connection.

--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import contextlib
+import errno
+import math
 import os
 import resource
+import socket
 from collections.abc import Awaitable, Callable, Iterator
+from types import SimpleNamespace
 
 import pytest
 import trio
 from trio.testing import MockClock
 
 from tests.front import entry
-from violetstack.net.upstream.connection import NotConnectedError, UpstreamConnection
-from violetstack.net.upstream.connection_pool import ConnectionPool, UpstreamHost
+from violetstack.net.upstream import connection_pool
+from violetstack.net.upstream.connection import LocalFaultError, NotConnectedError, UpstreamConnection
+from violetstack.net.upstream.connection_pool import LOCAL_RETRY_S, ConnectionPool, UpstreamHost
 from violetstack.policy_api import EndpointUpdate, UpdateScope
 
 IDLE_CLOSE_MS = 1000.0
@@ -41,8 +46,8 @@
         self.clock.jump(seconds)
 
 
-def play(story: Callable[[PoolHarness], Awaitable[None]]) -> None:
-    clock = MockClock()
+def play(story: Callable[[PoolHarness], Awaitable[None]], *, autojump: bool = False) -> None:
+    clock = MockClock(autojump_threshold=0.01 if autojump else math.inf)
 
     async def main() -> None:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -142,3 +147,69 @@
         yield
     finally:
         resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
+class FailingSockets:
+    """While it is in force, no socket can be made, as when the whole machine has no descriptor left."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, number: int) -> None:
+        self.number = number
+        self.failing = True
+        module = SimpleNamespace(**{**vars(socket), "socket": self._make})
+        monkeypatch.setattr(connection_pool, "socket", module)
+
+    def _make(self, family: socket.AddressFamily) -> socket.socket:
+        if self.failing:
+            raise OSError(self.number, os.strerror(self.number))
+        return socket.socket(family)
+
+
+@pytest.mark.parametrize("number", [errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+def test_idle_connections_outlast_a_machine_without_descriptors(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each attempt closed all idle connections, of every host, and failed at once; none was left to serve."""
+
+    async def story(harness: PoolHarness) -> None:
+        assert await harness.take(wanted=False) is None
+        harness.pool.hosts["other"] = UpstreamHost(harness.pool.hosts["w"].address, [])
+        sockets = FailingSockets(monkeypatch, number)
+        began = trio.current_time()
+        with pytest.raises(LocalFaultError):
+            await harness.pool.acquire("other", lambda: True)
+        assert trio.current_time() - began >= harness.pool.connect_timeout_s - 2 * LOCAL_RETRY_S
+        kept = await harness.take()
+        assert kept is not None
+        assert kept.from_pool
+        sockets.failing = False
+        kept.close()
+
+    play(story, autojump=True)
+
+
+def test_a_connection_comes_up_as_soon_as_a_local_fault_is_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(harness: PoolHarness) -> None:
+        sockets = FailingSockets(monkeypatch, errno.ENFILE)
+
+        async def recover() -> None:
+            await trio.sleep(0.1)
+            sockets.failing = False
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(recover)
+            connection = await harness.take()
+        assert connection is not None
+        connection.close()
+
+    play(story, autojump=True)
+
+
+def test_too_many_connections_are_a_local_fault() -> None:
+    """Outlier detection, and that of the other dispatchers, took it for the host's."""
+
+    async def story(harness: PoolHarness) -> None:
+        harness.pool.max_connections = 0
+        with pytest.raises(LocalFaultError):
+            await harness.take()
+
+    play(story, autojump=True)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -115,6 +115,20 @@
     assert 1 <= attempts <= 10
 
 
+def test_a_fault_of_the_dispatcher_s_own_machine_costs_no_host_anything() -> None:
+    """No descriptor, no port: the hosts were penalized here, and told to the tier as failed."""
+    tier = Tier(TIER_SIZE)
+    front = tier.fronts[0]
+    request = front.ask(prompt_tokens=1000.0)
+    failed = front.endpoint(front.sends[request][0].server)
+    front.end(request, AttemptStatus.LOCAL_FAULT, after=3.0)
+    tier.tick()
+    assert len(front.sends[request]) == 2  # it is retried elsewhere
+    assert front.sends[request][1].server != failed.name
+    assert failed.statistics.consecutive_failures == 0
+    assert all(each.endpoint(failed.name).statistics.consecutive_failures == 0 for each in tier.fronts)
+
+
 def test_a_host_reported_as_failed_is_used_again_once_the_report_has_decayed() -> None:
     tier = Tier(TIER_SIZE)
     report = encode_datagram([(endpoint_tag("r0"), FAILURE_CODE)])
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -13,14 +13,27 @@
 
 from violetstack.config import Address, ConfigError, parse_address
 from violetstack.log import log_rate_limited
-from violetstack.net.upstream.connection import NotConnectedError, UpstreamConnection
+from violetstack.net.upstream.connection import LocalFaultError, NotConnectedError, UpstreamConnection
 from violetstack.policy_api import EndpointState, EndpointUpdate, UpdateScope
 
 DEFAULT_CONNECT_TIMEOUT_MS = 250.0
 IDLE_LIFETIME_SHARE = 0.8
 """Idle connections are closed after this part of the time after which hosts close them."""
 IDLE_CHECK_INTERVAL_S = 1.0
-NO_DESCRIPTOR_ERRORS = frozenset({errno.EMFILE, errno.ENFILE})
+LOCAL_ERRORS = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.ENETDOWN,
+    }
+)
+"""Of socket() and connect(): nothing has been sent, and the fault is this machine's. EAGAIN: no free port."""
+LOCAL_RETRY_S = 0.02
+"""After a local fault a connection is tried again, or one that became idle is taken, at this interval."""
 REUSE_DELAY_S = 0.1
 """Rest after a response: a spurious second one that comes late would be read as the next request's."""
 
@@ -155,15 +168,30 @@
                 raise NotConnectedError("it broke, or the host sent bytes before it was asked")
 
     async def open(self, server: str, timeout_s: float) -> UpstreamConnection:
-        """An idle connection, or a new one within `timeout_s`; raises NotConnectedError."""
-        host = self.hosts.get(server)
-        if host is None:
-            raise NotConnectedError("no address")
-        if (idle := self._take_idle(host)) is not None:
-            return idle
+        """An idle connection, or a new one within `timeout_s`; raises NotConnectedError.
+
+        After a local fault this waits until the fault is over or a connection to the host becomes idle: at
+        once, all attempts of a request would fail one after the other.
+        """
+        deadline = trio.current_time() + timeout_s
+        while True:
+            host = self.hosts.get(server)
+            if host is None:
+                raise NotConnectedError("no address")
+            if (idle := self._take_idle(host)) is not None:
+                return idle
+            left_s = deadline - trio.current_time()
+            try:
+                return await self._open_new(server, host.address, max(0.0, left_s))
+            except LocalFaultError:
+                if left_s <= LOCAL_RETRY_S:
+                    raise
+            await trio.sleep(LOCAL_RETRY_S)
+
+    async def _open_new(self, server: str, to: Address, timeout_s: float) -> UpstreamConnection:
         if self.open_connections >= self.max_connections and not self._close_longest_idle():
-            raise NotConnectedError("too many connections")
-        return await self._connect(server, host.address, timeout_s)
+            raise LocalFaultError("too many connections")
+        return await self._connect(server, to, timeout_s)
 
     async def _connect(self, server: str, to: Address, timeout_s: float) -> UpstreamConnection:
         raw = self._new_socket(socket.AF_INET6 if ":" in to[0] else socket.AF_INET)
@@ -177,20 +205,26 @@
             connected = True
             connection.idle_since = trio.current_time()
         except (OSError, trio.TooSlowError) as error:
-            raise NotConnectedError(repr(error)) from None
+            raise _not_connected(error) from None
         finally:
             if not connected:
                 self.close(connection)
         return connection
 
     def _new_socket(self, family: socket.AddressFamily) -> socket.socket:
-        """A socket, for which an idle connection gives way if there are no descriptors left."""
-        while True:
-            try:
-                return socket.socket(family)
-            except OSError as error:
-                if error.errno not in NO_DESCRIPTOR_ERRORS or not self._close_longest_idle():
-                    raise NotConnectedError(repr(error)) from None
+        """A socket, for which one idle connection gives way if this process has no descriptor left.
+
+        Where the whole machine has none, the idle connections are what serves requests meanwhile.
+        """
+        try:
+            return socket.socket(family)
+        except OSError as error:
+            if error.errno != errno.EMFILE or not self._close_longest_idle():
+                raise _not_connected(error) from None
+        try:
+            return socket.socket(family)
+        except OSError as error:
+            raise _not_connected(error) from None
 
     def _take_idle(self, host: UpstreamHost) -> UpstreamConnection | None:
         """The one used last of those that have rested since."""
@@ -246,3 +280,9 @@
         else:
             connection.from_pool = True
             bisect.insort(host.idle, connection, key=lambda each: each.idle_since)
+
+
+def _not_connected(error: OSError | trio.TooSlowError) -> NotConnectedError:
+    if isinstance(error, OSError) and error.errno in LOCAL_ERRORS:
+        return LocalFaultError(repr(error))
+    return NotConnectedError(repr(error))
--- a/violetstack/net/upstream/health_check.py
+++ b/violetstack/net/upstream/health_check.py
@@ -7,7 +7,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.log import log
 from violetstack.net.clock import now_ms
-from violetstack.net.upstream.connection import NotConnectedError
+from violetstack.net.upstream.connection import LocalFaultError, NotConnectedError
 from violetstack.net.upstream.connection_pool import ConnectionPool
 from violetstack.net.upstream.short_call import CALL_TIMEOUT_S, short_call
 from violetstack.policy_api import AttemptStatus, HealthCheckResult
@@ -24,7 +24,10 @@
         self._report_fields = report_fields
 
     async def run(self, server: str) -> None:
-        """Makes one check and gives the core its result; none if the host is draining by then."""
+        """Makes one check and gives the core its result.
+
+        There is none if the host is draining by then, or if this machine lacks what a connection takes.
+        """
         if server in self._core.stateless_hosts:
             return
         began_at = now_ms()
@@ -38,6 +41,8 @@
                 head = await short_call(self._pool, connection, "GET", "/-/load")
                 status = AttemptStatus.OK if head.status == 200 else AttemptStatus.ERROR
                 report = report_of(head.headers.get("srv-load"), self._report_fields)
+        except LocalFaultError:
+            return
         except NotConnectedError:
             status = AttemptStatus.CONNECT_FAILED
         except (OSError, InvalidResponseError):
