After a failed accept the next comes after 5 ms, and at once if one connection was at fault

Cause: each failed accept cost 0.1 s for all that wait behind it (ENOBUFS on every second one: 1 s median).

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from itertools import product
 
 import pytest
@@ -15,6 +16,11 @@
 from violetstack.net.downstream import connection_reader, connection_table, listener
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.net.downstream.connection_reader import ConnectionReader
+from violetstack.net.downstream.listener import (
+    MAX_ACCEPT_RETRY_S,
+    MAX_CONNECTION_ERRORS,
+    AcceptFailures,
+)
 from violetstack.net.resource_limits import (
     ADMIN_API_DESCRIPTORS,
     MIN_CONNECTIONS,
@@ -306,3 +312,23 @@
     assert len(lines) == log.LINES_PER_SECOND + 1
     assert max(map(len, lines)) < 400
     assert '"unlogged":80' in lines[-1]
+
+
+def test_the_pause_after_a_failed_accept_is_short_at_first_and_bounded() -> None:
+    """A tenth of a second each: ten failures in a row held up all new connections for a second."""
+    failures = AcceptFailures()
+    no_buffers = OSError(errno.ENOBUFS, "")
+    pauses = [failures.pause_s(no_buffers) for _ in range(8)]
+    assert pauses[0] <= 0.005
+    assert sum(pauses[:4]) < 0.1
+    assert max(pauses) == MAX_ACCEPT_RETRY_S
+    failures.accepted()
+    assert failures.pause_s(no_buffers) == pauses[0]
+
+
+@pytest.mark.parametrize("number", [errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH])
+def test_the_error_of_one_connection_delays_no_other(number: int) -> None:
+    failures = AcceptFailures()
+    aborted = OSError(number, "")
+    assert [failures.pause_s(aborted) for _ in range(MAX_CONNECTION_ERRORS)] == [0.0] * MAX_CONNECTION_ERRORS
+    assert failures.pause_s(aborted) > 0.0
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -17,8 +17,27 @@
 from violetstack.net.downstream.response_handle import ResponseHandle
 from violetstack.protocol.http_server import HttpServerConnection
 
-ACCEPT_RETRY_S = 0.1
-"""Pause after the system had no descriptor or memory for a connection."""
+FIRST_ACCEPT_RETRY_S = 0.005
+MAX_ACCEPT_RETRY_S = 0.1
+"""Pauses after the system had no descriptor or memory for a connection; each is twice the one before."""
+CONNECTION_ERRORS = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EPERM,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENONET,
+        errno.ETIMEDOUT,
+    }
+)
+"""Errors of the one connection that accept(2) took off the queue: the next is accepted at once."""
+MAX_CONNECTION_ERRORS = 16
+"""In a row; further ones are followed by a pause, since they may be no connection's."""
 MIN_PAUSE_MS = 50.0
 """Shorter waits are not remembered: a third of what a deadline that is passed on may be too long."""
 MAX_QUEUE_S = 1.0
@@ -29,6 +48,28 @@
 """Performs the TLS handshake."""
 
 
+class AcceptFailures:
+    """How long to wait after a failed accept: connections behind the failed one wait as well."""
+
+    def __init__(self) -> None:
+        self._connection_errors = 0
+        self._pause_s = FIRST_ACCEPT_RETRY_S
+
+    def accepted(self) -> None:
+        """Ends a series of failures."""
+        self._connection_errors = 0
+        self._pause_s = FIRST_ACCEPT_RETRY_S
+
+    def pause_s(self, error: OSError) -> float:
+        """The pause after one more failure."""
+        if error.errno in CONNECTION_ERRORS and self._connection_errors < MAX_CONNECTION_ERRORS:
+            self._connection_errors += 1
+            return 0.0
+        pause_s = self._pause_s
+        self._pause_s = min(MAX_ACCEPT_RETRY_S, 2.0 * pause_s)
+        return pause_s
+
+
 class Listener:
     """The connections of one front.
 
@@ -70,6 +111,7 @@
         return response
 
     async def _accept_all(self, listener: trio.SocketListener, wrap: Wrap | None) -> None:
+        failures = AcceptFailures()
         while True:
             if _queue_is_empty(listener):
                 self._queued_since = 0.0
@@ -80,9 +122,9 @@
             except OSError as error:  # the fault of one connection, or no descriptor or memory is left
                 log_rate_limited("accept_failed", error=str(error))
                 self._note_queue(trio.current_time())
-                if error.errno != errno.ECONNABORTED:
-                    await trio.sleep(ACCEPT_RETRY_S)
+                await trio.sleep(failures.pause_s(error))
                 continue
+            failures.accepted()
             unread_ms = self.core.max_unread_ms()
             if unread_ms > MIN_PAUSE_MS:
                 self._note_queue(trio.current_time() - unread_ms / 1000.0)
