An outcome that the disk does not take holds up no other keyed request

Found by reading: disk full x a keyed request that ends x any other keyed request. Cause: the retries of record_outcome slept on the store's one thread, so every claim behind it waited until the disk had room, far past its client's deadline, and the lease lapsed meanwhile. Change: a failed record goes to the end of the queue after 0.2 s; its request counts as running until then. A claim is given up with its client's time, and released if it is committed after that.

--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -44,7 +44,7 @@
 class IdempotencyRecords(Protocol):
     """The idempotency service, as the front sees it."""
 
-    async def claim(self, request: KeyedRequest) -> ClaimResult:
+    async def claim(self, request: KeyedRequest, timeout_s: float) -> ClaimResult:
         """Claims the request for this process; raises IdempotencyStoreError."""
 
     def record_outcome(self, request: KeyedRequest, outcome: Outcome, response: bytes) -> None:
@@ -231,7 +231,7 @@
         """Nothing of a keyed request is sent before its claim is committed."""
         log = partial(self._log, id=request.policy_request.id, tenant=keyed.tenant)
         try:
-            status, response = await idempotency.claim(keyed)
+            status, response = await idempotency.claim(keyed, request.policy_request.expires_in_ms / 1000.0)
         except IdempotencyStoreError as error:
             log("idempotency_store_failed", error=error.reason)
             chat_errors.IDEMPOTENCY_STORE_FAILED.send(reply)
--- a/violetstack/idempotency/service.py
+++ b/violetstack/idempotency/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -11,14 +10,21 @@
 
 from violetstack.idempotency.store import (
     ClaimResult,
+    ClaimStatus,
     IdempotencyStore,
     IdempotencyStoreError,
     KeyedRequest,
     Outcome,
 )
-from violetstack.log import log
+from violetstack.log import log, log_rate_limited
 
 T = TypeVar("T")
+
+
+def _ignore(_: object) -> None:
+    """For a result that nobody has to undo."""
+
+
 MAX_QUEUED_CALLS = 512
 RENEWALS_PER_LEASE = 4
 RETRY_DELAY_S = 0.2
@@ -42,13 +48,14 @@
         self._store = store
         self._renewal_interval_s = lease_s / RENEWALS_PER_LEASE
         self._stopped = False
-        self._send_call, self._receive_call = trio.open_memory_channel[Callable[[], None]](math.inf)
+        self._send_call, self._receive_call = trio.open_memory_channel[Callable[[], bool]](math.inf)
 
     async def run(self) -> None:
         """Serves until cancelled.
 
         Calls run in the order in which they came, so the outcome of a request is recorded before its retry is
-        looked up.
+        looked up. One that has to be repeated goes to the end of the queue: meanwhile its request counts as
+        running, and no other waits for it.
         """
         try:
             await trio.to_thread.run_sync(self._renew_lease)
@@ -57,22 +64,46 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._keep_lease)
             async for call in self._receive_call:
-                await trio.to_thread.run_sync(call)
-                self.pending -= 1
+                if await self._finishes(call):
+                    self.pending -= 1
+                else:
+                    nursery.start_soon(self._repeat_later, call)
+
+    async def _finishes(self, call: Callable[[], bool]) -> bool:
+        """Runs a call on the thread; returns False if it has to be repeated."""
+        try:
+            return await trio.to_thread.run_sync(call)
+        except Exception as error:  # no call's failure may end the service
+            log_rate_limited("idempotency_store_failed", error=repr(error))
+            return True
+
+    async def _repeat_later(self, call: Callable[[], bool]) -> None:
+        await trio.sleep(RETRY_DELAY_S)
+        self._send_call.send_nowait(call)
 
     def holds_lease(self) -> bool:
         """Whether a request that was claimed here may still be sent."""
         return self._store.holds_lease()
 
-    async def claim(self, request: KeyedRequest) -> ClaimResult:
+    async def claim(self, request: KeyedRequest, timeout_s: float = math.inf) -> ClaimResult:
         """Records a request as running, or returns what is recorded of it.
 
+        A claim that is committed after `timeout_s` is released again.
+
         Raises:
-            IdempotencyStoreError: More than MAX_QUEUED_CALLS calls are queued, or the file cannot be written.
+            IdempotencyStoreError: More than MAX_QUEUED_CALLS calls are queued, the file cannot be written, or
+                the claim took longer than `timeout_s`.
         """
         if self.pending >= MAX_QUEUED_CALLS:
             raise IdempotencyStoreError(f"{self.pending} calls are queued, at most {MAX_QUEUED_CALLS}")
-        return await self._call(lambda: self._store.claim(request))
+
+        def release(late: ClaimResult) -> None:
+            if late.status is ClaimStatus.ACQUIRED:
+                self.record_outcome(request, Outcome.RELEASED, b"")
+
+        with trio.move_on_after(timeout_s):
+            return await self._call(lambda: self._store.claim(request), release)
+        raise IdempotencyStoreError(f"no answer within {timeout_s:.1f} s")
 
     def record_outcome(self, request: KeyedRequest, outcome: Outcome, response: bytes) -> None:
         """Records how a claimed request ended.
@@ -81,16 +112,16 @@
         without an outcome would be running until its owner's lease ends.
         """
 
-        def record() -> None:
+        def record() -> bool:
             """Runs on the thread."""
-            while not self._stopped:
-                try:
-                    self._store.record_outcome(request, outcome, response)
-                except IdempotencyStoreError as error:
-                    log("idempotency_store_failed", error=error.reason)
-                    time.sleep(RETRY_DELAY_S)
-                else:
-                    return
+            if self._stopped:
+                return True
+            try:
+                self._store.record_outcome(request, outcome, response)
+            except IdempotencyStoreError as error:
+                log_rate_limited("idempotency_store_failed", error=error.reason)
+                return False
+            return True
 
         self._enqueue(record)
 
@@ -105,34 +136,51 @@
         while True:
             await trio.sleep(self._renewal_interval_s)
             try:
-                await self._call(self._renew_lease)
+                await self._call(self._renew_lease, _ignore)
             except IdempotencyStoreError as error:
                 log("idempotency_store_failed", error=error.reason)
 
-    async def _call(self, act: Callable[[], T]) -> T:
-        """Runs `act` on the thread and returns its result; raises IdempotencyStoreError."""
+    async def _call(self, act: Callable[[], T], result_is_late: Callable[[T], None]) -> T:
+        """Runs `act` on the thread and returns its result; raises IdempotencyStoreError.
+
+        If this is cancelled meanwhile, `result_is_late` gets the result.
+        """
         done = trio.Event()
         token = trio.lowlevel.current_trio_token()
         results: list[T] = []
         errors: list[IdempotencyStoreError] = []
+        waiting = True
 
-        def call() -> None:
+        def finish() -> None:
+            """Runs in the event loop, so that a result is either taken or late."""
+            if not waiting and results:
+                result_is_late(results[0])
+            done.set()
+
+        def call() -> bool:
             """Runs on the thread."""
             try:
                 results.append(act())
             except IdempotencyStoreError as error:
                 errors.append(error)
             finally:
-                token.run_sync_soon(done.set)
+                token.run_sync_soon(finish)
+            return True
 
         self._enqueue(call)
-        await done.wait()
+        try:
+            await done.wait()
+        except trio.Cancelled:
+            waiting = False
+            if done.is_set() and results:
+                result_is_late(results[0])
+            raise
         if errors:
             raise errors[0]
         if not results:
             raise IdempotencyStoreError("the call ended by an unexpected exception")
         return results[0]
 
-    def _enqueue(self, call: Callable[[], None]) -> None:
+    def _enqueue(self, call: Callable[[], bool]) -> None:
         self.pending += 1
         self._send_call.send_nowait(call)
