rehearse soak: dozens of processes, overlapping troubles, failing system calls, clock steps

Built on the fault campaign: more dispatchers, waves of two or three troubles mostly at the same one, a shim library (C, compiled with cc) for failing calls and wall clocks, a pipe for each log that can stall. Not yet played: resumed streams, the chat front, hot restart, a full disk.

--- a/violetstack/commands/faults.py
+++ b/violetstack/commands/faults.py
@@ -41,9 +41,9 @@
     requests = 0
     played = 0
     for result in _play(seeds, jobs, duration_s):
-        click.echo(msgspec.json.encode(result).decode() if as_json else _line(result))
+        click.echo(msgspec.json.encode(result).decode() if as_json else show_case(result))
         if not as_json:
-            _show_violations(result)
+            show_violations(result)
         played += 1
         pairs.update(result.pairs)
         requests += result.requests
@@ -55,7 +55,7 @@
     if not as_json:
         click.echo(
             f"{played} of {len(seeds)} cases, {requests} requests, {attempts} attempts, "
-            f"{len(pairs)} pairs of faults; broken: {_list(broken)}; void: {_list(void)}"
+            f"{len(pairs)} pairs of faults; broken: {list_seeds(broken)}; void: {list_seeds(void)}"
         )
     return 1 if broken or played < len(seeds) else 0
 
@@ -76,8 +76,9 @@
             yield future.result()
 
 
-def _line(result: CaseResult) -> str:
-    rules = sorted({each.rule for each in result.violations})
+def show_case(result: CaseResult) -> str:
+    """One line about a case."""
+    rules = sorted({each.rule for each in result.violations} | set(result.invariants))
     verdict = "void" if result.void else "ok" if not rules and not result.crashed else "BROKEN"
     statuses = " ".join(f"{name}={count}" for name, count in sorted(result.statuses.items()))
     environment = ", ".join(result.environment)
@@ -89,7 +90,8 @@
     )
 
 
-def _show_violations(result: CaseResult) -> None:
+def show_violations(result: CaseResult) -> None:
+    """The broken rules of a case, each with the course of its request."""
     for each in result.violations:
         click.echo(f"  {each.text}")
         for row in each.timeline:
@@ -98,5 +100,6 @@
             click.echo(f"      log {line}")
 
 
-def _list(seeds: list[int]) -> str:
+def list_seeds(seeds: list[int]) -> str:
+    """The seeds in their order, or `none`."""
     return ", ".join(map(str, sorted(seeds))) or "none"
--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -81,9 +81,21 @@
 @click.option("--json", "as_json", is_flag=True, help="Of a fleet's plan or a case of faults: a JSON object.")
 @click.option("--seeds", default="1", show_default=True, help="Cases of faults: 7, 1-200 or 1,5-9.")
 @click.option("--jobs", default=1, show_default=True, help="Cases of faults at the same time.")
+@click.option("--processes", default=24, show_default=True, help="Dispatchers of a soak.")
+@click.option("--minutes", default=1.0, show_default=True, help="Load of each seed of a soak.")
+@click.option("--shrink", "shrinks", is_flag=True, help="Of a soak: which troubles a broken seed needs.")
 @click.option("--duration", "duration_s", default=4.0, show_default=True, help="Seconds of a case's load.")
 def rehearse(
-    stories: tuple[str, ...], *, quiet: bool, as_json: bool, seeds: str, jobs: int, duration_s: float
+    stories: tuple[str, ...],
+    *,
+    quiet: bool,
+    as_json: bool,
+    seeds: str,
+    jobs: int,
+    processes: int,
+    minutes: float,
+    shrinks: bool,
+    duration_s: float,
 ) -> None:
     """Play STORIES (all by default) with scripted peers, and tell what came; or a fleet's PLAN.
 
@@ -93,12 +105,16 @@
     FAULTS starts dispatchers with settings and faults that are drawn from each seed, and judges what clients
     and hosts saw: a line a case, the requests for which a rule was broken, and the pairs of faults that met.
 
+    SOAK does the same with more dispatchers and for longer; troubles overlap, system calls fail, clocks step
+    and logs stall. The dispatchers' own invariants count beside what was seen from outside.
+
     \b
     Examples:
       violetstack rehearse --quiet
       violetstack rehearse cut order drain
       violetstack rehearse fleet benchmarks/fleet/herd.toml
       violetstack rehearse faults --seeds 1-200 --jobs 2
+      violetstack rehearse soak --seeds 1-20 --processes 24 --minutes 1
     """
     if stories[:1] == ("fleet",):
         sys.exit(_fleet(stories[1:], as_json))
@@ -106,6 +122,11 @@
         from violetstack.commands.faults import parse_seeds, run_faults  # noqa: PLC0415
 
         sys.exit(run_faults(parse_seeds(seeds), jobs, duration_s, as_json))
+    if stories[:1] == ("soak",):
+        from violetstack.commands.faults import parse_seeds  # noqa: PLC0415
+        from violetstack.commands.soak import run_soak  # noqa: PLC0415
+
+        sys.exit(run_soak(parse_seeds(seeds), processes, minutes, shrinks=shrinks))
     from violetstack.rehearsal import scenarios as played  # noqa: PLC0415
 
     unknown = [name for name in stories if name not in played.STORIES]
--- /dev/null
+++ b/violetstack/commands/soak.py
@@ -0,0 +1,92 @@
+"""`violetstack rehearse soak`: plays seeds of the soak and reports a line for each."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import click
+
+from violetstack.commands.faults import list_seeds, show_case, show_violations
+from violetstack.rehearsal.fleet.campaign_result import CaseResult
+from violetstack.rehearsal.fleet.fault_shim import ShimNotBuiltError, build_shim
+from violetstack.rehearsal.fleet.soak import SoakPlan, play_soak, shrink
+from violetstack.rehearsal.fleet.soak_faults import SoakEvent
+
+SECONDS_PER_MINUTE = 60.0
+
+
+def run_soak(seeds: list[int], processes: int, minutes: float, *, shrinks: bool) -> int:
+    """Plays the seeds one after the other.
+
+    Returns 1 if a rule was broken, a dispatcher crashed or nothing was judged, else 0.
+    """
+    try:
+        shim = build_shim()
+    except ShimNotBuiltError as error:
+        click.echo(f"without failing system calls and clock steps: {error}")
+        shim = None
+    totals = SoakTotals()
+    for seed in seeds:
+        plan = SoakPlan(seed, processes, minutes * SECONDS_PER_MINUTE, shim)
+        result = play_soak(plan)
+        totals.add(result)
+        click.echo(show_case(result))
+        if result.void or not is_broken(result):
+            continue
+        show_violations(result)
+        if shrinks:
+            for event in shrink(plan, result):
+                click.echo(f"  needed: {_describe(event)}")
+    click.echo(totals.describe(processes))
+    return 1 if totals.broken or not totals.judged else 0
+
+
+def is_broken(result: CaseResult) -> bool:
+    """Whether the auditor, the dispatchers' own checks or an exit status tell of a fault."""
+    return bool(result.violations or result.invariants or result.crashed)
+
+
+def _describe(event: SoakEvent) -> str:
+    return f"{event.at:.2f} s {event.fault.value} at {event.target} for {event.lasts_s:.1f} s"
+
+
+class SoakTotals:
+    """What all seeds came to."""
+
+    def __init__(self) -> None:
+        self.judged = 0
+        self.broken: list[int] = []
+        self._void: list[int] = []
+        self._requests = 0
+        self._attempts = 0
+        self._pairs: set[tuple[str, str]] = set()
+        self._triples: set[tuple[str, str, str]] = set()
+        self._by_rule: Counter[str] = Counter()
+        self._by_invariant: Counter[str] = Counter()
+
+    def add(self, result: CaseResult) -> None:
+        """Counts one seed."""
+        self._requests += result.requests
+        self._attempts += result.attempts
+        self._pairs.update(result.pairs)
+        self._triples.update(result.triples)
+        if result.void:
+            self._void.append(result.seed)
+            return
+        self.judged += 1
+        if is_broken(result):
+            self.broken.append(result.seed)
+        self._by_rule.update(each.rule for each in result.violations)
+        self._by_invariant.update(result.invariants)
+        self._by_rule["crash"] += len(result.crashed)
+
+    def describe(self, processes: int) -> str:
+        """The last line of the report."""
+        rules = " ".join(f"{rule}={count}" for rule, count in sorted(self._by_rule.items()) if count)
+        inside = " ".join(f"{rule}={count}" for rule, count in sorted(self._by_invariant.items()))
+        return (
+            f"{self.judged} seeds judged, {processes} processes each, {self._requests} requests, "
+            f"{self._attempts} attempts, {len(self._pairs)} pairs and {len(self._triples)} triples met; "
+            f"violations seen from outside: {rules or 'none'}; by the dispatchers: {inside or 'none'}; "
+            f"broken: {list_seeds(self.broken)}; void: {list_seeds(self._void)}"
+        )
--- a/violetstack/rehearsal/fleet/campaign.py
+++ b/violetstack/rehearsal/fleet/campaign.py
@@ -27,39 +27,14 @@
 STARVED_WINDOW_S = 1.0
 
 
-class Campaign:
-    """One case, from the start of its processes to the judgement."""
+class CaseObservers:
+    """The stand-ins of a case, and the measure of how late they are."""
 
-    def __init__(self, seed: int, duration_s: float, root: Path = ROOT) -> None:
-        self._duration_s = duration_s
-        self._state = CaseState(seed, root)
-        self._processes = DispatcherProcesses(self._state)
-        self._faults = EnvironmentFaults(self._state, self._processes)
-        self._clients = CaseClients(self._state)
-
-    async def run(self) -> CaseResult:
-        state = self._state
-        deployment = state.deployment
-        events = draw_environment(
-            state.seed, self._duration_s, deployment.dispatcher_count, len(deployment.hosts)
-        )
-        async with trio.open_nursery() as nursery:
-            try:
-                await self._start_peers(nursery)
-                await self._processes.start_all()
-                state.load_begins()
-                nursery.start_soon(self._measure_lag)
-                async with trio.open_nursery() as playing:
-                    for event in events:
-                        playing.start_soon(self._faults.befall, event)
-                    playing.start_soon(self._clients.send_requests, playing, self._duration_s)
-                await trio.sleep(SETTLE_S)
-            finally:
-                self._processes.end_all()
-            nursery.cancel_scope.cancel()
-        return CaseReport(state).result(events)
+    def __init__(self, state: CaseState) -> None:
+        self._state = state
 
-    async def _start_peers(self, nursery: trio.Nursery) -> None:
+    async def start_peers(self, nursery: trio.Nursery) -> None:
+        """Starts the hosts, and an agent of discovery for each dispatcher."""
         state = self._state
         message = state.deployment.message
         report = message["report"]
@@ -81,7 +56,7 @@
             state.agents.append(agent)
             await nursery.start(agent.serve)
 
-    async def _measure_lag(self) -> None:
+    async def measure_lag(self) -> None:
         """How late the observers are, and how long dispatchers waited for a processor within a second."""
         state = self._state
         waits: deque[tuple[float, float]] = deque()
@@ -98,6 +73,40 @@
             state.evidence.lag_s = max(state.lag_s, state.starved_s)
 
 
+class Campaign:
+    """One case, from the start of its processes to the judgement."""
+
+    def __init__(self, seed: int, duration_s: float, root: Path = ROOT) -> None:
+        self._duration_s = duration_s
+        self._state = CaseState(seed, root)
+        self._processes = DispatcherProcesses(self._state)
+        self._faults = EnvironmentFaults(self._state, self._processes)
+        self._clients = CaseClients(self._state)
+
+    async def run(self) -> CaseResult:
+        state = self._state
+        deployment = state.deployment
+        observers = CaseObservers(state)
+        events = draw_environment(
+            state.seed, self._duration_s, deployment.dispatcher_count, len(deployment.hosts)
+        )
+        async with trio.open_nursery() as nursery:
+            try:
+                await observers.start_peers(nursery)
+                await self._processes.start_all()
+                state.load_begins()
+                nursery.start_soon(observers.measure_lag)
+                async with trio.open_nursery() as playing:
+                    for event in events:
+                        playing.start_soon(self._faults.befall, event)
+                    playing.start_soon(self._clients.send_requests, playing, self._duration_s)
+                await trio.sleep(SETTLE_S)
+            finally:
+                self._processes.end_all()
+            nursery.cancel_scope.cancel()
+        return CaseReport(state).result(events)
+
+
 def play_case(seed: int, duration_s: float = 4.0, root: Path = ROOT) -> CaseResult:
     """Plays the case of this seed; clients send for `duration_s`."""
     return trio.run(Campaign(seed, duration_s, root).run)
--- a/violetstack/rehearsal/fleet/campaign_environment.py
+++ b/violetstack/rehearsal/fleet/campaign_environment.py
@@ -54,7 +54,7 @@
                 host.connect_again()
             case _:
                 host.state = "leaving"
-                for agent in self._state.agents:
+                for agent in self._state.all_agents:
                     agent.tell(host.row())
                 await trio.sleep(event.lasts_s)
 
--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -76,6 +76,8 @@
         self.name = plan.name
         self.state = "active"
         self.refuses_reservations = False
+        self.hanging = False
+        """Attempts that come get no answer."""
         self._evidence = evidence
         self._scripts = scripts
         self._clock = clock
@@ -197,6 +199,8 @@
         request_id = headers.get("req-id", "")
         script = self._scripts.get(request_id)
         fault = script.next_host_fault() if script is not None else HostFault.NONE
+        if self.hanging:
+            fault = HostFault.HANG
         if fault is HostFault.RESET_WHILE_READING:
             self._fire(script, fault)
             reset(wire.stream.socket)
--- a/violetstack/rehearsal/fleet/campaign_processes.py
+++ b/violetstack/rehearsal/fleet/campaign_processes.py
@@ -4,6 +4,7 @@
 
 import math
 import signal
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -28,11 +29,17 @@
 POLL_S = 0.02
 
 
+def _leave(_: Program) -> None:
+    """For programs that need no preparation."""
+
+
 class DispatcherProcesses:
     """What happens to dispatchers, and which requests a killed one owes no answer for."""
 
-    def __init__(self, state: CaseState) -> None:
+    def __init__(self, state: CaseState, prepare: Callable[[Program], None] = _leave) -> None:
+        """`prepare` is called with each program before its first start."""
         self._state = state
+        self._prepare = prepare
         self._starts = 0
 
     async def start_all(self) -> None:
@@ -41,6 +48,7 @@
             address = loopback_address(number, LISTEN_PORT)
             limits = Plan(seed=self._state.seed, sockets=SOCKETS)
             program = Program(number, address, self._configuration(number), limits, self._state.root)
+            self._prepare(program)
             dispatcher = Dispatcher(program)
             self._state.dispatchers.append(dispatcher)
             self.start(dispatcher)
--- a/violetstack/rehearsal/fleet/campaign_requests.py
+++ b/violetstack/rehearsal/fleet/campaign_requests.py
@@ -34,13 +34,15 @@
 class CaseClients:
     """An open loop of clients; each request meets what its script says."""
 
-    def __init__(self, state: CaseState) -> None:
+    def __init__(self, state: CaseState, rate: float = REQUESTS_PER_DISPATCHER_S) -> None:
+        """`rate`: requests a second for each dispatcher."""
         self._state = state
+        self._rate = rate
         self._rng = random.Random(f"clients {state.seed}")
         self._source = ScriptSource(state.seed)
 
     async def send_requests(self, nursery: trio.Nursery, duration_s: float) -> None:
-        rate = REQUESTS_PER_DISPATCHER_S * self._state.deployment.dispatcher_count
+        rate = self._rate * self._state.deployment.dispatcher_count
         number = 0
         at = 0.0
         while at < duration_s:
--- a/violetstack/rehearsal/fleet/campaign_result.py
+++ b/violetstack/rehearsal/fleet/campaign_result.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Sequence
 from itertools import combinations, product
 from typing import Any
 
@@ -10,6 +11,7 @@
 
 from violetstack.rehearsal.fleet.campaign_faults import ClientHabit, EnvironmentEvent
 from violetstack.rehearsal.fleet.campaign_state import CaseState
+from violetstack.rehearsal.fleet.soak_faults import SoakEvent
 from violetstack.rehearsal.fleet.socket_audit import ClientExchange, Violation, audit
 
 MAX_LAG_S = 0.25
@@ -30,7 +32,9 @@
     """What one case came to.
 
     `lag_s` is how late the observers were, `starved_s` how long the mean dispatcher waited for a processor
-    within one second: the case is void beyond MAX_LAG_S or MAX_STARVED_S.
+    within one second: the case is void beyond MAX_LAG_S or MAX_STARVED_S. `invariants` counts the violations
+    that the dispatchers' own checks have logged, by rule; `triples` are faults of the environment that
+    overlapped.
     """
 
     seed: int
@@ -44,6 +48,8 @@
     lag_s: float
     starved_s: float
     pairs: list[tuple[str, str]]
+    triples: list[tuple[str, str, str]]
+    invariants: dict[str, int]
     events: dict[str, int]
 
     @property
@@ -57,11 +63,11 @@
     def __init__(self, state: CaseState) -> None:
         self._state = state
 
-    def result(self, events: list[EnvironmentEvent]) -> CaseResult:
+    def result(self, events: Sequence[EnvironmentEvent | SoakEvent]) -> CaseResult:
         logs = [dispatcher.program.events() for dispatcher in self._state.dispatchers]
         for dispatcher in self._state.dispatchers:
             dispatcher.program.log.close()
-        for agent in self._state.agents:
+        for agent in self._state.all_agents:
             drains = {(agent.number, host): at for host, at in agent.written_drains.items()}
             self._state.evidence.drains.update(drains)
         found = audit(
@@ -80,6 +86,15 @@
             lag_s=round(self._state.lag_s, 3),
             starved_s=round(self._state.starved_s, 3),
             pairs=sorted(self._pairs()),
+            triples=sorted(self._triples()),
+            invariants=dict(
+                Counter(
+                    str(line["rule"])
+                    for log in logs
+                    for line in log
+                    if line.get("event") == "invariant_violated"
+                )
+            ),
             events=dict(counted),
         )
 
@@ -146,6 +161,15 @@
                 found.add((min(one[0].value, other[0].value), max(one[0].value, other[0].value)))
         return found
 
+    def _triples(self) -> set[tuple[str, str, str]]:
+        """Faults of the environment, three of which were in force at the same time."""
+        found = set()
+        for spans in combinations(self._state.spans, 3):
+            if max(span.began for span in spans) <= min(span.ended for span in spans):
+                first, second, third = sorted(span.fault.value for span in spans)
+                found.add((first, second, third))
+        return found
+
     @staticmethod
     def _overlaps(exchange: ClientExchange, began: float, end: float) -> bool:
         if exchange.sent_at is None:
--- a/violetstack/rehearsal/fleet/campaign_settings.py
+++ b/violetstack/rehearsal/fleet/campaign_settings.py
@@ -95,13 +95,18 @@
     return f"{message['name']}={message['idempotency']}{keyed}/{message['give_up']:g}"
 
 
-def draw_deployment(seed: int) -> Deployment:
-    """Settings that hold together, of any of the deployments that the protocol allows."""
+def draw_deployment(seed: int, dispatchers: int | None = None) -> Deployment:
+    """Settings that hold together, of any of the deployments that the protocol allows.
+
+    `dispatchers` sets their number in place of two to four.
+    """
     rng = random.Random(f"deployment {seed}")
     zones = tuple(f"z{n}" for n in range(rng.randint(1, 3)))
     tenants = tuple(f"tenant{n}" for n in range(rng.choice((0, 1, 3))))
     dispatcher_count = rng.randint(2, 3) if rng.random() < 0.8 else 4
     roles = _draw_roles(rng)
+    if dispatchers is not None:
+        dispatcher_count = dispatchers
     hosts = _draw_hosts(rng, roles, zones)
     classes = _draw_classes(rng)
     one_attempt_serves = any(role is Role.MIXED for _, role in roles)
--- a/violetstack/rehearsal/fleet/campaign_state.py
+++ b/violetstack/rehearsal/fleet/campaign_state.py
@@ -9,18 +9,19 @@
 from typing import Any, NamedTuple
 
 from violetstack.rehearsal.fleet.campaign_client import ClientConnection
-from violetstack.rehearsal.fleet.campaign_faults import EnvironmentFault, RequestScript
+from violetstack.rehearsal.fleet.campaign_faults import RequestScript
 from violetstack.rehearsal.fleet.campaign_host import CampaignHost
 from violetstack.rehearsal.fleet.campaign_settings import draw_deployment
 from violetstack.rehearsal.fleet.network import Agent
 from violetstack.rehearsal.fleet.programs import Program
+from violetstack.rehearsal.fleet.soak_faults import Fault
 from violetstack.rehearsal.fleet.socket_audit import ClientExchange, Evidence
 
 
 class FaultSpan(NamedTuple):
     """When a fault of the environment began and ended."""
 
-    fault: EnvironmentFault
+    fault: Fault
     target: int
     began: float
     ended: float
@@ -46,15 +47,17 @@
 class CaseState:
     """Attributes are by dispatcher or host number, or by request id; `open` are requests without an end."""
 
-    def __init__(self, seed: int, root: Path) -> None:
+    def __init__(self, seed: int, root: Path, dispatchers: int | None = None) -> None:
         self.seed = seed
         self.root = root
-        self.deployment = draw_deployment(seed)
+        self.deployment = draw_deployment(seed, dispatchers)
         self.evidence = Evidence()
         self.scripts: dict[str, RequestScript] = {}
         self.open: dict[str, ClientExchange] = {}
         self.hosts: list[CampaignHost] = []
         self.agents: list[Agent] = []
+        """The agent that each dispatcher's configuration names."""
+        self.former_agents: list[Agent] = []
         self.dispatchers: list[Dispatcher] = []
         self.crashed: list[str] = []
         self.statuses: Counter[str] = Counter()
@@ -72,6 +75,16 @@
         self.lag_s = 0.0
         self.starved_s = 0.0
 
+    @property
+    def all_agents(self) -> list[Agent]:
+        """Every agent that was named, those of now last."""
+        return [*self.former_agents, *self.agents]
+
+    def move_agent(self, number: int, agent: Agent) -> None:
+        """The dispatcher's configuration names another agent from now on."""
+        self.former_agents.append(self.agents[number])
+        self.agents[number] = agent
+
     def rows(self) -> list[dict[str, Any]]:
         """The complete endpoint list."""
         return [host.row() for host in self.hosts]
--- /dev/null
+++ b/violetstack/rehearsal/fleet/fault_shim.py
@@ -0,0 +1,82 @@
+"""Builds the shim library `fault_shim.c`, and sets the faults of one process."""
+
+from __future__ import annotations
+
+import errno
+import mmap
+import os
+import shutil
+import struct
+import subprocess
+import tempfile
+from enum import IntEnum
+from pathlib import Path
+
+SOURCE = Path(__file__).with_name("fault_shim.c")
+OFFSET_FORMAT = "q"
+CALL_FORMAT = "iiii"
+NS_PER_S = 1_000_000_000
+
+
+class ShimNotBuiltError(Exception):
+    """There is no C compiler, or it does not take the source."""
+
+
+class Call(IntEnum):
+    """The calls that can fail, in the order of the C source."""
+
+    SOCKET = 0
+    CONNECT = 1
+    ACCEPT = 2
+    SEND = 3
+    FSYNC = 4
+
+
+def build_shim() -> Path:
+    """Compiles the shim and returns the library's path, in a new folder.
+
+    Raises:
+        ShimNotBuiltError: The message says why.
+    """
+    compiler = shutil.which("cc")
+    if compiler is None:
+        raise ShimNotBuiltError("no C compiler (cc): system calls and clocks cannot be made to fail")
+    library = Path(tempfile.mkdtemp(prefix="violetstack-shim-")) / "fault_shim.so"
+    command = [compiler, "-shared", "-fPIC", "-O1", "-Wall", "-o", str(library), str(SOURCE), "-ldl"]
+    finished = subprocess.run(command, capture_output=True, text=True, check=False)
+    if finished.returncode:
+        raise ShimNotBuiltError(finished.stderr.strip())
+    return library
+
+
+class ProcessFaults:
+    """The page that a process shares with the rehearsal; it outlives restarts of the process."""
+
+    def __init__(self) -> None:
+        self.descriptor = os.memfd_create("faults")
+        size = struct.calcsize(OFFSET_FORMAT) + len(Call) * struct.calcsize(CALL_FORMAT)
+        os.ftruncate(self.descriptor, size)
+        self._page = mmap.mmap(self.descriptor, size)
+
+    def fail(self, call: Call, error: int, period: int = 1) -> None:
+        """Every `period`-th call fails with `error`; SEND with error 0 writes a single byte."""
+        struct.pack_into("ii", self._page, self._position(call), error, period)
+
+    def stop_failing(self, call: Call) -> None:
+        struct.pack_into("ii", self._page, self._position(call), errno.EINVAL, 0)
+
+    def failed(self, call: Call) -> int:
+        """How many calls have failed so far."""
+        return int(struct.unpack_from(CALL_FORMAT, self._page, self._position(call))[3])
+
+    def step_wall_clock(self, seconds: float) -> None:
+        """The process's wall clock shows so much more than the machine's from now on."""
+        struct.pack_into(OFFSET_FORMAT, self._page, 0, int(seconds * NS_PER_S))
+
+    def close(self) -> None:
+        self._page.close()
+        os.close(self.descriptor)
+
+    @staticmethod
+    def _position(call: Call) -> int:
+        return struct.calcsize(OFFSET_FORMAT) + call * struct.calcsize(CALL_FORMAT)
--- a/violetstack/rehearsal/fleet/programs.py
+++ b/violetstack/rehearsal/fleet/programs.py
@@ -51,10 +51,16 @@
         self.last_yes = -math.inf
         self.wanted = False
         self.idle: list[trio.SocketStream] = []  # clients' connections
+        self.preload: dict[str, str] = {}  # further variables of the environment
+        self.shared: tuple[int, ...] = ()  # further descriptors that the process inherits
+        self.output: int | IO[bytes] = self.log
+        self.configuration_path = ""
+        self._seed = 0
 
     def start(self, now: float, seed: int) -> None:
         files = [os.memfd_create("config"), os.memfd_create("operator")]
-        os.write(files[0], orjson.dumps({**self.told, "seed": f"{seed:x}"}))
+        self._seed = seed
+        os.write(files[0], self._configuration())
         os.write(files[1], self.file.encode())
         limits = resource.RLIMIT_NOFILE, (self.sockets, self.sockets)
 
@@ -66,24 +72,32 @@
                 os.sched_setaffinity(0, cores[1:])  # the first is the stand-ins'
             resource.setrlimit(*limits)
 
-        env = {"PATH": os.environ.get("PATH", ""), "NODE_CONFIG": f"/proc/self/fd/{files[0]}"}
+        env = {**self.preload, "PATH": os.environ.get("PATH", ""), "NODE_CONFIG": f"/proc/self/fd/{files[0]}"}
         more = f" serve /proc/self/fd/{files[1]}" if self.file else ""
         self.process = subprocess.Popen(
             command(self.root, more),
             cwd=self.root,
             env=env,
-            pass_fds=files,
+            pass_fds=(*files, *self.shared),
             stdin=subprocess.DEVNULL,
             preexec_fn=child,  # noqa: PLW1509 - the rehearsal has one thread
-            stdout=self.log,
+            stdout=self.output,
             stderr=self.log,
         )
+        self.configuration_path = f"/proc/{self.process.pid}/fd/{files[0]}"
         for file in files:
             os.close(file)
         self.started_at = now
         self.ready_at = math.inf
         self.wanted = True
 
+    def rewrite_configuration(self) -> None:
+        """Has the running process find what is in `told` now when it reads its configuration again."""
+        Path(self.configuration_path).write_bytes(self._configuration())
+
+    def _configuration(self) -> bytes:
+        return orjson.dumps({**self.told, "seed": f"{self._seed:x}"})
+
     def send(self, number: int) -> None:
         if self.process is not None:
             self.process.send_signal(number)
--- /dev/null
+++ b/violetstack/rehearsal/fleet/soak_environment.py
@@ -0,0 +1,163 @@
+"""Carries out the troubles of a soak, on top of those of the campaign."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import signal
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import IO
+
+import trio
+
+from violetstack.rehearsal.fleet.campaign_environment import EnvironmentFaults
+from violetstack.rehearsal.fleet.campaign_faults import EnvironmentEvent, EnvironmentFault
+from violetstack.rehearsal.fleet.campaign_processes import DispatcherProcesses
+from violetstack.rehearsal.fleet.campaign_state import CaseState, Dispatcher, FaultSpan
+from violetstack.rehearsal.fleet.fault_shim import ProcessFaults
+from violetstack.rehearsal.fleet.network import Agent
+from violetstack.rehearsal.fleet.soak_faults import FailingCall, SoakEvent, SoakFault
+
+PIPE_BYTES = 4096
+CLOCK_STEP_S = 3_600.0
+RELOADS = 4
+RELOAD_INTERVAL_S = 0.05
+RELOAD_TAKES_S = 0.3
+RESTARTS = frozenset({EnvironmentFault.SIGTERM, EnvironmentFault.SIGKILL})
+
+
+class LogPipe:
+    """A small pipe between a dispatcher and its log, whose reader can stall."""
+
+    def __init__(self) -> None:
+        self.read_end, self.write_end = os.pipe()
+        fcntl.fcntl(self.read_end, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+        self._going = trio.Event()
+        self._going.set()
+
+    def stall(self) -> None:
+        """Nothing is read until `go_on`."""
+        self._going = trio.Event()
+
+    def go_on(self) -> None:
+        self._going.set()
+
+    async def copy(self, log: IO[bytes]) -> None:
+        """Copies what comes until cancelled."""
+        async with trio.lowlevel.FdStream(os.dup(self.read_end)) as stream:
+            while True:
+                await self._going.wait()
+                data = await stream.receive_some(PIPE_BYTES)
+                log.seek(0, os.SEEK_END)
+                log.write(data)
+
+    def close(self) -> None:
+        os.close(self.read_end)
+        os.close(self.write_end)
+
+
+class SoakEnvironment:
+    """The troubles of one seed. What starts and ends one process is done one after the other."""
+
+    def __init__(
+        self,
+        state: CaseState,
+        campaign: EnvironmentFaults,
+        processes: DispatcherProcesses,
+        process_faults: Mapping[int, ProcessFaults],
+        pipes: Mapping[int, LogPipe],
+    ) -> None:
+        self._state = state
+        self._campaign = campaign
+        self._processes = processes
+        self._process_faults = process_faults
+        self._pipes = pipes
+        self._restarting: dict[int, trio.Lock] = defaultdict(trio.Lock)
+
+    async def befall(self, event: SoakEvent, peers: trio.Nursery) -> None:
+        """Waits for the event's time, carries it out and notes when it was in force."""
+        await trio.sleep(max(0.0, event.at - self._state.now()))
+        if isinstance(event.fault, EnvironmentFault):
+            await self._befall_as_campaign(event, event.fault)
+            return
+        began = self._state.now()
+        await self._befall(event, event.fault, peers)
+        self._state.spans.append(FaultSpan(event.fault, event.target, began, self._state.now()))
+
+    async def _befall_as_campaign(self, event: SoakEvent, fault: EnvironmentFault) -> None:
+        campaign_event = EnvironmentEvent(event.at, event.lasts_s, fault, event.target)
+        if fault not in RESTARTS:
+            await self._campaign.befall(campaign_event)
+            return
+        async with self._restarting[event.target]:
+            await self._campaign.befall(campaign_event)
+
+    async def _befall(self, event: SoakEvent, fault: SoakFault, peers: trio.Nursery) -> None:
+        match fault:
+            case SoakFault.HOST_RESETS_CONNECTIONS:
+                self._state.hosts[event.target].hang_up()
+            case SoakFault.HOST_HANGS:
+                await self._hang_host(event)
+            case SoakFault.LOG_STALLS:
+                await self._stall_log(event)
+            case SoakFault.RELOADS:
+                await self._reload(self._state.dispatchers[event.target])
+            case SoakFault.DISCOVERY_MOVES:
+                await self._move_discovery(self._state.dispatchers[event.target], peers)
+            case SoakFault.CLOCK_FORWARD | SoakFault.CLOCK_BACK | SoakFault.CLOCK_STEPPED_OVER_RESTART:
+                await self._step_clock(event, fault)
+            case _:
+                await self._fail_calls(event, FailingCall[fault.name])
+
+    async def _hang_host(self, event: SoakEvent) -> None:
+        """Connections come up no more, and what is open stays open and silent."""
+        host = self._state.hosts[event.target]
+        host.hanging = True
+        await trio.sleep(event.lasts_s)
+        host.hanging = False
+
+    async def _stall_log(self, event: SoakEvent) -> None:
+        pipe = self._pipes[event.target]
+        pipe.stall()
+        await trio.sleep(event.lasts_s)
+        pipe.go_on()
+
+    async def _reload(self, dispatcher: Dispatcher) -> None:
+        for _ in range(RELOADS):
+            dispatcher.program.send(signal.SIGHUP)
+            await trio.sleep(RELOAD_INTERVAL_S)
+        await trio.sleep(RELOAD_TAKES_S)
+
+    async def _move_discovery(self, dispatcher: Dispatcher, peers: trio.Nursery) -> None:
+        """Another agent has the list; the configuration names it, and SIGHUP says so."""
+        program = dispatcher.program
+        agent = Agent(program.number, self._state.rows(), {}, self._state.now)
+        await peers.start(agent.serve)
+        self._state.move_agent(program.number, agent)
+        program.told["discovery"] = agent.address
+        async with self._restarting[program.number]:
+            if program.process is not None and program.process.poll() is None:
+                program.rewrite_configuration()
+                program.send(signal.SIGHUP)
+        await trio.sleep(RELOAD_TAKES_S)
+
+    async def _step_clock(self, event: SoakEvent, fault: SoakFault) -> None:
+        faults = self._process_faults.get(event.target)
+        if faults is None:
+            return
+        faults.step_wall_clock(-CLOCK_STEP_S if fault is SoakFault.CLOCK_BACK else CLOCK_STEP_S)
+        if fault is SoakFault.CLOCK_STEPPED_OVER_RESTART:
+            async with self._restarting[event.target]:
+                await self._processes.restart(self._state.dispatchers[event.target])
+        await trio.sleep(event.lasts_s)
+        faults.step_wall_clock(0.0)
+
+    async def _fail_calls(self, event: SoakEvent, failing: FailingCall) -> None:
+        faults = self._process_faults.get(event.target)
+        if faults is None:
+            return
+        call, error, period = failing.value
+        faults.fail(call, error, period)
+        await trio.sleep(event.lasts_s)
+        faults.stop_failing(call)
--- /dev/null
+++ b/violetstack/rehearsal/fleet/soak_faults.py
@@ -0,0 +1,109 @@
+"""The troubles of a soak: those of the campaign and more, several of which overlap in time."""
+
+from __future__ import annotations
+
+import errno
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from violetstack.rehearsal.fleet.campaign_faults import DEFAULT_LASTS_S, LASTS_S, EnvironmentFault
+from violetstack.rehearsal.fleet.fault_shim import Call
+
+
+class SoakFault(Enum):
+    """What befalls a dispatcher beyond the campaign's faults."""
+
+    SOCKET_ENFILE = "socket ENFILE"
+    SOCKET_EMFILE = "socket EMFILE"
+    CONNECT_ENOBUFS = "connect ENOBUFS"
+    CONNECT_EADDRNOTAVAIL = "connect EADDRNOTAVAIL"
+    CONNECT_ENETUNREACH = "connect ENETUNREACH"
+    ACCEPT_ENOBUFS = "accept ENOBUFS"
+    ACCEPT_ECONNABORTED = "accept ECONNABORTED"
+    SEND_ONE_BYTE = "send writes a byte"
+    SEND_EHOSTUNREACH = "send EHOSTUNREACH"
+    CLOCK_FORWARD = "clock an hour forward"
+    CLOCK_BACK = "clock an hour back"
+    CLOCK_STEPPED_OVER_RESTART = "clock stepped over a restart"
+    LOG_STALLS = "log reader stalls"
+    RELOADS = "reloads in a row"
+    DISCOVERY_MOVES = "SIGHUP moves discovery"
+    HOST_RESETS_CONNECTIONS = "host resets connections"
+    HOST_HANGS = "host hangs"
+
+
+Fault = EnvironmentFault | SoakFault
+
+
+class FailingCall(Enum):
+    """The system call of a fault: the call, its error, and how many calls there are for each that fails."""
+
+    SOCKET_ENFILE = (Call.SOCKET, errno.ENFILE, 1)
+    SOCKET_EMFILE = (Call.SOCKET, errno.EMFILE, 1)
+    CONNECT_ENOBUFS = (Call.CONNECT, errno.ENOBUFS, 1)
+    CONNECT_EADDRNOTAVAIL = (Call.CONNECT, errno.EADDRNOTAVAIL, 1)
+    CONNECT_ENETUNREACH = (Call.CONNECT, errno.ENETUNREACH, 2)
+    ACCEPT_ENOBUFS = (Call.ACCEPT, errno.ENOBUFS, 2)
+    ACCEPT_ECONNABORTED = (Call.ACCEPT, errno.ECONNABORTED, 2)
+    SEND_ONE_BYTE = (Call.SEND, 0, 3)
+    SEND_EHOSTUNREACH = (Call.SEND, errno.EHOSTUNREACH, 40)
+
+
+SOAK_LASTS_S = {
+    SoakFault.CLOCK_FORWARD: 3.0,
+    SoakFault.CLOCK_BACK: 3.0,
+    SoakFault.LOG_STALLS: 4.0,
+    SoakFault.HOST_HANGS: 2.5,
+}
+QUIET_CHANCE = 0.3
+QUIET_SHARE = 0.4
+"""Of a soak's time, before the first trouble."""
+AFTERMATH_S = 3.0
+WAVE_S = (1.5, 3.5)
+"""From one wave of troubles to the next."""
+SAME_TARGET_CHANCE = 0.7
+
+
+@dataclass(frozen=True)
+class SoakEvent:
+    """A trouble, `target` being a dispatcher's or a host's number."""
+
+    at: float
+    lasts_s: float
+    fault: Fault
+    target: int
+
+
+def is_host_fault(fault: Fault) -> bool:
+    """Whether the fault's target is a host."""
+    return fault.name.startswith("HOST")
+
+
+def draw_soak(seed: int, duration_s: float, dispatchers: int, hosts: int) -> list[SoakEvent]:
+    """Waves of two or three troubles that overlap, mostly at the same dispatcher."""
+    rng = random.Random(f"soak {seed}")
+    faults: list[Fault] = [*EnvironmentFault, *SoakFault]
+    rng.shuffle(faults)
+    queue = list(faults)
+    at = duration_s * QUIET_SHARE if rng.random() < QUIET_CHANCE else 0.5
+    events = []
+    while at < duration_s - AFTERMATH_S:
+        dispatcher = rng.randrange(dispatchers)
+        for _ in range(rng.choice((2, 2, 3))):
+            queue = queue or list(faults)
+            fault = queue.pop()
+            if is_host_fault(fault):
+                target = rng.randrange(hosts)
+            else:
+                target = dispatcher if rng.random() < SAME_TARGET_CHANCE else rng.randrange(dispatchers)
+            events.append(SoakEvent(at + rng.random() * 0.6, lasts_s(fault), fault, target))
+        at += rng.uniform(*WAVE_S)
+    return events
+
+
+def lasts_s(fault: Fault) -> float:
+    """For how long the fault is in force, in seconds."""
+    if isinstance(fault, SoakFault):
+        return SOAK_LASTS_S.get(fault, DEFAULT_LASTS_S)
+    return LASTS_S.get(fault, DEFAULT_LASTS_S)
