--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,103 @@
+"""The soak: what is drawn from a seed, the shim of faulty calls, and one short seed on real processes."""
+
+from __future__ import annotations
+
+import errno
+import os
+import shutil
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from violetstack.rehearsal.fleet.campaign_faults import EnvironmentFault
+from violetstack.rehearsal.fleet.fault_shim import Call, ProcessFaults, build_shim
+from violetstack.rehearsal.fleet.soak import SoakPlan, play_soak
+from violetstack.rehearsal.fleet.soak_faults import FailingCall, SoakEvent, SoakFault, draw_soak
+
+SEEDS = range(1, 101)
+DURATION_S = 30.0
+PLAYS = 3
+SHORT_EVENTS = [
+    SoakEvent(0.3, 1.0, SoakFault.SOCKET_ENFILE, 0),
+    SoakEvent(0.4, 1.5, SoakFault.LOG_STALLS, 0),
+    SoakEvent(0.5, 1.0, SoakFault.ACCEPT_ENOBUFS, 1),
+    SoakEvent(0.6, 1.0, SoakFault.CLOCK_FORWARD, 1),
+    SoakEvent(0.7, 0.5, EnvironmentFault.SIGHUP, 2),
+    SoakEvent(0.8, 0.5, SoakFault.DISCOVERY_MOVES, 2),
+]
+PROBE = """
+import errno, socket, sys, time
+try:
+    socket.socket()
+    print("no error")
+except OSError as error:
+    print(errno.errorcode[error.errno])
+pair = socket.socketpair()
+print(pair[0].send(b"several bytes"))
+print(round(time.time() - float(sys.argv[1]), -2))
+"""
+
+
+def test_a_seed_draws_the_same_troubles_again_and_all_of_them_come_up() -> None:
+    assert draw_soak(3, DURATION_S, 24, 6) == draw_soak(3, DURATION_S, 24, 6)
+    drawn = [event for seed in SEEDS for event in draw_soak(seed, DURATION_S, 24, 6)]
+    assert {event.fault for event in drawn} == {*EnvironmentFault, *SoakFault}
+    assert all(0.0 < event.at < DURATION_S for event in drawn)
+    assert all(event.target < (6 if event.fault.name.startswith("HOST") else 24) for event in drawn)
+
+
+def test_most_troubles_overlap_another() -> None:
+    overlapping = 0
+    events = draw_soak(3, DURATION_S, 24, 6)
+    for event in events:
+        others = [each for each in events if each is not event]
+        overlapping += any(o.at <= event.at + event.lasts_s and event.at <= o.at + o.lasts_s for o in others)
+    assert overlapping >= 0.8 * len(events)
+
+
+def test_each_failing_call_is_a_fault() -> None:
+    assert {each.name for each in FailingCall} <= {each.name for each in SoakFault}
+
+
+@pytest.fixture(scope="module")
+def shim() -> Path:
+    assert shutil.which("cc"), "the soak's shim needs a C compiler"
+    return build_shim()
+
+
+def test_the_shim_fails_calls_and_steps_the_wall_clock(shim: Path) -> None:
+    faults = ProcessFaults()
+    faults.fail(Call.SOCKET, errno.ENFILE)
+    faults.fail(Call.SEND, 0)
+    faults.step_wall_clock(3600.0)
+    env = {**os.environ, "LD_PRELOAD": str(shim), "SOAK_FAULTS_FD": str(faults.descriptor)}
+
+    def probe() -> list[str]:
+        command = [sys.executable, "-c", PROBE, str(time.time())]
+        return subprocess.run(
+            command, env=env, pass_fds=(faults.descriptor,), capture_output=True, text=True, check=True
+        ).stdout.split("\n")[:3]
+
+    assert probe() == ["ENFILE", "1", "3600.0"]
+    assert faults.failed(Call.SOCKET) == 1
+    faults.stop_failing(Call.SOCKET)
+    faults.stop_failing(Call.SEND)
+    faults.step_wall_clock(0.0)
+    assert probe() == ["no error", "13", "0.0"]
+    faults.close()
+
+
+def test_a_short_soak_breaks_no_rule(shim: Path) -> None:
+    for _ in range(PLAYS):
+        result = play_soak(SoakPlan(1, 3, 3.0, shim), SHORT_EVENTS)
+        if not result.void:
+            break
+    else:
+        pytest.fail(f"void: lag {result.lag_s} s, starved {result.starved_s} s")
+    assert [each.text for each in result.violations] + result.crashed == []
+    assert result.invariants == {}
+    assert result.triples
+    assert result.statuses["served"] >= 5
