Hot restart and cordons hold over steps of the wall clock

Found by reading: a clock step x a second process of the same dispatcher. Causes: (1) a sibling's life was its file's mtime against a clock fixed at the start, so after a step forward an ended process counted as alive, and as successor, for an hour (SIGTERM handed over to nobody), after a step back a live one was dead and its record deleted; (2) a record dated in the future was rejected whole, so cordons were lost over a restart; (3) a process started after a step back took its predecessor for its successor; (4) a new cordon dated before the end of an earlier one was undone by another process. Open: a record's age when it is first seen is still the wall clock's.

--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -136,3 +136,15 @@
             case _:
                 processes.call(step, process, endpoint_id, 1000.0 + at)
         processes.check()
+
+
+def test_a_cordon_follows_the_end_of_an_earlier_one_though_the_clock_was_stepped_back() -> None:
+    """The record of the earlier end, from another process, undid the operator's call."""
+    cordons = Cordons()
+    cordons.apply(full(*LISTED))
+    cordons.cordon(3_600_000.0, IDS[0])
+    cordons.uncordon(3_601_000.0, IDS[0])
+    ended = dict(cordons.records)
+    cordons.cordon(5_000.0, IDS[0])
+    assert cordons.merge(ended) is None
+    assert cordons.active == [IDS[0]]
--- a/violetstack/admin/cordons.py
+++ b/violetstack/admin/cordons.py
@@ -73,7 +73,9 @@
             raise UnknownEndpointError(endpoint_id)
         if len(self.records) >= MAX_CORDONS:
             self._forget_one()
-        self.records[endpoint_id] = Cordon(True, now, now)
+        # Later than the end that it follows, whatever the wall clocks of the processes that set them showed.
+        since_ms = now if cordon is None else max(now, cordon.changed_ms + 1.0)
+        self.records[endpoint_id] = Cordon(True, since_ms, since_ms)
         return self._update(endpoint_id)
 
     def uncordon(self, now: float, endpoint_id: str) -> EndpointUpdate:
--- a/violetstack/handover/record.py
+++ b/violetstack/handover/record.py
@@ -60,9 +60,11 @@
 def decode_record(data: bytes, dispatcher: str, now_ms: float) -> HandoverRecord:
     """Reads a record of a process of `dispatcher`.
 
+    A record that is dated more than MAX_CLOCK_SKEW_MS after `now_ms` was written before the wall clock was
+    stepped back. Its estimates decay by the time and are left out; what operators and discovery said holds.
+
     Raises:
-        InvalidRecordError: The data is truncated, corrupt, of another format or another dispatcher, or dated
-            more than MAX_CLOCK_SKEW_MS after `now_ms`.
+        InvalidRecordError: The data is truncated, corrupt, of another format or another dispatcher.
     """
     header, _, body = data.partition(b"\n")
     version, _, checksum = header.decode("latin-1").partition(" ")
@@ -78,18 +80,10 @@
         raise InvalidRecordError(str(error)) from None
     if record.dispatcher != dispatcher:
         raise InvalidRecordError(f"written by another dispatcher: {record.dispatcher[:MAX_NAME_IN_ERROR]!r}")
-    ahead_ms = _latest_time_ms(record) - now_ms
-    if ahead_ms > MAX_CLOCK_SKEW_MS:
-        raise InvalidRecordError(
-            f"dated {ahead_ms:.0f} ms in the future, more than {MAX_CLOCK_SKEW_MS:.0f} ms"
-        )
+    if record.written_at_ms > now_ms + MAX_CLOCK_SKEW_MS:
+        return msgspec.structs.replace(record, learned_state=None)
     return record
 
 
 def _checksum(body: bytes) -> str:
     return blake2b(body, digest_size=CHECKSUM_BYTES).hexdigest()
-
-
-def _latest_time_ms(record: HandoverRecord) -> float:
-    cordon_times_ms = [cordon.changed_ms for cordon in record.cordons.values()]
-    return max([record.written_at_ms, record.started_at_ms, *cordon_times_ms])
--- a/violetstack/handover/successor.py
+++ b/violetstack/handover/successor.py
@@ -14,7 +14,8 @@
     """The other processes of one dispatcher on this machine.
 
     Processes are ordered by their start: the successor of a process is the latest that started after it and
-    accepts clients. All times are Unix milliseconds.
+    accepts clients. Starts are Unix milliseconds as the processes have ordered them (`start_after_known`);
+    the times at which records were seen are of this process's monotonic clock.
     """
 
     def __init__(self, process_id: str, started_at_ms: float) -> None:
@@ -40,9 +41,21 @@
         self._records = {name: record for name, record in self._records.items() if name in last_seen_ms}
         self._last_seen_ms = dict(last_seen_ms)
 
+    def start_after_known(self) -> None:
+        """Orders this process behind those that were there before it, whatever the wall clock showed them.
+
+        After a step back, the predecessor's start would be the later one: it would count as the successor.
+        """
+        latest = max((record.started_at_ms for record in self._records.values()), default=0.0)
+        self.started_at_ms = max(self.started_at_ms, latest + 1.0)
+
     def latest_record(self) -> HandoverRecord | None:
-        """The record that was written last, whether or not its process is alive."""
-        return max(self._records.values(), key=lambda record: record.written_at_ms, default=None)
+        """The last record of the process that started last, whether or not it is alive."""
+        return max(
+            self._records.values(),
+            key=lambda record: (record.started_at_ms, record.written_at_ms),
+            default=None,
+        )
 
     def latest_cordons(self) -> dict[str, Cordon]:
         """By host, the latest operator call that any process has recorded."""
--- a/violetstack/net/handover_directory.py
+++ b/violetstack/net/handover_directory.py
@@ -4,6 +4,8 @@
 
 import os
 import re
+import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -16,6 +18,7 @@
 RECORD_SUFFIX = ".record"
 PARTIAL_SUFFIX = ".part"
 UNSAFE_IN_FILE_NAME = re.compile(r"[^A-Za-z0-9._-]")
+NS_PER_MS = 1_000_000.0
 MAX_RECORD_AGE_MS = 3_600_000.0  # older records are deleted: their processes have died
 
 
@@ -24,7 +27,8 @@
 
     Attributes:
         changed: The valid records that were written since the previous scan.
-        last_seen_ms: By process id, when each other process last wrote its record, in Unix milliseconds.
+        last_seen_ms: By process id, when each other process was last seen to have written its record, on the
+            clock of the scan.
     """
 
     changed: list[HandoverRecord]
@@ -36,6 +40,13 @@
     modified_ns: int
 
 
+class _Written(NamedTuple):
+    """A version of a record, and when it was written, on the clock of the scans."""
+
+    version: _FileVersion
+    at_ms: float
+
+
 class HandoverDirectory:
     """Reads the records of the other processes and writes this one's.
 
@@ -44,14 +55,20 @@
     the machine.
     """
 
-    def __init__(self, path: str, dispatcher: str, process_id: str) -> None:
+    def __init__(
+        self, path: str, dispatcher: str, process_id: str, wall_s: Callable[[], float] = time.time
+    ) -> None:
         """Creates a directory that has not been scanned.
 
         Args:
             path: The directory; it must exist.
             dispatcher: Name of the dispatcher, which all its processes share.
             process_id: Random name of this process.
+            wall_s: The clock that dates files, in Unix seconds. It counts only for a file's age when the file
+                is first seen; from then on the scans' own clock does.
         """
+        self._wall_s = wall_s
+        self._written: dict[Path, _Written] = {}
         file_name = UNSAFE_IN_FILE_NAME.sub("_", dispatcher) or "_"
         self._path = Path(path)
         self._dispatcher = dispatcher
@@ -89,6 +106,8 @@
         except OSError as error:
             log_rate_limited("handover_record_failed", error=str(error))
             return scan
+        listed = {Path(entry.path) for entry in entries}
+        self._written = {path: written for path, written in self._written.items() if path in listed}
         for entry in entries:
             if Path(entry.path) != self._own_path:
                 self._scan_entry(entry, now_ms, scan)
@@ -98,12 +117,12 @@
         path = Path(entry.path)
         try:
             status = entry.stat()
-            modified_ms = status.st_mtime * 1000.0
-            if modified_ms < now_ms - MAX_RECORD_AGE_MS:
+            version = _FileVersion(status.st_size, status.st_mtime_ns)
+            written_at_ms = self._written_at_ms(path, version, now_ms)
+            if written_at_ms < now_ms - MAX_RECORD_AGE_MS:
                 path.unlink(missing_ok=True)
                 return
-            scan.last_seen_ms[self._process_id(entry.name)] = modified_ms
-            version = _FileVersion(status.st_size, status.st_mtime_ns)
+            scan.last_seen_ms[self._process_id(entry.name)] = written_at_ms
             if self._read_versions.get(path) == version:
                 return
             self._read_versions[path] = version
@@ -113,6 +132,17 @@
         except (OSError, InvalidRecordError) as error:
             log_rate_limited("handover_record_invalid", file=entry.name, reason=str(error))
 
+    def _written_at_ms(self, path: Path, version: _FileVersion, now_ms: float) -> float:
+        """When this version was written, on the scans' clock, which the wall clock's steps do not reach."""
+        known = self._written.get(path)
+        if known is None:
+            age_ms = max(0.0, self._wall_s() * 1000.0 - version.modified_ns / NS_PER_MS)
+            known = _Written(version, now_ms - age_ms)
+        elif known.version != version:
+            known = _Written(version, now_ms)
+        self._written[path] = known
+        return known.at_ms
+
     def _read(self, path: Path, size: int, now_ms: float) -> HandoverRecord:
         """Raises InvalidRecordError or OSError."""
         if size > MAX_RECORD_BYTES:
