What the kernel took but has not sent is withheld where cancellation is not allowed, too

Change: withdraw_unsent, time-outs and cancellations go by whether the last byte has left; one that has not never ran.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -193,6 +193,9 @@
         host = self.fleet.hosts[attempt.server]
         self.clock.at(self.clock.now + 1.0, lambda: host.take(work))
 
+    def has_left(self, attempt: Attempt) -> bool:  # noqa: ARG002 - the driver's interface
+        return True
+
     def has_arrived(self, attempt: Attempt) -> bool:  # noqa: ARG002 - the driver's interface
         return True
 
--- a/tests/test_client_disconnect.py
+++ b/tests/test_client_disconnect.py
@@ -186,8 +186,13 @@
 
 @pytest.mark.parametrize(
     ("send_buffer", "cancel"),
-    [(4096, True), (4096, False), (0, True)],
-    ids=["small buffer", "small buffer, no cancellation", "system's buffer"],
+    [(4096, True), (4096, False), (0, True), (0, False)],
+    ids=[
+        "small buffer",
+        "small buffer, no cancellation",
+        "system's buffer",
+        "system's buffer, no cancellation",
+    ],
 )
 def test_the_rest_of_a_large_request_is_not_sent_after_its_client_has_gone(
     send_buffer: int, cancel: bool, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -56,6 +56,9 @@
     def start_attempt(self, attempt: Attempt) -> None:
         self.attempts.append(attempt)
 
+    def has_left(self, attempt: Attempt) -> bool:
+        return attempt not in self.unacknowledged
+
     def has_arrived(self, attempt: Attempt) -> bool:
         return attempt not in self.unacknowledged
 
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -88,16 +88,16 @@
         """Cancels an attempt, unless its stream has started."""
         if attempt.stream_started:
             return
+        written = attempt.request_written and self._state.driver.has_left(attempt)
         self._abort(attempt)
-        written = attempt.request_written
         self.finished(now, attempt, AttemptStatus.CANCELLED if written else AttemptStatus.ALREADY_FINISHED)
 
     def _timed_out(self, now: float, attempt: Attempt) -> None:
         if attempt.finished or attempt.stream_started:
             return
+        # What has not left has never run, however long the connection took; closing drops it.
+        written = attempt.request_written and self._state.driver.has_left(attempt)
         self._abort(attempt)
-        # What was not written has never run, however long the connection took.
-        written = attempt.request_written
         self.finished(now, attempt, AttemptStatus.TIMEOUT if written else AttemptStatus.CONNECT_FAILED)
 
     def _abort(self, attempt: Attempt) -> None:
@@ -131,16 +131,19 @@
         return request.sending_allowed() and may_execute(now, attempt, self._class_settings(request))
 
     def withdraw_unsent(self, now: float, request: OpenRequest) -> None:
-        """Ends attempts whose last byte is not written if nothing may be sent for the request any more.
+        """Ends attempts whose last byte has not left if nothing may be sent for the request any more.
 
-        Hosts have not begun them, so this is no cancellation that the settings could forbid.
+        Hosts have not begun them, so this is no cancellation that the settings could forbid. The kernel may
+        have taken all of a request that a host reads slowly, and would deliver it however late.
         """
         if request.accepts_attempts:
             return
+        driver = self._state.driver
         for attempt in list(request.in_flight.values()):
-            if not attempt.request_written and not attempt.stream_started:
-                self._state.driver.abort_attempt(attempt)
-                self.finished(now, attempt, AttemptStatus.ALREADY_FINISHED)
+            if attempt.stream_started or (attempt.request_written and driver.has_left(attempt)):
+                continue
+            driver.abort_attempt(attempt)
+            self.finished(now, attempt, AttemptStatus.ALREADY_FINISHED)
 
     def connect_timeout_ms(self, now: float, attempt: Attempt) -> float:
         """Returns how long the connection of an attempt may take to come up; infinite if nothing is held.
--- a/violetstack/core/ports.py
+++ b/violetstack/core/ports.py
@@ -169,6 +169,9 @@
     def abort_attempt(self, attempt: Attempt) -> None:
         """Stops the attempt; the driver reports nothing more of it."""
 
+    def has_left(self, attempt: Attempt) -> bool:
+        """Returns whether the last byte has left this machine; True where that is not known."""
+
     def has_arrived(self, attempt: Attempt) -> bool:
         """Returns whether the host has acknowledged all that was written; True where that is not known."""
 
--- a/violetstack/net/upstream/connection.py
+++ b/violetstack/net/upstream/connection.py
@@ -21,6 +21,8 @@
     ResponseHead,
 )
 
+SIOCOUTQNSD = 0x894B
+"""Linux: bytes of the send queue that were not sent, unlike TIOCOUTQ's, which were not acknowledged."""
 READ_SIZE = 32 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER for no time: the kernel drops what it has not sent, and resets the connection."""
@@ -121,10 +123,20 @@
 
     def unacknowledged_bytes(self) -> int:
         """Bytes in the kernel that the host has not acknowledged; 0 where the system does not tell."""
+        return self._queued_bytes(termios.TIOCOUTQ)
+
+    def unsent_bytes(self) -> int:
+        """Bytes in the kernel that have not left this machine yet; 0 where the system does not tell.
+
+        A host that does not read, or a network that is cut, stops them.
+        """
+        return self._queued_bytes(SIOCOUTQNSD)
+
+    def _queued_bytes(self, question: int) -> int:
         if self.closed:
             return 0
         try:
-            answer = fcntl.ioctl(self._raw, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+            answer = fcntl.ioctl(self._raw, question, bytes(struct.calcsize("i")))
         except OSError:
             return 0
         return int(struct.unpack("i", answer)[0])
--- a/violetstack/net/upstream/driver.py
+++ b/violetstack/net/upstream/driver.py
@@ -54,6 +54,10 @@
         """Closes the attempt's connection at once."""
         self.attempts.abort(attempt)
 
+    def has_left(self, attempt: Attempt) -> bool:
+        """Whether the attempt's last byte has left this machine, as far as is known."""
+        return self.attempts.has_left(attempt)
+
     def has_arrived(self, attempt: Attempt) -> bool:
         """Whether the host has acknowledged all that was written for the attempt, as far as is known."""
         return self.attempts.has_arrived(attempt)
