Starts of hosts are taken for as late as the clocks allow

Found by reading: a process that starts under a stepped wall clock x a host that restarts. The clock of a process is fixed at its start, and discovery's starts are Unix times: an hour ahead, a cold host counted as warm and got the requests of a warm one (failback); an hour behind, each fresh host had the least share of its capacity for an hour. Change: recovery/start_times.py; a start in the future was by now, a listed host that restarts did so within the last 10 s.

--- a/violetstack/daemon/endpoints.py
+++ b/violetstack/daemon/endpoints.py
@@ -27,6 +27,7 @@
     ListedEndpoint,
     WatchEvent,
 )
+from violetstack.recovery.start_times import StartTimes
 
 if TYPE_CHECKING:
     from violetstack.admin.cordons import Cordons
@@ -67,6 +68,7 @@
         self._state_writer = state_writer
         self._cordons = cordons
         self._changed = changed
+        self._start_times = StartTimes()
         self._decoder = EndpointListDecoder(config.settings_message, self._known_entry)
         self._nursery: trio.Nursery | None = None
 
@@ -164,7 +166,7 @@
         if self._state_writer is not None and event.update.scope is UpdateScope.SNAPSHOT:
             event = self._defer_loss(event, self._state_writer)
         self._store_messages(event)
-        update = event.update
+        update = self._start_times.translate(now_ms(), event.update)
         if update.scope is not UpdateScope.DELTA:
             # Discovery does not list the operator's own hosts: a complete list would remove them.
             update = replace(update, endpoints=(*update.endpoints, *self._config.openai_endpoints))
