--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -204,6 +204,28 @@
     play(story, autojump=True)
 
 
+def test_a_process_that_was_held_up_between_two_parts_withholds_the_rest() -> None:
+    """The last part told its host a deadline that had gone out of date, however long the process stood."""
+
+    async def story(harness: PoolHarness) -> None:
+        connection = await harness.take()
+        assert connection is not None
+        asked = 0
+
+        def hold_up() -> bool:
+            nonlocal asked
+            asked += 1
+            harness.wait(0.1)
+            return True
+
+        with pytest.raises(LocalFaultError):
+            await connection.write([b"head", b"body"], lambda: None, hold_up, timeout_s=0.15)
+        assert asked == 2
+        connection.close()
+
+    play(story)
+
+
 def test_too_many_connections_are_a_local_fault() -> None:
     """Outlier detection, and that of the other dispatchers, took it for the host's."""
 
--- a/violetstack/net/upstream/connection.py
+++ b/violetstack/net/upstream/connection.py
@@ -40,6 +40,10 @@
     """This machine lacks what a connection takes: a descriptor, memory, a port. The host is not to blame."""
 
 
+class HeldUpError(LocalFaultError):
+    """This process was held up while it wrote, and what it tells is out of date. The rest is unsent."""
+
+
 class SendTimeoutError(UpstreamError):
     """The host did not take the request in time; it has not received all of it."""
 
@@ -77,8 +81,9 @@
         trio's own send lets other tasks run between the system call and its return: a deadline in between
         would count an attempt as not sent that the host has received.
 
-        Raises SendWithheldError as soon as `allowed` returns False, and SendTimeoutError after `timeout_s`,
-        both with the last byte unsent.
+        Raises SendWithheldError as soon as `allowed` returns False, SendTimeoutError if the host does not
+        take the request within `timeout_s`, and HeldUpError if it is this process that took longer; each with
+        the last byte unsent.
         """
         deadline = trio.current_time() + timeout_s
         for n, part in enumerate(parts):
@@ -86,6 +91,8 @@
             while rest:
                 if not allowed():
                     raise SendWithheldError
+                if trio.current_time() >= deadline:
+                    raise HeldUpError("held up while writing")
                 try:
                     rest = rest[self._raw.send(rest) :]
                 except BlockingIOError:
