Failing test: SIGHUP ends a dispatcher that is starting

Reproduced without load: SIGHUP at short intervals from the first moment ends the process before it serves. Root cause: the handler is installed by daemon/process.py, after all modules have been loaded (0.4 s of processor time, seconds on a share of a core); until then the signal's default ends the process.

--- /dev/null
+++ b/tests/test_startup_signals.py
@@ -0,0 +1,50 @@
+"""Signals that come while a process starts, from its very first moment."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import tempfile
+import time
+from pathlib import Path
+
+import pytest
+
+from violetstack.rehearsal.fleet.programs import ROOT, command
+from violetstack.rehearsal.stage import SETTINGS
+
+START_TIMEOUT_S = 20.0
+
+
+@pytest.mark.parametrize("interval_s", [0.0005, 0.02])
+def test_new_configurations_in_a_row_do_not_end_a_process_that_starts(
+    interval_s: float, tmp_path: Path
+) -> None:
+    """SIGHUP ends a process that has no handler yet: it took until the program's modules were loaded."""
+    node = {
+        "listen": "127.0.0.1:0",
+        "settings": SETTINGS,
+        "known": {"version": 1, "full": True, "servers": []},
+    }
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(node))
+    with tempfile.TemporaryFile() as log:
+        process = subprocess.Popen(
+            command(ROOT, ""), cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(file)}, stdout=log
+        )
+        give_up_at = time.monotonic() + START_TIMEOUT_S
+        started = False
+        try:
+            while not started and process.poll() is None and time.monotonic() < give_up_at:
+                process.send_signal(signal.SIGHUP)
+                time.sleep(interval_s)
+                started = b'"started"' in os.pread(log.fileno(), 65536, 0)
+            assert process.poll() is None
+            assert started
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(START_TIMEOUT_S) == 0
+        finally:
+            process.kill()
+            process.wait()
