Rehearsal: an agent of discovery answers a call for the list with one list

After SIGHUP moved discovery the dispatcher asked the new agent for its list and got all its changes in one answer, of which it took the first.

--- a/violetstack/rehearsal/discovery.py
+++ b/violetstack/rehearsal/discovery.py
@@ -25,12 +25,16 @@
         self._news.set()
         self._news = trio.Event()
 
+    async def answer_complete_list(self, connection: PeerConnection) -> None:
+        """Answers a request that is no watch."""
+        told = {row["id"]: row for _, rows in self.changes for row in rows}
+        whole = {"version": self.version, "full": True, "servers": list(told.values())}
+        await connection.answer(200, [("Content-Type", "application/json")], orjson.dumps(whole))
+
     async def handle(self, inbound: HttpRequest, connection: PeerConnection) -> None:
         self.asked.append(inbound.target)
         if inbound.target == "/api/targets":
-            told = {row["id"]: row for _, rows in self.changes for row in rows}
-            whole = {"version": self.version, "full": True, "servers": list(told.values())}
-            await connection.answer(200, [("Content-Type", "application/json")], orjson.dumps(whole))
+            await self.answer_complete_list(connection)
             return
         index = int(inbound.target.rpartition("index=")[2])
         await connection.start(200, [("Content-Type", "application/json")])
--- a/violetstack/rehearsal/fleet/network.py
+++ b/violetstack/rehearsal/fleet/network.py
@@ -20,6 +20,7 @@
 LOSS = 0.3
 LATE_S = 0.2
 USUAL_S = 0.003
+LIST_TARGET = "/api/targets"
 Where = Callable[[int, int], Address]
 
 
@@ -64,6 +65,11 @@
             await connection.data(line)
             await connection.until_closed()
             raise Break
+        if inbound.target == LIST_TARGET:
+            await self.answer_complete_list(connection)
+            for _, rows in self.changes:
+                self._note_written(rows)
+            return
         await connection.start(200, [("Content-Type", "application/json")])
         index = int(inbound.target.rpartition("index=")[2]) if "index=" in inbound.target else 0
         while True:
