A send or a read that the system refuses for a moment breaks no connection

Found by adding faults to the soak's shim: send(2) and recv(2) document ENOBUFS and ENOMEM, after which the connection is as good as before. trio's streams call it broken, so a client's request was lost (closed without an answer), and a model host was blamed for a reset.

--- /dev/null
+++ b/tests/test_transient_socket_errors.py
@@ -0,0 +1,64 @@
+"""Sends and reads that fail for a moment, as for lack of memory: the connections go on."""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+import trio
+
+from tests.test_stories import pair, play
+from violetstack.rehearsal.clients import ask_platform
+from violetstack.rehearsal.hosts import Act
+from violetstack.rehearsal.stage import Stage
+
+PERIOD = 3
+REQUESTS = 8
+
+
+def fail_often(call: Callable[..., Any], number: int) -> Callable[..., Any]:
+    """The call, of which every third fails."""
+    made = 0
+
+    async def failing(*arguments: Any) -> Any:
+        nonlocal made
+        made += 1
+        if made % PERIOD == 0:
+            raise OSError(number, os.strerror(number))
+        return await call(*arguments)
+
+    return failing
+
+
+def only_dispatchers(
+    call: Callable[..., Any], failing: Callable[..., Any], ports: set[int]
+) -> Callable[..., Any]:
+    """Fails calls on sockets that the dispatcher has accepted, and no others of this process."""
+
+    async def choose(sock: trio.socket.SocketType, *arguments: Any) -> Any:
+        accepted = sock.fileno() >= 0 and sock.getsockname()[1] in ports
+        return await (failing if accepted else call)(sock, *arguments)
+
+    return choose
+
+
+@pytest.mark.parametrize("number", [errno.ENOBUFS, errno.ENOMEM])
+@pytest.mark.parametrize("name", ["send", "recv"])
+def test_a_client_s_connection_outlasts_an_error_of_a_moment(
+    name: str, number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The connection counted as broken, and its request was lost."""
+
+    async def story(on: Stage) -> None:
+        sockets = type(trio.socket.from_stdlib_socket(socket.socket()))
+        call = getattr(sockets, name)
+        failing = fail_often(call, number)
+        monkeypatch.setattr(sockets, name, only_dispatchers(call, failing, {on.platform[1]}))
+        answers = [await ask_platform(on.platform, f"q{n}", "consulta") for n in range(REQUESTS)]
+        assert [answer.outcome for answer in answers] == ["served"] * REQUESTS
+
+    play(*pair(*[Act()] * REQUESTS), story=story)
--- a/violetstack/net/downstream/connection_reader.py
+++ b/violetstack/net/downstream/connection_reader.py
@@ -11,6 +11,7 @@
 from violetstack.log import log_rate_limited
 from violetstack.net.downstream.read_times import ReadTimes
 from violetstack.net.downstream.socket_state import wait_for_peer_end
+from violetstack.net.transient_errors import receive_some
 
 if TYPE_CHECKING:
     from violetstack.net.downstream.connection import DownstreamConnection
@@ -119,7 +120,7 @@
                 self.client_ended.set()
                 connection.reading_ended()
                 return
-        while connection.http.arriving and await connection.stream.receive_some(READ_SIZE):
+        while connection.http.arriving and await receive_some(connection.stream, READ_SIZE):
             connection.progress_at = trio.current_time()  # the rest of a request that has been rejected
         # A request that crosses the announced end is left unread, so that its client sends it once more.
         await wait_for_peer_end(connection.stream)
@@ -187,7 +188,7 @@
         with trio.move_on_at(deadline) as self._wait:
             if self.rejections_in_a_row > 1 and not connection.answering and not connection.http.busy:
                 await self._delay_after_rejections(connection)
-            data = await connection.stream.receive_some(READ_SIZE)
+            data = await receive_some(connection.stream, READ_SIZE)
         if self._wait is not None and self._wait.cancelled_caught:
             return _waited_in_vain(connection, deadline)
         if data:
@@ -222,7 +223,7 @@
         with trio.CancelScope() as self._wait:
             while connection.answering:
                 await trio.sleep(DISCARD_INTERVAL_S)
-                if not await connection.stream.receive_some(DISCARD_SIZE):
+                if not await receive_some(connection.stream, DISCARD_SIZE):
                     return False
         return True
 
--- a/violetstack/net/downstream/write_queue.py
+++ b/violetstack/net/downstream/write_queue.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from violetstack.net.transient_errors import send_all
+
 HIGH_WATER_BYTES = 64 * 1024
 """Above this much unwritten output the model host's stream is read no further."""
 MAX_WRITE_BYTES = 32 * 1024
@@ -70,7 +72,7 @@
             batch = self._next_batch()
             size = sum(len(part) for part in batch)
             with trio.fail_after(WRITE_TIMEOUT_S):
-                await stream.send_all(b"".join(batch) if len(batch) > 1 else batch[0])
+                await send_all(stream, b"".join(batch) if len(batch) > 1 else batch[0])
             self.pending_bytes -= size
             if self.pending_bytes <= HIGH_WATER_BYTES:
                 self._drained.set()
--- a/violetstack/net/upstream/connection.py
+++ b/violetstack/net/upstream/connection.py
@@ -13,6 +13,7 @@
 
 from violetstack.config import Address
 from violetstack.core.records import always
+from violetstack.net.transient_errors import RETRY_S, is_transient, receive, send_some
 from violetstack.protocol.http_client import (
     HttpClientConnection,
     InvalidResponseError,
@@ -94,9 +95,12 @@
                 if trio.current_time() >= deadline:
                     raise HeldUpError("held up while writing")
                 try:
-                    rest = rest[self._raw.send(rest) :]
-                except BlockingIOError:
-                    await self._wait_writable(deadline)
+                    rest = rest[send_some(self._raw, rest) :]
+                except BlockingIOError as error:
+                    if is_transient(error):
+                        await trio.sleep(RETRY_S)
+                    else:
+                        await self._wait_writable(deadline)
             if n == len(parts) - 1:
                 written()
 
@@ -109,7 +113,7 @@
     async def receive(self) -> list[ResponseHead | ResponseData | ResponseEnd]:
         """Reads once and returns what is complete; raises InvalidResponseError, OSError."""
         self.http.check()
-        data = await self.sock.recv(READ_SIZE)
+        data = await receive(self.sock, READ_SIZE)
         if self.closed:
             raise InvalidResponseError("aborted")
         return self.http.feed(data)
--- a/violetstack/rehearsal/fleet/fault_shim.c
+++ b/violetstack/rehearsal/fleet/fault_shim.c
@@ -15,7 +15,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { SOCKET, CONNECT, ACCEPT, SEND, FSYNC, CALLS };
+enum call { SOCKET, CONNECT, ACCEPT, SEND, FSYNC, RECV, CALLS };
 
 struct faults {
     int64_t wall_offset_ns;
@@ -78,6 +78,11 @@
     return next(descriptor, data, length, flags);
 }
 
+ssize_t recv(int descriptor, void *data, size_t length, int flags) {
+    NEXT(recv);
+    return (flags & MSG_PEEK) == 0 && fails(RECV) ? -1 : next(descriptor, data, length, flags);
+}
+
 int fsync(int descriptor) {
     NEXT(fsync);
     return fails(FSYNC) ? -1 : next(descriptor);
--- a/violetstack/rehearsal/fleet/fault_shim.py
+++ b/violetstack/rehearsal/fleet/fault_shim.py
@@ -30,6 +30,7 @@
     ACCEPT = 2
     SEND = 3
     FSYNC = 4
+    RECV = 5
 
 
 def build_shim() -> Path:
