One guard for what may be sent; the log says why an attempt was withheld

What may be started, sent and reserved was decided in Attempts and in the driver of reservations; core/send_guard.py decides now, with a typed reason, which the request's line shows for attempts that end as moot.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,7 +8,7 @@
 import pytest
 from msgspec.structs import replace
 
-from tests.front import READERS, SETTINGS, WRITERS
+from tests.front import READERS, SETTINGS, WRITERS, entry
 from violetstack.core.attempts import MIN_CONNECT_TIMEOUT_MS
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.errors import DuplicateRequestError
@@ -19,6 +19,7 @@
     AttemptStatus,
     CancelAttempt,
     ClientDisconnected,
+    EndpointState,
     EndpointUpdate,
     Event,
     FailRequest,
@@ -399,3 +400,15 @@
     before = len(harness.ports.attempts)
     harness.run(SendAttempt("q", "w2", harness.now + 500.0))
     assert len(harness.ports.attempts) == before
+
+
+def test_the_log_says_why_an_attempt_was_withheld() -> None:
+    harness = CoreHarness()
+    attempt = harness.send("w1")
+    draining = entry("w1", 1, state=EndpointState.DRAINING)
+    harness.core.update_endpoints(harness.now, EndpointUpdate(UpdateScope.DELTA, (draining,), 2))
+    assert not harness.core.may_send(harness.now, attempt)
+    harness.core.attempt_finished(harness.now, attempt, AttemptStatus.ALREADY_FINISHED)
+    harness.run(RejectRequest("q", 0.0))
+    (line,) = [fields for event, fields in harness.ports.logged if event == "request"]
+    assert line["attempts"] == [("w1", "moot", 0, "host drains")]
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -4,15 +4,14 @@
 
 import math
 
-from violetstack.core.execution import may_execute
 from violetstack.core.lifecycle import RequestLifecycle
 from violetstack.core.records import Attempt, AttemptLogEntry, OpenRequest, RequestOutcome
+from violetstack.core.send_guard import SendGuard, Withheld
 from violetstack.core.state import DispatcherState
 from violetstack.policy_api import (
     FAILURE_STATUSES,
     AttemptFinished,
     AttemptStatus,
-    ClassSettings,
     ClientDisconnected,
     StreamStarted,
 )
@@ -43,6 +42,7 @@
         """Creates it for a dispatcher's state."""
         self._state = state
         self._lifecycle = lifecycle
+        self.guard = SendGuard(state, self.client_disconnected)
 
     # --- what the policy decides ---
 
@@ -64,26 +64,12 @@
         )
         request.attempts_sent += 1
         request.in_flight[attempt.number] = attempt
-        if not self._may_start(now, attempt):
+        if not self._note(attempt, self.guard.start(now, attempt)):
             self.finished(now, attempt, AttemptStatus.ALREADY_FINISHED)
             return
         attempt.timer = state.timers.schedule(deadline, lambda at: self._timed_out(at, attempt))
         state.driver.start_attempt(attempt)
 
-    def _may_start(self, now: float, attempt: Attempt) -> bool:
-        request = attempt.request
-        settings = self._state.settings
-        if not request.accepts_attempts or attempt.endpoint is None:
-            return False
-        if len(request.in_flight) > 1 and not settings.hedging_allowed:
-            return False
-        if attempt.number >= settings.max_attempts or attempt.deadline <= now:
-            return False
-        return may_execute(now, attempt, self._class_settings(request))
-
-    def _class_settings(self, request: OpenRequest) -> ClassSettings:
-        return self._state.settings.classes[request.policy_request.class_index]
-
     def cancel(self, now: float, attempt: Attempt) -> None:
         """Cancels an attempt, unless its stream has started."""
         if attempt.stream_started:
@@ -108,27 +94,19 @@
     # --- what the driver asks and reports ---
 
     def may_send(self, now: float, attempt: Attempt) -> bool:
-        """Returns whether the first byte of the attempt may be written now.
-
-        It may not if the host is draining or gone, or `may_continue_sending` forbids it.
-        """
-        listed = self._state.endpoints.accepts_writes(attempt.server)
-        return self.may_continue_sending(now, attempt) and listed
+        """Returns whether the first byte of the attempt may be written now; see `SendGuard.first_byte`."""
+        return self._note(attempt, self.guard.first_byte(now, attempt))
 
     def may_continue_sending(self, now: float, attempt: Attempt) -> bool:
-        """Returns whether a part of the attempt may be written now; asked in each step that writes one.
+        """Returns whether a part of the attempt may be written now; asked in each step that writes one."""
+        return self._note(attempt, self.guard.next_bytes(now, attempt))
 
-        A host begins the request when its last byte arrives, so until then everything that forbids an attempt
-        withholds the rest: the end of the request, its client's or the attempt's own, and the rules on
-        repeated execution. A host that drains still finishes what it has the first byte of.
-        """
-        request = attempt.request
-        if not attempt.finished and request.accepts_attempts and request.sink.client_gone():
-            # The end of the connection may not have been read from the socket yet.
-            self.client_disconnected(now, request)
-        if attempt.finished or not request.accepts_attempts or now >= attempt.deadline:
-            return False
-        return request.sending_allowed() and may_execute(now, attempt, self._class_settings(request))
+    @staticmethod
+    def _note(attempt: Attempt, withheld: Withheld | None) -> bool:
+        """Keeps the reason for the log, and returns whether there is none."""
+        if withheld is not None:
+            attempt.withheld = withheld.value
+        return withheld is None
 
     def withdraw_unsent(self, now: float, request: OpenRequest) -> None:
         """Ends attempts whose last byte has not left if nothing may be sent for the request any more.
@@ -254,7 +232,8 @@
             # The policy is to hear of the request's end with this attempt's, or it would retry.
             self.client_disconnected(now, request)
         duration_ms = now - attempt.sent_at
-        request.attempt_log.append(AttemptLogEntry(attempt.server, status, round(duration_ms)))
+        withheld = attempt.withheld if status is AttemptStatus.ALREADY_FINISHED else ""
+        request.attempt_log.append(AttemptLogEntry(attempt.server, status, round(duration_ms), withheld))
         state.post(
             AttemptFinished(
                 id=request.id,
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -251,7 +251,11 @@
 
         The host may have been listed as draining, or removed, since it was chosen.
         """
-        return self._state.endpoints.accepts_writes(server)
+        return self._attempts.guard.host(server) is None
+
+    def may_reserve(self, call: ReservationCall) -> bool:
+        """Returns whether a slot may be asked for now; see `SendGuard.reservation`."""
+        return self._attempts.guard.reservation(call) is None
 
     def may_send(self, now: float, attempt: Attempt) -> bool:
         """Returns whether the first byte of the attempt may be written now; see `Attempts.may_send`."""
--- a/violetstack/core/invariants.py
+++ b/violetstack/core/invariants.py
@@ -158,7 +158,7 @@
         "attempt": attempt.number if attempt is not None else None,
         "server": attempt.server if attempt is not None else None,
         "answer": request.outcome.value if request.outcome is not None else None,
-        "attempts": [(each.server, each.status.value, each.duration_ms) for each in request.attempt_log],
+        "attempts": [each.as_row() for each in request.attempt_log],
         "in_flight": [(each.server, each.request_written) for each in request.in_flight.values()],
         "places": [(each.server, each.outcome.value) for each in request.reservation_log],
     }
--- a/violetstack/core/lifecycle.py
+++ b/violetstack/core/lifecycle.py
@@ -154,7 +154,7 @@
             cls=request.policy_request.class_index,
             answer=outcome.value if outcome is not None else "",
             ms=round(request.answered_at - request.arrived_at),
-            attempts=[(each.server, each.status.value, each.duration_ms) for each in request.attempt_log],
+            attempts=[each.as_row() for each in request.attempt_log],
             places=[(each.server, each.outcome.value) for each in request.reservation_log],
             **route_fields,
         )
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -68,11 +68,17 @@
 
 
 class AttemptLogEntry(msgspec.Struct, frozen=True):
-    """One finished attempt, for the request's log line."""
+    """One finished attempt, for the request's log line; `withheld` says why nothing was sent."""
 
     server: str
     status: AttemptStatus
     duration_ms: int
+    withheld: str = ""
+
+    def as_row(self) -> tuple[str | int, ...]:
+        """Returns the entry as the log has it: host, status, milliseconds, and why it was withheld."""
+        row = (self.server, self.status.value, self.duration_ms)
+        return (*row, self.withheld) if self.withheld else row
 
 
 class ReservationLogEntry(msgspec.Struct, frozen=True):
@@ -103,6 +109,7 @@
         deadline: When it times out.
         request_written: Set by the driver in the step in which the last byte may have left, never before.
         first_byte_at: When its first byte was written.
+        withheld: Why nothing, or not all of it, was sent.
         undelivered: It ended before its host had acknowledged its last byte.
         stream_started: Whether the first event of its response was accepted.
         events_forwarded: Number of events that went to the client.
@@ -121,6 +128,7 @@
     first_byte_at: float = 0.0
     undelivered: bool = False
     delivery_timer: Timer | None = None
+    withheld: str = ""
     stream_started: bool = False
     events_forwarded: int = 0
     finished: bool = False
--- a/violetstack/net/upstream/reservation.py
+++ b/violetstack/net/upstream/reservation.py
@@ -39,7 +39,9 @@
                 if call.server in self._core.stateless_hosts:
                     raise NotConnectedError("it reserves no slots")
                 prerequisite = self._request_sent(call.attempt) if call.attempt is not None else None
-                connection = await self._pool.acquire(call.server, lambda: self._wanted(call), prerequisite)
+                connection = await self._pool.acquire(
+                    call.server, lambda: self._core.may_reserve(call), prerequisite
+                )
                 if connection is not None:
                     nothing_reserved = False
                     head = await short_call(self._pool, connection, "POST", f"/state/{call.request.id}")
@@ -50,13 +52,3 @@
         except Exception as error:  # no call's failure may end the program
             log("reservation_failed", id=call.request.id, error=repr(error))
         self._core.reservation_finished(call, reserved, nothing_reserved)
-
-    def _wanted(self, call: ReservationCall) -> bool:
-        """Only while the prefill attempt is out: else the decode host knows of no state to wait for.
-
-        It would answer 204 after 0.3 s, and a slot could be reserved that nobody counts on.
-        """
-        attempt = call.attempt
-        if attempt is None or not attempt.request_written or attempt.finished:
-            return False
-        return not call.request.done and self._core.may_write_to(call.server)
--- a/violetstack/rehearsal/demo.py
+++ b/violetstack/rehearsal/demo.py
@@ -106,7 +106,7 @@
         click.echo(f"    data: {event.decode()}")
     await seen.came.wait()
     line = seen.line or {}
-    hosts = ", ".join(f"{server} ({status}, {ms} ms)" for server, status, ms in line.get("attempts", ()))
+    hosts = ", ".join(f"{server} ({status}, {ms} ms)" for server, status, ms, *_ in line.get("attempts", ()))
     click.echo(f"\n{line.get('answer')} by route {line.get('route')}, pool {line.get('pool')}: {hosts}")
     return answer.outcome == "served"
 
