--- a/violetstack/net/background_writer.py
+++ b/violetstack/net/background_writer.py
@@ -94,12 +94,15 @@
                 raise
 
     async def _write(self, records: bytes) -> None:
+        """Writes on a thread, which is left behind where this is cancelled, at the end of the process."""
         store = self._store
         if store is None:
-            recovered = await trio.to_thread.run_sync(recover, self._directory)
+            recovered = await trio.to_thread.run_sync(recover, self._directory, abandon_on_cancel=True)
             store = SnapshotStore(self._directory, recovered)
             self._store = store
         if store.snapshot_due(len(records)):
-            await trio.to_thread.run_sync(store.write_snapshot, self.snapshot.encode())
+            await trio.to_thread.run_sync(
+                store.write_snapshot, self.snapshot.encode(), abandon_on_cancel=True
+            )
         else:
-            await trio.to_thread.run_sync(store.append, records)
+            await trio.to_thread.run_sync(store.append, records, abandon_on_cancel=True)
