--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -6,6 +6,7 @@
 
 from violetstack.core.lifecycle import RequestLifecycle
 from violetstack.core.records import Attempt, AttemptLogEntry, OpenRequest, RequestOutcome
+from violetstack.core.reservations import Reservations
 from violetstack.core.send_guard import SendGuard, Withheld
 from violetstack.core.state import DispatcherState
 from violetstack.policy_api import (
@@ -38,9 +39,12 @@
 class Attempts:
     """Starts, cancels and finishes attempts, and commits a request to the first that streams."""
 
-    def __init__(self, state: DispatcherState, lifecycle: RequestLifecycle) -> None:
+    def __init__(
+        self, state: DispatcherState, lifecycle: RequestLifecycle, reservations: Reservations
+    ) -> None:
         """Creates it for a dispatcher's state."""
         self._state = state
+        self._reservations = reservations
         self._lifecycle = lifecycle
         self.guard = SendGuard(state, self.client_disconnected)
 
@@ -157,12 +161,16 @@
             )
 
     def _check_arrival(self, now: float, attempt: Attempt) -> None:
-        """Gives up an attempt that has not reached its host while the state held for it is about to expire.
+        """Has the state released that is held for an attempt without an answer, before its time is over.
 
         Only an attempt that has arrived takes the state over: on a connection that fell silent without an
-        error it never does, and the state has to be released, or sent for once more, in time.
+        error it never does. A release lets go of what no attempt waits for, so it does no harm to one that
+        has arrived. One that certainly has not is given up.
         """
-        if attempt.finished or attempt.stream_started or self._state.driver.has_arrived(attempt):
+        if attempt.finished or attempt.stream_started:
+            return
+        self._reservations.release_beside_attempt(now, attempt.request)
+        if self._state.driver.has_arrived(attempt):
             return
         attempt.undelivered = True
         self._state.driver.log("attempt_undelivered", id=attempt.request.id, server=attempt.server)
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -110,7 +110,7 @@
         self._state = DispatcherState(settings, driver, wake)
         self._reservations = Reservations(self._state)
         self._lifecycle = RequestLifecycle(self._state, self._reservations, retry_after)
-        self._attempts = Attempts(self._state, self._lifecycle)
+        self._attempts = Attempts(self._state, self._lifecycle, self._reservations)
         self.open_requests = self._state.open_requests
         self.endpoints = self._state.endpoints.endpoints
         self.draining = self._state.endpoints.draining
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -160,12 +160,15 @@
         since: When the release was first wanted, in milliseconds.
         superseded: An attempt or a reservation was sent since: its own end settles what is held then.
         attempted: Whether the driver has sent it at least once.
+        beside_attempt: It was sent beside an attempt that may be waiting for what is held: if it is, hosts
+            have kept it, and it is released once more after the attempt's end.
     """
 
     request: OpenRequest
     since: float
     superseded: bool = False
     attempted: bool = False
+    beside_attempt: bool = False
 
 
 def always() -> bool:
--- a/violetstack/core/reservations.py
+++ b/violetstack/core/reservations.py
@@ -60,18 +60,26 @@
 
     def release(self, now: float, request: OpenRequest) -> None:
         """Releases what hosts may hold for the request, unless a release that covers it is in flight."""
-        if request.holds_remote_state and (request.release is None or request.release.superseded):
+        under_way = request.release
+        covered = under_way is not None and not (under_way.superseded or under_way.beside_attempt)
+        if request.holds_remote_state and not covered:
             self._state.invariants.release_began(now, request)
             request.release = ReleaseCall(request, now)
             self._state.driver.release_state(request.release)
 
+    def release_beside_attempt(self, now: float, request: OpenRequest) -> None:
+        """Releases what is held unless an attempt that is in flight waits for it, which only hosts know."""
+        if request.holds_remote_state and request.release is None:
+            request.release = ReleaseCall(request, now, beside_attempt=True)
+            self._state.driver.release_state(request.release)
+
     def release_finished(self, call: ReleaseCall, done: bool) -> None:
         """A release ended; not `done` means that the driver gave it up, and the hosts' expiry has to do."""
         request = call.request
         if request.release is call:
             request.release = None
             if not call.superseded:
-                request.holds_remote_state = False
+                request.holds_remote_state = call.beside_attempt
                 if not done:
                     self._state.invariants.release_abandoned(request)
                     self._state.driver.log("release_abandoned", id=request.id)
