A process that was stopped between two tasks reads its sockets before it decides

Causes: (1) a stop was looked for at the wait for input alone; what ran in the rest of the iteration decided, sent and timed out by what was known before it; (2) after a long iteration a wait that the scheduler made longer than 1 ms counted as one in which the data had just come, so neither pause nor age was seen.

--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -62,6 +62,9 @@
         (100.0, 0.2, 300.0, 300.2, 1000.0),  # an iteration longer than the threshold
         (100.0, 5000.0, 5.0, 5000.0, 1005.0),  # stopped during the wait
         (100.0, 115.0, 5.0, 0.0, 1120.0),  # a wait that ended late because the machine was busy
+        (100.0, 12.0, 1200.0, 1212.0, 1000.0),  # stopped in an iteration, and no processor at once after it
+        (100.0, 12.0, 5.0, 0.0, 1017.0),  # the same wait after a short iteration: what came had not waited
+        (100.0, 60.0, 1200.0, 0.0, 2260.0),  # nothing lay there after a long iteration
     ],
 )
 def test_a_pause_is_told_from_a_wait(
@@ -120,6 +123,26 @@
     assert pauses_ms[0] >= 1.2 * GRACE_MS
 
 
+def test_a_process_that_was_stopped_between_two_tasks_reads_before_it_decides() -> None:
+    """The rest of the iteration decided by what was known before the stop, until the next wait for input."""
+    pauses_ms: list[float] = []
+    source = UnreadSource(2)
+
+    async def main() -> None:
+        detector = PauseDetector(GRACE_MS, pauses_ms.append)
+        detector.add_source(source)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(detector.run)
+            await trio.testing.wait_all_tasks_blocked()
+            pause_process(1.2 * GRACE_MS)
+            await detector.wait_caught_up()  # in the same iteration
+            assert len(pauses_ms) == 1
+            assert source.unread < 0
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_a_drain_that_was_unread_during_a_pause_is_applied_before_requests() -> None:
     """Attempts went to a draining host for 170 ms more whenever the clients' sockets were read first.
 
--- a/violetstack/net/pause_detector.py
+++ b/violetstack/net/pause_detector.py
@@ -96,7 +96,13 @@
         return self._tracker.last_running_at
 
     async def wait_caught_up(self) -> None:
-        """Waits until what came in during a pause has been read; returns at once if there was none."""
+        """Waits until what came in during a pause has been read; returns at once if there was none.
+
+        A process that was stopped while it ran a task finds that out only at its next wait for I/O, so a long
+        iteration has one here.
+        """
+        if self._tracker.iteration_is_long(now_ms()):
+            await trio.lowlevel.checkpoint()
         if self.catching_up:
             await self._caught_up.wait()
 
--- a/violetstack/process_pause.py
+++ b/violetstack/process_pause.py
@@ -14,6 +14,9 @@
 from collections.abc import Callable
 
 IMMEDIATE_MS = 1.0  # an I/O wait shorter than this returned data that was there before it began
+# After a long iteration a wait may take so long though the data was there: the machine is busy, or the
+# process was stopped in the iteration and is not the first to run after that.
+MAX_SLOW_RETURN_MS = 50.0
 OVERSLEPT_MS = 20.0  # a wait may return this late because the scheduler was busy, without a pause
 MIN_UNREAD_GAP_MS = 100.0  # two thirds of what a deadline that is passed on may be too long
 MIN_AGE_MS = 10.0
@@ -47,7 +50,9 @@
     def wait_ended(self, now: float) -> float:
         """Records the end of the wait; returns the pause in milliseconds, or 0 if there was none."""
         waited_ms = now - self._wait_started
-        if waited_ms < IMMEDIATE_MS:
+        busy_ms = self._wait_started - self._last_wait_ended
+        may_have_lain_there = busy_ms >= MIN_UNREAD_GAP_MS and waited_ms < MAX_SLOW_RETURN_MS
+        if waited_ms < IMMEDIATE_MS or may_have_lain_there:
             earliest_arrival = self._last_wait_ended  # the data may have come at any time since then
         elif waited_ms > self._timeout_ms + OVERSLEPT_MS:
             earliest_arrival = self._wait_started  # the process did not run when the wait should have ended
@@ -58,6 +63,10 @@
         gap_ms = now - earliest_arrival
         return gap_ms if gap_ms >= self._pause_threshold_ms else 0.0
 
+    def iteration_is_long(self, now: float) -> bool:
+        """Returns whether nothing has been read from sockets for the threshold, and no wait is under way."""
+        return now - self._last_wait_ended >= self._pause_threshold_ms
+
     @property
     def last_running_at(self) -> float:
         """When the event loop last began or ended a wait: before that, all that had come was looked at."""
