A start, and a reload, outlast a machine that lacks descriptors for a moment

Change: listening is tried again for 20 s, a configuration that the system refuses to read for the moment is read again, at a start and after SIGHUP, which was lost. The same elsewhere: gossip's socket was retried already; an operator's file read under ENFILE still fails the reload (open).

--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import secrets
 import socket
@@ -38,6 +39,15 @@
     """The configuration can't be used; the text names the key and the reason."""
 
 
+class ConfigUnreadableError(ConfigError):
+    """The file can't be read at the moment, for a fault of this machine: it is to be read again."""
+
+
+TRANSIENT_READ_ERRORS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EINTR, errno.EAGAIN, errno.EIO}
+)
+
+
 class MachineLimits(msgspec.Struct):
     """What this process may use; `sockets` are file descriptors."""
 
@@ -153,10 +163,18 @@
 
 
 def read_node_config(path: str) -> NodeConfig:
-    """Decodes the file that NODE_CONFIG names. Raises ConfigError."""
+    """Decodes the file that NODE_CONFIG names.
+
+    Raises:
+        ConfigUnreadableError: The system refuses to read it for the moment.
+        ConfigError: It can't be used.
+    """
     try:
         return msgspec.json.decode(Path(path).read_bytes(), type=NodeConfig)
-    except (OSError, ValueError, msgspec.MsgspecError) as error:
+    except OSError as error:
+        unreadable = error.errno in TRANSIENT_READ_ERRORS
+        raise (ConfigUnreadableError if unreadable else ConfigError)(f"{path}: {error}") from None
+    except (ValueError, msgspec.MsgspecError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -9,7 +9,7 @@
 import msgspec
 import trio
 
-from violetstack.config import Address, Config
+from violetstack.config import Address, Config, ConfigUnreadableError
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.daemon.background_task import start_background_task
 from violetstack.daemon.dispatch import build_dispatch, capture_learned_state
@@ -24,7 +24,7 @@
     start_lease_service,
     start_load_shedding,
 )
-from violetstack.daemon.reload import read_config, until_restart
+from violetstack.daemon.reload import RELOAD_RETRY_S, read_config, until_restart
 from violetstack.daemon.shutdown import GracefulShutdown
 from violetstack.log import log
 from violetstack.net.clock import now_ms
@@ -70,6 +70,7 @@
         self.load_shedding: LoadSheddingService | None = None
         self.leases: LeaseService | None = None
         self._reloadable = False
+        self._reload_waits = False
         self._deferred_reload: Callable[[], Config] | None = None
 
     async def serve(self, task_status: trio.TaskStatus[BoundAddresses] = trio.TASK_STATUS_IGNORED) -> None:
@@ -104,9 +105,18 @@
             return
         try:
             self._reload(read_again)
+        except ConfigUnreadableError:
+            if not self._reload_waits:
+                self._reload_waits = True
+                self.nursery.start_soon(self._reload_later, read_again)
         except Exception as error:
             log("config_reload_failed", error=repr(error))
 
+    async def _reload_later(self, read_again: Callable[[], Config]) -> None:
+        await trio.sleep(RELOAD_RETRY_S)
+        self._reload_waits = False
+        self.reload(read_again)
+
     def _reload(self, read_again: Callable[[], Config]) -> None:
         new = read_config(read_again, self.config)
         if new is None:
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import uuid
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
@@ -24,6 +25,9 @@
     from violetstack.fronts.chat import ChatFront
     from violetstack.idempotency.service import IdempotencyService
 
+NO_RESOURCES_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+START_RETRIES_S = 20.0  # a process that is not ready after 30 s counts as failed
+START_RETRY_S = 0.05
 BACKLOG = 512
 
 
@@ -152,8 +156,19 @@
 
 
 async def listen_on(at: Address, name: str) -> list[trio.SocketListener]:
-    """Listens at the address of the key `name`. Raises ConfigError if it can't be bound."""
-    try:
-        return list(await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG))
-    except OSError as error:
-        raise ConfigError(f"{name}: {at[0]}:{at[1]}: {error}") from None
+    """Listens at the address of the key `name`.
+
+    Where the system lacks a descriptor or memory for the moment, this goes on trying for `START_RETRIES_S`.
+
+    Raises:
+        ConfigError: The address can't be bound.
+    """
+    give_up_at = trio.current_time() + START_RETRIES_S
+    while True:
+        try:
+            return list(await trio.open_tcp_listeners(at[1], host=at[0], backlog=BACKLOG))
+        except OSError as error:
+            if error.errno not in NO_RESOURCES_ERRORS or trio.current_time() >= give_up_at:
+                raise ConfigError(f"{name}: {at[0]}:{at[1]}: {error}") from None
+            log("listen_failed", at=f"{at[0]}:{at[1]}", error=str(error), retry_in_s=START_RETRY_S)
+        await trio.sleep(START_RETRY_S)
--- a/violetstack/daemon/process.py
+++ b/violetstack/daemon/process.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import signal
+import time
 from collections.abc import Callable
 from types import FrameType
 
 import trio
 
-from violetstack.config import Config, ConfigError, load
+from violetstack.config import Config, ConfigError, ConfigUnreadableError, load
 from violetstack.daemon.daemon import Daemon
+from violetstack.daemon.fronts import START_RETRIES_S, START_RETRY_S
 from violetstack.log import flush, log, write_in_background
 from violetstack.net.inherited_listener import open_inherited_listener
 
@@ -30,7 +32,7 @@
     # The file may have been read already when a SIGHUP comes, so one during startup counts as well.
     early_reload = SignalRecorder(signal.SIGHUP)
     try:
-        config = load(path, file)
+        config = _load_at_start(path, file)
         if config.inherited_fd is not None and config.listen is not None:
             config.inherited_listener = open_inherited_listener(config.inherited_fd, config.listen)
     except ConfigError as error:
@@ -46,6 +48,19 @@
     return 2 if unusable else 0
 
 
+def _load_at_start(path: str, file: str | None) -> Config:
+    """Reads the configuration, again and again while the system refuses to read it for the moment."""
+    give_up_at = time.monotonic() + START_RETRIES_S
+    while True:
+        try:
+            return load(path, file)
+        except ConfigUnreadableError as error:
+            log("config_unreadable", error=str(error))
+            if time.monotonic() >= give_up_at:
+                raise
+        time.sleep(START_RETRY_S)
+
+
 class SignalRecorder:
     """Remembers whether a signal came before the process was ready to act on it."""
 
--- a/violetstack/daemon/reload.py
+++ b/violetstack/daemon/reload.py
@@ -6,10 +6,11 @@
 
 import msgspec
 
-from violetstack.config import Config, ConfigError
+from violetstack.config import Config, ConfigError, ConfigUnreadableError
 from violetstack.log import log
 from violetstack.operator_config import ChatFrontConfig, OperatorConfigError
 
+RELOAD_RETRY_S = 0.2  # after the system refused to read the file
 # Keys whose change takes effect at the next start.
 FIXED_NODE_KEYS = ("listen", "settings", "peer_listen", "peers")
 FIXED_OPERATOR_KEYS = ("hosts", "ledger", "acme", "platform", "duties")
@@ -23,12 +24,19 @@
 
 
 def read_config(read_again: Callable[[], Config], running: Config) -> NewConfig | None:
-    """Reads the new configuration; None, and a line in the log, if it can't be used."""
+    """Reads the new configuration; None, and a line in the log, if it can't be used.
+
+    Raises:
+        ConfigUnreadableError: It can't be read at the moment, which is in the log as well.
+    """
     try:
         config = read_again()
         chat = None
         if config.chat is not None:
             chat = ChatFrontConfig(config.chat.operator, running.settings_message)
+    except ConfigUnreadableError as error:
+        log("config_reload_failed", error=str(error), retry_in_s=RELOAD_RETRY_S)
+        raise
     except (ConfigError, OperatorConfigError) as error:
         log("config_reload_failed", error=str(error))
         return None
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -69,6 +69,8 @@
             "gossip_datagram_rejected",
             "gossip_bind_failed",
             "local_fault",
+            "listen_failed",
+            "config_unreadable",
             "attempt_undelivered",
             "log_lines_dropped",
             "pool_degraded",
--- a/violetstack/rehearsal/fleet/campaign_processes.py
+++ b/violetstack/rehearsal/fleet/campaign_processes.py
@@ -145,6 +145,8 @@
             begun_or_in_time = exchange.committed_at is not None or now < exchange.lost_at
             if sent_at is None or (sent_at <= since and begun_or_in_time):
                 exchange.excused = "killed"
+            elif exchange.paused_until >= now:
+                exchange.excused = "killed while stopped"
         dispatcher.forget_connections()
 
     def _note_crash(self, dispatcher: Dispatcher) -> None:
