--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -127,12 +127,17 @@
         from violetstack.commands.soak import run_soak  # noqa: PLC0415
 
         sys.exit(run_soak(parse_seeds(seeds), processes, minutes, shrinks=shrinks))
+    sys.exit(_stories(stories, quiet))
+
+
+def _stories(stories: tuple[str, ...], quiet: bool) -> int:
+    """1 if a story came out otherwise than it should."""
     from violetstack.rehearsal import scenarios as played  # noqa: PLC0415
 
     unknown = [name for name in stories if name not in played.STORIES]
     if unknown:
         raise click.UsageError(f"no story named {', '.join(unknown)}; there are {', '.join(played.STORIES)}")
-    sys.exit(played.rehearse(stories or tuple(played.STORIES), quiet))
+    return played.rehearse(stories or tuple(played.STORIES), quiet)
 
 
 def _fleet(plans: tuple[str, ...], as_json: bool) -> int:
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -227,12 +227,9 @@
             return
         request = attempt.request
         state = self._state
-        attempt.finished = True
-        state.timers.cancel(attempt.timer)
-        state.timers.cancel(attempt.delivery_timer)
+        self._take_out_of_flight(attempt)
         if status in NOTHING_HELD_STATUSES:
             state.invariants.attempt_not_executed(attempt)
-        del request.in_flight[attempt.number]
         self._finish_request(now, attempt, status)
         _record_effects(now, attempt, status)
         self._observe(now, attempt, status)
@@ -240,8 +237,7 @@
             # The policy is to hear of the request's end with this attempt's, or it would retry.
             self.client_disconnected(now, request)
         duration_ms = now - attempt.sent_at
-        withheld = attempt.withheld if status is AttemptStatus.ALREADY_FINISHED else ""
-        request.attempt_log.append(AttemptLogEntry(attempt.server, status, round(duration_ms), withheld))
+        _log_attempt(attempt, status, duration_ms)
         state.post(
             AttemptFinished(
                 id=request.id,
@@ -256,6 +252,12 @@
         )
         state.mark_changed(request)
 
+    def _take_out_of_flight(self, attempt: Attempt) -> None:
+        attempt.finished = True
+        self._state.timers.cancel(attempt.timer)
+        self._state.timers.cancel(attempt.delivery_timer)
+        del attempt.request.in_flight[attempt.number]
+
     def _finish_request(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
         """Ends the request if this attempt carried its response."""
         request = attempt.request
@@ -312,6 +314,13 @@
         self.finished(now, attempt, AttemptStatus.CANCELLED)
 
 
+def _log_attempt(attempt: Attempt, status: AttemptStatus, duration_ms: float) -> None:
+    """Keeps the attempt for its request's log line."""
+    withheld = attempt.withheld if status is AttemptStatus.ALREADY_FINISHED else ""
+    entry = AttemptLogEntry(attempt.server, status, round(duration_ms), withheld)
+    attempt.request.attempt_log.append(entry)
+
+
 def _record_effects(now: float, attempt: Attempt, status: AttemptStatus) -> None:
     """Records what an attempt that ended may have left at its host."""
     request = attempt.request
