--- a/violetstack/rehearsal/fleet/campaign_requests.py
+++ b/violetstack/rehearsal/fleet/campaign_requests.py
@@ -146,6 +146,8 @@
         wanted = not dispatcher.accepting or rng.random() < KEPT_CONNECTION_SHARE
         while dispatcher.kept and wanted:
             connection, last = dispatcher.kept.pop()
+            if connection.stream.socket.fileno() < 0:
+                continue  # closed by this client meanwhile
             if connection.stream.socket.is_readable() and rng.random() > BLIND_REUSE_SHARE:
                 self._look_behind(connection, last)
                 connection.close()
--- a/violetstack/rehearsal/fleet/network.py
+++ b/violetstack/rehearsal/fleet/network.py
@@ -90,6 +90,13 @@
             if row["state"] != "active":
                 self.written_drains.setdefault(str(row["id"]), self.now())
 
+    def begin_at(self, version: int) -> None:
+        """The list is the one that another agent of the same discovery has at this version."""
+        (rows,) = [rows for _, rows in self.changes]
+        self.version = version
+        self.changes = [(version, rows)]
+        self.complete = {version}
+
     def tell(self, *rows: dict[str, Any]) -> None:
         """Counts as told now, whether or not the dispatcher reads: the agent writes at once."""
         super().tell(*rows)
--- a/violetstack/rehearsal/fleet/soak_environment.py
+++ b/violetstack/rehearsal/fleet/soak_environment.py
@@ -133,6 +133,7 @@
         """Another agent has the list; the configuration names it, and SIGHUP says so."""
         program = dispatcher.program
         agent = Agent(program.number, self._state.rows(), {}, self._state.now)
+        agent.begin_at(self._state.agents[program.number].version)
         await peers.start(agent.serve)
         self._state.move_agent(program.number, agent)
         program.told["discovery"] = agent.address
