Log why client connections are closed; count what a close may cost; streams' first events

Every close has a typed reason, the state, the last request's id, and the bytes unread, unwritten and unacknowledged; what breaks a promise is counted and logged, with a planted fault for each kind; shutdowns count open connections by state and closes by reason. No behaviour changes.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -53,7 +53,7 @@
         return StatsResponse({}, 0, 0, 2, 0)
 
     def invariants(self) -> InvariantsResponse:
-        return InvariantsResponse({"lost": 1}, 2)
+        return InvariantsResponse({"lost": 1}, 2, {"stream_cut": 3})
 
     def cordon(self, endpoint_id: str) -> None:
         if endpoint_id not in ("a", "b"):
@@ -146,7 +146,10 @@
     [
         (get("/admin/health"), b'{"status":"serving"}\n'),
         (get("/admin/stats"), EMPTY_STATS),
-        (get("/admin/invariants"), b'{"violations":{"lost":1},"log_lines_dropped":2}\n'),
+        (
+            get("/admin/invariants"),
+            b'{"violations":{"lost":1},"log_lines_dropped":2,"client_connections":{"stream_cut":3}}\n',
+        ),
         (post("/admin/cordon", b"a"), b'{"out":"a"}\n'),
         (post("/admin/uncordon", b"a"), b'{"back":"a"}\n'),
         (get("/admin/duties"), EMPTY_LEASES),
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,91 @@
+"""Closes of client connections: each has a reason, and what breaks a promise to the client is counted.
+
+The faults are planted past the code that keeps the promises.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from msgspec.structs import replace
+
+from violetstack.net.downstream.closing import Close, CloseMonitor, CloseReason, ConnectionState, Violation
+
+HARMLESS = Close(
+    reason=CloseReason.SHUTDOWN_IDLE,
+    state=ConnectionState.IDLE,
+    request_id="q1",
+    unread_bytes=0,
+    unacknowledged_bytes=0,
+    unwritten_bytes=0,
+    idle_ms=5000,
+    end_announced=False,
+    client_ended=False,
+)
+PLANTED = {
+    Violation.ANSWER_OWED: replace(HARMLESS, state=ConnectionState.WAITING),
+    Violation.STREAM_CUT: replace(HARMLESS, state=ConnectionState.STREAMING),
+    Violation.OUTPUT_UNSENT: replace(HARMLESS, state=ConnectionState.FLUSHING, unwritten_bytes=1),
+    Violation.UNREAD_INPUT: replace(HARMLESS, unread_bytes=9),
+}
+
+
+class Lines:
+    """What a monitor logs."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    def __call__(self, event: str, **fields: Any) -> None:
+        self.lines.append((event, fields))
+
+
+@pytest.mark.parametrize("violation", PLANTED)
+def test_a_planted_fault_is_counted_and_logged_with_the_request(violation: Violation) -> None:
+    lines = Lines()
+    monitor = CloseMonitor(lines)
+    monitor.closed(PLANTED[violation])
+    assert dict(monitor.violations) == {violation: 1}
+    ((event, fields),) = lines.lines
+    assert event == "client_connection_violation"
+    assert (fields["violation"], fields["id"], fields["reason"]) == (violation.value, "q1", "shutdown_idle")
+
+
+def test_a_queue_that_is_closed_is_counted() -> None:
+    lines = Lines()
+    monitor = CloseMonitor(lines)
+    monitor.queue_closed("127.0.0.1:80")
+    assert dict(monitor.violations) == {Violation.QUEUE_CLOSED: 1}
+    assert lines.lines[0][1]["listen"] == "127.0.0.1:80"
+
+
+def test_output_that_a_reset_would_destroy_counts_as_unsent() -> None:
+    """The kernel drops what the client has not acknowledged when a socket is closed over unread input."""
+    assert not replace(HARMLESS, unacknowledged_bytes=500).violations()
+    assert replace(HARMLESS, unacknowledged_bytes=500, unread_bytes=9, end_announced=True).violations() == [
+        Violation.OUTPUT_UNSENT
+    ]
+
+
+@pytest.mark.parametrize("planted", PLANTED.values())
+@pytest.mark.parametrize("reason", [CloseReason.CLIENT_ENDED, CloseReason.CONNECTION_BROKEN])
+def test_a_client_that_has_gone_is_owed_nothing(planted: Close, reason: CloseReason) -> None:
+    assert not replace(planted, reason=reason).violations()
+    assert not replace(planted, client_ended=True).violations()
+
+
+def test_a_stream_that_its_host_broke_may_be_cut() -> None:
+    cut = replace(HARMLESS, state=ConnectionState.STREAMING, reason=CloseReason.STREAM_BROKEN)
+    assert not cut.violations()
+
+
+def test_a_close_soon_after_a_response_is_logged_with_its_reason() -> None:
+    lines = Lines()
+    monitor = CloseMonitor(lines)
+    monitor.closed(HARMLESS)
+    monitor.closed(replace(HARMLESS, idle_ms=3))
+    assert [(event, fields["reason"], fields["idle_ms"]) for event, fields in lines.lines] == [
+        ("client_connection_closed", "shutdown_idle", 3)
+    ]
+    assert dict(monitor.closes) == {CloseReason.SHUTDOWN_IDLE: 2}
--- a/violetstack/admin/responses.py
+++ b/violetstack/admin/responses.py
@@ -71,10 +71,12 @@
     Attributes:
         violations: Number of violations by rule; each rule is there from the start.
         log_lines_dropped: Log lines that the output did not take.
+        client_connections: Number of closes of client connections that broke a promise, by kind.
     """
 
     violations: dict[str, int]
     log_lines_dropped: int
+    client_connections: dict[str, int]
 
 
 class LeaseRow(msgspec.Struct, frozen=True):
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -185,6 +185,7 @@
             return False
         attempt.stream_started = True
         request.committed_attempt = attempt
+        request.first_event_at = now
         state.mark_changed(request)
         if state.load_shedder is not None:
             ratio = (now - request.arrived_at) / state.latency_objective_ms(request.policy_request)
--- a/violetstack/core/lifecycle.py
+++ b/violetstack/core/lifecycle.py
@@ -154,6 +154,7 @@
             cls=request.policy_request.class_index,
             answer=outcome.value if outcome is not None else "",
             ms=round(request.answered_at - request.arrived_at),
+            first_ms=round(request.first_event_at - request.arrived_at) if request.first_event_at else None,
             attempts=[each.as_row() for each in request.attempt_log],
             places=[(each.server, each.outcome.value) for each in request.reservation_log],
             **route_fields,
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -204,6 +204,7 @@
         deadline_timer: The timer of its deadline.
         outcome: How it ended; None while it is open.
         answered_at: When it ended.
+        first_event_at: When the first event of its response was forwarded; 0 if none was.
         reservation_log: Finished reservations, for the log.
         attempt_log: Finished attempts, for the log.
         executions: Attempts with an effect that were written, but for those that certainly did not run; for
@@ -232,6 +233,7 @@
     deadline_timer: Timer | None = None
     outcome: RequestOutcome | None = None
     answered_at: float = 0.0
+    first_event_at: float = 0.0
     reservation_log: list[ReservationLogEntry] = []
     attempt_log: list[AttemptLogEntry] = []
     executions: list[WrittenExecution] = []
--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -364,4 +364,10 @@
         if self.hot_restart is not None:
             self.hot_restart.handover.remove_record()
             migrated_streams = self.hot_restart.migrated_streams()
-        log("stopped", migrated_streams=migrated_streams)
+        connections = shutdown.closed_connections()
+        log(
+            "stopped",
+            migrated_streams=migrated_streams,
+            closed=connections.closed,
+            violations=connections.violations,
+        )
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
@@ -12,6 +13,7 @@
 from violetstack.daemon.shutdown_schedule import ShutdownSchedule
 from violetstack.log import log
 from violetstack.net.clock import now_ms
+from violetstack.net.downstream.closing import CloseReason
 from violetstack.net.downstream.connection_table import ConnectionTable
 from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.policy_api import Settings
@@ -22,6 +24,15 @@
 POLL_S = 0.02
 
 
+class ClosedConnections(NamedTuple):
+    """What a shutdown has done to client connections, for its last log line."""
+
+    closed: dict[str, int]
+    """Connections closed since SIGTERM, by reason."""
+    violations: dict[str, int]
+    """Promises to clients that closes have broken since the process began, by kind."""
+
+
 class GracefulShutdown:
     """Ends the process without losing a request that it has taken, or that comes shortly after SIGTERM.
 
@@ -50,12 +61,20 @@
         self._hot_restart = hot_restart
         longest_ms = max((spec.client_timeout_ms for spec in settings.classes), default=0.0)
         self._schedule = ShutdownSchedule.for_longest_timeout(longest_ms)
+        self._closed_before: Counter[str] = Counter()
         self._rejecting = False
         self._waiting_ended = False
 
     async def run(self) -> None:
         """Returns once no request is open any more, and no connection is left on which one could come."""
-        log("shutdown_started", open=len(self._core.open_requests), successor=self._find_successor())
+        self._closed_before = self._count_closes()
+        log(
+            "shutdown_started",
+            open=len(self._core.open_requests),
+            successor=self._find_successor(),
+            signal_ms_ago=round(now_ms() - self._signal.earliest_ms),
+            connections=self._count_states(),
+        )
         for listener in self._fronts.listeners:
             listener.draining = True
         await self._hand_over()
@@ -67,6 +86,23 @@
         if self._fronts.idempotency is not None:
             self._fronts.idempotency.stop_retrying()
 
+    def closed_connections(self) -> ClosedConnections:
+        """Returns what became of the client connections, once nothing is left to do."""
+        violations: Counter[str] = Counter()
+        for listener in self._fronts.listeners:
+            violations.update({kind.value: n for kind, n in listener.closes.violations.items()})
+        return ClosedConnections(dict(self._count_closes() - self._closed_before), dict(violations))
+
+    def _count_closes(self) -> Counter[str]:
+        closes: Counter[str] = Counter()
+        for listener in self._fronts.listeners:
+            closes.update({reason.value: n for reason, n in listener.closes.closes.items()})
+        return closes
+
+    def _count_states(self) -> dict[str, int]:
+        connections = (each for listener in self._fronts.listeners for each in listener.table.connections)
+        return dict(Counter(connection.state.value for connection in connections))
+
     def _advance(self) -> bool:
         """Takes the steps that are due after SIGTERM; returns whether nothing is left to do.
 
@@ -129,7 +165,7 @@
     """
     for connection in [*table.awaiting_first_request, *table.idle]:
         if not connection.answering and not connection.has_unread():
-            table.evict(connection)
+            table.evict(connection, CloseReason.SHUTDOWN_IDLE)
 
 
 def _discard(_payload: bytes) -> None:
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -80,6 +80,7 @@
             "release_abandoned",
             "request_shed",
             "client_request_timeout",
+            "client_connection_violation",
             "state_corrupt",
             "connection_rejected",
             "watch_closed",
--- a/violetstack/net/admin_service.py
+++ b/violetstack/net/admin_service.py
@@ -20,6 +20,7 @@
 from violetstack.core.invariants import Rule
 from violetstack.log import dropped_lines, log
 from violetstack.net.clock import now_ms
+from violetstack.net.downstream.closing import Violation
 from violetstack.policy_api import EndpointUpdate
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
     from violetstack.config import Config
     from violetstack.core.dispatcher import Dispatcher
     from violetstack.lease.candidacy import LeaseView
+    from violetstack.net.downstream.listener import Listener
     from violetstack.net.handover import HandoverService
     from violetstack.net.lease_service import LeaseService
     from violetstack.policy.router import Router
@@ -42,6 +44,7 @@
     config: Config
     cordons: Cordons | None
     leases: LeaseService | None
+    listeners: list[Listener]
 
     @property
     def core(self) -> Dispatcher:
@@ -101,7 +104,14 @@
     def invariants(self) -> InvariantsResponse:
         """Returns the violations of the operators' rules that this process has counted."""
         violations = self._daemon.core.invariants.violations
-        return InvariantsResponse({rule.value: violations[rule] for rule in Rule}, dropped_lines())
+        return InvariantsResponse(
+            {rule.value: violations[rule] for rule in Rule},
+            dropped_lines(),
+            {kind.value: self._closes_violating(kind) for kind in Violation},
+        )
+
+    def _closes_violating(self, kind: Violation) -> int:
+        return sum(listener.closes.violations[kind] for listener in self._daemon.listeners)
 
     # --- cordons ---
 
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -10,6 +10,13 @@
 from violetstack.core.records import OpenRequest
 from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
+from violetstack.net.downstream.closing import (
+    Close,
+    CloseReason,
+    ConnectionState,
+    unacknowledged_bytes,
+    unread_bytes,
+)
 from violetstack.net.downstream.connection_reader import ConnectionReader, first_byte_arrives
 from violetstack.net.downstream.response_handle import ResponseHandle
 from violetstack.net.downstream.socket_state import has_unread, peer_has_closed, tcp_stream
@@ -61,9 +68,11 @@
         "__weakref__",
         "_output",
         "_reader",
+        "_request_id",
         "_response",
         "answering",
         "buffered_bytes",
+        "close_reason",
         "close_when_written",
         "closed",
         "evicted",
@@ -104,7 +113,10 @@
         self.close_when_written = False
         """The connection ends once all output is written."""
         self.evicted = False
+        self.close_reason: CloseReason | None = None
+        """What made this process close the connection first."""
         self.migration_pause: MigrationPause | None = None
+        self._request_id = ""
         self._response: ResponseHandle | None = None
 
     def start_parsing(self, http: HttpServerConnection) -> None:
@@ -149,9 +161,15 @@
 
     def cut(self) -> None:
         """Closes once all is written, without the last chunk: a broken stream must not look complete."""
+        self.closes_for(CloseReason.STREAM_BROKEN)
         self.close_when_written = True
         self._response_ended()
 
+    def closes_for(self, reason: CloseReason) -> None:
+        """Notes why this process closes the connection; the first reason counts."""
+        if self.close_reason is None:
+            self.close_reason = reason
+
     async def wait_writable(self) -> None:
         """Returns once the client has read enough, or the connection is closed."""
         if not self.closed:
@@ -168,6 +186,7 @@
         self.last_used = trio.current_time()
         self.listener.table.set_buffered_bytes(self, 0)
         if self.http.closing or (not self.close_when_written and not self.http.reuse()):
+            self.closes_for(CloseReason.RESPONSE_ENDED)
             self.close_when_written = True
         if not self.close_when_written and not self.closed and not self.evicted:
             self.listener.table.mark_idle(self)
@@ -213,16 +232,18 @@
 
     def detach(self) -> None:
         """Another process has the connection: this end is closed without shutting it down."""
+        self.closes_for(CloseReason.MIGRATED)
         self.request = None
         self._response = None
         self.listener.table.forget(self)
         self.scope.cancel()
 
-    def evict(self) -> None:
+    def evict(self, reason: CloseReason = CloseReason.EVICTED) -> None:
         """Closes the connection; a request that has been read, or begun to be, is answered first.
 
         A read that has already taken bytes from the socket returns them, although it is cancelled.
         """
+        self.closes_for(reason)
         self.evicted = True
         if self.http is not UNUSED_PARSER and self._reader.waiting:
             self._reader.interrupt()
@@ -244,6 +265,17 @@
         """Bytes of responses that wait for the client to read."""
         return self._output.pending_bytes if self.http is not UNUSED_PARSER else 0
 
+    @property
+    def state(self) -> ConnectionState:
+        """How far the connection has come."""
+        if self.http is UNUSED_PARSER:
+            return ConnectionState.UNREAD
+        if self.answering:
+            return ConnectionState.WAITING if self.http.can_answer else ConnectionState.STREAMING
+        if self.close_when_written:
+            return ConnectionState.FLUSHING if self.unwritten_bytes else ConnectionState.LINGERING
+        return ConnectionState.READING if self.http.busy or not self.served else ConnectionState.IDLE
+
     # --- tasks ---
 
     async def serve(self) -> None:
@@ -255,15 +287,18 @@
                         nursery.start_soon(self._write)
                         await self._reader.run()
                         if not self.close_when_written:
+                            self.closes_for(CloseReason.CLIENT_ENDED)
                             nursery.cancel_scope.cancel()
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
+            self.closes_for(CloseReason.CONNECTION_BROKEN)
         except* Exception as errors:  # a failing connection must not end the listener
+            self.closes_for(CloseReason.INTERNAL_ERROR)
             log_rate_limited("connection_failed", error=repr(errors.exceptions[0]))
         finally:
             await self._close()
 
     async def _close(self) -> None:
+        self.listener.closes.closed(self._describe_close())
         if self._response is not None:
             self._response.connection_lost()
             self._response = None
@@ -278,9 +313,24 @@
         with trio.CancelScope(shield=True, deadline=trio.current_time() + CLOSE_TIMEOUT_S):
             await trio.aclose_forcefully(self.stream)
 
+    def _describe_close(self) -> Close:
+        reader = self._reader if self.http is not UNUSED_PARSER else None
+        return Close(
+            reason=self.close_reason or CloseReason.PROCESS_ENDED,
+            state=self.state,
+            request_id=self.request.id if self.request is not None else self._request_id,
+            unread_bytes=unread_bytes(self.stream),
+            unacknowledged_bytes=unacknowledged_bytes(self.stream),
+            unwritten_bytes=self.unwritten_bytes,
+            idle_ms=round((trio.current_time() - self.last_used) * 1000.0),
+            end_announced=self.http.closing or self.close_when_written,
+            client_ended=(reader is not None and reader.client_ended.is_set()) or self.client_has_closed(),
+        )
+
     async def _begin(self) -> bool:
         """Waits for the first byte; False if the time for one is over."""
         if not await first_byte_arrives(self):
+            self.closes_for(CloseReason.REQUEST_TIMEOUT)
             return False
         self.start_parsing(HttpServerConnection())
         # Not to be evicted as silent between the arrival of these bytes and their use.
@@ -307,6 +357,7 @@
 
     def request_timed_out(self) -> None:
         """The rest of a request, or a new connection's first, has not come in time."""
+        self.closes_for(CloseReason.REQUEST_TIMEOUT)
         if self.http.busy and self.http.can_answer:
             self._reject(408, "the request did not arrive in time")
         else:
@@ -315,6 +366,7 @@
         self.close_when_written = True
 
     def _reject(self, status: int, reason: str) -> None:
+        self.closes_for(CloseReason.REQUEST_REJECTED)
         self.http.closing = True
         self.answering = True
         self.listener.front.rejected(status, reason, ResponseHandle(self))
@@ -364,6 +416,7 @@
         elif self._reader.discarded and self.http.busy:
             self._reject(503, "more was sent at once than is kept")
         elif self._reader.discarded:
+            self.closes_for(CloseReason.REQUEST_REJECTED)
             self.close_when_written = True
             self._output.wake()
         elif self.http.wants_continue:
@@ -394,6 +447,7 @@
         inbound = replace(inbound, waited_ms=waited_ms)
         try:
             self.listener.front.handle(inbound, self._response)
+            self._request_id = self.request.id if self.request is not None else ""
         except Exception as error:  # a fault that one request shows must not cost it its answer
             log_rate_limited("request_failed", error=repr(error))
             if self.answering and self.request is None:
--- a/violetstack/net/downstream/connection_table.py
+++ b/violetstack/net/downstream/connection_table.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from violetstack.net.downstream.closing import CloseReason
 from violetstack.net.downstream.connection import DownstreamConnection
 
 MIN_IDLE_S = 2.0
@@ -134,16 +135,18 @@
                 return True
         return any(self._evict_unless_used(connection) for connection in self.idle)
 
-    def _evict_unless_used(self, connection: DownstreamConnection) -> bool:
+    def _evict_unless_used(
+        self, connection: DownstreamConnection, reason: CloseReason = CloseReason.EVICTED
+    ) -> bool:
         """False if a response is still being read by its client, or a request has arrived unread."""
         if connection.unwritten_bytes or connection.has_unread():
             return False
         if connection.http.busy and (connection.served or len(self.refused) >= self.max_refused):
             return False  # it has to be answered first
-        self.evict(connection)
+        self.evict(connection, reason)
         return True
 
-    def evict(self, connection: DownstreamConnection) -> None:
+    def evict(self, connection: DownstreamConnection, reason: CloseReason = CloseReason.EVICTED) -> None:
         """Closes the connection, once it has answered what was read of a request."""
         answer_first = connection.http.busy
         self.forget(connection)
@@ -151,7 +154,7 @@
             self.add_refused(connection)
         else:
             self.closing.add(connection)
-        connection.evict()
+        connection.evict(reason)
 
     # --- shutdown ---
 
@@ -169,4 +172,4 @@
     def close_idle(self) -> None:
         """Closes idle connections; one that has never sent a request is given its time for that."""
         for connection in [c for c in self.idle if not c.answering]:
-            self._evict_unless_used(connection)
+            self._evict_unless_used(connection, CloseReason.SHUTDOWN_IDLE)
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -11,6 +11,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.reply import Front
 from violetstack.log import log_rate_limited
+from violetstack.net.downstream.closing import CloseMonitor
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.net.downstream.connection_reader import REQUEST_TIMEOUT_S
 from violetstack.net.downstream.connection_table import ConnectionTable
@@ -81,6 +82,7 @@
         self.core = core
         self.front = front
         self.table = ConnectionTable(MAX_CONCURRENT_REJECTIONS)
+        self.closes = CloseMonitor(log_rate_limited)
         self.draining = False
         """Responses announce the connection's end, as this process shuts down."""
         self.refusing = False
