--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -103,7 +103,7 @@
 
 @asynccontextmanager
 async def dispatcher_process(
-    *hosts: ModelHost, settings: dict[str, Any] | None = None
+    *hosts: ModelHost, settings: dict[str, Any] | None = None, sockets: int = 96
 ) -> AsyncIterator[DispatcherProcess]:
     """Started by the deploy file's `run`; ready for requests."""
     async with trio.open_nursery() as nursery:
@@ -117,11 +117,11 @@
             "name": "n0",
             "listen": f"{address[0]}:{address[1]}",
             "discovery": agent.address,
-            "limits": {"sockets": 96, "memory_mb": 192.0},
+            "limits": {"sockets": sockets, "memory_mb": 192.0},
             "known": {"version": 1, "full": True, "servers": rows},
             "settings": {**SETTINGS, **(settings or {})},
         }
-        program = Program(0, address, configuration, Plan(seed=1, sockets=96), ROOT)
+        program = Program(0, address, configuration, Plan(seed=1, sockets=sockets), ROOT)
         program.start(0.0, 1)
         try:
             await _until_ready(address)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -61,11 +61,12 @@
 
 
 def test_output_that_a_reset_would_destroy_counts_as_unsent() -> None:
-    """The kernel drops what the client has not acknowledged when a socket is closed over unread input."""
-    assert not replace(HARMLESS, unacknowledged_bytes=500).violations()
-    assert replace(HARMLESS, unacknowledged_bytes=500, unread_bytes=9, end_announced=True).violations() == [
-        Violation.OUTPUT_UNSENT
-    ]
+    """What the client sends to a closed socket, or has sent and nobody read, resets the connection."""
+    unsent = replace(HARMLESS, unacknowledged_bytes=500)
+    assert unsent.violations() == [Violation.OUTPUT_UNSENT]
+    lingering = replace(unsent, state=ConnectionState.LINGERING, end_announced=True)
+    assert not lingering.violations()
+    assert replace(lingering, unread_bytes=9).violations() == [Violation.OUTPUT_UNSENT]
 
 
 @pytest.mark.parametrize("planted", PLANTED.values())
--- a/violetstack/net/downstream/closing.py
+++ b/violetstack/net/downstream/closing.py
@@ -78,7 +78,7 @@
     STREAM_CUT = "stream_cut"
     """A response has begun and not ended, and its model host's stream has not broken."""
     OUTPUT_UNSENT = "output_unsent"
-    """Output is left in this process, or would be destroyed in the kernel by the reset."""
+    """Output is left in this process, or in the kernel, where a reset may still destroy it."""
     UNREAD_INPUT = "unread_input"
     """Input was never read, and the client was told of no end before it."""
     QUEUE_CLOSED = "queue_closed"
@@ -124,7 +124,8 @@
             found.append(Violation.ANSWER_OWED)
         if self.state is ConnectionState.STREAMING and self.reason is not CloseReason.STREAM_BROKEN:
             found.append(Violation.STREAM_CUT)
-        if self.unwritten_bytes or (self.unread_bytes and self.unacknowledged_bytes):
+        waited_for_client = self.state is ConnectionState.LINGERING and not self.unread_bytes
+        if self.unwritten_bytes or (self.unacknowledged_bytes and not waited_for_client):
             found.append(Violation.OUTPUT_UNSENT)
         if self.unread_bytes and not self.end_announced:
             found.append(Violation.UNREAD_INPUT)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -314,7 +314,6 @@
             await trio.aclose_forcefully(self.stream)
 
     def _describe_close(self) -> Close:
-        reader = self._reader if self.http is not UNUSED_PARSER else None
         return Close(
             reason=self.close_reason or CloseReason.PROCESS_ENDED,
             state=self.state,
@@ -324,7 +323,7 @@
             unwritten_bytes=self.unwritten_bytes,
             idle_ms=round((trio.current_time() - self.last_used) * 1000.0),
             end_announced=self.http.closing or self.close_when_written,
-            client_ended=(reader is not None and reader.client_ended.is_set()) or self.client_has_closed(),
+            client_ended=self.client_has_closed(),
         )
 
     async def _begin(self) -> bool:
