A connection ends in order when its response has just ended: no reset overtakes it

Cause: a connection whose response had not announced its end was closed within 20 ms of a stream's end while the process shut down. Whatever the client still sent met a closed socket; the kernel answers that, and a close over unread input, by a reset, which destroys what the client has not got (RFC 9112, 9.6). So did the lingering close half a second after the last bytes, whether or not the client had got them.

Change: an idle connection is left open for 0.1 s, so that a next request is answered; then only the sending ends, and the socket is closed once the client has acknowledged everything and has closed or had its time. A client that knows where a stream ends may close first. A process does not end before these connections have.

--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -25,8 +25,7 @@
 from violetstack.config import Address
 from violetstack.fronts.platform import PlatformFront
 from violetstack.fronts.reply import Reply
-from violetstack.net.downstream import connection as connection_module
-from violetstack.net.downstream import connection_reader, connection_table
+from violetstack.net.downstream import connection_reader, connection_table, lingering
 from violetstack.net.downstream import listener as listener_module
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.net.downstream.connection_reader import PIPELINE_BURST, PIPELINE_DELAY_S
@@ -433,7 +432,7 @@
 ) -> None:
     """It was answered before it had written, and the connection closed while it wrote."""
     monkeypatch.setattr(connection_table, "MIN_SILENCE_S", 60.0)
-    monkeypatch.setattr(connection_module, "LINGERING_CLOSE_S", 0.05)
+    monkeypatch.setattr(lingering, "LINGERING_CLOSE_S", 0.05)
     monkeypatch.setattr(listener_module, "LINGERING_CLOSE_S", 0.05, raising=False)
     whole = request("q1")
 
@@ -569,7 +568,7 @@
 
 def test_a_client_that_writes_on_behind_its_rejection_is_not_reset(monkeypatch: pytest.MonkeyPatch) -> None:
     """The connection was closed half a second after the answer, over the rest of the body."""
-    monkeypatch.setattr(connection_module, "LINGERING_CLOSE_S", 0.1)
+    monkeypatch.setattr(lingering, "LINGERING_CLOSE_S", 0.1)
     whole = request("q1", body=LARGE)
 
     async def story(on: Stage) -> None:
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -101,12 +101,18 @@
         """Does a connection wait in a listening socket's queue?"""
         return any(listening.socket.is_readable() for listening in self.sockets)
 
+    def note_closed_queue(self) -> None:
+        """The listening sockets are about to be closed over connections that nobody has accepted."""
+        for listener in self.listeners:
+            listener.closes.queue_closed(str(self._config.listen))
+
     @property
     def busy(self) -> bool:
-        """Is a response still awaited, or the record of a non-idempotent request?"""
+        """Is a connection open on which something may still come, or be lost, or a record to be written?"""
         waiting = self.chat is not None and self.chat.pending
         recording = self.idempotency is not None and self.idempotency.pending
-        connected = any(each.table.busy or each.table.awaiting_requests for each in self.listeners)
+        tables = [each.table for each in self.listeners]
+        connected = any(table.busy or table.awaiting_requests or table.idle for table in tables)
         return bool(waiting or recording or connected)
 
     async def _listen(self, at: Address, front: Front, wrap: Wrap | None = None) -> Address:
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -163,7 +163,8 @@
 
     What came now could not be answered before SIGKILL.
     """
-    for connection in [*table.awaiting_first_request, *table.idle]:
+    half_requests = [connection for connection in table.idle if connection.http.busy]
+    for connection in [*table.awaiting_first_request, *half_requests]:
         if not connection.answering and not connection.has_unread():
             table.evict(connection, CloseReason.SHUTDOWN_IDLE)
 
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -18,8 +18,9 @@
     unread_bytes,
 )
 from violetstack.net.downstream.connection_reader import ConnectionReader, first_byte_arrives
+from violetstack.net.downstream.lingering import LingeringClose
 from violetstack.net.downstream.response_handle import ResponseHandle
-from violetstack.net.downstream.socket_state import has_unread, peer_has_closed, tcp_stream
+from violetstack.net.downstream.socket_state import has_unread, peer_has_closed
 from violetstack.net.downstream.write_queue import WriteQueue
 from violetstack.protocol.http_server import (
     Headers,
@@ -33,9 +34,6 @@
 
 MIGRATION_FLUSH_TIMEOUT_S = 0.3
 """Output that is not written by then keeps a stream from being migrated to another process."""
-LINGERING_CLOSE_S = 0.5
-"""After the last response the client gets this long to close, counted from the last bytes it has sent."""
-MAX_LINGERING_CLOSE_S = 2.2
 CLOSE_TIMEOUT_S = 1.0
 BODIES_FULL = "too many requests are being held"
 CLIENT_ENDED = "the client has ended its sending"
@@ -70,11 +68,13 @@
         "_reader",
         "_request_id",
         "_response",
+        "_streamed",
         "answering",
         "buffered_bytes",
         "close_reason",
         "close_when_written",
         "closed",
+        "ends_when_idle",
         "evicted",
         "http",
         "last_used",
@@ -113,10 +113,14 @@
         self.close_when_written = False
         """The connection ends once all output is written."""
         self.evicted = False
+        self.ends_when_idle = False
+        """The connection ends in order unless a request arrives in this very moment."""
         self.close_reason: CloseReason | None = None
         """What made this process close the connection first."""
         self.migration_pause: MigrationPause | None = None
         self._request_id = ""
+        self._streamed = False
+        """The last response was a stream, and its last chunk has been queued."""
         self._response: ResponseHandle | None = None
 
     def start_parsing(self, http: HttpServerConnection) -> None:
@@ -137,6 +141,7 @@
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Queues a complete response."""
         self._announce_close()
+        self._streamed = False
         rejected = 400 <= status < 500 and self.request is None
         self._reader.rejections_in_a_row = self._reader.rejections_in_a_row + 1 if rejected else 0
         self._output.put(self.http.answer(status, headers, body))
@@ -157,6 +162,7 @@
     def end(self) -> None:
         """Queues the last chunk."""
         self._output.put(self.http.end())
+        self._streamed = True
         self._response_ended()
 
     def cut(self) -> None:
@@ -250,6 +256,20 @@
         else:
             self.scope.cancel()
 
+    def end_when_idle(self, reason: CloseReason) -> None:
+        """Ends an idle connection in order; a request that has been read meanwhile is answered first."""
+        if not self._reader.waiting:
+            return  # it is about to look at what it has read
+        self.ends_when_idle = True
+        self.closes_for(reason)
+        self._reader.interrupt()
+
+    def begin_close(self) -> None:
+        """Nothing is under way: the connection ends once all output is written."""
+        self.close_when_written = True
+        self.listener.table.mark_engaged(self)
+        self._output.wake()
+
     # --- state of the socket ---
 
     def client_has_closed(self) -> bool:
@@ -260,6 +280,16 @@
         """Whether bytes, or the client's end, wait in the socket."""
         return not self.closed and has_unread(self.stream)
 
+    @property
+    def client_ended(self) -> trio.Event:
+        """Set once the client has ended its sending, for a connection on which something was read."""
+        return self._reader.client_ended
+
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Written bytes that the client's machine has not acknowledged."""
+        return 0 if self.closed else unacknowledged_bytes(self.stream)
+
     @property
     def unwritten_bytes(self) -> int:
         """Bytes of responses that wait for the client to read."""
@@ -457,25 +487,7 @@
         while True:
             await self._output.write_all(self.stream)
             if self.close_when_written:
-                await self._lingering_close()
+                await LingeringClose(self).run(client_closes_first=self._streamed)
                 self.scope.cancel()
                 return
             await self._output.wait_for_output()
-
-    async def _lingering_close(self) -> None:
-        """Ends the sending, and waits for the client's end: a reset could overtake what was written.
-
-        See RFC 9112, section 9.6.
-        """
-        transport = tcp_stream(self.stream)
-        if transport is None:
-            return
-        await transport.send_eof()
-        self.progress_at = trio.current_time()
-        latest = self.progress_at + MAX_LINGERING_CLOSE_S
-        while not self._reader.client_ended.is_set():
-            deadline = min(latest, self.progress_at + LINGERING_CLOSE_S)
-            if trio.current_time() >= deadline:
-                return
-            with trio.move_on_at(deadline):
-                await self._reader.client_ended.wait()
--- a/violetstack/net/downstream/connection_reader.py
+++ b/violetstack/net/downstream/connection_reader.py
@@ -244,6 +244,9 @@
     """No bytes were read; False if the connection is to be closed at once."""
     if connection.evicted:
         return connection.http.busy
+    if connection.ends_when_idle and not connection.http.busy:
+        connection.begin_close()
+        return True
     too_late = trio.current_time() >= deadline and connection.migration_pause is None
     if too_late and not connection.has_unread():
         connection.request_timed_out()
--- a/violetstack/net/downstream/connection_table.py
+++ b/violetstack/net/downstream/connection_table.py
@@ -11,6 +11,10 @@
 """A connection that has been idle for this long is the first to be closed to make room."""
 MIN_SILENCE_S = 0.2
 """A connection that has made no progress towards its first request for this long comes next."""
+SETTLE_S = 0.1
+"""A client that goes on with a connection sends its next request this soon, or has read the response."""
+FORGOTTEN_S = 1.0
+"""A connection that has been idle for this long is closed at once: its client has long read the response."""
 
 
 class ConnectionTable:
@@ -139,13 +143,22 @@
         self, connection: DownstreamConnection, reason: CloseReason = CloseReason.EVICTED
     ) -> bool:
         """False if a response is still being read by its client, or a request has arrived unread."""
-        if connection.unwritten_bytes or connection.has_unread():
+        if not self._is_settled(connection) or connection.has_unread():
             return False
         if connection.http.busy and (connection.served or len(self.refused) >= self.max_refused):
             return False  # it has to be answered first
         self.evict(connection, reason)
         return True
 
+    @staticmethod
+    def _is_settled(connection: DownstreamConnection) -> bool:
+        """Whether the client has got its last response, and has had the time to send another request."""
+        if connection.unwritten_bytes:
+            return False
+        if not connection.served:
+            return True
+        return connection.last_used <= trio.current_time() - SETTLE_S and not connection.unacknowledged_bytes
+
     def evict(self, connection: DownstreamConnection, reason: CloseReason = CloseReason.EVICTED) -> None:
         """Closes the connection, once it has answered what was read of a request."""
         answer_first = connection.http.busy
@@ -161,7 +174,9 @@
     @property
     def busy(self) -> bool:
         """Whether any response is under way, or a request lies unread on an idle connection."""
-        engaged = any(c.answering or c.http.busy or c.unwritten_bytes for c in self.connections)
+        engaged = any(
+            c.answering or c.http.busy or c.unwritten_bytes or c.close_when_written for c in self.connections
+        )
         return engaged or bool(self.closing) or any(c.has_unread() for c in self.idle)
 
     @property
@@ -170,6 +185,14 @@
         return bool(self.awaiting_first_request or self.refused or self.handshakes)
 
     def close_idle(self) -> None:
-        """Closes idle connections; one that has never sent a request is given its time for that."""
+        """Closes idle connections; one that has never sent a request is given its time for that.
+
+        A client that has just got a response may be reading it, or writing its next request: its connection
+        is left open for a moment, and then ended in order.
+        """
+        forgotten_since = trio.current_time() - FORGOTTEN_S
         for connection in [c for c in self.idle if not c.answering]:
-            self._evict_unless_used(connection, CloseReason.SHUTDOWN_IDLE)
+            if connection.last_used < forgotten_since:
+                self._evict_unless_used(connection, CloseReason.SHUTDOWN_IDLE)
+            elif self._is_settled(connection) and not connection.http.busy and not connection.has_unread():
+                connection.end_when_idle(CloseReason.SHUTDOWN_IDLE)
