--- a/tests/test_shutdown_deadlines.py
+++ b/tests/test_shutdown_deadlines.py
@@ -15,6 +15,7 @@
 from violetstack.daemon.lifecycle import SignalTime
 from violetstack.daemon.shutdown_schedule import KILL_DELAY_S, ShutdownSchedule
 from violetstack.net.clock import now_ms
+from violetstack.net.downstream.closing import Violation
 from violetstack.rehearsal.clients import BODY, Call, connect, platform_headers
 from violetstack.rehearsal.hosts import SILENT, Act
 from violetstack.rehearsal.stage import SETTINGS, Stage
@@ -56,8 +57,14 @@
     assert schedule.end_waiting_s <= schedule.close_silent_s <= schedule.kill_s - 0.1
 
 
-def test_a_request_on_a_connection_that_waits_to_be_accepted_is_answered_before_the_socket_closes() -> None:
-    """The listening socket was closed over its queue, which reset the connections in it."""
+@pytest.mark.parametrize("accepted_after_s", [0.6, 1.2])
+def test_a_request_on_a_connection_that_waits_to_be_accepted_is_answered_before_the_socket_closes(
+    accepted_after_s: float,
+) -> None:
+    """The listening socket was closed over its queue, which reset the connections in it.
+
+    A process that is busy right after its start takes its time to accept what came meanwhile.
+    """
 
     async def story(on: Stage) -> None:
         listener = on.daemon.listeners[0]
@@ -75,9 +82,10 @@
         await held.wait()
         queued = await send_request(on, "q1")  # nobody has accepted this connection yet
         on.daemon.stop.set()
-        await trio.sleep(0.6)
+        await trio.sleep(accepted_after_s)
         go_on.set()
         assert (await queued.receive()).status in (200, 503)
+        assert not listener.closes.violations[Violation.QUEUE_CLOSED]
         await first.stream.aclose()
 
     play(*pair(), story=story)
