A shutdown accepts what waits in the queue while an answer can still reach it

Cause: the listening socket was closed 0.75 s after SIGTERM whatever its queue held, which resets the connections in it. A process that is busy right after its start takes longer to accept them.

--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -132,11 +132,15 @@
     def _stop_accepting_if_due(self, elapsed_s: float) -> None:
         """Closes the listening sockets once their queues are empty: closing resets what waits in them.
 
-        A client may have written its request to a connection that nobody has accepted yet.
+        A client may have written its request to a connection that nobody has accepted yet. However long a
+        busy process takes to accept them, they are accepted while an answer can still reach them.
         """
         if elapsed_s < self._schedule.stop_accepting_s:
             return
-        if elapsed_s >= self._schedule.close_listener_s or not self._fronts.connections_queued():
+        queued = self._fronts.connections_queued()
+        if not queued or elapsed_s >= self._schedule.close_listener_s:
+            if queued:
+                self._fronts.note_closed_queue()
             self._stop_accepting()
 
     async def _hand_over(self) -> None:
--- a/violetstack/daemon/shutdown_schedule.py
+++ b/violetstack/daemon/shutdown_schedule.py
@@ -21,7 +21,6 @@
 MAX_DRAIN_S = 3.0
 KILL_DELAY_S = 0.7
 STOP_ACCEPTING_S = 0.55  # load balancers in front send new connections for up to 0.4 s
-MAX_ACCEPT_DRAIN_S = 0.2  # for connections that wait in the listening socket's queue at that time
 # A margin before KILL_DELAY_S, for a signal or a request that a busy process reads late.
 REJECT_REQUESTS_S = 0.6
 MIN_ANSWER_S = 0.05  # of a request that was accepted at the last moment
@@ -35,7 +34,8 @@
 
     Attributes:
         stop_accepting_s: From here on the listening socket is closed once its queue is empty.
-        close_listener_s: The listening socket is closed, whatever its queue holds.
+        close_listener_s: The listening socket is closed, whatever its queue holds: what is accepted later
+            could not be answered any more.
         reject_s: Requests that are read from here on are rejected.
         end_waiting_s: Requests without a first event get their final answer.
         close_silent_s: Connections on which no request has begun are closed.
@@ -55,7 +55,7 @@
         kill_s = min(longest_timeout_ms / 1000.0, MAX_DRAIN_S) + KILL_DELAY_S
         return cls(
             stop_accepting_s=STOP_ACCEPTING_S,
-            close_listener_s=STOP_ACCEPTING_S + MAX_ACCEPT_DRAIN_S,
+            close_listener_s=kill_s - CLOSE_SILENT_S,
             reject_s=REJECT_REQUESTS_S,
             end_waiting_s=max(kill_s - FINAL_ANSWERS_S, REJECT_REQUESTS_S + MIN_ANSWER_S),
             close_silent_s=kill_s - CLOSE_SILENT_S,
