--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -261,6 +261,7 @@
         if not self._reader.waiting:
             return  # it is about to look at what it has read
         self.ends_when_idle = True
+        self._streamed = False  # its client has had the time to read the response
         self.closes_for(reason)
         self._reader.interrupt()
 
--- a/violetstack/net/downstream/connection_table.py
+++ b/violetstack/net/downstream/connection_table.py
@@ -13,8 +13,8 @@
 """A connection that has made no progress towards its first request for this long comes next."""
 SETTLE_S = 0.1
 """A client that goes on with a connection sends its next request this soon, or has read the response."""
-FORGOTTEN_S = 1.0
-"""A connection that has been idle for this long is closed at once: its client has long read the response."""
+MAX_ENDED_AT_ONCE = 32
+"""Idle connections that a shutdown ends in one step: hundreds at once would hold up requests."""
 
 
 class ConnectionTable:
@@ -188,11 +188,10 @@
         """Closes idle connections; one that has never sent a request is given its time for that.
 
         A client that has just got a response may be reading it, or writing its next request: its connection
-        is left open for a moment, and then ended in order.
+        is left open for a moment. It ends in order, for a request may come in this very moment.
         """
-        forgotten_since = trio.current_time() - FORGOTTEN_S
-        for connection in [c for c in self.idle if not c.answering]:
-            if connection.last_used < forgotten_since:
-                self._evict_unless_used(connection, CloseReason.SHUTDOWN_IDLE)
-            elif self._is_settled(connection) and not connection.http.busy and not connection.has_unread():
+        ended = 0
+        for connection in [c for c in self.idle if not c.answering and not c.http.busy]:
+            if ended < MAX_ENDED_AT_ONCE and self._is_settled(connection) and not connection.has_unread():
                 connection.end_when_idle(CloseReason.SHUTDOWN_IDLE)
+                ended += 1
