A system that lacks memory for poll(2) ends no shutdown, accept loop or attempt

The shutdown asked unguarded, so its failure ended the process with all its streams. In doubt nothing is closed, and whoever reads on until nothing is left stops. The shim can fail poll, the soak does.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -103,9 +103,12 @@
 
 @asynccontextmanager
 async def dispatcher_process(
-    *hosts: ModelHost, settings: dict[str, Any] | None = None, sockets: int = 96
+    *hosts: ModelHost,
+    settings: dict[str, Any] | None = None,
+    sockets: int = 96,
+    prepare: Callable[[Program], None] | None = None,
 ) -> AsyncIterator[DispatcherProcess]:
-    """Started by the deploy file's `run`; ready for requests."""
+    """Started by the deploy file's `run`; ready for requests. `prepare` is called before the start."""
     async with trio.open_nursery() as nursery:
         for host in hosts:
             await nursery.start(host.serve)
@@ -122,6 +125,8 @@
             "settings": {**SETTINGS, **(settings or {})},
         }
         program = Program(0, address, configuration, Plan(seed=1, sockets=sockets), ROOT)
+        if prepare is not None:
+            prepare(program)
         program.start(0.0, 1)
         try:
             await _until_ready(address)
--- a/tests/test_shutdown_streams.py
+++ b/tests/test_shutdown_streams.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import random
 import signal
 from contextlib import suppress
@@ -15,6 +16,8 @@
 from tests.crossings import DispatcherProcess, dispatcher_process
 from tests.pipelining import PipeliningClient, relay
 from violetstack.config import Address
+from violetstack.rehearsal.fleet.fault_shim import Call, ProcessFaults, build_shim
+from violetstack.rehearsal.fleet.programs import Program
 from violetstack.rehearsal.hosts import Act, ModelHost
 from violetstack.rehearsal.peer import PeerConnection
 
@@ -163,3 +166,33 @@
         assert unanswered == 0
 
     trio.run(main)
+
+
+def test_a_shutdown_outlasts_a_system_that_cannot_tell_what_waits_in_its_sockets() -> None:
+    """poll(2) may fail for lack of memory: the shutdown ended with it, and every stream."""
+    prefill, decode = hosts()
+    faults = ProcessFaults()
+
+    def prepare(program: Program) -> None:
+        program.preload = {"LD_PRELOAD": str(build_shim()), "SOAK_FAULTS_FD": str(faults.descriptor)}
+        program.shared = (faults.descriptor,)
+
+    async def main() -> None:
+        async with dispatcher_process(prefill, decode, prepare=prepare) as dispatcher:
+            idle = await begin_stream(dispatcher.address, 1)
+            streaming = await begin_stream(dispatcher.address, 2)
+            faults.fail(Call.POLL, errno.ENOMEM, 2)
+            dispatcher.program.send(signal.SIGTERM)
+            await trio.sleep(0.7)
+            decode.end.set()
+            for client in (idle, streaming):
+                await client.read_all()
+                client.close()
+                assert client.responses[0].whole
+            assert await dispatcher.ended_within(3.0)
+            assert dispatcher.program.process is not None
+            assert dispatcher.program.process.returncode == 0
+        assert faults.failed(Call.POLL)
+
+    trio.run(main)
+    faults.close()
--- a/violetstack/daemon/fronts.py
+++ b/violetstack/daemon/fronts.py
@@ -18,6 +18,7 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener, Wrap
 from violetstack.net.tls import Certificate
+from violetstack.net.transient_errors import is_readable
 from violetstack.operator_config import AcmeConfig, ChatFrontConfig
 from violetstack.protocol.headers import RequestReader
 
@@ -99,7 +100,7 @@
 
     def connections_queued(self) -> bool:
         """Does a connection wait in a listening socket's queue?"""
-        return any(listening.socket.is_readable() for listening in self.sockets)
+        return any(is_readable(listening.socket, in_doubt=True) for listening in self.sockets)
 
     def note_closed_queue(self) -> None:
         """The listening sockets are about to be closed over connections that nobody has accepted."""
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -16,6 +16,7 @@
 from violetstack.net.downstream.connection_reader import REQUEST_TIMEOUT_S
 from violetstack.net.downstream.connection_table import ConnectionTable
 from violetstack.net.downstream.response_handle import ResponseHandle
+from violetstack.net.transient_errors import is_readable
 from violetstack.protocol.http_server import HttpServerConnection
 
 FIRST_ACCEPT_RETRY_S = 0.005
@@ -152,7 +153,7 @@
             has_room = False
         if has_room:
             unread_since = 0.0
-            if wrap is None and stream.socket.is_readable():
+            if wrap is None and is_readable(stream.socket, in_doubt=True):
                 unread_since = self._accepted_unread_since()
             self._nursery.start_soon(self._serve, stream, wrap, unread_since)
         elif self.table.may_refuse():
@@ -198,4 +199,4 @@
 
 def _queue_is_empty(listener: trio.SocketListener) -> bool:
     """Whether no connection waits to be accepted; also if the listener has been closed."""
-    return listener.socket.fileno() < 0 or not listener.socket.is_readable()
+    return listener.socket.fileno() < 0 or not is_readable(listener.socket, in_doubt=True)
--- a/violetstack/net/downstream/socket_state.py
+++ b/violetstack/net/downstream/socket_state.py
@@ -7,6 +7,8 @@
 import trio
 from trio.lowlevel import wait_readable
 
+from violetstack.net.transient_errors import is_readable
+
 PEER_END_POLL_S = 0.02
 """Bytes that are left unread in the socket hide the peer's end; it is looked for this often."""
 
@@ -28,20 +30,23 @@
         return False
     poll = select.poll()
     poll.register(transport.socket, select.POLLRDHUP)
-    return bool(poll.poll(0))
+    try:
+        return bool(poll.poll(0))
+    except OSError:  # the system lacks memory for the call: the peer counts as there, and is looked at again
+        return False
 
 
 def has_unread(stream: trio.abc.Stream) -> bool:
     """Whether bytes, or the peer's end, wait in the socket of the open stream."""
     transport = tcp_stream(stream)
-    return transport is not None and transport.socket.is_readable()
+    return transport is not None and is_readable(transport.socket, in_doubt=True)
 
 
 async def wait_for_peer_end(stream: trio.abc.Stream) -> None:
     """Returns once the peer has closed the stream; what it sends is left unread in the socket."""
     transport = tcp_stream(stream)
     while transport is not None and not peer_has_closed(transport):
-        if transport.socket.is_readable():
+        if is_readable(transport.socket, in_doubt=True):
             await trio.sleep(PEER_END_POLL_S)
         else:
             await wait_readable(transport.socket)
--- a/violetstack/net/gossip.py
+++ b/violetstack/net/gossip.py
@@ -12,6 +12,7 @@
 from violetstack.config import Address
 from violetstack.gossip.codec import MAX_DATAGRAM_BYTES
 from violetstack.log import log_rate_limited
+from violetstack.net.transient_errors import is_readable
 from violetstack.policy_api import GossipReceived
 
 BIND_RETRY_S = 1.0
@@ -100,7 +101,8 @@
 
     def pending(self) -> bool:
         """Returns whether an unread datagram is waiting."""
-        return self._receiving_socket is not None and self._receiving_socket.is_readable()
+        receiving = self._receiving_socket
+        return receiving is not None and is_readable(receiving, in_doubt=False)
 
     def broadcast(self, payload: bytes) -> None:
         """Sends a datagram to all peers.
@@ -133,7 +135,7 @@
         """Waits for a datagram, then reads what else has arrived, up to `READ_BATCH` more."""
         self._received(*await trio_socket.recvfrom(MAX_DATAGRAM_BYTES + 1), handle)
         for _ in range(READ_BATCH):
-            if not trio_socket.is_readable():
+            if not is_readable(trio_socket, in_doubt=False):
                 return
             self._received(*await trio_socket.recvfrom(MAX_DATAGRAM_BYTES + 1), handle)
 
--- a/violetstack/net/upstream/connection.py
+++ b/violetstack/net/upstream/connection.py
@@ -13,7 +13,7 @@
 
 from violetstack.config import Address
 from violetstack.core.records import always
-from violetstack.net.transient_errors import RETRY_S, is_transient, receive, send_some
+from violetstack.net.transient_errors import RETRY_S, is_readable, is_transient, receive, send_some
 from violetstack.protocol.http_client import (
     HttpClientConnection,
     InvalidResponseError,
@@ -120,7 +120,7 @@
 
     def has_input(self) -> bool:
         """Whether there is something to read. On an idle connection that is its end."""
-        return self.sock.is_readable()
+        return is_readable(self.sock, in_doubt=False)
 
     def abort(self) -> None:
         """Closes the socket at once, so that no further byte reaches the host.
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -16,6 +16,7 @@
 from violetstack.core.backoff import MAX_WINDOW_S, Backoff
 from violetstack.log import log_rate_limited
 from violetstack.net.descriptor_reserve import DescriptorReserve, open_tcp_connection
+from violetstack.net.transient_errors import is_readable
 from violetstack.policy_api import UpdateScope
 from violetstack.protocol.discovery import (
     EndpointListDecoder,
@@ -84,7 +85,9 @@
     def pending(self) -> bool:
         """Is there anything unread?"""
         stream = self.stream
-        return stream is not None and stream.socket.fileno() >= 0 and stream.socket.is_readable()
+        if stream is None or stream.socket.fileno() < 0:
+            return False
+        return is_readable(stream.socket, in_doubt=False)
 
 
 class Watch:
@@ -376,7 +379,7 @@
             with trio.move_on_at(deadline):
                 return await self._read(connection, stream)
             # If this process has not read since the deadline, it may have been stopped: what came counts.
-            if connection.read_at > deadline or not stream.socket.is_readable():
+            if connection.read_at > deadline or not is_readable(stream.socket, in_doubt=False):
                 self._give_up(connection)
         return await self._read(connection, stream)
 
--- a/violetstack/rehearsal/fleet/fault_shim.c
+++ b/violetstack/rehearsal/fleet/fault_shim.c
@@ -6,6 +6,7 @@
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <poll.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <sys/mman.h>
@@ -15,7 +16,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { SOCKET, CONNECT, ACCEPT, SEND, FSYNC, RECV, CALLS };
+enum call { SOCKET, CONNECT, ACCEPT, SEND, FSYNC, RECV, POLL, CALLS };
 
 struct faults {
     int64_t wall_offset_ns;
@@ -83,6 +84,11 @@
     return (flags & MSG_PEEK) == 0 && fails(RECV) ? -1 : next(descriptor, data, length, flags);
 }
 
+int poll(struct pollfd *descriptors, nfds_t count, int timeout) {
+    NEXT(poll);
+    return fails(POLL) ? -1 : next(descriptors, count, timeout);
+}
+
 int fsync(int descriptor) {
     NEXT(fsync);
     return fails(FSYNC) ? -1 : next(descriptor);
--- a/violetstack/rehearsal/fleet/fault_shim.py
+++ b/violetstack/rehearsal/fleet/fault_shim.py
@@ -31,6 +31,7 @@
     SEND = 3
     FSYNC = 4
     RECV = 5
+    POLL = 6
 
 
 def build_shim() -> Path:
--- a/violetstack/rehearsal/fleet/soak_faults.py
+++ b/violetstack/rehearsal/fleet/soak_faults.py
@@ -24,6 +24,7 @@
     SEND_ONE_BYTE = "send writes a byte"
     SEND_ENOBUFS = "send ENOBUFS"
     RECV_ENOMEM = "recv ENOMEM"
+    POLL_ENOMEM = "poll ENOMEM"
     CLOCK_FORWARD = "clock an hour forward"
     CLOCK_BACK = "clock an hour back"
     CLOCK_STEPPED_OVER_RESTART = "clock stepped over a restart"
@@ -50,6 +51,7 @@
     SEND_ONE_BYTE = (Call.SEND, 0, 3)
     SEND_ENOBUFS = (Call.SEND, errno.ENOBUFS, 3)
     RECV_ENOMEM = (Call.RECV, errno.ENOMEM, 3)
+    POLL_ENOMEM = (Call.POLL, errno.ENOMEM, 2)
 
 
 SOAK_LASTS_S = {
