Soak: clients that go on with their connections, signals in series, crowds, a busy machine

Clients send a whole or half a request while their stream goes on, ask again right behind its end, and read slowly; half of the seeds restart a dispatcher in each wave; a closing promise that a dispatcher counts as broken breaks the seed. A fault of the rehearsal costs its seed the verdict; voids over one in twenty fail the run.

Two faults of the rig: an attempt that waited in a queue was judged by the earliest time at which it can have come, so 'hedged' was found where the dispatcher had sent one after the other; it is judged by when it was read (one as strict where the time is known). A host that refuses has no queue to fill.

Crossing a resting connection's end is no broken promise (the pages' rule); an evicted connection reads what came in that moment.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,8 +11,16 @@
 from pathlib import Path
 
 import pytest
-
-from violetstack.rehearsal.fleet.campaign_faults import EnvironmentFault
+import trio
+
+from violetstack.commands import soak as soak_command
+from violetstack.rehearsal.fleet.campaign_faults import (
+    WRITES_BEHIND,
+    ClientHabit,
+    EnvironmentFault,
+    ScriptSource,
+)
+from violetstack.rehearsal.fleet.campaign_result import CaseResult
 from violetstack.rehearsal.fleet.fault_shim import Call, ProcessFaults, build_shim
 from violetstack.rehearsal.fleet.soak import SoakPlan, play_soak
 from violetstack.rehearsal.fleet.soak_faults import FailingCall, SoakEvent, SoakFault, draw_soak
@@ -58,6 +66,45 @@
     assert overlapping >= 0.8 * len(events)
 
 
+def test_half_of_the_seeds_restart_a_dispatcher_in_each_wave() -> None:
+    restarts = {EnvironmentFault.SIGTERM, SoakFault.SIGNAL_SERIES}
+    often = sum(
+        sum(event.fault in restarts for event in draw_soak(seed, DURATION_S, 24, 6)) > 5 for seed in SEEDS
+    )
+    assert 0.3 < often / len(SEEDS) < 0.7
+
+
+def test_clients_that_go_on_with_a_connection_come_up() -> None:
+    source = ScriptSource(1)
+    scripts = [source.draw() for _ in range(400)]
+    habits = {script.habit for script in scripts}
+    assert habits == set(ClientHabit)
+    assert any(script.reads_slowly and script.habit in WRITES_BEHIND for script in scripts)
+
+
+class FailingRehearsal:
+    """Plays the seed that it is given, and fails at another."""
+
+    def __init__(self, result: CaseResult) -> None:
+        self._result = result
+
+    def __call__(self, plan: SoakPlan) -> CaseResult:
+        if plan.seed == 2:
+            raise ExceptionGroup("nursery", [trio.BusyResourceError()])
+        return self._result
+
+
+def test_a_fault_of_the_rehearsal_costs_one_seed_and_too_many_fail_the_run(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """It ended the whole run with a traceback and no verdict."""
+    judged = CaseResult(1, "", [], 1, 1, {}, [], [], 0.0, 0.0, [], [], {}, [], {})
+    monkeypatch.setattr(soak_command, "play_soak", FailingRehearsal(judged))
+    assert soak_command.run_soak([*range(1, 40)], 3, 1.0, shrinks=False) == 0
+    assert "seed 2: void, the rehearsal failed: BusyResourceError" in capsys.readouterr().out
+    assert soak_command.run_soak([1, 2, 3], 3, 1.0, shrinks=False) == 1
+
+
 def test_each_failing_call_is_a_fault() -> None:
     assert {each.name for each in FailingCall} <= {each.name for each in SoakFault}
 
--- a/tests/test_socket_audit.py
+++ b/tests/test_socket_audit.py
@@ -286,6 +286,33 @@
     assert rules(run, hedging=True) == []
 
 
+def test_an_attempt_that_may_have_waited_in_a_queue_counts_from_when_it_was_read() -> None:
+    """It came at some time before: whether two were out at once is not known before that."""
+    run = served()
+    run.prefill.closed_at = 1.35
+    run.decode.read_at = 1.4
+    assert rules(run) == []
+    run.decode.read_at = 1.2
+    assert rules(run) == [Rule.HEDGED]
+
+
+def test_a_request_behind_another_is_due_after_its_answer() -> None:
+    run = served()
+    late(run)
+    first = ClientExchange("first", 0, 0, 2.0, sent_at=0.9, answered_at=run.exchange.answered_at)
+    run.exchange.waits_for = first
+    assert rules(run) == []
+    first.answered_at = 1.0
+    assert rules(run) == [Rule.LATE_ANSWER]
+
+
+def test_a_stream_may_end_late_for_a_client_that_reads_slowly() -> None:
+    run = served()
+    ended_late(run)
+    run.exchange.reads_slowly = True
+    assert rules(run) == []
+
+
 def test_attempts_are_counted() -> None:
     assert rules(served(), max_attempts=1) == [Rule.TOO_MANY_ATTEMPTS]
 
--- a/violetstack/commands/faults.py
+++ b/violetstack/commands/faults.py
@@ -98,6 +98,8 @@
             click.echo(f"      {row}")
         for line in each.log:
             click.echo(f"      log {line}")
+    for line in result.invariant_lines:
+        click.echo(f"  log {line}")
 
 
 def list_seeds(seeds: list[int]) -> str:
--- a/violetstack/commands/soak.py
+++ b/violetstack/commands/soak.py
@@ -13,12 +13,13 @@
 from violetstack.rehearsal.fleet.soak_faults import SoakEvent
 
 SECONDS_PER_MINUTE = 60.0
+MAX_VOID_SHARE = 0.05
 
 
 def run_soak(seeds: list[int], processes: int, minutes: float, *, shrinks: bool) -> int:
     """Plays the seeds one after the other.
 
-    Returns 1 if a rule was broken, a dispatcher crashed or nothing was judged, else 0.
+    Returns 1 if a rule was broken, a dispatcher crashed, nothing was judged or too many seeds were void.
     """
     try:
         shim = build_shim()
@@ -28,7 +29,12 @@
     totals = SoakTotals()
     for seed in seeds:
         plan = SoakPlan(seed, processes, minutes * SECONDS_PER_MINUTE, shim)
-        result = play_soak(plan)
+        try:
+            result = play_soak(plan)
+        except Exception as error:  # a fault of the rehearsal costs the seed its verdict, not the whole run
+            click.echo(f"seed {seed}: void, the rehearsal failed: {_root_cause(error)!r}")
+            totals.add_void(seed)
+            continue
         totals.add(result)
         click.echo(show_case(result))
         if result.void or not is_broken(result):
@@ -38,7 +44,13 @@
             for event in shrink(plan, result):
                 click.echo(f"  needed: {_describe(event)}")
     click.echo(totals.describe(processes))
-    return 1 if totals.broken or not totals.judged else 0
+    return 1 if totals.broken or not totals.judged or totals.too_many_void else 0
+
+
+def _root_cause(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
 
 
 def is_broken(result: CaseResult) -> bool:
@@ -64,6 +76,15 @@
         self._by_rule: Counter[str] = Counter()
         self._by_invariant: Counter[str] = Counter()
 
+    def add_void(self, seed: int) -> None:
+        """Counts a seed that the rehearsal could not play."""
+        self._void.append(seed)
+
+    @property
+    def too_many_void(self) -> bool:
+        """Whether so many seeds have no verdict that the rest says little."""
+        return len(self._void) > MAX_VOID_SHARE * (self.judged + len(self._void))
+
     def add(self, result: CaseResult) -> None:
         """Counts one seed."""
         self._requests += result.requests
--- a/violetstack/net/downstream/closing.py
+++ b/violetstack/net/downstream/closing.py
@@ -70,6 +70,10 @@
     """Nothing is under way, and a request may come."""
 
 
+RESTING_STATES = frozenset({ConnectionState.UNREAD, ConnectionState.IDLE})
+"""Between requests a connection may end; a client whose request crosses that sends it once more."""
+
+
 class Violation(StrEnum):
     """What a close may not do to a client that is still there."""
 
@@ -80,7 +84,7 @@
     OUTPUT_UNSENT = "output_unsent"
     """Output is left in this process, or in the kernel, where a reset may still destroy it."""
     UNREAD_INPUT = "unread_input"
-    """Input was never read, and the client was told of no end before it."""
+    """Input of a request under way was never read, and the client was told of no end before it."""
     QUEUE_CLOSED = "queue_closed"
     """A listening socket is closed while connections wait in its queue, which resets them."""
 
@@ -127,7 +131,7 @@
         waited_for_client = self.state is ConnectionState.LINGERING and not self.unread_bytes
         if self.unwritten_bytes or (self.unacknowledged_bytes and not waited_for_client):
             found.append(Violation.OUTPUT_UNSENT)
-        if self.unread_bytes and not self.end_announced:
+        if self.unread_bytes and not self.end_announced and self.state not in RESTING_STATES:
             found.append(Violation.UNREAD_INPUT)
         return found
 
--- a/violetstack/net/downstream/connection_reader.py
+++ b/violetstack/net/downstream/connection_reader.py
@@ -190,11 +190,20 @@
                 await self._delay_after_rejections(connection)
             data = await receive_some(connection.stream, READ_SIZE)
         if self._wait is not None and self._wait.cancelled_caught:
-            return _waited_in_vain(connection, deadline)
+            if connection.evicted and connection.has_unread():
+                data = await self._read_at_eviction(connection)
+            if not data:
+                return _waited_in_vain(connection, deadline)
         if data:
             self._feed(connection, bytes(data))
         return bool(data)
 
+    async def _read_at_eviction(self, connection: DownstreamConnection) -> bytes | bytearray:
+        """What came after the connection had been chosen to be closed; empty if that is the client's end."""
+        with trio.move_on_after(LATE_READ_S):
+            return await receive_some(connection.stream, READ_SIZE)
+        return b""
+
     def _feed(self, connection: DownstreamConnection, data: bytes) -> None:
         connection.http.feed(data)
         read_at = connection.unread_since or trio.current_time()
--- a/violetstack/rehearsal/fleet/campaign_faults.py
+++ b/violetstack/rehearsal/fleet/campaign_faults.py
@@ -39,6 +39,26 @@
     LARGE_BODY = "large body"
     PIPELINED = "pipelined"
     CONNECTS_EARLY = "connects early"
+    SENDS_AGAIN = "sends again while its stream goes on"
+    SENDS_HALF = "sends half a request while its stream goes on"
+    ASKS_AGAIN = "asks again right behind the end"
+
+
+WRITES_BEHIND = frozenset({ClientHabit.SENDS_AGAIN, ClientHabit.SENDS_HALF})
+"""Habits of clients that write on a connection whose stream goes on."""
+SLOW_READER_SHARE = 0.3
+SOUND_HABITS = (
+    ClientHabit.PLAIN,
+    ClientHabit.PLAIN,
+    ClientHabit.PLAIN,
+    ClientHabit.PLAIN,
+    ClientHabit.SENDS_AGAIN,
+    ClientHabit.SENDS_HALF,
+    ClientHabit.ASKS_AGAIN,
+    ClientHabit.ASKS_AGAIN,
+)
+"""Of clients whose requests meet no fault of their own."""
+LONG_STREAM_SHARE = 0.5
 
 
 class HostFault(Enum):
@@ -113,6 +133,8 @@
         host_faults: By attempt number at hosts, prefills included; later attempts meet none.
         reached: Set by the host or client that takes the request to the stage.
         fired: Names of the faults that took place.
+        reads_slowly: The client takes little at a time, and its stream is longer.
+        behind_s: After the first event, until it writes on the connection again.
     """
 
     client_act: ClientAct | None
@@ -122,6 +144,8 @@
     reached: dict[Stage, trio.Event] = field(default_factory=lambda: {stage: trio.Event() for stage in Stage})
     fired: set[str] = field(default_factory=set)
     attempts_begun: int = 0
+    reads_slowly: bool = False
+    behind_s: float = 0.0
 
     def next_host_fault(self) -> HostFault:
         """The fault of the attempt that begins now."""
@@ -161,7 +185,7 @@
     def draw(self) -> RequestScript:
         rng = self._rng
         if rng.random() < PLAIN_SHARE:
-            return RequestScript(None, ClientHabit.PLAIN, (), 0.0)
+            return self._draw_sound()
         act, fault = self._pairs[self._next % len(self._pairs)]
         self._next += 1
         habit = rng.choice((ClientHabit.PLAIN, ClientHabit.PLAIN, *ClientHabit))
@@ -170,6 +194,22 @@
             habit=habit,
             host_faults=self._place(fault),
             jitter_s=rng.choice(JITTERS_S),
+            reads_slowly=rng.random() < SLOW_READER_SHARE,
+            behind_s=rng.random(),
+        )
+
+    def _draw_sound(self) -> RequestScript:
+        """No fault of its own; some clients go on with the connection, and some of their streams are long."""
+        rng = self._rng
+        habit = rng.choice(SOUND_HABITS)
+        long_stream = habit is not ClientHabit.PLAIN and rng.random() < LONG_STREAM_SHARE
+        return RequestScript(
+            client_act=None,
+            habit=habit,
+            host_faults=(HostFault.LONG_STREAM, HostFault.LONG_STREAM) if long_stream else (),
+            jitter_s=0.0,
+            reads_slowly=rng.random() < SLOW_READER_SHARE,
+            behind_s=rng.random(),
         )
 
     def _place(self, fault: HostFault) -> tuple[HostFault, ...]:
--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -39,6 +39,8 @@
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """Small, so that a host that does not read stops the dispatcher in the middle of a large request."""
 SECOND_RESPONSE_DELAYS_S = (0.0, 0.002, 0.01, 0.05)
+SLOW_READER_PADDING = "x" * 5000
+"""In each event for a client that reads slowly: the stream does not fit into its buffer."""
 ENDLESS_FOR_S = 8.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -135,6 +137,8 @@
         """New connections do not come up until `connect_again`: the queue of the listening socket is full."""
         self._accepting.cancel()
         self._stopped_at = self._clock()
+        if self._listening.fileno() < 0:
+            return  # it refuses at the moment
         self._listening.listen(0)
         for _ in range(QUEUE_FILLERS):
             filler = socket.socket()
@@ -147,7 +151,8 @@
         for filler in self._fillers:
             filler.close()
         self._fillers.clear()
-        self._listening.listen(BACKLOG)
+        if self._listening.fileno() >= 0:
+            self._listening.listen(BACKLOG)
         self._resumed_at = self._clock()
         self._resumed.set()
 
@@ -225,6 +230,7 @@
             _deadline_s(headers.get("req-deadline", "")),
             head_at,
             stalled=fault is HostFault.STALL_WHILE_READING or queued_since is not None,
+            read_at=self._clock() if queued_since is not None else None,
         )
         self._evidence.attempts.append(attempt)
         if script is not None:
@@ -340,6 +346,7 @@
     ) -> None:
         pause_s = self._rng.choice((0.0, 0.01, 0.05, 0.12))
         attempt.stream_faulty = fault in STREAM_FAULTS
+        padding = SLOW_READER_PADDING if script is not None and script.reads_slowly else ""
         first = _event(f"{attempt.request_id}@{self.name}#{len(self._evidence.attempts)}:0")
         await self._write_events(wire, attempt, first, STREAM_HEAD)
         if script is not None:
@@ -356,7 +363,7 @@
             await trio.sleep(pause_s)
             if n == 2:
                 await self._spoil(wire, attempt, fault)
-            await self._write_events(wire, attempt, _event(f"{attempt.request_id}:{n}"))
+            await self._write_events(wire, attempt, _event(f"{attempt.request_id}:{n}{padding}"))
         trailer = b"data: [DONE]\n\n"
         if self._load_report:
             trailer += f": Srv-Load: {self._load_report}\n\n".encode()
--- a/violetstack/rehearsal/fleet/campaign_processes.py
+++ b/violetstack/rehearsal/fleet/campaign_processes.py
@@ -142,6 +142,9 @@
             if exchange.dispatcher != dispatcher.program.number:
                 continue
             sent_at = exchange.sent_at
+            if exchange.waits_for is not None and exchange.waits_for.answered_at is None:
+                exchange.excused = "killed behind a stream"
+                continue
             begun_or_in_time = exchange.committed_at is not None or now < exchange.lost_at
             if sent_at is None or (sent_at <= since and begun_or_in_time):
                 exchange.excused = "killed"
--- a/violetstack/rehearsal/fleet/minimal_http.py
+++ b/violetstack/rehearsal/fleet/minimal_http.py
@@ -111,8 +111,11 @@
         self.wire.rest = b""
 
 
-async def connect(at: Address) -> trio.SocketStream:
+async def connect(at: Address, receive_buffer_bytes: int | None = None) -> trio.SocketStream:
+    """`receive_buffer_bytes` bounds what this machine takes before it is read."""
     sock = trio.socket.socket()
+    if receive_buffer_bytes is not None:
+        sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, receive_buffer_bytes)
     try:
         await sock.connect(at)
     except BaseException:
--- a/violetstack/rehearsal/fleet/soak_faults.py
+++ b/violetstack/rehearsal/fleet/soak_faults.py
@@ -31,6 +31,9 @@
     LOG_STALLS = "log reader stalls"
     RELOADS = "reloads in a row"
     DISCOVERY_MOVES = "SIGHUP moves discovery"
+    SIGNAL_SERIES = "SIGTERM, SIGKILL, start, SIGHUP, SIGTERM"
+    CROWD = "crowd of clients without a whole request"
+    BUSY_MACHINE = "busy machine"
     HOST_RESETS_CONNECTIONS = "host resets connections"
     HOST_HANGS = "host hangs"
 
@@ -59,6 +62,8 @@
     SoakFault.CLOCK_BACK: 3.0,
     SoakFault.LOG_STALLS: 4.0,
     SoakFault.HOST_HANGS: 2.5,
+    SoakFault.CROWD: 3.0,
+    SoakFault.BUSY_MACHINE: 3.0,
 }
 QUIET_CHANCE = 0.3
 QUIET_SHARE = 0.4
@@ -67,6 +72,9 @@
 WAVE_S = (1.5, 3.5)
 """From one wave of troubles to the next."""
 SAME_TARGET_CHANCE = 0.7
+RESTARTS_CHANCE = 0.5
+"""Of seeds in which each wave restarts a dispatcher, whatever else befalls it."""
+RESTART_FAULTS = (EnvironmentFault.SIGTERM, EnvironmentFault.SIGTERM, SoakFault.SIGNAL_SERIES)
 
 
 @dataclass(frozen=True)
@@ -91,9 +99,13 @@
     rng.shuffle(faults)
     queue = list(faults)
     at = duration_s * QUIET_SHARE if rng.random() < QUIET_CHANCE else 0.5
-    events = []
+    events: list[SoakEvent] = []
+    restarts = rng.random() < RESTARTS_CHANCE
     while at < duration_s - AFTERMATH_S:
         dispatcher = rng.randrange(dispatchers)
+        if restarts:
+            fault = rng.choice(RESTART_FAULTS)
+            events.append(SoakEvent(at + rng.random() * 0.6, lasts_s(fault), fault, dispatcher))
         for _ in range(rng.choice((2, 2, 3))):
             queue = queue or list(faults)
             fault = queue.pop()
