--- a/violetstack/net/downstream/closing.py
+++ b/violetstack/net/downstream/closing.py
@@ -31,6 +31,8 @@
     """The client has closed the connection, or ended its sending."""
     CONNECTION_BROKEN = "connection_broken"
     """The client or the network has reset it."""
+    CLIENT_STALLED = "client_stalled"
+    """The client has read nothing for as long as is waited for that."""
     RESPONSE_ENDED = "response_ended"
     """The response has announced it, or the client has asked for it."""
     STREAM_BROKEN = "stream_broken"
@@ -136,7 +138,14 @@
         return found
 
 
-HARMLESS_REASONS = frozenset({CloseReason.CLIENT_ENDED, CloseReason.CONNECTION_BROKEN, CloseReason.MIGRATED})
+HARMLESS_REASONS = frozenset(
+    {
+        CloseReason.CLIENT_ENDED,
+        CloseReason.CONNECTION_BROKEN,
+        CloseReason.CLIENT_STALLED,
+        CloseReason.MIGRATED,
+    }
+)
 """The client has gone, or the connection lives on in another process."""
 
 
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -320,10 +320,12 @@
                         if not self.close_when_written:
                             self.closes_for(CloseReason.CLIENT_ENDED)
                             nursery.cancel_scope.cancel()
-        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            self.closes_for(CloseReason.CONNECTION_BROKEN)
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.close_reason = CloseReason.CONNECTION_BROKEN  # whatever was to come next
+        except* trio.TooSlowError:
+            self.close_reason = CloseReason.CLIENT_STALLED
         except* Exception as errors:  # a failing connection must not end the listener
-            self.closes_for(CloseReason.INTERNAL_ERROR)
+            self.close_reason = CloseReason.INTERNAL_ERROR
             log_rate_limited("connection_failed", error=repr(errors.exceptions[0]))
         finally:
             await self._close()
