One table of states for a client connection; one function closes it, with a typed reason

States and events stood in six flags that reader, writer, table and shutdown set. Now connection_life.py has them in one table that the code runs by; an event that a state does not know fails the tests and is logged in service. Tests: the page shows the same table; a shutdown at each of its four steps from each of the seven open states gives the client what it is owed.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -50,8 +50,11 @@
         return connection
 
 
-async def send_request(on: Stage, request: str, kind: str = "orden", **more: str) -> Call:
-    call = await connect(on.platform)
+async def send_request(
+    on: Stage, request: str, kind: str = "orden", *, call: Call | None = None, **more: str
+) -> Call:
+    """`call`: on this connection, which the caller has opened."""
+    call = call or await connect(on.platform)
     await call.send("POST", "/v1/chat/completions", platform_headers(request, kind, **more), BODY)
     return call
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -10,7 +10,8 @@
 import pytest
 from msgspec.structs import replace
 
-from violetstack.net.downstream.closing import Close, CloseMonitor, CloseReason, ConnectionState, Violation
+from violetstack.net.downstream.closing import Close, CloseMonitor, CloseReason, Violation
+from violetstack.net.downstream.connection_life import ConnectionState
 
 HARMLESS = Close(
     reason=CloseReason.SHUTDOWN_IDLE,
--- /dev/null
+++ b/tests/test_connection_life.py
@@ -0,0 +1,200 @@
+"""The states of a client connection: the table that the code runs by, and a shutdown from each of them."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+
+from tests.crossings import send_request
+from tests.steady import until
+from tests.test_shutdown_deadlines import settings_with_timeout, stop_as_if_asked
+from tests.test_stories import pair, play
+from violetstack.daemon.shutdown_schedule import ShutdownSchedule
+from violetstack.net.downstream.connection import DownstreamConnection
+from violetstack.net.downstream.connection_life import (
+    TRANSITIONS,
+    ConnectionEvent,
+    ConnectionLife,
+    ConnectionState,
+    InvalidTransitionError,
+)
+from violetstack.rehearsal.clients import Call, connect
+from violetstack.rehearsal.hosts import Act, ModelHost
+from violetstack.rehearsal.peer import PeerConnection
+from violetstack.rehearsal.stage import Stage
+
+ARCHITECTURE = Path(__file__).parent.parent / "docs" / "architecture.md"
+SCHEDULE = ShutdownSchedule.for_longest_timeout(15000.0)
+STEPS = {
+    "SIGTERM": 0.0,
+    "reject": SCHEDULE.reject_s,
+    "end waiting": SCHEDULE.end_waiting_s,
+    "close silent": SCHEDULE.close_silent_s,
+}
+SMALL_BUFFER = 4096
+TAIL_BYTES = 200_000
+
+
+def test_every_state_can_be_reached_and_closed() -> None:
+    reached = {ConnectionState.UNREAD}
+    for _ in ConnectionState:
+        reached |= {following for state in reached for following in TRANSITIONS[state].values()}
+    assert reached == set(ConnectionState)
+    open_states = set(ConnectionState) - {ConnectionState.CLOSED}
+    assert all(ConnectionEvent.SOCKET_CLOSED in TRANSITIONS[state] for state in open_states)
+    assert not TRANSITIONS[ConnectionState.CLOSED]
+
+
+def test_an_event_that_a_state_does_not_know_is_logged_and_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[dict[str, Any]] = []
+    life = ConnectionLife(lambda event, **fields: lines.append({"event": event, **fields}))
+    with pytest.raises(InvalidTransitionError, match="output_written in state unread"):
+        life.move(ConnectionEvent.OUTPUT_WRITTEN)
+    monkeypatch.setattr(ConnectionLife, "strict", False)
+    life.move(ConnectionEvent.OUTPUT_WRITTEN)
+    assert life.state is ConnectionState.UNREAD
+    assert lines == [{"event": "connection_state_invalid", "state": "unread", "cause": "output_written"}]
+
+
+def test_the_page_shows_the_table_that_the_code_runs_by() -> None:
+    rows = re.findall(r"^\| `(\w+)` \| `(\w+)` \| `(\w+)` \|", ARCHITECTURE.read_text(), re.MULTILINE)
+    table = [
+        (state.value, event.value, following.value)
+        for state, events in TRANSITIONS.items()
+        for event, following in events.items()
+        if event is not ConnectionEvent.SOCKET_CLOSED
+    ]
+    assert rows == table
+
+
+# --- each state at each step of a shutdown ---
+
+
+class LargeTail(ModelHost):
+    """Streams go on until the act's pause is over, then end with more than the kernel's buffers take."""
+
+    async def stream(self, act: Act, body: memoryview, connection: PeerConnection) -> None:
+        await connection.start(200, [("Content-Type", "text/event-stream")])
+        await connection.data(b"data: first\n\n")
+        if act.pause is not None:
+            await act.pause.wait()
+        await connection.data(b"data: " + b"x" * TAIL_BYTES + b"\n\n")
+        await connection.data(b"data: [DONE]\n\n")
+        await connection.end()
+
+
+def only_connection(on: Stage) -> DownstreamConnection:
+    (connection,) = on.daemon.listeners[0].table.connections
+    return connection
+
+
+async def read_all(call: Call) -> None:
+    """To the answer's end, then to the connection's."""
+    answer = await call.receive()
+    if answer.whole:
+        try:
+            assert await call.stream.receive_some(4096) == b""
+        except trio.BrokenResourceError:
+            pytest.fail("reset")
+
+
+async def unread(on: Stage, hold: trio.Event) -> Call:
+    return await connect(on.platform)
+
+
+async def reading(on: Stage, hold: trio.Event) -> Call:
+    call = await connect(on.platform)
+    await call.stream.send_all(b"POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\n")
+    return call
+
+
+async def waiting(on: Stage, hold: trio.Event) -> Call:
+    return await send_request(on, "q1")
+
+
+async def streaming(on: Stage, hold: trio.Event) -> Call:
+    call = await send_request(on, "q1")
+    await call.receive(events=1)
+    return call
+
+
+async def idle(on: Stage, hold: trio.Event) -> Call:
+    hold.set()
+    call = await send_request(on, "q1")
+    assert (await call.receive()).whole
+    call.answer.status = 0
+    return call
+
+
+async def flushing(on: Stage, hold: trio.Event) -> Call:
+    hold.set()
+    sock = trio.socket.socket()
+    sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, SMALL_BUFFER)
+    await sock.connect(on.platform)
+    return await send_request(on, "q1", call=Call(trio.SocketStream(sock)), Connection="close")
+
+
+async def lingering(on: Stage, hold: trio.Event) -> Call:
+    hold.set()
+    call = await send_request(on, "q1", Connection="close")
+    assert (await call.receive()).whole
+    call.answer.status = 0
+    return call
+
+
+BRING_INTO: dict[ConnectionState, Callable[[Stage, trio.Event], Awaitable[Call]]] = {
+    ConnectionState.UNREAD: unread,
+    ConnectionState.READING: reading,
+    ConnectionState.WAITING: waiting,
+    ConnectionState.STREAMING: streaming,
+    ConnectionState.IDLE: idle,
+    ConnectionState.FLUSHING: flushing,
+    ConnectionState.LINGERING: lingering,
+}
+OWED: dict[ConnectionState, set[int]] = {
+    ConnectionState.UNREAD: {0},
+    ConnectionState.READING: {408, 503},
+    ConnectionState.WAITING: {200, 500, 503},
+    ConnectionState.STREAMING: {200},
+    ConnectionState.IDLE: {0},
+    ConnectionState.FLUSHING: {200},
+    ConnectionState.LINGERING: {0},
+}
+"""Statuses that the client may get once the shutdown has begun; 0 is none."""
+
+
+def test_a_shutdown_is_played_from_every_state() -> None:
+    assert set(BRING_INTO) == set(OWED) == set(ConnectionState) - {ConnectionState.CLOSED}
+
+
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("state", BRING_INTO)
+def test_a_shutdown_gives_each_connection_what_it_is_owed(state: ConnectionState, step: str) -> None:
+    hold = trio.Event()
+    reader, _ = pair()
+    before = Act(before=hold) if state is ConnectionState.WAITING else Act(pause=hold)
+    writer = LargeTail("w", "decode", before)
+
+    async def story(on: Stage) -> None:
+        call = await BRING_INTO[state](on, hold)
+        await until(lambda: len(on.daemon.listeners[0].table.connections) == 1)
+        await until(lambda: only_connection(on).life.state is state)
+        listener = on.daemon.listeners[0]
+        stop_as_if_asked(on, STEPS[step])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_all, call)
+            await trio.sleep(0.06)  # three looks of the shutdown at its clock
+            hold.set()
+        assert call.answer.status in OWED[state]
+        assert call.answer.whole or call.answer.status == 0
+        await until(lambda: not listener.table.connections)
+        assert not listener.closes.violations
+
+    play(reader, writer, story=story, settings=settings_with_timeout(15000.0))
--- a/tests/test_requests_are_answered.py
+++ b/tests/test_requests_are_answered.py
@@ -285,7 +285,7 @@
         gate.set()
         assert await client.receive_to_end() == [200]
         assert client.heard.endswith(b"\r\n0\r\n\r\n")
-        assert connection.closed or connection.has_unread()
+        assert connection.life.closed or connection.has_unread()
         assert reader.begun == ["q1"]
 
     play(reader, writer, story=story)
--- a/tests/test_shutdown_streams.py
+++ b/tests/test_shutdown_streams.py
@@ -8,6 +8,7 @@
 import errno
 import random
 import signal
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 import pytest
@@ -34,6 +35,7 @@
 NETWORK_DELAY_S = 0.005
 LAST_CHUNK_DELAY_S = 0.007
 """Behind [DONE]: longer than the way to the client, shorter than the way there and back."""
+TEST_TIMEOUT_S = 30.0
 CROSSING_S = 0.06
 """A next request that is written this soon after its stream's end has crossed nothing."""
 
@@ -60,6 +62,16 @@
         await connection.end()
 
 
+def run_within(main: Callable[[], Awaitable[None]]) -> None:
+    """Runs a test that fails, and does not hang, where a connection is left open."""
+
+    async def bounded() -> None:
+        with trio.fail_after(TEST_TIMEOUT_S):
+            await main()
+
+    trio.run(bounded)
+
+
 def hosts(tail: bytes = b"") -> tuple[ModelHost, HeldStreams]:
     return ModelHost("r", "prefill"), HeldStreams("w", tail)
 
@@ -96,7 +108,7 @@
             assert client.responses[0].whole, "cut by a reset" if client.reset else "cut"
             client.close()
 
-    trio.run(main)
+    run_within(main)
 
 
 def test_no_stream_is_overtaken_by_a_reset_when_its_client_sends_again_at_once() -> None:
@@ -125,7 +137,7 @@
         reset = sum(client.reset for client in clients)
         assert (cut, reset) == (0, 0)
 
-    trio.run(main)
+    run_within(main)
 
 
 def test_a_request_right_behind_the_end_of_a_stream_is_answered() -> None:
@@ -165,7 +177,7 @@
         assert late < STREAMS // 2, "this machine is too slow for a verdict"
         assert unanswered == 0
 
-    trio.run(main)
+    run_within(main)
 
 
 def test_a_shutdown_outlasts_a_system_that_cannot_tell_what_waits_in_its_sockets() -> None:
@@ -185,6 +197,9 @@
             dispatcher.program.send(signal.SIGTERM)
             await trio.sleep(0.7)
             decode.end.set()
+            await trio.sleep(0.5)
+            failed = faults.failed(Call.POLL)
+            faults.stop_failing(Call.POLL)  # in doubt nothing is closed, so the end waits for this
             for client in (idle, streaming):
                 await client.read_all()
                 client.close()
@@ -192,7 +207,7 @@
             assert await dispatcher.ended_within(3.0)
             assert dispatcher.program.process is not None
             assert dispatcher.program.process.returncode == 0
-        assert faults.failed(Call.POLL)
+            assert failed
 
-    trio.run(main)
+    run_within(main)
     faults.close()
--- a/violetstack/daemon/shutdown.py
+++ b/violetstack/daemon/shutdown.py
@@ -101,7 +101,7 @@
 
     def _count_states(self) -> dict[str, int]:
         connections = (each for listener in self._fronts.listeners for each in listener.table.connections)
-        return dict(Counter(connection.state.value for connection in connections))
+        return dict(Counter(connection.life.state.value for connection in connections))
 
     def _advance(self) -> bool:
         """Takes the steps that are due after SIGTERM; returns whether nothing is left to do.
@@ -169,7 +169,7 @@
     """
     half_requests = [connection for connection in table.idle if connection.http.busy]
     for connection in [*table.awaiting_first_request, *half_requests]:
-        if not connection.answering and not connection.has_unread():
+        if not connection.life.answering and not connection.has_unread():
             table.evict(connection, CloseReason.SHUTDOWN_IDLE)
 
 
--- a/violetstack/daemon/shutdown_schedule.py
+++ b/violetstack/daemon/shutdown_schedule.py
@@ -25,6 +25,7 @@
 REJECT_REQUESTS_S = 0.6
 MIN_ANSWER_S = 0.05  # of a request that was accepted at the last moment
 FINAL_ANSWERS_S = 0.5  # before SIGKILL, for the last answers and releases
+LAST_ACCEPTS_S = 0.05  # after the earliest SIGKILL: until it comes, what waits in the queue is rejected
 CLOSE_SILENT_S = 0.15  # before SIGKILL, so that no request comes that can't be answered any more
 
 
@@ -34,8 +35,7 @@
 
     Attributes:
         stop_accepting_s: From here on the listening socket is closed once its queue is empty.
-        close_listener_s: The listening socket is closed, whatever its queue holds: what is accepted later
-            could not be answered any more.
+        close_listener_s: The listening socket is closed, whatever its queue holds.
         reject_s: Requests that are read from here on are rejected.
         end_waiting_s: Requests without a first event get their final answer.
         close_silent_s: Connections on which no request has begun are closed.
@@ -55,7 +55,7 @@
         kill_s = min(longest_timeout_ms / 1000.0, MAX_DRAIN_S) + KILL_DELAY_S
         return cls(
             stop_accepting_s=STOP_ACCEPTING_S,
-            close_listener_s=kill_s - CLOSE_SILENT_S,
+            close_listener_s=kill_s + LAST_ACCEPTS_S,
             reject_s=REJECT_REQUESTS_S,
             end_waiting_s=max(kill_s - FINAL_ANSWERS_S, REJECT_REQUESTS_S + MIN_ANSWER_S),
             close_silent_s=kill_s - CLOSE_SILENT_S,
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -31,6 +31,7 @@
             "clean_up_failed",
             "certificate_invalid",
             "connection_failed",
+            "connection_state_invalid",
             "event_loop_failed",
             "invariant_violated",
             "idempotency_store_failed",
--- a/violetstack/net/downstream/closing.py
+++ b/violetstack/net/downstream/closing.py
@@ -17,6 +17,7 @@
 import msgspec
 import trio
 
+from violetstack.net.downstream.connection_life import RESTING_STATES, ConnectionState
 from violetstack.net.downstream.socket_state import tcp_stream
 
 INT_BYTES = struct.calcsize("i")
@@ -53,29 +54,6 @@
     """Its task has failed."""
 
 
-class ConnectionState(StrEnum):
-    """How far a client connection has come."""
-
-    UNREAD = "unread"
-    """Nothing has been read yet."""
-    READING = "reading"
-    """A request has begun to arrive."""
-    WAITING = "waiting"
-    """A request has no response yet."""
-    STREAMING = "streaming"
-    """A response has begun and not ended."""
-    FLUSHING = "flushing"
-    """Responses have ended, and are not all written."""
-    LINGERING = "lingering"
-    """All is written and the sending has ended; the client's end is awaited."""
-    IDLE = "idle"
-    """Nothing is under way, and a request may come."""
-
-
-RESTING_STATES = frozenset({ConnectionState.UNREAD, ConnectionState.IDLE})
-"""Between requests a connection may end; a client whose request crosses that sends it once more."""
-
-
 class Violation(StrEnum):
     """What a close may not do to a client that is still there."""
 
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -13,10 +13,15 @@
 from violetstack.net.downstream.closing import (
     Close,
     CloseReason,
-    ConnectionState,
     unacknowledged_bytes,
     unread_bytes,
 )
+from violetstack.net.downstream.connection_life import (
+    RESTING_STATES,
+    ConnectionEvent,
+    ConnectionLife,
+    ConnectionState,
+)
 from violetstack.net.downstream.connection_reader import ConnectionReader, first_byte_arrives
 from violetstack.net.downstream.lingering import LingeringClose
 from violetstack.net.downstream.response_handle import ResponseHandle
@@ -69,15 +74,13 @@
         "_request_id",
         "_response",
         "_streamed",
-        "answering",
         "buffered_bytes",
         "close_reason",
-        "close_when_written",
-        "closed",
         "ends_when_idle",
         "evicted",
         "http",
         "last_used",
+        "life",
         "listener",
         "migration_pause",
         "progress_at",
@@ -96,8 +99,7 @@
         self.listener = listener
         self.http = UNUSED_PARSER
         self.request: OpenRequest | None = None
-        self.answering = False
-        """A request was handed to the front and its answer has not ended."""
+        self.life = ConnectionLife(log_rate_limited)
         self.last_used = trio.current_time()
         self.progress_at = self.last_used
         self.served = False
@@ -106,12 +108,9 @@
         """Size of the body of the request that is arriving or being answered."""
         self.unread_since = 0.0
         """The bytes that are read next may have waited in the socket since then; 0 if they have not."""
-        self.closed = False
         self.refused = refused
         """Over the bound on connections: requests are answered 503."""
         self.scope = trio.CancelScope()
-        self.close_when_written = False
-        """The connection ends once all output is written."""
         self.evicted = False
         self.ends_when_idle = False
         """The connection ends in order unless a request arrives in this very moment."""
@@ -131,7 +130,7 @@
 
     def adopt_response(self) -> ResponseHandle:
         """The handle of a response whose beginning another process has written."""
-        self.answering = True
+        self.life.move(ConnectionEvent.STREAM_ADOPTED)
         self.served = True
         self._response = ResponseHandle(self)
         return self._response
@@ -145,7 +144,7 @@
         rejected = 400 <= status < 500 and self.request is None
         self._reader.rejections_in_a_row = self._reader.rejections_in_a_row + 1 if rejected else 0
         self._output.put(self.http.answer(status, headers, body))
-        self._response_ended()
+        self._response_ended(broken=False)
 
     def stream_head(self, status: int, headers: Headers) -> None:
         """Queues the head of a streamed response."""
@@ -154,6 +153,7 @@
             self._reader.interrupt()  # what comes now is left unread
         self._reader.rejections_in_a_row = 0
         self._output.put(self.http.stream(status, headers))
+        self.life.move(ConnectionEvent.RESPONSE_BEGUN)
 
     def data(self, data: memoryview | bytes) -> None:
         """Queues a part of a streamed response's body."""
@@ -163,13 +163,12 @@
         """Queues the last chunk."""
         self._output.put(self.http.end())
         self._streamed = True
-        self._response_ended()
+        self._response_ended(broken=False)
 
     def cut(self) -> None:
         """Closes once all is written, without the last chunk: a broken stream must not look complete."""
         self.closes_for(CloseReason.STREAM_BROKEN)
-        self.close_when_written = True
-        self._response_ended()
+        self._response_ended(broken=True)
 
     def closes_for(self, reason: CloseReason) -> None:
         """Notes why this process closes the connection; the first reason counts."""
@@ -178,7 +177,7 @@
 
     async def wait_writable(self) -> None:
         """Returns once the client has read enough, or the connection is closed."""
-        if not self.closed:
+        if not self.life.closed:
             await self._output.wait_writable()
 
     def _announce_close(self) -> None:
@@ -186,17 +185,18 @@
         if self.listener.draining and not self.http.unread:
             self.http.closing = True
 
-    def _response_ended(self) -> None:
-        self.answering = False
+    def _response_ended(self, *, broken: bool) -> None:
         self.request = None
         self.last_used = trio.current_time()
         self.listener.table.set_buffered_bytes(self, 0)
-        if self.http.closing or (not self.close_when_written and not self.http.reuse()):
+        if broken or self.http.closing or not self.http.reuse():
             self.closes_for(CloseReason.RESPONSE_ENDED)
-            self.close_when_written = True
-        if not self.close_when_written and not self.closed and not self.evicted:
-            self.listener.table.mark_idle(self)
-        if self.close_when_written or self.http.unread:
+            self.life.move(ConnectionEvent.LAST_RESPONSE_ENDED)
+        else:
+            self.life.move(ConnectionEvent.RESPONSE_ENDED)
+            if not self.evicted:
+                self.listener.table.mark_idle(self)
+        if self.life.ending or self.http.unread:
             self._reader.interrupt()  # nothing more is wanted, or the next request has been read already
         self._output.wake()
 
@@ -212,21 +212,21 @@
         with trio.move_on_after(MIGRATION_FLUSH_TIMEOUT_S):
             await pause.reading_stopped.wait()
             await self._output.wait_flushed()
-        ready = pause.reading_stopped.is_set() and not self.closed and self.http.passable
+        ready = pause.reading_stopped.is_set() and not self.life.closed and self.http.passable
         if not ready or self._output.pending_bytes:
             self.resume()
             return False
         return True
 
     def _can_migrate(self) -> bool:
-        if self.closed or self.close_when_written or self.migration_pause is not None:
+        if self.life.state is not ConnectionState.STREAMING or self.migration_pause is not None:
             return False
-        return isinstance(self.stream, trio.SocketStream) and self.answering and self.http.passable
+        return isinstance(self.stream, trio.SocketStream) and self.http.passable
 
     @property
     def descriptor(self) -> int | None:
         """The socket's file descriptor; None for TLS and for closed connections."""
-        if self.closed or not isinstance(self.stream, trio.SocketStream):
+        if self.life.closed or not isinstance(self.stream, trio.SocketStream):
             return None
         return self.stream.socket.fileno()
 
@@ -267,7 +267,7 @@
 
     def begin_close(self) -> None:
         """Nothing is under way: the connection ends once all output is written."""
-        self.close_when_written = True
+        self.life.move(ConnectionEvent.END_BEGUN)
         self.listener.table.mark_engaged(self)
         self._output.wake()
 
@@ -275,11 +275,11 @@
 
     def client_has_closed(self) -> bool:
         """Whether the client has closed its connection, or ended its sending, even behind unread bytes."""
-        return self.closed or peer_has_closed(self.stream)
+        return self.life.closed or peer_has_closed(self.stream)
 
     def has_unread(self) -> bool:
         """Whether bytes, or the client's end, wait in the socket."""
-        return not self.closed and has_unread(self.stream)
+        return not self.life.closed and has_unread(self.stream)
 
     @property
     def client_ended(self) -> trio.Event:
@@ -289,24 +289,13 @@
     @property
     def unacknowledged_bytes(self) -> int:
         """Written bytes that the client's machine has not acknowledged."""
-        return 0 if self.closed else unacknowledged_bytes(self.stream)
+        return 0 if self.life.closed else unacknowledged_bytes(self.stream)
 
     @property
     def unwritten_bytes(self) -> int:
         """Bytes of responses that wait for the client to read."""
         return self._output.pending_bytes if self.http is not UNUSED_PARSER else 0
 
-    @property
-    def state(self) -> ConnectionState:
-        """How far the connection has come."""
-        if self.http is UNUSED_PARSER:
-            return ConnectionState.UNREAD
-        if self.answering:
-            return ConnectionState.WAITING if self.http.can_answer else ConnectionState.STREAMING
-        if self.close_when_written:
-            return ConnectionState.FLUSHING if self.unwritten_bytes else ConnectionState.LINGERING
-        return ConnectionState.READING if self.http.busy or not self.served else ConnectionState.IDLE
-
     # --- tasks ---
 
     async def serve(self) -> None:
@@ -317,7 +306,7 @@
                     async with trio.open_nursery() as nursery:
                         nursery.start_soon(self._write)
                         await self._reader.run()
-                        if not self.close_when_written:
+                        if not self.life.ending:
                             self.closes_for(CloseReason.CLIENT_ENDED)
                             nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -335,7 +324,7 @@
         if self._response is not None:
             self._response.connection_lost()
             self._response = None
-        self.closed = True
+        self.life.move(ConnectionEvent.SOCKET_CLOSED)
         self.listener.table.forget(self)
         if self.request is not None:
             self.listener.core.client_disconnected(now_ms(), self.request)
@@ -349,13 +338,13 @@
     def _describe_close(self) -> Close:
         return Close(
             reason=self.close_reason or CloseReason.PROCESS_ENDED,
-            state=self.state,
+            state=self.life.state,
             request_id=self.request.id if self.request is not None else self._request_id,
             unread_bytes=unread_bytes(self.stream),
             unacknowledged_bytes=unacknowledged_bytes(self.stream),
             unwritten_bytes=self.unwritten_bytes,
             idle_ms=round((trio.current_time() - self.last_used) * 1000.0),
-            end_announced=self.http.closing or self.close_when_written,
+            end_announced=self.http.closing or self.life.ending,
             client_ended=self.client_has_closed(),
         )
 
@@ -376,13 +365,13 @@
 
         A client that has closed its connection and one that has only ended its sending look alike.
         """
-        if not self.answering or not self.http.can_answer:
+        if self.life.state is not ConnectionState.WAITING:
             return
         request, self.request = self.request, None
         may_have_run = request is not None and request.possibly_executed
         if request is not None:
             self.listener.core.client_disconnected(now_ms(), request)
-        if self.answering:
+        if self.life.answering:
             if self._response is not None:
                 self._response.connection_lost()
             self._reject(500 if may_have_run else 503, CLIENT_ENDED)
@@ -395,18 +384,19 @@
         else:
             log_rate_limited("client_request_timeout")
             self.scope.cancel()
-        self.close_when_written = True
+            self.life.move(ConnectionEvent.END_BEGUN)
 
     def _reject(self, status: int, reason: str) -> None:
         self.closes_for(CloseReason.REQUEST_REJECTED)
         self.http.closing = True
-        self.answering = True
+        if self.life.state is not ConnectionState.WAITING:
+            self.life.move(ConnectionEvent.REQUEST_READ)
         self.listener.front.rejected(status, reason, ResponseHandle(self))
 
     def _turn_away(self, reason: str) -> None:
         """Rejects a complete request; the connection ends unless another has been read behind it."""
         self.http.closing = self.http.closing or not self.http.unread
-        self.answering = True
+        self.life.move(ConnectionEvent.REQUEST_READ)
         self.served = True
         self.listener.table.mark_engaged(self)
         self.listener.front.rejected(503, reason, ResponseHandle(self))
@@ -420,7 +410,7 @@
 
     def handle_next_request(self) -> None:
         """Hands the next complete request to the front, once the one before is answered."""
-        while not self.answering and not self.close_when_written:
+        while not self.life.answering and not self.life.ending:
             if self._reader.paces_pipeline:
                 return
             try:
@@ -443,13 +433,15 @@
                 self._hand_to_front(inbound)
 
     def _await_rest_of_request(self) -> None:
+        if self.http.busy and self.life.state in RESTING_STATES:
+            self.life.move(ConnectionEvent.REQUEST_BEGUN)  # it had been read behind the request before it
         if self.listener.table.bodies_full and self.http.size:
             self._reject(503, BODIES_FULL)
         elif self._reader.discarded and self.http.busy:
             self._reject(503, "more was sent at once than is kept")
         elif self._reader.discarded:
             self.closes_for(CloseReason.REQUEST_REJECTED)
-            self.close_when_written = True
+            self.life.move(ConnectionEvent.END_BEGUN)
             self._output.wake()
         elif self.http.wants_continue:
             self._output.put([self.http.continue_100()])
@@ -471,7 +463,7 @@
         return ""
 
     def _hand_to_front(self, inbound: HttpRequest) -> None:
-        self.answering = True
+        self.life.move(ConnectionEvent.REQUEST_READ)
         self.served = True
         self.listener.table.mark_engaged(self)
         self._response = ResponseHandle(self)
@@ -482,14 +474,15 @@
             self._request_id = self.request.id if self.request is not None else ""
         except Exception as error:  # a fault that one request shows must not cost it its answer
             log_rate_limited("request_failed", error=repr(error))
-            if self.answering and self.request is None:
+            if self.life.answering and self.request is None:
                 self._response.connection_lost()
                 self._reject(500, "the request could not be handled")
 
     async def _write(self) -> None:
         while True:
             await self._output.write_all(self.stream)
-            if self.close_when_written:
+            if self.life.ending:
+                self.life.move(ConnectionEvent.OUTPUT_WRITTEN)
                 await LingeringClose(self).run(client_closes_first=self._streamed)
                 self.scope.cancel()
                 return
--- a/violetstack/net/downstream/connection_reader.py
+++ b/violetstack/net/downstream/connection_reader.py
@@ -9,6 +9,7 @@
 from trio.lowlevel import wait_readable
 
 from violetstack.log import log_rate_limited
+from violetstack.net.downstream.connection_life import RESTING_STATES, ConnectionEvent
 from violetstack.net.downstream.read_times import ReadTimes
 from violetstack.net.downstream.socket_state import wait_for_peer_end
 from violetstack.net.transient_errors import receive_some
@@ -107,11 +108,11 @@
         """Reads until the client has ended its sending, or the connection is to be closed."""
         connection = self._connection
         assert connection is not None
-        while not connection.close_when_written:
+        while not connection.life.ending:
             connection.handle_next_request()
-            if connection.close_when_written:
+            if connection.life.ending:
                 break
-            if self.paces_pipeline and not connection.answering:
+            if self.paces_pipeline and not connection.life.answering:
                 await self._delay_pipeline()
                 continue
             if connection.migration_pause is not None:
@@ -160,9 +161,9 @@
     async def _read_or_wait(self, connection: DownstreamConnection) -> bool:
         """False if the client has ended its sending, or the connection is to be closed at once."""
         try:
-            if connection.answering and connection.http.closing:
+            if connection.life.answering and connection.http.closing:
                 return await self._wait_for_answer(connection)
-            if connection.answering and connection.http.unread > _max_unread_bytes(connection):
+            if connection.life.answering and connection.http.unread > _max_unread_bytes(connection):
                 return await self._discard_until_answered(connection)
             return await self._receive(connection, self._deadline(connection))
         finally:
@@ -170,7 +171,7 @@
 
     def _deadline(self, connection: DownstreamConnection) -> float:
         """When the next bytes have to be there, on trio's clock; infinite if nothing has to come."""
-        if connection.answering or (connection.served and not connection.http.busy):
+        if connection.life.answering or (connection.served and not connection.http.busy):
             self._arriving_since = 0.0
             return math.inf
         now = trio.current_time()
@@ -186,7 +187,7 @@
             deadline = now + LATE_READ_S  # it came in time, and this process looks late
         data: bytes | bytearray = b""
         with trio.move_on_at(deadline) as self._wait:
-            if self.rejections_in_a_row > 1 and not connection.answering and not connection.http.busy:
+            if self.rejections_in_a_row > 1 and not connection.life.answering and not connection.http.busy:
                 await self._delay_after_rejections(connection)
             data = await receive_some(connection.stream, READ_SIZE)
         if self._wait is not None and self._wait.cancelled_caught:
@@ -206,11 +207,13 @@
 
     def _feed(self, connection: DownstreamConnection, data: bytes) -> None:
         connection.http.feed(data)
+        if connection.life.state in RESTING_STATES:
+            connection.life.move(ConnectionEvent.REQUEST_BEGUN)
         read_at = connection.unread_since or trio.current_time()
         connection.unread_since = 0.0
-        self._read_times.add(len(data), read_at, behind_request=connection.answering)
+        self._read_times.add(len(data), read_at, behind_request=connection.life.answering)
         table = connection.listener.table
-        if connection.answering:
+        if connection.life.answering:
             table.set_buffered_bytes(connection, connection.http.size + connection.http.unread)
         if not connection.served:
             table.mark_progress(connection)
@@ -230,7 +233,7 @@
         """
         self.discarded = True
         with trio.CancelScope() as self._wait:
-            while connection.answering:
+            while connection.life.answering:
                 await trio.sleep(DISCARD_INTERVAL_S)
                 if not await receive_some(connection.stream, DISCARD_SIZE):
                     return False
--- a/violetstack/net/downstream/connection_table.py
+++ b/violetstack/net/downstream/connection_table.py
@@ -175,7 +175,7 @@
     def busy(self) -> bool:
         """Whether any response is under way, or a request lies unread on an idle connection."""
         engaged = any(
-            c.answering or c.http.busy or c.unwritten_bytes or c.close_when_written for c in self.connections
+            c.life.answering or c.life.ending or c.http.busy or c.unwritten_bytes for c in self.connections
         )
         return engaged or bool(self.closing) or any(c.has_unread() for c in self.idle)
 
@@ -191,7 +191,7 @@
         is left open for a moment. It ends in order, for a request may come in this very moment.
         """
         ended = 0
-        for connection in [c for c in self.idle if not c.answering and not c.http.busy]:
+        for connection in [c for c in self.idle if not c.life.answering and not c.http.busy]:
             if ended < MAX_ENDED_AT_ONCE and self._is_settled(connection) and not connection.has_unread():
                 connection.end_when_idle(CloseReason.SHUTDOWN_IDLE)
                 ended += 1
