--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -151,6 +151,7 @@
         self._announce_close()
         if self.http.closing:
             self._reader.interrupt()  # what comes now is left unread
+        self._streamed = False
         self._reader.rejections_in_a_row = 0
         self._output.put(self.http.stream(status, headers))
         self.life.move(ConnectionEvent.RESPONSE_BEGUN)
