--- a/violetstack/rehearsal/fleet/campaign_processes.py
+++ b/violetstack/rehearsal/fleet/campaign_processes.py
@@ -62,6 +62,8 @@
 
     def start(self, dispatcher: Dispatcher) -> None:
         self._starts += 1
+        starts = self._state.evidence.process_starts.setdefault(dispatcher.program.number, [])
+        starts.append(self._state.now())
         dispatcher.program.start(self._state.now(), self._state.seed * 1000 + self._starts)
 
     async def await_ready(self, dispatcher: Dispatcher) -> None:
--- a/violetstack/rehearsal/fleet/campaign_state.py
+++ b/violetstack/rehearsal/fleet/campaign_state.py
@@ -72,6 +72,7 @@
 
     def load_begins(self) -> None:
         self._began = time.monotonic()
+        self.evidence.process_starts.clear()  # those before count from the beginning
         self.lag_s = 0.0
         self.starved_s = 0.0
 
--- a/violetstack/rehearsal/fleet/network.py
+++ b/violetstack/rehearsal/fleet/network.py
@@ -43,8 +43,8 @@
         self.calls: list[float] = []
         self.old = list(rows)
         self.news = trio.Event()
-        self.written_drains: dict[str, float] = {}
-        """When a host's drain was written to the dispatcher, by the host's id."""
+        self.written_drains: dict[str, list[float]] = {}
+        """When a host's drain was written to the dispatcher, each time, by the host's id."""
         self.complete = {1}
         """Versions that are complete lists."""
 
@@ -88,7 +88,7 @@
     def _note_written(self, rows: list[dict[str, Any]]) -> None:
         for row in rows:
             if row["state"] != "active":
-                self.written_drains.setdefault(str(row["id"]), self.now())
+                self.written_drains.setdefault(str(row["id"]), []).append(self.now())
 
     def begin_at(self, version: int) -> None:
         """The list is the one that another agent of the same discovery has at this version."""
--- a/violetstack/rehearsal/fleet/socket_audit.py
+++ b/violetstack/rehearsal/fleet/socket_audit.py
@@ -168,13 +168,15 @@
 
     Attributes:
         exchanges: By request id.
-        drains: When a drain of a host was written to a dispatcher, by both.
+        drains: When a drain of a host was written to a dispatcher, each time, by both.
+        process_starts: When a dispatcher's processes were started, by its number.
         lag_s: How late the observers were at most: a limit is not exceeded by less.
     """
 
     exchanges: dict[str, ClientExchange] = field(default_factory=dict)
     attempts: list[HostAttempt] = field(default_factory=list)
-    drains: dict[tuple[int, str], float] = field(default_factory=dict)
+    drains: dict[tuple[int, str], list[float]] = field(default_factory=dict)
+    process_starts: dict[int, list[float]] = field(default_factory=dict)
     lag_s: float = 0.0
 
 
@@ -330,11 +332,21 @@
             if over_s > DEADLINE_SLACK_S + self._evidence.lag_s:
                 detail = f"{attempt.host} was given {attempt.told_deadline_s:.3f} s, {left_s:.3f} s were left"
                 yield Violation(Rule.DEADLINE, exchange.id, detail)
-        drained_at = self._evidence.drains.get((exchange.dispatcher, attempt.host))
+        drained_at = self._drain_announced_at(exchange.dispatcher, attempt.host, at)
         if drained_at is not None and at > drained_at + self._drain_grace_s + self._tolerance_s:
             detail = f"{attempt.host} {at - drained_at:.3f} s after the drain was announced"
             yield Violation(Rule.AFTER_DRAIN, exchange.id, detail)
 
+    def _drain_announced_at(self, dispatcher: int, host: str, at: float) -> float | None:
+        """When the process that ran at this time was first told of the drain; None if it was not.
+
+        A new process begins with the list of its configuration, which may be old.
+        """
+        starts = self._evidence.process_starts.get(dispatcher, [])
+        started_at = max((start for start in starts if start <= at), default=-math.inf)
+        times = self._evidence.drains.get((dispatcher, host), [])
+        return min((time for time in times if time >= started_at), default=None)
+
     # --- repeats ---
 
     def _check_repeats(self, exchange: ClientExchange, attempts: list[HostAttempt]) -> Iterator[Violation]:
