Log and count what hosts hold for a request while it is held, and its releases

Cause: a request is logged once, at its end; of one under way the log told neither what is held for it nor why nothing is released, and the check of the rule ran only when a release was sent.

Change: core/remote_hold.py follows what hosts may hold by a table of states and events, with a clock from the moment at which something may be held. It decides nothing yet. New lines hold_unclaimed, reservation_uncertain, release_started, release_taken; GET /admin/invariants has the number of holds and the age of the oldest; the invariant 'held' fires while something is held too long. The test of the check that ran at a release asks for the violation before any release.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -206,10 +206,12 @@
     def reserve_decode_slot(self, call: ReservationCall) -> None:
         host = self.fleet.hosts[call.server]
         held = isinstance(host, Writer) and host.running < WRITE_SLOTS
-        self.clock.at(self.clock.now + 1.0, lambda: self.core.reservation_finished(call, held, not held))
+        at = self.clock.now + 1.0
+        self.clock.at(at, lambda: self.core.reservation_finished(at, call, held, not held))
 
     def release_state(self, call: ReleaseCall) -> None:
-        self.clock.at(self.clock.now + 1.0, lambda: self.core.release_finished(call, True))
+        at = self.clock.now + 1.0
+        self.clock.at(at, lambda: self.core.release_finished(at, call, True))
 
     def check_health(self, server: str) -> None: ...
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -26,6 +26,7 @@
 )
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt
+from violetstack.core.remote_hold import HoldSummary
 from violetstack.net.admin_server import MAX_CONNECTIONS
 from violetstack.policy.router import Router
 from violetstack.policy_api import (
@@ -53,7 +54,7 @@
         return StatsResponse({}, 0, 0, 2, 0)
 
     def invariants(self) -> InvariantsResponse:
-        return InvariantsResponse({"lost": 1}, 2, {"stream_cut": 3})
+        return InvariantsResponse({"lost": 1}, 2, {"stream_cut": 3}, HoldSummary(3, 2, 740))
 
     def cordon(self, endpoint_id: str) -> None:
         if endpoint_id not in ("a", "b"):
@@ -148,7 +149,8 @@
         (get("/admin/stats"), EMPTY_STATS),
         (
             get("/admin/invariants"),
-            b'{"violations":{"lost":1},"log_lines_dropped":2,"client_connections":{"stream_cut":3}}\n',
+            b'{"violations":{"lost":1},"log_lines_dropped":2,"client_connections":{"stream_cut":3},'
+            b'"held":{"requests":3,"unclaimed":2,"oldest_unclaimed_ms":740}}\n',
         ),
         (post("/admin/cordon", b"a"), b'{"out":"a"}\n'),
         (post("/admin/uncordon", b"a"), b'{"back":"a"}\n'),
@@ -206,10 +208,10 @@
                 disconnected += 1
         core.run(now)
         for release in ports.releases:
-            core.release_finished(release, True)
+            core.release_finished(now, release, True)
         ports.releases.clear()
         for call in ports.reservations:
-            core.reservation_finished(call, False, True)
+            core.reservation_finished(now, call, False, True)
         ports.reservations.clear()
         core.run(now)
     answers = Counter(answer.split()[0] for answer in ports.answers)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -214,7 +214,7 @@
     harness.run(ReserveDecodeSlot("q", "w1"))
     harness.core.attempt_finished(harness.now, prefill, AttemptStatus.CONNECT_FAILED)
     harness.run(RejectRequest("q", 0.0))
-    harness.core.reservation_finished(harness.ports.reservations[0], reserved, nothing_reserved)
+    harness.core.reservation_finished(harness.now, harness.ports.reservations[0], reserved, nothing_reserved)
     harness.run()
     assert len(harness.ports.releases) == releases
 
@@ -226,8 +226,8 @@
     harness.run(ReserveDecodeSlot("q", "w1"))
     harness.core.attempt_finished(harness.now, prefill, AttemptStatus.PREFILLED)
     harness.run(RejectRequest("q", 0.0), ReleaseState("q"))
-    harness.core.reservation_finished(harness.ports.reservations[0], None, False)
-    harness.core.release_finished(harness.ports.releases[0], True)
+    harness.core.reservation_finished(harness.now, harness.ports.reservations[0], None, False)
+    harness.core.release_finished(harness.now, harness.ports.releases[0], True)
     harness.run()
     assert len(harness.ports.releases) == 2
 
@@ -240,11 +240,11 @@
     prefill.request_written = True
     harness.core.attempt_finished(harness.now, prefill, AttemptStatus.RESET)
     harness.run(ReleaseState("q"))
-    harness.core.reservation_finished(harness.ports.reservations[0], True, False)
+    harness.core.reservation_finished(harness.now, harness.ports.reservations[0], True, False)
     assert [call.superseded for call in harness.ports.releases] == [True, False]
-    harness.core.release_finished(harness.ports.releases[0], True)
+    harness.core.release_finished(harness.now, harness.ports.releases[0], True)
     assert harness.request.holds_remote_state
-    harness.core.release_finished(harness.ports.releases[1], True)
+    harness.core.release_finished(harness.now, harness.ports.releases[1], True)
     assert not harness.request.holds_remote_state
 
 
@@ -255,7 +255,7 @@
     harness.core.attempt_finished(harness.now, prefill, AttemptStatus.RESET)
     harness.run(RejectRequest("q", 0.0))
     assert len(harness.ports.releases) == 1
-    harness.core.release_finished(harness.ports.releases[0], True)
+    harness.core.release_finished(harness.now, harness.ports.releases[0], True)
     harness.run()
     assert not harness.core.open_requests
 
@@ -269,7 +269,7 @@
     assert not harness.ports.releases[0].superseded
     harness.core.request_started(harness.now, prefill)
     assert harness.ports.releases[0].superseded
-    harness.core.release_finished(harness.ports.releases[0], False)
+    harness.core.release_finished(harness.now, harness.ports.releases[0], False)
     harness.core.attempt_finished(harness.now, prefill, AttemptStatus.ERROR)
     harness.run(RejectRequest("q", 0.0))
     assert len(harness.ports.releases) == 2
@@ -284,13 +284,13 @@
     harness.core.attempt_finished(harness.now, prefill, AttemptStatus.PREFILLED)
     harness.run(RejectRequest("q", 0.0))
     assert len(harness.ports.releases) == 1
-    harness.core.release_finished(harness.ports.releases[0], True)
+    harness.core.release_finished(harness.now, harness.ports.releases[0], True)
     harness.run()
     assert harness.core.open_requests  # the slot may be reserved after that release
-    harness.core.reservation_finished(harness.ports.reservations[0], None, False)
+    harness.core.reservation_finished(harness.now, harness.ports.reservations[0], None, False)
     harness.run()
     assert len(harness.ports.releases) == 2
-    harness.core.release_finished(harness.ports.releases[1], True)
+    harness.core.release_finished(harness.now, harness.ports.releases[1], True)
     harness.run()
     assert not harness.core.open_requests
 
@@ -379,7 +379,7 @@
         harness.ports.unacknowledged.append(decode)
     harness.run(after=SETTINGS.state_retention_ms)
     assert len(harness.ports.releases) == 1
-    harness.core.release_finished(harness.ports.releases[0], True)
+    harness.core.release_finished(harness.now, harness.ports.releases[0], True)
     assert harness.ports.aborted == ([] if arrived else [decode])
     assert decode.finished is not arrived
     if not arrived:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -142,9 +142,12 @@
     prefill = harness.send("r1")
     write(harness, prefill)
     harness.core.attempt_finished(harness.now, prefill, AttemptStatus.PREFILLED)
-    harness.run(ReleaseState("q"), after=SETTINGS.state_retention_ms + 301.0)
-    assert violations(harness) == {Rule.HELD_STATE: 1}
-    harness.core.release_finished(harness.ports.releases[0], False)
+    harness.run(after=SETTINGS.state_retention_ms + 299.0)
+    assert not violations(harness)
+    harness.run(after=2.0)
+    assert violations(harness) == {Rule.HELD_STATE: 1}  # while it is held, whether or not a release follows
+    harness.run(ReleaseState("q"))
+    harness.core.release_finished(harness.now, harness.ports.releases[0], False)
     assert violations(harness) == {Rule.HELD_STATE: 2}
 
 
--- a/violetstack/admin/responses.py
+++ b/violetstack/admin/responses.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from violetstack.core.remote_hold import HoldSummary
+
 
 class ErrorResponse(msgspec.Struct, frozen=True):
     """Body of every response with a status of 400 or more."""
@@ -72,11 +74,13 @@
         violations: Number of violations by rule; each rule is there from the start.
         log_lines_dropped: Log lines that the output did not take.
         client_connections: Number of closes of client connections that broke a promise, by kind.
+        held: What model hosts may hold for open requests now.
     """
 
     violations: dict[str, int]
     log_lines_dropped: int
     client_connections: dict[str, int]
+    held: HoldSummary
 
 
 class LeaseRow(msgspec.Struct, frozen=True):
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -4,8 +4,10 @@
 
 import math
 
+from violetstack.core.hold_clock import RELEASE_TIME_MS, HoldClock
 from violetstack.core.lifecycle import RequestLifecycle
 from violetstack.core.records import Attempt, AttemptLogEntry, OpenRequest, RequestOutcome
+from violetstack.core.remote_hold import HoldEvent
 from violetstack.core.reservations import Reservations
 from violetstack.core.send_guard import SendGuard, Withheld
 from violetstack.core.state import DispatcherState
@@ -20,8 +22,6 @@
 # A connection gets this long even if the state held for its request expires sooner; a release takes a few ms.
 MIN_CONNECT_TIMEOUT_MS = 40.0
 
-RELEASE_TIME_MS = 100.0
-"""What is held is released this long before it has to be, since the first host asked may not answer."""
 MIN_DELIVERY_MS = 60.0
 """A host acknowledges what was written within this, or its connection has fallen silent."""
 
@@ -40,10 +40,15 @@
     """Starts, cancels and finishes attempts, and commits a request to the first that streams."""
 
     def __init__(
-        self, state: DispatcherState, lifecycle: RequestLifecycle, reservations: Reservations
+        self,
+        state: DispatcherState,
+        lifecycle: RequestLifecycle,
+        reservations: Reservations,
+        clock: HoldClock,
     ) -> None:
-        """Creates it for a dispatcher's state."""
+        """Creates it for a dispatcher's state; `clock` follows what is held."""
         self._state = state
+        self._clock = clock
         self._reservations = reservations
         self._lifecycle = lifecycle
         self.guard = SendGuard(state, self.client_disconnected)
@@ -192,6 +197,9 @@
             state.load_shedder.stream_started(now, ratio, request.policy_request.prompt_tokens)
         if not request.reservations_in_flight and attempt.server not in state.endpoints.stateless_hosts:
             request.holds_remote_state = False  # the host that streams has taken over what was held
+            self._clock.apply(now, request, HoldEvent.STREAM_STARTED)
+        elif request.reservations_in_flight:
+            self._clock.apply(now, request, HoldEvent.STREAM_STARTED_EARLY)
         if request.release is not None:
             request.release.superseded = True
         state.observe_attempt(attempt.server, now, well=True)
@@ -233,6 +241,7 @@
             state.invariants.attempt_not_executed(attempt)
         self._finish_request(now, attempt, status)
         _record_effects(now, attempt, status)
+        self._record_hold(now, attempt, status)
         self._observe(now, attempt, status)
         if request.client_disconnected:
             # The policy is to hear of the request's end with this attempt's, or it would retry.
@@ -271,6 +280,14 @@
             self._lifecycle.finish(now, request, RequestOutcome.TRUNCATED)
             self._state.notify(request.sink.stream_broken)
 
+    def _record_hold(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
+        """Records what hosts may hold after an attempt. A prefill may succeed as its connection breaks."""
+        reached_host = attempt.request_written and status not in NOTHING_HELD_STATUSES
+        if status is AttemptStatus.PREFILLED or (attempt.is_prefill and reached_host):
+            self._clock.apply(now, attempt.request, HoldEvent.STATE_LEFT)
+        elif attempt.request_written and not attempt.undelivered:
+            self._clock.apply(now, attempt.request, HoldEvent.ATTEMPT_ENDED)
+
     def _observe(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
         if status is AttemptStatus.PREFILLED:
             self._state.observe_attempt(attempt.server, now, well=True)
@@ -310,6 +327,7 @@
     def migrated(self, now: float, attempt: Attempt) -> None:
         """Another process took over the stream, and will release what hosts hold for its request."""
         attempt.request.holds_remote_state = False
+        self._clock.apply(now, attempt.request, HoldEvent.RELEASED)
         self._lifecycle.finish(now, attempt.request, RequestOutcome.MIGRATED)
         self._state.post(ClientDisconnected(attempt.request.id))
         self.finished(now, attempt, AttemptStatus.CANCELLED)
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from violetstack.core.attempts import Attempts
+from violetstack.core.hold_clock import HoldClock
 from violetstack.core.lifecycle import RequestLifecycle
 from violetstack.core.ports import (
     Driver,
@@ -19,6 +20,7 @@
     Wake,
 )
 from violetstack.core.records import Attempt, OpenRequest, ReleaseCall, RequestOutcome, ReservationCall
+from violetstack.core.remote_hold import HoldSummary, summarize
 from violetstack.core.reservations import Reservations
 from violetstack.core.state import DispatcherState
 from violetstack.policy_api import (
@@ -108,9 +110,10 @@
         self.drain_grace_ms = drain_grace_ms
         self._max_unread = max_unread
         self._state = DispatcherState(settings, driver, wake)
-        self._reservations = Reservations(self._state)
+        clock = HoldClock(self._state)
+        self._reservations = Reservations(self._state, clock)
         self._lifecycle = RequestLifecycle(self._state, self._reservations, retry_after)
-        self._attempts = Attempts(self._state, self._lifecycle, self._reservations)
+        self._attempts = Attempts(self._state, self._lifecycle, self._reservations, clock)
         self.open_requests = self._state.open_requests
         self.endpoints = self._state.endpoints.endpoints
         self.draining = self._state.endpoints.draining
@@ -300,15 +303,23 @@
         """A host says that the request itself is at fault."""
         self._attempts.request_invalid(now, attempt)
 
+    def reservation_written(self, now: float, call: ReservationCall) -> None:
+        """The last byte of a reservation is handed to the kernel in this step."""
+        self._reservations.written(now, call)
+
     def reservation_finished(
-        self, call: ReservationCall, reserved: bool | None, nothing_reserved: bool
+        self, now: float, call: ReservationCall, reserved: bool | None, nothing_reserved: bool
     ) -> None:
         """A reservation ended; see `Reservations.finished`."""
-        self._reservations.finished(call, reserved, nothing_reserved)
+        self._reservations.finished(now, call, reserved, nothing_reserved)
 
-    def release_finished(self, call: ReleaseCall, done: bool) -> None:
+    def release_finished(self, now: float, call: ReleaseCall, done: bool) -> None:
         """A release ended, or was given up if not `done`."""
-        self._reservations.release_finished(call, done)
+        self._reservations.release_finished(now, call, done)
+
+    def holds(self, now: float) -> HoldSummary:
+        """Counts what hosts may hold for open requests."""
+        return summarize((request.hold for request in self.open_requests.values()), now)
 
     # --- the policy's turn ---
 
--- a/violetstack/core/invariants.py
+++ b/violetstack/core/invariants.py
@@ -113,13 +113,13 @@
         if outcome in LATE_OUTCOMES and late_ms > LATE_ANSWER_MS and not paused:
             self._violated(Rule.LOST, request, None, f"answered {late_ms:.0f} ms after its deadline")
 
-    def release_began(self, now: float, request: OpenRequest) -> None:
-        """A release is sent for what hosts hold."""
-        limit_ms = self._settings.state_retention_ms + HELD_STATE_SLACK_MS
-        paused = self._paused_until >= request.state_held_since
-        overdue = request.state_held_since and now - request.state_held_since > limit_ms
-        if self._settings.state_retention_ms and overdue and not request.in_flight and not paused:
-            self._violated(Rule.HELD_STATE, request, None, "released too late")
+    def held_too_long(self, now: float, request: OpenRequest) -> None:
+        """Called while something is held that should have been taken over or released by now."""
+        since = request.hold.since
+        if since is not None and self._paused_until < since:
+            held_ms = now - since
+            detail = f"{request.hold.state.value} for {held_ms:.0f} ms after '{request.hold.cause}'"
+            self._violated(Rule.HELD_STATE, request, None, detail)
 
     def release_abandoned(self, request: OpenRequest) -> None:
         """No host took the release."""
--- a/violetstack/core/lifecycle.py
+++ b/violetstack/core/lifecycle.py
@@ -7,6 +7,7 @@
 from violetstack.core.errors import DuplicateRequestError
 from violetstack.core.ports import MigratedStream, RetryAfter, Sink
 from violetstack.core.records import Attempt, OpenRequest, RequestOutcome
+from violetstack.core.remote_hold import HoldEvent
 from violetstack.core.reservations import Reservations
 from violetstack.core.state import DispatcherState
 from violetstack.policy_api import ClientDisconnected, Request
@@ -72,6 +73,8 @@
         request.in_flight = {0: attempt}
         request.attempts_sent = 1
         request.holds_remote_state = stream.holds_remote_state
+        if stream.holds_remote_state:
+            request.hold.apply(now, HoldEvent.STREAM_STARTED_EARLY)
         self._open(now, request)
         return attempt
 
@@ -140,6 +143,7 @@
 
     def _close(self, now: float, request: OpenRequest) -> None:
         self._state.invariants.closed(request)
+        self._state.timers.cancel(request.hold_timer)
         self._state.open_requests.pop(request.id, None)
         request.close()
         route_fields: dict[str, Any] = {}
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from violetstack.core.ports import Sink
+from violetstack.core.remote_hold import RemoteHold
 from violetstack.core.timers import Timer
 from violetstack.policy_api import AttemptStatus, Endpoint, Request
 
@@ -144,12 +145,14 @@
         server: Id of the decode host.
         attempt: The prefill attempt that the reservation goes along with, if one is in flight.
         after_release: A release in flight that has to end before the reservation is sent.
+        written_at: When its last byte was handed to the kernel, in milliseconds; None if it was not.
     """
 
     request: OpenRequest
     server: str
     attempt: Attempt | None
     after_release: ReleaseCall | None
+    written_at: float | None = None
 
 
 class ReleaseCall(msgspec.Struct, eq=False):
@@ -199,7 +202,10 @@
         holds_remote_state: Whether a host may hold state or a reservation for it.
         state_held_since: The last end of an attempt that had reached a host: what is held expires
             `Settings.state_retention_ms` after that.
+        hold: What hosts may hold for it.
+        hold_timer: The timer of what is held, while its clock runs.
         reservations_in_flight: Number of unfinished reservations.
+        reservations_unanswered: Number of those that were written.
         release: The release that is in flight.
         deadline_timer: The timer of its deadline.
         outcome: How it ended; None while it is open.
@@ -228,7 +234,10 @@
     first_run_endpoint: Endpoint | None = None
     holds_remote_state: bool = False
     state_held_since: float = 0.0
+    hold: RemoteHold = msgspec.field(default_factory=RemoteHold)
+    hold_timer: Timer | None = None
     reservations_in_flight: int = 0
+    reservations_unanswered: int = 0
     release: ReleaseCall | None = None
     deadline_timer: Timer | None = None
     outcome: RequestOutcome | None = None
--- /dev/null
+++ b/violetstack/core/remote_hold.py
@@ -0,0 +1,185 @@
+"""What model hosts may hold for one request: prefilled state, and reserved decode slots.
+
+A hold has a life of its own, beside the attempts of its request. It begins when a host may hold something: as
+a reservation is written, or as a prefill that had reached its host ends. From then on a clock runs. Only what
+is known stops it: a host that has begun an attempt, a stream that has started, a release that a host took.
+That an attempt was written stops nothing, since a host that begins nothing takes nothing over.
+
+The rule: while no attempt is in flight, what is held is taken over or released within
+`Settings.state_retention_ms`, counted from the last outcome or reservation.
+
+Nothing here does I/O or reads a clock. Times are in milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import StrEnum
+
+import msgspec
+
+
+class HoldState(StrEnum):
+    """What hosts may hold; the values are those of the log and of the admin API."""
+
+    NOTHING = "nothing"
+    ASKED = "asked"
+    """A reservation was written and is not answered yet; apart from it nothing is held."""
+    UNCLAIMED = "unclaimed"
+    """Something may be held, and no attempt is known to have begun that takes it over."""
+    CLAIMED = "claimed"
+    """What is held belongs to an attempt that its host has begun."""
+
+
+class HoldEvent(StrEnum):
+    """What happens to a hold; the values are those of the log."""
+
+    RESERVATION_WRITTEN = "reservation written"
+    """The last byte of a reservation was handed to the kernel."""
+    SLOT_CONFIRMED = "slot confirmed"
+    """The decode host has reserved a slot and knows of the prefill that is in flight."""
+    SLOT_UNCERTAIN = "slot uncertain"
+    """A reservation ended, and a slot may be reserved that no attempt in flight is known to take over."""
+    SLOT_REFUSED = "slot refused"
+    """The decode host has certainly reserved nothing, and no other reservation is unanswered."""
+    STATE_LEFT = "state left"
+    """An attempt ended that may have left prefilled state at its host."""
+    ATTEMPT_ENDED = "attempt ended"
+    """Another attempt ended that had reached its host."""
+    STREAM_STARTED = "stream started"
+    """The host that streams has taken over all that was held."""
+    STREAM_STARTED_EARLY = "stream started before a reservation was answered"
+    RELEASED = "released"
+    """A host took a release, and no attempt is in flight that could keep anything."""
+    RELEASED_BESIDE_ATTEMPT = "released beside an attempt"
+    """A host took a release: what is held still is what an attempt waits for that its host has begun."""
+    RELEASED_BEFORE_ANSWER = "released before a reservation was answered"
+    """A host took a release, but an unanswered reservation may take a slot after it."""
+    ABANDONED = "abandoned"
+    """No host took the release in time; hosts let go of what they hold after a while."""
+
+
+class ClockEffect(StrEnum):
+    """What an event does to the clock of a hold."""
+
+    KEEPS = "keeps"
+    STARTS = "starts"
+    """If it is not running."""
+    RESTARTS = "restarts"
+    STOPS = "stops"
+
+
+class Transition(msgspec.Struct, frozen=True):
+    """The state after an event, and what the event does to the clock."""
+
+    state: HoldState
+    clock: ClockEffect
+
+
+def _all_to(state: HoldState, clock: ClockEffect) -> dict[HoldState, Transition]:
+    return dict.fromkeys(HoldState, Transition(state, clock))
+
+
+_NOTHING_STAYS = Transition(HoldState.NOTHING, ClockEffect.STOPS)
+
+TRANSITIONS: dict[HoldEvent, dict[HoldState, Transition]] = {
+    HoldEvent.RESERVATION_WRITTEN: {
+        HoldState.NOTHING: Transition(HoldState.ASKED, ClockEffect.STARTS),
+        HoldState.ASKED: Transition(HoldState.ASKED, ClockEffect.STARTS),
+        HoldState.UNCLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.STARTS),
+        HoldState.CLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.STARTS),
+    },
+    HoldEvent.SLOT_CONFIRMED: {
+        HoldState.NOTHING: Transition(HoldState.UNCLAIMED, ClockEffect.STARTS),  # it overtook a release
+        HoldState.ASKED: Transition(HoldState.CLAIMED, ClockEffect.STOPS),
+        HoldState.UNCLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.KEEPS),  # there is more
+        HoldState.CLAIMED: Transition(HoldState.CLAIMED, ClockEffect.STOPS),
+    },
+    HoldEvent.SLOT_UNCERTAIN: {
+        HoldState.NOTHING: Transition(HoldState.UNCLAIMED, ClockEffect.STARTS),
+        HoldState.ASKED: Transition(HoldState.UNCLAIMED, ClockEffect.STARTS),
+        HoldState.UNCLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.STARTS),
+        HoldState.CLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.STARTS),
+    },
+    HoldEvent.SLOT_REFUSED: {
+        HoldState.NOTHING: _NOTHING_STAYS,
+        HoldState.ASKED: _NOTHING_STAYS,
+        HoldState.UNCLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.KEEPS),
+        HoldState.CLAIMED: Transition(HoldState.CLAIMED, ClockEffect.KEEPS),
+    },
+    HoldEvent.STATE_LEFT: _all_to(HoldState.UNCLAIMED, ClockEffect.RESTARTS),
+    HoldEvent.ATTEMPT_ENDED: {
+        HoldState.NOTHING: _NOTHING_STAYS,
+        HoldState.ASKED: Transition(HoldState.ASKED, ClockEffect.RESTARTS),
+        HoldState.UNCLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.RESTARTS),
+        HoldState.CLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.RESTARTS),
+    },
+    HoldEvent.STREAM_STARTED: _all_to(HoldState.NOTHING, ClockEffect.STOPS),
+    HoldEvent.STREAM_STARTED_EARLY: _all_to(HoldState.CLAIMED, ClockEffect.STOPS),
+    HoldEvent.RELEASED: _all_to(HoldState.NOTHING, ClockEffect.STOPS),
+    HoldEvent.RELEASED_BESIDE_ATTEMPT: _all_to(HoldState.CLAIMED, ClockEffect.STOPS),
+    HoldEvent.RELEASED_BEFORE_ANSWER: _all_to(HoldState.ASKED, ClockEffect.RESTARTS),
+    HoldEvent.ABANDONED: _all_to(HoldState.NOTHING, ClockEffect.STOPS),
+}
+"""By event and the state before it."""
+
+
+class RemoteHold(msgspec.Struct):
+    """What hosts may hold for one request, and for how long nobody is known to have taken it over.
+
+    Attributes:
+        state: What hosts may hold.
+        since: When the clock was started; None while it stands still.
+        cause: The event that started the clock.
+    """
+
+    state: HoldState = HoldState.NOTHING
+    since: float | None = None
+    cause: HoldEvent | None = None
+
+    def apply(self, now: float, event: HoldEvent) -> None:
+        """Takes the event into account."""
+        transition = TRANSITIONS[event][self.state]
+        self.state = transition.state
+        match transition.clock:
+            case ClockEffect.STOPS:
+                self.since = None
+                self.cause = None
+            case ClockEffect.RESTARTS:
+                self._start(now, event)
+            case ClockEffect.STARTS if self.since is None:
+                self._start(now, event)
+
+    def _start(self, now: float, event: HoldEvent) -> None:
+        self.since = now
+        self.cause = event
+
+    @property
+    def needs_release(self) -> bool:
+        """Whether a release is owed before the request's record may be closed."""
+        return self.state in (HoldState.UNCLAIMED, HoldState.CLAIMED)
+
+    def unclaimed_ms(self, now: float) -> float:
+        """Returns for how long the clock has run; 0 while it stands still."""
+        return 0.0 if self.since is None else now - self.since
+
+
+class HoldSummary(msgspec.Struct, frozen=True):
+    """What hosts may hold for all open requests.
+
+    Attributes:
+        requests: Number of requests for which something may be held.
+        unclaimed: Number of those whose clock runs.
+        oldest_unclaimed_ms: For how long the clock has run that was started first; 0 if none runs.
+    """
+
+    requests: int
+    unclaimed: int
+    oldest_unclaimed_ms: int
+
+
+def summarize(holds: Iterable[RemoteHold], now: float) -> HoldSummary:
+    """Counts holds."""
+    some = [hold for hold in holds if hold.state is not HoldState.NOTHING]
+    ages_ms = [hold.unclaimed_ms(now) for hold in some if hold.since is not None]
+    return HoldSummary(len(some), len(ages_ms), round(max(ages_ms, default=0.0)))
--- a/violetstack/net/upstream/driver.py
+++ b/violetstack/net/upstream/driver.py
@@ -18,6 +18,11 @@
 from violetstack.net.upstream.response_reader import MigrateStream
 from violetstack.net.upstream.state_release import StateReleaser
 
+RATE_LIMITED_EVENTS = frozenset(
+    {"policy", "hold_unclaimed", "reservation_uncertain", "release_started", "release_taken"}
+)
+"""Events that other dispatchers or hosts can cause at will."""
+
 
 def _no_gossip(payload: bytes, /) -> None:
     """Where dispatchers do not gossip, or not yet."""
@@ -80,8 +85,8 @@
         self.gossip(payload)
 
     def log(self, event: str, **fields: Any) -> None:
-        """Writes a log line; the policy's lines are rate-limited, since other dispatchers can cause them."""
-        (log_rate_limited if event == "policy" else log)(event, **fields)
+        """Writes a log line, or drops it where others can cause too many of its kind."""
+        (log_rate_limited if event in RATE_LIMITED_EVENTS else log)(event, **fields)
 
     # --- for the daemon ---
 
--- a/violetstack/net/upstream/reservation.py
+++ b/violetstack/net/upstream/reservation.py
@@ -9,6 +9,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt, ReservationCall
 from violetstack.log import log
+from violetstack.net.clock import now_ms
 from violetstack.net.upstream.connection import NotConnectedError
 from violetstack.net.upstream.connection_pool import ConnectionPool
 from violetstack.net.upstream.short_call import CALL_TIMEOUT_S, short_call
@@ -44,11 +45,17 @@
                 )
                 if connection is not None:
                     nothing_reserved = False
-                    head = await short_call(self._pool, connection, "POST", f"/state/{call.request.id}")
+                    head = await short_call(
+                        self._pool,
+                        connection,
+                        "POST",
+                        f"/state/{call.request.id}",
+                        written=lambda: self._core.reservation_written(now_ms(), call),
+                    )
                     reserved = RESERVED_BY_STATUS.get(head.status)
                     nothing_reserved = head.status in NOTHING_RESERVED_STATUSES
         except (NotConnectedError, OSError, InvalidResponseError):
             pass
         except Exception as error:  # no call's failure may end the program
             log("reservation_failed", id=call.request.id, error=repr(error))
-        self._core.reservation_finished(call, reserved, nothing_reserved)
+        self._core.reservation_finished(now_ms(), call, reserved, nothing_reserved)
--- a/violetstack/net/upstream/short_call.py
+++ b/violetstack/net/upstream/short_call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.connection_pool import ConnectionPool
 from violetstack.protocol.http_client import ResponseEnd, ResponseHead
@@ -10,20 +12,28 @@
 """Reservations and health checks are answered by then."""
 
 
+def _not_of_interest() -> None:
+    """For calls of which nobody needs to know when they were written."""
+
+
 async def short_call(
-    pool: ConnectionPool, connection: UpstreamConnection, method: str, target: str
+    pool: ConnectionPool,
+    connection: UpstreamConnection,
+    method: str,
+    target: str,
+    written: Callable[[], None] = _not_of_interest,
 ) -> ResponseHead:
     """Makes one call; the connection is kept only after a complete response.
 
+    `written` is called in the step that hands the last byte to the kernel.
+
     Raises:
         InvalidResponseError: The response is not HTTP, or is incomplete.
         OSError: The connection broke.
     """
     complete = False
     try:
-        await connection.write(
-            connection.http.request(method, target, [("Host", "app.svc")]), written=lambda: None
-        )
+        await connection.write(connection.http.request(method, target, [("Host", "app.svc")]), written)
         head: ResponseHead | None = None
         while True:
             for event in await connection.receive():
--- a/violetstack/net/upstream/state_release.py
+++ b/violetstack/net/upstream/state_release.py
@@ -6,7 +6,8 @@
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import OpenRequest, ReleaseCall
-from violetstack.log import log
+from violetstack.log import log, log_rate_limited
+from violetstack.net.clock import now_ms
 from violetstack.net.upstream.connection import NotConnectedError
 from violetstack.net.upstream.connection_pool import ConnectionPool
 from violetstack.net.upstream.short_call import short_call
@@ -64,7 +65,7 @@
                     await ended.wait()
             nursery.cancel_scope.cancel()
         del self._running[call]
-        self._core.release_finished(call, through.is_set())
+        self._core.release_finished(now_ms(), call, through.is_set())
         through.set()
 
     async def _ask(self, call: ReleaseCall, server: str, through: trio.Event, ended: trio.Event) -> None:
@@ -76,6 +77,7 @@
                 if connection is not None:
                     head = await short_call(self._pool, connection, "DELETE", f"/state/{call.request.id}")
                     if head.status < 300:
+                        self._taken(call, server)
                         through.set()
         except (NotConnectedError, OSError, InvalidResponseError):
             pass
@@ -84,6 +86,11 @@
         finally:
             ended.set()
 
+    @staticmethod
+    def _taken(call: ReleaseCall, server: str) -> None:
+        ms = round(now_ms() - call.since)
+        log_rate_limited("release_taken", id=call.request.id, server=server, ms=ms)
+
     def _best_host(self, tried: set[str]) -> str | None:
         """The one most likely to answer: not draining, with an idle connection, heard from most recently."""
         names = [
