What is held for a request is released by a clock of its own, whatever attempts are out

Cause: a release was sent when the last attempt had ended, or for a hold that an earlier attempt had left.

Change: core/held_state.py owns holds, their timers and releases. The clock runs from the last byte of a reservation, or from the end of an attempt, and only what is known to have been taken over stops it: a 200 to the reservation (the prefill has begun), a stream, a release that a host took. When it runs out, a release goes out beside the attempts that are in flight. It replaces two flags of the request, one time, and a timer of each attempt.

test_an_attempt_that_has_not_arrived...: the given-up attempt's release is now a plain one, after which nothing is held; the test asks for the old time limit before that release ends, and for none after it.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -13,6 +13,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.errors import DuplicateRequestError
 from violetstack.core.records import Attempt, OpenRequest, ReleaseCall, ReservationCall
+from violetstack.core.remote_hold import HoldEvent
 from violetstack.policy_api import (
     Action,
     AttemptFinished,
@@ -243,9 +244,9 @@
     harness.core.reservation_finished(harness.now, harness.ports.reservations[0], True, False)
     assert [call.superseded for call in harness.ports.releases] == [True, False]
     harness.core.release_finished(harness.now, harness.ports.releases[0], True)
-    assert harness.request.holds_remote_state
+    assert harness.request.hold.may_be_held
     harness.core.release_finished(harness.now, harness.ports.releases[1], True)
-    assert not harness.request.holds_remote_state
+    assert not harness.request.hold.may_be_held
 
 
 def test_state_is_released_after_a_prefill_whose_connection_broke() -> None:
@@ -359,7 +360,7 @@
         raise RuntimeError("the driver fails")
 
     monkeypatch.setattr(harness.ports, "release_state", fail)
-    harness.request.holds_remote_state = True
+    harness.request.hold.apply(harness.now, HoldEvent.STATE_LEFT)
     for request in (harness.request, other):
         harness.core.client_disconnected(harness.now, request)
     harness.run()
@@ -379,12 +380,14 @@
         harness.ports.unacknowledged.append(decode)
     harness.run(after=SETTINGS.state_retention_ms)
     assert len(harness.ports.releases) == 1
-    harness.core.release_finished(harness.now, harness.ports.releases[0], True)
     assert harness.ports.aborted == ([] if arrived else [decode])
     assert decode.finished is not arrived
     if not arrived:
         # What is held expires by the prefill's end, not by that of the attempt that never came.
         assert harness.core.connect_timeout_ms(harness.now, harness.send("w2")) == MIN_CONNECT_TIMEOUT_MS
+    harness.core.release_finished(harness.now, harness.ports.releases[0], True)
+    if not arrived:
+        assert harness.core.connect_timeout_ms(harness.now, harness.send("w1")) == math.inf
         harness.run(RejectRequest("q", 0.0))
     harness.core.attempt_finished(harness.now, decode, AttemptStatus.OK)
 
@@ -393,7 +396,6 @@
     """Its acknowledgement may be what was lost, so nothing that may not be repeated follows it."""
     harness = CoreHarness()
     harness.core.attempt_finished(harness.now, harness.send("r1"), AttemptStatus.PREFILLED)
-    harness.request.state_held_since = harness.now
     decode = harness.send("w1", stop_after=2500.0)
     harness.core.request_written(harness.now, decode)
     harness.ports.unacknowledged.append(decode)
--- a/tests/test_crossings_hosts.py
+++ b/tests/test_crossings_hosts.py
@@ -12,6 +12,7 @@
 from tests.steady import until
 from tests.test_stories import pair, play
 from violetstack.core.records import AttemptLogEntry
+from violetstack.core.remote_hold import HoldEvent
 from violetstack.net.upstream import connection_pool, state_release
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.protocol.http_server import HttpRequest
@@ -310,8 +311,8 @@
         late = SlowConnects(on, "r")
         on.daemon.hosts.pool.hosts.pop("w")  # the release has but one host to go to
         request = core.open_requests["q1"]
-        request.holds_remote_state = True
-        core._reservations.release(0.0, request)
+        request.hold.apply(0.0, HoldEvent.STATE_LEFT)
+        core._held.release(0.0, request)
         await late.asked.wait()
         assert request.release is not None
         request.release.superseded = True  # as by a send
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -4,11 +4,10 @@
 
 import math
 
-from violetstack.core.hold_clock import RELEASE_TIME_MS, HoldClock
+from violetstack.core.held_state import HeldState
 from violetstack.core.lifecycle import RequestLifecycle
 from violetstack.core.records import Attempt, AttemptLogEntry, OpenRequest, RequestOutcome
 from violetstack.core.remote_hold import HoldEvent
-from violetstack.core.reservations import Reservations
 from violetstack.core.send_guard import SendGuard, Withheld
 from violetstack.core.state import DispatcherState
 from violetstack.policy_api import (
@@ -22,9 +21,6 @@
 # A connection gets this long even if the state held for its request expires sooner; a release takes a few ms.
 MIN_CONNECT_TIMEOUT_MS = 40.0
 
-MIN_DELIVERY_MS = 60.0
-"""A host acknowledges what was written within this, or its connection has fallen silent."""
-
 NOTHING_HELD_STATUSES = frozenset(
     {
         AttemptStatus.REJECTED,
@@ -43,13 +39,11 @@
         self,
         state: DispatcherState,
         lifecycle: RequestLifecycle,
-        reservations: Reservations,
-        clock: HoldClock,
+        held: HeldState,
     ) -> None:
-        """Creates it for a dispatcher's state; `clock` follows what is held."""
+        """Creates it for a dispatcher's state; `held` follows what hosts hold."""
         self._state = state
-        self._clock = clock
-        self._reservations = reservations
+        self._held = held
         self._lifecycle = lifecycle
         self.guard = SendGuard(state, self.client_disconnected)
 
@@ -96,7 +90,7 @@
         self.finished(now, attempt, AttemptStatus.TIMEOUT if written else AttemptStatus.CONNECT_FAILED)
 
     def _abort(self, attempt: Attempt) -> None:
-        if attempt.request.holds_remote_state and attempt.request_written:
+        if attempt.request_written:
             attempt.undelivered = not self._state.driver.has_arrived(attempt)
         self._state.driver.abort_attempt(attempt)
 
@@ -138,45 +132,25 @@
         A host frees the state held for a request some time after the request's last attempt. While one
         connection after the other does not come up nothing reaches a host, so that time must not be exceeded.
         """
-        request = attempt.request
-        retention_ms = self._state.settings.state_retention_ms
-        if not (request.holds_remote_state and request.state_held_since and retention_ms):
-            return math.inf
-        return max(MIN_CONNECT_TIMEOUT_MS, request.state_held_since + retention_ms - now)
+        left_ms = self._held.connect_timeout_ms(now, attempt.request)
+        return math.inf if left_ms is None else max(MIN_CONNECT_TIMEOUT_MS, left_ms)
 
     def request_started(self, now: float, attempt: Attempt) -> None:
         """The first byte is being written: a release that is written later would release this one's state."""
         accepts_writes = self._state.endpoints.accepts_writes(attempt.server)
         self._state.invariants.first_byte(now, attempt, host_accepts_writes=accepts_writes)
-        if attempt.request.release is not None:
-            attempt.request.release.superseded = True
+        self._held.superseded(attempt.request)
 
     def request_written(self, now: float, attempt: Attempt) -> None:
         """The last byte may have left; called in the step that hands it to the kernel."""
         state = self._state
         state.invariants.last_byte(now, attempt)
         attempt.request_written = True
+        attempt.written_at = now
         state.metrics.requests_written += 1
-        request = attempt.request
-        if request.holds_remote_state and request.state_held_since and state.settings.state_retention_ms:
-            held_until = request.state_held_since + state.settings.state_retention_ms
-            check_at = max(held_until - RELEASE_TIME_MS, now + MIN_DELIVERY_MS)
-            attempt.delivery_timer = state.timers.schedule(
-                check_at, lambda at: self._check_arrival(at, attempt)
-            )
-
-    def _check_arrival(self, now: float, attempt: Attempt) -> None:
-        """Has the state released that is held for an attempt without an answer, before its time is over.
 
-        Only an attempt that has arrived takes the state over: on a connection that fell silent without an
-        error it never does. A release lets go of what no attempt waits for, so it does no harm to one that
-        has arrived. One that certainly has not is given up.
-        """
-        if attempt.finished or attempt.stream_started:
-            return
-        self._reservations.release_beside_attempt(now, attempt.request)
-        if self._state.driver.has_arrived(attempt):
-            return
+    def give_up_undelivered(self, now: float, attempt: Attempt) -> None:
+        """Ends an attempt that its host has not acknowledged: its connection has fallen silent."""
         attempt.undelivered = True
         self._state.driver.log("attempt_undelivered", id=attempt.request.id, server=attempt.server)
         self._state.driver.abort_attempt(attempt)
@@ -195,13 +169,7 @@
         if state.load_shedder is not None:
             ratio = (now - request.arrived_at) / state.latency_objective_ms(request.policy_request)
             state.load_shedder.stream_started(now, ratio, request.policy_request.prompt_tokens)
-        if not request.reservations_in_flight and attempt.server not in state.endpoints.stateless_hosts:
-            request.holds_remote_state = False  # the host that streams has taken over what was held
-            self._clock.apply(now, request, HoldEvent.STREAM_STARTED)
-        elif request.reservations_in_flight:
-            self._clock.apply(now, request, HoldEvent.STREAM_STARTED_EARLY)
-        if request.release is not None:
-            request.release.superseded = True
+        self._held.stream_started(now, attempt)
         state.observe_attempt(attempt.server, now, well=True)
         state.notify(request.sink.stream_started)
         state.post(StreamStarted(request.id, attempt.server, attempt.number, now - attempt.sent_at))
@@ -240,8 +208,11 @@
         if status in NOTHING_HELD_STATUSES:
             state.invariants.attempt_not_executed(attempt)
         self._finish_request(now, attempt, status)
-        _record_effects(now, attempt, status)
-        self._record_hold(now, attempt, status)
+        reached_host = attempt.request_written and status not in NOTHING_HELD_STATUSES
+        if reached_host and not attempt.is_prefill:
+            _record_execution(attempt)
+        prefilled = status is AttemptStatus.PREFILLED
+        self._held.attempt_ended(now, attempt, reached_host=reached_host, prefilled=prefilled)
         self._observe(now, attempt, status)
         if request.client_disconnected:
             # The policy is to hear of the request's end with this attempt's, or it would retry.
@@ -265,7 +236,6 @@
     def _take_out_of_flight(self, attempt: Attempt) -> None:
         attempt.finished = True
         self._state.timers.cancel(attempt.timer)
-        self._state.timers.cancel(attempt.delivery_timer)
         del attempt.request.in_flight[attempt.number]
 
     def _finish_request(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
@@ -280,14 +250,6 @@
             self._lifecycle.finish(now, request, RequestOutcome.TRUNCATED)
             self._state.notify(request.sink.stream_broken)
 
-    def _record_hold(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
-        """Records what hosts may hold after an attempt. A prefill may succeed as its connection breaks."""
-        reached_host = attempt.request_written and status not in NOTHING_HELD_STATUSES
-        if status is AttemptStatus.PREFILLED or (attempt.is_prefill and reached_host):
-            self._clock.apply(now, attempt.request, HoldEvent.STATE_LEFT)
-        elif attempt.request_written and not attempt.undelivered:
-            self._clock.apply(now, attempt.request, HoldEvent.ATTEMPT_ENDED)
-
     def _observe(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
         if status is AttemptStatus.PREFILLED:
             self._state.observe_attempt(attempt.server, now, well=True)
@@ -326,8 +288,7 @@
 
     def migrated(self, now: float, attempt: Attempt) -> None:
         """Another process took over the stream, and will release what hosts hold for its request."""
-        attempt.request.holds_remote_state = False
-        self._clock.apply(now, attempt.request, HoldEvent.RELEASED)
+        self._held.apply(now, attempt.request, HoldEvent.RELEASED)
         self._lifecycle.finish(now, attempt.request, RequestOutcome.MIGRATED)
         self._state.post(ClientDisconnected(attempt.request.id))
         self.finished(now, attempt, AttemptStatus.CANCELLED)
@@ -340,17 +301,10 @@
     attempt.request.attempt_log.append(entry)
 
 
-def _record_effects(now: float, attempt: Attempt, status: AttemptStatus) -> None:
-    """Records what an attempt that ended may have left at its host."""
+def _record_execution(attempt: Attempt) -> None:
+    """Records that a host may have executed the request."""
     request = attempt.request
-    reached_host = attempt.request_written and status not in NOTHING_HELD_STATUSES
-    if reached_host and not attempt.is_prefill:
-        if not request.may_have_run or attempt.sent_at < request.first_run_at:
-            request.first_run_at = attempt.sent_at
-            request.first_run_endpoint = attempt.endpoint
-        request.may_have_run = True
-    if attempt.request_written and not attempt.undelivered:
-        request.state_held_since = now
-    # A prefill may have succeeded just as its connection broke.
-    if status is AttemptStatus.PREFILLED or (attempt.is_prefill and reached_host):
-        request.holds_remote_state = True
+    if not request.may_have_run or attempt.sent_at < request.first_run_at:
+        request.first_run_at = attempt.sent_at
+        request.first_run_endpoint = attempt.endpoint
+    request.may_have_run = True
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from violetstack.core.attempts import Attempts
-from violetstack.core.hold_clock import HoldClock
+from violetstack.core.held_state import HeldState
 from violetstack.core.lifecycle import RequestLifecycle
 from violetstack.core.ports import (
     Driver,
@@ -110,10 +110,10 @@
         self.drain_grace_ms = drain_grace_ms
         self._max_unread = max_unread
         self._state = DispatcherState(settings, driver, wake)
-        clock = HoldClock(self._state)
-        self._reservations = Reservations(self._state, clock)
-        self._lifecycle = RequestLifecycle(self._state, self._reservations, retry_after)
-        self._attempts = Attempts(self._state, self._lifecycle, self._reservations, clock)
+        self._held = HeldState(self._state, self._give_up_undelivered)
+        self._reservations = Reservations(self._state, self._held)
+        self._lifecycle = RequestLifecycle(self._state, self._held, retry_after)
+        self._attempts = Attempts(self._state, self._lifecycle, self._held)
         self.open_requests = self._state.open_requests
         self.endpoints = self._state.endpoints.endpoints
         self.draining = self._state.endpoints.draining
@@ -315,12 +315,15 @@
 
     def release_finished(self, now: float, call: ReleaseCall, done: bool) -> None:
         """A release ended, or was given up if not `done`."""
-        self._reservations.release_finished(now, call, done)
+        self._held.release_finished(now, call, done)
 
     def holds(self, now: float) -> HoldSummary:
         """Counts what hosts may hold for open requests."""
         return summarize((request.hold for request in self.open_requests.values()), now)
 
+    def _give_up_undelivered(self, now: float, attempt: Attempt) -> None:
+        self._attempts.give_up_undelivered(now, attempt)
+
     # --- the policy's turn ---
 
     def next_due(self) -> float:
@@ -398,7 +401,7 @@
                 if not request.done and self.settings.reserve_ahead:
                     self._reservations.reserve(request, action.server)
             case ReleaseState():
-                self._reservations.release(now, request)
+                self._held.release(now, request)
             case CancelAttempt():
                 attempt = request.in_flight.get(action.attempt)
                 if attempt is not None:
--- /dev/null
+++ b/violetstack/core/held_state.py
@@ -0,0 +1,212 @@
+"""Releases what hosts hold for requests, in time: the one owner of holds, their timers and their releases."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from violetstack.core.records import Attempt, OpenRequest, ReleaseCall
+from violetstack.core.remote_hold import HoldEvent
+from violetstack.core.state import DispatcherState
+
+RELEASE_TIME_MS = 100.0
+"""What is held is released this long before it has to be, since the first host asked may not answer."""
+CONNECT_GRACE_MS = 100.0
+"""While a connection is to come up for an attempt that may take over what is held, a release waits until so
+long after the retention time. The rule allows 350 ms more than that time."""
+MIN_DELIVERY_MS = 60.0
+"""A host acknowledges what was written within this, or its connection has fallen silent."""
+OVERDUE_MS = 300.0
+"""What is held may be released this long after the settings' time at the latest."""
+
+GiveUpUndelivered = Callable[[float, Attempt], None]
+"""Ends an attempt that its host has not acknowledged."""
+
+
+class HeldState:
+    """Applies events to the holds of requests, and releases what nobody takes over in time."""
+
+    def __init__(self, state: DispatcherState, give_up: GiveUpUndelivered) -> None:
+        """Creates it for a dispatcher's state; `give_up` ends attempts that have certainly not arrived."""
+        self._state = state
+        self._give_up = give_up
+
+    def apply(self, now: float, request: OpenRequest, event: HoldEvent) -> None:
+        """Takes an event into account, and times the hold anew where its clock has changed."""
+        hold = request.hold
+        since = hold.since
+        hold.apply(now, event)
+        if hold.since != since:
+            self._schedule_release(now, request)
+
+    def connect_timeout_ms(self, now: float, request: OpenRequest) -> float | None:
+        """Returns how long a connection may take that is to take over what is held; None if nothing is."""
+        since = request.hold.since
+        retention_ms = self._state.settings.state_retention_ms
+        return None if since is None or not retention_ms else since + retention_ms - now
+
+    # --- the clock ---
+
+    def _schedule_release(self, now: float, request: OpenRequest, not_before_ms: float = 0.0) -> None:
+        since = request.hold.since
+        retention_ms = self._state.settings.state_retention_ms
+        if since is None or not retention_ms:
+            self._schedule(request, None, self._release_is_due)
+        else:
+            due_at = max(since + retention_ms - RELEASE_TIME_MS, now + not_before_ms)
+            self._schedule(request, due_at, self._release_is_due)
+
+    def _schedule(
+        self, request: OpenRequest, due_at: float | None, callback: Callable[[float, OpenRequest], None]
+    ) -> None:
+        timers = self._state.timers
+        timers.cancel(request.hold_timer)
+        request.hold_timer = None
+        if due_at is not None:
+            request.hold_timer = timers.schedule(due_at, lambda at: callback(at, request))
+
+    def _release_is_due(self, now: float, request: OpenRequest) -> None:
+        """Has what is held released, beside the attempts that are in flight.
+
+        Only an attempt that its host has begun takes it over, and whether one has, only hosts know: a host
+        that is frozen acknowledges all that is written to it. A release lets go of what no attempt waits for,
+        so it does no harm to one that has begun. An attempt that has certainly not arrived is given up.
+        """
+        wait_until = self._in_doubt_until(now, request)
+        if wait_until > now:
+            self._schedule(request, wait_until, self._release_is_due)
+            return
+        self._log_unclaimed(now, request)
+        for attempt in list(request.in_flight.values()):
+            if attempt.awaits_response and not self._state.driver.has_arrived(attempt):
+                self._give_up(now, attempt)
+        if request.hold.since is None:
+            return  # the end of the last attempt settled it
+        self._start_release(now, request)
+        overdue_at = request.hold.since + self._state.settings.state_retention_ms + OVERDUE_MS
+        self._schedule(request, max(now, overdue_at), self._overdue)
+
+    def _in_doubt_until(self, now: float, request: OpenRequest) -> float:
+        """Until when an attempt that takes over what is held may still arrive at a host that runs."""
+        assert request.hold.since is not None
+        connecting_until = request.hold.since + self._state.settings.state_retention_ms + CONNECT_GRACE_MS
+        until = now
+        for attempt in request.in_flight.values():
+            if not attempt.request_written:
+                until = max(until, connecting_until)
+            elif attempt.awaits_response:
+                until = max(until, attempt.written_at + MIN_DELIVERY_MS)
+        return until
+
+    def _log_unclaimed(self, now: float, request: OpenRequest) -> None:
+        hold = request.hold
+        self._state.driver.log(
+            "hold_unclaimed",
+            id=request.id,
+            state=hold.state.value,
+            since_ms=round(hold.unclaimed_ms(now)),
+            cause=hold.cause.value if hold.cause is not None else "",
+            attempts=[
+                (each.server, each.request_written, round(now - each.sent_at))
+                for each in request.in_flight.values()
+            ],
+            places=[(each.server, each.outcome.value) for each in request.reservation_log],
+        )
+
+    def _overdue(self, now: float, request: OpenRequest) -> None:
+        """Nobody has taken over or released what is held."""
+        request.hold_timer = None
+        self._state.invariants.held_too_long(now, request)
+
+    # --- releases ---
+
+    def release(self, now: float, request: OpenRequest) -> None:
+        """Releases what hosts may hold for the request, unless a release that covers it is in flight.
+
+        What an attempt in flight waits for stays with its host.
+        """
+        if request.hold.needs_release:
+            self._start_release(now, request)
+
+    def _start_release(self, now: float, request: OpenRequest) -> None:
+        under_way = request.release
+        if under_way is not None and not (under_way.superseded or _is_outdated(under_way)):
+            return
+        call = ReleaseCall(request, now, beside=frozenset(request.in_flight))
+        request.release = call
+        self._state.driver.log(
+            "release_started",
+            id=request.id,
+            held=request.hold.state.value,
+            held_ms=round(request.hold.unclaimed_ms(now)),
+            in_flight=[each.server for each in request.in_flight.values()],
+        )
+        self._state.driver.release_state(call)
+
+    def overtaken(self, now: float, request: OpenRequest) -> None:
+        """A slot may have been taken after a release that is in flight, so one more release follows."""
+        under_way = request.release
+        if under_way is None or under_way.superseded:
+            return
+        under_way.superseded = True
+        self.release(now, request)
+
+    def superseded(self, request: OpenRequest) -> None:
+        """An attempt is being written: a release that is written later would release its state as well."""
+        if request.release is not None:
+            request.release.superseded = True
+
+    def release_finished(self, now: float, call: ReleaseCall, done: bool) -> None:
+        """A release ended; not `done` means that the driver gave it up, and the hosts' expiry has to do."""
+        request = call.request
+        if request.release is call:
+            request.release = None
+            if call.superseded:
+                self._schedule_release(now, request, MIN_DELIVERY_MS)
+            else:
+                self._settle(now, call, done)
+        self._state.mark_changed(request)
+        self._state.wake()
+
+    def _settle(self, now: float, call: ReleaseCall, done: bool) -> None:
+        request = call.request
+        if not done:
+            self._state.invariants.release_abandoned(request)
+            self._state.driver.log("release_abandoned", id=request.id)
+            self.apply(now, request, HoldEvent.ABANDONED)
+        elif _is_outdated(call):
+            return  # what the attempt has left since is still held
+        elif request.in_flight:
+            self.apply(now, request, HoldEvent.RELEASED_BESIDE_ATTEMPT)
+        elif request.reservations_unanswered:
+            self.apply(now, request, HoldEvent.RELEASED_BEFORE_ANSWER)
+        else:
+            self.apply(now, request, HoldEvent.RELEASED)
+
+    # --- attempts ---
+
+    def attempt_ended(self, now: float, attempt: Attempt, *, reached_host: bool, prefilled: bool) -> None:
+        """Records what hosts may hold after an attempt. A prefill may succeed as its connection breaks."""
+        request = attempt.request
+        delivered = attempt.request_written and not attempt.undelivered
+        if prefilled or (attempt.is_prefill and reached_host and delivered):
+            event = HoldEvent.STATE_LEFT
+        elif attempt.is_prefill and reached_host:
+            event = HoldEvent.STATE_UNCERTAIN
+        else:
+            event = HoldEvent.ATTEMPT_ENDED if delivered else HoldEvent.UNDELIVERED_ATTEMPT_ENDED
+        self.apply(now, request, event)
+
+    def stream_started(self, now: float, attempt: Attempt) -> None:
+        """The host that streams has taken over what was held, unless it holds nothing itself."""
+        request = attempt.request
+        if request.reservations_in_flight:
+            if request.hold.may_be_held:
+                self.apply(now, request, HoldEvent.STREAM_STARTED_EARLY)
+        elif attempt.server not in self._state.endpoints.stateless_hosts:
+            self.apply(now, request, HoldEvent.STREAM_STARTED)
+        self.superseded(request)
+
+
+def _is_outdated(call: ReleaseCall) -> bool:
+    """Whether an attempt has ended since the release began: what it has left may not be covered."""
+    return not call.beside <= call.request.in_flight.keys()
--- a/violetstack/core/invariants.py
+++ b/violetstack/core/invariants.py
@@ -129,7 +129,7 @@
         """The request's record is closed."""
         if request.outcome is None:
             self._violated(Rule.LOST, request, None, "closed without an answer")
-        if request.holds_remote_state:
+        if request.hold.may_be_held:
             self._violated(Rule.HELD_STATE, request, None, "closed while hosts may hold its state")
 
     def _violated(self, rule: Rule, request: OpenRequest, attempt: Attempt | None, detail: str) -> None:
--- a/violetstack/core/lifecycle.py
+++ b/violetstack/core/lifecycle.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 from violetstack.core.errors import DuplicateRequestError
+from violetstack.core.held_state import HeldState
 from violetstack.core.ports import MigratedStream, RetryAfter, Sink
 from violetstack.core.records import Attempt, OpenRequest, RequestOutcome
 from violetstack.core.remote_hold import HoldEvent
-from violetstack.core.reservations import Reservations
 from violetstack.core.state import DispatcherState
 from violetstack.policy_api import ClientDisconnected, Request
 
@@ -16,10 +16,10 @@
 class RequestLifecycle:
     """Accepts requests, gives each exactly one final response, and closes its record."""
 
-    def __init__(self, state: DispatcherState, reservations: Reservations, retry_after: RetryAfter) -> None:
+    def __init__(self, state: DispatcherState, held: HeldState, retry_after: RetryAfter) -> None:
         """Creates it for a dispatcher's state; `retry_after` adjusts the advice of rejections."""
         self._state = state
-        self._reservations = reservations
+        self._held = held
         self._retry_after = retry_after
 
     def accept(self, now: float, policy_request: Request, sink: Sink, payload: object) -> OpenRequest:
@@ -72,7 +72,6 @@
         request.committed_attempt = attempt
         request.in_flight = {0: attempt}
         request.attempts_sent = 1
-        request.holds_remote_state = stream.holds_remote_state
         if stream.holds_remote_state:
             request.hold.apply(now, HoldEvent.STREAM_STARTED_EARLY)
         self._open(now, request)
@@ -135,9 +134,9 @@
         """Releases what hosts hold for a request that is over, then closes its record."""
         if not request.done or request.in_flight:
             return
-        if request.holds_remote_state:
+        if request.hold.needs_release:
             # A reservation that is in flight needs one more release after it.
-            self._reservations.release(now, request)
+            self._held.release(now, request)
         elif request.release is None and not request.reservations_in_flight:
             self._close(now, request)
 
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -110,13 +110,13 @@
         deadline: When it times out.
         request_written: Set by the driver in the step in which the last byte may have left, never before.
         first_byte_at: When its first byte was written.
+        written_at: When its last byte was handed to the kernel.
         withheld: Why nothing, or not all of it, was sent.
         undelivered: It ended before its host had acknowledged its last byte.
         stream_started: Whether the first event of its response was accepted.
         events_forwarded: Number of events that went to the client.
         finished: Whether its outcome is known.
         timer: The timer of its deadline.
-        delivery_timer: The timer of the check that it has arrived, while hosts hold state for its request.
     """
 
     request: OpenRequest
@@ -127,8 +127,8 @@
     deadline: float
     request_written: bool = False
     first_byte_at: float = 0.0
+    written_at: float = 0.0
     undelivered: bool = False
-    delivery_timer: Timer | None = None
     withheld: str = ""
     stream_started: bool = False
     events_forwarded: int = 0
@@ -136,6 +136,11 @@
     timer: Timer | None = None
     endpoint: Endpoint | None = None
 
+    @property
+    def awaits_response(self) -> bool:
+        """Whether it was written, and its host has not begun to stream."""
+        return self.request_written and not self.stream_started and not self.finished
+
 
 class ReservationCall(msgspec.Struct, eq=False):
     """Reserves a decode slot while the prompt is prefilled.
@@ -144,14 +149,12 @@
         request: The request that the slot is for.
         server: Id of the decode host.
         attempt: The prefill attempt that the reservation goes along with, if one is in flight.
-        after_release: A release in flight that has to end before the reservation is sent.
         written_at: When its last byte was handed to the kernel, in milliseconds; None if it was not.
     """
 
     request: OpenRequest
     server: str
     attempt: Attempt | None
-    after_release: ReleaseCall | None
     written_at: float | None = None
 
 
@@ -162,16 +165,14 @@
         request: The request that they are held for.
         since: When the release was first wanted, in milliseconds.
         superseded: An attempt or a reservation was sent since: its own end settles what is held then.
-        attempted: Whether the driver has sent it at least once.
-        beside_attempt: It was sent beside an attempt that may be waiting for what is held: if it is, hosts
-            have kept it, and it is released once more after the attempt's end.
+        beside: Numbers of the attempts that were in flight when it began: what one of them waits for, its
+            host has kept, and it is released once more after the attempt's end.
     """
 
     request: OpenRequest
     since: float
     superseded: bool = False
-    attempted: bool = False
-    beside_attempt: bool = False
+    beside: frozenset[int] = frozenset()
 
 
 def always() -> bool:
@@ -199,9 +200,6 @@
         may_have_run: Whether an attempt that has an effect may have reached a host and finished since.
         first_run_at: When the first such attempt was sent.
         first_run_endpoint: The host that it was sent to.
-        holds_remote_state: Whether a host may hold state or a reservation for it.
-        state_held_since: The last end of an attempt that had reached a host: what is held expires
-            `Settings.state_retention_ms` after that.
         hold: What hosts may hold for it.
         hold_timer: The timer of what is held, while its clock runs.
         reservations_in_flight: Number of unfinished reservations.
@@ -232,8 +230,6 @@
     may_have_run: bool = False
     first_run_at: float = 0.0
     first_run_endpoint: Endpoint | None = None
-    holds_remote_state: bool = False
-    state_held_since: float = 0.0
     hold: RemoteHold = msgspec.field(default_factory=RemoteHold)
     hold_timer: Timer | None = None
     reservations_in_flight: int = 0
--- a/violetstack/core/remote_hold.py
+++ b/violetstack/core/remote_hold.py
@@ -44,8 +44,12 @@
     """The decode host has certainly reserved nothing, and no other reservation is unanswered."""
     STATE_LEFT = "state left"
     """An attempt ended that may have left prefilled state at its host."""
+    STATE_UNCERTAIN = "state uncertain"
+    """A prefill ended that its host had not acknowledged; it may still arrive and leave state."""
     ATTEMPT_ENDED = "attempt ended"
     """Another attempt ended that had reached its host."""
+    UNDELIVERED_ATTEMPT_ENDED = "undelivered attempt ended"
+    """Another attempt ended that had not reached its host, as far as is known."""
     STREAM_STARTED = "stream started"
     """The host that streams has taken over all that was held."""
     STREAM_STARTED_EARLY = "stream started before a reservation was answered"
@@ -108,12 +112,19 @@
         HoldState.CLAIMED: Transition(HoldState.CLAIMED, ClockEffect.KEEPS),
     },
     HoldEvent.STATE_LEFT: _all_to(HoldState.UNCLAIMED, ClockEffect.RESTARTS),
+    HoldEvent.STATE_UNCERTAIN: _all_to(HoldState.UNCLAIMED, ClockEffect.STARTS),
     HoldEvent.ATTEMPT_ENDED: {
         HoldState.NOTHING: _NOTHING_STAYS,
         HoldState.ASKED: Transition(HoldState.ASKED, ClockEffect.RESTARTS),
         HoldState.UNCLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.RESTARTS),
         HoldState.CLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.RESTARTS),
     },
+    HoldEvent.UNDELIVERED_ATTEMPT_ENDED: {
+        HoldState.NOTHING: _NOTHING_STAYS,
+        HoldState.ASKED: Transition(HoldState.ASKED, ClockEffect.KEEPS),
+        HoldState.UNCLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.KEEPS),
+        HoldState.CLAIMED: Transition(HoldState.UNCLAIMED, ClockEffect.STARTS),
+    },
     HoldEvent.STREAM_STARTED: _all_to(HoldState.NOTHING, ClockEffect.STOPS),
     HoldEvent.STREAM_STARTED_EARLY: _all_to(HoldState.CLAIMED, ClockEffect.STOPS),
     HoldEvent.RELEASED: _all_to(HoldState.NOTHING, ClockEffect.STOPS),
@@ -154,6 +165,11 @@
         self.since = now
         self.cause = event
 
+    @property
+    def may_be_held(self) -> bool:
+        """Whether a host may hold anything."""
+        return self.state is not HoldState.NOTHING
+
     @property
     def needs_release(self) -> bool:
         """Whether a release is owed before the request's record may be closed."""
@@ -180,6 +196,6 @@
 
 def summarize(holds: Iterable[RemoteHold], now: float) -> HoldSummary:
     """Counts holds."""
-    some = [hold for hold in holds if hold.state is not HoldState.NOTHING]
+    some = [hold for hold in holds if hold.may_be_held]
     ages_ms = [hold.unclaimed_ms(now) for hold in some if hold.since is not None]
     return HoldSummary(len(some), len(ages_ms), round(max(ages_ms, default=0.0)))
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -136,7 +136,7 @@
             events_forwarded=attempt.events_forwarded,
             cached_tokens=cached_tokens,
             prompt_tokens=request.policy_request.prompt_tokens,
-            holds_remote_state=request.holds_remote_state,
+            holds_remote_state=request.hold.needs_release,
             closing=client.http.ends,
         )
         async with self._one_offer_at_a_time:
