Soak: holds are judged by the hosts' own records; hosts freeze, vanish and come back

hold_audit.py judges what hosts wrote down: slots and state held, attempts begun and ended, releases taken. Frozen hosts take connections and bytes and begin nothing; what was given up meanwhile is not begun. A decode host answers 200 only where a prefill of the request is out. Kills and pauses of a dispatcher, and calls that keep it from connecting, excuse what it could not release.

--- a/tests/frozen_hosts.py
+++ b/tests/frozen_hosts.py
@@ -152,10 +152,10 @@
             return
         script = self._script_of(request_id)
         reservation = script.reservation
-        if reservation is Reservation.SLOT and not await self._knows_of_prefill(script):
-            reservation = Reservation.UNCERTAIN_NOW
         if reservation is not Reservation.NO_SLOT:
             self._record(HostRecord.SLOT_RESERVED, request_id)
+        if reservation is Reservation.SLOT and not await self._knows_of_prefill(script):
+            reservation = Reservation.UNCERTAIN_NOW
         await trio.sleep(reservation.delay_s)
         if reservation.status:
             await connection.answer(reservation.status, [])
--- a/tests/held_state_matrix.py
+++ b/tests/held_state_matrix.py
@@ -72,7 +72,7 @@
 
     def excuse_until(self, until: float) -> None:
         """The dispatcher does not run until then."""
-        self.evidence.excused_until = dict.fromkeys(self.scripts, until)
+        self.evidence.excuse(self.scripts, until)
 
 
 Befall = Callable[[Deployment, DispatcherProcess], Awaitable[None]]
@@ -249,13 +249,12 @@
         await trio.sleep(PLAY_S + column.retention_s)
     for host in deployment.hosts:
         host.close_fillers()
-    return _cells(deployment, column, requests, time.monotonic())
+    deployment.evidence.ended_at = time.monotonic()
+    return _cells(deployment, column, requests)
 
 
-def _cells(
-    deployment: Deployment, column: Column, requests: tuple[str, ...], ended_at: float
-) -> dict[str, Cell]:
-    found = audit_holds(deployment.evidence, column.retention_s, ended_at)
+def _cells(deployment: Deployment, column: Column, requests: tuple[str, ...]) -> dict[str, Cell]:
+    found = audit_holds(deployment.evidence, column.retention_s)
     holds = {HostRecord.SLOT_RESERVED, HostRecord.STATE_LEFT}
     held = {event.request_id for event in deployment.evidence.events if event.record in holds}
     return {
--- a/violetstack/rehearsal/fleet/campaign.py
+++ b/violetstack/rehearsal/fleet/campaign.py
@@ -102,6 +102,7 @@
                     playing.start_soon(self._clients.send_requests, playing, self._duration_s)
                 await trio.sleep(SETTLE_S)
             finally:
+                state.evidence.holds.ended_at = state.now()
                 self._processes.end_all()
             nursery.cancel_scope.cancel()
         return CaseReport(state).result(events)
--- a/violetstack/rehearsal/fleet/campaign_processes.py
+++ b/violetstack/rehearsal/fleet/campaign_processes.py
@@ -134,11 +134,14 @@
                     exchange.paused_until = max(exchange.paused_until, ends_at + CATCH_UP_S)
             await trio.sleep(POLL_S)
         program.send(signal.SIGCONT)
+        self._state.excuse_holds(program.number, self._state.now() + CATCH_UP_S)
 
     def _kill(self, dispatcher: Dispatcher, since: float) -> None:
         """SIGKILL excuses what it finds unanswered, if that was sent before `since` and is not overdue."""
         now = self._state.now()
         dispatcher.accepting = False
+        if dispatcher.program.process is not None and dispatcher.program.process.poll() is None:
+            self._state.excuse_holds(dispatcher.program.number, math.inf)
         dispatcher.program.end()
         for exchange in self._state.open.values():
             if exchange.dispatcher != dispatcher.program.number:
--- a/violetstack/rehearsal/fleet/campaign_state.py
+++ b/violetstack/rehearsal/fleet/campaign_state.py
@@ -86,6 +86,11 @@
         self.former_agents.append(self.agents[number])
         self.agents[number] = agent
 
+    def excuse_holds(self, dispatcher: int, until: float) -> None:
+        """The dispatcher could not release anything until then; infinite: it has left that to the hosts."""
+        exchanges = self.evidence.exchanges.values()
+        self.evidence.holds.excuse((each.id for each in exchanges if each.dispatcher == dispatcher), until)
+
     def rows(self) -> list[dict[str, Any]]:
         """The complete endpoint list."""
         return [host.row() for host in self.hosts]
--- a/violetstack/rehearsal/fleet/hold_audit.py
+++ b/violetstack/rehearsal/fleet/hold_audit.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -60,10 +60,19 @@
     Attributes:
         events: In the order in which they were written down.
         excused_until: By request: its dispatcher did not run until then, or ended and left it to the hosts.
+        ended_at: When the records end.
+        prefills_out: By request: prefills that a host has begun and not ended.
     """
 
     events: list[HostEvent] = field(default_factory=list)
     excused_until: dict[str, float] = field(default_factory=dict)
+    ended_at: float = 0.0
+    prefills_out: Counter[str] = field(default_factory=Counter)
+
+    def excuse(self, request_ids: Iterable[str], until: float) -> None:
+        """Nothing of these requests counts as held before `until`."""
+        for request_id in request_ids:
+            self.excused_until[request_id] = max(until, self.excused_until.get(request_id, until))
 
     def record(self, at: float, record: HostRecord, request_id: str, host: str) -> None:
         """Adds one record."""
@@ -112,10 +121,8 @@
             self._held.clear()
 
 
-def audit_holds(
-    evidence: HoldEvidence, retention_s: float, ended_at: float, lag_s: float = 0.0
-) -> list[HeldTooLong]:
-    """Returns what was held too long up to `ended_at`, the end of the records; `lag_s`: how late they are."""
+def audit_holds(evidence: HoldEvidence, retention_s: float, lag_s: float = 0.0) -> list[HeldTooLong]:
+    """Returns what was held too long up to the end of the records; `lag_s`: how late they are."""
     if not retention_s:
         return []
     by_request: dict[str, list[HostEvent]] = defaultdict(list)
@@ -125,7 +132,7 @@
     found: list[HeldTooLong] = []
     for request_id, events in by_request.items():
         excused_until = evidence.excused_until.get(request_id, -math.inf)
-        found += _audit_request(_Request(request_id, limit_s, excused_until), events, ended_at)
+        found += _audit_request(_Request(request_id, limit_s, excused_until), events, evidence.ended_at)
     return found
 
 
--- a/violetstack/rehearsal/fleet/soak.py
+++ b/violetstack/rehearsal/fleet/soak.py
@@ -79,6 +79,7 @@
                     nursery.start_soon(observers.measure_lag)
                     await self._play(nursery)
                 finally:
+                    self._state.evidence.holds.ended_at = self._state.now()
                     self._processes.end_all()
                 await trio.sleep(SETTLE_S)  # for what the log's pipes still hold
                 nursery.cancel_scope.cancel()
--- a/violetstack/rehearsal/fleet/soak_environment.py
+++ b/violetstack/rehearsal/fleet/soak_environment.py
@@ -18,9 +18,10 @@
 
 from violetstack.rehearsal.fleet.campaign_environment import FLOOD_AFTERMATH_S, EnvironmentFaults
 from violetstack.rehearsal.fleet.campaign_faults import EnvironmentEvent, EnvironmentFault
+from violetstack.rehearsal.fleet.campaign_host import CampaignHost
 from violetstack.rehearsal.fleet.campaign_processes import DispatcherProcesses
 from violetstack.rehearsal.fleet.campaign_state import CaseState, Dispatcher, FaultSpan
-from violetstack.rehearsal.fleet.fault_shim import ProcessFaults
+from violetstack.rehearsal.fleet.fault_shim import Call, ProcessFaults
 from violetstack.rehearsal.fleet.minimal_http import connect
 from violetstack.rehearsal.fleet.network import Agent
 from violetstack.rehearsal.fleet.programs import die_with_parent
@@ -35,6 +36,8 @@
 CROWD_INTERVAL_S = 0.02
 HALF_REQUEST = b"POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\n"
 BUSY_PROGRAM = "while True: pass"
+CALLS_THAT_CONNECT = frozenset({Call.SOCKET, Call.CONNECT})
+"""While they fail, a release may have no connection to go by."""
 RESTARTS = frozenset({EnvironmentFault.SIGTERM, EnvironmentFault.SIGKILL})
 
 
@@ -130,6 +133,14 @@
                 self._state.hosts[event.target].hang_up()
             case SoakFault.HOST_HANGS:
                 await self._hang_host(event)
+            case SoakFault.HOST_FREEZES_AND_BEGINS | SoakFault.HOST_FREEZES_AND_RESETS:
+                resets = fault is SoakFault.HOST_FREEZES_AND_RESETS
+                await self._freeze([self._state.hosts[event.target]], event.lasts_s, resets=resets)
+            case SoakFault.HOST_HALF_FREEZE:
+                hosts = self._state.hosts[event.target % 2 :: 2]
+                await self._freeze(hosts, event.lasts_s, resets=bool(event.target % 2))
+            case SoakFault.HOST_VANISHES:
+                await self._vanish(self._state.hosts[event.target], event.lasts_s)
             case SoakFault.SIGNAL_SERIES:
                 await self._send_signal_series(event)
             case SoakFault.CROWD:
@@ -154,6 +165,22 @@
         await trio.sleep(event.lasts_s)
         host.hanging = False
 
+    async def _freeze(self, hosts: list[CampaignHost], lasts_s: float, *, resets: bool) -> None:
+        """They take connections and bytes and begin nothing."""
+        for host in hosts:
+            host.freeze()
+        await trio.sleep(lasts_s)
+        for host in hosts:
+            host.thaw(resets=resets)
+
+    async def _vanish(self, host: CampaignHost, lasts_s: float) -> None:
+        """Open connections fall silent, new ones do not come up; all are reset once the host is back."""
+        host.freeze()
+        host.stop_connecting()
+        await trio.sleep(lasts_s)
+        host.connect_again()
+        host.thaw(resets=True)
+
     async def _send_signal_series(self, event: SoakEvent) -> None:
         """Two restarts with a reload in between, the second within a second of the first start."""
         dispatcher = self._state.dispatchers[event.target]
@@ -226,3 +253,5 @@
         faults.fail(call, error, period)
         await trio.sleep(event.lasts_s)
         faults.stop_failing(call)
+        if call in CALLS_THAT_CONNECT:
+            self._state.excuse_holds(event.target, self._state.now() + FLOOD_AFTERMATH_S)
--- a/violetstack/rehearsal/fleet/soak_faults.py
+++ b/violetstack/rehearsal/fleet/soak_faults.py
@@ -36,6 +36,10 @@
     BUSY_MACHINE = "busy machine"
     HOST_RESETS_CONNECTIONS = "host resets connections"
     HOST_HANGS = "host hangs"
+    HOST_FREEZES_AND_BEGINS = "host freezes, then begins what has come"
+    HOST_FREEZES_AND_RESETS = "host freezes, then resets"
+    HOST_VANISHES = "host vanishes and comes back"
+    HOST_HALF_FREEZE = "half of the hosts freeze"
 
 
 Fault = EnvironmentFault | SoakFault
@@ -62,6 +66,10 @@
     SoakFault.CLOCK_BACK: 3.0,
     SoakFault.LOG_STALLS: 4.0,
     SoakFault.HOST_HANGS: 2.5,
+    SoakFault.HOST_FREEZES_AND_BEGINS: 2.0,
+    SoakFault.HOST_FREEZES_AND_RESETS: 2.0,
+    SoakFault.HOST_VANISHES: 2.5,
+    SoakFault.HOST_HALF_FREEZE: 1.5,
     SoakFault.CROWD: 3.0,
     SoakFault.BUSY_MACHINE: 3.0,
 }
--- a/violetstack/rehearsal/fleet/socket_audit.py
+++ b/violetstack/rehearsal/fleet/socket_audit.py
@@ -13,6 +13,7 @@
 from enum import Enum
 
 from violetstack.policy_api import ClassSettings, DeduplicationScope, Idempotency, Role, Settings
+from violetstack.rehearsal.fleet.hold_audit import HoldEvidence, audit_holds
 
 RULE_SLACK_S = 0.05
 """On every time limit of the protocol."""
@@ -55,6 +56,7 @@
     TOO_MANY_ATTEMPTS = "too many attempts"
     UNSAFE_REJECTION = "unsafe rejection"
     AFTER_DRAIN = "forwarded after drain"
+    HELD = "held too long"
 
 
 @dataclass(frozen=True)
@@ -160,6 +162,8 @@
     stream_ended_at: float | None = None
     stream_faulty: bool = False
     last_event_at: float | None = None
+    hold_followed: bool = True
+    """Its end has not been written down among what is held."""
 
 
 @dataclass
@@ -171,6 +175,7 @@
         drains: When a drain of a host was written to a dispatcher, each time, by both.
         process_starts: When a dispatcher's processes were started, by its number.
         lag_s: How late the observers were at most: a limit is not exceeded by less.
+        holds: What hosts held.
     """
 
     exchanges: dict[str, ClientExchange] = field(default_factory=dict)
@@ -178,6 +183,7 @@
     drains: dict[tuple[int, str], list[float]] = field(default_factory=dict)
     process_starts: dict[int, list[float]] = field(default_factory=dict)
     lag_s: float = 0.0
+    holds: HoldEvidence = field(default_factory=HoldEvidence)
 
 
 def audit(settings: Settings, drain_grace_s: float, evidence: Evidence) -> list[Violation]:
@@ -209,7 +215,13 @@
             found += self._check_forwarding(exchange, attempts)
             found += self._check_repeats(exchange, attempts)
             found += self._check_rejection(exchange, attempts)
-        return found
+        return found + self._check_holds()
+
+    def _check_holds(self) -> list[Violation]:
+        evidence = self._evidence
+        retention_s = self._settings.state_retention_ms / 1000.0
+        held = audit_holds(evidence.holds, retention_s, evidence.lag_s)
+        return [Violation(Rule.HELD, each.request_id, str(each)) for each in held]
 
     # --- the final answer ---
 
