--- a/tests/test_connection_life.py
+++ b/tests/test_connection_life.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Awaitable, Callable
+from itertools import product
 from pathlib import Path
 from typing import Any
 
@@ -13,7 +14,7 @@
 from tests.crossings import send_request
 from tests.steady import until
 from tests.test_shutdown_deadlines import settings_with_timeout, stop_as_if_asked
-from tests.test_stories import pair, play
+from tests.test_stories import pair
 from violetstack.daemon.shutdown_schedule import ShutdownSchedule
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.net.downstream.connection_life import (
@@ -26,7 +27,7 @@
 from violetstack.rehearsal.clients import Call, connect
 from violetstack.rehearsal.hosts import Act, ModelHost
 from violetstack.rehearsal.peer import PeerConnection
-from violetstack.rehearsal.stage import Stage
+from violetstack.rehearsal.stage import Stage, stage
 
 ARCHITECTURE = Path(__file__).parent.parent / "docs" / "architecture.md"
 SCHEDULE = ShutdownSchedule.for_longest_timeout(15000.0)
@@ -38,6 +39,8 @@
 }
 SMALL_BUFFER = 4096
 TAIL_BYTES = 200_000
+LIMIT_S = 30.0
+CASES_AT_ONCE = 7
 
 
 def test_every_state_can_be_reached_and_closed() -> None:
@@ -102,7 +105,7 @@
         try:
             assert await call.stream.receive_some(4096) == b""
         except trio.BrokenResourceError:
-            pytest.fail("reset")
+            raise AssertionError("reset") from None
 
 
 async def unread(on: Stage, hold: trio.Event) -> Call:
@@ -174,27 +177,58 @@
     assert set(BRING_INTO) == set(OWED) == set(ConnectionState) - {ConnectionState.CLOSED}
 
 
-@pytest.mark.parametrize("step", STEPS)
-@pytest.mark.parametrize("state", BRING_INTO)
-def test_a_shutdown_gives_each_connection_what_it_is_owed(state: ConnectionState, step: str) -> None:
+async def shut_down_from(state: ConnectionState, step: str) -> None:
+    """Plays a shutdown, as if SIGTERM had come so long ago, with one connection in this state."""
     hold = trio.Event()
     reader, _ = pair()
     before = Act(before=hold) if state is ConnectionState.WAITING else Act(pause=hold)
     writer = LargeTail("w", "decode", before)
-
-    async def story(on: Stage) -> None:
-        call = await BRING_INTO[state](on, hold)
-        await until(lambda: len(on.daemon.listeners[0].table.connections) == 1)
-        await until(lambda: only_connection(on).life.state is state)
-        listener = on.daemon.listeners[0]
-        stop_as_if_asked(on, STEPS[step])
+    with trio.fail_after(LIMIT_S):
+        async with stage(reader, writer, settings=settings_with_timeout(15000.0)) as on:
+            call = await BRING_INTO[state](on, hold)
+            await until(lambda: len(on.daemon.listeners[0].table.connections) == 1)
+            await until(lambda: only_connection(on).life.state is state)
+            listener = on.daemon.listeners[0]
+            stop_as_if_asked(on, STEPS[step])
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read_all, call)
+                await trio.sleep(0.06)  # three looks of the shutdown at its clock
+                hold.set()
+            assert call.answer.status in OWED[state]
+            assert call.answer.whole or call.answer.status == 0
+            await until(lambda: not listener.table.connections)
+            assert not listener.closes.violations
+
+
+Case = tuple[ConnectionState, str]
+CASES: tuple[Case, ...] = tuple(product(BRING_INTO, STEPS))
+
+
+@pytest.fixture(scope="module")
+def failures() -> dict[Case, BaseException]:
+    """What each case raised, of all cases played side by side."""
+    raised: dict[Case, BaseException] = {}
+    limit = trio.CapacityLimiter(CASES_AT_ONCE)
+
+    async def play_case(case: Case) -> None:
+        async with limit:
+            try:
+                await shut_down_from(*case)
+            except Exception as error:
+                raised[case] = error
+
+    async def play_all() -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(read_all, call)
-            await trio.sleep(0.06)  # three looks of the shutdown at its clock
-            hold.set()
-        assert call.answer.status in OWED[state]
-        assert call.answer.whole or call.answer.status == 0
-        await until(lambda: not listener.table.connections)
-        assert not listener.closes.violations
-
-    play(reader, writer, story=story, settings=settings_with_timeout(15000.0))
+            for case in CASES:
+                nursery.start_soon(play_case, case)
+
+    trio.run(play_all)
+    return raised
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: f"{case[0].value}, {case[1]}")
+def test_a_shutdown_gives_each_connection_what_it_is_owed(
+    case: Case, failures: dict[Case, BaseException]
+) -> None:
+    if case in failures:
+        raise failures[case]
