--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -50,6 +50,8 @@
 """A reservation is answered with 204 after this where no prefill is known to be out."""
 LEAVES_STATE = frozenset({HostFault.RESET_BEFORE_EVENT, HostFault.CLOSE_BEFORE_EVENT})
 """A prefill that ends so may have ended well. What a prefill leaves that was given up goes by itself."""
+ENDED_BY_ANSWER = frozenset({HostFault.DECLINE, HostFault.STATE_GONE, HostFault.ERROR})
+"""The attempt is over before its answer is written: what follows from the answer finds it ended."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -402,8 +404,8 @@
 
     async def _fail(self, wire: Wire, attempt: HostAttempt, fault: HostFault) -> bool:
         """Carries out a fault that leaves no proper response; False if a response follows."""
-        if fault in LEAVES_STATE:
-            self._end_hold(attempt, leaves_state=True)
+        if fault in LEAVES_STATE | ENDED_BY_ANSWER:
+            self._end_hold(attempt, leaves_state=fault in LEAVES_STATE)
         match fault:
             case HostFault.DECLINE:
                 attempt.declined = True
