--- /dev/null
+++ b/tests/test_remote_hold.py
@@ -0,0 +1,130 @@
+"""What hosts hold for a request: the table that the code runs by, its clock, and the judge of records."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from violetstack.core.remote_hold import (
+    TRANSITIONS,
+    ClockEffect,
+    HoldEvent,
+    HoldState,
+    RemoteHold,
+    summarize,
+)
+from violetstack.rehearsal.fleet.hold_audit import RULE_SLACK_S, HoldEvidence, HostRecord, audit_holds
+
+ARCHITECTURE = Path(__file__).parent.parent / "docs" / "architecture.md"
+RETENTION_S = 0.3
+LIMIT_S = RETENTION_S + RULE_SLACK_S
+SLOT = HostRecord.SLOT_RESERVED
+STATE = HostRecord.STATE_LEFT
+BEGUN = HostRecord.ATTEMPT_BEGUN
+ENDED = HostRecord.ATTEMPT_ENDED
+RELEASE = HostRecord.RELEASE_TAKEN
+STREAM = HostRecord.TAKEN_OVER
+
+
+def hold_after(*events: HoldEvent) -> RemoteHold:
+    """The events come 100 ms apart, the first at 100 ms."""
+    hold = RemoteHold()
+    for n, event in enumerate(events, 1):
+        hold.apply(100.0 * n, event)
+    return hold
+
+
+def test_every_event_is_known_in_every_state() -> None:
+    assert set(TRANSITIONS) == set(HoldEvent)
+    assert all(set(row) == set(HoldState) for row in TRANSITIONS.values())
+
+
+def test_every_state_can_be_reached_and_left_for_nothing() -> None:
+    reached = {HoldState.NOTHING}
+    for _ in HoldState:
+        reached |= {row[state].state for state in reached for row in TRANSITIONS.values()}
+    assert reached == set(HoldState)
+    assert all(TRANSITIONS[HoldEvent.RELEASED][state].state is HoldState.NOTHING for state in HoldState)
+
+
+def test_the_clock_stands_still_where_nothing_is_unclaimed_and_runs_where_something_may_be() -> None:
+    for row in TRANSITIONS.values():
+        for transition in row.values():
+            stops = transition.clock is ClockEffect.STOPS
+            assert stops is (transition.state in (HoldState.NOTHING, HoldState.CLAIMED))
+
+
+def test_the_page_shows_the_table_that_the_code_runs_by() -> None:
+    row = re.compile(r"^\| `([a-z ]+)` \| (.+) \|$", re.MULTILINE)
+    shown = dict(row.findall(ARCHITECTURE.read_text().partition("## What hosts hold")[2]))
+    table = {
+        event.value: " | ".join(
+            f"`{TRANSITIONS[event][state].state.value}`, {TRANSITIONS[event][state].clock.value}"
+            for state in HoldState
+        )
+        for event in HoldEvent
+    }
+    assert {name: shown.get(name) for name in table} == table
+
+
+@pytest.mark.parametrize(
+    ("events", "state", "since"),
+    [
+        ((HoldEvent.RESERVATION_WRITTEN,), HoldState.ASKED, 100.0),
+        ((HoldEvent.RESERVATION_WRITTEN, HoldEvent.SLOT_CONFIRMED), HoldState.CLAIMED, None),
+        ((HoldEvent.RESERVATION_WRITTEN, HoldEvent.SLOT_UNCERTAIN), HoldState.UNCLAIMED, 100.0),
+        ((HoldEvent.RESERVATION_WRITTEN, HoldEvent.SLOT_REFUSED), HoldState.NOTHING, None),
+        ((HoldEvent.STATE_LEFT, HoldEvent.ATTEMPT_GIVEN_UP), HoldState.UNCLAIMED, 100.0),
+        ((HoldEvent.STATE_LEFT, HoldEvent.ATTEMPT_ENDED), HoldState.UNCLAIMED, 200.0),
+        ((HoldEvent.STATE_LEFT, HoldEvent.STREAM_STARTED), HoldState.NOTHING, None),
+        ((HoldEvent.STATE_LEFT, HoldEvent.RELEASED_EARLY), HoldState.SETTLING, 200.0),
+    ],
+)
+def test_the_clock_counts_from_the_first_moment_at_which_something_may_be_held(
+    events: tuple[HoldEvent, ...], state: HoldState, since: float | None
+) -> None:
+    hold = hold_after(*events)
+    assert (hold.state, hold.since) == (state, since)
+
+
+def test_the_summary_has_the_number_of_holds_and_the_age_of_the_oldest() -> None:
+    holds = [
+        hold_after(),
+        hold_after(HoldEvent.STATE_LEFT),
+        hold_after(HoldEvent.RESERVATION_WRITTEN, HoldEvent.SLOT_CONFIRMED),
+    ]
+    summary = summarize(holds, 350.0)
+    assert (summary.requests, summary.unclaimed, summary.oldest_unclaimed_ms) == (2, 1, 250)
+
+
+@pytest.mark.parametrize(
+    ("records", "broken"),
+    [
+        ([(0.0, SLOT), (LIMIT_S - 0.01, RELEASE)], False),
+        ([(0.0, SLOT), (LIMIT_S + 0.01, RELEASE)], True),
+        ([(0.0, SLOT)], True),
+        ([(0.0, SLOT), (0.1, BEGUN), (5.0, ENDED), (5.1, STATE), (5.2, RELEASE)], False),
+        ([(0.0, SLOT), (0.1, BEGUN), (5.0, RELEASE), (5.1, ENDED)], True),
+        ([(0.0, STATE), (LIMIT_S + 0.1, BEGUN), (LIMIT_S + 0.2, STREAM)], True),
+        ([(0.0, STATE), (0.2, BEGUN), (3.0, STREAM), (4.0, ENDED)], False),
+    ],
+    ids=["in time", "late", "never", "taken over", "release before the end", "begun late", "stream"],
+)
+def test_the_judge_goes_by_what_hosts_wrote_down(
+    records: list[tuple[float, HostRecord]], broken: bool
+) -> None:
+    evidence = HoldEvidence(ended_at=10.0)
+    for at, record in records:
+        evidence.record(at, record, "q1", "w1")
+    assert bool(audit_holds(evidence, RETENTION_S)) is broken
+
+
+def test_what_a_dispatcher_could_not_release_is_excused_until_it_runs_again() -> None:
+    evidence = HoldEvidence(ended_at=10.0)
+    evidence.record(0.0, SLOT, "q1", "w1")
+    evidence.record(3.2, RELEASE, "q1", "r1")
+    assert audit_holds(evidence, RETENTION_S)
+    evidence.excuse(["q1"], 3.0)
+    assert not audit_holds(evidence, RETENTION_S)
