--- a/violetstack/net/upstream/state_release.py
+++ b/violetstack/net/upstream/state_release.py
@@ -19,6 +19,8 @@
 """Longer than the rule allows, since the state is still there after that."""
 NEXT_HOST_S = 0.05
 """Without an answer by then, another host is asked beside it; one that runs answers within milliseconds."""
+NEXT_ROUND_S = 0.1
+"""Once every host was asked, until they are asked again: bounds the calls while none can be reached."""
 MAX_SEND_DELAY_S = 0.1
 """A further attempt waits this long for the release of what the one before has left."""
 
@@ -55,7 +57,7 @@
                 server = self._best_host(call.request, tried)
                 if server is None:
                     tried.clear()
-                    with trio.move_on_after(NEXT_HOST_S):
+                    with trio.move_on_after(NEXT_ROUND_S):
                         await through.wait()
                     continue
                 tried.add(server)
