--- a/violetstack/rehearsal/fleet/campaign_result.py
+++ b/violetstack/rehearsal/fleet/campaign_result.py
@@ -111,7 +111,7 @@
         )
 
     def _is_excused(self, line: dict[str, Any]) -> bool:
-        """Whether a dispatcher tells of a hold that it could not release: the auditor judges the rest of it."""
+        """Whether a dispatcher tells of a hold that it could not release: the auditor judges the rest."""
         return line.get("rule") == INVARIANT_HELD and line["id"] in self._state.evidence.holds.excused_until
 
     def _broken(self, violation: Violation, logs: list[list[dict[str, Any]]]) -> BrokenCase:
