A release goes to a host with an idle connection that has rested, and opens none beside it

Cause: the host heard from last is the one whose connection has just answered and rests for 0.1 s; the release that follows another within 60 ms opened a new connection there.

--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -53,6 +53,11 @@
     started_ms: float | None = None
     last_response_at: float = 0.0
 
+    def has_usable_idle(self) -> bool:
+        """Whether a connection is idle that has rested since its last response."""
+        now = trio.current_time()
+        return any(connection.usable_from <= now for connection in self.idle)
+
 
 class ConnectionPool:
     """Opens, keeps and bounds connections to model hosts.
--- a/violetstack/net/upstream/state_release.py
+++ b/violetstack/net/upstream/state_release.py
@@ -96,7 +96,10 @@
         self._core.release_finished(now, call, True)
 
     def _best_host(self, request: OpenRequest, tried: set[str]) -> str | None:
-        """The one most likely to answer: not silent so far, not draining, idle connection, heard last."""
+        """The one most likely to answer: not silent so far, not draining, idle connection, heard last.
+
+        A connection that rests after a response is none: a new one would be opened beside it.
+        """
         silent = request.silent_hosts()
         names = [
             name
@@ -107,6 +110,6 @@
         def rank(name: str) -> tuple[bool, bool, bool, float]:
             host = self._pool.hosts[name]
             accepts_writes = name not in self._core.draining
-            return name not in silent, accepts_writes, bool(host.idle), host.last_response_at
+            return name not in silent, accepts_writes, host.has_usable_idle(), host.last_response_at
 
         return max(names, key=rank, default=None)
