--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -5,12 +5,9 @@
 import fcntl
 import random
 import socket
-import struct
 import termios
 from array import array
-from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
-from contextlib import suppress
 
 import trio
 
@@ -22,7 +19,8 @@
     Stage,
 )
 from violetstack.rehearsal.fleet.campaign_settings import HostPlan
-from violetstack.rehearsal.fleet.hold_audit import HostRecord
+from violetstack.rehearsal.fleet.freeze_gate import FreezeGate, reset
+from violetstack.rehearsal.fleet.host_holds import UNCERTAIN_AFTER_S, HostHolds
 from violetstack.rehearsal.fleet.minimal_http import LAST, Ended, Wire, chunk, message
 from violetstack.rehearsal.fleet.socket_audit import Evidence, HostAttempt
 from violetstack.rehearsal.peer import Peer
@@ -44,22 +42,10 @@
 SLOW_READER_PADDING = "x" * 5000
 """In each event for a client that reads slowly: the stream does not fit into its buffer."""
 ENDLESS_FOR_S = 8.0
-LOOK_S = 0.001
-PREFILL_POLL_S = 0.005
-UNCERTAIN_AFTER_S = 0.3
-"""A reservation is answered with 204 after this where no prefill is known to be out."""
 LEAVES_STATE = frozenset({HostFault.RESET_BEFORE_EVENT, HostFault.CLOSE_BEFORE_EVENT})
 """A prefill that ends so may have ended well. What a prefill leaves that was given up goes by itself."""
 ENDED_BY_ANSWER = frozenset({HostFault.DECLINE, HostFault.STATE_GONE, HostFault.ERROR})
 """The attempt is over before its answer is written: what follows from the answer finds it ended."""
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
-def reset(sock: trio.socket.SocketType) -> None:
-    """Closes with a TCP reset, whatever is unsent."""
-    with suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    sock.close()
 
 
 def unread_bytes(sock: trio.socket.SocketType) -> int:
@@ -69,16 +55,6 @@
     return buffer[0]
 
 
-async def has_ended(sock: trio.socket.SocketType) -> bool:
-    """Whether the other side has closed the connection, and nothing unread is before that."""
-    with trio.move_on_after(LOOK_S):
-        try:
-            return not await sock.recv(1, socket.MSG_PEEK)
-        except OSError:
-            return True
-    return False
-
-
 class CampaignHost(Peer):
     """One model host. Its own faults (refusing, late connections) are set by the campaign."""
 
@@ -103,6 +79,7 @@
         self._evidence = evidence
         self._scripts = scripts
         self._clock = clock
+        self._holds = HostHolds(evidence.holds, plan.name, clock)
         self._rng = random.Random(f"host {seed} {plan.name}")
         self._health_checks = health_checks
         self._load_report = load_report
@@ -112,9 +89,7 @@
         self._stopped_at: float | None = None
         self._resumed_at = 0.0
         self._resumed = trio.Event()
-        self._frozen_since: float | None = None
-        self._thawed = trio.Event()
-        self._resets_when_thawed = False
+        self._gate = FreezeGate(clock)
 
     # --- listening ---
 
@@ -181,31 +156,11 @@
 
     def freeze(self) -> None:
         """Connections and bytes are taken as before, and nothing is begun until `thaw`."""
-        if self._frozen_since is None:
-            self._frozen_since = self._clock()
-            self._thawed = trio.Event()
+        self._gate.freeze()
 
     def thaw(self, *, resets: bool) -> None:
         """Goes on with what has come, or resets the connections on which it came."""
-        self._frozen_since = None
-        self._resets_when_thawed = resets
-        self._thawed.set()
-
-    async def _until_thawed(self, wire: Wire) -> float | None:
-        """Waits while the host is frozen. Returns since when it was, None if it was not.
-
-        What was given up meanwhile is not begun: its connection has ended.
-        """
-        since = self._frozen_since
-        if since is None:
-            return None
-        await self._thawed.wait()
-        if self._resets_when_thawed:
-            reset(wire.stream.socket)
-            raise Ended
-        if await has_ended(wire.stream.socket):
-            raise Ended
-        return since
+        self._gate.thaw(resets=resets)
 
     def hang_up(self) -> None:
         """Breaks every connection, and so every stream that has not ended."""
@@ -234,7 +189,7 @@
 
     async def _request(self, wire: Wire, queued_since: float | None) -> None:
         words, headers = await wire.head()
-        frozen_since = await self._until_thawed(wire)
+        frozen_since = await self._gate.wait(wire)
         if frozen_since is not None:
             queued_since = frozen_since
         method, path = words[0], words[1]
@@ -247,48 +202,19 @@
 
     async def _state_call(self, wire: Wire, method: str, request_id: str) -> None:
         if method == "DELETE":
-            self._record(HostRecord.RELEASE_TAKEN, request_id)
+            self._holds.release_taken(request_id)
             await self._answer(wire, 204)
             return
         status = self._rng.choice((200, 200, 200, 409, 204))
         if status != 409:
-            self._record(HostRecord.SLOT_RESERVED, request_id)
-        if status == 200 and not await self._prefill_begins(request_id):
+            self._holds.slot_reserved(request_id)
+        if status == 200 and not await self._holds.prefill_begins(request_id):
             await self._answer(wire, 204)
             return
         if status == 204:
             await trio.sleep(UNCERTAIN_AFTER_S)
         await self._answer(wire, status)
 
-    async def _prefill_begins(self, request_id: str) -> bool:
-        """Whether a prefill of the request is out, or begins within the time that a host waits for it."""
-        give_up_at = self._clock() + UNCERTAIN_AFTER_S
-        while self._clock() < give_up_at:
-            if request_id in self._evidence.holds.prefills_out:
-                return True
-            await trio.sleep(PREFILL_POLL_S)
-        return False
-
-    def _record(self, record: HostRecord, request_id: str) -> None:
-        self._evidence.holds.record(self._clock(), record, request_id, self.name)
-
-    def _follow_hold(self, attempt: HostAttempt) -> None:
-        """The attempt has begun."""
-        self._record(HostRecord.ATTEMPT_BEGUN, attempt.request_id)
-        if attempt.role is Role.PREFILL:
-            self._evidence.holds.prefills_out[attempt.request_id] += 1
-
-    def _end_hold(self, attempt: HostAttempt, *, leaves_state: bool) -> None:
-        """The attempt ends; called once more at its very end, whatever has happened."""
-        if not attempt.hold_followed:
-            return
-        attempt.hold_followed = False
-        if attempt.role is Role.PREFILL:
-            self._evidence.holds.prefills_out -= Counter({attempt.request_id: 1})
-            if leaves_state:
-                self._record(HostRecord.STATE_LEFT, attempt.request_id)
-        self._record(HostRecord.ATTEMPT_ENDED, attempt.request_id)
-
     async def _attempt(self, wire: Wire, headers: dict[str, str], queued_since: float | None) -> None:
         request_id = headers.get("req-id", "")
         script = self._scripts.get(request_id)
@@ -309,7 +235,7 @@
             if unread_bytes(wire.stream.socket) >= length - len(wire.rest):
                 arrived_at = stalled_at
         await wire.body(length)
-        frozen_since = await self._until_thawed(wire)
+        frozen_since = await self._gate.wait(wire)
         if frozen_since is not None and queued_since is None:
             queued_since = frozen_since
             arrived_at = self._earliest_arrival(request_id, queued_since)
@@ -326,14 +252,14 @@
             read_at=self._clock() if queued_since is not None else None,
         )
         self._evidence.attempts.append(attempt)
-        self._follow_hold(attempt)
+        self._holds.begun(attempt)
         if script is not None:
             is_prefill = self.plan.role is Role.PREFILL
             script.reach(Stage.PREFILL_IN_FLIGHT if is_prefill else Stage.DECODE_IN_FLIGHT)
         try:
             await self._until_closed(wire, attempt, lambda: self._respond(wire, attempt, fault, script))
         finally:
-            self._end_hold(attempt, leaves_state=False)
+            self._holds.ended(attempt, leaves_state=False)
             if attempt.closed_at is None:
                 attempt.closed_at = self._clock()
 
@@ -393,7 +319,7 @@
         if await self._fail(wire, attempt, fault):
             return
         if is_prefill:
-            self._end_hold(attempt, leaves_state=True)
+            self._holds.ended(attempt, leaves_state=True)
             await self._answer(wire, 202, PREFILLED_BODY)
             attempt.closed_at = self._clock()
             if script is not None:
@@ -405,7 +331,7 @@
     async def _fail(self, wire: Wire, attempt: HostAttempt, fault: HostFault) -> bool:
         """Carries out a fault that leaves no proper response; False if a response follows."""
         if fault in LEAVES_STATE | ENDED_BY_ANSWER:
-            self._end_hold(attempt, leaves_state=fault in LEAVES_STATE)
+            self._holds.ended(attempt, leaves_state=fault in LEAVES_STATE)
         match fault:
             case HostFault.DECLINE:
                 attempt.declined = True
@@ -445,7 +371,7 @@
         pause_s = self._rng.choice((0.0, 0.01, 0.05, 0.12))
         attempt.stream_faulty = fault in STREAM_FAULTS
         padding = SLOW_READER_PADDING if script is not None and script.reads_slowly else ""
-        self._record(HostRecord.TAKEN_OVER, attempt.request_id)
+        self._holds.taken_over(attempt)
         first = _event(f"{attempt.request_id}@{self.name}#{len(self._evidence.attempts)}:0")
         await self._write_events(wire, attempt, first, STREAM_HEAD)
         if script is not None:
--- /dev/null
+++ b/violetstack/rehearsal/fleet/freeze_gate.py
@@ -0,0 +1,69 @@
+"""Holds a scripted model host's work up while it is frozen: what comes is taken, and nothing is begun."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+from contextlib import suppress
+
+import trio
+
+from violetstack.rehearsal.fleet.minimal_http import Ended, Wire
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+LOOK_S = 0.001
+
+
+def reset(sock: trio.socket.SocketType) -> None:
+    """Closes with a TCP reset, whatever is unsent."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.close()
+
+
+async def has_ended(sock: trio.socket.SocketType) -> bool:
+    """Whether the other side has closed the connection, and nothing unread is before that."""
+    with trio.move_on_after(LOOK_S):
+        try:
+            return not await sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return True
+    return False
+
+
+class FreezeGate:
+    """Open, unless its host is frozen."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._frozen_since: float | None = None
+        self._thawed = trio.Event()
+        self._resets = False
+
+    def freeze(self) -> None:
+        if self._frozen_since is None:
+            self._frozen_since = self._clock()
+            self._thawed = trio.Event()
+
+    def thaw(self, *, resets: bool) -> None:
+        """`resets`: the connections on which something has come are reset, and nothing of it is begun."""
+        self._frozen_since = None
+        self._resets = resets
+        self._thawed.set()
+
+    async def wait(self, wire: Wire) -> float | None:
+        """Returns since when the host was frozen, once it goes on; None if it was not.
+
+        What was given up meanwhile is not begun: its connection has ended.
+        """
+        since = self._frozen_since
+        if since is None:
+            return None
+        await self._thawed.wait()
+        if self._resets:
+            reset(wire.stream.socket)
+            raise Ended
+        if await has_ended(wire.stream.socket):
+            raise Ended
+        return since
--- /dev/null
+++ b/violetstack/rehearsal/fleet/host_holds.py
@@ -0,0 +1,63 @@
+"""What a scripted model host writes down of what it holds, for the auditor."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from violetstack.policy_api import Role
+from violetstack.rehearsal.fleet.hold_audit import HoldEvidence, HostRecord
+from violetstack.rehearsal.fleet.socket_audit import HostAttempt
+
+UNCERTAIN_AFTER_S = 0.3
+"""A reservation is answered with 204 after this where no prefill is known to be out."""
+PREFILL_POLL_S = 0.005
+
+
+class HostHolds:
+    """The records of one host. Which prefills are out is known to all hosts, as the evidence is theirs."""
+
+    def __init__(self, evidence: HoldEvidence, host: str, clock: Callable[[], float]) -> None:
+        self._evidence = evidence
+        self._host = host
+        self._clock = clock
+
+    def slot_reserved(self, request_id: str) -> None:
+        self._record(HostRecord.SLOT_RESERVED, request_id)
+
+    def release_taken(self, request_id: str) -> None:
+        self._record(HostRecord.RELEASE_TAKEN, request_id)
+
+    def taken_over(self, attempt: HostAttempt) -> None:
+        """Its stream has started."""
+        self._record(HostRecord.TAKEN_OVER, attempt.request_id)
+
+    async def prefill_begins(self, request_id: str) -> bool:
+        """Whether a prefill of the request is out, or begins within the time that a host waits for it."""
+        give_up_at = self._clock() + UNCERTAIN_AFTER_S
+        while self._clock() < give_up_at:
+            if self._evidence.prefills_out[request_id]:
+                return True
+            await trio.sleep(PREFILL_POLL_S)
+        return False
+
+    def begun(self, attempt: HostAttempt) -> None:
+        """The attempt has begun: it is out."""
+        self._record(HostRecord.ATTEMPT_BEGUN, attempt.request_id)
+        if attempt.role is Role.PREFILL:
+            self._evidence.prefills_out[attempt.request_id] += 1
+
+    def ended(self, attempt: HostAttempt, *, leaves_state: bool) -> None:
+        """The attempt has ended; only the first call counts."""
+        if not attempt.hold_followed:
+            return
+        attempt.hold_followed = False
+        if attempt.role is Role.PREFILL:
+            self._evidence.prefills_out[attempt.request_id] -= 1
+            if leaves_state:
+                self._record(HostRecord.STATE_LEFT, attempt.request_id)
+        self._record(HostRecord.ATTEMPT_ENDED, attempt.request_id)
+
+    def _record(self, record: HostRecord, request_id: str) -> None:
+        self._evidence.record(self._clock(), record, request_id, self._host)
