--- a/violetstack/rehearsal/fleet/campaign_client.py
+++ b/violetstack/rehearsal/fleet/campaign_client.py
@@ -18,7 +18,7 @@
     Stage,
     client_act_name,
 )
-from violetstack.rehearsal.fleet.campaign_host import reset
+from violetstack.rehearsal.fleet.freeze_gate import reset
 from violetstack.rehearsal.fleet.minimal_http import connect
 from violetstack.rehearsal.fleet.socket_audit import ClientExchange
 
