Timed tests run in two halves side by side, each on half of the cores

Where there are fewer than eight cores they run one after the other, as before. The expected counts of test_known_red.py are those of three runs of pytest; each file is still in exactly one of them.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,19 +1,22 @@
 """The test command: `python -m tests` runs ruff (lint and format), mypy and pytest.
 
 The checkers run beside the tests in virtual time, which no load can fail. Tests that are timed or start
-processes then have the machine to themselves. Outputs are printed in order, and the last line counts the
-tests of both runs.
+processes then have the machine to themselves: in two runs side by side, each on half of the cores, or one
+after the other where there are few. Outputs are printed in order, and the last line counts the tests of all
+runs.
 
 Tests that KNOWN-RED.txt names are run last and by themselves: they are printed, and may fail.
 """
 
 from __future__ import annotations
 
+import os
 import re
 import subprocess
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
+from enum import Enum
 from pathlib import Path
 from typing import NamedTuple
 
@@ -38,20 +41,46 @@
     "tests/test_level_state_machine.py",
     "tests/test_load_shedding.py",
     "tests/test_mechanism.py",
-    "tests/test_remote_hold.py",
     "tests/test_routing.py",
     "tests/test_rules.py",
     "tests/test_stored_records.py",
     "tests/test_stored_state.py",
 )
+PROCESSES = (
+    "tests/test_commands.py",
+    "tests/test_fault_campaign.py",
+    "tests/test_fault_findings.py",
+    "tests/test_held_state.py",
+    "tests/test_log_output.py",
+    "tests/test_rehearsal_fleet.py",
+    "tests/test_shutdown_streams.py",
+    "tests/test_soak.py",
+    "tests/test_startup_signals.py",
+    "tests/test_startup_time.py",
+)
+"""Tests that play with processes; together they take about as long as all other timed tests."""
+MIN_CORES_TO_HALVE = 8
 CLOSING_COUNT = re.compile(r"(\d+) (passed|failed|error)")
 
 
+class Half(Enum):
+    """Which half of the cores a step runs on."""
+
+    FIRST = 0
+    SECOND = 1
+
+    def of(self, cores: list[int]) -> list[int]:
+        """Its part of these cores."""
+        middle = len(cores) // 2
+        return cores[:middle] if self is Half.FIRST else cores[middle:]
+
+
 class Step(NamedTuple):
-    """A Python module with its arguments."""
+    """A Python module with its arguments, and the half of the cores that it has; None: all."""
 
     module: str
     arguments: tuple[str, ...] = ()
+    half: Half | None = None
 
     @property
     def words(self) -> tuple[str, ...]:
@@ -74,15 +103,22 @@
         Step("mypy"),
         Step("pytest", VIRTUAL_TIME),
     ),
-    (Step("pytest", ("tests", *(f"--ignore={file}" for file in VIRTUAL_TIME))),),
+    (
+        Step("pytest", PROCESSES, Half.FIRST),
+        Step("pytest", ("tests", *(f"--ignore={file}" for file in VIRTUAL_TIME + PROCESSES)), Half.SECOND),
+    ),
 )
 
 
 def run(steps: list[Step]) -> list[Finished]:
     """Run steps at the same time and print their outputs one after another.
 
-    A step whose output fills its pipe waits until those before it have ended.
+    A step whose output fills its pipe waits until those before it have ended. Steps that want a half of the
+    cores each run one after the other where there are too few to halve.
     """
+    cores = sorted(os.sched_getaffinity(0))
+    if len(cores) < MIN_CORES_TO_HALVE and any(step.half for step in steps):
+        return [finished for step in steps for finished in run([step._replace(half=None)])]
     with ExitStack() as stack:
         processes = [stack.enter_context(_start(step)) for step in steps]
         return [_finish(step, process) for step, process in zip(steps, processes, strict=True)]
@@ -90,9 +126,12 @@
 
 def _start(step: Step) -> subprocess.Popen[str]:
     words = [sys.executable, "-m", *step.words]
-    return subprocess.Popen(
+    process = subprocess.Popen(
         words, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, errors="replace"
     )
+    if step.half is not None:
+        os.sched_setaffinity(process.pid, step.half.of(sorted(os.sched_getaffinity(0))))
+    return process
 
 
 def _finish(step: Step, process: subprocess.Popen[str]) -> Finished:
@@ -131,7 +170,7 @@
     """Let pytest pass over the known red tests."""
     if step.module != "pytest":
         return step
-    return Step("pytest", (*step.arguments, *_deselections(reds)))
+    return step._replace(arguments=(*step.arguments, *_deselections(reds)))
 
 
 def _deselections(reds: list[Red]) -> Iterator[str]:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import ast
+import os
 from pathlib import Path
 
 import pytest
 
-from tests.__main__ import ROOT, STAGES, VIRTUAL_TIME, Finished, Step, main
+from tests.__main__ import MIN_CORES_TO_HALVE, ROOT, STAGES, VIRTUAL_TIME, Finished, Half, Step, main
 from tests.__main__ import run as run_steps
 from tests.known_red import KnownRedListError, known_red
 
@@ -36,6 +37,11 @@
 print("x" * 200_000)
 print("printing")
 """
+ENDING_MODULE = """
+import pathlib, sys, time
+time.sleep(0.1)
+pathlib.Path(sys.argv[1]).write_text("ended")
+"""
 LINE = "tests/test_x.py::test_{}, sends late, and twice, issue 30\n"
 
 
@@ -89,16 +95,37 @@
     assert [step.words[:2] for step in STEPS[:2]] == [("ruff", "check"), ("ruff", "format")]
     assert "--check" in STEPS[1].arguments
     assert STEPS[2] == Step("mypy")
-    assert [step.module for step in STEPS[3:]] == ["pytest"] * 2
+    assert [step.module for step in STEPS[3:]] == ["pytest"] * 3
 
 
 def test_each_test_file_is_in_one_run_of_pytest() -> None:
-    selected, others = (step.arguments for step in STEPS if step.module == "pytest")
+    virtual_time, processes, others = (step.arguments for step in STEPS if step.module == "pytest")
+    selected = virtual_time + processes
     assert len(selected) == len(set(selected))
     assert all((ROOT / file).is_file() for file in selected)
     assert others == ("tests", *(f"--ignore={file}" for file in selected))
 
 
+def test_steps_that_run_side_by_side_share_no_core() -> None:
+    cores = list(range(MIN_CORES_TO_HALVE + 1))
+    assert sorted(Half.FIRST.of(cores) + Half.SECOND.of(cores)) == cores
+    assert [step.half for step in STAGES[-1]] == [Half.FIRST, Half.SECOND]
+
+
+def test_with_few_cores_the_halves_run_one_after_the_other_on_all(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """The second finds what the first has left behind at its end."""
+    monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+    monkeypatch.setattr(os, "sched_getaffinity", lambda _: {0, 1})
+    (tmp_path / "first.py").write_text(ENDING_MODULE)
+    (tmp_path / "second.py").write_text("import pathlib, sys\nprint(pathlib.Path(sys.argv[1]).read_text())")
+    ended = str(tmp_path / "ended")
+    steps = [Step("first", (ended,), Half.FIRST), Step("second", (ended,), Half.SECOND)]
+    assert run_steps(steps) == [Finished(0, ""), Finished(0, "ended\n")]
+    assert "ended" in capsys.readouterr().out
+
+
 @pytest.mark.parametrize("file", VIRTUAL_TIME)
 def test_what_runs_beside_other_steps_neither_waits_nor_starts_processes(file: str) -> None:
     tree = ast.parse((ROOT / file).read_text())
@@ -127,7 +154,7 @@
     lines = capsys.readouterr().out.splitlines()
     assert [line.startswith("failed: ") for line in lines] == [True, False]
     assert STEPS[failing].module in lines[0]
-    assert lines[-1] == "4 passed, 4 failed"
+    assert lines[-1] == "6 passed, 6 failed"
 
 
 def test_steps_run_at_the_same_time_and_their_outputs_are_printed_in_order(
