--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,8 @@
 SEEDS = range(1, 101)
 DURATION_S = 30.0
 PLAYS = 3
+SEED_PROCESSES = 5
+SEED_DURATION_S = 21.0
 SHORT_EVENTS = [
     SoakEvent(0.3, 1.0, SoakFault.SOCKET_ENFILE, 0),
     SoakEvent(0.4, 1.5, SoakFault.LOG_STALLS, 0),
@@ -137,14 +139,27 @@
     faults.close()
 
 
-def test_a_short_soak_breaks_no_rule(shim: Path) -> None:
+def play_until_judged(plan: SoakPlan, events: list[SoakEvent] | None = None) -> CaseResult:
+    """Plays a seed again, twice at most, if it was void for want of processor time."""
     for _ in range(PLAYS):
-        result = play_soak(SoakPlan(1, 3, 3.0, shim), SHORT_EVENTS)
+        result = play_soak(plan, events)
         if not result.void:
-            break
-    else:
-        pytest.fail(f"void: lag {result.lag_s} s, starved {result.starved_s} s")
+            return result
+    pytest.fail(f"void: lag {result.lag_s} s, starved {result.starved_s} s")
+
+
+def test_a_short_soak_breaks_no_rule(shim: Path) -> None:
+    result = play_until_judged(SoakPlan(1, 3, 3.0, shim), SHORT_EVENTS)
     assert [each.text for each in result.violations] + result.crashed == []
     assert result.invariants == {}
     assert result.triples
     assert result.statuses["served"] >= 5
+
+
+@pytest.mark.parametrize("seed", [6001, 6002])
+def test_seeds_that_held_too_long_before_the_incident_was_mended_break_no_rule(shim: Path, seed: int) -> None:
+    """On 223878c 15 and 6 requests were held too long (incident of 2026-12-02, held state)."""
+    result = play_until_judged(SoakPlan(seed, SEED_PROCESSES, SEED_DURATION_S, shim))
+    assert [each.text for each in result.violations] + result.crashed == []
+    assert result.invariants == {}
+    assert result.statuses["served"] >= 100
