Failing test: a signal ends the process while recv(2) lacks memory

Also SIGHUP: trio reads its wake-up socket when a signal or a thread has written to it, and an error of that read ends the event loop (TrioInternalError, status 1).

--- a/tests/test_transient_socket_errors.py
+++ b/tests/test_transient_socket_errors.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import signal
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -11,9 +12,12 @@
 import pytest
 import trio
 
+from tests.crossings import dispatcher_process
 from tests.test_stories import pair, play
 from violetstack.rehearsal.clients import ask_platform
-from violetstack.rehearsal.hosts import Act
+from violetstack.rehearsal.fleet.fault_shim import Call, ProcessFaults, build_shim
+from violetstack.rehearsal.fleet.programs import Program
+from violetstack.rehearsal.hosts import Act, ModelHost
 from violetstack.rehearsal.stage import Stage
 
 PERIOD = 3
@@ -62,3 +66,30 @@
         assert [answer.outcome for answer in answers] == ["served"] * REQUESTS
 
     play(*pair(*[Act()] * REQUESTS), story=story)
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_ends_nothing_while_recv_lacks_memory(number: signal.Signals) -> None:
+    """The event loop's own wake-up socket could not be read: the process ended with all that it had taken."""
+    faults = ProcessFaults()
+    gate = trio.Event()
+
+    def prepare(program: Program) -> None:
+        program.preload = {"LD_PRELOAD": str(build_shim()), "SOAK_FAULTS_FD": str(faults.descriptor)}
+        program.shared = (faults.descriptor,)
+
+    async def main() -> None:
+        prefill = ModelHost("r", "prefill", Act(before=gate))
+        async with dispatcher_process(prefill, ModelHost("w", "decode"), prepare=prepare) as dispatcher:
+            call = await dispatcher.send_request("q1")
+            await prefill.until(lambda: prefill.begun == ["q1"])
+            faults.fail(Call.RECV, errno.ENOMEM, 1)
+            dispatcher.program.send(number)
+            await trio.sleep(0.2)
+            faults.stop_failing(Call.RECV)
+            gate.set()
+            with trio.fail_after(5.0):
+                assert (await call.receive()).outcome == "served"
+
+    trio.run(main)
+    faults.close()
