The event loop outlasts errors of its own wake-up socket

Cause: trio's WakeupSocketpair.drain lets every error of recv(2) but EAGAIN through, which ends the event loop; a wake-up from a thread whose send(2) fails is lost or raises in the thread.

Change: net/event_loop_wakeup.py replaces both methods. What an error leaves unread wakes the loop again; a send is made again for 0.1 s at most. trio is pinned; there is no public interface.

--- a/violetstack/daemon/process.py
+++ b/violetstack/daemon/process.py
@@ -13,6 +13,7 @@
 from violetstack.daemon.daemon import Daemon
 from violetstack.daemon.fronts import START_RETRIES_S, START_RETRY_S
 from violetstack.log import flush, log, write_in_background
+from violetstack.net.event_loop_wakeup import tolerate_wakeup_errors
 from violetstack.net.inherited_listener import open_inherited_listener
 
 
@@ -40,6 +41,7 @@
         return 2
     unusable: list[Exception] = []
     try:
+        tolerate_wakeup_errors()
         trio.run(run, config, lambda: load(path, file, again=True), early_reload)
     except* ConfigError as errors:  # an address that is taken, or none of this machine's
         unusable += flatten(errors)
