--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -19,7 +19,7 @@
     Stage,
 )
 from violetstack.rehearsal.fleet.campaign_settings import HostPlan
-from violetstack.rehearsal.fleet.freeze_gate import FreezeGate, reset
+from violetstack.rehearsal.fleet.freeze_gate import FreezeGate, has_ended, reset
 from violetstack.rehearsal.fleet.host_holds import UNCERTAIN_AFTER_S, HostHolds
 from violetstack.rehearsal.fleet.minimal_http import LAST, Ended, Wire, chunk, message
 from violetstack.rehearsal.fleet.socket_audit import Evidence, HostAttempt
@@ -319,7 +319,7 @@
         if await self._fail(wire, attempt, fault):
             return
         if is_prefill:
-            self._holds.ended(attempt, leaves_state=True)
+            self._holds.ended(attempt, leaves_state=not has_ended(wire.stream.socket))
             await self._answer(wire, 202, PREFILLED_BODY)
             attempt.closed_at = self._clock()
             if script is not None:
--- a/violetstack/rehearsal/fleet/campaign_requests.py
+++ b/violetstack/rehearsal/fleet/campaign_requests.py
@@ -175,7 +175,9 @@
         try:
             await next_call.run()
             if self._crossed_close(second, next_call):
-                _, next_call = await self._resend(second, message, rng)
+                dispatcher, next_call = await self._resend(second, message, rng)
+                if not second.status and second.server_closed_at is not None:
+                    self._excuse_flooded(dispatcher, second)
         except NotAcceptedError:
             del self._state.evidence.exchanges[second.id]
         finally:
