--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -368,7 +368,8 @@
         """
         if self.life.state is not ConnectionState.WAITING:
             return
-        request, self.request = self.request, None
+        request = self.request
+        self.request = None
         may_have_run = request is not None and request.possibly_executed
         if request is not None:
             self.listener.core.client_disconnected(now_ms(), request)
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -160,18 +160,9 @@
         while True:
             left_s = max(0.0, deadline - trio.current_time())
             connection = await self.open(server, left_s, for_release=for_release)
-            sound = False
-            try:
-                await trio.lowlevel.checkpoint_if_cancelled()
-                if prerequisite is not None:
-                    await prerequisite()
-                await self.wait_caught_up()
-                sound = self._is_sound(connection)
-                if sound and wanted():
-                    return connection
-            finally:
-                if not sound:
-                    self.close(connection)
+            sound = await self._wait_until_sendable(connection, prerequisite)
+            if sound and wanted():
+                return connection
             if sound:
                 self._put_back_unused(connection)
                 return None
@@ -180,6 +171,22 @@
             if not connection.from_pool:
                 raise NotConnectedError("it broke, or the host sent bytes before it was asked")
 
+    async def _wait_until_sendable(
+        self, connection: UpstreamConnection, prerequisite: Callable[[], Awaitable[object]] | None
+    ) -> bool:
+        """Returns whether the connection can still be used once its caller may send; closed if it cannot."""
+        sound = False
+        try:
+            await trio.lowlevel.checkpoint_if_cancelled()
+            if prerequisite is not None:
+                await prerequisite()
+            await self.wait_caught_up()
+            sound = self._is_sound(connection)
+        finally:
+            if not sound:
+                self.close(connection)
+        return sound
+
     async def open(self, server: str, timeout_s: float, *, for_release: bool = False) -> UpstreamConnection:
         """An idle connection, or a new one within `timeout_s`; raises NotConnectedError.
 
--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -251,6 +251,12 @@
             stalled=fault is HostFault.STALL_WHILE_READING or queued_since is not None,
             read_at=self._clock() if queued_since is not None else None,
         )
+        await self._carry_out(wire, attempt, fault, script)
+
+    async def _carry_out(
+        self, wire: Wire, attempt: HostAttempt, fault: HostFault, script: RequestScript | None
+    ) -> None:
+        """Responds to an attempt that has begun, and notes its end, however it comes."""
         self._evidence.attempts.append(attempt)
         self._holds.begun(attempt)
         if script is not None:
