--- a/tests/test_fault_findings.py
+++ b/tests/test_fault_findings.py
@@ -160,3 +160,29 @@
             assert await process.ended_within(3.0)
 
     trio.run(story)
+
+
+def test_a_request_that_came_behind_a_stream_during_a_stop_is_as_old_as_it_is_when_its_turn_comes() -> None:
+    """It counted from the moment at which it was read: its host was told what had passed before."""
+
+    async def story() -> None:
+        ended = trio.Event()
+        prefill = RecordingHost("r0", "prefill")
+        decode = ModelHost("w0", "decode", Act(events=2, pause=ended))
+        async with dispatcher_process(prefill, decode) as process:
+            call = await process.send_request("q1", Req_Deadline="5000m")
+            await call.receive(events=1)
+            process.program.send(signal.SIGSTOP)
+            await trio.sleep(0.1)
+            sent_at = trio.current_time()
+            await call.stream.send_all(await _request_bytes(process, "q2", Req_Deadline="3000m"))
+            await trio.sleep(0.8)
+            process.program.send(signal.SIGCONT)
+            await trio.sleep(0.5)
+            ended.set()
+            with trio.fail_after(3.0):
+                await prefill.until(lambda: prefill.begun == ["q1", "q2"])
+            left_ms = 3000.0 - (trio.current_time() - sent_at) * 1000.0
+        assert prefill.deadlines_ms[1] <= left_ms + 150.0
+
+    trio.run(story)
--- a/violetstack/core/held_state.py
+++ b/violetstack/core/held_state.py
@@ -201,7 +201,7 @@
             return  # what the attempt has left since is still held
         elif any(attempt.request_written for attempt in request.in_flight.values()):
             self.apply(now, request, HoldEvent.RELEASED_BESIDE_ATTEMPT)
-        elif now < request.closed_at + MIN_DELIVERY_MS:
+        elif call.since < request.closed_at + MIN_DELIVERY_MS:
             self.apply(now, request, HoldEvent.RELEASED_EARLY)
         elif request.reservations_unanswered:
             self.apply(now, request, HoldEvent.RELEASED_BEFORE_ANSWER)
