--- a/tests/test_fault_findings.py
+++ b/tests/test_fault_findings.py
@@ -175,14 +175,14 @@
             process.program.send(signal.SIGSTOP)
             await trio.sleep(0.1)
             sent_at = trio.current_time()
-            await call.stream.send_all(await _request_bytes(process, "q2", Req_Deadline="3000m"))
+            await call.stream.send_all(await _request_bytes(process, "q2", Req_Deadline="1800m"))
             await trio.sleep(0.8)
             process.program.send(signal.SIGCONT)
             await trio.sleep(0.5)
             ended.set()
             with trio.fail_after(3.0):
                 await prefill.until(lambda: prefill.begun == ["q1", "q2"])
-            left_ms = 3000.0 - (trio.current_time() - sent_at) * 1000.0
+            left_ms = 1800.0 - (trio.current_time() - sent_at) * 1000.0
         assert prefill.deadlines_ms[1] <= left_ms + 150.0
 
     trio.run(story)
