A request that is read behind a stream after a stop is as old as the stop allows

Cause: connection_reader.py noted the time of the read as the time at which its bytes had come; the core asks for the age of what is read only when the request is taken up, which is after the stream before it.

Change: the read is dated back by what may have waited in the socket. Measured: the test failed before (the host was told 749 ms), and passes.

--- a/violetstack/net/downstream/connection_reader.py
+++ b/violetstack/net/downstream/connection_reader.py
@@ -209,7 +209,8 @@
         connection.http.feed(data)
         if connection.life.state in RESTING_STATES:
             connection.life.move(ConnectionEvent.REQUEST_BEGUN)
-        read_at = connection.unread_since or trio.current_time()
+        unread_s = connection.listener.core.max_unread_ms() / 1000.0
+        read_at = connection.unread_since or trio.current_time() - unread_s
         connection.unread_since = 0.0
         self._read_times.add(len(data), read_at, behind_request=connection.life.answering)
         table = connection.listener.table
