--- a/tests/test_fault_findings.py
+++ b/tests/test_fault_findings.py
@@ -186,3 +186,27 @@
         assert prefill.deadlines_ms[1] <= left_ms + 150.0
 
     trio.run(story)
+
+
+def test_a_request_that_came_long_after_sigterm_in_the_same_stop_is_refused() -> None:
+    """It was read and forwarded before the shutdown had begun: its stream would be cut by SIGKILL."""
+
+    async def story() -> None:
+        ended = trio.Event()
+        decode = ModelHost("w0", "decode", Act(), Act(events=2, pause=ended))
+        async with dispatcher_process(ModelHost("r0", "prefill"), decode) as process:
+            call = await process.send_request("q1")
+            assert (await call.receive()).outcome == "served"
+            process.program.send(signal.SIGSTOP)
+            await trio.sleep(0.1)
+            process.program.send(signal.SIGTERM)
+            await trio.sleep(0.8)
+            await call.stream.send_all(await _request_bytes(process, "q2"))
+            await trio.sleep(0.1)
+            process.program.send(signal.SIGCONT)
+            with trio.fail_after(2.0):
+                told = await call.stream.receive_some(64)
+        assert told.startswith(b"HTTP/1.1 503")
+        assert decode.begun == ["q1"]
+
+    trio.run(story)
