Requests are rejected from the handler of a signal on that may have come long ago

Cause: a process that was stopped runs the tasks that read its sockets before the one that begins its shutdown, and forwarded what had come up to a second after SIGTERM.

Change: the handler compares when the process was last known to run with now, and has listeners reject where the schedule would; with leases the shutdown waits for its permit as before.

--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -26,6 +26,7 @@
 )
 from violetstack.daemon.reload import RELOAD_RETRY_S, read_config, until_restart
 from violetstack.daemon.shutdown import GracefulShutdown
+from violetstack.daemon.shutdown_schedule import REJECT_REQUESTS_S
 from violetstack.log import log
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
@@ -94,6 +95,19 @@
             await self._stop()
             nursery.cancel_scope.cancel()
 
+    def signal_received(self) -> None:
+        """Notes a signal that ends the process; called in the signal's handler.
+
+        A process that was stopped reads what has come meanwhile before its shutdown begins: where the signal
+        may have come long ago, requests are rejected from this moment on.
+        """
+        self.lifecycle.signal_received()
+        signal = self.lifecycle.signal_time()
+        waits_for_permit = self.leases is not None
+        if signal.handled_ms - signal.earliest_ms >= REJECT_REQUESTS_S * 1000.0 and not waits_for_permit:
+            for listener in self.listeners:
+                listener.refusing = True
+
     def reload(self, read_again: Callable[[], Config]) -> None:
         """Applies what can change while serving. An invalid configuration changes nothing.
 
--- a/violetstack/daemon/process.py
+++ b/violetstack/daemon/process.py
@@ -85,7 +85,7 @@
     daemon = Daemon(config)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         for number in (signal.SIGTERM, signal.SIGINT):
-            _call_before_handler(number, daemon.lifecycle.signal_received)
+            _call_before_handler(number, daemon.signal_received)
 
         async def handle_signals() -> None:
             if early_reload is not None and early_reload.received:
