--- a/violetstack/rehearsal/fleet/campaign_environment.py
+++ b/violetstack/rehearsal/fleet/campaign_environment.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import signal
 from contextlib import suppress
 
@@ -78,8 +77,7 @@
 
     async def _flood(self, dispatcher: Dispatcher, lasts_s: float) -> None:
         """Idle clients take every descriptor that they can get."""
-        dispatcher.flooded_from = self._state.now()
-        dispatcher.flooded_until = math.inf
+        dispatcher.flood_begins(self._state.now())
         streams = []
         with trio.move_on_after(lasts_s):
             for _ in range(IDLE_FLOOD):
@@ -88,7 +86,7 @@
             await trio.sleep(lasts_s)
         for stream in streams:
             stream.socket.close()
-        dispatcher.flooded_until = self._state.now() + FLOOD_AFTERMATH_S
+        dispatcher.flood_ends(self._state.now() + FLOOD_AFTERMATH_S)
 
     async def _signal(self, dispatcher: Dispatcher, event: EnvironmentEvent) -> None:
         program = dispatcher.program
--- a/violetstack/rehearsal/fleet/campaign_state.py
+++ b/violetstack/rehearsal/fleet/campaign_state.py
@@ -37,6 +37,20 @@
         self.kept: list[tuple[ClientConnection, ClientExchange]] = []
         self.flooded_from = math.inf
         self.flooded_until = -math.inf
+        self._floods = 0
+
+    def flood_begins(self, now: float) -> None:
+        """Clients take what descriptors there are; several floods may overlap."""
+        if not self._floods:
+            self.flooded_from = now
+        self._floods += 1
+        self.flooded_until = math.inf
+
+    def flood_ends(self, until: float) -> None:
+        """One flood is over; with the last one, its aftermath ends at `until`."""
+        self._floods -= 1
+        if not self._floods:
+            self.flooded_until = until
 
     def forget_connections(self) -> None:
         for connection, _ in self.kept:
--- a/violetstack/rehearsal/fleet/soak_environment.py
+++ b/violetstack/rehearsal/fleet/soak_environment.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import fcntl
-import math
 import os
 import random
 import signal
@@ -194,8 +193,7 @@
 
     async def _crowd(self, dispatcher: Dispatcher, lasts_s: float) -> None:
         """New connections all the time, each with half a request and no more, over restarts as well."""
-        dispatcher.flooded_from = self._state.now()
-        dispatcher.flooded_until = math.inf
+        dispatcher.flood_begins(self._state.now())
         streams: list[trio.SocketStream] = []
         ends_at = self._state.now() + lasts_s
         while self._state.now() < ends_at:
@@ -206,7 +204,7 @@
             await trio.sleep(CROWD_INTERVAL_S)
         for stream in streams:
             stream.socket.close()
-        dispatcher.flooded_until = self._state.now() + FLOOD_AFTERMATH_S
+        dispatcher.flood_ends(self._state.now() + FLOOD_AFTERMATH_S)
 
     async def _stall_log(self, event: SoakEvent) -> None:
         pipe = self._pipes[event.target]
