--- a/tests/test_fault_findings.py
+++ b/tests/test_fault_findings.py
@@ -5,12 +5,15 @@
 
 from __future__ import annotations
 
+import errno
 import signal
 
 import trio
 
 from tests.crossings import DispatcherProcess, dispatcher_process
 from violetstack.rehearsal.clients import BODY, connect, platform_headers
+from violetstack.rehearsal.fleet.fault_shim import Call, ProcessFaults, build_shim
+from violetstack.rehearsal.fleet.programs import Program
 from violetstack.rehearsal.hosts import Act, ModelHost
 from violetstack.rehearsal.stage import SETTINGS
 
@@ -210,3 +213,34 @@
         assert decode.begun == ["q1"]
 
     trio.run(story)
+
+
+def test_a_request_that_came_during_a_stop_is_as_old_though_the_first_read_after_it_fails() -> None:
+    """The read that failed for a moment was made again when the stop no longer showed."""
+    faults = ProcessFaults()
+
+    def prepare(program: Program) -> None:
+        program.preload = {"LD_PRELOAD": str(build_shim()), "SOAK_FAULTS_FD": str(faults.descriptor)}
+        program.shared = (faults.descriptor,)
+
+    async def story() -> None:
+        prefill = RecordingHost("r0", "prefill")
+        async with dispatcher_process(prefill, ModelHost("w0", "decode"), prepare=prepare) as process:
+            call = await process.send_request("q1", Req_Deadline="5000m")
+            assert (await call.receive()).outcome == "served"
+            process.program.send(signal.SIGSTOP)
+            await trio.sleep(0.1)
+            sent_at = trio.current_time()
+            await call.stream.send_all(await _request_bytes(process, "q2", Req_Deadline="1400m"))
+            await trio.sleep(0.9)
+            faults.fail(Call.RECV, errno.ENOMEM, 1)
+            process.program.send(signal.SIGCONT)
+            await trio.sleep(0.1)
+            faults.stop_failing(Call.RECV)
+            with trio.fail_after(3.0):
+                await prefill.until(lambda: prefill.begun == ["q1", "q2"])
+            left_ms = 1400.0 - (trio.current_time() - sent_at) * 1000.0
+        assert prefill.deadlines_ms[1] <= left_ms + 150.0
+
+    trio.run(story)
+    faults.close()
