A read that is made again after an error for a moment keeps the age of what waits

Cause: the second read is made some turns of the loop later, when the stop before the first one no longer counts. Change: the connection notes at the failed read how long what waits in its socket may have waited.

--- a/violetstack/net/downstream/connection_reader.py
+++ b/violetstack/net/downstream/connection_reader.py
@@ -189,7 +189,7 @@
         with trio.move_on_at(deadline) as self._wait:
             if self.rejections_in_a_row > 1 and not connection.life.answering and not connection.http.busy:
                 await self._delay_after_rejections(connection)
-            data = await receive_some(connection.stream, READ_SIZE)
+            data = await receive_some(connection.stream, READ_SIZE, lambda: _note_unread(connection))
         if self._wait is not None and self._wait.cancelled_caught:
             if connection.evicted and connection.has_unread():
                 data = await self._read_at_eviction(connection)
@@ -209,8 +209,7 @@
         connection.http.feed(data)
         if connection.life.state in RESTING_STATES:
             connection.life.move(ConnectionEvent.REQUEST_BEGUN)
-        unread_s = connection.listener.core.max_unread_ms() / 1000.0
-        read_at = connection.unread_since or trio.current_time() - unread_s
+        read_at = connection.unread_since or _earliest_arrival(connection)
         connection.unread_since = 0.0
         self._read_times.add(len(data), read_at, behind_request=connection.life.answering)
         table = connection.listener.table
@@ -249,6 +248,17 @@
             connection.unread_since = began
 
 
+def _earliest_arrival(connection: DownstreamConnection) -> float:
+    """When what is read from the connection now can have come at the earliest, on trio's clock."""
+    return trio.current_time() - connection.listener.core.max_unread_ms() / 1000.0
+
+
+def _note_unread(connection: DownstreamConnection) -> None:
+    """A read has failed that is made again: what waits then has waited since before this one."""
+    if not connection.unread_since and connection.has_unread():
+        connection.unread_since = _earliest_arrival(connection)
+
+
 def _max_unread_bytes(connection: DownstreamConnection) -> int:
     return MAX_UNREAD_BYTES_WHEN_FULL if connection.listener.table.bodies_full else MAX_UNREAD_BYTES
 
--- a/violetstack/net/transient_errors.py
+++ b/violetstack/net/transient_errors.py
@@ -7,6 +7,7 @@
 
 import errno
 import socket
+from collections.abc import Callable
 
 import trio
 
@@ -54,14 +55,24 @@
                 raise trio.BrokenResourceError(f"socket connection broken: {error}") from error
 
 
-async def receive_some(stream: trio.abc.Stream, max_bytes: int) -> bytes | bytearray:
-    """Receives up to `max_bytes`; empty at the stream's end. Raises as `trio.abc.ReceiveStream` does."""
+def _ignore_retry() -> None:
+    """Where it does not matter how often a read is made."""
+
+
+async def receive_some(
+    stream: trio.abc.Stream, max_bytes: int, on_retry: Callable[[], None] = _ignore_retry
+) -> bytes | bytearray:
+    """Receives up to `max_bytes`; empty at the stream's end. Raises as `trio.abc.ReceiveStream` does.
+
+    `on_retry` is called in the step in which a read has failed that is made again.
+    """
     while True:
         try:
             return await stream.receive_some(max_bytes)
         except trio.BrokenResourceError as error:
             if not is_transient(error.__cause__):
                 raise
+        on_retry()
         await trio.sleep(RETRY_S)
 
 
