--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -147,6 +147,7 @@
         if attempt.finished or request.has_response:
             return False
         attempt.stream_started = True
+        attempt.answered = True
         request.committed_attempt = attempt
         request.first_event_at = now
         state.mark_changed(request)
@@ -170,6 +171,7 @@
         request = attempt.request
         if attempt.finished or request.has_response:
             return
+        attempt.answered = True
         self._lifecycle.finish_failed(now, request, RequestOutcome.INVALID)
         self.finished(now, attempt, AttemptStatus.CANCELLED)
 
--- a/violetstack/core/held_state.py
+++ b/violetstack/core/held_state.py
@@ -215,7 +215,7 @@
 
         Only a host's word shows that it had begun the attempt, and that the time counts from its end.
         """
-        ended_by_host = attempt.stream_started or status in ENDED_BY_HOST_STATUSES
+        ended_by_host = attempt.answered or status in ENDED_BY_HOST_STATUSES
         if attempt.request_written and not ended_by_host:
             attempt.request.closed_at = now
         reached_host = attempt.request_written and status not in NOTHING_HELD_STATUSES
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -114,6 +114,7 @@
         withheld: Why nothing, or not all of it, was sent.
         stream_started: Whether the first event of its response was accepted.
         events_forwarded: Number of events that went to the client.
+        answered: Whether its host has answered it, with whatever status.
         finished: Whether its outcome is known.
         timer: The timer of its deadline.
     """
@@ -130,6 +131,7 @@
     withheld: str = ""
     stream_started: bool = False
     events_forwarded: int = 0
+    answered: bool = False
     finished: bool = False
     timer: Timer | None = None
     endpoint: Endpoint | None = None
