The log's thread takes no signals: after a stop SIGTERM is handled before sockets are read

A process-directed signal that comes during a stop goes to the thread that runs first; where that was the log's, the main thread had read what had come meanwhile before the handler ran, and took SIGTERM for new.

--- a/violetstack/log_writer.py
+++ b/violetstack/log_writer.py
@@ -8,6 +8,7 @@
 
 import os
 import select
+import signal
 import threading
 from collections.abc import Callable
 
@@ -62,6 +63,9 @@
         self._unreported += lines
 
     def _run(self) -> None:
+        # Signals are for the main thread: one that another thread takes after a stop is handled later than
+        # what has come meanwhile is read.
+        signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
         while True:
             lines, unreported = self._take()
             if unreported:
