--- a/review/standins.py
+++ b/review/standins.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+EVENT_INTERVAL_S = 0.05
 HEARTBEAT_S = 2.0  # a watch gets an empty line this often while nothing changes
 
 SETTINGS: dict[str, Any] = {
@@ -191,6 +192,7 @@
         self.kind = kind
         self.address = ""
         self.started_ms = 0
+        self.events = 20
         self.begun: list[tuple[float, str]] = []
         """Time and id of each request whose last byte has arrived."""
         self._record = record
@@ -203,6 +205,13 @@
         self._server = await asyncio.start_server(self._connection, "127.0.0.1", 0, limit=1 << 20)
         self.address = loopback(self._server.sockets[0].getsockname()[1])
 
+    async def stop(self) -> None:
+        """Ends as a process that dies: its connections are reset, and new ones are refused."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def row(self, state: str = "active") -> dict[str, Any]:
         """Returns the entry in discovery's list."""
         return {
@@ -246,9 +255,9 @@
             await exchange.answer(202, "Content-Type: application/json\r\n", b'{"cached_tokens":0}')
             return
         await exchange.head()
-        for n in range(4):
-            await exchange.send(chunk(token_event(f"w{n} ", last=n == 3)))
-            await asyncio.sleep(0.05)
+        for n in range(self.events):
+            await exchange.send(chunk(token_event(f"w{n} ", last=n == self.events - 1)))
+            await asyncio.sleep(EVENT_INTERVAL_S)
         await exchange.send(chunk(usage_event()) + chunk(DONE_EVENT) + b"0\r\n\r\n")
 
 
@@ -397,6 +406,38 @@
     return answer
 
 
+class Clients:
+    """Sends requests at an even pace, and notes what they were answered."""
+
+    def __init__(self, record: Record, address: str, interval_s: float) -> None:
+        self.statuses: dict[int, int] = {}
+        """Number of answers by status; 0 stands for none."""
+        self.broken = 0
+        """Number of streams that ended without the last chunk."""
+        self._record = record
+        self._address = address
+        self._interval_s = interval_s
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, until: float) -> None:
+        """Sends until that time, then waits for the last answers."""
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            task = asyncio.create_task(self._ask(f"q{number:04d}"))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self._interval_s)
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def _ask(self, request_id: str) -> None:
+        answer = await ask(self._address, request_bytes(request_id, "ask", 7500))
+        self._record(f"client: {request_id} was answered {answer}")
+        self.statuses[answer.status] = self.statuses.get(answer.status, 0) + 1
+        self.broken += answer.status == 200 and not answer.whole
+
+
 def free_address() -> str:
     """Returns a loopback address with a free port."""
     with socket.socket() as sock:
