--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -439,10 +440,12 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address with a free port."""
+    """Returns an address with a free port, on a loopback address that no connection takes its port from."""
+    octets = random.sample(range(2, 250), 3)
+    host = f"127.{octets[0]}.{octets[1]}.{octets[2]}"
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return loopback(sock.getsockname()[1])
+        sock.bind((host, 0))
+        return f"{host}:{sock.getsockname()[1]}"
 
 
 class Dispatcher:
@@ -512,8 +515,10 @@
             if ready.status == 200:
                 self._record(f"dispatcher {self.name} ready")
                 return
+            if not self.running:
+                break
             await asyncio.sleep(0.1)
-        raise CaseError("the dispatcher did not get ready within 30 s")
+        raise CaseError("the dispatcher did not get ready")
 
     def move_discovery(self, address: str) -> None:
         """Writes a new configuration, which SIGHUP has the process read."""
@@ -548,7 +553,8 @@
     async def end(self) -> None:
         """Ends the process."""
         if self.process is not None and self.process.returncode is None:
-            os.killpg(self.process.pid, signal.SIGKILL)
+            with contextlib.suppress(ProcessLookupError):
+                os.killpg(self.process.pid, signal.SIGKILL)
             await self.process.wait()
 
 
