--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,11 @@
-"""One decode host is cut off for 3 s while it streams; streams that were inside an event are cut for good."""
+"""SIGTERM while a few clients have sent many requests at once: the process stands still for seconds."""
 
 from __future__ import annotations
 
 import asyncio
+import copy
+import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -15,110 +18,132 @@
     SETTINGS,
     TROUBLE,
     Agent,
+    Answer,
     CaseError,
-    Clients,
     Dispatcher,
     ModelHost,
     Record,
-    loopback,
+    ask,
+    request_bytes,
     run_case,
+    start_pipelining,
 )
 
-CUT_S = 3.0  # the page: a zone is cut off for 5 or 6 s; a client may wait 5 s for the next event
-CUT_AT_S = 4.0
-SEND_UNTIL_S = 5.0
-EVENTS = 60  # of a stream, one each 50 ms
-
-
-class Line:
-    """The network between the dispatcher and one host. While it is cut, connections stay open and quiet."""
-
-    def __init__(self, host: ModelHost, record: Record) -> None:
-        self.address = ""
-        self.cut_until = 0.0
-        self._host = host
-        self._record = record
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> None:
-        """Listens on a free port."""
-        server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
-        self.address = loopback(server.sockets[0].getsockname()[1])
-
-    def row(self) -> dict[str, object]:
-        """Returns the host's entry, with the address at which this line begins."""
-        return {**self._host.row(), "addr": self.address}
-
-    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        address, _, port = self._host.address.partition(":")
-        host_reader, host_writer = await asyncio.open_connection(address, int(port))
-        to_host = asyncio.create_task(self._forward(reader, host_writer, from_host=False))
-        to_dispatcher = asyncio.create_task(self._forward(host_reader, writer, from_host=True))
-        self._tasks |= {to_host, to_dispatcher}
-        await asyncio.wait({to_host, to_dispatcher}, return_when=asyncio.FIRST_COMPLETED)
-        host_writer.close()
-        writer.close()
-
-    async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, from_host: bool
-    ) -> None:
-        try:
-            while data := await reader.read(65536):
-                if self.cut_until > time.monotonic():
-                    # The cut finds this message under way: its first half has passed.
-                    passed = len(data) // 2 if from_host else 0
-                    writer.write(data[:passed])
-                    await asyncio.sleep(self.cut_until - time.monotonic())
-                    data = data[passed:]
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            pass
+DEADLINE_MS = 1000
+LATE_S = 0.5 + 0.05  # an answer up to this long after its time only earns nothing
+PIPELINING_CLIENTS = 20
+REQUESTS_AT_ONCE = 1000
+PIPELINING_AT_S = 2.0
+PIPELINING_STAY_S = 9.0
+SIGTERM_AT_S = 3.0
+NEW_CONNECTIONS_UNTIL_S = 0.3  # after SIGTERM; the page: for 0.2 to 0.4 s
+SIGKILL_S = 6.0  # after SIGTERM; the page: no sooner than the longest deadline and 0.7 s
+INTERVAL_S = 0.05
+RESTART = os.environ.get("RESTART", "1") != "0"
+"""RESTART=0 leaves SIGTERM out, to see what the pipelining clients do by themselves."""
+
+
+class Request:
+    """One request of an ordinary client, on a connection of its own."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.sent_at = time.monotonic()
+        self.answer = Answer()
+
+    async def run(self, address: str, record: Record) -> None:
+        """Sends it and reads its answer."""
+        self.answer = await ask(address, request_bytes(self.name, "ask", DEADLINE_MS), 30.0)
+        record(f"client: {self.name} was answered {self.answer} after {self.answered_s:.2f} s")
+
+    @property
+    def answered_s(self) -> float:
+        """How long after its sending the answer or the connection ended."""
+        return self.answer.closed_at - self.sent_at
+
+    @property
+    def verdict(self) -> str:
+        """Why the request is lost; empty if it is not."""
+        if self.answer.status == 200:
+            return "" if self.answer.whole else "its stream was cut"
+        if not self.answer.status:
+            return "it got no answer"
+        return "its answer came too late" if self.answered_s > DEADLINE_MS / 1000.0 + LATE_S else ""
 
 
 async def case(folder: Path, record: Record) -> int:
-    """Starts all parts, plays and ends the dispatcher."""
-    prefill_host = ModelHost("s-00000001", "prefill", record)
-    decode_hosts = [ModelHost(f"s-0000000{n}", "decode", record) for n in (2, 3)]
-    for host in (prefill_host, *decode_hosts):
-        host.events = EVENTS
+    """Starts all parts, plays and ends the processes."""
+    kinds = ("prefill", "prefill", "decode", "decode")
+    hosts = [ModelHost(f"s-{n:08x}", kind, record) for n, kind in enumerate(kinds)]
+    for host in hosts:
+        host.events = 8
         await host.start()
-    lines = [Line(host, record) for host in decode_hosts]
-    for line in lines:
-        await line.start()
-    agent = Agent(record, prefill_host.row(), *[line.row() for line in lines])
+    agent = Agent(record, *[host.row() for host in hosts])
     await agent.start()
+    settings = copy.deepcopy(SETTINGS)
+    for class_settings in settings["classes"]:
+        class_settings["aim"] = 500.0
+        class_settings["give_up"] = float(DEADLINE_MS)
     dispatcher = Dispatcher(folder, record)
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
-    dispatcher.write_config(agent.address, agent.full(), SETTINGS, limits)
+    dispatcher.write_config(agent.address, agent.full(), settings, limits)
     try:
         await dispatcher.start()
-        return await play(dispatcher, record, lines[0], decode_hosts)
+        return await play(dispatcher, record)
     finally:
         await dispatcher.end()
 
 
-async def play(dispatcher: Dispatcher, record: Record, line: Line, decode_hosts: list[ModelHost]) -> int:
-    """Cuts the line once and counts the streams that did not come to their end."""
+async def play(dispatcher: Dispatcher, record: Record) -> int:
+    """Sends ordinary requests until shortly after SIGTERM, and judges their answers."""
+    others: asyncio.subprocess.Process | None = None
     began = time.monotonic()
-    clients = Clients(record, dispatcher.listen, interval_s=0.2)
-    traffic = asyncio.create_task(clients.run(began + SEND_UNTIL_S))
-    await asyncio.sleep(CUT_AT_S)
-    if TROUBLE:
-        record(f"one decode host is cut off for {CUT_S} s")
-        line.cut_until = time.monotonic() + CUT_S
-        await asyncio.sleep(CUT_S)
-        record("it can be reached again; what it sent meanwhile arrives")
-    await traffic
-    if not dispatcher.running:
-        raise CaseError("the dispatcher has ended")
-    begun = [len(host.begun) for host in decode_hosts]
-    text = f"streams that were cut: {clients.broken}; answers by status: {clients.statuses}; begun: {begun}"
+    requests: list[Request] = []
+    tasks: list[asyncio.Task[None]] = []
+    terminated_at = began + SIGTERM_AT_S
+    signalled = False
+    while time.monotonic() < terminated_at + NEW_CONNECTIONS_UNTIL_S:
+        if TROUBLE and others is None and time.monotonic() >= began + PIPELINING_AT_S:
+            others = await start_pipelining(
+                dispatcher,
+                clients=PIPELINING_CLIENTS,
+                requests=REQUESTS_AT_ONCE,
+                spread_s=0.0,
+                stay_s=PIPELINING_STAY_S,
+                deadline_ms=DEADLINE_MS,
+            )
+        if time.monotonic() >= terminated_at and not signalled:
+            if RESTART:
+                record("SIGTERM")
+                dispatcher.send_signal(signal.SIGTERM)
+            signalled = True
+        request = Request(f"q{len(requests):04d}")
+        requests.append(request)
+        tasks.append(asyncio.create_task(request.run(dispatcher.listen, record)))
+        await asyncio.sleep(INTERVAL_S)
+    assert dispatcher.process is not None
+    try:
+        await asyncio.wait_for(dispatcher.process.wait(), terminated_at + SIGKILL_S - time.monotonic())
+        record(f"the dispatcher has ended {time.monotonic() - terminated_at:.2f} s after SIGTERM")
+    except TimeoutError:
+        record("SIGKILL")
+    await dispatcher.end()
+    await asyncio.wait(tasks)
+    if others is not None:
+        output, _ = await others.communicate()
+        record(output.decode().strip())
+    served = sum(request.answer.status == 200 for request in requests)
+    lost = [request for request in requests if request.verdict]
+    for request in lost:
+        before = terminated_at - request.sent_at
+        record(f"lost: {request.name}, sent {-before:+.2f} s after SIGTERM: {request.verdict}")
+    slowest = max(request.answered_s for request in requests)
+    text = f"{len(lost)} of {len(requests)} requests lost, {served} served, the slowest took {slowest:.2f} s"
     record(text)
     print(text)
-    if not all(begun):
-        raise CaseError("a decode host got no request")
-    return BROKEN if clients.broken else HELD
+    if not served:
+        raise CaseError("no request was served")
+    return BROKEN if lost else HELD
 
 
 run_case(__file__, case)
