--- a/review/pipelining_clients.py
+++ b/review/pipelining_clients.py
@@ -2,8 +2,8 @@
 
 python pipelining_clients.py HOST:PORT CLIENTS REQUESTS SPREAD_S STAY_S DEADLINE_MS
 
-The clients connect one after another within SPREAD_S. Each sends all of its requests at once, and reads what is
-answered until STAY_S is over.
+The clients connect one after another within SPREAD_S. Each sends all of its requests at once, and reads what
+is answered until STAY_S is over.
 """
 
 from __future__ import annotations
