--- a/review/standins.py
+++ b/review/standins.py
@@ -25,6 +25,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+CASE_LIMIT_S = 110.0
+STARTED: list[asyncio.subprocess.Process] = []
+"""All processes that the case has started."""
 EVENT_INTERVAL_S = 0.05
 HEARTBEAT_S = 2.0  # a watch gets an empty line this often while nothing changes
 
@@ -451,14 +454,10 @@
 class Dispatcher:
     """One dispatcher process, started by the deploy file's `run`."""
 
-    def __init__(
-        self, folder: Path, record: Record, name: str = "n1", listener: socket.socket | None = None
-    ) -> None:
+    def __init__(self, folder: Path, record: Record, name: str = "n1") -> None:
         self.folder = folder
         self.name = name
-        self.listener = listener
-        """The clients' listening socket, if the platform holds it."""
-        self.listen = free_address() if listener is None else loopback(listener.getsockname()[1])
+        self.listen = free_address()
         self.mgmt = free_address()
         self.process: asyncio.subprocess.Process | None = None
         self._record = record
@@ -495,11 +494,6 @@
             "NODE_CONFIG": str(self.folder / f"{self.name}.json"),
         }
         log = (self.folder / f"{self.name}.log").open("ab")
-        inherited: tuple[int, ...] = ()
-        if self.listener is not None:
-            descriptor = self.listener.fileno()
-            inherited = (descriptor,)
-            environment["NODE_INHERITED_FD"] = str(descriptor)
         self.process = await asyncio.create_subprocess_exec(
             *("/bin/sh", "-c", run),
             cwd=ROOT,
@@ -507,8 +501,8 @@
             stdout=log,
             stderr=log,
             start_new_session=True,
-            pass_fds=inherited,
         )
+        STARTED.append(self.process)
         self._record(f"dispatcher {self.name} started")
         for _ in range(300):
             ready = await ask(self.mgmt, b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n", 2.0)
@@ -563,24 +557,40 @@
 ) -> asyncio.subprocess.Process:
     """Starts clients that send many requests at once, in a process of their own."""
     numbers = (str(number) for number in (clients, requests, spread_s, stay_s, deadline_ms))
-    return await asyncio.create_subprocess_exec(
+    process = await asyncio.create_subprocess_exec(
         *(sys.executable, str(ROOT / "review" / "pipelining_clients.py"), dispatcher.listen, *numbers),
         stdout=asyncio.subprocess.PIPE,
     )
+    STARTED.append(process)
+    return process
+
+
+Case = Callable[[Path, Record], Awaitable[int]]
+
+
+async def run_within_limit(case: Case, folder: Path, record: Record) -> int:
+    """Runs the case, and ends every process that it has started."""
+    try:
+        return await asyncio.wait_for(case(folder, record), CASE_LIMIT_S)
+    finally:
+        for process in STARTED:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+                await process.wait()
 
 
-def run_case(file: str, case: Callable[[Path, Record], Awaitable[int]]) -> None:
+def run_case(file: str, case: Case) -> None:
     """Runs a case in a temporary folder and exits with its result."""
     record = Record(Path(file).resolve().parent)
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     result = NOT_RUN
     try:
-        result = asyncio.run(asyncio.wait_for(case(folder, record), 115.0))
-    except (CaseError, TimeoutError) as error:
+        result = asyncio.run(run_within_limit(case, folder, record))
+    except Exception as error:  # a fault of the case itself must not look like a broken rule
         record(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}")
     finally:
-        if not os.environ.get("KEEP"):
-            shutil.rmtree(folder, ignore_errors=True)
+        shutil.rmtree(folder, ignore_errors=True)
     record(f"exit {result}")
     sys.exit(result)
