--- a/review/3/case.py
+++ b/review/3/case.py
@@ -63,12 +63,14 @@
 
     @property
     def verdict(self) -> str:
-        """Why the request is lost; empty if it is not."""
+        """Why the request is lost; empty if it is not, or was never taken."""
+        if not self.answer.taken:
+            return ""
         if self.answer.status == 200:
             return "" if self.answer.whole else "its stream was cut"
-        if not self.answer.status:
-            return "it got no answer"
-        return "its answer came too late" if self.answered_s > DEADLINE_MS / 1000.0 + LATE_S else ""
+        if self.answered_s <= DEADLINE_MS / 1000.0 + LATE_S:
+            return ""  # answered in time, or its connection was closed unread: its client sends it once more
+        return "its answer came too late" if self.answer.status else "it had no answer when its time was over"
 
 
 async def case(folder: Path, record: Record) -> int:
--- a/review/standins.py
+++ b/review/standins.py
@@ -198,7 +198,7 @@
         self.started_ms = 0
         self.events = 20
         self.begun: list[tuple[float, str]] = []
-        """Time and id of each request whose last byte has arrived."""
+        """Arrival of the head, and id, of each request that has arrived whole."""
         self._record = record
         self._serve = serve or self.serve
         self._writers: set[asyncio.StreamWriter] = set()
@@ -234,21 +234,22 @@
         try:
             while True:
                 line, headers = await read_head(reader)
+                arrived_at = time.monotonic()
                 method, path, _ = line.split(" ")
                 await reader.readexactly(int(headers.get("content-length", "0")))
-                await self._handle(Exchange(self, method, path, headers, writer))
+                await self._handle(Exchange(self, method, path, headers, writer), arrived_at)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
             writer.close()
 
-    async def _handle(self, exchange: Exchange) -> None:
+    async def _handle(self, exchange: Exchange, arrived_at: float) -> None:
         if exchange.path.startswith("/state/"):
             self._record(f"{self.name} got {exchange.method} {exchange.path}")
             await exchange.answer(200 if exchange.method == "POST" else 204)
             return
-        self.begun.append((time.monotonic(), exchange.id))
+        self.begun.append((arrived_at, exchange.id))
         self._record(f"{self.name} begins {exchange.id}")
         await self._serve(exchange)
 
@@ -351,6 +352,8 @@
         self.whole = False
         """Whether the answer came to its end, a stream to its last chunk."""
         self.closed_at = 0.0
+        self.taken = False
+        """Whether the request was written whole to a connection that was accepted."""
 
     def __str__(self) -> str:
         end = "whole" if self.whole else "NOT whole"
@@ -402,6 +405,7 @@
     try:
         writer.write(data)
         await writer.drain()
+        answer.taken = True
         await asyncio.wait_for(read_answer(reader, answer), limit_s)
     except (OSError, TimeoutError):
         pass
