Review case 1: prompts sent in small pieces drive the dispatcher over its memory limit

48 clients send one valid request each, a prompt of 120 KB in a chunked body with chunks of 4 bytes. The dispatcher keeps one object for each chunk, some 85 bytes, and counts 4.

--- a/review/standins.py
+++ b/review/standins.py
@@ -374,6 +374,15 @@
     return head.encode() + body
 
 
+def chunked_request_bytes(request: bytes, piece: int) -> bytes:
+    """Returns the same request with its body in chunks of `piece` bytes."""
+    head, _, body = request.partition(b"\r\n\r\n")
+    fields = [line for line in head.split(b"\r\n") if not line.startswith(b"Content-Length:")]
+    chunks = [chunk(body[at : at + piece]) for at in range(0, len(body), piece)]
+    new_head = b"\r\n".join([*fields, b"Transfer-Encoding: chunked"])
+    return new_head + b"\r\n\r\n" + b"".join(chunks) + b"0\r\n\r\n"
+
+
 async def read_answer(reader: asyncio.StreamReader, answer: Answer) -> None:
     """Reads one answer; returns at its end or at the end of the connection."""
     try:
