Review case 2: six in ten of 3,200 hosts are replaced in 7 s, and requests are answered too late

Each change of the list is told as a line of its own; each costs the dispatcher time for every listed host, so it stands still for seconds.

--- a/review/standins.py
+++ b/review/standins.py
@@ -351,6 +351,8 @@
         self.body = b""
         self.whole = False
         """Whether the answer came to its end, a stream to its last chunk."""
+        self.begun_at = 0.0
+        """When its head had arrived; 0 if none did."""
         self.closed_at = 0.0
         self.taken = False
         """Whether the request was written whole to a connection that was accepted."""
@@ -387,6 +389,7 @@
     """Reads one answer; returns at its end or at the end of the connection."""
     try:
         line, headers = await read_head(reader)
+        answer.begun_at = time.monotonic()
         answer.status = int(line.split(" ")[1])
         if "content-length" in headers:
             answer.body = await reader.readexactly(int(headers["content-length"]))
