--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins: they are Python files of this folder, run by the interpreter of the deploy file's build.
 set -e
 cd "$(dirname "$0")"
-../.venv/bin/python -m compileall -q standins.py drain.py pipelining_clients.py [0-9]
+../.venv/bin/python -m compileall -q standins.py [0-9]
--- a/review/standins.py
+++ b/review/standins.py
@@ -530,15 +530,6 @@
             await asyncio.sleep(0.1)
         raise CaseError("the dispatcher did not get ready")
 
-    def move_discovery(self, address: str) -> None:
-        """Writes a new configuration, which SIGHUP has the process read."""
-        path = self.folder / f"{self.name}.json"
-        config = json.loads(path.read_text())
-        config["discovery"] = address
-        new = path.with_suffix(".new")
-        new.write_text(json.dumps(config))
-        new.replace(path)
-
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the program that `run` started."""
         if self.process is not None and self.process.returncode is None:
@@ -568,19 +559,6 @@
             await self.process.wait()
 
 
-async def start_pipelining(
-    dispatcher: Dispatcher, *, clients: int, requests: int, spread_s: float, stay_s: float, deadline_ms: int
-) -> asyncio.subprocess.Process:
-    """Starts clients that send many requests at once, in a process of their own."""
-    numbers = (str(number) for number in (clients, requests, spread_s, stay_s, deadline_ms))
-    process = await asyncio.create_subprocess_exec(
-        *(sys.executable, str(ROOT / "review" / "pipelining_clients.py"), dispatcher.listen, *numbers),
-        stdout=asyncio.subprocess.PIPE,
-    )
-    STARTED.append(process)
-    return process
-
-
 Case = Callable[[Path, Record], Awaitable[int]]
 
 
