--- a/review/3/case.py
+++ b/review/3/case.py
@@ -106,6 +106,7 @@
     slowing = asyncio.create_task(run_slower()) if TROUBLE else None
     while time.monotonic() < began + TRAFFIC_END_S:
         name = f"q{len(requests):04d}"
+        record(f"client: {name} is sent")
         data = request_bytes(name, "order", DEADLINE_MS)
         requests[name] = asyncio.create_task(ask(dispatcher.listen, data, 90.0))
         await asyncio.sleep(INTERVAL_S)
--- a/review/standins.py
+++ b/review/standins.py
@@ -452,6 +452,7 @@
             await asyncio.wait(self._tasks)
 
     async def _ask(self, request_id: str) -> None:
+        self._record(f"client: {request_id} is sent")
         answer = await ask(self._address, request_bytes(request_id, "ask", 7500))
         self._record(f"client: {request_id} was answered {answer}")
         self.statuses[answer.status] = self.statuses.get(answer.status, 0) + 1
