--- a/review/3/case.py
+++ b/review/3/case.py
@@ -56,6 +56,14 @@
 
     async def serve(self, exchange: Exchange) -> None:
         """Writes an answer, until its end or until the connection is closed."""
+        try:
+            await self._write(exchange)
+        except OSError:
+            self._record(f"{self.name}: the dispatcher has closed the connection of {exchange.id}")
+            raise
+        self._record(f"{self.name} has written the stream of {exchange.id} to its end")
+
+    async def _write(self, exchange: Exchange) -> None:
         await asyncio.sleep(TOKEN_S * self.slower)
         await exchange.head()
         event_at = time.monotonic()
@@ -67,6 +75,7 @@
                     await asyncio.sleep(TOKEN_S * self.slower)
                 await exchange.send(chunk(event[at : at + size]))
                 self.pieces_of.setdefault(exchange.id, []).append(time.monotonic())
+                self._record(f"{self.name} writes event {n}, from byte {at}, for {exchange.id}")
             self.longest_gap_s = max(self.longest_gap_s, time.monotonic() - event_at)
             event_at = time.monotonic()
         await exchange.send(chunk(usage_event()) + chunk(DONE_EVENT) + b"0\r\n\r\n")
--- a/review/standins.py
+++ b/review/standins.py
@@ -351,6 +351,9 @@
         self.body = b""
         self.whole = False
         """Whether the answer came to its end, a stream to its last chunk."""
+        self.sent = asyncio.Event()
+        self.sent_at = 0.0
+        """When the last byte of the request was written; 0 if it was not."""
         self.begun_at = 0.0
         """When its head had arrived; 0 if none did."""
         self.closed_at = 0.0
@@ -418,6 +421,8 @@
         writer.write(data)
         await writer.drain()
         answer.taken = True
+        answer.sent_at = time.monotonic()
+        answer.sent.set()
         await asyncio.wait_for(read_answer(reader, answer), limit_s)
     except (OSError, TimeoutError):
         pass
