--- a/review/3/case.py
+++ b/review/3/case.py
@@ -52,16 +52,22 @@
 
     async def run(self, address: str, record: Record) -> None:
         """Sends it and reads its answer; gives up if none has begun when it is lost."""
-        record(f"client: {self.name} is sent")
         data = request_bytes(self.name, "ask", DEADLINE_MS)
         asking = asyncio.create_task(ask(address, data, 60.0, self.answer))
         sending = asyncio.create_task(self.answer.sent.wait())
         await asyncio.wait([asking, sending], return_when=asyncio.FIRST_COMPLETED)
         sending.cancel()
+        if self.answer.taken:
+            record(f"client: {self.name} is sent on a connection that was accepted, its last byte is written")
         await asyncio.wait([asking], timeout=DEADLINE_MS / 1000.0 + GIVE_UP_S)
-        if not self.answer.begun_at:
+        if not self.answer.begun_at and not asking.done():
+            waited_s = time.monotonic() - self.answer.sent_at
+            record(f"client: {self.name} has no answer after {waited_s:.2f} s and goes")
             asking.cancel()
         await asyncio.wait([asking])
+        if not self.answer.begun_at:
+            record(f"client: {self.name} was not answered, its connection ended after {self.begun_s:.2f} s")
+            return
         record(f"client: {self.name} was answered {self.answer}, begun after {self.begun_s:.2f} s")
 
     @property
