Log: event_loop_slow tells what a long run of the core handled

When the process stood still, its log did not tell why: process_paused has only the length of the gap, whether it came from endpoint updates, from requests or from other processes on the machine.

A run of the core that uses 50 ms of processor time or more is logged, at most 20 times a second, with the number of endpoint updates, updated entries, requests and other events that it handled, and of listed endpoints. Processor time, so that a busy machine does not cause the line.

What is ruled out by these lines: the reading and decoding of the lines (outside the runs), and a busy machine.

--- a/violetstack/daemon/event_loop.py
+++ b/violetstack/daemon/event_loop.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import time
+
 import trio
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.pause_detector import PauseDetector
+from violetstack.policy_api import EndpointUpdate, Event, Request
 
 # A pause of the process during a wait for I/O is detected only if it outlasts the wait, so this limits the
 # age of input that is treated as if it had just arrived.
 MAX_WAIT_S = 0.06
 FAILURE_RETRY_S = 0.01  # after the core raised; the next run continues with the remaining work
+SLOW_RUN_MS = 50.0  # processor time; no socket is read during a run, so it delays all requests
 
 
 class WakeSignal:
@@ -65,9 +69,28 @@
 
         The exception is logged and not raised, so that it does not end the process and its requests.
         """
+        started_at_s = time.thread_time()
+        events = self._core.pending_events
         try:
             self._core.run(now_ms())
         except Exception as error:
             log_rate_limited("event_loop_failed", error=repr(error))
             return False
+        cpu_ms = (time.thread_time() - started_at_s) * 1000.0
+        if cpu_ms >= SLOW_RUN_MS:
+            self._log_slow_run(cpu_ms, events)
         return True
+
+    def _log_slow_run(self, cpu_ms: float, events: list[Event]) -> None:
+        """Logs what a long run handled, which tells whether endpoint updates or requests took the time."""
+        updates = [event for event in events if isinstance(event, EndpointUpdate)]
+        requests = sum(1 for event in events if isinstance(event, Request))
+        log_rate_limited(
+            "event_loop_slow",
+            cpu_ms=round(cpu_ms),
+            endpoint_updates=len(updates),
+            updated_endpoints=sum(len(update.endpoints) for update in updates),
+            requests=requests,
+            other_events=len(events) - len(updates) - requests,
+            listed_endpoints=len(self._core.endpoints),
+        )
--- a/violetstack/log.py
+++ b/violetstack/log.py
@@ -63,6 +63,7 @@
             "endpoint_list_loss_suspected",
             "endpoint_list_stale",
             "endpoint_list_missing",
+            "event_loop_slow",
             "recovered_endpoint_unreachable",
             "idempotency_store_missing",
             "stream_migration_failed",
