Releases: the host is found by the latest answer, not by a search of all hosts

Each release ranked every listed host: with 3,200 hosts 38 ms under a profiler, for each request whose state is released, and no socket is read meanwhile.

Cause: StateReleaser._best_host built a list of all hosts and took the maximum of four properties of each.

Change: the pool keeps the order in which hosts answered. The latest that is listed, untried, responsive, not draining and has a usable idle connection is the maximum, so the list is searched only where there is none.

--- a/tests/test_update_cost.py
+++ b/tests/test_update_cost.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import random
-import sys
-from collections.abc import Callable
-from types import FrameType
-from typing import Any
 
 import pytest
 from msgspec.structs import replace
 
+from tests.executed_lines import count_lines
 from tests.router_harness import SETTINGS, make_endpoint
 from tests.test_core import RecordingPorts
 from tests.test_lease_node import CheckedNode
@@ -23,24 +20,6 @@
 LARGE_FLEET = 3200
 
 
-def count_lines(call: Callable[[], object]) -> int:
-    """Returns how many lines of Python are executed; each pass of a loop or a comprehension counts."""
-    lines = 0
-
-    def trace(_frame: FrameType, event: str, _argument: Any) -> Callable[..., Any]:
-        nonlocal lines
-        lines += event == "line"
-        return trace
-
-    previous = sys.gettrace()
-    sys.settrace(trace)
-    try:
-        call()
-    finally:
-        sys.settrace(previous)
-    return lines
-
-
 def fleet(size: int) -> tuple[Endpoint, ...]:
     return tuple(make_endpoint(f"s{n}", n % 2) for n in range(size))
 
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -6,7 +6,7 @@
 import errno
 import math
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import msgspec
 import trio
@@ -58,6 +58,8 @@
 
     def has_usable_idle(self) -> bool:
         """Whether there is an idle connection whose delay before reuse is over."""
+        if not self.idle:
+            return False
         now = trio.current_time()
         return any(connection.usable_from <= now for connection in self.idle)
 
@@ -75,6 +77,9 @@
         self.max_connections = 0
         self.open_connections = 0
         self.hosts: dict[str, UpstreamHost] = {}
+        self._by_latest_response: dict[
+            str, None
+        ] = {}  # ids of hosts that have answered, the latest at the end
         self.wait_caught_up: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint_if_cancelled
 
     # --- addresses ---
@@ -88,7 +93,7 @@
         if endpoint_update.scope is not UpdateScope.DELTA:
             named = {entry.server for entry in endpoint_update.endpoints}
             for name in [name for name in self.hosts if name not in named]:
-                self._close_idle(self.hosts.pop(name))
+                self._remove_host(name)
 
     def _set_address(self, name: str, text: str) -> None:
         try:
@@ -105,17 +110,25 @@
         host = self.hosts.get(server)
         if host is None:
             return
-        if state is EndpointState.REMOVED or started_ms != host.started_ms:
+        if started_ms != host.started_ms:
             self._close_idle(host)  # the host's former process had these connections
         host.started_ms = started_ms
         if state is EndpointState.REMOVED:
-            del self.hosts[server]
+            self._remove_host(server)
+
+    def _remove_host(self, name: str) -> None:
+        self._close_idle(self.hosts.pop(name))
+        self._by_latest_response.pop(name, None)
 
     def _close_idle(self, host: UpstreamHost) -> None:
         for connection in host.idle:
             self.close(connection)
         host.idle = []
 
+    def names_by_latest_response(self) -> Iterator[str]:
+        """Yields the ids of the hosts that have answered a request, beginning with the latest."""
+        return reversed(self._by_latest_response)
+
     # --- connections ---
 
     def close(self, connection: UpstreamConnection) -> None:
@@ -316,6 +329,8 @@
         connection.idle_since = trio.current_time()
         connection.usable_from = connection.idle_since + REUSE_DELAY_S
         host.last_response_at = connection.idle_since
+        self._by_latest_response.pop(connection.server, None)
+        self._by_latest_response[connection.server] = None
         host.idle.append(connection)
 
     def _put_back_unused(self, connection: UpstreamConnection) -> None:
--- a/violetstack/net/upstream/state_release.py
+++ b/violetstack/net/upstream/state_release.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import trio
 
 from violetstack.core.dispatcher import Dispatcher
@@ -106,15 +108,40 @@
         reuse is not over does not count, because a new one would be opened beside it.
         """
         unresponsive = request.unresponsive_hosts()
-        names = [
-            name
-            for name in self._core.endpoints
-            if name in self._pool.hosts and name not in tried and name not in self._core.stateless_hosts
-        ]
 
-        def rank(name: str) -> tuple[bool, bool, bool, float]:
-            host = self._pool.hosts[name]
-            accepts_writes = name not in self._core.draining
-            return name not in unresponsive, accepts_writes, host.has_usable_idle(), host.last_response_at
+        def may_call(name: str) -> bool:
+            return (
+                name in self._core.endpoints
+                and name in self._pool.hosts
+                and name not in tried
+                and name not in self._core.stateless_hosts
+            )
 
-        return max(names, key=rank, default=None)
+        def rank(name: str) -> _ReleaseRank:
+            host = self._pool.hosts[name]
+            return _ReleaseRank(
+                name not in unresponsive,
+                name not in self._core.draining,
+                host.has_usable_idle(),
+                host.last_response_at,
+            )
+
+        # The latest host to answer usually ranks first, so that the list is rarely searched.
+        for name in self._pool.names_by_latest_response():
+            if may_call(name) and rank(name).is_best:
+                return name
+        return max(filter(may_call, self._core.endpoints), key=rank, default=None)
+
+
+class _ReleaseRank(NamedTuple):
+    """How likely a host is to answer a release; the higher, the likelier."""
+
+    is_responsive: bool
+    accepts_requests: bool
+    has_usable_idle: bool
+    last_response_at: float
+
+    @property
+    def is_best(self) -> bool:
+        """Whether only a host that has answered later ranks higher."""
+        return self.is_responsive and self.accepts_requests and self.has_usable_idle
