--- a/tests/held_state_matrix.py
+++ b/tests/held_state_matrix.py
@@ -220,6 +220,8 @@
 
 ALL_REQUESTS = tuple(f"{row}.{class_name}" for row in ROWS for class_name in CLASSES)
 MAX_CONCURRENT_COLUMNS = 5
+MAX_PLAYS = 8
+"""Of the rows of a column that held nothing."""
 
 
 async def run_column(
@@ -266,6 +268,29 @@
     }
 
 
+async def run_column_until_held(column: Column, number: int) -> dict[str, Cell]:
+    """Runs the column, and its rows that held nothing again; returns the results of all plays together.
+
+    A row holds nothing if the dispatcher sheds its requests, since those of all rows come at once, or sends
+    them to mixed hosts that decode them too. Then nothing has been tested yet. What any play held for too
+    long counts.
+    """
+    cells = await run_column(column, number)
+    for _ in range(MAX_PLAYS - 1):
+        requests = _requests_of_empty_rows(cells)
+        if not requests:
+            break
+        for request_id, cell in (await run_column(column, number, requests)).items():
+            earlier = cells[request_id]
+            cells[request_id] = Cell(earlier.held or cell.held, earlier.too_long + cell.too_long)
+    return cells
+
+
+def _requests_of_empty_rows(cells: dict[str, Cell]) -> tuple[str, ...]:
+    rows_with_hold = {request_id.partition(".")[0] for request_id, cell in cells.items() if cell.held}
+    return tuple(request_id for request_id in cells if request_id.partition(".")[0] not in rows_with_hold)
+
+
 async def run_matrix() -> dict[str, dict[str, Cell]]:
     """Runs all columns, up to `MAX_CONCURRENT_COLUMNS` at the same time."""
     results: dict[str, dict[str, Cell]] = {}
@@ -273,7 +298,7 @@
 
     async def run_one(number: int, name: str) -> None:
         async with limit:
-            results[name] = await run_column(COLUMNS[name], number)
+            results[name] = await run_column_until_held(COLUMNS[name], number)
 
     async with trio.open_nursery() as nursery:
         for number, name in enumerate(COLUMNS):
