Slow start's limit is a module of its own; lists of tests

The limit of requests to endpoints in slow start moves from policy/admission.py, which sheds load, to tracking/slow_start_limit.py, without a change of what it does.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -42,12 +42,10 @@
     "tests/test_load_shedding.py",
     "tests/test_mechanism.py",
     "tests/test_placement_cost.py",
-    "tests/test_release_cost.py",
     "tests/test_routing.py",
     "tests/test_rules.py",
     "tests/test_stored_records.py",
     "tests/test_stored_state.py",
-    "tests/test_update_cost.py",
 )
 PROCESSES = (
     "tests/test_commands.py",
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -211,7 +211,7 @@
     new.now = old.now
     assert restore_learned_state(new.state, state) == 4
     for harness in (old, new):
-        harness.router.admission.admits(harness.endpoint("r0"), old.now, is_prefill=True)
+        harness.router.admission.slow_start.admits(harness.endpoint("r0"), old.now, is_prefill=True)
     before, after = (side.endpoint("r0").statistics.slow_start for side in (old, new))
     assert (after.rate, after.level) == (before.rate, before.level)
     assert after.rate > 5.0 / (2.0 * 3 * 2000.0)  # five times that of a process without estimates
--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -413,6 +413,6 @@
         cold = make_endpoint("cold", PREFILL, started_ms=harness.now)
         harness.update_endpoints(UpdateScope.SNAPSHOT, *listed, cold, make_endpoint("w1", DECODE))
         admission = harness.router.admission
-        admission.admits(harness.endpoint("cold"), harness.now, is_prefill=True)
+        admission.slow_start.admits(harness.endpoint("cold"), harness.now, is_prefill=True)
         rates.append(harness.endpoint("cold").statistics.slow_start.rate)
     assert rates[0] <= rates[1] <= 1.2 * rates[0]
--- a/violetstack/policy/placement.py
+++ b/violetstack/policy/placement.py
@@ -41,7 +41,7 @@
     def _allowed(self, request: RequestState, *, is_prefill: bool) -> Iterator[TrackedEndpoint]:
         """Yields the hosts at which slow start, the rule of retries and the route allow the request."""
         now = self._state.now
-        hosts = self._admission.admitted(is_prefill=is_prefill)
+        hosts = self._admission.slow_start.admitted(is_prefill=is_prefill)
         if request.first_attempt_with_effect is not None:
             hosts = (host for host in hosts if may_retry_at(request, host, now))
         if request.route is not None:
