Log: memory_high tells what is counted of a high memory, client_input_slow whose input takes long

The log had one process_paused line and nothing about memory or about what the process did.

memory_high is logged twice a second from half of the limit on: the process's memory beside the counted bytes of requests and of unread responses. client_input_slow is logged when one step of parsing a client's input takes 20 ms of processor time.

--- a/violetstack/daemon/daemon.py
+++ b/violetstack/daemon/daemon.py
@@ -31,6 +31,7 @@
 from violetstack.net.clock import now_ms
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.gossip import DatagramDemultiplexer
+from violetstack.net.memory_monitor import MemoryMonitor
 from violetstack.net.upstream.driver import UpstreamDriver
 from violetstack.policy.router import Router
 from violetstack.policy_api import EndpointUpdate
@@ -231,6 +232,7 @@
         admin = await start_admin_server(config, self.nursery, self)
         self._apply_load_shedding_plan(config.load_shedding_plan)
         self.components.start(self.nursery)
+        start_background_task(self.nursery, MemoryMonitor(self._memory_limit_mb, self.listeners).run)
         self._apply_deferred_reload()
         await self.endpoints.wait_for_first_list()
         self.lifecycle.started = True
@@ -360,6 +362,10 @@
         if self.hot_restart is not None:
             self.hot_restart.request_write()
 
+    def _memory_limit_mb(self) -> float:
+        """Returns the limit in force; the processes of a hot restart share it."""
+        return self.config.limits.memory_mb / self._process_count()
+
     def _process_count(self) -> int:
         return self.hot_restart.process_count if self.hot_restart is not None else 1
 
--- a/violetstack/net/downstream/connection_reader.py
+++ b/violetstack/net/downstream/connection_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 from typing import TYPE_CHECKING
 
 import trio
@@ -18,6 +19,7 @@
     from violetstack.net.downstream.connection import DownstreamConnection
 
 READ_SIZE = 32 * 1024
+SLOW_INPUT_MS = 20.0  # processor time
 REQUEST_TIMEOUT_S = 2.2
 """Limit for a new connection's first byte, and for the next bytes of a request that has begun."""
 MAX_ARRIVAL_S = 15.0
@@ -109,7 +111,7 @@
         connection = self._connection
         assert connection is not None
         while not connection.lifecycle.ending:
-            connection.handle_next_request()
+            self._handle_input(connection)
             if connection.lifecycle.ending:
                 break
             if self.must_delay_pipeline and not connection.lifecycle.answering:
@@ -127,6 +129,19 @@
         await wait_for_peer_end(connection.stream)
         self.client_ended.set()
 
+    def _handle_input(self, connection: DownstreamConnection) -> None:
+        """Handles the requests that are complete; logs it if that took long: no other task runs then."""
+        started_at_s = time.thread_time()
+        connection.handle_next_request()
+        cpu_ms = (time.thread_time() - started_at_s) * 1000.0
+        if cpu_ms >= SLOW_INPUT_MS:
+            log_rate_limited(
+                "client_input_slow",
+                cpu_ms=round(cpu_ms),
+                received_bytes=connection.http.size,
+                buffered_bytes=connection.buffered_bytes,
+            )
+
     def count_pipelined(self, complete: bool) -> None:
         """Counts consecutive pipelined requests.
 
--- a/violetstack/net/downstream/connection_table.py
+++ b/violetstack/net/downstream/connection_table.py
@@ -94,6 +94,11 @@
         """Whether the limit on buffered request bodies is exceeded."""
         return self.buffered_bytes > self.max_buffered_bytes
 
+    @property
+    def output_memory_bytes(self) -> int:
+        """Memory of all responses that the kernel has not accepted yet."""
+        return sum(connection.unwritten_bytes for connection in self.connections)
+
     @property
     def connection_utilization(self) -> float | None:
         """Connections as a share of their limit; None if no limit is set."""
