Requests: a body is kept in one buffer, and counted by the memory that it takes

Cause: HttpServerConnection kept one bytearray for each chunk until the body was complete. Traced for one body of 120,000 bytes: 2,351,651 bytes kept, 1,787 KiB of them in 60,006 objects of h11's buffer, 241 KiB in the list. The limit on buffered bodies counted the payload alone: memory_high showed 82.0 MB with 2.8 MB counted. Ruled out by the same lines: output (0 bytes unwritten), connections (53), unread input (none beside the body).

A body is collected in one bytearray. What is counted is the size that buffers have allocated, with the bytes behind the request, and an estimate for each field of the head: 1,500 fields of a few bytes take 221 KB while the body arrives, and were not counted. A request whose body is still to come is rejected too once the limit is exceeded. What is kept is dropped with the response, also if the connection stays open to be read to its end.

--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -105,7 +105,7 @@
         self.request_received = False
         """Whether at least one complete request has arrived."""
         self.buffered_bytes = 0
-        """Size of the body of the request that is arriving or being answered."""
+        """Memory of the request that is arriving or being answered, and of the bytes behind it."""
         self.unread_since = 0.0
         """The bytes that are read next may have waited in the socket since this time; 0 if they have not."""
         self.over_limit = over_limit
@@ -186,11 +186,16 @@
         if self.listener.draining and not self.http.unread:
             self.http.closing = True
 
+    def _count_buffered_bytes(self) -> None:
+        self.listener.table.set_buffered_bytes(self, self.http.buffered_bytes)
+
     def _response_ended(self, *, broken: bool) -> None:
         self.request = None
         self.last_used = trio.current_time()
-        self.listener.table.set_buffered_bytes(self, 0)
-        if broken or self.http.closing or not self.http.reuse():
+        reusable = not broken and not self.http.closing and self.http.reuse()
+        self.http.drop_request()
+        self._count_buffered_bytes()
+        if not reusable:
             self.note_close_reason(CloseReason.RESPONSE_ENDED)
             self.lifecycle.apply(ConnectionEvent.LAST_RESPONSE_ENDED)
         else:
@@ -420,11 +425,11 @@
             except InvalidRequestError as error:
                 self._reject(error.status, error.reason)
                 return
+            self._count_buffered_bytes()
             self._reader.count_pipelined(inbound is not None)
             if self.evicted:
                 self._reject_evicted(inbound)
                 continue
-            self.listener.table.set_buffered_bytes(self, self.http.size)
             if inbound is None:
                 self._await_rest_of_request()
                 return
@@ -434,12 +439,17 @@
             else:
                 self._hand_to_front(inbound)
 
+    @property
+    def _bodies_full(self) -> bool:
+        """Whether the current request has a body and the limit on buffered request bodies is exceeded."""
+        return self.listener.table.bodies_full and self.http.has_body
+
     def _await_rest_of_request(self) -> None:
         if self.http.busy and self.lifecycle.state in RESTING_STATES:
             self.lifecycle.apply(
                 ConnectionEvent.REQUEST_BEGUN
             )  # its bytes were read behind the previous request
-        if self.listener.table.bodies_full and self.http.size:
+        if self._bodies_full:
             self._reject(503, BODIES_FULL)
         elif self._reader.discarded and self.http.busy:
             self._reject(503, "more was sent at once than is kept")
@@ -456,7 +466,7 @@
             return "the dispatcher holds too many connections"
         if self._reader.exceeds_pipeline_limit:
             return "too many requests at once on one connection"
-        if self.listener.table.bodies_full and self.http.size:
+        if self._bodies_full:
             return BODIES_FULL
         if self.listener.rejecting_requests:
             # The end of this process would cut off the response; the client retries elsewhere.
--- a/violetstack/net/downstream/connection_reader.py
+++ b/violetstack/net/downstream/connection_reader.py
@@ -235,8 +235,7 @@
         connection.unread_since = 0.0
         self._read_times.add(len(data), read_at, behind_request=connection.lifecycle.answering)
         table = connection.listener.table
-        if connection.lifecycle.answering:
-            table.set_buffered_bytes(connection, connection.http.size + connection.http.unread)
+        table.set_buffered_bytes(connection, connection.http.buffered_bytes)
         if not connection.request_received:
             table.mark_progress(connection)
 
--- a/violetstack/protocol/http_server.py
+++ b/violetstack/protocol/http_server.py
@@ -1,10 +1,11 @@
 """The server side of HTTP/1.1 (RFC 9112): parses received bytes to requests, encodes responses to bytes.
 
-h11 copies a body once, out of its own buffer; all later uses are slices of that copy.
+A body is collected in one buffer, whatever the pieces in which it arrives; all later uses are slices of it.
 """
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Iterable
 from http import HTTPStatus
 
@@ -16,6 +17,8 @@
 MAX_HEAD_BYTES = 16 * 1024
 MAX_LENGTH_DIGITS = 18  # a longer Content-Length exceeds every limit, and is slow to parse
 MAX_REASON_LENGTH = 120  # characters; h11's descriptions of errors quote the invalid bytes
+HEADER_FIELD_BYTES = 200
+"""Memory of a parsed header field beside its text: h11's tuple and byte strings, and a dictionary entry."""
 Headers = list[tuple[str, str]]
 
 
@@ -58,7 +61,9 @@
         self._max_body_bytes = max_body_bytes
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._head: h11.Request | None = None
-        self._parts: list[bytes] = []
+        self._body = bytearray()
+        self._request_bytes = 0
+        """Memory of the current request's head, and of its body once it is complete."""
         self.size = 0
         """Bytes received of the current request's body."""
         self.closing = False
@@ -110,6 +115,17 @@
         # The public `trailing_data` would copy them, up to half a megabyte on each call.
         return len(self._h11._receive_buffer)
 
+    @property
+    def has_body(self) -> bool:
+        """Whether the current request has a body, of which some bytes may be still to come."""
+        return self.size > 0 or self._h11.their_state is h11.SEND_BODY
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Memory of the current request, and of the bytes received after it."""
+        received = sys.getsizeof(self._h11._receive_buffer._data)
+        return self._request_bytes + sys.getsizeof(self._body) + received
+
     def next_request(self) -> HttpRequest | None:
         """Returns the next complete request; None until more bytes are fed.
 
@@ -122,10 +138,7 @@
                 if isinstance(event, h11.Request):
                     self._begin_request(event)
                 elif isinstance(event, h11.Data):
-                    self.size += len(event.data)
-                    if self.size > self._max_body_bytes:
-                        raise InvalidRequestError(413, self._too_large_reason)
-                    self._parts.append(event.data)
+                    self._add_to_body(event.data)
                 elif isinstance(event, h11.EndOfMessage):
                     return self._build_request()
                 else:  # NEED_DATA, PAUSED or ConnectionClosed
@@ -134,6 +147,12 @@
         except h11.RemoteProtocolError as error:
             raise InvalidRequestError(error.error_status_hint, str(error)[:MAX_REASON_LENGTH]) from None
 
+    def _add_to_body(self, data: bytes | bytearray) -> None:
+        self.size += len(data)
+        if self.size > self._max_body_bytes:
+            raise InvalidRequestError(413, self._too_large_reason)
+        self._body += data
+
     @property
     def _too_large_reason(self) -> str:
         return f"the body is larger than {self._max_body_bytes} bytes"
@@ -141,8 +160,11 @@
     def _begin_request(self, event: h11.Request) -> None:
         self._head = event
         self._is_head_request = event.method == b"HEAD"
-        self._parts = []
+        self._body = bytearray()
         self.size = 0
+        self._request_bytes = sum(
+            HEADER_FIELD_BYTES + len(name) + len(value) for name, value in event.headers
+        )
         names = [name for name, _ in event.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             # Rejected against request smuggling: other parsers may use the other of the two lengths
@@ -156,11 +178,11 @@
 
     def _build_request(self) -> HttpRequest:
         head = self._head
-        parts = self._parts
+        body = self._body
         assert head is not None
         self._head = None
-        self._parts = []
-        body = parts[0] if len(parts) == 1 else b"".join(parts)
+        self._request_bytes += sys.getsizeof(body)
+        self._body = bytearray()
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
         return HttpRequest(
             head.method.decode("latin-1"), head.target.decode("latin-1"), headers, memoryview(body)
@@ -208,6 +230,13 @@
         """Prepares for another request after a response; returns False if the connection has to be closed."""
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
-            self.size = 0
+            self.drop_request()
             return True
         return False
+
+    def drop_request(self) -> None:
+        """Drops what is kept of the current request, which has been answered."""
+        self._head = None
+        self._body = bytearray()
+        self._request_bytes = 0
+        self.size = 0
