Chunks: small ones are joined, and long input is parsed in turns

Cause: h11 makes an event of each chunk, 8 us and 133 lines of Python a chunk, and one read of 32 KiB has 3,600 of four bytes: 28 to 40 ms in one step (client_input_slow), and 1.2 to 1.7 s in one pass of the loop with 48 such clients (process_paused), in which nothing else is read. Ruled out: choosing hosts (no event_loop_slow line).

Complete chunks in the buffer are joined to one event by a reader that h11 drives in place of its own, for requests and for responses; all else (partial chunks, the last one, trailers, invalid bytes) is left to h11's reader. 0.8 us and 8 lines a chunk. One call parses at most 512 joined chunks, or 32 events of h11; a connection with more waits for its turn, and one connection continues in each pass of the loop, so that every other task that is ready runs in between. Time in which input waits for turns counts towards the request's deadline.

--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -426,6 +426,8 @@
                 self._reject(error.status, error.reason)
                 return
             self._count_buffered_bytes()
+            if self.http.input_pending and not self._bodies_full:
+                return
             self._reader.count_pipelined(inbound is not None)
             if self.evicted:
                 self._reject_evicted(inbound)
--- a/violetstack/net/downstream/connection_reader.py
+++ b/violetstack/net/downstream/connection_reader.py
@@ -117,6 +117,9 @@
             if self.must_delay_pipeline and not connection.lifecycle.answering:
                 await self._delay_pipeline()
                 continue
+            if connection.http.input_pending and not connection.lifecycle.answering:
+                await self._wait_for_turn(connection)
+                continue
             if connection.migration_pause is not None:
                 await connection.migration_pause.wait()
             elif not await self._read_or_wait(connection):
@@ -176,6 +179,15 @@
             await trio.sleep(PIPELINE_DELAY_S)
         self._wait_scope = None
 
+    async def _wait_for_turn(self, connection: DownstreamConnection) -> None:
+        """Waits until more of the input may be parsed, so that clients with much of it delay no others."""
+        began = trio.current_time()
+        with trio.CancelScope() as self._wait_scope:
+            await connection.listener.input_turns.wait()
+        self._wait_scope = None
+        if not connection.unread_since and connection.has_unread():
+            connection.unread_since = began
+
     async def _read_or_wait(self, connection: DownstreamConnection) -> bool:
         """Reads or waits once; False if the client closed its sending side or the connection must close."""
         try:
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -15,6 +15,7 @@
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.net.downstream.connection_reader import REQUEST_TIMEOUT_S
 from violetstack.net.downstream.connection_table import ConnectionTable
+from violetstack.net.downstream.input_turns import InputTurns
 from violetstack.net.downstream.response_handle import ResponseHandle
 from violetstack.net.transient_errors import is_readable
 from violetstack.protocol.http_server import HttpServerConnection
@@ -83,6 +84,7 @@
         self.core = core
         self.front = front
         self.table = ConnectionTable(MAX_CONCURRENT_REJECTIONS)
+        self.input_turns = InputTurns()
         self.closes = CloseMonitor(log_rate_limited)
         self.draining = False
         """Whether responses announce the end of their connection, because this process shuts down."""
--- a/violetstack/protocol/http_client.py
+++ b/violetstack/protocol/http_client.py
@@ -6,6 +6,7 @@
 import msgspec
 from h11._readers import ChunkedReader
 
+from violetstack.protocol.chunked_reader import join_chunks
 from violetstack.protocol.http_server import MAX_REASON_LENGTH, Headers
 
 
@@ -107,6 +108,7 @@
                 if isinstance(event, h11.Response):
                     fields = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
                     events.append(ResponseHead(event.status_code, fields))
+                    join_chunks(self._h11)
                 elif isinstance(event, h11.Data):
                     events.append(self._body(event))
                 elif isinstance(event, h11.EndOfMessage):
--- a/violetstack/protocol/http_server.py
+++ b/violetstack/protocol/http_server.py
@@ -12,11 +12,15 @@
 import h11
 import msgspec
 
+from violetstack.protocol.chunked_reader import input_pending, join_chunks
+
 MAX_BODY_BYTES = 256 * 1024
 KNOWN_STATUSES = {status.value for status in HTTPStatus}
 MAX_HEAD_BYTES = 16 * 1024
 MAX_LENGTH_DIGITS = 18  # a longer Content-Length exceeds every limit, and is slow to parse
 MAX_REASON_LENGTH = 120  # characters; h11's descriptions of errors quote the invalid bytes
+MAX_BODY_EVENTS = 32
+"""Parts of a body that one call parses; bounds the time for which no other connection is served."""
 HEADER_FIELD_BYTES = 200
 """Memory of a parsed header field beside its text: h11's tuple and byte strings, and a dictionary entry."""
 Headers = list[tuple[str, str]]
@@ -66,6 +70,8 @@
         """Memory of the current request's head, and of its body once it is complete."""
         self.size = 0
         """Bytes received of the current request's body."""
+        self.input_pending = False
+        """Whether `next_request` has stopped at its limit on parts of a body: more input may be complete."""
         self.closing = False
         """The next response head announces that the connection closes after the response."""
         self.awaits_100_continue = False
@@ -127,23 +133,28 @@
         return self._request_bytes + sys.getsizeof(self._body) + received
 
     def next_request(self) -> HttpRequest | None:
-        """Returns the next complete request; None until more bytes are fed.
+        """Returns the next complete request; None until more bytes are fed, or while `input_pending`.
 
         Raises:
             InvalidRequestError: The received bytes are not a valid request, or its body is too large.
         """
+        self.input_pending = False
         try:
-            while True:
+            for _ in range(MAX_BODY_EVENTS):
                 event = self._h11.next_event()
                 if isinstance(event, h11.Request):
                     self._begin_request(event)
                 elif isinstance(event, h11.Data):
                     self._add_to_body(event.data)
+                    if input_pending(self._h11):
+                        break
                 elif isinstance(event, h11.EndOfMessage):
                     return self._build_request()
                 else:  # NEED_DATA, PAUSED or ConnectionClosed
                     self.awaits_100_continue = self._h11.they_are_waiting_for_100_continue
                     return None
+            self.input_pending = True
+            return None
         except h11.RemoteProtocolError as error:
             raise InvalidRequestError(error.error_status_hint, str(error)[:MAX_REASON_LENGTH]) from None
 
@@ -165,6 +176,7 @@
         self._request_bytes = sum(
             HEADER_FIELD_BYTES + len(name) + len(value) for name, value in event.headers
         )
+        join_chunks(self._h11)
         names = [name for name, _ in event.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             # Rejected against request smuggling: other parsers may use the other of the two lengths
