Output queue: unwritten output takes memory by its length, not by its parts

Related path of the chunked bodies: each event of a stream was queued as three objects, and an event that is a slice of a read kept all of the read. Events of three bytes: 3,969,312 bytes kept for 80,000 of output (traced); twenty queues with ten bytes each of reads of 32 KiB kept 695,948. The backpressure and all limits counted the payload.

--- a/tests/test_buffer_memory.py
+++ b/tests/test_buffer_memory.py
@@ -5,7 +5,12 @@
 import sys
 from functools import partial
 
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
 from tests.traced_memory import measure_kept
+from violetstack.net.downstream.write_queue import WriteQueue
 from violetstack.protocol.http_server import MAX_BODY_BYTES, HttpServerConnection
 
 READ_SIZE = 32 * 1024
@@ -81,3 +86,67 @@
             request = connection.next_request()
         assert bytes(request.body) == body
     assert len(body) < MAX_BODY_BYTES
+
+
+# Guards against streams whose clients read slowly: an event of a few bytes was kept as three objects.
+def test_output_in_small_parts_takes_memory_by_its_length() -> None:
+    def fill() -> WriteQueue:
+        queue = WriteQueue()
+        for _ in range(10_000):
+            queue.put([b"3\r\n", memoryview(bytearray(b":\n\n")), b"\r\n"])
+        return queue
+
+    queue, size = measure_kept(fill)
+    assert queue.pending_bytes == 80_000
+    assert size < MAX_OVERHEAD * queue.pending_bytes
+    assert queue.memory_bytes > 0.9 * size
+
+
+def test_a_slice_of_a_large_buffer_in_the_output_does_not_keep_the_buffer() -> None:
+    def fill() -> list[WriteQueue]:
+        queues = []
+        for _ in range(20):
+            queue = WriteQueue()
+            queue.put([memoryview(bytearray(READ_SIZE))[:10]])
+            queues.append(queue)
+        return queues
+
+    assert measure_kept(fill)[1] < 2 * READ_SIZE
+
+
+class SlowStream(trio.abc.Stream):
+    """Takes each write only after a step of the test, and keeps what it has taken."""
+
+    def __init__(self) -> None:
+        self.writes: list[bytes] = []
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        await trio.lowlevel.checkpoint()
+        self.writes.append(bytes(data))
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        raise NotImplementedError
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await trio.lowlevel.checkpoint()
+
+    async def aclose(self) -> None:
+        await trio.lowlevel.checkpoint()
+
+
+@given(st.lists(st.binary(max_size=50_000), max_size=12))
+def test_output_is_written_unchanged_and_in_order(parts: list[bytes]) -> None:
+    async def main() -> None:
+        queue = WriteQueue()
+        stream = SlowStream()
+        async with trio.open_nursery() as nursery:
+            queue.put(parts[:6])
+            nursery.start_soon(queue.write_all, stream)
+            await trio.lowlevel.checkpoint()
+            queue.put(parts[6:])
+        await queue.write_all(stream)
+        assert b"".join(stream.writes) == b"".join(parts)
+        assert queue.pending_bytes == 0
+        assert all(len(write) <= READ_SIZE for write in stream.writes)
+
+    trio.run(main)
--- a/violetstack/net/downstream/connection.py
+++ b/violetstack/net/downstream/connection.py
@@ -302,6 +302,11 @@
         """Bytes of responses that the kernel has not accepted yet."""
         return self._output.pending_bytes if self.http is not UNUSED_PARSER else 0
 
+    @property
+    def output_memory_bytes(self) -> int:
+        """Memory of responses that the kernel has not accepted yet."""
+        return self._output.memory_bytes if self.http is not UNUSED_PARSER else 0
+
     # --- tasks ---
 
     async def serve(self) -> None:
--- a/violetstack/net/downstream/connection_table.py
+++ b/violetstack/net/downstream/connection_table.py
@@ -97,7 +97,7 @@
     @property
     def output_memory_bytes(self) -> int:
         """Memory of all responses that the kernel has not accepted yet."""
-        return sum(connection.unwritten_bytes for connection in self.connections)
+        return sum(connection.output_memory_bytes for connection in self.connections)
 
     @property
     def connection_utilization(self) -> float | None:
--- a/violetstack/net/downstream/write_queue.py
+++ b/violetstack/net/downstream/write_queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+import sys
 from collections.abc import Iterable
 
 import trio
@@ -12,19 +12,24 @@
 HIGH_WATER_BYTES = 64 * 1024
 """With more unwritten output than this, reading of the model host's stream stops."""
 MAX_WRITE_BYTES = 32 * 1024
-"""Small parts are joined into writes of at most this size."""
+"""Output is written in parts of at most this size."""
 WRITE_TIMEOUT_S = 20.0
 """A client that reads nothing for this long is treated as disconnected."""
 
 
 class WriteQueue:
-    """Output of one connection, filled without waiting and written by one task."""
+    """Output of one connection, filled without waiting and written by one task.
 
-    __slots__ = ("_changed", "_drained", "_flushed", "_parts", "pending_bytes")
+    The parts are copied into one buffer. A part as small as an event of a few bytes would take many times its
+    size if it was kept, and more if it was a slice of a larger buffer.
+    """
+
+    __slots__ = ("_changed", "_drained", "_flushed", "_output", "_write_bytes")
 
     def __init__(self) -> None:
-        self.pending_bytes = 0
-        self._parts: deque[bytes | memoryview] = deque()
+        self._output = bytearray()
+        self._write_bytes = 0
+        """Size of the write under way."""
         self._changed = trio.Event()
         self._drained = trio.Event()
         self._flushed = trio.Event()
@@ -32,10 +37,19 @@
     def put(self, parts: Iterable[bytes | memoryview]) -> None:
         """Appends `parts` and wakes the writing task."""
         for part in parts:
-            self._parts.append(part)
-            self.pending_bytes += len(part)
+            self._output += part
         self.wake()
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes that the kernel has not accepted yet."""
+        return len(self._output) + self._write_bytes
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of the output that the kernel has not accepted yet."""
+        return sys.getsizeof(self._output) + self._write_bytes
+
     def wake(self) -> None:
         """Makes the writing task check the state of its connection again."""
         self._changed.set()
@@ -72,20 +86,12 @@
         Raises:
             trio.TooSlowError: The client read nothing for `WRITE_TIMEOUT_S`.
         """
-        while self._parts:
-            batch = self._next_batch()
-            size = sum(len(part) for part in batch)
+        while self._output:
+            part = bytes(self._output[:MAX_WRITE_BYTES])
+            del self._output[:MAX_WRITE_BYTES]
+            self._write_bytes = len(part)
             with trio.fail_after(WRITE_TIMEOUT_S):
-                await send_all(stream, b"".join(batch) if len(batch) > 1 else batch[0])
-            self.pending_bytes -= size
+                await send_all(stream, part)
+            self._write_bytes = 0
             if self.pending_bytes <= HIGH_WATER_BYTES:
                 self._drained.set()
-
-    def _next_batch(self) -> list[bytes | memoryview]:
-        batch = [self._parts.popleft()]
-        size = len(batch[0])
-        while self._parts and size + len(self._parts[0]) <= MAX_WRITE_BYTES:
-            part = self._parts.popleft()
-            batch.append(part)
-            size += len(part)
-        return batch
