Events: each byte of an event in pieces is copied and searched once

Related path of the chunked bodies, on the side of model hosts: the splitter copied the incomplete event for each piece and searched all of it again, and searched the rest of a read for CRLF line ends for each event with LF ones. No other connection is served meanwhile. Bodies of other responses were copied for each piece too.

The incomplete event is kept in a buffer that grows in place, with the place up to which it was searched.

--- a/tests/test_buffer_memory.py
+++ b/tests/test_buffer_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import time
 from functools import partial
 
 import trio
@@ -12,6 +13,7 @@
 from tests.traced_memory import measure_kept
 from violetstack.net.downstream.write_queue import WriteQueue
 from violetstack.protocol.http_server import MAX_BODY_BYTES, HttpServerConnection
+from violetstack.protocol.sse import EventSplitter
 
 READ_SIZE = 32 * 1024
 CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -150,3 +152,52 @@
         assert all(len(write) <= READ_SIZE for write in stream.writes)
 
     trio.run(main)
+
+
+def test_an_event_in_small_pieces_takes_memory_by_its_length() -> None:
+    begin = b"data: " + b"x" * 200_000
+
+    def feed() -> EventSplitter:
+        splitter = EventSplitter()
+        for start in range(0, len(begin), 4):
+            assert not list(splitter.feed(memoryview(begin[start : start + 4])))
+        return splitter
+
+    assert measure_kept(feed)[1] < MAX_OVERHEAD * len(begin)
+
+
+def processor_s(splitter: EventSplitter, data: bytes, piece: int) -> float:
+    """Returns the processor time to split data that comes in pieces."""
+    view = memoryview(data)
+    began_s = time.thread_time()
+    for start in range(0, len(data), piece):
+        list(splitter.feed(view[start : start + piece]))
+    return time.thread_time() - began_s
+
+
+# Guards against pieces that stop the loop: each copied and searched all of its event again, 7.5 s in all.
+def test_an_event_in_small_pieces_is_copied_and_searched_once() -> None:
+    assert processor_s(EventSplitter(), b"data: " + b"x" * 200_000, 4) < 1.5
+
+
+# Guards against reads of many small events: for each, all of the rest was searched for CRLF line ends.
+def test_each_byte_of_small_events_is_searched_once() -> None:
+    assert processor_s(EventSplitter(), b"data: 12345\n\n" * 50_000, READ_SIZE) < 0.35
+
+
+@given(
+    st.lists(
+        st.sampled_from([b"data: x", b": c", b"id: 1\r\ndata: y", b"event: e\ndata:\ndata: z"]), max_size=9
+    ),
+    st.lists(st.sampled_from([b"\n\n", b"\r\n\r\n"]), min_size=9, max_size=9),
+    st.integers(1, 30),
+)
+def test_events_are_split_in_any_pieces(bodies: list[bytes], ends: list[bytes], piece: int) -> None:
+    events = [body + end for body, end in zip(bodies, ends, strict=False)]
+    sent = b"".join(events) + b"data: incompl"
+    splitter = EventSplitter()
+    received: list[bytes] = []
+    for start in range(0, len(sent), piece):
+        received += map(bytes, splitter.feed(memoryview(sent[start : start + piece])))
+    assert received == events
+    assert splitter.end() == b"data: incompl"
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -82,7 +82,7 @@
         self._head: ResponseHead | None = None
         self._resumed = False
         """Whether another process has read the head; the response has chunked encoding then."""
-        self._body = b""
+        self._body = bytearray()
         self._splitter = sse.EventSplitter()
         self._trailer = StreamTrailer(report_fields)
         self._partial = False
@@ -160,7 +160,7 @@
 
     def _read_body(self, head: ResponseHead, data: memoryview) -> None:
         if head.status != 200:
-            self._body += bytes(data)
+            self._body += data
             if len(self._body) > MAX_BODY_BYTES:
                 raise InvalidResponseError(
                     f"body of a response with status {head.status} exceeds {MAX_BODY_BYTES} bytes"
--- a/violetstack/net/upstream/stream_trailer.py
+++ b/violetstack/net/upstream/stream_trailer.py
@@ -75,7 +75,7 @@
         return False
 
 
-def cached_tokens_of(body: bytes) -> int:
+def cached_tokens_of(body: bytes | bytearray) -> int:
     """The number of cached prompt tokens in the body of a prefill host's 202; 0 if it cannot be parsed."""
     try:
         return msgspec.json.decode(body, type=_PromptTokensDetails).cached_tokens
--- a/violetstack/protocol/sse.py
+++ b/violetstack/protocol/sse.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterator
 
 MAX_EVENT_BYTES = 256 * 1024
+LF_BLANK_LINE = b"\n\n"
+CRLF_BLANK_LINE = b"\r\n\r\n"
 
 
 class InvalidEventError(Exception):
@@ -21,7 +23,9 @@
     """Splits a stream incrementally; an event that lies in one piece of data is yielded as a slice of it."""
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._incomplete = bytearray()
+        self._searched = 0
+        """Number of these bytes that have no end of an event."""
 
     def feed(self, data: memoryview) -> Iterator[memoryview]:
         """Yields the events that `data` completes, each with the blank line that ends it.
@@ -29,24 +33,29 @@
         Raises:
             InvalidEventError: The bytes are not an event, or an event is too long.
         """
-        if self._incomplete:
-            data = memoryview(self._incomplete + bytes(data))
-            self._incomplete = b""
-        raw = (
-            data.obj
-            if isinstance(data.obj, (bytes, bytearray)) and data.nbytes == len(data.obj)
-            else bytes(data)
-        )
+        raw = self._received(data)
+        view = memoryview(raw)
         start = 0
-        while (end := _event_end(raw, start)) >= 0:
+        for end in _event_ends(raw, self._searched):
             # A host that states a wrong chunk size lets parts of the HTTP framing appear between events.
             if not EVENT_PATTERN.fullmatch(raw, start, end):
-                raise InvalidEventError(f"not a server-sent event: {raw[start : start + 40]!r}")
-            yield data[start:end]
+                raise InvalidEventError(f"not a server-sent event: {bytes(raw[start : start + 40])!r}")
+            yield view[start:end]
             start = end
         if len(raw) - start > MAX_EVENT_BYTES:
             raise InvalidEventError("server-sent event exceeds 256 KiB")
-        self._incomplete = bytes(data[start:])  # copied, since it has to outlive the caller's buffer
+        if raw is not self._incomplete or start:
+            self._incomplete = bytearray(view[start:])  # copied, since it has to outlive the caller's buffer
+        self._searched = max(0, len(self._incomplete) - (len(CRLF_BLANK_LINE) - 1))
+
+    def _received(self, data: memoryview) -> bytes | bytearray:
+        """Returns all bytes that belong to no complete event yet."""
+        if self._incomplete:
+            self._incomplete += data
+            return self._incomplete
+        if isinstance(data.obj, (bytes, bytearray)) and data.nbytes == len(data.obj):
+            return data.obj
+        return bytes(data)
 
     def end(self) -> bytes:
         """Returns the bytes after the last complete event.
@@ -55,8 +64,8 @@
             InvalidEventError: The bytes can't be the beginning of an event.
         """
         if not INCOMPLETE_EVENT_PATTERN.fullmatch(self._incomplete):
-            raise InvalidEventError(f"not a server-sent event: {self._incomplete[:40]!r}")
-        return self._incomplete
+            raise InvalidEventError(f"not a server-sent event: {bytes(self._incomplete[:40])!r}")
+        return bytes(self._incomplete)
 
     @property
     def partial(self) -> bool:
@@ -64,13 +73,19 @@
         return bool(self._incomplete)
 
 
-def _event_end(raw: bytes | bytearray, start: int) -> int:
-    """Returns the index after the next blank line, with LF or CRLF line ends; -1 if there is none yet."""
-    lf = raw.find(b"\n\n", start)
-    crlf = raw.find(b"\r\n\r\n", start)
-    if crlf >= 0 and (lf < 0 or crlf < lf):
-        return crlf + 4
-    return lf + 2 if lf >= 0 else -1
+def _event_ends(raw: bytes | bytearray, start: int) -> Iterator[int]:
+    """Yields the index after each blank line, with LF or CRLF line ends, from `start` on."""
+    lf = raw.find(LF_BLANK_LINE, start)
+    crlf = raw.find(CRLF_BLANK_LINE, start)
+    while lf >= 0 or crlf >= 0:
+        crlf_is_next = crlf >= 0 and (lf < 0 or crlf < lf)
+        end = crlf + len(CRLF_BLANK_LINE) if crlf_is_next else lf + len(LF_BLANK_LINE)
+        yield end
+        # Each kind is searched for again only behind its last match, so that each byte is scanned once.
+        if 0 <= lf < end:
+            lf = raw.find(LF_BLANK_LINE, end)
+        if 0 <= crlf < end:
+            crlf = raw.find(CRLF_BLANK_LINE, end)
 
 
 def payload(event: memoryview) -> bytes:
