Endpoint list: an object that comes in pieces takes memory by its length

The limit on an object counted the payload.

The object is collected in one buffer. The test failed before.

--- a/tests/test_buffer_memory.py
+++ b/tests/test_buffer_memory.py
@@ -12,6 +12,7 @@
 
 from tests.traced_memory import measure_kept
 from violetstack.net.downstream.write_queue import WriteQueue
+from violetstack.protocol.discovery import JsonObjectSplitter
 from violetstack.protocol.http_server import MAX_BODY_BYTES, HttpServerConnection
 from violetstack.protocol.sse import EventSplitter
 
@@ -154,6 +155,19 @@
     trio.run(main)
 
 
+# Guards against lists that come in pieces of 4 bytes: each was kept as 56 until the object was complete.
+def test_an_object_of_the_endpoint_list_in_small_pieces_takes_memory_by_its_length() -> None:
+    begin = b'{"a":"' + b"x" * 400_000
+
+    def feed() -> JsonObjectSplitter:
+        splitter = JsonObjectSplitter()
+        for start in range(0, len(begin), 4):
+            list(splitter.feed(begin[start : start + 4]))
+        return splitter
+
+    assert measure_kept(feed)[1] < MAX_OVERHEAD * len(begin)
+
+
 def test_an_event_in_small_pieces_takes_memory_by_its_length() -> None:
     begin = b"data: " + b"x" * 200_000
 
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -232,8 +232,7 @@
 
     def __init__(self) -> None:
         """Creates a splitter that expects an object or an empty line."""
-        self._parts: list[bytes] = []  # of the incomplete object
-        self._size = 0
+        self._incomplete = bytearray()  # the beginning of an object
         self._depth = 0
         self._in_string = False
         self._escaped = False
@@ -259,20 +258,18 @@
             self._append(raw[index:end])
             index = end
             if not self._depth:
-                json_object = b"".join(self._parts)
-                self._parts = []
+                json_object = bytes(self._incomplete)
+                self._incomplete = bytearray()
                 yield json_object
 
     def _begin_object(self) -> None:
         self._depth = 1
         self._object_on_line = True
-        self._parts = [b"{"]
-        self._size = 1
+        self._incomplete = bytearray(b"{")
 
     def _append(self, part: bytes) -> None:
-        self._parts.append(part)
-        self._size += len(part)
-        if self._size > MAX_OBJECT_BYTES:
+        self._incomplete += part
+        if len(self._incomplete) > MAX_OBJECT_BYTES:
             raise EndpointListError(f"endpoint list exceeds {MAX_OBJECT_BYTES} bytes")
 
     def _empty_lines(self, raw: bytes) -> Iterator[bytes]:
