Chat answers: what is kept of an answer is its JSON text, and is counted so

The choices are kept as lines of JSON and decoded one at a time. The limit is of what is kept: it no longer counts what is not kept of an event, and counts the fields that are added to each.

--- a/tests/test_buffer_memory.py
+++ b/tests/test_buffer_memory.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from tests.traced_memory import measure_kept
+from violetstack.fronts.completion_response import Completion
 from violetstack.net.downstream.write_queue import WriteQueue
 from violetstack.protocol.discovery import JsonObjectSplitter
 from violetstack.protocol.http_server import MAX_BODY_BYTES, HttpServerConnection
@@ -215,3 +216,18 @@
         received += map(bytes, splitter.feed(memoryview(sent[start : start + piece])))
     assert received == events
     assert splitter.end() == b"data: incompl"
+
+
+# Guards against answers of many small events: decoded, each was kept as some twenty times its length.
+def test_a_chat_answer_in_small_events_takes_memory_by_its_counted_size() -> None:
+    def collect() -> Completion:
+        completion = Completion("c", "m", 1)
+        for _ in range(10_000):
+            completion.add(b'{"choices":[{"delta":{"content":"a"}}]}')
+        return completion
+
+    completion, size = measure_kept(collect)
+    assert size < MAX_OVERHEAD * completion.size
+    assert completion.complete()["choices"][0]["message"]["content"] == "a" * 10_000
+    again = Completion.from_record(completion.record())
+    assert (again.complete(), again.size) == (completion.complete(), completion.size)
--- a/violetstack/fronts/chat_sink.py
+++ b/violetstack/fronts/chat_sink.py
@@ -112,7 +112,7 @@
     def send_chunk(chunk: dict[str, Any]) -> None:
         _send_event(reply, orjson.dumps(chunk))
 
-    for choice in completion.choices:
+    for choice in completion.choices():
         send_chunk(completion.chunk([choice]))
     _finish(reply, completion, request, send_chunk)
 
@@ -127,7 +127,7 @@
     if not request.stream:
         reply.answer(200, JSON_HEADERS, orjson.dumps(completion.complete()))
         return
-    if not completion.choices:
+    if not completion.has_choices:
         empty_choice = {"index": 0, "delta": {"role": "assistant"}, "finish_reason": "stop"}
         send_chunk(completion.chunk([empty_choice]))
     usage = completion.usage_chunk()
--- a/violetstack/fronts/completion_response.py
+++ b/violetstack/fronts/completion_response.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 import orjson
@@ -14,11 +15,30 @@
         self.id = completion_id
         self.model = model
         self.created = created
-        self.choices: list[dict[str, Any]] = []
-        """The choice of each chunk; a chunk has only one."""
         self.usage: dict[str, Any] | None = None
-        self.size = 0
-        """Total length in bytes of the events that were added."""
+        self._encoded_choices = bytearray()
+        """The choice of each chunk, of which a chunk has only one, as a line of JSON.
+
+        Decoded, the choice of an event of a few bytes would take some ten times as much memory.
+        """
+
+    @property
+    def size(self) -> int:
+        """Length in bytes of what is kept of the answer."""
+        return len(self._encoded_choices)
+
+    @property
+    def has_choices(self) -> bool:
+        """Whether any event was a part of the answer."""
+        return bool(self._encoded_choices)
+
+    def choices(self) -> Iterator[dict[str, Any]]:
+        """Decodes the choice of each chunk."""
+        for line in bytes(self._encoded_choices).splitlines():
+            yield orjson.loads(line)
+
+    def _keep_choice(self, choice: dict[str, Any]) -> None:
+        self._encoded_choices += orjson.dumps(choice, option=orjson.OPT_APPEND_NEWLINE)
 
     def add(self, data: bytes) -> dict[str, Any] | None:
         """Adds an event of the host; returns its chunk, or None if the event is not part of the answer."""
@@ -36,11 +56,10 @@
         choice = {**choices[0], "index": 0}
         delta = choice.get("delta")
         choice["delta"] = dict(delta) if isinstance(delta, dict) else {}
-        if not self.choices:
+        if not self.has_choices:
             choice["delta"].setdefault("role", "assistant")
         choice.setdefault("finish_reason", None)
-        self.size += len(data)
-        self.choices.append(choice)
+        self._keep_choice(choice)
         return self.chunk([choice])
 
     def chunk(self, choices: list[dict[str, Any]], **extra_fields: Any) -> dict[str, Any]:
@@ -58,7 +77,7 @@
         message: dict[str, Any] = {"role": "assistant", "content": None}
         calls: dict[int, dict[str, Any]] = {}
         finish_reason = None
-        for choice in self.choices:
+        for choice in self.choices():
             finish_reason = choice["finish_reason"] or finish_reason
             for name, value in choice["delta"].items():
                 if name == "tool_calls" and isinstance(value, list):
@@ -79,14 +98,16 @@
     def record(self) -> bytes:
         """Encodes the answer for the idempotency store, to be sent again later, streamed or complete."""
         common = {"id": self.id, "model": self.model, "created": self.created}
-        return orjson.dumps({**common, "choices": self.choices, "usage": self.usage})
+        encoded = b"[%s]" % bytes(self._encoded_choices).removesuffix(b"\n").replace(b"\n", b",")
+        return orjson.dumps({**common, "choices": orjson.Fragment(encoded), "usage": self.usage})
 
     @classmethod
     def from_record(cls, raw: bytes) -> Completion:
         """Decodes an answer that `record` encoded."""
         stored = orjson.loads(raw)
         completion = cls(stored["id"], stored["model"], stored["created"])
-        completion.choices = stored["choices"]
+        for choice in stored["choices"]:
+            completion._keep_choice(choice)
         completion.usage = stored["usage"]
         return completion
 
