Read times: those behind an unanswered request are limited in number

Related path of the chunked bodies: bytes that come one by one behind a request that is being answered kept one more time of reading each 20 ms, for as long as the answer takes: 10,000 of them took 1,115,168 bytes (traced) and were counted nowhere. At most 64 are kept; later bytes count as read at the last of these times, which is earlier, so a request's time in this process is never taken as shorter than it was. The test failed before.

--- a/tests/test_buffer_memory.py
+++ b/tests/test_buffer_memory.py
@@ -12,6 +12,7 @@
 
 from tests.traced_memory import measure_kept
 from violetstack.fronts.completion_response import Completion
+from violetstack.net.downstream.read_times import ReadTimes
 from violetstack.net.downstream.write_queue import WriteQueue
 from violetstack.protocol.discovery import JsonObjectSplitter
 from violetstack.protocol.http_server import MAX_BODY_BYTES, HttpServerConnection
@@ -231,3 +232,18 @@
     assert completion.complete()["choices"][0]["message"]["content"] == "a" * 10_000
     again = Completion.from_record(completion.record())
     assert (again.complete(), again.size) == (completion.complete(), completion.size)
+
+
+# Guards against requests that come byte by byte behind an answer: each 20 ms kept the time of one more read.
+def test_the_times_of_reads_behind_a_request_are_limited() -> None:
+    def read() -> ReadTimes:
+        times = ReadTimes()
+        for n in range(10_000):
+            times.add(1, n * 0.1, behind_request=True)
+        return times
+
+    times, size = measure_kept(read)
+    assert size < READ_SIZE
+    last_read_at = times.last_byte_read_at(0)
+    assert last_read_at is not None
+    assert last_read_at <= 9_999 * 0.1  # it may count as earlier, never as later
--- a/violetstack/net/downstream/read_times.py
+++ b/violetstack/net/downstream/read_times.py
@@ -7,7 +7,9 @@
 import msgspec
 
 MERGED_READS_S = 0.02
-"""Reads closer together than this are merged, so that reads of single bytes use no memory."""
+"""Reads closer together than this are merged."""
+MAX_READS = 64
+"""Number of times kept; further reads count as made at the time of the last one kept, which is earlier."""
 
 
 class Read(msgspec.Struct):
@@ -35,7 +37,10 @@
         self._total += size
         if not behind_request:
             self._reads.clear()
-        if self._reads and at - self._reads[-1].at < MERGED_READS_S:
+        merged = len(self._reads) >= MAX_READS or (
+            bool(self._reads) and at - self._reads[-1].at < MERGED_READS_S
+        )
+        if merged:
             self._reads[-1].end = self._total
         else:
             self._reads.append(Read(self._total, at))
