Soak rig: a host may watch a connection that its response has closed already

Cause, in the rig: the task that watches a connection for the dispatcher's close starts one pass of the loop after the response. On a busy machine the response's first sleep is over by then, and both run in the same pass, in any order. If the response closes the socket first, the watch waits for descriptor -1: trio raises ValueError, which was handled, but keeps the wait registered, so that the next such watch raises BusyResourceError. Shown without the rig: two waits for closed sockets in a row raise ValueError and BusyResourceError. Ruled out: the program, whose waits are each in the task that closes the socket.

The watch looks whether the socket is closed before it waits.

--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -8,6 +8,7 @@
 
 import click
 import pytest
+import trio
 
 from violetstack.commands.faults import parse_seeds
 from violetstack.policy_api import Idempotency, Role
@@ -20,6 +21,7 @@
     ScriptSource,
     draw_environment,
 )
+from violetstack.rehearsal.fleet.campaign_host import peer_ends
 from violetstack.rehearsal.fleet.campaign_result import CaseResult
 from violetstack.rehearsal.fleet.campaign_settings import Deployment, draw_deployment
 
@@ -141,3 +143,15 @@
     assert result.statuses["served"] >= 5
     assert result.attempts >= 20
     assert result.pairs
+
+
+def test_a_host_may_watch_connections_that_its_responses_have_closed() -> None:
+    """Guards against a BusyResourceError in soaks beside other work: trio kept the first wait registered."""
+
+    async def main() -> None:
+        for _ in range(2):
+            closed = trio.socket.socket()
+            closed.close()
+            assert await peer_ends(closed)
+
+    trio.run(main)
--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -58,6 +58,19 @@
     return buffer[0]
 
 
+async def peer_ends(sock: trio.socket.SocketType) -> bool:
+    """Waits for input; returns whether it is the end of the connection rather than further bytes."""
+    if sock.fileno() < 0:
+        # On a busy machine the response may close the socket first. trio would wait for descriptor -1, fail,
+        # and keep it registered, so that the next such wait would raise BusyResourceError.
+        return True
+    try:
+        await trio.lowlevel.wait_readable(sock)
+        return not await sock.recv(1, socket.MSG_PEEK)
+    except (OSError, trio.ClosedResourceError):
+        return True
+
+
 class CampaignHost(Peer):
     """One model host. The campaign makes it refuse connections, not establish them, freeze or hang."""
 
@@ -292,13 +305,7 @@
 
         async def watch(scope: trio.CancelScope) -> None:
             nonlocal closed
-            sock = wire.stream.socket
-            try:
-                await trio.lowlevel.wait_readable(sock)
-                ended = not await sock.recv(1, socket.MSG_PEEK)
-            except (OSError, ValueError, trio.ClosedResourceError):
-                ended = True  # ValueError: the response has already closed the socket
-            if ended:
+            if await peer_ends(wire.stream.socket):
                 closed = True
                 attempt.closed_at = self._clock()
                 scope.cancel()
