--- a/tests/test_remote_hold.py
+++ b/tests/test_remote_hold.py
@@ -15,7 +15,10 @@
     RemoteHold,
     summarize,
 )
+from violetstack.policy_api import Role
 from violetstack.rehearsal.fleet.hold_audit import RULE_SLACK_S, HoldEvidence, HostRecord, audit_holds
+from violetstack.rehearsal.fleet.host_holds import HoldRecorder
+from violetstack.rehearsal.fleet.socket_audit import HostAttempt
 
 ARCHITECTURE = Path(__file__).parent.parent / "docs" / "architecture.md"
 RETENTION_S = 0.3
@@ -128,3 +131,18 @@
     assert audit_holds(evidence, RETENTION_S)
     evidence.excuse(["q1"], 3.0)
     assert not audit_holds(evidence, RETENTION_S)
+
+
+# Guards against soak seeds that fail beside other work: the rig noticed closes after the releases behind them
+@pytest.mark.parametrize("closed_before_release", [True, False])
+def test_a_release_counts_after_the_close_that_came_before_it(closed_before_release: bool) -> None:
+    evidence = HoldEvidence(ended_at=10.0)
+    times = iter([0.0, 0.1, 0.2, 0.3, 0.4])
+    recorder = HoldRecorder(evidence, "r1", lambda: next(times))
+    attempt = HostAttempt("q1", "r1", Role.PREFILL, "z0", 0, 0.0)
+    recorder.slot_reserved("q1")
+    recorder.attempt_begun(attempt, lambda: closed_before_release)
+    recorder.release_taken("q1")
+    recorder.attempt_ended(attempt, leaves_state=False)  # when the rig notices the close
+    assert bool(audit_holds(evidence, RETENTION_S)) is not closed_before_release
+    assert evidence.close_checks["q1"] == {}
--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -279,7 +279,7 @@
     ) -> None:
         """Responds to an attempt that has begun, and records its end, whatever the cause."""
         self._evidence.attempts.append(attempt)
-        self._hold_recorder.attempt_begun(attempt)
+        self._hold_recorder.attempt_begun(attempt, lambda: peer_has_closed(wire.stream.socket))
         if script is not None:
             is_prefill = self.plan.role is Role.PREFILL
             script.reach(RequestStage.PREFILL_IN_FLIGHT if is_prefill else RequestStage.DECODE_IN_FLIGHT)
@@ -308,6 +308,7 @@
             if await peer_ends(wire.stream.socket):
                 closed = True
                 attempt.closed_at = self._clock()
+                self._hold_recorder.attempt_ended(attempt, leaves_state=False)
                 scope.cancel()
 
         async with trio.open_nursery() as nursery:
--- a/violetstack/rehearsal/fleet/hold_audit.py
+++ b/violetstack/rehearsal/fleet/hold_audit.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -63,12 +63,15 @@
             not running, or had ended and left them to the hosts.
         ended_at: The end of the records.
         prefills_in_flight: By request id, the number of prefills that hosts have begun and not ended.
+        close_checks: By request id, for each attempt in flight, a function that records its end if the
+            dispatcher has closed its connection.
     """
 
     events: list[HostEvent] = field(default_factory=list)
     excused_until: dict[str, float] = field(default_factory=dict)
     ended_at: float = 0.0
     prefills_in_flight: Counter[str] = field(default_factory=Counter)
+    close_checks: dict[str, dict[int, Callable[[], None]]] = field(default_factory=dict)
 
     def excuse(self, request_ids: Iterable[str], until: float) -> None:
         """Lets no hold of these requests count before `until`."""
--- a/violetstack/rehearsal/fleet/host_holds.py
+++ b/violetstack/rehearsal/fleet/host_holds.py
@@ -27,6 +27,13 @@
         self._record(HostRecord.SLOT_RESERVED, request_id)
 
     def release_taken(self, request_id: str) -> None:
+        """Records a release, after the ends of the attempts whose connections were closed before it.
+
+        A rehearsal that runs late may handle the release before it has noticed such a close on another
+        connection.
+        """
+        for record_end_if_closed in list(self._evidence.close_checks.get(request_id, {}).values()):
+            record_end_if_closed()
         self._record(HostRecord.RELEASE_TAKEN, request_id)
 
     def stream_started(self, attempt: HostAttempt) -> None:
@@ -42,9 +49,18 @@
             await trio.sleep(PREFILL_POLL_S)
         return False
 
-    def attempt_begun(self, attempt: HostAttempt) -> None:
-        """Records that the attempt has begun, so it is in flight."""
+    def attempt_begun(self, attempt: HostAttempt, peer_has_closed: Callable[[], bool]) -> None:
+        """Records that the attempt has begun, so it is in flight.
+
+        `peer_has_closed` returns whether the dispatcher has closed its connection by now.
+        """
+
+        def record_end_if_closed() -> None:
+            if peer_has_closed():
+                self.attempt_ended(attempt, leaves_state=False)
+
         self._record(HostRecord.ATTEMPT_BEGUN, attempt.request_id)
+        self._evidence.close_checks.setdefault(attempt.request_id, {})[id(attempt)] = record_end_if_closed
         if attempt.role is Role.PREFILL:
             self._evidence.prefills_in_flight[attempt.request_id] += 1
 
@@ -56,6 +72,7 @@
         if not attempt.end_pending:
             return
         attempt.end_pending = False
+        self._evidence.close_checks[attempt.request_id].pop(id(attempt))
         if attempt.role is Role.PREFILL:
             self._evidence.prefills_in_flight[attempt.request_id] -= 1
             if leaves_state:
