Soak rig: a slow reader that runs late reads its stream to the end; 'truncated' tells who ended it

Cause, in the rig; traced: the slow reader pauses 20 ms before each read of 1,000 bytes and stops 7 s after the first byte. Its loop ran up to 0.4 s late, so the pauses took longer, and it stopped 490 bytes before the end ('the client stopped waiting', at 7.00 s), which counted as a stream that the dispatcher had cut.

The time by which its pauses were too long is added to its limit. A stalled stream still ends it after 7 s, which a test holds; the test with pauses four times as long failed before. The violation says which side ended the stream.

--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -7,23 +7,34 @@
 from typing import Any
 
 import click
+import h11
 import pytest
 import trio
+import trio.testing
 
 from violetstack.commands.faults import parse_seeds
 from violetstack.policy_api import Idempotency, Role
 from violetstack.rehearsal.fleet.campaign import play_case
+from violetstack.rehearsal.fleet.campaign_client import (
+    MAX_STREAM_DURATION_S,
+    ClientCall,
+    ClientConnection,
+    ClientMessage,
+)
 from violetstack.rehearsal.fleet.campaign_faults import (
     CLIENT_DISCONNECTS,
+    ClientBehaviour,
     ClientDisconnect,
     EnvironmentFault,
     HostFault,
+    RequestScript,
     ScriptSource,
     draw_environment,
 )
-from violetstack.rehearsal.fleet.campaign_host import peer_ends
+from violetstack.rehearsal.fleet.campaign_host import STREAM_HEAD, peer_ends
 from violetstack.rehearsal.fleet.campaign_result import CaseResult
 from violetstack.rehearsal.fleet.campaign_settings import Deployment, draw_deployment
+from violetstack.rehearsal.fleet.socket_audit import ClientExchange
 
 SEEDS = range(1, 201)
 SHORT_CASE = 63
@@ -155,3 +166,61 @@
             assert await peer_ends(closed)
 
     trio.run(main)
+
+
+class PromptStream:
+    """A connection from which a complete response can be read at once."""
+
+    def __init__(self, response: bytes) -> None:
+        self._rest = response
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        await trio.lowlevel.checkpoint()
+        data = self._rest[:max_bytes]
+        self._rest = self._rest[max_bytes:]
+        return data
+
+
+def read_slowly(stream: PromptStream) -> ClientExchange:
+    """Reads a response as a slow reader, in virtual time; returns the record of it."""
+    script = RequestScript(None, ClientBehaviour.PLAIN, (), 0.0, reads_slowly=True)
+    exchange = ClientExchange("q1", 0, 0, 2.0, reads_slowly=True)
+    connection = ClientConnection(stream, h11.Connection(h11.CLIENT))  # type: ignore[arg-type]
+    message = ClientMessage(h11.Request(method="GET", target="/", headers=[("Host", "x")]), b"")
+
+    async def main() -> None:
+        exchange.sent_at = trio.current_time()
+        call = ClientCall(connection, exchange, script, message, trio.current_time)
+        connection.http.send(message.request)
+        connection.http.send(h11.EndOfMessage())
+        await call._read_answer()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return exchange
+
+
+@pytest.mark.parametrize("pause_factor", [1.0, 4.0], ids=["in time", "late"])
+def test_a_slow_reader_whose_process_runs_late_reads_its_stream_to_the_end(
+    pause_factor: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against soak seed 6001 beside other work: the reader gave up, and its stream counted as cut."""
+    sleep = trio.sleep
+    monkeypatch.setattr(trio, "sleep", lambda seconds: sleep(seconds * pause_factor))
+    body = b"x" * 147_000
+    chunk = b"%x\r\n%s\r\n" % (len(body), body)
+    exchange = read_slowly(PromptStream(STREAM_HEAD + chunk + b"0\r\n\r\n"))
+    assert exchange.complete
+    assert exchange.body == body
+
+
+def test_a_slow_reader_stops_waiting_for_a_stalled_stream() -> None:
+    """A stall must not count as a delay of the reader."""
+
+    class StalledStream(PromptStream):
+        async def receive_some(self, max_bytes: int) -> bytes:
+            return await super().receive_some(max_bytes) or await trio.sleep_forever()
+
+    exchange = read_slowly(StalledStream(STREAM_HEAD + b"5\r\nevent\r\n"))
+    assert exchange.first_byte_at is not None
+    assert exchange.waited_until < exchange.first_byte_at + MAX_STREAM_DURATION_S + 0.1
+    assert not exchange.complete
--- a/violetstack/rehearsal/fleet/campaign_client.py
+++ b/violetstack/rehearsal/fleet/campaign_client.py
@@ -24,7 +24,7 @@
 
 READ_SIZE = 64 * 1024
 MAX_STREAM_DURATION_S = 7.0
-"""No stream takes longer; the dispatcher has to cut a stalled one by then."""
+"""No stream takes longer, but for delays of its reader; the dispatcher has to cut a stalled one by then."""
 LATE_ANSWER_WAIT_S = 0.5
 """How long a client waits beyond the latest time of an answer, to tell a late answer from none."""
 FRAGMENT_PAUSE_S = 0.03
@@ -127,6 +127,8 @@
         self.idled = False
         """Whether the connection was idle before its first request."""
         self._ended = False
+        self._reader_delay_s = 0.0
+        """How much longer the pauses of a slow reader were than they should have been, in all."""
 
     async def run(self) -> None:
         """Returns once the answer or the connection has ended, or the client has disconnected.
@@ -244,7 +246,8 @@
         """Returns when the stream has to be over, whatever happened to its host and its dispatcher."""
         stream_began_at = self._exchange.first_byte_at
         assert stream_began_at is not None
-        return max(stream_began_at, self._exchange.paused_until) + MAX_STREAM_DURATION_S
+        began_at = max(stream_began_at, self._exchange.paused_until)
+        return began_at + MAX_STREAM_DURATION_S + self._reader_delay_s
 
     async def _read_until(self, done: Callable[[], bool]) -> None:
         while not done() and not self._ended:
@@ -260,7 +263,9 @@
     async def _receive(self) -> bytes | bytearray:
         if not self._script.reads_slowly:
             return await self.connection.stream.receive_some(READ_SIZE)
+        paused_from = self._clock()
         await trio.sleep(SLOW_READ_PAUSE_S)
+        self._reader_delay_s += self._clock() - paused_from - SLOW_READ_PAUSE_S
         return await self.connection.stream.receive_some(SLOW_READ_SIZE)
 
     def _handle_event(self, event: object) -> None:
--- a/violetstack/rehearsal/fleet/socket_audit.py
+++ b/violetstack/rehearsal/fleet/socket_audit.py
@@ -319,10 +319,12 @@
         elif source.stream_ended_at is not None or (
             end is not None and end <= silent_since + ACTIVE_STREAM_S
         ):
+            ended_by = "closed by the dispatcher" if end is not None else "the client stopped waiting"
             yield Violation(
                 Rule.TRUNCATED,
                 exchange.id,
-                f"by dispatcher {exchange.dispatcher}, {len(exchange.body)} of {len(source.events)} bytes",
+                f"by dispatcher {exchange.dispatcher}, {len(exchange.body)} of {len(source.events)} bytes, "
+                f"{ended_by}",
             )
 
     # --- forwarding ---
