Held-state matrix: a failing cell tells how late its processes ran

A failure now has the longest delay of the rig's timers and the dispatcher's wait for a processor beside it. No bound is changed.

--- a/tests/held_state_matrix.py
+++ b/tests/held_state_matrix.py
@@ -17,6 +17,7 @@
 from tests.race_helpers import DispatcherProcess, dispatcher_process
 from violetstack.rehearsal.clients import Call
 from violetstack.rehearsal.fleet.hold_audit import HeldTooLong, HoldEvidence, HostRecord, audit_holds
+from violetstack.rehearsal.fleet.programs import Program
 from violetstack.rehearsal.stage import SETTINGS
 
 NEVER_BEGINS = HostBehaviour.NEVER_BEGINS
@@ -198,12 +199,38 @@
 """The faults, by the name of the column."""
 
 
+LAG_INTERVAL_S = 0.005
+
+
+@dataclass
+class Delays:
+    """How late the processes of one play ran at most: the hosts and clients, and the dispatcher.
+
+    Attributes:
+        lag_s: Longest delay of a timer of the hosts and clients.
+        starved_s: How long the dispatcher waited for a processor, in all.
+    """
+
+    lag_s: float = 0.0
+    starved_s: float = 0.0
+
+    async def measure(self, program: Program) -> None:
+        """Measures until cancelled."""
+        waited_before_s = program.processor_wait_s()
+        while True:
+            measured_from = time.monotonic()
+            await trio.sleep(LAG_INTERVAL_S)
+            self.lag_s = max(self.lag_s, time.monotonic() - measured_from - LAG_INTERVAL_S)
+            self.starved_s = program.processor_wait_s() - waited_before_s
+
+
 @dataclass(frozen=True)
 class Cell:
-    """The audit result of one request."""
+    """The audit result of one request, and how late the processes of its play ran."""
 
     held: bool
     too_long: tuple[HeldTooLong, ...]
+    delays: tuple[Delays, ...] = ()
 
 
 def column_settings(column: Column) -> dict[str, Any]:
@@ -239,9 +266,14 @@
         deployment.scripts[request_id] = replace(
             ROWS[request_id.partition(".")[0]], prefill_begun=trio.Event()
         )
-    async with dispatcher_process(
-        *deployment.hosts, settings=column_settings(column), sockets=column.sockets, number=number
-    ) as dispatcher:
+    delays = Delays()
+    async with (
+        dispatcher_process(
+            *deployment.hosts, settings=column_settings(column), sockets=column.sockets, number=number
+        ) as dispatcher,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(delays.measure, dispatcher.program)
         for request_id in deployment.scripts:
             deployment.calls[request_id] = await dispatcher.send_request(
                 request_id, request_id.rpartition(".")[2], Req_Deadline=f"{column.deadline_ms}m"
@@ -249,13 +281,16 @@
         await trio.sleep(FAULT_DELAY_S)
         await column.fault(deployment, dispatcher)
         await trio.sleep(OBSERVATION_S + column.retention_s)
+        nursery.cancel_scope.cancel()
     for host in deployment.hosts:
         host.close_fillers()
     deployment.evidence.ended_at = time.monotonic()
-    return _audit_results(deployment, column, requests)
+    return _audit_results(deployment, column, requests, delays)
 
 
-def _audit_results(deployment: Deployment, column: Column, requests: tuple[str, ...]) -> dict[str, Cell]:
+def _audit_results(
+    deployment: Deployment, column: Column, requests: tuple[str, ...], delays: Delays
+) -> dict[str, Cell]:
     violations = audit_holds(deployment.evidence, column.retention_s)
     holds = {HostRecord.SLOT_RESERVED, HostRecord.STATE_LEFT}
     held = {event.request_id for event in deployment.evidence.events if event.record in holds}
@@ -263,6 +298,7 @@
         request_id: Cell(
             request_id in held,
             tuple(violation for violation in violations if violation.request_id == request_id),
+            (delays,),
         )
         for request_id in requests
     }
@@ -282,7 +318,9 @@
             break
         for request_id, cell in (await run_column(column, number, requests)).items():
             earlier = cells[request_id]
-            cells[request_id] = Cell(earlier.held or cell.held, earlier.too_long + cell.too_long)
+            cells[request_id] = Cell(
+                earlier.held or cell.held, earlier.too_long + cell.too_long, earlier.delays + cell.delays
+            )
     return cells
 
 
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -34,5 +34,5 @@
 @pytest.mark.parametrize("column", COLUMNS)
 def test_held_state_is_released_in_time(matrix: dict[str, dict[str, Cell]], column: str, row: str) -> None:
     cells = [matrix[column][f"{row}.{class_name}"] for class_name in CLASSES]
-    assert not [str(late) for cell in cells for late in cell.too_long]
+    assert not [(str(late), cell.delays) for cell in cells for late in cell.too_long]
     assert any(cell.held for cell in cells)
