Admin API: a body in many chunks is parsed to its end

Since chunks are parsed in steps, a call whose body comes in more than 512 chunks, or in more than 32 that h11 reads, was taken for incomplete and answered with 408 after its time. Found by reading all callers of next_request.

The admin API parses all input at once: its bodies are at most 1 KiB. The peers of the rehearsal go on likewise. Both new cases of test_admin failed before.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -89,6 +89,12 @@
     )
 
 
+def post_in_chunks(path: str, chunk: bytes, count: int) -> bytes:
+    """Returns a request whose body is `count` times this chunk; the chunk includes its header."""
+    head = b"POST %b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" % path.encode()
+    return head + chunk * count + b"0\r\n\r\n"
+
+
 def get(path: str) -> bytes:
     return b"GET %b HTTP/1.1\r\nHost: x\r\n\r\n" % path.encode()
 
@@ -104,6 +110,8 @@
     "no lease name": (post("/admin/resign", b""), 400),
     "unknown id": (post("/admin/cordon", b"nobody"), 404),
     "oversized": (post("/admin/cordon", b"", MAX_BODY_BYTES + 1), 413),
+    "oversized in small chunks": (post_in_chunks("/admin/cordon", b"1\r\na\r\n", MAX_BODY_BYTES + 1), 413),
+    "two ids in small chunks": (post_in_chunks("/admin/cordon", b"1\r\na\r\n1 \r\n \r\n", 400), 400),
     "invalid HTTP": (b"\x16\x03\x01\r\n\r\n", 400),
 }
 
--- a/violetstack/admin/api.py
+++ b/violetstack/admin/api.py
@@ -114,7 +114,7 @@
         request: HttpRequest | None = None
         try:
             self._http.feed(data)
-            request = self._http.next_request()
+            request = self._next_request()
             if request is None:
                 return self._http.continue_100() if self._http.awaits_100_continue else None
             body = msgspec.json.encode(self._dispatch(request))
@@ -126,6 +126,13 @@
             return self._reject(request, RequestRejectedError(500, repr(error)))
         return self._respond(200, JSON_HEADERS, body)
 
+    def _next_request(self) -> HttpRequest | None:
+        """Parses all input in one step: a body is at most MAX_BODY_BYTES long, in whatever chunks."""
+        request = self._http.next_request()
+        while request is None and self._http.input_pending:
+            request = self._http.next_request()
+        return request
+
     @property
     def finished(self) -> bool:
         """Whether the response has been returned."""
--- a/violetstack/rehearsal/peer.py
+++ b/violetstack/rehearsal/peer.py
@@ -102,6 +102,8 @@
     async def _requests(self, connection: PeerConnection) -> None:
         while True:
             inbound = connection.http.next_request()
+            if inbound is None and connection.http.input_pending:
+                continue
             if inbound is None:
                 data = await connection.stream.receive_some(64 * 1024)
                 if not data:
