--- a/tests/held_state_matrix.py
+++ b/tests/held_state_matrix.py
@@ -17,6 +17,7 @@
 from tests.race_helpers import DispatcherProcess, dispatcher_process
 from violetstack.rehearsal.clients import Call
 from violetstack.rehearsal.fleet.hold_audit import HeldTooLong, HoldEvidence, HostRecord, audit_holds
+from violetstack.rehearsal.fleet.process_delays import ProcessDelays
 from violetstack.rehearsal.fleet.programs import Program
 from violetstack.rehearsal.stage import SETTINGS
 
@@ -199,38 +200,13 @@
 """The faults, by the name of the column."""
 
 
-LAG_INTERVAL_S = 0.005
-
-
-@dataclass
-class Delays:
-    """How late the processes of one play ran at most: the hosts and clients, and the dispatcher.
-
-    Attributes:
-        lag_s: Longest delay of a timer of the hosts and clients.
-        starved_s: How long the dispatcher waited for a processor, in all.
-    """
-
-    lag_s: float = 0.0
-    starved_s: float = 0.0
-
-    async def measure(self, program: Program) -> None:
-        """Measures until cancelled."""
-        waited_before_s = program.processor_wait_s()
-        while True:
-            measured_from = time.monotonic()
-            await trio.sleep(LAG_INTERVAL_S)
-            self.lag_s = max(self.lag_s, time.monotonic() - measured_from - LAG_INTERVAL_S)
-            self.starved_s = program.processor_wait_s() - waited_before_s
-
-
 @dataclass(frozen=True)
 class Cell:
     """The audit result of one request, and how late the processes of its play ran."""
 
     held: bool
     too_long: tuple[HeldTooLong, ...]
-    delays: tuple[Delays, ...] = ()
+    delays: tuple[ProcessDelays, ...] = ()
 
 
 def column_settings(column: Column) -> dict[str, Any]:
@@ -251,6 +227,12 @@
 """Of the rows of a column that held nothing."""
 
 
+async def measure_delays(delays: ProcessDelays, program: Program) -> None:
+    """Measures how late this process and the dispatcher run, until cancelled."""
+    async for _ in delays.samples([program]):
+        pass
+
+
 async def run_column(
     column: Column, number: int = 0, requests: tuple[str, ...] = ALL_REQUESTS
 ) -> dict[str, Cell]:
@@ -266,14 +248,14 @@
         deployment.scripts[request_id] = replace(
             ROWS[request_id.partition(".")[0]], prefill_begun=trio.Event()
         )
-    delays = Delays()
+    delays = ProcessDelays()
     async with (
         dispatcher_process(
             *deployment.hosts, settings=column_settings(column), sockets=column.sockets, number=number
         ) as dispatcher,
         trio.open_nursery() as nursery,
     ):
-        nursery.start_soon(delays.measure, dispatcher.program)
+        nursery.start_soon(measure_delays, delays, dispatcher.program)
         for request_id in deployment.scripts:
             deployment.calls[request_id] = await dispatcher.send_request(
                 request_id, request_id.rpartition(".")[2], Req_Deadline=f"{column.deadline_ms}m"
@@ -289,7 +271,7 @@
 
 
 def _audit_results(
-    deployment: Deployment, column: Column, requests: tuple[str, ...], delays: Delays
+    deployment: Deployment, column: Column, requests: tuple[str, ...], delays: ProcessDelays
 ) -> dict[str, Cell]:
     violations = audit_holds(deployment.evidence, column.retention_s)
     holds = {HostRecord.SLOT_RESERVED, HostRecord.STATE_LEFT}
--- a/violetstack/rehearsal/fleet/campaign.py
+++ b/violetstack/rehearsal/fleet/campaign.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from pathlib import Path
 
 import trio
@@ -22,9 +21,7 @@
 from violetstack.rehearsal.fleet.network import Agent
 from violetstack.rehearsal.fleet.programs import ROOT
 
-LAG_INTERVAL_S = 0.02
 SETTLE_TIME_S = 0.4
-PROCESSOR_WAIT_WINDOW_S = 1.0
 
 
 class SimulatedPeers:
@@ -56,27 +53,12 @@
             state.agents.append(agent)
             await nursery.start(agent.serve)
 
-    async def measure_lag(self) -> None:
-        """Keeps measuring how late this process runs and how long dispatchers wait for a processor.
-
-        Both maxima go into the state: `lag_s` is the delay of a timer in this process, `starved_s` the mean
-        wait of a dispatcher within PROCESSOR_WAIT_WINDOW_S. Runs until cancelled.
-        """
+    async def measure_delays(self) -> None:
+        """Keeps measuring how late this process and the dispatchers run; runs until cancelled."""
         state = self._state
-        waits: deque[tuple[float, float]] = deque()
-        while True:
-            measured_from = state.now()
-            total_wait_s = sum(dispatcher.program.processor_wait_s() for dispatcher in state.dispatchers)
-            await trio.sleep(LAG_INTERVAL_S)
-            state.lag_s = max(state.lag_s, state.now() - measured_from - LAG_INTERVAL_S)
-            added_wait_s = (
-                sum(dispatcher.program.processor_wait_s() for dispatcher in state.dispatchers) - total_wait_s
-            )
-            waits.append((measured_from, added_wait_s / len(state.dispatchers)))
-            while waits[0][0] < measured_from - PROCESSOR_WAIT_WINDOW_S:
-                waits.popleft()
-            state.starved_s = max(state.starved_s, sum(wait_s for _, wait_s in waits))
-            state.evidence.lag_s = max(state.lag_s, state.starved_s)
+        programs = [dispatcher.program for dispatcher in state.dispatchers]
+        async for _ in state.delays.samples(programs):
+            state.evidence.lag_s = max(state.delays.lag_s, state.delays.starved_s)
 
 
 class CampaignCase:
@@ -101,7 +83,7 @@
                 await peers.start(nursery)
                 await self._processes.start_all()
                 state.begin_load()
-                nursery.start_soon(peers.measure_lag)
+                nursery.start_soon(peers.measure_delays)
                 async with trio.open_nursery() as case_nursery:
                     for event in events:
                         case_nursery.start_soon(self._faults.inject, event)
--- a/violetstack/rehearsal/fleet/campaign_state.py
+++ b/violetstack/rehearsal/fleet/campaign_state.py
@@ -13,6 +13,7 @@
 from violetstack.rehearsal.fleet.campaign_host import CampaignHost
 from violetstack.rehearsal.fleet.campaign_settings import draw_deployment
 from violetstack.rehearsal.fleet.network import Agent
+from violetstack.rehearsal.fleet.process_delays import ProcessDelays
 from violetstack.rehearsal.fleet.programs import Program
 from violetstack.rehearsal.fleet.soak_faults import InjectedFault
 from violetstack.rehearsal.fleet.socket_audit import ClientExchange, Evidence
@@ -79,8 +80,7 @@
         self.crashed: list[str] = []
         self.statuses: Counter[str] = Counter()
         self.fault_spans: list[FaultSpan] = []
-        self.lag_s = 0.0
-        self.starved_s = 0.0
+        self.delays = ProcessDelays()
         self._load_began_at = time.monotonic()
 
     def now(self) -> float:
@@ -90,8 +90,7 @@
     def begin_load(self) -> None:
         self._load_began_at = time.monotonic()
         self.evidence.process_starts.clear()  # the first processes count as running from the beginning
-        self.lag_s = 0.0
-        self.starved_s = 0.0
+        self.delays.reset()
 
     @property
     def all_agents(self) -> list[Agent]:
--- a/violetstack/rehearsal/fleet/fleet_state.py
+++ b/violetstack/rehearsal/fleet/fleet_state.py
@@ -16,6 +16,7 @@
 from violetstack.rehearsal.fleet.hosts import STREAM_S, SimulatedHost
 from violetstack.rehearsal.fleet.network import Agent, Relay
 from violetstack.rehearsal.fleet.plan import Plan
+from violetstack.rehearsal.fleet.process_delays import ProcessDelays
 from violetstack.rehearsal.fleet.programs import Program
 from violetstack.rehearsal.stage import SETTINGS
 
@@ -35,7 +36,7 @@
         ready_s: The time from each start of a process to its first readiness.
         crashed: The dispatchers that ended unexpectedly.
         broken_links: Dispatchers whose path to all hosts was broken at any time.
-        lag: How late the simulated hosts and clients were at most.
+        delays: How late the simulated hosts and clients were at most.
     """
 
     nursery: trio.Nursery
@@ -60,7 +61,7 @@
         self.crashed: list[str] = []
         self.relayed = "duties" in plan.operator_file or any(fault.kind == "network" for fault in plan.faults)
         self.broken_links: set[int] = set()
-        self.lag = 0.0
+        self.delays = ProcessDelays()
         self._run = next(RUNS)
         self._began_at = time.monotonic()
 
@@ -71,7 +72,7 @@
     def begin_load(self) -> None:
         """Set the time to 0 and discard earlier records; the start of the fleet is not part of the run."""
         self._began_at = time.monotonic()
-        self.lag = 0.0
+        self.delays.reset()
         self.audit.tenures = []
         self.in_flight = []
         self.ready_s = []
--- a/violetstack/rehearsal/fleet/runner.py
+++ b/violetstack/rehearsal/fleet/runner.py
@@ -22,7 +22,6 @@
 from violetstack.rehearsal.fleet.programs import ROOT
 from violetstack.rehearsal.fleet.report import Result
 
-LAG_INTERVAL_S = 0.02
 LAST_RESPONSES_S = GIVE_UP_S + 0.6
 
 
@@ -58,7 +57,7 @@
             try:
                 await self._processes.start_all(rows)
                 state.begin_load()
-                nursery.start_soon(self._measure_lag)
+                nursery.start_soon(self._measure_delays)
                 for fault in state.plan.faults:
                     nursery.start_soon(self._faults.inject, fault)
                 await self._clients.run()
@@ -106,14 +105,11 @@
                     self._state.now(), sender, message.lease_id, message.fencing_token
                 )
 
-    async def _measure_lag(self) -> None:
+    async def _measure_delays(self) -> None:
         """Record how late this process runs, and the most requests at one prefill host."""
         state = self._state
-        while True:
-            slept_from = state.now()
-            await trio.sleep(LAG_INTERVAL_S)
-            state.lag = max(state.lag, state.now() - slept_from - LAG_INTERVAL_S)
-            state.audit.lag = state.lag
+        async for _ in state.delays.samples():
+            state.audit.lag = state.delays.lag_s
             in_flight = [host.in_flight for host in state.hosts.values() if host.kind == "prefill"]
             state.in_flight.append((state.now(), max(in_flight, default=0)))
 
--- a/violetstack/rehearsal/fleet/soak.py
+++ b/violetstack/rehearsal/fleet/soak.py
@@ -83,7 +83,7 @@
                         nursery.start_soon(pipe.copy, self._state.dispatchers[number].program.log)
                         stack.callback(pipe.close)
                     self._state.begin_load()
-                    nursery.start_soon(peers.measure_lag)
+                    nursery.start_soon(peers.measure_delays)
                     await self._run_load_and_faults(nursery)
                 finally:
                     self._state.evidence.holds.ended_at = self._state.now()
