Log: each attempt whose response is not complete tells why

Change: the request's line has a reason behind the status of such an attempt, upstream_response_truncated has kind, done and idle_ms, and a connection that breaks in the middle of a stream has that line too. No decision changes.

--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -288,8 +288,8 @@
 
 def _log_attempt(attempt: Attempt, status: AttemptStatus, duration_ms: float) -> None:
     """Adds the attempt to the log line of its request."""
-    withhold_reason = attempt.withhold_reason if status is AttemptStatus.ALREADY_FINISHED else ""
-    entry = AttemptLogEntry(attempt.server, status, round(duration_ms), withhold_reason)
+    reason = attempt.withhold_reason if status is AttemptStatus.ALREADY_FINISHED else attempt.broken_reason
+    entry = AttemptLogEntry(attempt.server, status, round(duration_ms), reason)
     attempt.request.attempt_log.append(entry)
 
 
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -69,17 +69,24 @@
 
 
 class AttemptLogEntry(msgspec.Struct, frozen=True):
-    """A finished attempt in the log line of its request; see `Attempt` for `withhold_reason`."""
+    """A finished attempt in the log line of its request.
+
+    Attributes:
+        server: Id of the host.
+        status: How the attempt ended.
+        duration_ms: Time from its start to its end.
+        reason: Why it was withheld, or why its response is not complete; empty if that does not apply.
+    """
 
     server: str
     status: AttemptStatus
     duration_ms: int
-    withhold_reason: str = ""
+    reason: str = ""
 
     def as_row(self) -> tuple[str | int, ...]:
-        """Returns the entry as it is logged: host, status, duration in ms, and the withhold reason if any."""
+        """Returns the entry as it is logged: host, status, duration in ms, and the reason if any."""
         row = (self.server, self.status.value, self.duration_ms)
-        return (*row, self.withhold_reason) if self.withhold_reason else row
+        return (*row, self.reason) if self.reason else row
 
 
 class ReservationLogEntry(msgspec.Struct, frozen=True):
@@ -113,6 +120,7 @@
         first_byte_at: When its first byte was written.
         written_at: When its last byte was handed to the kernel.
         withhold_reason: Why the attempt was not sent, or not completely; empty if it was.
+        broken_reason: Why its response is not complete; the driver sets it when it reports the end.
         stream_started: Whether the first event of its response was accepted.
         events_forwarded: Number of events that were forwarded to the client.
         answered: Whether its host has responded, with any status.
@@ -130,6 +138,7 @@
     first_byte_at: float = 0.0
     written_at: float = 0.0
     withhold_reason: str = ""
+    broken_reason: str = ""
     stream_started: bool = False
     events_forwarded: int = 0
     answered: bool = False
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -20,6 +20,7 @@
     UpstreamConnection,
 )
 from violetstack.net.upstream.connection_pool import ConnectionPool, UpstreamHost
+from violetstack.net.upstream.response_errors import BrokenReason, broken_reason
 from violetstack.net.upstream.response_reader import AttemptResult, MigrateStream, ResponseReader
 from violetstack.net.upstream.state_release import StateReleaser
 from violetstack.policy_api import AttemptStatus
@@ -46,6 +47,7 @@
         """Set once the request is written or the attempt has ended."""
         self.receive_scope: trio.CancelScope | None = None
         self.connection: UpstreamConnection | None = None
+        self.reader: ResponseReader | None = None
 
 
 class AttemptRunner:
@@ -185,15 +187,9 @@
         except (NotConnectedError, SendTimeoutError):
             return AttemptResult(AttemptStatus.CONNECT_FAILED)
         except (InvalidResponseError, sse.InvalidEventError) as error:
-            log_rate_limited(
-                "upstream_response_truncated",
-                id=attempt.request.id,
-                server=attempt.server,
-                events=attempt.events_forwarded,
-                reason=str(error),
-            )
-        except (OSError, trio.TooSlowError, trio.ClosedResourceError):
-            pass
+            _record_broken(attempt, running, broken_reason(error), str(error))
+        except (OSError, trio.TooSlowError, trio.ClosedResourceError) as error:
+            _record_broken(attempt, running, BrokenReason.CONNECTION_BROKEN, repr(error))
         except Exception as error:
             log("attempt_failed", id=attempt.request.id, error=repr(error))
         may_have_run = attempt.request_written
@@ -260,7 +256,7 @@
         def set_receive_scope(scope: trio.CancelScope) -> None:
             running.receive_scope = scope
 
-        return ResponseReader(
+        running.reader = ResponseReader(
             self._core,
             attempt,
             connection,
@@ -269,6 +265,30 @@
             current_migration=lambda: self._migrate_stream,
             set_receive_scope=set_receive_scope,
         )
+        return running.reader
+
+
+def _record_broken(attempt: Attempt, running: _RunningAttempt, reason: BrokenReason, detail: str) -> None:
+    """Keeps for the request's log line why the response is not complete; logs it if any of it was read.
+
+    A connection that breaks before the response is left to that line: its attempt is retried if possible.
+    """
+    if attempt.finished:
+        return  # this process has ended it
+    attempt.broken_reason = reason.value
+    reader = running.reader
+    if reader is None or (reason is BrokenReason.CONNECTION_BROKEN and not attempt.stream_started):
+        return
+    log_rate_limited(
+        "upstream_response_truncated",
+        id=attempt.request.id,
+        server=attempt.server,
+        kind=reason.value,
+        events=attempt.events_forwarded,
+        done=reader.done,
+        idle_ms=round(reader.idle_ms),
+        reason=detail,
+    )
 
 
 def _headers(attempt: Attempt, payload: Payload, host: UpstreamHost) -> Headers:
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -12,6 +12,7 @@
 from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.upstream.connection import UpstreamConnection
+from violetstack.net.upstream.response_errors import StalledResponseError, UnfinishedStreamError
 from violetstack.net.upstream.stream_trailer import (
     LoadReport,
     StreamTrailer,
@@ -89,6 +90,16 @@
         self._progress_at = trio.current_time()
         """Time of the last complete event, or of the beginning of an incomplete part, on trio's clock."""
 
+    @property
+    def done(self) -> bool:
+        """Whether the marker at the end of the answer, `[DONE]`, has been received."""
+        return self._trailer.done
+
+    @property
+    def idle_ms(self) -> float:
+        """Time since the last complete event, or since the beginning of an incomplete part."""
+        return (trio.current_time() - self._progress_at) * 1000.0
+
     async def resume(self, cached_tokens: int) -> AttemptResult:
         """Continues a stream whose beginning another process has read."""
         self._head = ResponseHead(200, {})
@@ -125,7 +136,7 @@
         read first then, outside of the expired cancel scope, which would cancel every further read as well.
 
         Raises:
-            InvalidResponseError: Nothing arrived within the limit.
+            StalledResponseError: Nothing arrived within the limit.
         """
         timeout_s = HEAD_TIMEOUT_S
         if self._partial:
@@ -143,10 +154,10 @@
         if timer.cancelled_caught and self._connection.has_input():
             return await self._connection.receive()
         if timer.cancelled_caught and trio.current_time() >= deadline:
-            raise InvalidResponseError(
+            raise StalledResponseError(
                 f"the rest of a response part did not arrive within {PARTIAL_TIMEOUT_S} s"
                 if self._partial
-                else "silent"
+                else f"no event within {timeout_s:g} s"
             )
         return events
 
@@ -208,9 +219,9 @@
         # With a wrong Content-Length a stream may end anywhere; only chunked encoding marks its real end.
         chunked = "transfer-encoding" in head.headers or self._resumed
         if not self._trailer.done and (self._openai_api or not chunked):
-            raise InvalidResponseError("a stream ended without [DONE]")
+            raise UnfinishedStreamError("a stream ended without [DONE]")
         if not self._attempt.stream_started:
-            raise InvalidResponseError("a stream ended without an event")
+            raise UnfinishedStreamError("a stream ended without an event")
         if rest := self._splitter.end():
             self._core.forward_event(self._attempt, memoryview(rest))
         cached = self._clamp_cached_tokens(self._trailer.cached_tokens)
