Streams: an answer is complete only with its [DONE], whatever ends its framing

On the chat front the part was recorded as the answer of its idempotency key and replayed.

Cause: with chunked encoding the last chunk alone counted as the end of the answer; [DONE] was asked for only with a Content-Length or of OpenAI-style hosts, and the beginning of an event before the last chunk was forwarded. A host that gives up an answer ends its framing as well.

Ruled out: the reader of joined chunks, a cut last chunk, a Content-Length that is too short (each response cut at every byte is broken, before as after), the client's side (its attempt would be 'reset').

Change: one place says whether a stream is complete, for all framings and hosts: framing and [DONE]. A migrated stream takes along whether [DONE] was received; an older release does not tell, its streams end by their framing.

The rows of test_response_reader whose streams had no [DONE] got one, and the row without it expects a break now: stricter.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -52,6 +52,7 @@
     "tests/test_fault_campaign.py",
     "tests/test_fault_findings.py",
     "tests/test_held_state.py",
+    "tests/test_incomplete_streams.py",
     "tests/test_log_output.py",
     "tests/test_rehearsal_fleet.py",
     "tests/test_shutdown_streams.py",
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -46,10 +46,11 @@
 from violetstack.policy_api import TenantSettings, UpdateScope
 from violetstack.protocol.discovery import ListedEndpoint
 from violetstack.protocol.http_client import HttpClientConnection, ResponseData, ResponseEnd
-from violetstack.protocol.http_server import HttpServerConnection
+from violetstack.protocol.http_server import HttpRequest, HttpServerConnection
 from violetstack.rehearsal.clients import BODY, Call, ask_platform, connect, platform_headers, raw
 from violetstack.rehearsal.discovery import Discovery
 from violetstack.rehearsal.hosts import Act, ModelHost
+from violetstack.rehearsal.peer import PeerConnection
 from violetstack.rehearsal.stage import SETTINGS, Stage
 
 NOW = 1_700_000_000_000.0
@@ -419,6 +420,46 @@
     run_processes(tmp_path, prefill_host, decode_host, scenario=scenario)
 
 
+class StreamsInTwoParts(ModelHost):
+    """A decode host that pauses each stream, before its first `data: [DONE]` or after it."""
+
+    def __init__(self, may_end: trio.Event, beginnings: dict[str, bytes], rest: bytes) -> None:
+        super().__init__("w", "decode")
+        self._may_end = may_end
+        self._beginnings = beginnings
+        self._rest = rest
+
+    async def play(self, act: Act, inbound: HttpRequest, connection: PeerConnection) -> None:
+        await connection.start(200, [("Content-Type", "text/event-stream")])
+        await connection.data(self._beginnings[inbound.headers["req-id"]])
+        await self._may_end.wait()
+        await connection.raw(self._rest)
+
+
+def test_a_migrated_stream_is_ended_as_complete_only_if_its_host_has_sent_all_of_it(tmp_path: Path) -> None:
+    event = b'data: {"choices":[{"index":0,"delta":{"content":"x"},"finish_reason":null}]}\n\n'
+    beginnings = {"done": event + b"data: [DONE]\n\n", "ended-early": event}
+    may_end = trio.Event()
+    decode_host = StreamsInTwoParts(may_end, beginnings, b"0\r\n\r\n")
+
+    async def scenario(platform: Platform) -> None:
+        predecessor, _ = await platform.start()
+        calls = {}
+        for name in beginnings:
+            calls[name] = await connect(platform.address)
+            await calls[name].send("POST", "/v1/chat/completions", platform_headers(name, "orden"), BODY)
+            await calls[name].receive(events=1)
+        await platform.start()
+        predecessor.send_signal(signal.SIGTERM)
+        assert await predecessor.wait() == 0
+        assert platform.logged(predecessor, "stopped")[0]["migrated_streams"] == 2
+        may_end.set()
+        outcomes = {name: (await call.receive()).outcome for name, call in calls.items()}
+        assert outcomes == {"done": "served", "ended-early": "cut"}
+
+    run_processes(tmp_path, ModelHost("r", "prefill"), decode_host, scenario=scenario)
+
+
 def test_cordons_are_kept_over_two_hot_restarts_and_apply_to_both_processes(
     tmp_path: Path,
 ) -> None:
--- /dev/null
+++ b/tests/test_incomplete_streams.py
@@ -0,0 +1,136 @@
+"""Streams of hosts that end early, never end or are written slowly, through a real dispatcher process.
+
+Incident of 2026-12-05: docs/incidents/2026-12-05-incomplete-streams.md.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from tests.race_helpers import dispatcher_process
+from violetstack.protocol.http_server import HttpRequest
+from violetstack.rehearsal.clients import Answer
+from violetstack.rehearsal.hosts import ModelHost
+from violetstack.rehearsal.peer import Break, PeerConnection
+
+MAX_WAIT_S = 5.0
+"""A client must not wait for longer after the last event of a running host."""
+TEST_TIMEOUT_S = 20.0
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+TOKEN = b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n'
+STOP = b'data: {"choices":[{"index":0,"delta":{"content":"."},"finish_reason":"stop"}]}\n\n'
+USAGE = b'data: {"choices":[],"usage":{"prompt_tokens":8,"completion_tokens":2}}\n\n'
+DONE = b"data: [DONE]\n\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+BEGINNING = HEAD + chunk(TOKEN) + chunk(TOKEN)
+END = chunk(STOP) + chunk(USAGE) + chunk(DONE) + LAST_CHUNK
+
+
+class Pause(float):
+    """Seconds for which a script writes nothing."""
+
+
+Script = Callable[[], AsyncIterator[bytes | Pause]]
+"""Yields what a host writes, and its pauses."""
+
+
+async def once(*parts: bytes | Pause) -> AsyncIterator[bytes | Pause]:
+    for part in parts:
+        yield part
+
+
+async def repeat(
+    first: bytes, *, then: bytes, every_s: float, after_s: float = 0.0
+) -> AsyncIterator[bytes | Pause]:
+    """Writes `first`, waits for `after_s`, and then writes `then` again and again without end."""
+    yield first
+    yield Pause(after_s)
+    while True:
+        yield then
+        yield Pause(every_s)
+
+
+class ScriptedStreams(ModelHost):
+    """A decode host that writes the script of each request's id."""
+
+    def __init__(self, scripts: dict[str, Script]) -> None:
+        super().__init__("w", "decode")
+        self.scripts = scripts
+
+    async def play(self, act: object, inbound: HttpRequest, connection: PeerConnection) -> None:
+        async for part in self.scripts[inbound.headers["req-id"]]():
+            if isinstance(part, Pause):
+                await trio.sleep(part)
+            else:
+                await connection.raw(part)
+        await connection.until_closed()
+        raise Break
+
+
+@dataclass
+class Outcomes:
+    """What each client received, and how long it waited after its last event."""
+
+    answers: dict[str, Answer] = field(default_factory=dict)
+    waited_s: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def complete(self) -> set[str]:
+        return {name for name, answer in self.answers.items() if answer.outcome == "served"}
+
+    @property
+    def left_waiting(self) -> dict[str, float]:
+        return {name: wait_s for name, wait_s in self.waited_s.items() if wait_s > MAX_WAIT_S}
+
+
+def play_streams(scripts: dict[str, Script], events_before_wait: int = 2) -> Outcomes:
+    """Sends a request for each script at the same time; a client leaves soon after it has waited too long."""
+    outcomes = Outcomes()
+
+    async def main() -> None:
+        with trio.fail_after(TEST_TIMEOUT_S):
+            prefill = ModelHost("r", "prefill")
+            async with dispatcher_process(prefill, ScriptedStreams(scripts)) as process:
+
+                async def ask(name: str) -> None:
+                    call = await process.send_request(name)
+                    await call.receive(events=events_before_wait)
+                    last_event_at = trio.current_time()
+                    with trio.move_on_after(MAX_WAIT_S + 1.0):
+                        await call.receive()
+                    outcomes.waited_s[name] = trio.current_time() - last_event_at
+                    outcomes.answers[name] = call.answer
+                    await call.stream.aclose()
+
+                async with trio.open_nursery() as nursery:
+                    for name in scripts:
+                        nursery.start_soon(ask, name)
+
+    trio.run(main)
+    return outcomes
+
+
+EARLY_ENDS: dict[str, Script] = {
+    "after-an-event": lambda: once(BEGINNING + LAST_CHUNK),
+    "after-the-finish-reason": lambda: once(BEGINNING + chunk(STOP) + LAST_CHUNK),
+    "before-done": lambda: once(BEGINNING + chunk(STOP) + chunk(USAGE) + LAST_CHUNK),
+    "inside-an-event": lambda: once(BEGINNING + chunk(TOKEN[:40]) + LAST_CHUNK),
+    "inside-done": lambda: once(BEGINNING + chunk(STOP) + chunk(USAGE) + chunk(DONE[:9]) + LAST_CHUNK),
+    "in-the-last-chunk": lambda: once(BEGINNING + END[:-2]),
+    "done-in-a-comment": lambda: once(BEGINNING + chunk(b": [DONE]\n\n") + LAST_CHUNK),
+    "done-in-the-text": lambda: once(BEGINNING + chunk(TOKEN.replace(b"oqvh", b"[DONE]")) + LAST_CHUNK),
+}
+
+
+def test_a_stream_that_its_host_ends_early_is_not_ended_as_complete() -> None:
+    outcomes = play_streams({**EARLY_ENDS, "complete": lambda: once(BEGINNING + END)})
+    assert outcomes.complete == {"complete"}
--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+from contextlib import suppress
 
 import pytest
 import trio
@@ -15,13 +16,16 @@
 from violetstack.net.upstream import response_reader
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.response_reader import ResponseReader
+from violetstack.net.upstream.stream_trailer import StreamPosition
 from violetstack.policy_api import AttemptStatus
-from violetstack.protocol.http_client import InvalidResponseError
+from violetstack.protocol.http_client import HttpClientConnection, InvalidResponseError
 
 EVENT = b"data: x\n\n"
 CHUNK = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-END = b"0\r\n\r\n"
+DONE = b"data: [DONE]\n\n"
+DONE_CHUNK = b"%x\r\n%s\r\n" % (len(DONE), DONE)
+END = DONE_CHUNK + b"0\r\n\r\n"
 TIMEOUT_S = 0.05
 
 
@@ -104,8 +108,7 @@
     trio.run(main)
 
 
-DONE = b"data: [DONE]\n\n"
-DONE_CHUNK = b"%x\r\n%s\r\n" % (len(DONE), DONE)
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 def response_with_length(length: int, body: bytes) -> bytes:
@@ -118,10 +121,15 @@
 
 DECLINED = b"Srv-Declined: 1\r\n"
 RESPONSES = {
-    "all chunks": ("w1", HEAD + CHUNK + DONE_CHUNK + END, AttemptStatus.OK),
-    "all chunks, without [DONE]": ("w1", HEAD + CHUNK + END, AttemptStatus.OK),
+    "all chunks": ("w1", HEAD + CHUNK + END, AttemptStatus.OK),
+    "all chunks, without [DONE]": ("w1", HEAD + CHUNK + LAST_CHUNK, AttemptStatus.RESET),
+    "[DONE] without its blank line": (
+        "w1",
+        HEAD + CHUNK + b"d\r\n" + DONE[:-1] + b"\r\n" + LAST_CHUNK,
+        AttemptStatus.OK,
+    ),
     "no last chunk": ("w1", HEAD + CHUNK + DONE_CHUNK, AttemptStatus.RESET),
-    "no event": ("w1", HEAD + END, AttemptStatus.RESET),
+    "no event": ("w1", HEAD + LAST_CHUNK, AttemptStatus.RESET),
     "ended by the close of the connection": (
         "w1",
         b"HTTP/1.1 200 OK\r\n\r\n" + EVENT + DONE,
@@ -154,7 +162,7 @@
 def test_the_status_of_a_complete_or_broken_response(
     server: str, response: bytes, status: AttemptStatus
 ) -> None:
-    """A stream is complete only if its framing says so: the connection may also end because it broke."""
+    """A stream is complete only if both its framing and its events say so."""
 
     async def main() -> None:
         harness = ReaderHarness(server)
@@ -166,3 +174,56 @@
         harness.connection.close()
 
     trio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("done_before", "rest", "status"),
+    [
+        (True, LAST_CHUNK, AttemptStatus.OK),
+        (False, LAST_CHUNK, AttemptStatus.RESET),
+        (False, END, AttemptStatus.OK),
+        (None, LAST_CHUNK, AttemptStatus.OK),
+    ],
+    ids=["migrated after [DONE]", "ended early", "complete", "migrated by an older release"],
+)
+def test_a_migrated_stream_is_complete_only_with_its_done_event(
+    done_before: bool | None, rest: bytes, status: AttemptStatus
+) -> None:
+    async def main() -> None:
+        harness = ReaderHarness()
+        harness.connection.http = HttpClientConnection.resumed()
+        harness.attempt.stream_started = True
+        with harness.host, trio.fail_after(2.0):
+            harness.host.sendall(rest)
+            harness.host.shutdown(socket.SHUT_WR)
+            with suppress(InvalidResponseError):
+                harness.status = (await harness.reader.resume(StreamPosition(0, done_before))).status
+        assert (harness.status or AttemptStatus.RESET) is status
+        harness.connection.close()
+
+    trio.run(main)
+
+
+FRAMINGS = {
+    "chunked": HEAD + CHUNK + END,
+    "Content-Length": response_with_length(len(EVENT + DONE), EVENT + DONE),
+}
+
+
+@pytest.mark.parametrize("response", FRAMINGS.values(), ids=FRAMINGS.keys())
+def test_a_response_cut_at_any_byte_is_not_complete(response: bytes) -> None:
+    async def read_cut_response(length: int) -> AttemptStatus | None:
+        harness = ReaderHarness()
+        with harness.host, trio.fail_after(2.0):
+            harness.host.sendall(response[:length])
+            harness.host.shutdown(socket.SHUT_WR)
+            await harness.read()
+        harness.connection.close()
+        return harness.status
+
+    async def main() -> None:
+        for length in range(len(response)):
+            assert await read_cut_response(length) is AttemptStatus.RESET, response[:length]
+        assert await read_cut_response(len(response)) is AttemptStatus.OK
+
+    trio.run(main)
--- a/violetstack/handover/stream_migration.py
+++ b/violetstack/handover/stream_migration.py
@@ -42,6 +42,7 @@
         holds_remote_state: Whether a host may hold state for the request that has to be released at its end.
         closing: Whether the response head announced that the client's connection closes after the response.
         version: The version of this message.
+        done: Whether `[DONE]` has been received; None in messages of releases that do not tell.
     """
 
     id: str
@@ -55,6 +56,7 @@
     holds_remote_state: bool = msgspec.field(name="loose")
     closing: bool
     version: int = VERSION
+    done: bool | None = None
 
 
 def encode_offer(offer: StreamOffer) -> bytes:
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -35,6 +35,7 @@
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.driver import UpstreamDriver
+from violetstack.net.upstream.stream_trailer import StreamPosition
 
 REPLY_TIMEOUT_S = 1.0  # a successor that takes longer to reply is assumed to have failed
 ACCEPT_RETRY_S = 0.1
@@ -95,13 +96,15 @@
         self._sock = sock
         return True
 
-    async def migrate(self, attempt: Attempt, connection: UpstreamConnection, cached_tokens: int) -> bool:
+    async def migrate(
+        self, attempt: Attempt, connection: UpstreamConnection, position: StreamPosition
+    ) -> bool:
         """Offers the stream of an attempt to the successor, between two of its events.
 
         Args:
             attempt: An attempt whose response has started.
             connection: Its connection to the host.
-            cached_tokens: Number of prompt tokens that the host found in its cache.
+            position: How far the stream has come.
 
         Returns:
             Whether the successor took over the stream. If not, the stream continues in this process.
@@ -114,7 +117,7 @@
             return False
         migrated = False
         try:
-            migrated = await self._migrate_paused(attempt, connection, client, cached_tokens)
+            migrated = await self._migrate_paused(attempt, connection, client, position)
             return migrated
         finally:
             if not migrated:
@@ -125,7 +128,7 @@
         attempt: Attempt,
         connection: UpstreamConnection,
         client: MigratableConnection,
-        cached_tokens: int,
+        position: StreamPosition,
     ) -> bool:
         client_descriptor = client.descriptor
         if client_descriptor is None or not self._core.can_migrate(attempt):
@@ -138,7 +141,8 @@
             server=attempt.server,
             age_ms=now_ms() - request.arrived_at,
             events_forwarded=attempt.events_forwarded,
-            cached_tokens=cached_tokens,
+            cached_tokens=position.cached_tokens,
+            done=position.done,
             prompt_tokens=request.policy_request.prompt_tokens,
             holds_remote_state=request.hold.needs_release,
             closing=client.http.closes_after_response,
@@ -301,7 +305,8 @@
         replies = listener.adopt(sockets.client, offer.closing)
         attempt = self._core.adopt_stream(now_ms(), offer, PlatformSink(replies, stream_started=True))
         replies.attach(attempt.request)
-        self._hosts.adopt_stream(attempt, sockets.host, offer.cached_tokens, replies.wait_writable)
+        position = StreamPosition(offer.cached_tokens, offer.done)
+        self._hosts.adopt_stream(attempt, sockets.host, position, replies.wait_writable)
 
 
 def _remove(path: Path) -> None:
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -23,6 +23,7 @@
 from violetstack.net.upstream.response_errors import BrokenReason, broken_reason
 from violetstack.net.upstream.response_reader import AttemptResult, MigrateStream, ResponseReader
 from violetstack.net.upstream.state_release import StateReleaser
+from violetstack.net.upstream.stream_trailer import StreamPosition
 from violetstack.policy_api import AttemptStatus
 from violetstack.protocol import sse
 from violetstack.protocol.http_client import HttpClientConnection, InvalidResponseError
@@ -81,7 +82,7 @@
         self._start_task(attempt, exchange)
 
     def adopt(
-        self, attempt: Attempt, raw: socket.socket, cached_tokens: int, wait_writable: WaitWritable
+        self, attempt: Attempt, raw: socket.socket, position: StreamPosition, wait_writable: WaitWritable
     ) -> None:
         """Continues a stream that another process began, on the connection that it used."""
         connection = self._pool.adopt(raw, attempt.server)
@@ -90,7 +91,7 @@
 
         async def resume_reading(running: _RunningAttempt) -> AttemptResult:
             reader = self._reader(attempt, running, connection, openai_api=False)
-            return await self._read_response(running, connection, lambda: reader.resume(cached_tokens))
+            return await self._read_response(running, connection, lambda: reader.resume(position))
 
         self._start_task(attempt, resume_reading)
 
--- a/violetstack/net/upstream/driver.py
+++ b/violetstack/net/upstream/driver.py
@@ -17,6 +17,7 @@
 from violetstack.net.upstream.reservation import ReservationCaller
 from violetstack.net.upstream.response_reader import MigrateStream
 from violetstack.net.upstream.state_release import StateReleaser
+from violetstack.net.upstream.stream_trailer import StreamPosition
 
 RATE_LIMITED_EVENTS = frozenset(
     {"policy", "hold_unclaimed", "reservation_uncertain", "release_started", "release_taken"}
@@ -95,10 +96,10 @@
         return self.attempts.has_unread_input()
 
     def adopt_stream(
-        self, attempt: Attempt, raw: socket.socket, cached_tokens: int, wait_writable: WaitWritable
+        self, attempt: Attempt, raw: socket.socket, position: StreamPosition, wait_writable: WaitWritable
     ) -> None:
-        """Continues a stream that another process began."""
-        self.attempts.adopt(attempt, raw, cached_tokens, wait_writable)
+        """Continues a stream that another process has read up to `position`."""
+        self.attempts.adopt(attempt, raw, position, wait_writable)
 
     def migrate_streams(self, migrate_stream: MigrateStream) -> None:
         """From now on hands all streams over to another process."""
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -15,6 +15,7 @@
 from violetstack.net.upstream.response_errors import StalledResponseError, UnfinishedStreamError
 from violetstack.net.upstream.stream_trailer import (
     LoadReport,
+    StreamPosition,
     StreamTrailer,
     cached_tokens_of,
     is_error_event,
@@ -43,8 +44,8 @@
 STATE_MISSING_DETAIL = 1
 """`AttemptFinished.detail` of a rejection because the host no longer holds the prefilled state."""
 
-MigrateStream = Callable[[Attempt, UpstreamConnection, int], Awaitable[bool]]
-"""Hands a stream and its number of cached tokens to another process; False if it must continue here."""
+MigrateStream = Callable[[Attempt, UpstreamConnection, StreamPosition], Awaitable[bool]]
+"""Hands a stream at its position to another process; False if it must continue here."""
 
 
 class AttemptResult(NamedTuple):
@@ -81,8 +82,6 @@
         self._current_migration = current_migration
         self._set_receive_scope = set_receive_scope
         self._head: ResponseHead | None = None
-        self._resumed = False
-        """Whether another process has read the head; the response has chunked encoding then."""
         self._body = bytearray()
         self._splitter = sse.EventSplitter()
         self._trailer = StreamTrailer(report_fields)
@@ -91,8 +90,8 @@
         """Time of the last complete event, or of the beginning of an incomplete part, on trio's clock."""
 
     @property
-    def done(self) -> bool:
-        """Whether the marker at the end of the answer, `[DONE]`, has been received."""
+    def done(self) -> bool | None:
+        """Whether the marker at the end of the answer, `[DONE]`, has been received; None if unknown."""
         return self._trailer.done
 
     @property
@@ -100,11 +99,10 @@
         """Time since the last complete event, or since the beginning of an incomplete part."""
         return (trio.current_time() - self._progress_at) * 1000.0
 
-    async def resume(self, cached_tokens: int) -> AttemptResult:
-        """Continues a stream whose beginning another process has read."""
+    async def resume(self, position: StreamPosition) -> AttemptResult:
+        """Continues a stream that another process has read up to `position`."""
         self._head = ResponseHead(200, {})
-        self._resumed = True
-        self._trailer.cached_tokens = cached_tokens
+        self._trailer.resume(position)
         return await self.read()
 
     async def read(self) -> AttemptResult:
@@ -209,21 +207,22 @@
         migrate = self._current_migration()
         if migrate is None or not self._attempt.stream_started or self._partial or self._openai_api:
             return False
-        return await migrate(self._attempt, self._connection, self._trailer.cached_tokens)
+        return await migrate(self._attempt, self._connection, self._trailer.position)
 
     # --- result of a complete response ---
 
     def _result(self, head: ResponseHead) -> AttemptResult:
         if head.status != 200:
             return self._openai_result(head) if self._openai_api else self._platform_result(head)
-        # With a wrong Content-Length a stream may end anywhere; only chunked encoding marks its real end.
-        chunked = "transfer-encoding" in head.headers or self._resumed
-        if not self._trailer.done and (self._openai_api or not chunked):
-            raise UnfinishedStreamError("a stream ended without [DONE]")
         if not self._attempt.stream_started:
             raise UnfinishedStreamError("a stream ended without an event")
-        if rest := self._splitter.end():
-            self._core.forward_event(self._attempt, memoryview(rest))
+        rest = memoryview(self._splitter.end())
+        self._trailer.read(rest)
+        # Framing alone does not show that the answer is complete: a host may end a stream at any event.
+        if self._trailer.done is False:
+            raise UnfinishedStreamError("a stream ended without [DONE]")
+        if rest:
+            self._core.forward_event(self._attempt, rest)
         cached = self._clamp_cached_tokens(self._trailer.cached_tokens)
         return AttemptResult(AttemptStatus.OK, cached, self._trailer.load_report)
 
--- a/violetstack/rehearsal/hosts.py
+++ b/violetstack/rehearsal/hosts.py
@@ -58,6 +58,7 @@
     "bad size": Act(events=2, raw=b"zz\r\n" + EVENT + b"\r\n"),
     "size too small": Act(events=2, raw=b"5\r\n" + EVENT + b"\r\n"),
     "size too large": Act(events=2, raw=b"%x\r\n" % (len(EVENT) + 9) + EVENT + b"\r\n"),
+    "ended early": Act(events=2, raw=b"0\r\n\r\n"),
     "size larger, more events": Act(events=2, raw=(b"%x\r\n" % 999 + EVENT + b"\r\n") * 9),
     "3 GB": Act(events=2, raw=FOREVER),
 }
