Streams: only events of the answer keep the time limit between two events from running out

Cause: each complete server-sent event started the limit of 4.3 s anew, so a host that had stopped its answer and went on with comments, empty events, repeated token counts or anything after [DONE] was never given up. The first byte of an incomplete event started another 1.5 s, at up to 4.3 s after the last event: 5.5 s in all.

Change: an event counts if it continues the answer: text or another part of a choice, a finish reason, the first token counts, the first [DONE]. Comments and empty events are forwarded as before. What the limits are and what starts them is in one module, ResponseProgress.

--- a/tests/test_bad_hosts.py
+++ b/tests/test_bad_hosts.py
@@ -9,7 +9,7 @@
 import trio.testing
 
 from tests.test_stories import pair, play
-from violetstack.net.upstream import response_reader
+from violetstack.net.upstream import stream_progress
 from violetstack.protocol.headers import parse_load_report
 from violetstack.rehearsal.clients import ask_chat, ask_platform, chat_body, chat_headers
 from violetstack.rehearsal.hosts import MALFORMED_RESPONSES, MALFORMED_STREAMS, Act
@@ -18,7 +18,7 @@
 
 @pytest.fixture(autouse=True)
 def _short_partial_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(response_reader, "PARTIAL_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(stream_progress, "PARTIAL_TIMEOUT_S", 0.05)
 
 
 @pytest.mark.parametrize("act", MALFORMED_RESPONSES.values(), ids=MALFORMED_RESPONSES)
@@ -55,7 +55,7 @@
 
 def test_a_stream_that_stops_between_two_events_is_cut(monkeypatch: pytest.MonkeyPatch) -> None:
     """When hosts stopped sending, clients were left waiting on their streams."""
-    monkeypatch.setattr(response_reader, "EVENT_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(stream_progress, "EVENT_TIMEOUT_S", 0.05)
     prefill_host, decode_host = pair(Act(events=2, pause=trio.Event()))
 
     async def story(on: Stage) -> None:
--- a/tests/test_incomplete_streams.py
+++ b/tests/test_incomplete_streams.py
@@ -134,3 +134,30 @@
 def test_a_stream_that_its_host_ends_early_is_not_ended_as_complete() -> None:
     outcomes = play_streams({**EARLY_ENDS, "complete": lambda: once(BEGINNING + END)})
     assert outcomes.complete == {"complete"}
+
+
+ENDLESS: dict[str, Script] = {
+    "silence": lambda: once(BEGINNING),
+    "comments": lambda: repeat(BEGINNING, then=chunk(b": ping\n\n"), every_s=0.5),
+    "empty-comments": lambda: repeat(BEGINNING, then=chunk(b":\n\n"), every_s=0.5),
+    "empty-data": lambda: repeat(BEGINNING, then=chunk(b"data:\n\n"), every_s=0.5),
+    "named-events": lambda: repeat(BEGINNING, then=chunk(b"event: ping\ndata: {}\n\n"), every_s=0.5),
+    "retry-times": lambda: repeat(BEGINNING, then=chunk(b"retry: 1000\n\n"), every_s=0.5),
+    "no-choices": lambda: repeat(BEGINNING, then=chunk(b'data: {"choices":[]}\n\n'), every_s=0.5),
+    "empty-deltas": lambda: repeat(BEGINNING, then=chunk(TOKEN.replace(b"oqvh", b"")), every_s=0.5),
+    "usage": lambda: repeat(BEGINNING + chunk(USAGE), then=chunk(USAGE), every_s=0.5),
+    "an-event-in-bytes": lambda: repeat(BEGINNING + chunk(TOKEN[:40]), then=chunk(b"x"), every_s=0.2),
+    "late-bytes": lambda: repeat(BEGINNING, then=chunk(b"d"), every_s=20.0, after_s=4.0),
+    "silence-after-done": lambda: once(BEGINNING + END[: -len(LAST_CHUNK)]),
+    "comments-after-done": lambda: repeat(
+        BEGINNING + END[: -len(LAST_CHUNK)], then=chunk(b": ping\n\n"), every_s=0.5
+    ),
+    "done-again-and-again": lambda: repeat(BEGINNING, then=chunk(DONE), every_s=0.5),
+    "trailers": lambda: repeat(BEGINNING + b"0\r\n", then=b"a: b\r\n", every_s=0.2),
+}
+
+
+def test_a_client_does_not_wait_for_a_host_that_goes_on_without_events_of_the_answer() -> None:
+    outcomes = play_streams(ENDLESS)
+    assert not outcomes.left_waiting
+    assert not outcomes.complete
--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -13,7 +13,7 @@
 from tests.test_core import CoreHarness
 from violetstack.core.records import Attempt
 from violetstack.fronts.reply import Payload
-from violetstack.net.upstream import response_reader
+from violetstack.net.upstream import stream_progress
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.response_reader import ResponseReader
 from violetstack.net.upstream.stream_trailer import StreamPosition
@@ -91,8 +91,8 @@
     before: bytes, during: bytes, status: AttemptStatus, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The expired timer cancelled every further read: the stream did not end, and the loop never waited."""
-    monkeypatch.setattr(response_reader, "EVENT_TIMEOUT_S", TIMEOUT_S)
-    monkeypatch.setattr(response_reader, "PARTIAL_TIMEOUT_S", TIMEOUT_S)
+    monkeypatch.setattr(stream_progress, "EVENT_TIMEOUT_S", TIMEOUT_S)
+    monkeypatch.setattr(stream_progress, "PARTIAL_TIMEOUT_S", TIMEOUT_S)
 
     async def main() -> None:
         harness = ReaderHarness()
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -11,8 +11,10 @@
 from violetstack.core.records import Attempt
 from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
+from violetstack.net.upstream.answer_events import classify_event
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.response_errors import StalledResponseError, UnfinishedStreamError
+from violetstack.net.upstream.stream_progress import ResponseProgress
 from violetstack.net.upstream.stream_trailer import (
     LoadReport,
     StreamPosition,
@@ -25,12 +27,6 @@
 from violetstack.protocol.headers import parse_load_report
 from violetstack.protocol.http_client import InvalidResponseError, ResponseData, ResponseEnd, ResponseHead
 
-HEAD_TIMEOUT_S = 30.0
-"""Limit for the first byte of a response; the attempt's own deadline is far shorter."""
-EVENT_TIMEOUT_S = 4.3
-"""Limit between two events: a client must not wait 5 s or longer on a stream that has stopped."""
-PARTIAL_TIMEOUT_S = 1.5
-"""Limit for the rest of a head, first event or chunk: it normally arrives together with its beginning."""
 MIGRATION_RETRY_S = 0.1
 """Interval at which the migration of a stream is retried after it was not possible."""
 MAX_BODY_BYTES = 64 * 1024
@@ -86,8 +82,7 @@
         self._splitter = sse.EventSplitter()
         self._trailer = StreamTrailer(report_fields)
         self._partial = False
-        self._progress_at = trio.current_time()
-        """Time of the last complete event, or of the beginning of an incomplete part, on trio's clock."""
+        self._progress = ResponseProgress()
 
     @property
     def done(self) -> bool | None:
@@ -96,8 +91,8 @@
 
     @property
     def idle_ms(self) -> float:
-        """Time since the last complete event, or since the beginning of an incomplete part."""
-        return (trio.current_time() - self._progress_at) * 1000.0
+        """Time since the last event of the answer."""
+        return self._progress.idle_ms
 
     async def resume(self, position: StreamPosition) -> AttemptResult:
         """Continues a stream that another process has read up to `position`."""
@@ -136,12 +131,7 @@
         Raises:
             StalledResponseError: Nothing arrived within the limit.
         """
-        timeout_s = HEAD_TIMEOUT_S
-        if self._partial:
-            timeout_s = PARTIAL_TIMEOUT_S
-        elif self._attempt.stream_started:
-            timeout_s = EVENT_TIMEOUT_S
-        deadline = self._progress_at + timeout_s
+        deadline = self._progress.deadline(stream_started=self._attempt.stream_started, partial=self._partial)
         receive_until = deadline
         if self._current_migration() is not None and self._attempt.stream_started:
             receive_until = min(receive_until, trio.current_time() + MIGRATION_RETRY_S)
@@ -152,11 +142,8 @@
         if timer.cancelled_caught and self._connection.has_input():
             return await self._connection.receive()
         if timer.cancelled_caught and trio.current_time() >= deadline:
-            raise StalledResponseError(
-                f"the rest of a response part did not arrive within {PARTIAL_TIMEOUT_S} s"
-                if self._partial
-                else f"no event within {timeout_s:g} s"
-            )
+            part = "event of the answer" if self._attempt.stream_started else "first event"
+            raise StalledResponseError(f"no {part} for {self._progress.idle_ms:.0f} ms")
         return events
 
     def _read_head(self, head: ResponseHead) -> None:
@@ -178,18 +165,23 @@
         for event in self._splitter.feed(data):
             if self._openai_api and is_error_event(event):
                 raise InvalidResponseError("the stream contains an error event")
-            if not self._attempt.stream_started and not self._core.stream_started(now_ms(), self._attempt):
-                raise InvalidResponseError("the stream is not wanted any more: the core has rejected it")
+            if not self._attempt.stream_started:
+                self._start_stream()
+            self._progress.event_received(classify_event(event))
             self._trailer.read(event)
             self._core.forward_event(self._attempt, event)
-            self._progress_at = trio.current_time()
             self._partial = False
 
+    def _start_stream(self) -> None:
+        if not self._core.stream_started(now_ms(), self._attempt):
+            raise InvalidResponseError("the stream is not wanted any more: the core has rejected it")
+        self._progress.stream_started()
+
     async def _wait_for_client(self) -> None:
         """Applies backpressure; the time spent waiting for a slow client does not count against the host."""
         wait_started_at = trio.current_time()
         await self._attempt.request.payload.wait_writable()
-        self._progress_at += trio.current_time() - wait_started_at
+        self._progress.client_waited(trio.current_time() - wait_started_at)
 
     def _update_partial(self) -> None:
         was_partial = self._partial
@@ -201,7 +193,7 @@
             or (awaits_first_event and not self._openai_api)
         )
         if self._partial and not was_partial:
-            self._progress_at = trio.current_time()
+            self._progress.part_received()
 
     async def _migrate(self) -> bool:
         migrate = self._current_migration()
