Streams: an event whose parts come slowly is not cut while the limit between two events runs

Cause: the rest of an event, or of a chunk, had to arrive within 1.5 s of its beginning, however steadily it came, and a stall in the middle of an event was given less time than one between two events.

Change: once a stream has started one limit holds, 4.3 s since the last event of the answer. Before that the parts of a head or first event may come slowly: 1.5 s of silence end it, and the attempt's deadline.

The limits that test_bad_hosts shortens are both shortened in all its tests now.

--- a/tests/test_bad_hosts.py
+++ b/tests/test_bad_hosts.py
@@ -17,8 +17,9 @@
 
 
 @pytest.fixture(autouse=True)
-def _short_partial_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
+def _short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(stream_progress, "PARTIAL_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(stream_progress, "EVENT_TIMEOUT_S", 0.05)
 
 
 @pytest.mark.parametrize("act", MALFORMED_RESPONSES.values(), ids=MALFORMED_RESPONSES)
@@ -53,9 +54,8 @@
     play(prefill_host, decode_host, story=story)
 
 
-def test_a_stream_that_stops_between_two_events_is_cut(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_stream_that_stops_between_two_events_is_cut() -> None:
     """When hosts stopped sending, clients were left waiting on their streams."""
-    monkeypatch.setattr(stream_progress, "EVENT_TIMEOUT_S", 0.05)
     prefill_host, decode_host = pair(Act(events=2, pause=trio.Event()))
 
     async def story(on: Stage) -> None:
--- a/tests/test_incomplete_streams.py
+++ b/tests/test_incomplete_streams.py
@@ -161,3 +161,43 @@
     outcomes = play_streams(ENDLESS)
     assert not outcomes.left_waiting
     assert not outcomes.complete
+
+
+SLOW_EVENTS: dict[str, Script] = {
+    "slow-pieces": lambda: once(
+        BEGINNING,
+        b"%x\r\n" % len(TOKEN),
+        *(part for byte in range(0, len(TOKEN), 12) for part in (TOKEN[byte : byte + 12], Pause(0.4))),
+        b"\r\n" + END,
+    ),
+    "slow-chunks": lambda: once(
+        BEGINNING,
+        *(part for byte in range(0, len(TOKEN), 12) for part in (chunk(TOKEN[byte : byte + 12]), Pause(0.4))),
+        END,
+    ),
+    "a-stall-in-an-event": lambda: once(BEGINNING, chunk(TOKEN[:40]), Pause(3.0), chunk(TOKEN[40:]) + END),
+    "a-stall-in-a-chunk-size": lambda: once(BEGINNING, b"5", Pause(3.0), chunk(TOKEN)[1:] + END),
+    "a-stall-in-the-last-chunk": lambda: once(BEGINNING, END[:-3], Pause(3.0), END[-3:]),
+}
+
+
+def test_a_stream_whose_events_are_written_slowly_is_not_cut() -> None:
+    outcomes = play_streams(SLOW_EVENTS)
+    assert outcomes.complete == set(SLOW_EVENTS)
+
+
+FIRST_PIECES = tuple(
+    part for byte in range(0, len(TOKEN), 16) for part in (chunk(TOKEN[byte : byte + 16]), Pause(0.4))
+)
+SLOW_BEGINNINGS: dict[str, Script] = {
+    "slow-first-event": lambda: once(HEAD, *FIRST_PIECES, END),
+    "slow-head": lambda: once(
+        *(part for byte in range(0, len(HEAD), 16) for part in (HEAD[byte : byte + 16], Pause(0.4))),
+        chunk(TOKEN) + END,
+    ),
+}
+
+
+def test_an_answer_whose_beginning_is_written_slowly_is_not_given_up() -> None:
+    outcomes = play_streams(SLOW_BEGINNINGS, events_before_wait=0)
+    assert outcomes.complete == set(SLOW_BEGINNINGS)
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -82,6 +82,8 @@
         self._splitter = sse.EventSplitter()
         self._trailer = StreamTrailer(report_fields)
         self._partial = False
+        self._received = False
+        """Whether the last read returned bytes."""
         self._progress = ResponseProgress()
 
     @property
@@ -139,7 +141,9 @@
         with trio.move_on_at(receive_until) as timer:
             self._set_receive_scope(timer)
             events = await self._connection.receive()
+        self._received = not timer.cancelled_caught
         if timer.cancelled_caught and self._connection.has_input():
+            self._received = True
             return await self._connection.receive()
         if timer.cancelled_caught and trio.current_time() >= deadline:
             part = "event of the answer" if self._attempt.stream_started else "first event"
@@ -185,14 +189,11 @@
 
     def _update_partial(self) -> None:
         was_partial = self._partial
+        incomplete = self._connection.http.partial or self._splitter.partial
         # An OpenAI-style host may send the head long before the first event.
         awaits_first_event = self._head is not None and not self._attempt.stream_started
-        self._partial = (
-            self._connection.http.partial
-            or self._splitter.partial
-            or (awaits_first_event and not self._openai_api)
-        )
-        if self._partial and not was_partial:
+        self._partial = incomplete or (awaits_first_event and not self._openai_api)
+        if (incomplete and self._received) or (self._partial and not was_partial):
             self._progress.part_received()
 
     async def _migrate(self) -> bool:
--- a/violetstack/net/upstream/stream_progress.py
+++ b/violetstack/net/upstream/stream_progress.py
@@ -11,7 +11,7 @@
 EVENT_TIMEOUT_S = 4.3
 """Limit between two events of an answer: a client must not wait for 5 s after the last one."""
 PARTIAL_TIMEOUT_S = 1.5
-"""Limit for the rest of a head or event: it normally arrives together with its beginning."""
+"""Limit for the next bytes of a response that has begun, up to its first event."""
 
 
 class ResponseProgress:
@@ -27,7 +27,7 @@
         self._advanced_at = trio.current_time()
         """When the response began, or when its first event or the last event of its answer arrived."""
         self._part_received_at = self._advanced_at
-        """When an incomplete head or event began to arrive."""
+        """When the last bytes of an incomplete head or event arrived."""
         self._usage_received = False
         self._done = False
 
@@ -40,14 +40,18 @@
         """Returns until when the response has to continue.
 
         Args:
-            stream_started: Whether an event has been forwarded.
-            partial: Whether the last part that arrived is incomplete.
+            stream_started: Whether an event has been forwarded. From then on only events count: the parts of
+                one may come as slowly as the limit between two events allows.
+            partial: Whether a part of the response has arrived, but no event.
         """
-        deadline = self._advanced_at + (EVENT_TIMEOUT_S if stream_started else HEAD_TIMEOUT_S)
-        return min(deadline, self._part_received_at + PARTIAL_TIMEOUT_S) if partial else deadline
+        if stream_started:
+            return self._advanced_at + EVENT_TIMEOUT_S
+        if partial:
+            return self._part_received_at + PARTIAL_TIMEOUT_S
+        return self._advanced_at + HEAD_TIMEOUT_S
 
     def part_received(self) -> None:
-        """Records that an incomplete head or event has begun to arrive."""
+        """Records that bytes of an incomplete head or event have arrived."""
         self._part_received_at = trio.current_time()
 
     def stream_started(self) -> None:
