Streams: comments before the answer do not commit the request to their host

What callers saw: a host that sends a comment and then stops, or ends its stream, cost the client its answer, although another attempt was safe and there was time for it.

Cause: the same as of the endless streams, a complete server-sent event taken for a part of the answer: the first one, whatever it was, committed the request to the attempt and stopped its deadline.

Change: events without data are kept (16 KiB at most) until the first one with data, and go out in front of it.

--- a/tests/test_incomplete_streams.py
+++ b/tests/test_incomplete_streams.py
@@ -60,14 +60,15 @@
 
 
 class ScriptedStreams(ModelHost):
-    """A decode host that writes the script of each request's id."""
+    """A decode host that writes the script of each request's id, and a complete answer to its retries."""
 
     def __init__(self, scripts: dict[str, Script]) -> None:
         super().__init__("w", "decode")
-        self.scripts = scripts
+        self.scripts = dict(scripts)
 
     async def play(self, act: object, inbound: HttpRequest, connection: PeerConnection) -> None:
-        async for part in self.scripts[inbound.headers["req-id"]]():
+        script = self.scripts.pop(inbound.headers["req-id"], lambda: once(BEGINNING + END))
+        async for part in script():
             if isinstance(part, Pause):
                 await trio.sleep(part)
             else:
@@ -82,6 +83,8 @@
 
     answers: dict[str, Answer] = field(default_factory=dict)
     waited_s: dict[str, float] = field(default_factory=dict)
+    attempted: list[str] = field(default_factory=list)
+    """Ids of the requests that the host has received, once for each attempt."""
 
     @property
     def complete(self) -> set[str]:
@@ -99,7 +102,9 @@
     async def main() -> None:
         with trio.fail_after(TEST_TIMEOUT_S):
             prefill = ModelHost("r", "prefill")
-            async with dispatcher_process(prefill, ScriptedStreams(scripts)) as process:
+            decode = ScriptedStreams(scripts)
+            outcomes.attempted = decode.received_ids
+            async with dispatcher_process(prefill, decode) as process:
 
                 async def ask(name: str) -> None:
                     call = await process.send_request(name)
@@ -201,3 +206,17 @@
 def test_an_answer_whose_beginning_is_written_slowly_is_not_given_up() -> None:
     outcomes = play_streams(SLOW_BEGINNINGS, events_before_wait=0)
     assert outcomes.complete == set(SLOW_BEGINNINGS)
+    assert sorted(outcomes.attempted) == sorted(SLOW_BEGINNINGS)
+
+
+def test_comments_before_the_answer_do_not_prevent_a_retry() -> None:
+    comment = chunk(b": queued\n\n")
+    scripts: dict[str, Script] = {
+        "stalled": lambda: once(HEAD + comment),
+        "endless": lambda: repeat(HEAD, then=comment, every_s=0.3),
+        "ended": lambda: once(HEAD + comment + LAST_CHUNK),
+        "served": lambda: once(HEAD + comment, Pause(0.5), chunk(TOKEN) + END),
+    }
+    outcomes = play_streams(scripts, events_before_wait=0)
+    assert outcomes.complete == set(scripts)
+    assert outcomes.answers["served"].body.startswith(b": queued\n\n" + TOKEN)
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -11,7 +11,7 @@
 from violetstack.core.records import Attempt
 from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
-from violetstack.net.upstream.answer_events import classify_event
+from violetstack.net.upstream.answer_events import EventKind, classify_event
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.response_errors import StalledResponseError, UnfinishedStreamError
 from violetstack.net.upstream.stream_progress import ResponseProgress
@@ -31,6 +31,8 @@
 """Interval at which the migration of a stream is retried after it was not possible."""
 MAX_BODY_BYTES = 64 * 1024
 """Limit for the body of a response that is not a stream."""
+MAX_HELD_BACK_BYTES = 16 * 1024
+"""Limit for comments before the first event of an answer."""
 INVALID_REQUEST_STATUSES = frozenset({400, 404, 405, 411, 413, 414, 415, 422, 431})
 """The request itself is invalid: every other host would reject it, too."""
 TOO_MANY_REQUESTS = 429
@@ -80,6 +82,8 @@
         self._head: ResponseHead | None = None
         self._body = bytearray()
         self._splitter = sse.EventSplitter()
+        self._held_back = bytearray()
+        """Events before the first one with data."""
         self._trailer = StreamTrailer(report_fields)
         self._partial = False
         self._received = False
@@ -169,17 +173,30 @@
         for event in self._splitter.feed(data):
             if self._openai_api and is_error_event(event):
                 raise InvalidResponseError("the stream contains an error event")
+            kind = classify_event(event)
+            self._trailer.read(event)
             if not self._attempt.stream_started:
+                if kind is EventKind.COMMENT:
+                    self._hold_back(event)
+                    continue
                 self._start_stream()
-            self._progress.event_received(classify_event(event))
-            self._trailer.read(event)
+            self._progress.event_received(kind)
             self._core.forward_event(self._attempt, event)
             self._partial = False
 
+    def _hold_back(self, event: memoryview) -> None:
+        """Keeps an event that may precede the answer: forwarding it would rule out another attempt."""
+        self._held_back += event
+        if len(self._held_back) > MAX_HELD_BACK_BYTES:
+            raise InvalidResponseError(f"more than {MAX_HELD_BACK_BYTES} bytes of comments before the answer")
+
     def _start_stream(self) -> None:
         if not self._core.stream_started(now_ms(), self._attempt):
             raise InvalidResponseError("the stream is not wanted any more: the core has rejected it")
         self._progress.stream_started()
+        if self._held_back:
+            self._core.forward_event(self._attempt, memoryview(self._held_back))
+            self._held_back = bytearray()
 
     async def _wait_for_client(self) -> None:
         """Applies backpressure; the time spent waiting for a slow client does not count against the host."""
