--- a/tests/test_incomplete_streams.py
+++ b/tests/test_incomplete_streams.py
@@ -95,7 +95,9 @@
         return {name: wait_s for name, wait_s in self.waited_s.items() if wait_s > MAX_WAIT_S}
 
 
-def play_streams(scripts: dict[str, Script], events_before_wait: int = 2) -> Outcomes:
+def play_streams(
+    scripts: dict[str, Script], events_before_wait: int = 2, request_class: str = "consulta"
+) -> Outcomes:
     """Sends a request for each script at the same time; a client leaves soon after it has waited too long."""
     outcomes = Outcomes()
 
@@ -107,7 +109,7 @@
             async with dispatcher_process(prefill, decode) as process:
 
                 async def ask(name: str) -> None:
-                    call = await process.send_request(name)
+                    call = await process.send_request(name, request_class)
                     await call.receive(events=events_before_wait)
                     last_event_at = trio.current_time()
                     with trio.move_on_after(MAX_WAIT_S + 1.0):
@@ -204,7 +206,7 @@
 
 
 def test_an_answer_whose_beginning_is_written_slowly_is_not_given_up() -> None:
-    outcomes = play_streams(SLOW_BEGINNINGS, events_before_wait=0)
+    outcomes = play_streams(SLOW_BEGINNINGS, events_before_wait=0, request_class="orden")
     assert outcomes.complete == set(SLOW_BEGINNINGS)
     assert sorted(outcomes.attempted) == sorted(SLOW_BEGINNINGS)
 
