Migrated streams: the time limit between two events goes on in the process that takes over

A stream whose host has stopped and that migrates at an upgrade was ended up to 8.6 s after its last event.

Cause: the reader of the process that takes over began its limit of 4.3 s anew.

Change: the offer of a stream has idle_ms, taken when it is sent and no longer before it waits for its turn. Releases that do not know the field ignore it; from those that do not send it the limit begins anew, as before.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -460,6 +460,26 @@
     run_processes(tmp_path, ModelHost("r", "prefill"), decode_host, scenario=scenario)
 
 
+def test_a_client_does_not_wait_longer_because_its_silent_stream_migrates(tmp_path: Path) -> None:
+    """The time limit between two events started anew in each process."""
+    decode_host = ModelHost("w", "decode", Act(events=2, pause=trio.Event()))
+
+    async def scenario(platform: Platform) -> None:
+        predecessor, _ = await platform.start()
+        call = await connect(platform.address)
+        await call.send("POST", "/v1/chat/completions", platform_headers("q0", "orden"), BODY)
+        await call.receive(events=2)
+        last_event_at = trio.current_time()
+        await platform.start()
+        await trio.sleep_until(last_event_at + 2.5)
+        predecessor.send_signal(signal.SIGTERM)
+        assert (await call.receive()).outcome == "cut"
+        assert platform.logged(predecessor, "stopped")[0]["migrated_streams"] == 1
+        assert trio.current_time() - last_event_at < 5.0
+
+    run_processes(tmp_path, ModelHost("r", "prefill"), decode_host, scenario=scenario)
+
+
 def test_cordons_are_kept_over_two_hot_restarts_and_apply_to_both_processes(
     tmp_path: Path,
 ) -> None:
--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -16,7 +16,7 @@
 from violetstack.net.upstream import stream_progress
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.response_reader import ResponseReader
-from violetstack.net.upstream.stream_trailer import StreamPosition
+from violetstack.net.upstream.stream_progress import StreamPosition
 from violetstack.policy_api import AttemptStatus
 from violetstack.protocol.http_client import HttpClientConnection, InvalidResponseError
 
--- a/violetstack/handover/stream_migration.py
+++ b/violetstack/handover/stream_migration.py
@@ -43,6 +43,7 @@
         closing: Whether the response head announced that the client's connection closes after the response.
         version: The version of this message.
         done: Whether `[DONE]` has been received; None in messages of releases that do not tell.
+        idle_ms: Time since the last event of the answer; 0 in messages of releases that do not tell.
     """
 
     id: str
@@ -57,6 +58,7 @@
     closing: bool
     version: int = VERSION
     done: bool | None = None
+    idle_ms: float = 0.0
 
 
 def encode_offer(offer: StreamOffer) -> bytes:
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -35,7 +35,7 @@
 from violetstack.net.downstream.listener import Listener
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.driver import UpstreamDriver
-from violetstack.net.upstream.stream_trailer import StreamPosition
+from violetstack.net.upstream.stream_progress import StreamPosition
 
 REPLY_TIMEOUT_S = 1.0  # a successor that takes longer to reply is assumed to have failed
 ACCEPT_RETRY_S = 0.1
@@ -97,14 +97,14 @@
         return True
 
     async def migrate(
-        self, attempt: Attempt, connection: UpstreamConnection, position: StreamPosition
+        self, attempt: Attempt, connection: UpstreamConnection, position: Callable[[], StreamPosition]
     ) -> bool:
         """Offers the stream of an attempt to the successor, between two of its events.
 
         Args:
             attempt: An attempt whose response has started.
             connection: Its connection to the host.
-            position: How far the stream has come.
+            position: Returns how far the stream has come.
 
         Returns:
             Whether the successor took over the stream. If not, the stream continues in this process.
@@ -128,26 +128,13 @@
         attempt: Attempt,
         connection: UpstreamConnection,
         client: MigratableConnection,
-        position: StreamPosition,
+        position: Callable[[], StreamPosition],
     ) -> bool:
         client_descriptor = client.descriptor
         if client_descriptor is None or not self._core.can_migrate(attempt):
             return False  # one of the two connections was closed while the client was paused
-        request = attempt.request
-        offer = StreamOffer(
-            id=request.policy_request.id,
-            class_index=request.policy_request.class_index,
-            tenant_index=request.policy_request.tenant_index,
-            server=attempt.server,
-            age_ms=now_ms() - request.arrived_at,
-            events_forwarded=attempt.events_forwarded,
-            cached_tokens=position.cached_tokens,
-            done=position.done,
-            prompt_tokens=request.policy_request.prompt_tokens,
-            holds_remote_state=request.hold.needs_release,
-            closing=client.http.closes_after_response,
-        )
         async with self._one_offer_at_a_time:
+            offer = _describe_stream(attempt, position(), client.http.closes_after_response)
             committed = await self._offer(offer, client_descriptor, connection.sock.fileno())
         if committed and not attempt.finished:
             self._core.stream_migrated(now_ms(), attempt)
@@ -184,6 +171,24 @@
         return True
 
 
+def _describe_stream(attempt: Attempt, position: StreamPosition, closing: bool) -> StreamOffer:
+    request = attempt.request
+    return StreamOffer(
+        id=request.policy_request.id,
+        class_index=request.policy_request.class_index,
+        tenant_index=request.policy_request.tenant_index,
+        server=attempt.server,
+        age_ms=now_ms() - request.arrived_at,
+        events_forwarded=attempt.events_forwarded,
+        cached_tokens=position.cached_tokens,
+        prompt_tokens=request.policy_request.prompt_tokens,
+        holds_remote_state=request.hold.needs_release,
+        closing=closing,
+        done=position.done,
+        idle_ms=position.idle_ms,
+    )
+
+
 class StreamReceiver:
     """The successor's side."""
 
@@ -305,7 +310,7 @@
         replies = listener.adopt(sockets.client, offer.closing)
         attempt = self._core.adopt_stream(now_ms(), offer, PlatformSink(replies, stream_started=True))
         replies.attach(attempt.request)
-        position = StreamPosition(offer.cached_tokens, offer.done)
+        position = StreamPosition(offer.cached_tokens, offer.done, offer.idle_ms)
         self._hosts.adopt_stream(attempt, sockets.host, position, replies.wait_writable)
 
 
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -23,7 +23,7 @@
 from violetstack.net.upstream.response_errors import BrokenReason, broken_reason
 from violetstack.net.upstream.response_reader import AttemptResult, MigrateStream, ResponseReader
 from violetstack.net.upstream.state_release import StateReleaser
-from violetstack.net.upstream.stream_trailer import StreamPosition
+from violetstack.net.upstream.stream_progress import StreamPosition
 from violetstack.policy_api import AttemptStatus
 from violetstack.protocol import sse
 from violetstack.protocol.http_client import HttpClientConnection, InvalidResponseError
--- a/violetstack/net/upstream/driver.py
+++ b/violetstack/net/upstream/driver.py
@@ -17,7 +17,7 @@
 from violetstack.net.upstream.reservation import ReservationCaller
 from violetstack.net.upstream.response_reader import MigrateStream
 from violetstack.net.upstream.state_release import StateReleaser
-from violetstack.net.upstream.stream_trailer import StreamPosition
+from violetstack.net.upstream.stream_progress import StreamPosition
 
 RATE_LIMITED_EVENTS = frozenset(
     {"policy", "hold_unclaimed", "reservation_uncertain", "release_started", "release_taken"}
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -14,10 +14,9 @@
 from violetstack.net.upstream.answer_events import EventKind, classify_event
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.response_errors import StalledResponseError, UnfinishedStreamError
-from violetstack.net.upstream.stream_progress import ResponseProgress
+from violetstack.net.upstream.stream_progress import ResponseProgress, StreamPosition
 from violetstack.net.upstream.stream_trailer import (
     LoadReport,
-    StreamPosition,
     StreamTrailer,
     cached_tokens_of,
     is_error_event,
@@ -42,8 +41,8 @@
 STATE_MISSING_DETAIL = 1
 """`AttemptFinished.detail` of a rejection because the host no longer holds the prefilled state."""
 
-MigrateStream = Callable[[Attempt, UpstreamConnection, StreamPosition], Awaitable[bool]]
-"""Hands a stream at its position to another process; False if it must continue here."""
+MigrateStream = Callable[[Attempt, UpstreamConnection, Callable[[], StreamPosition]], Awaitable[bool]]
+"""Hands a stream at its current position to another process; False if it must continue here."""
 
 
 class AttemptResult(NamedTuple):
@@ -103,7 +102,9 @@
     async def resume(self, position: StreamPosition) -> AttemptResult:
         """Continues a stream that another process has read up to `position`."""
         self._head = ResponseHead(200, {})
-        self._trailer.resume(position)
+        self._trailer.cached_tokens = position.cached_tokens
+        self._trailer.done = position.done
+        self._progress.resume(position.idle_ms)
         return await self.read()
 
     async def read(self) -> AttemptResult:
@@ -217,7 +218,10 @@
         migrate = self._current_migration()
         if migrate is None or not self._attempt.stream_started or self._partial or self._openai_api:
             return False
-        return await migrate(self._attempt, self._connection, self._trailer.position)
+        return await migrate(self._attempt, self._connection, self._position)
+
+    def _position(self) -> StreamPosition:
+        return StreamPosition(self._trailer.cached_tokens, self._trailer.done, self._progress.idle_ms)
 
     # --- result of a complete response ---
 
--- a/violetstack/net/upstream/stream_progress.py
+++ b/violetstack/net/upstream/stream_progress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import trio
 
 from violetstack.net.upstream.answer_events import EventKind
@@ -14,6 +15,20 @@
 """Limit for the next bytes of a response that has begun, up to its first event."""
 
 
+class StreamPosition(msgspec.Struct, frozen=True):
+    """How far a stream has come, for the process that continues it.
+
+    Attributes:
+        cached_tokens: Number of prompt tokens that the host found in its cache.
+        done: Whether `[DONE]` has been received; None if the process before does not tell, as older releases.
+        idle_ms: Time since the last event of the answer.
+    """
+
+    cached_tokens: int
+    done: bool | None
+    idle_ms: float = 0.0
+
+
 class ResponseProgress:
     """Measures the time since a response has advanced.
 
--- a/violetstack/net/upstream/stream_trailer.py
+++ b/violetstack/net/upstream/stream_trailer.py
@@ -30,18 +30,6 @@
     error: Any = None
 
 
-class StreamPosition(msgspec.Struct, frozen=True):
-    """How far a stream has come, for the process that continues it.
-
-    Attributes:
-        cached_tokens: Number of prompt tokens that the host found in its cache.
-        done: Whether `[DONE]` has been received; None if the process before does not tell, as older releases.
-    """
-
-    cached_tokens: int
-    done: bool | None
-
-
 class StreamTrailer:
     """Collects this data from the events of one stream while they are forwarded."""
 
@@ -52,16 +40,6 @@
         """Whether `[DONE]` has been received; None if that is unknown."""
         self.load_report: LoadReport = None
 
-    @property
-    def position(self) -> StreamPosition:
-        """How far the stream has come."""
-        return StreamPosition(self.cached_tokens, self.done)
-
-    def resume(self, position: StreamPosition) -> None:
-        """Continues from the position that another process has reached."""
-        self.cached_tokens = position.cached_tokens
-        self.done = position.done
-
     def read(self, event: memoryview) -> None:
         """Reads one event; parts that cannot be parsed are ignored."""
         raw = bytes(event)
