Soak: hosts that go on after their answer, end it early, or write an event slowly

Now a stream that stops is silent, goes on with comments or single bytes, or ends its response; half of the long streams have an event in five pieces over 2.5 s, and such a host counts as streaming while its pieces come.

--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -23,6 +23,12 @@
 from violetstack.rehearsal.fleet.host_holds import UNCERTAIN_AFTER_S, HoldRecorder
 from violetstack.rehearsal.fleet.minimal_http import LAST_CHUNK, Ended, Wire, chunk, message
 from violetstack.rehearsal.fleet.socket_audit import Evidence, HostAttempt
+from violetstack.rehearsal.fleet.stream_faults import (
+    SLOW_EVENT_PIECE_INTERVAL_S,
+    StoppedStream,
+    StreamFaults,
+    split_event,
+)
 from violetstack.rehearsal.peer import Peer
 
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -106,6 +112,7 @@
         self._resumed_at = 0.0
         self._resumed = trio.Event()
         self._gate = FreezeGate(clock)
+        self._stream_faults = StreamFaults(f"{seed} {plan.name}")
 
     # --- listening ---
 
@@ -403,14 +410,21 @@
             reset_connection(wire.stream.socket)
             raise Ended
         events = STREAM_EVENTS
+        slow_event = 0
         if fault is HostFault.LONG_STREAM:
             events = LONG_STREAM_EVENTS
             event_interval_s = LONG_STREAM_DURATION_S / events
+            slow_event = self._stream_faults.draw_slow_event(events)
         for n in range(1, events):
             await trio.sleep(event_interval_s)
-            if n == 2:
-                await self._inject_stream_fault(wire, attempt, fault)
-            await self._write_events(wire, attempt, _event(f"{attempt.request_id}:{n}{padding}"))
+            if n == 2 and await self._inject_stream_fault(wire, attempt, fault):
+                attempt.closed_at = self._clock()
+                return
+            event = _event(f"{attempt.request_id}:{n}{padding}")
+            if n == slow_event:
+                await self._write_slowly(wire, attempt, event)
+            else:
+                await self._write_events(wire, attempt, event)
         trailer = b"data: [DONE]\n\n"
         if self._load_report:
             trailer += f": Srv-Load: {self._load_report}\n\n".encode()
@@ -420,9 +434,10 @@
         await wire.send(chunk(trailer) + LAST_CHUNK)
         attempt.closed_at = self._clock()
 
-    async def _inject_stream_fault(self, wire: Wire, attempt: HostAttempt, fault: HostFault) -> None:
+    async def _inject_stream_fault(self, wire: Wire, attempt: HostAttempt, fault: HostFault) -> bool:
+        """Injects a fault into a stream; returns whether it has ended the response."""
         if fault is HostFault.HANG_AFTER_EVENT:
-            await trio.sleep_forever()
+            return await self._stream_faults.stop(wire, attempt) is StoppedStream.ENDS_EARLY
         if fault is HostFault.MALFORMED_CHUNK:
             await wire.send(b"zz\r\nnot a chunk\r\n")
             await trio.sleep_forever()
@@ -433,6 +448,15 @@
                     await wire.send(b"x" * 10)
                     await trio.sleep(0.02)
             raise Ended
+        return False
+
+    async def _write_slowly(self, wire: Wire, attempt: HostAttempt, event: bytes) -> None:
+        """Writes one event in pieces, with pauses in between; the stream is still coming meanwhile."""
+        attempt.events += event
+        for piece in split_event(event):
+            attempt.last_event_at = self._clock()
+            await wire.send(chunk(piece))
+            await trio.sleep(SLOW_EVENT_PIECE_INTERVAL_S)
 
     async def _write_events(
         self, wire: Wire, attempt: HostAttempt, events: bytes, prefix: bytes = b""
