Listener: connections that wait are accepted together, not one in each pass of the loop

Cause: trio's accept lets all other tasks run after each connection.

Change: up to 16 are accepted in a pass, as long as at most half of the connections are in use, so that none is closed for another.

Seen failing before: test_connections_that_wait_are_accepted_together (12 connections took 12 passes and more).

--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import Counter
 
 import pytest
@@ -23,6 +24,7 @@
 
 PROMPT = "word" * 12_000
 CLIENTS = 6
+SOCKETS = 1000
 
 
 class PassCounter(trio.abc.Instrument):
@@ -60,6 +62,24 @@
     assert names == names[:4] * 3
 
 
+def test_connections_that_wait_are_accepted_together() -> None:
+    """Guards against one accept a pass: behind a hundred others a client waited for as many passes."""
+    counter = PassCounter()
+
+    async def story(on: Stage) -> None:
+        table = on.daemon.fronts.listeners[0].table
+        trio.lowlevel.add_instrument(counter)
+        clients = [socket.create_connection(on.platform) for _ in range(12)]
+        first_pass = counter.passes
+        while len(table.connections) < len(clients):
+            await trio.lowlevel.checkpoint()
+        assert counter.passes - first_pass <= 4
+        for client in clients:
+            client.close()
+
+    play(*pair(), story=story, sockets=SOCKETS)
+
+
 async def send_in_small_chunks(on: Stage, n: int, chat: bool, answers: list[Answer]) -> None:
     body = chat_body("giro-consulta", metadata={"note": PROMPT})
     headers = chat_headers() if chat else platform_headers(f"p{n}", "consulta")
--- a/violetstack/net/downstream/listener.py
+++ b/violetstack/net/downstream/listener.py
@@ -11,6 +11,7 @@
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.fronts.reply import Front
 from violetstack.log import log_rate_limited
+from violetstack.net.downstream.accept_queue import MAX_ACCEPTED_AT_ONCE, accept_waiting
 from violetstack.net.downstream.closing import CloseMonitor
 from violetstack.net.downstream.connection import DownstreamConnection
 from violetstack.net.downstream.connection_reader import REQUEST_TIMEOUT_S
@@ -136,6 +137,15 @@
             if unread_ms > MIN_NOTED_PAUSE_MS:
                 self._note_queued_since(trio.current_time() - unread_ms / 1000.0)
             await self._handle_accepted(stream, tls_handshake)
+            for stream in accept_waiting(listener, self._room_for_waiting()):
+                await self._handle_accepted(stream, tls_handshake)
+
+    def _room_for_waiting(self) -> int:
+        """How many more connections may be accepted in this pass without closing others for them.
+
+        While many are open, each one that is accepted is served before the next.
+        """
+        return 0 if self.table.crowded else MAX_ACCEPTED_AT_ONCE - 1
 
     def _note_queued_since(self, since: float) -> None:
         """Notes that connections accepted before the queue is empty may have waited since `since`."""
