--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -160,6 +160,7 @@
         with running.scope:
             result = await self._handle_errors(attempt, running, exchange)
         del self._running[attempt]
+        running.reader = None  # it refers back, and the cycle would keep the request in memory
         running.request_sent_or_ended.set()
         if result is not None:
             self._report(attempt, result)
