--- a/tests/test_decode_errors.py
+++ b/tests/test_decode_errors.py
@@ -50,8 +50,8 @@
 
 
 def test_a_stream_with_a_deep_usage_reaches_its_client_complete() -> None:
-    usage = b'data: {"choices":[],"usage":' + DEEP + b"}\n\n"
-    ending = b"%x\r\n" % len(usage) + usage + b"\r\n0\r\n\r\n"
+    events = b'data: {"choices":[],"usage":' + DEEP + b"}\n\n" + b"data: [DONE]\n\n"
+    ending = b"%x\r\n" % len(events) + events + b"\r\n0\r\n\r\n"
     prefill_host, decode_host = pair(Act(events=2, raw=ending))
 
     async def story(on: Stage) -> None:
@@ -61,6 +61,6 @@
         )
         answer = await call.receive()
         assert (answer.status, answer.whole) == (200, True)
-        assert answer.body.endswith(usage)
+        assert answer.body.endswith(events)
 
     play(prefill_host, decode_host, story=story)
--- a/violetstack/handover/stream_migration.py
+++ b/violetstack/handover/stream_migration.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from violetstack.handover.errors import InvalidOfferError
 from violetstack.protocol.json_errors import DECODE_ERRORS
@@ -42,8 +43,8 @@
         holds_remote_state: Whether a host may hold state for the request that has to be released at its end.
         closing: Whether the response head announced that the client's connection closes after the response.
         version: The version of this message.
-        done: Whether `[DONE]` has been received; None in messages of releases that do not tell.
-        idle_ms: Time since the last event of the answer; 0 in messages of releases that do not tell.
+        done: Whether `[DONE]` has been received; earlier releases do not tell.
+        idle_ms: Time since the last event of the answer; earlier releases do not tell.
     """
 
     id: str
@@ -57,8 +58,8 @@
     holds_remote_state: bool = msgspec.field(name="loose")
     closing: bool
     version: int = VERSION
-    done: bool | None = None
-    idle_ms: float = 0.0
+    done: bool | UnsetType = UNSET
+    idle_ms: float | UnsetType = UNSET
 
 
 def encode_offer(offer: StreamOffer) -> bytes:
--- a/violetstack/net/stream_migration.py
+++ b/violetstack/net/stream_migration.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 import trio
+from msgspec import UNSET
 
 from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt
@@ -184,7 +185,7 @@
         prompt_tokens=request.policy_request.prompt_tokens,
         holds_remote_state=request.hold.needs_release,
         closing=closing,
-        done=position.done,
+        done=UNSET if position.done is None else position.done,
         idle_ms=position.idle_ms,
     )
 
@@ -310,7 +311,11 @@
         replies = listener.adopt(sockets.client, offer.closing)
         attempt = self._core.adopt_stream(now_ms(), offer, PlatformSink(replies, stream_started=True))
         replies.attach(attempt.request)
-        position = StreamPosition(offer.cached_tokens, offer.done, offer.idle_ms)
+        position = StreamPosition(
+            offer.cached_tokens,
+            None if offer.done is UNSET else offer.done,
+            0.0 if offer.idle_ms is UNSET else offer.idle_ms,
+        )
         self._hosts.adopt_stream(attempt, sockets.host, position, replies.wait_writable)
 
 
