Requests that may not be repeated: an id that may have run is not run again, at either process

Cause: only the ids of open requests were known, to one process.

Change: the id of such a request goes into a table when the last byte of an attempt is written; an id in it is answered with 409. An id whose attempts were all declined is removed.

--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -139,6 +139,9 @@
         state.invariants.check_last_byte(now, attempt)
         attempt.request_written = True
         attempt.written_at = now
+        if not attempt.is_prefill and not state.may_repeat(attempt.request.policy_request):
+            state.executed.record(attempt.request.id)
+            attempt.request.execution_recorded = True
         state.metrics.requests_written += 1
 
     def give_up_undelivered(self, now: float, attempt: Attempt) -> None:
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from violetstack.core.attempts import AttemptManager
+from violetstack.core.executed_requests import ExecutedRequests
 from violetstack.core.hold_manager import HoldManager
 from violetstack.core.lifecycle import RequestLifecycle
 from violetstack.core.ports import (
@@ -92,6 +93,7 @@
         wake: Wake = _do_not_wake,
         retry_after: RetryAfter = _unchanged,
         max_unread: MaxUnread = _no_unread_time,
+        executed: ExecutedRequests | None = None,
     ) -> None:
         """Creates a dispatcher without requests and endpoints.
 
@@ -103,13 +105,14 @@
             wake: Called when `run` has something to do.
             retry_after: Adjusts the retry time that a rejection advises.
             max_unread: Returns how long a request that is read now may have waited in its socket, in ms.
+            executed: The requests that a host may have executed; None for those of this dispatcher alone.
         """
         self.settings = settings
         self.policy = policy
         self.driver = driver
         self.drain_grace_ms = drain_grace_ms
         self._max_unread = max_unread
-        self._state = DispatcherState(settings, driver, wake)
+        self._state = DispatcherState(settings, driver, wake, executed or ExecutedRequests())
         self._hold_manager = HoldManager(self._state, self._give_up_undelivered)
         self._reservations = ReservationManager(self._state, self._hold_manager)
         self._lifecycle = RequestLifecycle(self._state, self._hold_manager, retry_after)
@@ -179,6 +182,7 @@
 
         Raises:
             DuplicateRequestError: A request with the same id is open.
+            ExecutedRequestError: A request with the same id may have been executed, and may not be repeated.
         """
         return self._lifecycle.accept(now, request, sink, payload)
 
--- a/violetstack/core/errors.py
+++ b/violetstack/core/errors.py
@@ -16,6 +16,15 @@
         self.request_id = request_id
 
 
+class ExecutedRequestError(DispatchError):
+    """A host may have executed a request with the same id, which must not be executed again."""
+
+    def __init__(self, request_id: str) -> None:
+        """Creates the error for the id of the earlier request."""
+        super().__init__(f"request {request_id!r} may have been executed")
+        self.request_id = request_id
+
+
 class NotRoutedError(DispatchError):
     """No route matches the request, or the policy of its route rejects it.
 
--- a/violetstack/core/lifecycle.py
+++ b/violetstack/core/lifecycle.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from violetstack.core.errors import DuplicateRequestError
+from violetstack.core.errors import DuplicateRequestError, ExecutedRequestError
 from violetstack.core.hold_manager import HoldManager
 from violetstack.core.ports import MigratedStream, RetryAfter, Sink
 from violetstack.core.records import Attempt, OpenRequest, RequestOutcome
@@ -27,9 +27,13 @@
 
         Raises:
             DuplicateRequestError: A request with the same id is open.
+            ExecutedRequestError: A request with the same id may have been executed, and may not be repeated.
         """
-        if policy_request.id in self._state.open_requests:
+        state = self._state
+        if policy_request.id in state.open_requests:
             raise DuplicateRequestError(policy_request.id)
+        if not state.may_repeat(policy_request) and state.executed.contains(policy_request.id):
+            raise ExecutedRequestError(policy_request.id)
         request = OpenRequest(policy_request, sink, payload, now, now + policy_request.expires_in_ms)
         self._open(now, request)
         request.deadline_timer = self._state.timers.schedule(
@@ -142,6 +146,8 @@
 
     def _close(self, now: float, request: OpenRequest) -> None:
         self._state.invariants.check_closed(request)
+        if request.execution_recorded and not request.may_have_run:
+            self._state.executed.forget(request.id)
         self._state.timers.cancel(request.hold_timer)
         self._state.open_requests.pop(request.id, None)
         request.close()
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -209,6 +209,7 @@
         client_disconnected: Whether its client has closed the connection.
         done: Whether it has its final response.
         may_have_run: Whether a host may have executed a finished attempt; prefills do not count.
+        execution_recorded: Whether its id is among the executed requests because of an attempt of its own.
         first_execution_at: When the first such attempt was started.
         first_execution_endpoint: The host of that attempt.
         attempt_closed_at: When the connection of an attempt was last closed before the host responded.
@@ -241,6 +242,7 @@
     client_disconnected: bool = False
     done: bool = False
     may_have_run: bool = False
+    execution_recorded: bool = False
     first_execution_at: float = 0.0
     first_execution_endpoint: Endpoint | None = None
     attempt_closed_at: float = float("-inf")
--- a/violetstack/core/send_guard.py
+++ b/violetstack/core/send_guard.py
@@ -55,11 +55,7 @@
             return WithholdReason.NO_ATTEMPTS_LEFT
         if attempt.deadline <= now:
             return WithholdReason.DEADLINE_EXCEEDED
-        return (
-            None
-            if may_execute(now, attempt, self._class_settings(request))
-            else WithholdReason.REPETITION_FORBIDDEN
-        )
+        return None if self._may_execute(now, attempt) else WithholdReason.REPETITION_FORBIDDEN
 
     def check_first_byte(self, now: float, attempt: Attempt) -> WithholdReason | None:
         """Checks whether the attempt's first byte may be written, which a draining host does not accept."""
@@ -82,11 +78,20 @@
             return WithholdReason.DEADLINE_EXCEEDED
         if not request.sending_allowed():
             return WithholdReason.CLAIM_NOT_HELD
-        return (
-            None
-            if may_execute(now, attempt, self._class_settings(request))
-            else WithholdReason.REPETITION_FORBIDDEN
-        )
+        return None if self._may_execute(now, attempt) else WithholdReason.REPETITION_FORBIDDEN
+
+    def _may_execute(self, now: float, attempt: Attempt) -> bool:
+        request = attempt.request
+        if not attempt.is_prefill and self._executed_elsewhere(request):
+            return False
+        return may_execute(now, attempt, self._class_settings(request))
+
+    def _executed_elsewhere(self, request: OpenRequest) -> bool:
+        """Whether another process may have executed the request, which may not be repeated."""
+        state = self._state
+        if request.execution_recorded or state.may_repeat(request.policy_request):
+            return False
+        return state.executed.contains(request.id)
 
     def check_host(self, server: str) -> WithholdReason | None:
         """Checks whether new calls may be sent to the host."""
--- a/violetstack/core/state.py
+++ b/violetstack/core/state.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 
 from violetstack.core.endpoint_table import EndpointTable
+from violetstack.core.executed_requests import ExecutedRequests
 from violetstack.core.invariants import InvariantChecker
 from violetstack.core.metrics import RequestMetrics
 from violetstack.core.ports import Driver, LoadShedder, OutlierObserver, RequestRouter, Wake
 from violetstack.core.records import OpenRequest
 from violetstack.core.timers import Timers
-from violetstack.policy_api import EndpointUpdate, Event, ProcessPaused, Request, Settings
+from violetstack.policy_api import EndpointUpdate, Event, Idempotency, ProcessPaused, Request, Settings
 
 MIN_LATENCY_OBJECTIVE_MS = 1.0  # avoids a division by zero
 
@@ -31,10 +32,11 @@
         router: Assigns routes; None if no routes are configured.
         load_shedder: Limits which requests are accepted; None if it is not configured.
         outlier_observer: Observes the health of hosts; None if it is not configured.
+        executed: The requests that a host may have executed, also those of earlier processes.
         wake: Makes the event loop call `Dispatcher.run` soon.
     """
 
-    def __init__(self, settings: Settings, driver: Driver, wake: Wake) -> None:
+    def __init__(self, settings: Settings, driver: Driver, wake: Wake, executed: ExecutedRequests) -> None:
         """Creates the state of a dispatcher without requests."""
         self.settings = settings
         self.driver = driver
@@ -49,6 +51,11 @@
         self.load_shedder: LoadShedder | None = None
         self.outlier_observer: OutlierObserver | None = None
         self.wake = wake
+        self.executed = executed
+
+    def may_repeat(self, request: Request) -> bool:
+        """Returns whether a request of this class may be executed again at any time."""
+        return self.settings.classes[request.class_index].idempotency is Idempotency.IDEMPOTENT
 
     def post(self, event: Event) -> None:
         """Queues an event for the policy and wakes the event loop."""
--- a/violetstack/daemon/dispatch.py
+++ b/violetstack/daemon/dispatch.py
@@ -9,11 +9,13 @@
 
 from violetstack.config import Config
 from violetstack.core.dispatcher import Dispatcher
+from violetstack.core.executed_requests import ExecutedRequests
 from violetstack.daemon.background_task import start_background_task
 from violetstack.daemon.event_loop import EventLoop, WakeSignal
 from violetstack.daemon.optional_services import start_state_writer
 from violetstack.log import log
 from violetstack.net.clock import now_ms
+from violetstack.net.executed_requests_table import open_table
 from violetstack.net.pause_detector import PauseDetector
 from violetstack.net.startup_recovery import StartupRecovery
 from violetstack.net.upstream.connection_pool import ConnectionPool
@@ -81,6 +83,7 @@
         wake=wake_signal.set,
         retry_after=recovery.retry_after_ms,
         max_unread=pause_detector.max_unread_ms,
+        executed=ExecutedRequests(open_table(config.shared_directory, config.node.name)),
     )
     upstream_driver.connect_core(core)
     loop = EventLoop(core, pause_detector, wake_signal)
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from violetstack.core.dispatcher import Dispatcher
-from violetstack.core.errors import DuplicateRequestError, NotRoutedError
+from violetstack.core.errors import DuplicateRequestError, ExecutedRequestError, NotRoutedError
 from violetstack.core.ports import Origin
 from violetstack.fronts.reply import EVENT_STREAM_HEADERS, TEXT_HEADERS, Payload, Reply
 from violetstack.protocol.headers import RequestReader, forwarded_headers
@@ -86,6 +86,8 @@
             self.reject(error.status, error.reason, reply)
         except DuplicateRequestError:
             self.reject(409, "a request with this Req-Id is still open", reply)
+        except ExecutedRequestError:
+            self.reject(409, "a request with this Req-Id may have run and may not be repeated", reply)
 
     def _accept(self, inbound: HttpRequest, reply: Reply) -> None:
         # Calls meant for model hosts (/state/ID) or for discovery are not forwarded.
--- a/violetstack/net/handover_directory.py
+++ b/violetstack/net/handover_directory.py
@@ -46,6 +46,11 @@
     written_at_ms: float
 
 
+def safe_file_name(dispatcher: str) -> str:
+    """Returns the part of a file's name that stands for the dispatcher."""
+    return UNSAFE_IN_FILE_NAME.sub("_", dispatcher) or "_"
+
+
 class HandoverDirectory:
     """Reads the records of the other processes and writes the record of this one.
 
@@ -68,7 +73,7 @@
         """
         self._wall_clock_s = wall_clock_s
         self._written_versions: dict[Path, _WrittenVersion] = {}
-        file_name = UNSAFE_IN_FILE_NAME.sub("_", dispatcher) or "_"
+        file_name = safe_file_name(dispatcher)
         self._path = Path(path)
         self._dispatcher = dispatcher
         self._prefix = f"violetstack-{file_name}-"
