--- a/tests/test_bad_hosts.py
+++ b/tests/test_bad_hosts.py
@@ -12,7 +12,8 @@
 from violetstack.net.upstream import stream_progress
 from violetstack.protocol.headers import parse_load_report
 from violetstack.rehearsal.clients import ask_chat, ask_platform, chat_body, chat_headers
-from violetstack.rehearsal.hosts import MALFORMED_RESPONSES, MALFORMED_STREAMS, Act
+from violetstack.rehearsal.hosts import MALFORMED_RESPONSES, MALFORMED_STREAMS, Act, ModelHost
+from violetstack.rehearsal.peer import PeerConnection
 from violetstack.rehearsal.stage import Stage
 
 
@@ -112,3 +113,30 @@
         assert not on.daemon.core.open_requests
 
     play(prefill_host, decode_host, story=story)
+
+
+class CommentingHost(ModelHost):
+    """A decode host that goes on with comments after two events of its answer."""
+
+    async def stream(self, act: Act, body: memoryview, connection: PeerConnection) -> None:
+        await connection.start(200, [("Content-Type", "text/event-stream")])
+        for _ in range(2):
+            await connection.data(
+                b'data: {"choices":[{"index":0,"delta":{"content":"x"},"finish_reason":null}]}\n\n'
+            )
+        while True:
+            await trio.sleep(0.01)
+            await connection.data(b": ping\n\n")
+
+
+def test_a_stream_that_goes_on_with_comments_is_cut_on_both_fronts() -> None:
+    """Each comment counted as a part of the answer, so the stream never ended."""
+
+    async def story(on: Stage) -> None:
+        assert (await ask_platform(on.platform, "q1", "orden")).outcome == "cut"
+        chat = await ask_chat(on.chat, chat_body("giro-consulta"), chat_headers())
+        assert b"stream_broken" in chat.events[-1]
+        whole = await ask_chat(on.chat, chat_body("giro-consulta", stream=False), chat_headers())
+        assert whole.status >= 500
+
+    play(ModelHost("r", "prefill"), CommentingHost("w", "decode"), story=story)
