--- a/violetstack/rehearsal/fleet/stream_faults.py
+++ b/violetstack/rehearsal/fleet/stream_faults.py
@@ -19,6 +19,7 @@
 TRICKLE_INTERVAL_S = 0.2
 SLOW_EVENT_PIECES = 5
 SLOW_EVENT_PIECE_INTERVAL_S = 0.5
+SLOW_EVENT_S = SLOW_EVENT_PIECES * SLOW_EVENT_PIECE_INTERVAL_S
 
 
 class StoppedStream(Enum):
