--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -168,3 +168,10 @@
     assert [violation.text for violation in result.violations] + result.crashed == []
     assert result.invariants == {}
     assert result.statuses["served"] >= 100
+
+
+def test_a_seed_with_frozen_hosts_and_no_free_descriptors_violates_no_rule(shim: Path) -> None:
+    """Releases wait for a connection while frozen hosts hold them all, or while socket(2) fails."""
+    result = run_until_not_void(SoakPlan(9139, REGRESSION_PROCESSES, REGRESSION_DURATION_S, shim))
+    assert [violation.text for violation in result.violations] + result.crashed == []
+    assert result.invariants == {}
