--- a/violetstack/net/upstream/answer_events.py
+++ b/violetstack/net/upstream/answer_events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from enum import Enum
 from typing import Any
 
@@ -10,7 +11,7 @@
 from violetstack.protocol import sse
 from violetstack.protocol.json_errors import DECODE_ERRORS
 
-CONTENT_KEY = b'"content":"'
+CONTENT = re.compile(rb'"content"\s*:\s*"[^"]')
 """In a JSON text this cannot be a part of a string, in which the quotes would be escaped."""
 DONE_DATA = b"[DONE]"
 
@@ -52,9 +53,8 @@
 def classify_event(event: memoryview) -> EventKind:
     """Returns what an event means for the answer; data that cannot be parsed counts as EMPTY."""
     raw = bytes(event)
-    content_start = raw.find(CONTENT_KEY) + len(CONTENT_KEY)
-    is_plain_data = raw.startswith(b"data:") and raw.count(b"\n") == 2  # one line of data
-    if is_plain_data and content_start >= len(CONTENT_KEY) and raw[content_start : content_start + 1] != b'"':
+    is_one_line = raw.startswith(b"data:") and raw.count(b"\n") == 2  # and the blank line behind it
+    if is_one_line and CONTENT.search(raw):
         return EventKind.CONTENT  # as most events are; parsing costs several times as much
     data = sse.payload(event).strip()
     if not data:
