Soak rig: a connection on which a request was sent again belongs to the dispatcher that it is to

The rig kept the connection among those of dispatcher 0: a request right behind an answer had been sent again to another dispatcher, and only the inner function knew.

--- a/violetstack/rehearsal/fleet/campaign_requests.py
+++ b/violetstack/rehearsal/fleet/campaign_requests.py
@@ -133,7 +133,7 @@
             if pipelined is not None:
                 del self._state.open_exchanges[pipelined.exchange.id]
         if script.behaviour is ClientBehaviour.SENDS_NEXT_REQUEST_AT_ONCE and call.reusable:
-            call = await self._send_next_request(rng, call, exchange, dispatcher)
+            dispatcher, call = await self._send_next_request(rng, call, exchange, dispatcher)
         if self._raced_with_close(exchange, call):
             dispatcher, call = await self._resend(exchange, message, rng)
         if call.reusable:
@@ -173,8 +173,11 @@
 
     async def _send_next_request(
         self, rng: random.Random, call: ClientCall, first: ClientExchange, dispatcher: Dispatcher
-    ) -> ClientCall:
-        """Sends another request on the connection as soon as the answer has ended."""
+    ) -> tuple[Dispatcher, ClientCall]:
+        """Sends another request on the connection as soon as the answer has ended.
+
+        Returns the dispatcher that the connection is to, another one if the request was sent again.
+        """
         script = RequestScript(None, ClientBehaviour.PLAIN, (), 0.0, reads_slowly=first.reads_slowly)
         second = self._new_exchange(rng, f"{first.id}n", script, dispatcher)
         second.reused_connection = True
@@ -192,7 +195,7 @@
         finally:
             del self._state.open_exchanges[second.id]
         self._state.statuses[f"right behind: {_outcome(second)}"] += 1
-        return next_call
+        return dispatcher, next_call
 
     def _raced_with_close(self, exchange: ClientExchange, call: ClientCall) -> bool:
         """Returns whether the dispatcher closed an idle connection while the request was in transit.
