Rig: a restart does not kill the process that a second restart of the same dispatcher has started

Traced: SIGTERM at 0.531 and 0.682 s; the second restart had its new process up at 3.307 s, the first sent SIGKILL to that one at 4.25 s. Two signals to one process are still played.

--- a/violetstack/rehearsal/fleet/campaign_processes.py
+++ b/violetstack/rehearsal/fleet/campaign_processes.py
@@ -110,8 +110,12 @@
         await self.await_ready(dispatcher)
 
     async def restart(self, dispatcher: Dispatcher) -> None:
-        """Sends SIGTERM, then SIGKILL once the time allowed for the shutdown is over, and starts it again."""
+        """Sends SIGTERM, then SIGKILL once the time allowed for the shutdown is over, and starts it again.
+
+        Leaves the process alone that another restart, which began meanwhile, has started.
+        """
         program = dispatcher.program
+        signalled = program.process
         self._record_crash(dispatcher)
         program.expected_running = False
         program.send(signal.SIGTERM)
@@ -120,8 +124,11 @@
         with trio.move_on_after(kill_after_s):
             await trio.sleep(NEW_CONNECTIONS_AFTER_SIGTERM_S)
             dispatcher.accepting = False
-            while program.process is not None and program.process.poll() is None:
+            while program.process is signalled and signalled is not None and signalled.poll() is None:
                 await trio.sleep(POLL_INTERVAL_S)
+        if program.process is not signalled:
+            await self.await_ready(dispatcher)
+            return
         self._kill(dispatcher, sent_until=signalled_at + LATE_REQUEST_S)
         self.start(dispatcher)
         await self.await_ready(dispatcher)
