--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -129,7 +129,12 @@
 
     async def _accept_all(self, nursery: trio.Nursery) -> None:
         while True:
-            sock, _ = await self._listening.accept()
+            try:
+                sock, _ = await self._listening.accept()
+            except OSError:
+                if self._listening.fileno() < 0:
+                    return  # it refuses connections from now on
+                raise
             queued = self._stopped_at is not None and self._clock() < self._resumed_at + QUEUED_CONNECTION_S
             nursery.start_soon(
                 self._serve_connection, trio.SocketStream(sock), self._stopped_at if queued else None
