Streams: a host that writes comments without a pause is given up in time as well

Cause: when the limit was over and input was waiting, it was read, so that a pause of this process cuts no stream; with input that never ends the limit was never noticed. Time in which the client's output was full was added to the limit, even where that output was comments.

--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -12,7 +12,7 @@
 from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.upstream.answer_events import EventKind, classify_event
-from violetstack.net.upstream.connection import UpstreamConnection
+from violetstack.net.upstream.connection import READ_SIZE, UpstreamConnection
 from violetstack.net.upstream.response_errors import StalledResponseError, UnfinishedStreamError
 from violetstack.net.upstream.stream_progress import ResponseProgress, StreamPosition
 from violetstack.net.upstream.stream_trailer import (
@@ -28,6 +28,8 @@
 
 MIGRATION_RETRY_S = 0.1
 """Interval at which the migration of a stream is retried after it was not possible."""
+MAX_LATE_READS = sse.MAX_EVENT_BYTES // READ_SIZE + 1
+"""Reads after the time limit, of input that may have been waiting before it."""
 MAX_BODY_BYTES = 64 * 1024
 """Limit for the body of a response that is not a stream."""
 MAX_HELD_BACK_BYTES = 16 * 1024
@@ -87,6 +89,8 @@
         self._partial = False
         self._received = False
         """Whether the last read returned bytes."""
+        self._late_reads = 0
+        """Consecutive reads after the time limit."""
         self._progress = ResponseProgress()
 
     @property
@@ -116,6 +120,7 @@
             OSError: The connection broke.
         """
         while True:
+            advances = self._progress.advances
             for event in await self._receive():
                 if isinstance(event, ResponseHead):
                     self._read_head(event)
@@ -124,7 +129,7 @@
                 elif isinstance(event, ResponseEnd) and self._head is not None:
                     return self._result(self._head)
             if self._attempt.stream_started:
-                await self._wait_for_client()
+                await self._wait_for_client(advanced=self._progress.advances > advances)
             self._update_partial()
             if await self._migrate():
                 return AttemptResult(AttemptStatus.CANCELLED)
@@ -134,9 +139,10 @@
 
         After a pause of this process the limit may be over before its input was looked at. Waiting input is
         read first then, outside of the expired cancel scope, which would cancel every further read as well.
+        As many reads are made as the longest event needs, since a host may go on to write something else.
 
         Raises:
-            StalledResponseError: Nothing arrived within the limit.
+            StalledResponseError: Nothing that advances the response arrived within the limit.
         """
         deadline = self._progress.deadline(stream_started=self._attempt.stream_started, partial=self._partial)
         receive_until = deadline
@@ -147,10 +153,14 @@
             self._set_receive_scope(timer)
             events = await self._connection.receive()
         self._received = not timer.cancelled_caught
-        if timer.cancelled_caught and self._connection.has_input():
+        if self._received:
+            return events
+        is_late = trio.current_time() >= deadline
+        self._late_reads = self._late_reads + 1 if is_late else 0
+        if self._connection.has_input() and self._late_reads <= MAX_LATE_READS:
             self._received = True
             return await self._connection.receive()
-        if timer.cancelled_caught and trio.current_time() >= deadline:
+        if is_late:
             part = "event of the answer" if self._attempt.stream_started else "first event"
             raise StalledResponseError(f"no {part} for {self._progress.idle_ms:.0f} ms")
         return events
@@ -199,11 +209,16 @@
             self._core.forward_event(self._attempt, memoryview(self._held_back))
             self._held_back = bytearray()
 
-    async def _wait_for_client(self) -> None:
-        """Applies backpressure; the time spent waiting for a slow client does not count against the host."""
+    async def _wait_for_client(self, *, advanced: bool) -> None:
+        """Applies backpressure.
+
+        The time spent waiting for a slow client does not count against the host, unless what the client has
+        to read is no part of the answer.
+        """
         wait_started_at = trio.current_time()
         await self._attempt.request.payload.wait_writable()
-        self._progress.client_waited(trio.current_time() - wait_started_at)
+        if advanced:
+            self._progress.client_waited(trio.current_time() - wait_started_at)
 
     def _update_partial(self) -> None:
         was_partial = self._partial
--- a/violetstack/net/upstream/stream_progress.py
+++ b/violetstack/net/upstream/stream_progress.py
@@ -43,6 +43,8 @@
         """When the response began, or when its first event or the last event of its answer arrived."""
         self._part_received_at = self._advanced_at
         """When the last bytes of an incomplete head or event arrived."""
+        self.advances = 0
+        """Number of events that have continued the answer."""
         self._usage_received = False
         self._done = False
 
@@ -83,6 +85,7 @@
             advances = True
         self._done = kind is EventKind.DONE
         if advances:
+            self.advances += 1
             self._advanced_at = trio.current_time()
 
     def client_waited(self, wait_s: float) -> None:
