Rig: a stall after a freeze does not move the arrival of a request behind the freeze

Traced: the client half-closed 3 ms after its request, the host was frozen from 9.699 to 11.200 s, and its fault, a stall while reading, set the time of arrival, 10.554 s at the earliest, to 11.206 s, when it began to read what had come.

--- a/violetstack/rehearsal/fleet/campaign_host.py
+++ b/violetstack/rehearsal/fleet/campaign_host.py
@@ -265,7 +265,7 @@
             self._record_fault(script, fault)
             stalled_at = self._clock()
             await trio.sleep(READ_STALL_S)
-            if unread_bytes(wire.stream.socket) >= length - len(wire.buffer):
+            if arrived_at is None and unread_bytes(wire.stream.socket) >= length - len(wire.buffer):
                 arrived_at = stalled_at
         await wire.body(length)
         frozen_since = await self._gate.wait(wire)
