Log: a stream that is given up tells where in its framing it stood

The lines of the report say 'left' and 'cancelled' for a client that waited, and not whether its host still wrote. A stream that a client leaves or that this process ends now has a line of its own, upstream_stream_abandoned, with the events forwarded, the time since the last one and the position in the framing ('in a chunk of bytes, 240 received'); upstream_response_truncated has the position too.

--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -110,6 +110,8 @@
         """
         if (running := self._running.get(attempt)) is None:
             return
+        if attempt.stream_started:
+            _log_response("upstream_stream_abandoned", attempt, running.reader)
         if running.connection is not None:
             running.connection.abort()
         running.scope.cancel()
@@ -281,15 +283,22 @@
     reader = running.reader
     if reader is None or (reason is BrokenReason.CONNECTION_BROKEN and not attempt.stream_started):
         return
+    _log_response("upstream_response_truncated", attempt, reader, kind=reason.value, reason=detail)
+
+
+def _log_response(event: str, attempt: Attempt, reader: ResponseReader | None, **fields: str) -> None:
+    """Logs how far the response has come that an attempt ends without."""
+    if reader is None:
+        return
     log_rate_limited(
-        "upstream_response_truncated",
+        event,
         id=attempt.request.id,
         server=attempt.server,
-        kind=reason.value,
         events=attempt.events_forwarded,
         done=reader.done,
         idle_ms=round(reader.idle_ms),
-        reason=detail,
+        position=reader.describe_position(),
+        **fields,
     )
 
 
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -103,6 +103,11 @@
         """Time since the last event of the answer."""
         return self._progress.idle_ms
 
+    def describe_position(self) -> str:
+        """Returns where in the framing and in its events the received part of the response ends."""
+        position = self._connection.http.describe_position()
+        return f"{position}, {self._splitter.incomplete_bytes} bytes of an incomplete event"
+
     async def resume(self, position: StreamPosition) -> AttemptResult:
         """Continues a stream that another process has read up to `position`."""
         self._head = ResponseHead(200, {})
--- a/violetstack/protocol/http_client.py
+++ b/violetstack/protocol/http_client.py
@@ -64,6 +64,21 @@
             return False
         return not (reader._bytes_in_chunk or reader._bytes_to_discard or reader._reading_trailer)
 
+    def describe_position(self) -> str:
+        """Returns where in the response's framing the received bytes end, for the log."""
+        if self._invalid_reason:
+            return "behind invalid bytes"
+        reader = self._h11._reader
+        unparsed = len(self._h11._receive_buffer)
+        if not isinstance(reader, ChunkedReader):
+            return f"not in a chunked body, {unparsed} bytes not parsed"
+        if reader._reading_trailer:
+            return f"in the trailer, {unparsed} bytes received"
+        if reader._bytes_in_chunk:
+            size = self._partial_chunk_bytes + reader._bytes_in_chunk
+            return f"in a chunk of {size} bytes, {self._partial_chunk_bytes} received"
+        return f"between two chunks, {unparsed} bytes received of the next"
+
     def check(self) -> None:
         """Reports invalid bytes that came after the last complete event.
 
--- a/violetstack/protocol/sse.py
+++ b/violetstack/protocol/sse.py
@@ -72,6 +72,11 @@
         """Whether the beginning of an event has been received but not its end."""
         return bool(self._incomplete)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Number of bytes received of an event that is not complete."""
+        return len(self._incomplete)
+
 
 def _event_ends(raw: bytes | bytearray, start: int) -> Iterator[int]:
     """Yields the index after each blank line, with LF or CRLF line ends, from `start` on."""
