Rehearsal: a dispatcher in its own process is a part of the kit, not of the tests

Tests and the rehearsal of malformed responses start one dispatcher with scripted hosts in the same way. Moved as it stands from tests/race_helpers.py.

--- a/tests/held_state_matrix.py
+++ b/tests/held_state_matrix.py
@@ -14,8 +14,8 @@
 import trio
 
 from tests.frozen_hosts import HoldingHost, HostBehaviour, ReservationAnswer, Script, ThawBehaviour
-from tests.race_helpers import DispatcherProcess, dispatcher_process
 from violetstack.rehearsal.clients import Call
+from violetstack.rehearsal.fleet.dispatcher_process import DispatcherProcess, dispatcher_process
 from violetstack.rehearsal.fleet.hold_audit import HeldTooLong, HoldEvidence, HostRecord, audit_holds
 from violetstack.rehearsal.fleet.process_delays import ProcessDelays
 from violetstack.rehearsal.fleet.programs import Program
--- a/tests/test_fault_findings.py
+++ b/tests/test_fault_findings.py
@@ -10,8 +10,8 @@
 
 import trio
 
-from tests.race_helpers import DispatcherProcess, dispatcher_process
 from violetstack.rehearsal.clients import BODY, connect, platform_headers
+from violetstack.rehearsal.fleet.dispatcher_process import DispatcherProcess, dispatcher_process
 from violetstack.rehearsal.fleet.fault_shim import ProcessFaults, SystemCall, build_shim
 from violetstack.rehearsal.fleet.programs import Program
 from violetstack.rehearsal.hosts import Act, ModelHost
--- a/tests/test_incomplete_streams.py
+++ b/tests/test_incomplete_streams.py
@@ -11,9 +11,9 @@
 import pytest
 import trio
 
-from tests.race_helpers import dispatcher_process
 from violetstack.protocol.http_server import HttpRequest
 from violetstack.rehearsal.clients import Answer
+from violetstack.rehearsal.fleet.dispatcher_process import dispatcher_process
 from violetstack.rehearsal.hosts import ModelHost
 from violetstack.rehearsal.peer import Break, PeerConnection
 
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -13,7 +13,6 @@
 import pytest
 import trio
 
-from tests.race_helpers import DispatcherProcess, dispatcher_process
 from tests.test_handover import Platform, run_processes
 from violetstack.core.executed_requests import (
     PROBED_SLOTS,
@@ -24,6 +23,7 @@
 )
 from violetstack.net.executed_requests_table import open_table
 from violetstack.rehearsal.clients import BODY, Call, connect, platform_headers
+from violetstack.rehearsal.fleet.dispatcher_process import DispatcherProcess, dispatcher_process
 from violetstack.rehearsal.hosts import DECLINE, SILENT, Act, ModelHost
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/tests/test_shutdown_streams.py
+++ b/tests/test_shutdown_streams.py
@@ -16,8 +16,8 @@
 import trio
 
 from tests.pipelining import PipeliningClient, relay
-from tests.race_helpers import DispatcherProcess, dispatcher_process
 from violetstack.config import Address
+from violetstack.rehearsal.fleet.dispatcher_process import DispatcherProcess, dispatcher_process
 from violetstack.rehearsal.fleet.fault_shim import ProcessFaults, SystemCall, build_shim
 from violetstack.rehearsal.fleet.programs import Program
 from violetstack.rehearsal.hosts import Act, ModelHost
--- a/tests/test_transient_socket_errors.py
+++ b/tests/test_transient_socket_errors.py
@@ -12,9 +12,9 @@
 import pytest
 import trio
 
-from tests.race_helpers import dispatcher_process
 from tests.test_stories import pair, play
 from violetstack.rehearsal.clients import ask_platform
+from violetstack.rehearsal.fleet.dispatcher_process import dispatcher_process
 from violetstack.rehearsal.fleet.fault_shim import ProcessFaults, SystemCall, build_shim
 from violetstack.rehearsal.fleet.programs import Program
 from violetstack.rehearsal.hosts import Act, ModelHost
