Failing tests: streams left open behind chunks and lengths that no answer can have

The matrix of malformed responses ('rehearse responses': what, where, what follows, first or later response of its connection) plays the whole class; a seeded sample of it is a test.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -54,6 +54,7 @@
     "tests/test_held_state.py",
     "tests/test_incomplete_streams.py",
     "tests/test_log_output.py",
+    "tests/test_malformed_responses.py",
     "tests/test_rehearsal_fleet.py",
     "tests/test_shutdown_streams.py",
     "tests/test_soak.py",
--- a/tests/test_incomplete_streams.py
+++ b/tests/test_incomplete_streams.py
@@ -16,24 +16,21 @@
 from violetstack.rehearsal.fleet.dispatcher_process import dispatcher_process
 from violetstack.rehearsal.hosts import ModelHost
 from violetstack.rehearsal.peer import Break, PeerConnection
+from violetstack.rehearsal.response_cells import (
+    BEGINNING,
+    DONE,
+    END,
+    HEAD,
+    LAST_CHUNK,
+    STOP,
+    TOKEN,
+    USAGE,
+    chunk,
+)
 
 MAX_WAIT_S = 5.0
 """A client must not wait for longer after the last event of a running host."""
 TEST_TIMEOUT_S = 20.0
-HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-TOKEN = b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n'
-STOP = b'data: {"choices":[{"index":0,"delta":{"content":"."},"finish_reason":"stop"}]}\n\n'
-USAGE = b'data: {"choices":[],"usage":{"prompt_tokens":8,"completion_tokens":2}}\n\n'
-DONE = b"data: [DONE]\n\n"
-LAST_CHUNK = b"0\r\n\r\n"
-
-
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-BEGINNING = HEAD + chunk(TOKEN) + chunk(TOKEN)
-END = chunk(STOP) + chunk(USAGE) + chunk(DONE) + LAST_CHUNK
 
 
 class Pause(float):
@@ -244,3 +241,21 @@
     outcomes = play_streams(scripts)
     assert not outcomes.left_waiting
     assert not outcomes.complete
+
+
+OVERSIZED: dict[str, Script] = {
+    "gigabytes": lambda: repeat(BEGINNING + b"c0000000\r\n", then=TOKEN, every_s=0.2),
+    "a-byte-too-large": lambda: repeat(BEGINNING + b"40001\r\n", then=TOKEN, every_s=0.2),
+    "seventeen-digits": lambda: repeat(BEGINNING + b"1" + b"0" * 16 + b"\r\n", then=TOKEN, every_s=0.2),
+    "inside-an-event": lambda: repeat(
+        BEGINNING + chunk(TOKEN[:40]) + b"c0000000\r\n" + TOKEN[40:], then=TOKEN, every_s=0.2
+    ),
+    "a-size-line-without-end": lambda: repeat(BEGINNING + b"5", then=b"5", every_s=0.2),
+    "an-extension-of-events": lambda: repeat(BEGINNING + b"50;", then=TOKEN, every_s=0.2),
+}
+
+
+def test_a_client_does_not_wait_behind_a_chunk_that_no_answer_can_have() -> None:
+    outcomes = play_streams(OVERSIZED)
+    assert not outcomes.left_waiting
+    assert not outcomes.complete
--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -118,6 +118,9 @@
     and log output stalls. It checks the dispatchers' own invariants as well as what clients
     and hosts observed.
 
+    `responses` plays malformed responses of model hosts through one dispatcher, in some 1,000 forms, and
+    checks that each client gets its final answer or the end of its connection in time.
+
     \b
     Examples:
       violetstack rehearse --quiet
@@ -137,6 +140,10 @@
         from violetstack.commands.soak import run_soak  # noqa: PLC0415
 
         sys.exit(run_soak(parse_seeds(seeds), processes, minutes, shrinks=shrinks))
+    if stories[:1] == ("responses",):
+        from violetstack.commands.responses import run_responses  # noqa: PLC0415
+
+        sys.exit(run_responses())
     sys.exit(_run_scenarios(stories, quiet))
 
 
