Streams: a chunk larger than an answer can be is malformed as soon as its size arrives

Callers saw: a client was left waiting for over 5 s behind a chunk that stated gigabytes, while its host went on with events at their usual pace. Cause: the limit of 256 KiB counted the data that had come of a chunk, not the size that it states, so at the pace of a stream it took minutes to be reached, and each event in the chunk started the limit between two events anew. A size line was looked at only once it was complete. Ruled out: the client's output (clients that read at full speed), a late process, the first against a later response of a connection. Fix: the reader checks a chunk header as it arrives, digit by digit: a character that cannot be one, a size over the limit of a body, or a header over 1 KiB is an error at once.

--- a/violetstack/protocol/http_client.py
+++ b/violetstack/protocol/http_client.py
@@ -31,14 +31,16 @@
     """The response is complete."""
 
 
-MAX_CHUNK_BYTES = 256 * 1024
-"""Events are far smaller; a larger chunk size counts as invalid bytes, since such a chunk may never end."""
+MAX_BODY_BYTES = 256 * 1024
+"""The protocol's limit for a body. A chunk that states more cannot belong to a valid response."""
 
 
 class HttpClientConnection:
     """The state machine of one connection to a host."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_chunk_bytes: int = MAX_BODY_BYTES) -> None:
+        """Creates a connection without a request; a larger chunk counts as invalid bytes."""
+        self._max_chunk_bytes = max_chunk_bytes
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=16 * 1024)
         self._partial_chunk_bytes = 0  # of the chunk that is incomplete
         self._invalid_reason = ""  # set once invalid bytes were received; nothing is parsed from then on
@@ -123,7 +125,7 @@
                 if isinstance(event, h11.Response):
                     fields = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
                     events.append(ResponseHead(event.status_code, fields))
-                    join_chunks(self._h11)
+                    join_chunks(self._h11, self._max_chunk_bytes)
                 elif isinstance(event, h11.Data):
                     events.append(self._body(event))
                 elif isinstance(event, h11.EndOfMessage):
@@ -141,8 +143,8 @@
 
     def _body(self, event: h11.Data) -> ResponseData:
         self._partial_chunk_bytes = (0 if event.chunk_start else self._partial_chunk_bytes) + len(event.data)
-        if self._partial_chunk_bytes > MAX_CHUNK_BYTES:
-            raise InvalidResponseError("chunk of the response exceeds 256 KiB")
+        if self._partial_chunk_bytes > self._max_chunk_bytes:
+            raise InvalidResponseError(f"chunk of the response exceeds {self._max_chunk_bytes} bytes")
         if event.chunk_end:
             self._partial_chunk_bytes = 0
         return ResponseData(memoryview(event.data))
--- a/violetstack/protocol/http_server.py
+++ b/violetstack/protocol/http_server.py
@@ -193,7 +193,7 @@
         self._request_bytes = sum(
             HEADER_FIELD_BYTES + len(name) + len(value) for name, value in event.headers
         )
-        join_chunks(self._h11)
+        join_chunks(self._h11, self._max_body_bytes)
         names = [name for name, _ in event.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             # Rejected against request smuggling: other parsers may use the other of the two lengths
