Responses: a head with both framings or with a length over the limit is malformed

Callers saw: a part of an answer behind a Content-Length of 3 GB was forwarded for as long as its host wrote, and an answer with both framings was served. Cause: h11 lets the chunks win and knows no limit for a length; the limit counted only what had come. Such a head fails the attempt before anything of it is forwarded (RFC 9112, 6.3), so that a request that may be repeated is. The player of the matrix sends a request again that reached no decode host (cold hosts at the start).

--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -144,6 +144,11 @@
         AttemptStatus.RESET,
     ),
     "Content-Length too long": ("w1", response_with_length(99, EVENT + DONE), AttemptStatus.RESET),
+    "Content-Length and chunks": (
+        "w1",
+        HEAD[:-2] + b"Content-Length: 5\r\n\r\n" + CHUNK + END,
+        AttemptStatus.RESET,
+    ),
     "an interim response": ("w1", b"HTTP/1.1 103 X\r\n\r\n" + HEAD + CHUNK + END, AttemptStatus.OK),
     "a second response after it": ("w1", HEAD + CHUNK + END + response_without_events(202), AttemptStatus.OK),
     "202 of a prefill host": ("r1", response_without_events(202), AttemptStatus.PREFILLED),
@@ -176,6 +181,23 @@
     trio.run(main)
 
 
+@pytest.mark.parametrize(
+    "received",
+    [
+        b"noise",
+        b"\x16\x03\x01",
+        b"HTTQ",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 262145\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n",
+    ],
+)
+def test_a_head_that_cannot_be_valid_is_an_error_while_its_host_goes_on(received: bytes) -> None:
+    connection = HttpClientConnection()
+    connection.request("POST", "/", [("Host", "x")])
+    with pytest.raises(InvalidResponseError):
+        connection.feed(received)
+
+
 @pytest.mark.parametrize(
     ("done_before", "rest", "status"),
     [
--- a/violetstack/protocol/http_client.py
+++ b/violetstack/protocol/http_client.py
@@ -34,13 +34,15 @@
 MAX_BODY_BYTES = 256 * 1024
 """The protocol's limit for a body. A chunk that states more cannot belong to a valid response."""
 
+STATUS_LINE_START = b"HTTP/1."
+
 
 class HttpClientConnection:
     """The state machine of one connection to a host."""
 
-    def __init__(self, max_chunk_bytes: int = MAX_BODY_BYTES) -> None:
-        """Creates a connection without a request; a larger chunk counts as invalid bytes."""
-        self._max_chunk_bytes = max_chunk_bytes
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        """Creates a connection without a request; a response with a larger body or chunk is invalid."""
+        self._max_body_bytes = max_body_bytes
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=16 * 1024)
         self._partial_chunk_bytes = 0  # of the chunk that is incomplete
         self._invalid_reason = ""  # set once invalid bytes were received; nothing is parsed from then on
@@ -124,8 +126,9 @@
                 event = self._h11.next_event()
                 if isinstance(event, h11.Response):
                     fields = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
+                    self._check_framing(fields)
                     events.append(ResponseHead(event.status_code, fields))
-                    join_chunks(self._h11, self._max_chunk_bytes)
+                    join_chunks(self._h11, self._max_body_bytes)
                 elif isinstance(event, h11.Data):
                     events.append(self._body(event))
                 elif isinstance(event, h11.EndOfMessage):
@@ -134,6 +137,7 @@
                 elif isinstance(event, h11.ConnectionClosed):
                     raise InvalidResponseError("connection closed before the response")
                 elif not isinstance(event, h11.InformationalResponse):
+                    self._check_status_line()
                     return events
         except (h11.RemoteProtocolError, InvalidResponseError) as error:
             self._invalid_reason = str(error)[:MAX_REASON_LENGTH]
@@ -141,10 +145,36 @@
                 self.check()
             return events
 
+    def _check_framing(self, fields: dict[str, str]) -> None:
+        """Checks how a response says that its body is framed.
+
+        Raises:
+            InvalidResponseError: It states two framings (RFC 9112, 6.3), or a length over the limit.
+        """
+        length = fields.get("content-length")
+        if length is None:
+            return
+        if "transfer-encoding" in fields:
+            raise InvalidResponseError("Content-Length and Transfer-Encoding together")
+        if int(length) > self._max_body_bytes:
+            raise InvalidResponseError(f"Content-Length {length} exceeds {self._max_body_bytes} bytes")
+
+    def _check_status_line(self) -> None:
+        """Checks the beginning of a response whose head is not complete; its sender may never complete it.
+
+        Raises:
+            InvalidResponseError: It is not the beginning of a status line.
+        """
+        if self._h11.their_state is not h11.SEND_RESPONSE:
+            return
+        received = bytes(self._h11._receive_buffer._data[: len(STATUS_LINE_START)])
+        if not STATUS_LINE_START.startswith(received):
+            raise InvalidResponseError(f"no HTTP response: {received!r}")
+
     def _body(self, event: h11.Data) -> ResponseData:
         self._partial_chunk_bytes = (0 if event.chunk_start else self._partial_chunk_bytes) + len(event.data)
-        if self._partial_chunk_bytes > self._max_chunk_bytes:
-            raise InvalidResponseError(f"chunk of the response exceeds {self._max_chunk_bytes} bytes")
+        if self._partial_chunk_bytes > self._max_body_bytes:
+            raise InvalidResponseError(f"chunk of the response exceeds {self._max_body_bytes} bytes")
         if event.chunk_end:
             self._partial_chunk_bytes = 0
         return ResponseData(memoryview(event.data))
--- a/violetstack/rehearsal/response_matrix.py
+++ b/violetstack/rehearsal/response_matrix.py
@@ -39,6 +39,7 @@
 """Idle connections for each request of a batch: they lie at hosts that the policy may not choose."""
 DECODE_HOSTS = 6
 DESCRIPTORS = 1024
+MAX_ROUNDS = 3
 IDLE_BEFORE_REUSE_S = 0.3
 """Longer than the dispatcher leaves a connection unused after a response."""
 SAFE_CLASS = "consulta"
@@ -229,8 +230,16 @@
     async def _play_batch(
         self, process: DispatcherProcess, outcomes: list[CellOutcome], on_later_response: bool
     ) -> None:
+        """Plays cells at the same time; a request that reached no decode host is sent again."""
         for host in self._hosts:
             host.keeps_connections = on_later_response
+        for _ in range(MAX_ROUNDS):
+            unplayed = [outcome for outcome in outcomes if not outcome.attempts]
+            await self._play_round(process, unplayed, on_later_response)
+
+    async def _play_round(
+        self, process: DispatcherProcess, outcomes: list[CellOutcome], on_later_response: bool
+    ) -> None:
         if on_later_response:
             async with trio.open_nursery() as nursery:
                 for _ in range(WARM_UP_FACTOR * len(outcomes)):
@@ -258,6 +267,7 @@
             outcome.status = call.answer.status
             outcome.complete = call.answer.whole
             outcome.left_waiting = patience.cancelled_caught
+            self._pending.pop(request_id, None)
 
 
 def _with_classes(cells: Iterable[Cell]) -> Iterator[CellOutcome]:
