Streams: bytes that belong to no event end a stream as they come, not at the time limit

A host that states a wrong chunk size lets parts of its framing appear in the data. They were recognised with the next complete event only, so a host that stopped or wrote a byte at a time kept its client until the time limit. The lines of an incomplete event are checked as they arrive now, each byte once. Four rows of test_response_reader fail without the change (no end within 1 s). The test's harness takes an invalid event for a broken response, as the runner of attempts does. The matrix shuffles its requests and leaves hosts sound answers in between: with only failing hosts the dispatcher rejects, and a cell was not played.

--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -19,6 +19,7 @@
 from violetstack.net.upstream.stream_progress import StreamPosition
 from violetstack.policy_api import AttemptStatus
 from violetstack.protocol.http_client import HttpClientConnection, InvalidResponseError
+from violetstack.protocol.sse import InvalidEventError
 
 EVENT = b"data: x\n\n"
 CHUNK = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
@@ -54,7 +55,7 @@
     async def read(self) -> None:
         try:
             self.status = (await self.reader.read()).status
-        except InvalidResponseError:
+        except (InvalidResponseError, InvalidEventError):
             self.status = AttemptStatus.RESET
 
 
@@ -198,6 +199,19 @@
         connection.feed(received)
 
 
+@pytest.mark.parametrize("part", [b"zz", b"\r\n50\r\ndata: ", b"datx", b"data: x\n50\r"])
+def test_bytes_that_belong_to_no_event_break_a_stream_before_the_event_is_complete(part: bytes) -> None:
+    async def main() -> None:
+        harness = ReaderHarness()
+        with harness.host, trio.fail_after(1.0):
+            harness.host.sendall(HEAD + CHUNK + b"%x\r\n%s\r\n" % (len(part), part))
+            await harness.read()
+        assert harness.status is AttemptStatus.RESET
+        harness.connection.close()
+
+    trio.run(main)
+
+
 @pytest.mark.parametrize(
     ("done_before", "rest", "status"),
     [
--- a/violetstack/protocol/sse.py
+++ b/violetstack/protocol/sse.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterator
 
 MAX_EVENT_BYTES = 256 * 1024
+MAX_REPORTED_BYTES = 40
+"""Of invalid bytes, in an error message."""
 LF_BLANK_LINE = b"\n\n"
 CRLF_BLANK_LINE = b"\r\n\r\n"
 
@@ -13,9 +15,16 @@
 class InvalidEventError(Exception):
     """The bytes are not an event, or belong to an event that is longer than MAX_EVENT_BYTES."""
 
+    @classmethod
+    def of(cls, invalid: bytes | bytearray) -> InvalidEventError:
+        """Returns the error for bytes that are not an event."""
+        return cls(f"not a server-sent event: {bytes(invalid[:MAX_REPORTED_BYTES])!r}")
+
 
 EVENT_PATTERN = re.compile(rb"(?:\r?\n)*(?:(?:data|event|id|retry)?:[^\n]*\n)+\r?\n")
 LAST_LINE = rb"(?:(?:data|event|id|retry)?:[^\n]*|[a-z]{0,5}|\r)"
+COMPLETE_LINES = re.compile(rb"(?:(?:(?:data|event|id|retry)?:[^\n]*|\r?)\n)*")
+LINE_STARTS = (b"data:", b":", b"event:", b"id:", b"retry:", b"\r\n")
 INCOMPLETE_EVENT_PATTERN = re.compile(rb"(?:\r?\n)*(?:(?:data|event|id|retry)?:[^\n]*\n)*" + LAST_LINE)
 
 
@@ -26,6 +35,8 @@
         self._incomplete = bytearray()
         self._searched = 0
         """Number of these bytes that have no end of an event."""
+        self._checked = 0
+        """Number of these bytes that belong to complete lines, which are valid."""
 
     def feed(self, data: memoryview) -> Iterator[memoryview]:
         """Yields the events that `data` completes, each with the blank line that ends it.
@@ -39,15 +50,30 @@
         for end in _event_ends(raw, self._searched):
             # A host that states a wrong chunk size lets parts of the HTTP framing appear between events.
             if not EVENT_PATTERN.fullmatch(raw, start, end):
-                raise InvalidEventError(f"not a server-sent event: {bytes(raw[start : start + 40])!r}")
+                raise InvalidEventError.of(raw[start:end])
             yield view[start:end]
             start = end
         if len(raw) - start > MAX_EVENT_BYTES:
             raise InvalidEventError("server-sent event exceeds 256 KiB")
         if raw is not self._incomplete or start:
             self._incomplete = bytearray(view[start:])  # copied, since it has to outlive the caller's buffer
+            self._checked = 0
+        self._check_incomplete()
         self._searched = max(0, len(self._incomplete) - (len(CRLF_BLANK_LINE) - 1))
 
+    def _check_incomplete(self) -> None:
+        """Checks the lines of an event that is not complete; a host may never complete it.
+
+        Raises:
+            InvalidEventError: They cannot belong to an event.
+        """
+        raw = self._incomplete
+        line_start = raw.rfind(b"\n", self._checked) + 1 or self._checked
+        are_lines_valid = COMPLETE_LINES.fullmatch(raw, self._checked, line_start)
+        self._checked = line_start
+        if not are_lines_valid or not _can_begin_line(raw, line_start):
+            raise InvalidEventError.of(raw)
+
     def _received(self, data: memoryview) -> bytes | bytearray:
         """Returns all bytes that belong to no complete event yet."""
         if self._incomplete:
@@ -64,7 +90,7 @@
             InvalidEventError: The bytes can't be the beginning of an event.
         """
         if not INCOMPLETE_EVENT_PATTERN.fullmatch(self._incomplete):
-            raise InvalidEventError(f"not a server-sent event: {bytes(self._incomplete[:40])!r}")
+            raise InvalidEventError.of(self._incomplete)
         return bytes(self._incomplete)
 
     @property
@@ -78,6 +104,14 @@
         return len(self._incomplete)
 
 
+def _can_begin_line(raw: bytes | bytearray, line_start: int) -> bool:
+    """Returns whether the bytes from `line_start` on are a line of an event, or the beginning of one."""
+    for start in LINE_STARTS:
+        if raw.startswith(start, line_start) or start.startswith(raw[line_start : line_start + len(start)]):
+            return True
+    return False
+
+
 def _event_ends(raw: bytes | bytearray, start: int) -> Iterator[int]:
     """Yields the index after each blank line, with LF or CRLF line ends, from `start` on."""
     lf = raw.find(LF_BLANK_LINE, start)
--- a/violetstack/rehearsal/response_matrix.py
+++ b/violetstack/rehearsal/response_matrix.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -39,7 +40,10 @@
 """Idle connections for each request of a batch: they lie at hosts that the policy may not choose."""
 DECODE_HOSTS = 6
 DESCRIPTORS = 1024
-MAX_ROUNDS = 3
+MAX_ROUNDS = 6
+REJECTED_PAUSE_S = 1.0
+"""Where all hosts fail at the same time, the dispatcher rejects requests for a while."""
+SHUFFLE_SEED = 1
 IDLE_BEFORE_REUSE_S = 0.3
 """Longer than the dispatcher leaves a connection unused after a response."""
 SAFE_CLASS = "consulta"
@@ -216,6 +220,7 @@
         """Plays all cells through one dispatcher."""
         result = MatrixResult()
         outcomes = list(_with_classes(cells))
+        random.Random(SHUFFLE_SEED).shuffle(outcomes)
         async with dispatcher_process(
             ModelHost("r", "prefill"), *self._hosts, sockets=DESCRIPTORS
         ) as process:
@@ -233,17 +238,16 @@
         """Plays cells at the same time; a request that reached no decode host is sent again."""
         for host in self._hosts:
             host.keeps_connections = on_later_response
-        for _ in range(MAX_ROUNDS):
+        for round_number in range(MAX_ROUNDS):
             unplayed = [outcome for outcome in outcomes if not outcome.attempts]
-            await self._play_round(process, unplayed, on_later_response)
+            if unplayed and round_number:
+                await trio.sleep(REJECTED_PAUSE_S)
+            await self._play_round(process, unplayed)
 
-    async def _play_round(
-        self, process: DispatcherProcess, outcomes: list[CellOutcome], on_later_response: bool
-    ) -> None:
-        if on_later_response:
-            async with trio.open_nursery() as nursery:
-                for _ in range(WARM_UP_FACTOR * len(outcomes)):
-                    nursery.start_soon(self._ask, process, None)
+    async def _play_round(self, process: DispatcherProcess, outcomes: list[CellOutcome]) -> None:
+        async with trio.open_nursery() as nursery:
+            for _ in range(WARM_UP_FACTOR * len(outcomes)):
+                nursery.start_soon(self._ask, process, None)
         await trio.sleep(IDLE_BEFORE_REUSE_S)
         async with trio.open_nursery() as nursery:
             for outcome in outcomes:
