Streams: an answer that ends inside an event behind [DONE] is not ended as complete

A host whose Content-Length does not fit, or that writes on behind [DONE], can end its response inside an event; its client got the part and the last chunk. What may stand there without a blank line stays: a comment, such as a load report, and [DONE] itself.

--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -129,6 +129,16 @@
         HEAD + CHUNK + b"d\r\n" + DONE[:-1] + b"\r\n" + LAST_CHUNK,
         AttemptStatus.OK,
     ),
+    "a comment without its blank line": (
+        "w1",
+        HEAD + CHUNK + DONE_CHUNK + b"2\r\n:x\r\n" + LAST_CHUNK,
+        AttemptStatus.OK,
+    ),
+    "an incomplete event behind [DONE]": (
+        "w1",
+        HEAD + CHUNK + DONE_CHUNK + b"7\r\ndata: x\r\n" + LAST_CHUNK,
+        AttemptStatus.RESET,
+    ),
     "no last chunk": ("w1", HEAD + CHUNK + DONE_CHUNK, AttemptStatus.RESET),
     "no event": ("w1", HEAD + LAST_CHUNK, AttemptStatus.RESET),
     "ended by the close of the connection": (
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -20,6 +20,7 @@
     StreamTrailer,
     cached_tokens_of,
     is_error_event,
+    may_end_stream,
 )
 from violetstack.policy_api import AttemptStatus
 from violetstack.protocol import sse
@@ -255,6 +256,8 @@
         # Framing alone does not show that the answer is complete: a host may end a stream at any event.
         if self._trailer.done is False:
             raise UnfinishedStreamError("a stream ended without [DONE]")
+        if not may_end_stream(rest):
+            raise UnfinishedStreamError("a stream ended inside an event")
         if rest:
             self._core.forward_event(self._attempt, rest)
         cached = self._clamp_cached_tokens(self._trailer.cached_tokens)
--- a/violetstack/net/upstream/stream_trailer.py
+++ b/violetstack/net/upstream/stream_trailer.py
@@ -75,6 +75,12 @@
         return False
 
 
+def may_end_stream(rest: memoryview) -> bool:
+    """Whether a stream may end with these bytes, which no blank line follows: a comment or `[DONE]`."""
+    line = bytes(rest).strip()
+    return not line or line.startswith(b":") or sse.payload(rest).strip() == b"[DONE]"
+
+
 def cached_tokens_of(body: bytes | bytearray) -> int:
     """The number of cached prompt tokens in the body of a prefill host's 202; 0 if it cannot be parsed."""
     try:
