Responses: the bytes of a body with a Content-Length count for its own response only

The counter behind the limit of 256 KiB was set back by chunks alone. On a connection whose responses have a Content-Length, as a prefill host's 202, they added up: after some 13,000 of them (256 KiB by 20 bytes), or behind a longer body, the next sound response was taken for an oversized chunk. Found by reading while the limit was moved; the test fails without the change.

--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -209,6 +209,15 @@
         connection.feed(received)
 
 
+def test_the_size_of_a_response_does_not_count_for_the_next_one_on_its_connection() -> None:
+    connection = HttpClientConnection()
+    for _ in range(2):
+        connection.request("POST", "/", [("Host", "x")])
+        connection.feed(response_with_length(200_000, b"x" * 200_000))
+        assert connection.reuse()
+        assert not connection.partial
+
+
 @pytest.mark.parametrize("part", [b"zz", b"\r\n50\r\ndata: ", b"datx", b"data: x\n50\r"])
 def test_bytes_that_belong_to_no_event_break_a_stream_before_the_event_is_complete(part: bytes) -> None:
     async def main() -> None:
--- a/violetstack/protocol/http_client.py
+++ b/violetstack/protocol/http_client.py
@@ -44,7 +44,7 @@
         """Creates a connection without a request; a response with a larger body or chunk is invalid."""
         self._max_body_bytes = max_body_bytes
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=16 * 1024)
-        self._partial_chunk_bytes = 0  # of the chunk that is incomplete
+        self._partial_chunk_bytes = 0  # of the chunk that is incomplete, or of a body with a Content-Length
         self._invalid_reason = ""  # set once invalid bytes were received; nothing is parsed from then on
 
     @property
@@ -188,5 +188,6 @@
             return False
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
+            self._partial_chunk_bytes = 0
             return True
         return False
