Streams: a slow answer is cut no earlier than allowed, nor while an event still comes

Callers saw: a long answer that its host was still writing slowly was cut off. Cause: three limits of our own. (2) The bytes of an event counted for nothing after that, so an event written over 6 or 8 s was cut while it came. (3) 1.5 s without a byte before the first event failed a request that may not be repeated, which gains nothing; it is waited for up to its deadline. A host that writes comments without a pause was cut 0.42 s behind the limit, since nine reads that might have been waiting cost 40 ms each: they are made for 0.1 s now.

--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -11,6 +11,7 @@
 import trio.testing
 
 from tests.test_core import CoreHarness
+from violetstack.core.dispatcher import Dispatcher
 from violetstack.core.records import Attempt
 from violetstack.fronts.reply import Payload
 from violetstack.net.upstream import stream_progress
@@ -94,6 +95,7 @@
     """The expired timer cancelled every further read: the stream did not end, and the loop never waited."""
     monkeypatch.setattr(stream_progress, "EVENT_TIMEOUT_S", TIMEOUT_S)
     monkeypatch.setattr(stream_progress, "PARTIAL_TIMEOUT_S", TIMEOUT_S)
+    monkeypatch.setattr(Dispatcher, "may_retry", lambda core, attempt: True)
 
     async def main() -> None:
         harness = ReaderHarness()
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -34,6 +34,7 @@
     FetchEndpoints,
     GossipReceived,
     HealthCheckResult,
+    Idempotency,
     MigrateStream,
     OutlierCheckResult,
     RejectRequest,
@@ -276,6 +277,11 @@
         """Returns whether more of the attempt may be written; see `AttemptManager.may_continue_sending`."""
         return self._attempts.may_continue_sending(now, attempt)
 
+    def may_retry(self, attempt: Attempt) -> bool:
+        """Returns whether another host may get the attempt's request though this one may have run it."""
+        request_class = self.settings.classes[attempt.request.policy_request.class_index]
+        return attempt.is_prefill or request_class.idempotency is not Idempotency.NON_IDEMPOTENT
+
     def connect_timeout_ms(self, now: float, attempt: Attempt) -> float:
         """Returns the timeout for connecting; see `AttemptManager.connect_timeout_ms`."""
         return self._attempts.connect_timeout_ms(now, attempt)
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -31,6 +31,8 @@
 """Interval at which the migration of a stream is retried after it was not possible."""
 MAX_LATE_READS = sse.MAX_EVENT_BYTES // READ_SIZE + 1
 """Reads after the time limit, of input that may have been waiting before it."""
+MAX_LATE_READING_S = 0.1
+"""Limit for these reads after the first one: a host that never pauses always has input waiting."""
 MAX_BODY_BYTES = 64 * 1024
 """Limit for the body of a response that is not a stream."""
 MAX_HELD_BACK_BYTES = 16 * 1024
@@ -87,11 +89,15 @@
         self._held_back = bytearray()
         """Events before the first one with data."""
         self._trailer = StreamTrailer(report_fields)
+        self._event_bytes = 0
+        """Number of bytes of an incomplete event, as of the last read."""
         self._partial = False
         self._received = False
         """Whether the last read returned bytes."""
         self._late_reads = 0
         """Consecutive reads after the time limit."""
+        self._late_since = 0.0
+        """When the first of them was made, on trio's clock."""
         self._progress = ResponseProgress()
 
     @property
@@ -150,7 +156,11 @@
         Raises:
             StalledResponseError: Nothing that advances the response arrived within the limit.
         """
-        deadline = self._progress.deadline(stream_started=self._attempt.stream_started, partial=self._partial)
+        deadline = self._progress.deadline(
+            stream_started=self._attempt.stream_started,
+            partial=self._partial,
+            may_retry=self._core.may_retry(self._attempt),
+        )
         receive_until = deadline
         if self._current_migration() is not None and self._attempt.stream_started:
             receive_until = min(receive_until, trio.current_time() + MIGRATION_RETRY_S)
@@ -162,8 +172,8 @@
         if self._received:
             return events
         is_late = trio.current_time() >= deadline
-        self._late_reads = self._late_reads + 1 if is_late else 0
-        if self._connection.has_input() and self._late_reads <= MAX_LATE_READS:
+        self._count_late_read(is_late=is_late)
+        if self._connection.has_input() and (not is_late or self._may_read_late()):
             self._received = True
             return await self._connection.receive()
         if is_late:
@@ -171,6 +181,18 @@
             raise StalledResponseError(f"no {part} for {self._progress.idle_ms:.0f} ms")
         return events
 
+    def _count_late_read(self, *, is_late: bool) -> None:
+        self._late_reads = self._late_reads + 1 if is_late else 0
+        if self._late_reads == 1:
+            self._late_since = trio.current_time()
+
+    def _may_read_late(self) -> bool:
+        """Whether input may still be read that was waiting when the time limit ended."""
+        if self._late_reads <= 1:
+            return True
+        late_s = trio.current_time() - self._late_since
+        return self._late_reads <= MAX_LATE_READS and late_s < MAX_LATE_READING_S
+
     def _read_head(self, head: ResponseHead) -> None:
         framed = "transfer-encoding" in head.headers or "content-length" in head.headers
         if head.status == 200 and not framed and not self._openai_api:
@@ -228,6 +250,9 @@
 
     def _update_partial(self) -> None:
         was_partial = self._partial
+        if self._splitter.has_incomplete_data and self._splitter.incomplete_bytes != self._event_bytes:
+            self._progress.event_part_received()
+        self._event_bytes = self._splitter.incomplete_bytes
         incomplete = self._connection.http.partial or self._splitter.partial
         # An OpenAI-style host may send the head long before the first event.
         awaits_first_event = self._head is not None and not self._attempt.stream_started
--- a/violetstack/protocol/sse.py
+++ b/violetstack/protocol/sse.py
@@ -24,7 +24,8 @@
 EVENT_PATTERN = re.compile(rb"(?:\r?\n)*(?:(?:data|event|id|retry)?:[^\n]*\n)+\r?\n")
 LAST_LINE = rb"(?:(?:data|event|id|retry)?:[^\n]*|[a-z]{0,5}|\r)"
 COMPLETE_LINES = re.compile(rb"(?:(?:(?:data|event|id|retry)?:[^\n]*|\r?)\n)*")
-LINE_STARTS = (b"data:", b":", b"event:", b"id:", b"retry:", b"\r\n")
+DATA_FIELD = b"data:"
+LINE_STARTS = (DATA_FIELD, b":", b"event:", b"id:", b"retry:", b"\r\n")
 INCOMPLETE_EVENT_PATTERN = re.compile(rb"(?:\r?\n)*(?:(?:data|event|id|retry)?:[^\n]*\n)*" + LAST_LINE)
 
 
@@ -98,6 +99,11 @@
         """Whether the beginning of an event has been received but not its end."""
         return bool(self._incomplete)
 
+    @property
+    def has_incomplete_data(self) -> bool:
+        """Whether the beginning of an event's data has been received but not the event's end."""
+        return self._incomplete.lstrip(b"\r\n").startswith(DATA_FIELD)
+
     @property
     def incomplete_bytes(self) -> int:
         """Number of bytes received of an event that is not complete."""
--- a/violetstack/rehearsal/fleet/campaign_client.py
+++ b/violetstack/rehearsal/fleet/campaign_client.py
@@ -20,11 +20,10 @@
 )
 from violetstack.rehearsal.fleet.freeze_gate import reset_connection
 from violetstack.rehearsal.fleet.minimal_http import connect
-from violetstack.rehearsal.fleet.socket_audit import ClientExchange
-from violetstack.rehearsal.fleet.stream_faults import SLOW_EVENT_S
+from violetstack.rehearsal.fleet.socket_audit import INCOMPLETE_EVENT_S, ClientExchange
 
 READ_SIZE = 64 * 1024
-MAX_STREAM_DURATION_S = 7.0 + SLOW_EVENT_S
+MAX_STREAM_DURATION_S = 7.0 + INCOMPLETE_EVENT_S
 """No stream takes longer, but for delays of its reader; the dispatcher has to cut a stalled one by then."""
 LATE_ANSWER_WAIT_S = 0.5
 """How long a client waits beyond the latest time of an answer, to tell a late answer from none."""
