Watch: an endpoint list of over 256 KiB is accepted in one chunk or with a Content-Length

Found while working through who else reads responses: the limit of the model hosts' answers held for discovery as well. The list of 3,200 hosts (some 450 KB) was rejected as an oversized chunk if it came in one piece, again and again, so that the dispatcher kept the list it had; both cases of the new test fail on the program before this work. The watch has its own limit, twice that of one object.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -476,3 +476,19 @@
     with pytest.raises(EndpointListError):
         feed_endless_object()
     assert accepted_bytes <= MAX_OBJECT_BYTES + 1000
+
+
+@pytest.mark.parametrize("complete", [True, False], ids=["Content-Length", "one chunk"])
+def test_the_list_of_the_largest_fleet_is_accepted_in_one_piece(complete: bool) -> None:
+    hosts = 3200
+
+    async def story(on: Stage) -> None:
+        rows = [{**on.discovery.changes[0][1][0], "id": f"s-{n:08x}"} for n in range(hosts)]
+        agent = await watch_agent(on)
+        agent.publish(*rows)
+        if complete:
+            assert on.daemon.watch is not None
+            on.daemon.watch.request_list()
+        await wait_until(lambda: len(on.daemon.core.endpoints) >= hosts)
+
+    play(*pair(), story=story)
--- a/violetstack/net/watch.py
+++ b/violetstack/net/watch.py
@@ -20,6 +20,7 @@
 from violetstack.net.transient_errors import is_readable
 from violetstack.policy_api import UpdateScope
 from violetstack.protocol.discovery import (
+    MAX_OBJECT_BYTES,
     EndpointListDecoder,
     EndpointListError,
     JsonObjectSplitter,
@@ -52,6 +53,8 @@
 SPARE_DESCRIPTORS = 4  # for connections to discovery while clients hold all other descriptors
 RECEIVE_BYTES = 64 * 1024
 MAX_ERROR_LENGTH = 200
+# A list is larger than the bodies that the protocol limits: that of 3,200 hosts takes some 450 KB.
+MAX_BODY_BYTES = 2 * MAX_OBJECT_BYTES
 
 
 class DiscoveryRejectedError(InvalidResponseError):
@@ -305,7 +308,7 @@
         Returns if the server closes the connection after the list, so that the changes have to be requested
         on a new one.
         """
-        http = HttpClientConnection()
+        http = HttpClientConnection(max_body_bytes=MAX_BODY_BYTES)
         if connection.index is None:
             await self._fetch_list(connection, stream, http)
             if not http.reuse():
