Requests: a client's chunk that is larger than a body may be is answered with 413 at once

Its data was read up to the limit first, or waited for until the limit on slow bodies: a client that stated gigabytes and went on slowly held its connection for that long. It comes from the same reader as the hosts' chunks; the test fails on the program before this work (no error before 256 KiB have come).

--- a/tests/test_chunked_reader.py
+++ b/tests/test_chunked_reader.py
@@ -100,6 +100,14 @@
         connection.feed(header)
 
 
+def test_a_client_is_told_at_once_that_its_chunk_is_larger_than_a_body_may_be() -> None:
+    connection = HttpServerConnection()
+    connection.feed(HEAD + SMALL_CHUNK + b"c0000000\r\n")
+    with pytest.raises(InvalidRequestError) as error:
+        connection.next_request()
+    assert error.value.status == 413
+
+
 @pytest.mark.parametrize("header", [b"40000\r\n", b"00000000000000004\r\n", b"4 \t", b"4;a=b"])
 def test_a_chunk_header_up_to_the_limit_is_accepted(header: bytes) -> None:
     connection = HttpClientConnection()
--- a/violetstack/protocol/chunked_reader.py
+++ b/violetstack/protocol/chunked_reader.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import re
+from http import HTTPStatus
 
 import h11
 from h11._readers import ChunkedReader
@@ -70,7 +71,8 @@
             raise h11.LocalProtocolError(f"illegal chunk header: {received[:MAX_REPORTED_BYTES]!r}")
         if int(header[1], 16) > self._max_chunk_bytes:
             raise h11.LocalProtocolError(
-                f"chunk size 0x{header[1].decode()} exceeds {self._max_chunk_bytes} bytes"
+                f"chunk size 0x{header[1].decode()} exceeds {self._max_chunk_bytes} bytes",
+                error_status_hint=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
             )
         if header.end() > MAX_CHUNK_HEADER_BYTES:
             raise h11.LocalProtocolError(f"chunk header exceeds {MAX_CHUNK_HEADER_BYTES} bytes")
