--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -12,7 +12,8 @@
 from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
 from violetstack.net.upstream.answer_events import EventKind, classify_event
-from violetstack.net.upstream.connection import READ_SIZE, UpstreamConnection
+from violetstack.net.upstream.connection import UpstreamConnection
+from violetstack.net.upstream.late_reads import LateReads
 from violetstack.net.upstream.response_errors import StalledResponseError, UnfinishedStreamError
 from violetstack.net.upstream.stream_progress import ResponseProgress, StreamPosition
 from violetstack.net.upstream.stream_trailer import (
@@ -29,10 +30,6 @@
 
 MIGRATION_RETRY_S = 0.1
 """Interval at which the migration of a stream is retried after it was not possible."""
-MAX_LATE_READS = sse.MAX_EVENT_BYTES // READ_SIZE + 1
-"""Reads after the time limit, of input that may have been waiting before it."""
-MAX_LATE_READING_S = 0.1
-"""Limit for these reads after the first one: a host that never pauses always has input waiting."""
 MAX_BODY_BYTES = 64 * 1024
 """Limit for the body of a response that is not a stream."""
 MAX_HELD_BACK_BYTES = 16 * 1024
@@ -94,10 +91,7 @@
         self._partial = False
         self._received = False
         """Whether the last read returned bytes."""
-        self._late_reads = 0
-        """Consecutive reads after the time limit."""
-        self._late_since = 0.0
-        """When the first of them was made, on trio's clock."""
+        self._late_reads = LateReads()
         self._progress = ResponseProgress()
 
     @property
@@ -149,9 +143,8 @@
     async def _receive(self) -> list[ResponseHead | ResponseData | ResponseEnd]:
         """Reads once, until the time limit for the next part.
 
-        After a pause of this process the limit may be over before its input was looked at. Waiting input is
-        read first then, outside of the expired cancel scope, which would cancel every further read as well.
-        As many reads are made as the longest event needs, since a host may go on to write something else.
+        Input that was waiting when the limit ended is read outside of the expired cancel scope, which would
+        cancel every further read as well; see `LateReads`.
 
         Raises:
             StalledResponseError: Nothing that advances the response arrived within the limit.
@@ -172,8 +165,8 @@
         if self._received:
             return events
         is_late = trio.current_time() >= deadline
-        self._count_late_read(is_late=is_late)
-        if self._connection.has_input() and (not is_late or self._may_read_late()):
+        self._late_reads.look(is_late=is_late)
+        if self._connection.has_input() and self._late_reads.allowed:
             self._received = True
             return await self._connection.receive()
         if is_late:
@@ -181,18 +174,6 @@
             raise StalledResponseError(f"no {part} for {self._progress.idle_ms:.0f} ms")
         return events
 
-    def _count_late_read(self, *, is_late: bool) -> None:
-        self._late_reads = self._late_reads + 1 if is_late else 0
-        if self._late_reads == 1:
-            self._late_since = trio.current_time()
-
-    def _may_read_late(self) -> bool:
-        """Whether input may still be read that was waiting when the time limit ended."""
-        if self._late_reads <= 1:
-            return True
-        late_s = trio.current_time() - self._late_since
-        return self._late_reads <= MAX_LATE_READS and late_s < MAX_LATE_READING_S
-
     def _read_head(self, head: ResponseHead) -> None:
         framed = "transfer-encoding" in head.headers or "content-length" in head.headers
         if head.status == 200 and not framed and not self._openai_api:
