Migrated streams: events behind [DONE] do not start the time limit anew in the new process

The new process knew from the position that [DONE] had come, for the end of the stream, but not for its time limit, so a host that went on with sound-looking events kept the client for as long as it wrote. Found while the readers of responses were worked through; the new test fails without the change (no end within 2 s).

--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -16,6 +16,7 @@
 from violetstack.fronts.reply import Payload
 from violetstack.net.upstream import stream_progress
 from violetstack.net.upstream.connection import UpstreamConnection
+from violetstack.net.upstream.response_errors import StalledResponseError
 from violetstack.net.upstream.response_reader import ResponseReader
 from violetstack.net.upstream.stream_progress import StreamPosition
 from violetstack.policy_api import AttemptStatus
@@ -25,6 +26,8 @@
 EVENT = b"data: x\n\n"
 CHUNK = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CONTENT = b'data: {"choices":[{"delta":{"content":"x"}}]}\n\n'
+CONTENT_CHUNK = b"%x\r\n%s\r\n" % (len(CONTENT), CONTENT)
 DONE = b"data: [DONE]\n\n"
 DONE_CHUNK = b"%x\r\n%s\r\n" % (len(DONE), DONE)
 END = DONE_CHUNK + b"0\r\n\r\n"
@@ -211,6 +214,29 @@
         connection.feed(received)
 
 
+def test_events_behind_done_do_not_keep_a_migrated_stream_open(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(stream_progress, "EVENT_TIMEOUT_S", TIMEOUT_S)
+
+    async def main() -> None:
+        harness = ReaderHarness()
+        harness.connection.http = HttpClientConnection.resumed()
+        harness.core.core.stream_started(0.0, harness.attempt)
+        with harness.host, trio.fail_after(2.0):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(write_events, harness.host)
+                with pytest.raises(StalledResponseError):
+                    await harness.reader.resume(StreamPosition(0, True, 0.0))
+                nursery.cancel_scope.cancel()
+        harness.connection.close()
+
+    async def write_events(host: socket.socket) -> None:
+        while True:
+            host.sendall(CONTENT_CHUNK)
+            await trio.sleep(TIMEOUT_S / 5)
+
+    trio.run(main)
+
+
 def test_the_size_of_a_response_does_not_count_for_the_next_one_on_its_connection() -> None:
     connection = HttpClientConnection()
     for _ in range(2):
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -114,7 +114,7 @@
         self._head = ResponseHead(200, {})
         self._trailer.cached_tokens = position.cached_tokens
         self._trailer.done = position.done
-        self._progress.resume(position.idle_ms)
+        self._progress.resume(position.idle_ms, done=position.done is True)
         return await self.read()
 
     async def read(self) -> AttemptResult:
--- a/violetstack/net/upstream/stream_progress.py
+++ b/violetstack/net/upstream/stream_progress.py
@@ -141,6 +141,12 @@
         self._advanced_at += wait_s
         self._part_received_at += wait_s
 
-    def resume(self, idle_ms: float) -> None:
-        """Continues a stream whose last event of the answer arrived `idle_ms` ago in another process."""
+    def resume(self, idle_ms: float, *, done: bool) -> None:
+        """Continues a stream whose last event of the answer arrived `idle_ms` ago in another process.
+
+        Args:
+            idle_ms: Time since the last event of the answer.
+            done: Whether that event was `[DONE]`, behind which nothing continues the answer.
+        """
+        self._done = done
         self._advanced_at = trio.current_time() - idle_ms / 1000.0
