--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -203,9 +203,12 @@
         b"noise",
         b"\x16\x03\x01",
         b"HTTQ",
+        b"HTTP/9.9 204 X\r\n\r\n",
+        b"HTTP/1.1 204 X\r\n" + b"a: 0123456789\r\n" * 2000 + b"\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 262145\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n",
     ],
+    ids=["noise", "binary", "another protocol", "another version", "many fields", "a byte too long", "3 GB"],
 )
 def test_a_head_that_cannot_be_valid_is_an_error_while_its_host_goes_on(received: bytes) -> None:
     connection = HttpClientConnection()
--- a/violetstack/protocol/http_client.py
+++ b/violetstack/protocol/http_client.py
@@ -35,6 +35,9 @@
 """The protocol's limit for a body. A chunk that states more cannot belong to a valid response."""
 
 STATUS_LINE_START = b"HTTP/1."
+HTTP_VERSIONS = (b"1.0", b"1.1")
+MAX_HEAD_BYTES = 16 * 1024
+"""Limit for a response's head, and for what h11 keeps of any part that is not complete."""
 
 
 class HttpClientConnection:
@@ -43,7 +46,7 @@
     def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         """Creates a connection without a request; a response with a larger body or chunk is invalid."""
         self._max_body_bytes = max_body_bytes
-        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=16 * 1024)
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._partial_chunk_bytes = 0  # of the chunk that is incomplete, or of a body with a Content-Length
         self._invalid_reason = ""  # set once invalid bytes were received; nothing is parsed from then on
 
@@ -126,6 +129,7 @@
                 event = self._h11.next_event()
                 if isinstance(event, h11.Response):
                     fields = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
+                    _check_head(event)
                     self._check_framing(fields)
                     events.append(ResponseHead(event.status_code, fields))
                     join_chunks(self._h11, self._max_body_bytes)
@@ -191,3 +195,16 @@
             self._partial_chunk_bytes = 0
             return True
         return False
+
+
+def _check_head(response: h11.Response) -> None:
+    """Checks the version of a complete head and its size, which h11 limits only while it is not complete.
+
+    Raises:
+        InvalidResponseError: The version is not HTTP/1, or the head is over the limit.
+    """
+    if response.http_version not in HTTP_VERSIONS:
+        raise InvalidResponseError(f"HTTP version {response.http_version.decode('latin-1')}")
+    head_bytes = sum(len(name) + len(value) for name, value in response.headers)
+    if head_bytes > MAX_HEAD_BYTES:
+        raise InvalidResponseError(f"head of {head_bytes} bytes exceeds {MAX_HEAD_BYTES} bytes")
