--- a/violetstack/rehearsal/fleet/dispatcher_process.py
+++ b/violetstack/rehearsal/fleet/dispatcher_process.py
@@ -32,16 +32,19 @@
     async def send_request(
         self, request: str, kind: str = "consulta", body: bytes = BODY, **headers: str
     ) -> Call:
+        """Sends a request on a connection of its own."""
         call = await connect(self.address)
         await call.send("POST", "/v1/chat/completions", platform_headers(request, kind, **headers), body)
         return call
 
     async def pause(self, duration_s: float) -> None:
+        """Stops the process for a while, by SIGSTOP."""
         self.program.send(signal.SIGSTOP)
         await trio.sleep(duration_s)
         self.program.send(signal.SIGCONT)
 
     async def ended_within(self, limit_s: float) -> bool:
+        """Waits until the process has ended, for `limit_s` at most; returns whether it has."""
         process = self.program.process
         assert process is not None
         with trio.move_on_after(limit_s):
--- a/violetstack/rehearsal/response_matrix.py
+++ b/violetstack/rehearsal/response_matrix.py
@@ -140,6 +140,7 @@
         self.keeps_connections = False
 
     async def play(self, act: object, inbound: HttpRequest, connection: PeerConnection) -> None:
+        """Answers one request as its cell says, or soundly."""
         request_id = inbound.headers["req-id"]
         outcome = self._pending.pop(request_id, None)
         if outcome is None:
--- a/violetstack/rehearsal/slow_responses.py
+++ b/violetstack/rehearsal/slow_responses.py
@@ -194,6 +194,7 @@
         self._outcomes = outcomes
 
     async def play(self, act: object, inbound: HttpRequest, connection: PeerConnection) -> None:
+        """Writes the stream of one request, and records when."""
         outcome = self._outcomes[inbound.headers["req-id"]]
         response = outcome.response
         await _write(connection, response.head, response.head_pause_s)
