Rehearsal client: a body that is no stream of events has no events

The scripted client split any body into events. The program splits only streams with status 200; it is unchanged.

--- a/violetstack/rehearsal/clients.py
+++ b/violetstack/rehearsal/clients.py
@@ -32,6 +32,9 @@
 
     @property
     def events(self) -> list[bytes]:
+        """The data of each event; none if the body is no stream of events."""
+        if not self.headers.get("content-type", "").startswith("text/event-stream"):
+            return []
         return [sse.payload(event) for event in sse.EventSplitter().feed(memoryview(self.body))]
 
     @property
