Releases: the last idle connections are left to them while no socket can be opened

Cause: each request that could not open a connection closed one more idle connection to get its descriptor, though closing had not helped, and others took what was left; a release, which any host accepts, then found no connection to any host. It also waited at hosts without an idle connection, 50 ms each.

Idle connections are not closed for a descriptor again while the fault lasts; while releases wait, requests leave the last idle ones to them (as many as are reserved at the limit); a release calls only hosts that can be reached.

Ruled out: keeping them whether or not a release waits. It hung test_an_idle_connection_is_closed_when_no_descriptor_is_left (a request of a pool with one idle connection waited for ever on the test's clock), whose demand is right.

--- a/tests/held_state_matrix.py
+++ b/tests/held_state_matrix.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -16,6 +17,7 @@
 from tests.frozen_hosts import HoldingHost, HostBehaviour, ReservationAnswer, Script, ThawBehaviour
 from violetstack.rehearsal.clients import Call
 from violetstack.rehearsal.fleet.dispatcher_process import DispatcherProcess, dispatcher_process
+from violetstack.rehearsal.fleet.fault_shim import ProcessFaults, SystemCall, build_shim
 from violetstack.rehearsal.fleet.hold_audit import HeldTooLong, HoldEvidence, HostRecord, audit_holds
 from violetstack.rehearsal.fleet.process_delays import ProcessDelays
 from violetstack.rehearsal.fleet.programs import Program
@@ -54,6 +56,8 @@
 LONG_PAUSE_S = 1.2
 SHORT_PAUSE_S = 0.15
 UNREACHABLE_TIME_S = 0.25
+NO_DESCRIPTOR_TIME_S = 1.5
+LOAD_INTERVAL_S = 0.02
 
 
 @dataclass
@@ -64,6 +68,13 @@
     scripts: dict[str, Script] = field(default_factory=dict)
     calls: dict[str, Call] = field(default_factory=dict)
     hosts: list[HoldingHost] = field(default_factory=list)
+    process_faults: ProcessFaults = field(default_factory=ProcessFaults)
+
+    def prepare(self, program: Program) -> None:
+        """Lets system calls of the dispatcher fail as `process_faults` says."""
+        descriptor = self.process_faults.descriptor
+        program.preload = {"LD_PRELOAD": str(build_shim()), "SOAK_FAULTS_FD": str(descriptor)}
+        program.shared = (descriptor,)
 
     def add_host(self, name: str, kind: str) -> None:
         self.hosts.append(HoldingHost(name, kind, self.evidence, self.scripts.__getitem__))
@@ -138,6 +149,17 @@
         deployment.calls[request_id] = await dispatcher.send_request(request_id, "orden")
 
 
+async def no_descriptor_under_load(deployment: Deployment, dispatcher: DispatcherProcess) -> None:
+    """Lets the dispatcher open no sockets for a while, in which further requests arrive."""
+    deployment.process_faults.fail(SystemCall.SOCKET, errno.EMFILE)
+    for number in range(round(NO_DESCRIPTOR_TIME_S / LOAD_INTERVAL_S)):
+        request_id = f"load{number}.consulta"
+        deployment.scripts[request_id] = Script((SERVES,), SERVES, ReservationAnswer.NO_SLOT)
+        deployment.calls[request_id] = await dispatcher.send_request(request_id, "consulta")
+        await trio.sleep(LOAD_INTERVAL_S)
+    deployment.process_faults.stop_failing(SystemCall.SOCKET)
+
+
 def paused(duration_s: float) -> Fault:
     async def fault(deployment: Deployment, dispatcher: DispatcherProcess) -> None:
         deployment.excuse_until(time.monotonic() + duration_s if duration_s > SHORT_PAUSE_S else 0.0)
@@ -198,6 +220,7 @@
     "all hosts unreachable for 0.25 s": Column(all_hosts_unreachable),
 }
 """The faults, by the name of the column."""
+NO_DESCRIPTOR_COLUMN = Column(no_descriptor_under_load)
 
 
 @dataclass(frozen=True)
@@ -251,7 +274,11 @@
     delays = ProcessDelays()
     async with (
         dispatcher_process(
-            *deployment.hosts, settings=column_settings(column), sockets=column.sockets, number=number
+            *deployment.hosts,
+            settings=column_settings(column),
+            sockets=column.sockets,
+            prepare=deployment.prepare,
+            number=number,
         ) as dispatcher,
         trio.open_nursery() as nursery,
     ):
@@ -266,6 +293,7 @@
         nursery.cancel_scope.cancel()
     for host in deployment.hosts:
         host.close_fillers()
+    deployment.process_faults.close()
     deployment.evidence.ended_at = time.monotonic()
     return _audit_results(deployment, column, requests, delays)
 
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -9,7 +9,17 @@
 import pytest
 import trio
 
-from tests.held_state_matrix import CLASSES, COLUMNS, ROWS, Cell, Column, run_column, run_matrix
+from tests.held_state_matrix import (
+    CLASSES,
+    COLUMNS,
+    NO_DESCRIPTOR_COLUMN,
+    ROWS,
+    Cell,
+    Column,
+    run_column,
+    run_column_until_held,
+    run_matrix,
+)
 
 
 @pytest.mark.parametrize("row", ["slot-uncertain", "slot-unanswered"])
@@ -25,6 +35,13 @@
     assert not cell.too_long
 
 
+def test_state_is_released_while_no_connection_can_be_opened() -> None:
+    """Guards against requests that use up the last idle connections while socket(2) fails."""
+    cells = trio.run(run_column_until_held, NO_DESCRIPTOR_COLUMN, 0)
+    assert not [(str(late), cell.delays) for cell in cells.values() for late in cell.too_long]
+    assert all(any(cells[f"{row}.{class_name}"].held for class_name in CLASSES) for row in ROWS)
+
+
 @pytest.fixture(scope="module")
 def matrix() -> dict[str, dict[str, Cell]]:
     return trio.run(run_matrix)
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -38,6 +38,8 @@
 """Connections that only releases may open: attempts at unresponsive hosts can occupy all others."""
 RESERVED_CONNECTIONS_DIVISOR = 8
 """At most the pool's limit divided by this is reserved for releases."""
+CONNECTING_FAULT_MEMORY_S = 0.1
+"""For this long after a local fault, new connections are expected to fail."""
 REUSE_DELAY_S = 0.1
 """Delay before reuse after a response, to detect a spurious second response.
 
@@ -67,6 +69,7 @@
 class ConnectionPool:
     """Opens connections to model hosts, keeps idle ones for reuse, and limits their number.
 
+    `waiting_releases` is the number of releases that no host has accepted yet.
     `connect_timeout_ms`: 0 means the default. `idle_close_ms`: time after which hosts close idle connections.
     `wait_caught_up` returns once all sockets have been read after a pause of the process.
     """
@@ -76,6 +79,8 @@
         self.idle_lifetime_s = idle_close_ms / 1000.0 * IDLE_LIFETIME_SHARE
         self.max_connections = 0
         self.open_connections = 0
+        self.waiting_releases = 0
+        self._connecting_fails_until = -math.inf
         self.hosts: dict[str, UpstreamHost] = {}
         self._by_latest_response: dict[
             str, None
@@ -131,6 +136,16 @@
 
     # --- connections ---
 
+    @property
+    def connecting_fails(self) -> bool:
+        """Whether no connection can be opened, to any host, because of a recent local fault."""
+        return trio.current_time() < self._connecting_fails_until
+
+    @property
+    def release_reserve(self) -> int:
+        """Number of connections that only releases may open, and may use while connecting fails."""
+        return min(RELEASE_RESERVED_CONNECTIONS, self.max_connections // RESERVED_CONNECTIONS_DIVISOR)
+
     def close(self, connection: UpstreamConnection) -> None:
         """Closes a connection that this pool opened or adopted."""
         connection.close()
@@ -214,7 +229,8 @@
         """An idle connection, or a new one that is established within `timeout_s`.
 
         After a local fault this waits until the fault is over or a connection to the host becomes idle. If it
-        failed immediately, a request would use up all its attempts one after the other.
+        failed immediately, a request would use up all its attempts one after the other. Meanwhile the last
+        idle connections are left to waiting releases.
 
         Raises:
             NotConnectedError: The host has no address, or no connection was established in time.
@@ -224,7 +240,8 @@
             host = self.hosts.get(server)
             if host is None:
                 raise NotConnectedError(f"no address is known for {server}")
-            if (idle := self._take_idle(host)) is not None:
+            may_take_idle = for_release or not self._idle_are_for_releases()
+            if may_take_idle and (idle := self._take_idle(host)) is not None:
                 return idle
             left_s = deadline - trio.current_time()
             try:
@@ -241,11 +258,7 @@
         Raises:
             LocalFaultError: The limit is reached, and no connection is idle.
         """
-        reserved = (
-            0
-            if for_release
-            else min(RELEASE_RESERVED_CONNECTIONS, self.max_connections // RESERVED_CONNECTIONS_DIVISOR)
-        )
+        reserved = 0 if for_release else self.release_reserve
         if self.open_connections >= self.max_connections - reserved and not self._close_longest_idle():
             raise LocalFaultError(
                 f"too many connections: {self.open_connections} of {self.max_connections} are open"
@@ -262,8 +275,9 @@
                 await connection.sock.connect(address)
             connected = True
             connection.idle_since = trio.current_time()
+            self._connecting_fails_until = -math.inf
         except (OSError, trio.TooSlowError) as error:
-            raise _not_connected(error) from None
+            raise self._not_connected(error) from None
         finally:
             if not connected:
                 self.close(connection)
@@ -272,18 +286,34 @@
     def _new_socket(self, family: socket.AddressFamily) -> socket.socket:
         """A new socket; closes one idle connection for it if this process has no descriptor left.
 
-        If the whole machine has none left (ENFILE), the idle connections are kept: they serve requests
-        meanwhile.
+        The idle connections are kept, since they serve requests meanwhile, if the whole machine has none left
+        (ENFILE), or if closing one has not helped.
         """
         try:
             return socket.socket(family)
         except OSError as error:
-            if error.errno != errno.EMFILE or not self._close_longest_idle():
-                raise _not_connected(error) from None
+            if error.errno != errno.EMFILE or not self._close_idle_for_descriptor():
+                raise self._not_connected(error) from None
         try:
             return socket.socket(family)
         except OSError as error:
-            raise _not_connected(error) from None
+            raise self._not_connected(error) from None
+
+    def _close_idle_for_descriptor(self) -> bool:
+        return not self.connecting_fails and self._close_longest_idle()
+
+    def _not_connected(self, error: OSError | trio.TooSlowError) -> NotConnectedError:
+        """The error to raise; a local fault is remembered."""
+        if isinstance(error, OSError) and error.errno in LOCAL_FAULT_ERRNOS:
+            self._connecting_fails_until = trio.current_time() + CONNECTING_FAULT_MEMORY_S
+            return LocalFaultError(repr(error))
+        return NotConnectedError(repr(error))
+
+    def _idle_are_for_releases(self) -> bool:
+        """Whether releases wait, and need the few connections that are idle since no other can be opened."""
+        if not self.waiting_releases or not self.connecting_fails:
+            return False
+        return sum(len(host.idle) for host in self.hosts.values()) <= self.release_reserve
 
     def _take_idle(self, host: UpstreamHost) -> UpstreamConnection | None:
         """The most recently used idle connection whose delay before reuse is over."""
@@ -341,9 +371,3 @@
         else:
             connection.from_pool = True
             bisect.insort(host.idle, connection, key=lambda idle: idle.idle_since)
-
-
-def _not_connected(error: OSError | trio.TooSlowError) -> NotConnectedError:
-    if isinstance(error, OSError) and error.errno in LOCAL_FAULT_ERRNOS:
-        return LocalFaultError(repr(error))
-    return NotConnectedError(repr(error))
--- a/violetstack/net/upstream/state_release.py
+++ b/violetstack/net/upstream/state_release.py
@@ -39,6 +39,7 @@
     def register(self, call: ReleaseCall) -> None:
         """Makes `wait_for` wait for this call from now on; must be called before `run`."""
         self._running[call] = trio.Event()
+        self._pool.waiting_releases = len(self._running)
 
     async def wait_for(self, request: OpenRequest) -> None:
         """Returns once no release of the request is under way, or after `MAX_WAIT_FOR_RELEASE_S`."""
@@ -70,6 +71,7 @@
                     await call_ended.wait()
             nursery.cancel_scope.cancel()
         del self._running[call]
+        self._pool.waiting_releases = len(self._running)
         if not finished.is_set():
             self._core.release_finished(now_ms(), call, False)
             finished.set()
@@ -101,13 +103,14 @@
         self._core.release_finished(now, call, True)
 
     def _best_host(self, request: OpenRequest, tried: set[str]) -> str | None:
-        """The host most likely to answer; None if all were tried.
+        """The host most likely to answer; None if all were tried, or none can be reached at present.
 
         Prefers, in this order, hosts that have not failed to answer this request, are not draining, have an
         idle connection, and have answered any request most recently. An idle connection whose delay before
         reuse is not over does not count, because a new one would be opened beside it.
         """
         unresponsive = request.unresponsive_hosts()
+        needs_idle = self._pool.connecting_fails
 
         def may_call(name: str) -> bool:
             return (
@@ -115,6 +118,7 @@
                 and name in self._pool.hosts
                 and name not in tried
                 and name not in self._core.stateless_hosts
+                and (not needs_idle or self._pool.hosts[name].has_usable_idle())
             )
 
         def rank(name: str) -> _ReleaseRank:
