--- a/tests/held_state_matrix.py
+++ b/tests/held_state_matrix.py
@@ -50,6 +50,7 @@
 }
 FAULT_DELAY_S = 0.1
 LOW_SOCKET_LIMIT = 200
+VERY_LOW_SOCKET_LIMIT = 100
 FILLER_REQUEST_COUNT = 60
 """More than the number of connections to hosts that `LOW_SOCKET_LIMIT` allows."""
 OBSERVATION_S = 2.2
@@ -149,6 +150,12 @@
         deployment.calls[request_id] = await dispatcher.send_request(request_id, "orden")
 
 
+async def frozen_hosts_fill_pool(deployment: Deployment, dispatcher: DispatcherProcess) -> None:
+    """Freezes all hosts but one, and uses up the connections that are not reserved."""
+    await frozen_hosts("r1 w1 w2", None)(deployment, dispatcher)
+    await attempts_fill_pool(deployment, dispatcher)
+
+
 async def no_descriptor_under_load(deployment: Deployment, dispatcher: DispatcherProcess) -> None:
     """Lets the dispatcher open no sockets for a while, in which further requests arrive."""
     deployment.process_faults.fail(SystemCall.SOCKET, errno.EMFILE)
@@ -218,6 +225,9 @@
     "SIGTERM": Column(signal_sent(signal.SIGTERM)),
     "no free connections": Column(attempts_fill_pool, sockets=LOW_SOCKET_LIMIT),
     "all hosts unreachable for 0.25 s": Column(all_hosts_unreachable),
+    "no free connections, all hosts but one freeze": Column(
+        frozen_hosts_fill_pool, sockets=VERY_LOW_SOCKET_LIMIT
+    ),
 }
 """The faults, by the name of the column."""
 NO_DESCRIPTOR_COLUMN = Column(no_descriptor_under_load)
--- a/violetstack/net/upstream/connection_pool.py
+++ b/violetstack/net/upstream/connection_pool.py
@@ -146,6 +146,11 @@
         """Number of connections that only releases may open, and may use while connecting fails."""
         return min(RELEASE_RESERVED_CONNECTIONS, self.max_connections // RESERVED_CONNECTIONS_DIVISOR)
 
+    @property
+    def uses_release_reserve(self) -> bool:
+        """Whether only releases may open further connections."""
+        return self.open_connections >= self.max_connections - self.release_reserve
+
     def close(self, connection: UpstreamConnection) -> None:
         """Closes a connection that this pool opened or adopted."""
         connection.close()
@@ -258,8 +263,8 @@
         Raises:
             LocalFaultError: The limit is reached, and no connection is idle.
         """
-        reserved = 0 if for_release else self.release_reserve
-        if self.open_connections >= self.max_connections - reserved and not self._close_longest_idle():
+        is_full = self.open_connections >= self.max_connections if for_release else self.uses_release_reserve
+        if is_full and not self._close_longest_idle():
             raise LocalFaultError(
                 f"too many connections: {self.open_connections} of {self.max_connections} are open"
             )
