Review: a script that fails in itself ends with 2, after 100 s at most

An exception of a stand-in ended a script with 1, as a broken rule does; a missing build did with 127.

--- a/review/rig.py
+++ b/review/rig.py
@@ -28,7 +28,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 START_TIMEOUT_S = 30.0
-LIMIT_S = 110.0
+LIMIT_S = 100.0
 API_KEY = "kiosk-key"
 END_S = 15.0
 
@@ -278,7 +278,7 @@
         try:
             held = asyncio.run(asyncio.wait_for(case(record, Path(temporary)), LIMIT_S))
             status = HELD if held else BROKEN
-        except (CouldNotRunError, OSError, TimeoutError) as error:
+        except Exception as error:  # of any kind: only the check itself may tell that the rule was broken
             record(f"could not run: {error!r}")
     record(f"status {status}: {('the rule held', 'the rule was broken', 'could not run')[status]}")
     sys.exit(status)
