Chat front: an event that cannot be read ends the answer as broken

Cause: three places decided for themselves what an event is (reader, trailer, collected answer), none had a kind for what cannot be read, and each took it for an event without content. Hosts of the platform's API could drop an error event in the same way.

Ruled out: the splitter (the platform's front forwards the same bytes unchanged); hosts of the chat API alone (both are affected).

Change: protocol/answer_events.py tells the kinds apart for all; the reader asks the front, before it commits to an event, whether the response can go on with it. The chat front can't with an unreadable event, an error, or another choice; the platform's front forwards everything as it came, and the log names host and reason. Such a host counts as one that fails. A front's exception in `event` breaks the response instead of losing the event.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -36,6 +36,7 @@
     TenantSettings,
     UpdateScope,
 )
+from violetstack.protocol.answer_events import AnswerEvent
 
 READ_TOKENS_MS = 18.0  # tokens that a prefill host processes in a millisecond
 READ_QUEUE = 40
@@ -274,7 +275,10 @@
         self.fleet.earned[self.cls] += spec.priority_weight * part * (self.prompt + self.tokens) / 1000.0
         self.fleet.counts["in time" if part == 1.0 else "late"] += 1
 
-    def event(self, data: memoryview) -> None: ...
+    def why_unforwardable(self, event: AnswerEvent) -> str:
+        return ""
+
+    def event(self, event: AnswerEvent) -> None: ...
 
     def finished(self) -> None: ...
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -48,6 +48,7 @@
     "tests/test_stored_state.py",
 )
 PROCESSES = (
+    "tests/test_chat_events.py",
     "tests/test_commands.py",
     "tests/test_fault_campaign.py",
     "tests/test_fault_findings.py",
--- a/tests/test_answer_events.py
+++ b/tests/test_answer_events.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from violetstack.net.upstream.answer_events import EventKind, classify_event
+from violetstack.protocol.answer_events import EventKind, read_event
 
 EVENTS = {
     b'data: {"choices":[{"index":0,"delta":{"content":"x"}}]}\n\n': EventKind.CONTENT,
@@ -22,9 +22,14 @@
     b'data: {"choices":[{"delta":{"content":""},"finish_reason":null}]}\n\n': EventKind.EMPTY,
     b'data: {"choices":[{"delta":{"role":"assistant","content":""}}]}\n\n': EventKind.EMPTY,
     b'data: {"choices":[],"usage":null}\n\n': EventKind.EMPTY,
-    b'data: {"note":"\\"content\\":\\"x"}\n\n': EventKind.EMPTY,
-    b'data: {"choices":5}\n\n': EventKind.EMPTY,
-    b"data: not JSON [DONE]\n\n": EventKind.EMPTY,
+    b'data: {"note":"\\"content\\":\\"x"}\n\n': EventKind.UNREADABLE,
+    b'data: {"choices":5}\n\n': EventKind.UNREADABLE,
+    b"data: not JSON [DONE]\n\n": EventKind.UNREADABLE,
+    b'data: {"choices":[{"delta":{"content":"x"\n\n': EventKind.UNREADABLE,
+    b'data: {"choices":[{"delta":{"content":5}}]}\n\n': EventKind.UNREADABLE,
+    b'data: {"error":{"message":"x"}}\n\n': EventKind.ERROR,
+    b'event: error\ndata: {"message":"x"}\n\n': EventKind.ERROR,
+    b'data: {"error":null,"choices":[]}\n\n': EventKind.EMPTY,
     b'event: ping\ndata: {"type":"ping"}\n\n': EventKind.EMPTY,
     b': "content":"x"\n\n': EventKind.COMMENT,
     b"data:\n\n": EventKind.COMMENT,
@@ -35,4 +40,22 @@
 
 @pytest.mark.parametrize(("event", "kind"), EVENTS.items(), ids=[repr(event)[2:60] for event in EVENTS])
 def test_an_event_is_classified_by_what_it_adds_to_the_answer(event: bytes, kind: EventKind) -> None:
-    assert classify_event(memoryview(event)) is kind
+    assert read_event(memoryview(event)).kind is kind
+
+
+STREAM_GOES_ON = {
+    b'data: {"choices":[{"delta":{"content":"x"},"logprobs":NaN}]}\n\n': True,
+    b'data: {"choices":[{"delta":{"content":[{"text":"x"}]}}]}\n\n': True,
+    b'data: {"choices":[{"delta":{"content":"x"\n\n': True,
+    b"data: not JSON\n\n": False,
+    b'data: {"choices":5}\n\n': False,
+    b'data: {"note":"\\"content\\":\\"x"}\n\n': False,
+}
+
+
+@pytest.mark.parametrize(("event", "goes_on"), STREAM_GOES_ON.items(), ids=[repr(e) for e in STREAM_GOES_ON])
+def test_a_stream_goes_on_with_text_that_cannot_be_read(event: bytes, goes_on: bool) -> None:
+    """A host whose JSON is not strict is forwarded unchanged on the platform's front, and not cut."""
+    unreadable = read_event(memoryview(event))
+    assert (unreadable.kind, unreadable.continues_answer) == (EventKind.UNREADABLE, goes_on)
+    assert unreadable.fault
--- a/tests/test_buffer_memory.py
+++ b/tests/test_buffer_memory.py
@@ -14,6 +14,7 @@
 from violetstack.fronts.completion_response import Completion
 from violetstack.net.downstream.read_times import ReadTimes
 from violetstack.net.downstream.write_queue import WriteQueue
+from violetstack.protocol.answer_events import read_event
 from violetstack.protocol.discovery import JsonObjectSplitter
 from violetstack.protocol.http_server import MAX_BODY_BYTES, HttpServerConnection
 from violetstack.protocol.sse import EventSplitter
@@ -224,7 +225,7 @@
     def collect() -> Completion:
         completion = Completion("c", "m", 1)
         for _ in range(10_000):
-            completion.add(b'{"choices":[{"delta":{"content":"a"}}]}')
+            completion.add(read_event(memoryview(b'data: {"choices":[{"delta":{"content":"a"}}]}\n\n')))
         return completion
 
     completion, size = measure_kept(collect)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -33,6 +33,7 @@
     TimerFired,
     UpdateScope,
 )
+from violetstack.protocol.answer_events import AnswerEvent
 
 
 class RecordingPorts:
@@ -86,7 +87,10 @@
     def stream_started(self) -> None:
         self.answers.append("stream_started")
 
-    def event(self, data: memoryview) -> None:
+    def why_unforwardable(self, event: AnswerEvent) -> str:
+        return ""
+
+    def event(self, event: AnswerEvent) -> None:
         self.answers.append("event")
 
     def finished(self) -> None:
@@ -437,3 +441,31 @@
     harness.run(RejectRequest("q", 0.0))
     (line,) = [fields for event, fields in harness.ports.logged if event == "request"]
     assert line["attempts"] == [("w1", "moot", 0, "host drains")]
+
+
+@pytest.mark.parametrize("spoilt", [False, True])
+def test_an_answer_that_cannot_be_read_counts_as_its_hosts_failure_after_the_first_event(
+    spoilt: bool,
+) -> None:
+    """A broken connection does not: hosts close them for other reasons, too."""
+    harness = CoreHarness()
+    observed: list[tuple[str, bool]] = []
+
+    class Observer:
+        def endpoints_updated(self, now: float, update: EndpointUpdate) -> None: ...
+
+        def attempt_observed(self, now: float, host: str, succeeded: bool) -> None:
+            observed.append((host, succeeded))
+
+    harness.core.use_outlier_observer(Observer())
+    attempt = harness.send("w1")
+    harness.core.request_written(harness.now, attempt)
+    assert harness.core.stream_started(harness.now, attempt)
+    if spoilt:
+        harness.core.answer_spoilt(harness.now, attempt)
+        harness.core.answer_spoilt(harness.now, attempt)
+    harness.core.attempt_finished(harness.now, attempt, AttemptStatus.RESET)
+    harness.run()
+    (finished,) = [event for event in harness.ports.events if isinstance(event, AttemptFinished)]
+    assert finished.answer_spoilt is spoilt
+    assert observed == [("w1", True)] + [("w1", False)] * spoilt
--- a/tests/test_decode_errors.py
+++ b/tests/test_decode_errors.py
@@ -5,7 +5,8 @@
 import pytest
 
 from tests.test_stories import pair, play
-from violetstack.net.upstream.stream_trailer import StreamTrailer, cached_tokens_of, is_error_event
+from violetstack.net.upstream.stream_trailer import StreamTrailer, cached_tokens_of
+from violetstack.protocol.answer_events import EventKind, read_event
 from violetstack.protocol.headers import check_is_json_object
 from violetstack.protocol.http_server import InvalidRequestError
 from violetstack.rehearsal.clients import connect, platform_headers
@@ -19,7 +20,7 @@
 
 @pytest.mark.parametrize("value", [DEEP, NOT_UTF8], ids=["deep", "not UTF-8"])
 def test_a_hosts_usage_that_cannot_be_decoded_is_ignored(value: bytes) -> None:
-    event = memoryview(b'data: {"usage":' + value + b"}\n\n")
+    event = read_event(memoryview(b'data: {"usage":' + value + b"}\n\n"))
     trailer = StreamTrailer(())
     trailer.read(event)
     assert trailer.cached_tokens == 0
@@ -28,7 +29,8 @@
 
 @pytest.mark.parametrize("value", [DEEP, NOT_UTF8], ids=["deep", "not UTF-8"])
 def test_an_error_event_that_cannot_be_decoded_is_not_an_error(value: bytes) -> None:
-    assert not is_error_event(memoryview(b'data: {"error":' + value + b"}\n\n"))
+    event = read_event(memoryview(b'data: {"error":' + value + b"}\n\n"))
+    assert event.kind is EventKind.UNREADABLE
 
 
 def test_a_deep_body_is_an_invalid_request() -> None:
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from msgspec.structs import replace
 
 from tests.router_harness import DECODE_HOSTS, IDEMPOTENT_CLASS, PREFILL_HOSTS, RouterHarness, make_endpoint
@@ -268,6 +269,17 @@
     assert endpoint.statistics.consecutive_failures == 0
 
 
+@pytest.mark.parametrize("spoilt", [False, True])
+def test_after_the_first_token_only_an_answer_that_cannot_be_read_is_penalized(spoilt: bool) -> None:
+    harness = RouterHarness()
+    request = harness.submit()
+    harness.finish_attempt(request, AttemptStatus.PREFILLED)
+    host = harness.endpoint(harness.sent_attempts[request][-1].server)
+    harness.start_stream(request)
+    harness.finish_attempt(request, AttemptStatus.RESET, request_finished=True, answer_spoilt=spoilt)
+    assert host.statistics.consecutive_failures == int(spoilt)
+
+
 def test_a_retry_goes_to_a_prefill_host_that_has_not_failed_the_request() -> None:
     harness = RouterHarness()
     harness.endpoint("r2").statistics.penalty.add(harness.now, 50.0)
--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -121,6 +121,9 @@
     `responses` plays malformed responses of model hosts through one dispatcher, in some 1,000 forms, and
     checks that each client gets its final answer or the end of its connection in time.
 
+    `chat` plays sound and spoilt events of model hosts for clients of both fronts, in some 3,000 cells, and
+    checks that no incomplete answer looks complete.
+
     \b
     Examples:
       violetstack rehearse --quiet
@@ -144,6 +147,10 @@
         from violetstack.commands.responses import run_responses  # noqa: PLC0415
 
         sys.exit(run_responses())
+    if stories[:1] == ("chat",):
+        from violetstack.commands.chat import run_chat  # noqa: PLC0415
+
+        sys.exit(run_chat())
     sys.exit(_run_scenarios(stories, quiet))
 
 
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -6,6 +6,7 @@
 
 from violetstack.core.hold_manager import NOTHING_HELD_STATUSES, HoldManager
 from violetstack.core.lifecycle import RequestLifecycle
+from violetstack.core.ports import ResponseEvent
 from violetstack.core.records import Attempt, AttemptLogEntry, OpenRequest, RequestOutcome
 from violetstack.core.remote_hold import HoldEvent
 from violetstack.core.send_guard import SendGuard, WithholdReason
@@ -170,11 +171,19 @@
         state.post(StreamStarted(request.id, attempt.server, attempt.number, now - attempt.sent_at))
         return True
 
-    def forward_event(self, attempt: Attempt, data: memoryview) -> None:
-        """Forwards one event of the stream to the client."""
-        if not attempt.finished:
-            attempt.events_forwarded += 1
-            self._state.notify(attempt.request.sink.event, data)
+    def forward_event(self, attempt: Attempt, event: ResponseEvent) -> bool:
+        """Forwards one event of the stream to the client; returns False if the front failed to."""
+        if attempt.finished:
+            return True
+        attempt.events_forwarded += 1
+        return self._state.notify(attempt.request.sink.event, event)
+
+    def answer_spoilt(self, now: float, attempt: Attempt) -> None:
+        """Records that the host's answer has an event that is not a part of one: the host has failed."""
+        if attempt.answer_spoilt:
+            return
+        attempt.answer_spoilt = True
+        self._state.observe_attempt(attempt.server, now, succeeded=False)
 
     def request_invalid(self, now: float, attempt: Attempt) -> None:
         """Fails a request that a host reports as invalid: no other host is tried, and none is blamed."""
@@ -223,6 +232,7 @@
                 request_finished=request.done,
                 detail=detail,
                 load_report=load_report,
+                answer_spoilt=attempt.answer_spoilt and status in FAILURE_STATUSES,
             )
         )
         state.mark_changed(request)
@@ -247,7 +257,7 @@
     def _observe(self, now: float, attempt: Attempt, status: AttemptStatus) -> None:
         if status is AttemptStatus.PREFILLED:
             self._state.observe_attempt(attempt.server, now, succeeded=True)
-        elif status in FAILURE_STATUSES and not attempt.stream_started:
+        elif status in FAILURE_STATUSES and not (attempt.stream_started or attempt.answer_spoilt):
             self._state.observe_attempt(attempt.server, now, succeeded=False)
 
     # --- disconnected clients and migrated streams ---
--- a/violetstack/core/dispatcher.py
+++ b/violetstack/core/dispatcher.py
@@ -15,6 +15,7 @@
     OutlierObserver,
     Policy,
     RequestRouter,
+    ResponseEvent,
     RetryAfter,
     Shed,
     Sink,
@@ -298,9 +299,13 @@
         """Records the first event of a response; returns False if the response is no longer needed."""
         return self._attempts.stream_started(now, attempt)
 
-    def forward_event(self, attempt: Attempt, data: memoryview) -> None:
-        """Forwards one event of the stream to the client."""
-        self._attempts.forward_event(attempt, data)
+    def forward_event(self, attempt: Attempt, event: ResponseEvent) -> bool:
+        """Forwards one event of the stream to the client; returns False if the front failed to."""
+        return self._attempts.forward_event(attempt, event)
+
+    def answer_spoilt(self, now: float, attempt: Attempt) -> None:
+        """Records that the host's answer has an event that is not a part of one."""
+        self._attempts.answer_spoilt(now, attempt)
 
     def attempt_finished(
         self,
--- a/violetstack/core/ports.py
+++ b/violetstack/core/ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol, TypeAlias
 
 import msgspec
 
@@ -11,6 +11,9 @@
 if TYPE_CHECKING:
     from violetstack.core.records import Attempt, ReleaseCall, RequestOutcome, ReservationCall
 
+ResponseEvent: TypeAlias = Any
+"""An event of a response, which the core passes from the driver to the front without looking into it."""
+
 
 class Policy(Protocol):
     """Decides what is done about events."""
@@ -29,8 +32,14 @@
     def stream_started(self) -> None:
         """Called when the first event of the response has arrived."""
 
-    def event(self, data: memoryview) -> None:
-        """Forwards one event. The bytes are valid until the call returns."""
+    def why_unforwardable(self, event: ResponseEvent) -> str:
+        """Returns why the response cannot go on with this event; empty if it can be forwarded.
+
+        Called for each event before it is forwarded, also before `stream_started`.
+        """
+
+    def event(self, event: ResponseEvent) -> None:
+        """Forwards one event. Its bytes are valid until the call returns."""
 
     def finished(self) -> None:
         """Called when the response is complete."""
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from violetstack.core.ports import Sink
+from violetstack.core.ports import ResponseEvent, Sink
 from violetstack.core.remote_hold import RemoteHold
 from violetstack.core.timers import Timer
 from violetstack.policy_api import AttemptStatus, Endpoint, Request
@@ -45,7 +45,11 @@
     def stream_started(self) -> None:
         """Does nothing."""
 
-    def event(self, data: memoryview) -> None:
+    def why_unforwardable(self, event: ResponseEvent) -> str:  # noqa: ARG002 - the same for all
+        """Returns an empty text: nothing is forwarded any more."""
+        return ""
+
+    def event(self, event: ResponseEvent) -> None:
         """Does nothing."""
 
     def finished(self) -> None:
@@ -121,6 +125,7 @@
         written_at: When its last byte was handed to the kernel.
         withhold_reason: Why the attempt was not sent, or not completely; empty if it was.
         broken_reason: Why its response is not complete; the driver sets it when it reports the end.
+        answer_spoilt: Whether the host wrote an event that cannot be read, or reported an error in one.
         stream_started: Whether the first event of its response was accepted.
         events_forwarded: Number of events that were forwarded to the client.
         answered: Whether its host has responded, with any status.
@@ -139,6 +144,7 @@
     written_at: float = 0.0
     withhold_reason: str = ""
     broken_reason: str = ""
+    answer_spoilt: bool = False
     stream_started: bool = False
     events_forwarded: int = 0
     answered: bool = False
--- a/violetstack/core/state.py
+++ b/violetstack/core/state.py
@@ -89,12 +89,14 @@
         self.changed_requests = {}
         return changed
 
-    def notify(self, call: Callable[..., None], *arguments: object) -> None:
-        """Calls a method of a front's sink; an exception is logged, and only this response is lost."""
+    def notify(self, call: Callable[..., None], *arguments: object) -> bool:
+        """Calls a method of a front's sink; an exception is logged, and False is returned after it."""
         try:
             call(*arguments)
-        except Exception as error:
+        except Exception as error:  # of any kind: it must not affect other requests
             self.driver.log("response_dropped", error=repr(error))
+            return False
+        return True
 
     def observe_attempt(self, server: str, now: float, *, succeeded: bool) -> None:
         """Tells the outlier observer whether an attempt succeeded at a host."""
--- a/violetstack/fronts/chat_sink.py
+++ b/violetstack/fronts/chat_sink.py
@@ -9,10 +9,10 @@
 
 from violetstack.fronts.chat_errors import JSON_HEADERS, ErrorResponse, overloaded, request_failed
 from violetstack.fronts.completion_request import CompletionRequest
-from violetstack.fronts.completion_response import Completion
+from violetstack.fronts.completion_response import Completion, why_not_one_choice
 from violetstack.fronts.reply import EVENT_STREAM_HEADERS, Reply
 from violetstack.idempotency.store import Outcome
-from violetstack.protocol import sse
+from violetstack.protocol.answer_events import AnswerEvent, EventKind
 from violetstack.protocol.http_server import Headers
 
 MAX_COMPLETION_BYTES = 1024 * 1024
@@ -49,12 +49,24 @@
     def stream_started(self) -> None:
         """Sends nothing: the head goes out with the first chunk, so that an earlier failure gets a status."""
 
-    def event(self, data: memoryview) -> None:
+    def why_unforwardable(self, event: AnswerEvent) -> str:
+        """Returns why the answer cannot go on with this event; empty if it can be added.
+
+        The answer is translated, so an event that cannot be read would be missing from it unnoticed.
+        """
+        match event.kind:
+            case EventKind.ERROR:
+                return "the stream contains an error event"
+            case EventKind.UNREADABLE:
+                return event.fault
+            case _:
+                return why_not_one_choice(event.choices)
+
+    def event(self, event: AnswerEvent) -> None:
         """Adds one event of the model host to the answer; a streamed answer forwards it as a chunk."""
-        text = sse.payload(data)
-        if self._exceeds_limit or not text or text.strip() == b"[DONE]":
+        if self._exceeds_limit or event.kind in (EventKind.COMMENT, EventKind.DONE):
             return
-        chunk = self._completion.add(text)
+        chunk = self._completion.add(event)
         self._exceeds_limit = self._completion.size > MAX_COMPLETION_BYTES
         if chunk is not None and self._request.stream:
             self._send_chunk(chunk)
--- a/violetstack/fronts/completion_response.py
+++ b/violetstack/fronts/completion_response.py
@@ -7,6 +7,20 @@
 
 import orjson
 
+from violetstack.protocol.answer_events import AnswerEvent, Choice
+
+
+def why_not_one_choice(choices: list[Choice]) -> str:
+    """Returns why choices cannot be a piece of an answer of one choice; empty if they can."""
+    if len(choices) > 1:
+        return f"{len(choices)} choices in the answer to a request for one"
+    for choice in choices:
+        if isinstance(choice.index, int) and choice.index != 0:
+            return f"a choice of index {choice.index} in the answer to a request for one"
+        if choice.text and not choice.delta:
+            return "a choice with text in place of a delta"
+    return ""
+
 
 class Completion:
     """Collects one answer from a host's events and returns it as OpenAI chunks or as one object."""
@@ -40,22 +54,14 @@
     def _keep_choice(self, choice: dict[str, Any]) -> None:
         self._encoded_choices += orjson.dumps(choice, option=orjson.OPT_APPEND_NEWLINE)
 
-    def add(self, data: bytes) -> dict[str, Any] | None:
-        """Adds an event of the host; returns its chunk, or None if the event is not part of the answer."""
-        try:
-            event = orjson.loads(data)
-        except orjson.JSONDecodeError:
-            return None
-        if not isinstance(event, dict):
-            return None
-        if isinstance(event.get("usage"), dict):
-            self.usage = event["usage"]
-        choices = event.get("choices")
-        if not isinstance(choices, list) or not choices or not isinstance(choices[0], dict):
+    def add(self, event: AnswerEvent) -> dict[str, Any] | None:
+        """Adds an event of the host that can be read; returns its chunk, or None if it has no choice."""
+        if event.usage is not None:
+            self.usage = event.usage
+        if not event.choices:
             return None
-        choice = {**choices[0], "index": 0}
-        delta = choice.get("delta")
-        choice["delta"] = dict(delta) if isinstance(delta, dict) else {}
+        choice = {**orjson.loads(event.data)["choices"][0], "index": 0}
+        choice["delta"] = dict(choice.get("delta") or {})
         if not self.has_choices:
             choice["delta"].setdefault("role", "assistant")
         choice.setdefault("finish_reason", None)
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -8,6 +8,7 @@
 from violetstack.core.errors import DuplicateRequestError, ExecutedRequestError, NotRoutedError
 from violetstack.core.ports import Origin
 from violetstack.fronts.reply import EVENT_STREAM_HEADERS, TEXT_HEADERS, Payload, Reply
+from violetstack.protocol.answer_events import AnswerEvent
 from violetstack.protocol.headers import RequestReader, forwarded_headers
 from violetstack.protocol.http_server import HttpRequest, InvalidRequestError
 
@@ -28,9 +29,13 @@
         self._stream_started = True
         self.reply.stream(200, EVENT_STREAM_HEADERS)
 
-    def event(self, data: memoryview) -> None:
+    def why_unforwardable(self, event: AnswerEvent) -> str:  # noqa: ARG002 - the same for all
+        """Returns an empty text: events are forwarded unchanged, whatever they hold."""
+        return ""
+
+    def event(self, event: AnswerEvent) -> None:
         """Forwards one event unchanged."""
-        self.reply.data(data)
+        self.reply.data(event.raw)
 
     def finished(self) -> None:
         """Ends the response."""
--- a/violetstack/net/upstream/response_reader.py
+++ b/violetstack/net/upstream/response_reader.py
@@ -11,7 +11,6 @@
 from violetstack.core.records import Attempt
 from violetstack.log import log_rate_limited
 from violetstack.net.clock import now_ms
-from violetstack.net.upstream.answer_events import EventKind, classify_event
 from violetstack.net.upstream.connection import UpstreamConnection
 from violetstack.net.upstream.late_reads import LateReads
 from violetstack.net.upstream.response_errors import StalledResponseError, UnfinishedStreamError
@@ -20,11 +19,11 @@
     LoadReport,
     StreamTrailer,
     cached_tokens_of,
-    is_error_event,
     may_end_stream,
 )
 from violetstack.policy_api import AttemptStatus
 from violetstack.protocol import sse
+from violetstack.protocol.answer_events import AnswerEvent, EventKind, read_event
 from violetstack.protocol.headers import parse_load_report
 from violetstack.protocol.http_client import InvalidResponseError, ResponseData, ResponseEnd, ResponseHead
 
@@ -190,23 +189,50 @@
                     f"body of a response with status {head.status} exceeds {MAX_BODY_BYTES} bytes"
                 )
             return
-        for event in self._splitter.feed(data):
-            if self._openai_api and is_error_event(event):
-                raise InvalidResponseError("the stream contains an error event")
-            kind = classify_event(event)
+        for raw in self._splitter.feed(data):
+            event = read_event(raw)
+            self._check(event)
             self._trailer.read(event)
             if not self._attempt.stream_started:
-                if kind is EventKind.COMMENT:
+                if event.kind is EventKind.COMMENT:
                     self._hold_back(event)
                     continue
                 self._start_stream()
-            self._progress.event_received(kind)
-            self._core.forward_event(self._attempt, event)
+            self._progress.event_received(event)
+            self._forward(event)
             self._partial = False
 
-    def _hold_back(self, event: memoryview) -> None:
+    def _check(self, event: AnswerEvent) -> None:
+        """Checks that the client's front can go on with the event.
+
+        Raises:
+            InvalidResponseError: The response ends here, since any part of the answer may be missing.
+        """
+        reason = self._attempt.request.sink.why_unforwardable(event)
+        if event.kind is EventKind.ERROR and self._openai_api:
+            reason = reason or "the stream contains an error event"
+        if not reason and event.kind is not EventKind.UNREADABLE:
+            return
+        is_first = not self._attempt.answer_spoilt
+        self._core.answer_spoilt(now_ms(), self._attempt)
+        if reason:
+            raise InvalidResponseError(reason)
+        if is_first:
+            log_rate_limited(
+                "upstream_event_unreadable",
+                id=self._attempt.request.id,
+                server=self._attempt.server,
+                events=self._attempt.events_forwarded,
+                reason=event.fault,
+            )
+
+    def _forward(self, event: AnswerEvent) -> None:
+        if not self._core.forward_event(self._attempt, event):
+            raise InvalidResponseError("an event that the client's front cannot forward")
+
+    def _hold_back(self, event: AnswerEvent) -> None:
         """Keeps an event that may precede the answer: forwarding it would rule out another attempt."""
-        self._held_back += event
+        self._held_back += event.raw
         if len(self._held_back) > MAX_HELD_BACK_BYTES:
             raise InvalidResponseError(f"more than {MAX_HELD_BACK_BYTES} bytes of comments before the answer")
 
@@ -215,7 +241,7 @@
             raise InvalidResponseError("the stream is not wanted any more: the core has rejected it")
         self._progress.stream_started()
         if self._held_back:
-            self._core.forward_event(self._attempt, memoryview(self._held_back))
+            self._forward(AnswerEvent(memoryview(self._held_back), EventKind.COMMENT))
             self._held_back = bytearray()
 
     async def _wait_for_client(self, *, advanced: bool) -> None:
@@ -257,15 +283,15 @@
             return self._openai_result(head) if self._openai_api else self._platform_result(head)
         if not self._attempt.stream_started:
             raise UnfinishedStreamError("a stream ended without an event")
-        rest = memoryview(self._splitter.end())
+        rest = read_event(memoryview(self._splitter.end()))
         self._trailer.read(rest)
         # Framing alone does not show that the answer is complete: a host may end a stream at any event.
         if self._trailer.done is False:
             raise UnfinishedStreamError("a stream ended without [DONE]")
         if not may_end_stream(rest):
             raise UnfinishedStreamError("a stream ended inside an event")
-        if rest:
-            self._core.forward_event(self._attempt, rest)
+        if rest.raw:
+            self._forward(rest)
         cached = self._clamp_cached_tokens(self._trailer.cached_tokens)
         return AttemptResult(AttemptStatus.OK, cached, self._trailer.load_report)
 
--- a/violetstack/net/upstream/stream_progress.py
+++ b/violetstack/net/upstream/stream_progress.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from violetstack.net.upstream.answer_events import EventKind
+from violetstack.protocol.answer_events import AnswerEvent, EventKind
 
 HEAD_TIMEOUT_S = 30.0
 """Limit for the first byte of a response; the attempt's own deadline is far shorter."""
@@ -122,16 +122,16 @@
         """Records that the first event is forwarded."""
         self._advanced_at = trio.current_time()
 
-    def event_received(self, kind: EventKind) -> None:
+    def event_received(self, event: AnswerEvent) -> None:
         """Records a complete event; token counts and the end marker count once, and nothing after that."""
         self._event_pace = EventPace()
         if self._done:
             return
-        advances = kind in (EventKind.CONTENT, EventKind.DONE)
-        if kind is EventKind.USAGE and not self._usage_received:
+        advances = event.continues_answer
+        if event.kind is EventKind.USAGE and not self._usage_received:
             self._usage_received = True
             advances = True
-        self._done = kind is EventKind.DONE
+        self._done = event.kind is EventKind.DONE
         if advances:
             self.advances += 1
             self._advanced_at = trio.current_time()
--- a/violetstack/net/upstream/stream_trailer.py
+++ b/violetstack/net/upstream/stream_trailer.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from violetstack.protocol import sse
+from violetstack.protocol.answer_events import AnswerEvent, EventKind
 from violetstack.protocol.headers import parse_load_report
 from violetstack.protocol.json_errors import DECODE_ERRORS
 
@@ -22,14 +23,6 @@
     prompt_tokens_details: _PromptTokensDetails | None = None
 
 
-class _UsageEvent(msgspec.Struct):
-    usage: _Usage | None = None
-
-
-class _ErrorEvent(msgspec.Struct):
-    error: Any = None
-
-
 class StreamTrailer:
     """Collects this data from the events of one stream while they are forwarded."""
 
@@ -40,15 +33,15 @@
         """Whether `[DONE]` has been received; None if that is unknown."""
         self.load_report: LoadReport = None
 
-    def read(self, event: memoryview) -> None:
+    def read(self, event: AnswerEvent) -> None:
         """Reads one event; parts that cannot be parsed are ignored."""
-        raw = bytes(event)
-        if b"[DONE]" in raw and sse.payload(event).strip() == b"[DONE]":
+        if event.kind is EventKind.DONE:
             self.done = True
+        raw = bytes(event.raw)
         if raw.startswith(b":") or b"\n:" in raw:
-            self._read_comments(event)
-        if b'"usage"' in raw:
-            self._read_usage(event)
+            self._read_comments(event.raw)
+        if event.usage is not None:
+            self._read_usage(event.usage)
 
     def _read_comments(self, event: memoryview) -> None:
         for comment in sse.comments(event):
@@ -56,29 +49,19 @@
             if name.strip().lower() == "srv-load":
                 self.load_report = parse_load_report(value, self._report_fields)
 
-    def _read_usage(self, event: memoryview) -> None:
+    def _read_usage(self, usage: dict[str, Any]) -> None:
         try:
-            usage = msgspec.json.decode(sse.payload(event), type=_UsageEvent).usage
-        except DECODE_ERRORS:
+            details = msgspec.convert(usage, _Usage).prompt_tokens_details
+        except msgspec.MsgspecError:
             return
-        if usage is not None and usage.prompt_tokens_details is not None:
-            self.cached_tokens = usage.prompt_tokens_details.cached_tokens
-
-
-def is_error_event(event: memoryview) -> bool:
-    """Whether an OpenAI-style host reports an error in this event of its stream."""
-    if b'"error"' not in bytes(event):
-        return False
-    try:
-        return msgspec.json.decode(sse.payload(event), type=_ErrorEvent).error is not None
-    except DECODE_ERRORS:
-        return False
+        if details is not None:
+            self.cached_tokens = details.cached_tokens
 
 
-def may_end_stream(rest: memoryview) -> bool:
+def may_end_stream(rest: AnswerEvent) -> bool:
     """Whether a stream may end with these bytes, which no blank line follows: a comment or `[DONE]`."""
-    line = bytes(rest).strip()
-    return not line or line.startswith(b":") or sse.payload(rest).strip() == b"[DONE]"
+    line = bytes(rest.raw).strip()
+    return not line or line.startswith(b":") or rest.kind is EventKind.DONE
 
 
 def cached_tokens_of(body: bytes | bytearray) -> int:
--- a/violetstack/policy/outliers.py
+++ b/violetstack/policy/outliers.py
@@ -47,8 +47,13 @@
         self._gossip_receiver = GossipReceiver(state, gossip)
 
     def on_attempt_finished(self, attempt: Attempt, event: AttemptFinished) -> None:
-        """Penalizes a failure before the first token by the share of the host's budget that it used."""
-        if event.status not in PENALIZED_STATUSES or attempt.started or state_was_lost(event):
+        """Penalizes a failure by the share of the host's budget that it used.
+
+        After the first token only an answer that cannot be read counts as the host's failure.
+        """
+        if event.status not in PENALIZED_STATUSES or state_was_lost(event):
+            return
+        if attempt.started and not event.answer_spoilt:
             return
         now = self._state.now
         load = self._state.load
--- a/violetstack/policy_api/events.py
+++ b/violetstack/policy_api/events.py
@@ -69,6 +69,8 @@
         detail: After PREFILLED, the prompt tokens that the host found in its cache; after REJECTED, 1 if the
             host no longer held the request's state.
         load_report: Values of the host's load report, in the order of `Settings.load_report_fields`.
+        answer_spoilt: Whether it failed since the host's answer could not be read, if need be after its first
+            token.
     """
 
     id: str
@@ -79,6 +81,7 @@
     request_finished: bool
     detail: int
     load_report: tuple[float | None, ...] | None
+    answer_spoilt: bool = False
 
 
 class ReservationResult(msgspec.Struct, frozen=True):
--- a/violetstack/rehearsal/fleet/dispatcher_process.py
+++ b/violetstack/rehearsal/fleet/dispatcher_process.py
@@ -63,12 +63,13 @@
 ) -> AsyncIterator[DispatcherProcess]:
     """Starts a dispatcher with the deploy file's `run`, and yields it once it is ready for requests.
 
-    `prepare` is called before the start. `number` tells apart several that run at the same time.
+    Discovery lists the hosts that are not of the kind `openai`. `prepare` is called before the start.
+    `number` tells apart several that run at the same time.
     """
     async with trio.open_nursery() as nursery:
         for host in hosts:
             await nursery.start(host.serve)
-        rows = [host.row() for host in hosts]
+        rows = [host.row() for host in hosts if host.kind != "openai"]
         agent = Agent(0, rows, {}, time.monotonic)
         await nursery.start(agent.serve)
         address = loopback_address(number, 5000)
