Chat front: an answer that cannot be assembled is answered as broken

Cause: the assembly of tool calls took each field's type for granted, an exception in a front's `finished` was only logged, and the order was recorded as complete before its answer was assembled.

Ruled out: the streamed answer (served in all cells), the ledger (the record is there; its replay fails in the same assembly).

Change: null counts as a field that is left out; the record follows the assembly; the core ends a response as broken that its front cannot end; a record is checked when it is read and answered with 502 order_may_have_run where it cannot be. function_call is assembled like a tool call, it was left out of complete answers.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -469,3 +469,18 @@
     (finished,) = [event for event in harness.ports.events if isinstance(event, AttemptFinished)]
     assert finished.answer_spoilt is spoilt
     assert observed == [("w1", True)] + [("w1", False)] * spoilt
+
+
+def test_a_response_that_the_front_cannot_end_is_broken_instead() -> None:
+    """Guards against requests without an answer after an exception in the front."""
+    harness = CoreHarness()
+    attempt = harness.send("w1")
+    harness.core.request_written(harness.now, attempt)
+    assert harness.core.stream_started(harness.now, attempt)
+
+    def fail() -> None:
+        raise ValueError("cannot be assembled")
+
+    harness.ports.finished = fail  # type: ignore[method-assign]
+    harness.core.attempt_finished(harness.now, attempt, AttemptStatus.OK)
+    assert harness.ports.answers == ["stream_started", "stream_broken"]
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -249,7 +249,8 @@
             return
         if status is AttemptStatus.OK:
             self._lifecycle.finish(now, request, RequestOutcome.COMPLETED)
-            self._state.notify(request.sink.finished)
+            if not self._state.notify(request.sink.finished):
+                self._state.notify(request.sink.stream_broken)
         else:
             self._lifecycle.finish(now, request, RequestOutcome.TRUNCATED)
             self._state.notify(request.sink.stream_broken)
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -32,6 +32,7 @@
 )
 from violetstack.operator_config import ApiKey, ChatFrontConfig, ModelConfig
 from violetstack.policy_api import Idempotency, Request
+from violetstack.protocol.answer_events import InvalidChunkError
 from violetstack.protocol.headers import duration_ms
 from violetstack.protocol.http_server import HttpRequest, InvalidRequestError
 
@@ -244,7 +245,11 @@
             self.pending -= 1
         if status is not ClaimStatus.ACQUIRED:
             log("idempotency_record_found", state=status.value)
-            self._answer_from_record(status, response, request, reply)
+            try:
+                self._answer_from_record(status, response, request, reply)
+            except InvalidChunkError as error:
+                log("idempotency_record_unreadable", error=str(error))
+                chat_errors.MAY_HAVE_RUN.send(reply)
         elif reply.is_closed:
             idempotency.record_outcome(keyed, Outcome.RELEASED, b"")
         else:
--- a/violetstack/fronts/chat_sink.py
+++ b/violetstack/fronts/chat_sink.py
@@ -76,8 +76,9 @@
         if self._exceeds_limit:
             self._fail_incomplete("The answer is longer than can be kept.")
             return
-        self._record_outcome(Outcome.COMPLETED, self._completion.record())
+        record = self._completion.record()
         _finish(self._reply, self._completion, self._request, self._send_chunk)
+        self._record_outcome(Outcome.COMPLETED, record)
 
     def stream_broken(self) -> None:
         """Reports that the stream broke after its first event."""
--- a/violetstack/fronts/completion_response.py
+++ b/violetstack/fronts/completion_response.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from violetstack.protocol.answer_events import AnswerEvent, Choice
+from violetstack.protocol.answer_events import AnswerEvent, Choice, check_stored_choice
 
 
 def why_not_one_choice(choices: list[Choice]) -> str:
@@ -86,9 +86,13 @@
         for choice in self.choices():
             finish_reason = choice["finish_reason"] or finish_reason
             for name, value in choice["delta"].items():
-                if name == "tool_calls" and isinstance(value, list):
+                if value is None or name == "role":
+                    continue
+                if name == "tool_calls":
                     _merge_tool_calls(calls, value)
-                elif isinstance(value, str) and name != "role":
+                elif name == "function_call":
+                    _merge_function(message.setdefault(name, {}), value)
+                elif isinstance(value, str):
                     message[name] = (message.get(name) or "") + value
         if calls:
             message["tool_calls"] = [calls[n] for n in sorted(calls)]
@@ -109,31 +113,40 @@
 
     @classmethod
     def from_record(cls, raw: bytes) -> Completion:
-        """Decodes an answer that `record` encoded."""
+        """Decodes an answer that `record` encoded, maybe in an earlier release.
+
+        Raises:
+            InvalidChunkError: A part of the answer cannot be read.
+        """
         stored = orjson.loads(raw)
         completion = cls(stored["id"], stored["model"], stored["created"])
         for choice in stored["choices"]:
+            check_stored_choice(choice)
             completion._keep_choice(choice)
         completion.usage = stored["usage"]
         return completion
 
 
-def _merge_tool_calls(calls: dict[int, dict[str, Any]], parts: list[Any]) -> None:
-    """Merges parts of tool calls into `calls`, by index.
-
-    A call's name arrives once; its arguments arrive as pieces of one text.
-    """
-    for part in parts:
-        if not isinstance(part, dict):
+def _merge_tool_calls(calls: dict[int, dict[str, Any]], parts: list[dict[str, Any] | None]) -> None:
+    """Merges pieces of tool calls into `calls`, by index; a piece without index has its place in the list."""
+    for place, part in enumerate(parts):
+        if part is None:
             continue
-        call = calls.setdefault(int(part.get("index", 0)), {})
+        index = part.get("index")
+        call = calls.setdefault(place if index is None else index, {})
         for name, value in part.items():
-            if name == "function" and isinstance(value, dict):
-                function = call.setdefault("function", {})
-                for key, text in value.items():
-                    if key == "arguments" and isinstance(text, str):
-                        function[key] = function.get(key, "") + text
-                    else:
-                        function[key] = text
-            elif name != "index":
+            if value is None or name == "index":
+                continue
+            if name == "function":
+                _merge_function(call.setdefault(name, {}), value)
+            else:
                 call[name] = value
+
+
+def _merge_function(function: dict[str, Any], part: dict[str, Any]) -> None:
+    """Merges a piece of a call: its name arrives once, its arguments as pieces of one text."""
+    for name, value in part.items():
+        if name == "arguments":
+            function[name] = function.get(name, "") + (value or "")
+        elif value is not None:
+            function[name] = value
--- a/violetstack/rehearsal/chat_event_cells.py
+++ b/violetstack/rehearsal/chat_event_cells.py
@@ -144,7 +144,8 @@
 TOOL_FORMS = tuple(
     Form(name, event, Effect.NOTHING)
     for name, event in {
-        "a tool call with null arguments": function_event(name="book", arguments=None),
+        "a tool call with null arguments": function_event(name="book", arguments=None)
+        + function_event(arguments="{}"),
         "a tool call with a null index": delta_event(
             tool_calls=[{"index": None, "id": "call_1", "function": {"name": "book", "arguments": "{}"}}]
         ),
