Chat hosts: each attempt of an order carries a key by which its host knows it

Cause: a request had no identity beyond the dispatcher. The chat front dropped the client's key, hosts of the chat API got no field of the request at all, from either front, and the Req-Id of the chat front is new each time that a client sends an order.

Change: OpenRequest.host_key, made by the front of tenant, class, API key and what the ledger takes for the order (platform front: the client's key, or else Req-Id), travels as Idempotency-Key in each attempt to chat hosts, and from the chat front to platform hosts. Chat hosts get Req-Id as well. The line of a request tells its key and which attempts were repeats.

Test: test_repeated_orders.py, red on the code before for hosts of the chat API, green with the change.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -57,6 +57,7 @@
     "tests/test_log_output.py",
     "tests/test_malformed_responses.py",
     "tests/test_rehearsal_fleet.py",
+    "tests/test_repeated_orders.py",
     "tests/test_shutdown_streams.py",
     "tests/test_slow_responses.py",
     "tests/test_soak.py",
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -25,6 +25,7 @@
     EndpointUpdate,
     Event,
     FailRequest,
+    Idempotency,
     RejectRequest,
     ReleaseState,
     Request,
@@ -484,3 +485,24 @@
     harness.ports.finished = fail  # type: ignore[method-assign]
     harness.core.attempt_finished(harness.now, attempt, AttemptStatus.OK)
     assert harness.ports.answers == ["stream_started", "stream_broken"]
+
+
+def test_the_log_tells_which_attempts_were_repeats() -> None:
+    keyed = replace(
+        SETTINGS.classes[1], idempotency=Idempotency.IDEMPOTENCY_KEY, deduplication_window_ms=5000.0
+    )
+    harness = CoreHarness(classes=(SETTINGS.classes[0], keyed))
+    harness.request.host_key = "key"
+    prefill = harness.send("r1")
+    harness.core.request_written(harness.now, prefill)
+    harness.core.attempt_finished(harness.now, prefill, AttemptStatus.PREFILLED)
+    for status in (AttemptStatus.REJECTED, AttemptStatus.RESET, AttemptStatus.RESET):
+        decode = harness.send("w1")
+        harness.core.request_written(harness.now, decode)
+        harness.core.attempt_finished(harness.now, decode, status)
+    harness.run(RejectRequest("q", 0.0))
+    for number in range(2):
+        harness.core.release_finished(harness.now, harness.ports.releases[number], True)
+        harness.run(after_ms=SETTINGS.state_retention_ms)
+    (line,) = [fields for event, fields in harness.ports.logged if event == "request"]
+    assert (line["repeats"], line["key"]) == ([False, False, False, True], "key")
--- a/violetstack/commands/main.py
+++ b/violetstack/commands/main.py
@@ -122,7 +122,8 @@
     checks that each client gets its final answer or the end of its connection in time.
 
     `chat` plays sound and spoilt events of model hosts for clients of both fronts, in some 3,000 cells, and
-    checks that no incomplete answer looks complete.
+    checks that no incomplete answer looks complete. It loses answers to requests that dispatchers and
+    clients send again, in some 300 cells, and checks that no order runs twice.
 
     \b
     Examples:
--- a/violetstack/core/attempts.py
+++ b/violetstack/core/attempts.py
@@ -4,6 +4,7 @@
 
 import math
 
+from violetstack.core.execution import earlier_executions
 from violetstack.core.hold_manager import NOTHING_HELD_STATUSES, HoldManager
 from violetstack.core.lifecycle import RequestLifecycle
 from violetstack.core.ports import ResponseEvent
@@ -140,6 +141,7 @@
         state.invariants.check_last_byte(now, attempt)
         attempt.request_written = True
         attempt.written_at = now
+        attempt.is_repeat = not attempt.is_prefill and any(earlier_executions(attempt))
         if not attempt.is_prefill and not state.may_repeat(attempt.request.policy_request):
             state.executed.record(attempt.request.id)
             attempt.request.execution_recorded = True
@@ -303,7 +305,7 @@
 def _log_attempt(attempt: Attempt, status: AttemptStatus, duration_ms: float) -> None:
     """Adds the attempt to the log line of its request."""
     reason = attempt.withhold_reason if status is AttemptStatus.ALREADY_FINISHED else attempt.broken_reason
-    entry = AttemptLogEntry(attempt.server, status, round(duration_ms), reason)
+    entry = AttemptLogEntry(attempt.server, status, round(duration_ms), reason, attempt.is_repeat)
     attempt.request.attempt_log.append(entry)
 
 
--- a/violetstack/core/execution.py
+++ b/violetstack/core/execution.py
@@ -25,7 +25,7 @@
     """
     if attempt.is_prefill or spec.idempotency is Idempotency.IDEMPOTENT:
         return True
-    first = min(_earlier_executions(attempt), key=lambda execution: execution.sent_at, default=None)
+    first = min(earlier_executions(attempt), key=lambda execution: execution.sent_at, default=None)
     if first is None:
         return True
     if spec.idempotency is Idempotency.NON_IDEMPOTENT or now >= first.sent_at + spec.deduplication_window_ms:
@@ -33,7 +33,8 @@
     return share_deduplication_records(first.endpoint, attempt.endpoint, spec.deduplication_scope)
 
 
-def _earlier_executions(attempt: Attempt) -> Iterator[Execution]:
+def earlier_executions(attempt: Attempt) -> Iterator[Execution]:
+    """Yields what may have executed the request before this attempt; prefills do not count."""
     request = attempt.request
     if request.may_have_run:
         yield Execution(request.first_execution_at, request.first_execution_endpoint)
--- a/violetstack/core/lifecycle.py
+++ b/violetstack/core/lifecycle.py
@@ -165,6 +165,8 @@
             ms=round(request.finished_at - request.arrived_at),
             first_ms=round(request.first_event_at - request.arrived_at) if request.first_event_at else None,
             attempts=[entry.as_row() for entry in request.attempt_log],
+            repeats=[entry.is_repeat for entry in request.attempt_log],
+            **({"key": request.host_key} if request.host_key else {}),
             places=[(entry.server, entry.outcome.value) for entry in request.reservation_log],
             **route_fields,
         )
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -80,12 +80,14 @@
         status: How the attempt ended.
         duration_ms: Time from its start to its end.
         reason: Why it was withheld, or why its response is not complete; empty if that does not apply.
+        is_repeat: Whether it was written although an earlier attempt may have run the request.
     """
 
     server: str
     status: AttemptStatus
     duration_ms: int
     reason: str = ""
+    is_repeat: bool = False
 
     def as_row(self) -> tuple[str | int, ...]:
         """Returns the entry as it is logged: host, status, duration in ms, and the reason if any."""
@@ -125,6 +127,7 @@
         written_at: When its last byte was handed to the kernel.
         withhold_reason: Why the attempt was not sent, or not completely; empty if it was.
         broken_reason: Why its response is not complete; the driver sets it when it reports the end.
+        is_repeat: Whether its last byte was written although an earlier attempt may have run the request.
         answer_spoilt: Whether the host wrote an event that cannot be read, or reported an error in one.
         stream_started: Whether the first event of its response was accepted.
         events_forwarded: Number of events that were forwarded to the client.
@@ -144,6 +147,7 @@
     written_at: float = 0.0
     withhold_reason: str = ""
     broken_reason: str = ""
+    is_repeat: bool = False
     answer_spoilt: bool = False
     stream_started: bool = False
     events_forwarded: int = 0
@@ -208,6 +212,7 @@
         in_flight: Unfinished attempts by number.
         attempts_sent: Number of attempts that were started.
         committed_attempt: The attempt whose stream is forwarded to the client.
+        host_key: By this key hosts know repeats of the request; empty if any host may run it again.
         sending_allowed: Called in each step that writes a part of an attempt; if it returns False, the rest
             is not sent.
         survives_disconnect: Whether an attempt that a host may be executing continues after the client has
@@ -243,6 +248,7 @@
     in_flight: dict[int, Attempt] = {}
     attempts_sent: int = 0
     committed_attempt: Attempt | None = None
+    host_key: str = ""
     sending_allowed: Callable[[], bool] = always_allowed
     survives_disconnect: bool = False
     client_disconnected: bool = False
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -34,6 +34,7 @@
 from violetstack.policy_api import Idempotency, Request
 from violetstack.protocol.answer_events import InvalidChunkError
 from violetstack.protocol.headers import duration_ms
+from violetstack.protocol.host_keys import HOST_KEY_HEADER, derive_host_key
 from violetstack.protocol.http_server import HttpRequest, InvalidRequestError
 
 COMPLETIONS_PATH = "/v1/chat/completions"
@@ -66,6 +67,7 @@
     model: ModelConfig
     key: ApiKey
     policy_request: Request
+    class_name: str
     max_tokens: int
     idempotent: bool
     waited_ms: float
@@ -202,7 +204,8 @@
         model = next((m for m in self.config.models if m.name == body.model and key.may_use(m)), None)
         if model is None:
             raise _model_not_found(body.model)
-        class_index = self.config.class_of(key, model)
+        class_name = self.config.class_of(key, model)
+        class_index = self.config.class_index(class_name)
         spec = self._core.settings.classes[class_index]
         prompt_allowance_ms = 2.0 * spec.objective_ms_per_1000_tokens * body.prompt_tokens / 1000.0
         timeout_ms = spec.client_timeout_ms + prompt_allowance_ms
@@ -223,7 +226,9 @@
         )
         policy_request = self._core.route(policy_request, Origin("chat", model.name, len(inbound.body)))
         idempotent = spec.idempotency is Idempotency.IDEMPOTENT
-        return RoutedRequest(body, model, key, policy_request, max_tokens, idempotent, inbound.waited_ms)
+        return RoutedRequest(
+            body, model, key, policy_request, class_name, max_tokens, idempotent, inbound.waited_ms
+        )
 
     async def _complete_keyed(
         self,
@@ -257,6 +262,9 @@
                 request,
                 reply,
                 partial(idempotency.record_outcome, keyed),
+                host_key=derive_host_key(
+                    "chat", keyed.tenant, request.class_name, request.key.hashed, keyed.digest
+                ),
                 survives_disconnect=True,
                 claim_ms=self._clock() - arrived_at,
                 sending_allowed=idempotency.holds_lease,
@@ -282,6 +290,7 @@
         reply: Reply,
         record_outcome: RecordOutcome,
         *,
+        host_key: str = "",
         survives_disconnect: bool = False,
         claim_ms: float = 0.0,
         sending_allowed: Callable[[], bool] = always_allowed,
@@ -292,6 +301,7 @@
             request: The request.
             reply: Where the response goes.
             record_outcome: Called once with the outcome.
+            host_key: By this key hosts know repeats of the request.
             survives_disconnect: A request that may have run continues when its client disconnects, so that
                 a retry with the same key finds its answer.
             claim_ms: Time that the claim of its key took.
@@ -305,12 +315,14 @@
             self._reject_shed(policy_request, shed, reply)
             return
         body = memoryview(request.upstream_body())
-        payload = Payload("POST", COMPLETIONS_PATH, "application/json", body, reply.wait_writable)
+        headers = [(HOST_KEY_HEADER, host_key)] if host_key else []
+        payload = Payload("POST", COMPLETIONS_PATH, "application/json", body, reply.wait_writable, headers)
         completion = Completion(f"chatcmpl-{policy_request.id}", request.model.name, int(now / 1000.0))
         sink = ChatSink(
             request.completion_request, reply, completion, record_outcome, idempotent=request.idempotent
         )
         open_request = self._core.accept(now, policy_request, sink, payload)
+        open_request.host_key = host_key
         open_request.sending_allowed = sending_allowed
         open_request.survives_disconnect = survives_disconnect
         reply.attach(open_request)
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -8,8 +8,10 @@
 from violetstack.core.errors import DuplicateRequestError, ExecutedRequestError, NotRoutedError
 from violetstack.core.ports import Origin
 from violetstack.fronts.reply import EVENT_STREAM_HEADERS, TEXT_HEADERS, Payload, Reply
+from violetstack.policy_api import Idempotency, Request
 from violetstack.protocol.answer_events import AnswerEvent
 from violetstack.protocol.headers import RequestReader, forwarded_headers
+from violetstack.protocol.host_keys import HOST_KEY_HEADER, derive_host_key
 from violetstack.protocol.http_server import HttpRequest, InvalidRequestError
 
 READY_PATH = "/-/ready"
@@ -120,10 +122,28 @@
             reply.wait_writable,
             forwarded_headers(inbound.headers),
         )
-        reply.attach(self._core.accept(now, request, PlatformSink(reply), payload))
+        open_request = self._core.accept(now, request, PlatformSink(reply), payload)
+        if not self._may_repeat(request):
+            open_request.host_key = _host_key(inbound)
+        reply.attach(open_request)
+
+    def _may_repeat(self, request: Request) -> bool:
+        spec = self._core.settings.classes[request.class_index]
+        return spec.idempotency is Idempotency.IDEMPOTENT
 
     def reject(self, status: int, reason: str, reply: Reply) -> None:
         """Responds to a request, or to invalid bytes, with an error that gives the reason."""
         self._log("client_rejected", status=status, reason=reason)
         headers = [*TEXT_HEADERS, ("Retry-After", "1")] if status == 503 else TEXT_HEADERS
         reply.answer(status, headers, reason.encode() + b"\n")
+
+
+def _host_key(inbound: HttpRequest) -> str:
+    """Returns the key by which hosts of another API know repeats, from the client's own key if it wrote one.
+
+    Hosts of the platform get the client's header fields unchanged.
+    """
+    headers = inbound.headers
+    own_key = headers.get(HOST_KEY_HEADER.lower(), "")
+    identity = (HOST_KEY_HEADER, own_key) if own_key else ("Req-Id", headers["req-id"])
+    return derive_host_key("platform", headers.get("req-owner", ""), headers["req-kind"], *identity)
--- a/violetstack/net/upstream/attempts.py
+++ b/violetstack/net/upstream/attempts.py
@@ -26,6 +26,7 @@
 from violetstack.net.upstream.stream_progress import StreamPosition
 from violetstack.policy_api import AttemptStatus
 from violetstack.protocol import sse
+from violetstack.protocol.host_keys import HOST_KEY_HEADER
 from violetstack.protocol.http_client import HttpClientConnection, InvalidResponseError
 from violetstack.protocol.http_server import Headers
 
@@ -303,14 +304,19 @@
 
 
 def _headers(attempt: Attempt, payload: Payload, host: UpstreamHost) -> Headers:
+    request = attempt.request
     if host.openai_api:
         name, port = host.address
         headers = [("Host", f"{name}:{port}"), ("Content-Type", "application/json")]
-        return [*headers, ("Authorization", f"Bearer {host.api_key}")] if host.api_key else headers
+        if host.api_key:
+            headers.append(("Authorization", f"Bearer {host.api_key}"))
+        if request.host_key:
+            headers.append((HOST_KEY_HEADER, request.host_key))
+        return [*headers, ("Req-Id", request.id)]
     wait_ms = max(1, int(attempt.deadline - now_ms()))
     return [
         ("Host", "app.svc"),
-        ("Req-Id", attempt.request.id),
+        ("Req-Id", request.id),
         ("Req-Deadline", f"{wait_ms}m"),
         ("Content-Type", payload.content_type),
         *payload.headers,
--- a/violetstack/operator_config.py
+++ b/violetstack/operator_config.py
@@ -162,10 +162,14 @@
         if operator.acme is not None and operator.tls is None:
             raise OperatorConfigError("acme requires tls, which names the files of the certificate and key")
 
-    def class_of(self, key: ApiKey, model: ModelConfig) -> int:
-        """Returns the index of the class of the key, else of its tenant, else of the model."""
+    def class_of(self, key: ApiKey, model: ModelConfig) -> str:
+        """Returns the class of the key, else of its tenant, else of the model."""
         tenant_class = next((t.class_name for t in self.operator.tenants if t.name == key.tenant), None)
-        return self._classes[key.class_name or tenant_class or model.class_name]
+        return key.class_name or tenant_class or model.class_name
+
+    def class_index(self, name: str) -> int:
+        """Returns the index in the settings of a class that `class_of` names."""
+        return self._classes[name]
 
     def tenant_index(self, name: str) -> int:
         """Returns the index of the tenant; 0 if the settings do not define it."""
--- a/violetstack/rehearsal/chat_event_matrix.py
+++ b/violetstack/rehearsal/chat_event_matrix.py
@@ -17,9 +17,8 @@
 from violetstack.rehearsal.chat_event_cells import Asked, Cell, Effect, Front, HostApi
 from violetstack.rehearsal.clients import Answer, chat_body, chat_headers, connect, platform_headers
 from violetstack.rehearsal.fleet.two_front_process import (
-    SAFE_MODEL,
-    UNSAFE_MODEL,
     TwoFrontProcess,
+    model_of,
     two_front_process,
 )
 from violetstack.rehearsal.hosts import EVENTS, ModelHost
@@ -228,7 +227,7 @@
 
 
 async def _ask_chat(process: TwoFrontProcess, outcome: CellOutcome, *, stream: bool) -> Answer | None:
-    model = SAFE_MODEL if outcome.cell.safe else UNSAFE_MODEL
+    model = model_of("consulta" if outcome.cell.safe else "orden")
     body = chat_body(model, str(outcome.number), stream=stream)
     return await _exchange(process.chat, chat_headers(f"k{outcome.number}"), body)
 
--- a/violetstack/rehearsal/fleet/two_front_process.py
+++ b/violetstack/rehearsal/fleet/two_front_process.py
@@ -15,8 +15,6 @@
 from violetstack.rehearsal.hosts import ModelHost
 
 CHAT_PORT = 5001
-SAFE_MODEL = "giro-consulta"
-UNSAFE_MODEL = "giro-orden"
 API_KEY = "kiosk-key"
 SECOND_API_KEY = "desk-key"
 """Another key of the same tenant."""
@@ -25,12 +23,11 @@
 FILE = """
 listen chat {{ address = "{address}:{port}" }}
 ledger {{ file = "{folder}/orders.sqlite" keep = 2d lease = {lease} }}
-model giro-consulta {{ class = consulta max_tokens = 50tok }}
-model giro-orden {{ class = orden max_tokens = 50tok }}
 key kiosk {{ secret = "kiosk-key" tenant = acme }}
 key desk {{ secret = "desk-key" tenant = acme }}
 key branch {{ secret = "branch-key" tenant = branch }}
 """
+MODEL_BLOCK = "model {name} {{ class = {request_class} max_tokens = 50tok }}\n"
 HOST_BLOCK = 'host {name} {{ address = "{address}" }}\n'
 TENANTS = [
     {"name": "acme", "fraction": 0.5, "allowance_per_s": 1000.0},
@@ -38,6 +35,11 @@
 ]
 
 
+def model_of(request_class: str) -> str:
+    """Returns the name of the model whose requests are of a class."""
+    return f"giro-{request_class}"
+
+
 @dataclass
 class TwoFrontProcess:
     """One dispatcher in its own process, and the address of its chat front."""
@@ -73,6 +75,8 @@
     def add_operator_file(program: Program) -> None:
         """Runs when the hosts have their addresses."""
         text = FILE.format(address=chat[0], port=chat[1], folder=folder, lease=lease)
+        classes = [spec["name"] for spec in program.node_config["settings"]["classes"]]
+        text += "".join(MODEL_BLOCK.format(name=model_of(name), request_class=name) for name in classes)
         openai_hosts = [host for host in hosts if host.kind == "openai"]
         program.operator_file = text + "".join(
             HOST_BLOCK.format(name=host.name, address=host.address) for host in openai_hosts
