Groups: a host whose zone or cell is not told shares records with no other host

What callers saw: an order of a class whose keys are known within a zone or a cell ran twice at chat hosts of the operator's file.

Cause: the file tells no zone or cell of its hosts, and each was given the dispatcher's zone and cell 0, so all of them, and the platform's hosts of cell 0, counted as one group. A listed host whose zone the settings don't name counted as in the first zone.

Change: an endpoint says whether its zone and cell are known; unknown ones are no common ones. The rule stood twice, in the core and in the policy, and is one function now (policy_api/deduplication.py). A group of `all` is not affected.

--- a/tests/test_repeated_orders.py
+++ b/tests/test_repeated_orders.py
@@ -6,11 +6,17 @@
 from __future__ import annotations
 
 import pytest
+from msgspec.structs import replace
 
+from tests.router_harness import make_endpoint
+from violetstack.policy_api import DeduplicationScope, UpdateScope
+from violetstack.policy_api.deduplication import share_deduplication_records
+from violetstack.protocol.discovery import EndpointListDecoder, EndpointListMessage, ListedEndpoint
 from violetstack.protocol.host_keys import derive_host_key
 from violetstack.rehearsal.chat_event_cells import HostApi
 from violetstack.rehearsal.repeat_cells import Effect, Loss, core_cells
 from violetstack.rehearsal.repeat_matrix import play_core_retries
+from violetstack.settings import ClassMessage, SettingsMessage
 
 BEFORE_EVENTS = (Loss.NO_HEAD, Loss.PART_OF_HEAD, Loss.SERVER_ERROR, Loss.NO_EVENT)
 
@@ -34,3 +40,39 @@
     keys.add(derive_host_key("chat", "acmeorden", "", "api-key", "digest"))
     assert len(keys) == len(parts) + 2
     assert derive_host_key(*parts) in keys
+
+
+# Guards against orders that run twice at hosts of the operator's file, taken for one zone and cell.
+def test_hosts_whose_place_is_not_told_share_no_records_of_a_zone_or_cell() -> None:
+    host_api = HostApi.OPENAI
+    keyed = (Effect.KEYED_ZONE, Effect.KEYED_CELL)
+    cells = [cell for cell in core_cells(host_api, BEFORE_EVENTS) if cell.effect in keyed]
+    result = play_core_retries(host_api, cells)
+    assert not result.broken
+    assert all(order.first is not None for order in result.orders)
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "shared"),
+    [
+        ({}, {"server": "w2"}, True),
+        ({"is_zone_known": False}, {"server": "w2"}, False),
+        ({}, {"server": "w2", "is_zone_known": False}, False),
+        ({"is_zone_known": False}, {"is_zone_known": False}, True),
+    ],
+)
+def test_an_unknown_zone_is_no_common_zone(
+    first: dict[str, object], second: dict[str, object], shared: bool
+) -> None:
+    endpoint = make_endpoint("w1", 1)
+    hosts = (replace(endpoint, **first), replace(endpoint, **second))
+    assert share_deduplication_records(*hosts, DeduplicationScope.ZONE) is shared
+    assert share_deduplication_records(*hosts, DeduplicationScope.ALL)
+
+
+def test_a_zone_that_the_settings_do_not_name_is_not_known() -> None:
+    settings = SettingsMessage(classes=[ClassMessage(aim=1.0, give_up=2.0)], zones=["z1"])
+    hosts = [ListedEndpoint("w1", "127.0.0.1:1", "z1"), ListedEndpoint("w2", "127.0.0.1:2", "elsewhere")]
+    event = EndpointListDecoder(settings).to_event(EndpointListMessage(1, True, hosts), UpdateScope.SNAPSHOT)
+    assert event.update is not None
+    assert [endpoint.is_zone_known for endpoint in event.update.endpoints] == [True, False]
--- a/violetstack/config.py
+++ b/violetstack/config.py
@@ -216,7 +216,17 @@
     memory.append(sum(sizes) / len(sizes) if sizes else OPENAI_MEMORY_TOKENS)
     family = msgspec.structs.replace(family, stage_of_kind=[*stages, "both"], kv_tokens=memory)
     endpoints = tuple(
-        Endpoint(host.id, 0, host.weight, settings.zone, EndpointState.HEALTHY, len(kinds), None)
+        Endpoint(
+            host.id,
+            0,
+            host.weight,
+            settings.zone,
+            EndpointState.HEALTHY,
+            len(kinds),
+            None,
+            is_zone_known=False,
+            is_cell_known=False,
+        )
         for host in hosts
     )
     return msgspec.structs.replace(settings, family_info=family, kinds=[*kinds, OPENAI_KIND]), endpoints
--- a/violetstack/core/execution.py
+++ b/violetstack/core/execution.py
@@ -6,7 +6,8 @@
 from typing import NamedTuple
 
 from violetstack.core.records import Attempt
-from violetstack.policy_api import ClassSettings, DeduplicationScope, Endpoint, Idempotency
+from violetstack.policy_api import ClassSettings, Endpoint, Idempotency
+from violetstack.policy_api.deduplication import share_deduplication_records
 
 
 class Execution(NamedTuple):
@@ -43,16 +44,3 @@
         precedes = other.request_written or other.number < attempt.number
         if other is not attempt and precedes and not other.is_prefill:
             yield Execution(other.sent_at, other.endpoint)
-
-
-def share_deduplication_records(
-    first: Endpoint | None, second: Endpoint | None, scope: DeduplicationScope
-) -> bool:
-    """Returns whether the second host discards a request that the first host has executed."""
-    if scope is DeduplicationScope.ALL:
-        return True
-    if first is None or second is None:
-        return False
-    if scope is DeduplicationScope.ZONE:
-        return first.zone == second.zone
-    return first.cell == second.cell
--- a/violetstack/core/invariants.py
+++ b/violetstack/core/invariants.py
@@ -13,9 +13,9 @@
 from enum import StrEnum
 from typing import Any
 
-from violetstack.core.execution import share_deduplication_records
 from violetstack.core.records import Attempt, OpenRequest, RequestOutcome, WrittenExecution
 from violetstack.policy_api import ClassSettings, Idempotency, Settings
+from violetstack.policy_api.deduplication import share_deduplication_records
 
 LATE_ANSWER_MS = 500.0
 """A response that is sent later than this after the deadline counts as missing."""
--- a/violetstack/policy/retry.py
+++ b/violetstack/policy/retry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from violetstack.policy_api import AttemptFinished, AttemptStatus, DeduplicationScope, Idempotency
+from violetstack.policy_api.deduplication import share_deduplication_records
 from violetstack.tracking.endpoint import TrackedEndpoint
 from violetstack.tracking.outcomes import state_was_lost
 from violetstack.tracking.request import Attempt, RequestState
@@ -30,13 +31,8 @@
     past_window = now >= first.sent_at + class_settings.deduplication_window_ms - CUTOFF_MS
     if class_settings.idempotency is Idempotency.NON_IDEMPOTENT or past_window:
         return False
-    match class_settings.deduplication_scope:
-        case DeduplicationScope.ALL:
-            return True
-        case DeduplicationScope.ZONE:
-            return endpoint.entry.zone == first.endpoint.entry.zone
-        case DeduplicationScope.CELL:
-            return endpoint.entry.cell == first.endpoint.entry.cell
+    scope = class_settings.deduplication_scope
+    return share_deduplication_records(first.endpoint.entry, endpoint.entry, scope)
 
 
 def may_reject(request: RequestState) -> bool:
--- a/violetstack/policy_api/endpoints.py
+++ b/violetstack/policy_api/endpoints.py
@@ -39,6 +39,8 @@
         state: Its state in the list.
         kind: Index of its kind, which determines its role.
         started_ms: When it started; None if that was long ago.
+        is_zone_known: Whether the list tells its zone, and the settings name it.
+        is_cell_known: Whether the list tells its cell; the operator's file tells neither of its hosts.
     """
 
     server: str
@@ -48,6 +50,8 @@
     state: EndpointState
     kind: int
     started_ms: float | None
+    is_zone_known: bool = True
+    is_cell_known: bool = True
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True):
--- a/violetstack/protocol/discovery.py
+++ b/violetstack/protocol/discovery.py
@@ -220,6 +220,7 @@
             state=STATES[server.state],
             kind=self._kinds.get(server.kind, 0),
             started_ms=server.started_ms or None,
+            is_zone_known=not self._zones or server.zone in self._zones,
         )
 
 
