Chat front: an order that was rejected and may have run is not free to run again

What callers saw: a keyed order whose answers were lost was answered with 503 ("trying again does no harm"); the client's retry after the window, or at the dispatcher after its restart, ran it a second time.

Cause: the policy may reject a keyed request that has been sent, since hosts know its repeats within the window. The chat front took every rejection for 'has not run' and released the order in the ledger, which knows no window, so any later retry claimed it anew.

Ruled out: the send guard (it kept the window within one request); the key (the same in both, but hosts had forgotten it).

Change: the core tells the front whether a rejected request may have run; the chat front answers such an order as failed, 502 with X-Should-Retry: false, and the ledger keeps it as failed. Platform clients, who know the window themselves, get 503 as before.

Test: test_a_clients_retry_sends_no_order_again_that_may_have_run, red on the code before for both APIs of hosts (2 failed), green with the change.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -287,7 +287,7 @@
     def is_client_disconnected(self) -> bool:
         return False
 
-    def rejected(self, retry_after_ms: float) -> None:
+    def rejected(self, retry_after_ms: float, may_have_run: bool) -> None:
         self.fleet.counts["refused"] += 1
         self.again(retry_after_ms)
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -103,7 +103,7 @@
     def is_client_disconnected(self) -> bool:
         return self.client_disconnected
 
-    def rejected(self, retry_after_ms: float) -> None:
+    def rejected(self, retry_after_ms: float, may_have_run: bool) -> None:
         self.answers.append("rejected")
 
     def failed(self, may_have_run: bool) -> None:
--- a/tests/test_repeated_orders.py
+++ b/tests/test_repeated_orders.py
@@ -14,7 +14,7 @@
 from violetstack.protocol.discovery import EndpointListDecoder, EndpointListMessage, ListedEndpoint
 from violetstack.protocol.host_keys import derive_host_key
 from violetstack.rehearsal.chat_event_cells import HostApi
-from violetstack.rehearsal.repeat_cells import Effect, Loss, core_cells
+from violetstack.rehearsal.repeat_cells import Effect, Loss, Sender, client_cells, core_cells
 from violetstack.rehearsal.repeat_matrix import play_core_retries
 from violetstack.settings import ClassMessage, SettingsMessage
 
@@ -76,3 +76,14 @@
     event = EndpointListDecoder(settings).to_event(EndpointListMessage(1, True, hosts), UpdateScope.SNAPSHOT)
     assert event.update is not None
     assert [endpoint.is_zone_known for endpoint in event.update.endpoints] == [True, False]
+
+
+# Guards against keyed orders that run again after the window: the ledger forgot that they may have run.
+@pytest.mark.parametrize("host_api", HostApi, ids=lambda api: api.name.lower())
+def test_a_clients_retry_sends_no_order_again_that_may_have_run(host_api: HostApi) -> None:
+    senders = (Sender.SAME_KEY_AFTER_FAILURE, Sender.SAME_KEY_AFTER_WINDOW, Sender.OTHER_KEY)
+    cells = [cell for cell in client_cells(host_api, senders) if cell.effect is Effect.KEYED_ALL]
+    result = play_core_retries(host_api, cells)
+    assert not result.broken
+    assert [order.status for order in result.orders] == [502] * len(senders)
+    assert [order.second.status for order in result.orders if order.second] == [502] * len(senders)
--- a/violetstack/core/lifecycle.py
+++ b/violetstack/core/lifecycle.py
@@ -96,7 +96,8 @@
         request = self._without_response(request_id)
         if request is not None:
             self.finish(now, request, RequestOutcome.REJECTED)
-            self._state.notify(request.sink.rejected, self._retry_after(retry_after_ms))
+            advised_ms = self._retry_after(retry_after_ms)
+            self._state.notify(request.sink.rejected, advised_ms, request.may_have_run_or_is_running)
 
     def fail(self, now: float, request_id: str) -> None:
         """Fails the request. Does nothing if the request already has a response."""
--- a/violetstack/core/ports.py
+++ b/violetstack/core/ports.py
@@ -47,8 +47,11 @@
     def stream_broken(self) -> None:
         """Called when the stream broke after its first event."""
 
-    def rejected(self, retry_after_ms: float) -> None:
-        """Rejects the request; the client may safely retry, after `retry_after_ms` if that is not 0."""
+    def rejected(self, retry_after_ms: float, may_have_run: bool) -> None:
+        """Rejects the request; the client may retry, after `retry_after_ms` if that is not 0.
+
+        If `may_have_run`, a retry is safe only while hosts still know the request by its key.
+        """
 
     def failed(self, may_have_run: bool) -> None:
         """Reports that the request failed; `may_have_run` says whether a host may have executed it."""
--- a/violetstack/core/records.py
+++ b/violetstack/core/records.py
@@ -58,7 +58,7 @@
     def stream_broken(self) -> None:
         """Does nothing."""
 
-    def rejected(self, retry_after_ms: float) -> None:
+    def rejected(self, retry_after_ms: float, may_have_run: bool) -> None:
         """Does nothing."""
 
     def failed(self, may_have_run: bool) -> None:
--- a/violetstack/fronts/chat_sink.py
+++ b/violetstack/fronts/chat_sink.py
@@ -84,8 +84,15 @@
         """Reports that the stream broke after its first event."""
         self._fail_incomplete("The stream broke before its end.")
 
-    def rejected(self, retry_after_ms: float) -> None:
-        """Rejects the request, which has not run."""
+    def rejected(self, retry_after_ms: float, may_have_run: bool) -> None:
+        """Rejects the request; one that may have run has failed, unless it may be repeated at any time.
+
+        The record of a claim tells nothing of the window in which hosts know the request, so a retry of the
+        client would send it again after the window, too.
+        """
+        if may_have_run and not self._idempotent:
+            self.failed(may_have_run)
+            return
         self._record_outcome(Outcome.RELEASED, b"")
         overloaded(retry_after_ms).send(self._reply)
 
--- a/violetstack/fronts/platform.py
+++ b/violetstack/fronts/platform.py
@@ -49,8 +49,12 @@
         """Closes the connection without the last chunk, so that the client sees an incomplete response."""
         self.reply.cut()
 
-    def rejected(self, retry_after_ms: float, status: int = 503) -> None:
-        """Rejects the request, which has not run; `retry_after_ms` of 0 sends no Retry-After."""
+    def rejected(self, retry_after_ms: float, may_have_run: bool) -> None:  # noqa: ARG002 - no field for it
+        """Rejects the request; clients of the platform know the window in which a retry is safe."""
+        self.refuse(503, retry_after_ms)
+
+    def refuse(self, status: int, retry_after_ms: float) -> None:
+        """Refuses the request; a retry is allowed. `retry_after_ms` of 0 sends no Retry-After."""
         headers = (
             [*TEXT_HEADERS, ("Retry-After", f"{retry_after_ms / 1000.0:.3f}")]
             if retry_after_ms > 0
@@ -111,7 +115,7 @@
                 "request_shed", reason=shed.reason, cls=request.class_index, tenant=request.tenant_index
             )
             retry_after_ms = shed.retry_after_ms if self._core.settings.send_retry_after else 0.0
-            PlatformSink(reply).rejected(retry_after_ms, 429)
+            PlatformSink(reply).refuse(429, retry_after_ms)
             return
         content_type = inbound.headers.get("content-type", DEFAULT_CONTENT_TYPE)
         payload = Payload(
