Chat front: two API keys of a tenant may write the same Idempotency-Key

What callers saw: an order was refused with 422 idempotency_key_reused for good, since another client of the same tenant had written the same key for an order of its own; kiosks that count their orders write such keys.

Cause: the ledger kept keys by tenant, although each API key is a client of its own.

Ruled out: the orders themselves, which the ledger knows by tenant, conversation and messages, whatever their keys.

Change: the ledger's key names the API key as well (16 digits of its hash). Keys that earlier releases recorded are no longer seen as reused; their orders are found by their messages as before.

Test: test_requests_that_write_the_same_key_are_not_taken_for_one, red on the code before for both APIs of hosts (2 failed).

--- a/tests/test_repeated_orders.py
+++ b/tests/test_repeated_orders.py
@@ -14,8 +14,8 @@
 from violetstack.protocol.discovery import EndpointListDecoder, EndpointListMessage, ListedEndpoint
 from violetstack.protocol.host_keys import derive_host_key
 from violetstack.rehearsal.chat_event_cells import HostApi
-from violetstack.rehearsal.repeat_cells import Effect, Loss, Sender, client_cells, core_cells
-from violetstack.rehearsal.repeat_matrix import play_core_retries
+from violetstack.rehearsal.repeat_cells import Effect, Loss, Pair, Sender, client_cells, core_cells
+from violetstack.rehearsal.repeat_matrix import play_core_retries, play_same_key_pairs
 from violetstack.settings import ClassMessage, SettingsMessage
 
 BEFORE_EVENTS = (Loss.NO_HEAD, Loss.PART_OF_HEAD, Loss.SERVER_ERROR, Loss.NO_EVENT)
@@ -87,3 +87,11 @@
     assert not result.broken
     assert [order.status for order in result.orders] == [502] * len(senders)
     assert [order.second.status for order in result.orders if order.second] == [502] * len(senders)
+
+
+# Guards against orders that are refused since another API key of the tenant has written the same key.
+@pytest.mark.parametrize("host_api", HostApi, ids=lambda api: api.name.lower())
+def test_requests_that_write_the_same_key_are_not_taken_for_one(host_api: HostApi) -> None:
+    result = play_same_key_pairs(host_api)
+    assert not result.broken
+    assert {order.pair for order in result.orders if order.runs} == set(Pair)
--- a/violetstack/fronts/chat.py
+++ b/violetstack/fronts/chat.py
@@ -41,6 +41,8 @@
 MODELS_PATH = "/v1/models"
 READY_PATH = "/-/ready"
 MAX_IDEMPOTENCY_KEY_LENGTH = 255
+API_KEY_ID_LENGTH = 16
+"""Digits of an API key's hash that tell its idempotency keys from those of the tenant's other API keys."""
 
 
 class IdempotencyRecords(Protocol):
@@ -192,7 +194,7 @@
         completion_request = request.completion_request
         keyed = KeyedRequest(
             key.tenant,
-            idempotency_key,
+            f"{key.hashed[:API_KEY_ID_LENGTH]}/{idempotency_key}",
             completion_request.body_digest(),
             completion_request.identity(key.tenant),
         )
--- a/violetstack/idempotency/store.py
+++ b/violetstack/idempotency/store.py
@@ -80,7 +80,7 @@
 
     Attributes:
         tenant: Name of the tenant; keys of different tenants are independent.
-        key: Value of the ``Idempotency-Key`` header.
+        key: Value of the ``Idempotency-Key`` header, and who wrote it.
         fingerprint: Hash of the body, to detect that a key is reused with another body.
         digest: Hash of tenant, conversation and messages, which identifies the request whatever its key.
     """
--- a/violetstack/rehearsal/repeat_cells.py
+++ b/violetstack/rehearsal/repeat_cells.py
@@ -136,7 +136,13 @@
 
 
 def client_cells(host_api: HostApi, senders: tuple[Sender, ...]) -> Iterator[Cell]:
-    """Yields the cells in which a client of the chat front sends again what may not be repeated freely."""
+    """Yields the cells in which a client sends again what may not be repeated freely.
+
+    Clients of the platform do so within the window, where all hosts know the key.
+    """
+    if Sender.SAME_KEY_AFTER_FAILURE in senders:
+        platform_sender = Sender.SAME_KEY_AFTER_FAILURE
+        yield Cell(Front.PLATFORM, Effect.KEYED_ALL, host_api, Loss.NO_HEAD, platform_sender)
     for effect in Effect:
         for sender in senders if effect is not Effect.REPEATABLE else ():
             loss = (
--- a/violetstack/rehearsal/repeat_hosts.py
+++ b/violetstack/rehearsal/repeat_hosts.py
@@ -40,6 +40,7 @@
         key: The `Idempotency-Key` of its client.
         api_key: The API key of its client, on the chat front.
         owner: Its tenant, on the platform front.
+        sends: How often its client has sent it on the platform front, each time with a new id.
         attempts: The attempts that hosts have received.
         runs: How often a host has run it.
         pair: What it differs in from another request that writes the same key; None without such a request.
@@ -55,6 +56,7 @@
     api_key: str = "kiosk-key"
     owner: str = "acme"
     pair: Pair | None = None
+    sends: int = 0
     attempts: list[ReceivedAttempt] = field(default_factory=list)
     runs: int = 0
     lossy: bool = True
