--- a/tests/test_repeated_orders.py
+++ b/tests/test_repeated_orders.py
@@ -13,7 +13,7 @@
 from violetstack.policy_api.deduplication import share_deduplication_records
 from violetstack.protocol.discovery import EndpointListDecoder, EndpointListMessage, ListedEndpoint
 from violetstack.protocol.host_keys import derive_host_key
-from violetstack.rehearsal.chat_event_cells import HostApi
+from violetstack.rehearsal.chat_event_cells import Front, HostApi
 from violetstack.rehearsal.repeat_cells import Effect, Loss, Pair, Sender, client_cells, core_cells
 from violetstack.rehearsal.repeat_matrix import play_core_retries, play_same_key_pairs
 from violetstack.settings import ClassMessage, SettingsMessage
@@ -82,7 +82,11 @@
 @pytest.mark.parametrize("host_api", HostApi, ids=lambda api: api.name.lower())
 def test_a_clients_retry_sends_no_order_again_that_may_have_run(host_api: HostApi) -> None:
     senders = (Sender.SAME_KEY_AFTER_FAILURE, Sender.SAME_KEY_AFTER_WINDOW, Sender.OTHER_KEY)
-    cells = [cell for cell in client_cells(host_api, senders) if cell.effect is Effect.KEYED_ALL]
+    cells = [
+        cell
+        for cell in client_cells(host_api, senders)
+        if cell.effect is Effect.KEYED_ALL and cell.loss is Loss.NO_HEAD and cell.front is Front.CHAT
+    ]
     result = play_core_retries(host_api, cells)
     assert not result.broken
     assert [order.status for order in result.orders] == [502] * len(senders)
--- a/violetstack/language/schema.py
+++ b/violetstack/language/schema.py
@@ -313,7 +313,13 @@
                 Field(
                     "effect", WORD, "may it run twice?", required=True, words=("repeatable", "keyed", "once")
                 ),
-                Field("group", WORD, "which hosts know a key", default="all", words=("all", "zone", "cell")),
+                Field(
+                    "group",
+                    WORD,
+                    "which hosts know a key; those of this file are in no zone or cell",
+                    default="all",
+                    words=("all", "zone", "cell"),
+                ),
                 _duration("window", "how long hosts know a key", "0ms"),
                 Field("worth", NUMBER, "of a unit of work in time", default="1", low=0, high=1_000_000),
                 Field("late_worth", SHARE, "of it that is left when late", default="0%", low=0, high=1),
--- a/violetstack/rehearsal/repeat_cells.py
+++ b/violetstack/rehearsal/repeat_cells.py
@@ -140,12 +140,21 @@
 
     Clients of the platform do so within the window, where all hosts know the key.
     """
-    if Sender.SAME_KEY_AFTER_FAILURE in senders:
-        platform_sender = Sender.SAME_KEY_AFTER_FAILURE
-        yield Cell(Front.PLATFORM, Effect.KEYED_ALL, host_api, Loss.NO_HEAD, platform_sender)
-    for effect in Effect:
-        for sender in senders if effect is not Effect.REPEATABLE else ():
-            loss = (
-                Loss.HANGS if sender in (Sender.SAME_KEY_PENDING, Sender.SAME_KEY_AT_PEER) else Loss.NO_HEAD
-            )
-            yield Cell(Front.CHAT, effect, host_api, loss, sender)
+    for sender in senders:
+        for loss in _losses_before(sender):
+            if sender is Sender.SAME_KEY_AFTER_FAILURE:
+                yield Cell(Front.PLATFORM, Effect.KEYED_ALL, host_api, loss, sender)
+            for effect in Effect:
+                if effect is not Effect.REPEATABLE:
+                    yield Cell(Front.CHAT, effect, host_api, loss, sender)
+
+
+def _losses_before(sender: Sender) -> tuple[Loss, ...]:
+    """Returns how answers are lost before a client sends again."""
+    match sender:
+        case Sender.SAME_KEY_PENDING | Sender.SAME_KEY_AT_PEER:
+            return (Loss.HANGS,)
+        case Sender.SAME_KEY_AFTER_ANSWER | Sender.OTHER_BODY:
+            return (Loss.NO_HEAD,)  # the answer is not lost
+        case _:
+            return AT_HOST
--- a/violetstack/rehearsal/repeat_matrix.py
+++ b/violetstack/rehearsal/repeat_matrix.py
@@ -9,7 +9,7 @@
 
 import tempfile
 from collections import Counter
-from collections.abc import AsyncIterator, Iterable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
@@ -136,6 +136,10 @@
         yield process
 
 
+Play = Callable[[TwoFrontProcess, Order], Awaitable[None]]
+"""Plays a part of one order."""
+
+
 class RepeatMatrix:
     """Plays cells of hosts with one API."""
 
@@ -278,7 +282,7 @@
             await self._play_rounds(process, orders[start : start + BATCH_SIZE], _play_order)
             await trio.sleep(PAUSE_BETWEEN_BATCHES_S)
 
-    async def _play_rounds(self, process: TwoFrontProcess, orders: list[Order], play: Any) -> None:
+    async def _play_rounds(self, process: TwoFrontProcess, orders: list[Order], play: Play) -> None:
         """Plays orders at the same time; one that has reached no host is sent again."""
         unplayed = orders
         for _ in range(MAX_ROUNDS):
@@ -294,7 +298,7 @@
                 self._attempts[attempt[1]] += 1
 
 
-async def _play_all(process: TwoFrontProcess, orders: list[Order], play: Any) -> None:
+async def _play_all(process: TwoFrontProcess, orders: list[Order], play: Play) -> None:
     async with trio.open_nursery() as nursery:
         for order in orders:
             nursery.start_soon(play, process, order)
@@ -387,7 +391,11 @@
     return _run(host_api, play)
 
 
-def _run(host_api: HostApi, play: Any) -> RepeatResult:
+PlayMatrix = Callable[[RepeatMatrix, Path], Awaitable[None]]
+"""Plays some cells; the folder is for the dispatchers' records."""
+
+
+def _run(host_api: HostApi, play: PlayMatrix) -> RepeatResult:
     matrix = RepeatMatrix(host_api)
     with tempfile.TemporaryDirectory() as folder:
         trio.run(partial(play, matrix, Path(folder)))
