Chat front: an answer that is too long to keep is given up at once

On the path of events that are dropped: behind the limit each one was, in silence, until the end.

Change: the front can't go on with an event that takes the answer over the limit, like one that it can't read; the response ends as broken at once, with the message that it had.

--- a/tests/test_chat.py
+++ b/tests/test_chat.py
@@ -12,6 +12,8 @@
 
 from tests.test_stories import pair, play
 from violetstack.net.upstream.connection import SendWithheldError, UpstreamConnection
+from violetstack.protocol.http_server import HttpRequest
+from violetstack.rehearsal.chat_event_cells import delta_event
 from violetstack.rehearsal.clients import (
     Answer,
     ask_chat,
@@ -31,6 +33,7 @@
     ModelHost,
     messages_digest,
 )
+from violetstack.rehearsal.peer import PeerConnection
 from violetstack.rehearsal.stage import Stage, stage
 
 KEYED_MODEL = "giro-orden"
@@ -273,6 +276,36 @@
     play(host, story=story, chat=with_idempotency_store(tmp_path))
 
 
+class EndlessHost(ModelHost):
+    """Writes words until its connection is closed."""
+
+    async def play(self, act: Act, inbound: HttpRequest, connection: PeerConnection) -> None:
+        self.runs[messages_digest(inbound.body)] += 1
+        await connection.start(200, [])
+        while True:
+            await connection.data(delta_event(content="x" * 32_000))
+            await trio.sleep(0.005)
+
+
+# Guards against requests that wait for the end of an answer that has been given up already.
+@pytest.mark.parametrize("stream", [True, False], ids=["streamed", "complete"])
+def test_an_answer_that_is_too_long_to_keep_is_given_up_at_once(tmp_path: Path, stream: bool) -> None:
+    host = EndlessHost("o", "openai")
+
+    async def story(on: Stage) -> None:
+        body = chat_body(KEYED_MODEL, stream=stream)
+        with trio.fail_after(5.0):
+            answer = await ask_chat(on.chat, body, chat_headers("k1"))
+        error = orjson.loads(answer.events[-1]) if stream else answer.json
+        assert (error["error"]["code"], answer.whole) == ("stream_broken", True)
+        assert "longer than can be kept" in error["error"]["message"]
+        assert answer.status == (200 if stream else 502)
+        retried = await ask_chat(on.chat, body, chat_headers("k1"))
+        assert (retried.status, sum(host.runs.values())) == (502, 1)
+
+    play(host, story=story, chat=with_idempotency_store(tmp_path))
+
+
 def test_dispatchers_that_share_the_idempotency_store_run_a_request_once(tmp_path: Path) -> None:
     finish = trio.Event()
     first_host = openai_host(Act(pause=finish))
--- a/violetstack/fronts/chat_sink.py
+++ b/violetstack/fronts/chat_sink.py
@@ -60,29 +60,35 @@
             case EventKind.UNREADABLE:
                 return event.fault
             case _:
-                return why_not_one_choice(event.choices)
+                return why_not_one_choice(event.choices) or self._why_too_long(event)
+
+    def _why_too_long(self, event: AnswerEvent) -> str:
+        """Returns why the answer cannot be kept together with this event; empty if it can."""
+        if self._completion.size + len(event.data) <= MAX_COMPLETION_BYTES:
+            return ""
+        self._exceeds_limit = True
+        return f"the answer exceeds {MAX_COMPLETION_BYTES} bytes"
 
     def event(self, event: AnswerEvent) -> None:
         """Adds one event of the model host to the answer; a streamed answer forwards it as a chunk."""
-        if self._exceeds_limit or event.kind in (EventKind.COMMENT, EventKind.DONE):
+        if event.kind in (EventKind.COMMENT, EventKind.DONE):
             return
         chunk = self._completion.add(event)
-        self._exceeds_limit = self._completion.size > MAX_COMPLETION_BYTES
         if chunk is not None and self._request.stream:
             self._send_chunk(chunk)
 
     def finished(self) -> None:
         """Records the answer and ends the response."""
-        if self._exceeds_limit:
-            self._fail_incomplete("The answer is longer than can be kept.")
-            return
         record = self._completion.record()
         _finish(self._reply, self._completion, self._request, self._send_chunk)
         self._record_outcome(Outcome.COMPLETED, record)
 
     def stream_broken(self) -> None:
         """Reports that the stream broke after its first event."""
-        self._fail_incomplete("The stream broke before its end.")
+        message = "The stream broke before its end."
+        if self._exceeds_limit:
+            message = "The answer is longer than can be kept."
+        self._fail_incomplete(message)
 
     def rejected(self, retry_after_ms: float, may_have_run: bool) -> None:
         """Rejects the request; one that may have run has failed, unless it may be repeated at any time.
